build: workspace, base package

Problem: there is nothing to build on. Solution: CMake workspace with a package per subject, style(9) formatter and linter settings, and package base: status with a last message, log writer thread, clocks, hashes and metrics, each with a unit test.

--- /dev/null
+++ b/cmake/bramley.cmake
@@ -0,0 +1,63 @@
+# Helpers shared by every package: libraries, warnings, sanitizers, tests.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+pkg_check_modules(GLIB REQUIRED IMPORTED_TARGET glib-2.0)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu)
+pkg_check_modules(JANSSON REQUIRED IMPORTED_TARGET jansson)
+pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(MSGPACK REQUIRED IMPORTED_TARGET msgpack)
+pkg_check_modules(CHECK REQUIRED IMPORTED_TARGET check)
+find_library(CIVETWEB_LIBRARY civetweb REQUIRED)
+
+add_compile_options(-Wall -Wextra -Werror -Wshadow -Wstrict-prototypes
+    -Wmissing-prototypes -Wpointer-arith -Wwrite-strings -Wvla
+    -fno-strict-aliasing -fno-omit-frame-pointer)
+add_compile_definitions(_GNU_SOURCE
+    BRAMLEY_VERSION="${PROJECT_VERSION}")
+
+if(BRAMLEY_SANITIZE STREQUAL "address")
+	add_compile_options(-fsanitize=address,undefined
+	    -fno-sanitize-recover=all)
+	add_link_options(-fsanitize=address,undefined)
+elseif(BRAMLEY_SANITIZE STREQUAL "thread")
+	add_compile_options(-fsanitize=thread)
+	add_link_options(-fsanitize=thread)
+endif()
+
+# bramley_package(NAME LIBS lib...): a static library of packages/NAME/src.
+function(bramley_package name)
+	cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+	file(GLOB_RECURSE sources CONFIGURE_DEPENDS
+	    ${CMAKE_CURRENT_SOURCE_DIR}/src/*.c)
+	list(FILTER sources EXCLUDE REGEX "/main[a-z_]*\\.c$")
+	add_library(bramley_${name} STATIC ${sources})
+	target_include_directories(bramley_${name} PUBLIC
+	    ${CMAKE_CURRENT_SOURCE_DIR}/include)
+	target_link_libraries(bramley_${name} PUBLIC ${ARG_LIBS}
+	    PkgConfig::GLIB Threads::Threads m)
+endfunction()
+
+# bramley_test(NAME SOURCES file... LIBS lib...): one `check` program, which
+# ctest runs with the label "unit" unless LABEL says otherwise.
+function(bramley_test name)
+	cmake_parse_arguments(ARG "" "LABEL;TIMEOUT" "SOURCES;LIBS" ${ARGN})
+	if(NOT ARG_LABEL)
+		set(ARG_LABEL unit)
+	endif()
+	if(NOT ARG_TIMEOUT)
+		set(ARG_TIMEOUT 120)
+	endif()
+	add_executable(${name} ${ARG_SOURCES})
+	target_link_libraries(${name} PRIVATE ${ARG_LIBS} PkgConfig::CHECK)
+	add_test(NAME ${name} COMMAND ${name})
+	set_tests_properties(${name} PROPERTIES LABELS ${ARG_LABEL}
+	    TIMEOUT ${ARG_TIMEOUT})
+endfunction()
+
+# bramley_bench(NAME SOURCES file... LIBS lib...): built, never run by ctest.
+function(bramley_bench name)
+	cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
+	add_executable(${name} ${ARG_SOURCES})
+	target_link_libraries(${name} PRIVATE ${ARG_LIBS})
+endfunction()
--- /dev/null
+++ b/packages/base/include/base/log.h
@@ -0,0 +1,78 @@
+/*
+ * Logging: GLib structured logging with a fixed prefix for each part.
+ *
+ * A module defines LOG_PART before it includes this header:
+ *
+ *	#define LOG_PART "spread"
+ *	#include "base/log.h"
+ *
+ * Lines are short sentences.  They are handed to a writer thread through a
+ * bounded queue, so that logging never blocks traffic; lines that did not
+ * fit are counted.
+ */
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
+
+#include <stdint.h>
+
+#include "base/status.h"
+
+/** enum log_level - severity of a line, least first */
+enum log_level {
+	LOG_LEVEL_DEBUG = 0,
+	LOG_LEVEL_INFO,
+	LOG_LEVEL_WARNING,
+	LOG_LEVEL_ERROR,
+};
+
+/**
+ * log_start() - install the log writer and start its thread
+ * @level: least level that is written
+ * @host: name put in each line; copied
+ *
+ * Before this call lines go straight to standard error.
+ */
+void log_start(enum log_level level, const char *host);
+
+/** log_stop() - write what is queued and stop the writer thread */
+void log_stop(void);
+
+/**
+ * log_level_from_name() - parse "debug", "info", "warning" or "error"
+ * @name: the name
+ * @level: where the level goes
+ *
+ * Return: STATUS_OK or STATUS_INVALID.
+ */
+enum status log_level_from_name(const char *name, enum log_level *level);
+
+/**
+ * log_enabled() - whether a level is written, to spare costly arguments
+ * @level: the level asked about
+ */
+int log_enabled(enum log_level level);
+
+/** log_dropped() - number of lines dropped because the queue was full */
+uint64_t log_dropped(void);
+
+/**
+ * log_write() - write one line; use the macros below
+ * @level: severity
+ * @part: fixed prefix of the part, for instance "spread"
+ * @fmt: printf format of a short sentence
+ */
+void log_write(enum log_level level, const char *part, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#define log_at(level, ...)                                         \
+	do {                                                       \
+		if (log_enabled(level))                            \
+			log_write((level), LOG_PART, __VA_ARGS__); \
+	} while (0)
+
+#define log_debug(...) log_at(LOG_LEVEL_DEBUG, __VA_ARGS__)
+#define log_info(...) log_at(LOG_LEVEL_INFO, __VA_ARGS__)
+#define log_warning(...) log_at(LOG_LEVEL_WARNING, __VA_ARGS__)
+#define log_error(...) log_at(LOG_LEVEL_ERROR, __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/packages/base/test/test_base.c
@@ -0,0 +1,113 @@
+/*
+ * Tests of the base package.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/status.h"
+
+START_TEST(status_keeps_last_message)
+{
+	ck_assert_int_eq(
+	    status_set(STATUS_CONFLICT, "lost to %d", 7), STATUS_CONFLICT);
+	ck_assert_str_eq(status_message(), "lost to 7");
+	ck_assert_str_eq(status_name(STATUS_CONFLICT), "conflict");
+}
+END_TEST
+
+START_TEST(digest_round_trip)
+{
+	char hex[DIGEST_HEX_BYTES];
+	struct digest a, b;
+
+	hash_digest("abc", 3, &a);
+	hash_digest_hex(&a, hex);
+	ck_assert_str_eq(hex,
+	    "ba7816bf8f01cfea414140de5dae2223"
+	    "b00361a396177a9cb410ff61f20015ad");
+	ck_assert(hash_digest_parse(hex, &b));
+	ck_assert(hash_digest_equal(&a, &b));
+	ck_assert(!hash_digest_parse("xyz", &b));
+}
+END_TEST
+
+START_TEST(rendezvous_moves_only_the_lost_candidate)
+{
+	const char *names[] = {"a", "b", "c", "d"};
+	char key[16];
+	int best, best3, i, k;
+
+	for (k = 0; k < 100; k++) {
+		(void)snprintf(key, sizeof(key), "key%d", k);
+		best = best3 = 0;
+		for (i = 1; i < 4; i++)
+			if (hash_rendezvous(key, names[i]) >
+			    hash_rendezvous(key, names[best]))
+				best = i;
+		for (i = 1; i < 3; i++)
+			if (hash_rendezvous(key, names[i]) >
+			    hash_rendezvous(key, names[best3]))
+				best3 = i;
+		ck_assert(best == 3 || best == best3);
+	}
+}
+END_TEST
+
+START_TEST(metrics_show_help_and_buckets)
+{
+	static struct metric c = {
+	    "t_calls_total", "Calls.", METRIC_COUNTER, NULL, 0, {0}};
+	static struct metric h = {
+	    "t_wait_seconds", "Wait.", METRIC_HISTOGRAM, NULL, 0, {0}};
+	GString *out = g_string_new(NULL);
+
+	metric_register(&c);
+	metric_register(&h);
+	metric_add(&c, 3);
+	metric_observe_us(&h, 100);
+	metrics_render(out);
+	ck_assert_ptr_nonnull(strstr(out->str, "# HELP t_calls_total Calls."));
+	ck_assert_ptr_nonnull(strstr(out->str, "t_calls_total 3\n"));
+	ck_assert_ptr_nonnull(strstr(out->str, "t_wait_seconds_count{} 1\n"));
+	ck_assert_uint_eq(metric_quantile_us(&h, 0.99), 128);
+	g_string_free(out, TRUE);
+}
+END_TEST
+
+START_TEST(log_level_names)
+{
+	enum log_level level;
+
+	ck_assert_int_eq(log_level_from_name("warning", &level), STATUS_OK);
+	ck_assert_int_eq(level, LOG_LEVEL_WARNING);
+	ck_assert_int_eq(log_level_from_name("loud", &level), STATUS_INVALID);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("base");
+	TCase *tc = tcase_create("base");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_test(tc, status_keeps_last_message);
+	tcase_add_test(tc, digest_round_trip);
+	tcase_add_test(tc, rendezvous_moves_only_the_lost_candidate);
+	tcase_add_test(tc, metrics_show_help_and_buckets);
+	tcase_add_test(tc, log_level_names);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
