feat(net,store): public headers

Problem: the call path and the control thread need the shapes of the event loop, framed connections, datagrams, the HTTP client and the platform's store before these are written.

--- /dev/null
+++ b/packages/net/include/net/listener.h
@@ -0,0 +1,64 @@
+/*
+ * Listener for framed TCP connections.
+ */
+#ifndef NET_LISTENER_H
+#define NET_LISTENER_H
+
+#include "net/conn.h"
+
+struct listener;
+
+/**
+ * listener_accept_fn - a connection came in
+ * @c: the connection; the owner may set its argument with conn_set_arg()
+ * @arg: the listener's argument
+ */
+typedef void listener_accept_fn(struct conn *c, void *arg);
+
+/**
+ * struct listener_options - how a listener behaves
+ * @conn: limits of each accepted connection
+ * @conns_max: most connections open at a time; the newest is closed above
+ *	it; 0 for no bound
+ * @handler: handler of each accepted connection; must outlive them
+ * @on_accept: called for each accepted connection; may be NULL
+ * @arg: argument of @on_accept and first argument of the connections
+ */
+struct listener_options {
+	struct conn_options conn;
+	uint32_t conns_max;
+	const struct conn_handler *handler;
+	listener_accept_fn *on_accept;
+	void *arg;
+};
+
+/**
+ * listener_new() - listen on an address
+ * @loop: the loop the connections live in
+ * @at: address; port 0 lets the system choose
+ * @options: copied
+ * @out: where the listener goes
+ *
+ * Return: STATUS_OK, or STATUS_IO when the address can't be bound.
+ */
+enum status listener_new(struct loop *loop, struct net_addr at,
+    const struct listener_options *options, struct listener **out);
+
+/**
+ * listener_free() - stop listening
+ * @l: the listener; NULL is allowed
+ *
+ * Accepted connections live on; their owner closes them.
+ */
+void listener_free(struct listener *l);
+
+/** listener_addr() - address that is listened on, with the real port */
+struct net_addr listener_addr(const struct listener *l);
+
+/** listener_conns() - number of accepted connections that are open */
+uint32_t listener_conns(const struct listener *l);
+
+/** listener_refused() - connections closed for @conns_max so far */
+uint64_t listener_refused(const struct listener *l);
+
+#endif
