--- /dev/null
+++ b/packages/config/include/config/catalog.h
@@ -0,0 +1,121 @@
+/*
+ * What a node holds of the configuration: the version in force here with all
+ * its sections, and the changes of the last versions, so that it can serve
+ * nodes that are behind.
+ *
+ * A catalog goes only forward, and a version gets in whole or not at all; see
+ * config/stage.h.  One thread owns it.
+ */
+#ifndef CONFIG_CATALOG_H
+#define CONFIG_CATALOG_H
+
+#include <glib.h>
+
+#include "config/section.h"
+
+/* Versions whose changes are kept. */
+#define CATALOG_RING 64
+
+/* Memory that the contents may take when the caller names no other limit. */
+#define CATALOG_DEFAULT_BYTES (UINT64_C(24) << 20)
+
+struct catalog;
+
+/**
+ * struct catalog_delta - changes between two versions
+ * @from_version: version that the changes apply to, 0 for an empty one
+ * @version: version that they lead to
+ * @root: its root
+ * @changes: struct rec_section_change, sorted by service
+ */
+struct catalog_delta {
+	uint64_t from_version;
+	uint64_t version;
+	struct digest root;
+	GArray *changes;
+};
+
+/**
+ * catalog_new() - an empty catalog, at version 0
+ * @max_bytes: memory that it may take (0 for CATALOG_DEFAULT_BYTES); old
+ * versions go first, a version that does not fit is refused
+ */
+struct catalog *catalog_new(uint64_t max_bytes);
+
+/** catalog_free() - free a catalog; NULL is fine */
+void catalog_free(struct catalog *c);
+
+/** catalog_version() - version held; 0 while nothing is held */
+uint64_t catalog_version(const struct catalog *c);
+
+/** catalog_root() - root of the version held */
+const struct digest *catalog_root(const struct catalog *c);
+
+/** catalog_n_services() - number of services in the version held */
+uint32_t catalog_n_services(const struct catalog *c);
+
+/**
+ * catalog_service() - a service of the version held, in order of names
+ * @c: catalog
+ * @i: index below catalog_n_services()
+ *
+ * Return: the service, owned by the catalog.
+ */
+struct service_config *catalog_service(const struct catalog *c, uint32_t i);
+
+/**
+ * catalog_find() - a service of the version held, by name
+ * @c: catalog
+ * @name: name of the service
+ *
+ * Return: the service, owned by the catalog, or NULL.
+ */
+struct service_config *catalog_find(const struct catalog *c, const char *name);
+
+/** catalog_bytes() - memory taken, near enough, in bytes */
+uint64_t catalog_bytes(const struct catalog *c);
+
+/** catalog_oldest() - oldest version from which changes can be served */
+uint64_t catalog_oldest(const struct catalog *c);
+
+/**
+ * catalog_delta() - changes from one version to another, merged into one
+ * @c: catalog
+ * @have_version: version that the asker holds
+ * @want_version: version that it wants; 0 for the version held here
+ * @delta: where the changes go; clear with catalog_delta_clear()
+ *
+ * The list may name sections that the asker holds already.
+ *
+ * Return: STATUS_OK; STATUS_NOT_FOUND when the changes are no longer kept, so
+ * that a full list must do; STATUS_UNAVAILABLE when @want_version is not yet
+ * held here; STATUS_INVALID when @have_version is not below it.
+ */
+enum status catalog_delta(const struct catalog *c, uint64_t have_version,
+    uint64_t want_version, struct catalog_delta *delta);
+
+/** catalog_delta_clear() - free what a delta holds */
+void catalog_delta_clear(struct catalog_delta *delta);
+
+/**
+ * catalog_list() - the full list of a version
+ * @c: catalog
+ * @version: the version; 0 for the version held here
+ * @root: where its root goes; NULL when not wanted
+ * @list: where a new array of struct rec_section_ref goes
+ *
+ * Return: STATUS_OK or STATUS_NOT_FOUND.
+ */
+enum status catalog_list(const struct catalog *c, uint64_t version,
+    struct digest *root, GArray **list);
+
+/**
+ * catalog_content() - content of a section
+ * @c: catalog
+ * @digest: digest of the section
+ *
+ * Return: the content, owned by the catalog, or NULL when it is not held.
+ */
+GBytes *catalog_content(const struct catalog *c, const struct digest *digest);
+
+#endif
--- /dev/null
+++ b/packages/config/include/config/service.h
@@ -0,0 +1,160 @@
+/*
+ * A service and its routes as a section holds them: immutable and shared by
+ * reference count between catalog and snapshots.
+ */
+#ifndef CONFIG_SERVICE_H
+#define CONFIG_SERVICE_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/hash.h"
+#include "base/status.h"
+
+/* Longest name of a service and longest prefix, zero included. */
+#define SERVICE_NAME_BYTES 64
+#define ROUTE_PREFIX_BYTES 256
+
+/* What a bundle may hold at most. */
+#define CONFIG_MAX_SERVICES 4096
+#define CONFIG_MAX_ROUTES 64
+
+/* Ranges of a service's numbers. */
+#define SERVICE_TIMEOUT_MIN_MS 1
+#define SERVICE_TIMEOUT_MAX_MS 3600000
+#define SERVICE_SLOTS_MAX 65535
+#define SERVICE_QUEUE_MAX 65535
+#define SERVICE_QUEUE_WAIT_MAX_MS 60000
+#define SERVICE_REQUEST_MAX_BYTES (UINT64_C(1) << 40)
+#define SERVICE_CALLER_CALLS_MAX 1000000
+#define SERVICE_ATTEMPTS_MAX 10
+#define SERVICE_BUDGET_MAX_PERCENT 100
+
+/* What holds when a bundle leaves a number out. */
+#define SERVICE_TIMEOUT_DEFAULT_MS 2000
+#define SERVICE_SLOTS_DEFAULT 12
+#define SERVICE_QUEUE_DEFAULT 24
+#define SERVICE_QUEUE_WAIT_DEFAULT_MS 200
+#define SERVICE_REQUEST_DEFAULT_BYTES (UINT64_C(1) << 20)
+#define SERVICE_CALLER_CALLS_DEFAULT 0
+#define SERVICE_ATTEMPTS_DEFAULT 2
+#define SERVICE_BUDGET_DEFAULT_PERCENT 10
+
+/** enum http_method - methods that a route can name */
+enum http_method {
+	METHOD_GET = 0,
+	METHOD_HEAD,
+	METHOD_POST,
+	METHOD_PUT,
+	METHOD_PATCH,
+	METHOD_DELETE,
+	METHOD_OPTIONS,
+	METHOD_COUNT,
+};
+
+/* A method as a bit of a route's set of methods. */
+#define METHOD_BIT(m) (UINT32_C(1) << (m))
+#define METHOD_ALL (METHOD_BIT(METHOD_COUNT) - 1)
+
+/* Methods that are idempotent whatever the upstream does. */
+#define METHOD_SAFE                                         \
+	(METHOD_BIT(METHOD_GET) | METHOD_BIT(METHOD_HEAD) | \
+	    METHOD_BIT(METHOD_OPTIONS))
+
+/* Methods that count as idempotent only on a route of their own. */
+#define METHOD_UNSAFE (METHOD_BIT(METHOD_POST) | METHOD_BIT(METHOD_PATCH))
+
+/**
+ * method_parse() - a method from its name
+ * @name: first byte; "GET", "POST"...; case counts
+ * @len: number of bytes
+ *
+ * Return: the method, or METHOD_COUNT when the name is not known.
+ */
+enum http_method method_parse(const char *name, size_t len);
+
+/** method_name() - a method's name, a static string */
+const char *method_name(enum http_method m);
+
+/**
+ * struct service_limits - limits that the guard of each endpoint keeps
+ * @slots_per_endpoint: requests that an endpoint may run at once
+ * @queue_per_endpoint: requests that may wait for a slot
+ * @queue_wait_ms: longest wait for a slot
+ * @caller_calls_per_s: calls a second of one caller, 0 for no limit
+ * @request_max_bytes: largest request body
+ */
+struct service_limits {
+	uint32_t slots_per_endpoint;
+	uint32_t queue_per_endpoint;
+	uint32_t queue_wait_ms;
+	uint32_t caller_calls_per_s;
+	uint64_t request_max_bytes;
+};
+
+/**
+ * struct service_retry - retry policy
+ * @attempts: attempts of a request, the first included
+ * @budget_percent: retries allowed as a share of successes
+ */
+struct service_retry {
+	uint32_t attempts;
+	uint32_t budget_percent;
+};
+
+/**
+ * struct service_route - a route to a service
+ * @prefix: path prefix, zero-terminated; matched at segment boundaries
+ * @prefix_len: its length in bytes
+ * @methods: set of METHOD_BIT()
+ * @idempotent: whether running a request twice does no harm
+ */
+struct service_route {
+	const char *prefix;
+	uint32_t prefix_len;
+	uint32_t methods;
+	bool idempotent;
+};
+
+/**
+ * struct service_config - a service with its routes; immutable
+ * @refs: references; use service_config_ref() and service_config_unref()
+ * @name: name of the service
+ * @digest: digest of the section that says this
+ * @timeout_ms: time for a request when the caller names no deadline
+ * @limits: limits kept by the guards
+ * @retry: retry policy
+ * @routes: routes, sorted by prefix, then methods
+ * @n_routes: number of routes
+ * @size_bytes: memory that this takes
+ */
+struct service_config {
+	_Atomic uint32_t refs;
+	char name[SERVICE_NAME_BYTES];
+	struct digest digest;
+	uint32_t timeout_ms;
+	struct service_limits limits;
+	struct service_retry retry;
+	struct service_route *routes;
+	uint32_t n_routes;
+	uint32_t size_bytes;
+};
+
+/** service_config_ref() - take a reference; any thread; Return: @sc */
+struct service_config *service_config_ref(struct service_config *sc);
+
+/** service_config_unref() - give a reference back; any thread; NULL is fine */
+void service_config_unref(struct service_config *sc);
+
+/**
+ * service_name_valid() - whether a name fits a service
+ * @name: first byte
+ * @len: number of bytes
+ *
+ * A name is 1 to 63 of a-z, 0-9 and '-', and starts with a letter.
+ */
+bool service_name_valid(const char *name, size_t len);
+
+#endif
--- /dev/null
+++ b/packages/config/include/config/snapshot.h
@@ -0,0 +1,124 @@
+/*
+ * Snapshots: configuration and endpoints compiled into one immutable
+ * structure, which the traffic threads read without locks.
+ *
+ * A snapshot holds its own services and routes, so that a route can only
+ * lead to a service of the same snapshot, and endpoints only of services
+ * that it has.  Parts that did not change are shared with the snapshot
+ * before.  The pointer to the current one is published by package node.
+ */
+#ifndef CONFIG_SNAPSHOT_H
+#define CONFIG_SNAPSHOT_H
+
+#include <stdatomic.h>
+
+#include "config/catalog.h"
+#include "config/endpoints.h"
+
+/**
+ * struct snapshot_service - a service with its endpoints
+ * @config: limits, retry policy, routes; a reference is held
+ * @endpoints: its endpoints; a reference is held; NULL when it has none
+ */
+struct snapshot_service {
+	struct service_config *config;
+	struct endpoint_list *endpoints;
+};
+
+struct route_table;
+
+/**
+ * struct snapshot - configuration and endpoints at one moment; immutable
+ * @refs: references; use snapshot_ref() and snapshot_unref()
+ * @version: version of the configuration, 0 for none
+ * @root: its root
+ * @services: services, sorted by name
+ * @n_services: number of services
+ * @n_endpoints: number of endpoints of all services
+ * @routes: routes of all services, as indexes into @services
+ */
+struct snapshot {
+	_Atomic uint32_t refs;
+	uint64_t version;
+	struct digest root;
+	struct snapshot_service *services;
+	uint32_t n_services;
+	uint32_t n_endpoints;
+	struct route_table *routes;
+};
+
+/** enum route_result - outcome of a match */
+enum route_result {
+	ROUTE_FOUND = 0,
+	ROUTE_NO_PATH,	 /* no route has a prefix of the path */
+	ROUTE_NO_METHOD, /* some have, but none takes the method */
+};
+
+/**
+ * struct route_match - where a request goes
+ * @service: the service; lives as long as the snapshot
+ * @route: the route; lives as long as the snapshot
+ */
+struct route_match {
+	const struct snapshot_service *service;
+	const struct service_route *route;
+};
+
+/**
+ * snapshot_compile() - compile a snapshot
+ * @c: the configuration
+ * @endpoints: the endpoints; those of services that @c lacks are left out
+ * @previous: an earlier snapshot whose unchanged parts are shared, or NULL
+ *
+ * Return: a new snapshot with one reference, which the caller owns.
+ */
+struct snapshot *snapshot_compile(const struct catalog *c,
+    const struct endpoint_set *endpoints, const struct snapshot *previous);
+
+/** snapshot_ref() - take a reference; any thread; Return: @s */
+struct snapshot *snapshot_ref(struct snapshot *s);
+
+/** snapshot_unref() - give a reference back; any thread; NULL is fine */
+void snapshot_unref(struct snapshot *s);
+
+/**
+ * snapshot_service() - a service by name
+ * @s: snapshot
+ * @name: name of the service
+ *
+ * Return: the service, or NULL; lives as long as the snapshot.
+ */
+const struct snapshot_service *
+snapshot_service(const struct snapshot *s, const char *name);
+
+/**
+ * snapshot_match() - the route of a request
+ * @s: snapshot
+ * @method: the request's method
+ * @path: first byte of the path; a query is not looked at
+ * @path_len: number of bytes
+ * @match: where the match goes; untouched unless one is found
+ *
+ * The longest prefix wins among the routes that take the method.  A prefix
+ * matches whole segments only: "/search" matches "/search", "/search/x" and
+ * "/search?x", not "/searching".
+ *
+ * Return: whether a route was found.
+ */
+enum route_result
+snapshot_match(const struct snapshot *s, enum http_method method,
+    const char *path, size_t path_len, struct route_match *match);
+
+/**
+ * snapshot_check() - verify that a snapshot is sound
+ * @s: snapshot
+ *
+ * Each route leads to a service of this snapshot that owns it, each route of
+ * each service is there, endpoints are of their service only, and names are
+ * sorted and unique.  For tests and drivers: it walks everything.
+ *
+ * Return: STATUS_OK, or STATUS_INTERNAL with the first violation.
+ */
+enum status snapshot_check(const struct snapshot *s);
+
+#endif
