--- /dev/null
+++ b/packages/spread/include/spread/spread.h
@@ -0,0 +1,299 @@
+/*
+ * Spread: takes an accepted version to this node and passes it on.
+ *
+ * The composition of the modules readers, notices, pulls, source, floors and
+ * progress around one catalog and one membership table.  It is told of
+ * everything that happens with the time, and leaves what is to be sent in
+ * its outbox and what is to be done in its action queue; its caller empties
+ * both after each event.
+ *
+ * It holds to this whatever arrives, in whatever order:
+ * - the catalog only moves to a higher version, and only to a whole version
+ *   whose root has been checked;
+ * - the node is not ready before it holds the highest floor that it has heard
+ *   of (spread/floors.h says what that covers and what not).
+ */
+#ifndef SPREAD_SPREAD_H
+#define SPREAD_SPREAD_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/hash.h"
+#include "base/status.h"
+#include "proto/addr.h"
+#include "proto/messages.h"
+#include "proto/outbox.h"
+#include "spread/profile.h"
+
+struct catalog;
+struct membership;
+struct spread;
+
+/**
+ * struct spread_config - what a node is told at start
+ * @profile: numbers of the spread; copied
+ * @host: name of the own host; copied
+ * @data_centre: name of the own data centre; copied
+ * @seed: seed of all random choices
+ */
+struct spread_config {
+	struct spread_profile profile;
+	const char *host;
+	const char *data_centre;
+	uint64_t seed;
+};
+
+/**
+ * enum spread_action_kind - what the caller is to do
+ * @SPREAD_READ_HEAD: read the head row; answer with spread_on_head()
+ * @SPREAD_READ_VERSIONS: read the version rows @from to @to, both included;
+ *	answer with spread_on_versions()
+ * @SPREAD_READ_OBJECT: read the object @digest, a list of sections if @list,
+ *	else a section; answer with spread_on_object()
+ * @SPREAD_APPLY: the catalog moved to version @to; recompile the snapshot
+ * @SPREAD_READY: the node may serve from now on
+ * @SPREAD_BLAME: the peer @peer sent something wrong; log it
+ * @SPREAD_HALTED: version @to was halted before it was applied here; log it
+ */
+enum spread_action_kind {
+	SPREAD_READ_HEAD = 0,
+	SPREAD_READ_VERSIONS,
+	SPREAD_READ_OBJECT,
+	SPREAD_APPLY,
+	SPREAD_READY,
+	SPREAD_BLAME,
+	SPREAD_HALTED,
+};
+
+/**
+ * struct spread_action - one thing for the caller to do
+ * @kind: what
+ * @from: first version, or the version that was left
+ * @to: last version, or the version that was reached
+ * @list: whether @digest names a list of sections (a root)
+ * @digest: object to be read
+ * @peer: peer that is blamed
+ */
+struct spread_action {
+	enum spread_action_kind kind;
+	uint64_t from;
+	uint64_t to;
+	int list;
+	struct digest digest;
+	struct net_addr peer;
+};
+
+/**
+ * struct spread_version_row - a version row as read from the platform
+ * @version: its number
+ * @parent: version that @changes start from, 0 for an empty one
+ * @root: root of the version
+ * @changes: sections that changed since @parent; borrowed
+ * @n_changes: number of @changes
+ */
+struct spread_version_row {
+	uint64_t version;
+	uint64_t parent;
+	struct digest root;
+	const struct rec_section_change *changes;
+	uint32_t n_changes;
+};
+
+/**
+ * struct spread_progress - how far a version has come in one data centre
+ * @data_centre: the data centre
+ * @version: version that @holding counts
+ * @holding: nodes that hold this version or a later one
+ * @nodes: nodes counted
+ * @lowest: lowest version in force on any of them
+ * @at_ms: when the data centre's root said so
+ */
+struct spread_progress {
+	char data_centre[32];
+	uint64_t version;
+	uint32_t holding;
+	uint32_t nodes;
+	uint64_t lowest;
+	uint64_t at_ms;
+};
+
+/** struct spread_stats - counters since the start, for metrics */
+struct spread_stats {
+	uint64_t notices_sent;
+	uint64_t notices_heard;
+	uint64_t notices_new;
+	uint64_t pulls_sent;
+	uint64_t pulls_served;
+	uint64_t pulls_refused;
+	uint64_t pulls_timed_out;
+	uint64_t peers_blamed;
+	uint64_t head_reads;
+	uint64_t version_reads;
+	uint64_t object_reads;
+	uint64_t versions_applied;
+	uint64_t floor_unacknowledged;
+	uint64_t progress_sent;
+};
+
+/**
+ * spread_new() - start spreading
+ * @config: settings of the node
+ * @m: table of hosts; borrowed, must outlive the spread
+ * @c: the node's configuration; borrowed, must outlive the spread.  Only the
+ *	spread moves it to another version.
+ * @now_ms: monotonic time
+ *
+ * Return: the spread; free with spread_free().
+ */
+struct spread *spread_new(const struct spread_config *config,
+    struct membership *m, struct catalog *c, uint64_t now_ms);
+
+/** spread_free() - stop spreading; NULL is ignored */
+void spread_free(struct spread *s);
+
+/** spread_next_ms() - when spread_tick() is due, DEADLINE_NEVER if not */
+uint64_t spread_next_ms(const struct spread *s);
+
+/** spread_tick() - do what is due at @now_ms */
+void spread_tick(struct spread *s, uint64_t now_ms);
+
+/**
+ * spread_on_datagram() - a datagram of the spread's messages came
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @from: sender
+ * @type: type of the message; others than the spread's are ignored
+ * @body: the message; not trusted
+ * @len: number of bytes
+ */
+void spread_on_datagram(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, uint8_t type, const uint8_t *body, size_t len);
+
+/**
+ * spread_on_frame() - a frame of the spread's messages came
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @from: peer_port address of the peer, as far as it is known
+ * @conn: connection to answer on
+ * @type: type of the message; others than the spread's are ignored
+ * @body: the message; not trusted
+ * @len: number of bytes
+ */
+void
+spread_on_frame(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    uint64_t conn, uint8_t type, const uint8_t *body, size_t len);
+
+/**
+ * spread_on_closed() - a connection to a peer failed or was closed
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @peer: address that was dialled
+ */
+void spread_on_closed(
+    struct spread *s, uint64_t now_ms, const struct net_addr *peer);
+
+/**
+ * spread_on_heard() - a ping or its answer carried a peer's head
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @from: the peer
+ * @head: head that the peer holds
+ */
+void spread_on_heard(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, const struct rec_head *head);
+
+/**
+ * spread_on_head() - answer to SPREAD_READ_HEAD
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @st: STATUS_OK, STATUS_NOT_FOUND when there is no head row yet,
+ *	STATUS_OVERLOADED when the platform throttles, or why it failed
+ * @head: the head row, whose root is that of the version in force; NULL
+ *	unless STATUS_OK
+ */
+void spread_on_head(struct spread *s, uint64_t now_ms, enum status st,
+    const struct rec_head *head);
+
+/**
+ * spread_on_versions() - answer to SPREAD_READ_VERSIONS
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @st: as for spread_on_head()
+ * @rows: the rows that exist, in order of their versions
+ * @n_rows: number of @rows
+ */
+void spread_on_versions(struct spread *s, uint64_t now_ms, enum status st,
+    const struct spread_version_row *rows, uint32_t n_rows);
+
+/**
+ * spread_on_object() - answer to SPREAD_READ_OBJECT
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @st: as for spread_on_head()
+ * @digest: the object that was asked for
+ * @data: its content; checked against @digest here
+ * @len: number of bytes
+ */
+void spread_on_object(struct spread *s, uint64_t now_ms, enum status st,
+    const struct digest *digest, const uint8_t *data, size_t len);
+
+/**
+ * spread_on_signed() - a sign-off, halt or supersede by this node took effect
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @head: the head row as written
+ * @row: row of the new version, NULL after a halt
+ *
+ * The new sections must be in the catalog's store by then; if they are not,
+ * they are read from the platform.
+ */
+void spread_on_signed(struct spread *s, uint64_t now_ms,
+    const struct rec_head *head, const struct spread_version_row *row);
+
+/** spread_ready() - whether the node may serve */
+int spread_ready(const struct spread *s);
+
+/** spread_head() - newest head that the node knows, seq 0 if none */
+const struct rec_head *spread_head(const struct spread *s);
+
+/** spread_floor() - highest version that must be held before serving */
+uint64_t spread_floor(const struct spread *s);
+
+/**
+ * spread_progress_ask() - ask every data centre how far the roll has come
+ * @s: the spread
+ * @now_ms: monotonic time
+ *
+ * Costs a datagram and its answer for each data centre, so it is meant for
+ * when somebody watches.
+ */
+void spread_progress_ask(struct spread *s, uint64_t now_ms);
+
+/**
+ * spread_progress() - what the data centres answered last
+ * @s: the spread
+ * @n: where their number goes
+ *
+ * Return: one entry for each data centre that has answered; borrowed until
+ * the next event.
+ */
+const struct spread_progress *
+spread_progress(const struct spread *s, uint32_t *n);
+
+/** spread_stats() - counters since the start */
+const struct spread_stats *spread_stats(const struct spread *s);
+
+/** spread_outbox() - what is to be sent */
+struct outbox *spread_outbox(struct spread *s);
+
+/**
+ * spread_pop() - take the oldest action out of the queue
+ * @s: the spread
+ * @action: where it goes
+ *
+ * Return: 1 when there was one, else 0.
+ */
+int spread_pop(struct spread *s, struct spread_action *action);
+
+#endif
