feat(traffic): headers of the traffic decisions

Problem: the entry and the guard shell need the interface of the decisions before the decisions are there.

--- /dev/null
+++ b/packages/traffic/include/traffic/admission.h
@@ -0,0 +1,147 @@
+/*
+ * Admission at the guard, for one endpoint: slots and a short queue that
+ * knows deadlines.  What can't start in time is refused at once.
+ */
+#ifndef TRAFFIC_ADMISSION_H
+#define TRAFFIC_ADMISSION_H
+
+#include "traffic/traffic_defs.h"
+
+/**
+ * enum admission_class - kinds of requests that each keep a share
+ * @ADMISSION_LOOKUP: idempotent
+ * @ADMISSION_BOOKING: non-idempotent
+ */
+enum admission_class {
+	ADMISSION_LOOKUP = 0,
+	ADMISSION_BOOKING,
+	ADMISSION_CLASSES,
+};
+
+/** enum admission_order - which queued request gets a free slot */
+enum admission_order {
+	ADMISSION_FIFO = 0,
+	ADMISSION_LIFO_UNDER_LOAD,
+	ADMISSION_SHORTEST_SLACK,
+};
+
+/**
+ * struct admission_config - limits of one endpoint
+ * @slots: requests that the upstream may have at a time
+ * @queue_max: requests that may wait
+ * @queue_wait_ms: longest wait in the queue
+ * @booking_percent: share of slots and queue that bookings keep under
+ *	overload; lookups keep the rest; what one leaves the other may use
+ * @order: order of the queue
+ * @refuse_early: refuse at once what is not expected to start in time;
+ *	false only for the comparison in the bench program
+ */
+struct admission_config {
+	uint32_t slots;
+	uint32_t queue_max;
+	uint32_t queue_wait_ms;
+	uint32_t booking_percent;
+	enum admission_order order;
+	bool refuse_early;
+};
+
+/**
+ * struct admission_request - a request that asks to run
+ * @ticket: the shell's number of it, unique at this endpoint
+ * @class: its kind
+ * @deadline_ms: monotonic deadline
+ */
+struct admission_request {
+	uint64_t ticket;
+	enum admission_class class;
+	uint64_t deadline_ms;
+};
+
+/** enum admission_verdict - what becomes of a request */
+enum admission_verdict {
+	ADMISSION_START = 0,
+	ADMISSION_QUEUE,
+	ADMISSION_REFUSE,
+};
+
+/**
+ * struct admission_result - a verdict
+ * @verdict: start now, wait, or refused
+ * @ticket: the request
+ * @refusal: why it was refused
+ * @retry_after_ms: when refused, when it is worth to come back
+ */
+struct admission_result {
+	enum admission_verdict verdict;
+	uint64_t ticket;
+	enum refusal refusal;
+	uint64_t retry_after_ms;
+};
+
+struct admission;
+
+/** admission_config_default() - the values that measurement argued for */
+void admission_config_default(struct admission_config *cfg);
+
+/** admission_new() - for one endpoint; free with admission_free() */
+struct admission *admission_new(const struct admission_config *cfg);
+
+/** admission_free() - free it; queued requests are forgotten */
+void admission_free(struct admission *a);
+
+/** admission_configure() - new limits; what runs and waits stays */
+void
+admission_configure(struct admission *a, const struct admission_config *cfg);
+
+/**
+ * admission_offer() - a request asks to run
+ * @a: the admission
+ * @req: the request
+ * @now_ms: monotonic time
+ * @out: the verdict
+ *
+ * A queued request comes out of admission_next() later, to start or refused.
+ */
+void admission_offer(struct admission *a, const struct admission_request *req,
+    uint64_t now_ms, struct admission_result *out);
+
+/**
+ * admission_finished() - a started request has left its slot
+ * @a: the admission
+ * @class: its kind
+ * @ran_ms: how long it held the slot
+ * @now_ms: monotonic time
+ */
+void admission_finished(struct admission *a, enum admission_class class,
+    uint64_t ran_ms, uint64_t now_ms);
+
+/** admission_cancel() - take a queued request out; false if not queued */
+bool admission_cancel(struct admission *a, uint64_t ticket);
+
+/**
+ * admission_next() - the next queued request that starts or is refused
+ *
+ * To be called until it returns false, after each event and at
+ * admission_wake_ms().
+ */
+bool admission_next(
+    struct admission *a, uint64_t now_ms, struct admission_result *out);
+
+/** admission_wake_ms() - when a queued request expires; DEADLINE_NEVER */
+uint64_t admission_wake_ms(const struct admission *a);
+
+/**
+ * admission_drain() - refuse all new requests from now on
+ *
+ * What is queued has been promised nothing and is refused too, so that it
+ * runs elsewhere; what has started runs on.
+ */
+void admission_drain(struct admission *a);
+
+/** admission_undrain() - take requests again */
+void admission_undrain(struct admission *a);
+
+/** admission_load() - the load report for answers and refusals */
+void admission_load(const struct admission *a, struct load_report *out);
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/traffic/drain.h
@@ -0,0 +1,92 @@
+/*
+ * Graceful stop of a node, as entry and as guard: which work is still taken,
+ * and when nothing is in flight any more.
+ */
+#ifndef TRAFFIC_DRAIN_H
+#define TRAFFIC_DRAIN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * enum drain_state - where a stop stands
+ * @DRAIN_SERVING: no stop was asked for
+ * @DRAIN_NOTICE: leaving is announced; the guard refuses new requests, the
+ *	entry still takes calls and closes its callers' connections after
+ *	their answers
+ * @DRAIN_REFUSING: the entry refuses new calls as well
+ * @DRAIN_EMPTY: nothing is in flight: stop now
+ * @DRAIN_OVERDUE: the bound has passed with work in flight: stop now, and
+ *	report what is cut
+ */
+enum drain_state {
+	DRAIN_SERVING = 0,
+	DRAIN_NOTICE,
+	DRAIN_REFUSING,
+	DRAIN_EMPTY,
+	DRAIN_OVERDUE,
+};
+
+/** drain_state_name() - short name for logs */
+const char *drain_state_name(enum drain_state s);
+
+/**
+ * struct drain - the stop of one node
+ * @state: see enum drain_state
+ * @refuse_ms: when the entry begins to refuse
+ * @bound_ms: when it stops whatever is in flight
+ * @calls: calls in flight at the entry
+ * @requests: requests in flight at the guard, queued ones included
+ */
+struct drain {
+	enum drain_state state;
+	uint64_t refuse_ms;
+	uint64_t bound_ms;
+	uint64_t calls;
+	uint64_t requests;
+};
+
+/** drain_init() - a node that serves */
+void drain_init(struct drain *d);
+
+/**
+ * drain_begin() - a stop is asked for
+ * @d: the drain
+ * @notice_for_ms: how long the entry still takes calls
+ * @drain_for_ms: bound of the whole stop
+ * @now_ms: monotonic time
+ */
+void drain_begin(struct drain *d, uint64_t notice_for_ms, uint64_t drain_for_ms,
+    uint64_t now_ms);
+
+/** drain_takes_call() - whether the entry takes a new call */
+bool drain_takes_call(const struct drain *d);
+
+/** drain_takes_request() - whether the guard takes a new request */
+bool drain_takes_request(const struct drain *d);
+
+/** drain_closes() - whether callers' connections are closed after an answer */
+bool drain_closes(const struct drain *d);
+
+/** drain_call_began() - the entry took a call */
+void drain_call_began(struct drain *d);
+
+/** drain_call_ended() - the caller has its whole answer, or is gone */
+void drain_call_ended(struct drain *d, uint64_t now_ms);
+
+/** drain_request_began() - the guard took a request */
+void drain_request_began(struct drain *d);
+
+/** drain_request_ended() - its whole answer has been written */
+void drain_request_ended(struct drain *d, uint64_t now_ms);
+
+/** drain_tick() - a time named by drain_wake_ms() has come */
+void drain_tick(struct drain *d, uint64_t now_ms);
+
+/** drain_wake_ms() - when drain_tick() is wanted next; DEADLINE_NEVER */
+uint64_t drain_wake_ms(const struct drain *d);
+
+/** drain_stops() - whether the process may stop now */
+bool drain_stops(const struct drain *d);
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -0,0 +1,144 @@
+/*
+ * What an entry knows of the endpoints it may call: state from the snapshot,
+ * its own requests in flight, the load carried by answers, and results.
+ * Placement and ejection decide on it.  The record of an endpoint survives
+ * changes of the snapshot.
+ */
+#ifndef TRAFFIC_ENDPOINTS_H
+#define TRAFFIC_ENDPOINTS_H
+
+#include <stddef.h>
+
+#include "traffic/traffic_defs.h"
+
+struct endpoints;
+
+/** enum endpoint_state - what the snapshot says of an endpoint */
+enum endpoint_state {
+	ENDPOINT_STARTING = 0,
+	ENDPOINT_READY,
+	ENDPOINT_DRAINING,
+	ENDPOINT_LEFT,
+};
+
+/**
+ * struct endpoint_info - one endpoint of a service in the snapshot
+ * @id: see endpoint_id()
+ * @incarnation: changes when the upstream is replaced under the same name;
+ *	its results so far are forgotten and it starts slowly
+ * @slots: announced number of slots; at least 1 is assumed
+ * @state: state announced
+ * @local: in this node's data centre
+ */
+struct endpoint_info {
+	uint64_t id;
+	uint64_t incarnation;
+	uint32_t slots;
+	enum endpoint_state state;
+	bool local;
+};
+
+/**
+ * enum endpoint_result - how a request at an endpoint ended
+ * @ENDPOINT_OK: the whole answer came and is no server error
+ * @ENDPOINT_FAILED: a server error, a broken upstream or a cut answer
+ * @ENDPOINT_SILENT: no answer within the deadline, or connection silent
+ * @ENDPOINT_UNREACHABLE: the guard could not be reached
+ * @ENDPOINT_REFUSED: the guard refused for load; no sign of illness
+ * @ENDPOINT_DRAINS: the guard refused because the endpoint drains
+ * @ENDPOINT_CANCELLED: this side gave up; says nothing about the endpoint
+ */
+enum endpoint_result {
+	ENDPOINT_OK = 0,
+	ENDPOINT_FAILED,
+	ENDPOINT_SILENT,
+	ENDPOINT_UNREACHABLE,
+	ENDPOINT_REFUSED,
+	ENDPOINT_DRAINS,
+	ENDPOINT_CANCELLED,
+};
+
+/**
+ * struct endpoints_config - how measurements age
+ * @slow_start_ms: time over which a cold endpoint's share grows to its full
+ *	size; 0 turns slow start off
+ * @load_half_life_ms: a reported load counts half after this time
+ * @drain_hold_ms: an endpoint that refused as draining is left out this
+ *	long, until the snapshot tells the same
+ */
+struct endpoints_config {
+	uint32_t slow_start_ms;
+	uint32_t load_half_life_ms;
+	uint32_t drain_hold_ms;
+};
+
+/** endpoints_config_default() - the values that measurement argued for */
+void endpoints_config_default(struct endpoints_config *cfg);
+
+/**
+ * endpoints_new() - an empty table
+ * @cfg: settings; copied
+ *
+ * Return: the table; free with endpoints_free().
+ */
+struct endpoints *endpoints_new(const struct endpoints_config *cfg);
+
+/** endpoints_free() - free the table and all records */
+void endpoints_free(struct endpoints *e);
+
+/**
+ * endpoints_set_service() - tell a service's endpoints
+ * @e: the table
+ * @service: see service_id()
+ * @generation: number of the snapshot, see endpoints_generation()
+ * @infos: all endpoints of the service in the snapshot
+ * @n: number of @infos; 0 removes the service
+ * @now_ms: monotonic time
+ *
+ * Endpoints no longer named take no new requests; their record goes once
+ * nothing is in flight.
+ */
+void endpoints_set_service(struct endpoints *e, uint64_t service,
+    uint64_t generation, const struct endpoint_info *infos, size_t n,
+    uint64_t now_ms);
+
+/**
+ * endpoints_generation() - the snapshot a service was last told from
+ *
+ * So that the shell may tell services lazily, when a call for one comes.
+ *
+ * Return: the generation, 0 when the service has never been told.
+ */
+uint64_t endpoints_generation(const struct endpoints *e, uint64_t service);
+
+/** endpoints_began() - a request was sent to @endpoint */
+void endpoints_began(struct endpoints *e, uint64_t endpoint, uint64_t now_ms);
+
+/**
+ * endpoints_ended() - a request begun with endpoints_began() is over
+ * @e: the table
+ * @endpoint: the endpoint
+ * @result: how it ended
+ * @took_us: time from sending to the head of the answer; used when OK
+ * @now_ms: monotonic time
+ */
+void endpoints_ended(struct endpoints *e, uint64_t endpoint,
+    enum endpoint_result result, uint64_t took_us, uint64_t now_ms);
+
+/** endpoints_report() - an answer or refusal of @endpoint carried @load */
+void endpoints_report(struct endpoints *e, uint64_t endpoint,
+    const struct load_report *load, uint64_t now_ms);
+
+/**
+ * endpoints_hint() - what the endpoint's health check claims
+ *
+ * A hint only: it brings the next probe of an ejected endpoint forward
+ * (healthy) and never ejects one by itself, since health checks may lie.
+ */
+void endpoints_hint(
+    struct endpoints *e, uint64_t endpoint, bool healthy, uint64_t now_ms);
+
+/** endpoints_in_flight() - own requests in flight at @endpoint */
+uint32_t endpoints_in_flight(const struct endpoints *e, uint64_t endpoint);
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/traffic/placement.h
@@ -0,0 +1,126 @@
+/*
+ * Placement: which endpoint serves a call.
+ *
+ * Power of two choices on an estimate of each endpoint's load, own data
+ * centre first, spill-over when the local ones are saturated or absent.
+ */
+#ifndef TRAFFIC_PLACEMENT_H
+#define TRAFFIC_PLACEMENT_H
+
+#include "traffic/endpoints.h"
+#include "traffic/ejection.h"
+
+/**
+ * enum placement_reason - why an endpoint was (or none could be) chosen
+ * @PLACEMENT_LOCAL: less loaded of two in the own data centre
+ * @PLACEMENT_SPILLED: local ones are saturated, a remote one is not
+ * @PLACEMENT_REMOTE: the own data centre has no usable endpoint
+ * @PLACEMENT_PROBE: an ejected endpoint is tried again
+ * @PLACEMENT_PANIC: all usable ones are ejected; the ejection is ignored
+ * @PLACEMENT_REPEATED: only endpoints already tried are left
+ * @PLACEMENT_HOME: the home of the call's idempotency key
+ * @PLACEMENT_RANDOM: the naive version's pick
+ * @PLACEMENT_NONE: no endpoint is usable
+ */
+enum placement_reason {
+	PLACEMENT_LOCAL = 0,
+	PLACEMENT_SPILLED,
+	PLACEMENT_REMOTE,
+	PLACEMENT_PROBE,
+	PLACEMENT_PANIC,
+	PLACEMENT_REPEATED,
+	PLACEMENT_HOME,
+	PLACEMENT_RANDOM,
+	PLACEMENT_NONE,
+};
+
+/** placement_reason_name() - short name for the log line */
+const char *placement_reason_name(enum placement_reason r);
+
+/**
+ * struct placement_query - what is to be placed
+ * @service: see service_id()
+ * @key: idempotency key, or NULL; a keyed call goes to the key's home
+ * @key_len: bytes of @key
+ * @tried: endpoints that this call has tried
+ * @n_tried: number of @tried
+ * @idempotent: a probe of an ejected endpoint takes only such requests
+ */
+struct placement_query {
+	uint64_t service;
+	const void *key;
+	size_t key_len;
+	const uint64_t *tried;
+	size_t n_tried;
+	bool idempotent;
+};
+
+/**
+ * struct placement_choice - the decision, for the call and its log line
+ * @endpoint: the endpoint, 0 for none
+ * @reason: why
+ * @load: estimated load of the endpoint
+ * @slots: its slots as counted now (fewer during slow start)
+ */
+struct placement_choice {
+	uint64_t endpoint;
+	enum placement_reason reason;
+	uint32_t load;
+	uint32_t slots;
+};
+
+/**
+ * struct placement_config - the policy
+ * @saturation_percent: a local endpoint counts as saturated from this share
+ *	of its slots on
+ * @local_first: prefer the own data centre
+ */
+struct placement_config {
+	uint32_t saturation_percent;
+	bool local_first;
+};
+
+struct placement;
+
+/**
+ * struct placement_ops - a placement policy
+ * @choose: see placement_choose()
+ */
+struct placement_ops {
+	bool (*choose)(struct placement *p, const struct placement_query *q,
+	    uint64_t now_ms, struct placement_choice *out);
+};
+
+/** placement_config_default() - the values that measurement argued for */
+void placement_config_default(struct placement_config *cfg);
+
+/**
+ * placement_new() - power of two choices
+ * @cfg: settings; copied
+ * @endpoints: borrowed; must outlive the placement
+ * @ejection: borrowed; NULL ejects nothing
+ * @seed: seed of the random picks
+ */
+struct placement *placement_new(const struct placement_config *cfg,
+    struct endpoints *endpoints, struct ejection *ejection, uint64_t seed);
+
+/** placement_new_naive() - a random endpoint that the snapshot calls ready */
+struct placement *
+placement_new_naive(struct endpoints *endpoints, uint64_t seed);
+
+/** placement_free() - free it; endpoints and ejection stay */
+void placement_free(struct placement *p);
+
+/**
+ * placement_choose() - choose an endpoint
+ * @p: the placement
+ * @q: the call
+ * @now_ms: monotonic time
+ * @out: the choice; its reason is PLACEMENT_NONE when there is none
+ *
+ * Return: true when an endpoint was chosen.
+ */
+bool placement_choose(struct placement *p, const struct placement_query *q,
+    uint64_t now_ms, struct placement_choice *out);
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/traffic/retry.h
@@ -0,0 +1,67 @@
+/*
+ * Retry budget of one service at one entry: a share of its successes, so
+ * that retries cannot multiply the load of a service that is failing.
+ */
+#ifndef TRAFFIC_RETRY_H
+#define TRAFFIC_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct retry_config - retry policy of a service
+ * @attempts: attempts of a call altogether, at least 1
+ * @budget_percent: retries allowed per hundred successes
+ * @reserve_per_s: retries allowed per second beside the share, so that a
+ *	service with little traffic may retry at all
+ * @burst: most retries saved up
+ * @backoff_ms: longest wait before the first retry; doubled for each next
+ * @backoff_cap_ms: longest wait before any retry
+ */
+struct retry_config {
+	uint32_t attempts;
+	uint32_t budget_percent;
+	uint32_t reserve_per_s;
+	uint32_t burst;
+	uint32_t backoff_ms;
+	uint32_t backoff_cap_ms;
+};
+
+/** struct retry_budget - token bucket, in hundredths of a retry */
+struct retry_budget {
+	struct retry_config cfg;
+	uint64_t tokens_percent;
+	uint64_t refilled_ms;
+};
+
+/** retry_config_default() - the values that measurement argued for */
+void retry_config_default(struct retry_config *cfg);
+
+/** retry_budget_init() - a budget that holds its burst */
+void retry_budget_init(
+    struct retry_budget *b, const struct retry_config *cfg, uint64_t now_ms);
+
+/** retry_budget_configure() - new settings; what is saved up stays */
+void
+retry_budget_configure(struct retry_budget *b, const struct retry_config *cfg);
+
+/** retry_budget_success() - a call of the service succeeded */
+void retry_budget_success(struct retry_budget *b);
+
+/**
+ * retry_budget_take() - ask for one retry
+ *
+ * Return: true when it is granted; it is then paid for.
+ */
+bool retry_budget_take(struct retry_budget *b, uint64_t now_ms);
+
+/**
+ * retry_backoff_ms() - wait before a retry, with full jitter
+ * @cfg: the policy
+ * @retry: number of the retry, from 1
+ * @random: a random number
+ */
+uint64_t retry_backoff_ms(
+    const struct retry_config *cfg, uint32_t retry, uint64_t random);
+
+#endif
