--- /dev/null
+++ b/packages/node/include/node/entry.h
@@ -0,0 +1,73 @@
+/*
+ * Entry: the thread that places the calls which came in at this node on
+ * endpoints, follows each to its fate, and talks to the guards.
+ *
+ * It feeds the decisions of package traffic (placement, retry, the state
+ * machine of a call) with what happens and carries out what they answer.
+ */
+#ifndef NODE_ENTRY_H
+#define NODE_ENTRY_H
+
+#include <stdint.h>
+
+#include "base/status.h"
+
+struct call_exchange;
+struct entry;
+struct settings;
+
+/**
+ * entry_new() - make an entry
+ * @s: settings of the node; must outlive the entry
+ * @incarnation: incarnation of this process, told to guards
+ *
+ * Return: the entry, or NULL when the system refuses a descriptor.
+ */
+struct entry *entry_new(const struct settings *s, uint64_t incarnation);
+
+/**
+ * entry_start() - start the thread
+ * @e: the entry
+ *
+ * Return: STATUS_OK, or STATUS_IO when no thread can be had.
+ */
+enum status entry_start(struct entry *e);
+
+/**
+ * entry_snapshot_changed() - a new snapshot was published
+ * @e: the entry
+ *
+ * Any thread may call it.  New calls use the snapshot in force anyhow; this
+ * lets the entry forget what it keeps on endpoints that are gone.
+ */
+void entry_snapshot_changed(struct entry *e);
+
+/**
+ * entry_submit() - hand a call to the entry
+ * @e: the entry
+ * @x: the call; see node/call_exchange.h
+ *
+ * Any thread may call it.
+ */
+void entry_submit(struct entry *e, struct call_exchange *x);
+
+/**
+ * entry_drain() - take no new call from now on
+ * @e: the entry
+ * @deadline_ms: monotonic time at which what still runs is given up
+ *
+ * Any thread may call it.  New calls are answered not_run.  Follow
+ * entry_in_flight() down to 0.
+ */
+void entry_drain(struct entry *e, uint64_t deadline_ms);
+
+/** entry_in_flight() - calls that are not ended */
+uint32_t entry_in_flight(const struct entry *e);
+
+/** entry_stop() - stop the thread; calls in flight are broken off */
+void entry_stop(struct entry *e);
+
+/** entry_free() - free a stopped entry; NULL is allowed */
+void entry_free(struct entry *e);
+
+#endif
--- /dev/null
+++ b/packages/node/include/node/guard.h
@@ -0,0 +1,90 @@
+/*
+ * Guard: the thread that takes calls from the entries of all nodes for the
+ * endpoints of this host, and hands them to the upstreams.
+ *
+ * It feeds the decisions of package traffic (admission, fates, frame age)
+ * with what happens and carries out what they answer.
+ */
+#ifndef NODE_GUARD_H
+#define NODE_GUARD_H
+
+#include <stdint.h>
+
+#include "base/status.h"
+#include "config/endpoints.h"
+#include "config/service.h"
+#include "proto/addr.h"
+
+struct guard;
+struct settings;
+
+/**
+ * struct guard_endpoint - an upstream of this host
+ * @service: name of the service
+ * @port: port that the upstream listens on, at this host's own address
+ * @slots: requests that it may run at once
+ * @state: what it said of itself
+ * @limits: limits of the service, from the snapshot in force
+ */
+struct guard_endpoint {
+	char service[SERVICE_NAME_BYTES];
+	uint16_t port;
+	uint32_t slots;
+	enum serving_state state;
+	struct service_limits limits;
+};
+
+/**
+ * guard_new() - make a guard
+ * @s: settings of the node; must outlive the guard
+ * @incarnation: incarnation of this process, told to entries
+ *
+ * Return: the guard, or NULL when the system refuses a descriptor.
+ */
+struct guard *guard_new(const struct settings *s, uint64_t incarnation);
+
+/**
+ * guard_start() - listen on the call port and start the thread
+ * @g: the guard
+ *
+ * Return: STATUS_OK, or STATUS_IO when the port can't be bound.
+ */
+enum status guard_start(struct guard *g);
+
+/** guard_addr() - address that is listened on, after guard_start() */
+struct net_addr guard_addr(const struct guard *g);
+
+/**
+ * guard_set_endpoints() - tell the guard which endpoints this host has
+ * @g: the guard
+ * @endpoints: all of them; copied; those left out are drained: what runs
+ *	ends, nothing new starts
+ * @n_endpoints: number of endpoints
+ *
+ * Any thread may call it.
+ */
+void guard_set_endpoints(struct guard *g,
+    const struct guard_endpoint *endpoints, uint32_t n_endpoints);
+
+/**
+ * guard_drain() - take no new call from now on
+ * @g: the guard
+ * @deadline_ms: monotonic time at which what still runs is given up
+ *
+ * Any thread may call it.  Follow guard_in_flight() down to 0.
+ */
+void guard_drain(struct guard *g, uint64_t deadline_ms);
+
+/**
+ * guard_in_flight() - calls that are not ended, answers in the output
+ * buffers of connections included
+ */
+uint32_t guard_in_flight(const struct guard *g);
+
+/** guard_stop() - stop the thread; calls in flight are broken off */
+void guard_stop(struct guard *g);
+
+/** guard_free() - free a stopped guard; NULL is allowed */
+void guard_free(struct guard *g);
+
+#endif
