--- /dev/null
+++ b/packages/membership/include/membership/member.h
@@ -0,0 +1,78 @@
+/*
+ * What a node knows of a host and of the upstreams on it.
+ */
+#ifndef MEMBERSHIP_MEMBER_H
+#define MEMBERSHIP_MEMBER_H
+
+#include <stdint.h>
+
+#include "proto/addr.h"
+#include "proto/messages.h"
+
+/* Longest name of a host, data centre or service, without the zero. */
+#define MEMBER_NAME_MAX 31
+#define MEMBER_NAME_BYTES (MEMBER_NAME_MAX + 1)
+
+/** MEMBER_ENDPOINTS_MAX - most endpoints that one host announces */
+#define MEMBER_ENDPOINTS_MAX 8
+
+/* Sets of member states, for lookups that filter. */
+#define MEMBER_STATE_BIT(state) (1U << (state))
+#define MEMBER_STATES_LIVE \
+	(MEMBER_STATE_BIT(MEMBER_ALIVE) | MEMBER_STATE_BIT(MEMBER_SUSPECT))
+#define MEMBER_STATES_GONE \
+	(MEMBER_STATE_BIT(MEMBER_FAILED) | MEMBER_STATE_BIT(MEMBER_LEFT))
+
+/**
+ * struct member_endpoint - one upstream of a host
+ * @service: name of the service; valid as long as the membership
+ * @revision: rises with each change of this endpoint while its host's node
+ *	runs
+ * @port: port of the upstream on its host
+ * @slots: requests that it runs at once
+ * @state: starting, ready, draining or left
+ */
+struct member_endpoint {
+	const char *service;
+	uint32_t revision;
+	uint16_t port;
+	uint16_t slots;
+	uint8_t state;
+};
+
+/**
+ * struct member - one host
+ * @host: name of the host
+ * @data_centre: name of its data centre; valid as long as the membership
+ * @endpoints: its upstreams
+ * @incarnation: version of the record; only the host itself raises it
+ * @started_ms: wall-clock start of its process, milliseconds since 1970
+ * @address: where it listens for control, TCP and UDP
+ * @call_port: where it listens for calls, on the same IP
+ * @state: enum member_state; failed and left members are kept for a while as
+ *	tombstones
+ * @n_endpoints: number of @endpoints
+ *
+ * Read-only for everybody but the membership package.  A pointer is valid
+ * until the next event is given to the membership.
+ */
+struct member {
+	char host[MEMBER_NAME_BYTES];
+	const char *data_centre;
+	struct member_endpoint *endpoints;
+	uint64_t incarnation;
+	uint64_t started_ms;
+	struct net_addr address;
+	uint16_t call_port;
+	uint8_t state;
+	uint8_t n_endpoints;
+};
+
+/** member_is_live() - whether a host is to be counted on: alive or suspect */
+static inline int
+member_is_live(const struct member *m)
+{
+	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
+}
+
+#endif
