--- /dev/null
+++ b/packages/proto/src/check.c
@@ -0,0 +1,238 @@
+/*
+ * Bounds check of untrusted msgpack: walks the bytes once with a stack of
+ * fixed depth.
+ */
+#include "proto/check.h"
+
+/* First bytes of the msgpack format that the walk tells apart. */
+enum {
+	FIXMAP = 0x80,
+	FIXARRAY = 0x90,
+	FIXSTR = 0xa0,
+	NIL = 0xc0,
+	NEVER_USED = 0xc1,
+	FALSE_ = 0xc2,
+	TRUE_ = 0xc3,
+	BIN8 = 0xc4,
+	BIN16 = 0xc5,
+	BIN32 = 0xc6,
+	UINT8 = 0xcc,
+	UINT16 = 0xcd,
+	UINT32 = 0xce,
+	UINT64 = 0xcf,
+	INT8 = 0xd0,
+	INT16 = 0xd1,
+	INT32 = 0xd2,
+	INT64 = 0xd3,
+	STR8 = 0xd9,
+	STR16 = 0xda,
+	STR32 = 0xdb,
+	ARRAY16 = 0xdc,
+	ARRAY32 = 0xdd,
+	MAP16 = 0xde,
+	MAP32 = 0xdf,
+	NEGATIVE_FIXINT = 0xe0,
+};
+
+/* What follows a first byte. */
+enum shape {
+	SHAPE_PLAIN,   /* a payload of fixed size */
+	SHAPE_SIZED,   /* a size field and a payload of that size */
+	SHAPE_ARRAY,   /* a count of elements */
+	SHAPE_MAP,     /* a count of pairs */
+	SHAPE_REFUSED, /* a type that no message uses */
+};
+
+/* Shape, and bytes of the payload, size or count, of first bytes 0xc0... */
+struct form {
+	uint8_t shape;
+	uint8_t width;
+};
+
+#define FORMS_FIRST 0xc0
+
+static const struct form forms[NEGATIVE_FIXINT - FORMS_FIRST] = {
+    [NIL - FORMS_FIRST] = {SHAPE_PLAIN, 0},
+    [NEVER_USED - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [FALSE_ - FORMS_FIRST] = {SHAPE_PLAIN, 0},
+    [TRUE_ - FORMS_FIRST] = {SHAPE_PLAIN, 0},
+    [BIN8 - FORMS_FIRST] = {SHAPE_SIZED, 1},
+    [BIN16 - FORMS_FIRST] = {SHAPE_SIZED, 2},
+    [BIN32 - FORMS_FIRST] = {SHAPE_SIZED, 4},
+    /* ext 8 to ext 32, float 32 and float 64 */
+    [0xc7 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xc8 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xc9 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xca - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xcb - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [UINT8 - FORMS_FIRST] = {SHAPE_PLAIN, 1},
+    [UINT16 - FORMS_FIRST] = {SHAPE_PLAIN, 2},
+    [UINT32 - FORMS_FIRST] = {SHAPE_PLAIN, 4},
+    [UINT64 - FORMS_FIRST] = {SHAPE_PLAIN, 8},
+    [INT8 - FORMS_FIRST] = {SHAPE_PLAIN, 1},
+    [INT16 - FORMS_FIRST] = {SHAPE_PLAIN, 2},
+    [INT32 - FORMS_FIRST] = {SHAPE_PLAIN, 4},
+    [INT64 - FORMS_FIRST] = {SHAPE_PLAIN, 8},
+    /* fixext 1 to fixext 16 */
+    [0xd4 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xd5 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xd6 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xd7 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [0xd8 - FORMS_FIRST] = {SHAPE_REFUSED, 0},
+    [STR8 - FORMS_FIRST] = {SHAPE_SIZED, 1},
+    [STR16 - FORMS_FIRST] = {SHAPE_SIZED, 2},
+    [STR32 - FORMS_FIRST] = {SHAPE_SIZED, 4},
+    [ARRAY16 - FORMS_FIRST] = {SHAPE_ARRAY, 2},
+    [ARRAY32 - FORMS_FIRST] = {SHAPE_ARRAY, 4},
+    [MAP16 - FORMS_FIRST] = {SHAPE_MAP, 2},
+    [MAP32 - FORMS_FIRST] = {SHAPE_MAP, 4},
+};
+
+#define FIXCOUNT_MASK 0x0f
+#define FIXSTR_MASK 0x1f
+
+/* The walk: bytes left, and elements still owed by each open container. */
+struct walk {
+	const uint8_t *next;
+	size_t left;
+	uint64_t owed[PROTO_DEPTH_MAX + 1];
+	int depth;
+};
+
+/* One object: its shape and the payload's size or the container's count. */
+struct item {
+	enum shape shape;
+	uint64_t value;
+};
+
+static enum status
+truncated(void)
+{
+	return status_set(STATUS_INVALID,
+	    "A message ends early or claims more elements than it has bytes; "
+	    "the peer may be no node at all.");
+}
+
+static enum status
+take_number(struct walk *w, unsigned int width, uint64_t *v)
+{
+	unsigned int i;
+
+	if (w->left < width)
+		return truncated();
+	*v = 0;
+	for (i = 0; i < width; i++)
+		*v = *v << 8 | w->next[i];
+	w->next += width;
+	w->left -= width;
+	return STATUS_OK;
+}
+
+static enum status
+take_form(struct walk *w, uint8_t first, struct item *it)
+{
+	const struct form *form = &forms[first - FORMS_FIRST];
+
+	it->shape = form->shape;
+	it->value = form->width;
+	if (form->shape == SHAPE_PLAIN)
+		return STATUS_OK;
+	if (form->shape == SHAPE_REFUSED)
+		return status_set(STATUS_INVALID,
+		    "A message holds msgpack type 0x%02x, which no message "
+		    "uses; the peer may be no node at all.",
+		    first);
+	return take_number(w, form->width, &it->value);
+}
+
+/* Read the first byte and the size or count of the next object. */
+static enum status
+take_item(struct walk *w, struct item *it)
+{
+	uint8_t first;
+
+	if (w->left == 0)
+		return truncated();
+	first = *w->next++;
+	w->left--;
+	it->value = 0;
+	it->shape = SHAPE_PLAIN;
+	if (first < FIXMAP || first >= NEGATIVE_FIXINT)
+		return STATUS_OK;
+	if (first >= NIL)
+		return take_form(w, first, it);
+	if (first >= FIXSTR) {
+		it->value = first & FIXSTR_MASK;
+		return STATUS_OK;
+	}
+	it->shape = first >= FIXARRAY ? SHAPE_ARRAY : SHAPE_MAP;
+	it->value = first & FIXCOUNT_MASK;
+	return STATUS_OK;
+}
+
+static enum status
+open_container(struct walk *w, const struct item *it)
+{
+	uint64_t n = it->shape == SHAPE_MAP ? 2 * it->value : it->value;
+
+	if (w->depth == PROTO_DEPTH_MAX)
+		return status_set(STATUS_INVALID,
+		    "A message nests more than %d deep; the peer may be no "
+		    "node at all.",
+		    PROTO_DEPTH_MAX);
+	if (n > w->left)
+		return truncated();
+	w->owed[++w->depth] = n;
+	return STATUS_OK;
+}
+
+static enum status
+skip_payload(struct walk *w, uint64_t n)
+{
+	if (n > w->left)
+		return truncated();
+	w->next += n;
+	w->left -= (size_t)n;
+	return STATUS_OK;
+}
+
+/* Take one object; the elements of a container are left to the next calls. */
+static enum status
+step(struct walk *w)
+{
+	struct item it = {SHAPE_REFUSED, 0};
+	enum status st;
+
+	st = take_item(w, &it);
+	if (st != STATUS_OK)
+		return st;
+	w->owed[w->depth]--;
+	if (it.shape == SHAPE_ARRAY || it.shape == SHAPE_MAP)
+		return open_container(w, &it);
+	return skip_payload(w, it.value);
+}
+
+enum status
+proto_check(const uint8_t *data, size_t len)
+{
+	struct walk w = {.next = data, .left = len, .owed = {1}};
+	enum status st = STATUS_OK;
+
+	if (len > PROTO_BODY_MAX_BYTES)
+		return status_set(STATUS_TOO_LARGE,
+		    "A message has %zu bytes, at most %u are taken; send it "
+		    "in pieces.",
+		    len, PROTO_BODY_MAX_BYTES);
+	while (st == STATUS_OK && w.depth >= 0) {
+		if (w.owed[w.depth] == 0)
+			w.depth--;
+		else
+			st = step(&w);
+	}
+	if (st == STATUS_OK && w.left > 0)
+		return status_set(STATUS_INVALID,
+		    "A message has %zu bytes after its end; the peer may be "
+		    "no node at all.",
+		    w.left);
+	return st;
+}
