build(proto): messages generated again from the schemas

Problem: schema/config.json and schema/spread.json had moved on from the committed code; pull carried a root that nobody needs, and a delta did not say which head it belongs to. Solution: delta carries the answering node's head; generated code renewed.

--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -20,11 +20,15 @@
 /* Most bytes of a text or binary field, most elements of a list. */
 #define REC_SECTION_ROUTE_PREFIX_MAX 255
 #define REC_SECTION_CHANGE_SERVICE_MAX 63
+#define REC_REPLACED_HEAD_OP_MAX 63
 #define REC_SECTION_REF_SERVICE_MAX 63
 #define MSG_SECTION_SERVICE_MAX 63
 #define MSG_SECTION_ROUTES_MAX 64
 #define MSG_VERSION_CHANGES_CHANGES_MAX 8192
 #define MSG_SECTION_LIST_SECTIONS_MAX 4096
+#define MSG_HALT_NOTE_OP_MAX 63
+#define MSG_HALT_NOTE_OPERATOR_NAME_MAX 63
+#define MSG_HALT_NOTE_NOTE_MAX 255
 
 /**
  * struct rec_section_route - One route to the section's service.
@@ -56,6 +60,23 @@
 
 extern const struct codec_desc rec_section_change_desc;
 
+/**
+ * struct rec_replaced_head - The head row that a version's head row replaced.
+ * @seq: its number; 0 when there was none
+ * @in_force: version in force then, which comes back when this version
+ * 	is halted
+ * @halted: whether the version before this one had been halted
+ * @op: operation that had written it
+ */
+struct rec_replaced_head {
+	uint64_t seq;
+	uint64_t in_force;
+	bool halted;
+	char op[64];
+};
+
+extern const struct codec_desc rec_replaced_head_desc;
+
 /**
  * struct rec_section_ref - One section of a version.
  * @service: name of the service
@@ -111,14 +132,19 @@
 void msg_section_clear(struct msg_section *m);
 
 /**
- * struct msg_version_changes - Sections that changed from one version to the
- * next; part of a version row.
+ * struct msg_version_changes - Part of a version row: the sections that
+ * changed since the version numbered one lower, halted or not.
  * @changes: changes, sorted by service; owned
  * @n_changes: number of @changes
+ * @whole: the changes are too many to list here; the list of the root
+ * 	tells all
+ * @replaced: head row before this version
  */
 struct msg_version_changes {
 	struct rec_section_change *changes;
 	uint32_t n_changes;
+	bool whole;
+	struct rec_replaced_head replaced;
 };
 
 extern const struct codec_desc msg_version_changes_desc;
@@ -159,4 +185,33 @@
 /** msg_section_list_clear() - free the message's lists and set it to zero */
 void msg_section_list_clear(struct msg_section_list *m);
 
+/**
+ * struct msg_halt_note - Object halt/<operation>: who halted a version, when
+ * and why.
+ * @version: version to halt
+ * @op: operation
+ * @operator_name: who asked for it
+ * @note: why
+ * @wall_ms: when, wall clock
+ */
+struct msg_halt_note {
+	uint64_t version;
+	char op[64];
+	char operator_name[64];
+	char note[256];
+	uint64_t wall_ms;
+};
+
+extern const struct codec_desc msg_halt_note_desc;
+
+/** msg_halt_note_encode() - append a message's body to @out */
+void msg_halt_note_encode(const struct msg_halt_note *m, GByteArray *out);
+
+/** msg_halt_note_decode() - read a message's body; see codec_decode() */
+enum status
+msg_halt_note_decode(const uint8_t *data, size_t len, struct msg_halt_note *m);
+
+/** msg_halt_note_clear() - free the message's lists and set it to zero */
+void msg_halt_note_clear(struct msg_halt_note *m);
+
 #endif
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -19,7 +19,7 @@
 #include "proto/gen/config.h"
 
 /* Most bytes of a text or binary field, most elements of a list. */
-#define REC_SECTION_DATA_DATA_MAX 262144
+#define REC_SECTION_DATA_DATA_MAX 20480
 #define MSG_PULL_AFTER_MAX 63
 #define MSG_DELTA_CHANGES_MAX 2048
 #define MSG_DELTA_SECTIONS_MAX 2048
@@ -71,7 +71,7 @@
  * @version: newest version
  * @in_force: highest version that is not halted
  * @state: state of the newest version
- * @root: root of the version in force
+ * @root: root of the newest version; zero when not known
  */
 struct rec_head {
 	uint64_t seq;
@@ -134,14 +134,12 @@
  * struct msg_pull - Frame: asks for the changes between two versions.
  * @token: number that comes back with the answer
  * @have: version that the puller holds, 0 for none
- * @have_root: root of that version
  * @want: version that is wanted
  * @after: last service of the page before, empty for the first page
  */
 struct msg_pull {
 	uint32_t token;
 	uint64_t have;
-	struct digest have_root;
 	uint64_t want;
 	char after[64];
 };
@@ -164,6 +162,7 @@
  * @token: number of the pull
  * @result: what this answer is
  * @come_back_ms: when to ask again, if busy
+ * @head: head that the answering node holds
  * @have: version that the changes start from, 0 for the full list
  * @want: version that the changes lead to
  * @root: root of that version
@@ -177,6 +176,7 @@
 	uint32_t token;
 	enum pull_result result;
 	uint32_t come_back_ms;
+	struct rec_head head;
 	uint64_t have;
 	uint64_t want;
 	struct digest root;
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -50,10 +50,12 @@
  * @MSG_PROGRESS_ASK: Datagram to the root of a data centre's tree.
  * @MSG_PROGRESS_ANSWER: Datagram: sums over a data centre.
  * @MSG_SECTION: A service with its routes; the content of one section.
- * @MSG_VERSION_CHANGES: Sections that changed from one version to the
- * 	next; part of a version row.
+ * @MSG_VERSION_CHANGES: Part of a version row: the sections that
+ * 	changed since the version numbered one lower, halted or not.
  * @MSG_SECTION_LIST: All sections of a version. Its digest is the
  * 	version's root.
+ * @MSG_HALT_NOTE: Object halt/<operation>: who halted a version, when
+ * 	and why.
  * @MSG_CALL_HELLO: First frame of the entry on a connection.
  * @MSG_CALL_HELLO_ACK: Answer of the guard to call_hello.
  * @MSG_CALL_OPEN: Start of one attempt of a request.
@@ -100,6 +102,7 @@
 	MSG_SECTION = 50,
 	MSG_VERSION_CHANGES = 51,
 	MSG_SECTION_LIST = 52,
+	MSG_HALT_NOTE = 53,
 	MSG_CALL_HELLO = 60,
 	MSG_CALL_HELLO_ACK = 61,
 	MSG_CALL_OPEN = 62,
--- a/packages/proto/src/gen/config.c
+++ b/packages/proto/src/gen/config.c
@@ -41,6 +41,27 @@
     .n_fields = 3,
     .size_bytes = sizeof(struct rec_section_change)};
 
+static const struct codec_field rec_replaced_head_fields[] = {
+    {.name = "seq",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_replaced_head, seq)},
+    {.name = "in_force",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_replaced_head, in_force)},
+    {.name = "halted",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct rec_replaced_head, halted)},
+    {.name = "op",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct rec_replaced_head, op),
+	.max = REC_REPLACED_HEAD_OP_MAX},
+};
+
+const struct codec_desc rec_replaced_head_desc = {.name = "replaced_head",
+    .fields = rec_replaced_head_fields,
+    .n_fields = 4,
+    .size_bytes = sizeof(struct rec_replaced_head)};
+
 static const struct codec_field rec_section_ref_fields[] = {
     {.name = "service",
 	.kind = CODEC_STR,
@@ -127,11 +148,18 @@
 	.item_bytes = sizeof(struct rec_section_change),
 	.item = CODEC_STRUCT,
 	.of = &rec_section_change_desc},
+    {.name = "whole",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_version_changes, whole)},
+    {.name = "replaced",
+	.kind = CODEC_STRUCT,
+	.offset = offsetof(struct msg_version_changes, replaced),
+	.of = &rec_replaced_head_desc},
 };
 
 const struct codec_desc msg_version_changes_desc = {.name = "version_changes",
     .fields = msg_version_changes_fields,
-    .n_fields = 1,
+    .n_fields = 3,
     .size_bytes = sizeof(struct msg_version_changes)};
 
 void
@@ -187,3 +215,47 @@
 {
 	codec_clear(&msg_section_list_desc, m);
 }
+
+static const struct codec_field msg_halt_note_fields[] = {
+    {.name = "version",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_halt_note, version)},
+    {.name = "op",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_halt_note, op),
+	.max = MSG_HALT_NOTE_OP_MAX},
+    {.name = "operator_name",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_halt_note, operator_name),
+	.max = MSG_HALT_NOTE_OPERATOR_NAME_MAX},
+    {.name = "note",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_halt_note, note),
+	.max = MSG_HALT_NOTE_NOTE_MAX},
+    {.name = "wall_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_halt_note, wall_ms)},
+};
+
+const struct codec_desc msg_halt_note_desc = {.name = "halt_note",
+    .fields = msg_halt_note_fields,
+    .n_fields = 5,
+    .size_bytes = sizeof(struct msg_halt_note)};
+
+void
+msg_halt_note_encode(const struct msg_halt_note *m, GByteArray *out)
+{
+	codec_encode(&msg_halt_note_desc, m, out);
+}
+
+enum status
+msg_halt_note_decode(const uint8_t *data, size_t len, struct msg_halt_note *m)
+{
+	return codec_decode(&msg_halt_note_desc, data, len, m);
+}
+
+void
+msg_halt_note_clear(struct msg_halt_note *m)
+{
+	codec_clear(&msg_halt_note_desc, m);
+}
--- a/packages/proto/src/gen/messages.c
+++ b/packages/proto/src/gen/messages.c
@@ -34,6 +34,7 @@
     [MSG_SECTION] = &msg_section_desc,
     [MSG_VERSION_CHANGES] = &msg_version_changes_desc,
     [MSG_SECTION_LIST] = &msg_section_list_desc,
+    [MSG_HALT_NOTE] = &msg_halt_note_desc,
     [MSG_CALL_HELLO] = &msg_call_hello_desc,
     [MSG_CALL_HELLO_ACK] = &msg_call_hello_ack_desc,
     [MSG_CALL_OPEN] = &msg_call_open_desc,
--- a/packages/proto/src/gen/spread.c
+++ b/packages/proto/src/gen/spread.c
@@ -120,9 +120,6 @@
     {.name = "have",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_pull, have)},
-    {.name = "have_root",
-	.kind = CODEC_DIGEST,
-	.offset = offsetof(struct msg_pull, have_root)},
     {.name = "want",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_pull, want)},
@@ -134,7 +131,7 @@
 
 const struct codec_desc msg_pull_desc = {.name = "pull",
     .fields = msg_pull_fields,
-    .n_fields = 5,
+    .n_fields = 4,
     .size_bytes = sizeof(struct msg_pull)};
 
 void
@@ -166,6 +163,10 @@
     {.name = "come_back_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_delta, come_back_ms)},
+    {.name = "head",
+	.kind = CODEC_STRUCT,
+	.offset = offsetof(struct msg_delta, head),
+	.of = &rec_head_desc},
     {.name = "have",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_delta, have)},
@@ -198,7 +199,7 @@
 
 const struct codec_desc msg_delta_desc = {.name = "delta",
     .fields = msg_delta_fields,
-    .n_fields = 9,
+    .n_fields = 10,
     .size_bytes = sizeof(struct msg_delta)};
 
 void
