--- /dev/null
+++ b/packages/standins/src/platform.c
@@ -0,0 +1,355 @@
+/*
+ * The stand-in platform.
+ */
+#include <pthread.h>
+#include <string.h>
+
+#include <civetweb.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "standins/objects.h"
+#include "standins/platform.h"
+#include "standins/rate.h"
+#include "standins/rows.h"
+#include "standins/web.h"
+
+#define PLATFORM_BODY_MAX_BYTES (64 << 20)
+#define PLATFORM_KEEP_ALIVE_MS 60000
+
+struct platform_knobs {
+	int outage;
+	uint32_t delay_ms;
+	uint32_t lose_answers;
+	uint32_t reads_per_s;
+	uint32_t writes_per_s;
+};
+
+/* Rows and objects read and written; requests turned away; answers lost. */
+struct platform_stats {
+	uint64_t requests;
+	uint64_t reads;
+	uint64_t writes;
+	uint64_t rejected;
+	uint64_t failed;
+	uint64_t lost_answers;
+};
+
+struct platform {
+	struct web_server *web;
+	pthread_mutex_t lock; /* guards all below */
+	struct rows *rows;
+	struct objects *objects;
+	struct rate reads;
+	struct rate writes;
+	struct platform_knobs knobs;
+	struct platform_stats stats;
+};
+
+/* What becomes of a request before it is run. */
+enum gate {
+	GATE_PASS,
+	GATE_OUTAGE,
+	GATE_THROTTLED,
+};
+
+static enum gate
+platform_gate(struct platform *p, uint32_t reads, uint32_t writes)
+{
+	uint64_t now_us = clock_now_us();
+
+	p->stats.requests++;
+	if (p->knobs.outage) {
+		p->stats.failed++;
+		return GATE_OUTAGE;
+	}
+	if ((reads > 0 && !rate_take(&p->reads, reads, now_us)) ||
+	    (writes > 0 && !rate_take(&p->writes, writes, now_us))) {
+		p->stats.rejected++;
+		return GATE_THROTTLED;
+	}
+	p->stats.reads += reads;
+	p->stats.writes += writes;
+	return GATE_PASS;
+}
+
+/* Whether the answer to a write that took effect is to be lost. */
+static int
+platform_loses(struct platform *p)
+{
+	if (p->knobs.lose_answers == 0)
+		return 0;
+	p->knobs.lose_answers--;
+	p->stats.lost_answers++;
+	return 1;
+}
+
+static void
+platform_delay(struct platform *p)
+{
+	uint32_t delay_ms;
+
+	pthread_mutex_lock(&p->lock);
+	delay_ms = p->knobs.delay_ms;
+	pthread_mutex_unlock(&p->lock);
+	if (delay_ms > 0)
+		g_usleep(delay_ms * 1000UL);
+}
+
+static void
+table_refuse(enum gate g, struct rows_answer *ans)
+{
+	if (g == GATE_OUTAGE)
+		rows_error(500, "InternalServerError",
+		    "The request processing has failed", ans);
+	else
+		rows_error(400, "ProvisionedThroughputExceededException",
+		    "The level of configured throughput was exceeded", ans);
+}
+
+static void
+platform_table(struct platform *p, struct mg_connection *conn, GByteArray *body)
+{
+	enum gate g;
+	enum rows_op op = rows_op_parse(mg_get_header(conn, "X-Amz-Target"));
+	int lose = 0, write = op == ROWS_OP_TRANSACT_WRITE;
+	json_t *req = json_loadb((char *)body->data, body->len, 0, NULL);
+	struct rows_answer ans;
+	uint32_t cost = rows_cost(op, req);
+
+	pthread_mutex_lock(&p->lock);
+	g = platform_gate(p, write ? 0 : cost, write ? cost : 0);
+	if (g == GATE_PASS) {
+		rows_apply(p->rows, op, req, &ans);
+		lose = write && ans.code == 200 && platform_loses(p);
+	} else {
+		table_refuse(g, &ans);
+	}
+	pthread_mutex_unlock(&p->lock);
+	json_decref(req);
+	if (lose) {
+		json_decref(ans.body);
+		web_drop(conn);
+		return;
+	}
+	web_answer_json(conn, ans.code, NULL, ans.body);
+}
+
+static void
+object_error(struct mg_connection *conn, int code, const char *kind)
+{
+	char text[256];
+	int n;
+
+	n = g_snprintf(text, sizeof(text),
+	    "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n"
+	    "<Error><Code>%s</Code><Message>%s</Message></Error>",
+	    kind, kind);
+	web_answer(conn, code, "application/xml", NULL, text, (size_t)n);
+}
+
+static int
+object_refused(struct mg_connection *conn, enum gate g)
+{
+	if (g == GATE_PASS)
+		return 0;
+	object_error(
+	    conn, 503, g == GATE_OUTAGE ? "ServiceUnavailable" : "SlowDown");
+	return 1;
+}
+
+static void
+platform_put(struct platform *p, struct mg_connection *conn, const char *key,
+    GByteArray *body)
+{
+	const char *cond = mg_get_header(conn, "If-None-Match");
+	enum gate g;
+	enum objects_result res = OBJECTS_OK;
+	GBytes *data;
+	int lose = 0;
+
+	if (cond != NULL && strcmp(cond, "*") != 0) {
+		object_error(conn, 501, "NotImplemented");
+		return;
+	}
+	data = g_bytes_new(body->data, body->len);
+	pthread_mutex_lock(&p->lock);
+	g = platform_gate(p, 0, 1);
+	if (g == GATE_PASS) {
+		res = objects_put(p->objects, key, data, cond != NULL);
+		lose = res == OBJECTS_OK && platform_loses(p);
+	}
+	pthread_mutex_unlock(&p->lock);
+	g_bytes_unref(data);
+	if (lose)
+		web_drop(conn);
+	else if (object_refused(conn, g))
+		return;
+	else if (res == OBJECTS_EXISTS)
+		object_error(conn, 412, "PreconditionFailed");
+	else
+		web_answer(conn, 200, "application/xml", NULL, "", 0);
+}
+
+static void
+platform_get(struct platform *p, struct mg_connection *conn, const char *key)
+{
+	enum gate g;
+	enum objects_result res = OBJECTS_NO_KEY;
+	gconstpointer data;
+	GBytes *found = NULL;
+	gsize len;
+
+	pthread_mutex_lock(&p->lock);
+	g = platform_gate(p, 1, 0);
+	if (g == GATE_PASS)
+		res = objects_get(p->objects, key, &found);
+	pthread_mutex_unlock(&p->lock);
+	if (object_refused(conn, g))
+		return;
+	if (res == OBJECTS_NO_KEY) {
+		object_error(conn, 404, "NoSuchKey");
+		return;
+	}
+	data = g_bytes_get_data(found, &len);
+	web_answer(conn, 200, "application/octet-stream", NULL, data, len);
+	g_bytes_unref(found);
+}
+
+static void
+platform_object(
+    struct platform *p, struct mg_connection *conn, GByteArray *body)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	const char *uri = info->request_uri;
+
+	if (!g_str_has_prefix(uri, "/" OBJECTS_BUCKET "/") ||
+	    uri[strlen("/" OBJECTS_BUCKET "/")] == '\0')
+		object_error(conn, 404, "NoSuchBucket");
+	else if (strcmp(info->request_method, "PUT") == 0)
+		platform_put(
+		    p, conn, uri + strlen("/" OBJECTS_BUCKET "/"), body);
+	else if (strcmp(info->request_method, "GET") == 0)
+		platform_get(p, conn, uri + strlen("/" OBJECTS_BUCKET "/"));
+	else
+		object_error(conn, 405, "MethodNotAllowed");
+}
+
+static void
+knob_u32(const json_t *j, const char *name, uint32_t *knob)
+{
+	const json_t *v = json_object_get(j, name);
+
+	if (json_is_integer(v))
+		*knob = (uint32_t)json_integer_value(v);
+}
+
+static void
+platform_set_knobs(
+    struct platform *p, struct mg_connection *conn, GByteArray *body)
+{
+	json_t *j = json_loadb((char *)body->data, body->len, 0, NULL);
+	struct platform_knobs *k = &p->knobs;
+	uint64_t now_us = clock_now_us();
+
+	if (!json_is_object(j)) {
+		json_decref(j);
+		web_answer_json(conn, 400, NULL,
+		    json_pack("{s:s}", "error", "send a JSON object of knobs"));
+		return;
+	}
+	pthread_mutex_lock(&p->lock);
+	if (json_is_boolean(json_object_get(j, "outage")))
+		k->outage = json_is_true(json_object_get(j, "outage"));
+	knob_u32(j, "delay_ms", &k->delay_ms);
+	knob_u32(j, "lose_answers", &k->lose_answers);
+	knob_u32(j, "reads_per_s", &k->reads_per_s);
+	knob_u32(j, "writes_per_s", &k->writes_per_s);
+	rate_set(&p->reads, k->reads_per_s, now_us);
+	rate_set(&p->writes, k->writes_per_s, now_us);
+	pthread_mutex_unlock(&p->lock);
+	json_decref(j);
+	web_answer_json(conn, 200, NULL, json_object());
+}
+
+static json_t *
+platform_stats_json(struct platform *p)
+{
+	json_t *j;
+	const struct platform_stats *s = &p->stats;
+
+	pthread_mutex_lock(&p->lock);
+	j = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "requests",
+	    (json_int_t)s->requests, "reads", (json_int_t)s->reads, "writes",
+	    (json_int_t)s->writes, "rejected", (json_int_t)s->rejected,
+	    "failed", (json_int_t)s->failed, "lost_answers",
+	    (json_int_t)s->lost_answers, "rows",
+	    (json_int_t)rows_count(p->rows), "objects",
+	    (json_int_t)objects_count(p->objects), "object_bytes",
+	    (json_int_t)objects_bytes(p->objects));
+	pthread_mutex_unlock(&p->lock);
+	return j;
+}
+
+static void
+platform_handle(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	const char *uri = info->request_uri;
+	GByteArray *body = g_byte_array_new();
+	int post = strcmp(info->request_method, "POST") == 0;
+	struct platform *p = arg;
+
+	if (web_body(conn, PLATFORM_BODY_MAX_BYTES, body) != STATUS_OK) {
+		web_drop(conn);
+	} else if (strcmp(uri, "/standin/knobs") == 0 && post) {
+		platform_set_knobs(p, conn, body);
+	} else if (strcmp(uri, "/standin/stats") == 0) {
+		web_answer_json(conn, 200, NULL, platform_stats_json(p));
+	} else {
+		platform_delay(p);
+		if (strcmp(uri, "/") == 0 && post)
+			platform_table(p, conn, body);
+		else
+			platform_object(p, conn, body);
+	}
+	g_byte_array_unref(body);
+}
+
+enum status
+platform_start(
+    const char *address, uint16_t port, int threads, struct platform **out)
+{
+	enum status st;
+	struct platform *p = g_new0(struct platform, 1);
+	struct web_options o = {
+	    address, port, threads, PLATFORM_KEEP_ALIVE_MS, platform_handle, p};
+
+	pthread_mutex_init(&p->lock, NULL);
+	p->rows = rows_new();
+	p->objects = objects_new();
+	p->knobs.reads_per_s = PLATFORM_READS_PER_S;
+	p->knobs.writes_per_s = PLATFORM_WRITES_PER_S;
+	rate_set(&p->reads, PLATFORM_READS_PER_S, clock_now_us());
+	rate_set(&p->writes, PLATFORM_WRITES_PER_S, clock_now_us());
+	st = web_start(&o, &p->web);
+	if (st != STATUS_OK) {
+		platform_stop(p);
+		return st;
+	}
+	*out = p;
+	return STATUS_OK;
+}
+
+void
+platform_stop(struct platform *p)
+{
+	if (p == NULL)
+		return;
+	web_stop(p->web);
+	rows_free(p->rows);
+	objects_free(p->objects);
+	pthread_mutex_destroy(&p->lock);
+	g_free(p);
+}
--- /dev/null
+++ b/packages/standins/src/rows.c
@@ -0,0 +1,443 @@
+/*
+ * The table of the stand-in platform.
+ */
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "standins/rows.h"
+
+#define ROWS_TARGET "DynamoDB_20120810."
+#define ROWS_NS "com.amazonaws.dynamodb.v20120810#"
+#define ROWS_OK 200
+#define ROWS_BAD 400
+
+struct rows {
+	GHashTable *by_key;
+};
+
+/* Checks of a request answer NULL when all is well, else the fault. */
+#define ROWS_FINE NULL
+
+static void
+row_free(gpointer p)
+{
+	json_decref(p);
+}
+
+struct rows *
+rows_new(void)
+{
+	struct rows *t = g_new0(struct rows, 1);
+
+	t->by_key =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
+	return t;
+}
+
+void
+rows_free(struct rows *t)
+{
+	if (t == NULL)
+		return;
+	g_hash_table_destroy(t->by_key);
+	g_free(t);
+}
+
+size_t
+rows_count(const struct rows *t)
+{
+	return g_hash_table_size(t->by_key);
+}
+
+enum rows_op
+rows_op_parse(const char *target)
+{
+	const char *name;
+
+	if (target == NULL || !g_str_has_prefix(target, ROWS_TARGET))
+		return ROWS_OP_UNKNOWN;
+	name = target + strlen(ROWS_TARGET);
+	if (strcmp(name, "GetItem") == 0)
+		return ROWS_OP_GET;
+	if (strcmp(name, "BatchGetItem") == 0)
+		return ROWS_OP_BATCH_GET;
+	if (strcmp(name, "TransactWriteItems") == 0)
+		return ROWS_OP_TRANSACT_WRITE;
+	return ROWS_OP_UNKNOWN;
+}
+
+static json_t *
+rows_batch_keys(const json_t *req)
+{
+	return json_object_get(
+	    json_object_get(json_object_get(req, "RequestItems"), ROWS_TABLE),
+	    "Keys");
+}
+
+uint32_t
+rows_cost(enum rows_op op, const json_t *req)
+{
+	size_t n = 1;
+
+	if (op == ROWS_OP_BATCH_GET)
+		n = json_array_size(rows_batch_keys(req));
+	else if (op == ROWS_OP_TRANSACT_WRITE)
+		n = json_array_size(json_object_get(req, "TransactItems"));
+	return n == 0 ? 1 : (uint32_t)n;
+}
+
+void
+rows_error(
+    int code, const char *kind, const char *message, struct rows_answer *ans)
+{
+	ans->code = code;
+	ans->body = json_pack("{s:o,s:s}", "__type",
+	    json_sprintf(ROWS_NS "%s", kind), "message", message);
+}
+
+static void
+rows_invalid(const char *message, struct rows_answer *ans)
+{
+	rows_error(ROWS_BAD, "ValidationException", message, ans);
+}
+
+/* The key's text, or NULL when the value is no {"pk": {"S": text}}. */
+static const char *
+row_key(const json_t *item)
+{
+	const char *s = json_string_value(
+	    json_object_get(json_object_get(item, ROWS_KEY), "S"));
+
+	return s != NULL && s[0] != '\0' ? s : NULL;
+}
+
+static int
+number_valid(const char *s)
+{
+	char *end;
+
+	if (s[0] == '\0' || strlen(s) > 40)
+		return 0;
+	(void)g_ascii_strtod(s, &end);
+	return *end == '\0' && strpbrk(s, "xXnNiI ") == NULL;
+}
+
+static int
+binary_valid(const char *s)
+{
+	static const char alphabet[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				       "abcdefghijklmnopqrstuvwxyz0123456789+/";
+	size_t len = strlen(s);
+	size_t n = strspn(s, alphabet);
+
+	return len % 4 == 0 && len - n <= 2 && strspn(s + n, "=") == len - n;
+}
+
+/* An attribute value is an object of one type and its text. */
+static int
+value_valid(const json_t *v)
+{
+	const char *s, *type;
+
+	if (!json_is_object(v) || json_object_size(v) != 1)
+		return 0;
+	type = json_object_iter_key(json_object_iter((json_t *)v));
+	s = json_string_value(json_object_get(v, type));
+	if (s == NULL)
+		return 0;
+	if (strcmp(type, "S") == 0)
+		return 1;
+	if (strcmp(type, "N") == 0)
+		return number_valid(s);
+	return strcmp(type, "B") == 0 && binary_valid(s);
+}
+
+static const char *
+item_fault(json_t *item)
+{
+	const char *name;
+	json_t *v;
+	size_t size = 0;
+
+	if (row_key(item) == NULL)
+		return "One of the required keys was not given a value";
+	json_object_foreach(item, name, v)
+	{
+		if (!value_valid(v))
+			return "Supplied AttributeValue is not valid";
+		size += strlen(name) +
+		    strlen(json_string_value(
+			json_object_iter_value(json_object_iter(v))));
+	}
+	if (size > ROWS_ITEM_MAX_BYTES)
+		return "Item size has exceeded the maximum allowed size";
+	return ROWS_FINE;
+}
+
+static const char *
+table_fault(const json_t *holder)
+{
+	const char *name =
+	    json_string_value(json_object_get(holder, "TableName"));
+
+	if (name == NULL || strcmp(name, ROWS_TABLE) != 0)
+		return "Requested resource not found: no such table";
+	return ROWS_FINE;
+}
+
+static void
+rows_get(struct rows *t, const json_t *req, struct rows_answer *ans)
+{
+	const char *key = row_key(json_object_get(req, "Key"));
+	json_t *item;
+
+	if (key == NULL) {
+		rows_invalid("The provided key element does not match", ans);
+		return;
+	}
+	if (table_fault(req) != ROWS_FINE) {
+		rows_error(ROWS_BAD, "ResourceNotFoundException",
+		    table_fault(req), ans);
+		return;
+	}
+	item = g_hash_table_lookup(t->by_key, key);
+	ans->code = ROWS_OK;
+	ans->body = json_object();
+	if (item != NULL)
+		json_object_set(ans->body, "Item", item);
+}
+
+static const char *
+batch_fault(json_t *keys)
+{
+	GHashTable *seen;
+	const char *fault = ROWS_FINE;
+	const char *key;
+	json_t *k;
+	size_t i;
+
+	if (json_array_size(keys) == 0)
+		return "RequestItems must name keys of the table " ROWS_TABLE;
+	if (json_array_size(keys) > ROWS_BATCH_MAX)
+		return "Too many items requested for the BatchGetItem call";
+	seen = g_hash_table_new(g_str_hash, g_str_equal);
+	json_array_foreach(keys, i, k)
+	{
+		key = row_key(k);
+		if (key == NULL)
+			fault = "The provided key element does not match";
+		else if (!g_hash_table_add(seen, (gpointer)key))
+			fault = "Provided list of item keys has duplicates";
+	}
+	g_hash_table_destroy(seen);
+	return fault;
+}
+
+static void
+rows_batch_get(struct rows *t, const json_t *req, struct rows_answer *ans)
+{
+	const char *fault;
+	json_t *found, *item, *k;
+	json_t *keys = rows_batch_keys(req);
+	size_t i;
+
+	fault = batch_fault(keys);
+	if (fault != ROWS_FINE) {
+		rows_invalid(fault, ans);
+		return;
+	}
+	found = json_array();
+	json_array_foreach(keys, i, k)
+	{
+		item = g_hash_table_lookup(t->by_key, row_key(k));
+		if (item != NULL)
+			json_array_append(found, item);
+	}
+	ans->code = ROWS_OK;
+	ans->body = json_pack("{s:{s:o},s:{}}", "Responses", ROWS_TABLE, found,
+	    "UnprocessedKeys");
+}
+
+/* The only conditions: attribute_not_exists(pk), and #c = :c. */
+static int
+condition_absent(const char *expr)
+{
+	return strcmp(expr, "attribute_not_exists(" ROWS_KEY ")") == 0;
+}
+
+/* Attribute name and wanted value of "#c = :c"; 0 when it is no such one. */
+static int
+condition_equal(
+    const json_t *put, const char *expr, const char **name, const json_t **want)
+{
+	char **part = g_strsplit(expr, " = ", 2);
+	int ok = 0;
+
+	if (part[0] != NULL && part[1] != NULL && part[0][0] == '#' &&
+	    part[1][0] == ':') {
+		*name = json_string_value(json_object_get(
+		    json_object_get(put, "ExpressionAttributeNames"), part[0]));
+		*want = json_object_get(
+		    json_object_get(put, "ExpressionAttributeValues"), part[1]);
+		ok = *name != NULL && value_valid(*want);
+	}
+	g_strfreev(part);
+	return ok;
+}
+
+static const char *
+put_fault(const json_t *put)
+{
+	const char *expr, *fault, *name;
+	const json_t *want;
+
+	if (!json_is_object(put))
+		return "TransactItems can only contain Put";
+	fault = table_fault(put);
+	if (fault != ROWS_FINE)
+		return fault;
+	fault = item_fault(json_object_get(put, "Item"));
+	if (fault != ROWS_FINE)
+		return fault;
+	expr = json_string_value(json_object_get(put, "ConditionExpression"));
+	if (expr == NULL) {
+		if (json_object_get(put, "ConditionExpression") != NULL)
+			return "Invalid ConditionExpression";
+		return ROWS_FINE;
+	}
+	if (condition_absent(expr) || condition_equal(put, expr, &name, &want))
+		return ROWS_FINE;
+	return "Invalid ConditionExpression";
+}
+
+static int
+put_allowed(const struct rows *t, const json_t *put)
+{
+	const char *expr =
+	    json_string_value(json_object_get(put, "ConditionExpression"));
+	const char *name;
+	const json_t *old, *want;
+
+	if (expr == NULL)
+		return 1;
+	old = g_hash_table_lookup(
+	    t->by_key, row_key(json_object_get(put, "Item")));
+	if (condition_absent(expr))
+		return old == NULL;
+	if (!condition_equal(put, expr, &name, &want))
+		return 0;
+	return json_equal(json_object_get(old, name), want);
+}
+
+static const char *
+transaction_fault(json_t *list)
+{
+	GHashTable *seen;
+	const char *fault = ROWS_FINE;
+	json_t *one, *put;
+	size_t i;
+
+	if (json_array_size(list) == 0 ||
+	    json_array_size(list) > ROWS_BATCH_MAX)
+		return "TransactItems must hold 1 to 100 items";
+	seen = g_hash_table_new(g_str_hash, g_str_equal);
+	json_array_foreach(list, i, one)
+	{
+		put = json_object_get(one, "Put");
+		fault = put_fault(put);
+		if (fault != ROWS_FINE)
+			break;
+		if (!g_hash_table_add(seen,
+			(gpointer)row_key(json_object_get(put, "Item")))) {
+			fault = "Transaction request cannot include multiple "
+				"operations on one item";
+			break;
+		}
+	}
+	g_hash_table_destroy(seen);
+	return fault;
+}
+
+/* Reasons for each item; *refused tells whether one was not allowed. */
+static json_t *
+transaction_reasons(const struct rows *t, json_t *list, int *refused)
+{
+	json_t *one, *reasons;
+	size_t i;
+
+	*refused = 0;
+	reasons = json_array();
+	json_array_foreach(list, i, one)
+	{
+		if (put_allowed(t, json_object_get(one, "Put"))) {
+			json_array_append_new(
+			    reasons, json_pack("{s:s}", "Code", "None"));
+			continue;
+		}
+		*refused = 1;
+		json_array_append_new(reasons,
+		    json_pack("{s:s,s:s}", "Code", "ConditionalCheckFailed",
+			"Message", "The conditional request failed"));
+	}
+	return reasons;
+}
+
+static void
+rows_transact_write(struct rows *t, const json_t *req, struct rows_answer *ans)
+{
+	const char *fault;
+	int refused;
+	json_t *item, *one, *reasons;
+	json_t *list = json_object_get(req, "TransactItems");
+	size_t i;
+
+	fault = transaction_fault(list);
+	if (fault != ROWS_FINE) {
+		rows_invalid(fault, ans);
+		return;
+	}
+	reasons = transaction_reasons(t, list, &refused);
+	if (refused) {
+		rows_error(ROWS_BAD, "TransactionCanceledException",
+		    "Transaction cancelled, see CancellationReasons", ans);
+		json_object_set_new(ans->body, "CancellationReasons", reasons);
+		return;
+	}
+	json_decref(reasons);
+	json_array_foreach(list, i, one)
+	{
+		item = json_object_get(json_object_get(one, "Put"), "Item");
+		g_hash_table_replace(
+		    t->by_key, g_strdup(row_key(item)), json_deep_copy(item));
+	}
+	ans->code = ROWS_OK;
+	ans->body = json_object();
+}
+
+void
+rows_apply(
+    struct rows *t, enum rows_op op, const json_t *req, struct rows_answer *ans)
+{
+	if (!json_is_object(req)) {
+		rows_error(ROWS_BAD, "SerializationException",
+		    "The request is no JSON object", ans);
+		return;
+	}
+	switch (op) {
+	case ROWS_OP_GET:
+		rows_get(t, req, ans);
+		break;
+	case ROWS_OP_BATCH_GET:
+		rows_batch_get(t, req, ans);
+		break;
+	case ROWS_OP_TRANSACT_WRITE:
+		rows_transact_write(t, req, ans);
+		break;
+	case ROWS_OP_UNKNOWN:
+		rows_error(ROWS_BAD, "UnknownOperationException",
+		    "The operation is not of the subset", ans);
+		break;
+	}
+}
--- /dev/null
+++ b/packages/standins/test/test_platform.c
@@ -0,0 +1,219 @@
+/*
+ * Tests of the stand-in platform: table, object store, limits.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "standins/objects.h"
+#include "standins/rate.h"
+#include "standins/rows.h"
+
+#define SECOND_US 1000000ULL
+
+/* A Put of {"pk": key, "seq": seq} with a condition that may be NULL. */
+#define PUT(key, seq, cond)                                                  \
+	"{\"Put\":{\"TableName\":\"bramley\",\"Item\":{\"pk\":{\"S\":\"" key \
+	"\"},\"seq\":{\"N\":\"" seq "\"}}" cond "}}"
+#define ABSENT ",\"ConditionExpression\":\"attribute_not_exists(pk)\""
+#define SEQ_IS(seq)                                      \
+	",\"ConditionExpression\":\"#c = :c\","          \
+	"\"ExpressionAttributeNames\":{\"#c\":\"seq\"}," \
+	"\"ExpressionAttributeValues\":{\":c\":{\"N\":\"" seq "\"}}"
+#define WRITE(puts) "{\"TransactItems\":[" puts "]}"
+#define GET(key) \
+	"{\"TableName\":\"bramley\",\"Key\":{\"pk\":{\"S\":\"" key "\"}}}"
+#define BATCH(keys) "{\"RequestItems\":{\"bramley\":{\"Keys\":[" keys "]}}}"
+#define KEY(key) "{\"pk\":{\"S\":\"" key "\"}}"
+
+#define CANCELLED \
+	"com.amazonaws.dynamodb.v20120810#TransactionCanceledException"
+#define INVALID "com.amazonaws.dynamodb.v20120810#ValidationException"
+
+/* One request, the HTTP status and the error type (or NULL) it must give. */
+struct step {
+	const char *label;
+	enum rows_op op;
+	const char *request;
+	int code;
+	const char *type;
+};
+
+static const struct step steps[] = {
+    {"first", ROWS_OP_TRANSACT_WRITE, WRITE(PUT("head", "1", ABSENT)), 200,
+	NULL},
+    {"exists", ROWS_OP_TRANSACT_WRITE, WRITE(PUT("head", "1", ABSENT)), 400,
+	CANCELLED},
+    {"lost race", ROWS_OP_TRANSACT_WRITE, WRITE(PUT("head", "2", SEQ_IS("9"))),
+	400, CANCELLED},
+    {"no such row", ROWS_OP_TRANSACT_WRITE, WRITE(PUT("x", "2", SEQ_IS("1"))),
+	400, CANCELLED},
+    {"whole or not at all", ROWS_OP_TRANSACT_WRITE,
+	WRITE(PUT("v1", "1", ABSENT) "," PUT("head", "2", SEQ_IS("7"))), 400,
+	CANCELLED},
+    {"nothing of it", ROWS_OP_TRANSACT_WRITE,
+	WRITE(PUT("v1", "1", ABSENT) "," PUT("head", "2", SEQ_IS("1"))), 200,
+	NULL},
+    {"one row twice", ROWS_OP_TRANSACT_WRITE,
+	WRITE(PUT("a", "1", "") "," PUT("a", "2", "")), 400, INVALID},
+    {"empty", ROWS_OP_TRANSACT_WRITE, WRITE(""), 400, INVALID},
+    {"other condition", ROWS_OP_TRANSACT_WRITE,
+	WRITE(PUT("a", "1", ",\"ConditionExpression\":\"seq > :c\"")), 400,
+	INVALID},
+    {"condition no text", ROWS_OP_TRANSACT_WRITE,
+	WRITE(PUT("a", "1", ",\"ConditionExpression\":1")), 400, INVALID},
+    {"bad number", ROWS_OP_TRANSACT_WRITE, WRITE(PUT("a", "1x", "")), 400,
+	INVALID},
+    {"no key", ROWS_OP_TRANSACT_WRITE, WRITE(PUT("", "1", "")), 400, INVALID},
+    {"get", ROWS_OP_GET, GET("head"), 200, NULL},
+    {"get nothing", ROWS_OP_GET, GET("none"), 200, NULL},
+    {"batch", ROWS_OP_BATCH_GET, BATCH(KEY("head") "," KEY("v1")), 200, NULL},
+    {"batch doubled", ROWS_OP_BATCH_GET, BATCH(KEY("v1") "," KEY("v1")), 400,
+	INVALID},
+    {"batch empty", ROWS_OP_BATCH_GET, BATCH(""), 400, INVALID},
+    {"no json", ROWS_OP_GET, "nonsense", 400,
+	"com.amazonaws.dynamodb.v20120810#SerializationException"},
+    {"unknown", ROWS_OP_UNKNOWN, "{}", 400,
+	"com.amazonaws.dynamodb.v20120810#UnknownOperationException"},
+};
+
+static void
+apply(
+    struct rows *t, enum rows_op op, const char *text, struct rows_answer *ans)
+{
+	json_t *req = json_loads(text, 0, NULL);
+
+	rows_apply(t, op, req, ans);
+	json_decref(req);
+}
+
+START_TEST(table_steps_in_order)
+{
+	const struct step *s;
+	const char *type;
+	size_t i;
+	struct rows *t = rows_new();
+	struct rows_answer ans;
+
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		s = &steps[i];
+		apply(t, s->op, s->request, &ans);
+		type = json_string_value(json_object_get(ans.body, "__type"));
+		ck_assert_msg(
+		    ans.code == s->code, "%s: %d", s->label, ans.code);
+		ck_assert_msg(
+		    g_strcmp0(type, s->type) == 0, "%s: %s", s->label, type);
+		json_decref(ans.body);
+	}
+	ck_assert_uint_eq(rows_count(t), 2);
+	rows_free(t);
+}
+END_TEST
+
+START_TEST(table_gives_back_what_was_written)
+{
+	struct rows *t = rows_new();
+	struct rows_answer ans;
+	json_t *item;
+
+	apply(
+	    t, ROWS_OP_TRANSACT_WRITE, WRITE(PUT("head", "41", ABSENT)), &ans);
+	json_decref(ans.body);
+	apply(t, ROWS_OP_GET, GET("head"), &ans);
+	item = json_object_get(ans.body, "Item");
+	ck_assert_str_eq(json_string_value(json_object_get(
+			     json_object_get(item, "seq"), "N")),
+	    "41");
+	json_decref(ans.body);
+	apply(t, ROWS_OP_GET, GET("none"), &ans);
+	ck_assert_ptr_null(json_object_get(ans.body, "Item"));
+	json_decref(ans.body);
+	apply(t, ROWS_OP_BATCH_GET, BATCH(KEY("none") "," KEY("head")), &ans);
+	item =
+	    json_object_get(json_object_get(ans.body, "Responses"), ROWS_TABLE);
+	ck_assert_uint_eq(json_array_size(item), 1);
+	json_decref(ans.body);
+	rows_free(t);
+}
+END_TEST
+
+START_TEST(cancelled_transaction_tells_which_row)
+{
+	struct rows *t = rows_new();
+	struct rows_answer ans;
+	json_t *reasons;
+
+	apply(t, ROWS_OP_TRANSACT_WRITE,
+	    WRITE(PUT("a", "1", ABSENT) "," PUT("b", "1", SEQ_IS("1"))), &ans);
+	reasons = json_object_get(ans.body, "CancellationReasons");
+	ck_assert_str_eq(json_string_value(json_object_get(
+			     json_array_get(reasons, 0), "Code")),
+	    "None");
+	ck_assert_str_eq(json_string_value(json_object_get(
+			     json_array_get(reasons, 1), "Code")),
+	    "ConditionalCheckFailed");
+	json_decref(ans.body);
+	rows_free(t);
+}
+END_TEST
+
+START_TEST(object_is_put_once)
+{
+	GBytes *a = g_bytes_new("a", 1), *b = g_bytes_new("bcd", 3), *got;
+	struct objects *o = objects_new();
+
+	ck_assert_int_eq(objects_get(o, "k", &got), OBJECTS_NO_KEY);
+	ck_assert_int_eq(objects_put(o, "k", a, 1), OBJECTS_OK);
+	ck_assert_int_eq(objects_put(o, "k", b, 1), OBJECTS_EXISTS);
+	ck_assert_int_eq(objects_get(o, "k", &got), OBJECTS_OK);
+	ck_assert(g_bytes_equal(got, a));
+	g_bytes_unref(got);
+	ck_assert_int_eq(objects_put(o, "k", b, 0), OBJECTS_OK);
+	ck_assert_uint_eq(objects_count(o), 1);
+	ck_assert_uint_eq(objects_bytes(o), 3);
+	g_bytes_unref(a);
+	g_bytes_unref(b);
+	objects_free(o);
+}
+END_TEST
+
+START_TEST(rate_gives_its_rate)
+{
+	int taken = 0;
+	struct rate r;
+	uint64_t us;
+
+	rate_set(&r, 100, 0);
+	for (us = 0; us < 3 * SECOND_US; us += 1000)
+		taken += rate_take(&r, 1, us);
+	ck_assert_int_ge(taken, 399 - 1);
+	ck_assert_int_le(taken, 400);
+	ck_assert(!rate_take(&r, 101, 60 * SECOND_US));
+	ck_assert(rate_take(&r, 100, 120 * SECOND_US));
+	ck_assert(!rate_take(&r, 1, 120 * SECOND_US));
+}
+END_TEST
+
+int
+main(void)
+{
+	int failed;
+	SRunner *sr;
+	Suite *s = suite_create("platform");
+	TCase *tc = tcase_create("platform");
+
+	tcase_add_test(tc, table_steps_in_order);
+	tcase_add_test(tc, table_gives_back_what_was_written);
+	tcase_add_test(tc, cancelled_transaction_tells_which_row);
+	tcase_add_test(tc, object_is_put_once);
+	tcase_add_test(tc, rate_gives_its_rate);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
