--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -4,8 +4,8 @@
  *
  * A snapshot holds its own services and routes, so that a route can only
  * lead to a service of the same snapshot, and endpoints only of services
- * that it has.  Parts that did not change are shared with the snapshot
- * before.  The pointer to the current one is published by package node.
+ * that it has.  Parts that did not change are shared between snapshots.  The
+ * pointer to the current one is published by package node.
  */
 #ifndef CONFIG_SNAPSHOT_H
 #define CONFIG_SNAPSHOT_H
@@ -68,12 +68,14 @@
  * snapshot_compile() - compile a snapshot
  * @c: the configuration
  * @endpoints: the endpoints; those of services that @c lacks are left out
- * @previous: an earlier snapshot whose unchanged parts are shared, or NULL
+ *
+ * The snapshot shares services, routes and lists of endpoints with @c and
+ * @endpoints, so that it costs little after a change of few of them.
  *
  * Return: a new snapshot with one reference, which the caller owns.
  */
-struct snapshot *snapshot_compile(const struct catalog *c,
-    const struct endpoint_set *endpoints, const struct snapshot *previous);
+struct snapshot *
+snapshot_compile(const struct catalog *c, const struct endpoint_set *endpoints);
 
 /** snapshot_ref() - take a reference; any thread; Return: @s */
 struct snapshot *snapshot_ref(struct snapshot *s);
