feat(call): schema follows the traffic decisions

Problem: the first schema had enums of its own for refusals and fates, which clash with those of package traffic, and the sender's hello went the wrong way for the bound on a frame's age.

Solution: the guard greets first and the entry echoes its time; refusal and resolution travel as numbers of traffic's enums; acknowledgement of answers and questions about idempotency keys are added. Generated code follows.

--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -56,22 +56,27 @@
  * 	version's root.
  * @MSG_HALT_NOTE: Object halt/<operation>: who halted a version, when
  * 	and why.
- * @MSG_CALL_HELLO: First frame of the entry on a connection.
- * @MSG_CALL_HELLO_ACK: Answer of the guard to call_hello.
+ * @MSG_CALL_HELLO: First frame on a connection, from the guard.
+ * @MSG_CALL_HELLO_ACK: Answer of the entry to call_hello, before any
+ * 	other frame.
  * @MSG_CALL_OPEN: Start of one attempt of a request.
  * @MSG_CALL_CHUNK: A piece of a body, either way.
  * @MSG_CALL_CREDIT: Leave to send more of a body, either way.
  * @MSG_CALL_HEAD: Start of the upstream's answer.
- * @MSG_CALL_REFUSED: The attempt was not run here and will not be.
- * @MSG_CALL_CANCEL: The entry gave up on an attempt.
- * @MSG_CALL_RESOLVE: Asks for the fate of a request whose connection
+ * @MSG_CALL_REFUSED: The attempt was not run here and never will be.
+ * @MSG_CALL_FAILED: The attempt was started, and no answer will come.
+ * @MSG_CALL_CANCEL: The entry does not want an attempt any more.
+ * @MSG_CALL_RESOLVE: Asks for the fate of an attempt whose connection
  * 	was lost.
- * @MSG_CALL_FATE: Answers call_resolve, or ends an attempt that failed
- * 	after it started. After `running` and `done` the answer follows on
- * 	the stream.
+ * @MSG_CALL_RESOLVED: Answer to call_resolve. After `attached` and
+ * 	`answer` the answer follows on the stream.
+ * @MSG_CALL_ACK: The entry holds the whole answers of these streams.
  * @MSG_CALL_PING: Asks whether the connection still carries frames,
  * 	either way.
  * @MSG_CALL_PONG: Answer to call_ping.
+ * @MSG_CALL_KEY_ASK: The home of an idempotency key asks an earlier
+ * 	home about it.
+ * @MSG_CALL_KEY_WORD: Answer to call_key_ask.
  */
 enum msg_type {
 	MSG_NONE = 0,
@@ -110,11 +115,15 @@
 	MSG_CALL_CREDIT = 64,
 	MSG_CALL_HEAD = 65,
 	MSG_CALL_REFUSED = 66,
-	MSG_CALL_CANCEL = 67,
-	MSG_CALL_RESOLVE = 68,
-	MSG_CALL_FATE = 69,
-	MSG_CALL_PING = 70,
-	MSG_CALL_PONG = 71,
+	MSG_CALL_FAILED = 67,
+	MSG_CALL_CANCEL = 68,
+	MSG_CALL_RESOLVE = 69,
+	MSG_CALL_RESOLVED = 70,
+	MSG_CALL_ACK = 71,
+	MSG_CALL_PING = 72,
+	MSG_CALL_PONG = 73,
+	MSG_CALL_KEY_ASK = 74,
+	MSG_CALL_KEY_WORD = 75,
 };
 
 /**
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -5,47 +5,6 @@
  */
 #include "proto/gen/call.h"
 
-static const char *const fate_names[] = {
-    [FATE_NOT_RUN] = "not_run",
-    [FATE_RUNNING] = "running",
-    [FATE_DONE] = "done",
-    [FATE_UNKNOWN] = "unknown",
-};
-
-const char *
-fate_name(enum fate v)
-{
-	return codec_value_name(fate_names, FATE_VALUES, (uint32_t)v);
-}
-
-static const char *const refusal_names[] = {
-    [REFUSAL_NONE] = "none",
-    [REFUSAL_NO_ENDPOINT] = "no_endpoint",
-    [REFUSAL_NOT_READY] = "not_ready",
-    [REFUSAL_DRAINING] = "draining",
-    [REFUSAL_FULL] = "full",
-    [REFUSAL_QUEUE_WAIT] = "queue_wait",
-    [REFUSAL_DEADLINE] = "deadline",
-    [REFUSAL_CALLER_LIMIT] = "caller_limit",
-    [REFUSAL_TOO_LARGE] = "too_large",
-    [REFUSAL_TOO_OLD] = "too_old",
-    [REFUSAL_BARRED] = "barred",
-    [REFUSAL_DUPLICATE] = "duplicate",
-    [REFUSAL_SHED] = "shed",
-    [REFUSAL_UPSTREAM_DOWN] = "upstream_down",
-    [REFUSAL_UPSTREAM_BROKE] = "upstream_broke",
-    [REFUSAL_CANCELLED] = "cancelled",
-    [REFUSAL_BODY_BROKE] = "body_broke",
-    [REFUSAL_ANSWER_LOST] = "answer_lost",
-    [REFUSAL_BAD_REQUEST] = "bad_request",
-};
-
-const char *
-refusal_name(enum refusal v)
-{
-	return codec_value_name(refusal_names, REFUSAL_VALUES, (uint32_t)v);
-}
-
 static const struct codec_field rec_header_fields[] = {
     {.name = "name",
 	.kind = CODEC_TEXT,
@@ -74,14 +33,11 @@
     {.name = "slots",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_load, slots)},
-    {.name = "draining",
-	.kind = CODEC_BOOL,
-	.offset = offsetof(struct rec_load, draining)},
 };
 
 const struct codec_desc rec_load_desc = {.name = "load",
     .fields = rec_load_fields,
-    .n_fields = 4,
+    .n_fields = 3,
     .size_bytes = sizeof(struct rec_load)};
 
 static const struct codec_field msg_call_hello_fields[] = {
@@ -92,10 +48,6 @@
 	.kind = CODEC_STR,
 	.offset = offsetof(struct msg_call_hello, host),
 	.max = MSG_CALL_HELLO_HOST_MAX},
-    {.name = "data_centre",
-	.kind = CODEC_STR,
-	.offset = offsetof(struct msg_call_hello, data_centre),
-	.max = MSG_CALL_HELLO_DATA_CENTRE_MAX},
     {.name = "incarnation",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_hello, incarnation)},
@@ -106,7 +58,7 @@
 
 const struct codec_desc msg_call_hello_desc = {.name = "call_hello",
     .fields = msg_call_hello_fields,
-    .n_fields = 5,
+    .n_fields = 4,
     .size_bytes = sizeof(struct msg_call_hello)};
 
 void
@@ -135,17 +87,21 @@
 	.kind = CODEC_STR,
 	.offset = offsetof(struct msg_call_hello_ack, host),
 	.max = MSG_CALL_HELLO_ACK_HOST_MAX},
-    {.name = "incarnation",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct msg_call_hello_ack, incarnation)},
+    {.name = "data_centre",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_call_hello_ack, data_centre),
+	.max = MSG_CALL_HELLO_ACK_DATA_CENTRE_MAX},
     {.name = "echo",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_hello_ack, echo)},
+    {.name = "sent_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_hello_ack, sent_ms)},
 };
 
 const struct codec_desc msg_call_hello_ack_desc = {.name = "call_hello_ack",
     .fields = msg_call_hello_ack_fields,
-    .n_fields = 4,
+    .n_fields = 5,
     .size_bytes = sizeof(struct msg_call_hello_ack)};
 
 void
@@ -208,9 +164,6 @@
     {.name = "time_left_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_call_open, time_left_ms)},
-    {.name = "age_ms",
-	.kind = CODEC_U32,
-	.offset = offsetof(struct msg_call_open, age_ms)},
     {.name = "sent_ms",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_open, sent_ms)},
@@ -220,9 +173,6 @@
     {.name = "version",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_open, version)},
-    {.name = "attempt",
-	.kind = CODEC_U32,
-	.offset = offsetof(struct msg_call_open, attempt)},
     {.name = "caller",
 	.kind = CODEC_STR,
 	.offset = offsetof(struct msg_call_open, caller),
@@ -231,7 +181,7 @@
 
 const struct codec_desc msg_call_open_desc = {.name = "call_open",
     .fields = msg_call_open_fields,
-    .n_fields = 15,
+    .n_fields = 13,
     .size_bytes = sizeof(struct msg_call_open)};
 
 void
@@ -345,12 +295,12 @@
     {.name = "body_bytes",
 	.kind = CODEC_I64,
 	.offset = offsetof(struct msg_call_head, body_bytes)},
-    {.name = "upstream_us",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct msg_call_head, upstream_us)},
     {.name = "guard_us",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_head, guard_us)},
+    {.name = "upstream_us",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_head, upstream_us)},
     {.name = "load",
 	.kind = CODEC_STRUCT,
 	.offset = offsetof(struct msg_call_head, load),
@@ -384,10 +334,9 @@
     {.name = "stream",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_call_refused, stream)},
-    {.name = "reason",
-	.kind = CODEC_ENUM,
-	.offset = offsetof(struct msg_call_refused, reason),
-	.values = REFUSAL_VALUES},
+    {.name = "refusal",
+	.kind = CODEC_U8,
+	.offset = offsetof(struct msg_call_refused, refusal)},
     {.name = "retry_after_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_call_refused, retry_after_ms)},
@@ -421,6 +370,40 @@
 	codec_clear(&msg_call_refused_desc, m);
 }
 
+static const struct codec_field msg_call_failed_fields[] = {
+    {.name = "stream",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_call_failed, stream)},
+    {.name = "load",
+	.kind = CODEC_STRUCT,
+	.offset = offsetof(struct msg_call_failed, load),
+	.of = &rec_load_desc},
+};
+
+const struct codec_desc msg_call_failed_desc = {.name = "call_failed",
+    .fields = msg_call_failed_fields,
+    .n_fields = 2,
+    .size_bytes = sizeof(struct msg_call_failed)};
+
+void
+msg_call_failed_encode(const struct msg_call_failed *m, GByteArray *out)
+{
+	codec_encode(&msg_call_failed_desc, m, out);
+}
+
+enum status
+msg_call_failed_decode(
+    const uint8_t *data, size_t len, struct msg_call_failed *m)
+{
+	return codec_decode(&msg_call_failed_desc, data, len, m);
+}
+
+void
+msg_call_failed_clear(struct msg_call_failed *m)
+{
+	codec_clear(&msg_call_failed_desc, m);
+}
+
 static const struct codec_field msg_call_cancel_fields[] = {
     {.name = "stream",
 	.kind = CODEC_U32,
@@ -463,24 +446,20 @@
     {.name = "incarnation",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_resolve, incarnation)},
-    {.name = "service",
-	.kind = CODEC_STR,
-	.offset = offsetof(struct msg_call_resolve, service),
-	.max = MSG_CALL_RESOLVE_SERVICE_MAX},
     {.name = "age_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_call_resolve, age_ms)},
-    {.name = "time_left_ms",
-	.kind = CODEC_U32,
-	.offset = offsetof(struct msg_call_resolve, time_left_ms)},
     {.name = "sent_ms",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_resolve, sent_ms)},
+    {.name = "cancel",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_call_resolve, cancel)},
 };
 
 const struct codec_desc msg_call_resolve_desc = {.name = "call_resolve",
     .fields = msg_call_resolve_fields,
-    .n_fields = 7,
+    .n_fields = 6,
     .size_bytes = sizeof(struct msg_call_resolve)};
 
 void
@@ -502,59 +481,73 @@
 	codec_clear(&msg_call_resolve_desc, m);
 }
 
-static const struct codec_field msg_call_fate_fields[] = {
+static const struct codec_field msg_call_resolved_fields[] = {
     {.name = "stream",
 	.kind = CODEC_U32,
-	.offset = offsetof(struct msg_call_fate, stream)},
-    {.name = "request_id",
-	.kind = CODEC_BYTES,
-	.offset = offsetof(struct msg_call_fate, request_id),
-	.len_offset = offsetof(struct msg_call_fate, request_id_len),
-	.max = MSG_CALL_FATE_REQUEST_ID_MAX},
-    {.name = "fate",
-	.kind = CODEC_ENUM,
-	.offset = offsetof(struct msg_call_fate, fate),
-	.values = FATE_VALUES},
-    {.name = "reason",
-	.kind = CODEC_ENUM,
-	.offset = offsetof(struct msg_call_fate, reason),
-	.values = REFUSAL_VALUES},
-    {.name = "retry_after_ms",
-	.kind = CODEC_U32,
-	.offset = offsetof(struct msg_call_fate, retry_after_ms)},
-    {.name = "load",
-	.kind = CODEC_STRUCT,
-	.offset = offsetof(struct msg_call_fate, load),
-	.of = &rec_load_desc},
+	.offset = offsetof(struct msg_call_resolved, stream)},
+    {.name = "resolution",
+	.kind = CODEC_U8,
+	.offset = offsetof(struct msg_call_resolved, resolution)},
 };
 
-const struct codec_desc msg_call_fate_desc = {.name = "call_fate",
-    .fields = msg_call_fate_fields,
-    .n_fields = 6,
-    .size_bytes = sizeof(struct msg_call_fate)};
+const struct codec_desc msg_call_resolved_desc = {.name = "call_resolved",
+    .fields = msg_call_resolved_fields,
+    .n_fields = 2,
+    .size_bytes = sizeof(struct msg_call_resolved)};
 
 void
-msg_call_fate_encode(const struct msg_call_fate *m, GByteArray *out)
+msg_call_resolved_encode(const struct msg_call_resolved *m, GByteArray *out)
 {
-	codec_encode(&msg_call_fate_desc, m, out);
+	codec_encode(&msg_call_resolved_desc, m, out);
 }
 
 enum status
-msg_call_fate_decode(const uint8_t *data, size_t len, struct msg_call_fate *m)
+msg_call_resolved_decode(
+    const uint8_t *data, size_t len, struct msg_call_resolved *m)
 {
-	return codec_decode(&msg_call_fate_desc, data, len, m);
+	return codec_decode(&msg_call_resolved_desc, data, len, m);
 }
 
 void
-msg_call_fate_clear(struct msg_call_fate *m)
+msg_call_resolved_clear(struct msg_call_resolved *m)
 {
-	codec_clear(&msg_call_fate_desc, m);
+	codec_clear(&msg_call_resolved_desc, m);
+}
+
+static const struct codec_field msg_call_ack_fields[] = {
+    {.name = "streams",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_call_ack, streams),
+	.len_offset = offsetof(struct msg_call_ack, n_streams),
+	.max = MSG_CALL_ACK_STREAMS_MAX,
+	.item_bytes = sizeof(uint32_t),
+	.item = CODEC_U32},
+};
+
+const struct codec_desc msg_call_ack_desc = {.name = "call_ack",
+    .fields = msg_call_ack_fields,
+    .n_fields = 1,
+    .size_bytes = sizeof(struct msg_call_ack)};
+
+void
+msg_call_ack_encode(const struct msg_call_ack *m, GByteArray *out)
+{
+	codec_encode(&msg_call_ack_desc, m, out);
+}
+
+enum status
+msg_call_ack_decode(const uint8_t *data, size_t len, struct msg_call_ack *m)
+{
+	return codec_decode(&msg_call_ack_desc, data, len, m);
+}
+
+void
+msg_call_ack_clear(struct msg_call_ack *m)
+{
+	codec_clear(&msg_call_ack_desc, m);
 }
 
 static const struct codec_field msg_call_ping_fields[] = {
-    {.name = "seq",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct msg_call_ping, seq)},
     {.name = "sent_ms",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_ping, sent_ms)},
@@ -562,7 +555,7 @@
 
 const struct codec_desc msg_call_ping_desc = {.name = "call_ping",
     .fields = msg_call_ping_fields,
-    .n_fields = 2,
+    .n_fields = 1,
     .size_bytes = sizeof(struct msg_call_ping)};
 
 void
@@ -584,12 +577,12 @@
 }
 
 static const struct codec_field msg_call_pong_fields[] = {
-    {.name = "seq",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct msg_call_pong, seq)},
     {.name = "echo",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_pong, echo)},
+    {.name = "sent_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_pong, sent_ms)},
 };
 
 const struct codec_desc msg_call_pong_desc = {.name = "call_pong",
@@ -614,3 +607,80 @@
 {
 	codec_clear(&msg_call_pong_desc, m);
 }
+
+static const struct codec_field msg_call_key_ask_fields[] = {
+    {.name = "service",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_call_key_ask, service),
+	.max = MSG_CALL_KEY_ASK_SERVICE_MAX},
+    {.name = "key_high",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_key_ask, key_high)},
+    {.name = "key_low",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_key_ask, key_low)},
+};
+
+const struct codec_desc msg_call_key_ask_desc = {.name = "call_key_ask",
+    .fields = msg_call_key_ask_fields,
+    .n_fields = 3,
+    .size_bytes = sizeof(struct msg_call_key_ask)};
+
+void
+msg_call_key_ask_encode(const struct msg_call_key_ask *m, GByteArray *out)
+{
+	codec_encode(&msg_call_key_ask_desc, m, out);
+}
+
+enum status
+msg_call_key_ask_decode(
+    const uint8_t *data, size_t len, struct msg_call_key_ask *m)
+{
+	return codec_decode(&msg_call_key_ask_desc, data, len, m);
+}
+
+void
+msg_call_key_ask_clear(struct msg_call_key_ask *m)
+{
+	codec_clear(&msg_call_key_ask_desc, m);
+}
+
+static const struct codec_field msg_call_key_word_fields[] = {
+    {.name = "service",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_call_key_word, service),
+	.max = MSG_CALL_KEY_WORD_SERVICE_MAX},
+    {.name = "key_high",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_key_word, key_high)},
+    {.name = "key_low",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_key_word, key_low)},
+    {.name = "word",
+	.kind = CODEC_U8,
+	.offset = offsetof(struct msg_call_key_word, word)},
+};
+
+const struct codec_desc msg_call_key_word_desc = {.name = "call_key_word",
+    .fields = msg_call_key_word_fields,
+    .n_fields = 4,
+    .size_bytes = sizeof(struct msg_call_key_word)};
+
+void
+msg_call_key_word_encode(const struct msg_call_key_word *m, GByteArray *out)
+{
+	codec_encode(&msg_call_key_word_desc, m, out);
+}
+
+enum status
+msg_call_key_word_decode(
+    const uint8_t *data, size_t len, struct msg_call_key_word *m)
+{
+	return codec_decode(&msg_call_key_word_desc, data, len, m);
+}
+
+void
+msg_call_key_word_clear(struct msg_call_key_word *m)
+{
+	codec_clear(&msg_call_key_word_desc, m);
+}
--- a/packages/proto/src/gen/messages.c
+++ b/packages/proto/src/gen/messages.c
@@ -42,11 +42,15 @@
     [MSG_CALL_CREDIT] = &msg_call_credit_desc,
     [MSG_CALL_HEAD] = &msg_call_head_desc,
     [MSG_CALL_REFUSED] = &msg_call_refused_desc,
+    [MSG_CALL_FAILED] = &msg_call_failed_desc,
     [MSG_CALL_CANCEL] = &msg_call_cancel_desc,
     [MSG_CALL_RESOLVE] = &msg_call_resolve_desc,
-    [MSG_CALL_FATE] = &msg_call_fate_desc,
+    [MSG_CALL_RESOLVED] = &msg_call_resolved_desc,
+    [MSG_CALL_ACK] = &msg_call_ack_desc,
     [MSG_CALL_PING] = &msg_call_ping_desc,
     [MSG_CALL_PONG] = &msg_call_pong_desc,
+    [MSG_CALL_KEY_ASK] = &msg_call_key_ask_desc,
+    [MSG_CALL_KEY_WORD] = &msg_call_key_word_desc,
 };
 
 const struct codec_desc *
