--- a/packages/net/include/net/conn.h
+++ b/packages/net/include/net/conn.h
@@ -7,9 +7,9 @@
  * sends a frame that is too large, or stalls in the middle of one, is closed
  * with a status; nothing that it sends disturbs another connection.
  *
- * A connection ends in one of two ways: its owner calls conn_close(), or it
- * fails and on_closed() is called, once.  After either the owner must not
- * use it; its memory is released at the end of the turn.
+ * A connection ends in one of two ways: its owner calls conn_close() or
+ * conn_finish(), or it fails and on_closed() is called, once.  After either the
+ * owner must not use it; its memory is released at the end of the turn.
  */
 #ifndef NET_CONN_H
 #define NET_CONN_H
@@ -111,6 +111,16 @@
  */
 void conn_close(struct conn *c);
 
+/**
+ * conn_finish() - end a connection after its output has left
+ * @c: the connection; no function of its handler is called from now on; one
+ *	that isn't established yet is closed at once
+ *
+ * What was appended is written, the peer is told that no more comes, and the
+ * connection is closed when the peer closes too, or stalls.
+ */
+void conn_finish(struct conn *c);
+
 /** conn_output_bytes() - bytes appended and not yet handed to the system */
 size_t conn_output_bytes(const struct conn *c);
 
--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -50,8 +50,8 @@
  * struct http_request - a request
  * @method: "GET", "HEAD", "PUT", "POST", "DELETE"...
  * @url: absolute URL, http only; copied
- * @headers: headers; copied; Host, Content-Length and Transfer-Encoding are
- *	the client's
+ * @headers: headers; copied; Connection, Content-Length, Expect and
+ *	Transfer-Encoding are the client's own and left out
  * @n_headers: number of headers
  * @body: body as a block, which must stay until on_done(); NULL when there
  *	is none or it is pulled
--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -11,6 +11,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "base/clock.h"
 
 struct loop;
@@ -33,14 +35,14 @@
  * @fn: called when the deadline has come
  * @arg: given to @fn
  * @deadline_ms: monotonic deadline
- * @index: place in the loop's heap plus one, 0 when the timer is not set
+ * @place: its place among the loop's timers, NULL when it isn't set
  */
 struct loop_timer {
 	struct loop *loop;
 	loop_fn *fn;
 	void *arg;
 	uint64_t deadline_ms;
-	uint32_t index;
+	GSequenceIter *place;
 };
 
 /**
@@ -74,8 +76,9 @@
  * loop_free() - free a loop
  * @loop: a loop that isn't running; NULL is allowed
  *
- * Timers, tasks and descriptors that are still there are forgotten, and what
- * was posted but not run is dropped: stop those who post first.
+ * Tasks that are pending are run, because they release memory.  Timers and
+ * descriptors that are still there are forgotten, and what was posted but not
+ * run is dropped: stop those who post first.
  */
 void loop_free(struct loop *loop);
 
@@ -148,8 +151,8 @@
 /**
  * loop_timer_set() - set or move a timer
  * @t: the timer
- * @deadline_ms: monotonic time; one that has passed fires in the next turn;
- *	DEADLINE_NEVER stops the timer
+ * @deadline_ms: monotonic time; one that has passed fires in this turn or the
+ *next; DEADLINE_NEVER stops the timer
  */
 void loop_timer_set(struct loop_timer *t, uint64_t deadline_ms);
 
@@ -160,7 +163,7 @@
 static inline bool
 loop_timer_is_set(const struct loop_timer *t)
 {
-	return t->index != 0;
+	return t->place != NULL;
 }
 
 /** loop_task_init() - prepare a task; see struct loop_task */
--- /dev/null
+++ b/packages/net/src/loop.c
@@ -0,0 +1,480 @@
+/*
+ * Event loop on epoll(7): one turn waits, serves descriptors, then timers,
+ * then tasks.  Other threads reach it through a queue and an eventfd(2).
+ */
+#include <errno.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "base/status.h"
+#include "net/loop.h"
+
+#define LOOP_EVENTS 256
+#define LOOP_US_PER_MS 1000
+/* A turn serves at most this many batches before timers get their turn. */
+#define LOOP_BATCHES 16
+
+/* A watched descriptor; a dead one is freed at the end of the turn. */
+struct loop_fd {
+	struct loop *loop;
+	int fd;
+	uint32_t events;
+	loop_fd_fn *fn;
+	void *arg;
+	bool dead;
+};
+
+/* Something posted by another thread. */
+struct loop_posted {
+	loop_fn *fn;
+	void *arg;
+};
+
+struct loop {
+	int epoll_fd;
+	int wake_fd;
+	struct loop_fd *wake;
+	uint64_t now_us;
+	bool stopping;
+	bool firing;
+	GSequence *timers;
+	struct loop_task tasks;
+	GPtrArray *dead;
+	pthread_mutex_t lock;
+	GArray *inbox;
+	GArray *inbox_spare;
+};
+
+static void
+loop_update_now(struct loop *loop)
+{
+	loop->now_us = clock_now_us();
+}
+
+uint64_t
+loop_now_ms(const struct loop *loop)
+{
+	return loop->now_us / LOOP_US_PER_MS;
+}
+
+uint64_t
+loop_now_us(const struct loop *loop)
+{
+	return loop->now_us;
+}
+
+/* Descriptors */
+
+static uint32_t
+epoll_from_events(uint32_t events)
+{
+	uint32_t mask = 0;
+
+	if (events & LOOP_READ)
+		mask |= EPOLLIN | EPOLLRDHUP;
+	if (events & LOOP_WRITE)
+		mask |= EPOLLOUT;
+	return mask;
+}
+
+static uint32_t
+events_from_epoll(uint32_t mask)
+{
+	uint32_t events = 0;
+
+	if (mask & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+		events |= LOOP_READ;
+	if (mask & (EPOLLOUT | EPOLLHUP | EPOLLERR))
+		events |= LOOP_WRITE;
+	return events;
+}
+
+static int
+loop_ctl(struct loop_fd *w, int op, uint32_t events)
+{
+	struct epoll_event ev = {0};
+
+	ev.events = epoll_from_events(events);
+	ev.data.ptr = w;
+	return epoll_ctl(w->loop->epoll_fd, op, w->fd, &ev);
+}
+
+struct loop_fd *
+loop_fd_add(
+    struct loop *loop, int fd, uint32_t events, loop_fd_fn *fn, void *arg)
+{
+	struct loop_fd *w = g_new0(struct loop_fd, 1);
+
+	w->loop = loop;
+	w->fd = fd;
+	w->fn = fn;
+	w->arg = arg;
+	w->events = events;
+	if (events != 0 && loop_ctl(w, EPOLL_CTL_ADD, events) < 0) {
+		(void)status_set(STATUS_IO,
+		    "Can't watch a descriptor: %s; raise the limits of the "
+		    "process.",
+		    strerror(errno));
+		g_free(w);
+		return NULL;
+	}
+	return w;
+}
+
+/*
+ * A descriptor without events is taken out of the epoll set, since epoll
+ * reports errors and hang-ups whatever is asked for.
+ */
+void
+loop_fd_set(struct loop_fd *w, uint32_t events)
+{
+	int op = EPOLL_CTL_MOD;
+
+	if (w->events == events)
+		return;
+	if (w->events == 0)
+		op = EPOLL_CTL_ADD;
+	else if (events == 0)
+		op = EPOLL_CTL_DEL;
+	(void)loop_ctl(w, op, events);
+	w->events = events;
+}
+
+void
+loop_fd_remove(struct loop_fd *w)
+{
+	loop_fd_set(w, 0);
+	w->dead = true;
+	g_ptr_array_add(w->loop->dead, w);
+}
+
+/* Inbox */
+
+static void
+loop_drain_inbox(uint32_t ready, void *arg)
+{
+	struct loop *loop = arg;
+	struct loop_posted *p;
+	uint64_t count;
+	GArray *batch;
+	guint i;
+
+	(void)ready;
+	if (read(loop->wake_fd, &count, sizeof(count)) < 0)
+		return;
+	(void)pthread_mutex_lock(&loop->lock);
+	batch = loop->inbox;
+	loop->inbox = loop->inbox_spare;
+	(void)pthread_mutex_unlock(&loop->lock);
+	loop->inbox_spare = NULL;
+	for (i = 0; i < batch->len; i++) {
+		p = &g_array_index(batch, struct loop_posted, i);
+		p->fn(p->arg);
+	}
+	g_array_set_size(batch, 0);
+	loop->inbox_spare = batch;
+}
+
+void
+loop_post(struct loop *loop, loop_fn *fn, void *arg)
+{
+	struct loop_posted p = {fn, arg};
+	uint64_t one = 1;
+	bool first;
+
+	(void)pthread_mutex_lock(&loop->lock);
+	first = loop->inbox->len == 0;
+	g_array_append_val(loop->inbox, p);
+	(void)pthread_mutex_unlock(&loop->lock);
+	if (first && write(loop->wake_fd, &one, sizeof(one)) < 0)
+		g_error("Can't wake an event loop: %s.", strerror(errno));
+}
+
+static void
+loop_set_stopping(void *arg)
+{
+	struct loop *loop = arg;
+
+	loop->stopping = true;
+}
+
+void
+loop_stop(struct loop *loop)
+{
+	loop_post(loop, loop_set_stopping, loop);
+}
+
+/* Timers */
+
+static gint
+timer_compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct loop_timer *x = a;
+	const struct loop_timer *y = b;
+
+	(void)data;
+	return (x->deadline_ms > y->deadline_ms) -
+	    (x->deadline_ms < y->deadline_ms);
+}
+
+void
+loop_timer_init(struct loop_timer *t, struct loop *loop, loop_fn *fn, void *arg)
+{
+	t->loop = loop;
+	t->fn = fn;
+	t->arg = arg;
+	t->deadline_ms = DEADLINE_NEVER;
+	t->place = NULL;
+}
+
+void
+loop_timer_set(struct loop_timer *t, uint64_t deadline_ms)
+{
+	uint64_t least_ms = 0;
+
+	if (deadline_ms == DEADLINE_NEVER) {
+		loop_timer_stop(t);
+		return;
+	}
+	if (t->loop->firing)
+		least_ms = loop_now_ms(t->loop) + 1;
+	t->deadline_ms = MAX(deadline_ms, least_ms);
+	if (t->place != NULL)
+		g_sequence_sort_changed(t->place, timer_compare, NULL);
+	else
+		t->place = g_sequence_insert_sorted(
+		    t->loop->timers, t, timer_compare, NULL);
+}
+
+void
+loop_timer_stop(struct loop_timer *t)
+{
+	if (t->place == NULL)
+		return;
+	g_sequence_remove(t->place);
+	t->place = NULL;
+	t->deadline_ms = DEADLINE_NEVER;
+}
+
+static struct loop_timer *
+loop_first_timer(struct loop *loop)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(loop->timers);
+
+	return g_sequence_iter_is_end(it) ? NULL : g_sequence_get(it);
+}
+
+static void
+loop_fire_timers(struct loop *loop)
+{
+	struct loop_timer *t;
+
+	loop->firing = true;
+	while ((t = loop_first_timer(loop)) != NULL) {
+		if (t->deadline_ms > loop_now_ms(loop))
+			break;
+		loop_timer_stop(t);
+		t->fn(t->arg);
+	}
+	loop->firing = false;
+}
+
+/* Tasks: a ring with the loop's own as its head. */
+
+static void
+task_ring_init(struct loop_task *head)
+{
+	head->next = head;
+	head->prev = head;
+}
+
+void
+loop_task_init(
+    struct loop_task *task, struct loop *loop, loop_fn *fn, void *arg)
+{
+	task->loop = loop;
+	task->fn = fn;
+	task->arg = arg;
+	task->next = NULL;
+	task->prev = NULL;
+	task->pending = false;
+}
+
+void
+loop_task_defer(struct loop_task *task)
+{
+	struct loop_task *head = &task->loop->tasks;
+
+	if (task->pending)
+		return;
+	task->pending = true;
+	task->next = head;
+	task->prev = head->prev;
+	head->prev->next = task;
+	head->prev = task;
+}
+
+void
+loop_task_cancel(struct loop_task *task)
+{
+	if (!task->pending)
+		return;
+	task->pending = false;
+	task->prev->next = task->next;
+	task->next->prev = task->prev;
+}
+
+static bool
+loop_has_tasks(const struct loop *loop)
+{
+	return loop->tasks.next != &loop->tasks;
+}
+
+static void
+loop_run_tasks(struct loop *loop)
+{
+	struct loop_task *task, ring;
+
+	if (!loop_has_tasks(loop))
+		return;
+	ring = loop->tasks;
+	ring.next->prev = &ring;
+	ring.prev->next = &ring;
+	task_ring_init(&loop->tasks);
+	while ((task = ring.next) != &ring) {
+		loop_task_cancel(task);
+		task->fn(task->arg);
+	}
+}
+
+/* Turns */
+
+static int
+loop_wait_ms(struct loop *loop, uint64_t until_ms)
+{
+	struct loop_timer *t = loop_first_timer(loop);
+	uint64_t left_ms;
+
+	if (loop_has_tasks(loop))
+		return 0;
+	if (t != NULL)
+		until_ms = MIN(until_ms, t->deadline_ms);
+	if (until_ms == DEADLINE_NEVER)
+		return -1;
+	left_ms = clock_left_ms(until_ms, clock_now_ms());
+	return (int)MIN(left_ms, (uint64_t)G_MAXINT);
+}
+
+static int
+loop_serve(struct loop *loop, int wait_ms)
+{
+	struct epoll_event events[LOOP_EVENTS];
+	struct loop_fd *w;
+	uint32_t ready;
+	int i, n;
+
+	n = epoll_wait(loop->epoll_fd, events, LOOP_EVENTS, wait_ms);
+	loop_update_now(loop);
+	for (i = 0; i < n; i++) {
+		w = events[i].data.ptr;
+		ready = events_from_epoll(events[i].events) & w->events;
+		if (!w->dead && ready != 0)
+			w->fn(ready, w->arg);
+	}
+	return n;
+}
+
+static void
+loop_bury(struct loop *loop)
+{
+	g_ptr_array_set_size(loop->dead, 0);
+}
+
+/*
+ * All descriptors that are ready are served before timers, so that a process
+ * that was paused reads what came in before it finds a peer silent.
+ */
+void
+loop_run_once(struct loop *loop, uint64_t until_ms)
+{
+	int batches = 0, n, wait_ms = loop_wait_ms(loop, until_ms);
+
+	do {
+		n = loop_serve(loop, wait_ms);
+		loop_bury(loop);
+		wait_ms = 0;
+	} while (n == LOOP_EVENTS && ++batches < LOOP_BATCHES);
+	loop_fire_timers(loop);
+	loop_run_tasks(loop);
+	loop_bury(loop);
+}
+
+void
+loop_run(struct loop *loop)
+{
+	while (!loop->stopping)
+		loop_run_once(loop, DEADLINE_NEVER);
+	loop->stopping = false;
+}
+
+static GArray *
+inbox_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(struct loop_posted));
+}
+
+struct loop *
+loop_new(void)
+{
+	struct loop *loop = g_new0(struct loop, 1);
+
+	loop->timers = g_sequence_new(NULL);
+	loop->dead = g_ptr_array_new_with_free_func(g_free);
+	loop->inbox = inbox_new();
+	loop->inbox_spare = inbox_new();
+	(void)pthread_mutex_init(&loop->lock, NULL);
+	task_ring_init(&loop->tasks);
+	loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	loop->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	loop_update_now(loop);
+	if (loop->epoll_fd >= 0 && loop->wake_fd >= 0)
+		loop->wake = loop_fd_add(
+		    loop, loop->wake_fd, LOOP_READ, loop_drain_inbox, loop);
+	if (loop->wake == NULL) {
+		(void)status_set(STATUS_IO,
+		    "Can't make an event loop: %s; raise the limits of the "
+		    "process.",
+		    strerror(errno));
+		loop_free(loop);
+		return NULL;
+	}
+	return loop;
+}
+
+static void
+loop_close_fd(int fd)
+{
+	if (fd >= 0)
+		(void)close(fd);
+}
+
+void
+loop_free(struct loop *loop)
+{
+	if (loop == NULL)
+		return;
+	loop_run_tasks(loop);
+	if (loop->wake != NULL)
+		loop_fd_remove(loop->wake);
+	loop_close_fd(loop->epoll_fd);
+	loop_close_fd(loop->wake_fd);
+	g_ptr_array_unref(loop->dead);
+	g_sequence_free(loop->timers);
+	g_array_unref(loop->inbox);
+	g_array_unref(loop->inbox_spare);
+	(void)pthread_mutex_destroy(&loop->lock);
+	g_free(loop);
+}
