--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -165,7 +165,11 @@
 /** call_unresolved() - the guard could not be reached for a RESOLVE */
 void call_unresolved(struct call *c, uint32_t stream, uint64_t now_ms);
 
-/** call_caller_gone() - the caller hung up */
+/**
+ * call_caller_gone() - the caller hung up
+ *
+ * The call is over; CANCEL is given if an attempt is out, but no final action.
+ */
 void call_caller_gone(struct call *c, uint64_t now_ms);
 
 /** call_tick() - a time named by call_wake_ms() has come */
@@ -177,7 +181,7 @@
 /** call_next() - the next action; false when there is none */
 bool call_next(struct call *c, struct call_action *out);
 
-/** call_over() - the final action has been given */
+/** call_over() - the final action has been given, or the caller is gone */
 bool call_over(const struct call *c);
 
 /** call_tried() - endpoints tried, for placement_query.tried */
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -67,6 +67,7 @@
  * @REFUSAL_KEY_UNSETTLED: keyed, and an earlier request with the key may have
  *	run elsewhere
  * @REFUSAL_STOPPING: the node is stopping
+ * @REFUSAL_UNREACHABLE: no connection to the guard; not a byte was sent
  */
 enum refusal {
 	REFUSAL_NONE = 0,
@@ -85,11 +86,26 @@
 	REFUSAL_NO_ENDPOINT,
 	REFUSAL_KEY_UNSETTLED,
 	REFUSAL_STOPPING,
+	REFUSAL_UNREACHABLE,
 };
 
 /** refusal_name() - short name for logs, such as "queue_full" */
 const char *refusal_name(enum refusal r);
 
+/**
+ * refusal_is_final() - whether another endpoint would refuse alike
+ *
+ * Such a request is not sent again.
+ */
+bool refusal_is_final(enum refusal r);
+
+/**
+ * refusal_is_free() - whether a retry after it needs no budget
+ *
+ * True for refusals that stop by themselves once the news has travelled.
+ */
+bool refusal_is_free(enum refusal r);
+
 /**
  * struct load_report - load at a guard, carried by each answer and refusal
  * @in_flight: requests in slots
--- /dev/null
+++ b/packages/traffic/src/call.c
@@ -0,0 +1,498 @@
+/*
+ * The state machine of one call.
+ *
+ * unsure says that an earlier attempt may have run; a call that is unsure is
+ * never told not_run, whatever became of its last attempt.
+ */
+#include "traffic/call.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#define NAIVE_ATTEMPTS 4
+/* Wait between two tries to reach a guard for a resolve. */
+#define RESOLVE_PAUSE_MS 20
+/* When nothing better is known, when a caller should come back. */
+#define RETRY_AFTER_MS 1000
+
+enum call_state {
+	STATE_NEW = 0,
+	STATE_BACKOFF,
+	STATE_PLACING,
+	STATE_SENDING,
+	STATE_WAITING,
+	STATE_COMMITTED,
+	STATE_RESOLVING,
+	STATE_RESOLVE_PAUSE,
+	STATE_OVER,
+};
+
+struct call {
+	struct call_config cfg;
+	struct retry_budget *budget;
+	uint64_t seed;
+	enum call_state state;
+	bool unsure;
+	bool body_gone;
+	bool overdue;
+	uint16_t attempt;
+	uint32_t stream;
+	uint64_t endpoint;
+	uint64_t incarnation;
+	uint64_t sent_ms;
+	uint64_t wake_ms;
+	uint64_t resolve_until_ms;
+	GArray *tried;
+	GArray *actions;
+	guint next;
+};
+
+const char *
+call_action_name(enum call_action_kind k)
+{
+	static const char *const names[] = {"place", "send", "resolve",
+	    "cancel", "deliver", "give_up", "abort"};
+
+	return (size_t)k < G_N_ELEMENTS(names) ? names[k] : "?";
+}
+
+struct call *
+call_new(
+    const struct call_config *cfg, struct retry_budget *budget, uint64_t seed)
+{
+	struct call *c;
+
+	c = g_new0(struct call, 1);
+	c->cfg = *cfg;
+	c->budget = budget;
+	c->seed = seed;
+	c->wake_ms = DEADLINE_NEVER;
+	c->tried = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	c->actions = g_array_new(FALSE, TRUE, sizeof(struct call_action));
+	return c;
+}
+
+void
+call_free(struct call *c)
+{
+	if (c == NULL)
+		return;
+	g_array_free(c->tried, TRUE);
+	g_array_free(c->actions, TRUE);
+	g_free(c);
+}
+
+static struct call_action *
+act(struct call *c, enum call_action_kind kind)
+{
+	struct call_action a = {.kind = kind};
+
+	a.stream = c->stream;
+	a.attempt = c->attempt;
+	a.endpoint = c->endpoint;
+	a.incarnation = c->incarnation;
+	a.sent_ms = c->sent_ms;
+	g_array_append_val(c->actions, a);
+	return &g_array_index(
+	    c->actions, struct call_action, c->actions->len - 1);
+}
+
+static void
+finish(struct call *c)
+{
+	c->state = STATE_OVER;
+	c->wake_ms = DEADLINE_NEVER;
+}
+
+static void
+give_up(struct call *c, enum outcome outcome, enum refusal refusal,
+    uint64_t retry_after_ms)
+{
+	struct call_action *a;
+
+	if (outcome == OUTCOME_NOT_RUN && c->unsure)
+		outcome = OUTCOME_UNKNOWN;
+	a = act(c, CALL_GIVE_UP);
+	a->outcome = outcome;
+	a->refusal = refusal;
+	a->retry_after_ms =
+	    retry_after_ms != 0 ? retry_after_ms : RETRY_AFTER_MS;
+	finish(c);
+}
+
+/* The deadline has passed and nobody knows whether the attempt started. */
+static void
+give_up_unknown(struct call *c)
+{
+	c->unsure = true;
+	give_up(c, OUTCOME_UNKNOWN, REFUSAL_NONE, 0);
+}
+
+static void
+place(struct call *c)
+{
+	c->state = STATE_PLACING;
+	c->wake_ms = c->cfg.deadline_ms;
+	(void)act(c, CALL_PLACE);
+}
+
+static void
+resolve(struct call *c, bool cancel)
+{
+	c->stream++;
+	c->state = STATE_RESOLVING;
+	act(c, CALL_RESOLVE)->cancel = cancel;
+}
+
+static uint64_t
+final_ms(const struct call *c)
+{
+	return c->cfg.deadline_ms + c->cfg.deadline_grace_ms;
+}
+
+static uint32_t
+attempts_max(const struct call *c)
+{
+	return c->cfg.naive ? NAIVE_ATTEMPTS : c->budget->cfg.attempts;
+}
+
+static bool
+schedule_retry(struct call *c, bool paid, uint64_t now_ms)
+{
+	uint64_t wait, random;
+
+	if (c->body_gone || c->overdue || c->attempt >= attempts_max(c))
+		return false;
+	random = hash64(&c->attempt, sizeof(c->attempt), c->seed);
+	wait = retry_backoff_ms(&c->budget->cfg, c->attempt, random);
+	if (!paid || c->cfg.naive)
+		wait = 0;
+	if (now_ms + wait >= c->cfg.deadline_ms)
+		return false;
+	if (paid && !c->cfg.naive && !retry_budget_take(c->budget, now_ms))
+		return false;
+	if (wait == 0) {
+		place(c);
+		return true;
+	}
+	c->state = STATE_BACKOFF;
+	c->wake_ms = now_ms + wait;
+	return true;
+}
+
+/* The last attempt has certainly not run. */
+static void
+not_run(struct call *c, enum refusal refusal, uint64_t retry_after_ms,
+    uint64_t now_ms)
+{
+	if (!refusal_is_final(refusal) &&
+	    schedule_retry(c, !refusal_is_free(refusal), now_ms))
+		return;
+	give_up(c, OUTCOME_NOT_RUN, refusal, retry_after_ms);
+}
+
+/* Nobody will say whether the last attempt ran. */
+static void
+uncertain(struct call *c, uint64_t now_ms)
+{
+	c->unsure = true;
+	if ((c->cfg.idempotent || c->cfg.naive) &&
+	    schedule_retry(c, true, now_ms))
+		return;
+	give_up(c, OUTCOME_UNKNOWN, REFUSAL_NONE, 0);
+}
+
+static bool
+is_current(const struct call *c, uint32_t stream)
+{
+	return c->state != STATE_OVER && stream == c->stream;
+}
+
+/* An attempt or a resolve is out and its stream may speak. */
+static bool
+is_listening(const struct call *c, uint32_t stream)
+{
+	if (!is_current(c, stream))
+		return false;
+	return c->state == STATE_WAITING || c->state == STATE_RESOLVING;
+}
+
+void
+call_start(struct call *c, uint64_t now_ms)
+{
+	if (c->state != STATE_NEW)
+		return;
+	if (now_ms >= c->cfg.deadline_ms) {
+		give_up(c, OUTCOME_NOT_RUN, REFUSAL_EXPIRED, 0);
+		return;
+	}
+	place(c);
+}
+
+void
+call_placed(struct call *c, uint64_t endpoint, uint64_t now_ms)
+{
+	(void)now_ms;
+	if (c->state != STATE_PLACING)
+		return;
+	c->endpoint = endpoint;
+	c->attempt++;
+	c->stream++;
+	c->state = STATE_SENDING;
+	g_array_append_val(c->tried, endpoint);
+	(void)act(c, CALL_SEND);
+}
+
+void
+call_unplaced(struct call *c, uint64_t retry_after_ms, uint64_t now_ms)
+{
+	(void)now_ms;
+	if (c->state == STATE_PLACING)
+		give_up(
+		    c, OUTCOME_NOT_RUN, REFUSAL_NO_ENDPOINT, retry_after_ms);
+}
+
+void
+call_sent(
+    struct call *c, uint32_t stream, uint64_t incarnation, uint64_t now_ms)
+{
+	if (!is_current(c, stream) || c->state != STATE_SENDING)
+		return;
+	c->incarnation = incarnation;
+	c->sent_ms = now_ms;
+	c->state = STATE_WAITING;
+}
+
+void
+call_unsent(struct call *c, uint32_t stream, uint64_t now_ms)
+{
+	if (is_current(c, stream) && c->state == STATE_SENDING)
+		not_run(c, REFUSAL_UNREACHABLE, 0, now_ms);
+}
+
+void
+call_body_gone(struct call *c)
+{
+	c->body_gone = true;
+}
+
+void
+call_committed(struct call *c, uint32_t stream, uint64_t now_ms)
+{
+	(void)now_ms;
+	if (!is_listening(c, stream))
+		return;
+	c->state = STATE_COMMITTED;
+	c->wake_ms = DEADLINE_NEVER;
+}
+
+void
+call_answered(struct call *c, uint32_t stream, uint64_t now_ms)
+{
+	(void)now_ms;
+	if (!is_listening(c, stream) &&
+	    !(is_current(c, stream) && c->state == STATE_COMMITTED))
+		return;
+	retry_budget_success(c->budget);
+	act(c, CALL_DELIVER)->outcome = OUTCOME_DONE;
+	finish(c);
+}
+
+void
+call_refused(struct call *c, uint32_t stream, enum refusal refusal,
+    uint64_t retry_after_ms, uint64_t now_ms)
+{
+	if (!is_listening(c, stream))
+		return;
+	if (refusal == REFUSAL_KEY_UNSETTLED)
+		c->unsure = true;
+	not_run(c, refusal, retry_after_ms, now_ms);
+}
+
+void
+call_failed(struct call *c, uint32_t stream, uint64_t now_ms)
+{
+	if (is_listening(c, stream))
+		uncertain(c, now_ms);
+}
+
+static void
+lost_in_doubt(struct call *c, uint64_t now_ms)
+{
+	if (c->cfg.naive) {
+		uncertain(c, now_ms);
+		return;
+	}
+	if (c->cfg.idempotent && !c->cfg.keyed) {
+		c->unsure = true;
+		if (schedule_retry(c, true, now_ms))
+			return;
+	}
+	c->resolve_until_ms = now_ms + c->cfg.resolve_limit_ms;
+	resolve(c, c->overdue);
+}
+
+void
+call_lost(struct call *c, uint32_t stream, uint64_t now_ms)
+{
+	if (!is_current(c, stream))
+		return;
+	switch (c->state) {
+	case STATE_SENDING:
+		not_run(c, REFUSAL_UNREACHABLE, 0, now_ms);
+		return;
+	case STATE_WAITING:
+		lost_in_doubt(c, now_ms);
+		return;
+	case STATE_RESOLVING:
+		call_unresolved(c, stream, now_ms);
+		return;
+	case STATE_COMMITTED:
+		(void)act(c, CALL_ABORT);
+		finish(c);
+		return;
+	default:
+		return;
+	}
+}
+
+void
+call_resolved(
+    struct call *c, uint32_t stream, enum resolution r, uint64_t now_ms)
+{
+	if (!is_current(c, stream) || c->state != STATE_RESOLVING)
+		return;
+	switch (r) {
+	case RESOLUTION_NOT_RUN:
+		not_run(c, REFUSAL_RESOLVED, 0, now_ms);
+		return;
+	case RESOLUTION_ATTACHED:
+	case RESOLUTION_ANSWER:
+		c->state = STATE_WAITING;
+		if (c->overdue)
+			(void)act(c, CALL_CANCEL);
+		return;
+	case RESOLUTION_LOST:
+	case RESOLUTION_UNKNOWN:
+		uncertain(c, now_ms);
+		return;
+	}
+}
+
+void
+call_unresolved(struct call *c, uint32_t stream, uint64_t now_ms)
+{
+	uint64_t until;
+
+	if (!is_current(c, stream) || c->state != STATE_RESOLVING)
+		return;
+	until = MIN(c->resolve_until_ms, final_ms(c));
+	if (now_ms + RESOLVE_PAUSE_MS >= until) {
+		uncertain(c, now_ms);
+		return;
+	}
+	c->state = STATE_RESOLVE_PAUSE;
+	c->wake_ms = MIN(now_ms + RESOLVE_PAUSE_MS, c->wake_ms);
+}
+
+void
+call_caller_gone(struct call *c, uint64_t now_ms)
+{
+	(void)now_ms;
+	switch (c->state) {
+	case STATE_SENDING:
+	case STATE_WAITING:
+	case STATE_COMMITTED:
+		(void)act(c, CALL_CANCEL);
+		break;
+	default:
+		break;
+	}
+	finish(c);
+}
+
+/* The deadline: what has started is not awaited for longer than the grace. */
+static void
+deadline(struct call *c, uint64_t now_ms)
+{
+	c->overdue = true;
+	c->wake_ms = final_ms(c);
+	switch (c->state) {
+	case STATE_BACKOFF:
+	case STATE_PLACING:
+		give_up(c, OUTCOME_NOT_RUN, REFUSAL_EXPIRED, 0);
+		return;
+	case STATE_SENDING:
+		(void)act(c, CALL_CANCEL);
+		give_up(c, OUTCOME_NOT_RUN, REFUSAL_EXPIRED, 0);
+		return;
+	case STATE_WAITING:
+		(void)act(c, CALL_CANCEL);
+		break;
+	default:
+		break;
+	}
+	if (c->cfg.idempotent || c->cfg.naive || now_ms >= final_ms(c))
+		give_up_unknown(c);
+}
+
+void
+call_tick(struct call *c, uint64_t now_ms)
+{
+	if (c->state == STATE_OVER || now_ms < c->wake_ms)
+		return;
+	if (!c->overdue && now_ms >= c->cfg.deadline_ms) {
+		deadline(c, now_ms);
+		return;
+	}
+	if (c->overdue && now_ms >= final_ms(c)) {
+		give_up_unknown(c);
+		return;
+	}
+	if (c->state == STATE_BACKOFF)
+		place(c);
+	if (c->state == STATE_RESOLVE_PAUSE) {
+		c->wake_ms = c->overdue ? final_ms(c) : c->cfg.deadline_ms;
+		resolve(c, c->overdue);
+	}
+}
+
+uint64_t
+call_wake_ms(const struct call *c)
+{
+	return c->wake_ms;
+}
+
+bool
+call_next(struct call *c, struct call_action *out)
+{
+	if (c->next == c->actions->len) {
+		g_array_set_size(c->actions, 0);
+		c->next = 0;
+		return false;
+	}
+	*out = g_array_index(c->actions, struct call_action, c->next);
+	c->next++;
+	return true;
+}
+
+bool
+call_over(const struct call *c)
+{
+	return c->state == STATE_OVER;
+}
+
+const uint64_t *
+call_tried(const struct call *c, size_t *n)
+{
+	*n = c->tried->len;
+	return (const void *)c->tried->data;
+}
+
+uint16_t
+call_attempts(const struct call *c)
+{
+	return c->attempt;
+}
--- /dev/null
+++ b/packages/traffic/src/drain.c
@@ -0,0 +1,123 @@
+/*
+ * Graceful stop: SERVING -> NOTICE -> REFUSING -> EMPTY or OVERDUE.
+ *
+ * The notice lasts its full time also when nothing is in flight, so that
+ * callers and peers learn of it before calls are refused.
+ */
+#include "traffic/drain.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+const char *
+drain_state_name(enum drain_state s)
+{
+	static const char *const names[] = {
+	    "serving", "notice", "refusing", "empty", "overdue"};
+
+	return (size_t)s < G_N_ELEMENTS(names) ? names[s] : "?";
+}
+
+void
+drain_init(struct drain *d)
+{
+	d->state = DRAIN_SERVING;
+	d->refuse_ms = DEADLINE_NEVER;
+	d->bound_ms = DEADLINE_NEVER;
+	d->calls = 0;
+	d->requests = 0;
+}
+
+void
+drain_begin(struct drain *d, uint64_t notice_for_ms, uint64_t drain_for_ms,
+    uint64_t now_ms)
+{
+	if (d->state != DRAIN_SERVING)
+		return;
+	d->state = DRAIN_NOTICE;
+	d->bound_ms = now_ms + drain_for_ms;
+	d->refuse_ms = now_ms + MIN(notice_for_ms, drain_for_ms);
+	drain_tick(d, now_ms);
+}
+
+bool
+drain_takes_call(const struct drain *d)
+{
+	return d->state == DRAIN_SERVING || d->state == DRAIN_NOTICE;
+}
+
+bool
+drain_takes_request(const struct drain *d)
+{
+	return d->state == DRAIN_SERVING;
+}
+
+bool
+drain_closes(const struct drain *d)
+{
+	return d->state != DRAIN_SERVING;
+}
+
+static void
+settle(struct drain *d, uint64_t now_ms)
+{
+	if (d->state == DRAIN_NOTICE && now_ms >= d->refuse_ms)
+		d->state = DRAIN_REFUSING;
+	if (d->state != DRAIN_REFUSING)
+		return;
+	if (d->calls == 0 && d->requests == 0)
+		d->state = DRAIN_EMPTY;
+	else if (now_ms >= d->bound_ms)
+		d->state = DRAIN_OVERDUE;
+}
+
+void
+drain_call_began(struct drain *d)
+{
+	d->calls++;
+}
+
+void
+drain_call_ended(struct drain *d, uint64_t now_ms)
+{
+	if (d->calls > 0)
+		d->calls--;
+	settle(d, now_ms);
+}
+
+void
+drain_request_began(struct drain *d)
+{
+	d->requests++;
+}
+
+void
+drain_request_ended(struct drain *d, uint64_t now_ms)
+{
+	if (d->requests > 0)
+		d->requests--;
+	settle(d, now_ms);
+}
+
+void
+drain_tick(struct drain *d, uint64_t now_ms)
+{
+	settle(d, now_ms);
+}
+
+uint64_t
+drain_wake_ms(const struct drain *d)
+{
+	if (d->state == DRAIN_NOTICE)
+		return d->refuse_ms;
+	if (d->state == DRAIN_REFUSING)
+		return d->bound_ms;
+	return DEADLINE_NEVER;
+}
+
+bool
+drain_stops(const struct drain *d)
+{
+	return d->state == DRAIN_EMPTY || d->state == DRAIN_OVERDUE;
+}
--- /dev/null
+++ b/packages/traffic/src/fate.c
@@ -0,0 +1,413 @@
+/*
+ * The table of fates.
+ *
+ * A record is active (queued or running) or settled.  Settled records stand
+ * in a queue in the order in which they were settled and go after the window.
+ * A request is taken only if it was sent within the window and after
+ * floor_ms, and a record goes only when every frame of its request counts as
+ * too old by then: so what is not in the table has not run.
+ */
+#include "traffic/fate.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+
+#define ID_SEED 3
+/* Kept this much longer than the window: clocks drift between two echoes. */
+#define KEEP_SLACK_MS 1000
+/* More connections than this never wait for one answer. */
+#define WAITERS_MAX 8
+
+struct record {
+	struct request_id id;
+	enum fate_state state;
+	uint64_t seen_ms;
+	uint64_t settled_ms;
+	GBytes *answer;
+	GArray *waiters;
+	GList *active_link;
+	GList *answer_link;
+};
+
+struct fate_table {
+	struct fate_config cfg;
+	GHashTable *records;
+	GQueue *active;
+	GQueue *settled;
+	GQueue *answers;
+	size_t answers_bytes;
+	uint64_t floor_ms;
+};
+
+static guint
+id_hash(gconstpointer key)
+{
+	return (guint)hash64(key, REQUEST_ID_BYTES, ID_SEED);
+}
+
+static gboolean
+id_equal(gconstpointer a, gconstpointer b)
+{
+	return memcmp(a, b, REQUEST_ID_BYTES) == 0;
+}
+
+static void
+record_free(gpointer data)
+{
+	struct record *r = data;
+
+	if (r->answer != NULL)
+		g_bytes_unref(r->answer);
+	g_array_free(r->waiters, TRUE);
+	g_free(r);
+}
+
+const char *
+resolution_name(enum resolution r)
+{
+	static const char *const names[] = {
+	    "not_run", "attached", "answer", "lost", "unknown"};
+
+	return (size_t)r < G_N_ELEMENTS(names) ? names[r] : "?";
+}
+
+struct fate_table *
+fate_table_new(const struct fate_config *cfg)
+{
+	struct fate_table *t;
+
+	t = g_new0(struct fate_table, 1);
+	t->cfg = *cfg;
+	t->records =
+	    g_hash_table_new_full(id_hash, id_equal, NULL, record_free);
+	t->active = g_queue_new();
+	t->settled = g_queue_new();
+	t->answers = g_queue_new();
+	return t;
+}
+
+void
+fate_table_free(struct fate_table *t)
+{
+	if (t == NULL)
+		return;
+	g_queue_free(t->active);
+	g_queue_free(t->settled);
+	g_queue_free(t->answers);
+	g_hash_table_destroy(t->records);
+	g_free(t);
+}
+
+static struct record *
+find(const struct fate_table *t, const struct request_id *id)
+{
+	return g_hash_table_lookup(t->records, id);
+}
+
+static void
+drop_answer(struct fate_table *t, struct record *r)
+{
+	if (r->answer == NULL)
+		return;
+	t->answers_bytes -= g_bytes_get_size(r->answer);
+	g_bytes_unref(r->answer);
+	r->answer = NULL;
+	g_queue_delete_link(t->answers, r->answer_link);
+	r->answer_link = NULL;
+}
+
+static void
+drop_oldest(struct fate_table *t)
+{
+	struct record *r;
+
+	r = g_queue_pop_head(t->settled);
+	drop_answer(t, r);
+	g_hash_table_remove(t->records, &r->id);
+}
+
+/* Whether a request that was sent at sent_ms may have been forgotten. */
+static bool
+too_old(const struct fate_table *t, uint64_t sent_ms, uint64_t now_ms)
+{
+	if (sent_ms <= t->floor_ms)
+		return true;
+	return sent_ms + t->cfg.window_ms < now_ms;
+}
+
+static struct record *
+add(struct fate_table *t, const struct request_id *id, enum fate_state state,
+    uint64_t now_ms)
+{
+	struct record *r, *oldest;
+
+	if (g_hash_table_size(t->records) >= t->cfg.records_max) {
+		oldest = g_queue_peek_head(t->settled);
+		if (oldest != NULL) {
+			t->floor_ms = MAX(t->floor_ms, oldest->seen_ms);
+			drop_oldest(t);
+		}
+	}
+	r = g_new0(struct record, 1);
+	r->id = *id;
+	r->state = state;
+	r->seen_ms = now_ms;
+	r->waiters = g_array_new(FALSE, FALSE, sizeof(struct fate_waiter));
+	g_hash_table_insert(t->records, &r->id, r);
+	g_queue_push_tail(t->active, r);
+	r->active_link = g_queue_peek_tail_link(t->active);
+	return r;
+}
+
+static bool
+is_active(const struct record *r)
+{
+	return r->state == FATE_STATE_QUEUED || r->state == FATE_STATE_RUNNING;
+}
+
+static void
+settle(struct fate_table *t, struct record *r, enum fate_state state,
+    uint64_t now_ms)
+{
+	g_queue_delete_link(t->active, r->active_link);
+	r->active_link = NULL;
+	r->state = state;
+	r->settled_ms = now_ms;
+	g_queue_push_tail(t->settled, r);
+}
+
+enum fate_offer
+fate_offer(struct fate_table *t, const struct request_id *id, uint64_t sent_ms,
+    const struct fate_waiter *waiter, uint64_t now_ms)
+{
+	struct record *r;
+
+	fate_expire(t, now_ms);
+	r = find(t, id);
+	if (r != NULL) {
+		if (r->state == FATE_STATE_NEVER)
+			return FATE_OFFER_NEVER;
+		return FATE_OFFER_SEEN;
+	}
+	if (too_old(t, sent_ms, now_ms))
+		return FATE_OFFER_TOO_OLD;
+	r = add(t, id, FATE_STATE_QUEUED, now_ms);
+	g_array_append_val(r->waiters, *waiter);
+	return FATE_OFFER_NEW;
+}
+
+bool
+fate_start(struct fate_table *t, const struct request_id *id, uint64_t now_ms)
+{
+	struct record *r;
+
+	(void)now_ms;
+	r = find(t, id);
+	if (r == NULL || r->state != FATE_STATE_QUEUED)
+		return false;
+	r->state = FATE_STATE_RUNNING;
+	return true;
+}
+
+static void
+keep_answer(struct fate_table *t, struct record *r, GBytes *answer)
+{
+	size_t size;
+
+	size = g_bytes_get_size(answer);
+	if (size > t->cfg.answer_max_bytes || size > t->cfg.answers_max_bytes)
+		return;
+	while (t->answers_bytes + size > t->cfg.answers_max_bytes)
+		drop_answer(t, g_queue_peek_head(t->answers));
+	r->answer = g_bytes_ref(answer);
+	t->answers_bytes += size;
+	g_queue_push_tail(t->answers, r);
+	r->answer_link = g_queue_peek_tail_link(t->answers);
+}
+
+void
+fate_done(struct fate_table *t, const struct request_id *id, GBytes *answer,
+    uint64_t now_ms)
+{
+	struct record *r;
+
+	r = find(t, id);
+	if (r == NULL || r->state != FATE_STATE_RUNNING)
+		return;
+	settle(t, r, FATE_STATE_DONE, now_ms);
+	if (answer != NULL)
+		keep_answer(t, r, answer);
+}
+
+void
+fate_failed(struct fate_table *t, const struct request_id *id, uint64_t now_ms)
+{
+	struct record *r;
+
+	r = find(t, id);
+	if (r != NULL && r->state == FATE_STATE_RUNNING)
+		settle(t, r, FATE_STATE_FAILED, now_ms);
+}
+
+void
+fate_refused(struct fate_table *t, const struct request_id *id, uint64_t now_ms)
+{
+	struct record *r;
+
+	r = find(t, id);
+	if (r != NULL && is_active(r))
+		settle(t, r, FATE_STATE_NEVER, now_ms);
+}
+
+void
+fate_acknowledged(struct fate_table *t, const struct request_id *id)
+{
+	struct record *r;
+
+	r = find(t, id);
+	if (r != NULL)
+		drop_answer(t, r);
+}
+
+const struct fate_waiter *
+fate_waiters(const struct fate_table *t, const struct request_id *id, size_t *n)
+{
+	struct record *r;
+
+	r = find(t, id);
+	*n = r != NULL ? r->waiters->len : 0;
+	return r != NULL ? (const void *)r->waiters->data : NULL;
+}
+
+void
+fate_connection_lost(struct fate_table *t, uint64_t conn)
+{
+	struct record *r;
+	GList *l;
+	guint i;
+
+	for (l = t->active->head; l != NULL; l = l->next) {
+		r = l->data;
+		for (i = r->waiters->len; i > 0; i--) {
+			if (g_array_index(r->waiters, struct fate_waiter, i - 1)
+				.conn == conn)
+				g_array_remove_index(r->waiters, i - 1);
+		}
+	}
+}
+
+static void
+attach(struct record *r, const struct fate_waiter *waiter)
+{
+	guint i;
+
+	for (i = 0; i < r->waiters->len; i++) {
+		if (g_array_index(r->waiters, struct fate_waiter, i).conn ==
+		    waiter->conn)
+			break;
+	}
+	if (i < r->waiters->len)
+		g_array_remove_index(r->waiters, i);
+	else if (r->waiters->len == WAITERS_MAX)
+		g_array_remove_index(r->waiters, 0);
+	g_array_append_val(r->waiters, *waiter);
+}
+
+static void
+resolve_unseen(struct fate_table *t, const struct fate_query *q,
+    uint64_t now_ms, struct fate_answer *out)
+{
+	struct record *r;
+
+	if (q->incarnation != t->cfg.incarnation ||
+	    too_old(t, q->sent_ms, now_ms)) {
+		out->resolution = RESOLUTION_UNKNOWN;
+		return;
+	}
+	r = add(t, &q->id, FATE_STATE_NEVER, now_ms);
+	settle(t, r, FATE_STATE_NEVER, now_ms);
+	out->resolution = RESOLUTION_NOT_RUN;
+}
+
+static void
+resolve_active(struct fate_table *t, struct record *r,
+    const struct fate_query *q, uint64_t now_ms, struct fate_answer *out)
+{
+	if (q->cancel && r->state == FATE_STATE_QUEUED) {
+		settle(t, r, FATE_STATE_NEVER, now_ms);
+		out->cancelled = true;
+		out->resolution = RESOLUTION_NOT_RUN;
+		return;
+	}
+	attach(r, &q->waiter);
+	out->resolution = RESOLUTION_ATTACHED;
+}
+
+static void
+resolve_done(const struct record *r, struct fate_answer *out)
+{
+	if (r->answer == NULL) {
+		out->resolution = RESOLUTION_LOST;
+		return;
+	}
+	out->answer = g_bytes_ref(r->answer);
+	out->resolution = RESOLUTION_ANSWER;
+}
+
+void
+fate_resolve(struct fate_table *t, const struct fate_query *q, uint64_t now_ms,
+    struct fate_answer *out)
+{
+	struct record *r;
+
+	memset(out, 0, sizeof(*out));
+	fate_expire(t, now_ms);
+	r = find(t, &q->id);
+	if (r == NULL) {
+		resolve_unseen(t, q, now_ms, out);
+		return;
+	}
+	switch (r->state) {
+	case FATE_STATE_NEVER:
+		out->resolution = RESOLUTION_NOT_RUN;
+		return;
+	case FATE_STATE_QUEUED:
+	case FATE_STATE_RUNNING:
+		resolve_active(t, r, q, now_ms, out);
+		return;
+	case FATE_STATE_DONE:
+		resolve_done(r, out);
+		return;
+	case FATE_STATE_FAILED:
+		out->resolution = RESOLUTION_LOST;
+		return;
+	}
+}
+
+void
+fate_expire(struct fate_table *t, uint64_t now_ms)
+{
+	struct record *r;
+
+	for (;;) {
+		r = g_queue_peek_head(t->settled);
+		if (r == NULL)
+			return;
+		if (r->settled_ms + t->cfg.window_ms + KEEP_SLACK_MS >= now_ms)
+			return;
+		drop_oldest(t);
+	}
+}
+
+size_t
+fate_count(const struct fate_table *t)
+{
+	return g_hash_table_size(t->records);
+}
+
+size_t
+fate_answers_bytes(const struct fate_table *t)
+{
+	return t->answers_bytes;
+}
--- /dev/null
+++ b/packages/traffic/src/frame_age.c
@@ -0,0 +1,61 @@
+/*
+ * Age of a frame at its receiver; see the header for why it never is too
+ * small.
+ */
+#include "traffic/frame_age.h"
+
+#include <glib.h>
+
+void
+frame_age_init(struct frame_age *f)
+{
+	f->known = false;
+	f->older_ms = INT64_MIN;
+	f->newer_ms = INT64_MIN;
+	f->period_ms = 0;
+}
+
+void
+frame_age_echo(
+    struct frame_age *f, uint64_t own_ms, uint64_t peer_ms, uint64_t now_ms)
+{
+	int64_t bound;
+
+	if (own_ms > now_ms)
+		return;
+	bound = (int64_t)(own_ms - peer_ms);
+	if (f->known && now_ms - f->period_ms > FRAME_AGE_KEEP_MS) {
+		f->older_ms = f->newer_ms;
+		f->newer_ms = INT64_MIN;
+		f->period_ms = now_ms;
+	}
+	if (!f->known)
+		f->period_ms = now_ms;
+	f->known = true;
+	f->newer_ms = MAX(f->newer_ms, bound);
+}
+
+uint64_t
+frame_age_sent_ms(const struct frame_age *f, uint64_t peer_ms, uint64_t now_ms)
+{
+	int64_t sent;
+
+	if (!f->known)
+		return 0;
+	sent = (int64_t)(peer_ms + (uint64_t)MAX(f->older_ms, f->newer_ms));
+	if (sent < 0)
+		return 0;
+	return MIN((uint64_t)sent, now_ms);
+}
+
+uint64_t
+frame_age_deadline_ms(const struct frame_age *f, uint64_t peer_ms,
+    uint64_t left_ms, uint64_t now_ms)
+{
+	uint64_t sent;
+
+	sent = frame_age_sent_ms(f, peer_ms, now_ms);
+	if (left_ms > UINT64_MAX - sent)
+		return UINT64_MAX;
+	return sent + left_ms;
+}
--- a/packages/traffic/src/traffic_defs.c
+++ b/packages/traffic/src/traffic_defs.c
@@ -54,11 +54,33 @@
 	static const char *const names[] = {"none", "queue_full", "wait",
 	    "expired", "draining", "starting", "caller_limit", "service_limit",
 	    "too_old", "resolved", "cancelled", "not_home", "upstream",
-	    "no_endpoint", "key_unsettled", "stopping"};
+	    "no_endpoint", "key_unsettled", "stopping", "unreachable"};
 
 	return (size_t)r < G_N_ELEMENTS(names) ? names[r] : "?";
 }
 
+bool
+refusal_is_final(enum refusal r)
+{
+	switch (r) {
+	case REFUSAL_EXPIRED:
+	case REFUSAL_CALLER_LIMIT:
+	case REFUSAL_SERVICE_LIMIT:
+	case REFUSAL_CANCELLED:
+	case REFUSAL_KEY_UNSETTLED:
+		return true;
+	default:
+		return false;
+	}
+}
+
+bool
+refusal_is_free(enum refusal r)
+{
+	return r == REFUSAL_DRAINING || r == REFUSAL_STOPPING ||
+	    r == REFUSAL_NOT_HOME;
+}
+
 uint64_t
 endpoint_id(const char *host, const char *service)
 {
--- /dev/null
+++ b/packages/traffic/test/test_call.c
@@ -0,0 +1,412 @@
+/*
+ * The state machine of a call, step by step: what the entry does when guard,
+ * connection or upstream fails at each step, for both kinds of requests.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+#include "traffic/call.h"
+
+#define DEADLINE_MS 1000
+#define GRACE_MS 50
+#define RESOLVE_LIMIT_MS 200
+#define STEPS_MAX 14
+#define INCARNATION 77
+/* A seed whose first back-off is not 0. */
+#define SEED 6
+
+/* Events; a number after them is the argument. */
+enum event {
+	END = 0,
+	PLACED,
+	UNPLACED,
+	SENT,
+	UNSENT,
+	BODY_GONE,
+	COMMITTED,
+	ANSWERED,
+	REFUSED,
+	FAILED,
+	LOST,
+	RESOLVED,
+	UNRESOLVED,
+	GONE,
+	TICK,
+	/* The same events of the stream before the current one. */
+	LATE_ANSWERED,
+	LATE_REFUSED,
+	LATE_LOST,
+};
+
+struct step {
+	enum event event;
+	uint64_t arg;
+	const char *actions;
+};
+
+struct scenario {
+	const char *name;
+	bool idempotent;
+	bool no_budget;
+	struct step steps[STEPS_MAX];
+};
+
+/* Times: each TICK names its time; other events come at the last one. */
+static const struct scenario scenarios[] = {
+    {"answered", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {ANSWERED, 0, "deliver"}}},
+    {"no endpoint", false, false, {{UNPLACED, 0, "give_up:not_run"}}},
+    {"guard can't be reached: elsewhere", false, false,
+	{{PLACED, 1, "send1"}, {UNSENT, 0, "backoff"}, {TICK, 10, "place"},
+	    {PLACED, 2, "send2"}, {UNSENT, 0, "give_up:not_run"}}},
+    {"connection lost before sending: certain", false, false,
+	{{PLACED, 1, "send1"}, {LOST, 0, "backoff"}, {TICK, 10, "place"}}},
+    {"refused: elsewhere", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {REFUSED, REFUSAL_QUEUE_FULL, "backoff"}, {TICK, 10, "place"},
+	    {PLACED, 2, "send2"}, {SENT, 0, ""}, {ANSWERED, 0, "deliver"}}},
+    {"refused, budget used up: final at once", false, true,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {REFUSED, REFUSAL_QUEUE_FULL, "give_up:not_run"}}},
+    {"draining needs no budget", false, true,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {REFUSED, REFUSAL_DRAINING, "place"}}},
+    {"caller's limit: not elsewhere", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {REFUSED, REFUSAL_CALLER_LIMIT, "give_up:not_run"}}},
+    {"key unsettled: unknown", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {REFUSED, REFUSAL_KEY_UNSETTLED, "give_up:unknown"}}},
+    {"body can't be sent again", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {BODY_GONE, 0, ""},
+	    {REFUSED, REFUSAL_QUEUE_FULL, "give_up:not_run"}}},
+    {"booking lost, never seen: elsewhere", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_NOT_RUN, "backoff"}, {TICK, 10, "place"}}},
+    {"booking lost while it ran: answer over the new connection", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_ATTACHED, ""}, {ANSWERED, 0, "deliver"}}},
+    {"booking lost, ran: kept answer", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_ANSWER, ""}, {ANSWERED, 0, "deliver"}}},
+    {"booking lost, answer not kept: unknown, not again", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_LOST, "give_up:unknown"}}},
+    {"booking lost, guard replaced: unknown, not again", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_UNKNOWN, "give_up:unknown"}}},
+    {"booking lost, attached stream lost too: resolve again", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_ATTACHED, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_ANSWER, ""}, {ANSWERED, 0, "deliver"}}},
+    {"booking lost, guard unreachable: unknown within the limit", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {UNRESOLVED, 0, ""}, {TICK, 20, "resolve"}, {UNRESOLVED, 0, ""},
+	    {TICK, 100, "resolve"}, {TICK, 190, ""},
+	    {LOST, 0, "give_up:unknown"}}},
+    {"lookup lost: elsewhere at once", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "backoff"},
+	    {TICK, 10, "place"}, {PLACED, 2, "send2"}, {SENT, 0, ""},
+	    {ANSWERED, 0, "deliver"}}},
+    {"lookup lost, then refused: it may have run", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "backoff"},
+	    {TICK, 10, "place"}, {PLACED, 2, "send2"}, {SENT, 0, ""},
+	    {REFUSED, REFUSAL_WAIT, "give_up:unknown"}}},
+    {"lookup lost without budget: ask", true, true,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {RESOLVED, RESOLUTION_ATTACHED, ""}, {ANSWERED, 0, "deliver"}}},
+    {"booking's upstream failed after the start: unknown", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {FAILED, 0, "give_up:unknown"}}},
+    {"lookup's upstream failed: elsewhere", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {FAILED, 0, "backoff"},
+	    {TICK, 10, "place"}}},
+    {"answer cut after its beginning was given: cut the caller", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {COMMITTED, 0, ""},
+	    {LOST, 0, "abort"}}},
+    {"large answer outlives the deadline", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {COMMITTED, 0, ""},
+	    {TICK, 5000, ""}, {ANSWERED, 0, "deliver"}}},
+    {"deadline before sending", false, false,
+	{{PLACED, 1, "send1"}, {TICK, 1000, "cancel give_up:not_run"},
+	    {SENT, 0, ""}}},
+    {"deadline, booking still queued: certain", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {TICK, 1000, "cancel"},
+	    {REFUSED, REFUSAL_CANCELLED, "give_up:not_run"}}},
+    {"deadline, booking runs: unknown after the grace", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {TICK, 1000, "cancel"},
+	    {TICK, 1050, "give_up:unknown"}}},
+    {"deadline, answer within the grace", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {TICK, 1000, "cancel"},
+	    {ANSWERED, 0, "deliver"}}},
+    {"deadline, lookup: at once", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {TICK, 1000, "cancel give_up:unknown"}}},
+    {"deadline while resolving: cancelled once attached", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {TICK, 990, ""},
+	    {LOST, 0, "resolve"}, {TICK, 1000, ""},
+	    {RESOLVED, RESOLUTION_ATTACHED, "cancel"},
+	    {TICK, 1050, "give_up:unknown"}}},
+    {"deadline while resolving, never seen", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {TICK, 990, ""},
+	    {LOST, 0, "resolve"}, {TICK, 1000, ""},
+	    {RESOLVED, RESOLUTION_NOT_RUN, "give_up:not_run"}}},
+    {"entry thawed long after the deadline", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""},
+	    {TICK, 9000, "cancel give_up:unknown"}, {ANSWERED, 0, ""}}},
+    {"caller gone while queued", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {GONE, 0, "cancel"},
+	    {ANSWERED, 0, ""}}},
+    {"caller gone before sending", false, false,
+	{{PLACED, 1, "send1"}, {GONE, 0, "cancel"}, {SENT, 0, ""}}},
+    {"late answer of an earlier attempt", true, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "backoff"},
+	    {TICK, 10, "place"}, {PLACED, 2, "send2"}, {SENT, 0, ""},
+	    {LATE_ANSWERED, 0, ""}, {LATE_LOST, 0, ""},
+	    {ANSWERED, 0, "deliver"}}},
+    {"late refusal after a resolve is no news", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {LOST, 0, "resolve"},
+	    {LATE_REFUSED, REFUSAL_RESOLVED, ""},
+	    {RESOLVED, RESOLUTION_NOT_RUN, "backoff"}}},
+    {"doubled answer", false, false,
+	{{PLACED, 1, "send1"}, {SENT, 0, ""}, {ANSWERED, 0, "deliver"},
+	    {ANSWERED, 0, ""}, {LOST, 0, ""}}},
+};
+
+struct world {
+	struct retry_budget budget;
+	struct call *call;
+	uint32_t stream;
+	uint64_t now_ms;
+};
+
+static void
+fire(struct world *w, const struct step *s)
+{
+	struct call *c = w->call;
+	uint64_t now = w->now_ms;
+
+	switch (s->event) {
+	case END:
+		break;
+	case PLACED:
+		call_placed(c, s->arg, now);
+		break;
+	case UNPLACED:
+		call_unplaced(c, s->arg, now);
+		break;
+	case SENT:
+		call_sent(c, w->stream, INCARNATION, now);
+		break;
+	case UNSENT:
+		call_unsent(c, w->stream, now);
+		break;
+	case BODY_GONE:
+		call_body_gone(c);
+		break;
+	case COMMITTED:
+		call_committed(c, w->stream, now);
+		break;
+	case ANSWERED:
+		call_answered(c, w->stream, now);
+		break;
+	case REFUSED:
+		call_refused(c, w->stream, (enum refusal)s->arg, 0, now);
+		break;
+	case FAILED:
+		call_failed(c, w->stream, now);
+		break;
+	case LOST:
+		call_lost(c, w->stream, now);
+		break;
+	case RESOLVED:
+		call_resolved(c, w->stream, (enum resolution)s->arg, now);
+		break;
+	case UNRESOLVED:
+		call_unresolved(c, w->stream, now);
+		break;
+	case GONE:
+		call_caller_gone(c, now);
+		break;
+	case TICK:
+		w->now_ms = s->arg;
+		call_tick(c, s->arg);
+		break;
+	case LATE_ANSWERED:
+		call_answered(c, w->stream - 1, now);
+		break;
+	case LATE_REFUSED:
+		call_refused(c, w->stream - 1, (enum refusal)s->arg, 0, now);
+		break;
+	case LATE_LOST:
+		call_lost(c, w->stream - 1, now);
+		break;
+	}
+}
+
+static void
+describe(const struct call_action *a, char *out, size_t size)
+{
+	size_t used;
+
+	used = strlen(out);
+	if (used > 0)
+		used += (size_t)snprintf(out + used, size - used, " ");
+	used += (size_t)snprintf(
+	    out + used, size - used, "%s", call_action_name(a->kind));
+	if (a->kind == CALL_SEND)
+		(void)snprintf(out + used, size - used, "%u", a->attempt);
+	if (a->kind == CALL_GIVE_UP)
+		(void)snprintf(
+		    out + used, size - used, ":%s", outcome_name(a->outcome));
+}
+
+static void
+collect(struct world *w, char *out, size_t size)
+{
+	struct call_action a;
+
+	out[0] = '\0';
+	while (call_next(w->call, &a)) {
+		describe(&a, out, size);
+		if (a.kind == CALL_SEND || a.kind == CALL_RESOLVE)
+			w->stream = a.stream;
+		if (a.kind == CALL_RESOLVE)
+			ck_assert_uint_eq(a.incarnation, INCARNATION);
+	}
+}
+
+static void
+world_init(struct world *w, const struct scenario *s)
+{
+	struct call_config cfg = {.deadline_ms = DEADLINE_MS,
+	    .deadline_grace_ms = GRACE_MS,
+	    .resolve_limit_ms = RESOLVE_LIMIT_MS,
+	    .idempotent = s->idempotent};
+	struct retry_config retry = {.attempts = 2,
+	    .budget_percent = 10,
+	    .burst = s->no_budget ? 0 : 10,
+	    .backoff_ms = 4,
+	    .backoff_cap_ms = 4};
+
+	w->now_ms = 0;
+	w->stream = 0;
+	retry_budget_init(&w->budget, &retry, 0);
+	w->call = call_new(&cfg, &w->budget, SEED);
+	call_start(w->call, 0);
+}
+
+/* "backoff" stands for: nothing yet, but a tick is wanted soon. */
+static void
+check_step(struct world *w, const struct scenario *s, const struct step *st)
+{
+	char got[128];
+
+	fire(w, st);
+	collect(w, got, sizeof(got));
+	if (strcmp(st->actions, "backoff") != 0) {
+		ck_assert_msg(strcmp(got, st->actions) == 0,
+		    "%s: step %ld: got '%s', want '%s'", s->name,
+		    (long)(st - s->steps), got, st->actions);
+		return;
+	}
+	ck_assert_msg(
+	    strcmp(got, "place") == 0 || got[0] == '\0', "%s", s->name);
+	if (got[0] == '\0')
+		ck_assert_uint_le(call_wake_ms(w->call), w->now_ms + 4);
+}
+
+START_TEST(test_scenario)
+{
+	const struct scenario *s = &scenarios[_i];
+	struct world w;
+	char got[128];
+	int i;
+
+	world_init(&w, s);
+	collect(&w, got, sizeof(got));
+	ck_assert_str_eq(got, "place");
+	for (i = 0; i < STEPS_MAX && s->steps[i].event != END; i++)
+		check_step(&w, s, &s->steps[i]);
+	call_free(w.call);
+}
+END_TEST
+
+static int
+count_finals(struct world *w)
+{
+	struct call_action a;
+	int finals = 0;
+
+	while (call_next(w->call, &a)) {
+		if (a.kind == CALL_SEND || a.kind == CALL_RESOLVE)
+			w->stream = a.stream;
+		if (a.kind == CALL_DELIVER || a.kind == CALL_GIVE_UP ||
+		    a.kind == CALL_ABORT)
+			finals++;
+	}
+	return finals;
+}
+
+/*
+ * Whatever comes in whatever order, there is one final action, at the latest
+ * when the grace is over (or the connection lost, if the answer has begun).
+ */
+START_TEST(test_random_events)
+{
+	static const struct step last[] = {{TICK, DEADLINE_MS, ""},
+	    {TICK, DEADLINE_MS + GRACE_MS, ""}, {LOST, 0, ""}};
+	struct step s;
+	struct world w;
+	unsigned int seed = 1;
+	int run, i, finals;
+	bool gone;
+
+	for (run = 0; run < 20000; run++) {
+		world_init(&w, &scenarios[0]);
+		finals = 0;
+		gone = false;
+		for (i = 0; i < 12; i++) {
+			s.event = (enum event)(1 + rand_r(&seed) % LATE_LOST);
+			s.arg = (uint64_t)(rand_r(&seed) % 5);
+			if (s.event == TICK)
+				s.arg += w.now_ms + s.arg * 50;
+			gone |= s.event == GONE;
+			fire(&w, &s);
+			finals += count_finals(&w);
+		}
+		for (i = 0; i < 3; i++) {
+			fire(&w, &last[i]);
+			finals += count_finals(&w);
+		}
+		ck_assert(call_over(w.call));
+		ck_assert_int_le(finals, 1);
+		ck_assert(gone || finals == 1);
+		call_free(w.call);
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	SRunner *runner;
+	TCase *tc;
+	int failed;
+
+	suite = suite_create("call");
+	tc = tcase_create("call");
+	tcase_add_loop_test(tc, test_scenario, 0,
+	    (int)(sizeof(scenarios) / sizeof(scenarios[0])));
+	tcase_add_test(tc, test_random_events);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/traffic/test/test_fate.c
@@ -0,0 +1,311 @@
+/*
+ * Fates at the guard and the age of frames: each step at which a request can
+ * be resolved, and frames that come late, doubled or after a restart.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "traffic/fate.h"
+#include "traffic/frame_age.h"
+
+#define WINDOW_MS 10000
+#define INCARNATION 7
+#define NOW_MS 50000
+
+static const struct fate_waiter first_waiter = {1, 1};
+static const struct fate_waiter second_waiter = {2, 9};
+
+static struct fate_table *
+table_new(size_t records_max, size_t answers_max)
+{
+	struct fate_config cfg = {.incarnation = INCARNATION,
+	    .window_ms = WINDOW_MS,
+	    .records_max = records_max,
+	    .answers_max_bytes = answers_max,
+	    .answer_max_bytes = 100};
+
+	return fate_table_new(&cfg);
+}
+
+static struct request_id
+id_of(uint64_t sequence)
+{
+	struct request_id id;
+
+	request_id_make(&id, 0xabcdef, sequence, 1);
+	return id;
+}
+
+/* What happened to the request before the resolve. */
+enum step {
+	NOTHING = 0,
+	QUEUED,
+	RUNNING,
+	DONE,
+	DONE_LARGE,
+	FAILED,
+	REFUSED,
+	ACKNOWLEDGED,
+};
+
+static void
+bring_to(struct fate_table *t, const struct request_id *id, enum step step)
+{
+	char large[101] = {0};
+	GBytes *answer;
+
+	if (step == NOTHING)
+		return;
+	ck_assert_int_eq(
+	    fate_offer(t, id, NOW_MS, &first_waiter, NOW_MS), FATE_OFFER_NEW);
+	if (step == REFUSED)
+		fate_refused(t, id, NOW_MS);
+	if (step == QUEUED || step == REFUSED)
+		return;
+	ck_assert(fate_start(t, id, NOW_MS));
+	if (step == FAILED)
+		fate_failed(t, id, NOW_MS);
+	if (step == RUNNING || step == FAILED)
+		return;
+	answer = g_bytes_new(large, step == DONE_LARGE ? sizeof(large) : 5);
+	fate_done(t, id, answer, NOW_MS);
+	g_bytes_unref(answer);
+	if (step == ACKNOWLEDGED)
+		fate_acknowledged(t, id);
+}
+
+struct resolve_case {
+	enum step step;
+	bool cancel;
+	uint64_t incarnation;
+	enum resolution want;
+	/* Afterwards: the frame again, and whether it may still start. */
+	enum fate_offer again;
+	bool starts;
+};
+
+static const struct resolve_case resolve_cases[] = {
+    {NOTHING, false, 7, RESOLUTION_NOT_RUN, FATE_OFFER_NEVER, false},
+    {NOTHING, true, 7, RESOLUTION_NOT_RUN, FATE_OFFER_NEVER, false},
+    {NOTHING, false, 6, RESOLUTION_UNKNOWN, FATE_OFFER_NEW, true},
+    {QUEUED, false, 7, RESOLUTION_ATTACHED, FATE_OFFER_SEEN, true},
+    {QUEUED, true, 7, RESOLUTION_NOT_RUN, FATE_OFFER_NEVER, false},
+    {RUNNING, false, 7, RESOLUTION_ATTACHED, FATE_OFFER_SEEN, false},
+    {RUNNING, true, 7, RESOLUTION_ATTACHED, FATE_OFFER_SEEN, false},
+    {DONE, false, 7, RESOLUTION_ANSWER, FATE_OFFER_SEEN, false},
+    {DONE_LARGE, false, 7, RESOLUTION_LOST, FATE_OFFER_SEEN, false},
+    {FAILED, false, 7, RESOLUTION_LOST, FATE_OFFER_SEEN, false},
+    {REFUSED, false, 7, RESOLUTION_NOT_RUN, FATE_OFFER_NEVER, false},
+    {ACKNOWLEDGED, false, 7, RESOLUTION_LOST, FATE_OFFER_SEEN, false},
+};
+
+START_TEST(test_resolve)
+{
+	const struct resolve_case *rc = &resolve_cases[_i];
+	struct fate_table *t = table_new(10, 1000);
+	struct request_id id = id_of(1);
+	struct fate_query q = {.id = id,
+	    .incarnation = rc->incarnation,
+	    .sent_ms = NOW_MS,
+	    .cancel = rc->cancel,
+	    .waiter = second_waiter};
+	struct fate_answer a;
+
+	bring_to(t, &id, rc->step);
+	fate_resolve(t, &q, NOW_MS + 1, &a);
+	ck_assert_int_eq(a.resolution, rc->want);
+	ck_assert(a.cancelled == (rc->step == QUEUED && rc->cancel));
+	ck_assert((a.answer != NULL) == (rc->want == RESOLUTION_ANSWER));
+	if (a.answer != NULL)
+		g_bytes_unref(a.answer);
+	ck_assert_int_eq(
+	    fate_offer(t, &id, NOW_MS, &first_waiter, NOW_MS + 2), rc->again);
+	ck_assert(fate_start(t, &id, NOW_MS + 2) == rc->starts);
+	fate_table_free(t);
+}
+END_TEST
+
+START_TEST(test_answer_goes_to_who_asked_last)
+{
+	struct fate_table *t = table_new(10, 1000);
+	struct request_id id = id_of(1);
+	struct fate_query q = {.id = id,
+	    .incarnation = INCARNATION,
+	    .sent_ms = NOW_MS,
+	    .waiter = second_waiter};
+	const struct fate_waiter *w;
+	struct fate_answer a;
+	size_t n;
+
+	bring_to(t, &id, RUNNING);
+	fate_resolve(t, &q, NOW_MS, &a);
+	fate_resolve(t, &q, NOW_MS, &a);
+	fate_connection_lost(t, first_waiter.conn);
+	fate_done(t, &id, NULL, NOW_MS);
+	w = fate_waiters(t, &id, &n);
+	ck_assert_uint_eq(n, 1);
+	ck_assert_uint_eq(w[0].conn, second_waiter.conn);
+	ck_assert_uint_eq(w[0].stream, second_waiter.stream);
+	fate_table_free(t);
+}
+END_TEST
+
+/* A frame that outlived its tombstone or its record is too old to run. */
+START_TEST(test_forgotten_is_never_run)
+{
+	struct fate_table *t = table_new(10, 1000);
+	struct request_id ids[2] = {id_of(1), id_of(2)};
+	struct fate_query q = {
+	    .id = ids[0], .incarnation = INCARNATION, .sent_ms = NOW_MS};
+	uint64_t later = NOW_MS + 2 * WINDOW_MS;
+	struct fate_answer a;
+	int i;
+
+	fate_resolve(t, &q, NOW_MS, &a);
+	bring_to(t, &ids[1], DONE);
+	fate_expire(t, later);
+	ck_assert_uint_eq(fate_count(t), 0);
+	for (i = 0; i < 2; i++) {
+		ck_assert_int_eq(
+		    fate_offer(t, &ids[i], NOW_MS, &first_waiter, later),
+		    FATE_OFFER_TOO_OLD);
+		q.id = ids[i];
+		fate_resolve(t, &q, later, &a);
+		ck_assert_int_eq(a.resolution, RESOLUTION_UNKNOWN);
+	}
+	fate_table_free(t);
+}
+END_TEST
+
+/* The same when a full table forgets earlier than the window. */
+START_TEST(test_full_table_raises_the_floor)
+{
+	struct fate_table *t = table_new(3, 1000);
+	struct request_id id = id_of(0), other;
+	uint64_t i;
+
+	bring_to(t, &id, DONE);
+	for (i = 1; i < 4; i++) {
+		other = id_of(i);
+		ck_assert_int_eq(fate_offer(t, &other, NOW_MS + i,
+				     &first_waiter, NOW_MS + i),
+		    FATE_OFFER_NEW);
+		ck_assert(fate_start(t, &other, NOW_MS + i));
+		fate_done(t, &other, NULL, NOW_MS + i);
+	}
+	ck_assert_uint_eq(fate_count(t), 3);
+	ck_assert_int_eq(fate_offer(t, &id, NOW_MS, &first_waiter, NOW_MS + 9),
+	    FATE_OFFER_TOO_OLD);
+	ck_assert_int_eq(
+	    fate_offer(t, &id, NOW_MS + 8, &first_waiter, NOW_MS + 9),
+	    FATE_OFFER_NEW);
+	fate_table_free(t);
+}
+END_TEST
+
+START_TEST(test_answers_are_bounded)
+{
+	struct fate_table *t = table_new(100, 250);
+	struct request_id id;
+	GBytes *answer;
+	uint64_t i;
+
+	answer = g_bytes_new("0123456789012345678901234567890123456789", 40);
+	for (i = 0; i < 50; i++) {
+		id = id_of(i);
+		bring_to(t, &id, RUNNING);
+		fate_done(t, &id, answer, NOW_MS);
+		ck_assert_uint_le(fate_answers_bytes(t), 250);
+	}
+	ck_assert_uint_eq(fate_answers_bytes(t), 240);
+	fate_acknowledged(t, &id);
+	ck_assert_uint_eq(fate_answers_bytes(t), 200);
+	g_bytes_unref(answer);
+	fate_table_free(t);
+}
+END_TEST
+
+/* A process that was paused reads frames late; their age must show. */
+struct age_case {
+	const char *name;
+	/* True times: hello stamped, echo stamped, echo read, frame sent and
+	 * read.  The peer's clock is ahead by 900,000 ms. */
+	uint64_t hello_ms, echo_ms, read_ms, sent_ms, now_ms;
+	uint64_t least_ms, most_ms;
+};
+
+static const struct age_case age_cases[] = {
+    {"quick", 100, 101, 102, 200, 201, 1, 2},
+    {"receiver paused before reading", 100, 101, 102, 200, 9200, 9000, 9001},
+    {"receiver paused before reading the echo", 100, 101, 7000, 200, 7000, 6800,
+	6801},
+    {"sender paused before the echo", 100, 5101, 5102, 5200, 5201, 1, 5002},
+    {"first frame with the echo", 100, 101, 4000, 101, 4000, 3899, 3900},
+};
+
+START_TEST(test_frame_age)
+{
+	const struct age_case *ac = &age_cases[_i];
+	const uint64_t ahead = 900000;
+	struct frame_age f;
+	uint64_t age;
+
+	frame_age_init(&f);
+	ck_assert_uint_eq(frame_age_sent_ms(&f, 5, 10), 0);
+	frame_age_echo(&f, ac->hello_ms, ac->echo_ms + ahead, ac->read_ms);
+	age =
+	    ac->now_ms - frame_age_sent_ms(&f, ac->sent_ms + ahead, ac->now_ms);
+	ck_assert_msg(age >= ac->least_ms && age <= ac->most_ms, "%s: %lu",
+	    ac->name, (unsigned long)age);
+	ck_assert_uint_eq(
+	    frame_age_deadline_ms(&f, ac->sent_ms + ahead, 50, ac->now_ms),
+	    ac->now_ms - age + 50);
+}
+END_TEST
+
+/* Clocks that drift apart: old bounds must not make frames look younger. */
+START_TEST(test_frame_age_drift)
+{
+	struct frame_age f;
+	uint64_t now, peer, sent;
+
+	frame_age_init(&f);
+	for (now = 1000; now < 5000000; now += 10000) {
+		peer = now - now / 10000;
+		frame_age_echo(&f, now - 2, peer, now);
+		sent = frame_age_sent_ms(&f, peer, now);
+		ck_assert_uint_le(sent, now);
+		ck_assert_uint_ge(sent, now - 20);
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	SRunner *runner;
+	TCase *tc;
+	int failed;
+
+	suite = suite_create("fate");
+	tc = tcase_create("fate");
+	tcase_add_loop_test(
+	    tc, test_resolve, 0, (int)G_N_ELEMENTS(resolve_cases));
+	tcase_add_test(tc, test_answer_goes_to_who_asked_last);
+	tcase_add_test(tc, test_forgotten_is_never_run);
+	tcase_add_test(tc, test_full_table_raises_the_floor);
+	tcase_add_test(tc, test_answers_are_bounded);
+	tcase_add_loop_test(
+	    tc, test_frame_age, 0, (int)G_N_ELEMENTS(age_cases));
+	tcase_add_test(tc, test_frame_age_drift);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
