feat(proto): settings generated from schema/settings.json

Problem: a node needs its settings checked whole before it starts, and a page that can't go stale. Solution: tools/gen_settings.py writes the struct, the table of keys and docs/SETTINGS.md; a hand-written module reads the file by jansson and tells all errors at once, each with file, key, what is expected and the remedy.

--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -124,6 +124,8 @@
  * @state: liveness at this incarnation
  * @endpoints: its upstreams; owned
  * @n_endpoints: number of @endpoints
+ * @accuser: hash of the name of the host that suspects it; 0 unless
+ * 	suspect
  */
 struct rec_member {
 	char host[32];
@@ -136,6 +138,7 @@
 	enum member_state state;
 	struct rec_endpoint *endpoints;
 	uint32_t n_endpoints;
+	uint32_t accuser;
 };
 
 extern const struct codec_desc rec_member_desc;
@@ -184,16 +187,6 @@
 
 extern const struct codec_desc rec_member_key_desc;
 
-/**
- * struct rec_bucket_digest - Digest of one bucket of a data centre's hosts.
- * @digest: digest over the bucket's live hosts
- */
-struct rec_bucket_digest {
-	uint64_t digest;
-};
-
-extern const struct codec_desc rec_bucket_digest_desc;
-
 /**
  * struct rec_peer_address - Where a node listens for control.
  * @ip: IPv4 address, host byte order
@@ -352,13 +345,13 @@
  * centre that differs.
  * @host: sender
  * @data_centre: the data centre
- * @buckets: digests in the order of the buckets; owned
+ * @buckets: digests over the live hosts of each bucket; owned
  * @n_buckets: number of @buckets
  */
 struct msg_sync_buckets {
 	char host[32];
 	char data_centre[32];
-	struct rec_bucket_digest *buckets;
+	uint64_t *buckets;
 	uint32_t n_buckets;
 };
 
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -45,6 +45,24 @@
 /** head_state_name() - name of a value, as in logs and JSON */
 const char *head_state_name(enum head_state v);
 
+/**
+ * enum notice_kind - Why a notice was sent.
+ * @NOTICE_NEAR: passed on within the data centre
+ * @NOTICE_FAR: passed on to another data centre
+ * @NOTICE_COMPARE: sent to another data centre to compare heads;
+ * 	answered when the receiver's is newer
+ */
+enum notice_kind {
+	NOTICE_NEAR = 0,
+	NOTICE_FAR,
+	NOTICE_COMPARE,
+};
+
+#define NOTICE_VALUES 3
+
+/** notice_kind_name() - name of a value, as in logs and JSON */
+const char *notice_kind_name(enum notice_kind v);
+
 /**
  * enum pull_result - How a peer answers a pull or a fetch.
  * @PULL_DELTA: the changes from the version that the puller has
@@ -110,12 +128,11 @@
 /**
  * struct msg_notice - Datagram: the sender holds this head's version in force.
  * @head: the sender's head
- * @compare: whether a receiver with a newer head is to answer with its
- * 	own
+ * @kind: why it was sent
  */
 struct msg_notice {
 	struct rec_head head;
-	bool compare;
+	enum notice_kind kind;
 };
 
 extern const struct codec_desc msg_notice_desc;
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -93,11 +93,14 @@
 	.item_bytes = sizeof(struct rec_endpoint),
 	.item = CODEC_STRUCT,
 	.of = &rec_endpoint_desc},
+    {.name = "accuser",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_member, accuser)},
 };
 
 const struct codec_desc rec_member_desc = {.name = "member",
     .fields = rec_member_fields,
-    .n_fields = 9,
+    .n_fields = 10,
     .size_bytes = sizeof(struct rec_member)};
 
 static const struct codec_field rec_gossip_head_fields[] = {
@@ -155,17 +158,6 @@
     .n_fields = 3,
     .size_bytes = sizeof(struct rec_member_key)};
 
-static const struct codec_field rec_bucket_digest_fields[] = {
-    {.name = "digest",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct rec_bucket_digest, digest)},
-};
-
-const struct codec_desc rec_bucket_digest_desc = {.name = "bucket_digest",
-    .fields = rec_bucket_digest_fields,
-    .n_fields = 1,
-    .size_bytes = sizeof(struct rec_bucket_digest)};
-
 static const struct codec_field rec_peer_address_fields[] = {
     {.name = "ip",
 	.kind = CODEC_U32,
@@ -415,9 +407,8 @@
 	.offset = offsetof(struct msg_sync_buckets, buckets),
 	.len_offset = offsetof(struct msg_sync_buckets, n_buckets),
 	.max = MSG_SYNC_BUCKETS_BUCKETS_MAX,
-	.item_bytes = sizeof(struct rec_bucket_digest),
-	.item = CODEC_STRUCT,
-	.of = &rec_bucket_digest_desc},
+	.item_bytes = sizeof(uint64_t),
+	.item = CODEC_U64},
 };
 
 const struct codec_desc msg_sync_buckets_desc = {.name = "sync_buckets",
--- a/packages/proto/src/gen/spread.c
+++ b/packages/proto/src/gen/spread.c
@@ -16,6 +16,18 @@
 	return codec_value_name(head_state_names, HEAD_VALUES, (uint32_t)v);
 }
 
+static const char *const notice_kind_names[] = {
+    [NOTICE_NEAR] = "near",
+    [NOTICE_FAR] = "far",
+    [NOTICE_COMPARE] = "compare",
+};
+
+const char *
+notice_kind_name(enum notice_kind v)
+{
+	return codec_value_name(notice_kind_names, NOTICE_VALUES, (uint32_t)v);
+}
+
 static const char *const pull_result_names[] = {
     [PULL_DELTA] = "delta",
     [PULL_FULL] = "full",
@@ -85,9 +97,10 @@
 	.kind = CODEC_STRUCT,
 	.offset = offsetof(struct msg_notice, head),
 	.of = &rec_head_desc},
-    {.name = "compare",
-	.kind = CODEC_BOOL,
-	.offset = offsetof(struct msg_notice, compare)},
+    {.name = "kind",
+	.kind = CODEC_ENUM,
+	.offset = offsetof(struct msg_notice, kind),
+	.values = NOTICE_VALUES},
 };
 
 const struct codec_desc msg_notice_desc = {.name = "notice",
--- /dev/null
+++ b/packages/proto/src/settings.c
@@ -0,0 +1,423 @@
+/*
+ * Settings, read by jansson and checked against the generated table.
+ */
+#include <string.h>
+
+#include <jansson.h>
+
+#include "proto/settings.h"
+#include "proto/settings_key.h"
+#include "proto/suggest.h"
+
+/* A parse in progress: the file's name and where errors go. */
+struct parse {
+	const char *file;
+	GPtrArray *errors;
+};
+
+static void add_error(struct parse *p, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void
+add_error(struct parse *p, const char *fmt, ...)
+{
+	GString *text = g_string_new(NULL);
+	va_list ap;
+
+	g_string_printf(text, "%s: ", p->file);
+	va_start(ap, fmt);
+	g_string_append_vprintf(text, fmt, ap);
+	va_end(ap);
+	g_ptr_array_add(p->errors, g_string_free(text, FALSE));
+}
+
+static void *
+field(struct settings *s, uint32_t offset)
+{
+	return (char *)s + offset;
+}
+
+static const void *
+field_const(const struct settings *s, uint32_t offset)
+{
+	return (const char *)s + offset;
+}
+
+static void
+store_number(struct settings *s, const struct settings_key *k, uint32_t v)
+{
+	uint16_t port = (uint16_t)v;
+
+	if (k->type == SETTINGS_PORT)
+		memcpy(field(s, k->offset), &port, sizeof(port));
+	else
+		memcpy(field(s, k->offset), &v, sizeof(v));
+}
+
+static uint32_t
+load_number(const struct settings *s, const struct settings_key *k)
+{
+	uint16_t port;
+	uint32_t v;
+
+	memcpy(&port, field_const(s, k->offset), sizeof(port));
+	if (k->type == SETTINGS_PORT)
+		return port;
+	memcpy(&v, field_const(s, k->offset), sizeof(v));
+	return v;
+}
+
+static void
+set_defaults(struct settings *s)
+{
+	const struct settings_key *k;
+	uint32_t i;
+
+	memset(s, 0, sizeof(*s));
+	for (i = 0; i < n_settings_keys; i++) {
+		k = &settings_keys[i];
+		if (k->type == SETTINGS_PORT || k->type == SETTINGS_NUMBER ||
+		    k->type == SETTINGS_CHOICE)
+			store_number(s, k, k->initial);
+	}
+}
+
+static int
+take_number(struct settings *s, const struct settings_key *k, const json_t *v)
+{
+	json_int_t n = json_integer_value(v);
+
+	if (!json_is_integer(v) || n < k->min || n > k->max)
+		return 0;
+	store_number(s, k, (uint32_t)n);
+	return 1;
+}
+
+static int
+take_choice(struct settings *s, const struct settings_key *k, const char *text)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->n_choices; i++) {
+		if (strcmp(text, k->choices[i]) == 0) {
+			store_number(s, k, i);
+			return 1;
+		}
+	}
+	return 0;
+}
+
+static int
+take_name(struct settings *s, const struct settings_key *k, const char *text)
+{
+	size_t len = strlen(text);
+
+	if (len == 0 || len >= SETTINGS_NAME_BYTES)
+		return 0;
+	if (strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-") != len)
+		return 0;
+	memcpy(field(s, k->offset), text, len + 1);
+	return 1;
+}
+
+static int
+take_url(struct settings *s, const struct settings_key *k, const char *text)
+{
+	const char *host = strstr(text, "://");
+	size_t i, len = strlen(text);
+
+	if (!g_str_has_prefix(text, "http://") &&
+	    !g_str_has_prefix(text, "https://"))
+		return 0;
+	if (len >= SETTINGS_URL_BYTES || host[strlen("://")] == '\0')
+		return 0;
+	for (i = 0; i < len; i++)
+		if (!g_ascii_isgraph(text[i]))
+			return 0;
+	memcpy(field(s, k->offset), text, len + 1);
+	return 1;
+}
+
+/* An address that peers can use; 0.0.0.0 tells them nothing. */
+static int
+take_ipv4(struct settings *s, const struct settings_key *k, const char *text)
+{
+	uint32_t ip;
+
+	if (addr_parse_ip(text, &ip) != STATUS_OK || ip == 0)
+		return 0;
+	memcpy(field(s, k->offset), &ip, sizeof(ip));
+	return 1;
+}
+
+static int
+take_addresses(
+    struct settings *s, const struct settings_key *k, const json_t *v)
+{
+	struct net_addr *list = field(s, k->offset);
+	uint32_t n = (uint32_t)json_array_size(v);
+	const json_t *item;
+	uint32_t i;
+
+	if (!json_is_array(v) || json_array_size(v) > k->max)
+		return 0;
+	for (i = 0; i < n; i++) {
+		item = json_array_get(v, i);
+		if (!json_is_string(item) ||
+		    addr_parse(json_string_value(item), &list[i]) != STATUS_OK)
+			return 0;
+	}
+	memcpy(field(s, k->count_offset), &n, sizeof(n));
+	return 1;
+}
+
+/* Take a value in; 0 when it isn't what the key takes. */
+static int
+take_value(struct settings *s, const struct settings_key *k, const json_t *v)
+{
+	const char *text = json_string_value(v);
+
+	switch (k->type) {
+	case SETTINGS_PORT:
+	case SETTINGS_NUMBER:
+		return take_number(s, k, v);
+	case SETTINGS_ADDRESSES:
+		return take_addresses(s, k, v);
+	case SETTINGS_CHOICE:
+		return text != NULL && take_choice(s, k, text);
+	case SETTINGS_NAME:
+		return text != NULL && take_name(s, k, text);
+	case SETTINGS_URL:
+		return text != NULL && take_url(s, k, text);
+	case SETTINGS_IPV4:
+		return text != NULL && take_ipv4(s, k, text);
+	}
+	return 0;
+}
+
+static void
+check_key(struct parse *p, struct settings *s, const struct settings_key *k,
+    const json_t *root)
+{
+	const json_t *v = json_object_get(root, k->name);
+	char *shown;
+
+	if (v == NULL && k->required)
+		add_error(p, "key \"%s\" is missing: expected %s; %s.", k->name,
+		    k->expected, k->remedy);
+	if (v == NULL || take_value(s, k, v))
+		return;
+	shown = json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT);
+	add_error(p, "key \"%s\" is %.80s: expected %s; %s.", k->name,
+	    shown != NULL ? shown : "?", k->expected, k->remedy);
+	free(shown);
+}
+
+static const char *
+key_name(uint32_t i)
+{
+	return settings_keys[i].name;
+}
+
+static void
+check_unknown(struct parse *p, json_t *root)
+{
+	const char *name, *near;
+	json_t *v;
+
+	json_object_foreach(root, name, v)
+	{
+		near = suggest_nearest(name, key_name, n_settings_keys);
+		if (near != NULL && strcmp(near, name) == 0)
+			continue;
+		if (near != NULL)
+			add_error(p,
+			    "key \"%.80s\" is unknown: rename it to \"%s\", "
+			    "or remove it.",
+			    name, near);
+		else
+			add_error(p,
+			    "key \"%.80s\" is unknown: remove it; the known "
+			    "keys are in docs/SETTINGS.md.",
+			    name);
+	}
+}
+
+/* What no key can tell by itself. */
+static void
+check_whole(struct parse *p, const struct settings *s)
+{
+	const struct {
+		const char *key;
+		uint16_t port;
+	} ports[] = {{"caller_port", s->caller_port},
+	    {"peer_port", s->peer_port}, {"call_port", s->call_port},
+	    {"admin_port", s->admin_port}};
+	size_t a, b;
+
+	for (a = 0; a < G_N_ELEMENTS(ports); a++)
+		for (b = a + 1; b < G_N_ELEMENTS(ports); b++)
+			if (ports[a].port == ports[b].port)
+				add_error(p,
+				    "keys \"%s\" and \"%s\" are both %u: "
+				    "expected different ports; change one.",
+				    ports[a].key, ports[b].key, ports[a].port);
+	if (s->probe_timeout_ms >= s->probe_interval_ms)
+		add_error(p,
+		    "key \"probe_timeout_ms\" is %u: expected less than "
+		    "probe_interval_ms, which is %u; lower it or raise that.",
+		    s->probe_timeout_ms, s->probe_interval_ms);
+}
+
+static void
+add_syntax_error(struct parse *p, const json_error_t *e, const char *remedy)
+{
+	add_error(p, "line %d, column %d: %s: expected a JSON object; %s.",
+	    e->line, e->column, e->text, remedy);
+}
+
+/* Parse the text; a key that stands twice is an error that doesn't end it. */
+static json_t *
+parse_object(struct parse *p, const char *text, size_t len)
+{
+	json_error_t e;
+	json_t *root;
+
+	root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &e);
+	if (root == NULL && json_error_code(&e) == json_error_duplicate_key) {
+		add_syntax_error(p, &e, "remove one of the two");
+		root = json_loadb(text, len, 0, &e);
+	}
+	if (root == NULL) {
+		add_syntax_error(p, &e, "mend the JSON there");
+		return NULL;
+	}
+	if (json_is_object(root))
+		return root;
+	json_decref(root);
+	add_error(p,
+	    "the whole is no object: expected a JSON object; put the "
+	    "keys between { and }.");
+	return NULL;
+}
+
+static enum status
+finish(const struct parse *p, guint n_before)
+{
+	guint n = p->errors->len - n_before;
+
+	if (n == 0)
+		return STATUS_OK;
+	return status_set(STATUS_INVALID, "%s (%u error%s in all)",
+	    (const char *)g_ptr_array_index(p->errors, n_before), n,
+	    n == 1 ? "" : "s");
+}
+
+static void
+parse_into(struct parse *p, const char *text, size_t len, struct settings *s)
+{
+	json_t *root = parse_object(p, text, len);
+	uint32_t i;
+
+	if (root == NULL)
+		return;
+	check_unknown(p, root);
+	for (i = 0; i < n_settings_keys; i++)
+		check_key(p, s, &settings_keys[i], root);
+	check_whole(p, s);
+	json_decref(root);
+}
+
+enum status
+settings_parse(const char *text, size_t len, const char *name,
+    struct settings *s, GPtrArray *errors)
+{
+	struct parse p = {name, NULL};
+	enum status st;
+	guint n_before;
+
+	p.errors = errors != NULL ? g_ptr_array_ref(errors)
+				  : g_ptr_array_new_with_free_func(g_free);
+	n_before = p.errors->len;
+	set_defaults(s);
+	parse_into(&p, text, len, s);
+	st = finish(&p, n_before);
+	g_ptr_array_unref(p.errors);
+	return st;
+}
+
+enum status
+settings_load(const char *path, struct settings *s, GPtrArray *errors)
+{
+	GError *error = NULL;
+	enum status st;
+	gsize len = 0;
+	char *text;
+
+	set_defaults(s);
+	if (g_file_get_contents(path, &text, &len, &error)) {
+		st = settings_parse(text, len, path, s, errors);
+		g_free(text);
+		return st;
+	}
+	st = status_set(STATUS_IO,
+	    "%s: can't be read: expected a JSON file; %s. Check the path and "
+	    "its permissions.",
+	    path, error->message);
+	if (errors != NULL)
+		g_ptr_array_add(errors, g_strdup(status_message()));
+	g_error_free(error);
+	return st;
+}
+
+static json_t *
+print_addresses(const struct settings *s, const struct settings_key *k)
+{
+	const struct net_addr *list = field_const(s, k->offset);
+	char text[ADDR_TEXT_BYTES];
+	json_t *array = json_array();
+	uint32_t i, n;
+
+	memcpy(&n, field_const(s, k->count_offset), sizeof(n));
+	for (i = 0; i < n; i++)
+		(void)json_array_append_new(
+		    array, json_string(addr_format(&list[i], text)));
+	return array;
+}
+
+static json_t *
+print_value(const struct settings *s, const struct settings_key *k)
+{
+	char text[ADDR_TEXT_BYTES];
+
+	switch (k->type) {
+	case SETTINGS_NAME:
+	case SETTINGS_URL:
+		return json_string(field_const(s, k->offset));
+	case SETTINGS_IPV4:
+		return json_string(addr_format_ip(load_number(s, k), text));
+	case SETTINGS_CHOICE:
+		return json_string(k->choices[load_number(s, k)]);
+	case SETTINGS_ADDRESSES:
+		return print_addresses(s, k);
+	default:
+		return json_integer(load_number(s, k));
+	}
+}
+
+void
+settings_print(const struct settings *s, GString *out)
+{
+	json_t *root = json_object();
+	uint32_t i;
+	char *text;
+
+	for (i = 0; i < n_settings_keys; i++)
+		(void)json_object_set_new(root, settings_keys[i].name,
+		    print_value(s, &settings_keys[i]));
+	text = json_dumps(root, JSON_INDENT(2));
+	g_string_append(out, text);
+	g_string_append_c(out, '\n');
+	free(text);
+	json_decref(root);
+}
--- /dev/null
+++ b/tools/gen_settings.py
@@ -0,0 +1,248 @@
+#!/usr/bin/env python3
+"""Generate the settings of a node from schema/settings.json.
+
+Run without arguments it writes packages/proto/include/proto/gen/settings.h,
+packages/proto/src/gen/settings.c and docs/SETTINGS.md.  With --check it
+writes nothing and exits non-zero when what is committed differs.
+docs/design/schema.md describes the form of the schema.
+"""
+
+import json
+import re
+import sys
+
+import generate
+
+SCHEMA = "schema/settings.json"
+HEADER = "packages/proto/include/proto/gen/settings.h"
+SOURCE = "packages/proto/src/gen/settings.c"
+PAGE = "docs/SETTINGS.md"
+
+KEY = re.compile(r"[a-z][a-z0-9_]*\Z")
+# Keys that hold a quantity end in its unit.
+UNIT_SUFFIX = {"milliseconds": "_ms", "bytes": "_bytes"}
+TYPES = {"name", "ipv4", "port", "number", "url", "choice", "addresses"}
+NEEDED = {"key", "type", "doc", "remedy"}
+ALLOWED = {"name": {"required"}, "ipv4": {"required"}, "url": {"required"},
+           "port": {"default"}, "number": {"unit", "min", "max", "default"},
+           "choice": {"of", "default"}, "addresses": {"max"}}
+U32_MAX = (1 << 32) - 1
+PORT_MAX = 65535
+
+
+def check_setting(s, choices):
+    """Errors of one setting in the schema."""
+    key, kind = s.get("key", ""), s.get("type", "")
+    if not KEY.match(key):
+        return [f"\"{key}\" is no usable key"]
+    if kind not in TYPES:
+        return [f"{key}: unknown type \"{kind}\""]
+    wanted = NEEDED | ALLOWED[kind]
+    errors = [f"{key}: has no {k}" for k in wanted - set(s)]
+    errors += [f"{key}: unknown key {k}" for k in set(s) - wanted]
+    if errors:
+        return errors
+    if kind == "number":
+        suffix = UNIT_SUFFIX.get(s["unit"], "")
+        if not 0 <= s["min"] <= s["default"] <= s["max"] <= U32_MAX:
+            errors.append(f"{key}: needs 0 <= min <= default <= max <= "
+                          f"{U32_MAX}")
+        if not key.endswith(suffix):
+            errors.append(f"{key}: must end in {suffix}")
+    if kind == "port" and not 0 < s["default"] <= PORT_MAX:
+        errors.append(f"{key}: default is no port")
+    if kind == "choice":
+        names = [v["name"] for c in choices if c["name"] == s["of"]
+                 for v in c["values"]]
+        if s["default"] not in names:
+            errors.append(f"{key}: default is not among {s['of']}")
+    return errors
+
+
+def load():
+    schema = json.loads((generate.root() / SCHEMA).read_text())
+    settings, choices = schema["settings"], schema["choices"]
+    errors = [e for s in settings for e in check_setting(s, choices)]
+    keys = [s.get("key") for s in settings]
+    errors += [f"{k}: stands twice" for k in set(keys) if keys.count(k) > 1]
+    if errors:
+        sys.exit("\n".join(f"{SCHEMA}: {e}" for e in errors))
+    return schema
+
+
+def expected(schema, s):
+    """What a setting takes, as a phrase."""
+    kind = s["type"]
+    if kind == "name":
+        return "a name of 1 to 31 characters a-z, 0-9 and -"
+    if kind == "ipv4":
+        return "an IPv4 address like 10.0.0.1"
+    if kind == "port":
+        return f"a port number from 1 to {PORT_MAX}"
+    if kind == "url":
+        return "an http:// or https:// URL of at most 255 characters"
+    if kind == "addresses":
+        return f"a list of at most {s['max']} texts like 10.0.0.1:7400"
+    if kind == "choice":
+        values = [f"\"{v['name']}\"" for v in choice(schema, s["of"])]
+        return ", ".join(values[:-1]) + f" or {values[-1]}"
+    return f"a whole number of {s['unit']} from {s['min']} to {s['max']}"
+
+
+def choice(schema, name):
+    return next(c["values"] for c in schema["choices"] if c["name"] == name)
+
+
+def c_members(s):
+    key, kind = s["key"], s["type"]
+    return {"name": [f"char {key}[SETTINGS_NAME_BYTES];"],
+            "url": [f"char {key}[SETTINGS_URL_BYTES];"],
+            "ipv4": [f"uint32_t {key};"],
+            "port": [f"uint16_t {key};"],
+            "number": [f"uint32_t {key};"],
+            "choice": [f"enum {s.get('of')} {key};"],
+            "addresses": [f"struct net_addr {key}[{s.get('max')}];",
+                          f"uint32_t n_{key};"]}[kind]
+
+
+def c_enum(c):
+    prefix, name = c["prefix"], c["name"]
+    lines = [f"enum {name} - {c['doc']}"]
+    lines += [f"@{prefix}_{v['name'].upper()}: {v['doc']}"
+              for v in c["values"]]
+    values = [f"{prefix}_{v['name'].upper()}{' = 0' if i == 0 else ''},"
+              for i, v in enumerate(c["values"])]
+    return "\n".join([
+        generate.kernel_doc(lines), f"enum {name} {{", *values, "};", "",
+        generate.kernel_doc([f"{name}_name() - name of a value, as in the "
+                             "settings"]),
+        f"const char *{name}_name(enum {name} v);", ""])
+
+
+def header(schema):
+    own = [c for c in schema["choices"] if "header" not in c]
+    headers = sorted(c["header"] for c in schema["choices"] if "header" in c)
+    lines = [f"struct settings - {schema['doc']}"]
+    for s in schema["settings"]:
+        lines.append(f"@{s['key']}: {s['doc']}")
+        if s["type"] == "addresses":
+            lines.append(f"@n_{s['key']}: number of @{s['key']}")
+    members = [m for s in schema["settings"] for m in c_members(s)]
+    return "\n".join([
+        generate.comment([schema["doc"], "", "Generated by "
+                          f"tools/gen_settings.py from {SCHEMA}."]),
+        "#ifndef PROTO_GEN_SETTINGS_H", "#define PROTO_GEN_SETTINGS_H", "",
+        "#include <stdint.h>", "",
+        *[f'#include "{h}"' for h in headers], '#include "proto/addr.h"', "",
+        "/* Sizes of texts with the terminating zero. */",
+        "#define SETTINGS_NAME_BYTES 32", "#define SETTINGS_URL_BYTES 256",
+        "", *[c_enum(c) for c in own], generate.kernel_doc(lines),
+        "struct settings {", *members, "};", "", "#endif", ""])
+
+
+def c_names(c):
+    rows = [f'[{c["prefix"]}_{v["name"].upper()}] = "{v["name"]}",'
+            for v in c["values"]]
+    out = [f"static const char *const {c['name']}_names[] = {{", *rows, "};",
+           ""]
+    if "header" not in c:
+        out += [f"const char *{c['name']}_name(enum {c['name']} v)", "{",
+                f"return codec_value_name({c['name']}_names, "
+                f"G_N_ELEMENTS({c['name']}_names), (uint32_t)v);", "}", ""]
+    return "\n".join(out)
+
+
+def c_string(text):
+    """A string literal, cut into pieces so that lines stay short."""
+    pieces, row = [], ""
+    for word in re.findall(r"\S+\s*", text):
+        if row and len(row) + len(word) > 56:
+            pieces.append(row)
+            row = ""
+        row += word
+    return "\n".join(json.dumps(p) for p in pieces + [row])
+
+
+def c_row(schema, s):
+    key, kind = s["key"], s["type"]
+    parts = [f'.name = "{key}"', f".type = SETTINGS_{kind.upper()}",
+             f".offset = offsetof(struct settings, {key})",
+             f".expected = {c_string(expected(schema, s))}",
+             f".remedy = {c_string(s['remedy'])}"]
+    if s.get("required"):
+        parts.append(".required = 1")
+    if kind == "port":
+        parts += [".min = 1", f".max = {PORT_MAX}",
+                  f".initial = {s['default']}"]
+    if kind == "number":
+        parts += [f".min = {s['min']}", f".max = {s['max']}U",
+                  f".initial = {s['default']}"]
+    if kind == "addresses":
+        parts += [f".max = {s['max']}",
+                  f".count_offset = offsetof(struct settings, n_{key})"]
+    if kind == "choice":
+        prefix = next(c["prefix"] for c in schema["choices"]
+                      if c["name"] == s["of"])
+        parts += [f".initial = {prefix}_{s['default'].upper()}",
+                  f".choices = {s['of']}_names",
+                  f".n_choices = G_N_ELEMENTS({s['of']}_names)"]
+    return "{" + ",\n".join(parts) + "},"
+
+
+def source(schema):
+    return "\n".join([
+        generate.comment(["Table of the settings.", "", "Generated by "
+                          f"tools/gen_settings.py from {SCHEMA}."]),
+        "#include <stddef.h>", "", "#include <glib.h>", "",
+        '#include "proto/codec.h"', '#include "proto/settings_key.h"', "",
+        *[c_names(c) for c in schema["choices"]],
+        "const struct settings_key settings_keys[] = {",
+        *[c_row(schema, s) for s in schema["settings"]], "};", "",
+        "const uint32_t n_settings_keys = G_N_ELEMENTS(settings_keys);", ""])
+
+
+def page_row(schema, s):
+    if s.get("required"):
+        default = "required"
+    elif s["type"] == "addresses":
+        default = "`[]`"
+    else:
+        default = f"`{json.dumps(s['default'])}`"
+    takes = expected(schema, s)
+    return f"| `{s['key']}` | {takes} | {default} | {s['doc']} |"
+
+
+PAGE_INTRO = """\
+# Settings
+
+`bramleydrift --settings FILE` reads one JSON object with the keys below, once
+at its start. `bramleydrift --settings FILE --print-settings` shows the
+settings in effect, defaults included.
+
+All errors of a file are told at once, each with the file, the key, what is
+expected and what to do: an unknown key (with the nearest known one), a wrong
+type, a value out of range, a missing key, a key that stands twice. The four
+ports must differ, and `probe_timeout_ms` must be shorter than
+`probe_interval_ms`.
+
+This page is generated by `tools/gen_settings.py` from `schema/settings.json`.
+
+| key | takes | default | what it is for |
+|---|---|---|---|
+"""
+
+
+def page(schema):
+    rows = [page_row(schema, s) for s in schema["settings"]]
+    return PAGE_INTRO + "\n".join(rows) + "\n"
+
+
+def main():
+    schema = load()
+    files = {HEADER: header(schema), SOURCE: source(schema),
+             PAGE: page(schema)}
+    return generate.finish(sys.argv, "tools/gen_settings.py", files, [])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
