--- a/packages/standins/include/standins/outcomes.h
+++ b/packages/standins/include/standins/outcomes.h
@@ -46,6 +46,8 @@
  * enum answer_check - whether an answer was whole and the caller's own
  * @ANSWER_NONE: there was no answer to check (none came, or no run told)
  * @ANSWER_OK: whole and its own
+ * @ANSWER_CUT: the connection broke after the answer had begun; the caller
+ *	knows that it is not whole
  * @ANSWER_NOT_OWN: the answer to another call
  * @ANSWER_NOT_WHOLE: a length or hash differs
  * @ANSWER_NO_FATE: a node answered without saying the fate
@@ -54,6 +56,7 @@
 enum answer_check {
 	ANSWER_NONE,
 	ANSWER_OK,
+	ANSWER_CUT,
 	ANSWER_NOT_OWN,
 	ANSWER_NOT_WHOLE,
 	ANSWER_NO_FATE,
@@ -88,7 +91,8 @@
 /** told_name() - "done", "not_run", "unknown" or "not_sent" */
 const char *told_name(enum told t);
 
-/** answer_check_name() - "none", "ok", "not_own", "not_whole", "no_fate" */
+/** answer_check_name() - "none", "ok", "cut", "not_own", "not_whole", "no_fate"
+ */
 const char *answer_check_name(enum answer_check c);
 
 /** outcomes_write() - append a record to an open file */
--- a/packages/standins/include/standins/web.h
+++ b/packages/standins/include/standins/web.h
@@ -94,6 +94,17 @@
 void web_answer(struct mg_connection *conn, int code, const char *type,
     const char *headers, const void *data, size_t len);
 
+/**
+ * web_head() - send the start of an answer whose body follows by mg_write()
+ * @conn: the connection
+ * @type: content type
+ * @len: length of the whole body in bytes
+ * @data: first bytes of the body
+ * @data_len: how many
+ */
+void web_head(struct mg_connection *conn, const char *type, uint64_t len,
+    const void *data, size_t data_len);
+
 /**
  * web_answer_json() - send a JSON answer
  * @conn: the connection
--- a/packages/standins/src/web.c
+++ b/packages/standins/src/web.c
@@ -2,6 +2,7 @@
  * HTTP server of the stand-ins, by CivetWeb.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <civetweb.h>
@@ -164,6 +165,21 @@
 	g_string_free(s, TRUE);
 }
 
+void
+web_head(struct mg_connection *conn, const char *type, uint64_t len,
+    const void *data, size_t data_len)
+{
+	GString *s = g_string_sized_new(data_len + WEB_HEAD_BYTES);
+
+	g_string_printf(s,
+	    "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
+	    "Content-Length: %" G_GUINT64_FORMAT "\r\n\r\n",
+	    type, len);
+	g_string_append_len(s, data, (gssize)data_len);
+	(void)mg_write(conn, s->str, s->len);
+	g_string_free(s, TRUE);
+}
+
 void
 web_answer_json(
     struct mg_connection *conn, int code, const char *headers, json_t *j)
