--- /dev/null
+++ b/packages/node/include/node/control.h
@@ -0,0 +1,118 @@
+/*
+ * Control: the thread that holds membership and configuration, passes both
+ * on to peers, reads the platform and runs the operators' operations.
+ */
+#ifndef NODE_CONTROL_H
+#define NODE_CONTROL_H
+
+#include <jansson.h>
+
+#include "base/status.h"
+#include "node/operation.h"
+#include "proto/messages.h"
+
+struct control;
+struct entry;
+struct guard;
+struct settings;
+
+/**
+ * control_new() - make the control part
+ * @s: settings of the node; must outlive the control
+ * @e: entry that is told of new snapshots
+ * @g: guard that is told of this host's endpoints
+ * @incarnation: incarnation of this process, wall-clock ms
+ * @seed: seed of the decisions' random choices
+ * @out: where the control goes
+ *
+ * Return: STATUS_OK, or STATUS_IO when the peer port can't be bound.
+ */
+enum status control_new(const struct settings *s, struct entry *e,
+    struct guard *g, uint64_t incarnation, uint64_t seed, struct control **out);
+
+/** control_start() - start the thread; Return: STATUS_OK or STATUS_IO */
+enum status control_start(struct control *c);
+
+/**
+ * control_loop() - the control thread's loop
+ *
+ * The functions below are for functions posted to it, unless they say that
+ * any thread may call them.
+ */
+struct loop *control_loop(struct control *c);
+
+/** control_ready() - whether this node serves; any thread may call it */
+int control_ready(const struct control *c);
+
+/** control_version() - version in force here; any thread may call it */
+uint64_t control_version(const struct control *c);
+
+/**
+ * control_leave() - tell peers that this node stops; any thread
+ * @c: the control
+ */
+void control_leave(struct control *c);
+
+/** control_has_left() - whether peers have been told; any thread */
+int control_has_left(const struct control *c);
+
+/** control_stop() - stop the thread */
+void control_stop(struct control *c);
+
+/** control_free() - free a stopped control; NULL is allowed */
+void control_free(struct control *c);
+
+/**
+ * control_announce() - an upstream of this host told its state
+ * @c: the control
+ * @service: service that it is an endpoint of
+ * @port: its port
+ * @slots: requests that it runs at once
+ * @state: its state
+ * @lease_ms: how long this holds unless told again, from now
+ */
+enum status
+control_announce(struct control *c, const char *service, uint16_t port,
+    uint16_t slots, enum endpoint_state state, uint32_t lease_ms);
+
+/**
+ * control_withdraw() - the upstreams of a service on this host have left
+ * @c: the control
+ * @service: the service
+ * @port: port of the upstream; 0 for all of the service
+ */
+enum status
+control_withdraw(struct control *c, const char *service, uint16_t port);
+
+/**
+ * control_operate() - run an operation on the platform's rows
+ *
+ * Parameters and result as operation_start(); what it writes is also put on
+ * its way to the peers at once.
+ */
+enum status
+control_operate(struct control *c, const struct rollout_request *req,
+    struct bundle *bundle, operation_fn *fn, void *arg);
+
+/** control_store() - the platform */
+struct store *control_store(struct control *c);
+
+/** control_status_json() - this node's state; the caller owns the object */
+json_t *control_status_json(struct control *c);
+
+/** control_members_json() - all members; the caller owns the array */
+json_t *control_members_json(struct control *c);
+
+/** control_ask_progress() - ask the data centres how far the roll is */
+void control_ask_progress(struct control *c);
+
+/**
+ * control_progress_json() - how far a version has come
+ * @c: the control
+ * @version: the version
+ *
+ * Return: an object that the caller owns.
+ */
+json_t *control_progress_json(struct control *c, uint64_t version);
+
+#endif
--- /dev/null
+++ b/packages/node/src/control.c
@@ -0,0 +1,458 @@
+/*
+ * The control thread: one loop around the decisions membership and spread.
+ *
+ * After each event control_pump() empties their outboxes and action queues,
+ * recompiles the snapshot when something in it changed, and sets the timer to
+ * the earliest deadline.
+ */
+#define LOG_PART "control"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "control_priv.h"
+#include "node/entry.h"
+#include "node/guard.h"
+#include "node/snapshot_ref.h"
+#include "proto/settings.h"
+#include "store/http_store.h"
+
+static struct metric version_gauge = {"bramley_version",
+    "Configuration version in force on this node.", METRIC_GAUGE, NULL, 0, {0}};
+static struct metric applied_gauge = {"bramley_version_applied_wall_ms",
+    "Wall-clock time at which the version came in force here.", METRIC_GAUGE,
+    NULL, 0, {0}};
+static struct metric members_gauge = {"bramley_members_live",
+    "Hosts that this node counts as live.", METRIC_GAUGE, NULL, 0, {0}};
+static struct metric ready_gauge = {"bramley_ready",
+    "Whether this node serves calls.", METRIC_GAUGE, NULL, 0, {0}};
+static struct metric publish_count = {"bramley_snapshots_total",
+    "Snapshots put in force.", METRIC_COUNTER, NULL, 0, {0}};
+
+uint64_t
+control_now(const struct control *c)
+{
+	return loop_now_ms(c->loop);
+}
+
+/* Tells the guard which endpoints this host has, with their limits. */
+static void
+control_tell_guard(struct control *c)
+{
+	const struct member *self = membership_self(c->membership);
+	struct guard_endpoint list[MEMBER_ENDPOINTS_MAX];
+	const struct service_config *service;
+	uint32_t i, n = 0;
+
+	memset(list, 0, sizeof(list));
+	for (i = 0; i < self->n_endpoints; i++) {
+		const struct member_endpoint *e = &self->endpoints[i];
+
+		service = catalog_find(c->catalog, e->service);
+		if (e->state == ENDPOINT_LEFT || service == NULL)
+			continue;
+		(void)g_strlcpy(
+		    list[n].service, e->service, sizeof(list[n].service));
+		list[n].port = e->port;
+		list[n].slots = e->slots;
+		list[n].state = (enum serving_state)e->state;
+		list[n].limits = service->limits;
+		n++;
+	}
+	guard_set_endpoints(c->guard, list, n);
+}
+
+static int
+control_may_serve(const struct control *c)
+{
+	enum membership_phase phase = membership_phase(c->membership);
+
+	return spread_ready(c->spread) && phase != MEMBERSHIP_CONFLICT &&
+	    phase != MEMBERSHIP_JOINING;
+}
+
+/* Compiles and publishes what is in force now. */
+static void
+control_publish(struct control *c)
+{
+	struct snapshot *next = NULL;
+	int ready = control_may_serve(c);
+
+	c->dirty = 0;
+	if (ready && catalog_version(c->catalog) > 0)
+		next = snapshot_compile(c->catalog, c->endpoints);
+	if (next != NULL)
+		(void)snapshot_ref(next);
+	snapshot_unref(c->snapshot);
+	c->snapshot = next;
+	snapshot_ref_publish(next);
+	metric_add(&publish_count, 1);
+	metric_set(&ready_gauge, ready);
+	atomic_store(&c->ready, ready);
+	entry_snapshot_changed(c->entry);
+	control_tell_guard(c);
+}
+
+/* Copies a member's endpoints into the set that snapshots are made from. */
+static void
+control_take_member(struct control *c, const char *host)
+{
+	const struct member *m = membership_find(c->membership, host);
+	struct endpoint list[MEMBER_ENDPOINTS_MAX];
+	uint32_t i, n = 0;
+
+	memset(list, 0, sizeof(list));
+	for (i = 0; m != NULL && member_is_live(m) && i < m->n_endpoints; i++) {
+		const struct member_endpoint *e = &m->endpoints[i];
+
+		if (e->state == ENDPOINT_LEFT)
+			continue;
+		(void)g_strlcpy(
+		    list[n].service, e->service, sizeof(list[n].service));
+		(void)g_strlcpy(list[n].host, m->host, sizeof(list[n].host));
+		(void)g_strlcpy(list[n].data_centre, m->data_centre,
+		    sizeof(list[n].data_centre));
+		list[n].address.ip = m->address.ip;
+		list[n].address.port = m->call_port;
+		list[n].incarnation = m->incarnation;
+		list[n].slots = e->slots;
+		list[n].state = (enum serving_state)e->state;
+		n++;
+	}
+	if (endpoint_set_host(c->endpoints, host, list, n) > 0) {
+		log_info("Host %s has %u endpoints now.", host, n);
+		c->dirty = 1;
+	}
+}
+
+static void
+control_heard(struct control *c, const struct membership_action *a)
+{
+	struct rec_head head = {
+	    .seq = a->head.seq,
+	    .version = a->head.version,
+	    .in_force = a->head.in_force,
+	    .state = a->head.state == HEAD_HALTED ? HEAD_HALTED : HEAD_ROLLING,
+	};
+
+	if (head.seq != 0)
+		spread_on_heard(c->spread, control_now(c), &a->addr, &head);
+}
+
+static void
+control_membership_action(struct control *c, const struct membership_action *a)
+{
+	switch (a->kind) {
+	case MEMBERSHIP_CHANGED:
+		control_take_member(c, a->host);
+		metric_set(&members_gauge, membership_live(c->membership));
+		break;
+	case MEMBERSHIP_HEARD:
+		control_heard(c, a);
+		break;
+	case MEMBERSHIP_PHASE:
+		log_info("Membership is %s.", membership_phase_name(a->phase));
+		atomic_store(&c->left, a->phase == MEMBERSHIP_LEFT);
+		c->dirty = 1;
+		break;
+	case MEMBERSHIP_WARNING:
+		log_error("%s", a->message);
+		break;
+	}
+}
+
+static void
+control_applied(struct control *c, const struct spread_action *a)
+{
+	log_info("Version %" G_GUINT64_FORMAT
+		 " is in force, was %" G_GUINT64_FORMAT ".",
+	    a->to, a->from);
+	atomic_store(&c->version, a->to);
+	metric_set(&version_gauge, (int64_t)a->to);
+	metric_set(&applied_gauge, (int64_t)clock_wall_ms());
+	c->dirty = 1;
+}
+
+static void
+control_spread_action(struct control *c, const struct spread_action *a)
+{
+	char text[ADDR_TEXT_BYTES];
+
+	switch (a->kind) {
+	case SPREAD_READ_HEAD:
+	case SPREAD_READ_VERSIONS:
+	case SPREAD_READ_OBJECT:
+		source_read(c->source, a);
+		break;
+	case SPREAD_APPLY:
+		control_applied(c, a);
+		break;
+	case SPREAD_READY:
+		log_info("This node may serve.");
+		c->dirty = 1;
+		break;
+	case SPREAD_BLAME:
+		log_warning("Peer %s sent a wrong piece of configuration; "
+			    "check that it runs this release.",
+		    addr_format(&a->peer, text));
+		break;
+	case SPREAD_HALTED:
+		log_info("Version %" G_GUINT64_FORMAT
+			 " was halted before it came here.",
+		    a->to);
+		break;
+	}
+}
+
+/* Lets probes carry the newest head that this node knows. */
+static void
+control_share_head(struct control *c)
+{
+	const struct rec_head *head = spread_head(c->spread);
+	struct rec_gossip_head gossip = {
+	    .seq = head->seq,
+	    .version = head->version,
+	    .in_force = head->in_force,
+	    .state = (uint8_t)head->state,
+	};
+
+	membership_set_head(c->membership, &gossip);
+}
+
+void
+control_pump(struct control *c)
+{
+	struct membership_action ma;
+	struct spread_action sa;
+	uint64_t next_ms;
+
+	while (membership_pop(c->membership, &ma))
+		control_membership_action(c, &ma);
+	while (spread_pop(c->spread, &sa))
+		control_spread_action(c, &sa);
+	control_share_head(c);
+	peers_flush(c->peers, c->outbox);
+	peers_flush(c->peers, spread_outbox(c->spread));
+	if (c->dirty)
+		control_publish(c);
+	next_ms =
+	    MIN(membership_next_ms(c->membership), spread_next_ms(c->spread));
+	loop_timer_set(&c->timer, next_ms);
+}
+
+static void
+control_on_timer(void *arg)
+{
+	struct control *c = arg;
+	uint64_t now_ms = control_now(c);
+
+	membership_tick(c->membership, now_ms);
+	spread_tick(c->spread, now_ms);
+	control_pump(c);
+}
+
+static void
+control_on_answer(void *arg)
+{
+	control_pump(arg);
+}
+
+static void
+control_on_datagram(struct net_addr from, uint8_t type, const uint8_t *body,
+    size_t len, void *arg)
+{
+	struct control *c = arg;
+
+	if (membership_owns(type))
+		membership_receive(
+		    c->membership, control_now(c), &from, 0, type, body, len);
+	else
+		spread_on_datagram(
+		    c->spread, control_now(c), &from, type, body, len);
+	control_pump(c);
+}
+
+static void
+control_on_frame(struct net_addr from, uint64_t conn, uint8_t type,
+    const uint8_t *body, size_t len, void *arg)
+{
+	struct control *c = arg;
+
+	if (membership_owns(type))
+		membership_receive(c->membership, control_now(c), &from, conn,
+		    type, body, len);
+	else
+		spread_on_frame(
+		    c->spread, control_now(c), &from, conn, type, body, len);
+	control_pump(c);
+}
+
+static void
+control_on_closed(struct net_addr peer, void *arg)
+{
+	struct control *c = arg;
+
+	membership_unreachable(c->membership, control_now(c), &peer);
+	spread_on_closed(c->spread, control_now(c), &peer);
+	control_pump(c);
+}
+
+static const struct peers_handler control_peers_handler = {
+    .on_datagram = control_on_datagram,
+    .on_frame = control_on_frame,
+    .on_closed = control_on_closed,
+};
+
+static void
+control_register_metrics(void)
+{
+	metric_register(&version_gauge);
+	metric_register(&applied_gauge);
+	metric_register(&members_gauge);
+	metric_register(&ready_gauge);
+	metric_register(&publish_count);
+}
+
+static void
+control_make_decisions(struct control *c, uint64_t incarnation, uint64_t seed)
+{
+	struct membership_settings ms;
+	struct spread_config sc;
+	uint64_t now_ms = clock_now_ms();
+
+	control_membership_settings(c->settings, &ms);
+	c->outbox = outbox_new();
+	c->membership =
+	    membership_new(&ms, now_ms, incarnation, seed, c->outbox);
+	g_free((gpointer)ms.seeds);
+	control_spread_config(c->settings, &sc);
+	sc.seed = seed + 1;
+	c->catalog = catalog_new(0);
+	c->spread = spread_new(&sc, c->membership, c->catalog, now_ms);
+	c->endpoints = endpoint_set_new();
+}
+
+enum status
+control_new(const struct settings *s, struct entry *e, struct guard *g,
+    uint64_t incarnation, uint64_t seed, struct control **out)
+{
+	struct net_addr at = {s->address, s->peer_port};
+	struct control *c = g_new0(struct control, 1);
+	enum status st;
+
+	c->settings = s;
+	c->entry = e;
+	c->guard = g;
+	c->loop = loop_new();
+	if (c->loop == NULL) {
+		control_free(c);
+		return STATUS_IO;
+	}
+	st = peers_new(c->loop, at, &control_peers_handler, c, &c->peers);
+	if (st != STATUS_OK) {
+		control_free(c);
+		return st;
+	}
+	control_register_metrics();
+	control_make_decisions(c, incarnation, seed);
+	c->http = http_client_new(c->loop, NULL);
+	c->store =
+	    http_store_new(c->http, c->loop, s->table_url, s->object_url);
+	c->source =
+	    source_new(c->loop, c->store, c->spread, control_on_answer, c);
+	loop_timer_init(&c->timer, c->loop, control_on_timer, c);
+	*out = c;
+	return STATUS_OK;
+}
+
+static void *
+control_run(void *arg)
+{
+	struct control *c = arg;
+
+	loop_run(c->loop);
+	return NULL;
+}
+
+enum status
+control_start(struct control *c)
+{
+	loop_timer_set(&c->timer, 0);
+	if (pthread_create(&c->thread, NULL, control_run, c) != 0)
+		return status_set(STATUS_IO,
+		    "No control thread could be started; raise the limit of "
+		    "threads.");
+	c->running = 1;
+	return STATUS_OK;
+}
+
+struct loop *
+control_loop(struct control *c)
+{
+	return c->loop;
+}
+
+int
+control_ready(const struct control *c)
+{
+	return atomic_load(&c->ready);
+}
+
+uint64_t
+control_version(const struct control *c)
+{
+	return atomic_load(&c->version);
+}
+
+static void
+control_leave_posted(void *arg)
+{
+	struct control *c = arg;
+
+	membership_leave(c->membership, control_now(c));
+	control_pump(c);
+}
+
+void
+control_leave(struct control *c)
+{
+	loop_post(c->loop, control_leave_posted, c);
+}
+
+int
+control_has_left(const struct control *c)
+{
+	return atomic_load(&c->left);
+}
+
+void
+control_stop(struct control *c)
+{
+	if (!c->running)
+		return;
+	loop_stop(c->loop);
+	(void)pthread_join(c->thread, NULL);
+	c->running = 0;
+}
+
+void
+control_free(struct control *c)
+{
+	if (c == NULL)
+		return;
+	snapshot_ref_publish(NULL);
+	snapshot_unref(c->snapshot);
+	store_free(c->store);
+	http_client_free(c->http);
+	source_free(c->source);
+	spread_free(c->spread);
+	catalog_free(c->catalog);
+	membership_free(c->membership);
+	endpoint_set_free(c->endpoints);
+	peers_free(c->peers);
+	outbox_free(c->outbox);
+	loop_free(c->loop);
+	g_free(c);
+}
--- /dev/null
+++ b/packages/node/src/control_api.c
@@ -0,0 +1,123 @@
+/*
+ * What the administration API asks of the control thread.
+ */
+#define LOG_PART "control"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "control_priv.h"
+
+enum status
+control_announce(struct control *c, const char *service, uint16_t port,
+    uint16_t slots, enum endpoint_state state, uint32_t lease_ms)
+{
+	uint64_t now_ms = control_now(c);
+	enum status st;
+
+	st = membership_announce(c->membership, now_ms, service, port, slots,
+	    state, now_ms + lease_ms);
+	control_pump(c);
+	return st;
+}
+
+/* Port of one of this host's upstreams of a service; 0 when there is none. */
+static uint16_t
+control_upstream_port(const struct control *c, const char *service)
+{
+	const struct member *self = membership_self(c->membership);
+	uint32_t i;
+
+	for (i = 0; i < self->n_endpoints; i++) {
+		if (self->endpoints[i].state != ENDPOINT_LEFT &&
+		    strcmp(self->endpoints[i].service, service) == 0)
+			return self->endpoints[i].port;
+	}
+	return 0;
+}
+
+enum status
+control_withdraw(struct control *c, const char *service, uint16_t port)
+{
+	enum status st;
+
+	if (port == 0)
+		port = control_upstream_port(c, service);
+	st = membership_withdraw(c->membership, control_now(c), service, port);
+	control_pump(c);
+	return st;
+}
+
+struct store *
+control_store(struct control *c)
+{
+	return c->store;
+}
+
+void
+control_ask_progress(struct control *c)
+{
+	spread_progress_ask(c->spread, control_now(c));
+	control_pump(c);
+}
+
+/* An operation that this node runs, and who waits for it. */
+struct control_operation {
+	struct control *control;
+	operation_fn *fn;
+	void *arg;
+};
+
+/* Puts a version that was just written on its way to the peers. */
+static void
+control_signed(struct control *c, const struct operation_end *end)
+{
+	struct msg_version_changes changes = {0};
+	struct spread_version_row row;
+	struct rec_head head = {
+	    .seq = end->head.seq,
+	    .version = end->head.version,
+	    .in_force = end->head.in_force,
+	    .state = HEAD_ROLLING,
+	    .root = end->head.root,
+	};
+
+	if (source_row(&end->version, &changes, &row) != STATUS_OK)
+		return;
+	spread_on_signed(c->spread, control_now(c), &head, &row);
+	msg_version_changes_clear(&changes);
+	control_pump(c);
+}
+
+static void
+control_operation_done(const struct operation_end *end, void *arg)
+{
+	struct control_operation *op = arg;
+	struct spread_action read_head = {.kind = SPREAD_READ_HEAD};
+
+	log_info("Operation ended as %s: %s",
+	    rollout_result_name(end->outcome->result), end->outcome->message);
+	if (end->wrote && end->wrote_version)
+		control_signed(op->control, end);
+	else if (end->wrote)
+		source_read(op->control->source, &read_head);
+	op->fn(end, op->arg);
+	g_free(op);
+}
+
+enum status
+control_operate(struct control *c, const struct rollout_request *req,
+    struct bundle *bundle, operation_fn *fn, void *arg)
+{
+	struct control_operation *op = g_new0(struct control_operation, 1);
+	enum status st;
+
+	op->control = c;
+	op->fn = fn;
+	op->arg = arg;
+	st = operation_start(
+	    c->loop, c->store, req, bundle, control_operation_done, op);
+	if (st != STATUS_OK)
+		g_free(op);
+	return st;
+}
--- /dev/null
+++ b/packages/node/src/control_settings.c
@@ -0,0 +1,54 @@
+/*
+ * What the settings mean for the decisions of the control thread.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "control_priv.h"
+#include "proto/settings.h"
+#include "spread/profile.h"
+
+void
+control_membership_settings(
+    const struct settings *s, struct membership_settings *ms)
+{
+	membership_settings_init(ms);
+	(void)g_strlcpy(ms->host, s->host, sizeof(ms->host));
+	(void)g_strlcpy(
+	    ms->data_centre, s->data_centre, sizeof(ms->data_centre));
+	ms->address.ip = s->address;
+	ms->address.port = s->peer_port;
+	ms->call_port = s->call_port;
+	ms->seeds = g_memdup2(s->seeds, s->n_seeds * sizeof(s->seeds[0]));
+	ms->n_seeds = s->n_seeds;
+	ms->probe_interval_ms = s->probe_interval_ms;
+	ms->probe_timeout_ms = s->probe_timeout_ms;
+	ms->suspicion_ms = s->suspicion_ms;
+	ms->join_limit = s->join_limit;
+}
+
+/* A setting of 0 leaves what the profile says. */
+static void
+override(uint32_t *value, uint32_t setting)
+{
+	if (setting != 0)
+		*value = setting;
+}
+
+void
+control_spread_config(const struct settings *s, struct spread_config *sc)
+{
+	const char *name = settings_profile_name(s->profile);
+
+	memset(sc, 0, sizeof(*sc));
+	sc->profile = *spread_profile_find(name);
+	sc->host = s->host;
+	sc->data_centre = s->data_centre;
+	override(&sc->profile.fanout, s->spread_fanout);
+	override(&sc->profile.interval_ms, s->spread_interval_ms);
+	override(&sc->profile.readers, s->readers_per_data_centre);
+	override(&sc->profile.head_poll_ms, s->head_poll_ms);
+	override(&sc->profile.batch_ms, s->batch_ms);
+	override(&sc->profile.anti_entropy_ms, s->anti_entropy_ms);
+}
--- /dev/null
+++ b/packages/node/src/main.c
@@ -0,0 +1,156 @@
+/*
+ * bramleydrift: the one small process on each upstream host.
+ */
+#define LOG_PART "main"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "node/node.h"
+#include "proto/settings.h"
+
+enum exit_code {
+	EXIT_FINE = 0,
+	EXIT_FAILED = 1,
+	EXIT_USAGE = 2,
+	EXIT_SETTINGS = 3,
+};
+
+static char *settings_path;
+static gboolean check_settings;
+static gboolean print_settings;
+static gboolean show_version;
+
+static GOptionEntry entries[] = {
+    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &settings_path,
+	"Settings of this node, a JSON file", "FILE"},
+    {"check-settings", 0, 0, G_OPTION_ARG_NONE, &check_settings,
+	"Check the settings and exit", NULL},
+    {"print-settings", 0, 0, G_OPTION_ARG_NONE, &print_settings,
+	"Print the settings in effect as JSON and exit", NULL},
+    {"version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+	"Print the release and exit", NULL},
+    {0},
+};
+
+static const char description[] =
+    "Exit codes: 0 stopped as asked, 1 failed, 2 usage, 3 wrong settings.\n"
+    "SIGTERM and SIGINT stop gracefully: no request in flight is cut.\n";
+
+/* Parses the command line; returns an exit code or -1 to go on. */
+static int
+parse_options(int *argc, char ***argv)
+{
+	GOptionContext *ctx = g_option_context_new("- node of the mesh");
+	GError *err = NULL;
+	int code = -1;
+
+	g_option_context_set_description(ctx, description);
+	g_option_context_add_main_entries(ctx, entries, NULL);
+	if (!g_option_context_parse(ctx, argc, argv, &err)) {
+		(void)fprintf(
+		    stderr, "bramleydrift: %s; try --help.\n", err->message);
+		g_error_free(err);
+		code = EXIT_USAGE;
+	} else if (show_version) {
+		(void)printf("bramleydrift %s\n", BRAMLEY_VERSION);
+		code = EXIT_FINE;
+	} else if (settings_path == NULL) {
+		(void)fprintf(stderr,
+		    "bramleydrift: no settings; give --settings FILE.\n");
+		code = EXIT_USAGE;
+	}
+	g_option_context_free(ctx);
+	return code;
+}
+
+/* Loads the settings; tells all errors at once. */
+static int
+load_settings(struct settings *s)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	int ok = settings_load(settings_path, s, errors) == STATUS_OK;
+	guint i;
+
+	for (i = 0; i < errors->len; i++)
+		(void)fprintf(stderr, "bramleydrift: %s\n",
+		    (const char *)g_ptr_array_index(errors, i));
+	g_ptr_array_unref(errors);
+	return ok;
+}
+
+static void
+show_settings(const struct settings *s)
+{
+	GString *out = g_string_new(NULL);
+
+	settings_print(s, out);
+	(void)fputs(out->str, stdout);
+	g_string_free(out, TRUE);
+}
+
+/* Signals are taken by sigwait() in this thread only. */
+static void
+block_signals(sigset_t *set)
+{
+	(void)sigemptyset(set);
+	(void)sigaddset(set, SIGTERM);
+	(void)sigaddset(set, SIGINT);
+	(void)pthread_sigmask(SIG_BLOCK, set, NULL);
+	(void)signal(SIGPIPE, SIG_IGN);
+}
+
+static uint64_t
+random_seed(const struct settings *s)
+{
+	uint64_t now_us = clock_now_us();
+
+	return hash64(&now_us, sizeof(now_us), clock_wall_ms()) ^
+	    hash64(s->host, sizeof(s->host), now_us);
+}
+
+static int
+run(const struct settings *s)
+{
+	struct node *n;
+	sigset_t set;
+	int sig;
+
+	block_signals(&set);
+	log_start(s->log_level, s->host);
+	if (node_start(s, clock_wall_ms(), random_seed(s), &n) != STATUS_OK) {
+		log_error("%s", status_message());
+		log_stop();
+		return EXIT_FAILED;
+	}
+	(void)sigwait(&set, &sig);
+	log_info("Signal %d came; stopping gracefully.", sig);
+	node_stop(n);
+	log_info("Stopped.");
+	log_stop();
+	return EXIT_FINE;
+}
+
+int
+main(int argc, char *argv[])
+{
+	struct settings s;
+	int code = parse_options(&argc, &argv);
+
+	if (code >= 0)
+		return code;
+	if (!load_settings(&s))
+		return EXIT_SETTINGS;
+	if (print_settings)
+		show_settings(&s);
+	if (print_settings || check_settings)
+		return EXIT_FINE;
+	return run(&s);
+}
--- /dev/null
+++ b/packages/node/src/operation.c
@@ -0,0 +1,279 @@
+/*
+ * Operations on the platform's rows: the shell around one rollout decision.
+ */
+#include <glib.h>
+
+#include "node/operation.h"
+
+struct operation {
+	struct loop *loop;
+	struct store *store;
+	struct rollout *rollout;
+	struct bundle *bundle;
+	struct loop_timer timer;
+	struct operation_end end;
+	operation_fn *fn;
+	void *arg;
+	uint32_t pending; /* answers of the store still to come */
+	int finished;
+};
+
+/* One request to the store; carries the token of its action. */
+struct operation_step {
+	struct operation *op;
+	uint32_t token;
+};
+
+static void operation_pump(struct operation *op);
+
+static struct operation_step *
+step_new(struct operation *op, uint32_t token)
+{
+	struct operation_step *step = g_new0(struct operation_step, 1);
+
+	step->op = op;
+	step->token = token;
+	op->pending++;
+	return step;
+}
+
+static uint64_t
+operation_now(const struct operation *op)
+{
+	return loop_now_ms(op->loop);
+}
+
+static void
+operation_free(struct operation *op)
+{
+	loop_timer_stop(&op->timer);
+	rollout_free(op->rollout);
+	bundle_free(op->bundle);
+	if (op->end.changes != NULL)
+		g_bytes_unref(op->end.changes);
+	g_free(op);
+}
+
+/* Ends a step; frees the operation with its last one after its end. */
+static void
+step_end(struct operation_step *step)
+{
+	struct operation *op = step->op;
+
+	g_free(step);
+	op->pending--;
+	if (!op->finished)
+		operation_pump(op);
+	else if (op->pending == 0)
+		operation_free(op);
+}
+
+static void
+on_head(enum status st, const struct store_head *head, void *arg)
+{
+	struct operation_step *step = arg;
+
+	rollout_on_head(
+	    step->op->rollout, operation_now(step->op), step->token, st, head);
+	step_end(step);
+}
+
+static void
+on_versions(enum status st, const struct store_version *rows, uint32_t n,
+    uint64_t upto, void *arg)
+{
+	struct operation_step *step = arg;
+
+	rollout_on_versions(step->op->rollout, operation_now(step->op),
+	    step->token, st, rows, n, upto);
+	step_end(step);
+}
+
+static void
+on_object(enum status st, const uint8_t *data, size_t len, void *arg)
+{
+	struct operation_step *step = arg;
+
+	rollout_on_object(step->op->rollout, operation_now(step->op),
+	    step->token, st, data, len);
+	step_end(step);
+}
+
+static void
+on_put(enum status st, void *arg)
+{
+	struct operation_step *step = arg;
+
+	rollout_on_put(
+	    step->op->rollout, operation_now(step->op), step->token, st);
+	step_end(step);
+}
+
+static void
+on_transact(enum status st, enum store_conflict which, void *arg)
+{
+	struct operation_step *step = arg;
+
+	(void)which;
+	rollout_on_transact(
+	    step->op->rollout, operation_now(step->op), step->token, st);
+	step_end(step);
+}
+
+/* Keeps what is written, for the end of the operation. */
+static void
+remember_write(struct operation *op, const struct rollout_action *a)
+{
+	op->end.head = a->head;
+	op->end.version = a->version;
+	op->end.wrote_version = a->has_version;
+	if (op->end.changes != NULL)
+		g_bytes_unref(op->end.changes);
+	op->end.changes = a->content != NULL ? g_bytes_ref(a->content) : NULL;
+}
+
+static struct store_version
+version_with_changes(const struct rollout_action *a)
+{
+	struct store_version v = a->version;
+	gsize n = 0;
+
+	if (a->content != NULL) {
+		v.changes = g_bytes_get_data(a->content, &n);
+		v.changes_bytes = (uint32_t)n;
+	}
+	return v;
+}
+
+static void
+operation_transact(struct operation *op, const struct rollout_action *a)
+{
+	struct store_version v = version_with_changes(a);
+	struct store_write w = {
+	    .expected_seq = a->expected_seq,
+	    .head = &a->head,
+	    .version = a->has_version ? &v : NULL,
+	};
+
+	remember_write(op, a);
+	store_transact(
+	    op->store, &w, a->deadline_ms, on_transact, step_new(op, a->token));
+}
+
+static void
+operation_put(struct operation *op, const struct rollout_action *a)
+{
+	gsize n;
+	const uint8_t *data = g_bytes_get_data(a->content, &n);
+
+	store_put_object_once(op->store, a->key, data, n, a->deadline_ms,
+	    on_put, step_new(op, a->token));
+}
+
+static void
+operation_finish(struct operation *op)
+{
+	const struct rollout_outcome *o = rollout_outcome(op->rollout);
+
+	op->finished = 1;
+	loop_timer_stop(&op->timer);
+	op->end.outcome = o;
+	op->end.wrote = o->result == ROLLOUT_DONE && !o->repeated;
+	if (op->end.wrote && op->end.changes != NULL) {
+		gsize n;
+
+		op->end.version.changes = g_bytes_get_data(op->end.changes, &n);
+		op->end.version.changes_bytes = (uint32_t)n;
+	}
+	op->fn(&op->end, op->arg);
+}
+
+static void
+operation_carry_out(struct operation *op, const struct rollout_action *a)
+{
+	switch (a->kind) {
+	case ROLLOUT_READ_HEAD:
+		store_read_head(
+		    op->store, a->deadline_ms, on_head, step_new(op, a->token));
+		break;
+	case ROLLOUT_READ_VERSIONS:
+		store_read_versions(op->store, a->from, a->to, a->deadline_ms,
+		    on_versions, step_new(op, a->token));
+		break;
+	case ROLLOUT_GET_OBJECT:
+		store_get_object(op->store, a->key, STORE_OBJECT_MAX_BYTES,
+		    a->deadline_ms, on_object, step_new(op, a->token));
+		break;
+	case ROLLOUT_PUT_OBJECT:
+		operation_put(op, a);
+		break;
+	case ROLLOUT_TRANSACT:
+		operation_transact(op, a);
+		break;
+	case ROLLOUT_FINISH:
+		operation_finish(op);
+		break;
+	}
+}
+
+/* Carries out all actions; frees the operation when nothing is left. */
+static void
+operation_pump(struct operation *op)
+{
+	struct rollout_action a;
+
+	while (!op->finished && rollout_action(op->rollout, &a)) {
+		operation_carry_out(op, &a);
+		rollout_action_clear(&a);
+	}
+	if (!op->finished)
+		loop_timer_set(&op->timer, rollout_next_ms(op->rollout));
+	else if (op->pending == 0)
+		operation_free(op);
+}
+
+static void
+operation_on_timer(void *arg)
+{
+	struct operation *op = arg;
+
+	rollout_tick(op->rollout, operation_now(op));
+	operation_pump(op);
+}
+
+static void
+operation_begin(void *arg)
+{
+	struct operation *op = arg;
+
+	rollout_start(op->rollout, operation_now(op));
+	operation_pump(op);
+}
+
+enum status
+operation_start(struct loop *loop, struct store *store,
+    const struct rollout_request *req, struct bundle *bundle, operation_fn *fn,
+    void *arg)
+{
+	struct rollout_request with_bundle = *req;
+	struct operation *op;
+	struct rollout *r;
+	enum status st;
+
+	with_bundle.bundle = bundle;
+	st = rollout_new(&with_bundle, &r);
+	if (st != STATUS_OK) {
+		bundle_free(bundle);
+		return st;
+	}
+	op = g_new0(struct operation, 1);
+	op->loop = loop;
+	op->store = store;
+	op->rollout = r;
+	op->bundle = bundle;
+	op->fn = fn;
+	op->arg = arg;
+	loop_timer_init(&op->timer, loop, operation_on_timer, op);
+	loop_post(loop, operation_begin, op);
+	return STATUS_OK;
+}
