feat(standins): stand-in upstream

Problem: calls have to be proved against upstreams that drain, start cold, shed, hang, lie, break connections, and tell what they ran.

Solution: standin_upstream runs calls in slots, counts and journals each run before its work, answers with the length and hash of the body that arrived, and announces itself to its node. Knobs make it shed, hang, go slow, lie, let its lease lapse, and close connections after a run.

--- a/packages/standins/src/pattern.c
+++ b/packages/standins/src/pattern.c
@@ -10,6 +10,9 @@
 
 #define PATTERN_WORD 8
 #define PATTERN_PIECE_BYTES 65536
+/* A double holds 53 bits. */
+#define PATTERN_SHARE_BITS 53
+#define PATTERN_SHARE_SHIFT (64 - PATTERN_SHARE_BITS)
 
 /* splitmix64 of Steele, Lea and Flood, as a function of the place. */
 static uint64_t
@@ -67,3 +70,10 @@
 	g_free(buf);
 	return h;
 }
+
+double
+pattern_share(uint64_t seed, uint64_t n)
+{
+	return (double)(pattern_word(seed, n) >> PATTERN_SHARE_SHIFT) /
+	    (double)(1ULL << PATTERN_SHARE_BITS);
+}
--- /dev/null
+++ b/packages/standins/src/upstream_call.c
@@ -0,0 +1,231 @@
+/*
+ * Calls of the stand-in upstream: slot, body, run, work, answer.
+ */
+#include <math.h>
+#include <string.h>
+
+#include <civetweb.h>
+#include <glib.h>
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "standins/pattern.h"
+#include "standins/reply.h"
+#include "upstream_defs.h"
+
+#define CALL_PIECE_BYTES 65536
+#define CALL_HANG_POLL_MS 20
+#define CALL_WARM_FACTOR 3.0
+#define CALL_WORK_MOST_MEANS 10.0
+#define CALL_FATE_NOT_RUN "Bramley-Fate: not_run\r\n"
+
+/* A call on its way through the upstream. */
+struct call {
+	struct mg_connection *conn;
+	struct run_ids ids;
+	uint64_t body_bytes;
+	uint64_t body_hash;
+	uint64_t run;
+	uint64_t start_ms;
+	int drop; /* close the connection instead of answering */
+};
+
+int
+upstream_serving(const struct upstream *u, uint64_t now_ms)
+{
+	return !u->knobs.shed && now_ms >= u->ready_ms;
+}
+
+static int
+call_expired(const struct call *c)
+{
+	const char *left = mg_get_header(c->conn, "Bramley-Deadline-Ms");
+
+	return left != NULL && strcmp(left, "0") == 0;
+}
+
+static int
+slot_take(struct upstream *u, const struct call *c)
+{
+	int ok;
+
+	pthread_mutex_lock(&u->lock);
+	ok = upstream_serving(u, clock_now_ms()) && !call_expired(c) &&
+	    u->in_flight < u->opt.slots;
+	if (ok)
+		u->in_flight++;
+	else
+		u->stats.shed++;
+	pthread_mutex_unlock(&u->lock);
+	return ok;
+}
+
+static void
+slot_release(struct upstream *u)
+{
+	pthread_mutex_lock(&u->lock);
+	u->in_flight--;
+	pthread_cond_broadcast(&u->changed);
+	pthread_mutex_unlock(&u->lock);
+}
+
+/* Read the whole body; 0 when it broke off. */
+static int
+call_read(struct call *c)
+{
+	int n;
+	long long len = mg_get_request_info(c->conn)->content_length;
+	XXH64_state_t *st = XXH64_createState();
+	uint8_t *buf = g_malloc(CALL_PIECE_BYTES);
+
+	XXH64_reset(st, 0);
+	web_expect(c->conn);
+	while ((n = web_read(c->conn, buf, CALL_PIECE_BYTES)) > 0) {
+		XXH64_update(st, buf, (size_t)n);
+		c->body_bytes += (uint64_t)n;
+	}
+	c->body_hash = XXH64_digest(st);
+	XXH64_freeState(st);
+	g_free(buf);
+	return n == 0 && (len < 0 || c->body_bytes == (uint64_t)len);
+}
+
+static int
+knob_use(uint32_t *left)
+{
+	if (*left == 0)
+		return 0;
+	(*left)--;
+	return 1;
+}
+
+/* Count the run, before its work, and decide whether to answer it. */
+static void
+call_begin(struct upstream *u, struct call *c)
+{
+	int post =
+	    strcmp(mg_get_request_info(c->conn)->request_method, "POST") == 0;
+
+	c->start_ms = clock_now_ms();
+	c->run = runs_add(u->runs, &c->ids, c->start_ms);
+	pthread_mutex_lock(&u->lock);
+	if (post && web_nth(c->conn) > 1 &&
+	    knob_use(&u->knobs.close_kept_alive))
+		c->drop = 1;
+	else if (knob_use(&u->knobs.close_after_run))
+		c->drop = 1;
+	if (c->drop)
+		u->stats.unanswered++;
+	if (c->start_ms >= u->draining_ms) {
+		u->stats.after_drain++;
+		u->stats.after_drain_max_ms = c->start_ms - u->draining_ms;
+	}
+	pthread_mutex_unlock(&u->lock);
+}
+
+/* Time of one call's work, exponential about the mean. */
+static double
+call_work_ms(const struct upstream *u, const struct call *c)
+{
+	double factor = u->knobs.slow_factor;
+	double share = pattern_share(u->ready_ms, c->run);
+	double work = MIN(-log(1.0 - share), CALL_WORK_MOST_MEANS);
+	uint64_t warm_ms = u->ready_ms + u->opt.warm_up_ms;
+
+	if (c->start_ms < warm_ms)
+		factor *= 1.0 +
+		    CALL_WARM_FACTOR * (double)(warm_ms - c->start_ms) /
+			(double)u->opt.warm_up_ms;
+	return work * u->knobs.work_ms_mean * factor;
+}
+
+static void
+call_work(struct upstream *u, const struct call *c)
+{
+	double work_ms;
+	int hang;
+
+	pthread_mutex_lock(&u->lock);
+	work_ms = call_work_ms(u, c);
+	pthread_mutex_unlock(&u->lock);
+	if (work_ms > 0)
+		g_usleep((gulong)(work_ms * 1000.0));
+	do {
+		pthread_mutex_lock(&u->lock);
+		hang = u->knobs.hang && !u->stopping;
+		pthread_mutex_unlock(&u->lock);
+		if (hang)
+			g_usleep(CALL_HANG_POLL_MS * 1000UL);
+	} while (hang);
+}
+
+static void
+call_answer_pad(struct call *c, uint64_t pad_bytes)
+{
+	size_t n;
+	struct pattern p = {pattern_seed(c->ids.test_id), 0};
+	uint8_t *buf = g_malloc(CALL_PIECE_BYTES);
+
+	while (pad_bytes > 0) {
+		n = (size_t)MIN(pad_bytes, CALL_PIECE_BYTES);
+		pattern_fill(&p, buf, n);
+		if (mg_write(c->conn, buf, n) <= 0)
+			break;
+		pad_bytes -= n;
+	}
+	g_free(buf);
+}
+
+static void
+call_answer(struct upstream *u, struct call *c)
+{
+	GString *line;
+	uint64_t pad = web_query_u64(c->conn, "answer_bytes", 0);
+	struct reply r = {u->opt.host, c->ids.test_id, c->ids.key, c->run,
+	    c->body_bytes, c->body_hash, pad};
+
+	line = reply_line(&r);
+	web_head(c->conn, "application/octet-stream", line->len + pad,
+	    line->str, line->len);
+	g_string_free(line, TRUE);
+	call_answer_pad(c, pad);
+}
+
+static const char *
+header_or_empty(struct mg_connection *conn, const char *name)
+{
+	const char *v = mg_get_header(conn, name);
+
+	return v == NULL ? "" : v;
+}
+
+void
+upstream_call(struct upstream *u, struct mg_connection *conn)
+{
+	struct call c;
+
+	memset(&c, 0, sizeof(c));
+	c.conn = conn;
+	c.ids.test_id = header_or_empty(conn, "X-Test-Id");
+	c.ids.request_id = header_or_empty(conn, "Bramley-Request-Id");
+	c.ids.key = header_or_empty(conn, "Idempotency-Key");
+	if (!slot_take(u, &c)) {
+		web_answer_json(conn, 503, CALL_FATE_NOT_RUN, json_object());
+		return;
+	}
+	if (!call_read(&c)) {
+		pthread_mutex_lock(&u->lock);
+		u->stats.broken++;
+		pthread_mutex_unlock(&u->lock);
+		web_drop(conn);
+		slot_release(u);
+		return;
+	}
+	call_begin(u, &c);
+	call_work(u, &c);
+	if (c.drop)
+		web_drop(conn);
+	else
+		call_answer(u, &c);
+	slot_release(u);
+}
--- /dev/null
+++ b/packages/standins/src/upstream_defs.h
@@ -0,0 +1,62 @@
+/*
+ * State of the stand-in upstream, shared by its calls and its control.
+ */
+#ifndef STANDINS_UPSTREAM_DEFS_H
+#define STANDINS_UPSTREAM_DEFS_H
+
+#include <pthread.h>
+#include <stdint.h>
+
+#include "standins/announcer.h"
+#include "standins/runs.h"
+#include "standins/upstream.h"
+#include "standins/web.h"
+
+#define UPSTREAM_LIE_BYTES 8
+#define UPSTREAM_LOAD_TRUE (-1)
+
+/* Settable faults; see upstream.h. */
+struct upstream_knobs {
+	int shed;
+	int hang;
+	int drain;
+	int pause_lease;
+	double slow_factor;
+	uint32_t work_ms_mean;
+	char lie_health[UPSTREAM_LIE_BYTES];
+	int64_t lie_load;
+	uint32_t close_after_run;
+	uint32_t close_kept_alive;
+};
+
+struct upstream_stats {
+	uint64_t shed;	      /* turned away, not run */
+	uint64_t broken;      /* bodies that broke off, not run */
+	uint64_t unanswered;  /* run, connection closed with no answer */
+	uint64_t after_drain; /* runs begun after draining was announced */
+	uint64_t after_drain_max_ms; /* the latest of them */
+};
+
+struct upstream {
+	struct upstream_options opt;
+	struct web_server *web;
+	struct announcer *announcer; /* NULL without a node */
+	struct runs *runs;
+	pthread_t starter;    /* announces "ready" after the cold start */
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t changed;
+	struct upstream_knobs knobs;
+	struct upstream_stats stats;
+	uint32_t in_flight;
+	uint64_t ready_ms;    /* when the cold start ends */
+	uint64_t draining_ms; /* when draining was taken; DEADLINE_NEVER */
+	int stopping;
+};
+
+/* Serve one call. */
+void upstream_call(struct upstream *u, struct mg_connection *conn);
+
+/* Whether calls are taken now; under the lock. */
+int upstream_serving(const struct upstream *u, uint64_t now_ms);
+
+#endif
