--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -89,7 +89,7 @@
  * @version: newest version
  * @in_force: highest version that is not halted
  * @state: state of the newest version
- * @root: root of the newest version; zero when not known
+ * @root: root of the version in force; zero when not known
  */
 struct rec_head {
 	uint64_t seq;
--- /dev/null
+++ b/packages/spread/include/spread/intake.h
@@ -0,0 +1,195 @@
+/*
+ * Intake: gets one version whole into a stage, from peers or the platform.
+ *
+ * A peer that holds the version is asked for the changes and then for the
+ * content that is still missing; one that is silent past the deadline has its
+ * connection closed and another is asked.  After pull_peers failures, or when
+ * the platform itself told of the version and no peer offers it in time, the
+ * platform is read under the node's budget.  Whoever gave it, a version is
+ * only handed on when all of it is there; its root is checked on commit.
+ */
+#ifndef SPREAD_INTAKE_H
+#define SPREAD_INTAKE_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "config/catalog.h"
+#include "config/stage.h"
+#include "proto/messages.h"
+#include "spread/backoff.h"
+#include "spread/budget.h"
+#include "spread/candidates.h"
+#include "spread/env.h"
+
+/**
+ * enum intake_step - how far the version under way is
+ * @INTAKE_IDLE: none is under way
+ * @INTAKE_LIST: its changes or its list are being asked for
+ * @INTAKE_CONTENT: it is staged but lacks content
+ * @INTAKE_STAGED: all of it is there
+ */
+enum intake_step {
+	INTAKE_IDLE = 0,
+	INTAKE_LIST,
+	INTAKE_CONTENT,
+	INTAKE_STAGED,
+};
+
+/** enum intake_provider - who is being asked */
+enum intake_provider {
+	INTAKE_NOBODY = 0,
+	INTAKE_PEER,
+	INTAKE_SOURCE,
+};
+
+/**
+ * struct intake - the version under way
+ * @env: environment
+ * @candidates: peers that may be asked
+ * @source_backoff: back-off from the platform
+ * @source_budget: reads that may be asked of the platform
+ * @retry: back-off after a version that could not be taken in
+ * @target: version that is wanted
+ * @root: root of @root_version
+ * @root_version: version whose root is known, 0 for none
+ * @start_ms: not to be begun before; keeps versions @batch_ms apart
+ * @source_ms: when the platform may be asked
+ * @budget_ms: when the budget has a read left again
+ * @anyone_ms: when a peer that is not known to hold it is asked
+ * @failures: peers that failed since the target was set
+ * @full: whether the whole list is to be asked for
+ * @step: how far it is
+ * @provider: who is being asked
+ * @peer: the peer, if it is one
+ * @token: number of the last question to a peer
+ * @deadline_ms: when the question is given up
+ * @list: pages of changes so far
+ * @list_peer: peer that gave the list; port 0 if it was not a peer
+ * @stage: the version as it fills
+ * @asked: struct digest asked of the platform and not answered yet
+ */
+struct intake {
+	struct spread_env *env;
+	struct candidates candidates;
+	struct backoff source_backoff;
+	struct budget source_budget;
+	struct backoff retry;
+	uint64_t target;
+	struct digest root;
+	uint64_t root_version;
+	uint64_t start_ms;
+	uint64_t source_ms;
+	uint64_t budget_ms;
+	uint64_t anyone_ms;
+	uint32_t failures;
+	int full;
+	enum intake_step step;
+	enum intake_provider provider;
+	struct net_addr peer;
+	uint32_t token;
+	uint64_t deadline_ms;
+	struct catalog_delta list;
+	struct net_addr list_peer;
+	struct catalog_stage *stage;
+	GArray *asked;
+};
+
+/** intake_init() - nothing under way */
+void intake_init(struct intake *in, struct spread_env *env, uint64_t now_ms);
+
+/** intake_clear() - free what the intake holds */
+void intake_clear(struct intake *in);
+
+/**
+ * intake_want() - set the version that is wanted
+ * @in: intake
+ * @now_ms: monotonic time
+ * @version: the version; not above the one held for none
+ *
+ * What is under way goes on, if it is not above @version.
+ */
+void intake_want(struct intake *in, uint64_t now_ms, uint64_t version);
+
+/** intake_root() - @version must have this root */
+void
+intake_root(struct intake *in, uint64_t version, const struct digest *root);
+
+/** intake_under_way() - version that is being taken in, 0 for none */
+uint64_t intake_under_way(const struct intake *in);
+
+/** intake_drop() - give up what is under way; the target stays */
+void intake_drop(struct intake *in);
+
+/** intake_from_source() - the platform itself told of the target */
+void intake_from_source(struct intake *in, uint64_t now_ms);
+
+/**
+ * intake_offered() - a peer holds a version
+ * @in: intake
+ * @now_ms: monotonic time
+ * @from: the peer
+ * @version: version that it holds at least
+ * @near: whether it is in the own data centre
+ */
+void intake_offered(struct intake *in, uint64_t now_ms,
+    const struct net_addr *from, uint64_t version, int near);
+
+/** intake_tick() - ask whoever is to be asked, give up what is late */
+void intake_tick(struct intake *in, uint64_t now_ms);
+
+/** intake_next_ms() - when intake_tick() is due */
+uint64_t intake_next_ms(const struct intake *in);
+
+/**
+ * intake_on_delta() - a peer answered a pull
+ * @in: intake
+ * @now_ms: monotonic time
+ * @msg: the answer
+ * @in_force: whether the version that it leads to is in force as far as this
+ *	node knows
+ */
+void intake_on_delta(struct intake *in, uint64_t now_ms,
+    const struct msg_delta *msg, int in_force);
+
+/** intake_on_sections() - a peer answered a fetch */
+void intake_on_sections(
+    struct intake *in, uint64_t now_ms, const struct msg_sections *msg);
+
+/** intake_on_closed() - the connection to a peer is gone */
+void intake_on_closed(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer);
+
+/** intake_on_versions() - the platform answered SPREAD_READ_VERSIONS */
+void intake_on_versions(struct intake *in, uint64_t now_ms, enum status st,
+    const struct spread_version_row *rows, uint32_t n_rows);
+
+/** intake_on_object() - the platform answered SPREAD_READ_OBJECT */
+void intake_on_object(struct intake *in, uint64_t now_ms, enum status st,
+    const struct digest *digest, const uint8_t *data, size_t len);
+
+/**
+ * intake_signed() - this node itself made a version
+ * @in: intake
+ * @now_ms: monotonic time
+ * @row: its row
+ * @contents: GBytes; contents of its sections, as far as they are at hand
+ */
+void intake_signed(struct intake *in, uint64_t now_ms,
+    const struct spread_version_row *row, const GPtrArray *contents);
+
+/** intake_staged() - version that can be committed, 0 for none */
+uint64_t intake_staged(const struct intake *in);
+
+/**
+ * intake_commit() - move the catalog to the staged version
+ * @in: intake
+ * @now_ms: monotonic time
+ *
+ * Return: 1 when it did.  Else the version was bad: whoever gave its list is
+ * blamed and it is asked for again, whole.
+ */
+int intake_commit(struct intake *in, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/spread/include/spread/readers.h
@@ -0,0 +1,55 @@
+/*
+ * Readers: whether and when this node polls the platform's head row.
+ *
+ * The first few hosts of a data centre by rendezvous rank are its readers;
+ * each node works the rank out from its own table of hosts.  Two nodes that
+ * disagree cost an extra read or leave one reader fewer for a moment; what
+ * is in force never depends on it.  Readers are also the relays to other
+ * data centres.
+ */
+#ifndef SPREAD_READERS_H
+#define SPREAD_READERS_H
+
+#include <stdint.h>
+
+#include "spread/backoff.h"
+#include "spread/env.h"
+
+/**
+ * struct readers - state of the polling
+ * @env: environment
+ * @backoff: back-off after failed reads
+ * @rank_ms: when the rank is worked out again
+ * @change: state of the table of hosts at which it was worked out
+ * @poll_ms: when the next poll is due
+ * @alone_ms: when a node that could not join anybody may poll
+ * @reading: whether a read is under way
+ * @reading_ms: when a read without an answer is given up
+ */
+struct readers {
+	struct spread_env *env;
+	struct backoff backoff;
+	uint64_t rank_ms;
+	uint64_t change;
+	uint64_t poll_ms;
+	uint64_t alone_ms;
+	int reading;
+	uint64_t reading_ms;
+};
+
+/** readers_init() - a starting node, not a reader yet */
+void readers_init(struct readers *r, struct spread_env *env, uint64_t now_ms);
+
+/** readers_tick() - ask for a read of the head if it is due */
+void readers_tick(struct readers *r, uint64_t now_ms);
+
+/** readers_next_ms() - when readers_tick() is due */
+uint64_t readers_next_ms(const struct readers *r);
+
+/** readers_answered() - the read of the head ended; @ok if it was answered */
+void readers_answered(struct readers *r, uint64_t now_ms, int ok);
+
+/** readers_is_reader() - whether this node is a reader and relay */
+int readers_is_reader(const struct readers *r);
+
+#endif
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -19,6 +19,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "base/hash.h"
 #include "base/status.h"
 #include "proto/addr.h"
@@ -87,10 +89,12 @@
 /**
  * struct spread_version_row - a version row as read from the platform
  * @version: its number
- * @parent: version that @changes start from, 0 for an empty one
+ * @parent: version that the operator started from; for people
  * @root: root of the version
- * @changes: sections that changed since @parent; borrowed
+ * @changes: sections that changed since the version numbered one lower,
+ *	halted or not; borrowed
  * @n_changes: number of @changes
+ * @whole: the changes are too many for a row; the list is read instead
  */
 struct spread_version_row {
 	uint64_t version;
@@ -98,6 +102,7 @@
 	struct digest root;
 	const struct rec_section_change *changes;
 	uint32_t n_changes;
+	int whole;
 };
 
 /**
@@ -198,7 +203,11 @@
  * @s: the spread
  * @now_ms: monotonic time
  * @from: the peer
- * @head: head that the peer holds
+ * @head: head that the peer holds, its root zero when not known
+ *
+ * The spread itself hands the own head to the membership, with
+ * membership_set_head(): the one whose version it holds, which peers can
+ * therefore pull from it.
  */
 void spread_on_heard(struct spread *s, uint64_t now_ms,
     const struct net_addr *from, const struct rec_head *head);
@@ -209,7 +218,7 @@
  * @now_ms: monotonic time
  * @st: STATUS_OK, STATUS_NOT_FOUND when there is no head row yet,
  *	STATUS_OVERLOADED when the platform throttles, or why it failed
- * @head: the head row, whose root is that of the version in force; NULL
+ * @head: the head row, its root that of the version in force or zero; NULL
  *	unless STATUS_OK
  */
 void spread_on_head(struct spread *s, uint64_t now_ms, enum status st,
@@ -238,15 +247,29 @@
 void spread_on_object(struct spread *s, uint64_t now_ms, enum status st,
     const struct digest *digest, const uint8_t *data, size_t len);
 
+/**
+ * spread_stock() - contents for a version that this node is signing off
+ * @s: the spread
+ * @contents: contents of its sections, as far as they are at hand; references
+ *	are taken
+ * @n_contents: number of @contents
+ *
+ * Call it before spread_on_signed(), which lets them go again.  What is
+ * missing is got from peers or the platform.
+ */
+void
+spread_stock(struct spread *s, GBytes *const *contents, uint32_t n_contents);
+
 /**
  * spread_on_signed() - a sign-off, halt or supersede by this node took effect
  * @s: the spread
  * @now_ms: monotonic time
- * @head: the head row as written
- * @row: row of the new version, NULL after a halt
+ * @head: the head row as written, its root that of the version in force
+ * @row: row of the new version, NULL after a halt; its @whole is not looked
+ *	at, since a version without changes at hand is passed as NULL
  *
- * The new sections must be in the catalog's store by then; if they are not,
- * they are read from the platform.
+ * This is what lets a version spread at once.  A version whose signing node
+ * does not get to it is found by the readers.
  */
 void spread_on_signed(struct spread *s, uint64_t now_ms,
     const struct rec_head *head, const struct spread_version_row *row);
--- /dev/null
+++ b/packages/spread/src/floors.c
@@ -0,0 +1,255 @@
+/*
+ * A restarted host must not serve an older version than it held.
+ */
+#include "spread/floors.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "spread/peers.h"
+
+/* Random peers that are asked besides the keepers. */
+#define ASK_NEAR 3
+#define ASK_FAR 1
+
+/* Keepers of the own data centre at most. */
+#define KEEPERS_MAX 8
+
+/**
+ * struct floor_kept - what is remembered for a host
+ * @host: name of the host
+ * @version: highest version that it told
+ * @link: place in the order of telling
+ */
+struct floor_kept {
+	char host[MEMBER_NAME_BYTES];
+	uint64_t version;
+	GList link;
+};
+
+void
+floors_init(struct floors *f, struct spread_env *env, uint64_t now_ms)
+{
+	memset(f, 0, sizeof(*f));
+	f->env = env;
+	f->kept = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_queue_init(&f->order);
+	f->refresh_ms = now_ms + env_around(env, env->profile.floor_refresh_ms);
+	f->asking = 1;
+	f->ask_ms = now_ms;
+	f->enough_ms = DEADLINE_NEVER;
+}
+
+void
+floors_clear(struct floors *f)
+{
+	g_hash_table_destroy(f->kept);
+}
+
+static void
+floors_send_tell(struct floors *f, uint64_t version)
+{
+	struct net_addr to[KEEPERS_MAX + 1];
+	struct msg_floor_tell msg;
+	GByteArray *body;
+	uint32_t i, n;
+
+	n = peers_keepers(
+	    f->env, to, MIN(f->env->profile.keepers, KEEPERS_MAX));
+	g_strlcpy(msg.host, f->env->host, sizeof(msg.host));
+	msg.version = version;
+	for (i = 0; i < n; i++) {
+		body = g_byte_array_new();
+		msg_floor_tell_encode(&msg, body);
+		outbox_datagram(f->env->out, &to[i], MSG_FLOOR_TELL, body);
+	}
+	if (n == 0)
+		f->waiting = 0;
+}
+
+void
+floors_tell(struct floors *f, uint64_t now_ms, uint64_t version)
+{
+	if (version <= f->told)
+		return;
+	f->told = version;
+	f->waiting = 1;
+	f->settle_ms = now_ms + f->env->profile.floor_wait_ms;
+	floors_send_tell(f, version);
+}
+
+int
+floors_settled(const struct floors *f, uint64_t version)
+{
+	return f->told >= version && (f->acked >= version || !f->waiting);
+}
+
+static void
+floors_keep(struct floors *f, const char *host, uint64_t version)
+{
+	struct floor_kept *k, *oldest;
+
+	k = g_hash_table_lookup(f->kept, host);
+	if (k == NULL) {
+		if (g_hash_table_size(f->kept) >= FLOORS_KEPT_MAX) {
+			oldest = g_queue_pop_head_link(&f->order)->data;
+			g_hash_table_remove(f->kept, oldest->host);
+		}
+		k = g_new0(struct floor_kept, 1);
+		g_strlcpy(k->host, host, sizeof(k->host));
+		k->link.data = k;
+		g_hash_table_insert(f->kept, k->host, k);
+	} else {
+		g_queue_unlink(&f->order, &k->link);
+	}
+	g_queue_push_tail_link(&f->order, &k->link);
+	k->version = MAX(k->version, version);
+}
+
+static uint64_t
+floors_kept(const struct floors *f, const char *host)
+{
+	const struct floor_kept *k;
+
+	k = g_hash_table_lookup(f->kept, host);
+	return k == NULL ? 0 : k->version;
+}
+
+void
+floors_on_tell(struct floors *f, const struct net_addr *from,
+    const struct msg_floor_tell *msg)
+{
+	struct msg_floor_ack ack;
+	GByteArray *body;
+
+	if (msg->host[0] == '\0' || msg->version == 0)
+		return;
+	floors_keep(f, msg->host, msg->version);
+	ack.version = floors_kept(f, msg->host);
+	body = g_byte_array_new();
+	msg_floor_ack_encode(&ack, body);
+	outbox_datagram(f->env->out, from, MSG_FLOOR_ACK, body);
+}
+
+void
+floors_on_ack(struct floors *f, const struct msg_floor_ack *msg)
+{
+	f->acked = MAX(f->acked, msg->version);
+	if (f->acked >= f->told)
+		f->waiting = 0;
+}
+
+void
+floors_on_ask(struct floors *f, const struct net_addr *from,
+    const struct msg_floor_ask *msg, const struct rec_head *head, int ready)
+{
+	struct msg_floor_answer answer;
+	GByteArray *body;
+
+	answer.floor = floors_kept(f, msg->host);
+	answer.ready = ready;
+	answer.head = *head;
+	body = g_byte_array_new();
+	msg_floor_answer_encode(&answer, body);
+	outbox_datagram(f->env->out, from, MSG_FLOOR_ANSWER, body);
+}
+
+static int
+floors_count_answer(struct floors *f, const struct net_addr *from)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n_answers; i++)
+		if (addr_equal(&f->answers[i], from))
+			return 0;
+	if (f->n_answers < FLOORS_ASKED_MAX)
+		f->answers[f->n_answers++] = *from;
+	return 1;
+}
+
+void
+floors_on_answer(struct floors *f, const struct net_addr *from,
+    const struct msg_floor_answer *msg)
+{
+	f->floor = MAX(f->floor, msg->floor);
+	if (!f->asking || !floors_count_answer(f, from) || !msg->ready)
+		return;
+	f->sure = 1;
+	f->floor = MAX(f->floor, msg->head.in_force);
+}
+
+void
+floors_on_platform(struct floors *f, uint64_t now_ms, uint64_t in_force)
+{
+	if (!f->asking)
+		return;
+	if (f->enough_ms == DEADLINE_NEVER)
+		f->enough_ms = now_ms + f->env->profile.floor_ask_ms;
+	f->sure = 1;
+	f->floor = MAX(f->floor, in_force);
+}
+
+static void
+floors_ask(struct floors *f, uint64_t now_ms)
+{
+	struct net_addr to[KEEPERS_MAX + 1 + ASK_NEAR + ASK_FAR];
+	struct msg_floor_ask msg;
+	GByteArray *body;
+	uint32_t i, n;
+
+	f->ask_ms = now_ms + env_around(f->env, f->env->profile.floor_ask_ms);
+	if (!peers_joined(f->env))
+		return;
+	if (f->enough_ms == DEADLINE_NEVER)
+		f->enough_ms = now_ms + f->env->profile.floor_ask_ms;
+	n = peers_keepers(
+	    f->env, to, MIN(f->env->profile.keepers, KEEPERS_MAX));
+	n += peers_near(f->env, to + n, ASK_NEAR);
+	n += peers_far(f->env, to + n, ASK_FAR);
+	g_strlcpy(msg.host, f->env->host, sizeof(msg.host));
+	for (i = 0; i < n; i++) {
+		body = g_byte_array_new();
+		msg_floor_ask_encode(&msg, body);
+		outbox_datagram(f->env->out, &to[i], MSG_FLOOR_ASK, body);
+	}
+}
+
+void
+floors_tick(struct floors *f, uint64_t now_ms)
+{
+	if (f->asking && f->sure && now_ms >= f->enough_ms)
+		f->asking = 0;
+	if (f->asking && now_ms >= f->ask_ms)
+		floors_ask(f, now_ms);
+	if (f->waiting && now_ms >= f->settle_ms) {
+		f->waiting = 0;
+		f->env->stats.floor_unacknowledged++;
+	}
+	if (now_ms < f->refresh_ms)
+		return;
+	f->refresh_ms =
+	    now_ms + env_around(f->env, f->env->profile.floor_refresh_ms);
+	if (f->told > 0)
+		floors_send_tell(f, f->told);
+}
+
+uint64_t
+floors_next_ms(const struct floors *f)
+{
+	uint64_t next;
+
+	next = f->refresh_ms;
+	if (f->asking)
+		next = MIN(next, f->ask_ms);
+	if (f->asking && f->sure)
+		next = MIN(next, f->enough_ms);
+	if (f->waiting)
+		next = MIN(next, f->settle_ms);
+	return next;
+}
+
+int
+floors_known(const struct floors *f)
+{
+	return !f->asking;
+}
--- /dev/null
+++ b/packages/spread/src/intake.c
@@ -0,0 +1,343 @@
+/*
+ * Gets one version whole into a stage: what is wanted, and who is asked.
+ */
+#include "spread/intake.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "intake_priv.h"
+#include "spread/peers.h"
+
+/* Pull timeouts that pass without any peer offering a version before the
+ * platform is asked although only peers told of it. */
+#define UNOFFERED_TIMEOUTS 4
+
+/* Missing sections from which on a peer is worth leaving the platform for. */
+#define SWITCH_MISSING 16
+
+/* Back-off after a version that could not be taken in. */
+#define RETRY_BASE_MS 200
+#define RETRY_CAP_MS 30000
+
+void
+intake_init(struct intake *in, struct spread_env *env, uint64_t now_ms)
+{
+	const struct spread_profile *p;
+
+	p = &env->profile;
+	memset(in, 0, sizeof(*in));
+	in->env = env;
+	backoff_init(
+	    &in->source_backoff, p->backoff_base_ms, p->backoff_cap_ms);
+	budget_init(&in->source_budget, p->source_reads_per_s,
+	    p->source_reads_per_s, now_ms);
+	backoff_init(&in->retry, RETRY_BASE_MS, RETRY_CAP_MS);
+	in->budget_ms = DEADLINE_NEVER;
+	in->asked = g_array_new(FALSE, FALSE, sizeof(struct digest));
+}
+
+static void
+intake_clear_list(struct intake *in)
+{
+	if (in->list.changes != NULL)
+		g_array_unref(in->list.changes);
+	memset(&in->list, 0, sizeof(in->list));
+}
+
+void
+intake_clear(struct intake *in)
+{
+	intake_clear_list(in);
+	catalog_stage_free(in->stage);
+	g_array_unref(in->asked);
+}
+
+void
+intake_stop(struct intake *in)
+{
+	in->provider = INTAKE_NOBODY;
+	in->deadline_ms = DEADLINE_NEVER;
+	g_array_set_size(in->asked, 0);
+	if (in->step != INTAKE_LIST)
+		return;
+	intake_clear_list(in);
+	in->step = INTAKE_IDLE;
+}
+
+void
+intake_drop(struct intake *in)
+{
+	intake_stop(in);
+	catalog_stage_free(in->stage);
+	in->stage = NULL;
+	intake_clear_list(in);
+	in->step = INTAKE_IDLE;
+}
+
+uint64_t
+intake_under_way(const struct intake *in)
+{
+	if (in->stage != NULL)
+		return catalog_stage_version(in->stage);
+	return in->step == INTAKE_LIST ? in->list.version : 0;
+}
+
+void
+intake_want(struct intake *in, uint64_t now_ms, uint64_t version)
+{
+	if (version == in->target)
+		return;
+	if (intake_under_way(in) > version)
+		intake_drop(in);
+	if (in->target <= catalog_version(in->env->catalog))
+		in->source_ms = now_ms +
+		    env_around(in->env,
+			UNOFFERED_TIMEOUTS * in->env->profile.pull_timeout_ms);
+	in->target = version;
+}
+
+void
+intake_root(struct intake *in, uint64_t version, const struct digest *root)
+{
+	static const struct digest none;
+
+	if (hash_digest_equal(root, &none))
+		return;
+	in->root_version = version;
+	in->root = *root;
+}
+
+void
+intake_from_source(struct intake *in, uint64_t now_ms)
+{
+	intake_source_wait(in, now_ms);
+}
+
+void
+intake_offered(struct intake *in, uint64_t now_ms, const struct net_addr *from,
+    uint64_t version, int near)
+{
+	if (version > catalog_version(in->env->catalog))
+		candidates_add(&in->candidates, now_ms, from, version, near);
+}
+
+void
+intake_filled(struct intake *in)
+{
+	if (in->step != INTAKE_CONTENT ||
+	    catalog_stage_n_missing(in->stage) > 0)
+		return;
+	in->provider = INTAKE_NOBODY;
+	in->deadline_ms = DEADLINE_NEVER;
+	in->step = INTAKE_STAGED;
+}
+
+/* A version could not be taken in: wait, and ask for the whole list. */
+static void
+intake_refused(struct intake *in, uint64_t now_ms)
+{
+	in->full = 1;
+	backoff_failed(&in->retry, now_ms, in->env->rng);
+	in->start_ms = MAX(in->start_ms, in->retry.until_ms);
+}
+
+void
+intake_begun(struct intake *in, uint64_t now_ms, enum status st)
+{
+	intake_clear_list(in);
+	if (st != STATUS_OK) {
+		intake_drop(in);
+		if (st != STATUS_CONFLICT)
+			intake_refused(in, now_ms);
+		return;
+	}
+	in->step = INTAKE_CONTENT;
+	intake_filled(in);
+}
+
+enum status
+intake_begin_delta(struct intake *in, const struct catalog_delta *delta)
+{
+	return catalog_stage_begin(in->env->catalog, delta, &in->stage);
+}
+
+/* Ask somebody who is not known to hold the version. */
+static void
+intake_ask_anyone(struct intake *in, uint64_t now_ms)
+{
+	struct net_addr addr;
+	uint32_t n;
+
+	in->anyone_ms =
+	    now_ms + env_around(in->env, in->env->profile.pull_timeout_ms);
+	n = 0;
+	if (env_below(in->env, 2) == 0)
+		n = peers_far(in->env, &addr, 1);
+	if (n == 0)
+		n = peers_near(in->env, &addr, 1);
+	if (n > 0)
+		intake_peer_ask(in, now_ms, &addr);
+}
+
+static int
+intake_no_candidate(const struct intake *in)
+{
+	return candidates_next_ms(&in->candidates, in->target) ==
+	    DEADLINE_NEVER;
+}
+
+static int
+intake_may_ask_source(const struct intake *in, uint64_t now_ms)
+{
+	if (!intake_no_candidate(in) &&
+	    in->failures < in->env->profile.pull_peers)
+		return 0;
+	return now_ms >= in->source_ms && intake_source_open(in, now_ms);
+}
+
+/* Nobody is being asked: find somebody. */
+static void
+intake_choose(struct intake *in, uint64_t now_ms)
+{
+	struct net_addr addr;
+
+	if (candidates_pick(
+		&in->candidates, in->env, now_ms, in->target, &addr))
+		intake_peer_ask(in, now_ms, &addr);
+	else if (intake_may_ask_source(in, now_ms))
+		intake_source_ask(in, now_ms);
+	else if (intake_no_candidate(in) && now_ms >= in->anyone_ms)
+		intake_ask_anyone(in, now_ms);
+}
+
+/* A peer turned up while the platform was being read. */
+static void
+intake_switch(struct intake *in, uint64_t now_ms)
+{
+	struct net_addr addr;
+
+	if (catalog_stage_n_missing(in->stage) < SWITCH_MISSING)
+		return;
+	if (!candidates_pick(
+		&in->candidates, in->env, now_ms, in->target, &addr))
+		return;
+	intake_stop(in);
+	intake_peer_ask(in, now_ms, &addr);
+}
+
+static void
+intake_late(struct intake *in, uint64_t now_ms)
+{
+	if (in->provider == INTAKE_SOURCE) {
+		intake_source_failed(in, now_ms);
+		return;
+	}
+	in->env->stats.pulls_timed_out++;
+	outbox_close(in->env->out, &in->peer, 0);
+	intake_peer_failed(in, now_ms);
+}
+
+void
+intake_tick(struct intake *in, uint64_t now_ms)
+{
+	if (in->target <= catalog_version(in->env->catalog)) {
+		if (in->step != INTAKE_IDLE)
+			intake_drop(in);
+		return;
+	}
+	if (in->provider != INTAKE_NOBODY && now_ms >= in->deadline_ms)
+		intake_late(in, now_ms);
+	if (in->provider == INTAKE_SOURCE && in->step == INTAKE_CONTENT) {
+		intake_switch(in, now_ms);
+		if (in->provider == INTAKE_SOURCE)
+			intake_source_ask(in, now_ms);
+	}
+	if (in->provider != INTAKE_NOBODY || in->step == INTAKE_STAGED)
+		return;
+	if (in->step == INTAKE_IDLE && now_ms < in->start_ms)
+		return;
+	intake_choose(in, now_ms);
+}
+
+uint64_t
+intake_next_ms(const struct intake *in)
+{
+	uint64_t next, source;
+
+	if (in->target <= catalog_version(in->env->catalog) ||
+	    in->step == INTAKE_STAGED)
+		return DEADLINE_NEVER;
+	if (in->provider == INTAKE_PEER)
+		return in->deadline_ms;
+	if (in->provider == INTAKE_SOURCE)
+		return MIN(in->deadline_ms, in->budget_ms);
+	next = candidates_next_ms(&in->candidates, in->target);
+	source = MAX(in->source_ms, in->source_backoff.until_ms);
+	if (in->budget_ms != DEADLINE_NEVER)
+		source = MAX(source, in->budget_ms);
+	if (next == DEADLINE_NEVER)
+		next = MIN(source, in->anyone_ms);
+	else if (in->failures >= in->env->profile.pull_peers)
+		next = MIN(next, source);
+	return in->step == INTAKE_IDLE ? MAX(next, in->start_ms) : next;
+}
+
+void
+intake_signed(struct intake *in, uint64_t now_ms,
+    const struct spread_version_row *row, const GPtrArray *contents)
+{
+	struct catalog_delta delta;
+	const uint8_t *data;
+	enum status st;
+	uint32_t i;
+	gsize len;
+
+	intake_drop(in);
+	in->target = row->version;
+	in->list_peer.port = 0;
+	in->start_ms = now_ms;
+	delta.from_version = row->version - 1;
+	delta.version = row->version;
+	delta.root = row->root;
+	delta.changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_change));
+	g_array_append_vals(delta.changes, row->changes, row->n_changes);
+	st = intake_begin_delta(in, &delta);
+	g_array_unref(delta.changes);
+	for (i = 0; st == STATUS_OK && i < contents->len; i++) {
+		data = g_bytes_get_data(contents->pdata[i], &len);
+		(void)catalog_stage_add(in->stage, data, len);
+	}
+	intake_begun(in, now_ms, st);
+	intake_source_wait(in, now_ms);
+}
+
+uint64_t
+intake_staged(const struct intake *in)
+{
+	if (in->step != INTAKE_STAGED)
+		return 0;
+	return catalog_stage_version(in->stage);
+}
+
+int
+intake_commit(struct intake *in, uint64_t now_ms)
+{
+	enum status st;
+
+	st = catalog_commit(in->env->catalog, in->stage);
+	intake_drop(in);
+	candidates_prune(
+	    &in->candidates, catalog_version(in->env->catalog) + 1);
+	if (st == STATUS_OK) {
+		in->full = 0;
+		in->failures = 0;
+		backoff_succeeded(&in->retry);
+		return 1;
+	}
+	if (st == STATUS_INVALID && in->list_peer.port != 0)
+		intake_peer_blame(in, now_ms, &in->list_peer);
+	intake_refused(in, now_ms);
+	return 0;
+}
--- /dev/null
+++ b/packages/spread/src/intake_peer.c
@@ -0,0 +1,301 @@
+/*
+ * Gets a version from a peer.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "intake_priv.h"
+
+/* Sections that one fetch asks for. */
+#define FETCH_MAX 128
+
+/* Changes of one version that are taken from a peer. */
+#define CHANGES_MAX 16384
+
+/* Bounds of the time after which a busy peer is asked again. */
+#define COME_BACK_MIN_MS 20
+#define COME_BACK_MAX_MS 10000
+
+static void
+intake_peer_send(
+    struct intake *in, uint64_t now_ms, enum msg_type type, GByteArray *body)
+{
+	in->provider = INTAKE_PEER;
+	in->deadline_ms = now_ms + in->env->profile.pull_timeout_ms;
+	outbox_frame(in->env->out, &in->peer, 0, type, body);
+}
+
+static void
+intake_send_pull(
+    struct intake *in, uint64_t now_ms, uint64_t want, const char *after)
+{
+	struct msg_pull msg;
+	GByteArray *body;
+
+	in->token = g_rand_int(in->env->rng);
+	msg.token = in->token;
+	msg.have = in->full ? 0 : catalog_version(in->env->catalog);
+	msg.want = want;
+	g_strlcpy(msg.after, after, sizeof(msg.after));
+	body = g_byte_array_new();
+	msg_pull_encode(&msg, body);
+	in->env->stats.pulls_sent++;
+	intake_peer_send(in, now_ms, MSG_PULL, body);
+}
+
+static void
+intake_send_fetch(struct intake *in, uint64_t now_ms)
+{
+	struct msg_fetch msg;
+	GByteArray *body;
+	GArray *missing;
+
+	missing = catalog_stage_missing(in->stage, FETCH_MAX);
+	in->token = g_rand_int(in->env->rng);
+	msg.token = in->token;
+	msg.wants = (struct rec_section_want *)(void *)missing->data;
+	msg.n_wants = missing->len;
+	body = g_byte_array_new();
+	msg_fetch_encode(&msg, body);
+	g_array_unref(missing);
+	intake_peer_send(in, now_ms, MSG_FETCH, body);
+}
+
+void
+intake_peer_ask(struct intake *in, uint64_t now_ms, const struct net_addr *peer)
+{
+	in->peer = *peer;
+	if (in->step == INTAKE_CONTENT) {
+		intake_send_fetch(in, now_ms);
+		return;
+	}
+	in->step = INTAKE_LIST;
+	in->list.version = in->target;
+	if (catalog_version(in->env->catalog) > 0)
+		in->start_ms = now_ms + in->env->profile.batch_ms;
+	intake_send_pull(in, now_ms, in->target, "");
+}
+
+/* The peer is out; look for another one without waiting. */
+static void
+intake_peer_next(struct intake *in, uint64_t now_ms)
+{
+	intake_stop(in);
+	in->start_ms = now_ms;
+}
+
+void
+intake_peer_failed(struct intake *in, uint64_t now_ms)
+{
+	candidates_drop(&in->candidates, &in->peer);
+	in->failures++;
+	if (in->failures == in->env->profile.pull_peers)
+		intake_source_wait(in, now_ms);
+	intake_peer_next(in, now_ms);
+}
+
+static void
+intake_peer_busy(struct intake *in, uint64_t now_ms, uint32_t come_back_ms)
+{
+	uint32_t ms;
+
+	ms = CLAMP(come_back_ms, COME_BACK_MIN_MS, COME_BACK_MAX_MS);
+	candidates_busy(&in->candidates, &in->peer, now_ms + ms);
+	intake_peer_next(in, now_ms);
+}
+
+void
+intake_peer_blame(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer)
+{
+	struct net_addr addr;
+
+	addr = *peer;
+	in->env->stats.peers_blamed++;
+	env_act(in->env, SPREAD_BLAME)->peer = addr;
+	candidates_blame(&in->candidates, now_ms, &addr);
+	in->failures++;
+	if (in->failures == in->env->profile.pull_peers)
+		intake_source_wait(in, now_ms);
+}
+
+static void
+intake_peer_bad(struct intake *in, uint64_t now_ms)
+{
+	intake_peer_blame(in, now_ms, &in->peer);
+	intake_peer_next(in, now_ms);
+}
+
+static int
+intake_awaits(const struct intake *in, enum intake_step step, uint32_t token)
+{
+	return in->provider == INTAKE_PEER && in->step == step &&
+	    in->token == token;
+}
+
+/* Whether a page of changes makes sense, as the first one or a further one. */
+static int
+intake_page_fits(const struct intake *in, const struct msg_delta *msg)
+{
+	uint64_t held;
+
+	held = catalog_version(in->env->catalog);
+	if (msg->want <= held || msg->have > held)
+		return 0;
+	if (msg->result == PULL_FULL && msg->have != 0)
+		return 0;
+	if (in->root_version == msg->want &&
+	    !hash_digest_equal(&in->root, &msg->root))
+		return 0;
+	if (msg->more && msg->n_changes == 0)
+		return 0;
+	if (in->list.changes == NULL)
+		return 1;
+	return in->list.version == msg->want &&
+	    in->list.from_version == msg->have &&
+	    hash_digest_equal(&in->list.root, &msg->root) &&
+	    in->list.changes->len + msg->n_changes <= CHANGES_MAX;
+}
+
+static void
+intake_add_page(struct intake *in, const struct msg_delta *msg)
+{
+	if (in->list.changes == NULL) {
+		in->list.changes = g_array_new(
+		    FALSE, FALSE, sizeof(struct rec_section_change));
+		in->list.from_version = msg->have;
+		in->list.version = msg->want;
+		in->list.root = msg->root;
+	}
+	g_array_append_vals(in->list.changes, msg->changes, msg->n_changes);
+}
+
+static enum status
+intake_begin_full(struct intake *in)
+{
+	const struct rec_section_change *c;
+	struct rec_section_ref ref;
+	enum status st;
+	GArray *list;
+	uint32_t i;
+
+	list = g_array_new(FALSE, TRUE, sizeof(ref));
+	memset(&ref, 0, sizeof(ref));
+	for (i = 0; i < in->list.changes->len; i++) {
+		c = &g_array_index(
+		    in->list.changes, struct rec_section_change, i);
+		g_strlcpy(ref.service, c->service, sizeof(ref.service));
+		ref.digest = c->digest;
+		g_array_append_val(list, ref);
+	}
+	st = catalog_stage_begin_full(in->env->catalog, in->list.version,
+	    &in->list.root, list, &in->stage);
+	g_array_unref(list);
+	return st;
+}
+
+/* Add content that a peer sent; 0 if some of it was wrong. */
+static int
+intake_add_content(struct intake *in, const struct rec_section_data *sections,
+    uint32_t n_sections)
+{
+	enum status st;
+	uint32_t i;
+
+	for (i = 0; i < n_sections; i++) {
+		st = catalog_stage_add(
+		    in->stage, sections[i].data, sections[i].data_len);
+		if (st != STATUS_OK)
+			return 0;
+	}
+	return 1;
+}
+
+/* All changes are there: stage them. */
+static void
+intake_listed(struct intake *in, uint64_t now_ms, const struct msg_delta *msg)
+{
+	enum status st;
+
+	in->list_peer = in->peer;
+	if (msg->result == PULL_FULL)
+		st = intake_begin_full(in);
+	else
+		st = intake_begin_delta(in, &in->list);
+	if (st != STATUS_OK && st != STATUS_CONFLICT) {
+		intake_peer_bad(in, now_ms);
+		return;
+	}
+	in->provider = INTAKE_NOBODY;
+	intake_begun(in, now_ms, st);
+	if (in->step == INTAKE_IDLE)
+		return;
+	if (!intake_add_content(in, msg->sections, msg->n_sections)) {
+		intake_peer_bad(in, now_ms);
+		return;
+	}
+	intake_filled(in);
+	if (in->step == INTAKE_CONTENT)
+		intake_send_fetch(in, now_ms);
+}
+
+void
+intake_on_delta(struct intake *in, uint64_t now_ms, const struct msg_delta *msg,
+    int in_force)
+{
+	if (!intake_awaits(in, INTAKE_LIST, msg->token))
+		return;
+	if (msg->result == PULL_BUSY) {
+		intake_peer_busy(in, now_ms, msg->come_back_ms);
+		return;
+	}
+	if (msg->result == PULL_NOT_HERE ||
+	    (msg->want != in->target && !in_force)) {
+		intake_peer_failed(in, now_ms);
+		return;
+	}
+	if (!intake_page_fits(in, msg)) {
+		intake_peer_bad(in, now_ms);
+		return;
+	}
+	intake_add_page(in, msg);
+	if (msg->more)
+		intake_send_pull(in, now_ms, msg->want,
+		    msg->changes[msg->n_changes - 1].service);
+	else
+		intake_listed(in, now_ms, msg);
+}
+
+void
+intake_on_sections(
+    struct intake *in, uint64_t now_ms, const struct msg_sections *msg)
+{
+	uint32_t before;
+
+	if (!intake_awaits(in, INTAKE_CONTENT, msg->token))
+		return;
+	if (msg->result == PULL_BUSY) {
+		intake_peer_busy(in, now_ms, msg->come_back_ms);
+		return;
+	}
+	before = catalog_stage_n_missing(in->stage);
+	if (!intake_add_content(in, msg->sections, msg->n_sections)) {
+		intake_peer_bad(in, now_ms);
+		return;
+	}
+	intake_filled(in);
+	if (in->step == INTAKE_STAGED)
+		return;
+	if (catalog_stage_n_missing(in->stage) == before)
+		intake_peer_failed(in, now_ms);
+	else
+		intake_send_fetch(in, now_ms);
+}
+
+void
+intake_on_closed(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer)
+{
+	if (in->provider == INTAKE_PEER && addr_equal(&in->peer, peer))
+		intake_peer_failed(in, now_ms);
+}
--- /dev/null
+++ b/packages/spread/src/intake_priv.h
@@ -0,0 +1,45 @@
+/*
+ * Parts of the intake that its files share.
+ */
+#ifndef SPREAD_INTAKE_PRIV_H
+#define SPREAD_INTAKE_PRIV_H
+
+#include "spread/intake.h"
+
+/** intake_stop() - nobody is being asked any more */
+void intake_stop(struct intake *in);
+
+/** intake_begun() - the list is complete and staged, or was refused */
+void intake_begun(struct intake *in, uint64_t now_ms, enum status st);
+
+/** intake_filled() - move on if no content is missing */
+void intake_filled(struct intake *in);
+
+/** intake_begin_delta() - stage changes; takes nothing over */
+enum status
+intake_begin_delta(struct intake *in, const struct catalog_delta *delta);
+
+/** intake_peer_ask() - ask @peer for what is needed now */
+void intake_peer_ask(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer);
+
+/** intake_peer_failed() - the peer was silent or does not hold the version */
+void intake_peer_failed(struct intake *in, uint64_t now_ms);
+
+/** intake_peer_blame() - @peer sent something wrong */
+void intake_peer_blame(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer);
+
+/** intake_source_open() - whether the platform may be asked now */
+int intake_source_open(const struct intake *in, uint64_t now_ms);
+
+/** intake_source_wait() - set when the platform may be asked */
+void intake_source_wait(struct intake *in, uint64_t now_ms);
+
+/** intake_source_ask() - ask the platform for what is needed now */
+void intake_source_ask(struct intake *in, uint64_t now_ms);
+
+/** intake_source_failed() - the platform failed; back off */
+void intake_source_failed(struct intake *in, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/spread/src/notices.c
@@ -0,0 +1,118 @@
+/*
+ * Passes a new head on to random peers.
+ */
+#include "spread/notices.h"
+
+#include "base/clock.h"
+#include "spread/peers.h"
+
+/* Most peers that are told in one round. */
+#define FANOUT_MAX 32
+
+void
+notices_init(struct notices *n, struct spread_env *env, uint64_t now_ms)
+{
+	n->env = env;
+	memset(&n->head, 0, sizeof(n->head));
+	n->rounds_left = 0;
+	n->next_ms = DEADLINE_NEVER;
+	n->heard = 0;
+	n->far = 0;
+	n->compare_ms = now_ms + env_around(env, env->profile.anti_entropy_ms);
+}
+
+void
+notices_offer(
+    struct notices *n, uint64_t now_ms, const struct rec_head *head, int far)
+{
+	n->head = *head;
+	n->rounds_left = n->env->profile.rounds;
+	n->next_ms = n->rounds_left > 0 ? now_ms : DEADLINE_NEVER;
+	n->heard = 0;
+	n->far = far;
+}
+
+void
+notices_heard(struct notices *n, uint64_t seq)
+{
+	const struct spread_profile *p;
+
+	p = &n->env->profile;
+	if (seq != n->head.seq || n->rounds_left == p->rounds)
+		return;
+	n->heard++;
+	if (p->quench == 0 || n->heard < p->quench)
+		return;
+	n->rounds_left = 0;
+	n->next_ms = DEADLINE_NEVER;
+}
+
+static void
+notices_send(struct notices *n, const struct net_addr *to, uint32_t count,
+    enum notice_kind kind)
+{
+	struct msg_notice msg;
+	GByteArray *body;
+	uint32_t i;
+
+	msg.head = n->head;
+	msg.kind = kind;
+	for (i = 0; i < count; i++) {
+		body = g_byte_array_new();
+		msg_notice_encode(&msg, body);
+		outbox_datagram(n->env->out, &to[i], MSG_NOTICE, body);
+	}
+	n->env->stats.notices_sent += count;
+}
+
+void
+notices_answer(struct notices *n, const struct net_addr *to)
+{
+	notices_send(n, to, 1, NOTICE_FAR);
+}
+
+static void
+notices_round(struct notices *n, uint64_t now_ms, int relay)
+{
+	const struct spread_profile *p;
+	struct net_addr to[FANOUT_MAX];
+	uint32_t count;
+
+	p = &n->env->profile;
+	count = peers_near(n->env, to, MIN(p->fanout, FANOUT_MAX));
+	notices_send(n, to, count, NOTICE_NEAR);
+	if (n->far || relay) {
+		count = peers_far(n->env, to, MIN(p->relay_fanout, FANOUT_MAX));
+		notices_send(n, to, count, NOTICE_FAR);
+	}
+	n->rounds_left--;
+	n->next_ms = DEADLINE_NEVER;
+	if (n->rounds_left > 0)
+		n->next_ms = now_ms + env_around(n->env, p->interval_ms);
+}
+
+static void
+notices_compare(struct notices *n, uint64_t now_ms)
+{
+	struct net_addr to;
+
+	n->compare_ms =
+	    now_ms + env_around(n->env, n->env->profile.anti_entropy_ms);
+	if (peers_far(n->env, &to, 1) == 1)
+		notices_send(n, &to, 1, NOTICE_COMPARE);
+}
+
+void
+notices_tick(struct notices *n, uint64_t now_ms, int relay)
+{
+	if (n->rounds_left > 0 && now_ms >= n->next_ms)
+		notices_round(n, now_ms, relay);
+	if (relay && now_ms >= n->compare_ms)
+		notices_compare(n, now_ms);
+}
+
+uint64_t
+notices_next_ms(const struct notices *n, int relay)
+{
+	return relay ? MIN(n->next_ms, n->compare_ms) : n->next_ms;
+}
--- /dev/null
+++ b/packages/spread/src/progress.c
@@ -0,0 +1,327 @@
+/*
+ * Adds up on the way how many nodes hold the newest version.
+ */
+#include "spread/progress.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "membership/membership.h"
+
+/* How often a changed table of hosts is looked at. */
+#define PLACE_MS 2000
+
+/* Reports that are missed before a child is no longer counted. */
+#define MISSED_REPORTS 3
+
+void
+progress_init(struct progress *p, struct spread_env *env, uint64_t now_ms)
+{
+	memset(p, 0, sizeof(*p));
+	p->env = env;
+	p->place_ms = now_ms;
+	p->report_ms = DEADLINE_NEVER;
+	p->refresh_ms =
+	    now_ms + env_around(env, env->profile.progress_refresh_ms);
+	p->answers = g_array_new(FALSE, TRUE, sizeof(struct spread_progress));
+}
+
+void
+progress_clear(struct progress *p)
+{
+	g_array_unref(p->answers);
+}
+
+/* Live hosts of one data centre, or the first host of each. */
+struct progress_view {
+	const char *data_centre;
+	GPtrArray *hosts;
+};
+
+static void
+progress_visit(const struct member *m, void *ctx)
+{
+	struct progress_view *view;
+
+	view = ctx;
+	if (member_is_live(m) && strcmp(m->data_centre, view->data_centre) == 0)
+		g_ptr_array_add(view->hosts, (gpointer)m);
+}
+
+static gint
+progress_by_name(gconstpointer a, gconstpointer b)
+{
+	const struct member *const *x = a;
+	const struct member *const *y = b;
+
+	return strcmp((*x)->host, (*y)->host);
+}
+
+static void
+progress_dirty(struct progress *p, uint64_t now_ms)
+{
+	if (p->report_ms == DEADLINE_NEVER)
+		p->report_ms = now_ms + p->env->profile.progress_ms;
+}
+
+/* Take over the children, with the last reports of those there were. */
+static void
+progress_set_children(
+    struct progress *p, const GPtrArray *hosts, uint32_t first)
+{
+	struct progress_child before[PROGRESS_ARITY];
+	const struct member *m;
+	uint32_t i, j, n_before;
+
+	n_before = p->n_children;
+	memcpy(before, p->children, sizeof(before));
+	memset(p->children, 0, sizeof(p->children));
+	p->n_children = 0;
+	for (i = first; i < hosts->len && i < first + PROGRESS_ARITY; i++) {
+		m = g_ptr_array_index(hosts, i);
+		for (j = 0; j < n_before; j++)
+			if (addr_equal(&before[j].addr, &m->address))
+				p->children[p->n_children] = before[j];
+		p->children[p->n_children++].addr = m->address;
+	}
+}
+
+static void
+progress_place(struct progress *p, uint64_t now_ms)
+{
+	struct progress_view view;
+	const struct member *m;
+	struct net_addr parent;
+	uint32_t i;
+
+	p->place_ms = now_ms + env_around(p->env, PLACE_MS);
+	if (p->change == membership_change(p->env->members))
+		return;
+	p->change = membership_change(p->env->members);
+	view.data_centre = p->env->data_centre;
+	view.hosts = g_ptr_array_new();
+	membership_each(p->env->members, progress_visit, &view);
+	g_ptr_array_sort(view.hosts, progress_by_name);
+	for (i = 0; i < view.hosts->len; i++) {
+		m = g_ptr_array_index(view.hosts, i);
+		if (strcmp(m->host, p->env->host) == 0)
+			break;
+	}
+	if (i < view.hosts->len) {
+		parent = p->parent;
+		p->has_parent = i > 0;
+		if (i > 0) {
+			m = g_ptr_array_index(
+			    view.hosts, (i - 1) / PROGRESS_ARITY);
+			p->parent = m->address;
+		}
+		progress_set_children(p, view.hosts, i * PROGRESS_ARITY + 1);
+		if (!addr_equal(&parent, &p->parent))
+			memset(&p->sent, 0, sizeof(p->sent));
+		progress_dirty(p, now_ms);
+	}
+	g_ptr_array_unref(view.hosts);
+}
+
+static void
+progress_add(
+    struct msg_progress_report *sum, const struct msg_progress_report *part)
+{
+	sum->nodes += part->nodes;
+	sum->lowest = MIN(sum->lowest, part->lowest);
+	if (part->version == sum->version)
+		sum->holding += part->holding;
+}
+
+void
+progress_sum(
+    const struct progress *p, uint64_t now_ms, struct msg_progress_report *sum)
+{
+	const struct progress_child *c;
+	uint64_t oldest;
+	uint32_t i;
+
+	memset(sum, 0, sizeof(*sum));
+	sum->version = p->newest;
+	sum->holding = p->held >= p->newest && p->held > 0;
+	sum->nodes = 1;
+	sum->lowest = p->held;
+	oldest = (uint64_t)MISSED_REPORTS * p->env->profile.progress_refresh_ms;
+	for (i = 0; i < p->n_children; i++) {
+		c = &p->children[i];
+		if (c->heard_ms > 0 && now_ms < c->heard_ms + oldest)
+			progress_add(sum, &c->sum);
+	}
+}
+
+void
+progress_own(
+    struct progress *p, uint64_t now_ms, uint64_t held, uint64_t newest)
+{
+	if (p->held == held && p->newest == newest)
+		return;
+	p->held = held;
+	p->newest = newest;
+	progress_dirty(p, now_ms);
+}
+
+void
+progress_on_report(struct progress *p, uint64_t now_ms,
+    const struct net_addr *from, const struct msg_progress_report *msg)
+{
+	struct progress_child *c;
+	uint32_t i;
+
+	for (i = 0; i < p->n_children; i++) {
+		c = &p->children[i];
+		if (!addr_equal(&c->addr, from))
+			continue;
+		if (memcmp(&c->sum, msg, sizeof(*msg)) != 0)
+			progress_dirty(p, now_ms);
+		c->sum = *msg;
+		c->heard_ms = MAX(now_ms, 1);
+	}
+}
+
+static void
+progress_fill(
+    const struct progress *p, uint64_t now_ms, struct msg_progress_answer *msg)
+{
+	struct msg_progress_report sum;
+
+	progress_sum(p, now_ms, &sum);
+	g_strlcpy(
+	    msg->data_centre, p->env->data_centre, sizeof(msg->data_centre));
+	msg->version = sum.version;
+	msg->holding = sum.holding;
+	msg->nodes = sum.nodes;
+	msg->lowest = sum.lowest;
+}
+
+void
+progress_on_ask(struct progress *p, uint64_t now_ms,
+    const struct net_addr *from, const struct msg_progress_ask *msg)
+{
+	struct msg_progress_answer answer;
+	GByteArray *body;
+
+	if (p->has_parent)
+		return;
+	progress_fill(p, now_ms, &answer);
+	answer.token = msg->token;
+	body = g_byte_array_new();
+	msg_progress_answer_encode(&answer, body);
+	outbox_datagram(p->env->out, from, MSG_PROGRESS_ANSWER, body);
+}
+
+void
+progress_on_answer(
+    struct progress *p, uint64_t now_ms, const struct msg_progress_answer *msg)
+{
+	struct spread_progress *a, fresh;
+	uint32_t i;
+
+	if (msg->token != p->token)
+		return;
+	memset(&fresh, 0, sizeof(fresh));
+	for (i = 0; i < p->answers->len; i++) {
+		a = &g_array_index(p->answers, struct spread_progress, i);
+		if (strcmp(a->data_centre, msg->data_centre) == 0)
+			break;
+	}
+	if (i == p->answers->len)
+		g_array_append_val(p->answers, fresh);
+	a = &g_array_index(p->answers, struct spread_progress, i);
+	g_strlcpy(a->data_centre, msg->data_centre, sizeof(a->data_centre));
+	a->version = msg->version;
+	a->holding = msg->holding;
+	a->nodes = msg->nodes;
+	a->lowest = msg->lowest;
+	a->at_ms = now_ms;
+}
+
+static void
+progress_visit_first(const struct member *m, void *ctx)
+{
+	GHashTable *first;
+	const struct member *known;
+
+	first = ctx;
+	if (!member_is_live(m))
+		return;
+	known = g_hash_table_lookup(first, m->data_centre);
+	if (known == NULL || strcmp(m->host, known->host) < 0)
+		g_hash_table_insert(
+		    first, (gpointer)m->data_centre, (gpointer)m);
+}
+
+void
+progress_ask(struct progress *p, uint64_t now_ms)
+{
+	struct msg_progress_answer own;
+	struct msg_progress_ask msg;
+	const struct member *m;
+	GHashTable *first;
+	GHashTableIter it;
+	GByteArray *body;
+	gpointer value;
+
+	msg.token = ++p->token;
+	first = g_hash_table_new(g_str_hash, g_str_equal);
+	membership_each(p->env->members, progress_visit_first, first);
+	g_hash_table_iter_init(&it, first);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		m = value;
+		if (strcmp(m->host, p->env->host) == 0)
+			continue;
+		body = g_byte_array_new();
+		msg_progress_ask_encode(&msg, body);
+		outbox_datagram(
+		    p->env->out, &m->address, MSG_PROGRESS_ASK, body);
+	}
+	g_hash_table_destroy(first);
+	if (p->has_parent)
+		return;
+	progress_fill(p, now_ms, &own);
+	own.token = p->token;
+	progress_on_answer(p, now_ms, &own);
+}
+
+static void
+progress_report(struct progress *p, uint64_t now_ms)
+{
+	struct msg_progress_report sum;
+	GByteArray *body;
+
+	p->report_ms = DEADLINE_NEVER;
+	if (!p->has_parent)
+		return;
+	progress_sum(p, now_ms, &sum);
+	if (memcmp(&sum, &p->sent, sizeof(sum)) == 0 && now_ms < p->refresh_ms)
+		return;
+	p->refresh_ms =
+	    now_ms + env_around(p->env, p->env->profile.progress_refresh_ms);
+	p->sent = sum;
+	p->env->stats.progress_sent++;
+	body = g_byte_array_new();
+	msg_progress_report_encode(&sum, body);
+	outbox_datagram(p->env->out, &p->parent, MSG_PROGRESS_REPORT, body);
+}
+
+void
+progress_tick(struct progress *p, uint64_t now_ms)
+{
+	if (now_ms >= p->place_ms)
+		progress_place(p, now_ms);
+	if (now_ms >= p->report_ms || now_ms >= p->refresh_ms)
+		progress_report(p, now_ms);
+	if (now_ms >= p->refresh_ms)
+		p->refresh_ms = now_ms +
+		    env_around(p->env, p->env->profile.progress_refresh_ms);
+}
+
+uint64_t
+progress_next_ms(const struct progress *p)
+{
+	return MIN(p->place_ms, MIN(p->report_ms, p->refresh_ms));
+}
--- /dev/null
+++ b/packages/spread/src/serve.c
@@ -0,0 +1,306 @@
+/*
+ * Answers the pulls and fetches of peers, within limits.
+ */
+#include "spread/serve.h"
+
+#include <string.h>
+
+#include "config/catalog.h"
+
+/* Changes in one answer. */
+#define PAGE_CHANGES 1024
+
+/* A peer that is silent for so long gives up its place. */
+#define PLACE_MS 1500
+
+/* Peers that are turned away come back after half of this to one and a half. */
+#define COME_BACK_MS 300
+
+/* Rough size of a change in an answer, for the budget. */
+#define CHANGE_BYTES 64
+
+void
+serve_init(struct serve *s, struct spread_env *env, uint64_t now_ms)
+{
+	memset(s, 0, sizeof(*s));
+	s->env = env;
+	budget_init(&s->budget, env->profile.serve_bytes_per_s,
+	    env->profile.serve_bytes_per_s, now_ms);
+}
+
+/* Take or keep a place for a peer; 0 when all are taken. */
+static int
+serve_place(struct serve *s, uint64_t now_ms, const struct net_addr *addr)
+{
+	struct serve_place *p, *unused;
+	uint32_t i, n;
+
+	unused = NULL;
+	n = MIN(s->env->profile.join_limit, SERVE_PLACES_MAX);
+	for (i = 0; i < n; i++) {
+		p = &s->places[i];
+		if (now_ms >= p->until_ms)
+			unused = p;
+		else if (addr_equal(&p->addr, addr))
+			break;
+	}
+	p = i < n ? &s->places[i] : unused;
+	if (p == NULL)
+		return 0;
+	p->addr = *addr;
+	p->until_ms = now_ms + PLACE_MS;
+	return 1;
+}
+
+static void
+serve_leave(struct serve *s, const struct net_addr *addr)
+{
+	uint32_t i;
+
+	for (i = 0; i < SERVE_PLACES_MAX; i++)
+		if (addr_equal(&s->places[i].addr, addr))
+			s->places[i].until_ms = 0;
+}
+
+static void
+serve_send_delta(struct serve *s, const struct net_addr *to, uint64_t conn,
+    const struct msg_delta *msg)
+{
+	GByteArray *body;
+
+	if (msg->result == PULL_BUSY)
+		s->env->stats.pulls_refused++;
+	else
+		s->env->stats.pulls_served++;
+	body = g_byte_array_new();
+	msg_delta_encode(msg, body);
+	outbox_frame(s->env->out, to, conn, MSG_DELTA, body);
+}
+
+static void
+serve_send_sections(struct serve *s, const struct net_addr *to, uint64_t conn,
+    const struct msg_sections *msg)
+{
+	GByteArray *body;
+
+	body = g_byte_array_new();
+	msg_sections_encode(msg, body);
+	outbox_frame(s->env->out, to, conn, MSG_SECTIONS, body);
+}
+
+/* Version whose changes a pull gets. */
+static uint64_t
+serve_target(const struct serve *s, const struct msg_pull *pull,
+    const struct rec_head *head)
+{
+	uint64_t held;
+
+	/* Further pages are of the version that the first one was of. */
+	if (pull->after[0] != '\0')
+		return pull->want;
+	held = catalog_version(s->env->catalog);
+	if (head->in_force == held && held > pull->want)
+		return held;
+	return pull->want;
+}
+
+/* The whole list of a version as changes from nothing. */
+static enum status
+serve_full(struct serve *s, uint64_t version, struct catalog_delta *delta)
+{
+	struct rec_section_change change;
+	const struct rec_section_ref *ref;
+	enum status st;
+	GArray *list;
+	uint32_t i;
+
+	st = catalog_list(s->env->catalog, version, &delta->root, &list);
+	if (st != STATUS_OK)
+		return st;
+	delta->from_version = 0;
+	delta->version = version;
+	delta->changes =
+	    g_array_new(FALSE, TRUE, sizeof(struct rec_section_change));
+	memset(&change, 0, sizeof(change));
+	for (i = 0; i < list->len; i++) {
+		ref = &g_array_index(list, struct rec_section_ref, i);
+		g_strlcpy(change.service, ref->service, sizeof(change.service));
+		change.digest = ref->digest;
+		g_array_append_val(delta->changes, change);
+	}
+	g_array_unref(list);
+	return STATUS_OK;
+}
+
+/* Cut the page that follows @after out of all changes. */
+static void
+serve_page(const GArray *changes, const char *after, struct msg_delta *msg)
+{
+	const struct rec_section_change *c;
+	uint32_t i;
+
+	for (i = 0; i < changes->len; i++) {
+		c = &g_array_index(changes, struct rec_section_change, i);
+		if (strcmp(c->service, after) > 0)
+			break;
+	}
+	if (i == changes->len)
+		return;
+	msg->changes = &g_array_index(changes, struct rec_section_change, i);
+	msg->n_changes = MIN(changes->len - i, PAGE_CHANGES);
+	msg->more = i + msg->n_changes < changes->len;
+}
+
+static void
+serve_add_content(
+    GArray *sections, const struct digest *digest, GBytes *content)
+{
+	struct rec_section_data d;
+	gsize len;
+
+	d.digest = *digest;
+	d.data = g_bytes_get_data(content, &len);
+	d.data_len = (uint32_t)len;
+	g_array_append_val(sections, d);
+}
+
+/* Add the content of changed sections as far as it fits; 1 if all did. */
+static int
+serve_inline(struct serve *s, const struct msg_delta *msg, GArray *sections)
+{
+	const struct rec_section_change *c;
+	GBytes *content;
+	uint32_t i, bytes;
+
+	bytes = 0;
+	for (i = 0; i < msg->n_changes; i++) {
+		c = &msg->changes[i];
+		if (c->removed)
+			continue;
+		content = catalog_content(s->env->catalog, &c->digest);
+		if (content == NULL)
+			return 0;
+		bytes += (uint32_t)g_bytes_get_size(content);
+		if (bytes > s->env->profile.reply_bytes && sections->len > 0)
+			return 0;
+		serve_add_content(sections, &c->digest, content);
+	}
+	return 1;
+}
+
+static uint32_t
+serve_cost(const struct msg_delta *msg)
+{
+	uint32_t i, bytes;
+
+	bytes = msg->n_changes * CHANGE_BYTES;
+	for (i = 0; i < msg->n_sections; i++)
+		bytes += msg->sections[i].data_len;
+	return bytes;
+}
+
+/* Turn a delta into an answer; the peer is told to come back if it costs
+ * more than there is. */
+static void
+serve_answer(struct serve *s, uint64_t now_ms, const struct net_addr *from,
+    uint64_t conn, const struct msg_pull *pull, struct catalog_delta *delta,
+    struct msg_delta *msg)
+{
+	GArray *sections;
+	int whole;
+
+	msg->result = delta->from_version == 0 ? PULL_FULL : PULL_DELTA;
+	msg->have = delta->from_version;
+	msg->want = delta->version;
+	msg->root = delta->root;
+	serve_page(delta->changes, pull->after, msg);
+	sections = g_array_new(FALSE, FALSE, sizeof(struct rec_section_data));
+	whole = 0;
+	/* A peer that is only too far behind has most of the content. */
+	if (!msg->more && pull->after[0] == '\0' &&
+	    (msg->result == PULL_DELTA || pull->have == 0))
+		whole = serve_inline(s, msg, sections);
+	msg->sections = (struct rec_section_data *)(void *)sections->data;
+	msg->n_sections = sections->len;
+	if ((!whole || msg->more) && !serve_place(s, now_ms, from))
+		msg->result = PULL_BUSY;
+	else if (!budget_take(&s->budget, now_ms, serve_cost(msg)))
+		msg->result = PULL_BUSY;
+	if (msg->result == PULL_BUSY) {
+		msg->come_back_ms = env_around(s->env, COME_BACK_MS);
+		msg->more = 0;
+		msg->n_changes = 0;
+		msg->n_sections = 0;
+	}
+	serve_send_delta(s, from, conn, msg);
+	g_array_unref(sections);
+}
+
+void
+serve_pull(struct serve *s, uint64_t now_ms, const struct net_addr *from,
+    uint64_t conn, const struct msg_pull *msg, const struct rec_head *head)
+{
+	struct catalog_delta delta;
+	struct msg_delta reply;
+	enum status st;
+	uint64_t target;
+
+	memset(&reply, 0, sizeof(reply));
+	memset(&delta, 0, sizeof(delta));
+	reply.token = msg->token;
+	reply.head = *head;
+	target = serve_target(s, msg, head);
+	st = STATUS_NOT_FOUND;
+	if (msg->have > 0)
+		st = catalog_delta(s->env->catalog, msg->have, target, &delta);
+	if (st == STATUS_NOT_FOUND && target > msg->have &&
+	    target <= catalog_version(s->env->catalog))
+		st = serve_full(s, target, &delta);
+	if (st != STATUS_OK) {
+		reply.result = PULL_NOT_HERE;
+		serve_send_delta(s, from, conn, &reply);
+		return;
+	}
+	serve_answer(s, now_ms, from, conn, msg, &delta, &reply);
+	catalog_delta_clear(&delta);
+}
+
+void
+serve_fetch(struct serve *s, uint64_t now_ms, const struct net_addr *from,
+    uint64_t conn, const struct msg_fetch *msg)
+{
+	struct msg_sections reply;
+	GArray *sections;
+	GBytes *content;
+	uint32_t i, bytes;
+
+	memset(&reply, 0, sizeof(reply));
+	reply.token = msg->token;
+	sections = g_array_new(FALSE, FALSE, sizeof(struct rec_section_data));
+	bytes = 0;
+	for (i = 0; i < msg->n_wants; i++) {
+		content =
+		    catalog_content(s->env->catalog, &msg->wants[i].digest);
+		if (content == NULL)
+			continue;
+		bytes += (uint32_t)g_bytes_get_size(content);
+		if (bytes > s->env->profile.reply_bytes && sections->len > 0)
+			break;
+		serve_add_content(sections, &msg->wants[i].digest, content);
+	}
+	reply.result = sections->len > 0 ? PULL_DELTA : PULL_NOT_HERE;
+	if (sections->len > 0 &&
+	    (!serve_place(s, now_ms, from) ||
+		!budget_take(&s->budget, now_ms, bytes))) {
+		reply.result = PULL_BUSY;
+		reply.come_back_ms = env_around(s->env, COME_BACK_MS);
+	} else {
+		reply.sections =
+		    (struct rec_section_data *)(void *)sections->data;
+		reply.n_sections = sections->len;
+	}
+	if (i == msg->n_wants)
+		serve_leave(s, from);
+	serve_send_sections(s, from, conn, &reply);
+	g_array_unref(sections);
+}
--- /dev/null
+++ b/packages/spread/src/spread.c
@@ -0,0 +1,273 @@
+/*
+ * Composition of the spread: heads, and what follows from an event.
+ */
+#include "spread/spread.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "membership/membership.h"
+#include "spread_priv.h"
+
+struct spread *
+spread_new(const struct spread_config *config, struct membership *m,
+    struct catalog *c, uint64_t now_ms)
+{
+	struct spread *s;
+
+	s = g_new0(struct spread, 1);
+	env_init(&s->env, config, m, c);
+	readers_init(&s->readers, &s->env, now_ms);
+	notices_init(&s->notices, &s->env, now_ms);
+	intake_init(&s->intake, &s->env, now_ms);
+	serve_init(&s->serve, &s->env, now_ms);
+	floors_init(&s->floors, &s->env, now_ms);
+	progress_init(&s->progress, &s->env, now_ms);
+	s->stock =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	return s;
+}
+
+void
+spread_free(struct spread *s)
+{
+	if (s == NULL)
+		return;
+	intake_clear(&s->intake);
+	floors_clear(&s->floors);
+	progress_clear(&s->progress);
+	g_ptr_array_unref(s->stock);
+	env_clear(&s->env);
+	g_free(s);
+}
+
+/* Each sign-off raises seq and version by one, each halt only seq. */
+uint64_t
+spread_halts(const struct rec_head *head)
+{
+	return head->seq - head->version;
+}
+
+static int
+spread_plausible(const struct rec_head *head)
+{
+	return head->in_force <= head->version && head->version <= head->seq &&
+	    head->version > 0;
+}
+
+static void
+spread_remember(struct spread *s, const struct rec_head *head)
+{
+	s->heads[s->next_head] = *head;
+	s->next_head = (s->next_head + 1) % SPREAD_HEADS;
+}
+
+/* A version was halted since the known head: what is under way may be it. */
+static void
+spread_halted(struct spread *s, const struct rec_head *head)
+{
+	uint64_t under_way;
+
+	under_way = intake_under_way(&s->intake);
+	if (under_way > 0 && under_way != head->in_force)
+		intake_drop(&s->intake);
+	if (head->state == HEAD_HALTED &&
+	    head->version > catalog_version(s->env.catalog))
+		env_act(&s->env, SPREAD_HALTED)->to = head->version;
+}
+
+int
+spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head *head)
+{
+	if (!spread_plausible(head) || head->seq < s->known.seq)
+		return 0;
+	intake_root(&s->intake, head->in_force, &head->root);
+	if (head->seq == s->known.seq)
+		return 0;
+	if (spread_halts(head) != spread_halts(&s->known))
+		spread_halted(s, head);
+	s->known = *head;
+	s->origin = 0;
+	spread_remember(s, head);
+	intake_want(&s->intake, now_ms, MAX(head->in_force, s->floors.floor));
+	return 1;
+}
+
+/* The head that the version held came with. */
+static const struct rec_head *
+spread_held_head(const struct spread *s)
+{
+	const struct rec_head *h, *best;
+	uint32_t i;
+
+	best = NULL;
+	for (i = 0; i < SPREAD_HEADS; i++) {
+		h = &s->heads[i];
+		if (h->seq == 0 || h->seq <= s->offered.seq ||
+		    h->in_force > catalog_version(s->env.catalog) ||
+		    spread_halts(h) != spread_halts(&s->known))
+			continue;
+		if (best == NULL || h->seq > best->seq)
+			best = h;
+	}
+	return best;
+}
+
+/* Tell others what is held here, if that has become something newer. */
+static void
+spread_offer(struct spread *s, uint64_t now_ms)
+{
+	struct rec_gossip_head gossip;
+	const struct rec_head *head;
+
+	if (catalog_version(s->env.catalog) == 0)
+		return;
+	head = spread_held_head(s);
+	if (head == NULL)
+		return;
+	s->offered = *head;
+	if (head->seq == s->known.seq)
+		notices_offer(&s->notices, now_ms, head, s->origin);
+	gossip.seq = head->seq;
+	gossip.version = head->version;
+	gossip.in_force = head->in_force;
+	gossip.state = (uint8_t)head->state;
+	membership_set_head(s->env.members, &gossip);
+}
+
+static void
+spread_commit(struct spread *s, uint64_t now_ms)
+{
+	struct spread_action *a;
+	uint64_t from;
+
+	from = catalog_version(s->env.catalog);
+	if (!intake_commit(&s->intake, now_ms))
+		return;
+	s->env.stats.versions_applied++;
+	a = env_act(&s->env, SPREAD_APPLY);
+	a->from = from;
+	a->to = catalog_version(s->env.catalog);
+}
+
+static void
+spread_take_in(struct spread *s, uint64_t now_ms)
+{
+	uint64_t version;
+
+	intake_want(
+	    &s->intake, now_ms, MAX(s->known.in_force, s->floors.floor));
+	intake_tick(&s->intake, now_ms);
+	version = intake_staged(&s->intake);
+	if (version == 0)
+		return;
+	floors_tell(&s->floors, now_ms, version);
+	if (!floors_settled(&s->floors, version))
+		return;
+	spread_commit(s, now_ms);
+	intake_tick(&s->intake, now_ms);
+}
+
+static void
+spread_become_ready(struct spread *s)
+{
+	uint64_t held;
+
+	held = catalog_version(s->env.catalog);
+	if (s->ready || held == 0 || !floors_known(&s->floors) ||
+	    held < s->floors.floor)
+		return;
+	s->ready = 1;
+	env_act(&s->env, SPREAD_READY)->to = held;
+}
+
+void
+spread_settle(struct spread *s, uint64_t now_ms)
+{
+	spread_take_in(s, now_ms);
+	spread_offer(s, now_ms);
+	spread_become_ready(s);
+	progress_own(&s->progress, now_ms, catalog_version(s->env.catalog),
+	    s->known.version);
+	notices_tick(&s->notices, now_ms, readers_is_reader(&s->readers));
+}
+
+uint64_t
+spread_next_ms(const struct spread *s)
+{
+	uint64_t next;
+
+	next = readers_next_ms(&s->readers);
+	next = MIN(
+	    next, notices_next_ms(&s->notices, readers_is_reader(&s->readers)));
+	next = MIN(next, intake_next_ms(&s->intake));
+	next = MIN(next, floors_next_ms(&s->floors));
+	next = MIN(next, progress_next_ms(&s->progress));
+	return next;
+}
+
+void
+spread_tick(struct spread *s, uint64_t now_ms)
+{
+	readers_tick(&s->readers, now_ms);
+	floors_tick(&s->floors, now_ms);
+	spread_settle(s, now_ms);
+	progress_tick(&s->progress, now_ms);
+}
+
+int
+spread_ready(const struct spread *s)
+{
+	return s->ready;
+}
+
+const struct rec_head *
+spread_head(const struct spread *s)
+{
+	return &s->known;
+}
+
+uint64_t
+spread_floor(const struct spread *s)
+{
+	return s->floors.floor;
+}
+
+void
+spread_progress_ask(struct spread *s, uint64_t now_ms)
+{
+	progress_ask(&s->progress, now_ms);
+}
+
+const struct spread_progress *
+spread_progress(const struct spread *s, uint32_t *n)
+{
+	*n = s->progress.answers->len;
+	return (const struct spread_progress *)(const void *)
+	    s->progress.answers->data;
+}
+
+const struct spread_stats *
+spread_stats(const struct spread *s)
+{
+	return &s->env.stats;
+}
+
+struct outbox *
+spread_outbox(struct spread *s)
+{
+	return s->env.out;
+}
+
+int
+spread_pop(struct spread *s, struct spread_action *action)
+{
+	struct spread_action *a;
+
+	a = g_queue_pop_head(s->env.actions);
+	if (a == NULL)
+		return 0;
+	*action = *a;
+	g_free(a);
+	return 1;
+}
--- /dev/null
+++ b/packages/spread/src/spread_events.c
@@ -0,0 +1,218 @@
+/*
+ * Composition of the spread: messages of peers and answers of the platform.
+ */
+#include <string.h>
+
+#include "membership/membership.h"
+#include "spread/spread.h"
+#include "spread_priv.h"
+
+/* A peer holds the version in force of a head. */
+static int
+spread_heard(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    const struct rec_head *head, int near)
+{
+	int newer;
+
+	newer = spread_adopt(s, now_ms, head);
+	if (spread_halts(head) == spread_halts(&s->known))
+		intake_offered(&s->intake, now_ms, from, head->in_force, near);
+	return newer;
+}
+
+static void
+spread_on_notice(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct msg_notice msg;
+
+	if (msg_notice_decode(body, len, &msg) != STATUS_OK)
+		return;
+	s->env.stats.notices_heard++;
+	if (spread_heard(s, now_ms, from, &msg.head, msg.kind == NOTICE_NEAR))
+		s->env.stats.notices_new++;
+	else if (msg.kind == NOTICE_NEAR)
+		notices_heard(&s->notices, msg.head.seq);
+	if (msg.kind == NOTICE_COMPARE && msg.head.seq < s->offered.seq)
+		notices_answer(&s->notices, from);
+}
+
+static void
+spread_on_floor(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    uint8_t type, const uint8_t *body, size_t len)
+{
+	struct msg_floor_answer answer;
+	struct msg_floor_tell tell;
+	struct msg_floor_ask ask;
+	struct msg_floor_ack ack;
+
+	if (type == MSG_FLOOR_TELL &&
+	    msg_floor_tell_decode(body, len, &tell) == STATUS_OK) {
+		floors_on_tell(&s->floors, from, &tell);
+	} else if (type == MSG_FLOOR_ACK &&
+	    msg_floor_ack_decode(body, len, &ack) == STATUS_OK) {
+		floors_on_ack(&s->floors, &ack);
+	} else if (type == MSG_FLOOR_ASK &&
+	    msg_floor_ask_decode(body, len, &ask) == STATUS_OK) {
+		floors_on_ask(&s->floors, from, &ask, &s->offered, s->ready);
+	} else if (type == MSG_FLOOR_ANSWER &&
+	    msg_floor_answer_decode(body, len, &answer) == STATUS_OK) {
+		floors_on_answer(&s->floors, from, &answer);
+		spread_heard(s, now_ms, from, &answer.head, 0);
+	}
+}
+
+static void
+spread_on_progress(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, uint8_t type, const uint8_t *body, size_t len)
+{
+	struct msg_progress_report report;
+	struct msg_progress_answer answer;
+	struct msg_progress_ask ask;
+
+	if (type == MSG_PROGRESS_REPORT &&
+	    msg_progress_report_decode(body, len, &report) == STATUS_OK)
+		progress_on_report(&s->progress, now_ms, from, &report);
+	else if (type == MSG_PROGRESS_ASK &&
+	    msg_progress_ask_decode(body, len, &ask) == STATUS_OK)
+		progress_on_ask(&s->progress, now_ms, from, &ask);
+	else if (type == MSG_PROGRESS_ANSWER &&
+	    msg_progress_answer_decode(body, len, &answer) == STATUS_OK)
+		progress_on_answer(&s->progress, now_ms, &answer);
+}
+
+void
+spread_on_datagram(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, uint8_t type, const uint8_t *body, size_t len)
+{
+	if (type == MSG_NOTICE)
+		spread_on_notice(s, now_ms, from, body, len);
+	else if (type >= MSG_FLOOR_TELL && type <= MSG_FLOOR_ANSWER)
+		spread_on_floor(s, now_ms, from, type, body, len);
+	else if (type >= MSG_PROGRESS_REPORT && type <= MSG_PROGRESS_ANSWER)
+		spread_on_progress(s, now_ms, from, type, body, len);
+	else
+		return;
+	spread_settle(s, now_ms);
+}
+
+static void
+spread_on_delta(struct spread *s, uint64_t now_ms, const struct msg_delta *msg)
+{
+	int in_force;
+
+	spread_adopt(s, now_ms, &msg->head);
+	in_force = msg->want == msg->head.in_force &&
+	    spread_halts(&msg->head) == spread_halts(&s->known);
+	intake_on_delta(&s->intake, now_ms, msg, in_force);
+}
+
+static void
+spread_on_answer(struct spread *s, uint64_t now_ms, uint8_t type,
+    const uint8_t *body, size_t len)
+{
+	struct msg_sections sections;
+	struct msg_delta delta;
+
+	if (type == MSG_DELTA &&
+	    msg_delta_decode(body, len, &delta) == STATUS_OK) {
+		spread_on_delta(s, now_ms, &delta);
+		msg_delta_clear(&delta);
+	} else if (type == MSG_SECTIONS &&
+	    msg_sections_decode(body, len, &sections) == STATUS_OK) {
+		intake_on_sections(&s->intake, now_ms, &sections);
+		msg_sections_clear(&sections);
+	}
+}
+
+void
+spread_on_frame(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    uint64_t conn, uint8_t type, const uint8_t *body, size_t len)
+{
+	struct msg_fetch fetch;
+	struct msg_pull pull;
+
+	if (type == MSG_PULL &&
+	    msg_pull_decode(body, len, &pull) == STATUS_OK) {
+		serve_pull(&s->serve, now_ms, from, conn, &pull, &s->offered);
+	} else if (type == MSG_FETCH &&
+	    msg_fetch_decode(body, len, &fetch) == STATUS_OK) {
+		serve_fetch(&s->serve, now_ms, from, conn, &fetch);
+		msg_fetch_clear(&fetch);
+	} else if (type == MSG_DELTA || type == MSG_SECTIONS) {
+		spread_on_answer(s, now_ms, type, body, len);
+		spread_settle(s, now_ms);
+	}
+}
+
+void
+spread_on_closed(struct spread *s, uint64_t now_ms, const struct net_addr *peer)
+{
+	intake_on_closed(&s->intake, now_ms, peer);
+	spread_settle(s, now_ms);
+}
+
+void
+spread_on_heard(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    const struct rec_head *head)
+{
+	spread_heard(s, now_ms, from, head, 1);
+	spread_settle(s, now_ms);
+}
+
+void
+spread_on_head(struct spread *s, uint64_t now_ms, enum status st,
+    const struct rec_head *head)
+{
+	int answered;
+
+	answered = st == STATUS_OK || st == STATUS_NOT_FOUND;
+	readers_answered(&s->readers, now_ms, answered);
+	if (st == STATUS_OK && spread_adopt(s, now_ms, head))
+		s->origin = 1;
+	if (st == STATUS_OK && head->in_force > catalog_version(s->env.catalog))
+		intake_from_source(&s->intake, now_ms);
+	if (answered)
+		floors_on_platform(
+		    &s->floors, now_ms, st == STATUS_OK ? head->in_force : 0);
+	spread_settle(s, now_ms);
+}
+
+void
+spread_on_versions(struct spread *s, uint64_t now_ms, enum status st,
+    const struct spread_version_row *rows, uint32_t n_rows)
+{
+	intake_on_versions(&s->intake, now_ms, st, rows, n_rows);
+	spread_settle(s, now_ms);
+}
+
+void
+spread_on_object(struct spread *s, uint64_t now_ms, enum status st,
+    const struct digest *digest, const uint8_t *data, size_t len)
+{
+	intake_on_object(&s->intake, now_ms, st, digest, data, len);
+	spread_settle(s, now_ms);
+}
+
+void
+spread_stock(struct spread *s, GBytes *const *contents, uint32_t n_contents)
+{
+	uint32_t i;
+
+	for (i = 0; i < n_contents; i++)
+		g_ptr_array_add(s->stock, g_bytes_ref(contents[i]));
+}
+
+void
+spread_on_signed(struct spread *s, uint64_t now_ms, const struct rec_head *head,
+    const struct spread_version_row *row)
+{
+	if (spread_adopt(s, now_ms, head))
+		s->origin = 1;
+	if (row != NULL && row->version == s->known.in_force)
+		intake_signed(&s->intake, now_ms, row, s->stock);
+	else if (head->in_force > catalog_version(s->env.catalog))
+		intake_from_source(&s->intake, now_ms);
+	g_ptr_array_set_size(s->stock, 0);
+	spread_settle(s, now_ms);
+}
--- /dev/null
+++ b/packages/spread/src/spread_priv.h
@@ -0,0 +1,69 @@
+/*
+ * Parts of the composition that its files share.
+ */
+#ifndef SPREAD_SPREAD_PRIV_H
+#define SPREAD_SPREAD_PRIV_H
+
+#include "spread/env.h"
+#include "spread/floors.h"
+#include "spread/intake.h"
+#include "spread/notices.h"
+#include "spread/progress.h"
+#include "spread/readers.h"
+#include "spread/serve.h"
+
+/* Heads that are remembered, to tell which one a version came with. */
+#define SPREAD_HEADS 8
+
+/**
+ * struct spread - one node's spread
+ * @env: what the modules share
+ * @readers: polling of the platform
+ * @notices: passing on
+ * @intake: version under way
+ * @serve: answers to peers
+ * @floors: what restarted hosts held
+ * @progress: sums of the roll
+ * @known: newest head heard
+ * @offered: newest head whose version in force is held
+ * @heads: heads heard lately
+ * @next_head: where the next one goes
+ * @stock: GBytes; contents for a version that is being signed off here
+ * @origin: @known came from the platform or a sign-off here, not from a peer
+ * @ready: whether the node may serve
+ */
+struct spread {
+	struct spread_env env;
+	struct readers readers;
+	struct notices notices;
+	struct intake intake;
+	struct serve serve;
+	struct floors floors;
+	struct progress progress;
+	struct rec_head known;
+	struct rec_head offered;
+	struct rec_head heads[SPREAD_HEADS];
+	uint32_t next_head;
+	GPtrArray *stock;
+	int origin;
+	int ready;
+};
+
+/**
+ * spread_adopt() - a head was heard
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @head: the head
+ *
+ * Return: 1 when it is newer than the one known, else 0.
+ */
+int
+spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head *head);
+
+/** spread_halts() - number of halts up to a head */
+uint64_t spread_halts(const struct rec_head *head);
+
+/** spread_settle() - do what an event has made possible; ends each event */
+void spread_settle(struct spread *s, uint64_t now_ms);
+
+#endif
