--- a/packages/config/include/config/section.h
+++ b/packages/config/include/config/section.h
@@ -85,6 +85,14 @@
 enum status section_list_decode(
     const uint8_t *data, size_t len, const struct digest *root, GArray **list);
 
+/**
+ * section_list_valid() - whether a list is sorted and well named
+ * @list: struct rec_section_ref
+ *
+ * Return: STATUS_OK or STATUS_INVALID.
+ */
+enum status section_list_valid(const GArray *list);
+
 /**
  * section_changes_valid() - whether changes are sorted and well named
  * @changes: first of the changes
--- /dev/null
+++ b/packages/config/src/bundle.c
@@ -0,0 +1,182 @@
+/*
+ * Bundles: parsing, the verdict, and sections.
+ */
+#include <string.h>
+
+#include "bundle_read.h"
+#include "bundle_scan.h"
+#include "rules.h"
+#include "section_build.h"
+
+/* Parse the text; a doubled key is noted and the rest is still read. */
+static json_t *
+load(const char *json, size_t len, struct problems *p)
+{
+	json_error_t error;
+	json_t *root;
+
+	root = json_loadb(json, len, JSON_REJECT_DUPLICATES, &error);
+	if (root != NULL)
+		return root;
+	problems_add(p, NULL, "correct the JSON", "line %d, column %d: %s",
+	    error.line, error.column, error.text);
+	if (json_error_code(&error) == json_error_duplicate_key)
+		return json_loadb(json, len, 0, &error);
+	return NULL;
+}
+
+static int
+section_order(const void *a, const void *b)
+{
+	const struct section *const *x = a, *const *y = b;
+
+	return strcmp((*x)->config->name, (*y)->config->name);
+}
+
+/* What a node will check when the section arrives there. */
+static void
+section_verify(const struct section *section, struct problems *p)
+{
+	struct service_config *sc;
+	const uint8_t *data;
+	size_t len;
+
+	data = g_bytes_get_data(section->content, &len);
+	if (section_decode(data, len, &sc) != STATUS_OK)
+		problems_add(p, NULL, "report this as a defect",
+		    "service %s makes no good section: %s",
+		    section->config->name, status_message());
+	service_config_unref(sc);
+}
+
+static void
+total_check(const struct bundle *b, struct problems *p)
+{
+	const struct section *section;
+	uint64_t total = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		total += g_bytes_get_size(section->content);
+	}
+	if (total > CONFIG_MAX_BYTES)
+		problems_add(p, NULL, "split the bundle",
+		    "its sections have %" G_GUINT64_FORMAT
+		    " bytes, at most %" G_GUINT64_FORMAT " are taken",
+		    total, CONFIG_MAX_BYTES);
+}
+
+/* Cut a bundle without problems in sections. */
+static void
+build_sections(struct bundle *b, const struct bundle_reader *r)
+{
+	struct section *section;
+	struct draft *d;
+	uint32_t i;
+
+	for (i = 0; i < r->drafts->len; i++) {
+		d = g_ptr_array_index(r->drafts, i);
+		d->m.routes = (struct rec_section_route *)d->routes->data;
+		d->m.n_routes = d->routes->len;
+		routes_sort(d->m.routes, d->m.n_routes);
+		section = section_new(&d->m);
+		section_verify(section, r->p);
+		g_ptr_array_add(b->sections, section);
+	}
+	g_ptr_array_sort(b->sections, section_order);
+	total_check(b, r->p);
+}
+
+static enum status
+read_json(struct bundle *b, const char *json, size_t len, struct problems *p)
+{
+	struct bundle_reader r;
+	enum status st;
+	json_t *root;
+
+	st = bundle_scan(json, len, p);
+	if (st != STATUS_OK)
+		return st;
+	root = load(json, len, p);
+	if (root == NULL)
+		return STATUS_INVALID;
+	bundle_reader_init(&r, p);
+	bundle_read(&r, root);
+	json_decref(root);
+	g_strlcpy(b->name, r.name, sizeof(b->name));
+	if (p->n_found == 0)
+		build_sections(b, &r);
+	bundle_reader_clear(&r);
+	return p->n_found == 0 ? STATUS_OK : STATUS_INVALID;
+}
+
+static enum status
+verdict(struct bundle *b, enum status st)
+{
+	struct problems p = {b->problems, b->n_problems};
+	char *summary;
+
+	if (st == STATUS_OK)
+		return st;
+	g_ptr_array_set_size(b->sections, 0);
+	summary = problems_summary(&p);
+	(void)status_set(st, "The bundle has %u %s. %s", b->n_problems,
+	    b->n_problems == 1 ? "problem" : "problems", summary);
+	g_free(summary);
+	return st;
+}
+
+enum status
+bundle_parse(const char *json, size_t len, struct bundle **bundle)
+{
+	struct problems p;
+	struct bundle *b;
+	enum status st;
+	GArray *list;
+
+	b = g_new0(struct bundle, 1);
+	b->sections = g_ptr_array_new_with_free_func(section_free);
+	problems_init(&p);
+	st = read_json(b, json, len, &p);
+	b->problems = p.list;
+	b->n_problems = p.n_found;
+	if (st == STATUS_OK) {
+		bundle_to_sections(b, &list, &b->root);
+		g_array_unref(list);
+	}
+	*bundle = b;
+	return verdict(b, st);
+}
+
+void
+bundle_free(struct bundle *bundle)
+{
+	if (bundle == NULL)
+		return;
+	g_ptr_array_unref(bundle->sections);
+	g_ptr_array_unref(bundle->problems);
+	g_free(bundle);
+}
+
+void
+bundle_to_sections(
+    const struct bundle *bundle, GArray **list, struct digest *root)
+{
+	const struct section *section;
+	struct rec_section_ref ref;
+	GBytes *content;
+	uint32_t i;
+
+	*list = g_array_new(FALSE, TRUE, sizeof(ref));
+	for (i = 0; i < bundle->sections->len; i++) {
+		section = g_ptr_array_index(bundle->sections, i);
+		memset(&ref, 0, sizeof(ref));
+		g_strlcpy(
+		    ref.service, section->config->name, sizeof(ref.service));
+		ref.digest = section->config->digest;
+		g_array_append_val(*list, ref);
+	}
+	content = section_list_encode(*list, root);
+	g_bytes_unref(content);
+}
--- /dev/null
+++ b/packages/config/src/bundle_read.c
@@ -0,0 +1,273 @@
+/*
+ * Reading a bundle's JSON: the bundle itself and its services.
+ */
+#include <string.h>
+
+#include "bundle_read.h"
+#include "rules.h"
+
+#define LOOK "see docs/BUNDLES.md"
+
+static void
+draft_free(void *data)
+{
+	struct draft *d = data;
+
+	g_array_unref(d->routes);
+	g_free(d);
+}
+
+void
+bundle_reader_init(struct bundle_reader *r, struct problems *p)
+{
+	memset(r, 0, sizeof(*r));
+	r->p = p;
+	r->drafts = g_ptr_array_new_with_free_func(draft_free);
+	r->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	r->claims =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+bundle_reader_clear(struct bundle_reader *r)
+{
+	g_hash_table_unref(r->claims);
+	g_hash_table_unref(r->by_name);
+	g_ptr_array_unref(r->drafts);
+}
+
+void
+json_keys_check(json_t *object, const char *const *known,
+    const struct place *at, struct problems *p)
+{
+	struct place key_at = {at, NULL, PLACE_NO_INDEX};
+	const char *const *k;
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(object, key, value)
+	{
+		for (k = known; *k != NULL; k++) {
+			if (strcmp(*k, key) == 0)
+				break;
+		}
+		key_at.key = key;
+		if (*k == NULL)
+			problems_add(p, &key_at,
+			    "take it out or correct its spelling; " LOOK,
+			    "no such key is known");
+	}
+}
+
+const char *
+json_text(
+    json_t *object, const char *key, const struct place *at, struct problems *p)
+{
+	struct place text_at = {at, key, PLACE_NO_INDEX};
+	json_t *value = json_object_get(object, key);
+
+	if (json_is_string(value))
+		return json_string_value(value);
+	problems_add(p, &text_at, "give it as text; " LOOK, "%s",
+	    value == NULL ? "this key is missing" : "this is not text");
+	return NULL;
+}
+
+json_t *
+json_list(
+    json_t *object, const char *key, const struct place *at, struct problems *p)
+{
+	struct place list_at = {at, key, PLACE_NO_INDEX};
+	json_t *value = json_object_get(object, key);
+
+	if (json_is_array(value))
+		return value;
+	problems_add(p, &list_at, "give it as a list; " LOOK, "%s",
+	    value == NULL ? "this key is missing" : "this is not a list");
+	return NULL;
+}
+
+/* Read one number of a service; a missing one has its initial value. */
+static void
+read_number(struct bundle_reader *r, const struct number_rule *rule,
+    json_t *object, const struct place *at, struct msg_section *m)
+{
+	struct place number_at = {at, rule->key, PLACE_NO_INDEX};
+	json_t *value = json_object_get(object, rule->key);
+	json_int_t n;
+
+	number_store(rule, m, rule->initial);
+	if (value == NULL)
+		return;
+	if (!json_is_integer(value)) {
+		problems_add(r->p, &number_at, "give a whole number; " LOOK,
+		    "this is not a whole number");
+		return;
+	}
+	n = json_integer_value(value);
+	/* A negative number is beyond any range once unsigned. */
+	number_check(rule, (uint64_t)n, &number_at, r->p);
+	number_store(rule, m, (uint64_t)n);
+}
+
+/* Keys of a group of numbers that are not known. */
+static void
+number_keys_check(struct bundle_reader *r, const char *group, json_t *object,
+    const struct place *at)
+{
+	struct place key_at = {at, NULL, PLACE_NO_INDEX};
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(object, key, value)
+	{
+		key_at.key = key;
+		if (number_rule_find(group, key) == NULL)
+			problems_add(r->p, &key_at,
+			    "take it out or correct its spelling; " LOOK,
+			    "no such key is known");
+	}
+}
+
+/* Read the numbers of one group; NULL is the service itself. */
+static void
+read_group(struct bundle_reader *r, const char *group, json_t *service,
+    const struct place *at, struct msg_section *m)
+{
+	struct place group_at = {at, group, PLACE_NO_INDEX};
+	const struct number_rule *rule;
+	json_t *object = service;
+
+	if (group != NULL)
+		object = json_object_get(service, group);
+	if (object != NULL && !json_is_object(object)) {
+		problems_add(r->p, &group_at, "give it as an object; " LOOK,
+		    "this is not an object");
+		object = NULL;
+	}
+	if (group != NULL && object != NULL)
+		number_keys_check(r, group, object, &group_at);
+	for (rule = number_rules; rule->key != NULL; rule++) {
+		if (g_strcmp0(rule->group, group) == 0)
+			read_number(
+			    r, rule, object, group != NULL ? &group_at : at, m);
+	}
+}
+
+static void
+read_service_name(struct bundle_reader *r, json_t *service,
+    const struct place *at, struct draft *d)
+{
+	struct place name_at = {at, "name", PLACE_NO_INDEX};
+	const char *name;
+
+	name = json_text(service, "name", at, r->p);
+	if (name == NULL)
+		return;
+	service_name_check(name, strlen(name), &name_at, r->p);
+	g_strlcpy(d->m.service, name, sizeof(d->m.service));
+	if (g_hash_table_contains(r->by_name, d->m.service))
+		problems_add(r->p, &name_at, "give each service once",
+		    "service %s is there twice", d->m.service);
+	else
+		g_hash_table_insert(r->by_name, d->m.service, d);
+}
+
+static void
+read_service(struct bundle_reader *r, json_t *service, const struct place *at)
+{
+	static const char *const known[] = {
+	    "name", "timeout_ms", "limits", "retry", NULL};
+	struct draft *d;
+
+	if (!json_is_object(service)) {
+		problems_add(r->p, at, "give each service as an object; " LOOK,
+		    "this is not an object");
+		return;
+	}
+	d = g_new0(struct draft, 1);
+	d->routes = g_array_new(FALSE, TRUE, sizeof(struct rec_section_route));
+	g_ptr_array_add(r->drafts, d);
+	json_keys_check(service, known, at, r->p);
+	read_service_name(r, service, at, d);
+	read_group(r, NULL, service, at, &d->m);
+	read_group(r, "limits", service, at, &d->m);
+	read_group(r, "retry", service, at, &d->m);
+}
+
+static void
+read_services(struct bundle_reader *r, json_t *services, const struct place *at)
+{
+	struct place item_at = {at, NULL, 0};
+	json_t *service;
+	size_t i;
+
+	if (json_array_size(services) == 0)
+		problems_add(r->p, at,
+		    "give at least one; to take all out of use, halt or "
+		    "supersede the version",
+		    "the bundle has no service");
+	if (json_array_size(services) > CONFIG_MAX_SERVICES) {
+		problems_add(r->p, at, "split the bundle",
+		    "%zu services, at most %d are taken",
+		    json_array_size(services), CONFIG_MAX_SERVICES);
+		return;
+	}
+	json_array_foreach(services, i, service)
+	{
+		item_at.index = (uint32_t)i;
+		read_service(r, service, &item_at);
+	}
+}
+
+static void
+read_format(struct bundle_reader *r, json_t *root)
+{
+	struct place at = {NULL, "format", PLACE_NO_INDEX};
+	json_t *value = json_object_get(root, "format");
+
+	if (!json_is_integer(value) ||
+	    json_integer_value(value) != BUNDLE_FORMAT)
+		problems_add(r->p, &at, "write \"format\": 1",
+		    "only format %d is known", BUNDLE_FORMAT);
+}
+
+static void
+read_name(struct bundle_reader *r, json_t *root)
+{
+	struct place at = {NULL, "name", PLACE_NO_INDEX};
+	const char *name;
+
+	name = json_text(root, "name", NULL, r->p);
+	if (name == NULL)
+		return;
+	if (!service_name_valid(name, strlen(name)))
+		problems_add(r->p, &at,
+		    "use 1 to 63 of a-z, 0-9 and '-', a letter first",
+		    "this is no name of a bundle");
+	g_strlcpy(r->name, name, sizeof(r->name));
+}
+
+void
+bundle_read(struct bundle_reader *r, json_t *root)
+{
+	static const char *const known[] = {
+	    "format", "name", "services", "routes", NULL};
+	struct place services_at = {NULL, "services", PLACE_NO_INDEX};
+	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
+	json_t *list;
+
+	if (!json_is_object(root)) {
+		problems_add(r->p, NULL, LOOK, "a bundle is an object");
+		return;
+	}
+	json_keys_check(root, known, NULL, r->p);
+	read_format(r, root);
+	read_name(r, root);
+	list = json_list(root, "services", NULL, r->p);
+	if (list != NULL)
+		read_services(r, list, &services_at);
+	list = json_list(root, "routes", NULL, r->p);
+	if (list != NULL)
+		bundle_read_routes(r, list, &routes_at);
+}
--- /dev/null
+++ b/packages/config/src/bundle_read.h
@@ -0,0 +1,64 @@
+/*
+ * Reading a bundle's JSON into drafts of sections.
+ */
+#ifndef CONFIG_BUNDLE_READ_H
+#define CONFIG_BUNDLE_READ_H
+
+#include <jansson.h>
+
+#include "config/bundle.h"
+#include "problems.h"
+#include "proto/messages.h"
+
+/**
+ * struct draft - a service being read
+ * @m: its numbers and name; the routes are in @routes until the end
+ * @routes: struct rec_section_route
+ */
+struct draft {
+	struct msg_section m;
+	GArray *routes;
+};
+
+/**
+ * struct bundle_reader - state of reading
+ * @p: problems so far
+ * @name: name of the bundle
+ * @drafts: struct draft, in order of the bundle
+ * @by_name: name of a service to its draft; borrowed
+ * @claims: prefix to struct claim: which route claims which method
+ */
+struct bundle_reader {
+	struct problems *p;
+	char name[BUNDLE_NAME_BYTES];
+	GPtrArray *drafts;
+	GHashTable *by_name;
+	GHashTable *claims;
+};
+
+/** bundle_reader_init() - start reading; @p must outlive the reader */
+void bundle_reader_init(struct bundle_reader *r, struct problems *p);
+
+/** bundle_reader_clear() - free what the reader holds */
+void bundle_reader_clear(struct bundle_reader *r);
+
+/** bundle_read() - read a whole bundle, noting all problems */
+void bundle_read(struct bundle_reader *r, json_t *root);
+
+/** bundle_read_routes() - read the routes, once the services are known */
+void bundle_read_routes(
+    struct bundle_reader *r, json_t *routes, const struct place *at);
+
+/** json_keys_check() - note keys that are not in a list ended by NULL */
+void json_keys_check(json_t *object, const char *const *known,
+    const struct place *at, struct problems *p);
+
+/** json_text() - a member that must be text, or NULL with a problem noted */
+const char *json_text(json_t *object, const char *key, const struct place *at,
+    struct problems *p);
+
+/** json_list() - a member that must be a list, or NULL with a problem noted */
+json_t *json_list(json_t *object, const char *key, const struct place *at,
+    struct problems *p);
+
+#endif
--- /dev/null
+++ b/packages/config/src/problems.h
@@ -0,0 +1,61 @@
+/*
+ * Problems found in a bundle or a section, and where.
+ */
+#ifndef CONFIG_PROBLEMS_H
+#define CONFIG_PROBLEMS_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+/* Index of a place that is named by a key. */
+#define PLACE_NO_INDEX UINT32_MAX
+
+/**
+ * struct place - a place in a document, as a chain up to its root
+ * @up: what it is part of, NULL for the root
+ * @key: its key in an object, NULL for an element of a list
+ * @index: its index in a list, PLACE_NO_INDEX for a member of an object
+ */
+struct place {
+	const struct place *up;
+	const char *key;
+	uint32_t index;
+};
+
+/**
+ * struct problems - problems found so far
+ * @list: struct bundle_problem, the first BUNDLE_MAX_PROBLEMS
+ * @n_found: number of all
+ */
+struct problems {
+	GPtrArray *list;
+	uint32_t n_found;
+};
+
+/** problems_init() - none so far */
+void problems_init(struct problems *p);
+
+/** problems_clear() - free the list */
+void problems_clear(struct problems *p);
+
+/**
+ * problems_add() - note a problem
+ * @p: problems
+ * @at: where
+ * @remedy: what to do
+ * @fmt: printf format: what is wrong
+ */
+void
+problems_add(struct problems *p, const struct place *at, const char *remedy,
+    const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+/**
+ * problems_summary() - the first problems as one text
+ * @p: problems
+ *
+ * Return: new text; free with g_free().
+ */
+char *problems_summary(const struct problems *p);
+
+#endif
--- /dev/null
+++ b/packages/config/src/route_table.c
@@ -0,0 +1,297 @@
+/*
+ * Routes of all services, for the longest-prefix match.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "route_table.h"
+
+/* What bytes at or below ROUTE_SEGMENT in a path are mapped to. */
+#define ROUTE_CONTROL '\2'
+
+/* An entry while the table is built, with its text at hand. */
+struct draft_entry {
+	struct route_entry entry;
+	const char *prefix;
+};
+
+static char
+map_char(char ch)
+{
+	if (ch == '/')
+		return ROUTE_SEGMENT;
+	return (unsigned char)ch <= ROUTE_SEGMENT ? ROUTE_CONTROL : ch;
+}
+
+/* Order of two mapped texts, the shorter one first if it starts the other. */
+static int
+text_compare(const char *a, uint32_t a_len, const char *b, uint32_t b_len)
+{
+	int order;
+
+	order = memcmp(a, b, MIN(a_len, b_len));
+	if (order != 0)
+		return order;
+	return (a_len > b_len) - (a_len < b_len);
+}
+
+static int
+draft_compare(const void *a, const void *b)
+{
+	const struct draft_entry *x = a, *y = b;
+	int order;
+
+	order = text_compare(x->prefix, x->entry.len, y->prefix, y->entry.len);
+	if (order != 0)
+		return order;
+	return (x->entry.methods > y->entry.methods) -
+	    (x->entry.methods < y->entry.methods);
+}
+
+/* Append a mapped prefix to the text; that of "/" is empty. */
+static uint32_t
+append_prefix(GString *text, const struct service_route *route)
+{
+	uint32_t i, len;
+
+	len = route->prefix_len == 1 ? 0 : route->prefix_len;
+	for (i = 0; i < len; i++)
+		g_string_append_c(text, map_char(route->prefix[i]));
+	return len;
+}
+
+static void
+add_service(GArray *drafts, GString *text, const struct service_config *sc,
+    uint32_t index)
+{
+	struct draft_entry d;
+	uint32_t i;
+
+	memset(&d, 0, sizeof(d));
+	for (i = 0; i < sc->n_routes; i++) {
+		d.entry.text = (uint32_t)text->len;
+		d.entry.len = append_prefix(text, &sc->routes[i]);
+		d.entry.parent = ROUTE_NO_PARENT;
+		d.entry.service = index;
+		d.entry.route = i;
+		d.entry.methods = sc->routes[i].methods;
+		g_array_append_val(drafts, d);
+	}
+}
+
+/* Drafts of all routes, sorted; their prefixes point into the text. */
+static GArray *
+drafts_new(const GPtrArray *services, GString *text)
+{
+	struct draft_entry *d;
+	GArray *drafts;
+	uint32_t i;
+
+	drafts = g_array_new(FALSE, FALSE, sizeof(struct draft_entry));
+	for (i = 0; i < services->len; i++)
+		add_service(drafts, text, g_ptr_array_index(services, i), i);
+	for (i = 0; i < drafts->len; i++) {
+		d = &g_array_index(drafts, struct draft_entry, i);
+		d->prefix = text->str + d->entry.text;
+	}
+	g_array_sort(drafts, draft_compare);
+	return drafts;
+}
+
+static bool
+is_above(const struct route_table *t, const struct route_entry *upper,
+    const char *text, uint32_t len)
+{
+	return upper->len <= len &&
+	    memcmp(t->text + upper->text, text, upper->len) == 0 &&
+	    (upper->len == len || text[upper->len] == ROUTE_SEGMENT);
+}
+
+static bool
+same_prefix(const struct route_table *t, const struct route_entry *a,
+    const struct route_entry *b)
+{
+	return text_compare(
+		   t->text + a->text, a->len, t->text + b->text, b->len) == 0;
+}
+
+/* In sorted order the entries above an entry are its predecessor's chain. */
+static void
+link_parents(struct route_table *t)
+{
+	struct route_entry *entry;
+	uint32_t i, up;
+
+	for (i = 1; i < t->n_entries; i++) {
+		entry = &t->entries[i];
+		up = i - 1;
+		if (same_prefix(t, &t->entries[up], entry)) {
+			entry->parent = t->entries[up].parent;
+			continue;
+		}
+		while (up != ROUTE_NO_PARENT &&
+		    !is_above(
+			t, &t->entries[up], t->text + entry->text, entry->len))
+			up = t->entries[up].parent;
+		entry->parent = up;
+	}
+	/* Let each parent be the first entry of its prefix. */
+	for (i = 1; i < t->n_entries; i++) {
+		up = t->entries[i].parent;
+		while (up != ROUTE_NO_PARENT && up > 0 &&
+		    same_prefix(t, &t->entries[up - 1], &t->entries[up]))
+			up--;
+		t->entries[i].parent = up;
+	}
+}
+
+static enum status
+crossing_check(const struct route_table *t, const GPtrArray *services)
+{
+	const struct route_entry *a, *b;
+	const struct service_config *x, *y;
+	uint32_t claimed = 0, i;
+
+	for (i = 1; i < t->n_entries; i++) {
+		a = &t->entries[i - 1];
+		b = &t->entries[i];
+		claimed = same_prefix(t, a, b) ? claimed | a->methods : 0;
+		if ((claimed & b->methods) == 0)
+			continue;
+		x = g_ptr_array_index(services, a->service);
+		y = g_ptr_array_index(services, b->service);
+		return status_set(STATUS_INVALID,
+		    "Services %s and %s claim the same requests of %s; take "
+		    "one of the routes out.",
+		    x->name, y->name, y->routes[b->route].prefix);
+	}
+	return STATUS_OK;
+}
+
+enum status
+route_table_new(const GPtrArray *services, struct route_table **table)
+{
+	struct route_table *t;
+	GArray *drafts;
+	enum status st;
+	GString *text;
+	uint32_t i;
+
+	text = g_string_new(NULL);
+	drafts = drafts_new(services, text);
+	t = g_new0(struct route_table, 1);
+	atomic_init(&t->refs, 1);
+	t->n_entries = drafts->len;
+	t->entries = g_new0(struct route_entry, drafts->len);
+	for (i = 0; i < drafts->len; i++)
+		t->entries[i] =
+		    g_array_index(drafts, struct draft_entry, i).entry;
+	t->text_bytes = text->len;
+	t->text = g_string_free(text, FALSE);
+	g_array_unref(drafts);
+	link_parents(t);
+	st = crossing_check(t, services);
+	if (st != STATUS_OK) {
+		route_table_unref(t);
+		t = NULL;
+	}
+	*table = t;
+	return st;
+}
+
+struct route_table *
+route_table_ref(struct route_table *t)
+{
+	atomic_fetch_add_explicit(&t->refs, 1, memory_order_relaxed);
+	return t;
+}
+
+void
+route_table_unref(struct route_table *t)
+{
+	if (t == NULL ||
+	    atomic_fetch_sub_explicit(&t->refs, 1, memory_order_acq_rel) != 1)
+		return;
+	g_free(t->entries);
+	g_free(t->text);
+	g_free(t);
+}
+
+/* Number of entries that are not after a text. */
+static uint32_t
+upper_bound(const struct route_table *t, const char *text, uint32_t len)
+{
+	const struct route_entry *entry;
+	uint32_t low = 0, high = t->n_entries, mid;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		entry = &t->entries[mid];
+		if (text_compare(
+			t->text + entry->text, entry->len, text, len) <= 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+/* The entry of a prefix that takes a method; @i is the prefix's first. */
+static const struct route_entry *
+pick_method(const struct route_table *t, uint32_t i, enum http_method method)
+{
+	uint32_t first = i;
+
+	for (; i < t->n_entries; i++) {
+		if (i > first &&
+		    !same_prefix(t, &t->entries[first], &t->entries[i]))
+			break;
+		if ((t->entries[i].methods & METHOD_BIT(method)) != 0)
+			return &t->entries[i];
+	}
+	return NULL;
+}
+
+/* First entry of the prefix that an entry has. */
+static uint32_t
+first_of_prefix(const struct route_table *t, uint32_t i)
+{
+	while (i > 0 && same_prefix(t, &t->entries[i - 1], &t->entries[i]))
+		i--;
+	return i;
+}
+
+const struct route_entry *
+route_table_find(const struct route_table *t, enum http_method method,
+    const char *path, size_t path_len, bool *seen_path)
+{
+	const struct route_entry *found;
+	char text[ROUTE_PREFIX_BYTES];
+	uint32_t i, len;
+
+	*seen_path = false;
+	/* No prefix is longer, and its end is seen in the byte after it. */
+	len = (uint32_t)MIN(path_len, sizeof(text));
+	for (i = 0; i < len; i++)
+		text[i] = map_char(path[i]);
+	i = upper_bound(t, text, len);
+	if (i == 0)
+		return NULL;
+	i = first_of_prefix(t, i - 1);
+	for (; i != ROUTE_NO_PARENT; i = t->entries[i].parent) {
+		if (!is_above(t, &t->entries[i], text, len))
+			continue;
+		*seen_path = true;
+		found = pick_method(t, i, method);
+		if (found != NULL)
+			return found;
+	}
+	return NULL;
+}
+
+uint64_t
+route_table_bytes(const struct route_table *t)
+{
+	return sizeof(*t) + t->text_bytes +
+	    t->n_entries * sizeof(struct route_entry);
+}
--- /dev/null
+++ b/packages/config/src/rules.c
@@ -0,0 +1,245 @@
+/*
+ * Rules that a service and its routes keep.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "rules.h"
+
+#define NUMBER(group, key, field, min, max, initial)                        \
+	{                                                                   \
+		(group), (key), offsetof(struct msg_section, field),        \
+		    sizeof(((struct msg_section *)0)->field), (min), (max), \
+		    (initial)                                               \
+	}
+
+const struct number_rule number_rules[] = {
+    NUMBER(NULL, "timeout_ms", timeout_ms, SERVICE_TIMEOUT_MIN_MS,
+	SERVICE_TIMEOUT_MAX_MS, SERVICE_TIMEOUT_DEFAULT_MS),
+    NUMBER("limits", "slots_per_endpoint", slots_per_endpoint, 1,
+	SERVICE_SLOTS_MAX, SERVICE_SLOTS_DEFAULT),
+    NUMBER("limits", "queue_per_endpoint", queue_per_endpoint, 0,
+	SERVICE_QUEUE_MAX, SERVICE_QUEUE_DEFAULT),
+    NUMBER("limits", "queue_wait_ms", queue_wait_ms, 0,
+	SERVICE_QUEUE_WAIT_MAX_MS, SERVICE_QUEUE_WAIT_DEFAULT_MS),
+    NUMBER("limits", "request_max_bytes", request_max_bytes, 0,
+	SERVICE_REQUEST_MAX_BYTES, SERVICE_REQUEST_DEFAULT_BYTES),
+    NUMBER("limits", "caller_calls_per_s", caller_calls_per_s, 0,
+	SERVICE_CALLER_CALLS_MAX, SERVICE_CALLER_CALLS_DEFAULT),
+    NUMBER("retry", "attempts", attempts, 1, SERVICE_ATTEMPTS_MAX,
+	SERVICE_ATTEMPTS_DEFAULT),
+    NUMBER("retry", "budget_percent", budget_percent, 0,
+	SERVICE_BUDGET_MAX_PERCENT, SERVICE_BUDGET_DEFAULT_PERCENT),
+    {NULL, NULL, 0, 0, 0, 0, 0},
+};
+
+const struct number_rule *
+number_rule_find(const char *group, const char *key)
+{
+	const struct number_rule *rule;
+
+	for (rule = number_rules; rule->key != NULL; rule++) {
+		if (g_strcmp0(rule->group, group) == 0 &&
+		    strcmp(rule->key, key) == 0)
+			return rule;
+	}
+	return NULL;
+}
+
+uint64_t
+number_load(const struct number_rule *rule, const struct msg_section *m)
+{
+	const char *field = (const char *)m + rule->offset;
+	uint64_t wide;
+	uint32_t narrow;
+
+	if (rule->bytes == sizeof(wide)) {
+		memcpy(&wide, field, sizeof(wide));
+		return wide;
+	}
+	memcpy(&narrow, field, sizeof(narrow));
+	return narrow;
+}
+
+void
+number_store(
+    const struct number_rule *rule, struct msg_section *m, uint64_t value)
+{
+	char *field = (char *)m + rule->offset;
+	uint32_t narrow = (uint32_t)value;
+
+	if (rule->bytes == sizeof(value))
+		memcpy(field, &value, sizeof(value));
+	else
+		memcpy(field, &narrow, sizeof(narrow));
+}
+
+void
+number_check(const struct number_rule *rule, uint64_t value,
+    const struct place *at, struct problems *p)
+{
+	if (value >= rule->min && value <= rule->max)
+		return;
+	problems_add(p, at, "give a number within the range",
+	    "%" G_GUINT64_FORMAT " is out of the range %" G_GUINT64_FORMAT
+	    " to %" G_GUINT64_FORMAT,
+	    value, rule->min, rule->max);
+}
+
+void
+service_name_check(
+    const char *name, size_t len, const struct place *at, struct problems *p)
+{
+	if (!service_name_valid(name, len))
+		problems_add(p, at,
+		    "use 1 to 63 of a-z, 0-9 and '-', a letter first",
+		    "this is no name of a service");
+}
+
+/* Characters that mean the same to every upstream, unescaped. */
+static bool
+prefix_char_valid(char ch)
+{
+	return g_ascii_isalnum(ch) ||
+	    (ch != '\0' && strchr("-._~!$&'()*+,;=:@/", ch) != NULL);
+}
+
+/* Whether a segment is one that upstreams resolve or drop. */
+static bool
+segment_vanishes(const char *segment, size_t len)
+{
+	return len == 0 || (len == 1 && segment[0] == '.') ||
+	    (len == 2 && segment[0] == '.' && segment[1] == '.');
+}
+
+static bool
+prefix_segments_valid(const char *prefix, size_t len)
+{
+	size_t i, start = 1;
+
+	for (i = 1; i <= len; i++) {
+		if (i < len && prefix[i] != '/')
+			continue;
+		if (segment_vanishes(prefix + start, i - start))
+			return false;
+		start = i + 1;
+	}
+	return true;
+}
+
+void
+prefix_check(
+    const char *prefix, size_t len, const struct place *at, struct problems *p)
+{
+	size_t i;
+
+	if (len == 0 || len >= ROUTE_PREFIX_BYTES || prefix[0] != '/') {
+		problems_add(p, at, "use 1 to 255 characters, '/' first",
+		    "this is no path prefix");
+		return;
+	}
+	for (i = 0; i < len; i++) {
+		if (!prefix_char_valid(prefix[i])) {
+			problems_add(p, at,
+			    "use letters, digits and -._~!$&'()*+,;=:@/ only",
+			    "character %zu can't be in a prefix", i + 1);
+			return;
+		}
+	}
+	if (len > 1 && !prefix_segments_valid(prefix, len))
+		problems_add(p, at,
+		    "leave out empty segments, \".\", \"..\" and a '/' at the "
+		    "end",
+		    "the prefix has a segment that upstreams drop");
+}
+
+void
+methods_check(uint32_t methods, bool idempotent, const struct place *at,
+    struct problems *p)
+{
+	struct place methods_at = {at, "methods", PLACE_NO_INDEX};
+	struct place idempotent_at = {at, "idempotent", PLACE_NO_INDEX};
+
+	if (methods == 0 || (methods & ~METHOD_ALL) != 0)
+		problems_add(p, &methods_at,
+		    "list some of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS",
+		    "a route needs known methods");
+	if (idempotent && (methods & METHOD_UNSAFE) != 0 &&
+	    (methods & ~METHOD_UNSAFE) != 0)
+		problems_add(p, &idempotent_at,
+		    "give POST and PATCH a route of their own, and call that "
+		    "idempotent if it is",
+		    "POST and PATCH can't be called idempotent along with "
+		    "other methods");
+}
+
+static int
+route_compare(const void *a, const void *b)
+{
+	const struct rec_section_route *x = a, *y = b;
+	int order;
+
+	order = strcmp(x->prefix, y->prefix);
+	if (order != 0)
+		return order;
+	return (x->methods > y->methods) - (x->methods < y->methods);
+}
+
+void
+routes_sort(struct rec_section_route *routes, uint32_t n_routes)
+{
+	if (n_routes > 1)
+		qsort(routes, n_routes, sizeof(*routes), route_compare);
+}
+
+/* Routes in canonical order, of one prefix no shared method. */
+static void
+routes_order_check(const struct msg_section *m, struct problems *p)
+{
+	const struct rec_section_route *before, *route;
+	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
+	struct place at = {&routes_at, NULL, 0};
+	uint32_t i, claimed = 0;
+
+	for (i = 0; i < m->n_routes; i++) {
+		at.index = i;
+		route = &m->routes[i];
+		before = i > 0 ? &m->routes[i - 1] : NULL;
+		if (before == NULL ||
+		    strcmp(before->prefix, route->prefix) != 0)
+			claimed = 0;
+		if (before != NULL && route_compare(before, route) >= 0)
+			problems_add(p, &at, "sort the routes",
+			    "the routes are not in canonical order");
+		else if (routes_cross(claimed, route->methods))
+			problems_add(p, &at, "take one of the routes out",
+			    "another route has this prefix and method");
+		claimed |= route->methods;
+	}
+}
+
+void
+section_check(const struct msg_section *m, struct problems *p)
+{
+	const struct number_rule *rule;
+	struct place number_at = {NULL, NULL, PLACE_NO_INDEX};
+	struct place service_at = {NULL, "service", PLACE_NO_INDEX};
+	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
+	struct place at = {&routes_at, NULL, 0};
+	struct place prefix_at = {&at, "prefix", PLACE_NO_INDEX};
+	uint32_t i;
+
+	service_name_check(m->service, strlen(m->service), &service_at, p);
+	for (rule = number_rules; rule->key != NULL; rule++) {
+		number_at.key = rule->key;
+		number_check(rule, number_load(rule, m), &number_at, p);
+	}
+	for (i = 0; i < m->n_routes; i++) {
+		at.index = i;
+		prefix_check(m->routes[i].prefix, strlen(m->routes[i].prefix),
+		    &prefix_at, p);
+		methods_check(
+		    m->routes[i].methods, m->routes[i].idempotent, &at, p);
+	}
+	routes_order_check(m, p);
+}
--- /dev/null
+++ b/packages/config/src/rules.h
@@ -0,0 +1,85 @@
+/*
+ * Rules that a service and its routes keep, whether they come from an
+ * operator's bundle or from a section on the wire.
+ */
+#ifndef CONFIG_RULES_H
+#define CONFIG_RULES_H
+
+#include "config/service.h"
+#include "problems.h"
+#include "proto/messages.h"
+
+/**
+ * struct number_rule - a number of a service
+ * @group: key of the object that it is in, NULL for the service itself
+ * @key: its key
+ * @offset: where it is in struct msg_section
+ * @bytes: its size there, 4 or 8
+ * @min: least value
+ * @max: largest value
+ * @initial: value when it is left out
+ */
+struct number_rule {
+	const char *group;
+	const char *key;
+	uint32_t offset;
+	uint32_t bytes;
+	uint64_t min;
+	uint64_t max;
+	uint64_t initial;
+};
+
+/** number_rules - all numbers of a service; ends with a NULL key */
+extern const struct number_rule number_rules[];
+
+/** number_rule_find() - the rule of a key in a group, or NULL */
+const struct number_rule *number_rule_find(const char *group, const char *key);
+
+/** number_load() - value of the number that a rule is about */
+uint64_t
+number_load(const struct number_rule *rule, const struct msg_section *m);
+
+/** number_store() - set the number that a rule is about */
+void number_store(
+    const struct number_rule *rule, struct msg_section *m, uint64_t value);
+
+/** number_check() - note a number that is out of range */
+void number_check(const struct number_rule *rule, uint64_t value,
+    const struct place *at, struct problems *p);
+
+/** service_name_check() - note a bad name of a service */
+void service_name_check(
+    const char *name, size_t len, const struct place *at, struct problems *p);
+
+/** prefix_check() - note a bad prefix */
+void prefix_check(
+    const char *prefix, size_t len, const struct place *at, struct problems *p);
+
+/**
+ * methods_check() - note a bad set of methods, or a bad claim of idempotence
+ * @methods: set of METHOD_BIT()
+ * @idempotent: what the route says
+ * @at: the route
+ * @p: problems
+ */
+void methods_check(uint32_t methods, bool idempotent, const struct place *at,
+    struct problems *p);
+
+/**
+ * routes_cross() - whether two routes claim the same requests
+ *
+ * Two routes of one prefix may share no method.
+ */
+static inline bool
+routes_cross(uint32_t methods_a, uint32_t methods_b)
+{
+	return (methods_a & methods_b) != 0;
+}
+
+/** routes_sort() - bring routes in canonical order */
+void routes_sort(struct rec_section_route *routes, uint32_t n_routes);
+
+/** section_check() - note all that is wrong with a section by itself */
+void section_check(const struct msg_section *m, struct problems *p);
+
+#endif
--- /dev/null
+++ b/packages/config/src/section.c
@@ -0,0 +1,173 @@
+/*
+ * Sections: canonical content, and the service that it describes.
+ */
+#include <string.h>
+
+#include "problems.h"
+#include "rules.h"
+#include "section_build.h"
+
+/* Memory of a service with its routes and their prefixes. */
+static size_t
+config_size(const struct msg_section *m)
+{
+	size_t size;
+	uint32_t i;
+
+	size = sizeof(struct service_config);
+	size += m->n_routes * sizeof(struct service_route);
+	for (i = 0; i < m->n_routes; i++)
+		size += strlen(m->routes[i].prefix) + 1;
+	return size;
+}
+
+static void
+config_set_numbers(struct service_config *sc, const struct msg_section *m)
+{
+	sc->timeout_ms = m->timeout_ms;
+	sc->limits.slots_per_endpoint = m->slots_per_endpoint;
+	sc->limits.queue_per_endpoint = m->queue_per_endpoint;
+	sc->limits.queue_wait_ms = m->queue_wait_ms;
+	sc->limits.caller_calls_per_s = m->caller_calls_per_s;
+	sc->limits.request_max_bytes = m->request_max_bytes;
+	sc->retry.attempts = m->attempts;
+	sc->retry.budget_percent = m->budget_percent;
+}
+
+static void
+config_set_routes(struct service_config *sc, const struct msg_section *m)
+{
+	struct service_route *route;
+	char *text;
+	uint32_t i;
+
+	sc->routes = (struct service_route *)(sc + 1);
+	sc->n_routes = m->n_routes;
+	text = (char *)(sc->routes + m->n_routes);
+	for (i = 0; i < m->n_routes; i++) {
+		route = &sc->routes[i];
+		route->prefix = text;
+		route->prefix_len = (uint32_t)strlen(m->routes[i].prefix);
+		route->methods = m->routes[i].methods;
+		route->idempotent = m->routes[i].idempotent;
+		memcpy(text, m->routes[i].prefix, route->prefix_len + 1);
+		text += route->prefix_len + 1;
+	}
+}
+
+/* One allocation for all, so that the last reference is one g_free(). */
+static struct service_config *
+config_new(const struct msg_section *m, const struct digest *digest)
+{
+	struct service_config *sc;
+	size_t size;
+
+	size = config_size(m);
+	sc = g_malloc0(size);
+	atomic_init(&sc->refs, 1);
+	sc->size_bytes = (uint32_t)size;
+	sc->digest = *digest;
+	g_strlcpy(sc->name, m->service, sizeof(sc->name));
+	config_set_numbers(sc, m);
+	config_set_routes(sc, m);
+	return sc;
+}
+
+static GBytes *
+content_new(const struct msg_section *m, struct digest *digest)
+{
+	GByteArray *out;
+
+	out = g_byte_array_new();
+	msg_section_encode(m, out);
+	hash_digest(out->data, out->len, digest);
+	return g_byte_array_free_to_bytes(out);
+}
+
+struct section *
+section_new(const struct msg_section *m)
+{
+	struct section *section;
+	struct digest digest;
+
+	section = g_new0(struct section, 1);
+	section->content = content_new(m, &digest);
+	section->config = config_new(m, &digest);
+	return section;
+}
+
+void
+section_free(void *data)
+{
+	struct section *section = data;
+
+	if (section == NULL)
+		return;
+	service_config_unref(section->config);
+	g_bytes_unref(section->content);
+	g_free(section);
+}
+
+static enum status
+check_rules(const struct msg_section *m)
+{
+	struct problems p;
+	enum status st = STATUS_OK;
+	char *summary;
+
+	problems_init(&p);
+	section_check(m, &p);
+	if (p.n_found > 0) {
+		summary = problems_summary(&p);
+		st = status_set(STATUS_INVALID,
+		    "A section breaks the rules: %s Take it from another node.",
+		    summary);
+		g_free(summary);
+	}
+	problems_clear(&p);
+	return st;
+}
+
+/* Decode checked content; a content that encodes otherwise is refused. */
+static enum status
+check_and_build(const struct msg_section *m, const uint8_t *data, size_t len,
+    struct service_config **config)
+{
+	struct digest digest;
+	GBytes *content;
+	enum status st;
+
+	st = check_rules(m);
+	if (st != STATUS_OK)
+		return st;
+	content = content_new(m, &digest);
+	if (g_bytes_get_size(content) == len &&
+	    memcmp(g_bytes_get_data(content, NULL), data, len) == 0)
+		*config = config_new(m, &digest);
+	else
+		st = status_set(STATUS_INVALID,
+		    "A section is not in canonical form; it was written by "
+		    "another release or damaged. Take it from another node.");
+	g_bytes_unref(content);
+	return st;
+}
+
+enum status
+section_decode(const uint8_t *data, size_t len, struct service_config **config)
+{
+	struct msg_section m;
+	enum status st;
+
+	*config = NULL;
+	if (len > SECTION_MAX_BYTES)
+		return status_set(STATUS_TOO_LARGE,
+		    "A section has %zu bytes, at most %u are taken; split the "
+		    "service.",
+		    len, SECTION_MAX_BYTES);
+	st = msg_section_decode(data, len, &m);
+	if (st != STATUS_OK)
+		return st;
+	st = check_and_build(&m, data, len, config);
+	msg_section_clear(&m);
+	return st;
+}
--- /dev/null
+++ b/packages/config/src/snapshot.c
@@ -0,0 +1,109 @@
+/*
+ * Snapshots: compilation and look-ups.
+ */
+#include <string.h>
+
+#include "catalog_defs.h"
+#include "config/snapshot.h"
+
+static struct endpoint_list *
+list_of(const struct endpoint_set *endpoints, const char *service)
+{
+	struct endpoint_list *list = endpoint_set_list(endpoints, service);
+
+	return list != NULL ? endpoint_list_ref(list) : NULL;
+}
+
+struct snapshot *
+snapshot_compile(const struct catalog *c, const struct endpoint_set *endpoints)
+{
+	struct snapshot_service *service;
+	struct snapshot *s;
+	uint32_t i;
+
+	s = g_new0(struct snapshot, 1);
+	atomic_init(&s->refs, 1);
+	s->version = c->version;
+	s->root = c->root;
+	s->n_services = c->services->len;
+	s->services = g_new0(struct snapshot_service, s->n_services);
+	s->routes = route_table_ref(c->routes);
+	for (i = 0; i < s->n_services; i++) {
+		service = &s->services[i];
+		service->config =
+		    service_config_ref(g_ptr_array_index(c->services, i));
+		service->endpoints = list_of(endpoints, service->config->name);
+		if (service->endpoints != NULL)
+			s->n_endpoints += service->endpoints->n_endpoints;
+	}
+	return s;
+}
+
+struct snapshot *
+snapshot_ref(struct snapshot *s)
+{
+	atomic_fetch_add_explicit(&s->refs, 1, memory_order_relaxed);
+	return s;
+}
+
+void
+snapshot_unref(struct snapshot *s)
+{
+	uint32_t i;
+
+	if (s == NULL ||
+	    atomic_fetch_sub_explicit(&s->refs, 1, memory_order_acq_rel) != 1)
+		return;
+	for (i = 0; i < s->n_services; i++) {
+		service_config_unref(s->services[i].config);
+		endpoint_list_unref(s->services[i].endpoints);
+	}
+	g_free(s->services);
+	route_table_unref(s->routes);
+	g_free(s);
+}
+
+const struct snapshot_service *
+snapshot_service(const struct snapshot *s, const char *name)
+{
+	uint32_t low = 0, high = s->n_services, mid;
+	int order;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(s->services[mid].config->name, name);
+		if (order == 0)
+			return &s->services[mid];
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
+
+static size_t
+path_length(const char *path, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len && path[i] != '?' && path[i] != '#'; i++)
+		;
+	return i;
+}
+
+enum route_result
+snapshot_match(const struct snapshot *s, enum http_method method,
+    const char *path, size_t path_len, struct route_match *match)
+{
+	const struct route_entry *entry;
+	bool seen_path;
+
+	path_len = path_length(path, path_len);
+	entry = route_table_find(s->routes, method, path, path_len, &seen_path);
+	if (entry == NULL)
+		return seen_path ? ROUTE_NO_METHOD : ROUTE_NO_PATH;
+	match->service = &s->services[entry->service];
+	match->route = &match->service->config->routes[entry->route];
+	return ROUTE_FOUND;
+}
--- /dev/null
+++ b/packages/config/src/snapshot_check.c
@@ -0,0 +1,147 @@
+/*
+ * Verification of a snapshot, for tests and drivers.
+ */
+#include <string.h>
+
+#include "config/snapshot.h"
+#include "route_table.h"
+
+static enum status
+violation(const char *what, const char *where)
+{
+	return status_set(STATUS_INTERNAL,
+	    "Snapshot check: %s (%s); report this as a defect.", what, where);
+}
+
+static enum status
+check_endpoints(const struct snapshot_service *service)
+{
+	const struct endpoint_list *list = service->endpoints;
+	const char *name = service->config->name;
+	uint32_t i;
+
+	if (list == NULL)
+		return STATUS_OK;
+	if (strcmp(list->service, name) != 0)
+		return violation("endpoints of another service", name);
+	for (i = 0; i < list->n_endpoints; i++) {
+		if (strcmp(list->endpoints[i].service, name) != 0)
+			return violation("endpoint of another service", name);
+		if (i > 0 &&
+		    strcmp(list->endpoints[i - 1].host,
+			list->endpoints[i].host) >= 0)
+			return violation("endpoints are not sorted", name);
+	}
+	return STATUS_OK;
+}
+
+static enum status
+check_services(const struct snapshot *s)
+{
+	enum status st = STATUS_OK;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < s->n_services && st == STATUS_OK; i++) {
+		if (i > 0 &&
+		    strcmp(s->services[i - 1].config->name,
+			s->services[i].config->name) >= 0)
+			return violation("services are not sorted",
+			    s->services[i].config->name);
+		st = check_endpoints(&s->services[i]);
+		if (s->services[i].endpoints != NULL)
+			n += s->services[i].endpoints->n_endpoints;
+	}
+	if (st == STATUS_OK && n != s->n_endpoints)
+		return violation("wrong number of endpoints", "snapshot");
+	return st;
+}
+
+/* Whether the mapped text of an entry is its route's prefix. */
+static bool
+text_fits(const struct route_table *t, const struct route_entry *entry,
+    const struct service_route *route)
+{
+	const char *text = t->text + entry->text;
+	uint32_t i;
+
+	if (entry->len != (route->prefix_len == 1 ? 0 : route->prefix_len))
+		return false;
+	for (i = 0; i < entry->len; i++) {
+		if (text[i] !=
+		    (route->prefix[i] == '/' ? ROUTE_SEGMENT
+					     : route->prefix[i]))
+			return false;
+	}
+	return true;
+}
+
+static enum status
+check_entry(const struct snapshot *s, const struct route_entry *entry)
+{
+	const struct service_config *sc;
+	const struct service_route *route;
+
+	if (entry->service >= s->n_services)
+		return violation("route to a service that is not there", "?");
+	sc = s->services[entry->service].config;
+	if (entry->route >= sc->n_routes)
+		return violation("route that its service lacks", sc->name);
+	route = &sc->routes[entry->route];
+	if (entry->methods != route->methods ||
+	    !text_fits(s->routes, entry, route))
+		return violation("route differs from its service's", sc->name);
+	return STATUS_OK;
+}
+
+static enum status
+check_routes(const struct snapshot *s)
+{
+	enum status st = STATUS_OK;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < s->routes->n_entries && st == STATUS_OK; i++)
+		st = check_entry(s, &s->routes->entries[i]);
+	for (i = 0; i < s->n_services; i++)
+		n += s->services[i].config->n_routes;
+	if (st == STATUS_OK && n != s->routes->n_entries)
+		return violation("wrong number of routes", "snapshot");
+	return st;
+}
+
+/* Each route is found by a request for its own prefix. */
+static enum status
+check_matches(const struct snapshot *s)
+{
+	const struct service_config *sc;
+	const struct service_route *route;
+	struct route_match match;
+	enum http_method m;
+	uint32_t i, j;
+
+	for (i = 0; i < s->n_services; i++) {
+		sc = s->services[i].config;
+		for (j = 0; j < sc->n_routes; j++) {
+			route = &sc->routes[j];
+			m = (enum http_method)g_bit_nth_lsf(route->methods, -1);
+			if (snapshot_match(s, m, route->prefix,
+				route->prefix_len, &match) != ROUTE_FOUND ||
+			    match.route != route)
+				return violation(
+				    "route is not found", route->prefix);
+		}
+	}
+	return STATUS_OK;
+}
+
+enum status
+snapshot_check(const struct snapshot *s)
+{
+	enum status st;
+
+	st = check_services(s);
+	if (st == STATUS_OK)
+		st = check_routes(s);
+	if (st == STATUS_OK)
+		st = check_matches(s);
+	return st;
+}
--- /dev/null
+++ b/packages/config/src/stage_defs.h
@@ -0,0 +1,46 @@
+/*
+ * Inside of a stage, shared by stage.c and commit.c.
+ */
+#ifndef CONFIG_STAGE_DEFS_H
+#define CONFIG_STAGE_DEFS_H
+
+#include "catalog_defs.h"
+#include "config/stage.h"
+
+/**
+ * struct catalog_stage - see config/stage.h
+ * @c: the catalog
+ * @version: target version
+ * @root: its root
+ * @changes: changes to apply, or NULL
+ * @list: full list, or NULL
+ * @needed: struct rec_section_ref that @changes add or @list names
+ * @services: digest in @needed to name of its service; both borrowed
+ * @added: digest to struct section: contents that came
+ * @added_bytes: their sum
+ */
+struct catalog_stage {
+	const struct catalog *c;
+	uint64_t version;
+	struct digest root;
+	GArray *changes;
+	GArray *list;
+	GArray *needed;
+	GHashTable *services;
+	GHashTable *added;
+	uint64_t added_bytes;
+};
+
+/** stage_target() - list of the target version over the version held now */
+GArray *stage_target(const struct catalog_stage *stage);
+
+/**
+ * stage_check() - check version and root against the version held now
+ * @stage: stage
+ * @list: where the target's list goes
+ *
+ * Return: STATUS_OK, STATUS_CONFLICT, STATUS_INVALID or STATUS_TOO_LARGE.
+ */
+enum status stage_check(const struct catalog_stage *stage, GArray **list);
+
+#endif
