feat(standins): open-loop load generator and check_runs

Problem: latency and fates have to be measured by callers that don't slow down with the system, and every answer held against what ran.

Solution: load_gen works out a Poisson schedule from a seed, sends each call at its time from an epoll loop with libcurl, counts latency from the scheduled time and checks each answer for being whole and its own.

--- /dev/null
+++ b/packages/standins/src/load_worker.c
@@ -0,0 +1,291 @@
+/*
+ * One thread of the load generator: an epoll loop that starts calls at their
+ * scheduled times and drives libcurl.
+ */
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "load_defs.h"
+
+#define WORKER_EVENTS 64
+#define WORKER_STATUS_UNAVAILABLE 503
+
+struct load_worker {
+	const struct load_options *opt;
+	const GArray *schedule;
+	guint next; /* index of the next arrival of this worker */
+	uint64_t start_us;
+	CURLM *multi;
+	int epoll_fd;
+	int arrival_fd; /* timer of the next arrival */
+	int curl_fd;	/* timer of libcurl */
+	uint32_t in_flight;
+	GPtrArray *idle; /* calls to be used again */
+	GArray *outcomes;
+	GArray *late_us;
+	uint64_t no_retry_after;
+};
+
+/* Let a timer fire once at a monotonic time; 0 stops it. */
+static void
+timer_set_us(int fd, uint64_t at_us)
+{
+	struct itimerspec t;
+
+	memset(&t, 0, sizeof(t));
+	t.it_value.tv_sec = (time_t)(at_us / 1000000);
+	t.it_value.tv_nsec = (long)(at_us % 1000000) * 1000L;
+	(void)timerfd_settime(fd, TFD_TIMER_ABSTIME, &t, NULL);
+}
+
+static void
+epoll_set(const struct load_worker *w, int op, int fd, uint32_t events)
+{
+	struct epoll_event ev;
+
+	memset(&ev, 0, sizeof(ev));
+	ev.events = events;
+	ev.data.fd = fd;
+	(void)epoll_ctl(w->epoll_fd, op, fd, &ev);
+}
+
+/* libcurl: watch a socket; @known is set once it is in the epoll set. */
+static int
+worker_on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
+{
+	struct load_worker *w = arg;
+	uint32_t events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_set(w, EPOLL_CTL_DEL, fd, 0);
+		curl_multi_assign(w->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		events |= EPOLLOUT;
+	epoll_set(w, known == NULL ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd, events);
+	curl_multi_assign(w->multi, fd, w);
+	return 0;
+}
+
+static int
+worker_on_timer(CURLM *multi, long timeout_ms, void *arg)
+{
+	struct load_worker *w = arg;
+
+	(void)multi;
+	if (timeout_ms < 0)
+		timer_set_us(w->curl_fd, 0);
+	else
+		timer_set_us(
+		    w->curl_fd, clock_now_us() + (uint64_t)timeout_ms * 1000);
+	return 0;
+}
+
+static int
+timer_new(const struct load_worker *w)
+{
+	int fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+
+	epoll_set(w, EPOLL_CTL_ADD, fd, EPOLLIN);
+	return fd;
+}
+
+struct load_worker *
+load_worker_new(const struct load_options *o, const GArray *schedule,
+    uint32_t first, uint64_t start_us)
+{
+	struct load_worker *w = g_new0(struct load_worker, 1);
+
+	w->opt = o;
+	w->schedule = schedule;
+	w->next = first;
+	w->start_us = start_us;
+	w->multi = curl_multi_init();
+	w->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	w->arrival_fd = timer_new(w);
+	w->curl_fd = timer_new(w);
+	w->idle = g_ptr_array_new();
+	w->outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	w->late_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	curl_multi_setopt(w->multi, CURLMOPT_SOCKETFUNCTION, worker_on_socket);
+	curl_multi_setopt(w->multi, CURLMOPT_SOCKETDATA, w);
+	curl_multi_setopt(w->multi, CURLMOPT_TIMERFUNCTION, worker_on_timer);
+	curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
+	curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS, (long)o->connections);
+	return w;
+}
+
+static struct load_call *
+worker_call(struct load_worker *w)
+{
+	if (w->idle->len > 0)
+		return g_ptr_array_steal_index_fast(w->idle, w->idle->len - 1);
+	return load_call_new(w->opt);
+}
+
+static void
+worker_send(struct load_worker *w, struct load_call *c)
+{
+	load_call_prepare(c);
+	w->in_flight++;
+	curl_multi_add_handle(w->multi, c->easy);
+}
+
+static void
+worker_start(struct load_worker *w, const struct arrival *a, guint index)
+{
+	struct load_call *c = worker_call(w);
+	struct outcome *o = &c->outcome;
+	uint64_t late_us = clock_now_us() - w->start_us - a->at_us;
+
+	memset(o, 0, sizeof(*o));
+	(void)g_snprintf(
+	    o->test_id, sizeof(o->test_id), "%s-%u", w->opt->run_id, index);
+	if (a->key != 0)
+		(void)g_snprintf(
+		    o->key, sizeof(o->key), "%s-k%u", w->opt->run_id, a->key);
+	o->kind = a->kind;
+	o->sent_us = a->at_us;
+	c->node = a->node;
+	c->repeats_left = a->key != 0 ? w->opt->repeats : 0;
+	g_array_append_val(w->late_us, late_us);
+	worker_send(w, c);
+}
+
+/* Start every call whose time has come; set the timer for the next. */
+static void
+worker_arrivals(struct load_worker *w)
+{
+	const struct arrival *a;
+
+	while (w->next < w->schedule->len) {
+		a = &g_array_index(w->schedule, struct arrival, w->next);
+		if (w->start_us + a->at_us > clock_now_us()) {
+			timer_set_us(w->arrival_fd, w->start_us + a->at_us);
+			return;
+		}
+		worker_start(w, a, w->next);
+		w->next += w->opt->threads;
+	}
+}
+
+/* A keyed call told unknown goes again, under its key, to the next node. */
+static int
+worker_repeat(struct load_worker *w, struct load_call *c)
+{
+	struct outcome *o = &c->outcome;
+
+	if (c->repeats_left == 0 || o->told != TOLD_UNKNOWN)
+		return 0;
+	c->repeats_left--;
+	c->node = (c->node + 1) % w->opt->n_nodes;
+	g_strlcat(o->test_id, "r", sizeof(o->test_id));
+	o->sent_us = clock_now_us() - w->start_us;
+	worker_send(w, c);
+	return 1;
+}
+
+static void
+worker_done(struct load_worker *w, CURL *easy, CURLcode rc)
+{
+	struct load_call *c;
+	struct outcome *o;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
+	o = &c->outcome;
+	o->latency_us = clock_now_us() - w->start_us - o->sent_us;
+	load_call_finish(c, rc);
+	curl_multi_remove_handle(w->multi, easy);
+	w->in_flight--;
+	g_array_append_vals(w->outcomes, o, 1);
+	if (o->status == WORKER_STATUS_UNAVAILABLE && !c->retry_after)
+		w->no_retry_after++;
+	if (!worker_repeat(w, c))
+		g_ptr_array_add(w->idle, c);
+}
+
+static void
+worker_finished(struct load_worker *w)
+{
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(w->multi, &left)) != NULL)
+		if (m->msg == CURLMSG_DONE)
+			worker_done(w, m->easy_handle, m->data.result);
+}
+
+static void
+worker_event(struct load_worker *w, const struct epoll_event *ev)
+{
+	int flags = 0, running;
+	uint64_t fired;
+
+	if (ev->data.fd == w->arrival_fd) {
+		(void)!read(w->arrival_fd, &fired, sizeof(fired));
+		return;
+	}
+	if (ev->data.fd == w->curl_fd) {
+		(void)!read(w->curl_fd, &fired, sizeof(fired));
+		curl_multi_socket_action(
+		    w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+		return;
+	}
+	if (ev->events & EPOLLIN)
+		flags |= CURL_CSELECT_IN;
+	if (ev->events & EPOLLOUT)
+		flags |= CURL_CSELECT_OUT;
+	if (ev->events & (EPOLLERR | EPOLLHUP))
+		flags |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(w->multi, ev->data.fd, flags, &running);
+}
+
+void
+load_worker_run(struct load_worker *w)
+{
+	int i, n;
+	struct epoll_event events[WORKER_EVENTS];
+
+	for (;;) {
+		worker_arrivals(w);
+		if (w->in_flight == 0 && w->next >= w->schedule->len)
+			break;
+		n = epoll_wait(w->epoll_fd, events, WORKER_EVENTS, -1);
+		for (i = 0; i < n; i++) {
+			worker_event(w, &events[i]);
+			worker_arrivals(w);
+		}
+		worker_finished(w);
+	}
+}
+
+void
+load_worker_free(struct load_worker *w, struct load_result *out)
+{
+	guint i;
+
+	g_array_append_vals(out->outcomes, w->outcomes->data, w->outcomes->len);
+	g_array_append_vals(out->late_us, w->late_us->data, w->late_us->len);
+	out->no_retry_after += w->no_retry_after;
+	for (i = 0; i < w->idle->len; i++)
+		load_call_free(g_ptr_array_index(w->idle, i));
+	curl_multi_cleanup(w->multi);
+	g_ptr_array_unref(w->idle);
+	g_array_unref(w->outcomes);
+	g_array_unref(w->late_us);
+	(void)close(w->arrival_fd);
+	(void)close(w->curl_fd);
+	(void)close(w->epoll_fd);
+	g_free(w);
+}
--- /dev/null
+++ b/packages/standins/src/main_check.c
@@ -0,0 +1,113 @@
+/*
+ * check_runs: holds what callers were told (files of load_gen --outcomes)
+ * against what upstreams ran (their journals, or asked of them).
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "standins/program.h"
+#include "standins/run_check.h"
+
+#define CHECK_EXIT_VIOLATION 1
+#define CHECK_EXIT_USAGE 2
+#define CHECK_TIMEOUT_MS 10000L
+
+static void
+fail(void)
+{
+	(void)fprintf(stderr, "%s\n", status_message());
+	exit(CHECK_EXIT_USAGE);
+}
+
+static size_t
+append(char *data, size_t size, size_t n, void *arg)
+{
+	g_string_append_len(arg, data, (gssize)(size * n));
+	return size * n;
+}
+
+static enum status
+ask_upstream(const char *upstream, struct runs *r)
+{
+	char *url = g_strdup_printf("http://%s/standin/runs", upstream);
+	CURL *c = curl_easy_init();
+	CURLcode rc;
+	enum status st;
+	GString *text = g_string_new(NULL);
+	json_t *j;
+
+	curl_easy_setopt(c, CURLOPT_URL, url);
+	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, CHECK_TIMEOUT_MS);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, append);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, text);
+	rc = curl_easy_perform(c);
+	curl_easy_cleanup(c);
+	j = json_loadb(text->str, text->len, 0, NULL);
+	if (rc != CURLE_OK)
+		st = status_set(STATUS_UNAVAILABLE,
+		    "no answer from %s; give its journal.", url);
+	else
+		st = runs_read_json(r, j);
+	json_decref(j);
+	g_string_free(text, TRUE);
+	g_free(url);
+	return st;
+}
+
+static void
+print_violations(const GArray *found)
+{
+	const struct violation *v;
+	guint i;
+
+	for (i = 0; i < found->len; i++) {
+		v = &g_array_index(found, struct violation, i);
+		(void)printf("violation %s: %s told %s, %lu runs\n",
+		    run_rule_name(v->rule), v->id, told_name(v->told),
+		    (unsigned long)v->runs);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	char **journals = NULL, **outcomes = NULL, **upstreams = NULL, **p;
+	const GOptionEntry entries[] = {
+	    {"outcomes", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &outcomes,
+		"What callers were told; may be repeated", "FILE"},
+	    {"journal", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &journals,
+		"What an upstream ran; may be repeated", "FILE"},
+	    {"upstream", 0, 0, G_OPTION_ARG_STRING_ARRAY, &upstreams,
+		"Upstream to ask what it ran; may be repeated", "IP:PORT"},
+	    G_OPTION_ENTRY_NULL};
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	GArray *found;
+	guint n;
+	struct runs *r;
+
+	program_options(&argc, &argv, entries,
+	    "Holds what callers were told against what upstreams ran.");
+	if (runs_new("", NULL, &r) != STATUS_OK)
+		fail();
+	for (p = outcomes; p != NULL && *p != NULL; p++)
+		if (outcomes_read(*p, calls) != STATUS_OK)
+			fail();
+	for (p = journals; p != NULL && *p != NULL; p++)
+		if (runs_read_journal(r, *p) != STATUS_OK)
+			fail();
+	for (p = upstreams; p != NULL && *p != NULL; p++)
+		if (ask_upstream(*p, r) != STATUS_OK)
+			fail();
+	found = run_check(calls, r);
+	print_violations(found);
+	n = found->len;
+	(void)printf("%u calls, %u violations\n", calls->len, n);
+	g_array_unref(found);
+	g_array_unref(calls);
+	runs_free(r);
+	return n == 0 ? EXIT_SUCCESS : CHECK_EXIT_VIOLATION;
+}
