--- /dev/null
+++ b/packages/membership/src/join.c
@@ -0,0 +1,374 @@
+/*
+ * Joining: a starting node fetches the table from a peer.
+ *
+ * It asks one peer at a time, part by part.  A peer that serves too many
+ * joins says when to come back and names others.  When no peer holds the
+ * whole table, as when a whole data centre or the first node starts, the
+ * node goes on with what it was told and the nodes find each other by pings
+ * to their seeds and by anti-entropy.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+
+#include "action.h"
+#include "claim.h"
+#include "join.h"
+#include "merge.h"
+#include "news.h"
+#include "send.h"
+#include "suspicion.h"
+
+/* An answer that takes longer is given up. */
+#define ANSWER_MS 2000
+
+/* A node goes on alone when nobody who holds the table answered for this. */
+#define BOOTSTRAP_MS 5000
+
+/* Full-jitter back-off between two rounds of asking. */
+#define BACKOFF_BASE_MS 100
+#define BACKOFF_CAP_MS 5000
+#define BACKOFF_SHIFT_MAX 6
+
+/* A peer that did not answer, or has no table itself, rests for this. */
+#define REST_MS 1000
+
+#define CANDIDATES_MAX 128
+
+/* Live peers that are asked, besides the seeds, after a freeze. */
+#define REFRESH_PEERS 8
+
+void
+join_init(struct membership *m)
+{
+	m->joiner.candidates =
+	    g_array_new(FALSE, TRUE, sizeof(struct candidate));
+	m->joiner.deadline_ms = DEADLINE_NEVER;
+}
+
+void
+join_clear(struct membership *m)
+{
+	g_array_unref(m->joiner.candidates);
+}
+
+static struct candidate *
+candidate(struct membership *m, uint32_t i)
+{
+	return &g_array_index(m->joiner.candidates, struct candidate, i);
+}
+
+static struct candidate *
+candidate_find(struct membership *m, const struct net_addr *addr)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->joiner.candidates->len; i++)
+		if (addr_equal(&candidate(m, i)->addr, addr))
+			return candidate(m, i);
+	return NULL;
+}
+
+static void
+candidate_add(struct membership *m, const struct net_addr *addr)
+{
+	struct candidate c = {.addr = *addr};
+
+	if (addr->ip == 0 || addr->port == 0 ||
+	    addr_equal(addr, &m->settings.address) ||
+	    m->joiner.candidates->len >= CANDIDATES_MAX ||
+	    candidate_find(m, addr) != NULL)
+		return;
+	g_array_append_val(m->joiner.candidates, c);
+}
+
+static void
+begin(struct membership *m)
+{
+	struct joiner *j = &m->joiner;
+	uint32_t i;
+
+	j->asking = 0;
+	j->complete = 0;
+	j->cursor = 0;
+	j->attempts = 0;
+	j->deadline_ms = m->now_ms;
+	j->bootstrap_ms = m->now_ms + BOOTSTRAP_MS;
+	g_array_set_size(j->candidates, 0);
+	for (i = 0; i < m->settings.n_seeds; i++)
+		candidate_add(m, &m->seeds[i]);
+}
+
+void
+join_start(struct membership *m)
+{
+	m->joiner.own_only = 0;
+	begin(m);
+	action_phase(m, MEMBERSHIP_JOINING);
+}
+
+void
+join_refresh(struct membership *m)
+{
+	GPtrArray *rows = m->home->rows;
+	struct row *r;
+	uint32_t i;
+
+	m->joiner.own_only = 1;
+	begin(m);
+	for (i = 0; i < rows->len; i++) {
+		r = rows->pdata[i];
+		r->unconfirmed = r != m->self;
+	}
+	for (i = 0; i < REFRESH_PEERS; i++) {
+		r = table_random(m, m->home, m->self, MEMBER_STATES_LIVE);
+		if (r != NULL)
+			candidate_add(m, &r->member.address);
+	}
+	action_phase(m, MEMBERSHIP_REFRESHING);
+}
+
+/* Hosts that the peers no longer know are forgotten here too. */
+static void
+drop_unconfirmed(struct membership *m)
+{
+	GPtrArray *rows = m->home->rows;
+	struct row *r;
+	uint32_t i;
+
+	for (i = rows->len; i-- > 0;) {
+		r = rows->pdata[i];
+		if (!r->unconfirmed)
+			continue;
+		news_drop(m, r);
+		action_removed(m, r);
+		table_remove(&m->table, r);
+	}
+}
+
+/* The table is here; go on once no claim is open. */
+static void
+finish(struct membership *m)
+{
+	struct joiner *j = &m->joiner;
+
+	if (m->claim.active)
+		return;
+	j->complete = 0;
+	j->deadline_ms = DEADLINE_NEVER;
+	m->joined_ms = m->now_ms;
+	m->prober.reconnect_ms = m->now_ms;
+	m->prober.next_ms =
+	    m->now_ms + random_below(m, m->settings.probe_interval_ms);
+	m->relays_ms = m->now_ms;
+	action_phase(m, MEMBERSHIP_JOINED);
+	news_add(m, m->self, 1);
+}
+
+static void
+complete(struct membership *m, int refreshed)
+{
+	m->joiner.asking = 0;
+	m->joiner.complete = 1;
+	if (refreshed && m->phase == MEMBERSHIP_REFRESHING)
+		drop_unconfirmed(m);
+	finish(m);
+}
+
+static void
+back_off(struct membership *m)
+{
+	struct joiner *j = &m->joiner;
+	uint32_t cap;
+
+	j->asking = 0;
+	j->cursor = 0;
+	cap = (uint32_t)BACKOFF_BASE_MS << MIN(j->attempts, BACKOFF_SHIFT_MAX);
+	j->attempts++;
+	j->deadline_ms =
+	    m->now_ms + random_below(m, MIN(cap, BACKOFF_CAP_MS) + 1);
+}
+
+static void
+rest(struct membership *m, const struct net_addr *addr, uint64_t ms)
+{
+	struct candidate *c = candidate_find(m, addr);
+
+	if (c != NULL)
+		c->not_before_ms = m->now_ms + ms;
+}
+
+static void
+ask(struct membership *m, const struct net_addr *to, uint32_t cursor)
+{
+	struct joiner *j = &m->joiner;
+	GByteArray *body = g_byte_array_new();
+	struct msg_join msg;
+
+	memset(&msg, 0, sizeof(msg));
+	record_fill(m->self, &msg.self);
+	msg.cursor = cursor;
+	msg.own_only = j->own_only != 0;
+	msg_join_encode(&msg, body);
+	record_clear(&msg.self);
+	send_frame(m, to, 0, MSG_JOIN, body);
+	j->asked = *to;
+	j->asking = 1;
+	j->cursor = cursor;
+	j->deadline_ms = m->now_ms + ANSWER_MS;
+}
+
+/* A candidate that may be asked now, by chance; NULL if there is none. */
+static struct candidate *
+pick(struct membership *m)
+{
+	uint32_t i, n = m->joiner.candidates->len, start;
+	struct candidate *c;
+
+	start = random_below(m, n);
+	for (i = 0; i < n; i++) {
+		c = candidate(m, (start + i) % n);
+		if (c->not_before_ms <= m->now_ms)
+			return c;
+	}
+	return NULL;
+}
+
+/*
+ * Whether to go on without a peer that holds the table.  Not while a peer
+ * that does was met: it only asked to come back later.
+ */
+static int
+alone(const struct membership *m)
+{
+	return m->joiner.candidates->len == 0 ||
+	    m->now_ms >= m->joiner.bootstrap_ms;
+}
+
+void
+join_tick(struct membership *m)
+{
+	struct joiner *j = &m->joiner;
+	const struct candidate *c;
+
+	if (m->phase != MEMBERSHIP_JOINING && m->phase != MEMBERSHIP_REFRESHING)
+		return;
+	if (j->complete) {
+		finish(m);
+		return;
+	}
+	if (m->now_ms < j->deadline_ms)
+		return;
+	if (j->asking) {
+		outbox_close(m->out, &j->asked, 0);
+		rest(m, &j->asked, REST_MS);
+		back_off(m);
+		return;
+	}
+	if (alone(m)) {
+		complete(m, 0);
+		return;
+	}
+	c = pick(m);
+	if (c == NULL)
+		back_off(m);
+	else
+		ask(m, &c->addr, 0);
+}
+
+uint64_t
+join_next_ms(const struct membership *m)
+{
+	if (m->phase != MEMBERSHIP_JOINING && m->phase != MEMBERSHIP_REFRESHING)
+		return DEADLINE_NEVER;
+	return m->joiner.deadline_ms;
+}
+
+void
+join_unreachable(struct membership *m, const struct net_addr *to)
+{
+	struct joiner *j = &m->joiner;
+
+	if (!j->asking || !addr_equal(&j->asked, to))
+		return;
+	rest(m, to, REST_MS);
+	back_off(m);
+}
+
+/* The peer remembered this host from before: go above that. */
+static void
+go_above(struct membership *m, uint64_t held)
+{
+	if (held <= INCARNATION_MAX && held >= m->self->member.incarnation)
+		merge_refute(m, held);
+}
+
+static void
+take_part(struct membership *m, const struct net_addr *from,
+    const struct msg_join_table *msg)
+{
+	struct joiner *j = &m->joiner;
+
+	merge_records(m, msg->host, MERGE_TABLE, msg->rows, msg->n_rows);
+	go_above(m, msg->held);
+	if (m->phase != MEMBERSHIP_JOINING && m->phase != MEMBERSHIP_REFRESHING)
+		return;
+	if (msg->next != 0) {
+		ask(m, from, msg->next);
+		return;
+	}
+	if (msg->joined) {
+		complete(m, 1);
+		return;
+	}
+	rest(m, from, REST_MS);
+	back_off(m);
+	j->attempts = 0;
+}
+
+void
+join_on_table(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct joiner *j = &m->joiner;
+	struct msg_join_table msg;
+
+	if (!j->asking || !addr_equal(&j->asked, from))
+		return;
+	if (msg_join_table_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		join_unreachable(m, from);
+		return;
+	}
+	if (msg.cursor == j->cursor)
+		take_part(m, from, &msg);
+	msg_join_table_clear(&msg);
+}
+
+void
+join_on_refused(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct joiner *j = &m->joiner;
+	struct msg_join_refused msg;
+	struct net_addr other;
+	uint32_t i;
+
+	if (!j->asking || !addr_equal(&j->asked, from))
+		return;
+	if (msg_join_refused_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	for (i = 0; i < msg.n_others; i++) {
+		other.ip = msg.others[i].ip;
+		other.port = msg.others[i].port;
+		candidate_add(m, &other);
+	}
+	rest(m, from, msg.come_back_ms + random_below(m, msg.come_back_ms + 1));
+	back_off(m);
+	if (msg.joined)
+		j->bootstrap_ms = MAX(j->bootstrap_ms,
+		    m->now_ms + 2 * (uint64_t)msg.come_back_ms + BOOTSTRAP_MS);
+	msg_join_refused_clear(&msg);
+}
--- /dev/null
+++ b/packages/membership/src/join.h
@@ -0,0 +1,31 @@
+/*
+ * Joining: a starting node fetches the table from a peer.
+ */
+#ifndef MEMBERSHIP_JOIN_H
+#define MEMBERSHIP_JOIN_H
+
+#include "internal.h"
+
+void join_init(struct membership *m);
+void join_clear(struct membership *m);
+
+/* Fetch the whole table: the node starts. */
+void join_start(struct membership *m);
+
+/* Fetch the own data centre's part again: the node was frozen. */
+void join_refresh(struct membership *m);
+
+void join_tick(struct membership *m);
+
+/* When join_tick() has something to do next. */
+uint64_t join_next_ms(const struct membership *m);
+
+/* A peer can't be reached. */
+void join_unreachable(struct membership *m, const struct net_addr *to);
+
+void join_on_table(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len);
+void join_on_refused(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len);
+
+#endif
--- /dev/null
+++ b/packages/membership/src/merge.c
@@ -0,0 +1,290 @@
+/*
+ * Merging what peers tell into the table.
+ *
+ * Only a host raises its own incarnation.  At one incarnation a later state
+ * goes before an earlier one, so that all nodes end with the same whatever
+ * the order in which they hear.  A node at home in a data centre doesn't let
+ * other data centres bring a host back that it does not hold to be alive: it
+ * probes the host and takes its own word.
+ */
+#include <string.h>
+
+#include "action.h"
+#include "claim.h"
+#include "merge.h"
+#include "news.h"
+#include "probe.h"
+#include "suspicion.h"
+
+/* How long after its start a node lets others tell who is in its own data
+ * centre. */
+#define AUTHORITY_AFTER_MS 30000
+
+/* Nodes that probe a host as soon as they hear that it is suspected. */
+#define CONFIRMERS 4
+
+/* Whose word a record is. */
+struct teller {
+	int direct;  /* the host that the record is about */
+	int home;    /* a node of the own data centre */
+	int trusted; /* not taken for failed itself */
+	enum merge_source source;
+};
+
+int
+merge_newer(uint64_t incarnation_a, enum member_state state_a,
+    uint64_t incarnation_b, enum member_state state_b)
+{
+	if (incarnation_a != incarnation_b)
+		return incarnation_a > incarnation_b;
+	return state_a > state_b;
+}
+
+int
+merge_authority(const struct membership *m)
+{
+	return m->phase == MEMBERSHIP_JOINED && !m->prober.distrusted &&
+	    m->now_ms >= m->joined_ms + AUTHORITY_AFTER_MS;
+}
+
+void
+merge_refute(struct membership *m, uint64_t above)
+{
+	struct row *self = m->self;
+	uint64_t own = self->member.incarnation;
+
+	table_set(&m->table, self, MAX(own, above) + 1, self->member.state);
+	m->counters.refuted++;
+	action_changed(m, self, 1);
+	news_add(m, self, 1);
+}
+
+/* A record of the own name. */
+static void
+merge_self(struct membership *m, const struct rec_member *rec)
+{
+	const struct member *own = &m->self->member;
+	struct net_addr addr = record_addr(rec);
+
+	if (!addr_equal(&addr, &own->address)) {
+		claim_same_name(m, rec);
+		return;
+	}
+	if (!merge_newer(rec->incarnation, rec->state, own->incarnation,
+		(enum member_state)own->state) &&
+	    (rec->incarnation != own->incarnation ||
+		rec->started_ms == own->started_ms))
+		return;
+	if (rec->state != MEMBER_ALIVE && claim_same_address(m))
+		return;
+	merge_refute(m, rec->incarnation);
+}
+
+static int
+is_draining(const struct rec_member *rec)
+{
+	uint32_t i;
+
+	for (i = 0; i < rec->n_endpoints; i++)
+		if (rec->endpoints[i].state == ENDPOINT_DRAINING)
+			return 1;
+	return 0;
+}
+
+/* Give a row the record's state; its content and incarnation are set. */
+static void
+take_state(struct membership *m, struct row *r, const struct rec_member *rec)
+{
+	switch (rec->state) {
+	case MEMBER_ALIVE:
+		news_add(m, r, is_draining(rec));
+		break;
+	case MEMBER_SUSPECT:
+		suspicion_raise(m, r, rec->accuser);
+		if (random_below(m, m->home->live) < CONFIRMERS)
+			probe_confirm(m, r);
+		break;
+	default:
+		suspicion_bury(m, r, rec->state);
+		break;
+	}
+}
+
+static void
+take(struct membership *m, struct row *r, const struct rec_member *rec)
+{
+	if (rec->incarnation != r->member.incarnation ||
+	    rec->state == MEMBER_ALIVE) {
+		suspicion_end(m, r);
+		table_set(&m->table, r, rec->incarnation, MEMBER_ALIVE);
+		record_take(&m->table, r, rec);
+		action_changed(m, r, 1);
+	}
+	if (rec->state != MEMBER_SUSPECT)
+		r->n_accusers = 0;
+	take_state(m, r, rec);
+}
+
+static void
+merge_new(struct membership *m, const struct rec_member *rec)
+{
+	struct dc *dc = table_dc_add(&m->table, rec->data_centre);
+	int live = rec->state < MEMBER_FAILED;
+	struct row *r;
+
+	if (dc == NULL) {
+		m->counters.rejected++;
+		return;
+	}
+	dc->heard_ms = m->now_ms;
+	r = table_add(&m->table, rec->host, dc, rec->incarnation,
+	    live ? MEMBER_ALIVE : rec->state);
+	record_take(&m->table, r, rec);
+	m->counters.news_applied++;
+	action_changed(m, r, live);
+	if (live) {
+		take_state(m, r, rec);
+		return;
+	}
+	/* A tombstone, lest older news bring the host back; not passed on,
+	 * so that tombstones don't go round for ever. */
+	table_set_until(&m->table, r, m->now_ms + m->settings.forget_ms);
+	m->timed_ms = MIN(m->timed_ms, r->until_ms);
+}
+
+/* A host moved to another data centre: its row is made anew. */
+static struct row *
+moved(struct membership *m, struct row *r, const struct rec_member *rec)
+{
+	if (strcmp(r->member.data_centre, rec->data_centre) == 0)
+		return r;
+	news_drop(m, r);
+	action_removed(m, r);
+	table_remove(&m->table, r);
+	merge_new(m, rec);
+	return NULL;
+}
+
+/* The peer confirms a row while the table is being refreshed. */
+static void
+refresh(struct membership *m, struct row *r, const struct rec_member *rec)
+{
+	r->unconfirmed = 0;
+	if (rec->incarnation != r->member.incarnation ||
+	    rec->state >= (enum member_state)r->member.state)
+		return;
+	suspicion_end(m, r);
+	table_set(&m->table, r, rec->incarnation, rec->state);
+	if (rec->state == MEMBER_SUSPECT) {
+		table_set(&m->table, r, rec->incarnation, MEMBER_ALIVE);
+		suspicion_raise(m, r, rec->accuser);
+	}
+	action_changed(m, r, 1);
+}
+
+static void
+merge_known(struct membership *m, struct row *r, const struct rec_member *rec,
+    const struct teller *by)
+{
+	const struct member *mb = &r->member;
+
+	if (by->source == MERGE_TABLE && m->phase == MEMBERSHIP_REFRESHING)
+		refresh(m, r, rec);
+	if (rec->incarnation == mb->incarnation &&
+	    rec->state == (enum member_state)mb->state) {
+		if (rec->state == MEMBER_SUSPECT)
+			suspicion_raise(m, r, rec->accuser);
+		news_heard(m, r);
+		return;
+	}
+	if (!merge_newer(rec->incarnation, rec->state, mb->incarnation,
+		(enum member_state)mb->state))
+		return;
+	r = moved(m, r, rec);
+	if (r == NULL)
+		return;
+	r->dc->heard_ms = m->now_ms;
+	m->counters.news_applied++;
+	take(m, r, rec);
+}
+
+/*
+ * Whether another data centre tries to bring back a host of the own one.
+ * The host is probed; if it lives, it says so itself.
+ */
+static int
+from_abroad(struct membership *m, const struct row *r,
+    const struct rec_member *rec, const struct teller *by)
+{
+	if (by->direct || by->home || by->source == MERGE_TABLE)
+		return 0;
+	if (strcmp(rec->data_centre, m->home->name) != 0)
+		return 0;
+	if (r != NULL && member_is_live(&r->member))
+		return 0;
+	if (rec->state >= MEMBER_FAILED || !merge_authority(m))
+		return 0;
+	if (r == NULL ||
+	    merge_newer(rec->incarnation, rec->state, r->member.incarnation,
+		(enum member_state)r->member.state))
+		probe_hint(m, rec, r);
+	return 1;
+}
+
+static void
+merge_other(
+    struct membership *m, struct rec_member *rec, const struct teller *by)
+{
+	struct row *r = table_row(&m->table, rec->host);
+
+	if (!by->trusted && !by->direct && rec->state != MEMBER_ALIVE)
+		return;
+	/* Suspicions are for the own data centre alone. */
+	if (rec->state == MEMBER_SUSPECT &&
+	    strcmp(rec->data_centre, m->home->name) != 0)
+		rec->state = MEMBER_ALIVE;
+	if (from_abroad(m, r, rec, by))
+		return;
+	if (r == NULL)
+		merge_new(m, rec);
+	else
+		merge_known(m, r, rec, by);
+	if (rec->state < MEMBER_FAILED)
+		claim_look(m, rec);
+}
+
+static void
+merge_one(struct membership *m, const char *sender, enum merge_source source,
+    const struct rec_member *record)
+{
+	const struct row *s = table_row(&m->table, sender);
+	struct rec_member rec = *record;
+	struct teller by = {.source = source};
+
+	if (!record_valid(record)) {
+		m->counters.rejected++;
+		return;
+	}
+	by.direct = strcmp(sender, rec.host) == 0;
+	by.home = s != NULL && s->dc == m->home;
+	by.trusted = s == NULL || member_is_live(&s->member);
+	if (rec.accuser == 0)
+		rec.accuser = suspicion_accuser(sender);
+	if (strcmp(rec.host, m->settings.host) == 0)
+		merge_self(m, &rec);
+	else
+		merge_other(m, &rec, &by);
+}
+
+void
+merge_records(struct membership *m, const char *sender,
+    enum merge_source source, const struct rec_member *records, uint32_t n)
+{
+	uint32_t i;
+
+	m->counters.news_received += n;
+	m->quiet = source == MERGE_TABLE;
+	for (i = 0; i < n; i++)
+		merge_one(m, sender, source, &records[i]);
+	m->quiet = 0;
+}
--- /dev/null
+++ b/packages/membership/src/news.c
@@ -0,0 +1,197 @@
+/*
+ * News: records that are passed on within the own data centre.
+ *
+ * Each record goes out a bounded number of times, on probes, on their
+ * answers and in rounds of its own; hearing it from a peer counts as one of
+ * these times, since it shows that others pass it on too.  What a node
+ * misses nevertheless is repaired by anti-entropy.
+ */
+#include "base/clock.h"
+
+#include "news.h"
+#include "send.h"
+
+/* Bytes of rounds a second on average, and at once. */
+#define ROUND_BYTES_PER_S 3000
+#define ROUND_BURST_BYTES 36000
+
+#define MS_PER_S 1000
+
+/* One queued record. */
+struct item {
+	struct row *row;
+	uint32_t sent;
+	int urgent;
+};
+
+static GQueue *
+queue_of(struct membership *m, const struct item *it)
+{
+	return it->urgent ? &m->news.urgent : &m->news.normal;
+}
+
+/* Times that a record is passed on: factor * ceil(log2(nodes + 1)). */
+static uint32_t
+send_limit(const struct membership *m)
+{
+	uint32_t log = 1;
+
+	while (m->home->live >> log != 0)
+		log++;
+	return log * m->settings.retransmit_factor;
+}
+
+void
+news_drop(struct membership *m, struct row *r)
+{
+	struct item *it;
+
+	if (r->news == NULL)
+		return;
+	it = r->news->data;
+	g_queue_delete_link(queue_of(m, it), r->news);
+	r->news = NULL;
+	g_free(it);
+}
+
+void
+news_add(struct membership *m, struct row *r, int urgent)
+{
+	struct item *it;
+
+	news_drop(m, r);
+	if (m->quiet)
+		return;
+	if (!news_waiting(m) && m->news.next_ms < m->now_ms)
+		m->news.next_ms = m->now_ms;
+	it = g_new0(struct item, 1);
+	it->row = r;
+	it->urgent = urgent;
+	g_queue_push_head(queue_of(m, it), it);
+	r->news = queue_of(m, it)->head;
+}
+
+void
+news_heard(struct membership *m, struct row *r)
+{
+	struct item *it;
+
+	if (r->news == NULL)
+		return;
+	it = r->news->data;
+	if (++it->sent >= send_limit(m))
+		news_drop(m, r);
+}
+
+/*
+ * A node that heard no answer for long does not pass its own suspicions on:
+ * the fault is likely its own.
+ */
+static int
+withheld(const struct membership *m, const struct row *r)
+{
+	return m->prober.distrusted &&
+	    (r->member.state == MEMBER_SUSPECT ||
+		r->member.state == MEMBER_FAILED);
+}
+
+static void
+fill_from(struct membership *m, GQueue *q, struct batch *b)
+{
+	uint32_t i, limit = send_limit(m), n = q->length;
+	struct item *it;
+	GList *link;
+
+	for (i = 0; i < n; i++) {
+		link = q->head;
+		it = link->data;
+		if (!withheld(m, it->row) && !batch_add(b, it->row))
+			return;
+		if (++it->sent >= limit) {
+			news_drop(m, it->row);
+			continue;
+		}
+		g_queue_unlink(q, link);
+		g_queue_push_tail_link(q, link);
+	}
+}
+
+void
+news_fill(struct membership *m, struct batch *b)
+{
+	fill_from(m, &m->news.urgent, b);
+	fill_from(m, &m->news.normal, b);
+}
+
+int
+news_waiting(const struct membership *m)
+{
+	return m->news.urgent.length > 0 || m->news.normal.length > 0;
+}
+
+static void
+refill(struct membership *m)
+{
+	struct news_queue *q = &m->news;
+	uint64_t gain;
+
+	gain = (m->now_ms - q->refilled_ms) * ROUND_BYTES_PER_S / MS_PER_S;
+	if (gain == 0)
+		return;
+	q->refilled_ms = m->now_ms;
+	q->allowance_bytes += (int64_t)MIN(gain, ROUND_BURST_BYTES);
+	q->allowance_bytes = MIN(q->allowance_bytes, ROUND_BURST_BYTES);
+}
+
+static void
+round_send(struct membership *m)
+{
+	struct batch b = {.n = 0};
+	struct row *r;
+	uint32_t i;
+
+	for (i = 0; i < m->settings.gossip_fanout; i++) {
+		r = table_random(m, m->home, m->self, MEMBER_STATES_LIVE);
+		if (r == NULL || m->news.allowance_bytes <= 0)
+			return;
+		news_fill(m, &b);
+		m->news.allowance_bytes -= b.bytes;
+		send_batch(m, &r->member.address, &b);
+	}
+}
+
+void
+news_tick(struct membership *m)
+{
+	if (!news_waiting(m) || m->now_ms < m->news.next_ms)
+		return;
+	m->news.next_ms = m->now_ms + m->settings.gossip_interval_ms;
+	if (m->home->live <= 1) {
+		news_clear(m);
+		return;
+	}
+	refill(m);
+	round_send(m);
+}
+
+uint64_t
+news_next_ms(const struct membership *m)
+{
+	return news_waiting(m) ? m->news.next_ms : DEADLINE_NEVER;
+}
+
+static void
+clear_queue(struct membership *m, GQueue *q)
+{
+	struct item *it;
+
+	while ((it = g_queue_peek_head(q)) != NULL)
+		news_drop(m, it->row);
+}
+
+void
+news_clear(struct membership *m)
+{
+	clear_queue(m, &m->news.urgent);
+	clear_queue(m, &m->news.normal);
+}
--- /dev/null
+++ b/packages/membership/src/reconnect.c
@@ -0,0 +1,80 @@
+/*
+ * Reconnecting: pings to seeds that are not known and to failed hosts.
+ *
+ * Two parts of a data centre that lost each other for so long that each took
+ * the other for failed would else never meet again, nor would nodes that
+ * started while no seed could be reached.
+ */
+#include "base/clock.h"
+
+#include "probe.h"
+#include "reconnect.h"
+#include "table.h"
+
+#define INTERVAL_MS 10000
+
+/* A node that is alone or started just now looks more often. */
+#define EAGER_INTERVAL_MS 1000
+#define EAGER_MS 30000
+
+static int
+known_live(const struct membership *m, const struct net_addr *addr)
+{
+	const struct row *r;
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, m->table.hosts);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		r = p;
+		if (addr_equal(&r->member.address, addr) &&
+		    member_is_live(&r->member))
+			return 1;
+	}
+	return 0;
+}
+
+static void
+ping_seed(struct membership *m)
+{
+	uint32_t n = m->settings.n_seeds;
+	const struct net_addr *seed;
+
+	if (n == 0)
+		return;
+	seed = &m->seeds[random_below(m, n)];
+	if (!known_live(m, seed))
+		(void)probe_ping(m, seed, "");
+}
+
+static void
+ping_failed(struct membership *m)
+{
+	const struct row *r;
+
+	r = table_random(m, m->home, m->self, MEMBER_STATE_BIT(MEMBER_FAILED));
+	if (r != NULL)
+		(void)probe_ping(m, &r->member.address, r->member.host);
+}
+
+void
+reconnect_tick(struct membership *m)
+{
+	uint32_t interval = INTERVAL_MS;
+
+	if (m->phase != MEMBERSHIP_JOINED || m->now_ms < m->prober.reconnect_ms)
+		return;
+	if (m->home->live <= 1 || m->now_ms < m->joined_ms + EAGER_MS)
+		interval = EAGER_INTERVAL_MS;
+	m->prober.reconnect_ms =
+	    m->now_ms + interval / 2 + random_below(m, interval);
+	ping_seed(m);
+	ping_failed(m);
+}
+
+uint64_t
+reconnect_next_ms(const struct membership *m)
+{
+	return m->phase == MEMBERSHIP_JOINED ? m->prober.reconnect_ms
+					     : DEADLINE_NEVER;
+}
--- /dev/null
+++ b/packages/membership/src/serve.c
@@ -0,0 +1,218 @@
+/*
+ * Serving joins: handing the table out, to a few at a time.
+ *
+ * The table is gone through by data centre and bucket, the joining host's
+ * data centre first, so that a cursor stays right while the table changes
+ * and nothing is kept for a join but its lease.
+ */
+#include <string.h>
+
+#include "merge.h"
+#include "news.h"
+#include "send.h"
+#include "serve.h"
+
+/* A part ends with the bucket that brings it over this. */
+#define PART_BYTES 24576
+
+/* A join that asks for no further part for so long is taken for broken
+ * off. */
+#define LEASE_MS 3000
+
+/* When one that was turned away may come back. */
+#define COME_BACK_MS 500
+
+/* Peers named to one that was turned away. */
+#define OTHERS_NAMED 8
+
+static void
+drop_leases(struct membership *m, const struct net_addr *peer)
+{
+	struct join_lease *l;
+	uint32_t i;
+
+	for (i = m->join_leases->len; i-- > 0;) {
+		l = &g_array_index(m->join_leases, struct join_lease, i);
+		if (l->deadline_ms <= m->now_ms || addr_equal(&l->peer, peer))
+			(void)g_array_remove_index_fast(m->join_leases, i);
+	}
+}
+
+/* Admit a join or its next part; one that was begun is always gone on with. */
+static int
+admit(struct membership *m, const struct net_addr *peer, uint32_t cursor)
+{
+	struct join_lease l = {*peer, m->now_ms + LEASE_MS};
+
+	drop_leases(m, peer);
+	if (cursor == 0 && m->join_leases->len >= m->settings.join_limit)
+		return 0;
+	g_array_append_val(m->join_leases, l);
+	return 1;
+}
+
+static void
+refuse(struct membership *m, const struct net_addr *from, uint64_t conn,
+    const struct dc *dc)
+{
+	struct rec_peer_address others[OTHERS_NAMED];
+	GByteArray *body = g_byte_array_new();
+	struct msg_join_refused msg;
+	const struct row *r;
+	uint32_t i;
+
+	memset(&msg, 0, sizeof(msg));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	msg.joined = m->phase == MEMBERSHIP_JOINED;
+	msg.come_back_ms = COME_BACK_MS;
+	msg.others = others;
+	for (i = 0; i < OTHERS_NAMED; i++) {
+		/* Half of them of the joining host's data centre. */
+		r = table_random(m, i % 2 == 0 && dc != NULL ? dc : m->home,
+		    m->self, MEMBER_STATE_BIT(MEMBER_ALIVE));
+		if (r == NULL)
+			continue;
+		others[msg.n_others].ip = r->member.address.ip;
+		others[msg.n_others++].port = r->member.address.port;
+	}
+	msg_join_refused_encode(&msg, body);
+	send_frame(m, from, conn, MSG_JOIN_REFUSED, body);
+	m->counters.joins_refused++;
+}
+
+/* The data centre that is @place-th for one at home in @first. */
+static struct dc *
+dc_at(struct membership *m, const struct dc *first, uint32_t place)
+{
+	GPtrArray *dcs = m->table.dcs;
+	uint32_t i;
+
+	if (first == NULL)
+		return dcs->pdata[place];
+	if (place == 0)
+		return table_dc(&m->table, first->name);
+	for (i = 0; i < dcs->len; i++)
+		if (dcs->pdata[i] != first && --place == 0)
+			return dcs->pdata[i];
+	return NULL;
+}
+
+/* Add the rows of a bucket; returns the bytes they take. */
+static uint32_t
+add_bucket(GArray *rows, const struct dc *dc, uint32_t bucket)
+{
+	struct rec_member rec;
+	const struct row *r;
+	uint32_t bytes = 0, i;
+
+	for (i = 0; i < dc->rows->len; i++) {
+		r = dc->rows->pdata[i];
+		if (r->bucket != bucket || rows->len >= MSG_JOIN_TABLE_ROWS_MAX)
+			continue;
+		record_fill(r, &rec);
+		g_array_append_val(rows, rec);
+		bytes += record_bytes(r);
+	}
+	return bytes;
+}
+
+/* Fill a part from a cursor on; returns the next cursor, 0 at the end. */
+static uint32_t
+fill_part(struct membership *m, const struct dc *first, uint32_t cursor,
+    int own_only, GArray *rows)
+{
+	uint32_t bytes = 0, end = m->table.dcs->len * TABLE_BUCKETS;
+	const struct dc *dc;
+
+	if (own_only)
+		end = first != NULL ? TABLE_BUCKETS : 0;
+	while (cursor < end) {
+		dc = dc_at(m, first, cursor / TABLE_BUCKETS);
+		bytes += add_bucket(rows, dc, cursor % TABLE_BUCKETS);
+		cursor++;
+		if (bytes >= PART_BYTES)
+			break;
+	}
+	return cursor < end ? cursor : 0;
+}
+
+static void
+send_part(struct membership *m, const struct net_addr *from, uint64_t conn,
+    const struct msg_join *join, uint64_t held)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct rec_member));
+	GByteArray *body = g_byte_array_new();
+	struct msg_join_table msg;
+	uint32_t i;
+
+	memset(&msg, 0, sizeof(msg));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	msg.joined = m->phase == MEMBERSHIP_JOINED;
+	msg.cursor = join->cursor;
+	msg.held = held;
+	msg.next = fill_part(m, table_dc(&m->table, join->self.data_centre),
+	    join->cursor, join->own_only, rows);
+	msg.rows = (struct rec_member *)(void *)rows->data;
+	msg.n_rows = rows->len;
+	msg_join_table_encode(&msg, body);
+	for (i = 0; i < rows->len; i++)
+		record_clear(&msg.rows[i]);
+	g_array_unref(rows);
+	send_frame(m, from, conn, MSG_JOIN_TABLE, body);
+	m->counters.joins_served++;
+	if (msg.next == 0)
+		drop_leases(
+		    m, &(struct net_addr){join->self.ip, join->self.peer_port});
+}
+
+/* The row that another live process has under this name or address. */
+static int
+contested(const struct membership *m, const struct rec_member *rec)
+{
+	const struct row *r = table_row(&m->table, rec->host);
+	struct net_addr addr = record_addr(rec);
+
+	return r != NULL && member_is_live(&r->member) &&
+	    !addr_equal(&r->member.address, &addr);
+}
+
+static void
+serve(struct membership *m, const struct net_addr *from, uint64_t conn,
+    const struct msg_join *join)
+{
+	const struct row *r = table_row(&m->table, join->self.host);
+	struct net_addr peer = record_addr(&join->self);
+	uint64_t held = 0;
+
+	if (!admit(m, &peer, join->cursor)) {
+		refuse(
+		    m, from, conn, table_dc(&m->table, join->self.data_centre));
+		return;
+	}
+	if (r != NULL && r != m->self && addr_equal(&r->member.address, &peer))
+		held = r->member.incarnation;
+	if (held == join->self.incarnation)
+		held = 0;
+	if (join->cursor == 0 && !join->own_only && !contested(m, &join->self))
+		merge_records(m, join->self.host, MERGE_NEWS, &join->self, 1);
+	send_part(m, from, conn, join, held);
+}
+
+void
+serve_on_join(struct membership *m, const struct net_addr *from, uint64_t conn,
+    const uint8_t *body, size_t len)
+{
+	struct msg_join msg;
+
+	if (m->phase != MEMBERSHIP_JOINED && m->phase != MEMBERSHIP_JOINING)
+		return;
+	if (msg_join_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	if (record_valid(&msg.self))
+		serve(m, from, conn, &msg);
+	else
+		m->counters.rejected++;
+	msg_join_clear(&msg);
+}
--- /dev/null
+++ b/packages/membership/src/suspicion.c
@@ -0,0 +1,196 @@
+/*
+ * Suspicion: hosts that did not answer, until they refute it or have failed.
+ *
+ * A suspicion that one node alone holds lasts long, since the fault may be
+ * with that node; each further node that finds the same shortens it (as in
+ * Lifeguard, Dadgar et al. 2018).
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#include "action.h"
+#include "news.h"
+#include "suspicion.h"
+#include "table.h"
+
+#define PERCENT 100
+
+/*
+ * Length of a suspicion in percent of suspicion_ms by the number of those
+ * who hold it: max - (max - min) * log(n) / log(needed), where needed is 3,
+ * or 2 in a data centre of three hosts.
+ */
+static const uint32_t length_of_3[ACCUSERS_MAX] = {300, 174, 100};
+static const uint32_t length_of_2[ACCUSERS_MAX] = {300, 100, 100};
+static const uint32_t length_of_1[ACCUSERS_MAX] = {100, 100, 100};
+
+uint32_t
+suspicion_accuser(const char *host)
+{
+	return (uint32_t)hash64(host, strlen(host), 0) | 1U;
+}
+
+static uint64_t
+length_ms(const struct membership *m, uint32_t n_accusers)
+{
+	const uint32_t *percent = length_of_3;
+	uint32_t others = m->home->live - 2;
+
+	if (m->home->live <= 2)
+		percent = length_of_1;
+	else if (others < ACCUSERS_MAX - 1)
+		percent = length_of_2;
+	return (uint64_t)m->settings.suspicion_ms * percent[n_accusers - 1] /
+	    PERCENT;
+}
+
+static void
+set_until(struct membership *m, struct row *r, uint64_t until_ms)
+{
+	table_set_until(&m->table, r, until_ms);
+	m->timed_ms = MIN(m->timed_ms, until_ms);
+}
+
+static int
+has_accuser(const struct row *r, uint32_t accuser)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n_accusers; i++)
+		if (r->accusers[i] == accuser)
+			return 1;
+	return 0;
+}
+
+static void
+begin(struct membership *m, struct row *r, uint32_t accuser)
+{
+	table_set(&m->table, r, r->member.incarnation, MEMBER_SUSPECT);
+	r->accusers[0] = accuser;
+	r->n_accusers = 1;
+	set_until(m, r, m->now_ms + length_ms(m, 1));
+	m->counters.suspected++;
+	action_changed(m, r, 0);
+	news_add(m, r, 0);
+}
+
+void
+suspicion_raise(struct membership *m, struct row *r, uint32_t accuser)
+{
+	uint64_t was;
+
+	if (r->member.state == MEMBER_ALIVE) {
+		begin(m, r, accuser);
+		return;
+	}
+	if (r->member.state != MEMBER_SUSPECT || has_accuser(r, accuser) ||
+	    r->n_accusers == ACCUSERS_MAX)
+		return;
+	was = length_ms(m, r->n_accusers);
+	r->accusers[r->n_accusers++] = accuser;
+	set_until(m, r, r->until_ms - was + length_ms(m, r->n_accusers));
+	news_add(m, r, 0);
+}
+
+void
+suspicion_bury(struct membership *m, struct row *r, enum member_state state)
+{
+	int live = member_is_live(&r->member);
+
+	table_set(&m->table, r, r->member.incarnation, state);
+	set_until(m, r, m->now_ms + m->settings.forget_ms);
+	if (state == MEMBER_FAILED && live)
+		m->counters.failed++;
+	action_changed(m, r, 1);
+	news_add(m, r, state == MEMBER_LEFT);
+}
+
+void
+suspicion_end(struct membership *m, struct row *r)
+{
+	r->n_accusers = 0;
+	table_set_until(&m->table, r, DEADLINE_NEVER);
+}
+
+static void
+forget(struct membership *m, struct row *r)
+{
+	news_drop(m, r);
+	action_removed(m, r);
+	table_remove(&m->table, r);
+}
+
+static void
+expire(struct membership *m, struct row *r)
+{
+	if (r->member.state == MEMBER_SUSPECT)
+		suspicion_bury(m, r, MEMBER_FAILED);
+	else
+		forget(m, r);
+}
+
+void
+suspicion_tick(struct membership *m)
+{
+	GPtrArray *timed = m->table.timed;
+	uint64_t next = DEADLINE_NEVER;
+	struct row *r;
+	uint32_t i;
+
+	if (m->now_ms < m->timed_ms)
+		return;
+	/* Backwards: a row that is forgotten gives its place to the last. */
+	for (i = timed->len; i-- > 0;) {
+		r = timed->pdata[i];
+		if (r->until_ms <= m->now_ms)
+			expire(m, r);
+	}
+	for (i = 0; i < timed->len; i++) {
+		r = timed->pdata[i];
+		next = MIN(next, r->until_ms);
+	}
+	m->timed_ms = next;
+}
+
+void
+suspicion_extend(struct membership *m, uint64_t gap_ms)
+{
+	GPtrArray *timed = m->table.timed;
+	struct row *r;
+	uint32_t i;
+
+	for (i = 0; i < timed->len; i++) {
+		r = timed->pdata[i];
+		if (r->member.state == MEMBER_SUSPECT)
+			r->until_ms += gap_ms;
+	}
+}
+
+static int
+only_own(const struct membership *m, const struct row *r)
+{
+	return (r->member.state == MEMBER_SUSPECT ||
+		   r->member.state == MEMBER_FAILED) &&
+	    r->n_accusers == 1 &&
+	    r->accusers[0] == suspicion_accuser(m->settings.host);
+}
+
+void
+suspicion_withdraw(struct membership *m)
+{
+	GPtrArray *timed = m->table.timed;
+	struct row *r;
+	uint32_t i;
+
+	for (i = timed->len; i-- > 0;) {
+		r = timed->pdata[i];
+		if (!only_own(m, r))
+			continue;
+		news_drop(m, r);
+		suspicion_end(m, r);
+		table_set(&m->table, r, r->member.incarnation, MEMBER_ALIVE);
+		action_changed(m, r, 1);
+	}
+}
--- /dev/null
+++ b/packages/membership/src/sync.c
@@ -0,0 +1,332 @@
+/*
+ * Anti-entropy: finding and repairing differences between two tables.
+ *
+ * A sends the digests of its data centres; B answers with the buckets of
+ * those that differ; A sends the keys of the buckets that differ; B sends
+ * the records that A lacks and the keys of those that it lacks itself; A
+ * sends these.  Each step goes over a bounded part of the table, so that a
+ * large difference takes several exchanges.
+ */
+#include <string.h>
+
+#include "action.h"
+#include "merge.h"
+#include "news.h"
+#include "send.h"
+#include "suspicion.h"
+#include "sync.h"
+
+/* Data centres and buckets that one exchange goes into. */
+#define DCS_PER_SYNC 4
+#define BUCKETS_PER_SYNC 16
+
+/* Differing digests in a row, while nothing is being passed on, that begin
+ * an exchange with a node of the own data centre. */
+#define MISMATCHES_MIN 2
+
+/* After this many intervals an exchange begins even while news is passed
+ * on. */
+#define PATIENT_INTERVALS 4
+
+/* A host that appeared this recently may be unknown at its home yet. */
+#define AUTHORITY_GRACE_MS 30000
+
+static void
+begin(struct membership *m, const struct net_addr *to)
+{
+	struct rec_data_centre_digest digests[DATA_CENTRES_MAX];
+	uint32_t half = m->settings.sync_interval_ms / 2, i;
+	struct msg_sync_digests msg;
+	GByteArray *body = g_byte_array_new();
+	const struct dc *dc;
+
+	memset(&msg, 0, sizeof(msg));
+	memset(digests, 0, sizeof(digests));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	for (i = 0; i < m->table.dcs->len; i++) {
+		dc = m->table.dcs->pdata[i];
+		memcpy(digests[i].data_centre, dc->name, sizeof(dc->name));
+		digests[i].digest = dc->digest;
+	}
+	msg.data_centres = digests;
+	msg.n_data_centres = m->table.dcs->len;
+	msg_sync_digests_encode(&msg, body);
+	send_either(m, to, MSG_SYNC_DIGESTS, body);
+	m->counters.syncs++;
+	m->mismatches = 0;
+	m->sync_ms = m->now_ms + half + random_below(m, 2 * half);
+}
+
+void
+sync_consider(struct membership *m, const struct net_addr *from,
+    const struct row *peer, uint64_t root)
+{
+	uint64_t patience =
+	    (uint64_t)m->settings.sync_interval_ms * PATIENT_INTERVALS;
+	int home = peer != NULL && peer->dc == m->home;
+
+	if (root == m->table.root || m->phase != MEMBERSHIP_JOINED) {
+		m->mismatches = 0;
+		return;
+	}
+	if (m->now_ms < m->sync_ms)
+		return;
+	if (home && news_waiting(m) && m->now_ms < m->sync_ms + patience)
+		return;
+	if (++m->mismatches < MISMATCHES_MIN && home)
+		return;
+	begin(m, from);
+}
+
+static void
+send_buckets(struct membership *m, const struct net_addr *to, struct dc *dc)
+{
+	struct msg_sync_buckets msg;
+	GByteArray *body = g_byte_array_new();
+
+	memset(&msg, 0, sizeof(msg));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	memcpy(msg.data_centre, dc->name, sizeof(msg.data_centre));
+	msg.buckets = dc->digests;
+	msg.n_buckets = TABLE_BUCKETS;
+	msg_sync_buckets_encode(&msg, body);
+	send_either(m, to, MSG_SYNC_BUCKETS, body);
+}
+
+static int
+same_digest(const struct msg_sync_digests *msg, const struct dc *dc)
+{
+	const struct rec_data_centre_digest *d;
+	uint32_t i;
+
+	for (i = 0; i < msg->n_data_centres; i++) {
+		d = &msg->data_centres[i];
+		if (strcmp(d->data_centre, dc->name) == 0)
+			return d->digest == dc->digest;
+	}
+	return dc->live == 0;
+}
+
+void
+sync_on_digests(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	GPtrArray *dcs = m->table.dcs;
+	struct msg_sync_digests msg;
+	uint32_t i, sent = 0, start;
+	struct dc *dc;
+
+	if (m->phase != MEMBERSHIP_JOINED)
+		return;
+	if (msg_sync_digests_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	for (i = 0; i < msg.n_data_centres; i++)
+		if (msg.data_centres[i].data_centre[0] != '\0')
+			(void)table_dc_add(
+			    &m->table, msg.data_centres[i].data_centre);
+	start = random_below(m, dcs->len);
+	for (i = 0; i < dcs->len && sent < DCS_PER_SYNC; i++) {
+		dc = dcs->pdata[(start + i) % dcs->len];
+		if (same_digest(&msg, dc))
+			continue;
+		send_buckets(m, from, dc);
+		sent++;
+	}
+	msg_sync_digests_clear(&msg);
+}
+
+static void
+key_fill(const struct row *r, struct rec_member_key *key)
+{
+	memcpy(key->host, r->member.host, sizeof(key->host));
+	key->incarnation = r->member.incarnation;
+	key->state = (enum member_state)r->member.state;
+	if (key->state == MEMBER_SUSPECT)
+		key->state = MEMBER_ALIVE;
+}
+
+static void
+send_keys(struct membership *m, const struct net_addr *to, const struct dc *dc,
+    uint8_t bucket, int wants, GArray *keys)
+{
+	struct msg_sync_keys msg;
+	GByteArray *body = g_byte_array_new();
+
+	memset(&msg, 0, sizeof(msg));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	memcpy(msg.data_centre, dc->name, sizeof(msg.data_centre));
+	msg.bucket = bucket;
+	msg.wants = wants;
+	msg.authority = !wants && dc == m->home && merge_authority(m);
+	msg.keys = (struct rec_member_key *)(void *)keys->data;
+	msg.n_keys = MIN(keys->len, MSG_SYNC_KEYS_KEYS_MAX);
+	/* A list that was cut short can't speak for who is missing. */
+	msg.authority = msg.authority && msg.n_keys == keys->len;
+	msg_sync_keys_encode(&msg, body);
+	send_either(m, to, MSG_SYNC_KEYS, body);
+}
+
+static GArray *
+keys_new(void)
+{
+	return g_array_new(FALSE, TRUE, sizeof(struct rec_member_key));
+}
+
+static void
+send_bucket_keys(struct membership *m, const struct net_addr *to,
+    const struct dc *dc, uint8_t bucket)
+{
+	GArray *keys = keys_new();
+	struct rec_member_key key;
+	const struct row *r;
+	uint32_t i;
+
+	for (i = 0; i < dc->rows->len; i++) {
+		r = dc->rows->pdata[i];
+		if (r->bucket != bucket)
+			continue;
+		key_fill(r, &key);
+		g_array_append_val(keys, key);
+	}
+	send_keys(m, to, dc, bucket, 0, keys);
+	g_array_unref(keys);
+}
+
+void
+sync_on_buckets(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	uint32_t b, i, sent = 0, start;
+	struct msg_sync_buckets msg;
+	struct dc *dc = NULL;
+
+	if (m->phase != MEMBERSHIP_JOINED)
+		return;
+	if (msg_sync_buckets_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	if (msg.n_buckets == TABLE_BUCKETS && msg.data_centre[0] != '\0')
+		dc = table_dc_add(&m->table, msg.data_centre);
+	start = random_below(m, TABLE_BUCKETS);
+	for (i = 0; dc != NULL && i < TABLE_BUCKETS; i++) {
+		b = (start + i) % TABLE_BUCKETS;
+		if (msg.buckets[b] == dc->digests[b])
+			continue;
+		send_bucket_keys(m, from, dc, (uint8_t)b);
+		if (++sent == BUCKETS_PER_SYNC)
+			break;
+	}
+	msg_sync_buckets_clear(&msg);
+}
+
+static void
+batch_send(struct membership *m, const struct net_addr *to, struct batch *b,
+    const struct row *r)
+{
+	if (batch_add(b, r))
+		return;
+	send_batch(m, to, b);
+	(void)batch_add(b, r);
+}
+
+/* One key that the peer holds: send it ours, or want its record. */
+static void
+compare(struct membership *m, const struct net_addr *from,
+    const struct rec_member_key *key, struct batch *b, GArray *wants)
+{
+	const struct row *r = table_row(&m->table, key->host);
+	struct rec_member_key own;
+
+	if (r == NULL) {
+		if (key->state < MEMBER_FAILED)
+			g_array_append_val(wants, *key);
+		return;
+	}
+	key_fill(r, &own);
+	if (merge_newer(
+		own.incarnation, own.state, key->incarnation, key->state))
+		batch_send(m, from, b, r);
+	else if (merge_newer(
+		     key->incarnation, key->state, own.incarnation, own.state))
+		g_array_append_val(wants, *key);
+}
+
+/* A host that the peer does not know: it may be news, or gone at home. */
+static void
+peer_lacks(struct membership *m, const struct net_addr *from, struct row *r,
+    int authority, struct batch *b)
+{
+	if (!member_is_live(&r->member))
+		return;
+	if (!authority || r->dc == m->home)
+		batch_send(m, from, b, r);
+	else if (m->now_ms >= r->known_ms + AUTHORITY_GRACE_MS)
+		suspicion_bury(m, r, MEMBER_FAILED);
+}
+
+static void
+compare_bucket(struct membership *m, const struct net_addr *from,
+    const struct msg_sync_keys *msg, struct dc *dc)
+{
+	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
+	struct batch b = {.n = 0};
+	GArray *wants = keys_new();
+	struct row *r;
+	uint32_t i;
+
+	for (i = 0; i < msg->n_keys; i++) {
+		(void)g_hash_table_add(named, msg->keys[i].host);
+		compare(m, from, &msg->keys[i], &b, wants);
+	}
+	for (i = 0; i < dc->rows->len; i++) {
+		r = dc->rows->pdata[i];
+		if (r->bucket == msg->bucket &&
+		    !g_hash_table_contains(named, r->member.host))
+			peer_lacks(m, from, r, msg->authority, &b);
+	}
+	send_batch(m, from, &b);
+	if (wants->len > 0)
+		send_keys(m, from, dc, msg->bucket, 1, wants);
+	g_array_unref(wants);
+	g_hash_table_unref(named);
+}
+
+static void
+send_wanted(struct membership *m, const struct net_addr *to,
+    const struct msg_sync_keys *msg)
+{
+	struct batch b = {.n = 0};
+	const struct row *r;
+	uint32_t i;
+
+	for (i = 0; i < msg->n_keys; i++) {
+		r = table_row(&m->table, msg->keys[i].host);
+		if (r != NULL)
+			batch_send(m, to, &b, r);
+	}
+	send_batch(m, to, &b);
+}
+
+void
+sync_on_keys(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct msg_sync_keys msg;
+	struct dc *dc;
+
+	if (m->phase != MEMBERSHIP_JOINED)
+		return;
+	if (msg_sync_keys_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	dc = table_dc(&m->table, msg.data_centre);
+	if (msg.wants)
+		send_wanted(m, from, &msg);
+	else if (dc != NULL)
+		compare_bucket(m, from, &msg, dc);
+	msg_sync_keys_clear(&msg);
+}
--- /dev/null
+++ b/packages/membership/src/table.h
@@ -0,0 +1,44 @@
+/*
+ * Table of all hosts, by name and by data centre, with its digests.
+ */
+#ifndef MEMBERSHIP_TABLE_H
+#define MEMBERSHIP_TABLE_H
+
+#include "internal.h"
+
+/* Prepare an empty table; free with table_clear(). */
+void table_init(struct table *t);
+void table_clear(struct table *t);
+
+/* The data centre of this name, or NULL. */
+struct dc *table_dc(const struct table *t, const char *name);
+
+/* The same, added when it is new; NULL when there are too many. */
+struct dc *table_dc_add(struct table *t, const char *name);
+
+/* The host of this name, or NULL. */
+struct row *table_row(const struct table *t, const char *host);
+
+/* Add a host that is not there yet. */
+struct row *table_add(struct table *t, const char *host, struct dc *dc,
+    uint64_t incarnation, enum member_state state);
+
+/* Take a host out and free it; it must not be queued as news. */
+void table_remove(struct table *t, struct row *r);
+
+/* Set what the digests are over. */
+void table_set(struct table *t, struct row *r, uint64_t incarnation,
+    enum member_state state);
+
+/* Set a host's endpoints; names of services are kept once. */
+void table_set_endpoints(struct table *t, struct row *r,
+    const struct rec_endpoint *endpoints, uint32_t n);
+
+/* Set the end of a suspicion or tombstone, or DEADLINE_NEVER. */
+void table_set_until(struct table *t, struct row *r, uint64_t until_ms);
+
+/* A random row of @dc other than @not in one of @states, or NULL. */
+struct row *table_random(struct membership *m, const struct dc *dc,
+    const struct row * not, uint32_t states);
+
+#endif
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -406,10 +406,12 @@
  * struct msg_join - A starting node asks for a part of the table; frame.
  * @self: record of the joining host
  * @cursor: 0, then the next cursor of the last answer
+ * @own_only: only the part of the joining host's data centre is wanted
  */
 struct msg_join {
 	struct rec_member self;
 	uint32_t cursor;
+	bool own_only;
 };
 
 extern const struct codec_desc msg_join_desc;
@@ -460,12 +462,14 @@
 /**
  * struct msg_join_refused - Too many join at once; frame.
  * @host: sender
+ * @joined: the sender holds the whole table itself
  * @come_back_ms: time to wait before asking the sender again
  * @others: live peers that may be asked instead; owned
  * @n_others: number of @others
  */
 struct msg_join_refused {
 	char host[32];
+	bool joined;
 	uint32_t come_back_ms;
 	struct rec_peer_address *others;
 	uint32_t n_others;
@@ -490,6 +494,7 @@
  * @ip: address that the sender goes by
  * @port: control port that the sender goes by
  * @started_ms: sender's start
+ * @serving: the sender has joined and serves
  * @nonce: repeated in the answer
  */
 struct msg_claim {
@@ -497,6 +502,7 @@
 	uint32_t ip;
 	uint16_t port;
 	uint64_t started_ms;
+	bool serving;
 	uint64_t nonce;
 };
 
@@ -518,6 +524,7 @@
  * @ip: address that the sender goes by
  * @port: control port that the sender goes by
  * @started_ms: sender's start
+ * @serving: the sender has joined and serves
  * @nonce: of the claim
  */
 struct msg_claim_answer {
@@ -525,6 +532,7 @@
 	uint32_t ip;
 	uint16_t port;
 	uint64_t started_ms;
+	bool serving;
 	uint64_t nonce;
 };
 
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -494,11 +494,14 @@
     {.name = "cursor",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_join, cursor)},
+    {.name = "own_only",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_join, own_only)},
 };
 
 const struct codec_desc msg_join_desc = {.name = "join",
     .fields = msg_join_fields,
-    .n_fields = 2,
+    .n_fields = 3,
     .size_bytes = sizeof(struct msg_join)};
 
 void
@@ -574,6 +577,9 @@
 	.kind = CODEC_STR,
 	.offset = offsetof(struct msg_join_refused, host),
 	.max = MSG_JOIN_REFUSED_HOST_MAX},
+    {.name = "joined",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_join_refused, joined)},
     {.name = "come_back_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_join_refused, come_back_ms)},
@@ -589,7 +595,7 @@
 
 const struct codec_desc msg_join_refused_desc = {.name = "join_refused",
     .fields = msg_join_refused_fields,
-    .n_fields = 3,
+    .n_fields = 4,
     .size_bytes = sizeof(struct msg_join_refused)};
 
 void
@@ -623,6 +629,9 @@
     {.name = "started_ms",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_claim, started_ms)},
+    {.name = "serving",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_claim, serving)},
     {.name = "nonce",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_claim, nonce)},
@@ -630,7 +639,7 @@
 
 const struct codec_desc msg_claim_desc = {.name = "claim",
     .fields = msg_claim_fields,
-    .n_fields = 5,
+    .n_fields = 6,
     .size_bytes = sizeof(struct msg_claim)};
 
 void
@@ -665,6 +674,9 @@
     {.name = "started_ms",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_claim_answer, started_ms)},
+    {.name = "serving",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_claim_answer, serving)},
     {.name = "nonce",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_claim_answer, nonce)},
@@ -672,7 +684,7 @@
 
 const struct codec_desc msg_claim_answer_desc = {.name = "claim_answer",
     .fields = msg_claim_answer_fields,
-    .n_fields = 5,
+    .n_fields = 6,
     .size_bytes = sizeof(struct msg_claim_answer)};
 
 void
