--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -35,6 +35,7 @@
  * @order: order of the queue
  * @refuse_early: refuse at once what is not expected to start in time;
  *	false only for the comparison in the bench program
+ * @adapt_slots: use fewer slots after the upstream has shed
  */
 struct admission_config {
 	uint32_t slots;
@@ -43,6 +44,7 @@
 	uint32_t booking_percent;
 	enum admission_order order;
 	bool refuse_early;
+	bool adapt_slots;
 };
 
 /**
@@ -115,6 +117,16 @@
 void admission_finished(struct admission *a, enum admission_class class,
     uint64_t ran_ms, uint64_t now_ms);
 
+/**
+ * admission_shed() - the upstream refused a started request for load
+ *
+ * The slots in use are cut to what it evidently takes and grow back by one for
+ * each round of answers, so that an upstream that announced too many slots or
+ * is cold is not sent more than it takes.
+ */
+void admission_shed(
+    struct admission *a, enum admission_class class, uint64_t now_ms);
+
 /** admission_cancel() - take a queued request out; false if not queued */
 bool admission_cancel(struct admission *a, uint64_t ticket);
 
--- a/packages/traffic/include/traffic/endpoints.h
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -125,7 +125,11 @@
 void endpoints_ended(struct endpoints *e, uint64_t endpoint,
     enum endpoint_result result, uint64_t took_us, uint64_t now_ms);
 
-/** endpoints_report() - an answer or refusal of @endpoint carried @load */
+/**
+ * endpoints_report() - an answer or refusal of @endpoint carried @load
+ *
+ * To be told after endpoints_ended() of the request it came with.
+ */
 void endpoints_report(struct endpoints *e, uint64_t endpoint,
     const struct load_report *load, uint64_t now_ms);
 
--- a/packages/traffic/include/traffic/fate.h
+++ b/packages/traffic/include/traffic/fate.h
@@ -19,6 +19,7 @@
  * @FATE_STATE_RUNNING: handed to the upstream
  * @FATE_STATE_DONE: the upstream answered
  * @FATE_STATE_FAILED: it started, and no answer will come
+ * @FATE_STATE_FOLLOWS: it has the fate of an earlier request with its key
  */
 enum fate_state {
 	FATE_STATE_NEVER = 0,
@@ -26,6 +27,7 @@
 	FATE_STATE_RUNNING,
 	FATE_STATE_DONE,
 	FATE_STATE_FAILED,
+	FATE_STATE_FOLLOWS,
 };
 
 /**
@@ -199,6 +201,19 @@
 void fate_resolve(struct fate_table *t, const struct fate_query *q,
     uint64_t now_ms, struct fate_answer *out);
 
+/**
+ * fate_follow() - a queued request gets the fate of an earlier one
+ * @t: the table
+ * @id: the request, just offered
+ * @first: the request that has the idempotency key
+ * @now_ms: monotonic time
+ * @out: the fate of @first: ATTACHED, ANSWER, LOST, or NOT_RUN
+ *
+ * Its waiters now wait for @first.
+ */
+void fate_follow(struct fate_table *t, const struct request_id *id,
+    const struct request_id *first, uint64_t now_ms, struct fate_answer *out);
+
 /** fate_expire() - forget what is older than the window */
 void fate_expire(struct fate_table *t, uint64_t now_ms);
 
--- a/packages/traffic/include/traffic/keyed.h
+++ b/packages/traffic/include/traffic/keyed.h
@@ -8,58 +8,46 @@
 #ifndef TRAFFIC_KEYED_H
 #define TRAFFIC_KEYED_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "traffic/traffic_defs.h"
 
-/**
- * enum keyed_claim - when a durable claim in the platform's table is needed
- * @KEYED_CLAIM_NEVER: the home's memory decides
- * @KEYED_CLAIM_ON_CHANGE: claim when the key's home changed in the window
- * @KEYED_CLAIM_ALWAYS: claim before every run
- */
-enum keyed_claim {
-	KEYED_CLAIM_NEVER = 0,
-	KEYED_CLAIM_ON_CHANGE,
-	KEYED_CLAIM_ALWAYS,
-};
-
 /**
  * struct keyed_config - bounds and mode
  * @window_ms: how long a key is kept after its last change
  * @keys_max: most keys kept; when there are more, new keys are refused
- * @claim: when to claim
+ * @claim_always: claim each key in the platform's table before its run
  */
 struct keyed_config {
 	uint64_t window_ms;
 	size_t keys_max;
-	enum keyed_claim claim;
+	bool claim_always;
 };
 
 /**
  * enum keyed_verdict - what to do with a keyed request
  * @KEYED_RUN: it is the first with its key: offer it to admission
- * @KEYED_FOLLOW: a request with the key is queued or ran: answer with that
- *	one's fate (fate_resolve() of keyed_decision.first)
- * @KEYED_ASK: ask the key's earlier home first, then keyed_asked()
+ * @KEYED_FOLLOW: a request with the key came before: this one gets that one's
+ *	fate, see fate_follow() and keyed_decision.first
+ * @KEYED_ASK: ask the endpoint keyed_decision.ask, which was the key's home
+ *	within the window (keyed_yield() there), then call keyed_asked()
  * @KEYED_CLAIM: claim the key in the platform's table, then keyed_claimed()
- * @KEYED_WAIT: the same key is being asked or claimed for; wait for that one
- * @KEYED_REFUSE_NOT_HOME: not the home by this node's view: not_run
- * @KEYED_REFUSE_UNSETTLED: an earlier request with this key may have run
- *	elsewhere: unknown, come back later
- * @KEYED_REFUSE_FULL: no room for another key: not_run
- * @KEYED_REFUSE_OTHER: the same key with another body: not_run, 409
+ * @KEYED_NOT_HOME: not the home by this node's view: not_run
+ * @KEYED_UNSETTLED: an earlier request with this key may have run, and nobody
+ *	can say: unknown, come back after keyed_decision.retry_after_ms
+ * @KEYED_FULL: no room for another key: not_run
+ * @KEYED_OTHER_BODY: the key is in use for another request: not_run
  */
 enum keyed_verdict {
 	KEYED_RUN = 0,
 	KEYED_FOLLOW,
 	KEYED_ASK,
 	KEYED_CLAIM,
-	KEYED_WAIT,
-	KEYED_REFUSE_NOT_HOME,
-	KEYED_REFUSE_UNSETTLED,
-	KEYED_REFUSE_FULL,
-	KEYED_REFUSE_OTHER,
+	KEYED_NOT_HOME,
+	KEYED_UNSETTLED,
+	KEYED_FULL,
+	KEYED_OTHER_BODY,
 };
 
 /** keyed_verdict_name() - short name for logs */
@@ -78,7 +66,7 @@
 /**
  * keyed_home() - the home of a key
  * @key: the key
- * @endpoints: the service's endpoints that are neither draining nor left
+ * @endpoints: the service's ready endpoints
  * @n: number of @endpoints
  *
  * Return: the endpoint first in rank, 0 when @n is 0.
@@ -91,11 +79,13 @@
  * @verdict: what to do
  * @first: FOLLOW: the request that has the key
  * @ask: ASK: the earlier home to be asked
+ * @retry_after_ms: UNSETTLED: when it can be settled at the latest
  */
 struct keyed_decision {
 	enum keyed_verdict verdict;
 	struct request_id first;
 	uint64_t ask;
+	uint64_t retry_after_ms;
 };
 
 struct keyed;
@@ -115,7 +105,7 @@
 /**
  * keyed_view() - the service's endpoints by this node's snapshot
  * @k: the keys
- * @endpoints: those neither draining nor left
+ * @endpoints: those that are ready; the own one among them or not
  * @n: number of @endpoints
  * @now_ms: monotonic time
  *
@@ -139,6 +129,7 @@
 /**
  * enum keyed_word - answer of an earlier home, or of the table to a claim
  * @KEYED_WORD_FREE: it never ran there and never will; or the claim is ours
+ *	(also when an earlier claim of this same process is found)
  * @KEYED_WORD_TAKEN: it ran or may have run there; or another holds the claim
  * @KEYED_WORD_NONE: no answer: the home or the platform can't be reached
  */
@@ -148,13 +139,32 @@
 	KEYED_WORD_NONE,
 };
 
-/** keyed_asked() - the earlier home @from answered or could not be reached */
-void keyed_asked(struct keyed *k, const struct key_id *key, uint64_t from,
-    enum keyed_word word, uint64_t now_ms, struct keyed_decision *out);
+/**
+ * keyed_asked() - the earlier home has answered or can't be reached
+ * @k: the keys
+ * @key: the key
+ * @id: the request for which it was asked
+ * @from: the earlier home, keyed_decision.ask
+ * @word: its answer
+ * @now_ms: monotonic time
+ * @out: the next verdict: RUN, ASK (another one) or UNSETTLED
+ */
+void keyed_asked(struct keyed *k, const struct key_id *key,
+    const struct request_id *id, uint64_t from, enum keyed_word word,
+    uint64_t now_ms, struct keyed_decision *out);
 
-/** keyed_claimed() - the claim was answered or the platform is down */
+/**
+ * keyed_claimed() - the claim was answered, or the platform can't be reached
+ * @k: the keys
+ * @key: the key
+ * @id: the request for which it was claimed
+ * @word: the answer
+ * @now_ms: monotonic time
+ * @out: the verdict: RUN or UNSETTLED
+ */
 void keyed_claimed(struct keyed *k, const struct key_id *key,
-    enum keyed_word word, uint64_t now_ms, struct keyed_decision *out);
+    const struct request_id *id, enum keyed_word word, uint64_t now_ms,
+    struct keyed_decision *out);
 
 /**
  * keyed_release() - the request that had the key has certainly not run
@@ -165,15 +175,25 @@
     const struct request_id *id, uint64_t now_ms);
 
 /**
- * keyed_yield() - a later home asks about a key
+ * keyed_yield() - another endpoint, home by its own view, asks about a key
+ * @k: the keys
+ * @key: the key
+ * @to: the endpoint that asks
+ * @to_age_ms: how long ago its process was born (keyed_age_ms() there)
+ * @now_ms: monotonic time
  *
- * If the key is not known here it is barred from now on, so that it never
- * runs here within the window.
+ * FREE bars the key here for the window, so that it never runs here.  It is
+ * said only when this process would know of a run: it is older than the
+ * window, and within the window no other process was the key's home by its
+ * own views, but for the process that asks.
  *
  * Return: KEYED_WORD_FREE or KEYED_WORD_TAKEN.
  */
-enum keyed_word
-keyed_yield(struct keyed *k, const struct key_id *key, uint64_t now_ms);
+enum keyed_word keyed_yield(struct keyed *k, const struct key_id *key,
+    uint64_t to, uint64_t to_age_ms, uint64_t now_ms);
+
+/** keyed_age_ms() - how long this process has kept the keys */
+uint64_t keyed_age_ms(const struct keyed *k, uint64_t now_ms);
 
 /** keyed_expire() - forget keys and views older than the window */
 void keyed_expire(struct keyed *k, uint64_t now_ms);
--- /dev/null
+++ b/packages/traffic/src/endpoints.c
@@ -0,0 +1,282 @@
+/*
+ * The table of endpoints at an entry.
+ */
+#include "traffic/endpoints.h"
+
+#include <math.h>
+
+#include "endpoints_defs.h"
+
+#define PERCENT 100
+/* A cold endpoint starts with this share of its slots. */
+#define COLD_PERCENT 10
+
+void
+endpoints_config_default(struct endpoints_config *cfg)
+{
+	cfg->slow_start_ms = 5000;
+	cfg->load_half_life_ms = 500;
+	cfg->drain_hold_ms = 5000;
+}
+
+static void
+service_free(gpointer data)
+{
+	struct service *s = data;
+
+	g_ptr_array_free(s->listed, TRUE);
+	g_free(s);
+}
+
+struct endpoints *
+endpoints_new(const struct endpoints_config *cfg)
+{
+	struct endpoints *e;
+
+	e = g_new0(struct endpoints, 1);
+	e->cfg = *cfg;
+	e->services = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, service_free);
+	e->endpoints =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return e;
+}
+
+void
+endpoints_free(struct endpoints *e)
+{
+	if (e == NULL)
+		return;
+	g_hash_table_destroy(e->services);
+	g_hash_table_destroy(e->endpoints);
+	g_free(e);
+}
+
+struct endpoint *
+endpoints_find(const struct endpoints *e, uint64_t id)
+{
+	return g_hash_table_lookup(e->endpoints, &id);
+}
+
+struct service *
+endpoints_service(const struct endpoints *e, uint64_t id)
+{
+	return g_hash_table_lookup(e->services, &id);
+}
+
+static void
+unlist(struct endpoints *e, struct endpoint *ep)
+{
+	ejection_forget(ep);
+	ep->service = NULL;
+	ep->info.state = ENDPOINT_LEFT;
+	if (ep->in_flight == 0)
+		g_hash_table_remove(e->endpoints, &ep->info.id);
+}
+
+static struct endpoint *
+find_or_add(struct endpoints *e, const struct endpoint_info *info)
+{
+	struct endpoint *ep;
+
+	ep = endpoints_find(e, info->id);
+	if (ep != NULL)
+		return ep;
+	ep = g_new0(struct endpoint, 1);
+	ep->info = *info;
+	ep->info.state = ENDPOINT_STARTING;
+	g_hash_table_insert(e->endpoints, &ep->info.id, ep);
+	return ep;
+}
+
+/* warm: the entry itself is new, so nothing is known to be cold. */
+static void
+update(struct endpoint *ep, const struct endpoint_info *info, bool warm,
+    uint64_t now_ms)
+{
+	bool replaced, becomes_ready;
+
+	replaced = ep->info.incarnation != info->incarnation;
+	becomes_ready = info->state == ENDPOINT_READY &&
+	    (replaced || ep->info.state != ENDPOINT_READY);
+	if (replaced) {
+		ejection_forget(ep);
+		ep->others_milli = 0;
+		ep->drains_until_ms = 0;
+	}
+	if (becomes_ready)
+		ep->warm_from_ms = warm ? 0 : now_ms;
+	ep->info = *info;
+	ep->info.slots = MAX(info->slots, 1);
+}
+
+static bool
+names(const struct endpoint_info *infos, size_t n, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (infos[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+static void
+unlist_missing(struct endpoints *e, struct service *s,
+    const struct endpoint_info *infos, size_t n)
+{
+	struct endpoint *ep;
+	guint i;
+
+	for (i = s->listed->len; i > 0; i--) {
+		ep = g_ptr_array_index(s->listed, i - 1);
+		if (names(infos, n, ep->info.id))
+			continue;
+		g_ptr_array_remove_index_fast(s->listed, i - 1);
+		unlist(e, ep);
+	}
+}
+
+void
+endpoints_set_service(struct endpoints *e, uint64_t service,
+    uint64_t generation, const struct endpoint_info *infos, size_t n,
+    uint64_t now_ms)
+{
+	struct endpoint *ep;
+	struct service *s;
+	bool first;
+	size_t i;
+
+	s = endpoints_service(e, service);
+	first = s == NULL;
+	if (first) {
+		s = g_new0(struct service, 1);
+		s->id = service;
+		s->listed = g_ptr_array_new();
+		g_hash_table_insert(e->services, &s->id, s);
+	}
+	s->generation = generation;
+	unlist_missing(e, s, infos, n);
+	for (i = 0; i < n; i++) {
+		ep = find_or_add(e, &infos[i]);
+		update(ep, &infos[i], first, now_ms);
+		if (ep->service == s)
+			continue;
+		ep->service = s;
+		g_ptr_array_add(s->listed, ep);
+	}
+	if (n == 0)
+		g_hash_table_remove(e->services, &service);
+}
+
+uint64_t
+endpoints_generation(const struct endpoints *e, uint64_t service)
+{
+	const struct service *s;
+
+	s = endpoints_service(e, service);
+	return s != NULL ? s->generation : 0;
+}
+
+void
+endpoints_began(struct endpoints *e, uint64_t endpoint, uint64_t now_ms)
+{
+	struct endpoint *ep;
+
+	(void)now_ms;
+	ep = endpoints_find(e, endpoint);
+	if (ep != NULL)
+		ep->in_flight++;
+}
+
+void
+endpoints_ended(struct endpoints *e, uint64_t endpoint,
+    enum endpoint_result result, uint64_t took_us, uint64_t now_ms)
+{
+	struct endpoint *ep;
+
+	ep = endpoints_find(e, endpoint);
+	if (ep == NULL)
+		return;
+	if (ep->in_flight > 0)
+		ep->in_flight--;
+	if (ep->service == NULL) {
+		if (ep->in_flight == 0)
+			g_hash_table_remove(e->endpoints, &endpoint);
+		return;
+	}
+	if (result == ENDPOINT_DRAINS)
+		ep->drains_until_ms = now_ms + e->cfg.drain_hold_ms;
+	if (e->ejection != NULL)
+		ejection_note(e->ejection, ep, result, took_us, now_ms);
+}
+
+void
+endpoints_report(struct endpoints *e, uint64_t endpoint,
+    const struct load_report *load, uint64_t now_ms)
+{
+	struct endpoint *ep;
+	uint64_t all;
+
+	ep = endpoints_find(e, endpoint);
+	if (ep == NULL)
+		return;
+	all = (uint64_t)load->in_flight + load->queued;
+	ep->others_milli =
+	    all > ep->in_flight ? (all - ep->in_flight) * MILLI : 0;
+	ep->reported_ms = now_ms;
+	if (load->slots > 0)
+		ep->info.slots = load->slots;
+}
+
+void
+endpoints_hint(
+    struct endpoints *e, uint64_t endpoint, bool healthy, uint64_t now_ms)
+{
+	struct endpoint *ep;
+
+	ep = endpoints_find(e, endpoint);
+	if (ep == NULL || !healthy || ep->results.until_ms == 0)
+		return;
+	ep->results.until_ms = MIN(ep->results.until_ms, MAX(now_ms, 1));
+}
+
+uint32_t
+endpoints_in_flight(const struct endpoints *e, uint64_t endpoint)
+{
+	const struct endpoint *ep;
+
+	ep = endpoints_find(e, endpoint);
+	return ep != NULL ? ep->in_flight : 0;
+}
+
+uint64_t
+endpoints_load_milli(
+    const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms)
+{
+	double age, others;
+
+	others = (double)ep->others_milli;
+	if (e->cfg.load_half_life_ms > 0 && now_ms > ep->reported_ms) {
+		age = (double)(now_ms - ep->reported_ms);
+		others *= exp2(-age / e->cfg.load_half_life_ms);
+	}
+	return (uint64_t)ep->in_flight * MILLI + (uint64_t)others;
+}
+
+uint64_t
+endpoints_slots_milli(
+    const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms)
+{
+	uint64_t slots, warm_for, percent;
+
+	slots = (uint64_t)ep->info.slots * MILLI;
+	if (ep->warm_from_ms == 0 || e->cfg.slow_start_ms == 0)
+		return slots;
+	warm_for = now_ms - MIN(ep->warm_from_ms, now_ms);
+	if (warm_for >= e->cfg.slow_start_ms)
+		return slots;
+	percent = warm_for * PERCENT / e->cfg.slow_start_ms;
+	return slots * MAX(percent, COLD_PERCENT) / PERCENT;
+}
--- /dev/null
+++ b/packages/traffic/src/endpoints_defs.h
@@ -0,0 +1,116 @@
+/*
+ * Records of endpoints, shared by endpoints.c, ejection.c and placement.c.
+ */
+#ifndef TRAFFIC_ENDPOINTS_DEFS_H
+#define TRAFFIC_ENDPOINTS_DEFS_H
+
+#include <glib.h>
+
+#include "traffic/ejection.h"
+
+/* Loads and slots are counted in thousandths of a request. */
+#define MILLI 1000
+
+/**
+ * struct ejection_record - results of one endpoint, for the ejection
+ * @consecutive: failures without a success between
+ * @good: recent successes, decaying
+ * @bad: recent failures, decaying
+ * @decayed_ms: when the counts were last halved
+ * @took_us: moving average of the time to the answer's head
+ * @timed: number of times in the average
+ * @times_out: ejections that followed each other, for the growing time
+ * @until_ms: end of the ejection; 0 when it is not ejected
+ * @probing: a probe is under way
+ */
+struct ejection_record {
+	uint32_t consecutive;
+	uint32_t good;
+	uint32_t bad;
+	uint64_t decayed_ms;
+	uint64_t took_us;
+	uint32_t timed;
+	uint32_t times_out;
+	uint64_t until_ms;
+	bool probing;
+};
+
+/**
+ * struct service - one service and its endpoints
+ * @id: see service_id()
+ * @generation: snapshot it was told from
+ * @listed: struct endpoint of all endpoints in the snapshot
+ * @ejected: how many of them are ejected
+ */
+struct service {
+	uint64_t id;
+	uint64_t generation;
+	GPtrArray *listed;
+	size_t ejected;
+};
+
+/**
+ * struct endpoint - what is known of one endpoint
+ * @info: from the snapshot
+ * @service: its service; NULL once no snapshot lists it
+ * @in_flight: own requests
+ * @others_milli: load that others put on it, by its last report
+ * @reported_ms: when the report came
+ * @warm_from_ms: start of the slow start; 0 when it was always warm
+ * @drains_until_ms: it refused as draining; left out until then
+ * @results: for the ejection
+ */
+struct endpoint {
+	struct endpoint_info info;
+	struct service *service;
+	uint32_t in_flight;
+	uint64_t others_milli;
+	uint64_t reported_ms;
+	uint64_t warm_from_ms;
+	uint64_t drains_until_ms;
+	struct ejection_record results;
+};
+
+/**
+ * struct endpoints - the table
+ * @cfg: settings
+ * @services: service id -> struct service
+ * @endpoints: endpoint id -> struct endpoint
+ * @ejection: told of results; NULL for none
+ */
+struct endpoints {
+	struct endpoints_config cfg;
+	GHashTable *services;
+	GHashTable *endpoints;
+	struct ejection *ejection;
+};
+
+/** endpoints_find() - record of an endpoint, or NULL */
+struct endpoint *endpoints_find(const struct endpoints *e, uint64_t id);
+
+/** endpoints_service() - record of a service, or NULL */
+struct service *endpoints_service(const struct endpoints *e, uint64_t id);
+
+/** endpoints_load_milli() - estimated load of an endpoint */
+uint64_t endpoints_load_milli(
+    const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms);
+
+/** endpoints_slots_milli() - slots, fewer during slow start */
+uint64_t endpoints_slots_milli(
+    const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms);
+
+/** ejection_note() - a result came in */
+void ejection_note(struct ejection *j, struct endpoint *ep,
+    enum endpoint_result result, uint64_t took_us, uint64_t now_ms);
+
+/** ejection_judge() - verdict on an endpoint for a kind of request */
+enum ejection_verdict ejection_judge(const struct ejection *j,
+    const struct endpoint *ep, bool idempotent, uint64_t now_ms);
+
+/** ejection_probe() - a request is sent to try the endpoint again */
+void ejection_probe(struct ejection *j, struct endpoint *ep);
+
+/** ejection_forget() - the endpoint was replaced or is listed no more */
+void ejection_forget(struct endpoint *ep);
+
+#endif
--- a/packages/traffic/src/fate.c
+++ b/packages/traffic/src/fate.c
@@ -21,6 +21,7 @@
 
 struct record {
 	struct request_id id;
+	struct request_id first;
 	enum fate_state state;
 	uint64_t seen_ms;
 	uint64_t settled_ms;
@@ -355,19 +356,10 @@
 	out->resolution = RESOLUTION_ANSWER;
 }
 
-void
-fate_resolve(struct fate_table *t, const struct fate_query *q, uint64_t now_ms,
-    struct fate_answer *out)
+static void
+resolve_seen(struct fate_table *t, struct record *r, const struct fate_query *q,
+    uint64_t now_ms, struct fate_answer *out)
 {
-	struct record *r;
-
-	memset(out, 0, sizeof(*out));
-	fate_expire(t, now_ms);
-	r = find(t, &q->id);
-	if (r == NULL) {
-		resolve_unseen(t, q, now_ms, out);
-		return;
-	}
 	switch (r->state) {
 	case FATE_STATE_NEVER:
 		out->resolution = RESOLUTION_NOT_RUN;
@@ -380,11 +372,70 @@
 		resolve_done(r, out);
 		return;
 	case FATE_STATE_FAILED:
+	case FATE_STATE_FOLLOWS:
 		out->resolution = RESOLUTION_LOST;
 		return;
 	}
 }
 
+/*
+ * Somebody else also wants the first one's answer, so that a follower can't
+ * cancel it.
+ */
+static void
+resolve_follower(struct fate_table *t, const struct record *r,
+    const struct fate_query *q, uint64_t now_ms, struct fate_answer *out)
+{
+	struct fate_query of_first = *q;
+	struct record *first;
+
+	of_first.id = r->first;
+	of_first.cancel = false;
+	first = find(t, &r->first);
+	if (first == NULL)
+		out->resolution = RESOLUTION_LOST;
+	else
+		resolve_seen(t, first, &of_first, now_ms, out);
+}
+
+void
+fate_resolve(struct fate_table *t, const struct fate_query *q, uint64_t now_ms,
+    struct fate_answer *out)
+{
+	struct record *r;
+
+	memset(out, 0, sizeof(*out));
+	fate_expire(t, now_ms);
+	r = find(t, &q->id);
+	if (r == NULL)
+		resolve_unseen(t, q, now_ms, out);
+	else if (r->state == FATE_STATE_FOLLOWS)
+		resolve_follower(t, r, q, now_ms, out);
+	else
+		resolve_seen(t, r, q, now_ms, out);
+}
+
+void
+fate_follow(struct fate_table *t, const struct request_id *id,
+    const struct request_id *first, uint64_t now_ms, struct fate_answer *out)
+{
+	struct fate_query q = {.id = *id};
+	struct record *r;
+	guint i;
+
+	memset(out, 0, sizeof(*out));
+	out->resolution = RESOLUTION_LOST;
+	r = find(t, id);
+	if (r == NULL || r->state != FATE_STATE_QUEUED)
+		return;
+	settle(t, r, FATE_STATE_FOLLOWS, now_ms);
+	r->first = *first;
+	for (i = 0; i < r->waiters->len; i++) {
+		q.waiter = g_array_index(r->waiters, struct fate_waiter, i);
+		resolve_follower(t, r, &q, now_ms, out);
+	}
+}
+
 void
 fate_expire(struct fate_table *t, uint64_t now_ms)
 {
--- /dev/null
+++ b/packages/traffic/src/keyed.c
@@ -0,0 +1,399 @@
+/*
+ * Idempotency keys of one service at one endpoint.
+ *
+ * A key is settling (earlier homes are being asked, or a claim is being
+ * made), held (by the request that runs or ran), barred (given to another
+ * endpoint) or, when it is not in the table, not known.  What is not known may
+ * run only if every process that was the key's home within the window says
+ * that it never ran there.
+ */
+#include "traffic/keyed.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "key_views.h"
+
+#define HIGH_SEED 11
+#define LOW_SEED 12
+
+enum key_state {
+	KEY_SETTLING = 0,
+	KEY_HELD,
+	KEY_BARRED,
+};
+
+struct entry {
+	struct key_id key;
+	enum key_state state;
+	struct request_id first;
+	uint64_t body;
+	uint64_t changed_ms;
+	uint64_t barred_for;
+	GArray *asked;
+	GList *link;
+};
+
+struct keyed {
+	struct keyed_config cfg;
+	uint64_t self;
+	uint64_t born_ms;
+	GHashTable *entries;
+	GQueue by_change;
+	struct key_views views;
+};
+
+const char *
+keyed_verdict_name(enum keyed_verdict v)
+{
+	static const char *const names[] = {"run", "follow", "ask", "claim",
+	    "not_home", "unsettled", "full", "other_body"};
+
+	return (size_t)v < G_N_ELEMENTS(names) ? names[v] : "?";
+}
+
+void
+key_id_make(
+    struct key_id *id, uint64_t service, const void *key, size_t key_len)
+{
+	id->high = hash64(key, key_len, service ^ HIGH_SEED);
+	id->low = hash64(key, key_len, service ^ LOW_SEED);
+}
+
+static guint
+key_hash(gconstpointer data)
+{
+	const struct key_id *key = data;
+
+	return (guint)key->low;
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct key_id *x = a, *y = b;
+
+	return x->high == y->high && x->low == y->low;
+}
+
+static void
+entry_free(gpointer data)
+{
+	struct entry *e = data;
+
+	g_array_free(e->asked, TRUE);
+	g_free(e);
+}
+
+struct keyed *
+keyed_new(const struct keyed_config *cfg, uint64_t self, uint64_t now_ms)
+{
+	struct keyed *k;
+
+	k = g_new0(struct keyed, 1);
+	k->cfg = *cfg;
+	k->self = self;
+	k->born_ms = now_ms;
+	k->entries =
+	    g_hash_table_new_full(key_hash, key_equal, NULL, entry_free);
+	g_queue_init(&k->by_change);
+	key_views_init(&k->views, self, cfg->window_ms);
+	return k;
+}
+
+void
+keyed_free(struct keyed *k)
+{
+	if (k == NULL)
+		return;
+	g_queue_clear(&k->by_change);
+	key_views_clear(&k->views);
+	g_hash_table_destroy(k->entries);
+	g_free(k);
+}
+
+uint64_t
+keyed_age_ms(const struct keyed *k, uint64_t now_ms)
+{
+	return now_ms - MIN(k->born_ms, now_ms);
+}
+
+static bool
+is_young(const struct keyed *k, uint64_t now_ms)
+{
+	return keyed_age_ms(k, now_ms) <= k->cfg.window_ms;
+}
+
+void
+keyed_view(
+    struct keyed *k, const uint64_t *endpoints, size_t n, uint64_t now_ms)
+{
+	key_views_set(&k->views, endpoints, n, now_ms);
+}
+
+static bool
+was_asked(const struct entry *e, uint64_t endpoint)
+{
+	guint i;
+
+	for (i = 0; i < e->asked->len; i++) {
+		if (g_array_index(e->asked, uint64_t, i) == endpoint)
+			return true;
+	}
+	return false;
+}
+
+/* An earlier home that has not given its word; 0 when all have. */
+static uint64_t
+next_to_ask(const struct keyed *k, const struct entry *e, uint64_t now_ms)
+{
+	uint64_t home;
+	size_t i;
+
+	if (e->barred_for != 0 && !was_asked(e, e->barred_for))
+		return e->barred_for;
+	for (i = 0; key_views_home(&k->views, i, &e->key, &home); i++) {
+		if (home != 0 && home != k->self && !was_asked(e, home))
+			return home;
+	}
+	if (!is_young(k, now_ms))
+		return 0;
+	home = key_views_home_before(&k->views, &e->key);
+	return home != 0 && !was_asked(e, home) ? home : 0;
+}
+
+static void
+touch(struct keyed *k, struct entry *e, uint64_t now_ms)
+{
+	e->changed_ms = now_ms;
+	g_queue_unlink(&k->by_change, e->link);
+	g_queue_push_tail_link(&k->by_change, e->link);
+}
+
+static struct entry *
+add(struct keyed *k, const struct key_id *key, enum key_state state,
+    uint64_t now_ms)
+{
+	struct entry *e;
+
+	e = g_new0(struct entry, 1);
+	e->key = *key;
+	e->state = state;
+	e->changed_ms = now_ms;
+	e->asked = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_hash_table_insert(k->entries, &e->key, e);
+	g_queue_push_tail(&k->by_change, e);
+	e->link = g_queue_peek_tail_link(&k->by_change);
+	return e;
+}
+
+static void
+forget(struct keyed *k, struct entry *e)
+{
+	g_queue_delete_link(&k->by_change, e->link);
+	g_hash_table_remove(k->entries, &e->key);
+}
+
+/* What was barred stays barred; else the next request asks anew. */
+static void
+unsettled(struct keyed *k, struct entry *e, struct keyed_decision *out)
+{
+	out->verdict = KEYED_UNSETTLED;
+	out->retry_after_ms = k->cfg.window_ms;
+	if (e->barred_for != 0)
+		e->state = KEY_BARRED;
+	else
+		forget(k, e);
+}
+
+static void
+settle_next(struct keyed *k, struct entry *e, uint64_t now_ms,
+    struct keyed_decision *out)
+{
+	if (k->cfg.claim_always) {
+		out->verdict = KEYED_CLAIM;
+		return;
+	}
+	out->ask = next_to_ask(k, e, now_ms);
+	if (out->ask != 0) {
+		out->verdict = KEYED_ASK;
+		return;
+	}
+	if (is_young(k, now_ms) &&
+	    key_views_home_before(&k->views, &e->key) == 0) {
+		unsettled(k, e, out);
+		return;
+	}
+	e->state = KEY_HELD;
+	e->barred_for = 0;
+	touch(k, e, now_ms);
+	out->verdict = KEYED_RUN;
+}
+
+static void
+offer_known(struct keyed *k, struct entry *e, uint64_t body,
+    const struct request_id *id, uint64_t now_ms, struct keyed_decision *out)
+{
+	if (e->state == KEY_BARRED) {
+		e->state = KEY_SETTLING;
+		e->first = *id;
+		e->body = body;
+		g_array_set_size(e->asked, 0);
+		settle_next(k, e, now_ms, out);
+		return;
+	}
+	out->verdict = e->body == body ? KEYED_FOLLOW : KEYED_OTHER_BODY;
+	out->first = e->first;
+}
+
+void
+keyed_offer(struct keyed *k, const struct key_id *key, uint64_t body,
+    const struct request_id *id, uint64_t now_ms, struct keyed_decision *out)
+{
+	struct entry *e;
+
+	memset(out, 0, sizeof(*out));
+	keyed_expire(k, now_ms);
+	e = g_hash_table_lookup(k->entries, key);
+	if (e != NULL && e->state != KEY_BARRED) {
+		offer_known(k, e, body, id, now_ms, out);
+		return;
+	}
+	if (key_views_home_now(&k->views, key) != k->self) {
+		out->verdict = KEYED_NOT_HOME;
+		return;
+	}
+	if (e != NULL) {
+		offer_known(k, e, body, id, now_ms, out);
+		return;
+	}
+	if (g_hash_table_size(k->entries) >= k->cfg.keys_max) {
+		out->verdict = KEYED_FULL;
+		return;
+	}
+	e = add(k, key, KEY_SETTLING, now_ms);
+	e->first = *id;
+	e->body = body;
+	settle_next(k, e, now_ms, out);
+}
+
+/* The settling entry that the answer belongs to, or NULL if it is gone. */
+static struct entry *
+settling(struct keyed *k, const struct key_id *key, const struct request_id *id,
+    struct keyed_decision *out)
+{
+	struct entry *e;
+
+	memset(out, 0, sizeof(*out));
+	e = g_hash_table_lookup(k->entries, key);
+	if (e != NULL && e->state == KEY_SETTLING &&
+	    request_id_equal(&e->first, id))
+		return e;
+	out->verdict = KEYED_UNSETTLED;
+	out->retry_after_ms = k->cfg.window_ms;
+	return NULL;
+}
+
+void
+keyed_asked(struct keyed *k, const struct key_id *key,
+    const struct request_id *id, uint64_t from, enum keyed_word word,
+    uint64_t now_ms, struct keyed_decision *out)
+{
+	struct entry *e;
+
+	e = settling(k, key, id, out);
+	if (e == NULL)
+		return;
+	if (word != KEYED_WORD_FREE) {
+		unsettled(k, e, out);
+		return;
+	}
+	g_array_append_val(e->asked, from);
+	settle_next(k, e, now_ms, out);
+}
+
+void
+keyed_claimed(struct keyed *k, const struct key_id *key,
+    const struct request_id *id, enum keyed_word word, uint64_t now_ms,
+    struct keyed_decision *out)
+{
+	struct entry *e;
+
+	e = settling(k, key, id, out);
+	if (e == NULL)
+		return;
+	if (word != KEYED_WORD_FREE) {
+		unsettled(k, e, out);
+		return;
+	}
+	e->state = KEY_HELD;
+	e->barred_for = 0;
+	touch(k, e, now_ms);
+	out->verdict = KEYED_RUN;
+}
+
+void
+keyed_release(struct keyed *k, const struct key_id *key,
+    const struct request_id *id, uint64_t now_ms)
+{
+	struct entry *e;
+
+	(void)now_ms;
+	e = g_hash_table_lookup(k->entries, key);
+	if (e != NULL && e->state != KEY_BARRED &&
+	    request_id_equal(&e->first, id))
+		forget(k, e);
+}
+
+enum keyed_word
+keyed_yield(struct keyed *k, const struct key_id *key, uint64_t to,
+    uint64_t to_age_ms, uint64_t now_ms)
+{
+	struct entry *e;
+
+	keyed_expire(k, now_ms);
+	e = g_hash_table_lookup(k->entries, key);
+	if (e != NULL && e->state == KEY_BARRED && e->barred_for == to) {
+		touch(k, e, now_ms);
+		return KEYED_WORD_FREE;
+	}
+	if (e != NULL || is_young(k, now_ms) ||
+	    !key_views_vouch(&k->views, key, to, to_age_ms, now_ms))
+		return KEYED_WORD_TAKEN;
+	if (g_hash_table_size(k->entries) >= k->cfg.keys_max)
+		return KEYED_WORD_TAKEN;
+	e = add(k, key, KEY_BARRED, now_ms);
+	e->barred_for = to;
+	return KEYED_WORD_FREE;
+}
+
+/* A bar outlives the key at the endpoint that it was given for. */
+static uint64_t
+kept_for_ms(const struct keyed *k, const struct entry *e)
+{
+	return e->state == KEY_BARRED ? 2 * k->cfg.window_ms : k->cfg.window_ms;
+}
+
+void
+keyed_expire(struct keyed *k, uint64_t now_ms)
+{
+	struct entry *e;
+
+	key_views_expire(&k->views, now_ms);
+	for (;;) {
+		e = g_queue_peek_head(&k->by_change);
+		if (e == NULL)
+			return;
+		if (e->changed_ms + kept_for_ms(k, e) >= now_ms)
+			return;
+		forget(k, e);
+	}
+}
+
+size_t
+keyed_count(const struct keyed *k)
+{
+	return g_hash_table_size(k->entries);
+}
--- /dev/null
+++ b/packages/traffic/src/placement.c
@@ -0,0 +1,332 @@
+/*
+ * Power of two choices, own data centre first; and the naive version.
+ */
+#include "traffic/placement.h"
+
+#include "endpoints_defs.h"
+#include "traffic/keyed.h"
+
+#define PERCENT 100
+
+struct placement {
+	const struct placement_ops *ops;
+	struct placement_config cfg;
+	struct endpoints *endpoints;
+	struct ejection *ejection;
+	GRand *random;
+	GPtrArray *local;
+	GPtrArray *remote;
+	GPtrArray *spare;
+	GArray *ranked;
+};
+
+const char *
+placement_reason_name(enum placement_reason r)
+{
+	static const char *const names[] = {"local", "spilled", "remote",
+	    "probe", "panic", "repeated", "home", "random", "none"};
+
+	return (size_t)r < G_N_ELEMENTS(names) ? names[r] : "?";
+}
+
+void
+placement_config_default(struct placement_config *cfg)
+{
+	cfg->saturation_percent = 100;
+	cfg->local_first = true;
+}
+
+static struct placement *
+create(
+    const struct placement_ops *ops, struct endpoints *endpoints, uint64_t seed)
+{
+	const guint32 seeds[] = {(guint32)seed, (guint32)(seed >> 32)};
+	struct placement *p;
+
+	p = g_new0(struct placement, 1);
+	p->ops = ops;
+	p->endpoints = endpoints;
+	p->random = g_rand_new_with_seed_array(seeds, G_N_ELEMENTS(seeds));
+	p->local = g_ptr_array_new();
+	p->remote = g_ptr_array_new();
+	p->spare = g_ptr_array_new();
+	p->ranked = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	return p;
+}
+
+void
+placement_free(struct placement *p)
+{
+	if (p == NULL)
+		return;
+	g_rand_free(p->random);
+	g_ptr_array_free(p->local, TRUE);
+	g_ptr_array_free(p->remote, TRUE);
+	g_ptr_array_free(p->spare, TRUE);
+	g_array_free(p->ranked, TRUE);
+	g_free(p);
+}
+
+bool
+placement_choose(struct placement *p, const struct placement_query *q,
+    uint64_t now_ms, struct placement_choice *out)
+{
+	out->endpoint = 0;
+	out->reason = PLACEMENT_NONE;
+	out->load = 0;
+	out->slots = 0;
+	return p->ops->choose(p, q, now_ms, out);
+}
+
+static bool
+take(const struct placement *p, const struct endpoint *ep,
+    enum placement_reason reason, uint64_t now_ms, struct placement_choice *out)
+{
+	out->endpoint = ep->info.id;
+	out->reason = reason;
+	out->load =
+	    (uint32_t)(endpoints_load_milli(p->endpoints, ep, now_ms) / MILLI);
+	out->slots =
+	    (uint32_t)(endpoints_slots_milli(p->endpoints, ep, now_ms) / MILLI);
+	return true;
+}
+
+static bool
+is_ready(const struct endpoint *ep, uint64_t now_ms)
+{
+	return ep->info.state == ENDPOINT_READY &&
+	    now_ms >= ep->drains_until_ms;
+}
+
+static bool
+was_tried(const struct placement_query *q, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < q->n_tried; i++) {
+		if (q->tried[i] == id)
+			return true;
+	}
+	return false;
+}
+
+static enum ejection_verdict
+judge(const struct placement *p, const struct placement_query *q,
+    const struct endpoint *ep, uint64_t now_ms)
+{
+	if (p->ejection == NULL)
+		return EJECTION_USABLE;
+	return ejection_judge(p->ejection, ep, q->idempotent, now_ms);
+}
+
+/*
+ * Sort the service's endpoints into local and remote usable ones and spare
+ * ones (ejected or tried already).
+ *
+ * Return: one that is due for a probe, or NULL.
+ */
+static struct endpoint *
+sort(struct placement *p, const struct placement_query *q,
+    const struct service *s, uint64_t now_ms)
+{
+	struct endpoint *ep, *due = NULL;
+	enum ejection_verdict v;
+	guint i;
+
+	g_ptr_array_set_size(p->local, 0);
+	g_ptr_array_set_size(p->remote, 0);
+	g_ptr_array_set_size(p->spare, 0);
+	for (i = 0; i < s->listed->len; i++) {
+		ep = g_ptr_array_index(s->listed, i);
+		if (!is_ready(ep, now_ms))
+			continue;
+		v = judge(p, q, ep, now_ms);
+		if (v == EJECTION_PROBE && !was_tried(q, ep->info.id))
+			due = ep;
+		if (v != EJECTION_USABLE || was_tried(q, ep->info.id))
+			g_ptr_array_add(p->spare, ep);
+		else if (ep->info.local || !p->cfg.local_first)
+			g_ptr_array_add(p->local, ep);
+		else
+			g_ptr_array_add(p->remote, ep);
+	}
+	return due;
+}
+
+static struct endpoint *
+pick(struct placement *p, const GPtrArray *from)
+{
+	gint32 i;
+
+	i = g_rand_int_range(p->random, 0, (gint32)from->len);
+	return g_ptr_array_index(from, (guint)i);
+}
+
+/* Load per slot, with the request that is being placed. */
+static bool
+is_less_loaded(const struct placement *p, const struct endpoint *a,
+    const struct endpoint *b, uint64_t now_ms)
+{
+	uint64_t load_a, load_b, slots_a, slots_b;
+
+	load_a = endpoints_load_milli(p->endpoints, a, now_ms) + MILLI;
+	load_b = endpoints_load_milli(p->endpoints, b, now_ms) + MILLI;
+	slots_a = endpoints_slots_milli(p->endpoints, a, now_ms);
+	slots_b = endpoints_slots_milli(p->endpoints, b, now_ms);
+	return load_a * slots_b < load_b * slots_a;
+}
+
+static struct endpoint *
+less_loaded_of_two(struct placement *p, GPtrArray *from, uint64_t now_ms)
+{
+	struct endpoint *a, *b;
+	guint i, k;
+
+	if (from->len == 0)
+		return NULL;
+	i = (guint)g_rand_int_range(p->random, 0, (gint32)from->len);
+	a = g_ptr_array_index(from, i);
+	if (from->len == 1)
+		return a;
+	k = (guint)g_rand_int_range(p->random, 1, (gint32)from->len);
+	b = g_ptr_array_index(from, (i + k) % from->len);
+	return is_less_loaded(p, b, a, now_ms) ? b : a;
+}
+
+static bool
+is_saturated(
+    const struct placement *p, const struct endpoint *ep, uint64_t now_ms)
+{
+	uint64_t load, slots;
+
+	load = endpoints_load_milli(p->endpoints, ep, now_ms) + MILLI;
+	slots = endpoints_slots_milli(p->endpoints, ep, now_ms);
+	return load * PERCENT > slots * p->cfg.saturation_percent;
+}
+
+/* Only ejected endpoints and those tried already are left. */
+static bool
+choose_spare(struct placement *p, const struct placement_query *q,
+    uint64_t now_ms, struct placement_choice *out)
+{
+	struct endpoint *ep;
+	guint i;
+
+	if (p->spare->len == 0)
+		return false;
+	for (i = 0; i < p->spare->len; i++) {
+		ep = g_ptr_array_index(p->spare, i);
+		if (!was_tried(q, ep->info.id))
+			return take(p, ep, PLACEMENT_PANIC, now_ms, out);
+	}
+	ep = less_loaded_of_two(p, p->spare, now_ms);
+	return take(p, ep, PLACEMENT_REPEATED, now_ms, out);
+}
+
+static bool
+choose_usable(
+    struct placement *p, uint64_t now_ms, struct placement_choice *out)
+{
+	struct endpoint *near, *far;
+
+	near = less_loaded_of_two(p, p->local, now_ms);
+	if (near != NULL && !is_saturated(p, near, now_ms))
+		return take(p, near, PLACEMENT_LOCAL, now_ms, out);
+	far = less_loaded_of_two(p, p->remote, now_ms);
+	if (near == NULL && far == NULL)
+		return false;
+	if (far == NULL)
+		return take(p, near, PLACEMENT_LOCAL, now_ms, out);
+	if (near == NULL)
+		return take(p, far, PLACEMENT_REMOTE, now_ms, out);
+	if (is_less_loaded(p, far, near, now_ms))
+		return take(p, far, PLACEMENT_SPILLED, now_ms, out);
+	return take(p, near, PLACEMENT_LOCAL, now_ms, out);
+}
+
+static bool
+choose_home(struct placement *p, const struct placement_query *q,
+    const struct service *s, uint64_t now_ms, struct placement_choice *out)
+{
+	const struct endpoint *ep;
+	struct key_id key;
+	uint64_t home;
+	guint i;
+
+	g_array_set_size(p->ranked, 0);
+	for (i = 0; i < s->listed->len; i++) {
+		ep = g_ptr_array_index(s->listed, i);
+		if (is_ready(ep, now_ms))
+			g_array_append_val(p->ranked, ep->info.id);
+	}
+	key_id_make(&key, s->id, q->key, q->key_len);
+	home = keyed_home(&key, (const uint64_t *)(const void *)p->ranked->data,
+	    p->ranked->len);
+	if (home == 0)
+		return false;
+	ep = endpoints_find(p->endpoints, home);
+	return take(p, ep, PLACEMENT_HOME, now_ms, out);
+}
+
+static bool
+choose_two(struct placement *p, const struct placement_query *q,
+    uint64_t now_ms, struct placement_choice *out)
+{
+	struct endpoint *due;
+	struct service *s;
+
+	s = endpoints_service(p->endpoints, q->service);
+	if (s == NULL)
+		return false;
+	if (q->key != NULL)
+		return choose_home(p, q, s, now_ms, out);
+	due = sort(p, q, s, now_ms);
+	if (due != NULL) {
+		ejection_probe(p->ejection, due);
+		return take(p, due, PLACEMENT_PROBE, now_ms, out);
+	}
+	return choose_usable(p, now_ms, out) || choose_spare(p, q, now_ms, out);
+}
+
+static bool
+choose_random(struct placement *p, const struct placement_query *q,
+    uint64_t now_ms, struct placement_choice *out)
+{
+	const struct service *s;
+	struct endpoint *ep;
+	guint i;
+
+	s = endpoints_service(p->endpoints, q->service);
+	if (s == NULL)
+		return false;
+	g_ptr_array_set_size(p->local, 0);
+	for (i = 0; i < s->listed->len; i++) {
+		ep = g_ptr_array_index(s->listed, i);
+		if (ep->info.state == ENDPOINT_READY)
+			g_ptr_array_add(p->local, ep);
+	}
+	if (p->local->len == 0)
+		return false;
+	return take(p, pick(p, p->local), PLACEMENT_RANDOM, now_ms, out);
+}
+
+static const struct placement_ops two_choices = {choose_two};
+static const struct placement_ops naive = {choose_random};
+
+struct placement *
+placement_new(const struct placement_config *cfg, struct endpoints *endpoints,
+    struct ejection *ejection, uint64_t seed)
+{
+	struct placement *p;
+
+	p = create(&two_choices, endpoints, seed);
+	p->cfg = *cfg;
+	p->ejection = ejection;
+	return p;
+}
+
+struct placement *
+placement_new_naive(struct endpoints *endpoints, uint64_t seed)
+{
+	return create(&naive, endpoints, seed);
+}
--- a/packages/traffic/test/test_fate.c
+++ b/packages/traffic/test/test_fate.c
@@ -153,6 +153,37 @@
 }
 END_TEST
 
+/* A repeated idempotency key: the second request gets the first one's fate. */
+START_TEST(test_follow)
+{
+	struct fate_table *t = table_new(10, 1000);
+	struct request_id first = id_of(1), second = id_of(2);
+	struct fate_query q = {.id = second,
+	    .incarnation = INCARNATION,
+	    .sent_ms = NOW_MS,
+	    .cancel = true,
+	    .waiter = {3, 3}};
+	struct fate_answer a;
+	size_t n;
+
+	bring_to(t, &first, QUEUED);
+	ck_assert_int_eq(fate_offer(t, &second, NOW_MS, &second_waiter, NOW_MS),
+	    FATE_OFFER_NEW);
+	fate_follow(t, &second, &first, NOW_MS, &a);
+	ck_assert_int_eq(a.resolution, RESOLUTION_ATTACHED);
+	ck_assert(!fate_start(t, &second, NOW_MS));
+	/* A follower who goes away doesn't cancel the first. */
+	fate_resolve(t, &q, NOW_MS, &a);
+	ck_assert_int_eq(a.resolution, RESOLUTION_ATTACHED);
+	(void)fate_waiters(t, &first, &n);
+	ck_assert_uint_eq(n, 3);
+	fate_refused(t, &first, NOW_MS);
+	fate_resolve(t, &q, NOW_MS, &a);
+	ck_assert_int_eq(a.resolution, RESOLUTION_NOT_RUN);
+	fate_table_free(t);
+}
+END_TEST
+
 /* A frame that outlived its tombstone or its record is too old to run. */
 START_TEST(test_forgotten_is_never_run)
 {
@@ -296,6 +327,7 @@
 	tcase_add_loop_test(
 	    tc, test_resolve, 0, (int)G_N_ELEMENTS(resolve_cases));
 	tcase_add_test(tc, test_answer_goes_to_who_asked_last);
+	tcase_add_test(tc, test_follow);
 	tcase_add_test(tc, test_forgotten_is_never_run);
 	tcase_add_test(tc, test_full_table_raises_the_floor);
 	tcase_add_test(tc, test_answers_are_bounded);
--- /dev/null
+++ b/packages/traffic/test/test_keyed.c
@@ -0,0 +1,289 @@
+/*
+ * Idempotency keys: what a home knows, what it must ask, and what it refuses.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "traffic/keyed.h"
+
+#define WINDOW_MS 1000
+#define OLD_MS (10 * WINDOW_MS)
+#define SELF 1
+#define OTHER 2
+#define THIRD 3
+#define KEYS_MAX 5
+
+static const uint64_t both[] = {SELF, OTHER};
+static const uint64_t three[] = {SELF, OTHER, THIRD};
+
+static struct keyed *
+keys_of(uint64_t self, bool claim, uint64_t born_ms)
+{
+	struct keyed_config cfg = {WINDOW_MS, KEYS_MAX, claim};
+
+	return keyed_new(&cfg, self, born_ms);
+}
+
+/* The n-th key whose home among the endpoints is the one named. */
+static struct key_id
+key_at(uint64_t home, const uint64_t *endpoints, size_t n, int nth)
+{
+	struct key_id key;
+	int i;
+
+	for (i = 0;; i++) {
+		key_id_make(&key, 7, &i, sizeof(i));
+		if (keyed_home(&key, endpoints, n) == home && nth-- == 0)
+			return key;
+	}
+}
+
+static struct request_id
+id_of(uint64_t sequence)
+{
+	struct request_id id;
+
+	request_id_make(&id, 5, sequence, 1);
+	return id;
+}
+
+static struct keyed_decision
+offer(struct keyed *k, const struct key_id *key, uint64_t sequence,
+    uint64_t now_ms)
+{
+	struct request_id id = id_of(sequence);
+	struct keyed_decision d;
+
+	keyed_offer(k, key, 99, &id, now_ms, &d);
+	return d;
+}
+
+START_TEST(test_second_follows_first)
+{
+	struct keyed *k = keys_of(SELF, false, 0);
+	struct key_id key = key_at(SELF, both, 2, 0);
+	struct request_id first = id_of(1);
+	struct keyed_decision d;
+
+	keyed_view(k, both, 2, 0);
+	ck_assert_int_eq(offer(k, &key, 1, OLD_MS).verdict, KEYED_RUN);
+	d = offer(k, &key, 2, OLD_MS + 900);
+	ck_assert_int_eq(d.verdict, KEYED_FOLLOW);
+	ck_assert(request_id_equal(&d.first, &first));
+	keyed_offer(k, &key, 98, &first, OLD_MS, &d);
+	ck_assert_int_eq(d.verdict, KEYED_OTHER_BODY);
+	/* The first was refused unrun: the next one may run. */
+	keyed_release(k, &key, &first, OLD_MS);
+	ck_assert_int_eq(offer(k, &key, 3, OLD_MS).verdict, KEYED_RUN);
+	/* A release by a request that hasn't got the key is no release. */
+	keyed_release(k, &key, &first, OLD_MS);
+	ck_assert_int_eq(offer(k, &key, 4, OLD_MS).verdict, KEYED_FOLLOW);
+	keyed_free(k);
+}
+END_TEST
+
+START_TEST(test_not_home_and_bounds)
+{
+	struct keyed *k = keys_of(SELF, false, 0);
+	struct key_id key;
+	int i;
+
+	keyed_view(k, both, 2, 0);
+	key = key_at(OTHER, both, 2, 0);
+	ck_assert_int_eq(offer(k, &key, 1, OLD_MS).verdict, KEYED_NOT_HOME);
+	for (i = 0; i <= KEYS_MAX; i++) {
+		key = key_at(SELF, both, 2, i);
+		ck_assert_int_eq(offer(k, &key, (uint64_t)i, OLD_MS).verdict,
+		    i < KEYS_MAX ? KEYED_RUN : KEYED_FULL);
+	}
+	keyed_expire(k, OLD_MS + WINDOW_MS + 1);
+	ck_assert_uint_eq(keyed_count(k), 0);
+	keyed_free(k);
+}
+END_TEST
+
+/* The home moved here: what the earlier home's word leads to. */
+struct word_case {
+	enum keyed_word word;
+	enum keyed_verdict want;
+	enum keyed_verdict next;
+};
+
+static const struct word_case word_cases[] = {
+    {KEYED_WORD_FREE, KEYED_RUN, KEYED_FOLLOW},
+    {KEYED_WORD_TAKEN, KEYED_UNSETTLED, KEYED_ASK},
+    {KEYED_WORD_NONE, KEYED_UNSETTLED, KEYED_ASK},
+};
+
+START_TEST(test_home_moved)
+{
+	const struct word_case *wc = &word_cases[_i];
+	struct keyed *k = keys_of(SELF, false, 0);
+	struct key_id key = key_at(OTHER, both, 2, 0);
+	struct request_id id = id_of(1);
+	struct keyed_decision d;
+
+	keyed_view(k, both, 2, 0);
+	keyed_view(k, both, 1, OLD_MS);
+	d = offer(k, &key, 1, OLD_MS + 500);
+	ck_assert_int_eq(d.verdict, KEYED_ASK);
+	ck_assert_uint_eq(d.ask, OTHER);
+	ck_assert_int_eq(offer(k, &key, 2, OLD_MS + 500).verdict, KEYED_FOLLOW);
+	keyed_asked(k, &key, &id, OTHER, wc->word, OLD_MS + 501, &d);
+	ck_assert_int_eq(d.verdict, wc->want);
+	ck_assert_int_eq(offer(k, &key, 3, OLD_MS + 502).verdict, wc->next);
+	keyed_free(k);
+}
+END_TEST
+
+/* After the window nobody needs to be asked. */
+START_TEST(test_home_moved_long_ago)
+{
+	struct keyed *k = keys_of(SELF, false, 0);
+	struct key_id key = key_at(OTHER, both, 2, 0);
+
+	keyed_view(k, both, 2, 0);
+	keyed_view(k, both, 1, OLD_MS);
+	ck_assert_int_eq(
+	    offer(k, &key, 1, OLD_MS + WINDOW_MS + 1).verdict, KEYED_RUN);
+	keyed_free(k);
+}
+END_TEST
+
+/* A new process knows nothing of the time before it. */
+START_TEST(test_young_home)
+{
+	struct keyed *k = keys_of(SELF, false, OLD_MS);
+	struct key_id key = key_at(SELF, both, 2, 0);
+	struct keyed_decision d;
+
+	keyed_view(k, both, 1, OLD_MS);
+	d = offer(k, &key, 1, OLD_MS + 1);
+	ck_assert_int_eq(d.verdict, KEYED_UNSETTLED);
+	keyed_view(k, both, 2, OLD_MS + 2);
+	d = offer(k, &key, 2, OLD_MS + 3);
+	ck_assert_int_eq(d.verdict, KEYED_ASK);
+	ck_assert_uint_eq(d.ask, OTHER);
+	d = offer(k, &key, 3, OLD_MS + WINDOW_MS + 1);
+	ck_assert_int_eq(d.verdict, KEYED_FOLLOW);
+	keyed_free(k);
+}
+END_TEST
+
+/* What an earlier home says to the endpoint that is the home now. */
+struct yield_case {
+	const char *name;
+	uint64_t born_ms;
+	/* The view changes to {OTHER} alone this long ago; 0: never. */
+	uint64_t moved_ms;
+	uint64_t asker_age_ms;
+	bool ran;
+	enum keyed_word want;
+};
+
+static const struct yield_case yield_cases[] = {
+    {"never seen, asker is new", 0, 0, 100, false, KEYED_WORD_FREE},
+    {"ran here", 0, 0, 100, true, KEYED_WORD_TAKEN},
+    {"too young to know", OLD_MS - 500, 0, 100, false, KEYED_WORD_TAKEN},
+    {"asker was home all the time since", 0, 300, 400, false, KEYED_WORD_FREE},
+    {"asker's predecessor was home", 0, 300, 200, false, KEYED_WORD_TAKEN},
+};
+
+START_TEST(test_yield)
+{
+	const struct yield_case *yc = &yield_cases[_i];
+	struct keyed *k = keys_of(SELF, false, yc->born_ms);
+	struct key_id key = key_at(SELF, both, 2, 0);
+	enum keyed_word word;
+
+	keyed_view(k, both, 2, yc->born_ms);
+	if (yc->ran)
+		(void)offer(k, &key, 1, OLD_MS - 10);
+	if (yc->moved_ms != 0)
+		keyed_view(k, &both[1], 1, OLD_MS - yc->moved_ms);
+	word = keyed_yield(k, &key, OTHER, yc->asker_age_ms, OLD_MS);
+	ck_assert_msg(word == yc->want, "%s", yc->name);
+	if (word != KEYED_WORD_FREE) {
+		keyed_free(k);
+		return;
+	}
+	/* Barred: never run here without asking back; nobody else gets it. */
+	keyed_view(k, both, 2, OLD_MS + 1);
+	ck_assert_int_eq(offer(k, &key, 2, OLD_MS + 2).verdict, KEYED_ASK);
+	ck_assert_int_eq(
+	    keyed_yield(k, &key, THIRD, 100, OLD_MS + 3), KEYED_WORD_TAKEN);
+	keyed_free(k);
+}
+END_TEST
+
+START_TEST(test_barred_again_for_the_same)
+{
+	struct keyed *k = keys_of(SELF, false, 0);
+	struct key_id key = key_at(SELF, three, 3, 0);
+
+	keyed_view(k, three, 3, 0);
+	ck_assert_int_eq(
+	    keyed_yield(k, &key, OTHER, 100, OLD_MS), KEYED_WORD_FREE);
+	ck_assert_int_eq(
+	    keyed_yield(k, &key, OTHER, 100, OLD_MS + 1), KEYED_WORD_FREE);
+	ck_assert_int_eq(
+	    keyed_yield(k, &key, THIRD, 100, OLD_MS + 2), KEYED_WORD_TAKEN);
+	keyed_free(k);
+}
+END_TEST
+
+START_TEST(test_claim)
+{
+	static const enum keyed_word words[] = {
+	    KEYED_WORD_FREE, KEYED_WORD_TAKEN, KEYED_WORD_NONE};
+	struct keyed *k = keys_of(SELF, true, OLD_MS);
+	struct request_id id = id_of(1), stranger = id_of(2);
+	struct keyed_decision d;
+	struct key_id key;
+	int i;
+
+	keyed_view(k, both, 2, OLD_MS);
+	for (i = 0; i < 3; i++) {
+		key = key_at(SELF, both, 2, i);
+		ck_assert_int_eq(
+		    offer(k, &key, 1, OLD_MS + 1).verdict, KEYED_CLAIM);
+		keyed_claimed(
+		    k, &key, &stranger, KEYED_WORD_FREE, OLD_MS + 2, &d);
+		ck_assert_int_eq(d.verdict, KEYED_UNSETTLED);
+		keyed_claimed(k, &key, &id, words[i], OLD_MS + 2, &d);
+		ck_assert_int_eq(
+		    d.verdict, i == 0 ? KEYED_RUN : KEYED_UNSETTLED);
+	}
+	keyed_free(k);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	SRunner *runner;
+	TCase *tc;
+	int failed;
+
+	suite = suite_create("keyed");
+	tc = tcase_create("keyed");
+	tcase_add_test(tc, test_second_follows_first);
+	tcase_add_test(tc, test_not_home_and_bounds);
+	tcase_add_loop_test(
+	    tc, test_home_moved, 0, (int)G_N_ELEMENTS(word_cases));
+	tcase_add_test(tc, test_home_moved_long_ago);
+	tcase_add_test(tc, test_young_home);
+	tcase_add_loop_test(tc, test_yield, 0, (int)G_N_ELEMENTS(yield_cases));
+	tcase_add_test(tc, test_barred_again_for_the_same);
+	tcase_add_test(tc, test_claim);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/traffic/test/test_placement.c
@@ -0,0 +1,360 @@
+/*
+ * Endpoints, placement and ejection.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "traffic/placement.h"
+
+#define SERVICE 9
+#define ENDPOINTS 4
+#define ROUNDS 4000
+
+struct world {
+	struct endpoints *endpoints;
+	struct ejection *ejection;
+	struct placement *placement;
+	struct endpoint_info infos[ENDPOINTS];
+	uint64_t generation;
+};
+
+static void
+tell(struct world *w, size_t n, uint64_t now_ms)
+{
+	w->generation++;
+	endpoints_set_service(
+	    w->endpoints, SERVICE, w->generation, w->infos, n, now_ms);
+}
+
+/* Endpoints 1 and 2 are local, 3 and 4 remote; ten slots each. */
+static void
+world_init(struct world *w)
+{
+	struct endpoints_config ec;
+	struct placement_config pc;
+	struct ejection_config jc;
+	size_t i;
+
+	endpoints_config_default(&ec);
+	placement_config_default(&pc);
+	ejection_config_default(&jc);
+	memset(w, 0, sizeof(*w));
+	for (i = 0; i < ENDPOINTS; i++) {
+		w->infos[i].id = i + 1;
+		w->infos[i].slots = 10;
+		w->infos[i].state = ENDPOINT_READY;
+		w->infos[i].local = i < 2;
+	}
+	w->endpoints = endpoints_new(&ec);
+	w->ejection = ejection_new(&jc, w->endpoints);
+	w->placement = placement_new(&pc, w->endpoints, w->ejection, 7);
+	tell(w, ENDPOINTS, 1);
+}
+
+static void
+world_clear(struct world *w)
+{
+	placement_free(w->placement);
+	ejection_free(w->ejection);
+	endpoints_free(w->endpoints);
+}
+
+static struct placement_choice
+choose(struct world *w, const uint64_t *tried, size_t n, uint64_t now_ms)
+{
+	struct placement_query q = {.service = SERVICE,
+	    .tried = tried,
+	    .n_tried = n,
+	    .idempotent = true};
+	struct placement_choice c;
+
+	(void)placement_choose(w->placement, &q, now_ms, &c);
+	return c;
+}
+
+static void
+report(struct world *w, uint64_t endpoint, uint32_t load, uint64_t now_ms)
+{
+	struct load_report r = {load, 0, 10};
+
+	endpoints_report(w->endpoints, endpoint, &r, now_ms);
+}
+
+static void
+count(struct world *w, uint64_t now_ms, int counts[ENDPOINTS + 1])
+{
+	struct placement_choice c;
+	int i;
+
+	memset(counts, 0, sizeof(int) * (ENDPOINTS + 1));
+	for (i = 0; i < ROUNDS; i++) {
+		c = choose(w, NULL, 0, now_ms);
+		ck_assert_uint_le(c.endpoint, ENDPOINTS);
+		counts[c.endpoint]++;
+	}
+}
+
+static void
+let_fail(struct world *w, uint64_t endpoint, int times, uint64_t now_ms)
+{
+	int i;
+
+	for (i = 0; i < times; i++) {
+		endpoints_began(w->endpoints, endpoint, now_ms);
+		endpoints_ended(
+		    w->endpoints, endpoint, ENDPOINT_FAILED, 0, now_ms);
+	}
+}
+
+START_TEST(test_local_first_then_spill)
+{
+	struct world w;
+	int n[ENDPOINTS + 1];
+
+	world_init(&w);
+	count(&w, 1, n);
+	ck_assert_int_eq(n[1] + n[2], ROUNDS);
+	report(&w, 1, 10, 10);
+	report(&w, 2, 10, 10);
+	ck_assert_int_eq(choose(&w, NULL, 0, 10).reason, PLACEMENT_SPILLED);
+	report(&w, 3, 30, 10);
+	report(&w, 4, 30, 10);
+	ck_assert_int_eq(choose(&w, NULL, 0, 10).reason, PLACEMENT_LOCAL);
+	w.infos[0].state = ENDPOINT_DRAINING;
+	w.infos[1].state = ENDPOINT_LEFT;
+	tell(&w, ENDPOINTS, 11);
+	ck_assert_int_eq(choose(&w, NULL, 0, 11).reason, PLACEMENT_REMOTE);
+	tell(&w, 0, 12);
+	ck_assert_int_eq(choose(&w, NULL, 0, 12).reason, PLACEMENT_NONE);
+	ck_assert_uint_eq(endpoints_generation(w.endpoints, SERVICE), 0);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_less_loaded_and_old_load_decays)
+{
+	struct world w;
+	int n[ENDPOINTS + 1];
+
+	world_init(&w);
+	report(&w, 1, 6, 10);
+	count(&w, 10, n);
+	ck_assert_int_eq(n[1], 0);
+	endpoints_began(w.endpoints, 2, 5000);
+	count(&w, 5000, n);
+	ck_assert_int_eq(n[2], 0);
+	ck_assert_uint_eq(endpoints_in_flight(w.endpoints, 2), 1);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_retry_goes_elsewhere)
+{
+	struct world w;
+	const uint64_t tried[] = {1, 2, 3, 4};
+	struct placement_choice c;
+
+	world_init(&w);
+	ck_assert_uint_eq(choose(&w, tried, 1, 1).endpoint, 2);
+	ck_assert_uint_eq(choose(&w, tried, 3, 1).endpoint, 4);
+	c = choose(&w, tried, 4, 1);
+	ck_assert_int_eq(c.reason, PLACEMENT_REPEATED);
+	ck_assert_uint_ne(c.endpoint, 0);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_draining_is_left_out_before_the_news_comes)
+{
+	struct world w;
+	int n[ENDPOINTS + 1];
+
+	world_init(&w);
+	endpoints_began(w.endpoints, 1, 10);
+	endpoints_ended(w.endpoints, 1, ENDPOINT_DRAINS, 0, 10);
+	count(&w, 11, n);
+	ck_assert_int_eq(n[1], 0);
+	count(&w, 20000, n);
+	ck_assert_int_gt(n[1], 0);
+	world_clear(&w);
+}
+END_TEST
+
+/* A cold endpoint's slots grow; a replaced one is cold again. */
+START_TEST(test_slow_start)
+{
+	struct world w;
+	struct placement_choice c;
+	const uint64_t others[] = {1, 3, 4};
+
+	world_init(&w);
+	w.infos[1].incarnation = 5;
+	tell(&w, ENDPOINTS, 1000);
+	c = choose(&w, others, 3, 1000);
+	ck_assert_uint_eq(c.endpoint, 2);
+	ck_assert_uint_eq(c.slots, 1);
+	ck_assert_uint_eq(choose(&w, others, 3, 3500).slots, 5);
+	ck_assert_uint_eq(choose(&w, others, 3, 6000).slots, 10);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_failing_is_ejected_and_probed_back)
+{
+	struct world w;
+	struct placement_choice c;
+	int n[ENDPOINTS + 1];
+
+	world_init(&w);
+	let_fail(&w, 1, 3, 100);
+	ck_assert_int_eq(ejection_verdict(w.ejection, 1, 100), EJECTION_OUT);
+	count(&w, 100, n);
+	ck_assert_int_eq(n[1], 0);
+	/* A failed probe doubles the time. */
+	c = choose(&w, NULL, 0, 1100);
+	ck_assert_int_eq(c.reason, PLACEMENT_PROBE);
+	ck_assert_uint_eq(c.endpoint, 1);
+	ck_assert_uint_ne(choose(&w, NULL, 0, 1100).endpoint, 1);
+	let_fail(&w, 1, 1, 1100);
+	ck_assert_int_eq(ejection_verdict(w.ejection, 1, 3099), EJECTION_OUT);
+	/* A health check that claims to be well only brings a probe. */
+	endpoints_hint(w.endpoints, 1, true, 2000);
+	ck_assert_int_eq(ejection_verdict(w.ejection, 1, 2000), EJECTION_PROBE);
+	c = choose(&w, NULL, 0, 2000);
+	ck_assert_uint_eq(c.endpoint, 1);
+	endpoints_began(w.endpoints, 1, 2000);
+	endpoints_ended(w.endpoints, 1, ENDPOINT_OK, 1000, 2010);
+	ck_assert_int_eq(
+	    ejection_verdict(w.ejection, 1, 2010), EJECTION_USABLE);
+	ck_assert_uint_eq(ejection_count(w.ejection, SERVICE, 2010), 0);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_floor_and_cap)
+{
+	struct world w;
+	uint64_t now, ep, until;
+
+	world_init(&w);
+	for (ep = 1; ep <= ENDPOINTS; ep++)
+		let_fail(&w, ep, 20, 100);
+	ck_assert_uint_eq(ejection_count(w.ejection, SERVICE, 100), 2);
+	ck_assert_uint_ne(choose(&w, NULL, 0, 100).endpoint, 0);
+	/* However often it fails, it is tried again within the cap. */
+	for (now = 100; now < 1000000; now = until) {
+		for (until = now;
+		     ejection_verdict(w.ejection, 1, until) == EJECTION_OUT;)
+			until += 100;
+		ck_assert_uint_le(until, now + 30100);
+		while (choose(&w, NULL, 0, until).endpoint != 1)
+			;
+		let_fail(&w, 1, 1, until);
+	}
+	/* Replaced: its past is forgotten. */
+	w.infos[0].incarnation = 2;
+	tell(&w, ENDPOINTS, now);
+	ck_assert_int_eq(ejection_verdict(w.ejection, 1, now), EJECTION_USABLE);
+	ck_assert_uint_eq(ejection_count(w.ejection, SERVICE, now), 1);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_far_slower_than_siblings)
+{
+	struct world w;
+	uint64_t ep, i;
+
+	world_init(&w);
+	for (i = 0; i < 64; i++) {
+		for (ep = 1; ep <= ENDPOINTS; ep++) {
+			endpoints_began(w.endpoints, ep, i);
+			endpoints_ended(w.endpoints, ep, ENDPOINT_OK,
+			    ep == 2 ? 100000 : 10000, i);
+		}
+	}
+	ck_assert_int_eq(ejection_verdict(w.ejection, 2, 64), EJECTION_OUT);
+	ck_assert_uint_eq(ejection_count(w.ejection, SERVICE, 64), 1);
+	/* Refusals for load and cancelled requests say nothing. */
+	for (i = 0; i < 64; i++) {
+		endpoints_began(w.endpoints, 1, i);
+		endpoints_ended(w.endpoints, 1,
+		    i % 2 ? ENDPOINT_REFUSED : ENDPOINT_CANCELLED, 0, 64);
+	}
+	ck_assert_int_eq(ejection_verdict(w.ejection, 1, 64), EJECTION_USABLE);
+	world_clear(&w);
+}
+END_TEST
+
+/* Requests in flight outlive the listing; nothing is leaked or counted twice.
+ */
+START_TEST(test_snapshot_changes_under_requests)
+{
+	struct world w;
+
+	world_init(&w);
+	endpoints_began(w.endpoints, 4, 1);
+	tell(&w, 3, 2);
+	ck_assert_uint_eq(endpoints_in_flight(w.endpoints, 4), 1);
+	tell(&w, ENDPOINTS, 3);
+	ck_assert_uint_eq(endpoints_in_flight(w.endpoints, 4), 1);
+	tell(&w, 3, 4);
+	endpoints_ended(w.endpoints, 4, ENDPOINT_FAILED, 0, 4);
+	ck_assert_uint_eq(endpoints_in_flight(w.endpoints, 4), 0);
+	ck_assert_uint_eq(ejection_count(w.ejection, SERVICE, 4), 0);
+	world_clear(&w);
+}
+END_TEST
+
+START_TEST(test_key_has_one_home)
+{
+	struct placement_query q = {
+	    .service = SERVICE, .key = "booking-17", .key_len = 10};
+	struct placement_choice a, b;
+	struct world w;
+
+	world_init(&w);
+	ck_assert(placement_choose(w.placement, &q, 1, &a));
+	ck_assert_int_eq(a.reason, PLACEMENT_HOME);
+	report(&w, a.endpoint, 50, 1);
+	let_fail(&w, a.endpoint, 5, 1);
+	ck_assert(placement_choose(w.placement, &q, 1, &b));
+	ck_assert_uint_eq(a.endpoint, b.endpoint);
+	w.infos[a.endpoint - 1].state = ENDPOINT_DRAINING;
+	tell(&w, ENDPOINTS, 2);
+	ck_assert(placement_choose(w.placement, &q, 2, &b));
+	ck_assert_uint_ne(a.endpoint, b.endpoint);
+	world_clear(&w);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	SRunner *runner;
+	TCase *tc;
+	int failed;
+
+	suite = suite_create("placement");
+	tc = tcase_create("placement");
+	tcase_add_test(tc, test_local_first_then_spill);
+	tcase_add_test(tc, test_less_loaded_and_old_load_decays);
+	tcase_add_test(tc, test_retry_goes_elsewhere);
+	tcase_add_test(tc, test_draining_is_left_out_before_the_news_comes);
+	tcase_add_test(tc, test_slow_start);
+	tcase_add_test(tc, test_failing_is_ejected_and_probed_back);
+	tcase_add_test(tc, test_floor_and_cap);
+	tcase_add_test(tc, test_far_slower_than_siblings);
+	tcase_add_test(tc, test_snapshot_changes_under_requests);
+	tcase_add_test(tc, test_key_has_one_home);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
