--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -36,7 +36,7 @@
 #define MSG_CALL_HEAD_REQUEST_ID_MAX 16
 #define MSG_CALL_HEAD_HEADERS_MAX 128
 #define MSG_CALL_RESOLVE_REQUEST_ID_MAX 16
-#define MSG_CALL_ACK_STREAMS_MAX 256
+#define MSG_CALL_ACK_REQUEST_ID_MAX 16
 #define MSG_CALL_KEY_ASK_SERVICE_MAX 63
 #define MSG_CALL_KEY_WORD_SERVICE_MAX 63
 
@@ -396,13 +396,13 @@
 void msg_call_resolved_clear(struct msg_call_resolved *m);
 
 /**
- * struct msg_call_ack - The entry holds the whole answers of these streams.
- * @streams: the streams; owned
- * @n_streams: number of @streams
+ * struct msg_call_ack - The entry holds the whole answer of an attempt.
+ * @request_id: the attempt; borrowed
+ * @request_id_len: bytes in @request_id
  */
 struct msg_call_ack {
-	uint32_t *streams;
-	uint32_t n_streams;
+	const uint8_t *request_id;
+	uint32_t request_id_len;
 };
 
 extern const struct codec_desc msg_call_ack_desc;
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -70,7 +70,7 @@
  * 	was lost.
  * @MSG_CALL_RESOLVED: Answer to call_resolve. After `attached` and
  * 	`answer` the answer follows on the stream.
- * @MSG_CALL_ACK: The entry holds the whole answers of these streams.
+ * @MSG_CALL_ACK: The entry holds the whole answer of an attempt.
  * @MSG_CALL_PING: Asks whether the connection still carries frames,
  * 	either way.
  * @MSG_CALL_PONG: Answer to call_ping.
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -515,13 +515,11 @@
 }
 
 static const struct codec_field msg_call_ack_fields[] = {
-    {.name = "streams",
-	.kind = CODEC_LIST,
-	.offset = offsetof(struct msg_call_ack, streams),
-	.len_offset = offsetof(struct msg_call_ack, n_streams),
-	.max = MSG_CALL_ACK_STREAMS_MAX,
-	.item_bytes = sizeof(uint32_t),
-	.item = CODEC_U32},
+    {.name = "request_id",
+	.kind = CODEC_BYTES,
+	.offset = offsetof(struct msg_call_ack, request_id),
+	.len_offset = offsetof(struct msg_call_ack, request_id_len),
+	.max = MSG_CALL_ACK_REQUEST_ID_MAX},
 };
 
 const struct codec_desc msg_call_ack_desc = {.name = "call_ack",
