--- a/packages/config/src/route_table.c
+++ b/packages/config/src/route_table.c
@@ -270,6 +270,8 @@
 	uint32_t i, len;
 
 	*seen_path = false;
+	if (path_len == 0 || path[0] != '/')
+		return NULL;
 	/* No prefix is longer, and its end is seen in the byte after it. */
 	len = (uint32_t)MIN(path_len, sizeof(text));
 	for (i = 0; i < len; i++)
--- /dev/null
+++ b/packages/config/test/fixture.h
@@ -0,0 +1,93 @@
+/*
+ * What the tests of package config share.
+ */
+#ifndef CONFIG_TEST_FIXTURE_H
+#define CONFIG_TEST_FIXTURE_H
+
+#include <check.h>
+#include <string.h>
+
+#include "config/bundle.h"
+#include "config/stage.h"
+#include "proto/messages.h"
+
+/* JSON written with ' for ", so that tables stay readable; free with g_free */
+static inline char *
+fix_json(const char *text)
+{
+	char *json = g_strdup(text);
+
+	return g_strdelimit(json, "'", '"');
+}
+
+static inline struct bundle *
+fix_bundle(const char *text)
+{
+	struct bundle *b;
+	char *json = fix_json(text);
+
+	ck_assert_msg(bundle_parse(json, strlen(json), &b) == STATUS_OK, "%s",
+	    status_message());
+	g_free(json);
+	return b;
+}
+
+/* Add the contents that a stage misses from a bundle; the first refusal. */
+static inline enum status
+fix_add_all(struct catalog_stage *stage, const struct bundle *b)
+{
+	const struct section *section;
+	enum status st, first = STATUS_OK;
+	const uint8_t *data;
+	size_t len;
+	uint32_t i;
+
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		data = g_bytes_get_data(section->content, &len);
+		st = catalog_stage_add(stage, data, len);
+		if (st != STATUS_NOT_FOUND && first == STATUS_OK)
+			first = st;
+	}
+	return first;
+}
+
+/* Commit a bundle as changes to what the catalog holds. */
+static inline enum status
+fix_commit(struct catalog *c, uint64_t version, const struct bundle *b)
+{
+	struct catalog_delta delta = {0, version, {{0}}, NULL};
+	struct catalog_stage *stage;
+	GArray *from, *to;
+	enum status st;
+
+	bundle_to_sections(b, &to, &delta.root);
+	if (catalog_list(c, 0, NULL, &from) != STATUS_OK)
+		from = g_array_new(FALSE, TRUE, sizeof(struct rec_section_ref));
+	delta.from_version = catalog_version(c);
+	delta.changes = section_changes(from, to);
+	st = catalog_stage_begin(c, &delta, &stage);
+	if (st == STATUS_OK) {
+		ck_assert_int_eq(fix_add_all(stage, b), STATUS_OK);
+		st = catalog_commit(c, stage);
+	}
+	catalog_stage_free(stage);
+	catalog_delta_clear(&delta);
+	g_array_unref(from);
+	g_array_unref(to);
+	return st;
+}
+
+static inline int
+fix_run(Suite *suite)
+{
+	SRunner *runner = srunner_create(suite);
+	int n_failed;
+
+	srunner_run_all(runner, CK_NORMAL);
+	n_failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return n_failed == 0 ? 0 : 1;
+}
+
+#endif
--- /dev/null
+++ b/packages/config/test/test_bundle.c
@@ -0,0 +1,423 @@
+/*
+ * Bundles and sections: what is refused, that all is told at once, and that
+ * whatever is accepted makes sections that a node accepts too.
+ */
+#include "fixture.h"
+
+#define FUZZ_CASES 4000
+#define FUZZ_SEED 20261202
+
+static const char good[] =
+    "{'format':1,'name':'registry','services':["
+    "{'name':'public-search','timeout_ms':1500,"
+    " 'limits':{'slots_per_endpoint':12,'queue_per_endpoint':24,"
+    "  'queue_wait_ms':200,'request_max_bytes':1048576,"
+    "  'caller_calls_per_s':0},'retry':{'attempts':2,'budget_percent':10}},"
+    "{'name':'hearing-booking'}],"
+    "'routes':[{'prefix':'/search','methods':['GET','HEAD'],"
+    " 'service':'public-search'},"
+    "{'prefix':'/bookings','methods':['POST'],'service':'hearing-booking'},"
+    "{'prefix':'/bookings','methods':['GET'],'service':'hearing-booking',"
+    " 'idempotent':true}]}";
+
+#define SERVICES(s) "{'format':1,'name':'x','services':[" s "],'routes':[]}"
+#define ROUTES(r)                                                        \
+	"{'format':1,'name':'x','services':[{'name':'a'},{'name':'b'}]," \
+	"'routes':[" r "]}"
+#define ROUTE(p, m) "{'prefix':'" p "','methods':[" m "],'service':'a'}"
+
+/* One fault each: the place and a word of the message that must come. */
+static const struct {
+	const char *json;
+	const char *path;
+	const char *word;
+} faults[] = {
+    {"", "", "line 1"},
+    {"[]", "", "is an object"},
+    {"{'format':1", "", "line 1"},
+    {"{'format':1,'name':'x','services':[{'name':'a'}],'routes':[],"
+     "'format':1}",
+	"", "duplicate"},
+    {"{'format':2,'name':'x','services':[{'name':'a'}],'routes':[]}", "format",
+	"only format 1"},
+    {"{'format':1,'name':'X','services':[{'name':'a'}],'routes':[]}", "name",
+	"no name"},
+    {"{'format':1,'services':[{'name':'a'}],'routes':[]}", "name", "missing"},
+    {"{'format':1,'name':'x','services':[],'routes':[]}", "services",
+	"no service"},
+    {"{'format':1,'name':'x','services':{},'routes':[]}", "services",
+	"not a list"},
+    {"{'format':1,'name':'x','services':[{'name':'a'}]}", "routes", "missing"},
+    {"{'format':1,'name':'x','services':[{'name':'a'}],'routes':[],'z':1}", "z",
+	"no such key"},
+    {"{'format':1,'name':'x','services':[{'name':'a\xff'}],'routes':[]}", "",
+	"decode byte 0xff"},
+    {SERVICES("7"), "services[0]", "not an object"},
+    {SERVICES("{'name':'a'},{'name':'a'}"), "services[1].name", "twice"},
+    {SERVICES("{'name':'-a'}"), "services[0].name", "no name"},
+    {SERVICES("{'name':''}"), "services[0].name", "no name"},
+    {SERVICES("{'name':'a','timeout':5}"), "services[0].timeout", "no such"},
+    {SERVICES("{'name':'a','timeout_ms':0}"), "services[0].timeout_ms",
+	"range"},
+    {SERVICES("{'name':'a','timeout_ms':-1}"), "services[0].timeout_ms",
+	"range"},
+    {SERVICES("{'name':'a','timeout_ms':4294967297}"), "services[0].timeout_ms",
+	"range"},
+    {SERVICES("{'name':'a','timeout_ms':1.5}"), "services[0].timeout_ms",
+	"whole number"},
+    {SERVICES("{'name':'a','timeout_ms':'9'}"), "services[0].timeout_ms",
+	"whole number"},
+    {SERVICES("{'name':'a','limits':[]}"), "services[0].limits",
+	"not an object"},
+    {SERVICES("{'name':'a','limits':{'slots_per_endpoint':0}}"),
+	"services[0].limits.slots_per_endpoint", "range"},
+    {SERVICES("{'name':'a','limits':{'slots':1}}"), "services[0].limits.slots",
+	"no such"},
+    {SERVICES("{'name':'a','retry':{'attempts':11}}"),
+	"services[0].retry.attempts", "range"},
+    {SERVICES("{'name':'a','retry':{'budget_percent':101}}"),
+	"services[0].retry.budget_percent", "range"},
+    {ROUTES("7"), "routes[0]", "not an object"},
+    {ROUTES("{'prefix':'/p','methods':['GET'],'service':'c'}"),
+	"routes[0].service", "no such service"},
+    {ROUTES("{'prefix':'/p','methods':['GET']}"), "routes[0].service",
+	"missing"},
+    {ROUTES("{'prefix':'/p','service':'a'}"), "routes[0].methods", "missing"},
+    {ROUTES(ROUTE("/p", "")), "routes[0].methods", "no method"},
+    {ROUTES(ROUTE("/p", "'get'")), "routes[0].methods[0]", "no method"},
+    {ROUTES(ROUTE("/p", "'GET','GET'")), "routes[0].methods[1]", "twice"},
+    {ROUTES(ROUTE("p", "'GET'")), "routes[0].prefix", "no path prefix"},
+    {ROUTES(ROUTE("", "'GET'")), "routes[0].prefix", "no path prefix"},
+    {ROUTES(ROUTE("/p/", "'GET'")), "routes[0].prefix", "segment"},
+    {ROUTES(ROUTE("//p", "'GET'")), "routes[0].prefix", "segment"},
+    {ROUTES(ROUTE("/p/../q", "'GET'")), "routes[0].prefix", "segment"},
+    {ROUTES(ROUTE("/./q", "'GET'")), "routes[0].prefix", "segment"},
+    {ROUTES(ROUTE("/p%2e", "'GET'")), "routes[0].prefix", "character 3"},
+    {ROUTES(ROUTE("/p?q", "'GET'")), "routes[0].prefix", "character 3"},
+    {ROUTES(ROUTE("/p", "'GET'") "," ROUTE("/p", "'HEAD','GET'")), "routes[1]",
+	"routes[0] takes GET of /p already"},
+    {ROUTES("{'prefix':'/p','methods':['GET','POST'],'service':'a',"
+	    "'idempotent':true}"),
+	"routes[0].idempotent", "POST and PATCH"},
+    {ROUTES("{'prefix':'/p','methods':['GET'],'service':'a',"
+	    "'idempotent':1}"),
+	"routes[0].idempotent", "neither"},
+};
+
+START_TEST(test_fault)
+{
+	const struct bundle_problem *problem;
+	struct bundle *b;
+	char *json = fix_json(faults[_i].json);
+
+	ck_assert_int_ne(bundle_parse(json, strlen(json), &b), STATUS_OK);
+	ck_assert_uint_eq(b->sections->len, 0);
+	ck_assert_uint_eq(b->n_problems, 1);
+	problem = g_ptr_array_index(b->problems, 0);
+	ck_assert_str_eq(problem->path, faults[_i].path);
+	ck_assert_msg(strstr(problem->message, faults[_i].word) != NULL, "%s",
+	    problem->message);
+	ck_assert(problem->remedy[0] != '\0');
+	ck_assert(strstr(status_message(), problem->remedy) != NULL);
+	bundle_free(b);
+	g_free(json);
+}
+END_TEST
+
+START_TEST(test_all_at_once)
+{
+	struct bundle *b;
+	char *json = fix_json(
+	    "{'format':9,'name':'x','extra':1,'services':["
+	    "{'name':'a','timeout_ms':0,'timeout_ms':0},{'name':'B'}],"
+	    "'routes':[{'prefix':'q','methods':['GOT'],'service':'c'}]}");
+
+	ck_assert_int_eq(bundle_parse(json, strlen(json), &b), STATUS_INVALID);
+	/* doubled key, format, extra, timeout, name, prefix, method, service */
+	ck_assert_uint_eq(b->n_problems, 8);
+	ck_assert(strstr(status_message(), "8 problems") != NULL);
+	ck_assert(strstr(status_message(), "And 4 more") != NULL);
+	bundle_free(b);
+	g_free(json);
+}
+END_TEST
+
+/* Text of a bundle with many services, routes, or values of one kind. */
+static char *
+many(const char *head, const char *fmt, uint32_t n, const char *tail)
+{
+	GString *out = g_string_new(head);
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		g_string_append(out, i > 0 ? "," : "");
+		g_string_append_printf(out, fmt, i, i);
+	}
+	g_string_append(out, tail);
+	return g_strdelimit(g_string_free(out, FALSE), "'", '"');
+}
+
+#define HEAD "{'format':1,'name':'x','services':["
+#define ONE_ROUTE "{'prefix':'/r%u','methods':['GET'],'service':'a'}"
+
+/* Each limit: the most that fits, and one more. */
+static const struct {
+	const char *head, *fmt, *tail;
+	uint32_t most;
+	const char *word;
+} limits[] = {
+    {HEAD, "{'name':'s%u'}", "],'routes':[]}", CONFIG_MAX_SERVICES,
+	"4096 are taken"},
+    {HEAD "{'name':'a'}],'routes':[", ONE_ROUTE, "]}", CONFIG_MAX_ROUTES,
+	"more than 64 routes"},
+};
+
+START_TEST(test_limit)
+{
+	struct bundle *b;
+	uint32_t more;
+	char *json;
+
+	for (more = 0; more <= 1; more++) {
+		json = many(limits[_i].head, limits[_i].fmt,
+		    limits[_i].most + more, limits[_i].tail);
+		ck_assert_int_eq(bundle_parse(json, strlen(json), &b),
+		    more == 0 ? STATUS_OK : STATUS_INVALID);
+		if (more > 0)
+			ck_assert(
+			    strstr(status_message(), limits[_i].word) != NULL);
+		bundle_free(b);
+		g_free(json);
+	}
+}
+END_TEST
+
+START_TEST(test_too_large)
+{
+	struct bundle *b;
+	char *json;
+
+	json = g_strnfill(BUNDLE_MAX_BYTES + 1, ' ');
+	ck_assert_int_eq(
+	    bundle_parse(json, BUNDLE_MAX_BYTES + 1, &b), STATUS_TOO_LARGE);
+	bundle_free(b);
+	memset(json, '[', BUNDLE_MAX_BYTES);
+	ck_assert_int_eq(
+	    bundle_parse(json, BUNDLE_MAX_BYTES, &b), STATUS_INVALID);
+	ck_assert(strstr(status_message(), "nests") != NULL);
+	bundle_free(b);
+	memset(json, ',', BUNDLE_MAX_BYTES);
+	ck_assert_int_eq(
+	    bundle_parse(json, BUNDLE_MAX_BYTES, &b), STATUS_TOO_LARGE);
+	bundle_free(b);
+	g_free(json);
+}
+END_TEST
+
+START_TEST(test_meaning)
+{
+	struct bundle *b = fix_bundle(good), *c;
+	const struct service_config *booking, *search;
+
+	ck_assert_uint_eq(b->sections->len, 2);
+	booking = ((struct section *)g_ptr_array_index(b->sections, 0))->config;
+	search = ((struct section *)g_ptr_array_index(b->sections, 1))->config;
+	ck_assert_str_eq(booking->name, "hearing-booking");
+	ck_assert_uint_eq(booking->timeout_ms, SERVICE_TIMEOUT_DEFAULT_MS);
+	ck_assert_uint_eq(booking->n_routes, 2);
+	ck_assert(booking->routes[0].idempotent);
+	ck_assert(!booking->routes[1].idempotent);
+	ck_assert_uint_eq(search->timeout_ms, 1500);
+	ck_assert_uint_eq(search->limits.request_max_bytes, 1048576);
+	ck_assert(search->routes[0].idempotent);
+	/* Another order and spelled-out defaults give the same root. */
+	c = fix_bundle(
+	    "{'routes':["
+	    "{'prefix':'/bookings','methods':['GET'],"
+	    " 'service':'hearing-booking'},"
+	    "{'service':'public-search','methods':['HEAD','GET'],"
+	    " 'prefix':'/search','idempotent':true},"
+	    "{'prefix':'/bookings','methods':['POST'],'idempotent':false,"
+	    " 'service':'hearing-booking'}],"
+	    "'services':[{'name':'hearing-booking','retry':{}},"
+	    "{'timeout_ms':1500,'name':'public-search'}],"
+	    "'name':'other','format':1}");
+	ck_assert(hash_digest_equal(&b->root, &c->root));
+	bundle_free(b);
+	bundle_free(c);
+}
+END_TEST
+
+/* A section that only the wire could bring: the rules hold there too. */
+static void
+break_section(struct msg_section *m, int which)
+{
+	static struct rec_section_route twin[2];
+	struct rec_section_route *route = &m->routes[0];
+
+	switch (which) {
+	case 0:
+		g_strlcpy(m->service, "Bad", sizeof(m->service));
+		break;
+	case 1:
+		m->timeout_ms = 0;
+		break;
+	case 2:
+		m->attempts = SERVICE_ATTEMPTS_MAX + 1;
+		break;
+	case 3:
+		m->request_max_bytes = UINT64_MAX;
+		break;
+	case 4:
+		g_strlcpy(route->prefix, "/a//b", sizeof(route->prefix));
+		break;
+	case 5:
+		route->methods = 0;
+		break;
+	case 6:
+		route->methods = METHOD_ALL + 1;
+		break;
+	case 7:
+		route->methods = METHOD_ALL;
+		route->idempotent = true;
+		break;
+	default:
+		twin[0] = twin[1] = *route;
+		twin[1].methods |= METHOD_BIT(METHOD_PUT);
+		/* crossing methods, then wrong order */
+		if (which == 9)
+			g_strlcpy(twin[1].prefix, "/A", ROUTE_PREFIX_BYTES);
+		m->routes = twin;
+		m->n_routes = 2;
+		break;
+	}
+}
+
+#define BROKEN_SECTIONS 10
+
+START_TEST(test_section_broken)
+{
+	struct rec_section_route route = {"/a", METHOD_BIT(METHOD_GET), true};
+	struct msg_section m = {.service = "a",
+	    .timeout_ms = 5,
+	    .slots_per_endpoint = 1,
+	    .attempts = 1,
+	    .routes = &route,
+	    .n_routes = 1};
+	GByteArray *out = g_byte_array_new();
+	struct service_config *sc;
+
+	if (_i < BROKEN_SECTIONS)
+		break_section(&m, _i);
+	msg_section_encode(&m, out);
+	ck_assert_int_eq(section_decode(out->data, out->len, &sc),
+	    _i < BROKEN_SECTIONS ? STATUS_INVALID : STATUS_OK);
+	service_config_unref(sc);
+	/* The same content in another encoding, or longer, is refused. */
+	g_byte_array_append(out, (const guint8 *)"\0", 1);
+	ck_assert_int_ne(section_decode(out->data, out->len, &sc), STATUS_OK);
+	g_byte_array_set_size(out, SECTION_MAX_BYTES + 1);
+	ck_assert_int_eq(
+	    section_decode(out->data, out->len, &sc), STATUS_TOO_LARGE);
+	g_byte_array_unref(out);
+}
+END_TEST
+
+/* Damage a few bytes; keep the length, cut it, or splice a piece in. */
+static GByteArray *
+mutate(GRand *rand, const uint8_t *data, size_t len)
+{
+	GByteArray *out = g_byte_array_new();
+	int32_t n;
+
+	g_byte_array_append(out, data, (guint)len);
+	for (n = g_rand_int_range(rand, 1, 5); n > 0; n--)
+		out->data[g_rand_int_range(rand, 0, (gint32)len)] =
+		    (uint8_t)g_rand_int_range(rand, 0, 256);
+	if (g_rand_int_range(rand, 0, 4) == 0)
+		g_byte_array_set_size(
+		    out, (guint)g_rand_int_range(rand, 0, (gint32)len));
+	if (g_rand_int_range(rand, 0, 4) == 0)
+		g_byte_array_append(out, data, (guint)len / 3);
+	return out;
+}
+
+/* Whatever is accepted encodes to itself and is accepted again. */
+START_TEST(test_fuzz_section)
+{
+	struct bundle *b = fix_bundle(good);
+	struct service_config *sc;
+	const uint8_t *data;
+	struct digest digest;
+	struct section *s;
+	GByteArray *bytes;
+	GRand *rand;
+	size_t len;
+	int i;
+
+	rand = g_rand_new_with_seed(FUZZ_SEED);
+	for (i = 0; i < FUZZ_CASES; i++) {
+		s = g_ptr_array_index(b->sections, i % 2);
+		data = g_bytes_get_data(s->content, &len);
+		bytes = mutate(rand, data, len);
+		if (section_decode(bytes->data, bytes->len, &sc) == STATUS_OK) {
+			hash_digest(bytes->data, bytes->len, &digest);
+			ck_assert(hash_digest_equal(&digest, &sc->digest));
+			service_config_unref(sc);
+		}
+		g_byte_array_unref(bytes);
+	}
+	g_rand_free(rand);
+	bundle_free(b);
+}
+END_TEST
+
+/* Whatever bundle is accepted gets into a catalog. */
+START_TEST(test_fuzz_bundle)
+{
+	char *json = fix_json(good);
+	struct catalog *c;
+	GByteArray *bytes;
+	struct bundle *b;
+	int i, n_good = 0;
+	GRand *rand;
+
+	rand = g_rand_new_with_seed(FUZZ_SEED);
+	for (i = 0; i < FUZZ_CASES; i++) {
+		bytes = mutate(rand, (const uint8_t *)json, strlen(json));
+		if (bundle_parse((const char *)bytes->data, bytes->len, &b) ==
+		    STATUS_OK) {
+			c = catalog_new(0);
+			ck_assert_int_eq(fix_commit(c, 1, b), STATUS_OK);
+			catalog_free(c);
+			n_good++;
+		} else {
+			ck_assert_uint_gt(b->n_problems, 0);
+		}
+		bundle_free(b);
+		g_byte_array_unref(bytes);
+	}
+	ck_assert_int_gt(n_good, 0);
+	g_rand_free(rand);
+	g_free(json);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("bundle");
+	TCase *tc = tcase_create("bundle");
+
+	tcase_add_loop_test(tc, test_fault, 0, (int)G_N_ELEMENTS(faults));
+	tcase_add_test(tc, test_all_at_once);
+	tcase_add_loop_test(tc, test_limit, 0, (int)G_N_ELEMENTS(limits));
+	tcase_add_test(tc, test_too_large);
+	tcase_add_test(tc, test_meaning);
+	tcase_add_loop_test(tc, test_section_broken, 0, BROKEN_SECTIONS + 1);
+	tcase_add_test(tc, test_fuzz_section);
+	tcase_add_test(tc, test_fuzz_bundle);
+	tcase_set_timeout(tc, 60);
+	suite_add_tcase(suite, tc);
+	return fix_run(suite);
+}
--- /dev/null
+++ b/packages/config/test/test_catalog.c
@@ -0,0 +1,433 @@
+/*
+ * Catalog and stage: a version gets in whole or not at all, never backwards;
+ * merged changes lead where single ones do; memory is bounded.
+ */
+#include "fixture.h"
+
+#define SEED 57000
+#define RANDOM_VERSIONS 150
+#define RANDOM_SERVICES 12
+
+/* A version of a random configuration. */
+struct version {
+	struct bundle *bundle;
+	GArray *list;
+	struct digest root;
+};
+
+/* Each service is there or not, with one of a few timeouts. */
+static struct bundle *
+random_bundle(GRand *rand, int *timeouts)
+{
+	GString *out = g_string_new("{'format':1,'name':'x','services':[");
+	struct bundle *b;
+	int i, n;
+
+	for (n = g_rand_int_range(rand, 1, 4); n > 0; n--) {
+		i = g_rand_int_range(rand, 0, RANDOM_SERVICES);
+		timeouts[i] = g_rand_int_range(rand, 0, 4);
+	}
+	timeouts[0] = MAX(timeouts[0], 1);
+	for (i = 0; i < RANDOM_SERVICES; i++) {
+		if (timeouts[i] > 0)
+			g_string_append_printf(out,
+			    "%s{'name':'s%d','timeout_ms':%d}",
+			    i > 0 ? "," : "", i, timeouts[i]);
+	}
+	g_string_append(out, "],'routes':[]}");
+	b = fix_bundle(out->str);
+	g_string_free(out, TRUE);
+	return b;
+}
+
+static struct version *
+random_versions(GRand *rand)
+{
+	int timeouts[RANDOM_SERVICES] = {0};
+	struct version *v;
+	int i;
+
+	v = g_new0(struct version, RANDOM_VERSIONS + 1);
+	v[0].list = g_array_new(FALSE, TRUE, sizeof(struct rec_section_ref));
+	for (i = 1; i <= RANDOM_VERSIONS; i++) {
+		v[i].bundle = random_bundle(rand, timeouts);
+		bundle_to_sections(v[i].bundle, &v[i].list, &v[i].root);
+	}
+	return v;
+}
+
+static void
+versions_free(struct version *v)
+{
+	int i;
+
+	for (i = 0; i <= RANDOM_VERSIONS; i++) {
+		bundle_free(v[i].bundle);
+		g_array_unref(v[i].list);
+	}
+	g_free(v);
+}
+
+static void
+check_same_list(const GArray *a, const GArray *b)
+{
+	ck_assert_uint_eq(a->len, b->len);
+	ck_assert_mem_eq(
+	    a->data, b->data, a->len * sizeof(struct rec_section_ref));
+}
+
+/* Every content of a list is there and has its digest. */
+static void
+check_contents(const struct catalog *c, const GArray *list)
+{
+	const struct rec_section_ref *ref;
+	struct digest digest;
+	GBytes *content;
+	uint32_t i;
+
+	for (i = 0; i < list->len; i++) {
+		ref = &g_array_index(list, struct rec_section_ref, i);
+		content = catalog_content(c, &ref->digest);
+		ck_assert_ptr_nonnull(content);
+		hash_digest(g_bytes_get_data(content, NULL),
+		    g_bytes_get_size(content), &digest);
+		ck_assert(hash_digest_equal(&digest, &ref->digest));
+	}
+}
+
+/*
+ * Pull from @from into @to, which is at some older version, as nodes do:
+ * the changes if they are kept, else the full list.
+ */
+static bool
+pull(const struct catalog *from, struct catalog *to, uint64_t want)
+{
+	struct catalog_stage *stage;
+	struct catalog_delta delta;
+	GBytes *content;
+	GArray *missing, *list;
+	struct digest root;
+	bool by_changes;
+	uint32_t i;
+
+	by_changes =
+	    catalog_delta(from, catalog_version(to), want, &delta) == STATUS_OK;
+	if (by_changes) {
+		ck_assert_int_eq(
+		    catalog_stage_begin(to, &delta, &stage), STATUS_OK);
+		catalog_delta_clear(&delta);
+	} else {
+		ck_assert_int_eq(
+		    catalog_list(from, want, &root, &list), STATUS_OK);
+		ck_assert_int_eq(
+		    catalog_stage_begin_full(to, want, &root, list, &stage),
+		    STATUS_OK);
+		g_array_unref(list);
+	}
+	missing = catalog_stage_missing(stage, 0);
+	ck_assert_uint_eq(missing->len, catalog_stage_n_missing(stage));
+	for (i = 0; i < missing->len; i++) {
+		content = catalog_content(
+		    from, &g_array_index(missing, struct digest, i));
+		ck_assert_int_eq(catalog_commit(to, stage), STATUS_UNAVAILABLE);
+		ck_assert_int_eq(
+		    catalog_stage_add(stage, g_bytes_get_data(content, NULL),
+			g_bytes_get_size(content)),
+		    STATUS_OK);
+	}
+	ck_assert_int_eq(catalog_commit(to, stage), STATUS_OK);
+	g_array_unref(missing);
+	catalog_stage_free(stage);
+	return by_changes;
+}
+
+static void
+check_holds(const struct catalog *c, uint64_t version, const struct version *v)
+{
+	GArray *list;
+
+	ck_assert_uint_eq(catalog_version(c), version);
+	ck_assert(hash_digest_equal(catalog_root(c), &v->root));
+	ck_assert_int_eq(catalog_list(c, 0, NULL, &list), STATUS_OK);
+	check_same_list(list, v->list);
+	check_contents(c, list);
+	g_array_unref(list);
+}
+
+/*
+ * A chain of nodes, each pulling now and then from the one before and so
+ * merging versions, holds the same as the versions that were signed off,
+ * and keeps each older one that it has in its ring.
+ */
+START_TEST(test_chain)
+{
+	struct catalog *c[3] = {catalog_new(0), catalog_new(0), catalog_new(0)};
+	GRand *rand = g_rand_new_with_seed(SEED + (guint32)_i);
+	struct version *v = random_versions(rand);
+	uint64_t want, at, n_changes = 0;
+	int i, k;
+
+	for (i = 1; i <= RANDOM_VERSIONS; i++) {
+		ck_assert_int_eq(
+		    fix_commit(c[0], (uint64_t)i, v[i].bundle), STATUS_OK);
+		for (k = 1; k < 3; k++) {
+			at = catalog_version(c[k]);
+			want = catalog_version(c[k - 1]);
+			if (want == at || g_rand_int_range(rand, 0, 4) > 0)
+				continue;
+			n_changes += pull(c[k - 1], c[k], want);
+			check_holds(c[k], want, &v[want]);
+		}
+	}
+	ck_assert_uint_gt(n_changes, RANDOM_VERSIONS / 8);
+	for (k = 0; k < 3; k++)
+		catalog_free(c[k]);
+	versions_free(v);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* From each version that is kept to each later one, and each list. */
+START_TEST(test_ring)
+{
+	struct catalog *c = catalog_new(0), *d;
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct version *v = random_versions(rand);
+	const uint64_t oldest = RANDOM_VERSIONS - CATALOG_RING;
+	struct catalog_delta delta;
+	uint64_t from, to;
+	GArray *list;
+
+	for (to = 1; to <= RANDOM_VERSIONS; to++)
+		ck_assert_int_eq(fix_commit(c, to, v[to].bundle), STATUS_OK);
+	ck_assert_uint_eq(catalog_oldest(c), oldest);
+	ck_assert_int_eq(
+	    catalog_delta(c, oldest - 1, 0, &delta), STATUS_NOT_FOUND);
+	ck_assert_int_eq(
+	    catalog_list(c, oldest - 1, NULL, &list), STATUS_NOT_FOUND);
+	ck_assert_int_eq(catalog_delta(c, oldest, RANDOM_VERSIONS + 1, &delta),
+	    STATUS_UNAVAILABLE);
+	ck_assert_int_eq(
+	    catalog_delta(c, oldest, oldest, &delta), STATUS_INVALID);
+	for (from = oldest; from < RANDOM_VERSIONS; from += 9) {
+		for (to = from + 1; to <= RANDOM_VERSIONS; to += 5) {
+			d = catalog_new(0);
+			ck_assert_int_eq(
+			    fix_commit(d, from, v[from].bundle), STATUS_OK);
+			ck_assert(pull(c, d, to));
+			check_holds(d, to, &v[to]);
+			catalog_free(d);
+		}
+		ck_assert_int_eq(catalog_list(c, from, NULL, &list), STATUS_OK);
+		check_same_list(list, v[from].list);
+		check_contents(c, list);
+		g_array_unref(list);
+	}
+	catalog_free(c);
+	versions_free(v);
+	g_rand_free(rand);
+}
+END_TEST
+
+#define TWO(t, m)                                                  \
+	"{'format':1,'name':'x','services':["                      \
+	"{'name':'a','timeout_ms':" t "},{'name':'b'}],'routes':[" \
+	"{'prefix':'/a','methods':[" m "],'service':'a'},"         \
+	"{'prefix':'/b','methods':['GET'],'service':'b'}]}"
+
+enum bad {
+	BAD_ROOT = 0,
+	BAD_VERSION_SAME,
+	BAD_VERSION_OLDER,
+	BAD_BASE,
+	BAD_ORDER,
+	BAD_NAME,
+	BAD_DIGEST,
+	BAD_SERVICE,
+	BAD_ROUTES,
+	BAD_COUNT,
+};
+
+/* A crossing route: 'c' claims what 'a' has. */
+static const char crossing[] =
+    "{'format':1,'name':'x','services':[{'name':'c'}],'routes':["
+    "{'prefix':'/a','methods':['GET'],'service':'c'}]}";
+
+static void
+spoil(enum bad bad, struct catalog_delta *delta, const struct bundle *other)
+{
+	struct rec_section_change *change, more;
+
+	change = &g_array_index(delta->changes, struct rec_section_change, 0);
+	more = *change;
+	switch (bad) {
+	case BAD_ROOT:
+		delta->root.bytes[0] ^= 1;
+		return;
+	case BAD_VERSION_SAME:
+		delta->version = 5;
+		return;
+	case BAD_VERSION_OLDER:
+		delta->version = 4;
+		return;
+	case BAD_BASE:
+		delta->from_version = 6;
+		return;
+	case BAD_ORDER:
+		break;
+	case BAD_NAME:
+		g_strlcpy(more.service, "B", sizeof(more.service));
+		break;
+	case BAD_DIGEST:
+		change->digest.bytes[0] ^= 1;
+		return;
+	case BAD_SERVICE:
+		/* the section of 'a' under the name 'c' */
+		g_strlcpy(more.service, "c", sizeof(more.service));
+		break;
+	default:
+		g_strlcpy(more.service, "c", sizeof(more.service));
+		more.digest =
+		    ((struct section *)g_ptr_array_index(other->sections, 0))
+			->config->digest;
+		break;
+	}
+	g_array_append_val(delta->changes, more);
+}
+
+/* The root that the spoilt changes lead to, so that later checks count. */
+static void
+fit_root(const struct catalog *c, struct catalog_delta *delta)
+{
+	GArray *held, *list;
+
+	ck_assert_int_eq(catalog_list(c, 0, NULL, &held), STATUS_OK);
+	list = section_list_apply(held,
+	    (struct rec_section_change *)delta->changes->data,
+	    delta->changes->len);
+	g_bytes_unref(section_list_encode(list, &delta->root));
+	g_array_unref(list);
+	g_array_unref(held);
+}
+
+START_TEST(test_bad)
+{
+	struct bundle *before = fix_bundle(TWO("5", "'GET'"));
+	struct bundle *after = fix_bundle(TWO("6", "'GET'"));
+	struct bundle *other = fix_bundle(crossing);
+	struct catalog_delta delta = {5, 7, {{0}}, NULL};
+	struct catalog_stage *stage = NULL;
+	struct catalog *c = catalog_new(0);
+	GArray *from, *to;
+	enum status st;
+
+	ck_assert_int_eq(fix_commit(c, 5, before), STATUS_OK);
+	bundle_to_sections(before, &from, &delta.root);
+	bundle_to_sections(after, &to, &delta.root);
+	delta.changes = section_changes(from, to);
+	ck_assert_uint_eq(delta.changes->len, 1);
+	if (_i < BAD_COUNT)
+		spoil((enum bad)_i, &delta, other);
+	if (_i >= BAD_DIGEST && _i < BAD_COUNT)
+		fit_root(c, &delta);
+	st = catalog_stage_begin(c, &delta, &stage);
+	if (st == STATUS_OK) {
+		st = fix_add_all(stage, after);
+		ck_assert(st == STATUS_OK || _i == BAD_SERVICE);
+		ck_assert_int_eq(fix_add_all(stage, other), STATUS_OK);
+		st = catalog_commit(c, stage);
+	}
+	catalog_stage_free(stage);
+	if (_i == BAD_COUNT) {
+		ck_assert_int_eq(st, STATUS_OK);
+		ck_assert_uint_eq(catalog_version(c), 7);
+	} else {
+		ck_assert_int_ne(st, STATUS_OK);
+		ck_assert_uint_eq(catalog_version(c), 5);
+		ck_assert(hash_digest_equal(catalog_root(c), &before->root));
+		ck_assert_uint_eq(catalog_find(c, "a")->timeout_ms, 5);
+		ck_assert_ptr_null(catalog_find(c, "c"));
+	}
+	catalog_delta_clear(&delta);
+	g_array_unref(from);
+	g_array_unref(to);
+	bundle_free(before);
+	bundle_free(after);
+	bundle_free(other);
+	catalog_free(c);
+}
+END_TEST
+
+/* A stage begun before another commit still ends right, or not at all. */
+START_TEST(test_overtaken)
+{
+	struct bundle *b[3] = {fix_bundle(TWO("5", "'GET'")),
+	    fix_bundle(TWO("6", "'GET'")), fix_bundle(TWO("7", "'GET'"))};
+	struct catalog_delta delta = {1, 3, {{0}}, NULL};
+	struct catalog_stage *stage;
+	struct catalog *c = catalog_new(0);
+	GArray *from, *to;
+	int i;
+
+	ck_assert_int_eq(fix_commit(c, 1, b[0]), STATUS_OK);
+	bundle_to_sections(b[0], &from, &delta.root);
+	bundle_to_sections(b[2], &to, &delta.root);
+	delta.changes = section_changes(from, to);
+	ck_assert_int_eq(catalog_stage_begin(c, &delta, &stage), STATUS_OK);
+	ck_assert_int_eq(fix_add_all(stage, b[2]), STATUS_OK);
+	ck_assert_int_eq(fix_commit(c, 2, b[1]), STATUS_OK);
+	ck_assert_int_eq(catalog_commit(c, stage), STATUS_OK);
+	ck_assert_uint_eq(catalog_find(c, "a")->timeout_ms, 7);
+	ck_assert_int_eq(catalog_commit(c, stage), STATUS_CONFLICT);
+	ck_assert_uint_eq(catalog_version(c), 3);
+	catalog_stage_free(stage);
+	catalog_delta_clear(&delta);
+	g_array_unref(from);
+	g_array_unref(to);
+	for (i = 0; i < 3; i++)
+		bundle_free(b[i]);
+	catalog_free(c);
+}
+END_TEST
+
+/* Old commits go when memory is short; a version that can't fit is refused. */
+START_TEST(test_memory)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct version *v = random_versions(rand);
+	const uint64_t limit = 16384;
+	struct catalog *c = catalog_new(limit), *tiny = catalog_new(512);
+	uint64_t i;
+
+	for (i = 1; i <= RANDOM_VERSIONS; i++) {
+		ck_assert_int_eq(fix_commit(c, i, v[i].bundle), STATUS_OK);
+		ck_assert_uint_le(catalog_bytes(c), limit);
+		check_holds(c, i, &v[i]);
+	}
+	ck_assert_uint_gt(catalog_oldest(c), RANDOM_VERSIONS - CATALOG_RING);
+	ck_assert_uint_lt(catalog_oldest(c), RANDOM_VERSIONS);
+	ck_assert_int_eq(
+	    fix_commit(tiny, 1, v[RANDOM_VERSIONS].bundle), STATUS_TOO_LARGE);
+	ck_assert_uint_eq(catalog_version(tiny), 0);
+	catalog_free(c);
+	catalog_free(tiny);
+	versions_free(v);
+	g_rand_free(rand);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("catalog");
+	TCase *tc = tcase_create("catalog");
+
+	tcase_add_loop_test(tc, test_chain, 0, 5);
+	tcase_add_test(tc, test_ring);
+	tcase_add_loop_test(tc, test_bad, 0, BAD_COUNT + 1);
+	tcase_add_test(tc, test_overtaken);
+	tcase_add_test(tc, test_memory);
+	tcase_set_timeout(tc, 60);
+	suite_add_tcase(suite, tc);
+	return fix_run(suite);
+}
