--- /dev/null
+++ b/packages/node/src/call_headers.h
@@ -0,0 +1,73 @@
+/*
+ * HTTP headers on their way through the call path: owned copies, and which
+ * of them are not passed on.
+ */
+#ifndef CALL_HEADERS_H
+#define CALL_HEADERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "call_proto.h"
+
+/* Headers of this system; those that a caller or upstream sends stay here. */
+#define HEADER_PREFIX "Bramley-"
+#define HEADER_FATE "Bramley-Fate"
+#define HEADER_VERSION "Bramley-Version"
+#define HEADER_REQUEST_ID "Bramley-Request-Id"
+#define HEADER_DEADLINE "Bramley-Deadline-Ms"
+#define HEADER_KEY "Idempotency-Key"
+#define HEADER_RETRY_AFTER "Retry-After"
+
+/**
+ * struct call_headers - an owned list of headers
+ * @items: struct rec_header; names and values are zero-terminated
+ * @text: what the items point into
+ */
+struct call_headers {
+	GArray *items;
+	GStringChunk *text;
+};
+
+/** call_headers_init() - an empty list; free with call_headers_clear() */
+void call_headers_init(struct call_headers *h);
+
+/** call_headers_clear() - free what the list holds */
+void call_headers_clear(struct call_headers *h);
+
+/**
+ * call_headers_add() - append a copy of a header
+ * @h: the list
+ * @name: first byte of the name
+ * @name_len: bytes in @name
+ * @value: first byte of the value
+ * @value_len: bytes in @value
+ *
+ * Return: false when the list is full or the header too large.
+ */
+bool call_headers_add(struct call_headers *h, const char *name,
+    uint32_t name_len, const char *value, uint32_t value_len);
+
+/** call_headers_count() - number of headers */
+uint32_t call_headers_count(const struct call_headers *h);
+
+/** call_headers_at() - header @i of the list */
+const struct rec_header *
+call_headers_at(const struct call_headers *h, uint32_t i);
+
+/** call_headers_rec() - all headers, as messages hold them */
+struct rec_header *call_headers_rec(const struct call_headers *h);
+
+/**
+ * call_header_passes() - whether a header is passed on
+ * @name: zero-terminated name
+ * @connection: value of the message's Connection header, or NULL
+ *
+ * Hop-by-hop headers, those named by Connection, the length of the body and
+ * headers of this system are not.
+ */
+bool call_header_passes(const char *name, const char *connection);
+
+#endif
--- /dev/null
+++ b/packages/node/src/call_link.c
@@ -0,0 +1,108 @@
+/*
+ * What entry and guard have in common on a connection between them.
+ */
+#include <string.h>
+
+#include "call_link.h"
+
+#define LINK_FRAME_MAX_BYTES (256U * 1024U)
+#define LINK_OUTPUT_MAX_BYTES (8U * 1024U * 1024U)
+
+void
+call_link_options(struct conn_options *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->frame_max_bytes = LINK_FRAME_MAX_BYTES;
+	o->output_max_bytes = LINK_OUTPUT_MAX_BYTES;
+	o->output_low_bytes = CALL_OUTPUT_BYTES / 2;
+}
+
+static bool
+may_send(const struct call_link *link)
+{
+	return link->conn != NULL && conn_is_open(link->conn) &&
+	    conn_output_bytes(link->conn) < CALL_OUTPUT_BYTES;
+}
+
+static void
+give_turns(void *arg)
+{
+	struct call_link *link = arg;
+	struct call_sender *s;
+	GList *node;
+
+	while (may_send(link)) {
+		node = g_queue_pop_head_link(&link->turns);
+		if (node == NULL)
+			return;
+		s = node->data;
+		s->link = NULL;
+		if (s->ops->send(s, link) && s->link == NULL) {
+			s->link = link;
+			g_queue_push_tail_link(&link->turns, node);
+		}
+	}
+}
+
+void
+call_link_init(struct call_link *link, struct loop *loop, struct conn *conn)
+{
+	link->conn = conn;
+	link->scratch = g_byte_array_new();
+	g_queue_init(&link->turns);
+	loop_task_init(&link->task, loop, give_turns, link);
+}
+
+void
+call_link_clear(struct call_link *link)
+{
+	struct call_sender *s;
+	GList *node;
+
+	while ((node = g_queue_pop_head_link(&link->turns)) != NULL) {
+		s = node->data;
+		s->link = NULL;
+	}
+	loop_task_cancel(&link->task);
+	g_byte_array_free(link->scratch, TRUE);
+	link->scratch = NULL;
+	link->conn = NULL;
+}
+
+enum status
+call_link_send(struct call_link *link, enum msg_type type, const void *msg)
+{
+	if (link->conn == NULL)
+		return STATUS_UNAVAILABLE;
+	g_byte_array_set_size(link->scratch, 0);
+	codec_encode(msg_desc(type), msg, link->scratch);
+	return conn_send_frame(
+	    link->conn, (uint8_t)type, link->scratch->data, link->scratch->len);
+}
+
+void
+call_link_want(struct call_link *link, struct call_sender *s)
+{
+	if (s->link != NULL)
+		return;
+	s->link = link;
+	s->node.data = s;
+	g_queue_push_tail_link(&link->turns, &s->node);
+	loop_task_defer(&link->task);
+}
+
+void
+call_link_forget(struct call_sender *s)
+{
+	if (s->link == NULL)
+		return;
+	g_queue_unlink(&s->link->turns, &s->node);
+	s->link = NULL;
+}
+
+void
+call_link_writable(struct call_link *link)
+{
+	if (!g_queue_is_empty(&link->turns))
+		loop_task_defer(&link->task);
+}
--- /dev/null
+++ b/packages/node/src/call_metrics.c
@@ -0,0 +1,128 @@
+/*
+ * Metrics of the call path.
+ */
+#include <glib.h>
+
+#include "call_metrics.h"
+
+#define REFUSALS (REFUSAL_UNREACHABLE + 1)
+#define OUTCOMES (OUTCOME_UNKNOWN + 1)
+#define LABEL_BYTES 48
+
+struct metric metric_calls_in_flight = {.name = "bramley_calls_in_flight",
+    .help = "Calls of callers that are not ended.",
+    .kind = METRIC_GAUGE};
+struct metric metric_requests_in_flight = {.name = "bramley_requests_in_flight",
+    .help = "Requests at the guard that are not ended.",
+    .kind = METRIC_GAUGE};
+struct metric metric_retries = {.name = "bramley_retries_total",
+    .help = "Attempts after the first.",
+    .kind = METRIC_COUNTER};
+struct metric metric_resolves = {.name = "bramley_resolves_total",
+    .help = "Questions to guards about requests whose connection was lost.",
+    .kind = METRIC_COUNTER};
+struct metric metric_silent = {.name = "bramley_silent_connections_total",
+    .help = "Connections to guards that were dropped as silent.",
+    .kind = METRIC_COUNTER};
+struct metric metric_entry_us = {.name = "bramley_entry_seconds",
+    .help = "Time from the call's arrival until it was sent to a guard.",
+    .kind = METRIC_HISTOGRAM};
+struct metric metric_guard_us = {.name = "bramley_guard_seconds",
+    .help = "Time from a request's arrival until the upstream was called.",
+    .kind = METRIC_HISTOGRAM};
+struct metric metric_upstream_us = {.name = "bramley_upstream_seconds",
+    .help = "Time from calling the upstream until its answer's head.",
+    .kind = METRIC_HISTOGRAM};
+struct metric metric_call_sent_bytes = {.name = "bramley_call_sent_bytes",
+    .help = "Bytes written on connections between entries and guards.",
+    .kind = METRIC_COUNTER};
+struct metric metric_call_received_bytes = {
+    .name = "bramley_call_received_bytes",
+    .help = "Bytes read on connections between entries and guards.",
+    .kind = METRIC_COUNTER};
+struct metric metric_callers_connections = {
+    .name = "bramley_caller_connections",
+    .help = "Connections of callers that hold a thread.",
+    .kind = METRIC_GAUGE};
+struct metric metric_callers_shed = {.name = "bramley_caller_shed_total",
+    .help = "Calls turned away because threads for callers ran out.",
+    .kind = METRIC_COUNTER};
+
+static struct metric outcomes[OUTCOMES];
+static struct metric refusals[REFUSALS];
+static char outcome_labels[OUTCOMES][LABEL_BYTES];
+static char refusal_labels[REFUSALS][LABEL_BYTES];
+
+static void
+register_outcomes(void)
+{
+	int i;
+
+	for (i = 0; i < OUTCOMES; i++) {
+		(void)g_snprintf(outcome_labels[i], LABEL_BYTES, "fate=\"%s\"",
+		    outcome_name((enum outcome)i));
+		outcomes[i].name = "bramley_calls_total";
+		outcomes[i].help = "Calls by what the caller was told.";
+		outcomes[i].kind = METRIC_COUNTER;
+		outcomes[i].labels = outcome_labels[i];
+		metric_register(&outcomes[i]);
+	}
+}
+
+static void
+register_refusals(void)
+{
+	int i;
+
+	for (i = 0; i < REFUSALS; i++) {
+		(void)g_snprintf(refusal_labels[i], LABEL_BYTES,
+		    "reason=\"%s\"", refusal_name((enum refusal)i));
+		refusals[i].name = "bramley_refusals_total";
+		refusals[i].help = "Requests refused unrun, by reason.";
+		refusals[i].kind = METRIC_COUNTER;
+		refusals[i].labels = refusal_labels[i];
+		metric_register(&refusals[i]);
+	}
+}
+
+static void
+register_all(void)
+{
+	static struct metric *const all[] = {&metric_calls_in_flight,
+	    &metric_requests_in_flight, &metric_retries, &metric_resolves,
+	    &metric_silent, &metric_entry_us, &metric_guard_us,
+	    &metric_upstream_us, &metric_call_sent_bytes,
+	    &metric_call_received_bytes, &metric_callers_connections,
+	    &metric_callers_shed};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(all); i++)
+		metric_register(all[i]);
+	register_outcomes();
+	register_refusals();
+}
+
+void
+call_metrics_register(void)
+{
+	static gsize once;
+
+	if (g_once_init_enter(&once)) {
+		register_all();
+		g_once_init_leave(&once, 1);
+	}
+}
+
+void
+call_metrics_outcome(enum outcome o)
+{
+	if ((size_t)o < OUTCOMES)
+		metric_add(&outcomes[o], 1);
+}
+
+void
+call_metrics_refusal(enum refusal r)
+{
+	if ((size_t)r < REFUSALS)
+		metric_add(&refusals[r], 1);
+}
--- /dev/null
+++ b/packages/node/src/call_metrics.h
@@ -0,0 +1,32 @@
+/*
+ * Metrics of the call path.
+ */
+#ifndef CALL_METRICS_H
+#define CALL_METRICS_H
+
+#include "base/metrics.h"
+#include "traffic/traffic_defs.h"
+
+extern struct metric metric_calls_in_flight;
+extern struct metric metric_requests_in_flight;
+extern struct metric metric_retries;
+extern struct metric metric_resolves;
+extern struct metric metric_silent;
+extern struct metric metric_entry_us;
+extern struct metric metric_guard_us;
+extern struct metric metric_upstream_us;
+extern struct metric metric_call_sent_bytes;
+extern struct metric metric_call_received_bytes;
+extern struct metric metric_callers_connections;
+extern struct metric metric_callers_shed;
+
+/** call_metrics_register() - register them all, once */
+void call_metrics_register(void);
+
+/** call_metrics_outcome() - a caller was told @o */
+void call_metrics_outcome(enum outcome o);
+
+/** call_metrics_refusal() - a guard or an entry refused for @r */
+void call_metrics_refusal(enum refusal r);
+
+#endif
--- /dev/null
+++ b/packages/node/src/call_silence.c
@@ -0,0 +1,50 @@
+/*
+ * Whether a connection has gone silent.
+ */
+#include "base/clock.h"
+
+#include "call_silence.h"
+
+void
+call_silence_init(
+    struct call_silence *s, uint32_t ping_after_ms, uint32_t lost_after_ms)
+{
+	s->ping_after_ms = ping_after_ms;
+	s->lost_after_ms = lost_after_ms;
+	s->awaiting = false;
+	s->pinged = false;
+	s->due_ms = DEADLINE_NEVER;
+}
+
+void
+call_silence_await(struct call_silence *s, bool awaiting, uint64_t now_ms)
+{
+	if (awaiting == s->awaiting)
+		return;
+	s->awaiting = awaiting;
+	s->pinged = false;
+	s->due_ms = awaiting ? now_ms + s->ping_after_ms : DEADLINE_NEVER;
+}
+
+void
+call_silence_heard(struct call_silence *s, uint64_t now_ms)
+{
+	s->pinged = false;
+	if (s->awaiting)
+		s->due_ms = now_ms + s->ping_after_ms;
+}
+
+enum silence_action
+call_silence_tick(struct call_silence *s, uint64_t now_ms)
+{
+	if (!s->awaiting || now_ms < s->due_ms)
+		return SILENCE_NONE;
+	if (s->pinged && now_ms < s->due_ms + s->lost_after_ms / 2) {
+		s->due_ms = DEADLINE_NEVER;
+		return SILENCE_LOST;
+	}
+	/* Quiet for the first time, or this process was paused itself. */
+	s->pinged = true;
+	s->due_ms = now_ms + s->lost_after_ms;
+	return SILENCE_PING;
+}
--- /dev/null
+++ b/packages/node/src/callers_priv.h
@@ -0,0 +1,102 @@
+/*
+ * Inner structures of the server for callers, shared by its files.
+ */
+#ifndef CALLERS_PRIV_H
+#define CALLERS_PRIV_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#include <civetweb.h>
+
+#include "node/callers.h"
+#include "node/entry.h"
+#include "proto/settings.h"
+
+#include "call_exchange.h"
+
+/**
+ * struct callers - the server for callers
+ * @settings: settings of the node; borrowed
+ * @entry: takes the calls; borrowed
+ * @ctx: CivetWeb's context, NULL while stopped
+ * @port: port that is listened on
+ * @connections: connections that hold a worker
+ * @in_flight: calls whose answer isn't written whole
+ * @draining: each answer closes its connection
+ */
+struct callers {
+	const struct settings *settings;
+	struct entry *entry;
+	struct mg_context *ctx;
+	uint16_t port;
+	_Atomic uint32_t connections;
+	_Atomic uint32_t in_flight;
+	_Atomic bool draining;
+};
+
+/**
+ * struct caller_conn - a connection of a caller, kept by CivetWeb
+ * @callers: the server
+ * @fd: its socket, -1 while not looked up
+ */
+struct caller_conn {
+	struct callers *callers;
+	int fd;
+};
+
+/* callers_call.c */
+
+/** callers_call() - read a call, have it run, write the answer */
+void callers_call(struct callers *c, struct mg_connection *conn);
+
+/* callers_request.c */
+
+/**
+ * callers_request_read() - read the head of a call
+ * @c: the server
+ * @conn: the connection
+ * @r: where it goes
+ *
+ * Return: 0, or the HTTP status with which it is refused.
+ */
+uint32_t callers_request_read(const struct callers *c,
+    struct mg_connection *conn, struct call_request *r);
+
+/* callers_answer.c */
+
+/** struct caller_reply - how an answer is written */
+struct caller_reply {
+	struct mg_connection *conn;
+	bool close;
+	bool chunked;
+	bool head_only;
+};
+
+/**
+ * callers_answer_write() - write the answer of an exchange
+ * @c: the server
+ * @conn: the connection
+ * @x: the exchange, whose head is there
+ * @a: its head
+ * @close: close the connection after it
+ *
+ * Return: false when the caller is gone or the answer was cut; the connection
+ * is broken then.
+ */
+bool callers_answer_write(struct callers *c, struct mg_connection *conn,
+    struct call_exchange *x, const struct call_answer *a, bool close);
+
+/** callers_answer_refuse() - an answer of the server itself; not run */
+void callers_answer_refuse(struct mg_connection *conn, uint32_t status,
+    const char *kind, const char *message);
+
+/* callers_socket.c */
+
+/** callers_socket_gone() - whether the caller has hung up */
+bool callers_socket_gone(struct mg_connection *conn);
+
+/** callers_socket_defer() - have the system wait for a caller's first byte */
+void callers_socket_defer(uint16_t port);
+
+#endif
--- /dev/null
+++ b/packages/node/src/callers_socket.c
@@ -0,0 +1,111 @@
+/*
+ * Sockets behind CivetWeb, which does not tell them: they are looked up among
+ * the process's descriptors by their addresses.
+ *
+ * They are needed to notice a caller who hangs up while its call runs, and to
+ * let the system hand over connections only when a first byte has come.
+ */
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "callers_priv.h"
+
+#define FD_DIRECTORY "/proc/self/fd"
+#define DECIMAL 10
+
+/* The system drops a connection that says nothing for this long. */
+#define DEFER_S 10
+
+typedef bool socket_match_fn(int fd, const void *arg);
+
+static int
+find_socket(socket_match_fn *match, const void *arg)
+{
+	DIR *dir = opendir(FD_DIRECTORY);
+	struct dirent *entry;
+	int found = -1;
+	int fd;
+
+	if (dir == NULL)
+		return -1;
+	while (found < 0 && (entry = readdir(dir)) != NULL) {
+		if (entry->d_name[0] == '.')
+			continue;
+		fd = (int)strtol(entry->d_name, NULL, DECIMAL);
+		if (match(fd, arg))
+			found = fd;
+	}
+	closedir(dir);
+	return found;
+}
+
+static bool
+is_peer(int fd, const void *arg)
+{
+	const struct mg_request_info *info = arg;
+	struct sockaddr_in peer, own;
+	socklen_t peer_len = sizeof(peer), own_len = sizeof(own);
+	char text[INET_ADDRSTRLEN];
+
+	if (getpeername(fd, (struct sockaddr *)&peer, &peer_len) != 0 ||
+	    peer.sin_family != AF_INET ||
+	    ntohs(peer.sin_port) != info->remote_port)
+		return false;
+	if (getsockname(fd, (struct sockaddr *)&own, &own_len) != 0 ||
+	    ntohs(own.sin_port) != info->server_port)
+		return false;
+	(void)inet_ntop(AF_INET, &peer.sin_addr, text, sizeof(text));
+	return g_strcmp0(text, info->remote_addr) == 0;
+}
+
+bool
+callers_socket_gone(struct mg_connection *conn)
+{
+	struct caller_conn *cc = mg_get_user_connection_data(conn);
+	char byte;
+	ssize_t n;
+
+	if (cc == NULL)
+		return false;
+	if (cc->fd < 0)
+		cc->fd = find_socket(is_peer, mg_get_request_info(conn));
+	if (cc->fd < 0)
+		return false;
+	n = recv(cc->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n == 0)
+		return true;
+	return n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+	    errno != EINTR;
+}
+
+static bool
+is_listener(int fd, const void *arg)
+{
+	const uint16_t *port = arg;
+	struct sockaddr_in own;
+	socklen_t own_len = sizeof(own);
+	int listening = 0;
+	socklen_t len = sizeof(listening);
+
+	if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &len) != 0 ||
+	    !listening)
+		return false;
+	return getsockname(fd, (struct sockaddr *)&own, &own_len) == 0 &&
+	    own.sin_family == AF_INET && ntohs(own.sin_port) == *port;
+}
+
+void
+callers_socket_defer(uint16_t port)
+{
+	int fd = find_socket(is_listener, &port);
+	int seconds = DEFER_S;
+
+	if (fd >= 0)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_DEFER_ACCEPT, &seconds,
+		    sizeof(seconds));
+}
--- /dev/null
+++ b/packages/node/src/entry_answer.c
@@ -0,0 +1,123 @@
+/*
+ * What a caller is told: answers of upstreams, and the entry's own words.
+ */
+#define LOG_PART "entry"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "entry_priv.h"
+
+#define STATUS_NOT_RUN 503
+#define STATUS_UNKNOWN_FATE 504
+#define STATUS_TOO_MUCH 413
+
+static const char unknown_message[] =
+    "the request may or may not have run; ask for its effect, or send it "
+    "again with the same Idempotency-Key if it had one.";
+
+static struct call_answer *
+own_answer(enum outcome outcome, uint32_t status, const char *kind,
+    const char *message)
+{
+	struct call_answer *a = call_answer_new(outcome, status);
+
+	a->kind = kind;
+	a->message = g_strdup(message);
+	return a;
+}
+
+void
+entry_answer_refuse(struct call_exchange *x, uint32_t status, const char *kind,
+    const char *message)
+{
+	struct call_answer *a;
+
+	a = own_answer(OUTCOME_NOT_RUN, status, kind, message);
+	if (status == STATUS_NOT_RUN)
+		a->retry_after_ms = 1;
+	call_metrics_outcome(OUTCOME_NOT_RUN);
+	call_exchange_answer(x, a, NULL, EXCHANGE_WHOLE);
+}
+
+static char *
+not_run_message(const struct call_action *action)
+{
+	return g_strdup_printf(
+	    "the request was not run (%s); send it again after the time in "
+	    "Retry-After.",
+	    refusal_name(action->refusal));
+}
+
+void
+entry_answer_give_up(struct entry_call *c, const struct call_action *action)
+{
+	struct call_answer *a;
+
+	if (action->outcome == OUTCOME_NOT_RUN) {
+		a = own_answer(
+		    OUTCOME_NOT_RUN, STATUS_NOT_RUN, "not_run", NULL);
+		a->message = not_run_message(action);
+	} else {
+		a = own_answer(OUTCOME_UNKNOWN, STATUS_UNKNOWN_FATE, "unknown",
+		    unknown_message);
+	}
+	a->retry_after_ms = action->retry_after_ms;
+	a->version = c->snapshot->version;
+	call_exchange_answer(c->exchange, a, NULL, EXCHANGE_WHOLE);
+}
+
+void
+entry_answer_too_large(struct entry_call *c)
+{
+	enum outcome o = OUTCOME_NOT_RUN;
+	struct call_answer *a;
+
+	if (call_attempts(c->decision) > 0)
+		o = OUTCOME_UNKNOWN;
+	call_metrics_outcome(o);
+	a = own_answer(o, STATUS_TOO_MUCH, "too_large",
+	    "the body is larger than the service takes; send less.");
+	call_exchange_answer(c->exchange, a, NULL, EXCHANGE_WHOLE);
+}
+
+void
+entry_answer_break_off(struct entry_call *c)
+{
+	struct call_answer *a;
+
+	if (call_exchange_answered(c->exchange)) {
+		call_exchange_finish(c->exchange, EXCHANGE_CUT);
+		return;
+	}
+	a = own_answer(
+	    OUTCOME_UNKNOWN, STATUS_UNKNOWN_FATE, "unknown", unknown_message);
+	call_exchange_answer(c->exchange, a, NULL, EXCHANGE_WHOLE);
+}
+
+void
+entry_answer_commit(struct entry_attempt *a)
+{
+	struct entry_call *c = a->call;
+
+	a->committed = true;
+	call_committed(
+	    c->decision, a->action.stream, loop_now_ms(c->entry->loop));
+	call_exchange_answer(c->exchange, a->answer, &a->pieces, EXCHANGE_OPEN);
+	a->answer = NULL;
+	entry_call_run(c);
+}
+
+void
+entry_answer_deliver(struct entry_attempt *a)
+{
+	struct entry_call *c = a->call;
+
+	if (a->committed) {
+		call_exchange_finish(c->exchange, EXCHANGE_WHOLE);
+		return;
+	}
+	a->answer->body_bytes = (int64_t)a->answer_bytes;
+	call_exchange_answer(
+	    c->exchange, a->answer, &a->pieces, EXCHANGE_WHOLE);
+	a->answer = NULL;
+}
--- /dev/null
+++ b/packages/node/src/entry_attempt.c
@@ -0,0 +1,255 @@
+/*
+ * One stream of a call: an attempt sent to a guard, or a question about one.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+
+#define LOG_PART "entry"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "entry_priv.h"
+
+static bool send_chunk(struct call_sender *s, struct call_link *link);
+
+static const struct call_sender_ops body_ops = {.send = send_chunk};
+
+struct entry_attempt *
+entry_attempt_new(struct entry_call *c, const struct call_action *action)
+{
+	struct entry_attempt *a = g_new0(struct entry_attempt, 1);
+
+	a->sender.ops = &body_ops;
+	a->call = c;
+	a->kind = action->kind == CALL_RESOLVE ? ATTEMPT_RESOLVE : ATTEMPT_SEND;
+	a->action = *action;
+	request_id_make(&a->id, c->entry->seed, c->sequence, action->attempt);
+	a->answer_length = BODY_LENGTH_UNKNOWN;
+	g_queue_init(&a->pieces);
+	g_ptr_array_add(c->attempts, a);
+	return a;
+}
+
+void
+entry_attempt_free(void *attempt)
+{
+	struct entry_attempt *a = attempt;
+	GBytes *piece;
+
+	entry_peer_remove(a);
+	call_answer_free(a->answer);
+	while ((piece = g_queue_pop_head(&a->pieces)) != NULL)
+		g_bytes_unref(piece);
+	g_free(a);
+}
+
+static void
+fill_open(const struct entry_attempt *a, struct msg_call_open *m)
+{
+	const struct entry_call *c = a->call;
+	const struct call_request *r = c->request;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	uint64_t left_ms;
+
+	memset(m, 0, sizeof(*m));
+	left_ms = clock_left_ms(r->deadline_ms, now_ms);
+	m->stream = a->stream;
+	m->request_id = a->id.bytes;
+	m->request_id_len = REQUEST_ID_BYTES;
+	(void)g_strlcpy(m->service, c->config->name, sizeof(m->service));
+	(void)g_strlcpy(m->method, r->method, sizeof(m->method));
+	m->path = r->path;
+	m->path_len = (uint32_t)strlen(r->path);
+	m->headers = call_headers_rec(&r->headers);
+	m->n_headers = call_headers_count(&r->headers);
+	m->idempotent = c->idempotent;
+	if (r->key != NULL) {
+		m->key = r->key;
+		m->key_len = (uint32_t)strlen(r->key);
+	}
+	m->time_left_ms = (uint32_t)MIN(left_ms, UINT32_MAX);
+	m->sent_ms = now_ms;
+	m->body_bytes = r->body_bytes;
+	m->version = c->snapshot->version;
+	(void)g_strlcpy(m->caller, r->caller, sizeof(m->caller));
+}
+
+/* The decision is told before the first byte can leave. */
+static void
+send_open(struct entry_attempt *a)
+{
+	struct entry_call *c = a->call;
+	struct msg_call_open open;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+
+	fill_open(a, &open);
+	call_sent(c->decision, a->action.stream, a->peer->incarnation, now_ms);
+	a->sent_us = clock_now_us();
+	a->credit_bytes = CALL_FIRST_BYTES;
+	if (a->action.attempt == 1)
+		metric_observe_us(
+		    &metric_entry_us, a->sent_us - c->request->arrived_us);
+	if (call_link_send(&a->peer->link, MSG_CALL_OPEN, &open) != STATUS_OK) {
+		entry_peer_remove(a);
+		entry_attempt_end(a, ENDPOINT_UNREACHABLE);
+		call_lost(c->decision, a->action.stream, now_ms);
+		return;
+	}
+	entry_attempt_body(a);
+}
+
+static void
+send_resolve(struct entry_attempt *a)
+{
+	struct entry_call *c = a->call;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	struct msg_call_resolve m = {.stream = a->stream,
+	    .request_id = a->id.bytes,
+	    .request_id_len = REQUEST_ID_BYTES,
+	    .incarnation = a->action.incarnation,
+	    .age_ms = (uint32_t)(now_ms - a->action.sent_ms),
+	    .sent_ms = now_ms,
+	    .cancel = a->action.cancel};
+
+	a->sent_us = clock_now_us();
+	metric_add(&metric_resolves, 1);
+	if (call_link_send(&a->peer->link, MSG_CALL_RESOLVE, &m) != STATUS_OK) {
+		entry_peer_remove(a);
+		call_unresolved(c->decision, a->action.stream, now_ms);
+	}
+}
+
+void
+entry_attempt_start(struct entry_attempt *a)
+{
+	if (a->kind == ATTEMPT_SEND)
+		send_open(a);
+	else
+		send_resolve(a);
+	entry_call_run(a->call);
+}
+
+void
+entry_attempt_end(struct entry_attempt *a, enum endpoint_result result)
+{
+	struct entry *e = a->call->entry;
+	uint64_t took_us = 0;
+
+	if (!a->counted)
+		return;
+	a->counted = false;
+	if (a->head_us > a->sent_us)
+		took_us = a->head_us - a->sent_us;
+	endpoints_ended(e->endpoints, a->action.endpoint, result, took_us,
+	    loop_now_ms(e->loop));
+}
+
+void
+entry_attempt_lost(struct entry_attempt *a, bool silent)
+{
+	struct entry_call *c = a->call;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+
+	entry_attempt_end(a, silent ? ENDPOINT_SILENT : ENDPOINT_UNREACHABLE);
+	if (a->kind == ATTEMPT_SEND && a->stream == 0)
+		call_unsent(c->decision, a->action.stream, now_ms);
+	else
+		call_lost(c->decision, a->action.stream, now_ms);
+	entry_call_run(c);
+}
+
+/* The request's body */
+
+/* Whether the chunk that ends @piece at @end ends the body. */
+static bool
+is_last(const struct entry_attempt *a, size_t end, size_t piece_bytes)
+{
+	const struct entry_body *b = &a->call->body;
+
+	return end == piece_bytes && b->end == EXCHANGE_WHOLE &&
+	    entry_body_piece(b, a->next_piece + 1) == NULL;
+}
+
+static bool
+has_more(const struct entry_attempt *a)
+{
+	const struct entry_body *b = &a->call->body;
+
+	if (a->fin_sent)
+		return false;
+	if (entry_body_piece(b, a->next_piece) != NULL)
+		return a->credit_bytes > 0;
+	return b->end == EXCHANGE_WHOLE;
+}
+
+static void
+fill_chunk(struct entry_attempt *a, struct msg_call_chunk *m, GBytes *piece)
+{
+	const uint8_t *data;
+	size_t bytes, len;
+
+	data = g_bytes_get_data(piece, &bytes);
+	len = MIN(bytes - a->piece_offset, CALL_CHUNK_BYTES);
+	len = MIN(len, a->credit_bytes);
+	m->data = data + a->piece_offset;
+	m->data_len = (uint32_t)len;
+	m->fin = is_last(a, a->piece_offset + len, bytes);
+	a->credit_bytes -= len;
+	a->piece_offset += len;
+	if (a->piece_offset < bytes)
+		return;
+	a->piece_offset = 0;
+	a->next_piece++;
+}
+
+static bool
+send_chunk(struct call_sender *s, struct call_link *link)
+{
+	struct entry_attempt *a = (struct entry_attempt *)s;
+	struct entry_call *c = a->call;
+	struct msg_call_chunk m = {.stream = a->stream};
+	GBytes *piece;
+
+	entry_body_pull(c, a);
+	if (!has_more(a))
+		return false;
+	piece = entry_body_piece(&c->body, a->next_piece);
+	if (piece != NULL)
+		fill_chunk(a, &m, piece);
+	else
+		m.fin = true;
+	a->fin_sent = m.fin;
+	(void)call_link_send(link, MSG_CALL_CHUNK, &m);
+	entry_body_done(&c->body, a->next_piece);
+	entry_body_pull(c, a);
+	return has_more(a);
+}
+
+void
+entry_attempt_body(struct entry_attempt *a)
+{
+	if (a->kind != ATTEMPT_SEND || a->peer == NULL || a->stream == 0)
+		return;
+	if (a->call->request->body_bytes == 0)
+		return;
+	entry_body_pull(a->call, a);
+	if (has_more(a))
+		call_link_want(&a->peer->link, &a->sender);
+}
+
+/* The answer's body */
+
+void
+entry_attempt_grant(struct entry_attempt *a, uint32_t bytes)
+{
+	struct msg_call_credit m;
+
+	a->ungranted_bytes += bytes;
+	if (a->peer == NULL || a->ungranted_bytes < CALL_GRANT_BYTES)
+		return;
+	m.stream = a->stream;
+	m.bytes = (uint32_t)a->ungranted_bytes;
+	a->ungranted_bytes = 0;
+	(void)call_link_send(&a->peer->link, MSG_CALL_CREDIT, &m);
+}
--- /dev/null
+++ b/packages/node/src/entry_body.c
@@ -0,0 +1,80 @@
+/*
+ * A request's body at the entry: taken from the caller's worker as it can be
+ * sent, and held from the first byte while it is small.
+ */
+#include "entry_priv.h"
+
+/* Bytes of a large body that may wait here beside those in the exchange. */
+#define BODY_AHEAD_BYTES 65536
+
+GBytes *
+entry_body_piece(const struct entry_body *b, uint64_t i)
+{
+	if (i < b->first)
+		return NULL;
+	return g_queue_peek_nth((GQueue *)&b->pieces, (guint)(i - b->first));
+}
+
+void
+entry_body_done(struct entry_body *b, uint64_t i)
+{
+	if (b->held)
+		return;
+	while (b->first < i && !g_queue_is_empty(&b->pieces)) {
+		g_bytes_unref(g_queue_pop_head(&b->pieces));
+		b->first++;
+	}
+}
+
+void
+entry_body_clear(struct entry_body *b)
+{
+	GBytes *piece;
+
+	while ((piece = g_queue_pop_head(&b->pieces)) != NULL)
+		g_bytes_unref(piece);
+}
+
+/* Bytes that are here and not sent in @a. */
+static uint64_t
+ahead(const struct entry_body *b, const struct entry_attempt *a)
+{
+	uint64_t bytes = 0;
+	uint64_t i = a->next_piece;
+	GBytes *piece;
+
+	while ((piece = entry_body_piece(b, i)) != NULL) {
+		bytes += g_bytes_get_size(piece);
+		i++;
+	}
+	return bytes;
+}
+
+static bool
+may_pull(const struct entry_body *b, const struct entry_attempt *a)
+{
+	if (b->held && b->bytes < ENTRY_BODY_KEEP_BYTES)
+		return true;
+	return a != NULL && ahead(b, a) < BODY_AHEAD_BYTES;
+}
+
+void
+entry_body_pull(struct entry_call *c, struct entry_attempt *a)
+{
+	struct entry_body *b = &c->body;
+	GBytes *piece;
+
+	while (may_pull(b, a)) {
+		piece = call_exchange_take(c->exchange);
+		if (piece == NULL) {
+			b->end = b->told;
+			return;
+		}
+		b->bytes += g_bytes_get_size(piece);
+		g_queue_push_tail(&b->pieces, piece);
+		if (b->held && b->bytes > ENTRY_BODY_KEEP_BYTES) {
+			b->held = false;
+			call_body_gone(c->decision);
+		}
+	}
+}
--- /dev/null
+++ b/packages/node/src/entry_call.c
@@ -0,0 +1,397 @@
+/*
+ * The life of a call at the entry: events go to the state machine of package
+ * traffic, and what it wants is carried out.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define LOG_PART "entry"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "entry_priv.h"
+
+/* After the deadline: time for the guard's word whether it had started. */
+#define DEADLINE_GRACE_MS 200
+
+/* How long to try to reach a guard for a resolve. */
+#define RESOLVE_LIMIT_MS 2000
+
+#define HTTP_NOT_FOUND 404
+#define HTTP_BAD_METHOD 405
+#define HTTP_TOO_LARGE 413
+#define HTTP_UNAVAILABLE 503
+
+static struct entry_attempt *
+attempt_of(struct entry_call *c, uint32_t stream)
+{
+	struct entry_attempt *a;
+	guint i;
+
+	for (i = c->attempts->len; i > 0; i--) {
+		a = g_ptr_array_index(c->attempts, i - 1);
+		if (a->action.stream == stream)
+			return a;
+	}
+	return NULL;
+}
+
+/* The attempt that the request's body goes to. */
+static struct entry_attempt *
+current(struct entry_call *c)
+{
+	if (c->attempts->len == 0)
+		return NULL;
+	return g_ptr_array_index(c->attempts, c->attempts->len - 1);
+}
+
+/* Actions */
+
+static void
+place(struct entry_call *c)
+{
+	struct entry *e = c->entry;
+	struct placement_query q = {
+	    .service = c->service->id, .idempotent = c->idempotent};
+	struct placement_choice choice;
+	const struct endpoint *ep;
+	uint64_t now_ms = loop_now_ms(e->loop);
+
+	if (c->request->key != NULL) {
+		q.key = c->request->key;
+		q.key_len = strlen(c->request->key);
+	}
+	q.tried = call_tried(c->decision, &q.n_tried);
+	if (!placement_choose(e->placement, &q, now_ms, &choice)) {
+		log_info("call %" PRIu64 ": no endpoint of %s is usable",
+		    c->sequence, c->config->name);
+		call_unplaced(c->decision, 0, now_ms);
+		return;
+	}
+	ep = entry_service_endpoint(c->service, choice.endpoint);
+	log_debug("call %" PRIu64 ": %s on %s (%s, load %u of %u)", c->sequence,
+	    c->config->name, ep != NULL ? ep->host : "?",
+	    placement_reason_name(choice.reason), choice.load, choice.slots);
+	call_placed(c->decision, choice.endpoint, now_ms);
+}
+
+static void
+send(struct entry_call *c, const struct call_action *action)
+{
+	struct entry *e = c->entry;
+	const struct endpoint *ep;
+	struct entry_attempt *a;
+
+	ep = entry_service_endpoint(c->service, action->endpoint);
+	if (ep == NULL) {
+		call_unsent(c->decision, action->stream, loop_now_ms(e->loop));
+		return;
+	}
+	a = entry_attempt_new(c, action);
+	a->address = ep->address;
+	a->counted = true;
+	endpoints_began(e->endpoints, action->endpoint, loop_now_ms(e->loop));
+	if (action->attempt > 1)
+		metric_add(&metric_retries, 1);
+	entry_peer_add(entry_peer_get(e, a->address), a);
+}
+
+/* The address is that of the attempt, also when the endpoint has left. */
+static void
+resolve(struct entry_call *c, const struct call_action *action)
+{
+	struct entry_attempt *sent = NULL;
+	struct entry_attempt *a;
+	guint i;
+
+	for (i = 0; i < c->attempts->len; i++) {
+		a = g_ptr_array_index(c->attempts, i);
+		if (a->action.attempt == action->attempt)
+			sent = a;
+	}
+	if (sent == NULL)
+		return;
+	log_info("call %" PRIu64 ": resolving attempt %u", c->sequence,
+	    action->attempt);
+	a = entry_attempt_new(c, action);
+	a->address = sent->address;
+	entry_peer_add(entry_peer_get(c->entry, a->address), a);
+}
+
+static void
+cancel(struct entry_call *c, const struct call_action *action)
+{
+	struct entry_attempt *a = attempt_of(c, action->stream);
+	struct msg_call_cancel m;
+
+	if (a == NULL || a->peer == NULL)
+		return;
+	if (a->stream == 0) {
+		entry_peer_remove(a);
+		entry_attempt_end(a, ENDPOINT_CANCELLED);
+		return;
+	}
+	m.stream = a->stream;
+	(void)call_link_send(&a->peer->link, MSG_CALL_CANCEL, &m);
+}
+
+/* Nothing more is expected of any stream. */
+static void
+forget_streams(struct entry_call *c)
+{
+	struct entry_attempt *a;
+	guint i;
+
+	for (i = 0; i < c->attempts->len; i++) {
+		a = g_ptr_array_index(c->attempts, i);
+		entry_peer_remove(a);
+		entry_attempt_end(a, ENDPOINT_CANCELLED);
+	}
+}
+
+static void
+over(struct entry_call *c)
+{
+	if (c->over)
+		return;
+	c->over = true;
+	forget_streams(c);
+	loop_timer_stop(&c->timer);
+	loop_task_defer(&c->free_task);
+	entry_call_ended(c->entry);
+}
+
+static void
+give_up(struct entry_call *c, const struct call_action *action)
+{
+	log_info("call %" PRIu64 ": %s (%s) after %u attempts", c->sequence,
+	    outcome_name(action->outcome), refusal_name(action->refusal),
+	    call_attempts(c->decision));
+	call_metrics_outcome(action->outcome);
+	call_metrics_refusal(action->refusal);
+	entry_answer_give_up(c, action);
+}
+
+static void
+carry_out(struct entry_call *c, const struct call_action *action)
+{
+	struct entry_attempt *a;
+
+	switch (action->kind) {
+	case CALL_PLACE:
+		place(c);
+		return;
+	case CALL_SEND:
+		send(c, action);
+		return;
+	case CALL_RESOLVE:
+		resolve(c, action);
+		return;
+	case CALL_CANCEL:
+		cancel(c, action);
+		return;
+	case CALL_DELIVER:
+		a = attempt_of(c, action->stream);
+		call_metrics_outcome(OUTCOME_DONE);
+		entry_answer_deliver(a);
+		return;
+	case CALL_GIVE_UP:
+		give_up(c, action);
+		return;
+	case CALL_ABORT:
+		log_info("call %" PRIu64 ": answer cut", c->sequence);
+		call_metrics_outcome(OUTCOME_UNKNOWN);
+		call_exchange_finish(c->exchange, EXCHANGE_CUT);
+		return;
+	}
+}
+
+void
+entry_call_run(struct entry_call *c)
+{
+	struct call_action action;
+
+	if (c->acting || c->over)
+		return;
+	c->acting = true;
+	while (call_next(c->decision, &action))
+		carry_out(c, &action);
+	c->acting = false;
+	if (call_over(c->decision))
+		over(c);
+	else
+		loop_timer_set(&c->timer, call_wake_ms(c->decision));
+}
+
+/* Events */
+
+static void
+on_timer(void *arg)
+{
+	struct entry_call *c = arg;
+
+	call_tick(c->decision, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+}
+
+static void
+on_free(void *arg)
+{
+	entry_call_free(arg);
+}
+
+/* The body grew over what the service takes, which nobody knew before. */
+static bool
+outgrown(struct entry_call *c)
+{
+	if (c->body.bytes <= c->config->limits.request_max_bytes)
+		return false;
+	entry_answer_too_large(c);
+	call_caller_gone(c->decision, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+	return true;
+}
+
+void
+entry_call_news(struct entry_call *c)
+{
+	struct entry_attempt *a = current(c);
+	struct exchange_news news;
+
+	call_exchange_look(c->exchange, &news);
+	c->body.told = news.up_end;
+	if (news.gone || news.up_end == EXCHANGE_CUT) {
+		call_caller_gone(c->decision, loop_now_ms(c->entry->loop));
+		entry_call_run(c);
+		return;
+	}
+	entry_body_pull(c, a);
+	if (outgrown(c) || a == NULL)
+		return;
+	entry_attempt_body(a);
+	if (news.consumed_bytes > 0)
+		entry_attempt_grant(a, news.consumed_bytes);
+}
+
+/* Beginning and end */
+
+static void
+configure(const struct entry_call *c, struct call_config *cfg)
+{
+	memset(cfg, 0, sizeof(*cfg));
+	cfg->deadline_ms = c->request->deadline_ms;
+	cfg->deadline_grace_ms = DEADLINE_GRACE_MS;
+	cfg->resolve_limit_ms = RESOLVE_LIMIT_MS;
+	cfg->idempotent = c->idempotent;
+	cfg->keyed = c->request->key != NULL;
+}
+
+static struct entry_call *
+call_make(
+    struct entry *e, struct call_exchange *x, const struct route_match *match)
+{
+	struct entry_call *c = g_new0(struct entry_call, 1);
+	struct call_request *r = call_exchange_request(x);
+	struct call_config cfg;
+	uint64_t now_ms = loop_now_ms(e->loop);
+
+	c->entry = e;
+	c->exchange = x;
+	c->request = r;
+	c->snapshot = snapshot_ref(e->snapshot);
+	c->service = entry_service_get(e, match->service);
+	c->config = match->service->config;
+	c->idempotent = match->route->idempotent;
+	c->sequence = ++e->sequence;
+	c->body.held = true;
+	if (r->deadline_ms == DEADLINE_NEVER)
+		r->deadline_ms = now_ms + c->config->timeout_ms;
+	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
+	g_queue_init(&c->body.pieces);
+	loop_timer_init(&c->timer, e->loop, on_timer, c);
+	loop_task_init(&c->free_task, e->loop, on_free, c);
+	configure(c, &cfg);
+	c->decision =
+	    call_new(&cfg, &c->service->budget, e->seed ^ c->sequence);
+	c->link.data = c;
+	g_queue_push_tail_link(&e->calls, &c->link);
+	call_exchange_bind(x, c);
+	return c;
+}
+
+static bool
+refuse(struct call_exchange *x, uint32_t status, const char *kind,
+    const char *message)
+{
+	entry_answer_refuse(x, status, kind, message);
+	return false;
+}
+
+static bool
+routed(struct entry *e, struct call_exchange *x, struct route_match *match)
+{
+	const struct call_request *r = call_exchange_request(x);
+	enum http_method method;
+
+	if (!drain_takes_call(&e->drain))
+		return refuse(x, HTTP_UNAVAILABLE, "draining",
+		    "this node is stopping; call another one.");
+	if (entry_snapshot(e) == NULL)
+		return refuse(x, HTTP_UNAVAILABLE, "unavailable",
+		    "no configuration is in force here yet; call another "
+		    "node or try again later.");
+	method = method_parse(r->method, strlen(r->method));
+	switch (snapshot_match(
+	    e->snapshot, method, r->path, strlen(r->path), match)) {
+	case ROUTE_NO_PATH:
+		return refuse(x, HTTP_NOT_FOUND, "not_found",
+		    "no route leads there; check the path.");
+	case ROUTE_NO_METHOD:
+		return refuse(x, HTTP_BAD_METHOD, "invalid",
+		    "the route does not take this method; use another.");
+	case ROUTE_FOUND:
+		break;
+	}
+	if (r->body_bytes > 0 &&
+	    (uint64_t)r->body_bytes >
+		match->service->config->limits.request_max_bytes)
+		return refuse(x, HTTP_TOO_LARGE, "too_large",
+		    "the body is larger than the service takes; send less.");
+	return true;
+}
+
+void
+entry_call_begin(struct entry *e, struct call_exchange *x)
+{
+	struct route_match match;
+	struct entry_call *c;
+	struct exchange_news news;
+
+	if (!routed(e, x, &match)) {
+		entry_call_ended(e);
+		call_exchange_unref(x);
+		return;
+	}
+	c = call_make(e, x, &match);
+	call_exchange_look(x, &news);
+	c->body.told = news.up_end;
+	call_start(c->decision, loop_now_ms(e->loop));
+	entry_call_run(c);
+}
+
+void
+entry_call_free(struct entry_call *c)
+{
+	loop_timer_stop(&c->timer);
+	loop_task_cancel(&c->free_task);
+	g_queue_unlink(&c->entry->calls, &c->link);
+	g_ptr_array_free(c->attempts, TRUE);
+	entry_body_clear(&c->body);
+	call_free(c->decision);
+	call_exchange_bind(c->exchange, NULL);
+	call_exchange_unref(c->exchange);
+	snapshot_unref(c->snapshot);
+	g_free(c);
+}
--- /dev/null
+++ b/packages/node/src/entry_frames.c
@@ -0,0 +1,313 @@
+/*
+ * Frames from guards, checked and handed to the streams they belong to.
+ *
+ * A frame of a stream that is not known (any more) is ignored: it belongs to
+ * an attempt that was given up.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define LOG_PART "entry"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "entry_priv.h"
+
+static struct entry_attempt *
+stream(struct entry_peer *p, uint32_t number)
+{
+	return g_hash_table_lookup(p->streams, GUINT_TO_POINTER(number));
+}
+
+static void
+take_load(struct entry_attempt *a, const struct rec_load *load)
+{
+	struct entry *e = a->call->entry;
+	struct load_report r = {.in_flight = load->in_flight,
+	    .queued = load->queued,
+	    .slots = load->slots};
+
+	endpoints_report(
+	    e->endpoints, a->action.endpoint, &r, loop_now_ms(e->loop));
+}
+
+static bool
+take_headers(struct call_answer *answer, const struct msg_call_head *m)
+{
+	const struct rec_header *h;
+	uint32_t i;
+
+	for (i = 0; i < m->n_headers; i++) {
+		h = &m->headers[i];
+		if (!call_headers_add(&answer->headers, h->name, h->name_len,
+			h->value, h->value_len))
+			return false;
+	}
+	return true;
+}
+
+static bool
+head_is_sound(const struct entry_attempt *a, const struct msg_call_head *m)
+{
+	return a->answer == NULL && a->head_us == 0 &&
+	    m->request_id_len == REQUEST_ID_BYTES &&
+	    memcmp(m->request_id, a->id.bytes, REQUEST_ID_BYTES) == 0;
+}
+
+static bool
+on_head(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_head m;
+	struct entry_attempt *a;
+	bool fine = true;
+
+	if (msg_call_head_decode(body, len, &m) != STATUS_OK)
+		return false;
+	a = stream(p, m.stream);
+	if (a != NULL) {
+		fine = head_is_sound(a, &m);
+		if (fine) {
+			take_load(a, &m.load);
+			a->head_us = clock_now_us();
+			a->status = m.status;
+			a->answer = call_answer_new(OUTCOME_DONE, m.status);
+			a->answer->body_bytes = m.body_bytes;
+			a->answer->version = a->call->snapshot->version;
+			a->answer_length = m.body_bytes;
+			fine = take_headers(a->answer, &m);
+		}
+	}
+	msg_call_head_clear(&m);
+	return fine;
+}
+
+static bool
+length_is_right(const struct entry_attempt *a, bool fin)
+{
+	if (a->answer_length < 0)
+		return true;
+	if (fin)
+		return a->answer_bytes == (uint64_t)a->answer_length;
+	return a->answer_bytes <= (uint64_t)a->answer_length;
+}
+
+/* The answer broke off or is not what its head said. */
+static void
+answer_failed(struct entry_attempt *a)
+{
+	struct entry_call *c = a->call;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+
+	entry_peer_remove(a);
+	entry_attempt_end(a, ENDPOINT_FAILED);
+	if (a->committed)
+		call_lost(c->decision, a->action.stream, now_ms);
+	else
+		call_failed(c->decision, a->action.stream, now_ms);
+	entry_call_run(c);
+}
+
+#define SERVER_ERROR 500
+
+static void
+acknowledge(struct entry_attempt *a)
+{
+	struct msg_call_ack ack = {
+	    .request_id = a->id.bytes, .request_id_len = REQUEST_ID_BYTES};
+
+	if (!a->call->idempotent)
+		(void)call_link_send(&a->peer->link, MSG_CALL_ACK, &ack);
+}
+
+static void
+answer_whole(struct entry_attempt *a, uint32_t status)
+{
+	struct entry_call *c = a->call;
+
+	acknowledge(a);
+	entry_peer_remove(a);
+	a->whole = true;
+	entry_attempt_end(
+	    a, status >= SERVER_ERROR ? ENDPOINT_FAILED : ENDPOINT_OK);
+	call_answered(
+	    c->decision, a->action.stream, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+}
+
+static void
+take_piece(struct entry_attempt *a, const struct msg_call_chunk *m)
+{
+	GBytes *piece;
+
+	a->answer_bytes += m->data_len;
+	if (m->data_len == 0)
+		return;
+	piece = g_bytes_new(m->data, m->data_len);
+	if (a->committed)
+		call_exchange_give(a->call->exchange, piece);
+	else
+		g_queue_push_tail(&a->pieces, piece);
+}
+
+static bool
+on_chunk(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_chunk m;
+	struct entry_attempt *a;
+
+	if (msg_call_chunk_decode(body, len, &m) != STATUS_OK)
+		return false;
+	a = stream(p, m.stream);
+	if (a == NULL)
+		return true;
+	if (a->head_us == 0)
+		return false;
+	take_piece(a, &m);
+	if (!length_is_right(a, m.fin)) {
+		answer_failed(a);
+		return true;
+	}
+	if (m.fin)
+		answer_whole(a, a->status);
+	else if (!a->committed && a->answer_bytes > ENTRY_ANSWER_HOLD_BYTES)
+		entry_answer_commit(a);
+	return true;
+}
+
+static bool
+on_credit(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_credit m;
+	struct entry_attempt *a;
+
+	if (msg_call_credit_decode(body, len, &m) != STATUS_OK)
+		return false;
+	a = stream(p, m.stream);
+	if (a == NULL)
+		return true;
+	a->credit_bytes += m.bytes;
+	entry_attempt_body(a);
+	return true;
+}
+
+static enum endpoint_result
+result_of(enum refusal r)
+{
+	switch (r) {
+	case REFUSAL_DRAINING:
+	case REFUSAL_STOPPING:
+		return ENDPOINT_DRAINS;
+	case REFUSAL_CANCELLED:
+	case REFUSAL_RESOLVED:
+	case REFUSAL_EXPIRED:
+		return ENDPOINT_CANCELLED;
+	default:
+		return ENDPOINT_REFUSED;
+	}
+}
+
+static bool
+on_refused(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_refused m;
+	struct entry_attempt *a;
+	struct entry_call *c;
+
+	if (msg_call_refused_decode(body, len, &m) != STATUS_OK ||
+	    m.refusal > REFUSAL_UNREACHABLE)
+		return false;
+	a = stream(p, m.stream);
+	if (a == NULL)
+		return true;
+	c = a->call;
+	take_load(a, &m.load);
+	entry_peer_remove(a);
+	entry_attempt_end(a, result_of((enum refusal)m.refusal));
+	log_debug("call %" PRIu64 ": refused by guard (%s)", c->sequence,
+	    refusal_name((enum refusal)m.refusal));
+	call_refused(c->decision, a->action.stream, (enum refusal)m.refusal,
+	    m.retry_after_ms, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+	return true;
+}
+
+static bool
+on_failed(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_failed m;
+	struct entry_attempt *a;
+
+	if (msg_call_failed_decode(body, len, &m) != STATUS_OK)
+		return false;
+	a = stream(p, m.stream);
+	if (a == NULL)
+		return true;
+	take_load(a, &m.load);
+	answer_failed(a);
+	return true;
+}
+
+static bool
+on_resolved(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_resolved m;
+	struct entry_attempt *a;
+	struct entry_call *c;
+	enum resolution r;
+
+	if (msg_call_resolved_decode(body, len, &m) != STATUS_OK ||
+	    m.resolution > RESOLUTION_UNKNOWN)
+		return false;
+	a = stream(p, m.stream);
+	if (a == NULL || a->kind != ATTEMPT_RESOLVE)
+		return a == NULL;
+	c = a->call;
+	r = (enum resolution)m.resolution;
+	log_info("call %" PRIu64 ": fate resolved as %s", c->sequence,
+	    resolution_name(r));
+	if (r != RESOLUTION_ATTACHED && r != RESOLUTION_ANSWER)
+		entry_peer_remove(a);
+	call_resolved(
+	    c->decision, a->action.stream, r, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+	return true;
+}
+
+static bool
+on_ping(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_ping m;
+	struct msg_call_pong pong;
+
+	if (msg_call_ping_decode(body, len, &m) != STATUS_OK)
+		return false;
+	pong.echo = m.sent_ms;
+	pong.sent_ms = loop_now_ms(p->entry->loop);
+	(void)call_link_send(&p->link, MSG_CALL_PONG, &pong);
+	return true;
+}
+
+bool
+entry_frame(struct entry_peer *p, uint8_t type, const uint8_t *body, size_t len)
+{
+	switch (type) {
+	case MSG_CALL_HEAD:
+		return on_head(p, body, len);
+	case MSG_CALL_CHUNK:
+		return on_chunk(p, body, len);
+	case MSG_CALL_CREDIT:
+		return on_credit(p, body, len);
+	case MSG_CALL_REFUSED:
+		return on_refused(p, body, len);
+	case MSG_CALL_FAILED:
+		return on_failed(p, body, len);
+	case MSG_CALL_RESOLVED:
+		return on_resolved(p, body, len);
+	case MSG_CALL_PING:
+		return on_ping(p, body, len);
+	default:
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/node/src/entry_priv.h
@@ -0,0 +1,359 @@
+/*
+ * Inner structures of the entry, shared by its files.  All of it belongs to
+ * the entry's thread but for what is marked atomic.
+ */
+#ifndef ENTRY_PRIV_H
+#define ENTRY_PRIV_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include <glib.h>
+
+#include "config/snapshot.h"
+#include "net/conn.h"
+#include "net/loop.h"
+#include "node/entry.h"
+#include "proto/settings.h"
+#include "traffic/call.h"
+#include "traffic/drain.h"
+#include "traffic/ejection.h"
+#include "traffic/endpoints.h"
+#include "traffic/placement.h"
+
+#include "call_exchange.h"
+#include "call_link.h"
+#include "call_silence.h"
+
+/* A request's body up to this size is kept for another attempt. */
+#define ENTRY_BODY_KEEP_BYTES 65536
+
+/* An answer up to this size is given to the caller when it is whole. */
+#define ENTRY_ANSWER_HOLD_BYTES 65536
+
+/**
+ * struct entry - the entry of a node
+ * @settings: settings of the node; borrowed
+ * @incarnation: number of this process
+ * @loop: its event loop
+ * @thread: the thread that runs it
+ * @running: the thread was started
+ * @endpoints: what is known of all endpoints
+ * @ejection: which of them are left out
+ * @placement: chooses among them
+ * @snapshot: snapshot last seen, a reference
+ * @generation: counts the snapshots seen
+ * @services: service id to struct entry_service
+ * @peers: address key to struct entry_peer
+ * @calls: struct entry_call that are not freed
+ * @drain: the stop of this entry
+ * @drain_timer: when the drain has to be looked at
+ * @sequence: number of the last call
+ * @seed: random number of this process, part of request ids
+ * @in_flight: number of calls, atomic for entry_in_flight()
+ */
+struct entry {
+	const struct settings *settings;
+	uint64_t incarnation;
+	struct loop *loop;
+	pthread_t thread;
+	bool running;
+	struct endpoints *endpoints;
+	struct ejection *ejection;
+	struct placement *placement;
+	struct snapshot *snapshot;
+	uint64_t generation;
+	GHashTable *services;
+	GHashTable *peers;
+	GQueue calls;
+	struct drain drain;
+	struct loop_timer drain_timer;
+	uint64_t sequence;
+	uint64_t seed;
+	_Atomic uint32_t in_flight;
+};
+
+/**
+ * struct entry_service - what the entry keeps on a service
+ * @id: see service_id()
+ * @budget: its retry budget
+ * @list: endpoints last told to the decisions, a reference, or NULL
+ * @addresses: endpoint id to index in @list plus one
+ */
+struct entry_service {
+	uint64_t id;
+	struct retry_budget budget;
+	struct endpoint_list *list;
+	GHashTable *addresses;
+};
+
+/** enum peer_state - where a connection to a guard stands */
+enum peer_state {
+	PEER_NONE = 0,
+	PEER_DIALLING,
+	PEER_READY,
+};
+
+/**
+ * struct entry_peer - a guard and the connection to it
+ * @entry: the entry
+ * @address: where the guard listens
+ * @state: where the connection stands
+ * @link: the connection, unless @state is PEER_NONE
+ * @incarnation: number of the guard's process, from its hello
+ * @streams: stream number to struct entry_attempt
+ * @waiting: struct entry_attempt that wait for the connection
+ * @last_stream: number of the last stream
+ * @silence: whether the connection has gone silent
+ * @timer: pings, time limit of dialling, closing when idle
+ * @used_ms: when a stream was last open
+ */
+struct entry_peer {
+	struct entry *entry;
+	struct net_addr address;
+	enum peer_state state;
+	struct call_link link;
+	uint64_t incarnation;
+	GHashTable *streams;
+	GQueue waiting;
+	uint32_t last_stream;
+	struct call_silence silence;
+	struct loop_timer timer;
+	uint64_t used_ms;
+};
+
+/** enum attempt_kind - what a stream is for */
+enum attempt_kind {
+	ATTEMPT_SEND = 0,
+	ATTEMPT_RESOLVE,
+};
+
+/**
+ * struct entry_attempt - one stream of a call
+ * @sender: its turns for the request's body
+ * @call: the call
+ * @kind: what it is for
+ * @action: the decision that led to it
+ * @id: name of the attempt
+ * @address: where the guard listens
+ * @peer: the guard; NULL when the stream is over
+ * @stream: number of the stream on the connection, 0 while not sent
+ * @counted: endpoints_began() was told and endpoints_ended() not yet
+ * @sent_us: when it was sent
+ * @head_us: when the head of the answer came, 0 before
+ * @next_piece: number of the body's piece to be sent next
+ * @piece_offset: bytes of it that were sent
+ * @fin_sent: the end of the body was sent
+ * @credit_bytes: bytes of the body that may be sent
+ * @status: HTTP status of the answer
+ * @answer: head of the answer, until it is given to the exchange
+ * @pieces: GBytes of the answer that are not given yet
+ * @answer_bytes: bytes of the answer that came
+ * @answer_length: length of the answer or BODY_LENGTH_UNKNOWN
+ * @committed: the beginning of the answer was given to the caller
+ * @whole: the whole answer came
+ * @ungranted_bytes: consumed by the caller and not granted to the guard yet
+ */
+struct entry_attempt {
+	struct call_sender sender;
+	struct entry_call *call;
+	enum attempt_kind kind;
+	struct call_action action;
+	struct request_id id;
+	struct net_addr address;
+	struct entry_peer *peer;
+	uint32_t stream;
+	bool counted;
+	uint64_t sent_us;
+	uint64_t head_us;
+	uint64_t next_piece;
+	size_t piece_offset;
+	bool fin_sent;
+	uint64_t credit_bytes;
+	uint32_t status;
+	struct call_answer *answer;
+	GQueue pieces;
+	uint64_t answer_bytes;
+	int64_t answer_length;
+	bool committed;
+	bool whole;
+	uint64_t ungranted_bytes;
+};
+
+/**
+ * struct entry_body - a request's body at the entry
+ * @pieces: GBytes that are held
+ * @first: number of the first piece that is held
+ * @bytes: bytes that came so far
+ * @told: how it ended by the worker's word, behind what waits there
+ * @end: how it ended, behind what is here
+ * @held: all of it from the first byte is held
+ */
+struct entry_body {
+	GQueue pieces;
+	uint64_t first;
+	uint64_t bytes;
+	enum exchange_end told;
+	enum exchange_end end;
+	bool held;
+};
+
+/**
+ * struct entry_call - a call
+ * @entry: the entry
+ * @link: its place in the entry's list
+ * @exchange: what is shared with the caller's worker, a reference
+ * @request: the request in it
+ * @snapshot: snapshot that placed it, a reference
+ * @service: the service
+ * @config: its configuration in @snapshot
+ * @idempotent: running it twice does no harm
+ * @decision: the state machine
+ * @sequence: number of the call
+ * @body: the request's body
+ * @attempts: struct entry_attempt, owned
+ * @timer: wakes the state machine
+ * @free_task: frees the call at the end of the turn
+ * @acting: actions are being carried out
+ * @over: the exchange has its final word
+ */
+struct entry_call {
+	struct entry *entry;
+	GList link;
+	struct call_exchange *exchange;
+	const struct call_request *request;
+	struct snapshot *snapshot;
+	struct entry_service *service;
+	const struct service_config *config;
+	bool idempotent;
+	struct call *decision;
+	uint64_t sequence;
+	struct entry_body body;
+	GPtrArray *attempts;
+	struct loop_timer timer;
+	struct loop_task free_task;
+	bool acting;
+	bool over;
+};
+
+/* entry_service.c */
+
+/** entry_snapshot() - the snapshot in force, borrowed until the next call */
+struct snapshot *entry_snapshot(struct entry *e);
+
+/** entry_service_get() - a service, with its endpoints told to @e's decisions
+ */
+struct entry_service *
+entry_service_get(struct entry *e, const struct snapshot_service *ss);
+
+/** entry_service_endpoint() - an endpoint of a service, or NULL */
+const struct endpoint *
+entry_service_endpoint(const struct entry_service *s, uint64_t id);
+
+/** entry_service_free() - free it; for GHashTable */
+void entry_service_free(void *service);
+
+/* entry_peer.c */
+
+/** entry_peer_get() - the guard at an address, made if needed */
+struct entry_peer *entry_peer_get(struct entry *e, struct net_addr address);
+
+/** entry_peer_add() - send @a as soon as the connection is ready */
+void entry_peer_add(struct entry_peer *p, struct entry_attempt *a);
+
+/** entry_peer_remove() - @a is over; frames for it are ignored from now on */
+void entry_peer_remove(struct entry_attempt *a);
+
+/** entry_peer_free() - close the connection; for GHashTable */
+void entry_peer_free(void *peer);
+
+/* entry_frames.c */
+
+/**
+ * entry_frame() - a frame came from a guard
+ *
+ * Return: false when the connection is to be closed for it.
+ */
+bool entry_frame(
+    struct entry_peer *p, uint8_t type, const uint8_t *body, size_t len);
+
+/* entry_attempt.c */
+
+/** entry_attempt_new() - a stream for a SEND or RESOLVE of @c */
+struct entry_attempt *
+entry_attempt_new(struct entry_call *c, const struct call_action *action);
+
+/** entry_attempt_free() - free it; for GPtrArray */
+void entry_attempt_free(void *attempt);
+
+/** entry_attempt_start() - the connection is ready: send its first frame */
+void entry_attempt_start(struct entry_attempt *a);
+
+/** entry_attempt_lost() - its connection was lost or could not be made */
+void entry_attempt_lost(struct entry_attempt *a, bool silent);
+
+/** entry_attempt_end() - it is over: tell the endpoint's record how */
+void entry_attempt_end(struct entry_attempt *a, enum endpoint_result result);
+
+/** entry_attempt_body() - there may be more of the body to send */
+void entry_attempt_body(struct entry_attempt *a);
+
+/** entry_attempt_grant() - the caller consumed @bytes of the answer */
+void entry_attempt_grant(struct entry_attempt *a, uint32_t bytes);
+
+/* entry_body.c */
+
+/** entry_body_pull() - take from the exchange what fits */
+void entry_body_pull(struct entry_call *c, struct entry_attempt *a);
+
+/** entry_body_piece() - piece number @i, or NULL when it isn't there (yet) */
+GBytes *entry_body_piece(const struct entry_body *b, uint64_t i);
+
+/** entry_body_done() - pieces before number @i are not needed any more */
+void entry_body_done(struct entry_body *b, uint64_t i);
+
+/** entry_body_clear() - free what it holds */
+void entry_body_clear(struct entry_body *b);
+
+/* entry_call.c */
+
+/** entry_call_begin() - a call came in; takes over the reference to @x */
+void entry_call_begin(struct entry *e, struct call_exchange *x);
+
+/** entry_call_news() - something happened at the worker's side */
+void entry_call_news(struct entry_call *c);
+
+/** entry_call_run() - carry out what the decision wants, after an event */
+void entry_call_run(struct entry_call *c);
+
+/** entry_call_free() - free it */
+void entry_call_free(struct entry_call *c);
+
+/* entry_answer.c */
+
+/** entry_answer_refuse() - the entry itself answers: the call was not run */
+void entry_answer_refuse(struct call_exchange *x, uint32_t status,
+    const char *kind, const char *message);
+
+/** entry_answer_give_up() - final word of a call that has no answer */
+void
+entry_answer_give_up(struct entry_call *c, const struct call_action *action);
+
+/** entry_answer_too_large() - the body outgrew what the service takes */
+void entry_answer_too_large(struct entry_call *c);
+
+/** entry_answer_break_off() - the entry stops before the call has ended */
+void entry_answer_break_off(struct entry_call *c);
+
+/** entry_answer_commit() - give the beginning of an answer */
+void entry_answer_commit(struct entry_attempt *a);
+
+/** entry_answer_deliver() - give the rest of an answer */
+void entry_answer_deliver(struct entry_attempt *a);
+
+/* entry.c */
+
+/** entry_call_ended() - a call has its final word */
+void entry_call_ended(struct entry *e);
+
+#endif
--- /dev/null
+++ b/packages/node/src/entry_service.c
@@ -0,0 +1,135 @@
+/*
+ * Services as the entry sees them: endpoints of the snapshot in force are
+ * told to the placement decisions when a call for the service comes.
+ */
+#include "base/clock.h"
+#include "node/snapshot_ref.h"
+
+#include "entry_priv.h"
+
+struct snapshot *
+entry_snapshot(struct entry *e)
+{
+	struct snapshot *s = snapshot_ref_get();
+
+	if (s == e->snapshot) {
+		snapshot_unref(s);
+		return e->snapshot;
+	}
+	snapshot_unref(e->snapshot);
+	e->snapshot = s;
+	e->generation++;
+	return s;
+}
+
+static enum endpoint_state
+state_of(enum serving_state s)
+{
+	switch (s) {
+	case SERVING_STARTING:
+		return ENDPOINT_STARTING;
+	case SERVING_READY:
+		return ENDPOINT_READY;
+	case SERVING_DRAINING:
+		return ENDPOINT_DRAINING;
+	}
+	return ENDPOINT_LEFT;
+}
+
+static void
+info_of(const struct entry *e, const struct endpoint *ep,
+    struct endpoint_info *info)
+{
+	info->id = endpoint_id(ep->host, ep->service);
+	info->incarnation = ep->incarnation;
+	info->slots = ep->slots;
+	info->state = state_of(ep->state);
+	info->local = g_strcmp0(ep->data_centre, e->settings->data_centre) == 0;
+}
+
+static void
+tell(struct entry *e, struct entry_service *s)
+{
+	uint32_t n = s->list != NULL ? s->list->n_endpoints : 0;
+	struct endpoint_info *infos = g_new0(struct endpoint_info, n);
+	uint64_t *id;
+	uint32_t i;
+
+	g_hash_table_remove_all(s->addresses);
+	for (i = 0; i < n; i++) {
+		info_of(e, &s->list->endpoints[i], &infos[i]);
+		id = g_new(uint64_t, 1);
+		*id = infos[i].id;
+		g_hash_table_insert(s->addresses, id, GUINT_TO_POINTER(i + 1));
+	}
+	endpoints_set_service(
+	    e->endpoints, s->id, e->generation, infos, n, loop_now_ms(e->loop));
+	g_free(infos);
+}
+
+static void
+budget_config(const struct service_config *sc, struct retry_config *cfg)
+{
+	retry_config_default(cfg);
+	cfg->attempts = sc->retry.attempts;
+	cfg->budget_percent = sc->retry.budget_percent;
+}
+
+static struct entry_service *
+service_new(struct entry *e, const struct service_config *sc)
+{
+	struct entry_service *s = g_new0(struct entry_service, 1);
+	struct retry_config cfg;
+
+	s->id = service_id(sc->name);
+	s->addresses =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	budget_config(sc, &cfg);
+	retry_budget_init(&s->budget, &cfg, loop_now_ms(e->loop));
+	g_hash_table_insert(e->services, &s->id, s);
+	return s;
+}
+
+static void
+set_list(struct entry_service *s, struct endpoint_list *list)
+{
+	endpoint_list_unref(s->list);
+	s->list = list != NULL ? endpoint_list_ref(list) : NULL;
+}
+
+struct entry_service *
+entry_service_get(struct entry *e, const struct snapshot_service *ss)
+{
+	uint64_t id = service_id(ss->config->name);
+	struct entry_service *s = g_hash_table_lookup(e->services, &id);
+	struct retry_config cfg;
+	bool fresh = s == NULL;
+
+	if (fresh)
+		s = service_new(e, ss->config);
+	if (fresh || s->list != ss->endpoints) {
+		set_list(s, ss->endpoints);
+		tell(e, s);
+	}
+	budget_config(ss->config, &cfg);
+	retry_budget_configure(&s->budget, &cfg);
+	return s;
+}
+
+const struct endpoint *
+entry_service_endpoint(const struct entry_service *s, uint64_t id)
+{
+	guint i = GPOINTER_TO_UINT(g_hash_table_lookup(s->addresses, &id));
+
+	return i != 0 ? &s->list->endpoints[i - 1] : NULL;
+}
+
+void
+entry_service_free(void *service)
+{
+	struct entry_service *s = service;
+
+	endpoint_list_unref(s->list);
+	g_hash_table_destroy(s->addresses);
+	g_free(s);
+}
--- /dev/null
+++ b/packages/node/src/guard.c
@@ -0,0 +1,252 @@
+/*
+ * The guard's thread, its start, drain and stop.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#define LOG_PART "guard"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "guard_priv.h"
+
+#define ID_SEED 5
+#define TICK_MS 20
+#define FATES_MAX 262144
+#define CALLERS_MAX 4096
+#define ANSWERS_SHARE 8
+#define ANSWER_KEEP_MAX_BYTES (1024U * 1024U + 65536U)
+
+/* A connection that is silent this long is closed; entries ping. */
+#define CONN_IDLE_MS 120000
+
+static guint
+id_hash(gconstpointer key)
+{
+	return (guint)hash64(key, REQUEST_ID_BYTES, ID_SEED);
+}
+
+static gboolean
+id_equal(gconstpointer a, gconstpointer b)
+{
+	return request_id_equal(a, b);
+}
+
+/* Bytes of answers that still wait to be written. */
+static uint32_t
+unsent(const struct guard *g)
+{
+	const struct guard_conn *gc;
+	GHashTableIter it;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, g->conns);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&gc)) {
+		if (conn_output_bytes(gc->link.conn) > 0 ||
+		    g_hash_table_size(gc->streams) > 0)
+			n++;
+	}
+	return n;
+}
+
+static void
+tick(void *arg)
+{
+	struct guard *g = arg;
+	uint64_t now_ms = loop_now_ms(g->loop);
+
+	fate_expire(g->fates, now_ms);
+	drain_tick(&g->drain, now_ms);
+	atomic_store(&g->unsent, unsent(g));
+	loop_timer_set(&g->tick, now_ms + TICK_MS);
+}
+
+static struct fate_table *
+fates_new(const struct guard *g)
+{
+	struct fate_config cfg = {.incarnation = g->incarnation,
+	    .window_ms = g->settings->fate_window_ms,
+	    .records_max = FATES_MAX,
+	    .answers_max_bytes = g->settings->fate_answers_bytes,
+	    .answer_max_bytes = ANSWER_KEEP_MAX_BYTES};
+
+	if (cfg.answer_max_bytes > cfg.answers_max_bytes / ANSWERS_SHARE)
+		cfg.answer_max_bytes = cfg.answers_max_bytes / ANSWERS_SHARE;
+	return fate_table_new(&cfg);
+}
+
+struct guard *
+guard_new(const struct settings *s, uint64_t incarnation)
+{
+	struct loop *loop = loop_new();
+	struct guard *g;
+
+	if (loop == NULL)
+		return NULL;
+	call_metrics_register();
+	g = g_new0(struct guard, 1);
+	g->settings = s;
+	g->incarnation = incarnation;
+	g->loop = loop;
+	g->http = http_client_new(loop, NULL);
+	g->fates = fates_new(g);
+	g->callers = rate_limit_new(CALLERS_MAX);
+	g->upstreams = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, guard_upstream_free);
+	g->conns = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, guard_conn_free);
+	g->requests =
+	    g_hash_table_new_full(id_hash, id_equal, NULL, guard_request_free);
+	g->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	drain_init(&g->drain);
+	loop_timer_init(&g->tick, loop, tick, g);
+	return g;
+}
+
+static void *
+thread_main(void *arg)
+{
+	struct guard *g = arg;
+
+	(void)pthread_setname_np(pthread_self(), "guard");
+	loop_run(g->loop);
+	return NULL;
+}
+
+static enum status
+listen_for_entries(struct guard *g)
+{
+	struct net_addr at = {
+	    .ip = g->settings->address, .port = g->settings->call_port};
+	struct listener_options options;
+
+	memset(&options, 0, sizeof(options));
+	call_link_options(&options.conn);
+	options.conn.idle_ms = CONN_IDLE_MS;
+	options.conn.sent_bytes = &metric_call_sent_bytes;
+	options.conn.received_bytes = &metric_call_received_bytes;
+	options.handler = &guard_conn_handler;
+	options.on_accept = guard_conn_accept;
+	options.arg = g;
+	return listener_new(g->loop, at, &options, &g->listener);
+}
+
+enum status
+guard_start(struct guard *g)
+{
+	enum status st = listen_for_entries(g);
+
+	if (st != STATUS_OK)
+		return st;
+	loop_timer_set(&g->tick, clock_now_ms() + TICK_MS);
+	if (pthread_create(&g->thread, NULL, thread_main, g) != 0)
+		return status_set(STATUS_IO,
+		    "can't start the guard's thread; raise the limit on "
+		    "threads.");
+	g->running = true;
+	return STATUS_OK;
+}
+
+struct net_addr
+guard_addr(const struct guard *g)
+{
+	return listener_addr(g->listener);
+}
+
+/* What another thread wants done in the guard's thread. */
+struct guard_order {
+	struct guard *guard;
+	uint64_t deadline_ms;
+	uint32_t n_endpoints;
+	struct guard_endpoint endpoints[];
+};
+
+static struct guard_order *
+order_new(struct guard *g, uint32_t n)
+{
+	struct guard_order *o;
+
+	o = g_malloc0(sizeof(*o) + n * sizeof(o->endpoints[0]));
+	o->guard = g;
+	o->n_endpoints = n;
+	return o;
+}
+
+static void
+do_set(void *arg)
+{
+	struct guard_order *o = arg;
+
+	guard_upstream_set(o->guard, o->endpoints, o->n_endpoints);
+	g_free(o);
+}
+
+void
+guard_set_endpoints(struct guard *g, const struct guard_endpoint *endpoints,
+    uint32_t n_endpoints)
+{
+	struct guard_order *o = order_new(g, n_endpoints);
+
+	if (n_endpoints > 0)
+		memcpy(o->endpoints, endpoints,
+		    n_endpoints * sizeof(endpoints[0]));
+	loop_post(g->loop, do_set, o);
+}
+
+static void
+do_drain(void *arg)
+{
+	struct guard_order *o = arg;
+	struct guard *g = o->guard;
+	uint64_t now_ms = loop_now_ms(g->loop);
+
+	drain_begin(
+	    &g->drain, 0, clock_left_ms(o->deadline_ms, now_ms), now_ms);
+	guard_upstream_drain_all(g);
+	log_info("draining, %u requests in flight", guard_in_flight(g));
+	g_free(o);
+}
+
+void
+guard_drain(struct guard *g, uint64_t deadline_ms)
+{
+	struct guard_order *o = order_new(g, 0);
+
+	o->deadline_ms = deadline_ms;
+	loop_post(g->loop, do_drain, o);
+}
+
+uint32_t
+guard_in_flight(const struct guard *g)
+{
+	return atomic_load(&g->in_flight) + atomic_load(&g->unsent);
+}
+
+void
+guard_stop(struct guard *g)
+{
+	if (!g->running)
+		return;
+	loop_stop(g->loop);
+	pthread_join(g->thread, NULL);
+	g->running = false;
+}
+
+void
+guard_free(struct guard *g)
+{
+	if (g == NULL)
+		return;
+	listener_free(g->listener);
+	g_hash_table_destroy(g->conns);
+	g_hash_table_destroy(g->requests);
+	g_hash_table_destroy(g->tickets);
+	g_hash_table_destroy(g->upstreams);
+	http_client_free(g->http);
+	fate_table_free(g->fates);
+	rate_limit_free(g->callers);
+	loop_free(g->loop);
+	g_free(g);
+}
--- /dev/null
+++ b/packages/node/src/guard_http.c
@@ -0,0 +1,281 @@
+/*
+ * The guard calls an upstream: the request with its body, the answer, and
+ * what the way it ended says about the request's fate.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define LOG_PART "guard"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "guard_priv.h"
+
+#define HTTP_UNAVAILABLE 503
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
+#define NUMBER_BYTES 24
+#define ID_HEX_BYTES (2 * REQUEST_ID_BYTES + 1)
+#define MS_PER_S 1000
+#define DECIMAL 10
+
+/* Headers that the guard adds to those of the caller. */
+#define OWN_HEADERS 2
+
+static const char not_run[] = "not_run";
+
+static const char *
+find(const struct http_header *headers, uint32_t n, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (g_ascii_strcasecmp(headers[i].name, name) == 0)
+			return headers[i].value;
+	return NULL;
+}
+
+static bool
+is_shed(int code, const struct http_header *headers, uint32_t n)
+{
+	const char *fate = find(headers, n, HEADER_FATE);
+
+	return code == HTTP_UNAVAILABLE && fate != NULL &&
+	    g_ascii_strcasecmp(fate, not_run) == 0;
+}
+
+static void
+take_shed(
+    struct guard_request *r, const struct http_header *headers, uint32_t n)
+{
+	const char *after = find(headers, n, HEADER_RETRY_AFTER);
+
+	r->shed = true;
+	if (after != NULL)
+		r->shed_retry_ms = strtoul(after, NULL, DECIMAL) * MS_PER_S;
+}
+
+static bool
+has_no_body(const struct guard_request *r, int code)
+{
+	return strcmp(r->method, "HEAD") == 0 || code == HTTP_NO_CONTENT ||
+	    code == HTTP_NOT_MODIFIED;
+}
+
+static int64_t
+length_of(const struct guard_request *r, int code,
+    const struct http_header *headers, uint32_t n)
+{
+	const char *length = find(headers, n, "Content-Length");
+
+	if (has_no_body(r, code))
+		return 0;
+	if (length == NULL || find(headers, n, "Transfer-Encoding") != NULL)
+		return -1;
+	return strtoll(length, NULL, DECIMAL);
+}
+
+static void
+take_headers(
+    struct guard_answer *a, const struct http_header *headers, uint32_t n)
+{
+	const char *connection = find(headers, n, "Connection");
+	const struct http_header *h;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		h = &headers[i];
+		if (!call_header_passes(h->name, connection))
+			continue;
+		(void)call_headers_add(&a->headers, h->name,
+		    (uint32_t)strlen(h->name), h->value,
+		    (uint32_t)strlen(h->value));
+	}
+}
+
+static enum http_flow
+on_head(struct http_call *call, int code, const struct http_header *headers,
+    uint32_t n, void *arg)
+{
+	struct guard_request *r = arg;
+	struct guard_answer *a = r->answer;
+
+	(void)call;
+	if (is_shed(code, headers, n)) {
+		take_shed(r, headers, n);
+		return HTTP_CONTINUE;
+	}
+	a->has_head = true;
+	a->status = (uint32_t)code;
+	a->length = length_of(r, code, headers, n);
+	a->guard_us = r->started_us - r->opened_us;
+	a->upstream_us = clock_now_us() - r->started_us;
+	metric_observe_us(&metric_upstream_us, a->upstream_us);
+	take_headers(a, headers, n);
+	return HTTP_CONTINUE;
+}
+
+static enum http_flow
+on_body(struct http_call *call, const uint8_t *data, size_t len, void *arg)
+{
+	struct guard_request *r = arg;
+
+	(void)call;
+	if (r->shed)
+		return HTTP_CONTINUE;
+	if (guard_answer_full(r->answer)) {
+		r->paused = true;
+		return HTTP_PAUSE;
+	}
+	guard_answer_add(r->answer, data, len);
+	guard_answer_pump(r->answer, r->upstream);
+	return HTTP_CONTINUE;
+}
+
+static enum http_flow
+on_pull(
+    struct http_call *call, uint8_t *buf, size_t max, size_t *len, void *arg)
+{
+	struct guard_request *r = arg;
+	GBytes *piece = g_queue_peek_head(&r->body);
+	const uint8_t *data;
+	size_t bytes;
+
+	(void)call;
+	if (piece == NULL)
+		return r->fin ? HTTP_END : HTTP_PAUSE;
+	data = g_bytes_get_data(piece, &bytes);
+	*len = MIN(bytes - r->body_offset, max);
+	memcpy(buf, data + r->body_offset, *len);
+	r->body_offset += *len;
+	if (r->body_offset == bytes) {
+		g_bytes_unref(g_queue_pop_head(&r->body));
+		r->body_offset = 0;
+	}
+	guard_request_consumed(r, *len);
+	return HTTP_CONTINUE;
+}
+
+static bool
+answer_is_whole(const struct guard_answer *a)
+{
+	if (!a->has_head)
+		return false;
+	return a->length < 0 || a->base + a->data->len == (uint64_t)a->length;
+}
+
+static void
+on_done(struct http_call *call, const struct http_result *res, void *arg)
+{
+	struct guard_request *r = arg;
+
+	(void)call;
+	r->call = NULL;
+	if (r->shed) {
+		guard_request_refuse(r, REFUSAL_UPSTREAM, r->shed_retry_ms);
+		return;
+	}
+	if (res->status == STATUS_OK && answer_is_whole(r->answer)) {
+		guard_request_done(r);
+		return;
+	}
+	log_info("%s: upstream failed (%s, %s sent)", r->upstream->info.service,
+	    status_message(), res->sent ? "request" : "nothing");
+	if (res->sent)
+		guard_request_failed(r);
+	else
+		guard_request_refuse(r, REFUSAL_UPSTREAM, 0);
+}
+
+static const struct http_handler upstream_handler = {
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_pull = on_pull,
+    .on_done = on_done,
+};
+
+static void
+id_hex(const struct request_id *id, char *hex)
+{
+	int i;
+
+	for (i = 0; i < REQUEST_ID_BYTES; i++)
+		(void)g_snprintf(hex + 2 * (size_t)i, 3, "%02x", id->bytes[i]);
+}
+
+static void
+set_headers(const struct guard_request *r, struct http_header *headers,
+    const char *id, const char *left)
+{
+	const struct rec_header *h;
+	uint32_t n = call_headers_count(&r->headers);
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		h = call_headers_at(&r->headers, i);
+		headers[i].name = h->name;
+		headers[i].value = h->value;
+	}
+	headers[n].name = HEADER_REQUEST_ID;
+	headers[n].value = id;
+	headers[n + 1].name = HEADER_DEADLINE;
+	headers[n + 1].value = left;
+}
+
+/* A body that is here goes as a block, a longer one is pulled. */
+static void
+set_body(struct guard_request *r, struct http_request *req)
+{
+	GBytes *piece;
+	gsize bytes;
+
+	if (r->fin && g_queue_get_length(&r->body) <= 1) {
+		piece = g_queue_peek_head(&r->body);
+		if (piece == NULL)
+			return;
+		req->body = g_bytes_get_data(piece, &bytes);
+		req->body_bytes = bytes;
+		return;
+	}
+	req->pulled = true;
+	req->body_bytes =
+	    r->body_bytes < 0 ? HTTP_LENGTH_UNKNOWN : (uint64_t)r->body_bytes;
+}
+
+void
+guard_http_start(struct guard_request *r)
+{
+	struct http_header headers[MSG_CALL_OPEN_HEADERS_MAX + OWN_HEADERS];
+	struct guard *g = r->guard;
+	uint64_t now_ms = loop_now_ms(g->loop);
+	char id[ID_HEX_BYTES], left[NUMBER_BYTES];
+	struct http_request req;
+	GString *url;
+
+	if (!fate_start(g->fates, &r->id, now_ms))
+		return;
+	r->state = REQUEST_RUNNING;
+	r->started_us = clock_now_us();
+	metric_observe_us(&metric_guard_us, r->started_us - r->opened_us);
+	id_hex(&r->id, id);
+	(void)g_snprintf(left, sizeof(left), "%" G_GUINT64_FORMAT,
+	    clock_left_ms(r->deadline_ms, now_ms));
+	set_headers(r, headers, id, left);
+	url = g_string_new(r->upstream->url);
+	g_string_append(url, r->path);
+	memset(&req, 0, sizeof(req));
+	req.method = r->method;
+	req.url = url->str;
+	req.headers = headers;
+	req.n_headers = call_headers_count(&r->headers) + OWN_HEADERS;
+	req.once = !r->idempotent;
+	req.deadline_ms = r->deadline_ms;
+	set_body(r, &req);
+	log_debug("%s: starts after %" G_GUINT64_FORMAT " us",
+	    r->upstream->info.service, r->started_us - r->opened_us);
+	r->call = http_call_start(g->http, &req, &upstream_handler, r);
+	g_string_free(url, TRUE);
+	guard_request_consumed(r, 0);
+}
--- /dev/null
+++ b/packages/node/src/guard_priv.h
@@ -0,0 +1,391 @@
+/*
+ * Inner structures of the guard, shared by its files.  All of it belongs to
+ * the guard's thread but for what is marked atomic.
+ */
+#ifndef GUARD_PRIV_H
+#define GUARD_PRIV_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include <glib.h>
+
+#include "net/conn.h"
+#include "net/http.h"
+#include "net/listener.h"
+#include "net/loop.h"
+#include "node/guard.h"
+#include "proto/settings.h"
+#include "traffic/admission.h"
+#include "traffic/drain.h"
+#include "traffic/fate.h"
+#include "traffic/frame_age.h"
+#include "traffic/keyed.h"
+#include "traffic/rate_limit.h"
+
+#include "call_headers.h"
+#include "call_link.h"
+
+/**
+ * struct guard - the guard of a host
+ * @settings: settings of the node; borrowed
+ * @incarnation: number of this process
+ * @loop: its event loop
+ * @thread: the thread that runs it
+ * @running: the thread was started
+ * @listener: takes connections from entries
+ * @http: calls the upstreams
+ * @fates: what became of each request
+ * @callers: limits per caller
+ * @upstreams: service name to struct guard_upstream
+ * @conns: connection id to struct guard_conn
+ * @requests: request id to struct guard_request
+ * @tickets: ticket to struct guard_request
+ * @last_ticket: number of the last request
+ * @drain: the stop of this guard
+ * @tick: forgets old fates, moves the drain on
+ * @in_flight: number of requests, atomic for guard_in_flight()
+ * @unsent: whether answers wait in output buffers, atomic likewise
+ */
+struct guard {
+	const struct settings *settings;
+	uint64_t incarnation;
+	struct loop *loop;
+	pthread_t thread;
+	bool running;
+	struct listener *listener;
+	struct http_client *http;
+	struct fate_table *fates;
+	struct rate_limit *callers;
+	GHashTable *upstreams;
+	GHashTable *conns;
+	GHashTable *requests;
+	GHashTable *tickets;
+	uint64_t last_ticket;
+	struct drain drain;
+	struct loop_timer tick;
+	_Atomic uint32_t in_flight;
+	_Atomic uint32_t unsent;
+};
+
+/**
+ * struct guard_upstream - an upstream of this host
+ * @guard: the guard
+ * @info: what the control thread says of it
+ * @present: it is among the endpoints that were last told
+ * @url: scheme, address and port, to which a path is added
+ * @admission: its slots and queue
+ * @timer: wakes the admission
+ */
+struct guard_upstream {
+	struct guard *guard;
+	struct guard_endpoint info;
+	bool present;
+	char url[40];
+	struct admission *admission;
+	struct loop_timer timer;
+};
+
+/**
+ * struct guard_conn - a connection from an entry
+ * @guard: the guard
+ * @link: the connection
+ * @id: its number
+ * @host: host of the entry, for logs
+ * @greeted: the entry has answered the hello
+ * @age: bound on the age of its frames
+ * @streams: stream number to struct guard_out
+ * @timer: next ping, which keeps the bound on the age fresh
+ */
+struct guard_conn {
+	struct guard *guard;
+	struct call_link link;
+	uint64_t id;
+	char host[SETTINGS_NAME_BYTES];
+	bool greeted;
+	struct frame_age age;
+	GHashTable *streams;
+	struct loop_timer timer;
+};
+
+/**
+ * struct guard_answer - an answer of an upstream
+ * @refs: references: the request's and one of each struct guard_out
+ * @has_head: the head has come
+ * @status: HTTP status
+ * @headers: headers that are passed on
+ * @length: length of the body, -1 when not known
+ * @guard_us: time in the guard before the upstream was called
+ * @upstream_us: time from then to the head
+ * @data: the body, from offset @base
+ * @base: offset of the first byte in @data
+ * @whole: the body is complete
+ * @kept: all of it is held, to be handed over again
+ * @outs: struct guard_out that send it
+ */
+struct guard_answer {
+	uint32_t refs;
+	bool has_head;
+	uint32_t status;
+	struct call_headers headers;
+	int64_t length;
+	uint64_t guard_us;
+	uint64_t upstream_us;
+	GByteArray *data;
+	uint64_t base;
+	bool whole;
+	bool kept;
+	GQueue outs;
+};
+
+struct guard_request;
+
+/**
+ * struct guard_out - an answer on its way to an entry
+ * @sender: its turns
+ * @conn: the connection
+ * @stream: the stream on it
+ * @id: request whose answer the entry awaits there
+ * @request: the request while it is not ended, or NULL
+ * @answer: the answer, a reference
+ * @node: its place in the answer's list
+ * @head_sent: the head was sent
+ * @sent: offset of the next byte of the body
+ * @credit_bytes: bytes that may be sent
+ */
+struct guard_out {
+	struct call_sender sender;
+	struct guard_conn *conn;
+	uint32_t stream;
+	struct request_id id;
+	struct guard_request *request;
+	struct guard_answer *answer;
+	GList node;
+	bool head_sent;
+	uint64_t sent;
+	uint64_t credit_bytes;
+};
+
+/** enum request_state - where a request stands */
+enum request_state {
+	REQUEST_BODY = 0,
+	REQUEST_QUEUED,
+	REQUEST_RUNNING,
+	REQUEST_ENDED,
+};
+
+/**
+ * struct guard_request - one attempt of a request, at its guard
+ * @guard: the guard
+ * @id: name of the attempt
+ * @ticket: number for the admission
+ * @upstream: where it is to run
+ * @state: where it stands
+ * @method: HTTP method
+ * @path: path and query, owned
+ * @headers: headers that are passed on
+ * @idempotent: running it twice does no harm
+ * @deadline_ms: monotonic deadline
+ * @body_bytes: length of the body, -1 when not known
+ * @source: where the body comes from, or NULL
+ * @body: GBytes that came and were not sent on
+ * @body_offset: bytes of the first that were sent on
+ * @received: bytes of the body that came
+ * @granted: bytes of the body that the entry may send altogether
+ * @ungranted: bytes sent on that are not granted again yet
+ * @fin: the body is complete
+ * @call: the HTTP call, or NULL
+ * @opened_us: when the request came
+ * @started_us: when the upstream was called
+ * @shed: the upstream said that it did not run it
+ * @shed_retry_ms: and when to come back
+ * @paused: the upstream's answer waits until entries have taken more
+ * @answer: the answer
+ * @timer: its deadline while it waits for its body
+ * @free_task: frees it at the end of the turn
+ */
+struct guard_request {
+	struct guard *guard;
+	struct request_id id;
+	uint64_t ticket;
+	struct guard_upstream *upstream;
+	enum request_state state;
+	char method[MSG_CALL_OPEN_METHOD_MAX + 1];
+	char *path;
+	struct call_headers headers;
+	bool idempotent;
+	uint64_t deadline_ms;
+	int64_t body_bytes;
+	struct guard_out *source;
+	GQueue body;
+	size_t body_offset;
+	uint64_t received;
+	uint64_t granted;
+	uint64_t ungranted;
+	bool fin;
+	struct http_call *call;
+	uint64_t opened_us;
+	uint64_t started_us;
+	bool shed;
+	uint64_t shed_retry_ms;
+	bool paused;
+	struct guard_answer *answer;
+	struct loop_timer timer;
+	struct loop_task free_task;
+};
+
+/* guard_conn.c */
+
+/** guard_conn_handler - handler of connections from entries */
+extern const struct conn_handler guard_conn_handler;
+
+/** guard_conn_accept() - a connection came in */
+void guard_conn_accept(struct conn *conn, void *guard);
+
+/** guard_conn_free() - close it; for GHashTable */
+void guard_conn_free(void *conn);
+
+/* guard_frames.c */
+
+/**
+ * guard_frame() - a frame came from an entry
+ *
+ * Return: false when the connection is to be closed for it.
+ */
+bool guard_frame(
+    struct guard_conn *gc, uint8_t type, const uint8_t *body, size_t len);
+
+/* guard_open.c */
+
+/** guard_open() - an attempt came; false when the message makes no sense */
+bool guard_open(struct guard_conn *gc, const struct msg_call_open *m);
+
+/* guard_request.c */
+
+/** guard_request_class() - its kind for the admission */
+enum admission_class guard_request_class(const struct guard_request *r);
+
+/**
+ * guard_request_chunk() - a piece of its body came
+ *
+ * Return: false when the entry sent more than it may.
+ */
+bool
+guard_request_chunk(struct guard_request *r, const struct msg_call_chunk *m);
+
+/** guard_request_body() - start it if enough of its body is there */
+void guard_request_body(struct guard_request *r);
+
+/** guard_request_consumed() - @bytes of the body were sent on */
+void guard_request_consumed(struct guard_request *r, uint64_t bytes);
+
+/** guard_request_refuse() - it is not run and never will be */
+void guard_request_refuse(
+    struct guard_request *r, enum refusal refusal, uint64_t retry_after_ms);
+
+/** guard_request_failed() - it was started and no answer will come */
+void guard_request_failed(struct guard_request *r);
+
+/** guard_request_done() - the whole answer came */
+void guard_request_done(struct guard_request *r);
+
+/** guard_request_cancel() - an entry does not want it any more */
+void guard_request_cancel(struct guard_request *r);
+
+/** guard_request_orphaned() - an entry that awaited it is gone */
+void guard_request_orphaned(struct guard_request *r, bool was_source);
+
+/** guard_request_free() - free it; for GHashTable */
+void guard_request_free(void *request);
+
+/* guard_upstream.c */
+
+/** guard_upstream_find() - the upstream of a service, or NULL */
+struct guard_upstream *
+guard_upstream_find(const struct guard *g, const char *service);
+
+/** guard_upstream_set() - what the control thread says */
+void guard_upstream_set(
+    struct guard *g, const struct guard_endpoint *list, uint32_t n);
+
+/** guard_upstream_offer() - a request asks to run */
+void guard_upstream_offer(struct guard_request *r);
+
+/** guard_upstream_pump() - carry out what the admission wants */
+void guard_upstream_pump(struct guard_upstream *u);
+
+/** guard_upstream_load() - its load, for answers; @u may be NULL */
+void guard_upstream_load(const struct guard_upstream *u, struct rec_load *load);
+
+/** guard_upstream_drain_all() - refuse all new requests from now on */
+void guard_upstream_drain_all(struct guard *g);
+
+/** guard_upstream_free() - free it; for GHashTable */
+void guard_upstream_free(void *upstream);
+
+/* guard_http.c */
+
+/** guard_http_start() - call the upstream */
+void guard_http_start(struct guard_request *r);
+
+/* guard_answer.c */
+
+/** guard_answer_new() - an empty answer with one reference */
+struct guard_answer *guard_answer_new(bool kept);
+
+/** guard_answer_unref() - give a reference back */
+void guard_answer_unref(struct guard_answer *a);
+
+/** guard_answer_add() - append a piece of the body */
+void guard_answer_add(struct guard_answer *a, const uint8_t *data, size_t len);
+
+/** guard_answer_full() - whether entries lag so far that no more is taken */
+bool guard_answer_full(const struct guard_answer *a);
+
+/** guard_answer_pump() - let all entries have what there is */
+void guard_answer_pump(struct guard_answer *a, const struct guard_upstream *u);
+
+/** guard_answer_encode() - as the fate table keeps it; NULL if too large */
+GBytes *guard_answer_encode(const struct guard_answer *a);
+
+/** guard_answer_decode() - an answer that the fate table kept, or NULL */
+struct guard_answer *guard_answer_decode(GBytes *bytes);
+
+/* guard_out.c */
+
+/**
+ * guard_out_new() - an entry awaits an answer on a stream
+ * @gc: the connection
+ * @stream: the stream
+ * @id: the request that it asked for
+ * @r: the request that is to answer, or NULL
+ * @a: the answer
+ */
+struct guard_out *guard_out_new(struct guard_conn *gc, uint32_t stream,
+    const struct request_id *id, struct guard_request *r,
+    struct guard_answer *a);
+
+/** guard_out_free() - the stream is over */
+void guard_out_free(struct guard_out *o);
+
+/** guard_out_pump() - send what may be sent */
+void guard_out_pump(struct guard_out *o, const struct guard_upstream *u);
+
+/** guard_out_credit() - the entry granted @bytes */
+void guard_out_credit(struct guard_out *o, uint32_t bytes);
+
+/** guard_out_refuse() - tell that the attempt is not run */
+void guard_out_refuse(struct guard_conn *gc, uint32_t stream,
+    const struct guard_upstream *u, enum refusal refusal,
+    uint64_t retry_after_ms);
+
+/** guard_out_failed() - tell that no answer will come */
+void guard_out_failed(
+    struct guard_conn *gc, uint32_t stream, const struct guard_upstream *u);
+
+/* guard_resolve.c */
+
+/** guard_resolve() - an entry asks what became of an attempt */
+bool guard_resolve(struct guard_conn *gc, const struct msg_call_resolve *m);
+
+#endif
--- /dev/null
+++ b/packages/node/src/guard_request.c
@@ -0,0 +1,277 @@
+/*
+ * The life of a request at its guard.
+ */
+#include "base/clock.h"
+
+#define LOG_PART "guard"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "guard_priv.h"
+
+#define US_PER_MS 1000
+
+enum admission_class
+guard_request_class(const struct guard_request *r)
+{
+	return r->idempotent ? ADMISSION_LOOKUP : ADMISSION_BOOKING;
+}
+
+static void
+on_free(void *arg)
+{
+	struct guard_request *r = arg;
+
+	g_hash_table_remove(r->guard->requests, &r->id);
+}
+
+/* Streams that still send the answer outlive the request. */
+static void
+detach_outs(struct guard_request *r)
+{
+	struct guard_out *o;
+	GList *l;
+
+	for (l = r->answer->outs.head; l != NULL; l = l->next) {
+		o = l->data;
+		o->request = NULL;
+	}
+	r->source = NULL;
+}
+
+static void
+ended(struct guard_request *r)
+{
+	struct guard *g = r->guard;
+
+	r->state = REQUEST_ENDED;
+	loop_timer_stop(&r->timer);
+	detach_outs(r);
+	g_hash_table_remove(g->tickets, &r->ticket);
+	loop_task_init(&r->free_task, g->loop, on_free, r);
+	loop_task_defer(&r->free_task);
+	drain_request_ended(&g->drain, loop_now_ms(g->loop));
+	atomic_fetch_sub(&g->in_flight, 1);
+	metric_add(&metric_requests_in_flight, -1);
+}
+
+/* The slot is free again. */
+static void
+leave_slot(struct guard_request *r)
+{
+	uint64_t ran_us = clock_now_us() - r->started_us;
+
+	admission_finished(r->upstream->admission, guard_request_class(r),
+	    ran_us / US_PER_MS, loop_now_ms(r->guard->loop));
+}
+
+static void
+leave_shed(struct guard_request *r)
+{
+	admission_shed(r->upstream->admission, guard_request_class(r),
+	    loop_now_ms(r->guard->loop));
+}
+
+static void
+refuse_outs(
+    struct guard_request *r, enum refusal refusal, uint64_t retry_after_ms)
+{
+	struct guard_out *o;
+
+	while ((o = g_queue_peek_head(&r->answer->outs)) != NULL) {
+		guard_out_refuse(
+		    o->conn, o->stream, r->upstream, refusal, retry_after_ms);
+		guard_out_free(o);
+	}
+}
+
+void
+guard_request_refuse(
+    struct guard_request *r, enum refusal refusal, uint64_t retry_after_ms)
+{
+	bool ran = r->state == REQUEST_RUNNING;
+
+	if (r->state == REQUEST_ENDED)
+		return;
+	log_info("%s: refused (%s)",
+	    r->upstream != NULL ? r->upstream->info.service : "?",
+	    refusal_name(refusal));
+	fate_refused(r->guard->fates, &r->id, loop_now_ms(r->guard->loop));
+	if (r->state == REQUEST_QUEUED)
+		(void)admission_cancel(r->upstream->admission, r->ticket);
+	if (ran && r->shed)
+		leave_shed(r);
+	else if (ran)
+		leave_slot(r);
+	refuse_outs(r, refusal, retry_after_ms);
+	ended(r);
+	if (ran)
+		guard_upstream_pump(r->upstream);
+}
+
+void
+guard_request_failed(struct guard_request *r)
+{
+	struct guard_out *o;
+
+	if (r->state == REQUEST_ENDED)
+		return;
+	fate_failed(r->guard->fates, &r->id, loop_now_ms(r->guard->loop));
+	leave_slot(r);
+	while ((o = g_queue_peek_head(&r->answer->outs)) != NULL) {
+		guard_out_failed(o->conn, o->stream, r->upstream);
+		guard_out_free(o);
+	}
+	ended(r);
+	guard_upstream_pump(r->upstream);
+}
+
+void
+guard_request_done(struct guard_request *r)
+{
+	GBytes *kept = guard_answer_encode(r->answer);
+
+	fate_done(r->guard->fates, &r->id, kept, loop_now_ms(r->guard->loop));
+	if (kept != NULL)
+		g_bytes_unref(kept);
+	leave_slot(r);
+	r->answer->whole = true;
+	guard_answer_pump(r->answer, r->upstream);
+	ended(r);
+	guard_upstream_pump(r->upstream);
+}
+
+/* The body */
+
+static bool
+body_suffices(const struct guard_request *r)
+{
+	return r->fin || r->received >= CALL_FIRST_BYTES;
+}
+
+void
+guard_request_body(struct guard_request *r)
+{
+	if (r->state == REQUEST_BODY && body_suffices(r)) {
+		loop_timer_stop(&r->timer);
+		guard_upstream_offer(r);
+		return;
+	}
+	if (r->call != NULL)
+		http_call_resume(r->call);
+}
+
+static bool
+length_is_right(const struct guard_request *r)
+{
+	if (r->received > r->granted)
+		return false;
+	if (r->body_bytes < 0)
+		return true;
+	if (r->fin)
+		return r->received == (uint64_t)r->body_bytes;
+	return r->received <= (uint64_t)r->body_bytes;
+}
+
+bool
+guard_request_chunk(struct guard_request *r, const struct msg_call_chunk *m)
+{
+	if (r->state == REQUEST_ENDED)
+		return true;
+	if (r->fin)
+		return false;
+	r->received += m->data_len;
+	r->fin = m->fin;
+	if (!length_is_right(r))
+		return false;
+	if (m->data_len > 0)
+		g_queue_push_tail(&r->body, g_bytes_new(m->data, m->data_len));
+	guard_request_body(r);
+	return true;
+}
+
+/* Once the request runs the window is opened wide. */
+void
+guard_request_consumed(struct guard_request *r, uint64_t bytes)
+{
+	struct msg_call_credit m;
+
+	r->ungranted += bytes;
+	if (r->fin || r->source == NULL)
+		return;
+	if (r->granted == CALL_FIRST_BYTES)
+		r->ungranted += CALL_WINDOW_BYTES - CALL_FIRST_BYTES;
+	if (r->ungranted < CALL_GRANT_BYTES)
+		return;
+	m.stream = r->source->stream;
+	m.bytes = (uint32_t)r->ungranted;
+	r->granted += r->ungranted;
+	r->ungranted = 0;
+	(void)call_link_send(&r->source->conn->link, MSG_CALL_CREDIT, &m);
+}
+
+/* Giving up */
+
+/* Stops a running request; what is certain of it depends on what was sent. */
+static void
+break_off(struct guard_request *r, enum refusal refusal)
+{
+	bool sent = http_call_cancel(r->call);
+
+	r->call = NULL;
+	if (sent)
+		guard_request_failed(r);
+	else
+		guard_request_refuse(r, refusal, 0);
+}
+
+void
+guard_request_cancel(struct guard_request *r)
+{
+	switch (r->state) {
+	case REQUEST_BODY:
+	case REQUEST_QUEUED:
+		guard_request_refuse(r, REFUSAL_CANCELLED, 0);
+		return;
+	case REQUEST_RUNNING:
+		/* One that must not run twice runs on, so that its fate and
+		 * its answer can still be told. */
+		if (r->idempotent || !r->fin)
+			break_off(r, REFUSAL_CANCELLED);
+		return;
+	case REQUEST_ENDED:
+		return;
+	}
+}
+
+void
+guard_request_orphaned(struct guard_request *r, bool was_source)
+{
+	if (r->state == REQUEST_ENDED)
+		return;
+	if (was_source && !r->fin) {
+		guard_request_cancel(r);
+		return;
+	}
+	if (r->idempotent && g_queue_is_empty(&r->answer->outs))
+		guard_request_cancel(r);
+}
+
+void
+guard_request_free(void *request)
+{
+	struct guard_request *r = request;
+	GBytes *piece;
+
+	if (r->call != NULL)
+		(void)http_call_cancel(r->call);
+	loop_timer_stop(&r->timer);
+	if (r->state == REQUEST_ENDED)
+		loop_task_cancel(&r->free_task);
+	while ((piece = g_queue_pop_head(&r->body)) != NULL)
+		g_bytes_unref(piece);
+	call_headers_clear(&r->headers);
+	guard_answer_unref(r->answer);
+	g_free(r->path);
+	g_free(r);
+}
--- /dev/null
+++ b/packages/node/src/guard_upstream.c
@@ -0,0 +1,186 @@
+/*
+ * The upstreams of this host and their admission.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+
+#define LOG_PART "guard"
+#include "base/log.h"
+
+#include "guard_priv.h"
+
+static void
+on_timer(void *arg)
+{
+	guard_upstream_pump(arg);
+}
+
+struct guard_upstream *
+guard_upstream_find(const struct guard *g, const char *service)
+{
+	return g_hash_table_lookup(g->upstreams, service);
+}
+
+static void
+configure(const struct guard_endpoint *info, struct admission_config *cfg)
+{
+	const struct service_limits *l = &info->limits;
+
+	admission_config_default(cfg);
+	cfg->slots = info->slots;
+	if (l->slots_per_endpoint > 0 && l->slots_per_endpoint < cfg->slots)
+		cfg->slots = l->slots_per_endpoint;
+	cfg->queue_max = l->queue_per_endpoint;
+	cfg->queue_wait_ms = l->queue_wait_ms;
+}
+
+static struct guard_upstream *
+upstream_new(struct guard *g, const struct guard_endpoint *info)
+{
+	struct guard_upstream *u = g_new0(struct guard_upstream, 1);
+	struct admission_config cfg;
+
+	u->guard = g;
+	u->info = *info;
+	configure(info, &cfg);
+	u->admission = admission_new(&cfg);
+	loop_timer_init(&u->timer, g->loop, on_timer, u);
+	g_hash_table_insert(g->upstreams, u->info.service, u);
+	return u;
+}
+
+static void
+set_url(struct guard_upstream *u)
+{
+	char ip[ADDR_TEXT_BYTES];
+
+	(void)addr_format_ip(u->guard->settings->address, ip);
+	(void)g_snprintf(
+	    u->url, sizeof(u->url), "http://%s:%u", ip, u->info.port);
+}
+
+static void
+set_one(struct guard *g, const struct guard_endpoint *info)
+{
+	struct guard_upstream *u = guard_upstream_find(g, info->service);
+	struct admission_config cfg;
+
+	if (u == NULL)
+		u = upstream_new(g, info);
+	u->present = true;
+	u->info = *info;
+	set_url(u);
+	configure(info, &cfg);
+	admission_configure(u->admission, &cfg);
+	if (info->state == SERVING_READY && drain_takes_request(&g->drain))
+		admission_undrain(u->admission);
+	else if (info->state != SERVING_STARTING)
+		admission_drain(u->admission);
+	guard_upstream_pump(u);
+}
+
+void
+guard_upstream_set(
+    struct guard *g, const struct guard_endpoint *list, uint32_t n)
+{
+	struct guard_upstream *u;
+	GHashTableIter it;
+	uint32_t i;
+
+	g_hash_table_iter_init(&it, g->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&u))
+		u->present = false;
+	for (i = 0; i < n; i++)
+		set_one(g, &list[i]);
+	g_hash_table_iter_init(&it, g->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&u)) {
+		if (u->present)
+			continue;
+		admission_drain(u->admission);
+		guard_upstream_pump(u);
+	}
+}
+
+static void
+carry_out(struct guard_request *r, const struct admission_result *res)
+{
+	switch (res->verdict) {
+	case ADMISSION_START:
+		guard_http_start(r);
+		return;
+	case ADMISSION_QUEUE:
+		log_debug("%s: queued", r->upstream->info.service);
+		return;
+	case ADMISSION_REFUSE:
+		guard_request_refuse(r, res->refusal, res->retry_after_ms);
+		return;
+	}
+}
+
+void
+guard_upstream_offer(struct guard_request *r)
+{
+	struct guard_upstream *u = r->upstream;
+	struct admission_request req = {.ticket = r->ticket,
+	    .class = guard_request_class(r),
+	    .deadline_ms = r->deadline_ms};
+	struct admission_result res;
+
+	r->state = REQUEST_QUEUED;
+	admission_offer(u->admission, &req, loop_now_ms(u->guard->loop), &res);
+	carry_out(r, &res);
+	guard_upstream_pump(u);
+}
+
+void
+guard_upstream_pump(struct guard_upstream *u)
+{
+	struct guard *g = u->guard;
+	struct admission_result res;
+	struct guard_request *r;
+
+	while (admission_next(u->admission, loop_now_ms(g->loop), &res)) {
+		r = g_hash_table_lookup(g->tickets, &res.ticket);
+		if (r != NULL)
+			carry_out(r, &res);
+	}
+	loop_timer_set(&u->timer, admission_wake_ms(u->admission));
+}
+
+void
+guard_upstream_load(const struct guard_upstream *u, struct rec_load *load)
+{
+	struct load_report report;
+
+	memset(load, 0, sizeof(*load));
+	if (u == NULL)
+		return;
+	admission_load(u->admission, &report);
+	load->in_flight = report.in_flight;
+	load->queued = report.queued;
+	load->slots = report.slots;
+}
+
+void
+guard_upstream_drain_all(struct guard *g)
+{
+	struct guard_upstream *u;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, g->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&u)) {
+		admission_drain(u->admission);
+		guard_upstream_pump(u);
+	}
+}
+
+void
+guard_upstream_free(void *upstream)
+{
+	struct guard_upstream *u = upstream;
+
+	loop_timer_stop(&u->timer);
+	admission_free(u->admission);
+	g_free(u);
+}
