feat(net): asynchronous HTTP client

Problem: the guard calls upstreams and the store calls the platform from an event loop, with bodies of any size, and a request that is not idempotent must never be run twice by the client itself.

Solution: libcurl's multi handle driven by the loop; bodies pulled and streamed with pause and resume; an absolute deadline; cancel, which closes the connection. A request marked `once` goes out on a fresh connection. The result says whether any byte can have left (libcurl's callback before the request is written) and whether the answer said where it ends.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -87,11 +87,14 @@
  * @code: the answer's HTTP status, 0 when no head came
  * @sent: whether any byte of the request can have left; when false the
  *	request has certainly not run
+ * @delimited: whether the answer said where it ends; when false it ended
+ *	with its connection, and whether it was cut short can't be told
  */
 struct http_result {
 	enum status status;
 	int code;
 	bool sent;
+	bool delimited;
 };
 
 /**
