--- a/packages/proto/include/proto/frame.h
+++ b/packages/proto/include/proto/frame.h
@@ -52,7 +52,6 @@
  * @start: first byte not handed out yet
  * @end: one past the last byte that came in
  * @max_bytes: largest length field that is taken
- * @bad: the stream was found to be wrong
  *
  * The fields are private.
  */
@@ -62,7 +61,6 @@
 	size_t start;
 	size_t end;
 	uint32_t max_bytes;
-	int bad;
 };
 
 /**
--- a/packages/proto/src/frame.c
+++ b/packages/proto/src/frame.c
@@ -110,16 +110,13 @@
 	size_t held = r->end - r->start;
 	uint32_t len;
 
-	if (r->bad)
-		return FRAME_BAD;
 	if (held < FRAME_LENGTH_BYTES)
 		return FRAME_NONE;
 	memcpy(&len, r->buffer + r->start, sizeof(len));
 	len = GUINT32_FROM_BE(len);
-	if (len == 0 || len > r->max_bytes) {
-		r->bad = 1;
+	/* Nothing is taken out, so that the answer stays the same for good. */
+	if (len == 0 || len > r->max_bytes)
 		return FRAME_BAD;
-	}
 	if (held - FRAME_LENGTH_BYTES < len)
 		return FRAME_NONE;
 	frame->type = r->buffer[r->start + FRAME_LENGTH_BYTES];
--- a/packages/proto/test/test_codec.c
+++ b/packages/proto/test/test_codec.c
@@ -167,10 +167,10 @@
 	return 1;
 }
 
-/* The decode fails with a message that names message and field. */
+/* The decode fails with a message that names message, field and cause. */
 static void
 refuse(const struct codec_desc *desc, const GByteArray *in, uint32_t at,
-    const msgpack_object *value)
+    const msgpack_object *value, const char *why)
 {
 	GByteArray *bad = altered(in, desc->n_fields, at, value);
 
@@ -179,6 +179,7 @@
 	if (desc->fields[at].kind != CODEC_STRUCT)
 		ck_assert_ptr_nonnull(strstr(status_message(), desc->name));
 	ck_assert_ptr_nonnull(strstr(status_message(), desc->fields[at].name));
+	ck_assert_ptr_nonnull(strstr(status_message(), why));
 	g_byte_array_unref(bad);
 }
 
@@ -198,11 +199,14 @@
 	in = sample_encoded(desc, rand);
 	for (at = 0; at < desc->n_fields; at++) {
 		for (t = 0; t < G_N_ELEMENTS(wrong_types); t++)
-			refuse(desc, in, at, &wrong_types[t]);
+			refuse(desc, in, at, &wrong_types[t], "must be");
 		room = g_malloc(
 		    (desc->fields[at].max + 1) * sizeof(msgpack_object));
 		if (one_too_many(&desc->fields[at], room, &too_many))
-			refuse(desc, in, at, &too_many);
+			refuse(desc, in, at, &too_many,
+			    too_many.type == MSGPACK_OBJECT_POSITIVE_INTEGER
+				? "must be"
+				: "at most");
 		g_free(room);
 	}
 	g_byte_array_unref(in);
--- a/packages/proto/test/test_settings.c
+++ b/packages/proto/test/test_settings.c
@@ -8,6 +8,7 @@
 #include <check.h>
 
 #include "proto/settings.h"
+#include "proto/suggest.h"
 
 /* The required keys; a row of the table adds to them. */
 #define REQUIRED                                                \
@@ -155,6 +156,57 @@
 }
 END_TEST
 
+/* The loop index is the number of seeds; 64 are taken. */
+START_TEST(seeds_are_counted)
+{
+	GString *text = g_string_new("{" REQUIRED ",\"seeds\":[");
+	struct settings s;
+	int i;
+
+	for (i = 0; i < _i; i++)
+		g_string_append_printf(
+		    text, "%s\"10.0.0.1:%d\"", i > 0 ? "," : "", i + 1);
+	g_string_append(text, "]}");
+	ck_assert_int_eq(
+	    parse(text->str, &s, NULL), _i <= 64 ? STATUS_OK : STATUS_INVALID);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
+static const char *
+known_word(uint32_t i)
+{
+	static const char *const words[] = {"host", "drain_ms", "peer_port"};
+
+	return words[i];
+}
+
+struct suggest_row {
+	const char *word;
+	const char *nearest;
+};
+
+static const struct suggest_row suggest_rows[] = {
+    {"host", "host"},
+    {"hst", "host"},
+    {"hosst", "host"},
+    {"hots", NULL},
+    {"darin_ms", "drain_ms"},
+    {"pear_part", "peer_port"},
+    {"", NULL},
+    {"seeds", NULL},
+    {"a_word_far_longer_than_any_that_could_be_mistyped_by_any_operator", NULL},
+};
+
+START_TEST(nearest_word)
+{
+	const struct suggest_row *row = &suggest_rows[_i];
+
+	ck_assert_pstr_eq(
+	    suggest_nearest(row->word, known_word, 3), row->nearest);
+}
+END_TEST
+
 START_TEST(unreadable_file)
 {
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
@@ -203,6 +255,9 @@
 	    tc, error_names_key_and_remedy, 0, (int)G_N_ELEMENTS(error_rows));
 	tcase_add_loop_test(tc, bad_texts_of_required_keys, 0, 11);
 	tcase_add_test(tc, all_errors_at_once);
+	tcase_add_loop_test(tc, seeds_are_counted, 63, 66);
+	tcase_add_loop_test(
+	    tc, nearest_word, 0, (int)G_N_ELEMENTS(suggest_rows));
 	tcase_add_test(tc, unreadable_file);
 	tcase_add_test(tc, printed_settings_are_settings);
 	suite_add_tcase(s, tc);
