test(driver): small driver of many nodes on one queue of messages

Problem: the spread's decisions have to be shown under delay, loss, cuts, freezes, restarts and a failing platform, without a cluster. Solution: a queue with a virtual clock and a seed, links, a fake platform, a ledger of signed versions and one checker of what must always hold.

--- /dev/null
+++ b/test/driver/naive.c
@@ -0,0 +1,114 @@
+/*
+ * Each node polls the whole bundle: one read of the head row, and one of an
+ * object that has all of it.  A poll that fails is repeated at the next one.
+ */
+#include "naive.h"
+
+#include "config/stage.h"
+#include "links.h"
+
+#define REQUEST_BYTES (400 + TCP_HEADER_BYTES)
+#define ANSWER_BYTES (250 + TCP_HEADER_BYTES)
+#define READS 2
+
+/* A poll that is due, or its answer. */
+struct naive_poll {
+	struct node *node;
+	uint32_t generation;
+	uint64_t version;
+};
+
+static void naive_poll(void *arg);
+
+static void
+naive_later(struct node *n, queue_fn *fn, uint64_t us, uint64_t version)
+{
+	struct naive_poll *p;
+
+	p = g_new(struct naive_poll, 1);
+	p->node = n;
+	p->generation = n->generation;
+	p->version = version;
+	queue_add(&n->w->queue, n->w->queue.now_us + us, fn, p, g_free);
+}
+
+static void
+naive_apply(struct node *n, const struct ledger_version *v)
+{
+	struct catalog_stage *stage;
+	const uint8_t *data;
+	GArray *missing;
+	GBytes *object;
+	uint32_t i;
+	gsize len;
+
+	if (catalog_stage_begin_full(
+		n->c, v->version, &v->root, v->list, &stage) != STATUS_OK)
+		return;
+	missing = catalog_stage_missing(stage, 0);
+	for (i = 0; i < missing->len; i++) {
+		object = ledger_object(
+		    n->w->ledger, &g_array_index(missing, struct digest, i));
+		data = g_bytes_get_data(object, &len);
+		(void)catalog_stage_add(stage, data, len);
+	}
+	g_array_unref(missing);
+	(void)catalog_commit(n->c, stage);
+	catalog_stage_free(stage);
+}
+
+static void
+naive_take(void *arg)
+{
+	const struct ledger_version *v;
+	struct naive_poll *p;
+	struct node *n;
+
+	p = arg;
+	n = p->node;
+	v = ledger_version(n->w->ledger, p->version);
+	if (n->up && n->generation == p->generation && v != NULL) {
+		n->bytes.received[MEASURE_SOURCE] +=
+		    ANSWER_BYTES + ledger_bundle_bytes(n->w->ledger, v);
+		if (v->version > catalog_version(n->c))
+			naive_apply(n, v);
+		world_pump(n);
+	}
+	g_free(p);
+}
+
+static void
+naive_poll(void *arg)
+{
+	struct naive_poll *p;
+	struct world *w;
+	struct node *n;
+	uint32_t ms;
+
+	p = arg;
+	n = p->node;
+	w = n->w;
+	if (!n->up || n->generation != p->generation) {
+		g_free(p);
+		return;
+	}
+	ms = w->config.naive_poll_ms;
+	naive_later(
+	    n, naive_poll, US_PER_MS * (ms / 2 + g_rand_int(w->rng) % ms), 0);
+	n->bytes.sent[MEASURE_SOURCE] += READS * REQUEST_BYTES;
+	n->bytes.received[MEASURE_SOURCE] += ANSWER_BYTES;
+	if (!world_is_cut(w, n->data_centre, world_platform(w)) &&
+	    platform_admit(w, READS))
+		naive_later(n, naive_take, w->platform.delay_ms * US_PER_MS,
+		    w->ledger->head.in_force);
+	g_free(p);
+}
+
+void
+naive_start(struct node *n)
+{
+	uint32_t ms;
+
+	ms = n->w->config.naive_poll_ms;
+	naive_later(n, naive_poll, US_PER_MS * (g_rand_int(n->w->rng) % ms), 0);
+}
--- /dev/null
+++ b/test/driver/node.c
@@ -0,0 +1,288 @@
+/*
+ * One host of the test driver: the shell around its modules.
+ */
+#include <string.h>
+
+#include "links.h"
+#include "naive.h"
+#include "world.h"
+
+#define CALL_PORT_STEP 1
+
+/* Seeds: the first hosts of so many data centres, and so many in each. */
+#define SEED_DATA_CENTRES 3
+#define SEEDS_EACH 2
+
+/* A tick that is due. */
+struct node_tick {
+	struct node *node;
+	uint32_t generation;
+	uint64_t at_us;
+};
+
+static void node_schedule(struct node *n);
+
+static void
+node_tick(void *arg)
+{
+	struct node_tick *t;
+	struct node *n;
+
+	t = arg;
+	n = t->node;
+	if (n->up && n->generation == t->generation &&
+	    n->timer_us == t->at_us) {
+		n->timer_us = UINT64_MAX;
+		if (n->frozen_us <= n->w->queue.now_us) {
+			membership_tick(n->m, world_now_ms(n->w));
+			spread_tick(n->s, world_now_ms(n->w));
+		}
+		world_pump(n);
+	}
+	g_free(t);
+}
+
+static void
+node_schedule(struct node *n)
+{
+	struct node_tick *t;
+	uint64_t ms, us;
+
+	ms = MIN(membership_next_ms(n->m), spread_next_ms(n->s));
+	us = ms > UINT64_MAX / US_PER_MS ? UINT64_MAX : ms * US_PER_MS;
+	us = MAX(us, MAX(n->frozen_us, n->w->queue.now_us));
+	if (us >= n->timer_us)
+		return;
+	n->timer_us = us;
+	t = g_new(struct node_tick, 1);
+	t->node = n;
+	t->generation = n->generation;
+	t->at_us = us;
+	queue_add(&n->w->queue, us, node_tick, t, g_free);
+}
+
+/* Endpoints that membership knows of a host, as the daemon's shell does it. */
+static void
+node_take_member(struct node *n, const char *host)
+{
+	struct endpoint list[MEMBER_ENDPOINTS_MAX];
+	const struct member *m;
+	uint32_t i, count;
+
+	if (n->endpoints == NULL)
+		return;
+	memset(list, 0, sizeof(list));
+	count = 0;
+	m = membership_find(n->m, host);
+	for (i = 0; m != NULL && member_is_live(m) && i < m->n_endpoints; i++) {
+		if (m->endpoints[i].state == ENDPOINT_LEFT)
+			continue;
+		g_strlcpy(list[count].service, m->endpoints[i].service,
+		    sizeof(list[count].service));
+		g_strlcpy(list[count].host, m->host, sizeof(list[count].host));
+		list[count].address = m->address;
+		list[count].slots = m->endpoints[i].slots;
+		count++;
+	}
+	endpoint_set_host(n->endpoints, host, list, count);
+}
+
+static void
+node_compile(struct node *n)
+{
+	struct snapshot *s;
+
+	if (n->endpoints == NULL)
+		return;
+	s = snapshot_compile(n->c, n->endpoints);
+	checker_snapshot(n->w->checker, n->host, n->c, s);
+	snapshot_unref(n->snapshot);
+	n->snapshot = s;
+}
+
+static void
+node_applied(struct node *n)
+{
+	const struct ledger_version *v;
+	struct world *w;
+	uint64_t i;
+
+	w = n->w;
+	checker_applied(w->checker, w->queue.now_us, n->host, n->c, n->ready);
+	if (w->config.check)
+		checker_content(w->checker, n->host, n->c);
+	node_compile(n);
+	for (i = n->version + 1; i <= catalog_version(n->c); i++) {
+		v = ledger_version(w->ledger, i);
+		if (v != NULL && v->halted_us == 0)
+			measure_held(&w->measure, i, w->queue.now_us,
+			    w->queue.now_us - v->signed_us);
+	}
+	n->version = catalog_version(n->c);
+}
+
+static void
+node_membership(struct node *n, const struct membership_action *a)
+{
+	struct rec_head head;
+
+	if (a->kind == MEMBERSHIP_CHANGED)
+		node_take_member(n, a->host);
+	if (a->kind != MEMBERSHIP_HEARD || a->head.seq == 0)
+		return;
+	memset(&head, 0, sizeof(head));
+	head.seq = a->head.seq;
+	head.version = a->head.version;
+	head.in_force = a->head.in_force;
+	head.state = a->head.state == HEAD_HALTED ? HEAD_HALTED : HEAD_ROLLING;
+	spread_on_heard(n->s, world_now_ms(n->w), &a->addr, &head);
+}
+
+static void
+node_act(struct node *n, const struct spread_action *a)
+{
+	switch (a->kind) {
+	case SPREAD_READ_HEAD:
+	case SPREAD_READ_VERSIONS:
+	case SPREAD_READ_OBJECT:
+		platform_read(n, a);
+		break;
+	case SPREAD_APPLY:
+		node_applied(n);
+		break;
+	case SPREAD_READY:
+		n->ready = 1;
+		checker_ready(n->w->checker, n->host, catalog_version(n->c));
+		break;
+	case SPREAD_BLAME:
+	case SPREAD_HALTED:
+		break;
+	}
+}
+
+void
+world_pump(struct node *n)
+{
+	struct membership_action ma;
+	struct spread_action sa;
+	struct outbox_item *item;
+
+	if (n->w->config.kind == WORLD_NAIVE) {
+		if (catalog_version(n->c) > n->version)
+			node_applied(n);
+		n->ready = n->version > 0;
+		return;
+	}
+	while (membership_pop(n->m, &ma))
+		node_membership(n, &ma);
+	while (spread_pop(n->s, &sa))
+		node_act(n, &sa);
+	while ((item = outbox_pop(n->m_out)) != NULL)
+		links_send(n, item);
+	while ((item = outbox_pop(spread_outbox(n->s))) != NULL)
+		links_send(n, item);
+	node_schedule(n);
+}
+
+static void
+node_join(struct node *n, uint64_t seed)
+{
+	struct net_addr seeds[SEED_DATA_CENTRES * SEEDS_EACH];
+	struct membership_settings s;
+	struct world *w;
+	uint32_t i, j;
+
+	w = n->w;
+	membership_settings_init(&s);
+	g_strlcpy(s.host, n->host, sizeof(s.host));
+	g_snprintf(
+	    s.data_centre, sizeof(s.data_centre), "dc-%02u", n->data_centre);
+	s.address = n->addr;
+	s.call_port = n->addr.port + CALL_PORT_STEP;
+	s.seeds = seeds;
+	s.probe_interval_ms = w->config.probe_ms;
+	for (i = 0; i < MIN(SEED_DATA_CENTRES, w->config.data_centres); i++)
+		for (j = 0; j < MIN(SEEDS_EACH, w->config.nodes); j++)
+			seeds[s.n_seeds++] =
+			    w->nodes[world_index(w, i, j)].addr;
+	n->m_out = outbox_new();
+	n->m = membership_new(
+	    &s, world_now_ms(w), world_now_ms(w), seed, n->m_out);
+}
+
+static void
+node_spread(struct node *n, uint64_t seed)
+{
+	struct spread_config config;
+
+	config.profile = n->w->config.profile;
+	config.host = n->host;
+	config.data_centre = membership_self(n->m)->data_centre;
+	config.seed = seed;
+	n->s = spread_new(&config, n->m, n->c, world_now_ms(n->w));
+}
+
+void
+world_start(struct world *w, uint32_t node)
+{
+	struct node *n;
+	uint64_t seed;
+
+	n = &w->nodes[node];
+	if (n->up)
+		return;
+	n->up = 1;
+	n->generation++;
+	n->timer_us = UINT64_MAX;
+	n->frozen_us = 0;
+	n->version = 0;
+	n->ready = 0;
+	n->c = catalog_new(0);
+	checker_started(w->checker, n->host);
+	if (w->config.kind == WORLD_NAIVE) {
+		naive_start(n);
+		return;
+	}
+	if (w->config.check)
+		n->endpoints = endpoint_set_new();
+	seed = (uint64_t)g_rand_int(w->rng) << 32 | g_rand_int(w->rng);
+	node_join(n, seed);
+	node_spread(n, seed + 1);
+	world_pump(n);
+}
+
+void
+world_kill(struct world *w, uint32_t node)
+{
+	struct node *n;
+
+	n = &w->nodes[node];
+	if (!n->up)
+		return;
+	n->up = 0;
+	links_died(n);
+	spread_free(n->s);
+	membership_free(n->m);
+	outbox_free(n->m_out);
+	snapshot_unref(n->snapshot);
+	endpoint_set_free(n->endpoints);
+	catalog_free(n->c);
+	n->s = NULL;
+	n->m = NULL;
+	n->m_out = NULL;
+	n->snapshot = NULL;
+	n->endpoints = NULL;
+	n->c = NULL;
+}
+
+void
+world_replace(struct world *w, uint32_t node, const char *host)
+{
+	g_strlcpy(w->nodes[node].host, host, sizeof(w->nodes[node].host));
+}
+
+void
+world_freeze(struct world *w, uint32_t node, uint64_t ms)
+{
+	w->nodes[node].frozen_us = w->queue.now_us + ms * US_PER_MS;
+}
--- /dev/null
+++ b/test/driver/world.h
@@ -0,0 +1,250 @@
+/*
+ * World of the test driver: many nodes' membership, spread and catalog in one
+ * process, on one queue of messages with a virtual clock and a seed.
+ *
+ * Messages have delay, loss, doubling and reordering; data centres can be cut
+ * from each other, one way too, and from the platform; processes are killed,
+ * started, frozen; connections go silent; the platform is down, slow or
+ * throttles.  Nothing else of hosts, load or networks is modelled.
+ */
+#ifndef DRIVER_WORLD_H
+#define DRIVER_WORLD_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "checker.h"
+#include "config/catalog.h"
+#include "config/endpoints.h"
+#include "config/snapshot.h"
+#include "ledger.h"
+#include "measure.h"
+#include "membership/membership.h"
+#include "platform.h"
+#include "queue.h"
+#include "spread/spread.h"
+
+#define US_PER_MS UINT64_C(1000)
+#define US_PER_S UINT64_C(1000000)
+
+/* No node: the sign-off's node does not get to spreading it. */
+#define WORLD_NOBODY UINT32_MAX
+
+/** enum world_kind - what runs on the nodes */
+enum world_kind {
+	WORLD_SPREAD = 0,
+	WORLD_NAIVE, /* each node polls the whole bundle from the platform */
+};
+
+/** enum world_tamper - what a faulty node does to the content it serves */
+enum world_tamper {
+	TAMPER_NONE = 0,
+	TAMPER_CONTENT, /* a byte of a section is changed */
+	TAMPER_DROP,	/* a change is left out */
+	TAMPER_DIGEST,	/* a change names another digest */
+	TAMPER_ROOT,	/* the root is another one */
+	TAMPER_SWAP,	/* two services change places */
+	TAMPER_REPEAT,	/* a change stands twice */
+	TAMPER_EMPTY,	/* no changes, but more to come */
+	TAMPER_BYTES,	/* the frame is cut short */
+	TAMPER_COUNT,
+};
+
+/**
+ * struct world_config - how the world is
+ * @kind: what runs on the nodes
+ * @data_centres: number of data centres
+ * @nodes: nodes in each
+ * @services: services of the bundle
+ * @profile: numbers of the spread
+ * @probe_ms: interval of the membership's probes
+ * @seed: seed of everything
+ * @near_us: one-way delay inside a data centre
+ * @far_us: one-way delay between data centres
+ * @jitter_us: largest random addition to a delay
+ * @loss: share of datagrams that are lost
+ * @twice: share of datagrams that come twice
+ * @late: share of datagrams that are @late_us late and so overtaken
+ * @late_us: by how much
+ * @naive_poll_ms: interval of the naive version's polls
+ * @check: whether each version applied is checked whole
+ */
+struct world_config {
+	enum world_kind kind;
+	uint32_t data_centres;
+	uint32_t nodes;
+	uint32_t services;
+	struct spread_profile profile;
+	uint32_t probe_ms;
+	uint64_t seed;
+	uint64_t near_us;
+	uint64_t far_us;
+	uint64_t jitter_us;
+	double loss;
+	double twice;
+	double late;
+	uint64_t late_us;
+	uint32_t naive_poll_ms;
+	int check;
+};
+
+/**
+ * struct node - one host with its process
+ * @w: the world
+ * @id: number of the host, which its address is made of
+ * @data_centre: number of its data centre
+ * @host: name of the host
+ * @addr: its address
+ * @up: whether its process runs
+ * @generation: number of processes that ran on it
+ * @frozen_us: frozen until then
+ * @timer_us: when its next tick is queued
+ * @tamper: fault of what it serves
+ * @m: membership, or NULL
+ * @m_out: outbox of the membership
+ * @c: configuration
+ * @s: spread, or NULL
+ * @endpoints: endpoints that it knows, if checking
+ * @snapshot: last snapshot compiled, if checking
+ * @version: version held
+ * @ready: whether it may serve
+ * @bytes: traffic
+ */
+struct node {
+	struct world *w;
+	uint32_t id;
+	uint32_t data_centre;
+	char host[MEMBER_NAME_BYTES];
+	struct net_addr addr;
+	int up;
+	uint32_t generation;
+	uint64_t frozen_us;
+	uint64_t timer_us;
+	enum world_tamper tamper;
+	struct membership *m;
+	struct outbox *m_out;
+	struct catalog *c;
+	struct spread *s;
+	struct endpoint_set *endpoints;
+	struct snapshot *snapshot;
+	uint64_t version;
+	int ready;
+	struct measure_bytes bytes;
+};
+
+/**
+ * struct world - everything
+ * @config: how it is
+ * @queue: what is to happen
+ * @rng: random numbers of links
+ * @nodes: the hosts
+ * @n_nodes: number of hosts
+ * @cuts: whether the way from one data centre to another is cut; the last
+ *	index is the platform
+ * @conns: struct conn by number
+ * @pairs: struct conn by dialler and target
+ * @next_conn: number of the next connection
+ * @ledger: versions signed off
+ * @platform: the platform
+ * @checker: invariants
+ * @measure: convergence
+ */
+struct world {
+	struct world_config config;
+	struct queue queue;
+	GRand *rng;
+	struct node *nodes;
+	uint32_t n_nodes;
+	uint8_t *cuts;
+	GHashTable *conns;
+	GHashTable *pairs;
+	uint64_t next_conn;
+	struct ledger *ledger;
+	struct platform platform;
+	struct checker *checker;
+	struct measure measure;
+};
+
+/** world_config_init() - a small world with the registry profile */
+void world_config_init(struct world_config *config, uint64_t seed);
+
+/** world_new() - a world in which nothing runs yet */
+struct world *world_new(const struct world_config *config);
+
+/** world_free() - free a world; NULL is ignored */
+void world_free(struct world *w);
+
+/** world_now_ms() - virtual time */
+uint64_t world_now_ms(const struct world *w);
+
+/** world_run() - let @ms of virtual time pass */
+void world_run(struct world *w, uint64_t ms);
+
+/** world_run_until_even() - let time pass until world_even() or for @ms */
+int world_run_until_even(struct world *w, uint64_t ms);
+
+/**
+ * world_warm() - sign version 1 off, start all nodes, run until all are ready
+ *
+ * Return: 1, or 0 when that took longer than @ms.
+ */
+int world_warm(struct world *w, uint64_t ms);
+
+/** world_even() - whether all nodes up hold the version in force, ready */
+int world_even(const struct world *w);
+
+/**
+ * world_sign() - sign a version off
+ * @w: the world
+ * @node: node that does it and spreads it, or WORLD_NOBODY
+ * @n_changes: services that change
+ *
+ * Return: the version.
+ */
+uint64_t world_sign(struct world *w, uint32_t node, uint32_t n_changes);
+
+/** world_supersede() - sign off a version with the content of @older */
+uint64_t world_supersede(struct world *w, uint32_t node, uint64_t older);
+
+/** world_halt() - halt the newest version; @node as for world_sign() */
+void world_halt(struct world *w, uint32_t node);
+
+/** world_start() - start the process of a host */
+void world_start(struct world *w, uint32_t node);
+
+/** world_kill() - kill the process of a host */
+void world_kill(struct world *w, uint32_t node);
+
+/** world_replace() - put another host in place of a killed one */
+void world_replace(struct world *w, uint32_t node, const char *host);
+
+/** world_freeze() - freeze a process for @ms */
+void world_freeze(struct world *w, uint32_t node, uint64_t ms);
+
+/** world_cut() - cut or heal the way from one data centre to another */
+void world_cut(struct world *w, uint32_t from, uint32_t to, int cut);
+
+/** world_cut_both() - cut or heal both ways */
+void world_cut_both(struct world *w, uint32_t a, uint32_t b, int cut);
+
+/** world_platform() - number of the platform, for world_cut() */
+uint32_t world_platform(const struct world *w);
+
+/** world_is_cut() - whether the way from one data centre to another is cut */
+int world_is_cut(const struct world *w, uint32_t from, uint32_t to);
+
+/** world_silence() - all open connections go silent for good */
+void world_silence(struct world *w);
+
+/** world_index() - a host's number from data centre and place in it */
+uint32_t
+world_index(const struct world *w, uint32_t data_centre, uint32_t place);
+
+/** world_pump() - carry out what a node's modules want; after each event */
+void world_pump(struct node *n);
+
+/** world_at() - call @fn when @ms have passed */
+void world_at(struct world *w, uint64_t ms, queue_fn *fn, void *arg);
+
+#endif
