--- /dev/null
+++ b/packages/node/test/fixture_node.c
@@ -0,0 +1,178 @@
+/*
+ * The call path of a node in this process, and snapshots for it.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "config/bundle.h"
+#include "config/snapshot.h"
+#include "config/stage.h"
+#include "node/snapshot_ref.h"
+#include "proto/messages.h"
+
+#include "fixture.h"
+
+#define WAIT_TRIES 1000
+#define WAIT_STEP_US 5000
+
+static const char bundle_json[] =
+    "{\"format\":1,\"name\":\"test\",\"services\":["
+    "{\"name\":\"search\",\"timeout_ms\":3000,"
+    "\"limits\":{\"slots_per_endpoint\":64,\"queue_per_endpoint\":64,"
+    "\"queue_wait_ms\":1000,\"request_max_bytes\":2147483648}}],"
+    "\"routes\":["
+    "{\"prefix\":\"/look\",\"methods\":[\"GET\",\"HEAD\"],"
+    "\"service\":\"search\",\"idempotent\":true},"
+    "{\"prefix\":\"/book\",\"methods\":[\"POST\"],"
+    "\"service\":\"search\",\"idempotent\":false},"
+    "{\"prefix\":\"/up\",\"methods\":[\"PUT\"],"
+    "\"service\":\"search\",\"idempotent\":false}]}";
+
+static uint16_t
+free_port(void)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, len), 0);
+	(void)getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return ntohs(sin.sin_port);
+}
+
+static void
+fill_settings(struct settings *s, const char *host)
+{
+	(void)g_strlcpy(s->host, host, sizeof(s->host));
+	(void)g_strlcpy(s->data_centre, "dc", sizeof(s->data_centre));
+	s->address = INADDR_LOOPBACK;
+	s->caller_port = free_port();
+	s->caller_threads = 32;
+	s->keep_alive_ms = 1000;
+	s->fate_window_ms = 60000;
+	s->fate_answers_bytes = 8 << 20;
+	s->drain_ms = 5000;
+	s->header_max_bytes = 16384;
+	s->request_max_bytes = 1U << 31;
+}
+
+struct test_node *
+test_node_start(const char *host, void (*tweak)(struct settings *))
+{
+	struct test_node *n = g_new0(struct test_node, 1);
+	uint64_t incarnation = clock_now_us();
+
+	fill_settings(&n->settings, host);
+	if (tweak != NULL)
+		tweak(&n->settings);
+	n->guard = guard_new(&n->settings, incarnation);
+	n->entry = entry_new(&n->settings, incarnation);
+	n->callers = callers_new(&n->settings, n->entry);
+	ck_assert_msg(
+	    guard_start(n->guard) == STATUS_OK, "%s", status_message());
+	ck_assert_int_eq(entry_start(n->entry), STATUS_OK);
+	ck_assert_msg(
+	    callers_start(n->callers) == STATUS_OK, "%s", status_message());
+	return n;
+}
+
+void
+test_node_stop(struct test_node *n)
+{
+	callers_stop(n->callers);
+	entry_stop(n->entry);
+	guard_stop(n->guard);
+	callers_free(n->callers);
+	entry_free(n->entry);
+	guard_free(n->guard);
+	g_free(n);
+}
+
+void
+test_node_upstream(struct test_node *n, uint16_t port, enum serving_state state)
+{
+	struct guard_endpoint ep = {.service = "search",
+	    .port = port,
+	    .slots = 64,
+	    .state = state,
+	    .limits = {.slots_per_endpoint = 64,
+		.queue_per_endpoint = 64,
+		.queue_wait_ms = 1000,
+		.request_max_bytes = UINT64_C(1) << 31}};
+
+	guard_set_endpoints(n->guard, &ep, 1);
+}
+
+static struct catalog *
+catalog_of(const struct bundle *b)
+{
+	struct catalog *c = catalog_new(0);
+	struct catalog_stage *stage;
+	const struct section *section;
+	struct digest root;
+	GArray *list;
+	const uint8_t *data;
+	size_t len;
+	uint32_t i;
+
+	bundle_to_sections(b, &list, &root);
+	ck_assert_int_eq(
+	    catalog_stage_begin_full(c, 1, &root, list, &stage), STATUS_OK);
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		data = g_bytes_get_data(section->content, &len);
+		(void)catalog_stage_add(stage, data, len);
+	}
+	ck_assert_int_eq(catalog_commit(c, stage), STATUS_OK);
+	catalog_stage_free(stage);
+	g_array_unref(list);
+	return c;
+}
+
+void
+test_snapshot(const struct fake_endpoint *endpoints, uint32_t n)
+{
+	struct endpoint_set *set = endpoint_set_new();
+	struct catalog *c;
+	struct endpoint ep;
+	struct bundle *b;
+	uint32_t i;
+
+	ck_assert_msg(
+	    bundle_parse(bundle_json, strlen(bundle_json), &b) == STATUS_OK,
+	    "%s", status_message());
+	for (i = 0; i < n; i++) {
+		memset(&ep, 0, sizeof(ep));
+		(void)g_strlcpy(ep.service, "search", sizeof(ep.service));
+		(void)g_strlcpy(ep.host, endpoints[i].host, sizeof(ep.host));
+		(void)g_strlcpy(ep.data_centre, "dc", sizeof(ep.data_centre));
+		ep.address.ip = INADDR_LOOPBACK;
+		ep.address.port = endpoints[i].port;
+		ep.slots = 64;
+		ep.state = SERVING_READY;
+		(void)endpoint_set_host(set, endpoints[i].host, &ep, 1);
+	}
+	c = catalog_of(b);
+	snapshot_ref_publish(snapshot_compile(c, set));
+	catalog_free(c);
+	endpoint_set_free(set);
+	bundle_free(b);
+}
+
+bool
+test_wait_int(int (*value)(void *), void *arg, int want)
+{
+	int i;
+
+	for (i = 0; i < WAIT_TRIES; i++) {
+		if (value(arg) == want)
+			return true;
+		g_usleep(WAIT_STEP_US);
+	}
+	return false;
+}
--- /dev/null
+++ b/packages/node/test/fixture_upstream.c
@@ -0,0 +1,321 @@
+/*
+ * A fake upstream: does what a request's query asks for and counts runs.
+ */
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fixture.h"
+
+#define HEAD_MAX 65536
+#define BUF_BYTES 65536
+
+struct upstream_conn {
+	struct fake_upstream *u;
+	int fd;
+	char buf[BUF_BYTES];
+	size_t have;
+};
+
+static size_t
+read_some(struct upstream_conn *c, void *to, size_t max)
+{
+	ssize_t n;
+
+	if (c->have > 0) {
+		n = (ssize_t)MIN(max, c->have);
+		memcpy(to, c->buf, (size_t)n);
+		memmove(c->buf, c->buf + n, c->have - (size_t)n);
+		c->have -= (size_t)n;
+		return (size_t)n;
+	}
+	n = recv(c->fd, to, max, 0);
+	return n > 0 ? (size_t)n : 0;
+}
+
+static bool
+read_head(struct upstream_conn *c, GString *head)
+{
+	char buf[BUF_BYTES];
+	const char *end;
+	size_t n;
+
+	g_string_set_size(head, 0);
+	while (head->len < HEAD_MAX) {
+		n = read_some(c, buf, sizeof(buf));
+		if (n == 0)
+			return false;
+		g_string_append_len(head, buf, (gssize)n);
+		end = strstr(head->str, "\r\n\r\n");
+		if (end == NULL)
+			continue;
+		n = head->len - (size_t)(end + 4 - head->str);
+		memcpy(c->buf, end + 4, n);
+		c->have = n;
+		g_string_set_size(head, head->len - n);
+		return true;
+	}
+	return false;
+}
+
+static bool
+read_length(struct upstream_conn *c, size_t len, uint64_t *sum, size_t *total)
+{
+	uint8_t buf[BUF_BYTES];
+	size_t i, n;
+
+	while (len > 0) {
+		n = read_some(c, buf, MIN(len, sizeof(buf)));
+		if (n == 0)
+			return false;
+		for (i = 0; i < n; i++)
+			*sum = *sum * 31 + buf[i];
+		*total += n;
+		len -= n;
+	}
+	return true;
+}
+
+static bool
+read_line(struct upstream_conn *c, char *line, size_t size)
+{
+	size_t n = 0;
+
+	while (n + 1 < size && read_some(c, line + n, 1) == 1) {
+		n++;
+		line[n] = '\0';
+		if (line[n - 1] == '\n')
+			return true;
+	}
+	return false;
+}
+
+static bool
+read_body(
+    struct upstream_conn *c, const char *head, uint64_t *sum, size_t *total)
+{
+	const char *length = strcasestr(head, "\r\nContent-Length: ");
+	char line[32];
+	size_t n;
+
+	*sum = 0;
+	*total = 0;
+	if (length != NULL)
+		return read_length(
+		    c, strtoul(strchr(length, ':') + 1, NULL, 10), sum, total);
+	if (strcasestr(head, "\r\nTransfer-Encoding: chunked") == NULL)
+		return true;
+	while (read_line(c, line, sizeof(line))) {
+		n = strtoul(line, NULL, 16);
+		if (!read_length(c, n, sum, total) ||
+		    !read_line(c, line, sizeof(line)))
+			return false;
+		if (n == 0)
+			return true;
+	}
+	return false;
+}
+
+static unsigned long
+number(const char *head, const char *name)
+{
+	const char *at = strstr(head, name);
+
+	if (at == NULL || at > strstr(head, " HTTP/1.1"))
+		return 0;
+	return strtoul(at + strlen(name), NULL, 10);
+}
+
+static void
+count_run(struct fake_upstream *u, const char *head)
+{
+	const char *at = strcasestr(head, "\r\nX-Test-Id: ");
+	char *id;
+
+	g_mutex_lock(&u->lock);
+	g_string_assign(u->headers, head);
+	if (at != NULL) {
+		at = strchr(at, ':') + 2;
+		id = g_strndup(at, strcspn(at, "\r"));
+		g_hash_table_insert(u->runs, id,
+		    GINT_TO_POINTER(
+			GPOINTER_TO_INT(g_hash_table_lookup(u->runs, id)) + 1));
+	}
+	g_mutex_unlock(&u->lock);
+}
+
+static void
+put(int fd, const void *data, size_t len)
+{
+	const char *p = data;
+	ssize_t n;
+
+	while (len > 0 && (n = send(fd, p, len, MSG_NOSIGNAL)) > 0) {
+		p += n;
+		len -= (size_t)n;
+	}
+}
+
+static void
+put_pattern(int fd, size_t len, bool chunked)
+{
+	char buf[BUF_BYTES], line[16];
+	size_t i, n;
+
+	for (i = 0; i < sizeof(buf); i++)
+		buf[i] = (char)('a' + i % 26);
+	while (len > 0) {
+		n = MIN(len, (sizeof(buf) / 26) * 26);
+		(void)snprintf(line, sizeof(line), "%zx\r\n", n);
+		if (chunked)
+			put(fd, line, strlen(line));
+		put(fd, buf, n);
+		if (chunked)
+			put(fd, "\r\n", 2);
+		len -= n;
+	}
+	if (chunked)
+		put(fd, "0\r\n\r\n", 5);
+}
+
+static bool
+answer(struct upstream_conn *c, const char *head, uint64_t sum, size_t total)
+{
+	size_t bytes = number(head, "bytes=");
+	char line[128], text[64];
+
+	if (strstr(head, "do=close") != NULL)
+		return false;
+	if (strstr(head, "do=shed") != NULL) {
+		(void)snprintf(line, sizeof(line),
+		    "HTTP/1.1 503 Shed\r\n"
+		    "Bramley-Fate: not_run\r\nContent-Length: 0\r\n\r\n");
+		put(c->fd, line, strlen(line));
+		return true;
+	}
+	if (strstr(head, "do=sum") != NULL) {
+		(void)snprintf(
+		    text, sizeof(text), "%zu %lu", total, (unsigned long)sum);
+		(void)snprintf(line, sizeof(line),
+		    "HTTP/1.1 200 OK\r\n"
+		    "Content-Length: %zu\r\n\r\n%s",
+		    strlen(text), text);
+		put(c->fd, line, strlen(line));
+		return true;
+	}
+	if (strstr(head, "do=chunked") != NULL) {
+		(void)snprintf(line, sizeof(line),
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+		put(c->fd, line, strlen(line));
+		put_pattern(c->fd, bytes, true);
+		return true;
+	}
+	(void)snprintf(line, sizeof(line),
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", bytes);
+	put(c->fd, line, strlen(line));
+	if (strstr(head, "do=cut") != NULL) {
+		put_pattern(c->fd, bytes / 2, false);
+		return false;
+	}
+	put_pattern(c->fd, bytes, false);
+	return true;
+}
+
+static void *
+serve(void *arg)
+{
+	struct upstream_conn *c = arg;
+	GString *head = g_string_new(NULL);
+	uint64_t sum;
+	size_t total;
+	bool more = true;
+
+	while (more && read_head(c, head)) {
+		if (!read_body(c, head->str, &sum, &total))
+			break;
+		c->u->running++;
+		if (strstr(head->str, "do=shed") == NULL)
+			count_run(c->u, head->str);
+		g_usleep(number(head->str, "ms=") * 1000);
+		more = answer(c, head->str, sum, total);
+		c->u->running--;
+	}
+	close(c->fd);
+	g_string_free(head, TRUE);
+	g_free(c);
+	return NULL;
+}
+
+static void *
+accept_all(void *arg)
+{
+	struct fake_upstream *u = arg;
+	struct upstream_conn *c;
+	pthread_t thread;
+	int fd;
+
+	while ((fd = accept(u->fd, NULL, NULL)) >= 0) {
+		u->connections++;
+		c = g_new0(struct upstream_conn, 1);
+		c->u = u;
+		c->fd = fd;
+		if (pthread_create(&thread, NULL, serve, c) == 0)
+			(void)pthread_detach(thread);
+	}
+	return NULL;
+}
+
+struct fake_upstream *
+fake_upstream_start(void)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sin);
+	struct fake_upstream *u = g_new0(struct fake_upstream, 1);
+	pthread_t thread;
+
+	u->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	u->headers = g_string_new(NULL);
+	g_mutex_init(&u->lock);
+	u->fd = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(u->fd, (struct sockaddr *)&sin, len), 0);
+	ck_assert_int_eq(listen(u->fd, 1024), 0);
+	(void)getsockname(u->fd, (struct sockaddr *)&sin, &len);
+	u->port = ntohs(sin.sin_port);
+	ck_assert_int_eq(pthread_create(&thread, NULL, accept_all, u), 0);
+	(void)pthread_detach(thread);
+	return u;
+}
+
+void
+fake_upstream_stop(struct fake_upstream *u)
+{
+	(void)shutdown(u->fd, SHUT_RDWR);
+	close(u->fd);
+}
+
+int
+fake_upstream_runs(struct fake_upstream *u, const char *id)
+{
+	int n;
+
+	g_mutex_lock(&u->lock);
+	n = GPOINTER_TO_INT(g_hash_table_lookup(u->runs, id));
+	g_mutex_unlock(&u->lock);
+	return n;
+}
+
+bool
+fake_upstream_saw(struct fake_upstream *u, const char *line)
+{
+	bool saw;
+
+	g_mutex_lock(&u->lock);
+	saw = strcasestr(u->headers->str, line) != NULL;
+	g_mutex_unlock(&u->lock);
+	return saw;
+}
