test(functional): harness of process-level tests

Solution: a library with processes ended by their own id, free ports on loopback addresses of each test, HTTP requests, a TCP relay that can be cut or let open connections go silent for good, and a deployment of platform, nodes and upstreams (built once the node and bramleyctl exist).

--- a/packages/standins/include/standins/summary.h
+++ b/packages/standins/include/standins/summary.h
@@ -41,9 +41,9 @@
  * @duration_us: how long calls were sent
  *
  * Return: {"sent", "done", "not_run", "unknown", "not_sent", "cut",
- * "no_answer", "wrong", "no_fate", "no_retry_after", "goodput_per_s",
- * "late_us", "all_us", "lookup_us", "booking_us", "upload_us", "statuses"};
- * latencies are those of calls told done.
+ * "no_answer", "wrong_answers", "no_fate", "no_retry_after", "goodput_per_s",
+ * "late_us", "p50_us", "p99_us", "p999_us", "lookup_us", "booking_us",
+ * "upload_us", "statuses"}; latencies are those of calls told done.
  */
 json_t *summary_json(struct load_result *r, uint64_t duration_us);
 
--- a/packages/standins/src/summary.c
+++ b/packages/standins/src/summary.c
@@ -53,13 +53,12 @@
 }
 
 /* Latencies of the calls told done, of one kind or (CALL_KINDS) of all. */
-static json_t *
-done_latency_json(const GArray *outcomes, enum call_kind kind)
+static GArray *
+done_latencies(const GArray *outcomes, enum call_kind kind)
 {
 	const struct outcome *o;
 	GArray *us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	guint i;
-	json_t *j;
 
 	for (i = 0; i < outcomes->len; i++) {
 		o = &g_array_index(outcomes, struct outcome, i);
@@ -67,11 +66,33 @@
 		    (kind == CALL_KINDS || kind == o->kind))
 			g_array_append_val(us, o->latency_us);
 	}
-	j = latency_json(us);
+	return us;
+}
+
+static json_t *
+kind_latency_json(const GArray *outcomes, enum call_kind kind)
+{
+	GArray *us = done_latencies(outcomes, kind);
+	json_t *j = latency_json(us);
+
 	g_array_unref(us);
 	return j;
 }
 
+/* Quantiles over all calls told done stand at the top. */
+static void
+add_quantiles(json_t *j, const GArray *outcomes)
+{
+	GArray *us = done_latencies(outcomes, CALL_KINDS);
+	struct latency l;
+
+	summary_latency(us, &l);
+	g_array_unref(us);
+	json_object_set_new(j, "p50_us", json_integer((json_int_t)l.p50_us));
+	json_object_set_new(j, "p99_us", json_integer((json_int_t)l.p99_us));
+	json_object_set_new(j, "p999_us", json_integer((json_int_t)l.p999_us));
+}
+
 static void
 count(json_t *j, const char *name)
 {
@@ -89,7 +110,7 @@
 
 	j = json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "sent", 0,
 	    "done", 0, "not_run", 0, "unknown", 0, "not_sent", 0, "cut", 0,
-	    "no_answer", 0, "wrong", 0, "no_fate", 0);
+	    "no_answer", 0, "wrong_answers", 0, "no_fate", 0);
 	for (i = 0; i < outcomes->len; i++) {
 		o = &g_array_index(outcomes, struct outcome, i);
 		count(j, "sent");
@@ -101,7 +122,7 @@
 		if (o->check == ANSWER_NO_FATE)
 			count(j, "no_fate");
 		if (o->check == ANSWER_NOT_OWN || o->check == ANSWER_NOT_WHOLE)
-			count(j, "wrong");
+			count(j, "wrong_answers");
 		(void)g_snprintf(status, sizeof(status), "%d", o->status);
 		count(statuses, status);
 	}
@@ -123,13 +144,12 @@
 	json_object_set_new(
 	    j, "no_retry_after", json_integer((json_int_t)r->no_retry_after));
 	json_object_set_new(j, "late_us", latency_json(r->late_us));
-	json_object_set_new(
-	    j, "all_us", done_latency_json(r->outcomes, CALL_KINDS));
+	add_quantiles(j, r->outcomes);
 	for (k = 0; k < CALL_KINDS; k++) {
 		(void)g_snprintf(name, sizeof(name), "%s_us",
 		    call_kind_name((enum call_kind)k));
 		json_object_set_new(
-		    j, name, done_latency_json(r->outcomes, (enum call_kind)k));
+		    j, name, kind_latency_json(r->outcomes, (enum call_kind)k));
 	}
 	return j;
 }
--- a/packages/standins/test/test_load.c
+++ b/packages/standins/test/test_load.c
@@ -110,7 +110,8 @@
 	j = summary_json(&r, SECOND_US / 2);
 	ck_assert_int_eq(json_integer_value(json_object_get(j, "sent")), 5);
 	ck_assert_int_eq(json_integer_value(json_object_get(j, "done")), 2);
-	ck_assert_int_eq(json_integer_value(json_object_get(j, "wrong")), 1);
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(j, "wrong_answers")), 1);
 	ck_assert_int_eq(json_integer_value(json_object_get(j, "cut")), 1);
 	ck_assert_int_eq(
 	    json_integer_value(json_object_get(j, "no_answer")), 1);
--- /dev/null
+++ b/test/functional/deployment_watch.c
@@ -0,0 +1,285 @@
+/*
+ * A small deployment for tests: its state, operators, load and the check.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "deployment.h"
+#include "fetch.h"
+#include "standins/run_check.h"
+
+#define CTL_WAIT_MS 60000
+#define LOAD_WAIT_MS 300000
+#define URL_BYTES 512
+
+int64_t
+json_number(const json_t *j, const char *name)
+{
+	return json_integer_value(json_object_get(j, name));
+}
+
+json_t *
+deployment_api(const struct host *h, const char *method, const char *path,
+    const char *body, int *code)
+{
+	char url[URL_BYTES];
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u%s", h->address,
+	    h->admin_port, path);
+	return fetch_json(method, url, body, code);
+}
+
+static int64_t
+status_number(const struct host *h, const char *name)
+{
+	int64_t n;
+	json_t *j = deployment_api(h, "GET", "/v1/status", NULL, NULL);
+
+	n = json_number(j, name);
+	json_decref(j);
+	return n;
+}
+
+uint64_t
+deployment_version(const struct host *h)
+{
+	return (uint64_t)status_number(h, "version");
+}
+
+/* What all running nodes are to show in their status. */
+struct awaited {
+	const struct deployment *d;
+	const char *name;
+	int64_t least;
+	int64_t most;
+};
+
+static int
+all_show(void *arg)
+{
+	const struct awaited *a = arg;
+	const struct host *h;
+	int64_t n;
+	uint32_t i;
+
+	for (i = 0; i < a->d->hosts->len; i++) {
+		h = deployment_host(a->d, i);
+		if (h->node == NULL)
+			continue;
+		n = status_number(h, a->name);
+		if (n < a->least || n > a->most)
+			return 0;
+	}
+	return 1;
+}
+
+static uint64_t
+wait_for(struct awaited *a, uint32_t wait_ms)
+{
+	uint64_t start_ms = clock_now_ms();
+
+	ck_assert_msg(harness_until(all_show, a, wait_ms),
+	    "not all nodes came to %s %ld in %u ms; see %s", a->name,
+	    (long)a->least, wait_ms, harness_dir());
+	return clock_now_ms() - start_ms;
+}
+
+uint64_t
+deployment_wait_version(
+    struct deployment *d, uint64_t version, uint32_t wait_ms)
+{
+	struct awaited a = {d, "version", (int64_t)version, INT64_MAX};
+
+	return wait_for(&a, wait_ms);
+}
+
+void
+deployment_wait_endpoints(struct deployment *d, uint32_t n, uint32_t wait_ms)
+{
+	struct awaited a = {d, "endpoints", n, n};
+
+	(void)wait_for(&a, wait_ms);
+}
+
+static void
+append_args(GPtrArray *argv, va_list ap)
+{
+	const char *arg;
+
+	while ((arg = va_arg(ap, const char *)) != NULL)
+		g_ptr_array_add(argv, (gpointer)arg);
+	g_ptr_array_add(argv, NULL);
+}
+
+/* The last JSON value in a file: the whole file, or its last line. */
+static json_t *
+output_json(const char *path)
+{
+	char *last, *text = NULL;
+	json_t *j;
+
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	j = json_loads(text, 0, NULL);
+	if (j == NULL) {
+		last = strrchr(g_strchomp(text), '\n');
+		j = json_loads(last == NULL ? text : last + 1, 0, NULL);
+	}
+	g_free(text);
+	return j;
+}
+
+json_t *
+deployment_ctl(const struct host *h, int *code, ...)
+{
+	static uint32_t runs;
+	char *name = g_strdup_printf("ctl.%u", ++runs);
+	char *node = g_strdup_printf("%s:%u", h->address, h->admin_port);
+	GPtrArray *argv = g_ptr_array_new();
+	int res;
+	json_t *j;
+	struct process *p;
+	va_list ap;
+
+	g_ptr_array_add(argv, (gpointer)BRAMLEYCTL_PATH);
+	g_ptr_array_add(argv, (gpointer) "--node");
+	g_ptr_array_add(argv, node);
+	g_ptr_array_add(argv, (gpointer) "--json");
+	va_start(ap, code);
+	append_args(argv, ap);
+	va_end(ap);
+	p = process_start(
+	    name, harness_dir(), (const char *const *)argv->pdata);
+	res = process_wait(p, CTL_WAIT_MS);
+	j = output_json(process_log(p));
+	if (code != NULL)
+		*code = res;
+	else
+		ck_assert_msg(res == 0, "bramleyctl ended with %d; see %s", res,
+		    process_log(p));
+	process_free(p);
+	g_ptr_array_unref(argv);
+	g_free(node);
+	g_free(name);
+	return j;
+}
+
+char *
+deployment_example(const char *name)
+{
+	return g_build_filename(EXAMPLES_DIR, name, NULL);
+}
+
+uint64_t
+deployment_sign_off(const struct host *h, const char *bundle)
+{
+	json_t *j = deployment_ctl(
+	    h, NULL, "--operator", "test", "sign-off", bundle, NULL);
+	uint64_t version = (uint64_t)json_number(j, "version");
+
+	ck_assert_uint_gt(version, 0);
+	json_decref(j);
+	return version;
+}
+
+static void
+append_node(GPtrArray *argv, GPtrArray *own, const struct host *h)
+{
+	char *node = g_strdup_printf("%s:%u", h->address, h->caller_port);
+
+	g_ptr_array_add(own, node);
+	g_ptr_array_add(argv, (gpointer) "--node");
+	g_ptr_array_add(argv, node);
+}
+
+struct process *
+deployment_load(struct deployment *d, const char *name, const struct host *h,
+    int spread, ...)
+{
+	char *file = g_strdup_printf("%s.outcomes", name);
+	char *path = harness_path(file);
+	const struct host *other;
+	GPtrArray *argv = g_ptr_array_new();
+	GPtrArray *own = g_ptr_array_new_with_free_func(g_free);
+	struct process *p;
+	uint32_t i;
+	va_list ap;
+
+	g_ptr_array_add(d->outcomes, path);
+	g_ptr_array_add(argv, (gpointer)LOAD_GEN_PATH);
+	append_node(argv, own, h);
+	for (i = 0; spread && i < d->hosts->len; i++) {
+		other = deployment_host(d, i);
+		if (other != h && other->node != NULL)
+			append_node(argv, own, other);
+	}
+	g_ptr_array_add(argv, (gpointer) "--json");
+	g_ptr_array_add(argv, (gpointer) "--run-id");
+	g_ptr_array_add(argv, (gpointer)name);
+	g_ptr_array_add(argv, (gpointer) "--outcomes");
+	g_ptr_array_add(argv, path);
+	va_start(ap, spread);
+	append_args(argv, ap);
+	va_end(ap);
+	p = process_start(
+	    name, harness_dir(), (const char *const *)argv->pdata);
+	g_ptr_array_unref(argv);
+	g_ptr_array_unref(own);
+	g_free(file);
+	return p;
+}
+
+json_t *
+deployment_load_end(struct process *load)
+{
+	int code = process_wait(load, LOAD_WAIT_MS);
+	json_t *j;
+
+	ck_assert_msg(code == 0, "load_gen ended with %d; see %s", code,
+	    process_log(load));
+	j = output_json(process_log(load));
+	ck_assert_ptr_nonnull(j);
+	process_free(load);
+	return j;
+}
+
+static void
+print_violation(const struct violation *v)
+{
+	(void)printf("violation %s: %s told %s, %lu runs\n",
+	    run_rule_name(v->rule), v->id, told_name(v->told),
+	    (unsigned long)v->runs);
+}
+
+uint32_t
+deployment_check(const struct deployment *d)
+{
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	GArray *found;
+	guint i;
+	struct runs *r;
+	uint32_t n;
+
+	ck_assert_int_eq(runs_new("", NULL, &r), STATUS_OK);
+	for (i = 0; i < d->outcomes->len; i++)
+		ck_assert_int_eq(
+		    outcomes_read(g_ptr_array_index(d->outcomes, i), calls),
+		    STATUS_OK);
+	for (i = 0; i < d->hosts->len; i++)
+		ck_assert_int_eq(
+		    runs_read_journal(r, deployment_host(d, i)->journal),
+		    STATUS_OK);
+	found = run_check(calls, r);
+	for (i = 0; i < found->len; i++)
+		print_violation(&g_array_index(found, struct violation, i));
+	n = found->len;
+	g_array_unref(found);
+	g_array_unref(calls);
+	runs_free(r);
+	return n;
+}
--- /dev/null
+++ b/test/functional/process.c
@@ -0,0 +1,139 @@
+/*
+ * Processes of a test.
+ */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "process.h"
+
+#define PROCESS_POLL_US 2000
+#define PROCESS_LOG_MODE 0644
+#define PROCESS_EXEC_FAILED 127
+
+struct process {
+	pid_t pid; /* 0 when it has ended */
+	int exit_code;
+	char *log;
+};
+
+/* In the child: only calls that are safe after a fork. */
+static void
+child_exec(const char *const *argv, int log_fd, pid_t parent)
+{
+	sigset_t none;
+
+	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent)
+		_exit(PROCESS_EXEC_FAILED);
+	(void)sigemptyset(&none);
+	(void)sigprocmask(SIG_SETMASK, &none, NULL);
+	(void)dup2(log_fd, STDOUT_FILENO);
+	(void)dup2(log_fd, STDERR_FILENO);
+	(void)execv(argv[0], (char *const *)argv);
+	_exit(PROCESS_EXEC_FAILED);
+}
+
+struct process *
+process_start(const char *name, const char *dir, const char *const *argv)
+{
+	int fd;
+	pid_t parent = getpid(), pid;
+	struct process *p = g_new0(struct process, 1);
+
+	p->log = g_strdup_printf("%s/%s.log", dir, name);
+	fd = open(p->log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+	    PROCESS_LOG_MODE);
+	ck_assert_msg(fd != -1, "can't write %s", p->log);
+	pid = fork();
+	ck_assert_int_ne(pid, -1);
+	if (pid == 0)
+		child_exec(argv, fd, parent);
+	(void)close(fd);
+	p->pid = pid;
+	return p;
+}
+
+const char *
+process_log(const struct process *p)
+{
+	return p->log;
+}
+
+pid_t
+process_pid(const struct process *p)
+{
+	return p->pid;
+}
+
+void
+process_signal(const struct process *p, int sig)
+{
+	if (p->pid != 0)
+		(void)kill(p->pid, sig);
+}
+
+/* Reap the process when it has ended. */
+static int
+process_ended(struct process *p)
+{
+	int st;
+
+	if (p->pid == 0)
+		return 1;
+	if (waitpid(p->pid, &st, WNOHANG) != p->pid)
+		return 0;
+	p->pid = 0;
+	p->exit_code = WIFEXITED(st) ? WEXITSTATUS(st) : PROCESS_KILLED;
+	return 1;
+}
+
+int
+process_wait(struct process *p, uint32_t wait_ms)
+{
+	uint64_t until_ms = clock_now_ms() + wait_ms;
+
+	while (!process_ended(p)) {
+		if (clock_now_ms() >= until_ms) {
+			process_kill(p);
+			break;
+		}
+		g_usleep(PROCESS_POLL_US);
+	}
+	return p->exit_code;
+}
+
+int
+process_stop(struct process *p, uint32_t wait_ms)
+{
+	process_signal(p, SIGTERM);
+	return process_wait(p, wait_ms);
+}
+
+void
+process_kill(struct process *p)
+{
+	if (process_ended(p))
+		return;
+	(void)kill(p->pid, SIGKILL);
+	(void)waitpid(p->pid, NULL, 0);
+	p->pid = 0;
+	p->exit_code = PROCESS_KILLED;
+}
+
+void
+process_free(struct process *p)
+{
+	if (p == NULL)
+		return;
+	process_kill(p);
+	g_free(p->log);
+	g_free(p);
+}
--- /dev/null
+++ b/test/functional/relay.c
@@ -0,0 +1,345 @@
+/*
+ * TCP relay between two programs.
+ *
+ * One thread polls all sockets.  Each way of a connection has one buffer: it
+ * is read only when the last bytes are written, so a slow receiver slows the
+ * sender down as without the relay.  A silent connection is not polled at
+ * all: neither bytes nor a close get through.
+ */
+#include <errno.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "harness.h"
+#include "relay.h"
+
+#define RELAY_BUFFER_BYTES 65536
+#define RELAY_BACKLOG 256
+#define RELAY_SLOTS 2 /* of poll() before the connections: wake, listen */
+
+/* One way of a connection: bytes read from @from and not yet written. */
+struct way {
+	int from;
+	int to;
+	int ended; /* the sender has closed */
+	size_t at;
+	size_t len;
+	uint8_t data[RELAY_BUFFER_BYTES];
+};
+
+struct link {
+	struct way way[2];
+	uint64_t bytes;
+	int silent;
+	int broken;
+};
+
+struct relay {
+	pthread_t thread;
+	int listen_fd;
+	int wake_fd;
+	uint16_t port;
+	struct sockaddr_in target;
+	pthread_mutex_t lock; /* guards the links and all below */
+	GPtrArray *links;
+	uint64_t epoch; /* counts changes of the links from outside */
+	enum relay_mode mode;
+	uint64_t silence_after_bytes; /* 0 for never */
+	int stopping;
+	_Atomic uint64_t connections;
+	_Atomic uint64_t bytes;
+};
+
+static void
+link_free(gpointer p)
+{
+	struct link *l = p;
+
+	(void)close(l->way[0].from);
+	(void)close(l->way[1].from);
+	g_free(l);
+}
+
+static void
+relay_accept(struct relay *r)
+{
+	int a, b;
+	struct link *l;
+
+	a = accept4(r->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (a == -1)
+		return;
+	atomic_fetch_add(&r->connections, 1);
+	b = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (r->mode == RELAY_CUT || b == -1 ||
+	    (connect(b, (struct sockaddr *)&r->target, sizeof(r->target)) ==
+		    -1 &&
+		errno != EINPROGRESS)) {
+		(void)close(a);
+		(void)close(b);
+		return;
+	}
+	l = g_new0(struct link, 1);
+	l->way[0].from = l->way[1].to = a;
+	l->way[1].from = l->way[0].to = b;
+	l->silent = r->mode == RELAY_SILENT;
+	g_ptr_array_add(r->links, l);
+}
+
+static void
+way_read(struct link *l, struct way *w)
+{
+	ssize_t n;
+
+	n = recv(w->from, w->data, sizeof(w->data), 0);
+	if (n > 0) {
+		w->at = 0;
+		w->len = (size_t)n;
+	} else if (n == 0) {
+		w->ended = 1;
+		(void)shutdown(w->to, SHUT_WR);
+	} else if (errno != EAGAIN) {
+		l->broken = 1;
+	}
+}
+
+static void
+way_write(struct relay *r, struct link *l, struct way *w)
+{
+	size_t len = w->len - w->at;
+	ssize_t n;
+
+	n = send(w->to, w->data + w->at, len, MSG_NOSIGNAL);
+	if (n < 0) {
+		l->broken = errno != EAGAIN;
+		return;
+	}
+	w->at += (size_t)n;
+	l->bytes += (uint64_t)n;
+	atomic_fetch_add(&r->bytes, (uint64_t)n);
+	if (r->silence_after_bytes != 0 && l->bytes >= r->silence_after_bytes) {
+		l->silent = 1;
+		r->silence_after_bytes = 0;
+	}
+}
+
+static short
+link_events(const struct link *l, int side)
+{
+	const struct way *in = &l->way[side], *out = &l->way[1 - side];
+	short events = 0;
+
+	if (!in->ended && in->at == in->len)
+		events |= POLLIN;
+	if (out->at < out->len)
+		events |= POLLOUT;
+	return events;
+}
+
+/* Two poll() entries for each link; a silent one has none to wait for. */
+static void
+relay_poll_set(const struct relay *r, GArray *fds)
+{
+	guint i;
+	int side;
+	struct link *l;
+	struct pollfd f = {r->wake_fd, POLLIN, 0};
+
+	g_array_set_size(fds, 0);
+	g_array_append_val(fds, f);
+	f.fd = r->listen_fd;
+	g_array_append_val(fds, f);
+	for (i = 0; i < r->links->len; i++) {
+		l = g_ptr_array_index(r->links, i);
+		for (side = 0; side < 2; side++) {
+			f.events = link_events(l, side);
+			f.fd =
+			    l->silent || f.events == 0 ? -1 : l->way[side].from;
+			g_array_append_val(fds, f);
+		}
+	}
+}
+
+static void
+link_serve(struct relay *r, struct link *l, int side, short revents)
+{
+	struct way *in = &l->way[side], *out = &l->way[1 - side];
+
+	if (l->silent || l->broken || revents == 0)
+		return;
+	if (out->at < out->len && (revents & (POLLOUT | POLLERR)))
+		way_write(r, l, out);
+	if (!in->ended && in->at == in->len &&
+	    (revents & (POLLIN | POLLHUP | POLLERR)))
+		way_read(l, in);
+}
+
+static int
+link_over(const struct link *l)
+{
+	return l->broken || (l->way[0].ended && l->way[1].ended);
+}
+
+static void
+relay_serve(struct relay *r, const GArray *fds)
+{
+	guint i, n = (fds->len - RELAY_SLOTS) / 2;
+	int side;
+	struct link *l;
+
+	for (i = 0; i < n; i++) {
+		l = g_ptr_array_index(r->links, i);
+		for (side = 0; side < 2; side++)
+			link_serve(r, l, side,
+			    g_array_index(fds, struct pollfd,
+				RELAY_SLOTS + 2 * i + (guint)side)
+				.revents);
+	}
+	for (i = r->links->len; i-- > 0;)
+		if (link_over(g_ptr_array_index(r->links, i)))
+			g_ptr_array_remove_index(r->links, i);
+	if (g_array_index(fds, struct pollfd, 1).revents != 0)
+		relay_accept(r);
+}
+
+static void *
+relay_run(void *arg)
+{
+	GArray *fds = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
+	struct relay *r = arg;
+	uint64_t epoch, woken;
+
+	pthread_mutex_lock(&r->lock);
+	while (!r->stopping) {
+		epoch = r->epoch;
+		relay_poll_set(r, fds);
+		pthread_mutex_unlock(&r->lock);
+		(void)poll((struct pollfd *)(void *)fds->data, fds->len, -1);
+		pthread_mutex_lock(&r->lock);
+		(void)!read(r->wake_fd, &woken, sizeof(woken));
+		/* When the links have changed, what was polled is no more. */
+		if (epoch == r->epoch)
+			relay_serve(r, fds);
+	}
+	pthread_mutex_unlock(&r->lock);
+	g_array_unref(fds);
+	return NULL;
+}
+
+/* Call under the lock after a change that the thread must see. */
+static void
+relay_wake(struct relay *r)
+{
+	uint64_t one = 1;
+
+	r->epoch++;
+	(void)!write(r->wake_fd, &one, sizeof(one));
+}
+
+static void
+relay_listen(struct relay *r, const char *address)
+{
+	struct sockaddr_in at;
+	socklen_t len = sizeof(at);
+
+	harness_address(&at, address, 0);
+	r->listen_fd =
+	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	ck_assert_int_eq(
+	    bind(r->listen_fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(listen(r->listen_fd, RELAY_BACKLOG), 0);
+	(void)getsockname(r->listen_fd, (struct sockaddr *)&at, &len);
+	r->port = ntohs(at.sin_port);
+}
+
+struct relay *
+relay_start(
+    const char *address, const char *target_address, uint16_t target_port)
+{
+	struct relay *r = g_new0(struct relay, 1);
+
+	harness_address(&r->target, target_address, target_port);
+	relay_listen(r, address);
+	r->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	r->links = g_ptr_array_new_with_free_func(link_free);
+	pthread_mutex_init(&r->lock, NULL);
+	pthread_create(&r->thread, NULL, relay_run, r);
+	return r;
+}
+
+uint16_t
+relay_port(const struct relay *r)
+{
+	return r->port;
+}
+
+void
+relay_set(struct relay *r, enum relay_mode mode)
+{
+	pthread_mutex_lock(&r->lock);
+	r->mode = mode;
+	if (mode == RELAY_CUT)
+		g_ptr_array_set_size(r->links, 0);
+	relay_wake(r);
+	pthread_mutex_unlock(&r->lock);
+	if (mode == RELAY_SILENT)
+		relay_silence_open(r);
+}
+
+void
+relay_silence_open(struct relay *r)
+{
+	guint i;
+
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->links->len; i++)
+		((struct link *)g_ptr_array_index(r->links, i))->silent = 1;
+	relay_wake(r);
+	pthread_mutex_unlock(&r->lock);
+}
+
+void
+relay_silence_after(struct relay *r, uint64_t bytes)
+{
+	pthread_mutex_lock(&r->lock);
+	r->silence_after_bytes = bytes;
+	pthread_mutex_unlock(&r->lock);
+}
+
+uint64_t
+relay_connections(const struct relay *r)
+{
+	return atomic_load(&r->connections);
+}
+
+uint64_t
+relay_bytes(const struct relay *r)
+{
+	return atomic_load(&r->bytes);
+}
+
+void
+relay_stop(struct relay *r)
+{
+	if (r == NULL)
+		return;
+	pthread_mutex_lock(&r->lock);
+	r->stopping = 1;
+	relay_wake(r);
+	pthread_mutex_unlock(&r->lock);
+	pthread_join(r->thread, NULL);
+	g_ptr_array_unref(r->links);
+	pthread_mutex_destroy(&r->lock);
+	(void)close(r->listen_fd);
+	(void)close(r->wake_fd);
+	g_free(r);
+}
