--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	sh tools/setup.sh
 
 demo: all
-	sh tools/demo.sh $(BUILD)
+	python3 tools/demo.py $(BUILD)
 
 check: setup
 	sh tools/check.sh
