fix(net): a cancelled call leaves its body alone at once

Problem: after http_call_cancel() libcurl still held the pointer to the request's body until the end of the turn, and a caller that freed the body then could have it read.

Solution: the handle leaves libcurl within http_call_cancel() unless that is called from one of libcurl's callbacks, where it can't; the header says how long the body must stay. It also leaves before on_done() is called. The call's memory goes with the end of the turn, as a connection's does.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -53,8 +53,10 @@
  * @headers: headers; copied; Connection, Content-Length, Expect and
  *	Transfer-Encoding are the client's own and left out
  * @n_headers: number of headers
- * @body: body as a block, which must stay until on_done(); NULL when there
- *	is none or it is pulled
+ * @body: body as a block, which must stay until on_done() is called or
+ *	http_call_cancel() has returned, if that is called from on_head(),
+ *	on_body() or on_pull() until the end of the turn; NULL when there is
+ *	none or it is pulled
  * @body_bytes: length of @body; when the body is pulled its length, or
  *	HTTP_LENGTH_UNKNOWN for a chunked body
  * @pulled: the body comes from on_pull()
@@ -163,7 +165,8 @@
 
 /**
  * http_call_cancel() - drop a call
- * @call: the call; no function of its handler is called from now on
+ * @call: the call; no function of its handler is called from now on; its
+ *	memory is released at the end of the turn
  *
  * A connection that the request went out on is closed, which tells the
  * server.
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -37,13 +37,21 @@
 		curl_easy_cleanup(easy);
 }
 
+/* From here on libcurl does not touch the call nor its body. */
+static void
+call_detach(struct http_call *call)
+{
+	if (call->added)
+		(void)curl_multi_remove_handle(call->client->multi, call->easy);
+	call->added = false;
+}
+
 static void
 call_free(struct http_call *call)
 {
 	struct http_client *client = call->client;
 
-	if (call->added)
-		(void)curl_multi_remove_handle(client->multi, call->easy);
+	call_detach(call);
 	loop_timer_stop(&call->deadline);
 	loop_task_cancel(&call->task);
 	client_give_easy(client, call->easy);
@@ -54,6 +62,15 @@
 
 /* The end of a call */
 
+static void
+client_detach_doomed(struct http_client *client)
+{
+	GList *link;
+
+	for (link = client->doomed.head; link != NULL; link = link->next)
+		call_detach(link->data);
+}
+
 static void
 client_reap(struct http_client *client)
 {
@@ -109,6 +126,7 @@
 
 	g_queue_unlink(&call->client->calls, &call->link);
 	call->cancelled = true;
+	call_detach(call);
 	call->handler->on_done(call, &r, call->arg);
 	call_free(call);
 }
@@ -129,12 +147,10 @@
 	CURLMsg *msg;
 	int left;
 
-	client_reap(client);
-	while ((msg = curl_multi_info_read(client->multi, &left)) != NULL) {
+	client_detach_doomed(client);
+	while ((msg = curl_multi_info_read(client->multi, &left)) != NULL)
 		if (msg->msg == CURLMSG_DONE)
 			call_read_message(msg);
-		client_reap(client);
-	}
 }
 
 static void
@@ -156,7 +172,9 @@
 {
 	int running;
 
+	client->depth++;
 	(void)curl_multi_socket_action(client->multi, fd, events, &running);
+	client->depth--;
 	client_end_calls(client);
 }
 
@@ -245,7 +263,10 @@
 static void
 client_on_task(void *arg)
 {
-	client_drive(arg, CURL_SOCKET_TIMEOUT, 0);
+	struct http_client *client = arg;
+
+	client_reap(client);
+	client_drive(client, CURL_SOCKET_TIMEOUT, 0);
 }
 
 /* Calls */
@@ -253,8 +274,22 @@
 static void
 call_add(struct http_call *call)
 {
+	struct http_client *client = call->client;
+
 	call->added = true;
-	(void)curl_multi_add_handle(call->client->multi, call->easy);
+	client->depth++;
+	(void)curl_multi_add_handle(client->multi, call->easy);
+	client->depth--;
+}
+
+static void
+call_unpause(struct http_call *call)
+{
+	struct http_client *client = call->client;
+
+	client->depth++;
+	(void)curl_easy_pause(call->easy, CURLPAUSE_CONT);
+	client->depth--;
 }
 
 /* Starts the call in its first run, and takes it up again later. */
@@ -270,7 +305,7 @@
 		return;
 	}
 	if (call->added)
-		(void)curl_easy_pause(call->easy, CURLPAUSE_CONT);
+		call_unpause(call);
 	else
 		call_add(call);
 	client_drive(client, CURL_SOCKET_TIMEOUT, 0);
@@ -321,6 +356,8 @@
 	g_queue_unlink(&client->calls, &call->link);
 	g_queue_push_tail_link(&client->doomed, &call->link);
 	loop_task_defer(&client->task);
+	if (client->depth == 0)
+		call_detach(call);
 	return sent;
 }
 
--- a/packages/net/src/http_priv.h
+++ b/packages/net/src/http_priv.h
@@ -3,7 +3,7 @@
  *
  * A call is in client->calls until it has ended.  One that was cancelled is
  * in client->doomed until libcurl may be told, which it must not be from
- * within its own callbacks.
+ * within its own callbacks (depth > 0).
  */
 #ifndef NET_HTTP_PRIV_H
 #define NET_HTTP_PRIV_H
@@ -22,6 +22,7 @@
 	GQueue calls;
 	GQueue doomed;
 	GPtrArray *spare;
+	uint32_t depth;
 };
 
 /*
