fix(node): a request whose body can't come any more is settled at once

Problem: when a connection went silent after a booking's head and before its body, the guard waited for the body until the deadline, and the caller was told not_run 3 s later (test_call_faults, POST at call_open and call_chunk with the link muted: 503 not_run, 2 of 30 cases failed).

Solution: an entry asks for a fate only when it has lost the connection, so a resolve of a request without its whole body ends that request first; the entry then sends it again. Stopping the server for callers no longer waits 2 s for CivetWeb's accepting thread: its socket is shut down first.

--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -2,6 +2,7 @@
  * The HTTP server for callers, its start, drain and stop.
  */
 #include <string.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 
@@ -129,7 +130,7 @@
 	c->port = c->settings->caller_port;
 	if (mg_get_server_ports(c->ctx, 1, &port) == 1)
 		c->port = (uint16_t)port.port;
-	callers_socket_defer(c->port);
+	c->listener = callers_socket_listener(c->port);
 	return STATUS_OK;
 }
 
@@ -158,6 +159,9 @@
 {
 	if (c->ctx == NULL)
 		return;
+	/* Wakes the thread that accepts, which looks every 2 s only. */
+	if (c->listener >= 0)
+		(void)shutdown(c->listener, SHUT_RD);
 	mg_stop(c->ctx);
 	c->ctx = NULL;
 }
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -21,6 +21,7 @@
  * @entry: takes the calls; borrowed
  * @ctx: CivetWeb's context, NULL while stopped
  * @port: port that is listened on
+ * @listener: CivetWeb's listening socket, -1 when not known
  * @connections: connections that hold a worker
  * @in_flight: calls whose answer isn't written whole
  * @draining: each answer closes its connection
@@ -30,6 +31,7 @@
 	struct entry *entry;
 	struct mg_context *ctx;
 	uint16_t port;
+	int listener;
 	_Atomic uint32_t connections;
 	_Atomic uint32_t in_flight;
 	_Atomic bool draining;
@@ -96,7 +98,14 @@
 /** callers_socket_gone() - whether the caller has hung up */
 bool callers_socket_gone(struct mg_connection *conn);
 
-/** callers_socket_defer() - have the system wait for a caller's first byte */
-void callers_socket_defer(uint16_t port);
+/**
+ * callers_socket_listener() - find the socket that listens on a port
+ *
+ * From now on the system waits for a caller's first byte before it hands the
+ * connection over, so that one that says nothing holds no worker.
+ *
+ * Return: the socket, which stays CivetWeb's; -1 when it isn't found.
+ */
+int callers_socket_listener(uint16_t port);
 
 #endif
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -99,8 +99,8 @@
 	    own.sin_family == AF_INET && ntohs(own.sin_port) == *port;
 }
 
-void
-callers_socket_defer(uint16_t port)
+int
+callers_socket_listener(uint16_t port)
 {
 	int fd = find_socket(is_listener, &port);
 	int seconds = DEFER_S;
@@ -108,4 +108,5 @@
 	if (fd >= 0)
 		(void)setsockopt(fd, IPPROTO_TCP, TCP_DEFER_ACCEPT, &seconds,
 		    sizeof(seconds));
+	return fd;
 }
--- a/packages/node/src/guard_resolve.c
+++ b/packages/node/src/guard_resolve.c
@@ -76,6 +76,16 @@
 	q->waiter.stream = m->stream;
 }
 
+/* Whoever asks has lost the connection over which the body was coming. */
+static void
+body_will_not_come(struct guard *g, const struct request_id *id)
+{
+	struct guard_request *r = g_hash_table_lookup(g->requests, id);
+
+	if (r != NULL && !r->fin)
+		guard_request_cancel(r);
+}
+
 bool
 guard_resolve(struct guard_conn *gc, const struct msg_call_resolve *m)
 {
@@ -87,6 +97,7 @@
 	    g_hash_table_contains(gc->streams, GUINT_TO_POINTER(m->stream)))
 		return false;
 	fill_query(gc, m, &q);
+	body_will_not_come(g, &q.id);
 	fate_resolve(g->fates, &q, loop_now_ms(g->loop), &answer);
 	log_info("%s asks for a request's fate: %s", gc->host,
 	    resolution_name(answer.resolution));
