fix(standins): load_gen told "not sent" of a lookup that had been sent

Problem: test_harness failed 1 of its 11 tests, journal_outlives_a_kill_in_the_middle_of_load, in four runs of four: "not_run_but_ran: s1-66 told not_sent, 1 runs".

Cause: a lookup was in flight on a reused connection when the upstream was killed. libcurl sent it again by itself on a new connection, which was refused, and load_gen took "refused" for "nothing was sent".

Solution: not sent means that libcurl has sent no byte of the request over all its tries (CURLINFO_REQUEST_SIZE is 0). The test is unchanged.

Conclusion: an error code of libcurl tells of the last try only; fates must not be read from it.

--- a/packages/standins/src/load_call.c
+++ b/packages/standins/src/load_call.c
@@ -184,18 +184,17 @@
 	curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, own);
 }
 
-/* Whether nothing was sent: no connection came about for a call of its own. */
+/*
+ * Whether nothing was sent.  The error can't tell: libcurl sends a lookup
+ * again when its reused connection closes, so "refused" may be the second try.
+ */
 static int
-call_not_sent(const struct load_call *c, CURLcode rc)
+call_not_sent(const struct load_call *c)
 {
-	curl_off_t connect_us = 0;
+	long sent_bytes = 0;
 
-	if (rc == CURLE_COULDNT_CONNECT)
-		return 1;
-	if (rc != CURLE_OPERATION_TIMEDOUT || c->outcome.kind == CALL_LOOKUP)
-		return 0;
-	curl_easy_getinfo(c->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-	return connect_us == 0;
+	curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	return sent_bytes == 0;
 }
 
 static enum told
@@ -246,7 +245,7 @@
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
 	o->status = (int)status;
 	if (rc != CURLE_OK) {
-		o->told = call_not_sent(c, rc) ? TOLD_NOT_SENT : TOLD_UNKNOWN;
+		o->told = call_not_sent(c) ? TOLD_NOT_SENT : TOLD_UNKNOWN;
 		o->check = status == 0 ? ANSWER_NONE : ANSWER_CUT;
 		return;
 	}
