feat(ctl): bramleyctl

Problem: operators have no command line. Solution: validate, sign-off, watch, halt, supersede, status, history and operation over the administration API, with the nodes tried in order, exit codes for scripts and JSON lines. A change is sent once: when its answer is lost it is settled by the operation's id.

--- /dev/null
+++ b/packages/ctl/src/main.c
@@ -0,0 +1,13 @@
+/*
+ * bramleyctl: the operators' command line.
+ */
+#include <locale.h>
+
+#include "ctl/commands.h"
+
+int
+main(int argc, char *argv[])
+{
+	(void)setlocale(LC_ALL, "");
+	return ctl_run(argc, argv, stdout, stderr);
+}
--- /dev/null
+++ b/packages/ctl/src/options.c
@@ -0,0 +1,322 @@
+/*
+ * Command line, by GLib's options.
+ */
+#include <string.h>
+
+#include "ctl/commands.h"
+#include "ctl/exit_code.h"
+#include "ctl/options.h"
+#include "proto/addr.h"
+
+/* Limits of the administration API. */
+#define OP_MAX 63
+#define OPERATOR_MAX 63
+#define NOTE_MAX 255
+#define TIMEOUT_MAX_MS (24 * 3600 * 1000LL)
+#define OP_CHARACTERS \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_."
+
+#define EXIT_CODES_HELP                                                   \
+	"Exit codes: 0 done, 1 internal, 2 usage, 3 invalid bundle or "   \
+	"request,\n4 conflict (tells who won), 5 unavailable, 6 unknown " \
+	"outcome (tells how to\nsettle it), 7 not converged before the "  \
+	"timeout, 8 not found.\n"
+
+/* What GLib's parser fills in. */
+struct raw {
+	char **nodes;
+	gboolean help;
+	gboolean version;
+};
+
+static void usage_error(FILE *err, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void
+usage_error(FILE *err, const char *fmt, ...)
+{
+	va_list ap;
+
+	(void)fputs("bramleyctl: ", err);
+	va_start(ap, fmt);
+	(void)vfprintf(err, fmt, ap);
+	va_end(ap);
+	(void)fputs(" Try bramleyctl --help.\n", err);
+}
+
+static char *
+help_summary(void)
+{
+	GString *text = g_string_new("Commands:\n");
+	uint32_t i;
+
+	for (i = 0; i < n_commands; i++)
+		g_string_append_printf(text, "  %-10s%-15s %s\n",
+		    commands[i].name, commands[i].operands, commands[i].doc);
+	return g_string_free(text, FALSE);
+}
+
+static void
+print_help(GOptionContext *ctx, FILE *out)
+{
+	char *summary = help_summary(), *text;
+
+	g_option_context_set_summary(ctx, summary);
+	g_option_context_set_description(ctx, EXIT_CODES_HELP);
+	text = g_option_context_get_help(ctx, TRUE, NULL);
+	(void)fputs(text, out);
+	g_free(text);
+	g_free(summary);
+}
+
+/* Parse the options; what is left in @argv are the command and operands. */
+static int
+parse_raw(int *argc, char ***argv, struct options *o, struct raw *raw,
+    FILE *out, FILE *err)
+{
+	const GOptionEntry entries[] = {
+	    {"node", 'n', 0, G_OPTION_ARG_STRING_ARRAY, &raw->nodes,
+		"Administration address of a node; repeat it for nodes to "
+		"try next",
+		"IP:PORT"},
+	    {"json", 'j', 0, G_OPTION_ARG_NONE, &o->json,
+		"Print answers as lines of JSON", NULL},
+	    {"timeout-ms", 't', 0, G_OPTION_ARG_INT64, &o->timeout_ms,
+		"Longest time that the command takes (20000; watch 60000)",
+		"MS"},
+	    {"operator", 0, 0, G_OPTION_ARG_STRING, &o->operator_name,
+		"Who asks (the login name)", "NAME"},
+	    {"op", 0, 0, G_OPTION_ARG_STRING, &o->op,
+		"Id of the operation (made up); the same id never runs twice",
+		"ID"},
+	    {"note", 0, 0, G_OPTION_ARG_STRING, &o->note, "Why", "TEXT"},
+	    {"parent", 0, 0, G_OPTION_ARG_INT64, &o->parent,
+		"Newest version that you have seen; another one is a conflict",
+		"VERSION"},
+	    {"race-retries", 0, 0, G_OPTION_ARG_INT64, &o->race_retries,
+		"Without --parent: new tries after a lost race", "N"},
+	    {"limit", 0, 0, G_OPTION_ARG_INT64, &o->limit,
+		"Number of versions listed", "N"},
+	    {"after-seq", 0, 0, G_OPTION_ARG_INT64, &o->after_seq,
+		"Number told with an unknown outcome", "SEQ"},
+	    {"interval-ms", 0, 0, G_OPTION_ARG_INT64, &o->interval_ms,
+		"Time between two questions of watch (500)", "MS"},
+	    {"help", 'h', 0, G_OPTION_ARG_NONE, &raw->help, "Print this help",
+		NULL},
+	    {"version", 'V', 0, G_OPTION_ARG_NONE, &raw->version,
+		"Print the release", NULL},
+	    {0},
+	};
+	GOptionContext *ctx = g_option_context_new("COMMAND [OPERAND...]");
+	GError *error = NULL;
+	int code = -1;
+
+	g_option_context_set_help_enabled(ctx, FALSE);
+	g_option_context_add_main_entries(ctx, entries, NULL);
+	if (!g_option_context_parse(ctx, argc, argv, &error)) {
+		usage_error(err, "%s.", error->message);
+		g_error_free(error);
+		code = EXIT_CODE_USAGE;
+	} else if (raw->help) {
+		print_help(ctx, out);
+		code = EXIT_CODE_OK;
+	} else if (raw->version) {
+		(void)fprintf(out, "bramleyctl %s\n", BRAMLEY_VERSION);
+		code = EXIT_CODE_OK;
+	}
+	g_option_context_free(ctx);
+	return code;
+}
+
+static int
+check_nodes(struct options *o, char **nodes, FILE *err)
+{
+	struct net_addr addr;
+	uint32_t i;
+
+	if (nodes == NULL) {
+		usage_error(err, "No node is given; add --node IP:PORT.");
+		return EXIT_CODE_USAGE;
+	}
+	for (i = 0; nodes[i] != NULL; i++) {
+		if (addr_parse(nodes[i], &addr) != STATUS_OK) {
+			usage_error(err, "--node: %s", status_message());
+			return EXIT_CODE_USAGE;
+		}
+		g_array_append_val(o->nodes, addr);
+	}
+	return -1;
+}
+
+static int
+check_command(struct options *o, int argc, char **argv, FILE *err)
+{
+	const struct command *cmd;
+	const char *near;
+
+	if (argc < 2) {
+		usage_error(err, "No command is given.");
+		return EXIT_CODE_USAGE;
+	}
+	cmd = command_find(argv[1]);
+	if (cmd == NULL) {
+		near = command_nearest(argv[1]);
+		usage_error(err, "\"%s\" is no command%s%s%s.", argv[1],
+		    near != NULL ? "; did you mean " : "",
+		    near != NULL ? near : "", near != NULL ? "?" : "");
+		return EXIT_CODE_USAGE;
+	}
+	o->command = cmd;
+	o->operands = g_strdupv(argv + 2);
+	o->n_operands = g_strv_length(o->operands);
+	if (o->n_operands >= cmd->least && o->n_operands <= cmd->most)
+		return -1;
+	usage_error(err, "Write it as: %s %s.", cmd->name, cmd->operands);
+	return EXIT_CODE_USAGE;
+}
+
+/* An option and the commands that take it. */
+struct option_rule {
+	const char *name;
+	uint32_t group;
+	int given;
+};
+
+static int
+check_groups(const struct options *o, FILE *err)
+{
+	const struct option_rule rules[] = {
+	    {"--operator", OPTION_CHANGE, o->operator_name != NULL},
+	    {"--op", OPTION_CHANGE, o->op != NULL},
+	    {"--note", OPTION_CHANGE, o->note != NULL},
+	    {"--parent", OPTION_PARENT, o->parent != OPTION_NONE},
+	    {"--race-retries", OPTION_PARENT, o->race_retries != OPTION_NONE},
+	    {"--limit", OPTION_LIMIT, o->limit != OPTION_NONE},
+	    {"--after-seq", OPTION_AFTER_SEQ, o->after_seq != OPTION_NONE},
+	    {"--interval-ms", OPTION_INTERVAL, o->interval_ms != OPTION_NONE},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rules); i++) {
+		if (!rules[i].given ||
+		    (o->command->options & rules[i].group) != 0)
+			continue;
+		usage_error(err, "%s is no option of %s.", rules[i].name,
+		    o->command->name);
+		return EXIT_CODE_USAGE;
+	}
+	return -1;
+}
+
+static int
+check_text(const char *name, const char *text, size_t max, FILE *err)
+{
+	if (text == NULL || (strlen(text) > 0 && strlen(text) <= max))
+		return -1;
+	usage_error(err, "%s takes 1 to %zu bytes of text.", name, max);
+	return EXIT_CODE_USAGE;
+}
+
+static int
+check_number(const char *name, int64_t v, int64_t least, FILE *err)
+{
+	if (v == OPTION_NONE || v >= least)
+		return -1;
+	usage_error(
+	    err, "%s takes a number from %lld up.", name, (long long)least);
+	return EXIT_CODE_USAGE;
+}
+
+static int
+check_values(const struct options *o, FILE *err)
+{
+	if (check_text("--operator", o->operator_name, OPERATOR_MAX, err) >=
+		0 ||
+	    check_text("--op", o->op, OP_MAX, err) >= 0 ||
+	    check_text("--note", o->note, NOTE_MAX, err) >= 0 ||
+	    check_number("--parent", o->parent, 0, err) >= 0 ||
+	    check_number("--race-retries", o->race_retries, 0, err) >= 0 ||
+	    check_number("--limit", o->limit, 1, err) >= 0 ||
+	    check_number("--after-seq", o->after_seq, 0, err) >= 0 ||
+	    check_number("--interval-ms", o->interval_ms, 1, err) >= 0)
+		return EXIT_CODE_USAGE;
+	if (o->op != NULL && strspn(o->op, OP_CHARACTERS) != strlen(o->op)) {
+		usage_error(
+		    err, "--op takes A-Z, a-z, 0-9, \"-\", \"_\" and \".\".");
+		return EXIT_CODE_USAGE;
+	}
+	if (o->timeout_ms != OPTION_NONE &&
+	    (o->timeout_ms < 1 || o->timeout_ms > TIMEOUT_MAX_MS)) {
+		usage_error(
+		    err, "--timeout-ms takes 1 to %lld.", TIMEOUT_MAX_MS);
+		return EXIT_CODE_USAGE;
+	}
+	return -1;
+}
+
+static void
+set_defaults(struct options *o)
+{
+	if (o->operator_name == NULL)
+		o->operator_name = g_strndup(g_get_user_name(), OPERATOR_MAX);
+	if (o->op == NULL)
+		o->op = g_uuid_string_random();
+	if (o->timeout_ms == OPTION_NONE)
+		o->timeout_ms = o->command->timeout_ms;
+}
+
+/* The checks in order; the first that fails is told. */
+static int
+check_all(
+    struct options *o, const struct raw *raw, int argc, char **argv, FILE *err)
+{
+	int code = check_command(o, argc, argv, err);
+
+	if (code < 0)
+		code = check_nodes(o, raw->nodes, err);
+	if (code < 0)
+		code = check_groups(o, err);
+	if (code < 0)
+		code = check_values(o, err);
+	if (code < 0)
+		set_defaults(o);
+	return code;
+}
+
+int
+options_parse(int argc, char **argv, struct options *o, FILE *out, FILE *err)
+{
+	struct raw raw = {0};
+	int code;
+
+	memset(o, 0, sizeof(*o));
+	o->nodes = g_array_new(FALSE, FALSE, sizeof(struct net_addr));
+	o->parent = o->race_retries = OPTION_NONE;
+	o->limit = o->after_seq = OPTION_NONE;
+	o->interval_ms = o->timeout_ms = OPTION_NONE;
+	code = parse_raw(&argc, &argv, o, &raw, out, err);
+	if (code < 0)
+		code = check_all(o, &raw, argc, argv, err);
+	g_strfreev(raw.nodes);
+	return code;
+}
+
+void
+options_clear(struct options *o)
+{
+	g_strfreev(o->operands);
+	g_array_unref(o->nodes);
+	g_free(o->operator_name);
+	g_free(o->op);
+	g_free(o->note);
+}
+
+uint64_t
+options_version(const char *text)
+{
+	guint64 v = 0;
+
+	if (!g_ascii_string_to_unsigned(text, 10, 1, INT64_MAX, &v, NULL))
+		return 0;
+	return v;
+}
--- /dev/null
+++ b/packages/ctl/src/watch.c
@@ -0,0 +1,210 @@
+/*
+ * The command watch: asks how far a version has come until every node holds
+ * it.  What goes wrong on the way is told once and asked again, since a roll
+ * outlives a node or the platform being away.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "ctl/exit_code.h"
+#include "ctl/report.h"
+
+#define WATCH_INTERVAL_MS 500
+#define US_PER_MS 1000
+#define MS_PER_SECOND 1000
+
+/* A data centre that told nothing for this long may be cut off. */
+#define SILENT_MS 5000
+
+/* A watch in progress; @line is what was printed last. */
+struct watch {
+	struct ctl *ctl;
+	uint64_t version;
+	json_int_t nodes;
+	json_int_t holding;
+	char *line;
+	int last_code;
+};
+
+static json_int_t
+number_of(const json_t *json, const char *name)
+{
+	return json_integer_value(json_object_get(json, name));
+}
+
+static void
+append_data_centre(GString *line, const char *name, const json_t *v)
+{
+	json_int_t silent_ms = number_of(v, "answered_ms_ago");
+
+	g_string_append_printf(line, "%s%s %lld/%lld",
+	    line->str[line->len - 1] == '(' ? "" : ", ", name,
+	    (long long)number_of(v, "holding"),
+	    (long long)number_of(v, "nodes"));
+	if (silent_ms >= SILENT_MS)
+		g_string_append_printf(line, " silent for %lld s",
+		    (long long)(silent_ms / MS_PER_SECOND));
+}
+
+static char *
+progress_line(const struct watch *w, const json_t *progress)
+{
+	GString *line = g_string_new(NULL);
+	const char *name;
+	json_t *v;
+
+	g_string_printf(line, "version %llu: %lld of %lld nodes (",
+	    (unsigned long long)w->version, (long long)w->holding,
+	    (long long)w->nodes);
+	json_object_foreach(json_object_get(progress, "data_centres"), name, v)
+	    append_data_centre(line, name, v);
+	g_string_append_c(line, ')');
+	return g_string_free(line, FALSE);
+}
+
+static void
+print_progress(struct watch *w, const json_t *json)
+{
+	const json_t *progress = json_object_get(json, "progress");
+	char *line;
+
+	w->nodes = number_of(progress, "nodes");
+	w->holding = number_of(progress, "holding");
+	line = progress_line(w, progress);
+	if (w->line == NULL || strcmp(line, w->line) != 0) {
+		if (w->ctl->options->json)
+			report_json(w->ctl, json);
+		else
+			(void)fprintf(w->ctl->out, "%s\n", line);
+		(void)fflush(w->ctl->out);
+	}
+	g_free(w->line);
+	w->line = line;
+}
+
+/* Tell an error, but the same kind only once in a row. */
+static void
+note_failure(struct watch *w, const struct client_reply *reply)
+{
+	const char *kind = client_reply_kind(reply);
+
+	if (w->line == NULL || strcmp(kind, w->line) != 0)
+		w->last_code = report_failure(w->ctl, reply);
+	g_free(w->line);
+	w->line = g_strdup(kind);
+}
+
+static void
+ask(struct watch *w, const char *path, struct client_reply *reply)
+{
+	struct client_request req = {
+	    .method = "GET", .path = path, .deadline_ms = w->ctl->deadline_ms};
+
+	client_request(w->ctl->client, &req, reply);
+}
+
+/* Whether the version was withdrawn: then the roll goes no further. */
+static int
+is_halted(struct watch *w)
+{
+	struct client_reply reply;
+	const json_t *head;
+	int halted = 0;
+
+	ask(w, "/v1/status", &reply);
+	head = json_object_get(reply.json, "head");
+	if (client_reply_ok(&reply) && head != NULL)
+		halted = (uint64_t)number_of(head, "version") >= w->version &&
+		    (uint64_t)number_of(head, "in_force") < w->version;
+	client_reply_clear(&reply);
+	return halted;
+}
+
+/* Ask once; the exit code when the watch ends with it, else -1. */
+static int
+poll_once(struct watch *w)
+{
+	struct client_reply reply;
+	char *path;
+	int code = -1;
+
+	path = g_strdup_printf(
+	    "/v1/versions/%llu", (unsigned long long)w->version);
+	ask(w, path, &reply);
+	if (client_reply_ok(&reply)) {
+		w->last_code = EXIT_CODE_NOT_CONVERGED;
+		print_progress(w, reply.json);
+		if (w->nodes > 0 && w->holding >= w->nodes)
+			code = EXIT_CODE_OK;
+	} else if (strcmp(client_reply_kind(&reply), "not_found") == 0) {
+		code = report_failure(w->ctl, &reply);
+	} else {
+		note_failure(w, &reply);
+	}
+	client_reply_clear(&reply);
+	g_free(path);
+	return code;
+}
+
+static int
+report_timeout(struct watch *w)
+{
+	char *message;
+	int code;
+
+	if (w->last_code != EXIT_CODE_NOT_CONVERGED)
+		return w->last_code;
+	message = g_strdup_printf(
+	    "Version %llu is on %lld of %lld nodes at the timeout.",
+	    (unsigned long long)w->version, (long long)w->holding,
+	    (long long)w->nodes);
+	code = report_error(w->ctl, EXIT_CODE_NOT_CONVERGED, "not_converged",
+	    message, "Watch again, or look at the data centre that is behind.");
+	g_free(message);
+	return code;
+}
+
+static int
+report_halted(struct watch *w)
+{
+	return report_error(w->ctl, EXIT_CODE_NOT_CONVERGED, "not_converged",
+	    "The version was halted and goes no further.",
+	    "Sign a corrected version off; bramleyctl status shows what is "
+	    "in force.");
+}
+
+static int
+watch_loop(struct watch *w, uint64_t interval_ms)
+{
+	uint64_t left_ms;
+	int code;
+
+	while ((code = poll_once(w)) < 0) {
+		if (w->last_code == EXIT_CODE_NOT_CONVERGED && is_halted(w))
+			return report_halted(w);
+		left_ms = clock_left_ms(w->ctl->deadline_ms, clock_now_ms());
+		if (left_ms <= interval_ms)
+			return report_timeout(w);
+		g_usleep(interval_ms * US_PER_MS);
+	}
+	return code;
+}
+
+int
+watch_run(struct ctl *ctl)
+{
+	struct watch w = {.ctl = ctl, .last_code = EXIT_CODE_NOT_CONVERGED};
+	int64_t interval_ms = ctl->options->interval_ms;
+	int code;
+
+	w.version = options_version(ctl->options->operands[0]);
+	if (w.version == 0)
+		return report_error(ctl, EXIT_CODE_USAGE, "usage",
+		    "A version is a number from 1 up.",
+		    "List the versions with bramleyctl history.");
+	if (interval_ms == OPTION_NONE)
+		interval_ms = WATCH_INTERVAL_MS;
+	code = watch_loop(&w, (uint64_t)interval_ms);
+	g_free(w.line);
+	return code;
+}
--- /dev/null
+++ b/packages/ctl/test/fake_node.c
@@ -0,0 +1,135 @@
+/*
+ * A fake node, by CivetWeb.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <civetweb.h>
+
+#include "fake_node.h"
+
+#define READ_BYTES 4096
+#define SCRIPT_MAX 16
+
+struct fake_node {
+	struct mg_context *web;
+	const struct fake_answer *script;
+	int used[SCRIPT_MAX];
+	char address[32];
+	GMutex lock;
+	GString *requests;
+};
+
+/* The answer for a request; the last one that fits when all are used. */
+static const struct fake_answer *
+next_answer(struct fake_node *f, const char *request)
+{
+	const struct fake_answer *a, *last = NULL;
+	int i;
+
+	for (i = 0; f->script[i].request != NULL; i++) {
+		a = &f->script[i];
+		if (!g_str_has_prefix(request, a->request))
+			continue;
+		last = a;
+		if (!f->used[i]) {
+			f->used[i] = 1;
+			break;
+		}
+	}
+	return last;
+}
+
+static char *
+request_line(struct mg_connection *conn)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	GString *line = g_string_new(NULL);
+
+	g_string_printf(line, "%s %s", info->request_method, info->local_uri);
+	if (info->query_string != NULL)
+		g_string_append_printf(line, "?%s", info->query_string);
+	return g_string_free(line, FALSE);
+}
+
+static void
+read_body(struct mg_connection *conn, GString *body)
+{
+	char buf[READ_BYTES];
+	int n;
+
+	while ((n = mg_read(conn, buf, sizeof(buf))) > 0)
+		g_string_append_len(body, buf, n);
+}
+
+static int
+on_request(struct mg_connection *conn, void *arg)
+{
+	GString *body = g_string_new(NULL);
+	struct fake_node *f = arg;
+	const struct fake_answer *a;
+	char *line;
+
+	line = request_line(conn);
+	read_body(conn, body);
+	g_mutex_lock(&f->lock);
+	a = next_answer(f, line);
+	g_string_append_printf(f->requests, "%s %s\n", line, body->str);
+	g_mutex_unlock(&f->lock);
+	if (a == NULL)
+		(void)mg_printf(conn,
+		    "HTTP/1.1 500 Not in the script\r\n"
+		    "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	else if (a->code != 0)
+		(void)mg_printf(conn,
+		    "HTTP/1.1 %d Scripted\r\nContent-Length: %zu\r\n"
+		    "Connection: close\r\n\r\n%s",
+		    a->code, strlen(a->body), a->body);
+	g_free(line);
+	g_string_free(body, TRUE);
+	/* Any code above 0 says that the request was dealt with. */
+	return 200;
+}
+
+struct fake_node *
+fake_node_new(const struct fake_answer *script)
+{
+	static const char *const options[] = {"listening_ports", "127.0.0.1:0",
+	    "num_threads", "2", "enable_keep_alive", "no", NULL};
+	struct fake_node *f = g_new0(struct fake_node, 1);
+	struct mg_server_port port;
+
+	f->script = script;
+	f->requests = g_string_new(NULL);
+	g_mutex_init(&f->lock);
+	f->web = mg_start(NULL, f, (const char **)options);
+	g_assert(f->web != NULL);
+	mg_set_request_handler(f->web, "/", on_request, f);
+	g_assert(mg_get_server_ports(f->web, 1, &port) == 1);
+	(void)snprintf(
+	    f->address, sizeof(f->address), "127.0.0.1:%d", port.port);
+	return f;
+}
+
+void
+fake_node_free(struct fake_node *f)
+{
+	if (f == NULL)
+		return;
+	mg_stop(f->web);
+	g_string_free(f->requests, TRUE);
+	g_mutex_clear(&f->lock);
+	g_free(f);
+}
+
+const char *
+fake_node_address(const struct fake_node *f)
+{
+	return f->address;
+}
+
+const char *
+fake_node_requests(struct fake_node *f)
+{
+	return f->requests->str;
+}
--- /dev/null
+++ b/packages/ctl/test/fake_node.h
@@ -0,0 +1,39 @@
+/*
+ * A fake node: answers the administration API from a script.
+ */
+#ifndef CTL_TEST_FAKE_NODE_H
+#define CTL_TEST_FAKE_NODE_H
+
+#include <glib.h>
+
+struct fake_node;
+
+/**
+ * struct fake_answer - one answer of a script
+ * @request: method and start of the path with query that it is for
+ * @code: HTTP status; 0 closes the connection without an answer
+ * @body: body
+ */
+struct fake_answer {
+	const char *request;
+	int code;
+	const char *body;
+};
+
+/**
+ * fake_node_new() - start a fake node on a free port of 127.0.0.1
+ * @script: answers, ended by one without request.  Each is given once and in
+ *	order; the last one for a request is given from then on.
+ */
+struct fake_node *fake_node_new(const struct fake_answer *script);
+
+/** fake_node_free() - stop a fake node; NULL is allowed */
+void fake_node_free(struct fake_node *f);
+
+/** fake_node_address() - its "ip:port" */
+const char *fake_node_address(const struct fake_node *f);
+
+/** fake_node_requests() - requests that came, one a line, with body */
+const char *fake_node_requests(struct fake_node *f);
+
+#endif
--- /dev/null
+++ b/packages/ctl/test/test_ctl.c
@@ -0,0 +1,388 @@
+/*
+ * bramleyctl against fake nodes: exit codes, words, and what is sent.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "ctl/commands.h"
+#include "ctl/exit_code.h"
+#include "fake_node.h"
+
+#define ARGS_MAX 24
+
+/* Where nobody listens. */
+#define NOBODY "127.0.0.1:1"
+
+/* What a run printed. */
+struct run {
+	int code;
+	char *out;
+	char *err;
+	size_t out_len;
+	size_t err_len;
+};
+
+/* Run the command line @args; "@" stands for the fake node's address. */
+static struct run
+run_ctl(const struct fake_node *f, const char *args)
+{
+	char **argv = g_strsplit(args, " ", ARGS_MAX);
+	GPtrArray *all = g_ptr_array_new();
+	FILE *err, *out;
+	struct run r;
+	int i;
+
+	g_ptr_array_add(all, g_strdup("bramleyctl"));
+	for (i = 0; argv[i] != NULL; i++)
+		g_ptr_array_add(all,
+		    g_strdup(strcmp(argv[i], "@") == 0 ? fake_node_address(f)
+						       : argv[i]));
+	g_ptr_array_add(all, NULL);
+	out = open_memstream(&r.out, &r.out_len);
+	err = open_memstream(&r.err, &r.err_len);
+	r.code = ctl_run((int)all->len - 1, (char **)all->pdata, out, err);
+	(void)fclose(out);
+	(void)fclose(err);
+	g_strfreev(argv);
+	g_ptr_array_free(all, TRUE);
+	return r;
+}
+
+static void
+run_clear(struct run *r)
+{
+	free(r->out);
+	free(r->err);
+}
+
+#define assert_has(text, part)                                               \
+	ck_assert_msg(strstr((text), (part)) != NULL, "\"%s\" lacks \"%s\"", \
+	    (text), (part))
+
+static char *
+bundle_path(void)
+{
+	char *path =
+	    g_build_filename(g_get_tmp_dir(), "bramley-test-ctl.json", NULL);
+
+	ck_assert(g_file_set_contents(path, "{\"format\":1}", -1, NULL));
+	return path;
+}
+
+/* Command lines that never reach a node: exit code, and words of the error. */
+struct usage_row {
+	const char *args;
+	int code;
+	const char *words;
+};
+
+static const struct usage_row usage_rows[] = {
+    {"", EXIT_CODE_USAGE, "No command is given"},
+    {"status", EXIT_CODE_USAGE, "add --node IP:PORT"},
+    {"--node nowhere status", EXIT_CODE_USAGE, "no address with a port"},
+    {"--node " NOBODY " statsu", EXIT_CODE_USAGE, "did you mean status?"},
+    {"--node " NOBODY " frobnicate", EXIT_CODE_USAGE, "is no command."},
+    {"--node " NOBODY " status 7", EXIT_CODE_USAGE, "Write it as: status"},
+    {"--node " NOBODY " watch", EXIT_CODE_USAGE, "watch VERSION"},
+    {"--node " NOBODY " watch x", EXIT_CODE_USAGE, "number from 1 up"},
+    {"--node " NOBODY " halt 0", EXIT_CODE_USAGE, "number from 1 up"},
+    {"--node " NOBODY " status --op a", EXIT_CODE_USAGE,
+	"--op is no option of status"},
+    {"--node " NOBODY " halt 1 --parent 3", EXIT_CODE_USAGE,
+	"--parent is no option of halt"},
+    {"--node " NOBODY " halt 1 --op a/b", EXIT_CODE_USAGE, "--op takes"},
+    {"--node " NOBODY " history --limit 0", EXIT_CODE_USAGE,
+	"--limit takes a number from 1"},
+    {"--node " NOBODY " status --timeout-ms 0", EXIT_CODE_USAGE,
+	"--timeout-ms takes"},
+    {"--node " NOBODY " status --what", EXIT_CODE_USAGE, "Unknown option"},
+    {"--node " NOBODY " validate no/such/file", EXIT_CODE_USAGE,
+	"Check the path"},
+    {"--node " NOBODY " sign-off no/such/file", EXIT_CODE_USAGE,
+	"Check the path"},
+    {"--node " NOBODY " status", EXIT_CODE_UNAVAILABLE, "can't be reached"},
+    {"--node " NOBODY " halt 1", EXIT_CODE_UNAVAILABLE, "can't be reached"},
+    {"--node " NOBODY " watch 1 --timeout-ms 200 --interval-ms 50",
+	EXIT_CODE_UNAVAILABLE, "can't be reached"},
+};
+
+START_TEST(usage)
+{
+	const struct usage_row *row = &usage_rows[_i];
+	struct run r = run_ctl(NULL, row->args);
+
+	ck_assert_msg(r.code == row->code, "\"%s\" ended with %d: %s",
+	    row->args, r.code, r.err);
+	assert_has(r.err, row->words);
+	run_clear(&r);
+}
+END_TEST
+
+START_TEST(help_and_version)
+{
+	struct run r = run_ctl(NULL, "--help");
+
+	ck_assert_int_eq(r.code, EXIT_CODE_OK);
+	assert_has(r.out, "sign-off  FILE");
+	assert_has(r.out, "6 unknown");
+	assert_has(r.out, "--timeout-ms");
+	run_clear(&r);
+	r = run_ctl(NULL, "--version");
+	ck_assert_int_eq(r.code, EXIT_CODE_OK);
+	assert_has(r.out, "bramleyctl " BRAMLEY_VERSION);
+	run_clear(&r);
+}
+END_TEST
+
+#define DONE                                                    \
+	"{\"op\":\"o1\",\"state\":\"done\",\"repeated\":false," \
+	"\"version\":7,\"in_force\":7,\"newest_version\":7,"    \
+	"\"message\":\"Version 7 is in force.\"}"
+#define ERROR(kind)                                                         \
+	"{\"error\":{\"kind\":\"" kind "\",\"message\":\"What is wrong.\"," \
+	"\"remedy\":\"What to do.\",\"retry_after_ms\":0}}"
+#define PROGRESS(holding, other)                                           \
+	"{\"version\":7,\"record\":null,\"progress\":{\"nodes\":5,"        \
+	"\"holding\":" holding ",\"data_centres\":{"                       \
+	"\"grandahus\":{\"nodes\":3,\"holding\":3,\"answered_ms_ago\":0}," \
+	"\"vallasalur\":{\"nodes\":2,\"holding\":" other                   \
+	",\"answered_ms_ago\":9000}}}}"
+#define HEAD(version, in_force)                                \
+	"{\"host\":\"h1\",\"ready\":true,\"head\":{\"seq\":9," \
+	"\"version\":" version ",\"in_force\":" in_force "}}"
+
+/*
+ * A command against a script: the exit code, words of its output and of its
+ * errors, and words of the requests.  "$" is a bundle file.
+ */
+struct run_row {
+	const char *args;
+	struct fake_answer script[5];
+	int code;
+	const char *out;
+	const char *err;
+	const char *sent;
+};
+
+static const struct run_row run_rows[] = {
+    {"--node @ validate $",
+	{{"POST /v1/bundles/validate", 200,
+	    "{\"valid\":true,\"name\":\"registry\",\"services\":3}"}},
+	EXIT_CODE_OK, "name: registry\nservices: 3\n", "",
+	"POST /v1/bundles/validate {\"format\":1}\n"},
+    {"--node @ validate $",
+	{{"POST /v1/bundles/validate", 400,
+	    "{\"error\":{\"kind\":\"invalid\",\"message\":\"m\","
+	    "\"remedy\":\"Correct it.\"},\"problems\":[{\"path\":\"routes[0]\","
+	    "\"message\":\"No service.\",\"remedy\":\"Add one.\"}]}"}},
+	EXIT_CODE_INVALID, "",
+	"bramleyctl: invalid: m\n  routes[0]: No service. Add one.\n"
+	"  remedy: Correct it.\n",
+	""},
+    {"--node @ sign-off $ --operator jon --op o1 --note a&b --parent 6",
+	{{"POST /v1/versions", 201, DONE}}, EXIT_CODE_OK,
+	"version: 7\nstate: done\nin_force: 7\nop: o1\n", "operation: o1\n",
+	"POST /v1/versions?operator=jon&op=o1&note=a%26b&parent=6 "
+	"{\"format\":1}\n"},
+    {"--node @ --json sign-off $ --op o1", {{"POST /v1/versions", 201, DONE}},
+	EXIT_CODE_OK, "\"version\":7,", "", "op=o1"},
+    {"--node @ supersede 3 --op o1",
+	{{"POST /v1/versions/3/supersede", 201, DONE}}, EXIT_CODE_OK,
+	"version: 7\n", "", "POST /v1/versions/3/supersede?operator="},
+    {"--node @ supersede 3 $ --op o1",
+	{{"POST /v1/versions/3/supersede", 201, DONE}}, EXIT_CODE_OK,
+	"version: 7\n", "", "{\"format\":1}"},
+    {"--node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 409,
+	    "{\"error\":{\"kind\":\"conflict\",\"message\":\"Late.\","
+	    "\"remedy\":\"Look.\"},\"winner\":{\"version\":8,\"halted\":false,"
+	    "\"op\":\"o2\",\"operator\":\"eva\"}}"}},
+	EXIT_CODE_CONFLICT, "",
+	"winner: version 8, signed off by eva in operation o2\n", ""},
+    {"--node @ --json halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 404, ERROR("not_found")}},
+	EXIT_CODE_NOT_FOUND, "\"kind\":\"not_found\"", "not_found", ""},
+    {"--node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 503, ERROR("unavailable")}},
+	EXIT_CODE_UNAVAILABLE, "", "remedy: What to do.", ""},
+    {"--node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 500, ERROR("internal")}},
+	EXIT_CODE_INTERNAL, "", "internal: What is wrong.", ""},
+    /* A lost answer is settled by the operation's id, never sent again. */
+    {"--node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 0, ""},
+	    {"GET /v1/operations/o1", 503, ERROR("unavailable")},
+	    {"GET /v1/operations/o1", 200, DONE}},
+	EXIT_CODE_OK, "version: 7\n", "asking for operation o1",
+	"GET /v1/operations/o1 \nGET /v1/operations/o1 \n"},
+    {"--node @ halt 7 --op o1 --timeout-ms 300",
+	{{"POST /v1/versions/7/halt", 0, ""},
+	    {"GET /v1/operations/o1", 404, ERROR("not_found")}},
+	EXIT_CODE_UNKNOWN, "",
+	"settle it: bramleyctl --node IP:PORT operation o1\n", ""},
+    {"--node @ halt 7 --op o1 --timeout-ms 300",
+	{{"POST /v1/versions/7/halt", 504,
+	     "{\"error\":{\"kind\":\"unknown\",\"message\":\"Lost.\","
+	     "\"remedy\":\"Ask.\"},\"after_seq\":12}"},
+	    {"GET /v1/operations/o1?after_seq=12", 504, ERROR("unknown")}},
+	EXIT_CODE_UNKNOWN, "", "operation o1 --after-seq 12\n", ""},
+    {"--node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 504,
+	     "{\"error\":{\"kind\":\"unknown\",\"message\":\"Lost.\","
+	     "\"remedy\":\"Ask.\"},\"after_seq\":12}"},
+	    {"GET /v1/operations/o1?after_seq=12", 404, ERROR("not_found")}},
+	EXIT_CODE_UNAVAILABLE, "", "The operation was not done.", ""},
+    {"--node @ halt 7 --op o1 --timeout-ms 300",
+	{{"POST /v1/versions/7/halt", 502, "<html>"},
+	    {"GET /v1/operations/o1", 404, ERROR("not_found")}},
+	EXIT_CODE_UNKNOWN, "", "no JSON", ""},
+    {"--node @ operation o1 --after-seq 4",
+	{{"GET /v1/operations/o1?after_seq=4", 200, DONE}}, EXIT_CODE_OK,
+	"state: done\n", "", ""},
+    {"--node @ operation o1",
+	{{"GET /v1/operations/o1", 404, ERROR("not_found")}},
+	EXIT_CODE_NOT_FOUND, "", "not_found: What is wrong.", ""},
+    {"--node @ operation o1",
+	{{"GET /v1/operations/o1", 504, ERROR("timeout")}},
+	EXIT_CODE_UNAVAILABLE, "", "timeout: What is wrong.", ""},
+    {"--node @ status", {{"GET /v1/status", 200, HEAD("7", "6")}}, EXIT_CODE_OK,
+	"host: h1\nready: true\nhead.seq: 9\n", "", ""},
+    {"--node @ status", {{"GET /v1/status", 200, "not JSON"}},
+	EXIT_CODE_UNAVAILABLE, "", "Check that --node names the admin_port",
+	""},
+    {"--node @ history --limit 2",
+	{{"GET /v1/versions", 200,
+	    "{\"versions\":[{\"version\":7,\"operator\":\"jon\",\"op\":\"o1\","
+	    "\"note\":\"why\",\"wall_ms\":1700000000000}]}"}},
+	EXIT_CODE_OK, "7  2023-11-14T22:13:20Z  jon  ", "",
+	"GET /v1/versions?limit=2"},
+    {"--node @ watch 7 --interval-ms 10",
+	{{"GET /v1/versions/7", 200, PROGRESS("3", "0")},
+	    {"GET /v1/versions/7", 200, PROGRESS("3", "0")},
+	    {"GET /v1/versions/7", 200, PROGRESS("5", "2")},
+	    {"GET /v1/status", 200, HEAD("7", "7")}},
+	EXIT_CODE_OK,
+	"version 7: 3 of 5 nodes (grandahus 3/3, vallasalur 0/2 silent for "
+	"9 s)\nversion 7: 5 of 5 nodes",
+	"", ""},
+    {"--node @ watch 7 --interval-ms 10 --timeout-ms 200",
+	{{"GET /v1/versions/7", 200, PROGRESS("3", "0")},
+	    {"GET /v1/status", 200, HEAD("7", "7")}},
+	EXIT_CODE_NOT_CONVERGED, "3 of 5", "on 3 of 5 nodes at the timeout",
+	""},
+    {"--node @ watch 7 --interval-ms 10",
+	{{"GET /v1/versions/7", 200, PROGRESS("3", "0")},
+	    {"GET /v1/status", 200, HEAD("7", "6")}},
+	EXIT_CODE_NOT_CONVERGED, "3 of 5", "was halted", ""},
+    {"--node @ watch 7 --interval-ms 10",
+	{{"GET /v1/versions/7", 503, ERROR("unavailable")},
+	    {"GET /v1/versions/7", 503, ERROR("unavailable")},
+	    {"GET /v1/versions/7", 200, PROGRESS("5", "2")}},
+	EXIT_CODE_OK, "5 of 5", "unavailable: What is wrong.", ""},
+    {"--node @ --json watch 7",
+	{{"GET /v1/versions/7", 200, PROGRESS("5", "2")}}, EXIT_CODE_OK,
+	"\"holding\":5,", "", ""},
+    {"--node @ watch 7", {{"GET /v1/versions/7", 404, ERROR("not_found")}},
+	EXIT_CODE_NOT_FOUND, "", "not_found", ""},
+    /* The first node is away: the next one is asked. */
+    {"--node " NOBODY " --node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_OK, "version: 7\n",
+	"", ""},
+};
+
+START_TEST(commands_against_a_node)
+{
+	const struct run_row *row = &run_rows[_i];
+	struct fake_node *f = fake_node_new(row->script);
+	char **parts = g_strsplit(row->args, "$", 2);
+	char *path = bundle_path();
+	char *args = g_strjoinv(path, parts);
+	struct run r = run_ctl(f, args);
+
+	ck_assert_msg(r.code == row->code, "\"%s\" ended with %d: %s%s",
+	    row->args, r.code, r.out, r.err);
+	assert_has(r.out, row->out);
+	assert_has(r.err, row->err);
+	assert_has(fake_node_requests(f), row->sent);
+	/* Whatever happened, a change was sent once. */
+	ck_assert_ptr_null(strstr(strstr(fake_node_requests(f), "POST") != NULL
+		? strstr(fake_node_requests(f), "POST") + 1
+		: "",
+	    "POST"));
+	run_clear(&r);
+	g_free(args);
+	g_free(path);
+	g_strfreev(parts);
+	fake_node_free(f);
+}
+END_TEST
+
+/* Two nodes: what the first one's answer means for the second. */
+struct pair_row {
+	const char *args;
+	struct fake_answer first[2];
+	struct fake_answer second[2];
+	int code;
+	int second_asked;
+};
+
+static const struct pair_row pair_rows[] = {
+    /* Nothing was done there, so the next node may do it. */
+    {"halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 503, ERROR("unavailable")}},
+	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_OK, 1},
+    /* It may have been done there, so the next one is only asked. */
+    {"halt 7 --op o1", {{"POST /v1/versions/7/halt", 0, ""}},
+	{{"GET /v1/operations/o1", 200, DONE}}, EXIT_CODE_OK, 1},
+    {"status", {{"GET /v1/status", 0, ""}},
+	{{"GET /v1/status", 200, HEAD("7", "7")}}, EXIT_CODE_OK, 1},
+    /* A conflict is an answer. */
+    {"halt 7 --op o1", {{"POST /v1/versions/7/halt", 409, ERROR("conflict")}},
+	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_CONFLICT, 0},
+};
+
+START_TEST(next_node)
+{
+	const struct pair_row *row = &pair_rows[_i];
+	struct fake_node *first = fake_node_new(row->first);
+	struct fake_node *second = fake_node_new(row->second);
+	struct run r;
+	char *args;
+
+	args = g_strdup_printf("--node %s --node %s %s",
+	    fake_node_address(first), fake_node_address(second), row->args);
+	r = run_ctl(NULL, args);
+	ck_assert_msg(r.code == row->code, "\"%s\" ended with %d: %s",
+	    row->args, r.code, r.err);
+	ck_assert_int_eq(
+	    *fake_node_requests(second) != '\0', row->second_asked);
+	run_clear(&r);
+	g_free(args);
+	fake_node_free(first);
+	fake_node_free(second);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("ctl");
+	TCase *tc = tcase_create("ctl");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_loop_test(tc, usage, 0, (int)G_N_ELEMENTS(usage_rows));
+	tcase_add_test(tc, help_and_version);
+	tcase_add_loop_test(
+	    tc, commands_against_a_node, 0, (int)G_N_ELEMENTS(run_rows));
+	tcase_add_loop_test(tc, next_node, 0, (int)G_N_ELEMENTS(pair_rows));
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
