test(functional): the thin whole path

Problem: the lists of tests name test_path as soon as the node and bramleyctl exist, and its source was missing, so the workspace could not be configured since bramleyctl's package came in.

Solution: test_path.c: platform, three data centres of two hosts, sign-off and watch, a lookup, a booking and an upload through nodes of other data centres, three versions that supersede one another under load, a planned stop and the check of all calls against all runs.

--- a/test/functional/deployment_watch.c
+++ b/test/functional/deployment_watch.c
@@ -108,11 +108,11 @@
 }
 
 static void
-append_args(GPtrArray *argv, va_list ap)
+append_args(GPtrArray *argv, va_list *ap)
 {
 	const char *arg;
 
-	while ((arg = va_arg(ap, const char *)) != NULL)
+	while ((arg = va_arg(*ap, const char *)) != NULL)
 		g_ptr_array_add(argv, (gpointer)arg);
 	g_ptr_array_add(argv, NULL);
 }
@@ -151,7 +151,7 @@
 	g_ptr_array_add(argv, node);
 	g_ptr_array_add(argv, (gpointer) "--json");
 	va_start(ap, code);
-	append_args(argv, ap);
+	append_args(argv, &ap);
 	va_end(ap);
 	p = process_start(
 	    name, harness_dir(), (const char *const *)argv->pdata);
@@ -224,7 +224,7 @@
 	g_ptr_array_add(argv, (gpointer) "--outcomes");
 	g_ptr_array_add(argv, path);
 	va_start(ap, spread);
-	append_args(argv, ap);
+	append_args(argv, &ap);
 	va_end(ap);
 	p = process_start(
 	    name, harness_dir(), (const char *const *)argv->pdata);
--- /dev/null
+++ b/test/functional/test_path.c
@@ -0,0 +1,180 @@
+/*
+ * The whole path, thin: platform, three data centres of two hosts, sign-off
+ * and watch by bramleyctl, calls through nodes of other data centres, three
+ * versions that supersede one another while calls go on, and a planned stop.
+ */
+#include <string.h>
+
+#include <check.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "deployment.h"
+#include "fetch.h"
+
+#define TEST_TIMEOUT_S 120
+#define ROLL_MS 15000
+#define ROLLS 3
+#define UPLOAD_BYTES 3000000
+#define URL_BYTES 256
+
+/* A call whose service has no endpoint in the data centre of its entry. */
+struct far_call {
+	const char *method;
+	const char *path;
+	const char *service;
+	uint32_t entry; /* index of the host whose node is called */
+	uint32_t body_bytes;
+};
+
+static const struct far_call far_calls[] = {
+    {"GET", "/search?name=x", "public-search", 5, 0},
+    {"POST", "/bookings", "hearing-booking", 2, 200},
+    {"POST", "/documents", "document-store", 0, UPLOAD_BYTES},
+};
+
+static const struct host *
+host_named(const struct deployment *d, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++)
+		if (g_strcmp0(deployment_host(d, i)->name, name) == 0)
+			return deployment_host(d, i);
+	return NULL;
+}
+
+/* The first line of a stand-in's answer. */
+static json_t *
+answer_line(const struct fetch_answer *a)
+{
+	const char *end = memchr(a->body->str, '\n', a->body->len);
+	json_t *j;
+
+	ck_assert_ptr_nonnull(end);
+	j = json_loadb(a->body->str, (size_t)(end - a->body->str), 0, NULL);
+	ck_assert_ptr_nonnull(j);
+	return j;
+}
+
+static void
+make_far_call(const struct deployment *d, const struct far_call *c)
+{
+	char url[URL_BYTES];
+	char *body = g_malloc0(c->body_bytes + 1), *fate;
+	const struct host *at, *entry = deployment_host(d, c->entry);
+	struct fetch f = {c->method, url, NULL, c->body_bytes > 0 ? body : NULL,
+	    c->body_bytes, 0};
+	struct fetch_answer a;
+	json_t *line;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u%s", entry->address,
+	    entry->caller_port, c->path);
+	fetch_perform(&f, &a);
+	ck_assert_msg(a.code == 200, "%s: %d", c->path, a.code);
+	fate = fetch_header(&a, "Bramley-Fate");
+	ck_assert_str_eq(fate, "done");
+	line = answer_line(&a);
+	at = host_named(d, json_string_value(json_object_get(line, "host")));
+	ck_assert_ptr_nonnull(at);
+	ck_assert_str_eq(at->service, c->service);
+	ck_assert_uint_ne(at->data_centre, entry->data_centre);
+	ck_assert_int_eq(json_number(line, "body_bytes"), c->body_bytes);
+	json_decref(line);
+	g_free(fate);
+	fetch_answer_clear(&a);
+	g_free(body);
+}
+
+/* The example with another timeout of its first service. */
+static char *
+changed_bundle(uint32_t n)
+{
+	char *name = g_strdup_printf("bundle-%u.json", n);
+	char *path, *text;
+	char *example = deployment_example("registry.json");
+	json_t *j = json_load_file(example, 0, NULL);
+
+	ck_assert_ptr_nonnull(j);
+	json_object_set_new(json_array_get(json_object_get(j, "services"), 0),
+	    "timeout_ms", json_integer(2000 + n));
+	text = json_dumps(j, 0);
+	path = harness_write(name, text);
+	json_decref(j);
+	free(text);
+	g_free(example);
+	g_free(name);
+	return path;
+}
+
+static uint64_t
+supersede(struct deployment *d, uint64_t version, uint32_t n)
+{
+	char old[32];
+	char *path = changed_bundle(n);
+	json_t *j;
+	uint64_t next;
+
+	(void)g_snprintf(old, sizeof(old), "%" G_GUINT64_FORMAT, version);
+	j = deployment_ctl(deployment_host(d, n % d->hosts->len), NULL,
+	    "--operator", "test", "supersede", old, path, NULL);
+	next = (uint64_t)json_number(j, "version");
+	ck_assert_uint_gt(next, version);
+	(void)deployment_wait_version(d, next, ROLL_MS);
+	json_decref(j);
+	g_free(path);
+	return next;
+}
+
+static void
+watch(const struct deployment *d, uint64_t version)
+{
+	char text[32];
+
+	(void)g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, version);
+	json_decref(deployment_ctl(deployment_host(d, 1), NULL, "watch", text,
+	    "--timeout-ms", "15000", NULL));
+}
+
+START_TEST(calls_pass_while_versions_roll)
+{
+	char *bundle = deployment_example("registry.json");
+	json_t *sum;
+	size_t i;
+	struct deployment *d = deployment_new(&deployment_registry);
+	struct process *load;
+	uint64_t version;
+
+	deployment_start(d);
+	version = deployment_sign_off(deployment_host(d, 0), bundle);
+	watch(d, version);
+	(void)deployment_wait_version(d, version, ROLL_MS);
+	for (i = 0; i < G_N_ELEMENTS(far_calls); i++)
+		make_far_call(d, &far_calls[i]);
+	load = deployment_load(d, "load", deployment_host(d, 0), 1, "--rate",
+	    "100", "--duration-s", "4", "--mix", "8:1:1", NULL);
+	for (i = 0; i < ROLLS; i++)
+		version = supersede(d, version, (uint32_t)i + 1);
+	sum = deployment_load_end(load);
+	ck_assert_int_gt(json_number(sum, "sent"), 0);
+	ck_assert_int_eq(json_number(sum, "done"), json_number(sum, "sent"));
+	ck_assert_int_eq(json_number(sum, "wrong_answers"), 0);
+	ck_assert_int_eq(deployment_stop(d), 0);
+	ck_assert_uint_eq(deployment_check(d), 0);
+	json_decref(sum);
+	deployment_free(d);
+	g_free(bundle);
+	harness_end();
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("path");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, calls_pass_while_versions_roll);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
