--- a/packages/spread/include/spread/floors.h
+++ b/packages/spread/include/spread/floors.h
@@ -37,9 +37,6 @@
 /* Hosts that a keeper remembers; the one told of longest ago goes first. */
 #define FLOORS_KEPT_MAX 4096
 
-/* Peers that a starting host asks at most. */
-#define FLOORS_ASKED_MAX 16
-
 /**
  * struct floors - both sides of the floors
  * @env: environment
@@ -53,8 +50,6 @@
  * @asking: whether the own floor is still being asked for
  * @ask_ms: when it is asked again
  * @enough_ms: when the answers so far are enough
- * @answers: addresses of those that answered
- * @n_answers: number of @answers
  * @sure: whether a serving peer or the platform was heard
  * @floor: highest floor heard
  */
@@ -70,8 +65,6 @@
 	int asking;
 	uint64_t ask_ms;
 	uint64_t enough_ms;
-	struct net_addr answers[FLOORS_ASKED_MAX];
-	uint32_t n_answers;
 	int sure;
 	uint64_t floor;
 };
@@ -113,8 +106,7 @@
     const struct msg_floor_ask *msg, const struct rec_head *head, int ready);
 
 /** floors_on_answer() - a peer answered */
-void floors_on_answer(struct floors *f, const struct net_addr *from,
-    const struct msg_floor_answer *msg);
+void floors_on_answer(struct floors *f, const struct msg_floor_answer *msg);
 
 /** floors_on_platform() - the platform told the version in force, 0 if none */
 void floors_on_platform(struct floors *f, uint64_t now_ms, uint64_t in_force);
--- a/packages/spread/include/spread/intake.h
+++ b/packages/spread/include/spread/intake.h
@@ -3,7 +3,8 @@
  *
  * A peer that holds the version is asked for the changes and then for the
  * content that is still missing; one that is silent past the deadline has its
- * connection closed and another is asked.  After pull_peers failures, or when
+ * connection closed and another is asked, over a new connection, since old
+ * ones may all have gone silent together.  After pull_peers failures, or when
  * the platform itself told of the version and no peer offers it in time, the
  * platform is read under the node's budget.  Whoever gave it, a version is
  * only handed on when all of it is there; its root is checked on commit.
@@ -59,6 +60,7 @@
  * @budget_ms: when the budget has a read left again
  * @anyone_ms: when a peer that is not known to hold it is asked
  * @failures: peers that failed since the target was set
+ * @suspect: a peer was silent, so connections made before may be
  * @full: whether the whole list is to be asked for
  * @step: how far it is
  * @provider: who is being asked
@@ -84,6 +86,7 @@
 	uint64_t budget_ms;
 	uint64_t anyone_ms;
 	uint32_t failures;
+	int suspect;
 	int full;
 	enum intake_step step;
 	enum intake_provider provider;
@@ -157,6 +160,10 @@
 void intake_on_sections(
     struct intake *in, uint64_t now_ms, const struct msg_sections *msg);
 
+/** intake_on_garbled() - a peer's answer could not be read */
+void intake_on_garbled(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer);
+
 /** intake_on_closed() - the connection to a peer is gone */
 void intake_on_closed(
     struct intake *in, uint64_t now_ms, const struct net_addr *peer);
--- a/packages/spread/src/floors.c
+++ b/packages/spread/src/floors.c
@@ -154,25 +154,11 @@
 	outbox_datagram(f->env->out, from, MSG_FLOOR_ANSWER, body);
 }
 
-static int
-floors_count_answer(struct floors *f, const struct net_addr *from)
-{
-	uint32_t i;
-
-	for (i = 0; i < f->n_answers; i++)
-		if (addr_equal(&f->answers[i], from))
-			return 0;
-	if (f->n_answers < FLOORS_ASKED_MAX)
-		f->answers[f->n_answers++] = *from;
-	return 1;
-}
-
 void
-floors_on_answer(struct floors *f, const struct net_addr *from,
-    const struct msg_floor_answer *msg)
+floors_on_answer(struct floors *f, const struct msg_floor_answer *msg)
 {
 	f->floor = MAX(f->floor, msg->floor);
-	if (!f->asking || !floors_count_answer(f, from) || !msg->ready)
+	if (!f->asking || !msg->ready)
 		return;
 	f->sure = 1;
 	f->floor = MAX(f->floor, msg->head.in_force);
--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -202,11 +202,13 @@
 {
 	struct net_addr addr;
 
+	if (intake_may_ask_source(in, now_ms))
+		intake_source_ask(in, now_ms);
+	if (in->provider != INTAKE_NOBODY)
+		return;
 	if (candidates_pick(
 		&in->candidates, in->env, now_ms, in->target, &addr))
 		intake_peer_ask(in, now_ms, &addr);
-	else if (intake_may_ask_source(in, now_ms))
-		intake_source_ask(in, now_ms);
 	else if (intake_no_candidate(in) && now_ms >= in->anyone_ms)
 		intake_ask_anyone(in, now_ms);
 }
@@ -235,6 +237,7 @@
 	}
 	in->env->stats.pulls_timed_out++;
 	outbox_close(in->env->out, &in->peer, 0);
+	in->suspect = 1;
 	intake_peer_failed(in, now_ms);
 }
 
--- a/packages/spread/src/intake_peer.c
+++ b/packages/spread/src/intake_peer.c
@@ -65,6 +65,8 @@
 intake_peer_ask(struct intake *in, uint64_t now_ms, const struct net_addr *peer)
 {
 	in->peer = *peer;
+	if (in->suspect)
+		outbox_close(in->env->out, peer, 0);
 	if (in->step == INTAKE_CONTENT) {
 		intake_send_fetch(in, now_ms);
 		return;
@@ -126,11 +128,23 @@
 	intake_peer_next(in, now_ms);
 }
 
+void
+intake_on_garbled(
+    struct intake *in, uint64_t now_ms, const struct net_addr *peer)
+{
+	if (in->provider == INTAKE_PEER && addr_equal(&in->peer, peer))
+		intake_peer_bad(in, now_ms);
+}
+
+/* Whether an answer is the one that is awaited; then connections work. */
 static int
-intake_awaits(const struct intake *in, enum intake_step step, uint32_t token)
+intake_awaits(struct intake *in, enum intake_step step, uint32_t token)
 {
-	return in->provider == INTAKE_PEER && in->step == step &&
-	    in->token == token;
+	if (in->provider != INTAKE_PEER || in->step != step ||
+	    in->token != token)
+		return 0;
+	in->suspect = 0;
+	return 1;
 }
 
 /* Whether a page of changes makes sense, as the first one or a further one. */
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -57,7 +57,7 @@
 		floors_on_ask(&s->floors, from, &ask, &s->offered, s->ready);
 	} else if (type == MSG_FLOOR_ANSWER &&
 	    msg_floor_answer_decode(body, len, &answer) == STATUS_OK) {
-		floors_on_answer(&s->floors, from, &answer);
+		floors_on_answer(&s->floors, &answer);
 		spread_heard(s, now_ms, from, &answer.head, 0);
 	}
 }
@@ -108,8 +108,8 @@
 }
 
 static void
-spread_on_answer(struct spread *s, uint64_t now_ms, uint8_t type,
-    const uint8_t *body, size_t len)
+spread_on_answer(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    uint8_t type, const uint8_t *body, size_t len)
 {
 	struct msg_sections sections;
 	struct msg_delta delta;
@@ -122,6 +122,8 @@
 	    msg_sections_decode(body, len, &sections) == STATUS_OK) {
 		intake_on_sections(&s->intake, now_ms, &sections);
 		msg_sections_clear(&sections);
+	} else {
+		intake_on_garbled(&s->intake, now_ms, from);
 	}
 }
 
@@ -140,7 +142,7 @@
 		serve_fetch(&s->serve, now_ms, from, conn, &fetch);
 		msg_fetch_clear(&fetch);
 	} else if (type == MSG_DELTA || type == MSG_SECTIONS) {
-		spread_on_answer(s, now_ms, type, body, len);
+		spread_on_answer(s, now_ms, from, type, body, len);
 		spread_settle(s, now_ms);
 	}
 }
--- /dev/null
+++ b/test/driver/bench_spread.c
@@ -0,0 +1,313 @@
+/*
+ * Bench of the spread: convergence, control bytes and source reads of one
+ * setting, as one line of a table.
+ *
+ * Options are name=value; see bench_options.  Traffic is measured after all
+ * nodes are up, over the time of the sign-offs.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+#define DAY_S 86400
+#define WARM_MS 600000
+#define SETTLE_MS 5000
+#define TAIL_MS 20000
+
+/**
+ * struct bench - one run
+ * @w: the world
+ * @config: how it is
+ * @name: name of the profile
+ * @seconds: virtual time of sign-offs
+ * @per_day: sign-offs a day, evenly by chance
+ * @burst: sign-offs in the first minute instead
+ * @changes: services that change in each
+ * @hint: whether the signing node spreads at once
+ * @verbose: whether traffic is shown by class
+ * @first: first version that counts
+ * @at_us: when the last sign-off came
+ */
+struct bench {
+	struct world *w;
+	struct world_config config;
+	char name[16];
+	uint32_t seconds;
+	uint32_t per_day;
+	uint32_t burst;
+	uint32_t changes;
+	uint32_t hint;
+	uint32_t verbose;
+	uint64_t first;
+	uint64_t end_us;
+	struct spread_profile over;
+};
+
+/* An option that is a number. */
+struct bench_option {
+	const char *name;
+	uint32_t *value;
+};
+
+static int
+bench_number(struct bench *b, const char *name, uint32_t value)
+{
+	struct spread_profile *p = &b->over;
+	const struct bench_option options[] = {
+	    {"dcs", &b->config.data_centres},
+	    {"nodes", &b->config.nodes},
+	    {"services", &b->config.services},
+	    {"seconds", &b->seconds},
+	    {"per_day", &b->per_day},
+	    {"burst", &b->burst},
+	    {"changes", &b->changes},
+	    {"hint", &b->hint},
+	    {"verbose", &b->verbose},
+	    {"poll", &b->config.naive_poll_ms},
+	    {"probe", &b->config.probe_ms},
+	    {"fanout", &p->fanout},
+	    {"rounds", &p->rounds},
+	    {"interval", &p->interval_ms},
+	    {"quench", &p->quench},
+	    {"relay", &p->relay_fanout},
+	    {"readers", &p->readers},
+	    {"head_poll", &p->head_poll_ms},
+	    {"batch", &p->batch_ms},
+	    {"entropy", &p->anti_entropy_ms},
+	    {"keepers", &p->keepers},
+	    {"progress", &p->progress_ms},
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(options); i++) {
+		if (strcmp(options[i].name, name) == 0) {
+			*options[i].value = value;
+			return 1;
+		}
+	}
+	if (strcmp(name, "far_us") == 0)
+		b->config.far_us = value;
+	else if (strcmp(name, "seed") == 0)
+		b->config.seed = value;
+	else
+		return 0;
+	return 1;
+}
+
+/* Numbers of the profile that an option named replace its own. */
+static void
+bench_profile(struct bench *b)
+{
+	const struct spread_profile *p;
+	const uint32_t *over;
+	uint32_t *to;
+	size_t i;
+
+	p = spread_profile_find(b->name);
+	if (p == NULL) {
+		b->config.kind = WORLD_NAIVE;
+		p = spread_profile_registry();
+	}
+	b->config.profile = *p;
+	over = (const uint32_t *)&b->over;
+	to = (uint32_t *)&b->config.profile;
+	for (i = 0; i < sizeof(*p) / sizeof(*over); i++)
+		if (over[i] != UINT32_MAX)
+			to[i] = over[i];
+}
+
+static void
+bench_sign(void *arg)
+{
+	struct bench *b = arg;
+	struct world *w = b->w;
+	uint64_t version;
+	double gap_s;
+
+	if (w->queue.now_us >= b->end_us)
+		return;
+	version = world_sign(w,
+	    b->hint ? g_rand_int(w->rng) % w->n_nodes : WORLD_NOBODY,
+	    b->changes);
+	if (b->first == 0)
+		b->first = version;
+	if (b->burst > 0)
+		gap_s = 60.0 / b->burst;
+	else
+		gap_s = -log(1 - g_rand_double(w->rng)) * DAY_S / b->per_day;
+	world_at(w, (uint64_t)(gap_s * 1000), bench_sign, b);
+}
+
+static uint64_t
+bench_sum(const uint64_t *by_class)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < MEASURE_CLASSES; i++)
+		sum += by_class[i];
+	return sum;
+}
+
+static gint
+bench_order(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Time until the last node held a version, over all versions. */
+static void
+bench_versions(const struct bench *b, double *p50, double *p99, double *max)
+{
+	const struct ledger_version *v;
+	uint64_t i, us;
+	GArray *times;
+
+	times = g_array_new(FALSE, FALSE, sizeof(us));
+	for (i = b->first; i < b->w->measure.version_us->len; i++) {
+		v = ledger_version(b->w->ledger, i);
+		us = g_array_index(b->w->measure.version_us, uint64_t, i) -
+		    v->signed_us;
+		g_array_append_val(times, us);
+	}
+	g_array_sort(times, bench_order);
+	*p50 = *p99 = *max = 0;
+	if (times->len > 0) {
+		*p50 = g_array_index(times, uint64_t, times->len / 2);
+		*p99 = g_array_index(times, uint64_t, times->len * 99 / 100);
+		*max = g_array_index(times, uint64_t, times->len - 1);
+	}
+	g_array_unref(times);
+}
+
+static void
+bench_classes(const struct bench *b, double seconds)
+{
+	const struct world *w = b->w;
+	uint64_t sent[MEASURE_CLASSES] = {0};
+	uint32_t i, j;
+
+	for (i = 0; i < w->n_nodes; i++)
+		for (j = 0; j < MEASURE_CLASSES; j++)
+			sent[j] += w->nodes[i].bytes.sent[j] +
+			    w->nodes[i].bytes.received[j];
+	printf("    bytes/s a node, sent and received:");
+	for (j = 0; j < MEASURE_CLASSES; j++)
+		printf(" %s %.0f", measure_class_name((enum measure_class)j),
+		    (double)sent[j] / seconds / w->n_nodes);
+	printf("\n");
+}
+
+static void
+bench_report(const struct bench *b, double seconds)
+{
+	const struct world *w = b->w;
+	double p50, p99, max, mean;
+	uint64_t sent, received, most;
+	uint32_t i;
+
+	sent = received = most = 0;
+	for (i = 0; i < w->n_nodes; i++) {
+		const struct measure_bytes *m = &w->nodes[i].bytes;
+
+		sent += bench_sum(m->sent);
+		received += bench_sum(m->received);
+		most = MAX(most, bench_sum(m->sent) + bench_sum(m->received));
+	}
+	mean = (double)(sent + received) / seconds / w->n_nodes;
+	bench_versions(b, &p50, &p99, &max);
+	printf("%-9s %5u %3u %7u %5u | %5u %6u %7u | %6.0f %6.0f %7.0f | "
+	       "%7.0f %7.0f | %7.1f %5" G_GUINT64_FORMAT " | %s %u\n",
+	    b->name, w->n_nodes, w->config.data_centres,
+	    b->burst > 0 ? b->burst * 1440 : b->per_day,
+	    (uint32_t)(w->measure.version_us->len - b->first),
+	    measure_quantile_ms(&w->measure, 0.5),
+	    measure_quantile_ms(&w->measure, 0.99),
+	    measure_quantile_ms(&w->measure, 1), p50 / 1000, p99 / 1000,
+	    max / 1000, mean, (double)most / seconds,
+	    (double)w->platform.reads / seconds, w->platform.peak,
+	    world_even(w) ? "even" : "UNEVEN", checker_count(w->checker));
+	if (b->verbose)
+		bench_classes(b, seconds);
+}
+
+static void
+bench_run(struct bench *b)
+{
+	struct world *w;
+	uint64_t from_us;
+	uint32_t i;
+
+	w = b->w = world_new(&b->config);
+	if (!world_warm(w, WARM_MS))
+		printf("not all nodes came up in %u s\n", WARM_MS / 1000);
+	if (b->verbose)
+		printf("    up after %.1f s, %" G_GUINT64_FORMAT
+		       " reads of the platform, at most %" G_GUINT64_FORMAT
+		       " in a second\n",
+		    (double)w->queue.now_us / 1e6 - 1000, w->platform.reads,
+		    w->platform.peak);
+	world_run(w, SETTLE_MS);
+	for (i = 0; i < w->n_nodes; i++)
+		memset(&w->nodes[i].bytes, 0, sizeof(w->nodes[i].bytes));
+	platform_reset(&w->platform);
+	measure_reset(&w->measure, ledger_version(w->ledger, 1)->version + 1);
+	from_us = w->queue.now_us;
+	b->end_us = from_us + b->seconds * US_PER_S;
+	bench_sign(b);
+	world_run(w, b->seconds * 1000);
+	bench_report(b, (double)(w->queue.now_us - from_us) / 1e6);
+	(void)world_run_until_even(w, TAIL_MS);
+	for (i = 0; i < w->n_nodes; i++)
+		checker_final(
+		    w->checker, w->nodes[i].host, w->nodes[i].version);
+	if (checker_count(w->checker) > 0 || !world_even(w))
+		printf("    %u violations: %s; %s\n", checker_count(w->checker),
+		    checker_first(w->checker),
+		    world_even(w) ? "even" : "not even in the end");
+	world_free(w);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct bench b;
+	char *value;
+	int i;
+
+	memset(&b, 0, sizeof(b));
+	memset(&b.over, 0xff, sizeof(b.over));
+	world_config_init(&b.config, 1);
+	b.config.check = 0;
+	b.config.services = 100;
+	b.seconds = 300;
+	b.per_day = 57000;
+	b.changes = 1;
+	b.hint = 1;
+	strcpy(b.name, "registry");
+	for (i = 1; i < argc; i++) {
+		value = strchr(argv[i], '=');
+		if (value == NULL) {
+			printf("profile nodes dcs per-day signed | node p50 "
+			       "p99 max ms | "
+			       "version p50 p99 max ms | bytes/s mean most | "
+			       "reads/s peak | end violations\n");
+			continue;
+		}
+		*value++ = '\0';
+		if (strcmp(argv[i], "profile") == 0)
+			g_strlcpy(b.name, value, sizeof(b.name));
+		else if (!bench_number(
+			     &b, argv[i], (uint32_t)strtoul(value, NULL, 10)))
+			printf("unknown option %s\n", argv[i]);
+	}
+	bench_profile(&b);
+	bench_run(&b);
+	return EXIT_SUCCESS;
+}
--- a/test/driver/links.c
+++ b/test/driver/links.c
@@ -117,6 +117,10 @@
 
 	b = arg;
 	n = b->node;
+	if (n->up && n->frozen_us > n->w->queue.now_us) {
+		queue_add(&n->w->queue, n->frozen_us, broken_give, b, g_free);
+		return;
+	}
 	if (n->up && n->generation == b->generation) {
 		membership_unreachable(n->m, world_now_ms(n->w), &b->peer);
 		spread_on_closed(n->s, world_now_ms(n->w), &b->peer);
--- /dev/null
+++ b/test/driver/test_halts.c
@@ -0,0 +1,109 @@
+/*
+ * Halt and supersede during a roll.
+ */
+#include "scenario.h"
+
+static uint32_t
+holding(const struct world *w, uint64_t version)
+{
+	uint32_t i, n;
+
+	n = 0;
+	for (i = 0; i < w->n_nodes; i++)
+		n += w->nodes[i].version == version;
+	return n;
+}
+
+/* A version is halted some milliseconds into its roll. Nobody takes it up
+ * once it is known to be halted, nobody gives it up, and the next version
+ * reaches all. */
+START_TEST(test_halt_during_roll)
+{
+	struct world_config config;
+	struct world *w;
+	uint64_t bad, seed;
+	uint32_t before;
+
+	for (seed = 1; seed <= SCENARIO_SEEDS; seed++) {
+		world_config_init(&config, seed);
+		config.near_us = 5000;
+		config.far_us = 20000;
+		w = scenario_up(&config);
+		bad = world_sign(w, 0, 2);
+		world_run(w, (uint64_t)_i * 7);
+		world_halt(w, 7);
+		world_run(w, 5000);
+		before = holding(w, bad);
+		ck_assert_uint_eq(before + holding(w, bad - 1), w->n_nodes);
+		world_run(w, 60000);
+		ck_assert_uint_eq(holding(w, bad), before);
+		world_supersede(w, 9, bad - 1);
+		scenario_end(w);
+	}
+}
+END_TEST
+
+/* A host that holds a halted version is restarted: it comes back with it. */
+START_TEST(test_halted_and_restarted)
+{
+	struct world *w;
+	uint64_t bad;
+
+	w = scenario_new((uint64_t)_i + 1);
+	bad = world_sign(w, 0, 2);
+	ck_assert(world_run_until_even(w, 5000));
+	world_halt(w, 3);
+	world_run(w, 2000);
+	world_kill(w, 5);
+	world_run(w, 1000);
+	world_start(w, 5);
+	ck_assert(world_run_until_even(w, 20000));
+	ck_assert_uint_eq(w->nodes[5].version, bad);
+	world_sign(w, 2, 1);
+	scenario_end(w);
+}
+END_TEST
+
+/* Sign-offs, halts and supersedes one after the other, some by nodes that do
+ * not get to spreading them. */
+START_TEST(test_mixed)
+{
+	struct world *w;
+	uint64_t head;
+	uint32_t i, node, what;
+
+	w = scenario_new((uint64_t)_i + 1);
+	for (i = 0; i < 40; i++) {
+		node = g_rand_int(w->rng) % w->n_nodes;
+		if (g_rand_int(w->rng) % 4 == 0)
+			node = WORLD_NOBODY;
+		what = g_rand_int(w->rng) % 5;
+		head = w->ledger->head.version;
+		if (what == 0 && w->ledger->head.state == HEAD_ROLLING &&
+		    head > 1)
+			world_halt(w, node);
+		else if (what == 1 && head > 3)
+			world_supersede(w, node, head - 2);
+		else
+			world_sign(w, node, 1 + what);
+		world_run(w, g_rand_int(w->rng) % 800);
+	}
+	scenario_end(w);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	TCase *tc;
+
+	suite = suite_create("halts");
+	tc = tcase_create("halts");
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, test_halt_during_roll, 0, 8);
+	tcase_add_loop_test(tc, test_halted_and_restarted, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_mixed, 0, 2 * SCENARIO_SEEDS);
+	suite_add_tcase(suite, tc);
+	return scenario_main(suite);
+}
--- /dev/null
+++ b/test/driver/test_messages.c
@@ -0,0 +1,106 @@
+/*
+ * Versions spread although messages are lost, doubled, overtaken or wrong.
+ */
+#include "scenario.h"
+
+/* A row for each kind of bad link. */
+static const struct {
+	double loss;
+	double twice;
+	double late;
+	uint64_t late_us;
+	uint64_t jitter_us;
+} links[] = {
+    {0, 0, 0, 0, 200},
+    {0.3, 0, 0, 0, 200},
+    {0, 0.5, 0, 0, 200},
+    {0, 0, 0.3, 2000000, 200},
+    {0.1, 0.2, 0.2, 500000, 50000},
+};
+
+START_TEST(test_bad_links)
+{
+	struct world_config config;
+	struct world *w;
+	uint64_t seed;
+
+	for (seed = 1; seed <= SCENARIO_SEEDS; seed++) {
+		world_config_init(&config, seed);
+		config.loss = links[_i].loss;
+		config.twice = links[_i].twice;
+		config.late = links[_i].late;
+		config.late_us = links[_i].late_us;
+		config.jitter_us = links[_i].jitter_us;
+		w = scenario_up(&config);
+		scenario_roll(w, 10000, 300);
+		scenario_end(w);
+	}
+}
+END_TEST
+
+/* Whatever a faulty peer serves, nothing of it is taken up, the peer is
+ * blamed, and the versions come from others. */
+START_TEST(test_tampered)
+{
+	struct world *w;
+	uint64_t seed, blamed;
+	uint32_t i;
+
+	blamed = 0;
+	for (seed = 1; seed <= SCENARIO_SEEDS; seed++) {
+		w = scenario_new(seed);
+		for (i = 0; i < w->config.nodes; i++)
+			w->nodes[world_index(w, 0, i)].tamper =
+			    (enum world_tamper)_i;
+		scenario_roll(w, 8000, 500);
+		for (i = 0; i < w->n_nodes; i++)
+			blamed += spread_stats(w->nodes[i].s)->peers_blamed;
+		scenario_end(w);
+	}
+	if (_i != TAMPER_BYTES)
+		ck_assert_uint_gt(blamed, 0);
+}
+END_TEST
+
+/* All connections go silent for good in the middle of transfers, while new
+ * ones work. */
+START_TEST(test_silent)
+{
+	struct world_config config;
+	struct world *w;
+	uint64_t timed_out;
+	uint32_t i, round;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.services = 200;
+	config.profile.reply_bytes = 2048;
+	w = scenario_up(&config);
+	timed_out = 0;
+	for (round = 0; round < 5; round++) {
+		world_sign(w, g_rand_int(w->rng) % w->n_nodes, 100);
+		world_run(w, 4);
+		world_silence(w);
+		world_run(w, 3000);
+		ck_assert(world_even(w));
+	}
+	for (i = 0; i < w->n_nodes; i++)
+		timed_out += spread_stats(w->nodes[i].s)->pulls_timed_out;
+	ck_assert_uint_gt(timed_out, 0);
+	scenario_end(w);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	TCase *tc;
+
+	suite = suite_create("messages");
+	tc = tcase_create("messages");
+	tcase_add_loop_test(tc, test_bad_links, 0, G_N_ELEMENTS(links));
+	tcase_add_loop_test(tc, test_tampered, TAMPER_NONE + 1, TAMPER_COUNT);
+	tcase_add_loop_test(tc, test_silent, 0, SCENARIO_SEEDS);
+	suite_add_tcase(suite, tc);
+	return scenario_main(suite);
+}
--- /dev/null
+++ b/test/driver/test_restarts.c
@@ -0,0 +1,230 @@
+/*
+ * Restarts: floors, herds, replaced hosts, frozen processes.
+ */
+#include "scenario.h"
+
+/* Share of the platform's 2,000 reads a second that herds may take. */
+#define HERD_READS_PER_S 500
+
+static void
+kill_and_start(struct world *w, uint32_t node, uint64_t down_ms)
+{
+	world_kill(w, node);
+	world_run(w, down_ms);
+	world_start(w, node);
+}
+
+/* A host is the only one that held a version; nobody can read the platform.
+ * It is restarted, and must not serve the version before. */
+static struct world *
+floor_world(uint64_t seed, uint32_t keepers)
+{
+	struct world_config config;
+	struct world *w;
+
+	world_config_init(&config, seed);
+	config.profile.fanout = 0;
+	config.profile.relay_fanout = 0;
+	config.profile.keepers = keepers;
+	config.probe_ms = 5000;
+	w = scenario_up(&config);
+	w->platform.outage = 1;
+	world_sign(w, 0, 2);
+	while (w->nodes[0].version < 2)
+		world_run(w, 1);
+	kill_and_start(w, 0, 20);
+	world_run(w, 10000);
+	return w;
+}
+
+START_TEST(test_floor)
+{
+	struct world *w;
+
+	w = floor_world((uint64_t)_i + 1, 3);
+	ck_assert_int_eq(w->nodes[0].ready, 0);
+	ck_assert_uint_eq(spread_floor(w->nodes[0].s), 2);
+	w->platform.outage = 0;
+	scenario_end(w);
+}
+END_TEST
+
+/* The same without keepers in the own data centre and none elsewhere: the
+ * checker sees the host go back. */
+START_TEST(test_floor_needed)
+{
+	struct world_config config;
+	struct world *w;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.data_centres = 1;
+	config.profile.fanout = 0;
+	config.profile.keepers = 0;
+	config.probe_ms = 5000;
+	w = scenario_up(&config);
+	w->platform.outage = 1;
+	world_sign(w, 0, 2);
+	while (w->nodes[0].version < 2)
+		world_run(w, 1);
+	kill_and_start(w, 0, 20);
+	world_run(w, 10000);
+	ck_assert_uint_gt(checker_count(w->checker), 0);
+	world_free(w);
+}
+END_TEST
+
+/* A host is restarted over and over while versions roll. */
+START_TEST(test_restart_during_roll)
+{
+	struct world *w;
+	uint32_t i, node;
+
+	w = scenario_new((uint64_t)_i + 1);
+	for (i = 0; i < 30; i++) {
+		world_sign(w, g_rand_int(w->rng) % w->n_nodes, 2);
+		world_run(w, g_rand_int(w->rng) % 60);
+		node = g_rand_int(w->rng) % w->n_nodes;
+		kill_and_start(w, node, g_rand_int(w->rng) % 500);
+		world_run(w, g_rand_int(w->rng) % 300);
+	}
+	scenario_end(w);
+}
+END_TEST
+
+/* Killed while a version is staged but not whole. */
+START_TEST(test_killed_in_staging)
+{
+	struct world_config config;
+	struct world *w;
+	uint32_t i;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.services = 300;
+	config.profile.reply_bytes = 1024;
+	w = scenario_up(&config);
+	for (i = 0; i < 10; i++) {
+		world_sign(w, 1, 200);
+		world_run(w, 5 + (uint64_t)i);
+		kill_and_start(w, 2 + i % 4, 10);
+		world_run(w, 200);
+	}
+	scenario_end(w);
+}
+END_TEST
+
+static uint32_t
+herd(struct world *w, uint32_t first, uint32_t n, uint32_t step)
+{
+	uint32_t i;
+
+	platform_reset(&w->platform);
+	for (i = 0; i < n; i += step)
+		world_kill(w, first + i);
+	world_run(w, 3000);
+	for (i = 0; i < n; i += step)
+		world_start(w, first + i);
+	ck_assert_msg(world_run_until_even(w, SCENARIO_EVEN_MS),
+	    "the herd did not come up");
+	return (uint32_t)w->platform.peak;
+}
+
+static struct world *
+herd_world(uint64_t seed)
+{
+	struct world_config config;
+
+	world_config_init(&config, seed);
+	config.data_centres = 4;
+	config.nodes = 40;
+	config.services = 60;
+	config.check = 0;
+	return scenario_up(&config);
+}
+
+/* A data centre, then a third of all, then all are restarted at once. */
+START_TEST(test_herds)
+{
+	struct world *w;
+
+	w = herd_world((uint64_t)_i + 1);
+	ck_assert_uint_lt(herd(w, 40, 40, 1), HERD_READS_PER_S);
+	ck_assert_uint_lt(herd(w, 0, w->n_nodes, 3), HERD_READS_PER_S);
+	ck_assert_uint_lt(herd(w, 0, w->n_nodes, 1), HERD_READS_PER_S);
+	scenario_end(w);
+}
+END_TEST
+
+/* A herd while the platform is down comes up from its peers. */
+START_TEST(test_herd_without_platform)
+{
+	struct world *w;
+
+	w = herd_world((uint64_t)_i + 1);
+	w->platform.outage = 1;
+	ck_assert_uint_lt(herd(w, 40, 40, 1), HERD_READS_PER_S);
+	w->platform.outage = 0;
+	scenario_end(w);
+}
+END_TEST
+
+/* Frozen for a minute while versions roll, then thawed. */
+START_TEST(test_frozen)
+{
+	struct world *w;
+	uint64_t before;
+
+	w = scenario_new((uint64_t)_i + 1);
+	world_sign(w, 1, 2);
+	world_run(w, 2);
+	world_freeze(w, 3, 60000);
+	world_freeze(w, 10, 60000);
+	before = w->nodes[3].version;
+	scenario_roll(w, 58000, 2000);
+	ck_assert_uint_eq(w->nodes[3].version, before);
+	world_run(w, 2000);
+	ck_assert(world_run_until_even(w, 10000));
+	scenario_end(w);
+}
+END_TEST
+
+/* Hosts are replaced by others with the same address. */
+START_TEST(test_replaced)
+{
+	struct world *w;
+	uint32_t i;
+	char host[MEMBER_NAME_BYTES];
+
+	w = scenario_new((uint64_t)_i + 1);
+	for (i = 0; i < 6; i++) {
+		world_kill(w, 3 * i);
+		g_snprintf(host, sizeof(host), "new-host-%u", i);
+		world_replace(w, 3 * i, host);
+		world_run(w, 100);
+		world_start(w, 3 * i);
+		world_sign(w, 3 * i + 1, 2);
+		world_run(w, 500);
+	}
+	scenario_end(w);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	TCase *tc;
+
+	suite = suite_create("restarts");
+	tc = tcase_create("restarts");
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, test_floor, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_floor_needed, 0, 2);
+	tcase_add_loop_test(tc, test_restart_during_roll, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_killed_in_staging, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_herds, 0, 2);
+	tcase_add_loop_test(tc, test_herd_without_platform, 0, 2);
+	tcase_add_loop_test(tc, test_frozen, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_replaced, 0, SCENARIO_SEEDS);
+	suite_add_tcase(suite, tc);
+	return scenario_main(suite);
+}
--- a/test/driver/world.c
+++ b/test/driver/world.c
@@ -183,7 +183,7 @@
 	if (node == WORLD_NOBODY || w->config.kind == WORLD_NAIVE)
 		return;
 	n = &w->nodes[node];
-	if (!n->up)
+	if (!n->up || n->frozen_us > w->queue.now_us)
 		return;
 	memset(&row, 0, sizeof(row));
 	if (v != NULL) {
--- a/test/driver/world.h
+++ b/test/driver/world.h
@@ -18,6 +18,7 @@
 #include "config/catalog.h"
 #include "config/endpoints.h"
 #include "config/snapshot.h"
+#include "config/stage.h"
 #include "ledger.h"
 #include "measure.h"
 #include "membership/membership.h"
