fix(functional): arguments as arrays, so that the linter is clean

Problem: clang-tidy reports an uninitialized va_list in deployment_watch.c.

Cause: a va_list handed on to another function. Handing on its address was tried first and gave the same error.

Solution: deployment_ctl() and deployment_load() take an array that ends with NULL.

--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -192,12 +192,12 @@
  * deployment_ctl() - run bramleyctl
  * @h: host whose node is asked
  * @code: where the exit code goes, or NULL; then it must be 0
- * @...: arguments, ended by NULL
+ * @args: arguments, ended by NULL
  *
  * Return: its JSON output, a new reference, or NULL.
  */
 json_t *
-deployment_ctl(const struct host *h, int *code, ...) __attribute__((sentinel));
+deployment_ctl(const struct host *h, int *code, const char *const *args);
 
 /** deployment_example() - path of a file in examples/, a new string */
 char *deployment_example(const char *name);
@@ -217,10 +217,10 @@
  * @name: name of the run; different for each
  * @h: host whose node is called first; others follow when @spread is set
  * @spread: send to all nodes that run
- * @...: further arguments of load_gen, ended by NULL
+ * @args: further arguments of load_gen, ended by NULL
  */
 struct process *deployment_load(struct deployment *d, const char *name,
-    const struct host *h, int spread, ...) __attribute__((sentinel));
+    const struct host *h, int spread, const char *const *args);
 
 /** deployment_load_end() - wait for load_gen; its summary; frees @load */
 json_t *deployment_load_end(struct process *load);
--- a/test/functional/deployment_watch.c
+++ b/test/functional/deployment_watch.c
@@ -1,7 +1,6 @@
 /*
  * A small deployment for tests: its state, operators, load and the check.
  */
-#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -108,12 +107,10 @@
 }
 
 static void
-append_args(GPtrArray *argv, va_list *ap)
+append_args(GPtrArray *argv, const char *const *args)
 {
-	const char *arg;
-
-	while ((arg = va_arg(*ap, const char *)) != NULL)
-		g_ptr_array_add(argv, (gpointer)arg);
+	for (; *args != NULL; args++)
+		g_ptr_array_add(argv, (gpointer)*args);
 	g_ptr_array_add(argv, NULL);
 }
 
@@ -135,7 +132,7 @@
 }
 
 json_t *
-deployment_ctl(const struct host *h, int *code, ...)
+deployment_ctl(const struct host *h, int *code, const char *const *args)
 {
 	static uint32_t runs;
 	char *name = g_strdup_printf("ctl.%u", ++runs);
@@ -144,15 +141,12 @@
 	int res;
 	json_t *j;
 	struct process *p;
-	va_list ap;
 
 	g_ptr_array_add(argv, (gpointer)BRAMLEYCTL_PATH);
 	g_ptr_array_add(argv, (gpointer) "--node");
 	g_ptr_array_add(argv, node);
 	g_ptr_array_add(argv, (gpointer) "--json");
-	va_start(ap, code);
-	append_args(argv, &ap);
-	va_end(ap);
+	append_args(argv, args);
 	p = process_start(
 	    name, harness_dir(), (const char *const *)argv->pdata);
 	res = process_wait(p, CTL_WAIT_MS);
@@ -178,8 +172,8 @@
 uint64_t
 deployment_sign_off(const struct host *h, const char *bundle)
 {
-	json_t *j = deployment_ctl(
-	    h, NULL, "--operator", "test", "sign-off", bundle, NULL);
+	const char *args[] = {"--operator", "test", "sign-off", bundle, NULL};
+	json_t *j = deployment_ctl(h, NULL, args);
 	uint64_t version = (uint64_t)json_number(j, "version");
 
 	ck_assert_uint_gt(version, 0);
@@ -199,7 +193,7 @@
 
 struct process *
 deployment_load(struct deployment *d, const char *name, const struct host *h,
-    int spread, ...)
+    int spread, const char *const *args)
 {
 	char *file = g_strdup_printf("%s.outcomes", name);
 	char *path = harness_path(file);
@@ -208,7 +202,6 @@
 	GPtrArray *own = g_ptr_array_new_with_free_func(g_free);
 	struct process *p;
 	uint32_t i;
-	va_list ap;
 
 	g_ptr_array_add(d->outcomes, path);
 	g_ptr_array_add(argv, (gpointer)LOAD_GEN_PATH);
@@ -223,9 +216,7 @@
 	g_ptr_array_add(argv, (gpointer)name);
 	g_ptr_array_add(argv, (gpointer) "--outcomes");
 	g_ptr_array_add(argv, path);
-	va_start(ap, spread);
-	append_args(argv, &ap);
-	va_end(ap);
+	append_args(argv, args);
 	p = process_start(
 	    name, harness_dir(), (const char *const *)argv->pdata);
 	g_ptr_array_unref(argv);
--- a/test/functional/test_path.c
+++ b/test/functional/test_path.c
@@ -113,12 +113,13 @@
 {
 	char old[32];
 	char *path = changed_bundle(n);
+	const char *args[] = {
+	    "--operator", "test", "supersede", old, path, NULL};
 	json_t *j;
 	uint64_t next;
 
 	(void)g_snprintf(old, sizeof(old), "%" G_GUINT64_FORMAT, version);
-	j = deployment_ctl(deployment_host(d, n % d->hosts->len), NULL,
-	    "--operator", "test", "supersede", old, path, NULL);
+	j = deployment_ctl(deployment_host(d, n % d->hosts->len), NULL, args);
 	next = (uint64_t)json_number(j, "version");
 	ck_assert_uint_gt(next, version);
 	(void)deployment_wait_version(d, next, ROLL_MS);
@@ -131,14 +132,16 @@
 watch(const struct deployment *d, uint64_t version)
 {
 	char text[32];
+	const char *args[] = {"watch", text, "--timeout-ms", "15000", NULL};
 
 	(void)g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, version);
-	json_decref(deployment_ctl(deployment_host(d, 1), NULL, "watch", text,
-	    "--timeout-ms", "15000", NULL));
+	json_decref(deployment_ctl(deployment_host(d, 1), NULL, args));
 }
 
 START_TEST(calls_pass_while_versions_roll)
 {
+	static const char *const load_args[] = {
+	    "--rate", "100", "--duration-s", "4", "--mix", "8:1:1", NULL};
 	char *bundle = deployment_example("registry.json");
 	json_t *sum;
 	size_t i;
@@ -152,8 +155,7 @@
 	(void)deployment_wait_version(d, version, ROLL_MS);
 	for (i = 0; i < G_N_ELEMENTS(far_calls); i++)
 		make_far_call(d, &far_calls[i]);
-	load = deployment_load(d, "load", deployment_host(d, 0), 1, "--rate",
-	    "100", "--duration-s", "4", "--mix", "8:1:1", NULL);
+	load = deployment_load(d, "load", deployment_host(d, 0), 1, load_args);
 	for (i = 0; i < ROLLS; i++)
 		version = supersede(d, version, (uint32_t)i + 1);
 	sum = deployment_load_end(load);
