feat(rollout): sign-off, supersede, halt and find as state machines

Problem: versions need one order whoever races, and a write whose answer was lost must be settled, not repeated.

Solution: one compare-and-set on the head row's seq; a lost answer is settled by reading the head and the row after the one built on; a version row's changes record the head that it replaced, so that a halt is found after others signed off on top.

--- a/packages/config/src/section_list.c
+++ b/packages/config/src/section_list.c
@@ -20,6 +20,7 @@
 {
 	struct rec_section_change change;
 
+	g_assert(ref != NULL);
 	memset(&change, 0, sizeof(change));
 	memcpy(change.service, ref->service, sizeof(change.service));
 	change.removed = removed;
@@ -28,7 +29,7 @@
 	g_array_append_val(out, change);
 }
 
-/* Order of the next elements of two lists; an ended list comes last. */
+/* Order of the next elements of two lists; an ended list (NULL) comes last. */
 static int
 merge_order(const char *a, const char *b)
 {
@@ -37,25 +38,29 @@
 	return strcmp(a, b);
 }
 
+/* Service of an element, or NULL past the end. */
+static const char *
+service_at(const GArray *list, uint32_t i)
+{
+	return i < list->len ? REF(list, i)->service : NULL;
+}
+
 GArray *
 section_changes(const GArray *from, const GArray *to)
 {
-	const struct rec_section_ref *a, *b;
 	uint32_t i = 0, j = 0;
 	GArray *out;
 	int order;
 
 	out = g_array_new(FALSE, TRUE, sizeof(struct rec_section_change));
 	while (i < from->len || j < to->len) {
-		a = i < from->len ? REF(from, i) : NULL;
-		b = j < to->len ? REF(to, j) : NULL;
-		order = merge_order(a != NULL ? a->service : NULL,
-		    b != NULL ? b->service : NULL);
+		order = merge_order(service_at(from, i), service_at(to, j));
 		if (order < 0)
-			add_change(out, a, true);
+			add_change(out, REF(from, i), true);
 		else if (order > 0 ||
-		    !hash_digest_equal(&a->digest, &b->digest))
-			add_change(out, b, false);
+		    !hash_digest_equal(
+			&REF(from, i)->digest, &REF(to, j)->digest))
+			add_change(out, REF(to, j), false);
 		i += order <= 0;
 		j += order >= 0;
 	}
@@ -79,22 +84,18 @@
 section_list_apply(const GArray *from, const struct rec_section_change *changes,
     uint32_t n_changes)
 {
-	const struct rec_section_change *b;
-	const struct rec_section_ref *a;
 	uint32_t i = 0, j = 0;
 	GArray *out;
 	int order;
 
 	out = list_new(from->len + n_changes);
 	while (i < from->len || j < n_changes) {
-		a = i < from->len ? REF(from, i) : NULL;
-		b = j < n_changes ? &changes[j] : NULL;
-		order = merge_order(a != NULL ? a->service : NULL,
-		    b != NULL ? b->service : NULL);
+		order = merge_order(service_at(from, i),
+		    j < n_changes ? changes[j].service : NULL);
 		if (order < 0)
-			g_array_append_vals(out, a, 1);
+			g_array_append_vals(out, REF(from, i), 1);
 		else
-			add_ref(out, b);
+			add_ref(out, &changes[j]);
 		i += order <= 0;
 		j += order >= 0;
 	}
--- a/packages/config/src/stage.c
+++ b/packages/config/src/stage.c
@@ -74,7 +74,7 @@
 {
 	GArray *held, *list;
 
-	if (stage->list != NULL)
+	if (stage->changes == NULL)
 		return g_array_ref(stage->list);
 	held = catalog_refs(stage->c);
 	list = section_list_apply(held,
@@ -120,10 +120,10 @@
 	struct rec_section_ref *ref;
 	uint32_t i;
 
-	if (stage->list != NULL)
-		stage->needed = g_array_ref(stage->list);
-	else
+	if (stage->changes != NULL)
 		stage->needed = added_by(stage->changes);
+	else
+		stage->needed = g_array_ref(stage->list);
 	for (i = 0; i < stage->needed->len; i++) {
 		ref = &g_array_index(stage->needed, struct rec_section_ref, i);
 		g_hash_table_insert(
--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -31,9 +31,12 @@
 /* Objects that are written at the same time. */
 #define ROLLOUT_PUT_WINDOW 8
 
-/* Versions that are looked through for an operation id, newest first. */
+/* Versions that ROLLOUT_FIND looks through, newest first. */
 #define ROLLOUT_SEARCH_VERSIONS 500
 
+/* Versions that a sign-off without parent looks through for its own id. */
+#define ROLLOUT_REPEAT_VERSIONS 100
+
 #define ROLLOUT_MESSAGE_BYTES 384
 
 /** enum rollout_kind - what an operation does */
--- /dev/null
+++ b/packages/rollout/src/find.c
@@ -0,0 +1,54 @@
+/*
+ * Find: look what became of an operation, writing nothing.
+ */
+#include "rollout_defs.h"
+
+static void
+find_begin(struct rollout *r, uint64_t now_ms)
+{
+	rollout_enter(r, PHASE_HEAD, now_ms);
+}
+
+static struct range
+find_first_look(const struct rollout *r)
+{
+	struct range range = {1, r->head.version};
+
+	if (range.high > ROLLOUT_SEARCH_VERSIONS)
+		range.low = range.high - ROLLOUT_SEARCH_VERSIONS + 1;
+	return range;
+}
+
+/* Find never sends a write. */
+static uint64_t
+find_settle_to(const struct rollout *r)
+{
+	return r->head.version;
+}
+
+/* The id is nowhere; that is final once the head row has moved on. */
+static void
+find_proceed(struct rollout *r, uint64_t now_ms)
+{
+	(void)now_ms;
+	if (r->req.after_seq > 0 && r->head.seq <= r->req.after_seq) {
+		outcome_not_settled(r);
+		return;
+	}
+	outcome_not_found(r,
+	    "Operation %s is not among the last %d versions%s.", r->req.op,
+	    ROLLOUT_SEARCH_VERSIONS,
+	    r->req.after_seq > 0
+		? ", and its write can no longer arrive; start it again if "
+		  "you still want it"
+		: "; if it ended as unknown a moment ago, ask again with its "
+		  "after_seq, or start it again with the same id");
+}
+
+const struct rollout_ops find_ops = {
+    .begin = find_begin,
+    .first_look = find_first_look,
+    .settle_to = find_settle_to,
+    .proceed = find_proceed,
+    .lost = find_proceed,
+};
--- /dev/null
+++ b/packages/rollout/src/outcome.c
@@ -0,0 +1,176 @@
+/*
+ * Outcomes of operations and what operators are told.
+ */
+#include <stdarg.h>
+#include <string.h>
+
+#include "rollout_defs.h"
+
+static const char *const result_names[] = {
+    [ROLLOUT_DONE] = "done",
+    [ROLLOUT_ALREADY] = "already",
+    [ROLLOUT_CONFLICT] = "conflict",
+    [ROLLOUT_NOT_FOUND] = "not_found",
+    [ROLLOUT_INVALID] = "invalid",
+    [ROLLOUT_UNAVAILABLE] = "unavailable",
+    [ROLLOUT_UNKNOWN] = "unknown",
+};
+
+const char *
+rollout_result_name(enum rollout_result result)
+{
+	if ((unsigned int)result > ROLLOUT_UNKNOWN)
+		return "?";
+	return result_names[result];
+}
+
+static void
+set_message(struct rollout *r, const char *fmt, va_list ap)
+{
+	(void)g_vsnprintf(
+	    r->outcome.message, sizeof(r->outcome.message), fmt, ap);
+}
+
+static void __attribute__((format(printf, 3, 4)))
+end(struct rollout *r, enum rollout_result result, const char *fmt, ...)
+{
+	struct rollout_outcome *o = &r->outcome;
+	va_list ap;
+
+	o->result = result;
+	o->in_force = r->head.in_force;
+	o->newest_version = r->head.version;
+	va_start(ap, fmt);
+	set_message(r, fmt, ap);
+	va_end(ap);
+	r->phase = PHASE_END;
+	r->token = 0;
+	step_finish(r);
+}
+
+/* Whether an id that was found was used for what this operation asks. */
+static bool
+same_purpose(const struct rollout *r, enum rollout_kind kind, uint64_t version,
+    const struct digest *root)
+{
+	if (r->req.kind == ROLLOUT_FIND)
+		return true;
+	if (r->req.kind == ROLLOUT_HALT)
+		return kind == ROLLOUT_HALT && version == r->req.version;
+	return kind != ROLLOUT_HALT &&
+	    (root == NULL || hash_digest_equal(root, &r->root));
+}
+
+void
+outcome_done(struct rollout *r, enum rollout_kind kind, uint64_t version,
+    const struct digest *root)
+{
+	struct rollout_outcome *o = &r->outcome;
+
+	if (!same_purpose(r, kind, version, root)) {
+		outcome_invalid(r,
+		    "Operation id %s has been used for another operation, "
+		    "which %s version %" G_GUINT64_FORMAT "; take a new id.",
+		    r->req.op, kind == ROLLOUT_HALT ? "halted" : "made",
+		    version);
+		return;
+	}
+	o->kind = kind;
+	o->version = version;
+	o->repeated = !r->sent;
+	end(r, ROLLOUT_DONE, "Version %" G_GUINT64_FORMAT " is %s%s.", version,
+	    kind == ROLLOUT_HALT ? "halted" : "signed off",
+	    o->repeated ? "; an earlier start of this operation did it" : "");
+}
+
+void
+outcome_already(struct rollout *r)
+{
+	const struct rollout_outcome *o = &r->outcome;
+
+	r->outcome.kind = r->req.kind;
+	end(r, ROLLOUT_ALREADY,
+	    "Version %" G_GUINT64_FORMAT
+	    " had been halted by operation %s%s%s; there is nothing to do.",
+	    o->winner_version, o->winner_op,
+	    o->winner_operator[0] != '\0' ? " of " : "", o->winner_operator);
+}
+
+/* The row after the one built on tells who was first. */
+void
+outcome_conflict(struct rollout *r)
+{
+	struct rollout_outcome *o = &r->outcome;
+
+	o->kind = r->req.kind;
+	o->winner_version = r->lowest.version;
+	g_strlcpy(o->winner_op, r->lowest.op, sizeof(o->winner_op));
+	g_strlcpy(o->winner_operator, r->lowest.operator_name,
+	    sizeof(o->winner_operator));
+	end(r, ROLLOUT_CONFLICT,
+	    "%s was first with version %" G_GUINT64_FORMAT
+	    " (operation %s); nothing was done. The newest version is "
+	    "%" G_GUINT64_FORMAT "; look at it, then decide again.",
+	    o->winner_operator, o->winner_version, o->winner_op,
+	    r->head.version);
+}
+
+void
+outcome_not_found(struct rollout *r, const char *fmt, ...)
+{
+	va_list ap;
+
+	r->outcome.kind = r->req.kind;
+	end(r, ROLLOUT_NOT_FOUND, "%s", "");
+	va_start(ap, fmt);
+	set_message(r, fmt, ap);
+	va_end(ap);
+}
+
+void
+outcome_invalid(struct rollout *r, const char *fmt, ...)
+{
+	va_list ap;
+
+	r->outcome.kind = r->req.kind;
+	end(r, ROLLOUT_INVALID, "%s", "");
+	va_start(ap, fmt);
+	set_message(r, fmt, ap);
+	va_end(ap);
+}
+
+void
+outcome_gave_up(struct rollout *r)
+{
+	struct rollout_outcome *o = &r->outcome;
+
+	o->kind = r->req.kind;
+	o->retry_after_ms = (uint32_t)step_backoff_ms(r);
+	if (!r->maybe_written) {
+		end(r, ROLLOUT_UNAVAILABLE,
+		    "The platform did not answer in time; nothing was done. "
+		    "Ask again later.");
+		return;
+	}
+	o->after_seq = r->base.seq;
+	end(r, ROLLOUT_UNKNOWN,
+	    "The write was sent, but the platform can't be read to see "
+	    "whether it took effect. Ask for operation %s, or start it again "
+	    "with the same id: it is done once at most.",
+	    r->req.op);
+}
+
+void
+outcome_not_settled(struct rollout *r)
+{
+	struct rollout_outcome *o = &r->outcome;
+
+	o->kind = r->req.kind;
+	o->after_seq = r->req.after_seq;
+	o->retry_after_ms = ROLLOUT_BACKOFF_CAP_MS;
+	end(r, ROLLOUT_UNKNOWN,
+	    "Operation %s has not taken effect, but its write may still "
+	    "arrive. Ask again, or start it again with the same id: it is "
+	    "done once at most.",
+	    r->req.op);
+}
--- /dev/null
+++ b/packages/rollout/src/rollout.c
@@ -0,0 +1,340 @@
+/*
+ * Life of an operation: phases, awaited answers, retries, the deadline.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "rollout_defs.h"
+
+/**
+ * struct phase - what a phase asks, and where its answer goes
+ * @issue: asks
+ * @on_versions: version rows came
+ * @on_object: an object came
+ */
+struct phase {
+	void (*issue)(struct rollout *r, uint64_t now_ms);
+	void (*on_versions)(struct rollout *r, uint64_t now_ms, enum status st,
+	    const struct store_version *rows, uint32_t n, uint64_t upto);
+	void (*on_object)(struct rollout *r, uint64_t now_ms, enum status st,
+	    const uint8_t *data, size_t len);
+};
+
+static const struct phase phases[PHASE_COUNT] = {
+    [PHASE_HEAD] = {step_read_head, NULL, NULL},
+    [PHASE_SEARCH] = {search_issue, search_on_versions, NULL},
+    [PHASE_SOURCE_ROW] = {version_issue_source_row, version_on_source_row,
+	NULL},
+    [PHASE_SOURCE_LIST] = {version_issue_source_list, NULL,
+	version_on_source_list},
+    [PHASE_BASE_ROW] = {version_issue_base_row, version_on_base_row, NULL},
+    [PHASE_BASE_LIST] = {version_issue_base_list, NULL, version_on_base_list},
+    [PHASE_PUTS] = {puts_issue, NULL, NULL},
+    [PHASE_TARGET_ROW] = {halt_issue_target_row, halt_on_target_row, NULL},
+    [PHASE_BACK_ROW] = {halt_issue_back_row, halt_on_back_row, NULL},
+    [PHASE_TRANSACT] = {step_transact, NULL, NULL},
+    [PHASE_WINNER_NOTE] = {halt_issue_winner_note, NULL, halt_on_winner_note},
+    [PHASE_END] = {NULL, NULL, NULL},
+};
+
+static const struct rollout_ops *const kind_ops[] = {
+    [ROLLOUT_SIGN_OFF] = &version_ops,
+    [ROLLOUT_SUPERSEDE] = &version_ops,
+    [ROLLOUT_HALT] = &halt_ops,
+    [ROLLOUT_FIND] = &find_ops,
+};
+
+static bool
+op_valid(const char *op)
+{
+	size_t i, len = strnlen(op, STORE_OP_BYTES);
+
+	if (len == 0 || len == STORE_OP_BYTES)
+		return false;
+	for (i = 0; i < len; i++) {
+		if (!g_ascii_isalnum(op[i]) && strchr("-_.", op[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
+static enum status
+request_check(const struct rollout_request *req)
+{
+	if (!op_valid(req->op))
+		return status_set(STATUS_INVALID,
+		    "An operation id has 1 to 63 of letters, digits, '-', '_' "
+		    "and '.'; give another one.");
+	if (req->kind != ROLLOUT_FIND &&
+	    (req->operator_name[0] == '\0' ||
+		!g_utf8_validate(req->operator_name, -1, NULL)))
+		return status_set(STATUS_INVALID,
+		    "The operation does not say who asks for it; name the "
+		    "operator.");
+	if (!g_utf8_validate(req->note, -1, NULL))
+		return status_set(
+		    STATUS_INVALID, "The note is not UTF-8; correct it.");
+	if (req->kind == ROLLOUT_SIGN_OFF &&
+	    (req->bundle == NULL || req->bundle->n_problems > 0))
+		return status_set(STATUS_INVALID,
+		    "A sign-off needs a bundle without problems; validate "
+		    "it.");
+	if ((req->kind == ROLLOUT_HALT || req->kind == ROLLOUT_SUPERSEDE) &&
+	    req->version == 0)
+		return status_set(STATUS_INVALID,
+		    "Versions count from 1; name one that exists.");
+	return STATUS_OK;
+}
+
+enum status
+rollout_new(const struct rollout_request *req, struct rollout **r)
+{
+	enum status st;
+
+	*r = NULL;
+	st = request_check(req);
+	if (st != STATUS_OK)
+		return st;
+	*r = g_new0(struct rollout, 1);
+	(*r)->ops = kind_ops[req->kind];
+	(*r)->req = *req;
+	(*r)->race_left = req->race_retries;
+	(*r)->retry_at_ms = DEADLINE_NEVER;
+	(*r)->rand = g_rand_new_with_seed(req->seed);
+	(*r)->puts = puts_new();
+	g_queue_init(&(*r)->actions);
+	return STATUS_OK;
+}
+
+void
+rollout_free(struct rollout *r)
+{
+	if (r == NULL)
+		return;
+	step_clear(r);
+	if (r->list != NULL)
+		g_array_unref(r->list);
+	if (r->base_list != NULL)
+		g_array_unref(r->base_list);
+	if (r->changes != NULL)
+		g_bytes_unref(r->changes);
+	g_ptr_array_unref(r->puts);
+	g_rand_free(r->rand);
+	g_free(r);
+}
+
+void
+rollout_enter(struct rollout *r, enum rollout_phase phase, uint64_t now_ms)
+{
+	r->phase = phase;
+	r->token = 0;
+	r->retry_at_ms = DEADLINE_NEVER;
+	phases[phase].issue(r, now_ms);
+}
+
+void
+rollout_failed(struct rollout *r, uint64_t now_ms)
+{
+	r->token = 0;
+	r->retry_at_ms = now_ms + step_backoff_ms(r);
+}
+
+void
+rollout_start(struct rollout *r, uint64_t now_ms)
+{
+	if (now_ms >= r->req.deadline_ms)
+		outcome_gave_up(r);
+	else
+		r->ops->begin(r, now_ms);
+}
+
+bool
+rollout_action(struct rollout *r, struct rollout_action *action)
+{
+	struct rollout_action *a = g_queue_pop_head(&r->actions);
+
+	if (a == NULL)
+		return false;
+	*action = *a;
+	g_free(a);
+	if (action->has_version && action->content != NULL) {
+		gsize len;
+
+		action->version.changes =
+		    g_bytes_get_data(action->content, &len);
+		action->version.changes_bytes = (uint32_t)len;
+	}
+	return true;
+}
+
+void
+rollout_action_clear(struct rollout_action *action)
+{
+	if (action->content != NULL)
+		g_bytes_unref(action->content);
+	memset(action, 0, sizeof(*action));
+}
+
+/* Whether an answer is the one awaited; it is not awaited any more then. */
+static bool
+take_token(struct rollout *r, uint32_t token)
+{
+	if (token == 0 || token != r->token)
+		return false;
+	r->token = 0;
+	return true;
+}
+
+/* A head row that can follow the one read before. */
+static bool
+head_sane(const struct rollout *r, const struct store_head *head)
+{
+	return head->seq >= r->head.seq && head->seq > 0 &&
+	    head->version >= r->head.version && head->in_force <= head->version;
+}
+
+void
+rollout_on_head(struct rollout *r, uint64_t now_ms, uint32_t token,
+    enum status st, const struct store_head *head)
+{
+	if (!take_token(r, token))
+		return;
+	if (st == STATUS_OK && head_sane(r, head))
+		r->head = *head;
+	else if (st != STATUS_NOT_FOUND || r->head.seq > 0) {
+		rollout_failed(r, now_ms);
+		return;
+	}
+	r->n_failures = 0;
+	search_on_head(r, now_ms);
+}
+
+void
+rollout_on_versions(struct rollout *r, uint64_t now_ms, uint32_t token,
+    enum status st, const struct store_version *rows, uint32_t n, uint64_t upto)
+{
+	if (take_token(r, token))
+		phases[r->phase].on_versions(r, now_ms, st, rows, n, upto);
+}
+
+void
+rollout_on_object(struct rollout *r, uint64_t now_ms, uint32_t token,
+    enum status st, const uint8_t *data, size_t len)
+{
+	if (take_token(r, token))
+		phases[r->phase].on_object(r, now_ms, st, data, len);
+}
+
+void
+rollout_on_put(
+    struct rollout *r, uint64_t now_ms, uint32_t token, enum status st)
+{
+	if (r->phase == PHASE_PUTS)
+		puts_on_put(r, now_ms, token, st);
+}
+
+/* The platform calls the write wrong: it can't be done at all. */
+static void
+refused(struct rollout *r, enum status st)
+{
+	outcome_invalid(r,
+	    "The platform refused the write (%s). Make the change smaller, or "
+	    "look at the platform's limits in docs/PLATFORM.md.",
+	    status_name(st));
+}
+
+void
+rollout_on_transact(
+    struct rollout *r, uint64_t now_ms, uint32_t token, enum status st)
+{
+	if (!take_token(r, token))
+		return;
+	switch (st) {
+	case STATUS_OK:
+		r->head = r->new_head;
+		outcome_done(r, r->req.kind, r->new_head.version, NULL);
+		break;
+	case STATUS_INVALID:
+	case STATUS_TOO_LARGE:
+		if (r->maybe_written)
+			rollout_enter(r, PHASE_HEAD, now_ms);
+		else
+			refused(r, st);
+		break;
+	case STATUS_CONFLICT:
+		rollout_enter(r, PHASE_HEAD, now_ms);
+		break;
+	case STATUS_UNAVAILABLE:
+	case STATUS_OVERLOADED:
+		if (r->maybe_written)
+			r->phase = PHASE_HEAD;
+		rollout_failed(r, now_ms);
+		break;
+	default:
+		/* Unknown: never write again before reading back. */
+		r->maybe_written = true;
+		rollout_enter(r, PHASE_HEAD, now_ms);
+		break;
+	}
+}
+
+/* An awaited answer did not come in time. */
+static void
+answer_lost(struct rollout *r, uint64_t now_ms)
+{
+	if (r->phase == PHASE_TRANSACT) {
+		rollout_on_transact(r, now_ms, r->token, STATUS_UNKNOWN);
+		return;
+	}
+	puts_forget(r);
+	rollout_failed(r, now_ms);
+}
+
+static bool
+awaits(const struct rollout *r)
+{
+	uint32_t i;
+
+	if (r->token != 0)
+		return true;
+	for (i = 0; r->phase == PHASE_PUTS && i < r->puts->len; i++) {
+		if (((struct put *)g_ptr_array_index(r->puts, i))->token != 0)
+			return true;
+	}
+	return false;
+}
+
+void
+rollout_tick(struct rollout *r, uint64_t now_ms)
+{
+	if (r->phase == PHASE_END)
+		return;
+	if (now_ms >= r->req.deadline_ms) {
+		if (r->phase == PHASE_TRANSACT && r->token != 0)
+			r->maybe_written = true;
+		outcome_gave_up(r);
+		return;
+	}
+	if (awaits(r) && now_ms >= r->answer_by_ms)
+		answer_lost(r, now_ms);
+	else if (now_ms >= r->retry_at_ms)
+		rollout_enter(r, r->phase, now_ms);
+}
+
+uint64_t
+rollout_next_ms(const struct rollout *r)
+{
+	uint64_t next = r->req.deadline_ms;
+
+	if (r->phase == PHASE_END)
+		return DEADLINE_NEVER;
+	if (awaits(r))
+		next = MIN(next, r->answer_by_ms);
+	return MIN(next, r->retry_at_ms);
+}
+
+const struct rollout_outcome *
+rollout_outcome(const struct rollout *r)
+{
+	return r->phase == PHASE_END ? &r->outcome : NULL;
+}
--- /dev/null
+++ b/packages/rollout/src/search.c
@@ -0,0 +1,187 @@
+/*
+ * Looking for an operation's id in the head row and in version rows, newest
+ * first.
+ *
+ * A sign-off or supersede is known by the row of the version that it made; a
+ * halt by the head row, and once that has been replaced, by what the next
+ * version's row says of the head that it replaced.
+ */
+#include <string.h>
+
+#include "rollout_defs.h"
+
+bool
+search_decode(
+    const struct store_version *row, struct rec_replaced_head *replaced)
+{
+	struct msg_version_changes m;
+
+	memset(replaced, 0, sizeof(*replaced));
+	if (msg_version_changes_decode(row->changes, row->changes_bytes, &m) !=
+	    STATUS_OK)
+		return false;
+	*replaced = m.replaced;
+	msg_version_changes_clear(&m);
+	return true;
+}
+
+/* Start to look at a range of versions. */
+static void
+search_begin(struct rollout *r, struct range range, uint64_t now_ms)
+{
+	r->search.low = range.low;
+	r->search.high = range.high;
+	r->search.to = 0;
+	memset(&r->lowest, 0, sizeof(r->lowest));
+	rollout_enter(r, PHASE_SEARCH, now_ms);
+}
+
+/* The id is nowhere: what was sent has no effect, or nothing was sent. */
+static void
+search_none(struct rollout *r, uint64_t now_ms)
+{
+	if (!r->sent) {
+		r->ops->proceed(r, now_ms);
+		return;
+	}
+	r->sent = false;
+	r->maybe_written = false;
+	r->ops->lost(r, now_ms);
+}
+
+/* The id stands in the head row. */
+static void
+found_in_head(struct rollout *r)
+{
+	if (r->head.state == STORE_HALTED)
+		outcome_done(r, ROLLOUT_HALT, r->head.version, NULL);
+	else
+		outcome_done(
+		    r, ROLLOUT_SIGN_OFF, r->head.version, &r->head.root);
+}
+
+/* A write was sent on @base: has it, or can it still, take effect? */
+static void
+settle(struct rollout *r, uint64_t now_ms)
+{
+	struct range range = {r->base.version + 1, r->ops->settle_to(r)};
+
+	if (r->head.seq == r->base.seq) {
+		/* Not yet; the same write again is safe, as seq must match. */
+		r->phase = PHASE_TRANSACT;
+		rollout_failed(r, now_ms);
+	} else if (r->head.version > r->base.version) {
+		search_begin(r, range, now_ms);
+	} else {
+		search_none(r, now_ms);
+	}
+}
+
+void
+search_on_head(struct rollout *r, uint64_t now_ms)
+{
+	struct range range;
+
+	if (r->head.seq > 0 && strcmp(r->head.op, r->req.op) == 0) {
+		found_in_head(r);
+		return;
+	}
+	if (r->sent) {
+		settle(r, now_ms);
+		return;
+	}
+	range = r->ops->first_look(r);
+	if (range.low <= range.high)
+		search_begin(r, range, now_ms);
+	else
+		r->ops->proceed(r, now_ms);
+}
+
+/* Rows are asked for in pieces, the newest piece first. */
+void
+search_issue(struct rollout *r, uint64_t now_ms)
+{
+	struct search *s = &r->search;
+
+	if (s->to == 0) {
+		s->to = s->high;
+		s->from = s->low;
+		if (s->to - s->low >= STORE_VERSIONS_MAX)
+			s->from = s->to - STORE_VERSIONS_MAX + 1;
+	}
+	step_read_versions(r, s->from, s->to, now_ms);
+}
+
+/* Look at one row; whether it ended the operation. */
+static bool
+look_at(struct rollout *r, const struct store_version *row)
+{
+	struct rec_replaced_head replaced;
+	bool decoded;
+
+	if (strcmp(row->op, r->req.op) == 0) {
+		outcome_done(r, ROLLOUT_SIGN_OFF, row->version, &row->root);
+		return true;
+	}
+	decoded = search_decode(row, &replaced);
+	if (decoded && replaced.halted && strcmp(replaced.op, r->req.op) == 0) {
+		outcome_done(r, ROLLOUT_HALT, row->version - 1, NULL);
+		return true;
+	}
+	if (row->version == r->search.low) {
+		r->lowest.version = row->version;
+		g_strlcpy(r->lowest.op, row->op, sizeof(r->lowest.op));
+		g_strlcpy(r->lowest.operator_name, row->operator_name,
+		    sizeof(r->lowest.operator_name));
+		r->lowest.replaced = replaced;
+	}
+	return false;
+}
+
+/* Version rows are dense: an answer that lacks one is of no use. */
+static bool
+rows_usable(const struct rollout *r, const struct store_version *rows,
+    uint32_t n, uint64_t upto)
+{
+	const struct search *s = &r->search;
+	uint32_t i;
+
+	if (upto < s->from || upto > s->to || n != upto - s->from + 1)
+		return false;
+	for (i = 0; i < n; i++) {
+		if (rows[i].version != s->from + i)
+			return false;
+	}
+	return true;
+}
+
+void
+search_on_versions(struct rollout *r, uint64_t now_ms, enum status st,
+    const struct store_version *rows, uint32_t n, uint64_t upto)
+{
+	struct search *s = &r->search;
+	uint32_t i;
+
+	if (st != STATUS_OK || !rows_usable(r, rows, n, upto)) {
+		rollout_failed(r, now_ms);
+		return;
+	}
+	r->n_failures = 0;
+	for (i = 0; i < n; i++) {
+		if (look_at(r, &rows[i]))
+			return;
+	}
+	if (upto < s->to) {
+		s->from = upto + 1;
+		rollout_enter(r, PHASE_SEARCH, now_ms);
+		return;
+	}
+	s->high = s->high - s->low >= STORE_VERSIONS_MAX
+	    ? s->high - STORE_VERSIONS_MAX
+	    : s->low - 1;
+	s->to = 0;
+	if (s->high >= s->low)
+		rollout_enter(r, PHASE_SEARCH, now_ms);
+	else
+		search_none(r, now_ms);
+}
--- /dev/null
+++ b/packages/rollout/src/version.c
@@ -0,0 +1,321 @@
+/*
+ * Sign-off and supersede: a new version on top of the newest one.
+ */
+#include <string.h>
+
+#include "rollout_defs.h"
+
+static bool
+supersedes(const struct rollout *r)
+{
+	return r->req.kind == ROLLOUT_SUPERSEDE;
+}
+
+/* Objects of a bundle: its sections, and the list under its root. */
+static void
+add_puts(struct rollout *r)
+{
+	const struct bundle *b = r->req.bundle;
+	char hex[DIGEST_HEX_BYTES], key[STORE_KEY_BYTES];
+	const struct section *section;
+	uint32_t i;
+
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		hash_digest_hex(&section->config->digest, hex);
+		g_snprintf(key, sizeof(key), "section/%s", hex);
+		puts_add(r->puts, key, section->config->name,
+		    g_bytes_ref(section->content));
+	}
+	hash_digest_hex(&r->root, hex);
+	g_snprintf(key, sizeof(key), "root/%s", hex);
+	puts_add(r->puts, key, NULL, section_list_encode(r->list, NULL));
+}
+
+static void
+version_begin(struct rollout *r, uint64_t now_ms)
+{
+	if (supersedes(r)) {
+		rollout_enter(r, PHASE_SOURCE_ROW, now_ms);
+		return;
+	}
+	bundle_to_sections(r->req.bundle, &r->list, &r->root);
+	add_puts(r);
+	rollout_enter(r, PHASE_HEAD, now_ms);
+}
+
+void
+version_issue_source_row(struct rollout *r, uint64_t now_ms)
+{
+	step_read_versions(r, r->req.version, r->req.version, now_ms);
+}
+
+void
+version_on_source_row(struct rollout *r, uint64_t now_ms, enum status st,
+    const struct store_version *rows, uint32_t n, uint64_t upto)
+{
+	if (st != STATUS_OK || upto < r->req.version) {
+		rollout_failed(r, now_ms);
+		return;
+	}
+	if (n == 0 || rows[0].version != r->req.version) {
+		outcome_not_found(r,
+		    "There is no version %" G_GUINT64_FORMAT
+		    "; look at the history.",
+		    r->req.version);
+		return;
+	}
+	r->n_failures = 0;
+	r->root = rows[0].root;
+	rollout_enter(r, PHASE_HEAD, now_ms);
+}
+
+/* An earlier start with a parent can only have made the version after it. */
+static struct range
+version_first_look(const struct rollout *r)
+{
+	struct range range = {1, 0};
+
+	if (r->req.has_parent) {
+		range.low = r->req.parent + 1;
+		range.high = MIN(range.low, r->head.version);
+	} else if (!r->req.fresh) {
+		range.high = r->head.version;
+		if (range.high > ROLLOUT_REPEAT_VERSIONS)
+			range.low = range.high - ROLLOUT_REPEAT_VERSIONS + 1;
+	}
+	return range;
+}
+
+/*
+ * Before going on top, all that came since is looked at: another start of
+ * this operation may have gone on top as well.
+ */
+static uint64_t
+version_settle_to(const struct rollout *r)
+{
+	if (!r->req.has_parent && r->race_left > 0)
+		return r->head.version;
+	return r->base.version + 1;
+}
+
+static void
+version_proceed(struct rollout *r, uint64_t now_ms)
+{
+	if (r->req.has_parent && r->head.version < r->req.parent) {
+		outcome_not_found(r,
+		    "There is no version %" G_GUINT64_FORMAT
+		    " to build on; the newest is %" G_GUINT64_FORMAT
+		    ". Look at the history.",
+		    r->req.parent, r->head.version);
+		return;
+	}
+	if (r->req.has_parent && r->head.version > r->req.parent) {
+		outcome_conflict(r);
+		return;
+	}
+	r->base = r->head;
+	if (supersedes(r) && r->list == NULL)
+		rollout_enter(r, PHASE_SOURCE_LIST, now_ms);
+	else
+		rollout_enter(r, PHASE_BASE_ROW, now_ms);
+}
+
+/* Another operation was first: go on top of it only if that was asked for. */
+static void
+version_lost(struct rollout *r, uint64_t now_ms)
+{
+	if (r->head.version == r->base.version) {
+		/* Only a halt came in between; the parent is the same. */
+		version_proceed(r, now_ms);
+	} else if (!r->req.has_parent && r->race_left > 0) {
+		r->race_left--;
+		version_proceed(r, now_ms);
+	} else {
+		outcome_conflict(r);
+	}
+}
+
+const struct rollout_ops version_ops = {
+    .begin = version_begin,
+    .first_look = version_first_look,
+    .settle_to = version_settle_to,
+    .proceed = version_proceed,
+    .lost = version_lost,
+};
+
+void
+version_issue_source_list(struct rollout *r, uint64_t now_ms)
+{
+	step_get_list(r, &r->root, now_ms);
+}
+
+void
+version_on_source_list(struct rollout *r, uint64_t now_ms, enum status st,
+    const uint8_t *data, size_t len)
+{
+	if (st == STATUS_NOT_FOUND || st == STATUS_TOO_LARGE) {
+		outcome_not_found(r,
+		    "The platform no longer has the list of version "
+		    "%" G_GUINT64_FORMAT "; sign its bundle off again.",
+		    r->req.version);
+		return;
+	}
+	if (st != STATUS_OK ||
+	    section_list_decode(data, len, &r->root, &r->list) != STATUS_OK) {
+		rollout_failed(r, now_ms);
+		return;
+	}
+	r->n_failures = 0;
+	rollout_enter(r, PHASE_BASE_ROW, now_ms);
+}
+
+/* The newest version's root is in its row, or in a head that is rolling. */
+void
+version_issue_base_row(struct rollout *r, uint64_t now_ms)
+{
+	if (r->base.version > 0 && r->base.state == STORE_HALTED) {
+		step_read_versions(r, r->base.version, r->base.version, now_ms);
+		return;
+	}
+	r->base_root = r->base.root;
+	rollout_enter(r, PHASE_BASE_LIST, now_ms);
+}
+
+void
+version_on_base_row(struct rollout *r, uint64_t now_ms, enum status st,
+    const struct store_version *rows, uint32_t n, uint64_t upto)
+{
+	(void)upto;
+	if (st != STATUS_OK || n != 1 || rows[0].version != r->base.version) {
+		rollout_failed(r, now_ms);
+		return;
+	}
+	r->n_failures = 0;
+	r->base_root = rows[0].root;
+	rollout_enter(r, PHASE_BASE_LIST, now_ms);
+}
+
+/* Sections that the newest version has are on the platform already. */
+static void
+mark_needed(struct rollout *r, const GArray *changes)
+{
+	const struct rec_section_change *change;
+	struct put *put;
+	uint32_t i, j = 0;
+
+	for (i = 0; i < r->puts->len; i++) {
+		put = g_ptr_array_index(r->puts, i);
+		if (put->service == NULL)
+			continue;
+		put->needed = false;
+		for (; j < changes->len && !put->needed; j++) {
+			change = &g_array_index(
+			    changes, struct rec_section_change, j);
+			if (strcmp(change->service, put->service) > 0)
+				break;
+			put->needed =
+			    strcmp(change->service, put->service) == 0;
+		}
+	}
+}
+
+static GBytes *
+encode_changes(const struct rollout *r, const GArray *changes)
+{
+	struct msg_version_changes m;
+	GByteArray *out;
+
+	memset(&m, 0, sizeof(m));
+	m.whole = r->base_list == NULL;
+	if (!m.whole) {
+		m.changes = (struct rec_section_change *)changes->data;
+		m.n_changes = changes->len;
+	}
+	m.replaced.seq = r->base.seq;
+	m.replaced.in_force = r->base.in_force;
+	m.replaced.halted = r->base.state == STORE_HALTED;
+	g_strlcpy(m.replaced.op, r->base.op, sizeof(m.replaced.op));
+	out = g_byte_array_new();
+	msg_version_changes_encode(&m, out);
+	if (out->len > STORE_CHANGES_MAX_BYTES) {
+		m.whole = true;
+		m.n_changes = 0;
+		g_byte_array_set_size(out, 0);
+		msg_version_changes_encode(&m, out);
+	}
+	return g_byte_array_free_to_bytes(out);
+}
+
+static void
+set_rows(struct rollout *r)
+{
+	struct store_head *head = &r->new_head;
+	struct store_version *row = &r->row;
+
+	memset(head, 0, sizeof(*head));
+	head->seq = r->base.seq + 1;
+	head->version = r->base.version + 1;
+	head->in_force = head->version;
+	head->parent = r->base.version;
+	head->state = STORE_ROLLING;
+	head->root = r->root;
+	g_strlcpy(head->op, r->req.op, sizeof(head->op));
+	memset(row, 0, sizeof(*row));
+	row->version = head->version;
+	row->parent = head->parent;
+	row->wall_ms = r->req.wall_ms;
+	row->root = r->root;
+	g_strlcpy(row->op, r->req.op, sizeof(row->op));
+	g_strlcpy(row->operator_name, r->req.operator_name,
+	    sizeof(row->operator_name));
+	g_strlcpy(row->note, r->req.note, sizeof(row->note));
+}
+
+/* All is known: write the objects that are needed, then the rows. */
+static void
+version_write(struct rollout *r, uint64_t now_ms)
+{
+	GArray *changes, *empty;
+
+	empty = g_array_new(FALSE, TRUE, sizeof(struct rec_section_ref));
+	changes = section_changes(
+	    r->base_list != NULL ? r->base_list : empty, r->list);
+	g_array_unref(empty);
+	mark_needed(r, changes);
+	set_rows(r);
+	if (r->changes != NULL)
+		g_bytes_unref(r->changes);
+	r->changes = encode_changes(r, changes);
+	g_array_unref(changes);
+	rollout_enter(r, PHASE_PUTS, now_ms);
+}
+
+void
+version_issue_base_list(struct rollout *r, uint64_t now_ms)
+{
+	g_clear_pointer(&r->base_list, g_array_unref);
+	if (r->base.version > 0) {
+		step_get_list(r, &r->base_root, now_ms);
+		return;
+	}
+	r->base_list = g_array_new(FALSE, TRUE, sizeof(struct rec_section_ref));
+	version_write(r, now_ms);
+}
+
+/* Without the list of the newest version all sections count as changed. */
+void
+version_on_base_list(struct rollout *r, uint64_t now_ms, enum status st,
+    const uint8_t *data, size_t len)
+{
+	if (st != STATUS_OK && st != STATUS_NOT_FOUND &&
+	    st != STATUS_TOO_LARGE) {
+		rollout_failed(r, now_ms);
+		return;
+	}
+	r->n_failures = 0;
+	if (st == STATUS_OK)
+		(void)section_list_decode(
+		    data, len, &r->base_root, &r->base_list);
+	version_write(r, now_ms);
+}
