--- /dev/null
+++ b/packages/spread/test/test_spread.c
@@ -0,0 +1,157 @@
+/*
+ * Small parts of the spread by themselves: back-off, budget, candidates,
+ * profiles.  The modules together are tested on the driver.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "spread/backoff.h"
+#include "spread/budget.h"
+#include "spread/candidates.h"
+#include "spread/profile.h"
+
+START_TEST(test_backoff)
+{
+	struct backoff b;
+	uint64_t bound, longest;
+	uint32_t i, j;
+	GRand *rng;
+
+	rng = g_rand_new_with_seed(1);
+	backoff_init(&b, 500, 10000);
+	ck_assert(backoff_open(&b, 0));
+	for (i = 0; i < 40; i++) {
+		bound = MIN(500ULL << MIN(i, 10), 10000);
+		longest = 0;
+		for (j = 0; j < 200; j++) {
+			b.failures = i;
+			backoff_failed(&b, 1000, rng);
+			ck_assert_uint_le(b.until_ms, 1000 + bound + 1);
+			longest = MAX(longest, b.until_ms - 1000);
+		}
+		ck_assert_uint_gt(longest, bound / 2);
+		ck_assert(!backoff_open(&b, 1000));
+		ck_assert(backoff_open(&b, b.until_ms));
+	}
+	backoff_succeeded(&b);
+	ck_assert(backoff_open(&b, 0));
+	g_rand_free(rng);
+}
+END_TEST
+
+/* Takes at most burst + rate * time; what is refused is told when. */
+START_TEST(test_budget)
+{
+	static const struct {
+		uint32_t per_s;
+		uint32_t burst;
+		uint64_t ms;
+		uint32_t most;
+	} rows[] = {
+	    {100, 50, 0, 50},
+	    {100, 50, 10, 51},
+	    {100, 50, 1000, 50 + 100},
+	    {1, 1, 5000, 6},
+	    {4000000, 4000000, 1000, 8000000},
+	};
+	const uint32_t step[] = {1, 1, 1, 1, 10000};
+	struct budget b;
+	uint64_t t, at;
+	uint32_t taken;
+
+	budget_init(&b, rows[_i].per_s, rows[_i].burst, 7);
+	taken = 0;
+	for (t = 0; t <= rows[_i].ms; t++)
+		while (budget_take(&b, 7 + t, step[_i]))
+			taken += step[_i];
+	ck_assert_uint_eq(taken, rows[_i].most);
+	at = budget_ready_ms(&b, 7 + rows[_i].ms, step[_i]);
+	ck_assert_uint_gt(at, 7 + rows[_i].ms);
+	ck_assert(!budget_take(&b, at - 1, step[_i]));
+	ck_assert(budget_take(&b, at, step[_i]));
+}
+END_TEST
+
+static struct net_addr
+addr(uint32_t i)
+{
+	struct net_addr a = {i, 1};
+
+	return a;
+}
+
+START_TEST(test_candidates)
+{
+	struct candidates c = {0};
+	struct spread_env env = {0};
+	struct net_addr a, got;
+	uint32_t i;
+
+	env.rng = g_rand_new_with_seed(1);
+	ck_assert(!candidates_pick(&c, &env, 0, 1, &got));
+	ck_assert_uint_eq(candidates_next_ms(&c, 1), DEADLINE_NEVER);
+	for (i = 1; i <= CANDIDATES_MAX; i++) {
+		a = addr(i);
+		candidates_add(&c, 0, &a, 10, i == 3);
+	}
+	/* The near one first; busy, another one; only those new enough. */
+	ck_assert(candidates_pick(&c, &env, 0, 10, &got));
+	ck_assert_uint_eq(got.ip, 3);
+	candidates_busy(&c, &got, 50);
+	ck_assert(candidates_pick(&c, &env, 49, 10, &got));
+	ck_assert_uint_ne(got.ip, 3);
+	ck_assert(!candidates_pick(&c, &env, 50, 11, &got));
+	/* Newer ones push older ones out, not the other way round. */
+	a = addr(100);
+	candidates_add(&c, 0, &a, 11, 0);
+	ck_assert(candidates_pick(&c, &env, 0, 11, &got));
+	ck_assert_uint_eq(got.ip, 100);
+	a = addr(101);
+	candidates_add(&c, 0, &a, 9, 0);
+	ck_assert_uint_eq(c.n, CANDIDATES_MAX);
+	/* One that is blamed stays out for a while. */
+	a = addr(100);
+	candidates_blame(&c, 0, &a);
+	candidates_add(&c, CANDIDATES_BLAME_MS - 1, &a, 11, 0);
+	ck_assert(!candidates_pick(&c, &env, 0, 11, &got));
+	candidates_add(&c, CANDIDATES_BLAME_MS, &a, 11, 0);
+	ck_assert(candidates_pick(&c, &env, 0, 11, &got));
+	candidates_prune(&c, 11);
+	ck_assert_uint_eq(c.n, 1);
+	candidates_drop(&c, &a);
+	ck_assert_uint_eq(c.n, 0);
+	g_rand_free(env.rng);
+}
+END_TEST
+
+START_TEST(test_profiles)
+{
+	ck_assert_ptr_eq(
+	    spread_profile_find("registry"), spread_profile_registry());
+	ck_assert_ptr_eq(spread_profile_find("crew"), spread_profile_crew());
+	ck_assert_ptr_null(spread_profile_find("other"));
+}
+END_TEST
+
+int
+main(void)
+{
+	SRunner *runner;
+	Suite *suite;
+	TCase *tc;
+	int failed;
+
+	suite = suite_create("spread");
+	tc = tcase_create("parts");
+	tcase_add_test(tc, test_backoff);
+	tcase_add_loop_test(tc, test_budget, 0, 5);
+	tcase_add_test(tc, test_candidates);
+	tcase_add_test(tc, test_profiles);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/test/driver/test_roll.c
@@ -0,0 +1,174 @@
+/*
+ * Watching a roll, serving joins, and what a version may be.
+ */
+#include <string.h>
+
+#include "scenario.h"
+
+/* Sums of the data centres as a node's last question was answered. */
+static void
+ask(struct world *w, uint32_t node, uint32_t *nodes, uint32_t *holding,
+    uint64_t *lowest)
+{
+	const struct spread_progress *p;
+	uint32_t i, n;
+
+	spread_progress_ask(w->nodes[node].s, world_now_ms(w));
+	world_pump(&w->nodes[node]);
+	world_run(w, 100);
+	*nodes = *holding = 0;
+	*lowest = UINT64_MAX;
+	p = spread_progress(w->nodes[node].s, &n);
+	for (i = 0; i < n; i++) {
+		*nodes += p[i].nodes;
+		*holding += p[i].holding;
+		*lowest = MIN(*lowest, p[i].lowest);
+	}
+}
+
+/* Any node can tell how many hold the newest version. */
+START_TEST(test_progress)
+{
+	struct world_config config;
+	struct world *w;
+	uint32_t i, nodes, holding;
+	uint64_t lowest, version;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.nodes = 40;
+	config.check = 0;
+	w = scenario_up(&config);
+	version = world_sign(w, 0, 1);
+	ck_assert(world_run_until_even(w, 10000));
+	world_run(w, 8000);
+	for (i = 0; i < w->n_nodes; i += 17) {
+		ask(w, i, &nodes, &holding, &lowest);
+		ck_assert_uint_eq(nodes, w->n_nodes);
+		ck_assert_uint_eq(holding, w->n_nodes);
+		ck_assert_uint_eq(lowest, version);
+	}
+	scenario_end(w);
+}
+END_TEST
+
+/* A roll that is held up shows: a data centre is cut off, a host dies. */
+START_TEST(test_progress_held_up)
+{
+	struct world_config config;
+	struct world *w;
+	uint32_t nodes, holding;
+	uint64_t lowest;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.nodes = 20;
+	config.check = 0;
+	w = scenario_up(&config);
+	world_run(w, 8000);
+	world_cut(w, world_platform(w), 2, 1);
+	world_cut(w, 0, 2, 1);
+	world_cut(w, 1, 2, 1);
+	world_sign(w, 0, 1);
+	world_run(w, 10000);
+	ask(w, 5, &nodes, &holding, &lowest);
+	ck_assert_uint_ge(nodes, 40);
+	ck_assert_uint_eq(holding, 40);
+	world_cut(w, world_platform(w), 2, 0);
+	world_cut(w, 0, 2, 0);
+	world_cut(w, 1, 2, 0);
+	scenario_end(w);
+}
+END_TEST
+
+/* One place to serve joins in each node: joiners are told to come back, and
+ * all come up. */
+START_TEST(test_join_limit)
+{
+	struct world_config config;
+	struct world *w;
+	uint64_t refused;
+	uint32_t i;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.nodes = 20;
+	config.services = 200;
+	config.check = 0;
+	config.profile.join_limit = 1;
+	config.profile.reply_bytes = 4096;
+	w = scenario_up(&config);
+	for (i = 20; i < 40; i++)
+		world_kill(w, i);
+	world_run(w, 2000);
+	for (i = 20; i < 40; i++)
+		world_start(w, i);
+	ck_assert(world_run_until_even(w, SCENARIO_EVEN_MS));
+	refused = 0;
+	for (i = 0; i < w->n_nodes; i++)
+		refused += spread_stats(w->nodes[i].s)->pulls_refused;
+	ck_assert_uint_gt(refused, 0);
+	scenario_end(w);
+}
+END_TEST
+
+/* More services than one page of changes has, all changed at once, for nodes
+ * that have nothing, some, or all but the last version. */
+START_TEST(test_large)
+{
+	struct world_config config;
+	struct world *w;
+
+	world_config_init(&config, 1);
+	config.data_centres = 2;
+	config.nodes = 3;
+	config.services = 1500;
+	w = scenario_up(&config);
+	world_sign(w, 0, 4000);
+	world_run(w, 5000);
+	world_kill(w, 4);
+	world_sign(w, 1, 1);
+	world_start(w, 4);
+	scenario_end(w);
+}
+END_TEST
+
+/* Bytes that are no message, and messages that make no sense, do nothing. */
+START_TEST(test_noise)
+{
+	uint8_t noise[64];
+	struct world *w;
+	struct node *n;
+	uint32_t i, j;
+
+	w = scenario_new(1);
+	n = &w->nodes[4];
+	for (i = 0; i < 20000; i++) {
+		for (j = 0; j < sizeof(noise); j++)
+			noise[j] = (uint8_t)g_rand_int(w->rng);
+		noise[0] = 0x90 | (noise[0] & 7);
+		spread_on_datagram(n->s, world_now_ms(w), &w->nodes[5].addr,
+		    (uint8_t)(MSG_NOTICE + i % 12), noise, i % sizeof(noise));
+		spread_on_frame(n->s, world_now_ms(w), &w->nodes[5].addr, 99,
+		    (uint8_t)(MSG_NOTICE + i % 12), noise, i % sizeof(noise));
+		world_pump(n);
+	}
+	scenario_roll(w, 3000, 300);
+	scenario_end(w);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	TCase *tc;
+
+	suite = suite_create("roll");
+	tc = tcase_create("roll");
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, test_progress, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_progress_held_up, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_join_limit, 0, 3);
+	tcase_add_test(tc, test_large);
+	tcase_add_test(tc, test_noise);
+	suite_add_tcase(suite, tc);
+	return scenario_main(suite);
+}
