fix(node): what a caller's connection holds is given back

Problem: each connection of a caller leaked 16 bytes and stayed counted, so that every answer said Connection: close once three quarters of the threads had been counted. Found by the address sanitizer.

Cause: CivetWeb 1.15 forgets the connection's data before it calls connection_closed; only connection_close still sees it.

Solution: use connection_close.

--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -37,8 +37,9 @@
 	return 0;
 }
 
+/* The last callback in which CivetWeb still holds the data. */
 static void
-on_connection_closed(const struct mg_connection *conn)
+on_connection_close(const struct mg_connection *conn)
 {
 	struct caller_conn *cc = mg_get_user_connection_data(conn);
 
@@ -111,7 +112,7 @@
 	memset(&callbacks, 0, sizeof(callbacks));
 	callbacks.begin_request = on_request;
 	callbacks.init_connection = on_connection;
-	callbacks.connection_closed = on_connection_closed;
+	callbacks.connection_close = on_connection_close;
 	callbacks.log_message = on_message;
 	callbacks.http_error = on_error;
 	return mg_start(&callbacks, c, options);
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -6,6 +6,7 @@
 #ifndef NODE_FIXTURE_H
 #define NODE_FIXTURE_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -25,19 +26,23 @@
  * @port: where it listens
  * @running: requests that run now
  * @connections: connections taken so far
+ * @serving: connections that are open
  */
 struct fake_upstream {
 	uint16_t port;
 	_Atomic int running;
 	_Atomic int connections;
+	_Atomic int serving;
 	int fd;
-	_Atomic bool stopping;
-	GMutex lock;
+	pthread_t thread;
+	pthread_mutex_t lock;
 	GHashTable *runs;
 	GString *headers;
 };
 
 struct fake_upstream *fake_upstream_start(void);
+
+/** fake_upstream_stop() - once all who called it have closed */
 void fake_upstream_stop(struct fake_upstream *u);
 
 /** fake_upstream_runs() - how often the request with X-Test-Id @id ran */
@@ -60,6 +65,8 @@
 
 /** fake_link_start() - a link to @to */
 struct fake_link *fake_link_start(uint16_t to);
+
+/** fake_link_stop() - connections made over it live on */
 void fake_link_stop(struct fake_link *l);
 uint16_t fake_link_port(const struct fake_link *l);
 
--- a/packages/node/test/fixture_link.c
+++ b/packages/node/test/fixture_link.c
@@ -13,6 +13,8 @@
 #define BUF_BYTES (1024 * 1024)
 
 struct fake_link {
+	_Atomic int refs;
+	pthread_t thread;
 	int fd;
 	uint16_t port;
 	uint16_t to;
@@ -35,6 +37,13 @@
 	int from;
 };
 
+static void
+link_unref(struct fake_link *l)
+{
+	if (atomic_fetch_sub(&l->refs, 1) == 1)
+		g_free(l);
+}
+
 static bool
 read_all(int fd, uint8_t *buf, size_t len)
 {
@@ -108,9 +117,11 @@
 	}
 	g_free(buf);
 	g_free(w);
-	if (atomic_fetch_sub(&p->ways, 1) == 1 && !p->mute) {
+	if (atomic_fetch_sub(&p->ways, 1) == 1) {
 		close(p->fds[0]);
 		close(p->fds[1]);
+		link_unref(p->l);
+		g_free(p);
 	}
 	return NULL;
 }
@@ -143,8 +154,10 @@
 		p->fds[1] = caller_connect(l->to);
 		if (p->fds[1] < 0) {
 			close(fd);
+			g_free(p);
 			continue;
 		}
+		l->refs++;
 		start_way(p, 0);
 		start_way(p, 1);
 	}
@@ -160,6 +173,7 @@
 	struct fake_link *l = g_new0(struct fake_link, 1);
 	pthread_t thread;
 
+	l->refs = 1;
 	l->to = to;
 	l->fd = socket(AF_INET, SOCK_STREAM, 0);
 	ck_assert_int_eq(bind(l->fd, (struct sockaddr *)&sin, len), 0);
@@ -167,7 +181,7 @@
 	(void)getsockname(l->fd, (struct sockaddr *)&sin, &len);
 	l->port = ntohs(sin.sin_port);
 	ck_assert_int_eq(pthread_create(&thread, NULL, accept_all, l), 0);
-	(void)pthread_detach(thread);
+	l->thread = thread;
 	return l;
 }
 
@@ -175,7 +189,9 @@
 fake_link_stop(struct fake_link *l)
 {
 	(void)shutdown(l->fd, SHUT_RDWR);
+	(void)pthread_join(l->thread, NULL);
 	close(l->fd);
+	link_unref(l);
 }
 
 uint16_t
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -136,7 +136,7 @@
 	const char *at = strcasestr(head, "\r\nX-Test-Id: ");
 	char *id;
 
-	g_mutex_lock(&u->lock);
+	pthread_mutex_lock(&u->lock);
 	g_string_assign(u->headers, head);
 	if (at != NULL) {
 		at = strchr(at, ':') + 2;
@@ -145,7 +145,7 @@
 		    GINT_TO_POINTER(
 			GPOINTER_TO_INT(g_hash_table_lookup(u->runs, id)) + 1));
 	}
-	g_mutex_unlock(&u->lock);
+	pthread_mutex_unlock(&u->lock);
 }
 
 static void
@@ -246,6 +246,7 @@
 	}
 	close(c->fd);
 	g_string_free(head, TRUE);
+	c->u->serving--;
 	g_free(c);
 	return NULL;
 }
@@ -260,6 +261,7 @@
 
 	while ((fd = accept(u->fd, NULL, NULL)) >= 0) {
 		u->connections++;
+		u->serving++;
 		c = g_new0(struct upstream_conn, 1);
 		c->u = u;
 		c->fd = fd;
@@ -278,16 +280,16 @@
 	struct fake_upstream *u = g_new0(struct fake_upstream, 1);
 	pthread_t thread;
 
-	u->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	u->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	u->headers = g_string_new(NULL);
-	g_mutex_init(&u->lock);
+	pthread_mutex_init(&u->lock, NULL);
 	u->fd = socket(AF_INET, SOCK_STREAM, 0);
 	ck_assert_int_eq(bind(u->fd, (struct sockaddr *)&sin, len), 0);
 	ck_assert_int_eq(listen(u->fd, 1024), 0);
 	(void)getsockname(u->fd, (struct sockaddr *)&sin, &len);
 	u->port = ntohs(sin.sin_port);
 	ck_assert_int_eq(pthread_create(&thread, NULL, accept_all, u), 0);
-	(void)pthread_detach(thread);
+	u->thread = thread;
 	return u;
 }
 
@@ -295,7 +297,13 @@
 fake_upstream_stop(struct fake_upstream *u)
 {
 	(void)shutdown(u->fd, SHUT_RDWR);
+	(void)pthread_join(u->thread, NULL);
 	close(u->fd);
+	while (u->serving > 0)
+		g_usleep(1000);
+	g_hash_table_destroy(u->runs);
+	g_string_free(u->headers, TRUE);
+	g_free(u);
 }
 
 int
@@ -303,9 +311,9 @@
 {
 	int n;
 
-	g_mutex_lock(&u->lock);
+	pthread_mutex_lock(&u->lock);
 	n = GPOINTER_TO_INT(g_hash_table_lookup(u->runs, id));
-	g_mutex_unlock(&u->lock);
+	pthread_mutex_unlock(&u->lock);
 	return n;
 }
 
@@ -314,8 +322,8 @@
 {
 	bool saw;
 
-	g_mutex_lock(&u->lock);
+	pthread_mutex_lock(&u->lock);
 	saw = strcasestr(u->headers->str, line) != NULL;
-	g_mutex_unlock(&u->lock);
+	pthread_mutex_unlock(&u->lock);
 	return saw;
 }
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -1,6 +1,7 @@
 /*
  * Tests of the call path as a whole: caller, entry, guard, upstream.
  */
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -62,10 +63,193 @@
 }
 END_TEST
 
+/**
+ * struct answer_case - what an upstream does, and what the caller is told
+ * @method: method of the request
+ * @path: path, whose query says what the upstream does
+ * @status: status that the caller gets
+ * @fate: fate that the caller is told
+ * @bytes: length of the body; -1 when it does not matter
+ * @runs: how often it ran; -1 when it does not matter
+ */
+struct answer_case {
+	const char *method;
+	const char *path;
+	int status;
+	const char *fate;
+	int bytes;
+	int runs;
+};
+
+static const struct answer_case answers[] = {
+    {"GET", "/look/x", 200, "done", 0, 1},
+    {"HEAD", "/look/x", 200, "done", 0, 1},
+    {"GET", "/look/x?bytes=100000", 200, "done", 100000, 1},
+    {"GET", "/look/x?bytes=5000000", 200, "done", 5000000, 1},
+    {"GET", "/look/x?do=chunked&bytes=1000", 200, "done", 1000, 1},
+    {"GET", "/look/x?do=chunked&bytes=900000", 200, "done", 900000, 1},
+    {"GET", "/none", 404, "not_run", -1, 0},
+    {"POST", "/look/x", 405, "not_run", -1, 0},
+    {"GET", "/look/x?do=shed", 503, "not_run", -1, 0},
+    {"POST", "/book/x?do=shed", 503, "not_run", -1, 0},
+    {"GET", "/look/x?do=close", 504, "unknown", -1, -1},
+    {"POST", "/book/x?do=close", 504, "unknown", -1, 1},
+    {"POST", "/book/x?do=cut&bytes=1000", 504, "unknown", -1, 1},
+    {"POST", "/book/x?bytes=3000000", 200, "done", 3000000, 1},
+};
+
+START_TEST(a_caller_is_told_what_happened)
+{
+	const struct answer_case *a;
+	char headers[64], id[16];
+	struct reply r;
+	size_t i;
+
+	start();
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		a = &answers[i];
+		(void)snprintf(id, sizeof(id), "%zu", i);
+		(void)snprintf(
+		    headers, sizeof(headers), "X-Test-Id: %s\r\n", id);
+		call(a->method, a->path, headers,
+		    strcmp(a->method, "POST") == 0 ? "seat" : NULL, &r);
+		ck_assert_msg(r.status == a->status && r.whole &&
+			strcmp(r.fate, a->fate) == 0,
+		    "%s %s: %d %s", a->method, a->path, r.status, r.fate);
+		if (a->bytes >= 0 && strcmp(a->method, "HEAD") != 0)
+			ck_assert_msg((int)r.body->len == a->bytes,
+			    "%s: %u bytes", a->path, r.body->len);
+		if (a->runs >= 0)
+			ck_assert_msg(
+			    fake_upstream_runs(upstream, id) == a->runs,
+			    "%s %s: %d runs", a->method, a->path,
+			    fake_upstream_runs(upstream, id));
+		ck_assert((r.status == 503) == (r.retry_after[0] != '\0') ||
+		    r.status == 504);
+		reply_clear(&r);
+	}
+	stop();
+}
+END_TEST
+
+START_TEST(a_long_answer_that_breaks_off_does_not_look_whole)
+{
+	struct reply r;
+
+	start();
+	call("GET", "/look/x?do=cut&bytes=2000000", NULL, NULL, &r);
+	ck_assert_int_eq(r.status, 200);
+	ck_assert(!r.whole);
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
+/* libcurl repeats a POST by itself when a reused connection closes. */
+START_TEST(a_booking_on_a_kept_connection_that_closes_runs_once)
+{
+	struct reply r;
+	int i;
+
+	start();
+	for (i = 0; i < 3; i++) {
+		call("GET", "/look/x", NULL, NULL, &r);
+		reply_clear(&r);
+		call("POST", "/book/x", NULL, "seat", &r);
+		ck_assert_int_eq(r.status, 200);
+		reply_clear(&r);
+	}
+	call("POST", "/book/x?do=close", "X-Test-Id: b\r\n", "seat", &r);
+	ck_assert_str_eq(r.fate, "unknown");
+	ck_assert_int_eq(fake_upstream_runs(upstream, "b"), 1);
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
+START_TEST(an_upstream_that_is_down_or_draining_runs_nothing)
+{
+	struct reply r;
+
+	start();
+	test_node_upstream(node, upstream->port, SERVING_DRAINING);
+	call("POST", "/book/x", "X-Test-Id: d\r\n", "seat", &r);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.fate, "not_run");
+	ck_assert_str_ne(r.retry_after, "");
+	reply_clear(&r);
+	ck_assert_int_eq(fake_upstream_runs(upstream, "d"), 0);
+	test_node_upstream(node, 1, SERVING_READY);
+	call("POST", "/book/x", NULL, "seat", &r);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.fate, "not_run");
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
+START_TEST(a_deadline_that_passes_is_told)
+{
+	struct reply r;
+
+	start();
+	call(
+	    "GET", "/look/x?ms=2000", "Bramley-Deadline-Ms: 150\r\n", NULL, &r);
+	ck_assert_int_eq(r.status, 504);
+	ck_assert_str_eq(r.fate, "unknown");
+	reply_clear(&r);
+	call("POST", "/book/x", "Bramley-Deadline-Ms: 0\r\n", "seat", &r);
+	ck_assert_str_eq(r.fate, "not_run");
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
+#define UPLOAD_BYTES (64U << 20)
+
+static uint64_t
+sum_of(const uint8_t *data, size_t len)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		sum = sum * 31 + data[i];
+	return sum;
+}
+
+START_TEST(a_large_upload_arrives_whole)
+{
+	uint8_t *body = g_malloc(UPLOAD_BYTES);
+	char want[64];
+	struct reply r;
+	uint32_t i;
+
+	for (i = 0; i < UPLOAD_BYTES; i++)
+		body[i] = (uint8_t)(i * 2654435761U >> 24);
+	start();
+	ck_assert(caller_call(callers_port(node->callers), "PUT",
+	    "/up/x?do=sum", NULL, body, UPLOAD_BYTES, &r));
+	(void)snprintf(want, sizeof(want), "%u %lu", UPLOAD_BYTES,
+	    (unsigned long)sum_of(body, UPLOAD_BYTES));
+	ck_assert_int_eq(r.status, 200);
+	ck_assert_uint_eq(r.body->len, strlen(want));
+	ck_assert_int_eq(memcmp(r.body->data, want, r.body->len), 0);
+	reply_clear(&r);
+	g_free(body);
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
-	const TTest *const tests[] = {a_lookup_gets_its_answer, NULL};
+	const TTest *const tests[] = {a_lookup_gets_its_answer,
+	    a_caller_is_told_what_happened,
+	    a_long_answer_that_breaks_off_does_not_look_whole,
+	    a_booking_on_a_kept_connection_that_closes_runs_once,
+	    an_upstream_that_is_down_or_draining_runs_nothing,
+	    a_deadline_that_passes_is_told, a_large_upload_arrives_whole, NULL};
 
 	return fixture_main("call path", tests);
 }
