--- a/tools/demo.py
+++ b/tools/demo.py
@@ -136,7 +136,7 @@
 
     def bramleyctl(self, *args, timeout_s=60):
         command = [self.ctl, "--node", self.hosts[0].at("admin_port"),
-                   "--json", "--operator", "demo", *args]
+                   "--json", *args]
         r = subprocess.run(command, capture_output=True, text=True,
                            timeout=timeout_s, check=False)
         if r.returncode != 0:
@@ -195,7 +195,8 @@
 
     def sign_off(self, bundle, note):
         """Signs off and watches; returns version and convergence in ms."""
-        signed = self.bramleyctl("sign-off", bundle, "--note", note)
+        signed = self.bramleyctl(
+            "sign-off", bundle, "--operator", "demo", "--note", note)
         version = signed["version"]
         self.bramleyctl("watch", str(version), "--timeout-ms", str(ROLL_MS))
         shown = json.loads(http_get(
