fix(standins): memory that the stand-ins did not give back

Problem: under the address sanitizer test_harness failed: standin_upstream and load_gen ended with leaks of 77 to 458 bytes, growing with the number of connections.

Cause: CivetWeb 1.15 forgets a connection's data before it calls connection_closed, so what web.c freed there was NULL; and the strings of the command line were never freed.

Solution: the data is freed in connection_close; the programs free their arguments.

Before: leaks in all kinds of runs.

--- a/packages/standins/src/main_check.c
+++ b/packages/standins/src/main_check.c
@@ -109,5 +109,8 @@
 	g_array_unref(found);
 	g_array_unref(calls);
 	runs_free(r);
+	g_strfreev(outcomes);
+	g_strfreev(journals);
+	g_strfreev(upstreams);
 	return n == 0 ? EXIT_SUCCESS : CHECK_EXIT_VIOLATION;
 }
--- a/packages/standins/src/main_load.c
+++ b/packages/standins/src/main_load.c
@@ -17,11 +17,11 @@
 
 struct arguments {
 	char **nodes;
-	const char *mix;
-	const char *run_id;
+	char *mix;
+	char *run_id;
 	char *from;
 	char *outcomes;
-	const char *paths[CALL_KINDS];
+	char *paths[CALL_KINDS];
 	gdouble rate;
 	gdouble duration_s;
 	gint64 answer_bytes;
@@ -40,8 +40,6 @@
 };
 
 static const struct arguments defaults = {
-    .mix = "80:15:5",
-    .paths = {"/search", "/bookings", "/documents"},
     .rate = 100,
     .duration_s = 5,
     .booking_bytes = 200,
@@ -108,6 +106,38 @@
 	    "Open-loop load. Latency counts from the scheduled time.");
 }
 
+static void
+set_default(char **text, const char *value)
+{
+	if (*text == NULL)
+		*text = g_strdup(value);
+}
+
+static void
+arguments_complete(struct arguments *a)
+{
+	set_default(&a->mix, "80:15:5");
+	set_default(&a->paths[CALL_LOOKUP], "/search");
+	set_default(&a->paths[CALL_BOOKING], "/bookings");
+	set_default(&a->paths[CALL_UPLOAD], "/documents");
+	if (a->run_id == NULL)
+		a->run_id = g_strdup_printf("s%d", a->seed);
+}
+
+static void
+arguments_free(struct arguments *a)
+{
+	int k;
+
+	g_strfreev(a->nodes);
+	g_free(a->mix);
+	g_free(a->run_id);
+	g_free(a->from);
+	g_free(a->outcomes);
+	for (k = 0; k < CALL_KINDS; k++)
+		g_free(a->paths[k]);
+}
+
 static void
 usage(const char *message)
 {
@@ -194,9 +224,8 @@
 	struct schedule_spec s;
 
 	arguments_read(argc, argv, &a);
+	arguments_complete(&a);
 	make_schedule_spec(&a, &s);
-	if (a.run_id == NULL)
-		a.run_id = g_strdup_printf("s%d", a.seed);
 	make_load_options(&a, &o);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	schedule = schedule_make(&s);
@@ -213,5 +242,7 @@
 	json_decref(summary);
 	load_result_clear(&r);
 	g_array_unref(schedule);
+	arguments_free(&a);
+	curl_global_cleanup();
 	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/packages/standins/src/main_upstream.c
+++ b/packages/standins/src/main_upstream.c
@@ -73,6 +73,16 @@
 	    "Stand-in for an upstream: runs calls and counts them.");
 }
 
+static void
+arguments_free(struct arguments *a)
+{
+	g_free(a->address);
+	g_free(a->host);
+	g_free(a->journal);
+	g_free(a->node);
+	g_free(a->service);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -107,5 +117,7 @@
 	if (st != STATUS_OK)
 		(void)fprintf(stderr, "%s\n", status_message());
 	upstream_stop(u);
+	arguments_free(&a);
+	curl_global_cleanup();
 	return st == STATUS_OK ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/packages/standins/src/web.c
+++ b/packages/standins/src/web.c
@@ -33,8 +33,9 @@
 	return 0;
 }
 
+/* CivetWeb forgets the data before it calls connection_closed. */
 static void
-web_connection_closed(const struct mg_connection *conn)
+web_connection_close(const struct mg_connection *conn)
 {
 	g_free(mg_get_user_connection_data(conn));
 }
@@ -75,7 +76,7 @@
 	memset(&cb, 0, sizeof(cb));
 	cb.begin_request = web_begin_request;
 	cb.init_connection = web_init_connection;
-	cb.connection_closed = web_connection_closed;
+	cb.connection_close = web_connection_close;
 	cb.log_message = web_log_message;
 	w = g_new0(struct web_server, 1);
 	w->handle = o->handle;
