test(rollout): a platform that loses answers, racers, a naive retry

Problem: the state machines had no tests.

Found by it: a loser to a halt whose note could not be read at the second try was told no name; it is tried four times more now, and the name is left out only then.

--- a/packages/rollout/src/halt.c
+++ b/packages/rollout/src/halt.c
@@ -6,6 +6,9 @@
 
 #include "rollout_defs.h"
 
+/* Failures to read a winner's note before it is given up. */
+#define NOTE_FAILURES 4
+
 /* A halt's note, which says who asked for it; the head row can't. */
 static GBytes *
 note_encode(const struct rollout_request *req)
@@ -154,14 +157,15 @@
 	step_get_note(r, r->outcome.winner_op, now_ms);
 }
 
-/* The name of the winner is good to have, but not worth a long wait. */
+/* Who asked for the first halt is worth a few tries, not a long wait. */
 void
 halt_on_winner_note(struct rollout *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len)
 {
 	struct msg_halt_note m;
 
-	if (st != STATUS_OK && st != STATUS_NOT_FOUND && r->n_failures == 0) {
+	if (st != STATUS_OK && st != STATUS_NOT_FOUND &&
+	    r->n_failures < NOTE_FAILURES) {
 		rollout_failed(r, now_ms);
 		return;
 	}
--- a/packages/rollout/src/outcome.c
+++ b/packages/rollout/src/outcome.c
@@ -148,8 +148,11 @@
 	o->retry_after_ms = (uint32_t)step_backoff_ms(r);
 	if (!r->maybe_written) {
 		end(r, ROLLOUT_UNAVAILABLE,
-		    "The platform did not answer in time; nothing was done. "
-		    "Ask again later.");
+		    "The platform did not answer in time; this start did "
+		    "nothing%s. Ask again later.",
+		    r->req.fresh ? ""
+				 : ", but what an earlier one with this id "
+				   "did could not be read");
 		return;
 	}
 	o->after_seq = r->base.seq;
--- /dev/null
+++ b/packages/rollout/test/check_world.h
@@ -0,0 +1,22 @@
+/*
+ * The checker's part that the fake platform calls.
+ */
+#ifndef ROLLOUT_TEST_CHECK_WORLD_H
+#define ROLLOUT_TEST_CHECK_WORLD_H
+
+#include "world.h"
+
+/**
+ * struct row - a version row as the platform keeps it
+ * @v: the row; its changes are in @changes
+ * @changes: its changes
+ */
+struct row {
+	struct store_version v;
+	GBytes *changes;
+};
+
+/** check_write() - check a write that is about to take effect, and note it */
+void check_write(struct world *w, const struct rollout_action *a);
+
+#endif
--- /dev/null
+++ b/packages/rollout/test/world.c
@@ -0,0 +1,427 @@
+/*
+ * The fake platform and its messages.
+ */
+#include "world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "check_world.h"
+
+#define LATENCY_MOST_MS 40
+#define LATE_MOST_MS 4000
+#define OPERATION_MS 20000
+
+struct event {
+	uint64_t at_ms;
+	struct actor *actor;
+	struct rollout *r;
+	bool arrival;
+	bool mute;
+	struct rollout_action a;
+	enum status st;
+	struct store_head head;
+	uint64_t upto;
+	GBytes *object;
+};
+
+static void
+event_free(void *data)
+{
+	struct event *e = data;
+
+	if (e->a.content != NULL)
+		g_bytes_unref(e->a.content);
+	if (e->object != NULL)
+		g_bytes_unref(e->object);
+	g_free(e);
+}
+
+static void
+row_free(void *data)
+{
+	struct row *row = data;
+
+	g_bytes_unref(row->changes);
+	g_free(row);
+}
+
+static void
+actor_free(void *data)
+{
+	struct actor *actor = data;
+
+	rollout_free(actor->r);
+	bundle_free(actor->bundle);
+	g_free(actor);
+}
+
+static void
+bytes_unref(void *data)
+{
+	g_bytes_unref(data);
+}
+
+struct world *
+world_new(uint32_t seed)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	w->rand = g_rand_new_with_seed(seed);
+	w->now_ms = 1000;
+	w->rows = g_ptr_array_new_with_free_func(row_free);
+	w->objects =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, bytes_unref);
+	w->events = g_sequence_new(event_free);
+	w->actors = g_ptr_array_new_with_free_func(actor_free);
+	w->deeds = g_array_new(FALSE, TRUE, sizeof(struct deed));
+	return w;
+}
+
+void
+world_free(struct world *w)
+{
+	g_sequence_free(w->events);
+	g_ptr_array_unref(w->actors);
+	g_ptr_array_unref(w->rows);
+	g_hash_table_unref(w->objects);
+	g_array_unref(w->deeds);
+	g_rand_free(w->rand);
+	g_free(w);
+}
+
+static int
+event_order(const void *a, const void *b, void *arg)
+{
+	const struct event *x = a, *y = b;
+
+	(void)arg;
+	return (x->at_ms > y->at_ms) - (x->at_ms < y->at_ms);
+}
+
+static struct event *
+post(struct world *w, const struct event *like, uint64_t at_ms, bool arrival)
+{
+	struct event *e = g_new(struct event, 1);
+
+	*e = *like;
+	e->at_ms = at_ms;
+	e->arrival = arrival;
+	if (e->a.content != NULL)
+		g_bytes_ref(e->a.content);
+	if (e->object != NULL)
+		g_bytes_ref(e->object);
+	g_sequence_insert_sorted(w->events, e, event_order, NULL);
+	return e;
+}
+
+static uint64_t
+latency(struct world *w)
+{
+	return (uint64_t)g_rand_int_range(w->rand, 1, LATENCY_MOST_MS);
+}
+
+static enum fault
+draw_fault(struct world *w)
+{
+	w->n_requests++;
+	if (w->down)
+		return g_rand_boolean(w->rand) ? FAULT_REFUSED
+					       : FAULT_LOST_REQUEST;
+	if (w->n_requests == w->fault_at)
+		return w->fault;
+	if ((uint32_t)g_rand_int_range(w->rand, 0, 100) >= w->fault_percent)
+		return FAULT_NONE;
+	return (enum fault)g_rand_int_range(w->rand, 1, FAULT_COUNT);
+}
+
+static bool
+is_write(const struct rollout_action *a)
+{
+	return a->kind == ROLLOUT_TRANSACT || a->kind == ROLLOUT_PUT_OBJECT;
+}
+
+/* Send a request; what the sender hears and what happens are drawn. */
+static void
+send_request(struct world *w, struct actor *actor, struct rollout_action *a)
+{
+	struct event e = {.actor = actor, .r = actor->r, .a = *a};
+	enum fault fault = draw_fault(w);
+	uint64_t arrive_ms = w->now_ms + latency(w);
+
+	e.st = is_write(a) ? STATUS_UNKNOWN : STATUS_UNAVAILABLE;
+	switch (fault) {
+	case FAULT_REFUSED:
+		e.st = STATUS_UNAVAILABLE;
+		post(w, &e, arrive_ms, false);
+		break;
+	case FAULT_DOUBLED:
+		post(w, &e, arrive_ms + latency(w), true)->mute = true;
+		/* fall through */
+	case FAULT_NONE:
+		post(w, &e, arrive_ms, true);
+		break;
+	case FAULT_LATE:
+		arrive_ms = a->deadline_ms +
+		    (uint64_t)g_rand_int_range(w->rand, 1, LATE_MOST_MS);
+		/* fall through */
+	case FAULT_LOST_ANSWER:
+		post(w, &e, arrive_ms, true)->mute = true;
+		/* fall through */
+	default:
+		post(w, &e, a->deadline_ms, false);
+		break;
+	}
+	rollout_action_clear(a);
+}
+
+static enum status
+transact(struct world *w, const struct rollout_action *a)
+{
+	struct row *row;
+
+	if (w->head.seq != a->expected_seq)
+		return STATUS_CONFLICT;
+	if (a->has_version && a->version.version <= w->rows->len)
+		return STATUS_CONFLICT;
+	check_write(w, a);
+	w->head = a->head;
+	if (a->has_version) {
+		row = g_new0(struct row, 1);
+		row->v = a->version;
+		row->changes = g_bytes_ref(a->content);
+		g_ptr_array_add(w->rows, row);
+	}
+	return STATUS_OK;
+}
+
+/* The platform carries a request out and answers, unless it is muted. */
+static void
+arrive(struct world *w, struct event *e)
+{
+	struct event answer = *e;
+	GBytes *object;
+
+	answer.st = STATUS_OK;
+	answer.object = NULL;
+	switch (e->a.kind) {
+	case ROLLOUT_READ_HEAD:
+		answer.head = w->head;
+		if (w->head.seq == 0)
+			answer.st = STATUS_NOT_FOUND;
+		break;
+	case ROLLOUT_READ_VERSIONS:
+		/* Now and then only a part, as the platform may. */
+		answer.upto = e->a.to;
+		if (e->a.to > e->a.from && g_rand_boolean(w->rand))
+			answer.upto -= 1;
+		break;
+	case ROLLOUT_GET_OBJECT:
+		object = g_hash_table_lookup(w->objects, e->a.key);
+		answer.object = object;
+		if (object == NULL)
+			answer.st = STATUS_NOT_FOUND;
+		break;
+	case ROLLOUT_PUT_OBJECT:
+		if (!g_hash_table_contains(w->objects, e->a.key))
+			g_hash_table_insert(w->objects, g_strdup(e->a.key),
+			    g_bytes_ref(e->a.content));
+		break;
+	default:
+		answer.st = transact(w, &e->a);
+		break;
+	}
+	if (e->mute)
+		return;
+	post(w, &answer, w->now_ms + latency(w), false);
+	if (g_rand_int_range(w->rand, 0, 10) == 0)
+		post(w, &answer, w->now_ms + latency(w), false);
+}
+
+static void
+deliver_rows(struct world *w, const struct event *e)
+{
+	struct store_version rows[STORE_VERSIONS_MAX];
+	const struct row *row;
+	uint32_t n = 0;
+	uint64_t v;
+
+	for (v = e->a.from; v <= e->upto && v <= w->rows->len; v++) {
+		row = g_ptr_array_index(w->rows, v - 1);
+		rows[n] = row->v;
+		rows[n].changes = g_bytes_get_data(row->changes, NULL);
+		rows[n].changes_bytes =
+		    (uint32_t)g_bytes_get_size(row->changes);
+		n++;
+	}
+	rollout_on_versions(
+	    e->r, w->now_ms, e->a.token, e->st, rows, n, e->upto);
+}
+
+/* The blind retry: whatever became of the write, start once more. */
+static void
+start_afresh(struct world *w, struct actor *actor)
+{
+	struct rollout_request req = actor->req;
+
+	g_snprintf(
+	    req.op, sizeof(req.op), "%s.%u", actor->req.op, actor->n_starts++);
+	req.fresh = true;
+	rollout_free(actor->r);
+	g_assert(rollout_new(&req, &actor->r) == STATUS_OK);
+	rollout_start(actor->r, w->now_ms);
+}
+
+static void
+deliver(struct world *w, const struct event *e)
+{
+	const uint8_t *data = NULL;
+	size_t len = 0;
+
+	if (e->actor->r != e->r)
+		return;
+	if (e->object != NULL)
+		data = g_bytes_get_data(e->object, &len);
+	switch (e->a.kind) {
+	case ROLLOUT_READ_HEAD:
+		rollout_on_head(e->r, w->now_ms, e->a.token, e->st, &e->head);
+		break;
+	case ROLLOUT_READ_VERSIONS:
+		deliver_rows(w, e);
+		break;
+	case ROLLOUT_GET_OBJECT:
+		rollout_on_object(
+		    e->r, w->now_ms, e->a.token, e->st, data, len);
+		break;
+	case ROLLOUT_PUT_OBJECT:
+		rollout_on_put(e->r, w->now_ms, e->a.token, e->st);
+		break;
+	default:
+		if (e->actor->naive && e->st == STATUS_UNKNOWN)
+			start_afresh(w, e->actor);
+		else
+			rollout_on_transact(e->r, w->now_ms, e->a.token, e->st);
+		break;
+	}
+}
+
+/* Carry out what an operation asks for. */
+static void
+drain(struct world *w, struct actor *actor)
+{
+	struct rollout_action a;
+
+	while (rollout_action(actor->r, &a)) {
+		if (a.kind == ROLLOUT_FINISH)
+			actor->outcome = *rollout_outcome(actor->r);
+		else
+			send_request(w, actor, &a);
+	}
+}
+
+/* The actor whose timer is due first, or NULL. */
+static struct actor *
+next_timer(const struct world *w, uint64_t *at_ms)
+{
+	struct actor *actor, *first = NULL;
+	uint32_t i;
+
+	*at_ms = DEADLINE_NEVER;
+	for (i = 0; i < w->actors->len; i++) {
+		actor = g_ptr_array_index(w->actors, i);
+		if (rollout_next_ms(actor->r) < *at_ms) {
+			first = actor;
+			*at_ms = rollout_next_ms(actor->r);
+		}
+	}
+	return first;
+}
+
+void
+world_run(struct world *w)
+{
+	GSequenceIter *iter;
+	struct actor *actor;
+	struct event *e;
+	uint64_t at_ms;
+
+	for (;;) {
+		actor = next_timer(w, &at_ms);
+		iter = g_sequence_get_begin_iter(w->events);
+		e = g_sequence_iter_is_end(iter) ? NULL : g_sequence_get(iter);
+		if (e == NULL && actor == NULL)
+			return;
+		if (e != NULL && e->at_ms <= at_ms) {
+			w->now_ms = MAX(w->now_ms, e->at_ms);
+			actor = e->actor;
+			if (e->arrival)
+				arrive(w, e);
+			else
+				deliver(w, e);
+			g_sequence_remove(iter);
+		} else {
+			w->now_ms = MAX(w->now_ms, at_ms);
+			rollout_tick(actor->r, w->now_ms);
+		}
+		drain(w, actor);
+	}
+}
+
+static struct bundle *
+bundle_variant(uint32_t variant)
+{
+	struct bundle *b;
+	char json[512];
+
+	(void)snprintf(json, sizeof(json),
+	    "{\"format\":1,\"name\":\"x\",\"services\":["
+	    "{\"name\":\"always\",\"timeout_ms\":%u},{\"name\":\"same\"},"
+	    "{\"name\":\"some-%u\"}],\"routes\":[{\"prefix\":\"/a\","
+	    "\"methods\":[\"GET\"],\"service\":\"always\"}]}",
+	    variant + 1, variant % 3);
+	g_assert(bundle_parse(json, strlen(json), &b) == STATUS_OK);
+	return b;
+}
+
+struct rollout_request
+world_request(struct world *w, enum rollout_kind kind, const char *op,
+    const char *operator_name)
+{
+	struct rollout_request req;
+
+	memset(&req, 0, sizeof(req));
+	req.kind = kind;
+	g_strlcpy(req.op, op, sizeof(req.op));
+	g_strlcpy(req.operator_name, operator_name, sizeof(req.operator_name));
+	req.deadline_ms = w->now_ms + OPERATION_MS;
+	req.seed = g_rand_int(w->rand);
+	return req;
+}
+
+struct actor *
+world_start(struct world *w, const struct rollout_request *req,
+    uint32_t variant, bool naive)
+{
+	struct actor *actor = g_new0(struct actor, 1);
+
+	actor->req = *req;
+	actor->naive = naive;
+	if (req->kind == ROLLOUT_SIGN_OFF)
+		actor->bundle = bundle_variant(variant);
+	actor->req.bundle = actor->bundle;
+	g_assert(rollout_new(&actor->req, &actor->r) == STATUS_OK);
+	g_ptr_array_add(w->actors, actor);
+	rollout_start(actor->r, w->now_ms);
+	drain(w, actor);
+	return actor;
+}
+
+const struct rollout_outcome *
+world_do(struct world *w, const struct rollout_request *req, uint32_t variant)
+{
+	struct actor *actor = world_start(w, req, variant, false);
+
+	world_run(w);
+	return &actor->outcome;
+}
--- /dev/null
+++ b/packages/rollout/test/world.h
@@ -0,0 +1,110 @@
+/*
+ * A fake platform that loses answers, throttles, delays and doubles writes,
+ * operators who act on it in an order drawn from a seed, and a checker of
+ * what they were told.
+ */
+#ifndef ROLLOUT_TEST_WORLD_H
+#define ROLLOUT_TEST_WORLD_H
+
+#include "proto/messages.h"
+#include "rollout/rollout.h"
+
+#define WORLD_VIOLATION_BYTES 256
+
+/** enum fault - what becomes of one request to the platform */
+enum fault {
+	FAULT_NONE = 0,
+	FAULT_REFUSED,	    /* throttled: certainly not done */
+	FAULT_LOST_REQUEST, /* never arrives; silence until the deadline */
+	FAULT_LOST_ANSWER,  /* done; silence until the deadline */
+	FAULT_LATE,	    /* done after the sender gave up on it */
+	FAULT_DOUBLED,	    /* arrives twice */
+	FAULT_COUNT,
+};
+
+/**
+ * struct actor - an operation and who started it
+ * @req: what was asked for
+ * @r: the operation; kept to the end, so that late answers reach it
+ * @bundle: bundle of a sign-off
+ * @naive: answers an unknown write by starting afresh under another id
+ * @n_starts: starts, for the ids of a naive one
+ * @outcome: how it ended
+ */
+struct actor {
+	struct rollout_request req;
+	struct rollout *r;
+	struct bundle *bundle;
+	bool naive;
+	uint32_t n_starts;
+	struct rollout_outcome outcome;
+};
+
+/**
+ * struct deed - one write that took effect
+ * @op: operation that did it
+ * @version: version made or halted
+ * @halt: whether it was a halt
+ */
+struct deed {
+	char op[STORE_OP_BYTES];
+	uint64_t version;
+	bool halt;
+};
+
+/**
+ * struct world - platform, actors and the messages between them
+ * @rand: all that is drawn
+ * @now_ms: virtual time
+ * @down: the platform refuses everything
+ * @fault_percent: share of requests that go wrong
+ * @n_requests: requests so far
+ * @fault_at: request that goes wrong by @fault, counted from 1; 0 for none
+ * @fault: how
+ * @head: the head row; seq 0 for none
+ * @rows: struct row
+ * @objects: key to GBytes
+ * @events: struct event, sorted by time
+ * @actors: struct actor
+ * @deeds: struct deed, in order of the head row's seq
+ * @violation: first violation seen; empty for none
+ */
+struct world {
+	GRand *rand;
+	uint64_t now_ms;
+	bool down;
+	uint32_t fault_percent;
+	uint32_t n_requests;
+	uint32_t fault_at;
+	enum fault fault;
+	struct store_head head;
+	GPtrArray *rows;
+	GHashTable *objects;
+	GSequence *events;
+	GPtrArray *actors;
+	GArray *deeds;
+	char violation[WORLD_VIOLATION_BYTES];
+};
+
+struct world *world_new(uint32_t seed);
+void world_free(struct world *w);
+
+/** world_request() - a request with its defaults filled in */
+struct rollout_request world_request(struct world *w, enum rollout_kind kind,
+    const char *op, const char *operator_name);
+
+/** world_start() - start an operation; @variant makes up its bundle */
+struct actor *world_start(struct world *w, const struct rollout_request *req,
+    uint32_t variant, bool naive);
+
+/** world_run() - run until all have ended and nothing is on its way */
+void world_run(struct world *w);
+
+/** world_do() - start an operation and run; its outcome */
+const struct rollout_outcome *
+world_do(struct world *w, const struct rollout_request *req, uint32_t variant);
+
+/** world_check() - whether all were told the truth; sets @w->violation */
+bool world_check(struct world *w);
+
+#endif
