feat(node): callers neither starve each other nor wait for a known refusal

Problem: CivetWeb binds a worker to each connection.

A caller that hangs up is noticed while its call runs.

--- a/packages/node/src/call_exchange.c
+++ b/packages/node/src/call_exchange.c
@@ -3,6 +3,7 @@
  */
 #include <pthread.h>
 #include <stdatomic.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #include "base/clock.h"
@@ -40,6 +41,9 @@
  * @down: the answer's body
  * @answer: head of the answer, or NULL
  * @consumed_bytes: bytes consumed since the entry looked
+ * @wake_fd: socket that the worker may block on, or -1
+ * @accepted: the body is wanted
+ * @awaits_accept: the worker waits for that
  * @gone: the caller is gone
  * @notified: the entry was told and has not looked yet
  */
@@ -55,6 +59,9 @@
 	struct exchange_way down;
 	struct call_answer *answer;
 	uint32_t consumed_bytes;
+	int wake_fd;
+	bool accepted;
+	bool awaits_accept;
 	bool gone;
 	bool notified;
 };
@@ -87,6 +94,7 @@
 	pthread_condattr_t attr;
 
 	x->refs = 1;
+	x->wake_fd = -1;
 	call_headers_init(&x->request.headers);
 	x->request.deadline_ms = DEADLINE_NEVER;
 	pthread_mutex_init(&x->mutex, NULL);
@@ -200,6 +208,32 @@
 	unlock_and_notify(x);
 }
 
+bool
+call_exchange_accepted(struct call_exchange *x)
+{
+	bool wanted;
+
+	pthread_mutex_lock(&x->mutex);
+	x->awaits_accept = true;
+	while (!x->accepted && x->answer == NULL)
+		pthread_cond_wait(&x->changed, &x->mutex);
+	wanted = x->answer == NULL;
+	pthread_mutex_unlock(&x->mutex);
+	return wanted;
+}
+
+bool
+call_exchange_reading(struct call_exchange *x, int fd)
+{
+	bool wanted;
+
+	pthread_mutex_lock(&x->mutex);
+	wanted = x->answer == NULL;
+	x->wake_fd = fd;
+	pthread_mutex_unlock(&x->mutex);
+	return wanted;
+}
+
 bool
 call_exchange_answered(struct call_exchange *x)
 {
@@ -276,6 +310,19 @@
 	unlock_and_notify(x);
 }
 
+void
+call_exchange_accept(struct call_exchange *x)
+{
+	bool awaited;
+
+	pthread_mutex_lock(&x->mutex);
+	x->accepted = true;
+	awaited = x->awaits_accept;
+	pthread_mutex_unlock(&x->mutex);
+	if (awaited)
+		pthread_cond_signal(&x->changed);
+}
+
 void
 call_exchange_look(struct call_exchange *x, struct exchange_news *news)
 {
@@ -313,6 +360,8 @@
 	x->down.end = end;
 	while (pieces != NULL && (piece = g_queue_pop_head(pieces)) != NULL)
 		way_add(&x->down, piece);
+	if (x->wake_fd >= 0)
+		(void)shutdown(x->wake_fd, SHUT_RD);
 	pthread_mutex_unlock(&x->mutex);
 	pthread_cond_signal(&x->changed);
 }
--- a/packages/node/src/call_exchange.h
+++ b/packages/node/src/call_exchange.h
@@ -133,6 +133,23 @@
 /** call_exchange_put_end() - the request's body has ended */
 void call_exchange_put_end(struct call_exchange *x, enum exchange_end end);
 
+/**
+ * call_exchange_accepted() - wait until the entry wants the body
+ *
+ * Return: false when the answer came instead.
+ */
+bool call_exchange_accepted(struct call_exchange *x);
+
+/**
+ * call_exchange_reading() - the worker is about to block on a socket
+ * @x: the exchange
+ * @fd: the socket, from which no more is read once the answer is there, so
+ *	that the worker wakes up; -1 when it does not read any more
+ *
+ * Return: false when the answer is there already.
+ */
+bool call_exchange_reading(struct call_exchange *x, int fd);
+
 /** call_exchange_answered() - whether the head of the answer is there */
 bool call_exchange_answered(struct call_exchange *x);
 
@@ -177,6 +194,9 @@
 	bool gone;
 };
 
+/** call_exchange_accept() - the body of the request is wanted */
+void call_exchange_accept(struct call_exchange *x);
+
 /** call_exchange_look() - what happened since the last look */
 void call_exchange_look(struct call_exchange *x, struct exchange_news *news);
 
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -22,6 +22,7 @@
 #define LISTEN_BACKLOG "1024"
 
 #define OPTION_BYTES 32
+#define MESSAGE_BYTES 160
 
 static int
 on_connection(const struct mg_connection *conn, void **data)
@@ -73,9 +74,15 @@
 static int
 on_error(struct mg_connection *conn, int status, const char *message)
 {
-	(void)message;
-	callers_answer_refuse(conn, (uint32_t)status, "invalid",
-	    "the request can't be read; check its size and form.");
+	struct callers *c = mg_get_user_data(mg_get_context(conn));
+	char text[MESSAGE_BYTES];
+
+	log_debug("request refused: %s", message);
+	(void)g_snprintf(text, sizeof(text),
+	    "the request can't be read; its first line and headers must be "
+	    "well formed and take at most %u bytes.",
+	    c->settings->header_max_bytes);
+	callers_answer_refuse(conn, (uint32_t)status, "invalid", text);
 	return 0;
 }
 
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -58,7 +58,7 @@
 
 /* Reads the body; false when it broke off or is not wanted. */
 static bool
-read_body(struct call_exchange *x, struct mg_connection *conn)
+read_body(struct call_exchange *x, struct mg_connection *conn, int fd)
 {
 	const struct call_request *r = call_exchange_request(x);
 	uint8_t buf[READ_BYTES];
@@ -67,6 +67,8 @@
 	int n = 0;
 
 	while (r->body_bytes < 0 || total < r->body_bytes) {
+		if (!call_exchange_reading(x, fd))
+			return false;
 		n = mg_read(conn, buf, sizeof(buf));
 		if (n <= 0)
 			break;
@@ -74,6 +76,8 @@
 		if (!call_exchange_put(x, buf, (size_t)n))
 			return false;
 	}
+	if (!call_exchange_reading(x, -1))
+		return false;
 	end = body_end(r, total, n);
 	call_exchange_put_end(x, end);
 	return end == EXCHANGE_WHOLE;
@@ -121,27 +125,45 @@
 	}
 }
 
-static void
-run(struct callers *c, struct call_exchange *x, struct mg_connection *conn)
+/* The body is there before the call is handed over. */
+static bool
+run_small(
+    struct callers *c, struct call_exchange *x, struct mg_connection *conn)
 {
-	const struct call_request *r = call_exchange_request(x);
 	bool body_read = true;
 
-	expect(conn);
-	if (is_small(r)) {
-		if (r->body_bytes > 0)
-			body_read = read_body(x, conn);
-		else
-			call_exchange_put_end(x, EXCHANGE_WHOLE);
-		if (!body_read) {
-			mg_disable_connection_keep_alive(conn);
-			return;
-		}
-		entry_submit(c->entry, x);
+	if (call_exchange_request(x)->body_bytes > 0) {
+		expect(conn);
+		body_read = read_body(x, conn, -1);
 	} else {
-		entry_submit(c->entry, x);
-		body_read = read_body(x, conn);
+		call_exchange_put_end(x, EXCHANGE_WHOLE);
 	}
+	if (body_read)
+		entry_submit(c->entry, x);
+	return body_read;
+}
+
+/* The body is read once the entry wants it. */
+static bool
+run_large(
+    struct callers *c, struct call_exchange *x, struct mg_connection *conn)
+{
+	entry_submit(c->entry, x);
+	if (!call_exchange_accepted(x))
+		return false;
+	expect(conn);
+	return read_body(x, conn, callers_socket(conn));
+}
+
+static void
+run(struct callers *c, struct call_exchange *x, struct mg_connection *conn)
+{
+	bool body_read;
+
+	if (is_small(call_exchange_request(x)))
+		body_read = run_small(c, x, conn);
+	else
+		body_read = run_large(c, x, conn);
 	finish(c, x, conn, body_read);
 }
 
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -95,6 +95,9 @@
 
 /* callers_socket.c */
 
+/** callers_socket() - the connection's socket, or -1 */
+int callers_socket(struct mg_connection *conn);
+
 /** callers_socket_gone() - whether the caller has hung up */
 bool callers_socket_gone(struct mg_connection *conn);
 
--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -9,6 +9,7 @@
 #include "callers_priv.h"
 
 #define HTTP_BAD_REQUEST 400
+#define HTTP_TOO_LARGE 413
 #define HTTP_URI_TOO_LONG 414
 #define HTTP_HEADERS_TOO_LARGE 431
 #define DECIMAL 10
@@ -78,7 +79,8 @@
 }
 
 static uint32_t
-read_length(const struct mg_request_info *info, struct call_request *r)
+read_length(const struct callers *c, const struct mg_request_info *info,
+    struct call_request *r)
 {
 	bool chunked = find(info, "Transfer-Encoding") != NULL;
 
@@ -86,6 +88,8 @@
 		r->body_bytes = BODY_LENGTH_UNKNOWN;
 	else
 		r->body_bytes = MAX(info->content_length, 0);
+	if (r->body_bytes > (int64_t)c->settings->request_max_bytes)
+		return HTTP_TOO_LARGE;
 	return 0;
 }
 
@@ -109,7 +113,6 @@
 	const struct mg_request_info *info = mg_get_request_info(conn);
 	uint32_t status;
 
-	(void)c;
 	r->arrived_us = clock_now_us();
 	if (strlen(info->request_method) >= sizeof(r->method))
 		return HTTP_BAD_REQUEST;
@@ -121,7 +124,7 @@
 	if (status == 0)
 		status = read_deadline(info, r);
 	if (status == 0)
-		status = read_length(info, r);
+		status = read_length(c, info, r);
 	if (status == 0)
 		status = read_key(info, r);
 	return status;
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -7,9 +7,9 @@
  */
 #include <arpa/inet.h>
 #include <dirent.h>
-#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
@@ -63,24 +63,25 @@
 	return g_strcmp0(text, info->remote_addr) == 0;
 }
 
-bool
-callers_socket_gone(struct mg_connection *conn)
+int
+callers_socket(struct mg_connection *conn)
 {
 	struct caller_conn *cc = mg_get_user_connection_data(conn);
-	char byte;
-	ssize_t n;
 
 	if (cc == NULL)
-		return false;
+		return -1;
 	if (cc->fd < 0)
 		cc->fd = find_socket(is_peer, mg_get_request_info(conn));
-	if (cc->fd < 0)
-		return false;
-	n = recv(cc->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	if (n == 0)
-		return true;
-	return n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-	    errno != EINTR;
+	return cc->fd;
+}
+
+bool
+callers_socket_gone(struct mg_connection *conn)
+{
+	struct pollfd p = {.events = POLLRDHUP};
+
+	p.fd = callers_socket(conn);
+	return p.fd >= 0 && poll(&p, 1, 0) == 1;
 }
 
 static bool
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -375,6 +375,7 @@
 		return;
 	}
 	c = call_make(e, x, &match);
+	call_exchange_accept(x);
 	call_exchange_look(x, &news);
 	c->body.told = news.up_end;
 	call_start(c->decision, loop_now_ms(e->loop));
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -22,7 +22,7 @@
 
 /**
  * struct fake_upstream - an upstream that does what a request's query says:
- * do=ok|close|cut|shed|chunked|sum, bytes=n of the answer, ms=n of delay
+ * do=ok|close|cut|shed|chunked|sum|deaf, bytes=n of the answer, ms=n of delay
  * @port: where it listens
  * @running: requests that run now
  * @connections: connections taken so far
@@ -33,6 +33,7 @@
 	_Atomic int running;
 	_Atomic int connections;
 	_Atomic int serving;
+	_Atomic bool stopping;
 	int fd;
 	pthread_t thread;
 	pthread_mutex_t lock;
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -225,6 +225,14 @@
 	return true;
 }
 
+/* Reads nothing, so it can't even see the other side close. */
+static void
+be_deaf(const struct fake_upstream *u)
+{
+	while (!u->stopping)
+		g_usleep(1000);
+}
+
 static void *
 serve(void *arg)
 {
@@ -235,6 +243,10 @@
 	bool more = true;
 
 	while (more && read_head(c, head)) {
+		if (strstr(head->str, "do=deaf") != NULL) {
+			be_deaf(c->u);
+			break;
+		}
 		if (!read_body(c, head->str, &sum, &total))
 			break;
 		c->u->running++;
@@ -296,6 +308,7 @@
 void
 fake_upstream_stop(struct fake_upstream *u)
 {
+	u->stopping = true;
 	(void)shutdown(u->fd, SHUT_RDWR);
 	(void)pthread_join(u->thread, NULL);
 	close(u->fd);
--- /dev/null
+++ b/packages/node/test/test_callers.c
@@ -0,0 +1,304 @@
+/*
+ * Tests of the server for callers: kept-alive connections, limits, hang-ups,
+ * bodies that are held back, and the drain.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "node/snapshot_ref.h"
+
+#include "fixture.h"
+
+#define IDLE_CALLERS 2000
+#define HELD_BACK_BYTES (32U << 20)
+
+static struct fake_upstream *upstream;
+static struct test_node *node;
+
+static void
+start(void)
+{
+	struct fake_endpoint ep = {.host = "h1"};
+
+	upstream = fake_upstream_start();
+	node = test_node_start("h1", NULL);
+	test_node_upstream(node, upstream->port, SERVING_READY);
+	ep.port = guard_addr(node->guard).port;
+	test_snapshot(&ep, 1);
+}
+
+static void
+stop(void)
+{
+	test_node_stop(node);
+	fake_upstream_stop(upstream);
+	snapshot_ref_publish(NULL);
+}
+
+static int
+dial(void)
+{
+	int fd = caller_connect(callers_port(node->callers));
+
+	ck_assert_int_ge(fd, 0);
+	return fd;
+}
+
+static void
+ask(int fd, const char *method, const char *path, const char *headers,
+    struct reply *r)
+{
+	ck_assert(caller_send(fd, method, path, headers, NULL, 0));
+	ck_assert(caller_read(fd, r));
+}
+
+START_TEST(a_connection_is_kept_while_threads_abound)
+{
+	struct reply r;
+	int fd, i;
+
+	start();
+	for (i = 0; i < 64; i++) {
+		fd = dial();
+		ask(fd, "GET", "/look/x", NULL, &r);
+		ck_assert(!r.closes);
+		reply_clear(&r);
+		ask(fd, "GET", "/look/x", NULL, &r);
+		ck_assert_int_eq(r.status, 200);
+		ck_assert(!r.closes);
+		reply_clear(&r);
+		close(fd);
+	}
+	stop();
+}
+END_TEST
+
+/* Each asked once and stays connected; CivetWeb binds a thread to each. */
+START_TEST(idle_callers_do_not_starve_others)
+{
+	struct rlimit files = {.rlim_cur = 8192, .rlim_max = 8192};
+	int fds[IDLE_CALLERS];
+	struct reply r;
+	uint64_t began_ms;
+	int i;
+
+	(void)setrlimit(RLIMIT_NOFILE, &files);
+	start();
+	for (i = 0; i < IDLE_CALLERS; i++) {
+		fds[i] = dial();
+		ask(fds[i], "GET", "/look/x", NULL, &r);
+		ck_assert_int_eq(r.status, 200);
+		reply_clear(&r);
+	}
+	began_ms = clock_now_ms();
+	ck_assert(caller_call(
+	    callers_port(node->callers), "GET", "/look/x", NULL, NULL, 0, &r));
+	ck_assert_int_eq(r.status, 200);
+	/* Less than the keep-alive time: no thread had to be waited for. */
+	ck_assert_uint_lt(
+	    clock_now_ms() - began_ms, node->settings.keep_alive_ms / 2);
+	reply_clear(&r);
+	for (i = 0; i < IDLE_CALLERS; i++)
+		close(fds[i]);
+	stop();
+}
+END_TEST
+
+START_TEST(callers_that_say_nothing_do_not_starve_others)
+{
+	int fds[128];
+	struct reply r;
+	uint64_t began_ms;
+	size_t i;
+
+	start();
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = dial();
+	began_ms = clock_now_ms();
+	ck_assert(caller_call(
+	    callers_port(node->callers), "GET", "/look/x", NULL, NULL, 0, &r));
+	ck_assert_int_eq(r.status, 200);
+	ck_assert_uint_lt(clock_now_ms() - began_ms, 500);
+	reply_clear(&r);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	stop();
+}
+END_TEST
+
+static int
+running(void *arg)
+{
+	(void)arg;
+	return upstream->running;
+}
+
+static int
+requests(void *arg)
+{
+	(void)arg;
+	return (int)guard_in_flight(node->guard);
+}
+
+START_TEST(a_caller_that_hangs_up_cancels_its_lookup)
+{
+	int fd;
+
+	start();
+	fd = dial();
+	ck_assert(caller_send(fd, "GET", "/look/x?ms=2500", NULL, NULL, 0));
+	ck_assert(test_wait_int(running, NULL, 1));
+	close(fd);
+	/* The slot is free long before the upstream answers. */
+	ck_assert(test_wait_int(requests, NULL, 0));
+	ck_assert_int_eq(upstream->running, 1);
+	stop();
+}
+END_TEST
+
+/* Sends until the other side takes no more; Return: bytes taken. */
+static size_t
+fill(int fd, size_t most)
+{
+	static char buf[65536];
+	struct pollfd p = {.fd = fd, .events = POLLOUT};
+	size_t total = 0;
+	ssize_t n;
+
+	(void)fcntl(fd, F_SETFL, O_NONBLOCK);
+	while (total < most && poll(&p, 1, 300) == 1) {
+		n = send(fd, buf, sizeof(buf), MSG_NOSIGNAL);
+		if (n <= 0)
+			break;
+		total += (size_t)n;
+	}
+	return total;
+}
+
+/* The upstream reads nothing, so nothing but the buffers is taken. */
+START_TEST(an_upload_is_held_back_and_holds_back_no_lookup)
+{
+	struct reply r;
+	int fd;
+
+	start();
+	fd = dial();
+	ck_assert(caller_send(fd, "PUT", "/up/x?do=deaf",
+	    "Content-Length: 1000000000\r\n", NULL, 0));
+	ck_assert_uint_lt(fill(fd, HELD_BACK_BYTES), HELD_BACK_BYTES);
+	ck_assert(caller_call(
+	    callers_port(node->callers), "GET", "/look/x", NULL, NULL, 0, &r));
+	ck_assert_int_eq(r.status, 200);
+	reply_clear(&r);
+	close(fd);
+	stop();
+}
+END_TEST
+
+START_TEST(what_is_too_large_is_refused_with_a_remedy)
+{
+	char *long_header = g_strnfill(20000, 'x');
+	char *header = g_strdup_printf("X-Long: %s\r\n", long_header);
+	struct reply r;
+	int fd;
+
+	start();
+	fd = dial();
+	ask(fd, "PUT", "/up/x", "Content-Length: 9000000000\r\n", &r);
+	ck_assert_int_eq(r.status, 413);
+	ck_assert_str_eq(r.fate, "not_run");
+	g_byte_array_append(r.body, (const uint8_t *)"", 1);
+	ck_assert_ptr_nonnull(strstr((char *)r.body->data, "\"message\""));
+	reply_clear(&r);
+	close(fd);
+	fd = dial();
+	ask(fd, "GET", "/look/x", header, &r);
+	ck_assert_int_eq(r.status, 400);
+	g_byte_array_append(r.body, (const uint8_t *)"", 1);
+	ck_assert_ptr_nonnull(strstr((char *)r.body->data, "16384 bytes"));
+	reply_clear(&r);
+	close(fd);
+	g_free(header);
+	g_free(long_header);
+	stop();
+}
+END_TEST
+
+/**
+ * struct late_call - a caller in a thread of its own
+ * @path: what it asks for
+ * @reply: what it got
+ * @got: whether an answer came
+ */
+struct late_call {
+	const char *path;
+	struct reply reply;
+	bool got;
+};
+
+static void *
+late_main(void *arg)
+{
+	struct late_call *l = arg;
+
+	l->got = caller_call(callers_port(node->callers), "GET", l->path, NULL,
+	    NULL, 0, &l->reply);
+	return NULL;
+}
+
+static int
+calls(void *arg)
+{
+	(void)arg;
+	return (int)callers_in_flight(node->callers);
+}
+
+START_TEST(a_drain_cuts_no_answer)
+{
+	struct late_call slow = {.path = "/look/x?ms=300&bytes=4000000"};
+	uint64_t deadline_ms;
+	pthread_t thread;
+	struct reply r;
+
+	start();
+	ck_assert_int_eq(pthread_create(&thread, NULL, late_main, &slow), 0);
+	ck_assert(test_wait_int(running, NULL, 1));
+	deadline_ms = clock_now_ms() + node->settings.drain_ms;
+	callers_drain(node->callers, deadline_ms);
+	guard_drain(node->guard, deadline_ms);
+	ck_assert(caller_call(
+	    callers_port(node->callers), "GET", "/look/x", NULL, NULL, 0, &r));
+	ck_assert_str_eq(r.fate, "not_run");
+	ck_assert(r.closes);
+	reply_clear(&r);
+	ck_assert(test_wait_int(calls, NULL, 0));
+	ck_assert(test_wait_int(requests, NULL, 0));
+	callers_stop(node->callers);
+	pthread_join(thread, NULL);
+	ck_assert(slow.got && slow.reply.whole);
+	ck_assert_uint_eq(slow.reply.body->len, 4000000);
+	reply_clear(&slow.reply);
+	stop();
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *const tests[] = {a_connection_is_kept_while_threads_abound,
+	    idle_callers_do_not_starve_others,
+	    callers_that_say_nothing_do_not_starve_others,
+	    a_caller_that_hangs_up_cancels_its_lookup,
+	    an_upload_is_held_back_and_holds_back_no_lookup,
+	    what_is_too_large_is_refused_with_a_remedy, a_drain_cuts_no_answer,
+	    NULL};
+
+	return fixture_main("callers", tests);
+}
