test(calls): driver, checker and planted defects for the call decisions

Problem: the decisions had only been driven step by step; orders of failures that nobody thought of had not.

Solution: test/calls holds a driver with a virtual clock: entries, guards and upstream fakes that count runs, joined by connections that break, fall silent, stall and double frames; processes are killed, frozen, drained and replaced. A checker compares what each caller was told with what ran.

The bar now holds only for a process that is older than the bar. - keyed.c: a key expired by the time it was accepted, while its request still waited or ran; it now expires after the end (keyed_ended()). - keyed.c: earlier homes were forgotten after the window, though another node may have been home by older news; they are now kept for the news' time too.

--- a/packages/traffic/include/traffic/fate.h
+++ b/packages/traffic/include/traffic/fate.h
@@ -209,7 +209,8 @@
  * @now_ms: monotonic time
  * @out: the fate of @first: ATTACHED, ANSWER, LOST, or NOT_RUN
  *
- * Its waiters now wait for @first.
+ * Its waiters now wait for @first.  They asked to run it, not for its fate:
+ * LOST is told them as failed, and NOT_RUN as refused.
  */
 void fate_follow(struct fate_table *t, const struct request_id *id,
     const struct request_id *first, uint64_t now_ms, struct fate_answer *out);
--- a/packages/traffic/include/traffic/frame_age.h
+++ b/packages/traffic/include/traffic/frame_age.h
@@ -14,7 +14,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Bounds are kept for this long, so that drifting clocks do no harm. */
+/*
+ * Bounds are kept for this long, so that drifting clocks do no harm; the
+ * receiver sends its time anew (a ping) at least this often.
+ */
 #define FRAME_AGE_KEEP_MS 60000
 
 /**
@@ -22,7 +25,7 @@
  * @known: an echo has come
  * @older_ms: best bound of the period before; own time - peer's time
  * @newer_ms: best bound of this period
- * @period_ms: start of this period, own time
+ * @period_ms: start of this period: own time in its first echo
  */
 struct frame_age {
 	bool known;
--- a/packages/traffic/include/traffic/keyed.h
+++ b/packages/traffic/include/traffic/keyed.h
@@ -15,12 +15,15 @@
 
 /**
  * struct keyed_config - bounds and mode
- * @window_ms: how long a key is kept after its last change
+ * @window_ms: how long a key is kept after its request has ended
+ * @news_ms: longest time that news of endpoints take to reach all nodes;
+ *	earlier homes are remembered for this time and the window
  * @keys_max: most keys kept; when there are more, new keys are refused
  * @claim_always: claim each key in the platform's table before its run
  */
 struct keyed_config {
 	uint64_t window_ms;
+	uint64_t news_ms;
 	size_t keys_max;
 	bool claim_always;
 };
@@ -174,6 +177,15 @@
 void keyed_release(struct keyed *k, const struct key_id *key,
     const struct request_id *id, uint64_t now_ms);
 
+/**
+ * keyed_ended() - the request that has the key was answered or failed
+ *
+ * The key is kept for the window from now.  For each RUN the shell calls
+ * either this or keyed_release(), or the key is kept for ever.
+ */
+void keyed_ended(struct keyed *k, const struct key_id *key,
+    const struct request_id *id, uint64_t now_ms);
+
 /**
  * keyed_yield() - another endpoint, home by its own view, asks about a key
  * @k: the keys
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -67,6 +67,7 @@
  * @REFUSAL_KEY_UNSETTLED: keyed, and an earlier request with the key may have
  *	run elsewhere
  * @REFUSAL_STOPPING: the node is stopping
+ * @REFUSAL_KEY_REUSED: keyed, and the key belongs to a different request
  * @REFUSAL_UNREACHABLE: no connection to the guard; not a byte was sent
  */
 enum refusal {
@@ -86,6 +87,7 @@
 	REFUSAL_NO_ENDPOINT,
 	REFUSAL_KEY_UNSETTLED,
 	REFUSAL_STOPPING,
+	REFUSAL_KEY_REUSED,
 	REFUSAL_UNREACHABLE,
 };
 
@@ -106,6 +108,15 @@
  */
 bool refusal_is_free(enum refusal r);
 
+/**
+ * refusal_settles_key() - whether it says that no request with the key ran
+ *
+ * True only for refusals that the key's home gives after it has settled that
+ * no earlier request with the key ran.  After any other one an earlier request
+ * may have run elsewhere, and a keyed call is told unknown.
+ */
+bool refusal_settles_key(enum refusal r);
+
 /**
  * struct load_report - load at a guard, carried by each answer and refusal
  * @in_flight: requests in slots
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -2,7 +2,8 @@
  * The state machine of one call.
  *
  * unsure says that an earlier attempt may have run; a call that is unsure is
- * never told not_run, whatever became of its last attempt.
+ * never told not_run, whatever became of its last attempt.  A keyed call is
+ * told not_run only when the key's home says that nothing ran with the key.
  */
 #include "traffic/call.h"
 
@@ -112,7 +113,7 @@
 {
 	struct call_action *a;
 
-	if (outcome == OUTCOME_NOT_RUN && c->unsure)
+	if (c->unsure || (c->cfg.keyed && !refusal_settles_key(refusal)))
 		outcome = OUTCOME_UNKNOWN;
 	a = act(c, CALL_GIVE_UP);
 	a->outcome = outcome;
--- a/packages/traffic/src/frame_age.c
+++ b/packages/traffic/src/frame_age.c
@@ -24,13 +24,13 @@
 	if (own_ms > now_ms)
 		return;
 	bound = (int64_t)(own_ms - peer_ms);
-	if (f->known && now_ms - f->period_ms > FRAME_AGE_KEEP_MS) {
+	if (!f->known)
+		f->period_ms = own_ms;
+	if (own_ms > f->period_ms + FRAME_AGE_KEEP_MS) {
 		f->older_ms = f->newer_ms;
 		f->newer_ms = INT64_MIN;
-		f->period_ms = now_ms;
+		f->period_ms = own_ms;
 	}
-	if (!f->known)
-		f->period_ms = now_ms;
 	f->known = true;
 	f->newer_ms = MAX(f->newer_ms, bound);
 }
--- a/packages/traffic/src/keyed.c
+++ b/packages/traffic/src/keyed.c
@@ -2,10 +2,10 @@
  * Idempotency keys of one service at one endpoint.
  *
  * A key is settling (earlier homes are being asked, or a claim is being
- * made), held (by the request that runs or ran), barred (given to another
- * endpoint) or, when it is not in the table, not known.  What is not known may
- * run only if every process that was the key's home within the window says
- * that it never ran there.
+ * made), held (by a request that is to run), spent (that one has ended), barred
+ * (given to another endpoint) or, when it is not in the table, not known.  What
+ * is not known may run only if every process that was the key's home within the
+ * window says that it never ran there.
  */
 #include "traffic/keyed.h"
 
@@ -22,6 +22,7 @@
 enum key_state {
 	KEY_SETTLING = 0,
 	KEY_HELD,
+	KEY_SPENT,
 	KEY_BARRED,
 };
 
@@ -31,7 +32,9 @@
 	struct request_id first;
 	uint64_t body;
 	uint64_t changed_ms;
+	/* The endpoint that it was given to, and when. */
 	uint64_t barred_for;
+	uint64_t barred_ms;
 	GArray *asked;
 	GList *link;
 };
@@ -41,6 +44,7 @@
 	uint64_t self;
 	uint64_t born_ms;
 	GHashTable *entries;
+	/* Spent and barred ones, which expire. */
 	GQueue by_change;
 	struct key_views views;
 };
@@ -87,6 +91,13 @@
 	g_free(e);
 }
 
+/* Another node may have been home by a view that this one had dropped. */
+static uint64_t
+memory_ms(const struct keyed *k)
+{
+	return k->cfg.window_ms + k->cfg.news_ms;
+}
+
 struct keyed *
 keyed_new(const struct keyed_config *cfg, uint64_t self, uint64_t now_ms)
 {
@@ -99,7 +110,7 @@
 	k->entries =
 	    g_hash_table_new_full(key_hash, key_equal, NULL, entry_free);
 	g_queue_init(&k->by_change);
-	key_views_init(&k->views, self, cfg->window_ms);
+	key_views_init(&k->views, self, memory_ms(k));
 	return k;
 }
 
@@ -123,7 +134,7 @@
 static bool
 is_young(const struct keyed *k, uint64_t now_ms)
 {
-	return keyed_age_ms(k, now_ms) <= k->cfg.window_ms;
+	return keyed_age_ms(k, now_ms) <= memory_ms(k);
 }
 
 void
@@ -165,47 +176,63 @@
 }
 
 static void
-touch(struct keyed *k, struct entry *e, uint64_t now_ms)
+expire_never(struct keyed *k, struct entry *e)
 {
+	if (e->link != NULL)
+		g_queue_delete_link(&k->by_change, e->link);
+	e->link = NULL;
+}
+
+static void
+expire_later(struct keyed *k, struct entry *e, uint64_t now_ms)
+{
+	expire_never(k, e);
 	e->changed_ms = now_ms;
-	g_queue_unlink(&k->by_change, e->link);
-	g_queue_push_tail_link(&k->by_change, e->link);
+	g_queue_push_tail(&k->by_change, e);
+	e->link = g_queue_peek_tail_link(&k->by_change);
+}
+
+static void
+hold(struct entry *e, struct keyed_decision *out)
+{
+	e->state = KEY_HELD;
+	e->barred_for = 0;
+	out->verdict = KEYED_RUN;
 }
 
 static struct entry *
-add(struct keyed *k, const struct key_id *key, enum key_state state,
-    uint64_t now_ms)
+add(struct keyed *k, const struct key_id *key, enum key_state state)
 {
 	struct entry *e;
 
 	e = g_new0(struct entry, 1);
 	e->key = *key;
 	e->state = state;
-	e->changed_ms = now_ms;
 	e->asked = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_hash_table_insert(k->entries, &e->key, e);
-	g_queue_push_tail(&k->by_change, e);
-	e->link = g_queue_peek_tail_link(&k->by_change);
 	return e;
 }
 
 static void
 forget(struct keyed *k, struct entry *e)
 {
-	g_queue_delete_link(&k->by_change, e->link);
+	expire_never(k, e);
 	g_hash_table_remove(k->entries, &e->key);
 }
 
 /* What was barred stays barred; else the next request asks anew. */
 static void
-unsettled(struct keyed *k, struct entry *e, struct keyed_decision *out)
+unsettled(struct keyed *k, struct entry *e, uint64_t now_ms,
+    struct keyed_decision *out)
 {
 	out->verdict = KEYED_UNSETTLED;
-	out->retry_after_ms = k->cfg.window_ms;
-	if (e->barred_for != 0)
-		e->state = KEY_BARRED;
-	else
+	out->retry_after_ms = memory_ms(k);
+	if (e->barred_for == 0) {
 		forget(k, e);
+		return;
+	}
+	e->state = KEY_BARRED;
+	expire_later(k, e, now_ms);
 }
 
 static void
@@ -223,13 +250,10 @@
 	}
 	if (is_young(k, now_ms) &&
 	    key_views_home_before(&k->views, &e->key) == 0) {
-		unsettled(k, e, out);
+		unsettled(k, e, now_ms, out);
 		return;
 	}
-	e->state = KEY_HELD;
-	e->barred_for = 0;
-	touch(k, e, now_ms);
-	out->verdict = KEYED_RUN;
+	hold(e, out);
 }
 
 static void
@@ -238,6 +262,7 @@
 {
 	if (e->state == KEY_BARRED) {
 		e->state = KEY_SETTLING;
+		expire_never(k, e);
 		e->first = *id;
 		e->body = body;
 		g_array_set_size(e->asked, 0);
@@ -273,7 +298,7 @@
 		out->verdict = KEYED_FULL;
 		return;
 	}
-	e = add(k, key, KEY_SETTLING, now_ms);
+	e = add(k, key, KEY_SETTLING);
 	e->first = *id;
 	e->body = body;
 	settle_next(k, e, now_ms, out);
@@ -292,7 +317,7 @@
 	    request_id_equal(&e->first, id))
 		return e;
 	out->verdict = KEYED_UNSETTLED;
-	out->retry_after_ms = k->cfg.window_ms;
+	out->retry_after_ms = memory_ms(k);
 	return NULL;
 }
 
@@ -307,7 +332,7 @@
 	if (e == NULL)
 		return;
 	if (word != KEYED_WORD_FREE) {
-		unsettled(k, e, out);
+		unsettled(k, e, now_ms, out);
 		return;
 	}
 	g_array_append_val(e->asked, from);
@@ -325,13 +350,10 @@
 	if (e == NULL)
 		return;
 	if (word != KEYED_WORD_FREE) {
-		unsettled(k, e, out);
+		unsettled(k, e, now_ms, out);
 		return;
 	}
-	e->state = KEY_HELD;
-	e->barred_for = 0;
-	touch(k, e, now_ms);
-	out->verdict = KEYED_RUN;
+	hold(e, out);
 }
 
 void
@@ -347,6 +369,29 @@
 		forget(k, e);
 }
 
+void
+keyed_ended(struct keyed *k, const struct key_id *key,
+    const struct request_id *id, uint64_t now_ms)
+{
+	struct entry *e;
+
+	e = g_hash_table_lookup(k->entries, key);
+	if (e == NULL || e->state != KEY_HELD ||
+	    !request_id_equal(&e->first, id))
+		return;
+	e->state = KEY_SPENT;
+	expire_later(k, e, now_ms);
+}
+
+/* The process that asks again; not one that has taken its place since. */
+static bool
+is_barred_for(
+    const struct entry *e, uint64_t to, uint64_t to_age_ms, uint64_t now_ms)
+{
+	return e->state == KEY_BARRED && e->barred_for == to &&
+	    now_ms - e->barred_ms <= to_age_ms;
+}
+
 enum keyed_word
 keyed_yield(struct keyed *k, const struct key_id *key, uint64_t to,
     uint64_t to_age_ms, uint64_t now_ms)
@@ -355,8 +400,8 @@
 
 	keyed_expire(k, now_ms);
 	e = g_hash_table_lookup(k->entries, key);
-	if (e != NULL && e->state == KEY_BARRED && e->barred_for == to) {
-		touch(k, e, now_ms);
+	if (e != NULL && is_barred_for(e, to, to_age_ms, now_ms)) {
+		expire_later(k, e, now_ms);
 		return KEYED_WORD_FREE;
 	}
 	if (e != NULL || is_young(k, now_ms) ||
@@ -364,8 +409,10 @@
 		return KEYED_WORD_TAKEN;
 	if (g_hash_table_size(k->entries) >= k->cfg.keys_max)
 		return KEYED_WORD_TAKEN;
-	e = add(k, key, KEY_BARRED, now_ms);
+	e = add(k, key, KEY_BARRED);
 	e->barred_for = to;
+	e->barred_ms = now_ms;
+	expire_later(k, e, now_ms);
 	return KEYED_WORD_FREE;
 }
 
--- a/packages/traffic/src/traffic_defs.c
+++ b/packages/traffic/src/traffic_defs.c
@@ -54,7 +54,8 @@
 	static const char *const names[] = {"none", "queue_full", "wait",
 	    "expired", "draining", "starting", "caller_limit", "service_limit",
 	    "too_old", "resolved", "cancelled", "not_home", "upstream",
-	    "no_endpoint", "key_unsettled", "stopping", "unreachable"};
+	    "no_endpoint", "key_unsettled", "stopping", "key_reused",
+	    "unreachable"};
 
 	return (size_t)r < G_N_ELEMENTS(names) ? names[r] : "?";
 }
@@ -68,6 +69,7 @@
 	case REFUSAL_SERVICE_LIMIT:
 	case REFUSAL_CANCELLED:
 	case REFUSAL_KEY_UNSETTLED:
+	case REFUSAL_KEY_REUSED:
 		return true;
 	default:
 		return false;
@@ -81,6 +83,20 @@
 	    r == REFUSAL_NOT_HOME;
 }
 
+bool
+refusal_settles_key(enum refusal r)
+{
+	switch (r) {
+	case REFUSAL_QUEUE_FULL:
+	case REFUSAL_WAIT:
+	case REFUSAL_UPSTREAM:
+	case REFUSAL_KEY_REUSED:
+		return true;
+	default:
+		return false;
+	}
+}
+
 uint64_t
 endpoint_id(const char *host, const char *service)
 {
--- a/packages/traffic/test/test_fate.c
+++ b/packages/traffic/test/test_fate.c
@@ -314,6 +314,19 @@
 }
 END_TEST
 
+/* Frames that keep echoing the hello of long ago do not age the others. */
+START_TEST(test_frame_age_old_echo)
+{
+	struct frame_age f;
+	uint64_t now;
+
+	frame_age_init(&f);
+	for (now = 1000; now < 500000; now += 1000)
+		frame_age_echo(&f, 1000, now, now);
+	ck_assert_uint_eq(frame_age_sent_ms(&f, now, now), now);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -334,6 +347,7 @@
 	tcase_add_loop_test(
 	    tc, test_frame_age, 0, (int)G_N_ELEMENTS(age_cases));
 	tcase_add_test(tc, test_frame_age_drift);
+	tcase_add_test(tc, test_frame_age_old_echo);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- /dev/null
+++ b/test/calls/guard.c
@@ -0,0 +1,405 @@
+/*
+ * The guard's shell: requests, admission and resolves.
+ */
+#include "guard.h"
+
+#include <string.h>
+
+struct guard_request *
+guard_find(const struct guard *g, const struct request_id *id)
+{
+	return g_hash_table_lookup(g->requests, id);
+}
+
+void
+guard_accept(struct guard *g, struct link *l)
+{
+	struct message m = {.kind = MESSAGE_HELLO};
+
+	m.incarnation = g->incarnation;
+	m.sent_ms = guard_now_ms(g);
+	link_to_entry(l, &m);
+}
+
+void
+guard_link_lost(struct guard *g, struct link *l)
+{
+	if (g->up)
+		fate_connection_lost(g->fates, l->number);
+}
+
+void
+guard_send(struct guard *g, const struct fate_waiter *to, struct message *m)
+{
+	struct link *l = g_ptr_array_index(g->world->links, to->conn - 1);
+
+	if (l->guard_process != g->process)
+		return;
+	m->call = (uint32_t)(to->stream >> 32);
+	m->stream = (uint32_t)to->stream;
+	m->sent_ms = guard_now_ms(g);
+	admission_load(g->admission, &m->load);
+	link_to_entry(l, m);
+}
+
+/* Send to all who wait for the request. */
+static void
+send_to_waiters(struct guard *g, const struct request_id *id, struct message *m)
+{
+	const struct fate_waiter *waiters;
+	size_t n, i;
+
+	waiters = fate_waiters(g->fates, id, &n);
+	for (i = 0; i < n; i++)
+		guard_send(g, &waiters[i], m);
+}
+
+void
+guard_forget(struct guard *g, struct guard_request *r)
+{
+	g_hash_table_remove(g->tickets, GSIZE_TO_POINTER(r->ticket));
+	g_hash_table_remove(g->requests, &r->id);
+	drain_request_ended(&g->drain, guard_now_ms(g));
+}
+
+void
+guard_refuse(struct guard *g, struct guard_request *r, enum refusal refusal,
+    uint64_t retry_after_ms)
+{
+	struct message m = {.kind = MESSAGE_REFUSED, .refusal = refusal};
+	const struct client_call *c = world_call(g->world, r->call);
+	struct key_id key;
+
+	m.retry_after_ms = retry_after_ms;
+	fate_refused(g->fates, &r->id, guard_now_ms(g));
+	if (c->keyed) {
+		guard_key_id(c, &key);
+		keyed_release(g->keyed, &key, &r->id, guard_now_ms(g));
+	}
+	send_to_waiters(g, &r->id, &m);
+	guard_forget(g, r);
+}
+
+static void
+run(struct guard *g, struct guard_request *r)
+{
+	if (!fate_start(g->fates, &r->id, guard_now_ms(g))) {
+		admission_finished(g->admission, r->class, 0, guard_now_ms(g));
+		return;
+	}
+	r->started_ms = guard_now_ms(g);
+	if (upstream_take(&g->upstream, &r->id, r->call))
+		return;
+	admission_shed(g->admission, r->class, guard_now_ms(g));
+	guard_refuse(g, r, REFUSAL_UPSTREAM, 0);
+}
+
+static void
+settle(struct guard *g, const struct admission_result *res)
+{
+	struct guard_request *r;
+
+	r = g_hash_table_lookup(g->tickets, GSIZE_TO_POINTER(res->ticket));
+	if (r == NULL)
+		return;
+	if (res->verdict == ADMISSION_START)
+		run(g, r);
+	else if (res->verdict == ADMISSION_REFUSE)
+		guard_refuse(g, r, res->refusal, res->retry_after_ms);
+}
+
+static void
+wake(void *who, void *what)
+{
+	struct guard *g = who;
+
+	(void)what;
+	if (g->frozen_until_us > g->world->now_us)
+		queue_at(g->world->queue, g->frozen_until_us, wake, g, NULL);
+	else if (g->up)
+		guard_pump(g);
+}
+
+void
+guard_pump(struct guard *g)
+{
+	struct admission_result res;
+	uint64_t at_ms;
+
+	while (admission_next(g->admission, guard_now_ms(g), &res))
+		settle(g, &res);
+	at_ms = admission_wake_ms(g->admission);
+	if (at_ms != UINT64_MAX)
+		world_later(g->world,
+		    (at_ms - MIN(at_ms, guard_now_ms(g))) * US_PER_MS +
+			US_PER_MS,
+		    wake, g, NULL);
+}
+
+void
+guard_admit(struct guard *g, struct guard_request *r)
+{
+	struct admission_request req = {r->ticket, r->class, r->deadline_ms};
+	struct admission_result res;
+
+	admission_offer(g->admission, &req, guard_now_ms(g), &res);
+	settle(g, &res);
+	guard_pump(g);
+}
+
+static struct guard_request *
+add(struct guard *g, const struct message *m, uint64_t deadline_ms)
+{
+	struct guard_request *r;
+
+	r = g_new0(struct guard_request, 1);
+	r->id = m->id;
+	r->call = m->call;
+	r->deadline_ms = deadline_ms;
+	r->ticket = ++g->tickets_given;
+	r->class = world_call(g->world, r->call)->booking ? ADMISSION_BOOKING
+							  : ADMISSION_LOOKUP;
+	g_hash_table_insert(g->requests, &r->id, r);
+	g_hash_table_insert(g->tickets, GSIZE_TO_POINTER(r->ticket), r);
+	drain_request_began(&g->drain);
+	return r;
+}
+
+static uint64_t
+sent_ms(const struct guard *g, const struct link *l, const struct message *m)
+{
+	if (g->world->cfg.plant == PLANT_TRUST_TIME_LEFT)
+		return guard_now_ms(g);
+	return frame_age_sent_ms(&l->age, m->sent_ms, guard_now_ms(g));
+}
+
+/* The naive guard: straight to the upstream, nothing remembered. */
+static void
+pass_on(struct guard *g, struct link *l, const struct message *m)
+{
+	struct message refusal = {
+	    .kind = MESSAGE_REFUSED, .refusal = REFUSAL_UPSTREAM};
+	struct fate_waiter waiter = {
+	    l->number, ((uint64_t)m->call << 32) | m->stream};
+	struct guard_request *r;
+
+	if (guard_find(g, &m->id) != NULL)
+		return;
+	(void)fate_offer(
+	    g->fates, &m->id, guard_now_ms(g), &waiter, guard_now_ms(g));
+	r = add(g, m, UINT64_MAX);
+	(void)fate_start(g->fates, &r->id, guard_now_ms(g));
+	if (upstream_take(&g->upstream, &r->id, r->call))
+		return;
+	send_to_waiters(g, &r->id, &refusal);
+	guard_forget(g, r);
+}
+
+static void
+request(struct guard *g, struct link *l, const struct message *m)
+{
+	struct message refusal = {.kind = MESSAGE_REFUSED};
+	struct fate_waiter waiter = {
+	    l->number, ((uint64_t)m->call << 32) | m->stream};
+	struct guard_request *r;
+	uint64_t sent;
+
+	sent = sent_ms(g, l, m);
+	switch (fate_offer(g->fates, &m->id, sent, &waiter, guard_now_ms(g))) {
+	case FATE_OFFER_NEW:
+		break;
+	case FATE_OFFER_SEEN:
+		return;
+	case FATE_OFFER_NEVER:
+		refusal.refusal = REFUSAL_RESOLVED;
+		break;
+	case FATE_OFFER_TOO_OLD:
+		refusal.refusal = REFUSAL_TOO_OLD;
+		break;
+	}
+	if (refusal.refusal != REFUSAL_NONE) {
+		guard_send(g, &waiter, &refusal);
+		return;
+	}
+	r = add(g, m, sent + m->left_ms);
+	if (!drain_takes_request(&g->drain))
+		guard_refuse(g, r, REFUSAL_DRAINING, 0);
+	else if (world_call(g->world, r->call)->keyed)
+		guard_key_offer(g, r);
+	else
+		guard_admit(g, r);
+}
+
+uint32_t
+guard_answer_of(GBytes *answer)
+{
+	uint32_t of;
+
+	memcpy(&of, g_bytes_get_data(answer, NULL), sizeof(of));
+	g_bytes_unref(answer);
+	return of;
+}
+
+/* The resolve's answer, and after it the kept one if there is one. */
+static void
+send_resolution(
+    struct guard *g, const struct fate_waiter *to, struct fate_answer *a)
+{
+	struct message m = {.kind = MESSAGE_RESOLVED};
+
+	m.resolution = a->resolution;
+	guard_send(g, to, &m);
+	if (a->answer == NULL)
+		return;
+	m.kind = MESSAGE_ANSWER;
+	m.of = guard_answer_of(a->answer);
+	guard_send(g, to, &m);
+}
+
+/* The cancelled request leaves the queue and its waiters learn. */
+static void
+withdraw(struct guard *g, const struct request_id *id)
+{
+	struct guard_request *r;
+
+	r = guard_find(g, id);
+	if (r == NULL)
+		return;
+	(void)admission_cancel(g->admission, r->ticket);
+	guard_refuse(g, r, REFUSAL_CANCELLED, 0);
+}
+
+static void
+resolve(struct guard *g, struct link *l, const struct message *m)
+{
+	struct fate_query q = {.id = m->id,
+	    .incarnation = m->incarnation,
+	    .cancel = m->cancel,
+	    .waiter = {l->number, ((uint64_t)m->call << 32) | m->stream}};
+	struct fate_answer a;
+	uint64_t sent;
+
+	sent = sent_ms(g, l, m);
+	q.sent_ms = sent - MIN(m->age_ms, sent);
+	if (g->world->cfg.plant == PLANT_FORGET_RESTART)
+		q.incarnation = g->incarnation;
+	fate_resolve(g->fates, &q, guard_now_ms(g), &a);
+	if (g->world->cfg.plant == PLANT_NO_TOMBSTONE &&
+	    a.resolution == RESOLUTION_NOT_RUN && !a.cancelled) {
+		fate_table_free(g->fates);
+		g->fates = guard_new_fates(g);
+	}
+	if (a.cancelled)
+		withdraw(g, &m->id);
+	if (m->kind == MESSAGE_RESOLVE)
+		send_resolution(g, &q.waiter, &a);
+	else if (a.answer != NULL)
+		g_bytes_unref(a.answer);
+}
+
+void
+guard_receive(struct guard *g, struct link *l, const struct message *m)
+{
+	frame_age_echo(&l->age, m->echo_ms, m->sent_ms, guard_now_ms(g));
+	switch (m->kind) {
+	case MESSAGE_REQUEST:
+		if (g->world->cfg.naive)
+			pass_on(g, l, m);
+		else
+			request(g, l, m);
+		break;
+	case MESSAGE_RESOLVE:
+	case MESSAGE_CANCEL:
+		if (!g->world->cfg.naive)
+			resolve(g, l, m);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+guard_note_start(struct guard *g)
+{
+	if (g->noticed_us != 0)
+		g->world->started_after_notice++;
+}
+
+static void
+answer(struct guard *g, struct guard_request *r, const struct job *j)
+{
+	struct message m = {.kind = MESSAGE_HEAD, .of = j->call};
+	const struct client_call *c = world_call(g->world, j->call);
+	GBytes *kept = NULL;
+
+	if (g->world->cfg.plant == PLANT_CROSSED_ANSWERS && j->call > 0)
+		m.of = j->call - 1;
+	if (!c->large)
+		kept = g_bytes_new(&m.of, sizeof(m.of));
+	fate_done(g->fates, &r->id, kept, guard_now_ms(g));
+	if (kept != NULL)
+		g_bytes_unref(kept);
+	if (c->large)
+		send_to_waiters(g, &r->id, &m);
+	m.kind = MESSAGE_ANSWER;
+	send_to_waiters(g, &r->id, &m);
+}
+
+static void
+job_done(struct guard *g, const struct job *j, bool ok)
+{
+	const struct client_call *c = world_call(g->world, j->call);
+	struct message failed = {.kind = MESSAGE_FAILED};
+	struct guard_request *r;
+	struct key_id key;
+
+	r = guard_find(g, &j->id);
+	if (!g->up || j->guard_process != g->process || r == NULL)
+		return;
+	admission_finished(g->admission, r->class,
+	    guard_now_ms(g) - r->started_ms, guard_now_ms(g));
+	if (c->keyed) {
+		guard_key_id(c, &key);
+		keyed_ended(g->keyed, &key, &r->id, guard_now_ms(g));
+	}
+	if (ok) {
+		answer(g, r, j);
+	} else {
+		fate_failed(g->fates, &r->id, guard_now_ms(g));
+		send_to_waiters(g, &r->id, &failed);
+	}
+	guard_forget(g, r);
+	if (!g->world->cfg.naive)
+		guard_pump(g);
+}
+
+/* An answer that waits for the guard's process to thaw. */
+struct late_job {
+	struct job job;
+	bool ok;
+};
+
+static void
+job_late(void *who, void *what)
+{
+	struct late_job *late = what;
+
+	guard_job_done(who, &late->job, late->ok);
+	g_free(late);
+}
+
+void
+guard_job_done(struct guard *g, const struct job *j, bool ok)
+{
+	struct late_job *late;
+
+	if (g->frozen_until_us <= g->world->now_us) {
+		if (g->up)
+			job_done(g, j, ok);
+		return;
+	}
+	late = g_new(struct late_job, 1);
+	late->job = *j;
+	late->ok = ok;
+	queue_at(g->world->queue, g->frozen_until_us, job_late, g, late);
+}
--- /dev/null
+++ b/test/calls/test_calls.c
@@ -0,0 +1,164 @@
+/*
+ * Entries, guards and upstreams under random failures: the checker must find
+ * nothing, except where a defect is planted or the naive version runs.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <check.h>
+
+#include "checker.h"
+
+#define ALL_FAULTS ((1U << FAULTS) - 1)
+#define ONLY(f) (1U << (f))
+#define SEEDS 40
+
+struct sum {
+	uint64_t calls;
+	uint64_t done;
+	uint64_t not_run;
+	uint64_t unknown;
+	uint64_t nothing;
+	uint64_t cut;
+	uint64_t after_notice;
+};
+
+static void
+add_up(const struct world *w, struct sum *s)
+{
+	const struct client_call *c;
+	guint i;
+
+	for (i = 0; i < w->calls->len; i++) {
+		c = g_ptr_array_index(w->calls, i);
+		s->calls++;
+		if (!c->told)
+			s->nothing++;
+		else if (c->outcome == OUTCOME_DONE)
+			s->done++;
+		else if (c->outcome == OUTCOME_NOT_RUN)
+			s->not_run++;
+		else
+			s->unknown++;
+	}
+	s->cut += w->cut_by_drain;
+	s->after_notice += w->started_after_notice;
+}
+
+static uint32_t
+run(const struct world_config *cfg, struct sum *s, char *text, size_t size)
+{
+	struct violations v;
+	struct world *w;
+
+	w = world_new(cfg);
+	world_run(w);
+	checker_check(w, &v);
+	checker_describe(&v, text, size);
+	add_up(w, s);
+	world_free(w);
+	return checker_sum(&v);
+}
+
+/* Everything goes wrong at random, in all mixtures. */
+static void
+stormy(struct world_config *cfg, uint64_t seed)
+{
+	world_config_default(cfg);
+	cfg->seed = seed;
+	cfg->faults_per_s = 3;
+	cfg->fault_mask = ALL_FAULTS;
+	cfg->keyed_percent = 40;
+	cfg->doubled_percent = 5;
+	cfg->hang_up_percent = 5;
+	cfg->large_percent = 10;
+}
+
+static void
+expect_none(struct world_config *cfg, struct sum *s)
+{
+	char text[256];
+	uint32_t found;
+
+	found = run(cfg, s, text, sizeof(text));
+	ck_assert_msg(
+	    found == 0, "seed %lu: %s", (unsigned long)cfg->seed, text);
+}
+
+START_TEST(test_storm)
+{
+	struct world_config cfg;
+	struct sum s = {0};
+	uint64_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		stormy(&cfg, seed + 1000 * (uint64_t)_i);
+		cfg.claim = _i % 2 == 1;
+		expect_none(&cfg, &s);
+	}
+	/* It must not be safe by doing nothing. */
+	ck_assert_uint_gt(s.done, s.calls / 2);
+}
+END_TEST
+
+/* Each fault alone, so that a rare one is not hidden by the others. */
+START_TEST(test_single_fault)
+{
+	struct world_config cfg;
+	struct sum s = {0};
+	uint64_t seed;
+
+	for (seed = 1; seed <= 3; seed++) {
+		stormy(&cfg, seed);
+		cfg.fault_mask = ONLY(_i);
+		cfg.faults_per_s = 0.7;
+		expect_none(&cfg, &s);
+	}
+	ck_assert_uint_gt(s.done, s.calls * 2 / 3);
+	if (_i != FAULT_GUARD_DRAINED && _i != FAULT_ENTRY_DRAINED)
+		return;
+	ck_assert_uint_eq(s.cut, 0);
+	ck_assert_uint_eq(s.after_notice, 0);
+}
+END_TEST
+
+/* The checker must see each planted defect, and the naive version's. */
+START_TEST(test_planted)
+{
+	struct world_config cfg;
+	struct sum s = {0};
+	uint64_t seed;
+	char text[256];
+
+	for (seed = 1; seed <= 4 * SEEDS; seed++) {
+		stormy(&cfg, seed);
+		cfg.plant = (enum plant)_i;
+		cfg.naive = _i == PLANTS;
+		if (run(&cfg, &s, text, sizeof(text)) > 0)
+			return;
+	}
+	ck_abort_msg("planted defect %d was not found", _i);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite;
+	SRunner *runner;
+	TCase *tc;
+	int failed;
+
+	suite = suite_create("calls");
+	tc = tcase_create("calls");
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, test_storm, 0, 4);
+	tcase_add_loop_test(tc, test_single_fault, 0, FAULTS);
+	tcase_add_loop_test(tc, test_planted, PLANT_NOTHING + 1, PLANTS + 1);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/test/calls/upstream.c
@@ -0,0 +1,121 @@
+/*
+ * The fake upstream.
+ */
+#include "upstream.h"
+
+#include <math.h>
+
+#include "guard.h"
+
+#define COLD_US (3000 * US_PER_MS)
+#define COLD_FACTOR 4
+
+void
+upstream_init(struct upstream *u, struct world *w, struct guard *g)
+{
+	u->world = w;
+	u->guard = g;
+	u->slow = 1;
+	u->running = g_ptr_array_new_with_free_func(g_free);
+	g_queue_init(&u->backlog);
+}
+
+void
+upstream_clear(struct upstream *u)
+{
+	g_ptr_array_free(u->running, TRUE);
+	g_queue_clear_full(&u->backlog, g_free);
+}
+
+static uint64_t
+service_us(struct upstream *u)
+{
+	struct world *w = u->world;
+	double factor, left;
+
+	factor = 0.4 - 0.6 * log(1.0 - g_rand_double(w->random));
+	factor *= u->slow;
+	if (u->cold_until_us > w->now_us) {
+		left = (double)(u->cold_until_us - w->now_us) / COLD_US;
+		factor *= 1 + COLD_FACTOR * left;
+	}
+	return (uint64_t)(factor * w->cfg.service_us) + 1;
+}
+
+static void job_ends(void *who, void *what);
+
+static void
+start(struct upstream *u, struct job *j)
+{
+	struct client_call *c;
+
+	j->running = true;
+	g_ptr_array_add(u->running, j);
+	c = world_call(u->world, j->call);
+	if (c->runs == 0)
+		c->first_run_us = u->world->now_us;
+	c->runs++;
+	guard_note_start(u->guard);
+	world_later(u->world, service_us(u), job_ends, u, j);
+}
+
+static bool
+is_running(const struct upstream *u, const struct job *j)
+{
+	return g_ptr_array_find(u->running, j, NULL);
+}
+
+static void
+job_ends(void *who, void *what)
+{
+	struct upstream *u = who;
+	struct job *j = what, *next, copy;
+
+	if (!is_running(u, j))
+		return;
+	copy = *j;
+	g_ptr_array_remove_fast(u->running, j);
+	next = g_queue_pop_head(&u->backlog);
+	if (next != NULL)
+		start(u, next);
+	guard_job_done(u->guard, &copy, true);
+}
+
+bool
+upstream_take(struct upstream *u, const struct request_id *id, uint32_t call)
+{
+	const struct world_config *cfg = &u->world->cfg;
+	struct job *j;
+
+	if (u->running->len + u->backlog.length >= cfg->connections)
+		return false;
+	j = g_new0(struct job, 1);
+	j->upstream = u;
+	j->process = u->process;
+	j->guard_process = u->guard->process;
+	j->id = *id;
+	j->call = call;
+	if (u->running->len < cfg->slots)
+		start(u, j);
+	else
+		g_queue_push_tail(&u->backlog, j);
+	return true;
+}
+
+void
+upstream_kill(struct upstream *u)
+{
+	GPtrArray *dead;
+	struct job *j;
+	guint i;
+
+	dead = u->running;
+	u->running = g_ptr_array_new_with_free_func(g_free);
+	while ((j = g_queue_pop_head(&u->backlog)) != NULL)
+		g_ptr_array_add(dead, j);
+	u->process++;
+	u->cold_until_us = u->world->now_us + COLD_US;
+	for (i = 0; i < dead->len; i++)
+		guard_job_done(u->guard, g_ptr_array_index(dead, i), false);
+	g_ptr_array_free(dead, TRUE);
+}
--- /dev/null
+++ b/test/calls/world.h
@@ -0,0 +1,191 @@
+/*
+ * The driver's world: entries, guards and upstream fakes in one process,
+ * joined by links, under a virtual clock.  It feeds the traffic decisions as
+ * the daemon's shell does; what it does in their place is only to carry
+ * messages and to let things fail.
+ */
+#ifndef CALLS_WORLD_H
+#define CALLS_WORLD_H
+
+#include <glib.h>
+
+#include "queue.h"
+#include "traffic/admission.h"
+#include "traffic/call.h"
+#include "traffic/drain.h"
+#include "traffic/frame_age.h"
+#include "traffic/keyed.h"
+#include "traffic/placement.h"
+
+#define US_PER_MS 1000
+#define SERVICE 77
+#define GUARDS_MAX 16
+#define ENTRIES_MAX 16
+#define CALL_NONE UINT32_MAX
+
+/** enum plant - a defect put in on purpose, for the checker to find */
+enum plant {
+	PLANT_NOTHING = 0,
+	PLANT_RESEND_BOOKINGS,
+	PLANT_NO_TOMBSTONE,
+	PLANT_TRUST_TIME_LEFT,
+	PLANT_ANY_STREAM,
+	PLANT_LOST_IS_NOT_RUN,
+	PLANT_FORGET_RESTART,
+	PLANT_KEY_NOT_ASKED,
+	PLANT_CROSSED_ANSWERS,
+	PLANTS,
+};
+
+/** enum fault - what goes wrong at random */
+enum fault {
+	FAULT_GUARD_KILLED = 0,
+	FAULT_GUARD_FROZEN,
+	FAULT_GUARD_DRAINED,
+	FAULT_ENTRY_KILLED,
+	FAULT_ENTRY_FROZEN,
+	FAULT_ENTRY_DRAINED,
+	FAULT_UPSTREAM_KILLED,
+	FAULT_UPSTREAM_SLOW,
+	FAULT_LINK_BROKEN,
+	FAULT_LINK_SILENT,
+	FAULT_LINK_STALLED,
+	FAULT_PLATFORM_DOWN,
+	FAULTS,
+};
+
+/**
+ * struct world_config - one run
+ *
+ * Shares are in percent.  faults_per_s is the mean of all of fault_mask, a
+ * set of bits of enum fault.
+ */
+struct world_config {
+	uint64_t seed;
+	uint32_t entries;
+	uint32_t guards;
+	uint32_t data_centres;
+	uint32_t slots;
+	uint32_t announced_slots;
+	uint32_t connections;
+	uint32_t service_us;
+	uint32_t delay_us;
+	uint32_t duration_ms;
+	uint32_t rate_per_s;
+	uint32_t booking_percent;
+	uint32_t keyed_percent;
+	uint32_t doubled_percent;
+	uint32_t hang_up_percent;
+	uint32_t large_percent;
+	uint32_t deadline_ms;
+	uint32_t window_ms;
+	double faults_per_s;
+	uint32_t fault_mask;
+	bool claim;
+	bool naive;
+	enum plant plant;
+	struct endpoints_config endpoints;
+	struct placement_config placement;
+	struct ejection_config ejection;
+	struct retry_config retry;
+	struct admission_config admission;
+	bool eject;
+	bool place_at_random;
+};
+
+/**
+ * struct client_call - a caller's request, what ran and what it was told
+ * @told: it was told @outcome at @told_us (aborted: its connection was cut)
+ * @of: the request that the answer delivered belongs to
+ * @entry_lost: its entry was killed or cut it off when its drain was overdue
+ * @gone: the caller hung up
+ * @times_told: how often it was told something
+ * @repeats: number of earlier requests of the caller with its key
+ * @runs: how often upstreams started it
+ */
+struct client_call {
+	uint32_t number;
+	uint32_t entry;
+	bool booking;
+	bool keyed;
+	bool large;
+	uint32_t key;
+	uint64_t born_us;
+	uint64_t told_us;
+	bool told;
+	bool aborted;
+	bool entry_lost;
+	bool gone;
+	enum outcome outcome;
+	enum refusal refusal;
+	uint32_t of;
+	uint32_t runs;
+	uint64_t first_run_us;
+	uint32_t attempts;
+	uint32_t repeats;
+	uint32_t times_told;
+};
+
+/** struct endpoint_truth - what is announced of a guard's endpoint */
+struct endpoint_truth {
+	uint64_t version;
+	uint64_t incarnation;
+	enum endpoint_state state;
+};
+
+/** struct world - everything */
+struct world {
+	struct world_config cfg;
+	struct queue *queue;
+	GRand *random;
+	uint64_t now_us;
+	GPtrArray *calls;
+	GPtrArray *links;
+	struct entry *entries[ENTRIES_MAX];
+	struct guard *guards[GUARDS_MAX];
+	struct endpoint_truth truths[GUARDS_MAX];
+	GHashTable *claims;
+	bool platform_down;
+	uint64_t cut_by_drain;
+	uint64_t started_after_notice;
+	uint64_t sends;
+	uint64_t refusals;
+	uint32_t keys;
+};
+
+/** world_config_default() - a small fault-free world */
+void world_config_default(struct world_config *cfg);
+
+/** world_new() - build it; free with world_free() */
+struct world *world_new(const struct world_config *cfg);
+
+/** world_free() - free everything */
+void world_free(struct world *w);
+
+/** world_run() - callers call for the duration, then all ends */
+void world_run(struct world *w);
+
+/** world_chance() - true in @percent of cases */
+bool world_chance(struct world *w, uint32_t percent);
+
+/** world_between() - a random number from @low up to and with @high */
+uint64_t world_between(struct world *w, uint64_t low, uint64_t high);
+
+/** world_later() - fire something after @after_us */
+void world_later(struct world *w, uint64_t after_us,
+    void (*fire)(void *who, void *what), void *who, void *what);
+
+/** world_announce() - the state of a guard's endpoint spreads to all nodes */
+void world_announce(struct world *w, uint32_t guard, enum endpoint_state state);
+
+/** world_tell() - record what a caller was told, if it is still there */
+void world_tell(struct world *w, uint32_t number, enum outcome outcome,
+    enum refusal refusal, uint32_t of);
+
+/** world_fault() - let something of that kind go wrong now (faults.c) */
+void world_fault(struct world *w, enum fault fault);
+
+/** world_call() - the call of that number */
+struct client_call *world_call(struct world *w, uint32_t number);
+
+#endif
