--- a/packages/net/src/http_call.c
+++ b/packages/net/src/http_call.c
@@ -24,6 +24,19 @@
 static const char *const cut_headers[] = {
     "Accept", "Content-Type", "Expect", "User-Agent"};
 
+/* Names of headers and methods. */
+static bool
+is_token(const char *s)
+{
+	const char *p;
+
+	for (p = s; *p != '\0'; p++)
+		if (!g_ascii_isalnum(*p) &&
+		    strchr("!#$%&'*+-.^_`|~", *p) == NULL)
+			return false;
+	return p != s;
+}
+
 /* Callbacks */
 
 static size_t
@@ -89,7 +102,10 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Cut "Name: value" lines in place; returns -1 when there are too many. */
+/*
+ * Cut "Name: value" lines in place, leaving out what is no header; returns -1
+ * when there are too many.
+ */
 static int
 cut_lines(char *text, struct http_header *headers, int max)
 {
@@ -101,9 +117,11 @@
 		colon = strchr(line, ':');
 		if (colon == NULL)
 			continue;
+		*colon = '\0';
+		if (!is_token(line))
+			continue;
 		if (n == max)
 			return -1;
-		*colon = '\0';
 		headers[n].name = line;
 		headers[n].value = g_strstrip(colon + 1);
 		n++;
@@ -135,9 +153,9 @@
 	enum http_flow flow = HTTP_CONTINUE;
 	int n = cut_lines(call->head->str, headers, HTTP_HEADERS_MAX);
 
-	call->head_done = true;
 	if (n < 0)
 		return CURL_WRITEFUNC_ERROR;
+	call->head_done = true;
 	call->delimited = head_delimits(call, headers, n);
 	if (call->handler->on_head != NULL)
 		flow = call->handler->on_head(
@@ -203,18 +221,6 @@
 	return easy;
 }
 
-static bool
-is_token(const char *s)
-{
-	const char *p;
-
-	for (p = s; *p != '\0'; p++)
-		if (!g_ascii_isalnum(*p) &&
-		    strchr("!#$%&'*+-.^_`|~", *p) == NULL)
-			return false;
-	return p != s;
-}
-
 static bool
 is_url(const char *s)
 {
--- a/packages/net/test/test_http.c
+++ b/packages/net/test/test_http.c
@@ -18,6 +18,9 @@
 #define BIG_BYTES (4U << 20)
 #define PULL_BYTES 300000U
 #define BODY "answer"
+#define ODD_HEAD                                   \
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" \
+	"a b: c\r\n: d\r\n folded: e\r\nA:  b c \r\n\r\n"
 
 /* What the owner of a call has been told, and how it behaves. */
 struct caller {
@@ -67,6 +70,18 @@
 	g_free(body);
 }
 
+static void
+answer_headers(GString *out, int n, size_t value_bytes)
+{
+	char *value = g_strnfill(value_bytes, 'v');
+
+	g_string_append(out, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n");
+	while (n-- > 0)
+		g_string_append_printf(out, "X: %s\r\n", value);
+	g_string_append(out, "\r\n");
+	g_free(value);
+}
+
 static const struct {
 	const char *path;
 	const char *bytes;
@@ -99,6 +114,8 @@
     {"/half", "HTTP/1.1 200 OK\r\nContent-", true, STATUS_UNAVAILABLE, 0, ""},
     {"/until-close", "HTTP/1.1 200 OK\r\n\r\n" BODY, true, STATUS_OK, 200,
 	BODY},
+    {"/no-colon", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", false, STATUS_INVALID,
+	0, ""},
     {"/junk", "\x01\x02\x03 not HTTP at all\r\n\r\n", true, STATUS_INVALID, 0,
 	""},
 };
@@ -120,6 +137,12 @@
 		answer(out, r->body);
 	else if (strcmp(r->path, "/big") == 0)
 		answer_big(out);
+	else if (strcmp(r->path, "/many") == 0)
+		answer_headers(out, 200, 1);
+	else if (strcmp(r->path, "/long") == 0)
+		answer_headers(out, 10, 9000);
+	else if (strcmp(r->path, "/odd") == 0)
+		g_string_append(out, ODD_HEAD);
 	else if (strcmp(r->path, "/run") == 0 && ++runs == 1)
 		return true;
 	else if (strcmp(r->path, "/run") == 0)
@@ -326,6 +349,21 @@
 }
 END_TEST
 
+/* Too many headers, too long a head, and lines that are no headers. */
+START_TEST(head_of_an_answer_is_bounded_and_clean)
+{
+	get("/many");
+	ck_assert_int_eq(caller.status, STATUS_INVALID);
+	caller.done = caller.code = 0;
+	get("/long");
+	ck_assert_int_eq(caller.status, STATUS_INVALID);
+	caller.done = caller.code = 0;
+	get("/odd");
+	ck_assert_int_eq(caller.status, STATUS_OK);
+	ck_assert_str_eq(caller.head->str, "Content-Length=0;A=b c;");
+}
+END_TEST
+
 START_TEST(method_and_length_fit_each_other)
 {
 	static const char *const methods[] = {
@@ -630,6 +668,7 @@
 	tcase_add_loop_test(
 	    tc, answer_is_told_as_it_came, 0, G_N_ELEMENTS(scripted));
 	tcase_add_test(tc, request_goes_out_as_given);
+	tcase_add_test(tc, head_of_an_answer_is_bounded_and_clean);
 	tcase_add_loop_test(tc, method_and_length_fit_each_other, 0, 5);
 	tcase_add_test(tc, path_is_not_rewritten);
 	tcase_add_test(tc, hazard_reused_connection_doubles_a_post);
