fix(ctl): a bundle's problems and their remedies read as sentences

Problem: "services[0].name: this is no name of a service use 1 to 63..." ran the problem and its remedy together. Cause: the node's problems are phrases without a full stop; the fake node's were sentences, so the test did not show it. Seen in a trial with three nodes and the stand-in platform.

--- a/packages/ctl/src/report.c
+++ b/packages/ctl/src/report.c
@@ -118,7 +118,7 @@
 	size_t i;
 
 	json_array_foreach((json_t *)problems, i, p)(void)
-	    fprintf(ctl->err, "  %s: %s %s\n", text_of(p, "path"),
+	    fprintf(ctl->err, "  %s: %s; %s\n", text_of(p, "path"),
 		text_of(p, "message"), text_of(p, "remedy"));
 }
 
