fix(traffic): a new entry takes no endpoint for cold

Cause: endpoints that an entry learnt of one after the other, just after its own start, were taken for cold ones, all but the first.

Solution: an endpoint is cold only if the entry has known its service for longer than the slow start.

Adds bench_calls: naive and ours at 30 to 300 % of capacity, with faults, and with single policies changed.

--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -89,7 +89,7 @@
 	return ep;
 }
 
-/* warm: the entry itself is new, so nothing is known to be cold. */
+/* warm: this entry is new to the service, so it can't tell who is cold. */
 static void
 update(struct endpoint *ep, const struct endpoint_info *info, bool warm,
     uint64_t now_ms)
@@ -145,22 +145,23 @@
 {
 	struct endpoint *ep;
 	struct service *s;
-	bool first;
+	bool warm;
 	size_t i;
 
 	s = endpoints_service(e, service);
-	first = s == NULL;
-	if (first) {
+	if (s == NULL) {
 		s = g_new0(struct service, 1);
 		s->id = service;
+		s->since_ms = now_ms;
 		s->listed = g_ptr_array_new();
 		g_hash_table_insert(e->services, &s->id, s);
 	}
 	s->generation = generation;
+	warm = now_ms - s->since_ms < e->cfg.slow_start_ms;
 	unlist_missing(e, s, infos, n);
 	for (i = 0; i < n; i++) {
 		ep = find_or_add(e, &infos[i]);
-		update(ep, &infos[i], first, now_ms);
+		update(ep, &infos[i], warm, now_ms);
 		if (ep->service == s)
 			continue;
 		ep->service = s;
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -39,12 +39,14 @@
  * struct service - one service and its endpoints
  * @id: see service_id()
  * @generation: snapshot it was told from
+ * @since_ms: when it was first told
  * @listed: struct endpoint of all endpoints in the snapshot
  * @ejected: how many of them are ejected
  */
 struct service {
 	uint64_t id;
 	uint64_t generation;
+	uint64_t since_ms;
 	GPtrArray *listed;
 	size_t ejected;
 };
--- a/packages/traffic/test/test_placement.c
+++ b/packages/traffic/test/test_placement.c
@@ -183,7 +183,10 @@
 }
 END_TEST
 
-/* A cold endpoint's slots grow; a replaced one is cold again. */
+/*
+ * A cold endpoint's slots grow; a replaced one is cold again.  A new entry,
+ * which learns of the endpoints one after the other, takes none for cold.
+ */
 START_TEST(test_slow_start)
 {
 	struct world w;
@@ -193,11 +196,14 @@
 	world_init(&w);
 	w.infos[1].incarnation = 5;
 	tell(&w, ENDPOINTS, 1000);
-	c = choose(&w, others, 3, 1000);
+	ck_assert_uint_eq(choose(&w, others, 3, 1000).slots, 10);
+	w.infos[1].incarnation = 6;
+	tell(&w, ENDPOINTS, 11000);
+	c = choose(&w, others, 3, 11000);
 	ck_assert_uint_eq(c.endpoint, 2);
 	ck_assert_uint_eq(c.slots, 1);
-	ck_assert_uint_eq(choose(&w, others, 3, 3500).slots, 5);
-	ck_assert_uint_eq(choose(&w, others, 3, 6000).slots, 10);
+	ck_assert_uint_eq(choose(&w, others, 3, 13500).slots, 5);
+	ck_assert_uint_eq(choose(&w, others, 3, 16000).slots, 10);
 	world_clear(&w);
 }
 END_TEST
--- /dev/null
+++ b/test/calls/bench_calls.c
@@ -0,0 +1,594 @@
+/*
+ * Bench of the call decisions on the driver's virtual clock: the naive version
+ * against ours on the same arrivals, for both deployments of the brief, and
+ * each policy on and off.  Figures come from a model of queues and slots, not
+ * from processes.
+ *
+ *	bench_calls loads	naive and ours at 30 to 300 % of capacity
+ *	bench_calls faults	naive and ours while endpoints fail
+ *	bench_calls policies	ours with one policy changed
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "checker.h"
+#include "entry.h"
+#include "guard.h"
+
+#define PERCENT 100
+#define RUNS 3
+#define FAULT_AT_US (2000 * (uint64_t)US_PER_MS)
+
+/** struct deployment - sizes of the brief; service times are assumed */
+struct deployment {
+	const char *name;
+	uint32_t entries;
+	uint32_t endpoints;
+	uint32_t data_centres;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t delay_us;
+	uint32_t client_us;
+	uint32_t service_us;
+};
+
+static const struct deployment deployments[] = {
+    {"registry, public search", 10, 4, 3, 12, 120, 1000, 3000, 20000},
+    {"crew transfer, seat booking", 12, 4, 4, 18, 130, 500, 8000, 20000},
+};
+
+struct result {
+	double goodput_percent;
+	double lookups_percent;
+	double bookings_percent;
+	double p50_ms;
+	double p99_ms;
+	double p999_ms;
+	double refused_ms;
+	double sends_percent;
+	double told_not_run_percent;
+	double told_unknown_percent;
+	uint32_t violations;
+	uint32_t doubled;
+};
+
+typedef void (*tweak_fn)(struct world_config *cfg);
+typedef void (*fault_fn)(struct world *w);
+
+static double
+capacity_per_s(const struct deployment *d)
+{
+	return (double)d->endpoints * d->slots * 1e6 / d->service_us;
+}
+
+static void
+configure(const struct deployment *d, uint32_t load, uint64_t seed,
+    struct world_config *cfg)
+{
+	world_config_default(cfg);
+	cfg->seed = seed;
+	cfg->entries = d->entries;
+	cfg->guards = d->endpoints;
+	cfg->data_centres = d->data_centres;
+	cfg->slots = d->slots;
+	cfg->announced_slots = d->slots;
+	cfg->connections = d->connections;
+	cfg->service_us = d->service_us;
+	cfg->delay_us = d->delay_us;
+	cfg->duration_ms = 8000;
+	cfg->deadline_ms = 2000;
+	cfg->window_ms = 30000;
+	cfg->booking_percent = 20;
+	cfg->rate_per_s = (uint32_t)(capacity_per_s(d) * load / PERCENT);
+	cfg->admission.slots = d->slots;
+	cfg->admission.queue_max = 2 * d->slots;
+}
+
+static int
+compare_us(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double
+quantile_ms(GArray *us, double q)
+{
+	guint i;
+
+	if (us->len == 0)
+		return 0;
+	qsort(us->data, us->len, sizeof(uint64_t), compare_us);
+	i = (guint)(q * (us->len - 1));
+	return (double)g_array_index(us, uint64_t, i) / US_PER_MS;
+}
+
+/* Counted over the time after the fault (or warm-up), until callers stop. */
+struct tally {
+	GArray *done_us;
+	GArray *refused_us;
+	uint64_t calls[2];
+	uint64_t done[2];
+	uint64_t not_run;
+	uint64_t unknown;
+};
+
+static void
+count(const struct world *w, const struct deployment *d, struct tally *t)
+{
+	const struct client_call *c;
+	uint64_t took;
+	guint i;
+
+	for (i = 0; i < w->calls->len; i++) {
+		c = g_ptr_array_index(w->calls, i);
+		if (c->born_us < FAULT_AT_US)
+			continue;
+		t->calls[c->booking]++;
+		if (!c->told)
+			continue;
+		took = c->told_us - c->born_us + 2 * (uint64_t)d->client_us;
+		t->not_run += c->outcome == OUTCOME_NOT_RUN;
+		t->unknown += c->outcome == OUTCOME_UNKNOWN;
+		if (c->outcome != OUTCOME_DONE) {
+			g_array_append_val(t->refused_us, took);
+			continue;
+		}
+		t->done[c->booking]++;
+		g_array_append_val(t->done_us, took);
+	}
+}
+
+static double
+share(uint64_t part, uint64_t whole)
+{
+	return whole > 0 ? PERCENT * (double)part / (double)whole : 0;
+}
+
+static void
+add_run(const struct deployment *d, const struct world_config *cfg,
+    fault_fn fault, struct result *r)
+{
+	struct violations v;
+	struct tally t = {0};
+	struct world *w;
+	double seconds;
+
+	w = world_new(cfg);
+	if (fault != NULL)
+		fault(w);
+	world_run(w);
+	checker_check(w, &v);
+	t.done_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	t.refused_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	count(w, d, &t);
+	seconds = (double)cfg->duration_ms / 1000 - (double)FAULT_AT_US / 1e6;
+	r->goodput_percent += PERCENT * (double)(t.done[0] + t.done[1]) /
+	    seconds / capacity_per_s(d) / RUNS;
+	r->lookups_percent += share(t.done[0], t.calls[0]) / RUNS;
+	r->bookings_percent += share(t.done[1], t.calls[1]) / RUNS;
+	r->p50_ms += quantile_ms(t.done_us, 0.5) / RUNS;
+	r->p99_ms += quantile_ms(t.done_us, 0.99) / RUNS;
+	r->p999_ms += quantile_ms(t.done_us, 0.999) / RUNS;
+	r->refused_ms += quantile_ms(t.refused_us, 0.99) / RUNS;
+	r->sends_percent += (share(w->sends, w->calls->len) - PERCENT) / RUNS;
+	r->told_not_run_percent +=
+	    share(t.not_run, t.calls[0] + t.calls[1]) / RUNS;
+	r->told_unknown_percent +=
+	    share(t.unknown, t.calls[0] + t.calls[1]) / RUNS;
+	r->violations += checker_sum(&v);
+	r->doubled += v.booking_ran_twice;
+	g_array_free(t.done_us, TRUE);
+	g_array_free(t.refused_us, TRUE);
+	world_free(w);
+}
+
+static struct result
+measure(
+    const struct deployment *d, uint32_t load, tweak_fn tweak, fault_fn fault)
+{
+	struct world_config cfg;
+	struct result r = {0};
+	uint64_t seed;
+
+	for (seed = 1; seed <= RUNS; seed++) {
+		configure(d, load, seed, &cfg);
+		if (tweak != NULL)
+			tweak(&cfg);
+		add_run(d, &cfg, fault, &r);
+	}
+	return r;
+}
+
+static void
+print_head(void)
+{
+	(void)printf(
+	    "| load %% | version | goodput %% | lookups done %% | bookings done"
+	    " %% | p50 ms | p99 ms | p99.9 ms | refused p99 ms | retries %% |"
+	    " not_run %% | unknown %% | violations | bookings doubled |\n"
+	    "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+}
+
+static void
+print_row(uint32_t load, const char *name, const struct result *r)
+{
+	(void)printf("| %u | %s | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f |"
+		     " %.1f | %.1f | %.1f | %.2f | %u | %u |\n",
+	    load, name, r->goodput_percent, r->lookups_percent,
+	    r->bookings_percent, r->p50_ms, r->p99_ms, r->p999_ms,
+	    r->refused_ms, r->sends_percent, r->told_not_run_percent,
+	    r->told_unknown_percent, r->violations, r->doubled);
+	(void)fflush(stdout);
+}
+
+static void
+naive(struct world_config *cfg)
+{
+	cfg->naive = true;
+	cfg->eject = false;
+}
+
+static void
+print_both(const struct deployment *d, uint32_t load, fault_fn fault)
+{
+	struct result r;
+
+	r = measure(d, load, naive, fault);
+	print_row(load, "naive", &r);
+	r = measure(d, load, NULL, fault);
+	print_row(load, "ours", &r);
+}
+
+static void
+bench_loads(void)
+{
+	static const uint32_t loads[] = {30, 80, 100, 150, 300};
+	size_t i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(deployments); i++) {
+		(void)printf("\n%s\n\n", deployments[i].name);
+		print_head();
+		for (k = 0; k < G_N_ELEMENTS(loads); k++)
+			print_both(&deployments[i], loads[k], NULL);
+	}
+}
+
+static void
+turn_slow(void *who, void *what)
+{
+	struct guard *g = who;
+
+	(void)what;
+	g->upstream.slow = 10;
+}
+
+static void
+one_slow(struct world *w)
+{
+	queue_at(w->queue, FAULT_AT_US, turn_slow, w->guards[0], NULL);
+}
+
+static void
+kill_for_good(void *who, void *what)
+{
+	struct guard *g = who;
+
+	(void)what;
+	guard_kill(g);
+	upstream_kill(&g->upstream);
+}
+
+static void
+announce_left(void *who, void *what)
+{
+	struct guard *g = who;
+
+	(void)what;
+	world_announce(g->world, g->index, ENDPOINT_LEFT);
+}
+
+static void
+half_lost(struct world *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->cfg.guards / 2; i++) {
+		queue_at(
+		    w->queue, FAULT_AT_US, kill_for_good, w->guards[i], NULL);
+		queue_at(w->queue, FAULT_AT_US + 2 * FAULT_AT_US / 2,
+		    announce_left, w->guards[i], NULL);
+	}
+}
+
+static void
+freeze(void *who, void *what)
+{
+	struct guard *g = who;
+
+	g->frozen_until_us = g->world->now_us + 3 * FAULT_AT_US / 2;
+	(void)what;
+}
+
+static void
+suspect(void *who, void *what)
+{
+	struct world *w = who;
+	struct link *l;
+	guint i;
+
+	(void)what;
+	for (i = 0; i < w->links->len; i++) {
+		l = g_ptr_array_index(w->links, i);
+		if (l->guard == 0 && !l->closed)
+			link_suspect(l);
+	}
+}
+
+static void
+one_frozen(struct world *w)
+{
+	queue_at(w->queue, FAULT_AT_US, freeze, w->guards[0], NULL);
+	queue_at(w->queue, FAULT_AT_US, suspect, w, NULL);
+}
+
+static void
+restart_upstream(void *who, void *what)
+{
+	struct guard *g = who;
+
+	(void)what;
+	upstream_kill(&g->upstream);
+	world_announce(g->world, g->index, ENDPOINT_READY);
+}
+
+static void
+cold_starts(struct world *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->cfg.guards; i++)
+		queue_at(w->queue, FAULT_AT_US + i * FAULT_AT_US / 2,
+		    restart_upstream, w->guards[i], NULL);
+}
+
+static void
+drain(void *who, void *what)
+{
+	(void)what;
+	guard_begin_drain(who);
+}
+
+static void
+one_drained(struct world *w)
+{
+	queue_at(w->queue, FAULT_AT_US, drain, w->guards[0], NULL);
+}
+
+struct fault_row {
+	const char *name;
+	uint32_t load;
+	fault_fn fault;
+};
+
+static const struct fault_row fault_rows[] = {
+    {"one endpoint 10 times slower", 60, one_slow},
+    {"half of the endpoints killed", 80, half_lost},
+    {"one guard frozen for 3 s", 60, one_frozen},
+    {"upstreams restart one by one, cold", 60, cold_starts},
+    {"one endpoint drained and restarted", 60, one_drained},
+};
+
+static void
+bench_faults(void)
+{
+	size_t i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(deployments); i++) {
+		for (k = 0; k < G_N_ELEMENTS(fault_rows); k++) {
+			(void)printf("\n%s: %s\n\n", deployments[i].name,
+			    fault_rows[k].name);
+			print_head();
+			print_both(&deployments[i], fault_rows[k].load,
+			    fault_rows[k].fault);
+		}
+	}
+}
+
+static void
+random_placement(struct world_config *cfg)
+{
+	cfg->place_at_random = true;
+}
+
+static void
+no_ejection(struct world_config *cfg)
+{
+	cfg->eject = false;
+}
+
+static void
+no_slow_factor(struct world_config *cfg)
+{
+	cfg->ejection.slow_factor = 0;
+}
+
+static void
+no_slow_start(struct world_config *cfg)
+{
+	cfg->endpoints.slow_start_ms = 0;
+}
+
+static void
+no_early_refusal(struct world_config *cfg)
+{
+	cfg->admission.refuse_early = false;
+}
+
+static void
+no_queue(struct world_config *cfg)
+{
+	cfg->admission.queue_max = 0;
+}
+
+static void
+lifo(struct world_config *cfg)
+{
+	cfg->admission.order = ADMISSION_LIFO_UNDER_LOAD;
+}
+
+static void
+slack(struct world_config *cfg)
+{
+	cfg->admission.order = ADMISSION_SHORTEST_SLACK;
+}
+
+static void
+no_budget(struct world_config *cfg)
+{
+	cfg->retry.budget_percent = 10000;
+	cfg->retry.burst = 1000000;
+	cfg->retry.attempts = 4;
+}
+
+static void
+no_retry(struct world_config *cfg)
+{
+	cfg->retry.attempts = 1;
+}
+
+static void
+no_backoff(struct world_config *cfg)
+{
+	cfg->retry.backoff_ms = 0;
+}
+
+static void
+anywhere(struct world_config *cfg)
+{
+	cfg->placement.local_first = false;
+}
+
+static void
+saturated_at_70(struct world_config *cfg)
+{
+	cfg->placement.saturation_percent = 70;
+}
+
+static void
+saturated_at_150(struct world_config *cfg)
+{
+	cfg->placement.saturation_percent = 150;
+}
+
+static void
+half_life_100(struct world_config *cfg)
+{
+	cfg->endpoints.load_half_life_ms = 100;
+}
+
+static void
+half_life_3000(struct world_config *cfg)
+{
+	cfg->endpoints.load_half_life_ms = 3000;
+}
+
+static void
+no_share(struct world_config *cfg)
+{
+	cfg->admission.booking_percent = 0;
+}
+
+static void
+liar(struct world_config *cfg)
+{
+	cfg->announced_slots = 4 * cfg->slots;
+	cfg->admission.slots = 4 * cfg->slots;
+	cfg->connections = cfg->slots + 2;
+}
+
+static void
+liar_not_adapted(struct world_config *cfg)
+{
+	liar(cfg);
+	cfg->admission.adapt_slots = false;
+}
+
+struct policy_row {
+	const char *name;
+	tweak_fn tweak;
+	uint32_t load;
+	fault_fn fault;
+};
+
+static const struct policy_row policy_rows[] = {
+    {"ours", NULL, 80, NULL},
+    {"random placement", random_placement, 80, NULL},
+    {"no preference for the own data centre", anywhere, 80, NULL},
+    {"saturated from 70 %", saturated_at_70, 80, NULL},
+    {"saturated from 150 %", saturated_at_150, 80, NULL},
+    {"half-life of load 100 ms", half_life_100, 80, NULL},
+    {"half-life of load 3,000 ms", half_life_3000, 80, NULL},
+    {"no queue", no_queue, 80, NULL},
+    {"ours", NULL, 300, NULL},
+    {"no queue", no_queue, 300, NULL},
+    {"no early refusal", no_early_refusal, 300, NULL},
+    {"newest first under load", lifo, 300, NULL},
+    {"shortest slack first", slack, 300, NULL},
+    {"no share for bookings", no_share, 300, NULL},
+    {"no retries", no_retry, 300, NULL},
+    {"no retry budget, 4 attempts", no_budget, 300, NULL},
+    {"no back-off", no_backoff, 300, NULL},
+    {"random placement", random_placement, 300, NULL},
+    {"one slow: ours", NULL, 60, one_slow},
+    {"one slow: no ejection", no_ejection, 60, one_slow},
+    {"one slow: only failures eject", no_slow_factor, 60, one_slow},
+    {"one slow: random placement", random_placement, 60, one_slow},
+    {"half lost: ours", NULL, 80, half_lost},
+    {"half lost: no ejection", no_ejection, 80, half_lost},
+    {"half lost: no retry budget", no_budget, 80, half_lost},
+    {"half lost: no retries", no_retry, 80, half_lost},
+    {"one frozen: ours", NULL, 60, one_frozen},
+    {"one frozen: no ejection", no_ejection, 60, one_frozen},
+    {"cold starts: ours", NULL, 60, cold_starts},
+    {"cold starts: no slow start", no_slow_start, 60, cold_starts},
+    {"4 times the slots announced: ours", liar, 150, NULL},
+    {"the same, slots not adapted", liar_not_adapted, 150, NULL},
+};
+
+static void
+bench_policies(void)
+{
+	const struct policy_row *row;
+	struct result r;
+	size_t i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(deployments); i++) {
+		(void)printf("\n%s\n\n", deployments[i].name);
+		print_head();
+		for (k = 0; k < G_N_ELEMENTS(policy_rows); k++) {
+			row = &policy_rows[k];
+			r = measure(
+			    &deployments[i], row->load, row->tweak, row->fault);
+			print_row(row->load, row->name, &r);
+		}
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	if (argc == 2 && strcmp(argv[1], "loads") == 0)
+		bench_loads();
+	else if (argc == 2 && strcmp(argv[1], "faults") == 0)
+		bench_faults();
+	else if (argc == 2 && strcmp(argv[1], "policies") == 0)
+		bench_policies();
+	else
+		return fprintf(stderr,
+			   "usage: bench_calls loads|faults|policies\n") < 0;
+	return EXIT_SUCCESS;
+}
--- a/test/calls/link.c
+++ b/test/calls/link.c
@@ -16,9 +16,14 @@
 };
 
 static uint64_t
-delay_us(struct world *w)
+delay_us(const struct link *l)
 {
-	return w->cfg.delay_us + world_between(w, 0, w->cfg.delay_us / 2);
+	const struct world_config *cfg = &l->world->cfg;
+	uint64_t us = cfg->delay_us;
+
+	if (l->entry % cfg->data_centres == l->guard % cfg->data_centres)
+		us = cfg->local_delay_us;
+	return us + world_between(l->world, 0, us / 2);
 }
 
 static void
@@ -74,7 +79,7 @@
 
 	if (l->broken)
 		return;
-	at = MAX(w->now_us + delay_us(w), l->last_to_guard_us);
+	at = MAX(w->now_us + delay_us(l), l->last_to_guard_us);
 	l->last_to_guard_us = at;
 	queue_at(
 	    w->queue, at, arrive_at_guard, w->guards[l->guard], pack(l, m));
@@ -94,7 +99,7 @@
 
 	if (l->broken)
 		return;
-	at = MAX(w->now_us + delay_us(w), l->last_to_entry_us);
+	at = MAX(w->now_us + delay_us(l), l->last_to_entry_us);
 	l->last_to_entry_us = at;
 	queue_at(
 	    w->queue, at, arrive_at_entry, w->entries[l->entry], pack(l, m));
@@ -131,8 +136,8 @@
 	struct world *w = l->world;
 
 	l->broken = true;
-	world_later(w, delay_us(w), lose_at_entry, l, NULL);
-	world_later(w, delay_us(w), lose_at_guard, l, NULL);
+	world_later(w, delay_us(l), lose_at_entry, l, NULL);
+	world_later(w, delay_us(l), lose_at_guard, l, NULL);
 }
 
 void
@@ -154,7 +159,7 @@
 {
 	uint64_t at;
 
-	at = MAX(l->world->now_us + delay_us(l->world), l->last_to_entry_us);
+	at = MAX(l->world->now_us + delay_us(l), l->last_to_entry_us);
 	queue_at(l->world->queue, at, lose_at_entry, l, NULL);
 }
 
@@ -212,7 +217,7 @@
 	l->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting_send));
 	frame_age_init(&l->age);
 	g_ptr_array_add(w->links, l);
-	world_later(w, delay_us(w), accepted, l, NULL);
+	world_later(w, delay_us(l), accepted, l, NULL);
 	world_later(w, DIAL_LIMIT_US, dial_limit, l, NULL);
 	return l;
 }
--- a/test/calls/world.c
+++ b/test/calls/world.c
@@ -28,6 +28,7 @@
 	cfg->connections = 40;
 	cfg->service_us = 20 * US_PER_MS;
 	cfg->delay_us = US_PER_MS;
+	cfg->local_delay_us = US_PER_MS / 5;
 	cfg->duration_ms = 6000;
 	cfg->rate_per_s = 200;
 	cfg->booking_percent = 50;
--- a/test/calls/world.h
+++ b/test/calls/world.h
@@ -57,8 +57,9 @@
 /**
  * struct world_config - one run
  *
- * Shares are in percent.  faults_per_s is the mean of all of fault_mask, a
- * set of bits of enum fault.
+ * delay_us is the delay between data centres, one way; local_delay_us within
+ * one.  Shares are in percent.  faults_per_s is the mean of all of fault_mask,
+ * a set of bits of enum fault.
  */
 struct world_config {
 	uint64_t seed;
@@ -70,6 +71,7 @@
 	uint32_t connections;
 	uint32_t service_us;
 	uint32_t delay_us;
+	uint32_t local_delay_us;
 	uint32_t duration_ms;
 	uint32_t rate_per_s;
 	uint32_t booking_percent;
