test(node): bench of the call path over two nodes

Problem: nobody knew what two nodes add to a call.

Solution: callers and upstream in one process, the entry's node and the guard's node in one each; direct calls and calls through the nodes alternate in the same run.

--- /dev/null
+++ b/packages/node/bench/bench_call.c
@@ -0,0 +1,341 @@
+/*
+ * Bench of the call path: what two nodes add to a call, beside direct calls
+ * to the same upstream in the same run, and the processor time per call.
+ *
+ * Three processes: callers and upstream here, the entry's node and the
+ * guard's node in a process each.  Usage: bench_call [seconds [rate]]
+ */
+#include <inttypes.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include "fixture.h"
+
+#define THREADS 16
+#define THREADS_MOST 48
+#define ROUNDS 5
+#define US_PER_S 1000000
+#define SAMPLES_MAX 4000000
+
+/**
+ * struct child - a node in a process of its own
+ * @pid: the process
+ * @ask: pipe to it
+ * @tell: pipe from it
+ */
+struct child {
+	pid_t pid;
+	int ask;
+	int tell;
+};
+
+/**
+ * struct load - one phase of load
+ * @port: where the calls go
+ * @method: method of the calls
+ * @path: their path
+ * @body: their body, or NULL
+ * @rate: calls per second; 0 for as many as go
+ * @until_us: when it ends
+ * @began_us: when it began
+ * @next: number of the next call
+ * @threads: number of callers
+ * @samples_us: time of each call
+ * @n_samples: number of calls
+ * @failed: calls that failed
+ */
+struct load {
+	uint16_t port;
+	const char *method;
+	const char *path;
+	const char *body;
+	uint64_t rate;
+	uint64_t until_us;
+	uint64_t began_us;
+	_Atomic uint64_t next;
+	int threads;
+	uint32_t *samples_us;
+	_Atomic uint64_t n_samples;
+	_Atomic uint64_t failed;
+};
+
+static bool
+one_call(const struct load *l, int *fd)
+{
+	size_t len = l->body != NULL ? strlen(l->body) : 0;
+	struct reply r = {0};
+	bool fine;
+
+	if (*fd < 0)
+		*fd = caller_connect(l->port);
+	if (*fd < 0)
+		return false;
+	fine = caller_send(*fd, l->method, l->path, NULL, l->body, len) &&
+	    caller_read(*fd, &r) && r.status == 200 && r.whole;
+	if (!fine || r.closes) {
+		close(*fd);
+		*fd = -1;
+	}
+	reply_clear(&r);
+	return fine;
+}
+
+/* Calls are timed from when they were due, so that waiting counts. */
+static void *
+caller_main(void *arg)
+{
+	struct load *l = arg;
+	uint64_t due_us, now_us, i;
+	int fd = -1;
+
+	for (;;) {
+		now_us = clock_now_us();
+		due_us = now_us;
+		if (l->rate > 0) {
+			due_us = l->began_us +
+			    atomic_fetch_add(&l->next, 1) * US_PER_S / l->rate;
+			if (due_us > now_us)
+				g_usleep(due_us - now_us);
+		}
+		if (due_us >= l->until_us)
+			break;
+		if (!one_call(l, &fd)) {
+			l->failed++;
+			continue;
+		}
+		i = atomic_fetch_add(&l->n_samples, 1);
+		if (i < SAMPLES_MAX)
+			l->samples_us[i] = (uint32_t)(clock_now_us() - due_us);
+	}
+	if (fd >= 0)
+		close(fd);
+	return NULL;
+}
+
+static void
+run_load(struct load *l, uint64_t for_us)
+{
+	pthread_t threads[THREADS_MOST];
+	int i;
+
+	l->next = 0;
+	l->began_us = clock_now_us();
+	l->until_us = l->began_us + for_us;
+	for (i = 0; i < l->threads; i++)
+		if (pthread_create(&threads[i], NULL, caller_main, l) != 0)
+			abort();
+	for (i = 0; i < l->threads; i++)
+		(void)pthread_join(threads[i], NULL);
+}
+
+static int
+by_size(const void *a, const void *b)
+{
+	const uint32_t *x = a, *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static uint32_t
+quantile(const struct load *l, double q)
+{
+	uint64_t n = MIN(l->n_samples, SAMPLES_MAX);
+
+	return n == 0 ? 0 : l->samples_us[(uint64_t)(q * (double)(n - 1))];
+}
+
+static void
+sort(struct load *l)
+{
+	qsort(l->samples_us, MIN(l->n_samples, SAMPLES_MAX),
+	    sizeof(l->samples_us[0]), by_size);
+}
+
+/* Children */
+
+static uint64_t
+cpu_us(void)
+{
+	struct rusage u;
+
+	(void)getrusage(RUSAGE_SELF, &u);
+	return (uint64_t)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * US_PER_S +
+	    (uint64_t)(u.ru_utime.tv_usec + u.ru_stime.tv_usec);
+}
+
+static void
+many_threads(struct settings *s)
+{
+	s->caller_threads = 64;
+}
+
+/* Answers each question with its processor time until the pipe closes. */
+static void
+child_main(uint16_t upstream, uint16_t guard, int ask, int tell)
+{
+	struct fake_endpoint ep = {.host = "h2", .port = guard};
+	struct test_node *n;
+	uint64_t us;
+	uint16_t port;
+	char c;
+
+	log_start(LOG_LEVEL_WARNING, "bench");
+	n = test_node_start(upstream != 0 ? "h2" : "h1", many_threads);
+	if (upstream != 0)
+		test_node_upstream(n, upstream, SERVING_READY);
+	else
+		test_snapshot(&ep, 1);
+	port = upstream != 0 ? guard_addr(n->guard).port
+			     : callers_port(n->callers);
+	if (write(tell, &port, sizeof(port)) != sizeof(port))
+		_exit(1);
+	while (read(ask, &c, 1) == 1) {
+		us = cpu_us();
+		if (write(tell, &us, sizeof(us)) != sizeof(us))
+			break;
+	}
+	_exit(0);
+}
+
+static uint16_t
+child_start(struct child *c, uint16_t upstream, uint16_t guard)
+{
+	int ask[2], tell[2];
+	uint16_t port;
+
+	if (pipe(ask) != 0 || pipe(tell) != 0)
+		abort();
+	c->pid = fork();
+	if (c->pid == 0) {
+		close(ask[1]);
+		close(tell[0]);
+		child_main(upstream, guard, ask[0], tell[1]);
+	}
+	close(ask[0]);
+	close(tell[1]);
+	c->ask = ask[1];
+	c->tell = tell[0];
+	if (read(c->tell, &port, sizeof(port)) != sizeof(port))
+		abort();
+	return port;
+}
+
+static uint64_t
+child_cpu_us(const struct child *c)
+{
+	uint64_t us = 0;
+
+	if (write(c->ask, "?", 1) != 1 ||
+	    read(c->tell, &us, sizeof(us)) != sizeof(us))
+		abort();
+	return us;
+}
+
+static void
+child_stop(const struct child *c)
+{
+	close(c->ask);
+	(void)waitpid(c->pid, NULL, 0);
+	close(c->tell);
+}
+
+/* Reports */
+
+static void
+report(const char *what, const struct load *l)
+{
+	printf("%-28s %9" PRIu64 " calls %5" PRIu64
+	       " failed  p50 %6u  p99 %6u  p99.9 %6u us\n",
+	    what, l->n_samples, l->failed, quantile(l, 0.5), quantile(l, 0.99),
+	    quantile(l, 0.999));
+}
+
+static void
+compare(const char *what, struct load *direct, struct load *through,
+    uint64_t seconds)
+{
+	int i;
+
+	direct->n_samples = through->n_samples = 0;
+	direct->failed = through->failed = 0;
+	for (i = 0; i < ROUNDS; i++) {
+		run_load(direct, seconds * US_PER_S / ROUNDS);
+		run_load(through, seconds * US_PER_S / ROUNDS);
+	}
+	sort(direct);
+	sort(through);
+	printf("%s\n", what);
+	report("  direct", direct);
+	report("  through two nodes", through);
+	printf("  added: p50 %d us, p99 %d us\n",
+	    (int)quantile(through, 0.5) - (int)quantile(direct, 0.5),
+	    (int)quantile(through, 0.99) - (int)quantile(direct, 0.99));
+}
+
+static void
+most(const char *what, struct load *l, const struct child *entry,
+    const struct child *guard, uint64_t seconds)
+{
+	uint64_t entry_us = child_cpu_us(entry);
+	uint64_t guard_us = child_cpu_us(guard);
+	uint64_t calls;
+
+	l->n_samples = 0;
+	l->failed = 0;
+	l->rate = 0;
+	l->threads = THREADS_MOST;
+	run_load(l, seconds * US_PER_S);
+	calls = MAX(l->n_samples, 1);
+	sort(l);
+	printf("%s: %" PRIu64 " calls/s; processor time per call: entry's "
+	       "node %" PRIu64 " us, guard's node %" PRIu64 " us\n",
+	    what, calls / seconds, (child_cpu_us(entry) - entry_us) / calls,
+	    (child_cpu_us(guard) - guard_us) / calls);
+	report("  through two nodes", l);
+}
+
+int
+main(int argc, char **argv)
+{
+	uint64_t seconds = argc > 1 ? strtoul(argv[1], NULL, 10) : 20;
+	uint64_t rate = argc > 2 ? strtoul(argv[2], NULL, 10) : 300;
+	struct load direct = {.method = "GET",
+	    .path = "/look/x?bytes=512",
+	    .threads = THREADS,
+	    .rate = rate};
+	struct load through = direct;
+	struct fake_upstream *upstream;
+	struct child entry, guard;
+	char what[64];
+
+	upstream = fake_upstream_start();
+	through.port =
+	    child_start(&entry, 0, child_start(&guard, upstream->port, 0));
+	direct.port = upstream->port;
+	direct.samples_us = g_new(uint32_t, SAMPLES_MAX);
+	through.samples_us = g_new(uint32_t, SAMPLES_MAX);
+	(void)snprintf(what, sizeof(what), "lookups at %" PRIu64 "/s", rate);
+	compare(what, &direct, &through, seconds);
+	direct.method = through.method = "POST";
+	direct.path = through.path = "/book/x?bytes=512";
+	direct.body = through.body = "{\"seat\":7}";
+	(void)snprintf(what, sizeof(what), "bookings at %" PRIu64 "/s", rate);
+	compare(what, &direct, &through, seconds);
+	most("most bookings", &through, &entry, &guard, seconds / 2);
+	through.method = "GET";
+	through.path = "/look/x?bytes=512";
+	through.body = NULL;
+	most("most lookups", &through, &entry, &guard, seconds / 2);
+	child_stop(&entry);
+	child_stop(&guard);
+	return 0;
+}
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -48,7 +48,7 @@
 is_peer(int fd, const void *arg)
 {
 	const struct mg_request_info *info = arg;
-	struct sockaddr_in peer, own;
+	struct sockaddr_in peer = {0}, own = {0};
 	socklen_t peer_len = sizeof(peer), own_len = sizeof(own);
 	char text[INET_ADDRSTRLEN];
 
@@ -88,7 +88,7 @@
 is_listener(int fd, const void *arg)
 {
 	const uint16_t *port = arg;
-	struct sockaddr_in own;
+	struct sockaddr_in own = {0};
 	socklen_t own_len = sizeof(own);
 	int listening = 0;
 	socklen_t len = sizeof(listening);
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -13,11 +13,20 @@
 #include <check.h>
 #include <glib.h>
 
+#include "base/status.h"
 #include "node/callers.h"
 #include "node/entry.h"
 #include "node/guard.h"
 #include "proto/settings.h"
 
+/* Benches use the fixtures too, so these do without check's assertions. */
+#define must(condition)                                                     \
+	do {                                                                \
+		if (!(condition))                                           \
+			g_error(                                            \
+			    "%s failed: %s", #condition, status_message()); \
+	} while (0)
+
 /* fixture_upstream.c: one thread per connection. */
 
 /**
--- a/packages/node/test/fixture_caller.c
+++ b/packages/node/test/fixture_caller.c
@@ -2,6 +2,7 @@
  * A caller: HTTP over a blocking socket, strict about whole answers.
  */
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 
 #define HEAD_MAX 65536
 #define READ_MAX 65536
+#define STATUS_PREFIX "HTTP/1.1 "
 
 int
 caller_connect(uint16_t port)
@@ -21,7 +23,9 @@
 	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	struct timeval tv = {.tv_sec = 20};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
 
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	(void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
 	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
 		return fd;
@@ -153,7 +157,9 @@
 		g_string_free(head, TRUE);
 		return false;
 	}
-	(void)sscanf(head->str, "HTTP/1.1 %d", &r->status);
+	if (g_str_has_prefix(head->str, STATUS_PREFIX))
+		r->status =
+		    (int)strtol(head->str + strlen(STATUS_PREFIX), NULL, 10);
 	header(head, "Bramley-Fate", r->fate, sizeof(r->fate));
 	header(head, "Bramley-Version", r->version, sizeof(r->version));
 	header(head, "Retry-After", r->retry_after, sizeof(r->retry_after));
--- a/packages/node/test/fixture_link.c
+++ b/packages/node/test/fixture_link.c
@@ -134,7 +134,7 @@
 
 	w->pair = p;
 	w->from = from;
-	ck_assert_int_eq(pthread_create(&thread, NULL, forward, w), 0);
+	must(pthread_create(&thread, NULL, forward, w) == 0);
 	(void)pthread_detach(thread);
 }
 
@@ -176,11 +176,11 @@
 	l->refs = 1;
 	l->to = to;
 	l->fd = socket(AF_INET, SOCK_STREAM, 0);
-	ck_assert_int_eq(bind(l->fd, (struct sockaddr *)&sin, len), 0);
-	ck_assert_int_eq(listen(l->fd, 64), 0);
+	must(bind(l->fd, (struct sockaddr *)&sin, len) == 0);
+	must(listen(l->fd, 64) == 0);
 	(void)getsockname(l->fd, (struct sockaddr *)&sin, &len);
 	l->port = ntohs(sin.sin_port);
-	ck_assert_int_eq(pthread_create(&thread, NULL, accept_all, l), 0);
+	must(pthread_create(&thread, NULL, accept_all, l) == 0);
 	l->thread = thread;
 	return l;
 }
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -39,7 +39,7 @@
 	socklen_t len = sizeof(sin);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, len), 0);
+	must(bind(fd, (struct sockaddr *)&sin, len) == 0);
 	(void)getsockname(fd, (struct sockaddr *)&sin, &len);
 	close(fd);
 	return ntohs(sin.sin_port);
@@ -73,11 +73,9 @@
 	n->guard = guard_new(&n->settings, incarnation);
 	n->entry = entry_new(&n->settings, incarnation);
 	n->callers = callers_new(&n->settings, n->entry);
-	ck_assert_msg(
-	    guard_start(n->guard) == STATUS_OK, "%s", status_message());
-	ck_assert_int_eq(entry_start(n->entry), STATUS_OK);
-	ck_assert_msg(
-	    callers_start(n->callers) == STATUS_OK, "%s", status_message());
+	must(guard_start(n->guard) == STATUS_OK);
+	must(entry_start(n->entry) == STATUS_OK);
+	must(callers_start(n->callers) == STATUS_OK);
 	return n;
 }
 
@@ -121,14 +119,13 @@
 	uint32_t i;
 
 	bundle_to_sections(b, &list, &root);
-	ck_assert_int_eq(
-	    catalog_stage_begin_full(c, 1, &root, list, &stage), STATUS_OK);
+	must(catalog_stage_begin_full(c, 1, &root, list, &stage) == STATUS_OK);
 	for (i = 0; i < b->sections->len; i++) {
 		section = g_ptr_array_index(b->sections, i);
 		data = g_bytes_get_data(section->content, &len);
 		(void)catalog_stage_add(stage, data, len);
 	}
-	ck_assert_int_eq(catalog_commit(c, stage), STATUS_OK);
+	must(catalog_commit(c, stage) == STATUS_OK);
 	catalog_stage_free(stage);
 	g_array_unref(list);
 	return c;
@@ -143,9 +140,7 @@
 	struct bundle *b;
 	uint32_t i;
 
-	ck_assert_msg(
-	    bundle_parse(bundle_json, strlen(bundle_json), &b) == STATUS_OK,
-	    "%s", status_message());
+	must(bundle_parse(bundle_json, strlen(bundle_json), &b) == STATUS_OK);
 	for (i = 0; i < n; i++) {
 		memset(&ep, 0, sizeof(ep));
 		(void)g_strlcpy(ep.service, "search", sizeof(ep.service));
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -2,6 +2,7 @@
  * A fake upstream: does what a request's query asks for and counts runs.
  */
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -269,9 +270,11 @@
 	struct fake_upstream *u = arg;
 	struct upstream_conn *c;
 	pthread_t thread;
+	int on = 1;
 	int fd;
 
 	while ((fd = accept(u->fd, NULL, NULL)) >= 0) {
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		u->connections++;
 		u->serving++;
 		c = g_new0(struct upstream_conn, 1);
@@ -296,11 +299,11 @@
 	u->headers = g_string_new(NULL);
 	pthread_mutex_init(&u->lock, NULL);
 	u->fd = socket(AF_INET, SOCK_STREAM, 0);
-	ck_assert_int_eq(bind(u->fd, (struct sockaddr *)&sin, len), 0);
-	ck_assert_int_eq(listen(u->fd, 1024), 0);
+	must(bind(u->fd, (struct sockaddr *)&sin, len) == 0);
+	must(listen(u->fd, 1024) == 0);
 	(void)getsockname(u->fd, (struct sockaddr *)&sin, &len);
 	u->port = ntohs(sin.sin_port);
-	ck_assert_int_eq(pthread_create(&thread, NULL, accept_all, u), 0);
+	must(pthread_create(&thread, NULL, accept_all, u) == 0);
 	u->thread = thread;
 	return u;
 }
