--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -39,7 +39,8 @@
  * @indirect_probes: nodes asked to probe a host that did not answer
  * @gossip_interval_ms: between two rounds of passing news on
  * @gossip_fanout: receivers of each round
- * @retransmit_factor: each record is passed on this many times log2(nodes)
+ * @retransmit_factor: each record is passed on 5 times and this many times
+ *	log2(nodes of the data centre)
  * @relays: nodes of the own data centre that exchange with a given other one
  * @relay_interval_ms: between two exchanges with another data centre
  * @sync_interval_ms: least time between two anti-entropy exchanges begun
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -35,6 +35,7 @@
  * @accusers: hashes of the names of those who suspect it
  * @n_accusers: number of @accusers
  * @bucket: bucket that it is digested in
+ * @last_probe: the suspicion came to its end; a last probe is under way
  * @unconfirmed: not yet told by a peer since the refresh began
  * @queued: a MEMBERSHIP_CHANGED action waits
  */
@@ -49,6 +50,7 @@
 	uint32_t accusers[ACCUSERS_MAX];
 	uint8_t n_accusers;
 	uint8_t bucket;
+	uint8_t last_probe;
 	uint8_t unconfirmed;
 	uint8_t queued;
 };
@@ -127,13 +129,15 @@
  * struct probe - one probe under way
  * @seq: sequence number
  * @host: host that is probed
- * @indirect: others were asked to probe it too
+ * @rounds: times that others were asked to probe it too
+ * @began_ms: when it was sent
  * @deadline_ms: end of this step
  */
 struct probe {
 	uint32_t seq;
 	char host[MEMBER_NAME_BYTES];
-	int indirect;
+	uint32_t rounds;
+	uint64_t began_ms;
 	uint64_t deadline_ms;
 };
 
@@ -159,9 +163,10 @@
  * @cursor: next row of the own data centre
  * @next_ms: next probe
  * @reconnect_ms: next probe of a seed or failed host
- * @doubt: failed probes less answered ones, kept within bounds: how far this
- *	node must suspect itself
- * @distrusted: @doubt was so high that the own view is not to be believed
+ * @heard_ms: when the last message of anybody came
+ * @doubt: failed probes during which nothing was heard, less answered ones,
+ *	kept within bounds: how far this node must suspect itself
+ * @misses: failed probes in a row
  * @hints: probes of unconfirmed hosts that may still be sent before
  *	@hints_ms
  * @hints_ms: when @hints is raised again
@@ -173,8 +178,9 @@
 	uint32_t cursor;
 	uint64_t next_ms;
 	uint64_t reconnect_ms;
+	uint64_t heard_ms;
 	uint32_t doubt;
-	int distrusted;
+	uint32_t misses;
 	uint32_t hints;
 	uint64_t hints_ms;
 };
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -33,7 +33,10 @@
 #define JOIN_LIMIT 8
 #define FORGET_MS 600000
 
-/* No event for this many probe intervals shows that the process was frozen.*/
+/* Deadlines are moved when an event is late by this much. */
+#define LATE_MS 500
+
+/* An event that is late by this many probe intervals shows a freeze. */
 #define FROZEN_INTERVALS 3
 
 /* After a freeze this long peers may have taken this host for failed and
@@ -141,38 +144,39 @@
 	g_free(m);
 }
 
-/*
- * The process was frozen: nobody could refute a suspicion or renew a lease,
- * and peers may take this host for failed.
- */
+/* The process was frozen: peers may take this host for failed. */
 static void
-thaw(struct membership *m, uint64_t gap_ms)
+thaw(struct membership *m, uint64_t late_ms)
 {
-	suspicion_extend(m, gap_ms);
-	own_extend(m, gap_ms);
 	probe_reset(m);
 	if (m->phase != MEMBERSHIP_JOINED)
 		return;
 	merge_refute(m, 0);
-	if (gap_ms < REFRESH_AFTER_MS)
+	if (late_ms < REFRESH_AFTER_MS)
 		return;
 	m->self->member.started_ms = wall_now_ms(m);
 	join_refresh(m);
 }
 
+/*
+ * Time goes on.  While this process did not run, nobody could refute a
+ * suspicion here or renew a lease.
+ */
 static void
 pass_time(struct membership *m, uint64_t now_ms)
 {
 	uint64_t frozen =
 	    (uint64_t)m->settings.probe_interval_ms * FROZEN_INTERVALS;
-	uint64_t gap_ms;
+	uint64_t due_ms = MAX(m->now_ms, membership_next_ms(m));
+	uint64_t late_ms = clock_left_ms(now_ms, due_ms);
 
-	if (now_ms <= m->now_ms)
+	m->now_ms = MAX(m->now_ms, now_ms);
+	if (late_ms < LATE_MS)
 		return;
-	gap_ms = now_ms - m->now_ms;
-	m->now_ms = now_ms;
-	if (gap_ms >= frozen)
-		thaw(m, gap_ms);
+	suspicion_extend(m, late_ms);
+	own_extend(m, late_ms);
+	if (late_ms >= frozen)
+		thaw(m, late_ms);
 }
 
 static void
@@ -255,6 +259,7 @@
 	if (m->phase == MEMBERSHIP_LEFT ||
 	    (m->phase == MEMBERSHIP_CONFLICT && !taken_in_conflict(type)))
 		return;
+	m->prober.heard_ms = m->now_ms;
 	switch (type) {
 	case MSG_PING:
 		probe_on_ping(m, from, body, len);
--- a/packages/membership/src/merge.c
+++ b/packages/membership/src/merge.c
@@ -43,7 +43,7 @@
 int
 merge_authority(const struct membership *m)
 {
-	return m->phase == MEMBERSHIP_JOINED && !m->prober.distrusted &&
+	return m->phase == MEMBERSHIP_JOINED && !probe_distrusted(m) &&
 	    m->now_ms >= m->joined_ms + AUTHORITY_AFTER_MS;
 }
 
@@ -102,7 +102,7 @@
 	case MEMBER_SUSPECT:
 		suspicion_raise(m, r, rec->accuser);
 		if (random_below(m, m->home->live) < CONFIRMERS)
-			probe_confirm(m, r);
+			probe_now(m, r);
 		break;
 	default:
 		suspicion_bury(m, r, rec->state);
@@ -194,7 +194,6 @@
 	    rec->state == (enum member_state)mb->state) {
 		if (rec->state == MEMBER_SUSPECT)
 			suspicion_raise(m, r, rec->accuser);
-		news_heard(m, r);
 		return;
 	}
 	if (!merge_newer(rec->incarnation, rec->state, mb->incarnation,
--- a/packages/membership/src/news.c
+++ b/packages/membership/src/news.c
@@ -2,19 +2,22 @@
  * News: records that are passed on within the own data centre.
  *
  * Each record goes out a bounded number of times, on probes, on their
- * answers and in rounds of its own; hearing it from a peer counts as one of
- * these times, since it shows that others pass it on too.  What a node
- * misses nevertheless is repaired by anti-entropy.
+ * answers and in rounds of its own.  What a node misses nevertheless is
+ * repaired by anti-entropy.
  */
 #include "base/clock.h"
 
 #include "news.h"
+#include "probe.h"
 #include "send.h"
 
 /* Bytes of rounds a second on average, and at once. */
 #define ROUND_BYTES_PER_S 3000
 #define ROUND_BURST_BYTES 36000
 
+/* Times that a record is passed on whatever the number of nodes. */
+#define SENT_LEAST 5
+
 #define MS_PER_S 1000
 
 /* One queued record. */
@@ -30,7 +33,10 @@
 	return it->urgent ? &m->news.urgent : &m->news.normal;
 }
 
-/* Times that a record is passed on: factor * ceil(log2(nodes + 1)). */
+/*
+ * Times that a record is passed on.  Each node receives it as often on
+ * average, so that n * exp(-times) nodes are expected to miss it.
+ */
 static uint32_t
 send_limit(const struct membership *m)
 {
@@ -38,7 +44,7 @@
 
 	while (m->home->live >> log != 0)
 		log++;
-	return log * m->settings.retransmit_factor;
+	return SENT_LEAST + log * m->settings.retransmit_factor;
 }
 
 void
@@ -71,18 +77,6 @@
 	r->news = queue_of(m, it)->head;
 }
 
-void
-news_heard(struct membership *m, struct row *r)
-{
-	struct item *it;
-
-	if (r->news == NULL)
-		return;
-	it = r->news->data;
-	if (++it->sent >= send_limit(m))
-		news_drop(m, r);
-}
-
 /*
  * A node that heard no answer for long does not pass its own suspicions on:
  * the fault is likely its own.
@@ -90,7 +84,7 @@
 static int
 withheld(const struct membership *m, const struct row *r)
 {
-	return m->prober.distrusted &&
+	return probe_distrusted(m) &&
 	    (r->member.state == MEMBER_SUSPECT ||
 		r->member.state == MEMBER_FAILED);
 }
--- a/packages/membership/src/news.h
+++ b/packages/membership/src/news.h
@@ -9,9 +9,6 @@
 /* Queue a row that changed; it goes out before all that was sent before. */
 void news_add(struct membership *m, struct row *r, int urgent);
 
-/* A peer told what the row says already: one time less to pass it on. */
-void news_heard(struct membership *m, struct row *r);
-
 /* Take a row out of the queue. */
 void news_drop(struct membership *m, struct row *r);
 
--- a/packages/membership/src/probe.c
+++ b/packages/membership/src/probe.c
@@ -3,8 +3,9 @@
  * 2002).
  *
  * Each interval one host of the own data centre is probed, all of them in a
- * random order before any comes twice.  A node whose probes fail one after
- * another doubts itself: it probes more slowly and waits longer.
+ * random order before any comes twice.  A node that hears nothing at all
+ * while its probes fail doubts itself: it probes more slowly and waits
+ * longer.
  */
 #include <string.h>
 
@@ -22,6 +23,14 @@
 
 #define DOUBT_MAX 8
 
+/* After so many failed probes in a row a node doesn't believe its view. */
+#define DISTRUST_MISSES 6
+
+/* Times that others are asked, each time besides a further ping, before a
+ * probe has failed.  At 20 % loss one round fails 3 % of the probes of live
+ * hosts, two rounds 0.2 %. */
+#define INDIRECT_ROUNDS 2
+
 /* A probe through others takes two round trips. */
 #define INDIRECT_ROUND_TRIPS 2
 
@@ -57,6 +66,12 @@
 	m->prober.next_ms = m->now_ms + m->settings.probe_interval_ms;
 }
 
+int
+probe_distrusted(const struct membership *m)
+{
+	return m->prober.misses >= DISTRUST_MISSES;
+}
+
 /* Time that an answer may take, longer the more this node doubts itself. */
 static uint64_t
 patience_ms(const struct membership *m)
@@ -64,15 +79,15 @@
 	return (uint64_t)m->settings.probe_timeout_ms * (1 + m->prober.doubt);
 }
 
-static uint32_t
+static void
 ping(struct membership *m, const struct net_addr *to, const char *host,
-    struct batch *b)
+    uint32_t seq, struct batch *b)
 {
 	struct msg_ping msg;
 	GByteArray *body = g_byte_array_new();
 
 	memset(&msg, 0, sizeof(msg));
-	msg.seq = ++m->prober.seq;
+	msg.seq = seq;
 	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
 	(void)g_strlcpy(msg.target, host, sizeof(msg.target));
 	msg.root = m->table.root;
@@ -83,11 +98,11 @@
 	send_datagram(m, to, MSG_PING, body);
 	m->counters.news_sent += b->n;
 	batch_clear(b);
-	return msg.seq;
 }
 
-uint32_t
-probe_ping(struct membership *m, const struct net_addr *to, const char *host)
+static void
+ping_with_news(struct membership *m, const struct net_addr *to,
+    const char *host, uint32_t seq)
 {
 	const struct row *r = table_row(&m->table, host);
 	struct batch b = {.n = 0};
@@ -97,23 +112,42 @@
 		(void)batch_add(&b, r);
 	if (r == NULL || r->dc == m->home)
 		news_fill(m, &b);
-	return ping(m, to, host, &b);
+	ping(m, to, host, seq, &b);
+}
+
+uint32_t
+probe_ping(struct membership *m, const struct net_addr *to, const char *host)
+{
+	uint32_t seq = ++m->prober.seq;
+
+	ping_with_news(m, to, host, seq);
+	return seq;
 }
 
 static void
 start(struct membership *m, const struct row *r)
 {
-	struct probe p = {.indirect = 0};
+	struct probe p = {.rounds = 0};
 
 	(void)g_strlcpy(p.host, r->member.host, sizeof(p.host));
 	p.seq = probe_ping(m, &r->member.address, r->member.host);
+	p.began_ms = m->now_ms;
 	p.deadline_ms = m->now_ms + patience_ms(m);
 	g_array_append_val(m->prober.probes, p);
 	m->counters.probes++;
 }
 
+uint64_t
+probe_longest_ms(const struct membership *m)
+{
+	uint64_t step = patience_ms(m) + m->settings.probe_timeout_ms;
+
+	/* The doubt may rise by one meanwhile; the ticks may be late. */
+	return step * (1 + INDIRECT_ROUNDS * INDIRECT_ROUND_TRIPS);
+}
+
 void
-probe_confirm(struct membership *m, const struct row *r)
+probe_now(struct membership *m, const struct row *r)
 {
 	if (m->phase == MEMBERSHIP_JOINED && r->dc == m->home)
 		start(m, r);
@@ -142,7 +176,7 @@
 	b.records[b.n].state = MEMBER_FAILED;
 	b.records[b.n].endpoints = NULL;
 	b.records[b.n++].n_endpoints = 0;
-	(void)ping(m, &to, rec->host, &b);
+	ping(m, &to, rec->host, ++m->prober.seq, &b);
 }
 
 /* Put the rows of the own data centre into a random order. */
@@ -210,14 +244,14 @@
 }
 
 static void
-failed(struct membership *m, struct row *r)
+failed(struct membership *m, struct row *r, uint64_t began_ms)
 {
 	struct prober *p = &m->prober;
 
 	m->counters.probes_failed++;
-	p->doubt = MIN(p->doubt + 1, DOUBT_MAX);
-	if (p->doubt >= PROBE_DISTRUST)
-		p->distrusted = 1;
+	p->misses++;
+	if (p->heard_ms < began_ms)
+		p->doubt = MIN(p->doubt + 1, DOUBT_MAX);
 	suspicion_raise(m, r, suspicion_accuser(m->settings.host));
 }
 
@@ -229,14 +263,15 @@
 
 	if (r == NULL || !member_is_live(&r->member) || r->dc != m->home)
 		return 1;
-	if (!p->indirect) {
-		p->indirect = 1;
+	if (p->rounds < INDIRECT_ROUNDS) {
+		p->rounds++;
 		p->deadline_ms =
 		    m->now_ms + INDIRECT_ROUND_TRIPS * patience_ms(m);
+		ping_with_news(m, &r->member.address, r->member.host, p->seq);
 		ask_others(m, r, p->seq);
 		return 0;
 	}
-	failed(m, r);
+	failed(m, r, p->began_ms);
 	return 1;
 }
 
@@ -307,10 +342,9 @@
 	struct prober *p = &m->prober;
 
 	p->doubt -= p->doubt > 0;
-	if (!p->distrusted)
-		return;
-	p->distrusted = 0;
-	suspicion_withdraw(m);
+	if (probe_distrusted(m))
+		suspicion_withdraw(m);
+	p->misses = 0;
 }
 
 static void
@@ -318,6 +352,7 @@
 {
 	GArray *probes = m->prober.probes;
 	struct probe *p;
+	struct row *r;
 	uint32_t i;
 
 	for (i = 0; i < probes->len; i++) {
@@ -326,6 +361,9 @@
 			continue;
 		(void)g_array_remove_index_fast(probes, i);
 		answered(m);
+		r = table_row(&m->table, host);
+		if (r != NULL)
+			suspicion_answered(m, r);
 		return;
 	}
 }
--- a/packages/membership/src/probe.h
+++ b/packages/membership/src/probe.h
@@ -6,9 +6,6 @@
 
 #include "record.h"
 
-/* Doubt at which a node no longer believes its own view. */
-#define PROBE_DISTRUST 4
-
 void probe_init(struct membership *m);
 void probe_clear(struct membership *m);
 
@@ -18,11 +15,17 @@
 /* When there is something to do next. */
 uint64_t probe_next_ms(const struct membership *m);
 
+/* Whether so many probes failed that the own view is not to be believed. */
+int probe_distrusted(const struct membership *m);
+
 /* Forget the probes under way: the node was frozen. */
 void probe_reset(struct membership *m);
 
-/* Probe a host now, as it is suspected by another node. */
-void probe_confirm(struct membership *m, const struct row *r);
+/* Probe a host of the own data centre now, as it is suspected. */
+void probe_now(struct membership *m, const struct row *r);
+
+/* The longest that a probe begun now takes to fail. */
+uint64_t probe_longest_ms(const struct membership *m);
 
 /*
  * Ping the host of a record that is not believed, so that it speaks for
--- a/packages/membership/src/suspicion.c
+++ b/packages/membership/src/suspicion.c
@@ -12,6 +12,7 @@
 
 #include "action.h"
 #include "news.h"
+#include "probe.h"
 #include "suspicion.h"
 #include "table.h"
 
@@ -42,6 +43,8 @@
 		percent = length_of_1;
 	else if (others < ACCUSERS_MAX - 1)
 		percent = length_of_2;
+	if (n_accusers == 0 || n_accusers > ACCUSERS_MAX)
+		n_accusers = ACCUSERS_MAX;
 	return (uint64_t)m->settings.suspicion_ms * percent[n_accusers - 1] /
 	    PERCENT;
 }
@@ -68,6 +71,7 @@
 begin(struct membership *m, struct row *r, uint32_t accuser)
 {
 	table_set(&m->table, r, r->member.incarnation, MEMBER_SUSPECT);
+	r->last_probe = 0;
 	r->accusers[0] = accuser;
 	r->n_accusers = 1;
 	set_until(m, r, m->now_ms + length_ms(m, 1));
@@ -122,13 +126,31 @@
 	table_remove(&m->table, r);
 }
 
+/*
+ * A suspicion or tombstone came to its end.  A suspect is probed once more
+ * first: it may have refuted, and this node missed it.
+ */
 static void
 expire(struct membership *m, struct row *r)
 {
-	if (r->member.state == MEMBER_SUSPECT)
-		suspicion_bury(m, r, MEMBER_FAILED);
-	else
+	if (r->member.state != MEMBER_SUSPECT) {
 		forget(m, r);
+	} else if (r->last_probe) {
+		suspicion_bury(m, r, MEMBER_FAILED);
+	} else {
+		r->last_probe = 1;
+		set_until(m, r, m->now_ms + probe_longest_ms(m));
+		probe_now(m, r);
+	}
+}
+
+void
+suspicion_answered(struct membership *m, struct row *r)
+{
+	if (r->member.state != MEMBER_SUSPECT)
+		return;
+	r->last_probe = 0;
+	set_until(m, r, m->now_ms + length_ms(m, r->n_accusers));
 }
 
 void
--- a/packages/membership/src/suspicion.h
+++ b/packages/membership/src/suspicion.h
@@ -19,6 +19,9 @@
 /* End a suspicion or a tombstone, as the host is alive. */
 void suspicion_end(struct membership *m, struct row *r);
 
+/* A suspect answered a probe; its refutation is still to come. */
+void suspicion_answered(struct membership *m, struct row *r);
+
 /* Let suspicions and tombstones come to their end. */
 void suspicion_tick(struct membership *m);
 
--- /dev/null
+++ b/packages/membership/test/checker.c
@@ -0,0 +1,148 @@
+/*
+ * Checker: what must hold in every run, looked at twice a second.
+ *
+ * - No process sees a host's incarnation go backwards.
+ * - No process sees a host that has left live again in the same life.
+ * - A live reachable host is not held for failed for long, nor a dead one
+ *   for live, by a node of its data centre.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "checker.h"
+#include "fake_net.h"
+
+/* What a process last saw of a host. */
+struct sight {
+	uint64_t incarnation;
+	uint64_t left_started_ms; /* life in which it was seen to leave */
+	uint64_t wrong_since_ms;  /* 0: not wrong */
+};
+
+struct checker {
+	GHashTable *sights; /* "observer/process/host" */
+	uint32_t lives[FAKE_NODES_MAX];
+	char violation[200];
+};
+
+struct checker *
+checker_new(void)
+{
+	struct checker *c = g_new0(struct checker, 1);
+
+	c->sights =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return c;
+}
+
+void
+checker_free(struct checker *c)
+{
+	g_hash_table_unref(c->sights);
+	g_free(c);
+}
+
+const char *
+checker_violation(const struct checker *c)
+{
+	return c->violation[0] != '\0' ? c->violation : NULL;
+}
+
+void
+checker_forget(struct checker *c, uint32_t node)
+{
+	c->lives[node]++;
+}
+
+static void
+violated(struct checker *c, const struct fake_net *f, uint32_t by,
+    const char *host, const char *what)
+{
+	if (c->violation[0] == '\0')
+		(void)snprintf(c->violation, sizeof(c->violation),
+		    "at %llu ms node %u sees %s %s",
+		    (unsigned long long)f->now_ms, by, host, what);
+}
+
+static struct sight *
+sight_of(struct checker *c, uint32_t by, const char *host)
+{
+	char key[64];
+	struct sight *s;
+
+	(void)snprintf(key, sizeof(key), "%u/%u/%s", by, c->lives[by], host);
+	s = g_hash_table_lookup(c->sights, key);
+	if (s == NULL) {
+		s = g_new0(struct sight, 1);
+		(void)g_hash_table_insert(c->sights, g_strdup(key), s);
+	}
+	return s;
+}
+
+static int
+node_of(const struct fake_net *f, const char *host)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (f->nodes[i].m != NULL &&
+		    strcmp(f->nodes[i].settings.host, host) == 0)
+			return (int)i;
+	return -1;
+}
+
+/* Whether @by is wrong about a host of its data centre. */
+static int
+is_wrong(const struct fake_net *f, uint32_t by, const struct member *mb)
+{
+	int of = node_of(f, mb->host);
+
+	if (strcmp(mb->data_centre, f->nodes[by].settings.data_centre) != 0)
+		return 0;
+	if (of < 0)
+		return member_is_live(mb);
+	if (!fake_up(f, (uint32_t)of) || f->cut[by][of] || f->cut[of][by])
+		return 0;
+	return !member_is_live(mb);
+}
+
+struct look {
+	struct checker *c;
+	const struct fake_net *f;
+	uint32_t by;
+};
+
+static void
+look_at(const struct member *mb, void *ctx)
+{
+	const struct look *l = ctx;
+	struct sight *s = sight_of(l->c, l->by, mb->host);
+
+	if (mb->incarnation < s->incarnation)
+		violated(l->c, l->f, l->by, mb->host, "go backwards");
+	s->incarnation = mb->incarnation;
+	if (mb->state == MEMBER_LEFT)
+		s->left_started_ms = mb->started_ms;
+	else if (member_is_live(mb) && s->left_started_ms == mb->started_ms)
+		violated(l->c, l->f, l->by, mb->host, "back after it left");
+	if (!is_wrong(l->f, l->by, mb)) {
+		s->wrong_since_ms = 0;
+		return;
+	}
+	if (s->wrong_since_ms == 0 || s->wrong_since_ms < l->f->calm_ms)
+		s->wrong_since_ms = l->f->now_ms;
+	if (l->f->now_ms - s->wrong_since_ms > CHECKER_WRONG_MS)
+		violated(l->c, l->f, l->by, mb->host,
+		    member_is_live(mb) ? "live for too long"
+				       : "failed for too long");
+}
+
+void
+checker_look(struct checker *c, struct fake_net *f)
+{
+	struct look l = {c, f, 0};
+
+	for (l.by = 0; l.by < f->n; l.by++)
+		if (fake_up(f, l.by))
+			membership_each(f->nodes[l.by].m, look_at, &l);
+}
--- /dev/null
+++ b/packages/membership/test/test_own.c
@@ -0,0 +1,245 @@
+/*
+ * Tests of one membership by itself: endpoints with their leases, queries,
+ * settings, bad input.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+
+#include "fake_net.h"
+
+static struct fake_net *f;
+static struct membership *m;
+
+static void
+setup(void)
+{
+	struct membership_settings s;
+
+	f = fake_net_new(1);
+	s = fake_settings(f, 0, 0);
+	m = fake_start(f, 0, &s, 0)->m;
+	fake_run(f, 100);
+}
+
+static void
+teardown(void)
+{
+	fake_net_free(f);
+}
+
+static const struct member_endpoint *
+endpoint(const char *service, uint16_t port)
+{
+	const struct member *self = membership_self(m);
+	uint32_t i;
+
+	for (i = 0; i < self->n_endpoints; i++)
+		if (self->endpoints[i].port == port &&
+		    strcmp(self->endpoints[i].service, service) == 0)
+			return &self->endpoints[i];
+	return NULL;
+}
+
+START_TEST(lone_node_joins)
+{
+	ck_assert_int_eq(membership_phase(m), MEMBERSHIP_JOINED);
+	ck_assert_uint_eq(membership_live(m), 1);
+	ck_assert_ptr_eq(membership_find(m, "h0"), membership_self(m));
+	ck_assert_ptr_null(membership_random(m, NULL, MEMBER_STATES_LIVE));
+}
+END_TEST
+
+START_TEST(lease_lapses_to_draining_then_left_then_gone)
+{
+	static const struct {
+		uint64_t after_ms;
+		int state;
+	} steps[] = {{900, ENDPOINT_READY}, {200, ENDPOINT_DRAINING},
+	    {800, ENDPOINT_DRAINING}, {200, ENDPOINT_LEFT}, {31000, -1}};
+	const struct member_endpoint *e;
+	uint32_t i;
+
+	ck_assert_int_eq(membership_announce(m, f->now_ms, "search", 80, 12,
+			     ENDPOINT_READY, f->now_ms + 1000),
+	    STATUS_OK);
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		fake_run(f, steps[i].after_ms);
+		e = endpoint("search", 80);
+		if (steps[i].state < 0)
+			ck_assert_ptr_null(e);
+		else
+			ck_assert_int_eq(e->state, steps[i].state);
+	}
+}
+END_TEST
+
+START_TEST(renewal_keeps_the_record_as_it_is)
+{
+	uint64_t change, incarnation;
+	uint32_t i;
+
+	for (i = 0; i < 20; i++) {
+		(void)membership_announce(m, f->now_ms, "search", 80, 12,
+		    ENDPOINT_READY, f->now_ms + 1000);
+		if (i == 0) {
+			change = membership_change(m);
+			incarnation = membership_self(m)->incarnation;
+		}
+		fake_run(f, 500);
+	}
+	ck_assert_uint_eq(membership_change(m), change);
+	ck_assert_uint_eq(membership_self(m)->incarnation, incarnation);
+	ck_assert_int_eq(endpoint("search", 80)->state, ENDPOINT_READY);
+}
+END_TEST
+
+START_TEST(each_change_raises_incarnation_and_revision)
+{
+	static const enum endpoint_state states[] = {
+	    ENDPOINT_STARTING, ENDPOINT_READY, ENDPOINT_DRAINING};
+	uint64_t was = 0;
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(states); i++) {
+		(void)membership_announce(
+		    m, f->now_ms, "search", 80, 12, states[i], DEADLINE_NEVER);
+		ck_assert_uint_gt(membership_self(m)->incarnation, was);
+		was = membership_self(m)->incarnation;
+		ck_assert_uint_eq(endpoint("search", 80)->revision, i + 1);
+	}
+	ck_assert_int_eq(
+	    membership_withdraw(m, f->now_ms, "search", 80), STATUS_OK);
+	ck_assert_int_eq(
+	    membership_withdraw(m, f->now_ms, "search", 80), STATUS_NOT_FOUND);
+	ck_assert_int_eq(endpoint("search", 80)->state, ENDPOINT_LEFT);
+}
+END_TEST
+
+START_TEST(endpoints_are_bounded_and_places_used_again)
+{
+	uint16_t port;
+
+	for (port = 1; port <= MEMBER_ENDPOINTS_MAX; port++)
+		ck_assert_int_eq(membership_announce(m, f->now_ms, "search",
+				     port, 1, ENDPOINT_READY, DEADLINE_NEVER),
+		    STATUS_OK);
+	ck_assert_int_eq(membership_announce(m, f->now_ms, "search", port, 1,
+			     ENDPOINT_READY, DEADLINE_NEVER),
+	    STATUS_OVERLOADED);
+	(void)membership_withdraw(m, f->now_ms, "search", 3);
+	ck_assert_int_eq(membership_announce(m, f->now_ms, "search", port, 1,
+			     ENDPOINT_READY, DEADLINE_NEVER),
+	    STATUS_OK);
+	ck_assert_ptr_null(endpoint("search", 3));
+	ck_assert_uint_eq(
+	    membership_self(m)->n_endpoints, MEMBER_ENDPOINTS_MAX);
+}
+END_TEST
+
+START_TEST(bad_announcements_are_refused_with_a_remedy)
+{
+	static const struct {
+		const char *service;
+		uint16_t port;
+		enum endpoint_state state;
+	} bad[] = {{"", 80, ENDPOINT_READY}, {"Search", 80, ENDPOINT_READY},
+	    {"a b", 80, ENDPOINT_READY}, {"search", 0, ENDPOINT_READY},
+	    {"search", 80, ENDPOINT_LEFT},
+	    {"a-name-that-is-longer-than-31-bytes", 80, ENDPOINT_READY}};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		ck_assert_int_eq(
+		    membership_announce(m, f->now_ms, bad[i].service,
+			bad[i].port, 1, bad[i].state, DEADLINE_NEVER),
+		    STATUS_INVALID);
+		ck_assert_ptr_nonnull(strchr(status_message(), ';'));
+	}
+	ck_assert_uint_eq(membership_self(m)->n_endpoints, 0);
+}
+END_TEST
+
+/* Bytes that are no message, and messages that make no sense. */
+START_TEST(bad_messages_change_nothing)
+{
+	struct net_addr from = {FAKE_IP + 9, FAKE_PORT};
+	struct rec_member recs[3];
+	struct msg_news msg;
+	GByteArray *body = g_byte_array_new();
+	uint8_t junk[64];
+	uint32_t i, j;
+
+	for (i = 0; i < 2000; i++) {
+		for (j = 0; j < sizeof(junk); j++)
+			junk[j] = (uint8_t)g_rand_int(f->rand);
+		membership_receive(m, f->now_ms, &from, i % 2,
+		    (uint8_t)(i % 20), junk, i % sizeof(junk));
+	}
+	memset(recs, 0, sizeof(recs));
+	memset(&msg, 0, sizeof(msg));
+	for (i = 0; i < G_N_ELEMENTS(recs); i++) {
+		(void)g_strlcpy(recs[i].host, "x", sizeof(recs[i].host));
+		(void)g_strlcpy(
+		    recs[i].data_centre, "d0", sizeof(recs[i].data_centre));
+		recs[i].ip = 1;
+		recs[i].peer_port = 1;
+	}
+	recs[0].host[0] = '\0';
+	recs[1].ip = 0;
+	recs[2].incarnation = UINT64_MAX;
+	msg.news = recs;
+	msg.n_news = G_N_ELEMENTS(recs);
+	msg_news_encode(&msg, body);
+	membership_receive(
+	    m, f->now_ms, &from, 0, MSG_NEWS, body->data, body->len);
+	g_byte_array_unref(body);
+	ck_assert_uint_eq(membership_live(m), 1);
+	/* A tenth are answers to a join that nobody asked for. */
+	ck_assert_uint_ge(membership_counters(m)->rejected, 1800);
+}
+END_TEST
+
+START_TEST(rank_is_the_same_everywhere_and_live_only)
+{
+	const struct member *a[4], *b[4];
+	uint32_t i;
+
+	fake_net_free(f);
+	f = fake_net_new(2);
+	fake_start_all(f, 8, 1);
+	ck_assert_uint_ne(fake_run_until(f, 30000, fake_agreed), UINT64_MAX);
+	ck_assert_uint_eq(membership_rank(f->nodes[0].m, "d0", "key", a, 4), 4);
+	ck_assert_uint_eq(membership_rank(f->nodes[5].m, "d0", "key", b, 4), 4);
+	for (i = 0; i < 4; i++)
+		ck_assert_str_eq(a[i]->host, b[i]->host);
+	ck_assert_uint_eq(membership_rank(f->nodes[0].m, "d9", "key", a, 4), 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("membership of one node");
+	TCase *tc = tcase_create("own");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, lone_node_joins);
+	tcase_add_test(tc, lease_lapses_to_draining_then_left_then_gone);
+	tcase_add_test(tc, renewal_keeps_the_record_as_it_is);
+	tcase_add_test(tc, each_change_raises_incarnation_and_revision);
+	tcase_add_test(tc, endpoints_are_bounded_and_places_used_again);
+	tcase_add_test(tc, bad_announcements_are_refused_with_a_remedy);
+	tcase_add_test(tc, bad_messages_change_nothing);
+	tcase_add_test(tc, rank_is_the_same_everywhere_and_live_only);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/membership/test/test_swim.c
@@ -0,0 +1,369 @@
+/*
+ * Tests of detection, refutation, leaving, freezing and joining inside a data
+ * centre, each over several seeds.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+
+#include "checker.h"
+#include "fake_net.h"
+
+#define SEEDS 12
+#define JOIN_MS 30000
+
+static struct fake_net *f;
+
+/* A cluster whose nodes all know each other. */
+static void
+cluster(uint32_t seed, uint32_t n, uint32_t dcs)
+{
+	f = fake_net_new(seed);
+	fake_start_all(f, n, dcs);
+	ck_assert_msg(fake_run_until(f, JOIN_MS, fake_agreed) != UINT64_MAX,
+	    "seed %u: %u nodes did not join", seed, n);
+}
+
+static void
+end(uint32_t seed)
+{
+	const char *v = checker_violation(f->checker);
+
+	ck_assert_msg(v == NULL, "seed %u: %s", seed, v);
+	fake_net_free(f);
+}
+
+static void
+must(uint32_t seed, uint64_t most_ms, int (*done)(struct fake_net *f),
+    const char *what)
+{
+	ck_assert_msg(fake_run_until(f, most_ms, done) != UINT64_MAX,
+	    "seed %u: not within %llu ms: %s", seed,
+	    (unsigned long long)most_ms, what);
+}
+
+/* All that are up hold node @of to be in @state. */
+static int
+all_hold(uint32_t of, int state)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (i != of && fake_up(f, i) && fake_state(f, i, of) != state)
+			return 0;
+	return 1;
+}
+
+static int
+one_failed(struct fake_net *g)
+{
+	(void)g;
+	return all_hold(1, MEMBER_FAILED);
+}
+
+static int
+one_left(struct fake_net *g)
+{
+	(void)g;
+	return all_hold(1, MEMBER_LEFT);
+}
+
+static int
+one_unknown(struct fake_net *g)
+{
+	(void)g;
+	return all_hold(1, -1);
+}
+
+static uint64_t
+failures_seen(void)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (f->nodes[i].m != NULL)
+			sum += membership_counters(f->nodes[i].m)->failed;
+	return sum;
+}
+
+START_TEST(nobody_fails_while_messages_are_lost)
+{
+	static const uint32_t loss[] = {0, 5, 10, 20};
+	uint32_t seed = (uint32_t)_i, i;
+
+	for (i = 0; i < G_N_ELEMENTS(loss); i++) {
+		cluster(seed, 12, 1);
+		f->loss_percent = loss[i];
+		fake_run(f, 120000);
+		ck_assert_msg(failures_seen() == 0,
+		    "seed %u: a live host failed at %u %% loss", seed, loss[i]);
+		end(seed);
+	}
+}
+END_TEST
+
+START_TEST(a_killed_host_is_found_by_all)
+{
+	static const uint32_t sizes[] = {2, 3, 5, 20};
+	uint32_t seed = (uint32_t)_i, i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		cluster(seed, sizes[i], 1);
+		f->loss_percent = 5;
+		fake_run(f, 2000);
+		fake_kill(f, 1);
+		must(seed, 20000, one_failed, "killed host failed");
+		ck_assert_uint_le(failures_seen(), sizes[i] - 1);
+		end(seed);
+	}
+}
+END_TEST
+
+START_TEST(a_one_way_cut_between_two_fails_nobody)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	cluster(seed, 8, 1);
+	fake_cut(f, 2, 5, 1);
+	fake_run(f, 90000);
+	ck_assert_uint_eq(failures_seen(), 0);
+	end(seed);
+}
+END_TEST
+
+/* A deaf, a mute and an isolated node: the others stay true to each other,
+ * and after the cut the node comes back without having failed the others. */
+START_TEST(a_cut_off_node_harms_nobody_else)
+{
+	uint32_t seed = (uint32_t)_i, how, i, j;
+
+	for (how = 1; how <= 3; how++) {
+		cluster(seed, 10, 1);
+		if (how & 1)
+			fake_cut_in(f, 1, 1);
+		if (how & 2)
+			fake_cut_out(f, 1, 1);
+		fake_run(f, 60000);
+		ck_assert_msg(
+		    one_failed(f), "seed %u, way %u: not failed", seed, how);
+		for (i = 0; i < f->n; i++)
+			for (j = 0; j < f->n; j++)
+				ck_assert(i == 1 || j == 1 ||
+				    fake_state(f, i, j) < MEMBER_FAILED);
+		fake_cut_in(f, 1, 0);
+		fake_cut_out(f, 1, 0);
+		must(seed, 30000, fake_all_see_all, "healed");
+		must(seed, 30000, fake_agreed, "agreed after the cut");
+		end(seed);
+	}
+}
+END_TEST
+
+/* Two halves that took each other for failed find together again, also
+ * after the tombstones are gone. */
+START_TEST(halves_of_a_data_centre_meet_again)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+	uint32_t i;
+
+	f = fake_net_new(seed);
+	f->seeds[0] = fake_settings(f, 0, 0).address;
+	f->seeds[1] = fake_settings(f, 1, 0).address;
+	f->n_seeds = 2;
+	for (i = 0; i < 10; i++) {
+		s = fake_settings(f, i, 0);
+		s.forget_ms = 15000;
+		(void)fake_start(f, i, &s, 0);
+	}
+	must(seed, JOIN_MS, fake_agreed, "joined");
+	fake_cut_dc(f, 0, 2, 1);
+	fake_run(f, 80000);
+	ck_assert_int_eq(fake_state(f, 0, 1), -1);
+	ck_assert_int_lt(fake_state(f, 0, 2), MEMBER_FAILED);
+	fake_cut_dc(f, 0, 2, 0);
+	must(seed, 40000, fake_all_see_all, "halves met");
+	must(seed, 40000, fake_agreed, "halves agreed");
+	end(seed);
+}
+END_TEST
+
+START_TEST(a_leaving_host_is_known_by_all_and_stays_gone)
+{
+	uint32_t seed = (uint32_t)_i, i;
+
+	f = fake_net_new(seed);
+	f->seeds[0] = fake_settings(f, 0, 0).address;
+	f->n_seeds = 1;
+	for (i = 0; i < 16; i++) {
+		struct membership_settings s = fake_settings(f, i, 0);
+
+		s.forget_ms = 20000;
+		(void)fake_start(f, i, &s, 0);
+	}
+	must(seed, JOIN_MS, fake_agreed, "joined");
+	(void)membership_announce(f->nodes[1].m, f->now_ms, "search", 80, 1,
+	    ENDPOINT_READY, DEADLINE_NEVER);
+	/* One node sleeps through the leave and through its tombstone. */
+	fake_run(f, 5000);
+	fake_freeze(f, 5);
+	membership_leave(f->nodes[1].m, f->now_ms);
+	must(seed, 2000, one_left, "leave known");
+	ck_assert_int_eq(
+	    membership_find(f->nodes[2].m, "h1")->endpoints[0].state,
+	    ENDPOINT_LEFT);
+	fake_run(f, 1000);
+	ck_assert_int_eq(membership_phase(f->nodes[1].m), MEMBERSHIP_LEFT);
+	fake_kill(f, 1);
+	fake_run(f, 30000);
+	ck_assert(one_unknown(f));
+	fake_thaw(f, 5);
+	fake_run(f, 500);
+	must(seed, 30000, one_unknown, "leave known to the sleeper");
+	fake_run(f, 10000);
+	ck_assert(one_unknown(f));
+	end(seed);
+}
+END_TEST
+
+START_TEST(a_frozen_host_fails_nobody_and_comes_back)
+{
+	static const uint64_t freeze_ms[] = {3500, 8000, 60000};
+	uint32_t seed = (uint32_t)_i, i;
+
+	for (i = 0; i < G_N_ELEMENTS(freeze_ms); i++) {
+		cluster(seed, 10, 1);
+		(void)membership_announce(f->nodes[1].m, f->now_ms, "search",
+		    80, 1, ENDPOINT_READY, f->now_ms + 2000);
+		fake_run(f, 1000);
+		fake_freeze(f, 1);
+		fake_run(f, freeze_ms[i]);
+		fake_thaw(f, 1);
+		/* Its upstreams could not renew while it was frozen. */
+		ck_assert_int_eq(
+		    membership_self(f->nodes[1].m)->endpoints[0].state,
+		    ENDPOINT_READY);
+		must(seed, 5000, fake_all_see_all, "thawed host is live");
+		must(seed, 5000, fake_agreed, "agreed after the thaw");
+		ck_assert_uint_eq(
+		    membership_counters(f->nodes[1].m)->failed, 0);
+		end(seed);
+	}
+}
+END_TEST
+
+/* The clock of the new process is an hour behind. */
+START_TEST(a_restarted_host_goes_above_what_peers_remember)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+	uint64_t was;
+
+	cluster(seed, 8, 1);
+	(void)membership_announce(f->nodes[1].m, f->now_ms, "search", 80, 1,
+	    ENDPOINT_READY, DEADLINE_NEVER);
+	fake_run(f, 2000);
+	was = membership_find(f->nodes[3].m, "h1")->incarnation;
+	fake_kill(f, 1);
+	fake_run(f, seed % 2 == 0 ? 500 : 20000);
+	s = fake_settings(f, 1, 0);
+	(void)fake_start(f, 1, &s, -3600000);
+	must(seed, 10000, fake_all_see_all, "restarted host is live");
+	must(seed, 10000, fake_agreed, "agreed after the restart");
+	ck_assert_uint_gt(
+	    membership_find(f->nodes[3].m, "h1")->incarnation, was);
+	ck_assert_uint_eq(membership_find(f->nodes[3].m, "h1")->n_endpoints, 0);
+	end(seed);
+}
+END_TEST
+
+/* Endpoint changes under messages that cross, double and get lost. */
+START_TEST(crossed_doubled_and_lost_news_end_alike)
+{
+	static const enum endpoint_state states[] = {
+	    ENDPOINT_STARTING, ENDPOINT_READY, ENDPOINT_DRAINING};
+	uint32_t seed = (uint32_t)_i, i;
+
+	cluster(seed, 12, 1);
+	f->delay_ms = 250;
+	f->double_percent = 30;
+	f->loss_percent = 10;
+	for (i = 0; i < 120; i++) {
+		(void)membership_announce(f->nodes[i % 12].m, f->now_ms,
+		    "search", (uint16_t)(80 + i % 3), 1,
+		    states[g_rand_int_range(f->rand, 0, 3)], DEADLINE_NEVER);
+		fake_run(f, (uint64_t)g_rand_int_range(f->rand, 0, 300));
+	}
+	f->loss_percent = 0;
+	must(seed, 20000, fake_agreed, "same tables");
+	end(seed);
+}
+END_TEST
+
+START_TEST(a_herd_joins_and_none_serves_more_than_its_limit)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	f = fake_net_new(seed);
+	fake_start_all(f, 60, 1);
+	must(seed, 20000, fake_agreed, "herd of 60 joined");
+	end(seed);
+}
+END_TEST
+
+/* A whole data centre restarts at the same addresses, while others live. */
+START_TEST(a_data_centre_restarts_at_once)
+{
+	uint32_t seed = (uint32_t)_i, i;
+	struct membership_settings s;
+
+	cluster(seed, 60, 3);
+	for (i = 0; i < 60; i += 3)
+		fake_kill(f, i);
+	fake_run(f, 3000);
+	for (i = 0; i < 60; i += 3) {
+		s = fake_settings(f, i, 0);
+		(void)fake_start(f, i, &s, 0);
+	}
+	must(seed, 20000, fake_all_see_all, "all live again");
+	must(seed, 20000, fake_agreed, "agreed again");
+	end(seed);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("membership inside a data centre");
+	TCase *tc = tcase_create("swim");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, nobody_fails_while_messages_are_lost, 0, SEEDS);
+	tcase_add_loop_test(tc, a_killed_host_is_found_by_all, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_one_way_cut_between_two_fails_nobody, 0, SEEDS);
+	tcase_add_loop_test(tc, a_cut_off_node_harms_nobody_else, 0, SEEDS);
+	tcase_add_loop_test(tc, halves_of_a_data_centre_meet_again, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_leaving_host_is_known_by_all_and_stays_gone, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_frozen_host_fails_nobody_and_comes_back, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_restarted_host_goes_above_what_peers_remember, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, crossed_doubled_and_lost_news_end_alike, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_herd_joins_and_none_serves_more_than_its_limit, 0, SEEDS);
+	tcase_add_loop_test(tc, a_data_centre_restarts_at_once, 0, SEEDS);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
