fix(rollout): do not claim another start's write as one's own

Problem: with two starts of one operation id, a start whose own write had lost could end as done and not repeated, though the version that was made came from the other start; the node passes what it wrote itself on to its peers then, with a version and seq that were never in force.

Cause: "repeated" was only whether a write had been sent. Ruled out: the root, which is compared already.

Solution: it is the start's own doing only if the version is the one that its last write made.

--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -138,7 +138,8 @@
  * struct rollout_outcome - how an operation ended
  * @result: how
  * @kind: kind of the operation; with ROLLOUT_FIND that of the one found
- * @repeated: the operation had been done by an earlier start
+ * @repeated: another start of the operation did it; if not, what the last
+ * ROLLOUT_TRANSACT wrote is in force on the platform
  * @version: version made or halted; 0 when nothing was done
  * @in_force: highest version not halted, as last read or written
  * @newest_version: newest version, as last read or written
--- a/packages/rollout/src/outcome.c
+++ b/packages/rollout/src/outcome.c
@@ -77,10 +77,10 @@
 	}
 	o->kind = kind;
 	o->version = version;
-	o->repeated = !r->sent;
+	o->repeated = !r->sent || version != r->new_head.version;
 	end(r, ROLLOUT_DONE, "Version %" G_GUINT64_FORMAT " is %s%s.", version,
 	    kind == ROLLOUT_HALT ? "halted" : "signed off",
-	    o->repeated ? "; an earlier start of this operation did it" : "");
+	    o->repeated ? "; another start of this operation did it" : "");
 }
 
 void
--- a/packages/rollout/test/check_world.c
+++ b/packages/rollout/test/check_world.c
@@ -158,6 +158,7 @@
 	g_strlcpy(deed.op, a->head.op, sizeof(deed.op));
 	deed.version = a->head.version;
 	deed.halt = !a->has_version;
+	deed.head = a->head;
 	(void)find_deed(w, deed.op, &n);
 	if (n > 0)
 		violation(w, "operation %s is done twice", deed.op);
@@ -238,6 +239,14 @@
 	return false;
 }
 
+static bool
+same_head(const struct store_head *a, const struct store_head *b)
+{
+	return a->seq == b->seq && a->version == b->version &&
+	    a->in_force == b->in_force && a->state == b->state &&
+	    hash_digest_equal(&a->root, &b->root);
+}
+
 static void
 check_told(struct world *w, const struct actor *actor)
 {
@@ -252,6 +261,9 @@
 	case ROLLOUT_DONE:
 		if (deed == NULL || deed->version != o->version)
 			violation(w, "%s was told done wrongly", actor->req.op);
+		else if (!o->repeated && !same_head(&deed->head, &actor->sent))
+			violation(w, "%s was told that its write did it",
+			    actor->req.op);
 		break;
 	case ROLLOUT_UNKNOWN:
 		break;
--- a/packages/rollout/test/world.c
+++ b/packages/rollout/test/world.c
@@ -152,6 +152,8 @@
 	enum fault fault = draw_fault(w);
 	uint64_t arrive_ms = w->now_ms + latency(w);
 
+	if (a->kind == ROLLOUT_TRANSACT)
+		actor->sent = a->head;
 	e.st = is_write(a) ? STATUS_UNKNOWN : STATUS_UNAVAILABLE;
 	switch (fault) {
 	case FAULT_REFUSED:
--- a/packages/rollout/test/world.h
+++ b/packages/rollout/test/world.h
@@ -29,6 +29,7 @@
  * @bundle: bundle of a sign-off
  * @naive: answers an unknown write by starting afresh under another id
  * @n_starts: starts, for the ids of a naive one
+ * @sent: head row of its last write, which the shell remembers
  * @outcome: how it ended
  */
 struct actor {
@@ -37,6 +38,7 @@
 	struct bundle *bundle;
 	bool naive;
 	uint32_t n_starts;
+	struct store_head sent;
 	struct rollout_outcome outcome;
 };
 
@@ -45,11 +47,13 @@
  * @op: operation that did it
  * @version: version made or halted
  * @halt: whether it was a halt
+ * @head: head row that it wrote
  */
 struct deed {
 	char op[STORE_OP_BYTES];
 	uint64_t version;
 	bool halt;
+	struct store_head head;
 };
 
 /**
