--- a/packages/config/bench/bench_config.c
+++ b/packages/config/bench/bench_config.c
@@ -20,6 +20,7 @@
 #define ROUTES 5
 #define ROUNDS 200
 #define MATCHES 2000000
+#define LINEAR_MATCHES 1000
 #define KIB 1024.0
 
 /* Number of the service that changes. */
@@ -237,6 +238,46 @@
 	endpoint_set_free(set);
 }
 
+/* The longest prefix by looking at each route, for comparison. */
+static const struct service_route *
+linear_match(const struct snapshot *s, const char *path)
+{
+	const struct service_route *route, *best = NULL;
+	const struct service_config *sc;
+	uint32_t i, j;
+
+	for (i = 0; i < s->n_services; i++) {
+		sc = s->services[i].config;
+		for (j = 0; j < sc->n_routes; j++) {
+			route = &sc->routes[j];
+			if (strncmp(route->prefix, path, route->prefix_len) !=
+				0 ||
+			    path[route->prefix_len] != '/')
+				continue;
+			if (best == NULL ||
+			    route->prefix_len > best->prefix_len)
+				best = route;
+		}
+	}
+	return best;
+}
+
+static void
+bench_linear(const struct snapshot *s, char paths[][64])
+{
+	uint64_t start_us, spent_us, n_found = 0;
+	uint32_t i;
+
+	start_us = clock_now_us();
+	for (i = 0; i < LINEAR_MATCHES; i++)
+		n_found += linear_match(s, paths[i]) != NULL;
+	spent_us = clock_now_us() - start_us;
+	printf("match by looking at each route: %.0f ns (mean of %d, %d "
+	       "found)\n",
+	    (double)spent_us * 1000.0 / LINEAR_MATCHES, LINEAR_MATCHES,
+	    (int)n_found);
+}
+
 static void
 bench_match(const struct size *size, const struct catalog *c)
 {
@@ -262,6 +303,7 @@
 	printf("match: %.0f ns (mean of %d, %d found) among %u routes\n",
 	    (double)spent_us * 1000.0 / MATCHES, MATCHES, (int)n_found,
 	    size->services * size->routes);
+	bench_linear(s, paths);
 	snapshot_unref(s);
 	endpoint_set_free(none);
 }
