--- a/packages/net/test/test_loop.c
+++ b/packages/net/test/test_loop.c
@@ -2,7 +2,6 @@
  * Tests of the event loop.
  */
 #include <pthread.h>
-#include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,6 +9,7 @@
 #include <glib.h>
 
 #include "net/loop.h"
+#include "support.h"
 
 #define POSTS 10000
 
@@ -214,10 +214,7 @@
 int
 main(void)
 {
-	Suite *s = suite_create("loop");
 	TCase *tc = tcase_create("loop");
-	SRunner *sr;
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, timers_fire_in_order_of_deadline);
@@ -226,10 +223,5 @@
 	tcase_add_test(tc, posts_of_all_threads_arrive);
 	tcase_add_test(tc, what_was_posted_before_stop_runs);
 	tcase_add_test(tc, removed_descriptor_is_not_served_in_the_same_turn);
-	suite_add_tcase(s, tc);
-	sr = srunner_create(s);
-	srunner_run_all(sr, CK_ENV);
-	failed = srunner_ntests_failed(sr);
-	srunner_free(sr);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return support_run("loop", tc);
 }
--- a/packages/net/test/test_udp.c
+++ b/packages/net/test/test_udp.c
@@ -2,7 +2,6 @@
  * Tests of datagram sockets.
  */
 #include <netinet/in.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,9 +10,7 @@
 #include <glib.h>
 
 #include "net/udp.h"
-
-#define LOOPBACK 0x7f000001U
-#define WAIT_MS 2000
+#include "support.h"
 
 static struct loop *loop;
 static struct udp *a, *b;
@@ -65,8 +62,7 @@
 
 	ck_assert_int_eq(
 	    udp_send(a, udp_addr(b), 7, body, sizes[_i]), STATUS_OK);
-	while (count == 0)
-		loop_run_once(loop, clock_now_ms() + WAIT_MS);
+	RUN_UNTIL(loop, count > 0);
 	ck_assert_int_eq(last_type, 7);
 	ck_assert_uint_eq(last_len, sizes[_i]);
 	ck_assert_uint_eq(last_from.port, udp_addr(a).port);
@@ -91,8 +87,7 @@
 	ck_assert_int_eq(sendto(fd, body, sizes[_i], 0, (struct sockaddr *)&sin,
 			     sizeof(sin)),
 	    (ssize_t)sizes[_i]);
-	while (dropped.value == 0)
-		loop_run_once(loop, clock_now_ms() + WAIT_MS);
+	RUN_UNTIL(loop, dropped.value > 0);
 	ck_assert_int_eq(count, 0);
 	(void)close(fd);
 }
@@ -111,8 +106,7 @@
 		loop_run_once(loop, 0);
 	}
 	ck_assert_int_eq(udp_send(a, udp_addr(a), 2, NULL, 0), STATUS_OK);
-	while (count == 0)
-		loop_run_once(loop, clock_now_ms() + WAIT_MS);
+	RUN_UNTIL(loop, count > 0);
 	ck_assert_int_eq(last_type, 2);
 }
 END_TEST
@@ -132,20 +126,12 @@
 int
 main(void)
 {
-	Suite *s = suite_create("udp");
 	TCase *tc = tcase_create("udp");
-	SRunner *sr;
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_loop_test(tc, datagrams_up_to_the_limit_arrive, 0, 3);
 	tcase_add_loop_test(tc, empty_and_large_datagrams_are_dropped, 0, 3);
 	tcase_add_test(tc, lost_peer_does_not_stop_the_socket);
 	tcase_add_test(tc, address_of_another_machine_is_an_error);
-	suite_add_tcase(s, tc);
-	sr = srunner_create(s);
-	srunner_run_all(sr, CK_ENV);
-	failed = srunner_ntests_failed(sr);
-	srunner_free(sr);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return support_run("udp", tc);
 }
--- /dev/null
+++ b/packages/store/test/fake_platform.h
@@ -0,0 +1,112 @@
+/*
+ * A platform for tests, which answers every request alike, and a caller of
+ * the store that keeps what it was told.
+ */
+#ifndef TEST_FAKE_PLATFORM_H
+#define TEST_FAKE_PLATFORM_H
+
+#include <glib.h>
+
+#include "http_fake.h"
+#include "store/http_store.h"
+#include "support.h"
+
+#define SHORT_MS 150
+
+/**
+ * enum mode - what the platform does with a request
+ * @MODE_ANSWER: answer it
+ * @MODE_DROP: close without an answer
+ * @MODE_HANG: never answer
+ * @MODE_CUT: close before the answer is complete
+ * @MODE_OPEN: answer without a length, and close
+ * @MODE_BIG: answer with more than is taken
+ * @MODE_DOWN: for tests that take the platform down
+ */
+enum mode {
+	MODE_ANSWER,
+	MODE_DROP,
+	MODE_HANG,
+	MODE_CUT,
+	MODE_OPEN,
+	MODE_BIG,
+	MODE_DOWN,
+};
+
+/**
+ * struct reply - how every request is answered
+ * @mode: what is done
+ * @code: code of the answer
+ * @body: body of the answer
+ */
+struct reply {
+	enum mode mode;
+	int code;
+	const char *body;
+};
+
+/* What was seen of the last request, and how many there were. */
+extern GString *seen_request;
+extern GString *seen_body;
+extern int seen_count;
+
+extern struct loop *loop;
+extern struct http_client *client;
+extern struct store *store;
+
+/* What the caller was told by the last operation. */
+extern int told;
+extern enum status told_status;
+extern enum store_conflict told_which;
+extern struct store_head told_head;
+extern struct store_version told_rows[STORE_VERSIONS_MAX];
+extern uint32_t told_n;
+extern uint64_t told_upto;
+extern GByteArray *told_bytes;
+
+/** platform_setup() - a loop, a platform and a store that speaks to it */
+void platform_setup(void);
+
+/** platform_teardown() - free all of it */
+void platform_teardown(void);
+
+/** set_reply() - how requests are answered from now on */
+void set_reply(enum mode mode, int code, const char *body);
+
+/** caller_deadline() - deadline for an operation; early if it will hang */
+uint64_t caller_deadline(void);
+
+/** caller_await() - wait until the operation just started has ended */
+void caller_await(void);
+
+/** caller_on_head() - a store_head_fn that notes what it is told */
+void caller_on_head(enum status st, const struct store_head *head, void *arg);
+
+/** caller_on_put() - a store_done_fn that notes what it is told */
+void caller_on_put(enum status st, void *arg);
+
+/** caller_read_head() - read the head row and wait */
+void caller_read_head(void);
+
+/** caller_read_versions() - read versions and wait */
+void caller_read_versions(uint64_t from, uint64_t to);
+
+/** caller_transact() - write rows and wait */
+void caller_transact(const struct store_write *w);
+
+/** caller_write_something() - write a head and a version row and wait */
+void caller_write_something(void);
+
+/** caller_put_object() - write the object "section/ab" and wait */
+void caller_put_object(void);
+
+/** caller_get_object() - read it and wait */
+void caller_get_object(size_t max_bytes);
+
+/** some_head() - a head row with something in every field; seq 8 */
+struct store_head some_head(void);
+
+/** some_version() - a version row with something in every field */
+struct store_version some_version(void);
+
+#endif
