feat(node): idempotency keys at the guard

Problem: a booking repeated with its Idempotency-Key through another node could run twice.

Solution: the guard carries out what package traffic decides on keys: a repeated key follows the first request's fate and answer, another body gets 409, and a new home asks the earlier one over a connection of its own. Answers to keys are not given up when the entry acknowledges them (the first run of the test showed a repeat told unknown because of that).

A guard younger than the fate window settles no key, as package traffic wants it.

--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -10,6 +10,7 @@
 #define STATUS_NOT_RUN 503
 #define STATUS_UNKNOWN_FATE 504
 #define STATUS_TOO_MUCH 413
+#define STATUS_CONFLICTS 409
 
 static const char unknown_message[] =
     "the request may or may not have run; ask for its effect, or send it "
@@ -53,7 +54,11 @@
 {
 	struct call_answer *a;
 
-	if (action->outcome == OUTCOME_NOT_RUN) {
+	if (action->refusal == REFUSAL_KEY_REUSED) {
+		a = own_answer(action->outcome, STATUS_CONFLICTS, "conflict",
+		    "the Idempotency-Key belongs to another request; use a "
+		    "new key.");
+	} else if (action->outcome == OUTCOME_NOT_RUN) {
 		a = own_answer(
 		    OUTCOME_NOT_RUN, STATUS_NOT_RUN, "not_run", NULL);
 		a->message = not_run_message(action);
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -64,7 +64,7 @@
 	m->headers = call_headers_rec(&r->headers);
 	m->n_headers = call_headers_count(&r->headers);
 	m->idempotent = c->idempotent;
-	if (r->key != NULL) {
+	if (c->keyed) {
 		m->key = r->key;
 		m->key_len = (uint32_t)strlen(r->key);
 	}
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -59,7 +59,7 @@
 	const struct endpoint *ep;
 	uint64_t now_ms = loop_now_ms(e->loop);
 
-	if (c->request->key != NULL) {
+	if (c->keyed) {
 		q.key = c->request->key;
 		q.key_len = strlen(c->request->key);
 	}
@@ -285,7 +285,7 @@
 	cfg->deadline_grace_ms = DEADLINE_GRACE_MS;
 	cfg->resolve_limit_ms = RESOLVE_LIMIT_MS;
 	cfg->idempotent = c->idempotent;
-	cfg->keyed = c->request->key != NULL;
+	cfg->keyed = c->keyed;
 }
 
 static struct entry_call *
@@ -304,6 +304,7 @@
 	c->service = entry_service_get(e, match->service);
 	c->config = match->service->config;
 	c->idempotent = match->route->idempotent;
+	c->keyed = r->key != NULL && !c->idempotent;
 	c->sequence = ++e->sequence;
 	c->body.held = true;
 	if (r->deadline_ms == DEADLINE_NEVER)
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -69,7 +69,7 @@
 	if (a != NULL) {
 		fine = head_is_sound(a, &m);
 		if (fine) {
-			take_load(a, &m.load);
+			a->load = m.load;
 			a->head_us = clock_now_us();
 			a->status = m.status;
 			a->answer = call_answer_new(OUTCOME_DONE, m.status);
@@ -95,13 +95,14 @@
 
 /* The answer broke off or is not what its head said. */
 static void
-answer_failed(struct entry_attempt *a)
+answer_failed(struct entry_attempt *a, const struct rec_load *load)
 {
 	struct entry_call *c = a->call;
 	uint64_t now_ms = loop_now_ms(c->entry->loop);
 
 	entry_peer_remove(a);
 	entry_attempt_end(a, ENDPOINT_FAILED);
+	take_load(a, load);
 	if (a->committed)
 		call_lost(c->decision, a->action.stream, now_ms);
 	else
@@ -111,13 +112,14 @@
 
 #define SERVER_ERROR 500
 
+/* The answer to a key is kept for those who send the key again. */
 static void
 acknowledge(struct entry_attempt *a)
 {
 	struct msg_call_ack ack = {
 	    .request_id = a->id.bytes, .request_id_len = REQUEST_ID_BYTES};
 
-	if (!a->call->idempotent)
+	if (!a->call->idempotent && !a->call->keyed)
 		(void)call_link_send(&a->peer->link, MSG_CALL_ACK, &ack);
 }
 
@@ -131,6 +133,7 @@
 	a->whole = true;
 	entry_attempt_end(
 	    a, status >= SERVER_ERROR ? ENDPOINT_FAILED : ENDPOINT_OK);
+	take_load(a, &a->load);
 	call_answered(
 	    c->decision, a->action.stream, loop_now_ms(c->entry->loop));
 	entry_call_run(c);
@@ -166,7 +169,7 @@
 		return false;
 	take_piece(a, &m);
 	if (!length_is_right(a, m.fin)) {
-		answer_failed(a);
+		answer_failed(a, &a->load);
 		return true;
 	}
 	if (m.fin)
@@ -222,9 +225,9 @@
 	if (a == NULL)
 		return true;
 	c = a->call;
-	take_load(a, &m.load);
 	entry_peer_remove(a);
 	entry_attempt_end(a, result_of((enum refusal)m.refusal));
+	take_load(a, &m.load);
 	log_debug("call %" PRIu64 ": refused by guard (%s)", c->sequence,
 	    refusal_name((enum refusal)m.refusal));
 	call_refused(c->decision, a->action.stream, (enum refusal)m.refusal,
@@ -244,8 +247,7 @@
 	a = stream(p, m.stream);
 	if (a == NULL)
 		return true;
-	take_load(a, &m.load);
-	answer_failed(a);
+	answer_failed(a, &m.load);
 	return true;
 }
 
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -146,6 +146,7 @@
  * @fin_sent: the end of the body was sent
  * @credit_bytes: bytes of the body that may be sent
  * @status: HTTP status of the answer
+ * @load: load that the head carried
  * @answer: head of the answer, until it is given to the exchange
  * @pieces: GBytes of the answer that are not given yet
  * @answer_bytes: bytes of the answer that came
@@ -171,6 +172,7 @@
 	bool fin_sent;
 	uint64_t credit_bytes;
 	uint32_t status;
+	struct rec_load load;
 	struct call_answer *answer;
 	GQueue pieces;
 	uint64_t answer_bytes;
@@ -208,6 +210,7 @@
  * @service: the service
  * @config: its configuration in @snapshot
  * @idempotent: running it twice does no harm
+ * @keyed: it has an idempotency key that counts
  * @decision: the state machine
  * @sequence: number of the call
  * @body: the request's body
@@ -226,6 +229,7 @@
 	struct entry_service *service;
 	const struct service_config *config;
 	bool idempotent;
+	bool keyed;
 	struct call *decision;
 	uint64_t sequence;
 	struct entry_body body;
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "config/snapshot.h"
 
 #define LOG_PART "guard"
 #include "base/log.h"
@@ -58,6 +59,8 @@
 	uint64_t now_ms = loop_now_ms(g->loop);
 
 	fate_expire(g->fates, now_ms);
+	guard_keyed_tick(g);
+	guard_resolve_expire(g);
 	drain_tick(&g->drain, now_ms);
 	atomic_store(&g->unsent, unsent(g));
 	loop_timer_set(&g->tick, now_ms + TICK_MS);
@@ -100,6 +103,10 @@
 	g->requests =
 	    g_hash_table_new_full(id_hash, id_equal, NULL, guard_request_free);
 	g->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g->homes =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	g->follows = g_hash_table_new_full(id_hash, id_equal, g_free, g_free);
+	g_queue_init(&g->askings);
 	drain_init(&g->drain);
 	loop_timer_init(&g->tick, loop, tick, g);
 	return g;
@@ -240,10 +247,14 @@
 	if (g == NULL)
 		return;
 	listener_free(g->listener);
+	guard_ask_free_all(g);
 	g_hash_table_destroy(g->conns);
 	g_hash_table_destroy(g->requests);
 	g_hash_table_destroy(g->tickets);
 	g_hash_table_destroy(g->upstreams);
+	g_hash_table_destroy(g->homes);
+	g_hash_table_destroy(g->follows);
+	snapshot_unref(g->snapshot);
 	http_client_free(g->http);
 	fate_table_free(g->fates);
 	rate_limit_free(g->callers);
--- a/packages/node/src/guard_frames.c
+++ b/packages/node/src/guard_frames.c
@@ -96,6 +96,23 @@
 	return true;
 }
 
+static bool
+on_key_ask(struct guard_conn *gc, const uint8_t *body, size_t len)
+{
+	struct msg_call_key_ask m;
+	struct msg_call_key_word word;
+
+	if (msg_call_key_ask_decode(body, len, &m) != STATUS_OK)
+		return false;
+	memset(&word, 0, sizeof(word));
+	(void)g_strlcpy(word.service, m.service, sizeof(word.service));
+	word.key_high = m.key_high;
+	word.key_low = m.key_low;
+	word.word = (uint8_t)guard_keyed_yield(gc->guard, &m);
+	(void)call_link_send(&gc->link, MSG_CALL_KEY_WORD, &word);
+	return true;
+}
+
 static bool
 on_ping(struct guard_conn *gc, const uint8_t *body, size_t len)
 {
@@ -157,6 +174,8 @@
 		return on_resolve(gc, body, len);
 	case MSG_CALL_ACK:
 		return on_ack(gc, body, len);
+	case MSG_CALL_KEY_ASK:
+		return on_key_ask(gc, body, len);
 	case MSG_CALL_PING:
 		return on_ping(gc, body, len);
 	case MSG_CALL_PONG:
--- /dev/null
+++ b/packages/node/src/guard_keyed.c
@@ -0,0 +1,265 @@
+/*
+ * Idempotency keys at the guard: what package traffic decides on them is
+ * carried out here.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "config/snapshot.h"
+#include "node/snapshot_ref.h"
+
+#define LOG_PART "guard"
+#include "base/log.h"
+
+#include "guard_priv.h"
+
+#define BODY_SEED 6
+#define KEYS_MAX 65536
+
+/* News of endpoints reach all nodes within this many suspicion times. */
+#define NEWS_SUSPICIONS 2
+
+static void carry_out(struct guard_request *r, const struct keyed_decision *d);
+
+/* Views */
+
+struct keyed *
+guard_keyed_new(struct guard *g, const char *service)
+{
+	struct keyed_config cfg = {.window_ms = g->settings->fate_window_ms,
+	    .news_ms = NEWS_SUSPICIONS * (uint64_t)g->settings->suspicion_ms,
+	    .keys_max = KEYS_MAX};
+
+	return keyed_new(&cfg, endpoint_id(g->settings->host, service),
+	    loop_now_ms(g->loop));
+}
+
+/* Remembers where an endpoint's guard is, also after it has left. */
+static void
+note_address(struct guard *g, uint64_t id, const struct endpoint *ep)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+	struct net_addr *address = g_new(struct net_addr, 1);
+
+	*key = id;
+	*address = ep->address;
+	g_hash_table_replace(g->homes, key, address);
+}
+
+static void
+view(struct guard_upstream *u)
+{
+	struct guard *g = u->guard;
+	const struct snapshot_service *ss;
+	const struct endpoint_list *list = NULL;
+	uint64_t *ready;
+	size_t n = 0;
+	uint32_t i;
+
+	ss = g->snapshot == NULL
+	    ? NULL
+	    : snapshot_service(g->snapshot, u->info.service);
+	if (ss != NULL)
+		list = ss->endpoints;
+	ready = g_new(uint64_t, list != NULL ? list->n_endpoints : 0);
+	for (i = 0; list != NULL && i < list->n_endpoints; i++) {
+		if (list->endpoints[i].state != SERVING_READY)
+			continue;
+		ready[n] = endpoint_id(
+		    list->endpoints[i].host, list->endpoints[i].service);
+		note_address(g, ready[n], &list->endpoints[i]);
+		n++;
+	}
+	keyed_view(u->keyed, ready, n, loop_now_ms(g->loop));
+	g_free(ready);
+}
+
+void
+guard_keyed_view(struct guard_upstream *u)
+{
+	view(u);
+}
+
+void
+guard_keyed_tick(struct guard *g)
+{
+	struct snapshot *s = snapshot_ref_get();
+	struct guard_upstream *u;
+	GHashTableIter it;
+
+	if (s == g->snapshot) {
+		snapshot_unref(s);
+		return;
+	}
+	snapshot_unref(g->snapshot);
+	g->snapshot = s;
+	g_hash_table_iter_init(&it, g->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&u))
+		view(u);
+}
+
+/* Requests */
+
+/* A body that is not here in full is told by its beginning. */
+static uint64_t
+body_hash(const struct guard_request *r)
+{
+	uint64_t h = hash64(r->method, strlen(r->method), BODY_SEED);
+	GList *l;
+	gsize len;
+	const void *data;
+
+	h = hash64(r->path, strlen(r->path), h);
+	h = hash64(&r->body_bytes, sizeof(r->body_bytes), h);
+	for (l = r->body.head; l != NULL; l = l->next) {
+		data = g_bytes_get_data(l->data, &len);
+		h = hash64(data, len, h);
+	}
+	return h;
+}
+
+void
+guard_keyed_offer(struct guard_request *r)
+{
+	struct guard *g = r->guard;
+	struct keyed_decision d;
+
+	guard_keyed_tick(g);
+	keyed_offer(r->upstream->keyed, &r->key, body_hash(r), &r->id,
+	    loop_now_ms(g->loop), &d);
+	log_debug("%s: key %s", r->upstream->info.service,
+	    keyed_verdict_name(d.verdict));
+	carry_out(r, &d);
+}
+
+/* The stream awaits the fate of the first request with the key. */
+static void
+follow(struct guard_request *r, const struct request_id *first)
+{
+	struct guard *g = r->guard;
+	struct guard_conn *gc = r->source->conn;
+	uint32_t stream = r->source->stream;
+	struct guard_upstream *u = r->upstream;
+	struct fate_answer fate;
+
+	fate_follow(g->fates, &r->id, first, loop_now_ms(g->loop), &fate);
+	guard_resolve_note(g, &r->id, first);
+	guard_out_free(r->source);
+	switch (fate.resolution) {
+	case RESOLUTION_ATTACHED:
+		if (!guard_resolve_attach(gc, stream, &r->id))
+			guard_out_failed(gc, stream, u);
+		break;
+	case RESOLUTION_ANSWER:
+		if (!guard_resolve_hand_over(gc, stream, &r->id, fate.answer))
+			guard_out_failed(gc, stream, u);
+		break;
+	case RESOLUTION_NOT_RUN:
+		guard_out_refuse(gc, stream, u, REFUSAL_RESOLVED, 0);
+		break;
+	default:
+		guard_out_failed(gc, stream, u);
+		break;
+	}
+	if (fate.answer != NULL)
+		g_bytes_unref(fate.answer);
+	guard_request_dismiss(r);
+}
+
+static void
+ask(struct guard_request *r, uint64_t home)
+{
+	struct guard *g = r->guard;
+	struct guard_question q = {.id = r->id,
+	    .key = r->key,
+	    .from = home,
+	    .age_ms = keyed_age_ms(r->upstream->keyed, loop_now_ms(g->loop))};
+	const struct net_addr *at = g_hash_table_lookup(g->homes, &home);
+
+	(void)g_strlcpy(
+	    q.service, r->upstream->info.service, sizeof(q.service));
+	r->state = REQUEST_SETTLING;
+	guard_ask(g, at, &q);
+}
+
+static void
+carry_out(struct guard_request *r, const struct keyed_decision *d)
+{
+	switch (d->verdict) {
+	case KEYED_RUN:
+		r->holds_key = true;
+		guard_upstream_offer(r);
+		return;
+	case KEYED_FOLLOW:
+		follow(r, &d->first);
+		return;
+	case KEYED_ASK:
+		ask(r, d->ask);
+		return;
+	case KEYED_NOT_HOME:
+		guard_request_refuse(r, REFUSAL_NOT_HOME, 0);
+		return;
+	case KEYED_FULL:
+		guard_request_refuse(r, REFUSAL_QUEUE_FULL, 0);
+		return;
+	case KEYED_OTHER_BODY:
+		guard_request_refuse(r, REFUSAL_KEY_REUSED, 0);
+		return;
+	case KEYED_CLAIM:
+	case KEYED_UNSETTLED:
+		guard_request_refuse(
+		    r, REFUSAL_KEY_UNSETTLED, d->retry_after_ms);
+		return;
+	}
+}
+
+/* The request that asked may have been given up meanwhile. */
+void
+guard_keyed_answered(
+    struct guard *g, const struct guard_question *q, enum keyed_word word)
+{
+	struct guard_request *r = g_hash_table_lookup(g->requests, &q->id);
+	struct guard_upstream *u = guard_upstream_find(g, q->service);
+	uint64_t now_ms = loop_now_ms(g->loop);
+	struct keyed_decision d;
+
+	log_info("%s: earlier home of a key says %s", q->service,
+	    word == KEYED_WORD_FREE	   ? "free"
+		: word == KEYED_WORD_TAKEN ? "taken"
+					   : "nothing");
+	if (u == NULL)
+		return;
+	keyed_asked(u->keyed, &q->key, &q->id, q->from, word, now_ms, &d);
+	if (r != NULL && r->state == REQUEST_SETTLING)
+		carry_out(r, &d);
+	else if (d.verdict == KEYED_RUN || d.verdict == KEYED_ASK)
+		keyed_release(u->keyed, &q->key, &q->id, now_ms);
+}
+
+void
+guard_keyed_ended(struct guard_request *r, bool ran)
+{
+	uint64_t now_ms = loop_now_ms(r->guard->loop);
+
+	if (!r->holds_key)
+		return;
+	r->holds_key = false;
+	if (ran)
+		keyed_ended(r->upstream->keyed, &r->key, &r->id, now_ms);
+	else
+		keyed_release(r->upstream->keyed, &r->key, &r->id, now_ms);
+}
+
+enum keyed_word
+guard_keyed_yield(struct guard *g, const struct msg_call_key_ask *m)
+{
+	struct guard_upstream *u = guard_upstream_find(g, m->service);
+	struct key_id key = {.high = m->key_high, .low = m->key_low};
+
+	if (u == NULL)
+		return KEYED_WORD_TAKEN;
+	guard_keyed_tick(g);
+	return keyed_yield(
+	    u->keyed, &key, m->to, m->to_age_ms, loop_now_ms(g->loop));
+}
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -42,6 +42,10 @@
  * @requests: request id to struct guard_request
  * @tickets: ticket to struct guard_request
  * @last_ticket: number of the last request
+ * @snapshot: snapshot last seen, a reference
+ * @homes: endpoint id to struct net_addr of its guard, also of earlier ones
+ * @follows: id of a request with a known key to that of the first with it
+ * @askings: questions to earlier homes that are under way
  * @drain: the stop of this guard
  * @tick: forgets old fates, moves the drain on
  * @in_flight: number of requests, atomic for guard_in_flight()
@@ -62,6 +66,10 @@
 	GHashTable *requests;
 	GHashTable *tickets;
 	uint64_t last_ticket;
+	struct snapshot *snapshot;
+	GHashTable *homes;
+	GHashTable *follows;
+	GQueue askings;
 	struct drain drain;
 	struct loop_timer tick;
 	_Atomic uint32_t in_flight;
@@ -75,6 +83,7 @@
  * @present: it is among the endpoints that were last told
  * @url: scheme, address and port, to which a path is added
  * @admission: its slots and queue
+ * @keyed: idempotency keys that are at home here
  * @timer: wakes the admission
  */
 struct guard_upstream {
@@ -83,6 +92,7 @@
 	bool present;
 	char url[40];
 	struct admission *admission;
+	struct keyed *keyed;
 	struct loop_timer timer;
 };
 
@@ -169,6 +179,7 @@
 /** enum request_state - where a request stands */
 enum request_state {
 	REQUEST_BODY = 0,
+	REQUEST_SETTLING,
 	REQUEST_QUEUED,
 	REQUEST_RUNNING,
 	REQUEST_ENDED,
@@ -185,6 +196,9 @@
  * @path: path and query, owned
  * @headers: headers that are passed on
  * @idempotent: running it twice does no harm
+ * @keyed: it has an idempotency key
+ * @key: the key
+ * @holds_key: it is the one that may run with its key
  * @deadline_ms: monotonic deadline
  * @body_bytes: length of the body, -1 when not known
  * @source: where the body comes from, or NULL
@@ -214,6 +228,9 @@
 	char *path;
 	struct call_headers headers;
 	bool idempotent;
+	bool keyed;
+	struct key_id key;
+	bool holds_key;
 	uint64_t deadline_ms;
 	int64_t body_bytes;
 	struct guard_out *source;
@@ -289,6 +306,9 @@
 /** guard_request_done() - the whole answer came */
 void guard_request_done(struct guard_request *r);
 
+/** guard_request_dismiss() - its stream awaits another request's fate */
+void guard_request_dismiss(struct guard_request *r);
+
 /** guard_request_cancel() - an entry does not want it any more */
 void guard_request_cancel(struct guard_request *r);
 
@@ -388,4 +408,77 @@
 /** guard_resolve() - an entry asks what became of an attempt */
 bool guard_resolve(struct guard_conn *gc, const struct msg_call_resolve *m);
 
+/** guard_resolve_note() - @id has the fate of @first */
+void guard_resolve_note(struct guard *g, const struct request_id *id,
+    const struct request_id *first);
+
+/**
+ * guard_resolve_attach() - a stream awaits the answer of an active request
+ *
+ * Return: false when the beginning of the answer is no longer held.
+ */
+bool guard_resolve_attach(
+    struct guard_conn *gc, uint32_t stream, const struct request_id *id);
+
+/**
+ * guard_resolve_hand_over() - send a kept answer
+ *
+ * Return: false when it can't be read.
+ */
+bool guard_resolve_hand_over(struct guard_conn *gc, uint32_t stream,
+    const struct request_id *id, GBytes *bytes);
+
+/** guard_resolve_expire() - forget followers whose fate is forgotten */
+void guard_resolve_expire(struct guard *g);
+
+/* guard_keyed.c */
+
+/**
+ * struct guard_question - a question to an earlier home of a key
+ * @service: the service
+ * @key: the key
+ * @id: request for which it is asked
+ * @from: the earlier home
+ * @age_ms: age of the own process
+ */
+struct guard_question {
+	char service[SERVICE_NAME_BYTES];
+	struct key_id key;
+	struct request_id id;
+	uint64_t from;
+	uint64_t age_ms;
+};
+
+/** guard_keyed_new() - the keys of an upstream */
+struct keyed *guard_keyed_new(struct guard *g, const char *service);
+
+/** guard_keyed_view() - tell the keys of @u its service's endpoints */
+void guard_keyed_view(struct guard_upstream *u);
+
+/** guard_keyed_tick() - see whether a new snapshot is in force */
+void guard_keyed_tick(struct guard *g);
+
+/** guard_keyed_offer() - a request with a key asks to run */
+void guard_keyed_offer(struct guard_request *r);
+
+/** guard_keyed_answered() - the earlier home has answered, or won't */
+void guard_keyed_answered(
+    struct guard *g, const struct guard_question *q, enum keyed_word word);
+
+/** guard_keyed_ended() - a request that may have held its key is over */
+void guard_keyed_ended(struct guard_request *r, bool ran);
+
+/** guard_keyed_yield() - another guard asks about a key */
+enum keyed_word
+guard_keyed_yield(struct guard *g, const struct msg_call_key_ask *m);
+
+/* guard_ask.c */
+
+/** guard_ask() - ask; @at may be NULL when nobody knows where it is */
+void guard_ask(
+    struct guard *g, const struct net_addr *at, const struct guard_question *q);
+
+/** guard_ask_free_all() - drop all questions */
+void guard_ask_free_all(struct guard *g);
+
 #endif
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -97,6 +97,7 @@
 	    r->upstream != NULL ? r->upstream->info.service : "?",
 	    refusal_name(refusal));
 	fate_refused(r->guard->fates, &r->id, loop_now_ms(r->guard->loop));
+	guard_keyed_ended(r, false);
 	if (r->state == REQUEST_QUEUED)
 		(void)admission_cancel(r->upstream->admission, r->ticket);
 	if (ran && r->shed)
@@ -117,6 +118,7 @@
 	if (r->state == REQUEST_ENDED)
 		return;
 	fate_failed(r->guard->fates, &r->id, loop_now_ms(r->guard->loop));
+	guard_keyed_ended(r, true);
 	leave_slot(r);
 	while ((o = g_queue_peek_head(&r->answer->outs)) != NULL) {
 		guard_out_failed(o->conn, o->stream, r->upstream);
@@ -134,6 +136,7 @@
 	fate_done(r->guard->fates, &r->id, kept, loop_now_ms(r->guard->loop));
 	if (kept != NULL)
 		g_bytes_unref(kept);
+	guard_keyed_ended(r, true);
 	leave_slot(r);
 	r->answer->whole = true;
 	guard_answer_pump(r->answer, r->upstream);
@@ -141,6 +144,12 @@
 	guard_upstream_pump(r->upstream);
 }
 
+void
+guard_request_dismiss(struct guard_request *r)
+{
+	ended(r);
+}
+
 /* The body */
 
 static bool
@@ -153,8 +162,10 @@
 guard_request_body(struct guard_request *r)
 {
 	if (r->state == REQUEST_BODY && body_suffices(r)) {
-		loop_timer_stop(&r->timer);
-		guard_upstream_offer(r);
+		if (r->keyed)
+			guard_keyed_offer(r);
+		else
+			guard_upstream_offer(r);
 		return;
 	}
 	if (r->call != NULL)
@@ -230,6 +241,7 @@
 {
 	switch (r->state) {
 	case REQUEST_BODY:
+	case REQUEST_SETTLING:
 	case REQUEST_QUEUED:
 		guard_request_refuse(r, REFUSAL_CANCELLED, 0);
 		return;
--- a/packages/node/src/guard_resolve.c
+++ b/packages/node/src/guard_resolve.c
@@ -8,6 +8,9 @@
 
 #include "guard_priv.h"
 
+/* A follower is remembered longer than the fate that it follows. */
+#define FOLLOW_WINDOWS 3
+
 static void
 tell(struct guard_conn *gc, uint32_t stream, enum resolution r)
 {
@@ -17,37 +20,79 @@
 	(void)call_link_send(&gc->link, MSG_CALL_RESOLVED, &m);
 }
 
+/* A request that follows another one, and until when that is remembered. */
+struct follower {
+	struct request_id first;
+	uint64_t until_ms;
+};
+
+void
+guard_resolve_note(struct guard *g, const struct request_id *id,
+    const struct request_id *first)
+{
+	struct follower *f = g_new(struct follower, 1);
+	struct request_id *key = g_new(struct request_id, 1);
+
+	*key = *id;
+	f->first = *first;
+	f->until_ms = loop_now_ms(g->loop) +
+	    FOLLOW_WINDOWS * (uint64_t)g->settings->fate_window_ms;
+	g_hash_table_replace(g->follows, key, f);
+}
+
+static gboolean
+is_over(gpointer key, gpointer value, gpointer arg)
+{
+	const struct follower *f = value;
+	const uint64_t *now_ms = arg;
+
+	(void)key;
+	return f->until_ms < *now_ms;
+}
+
+void
+guard_resolve_expire(struct guard *g)
+{
+	uint64_t now_ms = loop_now_ms(g->loop);
+
+	(void)g_hash_table_foreach_remove(g->follows, is_over, &now_ms);
+}
+
+static struct guard_request *
+active(struct guard *g, const struct request_id *id)
+{
+	const struct follower *f = g_hash_table_lookup(g->follows, id);
+
+	return g_hash_table_lookup(g->requests, f != NULL ? &f->first : id);
+}
+
 /* The beginning may have gone to the lost connection and not be held. */
-static void
-attach(struct guard_conn *gc, uint32_t stream, const struct request_id *id)
+bool
+guard_resolve_attach(
+    struct guard_conn *gc, uint32_t stream, const struct request_id *id)
 {
-	struct guard_request *r = g_hash_table_lookup(gc->guard->requests, id);
-	struct guard_out *o;
+	struct guard_request *r = active(gc->guard, id);
 
-	if (r == NULL || r->answer->base > 0) {
-		tell(gc, stream, RESOLUTION_LOST);
-		return;
-	}
-	tell(gc, stream, RESOLUTION_ATTACHED);
-	o = guard_out_new(gc, stream, id, r, r->answer);
-	guard_out_pump(o, r->upstream);
+	if (r == NULL || r->state == REQUEST_ENDED || r->answer->base > 0)
+		return false;
+	guard_out_pump(
+	    guard_out_new(gc, stream, id, r, r->answer), r->upstream);
+	return true;
 }
 
-static void
-hand_over(struct guard_conn *gc, uint32_t stream, const struct request_id *id,
-    GBytes *bytes)
+bool
+guard_resolve_hand_over(struct guard_conn *gc, uint32_t stream,
+    const struct request_id *id, GBytes *bytes)
 {
 	struct guard_answer *a = guard_answer_decode(bytes);
 	struct guard_out *o;
 
-	if (a == NULL) {
-		tell(gc, stream, RESOLUTION_LOST);
-		return;
-	}
-	tell(gc, stream, RESOLUTION_ANSWER);
+	if (a == NULL)
+		return false;
 	o = guard_out_new(gc, stream, id, NULL, a);
 	guard_answer_unref(a);
 	guard_out_pump(o, NULL);
+	return true;
 }
 
 static void
@@ -101,19 +146,15 @@
 	fate_resolve(g->fates, &q, loop_now_ms(g->loop), &answer);
 	log_info("%s asks for a request's fate: %s", gc->host,
 	    resolution_name(answer.resolution));
-	switch (answer.resolution) {
-	case RESOLUTION_ATTACHED:
-		attach(gc, m->stream, &q.id);
-		break;
-	case RESOLUTION_ANSWER:
-		hand_over(gc, m->stream, &q.id, answer.answer);
-		break;
-	default:
-		if (answer.cancelled)
-			cancelled(g, &q.id);
-		tell(gc, m->stream, answer.resolution);
-		break;
-	}
+	if (answer.cancelled)
+		cancelled(g, &q.id);
+	tell(gc, m->stream, answer.resolution);
+	if (answer.resolution == RESOLUTION_ATTACHED &&
+	    !guard_resolve_attach(gc, m->stream, &q.id))
+		guard_out_failed(gc, m->stream, NULL);
+	if (answer.resolution == RESOLUTION_ANSWER &&
+	    !guard_resolve_hand_over(gc, m->stream, &q.id, answer.answer))
+		guard_out_failed(gc, m->stream, NULL);
 	if (answer.answer != NULL)
 		g_bytes_unref(answer.answer);
 	return true;
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -45,8 +45,10 @@
 	u->info = *info;
 	configure(info, &cfg);
 	u->admission = admission_new(&cfg);
+	u->keyed = guard_keyed_new(g, info->service);
 	loop_timer_init(&u->timer, g->loop, on_timer, u);
 	g_hash_table_insert(g->upstreams, u->info.service, u);
+	guard_keyed_view(u);
 	return u;
 }
 
@@ -127,6 +129,7 @@
 	    .deadline_ms = r->deadline_ms};
 	struct admission_result res;
 
+	loop_timer_stop(&r->timer);
 	r->state = REQUEST_QUEUED;
 	admission_offer(u->admission, &req, loop_now_ms(u->guard->loop), &res);
 	carry_out(r, &res);
@@ -182,5 +185,6 @@
 
 	loop_timer_stop(&u->timer);
 	admission_free(u->admission);
+	keyed_free(u->keyed);
 	g_free(u);
 }
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -55,6 +55,7 @@
 	s->caller_threads = 32;
 	s->keep_alive_ms = 1000;
 	s->fate_window_ms = 60000;
+	s->suspicion_ms = 5000;
 	s->fate_answers_bytes = 8 << 20;
 	s->drain_ms = 5000;
 	s->header_max_bytes = 16384;
--- /dev/null
+++ b/packages/node/test/test_call_keys.c
@@ -0,0 +1,174 @@
+/*
+ * Tests of idempotency keys over the whole call path.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "node/snapshot_ref.h"
+
+#include "fixture.h"
+
+#define WINDOW_MS 1000
+#define SUSPICION_MS 100
+#define OLD_MS (WINDOW_MS + 3 * SUSPICION_MS)
+
+static struct fake_upstream *upstreams[2];
+static struct test_node *nodes[2];
+static struct fake_endpoint endpoints[2];
+
+static void
+tweak(struct settings *s)
+{
+	s->fate_window_ms = WINDOW_MS;
+	s->suspicion_ms = SUSPICION_MS;
+}
+
+/* Two nodes with an upstream each; @n of them in the snapshot. */
+static void
+start(uint32_t n)
+{
+	static const char *const hosts[] = {"h1", "h2"};
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		upstreams[i] = fake_upstream_start();
+		nodes[i] = test_node_start(hosts[i], tweak);
+		endpoints[i].host = hosts[i];
+		endpoints[i].port = guard_addr(nodes[i]->guard).port;
+	}
+	test_snapshot(endpoints, n);
+	for (i = 0; i < 2; i++)
+		test_node_upstream(nodes[i], upstreams[i]->port, SERVING_READY);
+	g_usleep(OLD_MS * 1000);
+}
+
+static void
+stop(void)
+{
+	int i;
+
+	for (i = 0; i < 2; i++)
+		test_node_stop(nodes[i]);
+	for (i = 0; i < 2; i++)
+		fake_upstream_stop(upstreams[i]);
+	snapshot_ref_publish(NULL);
+}
+
+static int
+runs(const char *id)
+{
+	return fake_upstream_runs(upstreams[0], id) +
+	    fake_upstream_runs(upstreams[1], id);
+}
+
+/* A booking through a node, with @key as key and as id of the test. */
+static void
+book(int through, const char *key, const char *path, const char *body,
+    struct reply *r)
+{
+	char headers[128];
+
+	(void)snprintf(headers, sizeof(headers),
+	    "Idempotency-Key: %s\r\nX-Test-Id: %s\r\n", key, key);
+	ck_assert(caller_call(callers_port(nodes[through]->callers), "POST",
+	    path, headers, body, strlen(body), r));
+}
+
+static void
+expect(int through, const char *key, const char *body, int status,
+    const char *fate)
+{
+	struct reply r;
+
+	book(through, key, "/book/x?bytes=10", body, &r);
+	ck_assert_msg(r.status == status && strcmp(r.fate, fate) == 0,
+	    "%s: %d %s", key, r.status, r.fate);
+	reply_clear(&r);
+}
+
+START_TEST(a_repeated_key_gets_the_first_answer)
+{
+	char key[16];
+	int i;
+
+	start(2);
+	for (i = 0; i < 8; i++) {
+		(void)snprintf(key, sizeof(key), "k%d", i);
+		expect(0, key, "seat 1", 200, "done");
+		expect(1, key, "seat 1", 200, "done");
+		expect(0, key, "seat 2", 409, "not_run");
+		ck_assert_int_eq(runs(key), 1);
+	}
+	stop();
+}
+END_TEST
+
+static void *
+book_slowly(void *arg)
+{
+	struct reply *r = arg;
+
+	book(1, "same", "/book/x?bytes=10&ms=200", "seat", r);
+	return NULL;
+}
+
+START_TEST(a_key_repeated_while_it_runs_gets_the_same_answer)
+{
+	struct reply first, second;
+	pthread_t thread;
+
+	start(2);
+	ck_assert_int_eq(pthread_create(&thread, NULL, book_slowly, &first), 0);
+	book(0, "same", "/book/x?bytes=10&ms=200", "seat", &second);
+	pthread_join(thread, NULL);
+	ck_assert_int_eq(first.status, 200);
+	ck_assert_int_eq(second.status, 200);
+	ck_assert_uint_eq(first.body->len, second.body->len);
+	ck_assert_int_eq(runs("same"), 1);
+	reply_clear(&first);
+	reply_clear(&second);
+	stop();
+}
+END_TEST
+
+/* What ran at the earlier home is not run again; what did not, may be. */
+START_TEST(a_new_home_asks_the_earlier_one)
+{
+	struct reply r;
+	char key[16];
+	int i, settled = 0;
+
+	start(1);
+	for (i = 0; i < 12; i++) {
+		(void)snprintf(key, sizeof(key), "k%d", i);
+		expect(0, key, "seat", 200, "done");
+	}
+	test_snapshot(endpoints, 2);
+	g_usleep(50000);
+	for (i = 0; i < 12; i++) {
+		(void)snprintf(key, sizeof(key), "k%d", i);
+		book(1, key, "/book/x?bytes=10", "seat", &r);
+		ck_assert_int_eq(runs(key), 1);
+		ck_assert_str_ne(r.fate, "not_run");
+		settled += r.status == 200;
+		reply_clear(&r);
+		(void)snprintf(key, sizeof(key), "n%d", i);
+		expect(1, key, "seat", 200, "done");
+		ck_assert_int_eq(runs(key), 1);
+	}
+	ck_assert_int_lt(settled, 12);
+	ck_assert_int_gt(settled, 0);
+	stop();
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *const tests[] = {a_repeated_key_gets_the_first_answer,
+	    a_key_repeated_while_it_runs_gets_the_same_answer,
+	    a_new_home_asks_the_earlier_one, NULL};
+
+	return fixture_main("call keys", tests);
+}
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -466,11 +466,15 @@
  * @service: service of the key
  * @key_high: first half of the key's hash
  * @key_low: second half of the key's hash
+ * @to: endpoint that asks
+ * @to_age_ms: age of its process
  */
 struct msg_call_key_ask {
 	char service[64];
 	uint64_t key_high;
 	uint64_t key_low;
+	uint64_t to;
+	uint64_t to_age_ms;
 };
 
 extern const struct codec_desc msg_call_key_ask_desc;
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -617,11 +617,17 @@
     {.name = "key_low",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_key_ask, key_low)},
+    {.name = "to",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_key_ask, to)},
+    {.name = "to_age_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_key_ask, to_age_ms)},
 };
 
 const struct codec_desc msg_call_key_ask_desc = {.name = "call_key_ask",
     .fields = msg_call_key_ask_fields,
-    .n_fields = 3,
+    .n_fields = 5,
     .size_bytes = sizeof(struct msg_call_key_ask)};
 
 void
