fix(standins): an upstream's start is announced before it is ready

Problem: in a ctest run on the busy machine test_harness failed 1 of 11: the node heard "ready draining gone", without "starting" first.

Cause: without a cold start the thread that announces "ready" could set it before the announcer had sent "starting". Ruled out: a lost request (the fake node answers each) and the load of the machine as such; it only made the order of the two threads visible.

The test lets the node come 0.3 s after the upstream, which brings the fault out every time.

--- a/packages/standins/src/upstream.c
+++ b/packages/standins/src/upstream.c
@@ -173,7 +173,10 @@
 		upstream_call(u, conn);
 }
 
-/* Announce "ready" when the cold start is over, unless it leaves before. */
+/*
+ * Announce "starting", and "ready" when the cold start is over, unless it
+ * leaves before.  The node has to hear of the start first.
+ */
 static void *
 upstream_starter(void *arg)
 {
@@ -181,6 +184,8 @@
 	struct timespec ts;
 	struct upstream *u = arg;
 
+	(void)announcer_set(
+	    u->announcer, ANNOUNCE_STARTING, UPSTREAM_ANNOUNCE_WAIT_MS);
 	ts.tv_sec = (time_t)(u->ready_ms / 1000);
 	ts.tv_nsec = (long)(u->ready_ms % 1000) * 1000000L;
 	pthread_mutex_lock(&u->lock);
--- a/test/functional/test_harness.c
+++ b/test/functional/test_harness.c
@@ -22,6 +22,7 @@
 #define STOP_MS 10000
 #define URL_BYTES 256
 #define FAKE_NODE_THREADS 4
+#define NODE_LATE_MS 300
 #define FAKE_NODE_KEEP_MS 100
 #define LEASE_MS "300"
 
@@ -391,8 +392,10 @@
 	standin_place(&at, 5);
 	o.address = at.address;
 	o.port = at.port;
-	ck_assert_int_eq(web_start(&o, &web), STATUS_OK);
+	/* The node comes later: "starting" must still be heard first. */
 	upstream_run(&s, 0, at.at);
+	g_usleep(NODE_LATE_MS * 1000);
+	ck_assert_int_eq(web_start(&o, &web), STATUS_OK);
 	ck_assert(harness_until(node_heard_ready_renewed, &n, START_MS));
 	ck_assert_int_eq(process_stop(s.process, STOP_MS), 0);
 	web_stop(web);
