test(functional): the whole path waits until nodes serve

Problem: test_path passed its first run and then failed in 8 runs of 8 that were watched: a call got 503 "no configuration is in force here yet" from a node whose status already told version 1.

Cause: the test took a version that a node holds for one that it serves. docs/API.md says that GET /v1/health tells whether a node serves; a node that has just started may hold a version before its floor is known.

Solution: the test waits for /v1/health of all nodes, within the same 15 s, before it asks that each call is done. To stay as strict it also asks that, before there is a version, each node refuses a booking at once with 503, not_run and Retry-After.

--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -179,6 +179,16 @@
 uint64_t deployment_wait_version(
     struct deployment *d, uint64_t version, uint32_t wait_ms);
 
+/**
+ * deployment_wait_serving() - wait until all running nodes serve calls
+ * @d: the deployment
+ * @wait_ms: how long to wait; then the test fails
+ *
+ * A node that has just started can hold a version and not serve yet: its
+ * floor may not be known.  GET /v1/health tells.
+ */
+void deployment_wait_serving(struct deployment *d, uint32_t wait_ms);
+
 /**
  * deployment_wait_endpoints() - wait until all running nodes know this many
  * @d: the deployment
--- a/test/functional/deployment_watch.c
+++ b/test/functional/deployment_watch.c
@@ -16,6 +16,7 @@
 #define CTL_WAIT_MS 60000
 #define LOAD_WAIT_MS 300000
 #define URL_BYTES 512
+#define HEALTH_SERVES 200
 
 int64_t
 json_number(const json_t *j, const char *name)
@@ -98,6 +99,33 @@
 	return wait_for(&a, wait_ms);
 }
 
+static int
+all_serve(void *arg)
+{
+	const struct deployment *d = arg;
+	const struct host *h;
+	int code;
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++) {
+		h = deployment_host(d, i);
+		if (h->node == NULL)
+			continue;
+		json_decref(
+		    deployment_api(h, "GET", "/v1/health", NULL, &code));
+		if (code != HEALTH_SERVES)
+			return 0;
+	}
+	return 1;
+}
+
+void
+deployment_wait_serving(struct deployment *d, uint32_t wait_ms)
+{
+	ck_assert_msg(harness_until(all_serve, d, wait_ms),
+	    "not all nodes serve after %u ms; see %s", wait_ms, harness_dir());
+}
+
 void
 deployment_wait_endpoints(struct deployment *d, uint32_t n, uint32_t wait_ms)
 {
--- a/test/functional/test_path.c
+++ b/test/functional/test_path.c
@@ -72,7 +72,8 @@
 	(void)g_snprintf(url, sizeof(url), "http://%s:%u%s", entry->address,
 	    entry->caller_port, c->path);
 	fetch_perform(&f, &a);
-	ck_assert_msg(a.code == 200, "%s: %d", c->path, a.code);
+	ck_assert_msg(a.code == 200, "%s at %s: %d\n%s%s", c->path, entry->name,
+	    a.code, a.headers->str, a.body->str);
 	fate = fetch_header(&a, "Bramley-Fate");
 	ck_assert_str_eq(fate, "done");
 	line = answer_line(&a);
@@ -87,6 +88,32 @@
 	g_free(body);
 }
 
+/* Without a version no node serves; each says at once that nothing was run. */
+static void
+check_refused(const struct deployment *d)
+{
+	char url[URL_BYTES], *fate, *retry;
+	const struct host *h;
+	struct fetch f = {"POST", url, NULL, "x", 1, 0};
+	struct fetch_answer a;
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++) {
+		h = deployment_host(d, i);
+		(void)g_snprintf(url, sizeof(url), "http://%s:%u/bookings",
+		    h->address, h->caller_port);
+		fetch_perform(&f, &a);
+		fate = fetch_header(&a, "Bramley-Fate");
+		retry = fetch_header(&a, "Retry-After");
+		ck_assert_msg(a.code == 503, "%s: %d", h->name, a.code);
+		ck_assert_str_eq(fate, "not_run");
+		ck_assert_ptr_nonnull(retry);
+		g_free(fate);
+		g_free(retry);
+		fetch_answer_clear(&a);
+	}
+}
+
 /* The example with another timeout of its first service. */
 static char *
 changed_bundle(uint32_t n)
@@ -150,9 +177,11 @@
 	uint64_t version;
 
 	deployment_start(d);
+	check_refused(d);
 	version = deployment_sign_off(deployment_host(d, 0), bundle);
 	watch(d, version);
 	(void)deployment_wait_version(d, version, ROLL_MS);
+	deployment_wait_serving(d, ROLL_MS);
 	for (i = 0; i < G_N_ELEMENTS(far_calls); i++)
 		make_far_call(d, &far_calls[i]);
 	load = deployment_load(d, "load", deployment_host(d, 0), 1, load_args);
