feat(node): totals of spread and membership as metrics; guard incarnation

Problem: operators can't see what the decisions count; and an endpoint's incarnation was the membership record's, which rises with each change or refutation, so that placement took a host that refuted news for a restarted one.

--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -116,7 +116,7 @@
 		    sizeof(list[n].data_centre));
 		list[n].address.ip = m->address.ip;
 		list[n].address.port = m->call_port;
-		list[n].incarnation = m->incarnation;
+		list[n].incarnation = m->started_ms;
 		list[n].slots = e->slots;
 		list[n].state = (enum serving_state)e->state;
 		n++;
@@ -251,6 +251,7 @@
 	membership_tick(c->membership, now_ms);
 	spread_tick(c->spread, now_ms);
 	control_pump(c);
+	control_totals_copy(c);
 }
 
 static void
@@ -313,6 +314,7 @@
 	metric_register(&members_gauge);
 	metric_register(&ready_gauge);
 	metric_register(&publish_count);
+	control_totals_register();
 }
 
 static void
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -54,6 +54,12 @@
 /** control_pump() - carry out what the decisions want after an event */
 void control_pump(struct control *c);
 
+/** control_totals_register() - add the decisions' totals to the metrics */
+void control_totals_register(void);
+
+/** control_totals_copy() - bring the metrics up to the decisions' totals */
+void control_totals_copy(const struct control *c);
+
 /**
  * control_membership_settings() - what membership is told
  * @s: settings of the node
