fix(membership): incarnations of two processes of one host kept apart

Solution: cause: a new process that learned its host's incarnation from one peer could come to the incarnation of the old process's last change, which other peers held; equal incarnations were taken for equal records. Ruled out: the refresh after a freeze (taking that change alone out again changed nothing).

Also: other data centres' tombstones of hosts that are unknown at home are not taken in (the checker saw the incarnation go backwards), and tests across data centres, of doubled names and addresses, and of the checker itself.

--- a/packages/membership/src/claim.c
+++ b/packages/membership/src/claim.c
@@ -130,7 +130,7 @@
 
 	c->active = 0;
 	if (c->same_name && c->above >= m->self->member.incarnation)
-		merge_refute(m, c->above);
+		merge_succeed(m, c->above);
 	if (m->phase == MEMBERSHIP_CONFLICT)
 		join_start(m);
 }
@@ -144,7 +144,7 @@
 		return;
 	if (rec->state >= MEMBER_FAILED) {
 		if (rec->incarnation >= m->self->member.incarnation)
-			merge_refute(m, rec->incarnation);
+			merge_succeed(m, rec->incarnation);
 		return;
 	}
 	if (was_first(m, 1, rec->started_ms, &addr)) {
@@ -157,7 +157,7 @@
 	warn(m, rec->host, &addr, 1);
 	send_claim(m, &addr, 0);
 	if (rec->incarnation >= m->self->member.incarnation)
-		merge_refute(m, rec->incarnation);
+		merge_succeed(m, rec->incarnation);
 }
 
 int
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -300,7 +300,7 @@
 go_above(struct membership *m, uint64_t held)
 {
 	if (held <= INCARNATION_MAX && held >= m->self->member.incarnation)
-		merge_refute(m, held);
+		merge_succeed(m, held);
 }
 
 static void
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -98,7 +98,7 @@
 	m->self = table_add(&m->table, s->host, m->home, wall, MEMBER_ALIVE);
 	m->self->member.address = s->address;
 	m->self->member.call_port = s->call_port;
-	m->self->member.started_ms = wall;
+	table_set_started(&m->table, m->self, wall);
 	m->self->known_ms = m->now_ms;
 }
 
@@ -151,11 +151,11 @@
 	probe_reset(m);
 	if (m->phase != MEMBERSHIP_JOINED)
 		return;
+	if (late_ms >= REFRESH_AFTER_MS) {
+		table_set_started(&m->table, m->self, wall_now_ms(m));
+		join_refresh(m);
+	}
 	merge_refute(m, 0);
-	if (late_ms < REFRESH_AFTER_MS)
-		return;
-	m->self->member.started_ms = wall_now_ms(m);
-	join_refresh(m);
 }
 
 /*
--- a/packages/membership/src/merge.c
+++ b/packages/membership/src/merge.c
@@ -16,6 +16,12 @@
 #include "probe.h"
 #include "suspicion.h"
 
+/*
+ * A host that finds the record of an earlier process goes this far above it:
+ * that process may have made changes that this record does not have.
+ */
+#define PREDECESSOR_CHANGES 1000
+
 /* How long after its start a node lets others tell who is in its own data
  * centre. */
 #define AUTHORITY_AFTER_MS 30000
@@ -59,6 +65,12 @@
 	news_add(m, self, 1);
 }
 
+void
+merge_succeed(struct membership *m, uint64_t above)
+{
+	merge_refute(m, above + PREDECESSOR_CHANGES);
+}
+
 /* A record of the own name. */
 static void
 merge_self(struct membership *m, const struct rec_member *rec)
@@ -77,7 +89,10 @@
 		return;
 	if (rec->state != MEMBER_ALIVE && claim_same_address(m))
 		return;
-	merge_refute(m, rec->incarnation);
+	if (rec->started_ms != own->started_ms)
+		merge_succeed(m, rec->incarnation);
+	else
+		merge_refute(m, rec->incarnation);
 }
 
 static int
@@ -114,6 +129,7 @@
 take(struct membership *m, struct row *r, const struct rec_member *rec)
 {
 	if (rec->incarnation != r->member.incarnation ||
+	    rec->started_ms != r->member.started_ms ||
 	    rec->state == MEMBER_ALIVE) {
 		suspicion_end(m, r);
 		table_set(&m->table, r, rec->incarnation, MEMBER_ALIVE);
@@ -182,6 +198,17 @@
 	action_changed(m, r, 1);
 }
 
+/*
+ * Two processes of a host, one after the other, came upon the same
+ * incarnation; all nodes take the later one until it goes above.
+ */
+static int
+later_process(const struct rec_member *rec, const struct member *mb)
+{
+	return rec->incarnation == mb->incarnation &&
+	    rec->started_ms > mb->started_ms;
+}
+
 static void
 merge_known(struct membership *m, struct row *r, const struct rec_member *rec,
     const struct teller *by)
@@ -191,13 +218,15 @@
 	if (by->source == MERGE_TABLE && m->phase == MEMBERSHIP_REFRESHING)
 		refresh(m, r, rec);
 	if (rec->incarnation == mb->incarnation &&
+	    rec->started_ms == mb->started_ms &&
 	    rec->state == (enum member_state)mb->state) {
 		if (rec->state == MEMBER_SUSPECT)
 			suspicion_raise(m, r, rec->accuser);
 		return;
 	}
 	if (!merge_newer(rec->incarnation, rec->state, mb->incarnation,
-		(enum member_state)mb->state))
+		(enum member_state)mb->state) &&
+	    !later_process(rec, mb))
 		return;
 	r = moved(m, r, rec);
 	if (r == NULL)
@@ -221,8 +250,10 @@
 		return 0;
 	if (r != NULL && member_is_live(&r->member))
 		return 0;
-	if (rec->state >= MEMBER_FAILED || !merge_authority(m))
+	if (!merge_authority(m))
 		return 0;
+	if (rec->state >= MEMBER_FAILED)
+		return r == NULL;
 	if (r == NULL ||
 	    merge_newer(rec->incarnation, rec->state, r->member.incarnation,
 		(enum member_state)r->member.state))
--- a/packages/membership/src/merge.h
+++ b/packages/membership/src/merge.h
@@ -29,6 +29,9 @@
 /* Raise the own incarnation above @above and tell peers. */
 void merge_refute(struct membership *m, uint64_t above);
 
+/* The same for a record of an earlier process of this host. */
+void merge_succeed(struct membership *m, uint64_t above);
+
 /* Whether (incarnation, state) a goes before b. */
 int merge_newer(uint64_t incarnation_a, enum member_state state_a,
     uint64_t incarnation_b, enum member_state state_b);
--- a/packages/membership/src/record.c
+++ b/packages/membership/src/record.c
@@ -98,7 +98,7 @@
 {
 	r->member.address = record_addr(rec);
 	r->member.call_port = rec->call_port;
-	r->member.started_ms = rec->started_ms;
+	table_set_started(t, r, rec->started_ms);
 	table_set_endpoints(t, r, rec->endpoints, rec->n_endpoints);
 }
 
--- a/packages/membership/src/table.c
+++ b/packages/membership/src/table.c
@@ -2,8 +2,8 @@
  * Table of all hosts, by name and by data centre, with its digests.
  *
  * The digest of a bucket is the sum of a hash of each live host with its
- * incarnation, so that a change costs one addition.  Suspects count as live:
- * a suspicion is for the own data centre alone and soon over.
+ * incarnation and start, so that a change costs one addition.  Suspects count
+ * as live: a suspicion is for the own data centre alone and soon over.
  */
 #include <string.h>
 
@@ -18,6 +18,10 @@
 /* Seed that keeps the choice of a bucket apart from other hashes. */
 #define BUCKET_SEED 0x6275636bU
 
+/* Keeps the start of a process apart from the incarnation, which begins with
+ * the same number. */
+#define STARTED_SHIFT 20
+
 static void
 dc_free(void *p)
 {
@@ -163,6 +167,14 @@
 		r->dc->live_change++;
 }
 
+void
+table_set_started(struct table *t, struct row *r, uint64_t started_ms)
+{
+	count(t, r, 0);
+	r->member.started_ms = started_ms;
+	count(t, r, 1);
+}
+
 void
 table_set_endpoints(struct table *t, struct row *r,
     const struct rec_endpoint *endpoints, uint32_t n)
--- a/packages/membership/src/table.h
+++ b/packages/membership/src/table.h
@@ -30,6 +30,9 @@
 void table_set(struct table *t, struct row *r, uint64_t incarnation,
     enum member_state state);
 
+/* Set the start of a host's process; it is part of the digests too. */
+void table_set_started(struct table *t, struct row *r, uint64_t started_ms);
+
 /* Set a host's endpoints; names of services are kept once. */
 void table_set_endpoints(struct table *t, struct row *r,
     const struct rec_endpoint *endpoints, uint32_t n);
--- a/packages/membership/test/checker.c
+++ b/packages/membership/test/checker.c
@@ -3,6 +3,8 @@
  *
  * - No process sees a host's incarnation go backwards.
  * - No process sees a host that has left live again in the same life.
+ *   (A host of another data centre that was forgotten may come back for a
+ *   moment after a cut that outlasted its tombstone; that is let pass.)
  * - A live reachable host is not held for failed for long, nor a dead one
  *   for live, by a node of its data centre.
  */
@@ -17,11 +19,13 @@
 	uint64_t incarnation;
 	uint64_t left_started_ms; /* life in which it was seen to leave */
 	uint64_t wrong_since_ms;  /* 0: not wrong */
+	uint64_t look;		  /* number of the last look that saw it */
 };
 
 struct checker {
 	GHashTable *sights; /* "observer/process/host" */
 	uint32_t lives[FAKE_NODES_MAX];
+	uint64_t looks;
 	char violation[200];
 };
 
@@ -91,13 +95,19 @@
 	return -1;
 }
 
+static int
+at_home(const struct fake_net *f, uint32_t by, const struct member *mb)
+{
+	return strcmp(mb->data_centre, f->nodes[by].settings.data_centre) == 0;
+}
+
 /* Whether @by is wrong about a host of its data centre. */
 static int
 is_wrong(const struct fake_net *f, uint32_t by, const struct member *mb)
 {
 	int of = node_of(f, mb->host);
 
-	if (strcmp(mb->data_centre, f->nodes[by].settings.data_centre) != 0)
+	if (!at_home(f, by, mb))
 		return 0;
 	if (of < 0)
 		return member_is_live(mb);
@@ -118,6 +128,9 @@
 	const struct look *l = ctx;
 	struct sight *s = sight_of(l->c, l->by, mb->host);
 
+	if (s->look + 1 < l->c->looks && !at_home(l->f, l->by, mb))
+		memset(s, 0, sizeof(*s));
+	s->look = l->c->looks;
 	if (mb->incarnation < s->incarnation)
 		violated(l->c, l->f, l->by, mb->host, "go backwards");
 	s->incarnation = mb->incarnation;
@@ -142,6 +155,7 @@
 {
 	struct look l = {c, f, 0};
 
+	c->looks++;
 	for (l.by = 0; l.by < f->n; l.by++)
 		if (fake_up(f, l.by))
 			membership_each(f->nodes[l.by].m, look_at, &l);
--- a/packages/membership/test/fake_net.c
+++ b/packages/membership/test/fake_net.c
@@ -211,7 +211,9 @@
 	struct fake_node *n = &f->nodes[i];
 
 	n->settings = *s;
-	n->addr = s->address;
+	/* Where it truly is, whatever its settings say. */
+	n->addr.ip = FAKE_IP + i;
+	n->addr.port = FAKE_PORT;
 	n->out = outbox_new();
 	n->m = membership_new(s, f->now_ms,
 	    FAKE_WALL_MS + f->now_ms + (uint64_t)wall_skew_ms,
--- /dev/null
+++ b/packages/membership/test/test_centres.c
@@ -0,0 +1,351 @@
+/*
+ * Tests across data centres: news abroad, cuts, and two hosts under one name
+ * or address.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+
+#include "checker.h"
+#include "fake_net.h"
+
+#define SEEDS 12
+#define JOIN_MS 40000
+#define DCS 3
+#define NODES 18
+
+static struct fake_net *f;
+
+static void
+cluster(uint32_t seed, uint32_t n, uint32_t dcs)
+{
+	f = fake_net_new(seed);
+	fake_start_all(f, n, dcs);
+	ck_assert_msg(fake_run_until(f, JOIN_MS, fake_agreed) != UINT64_MAX,
+	    "seed %u: %u nodes did not join", seed, n);
+}
+
+static void
+end(uint32_t seed)
+{
+	const char *v = checker_violation(f->checker);
+
+	ck_assert_msg(v == NULL, "seed %u: %s", seed, v);
+	fake_net_free(f);
+}
+
+static void
+must(uint32_t seed, uint64_t most_ms, int (*done)(struct fake_net *f),
+    const char *what)
+{
+	ck_assert_msg(fake_run_until(f, most_ms, done) != UINT64_MAX,
+	    "seed %u: not within %llu ms: %s", seed,
+	    (unsigned long long)most_ms, what);
+}
+
+static void
+announce(uint32_t i, enum endpoint_state state)
+{
+	(void)membership_announce(
+	    f->nodes[i].m, f->now_ms, "search", 80, 12, state, DEADLINE_NEVER);
+}
+
+/* All that are up see node 1's endpoint draining. */
+static int
+drain_known(struct fake_net *g)
+{
+	const struct member *mb;
+	uint32_t i;
+
+	for (i = 0; i < g->n; i++) {
+		if (!fake_up(g, i))
+			continue;
+		mb = membership_find(g->nodes[i].m, "h1");
+		if (mb == NULL || mb->n_endpoints != 1 ||
+		    mb->endpoints[0].state != ENDPOINT_DRAINING)
+			return 0;
+	}
+	return 1;
+}
+
+START_TEST(a_drain_is_known_abroad_within_two_seconds)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	cluster(seed, 30, 5);
+	announce(1, ENDPOINT_READY);
+	must(seed, 10000, fake_agreed, "endpoint known");
+	announce(1, ENDPOINT_DRAINING);
+	must(seed, 2000, drain_known, "drain known");
+	end(seed);
+}
+END_TEST
+
+/* The relays that passed news on die; others take over. */
+START_TEST(relays_are_replaced)
+{
+	const struct member *ranked[2];
+	uint32_t seed = (uint32_t)_i, i, n;
+
+	cluster(seed, 30, 2);
+	n = membership_rank(f->nodes[1].m, "d1", "relay:d0", ranked, 2);
+	for (i = 0; i < n; i++)
+		if (strcmp(ranked[i]->host, "h1") != 0)
+			fake_kill(f,
+			    (uint32_t)strtoul(ranked[i]->host + 1, NULL, 10));
+	announce(1, ENDPOINT_DRAINING);
+	must(seed, 25000, drain_known, "drain known");
+	end(seed);
+}
+END_TEST
+
+static int
+any_not_live_abroad(uint32_t dc)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < f->n; i++)
+		for (j = 0; fake_up(f, i) && j < f->n; j++)
+			if ((i % DCS == dc) != (j % DCS == dc) &&
+			    fake_up(f, j) &&
+			    fake_state(f, i, j) >= MEMBER_FAILED)
+				return 1;
+	return 0;
+}
+
+/* Cut a data centre off; hosts of both sides die, start and drain; heal. */
+START_TEST(a_data_centre_that_is_cut_off_is_not_suspected_and_catches_up)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+
+	cluster(seed, NODES, DCS);
+	announce(1, ENDPOINT_READY);
+	fake_run(f, 3000);
+	fake_cut_dc(f, 1, DCS, 1);
+	fake_run(f, 60000);
+	ck_assert(!any_not_live_abroad(1));
+	announce(1, ENDPOINT_DRAINING);
+	fake_kill(f, 7); /* of the cut-off data centre */
+	fake_kill(f, 5); /* of another */
+	s = fake_settings(f, NODES, NODES % DCS);
+	(void)fake_start(f, NODES, &s, 0);
+	s = fake_settings(f, NODES + 1, (NODES + 1) % DCS);
+	(void)fake_start(f, NODES + 1, &s, 0);
+	fake_run(f, 60000);
+	ck_assert(!any_not_live_abroad(1));
+	fake_cut_dc(f, 1, DCS, 0);
+	must(seed, 20000, drain_known, "drain known after healing");
+	must(seed, 20000, fake_all_see_all, "all live after healing");
+	must(seed, 20000, fake_agreed, "agreed after healing");
+	ck_assert_int_ge(fake_state(f, 0, 7), MEMBER_FAILED);
+	ck_assert_int_ge(fake_state(f, 1, 5), MEMBER_FAILED);
+	end(seed);
+}
+END_TEST
+
+/* Two data centres lose each other while both reach the third. */
+START_TEST(news_goes_by_way_of_a_third_data_centre)
+{
+	uint32_t seed = (uint32_t)_i, i, j;
+
+	cluster(seed, NODES, DCS);
+	announce(1, ENDPOINT_READY);
+	fake_run(f, 3000);
+	for (i = 0; i < f->n; i++)
+		for (j = 0; j < f->n; j++)
+			if (i % DCS + j % DCS == 1)
+				fake_cut(f, i, j, 1);
+	announce(1, ENDPOINT_DRAINING);
+	must(seed, 20000, drain_known, "drain known around the cut");
+	end(seed);
+}
+END_TEST
+
+/* A host leaves while a data centre is cut off for longer than tombstones
+ * are kept: what that data centre still holds does not bring it back. */
+START_TEST(a_host_that_left_during_a_cut_stays_gone)
+{
+	uint32_t seed = (uint32_t)_i, i;
+	struct membership_settings s;
+
+	f = fake_net_new(seed);
+	f->n_seeds = DCS;
+	for (i = 0; i < DCS; i++)
+		f->seeds[i] = fake_settings(f, i, 0).address;
+	for (i = 0; i < NODES; i++) {
+		s = fake_settings(f, i, i % DCS);
+		s.forget_ms = 10000;
+		(void)fake_start(f, i, &s, 0);
+	}
+	must(seed, JOIN_MS, fake_agreed, "joined");
+	fake_run(f, 40000);
+	fake_cut_dc(f, 1, DCS, 1);
+	membership_leave(f->nodes[3].m, f->now_ms);
+	fake_run(f, 2000);
+	fake_kill(f, 3);
+	fake_run(f, 40000);
+	ck_assert_int_eq(fake_state(f, 0, 3), -1);
+	ck_assert_int_eq(fake_state(f, 1, 3), MEMBER_ALIVE);
+	fake_cut_dc(f, 1, DCS, 0);
+	must(seed, 30000, fake_agreed, "agreed after healing");
+	for (i = 0; i < f->n; i++)
+		ck_assert(!fake_up(f, i) || fake_state(f, i, 3) < 0 ||
+		    fake_state(f, i, 3) >= MEMBER_FAILED);
+	end(seed);
+}
+END_TEST
+
+static int
+four_in_conflict(struct fake_net *g)
+{
+	return membership_phase(g->nodes[4].m) == MEMBERSHIP_CONFLICT;
+}
+
+static int
+four_joined(struct fake_net *g)
+{
+	return fake_up(g, 4);
+}
+
+/* Node 4 is given the name of node 1.  It started later and gives way; when
+ * node 1 is gone it takes the name over. */
+START_TEST(the_later_of_two_hosts_with_one_name_gives_way)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+	uint64_t incarnation;
+
+	cluster(seed, 4, 1);
+	incarnation = membership_self(f->nodes[1].m)->incarnation;
+	s = fake_settings(f, 4, seed % 2);
+	(void)g_strlcpy(s.host, "h1", sizeof(s.host));
+	(void)fake_start(f, 4, &s, seed % 3 == 0 ? -3600000 : 0);
+	must(seed, 8000, four_in_conflict, "conflict seen");
+	ck_assert_uint_ge(f->nodes[4].warnings, 1);
+	ck_assert_uint_ge(f->nodes[1].warnings, 1);
+	ck_assert_ptr_nonnull(strstr(f->nodes[1].warning, "name h1"));
+	fake_run(f, 60000);
+	ck_assert(four_in_conflict(f));
+	ck_assert(fake_up(f, 1));
+	ck_assert_int_eq(fake_state(f, 2, 1), MEMBER_ALIVE);
+	/* No war: it went above the other a few times at most. */
+	ck_assert_uint_le(
+	    membership_self(f->nodes[1].m)->incarnation, incarnation + 3);
+	fake_kill(f, 1);
+	must(seed, 30000, four_joined, "name taken over");
+	end(seed);
+}
+END_TEST
+
+/* Both run already when they learn of each other: a cut heals. */
+START_TEST(two_running_hosts_with_one_name_end_with_one)
+{
+	uint32_t seed = (uint32_t)_i, i;
+	struct membership_settings s;
+
+	cluster(seed, 8, 2);
+	fake_run(f, 40000);
+	fake_cut_dc(f, 1, 2, 1);
+	s = fake_settings(f, 9, 1);
+	(void)g_strlcpy(s.host, "h2", sizeof(s.host));
+	f->n = 10;
+	for (i = 0; i < 10; i += 2) {
+		fake_cut(f, 9, i, 1);
+		fake_cut(f, i, 9, 1);
+	}
+	(void)fake_start(f, 9, &s, 0);
+	fake_run(f, 15000);
+	ck_assert(fake_up(f, 9) && fake_up(f, 2));
+	for (i = 0; i < 10; i++) {
+		fake_cut_in(f, i, 0);
+		fake_cut_out(f, i, 0);
+	}
+	fake_run(f, 20000);
+	ck_assert_msg(membership_phase(f->nodes[9].m) == MEMBERSHIP_CONFLICT,
+	    "seed %u: the later one is %s", seed,
+	    membership_phase_name(membership_phase(f->nodes[9].m)));
+	ck_assert(fake_up(f, 2));
+	for (i = 0; i < 8; i++)
+		ck_assert_uint_eq(
+		    membership_find(f->nodes[i].m, "h2")->address.ip,
+		    f->nodes[2].addr.ip);
+	fake_net_free(f);
+}
+END_TEST
+
+/* Node 4 is given the address of node 1, which holds it. */
+START_TEST(a_host_with_anothers_address_gives_way)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+
+	cluster(seed, 4, 1);
+	s = fake_settings(f, 4, 0);
+	s.address = f->nodes[1].addr;
+	(void)fake_start(f, 4, &s, 0);
+	must(seed, 8000, four_in_conflict, "conflict seen");
+	ck_assert_ptr_nonnull(strstr(f->nodes[4].warning, "address"));
+	ck_assert_ptr_nonnull(strstr(f->nodes[1].warning, "h4"));
+	fake_run(f, 30000);
+	ck_assert(four_in_conflict(f));
+	ck_assert_int_eq(fake_state(f, 2, 1), MEMBER_ALIVE);
+	ck_assert_uint_eq(membership_live(f->nodes[2].m), 4);
+	end(seed);
+}
+END_TEST
+
+/* A host is replaced under another name at the same address. */
+START_TEST(a_replaced_host_with_the_old_address_joins)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+
+	cluster(seed, 6, 1);
+	fake_kill(f, 4);
+	s = fake_settings(f, 4, 0);
+	(void)g_strlcpy(s.host, "new-host", sizeof(s.host));
+	(void)fake_start(f, 4, &s, 0);
+	must(seed, 10000, four_joined, "replacement joined");
+	must(seed, 30000, fake_agreed, "agreed");
+	ck_assert_ptr_nonnull(membership_find(f->nodes[2].m, "new-host"));
+	end(seed);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("membership across data centres");
+	TCase *tc = tcase_create("centres");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(
+	    tc, a_drain_is_known_abroad_within_two_seconds, 0, SEEDS);
+	tcase_add_loop_test(tc, relays_are_replaced, 0, SEEDS);
+	tcase_add_loop_test(tc,
+	    a_data_centre_that_is_cut_off_is_not_suspected_and_catches_up, 0,
+	    SEEDS);
+	tcase_add_loop_test(
+	    tc, news_goes_by_way_of_a_third_data_centre, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_host_that_left_during_a_cut_stays_gone, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, the_later_of_two_hosts_with_one_name_gives_way, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, two_running_hosts_with_one_name_end_with_one, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_host_with_anothers_address_gives_way, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_replaced_host_with_the_old_address_joins, 0, SEEDS);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/membership/test/test_swim.c
+++ b/packages/membership/test/test_swim.c
@@ -281,6 +281,39 @@
 }
 END_TEST
 
+/* The last change of a host that died reached one peer alone; its new process
+ * learns its incarnation from another.  (Found by test_chaos, seed 1350: both
+ * came to the same incarnation, and the peer kept the old endpoints.) */
+START_TEST(a_restarted_host_overrides_changes_that_few_saw)
+{
+	uint32_t seed = (uint32_t)_i, i;
+	struct membership_settings s;
+
+	cluster(seed, 4, 1);
+	fake_run(f, 2000);
+	for (i = 2; i < 4; i++) {
+		fake_cut(f, 0, i, 1);
+		fake_cut(f, 1, i, 1);
+	}
+	(void)membership_announce(f->nodes[1].m, f->now_ms, "search", 80, 1,
+	    ENDPOINT_READY, DEADLINE_NEVER);
+	fake_run(f, 1000);
+	fake_kill(f, 1);
+	s = fake_settings(f, 1, 0);
+	s.seeds = &f->nodes[2].addr;
+	s.n_seeds = 1;
+	(void)fake_start(f, 1, &s, -3600000);
+	fake_run(f, 200);
+	fake_cut_out(f, 0, 0);
+	fake_cut_out(f, 1, 0);
+	must(seed, 30000, fake_agreed, "agreed after the restart");
+	for (i = 0; i < 4; i++)
+		ck_assert_uint_eq(
+		    membership_find(f->nodes[i].m, "h1")->n_endpoints, 0);
+	end(seed);
+}
+END_TEST
+
 /* Endpoint changes under messages that cross, double and get lost. */
 START_TEST(crossed_doubled_and_lost_news_end_alike)
 {
@@ -356,6 +389,8 @@
 	    tc, a_frozen_host_fails_nobody_and_comes_back, 0, SEEDS);
 	tcase_add_loop_test(
 	    tc, a_restarted_host_goes_above_what_peers_remember, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_restarted_host_overrides_changes_that_few_saw, 0, SEEDS);
 	tcase_add_loop_test(
 	    tc, crossed_doubled_and_lost_news_end_alike, 0, SEEDS);
 	tcase_add_loop_test(
