test(ctl): a change goes to no second node; fuzz cases as before

Solution: the second node's requests are counted; rows for a late head, an empty membership, the kinds timeout, overloaded and too_large, a node's own word against a node that is away, limits of options, and a deadline in the past. The kind "unknown" made up in the client had no effect and is gone.

--- a/packages/ctl/src/client.c
+++ b/packages/ctl/src/client.c
@@ -105,8 +105,8 @@
 }
 
 static void
-take_answer(CURL *curl, const char *node, const struct client_request *req,
-    const GString *body, struct client_reply *reply)
+take_answer(CURL *curl, const char *node, const GString *body,
+    struct client_reply *reply)
 {
 	reply->end = CLIENT_ANSWERED;
 	(void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply->code);
@@ -114,7 +114,7 @@
 	if (json_is_object(reply->json) || json_is_array(reply->json))
 		return;
 	json_decref(reply->json);
-	reply->json = made_up_error(req->change ? "unknown" : "unavailable",
+	reply->json = made_up_error("unavailable",
 	    "Check that --node names the admin_port of a node.",
 	    "%s answered with status %ld and no JSON.", node, reply->code);
 	reply->code = 0;
@@ -122,8 +122,8 @@
 }
 
 static void
-take_failure(CURL *curl, const char *node, const struct client_request *req,
-    const char *why, struct client_reply *reply)
+take_failure(
+    CURL *curl, const char *node, const char *why, struct client_reply *reply)
 {
 	reply->code = 0;
 	reply->end = was_sent(curl) ? CLIENT_LOST : CLIENT_UNREACHED;
@@ -132,8 +132,7 @@
 		    "Check that the node runs, or name another one by --node.",
 		    "%s can't be reached: %s.", node, why);
 	else
-		reply->json = made_up_error(
-		    req->change ? "unknown" : "unavailable",
+		reply->json = made_up_error("unavailable",
 		    "Ask again, or name another node by --node.",
 		    "%s took the request, but no answer came: %s.", node, why);
 }
@@ -158,9 +157,9 @@
 	(void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
 	(void)curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, error);
 	if (curl_easy_perform(curl) == CURLE_OK)
-		take_answer(curl, node, req, body, reply);
+		take_answer(curl, node, body, reply);
 	else
-		take_failure(curl, node, req, error, reply);
+		take_failure(curl, node, error, reply);
 	curl_easy_cleanup(curl);
 	curl_slist_free_all(headers);
 	g_string_free(body, TRUE);
--- a/packages/ctl/test/fake_node.c
+++ b/packages/ctl/test/fake_node.c
@@ -3,6 +3,7 @@
  */
 #include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <civetweb.h>
@@ -11,6 +12,7 @@
 
 #define READ_BYTES 4096
 #define SCRIPT_MAX 16
+#define US_PER_MS 1000
 
 struct fake_node {
 	struct mg_context *web;
@@ -78,17 +80,17 @@
 	a = next_answer(f, line);
 	g_string_append_printf(f->requests, "%s %s\n", line, body->str);
 	(void)pthread_mutex_unlock(&f->lock);
+	if (a != NULL && a->code < 0)
+		g_usleep(FAKE_LATE_MS * US_PER_MS);
 	if (a == NULL)
 		(void)mg_printf(conn,
 		    "HTTP/1.1 500 Not in the script\r\n"
 		    "Content-Length: 0\r\nConnection: close\r\n\r\n");
-	else if (a->code == FAKE_SILENT)
-		g_usleep(FAKE_SILENT_MS * 1000);
 	else if (a->code != 0)
 		(void)mg_printf(conn,
 		    "HTTP/1.1 %d Scripted\r\nContent-Length: %zu\r\n"
 		    "Connection: close\r\n\r\n%s",
-		    a->code, strlen(a->body), a->body);
+		    abs(a->code), strlen(a->body), a->body);
 	g_free(line);
 	g_string_free(body, TRUE);
 	/* Any code above 0 says that the request was dealt with. */
--- a/packages/ctl/test/fake_node.h
+++ b/packages/ctl/test/fake_node.h
@@ -8,14 +8,15 @@
 
 struct fake_node;
 
-#define FAKE_SILENT (-1)
-#define FAKE_SILENT_MS 400
+/* Code of an answer that comes FAKE_LATE_MS late. */
+#define FAKE_LATE(code) (-(code))
+#define FAKE_LATE_MS 400
 
 /**
  * struct fake_answer - one answer of a script
  * @request: method and start of the path with query that it is for
- * @code: HTTP status; 0 closes the connection without an answer, FAKE_SILENT
- *	does so after FAKE_SILENT_MS
+ * @code: HTTP status, or FAKE_LATE() of one; 0 closes the connection without
+ *	an answer
  * @body: body
  */
 struct fake_answer {
--- a/packages/ctl/test/test_ctl.c
+++ b/packages/ctl/test/test_ctl.c
@@ -11,6 +11,7 @@
 #include "ctl/commands.h"
 #include "ctl/exit_code.h"
 #include "fake_node.h"
+#include "proto/addr.h"
 
 #define ARGS_MAX 24
 
@@ -99,6 +100,11 @@
 	"--limit takes a number from 1"},
     {"--node " NOBODY " status --timeout-ms 0", EXIT_CODE_USAGE,
 	"--timeout-ms takes"},
+    {"--node " NOBODY " status --timeout-ms 86400001", EXIT_CODE_USAGE,
+	"--timeout-ms takes"},
+    {"--node " NOBODY " halt 1 --op "
+     "0123456789012345678901234567890123456789012345678901234567890123",
+	EXIT_CODE_USAGE, "--op takes 1 to 63"},
     {"--node " NOBODY " status --what", EXIT_CODE_USAGE, "Unknown option"},
     {"--node " NOBODY " validate no/such/file", EXIT_CODE_USAGE,
 	"Check the path"},
@@ -212,6 +218,20 @@
     {"--node @ halt 7 --op o1",
 	{{"POST /v1/versions/7/halt", 500, ERROR("internal")}},
 	EXIT_CODE_INTERNAL, "", "internal: What is wrong.", ""},
+    {"--node @ sign-off $ --op o1",
+	{{"POST /v1/versions", 413, ERROR("too_large")}}, EXIT_CODE_INVALID, "",
+	"too_large", ""},
+    {"--node @ sign-off $ --op o1",
+	{{"POST /v1/versions", 503, ERROR("overloaded")}},
+	EXIT_CODE_UNAVAILABLE, "", "overloaded", ""},
+    /* A node's own word tells more than that the next one is away. */
+    {"--node @ --node " NOBODY " halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 503, ERROR("unavailable")}},
+	EXIT_CODE_UNAVAILABLE, "", "unavailable: What is wrong.", ""},
+    {"--node @ halt 7 --op o1",
+	{{"POST /v1/versions/7/halt", 504, ERROR("timeout")},
+	    {"GET /v1/operations/o1", 200, DONE}},
+	EXIT_CODE_OK, "version: 7\n", "asking for operation o1", ""},
     /* A lost answer is settled by the operation's id, never sent again. */
     {"--node @ halt 7 --op o1",
 	{{"POST /v1/versions/7/halt", 0, ""},
@@ -277,7 +297,7 @@
     /* An answer cut off by the timeout doesn't make the nodes unavailable. */
     {"--node @ watch 7 --interval-ms 10 --timeout-ms 200",
 	{{"GET /v1/versions/7", 200, PROGRESS("3", "0")},
-	    {"GET /v1/versions/7", FAKE_SILENT, ""},
+	    {"GET /v1/versions/7", FAKE_LATE(200), PROGRESS("3", "0")},
 	    {"GET /v1/status", 200, HEAD("7", "7")}},
 	EXIT_CODE_NOT_CONVERGED, "3 of 5", "on 3 of 5 nodes at the timeout",
 	""},
@@ -285,6 +305,17 @@
 	{{"GET /v1/versions/7", 200, PROGRESS("3", "0")},
 	    {"GET /v1/status", 200, HEAD("7", "6")}},
 	EXIT_CODE_NOT_CONVERGED, "3 of 5", "was halted", ""},
+    /* The node's head is behind: that is no halt. */
+    {"--node @ watch 7 --interval-ms 10 --timeout-ms 200",
+	{{"GET /v1/versions/7", 200, PROGRESS("3", "0")},
+	    {"GET /v1/status", 200, HEAD("6", "6")}},
+	EXIT_CODE_NOT_CONVERGED, "3 of 5", "at the timeout", ""},
+    /* A node that knows of nobody yet has not seen the roll end. */
+    {"--node @ watch 7 --interval-ms 10 --timeout-ms 200",
+	{{"GET /v1/versions/7", 200,
+	     "{\"progress\":{\"nodes\":0,\"holding\":0}}"},
+	    {"GET /v1/status", 200, HEAD("7", "7")}},
+	EXIT_CODE_NOT_CONVERGED, "0 of 0", "at the timeout", ""},
     {"--node @ watch 7 --interval-ms 10",
 	{{"GET /v1/versions/7", 503, ERROR("unavailable")},
 	    {"GET /v1/versions/7", 503, ERROR("unavailable")},
@@ -337,6 +368,29 @@
 	g_strfreev(parts);
 }
 
+/* No time left is no licence to wait for ever. */
+static void
+deadline_in_the_past(struct fake_node *f)
+{
+	static const struct fake_answer late[] = {
+	    {"GET /v1/status", FAKE_LATE(200), "{}"}, {0}};
+	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(struct net_addr));
+	struct client_request req = {.method = "GET", .path = "/v1/status"};
+	struct client *c = client_new(nodes);
+	struct client_reply reply;
+	struct net_addr addr;
+
+	fake_node_play(f, late);
+	ck_assert_int_eq(addr_parse(fake_node_address(f), &addr), STATUS_OK);
+	g_array_append_val(nodes, addr);
+	client_request(c, &req, &reply);
+	ck_assert_int_ne(reply.end, CLIENT_ANSWERED);
+	ck_assert_str_eq(client_reply_kind(&reply), "unavailable");
+	client_reply_clear(&reply);
+	client_free(c);
+	g_array_unref(nodes);
+}
+
 START_TEST(commands_against_a_node)
 {
 	struct fake_node *f = fake_node_new();
@@ -345,6 +399,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(run_rows); i++)
 		run_row(f, &run_rows[i], path);
+	deadline_in_the_past(f);
 	(void)unlink(path);
 	g_free(path);
 	fake_node_free(f);
@@ -358,21 +413,22 @@
 	struct fake_answer second[2];
 	int code;
 	int second_asked;
+	int second_changes;
 };
 
 static const struct pair_row pair_rows[] = {
     /* Nothing was done there, so the next node may do it. */
     {"halt 7 --op o1",
 	{{"POST /v1/versions/7/halt", 503, ERROR("unavailable")}},
-	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_OK, 1},
+	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_OK, 1, 1},
     /* It may have been done there, so the next one is only asked. */
     {"halt 7 --op o1", {{"POST /v1/versions/7/halt", 0, ""}},
-	{{"GET /v1/operations/o1", 200, DONE}}, EXIT_CODE_OK, 1},
+	{{"GET /v1/operations/o1", 200, DONE}}, EXIT_CODE_OK, 1, 0},
     {"status", {{"GET /v1/status", 0, ""}},
-	{{"GET /v1/status", 200, HEAD("7", "7")}}, EXIT_CODE_OK, 1},
+	{{"GET /v1/status", 200, HEAD("7", "7")}}, EXIT_CODE_OK, 1, 0},
     /* A conflict is an answer. */
     {"halt 7 --op o1", {{"POST /v1/versions/7/halt", 409, ERROR("conflict")}},
-	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_CONFLICT, 0},
+	{{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_CONFLICT, 0, 0},
 };
 
 static void
@@ -391,6 +447,7 @@
 	    row->args, r.code, r.err);
 	requests = fake_node_requests(second);
 	ck_assert_int_eq(*requests != '\0', row->second_asked);
+	ck_assert_int_eq(changes_sent(requests), row->second_changes);
 	g_free(requests);
 	run_clear(&r);
 	g_free(args);
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -516,4 +516,50 @@
 /** msg_call_key_word_clear() - free the message's lists and set it to zero */
 void msg_call_key_word_clear(struct msg_call_key_word *m);
 
+/**
+ * struct msg_call_goodbye - The guard is stopping: it asks for no more
+ * call_open on this connection.
+ * @sent_ms: guard's monotonic clock at sending
+ */
+struct msg_call_goodbye {
+	uint64_t sent_ms;
+};
+
+extern const struct codec_desc msg_call_goodbye_desc;
+
+/** msg_call_goodbye_encode() - append a message's body to @out */
+void msg_call_goodbye_encode(const struct msg_call_goodbye *m, GByteArray *out);
+
+/** msg_call_goodbye_decode() - read a message's body; see codec_decode() */
+enum status msg_call_goodbye_decode(
+    const uint8_t *data, size_t len, struct msg_call_goodbye *m);
+
+/** msg_call_goodbye_clear() - free the message's lists and set it to zero */
+void msg_call_goodbye_clear(struct msg_call_goodbye *m);
+
+/**
+ * struct msg_call_goodbye_ack - No call_open will follow on this connection.
+ * @echo: sent_ms of the call_goodbye
+ */
+struct msg_call_goodbye_ack {
+	uint64_t echo;
+};
+
+extern const struct codec_desc msg_call_goodbye_ack_desc;
+
+/** msg_call_goodbye_ack_encode() - append a message's body to @out */
+void msg_call_goodbye_ack_encode(
+    const struct msg_call_goodbye_ack *m, GByteArray *out);
+
+/**
+ * msg_call_goodbye_ack_decode() - read a message's body; see codec_decode()
+ */
+enum status msg_call_goodbye_ack_decode(
+    const uint8_t *data, size_t len, struct msg_call_goodbye_ack *m);
+
+/**
+ * msg_call_goodbye_ack_clear() - free the message's lists and set it to zero
+ */
+void msg_call_goodbye_ack_clear(struct msg_call_goodbye_ack *m);
+
 #endif
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -70,21 +70,24 @@
  * 	not known here
  * @PULL_BUSY: too many pulls are being served; come back later
  * @PULL_NOT_HERE: this node does not hold what was asked for
+ * @PULL_LARGE: the answer does not fit a datagram; ask again in a
+ * 	frame
  */
 enum pull_result {
 	PULL_DELTA = 0,
 	PULL_FULL,
 	PULL_BUSY,
 	PULL_NOT_HERE,
+	PULL_LARGE,
 };
 
-#define PULL_VALUES 4
+#define PULL_VALUES 5
 
 /** pull_result_name() - name of a value, as in logs and JSON */
 const char *pull_result_name(enum pull_result v);
 
 /**
- * struct rec_head - The head row as nodes pass it on.
+ * struct rec_head - The head row as the platform tells it.
  * @seq: number of the head row's change; a higher one is newer
  * @version: newest version
  * @in_force: highest version that is not halted
@@ -101,14 +104,32 @@
 
 extern const struct codec_desc rec_head_desc;
 
+/**
+ * struct rec_head_tag - The head row as nodes pass it on.
+ * @seq: number of the head row's change; a higher one is newer
+ * @version: newest version
+ * @in_force: highest version that is not halted
+ * @state: state of the newest version
+ * @tag: first bytes of the root of the version in force, to check a
+ * 	list by that came from one peer against what others told; 0 when not
+ * 	known
+ */
+struct rec_head_tag {
+	uint64_t seq;
+	uint64_t version;
+	uint64_t in_force;
+	enum head_state state;
+	uint64_t tag;
+};
+
+extern const struct codec_desc rec_head_tag_desc;
+
 /**
  * struct rec_section_data - Content of one section.
- * @digest: digest of the content
  * @data: the content; borrowed
  * @data_len: bytes in @data
  */
 struct rec_section_data {
-	struct digest digest;
 	const uint8_t *data;
 	uint32_t data_len;
 };
@@ -131,7 +152,7 @@
  * @kind: why it was sent
  */
 struct msg_notice {
-	struct rec_head head;
+	struct rec_head_tag head;
 	enum notice_kind kind;
 };
 
@@ -148,7 +169,8 @@
 void msg_notice_clear(struct msg_notice *m);
 
 /**
- * struct msg_pull - Frame: asks for the changes between two versions.
+ * struct msg_pull - Asks for the changes between two versions; datagram first,
+ * then frame.
  * @token: number that comes back with the answer
  * @have: version that the puller holds, 0 for none
  * @want: version that is wanted
@@ -174,8 +196,8 @@
 void msg_pull_clear(struct msg_pull *m);
 
 /**
- * struct msg_delta - Frame: answer to pull. Content that did not fit is
- * fetched afterwards.
+ * struct msg_delta - Answer to pull, the way it came. Content that did not fit
+ * is fetched afterwards.
  * @token: number of the pull
  * @result: what this answer is
  * @come_back_ms: when to ask again, if busy
@@ -193,7 +215,7 @@
 	uint32_t token;
 	enum pull_result result;
 	uint32_t come_back_ms;
-	struct rec_head head;
+	struct rec_head_tag head;
 	uint64_t have;
 	uint64_t want;
 	struct digest root;
@@ -342,7 +364,7 @@
 struct msg_floor_answer {
 	uint64_t floor;
 	bool ready;
-	struct rec_head head;
+	struct rec_head_tag head;
 };
 
 extern const struct codec_desc msg_floor_answer_desc;
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -33,9 +33,10 @@
  * @MSG_CLAIM_ANSWER: Answer to a claim; datagram.
  * @MSG_NOTICE: Datagram: the sender holds this head's version in
  * 	force.
- * @MSG_PULL: Frame: asks for the changes between two versions.
- * @MSG_DELTA: Frame: answer to pull. Content that did not fit is
- * 	fetched afterwards.
+ * @MSG_PULL: Asks for the changes between two versions; datagram
+ * 	first, then frame.
+ * @MSG_DELTA: Answer to pull, the way it came. Content that did not
+ * 	fit is fetched afterwards.
  * @MSG_FETCH: Frame: asks for the content of sections.
  * @MSG_SECTIONS: Frame: answer to fetch; what is missing is asked for
  * 	again or elsewhere.
@@ -77,6 +78,9 @@
  * @MSG_CALL_KEY_ASK: The home of an idempotency key asks an earlier
  * 	home about it.
  * @MSG_CALL_KEY_WORD: Answer to call_key_ask.
+ * @MSG_CALL_GOODBYE: The guard is stopping: it asks for no more
+ * 	call_open on this connection.
+ * @MSG_CALL_GOODBYE_ACK: No call_open will follow on this connection.
  */
 enum msg_type {
 	MSG_NONE = 0,
@@ -124,6 +128,8 @@
 	MSG_CALL_PONG = 73,
 	MSG_CALL_KEY_ASK = 74,
 	MSG_CALL_KEY_WORD = 75,
+	MSG_CALL_GOODBYE = 76,
+	MSG_CALL_GOODBYE_ACK = 77,
 };
 
 /**
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -688,3 +688,64 @@
 {
 	codec_clear(&msg_call_key_word_desc, m);
 }
+
+static const struct codec_field msg_call_goodbye_fields[] = {
+    {.name = "sent_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_goodbye, sent_ms)},
+};
+
+const struct codec_desc msg_call_goodbye_desc = {.name = "call_goodbye",
+    .fields = msg_call_goodbye_fields,
+    .n_fields = 1,
+    .size_bytes = sizeof(struct msg_call_goodbye)};
+
+void
+msg_call_goodbye_encode(const struct msg_call_goodbye *m, GByteArray *out)
+{
+	codec_encode(&msg_call_goodbye_desc, m, out);
+}
+
+enum status
+msg_call_goodbye_decode(
+    const uint8_t *data, size_t len, struct msg_call_goodbye *m)
+{
+	return codec_decode(&msg_call_goodbye_desc, data, len, m);
+}
+
+void
+msg_call_goodbye_clear(struct msg_call_goodbye *m)
+{
+	codec_clear(&msg_call_goodbye_desc, m);
+}
+
+static const struct codec_field msg_call_goodbye_ack_fields[] = {
+    {.name = "echo",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_goodbye_ack, echo)},
+};
+
+const struct codec_desc msg_call_goodbye_ack_desc = {.name = "call_goodbye_ack",
+    .fields = msg_call_goodbye_ack_fields,
+    .n_fields = 1,
+    .size_bytes = sizeof(struct msg_call_goodbye_ack)};
+
+void
+msg_call_goodbye_ack_encode(
+    const struct msg_call_goodbye_ack *m, GByteArray *out)
+{
+	codec_encode(&msg_call_goodbye_ack_desc, m, out);
+}
+
+enum status
+msg_call_goodbye_ack_decode(
+    const uint8_t *data, size_t len, struct msg_call_goodbye_ack *m)
+{
+	return codec_decode(&msg_call_goodbye_ack_desc, data, len, m);
+}
+
+void
+msg_call_goodbye_ack_clear(struct msg_call_goodbye_ack *m)
+{
+	codec_clear(&msg_call_goodbye_ack_desc, m);
+}
--- a/packages/proto/src/gen/messages.c
+++ b/packages/proto/src/gen/messages.c
@@ -51,6 +51,8 @@
     [MSG_CALL_PONG] = &msg_call_pong_desc,
     [MSG_CALL_KEY_ASK] = &msg_call_key_ask_desc,
     [MSG_CALL_KEY_WORD] = &msg_call_key_word_desc,
+    [MSG_CALL_GOODBYE] = &msg_call_goodbye_desc,
+    [MSG_CALL_GOODBYE_ACK] = &msg_call_goodbye_ack_desc,
 };
 
 const struct codec_desc *
--- a/packages/proto/src/gen/spread.c
+++ b/packages/proto/src/gen/spread.c
@@ -33,6 +33,7 @@
     [PULL_FULL] = "full",
     [PULL_BUSY] = "busy",
     [PULL_NOT_HERE] = "not_here",
+    [PULL_LARGE] = "large",
 };
 
 const char *
@@ -65,10 +66,31 @@
     .n_fields = 5,
     .size_bytes = sizeof(struct rec_head)};
 
+static const struct codec_field rec_head_tag_fields[] = {
+    {.name = "seq",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_head_tag, seq)},
+    {.name = "version",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_head_tag, version)},
+    {.name = "in_force",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_head_tag, in_force)},
+    {.name = "state",
+	.kind = CODEC_ENUM,
+	.offset = offsetof(struct rec_head_tag, state),
+	.values = HEAD_VALUES},
+    {.name = "tag",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_head_tag, tag)},
+};
+
+const struct codec_desc rec_head_tag_desc = {.name = "head_tag",
+    .fields = rec_head_tag_fields,
+    .n_fields = 5,
+    .size_bytes = sizeof(struct rec_head_tag)};
+
 static const struct codec_field rec_section_data_fields[] = {
-    {.name = "digest",
-	.kind = CODEC_DIGEST,
-	.offset = offsetof(struct rec_section_data, digest)},
     {.name = "data",
 	.kind = CODEC_BYTES,
 	.offset = offsetof(struct rec_section_data, data),
@@ -78,7 +100,7 @@
 
 const struct codec_desc rec_section_data_desc = {.name = "section_data",
     .fields = rec_section_data_fields,
-    .n_fields = 2,
+    .n_fields = 1,
     .size_bytes = sizeof(struct rec_section_data)};
 
 static const struct codec_field rec_section_want_fields[] = {
@@ -96,7 +118,7 @@
     {.name = "head",
 	.kind = CODEC_STRUCT,
 	.offset = offsetof(struct msg_notice, head),
-	.of = &rec_head_desc},
+	.of = &rec_head_tag_desc},
     {.name = "kind",
 	.kind = CODEC_ENUM,
 	.offset = offsetof(struct msg_notice, kind),
@@ -179,7 +201,7 @@
     {.name = "head",
 	.kind = CODEC_STRUCT,
 	.offset = offsetof(struct msg_delta, head),
-	.of = &rec_head_desc},
+	.of = &rec_head_tag_desc},
     {.name = "have",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_delta, have)},
@@ -416,7 +438,7 @@
     {.name = "head",
 	.kind = CODEC_STRUCT,
 	.offset = offsetof(struct msg_floor_answer, head),
-	.of = &rec_head_desc},
+	.of = &rec_head_tag_desc},
 };
 
 const struct codec_desc msg_floor_answer_desc = {.name = "floor_answer",
--- a/packages/proto/test/fuzz_proto.c
+++ b/packages/proto/test/fuzz_proto.c
@@ -15,7 +15,7 @@
 #include "sample.h"
 
 #define SEED 7919
-#define CASES_PER_MESSAGE 1000
+#define CASES_PER_MESSAGE 2000
 #define STREAM_CASES 3000
 #define SETTINGS_CASES 10000
 #define ALTERATIONS_MAX 4
