test(functional): one check of versions for all process-level runs

Problem: each process-level test of the spread would look in its own way at what nodes serve, and would miss what happens between two looks. The operators' part of the deployment is a file of its own; bramleyctl can be started in the background.

--- a/test/functional/deployment.c
+++ b/test/functional/deployment.c
@@ -230,6 +230,16 @@
 	g_free(log);
 }
 
+void
+deployment_start_nodes(struct deployment *d)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++)
+		deployment_start_node(d, deployment_host(d, i));
+	deployment_wait_members(d, d->hosts->len, DEPLOYMENT_START_MS);
+}
+
 void
 deployment_start(struct deployment *d)
 {
@@ -348,6 +358,42 @@
 	return fetch_json("GET", url, NULL, NULL);
 }
 
+json_t *
+deployment_platform_row(const struct deployment *d, const char *key)
+{
+	static const char *const headers[] = {
+	    "X-Amz-Target: DynamoDB_20120810.GetItem", NULL};
+	char url[URL_BYTES];
+	json_t *j, *row;
+	struct fetch f = {"POST", url, headers, NULL, 0, 0};
+	struct fetch_answer a;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/", d->platform_address,
+	    d->platform_port);
+	f.body = g_strdup_printf("{\"TableName\":\"bramley\",\"Key\":"
+				 "{\"pk\":{\"S\":\"%s\"}}}",
+	    key);
+	f.body_len = strlen(f.body);
+	fetch_perform(&f, &a);
+	ck_assert_msg(
+	    a.code == 200, "the platform answered %d to %s", a.code, key);
+	j = json_loadb(a.body->str, a.body->len, 0, NULL);
+	row = json_incref(json_object_get(j, "Item"));
+	json_decref(j);
+	fetch_answer_clear(&a);
+	g_free((gpointer)f.body);
+	return row;
+}
+
+const char *
+deployment_row_text(const json_t *row, const char *name)
+{
+	const json_t *v = json_object_get(row, name);
+	const char *text = json_string_value(json_object_get(v, "S"));
+
+	return text != NULL ? text : json_string_value(json_object_get(v, "N"));
+}
+
 void
 deployment_upstream_knobs(const struct host *h, const char *knobs)
 {
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -115,6 +115,10 @@
 /** deployment_start_upstream() - start a host's upstream */
 void deployment_start_upstream(struct deployment *d, struct host *h);
 
+/** deployment_start_nodes() - start all nodes and wait until all are members
+ */
+void deployment_start_nodes(struct deployment *d);
+
 /** deployment_start() - start all nodes, then all upstreams, and wait */
 void deployment_start(struct deployment *d);
 
@@ -149,6 +153,16 @@
 /** deployment_platform_stats() - the platform's counts, a new reference */
 json_t *deployment_platform_stats(const struct deployment *d);
 
+/**
+ * deployment_platform_row() - a row of the platform's table
+ *
+ * The platform must answer.  Return: a new reference, NULL if there is none.
+ */
+json_t *deployment_platform_row(const struct deployment *d, const char *key);
+
+/** deployment_row_text() - an attribute of a row; NULL if there is none */
+const char *deployment_row_text(const json_t *row, const char *name);
+
 /** deployment_upstream_knobs() - set knobs of an upstream */
 void deployment_upstream_knobs(const struct host *h, const char *knobs);
 
@@ -198,6 +212,10 @@
 void
 deployment_wait_endpoints(struct deployment *d, uint32_t n, uint32_t wait_ms);
 
+/** deployment_wait_members() - the same for hosts that count as live */
+void
+deployment_wait_members(struct deployment *d, uint32_t n, uint32_t wait_ms);
+
 /**
  * deployment_ctl() - run bramleyctl
  * @h: host whose node is asked
@@ -209,9 +227,24 @@
 json_t *
 deployment_ctl(const struct host *h, int *code, const char *const *args);
 
+/** deployment_ctl_start() - start bramleyctl; arguments as above */
+struct process *
+deployment_ctl_start(const struct host *h, const char *const *args);
+
+/** deployment_ctl_end() - wait for it and free it; result as above */
+json_t *deployment_ctl_end(struct process *ctl, int *code);
+
 /** deployment_example() - path of a file in examples/, a new string */
 char *deployment_example(const char *name);
 
+/**
+ * deployment_bundle() - the registry's example with one service changed
+ * @n: which change; different numbers give different bundles
+ *
+ * Return: its path, a new string.
+ */
+char *deployment_bundle(uint32_t n);
+
 /**
  * deployment_sign_off() - sign a bundle off with bramleyctl
  * @h: host whose node is asked
--- /dev/null
+++ b/test/functional/deployment_ctl.c
@@ -0,0 +1,93 @@
+/*
+ * A small deployment for tests: its operators.
+ */
+#include <check.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "deployment.h"
+
+#define CTL_WAIT_MS 60000
+/* Timeout of the example's first service, which changed bundles vary. */
+#define EXAMPLE_TIMEOUT_MS 2000
+
+struct process *
+deployment_ctl_start(const struct host *h, const char *const *args)
+{
+	static uint32_t runs;
+	char *name = g_strdup_printf("ctl.%u", ++runs);
+	char *node = g_strdup_printf("%s:%u", h->address, h->admin_port);
+	GPtrArray *argv = g_ptr_array_new();
+	struct process *p;
+
+	g_ptr_array_add(argv, (gpointer)BRAMLEYCTL_PATH);
+	g_ptr_array_add(argv, (gpointer) "--node");
+	g_ptr_array_add(argv, node);
+	g_ptr_array_add(argv, (gpointer) "--json");
+	process_args(argv, args);
+	p = process_start(
+	    name, harness_dir(), (const char *const *)argv->pdata);
+	g_ptr_array_unref(argv);
+	g_free(node);
+	g_free(name);
+	return p;
+}
+
+json_t *
+deployment_ctl_end(struct process *ctl, int *code)
+{
+	int res = process_wait(ctl, CTL_WAIT_MS);
+	json_t *j = process_json(ctl);
+
+	if (code != NULL)
+		*code = res;
+	else
+		ck_assert_msg(res == 0, "bramleyctl ended with %d; see %s", res,
+		    process_log(ctl));
+	process_free(ctl);
+	return j;
+}
+
+json_t *
+deployment_ctl(const struct host *h, int *code, const char *const *args)
+{
+	return deployment_ctl_end(deployment_ctl_start(h, args), code);
+}
+
+char *
+deployment_example(const char *name)
+{
+	return g_build_filename(EXAMPLES_DIR, name, NULL);
+}
+
+char *
+deployment_bundle(uint32_t n)
+{
+	char *name = g_strdup_printf("bundle-%u.json", n);
+	char *path, *text;
+	char *example = deployment_example("registry.json");
+	json_t *j = json_load_file(example, 0, NULL);
+
+	ck_assert_ptr_nonnull(j);
+	json_object_set_new(json_array_get(json_object_get(j, "services"), 0),
+	    "timeout_ms", json_integer(EXAMPLE_TIMEOUT_MS + n));
+	text = json_dumps(j, 0);
+	path = harness_write(name, text);
+	json_decref(j);
+	free(text);
+	g_free(example);
+	g_free(name);
+	return path;
+}
+
+uint64_t
+deployment_sign_off(const struct host *h, const char *bundle)
+{
+	const char *args[] = {"--operator", "test", "sign-off", bundle, NULL};
+	json_t *j = deployment_ctl(h, NULL, args);
+	uint64_t version = (uint64_t)json_number(j, "version");
+
+	ck_assert_uint_gt(version, 0);
+	json_decref(j);
+	return version;
+}
--- a/test/functional/deployment_watch.c
+++ b/test/functional/deployment_watch.c
@@ -1,5 +1,5 @@
 /*
- * A small deployment for tests: its state, operators, load and the check.
+ * A small deployment for tests: its state, load and the check of calls.
  */
 #include <stdio.h>
 #include <string.h>
@@ -13,7 +13,6 @@
 #include "fetch.h"
 #include "standins/run_check.h"
 
-#define CTL_WAIT_MS 60000
 #define LOAD_WAIT_MS 300000
 #define URL_BYTES 512
 #define HEALTH_SERVES 200
@@ -127,86 +126,19 @@
 }
 
 void
-deployment_wait_endpoints(struct deployment *d, uint32_t n, uint32_t wait_ms)
+deployment_wait_members(struct deployment *d, uint32_t n, uint32_t wait_ms)
 {
-	struct awaited a = {d, "endpoints", n, n};
+	struct awaited a = {d, "members_live", n, n};
 
 	(void)wait_for(&a, wait_ms);
 }
 
-static void
-append_args(GPtrArray *argv, const char *const *args)
-{
-	for (; *args != NULL; args++)
-		g_ptr_array_add(argv, (gpointer)*args);
-	g_ptr_array_add(argv, NULL);
-}
-
-/* The last JSON value in a file: the whole file, or its last line. */
-static json_t *
-output_json(const char *path)
-{
-	char *last, *text = NULL;
-	json_t *j;
-
-	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
-	j = json_loads(text, 0, NULL);
-	if (j == NULL) {
-		last = strrchr(g_strchomp(text), '\n');
-		j = json_loads(last == NULL ? text : last + 1, 0, NULL);
-	}
-	g_free(text);
-	return j;
-}
-
-json_t *
-deployment_ctl(const struct host *h, int *code, const char *const *args)
-{
-	static uint32_t runs;
-	char *name = g_strdup_printf("ctl.%u", ++runs);
-	char *node = g_strdup_printf("%s:%u", h->address, h->admin_port);
-	GPtrArray *argv = g_ptr_array_new();
-	int res;
-	json_t *j;
-	struct process *p;
-
-	g_ptr_array_add(argv, (gpointer)BRAMLEYCTL_PATH);
-	g_ptr_array_add(argv, (gpointer) "--node");
-	g_ptr_array_add(argv, node);
-	g_ptr_array_add(argv, (gpointer) "--json");
-	append_args(argv, args);
-	p = process_start(
-	    name, harness_dir(), (const char *const *)argv->pdata);
-	res = process_wait(p, CTL_WAIT_MS);
-	j = output_json(process_log(p));
-	if (code != NULL)
-		*code = res;
-	else
-		ck_assert_msg(res == 0, "bramleyctl ended with %d; see %s", res,
-		    process_log(p));
-	process_free(p);
-	g_ptr_array_unref(argv);
-	g_free(node);
-	g_free(name);
-	return j;
-}
-
-char *
-deployment_example(const char *name)
-{
-	return g_build_filename(EXAMPLES_DIR, name, NULL);
-}
-
-uint64_t
-deployment_sign_off(const struct host *h, const char *bundle)
+void
+deployment_wait_endpoints(struct deployment *d, uint32_t n, uint32_t wait_ms)
 {
-	const char *args[] = {"--operator", "test", "sign-off", bundle, NULL};
-	json_t *j = deployment_ctl(h, NULL, args);
-	uint64_t version = (uint64_t)json_number(j, "version");
+	struct awaited a = {d, "endpoints", n, n};
 
-	ck_assert_uint_gt(version, 0);
-	json_decref(j);
-	return version;
+	(void)wait_for(&a, wait_ms);
 }
 
 static void
@@ -244,7 +176,7 @@
 	g_ptr_array_add(argv, (gpointer)name);
 	g_ptr_array_add(argv, (gpointer) "--outcomes");
 	g_ptr_array_add(argv, path);
-	append_args(argv, args);
+	process_args(argv, args);
 	p = process_start(
 	    name, harness_dir(), (const char *const *)argv->pdata);
 	g_ptr_array_unref(argv);
@@ -261,7 +193,7 @@
 
 	ck_assert_msg(code == 0, "load_gen ended with %d; see %s", code,
 	    process_log(load));
-	j = output_json(process_log(load));
+	j = process_json(load);
 	ck_assert_ptr_nonnull(j);
 	process_free(load);
 	return j;
--- a/test/functional/process.c
+++ b/test/functional/process.c
@@ -67,6 +67,31 @@
 	return p->log;
 }
 
+json_t *
+process_json(const struct process *p)
+{
+	char **lines, *text = NULL;
+	guint i;
+	json_t *j;
+
+	ck_assert(g_file_get_contents(p->log, &text, NULL, NULL));
+	j = json_loads(text, 0, NULL);
+	lines = g_strsplit(text, "\n", -1);
+	for (i = g_strv_length(lines); j == NULL && i-- > 0;)
+		j = json_loads(lines[i], 0, NULL);
+	g_strfreev(lines);
+	g_free(text);
+	return j;
+}
+
+void
+process_args(GPtrArray *argv, const char *const *args)
+{
+	for (; *args != NULL; args++)
+		g_ptr_array_add(argv, (gpointer)*args);
+	g_ptr_array_add(argv, NULL);
+}
+
 pid_t
 process_pid(const struct process *p)
 {
--- a/test/functional/process.h
+++ b/test/functional/process.h
@@ -8,6 +8,9 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include <glib.h>
+#include <jansson.h>
+
 /* Exit code of a process that was killed or would not end. */
 #define PROCESS_KILLED (-1)
 
@@ -27,6 +30,17 @@
 /** process_log() - path of the log, which holds both outputs */
 const char *process_log(const struct process *p);
 
+/**
+ * process_json() - what a process printed as JSON
+ *
+ * Return: the whole output or its last line that is JSON, a new reference,
+ * or NULL.
+ */
+json_t *process_json(const struct process *p);
+
+/** process_args() - append arguments, ended by NULL, with the NULL */
+void process_args(GPtrArray *argv, const char *const *args);
+
 /** process_pid() - its id, or 0 when it has ended */
 pid_t process_pid(const struct process *p);
 
--- a/test/functional/test_path.c
+++ b/test/functional/test_path.c
@@ -114,32 +114,11 @@
 	}
 }
 
-/* The example with another timeout of its first service. */
-static char *
-changed_bundle(uint32_t n)
-{
-	char *name = g_strdup_printf("bundle-%u.json", n);
-	char *path, *text;
-	char *example = deployment_example("registry.json");
-	json_t *j = json_load_file(example, 0, NULL);
-
-	ck_assert_ptr_nonnull(j);
-	json_object_set_new(json_array_get(json_object_get(j, "services"), 0),
-	    "timeout_ms", json_integer(2000 + n));
-	text = json_dumps(j, 0);
-	path = harness_write(name, text);
-	json_decref(j);
-	free(text);
-	g_free(example);
-	g_free(name);
-	return path;
-}
-
 static uint64_t
 supersede(struct deployment *d, uint64_t version, uint32_t n)
 {
 	char old[32];
-	char *path = changed_bundle(n);
+	char *path = deployment_bundle(n);
 	const char *args[] = {
 	    "--operator", "test", "supersede", old, path, NULL};
 	json_t *j;
--- /dev/null
+++ b/test/functional/version_watch.c
@@ -0,0 +1,292 @@
+/*
+ * Watches the versions that nodes serve.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "fetch.h"
+#include "version_check.h"
+#include "version_watch.h"
+
+#define WATCH_PAUSE_US 30000
+#define WATCH_TIMEOUT_MS 1000
+#define WATCH_SIGHTS_MIN 10
+#define URL_BYTES 128
+#define KEY_BYTES 64
+
+/* One host and the thread that watches it. */
+struct watcher {
+	struct version_watch *watch;
+	const struct host *host;
+	pthread_t thread;
+	int present;
+};
+
+struct version_watch {
+	struct deployment *deployment;
+	pthread_mutex_t lock; /* guards all below */
+	struct version_check *check;
+	GPtrArray *watchers;
+	int stopping;
+};
+
+static void
+see(struct watcher *w, uint64_t version, const char *root)
+{
+	struct version_watch *all = w->watch;
+
+	pthread_mutex_lock(&all->lock);
+	version_check_see(all->check, w->host->name, version, root);
+	version_check_tick(all->check, clock_now_ms());
+	pthread_mutex_unlock(&all->lock);
+}
+
+/* A node that holds a version and isn't ready does not serve it. */
+static void
+look_at_status(struct watcher *w)
+{
+	char url[URL_BYTES];
+	int64_t version;
+	json_t *j;
+	struct fetch f = {"GET", url, NULL, NULL, 0, WATCH_TIMEOUT_MS};
+	struct fetch_answer a;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/v1/status",
+	    w->host->address, w->host->admin_port);
+	fetch_perform(&f, &a);
+	j = json_loadb(a.body->str, a.body->len, 0, NULL);
+	version = json_is_true(json_object_get(j, "ready"))
+	    ? json_number(j, "version")
+	    : 0;
+	see(w, (uint64_t)version,
+	    json_string_value(json_object_get(j, "root")));
+	json_decref(j);
+	fetch_answer_clear(&a);
+}
+
+/* Any answer to a call tells the version by which it was routed. */
+static void
+look_at_call(struct watcher *w)
+{
+	char url[URL_BYTES], *version;
+	struct fetch f = {"GET", url, NULL, NULL, 0, WATCH_TIMEOUT_MS};
+	struct fetch_answer a;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/search?watch",
+	    w->host->address, w->host->caller_port);
+	fetch_perform(&f, &a);
+	version = fetch_header(&a, "Bramley-Version");
+	if (a.code != 0 && version != NULL)
+		see(w, g_ascii_strtoull(version, NULL, 10), NULL);
+	g_free(version);
+	fetch_answer_clear(&a);
+}
+
+static int
+is_stopping(struct version_watch *w)
+{
+	int stopping;
+
+	pthread_mutex_lock(&w->lock);
+	stopping = w->stopping;
+	pthread_mutex_unlock(&w->lock);
+	return stopping;
+}
+
+static void *
+watcher_run(void *arg)
+{
+	struct watcher *w = arg;
+
+	while (!is_stopping(w->watch)) {
+		look_at_status(w);
+		look_at_call(w);
+		g_usleep(WATCH_PAUSE_US);
+	}
+	return NULL;
+}
+
+struct version_watch *
+version_watch_start(struct deployment *d)
+{
+	struct version_watch *w = g_new0(struct version_watch, 1);
+	struct watcher *one;
+	uint32_t i;
+
+	w->deployment = d;
+	w->check = version_check_new();
+	w->watchers = g_ptr_array_new_with_free_func(g_free);
+	pthread_mutex_init(&w->lock, NULL);
+	for (i = 0; i < d->hosts->len; i++) {
+		one = g_new0(struct watcher, 1);
+		one->watch = w;
+		one->host = deployment_host(d, i);
+		g_ptr_array_add(w->watchers, one);
+		version_watch_present(w, one->host, 1);
+	}
+	for (i = 0; i < d->hosts->len; i++) {
+		one = g_ptr_array_index(w->watchers, i);
+		pthread_create(&one->thread, NULL, watcher_run, one);
+	}
+	return w;
+}
+
+static struct watcher *
+watcher_of(struct version_watch *w, const struct host *h)
+{
+	struct watcher *one;
+	guint i;
+
+	for (i = 0; i < w->watchers->len; i++) {
+		one = g_ptr_array_index(w->watchers, i);
+		if (one->host == h)
+			return one;
+	}
+	return NULL;
+}
+
+void
+version_watch_present(
+    struct version_watch *w, const struct host *h, int present)
+{
+	pthread_mutex_lock(&w->lock);
+	watcher_of(w, h)->present = present;
+	if (present)
+		version_check_present(w->check, h->name, clock_now_ms());
+	else
+		version_check_absent(w->check, h->name);
+	pthread_mutex_unlock(&w->lock);
+}
+
+void
+version_watch_accept(
+    struct version_watch *w, uint64_t version, uint32_t bound_ms)
+{
+	pthread_mutex_lock(&w->lock);
+	version_check_accept(w->check, version, clock_now_ms(), bound_ms);
+	pthread_mutex_unlock(&w->lock);
+}
+
+void
+version_watch_halted(struct version_watch *w, uint64_t version)
+{
+	pthread_mutex_lock(&w->lock);
+	version_check_withdraw(w->check, version);
+	pthread_mutex_unlock(&w->lock);
+}
+
+uint64_t
+version_watch_highest(struct version_watch *w, const struct host *h)
+{
+	uint64_t version;
+
+	pthread_mutex_lock(&w->lock);
+	version = version_check_highest(w->check, h->name);
+	pthread_mutex_unlock(&w->lock);
+	return version;
+}
+
+struct awaited {
+	struct version_watch *watch;
+	uint64_t version;
+};
+
+static int
+all_reached(void *arg)
+{
+	const struct awaited *a = arg;
+	const struct watcher *one;
+	guint i;
+
+	for (i = 0; i < a->watch->watchers->len; i++) {
+		one = g_ptr_array_index(a->watch->watchers, i);
+		if (one->present &&
+		    version_watch_highest(a->watch, one->host) < a->version)
+			return 0;
+	}
+	return 1;
+}
+
+uint64_t
+version_watch_wait(struct version_watch *w, uint64_t version, uint32_t wait_ms)
+{
+	struct awaited a = {w, version};
+	uint64_t start_ms = clock_now_ms();
+
+	ck_assert_msg(harness_until(all_reached, &a, wait_ms),
+	    "not all nodes serve version %" G_GUINT64_FORMAT
+	    " after %u ms; see %s",
+	    version, wait_ms, harness_dir());
+	return clock_now_ms() - start_ms;
+}
+
+/* Gives all version rows of the platform to the check. */
+static void
+read_records(struct version_watch *w)
+{
+	char key[KEY_BYTES];
+	json_t *row;
+	uint64_t version;
+
+	for (version = 1;; version++) {
+		(void)g_snprintf(
+		    key, sizeof(key), "version/%" G_GUINT64_FORMAT, version);
+		row = deployment_platform_row(w->deployment, key);
+		if (row == NULL)
+			break;
+		version_check_record(
+		    w->check, version, deployment_row_text(row, "root"));
+		json_decref(row);
+	}
+	version_check_recorded(w->check);
+}
+
+static uint32_t
+print_found(const struct version_watch *w)
+{
+	const GPtrArray *found = version_check_found(w->check);
+	guint i;
+	const struct version_violation *v;
+
+	for (i = 0; i < found->len; i++) {
+		v = g_ptr_array_index(found, i);
+		(void)printf("%s: version %" G_GUINT64_FORMAT
+			     " at %s, which had served %" G_GUINT64_FORMAT "\n",
+		    version_rule_name(v->rule), v->version, v->host, v->before);
+	}
+	(void)fflush(stdout);
+	return found->len;
+}
+
+uint32_t
+version_watch_end(struct version_watch *w)
+{
+	guint i;
+	struct watcher *one;
+	uint32_t n;
+
+	pthread_mutex_lock(&w->lock);
+	w->stopping = 1;
+	pthread_mutex_unlock(&w->lock);
+	for (i = 0; i < w->watchers->len; i++) {
+		one = g_ptr_array_index(w->watchers, i);
+		pthread_join(one->thread, NULL);
+		n = version_check_sights(w->check, one->host->name);
+		ck_assert_msg(n >= WATCH_SIGHTS_MIN,
+		    "%s was seen to serve %u times only", one->host->name, n);
+	}
+	version_check_tick(w->check, clock_now_ms());
+	read_records(w);
+	n = print_found(w);
+	version_check_free(w->check);
+	g_ptr_array_unref(w->watchers);
+	pthread_mutex_destroy(&w->lock);
+	g_free(w);
+	return n;
+}
