feat(ctl,node): a made-up operation id is said to be fresh

Problem: bramleyctl always sends an operation id, so the node took each for a possible repeat, searched older versions for it, and worded outages warily. After a halt the node also read the row of the version in force once more, though the head row's root is that version's already (docs/design/halt.md).

--- a/packages/ctl/include/ctl/options.h
+++ b/packages/ctl/include/ctl/options.h
@@ -32,6 +32,7 @@
  * @json: whether answers are printed as JSON
  * @operator_name: who asks
  * @op: id of the operation, made up when it wasn't given
+ * @fresh_op: whether @op was made up just now
  * @note: why, or NULL
  * @parent: newest version that the operator has seen, or OPTION_NONE
  * @race_retries: new tries after a lost race, or OPTION_NONE
@@ -48,6 +49,7 @@
 	int json;
 	char *operator_name;
 	char *op;
+	int fresh_op;
 	char *note;
 	int64_t parent;
 	int64_t race_retries;
--- a/packages/ctl/src/change.c
+++ b/packages/ctl/src/change.c
@@ -45,6 +45,8 @@
 {
 	append_query(path, "operator", o->operator_name);
 	append_query(path, "op", o->op);
+	if (o->fresh_op)
+		append_query(path, "fresh", "1");
 	append_query(path, "note", o->note);
 	append_number(path, "parent", o->parent);
 	append_number(path, "race_retries", o->race_retries);
--- a/packages/ctl/src/options.c
+++ b/packages/ctl/src/options.c
@@ -259,7 +259,8 @@
 {
 	if (o->operator_name == NULL)
 		o->operator_name = g_strndup(g_get_user_name(), OPERATOR_MAX);
-	if (o->op == NULL)
+	o->fresh_op = o->op == NULL;
+	if (o->fresh_op)
 		o->op = g_uuid_string_random();
 	if (o->timeout_ms == OPTION_NONE)
 		o->timeout_ms = o->command->timeout_ms;
--- a/packages/node/include/node/source.h
+++ b/packages/node/include/node/source.h
@@ -35,6 +35,9 @@
  */
 void source_read(struct source *src, const struct spread_action *a);
 
+/** source_head() - convert a head row for the spread */
+struct rec_head source_head(const struct store_head *row);
+
 /**
  * source_row() - convert a version row for the spread
  * @in: row as the store gives it
--- a/packages/node/src/admin_versions.c
+++ b/packages/node/src/admin_versions.c
@@ -283,6 +283,7 @@
 	    call, "operator", req->operator_name, sizeof(req->operator_name));
 	(void)admin_call_query(call, "note", req->note, sizeof(req->note));
 	(void)admin_call_query(call, "op", req->op, sizeof(req->op));
+	req->fresh = admin_call_query(call, "fresh", text, sizeof(text)) != 0;
 	if (req->op[0] == '\0') {
 		gchar *id = g_uuid_string_random();
 
--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -86,26 +86,23 @@
 	g_free(contents);
 }
 
-/* Puts a version that was just written on its way to the peers. */
+/* Puts what was just written on its way to the peers. */
 static void
 control_signed(struct control *c, const struct operation_end *end)
 {
+	struct rec_head head = source_head(&end->head);
 	struct msg_version_changes changes = {0};
-	struct spread_version_row row;
-	struct rec_head head = {
-	    .seq = end->head.seq,
-	    .version = end->head.version,
-	    .in_force = end->head.in_force,
-	    .state = HEAD_ROLLING,
-	    .root = end->head.root,
-	};
-
-	if (source_row(&end->version, &changes, &row) != STATUS_OK)
-		return;
+	struct spread_version_row row = {0};
+	int has_row = 0;
+
+	if (end->wrote_version)
+		has_row =
+		    source_row(&end->version, &changes, &row) == STATUS_OK &&
+		    !row.whole;
 	if (end->bundle != NULL)
 		control_stock(c, end->bundle);
 	spread_on_signed(
-	    c->spread, control_now(c), &head, row.whole ? NULL : &row);
+	    c->spread, control_now(c), &head, has_row ? &row : NULL);
 	msg_version_changes_clear(&changes);
 	control_pump(c);
 }
@@ -114,14 +111,11 @@
 control_operation_done(const struct operation_end *end, void *arg)
 {
 	struct control_operation *op = arg;
-	struct spread_action read_head = {.kind = SPREAD_READ_HEAD};
 
 	log_info("Operation ended as %s: %s",
 	    rollout_result_name(end->outcome->result), end->outcome->message);
-	if (end->wrote && end->wrote_version)
+	if (end->wrote)
 		control_signed(op->control, end);
-	else if (end->wrote)
-		source_read(op->control->source, &read_head);
 	op->fn(end, op->arg);
 	g_free(op);
 }
--- a/packages/node/src/source.c
+++ b/packages/node/src/source.c
@@ -1,9 +1,5 @@
 /*
  * Reads the platform for the spread decisions.
- *
- * The head row carries the root of the newest version.  The spread wants the
- * root of the version in force, which differs after a halt; then the row of
- * that version is read too.
  */
 #define LOG_PART "source"
 
@@ -31,12 +27,6 @@
 	struct digest digest;
 };
 
-/* A head row whose version in force is still to be read. */
-struct source_halted {
-	struct source *src;
-	struct rec_head head;
-};
-
 struct source *
 source_new(struct loop *loop, struct store *store, struct spread *spread,
     source_fn *fn, void *arg)
@@ -75,35 +65,8 @@
 	src->fn(src->arg);
 }
 
-/* The row of the version in force, after a halt. */
-static void
-on_in_force(enum status st, const struct store_version *rows, uint32_t n,
-    uint64_t upto, void *arg)
-{
-	struct source_halted *halted = arg;
-
-	(void)upto;
-	if (st == STATUS_OK && n == 0)
-		st = STATUS_UNAVAILABLE;
-	if (st == STATUS_OK)
-		halted->head.root = rows[0].root;
-	source_give_head(halted->src, st, &halted->head);
-	g_free(halted);
-}
-
-static void
-read_in_force(struct source *src, const struct rec_head *head)
-{
-	struct source_halted *halted = g_new0(struct source_halted, 1);
-
-	halted->src = src;
-	halted->head = *head;
-	store_read_versions(src->store, head->in_force, head->in_force,
-	    source_deadline(src), on_in_force, halted);
-}
-
-static struct rec_head
-head_for_spread(const struct store_head *row)
+struct rec_head
+source_head(const struct store_head *row)
 {
 	struct rec_head head = {
 	    .seq = row->seq,
@@ -123,14 +86,7 @@
 	struct rec_head head = {0};
 
 	if (st == STATUS_OK)
-		head = head_for_spread(row);
-	if (st == STATUS_OK && head.in_force != head.version &&
-	    head.in_force != 0) {
-		read_in_force(src, &head);
-		return;
-	}
-	if (st == STATUS_OK && head.in_force == 0)
-		memset(&head.root, 0, sizeof(head.root));
+		head = source_head(row);
 	source_give_head(src, st, &head);
 }
 
--- a/packages/store/include/store/store.h
+++ b/packages/store/include/store/store.h
@@ -59,7 +59,7 @@
  * @in_force: highest version that isn't halted
  * @parent: parent of @version
  * @state: rolling or halted
- * @root: root hash of @version
+ * @root: root hash of @in_force, all zero when that is 0
  * @op: id of the operation that wrote the row
  */
 struct store_head {
