perf(spread): pulls by datagram, short heads, batching where versions enter

Solution: a pull goes by datagram first and is answered in one when the changes fit 1,200 bytes, else by a connection; heads carry the first eight bytes of the root; content goes without its digest. Versions are held back only where they enter (sign-off or reader), what peers offer is taken at once.

--- a/packages/spread/include/spread/floors.h
+++ b/packages/spread/include/spread/floors.h
@@ -103,7 +103,8 @@
  * @ready: whether this node serves
  */
 void floors_on_ask(struct floors *f, const struct net_addr *from,
-    const struct msg_floor_ask *msg, const struct rec_head *head, int ready);
+    const struct msg_floor_ask *msg, const struct rec_head_tag *head,
+    int ready);
 
 /** floors_on_answer() - a peer answered */
 void floors_on_answer(struct floors *f, const struct msg_floor_answer *msg);
--- a/packages/spread/include/spread/intake.h
+++ b/packages/spread/include/spread/intake.h
@@ -1,7 +1,8 @@
 /*
  * Intake: gets one version whole into a stage, from peers or the platform.
  *
- * A peer that holds the version is asked for the changes and then for the
+ * A peer that holds the version is asked for the changes, by datagram if it
+ * is likely that they fit one and else over a connection, and then for the
  * content that is still missing; one that is silent past the deadline has its
  * connection closed and another is asked, over a new connection, since old
  * ones may all have gone silent together.  After pull_peers failures, or when
@@ -53,13 +54,15 @@
  * @source_budget: reads that may be asked of the platform
  * @retry: back-off after a version that could not be taken in
  * @target: version that is wanted
- * @root: root of @root_version
- * @root_version: version whose root is known, 0 for none
- * @start_ms: not to be begun before; keeps versions @batch_ms apart
+ * @tag: first bytes of the root of @tag_version, as heads told
+ * @tag_version: version whose tag is known, 0 for none
+ * @start_ms: not to be begun before
+ * @hold_ms: not to be begun before unless a peer offers it
  * @source_ms: when the platform may be asked
  * @budget_ms: when the budget has a read left again
  * @anyone_ms: when a peer that is not known to hold it is asked
  * @failures: peers that failed since the target was set
+ * @by_frame: the pull goes in a frame, since a datagram would not do
  * @suspect: a peer was silent, so connections made before may be
  * @full: whether the whole list is to be asked for
  * @step: how far it is
@@ -79,13 +82,15 @@
 	struct budget source_budget;
 	struct backoff retry;
 	uint64_t target;
-	struct digest root;
-	uint64_t root_version;
+	uint64_t tag;
+	uint64_t tag_version;
 	uint64_t start_ms;
+	uint64_t hold_ms;
 	uint64_t source_ms;
 	uint64_t budget_ms;
 	uint64_t anyone_ms;
 	uint32_t failures;
+	int by_frame;
 	int suspect;
 	int full;
 	enum intake_step step;
@@ -115,9 +120,11 @@
  */
 void intake_want(struct intake *in, uint64_t now_ms, uint64_t version);
 
-/** intake_root() - @version must have this root */
-void
-intake_root(struct intake *in, uint64_t version, const struct digest *root);
+/** intake_tag() - the root of @version must begin with @tag, if not 0 */
+void intake_tag(struct intake *in, uint64_t version, uint64_t tag);
+
+/** intake_tag_of() - first bytes of a root */
+uint64_t intake_tag_of(const struct digest *root);
 
 /** intake_under_way() - version that is being taken in, 0 for none */
 uint64_t intake_under_way(const struct intake *in);
@@ -125,8 +132,13 @@
 /** intake_drop() - give up what is under way; the target stays */
 void intake_drop(struct intake *in);
 
-/** intake_from_source() - the platform itself told of the target */
-void intake_from_source(struct intake *in, uint64_t now_ms);
+/**
+ * intake_from_source() - the platform itself told of the target
+ * @in: intake
+ * @now_ms: monotonic time
+ * @hold_ms: nobody is asked before, unless a peer offers the version
+ */
+void intake_from_source(struct intake *in, uint64_t now_ms, uint64_t hold_ms);
 
 /**
  * intake_offered() - a peer holds a version
--- a/packages/spread/include/spread/notices.h
+++ b/packages/spread/include/spread/notices.h
@@ -22,7 +22,7 @@
  */
 struct notices {
 	struct spread_env *env;
-	struct rec_head head;
+	struct rec_head_tag head;
 	uint32_t rounds_left;
 	uint64_t next_ms;
 	uint32_t heard;
@@ -40,8 +40,8 @@
  * @head: head whose version in force this node holds
  * @far: whether to tell other data centres as well
  */
-void notices_offer(
-    struct notices *n, uint64_t now_ms, const struct rec_head *head, int far);
+void notices_offer(struct notices *n, uint64_t now_ms,
+    const struct rec_head_tag *head, int far);
 
 /** notices_heard() - a peer passed a head with @seq on to this node */
 void notices_heard(struct notices *n, uint64_t seq);
--- a/packages/spread/include/spread/serve.h
+++ b/packages/spread/include/spread/serve.h
@@ -47,16 +47,18 @@
  * @s: serve
  * @now_ms: monotonic time
  * @from: the peer
- * @conn: connection to answer on
+ * @conn: connection to answer on, 0 for a datagram
  * @msg: the pull
  * @head: own head
  *
+ * A datagram is answered in one, or with "large" if that does not fit.
+ *
  * If the version held is the one in force and no older than what is asked
  * for, the changes to that one are given, so that versions close together are
  * merged; else those to exactly the version asked for.
  */
 void serve_pull(struct serve *s, uint64_t now_ms, const struct net_addr *from,
-    uint64_t conn, const struct msg_pull *msg, const struct rec_head *head);
+    uint64_t conn, const struct msg_pull *msg, const struct rec_head_tag *head);
 
 /** serve_fetch() - answer a fetch; arguments as serve_pull() */
 void serve_fetch(struct serve *s, uint64_t now_ms, const struct net_addr *from,
--- a/packages/spread/src/floors.c
+++ b/packages/spread/src/floors.c
@@ -141,7 +141,7 @@
 
 void
 floors_on_ask(struct floors *f, const struct net_addr *from,
-    const struct msg_floor_ask *msg, const struct rec_head *head, int ready)
+    const struct msg_floor_ask *msg, const struct rec_head_tag *head, int ready)
 {
 	struct msg_floor_answer answer;
 	GByteArray *body;
--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -97,21 +97,29 @@
 	in->target = version;
 }
 
-void
-intake_root(struct intake *in, uint64_t version, const struct digest *root)
+uint64_t
+intake_tag_of(const struct digest *root)
 {
-	static const struct digest none;
+	uint64_t tag;
 
-	if (hash_digest_equal(root, &none))
+	memcpy(&tag, root->bytes, sizeof(tag));
+	return GUINT64_FROM_BE(tag);
+}
+
+void
+intake_tag(struct intake *in, uint64_t version, uint64_t tag)
+{
+	if (tag == 0)
 		return;
-	in->root_version = version;
-	in->root = *root;
+	in->tag_version = version;
+	in->tag = tag;
 }
 
 void
-intake_from_source(struct intake *in, uint64_t now_ms)
+intake_from_source(struct intake *in, uint64_t now_ms, uint64_t hold_ms)
 {
-	intake_source_wait(in, now_ms);
+	in->hold_ms = hold_ms;
+	intake_source_wait(in, MAX(now_ms, hold_ms));
 }
 
 void
@@ -187,6 +195,15 @@
 	    DEADLINE_NEVER;
 }
 
+/* When a version that is not under way may be begun. */
+static uint64_t
+intake_start_ms(const struct intake *in)
+{
+	if (!intake_no_candidate(in))
+		return in->start_ms;
+	return MAX(in->start_ms, in->hold_ms);
+}
+
 static int
 intake_may_ask_source(const struct intake *in, uint64_t now_ms)
 {
@@ -233,12 +250,14 @@
 {
 	if (in->provider == INTAKE_SOURCE) {
 		intake_source_failed(in, now_ms);
-		return;
+	} else if (in->step == INTAKE_LIST && !in->by_frame) {
+		intake_peer_by_frame(in, now_ms);
+	} else {
+		in->env->stats.pulls_timed_out++;
+		outbox_close(in->env->out, &in->peer, 0);
+		in->suspect = 1;
+		intake_peer_failed(in, now_ms);
 	}
-	in->env->stats.pulls_timed_out++;
-	outbox_close(in->env->out, &in->peer, 0);
-	in->suspect = 1;
-	intake_peer_failed(in, now_ms);
 }
 
 void
@@ -258,7 +277,7 @@
 	}
 	if (in->provider != INTAKE_NOBODY || in->step == INTAKE_STAGED)
 		return;
-	if (in->step == INTAKE_IDLE && now_ms < in->start_ms)
+	if (in->step == INTAKE_IDLE && now_ms < intake_start_ms(in))
 		return;
 	intake_choose(in, now_ms);
 }
@@ -283,7 +302,7 @@
 		next = MIN(source, in->anyone_ms);
 	else if (in->failures >= in->env->profile.pull_peers)
 		next = MIN(next, source);
-	return in->step == INTAKE_IDLE ? MAX(next, in->start_ms) : next;
+	return in->step == INTAKE_IDLE ? MAX(next, intake_start_ms(in)) : next;
 }
 
 void
@@ -313,7 +332,6 @@
 		(void)catalog_stage_add(in->stage, data, len);
 	}
 	intake_begun(in, now_ms, st);
-	intake_source_wait(in, now_ms);
 }
 
 uint64_t
--- a/packages/spread/src/intake_peer.c
+++ b/packages/spread/src/intake_peer.c
@@ -12,6 +12,9 @@
 /* Changes of one version that are taken from a peer. */
 #define CHANGES_MAX 16384
 
+/* Share of a pull's deadline after which a datagram is taken as lost. */
+#define DATAGRAM_SHARE 4
+
 /* Bounds of the time after which a busy peer is asked again. */
 #define COME_BACK_MIN_MS 20
 #define COME_BACK_MAX_MS 10000
@@ -40,7 +43,21 @@
 	body = g_byte_array_new();
 	msg_pull_encode(&msg, body);
 	in->env->stats.pulls_sent++;
-	intake_peer_send(in, now_ms, MSG_PULL, body);
+	if (in->by_frame) {
+		intake_peer_send(in, now_ms, MSG_PULL, body);
+		return;
+	}
+	in->provider = INTAKE_PEER;
+	in->deadline_ms =
+	    now_ms + in->env->profile.pull_timeout_ms / DATAGRAM_SHARE;
+	outbox_datagram(in->env->out, &in->peer, MSG_PULL, body);
+}
+
+void
+intake_peer_by_frame(struct intake *in, uint64_t now_ms)
+{
+	in->by_frame = 1;
+	intake_send_pull(in, now_ms, in->list.version, "");
 }
 
 static void
@@ -73,8 +90,8 @@
 	}
 	in->step = INTAKE_LIST;
 	in->list.version = in->target;
-	if (catalog_version(in->env->catalog) > 0)
-		in->start_ms = now_ms + in->env->profile.batch_ms;
+	/* A whole bundle does not fit a datagram. */
+	in->by_frame = in->full || catalog_version(in->env->catalog) == 0;
 	intake_send_pull(in, now_ms, in->target, "");
 }
 
@@ -158,8 +175,8 @@
 		return 0;
 	if (msg->result == PULL_FULL && msg->have != 0)
 		return 0;
-	if (in->root_version == msg->want &&
-	    !hash_digest_equal(&in->root, &msg->root))
+	if (in->tag_version == msg->want &&
+	    in->tag != intake_tag_of(&msg->root))
 		return 0;
 	if (msg->more && msg->n_changes == 0)
 		return 0;
@@ -263,7 +280,11 @@
 		intake_peer_busy(in, now_ms, msg->come_back_ms);
 		return;
 	}
-	if (msg->result == PULL_NOT_HERE ||
+	if (msg->result == PULL_LARGE && !in->by_frame) {
+		intake_peer_by_frame(in, now_ms);
+		return;
+	}
+	if (msg->result == PULL_NOT_HERE || msg->result == PULL_LARGE ||
 	    (msg->want != in->target && !in_force)) {
 		intake_peer_failed(in, now_ms);
 		return;
--- a/packages/spread/src/intake_priv.h
+++ b/packages/spread/src/intake_priv.h
@@ -23,6 +23,9 @@
 void intake_peer_ask(
     struct intake *in, uint64_t now_ms, const struct net_addr *peer);
 
+/** intake_peer_by_frame() - ask the peer again over a connection */
+void intake_peer_by_frame(struct intake *in, uint64_t now_ms);
+
 /** intake_peer_failed() - the peer was silent or does not hold the version */
 void intake_peer_failed(struct intake *in, uint64_t now_ms);
 
@@ -33,8 +36,8 @@
 /** intake_source_open() - whether the platform may be asked now */
 int intake_source_open(const struct intake *in, uint64_t now_ms);
 
-/** intake_source_wait() - set when the platform may be asked */
-void intake_source_wait(struct intake *in, uint64_t now_ms);
+/** intake_source_wait() - the platform may be asked in the own turn */
+void intake_source_wait(struct intake *in, uint64_t from_ms);
 
 /** intake_source_ask() - ask the platform for what is needed now */
 void intake_source_ask(struct intake *in, uint64_t now_ms);
--- a/packages/spread/src/intake_source.c
+++ b/packages/spread/src/intake_source.c
@@ -41,15 +41,15 @@
 }
 
 void
-intake_source_wait(struct intake *in, uint64_t now_ms)
+intake_source_wait(struct intake *in, uint64_t from_ms)
 {
 	uint64_t wait;
 
 	wait = (uint64_t)in->env->profile.source_wait_ms *
-	    intake_source_slot(in, now_ms);
+	    intake_source_slot(in, from_ms);
 	if (catalog_version(in->env->catalog) == 0)
 		wait *= FULL_FACTOR;
-	in->source_ms = MIN(in->source_ms, now_ms + wait);
+	in->source_ms = MIN(in->source_ms, from_ms + wait);
 }
 
 int
@@ -96,8 +96,6 @@
 	in->provider = INTAKE_SOURCE;
 	in->deadline_ms = now_ms + READ_LOST_MS;
 	in->list_peer.port = 0;
-	if (held > 0)
-		in->start_ms = now_ms + in->env->profile.batch_ms;
 }
 
 static int
--- a/packages/spread/src/notices.c
+++ b/packages/spread/src/notices.c
@@ -22,8 +22,8 @@
 }
 
 void
-notices_offer(
-    struct notices *n, uint64_t now_ms, const struct rec_head *head, int far)
+notices_offer(struct notices *n, uint64_t now_ms,
+    const struct rec_head_tag *head, int far)
 {
 	n->head = *head;
 	n->rounds_left = n->env->profile.rounds;
--- a/packages/spread/src/serve.c
+++ b/packages/spread/src/serve.c
@@ -16,6 +16,9 @@
 /* Peers that are turned away come back after half of this to one and a half. */
 #define COME_BACK_MS 300
 
+/* Largest answer in a datagram: fits every path without being cut up. */
+#define DATAGRAM_BYTES 1200
+
 /* Rough size of a change in an answer, for the budget. */
 #define CHANGE_BYTES 64
 
@@ -62,19 +65,46 @@
 			s->places[i].until_ms = 0;
 }
 
+static GByteArray *
+serve_encode_delta(const struct msg_delta *msg)
+{
+	GByteArray *body;
+
+	body = g_byte_array_new();
+	msg_delta_encode(msg, body);
+	return body;
+}
+
+/* Leave out what an answer would carry. */
+static void
+serve_empty(struct msg_delta *msg, enum pull_result result)
+{
+	msg->result = result;
+	msg->more = 0;
+	msg->n_changes = 0;
+	msg->n_sections = 0;
+}
+
 static void
 serve_send_delta(struct serve *s, const struct net_addr *to, uint64_t conn,
-    const struct msg_delta *msg)
+    struct msg_delta *msg)
 {
 	GByteArray *body;
 
+	body = serve_encode_delta(msg);
+	if (conn == 0 && body->len > DATAGRAM_BYTES) {
+		g_byte_array_unref(body);
+		serve_empty(msg, PULL_LARGE);
+		body = serve_encode_delta(msg);
+	}
 	if (msg->result == PULL_BUSY)
 		s->env->stats.pulls_refused++;
 	else
 		s->env->stats.pulls_served++;
-	body = g_byte_array_new();
-	msg_delta_encode(msg, body);
-	outbox_frame(s->env->out, to, conn, MSG_DELTA, body);
+	if (conn == 0)
+		outbox_datagram(s->env->out, to, MSG_DELTA, body);
+	else
+		outbox_frame(s->env->out, to, conn, MSG_DELTA, body);
 }
 
 static void
@@ -91,7 +121,7 @@
 /* Version whose changes a pull gets. */
 static uint64_t
 serve_target(const struct serve *s, const struct msg_pull *pull,
-    const struct rec_head *head)
+    const struct rec_head_tag *head)
 {
 	uint64_t held;
 
@@ -152,13 +182,11 @@
 }
 
 static void
-serve_add_content(
-    GArray *sections, const struct digest *digest, GBytes *content)
+serve_add_content(GArray *sections, GBytes *content)
 {
 	struct rec_section_data d;
 	gsize len;
 
-	d.digest = *digest;
 	d.data = g_bytes_get_data(content, &len);
 	d.data_len = (uint32_t)len;
 	g_array_append_val(sections, d);
@@ -166,7 +194,8 @@
 
 /* Add the content of changed sections as far as it fits; 1 if all did. */
 static int
-serve_inline(struct serve *s, const struct msg_delta *msg, GArray *sections)
+serve_inline(struct serve *s, const struct msg_delta *msg, uint32_t limit,
+    GArray *sections)
 {
 	const struct rec_section_change *c;
 	GBytes *content;
@@ -181,9 +210,9 @@
 		if (content == NULL)
 			return 0;
 		bytes += (uint32_t)g_bytes_get_size(content);
-		if (bytes > s->env->profile.reply_bytes && sections->len > 0)
+		if (bytes > limit && sections->len > 0)
 			return 0;
-		serve_add_content(sections, &c->digest, content);
+		serve_add_content(sections, content);
 	}
 	return 1;
 }
@@ -219,26 +248,26 @@
 	/* A peer that is only too far behind has most of the content. */
 	if (!msg->more && pull->after[0] == '\0' &&
 	    (msg->result == PULL_DELTA || pull->have == 0))
-		whole = serve_inline(s, msg, sections);
+		whole = serve_inline(s, msg,
+		    conn == 0 ? DATAGRAM_BYTES : s->env->profile.reply_bytes,
+		    sections);
 	msg->sections = (struct rec_section_data *)(void *)sections->data;
 	msg->n_sections = sections->len;
-	if ((!whole || msg->more) && !serve_place(s, now_ms, from))
-		msg->result = PULL_BUSY;
-	else if (!budget_take(&s->budget, now_ms, serve_cost(msg)))
-		msg->result = PULL_BUSY;
-	if (msg->result == PULL_BUSY) {
+	whole = whole && !msg->more;
+	if (!whole && conn == 0)
+		serve_empty(msg, PULL_LARGE);
+	else if ((!whole && !serve_place(s, now_ms, from)) ||
+	    !budget_take(&s->budget, now_ms, serve_cost(msg)))
+		serve_empty(msg, PULL_BUSY);
+	if (msg->result == PULL_BUSY)
 		msg->come_back_ms = env_around(s->env, COME_BACK_MS);
-		msg->more = 0;
-		msg->n_changes = 0;
-		msg->n_sections = 0;
-	}
 	serve_send_delta(s, from, conn, msg);
 	g_array_unref(sections);
 }
 
 void
 serve_pull(struct serve *s, uint64_t now_ms, const struct net_addr *from,
-    uint64_t conn, const struct msg_pull *msg, const struct rec_head *head)
+    uint64_t conn, const struct msg_pull *msg, const struct rec_head_tag *head)
 {
 	struct catalog_delta delta;
 	struct msg_delta reply;
@@ -286,7 +315,7 @@
 		bytes += (uint32_t)g_bytes_get_size(content);
 		if (bytes > s->env->profile.reply_bytes && sections->len > 0)
 			break;
-		serve_add_content(sections, &msg->wants[i].digest, content);
+		serve_add_content(sections, content);
 	}
 	reply.result = sections->len > 0 ? PULL_DELTA : PULL_NOT_HERE;
 	if (sections->len > 0 &&
--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -43,20 +43,20 @@
 
 /* Each sign-off raises seq and version by one, each halt only seq. */
 uint64_t
-spread_halts(const struct rec_head *head)
+spread_halts(const struct rec_head_tag *head)
 {
 	return head->seq - head->version;
 }
 
 static int
-spread_plausible(const struct rec_head *head)
+spread_plausible(const struct rec_head_tag *head)
 {
 	return head->in_force <= head->version && head->version <= head->seq &&
 	    head->version > 0;
 }
 
 static void
-spread_remember(struct spread *s, const struct rec_head *head)
+spread_remember(struct spread *s, const struct rec_head_tag *head)
 {
 	s->heads[s->next_head] = *head;
 	s->next_head = (s->next_head + 1) % SPREAD_HEADS;
@@ -64,7 +64,7 @@
 
 /* A version was halted since the known head: what is under way may be it. */
 static void
-spread_halted(struct spread *s, const struct rec_head *head)
+spread_halted(struct spread *s, const struct rec_head_tag *head)
 {
 	uint64_t under_way;
 
@@ -77,27 +77,54 @@
 }
 
 int
-spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head *head)
+spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head_tag *head)
 {
 	if (!spread_plausible(head) || head->seq < s->known.seq)
 		return 0;
-	intake_root(&s->intake, head->in_force, &head->root);
+	intake_tag(&s->intake, head->in_force, head->tag);
 	if (head->seq == s->known.seq)
 		return 0;
 	if (spread_halts(head) != spread_halts(&s->known))
 		spread_halted(s, head);
 	s->known = *head;
+	s->shown.seq = head->seq;
+	s->shown.version = head->version;
+	s->shown.in_force = head->in_force;
+	s->shown.state = head->state;
+	memset(&s->shown.root, 0, sizeof(s->shown.root));
 	s->origin = 0;
 	spread_remember(s, head);
 	intake_want(&s->intake, now_ms, MAX(head->in_force, s->floors.floor));
 	return 1;
 }
 
+void
+spread_origin(struct spread *s, uint64_t now_ms, const struct rec_head *head)
+{
+	struct rec_head_tag h;
+
+	h.seq = head->seq;
+	h.version = head->version;
+	h.in_force = head->in_force;
+	h.state = head->state;
+	h.tag = intake_tag_of(&head->root);
+	if (!spread_adopt(s, now_ms, &h))
+		return;
+	s->shown = *head;
+	s->origin = 1;
+}
+
+uint64_t
+spread_hold_ms(const struct spread *s)
+{
+	return s->ready ? s->moved_ms + s->env.profile.batch_ms : 0;
+}
+
 /* The head that the version held came with. */
-static const struct rec_head *
+static const struct rec_head_tag *
 spread_held_head(const struct spread *s)
 {
-	const struct rec_head *h, *best;
+	const struct rec_head_tag *h, *best;
 	uint32_t i;
 
 	best = NULL;
@@ -118,7 +145,7 @@
 spread_offer(struct spread *s, uint64_t now_ms)
 {
 	struct rec_gossip_head gossip;
-	const struct rec_head *head;
+	const struct rec_head_tag *head;
 
 	if (catalog_version(s->env.catalog) == 0)
 		return;
@@ -148,6 +175,9 @@
 	a = env_act(&s->env, SPREAD_APPLY);
 	a->from = from;
 	a->to = catalog_version(s->env.catalog);
+	s->moved_ms = now_ms;
+	if (a->to == s->shown.in_force)
+		s->shown.root = *catalog_root(s->env.catalog);
 }
 
 static void
@@ -159,7 +189,7 @@
 	    &s->intake, now_ms, MAX(s->known.in_force, s->floors.floor));
 	intake_tick(&s->intake, now_ms);
 	version = intake_staged(&s->intake);
-	if (version == 0)
+	if (version == 0 || (s->origin && now_ms < spread_hold_ms(s)))
 		return;
 	floors_tell(&s->floors, now_ms, version);
 	if (!floors_settled(&s->floors, version))
@@ -203,6 +233,8 @@
 	next = MIN(next, intake_next_ms(&s->intake));
 	next = MIN(next, floors_next_ms(&s->floors));
 	next = MIN(next, progress_next_ms(&s->progress));
+	if (s->origin && intake_staged(&s->intake) > s->floors.told)
+		next = MIN(next, spread_hold_ms(s));
 	return next;
 }
 
@@ -224,7 +256,7 @@
 const struct rec_head *
 spread_head(const struct spread *s)
 {
-	return &s->known;
+	return &s->shown;
 }
 
 uint64_t
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -10,11 +10,14 @@
 /* A peer holds the version in force of a head. */
 static int
 spread_heard(struct spread *s, uint64_t now_ms, const struct net_addr *from,
-    const struct rec_head *head, int near)
+    const struct rec_head_tag *head, int near)
 {
 	int newer;
 
 	newer = spread_adopt(s, now_ms, head);
+	/* Others have it already: there is nothing to hold back any more. */
+	if (head->seq == s->known.seq)
+		s->origin = 0;
 	if (spread_halts(head) == spread_halts(&s->known))
 		intake_offered(&s->intake, now_ms, from, head->in_force, near);
 	return newer;
@@ -81,21 +84,6 @@
 		progress_on_answer(&s->progress, now_ms, &answer);
 }
 
-void
-spread_on_datagram(struct spread *s, uint64_t now_ms,
-    const struct net_addr *from, uint8_t type, const uint8_t *body, size_t len)
-{
-	if (type == MSG_NOTICE)
-		spread_on_notice(s, now_ms, from, body, len);
-	else if (type >= MSG_FLOOR_TELL && type <= MSG_FLOOR_ANSWER)
-		spread_on_floor(s, now_ms, from, type, body, len);
-	else if (type >= MSG_PROGRESS_REPORT && type <= MSG_PROGRESS_ANSWER)
-		spread_on_progress(s, now_ms, from, type, body, len);
-	else
-		return;
-	spread_settle(s, now_ms);
-}
-
 static void
 spread_on_delta(struct spread *s, uint64_t now_ms, const struct msg_delta *msg)
 {
@@ -127,16 +115,43 @@
 	}
 }
 
+static void
+spread_on_pull(struct spread *s, uint64_t now_ms, const struct net_addr *from,
+    uint64_t conn, const uint8_t *body, size_t len)
+{
+	struct msg_pull msg;
+
+	if (msg_pull_decode(body, len, &msg) == STATUS_OK)
+		serve_pull(&s->serve, now_ms, from, conn, &msg, &s->offered);
+}
+
+void
+spread_on_datagram(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, uint8_t type, const uint8_t *body, size_t len)
+{
+	if (type == MSG_NOTICE)
+		spread_on_notice(s, now_ms, from, body, len);
+	else if (type == MSG_PULL)
+		spread_on_pull(s, now_ms, from, 0, body, len);
+	else if (type == MSG_DELTA)
+		spread_on_answer(s, now_ms, from, type, body, len);
+	else if (type >= MSG_FLOOR_TELL && type <= MSG_FLOOR_ANSWER)
+		spread_on_floor(s, now_ms, from, type, body, len);
+	else if (type >= MSG_PROGRESS_REPORT && type <= MSG_PROGRESS_ANSWER)
+		spread_on_progress(s, now_ms, from, type, body, len);
+	else
+		return;
+	spread_settle(s, now_ms);
+}
+
 void
 spread_on_frame(struct spread *s, uint64_t now_ms, const struct net_addr *from,
     uint64_t conn, uint8_t type, const uint8_t *body, size_t len)
 {
 	struct msg_fetch fetch;
-	struct msg_pull pull;
 
-	if (type == MSG_PULL &&
-	    msg_pull_decode(body, len, &pull) == STATUS_OK) {
-		serve_pull(&s->serve, now_ms, from, conn, &pull, &s->offered);
+	if (type == MSG_PULL) {
+		spread_on_pull(s, now_ms, from, conn, body, len);
 	} else if (type == MSG_FETCH &&
 	    msg_fetch_decode(body, len, &fetch) == STATUS_OK) {
 		serve_fetch(&s->serve, now_ms, from, conn, &fetch);
@@ -158,7 +173,14 @@
 spread_on_heard(struct spread *s, uint64_t now_ms, const struct net_addr *from,
     const struct rec_head *head)
 {
-	spread_heard(s, now_ms, from, head, 1);
+	struct rec_head_tag h;
+
+	h.seq = head->seq;
+	h.version = head->version;
+	h.in_force = head->in_force;
+	h.state = head->state;
+	h.tag = intake_tag_of(&head->root);
+	spread_heard(s, now_ms, from, &h, 1);
 	spread_settle(s, now_ms);
 }
 
@@ -170,10 +192,12 @@
 
 	answered = st == STATUS_OK || st == STATUS_NOT_FOUND;
 	readers_answered(&s->readers, now_ms, answered);
-	if (st == STATUS_OK && spread_adopt(s, now_ms, head))
-		s->origin = 1;
-	if (st == STATUS_OK && head->in_force > catalog_version(s->env.catalog))
-		intake_from_source(&s->intake, now_ms);
+	if (st == STATUS_OK) {
+		spread_origin(s, now_ms, head);
+		if (head->in_force > catalog_version(s->env.catalog))
+			intake_from_source(
+			    &s->intake, now_ms, spread_hold_ms(s));
+	}
 	if (answered)
 		floors_on_platform(
 		    &s->floors, now_ms, st == STATUS_OK ? head->in_force : 0);
@@ -209,12 +233,11 @@
 spread_on_signed(struct spread *s, uint64_t now_ms, const struct rec_head *head,
     const struct spread_version_row *row)
 {
-	if (spread_adopt(s, now_ms, head))
-		s->origin = 1;
+	spread_origin(s, now_ms, head);
 	if (row != NULL && row->version == s->known.in_force)
 		intake_signed(&s->intake, now_ms, row, s->stock);
-	else if (head->in_force > catalog_version(s->env.catalog))
-		intake_from_source(&s->intake, now_ms);
+	if (head->in_force > catalog_version(s->env.catalog))
+		intake_from_source(&s->intake, now_ms, spread_hold_ms(s));
 	g_ptr_array_set_size(s->stock, 0);
 	spread_settle(s, now_ms);
 }
--- a/packages/spread/src/spread_priv.h
+++ b/packages/spread/src/spread_priv.h
@@ -28,6 +28,8 @@
  * @offered: newest head whose version in force is held
  * @heads: heads heard lately
  * @next_head: where the next one goes
+ * @shown: @known for other packages; its root zero when not known
+ * @moved_ms: when the node came to hold its version
  * @stock: GBytes; contents for a version that is being signed off here
  * @origin: @known came from the platform or a sign-off here, not from a peer
  * @ready: whether the node may serve
@@ -40,9 +42,11 @@
 	struct serve serve;
 	struct floors floors;
 	struct progress progress;
-	struct rec_head known;
-	struct rec_head offered;
-	struct rec_head heads[SPREAD_HEADS];
+	struct rec_head_tag known;
+	struct rec_head_tag offered;
+	struct rec_head_tag heads[SPREAD_HEADS];
+	struct rec_head shown;
+	uint64_t moved_ms;
 	uint32_t next_head;
 	GPtrArray *stock;
 	int origin;
@@ -57,11 +61,25 @@
  *
  * Return: 1 when it is newer than the one known, else 0.
  */
-int
-spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head *head);
+int spread_adopt(
+    struct spread *s, uint64_t now_ms, const struct rec_head_tag *head);
 
 /** spread_halts() - number of halts up to a head */
-uint64_t spread_halts(const struct rec_head *head);
+uint64_t spread_halts(const struct rec_head_tag *head);
+
+/** spread_origin() - a head was heard from the platform or a sign-off here */
+void
+spread_origin(struct spread *s, uint64_t now_ms, const struct rec_head *head);
+
+/**
+ * spread_hold_ms() - when a version that no peer offers may be taken up
+ * @s: the spread
+ *
+ * A version that comes from the platform or from a sign-off here waits until
+ * batch_ms after the one before, so that versions close together are merged
+ * where they enter the spread. What peers offer is taken up at once.
+ */
+uint64_t spread_hold_ms(const struct spread *s);
 
 /** spread_settle() - do what an event has made possible; ends each event */
 void spread_settle(struct spread *s, uint64_t now_ms);
--- a/test/driver/bench_spread.c
+++ b/test/driver/bench_spread.c
@@ -27,7 +27,9 @@
  * @burst: sign-offs in the first minute instead
  * @changes: services that change in each
  * @hint: whether the signing node spreads at once
+ * @whole: whether pulls ask for the whole bundle instead of changes
  * @verbose: whether traffic is shown by class
+ * @rng: when and where versions are signed off
  * @first: first version that counts
  * @at_us: when the last sign-off came
  */
@@ -40,7 +42,9 @@
 	uint32_t burst;
 	uint32_t changes;
 	uint32_t hint;
+	uint32_t whole;
 	uint32_t verbose;
+	GRand *rng;
 	uint64_t first;
 	uint64_t end_us;
 	struct spread_profile over;
@@ -130,14 +134,14 @@
 	if (w->queue.now_us >= b->end_us)
 		return;
 	version = world_sign(w,
-	    b->hint ? g_rand_int(w->rng) % w->n_nodes : WORLD_NOBODY,
+	    b->hint ? g_rand_int(b->rng) % w->n_nodes : WORLD_NOBODY,
 	    b->changes);
 	if (b->first == 0)
 		b->first = version;
 	if (b->burst > 0)
 		gap_s = 60.0 / b->burst;
 	else
-		gap_s = -log(1 - g_rand_double(w->rng)) * DAY_S / b->per_day;
+		gap_s = -log(1 - g_rand_double(b->rng)) * DAY_S / b->per_day;
 	world_at(w, (uint64_t)(gap_s * 1000), bench_sign, b);
 }
 
@@ -161,6 +165,18 @@
 	return x < y ? -1 : x > y;
 }
 
+/* Quantile of sorted times. */
+static double
+bench_at(const GArray *times, double q)
+{
+	uint32_t i;
+
+	if (times->len == 0)
+		return 0;
+	i = (uint32_t)(q * times->len);
+	return (double)g_array_index(times, uint64_t, MIN(i, times->len - 1));
+}
+
 /* Time until the last node held a version, over all versions. */
 static void
 bench_versions(const struct bench *b, double *p50, double *p99, double *max)
@@ -177,12 +193,9 @@
 		g_array_append_val(times, us);
 	}
 	g_array_sort(times, bench_order);
-	*p50 = *p99 = *max = 0;
-	if (times->len > 0) {
-		*p50 = g_array_index(times, uint64_t, times->len / 2);
-		*p99 = g_array_index(times, uint64_t, times->len * 99 / 100);
-		*max = g_array_index(times, uint64_t, times->len - 1);
-	}
+	*p50 = bench_at(times, 0.5);
+	*p99 = bench_at(times, 0.99);
+	*max = bench_at(times, 1);
 	g_array_unref(times);
 }
 
@@ -204,6 +217,36 @@
 	printf("\n");
 }
 
+/* Totals of the nodes' counters since they came up, for each second. */
+static void
+bench_counters(const struct bench *b, double seconds)
+{
+	const struct world *w = b->w;
+	struct spread_stats sum = {0};
+	const uint64_t *from;
+	uint64_t *to;
+	uint32_t i, j;
+
+	for (i = 0; i < w->n_nodes && w->config.kind == WORLD_SPREAD; i++) {
+		from = (const uint64_t *)spread_stats(w->nodes[i].s);
+		to = (uint64_t *)&sum;
+		for (j = 0; j < sizeof(sum) / sizeof(*to); j++)
+			to[j] += from[j];
+	}
+	printf("    a node and second: notices %.2f (new %.2f), pulls %.2f "
+	       "(late %.3f, refused %.3f), applied %.2f, unacknowledged "
+	       "%.4f; in all: version reads %" G_GUINT64_FORMAT
+	       ", object reads %" G_GUINT64_FORMAT "\n",
+	    (double)sum.notices_sent / seconds / w->n_nodes,
+	    (double)sum.notices_new / seconds / w->n_nodes,
+	    (double)sum.pulls_sent / seconds / w->n_nodes,
+	    (double)sum.pulls_timed_out / seconds / w->n_nodes,
+	    (double)sum.pulls_refused / seconds / w->n_nodes,
+	    (double)sum.versions_applied / seconds / w->n_nodes,
+	    (double)sum.floor_unacknowledged / seconds / w->n_nodes,
+	    sum.version_reads, sum.object_reads);
+}
+
 static void
 bench_report(const struct bench *b, double seconds)
 {
@@ -233,8 +276,10 @@
 	    max / 1000, mean, (double)most / seconds,
 	    (double)w->platform.reads / seconds, w->platform.peak,
 	    world_even(w) ? "even" : "UNEVEN", checker_count(w->checker));
-	if (b->verbose)
+	if (b->verbose) {
 		bench_classes(b, seconds);
+		bench_counters(b, seconds);
+	}
 }
 
 static void
@@ -244,7 +289,10 @@
 	uint64_t from_us;
 	uint32_t i;
 
+	b->rng = g_rand_new_with_seed((guint32)b->config.seed);
 	w = b->w = world_new(&b->config);
+	for (i = 0; b->whole && i < w->n_nodes; i++)
+		w->nodes[i].tamper = TAMPER_WHOLE;
 	if (!world_warm(w, WARM_MS))
 		printf("not all nodes came up in %u s\n", WARM_MS / 1000);
 	if (b->verbose)
@@ -272,6 +320,7 @@
 		    checker_first(w->checker),
 		    world_even(w) ? "even" : "not even in the end");
 	world_free(w);
+	g_rand_free(b->rng);
 }
 
 int
--- a/test/driver/links.c
+++ b/test/driver/links.c
@@ -344,6 +344,8 @@
 void
 links_send(struct node *n, struct outbox_item *item)
 {
+	if (n->tamper == TAMPER_WHOLE && item->type == MSG_PULL)
+		tamper_pull(item);
 	if (n->tamper != TAMPER_NONE && item->type == MSG_DELTA)
 		tamper_delta(n, item);
 	if (n->tamper != TAMPER_NONE && item->type == MSG_SECTIONS)
--- a/test/driver/node.c
+++ b/test/driver/node.c
@@ -61,6 +61,19 @@
 	queue_add(&n->w->queue, us, node_tick, t, g_free);
 }
 
+static void
+node_compile(struct node *n)
+{
+	struct snapshot *s;
+
+	if (n->endpoints == NULL)
+		return;
+	s = snapshot_compile(n->c, n->endpoints);
+	checker_snapshot(n->w->checker, n->host, n->c, s);
+	snapshot_unref(n->snapshot);
+	n->snapshot = s;
+}
+
 /* Endpoints that membership knows of a host, as the daemon's shell does it. */
 static void
 node_take_member(struct node *n, const char *host)
@@ -84,20 +97,9 @@
 		list[count].slots = m->endpoints[i].slots;
 		count++;
 	}
-	endpoint_set_host(n->endpoints, host, list, count);
-}
-
-static void
-node_compile(struct node *n)
-{
-	struct snapshot *s;
-
-	if (n->endpoints == NULL)
-		return;
-	s = snapshot_compile(n->c, n->endpoints);
-	checker_snapshot(n->w->checker, n->host, n->c, s);
-	snapshot_unref(n->snapshot);
-	n->snapshot = s;
+	if (endpoint_set_host(n->endpoints, host, list, count) > 0 &&
+	    n->snapshot != NULL)
+		node_compile(n);
 }
 
 static void
--- a/test/driver/tamper.c
+++ b/test/driver/tamper.c
@@ -53,6 +53,19 @@
 		g_byte_array_set_size(item->body, item->body->len / 2);
 }
 
+void
+tamper_pull(struct outbox_item *item)
+{
+	struct msg_pull msg;
+
+	if (msg_pull_decode(item->body->data, item->body->len, &msg) !=
+	    STATUS_OK)
+		return;
+	msg.have = 0;
+	g_byte_array_set_size(item->body, 0);
+	msg_pull_encode(&msg, item->body);
+}
+
 void
 tamper_delta(struct node *n, struct outbox_item *item)
 {
--- a/test/driver/test_roll.c
+++ b/test/driver/test_roll.c
@@ -130,6 +130,37 @@
 }
 END_TEST
 
+/* Endpoints start, drain and leave all the time during a roll; each snapshot
+ * compiled on the way is checked. */
+START_TEST(test_endpoint_churn)
+{
+	char service[MEMBER_NAME_BYTES];
+	struct world *w;
+	struct node *n;
+	uint32_t i;
+
+	w = scenario_new((uint64_t)_i + 1);
+	for (i = 0; i < 400; i++) {
+		n = &w->nodes[g_rand_int(w->rng) % w->n_nodes];
+		g_snprintf(service, sizeof(service), "service-%04u",
+		    g_rand_int(w->rng) % (w->config.services + 2));
+		if (i % 3 == 0)
+			(void)membership_withdraw(
+			    n->m, world_now_ms(w), service, 8080);
+		else
+			(void)membership_announce(n->m, world_now_ms(w),
+			    service, 8080, 12, (enum endpoint_state)(i % 3),
+			    world_now_ms(w) + 5000);
+		world_pump(n);
+		if (i % 10 == 0)
+			world_sign(w, g_rand_int(w->rng) % w->n_nodes, 3);
+		world_run(w, 50);
+	}
+	ck_assert_uint_gt(endpoint_set_size(w->nodes[0].endpoints), 0);
+	scenario_end(w);
+}
+END_TEST
+
 /* Bytes that are no message, and messages that make no sense, do nothing. */
 START_TEST(test_noise)
 {
@@ -168,6 +199,7 @@
 	tcase_add_loop_test(tc, test_progress_held_up, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_join_limit, 0, 3);
 	tcase_add_test(tc, test_large);
+	tcase_add_loop_test(tc, test_endpoint_churn, 0, SCENARIO_SEEDS);
 	tcase_add_test(tc, test_noise);
 	suite_add_tcase(suite, tc);
 	return scenario_main(suite);
--- a/test/driver/world.h
+++ b/test/driver/world.h
@@ -50,6 +50,7 @@
 	TAMPER_EMPTY,	/* no changes, but more to come */
 	TAMPER_BYTES,	/* the frame is cut short */
 	TAMPER_COUNT,
+	TAMPER_WHOLE, /* no fault: pulls ask for the whole bundle */
 };
 
 /**
