test(functional): platform away, lost answers, five operators, as processes

Problem: sign-off, halt and supersede under failures of the platform were proved for the decisions only, not for the programs. Solution: three programs, each with the check of versions running all the time. - test_platform_away: the platform goes down right after a sign-off that two nodes missed, then answers slowly, then too slowly, while calls go on. - test_lost_answers: the answer of the last write of each of the three operations is lost, once with the platform to be read back and once not. - test_race: five bramleyctl processes race through five nodes, 16 rounds of four kinds; the platform's rows decide who was told the truth.

--- /dev/null
+++ b/test/functional/calls.c
@@ -0,0 +1,153 @@
+/*
+ * What the process-level tests of calls share.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <check.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "calls.h"
+#include "standins/outcomes.h"
+
+#define READY_MS 20000
+#define BODY_MAX_BYTES 2147483647
+
+/* A guard settles keys once it is older than the window and this. */
+#define SUSPICION_MS 500
+#define NEWS_MS (2 * SUSPICION_MS)
+#define SETTINGS_BYTES 256
+
+/* The deployment borrows it. */
+static char settings[SETTINGS_BYTES];
+
+static void
+settings_write(const struct calls_limits *l)
+{
+	(void)g_snprintf(settings, sizeof(settings),
+	    "{\"fate_window_ms\":%u,\"suspicion_ms\":%u,"
+	    "\"probe_interval_ms\":500,\"probe_timeout_ms\":200}",
+	    l->key_window_ms, SUSPICION_MS);
+}
+
+static json_t *
+service_json(const char *name, const struct calls_limits *l)
+{
+	return json_pack("{s:s,s:i,s:{s:i,s:i,s:i,s:i,s:i},s:{s:i,s:i}}",
+	    "name", name, "timeout_ms", (int)l->timeout_ms, "limits",
+	    "slots_per_endpoint", (int)l->slots, "queue_per_endpoint",
+	    (int)l->queue, "queue_wait_ms", (int)l->queue_wait_ms,
+	    "request_max_bytes", BODY_MAX_BYTES, "caller_calls_per_s", 0,
+	    "retry", "attempts", 2, "budget_percent", 10);
+}
+
+/* The registry's example with other limits. */
+static char *
+bundle_write(const struct calls_limits *l)
+{
+	char *example = deployment_example("registry.json");
+	char *path, *text;
+	json_t *j = json_load_file(example, 0, NULL), *name;
+	json_t *services = json_object_get(j, "services");
+	size_t i;
+
+	for (i = 0; i < json_array_size(services); i++) {
+		name = json_object_get(json_array_get(services, i), "name");
+		json_array_set_new(
+		    services, i, service_json(json_string_value(name), l));
+	}
+	text = json_dumps(j, 0);
+	path = harness_write("calls.json", text);
+	json_decref(j);
+	free(text);
+	g_free(example);
+	return path;
+}
+
+void
+calls_ready(struct deployment *d)
+{
+	uint32_t i, upstreams = 0;
+
+	for (i = 0; i < d->hosts->len; i++)
+		upstreams += deployment_host(d, i)->upstream != NULL;
+	deployment_wait_endpoints(d, upstreams, READY_MS);
+	deployment_wait_serving(d, READY_MS);
+}
+
+struct deployment *
+calls_start(
+    const struct deployment_plan *plan, const struct calls_limits *limits)
+{
+	char *bundle = bundle_write(limits);
+	struct deployment_plan p = *plan;
+	struct deployment *d;
+
+	settings_write(limits);
+	p.node_settings = settings;
+	d = deployment_new(&p);
+	deployment_start(d);
+	(void)deployment_wait_version(
+	    d, deployment_sign_off(deployment_host(d, 0), bundle), READY_MS);
+	calls_ready(d);
+	g_usleep((gulong)(limits->key_window_ms + NEWS_MS) *
+	    G_TIME_SPAN_MILLISECOND);
+	g_free(bundle);
+	return d;
+}
+
+static void
+count(struct calls_counts *c, const struct outcome *o)
+{
+	c->sent++;
+	c->done += o->told == TOLD_DONE;
+	c->not_run += o->told == TOLD_NOT_RUN;
+	c->not_sent += o->told == TOLD_NOT_SENT;
+	c->unknown += o->told == TOLD_UNKNOWN && o->key[0] == '\0';
+	c->keyed_unknown += o->told == TOLD_UNKNOWN && o->key[0] != '\0';
+	c->no_answer += o->told == TOLD_UNKNOWN && o->status == 0;
+	c->cut += o->check == ANSWER_CUT;
+	c->bad_answers += o->check == ANSWER_NOT_OWN ||
+	    o->check == ANSWER_NOT_WHOLE || o->check == ANSWER_NO_FATE;
+}
+
+void
+calls_load_end(struct process *load, const char *name, struct calls_counts *sum)
+{
+	char *file = g_strdup_printf("%s.outcomes", name);
+	char *path = harness_path(file);
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	guint i;
+	json_t *j = deployment_load_end(load);
+
+	ck_assert_int_eq(outcomes_read(path, calls), STATUS_OK);
+	for (i = 0; i < calls->len; i++)
+		count(sum, &g_array_index(calls, struct outcome, i));
+	sum->bad_answers += (uint32_t)json_number(j, "no_retry_after");
+	json_decref(j);
+	g_array_unref(calls);
+	g_free(path);
+	g_free(file);
+}
+
+void
+calls_print(const char *what, const struct calls_counts *c)
+{
+	(void)printf("%s: %u sent, %u done, %u not_run, %u not sent, "
+		     "%u unknown, %u with a key unknown, %u without an "
+		     "answer, %u cut, %u bad answers\n",
+	    what, c->sent, c->done, c->not_run, c->not_sent, c->unknown,
+	    c->keyed_unknown, c->no_answer, c->cut, c->bad_answers);
+	(void)fflush(stdout);
+}
+
+void
+calls_end(struct deployment *d)
+{
+	ck_assert_int_eq(deployment_stop(d), 0);
+	ck_assert_msg(deployment_check(d) == 0,
+	    "callers were told what did not happen; see %s", harness_dir());
+	deployment_free(d);
+	harness_end();
+}
--- /dev/null
+++ b/test/functional/calls_round.c
@@ -0,0 +1,120 @@
+/*
+ * Rounds of load in which something fails at a random moment.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "calls.h"
+
+#define NAME_BYTES 64
+#define DECIMAL 10
+/* The fault strikes within this time from the start of the load. */
+#define STRIKE_FROM_MS 200
+#define STRIKE_TO_MS 800
+#define RATE "250"
+#define WORK_MS_MEAN 20
+#define TIMEOUT_MS 1500
+#define SLOTS 4
+#define QUEUE 8
+#define QUEUE_WAIT_MS 300
+
+static const char *const victim_names[CALLS_VICTIMS] = {
+    "a node", "an upstream", "a host", "half of the nodes"};
+
+static void
+sleep_between(GRand *rnd, uint32_t from_ms, uint32_t to_ms)
+{
+	gint32 ms = g_rand_int_range(rnd, (gint32)from_ms, (gint32)to_ms);
+
+	g_usleep((gulong)ms * G_TIME_SPAN_MILLISECOND);
+}
+
+static void
+each_victim(struct deployment *d, enum calls_victims victims, uint32_t first,
+    void (*fn)(struct deployment *d, struct host *h, int node))
+{
+	uint32_t i, n = victims == CALLS_HERD ? d->hosts->len / 2 : 1;
+	struct host *h;
+
+	for (i = 0; i < n; i++) {
+		h = deployment_host(d, (first + i) % d->hosts->len);
+		if (victims == CALLS_UPSTREAM || victims == CALLS_HOST)
+			fn(d, h, 0);
+		if (victims != CALLS_UPSTREAM)
+			fn(d, h, 1);
+	}
+}
+
+static struct process *
+start_load(
+    struct deployment *d, const char *name, const char *load_s, uint32_t seed)
+{
+	char number[NAME_BYTES];
+	const char *args[] = {"--rate", RATE, "--duration-s", load_s, "--mix",
+	    "5:4:1", "--keyed", "50", "--twins", "30", "--repeats", "2",
+	    "--answer-bytes", "100000", "--upload-bytes", "200000", "--seed",
+	    number, NULL};
+
+	(void)g_snprintf(number, sizeof(number), "%u", seed);
+	return deployment_load(d, name, deployment_host(d, 0), 1, args);
+}
+
+void
+calls_round(struct deployment *d, const struct calls_fault *f,
+    enum calls_victims victims, uint32_t seed, struct calls_counts *sum)
+{
+	char name[NAME_BYTES];
+	GRand *rnd = g_rand_new_with_seed(seed * CALLS_VICTIMS + victims);
+	struct process *load;
+	uint32_t first = g_rand_int(rnd) % d->hosts->len;
+
+	(void)g_snprintf(
+	    name, sizeof(name), "%s-%u-%u", f->name, seed, (uint32_t)victims);
+	load = start_load(d, name, f->load_s, seed);
+	sleep_between(rnd, STRIKE_FROM_MS, STRIKE_TO_MS);
+	each_victim(d, victims, first, f->strike);
+	sleep_between(rnd, f->last_from_ms, f->last_to_ms);
+	each_victim(d, victims, first, f->mend);
+	calls_load_end(load, name, sum);
+	calls_ready(d);
+	g_rand_free(rnd);
+}
+
+static uint32_t
+first_seed(void)
+{
+	const char *text = g_getenv("BRAMLEY_SEED");
+
+	return text == NULL ? 1 : (uint32_t)strtoul(text, NULL, DECIMAL);
+}
+
+void
+calls_rounds(const struct calls_fault *f, uint32_t seeds,
+    struct calls_counts sums[CALLS_VICTIMS])
+{
+	char what[NAME_BYTES];
+	enum calls_victims v;
+	struct calls_limits limits = {
+	    TIMEOUT_MS, SLOTS, QUEUE, QUEUE_WAIT_MS, f->key_window_ms};
+	struct deployment_plan plan = deployment_registry;
+	struct deployment *d;
+	uint32_t i;
+
+	plan.slots = limits.slots;
+	plan.work_ms_mean = WORK_MS_MEAN;
+	d = calls_start(&plan, &limits);
+	for (v = 0; v < CALLS_VICTIMS; v++) {
+		sums[v] = (struct calls_counts){0};
+		for (i = 0; i < seeds; i++)
+			calls_round(d, f, v, first_seed() + i, &sums[v]);
+		(void)g_snprintf(
+		    what, sizeof(what), "%s %s", f->name, victim_names[v]);
+		calls_print(what, &sums[v]);
+		ck_assert_uint_gt(sums[v].done, 0);
+		ck_assert_uint_eq(sums[v].bad_answers, 0);
+	}
+	calls_end(d);
+}
--- /dev/null
+++ b/test/functional/operators.c
@@ -0,0 +1,99 @@
+/*
+ * What operators were told, held against the platform's rows.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "operators.h"
+
+#define KEY_BYTES 64
+
+static uint64_t
+row_number(const json_t *row, const char *name)
+{
+	const char *text = deployment_row_text(row, name);
+
+	return text == NULL ? 0 : strtoull(text, NULL, 10);
+}
+
+struct platform_head
+operators_head(const struct deployment *d)
+{
+	json_t *row = deployment_platform_row(d, "head");
+	struct platform_head head = {
+	    row_number(row, "seq"),
+	    row_number(row, "version"),
+	    row_number(row, "in_force"),
+	};
+
+	json_decref(row);
+	return head;
+}
+
+uint32_t
+operators_versions_of(
+    const struct deployment *d, const char *op, uint64_t *version)
+{
+	char key[KEY_BYTES];
+	json_t *row;
+	struct platform_head head = operators_head(d);
+	uint32_t n = 0;
+	uint64_t v, last = 0;
+
+	for (v = 1; v <= head.version; v++) {
+		(void)g_snprintf(
+		    key, sizeof(key), "version/%" G_GUINT64_FORMAT, v);
+		row = deployment_platform_row(d, key);
+		ck_assert_msg(row != NULL, "there is no row %s", key);
+		if (g_strcmp0(deployment_row_text(row, "op"), op) == 0) {
+			last = v;
+			n++;
+		}
+		json_decref(row);
+	}
+	if (version != NULL)
+		*version = last;
+	return n;
+}
+
+int
+operators_ask(const struct host *h, const char *op, uint64_t *version)
+{
+	const char *args[] = {"operation", op, NULL};
+	int code;
+	json_t *j = deployment_ctl(h, &code, args);
+
+	if (version != NULL)
+		*version = (uint64_t)json_number(j, "version");
+	json_decref(j);
+	return code;
+}
+
+uint64_t
+operators_check_told(const struct host *h, const struct deployment *d,
+    const char *op, int code, uint64_t told)
+{
+	uint64_t asked, made;
+	uint32_t n = operators_versions_of(d, op, &made);
+
+	ck_assert_msg(n <= 1, "operation %s was done %u times", op, n);
+	if (code == CTL_UNKNOWN) {
+		code = operators_ask(h, op, &asked);
+		ck_assert_msg(code == CTL_DONE || code == CTL_NOT_FOUND ||
+			code == CTL_UNKNOWN,
+		    "operation %s: asked later it ends with %d", op, code);
+		told = code == CTL_DONE ? asked : 0;
+	}
+	if (code == CTL_DONE)
+		ck_assert_msg(n == 1 && told == made,
+		    "operation %s was told version %lu and made %lu", op,
+		    (unsigned long)told, (unsigned long)made);
+	else
+		ck_assert_msg(n == 0, "operation %s ended with %d and made %lu",
+		    op, code, (unsigned long)made);
+	return made;
+}
--- /dev/null
+++ b/test/functional/test_call_freeze.c
@@ -0,0 +1,52 @@
+/*
+ * Nodes and upstreams are frozen at random moments under load, for longer
+ * than the deadline of the calls and the suspicion of their peers, and thawed.
+ * Frames and bytes that waited meanwhile must not be taken for fresh ones.
+ */
+#include <signal.h>
+
+#include <check.h>
+#include <curl/curl.h>
+
+#include "calls.h"
+
+#define TEST_TIMEOUT_S 60
+#define SEEDS 1
+/* Longer than three tries of a keyed call and the time frozen. */
+#define LOAD_S "1.5"
+#define WINDOW_MS 8500
+
+static void
+strike(struct deployment *d, struct host *h, int node)
+{
+	(void)d;
+	process_signal(node ? h->node : h->upstream, SIGSTOP);
+}
+
+static void
+mend(struct deployment *d, struct host *h, int node)
+{
+	(void)d;
+	process_signal(node ? h->node : h->upstream, SIGCONT);
+}
+
+START_TEST(frozen_at_random_moments)
+{
+	static const struct calls_fault f = {
+	    "frozen", strike, mend, 1700, 2800, WINDOW_MS, LOAD_S};
+
+	struct calls_counts sums[CALLS_VICTIMS];
+
+	calls_rounds(&f, SEEDS, sums);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("freeze");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, frozen_at_random_moments);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
--- /dev/null
+++ b/test/functional/test_call_kill.c
@@ -0,0 +1,55 @@
+/*
+ * Nodes and upstreams are killed at random moments under load.  A node is the
+ * guard of its upstream and the entry of its callers.  Whatever a caller was
+ * told must be true: see standins/run_check.h.
+ */
+#include <check.h>
+#include <curl/curl.h>
+
+#include "calls.h"
+
+#define TEST_TIMEOUT_S 60
+#define SEEDS 2
+/* Longer than three tries of a keyed call. */
+#define LOAD_S "1.5"
+#define WINDOW_MS 5500
+
+static void
+strike(struct deployment *d, struct host *h, int node)
+{
+	(void)d;
+	if (node)
+		deployment_kill_node(h);
+	else
+		deployment_kill_upstream(h);
+}
+
+static void
+mend(struct deployment *d, struct host *h, int node)
+{
+	if (node)
+		deployment_start_node(d, h);
+	else
+		deployment_start_upstream(d, h);
+}
+
+START_TEST(killed_at_random_moments)
+{
+	static const struct calls_fault f = {
+	    "killed", strike, mend, 50, 700, WINDOW_MS, LOAD_S};
+
+	struct calls_counts sums[CALLS_VICTIMS];
+
+	calls_rounds(&f, SEEDS, sums);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("kill");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, killed_at_random_moments);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
--- /dev/null
+++ b/test/functional/test_call_silent.c
@@ -0,0 +1,92 @@
+/*
+ * Open connections go silent for good while new ones work: those between
+ * entries and a guard, and those between a guard and its upstream.  It goes
+ * for what the one end hears, for what the other end hears, or for both.
+ */
+#include <stdio.h>
+
+#include <check.h>
+#include <curl/curl.h>
+
+#include "calls.h"
+#include "silence.h"
+
+#define TEST_TIMEOUT_S 60
+#define SEEDS 1
+#define LOAD_S "1.5"
+#define WINDOW_MS 5500
+
+/** enum deaf - which end hears nothing more */
+enum deaf {
+	DEAF_CLIENT,
+	DEAF_SERVER,
+	DEAF_BOTH,
+	DEAF_KINDS,
+};
+
+static uint32_t silenced;
+
+/* Connections of entries to the guard of a host. */
+static void
+silence_guard(const struct deployment *d, const struct host *h, enum deaf deaf)
+{
+	const struct host *entry;
+	uint32_t i;
+
+	if (deaf != DEAF_CLIENT)
+		silenced += silence_connections(
+		    h->node, SILENCE_SERVER, h->address, h->call_port);
+	for (i = 0; deaf != DEAF_SERVER && i < d->hosts->len; i++) {
+		entry = deployment_host(d, i);
+		silenced += silence_connections(
+		    entry->node, SILENCE_CLIENT, h->address, h->call_port);
+	}
+}
+
+/* Connections of a guard to its upstream. */
+static void
+silence_upstream(const struct host *h, enum deaf deaf)
+{
+	if (deaf != DEAF_CLIENT)
+		silenced += silence_connections(
+		    h->upstream, SILENCE_SERVER, h->address, h->upstream_port);
+	if (deaf != DEAF_SERVER)
+		silenced += silence_connections(
+		    h->node, SILENCE_CLIENT, h->address, h->upstream_port);
+}
+
+/* It strikes twice in a round, each time another end. */
+static void
+strike(struct deployment *d, struct host *h, int node)
+{
+	static uint32_t strikes;
+	enum deaf deaf = (enum deaf)(strikes++ % DEAF_KINDS);
+
+	if (node)
+		silence_guard(d, h, deaf);
+	else
+		silence_upstream(h, deaf);
+}
+
+START_TEST(silent_at_random_moments)
+{
+	static const struct calls_fault f = {
+	    "silent", strike, strike, 300, 600, WINDOW_MS, LOAD_S};
+
+	struct calls_counts sums[CALLS_VICTIMS];
+
+	calls_rounds(&f, SEEDS, sums);
+	(void)printf("%u ends of connections went silent\n", silenced);
+	ck_assert_uint_gt(silenced, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("silent");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, silent_at_random_moments);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
--- /dev/null
+++ b/test/functional/test_call_stop.c
@@ -0,0 +1,154 @@
+/*
+ * Planned stops under load: an upstream drains and leaves, a node stops, a
+ * host stops, half of the nodes stop one after the other, and each is started
+ * again.  No answer is cut, every caller gets its own, no caller is left
+ * without a word, and an upstream that drains gets no new work.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <check.h>
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "calls.h"
+#include "fetch.h"
+
+#define TEST_TIMEOUT_S 90
+#define SEEDS 1
+#define LOAD_S "3"
+#define WINDOW_MS 3000
+#define URL_BYTES 128
+#define TIME_BYTES 24
+#define US_PER_MS 1000
+/* How long the entries are watched after the notice. */
+#define WATCH_MS 700
+
+static uint32_t drained;
+static int64_t after_drain;
+static int64_t slowest_entry_ms;
+
+/* When the last call was placed on a host, by the log of one node. */
+static int64_t
+last_placed_us(const char *log, const char *host)
+{
+	char *mark = g_strdup_printf(" on %s (", host), *text = NULL;
+	char time[TIME_BYTES + 1] = "";
+	const char *at, *line;
+	GDateTime *t;
+	int64_t us = 0;
+
+	ck_assert(g_file_get_contents(log, &text, NULL, NULL));
+	at = g_strrstr(text, mark);
+	if (at != NULL) {
+		line = g_strrstr_len(text, at - text, "\n");
+		line = line == NULL ? text : line + 1;
+		(void)g_strlcpy(time, line, sizeof(time));
+		t = g_date_time_new_from_iso8601(time, NULL);
+		ck_assert_msg(t != NULL, "no time: %s", time);
+		us = g_date_time_to_unix(t) * G_USEC_PER_SEC +
+		    g_date_time_get_microsecond(t);
+		g_date_time_unref(t);
+	}
+	g_free(text);
+	g_free(mark);
+	return us;
+}
+
+/* How long after a time the last entry placed a call on a host. */
+static int64_t
+placed_after_ms(const struct deployment *d, const char *host, int64_t from_us)
+{
+	const struct host *entry;
+	int64_t us, last_us = from_us;
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++) {
+		entry = deployment_host(d, i);
+		us = last_placed_us(process_log(entry->node), host);
+		last_us = MAX(last_us, us);
+	}
+	return (last_us - from_us) / US_PER_MS;
+}
+
+static int64_t
+runs_after_drain(const struct host *h)
+{
+	char url[URL_BYTES];
+	int64_t n;
+	json_t *j;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/standin/runs",
+	    h->address, h->upstream_port);
+	j = fetch_json("GET", url, NULL, NULL);
+	ck_assert_ptr_nonnull(j);
+	n = json_number(j, "after_drain");
+	json_decref(j);
+	return n;
+}
+
+/* The knob returns when the node has taken the notice. */
+static void
+leave(struct deployment *d, struct host *h)
+{
+	int64_t late_ms, notice_us;
+
+	deployment_upstream_knobs(h, "{\"drain\":true}");
+	notice_us = g_get_real_time();
+	g_usleep(WATCH_MS * G_TIME_SPAN_MILLISECOND);
+	late_ms = placed_after_ms(d, h->name, notice_us);
+	slowest_entry_ms = MAX(slowest_entry_ms, late_ms);
+	after_drain += runs_after_drain(h);
+	drained++;
+	ck_assert_int_eq(deployment_stop_upstream(h), 0);
+}
+
+static void
+strike(struct deployment *d, struct host *h, int node)
+{
+	if (node)
+		ck_assert_int_eq(deployment_stop_node(h), 0);
+	else
+		leave(d, h);
+}
+
+static void
+mend(struct deployment *d, struct host *h, int node)
+{
+	if (node)
+		deployment_start_node(d, h);
+	else
+		deployment_start_upstream(d, h);
+}
+
+START_TEST(planned_stops_cut_nothing)
+{
+	static const struct calls_fault f = {
+	    "stopped", strike, mend, 50, 200, WINDOW_MS, LOAD_S};
+	struct calls_counts sums[CALLS_VICTIMS];
+	uint32_t v;
+
+	calls_rounds(&f, SEEDS, sums);
+	(void)printf("%u upstreams drained: %ld runs after the notice, last "
+		     "call placed there %ld ms after it\n",
+	    drained, (long)after_drain, (long)slowest_entry_ms);
+	(void)fflush(stdout);
+	for (v = 0; v < CALLS_VICTIMS; v++) {
+		ck_assert_uint_eq(sums[v].cut, 0);
+		ck_assert_uint_eq(sums[v].no_answer, 0);
+		ck_assert_uint_eq(sums[v].unknown, 0);
+	}
+	ck_assert_uint_gt(drained, 0);
+	ck_assert_int_eq(after_drain, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("stop");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, planned_stops_cut_nothing);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
--- /dev/null
+++ b/test/functional/test_lost_answers.c
@@ -0,0 +1,283 @@
+/*
+ * The platform takes a write and its answer is lost.  Each operator is told
+ * what is so, or that it is not known and how to ask; the same operation
+ * started again never takes effect twice.
+ */
+#include <string.h>
+
+#include <check.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "operators.h"
+#include "version_watch.h"
+
+#define TEST_TIMEOUT_S 120
+#define START_BOUND_MS 20000
+#define ROLL_BOUND_MS 15000
+#define LOSE_WAIT_MS 8000
+#define KNOBS_BYTES 96
+#define NUMBER_BYTES 24
+#define ARGS_MAX 12
+
+enum kind {
+	SIGN_OFF,
+	SUPERSEDE,
+	HALT,
+};
+
+/*
+ * A write whose answer is lost.  A new section, the list and the head row are
+ * three writes; content that is there already is written no second time; a
+ * halt writes its note and the head row.
+ */
+struct lost {
+	const char *op;
+	enum kind kind;
+	uint32_t bundle;
+	uint32_t writes;
+	int outage; /* the platform can't be read back for a while */
+};
+
+static const struct lost cases[] = {
+    {"lost-sign-off", SIGN_OFF, 1, 3, 0},
+    {"lost-halt", HALT, 0, 2, 0},
+    {"lost-supersede", SUPERSEDE, 0, 1, 0},
+    {"unknown-sign-off", SIGN_OFF, 1, 1, 1},
+    {"unknown-halt", HALT, 0, 2, 1},
+    {"unknown-supersede", SUPERSEDE, 0, 1, 1},
+};
+
+/* The deployment, its watch, and the case that is played. */
+struct play {
+	struct deployment *d;
+	struct version_watch *watch;
+	const struct lost *lost;
+	struct platform_head before;
+	int64_t lost_before;
+	char number[NUMBER_BYTES];
+	char *bundle;
+	const char *args[ARGS_MAX];
+};
+
+static int64_t
+lost_answers(const struct deployment *d)
+{
+	int64_t n;
+	json_t *j = deployment_platform_stats(d);
+
+	n = json_number(j, "lost_answers");
+	json_decref(j);
+	return n;
+}
+
+static int
+all_lost(void *arg)
+{
+	const struct play *p = arg;
+
+	return lost_answers(p->d) - p->lost_before == p->lost->writes;
+}
+
+static void
+append(struct play *p, const char *arg)
+{
+	uint32_t n = 0;
+
+	while (p->args[n] != NULL)
+		n++;
+	ck_assert_uint_lt(n + 1, ARGS_MAX);
+	p->args[n] = arg;
+}
+
+/* The command, by the operation's own id. */
+static void
+set_args(struct play *p)
+{
+	append(p, "--operator");
+	append(p, "anna");
+	append(p, "--op");
+	append(p, p->lost->op);
+	if (p->lost->outage) {
+		append(p, "--timeout-ms");
+		append(p, "4000");
+	}
+	switch (p->lost->kind) {
+	case SIGN_OFF:
+		append(p, "sign-off");
+		append(p, p->bundle);
+		break;
+	case SUPERSEDE:
+		append(p, "supersede");
+		append(p, "1");
+		break;
+	case HALT:
+		append(p, "halt");
+		append(p, p->number);
+		break;
+	}
+}
+
+static void
+set_knobs(const struct play *p)
+{
+	char knobs[KNOBS_BYTES];
+
+	(void)g_snprintf(knobs, sizeof(knobs),
+	    "{\"lose_answers\":%u,\"delay_ms\":%u}", p->lost->writes,
+	    p->lost->outage ? 200 : 0);
+	deployment_platform_knobs(p->d, knobs);
+}
+
+static void
+reset_knobs(const struct play *p)
+{
+	deployment_platform_knobs(
+	    p->d, "{\"lose_answers\":0,\"delay_ms\":0,\"outage\":false}");
+}
+
+/* Before the answer can be read back, the platform goes down. */
+static int
+run_into_outage(struct play *p)
+{
+	int code;
+	struct process *ctl =
+	    deployment_ctl_start(deployment_host(p->d, 0), p->args);
+
+	ck_assert_msg(harness_until(all_lost, p, LOSE_WAIT_MS),
+	    "%s: the writes did not come", p->lost->op);
+	deployment_platform_knobs(p->d, "{\"outage\":true}");
+	json_decref(deployment_ctl_end(ctl, &code));
+	return code;
+}
+
+static void
+run_first(struct play *p)
+{
+	int code;
+
+	p->lost_before = lost_answers(p->d);
+	set_knobs(p);
+	if (p->lost->outage)
+		code = run_into_outage(p);
+	else
+		json_decref(
+		    deployment_ctl(deployment_host(p->d, 0), &code, p->args));
+	ck_assert_msg(all_lost(p), "%s: the answer was not lost", p->lost->op);
+	reset_knobs(p);
+	ck_assert_msg(code == (p->lost->outage ? CTL_UNKNOWN : CTL_DONE),
+	    "%s ended with %d", p->lost->op, code);
+}
+
+/* The version that the operation has made or halted. */
+static uint64_t
+expected_version(const struct play *p)
+{
+	return p->before.version + (p->lost->kind == HALT ? 0 : 1);
+}
+
+/* Another node knows what became of it. */
+static void
+check_asked(const struct play *p)
+{
+	uint64_t version;
+
+	ck_assert_int_eq(
+	    operators_ask(deployment_host(p->d, 3), p->lost->op, &version),
+	    CTL_DONE);
+	ck_assert_uint_eq(version, expected_version(p));
+}
+
+static void
+check_repeated(const struct play *p, uint32_t host)
+{
+	int code;
+	json_t *j = deployment_ctl(deployment_host(p->d, host), &code, p->args);
+
+	ck_assert_msg(
+	    code == CTL_DONE, "%s again ended with %d", p->lost->op, code);
+	ck_assert(json_is_true(json_object_get(j, "repeated")));
+	ck_assert_uint_eq(
+	    (uint64_t)json_number(j, "version"), expected_version(p));
+	json_decref(j);
+}
+
+/* One write of the head row took effect, whatever was asked again. */
+static void
+check_done_once(const struct play *p)
+{
+	struct platform_head head = operators_head(p->d);
+	uint32_t made = operators_versions_of(p->d, p->lost->op, NULL);
+
+	ck_assert_uint_eq(head.seq, p->before.seq + 1);
+	ck_assert_uint_eq(head.version, expected_version(p));
+	ck_assert_uint_eq(made, p->lost->kind == HALT ? 0 : 1);
+	if (p->lost->kind == HALT)
+		ck_assert_uint_lt(head.in_force, head.version);
+	else
+		ck_assert_uint_eq(head.in_force, head.version);
+}
+
+static void
+watch_outcome(const struct play *p)
+{
+	uint64_t version = expected_version(p);
+
+	if (p->lost->kind == HALT) {
+		version_watch_halted(p->watch, version);
+		return;
+	}
+	version_watch_accept(p->watch, version, ROLL_BOUND_MS);
+	(void)version_watch_wait(p->watch, version, ROLL_BOUND_MS);
+}
+
+static void
+play(struct deployment *d, struct version_watch *w, const struct lost *lost)
+{
+	struct play p = {.d = d, .watch = w, .lost = lost};
+
+	p.before = operators_head(d);
+	p.bundle = deployment_bundle(lost->bundle);
+	(void)g_snprintf(
+	    p.number, sizeof(p.number), "%" G_GUINT64_FORMAT, p.before.version);
+	set_args(&p);
+	run_first(&p);
+	check_asked(&p);
+	check_repeated(&p, 0);
+	check_repeated(&p, 4);
+	check_done_once(&p);
+	watch_outcome(&p);
+	g_free(p.bundle);
+}
+
+START_TEST(lost_answers_settle)
+{
+	char *first = deployment_bundle(0);
+	size_t i;
+	struct deployment *d = deployment_new(&deployment_registry);
+	struct version_watch *w;
+
+	deployment_start_nodes(d);
+	w = version_watch_start(d);
+	ck_assert_uint_eq(deployment_sign_off(deployment_host(d, 0), first), 1);
+	version_watch_accept(w, 1, START_BOUND_MS);
+	(void)version_watch_wait(w, 1, START_BOUND_MS);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		play(d, w, &cases[i]);
+	ck_assert_uint_eq(version_watch_end(w), 0);
+	deployment_free(d);
+	g_free(first);
+	harness_end();
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("lost_answers");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, lost_answers_settle);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
--- /dev/null
+++ b/test/functional/test_platform_away.c
@@ -0,0 +1,177 @@
+/*
+ * The platform is down, then slow, for long while versions roll.  Nodes go
+ * on with what they have, a version that was accepted just before comes to
+ * all of them through peers, and operators are told the truth.
+ */
+#include <signal.h>
+#include <string.h>
+
+#include <check.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "operators.h"
+#include "version_watch.h"
+
+#define TEST_TIMEOUT_S 120
+#define START_BOUND_MS 20000
+#define ROLL_BOUND_MS 5000
+/* A reader may have backed off for 10 s when the platform comes back. */
+#define RETURN_BOUND_MS 15000
+#define FROZEN_US 300000
+
+/* An operation that is asked for while the platform is down. */
+struct refused {
+	const char *op;
+	const char *args[8];
+	struct process *ctl;
+};
+
+static const char *const load_args[] = {
+    "--rate", "60", "--duration-s", "16", "--mix", "8:1:1", NULL};
+
+static uint64_t
+sign(struct deployment *d, struct version_watch *w, uint32_t host, uint32_t n,
+    uint32_t bound_ms)
+{
+	char *path = deployment_bundle(n);
+	uint64_t version = deployment_sign_off(deployment_host(d, host), path);
+
+	version_watch_accept(w, version, bound_ms);
+	g_free(path);
+	return version;
+}
+
+static void
+signal_some(struct deployment *d, int sig)
+{
+	process_signal(deployment_host(d, 1)->node, sig);
+	process_signal(deployment_host(d, 4)->node, sig);
+}
+
+/* Two nodes miss the version; when they go on, the platform is down. */
+static uint64_t
+sign_before_outage(struct deployment *d, struct version_watch *w)
+{
+	uint64_t ms, version;
+
+	signal_some(d, SIGSTOP);
+	version = sign(d, w, 0, 1, ROLL_BOUND_MS);
+	deployment_platform_knobs(d, "{\"outage\":true}");
+	g_usleep(FROZEN_US);
+	signal_some(d, SIGCONT);
+	ms = version_watch_wait(w, version, ROLL_BOUND_MS);
+	(void)printf("a version signed before the outage came to all peers "
+		     "%lu ms after they went on\n",
+	    (unsigned long)ms);
+	return version;
+}
+
+/* Nothing can be written: each operator is told that nothing was done. */
+static void
+operate_in_outage(struct deployment *d)
+{
+	char *path = deployment_bundle(2);
+	struct refused ops[] = {
+	    {"out-1", {"--op", "out-1", "sign-off", path, NULL}, NULL},
+	    {"out-2", {"--op", "out-2", "halt", "2", NULL}, NULL},
+	    {"out-3", {"--op", "out-3", "supersede", "1", NULL}, NULL},
+	};
+	int code;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ops); i++)
+		ops[i].ctl = deployment_ctl_start(
+		    deployment_host(d, (uint32_t)i * 2), ops[i].args);
+	for (i = 0; i < G_N_ELEMENTS(ops); i++) {
+		json_decref(deployment_ctl_end(ops[i].ctl, &code));
+		ck_assert_msg(code == CTL_UNAVAILABLE, "%s ended with %d",
+		    ops[i].op, code);
+	}
+	g_free(path);
+}
+
+/* The platform answers, but after so long that a sign-off takes seconds. */
+static uint64_t
+sign_while_slow(struct deployment *d, struct version_watch *w)
+{
+	deployment_platform_knobs(d, "{\"outage\":false,\"delay_ms\":600}");
+	return sign(d, w, 2, 3, RETURN_BOUND_MS);
+}
+
+/* Each answer comes too late to be waited for; the operator gives up. */
+static void
+sign_while_too_slow(struct deployment *d, struct version_watch *w)
+{
+	char *path = deployment_bundle(4);
+	const char *args[] = {
+	    "--op", "slow-1", "--timeout-ms", "3000", "sign-off", path, NULL};
+	int code;
+	uint64_t version;
+
+	deployment_platform_knobs(d, "{\"delay_ms\":2500}");
+	json_decref(deployment_ctl(deployment_host(d, 5), &code, args));
+	ck_assert_msg(code == CTL_UNKNOWN || code == CTL_UNAVAILABLE,
+	    "a sign-off that can't be known ended with %d", code);
+	deployment_platform_knobs(d, "{\"delay_ms\":0}");
+	/* The node may be at it still, for as long as it had promised. */
+	version = sign(d, w, 3, 5, RETURN_BOUND_MS);
+	(void)version_watch_wait(w, version, RETURN_BOUND_MS);
+	(void)operators_check_told(deployment_host(d, 0), d, "slow-1", code, 0);
+	g_free(path);
+}
+
+static void
+check_outage_left_nothing(struct deployment *d)
+{
+	struct platform_head head = operators_head(d);
+
+	ck_assert_uint_eq(operators_versions_of(d, "out-1", NULL), 0);
+	ck_assert_uint_eq(operators_versions_of(d, "out-3", NULL), 0);
+	/* No halt: each write made a version. */
+	ck_assert_uint_eq(head.seq, head.version);
+	ck_assert_int_eq(
+	    operators_ask(deployment_host(d, 3), "out-2", NULL), CTL_NOT_FOUND);
+}
+
+START_TEST(nodes_go_on_without_the_platform)
+{
+	json_t *sum;
+	struct deployment *d = deployment_new(&deployment_registry);
+	struct process *load;
+	struct version_watch *w;
+	uint64_t version;
+
+	deployment_start(d);
+	w = version_watch_start(d);
+	version = sign(d, w, 0, 0, START_BOUND_MS);
+	(void)version_watch_wait(w, version, START_BOUND_MS);
+	load = deployment_load(d, "load", deployment_host(d, 0), 1, load_args);
+	version = sign_before_outage(d, w);
+	operate_in_outage(d);
+	ck_assert_uint_eq(deployment_version(deployment_host(d, 5)), version);
+	version = sign_while_slow(d, w);
+	(void)version_watch_wait(w, version, RETURN_BOUND_MS);
+	sign_while_too_slow(d, w);
+	check_outage_left_nothing(d);
+	sum = deployment_load_end(load);
+	ck_assert_int_gt(json_number(sum, "sent"), 0);
+	ck_assert_int_eq(json_number(sum, "done"), json_number(sum, "sent"));
+	ck_assert_uint_eq(version_watch_end(w), 0);
+	ck_assert_uint_eq(deployment_check(d), 0);
+	json_decref(sum);
+	deployment_free(d);
+	harness_end();
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("platform_away");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, nodes_go_on_without_the_platform);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
--- /dev/null
+++ b/test/functional/test_race.c
@@ -0,0 +1,272 @@
+/*
+ * Five operators race through different nodes.  Versions are dense and have
+ * one order, and each operator is told truly whether it was first, and if
+ * not, who was.
+ */
+#include <string.h>
+
+#include <check.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "operators.h"
+#include "version_watch.h"
+
+#define TEST_TIMEOUT_S 120
+#define START_BOUND_MS 20000
+#define ROLL_BOUND_MS 8000
+#define OPERATORS 5
+#define ROUNDS 4 /* of each kind */
+#define OP_BYTES 32
+#define KEY_BYTES 64
+#define ARGS_MAX 16
+
+/* How the five ask. */
+enum style {
+	STYLE_PARENT,  /* all build on the version that they have seen */
+	STYLE_ANY,     /* none says what it has seen */
+	STYLE_RETRIES, /* none does, and all try again */
+	STYLE_MIXED,   /* one halts, one supersedes, three sign off */
+	STYLES,
+};
+
+/* One operator's command in one round. */
+struct entrant {
+	char op[OP_BYTES];
+	char name[OP_BYTES];
+	char *bundle;
+	int halts;
+	struct process *ctl;
+	int code;
+	json_t *told;
+};
+
+struct race {
+	struct deployment *d;
+	struct version_watch *watch;
+	enum style style;
+	struct platform_head before;
+	char parent[OP_BYTES];
+	struct entrant entrants[OPERATORS];
+};
+
+static const char *const retries[STYLES] = {
+    [STYLE_ANY] = "0", [STYLE_RETRIES] = "20", [STYLE_MIXED] = "20"};
+
+static void
+append(const char **args, const char *arg)
+{
+	uint32_t n = 0;
+
+	while (args[n] != NULL)
+		n++;
+	ck_assert_uint_lt(n + 1, ARGS_MAX);
+	args[n] = arg;
+}
+
+static void
+append_command(const struct race *r, uint32_t i, const char **args)
+{
+	const struct entrant *e = &r->entrants[i];
+
+	if (e->halts) {
+		append(args, "halt");
+		append(args, r->parent);
+		return;
+	}
+	if (r->style == STYLE_PARENT) {
+		append(args, "--parent");
+		append(args, r->parent);
+	} else {
+		append(args, "--race-retries");
+		append(args, retries[r->style]);
+	}
+	if (r->style == STYLE_MIXED && i == 1) {
+		append(args, "supersede");
+		append(args, "1");
+	} else {
+		append(args, "sign-off");
+		append(args, e->bundle);
+	}
+}
+
+static void
+start(struct race *r, uint32_t round, uint32_t i)
+{
+	struct entrant *e = &r->entrants[i];
+	const char *args[ARGS_MAX] = {"--operator", e->name, "--op", e->op};
+
+	(void)g_snprintf(e->name, sizeof(e->name), "operator-%u", i);
+	(void)g_snprintf(e->op, sizeof(e->op), "race-%u-%u", round, i);
+	e->halts = r->style == STYLE_MIXED && i == 0;
+	e->bundle = deployment_bundle(round * OPERATORS + i + 1);
+	append_command(r, i, args);
+	e->ctl = deployment_ctl_start(deployment_host(r->d, i), args);
+}
+
+static void
+check_row(
+    const struct race *r, uint64_t version, const char *op, const char *name)
+{
+	char key[KEY_BYTES];
+	json_t *row;
+
+	(void)g_snprintf(
+	    key, sizeof(key), "version/%" G_GUINT64_FORMAT, version);
+	row = deployment_platform_row(r->d, key);
+	ck_assert_msg(row != NULL, "there is no row %s", key);
+	ck_assert_str_eq(deployment_row_text(row, "op"), op);
+	ck_assert_str_eq(deployment_row_text(row, "operator"), name);
+	json_decref(row);
+}
+
+static const struct entrant *
+find_entrant(const struct race *r, const char *op)
+{
+	uint32_t i;
+
+	for (i = 0; i < OPERATORS; i++)
+		if (g_strcmp0(r->entrants[i].op, op) == 0)
+			return &r->entrants[i];
+	return NULL;
+}
+
+/* Who was first is one of this round, did it, and comes after what was. */
+static void
+check_loser(const struct race *r, const struct entrant *e)
+{
+	json_t *told = json_object_get(e->told, "winner");
+	const char *op = json_string_value(json_object_get(told, "op"));
+	const char *name = json_string_value(json_object_get(told, "operator"));
+	const struct entrant *winner = find_entrant(r, op);
+	uint64_t version = (uint64_t)json_number(told, "version");
+
+	ck_assert_msg(winner != NULL && winner != e, "%s was told that %s won",
+	    e->op, op == NULL ? "nobody" : op);
+	ck_assert_int_eq(winner->code, CTL_DONE);
+	ck_assert_str_eq(winner->name, name);
+	ck_assert_int_eq(
+	    json_is_true(json_object_get(told, "halted")), winner->halts);
+	if (winner->halts)
+		return;
+	check_row(r, version, op, name);
+	ck_assert_uint_gt(version, r->before.version);
+	if (r->style == STYLE_PARENT)
+		ck_assert_uint_eq(version, r->before.version + 1);
+}
+
+static void
+check_entrant(struct race *r, const struct entrant *e)
+{
+	uint64_t version = (uint64_t)json_number(e->told, "version");
+
+	if (e->code != CTL_DONE && e->code != CTL_CONFLICT)
+		ck_abort_msg("%s ended with %d", e->op, e->code);
+	if (e->code == CTL_CONFLICT)
+		check_loser(r, e);
+	if (e->halts) {
+		ck_assert_uint_eq(operators_versions_of(r->d, e->op, NULL), 0);
+		return;
+	}
+	(void)operators_check_told(
+	    deployment_host(r->d, 0), r->d, e->op, e->code, version);
+	if (e->code != CTL_DONE)
+		return;
+	check_row(r, version, e->op, e->name);
+	version_watch_accept(r->watch, version, ROLL_BOUND_MS);
+}
+
+static void
+check_halt(struct race *r)
+{
+	if (r->style == STYLE_MIXED && r->entrants[0].code == CTL_DONE)
+		version_watch_halted(r->watch, r->before.version);
+}
+
+/* Each that was told "done" has made one write, and nobody else has. */
+static void
+check_counts(const struct race *r)
+{
+	struct platform_head after = operators_head(r->d);
+	uint32_t done = 0, halts = 0, i;
+
+	for (i = 0; i < OPERATORS; i++) {
+		if (r->entrants[i].code != CTL_DONE)
+			continue;
+		done++;
+		halts += (uint32_t)r->entrants[i].halts;
+	}
+	ck_assert_uint_eq(after.seq, r->before.seq + done);
+	ck_assert_uint_eq(after.version, r->before.version + done - halts);
+	ck_assert_uint_eq(after.in_force, after.version);
+	if (r->style == STYLE_PARENT)
+		ck_assert_uint_eq(done, 1);
+	if (r->style == STYLE_RETRIES)
+		ck_assert_uint_eq(done, OPERATORS);
+	ck_assert_uint_ge(done, 1);
+}
+
+static void
+race(struct deployment *d, struct version_watch *w, enum style style,
+    uint32_t round)
+{
+	struct entrant *e;
+	struct race r = {.d = d, .watch = w, .style = style};
+	uint32_t i;
+
+	r.before = operators_head(d);
+	(void)g_snprintf(
+	    r.parent, sizeof(r.parent), "%" G_GUINT64_FORMAT, r.before.version);
+	/* Each request takes so long that the five overlap. */
+	deployment_platform_knobs(d, "{\"delay_ms\":20}");
+	for (i = 0; i < OPERATORS; i++)
+		start(&r, round, i);
+	for (i = 0; i < OPERATORS; i++) {
+		e = &r.entrants[i];
+		e->told = deployment_ctl_end(e->ctl, &e->code);
+	}
+	deployment_platform_knobs(d, "{\"delay_ms\":0}");
+	check_halt(&r);
+	for (i = 0; i < OPERATORS; i++)
+		check_entrant(&r, &r.entrants[i]);
+	check_counts(&r);
+	for (i = 0; i < OPERATORS; i++) {
+		json_decref(r.entrants[i].told);
+		g_free(r.entrants[i].bundle);
+	}
+}
+
+START_TEST(five_operators_race)
+{
+	char *first = deployment_bundle(0);
+	struct deployment *d = deployment_new(&deployment_registry);
+	struct version_watch *w;
+	uint32_t i;
+
+	deployment_start_nodes(d);
+	w = version_watch_start(d);
+	ck_assert_uint_eq(deployment_sign_off(deployment_host(d, 0), first), 1);
+	version_watch_accept(w, 1, START_BOUND_MS);
+	(void)version_watch_wait(w, 1, START_BOUND_MS);
+	for (i = 0; i < ROUNDS * STYLES; i++)
+		race(d, w, (enum style)(i % STYLES), i);
+	(void)version_watch_wait(w, operators_head(d).in_force, ROLL_BOUND_MS);
+	(void)printf("%lu versions by %u operators\n",
+	    (unsigned long)operators_head(d).version, OPERATORS);
+	ck_assert_uint_eq(version_watch_end(w), 0);
+	deployment_free(d);
+	g_free(first);
+	harness_end();
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("race");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, five_operators_race);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
