--- a/packages/config/test/test_bundle.c
+++ b/packages/config/test/test_bundle.c
@@ -323,6 +323,31 @@
 }
 END_TEST
 
+/* The same numbers in another encoding of the same length are refused. */
+START_TEST(test_section_canonical)
+{
+	static const uint8_t uint16_2000[] = {0xcd, 0x07, 0xd0};
+	struct bundle *b = fix_bundle(good);
+	const struct section *s = g_ptr_array_index(b->sections, 0);
+	GByteArray *out = g_byte_array_new();
+	struct service_config *sc;
+	const uint8_t *data;
+	uint8_t *at;
+	size_t len;
+
+	data = g_bytes_get_data(s->content, &len);
+	g_byte_array_append(out, data, (guint)len);
+	at = memmem(out->data, out->len, uint16_2000, sizeof(uint16_2000));
+	ck_assert_ptr_nonnull(at);
+	*at = 0xd1; /* int16 */
+	ck_assert_int_eq(
+	    section_decode(out->data, out->len, &sc), STATUS_INVALID);
+	ck_assert(strstr(status_message(), "canonical form") != NULL);
+	g_byte_array_unref(out);
+	bundle_free(b);
+}
+END_TEST
+
 /* Damage a few bytes; keep the length, cut it, or splice a piece in. */
 static GByteArray *
 mutate(GRand *rand, const uint8_t *data, size_t len)
@@ -415,6 +440,7 @@
 	tcase_add_test(tc, test_too_large);
 	tcase_add_test(tc, test_meaning);
 	tcase_add_loop_test(tc, test_section_broken, 0, BROKEN_SECTIONS + 1);
+	tcase_add_test(tc, test_section_canonical);
 	tcase_add_test(tc, test_fuzz_section);
 	tcase_add_test(tc, test_fuzz_bundle);
 	tcase_set_timeout(tc, 60);
--- a/packages/config/test/test_snapshot.c
+++ b/packages/config/test/test_snapshot.c
@@ -241,6 +241,38 @@
 }
 END_TEST
 
+/* The same services with other routes, then with other limits only. */
+START_TEST(test_routes_change)
+{
+	static const char *const versions[] = {"'/a'", "'/b'", "'/b'"};
+	struct endpoint_set *none = endpoint_set_new();
+	struct catalog *c = catalog_new(0);
+	const struct route_table *before = NULL;
+	struct snapshot *s;
+	struct bundle *b;
+	char json[256];
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(versions); i++) {
+		g_snprintf(json, sizeof(json),
+		    "{'format':1,'name':'x','services':[{'name':'s',"
+		    "'timeout_ms':%u}],'routes':[{'prefix':%s,"
+		    "'methods':['GET'],'service':'s'}]}",
+		    i + 1, versions[i]);
+		b = fix_bundle(json);
+		ck_assert_int_eq(fix_commit(c, i + 1, b), STATUS_OK);
+		s = snapshot_compile(c, none);
+		ck_assert_int_eq(snapshot_check(s), STATUS_OK);
+		ck_assert_int_eq(s->routes == before, i == 2);
+		before = s->routes;
+		snapshot_unref(s);
+		bundle_free(b);
+	}
+	endpoint_set_free(none);
+	catalog_free(c);
+}
+END_TEST
+
 enum plant {
 	PLANT_SERVICE = 0,
 	PLANT_ROUTE,
@@ -331,6 +363,7 @@
 	tcase_add_test(tc, test_match_random);
 	tcase_add_test(tc, test_endpoints);
 	tcase_add_test(tc, test_sharing);
+	tcase_add_test(tc, test_routes_change);
 	tcase_add_loop_test(tc, test_planted, 0, PLANT_COUNT);
 	tcase_set_timeout(tc, 60);
 	suite_add_tcase(suite, tc);
--- /dev/null
+++ b/packages/rollout/test/scenario.h
@@ -0,0 +1,54 @@
+/*
+ * What the tests of operations share.
+ */
+#ifndef ROLLOUT_TEST_SCENARIO_H
+#define ROLLOUT_TEST_SCENARIO_H
+
+#include <check.h>
+
+#include "world.h"
+
+/* The write of a sign-off comes after head, list, two sections, root. */
+#define WRITE_REQUEST 6
+
+static inline struct rollout_request
+sign(struct world *w, const char *op)
+{
+	return world_request(w, ROLLOUT_SIGN_OFF, op, "anna");
+}
+
+/* Sign versions off until there are @n. */
+static inline void
+sign_many(struct world *w, uint32_t n)
+{
+	struct rollout_request req;
+	char op[STORE_OP_BYTES];
+	uint32_t i;
+
+	for (i = (uint32_t)w->rows->len + 1; i <= n; i++) {
+		g_snprintf(op, sizeof(op), "base-%u", i);
+		req = sign(w, op);
+		req.fresh = true;
+		ck_assert_int_eq(world_do(w, &req, i)->result, ROLLOUT_DONE);
+	}
+}
+
+static inline void
+check_truth(struct world *w)
+{
+	ck_assert_msg(world_check(w), "%s", w->violation);
+}
+
+static inline int
+scenario_run(Suite *suite)
+{
+	SRunner *runner = srunner_create(suite);
+	int n_failed;
+
+	srunner_run_all(runner, CK_NORMAL);
+	n_failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return n_failed == 0 ? 0 : 1;
+}
+
+#endif
--- /dev/null
+++ b/packages/rollout/test/test_race.c
@@ -0,0 +1,231 @@
+/*
+ * Operators who race: one order, each told the truth; and a naive blind retry
+ * that the checker must catch.
+ */
+#include <check.h>
+#include <string.h>
+
+#include "scenario.h"
+
+#define SEEDS 400
+#define RACERS 5
+#define RACE_FAULT_PERCENT 12
+
+/* Two without parent at once: the loser goes on top only if that was asked. */
+START_TEST(test_on_top)
+{
+	struct world *w = world_new((uint32_t)_i);
+	struct rollout_request req;
+	struct actor *a, *b;
+
+	sign_many(w, 1);
+	req = sign(w, "one");
+	req.race_retries = (uint32_t)_i % 2;
+	a = world_start(w, &req, 5, false);
+	req = world_request(w, ROLLOUT_SIGN_OFF, "two", "bjorn");
+	req.race_retries = (uint32_t)_i % 2;
+	b = world_start(w, &req, 6, false);
+	world_run(w);
+	ck_assert_int_eq((a->outcome.result == ROLLOUT_DONE) +
+		(b->outcome.result == ROLLOUT_DONE),
+	    1 + _i % 2);
+	ck_assert_uint_eq(w->rows->len, 2 + (uint32_t)_i % 2);
+	check_truth(w);
+	world_free(w);
+}
+END_TEST
+
+/* Two starts of one id at the same time do it once; both are told so. */
+START_TEST(test_twins)
+{
+	struct world *w = world_new((uint32_t)_i);
+	struct rollout_request req;
+	char op[STORE_OP_BYTES];
+	struct actor *a, *b;
+	uint32_t i;
+
+	sign_many(w, 1);
+	req = sign(w, "op");
+	req.race_retries = RACERS;
+	a = world_start(w, &req, 5, false);
+	b = world_start(w, &req, 5, false);
+	for (i = 0; i < 3; i++) {
+		g_snprintf(op, sizeof(op), "other-%u", i);
+		req = sign(w, op);
+		req.race_retries = RACERS;
+		(void)world_start(w, &req, 6 + i, false);
+	}
+	world_run(w);
+	ck_assert_int_eq(a->outcome.result, ROLLOUT_DONE);
+	ck_assert_int_eq(b->outcome.result, ROLLOUT_DONE);
+	check_truth(w);
+	world_free(w);
+}
+END_TEST
+
+static void
+run_one(struct world *w, const char *op, uint32_t variant)
+{
+	struct rollout_request req = sign(w, op);
+	struct actor *actor;
+
+	req.race_retries = 1;
+	actor = world_start(w, &req, variant, false);
+	while (rollout_outcome(actor->r) == NULL)
+		ck_assert(world_step(w));
+	ck_assert_int_eq(actor->outcome.result, ROLLOUT_DONE);
+}
+
+/* A start whose write is lost, while a rival is first, another start of the
+ * same id goes on top of that, and a third one on top of both: the id is then
+ * neither in the head row nor in the row that the write would have made. */
+START_TEST(test_twin_went_on)
+{
+	struct world *w = world_new(1);
+	struct rollout_request req;
+	struct actor *actor;
+
+	sign_many(w, 1);
+	/* It looks for its id first, which is one request more. */
+	w->fault_at = w->n_requests + WRITE_REQUEST + 1;
+	w->fault = FAULT_LOST_REQUEST;
+	req = sign(w, "op");
+	req.race_retries = 1;
+	actor = world_start(w, &req, 5, false);
+	while (w->n_requests < w->fault_at)
+		ck_assert(world_step(w));
+	run_one(w, "rival", 6);
+	run_one(w, "op", 5);
+	run_one(w, "third", 7);
+	world_run(w);
+	ck_assert_int_eq(actor->outcome.result, ROLLOUT_DONE);
+	ck_assert(actor->outcome.repeated);
+	ck_assert_uint_eq(actor->outcome.version, 3);
+	check_truth(w);
+	world_free(w);
+}
+END_TEST
+
+static void
+start_racer(struct world *w, uint32_t i, bool naive)
+{
+	struct rollout_request req;
+	char op[STORE_OP_BYTES], who[STORE_OPERATOR_BYTES];
+	uint64_t newest = w->rows->len;
+
+	g_snprintf(op, sizeof(op), "op-%u-%u", (uint32_t)w->deeds->len, i);
+	g_snprintf(who, sizeof(who), "operator-%u", i);
+	req = world_request(w,
+	    naive ? ROLLOUT_SIGN_OFF
+		  : (enum rollout_kind)g_rand_int_range(w->rand, 0, 3),
+	    op, who);
+	req.version = newest;
+	if (req.kind == ROLLOUT_SUPERSEDE)
+		req.version = 1;
+	req.has_parent = !naive && g_rand_boolean(w->rand);
+	req.parent = newest;
+	req.fresh = g_rand_boolean(w->rand);
+	req.race_retries =
+	    naive ? RACERS : (uint32_t)g_rand_int_range(w->rand, 0, 3);
+	(void)world_start(w, &req, 10 + i, naive);
+}
+
+/* Start again what ended as unknown, until it is known. */
+static void
+settle_unknown(struct world *w)
+{
+	struct actor *actor;
+	struct rollout_request req;
+	uint32_t i, n = w->actors->len;
+
+	w->fault_percent = 0;
+	for (i = 0; i < n; i++) {
+		actor = g_ptr_array_index(w->actors, i);
+		if (actor->outcome.result != ROLLOUT_UNKNOWN)
+			continue;
+		req = actor->req;
+		req.fresh = false;
+		req.deadline_ms = w->now_ms + 2 * ROLLOUT_STEP_MS;
+		actor = world_start(w, &req,
+		    req.kind == ROLLOUT_SIGN_OFF
+			? actor->bundle != NULL ? 10 + i % RACERS : 0
+			: 0,
+		    false);
+		world_run(w);
+		ck_assert_int_ne(actor->outcome.result, ROLLOUT_UNKNOWN);
+	}
+}
+
+/* Racing operators on a bad platform; the violation, or an empty text. */
+static void
+race(uint32_t seed, bool naive, char *violation, uint32_t *n_results)
+{
+	struct world *w = world_new(seed);
+	const struct actor *actor;
+	uint32_t i, round;
+
+	sign_many(w, 1);
+	w->fault_percent = RACE_FAULT_PERCENT;
+	for (round = 0; round < 2; round++) {
+		for (i = 0; i < RACERS; i++)
+			start_racer(w, i, naive);
+		world_run(w);
+	}
+	for (i = 1; i < w->actors->len; i++) {
+		actor = g_ptr_array_index(w->actors, i);
+		n_results[actor->outcome.result]++;
+	}
+	if (!naive)
+		settle_unknown(w);
+	(void)world_check(w);
+	ck_assert_uint_eq(w->n_whole, 0);
+	g_strlcpy(violation, w->violation, WORLD_VIOLATION_BYTES);
+	world_free(w);
+}
+
+START_TEST(test_race)
+{
+	uint32_t seed, n_results[ROLLOUT_UNKNOWN + 1] = {0};
+	char violation[WORLD_VIOLATION_BYTES];
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		race(seed, false, violation, n_results);
+		ck_assert_msg(
+		    violation[0] == '\0', "seed %u: %s", seed, violation);
+	}
+	/* The runs were of use: operators won, lost and halted. */
+	ck_assert_uint_gt(n_results[ROLLOUT_DONE], SEEDS);
+	ck_assert_uint_gt(n_results[ROLLOUT_CONFLICT], SEEDS);
+	ck_assert_uint_gt(n_results[ROLLOUT_ALREADY], 0);
+}
+END_TEST
+
+/* The blind retry does things twice, and the checker sees it. */
+START_TEST(test_naive_is_caught)
+{
+	uint32_t seed, n_caught = 0, n_results[ROLLOUT_UNKNOWN + 1] = {0};
+	char violation[WORLD_VIOLATION_BYTES];
+
+	for (seed = 1; seed <= SEEDS / 4; seed++) {
+		race(seed, true, violation, n_results);
+		n_caught += strstr(violation, "done twice") != NULL;
+	}
+	ck_assert_uint_gt(n_caught, SEEDS / 16);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("race");
+	TCase *tc = tcase_create("race");
+
+	tcase_add_loop_test(tc, test_on_top, 0, 20);
+	tcase_add_loop_test(tc, test_twins, 0, 60);
+	tcase_add_test(tc, test_twin_went_on);
+	tcase_add_test(tc, test_race);
+	tcase_add_test(tc, test_naive_is_caught);
+	tcase_set_timeout(tc, 60);
+	suite_add_tcase(suite, tc);
+	return scenario_run(suite);
+}
--- a/packages/rollout/test/world.h
+++ b/packages/rollout/test/world.h
@@ -11,6 +11,9 @@
 
 #define WORLD_VIOLATION_BYTES 256
 
+/* Variant of a bundle with as many and as long names as may be. */
+#define WORLD_HUGE UINT32_MAX
+
 /** enum fault - what becomes of one request to the platform */
 enum fault {
 	FAULT_NONE = 0,
@@ -66,12 +69,16 @@
  * @n_requests: requests so far
  * @fault_at: request that goes wrong by @fault, counted from 1; 0 for none
  * @fault: how
+ * @refuse: what the platform says to each request of @refuse_kind;
+ * STATUS_OK to carry them out
+ * @refuse_kind: kind of action refused
  * @head: the head row; seq 0 for none
  * @rows: struct row
  * @objects: key to GBytes
  * @events: struct event, sorted by time
  * @actors: struct actor
  * @deeds: struct deed, in order of the head row's seq
+ * @n_whole: version rows that do not list their changes
  * @violation: first violation seen; empty for none
  */
 struct world {
@@ -83,12 +90,15 @@
 	uint32_t n_requests;
 	uint32_t fault_at;
 	enum fault fault;
+	enum status refuse;
+	enum rollout_action_kind refuse_kind;
 	struct store_head head;
 	GPtrArray *rows;
 	GHashTable *objects;
 	GSequence *events;
 	GPtrArray *actors;
 	GArray *deeds;
+	uint32_t n_whole;
 	char violation[WORLD_VIOLATION_BYTES];
 };
 
@@ -103,6 +113,9 @@
 struct actor *world_start(struct world *w, const struct rollout_request *req,
     uint32_t variant, bool naive);
 
+/** world_step() - let one thing happen; whether there was one */
+bool world_step(struct world *w);
+
 /** world_run() - run until all have ended and nothing is on its way */
 void world_run(struct world *w);
 
