fix(node): a planned stop cuts no call, at callers and between nodes

Solution: at a stop the listening socket drops the first segment of new connections (a socket filter), what is connected is answered and closed, and only then CivetWeb stops. A draining guard asks its entries for no more requests (call_goodbye) and counts as busy until they have promised it.

--- a/packages/node/bench/bench_call.c
+++ b/packages/node/bench/bench_call.c
@@ -3,7 +3,8 @@
  * to the same upstream in the same run, and the processor time per call.
  *
  * Three processes: callers and upstream here, the entry's node and the
- * guard's node in a process each.  Usage: bench_call [seconds [rate]]
+ * guard's node in a process each.  Usage: bench_call [seconds [rate]]; with a
+ * rate of 0 only the most that the nodes carry is measured.
  */
 #include <inttypes.h>
 #include <pthread.h>
@@ -324,12 +325,14 @@
 	direct.samples_us = g_new(uint32_t, SAMPLES_MAX);
 	through.samples_us = g_new(uint32_t, SAMPLES_MAX);
 	(void)snprintf(what, sizeof(what), "lookups at %" PRIu64 "/s", rate);
-	compare(what, &direct, &through, seconds);
+	if (rate > 0)
+		compare(what, &direct, &through, seconds);
 	direct.method = through.method = "POST";
 	direct.path = through.path = "/book/x?bytes=512";
 	direct.body = through.body = "{\"seat\":7}";
 	(void)snprintf(what, sizeof(what), "bookings at %" PRIu64 "/s", rate);
-	compare(what, &direct, &through, seconds);
+	if (rate > 0)
+		compare(what, &direct, &through, seconds);
 	most("most bookings", &through, &entry, &guard, seconds / 2);
 	through.method = "GET";
 	through.path = "/look/x?bytes=512";
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "base/clock.h"
 #include "proto/addr.h"
 
 #define LOG_PART "callers"
@@ -22,6 +23,10 @@
 #define LISTEN_BACKLOG "1024"
 
 #define OPTION_BYTES 32
+
+/* Time in which connections that are being made get through. */
+#define SETTLE_MS 50
+#define POLL_US 2000
 #define MESSAGE_BYTES 160
 
 static int
@@ -151,6 +156,7 @@
 void
 callers_drain(struct callers *c, uint64_t deadline_ms)
 {
+	c->deadline_ms = deadline_ms;
 	c->draining = true;
 	entry_drain(c->entry, deadline_ms);
 	log_info("draining, %u calls in flight", callers_in_flight(c));
@@ -162,11 +168,33 @@
 	return c->in_flight;
 }
 
+/*
+ * After a drain the open connections end by themselves: each answer closes
+ * its connection, and idle ones are closed after the keep-alive time.  What a
+ * caller has sent by then is answered.
+ */
+static void
+let_connections_end(struct callers *c)
+{
+	uint64_t least_ms = clock_now_ms() + SETTLE_MS;
+	uint64_t now_ms;
+
+	callers_socket_no_more(c->listener);
+	do {
+		g_usleep(POLL_US);
+		now_ms = clock_now_ms();
+	} while (now_ms < least_ms ||
+	    (now_ms < c->deadline_ms &&
+		(c->connections > 0 || callers_socket_waiting(c->listener))));
+}
+
 void
 callers_stop(struct callers *c)
 {
 	if (c->ctx == NULL)
 		return;
+	if (c->draining)
+		let_connections_end(c);
 	/* Wakes the thread that accepts, which looks every 2 s only. */
 	if (c->listener >= 0)
 		(void)shutdown(c->listener, SHUT_RD);
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -25,6 +25,7 @@
  * @connections: connections that hold a worker
  * @in_flight: calls whose answer isn't written whole
  * @draining: each answer closes its connection
+ * @deadline_ms: when a drain gives up
  */
 struct callers {
 	const struct settings *settings;
@@ -35,6 +36,7 @@
 	_Atomic uint32_t connections;
 	_Atomic uint32_t in_flight;
 	_Atomic bool draining;
+	_Atomic uint64_t deadline_ms;
 };
 
 /**
@@ -111,4 +113,14 @@
  */
 int callers_socket_listener(uint16_t port);
 
+/**
+ * callers_socket_no_more() - let no new connection be made
+ *
+ * Those that are being made, or wait to be taken, are still served.
+ */
+void callers_socket_no_more(int listener);
+
+/** callers_socket_waiting() - whether connections wait to be taken */
+bool callers_socket_waiting(int listener);
+
 #endif
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -7,6 +7,7 @@
  */
 #include <arpa/inet.h>
 #include <dirent.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -18,6 +19,9 @@
 #define FD_DIRECTORY "/proc/self/fd"
 #define DECIMAL 10
 
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_SYN_BIT 2
+
 /* The system drops a connection that says nothing for this long. */
 #define DEFER_S 10
 
@@ -111,3 +115,34 @@
 		    sizeof(seconds));
 	return fd;
 }
+
+/* Drops the first segment of each new connection; offsets are TCP's. */
+static struct sock_filter no_syn[] = {
+    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_SYN_BIT, 0, 1),
+    BPF_STMT(BPF_RET | BPF_K, 0),
+    BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+};
+
+void
+callers_socket_no_more(int listener)
+{
+	const struct sock_fprog program = {
+	    .len = G_N_ELEMENTS(no_syn), .filter = no_syn};
+	int seconds = 0;
+
+	if (listener < 0)
+		return;
+	(void)setsockopt(
+	    listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &seconds, sizeof(seconds));
+	(void)setsockopt(
+	    listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+bool
+callers_socket_waiting(int listener)
+{
+	struct pollfd p = {.fd = listener, .events = POLLIN};
+
+	return listener >= 0 && poll(&p, 1, 0) == 1;
+}
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -120,6 +120,19 @@
 	}
 }
 
+void
+entry_attempt_turned_away(struct entry_attempt *a)
+{
+	struct entry_call *c = a->call;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+
+	entry_attempt_end(a, ENDPOINT_DRAINS);
+	call_sent(c->decision, a->action.stream, 0, now_ms);
+	call_refused(
+	    c->decision, a->action.stream, REFUSAL_STOPPING, 0, now_ms);
+	entry_call_run(c);
+}
+
 void
 entry_attempt_start(struct entry_attempt *a)
 {
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -291,6 +291,17 @@
 	return true;
 }
 
+static bool
+on_goodbye(struct entry_peer *p, const uint8_t *body, size_t len)
+{
+	struct msg_call_goodbye m;
+
+	if (msg_call_goodbye_decode(body, len, &m) != STATUS_OK)
+		return false;
+	entry_peer_goodbye(p, m.sent_ms);
+	return true;
+}
+
 bool
 entry_frame(struct entry_peer *p, uint8_t type, const uint8_t *body, size_t len)
 {
@@ -307,6 +318,8 @@
 		return on_failed(p, body, len);
 	case MSG_CALL_RESOLVED:
 		return on_resolved(p, body, len);
+	case MSG_CALL_GOODBYE:
+		return on_goodbye(p, body, len);
 	case MSG_CALL_PING:
 		return on_ping(p, body, len);
 	default:
--- a/packages/node/src/entry_peer.c
+++ b/packages/node/src/entry_peer.c
@@ -70,6 +70,7 @@
 		g_ptr_array_add(lost, a);
 	}
 	p->state = PEER_NONE;
+	p->leaving = false;
 	call_link_clear(&p->link);
 	loop_timer_stop(&p->timer);
 	call_silence_init(&p->silence, PING_AFTER_MS, PING_LOST_MS);
@@ -257,6 +258,17 @@
 	return p;
 }
 
+void
+entry_peer_goodbye(struct entry_peer *p, uint64_t sent_ms)
+{
+	struct msg_call_goodbye_ack ack = {.echo = sent_ms};
+	char text[ADDR_TEXT_BYTES];
+
+	log_info("guard %s: is stopping", addr_format(&p->address, text));
+	p->leaving = true;
+	(void)call_link_send(&p->link, MSG_CALL_GOODBYE_ACK, &ack);
+}
+
 static uint32_t
 next_stream(struct entry_peer *p)
 {
@@ -278,6 +290,11 @@
 			dial(p);
 		return;
 	}
+	if (p->leaving && a->kind == ATTEMPT_SEND) {
+		a->peer = NULL;
+		entry_attempt_turned_away(a);
+		return;
+	}
 	a->stream = next_stream(p);
 	g_hash_table_insert(p->streams, GUINT_TO_POINTER(a->stream), a);
 	await(p);
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -107,6 +107,7 @@
  * @silence: whether the connection has gone silent
  * @timer: pings, time limit of dialling, closing when idle
  * @used_ms: when a stream was last open
+ * @leaving: the guard asked for no more requests
  */
 struct entry_peer {
 	struct entry *entry;
@@ -120,6 +121,7 @@
 	struct call_silence silence;
 	struct loop_timer timer;
 	uint64_t used_ms;
+	bool leaving;
 };
 
 /** enum attempt_kind - what a stream is for */
@@ -262,6 +264,9 @@
 /** entry_peer_get() - the guard at an address, made if needed */
 struct entry_peer *entry_peer_get(struct entry *e, struct net_addr address);
 
+/** entry_peer_goodbye() - the guard asks for no more requests */
+void entry_peer_goodbye(struct entry_peer *p, uint64_t sent_ms);
+
 /** entry_peer_add() - send @a as soon as the connection is ready */
 void entry_peer_add(struct entry_peer *p, struct entry_attempt *a);
 
@@ -290,6 +295,9 @@
 /** entry_attempt_free() - free it; for GPtrArray */
 void entry_attempt_free(void *attempt);
 
+/** entry_attempt_turned_away() - its guard is stopping; nothing was sent */
+void entry_attempt_turned_away(struct entry_attempt *a);
+
 /** entry_attempt_start() - the connection is ready: send its first frame */
 void entry_attempt_start(struct entry_attempt *a);
 
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -35,23 +35,31 @@
 	return request_id_equal(a, b);
 }
 
-/* Bytes of answers that still wait to be written. */
+/* Connections on which a stop would cut something. */
 static uint32_t
-unsent(const struct guard *g)
+busy_conns(const struct guard *g)
 {
 	const struct guard_conn *gc;
 	GHashTableIter it;
 	uint32_t n = 0;
 
 	g_hash_table_iter_init(&it, g->conns);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&gc)) {
-		if (conn_output_bytes(gc->link.conn) > 0 ||
-		    g_hash_table_size(gc->streams) > 0)
-			n++;
-	}
+	while (g_hash_table_iter_next(&it, NULL, (void **)&gc))
+		n += guard_conn_busy(gc);
 	return n;
 }
 
+static void
+say_goodbye(struct guard *g)
+{
+	struct guard_conn *gc;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, g->conns);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&gc))
+		guard_conn_goodbye(gc);
+}
+
 static void
 tick(void *arg)
 {
@@ -62,7 +70,7 @@
 	guard_keyed_tick(g);
 	guard_resolve_expire(g);
 	drain_tick(&g->drain, now_ms);
-	atomic_store(&g->unsent, unsent(g));
+	atomic_store(&g->busy_conns, busy_conns(g));
 	loop_timer_set(&g->tick, now_ms + TICK_MS);
 }
 
@@ -212,6 +220,9 @@
 	drain_begin(
 	    &g->drain, 0, clock_left_ms(o->deadline_ms, now_ms), now_ms);
 	guard_upstream_drain_all(g);
+	say_goodbye(g);
+	atomic_store(&g->busy_conns, busy_conns(g));
+	g->drained = true;
 	log_info("draining, %u requests in flight", guard_in_flight(g));
 	g_free(o);
 }
@@ -222,13 +233,15 @@
 	struct guard_order *o = order_new(g, 0);
 
 	o->deadline_ms = deadline_ms;
+	atomic_store(&g->draining, true);
 	loop_post(g->loop, do_drain, o);
 }
 
 uint32_t
 guard_in_flight(const struct guard *g)
 {
-	return atomic_load(&g->in_flight) + atomic_load(&g->unsent);
+	return atomic_load(&g->in_flight) + atomic_load(&g->busy_conns) +
+	    (atomic_load(&g->draining) && !atomic_load(&g->drained));
 }
 
 void
--- a/packages/node/src/guard_conn.c
+++ b/packages/node/src/guard_conn.c
@@ -34,6 +34,26 @@
 	(void)call_link_send(&gc->link, MSG_CALL_HELLO, &m);
 }
 
+void
+guard_conn_goodbye(struct guard_conn *gc)
+{
+	struct msg_call_goodbye m = {.sent_ms = loop_now_ms(gc->guard->loop)};
+
+	if (gc->goodbye || !gc->greeted)
+		return;
+	gc->goodbye = true;
+	(void)call_link_send(&gc->link, MSG_CALL_GOODBYE, &m);
+}
+
+bool
+guard_conn_busy(const struct guard_conn *gc)
+{
+	if (g_hash_table_size(gc->streams) > 0 ||
+	    conn_output_bytes(gc->link.conn) > 0)
+		return true;
+	return gc->goodbye && !gc->quiet;
+}
+
 void
 guard_conn_accept(struct conn *conn, void *guard)
 {
--- a/packages/node/src/guard_frames.c
+++ b/packages/node/src/guard_frames.c
@@ -151,6 +151,20 @@
 	gc->greeted = true;
 	frame_age_echo(
 	    &gc->age, m.echo, m.sent_ms, loop_now_ms(gc->guard->loop));
+	if (!drain_takes_request(&gc->guard->drain))
+		guard_conn_goodbye(gc);
+	return true;
+}
+
+static bool
+on_goodbye_ack(struct guard_conn *gc, const uint8_t *body, size_t len)
+{
+	struct msg_call_goodbye_ack m;
+
+	if (msg_call_goodbye_ack_decode(body, len, &m) != STATUS_OK ||
+	    !gc->goodbye)
+		return false;
+	gc->quiet = true;
 	return true;
 }
 
@@ -180,6 +194,8 @@
 		return on_ping(gc, body, len);
 	case MSG_CALL_PONG:
 		return on_pong(gc, body, len);
+	case MSG_CALL_GOODBYE_ACK:
+		return on_goodbye_ack(gc, body, len);
 	default:
 		return true;
 	}
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -49,7 +49,9 @@
  * @drain: the stop of this guard
  * @tick: forgets old fates, moves the drain on
  * @in_flight: number of requests, atomic for guard_in_flight()
- * @unsent: whether answers wait in output buffers, atomic likewise
+ * @busy_conns: connections on which a stop would cut something, likewise
+ * @draining: a drain was asked for
+ * @drained: and has begun in the guard's thread
  */
 struct guard {
 	const struct settings *settings;
@@ -73,7 +75,9 @@
 	struct drain drain;
 	struct loop_timer tick;
 	_Atomic uint32_t in_flight;
-	_Atomic uint32_t unsent;
+	_Atomic uint32_t busy_conns;
+	_Atomic bool draining;
+	_Atomic bool drained;
 };
 
 /**
@@ -103,6 +107,8 @@
  * @id: its number
  * @host: host of the entry, for logs
  * @greeted: the entry has answered the hello
+ * @goodbye: it was asked for no more requests
+ * @quiet: it has promised that
  * @age: bound on the age of its frames
  * @streams: stream number to struct guard_out
  * @timer: next ping, which keeps the bound on the age fresh
@@ -113,6 +119,8 @@
 	uint64_t id;
 	char host[SETTINGS_NAME_BYTES];
 	bool greeted;
+	bool goodbye;
+	bool quiet;
 	struct frame_age age;
 	GHashTable *streams;
 	struct loop_timer timer;
@@ -259,6 +267,12 @@
 /** guard_conn_accept() - a connection came in */
 void guard_conn_accept(struct conn *conn, void *guard);
 
+/** guard_conn_goodbye() - ask the entry for no more requests */
+void guard_conn_goodbye(struct guard_conn *gc);
+
+/** guard_conn_busy() - whether a stop would cut something on it */
+bool guard_conn_busy(const struct guard_conn *gc);
+
 /** guard_conn_free() - close it; for GHashTable */
 void guard_conn_free(void *conn);
 
--- a/packages/node/test/fixture_caller.c
+++ b/packages/node/test/fixture_caller.c
@@ -13,6 +13,7 @@
 
 #define HEAD_MAX 65536
 #define READ_MAX 65536
+#define TEST_TIMEOUT_S 30
 #define STATUS_PREFIX "HTTP/1.1 "
 
 int
@@ -199,18 +200,21 @@
 	r->body = NULL;
 }
 
+/* Each test is a case of its own, so that CK_RUN_CASE can choose it. */
 int
 fixture_main(const char *name, const TTest *const *tests)
 {
 	Suite *suite = suite_create(name);
-	TCase *tc = tcase_create(name);
 	SRunner *runner;
+	TCase *tc;
 	int failed;
 
-	tcase_set_timeout(tc, 30);
-	for (; *tests != NULL; tests++)
+	for (; *tests != NULL; tests++) {
+		tc = tcase_create((*tests)->name);
+		tcase_set_timeout(tc, TEST_TIMEOUT_S);
 		tcase_add_test(tc, *tests);
-	suite_add_tcase(suite, tc);
+		suite_add_tcase(suite, tc);
+	}
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -14,6 +14,8 @@
 
 #define HEAD_MAX 65536
 #define BUF_BYTES 65536
+#define LETTERS 26
+#define PATTERN_BYTES (2048 * (size_t)LETTERS)
 
 struct upstream_conn {
 	struct fake_upstream *u;
@@ -161,20 +163,34 @@
 	}
 }
 
+/* The alphabet, repeated. */
+static const char *
+pattern(void)
+{
+	static char buf[PATTERN_BYTES];
+	static gsize once;
+	size_t i;
+
+	if (g_once_init_enter(&once)) {
+		for (i = 0; i < sizeof(buf); i++)
+			buf[i] = (char)('a' + i % LETTERS);
+		g_once_init_leave(&once, 1);
+	}
+	return buf;
+}
+
 static void
 put_pattern(int fd, size_t len, bool chunked)
 {
-	char buf[BUF_BYTES], line[16];
-	size_t i, n;
+	char line[16];
+	size_t n;
 
-	for (i = 0; i < sizeof(buf); i++)
-		buf[i] = (char)('a' + i % 26);
 	while (len > 0) {
-		n = MIN(len, (sizeof(buf) / 26) * 26);
+		n = MIN(len, PATTERN_BYTES);
 		(void)snprintf(line, sizeof(line), "%zx\r\n", n);
 		if (chunked)
 			put(fd, line, strlen(line));
-		put(fd, buf, n);
+		put(fd, pattern(), n);
 		if (chunked)
 			put(fd, "\r\n", 2);
 		len -= n;
@@ -217,7 +233,8 @@
 	}
 	(void)snprintf(line, sizeof(line),
 	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", bytes);
-	put(c->fd, line, strlen(line));
+	(void)send(c->fd, line, strlen(line),
+	    MSG_NOSIGNAL | (bytes > 0 ? MSG_MORE : 0));
 	if (strstr(head, "do=cut") != NULL) {
 		put_pattern(c->fd, bytes / 2, false);
 		return false;
--- /dev/null
+++ b/packages/node/test/test_call_drain.c
@@ -0,0 +1,169 @@
+/*
+ * Tests of planned stops and replacements of a guard while others call it.
+ */
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "node/snapshot_ref.h"
+
+#include "fixture.h"
+
+#define CALLERS 8
+
+static struct fake_upstream *upstreams[2];
+static struct test_node *nodes[2];
+static struct fake_endpoint endpoints[2];
+static _Atomic bool stopping;
+
+static uint16_t fixed_port;
+
+static void
+fix_port(struct settings *s)
+{
+	s->call_port = fixed_port;
+}
+
+static void
+start(uint32_t n)
+{
+	static const char *const hosts[] = {"h1", "h2"};
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		upstreams[i] = fake_upstream_start();
+		nodes[i] = test_node_start(hosts[i], NULL);
+		test_node_upstream(nodes[i], upstreams[i]->port, SERVING_READY);
+		endpoints[i].host = hosts[i];
+		endpoints[i].port = guard_addr(nodes[i]->guard).port;
+	}
+	test_snapshot(endpoints + 2 - n, n);
+}
+
+static void
+stop(void)
+{
+	int i;
+
+	for (i = 0; i < 2; i++)
+		test_node_stop(nodes[i]);
+	for (i = 0; i < 2; i++)
+		fake_upstream_stop(upstreams[i]);
+	snapshot_ref_publish(NULL);
+}
+
+/**
+ * struct tally - what a caller was told
+ * @done: answers
+ * @not_run: refusals
+ * @bad: unknown fates and answers that are not whole
+ */
+struct tally {
+	int done;
+	int not_run;
+	int bad;
+};
+
+static void *
+caller_main(void *arg)
+{
+	struct tally *t = arg;
+	struct reply r;
+
+	while (!stopping) {
+		if (!caller_call(callers_port(nodes[0]->callers), "POST",
+			"/book/x?ms=3", NULL, "seat", 4, &r) ||
+		    !r.whole || strcmp(r.fate, "unknown") == 0)
+			t->bad++;
+		else if (r.status == 200)
+			t->done++;
+		else
+			t->not_run++;
+		reply_clear(&r);
+	}
+	return NULL;
+}
+
+static int
+requests(void *arg)
+{
+	return (int)guard_in_flight(((struct test_node *)arg)->guard);
+}
+
+START_TEST(a_guard_that_stops_under_load_leaves_no_fate_unknown)
+{
+	struct tally tallies[CALLERS] = {0};
+	pthread_t threads[CALLERS];
+	int i;
+
+	start(2);
+	for (i = 0; i < CALLERS; i++)
+		ck_assert_int_eq(
+		    pthread_create(&threads[i], NULL, caller_main, &tallies[i]),
+		    0);
+	g_usleep(200000);
+	guard_drain(nodes[1]->guard, clock_now_ms() + 5000);
+	ck_assert(test_wait_int(requests, nodes[1], 0));
+	guard_stop(nodes[1]->guard);
+	g_usleep(100000);
+	stopping = true;
+	for (i = 0; i < CALLERS; i++) {
+		pthread_join(threads[i], NULL);
+		ck_assert_int_gt(tallies[i].done, 0);
+		ck_assert_int_eq(tallies[i].bad, 0);
+		ck_assert_int_eq(tallies[i].not_run, 0);
+	}
+	stop();
+}
+END_TEST
+
+static int
+running(void *arg)
+{
+	return ((struct fake_upstream *)arg)->running;
+}
+
+static void *
+book_slowly(void *arg)
+{
+	(void)caller_call(callers_port(nodes[0]->callers), "POST",
+	    "/book/x?ms=400", "X-Test-Id: slow\r\n", "seat", 4, arg);
+	return NULL;
+}
+
+/* The new process can't know what the old one ran. */
+START_TEST(a_guard_replaced_at_its_address_vouches_for_nothing)
+{
+	struct test_node *other;
+	struct reply r;
+	pthread_t thread;
+
+	start(1);
+	fixed_port = endpoints[1].port;
+	ck_assert_int_eq(pthread_create(&thread, NULL, book_slowly, &r), 0);
+	ck_assert(test_wait_int(running, upstreams[1], 1));
+	guard_stop(nodes[1]->guard);
+	guard_free(nodes[1]->guard);
+	nodes[1]->guard = NULL;
+	other = test_node_start("h2", fix_port);
+	test_node_upstream(other, upstreams[1]->port, SERVING_READY);
+	pthread_join(thread, NULL);
+	ck_assert_int_eq(r.status, 504);
+	ck_assert_str_eq(r.fate, "unknown");
+	ck_assert_int_eq(fake_upstream_runs(upstreams[1], "slow"), 1);
+	reply_clear(&r);
+	nodes[1]->guard = guard_new(&nodes[1]->settings, 1);
+	test_node_stop(other);
+	stop();
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *const tests[] = {
+	    a_guard_that_stops_under_load_leaves_no_fate_unknown,
+	    a_guard_replaced_at_its_address_vouches_for_nothing, NULL};
+
+	return fixture_main("call drain", tests);
+}
--- a/packages/node/test/test_callers.c
+++ b/packages/node/test/test_callers.c
@@ -289,6 +289,73 @@
 }
 END_TEST
 
+#define HAMMERS 8
+
+/**
+ * struct hammer - a caller that goes on until it is turned away
+ * @answered: calls with a whole answer
+ * @cut: calls that were sent and got none
+ */
+struct hammer {
+	int answered;
+	int cut;
+};
+
+static void *
+hammer_main(void *arg)
+{
+	struct hammer *h = arg;
+	struct reply r;
+	int fd = -1;
+
+	for (;;) {
+		if (fd < 0)
+			fd = caller_connect(callers_port(node->callers));
+		if (fd < 0)
+			return NULL;
+		if (!caller_send(fd, "POST", "/book/x?ms=5", NULL, "s", 1) ||
+		    !caller_read(fd, &r) || !r.whole) {
+			h->cut++;
+			return NULL;
+		}
+		h->answered++;
+		ck_assert_str_ne(r.fate, "unknown");
+		if (r.closes) {
+			close(fd);
+			fd = -1;
+		}
+		reply_clear(&r);
+	}
+}
+
+START_TEST(a_planned_stop_under_load_cuts_no_call)
+{
+	struct hammer hammers[HAMMERS] = {0};
+	pthread_t threads[HAMMERS];
+	uint64_t deadline_ms;
+	int i;
+
+	start();
+	for (i = 0; i < HAMMERS; i++)
+		ck_assert_int_eq(
+		    pthread_create(&threads[i], NULL, hammer_main, &hammers[i]),
+		    0);
+	g_usleep(200000);
+	deadline_ms = clock_now_ms() + node->settings.drain_ms;
+	callers_drain(node->callers, deadline_ms);
+	guard_drain(node->guard, deadline_ms);
+	g_usleep(100000);
+	callers_stop(node->callers);
+	for (i = 0; i < HAMMERS; i++) {
+		pthread_join(threads[i], NULL);
+		ck_assert_int_gt(hammers[i].answered, 0);
+		ck_assert_int_eq(hammers[i].cut, 0);
+	}
+	ck_assert(test_wait_int(requests, NULL, 0));
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -298,7 +365,7 @@
 	    a_caller_that_hangs_up_cancels_its_lookup,
 	    an_upload_is_held_back_and_holds_back_no_lookup,
 	    what_is_too_large_is_refused_with_a_remedy, a_drain_cuts_no_answer,
-	    NULL};
+	    a_planned_stop_under_load_cuts_no_call, NULL};
 
 	return fixture_main("callers", tests);
 }
