test(capacity): one real node among 22,000 hosts that a swarm plays

Solution: bench_control starts one bramleydrift and plays all other hosts to it over loopback, each with an address of its own, from one table, catalog and spread; news, pings, notices, pulls and floors come at rates that are named. It reads the process's time and memory from /proc and checks that the process followed.

--- /dev/null
+++ b/test/capacity/bench_control.c
@@ -0,0 +1,277 @@
+/*
+ * Bench of one node's control: a real process among many hosts that a swarm
+ * plays to it, as one line of a table.
+ *
+ * Options are name=value: members, dcs, home, services, routes, news and
+ * versions (in thousandths a second), copies, notices, pings, fail, seconds.
+ * Processor time and memory are the process's own, from /proc.
+ */
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "subject.h"
+#include "swarm.h"
+
+#define SUBJECT_HOST "subject"
+#define READY_MS 120000
+#define SETTLE_MS 10000
+#define POLL_MS 20
+#define THOUSAND 1000.0
+#define US_PER_MS 1000
+#define DATA_CENTRE_FAILS_MS 20000
+
+/**
+ * struct bench - one run
+ * @plan: what is played
+ * @news: records that change in a thousand seconds
+ * @versions: versions signed off in a thousand seconds
+ * @pings: pings in a thousand seconds
+ * @fail: hosts that fail at the end
+ * @seconds: how long is measured
+ * @loop: the swarm's loop
+ * @swarm: all other hosts
+ * @subject: the process
+ * @ready: whether it serves
+ */
+struct bench {
+	struct swarm_plan plan;
+	uint32_t news;
+	uint32_t versions;
+	uint32_t pings;
+	uint32_t fail;
+	uint32_t seconds;
+	struct loop *loop;
+	struct swarm *swarm;
+	struct subject subject;
+	_Atomic int ready;
+};
+
+static void
+run(const struct bench *b, uint64_t ms)
+{
+	uint64_t until_ms = clock_now_ms() + ms;
+
+	while (clock_now_ms() < until_ms)
+		loop_run_once(b->loop, MIN(until_ms, clock_now_ms() + POLL_MS));
+}
+
+/* Asks for the process's health in a thread, as the loop has to go on. */
+static gpointer
+wait_ready(gpointer arg)
+{
+	struct bench *b = arg;
+	uint64_t until_ms = clock_now_ms() + READY_MS;
+
+	while (!subject_ready(&b->subject) && clock_now_ms() < until_ms)
+		g_usleep(POLL_MS * US_PER_MS);
+	atomic_store(&b->ready, 1);
+	return NULL;
+}
+
+static void
+start(struct bench *b)
+{
+	struct subject_plan plan = {
+	    .host = SUBJECT_HOST, .data_centre = SWARM_HOME};
+	struct net_addr at = {subject_address(0), 0};
+	uint64_t began_ms;
+	struct usage u;
+	GThread *waiter;
+
+	b->loop = loop_new();
+	b->swarm = swarm_new(b->loop, &b->plan);
+	plan.seed = swarm_seed(b->swarm);
+	began_ms = clock_now_ms();
+	subject_start(&b->subject, &plan);
+	at.port = b->subject.peer_port;
+	swarm_meet(b->swarm, at);
+	waiter = g_thread_new("ready", wait_ready, b);
+	while (!atomic_load(&b->ready))
+		run(b, POLL_MS);
+	(void)g_thread_join(waiter);
+	subject_usage(&b->subject, &u);
+	printf("  process %d joined in %.1f s: %.0f KB to it, %.0f KB from it, "
+	       "%.0f "
+	       "ms of processor time\n",
+	    (int)process_pid(b->subject.process),
+	    (double)(clock_now_ms() - began_ms) / THOUSAND,
+	    (double)(swarm_traffic(b->swarm)->to_frame_bytes +
+		swarm_traffic(b->swarm)->to_bytes) /
+		THOUSAND,
+	    (double)(swarm_traffic(b->swarm)->from_frame_bytes +
+		swarm_traffic(b->swarm)->from_bytes) /
+		THOUSAND,
+	    (double)u.cpu_us / THOUSAND);
+}
+
+static double
+each_s(uint64_t now, uint64_t before, double s)
+{
+	return (double)(now - before) / s;
+}
+
+static void
+report(const struct bench *b, const struct usage *before,
+    const struct swarm_traffic *t0, double s)
+{
+	const struct swarm_traffic *t = swarm_traffic(b->swarm);
+	struct usage u;
+
+	subject_usage(&b->subject, &u);
+	printf("%7u %3u %5u %5u %6.2f %5.2f | %6.0f us/s %6.3f %% busiest "
+	       "%6.0f | in %5.0f out %5.0f B/s, %5.1f msgs/s | rss %5.1f own "
+	       "%5.1f MB, %u threads, load %.1f\n",
+	    b->plan.members, b->plan.data_centres, b->plan.home,
+	    b->plan.services, each_s(t->changes, t0->changes, s),
+	    each_s(t->versions, t0->versions, s),
+	    each_s(u.cpu_us, before->cpu_us, s),
+	    each_s(u.cpu_us, before->cpu_us, s) / 10000,
+	    each_s(u.most_us, before->most_us, s),
+	    each_s(t->to_bytes + t->to_frame_bytes,
+		t0->to_bytes + t0->to_frame_bytes, s),
+	    each_s(t->from_bytes + t->from_frame_bytes,
+		t0->from_bytes + t0->from_frame_bytes, s),
+	    each_s(t->from_datagrams, t0->from_datagrams, s),
+	    (double)u.rss_kb / THOUSAND, (double)u.own_kb / THOUSAND, u.threads,
+	    usage_load());
+}
+
+static void
+measure(struct bench *b)
+{
+	struct swarm_traffic traffic;
+	struct usage before;
+	uint64_t began_ms;
+
+	swarm_rates(b->swarm, b->news / THOUSAND, b->versions / THOUSAND);
+	run(b, SETTLE_MS);
+	traffic = *swarm_traffic(b->swarm);
+	subject_usage(&b->subject, &before);
+	began_ms = clock_now_ms();
+	run(b, b->seconds * (uint64_t)THOUSAND);
+	report(b, &before, &traffic,
+	    (double)(clock_now_ms() - began_ms) / THOUSAND);
+}
+
+static void
+fail_many(struct bench *b)
+{
+	struct swarm_traffic traffic = *swarm_traffic(b->swarm);
+	struct usage before;
+
+	subject_usage(&b->subject, &before);
+	swarm_fail(b->swarm, b->fail);
+	run(b, DATA_CENTRE_FAILS_MS);
+	printf("  %u hosts of one data centre fail at once, %u s on:\n",
+	    b->fail, DATA_CENTRE_FAILS_MS / 1000);
+	report(b, &before, &traffic, DATA_CENTRE_FAILS_MS / THOUSAND);
+}
+
+/* Whether the process has followed; else the figures mean nothing. */
+static void
+check(struct bench *b)
+{
+	int code = 0;
+	json_t *j;
+
+	run(b, SETTLE_MS / 2);
+	j = subject_api(&b->subject, "GET", "/v1/status", NULL, &code);
+	printf("  status: version %" JSON_INTEGER_FORMAT " of %" PRIu64
+	       ", members live %" JSON_INTEGER_FORMAT "\n",
+	    json_integer_value(json_object_get(j, "version")),
+	    swarm_version(b->swarm),
+	    json_integer_value(json_object_get(j, "members_live")));
+	json_decref(j);
+}
+
+static void
+option(struct bench *b, const char *name, uint32_t value)
+{
+	const struct {
+		const char *name;
+		uint32_t *value;
+	} options[] = {
+	    {"members", &b->plan.members},
+	    {"dcs", &b->plan.data_centres},
+	    {"home", &b->plan.home},
+	    {"services", &b->plan.services},
+	    {"routes", &b->plan.routes},
+	    {"copies", &b->plan.copies},
+	    {"notices", &b->plan.notices},
+	    {"news", &b->news},
+	    {"versions", &b->versions},
+	    {"pings", &b->pings},
+	    {"fail", &b->fail},
+	    {"seconds", &b->seconds},
+	};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(options); i++)
+		if (strcmp(options[i].name, name) == 0) {
+			*options[i].value = value;
+			return;
+		}
+	g_error("There is no option %s.", name);
+}
+
+static void
+options(struct bench *b, int argc, char **argv)
+{
+	char *value;
+	int i;
+
+	for (i = 1; i < argc; i++) {
+		value = strchr(argv[i], '=');
+		if (value == NULL)
+			g_error("Options are name=value.");
+		*value++ = '\0';
+		option(b, argv[i], (uint32_t)strtoul(value, NULL, 10));
+	}
+	if (b->plan.home == 0)
+		b->plan.home = b->plan.members / b->plan.data_centres;
+	b->plan.pings_per_s = b->pings / THOUSAND;
+}
+
+static struct bench bench = {
+    .plan = {.members = 22000,
+	.data_centres = 28,
+	.services = 1200,
+	.routes = 5,
+	.copies = 15,
+	.notices = 6,
+	.seed = 1},
+    .news = 2000,
+    .versions = 660,
+    .pings = 1000,
+    .seconds = 30,
+};
+
+static void
+bench_run(void)
+{
+	struct bench *b = &bench;
+
+	start(b);
+	measure(b);
+	if (b->fail > 0)
+		fail_many(b);
+	check(b);
+	subject_stop(&b->subject);
+	swarm_free(b->swarm);
+	loop_free(b->loop);
+}
+
+int
+main(int argc, char **argv)
+{
+	options(&bench, argc, argv);
+	(void)g_strlcpy(bench.plan.subject_host, SUBJECT_HOST,
+	    sizeof(bench.plan.subject_host));
+	return subject_run(bench_run);
+}
--- /dev/null
+++ b/test/capacity/bundle_text.h
@@ -0,0 +1,35 @@
+/*
+ * Bundles for benches: services of equal shape, in any number.
+ */
+#ifndef CAPACITY_BUNDLE_TEXT_H
+#define CAPACITY_BUNDLE_TEXT_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#define BUNDLE_TEXT_SERVICE_BYTES 32
+
+/**
+ * struct bundle_text - what a bundle holds
+ * @first: number of the first service
+ * @services: number of services
+ * @routes: routes of each service
+ * @odd: number of the service that has another timeout
+ * @timeout_ms: timeout of that service
+ */
+struct bundle_text {
+	uint32_t first;
+	uint32_t services;
+	uint32_t routes;
+	uint32_t odd;
+	uint32_t timeout_ms;
+};
+
+/** bundle_text_service() - name of the service with number @i */
+void bundle_text_service(uint32_t i, char name[BUNDLE_TEXT_SERVICE_BYTES]);
+
+/** bundle_text_write() - the bundle as operators write it; a new string */
+GString *bundle_text_write(const struct bundle_text *t);
+
+#endif
--- /dev/null
+++ b/test/capacity/swarm_config.c
@@ -0,0 +1,226 @@
+/*
+ * The swarm's configuration: version 1 and those that follow.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "bundle_text.h"
+#include "config/bundle.h"
+#include "config/stage.h"
+#include "proto/messages.h"
+#include "swarm_priv.h"
+
+/* A node hears of a version within this time. */
+#define NOTICES_SPREAD_MS 300
+/* Others pull from it, and make it keep their floors, after this time. */
+#define OTHERS_PULL_MS 700
+/* Hosts whose floors a node keeps: as many as keep its own. */
+#define FLOORS 4
+#define FIRST_TIMEOUT_MS 3000
+#define SETTLE_MS 5000
+/* Longer than a version is held back at the node that signs it off. */
+#define HOLD_MS 1000
+#define HOLDS 2
+
+static struct bundle *
+parse(const struct bundle_text *t)
+{
+	GString *json = bundle_text_write(t);
+	struct bundle *b;
+
+	if (bundle_parse(json->str, json->len, &b) != STATUS_OK)
+		g_error("%s", status_message());
+	g_string_free(json, TRUE);
+	return b;
+}
+
+static void
+must(enum status st)
+{
+	if (st != STATUS_OK)
+		g_error("%s", status_message());
+}
+
+/* Put version 1 into the catalog, as if pulled long ago. */
+static struct digest
+commit_first(struct swarm *s)
+{
+	struct bundle_text t = {0, s->plan.services, s->plan.routes, 0, 1000};
+	struct bundle *b = parse(&t);
+	const struct section *section;
+	struct catalog_stage *stage;
+	struct digest root;
+	uint32_t i;
+
+	bundle_to_sections(b, &s->list, &root);
+	must(catalog_stage_begin_full(s->catalog, 1, &root, s->list, &stage));
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		must(catalog_stage_add(stage,
+		    g_bytes_get_data(section->content, NULL),
+		    g_bytes_get_size(section->content)));
+	}
+	must(catalog_commit(s->catalog, stage));
+	catalog_stage_free(stage);
+	bundle_free(b);
+	return root;
+}
+
+static void
+drop_actions(struct swarm *s)
+{
+	struct spread_action a;
+
+	while (spread_pop(s->spread, &a))
+		continue;
+}
+
+void
+swarm_config_new(struct swarm *s)
+{
+	struct spread_config config = {
+	    .profile = *spread_profile_registry(),
+	    .data_centre = SWARM_HOME,
+	    .seed = s->plan.seed,
+	};
+	uint64_t now_ms = clock_now_ms();
+	struct rec_head head = {1, 1, 1, HEAD_ROLLING, {{0}}};
+	char host[MEMBER_NAME_BYTES];
+
+	swarm_host_name(0, host);
+	config.host = host;
+	s->catalog = catalog_new(0);
+	head.root = commit_first(s);
+	s->spread =
+	    spread_new(&config, s->members, s->catalog, now_ms - SETTLE_MS);
+	spread_on_head(s->spread, now_ms - SETTLE_MS, STATUS_OK, &head);
+	spread_tick(s->spread, now_ms);
+	drop_actions(s);
+	if (!spread_ready(s->spread))
+		g_error("The swarm holds no version.");
+}
+
+uint64_t
+swarm_spread_ms(const struct swarm *s)
+{
+	return clock_now_ms() + s->ahead_ms;
+}
+
+static void
+tell_notices(struct swarm *s)
+{
+	const struct rec_head *head = spread_head(s->spread);
+	struct msg_notice msg;
+	GByteArray *body = g_byte_array_new();
+	uint32_t i;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.head.seq = head->seq;
+	msg.head.version = head->version;
+	msg.head.in_force = head->in_force;
+	msg.head.state = head->state;
+	memcpy(&msg.head.tag, head->root.bytes, sizeof(msg.head.tag));
+	msg.head.tag = GUINT64_FROM_BE(msg.head.tag);
+	msg.kind = NOTICE_NEAR;
+	msg_notice_encode(&msg, body);
+	for (i = 0; i < s->plan.notices; i++)
+		swarm_send_later(s, swarm_any_home(s),
+		    g_rand_int(s->rand) % NOTICES_SPREAD_MS, MSG_NOTICE,
+		    g_byte_array_ref(body));
+	g_byte_array_unref(body);
+}
+
+/* As each node pulls once, so each is pulled from once, by and large. */
+static void
+pull_from_subject(struct swarm *s, uint64_t version)
+{
+	GByteArray *body = g_byte_array_new();
+	struct msg_pull msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.token = ++s->seq;
+	msg.have = version - 1;
+	msg.want = version;
+	msg_pull_encode(&msg, body);
+	swarm_send_later(s, swarm_any_home(s), OTHERS_PULL_MS, MSG_PULL, body);
+}
+
+static void
+tell_floors(struct swarm *s, uint64_t version)
+{
+	struct msg_floor_tell msg;
+	GByteArray *body;
+	uint32_t i, host;
+
+	for (i = 0; i < FLOORS; i++) {
+		host = swarm_any_home(s);
+		memset(&msg, 0, sizeof(msg));
+		swarm_host_name(host, msg.host);
+		msg.version = version;
+		body = g_byte_array_new();
+		msg_floor_tell_encode(&msg, body);
+		swarm_send_later(s, host, OTHERS_PULL_MS, MSG_FLOOR_TELL, body);
+	}
+}
+
+/* The next version's only change, and the list that it leads to. */
+static GBytes *
+change_one(
+    struct swarm *s, struct rec_section_change *change, struct digest *root)
+{
+	struct bundle_text t = {.services = 1, .routes = s->plan.routes};
+	struct bundle *b;
+	const struct section *section;
+	GBytes *content;
+	GArray *list;
+
+	t.first = t.odd = g_rand_int(s->rand) % s->plan.services;
+	t.timeout_ms = FIRST_TIMEOUT_MS + (uint32_t)catalog_version(s->catalog);
+	b = parse(&t);
+	section = g_ptr_array_index(b->sections, 0);
+	memset(change, 0, sizeof(*change));
+	(void)g_strlcpy(
+	    change->service, section->config->name, sizeof(change->service));
+	change->digest = section->config->digest;
+	content = g_bytes_ref(section->content);
+	bundle_free(b);
+	list = section_list_apply(s->list, change, 1);
+	g_array_unref(s->list);
+	s->list = list;
+	g_bytes_unref(section_list_encode(list, root));
+	return content;
+}
+
+void
+swarm_sign(struct swarm *s)
+{
+	uint64_t version = catalog_version(s->catalog) + 1;
+	struct rec_head head = {version, version, version, HEAD_ROLLING, {{0}}};
+	struct spread_version_row row = {.version = version, .n_changes = 1};
+	struct rec_section_change change;
+	GBytes *content;
+	uint32_t i;
+
+	content = change_one(s, &change, &row.root);
+	head.root = row.root;
+	row.parent = version - 1;
+	row.changes = &change;
+	spread_stock(s->spread, &content, 1);
+	spread_on_signed(s->spread, swarm_spread_ms(s), &head, &row);
+	/* The keepers' word is not waited for. */
+	for (i = 0; i < HOLDS; i++) {
+		s->ahead_ms += HOLD_MS;
+		spread_tick(s->spread, swarm_spread_ms(s));
+	}
+	drop_actions(s);
+	swarm_flush(s, 0);
+	g_bytes_unref(content);
+	if (catalog_version(s->catalog) != version)
+		g_error("The swarm did not get to version %" G_GUINT64_FORMAT
+			".",
+		    version);
+	s->traffic.versions++;
+	tell_notices(s);
+	pull_from_subject(s, version);
+	tell_floors(s, version);
+}
--- /dev/null
+++ b/test/capacity/swarm_priv.h
@@ -0,0 +1,114 @@
+/*
+ * Inside of the swarm, shared by swarm*.c.
+ */
+#ifndef CAPACITY_SWARM_PRIV_H
+#define CAPACITY_SWARM_PRIV_H
+
+#include <glib.h>
+
+#include "config/catalog.h"
+#include "membership/membership.h"
+#include "net/listener.h"
+#include "spread/spread.h"
+
+#include "swarm.h"
+
+/* Hosts of the swarm stand at 127.250.0.1 and above. */
+#define SWARM_IP 0x7ffa0001U
+
+/**
+ * struct swarm - everything
+ * @plan: what is played
+ * @loop: the loop
+ * @rand: all random choices
+ * @port: control port of all hosts
+ * @udp: datagram socket
+ * @watch: its watcher
+ * @listener: for connections
+ * @conns: struct conn by number
+ * @pings: timer of pings
+ * @news: timer of news
+ * @signs: timer of sign-offs
+ * @ticks: timer of the spread
+ * @out: outbox of the membership
+ * @members: table of all hosts
+ * @catalog: configuration that all hold
+ * @spread: answers pulls and floors
+ * @ahead_ms: the spread's time is ahead by this
+ * @list: sections of the version held
+ * @incarnations: of each host's record
+ * @states: of each host's endpoint
+ * @seq: number of the last ping
+ * @traffic: what passed
+ */
+struct swarm {
+	struct swarm_plan plan;
+	struct loop *loop;
+	GRand *rand;
+	uint16_t port;
+	int udp;
+	struct loop_fd *watch;
+	struct listener *listener;
+	GHashTable *conns;
+	struct loop_timer pings;
+	struct loop_timer news;
+	struct loop_timer signs;
+	struct loop_timer ticks;
+	struct outbox *out;
+	struct membership *members;
+	struct catalog *catalog;
+	struct spread *spread;
+	uint64_t ahead_ms;
+	GArray *list;
+	uint64_t *incarnations;
+	uint8_t *states;
+	uint32_t seq;
+	struct swarm_traffic traffic;
+};
+
+/** swarm_host() - address of host @i */
+struct net_addr swarm_host(const struct swarm *s, uint32_t i);
+
+/** swarm_host_name() - name of host @i */
+void swarm_host_name(uint32_t i, char name[MEMBER_NAME_BYTES]);
+
+/** swarm_any_home() - a host of the process's data centre, by chance */
+uint32_t swarm_any_home(struct swarm *s);
+
+/** swarm_open() - open the sockets */
+void swarm_open(struct swarm *s);
+
+/** swarm_close() - close the sockets */
+void swarm_close(struct swarm *s);
+
+/** swarm_send() - a datagram of host @i to the process */
+void swarm_send(
+    struct swarm *s, uint32_t i, enum msg_type type, const GByteArray *body);
+
+/** swarm_send_later() - the same after @ms; takes @body over */
+void swarm_send_later(struct swarm *s, uint32_t i, uint64_t ms,
+    enum msg_type type, GByteArray *body);
+
+/** swarm_flush() - send what the decisions want, from host @i */
+void swarm_flush(struct swarm *s, uint32_t i);
+
+/** swarm_table_new() - the table of all hosts */
+void swarm_table_new(struct swarm *s);
+
+/** swarm_change() - the record of host @i changes; told to the process */
+void swarm_change(struct swarm *s, uint32_t i, enum member_state state);
+
+/** swarm_config_new() - version 1, and the spread */
+void swarm_config_new(struct swarm *s);
+
+/** swarm_spread_ms() - time of the spread, which does not wait for others */
+uint64_t swarm_spread_ms(const struct swarm *s);
+
+/** swarm_sign() - the next version, told to the process */
+void swarm_sign(struct swarm *s);
+
+/** swarm_heard() - a datagram or frame of the process to host @i */
+void swarm_heard(struct swarm *s, uint32_t i, struct net_addr from,
+    uint64_t conn, uint8_t type, const uint8_t *body, size_t len);
+
+#endif
