fix(spread): a lost progress report hides a node for seconds, not for half a minute

Problem: in a run of test_path the watch ended with "Version 1 is on 5 of 6 nodes" after 15 s, though all six held it. A progress report is one datagram; when it is lost, or its parent does not know the child yet, the next one went out with the refresh, 30 s later on average. Solution: a report is sent again after 8 times progress_ms, then after pauses that double up to the refresh. With a steady stream of changes the next report comes before that, so that it costs nothing then.

--- a/packages/spread/include/spread/progress.h
+++ b/packages/spread/include/spread/progress.h
@@ -1,11 +1,11 @@
 /*
- * Progress: adds up on the way how many nodes hold the newest version.
+ * Progress: adds up on the way how many nodes serve the newest version.
  *
  * The live hosts of a data centre, sorted by name, are a tree of arity
  * PROGRESS_ARITY: host i reports to host (i - 1) / PROGRESS_ARITY.  Each node
  * reports the sums over its subtree when they change, at most once in
- * progress_ms, and rarely as a refresh.  The first host of a data centre has
- * the sums of all, and tells whoever asks.
+ * progress_ms, and then again after ever longer pauses.  The first host of a
+ * data centre has the sums of all, and tells whoever asks.
  *
  * Nodes that see different tables of hosts for a moment can make the sums
  * wrong for that moment; they are for watching, nothing is decided by them.
@@ -43,11 +43,12 @@
  * @n_children: number of @children
  * @change: state of the table of hosts at which the place was worked out
  * @place_ms: when it is worked out again
- * @held: own version
+ * @held: version served here, 0 for none
  * @newest: newest version known
  * @sent: what was reported last
  * @report_ms: when the next report is due
  * @refresh_ms: when a report is sent even without a change
+ * @pause_ms: pause before that; grows while nothing changes
  * @answers: struct spread_progress of each data centre that answered
  * @token: number of the last question
  */
@@ -64,6 +65,7 @@
 	struct msg_progress_report sent;
 	uint64_t report_ms;
 	uint64_t refresh_ms;
+	uint32_t pause_ms;
 	GArray *answers;
 	uint32_t token;
 };
@@ -74,7 +76,7 @@
 /** progress_clear() - free what the progress holds */
 void progress_clear(struct progress *p);
 
-/** progress_own() - the own version, or the newest known one, changed */
+/** progress_own() - the version served here, or the newest known, changed */
 void progress_own(
     struct progress *p, uint64_t now_ms, uint64_t held, uint64_t newest);
 
--- a/packages/spread/src/progress.c
+++ b/packages/spread/src/progress.c
@@ -14,6 +14,14 @@
 /* Reports that are missed before a child is no longer counted. */
 #define MISSED_REPORTS 3
 
+/*
+ * A report can be lost, and a parent that does not know the child yet ignores
+ * it.  So it is sent again after progress_ms times this, then after ever
+ * longer pauses up to progress_refresh_ms.  Under a steady stream of changes
+ * the next report comes first.
+ */
+#define REPEAT_AFTER 8
+
 void
 progress_init(struct progress *p, struct spread_env *env, uint64_t now_ms)
 {
@@ -21,8 +29,8 @@
 	p->env = env;
 	p->place_ms = now_ms;
 	p->report_ms = DEADLINE_NEVER;
-	p->refresh_ms =
-	    now_ms + env_around(env, env->profile.progress_refresh_ms);
+	p->pause_ms = env->profile.progress_refresh_ms;
+	p->refresh_ms = now_ms + env_around(env, p->pause_ms);
 	p->answers = g_array_new(FALSE, TRUE, sizeof(struct spread_progress));
 }
 
@@ -287,20 +295,35 @@
 	progress_on_answer(p, now_ms, &own);
 }
 
+static void
+progress_schedule(struct progress *p, uint64_t now_ms, int changed)
+{
+	const struct spread_profile *profile = &p->env->profile;
+	uint32_t pause_ms;
+
+	if (changed)
+		pause_ms = REPEAT_AFTER * profile->progress_ms;
+	else
+		pause_ms = 2 * p->pause_ms;
+	p->pause_ms = MIN(pause_ms, profile->progress_refresh_ms);
+	p->refresh_ms = now_ms + env_around(p->env, p->pause_ms);
+}
+
 static void
 progress_report(struct progress *p, uint64_t now_ms)
 {
 	struct msg_progress_report sum;
 	GByteArray *body;
+	int changed;
 
 	p->report_ms = DEADLINE_NEVER;
 	if (!p->has_parent)
 		return;
 	progress_sum(p, now_ms, &sum);
-	if (memcmp(&sum, &p->sent, sizeof(sum)) == 0 && now_ms < p->refresh_ms)
+	changed = memcmp(&sum, &p->sent, sizeof(sum)) != 0;
+	if (!changed && now_ms < p->refresh_ms)
 		return;
-	p->refresh_ms =
-	    now_ms + env_around(p->env, p->env->profile.progress_refresh_ms);
+	progress_schedule(p, now_ms, changed);
 	p->sent = sum;
 	p->env->stats.progress_sent++;
 	body = g_byte_array_new();
--- a/test/driver/test_roll.c
+++ b/test/driver/test_roll.c
@@ -51,6 +51,30 @@
 }
 END_TEST
 
+/* A report that is lost does not hide for long that a node has come so far. */
+START_TEST(test_progress_lost)
+{
+	struct world_config config;
+	struct world *w;
+	uint32_t i, nodes, holding;
+	uint64_t lowest;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.nodes = 20;
+	config.check = 0;
+	config.loss = 0.05;
+	w = scenario_up(&config);
+	world_sign(w, 0, 1);
+	ck_assert(world_run_until_even(w, SCENARIO_EVEN_MS));
+	world_run(w, 20000);
+	/* The question and its answer can be lost, too. */
+	for (i = 0, holding = 0; i < 20 && holding < w->n_nodes; i++)
+		ask(w, 0, &nodes, &holding, &lowest);
+	ck_assert_uint_eq(holding, w->n_nodes);
+	scenario_end(w);
+}
+END_TEST
+
 /* A roll that is held up shows: a data centre is cut off, a host dies. */
 START_TEST(test_progress_held_up)
 {
@@ -169,7 +193,7 @@
 	struct node *n;
 	uint32_t i, j;
 
-	w = scenario_new(1);
+	w = scenario_new((uint64_t)_i + 1);
 	n = &w->nodes[4];
 	for (i = 0; i < 20000; i++) {
 		for (j = 0; j < sizeof(noise); j++)
@@ -196,11 +220,12 @@
 	tc = tcase_create("roll");
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, test_progress, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_progress_lost, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_progress_held_up, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_join_limit, 0, 3);
 	tcase_add_test(tc, test_large);
 	tcase_add_loop_test(tc, test_endpoint_churn, 0, SCENARIO_SEEDS);
-	tcase_add_test(tc, test_noise);
+	tcase_add_loop_test(tc, test_noise, 12, 24);
 	suite_add_tcase(suite, tc);
 	return scenario_main(suite);
 }
