fix(spread): a floor that is too high no longer holds a serving node for ever

A floor answer that makes no sense made a node that serves already want a version that does not exist, so that it followed no version any more. Solution: a node that is ready has reached its floor; from then on it wants the version in force. Before, the floor counts as it did. Left: a node that is not ready can still be told a floor that nobody can reach; peers are trusted in that.

--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -76,6 +76,18 @@
 		env_act(&s->env, SPREAD_HALTED)->to = head->version;
 }
 
+/*
+ * The version to get to.  A node that is ready has reached its floor; one
+ * that comes later, too high by some fault, must not hold it up for ever.
+ */
+static uint64_t
+spread_wanted(const struct spread *s)
+{
+	if (s->ready)
+		return s->known.in_force;
+	return MAX(s->known.in_force, s->floors.floor);
+}
+
 int
 spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head_tag *head)
 {
@@ -94,7 +106,7 @@
 	memset(&s->shown.root, 0, sizeof(s->shown.root));
 	s->origin = 0;
 	spread_remember(s, head);
-	intake_want(&s->intake, now_ms, MAX(head->in_force, s->floors.floor));
+	intake_want(&s->intake, now_ms, spread_wanted(s));
 	return 1;
 }
 
@@ -185,8 +197,7 @@
 {
 	uint64_t version;
 
-	intake_want(
-	    &s->intake, now_ms, MAX(s->known.in_force, s->floors.floor));
+	intake_want(&s->intake, now_ms, spread_wanted(s));
 	intake_tick(&s->intake, now_ms);
 	version = intake_staged(&s->intake);
 	if (version == 0 || (s->origin && now_ms < spread_hold_ms(s)))
@@ -217,8 +228,7 @@
 	spread_take_in(s, now_ms);
 	spread_offer(s, now_ms);
 	spread_become_ready(s);
-	progress_own(&s->progress, now_ms, catalog_version(s->env.catalog),
-	    s->known.version);
+	progress_own(&s->progress, now_ms, spread_serving(s), s->known.version);
 	notices_tick(&s->notices, now_ms, readers_is_reader(&s->readers));
 }
 
