refactor(membership): pings on the wire apart from who is probed when

Solution: ping.c holds the messages, probe.c the schedule and what a missing answer means. Tombstones are kept an hour, so that a cut of minutes does not outlast them.

--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -10,6 +10,7 @@
 #include "join.h"
 #include "news.h"
 #include "own.h"
+#include "ping.h"
 #include "probe.h"
 #include "reconnect.h"
 #include "relay.h"
@@ -31,7 +32,7 @@
 #define RELAY_INTERVAL_MS 2000
 #define SYNC_INTERVAL_MS 5000
 #define JOIN_LIMIT 8
-#define FORGET_MS 600000
+#define FORGET_MS 3600000
 
 /* Deadlines are moved when an event is late by this much. */
 #define LATE_MS 500
@@ -262,13 +263,13 @@
 	m->prober.heard_ms = m->now_ms;
 	switch (type) {
 	case MSG_PING:
-		probe_on_ping(m, from, body, len);
+		ping_on_ping(m, from, body, len);
 		break;
 	case MSG_ACK:
-		probe_on_ack(m, from, body, len);
+		ping_on_ack(m, from, body, len);
 		break;
 	case MSG_PING_REQ:
-		probe_on_ping_req(m, from, body, len);
+		ping_on_ping_req(m, from, body, len);
 		break;
 	case MSG_NEWS:
 		on_news(m, body, len);
--- a/packages/membership/src/merge.c
+++ b/packages/membership/src/merge.c
@@ -13,6 +13,7 @@
 #include "claim.h"
 #include "merge.h"
 #include "news.h"
+#include "ping.h"
 #include "probe.h"
 #include "suspicion.h"
 
@@ -260,7 +261,7 @@
 	if (r == NULL ||
 	    merge_newer(rec->incarnation, rec->state, r->member.incarnation,
 		(enum member_state)r->member.state))
-		probe_hint(m, rec, r);
+		ping_hint(m, rec, r);
 	return 1;
 }
 
--- /dev/null
+++ b/packages/membership/src/ping.c
@@ -0,0 +1,233 @@
+/*
+ * Pings and acks on the wire: what they carry, and what comes of them.
+ */
+#include <string.h>
+
+#include "action.h"
+#include "merge.h"
+#include "news.h"
+#include "ping.h"
+#include "probe.h"
+#include "relay.h"
+#include "send.h"
+#include "sync.h"
+
+/* Most probes made for others at once. */
+#define PASSED_MAX 64
+
+/* Hosts told of by other data centres that are probed a second. */
+#define HINTS_PER_S 8
+#define HINTS_INTERVAL_MS 1000
+
+static void
+encode_and_send(struct membership *m, const struct net_addr *to,
+    const char *host, uint32_t seq, struct batch *b)
+{
+	struct msg_ping msg;
+	GByteArray *body = g_byte_array_new();
+
+	memset(&msg, 0, sizeof(msg));
+	msg.seq = seq;
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	(void)g_strlcpy(msg.target, host, sizeof(msg.target));
+	msg.root = m->table.root;
+	msg.head = m->head;
+	msg.news = b->records;
+	msg.n_news = b->n;
+	msg_ping_encode(&msg, body);
+	send_datagram(m, to, MSG_PING, body);
+	m->counters.news_sent += b->n;
+	batch_clear(b);
+}
+
+void
+ping_send(struct membership *m, const struct net_addr *to, const char *host,
+    uint32_t seq)
+{
+	const struct row *r = table_row(&m->table, host);
+	struct batch b = {.n = 0};
+
+	/* Tell it first what is said of it, so that it can refute. */
+	if (r != NULL && r->member.state != MEMBER_ALIVE)
+		(void)batch_add(&b, r);
+	if (r == NULL || r->dc == m->home)
+		news_fill(m, &b);
+	encode_and_send(m, to, host, seq, &b);
+}
+
+uint32_t
+ping_host(struct membership *m, const struct net_addr *to, const char *host)
+{
+	uint32_t seq = ++m->prober.seq;
+
+	ping_send(m, to, host, seq);
+	return seq;
+}
+
+void
+ping_hint(
+    struct membership *m, const struct rec_member *rec, const struct row *r)
+{
+	struct net_addr to = record_addr(rec);
+	struct batch b = {.n = 0};
+
+	if (m->now_ms >= m->prober.hints_ms) {
+		m->prober.hints_ms = m->now_ms + HINTS_INTERVAL_MS;
+		m->prober.hints = HINTS_PER_S;
+	}
+	if (m->prober.hints == 0)
+		return;
+	m->prober.hints--;
+	if (r != NULL) {
+		(void)ping_host(m, &to, rec->host);
+		return;
+	}
+	/* Not known here at all: as good as failed until it says otherwise. */
+	b.records[b.n] = *rec;
+	b.records[b.n].state = MEMBER_FAILED;
+	b.records[b.n].endpoints = NULL;
+	b.records[b.n++].n_endpoints = 0;
+	encode_and_send(m, &to, rec->host, ++m->prober.seq, &b);
+}
+
+void
+ping_expire_passed(struct membership *m)
+{
+	GArray *passed = m->prober.passed;
+	uint32_t i;
+
+	for (i = passed->len; i-- > 0;)
+		if (g_array_index(passed, struct passed_probe, i).deadline_ms <=
+		    m->now_ms)
+			(void)g_array_remove_index_fast(passed, i);
+}
+
+static void
+send_ack(struct membership *m, const struct net_addr *to, uint32_t seq,
+    const char *prober)
+{
+	const struct row *r = table_row(&m->table, prober);
+	struct batch b = {.n = 0};
+	struct msg_ack msg;
+	GByteArray *body = g_byte_array_new();
+
+	if (r != NULL && r->member.state != MEMBER_ALIVE)
+		(void)batch_add(&b, r);
+	if (r == NULL || r->dc == m->home)
+		news_fill(m, &b);
+	memset(&msg, 0, sizeof(msg));
+	msg.seq = seq;
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	msg.unknown = r == NULL;
+	msg.root = m->table.root;
+	msg.head = m->head;
+	msg.news = b.records;
+	msg.n_news = b.n;
+	msg_ack_encode(&msg, body);
+	send_datagram(m, to, MSG_ACK, body);
+	m->counters.news_sent += b.n;
+	batch_clear(&b);
+}
+
+/* What pings and acks have in common. */
+static void
+heard(struct membership *m, const struct net_addr *from, const char *host,
+    uint64_t root, const struct rec_gossip_head *head)
+{
+	const struct row *r = table_row(&m->table, host);
+
+	if (r != NULL)
+		r->dc->heard_ms = m->now_ms;
+	if (head->seq != 0)
+		action_heard(
+		    m, host, r != NULL ? &r->member.address : from, head);
+	sync_consider(m, from, r, root);
+}
+
+void
+ping_on_ping(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct msg_ping msg;
+
+	if (msg_ping_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	merge_records(m, msg.host, MERGE_NEWS, msg.news, msg.n_news);
+	if (msg.target[0] == '\0' ||
+	    strcmp(msg.target, m->settings.host) == 0) {
+		send_ack(m, from, msg.seq, msg.host);
+		heard(m, from, msg.host, msg.root, &msg.head);
+	}
+	msg_ping_clear(&msg);
+}
+
+/* Pass an ack on if the probe was made for another node. */
+static void
+pass_on(struct membership *m, const struct msg_ack *ack)
+{
+	GArray *passed = m->prober.passed;
+	const struct passed_probe *p;
+	struct msg_ack msg;
+	GByteArray *body;
+	uint32_t i;
+
+	for (i = 0; i < passed->len; i++) {
+		p = &g_array_index(passed, struct passed_probe, i);
+		if (p->seq != ack->seq)
+			continue;
+		memset(&msg, 0, sizeof(msg));
+		msg.seq = p->asker_seq;
+		(void)g_strlcpy(msg.host, ack->host, sizeof(msg.host));
+		body = g_byte_array_new();
+		msg_ack_encode(&msg, body);
+		send_datagram(m, &p->asker, MSG_ACK, body);
+		(void)g_array_remove_index_fast(passed, i);
+		return;
+	}
+}
+
+void
+ping_on_ack(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct msg_ack msg;
+
+	if (msg_ack_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	merge_records(m, msg.host, MERGE_NEWS, msg.news, msg.n_news);
+	probe_answered(m, msg.seq, msg.host);
+	pass_on(m, &msg);
+	relay_on_ack(m, msg.seq);
+	if (msg.unknown && m->phase == MEMBERSHIP_JOINED)
+		send_row(m, from, m->self);
+	if (msg.root != 0)
+		heard(m, from, msg.host, msg.root, &msg.head);
+	msg_ack_clear(&msg);
+}
+
+void
+ping_on_ping_req(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct passed_probe p;
+	struct msg_ping_req msg;
+	struct net_addr to;
+
+	if (msg_ping_req_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	to.ip = msg.ip;
+	to.port = msg.port;
+	if (to.ip == 0 || to.port == 0 || m->prober.passed->len >= PASSED_MAX)
+		return;
+	p.seq = ping_host(m, &to, msg.target);
+	p.asker_seq = msg.seq;
+	p.asker = *from;
+	p.deadline_ms = m->now_ms + probe_longest_ms(m);
+	g_array_append_val(m->prober.passed, p);
+}
--- a/packages/membership/src/probe.h
+++ b/packages/membership/src/probe.h
@@ -1,10 +1,10 @@
 /*
- * Probing: pings, their answers, and probes through others.
+ * Probing: who is probed when, and what a missing answer means.
  */
 #ifndef MEMBERSHIP_PROBE_H
 #define MEMBERSHIP_PROBE_H
 
-#include "record.h"
+#include "internal.h"
 
 void probe_init(struct membership *m);
 void probe_clear(struct membership *m);
@@ -27,22 +27,7 @@
 /* The longest that a probe begun now takes to fail. */
 uint64_t probe_longest_ms(const struct membership *m);
 
-/*
- * Ping the host of a record that is not believed, so that it speaks for
- * itself; @r is its tombstone or NULL.
- */
-void probe_hint(
-    struct membership *m, const struct rec_member *rec, const struct row *r);
-
-/* Send a ping; @host may be empty.  Returns its sequence number. */
-uint32_t
-probe_ping(struct membership *m, const struct net_addr *to, const char *host);
-
-void probe_on_ping(struct membership *m, const struct net_addr *from,
-    const uint8_t *body, size_t len);
-void probe_on_ack(struct membership *m, const struct net_addr *from,
-    const uint8_t *body, size_t len);
-void probe_on_ping_req(struct membership *m, const struct net_addr *from,
-    const uint8_t *body, size_t len);
+/* The host answered the probe with this number. */
+void probe_answered(struct membership *m, uint32_t seq, const char *host);
 
 #endif
--- a/packages/membership/src/reconnect.c
+++ b/packages/membership/src/reconnect.c
@@ -7,7 +7,7 @@
  */
 #include "base/clock.h"
 
-#include "probe.h"
+#include "ping.h"
 #include "reconnect.h"
 #include "table.h"
 
@@ -44,7 +44,7 @@
 		return;
 	seed = &m->seeds[random_below(m, n)];
 	if (!known_live(m, seed))
-		(void)probe_ping(m, seed, "");
+		(void)ping_host(m, seed, "");
 }
 
 static void
@@ -54,7 +54,7 @@
 
 	r = table_random(m, m->home, m->self, MEMBER_STATE_BIT(MEMBER_FAILED));
 	if (r != NULL)
-		(void)probe_ping(m, &r->member.address, r->member.host);
+		(void)ping_host(m, &r->member.address, r->member.host);
 }
 
 void
--- a/packages/membership/src/relay.c
+++ b/packages/membership/src/relay.c
@@ -14,7 +14,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 
-#include "probe.h"
+#include "ping.h"
 #include "relay.h"
 #include "send.h"
 
@@ -169,7 +169,7 @@
 		return;
 	dc->relay_next_ms = m->now_ms + half + random_below(m, 2 * half);
 	dc->relay_misses++;
-	dc->relay_seq = probe_ping(m, &peer->address, peer->host);
+	dc->relay_seq = ping_host(m, &peer->address, peer->host);
 }
 
 void
