fix(config): names of services are as long as upstreams can announce

Problem: a bundle could name a service of up to 63 characters, while membership carries announcements of up to 31, so that such a service could be signed off and would never have an endpoint. Cause: two packages each chose a limit. Ruled out: raising membership's, whose records travel on every probe.

--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -14,7 +14,7 @@
 #include "base/status.h"
 
 /* Longest name of a service and longest prefix, zero included. */
-#define SERVICE_NAME_BYTES 64
+#define SERVICE_NAME_BYTES 32
 #define ROUTE_PREFIX_BYTES 256
 
 /* What a bundle may hold at most. */
@@ -153,7 +153,7 @@
  * @name: first byte
  * @len: number of bytes
  *
- * A name is 1 to 63 of a-z, 0-9 and '-', and starts with a letter.
+ * A name is 1 to 31 of a-z, 0-9 and '-', and starts with a letter.
  */
 bool service_name_valid(const char *name, size_t len);
 
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -243,7 +243,7 @@
 		return;
 	if (!service_name_valid(name, strlen(name)))
 		problems_add(r->p, &at,
-		    "use 1 to 63 of a-z, 0-9 and '-', a letter first",
+		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
 		    "this is no name of a bundle");
 	g_strlcpy(r->name, name, sizeof(r->name));
 }
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -92,7 +92,7 @@
 {
 	if (!service_name_valid(name, len))
 		problems_add(p, at,
-		    "use 1 to 63 of a-z, 0-9 and '-', a letter first",
+		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
 		    "this is no name of a service");
 }
 
--- a/packages/config/test/test_bundle.c
+++ b/packages/config/test/test_bundle.c
@@ -56,6 +56,9 @@
     {SERVICES("{'name':'a'},{'name':'a'}"), "services[1].name", "twice"},
     {SERVICES("{'name':'-a'}"), "services[0].name", "no name"},
     {SERVICES("{'name':''}"), "services[0].name", "no name"},
+    /* 32 characters, which no upstream could announce. */
+    {SERVICES("{'name':'abcdefghijklmnopqrstuvwxyz-01234'}"),
+	"services[0].name", "no name"},
     {SERVICES("{'name':'a','timeout':5}"), "services[0].timeout", "no such"},
     {SERVICES("{'name':'a','timeout_ms':0}"), "services[0].timeout_ms",
 	"range"},
--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -19,10 +19,10 @@
 
 /* Most bytes of a text or binary field, most elements of a list. */
 #define REC_SECTION_ROUTE_PREFIX_MAX 255
-#define REC_SECTION_CHANGE_SERVICE_MAX 63
+#define REC_SECTION_CHANGE_SERVICE_MAX 31
 #define REC_REPLACED_HEAD_OP_MAX 63
-#define REC_SECTION_REF_SERVICE_MAX 63
-#define MSG_SECTION_SERVICE_MAX 63
+#define REC_SECTION_REF_SERVICE_MAX 31
+#define MSG_SECTION_SERVICE_MAX 31
 #define MSG_SECTION_ROUTES_MAX 64
 #define MSG_VERSION_CHANGES_CHANGES_MAX 8192
 #define MSG_SECTION_LIST_SECTIONS_MAX 4096
@@ -53,7 +53,7 @@
  * @removed: whether the later version lacks the service
  */
 struct rec_section_change {
-	char service[64];
+	char service[32];
 	struct digest digest;
 	bool removed;
 };
@@ -83,7 +83,7 @@
  * @digest: digest of its section
  */
 struct rec_section_ref {
-	char service[64];
+	char service[32];
 	struct digest digest;
 };
 
@@ -106,7 +106,7 @@
  * @n_routes: number of @routes
  */
 struct msg_section {
-	char service[64];
+	char service[32];
 	uint32_t timeout_ms;
 	uint32_t slots_per_endpoint;
 	uint32_t queue_per_endpoint;
