--- a/test/capacity/bundle_text.c
+++ b/test/capacity/bundle_text.c
@@ -3,7 +3,8 @@
  */
 #include "bundle_text.h"
 
-#define TIMEOUT_MS 2000
+/* Long enough for calls that a bench holds. */
+#define TIMEOUT_MS 60000
 
 void
 bundle_text_service(uint32_t i, char name[BUNDLE_TEXT_SERVICE_BYTES])
@@ -17,9 +18,15 @@
 	char name[BUNDLE_TEXT_SERVICE_BYTES];
 
 	bundle_text_service(i, name);
-	g_string_append_printf(out, "%s{\"name\":\"%s\",\"timeout_ms\":%u}",
+	g_string_append_printf(out, "%s{\"name\":\"%s\",\"timeout_ms\":%u",
 	    i > t->first ? "," : "", name,
 	    i == t->odd ? t->timeout_ms : TIMEOUT_MS);
+	if (t->slots > 0)
+		g_string_append_printf(out,
+		    ",\"limits\":{\"slots_per_endpoint\":%u,"
+		    "\"queue_per_endpoint\":%u}",
+		    t->slots, t->slots);
+	g_string_append_c(out, '}');
 }
 
 static void
--- a/test/capacity/bundle_text.h
+++ b/test/capacity/bundle_text.h
@@ -17,6 +17,7 @@
  * @routes: routes of each service
  * @odd: number of the service that has another timeout
  * @timeout_ms: timeout of that service
+ * @slots: slots and queue of each endpoint; 0 for the defaults
  */
 struct bundle_text {
 	uint32_t first;
@@ -24,6 +25,7 @@
 	uint32_t routes;
 	uint32_t odd;
 	uint32_t timeout_ms;
+	uint32_t slots;
 };
 
 /** bundle_text_service() - name of the service with number @i */
--- a/test/capacity/swarm_config.c
+++ b/test/capacity/swarm_config.c
@@ -45,7 +45,9 @@
 static struct digest
 commit_first(struct swarm *s)
 {
-	struct bundle_text t = {0, s->plan.services, s->plan.routes, 0, 1000};
+	struct bundle_text t = {.services = s->plan.services,
+	    .routes = s->plan.routes,
+	    .timeout_ms = FIRST_TIMEOUT_MS};
 	struct bundle *b = parse(&t);
 	const struct section *section;
 	struct catalog_stage *stage;
