fix(node): lengths of HEAD and empty answers, cuts seen by HTTP/1.0 callers

Problem: a HEAD was told a length of 0, a 204 got a Content-Length, and a caller of HTTP/1.0, to whom the end of the connection ends the answer, took a cut answer for whole (recv returned 0).

Solution: the length of a HEAD is passed on, 204 and 304 have none, and a cut answer resets the connection (connect to AF_UNSPEC on its socket; CivetWeb would end it in good order). With the reset taken away the test fails.

--- a/packages/node/bench/bench_call.c
+++ b/packages/node/bench/bench_call.c
@@ -26,6 +26,8 @@
 #define ROUNDS 5
 #define US_PER_S 1000000
 #define SAMPLES_MAX 4000000
+#define UPLOAD_BYTES (1U << 30)
+#define PEAK_FIELD "VmHWM:"
 
 /**
  * struct child - a node in a process of its own
@@ -304,6 +306,85 @@
 	report("  through two nodes", l);
 }
 
+/* Resident memory of a child, at its highest. */
+static long
+child_peak_kb(const struct child *c)
+{
+	char path[64], line[128];
+	long kb = -1;
+	FILE *f;
+
+	(void)snprintf(path, sizeof(path), "/proc/%d/status", (int)c->pid);
+	f = fopen(path, "r");
+	if (f == NULL)
+		return -1;
+	while (fgets(line, sizeof(line), f) != NULL)
+		if (g_str_has_prefix(line, PEAK_FIELD))
+			kb = strtol(line + strlen(PEAK_FIELD), NULL, 10);
+	(void)fclose(f);
+	return kb;
+}
+
+/**
+ * struct upload - a large upload
+ * @port: where it goes
+ * @took_us: how long it took
+ * @fine: it arrived whole
+ */
+struct upload {
+	uint16_t port;
+	uint64_t took_us;
+	_Atomic bool fine;
+	_Atomic bool over;
+};
+
+static void *
+upload_main(void *arg)
+{
+	struct upload *u = arg;
+	uint8_t *body = g_malloc0(UPLOAD_BYTES);
+	uint64_t began_us = clock_now_us();
+	struct reply r;
+
+	u->fine =
+	    caller_call(u->port, "PUT", "/up/x?do=sum",
+		"Bramley-Deadline-Ms: 60000\r\n", body, UPLOAD_BYTES, &r) &&
+	    r.status == 200;
+	u->took_us = clock_now_us() - began_us;
+	reply_clear(&r);
+	g_free(body);
+	u->over = true;
+	return NULL;
+}
+
+/* Lookups while one upload after the other goes over the same nodes. */
+static void
+beside_upload(struct load *l, const struct child *entry,
+    const struct child *guard, uint64_t rate)
+{
+	struct upload u = {.port = l->port};
+	long before_kb[2] = {child_peak_kb(entry), child_peak_kb(guard)};
+	pthread_t thread;
+
+	l->n_samples = 0;
+	l->failed = 0;
+	l->rate = rate;
+	l->threads = THREADS;
+	if (pthread_create(&thread, NULL, upload_main, &u) != 0)
+		abort();
+	while (!u.over)
+		run_load(l, US_PER_S / ROUNDS);
+	(void)pthread_join(thread, NULL);
+	sort(l);
+	printf("%u MB upload beside lookups at %" PRIu64 "/s: %s, %" PRIu64
+	       " MB/s; highest memory before and after: entry's node %ld "
+	       "and %ld KB, guard's node %ld and %ld KB\n",
+	    UPLOAD_BYTES >> 20, rate, u.fine ? "whole" : "FAILED",
+	    (uint64_t)UPLOAD_BYTES / MAX(u.took_us, 1), before_kb[0],
+	    child_peak_kb(entry), before_kb[1], child_peak_kb(guard));
+	report("  lookups meanwhile", l);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -327,6 +408,9 @@
 	(void)snprintf(what, sizeof(what), "lookups at %" PRIu64 "/s", rate);
 	if (rate > 0)
 		compare(what, &direct, &through, seconds);
+	if (rate > 0)
+		beside_upload(&through, &entry, &guard, rate);
+	through.rate = rate;
 	direct.method = through.method = "POST";
 	direct.path = through.path = "/book/x?bytes=512";
 	direct.body = through.body = "{\"seat\":7}";
@@ -340,5 +424,7 @@
 	most("most lookups", &through, &entry, &guard, seconds / 2);
 	child_stop(&entry);
 	child_stop(&guard);
+	g_free(direct.samples_us);
+	g_free(through.samples_us);
 	return 0;
 }
--- a/packages/node/src/callers_answer.c
+++ b/packages/node/src/callers_answer.c
@@ -10,7 +10,9 @@
 
 #define HTTP_UNAVAILABLE 503
 #define MS_PER_S 1000
-#define CHUNK_HEAD_BYTES 16
+#define HEAD_BYTES 512
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
 #define WAIT_MS 1000
 
 /* Pieces up to this size are written together with the head. */
@@ -148,6 +150,14 @@
 	return fine;
 }
 
+/* Whether the answer's length is for this node to say. */
+static bool
+has_body(const struct caller_reply *reply, const struct call_answer *a)
+{
+	return !reply->head_only && a->status != HTTP_NO_CONTENT &&
+	    a->status != HTTP_NOT_MODIFIED;
+}
+
 bool
 callers_answer_write(struct callers *c, struct mg_connection *conn,
     struct call_exchange *x, const struct call_answer *a, bool close)
@@ -161,12 +171,16 @@
 	reply.head_only = strcmp(info->request_method, "HEAD") == 0;
 	if (a->message != NULL)
 		return write_error(&reply, a);
-	reply.chunked = a->body_bytes < 0 && !reply.head_only;
-	out = g_string_sized_new(CHUNK_HEAD_BYTES);
+	reply.chunked = a->body_bytes < 0 && !reply.head_only &&
+	    strcmp(info->http_version, "1.0") != 0;
+	reply.close = close || (a->body_bytes < 0 && !reply.chunked);
+	out = g_string_sized_new(HEAD_BYTES);
 	add_head(out, a);
-	add_end(out, &reply, a->body_bytes);
+	add_end(out, &reply, has_body(&reply, a) ? a->body_bytes : -1);
 	fine = write_body(x, &reply, out);
 	g_string_free(out, TRUE);
+	if (!fine)
+		callers_socket_abort(conn);
 	return fine;
 }
 
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -100,6 +100,14 @@
 /** callers_socket() - the connection's socket, or -1 */
 int callers_socket(struct mg_connection *conn);
 
+/**
+ * callers_socket_abort() - reset the connection
+ *
+ * So that an answer which was cut can't be taken for whole, also where its
+ * end is told by the end of the connection.
+ */
+void callers_socket_abort(struct mg_connection *conn);
+
 /** callers_socket_gone() - whether the caller has hung up */
 bool callers_socket_gone(struct mg_connection *conn);
 
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -79,6 +79,16 @@
 	return cc->fd;
 }
 
+void
+callers_socket_abort(struct mg_connection *conn)
+{
+	const struct sockaddr none = {.sa_family = AF_UNSPEC};
+	int fd = callers_socket(conn);
+
+	if (fd >= 0)
+		(void)connect(fd, &none, sizeof(none));
+}
+
 bool
 callers_socket_gone(struct mg_connection *conn)
 {
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -24,6 +24,8 @@
 /* Headers that the guard adds to those of the caller. */
 #define OWN_HEADERS 2
 
+#define CONTENT_LENGTH "Content-Length"
+
 static const char not_run[] = "not_run";
 
 static const char *
@@ -68,7 +70,7 @@
 length_of(const struct guard_request *r, int code,
     const struct http_header *headers, uint32_t n)
 {
-	const char *length = find(headers, n, "Content-Length");
+	const char *length = find(headers, n, CONTENT_LENGTH);
 
 	if (has_no_body(r, code))
 		return 0;
@@ -77,21 +79,31 @@
 	return strtoll(length, NULL, DECIMAL);
 }
 
+static void
+take_header(struct guard_answer *a, const char *name, const char *value)
+{
+	(void)call_headers_add(&a->headers, name, (uint32_t)strlen(name), value,
+	    (uint32_t)strlen(value));
+}
+
+/* The length that a HEAD tells is not that of a body which comes. */
 static void
 take_headers(
-    struct guard_answer *a, const struct http_header *headers, uint32_t n)
+    struct guard_request *r, const struct http_header *headers, uint32_t n)
 {
 	const char *connection = find(headers, n, "Connection");
+	const char *length = find(headers, n, CONTENT_LENGTH);
 	const struct http_header *h;
 	uint32_t i;
 
+	if (length != NULL && strcmp(r->method, "HEAD") == 0)
+		take_header(r->answer, CONTENT_LENGTH, length);
+
 	for (i = 0; i < n; i++) {
 		h = &headers[i];
 		if (!call_header_passes(h->name, connection))
 			continue;
-		(void)call_headers_add(&a->headers, h->name,
-		    (uint32_t)strlen(h->name), h->value,
-		    (uint32_t)strlen(h->value));
+		take_header(r->answer, h->name, h->value);
 	}
 }
 
@@ -113,7 +125,7 @@
 	a->guard_us = r->started_us - r->opened_us;
 	a->upstream_us = clock_now_us() - r->started_us;
 	metric_observe_us(&metric_upstream_us, a->upstream_us);
-	take_headers(a, headers, n);
+	take_headers(r, headers, n);
 	return HTTP_CONTINUE;
 }
 
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -180,7 +180,7 @@
 }
 
 static void
-put_pattern(int fd, size_t len, bool chunked)
+put_pattern(int fd, size_t len, bool chunked, bool whole)
 {
 	char line[16];
 	size_t n;
@@ -195,10 +195,12 @@
 			put(fd, "\r\n", 2);
 		len -= n;
 	}
-	if (chunked)
+	if (chunked && whole)
 		put(fd, "0\r\n\r\n", 5);
 }
 
+static const char no_content[] = "HTTP/1.1 204 No Content\r\n\r\n";
+
 static bool
 answer(struct upstream_conn *c, const char *head, uint64_t sum, size_t total)
 {
@@ -224,22 +226,28 @@
 		put(c->fd, line, strlen(line));
 		return true;
 	}
+	if (strstr(head, "do=empty") != NULL) {
+		put(c->fd, no_content, strlen(no_content));
+		return true;
+	}
 	if (strstr(head, "do=chunked") != NULL) {
 		(void)snprintf(line, sizeof(line),
 		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
 		put(c->fd, line, strlen(line));
-		put_pattern(c->fd, bytes, true);
-		return true;
+		put_pattern(c->fd, bytes, true, strstr(head, "cut=1") == NULL);
+		return strstr(head, "cut=1") == NULL;
 	}
 	(void)snprintf(line, sizeof(line),
 	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", bytes);
+	if (g_str_has_prefix(head, "HEAD "))
+		bytes = 0;
 	(void)send(c->fd, line, strlen(line),
 	    MSG_NOSIGNAL | (bytes > 0 ? MSG_MORE : 0));
 	if (strstr(head, "do=cut") != NULL) {
-		put_pattern(c->fd, bytes / 2, false);
+		put_pattern(c->fd, bytes / 2, false, true);
 		return false;
 	}
-	put_pattern(c->fd, bytes, false);
+	put_pattern(c->fd, bytes, false, true);
 	return true;
 }
 
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -3,6 +3,7 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "node/snapshot_ref.h"
@@ -145,6 +146,54 @@
 }
 END_TEST
 
+/* There the end of an answer may be told by the end of the connection. */
+START_TEST(an_old_caller_sees_a_cut_as_a_reset)
+{
+	static const char *const paths[] = {
+	    "GET /look/x?do=chunked&bytes=300000 HTTP/1.0\r\n\r\n",
+	    "GET /look/x?do=chunked&cut=1&bytes=300000 HTTP/1.0\r\n\r\n"};
+	static char buf[65536];
+	ssize_t n;
+	int fd, i;
+
+	start();
+	for (i = 0; i < 2; i++) {
+		fd = caller_connect(callers_port(node->callers));
+		(void)send(fd, paths[i], strlen(paths[i]), MSG_NOSIGNAL);
+		do {
+			n = recv(fd, buf, sizeof(buf), 0);
+		} while (n > 0);
+		ck_assert_int_eq(n, i == 0 ? 0 : -1);
+		close(fd);
+	}
+	stop();
+}
+END_TEST
+
+START_TEST(a_head_tells_the_length_that_a_get_would_have)
+{
+	char buf[1024];
+	struct reply r;
+	ssize_t n;
+	int fd;
+
+	start();
+	fd = caller_connect(callers_port(node->callers));
+	ck_assert(caller_send(
+	    fd, "HEAD", "/look/x?bytes=77", "Connection: close\r\n", NULL, 0));
+	n = recv(fd, buf, sizeof(buf) - 1, MSG_WAITALL);
+	ck_assert_int_gt(n, 0);
+	buf[n] = '\0';
+	ck_assert_ptr_nonnull(strstr(buf, "\r\nContent-Length: 77\r\n"));
+	ck_assert(g_str_has_suffix(buf, "\r\n\r\n"));
+	close(fd);
+	call("GET", "/look/x?do=empty", NULL, NULL, &r);
+	ck_assert_int_eq(r.status, 204);
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
 /* libcurl repeats a POST by itself when a reused connection closes. */
 START_TEST(a_booking_on_a_kept_connection_that_closes_runs_once)
 {
@@ -247,6 +296,8 @@
 	const TTest *const tests[] = {a_lookup_gets_its_answer,
 	    a_caller_is_told_what_happened,
 	    a_long_answer_that_breaks_off_does_not_look_whole,
+	    an_old_caller_sees_a_cut_as_a_reset,
+	    a_head_tells_the_length_that_a_get_would_have,
 	    a_booking_on_a_kept_connection_that_closes_runs_once,
 	    an_upstream_that_is_down_or_draining_runs_nothing,
 	    a_deadline_that_passes_is_told, a_large_upload_arrives_whole, NULL};
