fix(node): an answer whose end nobody can tell is not passed on as whole

Problem: an upstream's answer that ends with its connection may have been cut, and was given to the caller with a length of its own.

--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -170,10 +170,11 @@
 	return HTTP_CONTINUE;
 }
 
+/* One that ends with its connection may have been cut: nobody can tell. */
 static bool
-answer_is_whole(const struct guard_answer *a)
+answer_is_whole(const struct guard_answer *a, const struct http_result *res)
 {
-	if (!a->has_head)
+	if (res->status != STATUS_OK || !a->has_head || !res->delimited)
 		return false;
 	return a->length < 0 || a->base + a->data->len == (uint64_t)a->length;
 }
@@ -189,7 +190,7 @@
 		guard_request_refuse(r, REFUSAL_UPSTREAM, r->shed_retry_ms);
 		return;
 	}
-	if (res->status == STATUS_OK && answer_is_whole(r->answer)) {
+	if (answer_is_whole(r->answer, res)) {
 		guard_request_done(r);
 		return;
 	}
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -31,8 +31,8 @@
 
 /**
  * struct fake_upstream - an upstream that does what a request's query says:
- * do=ok|close|cut|shed|chunked|sum|deaf|empty, bytes=n of the answer, ms=n of
- * delay
+ * do=ok|close|cut|shed|chunked|sum|deaf|empty|ends, bytes=n of the answer, ms=n
+ * of delay
  * @port: where it listens
  * @running: requests that run now
  * @connections: connections taken so far
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -201,6 +201,8 @@
 
 static const char no_content[] = "HTTP/1.1 204 No Content\r\n\r\n";
 
+static const char endless[] = "HTTP/1.1 200 OK\r\n\r\n";
+
 static bool
 answer(struct upstream_conn *c, const char *head, uint64_t sum, size_t total)
 {
@@ -226,6 +228,11 @@
 		put(c->fd, line, strlen(line));
 		return true;
 	}
+	if (strstr(head, "do=ends") != NULL) {
+		put(c->fd, endless, strlen(endless));
+		put_pattern(c->fd, bytes, false, true);
+		return false;
+	}
 	if (strstr(head, "do=empty") != NULL) {
 		put(c->fd, no_content, strlen(no_content));
 		return true;
