--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -3,6 +3,7 @@
  */
 #define LOG_PART "main"
 
+#include <locale.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -62,6 +63,11 @@
 	} else if (show_version) {
 		(void)printf("bramleydrift %s\n", BRAMLEY_VERSION);
 		code = EXIT_FINE;
+	} else if (*argc > 1) {
+		(void)fprintf(stderr,
+		    "bramleydrift: \"%s\" is no option; try --help.\n",
+		    (*argv)[1]);
+		code = EXIT_USAGE;
 	} else if (settings_path == NULL) {
 		(void)fprintf(stderr,
 		    "bramleydrift: no settings; give --settings FILE.\n");
@@ -142,8 +148,11 @@
 main(int argc, char *argv[])
 {
 	struct settings s;
-	int code = parse_options(&argc, &argv);
+	int code;
 
+	/* Numbers stay as C writes them; only the help is in the locale. */
+	(void)setlocale(LC_CTYPE, "");
+	code = parse_options(&argc, &argv);
 	if (code >= 0)
 		return code;
 	if (!load_settings(&s))
