--- a/cmake/bramley.cmake
+++ b/cmake/bramley.cmake
@@ -26,8 +26,15 @@
 endif()
 
 # bramley_package(NAME LIBS lib...): a static library of packages/NAME/src.
+# Packages among LIBS must be there already: the arrows point one way.
 function(bramley_package name)
 	cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+	foreach(lib ${ARG_LIBS})
+		if(lib MATCHES "^bramley_" AND NOT TARGET ${lib})
+			message(FATAL_ERROR "Package ${name} links to ${lib}, "
+			    "which is not below it; see PACKAGES.")
+		endif()
+	endforeach()
 	file(GLOB_RECURSE sources CONFIGURE_DEPENDS
 	    ${CMAKE_CURRENT_SOURCE_DIR}/src/*.c)
 	list(FILTER sources EXCLUDE REGEX "/main[a-z_]*\\.c$")
