--- /dev/null
+++ b/test/capacity/nested.c
@@ -0,0 +1,229 @@
+/*
+ * Upstreams that call one another.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "nested.h"
+
+#define BACKLOG 256
+#define BUFFER_BYTES 8192
+#define REQUEST_BYTES 256
+#define ANSWER_OK "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+#define ANSWER_BAD "HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nno"
+#define STATUS_AT 9
+
+struct nested {
+	struct nested_plan plan;
+	struct net_addr *nodes;
+	struct net_addr at;
+	int fd;
+};
+
+/* One connection from a node, or from the caller before. */
+struct serving {
+	struct nested *nested;
+	int fd;
+	int next; /* connection to where the next service is called */
+	int next_direct;
+};
+
+static int
+dial(struct net_addr to)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+
+	sin.sin_addr.s_addr = htonl(to.ip);
+	sin.sin_port = htons(to.port);
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
+		return fd;
+	(void)close(fd);
+	return -1;
+}
+
+/* Read until the end of a head; returns its length, 0 when there is none. */
+static size_t
+read_head(int fd, char *data, size_t *len)
+{
+	char *end;
+	ssize_t n;
+
+	*len = 0;
+	while (*len < BUFFER_BYTES - 1) {
+		n = recv(fd, data + *len, BUFFER_BYTES - 1 - *len, 0);
+		if (n <= 0)
+			return 0;
+		*len += (size_t)n;
+		data[*len] = '\0';
+		end = strstr(data, "\r\n\r\n");
+		if (end != NULL)
+			return (size_t)(end - data) + strlen("\r\n\r\n");
+	}
+	return 0;
+}
+
+/* Read an answer; returns its status, and whether the connection goes on. */
+static int
+read_answer(int fd, int *goes_on)
+{
+	char data[BUFFER_BYTES];
+	size_t head, len, body;
+	const char *at;
+	ssize_t n;
+
+	head = read_head(fd, data, &len);
+	if (head <= STATUS_AT)
+		return 0;
+	at = strcasestr(data, "\r\ncontent-length:");
+	body = at == NULL
+	    ? 0
+	    : strtoul(at + strlen("\r\ncontent-length:"), NULL, 10);
+	*goes_on = strcasestr(data, "\r\nconnection: close") == NULL;
+	while (len < head + body) {
+		n = recv(fd, data, MIN(sizeof(data), head + body - len), 0);
+		if (n <= 0)
+			return 0;
+		len += (size_t)n;
+	}
+	return (int)strtol(data + STATUS_AT, NULL, 10);
+}
+
+static struct net_addr
+where(const struct nested *n, uint32_t service, int direct)
+{
+	return direct ? n->at : n->nodes[service];
+}
+
+/* One call to a service over a connection that is kept. */
+static int
+call(int *fd, struct net_addr to, uint32_t service, uint32_t depth, int direct)
+{
+	char request[REQUEST_BYTES];
+	int goes_on = 0, status = 0, len;
+
+	if (*fd < 0)
+		*fd = dial(to);
+	if (*fd < 0)
+		return 0;
+	len = g_snprintf(request, sizeof(request),
+	    "GET /service-%04u/part-0?depth=%u&direct=%d HTTP/1.1\r\n"
+	    "Host: bench\r\n\r\n",
+	    service, depth, direct);
+	if (send(*fd, request, (size_t)len, MSG_NOSIGNAL) == len)
+		status = read_answer(*fd, &goes_on);
+	if (!goes_on) {
+		(void)close(*fd);
+		*fd = -1;
+	}
+	return status == 200;
+}
+
+/* Calls the next service if the depth is not reached. */
+static int
+serve(struct serving *s, const char *request)
+{
+	unsigned int service, depth;
+	int direct;
+
+	if (sscanf(request, "GET /service-%u/part-0?depth=%u&direct=%d",
+		&service, &depth, &direct) != 3)
+		return 0;
+	if (service + 1 >= depth || service + 1 >= s->nested->plan.services)
+		return 1;
+	if (s->next >= 0 && s->next_direct != direct) {
+		(void)close(s->next);
+		s->next = -1;
+	}
+	s->next_direct = direct;
+	return call(&s->next, where(s->nested, service, direct), service + 1,
+	    depth, direct);
+}
+
+static void *
+serving_main(void *arg)
+{
+	static const char ok[] = ANSWER_OK, bad[] = ANSWER_BAD;
+	char request[BUFFER_BYTES];
+	struct serving *s = arg;
+	const char *answer;
+	size_t len;
+
+	while (read_head(s->fd, request, &len) > 0) {
+		answer = serve(s, request) ? ok : bad;
+		if (send(s->fd, answer, strlen(answer), MSG_NOSIGNAL) < 0)
+			break;
+	}
+	(void)close(s->fd);
+	if (s->next >= 0)
+		(void)close(s->next);
+	g_free(s);
+	return NULL;
+}
+
+static void *
+accept_main(void *arg)
+{
+	struct nested *n = arg;
+	struct serving *s;
+	pthread_t thread;
+	int fd, on = 1;
+
+	while ((fd = accept4(n->fd, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		s = g_new0(struct serving, 1);
+		s->nested = n;
+		s->fd = fd;
+		s->next = -1;
+		if (pthread_create(&thread, NULL, serving_main, s) != 0)
+			abort();
+		(void)pthread_detach(thread);
+	}
+	return NULL;
+}
+
+struct nested *
+nested_start(const struct nested_plan *plan)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct nested *n = g_new0(struct nested, 1);
+	socklen_t len = sizeof(sin);
+	pthread_t thread;
+
+	n->plan = *plan;
+	n->nodes =
+	    g_memdup2(plan->nodes, plan->services * sizeof(plan->nodes[0]));
+	sin.sin_addr.s_addr = htonl(plan->ip);
+	n->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (bind(n->fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    listen(n->fd, BACKLOG) != 0 ||
+	    getsockname(n->fd, (struct sockaddr *)&sin, &len) != 0)
+		g_error("The upstreams can't listen.");
+	n->at = (struct net_addr){plan->ip, ntohs(sin.sin_port)};
+	if (pthread_create(&thread, NULL, accept_main, n) != 0)
+		abort();
+	(void)pthread_detach(thread);
+	return n;
+}
+
+uint16_t
+nested_port(const struct nested *n)
+{
+	return n->at.port;
+}
+
+int
+nested_call(struct nested *n, int *fd, uint32_t depth, int direct)
+{
+	return call(fd, where(n, 0, direct), 0, depth, direct);
+}
