--- a/packages/node/src/admin_versions.c
+++ b/packages/node/src/admin_versions.c
@@ -219,6 +219,8 @@
 	switch (result) {
 	case ROLLOUT_CONFLICT:
 		return "Look at the newer version, then decide again.";
+	case ROLLOUT_NOT_FOUND:
+		return "Look it up with GET /v1/versions.";
 	case ROLLOUT_UNAVAILABLE:
 		return "Nothing was done; ask again later.";
 	case ROLLOUT_UNKNOWN:
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -223,7 +223,7 @@
 	say_goodbye(g);
 	atomic_store(&g->busy_conns, busy_conns(g));
 	g->drained = true;
-	log_info("draining, %u requests in flight", guard_in_flight(g));
+	log_info("draining, %u requests in flight", atomic_load(&g->in_flight));
 	g_free(o);
 }
 
