fix(node): log lines with a platform's or peer's reason end in one full stop

Problem: "The head row could not be read: ... ask again later.." in each line of an outage. Cause: status_message() is a sentence with its full stop; two lines added one. Solution: they add none. test_call_path, test_store, test_store_faults and functional_platform_away pass.

--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -91,7 +91,7 @@
 	struct net_addr peer = conn_peer(c);
 	char text[ADDR_TEXT_BYTES];
 
-	log_debug("Connection with %s ended: %s, %s.", addr_format(&peer, text),
+	log_debug("Connection with %s ended: %s, %s", addr_format(&peer, text),
 	    status_name(st), status_message());
 	if (peers_forget(p, c))
 		p->handler->on_closed(peer, p->arg);
--- a/packages/node/src/source.c
+++ b/packages/node/src/source.c
@@ -59,7 +59,7 @@
 {
 	if (st != STATUS_OK && st != STATUS_NOT_FOUND)
 		log_warning(
-		    "The head row could not be read: %s.", status_message());
+		    "The head row could not be read: %s", status_message());
 	spread_on_head(src->spread, loop_now_ms(src->loop), st,
 	    st == STATUS_OK ? head : NULL);
 	src->fn(src->arg);
