--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -170,7 +170,9 @@
 	    outcome_name(action->outcome), refusal_name(action->refusal),
 	    call_attempts(c->decision));
 	call_metrics_outcome(action->outcome);
-	call_metrics_refusal(action->refusal);
+	if (action->refusal == REFUSAL_NO_ENDPOINT ||
+	    action->refusal == REFUSAL_UNREACHABLE)
+		call_metrics_refusal(action->refusal);
 	entry_answer_give_up(c, action);
 }
 
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -14,7 +14,8 @@
 #include "guard_priv.h"
 
 #define ID_SEED 5
-#define TICK_MS 20
+#define TICK_MS 100
+#define DRAIN_TICK_MS 5
 #define FATES_MAX 262144
 #define CALLERS_MAX 4096
 #define ANSWERS_SHARE 8
@@ -71,7 +72,9 @@
 	guard_resolve_expire(g);
 	drain_tick(&g->drain, now_ms);
 	atomic_store(&g->busy_conns, busy_conns(g));
-	loop_timer_set(&g->tick, now_ms + TICK_MS);
+	loop_timer_set(&g->tick,
+	    now_ms +
+		(drain_takes_request(&g->drain) ? TICK_MS : DRAIN_TICK_MS));
 }
 
 static struct fate_table *
@@ -223,6 +226,7 @@
 	say_goodbye(g);
 	atomic_store(&g->busy_conns, busy_conns(g));
 	g->drained = true;
+	loop_timer_set(&g->tick, now_ms + DRAIN_TICK_MS);
 	log_info("draining, %u requests in flight", atomic_load(&g->in_flight));
 	g_free(o);
 }
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -260,6 +260,33 @@
 }
 END_TEST
 
+/* The caller is told when to come back; the others are not touched. */
+START_TEST(a_caller_over_its_limit_is_turned_away)
+{
+	struct guard_endpoint ep = {.service = "search",
+	    .slots = 8,
+	    .state = SERVING_READY,
+	    .limits = {.slots_per_endpoint = 8, .caller_calls_per_s = 2}};
+	int done = 0, refused = 0, i;
+	struct reply r;
+
+	start();
+	ep.port = upstream->port;
+	guard_set_endpoints(node->guard, &ep, 1);
+	for (i = 0; i < 6; i++) {
+		call("POST", "/book/x", "X-Test-Id: c\r\n", "seat", &r);
+		done += r.status == 200;
+		refused += r.status == 503 && strcmp(r.fate, "not_run") == 0 &&
+		    r.retry_after[0] != '\0';
+		reply_clear(&r);
+	}
+	ck_assert_int_eq(done + refused, 6);
+	ck_assert_int_ge(refused, 2);
+	ck_assert_int_eq(fake_upstream_runs(upstream, "c"), done);
+	stop();
+}
+END_TEST
+
 #define UPLOAD_BYTES (64U << 20)
 
 static uint64_t
@@ -306,6 +333,7 @@
 	    a_head_tells_the_length_that_a_get_would_have,
 	    a_booking_on_a_kept_connection_that_closes_runs_once,
 	    an_upstream_that_is_down_or_draining_runs_nothing,
+	    a_caller_over_its_limit_is_turned_away,
 	    a_deadline_that_passes_is_told, a_large_upload_arrives_whole, NULL};
 
 	return fixture_main("call path", tests);
