refactor(ctl): one way to read a text member of an answer

Problem: query.c and report.c each had the same text_of(). Solution: report_text() in report.h. Behaviour unchanged; test_ctl and functional_path pass.

--- a/packages/ctl/include/ctl/report.h
+++ b/packages/ctl/include/ctl/report.h
@@ -11,6 +11,15 @@
 /** report_json() - print an answer as one line of JSON */
 void report_json(struct ctl *ctl, const json_t *json);
 
+/**
+ * report_text() - a member of an object as text
+ * @json: the object; NULL is allowed
+ * @name: name of the member
+ *
+ * Return: the text, borrowed from @json, or "" when there is none.
+ */
+const char *report_text(const json_t *json, const char *name);
+
 /** report_fields() - print an object as lines "name: value" */
 void report_fields(struct ctl *ctl, const json_t *json);
 
--- a/packages/ctl/src/query.c
+++ b/packages/ctl/src/query.c
@@ -73,14 +73,6 @@
 	(void)strftime(text, TIME_BYTES, "%Y-%m-%dT%H:%M:%SZ", &tm);
 }
 
-static const char *
-text_of(const json_t *json, const char *name)
-{
-	const char *text = json_string_value(json_object_get(json, name));
-
-	return text != NULL ? text : "";
-}
-
 static void
 print_history(struct ctl *ctl, const json_t *json)
 {
@@ -98,8 +90,8 @@
 		(void)fprintf(ctl->out, "%10lld  %-20s  %-16s  %-36s  %s\n",
 		    (long long)json_integer_value(
 			json_object_get(v, "version")),
-		    when, text_of(v, "operator"), text_of(v, "op"),
-		    text_of(v, "note"));
+		    when, report_text(v, "operator"), report_text(v, "op"),
+		    report_text(v, "note"));
 	}
 }
 
--- a/packages/ctl/src/report.c
+++ b/packages/ctl/src/report.c
@@ -91,8 +91,8 @@
 		    "It was done before by this operation.\n", ctl->out);
 }
 
-static const char *
-text_of(const json_t *json, const char *name)
+const char *
+report_text(const json_t *json, const char *name)
 {
 	const char *text = json_string_value(json_object_get(json, name));
 
@@ -107,8 +107,8 @@
 	(void)fprintf(ctl->err,
 	    "  winner: version %lld, %s by %s in operation %s\n",
 	    (long long)json_integer_value(json_object_get(winner, "version")),
-	    halted ? "halted" : "signed off", text_of(winner, "operator"),
-	    text_of(winner, "op"));
+	    halted ? "halted" : "signed off", report_text(winner, "operator"),
+	    report_text(winner, "op"));
 }
 
 static void
@@ -118,8 +118,8 @@
 	size_t i;
 
 	json_array_foreach((json_t *)problems, i, p)(void)
-	    fprintf(ctl->err, "  %s: %s; %s\n", text_of(p, "path"),
-		text_of(p, "message"), text_of(p, "remedy"));
+	    fprintf(ctl->err, "  %s: %s; %s\n", report_text(p, "path"),
+		report_text(p, "message"), report_text(p, "remedy"));
 }
 
 /* How an unknown outcome is settled: the command to type. */
@@ -161,13 +161,13 @@
 	if (ctl->options->json)
 		report_json(ctl, reply->json);
 	(void)fprintf(ctl->err, "bramleyctl: %s: %s\n",
-	    *kind != '\0' ? kind : "internal", text_of(error, "message"));
+	    *kind != '\0' ? kind : "internal", report_text(error, "message"));
 	print_problems(ctl, json_object_get(reply->json, "problems"));
 	if (winner != NULL)
 		print_winner(ctl, winner);
 	if (code == EXIT_CODE_UNKNOWN)
 		print_settle(ctl, reply->json);
-	(void)fprintf(ctl->err, "  remedy: %s\n", text_of(error, "remedy"));
+	(void)fprintf(ctl->err, "  remedy: %s\n", report_text(error, "remedy"));
 	return code;
 }
 
