--- a/packages/standins/include/standins/web.h
+++ b/packages/standins/include/standins/web.h
@@ -115,6 +115,14 @@
 void web_answer_json(
     struct mg_connection *conn, int code, const char *headers, json_t *j);
 
+/**
+ * web_json_u32() - take a number from an object, if it is there
+ * @j: the object
+ * @name: name of the member
+ * @out: where the number goes; left alone when there is none
+ */
+void web_json_u32(const json_t *j, const char *name, uint32_t *out);
+
 /** web_drop() - end the request with no answer and close the connection */
 void web_drop(struct mg_connection *conn);
 
--- a/packages/standins/src/platform.c
+++ b/packages/standins/src/platform.c
@@ -236,15 +236,6 @@
 		object_error(conn, 405, "MethodNotAllowed");
 }
 
-static void
-knob_u32(const json_t *j, const char *name, uint32_t *knob)
-{
-	const json_t *v = json_object_get(j, name);
-
-	if (json_is_integer(v))
-		*knob = (uint32_t)json_integer_value(v);
-}
-
 static void
 platform_set_knobs(
     struct platform *p, struct mg_connection *conn, GByteArray *body)
@@ -262,10 +253,10 @@
 	pthread_mutex_lock(&p->lock);
 	if (json_is_boolean(json_object_get(j, "outage")))
 		k->outage = json_is_true(json_object_get(j, "outage"));
-	knob_u32(j, "delay_ms", &k->delay_ms);
-	knob_u32(j, "lose_answers", &k->lose_answers);
-	knob_u32(j, "reads_per_s", &k->reads_per_s);
-	knob_u32(j, "writes_per_s", &k->writes_per_s);
+	web_json_u32(j, "delay_ms", &k->delay_ms);
+	web_json_u32(j, "lose_answers", &k->lose_answers);
+	web_json_u32(j, "reads_per_s", &k->reads_per_s);
+	web_json_u32(j, "writes_per_s", &k->writes_per_s);
 	rate_set(&p->reads, k->reads_per_s, now_us);
 	rate_set(&p->writes, k->writes_per_s, now_us);
 	pthread_mutex_unlock(&p->lock);
--- a/packages/standins/src/upstream.c
+++ b/packages/standins/src/upstream.c
@@ -27,15 +27,6 @@
 		*knob = json_is_true(v);
 }
 
-static void
-knob_u32(const json_t *j, const char *name, uint32_t *knob)
-{
-	const json_t *v = json_object_get(j, name);
-
-	if (json_is_integer(v))
-		*knob = (uint32_t)json_integer_value(v);
-}
-
 static void
 knobs_take(struct upstream_knobs *k, const json_t *j)
 {
@@ -45,9 +36,9 @@
 	knob_bool(j, "hang", &k->hang);
 	knob_bool(j, "drain", &k->drain);
 	knob_bool(j, "pause_lease", &k->pause_lease);
-	knob_u32(j, "work_ms_mean", &k->work_ms_mean);
-	knob_u32(j, "close_after_run", &k->close_after_run);
-	knob_u32(j, "close_kept_alive", &k->close_kept_alive);
+	web_json_u32(j, "work_ms_mean", &k->work_ms_mean);
+	web_json_u32(j, "close_after_run", &k->close_after_run);
+	web_json_u32(j, "close_kept_alive", &k->close_kept_alive);
 	v = json_object_get(j, "slow_factor");
 	if (json_is_number(v))
 		k->slow_factor = json_number_value(v);
--- a/packages/standins/src/web.c
+++ b/packages/standins/src/web.c
@@ -193,6 +193,15 @@
 	json_decref(j);
 }
 
+void
+web_json_u32(const json_t *j, const char *name, uint32_t *out)
+{
+	const json_t *v = json_object_get(j, name);
+
+	if (json_is_integer(v))
+		*out = (uint32_t)json_integer_value(v);
+}
+
 void
 web_drop(struct mg_connection *conn)
 {
