refactor(rollout): one way to end an operation that did nothing

Problem: outcome_not_found() and outcome_invalid() were the same but for a name. Solution: both call fail(). Behaviour unchanged; test_rollout and test_race pass.

--- a/packages/rollout/src/outcome.c
+++ b/packages/rollout/src/outcome.c
@@ -115,15 +115,22 @@
 	    r->head.version);
 }
 
+/* Ends an operation that did nothing, with a message of the caller's. */
+static void
+fail(struct rollout *r, enum rollout_result result, const char *fmt, va_list ap)
+{
+	r->outcome.kind = r->req.kind;
+	end(r, result, "%s", "");
+	set_message(r, fmt, ap);
+}
+
 void
 outcome_not_found(struct rollout *r, const char *fmt, ...)
 {
 	va_list ap;
 
-	r->outcome.kind = r->req.kind;
-	end(r, ROLLOUT_NOT_FOUND, "%s", "");
 	va_start(ap, fmt);
-	set_message(r, fmt, ap);
+	fail(r, ROLLOUT_NOT_FOUND, fmt, ap);
 	va_end(ap);
 }
 
@@ -132,10 +139,8 @@
 {
 	va_list ap;
 
-	r->outcome.kind = r->req.kind;
-	end(r, ROLLOUT_INVALID, "%s", "");
 	va_start(ap, fmt);
-	set_message(r, fmt, ap);
+	fail(r, ROLLOUT_INVALID, fmt, ap);
 	va_end(ap);
 }
 
