fix(spread): bytes that look like a head no longer overrule the true one

Cause: one random message read as a head with seq 114, version 46 and nothing in force. A head whose version in force is held already needs no content to prove it, so it was adopted and passed on, and true heads have lower seqs. Ruled out: floors (1 on all nodes), pulls (none was under way), membership (nobody was suspected). A head that names a version that nobody holds, with a high seq, still keeps the node that hears it waiting for that version, but is not passed on; peers are trusted beyond that until connections are authenticated.

--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -51,8 +51,44 @@
 static int
 spread_plausible(const struct rec_head_tag *head)
 {
+	enum head_state state;
+
+	state = head->in_force < head->version ? HEAD_HALTED : HEAD_ROLLING;
 	return head->in_force <= head->version && head->version <= head->seq &&
-	    head->version > 0;
+	    head->version > 0 && head->state == state;
+}
+
+/* Tag of a version that is or was held here; 0 when it can't be told. */
+static uint64_t
+spread_held_tag(const struct spread *s, uint64_t version)
+{
+	struct digest root;
+	GArray *list;
+
+	if (version == 0)
+		return 0;
+	if (version == catalog_version(s->env.catalog))
+		return intake_tag_of(catalog_root(s->env.catalog));
+	if (catalog_list(s->env.catalog, version, &root, &list) != STATUS_OK)
+		return 0;
+	g_array_unref(list);
+	return intake_tag_of(&root);
+}
+
+/*
+ * A head whose version in force is held here needs no content to prove it, so
+ * its tag must be that version's; bytes that only look like a head must not
+ * overrule the true one.  Heads that pings carry have no tag.
+ */
+static int
+spread_genuine(const struct spread *s, const struct rec_head_tag *head)
+{
+	uint64_t tag;
+
+	if (head->tag == 0 || head->in_force > catalog_version(s->env.catalog))
+		return 1;
+	tag = spread_held_tag(s, head->in_force);
+	return tag == 0 || tag == head->tag;
 }
 
 static void
@@ -91,7 +127,8 @@
 int
 spread_adopt(struct spread *s, uint64_t now_ms, const struct rec_head_tag *head)
 {
-	if (!spread_plausible(head) || head->seq < s->known.seq)
+	if (!spread_plausible(head) || head->seq < s->known.seq ||
+	    !spread_genuine(s, head))
 		return 0;
 	intake_tag(&s->intake, head->in_force, head->tag);
 	if (head->seq == s->known.seq)
@@ -165,6 +202,7 @@
 	if (head == NULL)
 		return;
 	s->offered = *head;
+	s->offered.tag = spread_held_tag(s, head->in_force);
 	if (head->seq == s->known.seq)
 		notices_offer(&s->notices, now_ms, head, s->origin);
 	gossip.seq = head->seq;
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -23,6 +23,16 @@
 	return newer;
 }
 
+/* The same, in a message that carries the tag of the version in force. */
+static int
+spread_heard_tagged(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, const struct rec_head_tag *head, int near)
+{
+	if ((head->tag == 0) != (head->in_force == 0))
+		return 0;
+	return spread_heard(s, now_ms, from, head, near);
+}
+
 static void
 spread_on_notice(struct spread *s, uint64_t now_ms, const struct net_addr *from,
     const uint8_t *body, size_t len)
@@ -32,7 +42,8 @@
 	if (msg_notice_decode(body, len, &msg) != STATUS_OK)
 		return;
 	s->env.stats.notices_heard++;
-	if (spread_heard(s, now_ms, from, &msg.head, msg.kind == NOTICE_NEAR))
+	if (spread_heard_tagged(
+		s, now_ms, from, &msg.head, msg.kind == NOTICE_NEAR))
 		s->env.stats.notices_new++;
 	else if (msg.kind == NOTICE_NEAR)
 		notices_heard(&s->notices, msg.head.seq);
@@ -61,7 +72,7 @@
 	} else if (type == MSG_FLOOR_ANSWER &&
 	    msg_floor_answer_decode(body, len, &answer) == STATUS_OK) {
 		floors_on_answer(&s->floors, &answer);
-		spread_heard(s, now_ms, from, &answer.head, 0);
+		spread_heard_tagged(s, now_ms, from, &answer.head, 0);
 	}
 }
 
@@ -89,7 +100,8 @@
 {
 	int in_force;
 
-	spread_adopt(s, now_ms, &msg->head);
+	if ((msg->head.tag == 0) == (msg->head.in_force == 0))
+		spread_adopt(s, now_ms, &msg->head);
 	in_force = msg->want == msg->head.in_force &&
 	    spread_halts(&msg->head) == spread_halts(&s->known);
 	intake_on_delta(&s->intake, now_ms, msg, in_force);
--- a/test/driver/test_roll.c
+++ b/test/driver/test_roll.c
@@ -210,6 +210,36 @@
 }
 END_TEST
 
+/* Heads that nobody signed, whose version in force is held already, so that
+ * no content has to prove them. */
+static const struct rec_head_tag false_heads[] = {
+    {.seq = 114, .version = 46, .in_force = 0, .state = HEAD_ROLLING},
+    {.seq = 114, .version = 46, .in_force = 1, .state = HEAD_ROLLING, .tag = 7},
+    {.seq = 114, .version = 46, .in_force = 1, .state = HEAD_HALTED, .tag = 7},
+    {.seq = 114, .version = 46, .in_force = 1, .state = HEAD_HALTED},
+    {.seq = 114, .version = 1, .in_force = 1, .state = HEAD_ROLLING, .tag = 7},
+};
+
+START_TEST(test_false_head)
+{
+	struct msg_notice msg = {.head = false_heads[_i]};
+	GByteArray *body;
+	struct world *w;
+	struct node *n;
+
+	w = scenario_new((uint64_t)_i + 1);
+	n = &w->nodes[4];
+	body = g_byte_array_new();
+	msg_notice_encode(&msg, body);
+	spread_on_datagram(n->s, world_now_ms(w), &w->nodes[5].addr, MSG_NOTICE,
+	    body->data, body->len);
+	g_byte_array_unref(body);
+	world_pump(n);
+	scenario_roll(w, 3000, 300);
+	scenario_end(w);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -226,6 +256,8 @@
 	tcase_add_test(tc, test_large);
 	tcase_add_loop_test(tc, test_endpoint_churn, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_noise, 12, 24);
+	tcase_add_loop_test(
+	    tc, test_false_head, 0, (int)G_N_ELEMENTS(false_heads));
 	suite_add_tcase(suite, tc);
 	return scenario_main(suite);
 }
