test(capacity): polls of a reader; sign-offs with fresh ids

Problem: the cost of a poll of the platform was not measured, and each sign-off of the bench searched the last version rows for its id.

Solution: bench_guard polls; bench_sign_off N fresh.

--- a/test/capacity/bench_guard.c
+++ b/test/capacity/bench_guard.c
@@ -4,7 +4,10 @@
  * that is remembered and each caller that waits; and its processor time when
  * nothing happens.
  *
- *	bench_guard connections | in_flight | fates | callers
+ *	bench_guard connections | in_flight | fates | callers | polls
+ *
+ * polls: what a reader's polls of the platform cost, which it does at rates
+ * above the usual one.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -39,7 +42,7 @@
 
 static const char settings[] =
     "{\"announce_lease_ms\":600000,\"log_level\":\"warning\","
-    "\"caller_threads\":%u}";
+    "\"caller_threads\":%u,\"head_poll_ms\":%u}";
 
 /**
  * struct bench - one run
@@ -61,6 +64,7 @@
 
 static const char *what;
 static uint32_t caller_threads = 64;
+static uint32_t poll_ms = 1000;
 
 static void
 run(const struct bench *b, uint64_t ms)
@@ -183,7 +187,7 @@
 		g_error("%s", status_message());
 	plan.platform =
 	    (struct net_addr){subject_address(PLATFORM_PLACE), port};
-	plan.settings = g_strdup_printf(settings, caller_threads);
+	plan.settings = g_strdup_printf(settings, caller_threads, poll_ms);
 	subject_start(&b->subject, &plan);
 	sign_off(b);
 	while (!subject_ready(&b->subject))
@@ -339,6 +343,18 @@
 		(void)close(fds[--n]);
 }
 
+static void
+bench_polls(struct bench *b)
+{
+	struct usage from, to;
+
+	subject_usage(&b->subject, &from);
+	run(b, IDLE_MS);
+	subject_usage(&b->subject, &to);
+	printf("a poll each %u ms: %.0f us of processor time a second\n",
+	    poll_ms, (double)(to.cpu_us - from.cpu_us) * KB / IDLE_MS);
+}
+
 static void
 bench_run(void)
 {
@@ -350,6 +366,7 @@
 	    {"in_flight", bench_in_flight},
 	    {"fates", bench_fates},
 	    {"callers", bench_callers},
+	    {"polls", bench_polls},
 	};
 	struct bench b = {0};
 	uint32_t i;
@@ -370,11 +387,14 @@
 {
 	if (argc < 2) {
 		printf("usage: bench_guard connections|in_flight|fates|"
-		       "callers [threads for callers]\n");
+		       "callers|polls [threads for callers [ms between "
+		       "polls]]\n");
 		return EXIT_FAILURE;
 	}
 	what = argv[1];
 	if (argc > 2)
 		caller_threads = (uint32_t)strtoul(argv[2], NULL, 10);
+	if (argc > 3)
+		poll_ms = (uint32_t)strtoul(argv[3], NULL, 10);
 	return subject_run(bench_run);
 }
--- a/test/capacity/bench_sign_off.c
+++ b/test/capacity/bench_sign_off.c
@@ -5,7 +5,7 @@
  * One real process and a stand-in platform in this one.  The first sign-off
  * writes all sections, the following ones one each.
  *
- *	bench_sign_off [changes]
+ *	bench_sign_off [changes [fresh]]
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -48,6 +48,7 @@
 };
 
 static uint32_t changes = 10;
+static const char *fresh = "";
 
 /* What the platform has been asked for. */
 struct asked {
@@ -87,8 +88,8 @@
 	int code;
 
 	(void)g_snprintf(url, sizeof(url),
-	    "http://%s:%u/v1/versions?operator=bench&op=bench-%u",
-	    b->subject.address, b->subject.admin_port, ++b->number);
+	    "http://%s:%u/v1/versions?operator=bench&op=bench-%u%s",
+	    b->subject.address, b->subject.admin_port, ++b->number, fresh);
 	f.body = json->str;
 	f.body_len = json->len;
 	f.timeout_ms = TIMEOUT_MS;
@@ -174,5 +175,7 @@
 {
 	if (argc > 1)
 		changes = (uint32_t)strtoul(argv[1], NULL, 10);
+	if (argc > 2)
+		fresh = "&fresh=1";
 	return subject_run(bench_run);
 }
