fix(node): an early refusal reaches a caller that still sends its body

Problem: a caller whose upload was refused at once (a node that starts or stops, no endpoint, overload) lost the answer and was left not knowing. Cause: CivetWeb 1.15 shuts its side down and closes at once (seen by strace: recvfrom 16384, sendto, shutdown, close); with bytes of the body unread the close is a reset, which throws away what the caller has not read. Ruled out: mg_stop() breaking off what CivetWeb still reads, by counting connections until connection_closed; it went on. Solution: after such an answer the rest is read and thrown away until the caller closes, for 1 s at most; for bodies up to 32 KB, which come in with the head, only where they were not read.

--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -122,6 +122,8 @@
 	if (!callers_answer_write(c, conn, x, a, close)) {
 		call_exchange_hang_up(x);
 		mg_disable_connection_keep_alive(conn);
+	} else if (!body_read) {
+		callers_socket_linger(conn);
 	}
 }
 
@@ -168,11 +170,13 @@
 }
 
 static void
-refuse(struct mg_connection *conn, uint32_t status)
+refuse(struct mg_connection *conn, uint32_t status, const char *kind,
+    const char *message)
 {
 	mg_disable_connection_keep_alive(conn);
-	callers_answer_refuse(conn, status, "invalid",
-	    "the request can't be passed on; check its path and headers.");
+	callers_answer_refuse(conn, status, kind, message);
+	if (mg_get_request_info(conn)->content_length > READ_BYTES)
+		callers_socket_linger(conn);
 }
 
 void
@@ -183,8 +187,7 @@
 
 	if (c->in_flight + SPARE_THREADS > c->settings->caller_threads) {
 		metric_add(&metric_callers_shed, 1);
-		mg_disable_connection_keep_alive(conn);
-		callers_answer_refuse(conn, HTTP_UNAVAILABLE, "overloaded",
+		refuse(conn, HTTP_UNAVAILABLE, "overloaded",
 		    "too many calls run here; come back after the time in "
 		    "Retry-After or call another node.");
 		return;
@@ -194,6 +197,8 @@
 	if (status == 0)
 		run(c, x, conn);
 	else
-		refuse(conn, status);
+		refuse(conn, status, "invalid",
+		    "the request can't be passed on; check its path and "
+		    "headers.");
 	call_exchange_unref(x);
 }
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -108,6 +108,15 @@
  */
 void callers_socket_abort(struct mg_connection *conn);
 
+/**
+ * callers_socket_linger() - an answer was given before the body was read
+ *
+ * What the caller still sends is thrown away until it closes, for a second at
+ * most.  A socket closed with bytes unread is reset, and the caller may lose
+ * the answer.
+ */
+void callers_socket_linger(struct mg_connection *conn);
+
 /** callers_socket_gone() - whether the caller has hung up */
 bool callers_socket_gone(struct mg_connection *conn);
 
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -14,6 +14,8 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "base/clock.h"
+
 #include "callers_priv.h"
 
 #define FD_DIRECTORY "/proc/self/fd"
@@ -25,6 +27,9 @@
 /* The system drops a connection that says nothing for this long. */
 #define DEFER_S 10
 
+#define LINGER_MS 1000
+#define LINGER_READ_BYTES 16384
+
 typedef bool socket_match_fn(int fd, const void *arg);
 
 static int
@@ -98,6 +103,27 @@
 	return p.fd >= 0 && poll(&p, 1, 0) == 1;
 }
 
+void
+callers_socket_linger(struct mg_connection *conn)
+{
+	uint64_t until_ms = clock_now_ms() + LINGER_MS;
+	struct pollfd p = {.events = POLLIN};
+	uint8_t buf[LINGER_READ_BYTES];
+	uint64_t left_ms;
+
+	p.fd = callers_socket(conn);
+	if (p.fd < 0)
+		return;
+	(void)shutdown(p.fd, SHUT_WR);
+	for (;;) {
+		left_ms = clock_left_ms(until_ms, clock_now_ms());
+		if (left_ms == 0 || poll(&p, 1, (int)left_ms) != 1)
+			return;
+		if (recv(p.fd, buf, sizeof(buf), MSG_DONTWAIT) <= 0)
+			return;
+	}
+}
+
 static bool
 is_listener(int fd, const void *arg)
 {
