fix(membership): nodes don't probe in step; anti-entropy sooner

Problem: with 786 nodes in a data centre a killed host was counted on for up to 290 s (10 kills, p50 38 s), though it was found within 9 s among 20.

Solution: cause: nodes that took the table from one peer, at about the same time, went through its hosts in one order, so that all probed the same host and none the dead one. Each node now shuffles its order when it has joined. Ruled out: the news of the suspicion (no node had any).

--- a/packages/membership/bench/bench_membership.c
+++ b/packages/membership/bench/bench_membership.c
@@ -5,11 +5,13 @@
  *	bench_membership table MEMBERS
  *	bench_membership join MEMBERS
  *	bench_membership herd NODES DATA_CENTRES
+ *	bench_membership detect NODES DATA_CENTRES [LOSS_PERCENT]
  *
  * steady: bytes, messages and processor time a node and second, and the time
  * until a change has reached half, 99 % and all of the nodes.
  * table: bytes of memory a member.  join: bytes and processor time of a join.
- * herd: all nodes of data centre 0 start at once.
+ * herd: all nodes of data centre 0 start at once.  detect: from the end of a
+ * process until no live node counts on its host.
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -384,6 +386,49 @@
 	fake_net_free(f);
 }
 
+#define KILLS 10
+
+/* Nodes that still count on host @dead. */
+static uint32_t
+misled(const struct fake_net *f, uint32_t dead)
+{
+	uint32_t i, n = 0;
+	int st;
+
+	for (i = 0; i < f->n; i++) {
+		if (f->nodes[i].m == NULL)
+			continue;
+		st = fake_state(f, i, dead);
+		n += st >= 0 && st < MEMBER_FAILED;
+	}
+	return n;
+}
+
+static void
+detect(uint32_t n, uint32_t dcs, uint32_t loss)
+{
+	uint32_t kills = MIN(KILLS, n / 2);
+	uint64_t times[KILLS];
+	struct fake_net *f = start(n, dcs);
+	uint64_t began;
+	uint32_t i;
+
+	(void)fake_run_until(f, JOIN_MS, fake_agreed);
+	f->loss_percent = loss;
+	fake_run(f, SETTLE_MS);
+	for (i = 0; i < kills; i++) {
+		began = f->now_ms;
+		/* Seeds are left alone: they come first. */
+		fake_kill(f, n - 1 - i);
+		while (misled(f, n - 1 - i) > 0)
+			fake_run(f, STEP_MS);
+		times[i] = f->now_ms - began;
+	}
+	printf("detect n %u dcs %u loss %u%%:\n", n, dcs, loss);
+	print_times("no node counts on it:", times, kills);
+	fake_net_free(f);
+}
+
 static uint32_t
 number(int argc, char **argv, int i, uint32_t otherwise)
 {
@@ -405,6 +450,8 @@
 		join(n);
 	else if (argc > 1 && strcmp(argv[1], "herd") == 0)
 		herd(n, dcs);
+	else if (argc > 1 && strcmp(argv[1], "detect") == 0)
+		detect(n, dcs, number(argc, argv, 4, 0));
 	else
 		return EXIT_FAILURE;
 	return EXIT_SUCCESS;
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -314,7 +314,7 @@
  * @relays_dcs: number of data centres at the last ranking of relays
  * @relays_ms: next look at the relays
  * @sync_ms: no anti-entropy exchange is begun before this
- * @mismatches: differing digests heard in a row while nothing was passed on
+ * @mismatches: differing digests heard in a row since @sync_ms
  * @quiet: a table is being taken in; its rows are no news to others
  * @actions: struct queued_action
  * @head: carried by probes
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -16,6 +16,7 @@
 #include "join.h"
 #include "merge.h"
 #include "news.h"
+#include "probe.h"
 #include "send.h"
 #include "suspicion.h"
 
@@ -175,6 +176,7 @@
 	m->prober.next_ms =
 	    m->now_ms + random_below(m, m->settings.probe_interval_ms);
 	m->relays_ms = m->now_ms;
+	probe_shuffle(m);
 	action_phase(m, MEMBERSHIP_JOINED);
 	news_add(m, m->self, 1);
 }
--- a/packages/membership/src/probe.c
+++ b/packages/membership/src/probe.c
@@ -96,14 +96,14 @@
 		start(m, r);
 }
 
-/* Put the rows of the own data centre into a random order. */
-static void
-shuffle(struct membership *m)
+void
+probe_shuffle(struct membership *m)
 {
 	GPtrArray *rows = m->home->rows;
 	struct row *a, *b;
 	uint32_t i, j;
 
+	m->prober.cursor = 0;
 	for (i = rows->len; i > 1; i--) {
 		j = random_below(m, i);
 		a = rows->pdata[i - 1];
@@ -123,10 +123,8 @@
 	uint32_t i;
 
 	for (i = 0; i < rows->len; i++) {
-		if (m->prober.cursor >= rows->len) {
-			m->prober.cursor = 0;
-			shuffle(m);
-		}
+		if (m->prober.cursor >= rows->len)
+			probe_shuffle(m);
 		r = rows->pdata[m->prober.cursor++];
 		if (r != m->self && member_is_live(&r->member))
 			return r;
--- a/packages/membership/src/probe.h
+++ b/packages/membership/src/probe.h
@@ -18,6 +18,13 @@
 /* Whether so many probes failed that the own view is not to be believed. */
 int probe_distrusted(const struct membership *m);
 
+/*
+ * Put the rows of the own data centre into a random order.  Nodes that took
+ * the table from one peer have the same order, and would else all probe the
+ * same host at a time.
+ */
+void probe_shuffle(struct membership *m);
+
 /* Forget the probes under way: the node was frozen. */
 void probe_reset(struct membership *m);
 
--- a/packages/membership/src/sync.c
+++ b/packages/membership/src/sync.c
@@ -11,7 +11,6 @@
 
 #include "action.h"
 #include "merge.h"
-#include "news.h"
 #include "send.h"
 #include "suspicion.h"
 #include "sync.h"
@@ -21,14 +20,10 @@
 #define DCS_PER_SYNC 4
 #define BUCKETS_PER_SYNC 32
 
-/* Differing digests in a row, while nothing is being passed on, that begin
- * an exchange with a node of the own data centre. */
+/* Differing digests in a row that begin an exchange with a node of the own
+ * data centre; one alone may be news on its way. */
 #define MISMATCHES_MIN 2
 
-/* After this many intervals an exchange begins even while news is passed
- * on. */
-#define PATIENT_INTERVALS 2
-
 /* A host that appeared this recently may be unknown at its home yet. */
 #define AUTHORITY_GRACE_MS 30000
 
@@ -62,8 +57,6 @@
 sync_consider(struct membership *m, const struct net_addr *from,
     const struct row *peer, uint64_t root)
 {
-	uint64_t patience =
-	    (uint64_t)m->settings.sync_interval_ms * PATIENT_INTERVALS;
 	int home = peer != NULL && peer->dc == m->home;
 
 	if (root == m->table.root || m->phase != MEMBERSHIP_JOINED) {
@@ -72,8 +65,6 @@
 	}
 	if (m->now_ms < m->sync_ms)
 		return;
-	if (home && news_waiting(m) && m->now_ms < m->sync_ms + patience)
-		return;
 	if (++m->mismatches < MISMATCHES_MIN && home)
 		return;
 	begin(m, from);
--- a/packages/membership/src/sync.h
+++ b/packages/membership/src/sync.h
@@ -8,7 +8,7 @@
 
 /*
  * A peer told the digest of its table; begin an exchange if it differs and
- * what is under way will not settle it.  @peer is its row or NULL.
+ * the last was not just now.  @peer is its row or NULL.
  */
 void sync_consider(struct membership *m, const struct net_addr *from,
     const struct row *peer, uint64_t root);
--- a/packages/membership/test/test_swim.c
+++ b/packages/membership/test/test_swim.c
@@ -123,6 +123,28 @@
 }
 END_TEST
 
+/* Found by the bench: nodes that took the table from one peer probed its
+ * hosts in one order, all the same one at a time, and a dead host was found
+ * after up to 290 s. */
+START_TEST(nodes_do_not_probe_in_step)
+{
+	static const uint32_t victims[] = {20, 50, 80, 95};
+	uint32_t seed = (uint32_t)_i, i;
+	uint64_t began;
+
+	cluster(seed, 100, 1);
+	for (i = 0; i < G_N_ELEMENTS(victims); i++) {
+		fake_kill(f, victims[i]);
+		began = f->now_ms;
+		while (f->now_ms < began + 20000)
+			fake_run(f, 500);
+		ck_assert_msg(all_hold(victims[i], MEMBER_FAILED),
+		    "seed %u: h%u is not failed", seed, victims[i]);
+	}
+	end(seed);
+}
+END_TEST
+
 START_TEST(a_one_way_cut_between_two_fails_nobody)
 {
 	uint32_t seed = (uint32_t)_i;
@@ -379,6 +401,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, nobody_fails_while_messages_are_lost, 0, SEEDS);
 	tcase_add_loop_test(tc, a_killed_host_is_found_by_all, 0, SEEDS);
+	tcase_add_loop_test(tc, nodes_do_not_probe_in_step, 0, 2);
 	tcase_add_loop_test(
 	    tc, a_one_way_cut_between_two_fails_nobody, 0, SEEDS);
 	tcase_add_loop_test(tc, a_cut_off_node_harms_nobody_else, 0, SEEDS);
