fix(base): dropped log lines are counted in sight, sums keep microseconds

Problem: lines that the log drops were counted where nobody could read it, and the sum of a histogram was shown with six digits, so that after some minutes of traffic its rate was made of rounding steps. The thread sanitizer could not see the locks of GLib's queue, so the log could not be checked by it. Solution: bramley_log_dropped_total; sums as "%.6f"; the queue has a POSIX mutex and condition, as the house style has threads. Before: sums_keep_their_microseconds failed (1234.57), as did lines_are_dropped_and_counted_rather_than_waited_for (no such metric), in which standard error is a pipe that nobody reads; with GLib's queue that test gave 14 warnings of the thread sanitizer, all of lines handed over by the queue. After: test_base passes plain, with the address and with the thread sanitizer; so do test_call_path, test_call_drain, test_ctl, functional_path and functional_call_stop, plain, and test_call_path and test_callers with the thread sanitizer.

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -2,6 +2,7 @@
  * Log writer: formats lines in the calling thread, queues them and writes
  * them from a thread of its own through GLib's structured logging.
  */
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -11,27 +12,35 @@
 #include <glib.h>
 
 #include "base/log.h"
+#include "base/metrics.h"
 
 #define LOG_LINE_BYTES 1024
 #define LOG_QUEUE_LINES 8192
 #define LOG_HOST_BYTES 64
 #define LOG_TIME_BYTES 40
 
-/* One queued line.  A line with stop set ends the writer thread. */
+/* One queued line. */
 struct log_line {
 	struct timespec at;
 	enum log_level level;
 	const char *part;
-	int stop;
 	char text[];
 };
 
-static GAsyncQueue *log_queue;
-static GThread *log_thread;
+/* The lock covers the queue and the two flags. */
+static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t log_news = PTHREAD_COND_INITIALIZER;
+static GQueue log_lines = G_QUEUE_INIT;
+static int log_running;
+static int log_stopping;
+static pthread_t log_thread;
 static _Atomic int log_least = LOG_LEVEL_INFO;
-static _Atomic uint64_t log_dropped_count;
 static char log_host[LOG_HOST_BYTES];
 
+static struct metric log_dropped_count = {"bramley_log_dropped_total",
+    "Log lines dropped because the writer did not keep up.", METRIC_COUNTER,
+    NULL, 0, {0}};
+
 static const char *const level_names[] = {"debug", "info", "warning", "error"};
 
 static const GLogLevelFlags glib_levels[] = {G_LOG_LEVEL_DEBUG,
@@ -70,18 +79,28 @@
 	    line->text);
 }
 
-static gpointer
-log_run(gpointer data)
+/* The next line, or NULL when the last one is written and it is to stop. */
+static struct log_line *
+log_take(void)
 {
 	struct log_line *line;
-	int stop = 0;
 
-	(void)data;
-	while (!stop) {
-		line = g_async_queue_pop(log_queue);
-		stop = line->stop;
-		if (!stop)
-			log_emit(line);
+	(void)pthread_mutex_lock(&log_lock);
+	while (g_queue_is_empty(&log_lines) && !log_stopping)
+		(void)pthread_cond_wait(&log_news, &log_lock);
+	line = g_queue_pop_head(&log_lines);
+	(void)pthread_mutex_unlock(&log_lock);
+	return line;
+}
+
+static void *
+log_run(void *arg)
+{
+	struct log_line *line;
+
+	(void)arg;
+	while ((line = log_take()) != NULL) {
+		log_emit(line);
 		g_free(line);
 	}
 	return NULL;
@@ -98,30 +117,39 @@
 	return line;
 }
 
+static void
+log_set_running(int running)
+{
+	(void)pthread_mutex_lock(&log_lock);
+	log_running = running;
+	(void)pthread_mutex_unlock(&log_lock);
+}
+
 void
 log_start(enum log_level level, const char *host)
 {
 	atomic_store(&log_least, level);
 	(void)snprintf(log_host, sizeof(log_host), "%s", host);
+	metric_register(&log_dropped_count);
 	g_log_set_writer_func(log_writer, NULL, NULL);
-	log_queue = g_async_queue_new();
-	log_thread = g_thread_new("log", log_run, NULL);
+	log_stopping = 0;
+	if (pthread_create(&log_thread, NULL, log_run, NULL) != 0)
+		return;
+	(void)pthread_setname_np(log_thread, "log");
+	log_set_running(1);
 }
 
 void
 log_stop(void)
 {
-	struct log_line *line;
-
-	if (log_thread == NULL)
+	if (!log_running)
 		return;
-	line = log_line_new("");
-	line->stop = 1;
-	g_async_queue_push(log_queue, line);
-	g_thread_join(log_thread);
-	log_thread = NULL;
-	g_async_queue_unref(log_queue);
-	log_queue = NULL;
+	(void)pthread_mutex_lock(&log_lock);
+	log_stopping = 1;
+	(void)pthread_cond_signal(&log_news);
+	(void)pthread_mutex_unlock(&log_lock);
+	(void)pthread_join(log_thread, NULL);
+	log_set_running(0);
 }
 
 enum status
@@ -150,7 +178,28 @@
 uint64_t
 log_dropped(void)
 {
-	return atomic_load(&log_dropped_count);
+	return (uint64_t)atomic_load(&log_dropped_count.value);
+}
+
+/* Hands a line to the writer, if there is one; a line too many is dropped. */
+static int
+log_queue(struct log_line *line)
+{
+	int running, full;
+
+	(void)pthread_mutex_lock(&log_lock);
+	running = log_running;
+	full = log_lines.length >= LOG_QUEUE_LINES;
+	if (running && !full) {
+		g_queue_push_tail(&log_lines, line);
+		(void)pthread_cond_signal(&log_news);
+	}
+	(void)pthread_mutex_unlock(&log_lock);
+	if (running && full) {
+		metric_add(&log_dropped_count, 1);
+		g_free(line);
+	}
+	return running;
 }
 
 void
@@ -163,17 +212,11 @@
 	va_start(ap, fmt);
 	(void)vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
-	if (log_queue == NULL) {
-		(void)fprintf(
-		    stderr, "%s %s: %s\n", level_names[level], part, text);
-		return;
-	}
-	if (g_async_queue_length(log_queue) >= LOG_QUEUE_LINES) {
-		atomic_fetch_add(&log_dropped_count, 1);
-		return;
-	}
 	line = log_line_new(text);
 	line->level = level;
 	line->part = part;
-	g_async_queue_push(log_queue, line);
+	if (log_queue(line))
+		return;
+	(void)fprintf(stderr, "%s %s: %s\n", level_names[level], part, text);
+	g_free(line);
 }
--- a/packages/base/src/metrics.c
+++ b/packages/base/src/metrics.c
@@ -105,7 +105,7 @@
 	g_string_append_printf(out,
 	    "%s_bucket{%s%sle=\"+Inf\"} %" G_GUINT64_FORMAT "\n", m->name,
 	    labels, comma, metric_count(m));
-	g_string_append_printf(out, "%s_sum{%s} %g\n", m->name, labels,
+	g_string_append_printf(out, "%s_sum{%s} %.6f\n", m->name, labels,
 	    (double)atomic_load(&m->value) / US_PER_SECOND);
 	g_string_append_printf(out, "%s_count{%s} %" G_GUINT64_FORMAT "\n",
 	    m->name, labels, metric_count(m));
--- a/packages/base/test/test_base.c
+++ b/packages/base/test/test_base.c
@@ -1,9 +1,11 @@
 /*
  * Tests of the base package.
  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <check.h>
 
@@ -13,6 +15,9 @@
 #include "base/metrics.h"
 #include "base/status.h"
 
+/* More than the writer's queue and a pipe hold. */
+#define MANY_LINES 20000
+
 START_TEST(status_keeps_last_message)
 {
 	ck_assert_int_eq(
@@ -81,6 +86,48 @@
 }
 END_TEST
 
+START_TEST(sums_keep_their_microseconds)
+{
+	static struct metric h = {
+	    "t_long_seconds", "Wait.", METRIC_HISTOGRAM, NULL, 0, {0}};
+	GString *out = g_string_new(NULL);
+
+	metric_register(&h);
+	metric_observe_us(&h, 1234567890);
+	metric_observe_us(&h, 1);
+	metrics_render(out);
+	ck_assert_ptr_nonnull(
+	    strstr(out->str, "t_long_seconds_sum{} 1234.567891\n"));
+	g_string_free(out, TRUE);
+}
+END_TEST
+
+/* Standard error is a pipe that nobody reads: the writer blocks. */
+START_TEST(lines_are_dropped_and_counted_rather_than_waited_for)
+{
+	GString *out = g_string_new(NULL);
+	char want[64];
+	int fds[2], i;
+	int saved = dup(STDERR_FILENO);
+
+	(void)signal(SIGPIPE, SIG_IGN);
+	ck_assert_int_eq(pipe(fds), 0);
+	(void)dup2(fds[1], STDERR_FILENO);
+	log_start(LOG_LEVEL_INFO, "h");
+	for (i = 0; i < MANY_LINES; i++)
+		log_write(LOG_LEVEL_INFO, "test", "line %d", i);
+	metrics_render(out);
+	(void)snprintf(want, sizeof(want), "bramley_log_dropped_total %llu\n",
+	    (unsigned long long)log_dropped());
+	(void)close(fds[0]);
+	log_stop();
+	(void)dup2(saved, STDERR_FILENO);
+	ck_assert_uint_gt(log_dropped(), 0);
+	ck_assert_ptr_nonnull(strstr(out->str, want));
+	g_string_free(out, TRUE);
+}
+END_TEST
+
 START_TEST(log_level_names)
 {
 	enum log_level level;
@@ -103,6 +150,9 @@
 	tcase_add_test(tc, digest_round_trip);
 	tcase_add_test(tc, rendezvous_moves_only_the_lost_candidate);
 	tcase_add_test(tc, metrics_show_help_and_buckets);
+	tcase_add_test(tc, sums_keep_their_microseconds);
+	tcase_add_test(
+	    tc, lines_are_dropped_and_counted_rather_than_waited_for);
 	tcase_add_test(tc, log_level_names);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
