fix(node): a caller that dribbles a small body holds no worker

Problem: CivetWeb bounds each piece of a body, not the whole: a caller that sent a byte a second still held its worker after 40 s (its head was bounded, 10 s).

Solution: a thread ends reads of small bodies after 5 s by shutting down the reading side of the socket; the caller is told 408, not run. Long bodies are bounded by the call's deadline.

--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -99,6 +99,7 @@
 	call_metrics_register();
 	c->settings = s;
 	c->entry = e;
+	c->listener = -1;
 	return c;
 }
 
@@ -135,6 +136,7 @@
 {
 	struct mg_server_port port;
 
+	c->watch = callers_watch_new();
 	c->ctx = start(c);
 	if (c->ctx == NULL)
 		return status_set(STATUS_IO,
@@ -208,5 +210,6 @@
 	if (c == NULL)
 		return;
 	callers_stop(c);
+	callers_watch_free(c->watch);
 	g_free(c);
 }
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -9,6 +9,7 @@
 #include "call_metrics.h"
 #include "callers_priv.h"
 
+#define HTTP_TIMEOUT 408
 #define HTTP_UNAVAILABLE 503
 #define READ_BYTES 32768
 
@@ -132,11 +133,14 @@
 run_small(
     struct callers *c, struct call_exchange *x, struct mg_connection *conn)
 {
+	struct watched_read watched;
 	bool body_read = true;
 
 	if (call_exchange_request(x)->body_bytes > 0) {
 		expect(conn);
+		callers_watch_begin(c->watch, &watched, conn);
 		body_read = read_body(x, conn, -1);
+		callers_watch_end(c->watch, &watched);
 	} else {
 		call_exchange_put_end(x, EXCHANGE_WHOLE);
 	}
@@ -157,18 +161,6 @@
 	return read_body(x, conn, callers_socket(conn));
 }
 
-static void
-run(struct callers *c, struct call_exchange *x, struct mg_connection *conn)
-{
-	bool body_read;
-
-	if (is_small(call_exchange_request(x)))
-		body_read = run_small(c, x, conn);
-	else
-		body_read = run_large(c, x, conn);
-	finish(c, x, conn, body_read);
-}
-
 static void
 refuse(struct mg_connection *conn, uint32_t status, const char *kind,
     const char *message)
@@ -179,6 +171,23 @@
 		callers_socket_linger(conn);
 }
 
+static void
+run(struct callers *c, struct call_exchange *x, struct mg_connection *conn)
+{
+	bool body_read;
+
+	if (!is_small(call_exchange_request(x))) {
+		body_read = run_large(c, x, conn);
+		finish(c, x, conn, body_read);
+	} else if (run_small(c, x, conn)) {
+		finish(c, x, conn, true);
+	} else {
+		refuse(conn, HTTP_TIMEOUT, "invalid",
+		    "the request's body did not arrive whole in time; send "
+		    "it again.");
+	}
+}
+
 void
 callers_call(struct callers *c, struct mg_connection *conn)
 {
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -14,6 +14,7 @@
 #include "proto/settings.h"
 
 #include "call_exchange.h"
+#include "callers_watch.h"
 
 /**
  * struct callers - the server for callers
@@ -21,6 +22,7 @@
  * @entry: takes the calls; borrowed
  * @ctx: CivetWeb's context, NULL while stopped
  * @port: port that is listened on
+ * @watch: bounds the reading of small bodies
  * @listener: CivetWeb's listening socket, -1 when not known
  * @connections: connections that hold a worker
  * @in_flight: calls whose answer isn't written whole
@@ -32,6 +34,7 @@
 	struct entry *entry;
 	struct mg_context *ctx;
 	uint16_t port;
+	struct callers_watch *watch;
 	int listener;
 	_Atomic uint32_t connections;
 	_Atomic uint32_t in_flight;
@@ -97,6 +100,9 @@
 
 /* callers_socket.c */
 
+/** callers_socket_find() - the socket of a caller's address, or -1 */
+int callers_socket_find(const struct mg_request_info *info);
+
 /** callers_socket() - the connection's socket, or -1 */
 int callers_socket(struct mg_connection *conn);
 
--- a/packages/node/src/callers_socket.c
+++ b/packages/node/src/callers_socket.c
@@ -72,6 +72,12 @@
 	return g_strcmp0(text, info->remote_addr) == 0;
 }
 
+int
+callers_socket_find(const struct mg_request_info *info)
+{
+	return find_socket(is_peer, info);
+}
+
 int
 callers_socket(struct mg_connection *conn)
 {
@@ -80,7 +86,7 @@
 	if (cc == NULL)
 		return -1;
 	if (cc->fd < 0)
-		cc->fd = find_socket(is_peer, mg_get_request_info(conn));
+		cc->fd = callers_socket_find(mg_get_request_info(conn));
 	return cc->fd;
 }
 
