--- /dev/null
+++ b/packages/traffic/bench/bench_traffic.c
@@ -0,0 +1,209 @@
+/*
+ * Processor time of single decisions, and memory of their tables.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <malloc.h>
+
+#include "traffic/admission.h"
+#include "traffic/call.h"
+#include "traffic/keyed.h"
+#include "traffic/placement.h"
+
+#define ROUNDS 200000
+#define RECORDS 20000
+#define SERVICE 1
+#define KIB 1024
+
+static uint64_t
+cpu_ns(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (uint64_t)ts.tv_sec * 1000000000 + (uint64_t)ts.tv_nsec;
+}
+
+static void
+print_cost(const char *name, uint64_t began_ns, uint64_t rounds)
+{
+	(void)printf("%-44s %8.0f ns\n", name,
+	    (double)(cpu_ns() - began_ns) / (double)rounds);
+}
+
+static size_t
+heap_bytes(void)
+{
+	return mallinfo2().uordblks;
+}
+
+static void
+bench_placement(size_t n)
+{
+	struct endpoint_info *infos = g_new0(struct endpoint_info, n);
+	struct placement_query q = {.service = SERVICE, .idempotent = true};
+	struct load_report load = {3, 0, 12};
+	struct endpoints_config ec;
+	struct placement_config pc;
+	struct ejection_config jc;
+	struct placement_choice c;
+	struct endpoints *e;
+	struct ejection *j;
+	struct placement *p;
+	uint64_t began, i;
+	char name[64];
+
+	endpoints_config_default(&ec);
+	placement_config_default(&pc);
+	ejection_config_default(&jc);
+	e = endpoints_new(&ec);
+	j = ejection_new(&jc, e);
+	p = placement_new(&pc, e, j, 1);
+	for (i = 0; i < n; i++) {
+		infos[i].id = i + 1;
+		infos[i].slots = 12;
+		infos[i].state = ENDPOINT_READY;
+		infos[i].local = i % 3 == 0;
+	}
+	endpoints_set_service(e, SERVICE, 1, infos, n, 0);
+	began = cpu_ns();
+	for (i = 0; i < ROUNDS; i++) {
+		(void)placement_choose(p, &q, i / 10, &c);
+		endpoints_began(e, c.endpoint, i / 10);
+		endpoints_ended(e, c.endpoint, ENDPOINT_OK, 20000, i / 10);
+		endpoints_report(e, c.endpoint, &load, i / 10);
+	}
+	(void)snprintf(name, sizeof(name), "placement of %zu endpoints", n);
+	print_cost(name, began, ROUNDS);
+	placement_free(p);
+	ejection_free(j);
+	endpoints_free(e);
+	g_free(infos);
+}
+
+static void
+bench_admission(void)
+{
+	struct admission_request req = {0, ADMISSION_LOOKUP, UINT64_MAX};
+	struct admission_config cfg;
+	struct admission_result r;
+	struct admission *a;
+	uint64_t began, i;
+
+	admission_config_default(&cfg);
+	a = admission_new(&cfg);
+	for (i = 0; i < cfg.slots + cfg.queue_max; i++) {
+		req.ticket = i;
+		admission_offer(a, &req, 0, &r);
+	}
+	began = cpu_ns();
+	for (i = 0; i < ROUNDS; i++) {
+		req.ticket = i;
+		admission_offer(a, &req, i / 100, &r);
+		admission_finished(a, ADMISSION_LOOKUP, 1, i / 100);
+		(void)admission_next(a, i / 100, &r);
+		admission_offer(a, &req, i / 100, &r);
+		(void)admission_wake_ms(a);
+	}
+	print_cost("admission with a full queue", began, ROUNDS);
+	admission_free(a);
+}
+
+static void
+bench_fate(void)
+{
+	struct fate_config cfg = {.window_ms = 30000,
+	    .records_max = RECORDS,
+	    .answers_max_bytes = 1 << 24,
+	    .answer_max_bytes = 4096};
+	struct fate_waiter waiter = {1, 1};
+	struct request_id id;
+	struct fate_table *t;
+	size_t before;
+	uint64_t began, i;
+
+	before = heap_bytes();
+	t = fate_table_new(&cfg);
+	began = cpu_ns();
+	for (i = 0; i < ROUNDS; i++) {
+		request_id_make(&id, 7, i, 1);
+		(void)fate_offer(t, &id, i + 1, &waiter, i + 1);
+		(void)fate_start(t, &id, i + 1);
+		fate_done(t, &id, NULL, i + 1);
+	}
+	print_cost("fate of a request", began, ROUNDS);
+	(void)printf("%-44s %8zu bytes\n", "a fate without answer",
+	    (heap_bytes() - before) / fate_count(t));
+	fate_table_free(t);
+}
+
+static void
+bench_keyed(void)
+{
+	struct keyed_config cfg = {30000, 5000, ROUNDS, false};
+	const uint64_t endpoints[] = {1};
+	struct keyed_decision d;
+	struct request_id id;
+	struct key_id key;
+	struct keyed *k;
+	size_t before;
+	uint64_t began, i;
+
+	before = heap_bytes();
+	k = keyed_new(&cfg, 1, 0);
+	keyed_view(k, endpoints, 1, 0);
+	began = cpu_ns();
+	for (i = 0; i < RECORDS; i++) {
+		request_id_make(&id, 7, i, 1);
+		key_id_make(&key, SERVICE, &i, sizeof(i));
+		keyed_offer(k, &key, 1, &id, 1000000, &d);
+		keyed_ended(k, &key, &id, 1000000);
+	}
+	print_cost("idempotency key of a request", began, RECORDS);
+	(void)printf("%-44s %8zu bytes\n", "a key",
+	    (heap_bytes() - before) / keyed_count(k));
+	keyed_free(k);
+}
+
+static void
+bench_call(void)
+{
+	struct call_config cfg = {.deadline_ms = 1000};
+	struct retry_config retry;
+	struct retry_budget budget;
+	struct call_action a;
+	struct call *c;
+	uint64_t began, i;
+
+	retry_config_default(&retry);
+	retry_budget_init(&budget, &retry, 0);
+	began = cpu_ns();
+	for (i = 0; i < ROUNDS; i++) {
+		c = call_new(&cfg, &budget, i);
+		call_start(c, 1);
+		(void)call_next(c, &a);
+		call_placed(c, 5, 1);
+		(void)call_next(c, &a);
+		call_sent(c, a.stream, 9, 1);
+		call_answered(c, a.stream, 20);
+		(void)call_next(c, &a);
+		call_free(c);
+	}
+	print_cost("a call from start to answer", began, ROUNDS);
+}
+
+int
+main(void)
+{
+	bench_call();
+	bench_placement(4);
+	bench_placement(18);
+	bench_placement(500);
+	bench_admission();
+	bench_fate();
+	bench_keyed();
+	return EXIT_SUCCESS;
+}
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -18,13 +18,6 @@
 	ADMISSION_CLASSES,
 };
 
-/** enum admission_order - which queued request gets a free slot */
-enum admission_order {
-	ADMISSION_FIFO = 0,
-	ADMISSION_LIFO_UNDER_LOAD,
-	ADMISSION_SHORTEST_SLACK,
-};
-
 /**
  * struct admission_config - limits of one endpoint
  * @slots: requests that the upstream may have at a time
@@ -32,7 +25,8 @@
  * @queue_wait_ms: longest wait in the queue
  * @booking_percent: share of slots and queue that bookings keep under
  *	overload; lookups keep the rest; what one leaves the other may use
- * @order: order of the queue
+ * @newest_first: once the oldest has waited for half of queue_wait_ms, the
+ *	newest is served first: the oldest may come too late anyway
  * @refuse_early: refuse at once what is not expected to start in time;
  *	false only for the comparison in the bench program
  * @adapt_slots: use fewer slots after the upstream has shed
@@ -42,7 +36,7 @@
 	uint32_t queue_max;
 	uint32_t queue_wait_ms;
 	uint32_t booking_percent;
-	enum admission_order order;
+	bool newest_first;
 	bool refuse_early;
 	bool adapt_slots;
 };
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -46,7 +46,7 @@
 	cfg->queue_max = 24;
 	cfg->queue_wait_ms = 200;
 	cfg->booking_percent = 50;
-	cfg->order = ADMISSION_FIFO;
+	cfg->newest_first = true;
 	cfg->refuse_early = true;
 	cfg->adapt_slots = true;
 }
@@ -355,38 +355,14 @@
 					   : ADMISSION_BOOKING;
 }
 
-static GList *
-least_slack(const GQueue *q)
-{
-	const struct waiting *best = NULL, *w;
-	GList *l, *found = NULL;
-
-	for (l = q->head; l != NULL; l = l->next) {
-		w = l->data;
-		if (best != NULL && w->req.deadline_ms >= best->req.deadline_ms)
-			continue;
-		best = w;
-		found = l;
-	}
-	return found;
-}
-
 static GList *
 next_in_order(const struct admission *a, const GQueue *q, uint64_t now_ms)
 {
-	const struct waiting *oldest;
-
-	switch (a->cfg.order) {
-	case ADMISSION_FIFO:
-		return q->head;
-	case ADMISSION_LIFO_UNDER_LOAD:
-		oldest = q->head->data;
-		if (now_ms - oldest->arrived_ms > a->cfg.queue_wait_ms / 2)
-			return q->tail;
-		return q->head;
-	case ADMISSION_SHORTEST_SLACK:
-		return least_slack(q);
-	}
+	const struct waiting *oldest = q->head->data;
+
+	if (a->cfg.newest_first &&
+	    now_ms - oldest->arrived_ms > a->cfg.queue_wait_ms / 2)
+		return q->tail;
 	return q->head;
 }
 
--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -8,6 +8,8 @@
 #include "endpoints_defs.h"
 
 #define PERCENT 100
+/* A new entry has heard of all endpoints after this time. */
+#define LEARN_MS 1000
 /* A cold endpoint starts with this share of its slots. */
 #define COLD_PERCENT 10
 
@@ -157,7 +159,7 @@
 		g_hash_table_insert(e->services, &s->id, s);
 	}
 	s->generation = generation;
-	warm = now_ms - s->since_ms < e->cfg.slow_start_ms;
+	warm = now_ms - s->since_ms < LEARN_MS;
 	unlist_missing(e, s, infos, n);
 	for (i = 0; i < n; i++) {
 		ep = find_or_add(e, &infos[i]);
--- a/packages/traffic/test/test_limits.c
+++ b/packages/traffic/test/test_limits.c
@@ -218,6 +218,25 @@
 }
 END_TEST
 
+START_TEST(test_newest_first_once_the_oldest_waits_long)
+{
+	struct admission *a = admission_of(1, 10);
+	struct admission_result r;
+
+	(void)offer(a, 1, ADMISSION_LOOKUP, 5000, 0);
+	(void)offer(a, 2, ADMISSION_LOOKUP, 5000, 0);
+	(void)offer(a, 3, ADMISSION_LOOKUP, 5000, 0);
+	(void)offer(a, 4, ADMISSION_LOOKUP, 5000, 0);
+	admission_finished(a, ADMISSION_LOOKUP, 10, 10);
+	ck_assert(admission_next(a, 10, &r));
+	ck_assert_uint_eq(r.ticket, 2);
+	admission_finished(a, ADMISSION_LOOKUP, 10, 120);
+	ck_assert(admission_next(a, 120, &r));
+	ck_assert_uint_eq(r.ticket, 4);
+	admission_free(a);
+}
+END_TEST
+
 START_TEST(test_shed_cuts_the_slots_and_answers_give_them_back)
 {
 	struct admission *a = admission_of(10, 10);
@@ -329,6 +348,7 @@
 	tcase_add_test(tc, test_refused_at_once_when_it_would_wait_too_long);
 	tcase_add_test(tc, test_queued_expire_at_their_time);
 	tcase_add_test(tc, test_each_class_keeps_its_share);
+	tcase_add_test(tc, test_newest_first_once_the_oldest_waits_long);
 	tcase_add_test(tc, test_shed_cuts_the_slots_and_answers_give_them_back);
 	tcase_add_test(tc, test_draining_refuses_new_and_queued);
 	tcase_add_loop_test(tc, test_drain, 0, (int)G_N_ELEMENTS(drain_cases));
--- a/test/calls/bench_calls.c
+++ b/test/calls/bench_calls.c
@@ -6,7 +6,7 @@
  *
  *	bench_calls loads	naive and ours at 30 to 300 % of capacity
  *	bench_calls faults	naive and ours while endpoints fail
- *	bench_calls policies	ours with one policy changed
+ *	bench_calls policies [name]	ours with one policy changed
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -45,7 +45,8 @@
 	double p50_ms;
 	double p99_ms;
 	double p999_ms;
-	double refused_ms;
+	double refused_p50_ms;
+	double refused_p99_ms;
 	double sends_percent;
 	double told_not_run_percent;
 	double told_unknown_percent;
@@ -173,7 +174,8 @@
 	r->p50_ms += quantile_ms(t.done_us, 0.5) / RUNS;
 	r->p99_ms += quantile_ms(t.done_us, 0.99) / RUNS;
 	r->p999_ms += quantile_ms(t.done_us, 0.999) / RUNS;
-	r->refused_ms += quantile_ms(t.refused_us, 0.99) / RUNS;
+	r->refused_p50_ms += quantile_ms(t.refused_us, 0.5) / RUNS;
+	r->refused_p99_ms += quantile_ms(t.refused_us, 0.99) / RUNS;
 	r->sends_percent += (share(w->sends, w->calls->len) - PERCENT) / RUNS;
 	r->told_not_run_percent +=
 	    share(t.not_run, t.calls[0] + t.calls[1]) / RUNS;
@@ -208,20 +210,22 @@
 {
 	(void)printf(
 	    "| load %% | version | goodput %% | lookups done %% | bookings done"
-	    " %% | p50 ms | p99 ms | p99.9 ms | refused p99 ms | retries %% |"
+	    " %% | p50 ms | p99 ms | p99.9 ms | refused p50 ms | refused p99 "
+	    "ms | retries %% |"
 	    " not_run %% | unknown %% | violations | bookings doubled |\n"
-	    "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+	    "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
 }
 
 static void
 print_row(uint32_t load, const char *name, const struct result *r)
 {
 	(void)printf("| %u | %s | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f |"
-		     " %.1f | %.1f | %.1f | %.2f | %u | %u |\n",
+		     " %.1f | %.1f | %.1f | %.1f | %.2f | %u | %u |\n",
 	    load, name, r->goodput_percent, r->lookups_percent,
 	    r->bookings_percent, r->p50_ms, r->p99_ms, r->p999_ms,
-	    r->refused_ms, r->sends_percent, r->told_not_run_percent,
-	    r->told_unknown_percent, r->violations, r->doubled);
+	    r->refused_p50_ms, r->refused_p99_ms, r->sends_percent,
+	    r->told_not_run_percent, r->told_unknown_percent, r->violations,
+	    r->doubled);
 	(void)fflush(stdout);
 }
 
@@ -355,6 +359,28 @@
 		    restart_upstream, w->guards[i], NULL);
 }
 
+static void
+one_cold(struct world *w)
+{
+	queue_at(w->queue, FAULT_AT_US, restart_upstream, w->guards[0], NULL);
+}
+
+static void
+cut_off(void *who, void *what)
+{
+	struct world *w = who;
+
+	w->cut_data_centre = GPOINTER_TO_UINT(what);
+}
+
+static void
+data_centre_cut(struct world *w)
+{
+	queue_at(w->queue, FAULT_AT_US, cut_off, w, GUINT_TO_POINTER(1));
+	queue_at(w->queue, FAULT_AT_US + 3 * FAULT_AT_US / 2, cut_off, w,
+	    GUINT_TO_POINTER(0));
+}
+
 static void
 drain(void *who, void *what)
 {
@@ -379,6 +405,7 @@
     {"half of the endpoints killed", 80, half_lost},
     {"one guard frozen for 3 s", 60, one_frozen},
     {"upstreams restart one by one, cold", 60, cold_starts},
+    {"one data centre cut off for 3 s", 50, data_centre_cut},
     {"one endpoint drained and restarted", 60, one_drained},
 };
 
@@ -422,6 +449,12 @@
 	cfg->endpoints.slow_start_ms = 0;
 }
 
+static void
+slow_start_15_s(struct world_config *cfg)
+{
+	cfg->endpoints.slow_start_ms = 15000;
+}
+
 static void
 no_early_refusal(struct world_config *cfg)
 {
@@ -435,15 +468,39 @@
 }
 
 static void
-lifo(struct world_config *cfg)
+oldest_first(struct world_config *cfg)
+{
+	cfg->admission.newest_first = false;
+}
+
+/* A queue much longer than the time that is left. */
+static void
+long_queue(struct world_config *cfg)
+{
+	cfg->admission.queue_max = 20 * cfg->slots;
+	cfg->deadline_ms = 300;
+}
+
+static void
+long_queue_late(struct world_config *cfg)
+{
+	long_queue(cfg);
+	cfg->admission.refuse_early = false;
+	cfg->admission.queue_wait_ms = cfg->deadline_ms;
+}
+
+static void
+long_queue_oldest_first(struct world_config *cfg)
 {
-	cfg->admission.order = ADMISSION_LIFO_UNDER_LOAD;
+	long_queue(cfg);
+	oldest_first(cfg);
 }
 
 static void
-slack(struct world_config *cfg)
+long_queue_plain(struct world_config *cfg)
 {
-	cfg->admission.order = ADMISSION_SHORTEST_SLACK;
+	long_queue_late(cfg);
+	oldest_first(cfg);
 }
 
 static void
@@ -536,8 +593,11 @@
     {"ours", NULL, 300, NULL},
     {"no queue", no_queue, 300, NULL},
     {"no early refusal", no_early_refusal, 300, NULL},
-    {"newest first under load", lifo, 300, NULL},
-    {"shortest slack first", slack, 300, NULL},
+    {"oldest first", oldest_first, 300, NULL},
+    {"long queue, 300 ms left: ours", long_queue, 300, NULL},
+    {"long queue, oldest first", long_queue_oldest_first, 300, NULL},
+    {"long queue, no early refusal", long_queue_late, 300, NULL},
+    {"long queue, neither", long_queue_plain, 300, NULL},
     {"no share for bookings", no_share, 300, NULL},
     {"no retries", no_retry, 300, NULL},
     {"no retry budget, 4 attempts", no_budget, 300, NULL},
@@ -555,10 +615,16 @@
     {"one frozen: no ejection", no_ejection, 60, one_frozen},
     {"cold starts: ours", NULL, 60, cold_starts},
     {"cold starts: no slow start", no_slow_start, 60, cold_starts},
+    {"one cold start: ours", NULL, 60, one_cold},
+    {"one cold start: no slow start", no_slow_start, 60, one_cold},
+    {"one cold start: slow start of 15 s", slow_start_15_s, 60, one_cold},
     {"4 times the slots announced: ours", liar, 150, NULL},
     {"the same, slots not adapted", liar_not_adapted, 150, NULL},
 };
 
+/* Only rows whose name contains this. */
+static const char *only = "";
+
 static void
 bench_policies(void)
 {
@@ -571,6 +637,8 @@
 		print_head();
 		for (k = 0; k < G_N_ELEMENTS(policy_rows); k++) {
 			row = &policy_rows[k];
+			if (strstr(row->name, only) == NULL)
+				continue;
 			r = measure(
 			    &deployments[i], row->load, row->tweak, row->fault);
 			print_row(row->load, row->name, &r);
@@ -581,11 +649,13 @@
 int
 main(int argc, char **argv)
 {
+	if (argc == 3 && strcmp(argv[1], "policies") == 0)
+		only = argv[2];
 	if (argc == 2 && strcmp(argv[1], "loads") == 0)
 		bench_loads();
 	else if (argc == 2 && strcmp(argv[1], "faults") == 0)
 		bench_faults();
-	else if (argc == 2 && strcmp(argv[1], "policies") == 0)
+	else if (argc >= 2 && strcmp(argv[1], "policies") == 0)
 		bench_policies();
 	else
 		return fprintf(stderr,
--- a/test/calls/faults.c
+++ b/test/calls/faults.c
@@ -88,6 +88,22 @@
 	w->platform_down = false;
 }
 
+static void
+healed(void *who, void *what)
+{
+	struct world *w = who;
+
+	(void)what;
+	w->cut_data_centre = 0;
+}
+
+static void
+cut_data_centre(struct world *w)
+{
+	w->cut_data_centre = (uint32_t)world_between(w, 1, w->cfg.data_centres);
+	world_later(w, world_between(w, MS(100), MS(3000)), healed, w, NULL);
+}
+
 static struct link *
 some_link(struct world *w)
 {
@@ -161,6 +177,9 @@
 		w->platform_down = true;
 		world_later(w, MS(1500), platform_well, w, NULL);
 		break;
+	case FAULT_DATA_CENTRE_CUT:
+		cut_data_centre(w);
+		break;
 	case FAULTS:
 		break;
 	}
--- a/test/calls/guard.c
+++ b/test/calls/guard.c
@@ -114,9 +114,12 @@
 	struct guard *g = who;
 
 	(void)what;
-	if (g->frozen_until_us > g->world->now_us)
+	if (g->frozen_until_us > g->world->now_us) {
 		queue_at(g->world->queue, g->frozen_until_us, wake, g, NULL);
-	else if (g->up)
+		return;
+	}
+	g->wake_us = 0;
+	if (g->up)
 		guard_pump(g);
 }
 
@@ -124,16 +127,19 @@
 guard_pump(struct guard *g)
 {
 	struct admission_result res;
-	uint64_t at_ms;
+	uint64_t at_ms, at_us;
 
 	while (admission_next(g->admission, guard_now_ms(g), &res))
 		settle(g, &res);
 	at_ms = admission_wake_ms(g->admission);
-	if (at_ms != UINT64_MAX)
-		world_later(g->world,
-		    (at_ms - MIN(at_ms, guard_now_ms(g))) * US_PER_MS +
-			US_PER_MS,
-		    wake, g, NULL);
+	if (at_ms == UINT64_MAX)
+		return;
+	at_us = g->world->now_us + US_PER_MS +
+	    (at_ms - MIN(at_ms, guard_now_ms(g))) * US_PER_MS;
+	if (g->wake_us != 0 && g->wake_us <= at_us)
+		return;
+	g->wake_us = at_us;
+	queue_at(g->world->queue, at_us, wake, g, NULL);
 }
 
 void
--- a/test/calls/guard.h
+++ b/test/calls/guard.h
@@ -13,6 +13,7 @@
  * @process: generation, changes with each restart
  * @skew_ms: its monotonic clock is ahead of the world's by this
  * @noticed_us: its endpoint was told to leave then; 0: serving
+ * @wake_us: when admission is looked at next; 0: not planned
  * @requests: request id -> struct guard_request, for those not settled
  * @tickets: ticket -> the same
  */
@@ -25,6 +26,7 @@
 	uint64_t skew_ms;
 	uint64_t frozen_until_us;
 	uint64_t noticed_us;
+	uint64_t wake_us;
 	uint64_t tickets_given;
 	uint64_t seen_versions[GUARDS_MAX];
 	enum endpoint_state view[GUARDS_MAX];
--- a/test/calls/guard_key.c
+++ b/test/calls/guard_key.c
@@ -51,6 +51,16 @@
 	g_free(q);
 }
 
+static bool
+is_cut(const struct world *w, uint32_t one, uint32_t other)
+{
+	uint32_t n = w->cfg.data_centres;
+
+	return one % n != other % n &&
+	    (w->cut_data_centre == one % n + 1 ||
+		w->cut_data_centre == other % n + 1);
+}
+
 /* The question reaches the earlier home, if that one lives. */
 static void
 yield(void *who, void *what)
@@ -59,7 +69,8 @@
 	struct question *q = what;
 	struct world *w = h->world;
 
-	if (h->up && h->frozen_until_us <= w->now_us) {
+	if (h->up && h->frozen_until_us <= w->now_us &&
+	    !is_cut(w, h->index, q->guard->index)) {
 		q->word = keyed_yield(h->keyed, &q->key, q->guard->index + 1,
 		    q->age_ms, guard_now_ms(h));
 		world_later(w, w->cfg.delay_us, asked, q->guard, q);
--- a/test/calls/guard_process.c
+++ b/test/calls/guard_process.c
@@ -67,6 +67,7 @@
 	g->skew_ms = world_between(g->world, 0, SKEW_MAX_MS);
 	g->incarnation = world_between(g->world, 1, UINT32_MAX);
 	g->noticed_us = 0;
+	g->wake_us = 0;
 	g->fates = guard_new_fates(g);
 	g->admission = admission_new(&cfg->admission);
 	/* The first processes stand for nodes that have run for long. */
--- a/test/calls/link.c
+++ b/test/calls/link.c
@@ -26,6 +26,18 @@
 	return us + world_between(l->world, 0, us / 2);
 }
 
+static bool
+is_cut(const struct link *l)
+{
+	const struct world *w = l->world;
+	uint32_t from, to;
+
+	from = l->entry % w->cfg.data_centres + 1;
+	to = l->guard % w->cfg.data_centres + 1;
+	return from != to &&
+	    (w->cut_data_centre == from || w->cut_data_centre == to);
+}
+
 static void
 arrive_at_guard(void *who, void *what)
 {
@@ -38,6 +50,8 @@
 		queue_at(g->world->queue, thaw_us, arrive_at_guard, g, d);
 		return;
 	}
+	if (is_cut(d->link) && !d->link->broken)
+		link_silence(d->link);
 	if (!d->link->broken && d->link->guard_process == g->process)
 		guard_receive(g, d->link, &d->message);
 	g_free(d);
@@ -55,6 +69,8 @@
 		queue_at(e->world->queue, thaw_us, arrive_at_entry, e, d);
 		return;
 	}
+	if (is_cut(d->link) && !d->link->broken)
+		link_silence(d->link);
 	if (!d->link->broken && d->link->entry_process == e->process)
 		entry_receive(e, d->link, &d->message);
 	g_free(d);
@@ -180,6 +196,10 @@
 	uint64_t thaw_us;
 
 	(void)what;
+	if (is_cut(l)) {
+		l->broken = true;
+		return;
+	}
 	if (!g->up) {
 		l->broken = true;
 		lose_at_entry(l, NULL);
--- a/test/calls/test_calls.c
+++ b/test/calls/test_calls.c
@@ -132,6 +132,7 @@
 
 	for (seed = 1; seed <= 4 * SEEDS; seed++) {
 		stormy(&cfg, seed);
+		cfg.faults_per_s = (double)(3 + seed % 5 * 3);
 		cfg.plant = (enum plant)_i;
 		cfg.naive = _i == PLANTS;
 		if (run(&cfg, &s, text, sizeof(text)) > 0)
--- a/test/calls/upstream.c
+++ b/test/calls/upstream.c
@@ -8,7 +8,8 @@
 #include "guard.h"
 
 #define COLD_US (3000 * US_PER_MS)
-#define COLD_FACTOR 4
+/* A cold one that is busy takes this many times longer in addition. */
+#define COLD_FACTOR 8
 
 void
 upstream_init(struct upstream *u, struct world *w, struct guard *g)
@@ -31,13 +32,14 @@
 service_us(struct upstream *u)
 {
 	struct world *w = u->world;
-	double factor, left;
+	double factor, left, busy;
 
 	factor = 0.4 - 0.6 * log(1.0 - g_rand_double(w->random));
 	factor *= u->slow;
 	if (u->cold_until_us > w->now_us) {
 		left = (double)(u->cold_until_us - w->now_us) / COLD_US;
-		factor *= 1 + COLD_FACTOR * left;
+		busy = (double)u->running->len / w->cfg.slots;
+		factor *= 1 + COLD_FACTOR * left * busy;
 	}
 	return (uint64_t)(factor * w->cfg.service_us) + 1;
 }
--- a/test/calls/world.h
+++ b/test/calls/world.h
@@ -51,6 +51,7 @@
 	FAULT_LINK_SILENT,
 	FAULT_LINK_STALLED,
 	FAULT_PLATFORM_DOWN,
+	FAULT_DATA_CENTRE_CUT,
 	FAULTS,
 };
 
@@ -148,6 +149,8 @@
 	struct endpoint_truth truths[GUARDS_MAX];
 	GHashTable *claims;
 	bool platform_down;
+	/* Cut off from the others; counted from 1, 0 for none. */
+	uint32_t cut_data_centre;
 	uint64_t cut_by_drain;
 	uint64_t started_after_notice;
 	uint64_t sends;
