fix(node): the thread sanitizer is told of RCU's grace period

Problem: test_call_keys and test_call_faults failed in the thread sanitizer's build: races between snapshot_ref_get() and holder_free(). Ruled out: a real race, since a reader takes its reference inside the read-side section and call_rcu() frees after all of them; a suppression, which would hide real races in the same functions. Solution: in that build only, the reader's end and the free are told apart as before and after. Also the formatting of one line of test_ctl.c.

--- a/packages/ctl/test/test_ctl.c
+++ b/packages/ctl/test/test_ctl.c
@@ -202,8 +202,8 @@
     {"--node @ supersede 3 $ --op o1",
 	{{"POST /v1/versions/3/supersede", 201, DONE}}, EXIT_CODE_OK,
 	"version: 7\n", "", "{\"format\":1}"},
-    {"--node @ halt 7", {{"POST /v1/versions/7/halt", 200, DONE}},
-	EXIT_CODE_OK, "version: 7\n", "", "&fresh=1"},
+    {"--node @ halt 7", {{"POST /v1/versions/7/halt", 200, DONE}}, EXIT_CODE_OK,
+	"version: 7\n", "", "&fresh=1"},
     {"--node @ halt 7 --op o1",
 	{{"POST /v1/versions/7/halt", 409,
 	    "{\"error\":{\"kind\":\"conflict\",\"message\":\"Late.\","
--- a/packages/node/src/snapshot_ref.c
+++ b/packages/node/src/snapshot_ref.c
@@ -9,6 +9,19 @@
 #include "config/snapshot.h"
 #include "node/snapshot_ref.h"
 
+/*
+ * The thread sanitizer does not see that a grace period comes after the
+ * readers that it waits for; these two say so.
+ */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define happens_before(addr) __tsan_release(addr)
+#define happens_after(addr) __tsan_acquire(addr)
+#else
+#define happens_before(addr) (void)(addr)
+#define happens_after(addr) (void)(addr)
+#endif
+
 /* What the RCU pointer points at; freed after a grace period. */
 struct snapshot_holder {
 	struct rcu_head rcu;
@@ -16,12 +29,14 @@
 };
 
 static struct snapshot_holder *current;
+static char grace_period; /* stands for what the sanitizer is told */
 
 static void
 holder_free(struct rcu_head *head)
 {
 	struct snapshot_holder *h;
 
+	happens_after(&grace_period);
 	h = caa_container_of(head, struct snapshot_holder, rcu);
 	snapshot_unref(h->snapshot);
 	g_free(h);
@@ -35,8 +50,10 @@
 
 	rcu_read_lock();
 	h = rcu_dereference(current);
+	happens_after(&current);
 	if (h != NULL)
 		s = snapshot_ref(h->snapshot);
+	happens_before(&grace_period);
 	rcu_read_unlock();
 	return s;
 }
@@ -51,6 +68,7 @@
 		next = g_new0(struct snapshot_holder, 1);
 		next->snapshot = s;
 	}
+	happens_before(&current);
 	rcu_set_pointer(&current, next);
 	if (old != NULL)
 		call_rcu(&old->rcu, holder_free);
