fix(spread): nodes that start together read the platform one after another

Problem: when all hosts are killed and start with the platform coming back, each of them reads the whole configuration. The budget of 100 reads a second is each node's own, with a burst of 100; what keeps nodes apart is the room that each leaves for those in front of it, 2 s when it holds nothing. That is enough for 200 sections and not for 600: the one in front is still reading when the next ones begin. Solution: the list tells how much there is to read, so a node then leaves as much room for each one in front as that takes at the budget's rate, 30 s more at most, and takes the content from a peer meanwhile. The burst is half of the rate. Up to source_wait_ms' worth of sections nothing changes. Ruled out: the readers' polls (5 a second), retries (none were refused). Left: no content is shared while the first reader still reads, so that a whole start takes as long as one node's reads: 12 s for 1,200 sections.

--- a/packages/spread/include/spread/intake.h
+++ b/packages/spread/include/spread/intake.h
@@ -59,6 +59,8 @@
  * @start_ms: not to be begun before
  * @hold_ms: not to be begun before unless a peer offers it
  * @source_ms: when the platform may be asked
+ * @source_slot: place in the order in which nodes turn to the platform
+ * @turn_ms: when the content may be read from the platform
  * @budget_ms: when the budget has a read left again
  * @anyone_ms: when a peer that is not known to hold it is asked
  * @failures: peers that failed since the target was set
@@ -87,6 +89,8 @@
 	uint64_t start_ms;
 	uint64_t hold_ms;
 	uint64_t source_ms;
+	uint32_t source_slot;
+	uint64_t turn_ms;
 	uint64_t budget_ms;
 	uint64_t anyone_ms;
 	uint32_t failures;
--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -31,7 +31,7 @@
 	backoff_init(
 	    &in->source_backoff, p->backoff_base_ms, p->backoff_cap_ms);
 	budget_init(&in->source_budget, p->source_reads_per_s,
-	    p->source_reads_per_s, now_ms);
+	    p->source_reads_per_s / 2, now_ms);
 	backoff_init(&in->retry, RETRY_BASE_MS, RETRY_CAP_MS);
 	in->budget_ms = DEADLINE_NEVER;
 	in->asked = g_array_new(FALSE, FALSE, sizeof(struct digest));
--- a/packages/spread/src/intake_source.c
+++ b/packages/spread/src/intake_source.c
@@ -21,6 +21,10 @@
  * since the one in front of it has the whole configuration to read. */
 #define FULL_FACTOR 10
 
+/* Longest extra room; those in front may be gone, or cut off. */
+#define TURN_MAX_MS 30000
+
+#define MS_PER_S 1000
 #define KEY_BYTES 32
 
 /* Place in the order in which nodes turn to the platform for a version: first
@@ -40,16 +44,39 @@
 	return readers + env_below(in->env, readers + 1);
 }
 
+/* Room that a node leaves for each one in front of it. */
+static uint64_t
+intake_source_room_ms(const struct intake *in)
+{
+	uint64_t room_ms = in->env->profile.source_wait_ms;
+
+	return catalog_version(in->env->catalog) == 0 ? room_ms * FULL_FACTOR
+						      : room_ms;
+}
+
 void
 intake_source_wait(struct intake *in, uint64_t from_ms)
 {
-	uint64_t wait;
+	in->source_slot = intake_source_slot(in, from_ms);
+	in->source_ms = MIN(in->source_ms,
+	    from_ms + in->source_slot * intake_source_room_ms(in));
+}
 
-	wait = (uint64_t)in->env->profile.source_wait_ms *
-	    intake_source_slot(in, from_ms);
-	if (catalog_version(in->env->catalog) == 0)
-		wait *= FULL_FACTOR;
-	in->source_ms = MIN(in->source_ms, from_ms + wait);
+/*
+ * The list is known, and with it how long the content takes to read: more
+ * room for those in front, so that not all read the same at the same time.
+ */
+static void
+intake_source_turn(struct intake *in, uint64_t now_ms)
+{
+	uint64_t room_ms = intake_source_room_ms(in);
+	uint64_t read_ms = catalog_stage_n_missing(in->stage) * MS_PER_S /
+	    in->env->profile.source_reads_per_s;
+
+	in->turn_ms = now_ms;
+	if (read_ms > room_ms)
+		in->turn_ms +=
+		    MIN(in->source_slot * (read_ms - room_ms), TURN_MAX_MS);
 }
 
 int
@@ -134,6 +161,11 @@
 	GArray *missing;
 	uint32_t i, at;
 
+	if (now_ms < in->turn_ms) {
+		in->budget_ms = in->turn_ms;
+		in->deadline_ms = in->turn_ms + READ_LOST_MS;
+		return;
+	}
 	missing = catalog_stage_missing(in->stage, 2 * PARALLEL_MAX);
 	for (i = 0; i < missing->len && in->asked->len < PARALLEL_MAX; i++) {
 		d = &g_array_index(missing, struct digest, i);
@@ -147,6 +179,16 @@
 	g_array_unref(missing);
 }
 
+/* Begin to read what the list names and is not at hand. */
+static void
+intake_read_content(struct intake *in, uint64_t now_ms)
+{
+	if (in->step != INTAKE_CONTENT)
+		return;
+	intake_source_turn(in, now_ms);
+	intake_read_sections(in, now_ms);
+}
+
 void
 intake_source_ask(struct intake *in, uint64_t now_ms)
 {
@@ -226,8 +268,7 @@
 	delta.changes = intake_merge(rows, n_rows);
 	intake_begun(in, now_ms, intake_begin_delta(in, &delta));
 	g_array_unref(delta.changes);
-	if (in->step == INTAKE_CONTENT)
-		intake_read_sections(in, now_ms);
+	intake_read_content(in, now_ms);
 }
 
 static void
@@ -247,8 +288,7 @@
 	    &in->list.root, list, &in->stage);
 	g_array_unref(list);
 	intake_begun(in, now_ms, st);
-	if (in->step == INTAKE_CONTENT)
-		intake_read_sections(in, now_ms);
+	intake_read_content(in, now_ms);
 }
 
 void
--- a/test/driver/test_restarts.c
+++ b/test/driver/test_restarts.c
@@ -154,6 +154,27 @@
 }
 END_TEST
 
+/* All are restarted at once, with more to read than one does in a moment. */
+START_TEST(test_herd_reads_much)
+{
+	struct world_config config;
+	struct world *w;
+	uint32_t peak;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.data_centres = 4;
+	config.nodes = 10;
+	config.services = 1200;
+	config.check = 0;
+	w = scenario_up(&config);
+	peak = herd(w, 0, w->n_nodes, 1);
+	ck_assert_msg(peak < HERD_READS_PER_S,
+	    "%u reads in a second, %" G_GUINT64_FORMAT " in all", peak,
+	    w->platform.reads);
+	scenario_end(w);
+}
+END_TEST
+
 /* A herd while the platform is down comes up from its peers. */
 START_TEST(test_herd_without_platform)
 {
@@ -222,6 +243,7 @@
 	tcase_add_loop_test(tc, test_restart_during_roll, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_killed_in_staging, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_herds, 0, 2);
+	tcase_add_loop_test(tc, test_herd_reads_much, 0, 3);
 	tcase_add_loop_test(tc, test_herd_without_platform, 0, 2);
 	tcase_add_loop_test(tc, test_frozen, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_replaced, 0, SCENARIO_SEEDS);
