--- a/test/functional/calls.c
+++ b/test/functional/calls.c
@@ -9,7 +9,7 @@
 #include <jansson.h>
 
 #include "calls.h"
-#include "standins/outcomes.h"
+#include "standins/summary.h"
 
 #define READY_MS 20000
 #define BODY_MAX_BYTES 2147483647
@@ -102,6 +102,7 @@
 {
 	c->sent++;
 	c->done += o->told == TOLD_DONE;
+	c->done_of_kind[o->kind] += o->told == TOLD_DONE;
 	c->not_run += o->told == TOLD_NOT_RUN;
 	c->not_sent += o->told == TOLD_NOT_SENT;
 	c->unknown += o->told == TOLD_UNKNOWN && o->key[0] == '\0';
@@ -112,6 +113,24 @@
 	    o->check == ANSWER_NOT_WHOLE || o->check == ANSWER_NO_FATE;
 }
 
+static uint64_t
+refused_p99_us(const GArray *calls)
+{
+	const struct outcome *o;
+	GArray *us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	guint i;
+	struct latency l;
+
+	for (i = 0; i < calls->len; i++) {
+		o = &g_array_index(calls, struct outcome, i);
+		if (o->told == TOLD_NOT_RUN)
+			g_array_append_val(us, o->latency_us);
+	}
+	summary_latency(us, &l);
+	g_array_unref(us);
+	return l.p99_us;
+}
+
 void
 calls_load_end(struct process *load, const char *name, struct calls_counts *sum)
 {
@@ -124,6 +143,7 @@
 	ck_assert_int_eq(outcomes_read(path, calls), STATUS_OK);
 	for (i = 0; i < calls->len; i++)
 		count(sum, &g_array_index(calls, struct outcome, i));
+	sum->refused_p99_us = refused_p99_us(calls);
 	sum->bad_answers += (uint32_t)json_number(j, "no_retry_after");
 	json_decref(j);
 	g_array_unref(calls);
--- a/test/functional/calls.h
+++ b/test/functional/calls.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "deployment.h"
+#include "standins/outcomes.h"
 
 /**
  * struct calls_limits - limits of every service in the bundle, and of nodes
@@ -39,6 +40,9 @@
  * @cut: answers that broke off
  * @bad_answers: answers to another call, not whole, without their fate, or
  *	refusals without Retry-After
+ * @done_of_kind: told done, for each kind of call
+ * @refused_p99_us: latency of calls told not_run, 99 of 100 are below; of the
+ *	last load run
  */
 struct calls_counts {
 	uint32_t sent;
@@ -50,6 +54,8 @@
 	uint32_t no_answer;
 	uint32_t cut;
 	uint32_t bad_answers;
+	uint32_t done_of_kind[CALL_KINDS];
+	uint64_t refused_p99_us;
 };
 
 /**
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -245,6 +245,13 @@
  */
 char *deployment_bundle(uint32_t n);
 
+/**
+ * deployment_bundle_of() - the same with more services
+ * @n: which change
+ * @more: number of services besides the example's
+ */
+char *deployment_bundle_of(uint32_t n, uint32_t more);
+
 /**
  * deployment_sign_off() - sign a bundle off with bramleyctl
  * @h: host whose node is asked
--- a/test/functional/deployment_ctl.c
+++ b/test/functional/deployment_ctl.c
@@ -10,6 +10,7 @@
 #define CTL_WAIT_MS 60000
 /* Timeout of the example's first service, which changed bundles vary. */
 #define EXAMPLE_TIMEOUT_MS 2000
+#define NAME_BYTES 32
 
 struct process *
 deployment_ctl_start(const struct host *h, const char *const *args)
@@ -60,15 +61,37 @@
 	return g_build_filename(EXAMPLES_DIR, name, NULL);
 }
 
+/* More services like the example's first, each with a route of its own. */
+static void
+add_services(json_t *bundle, uint32_t n)
+{
+	char name[NAME_BYTES], prefix[NAME_BYTES];
+	json_t *routes = json_object_get(bundle, "routes");
+	json_t *service, *services = json_object_get(bundle, "services");
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		(void)g_snprintf(name, sizeof(name), "more-%u", i);
+		(void)g_snprintf(prefix, sizeof(prefix), "/more/%u", i);
+		service = json_deep_copy(json_array_get(services, 0));
+		json_object_set_new(service, "name", json_string(name));
+		json_array_append_new(services, service);
+		json_array_append_new(routes,
+		    json_pack("{s:s,s:[s],s:s,s:b}", "prefix", prefix,
+			"methods", "GET", "service", name, "idempotent", 1));
+	}
+}
+
 char *
-deployment_bundle(uint32_t n)
+deployment_bundle_of(uint32_t n, uint32_t more)
 {
-	char *name = g_strdup_printf("bundle-%u.json", n);
+	char *name = g_strdup_printf("bundle-%u-%u.json", n, more);
 	char *path, *text;
 	char *example = deployment_example("registry.json");
 	json_t *j = json_load_file(example, 0, NULL);
 
 	ck_assert_ptr_nonnull(j);
+	add_services(j, more);
 	json_object_set_new(json_array_get(json_object_get(j, "services"), 0),
 	    "timeout_ms", json_integer(EXAMPLE_TIMEOUT_MS + n));
 	text = json_dumps(j, 0);
@@ -80,6 +103,12 @@
 	return path;
 }
 
+char *
+deployment_bundle(uint32_t n)
+{
+	return deployment_bundle_of(n, 0);
+}
+
 uint64_t
 deployment_sign_off(const struct host *h, const char *bundle)
 {
