--- a/test/functional/relay.c
+++ b/test/functional/relay.c
@@ -57,6 +57,7 @@
 	int stopping;
 	_Atomic uint64_t connections;
 	_Atomic uint64_t bytes;
+	_Atomic uint64_t silenced;
 };
 
 static void
@@ -128,6 +129,7 @@
 	atomic_fetch_add(&r->bytes, (uint64_t)n);
 	if (r->silence_after_bytes != 0 && l->bytes >= r->silence_after_bytes) {
 		l->silent = 1;
+		atomic_fetch_add(&r->silenced, 1);
 		r->silence_after_bytes = 0;
 	}
 }
@@ -303,6 +305,7 @@
 	pthread_mutex_lock(&r->lock);
 	for (i = 0; i < r->links->len; i++)
 		((struct link *)g_ptr_array_index(r->links, i))->silent = 1;
+	atomic_fetch_add(&r->silenced, r->links->len);
 	relay_wake(r);
 	pthread_mutex_unlock(&r->lock);
 }
@@ -315,6 +318,12 @@
 	pthread_mutex_unlock(&r->lock);
 }
 
+uint64_t
+relay_silenced(const struct relay *r)
+{
+	return atomic_load(&r->silenced);
+}
+
 uint64_t
 relay_connections(const struct relay *r)
 {
--- a/test/functional/relay.h
+++ b/test/functional/relay.h
@@ -53,6 +53,9 @@
  */
 void relay_silence_after(struct relay *r, uint64_t bytes);
 
+/** relay_silenced() - number of connections that went silent while open */
+uint64_t relay_silenced(const struct relay *r);
+
 /** relay_connections() - number of connections taken so far */
 uint64_t relay_connections(const struct relay *r);
 
--- /dev/null
+++ b/test/functional/test_frozen.c
@@ -0,0 +1,216 @@
+/*
+ * A node is frozen for longer than its peers suspect it, and goes on after
+ * newer versions have rolled: it catches up, and nobody else is lost.
+ */
+#include <signal.h>
+#include <string.h>
+
+#include <check.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "fetch.h"
+#include "operators.h"
+#include "version_watch.h"
+
+#define TEST_TIMEOUT_S 120
+#define START_BOUND_MS 20000
+#define ROLL_BOUND_MS 8000
+#define CALL_PAUSE_US 2000
+#define AFTER_US 2000000
+#define FROZEN 1
+#define URL_BYTES 128
+
+static const char settings[] = "{\"probe_interval_ms\":200,"
+			       "\"probe_timeout_ms\":80,\"suspicion_ms\":800}";
+
+/* Whether each live node but the frozen one counts all but the frozen one. */
+static void
+check_nobody_lost(struct deployment *d)
+{
+	const char *state;
+	json_t *j, *list, *m;
+	size_t k;
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++) {
+		if (i == FROZEN)
+			continue;
+		j = deployment_api(
+		    deployment_host(d, i), "GET", "/v1/members", NULL, NULL);
+		list = json_is_array(j) ? j : json_object_get(j, "members");
+		ck_assert_uint_eq(json_array_size(list), d->hosts->len);
+		json_array_foreach(list, k, m)
+		{
+			state = json_string_value(json_object_get(m, "state"));
+			if (g_strcmp0(
+				json_string_value(json_object_get(m, "host")),
+				deployment_host(d, FROZEN)->name) != 0)
+				ck_assert_str_ne(state, "failed");
+		}
+		json_decref(j);
+	}
+}
+
+/* How often a node took another one for failed since its start. */
+static uint64_t
+failures_taken(const struct host *h)
+{
+	static const char name[] = "\nbramley_failed_hosts_total ";
+	char url[URL_BYTES];
+	const char *at;
+	struct fetch f = {"GET", url, NULL, NULL, 0, 0};
+	struct fetch_answer a;
+	uint64_t n;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/metrics", h->address,
+	    h->admin_port);
+	fetch_perform(&f, &a);
+	at = strstr(a.body->str, name);
+	ck_assert_msg(at != NULL, "%s shows no %s", h->name, name);
+	n = g_ascii_strtoull(at + strlen(name), NULL, 10);
+	fetch_answer_clear(&a);
+	return n;
+}
+
+/* Only the frozen node was ever taken for failed, and that once. */
+static void
+check_failures(const struct deployment *d)
+{
+	const struct host *h;
+	uint32_t i;
+
+	for (i = 0; i < d->hosts->len; i++) {
+		h = deployment_host(d, i);
+		ck_assert_msg(failures_taken(h) <= (i != FROZEN),
+		    "%s took %lu hosts for failed", h->name,
+		    (unsigned long)failures_taken(h));
+	}
+}
+
+struct lost {
+	struct deployment *d;
+};
+
+static int
+frozen_is_lost(void *arg)
+{
+	const struct lost *l = arg;
+	json_t *j;
+	int64_t live;
+	uint32_t i;
+
+	for (i = 0; i < l->d->hosts->len; i++) {
+		if (i == FROZEN)
+			continue;
+		j = deployment_api(
+		    deployment_host(l->d, i), "GET", "/v1/status", NULL, NULL);
+		live = json_number(j, "members_live");
+		json_decref(j);
+		if (live != (int64_t)l->d->hosts->len - 1)
+			return 0;
+	}
+	return 1;
+}
+
+/* Version that a call is served by; 0 when it was not answered. */
+static uint64_t
+call_version(const struct host *h)
+{
+	char url[URL_BYTES], *text;
+	struct fetch f = {"GET", url, NULL, NULL, 0, 0};
+	struct fetch_answer a;
+	uint64_t version = 0;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/search?frozen",
+	    h->address, h->caller_port);
+	fetch_perform(&f, &a);
+	text = fetch_header(&a, "Bramley-Version");
+	if (a.code != 0 && text != NULL)
+		version = g_ascii_strtoull(text, NULL, 10);
+	g_free(text);
+	fetch_answer_clear(&a);
+	return version;
+}
+
+/* Milliseconds for which calls got an older version after the thaw. */
+static uint64_t
+thaw(struct deployment *d, struct version_watch *w, uint64_t newest)
+{
+	const struct host *h = deployment_host(d, FROZEN);
+	uint64_t last_old_ms, start_ms = clock_now_ms(), version;
+
+	process_signal(h->node, SIGCONT);
+	version_watch_present(w, h, 1);
+	last_old_ms = start_ms;
+	do {
+		version = call_version(h);
+		if (version != 0 && version < newest)
+			last_old_ms = clock_now_ms();
+		ck_assert_uint_lt(clock_now_ms() - start_ms, ROLL_BOUND_MS);
+		g_usleep(CALL_PAUSE_US);
+	} while (version < newest);
+	return last_old_ms - start_ms;
+}
+
+static uint64_t
+sign(struct deployment *d, struct version_watch *w, uint32_t n,
+    uint32_t bound_ms)
+{
+	char *path = deployment_bundle(n);
+	uint64_t version = deployment_sign_off(deployment_host(d, 0), path);
+
+	version_watch_accept(w, version, bound_ms);
+	(void)version_watch_wait(w, version, bound_ms);
+	g_free(path);
+	return version;
+}
+
+START_TEST(frozen_node_catches_up)
+{
+	struct deployment_plan plan = deployment_registry;
+	struct deployment *d;
+	struct lost l;
+	struct version_watch *w;
+	uint64_t old_ms, version;
+
+	plan.node_settings = settings;
+	d = deployment_new(&plan);
+	l.d = d;
+	deployment_start(d);
+	w = version_watch_start(d);
+	(void)sign(d, w, 1, START_BOUND_MS);
+	version_watch_present(w, deployment_host(d, FROZEN), 0);
+	process_signal(deployment_host(d, FROZEN)->node, SIGSTOP);
+	ck_assert_msg(harness_until(frozen_is_lost, &l, START_BOUND_MS),
+	    "the frozen node was never lost");
+	check_nobody_lost(d);
+	(void)sign(d, w, 2, ROLL_BOUND_MS);
+	version = sign(d, w, 3, ROLL_BOUND_MS);
+	old_ms = thaw(d, w, version);
+	(void)printf("calls at the thawed node got an older version for "
+		     "%lu ms\n",
+	    (unsigned long)old_ms);
+	check_nobody_lost(d);
+	deployment_wait_members(d, d->hosts->len, ROLL_BOUND_MS);
+	g_usleep(AFTER_US);
+	check_nobody_lost(d);
+	deployment_wait_members(d, d->hosts->len, ROLL_BOUND_MS);
+	check_failures(d);
+	ck_assert_uint_eq(version_watch_end(w), 0);
+	deployment_free(d);
+	harness_end();
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("frozen");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_add_test(tc, frozen_node_catches_up);
+	return harness_run(tc, TEST_TIMEOUT_S);
+}
