fix(node,ctl): an operation that the operator gave up on ends with him

Cause: the node went on for its own 10 s, whoever waited. Ruled out: a write whose answer was lost (the platform had refused all of them). Solution: bramleyctl tells how long it waits in Bramley-Deadline-Ms, a tenth less than it does, and the operation's deadline is that. functional_abandoned found one version of the abandoned operation before and none after; functional_platform_away, functional_lost_answers and test_ctl pass. A write that is under way when time is up may still take effect and is told as unknown, as before.

--- a/packages/ctl/src/client.c
+++ b/packages/ctl/src/client.c
@@ -10,6 +10,9 @@
 #include "proto/addr.h"
 
 #define CONNECT_MS 2000
+/* Part of an attempt's time that is left for the node's answer. */
+#define ANSWER_SHARE 10
+#define DEADLINE_BYTES 48
 #define LEAST_MS 1000
 #define ANSWER_MAX_BYTES (64U << 20)
 #define URL_MAX_BYTES 4096
@@ -137,6 +140,17 @@
 		    "%s took the request, but no answer came: %s.", node, why);
 }
 
+/* The node gives up a little earlier, so that its answer still comes. */
+static struct curl_slist *
+append_deadline(struct curl_slist *headers, uint64_t attempt_ms)
+{
+	char text[DEADLINE_BYTES];
+
+	(void)snprintf(text, sizeof(text), "Bramley-Deadline-Ms: %llu",
+	    (unsigned long long)(attempt_ms - attempt_ms / ANSWER_SHARE));
+	return curl_slist_append(headers, text);
+}
+
 static void
 attempt(const struct net_addr *addr, const struct client_request *req,
     uint64_t attempt_ms, struct client_reply *reply)
@@ -152,6 +166,7 @@
 	url = g_strdup_printf("http://%s%s", node, req->path);
 	headers = curl_slist_append(headers, "Content-Type: application/json");
 	headers = curl_slist_append(headers, "Expect:");
+	headers = append_deadline(headers, attempt_ms);
 	set_options(curl, req, url, attempt_ms, headers);
 	(void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
 	(void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -250,9 +250,22 @@
 	g_mutex_unlock(&call->lock);
 }
 
+/* Whoever asked may wait less long than an operation may take. */
+static uint64_t
+admin_deadline(const struct mg_connection *conn)
+{
+	const char *text = mg_get_header(conn, "Bramley-Deadline-Ms");
+	uint64_t left_ms = ADMIN_OPERATION_MS;
+
+	if (text != NULL)
+		left_ms = MIN(left_ms, strtoull(text, NULL, 10));
+	return clock_now_ms() + left_ms;
+}
+
 static struct admin_call *
-admin_call_new(struct admin *a, const struct mg_request_info *ri)
+admin_call_new(struct admin *a, const struct mg_connection *conn)
 {
+	const struct mg_request_info *ri = mg_get_request_info(conn);
 	struct admin_call *call = g_atomic_rc_box_new0(struct admin_call);
 
 	call->admin = a;
@@ -260,6 +273,7 @@
 	call->path = g_strdup(ri->local_uri + strlen(API_PREFIX));
 	call->query = g_strdup(ri->query_string ? ri->query_string : "");
 	(void)g_strlcpy(call->remote, ri->remote_addr, sizeof(call->remote));
+	call->deadline_ms = admin_deadline(conn);
 	call->body = g_string_new(NULL);
 	g_mutex_init(&call->lock);
 	g_cond_init(&call->done);
@@ -286,7 +300,7 @@
 static void
 admin_on_api(struct mg_connection *conn, struct admin *a)
 {
-	struct admin_call *call = admin_call_new(a, mg_get_request_info(conn));
+	struct admin_call *call = admin_call_new(a, conn);
 
 	if (!admin_read_body(conn, call->body)) {
 		admin_send_error(conn, STATUS_TOO_LARGE,
--- a/packages/node/src/admin_priv.h
+++ b/packages/node/src/admin_priv.h
@@ -39,6 +39,7 @@
  * @path: what follows "/v1/"
  * @query: its query, or ""
  * @remote: IP address that it came from
+ * @deadline_ms: monotonic time by which its operation must have ended
  * @body: its body
  * @bundle: the bundle in @body, parsed by the worker; NULL for none
  * @lock: guards what follows
@@ -53,6 +54,7 @@
 	char *path;
 	char *query;
 	char remote[ADMIN_REMOTE_BYTES];
+	uint64_t deadline_ms;
 	GString *body;
 	struct bundle *bundle;
 	GMutex lock;
--- a/packages/node/src/admin_versions.c
+++ b/packages/node/src/admin_versions.c
@@ -301,7 +301,7 @@
 	(void)admin_call_query(call, "after_seq", text, sizeof(text));
 	req->after_seq = strtoull(text, NULL, 10);
 	req->wall_ms = clock_wall_ms();
-	req->deadline_ms = admin_now(call) + ADMIN_OPERATION_MS;
+	req->deadline_ms = call->deadline_ms;
 	req->seed = (uint32_t)((clock_now_us() * SEED_MIX) >> 32);
 }
 
