--- a/test/functional/test_call_many.c
+++ b/test/functional/test_call_many.c
@@ -44,6 +44,9 @@
     .queue_wait_ms = 500,
     .key_window_ms = 1000};
 
+#define HTTP_START "HTTP/1.1 "
+#define HTTP_OK 200
+
 static const char request[] = "GET /search HTTP/1.1\r\nHost: node\r\n\r\n";
 
 static struct deployment *
@@ -76,13 +79,13 @@
 caller_lookup(int fd)
 {
 	char line[LINE_BYTES] = "";
-	int status = 0;
 
 	ck_assert_int_eq(send(fd, request, strlen(request), MSG_NOSIGNAL),
 	    (int)strlen(request));
-	if (recv(fd, line, sizeof(line) - 1, 0) > 0)
-		(void)sscanf(line, "HTTP/1.1 %d", &status);
-	return status;
+	if (recv(fd, line, sizeof(line) - 1, 0) <= 0 ||
+	    !g_str_has_prefix(line, HTTP_START))
+		return 0;
+	return (int)strtol(line + strlen(HTTP_START), NULL, DECIMAL);
 }
 
 static uint32_t
@@ -92,7 +95,7 @@
 
 	for (i = 0; i < n; i++) {
 		fds[i] = caller_connect(h);
-		answered += caller_lookup(fds[i]) == 200;
+		answered += caller_lookup(fds[i]) == HTTP_OK;
 	}
 	return answered;
 }
