fix(membership): digests of two tables that differ don't meet

Anti-entropy had nothing to repair.

Solution: cause: the hash of a host took its incarnation as the seed; for short names the seed is mixed with the name by exclusive or, so that near incarnations of near names swap hashes and the sum stays the same. Incarnation and start are hashed first now.

--- a/packages/membership/src/table.c
+++ b/packages/membership/src/table.c
@@ -18,10 +18,6 @@
 /* Seed that keeps the choice of a bucket apart from other hashes. */
 #define BUCKET_SEED 0x6275636bU
 
-/* Keeps the start of a process apart from the incarnation, which begins with
- * the same number. */
-#define STARTED_SHIFT 20
-
 static void
 dc_free(void *p)
 {
@@ -100,13 +96,16 @@
 static void
 count(struct table *t, const struct row *r, int add)
 {
+	const uint64_t version[] = {
+	    r->member.incarnation, r->member.started_ms};
 	struct dc *dc = r->dc;
 	uint64_t h;
 
 	if (!member_is_live(&r->member))
 		return;
-	h = hash64(
-	    r->member.host, strlen(r->member.host), r->member.incarnation);
+	/* Hashed first: near versions of near names would else cancel out. */
+	h = hash64(version, sizeof(version), 0);
+	h = hash64(r->member.host, strlen(r->member.host), h);
 	if (!add)
 		h = -h;
 	dc->digests[r->bucket] += h;
