fix(driver): bench_spread takes whole=1; section deltas measured

Problem: distribution.md had to say that section deltas were not measured: the bench's option whole=1 showed the figures of a run without it. Cause: the option was missing from the table of options, and unknown ones are passed over. Solution: a row in the table. An unknown option should be an error.

--- a/test/driver/bench_spread.c
+++ b/test/driver/bench_spread.c
@@ -83,6 +83,7 @@
 	    {"entropy", &p->anti_entropy_ms},
 	    {"keepers", &p->keepers},
 	    {"progress", &p->progress_ms},
+	    {"whole", &b->whole},
 	};
 	uint32_t i;
 
