fix(membership): hosts that left are looked for again, keys tell processes apart

Cause: reconnecting pinged failed hosts only, not those that had left; the keys that anti-entropy compares lacked the start of the process. Ruled out: the join's back-off (it asked its seeds all along); the digests, which differed as they should. Solution: hosts that left are pinged too, now and then; member_key carries started_ms, and two processes at one incarnation show each other their record.

--- a/packages/membership/src/reconnect.c
+++ b/packages/membership/src/reconnect.c
@@ -52,7 +52,7 @@
 {
 	const struct row *r;
 
-	r = table_random(m, m->home, m->self, MEMBER_STATE_BIT(MEMBER_FAILED));
+	r = table_random(m, m->home, m->self, MEMBER_STATES_GONE);
 	if (r != NULL)
 		(void)ping_host(m, &r->member.address, r->member.host);
 }
--- a/packages/membership/src/sync.c
+++ b/packages/membership/src/sync.c
@@ -134,6 +134,7 @@
 {
 	memcpy(key->host, r->member.host, sizeof(key->host));
 	key->incarnation = r->member.incarnation;
+	key->started_ms = r->member.started_ms;
 	key->state = (enum member_state)r->member.state;
 	if (key->state == MEMBER_SUSPECT)
 		key->state = MEMBER_ALIVE;
@@ -238,6 +239,13 @@
 		return;
 	}
 	key_fill(r, &own);
+	if (key->incarnation == own.incarnation &&
+	    key->started_ms != own.started_ms) {
+		/* Two processes at one incarnation: both sides show theirs. */
+		batch_send(m, from, b, r);
+		g_array_append_val(wants, *key);
+		return;
+	}
 	if (row_is_guess(r)) {
 		if (key->incarnation >= own.incarnation)
 			g_array_append_val(wants, *key);
--- a/packages/membership/test/test_chaos.c
+++ b/packages/membership/test/test_chaos.c
@@ -222,6 +222,12 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(
 	    tc, random_faults_end_with_the_same_tables, 0, SEEDS);
+	/* A host that left starts while all seeds are down. */
+	tcase_add_loop_test(
+	    tc, random_faults_end_with_the_same_tables, 329, 330);
+	/* Two processes of one host reach the same incarnation. */
+	tcase_add_loop_test(
+	    tc, random_faults_end_with_the_same_tables, 2266, 2267);
 	tcase_add_loop_test(
 	    tc, checker_catches_what_is_planted, 0, (int)G_N_ELEMENTS(plants));
 	suite_add_tcase(s, tc);
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -178,11 +178,13 @@
  * @host: name of the host
  * @incarnation: incarnation held
  * @state: state held
+ * @started_ms: start of the process whose record is held
  */
 struct rec_member_key {
 	char host[32];
 	uint64_t incarnation;
 	enum member_state state;
+	uint64_t started_ms;
 };
 
 extern const struct codec_desc rec_member_key_desc;
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -151,11 +151,14 @@
 	.kind = CODEC_ENUM,
 	.offset = offsetof(struct rec_member_key, state),
 	.values = MEMBER_VALUES},
+    {.name = "started_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_member_key, started_ms)},
 };
 
 const struct codec_desc rec_member_key_desc = {.name = "member_key",
     .fields = rec_member_key_fields,
-    .n_fields = 3,
+    .n_fields = 4,
     .size_bytes = sizeof(struct rec_member_key)};
 
 static const struct codec_field rec_peer_address_fields[] = {
