--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -46,6 +46,10 @@
  * @sync_interval_ms: least time between two anti-entropy exchanges begun
  * @join_limit: joins served at once
  * @forget_ms: how long failed and left hosts are kept as tombstones
+ * @await_seeds_ms: how long a node without seeds waits for some to be added
+ *	before it goes on alone
+ * @bootstrap_ms: how long a node goes on asking while nobody whom it reaches
+ *	holds a table; then it begins one
  */
 struct membership_settings {
 	char host[MEMBER_NAME_BYTES];
@@ -66,6 +70,8 @@
 	uint32_t sync_interval_ms;
 	uint32_t join_limit;
 	uint32_t forget_ms;
+	uint32_t await_seeds_ms;
+	uint32_t bootstrap_ms;
 };
 
 /**
@@ -182,6 +188,19 @@
 /** membership_free() - free a membership with its table; NULL is ignored */
 void membership_free(struct membership *m);
 
+/**
+ * membership_add_seeds() - further peers to begin with, found after the start
+ * @m: the membership
+ * @now_ms: monotonic time
+ * @seeds: their control addresses, the own one perhaps among them; copied
+ * @n_seeds: number of @seeds; beyond MEMBERSHIP_SEEDS_MAX older ones go
+ */
+void membership_add_seeds(struct membership *m, uint64_t now_ms,
+    const struct net_addr *seeds, uint32_t n_seeds);
+
+/** MEMBERSHIP_SEEDS_MAX - most seeds that are remembered */
+#define MEMBERSHIP_SEEDS_MAX 64
+
 /**
  * membership_tick() - let time pass
  * @m: the membership
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -204,6 +204,7 @@
  * @cursor: part that is awaited
  * @deadline_ms: until when it is awaited, or when to ask next
  * @attempts: failures in a row, for the back-off
+ * @began_ms: when the joining began
  * @bootstrap_ms: when to go on without a peer that holds the table
  * @seed: the own address is among the seeds
  * @own_only: only the own data centre's part is wanted
@@ -216,6 +217,7 @@
 	uint32_t cursor;
 	uint64_t deadline_ms;
 	uint32_t attempts;
+	uint64_t began_ms;
 	uint64_t bootstrap_ms;
 	int seed;
 	int own_only;
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -23,10 +23,10 @@
 /* An answer that takes longer is given up. */
 #define ANSWER_MS 2000
 
-/* A node goes on alone when nobody who holds the table answered for this; a
- * seed first, so that the others can join it. */
-#define BOOTSTRAP_MS 10000
-#define SEED_BOOTSTRAP_MS 4000
+/* A seed goes on alone after this share of the time that others wait, so that
+ * they can join it. */
+#define SEED_BOOTSTRAP_PERCENT 40
+#define PERCENT 100
 
 /* Full-jitter back-off between two rounds of asking. */
 #define BACKOFF_BASE_MS 100
@@ -88,25 +88,47 @@
 	g_array_append_val(m->joiner.candidates, c);
 }
 
+/* Takes the seeds as candidates; a seed itself goes on alone sooner. */
 static void
-begin(struct membership *m)
+take_seeds(struct membership *m)
 {
 	struct joiner *j = &m->joiner;
 	uint32_t i;
 
+	for (i = 0; i < m->settings.n_seeds; i++) {
+		candidate_add(m, &m->seeds[i]);
+		j->seed |= addr_equal(&m->seeds[i], &m->settings.address);
+	}
+	if (j->seed)
+		j->bootstrap_ms = j->began_ms +
+		    (uint64_t)m->settings.bootstrap_ms *
+			SEED_BOOTSTRAP_PERCENT / PERCENT;
+}
+
+static void
+begin(struct membership *m)
+{
+	struct joiner *j = &m->joiner;
+
 	j->asking = 0;
 	j->complete = 0;
 	j->cursor = 0;
 	j->attempts = 0;
 	j->deadline_ms = m->now_ms;
-	j->bootstrap_ms = m->now_ms + BOOTSTRAP_MS;
+	j->began_ms = m->now_ms;
+	j->bootstrap_ms = m->now_ms + m->settings.bootstrap_ms;
 	g_array_set_size(j->candidates, 0);
-	for (i = 0; i < m->settings.n_seeds; i++) {
-		candidate_add(m, &m->seeds[i]);
-		j->seed |= addr_equal(&m->seeds[i], &m->settings.address);
-	}
-	if (j->seed)
-		j->bootstrap_ms = m->now_ms + SEED_BOOTSTRAP_MS;
+	take_seeds(m);
+}
+
+void
+join_seeds_added(struct membership *m)
+{
+	if (m->phase != MEMBERSHIP_JOINING || m->joiner.complete)
+		return;
+	take_seeds(m);
+	if (!m->joiner.asking)
+		m->joiner.deadline_ms = m->now_ms;
 }
 
 void
@@ -263,8 +285,11 @@
 static int
 alone(const struct membership *m)
 {
-	return m->joiner.candidates->len == 0 ||
-	    m->now_ms >= m->joiner.bootstrap_ms;
+	const struct joiner *j = &m->joiner;
+
+	if (j->candidates->len > 0)
+		return m->now_ms >= j->bootstrap_ms;
+	return m->now_ms >= j->began_ms + m->settings.await_seeds_ms;
 }
 
 void
@@ -291,6 +316,10 @@
 		complete(m, 0);
 		return;
 	}
+	if (j->candidates->len == 0) {
+		j->deadline_ms = j->began_ms + m->settings.await_seeds_ms;
+		return;
+	}
 	c = pick(m);
 	if (c != NULL)
 		ask(m, &c->addr, 0);
@@ -383,6 +412,6 @@
 	j->deadline_ms = m->now_ms + random_below(m, ASK_OTHERS_MS);
 	if (msg.joined || !j->seed)
 		j->bootstrap_ms =
-		    MAX(j->bootstrap_ms, m->now_ms + BOOTSTRAP_MS);
+		    MAX(j->bootstrap_ms, m->now_ms + m->settings.bootstrap_ms);
 	msg_join_refused_clear(&msg);
 }
--- a/packages/membership/src/join.h
+++ b/packages/membership/src/join.h
@@ -28,4 +28,7 @@
 void join_on_refused(struct membership *m, const struct net_addr *from,
     const uint8_t *body, size_t len);
 
+/** join_seeds_added() - there are further seeds to ask */
+void join_seeds_added(struct membership *m);
+
 #endif
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -33,6 +33,7 @@
 #define SYNC_INTERVAL_MS 3000
 #define JOIN_LIMIT 8
 #define FORGET_MS 3600000
+#define BOOTSTRAP_MS 10000
 
 /* Deadlines are moved when an event is late by this much. */
 #define LATE_MS 500
@@ -75,6 +76,7 @@
 	s->sync_interval_ms = SYNC_INTERVAL_MS;
 	s->join_limit = JOIN_LIMIT;
 	s->forget_ms = FORGET_MS;
+	s->bootstrap_ms = BOOTSTRAP_MS;
 }
 
 uint32_t
@@ -128,6 +130,46 @@
 	return m;
 }
 
+static int
+is_seed(const struct membership *m, const struct net_addr *addr)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->settings.n_seeds; i++)
+		if (addr_equal(&m->seeds[i], addr))
+			return 1;
+	return 0;
+}
+
+static void
+add_seed(struct membership *m, const struct net_addr *addr)
+{
+	uint32_t n = m->settings.n_seeds;
+
+	if (n == MEMBERSHIP_SEEDS_MAX) {
+		memmove(m->seeds, m->seeds + 1, (n - 1) * sizeof(*m->seeds));
+		n--;
+	}
+	m->seeds = g_renew(struct net_addr, m->seeds, n + 1);
+	m->seeds[n] = *addr;
+	m->settings.n_seeds = n + 1;
+	m->settings.seeds = m->seeds;
+}
+
+void
+membership_add_seeds(struct membership *m, uint64_t now_ms,
+    const struct net_addr *seeds, uint32_t n_seeds)
+{
+	uint32_t i;
+
+	m->now_ms = MAX(m->now_ms, now_ms);
+	for (i = 0; i < n_seeds; i++)
+		if (!is_seed(m, &seeds[i]))
+			add_seed(m, &seeds[i]);
+	join_seeds_added(m);
+	reconnect_seeds_added(m);
+}
+
 void
 membership_free(struct membership *m)
 {
--- a/packages/membership/src/reconnect.c
+++ b/packages/membership/src/reconnect.c
@@ -17,6 +17,9 @@
 #define EAGER_INTERVAL_MS 1000
 #define EAGER_MS 30000
 
+/* A host that went this short a time ago is likely to come back. */
+#define FRESH_MS 20000
+
 static int
 known_live(const struct membership *m, const struct net_addr *addr)
 {
@@ -57,6 +60,29 @@
 		(void)ping_host(m, &r->member.address, r->member.host);
 }
 
+/* Whether a host of the own data centre went a short time ago. */
+static int
+fresh_gone(const struct membership *m)
+{
+	const struct row *r;
+	guint i;
+
+	for (i = 0; i < m->home->rows->len; i++) {
+		r = m->home->rows->pdata[i];
+		if (!member_is_live(&r->member) &&
+		    m->now_ms < r->known_ms + FRESH_MS)
+			return 1;
+	}
+	return 0;
+}
+
+void
+reconnect_seeds_added(struct membership *m)
+{
+	if (m->phase == MEMBERSHIP_JOINED)
+		m->prober.reconnect_ms = m->now_ms;
+}
+
 void
 reconnect_tick(struct membership *m)
 {
@@ -64,7 +90,8 @@
 
 	if (m->phase != MEMBERSHIP_JOINED || m->now_ms < m->prober.reconnect_ms)
 		return;
-	if (m->home->live <= 1 || m->now_ms < m->joined_ms + EAGER_MS)
+	if (m->home->live <= 1 || m->now_ms < m->joined_ms + EAGER_MS ||
+	    fresh_gone(m))
 		interval = EAGER_INTERVAL_MS;
 	m->prober.reconnect_ms =
 	    m->now_ms + interval / 2 + random_below(m, interval);
--- a/packages/membership/src/reconnect.h
+++ b/packages/membership/src/reconnect.h
@@ -11,4 +11,7 @@
 /* When reconnect_tick() has something to do next. */
 uint64_t reconnect_next_ms(const struct membership *m);
 
+/** reconnect_seeds_added() - there are further seeds to look for */
+void reconnect_seeds_added(struct membership *m);
+
 #endif
--- a/packages/spread/include/spread/intake.h
+++ b/packages/spread/include/spread/intake.h
@@ -202,6 +202,19 @@
 void intake_signed(struct intake *in, uint64_t now_ms,
     const struct spread_version_row *row, const GPtrArray *contents);
 
+/**
+ * intake_given() - the platform gave a version with all of its content
+ * @in: intake
+ * @now_ms: monotonic time
+ * @head: head with it
+ * @list: struct rec_section_ref, sorted by service
+ * @contents: contents of the sections
+ * @n_contents: number of @contents
+ */
+void
+intake_given(struct intake *in, uint64_t now_ms, const struct rec_head *head,
+    const GArray *list, GBytes *const *contents, uint32_t n_contents);
+
 /** intake_staged() - version that can be committed, 0 for none */
 uint64_t intake_staged(const struct intake *in);
 
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -274,6 +274,22 @@
 void spread_on_signed(struct spread *s, uint64_t now_ms,
     const struct rec_head *head, const struct spread_version_row *row);
 
+/**
+ * spread_on_given() - the platform gave a whole version
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @head: head with that version, its root that of the version
+ * @list: struct rec_section_ref, sorted by service; all of its sections
+ * @contents: contents of the sections; references are taken
+ * @n_contents: number of @contents
+ *
+ * For platforms that hold each version as a whole; it also answers a
+ * SPREAD_READ_HEAD.
+ */
+void
+spread_on_given(struct spread *s, uint64_t now_ms, const struct rec_head *head,
+    const GArray *list, GBytes *const *contents, uint32_t n_contents);
+
 /** spread_ready() - whether the node may serve */
 int spread_ready(const struct spread *s);
 
--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -334,6 +334,28 @@
 	intake_begun(in, now_ms, st);
 }
 
+void
+intake_given(struct intake *in, uint64_t now_ms, const struct rec_head *head,
+    const GArray *list, GBytes *const *contents, uint32_t n_contents)
+{
+	const uint8_t *data;
+	enum status st;
+	uint32_t i;
+	gsize len;
+
+	intake_drop(in);
+	in->target = head->in_force;
+	in->list_peer.port = 0;
+	in->start_ms = now_ms;
+	st = catalog_stage_begin_full(
+	    in->env->catalog, head->in_force, &head->root, list, &in->stage);
+	for (i = 0; st == STATUS_OK && i < n_contents; i++) {
+		data = g_bytes_get_data(contents[i], &len);
+		(void)catalog_stage_add(in->stage, data, len);
+	}
+	intake_begun(in, now_ms, st);
+}
+
 uint64_t
 intake_staged(const struct intake *in)
 {
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -232,6 +232,20 @@
 	spread_settle(s, now_ms);
 }
 
+void
+spread_on_given(struct spread *s, uint64_t now_ms, const struct rec_head *head,
+    const GArray *list, GBytes *const *contents, uint32_t n_contents)
+{
+	readers_answered(&s->readers, now_ms, 1);
+	spread_origin(s, now_ms, head);
+	if (head->in_force == s->known.in_force &&
+	    head->in_force > catalog_version(s->env.catalog))
+		intake_given(
+		    &s->intake, now_ms, head, list, contents, n_contents);
+	floors_on_platform(&s->floors, now_ms, head->in_force);
+	spread_settle(s, now_ms);
+}
+
 void
 spread_stock(struct spread *s, GBytes *const *contents, uint32_t n_contents)
 {
