--- a/packages/config/bench/bench_config.c
+++ b/packages/config/bench/bench_config.c
@@ -296,7 +296,7 @@
 	start_us = clock_now_us();
 	for (n = 0; n < MATCHES; n++) {
 		i = (uint32_t)n % 1024;
-		n_found += snapshot_match(s, METHOD_GET, paths[i],
+		n_found += snapshot_match(s, METHOD_GET, NULL, paths[i],
 			       strlen(paths[i]), &m) == ROUTE_FOUND;
 	}
 	spent_us = clock_now_us() - start_us;
--- a/packages/config/include/config/section.h
+++ b/packages/config/include/config/section.h
@@ -9,8 +9,8 @@
 
 #include "config/service.h"
 
-/* Largest section: 64 routes with the longest prefixes, and some air. */
-#define SECTION_MAX_BYTES 20480
+/* Largest section: 1,000 routes with hosts and prefixes of usual length. */
+#define SECTION_MAX_BYTES 131072
 
 /* Largest sum of the sections of one version. */
 #define CONFIG_MAX_BYTES (UINT64_C(8) << 20)
--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -17,9 +17,12 @@
 #define SERVICE_NAME_BYTES 32
 #define ROUTE_PREFIX_BYTES 256
 
+/* Longest name of a host that callers name, zero included. */
+#define ROUTE_HOST_BYTES 128
+
 /* What a bundle may hold at most. */
 #define CONFIG_MAX_SERVICES 4096
-#define CONFIG_MAX_ROUTES 64
+#define CONFIG_MAX_ROUTES 4096
 
 /* Ranges of a service's numbers. */
 #define SERVICE_TIMEOUT_MIN_MS 1
@@ -31,6 +34,10 @@
 #define SERVICE_CALLER_CALLS_MAX 1000000
 #define SERVICE_ATTEMPTS_MAX 10
 #define SERVICE_BUDGET_MAX_PERCENT 100
+#define SERVICE_HEAD_MAX_BYTES 65536
+#define SERVICE_CALLER_MAX_MS 3600000
+#define ROUTE_WEIGHT_MAX 1000000
+#define ROUTE_PRIORITY_MAX 1000
 
 /* What holds when a bundle leaves a number out. */
 #define SERVICE_TIMEOUT_DEFAULT_MS 2000
@@ -57,6 +64,8 @@
 /* A method as a bit of a route's set of methods. */
 #define METHOD_BIT(m) (UINT32_C(1) << (m))
 #define METHOD_ALL (METHOD_BIT(METHOD_COUNT) - 1)
+/* Any method, also one that has no name here; a route has it alone. */
+#define METHOD_ANY (METHOD_ALL | METHOD_BIT(METHOD_COUNT))
 
 /* Methods that are idempotent whatever the upstream does. */
 #define METHOD_SAFE                                         \
@@ -85,6 +94,9 @@
  * @queue_wait_ms: longest wait for a slot
  * @caller_calls_per_s: calls a second of one caller, 0 for no limit
  * @request_max_bytes: largest request body
+ * @head_max_bytes: largest head of a request, 0 for the node's setting
+ * @head_ms: longest time for sending it, 0 for the node's setting
+ * @idle_ms: how long a caller's idle connection is kept, 0 for the setting
  */
 struct service_limits {
 	uint32_t slots_per_endpoint;
@@ -92,6 +104,9 @@
 	uint32_t queue_wait_ms;
 	uint32_t caller_calls_per_s;
 	uint64_t request_max_bytes;
+	uint32_t head_max_bytes;
+	uint32_t head_ms;
+	uint32_t idle_ms;
 };
 
 /**
@@ -110,12 +125,28 @@
  * @prefix_len: its length in bytes
  * @methods: set of METHOD_BIT()
  * @idempotent: whether running a request twice does no harm
+ * @below: only paths below the prefix match, not the prefix itself
+ * @host: host that callers name, in lower case; empty for any
+ * @host_len: its length in bytes
+ * @weight: share of this service where several share the route, else 0
+ * @timeout_ms: longest time that a request may take, 0 for the service's
+ * @target_ms: time within which an answer is worth most, 0 when not told
+ * @priority: rank, 0 is the highest
+ * @attempts: attempts of a request, 0 for the service's
  */
 struct service_route {
 	const char *prefix;
 	uint32_t prefix_len;
 	uint32_t methods;
 	bool idempotent;
+	bool below;
+	const char *host;
+	uint32_t host_len;
+	uint32_t weight;
+	uint32_t timeout_ms;
+	uint32_t target_ms;
+	uint32_t priority;
+	uint32_t attempts;
 };
 
 /**
--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -25,6 +25,7 @@
 	struct endpoint_list *endpoints;
 };
 
+struct route_entry;
 struct route_table;
 
 /**
@@ -35,6 +36,7 @@
  * @services: services, sorted by name
  * @n_services: number of services
  * @n_endpoints: number of endpoints of all services
+ * @n_nodes: live nodes of the whole system, 0 when not known
  * @routes: routes of all services, as indexes into @services
  */
 struct snapshot {
@@ -44,6 +46,7 @@
 	struct snapshot_service *services;
 	uint32_t n_services;
 	uint32_t n_endpoints;
+	uint32_t n_nodes;
 	struct route_table *routes;
 };
 
@@ -58,12 +61,17 @@
  * struct route_match - where a request goes
  * @service: the service; lives as long as the snapshot
  * @route: the route; lives as long as the snapshot
+ * @entry: its place in the snapshot's table
  */
 struct route_match {
 	const struct snapshot_service *service;
 	const struct service_route *route;
+	const struct route_entry *entry;
 };
 
+/* Most services that share a route by weight; further ones are not called. */
+#define SNAPSHOT_SHARES_MAX 16
+
 /**
  * snapshot_compile() - compile a snapshot
  * @c: the configuration
@@ -97,19 +105,32 @@
  * snapshot_match() - the route of a request
  * @s: snapshot
  * @method: the request's method
+ * @host: host that the caller named, with or without a port; may be NULL
  * @path: first byte of the path; a query is not looked at
  * @path_len: number of bytes
  * @match: where the match goes; untouched unless one is found
  *
- * The longest prefix wins among the routes that take the method.  A prefix
+ * Routes of the host go before those of any host.  The longest prefix wins
+ * among the routes that take the method.  A prefix
  * matches whole segments only: "/search" matches "/search", "/search/x" and
  * "/search?x", not "/searching".
  *
  * Return: whether a route was found.
  */
-enum route_result
-snapshot_match(const struct snapshot *s, enum http_method method,
-    const char *path, size_t path_len, struct route_match *match);
+enum route_result snapshot_match(const struct snapshot *s,
+    enum http_method method, const char *host, const char *path,
+    size_t path_len, struct route_match *match);
+
+/**
+ * snapshot_shares() - the services that share a route by weight
+ * @s: snapshot
+ * @match: what was found in it, a route with a weight
+ * @shares: room for SNAPSHOT_SHARES_MAX
+ *
+ * Return: their number, @match included.
+ */
+uint32_t snapshot_shares(const struct snapshot *s,
+    const struct route_match *match, struct route_match *shares);
 
 /**
  * snapshot_check() - verify that a snapshot is sound
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -87,10 +87,9 @@
 	return NULL;
 }
 
-/* Read one number of a service; a missing one has its initial value. */
-static void
-read_number(struct bundle_reader *r, const struct number_rule *rule,
-    json_t *object, const struct place *at, struct msg_section *m)
+void
+bundle_read_number(struct bundle_reader *r, const struct number_rule *rule,
+    json_t *object, const struct place *at, void *m)
 {
 	struct place number_at = {at, rule->key, PLACE_NO_INDEX};
 	json_t *value = json_object_get(object, rule->key);
@@ -149,7 +148,7 @@
 		number_keys_check(r, group, object, &group_at);
 	for (rule = number_rules; rule->key != NULL; rule++) {
 		if (g_strcmp0(rule->group, group) == 0)
-			read_number(
+			bundle_read_number(
 			    r, rule, object, group != NULL ? &group_at : at, m);
 	}
 }
@@ -177,7 +176,7 @@
 read_service(struct bundle_reader *r, json_t *service, const struct place *at)
 {
 	static const char *const known[] = {
-	    "name", "timeout_ms", "limits", "retry", NULL};
+	    "name", "timeout_ms", "limits", "retry", "callers", NULL};
 	struct draft *d;
 
 	if (!json_is_object(service)) {
@@ -193,6 +192,7 @@
 	read_group(r, NULL, service, at, &d->m);
 	read_group(r, "limits", service, at, &d->m);
 	read_group(r, "retry", service, at, &d->m);
+	read_group(r, "callers", service, at, &d->m);
 }
 
 static void
--- a/packages/config/src/bundle_read.h
+++ b/packages/config/src/bundle_read.h
@@ -9,6 +9,7 @@
 #include "config/bundle.h"
 #include "problems.h"
 #include "proto/messages.h"
+#include "rules.h"
 
 /**
  * struct draft - a service being read
@@ -42,6 +43,17 @@
 /** bundle_reader_clear() - free what the reader holds */
 void bundle_reader_clear(struct bundle_reader *r);
 
+/**
+ * bundle_read_number() - read one number of a service or route
+ * @r: the reader
+ * @rule: which
+ * @object: where it is read from; a missing one has its initial value
+ * @at: place of @object
+ * @m: struct msg_section or rec_section_route that it goes to
+ */
+void bundle_read_number(struct bundle_reader *r, const struct number_rule *rule,
+    json_t *object, const struct place *at, void *m);
+
 /** bundle_read() - read a whole bundle, noting all problems */
 void bundle_read(struct bundle_reader *r, json_t *root);
 
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -6,9 +6,13 @@
 #include "bundle_read.h"
 #include "rules.h"
 
-/* Which route of the bundle claims each method of a prefix, 0 for none. */
+/*
+ * Which route of the bundle claims each method of a prefix, 0 for none;
+ * whether all of them so far have a weight.
+ */
 struct claim {
-	uint32_t route[METHOD_COUNT];
+	uint32_t route[METHOD_COUNT + 1];
+	bool weighted;
 };
 
 static uint32_t
@@ -16,13 +20,15 @@
 {
 	enum http_method m = METHOD_COUNT;
 
+	if (json_is_string(value) && strcmp(json_string_value(value), "*") == 0)
+		return METHOD_ANY;
 	if (json_is_string(value))
 		m = method_parse(
 		    json_string_value(value), json_string_length(value));
 	if (m < METHOD_COUNT)
 		return METHOD_BIT(m);
 	problems_add(r->p, at,
-	    "use GET, HEAD, POST, PUT, PATCH, DELETE or OPTIONS",
+	    "use GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS or \"*\"",
 	    "this is no method");
 	return 0;
 }
@@ -54,39 +60,56 @@
 	return methods;
 }
 
-/* Left out, it is true where the methods alone make it so. */
 static bool
-read_idempotent(struct bundle_reader *r, json_t *route, const struct place *at,
-    uint32_t methods)
+read_flag(struct bundle_reader *r, json_t *route, const char *key,
+    const struct place *at, bool initial)
 {
-	struct place value_at = {at, "idempotent", PLACE_NO_INDEX};
-	json_t *value = json_object_get(route, "idempotent");
+	struct place value_at = {at, key, PLACE_NO_INDEX};
+	json_t *value = json_object_get(route, key);
 
 	if (value == NULL)
-		return methods != 0 && (methods & ~METHOD_SAFE) == 0;
+		return initial;
 	if (!json_is_boolean(value))
 		problems_add(r->p, &value_at, "write true or false",
 		    "this is neither true nor false");
 	return json_is_true(value);
 }
 
-/* Note methods of a prefix that an earlier route has claimed. */
+static struct claim *
+claim_of(struct bundle_reader *r, const struct rec_section_route *route)
+{
+	char *key = g_strdup_printf(
+	    "%s%s%s", route->host, route->prefix, route->below ? "/" : "");
+	struct claim *claim = g_hash_table_lookup(r->claims, key);
+
+	if (claim != NULL) {
+		g_free(key);
+		return claim;
+	}
+	claim = g_new0(struct claim, 1);
+	claim->weighted = route->weight > 0;
+	g_hash_table_insert(r->claims, key, claim);
+	return claim;
+}
+
+/*
+ * Note methods of a prefix that an earlier route has claimed.  Routes that
+ * all have a weight share it.
+ */
 static void
-claim_methods(struct bundle_reader *r, const char *prefix, uint32_t methods,
+claim_methods(struct bundle_reader *r, const struct rec_section_route *route,
     const struct place *at)
 {
-	struct claim *claim;
+	struct claim *claim = claim_of(r, route);
+	uint32_t methods = route->methods;
+	const char *prefix = route->prefix;
 	unsigned int m;
 
-	claim = g_hash_table_lookup(r->claims, prefix);
-	if (claim == NULL) {
-		claim = g_new0(struct claim, 1);
-		g_hash_table_insert(r->claims, g_strdup(prefix), claim);
-	}
-	for (m = 0; m < METHOD_COUNT; m++) {
+	claim->weighted = claim->weighted && route->weight > 0;
+	for (m = 0; m <= METHOD_COUNT; m++) {
 		if ((methods & METHOD_BIT(m)) == 0)
 			continue;
-		if (claim->route[m] != 0)
+		if (claim->route[m] != 0 && !claim->weighted)
 			problems_add(r->p, at, "take one of the two out",
 			    "routes[%u] takes %s of %s already",
 			    claim->route[m] - 1, method_name(m), prefix);
@@ -110,6 +133,32 @@
 	return true;
 }
 
+static void
+read_host(struct bundle_reader *r, json_t *route, const struct place *at,
+    struct rec_section_route *out)
+{
+	struct place host_at = {at, "host", PLACE_NO_INDEX};
+	const char *host;
+
+	if (json_object_get(route, "host") == NULL)
+		return;
+	host = json_text(route, "host", at, r->p);
+	if (host == NULL)
+		return;
+	host_check(host, &host_at, r->p);
+	g_strlcpy(out->host, host, sizeof(out->host));
+}
+
+static void
+read_numbers(struct bundle_reader *r, json_t *route, const struct place *at,
+    struct rec_section_route *out)
+{
+	const struct number_rule *rule;
+
+	for (rule = route_rules; rule->key != NULL; rule++)
+		bundle_read_number(r, rule, route, at, out);
+}
+
 static struct draft *
 read_target(struct bundle_reader *r, json_t *route, const struct place *at)
 {
@@ -144,8 +193,9 @@
 static void
 read_route(struct bundle_reader *r, json_t *route, const struct place *at)
 {
-	static const char *const known[] = {
-	    "prefix", "methods", "service", "idempotent", NULL};
+	static const char *const known[] = {"prefix", "methods", "service",
+	    "idempotent", "host", "below", "weight", "timeout_ms", "target_ms",
+	    "priority", "attempts", NULL};
 	struct rec_section_route out;
 	struct draft *d;
 	bool has_prefix;
@@ -160,11 +210,16 @@
 	json_keys_check(route, known, at, r->p);
 	has_prefix = read_prefix(r, route, at, &out);
 	out.methods = read_methods(r, route, at);
-	out.idempotent = read_idempotent(r, route, at, out.methods);
+	/* Left out, it is true where the methods alone make it so. */
+	out.idempotent = read_flag(r, route, "idempotent", at,
+	    out.methods != 0 && (out.methods & ~METHOD_SAFE) == 0);
+	out.below = read_flag(r, route, "below", at, false);
+	read_host(r, route, at, &out);
+	read_numbers(r, route, at, &out);
 	if (out.methods != 0)
 		methods_check(out.methods, out.idempotent, at, r->p);
 	if (has_prefix)
-		claim_methods(r, out.prefix, out.methods, at);
+		claim_methods(r, &out, at);
 	d = read_target(r, route, at);
 	if (d != NULL)
 		add_route(r, d, &out, at);
--- a/packages/config/src/commit.c
+++ b/packages/config/src/commit.c
@@ -100,6 +100,15 @@
 	    sc->name, ref->service);
 }
 
+/* Whether two routes have the same entry in a table. */
+static bool
+same_place(const struct service_route *a, const struct service_route *b)
+{
+	return a->methods == b->methods && a->below == b->below &&
+	    (a->weight > 0) == (b->weight > 0) &&
+	    strcmp(a->host, b->host) == 0 && strcmp(a->prefix, b->prefix) == 0;
+}
+
 static bool
 same_routes(const struct service_config *a, const struct service_config *b)
 {
@@ -110,8 +119,7 @@
 	if (a->n_routes != b->n_routes || strcmp(a->name, b->name) != 0)
 		return false;
 	for (i = 0; i < a->n_routes; i++) {
-		if (a->routes[i].methods != b->routes[i].methods ||
-		    strcmp(a->routes[i].prefix, b->routes[i].prefix) != 0)
+		if (!same_place(&a->routes[i], &b->routes[i]))
 			return false;
 	}
 	return true;
--- a/packages/config/src/route_table.c
+++ b/packages/config/src/route_table.c
@@ -48,16 +48,23 @@
 	    (x->entry.methods < y->entry.methods);
 }
 
-/* Append a mapped prefix to the text; that of "/" is empty. */
+/*
+ * Append host and mapped prefix to the text; the prefix "/" is empty, and one
+ * that takes only what is below it ends with a segment.
+ */
 static uint32_t
 append_prefix(GString *text, const struct service_route *route)
 {
+	gsize begin = text->len;
 	uint32_t i, len;
 
+	g_string_append_len(text, route->host, (gssize)route->host_len);
 	len = route->prefix_len == 1 ? 0 : route->prefix_len;
 	for (i = 0; i < len; i++)
 		g_string_append_c(text, map_char(route->prefix[i]));
-	return len;
+	if (route->below && len > 0)
+		g_string_append_c(text, ROUTE_SEGMENT);
+	return (uint32_t)(text->len - begin);
 }
 
 static void
@@ -75,6 +82,8 @@
 		d.entry.service = index;
 		d.entry.route = i;
 		d.entry.methods = sc->routes[i].methods;
+		d.entry.hosted = sc->routes[i].host_len > 0;
+		d.entry.shared = sc->routes[i].weight > 0;
 		g_array_append_val(drafts, d);
 	}
 }
@@ -102,9 +111,13 @@
 is_above(const struct route_table *t, const struct route_entry *upper,
     const char *text, uint32_t len)
 {
-	return upper->len <= len &&
-	    memcmp(t->text + upper->text, text, upper->len) == 0 &&
-	    (upper->len == len || text[upper->len] == ROUTE_SEGMENT);
+	const char *prefix = t->text + upper->text;
+
+	if (upper->len > len || memcmp(prefix, text, upper->len) != 0)
+		return false;
+	return upper->len == 0 || upper->len == len ||
+	    text[upper->len] == ROUTE_SEGMENT ||
+	    prefix[upper->len - 1] == ROUTE_SEGMENT;
 }
 
 static bool
@@ -156,7 +169,7 @@
 		a = &t->entries[i - 1];
 		b = &t->entries[i];
 		claimed = same_prefix(t, a, b) ? claimed | a->methods : 0;
-		if ((claimed & b->methods) == 0)
+		if ((claimed & b->methods) == 0 || (a->shared && b->shared))
 			continue;
 		x = g_ptr_array_index(services, a->service);
 		y = g_ptr_array_index(services, b->service);
@@ -261,27 +274,21 @@
 	return i;
 }
 
-const struct route_entry *
-route_table_find(const struct route_table *t, enum http_method method,
-    const char *path, size_t path_len, bool *seen_path)
+/* The entry of the longest prefix of a mapped text, of a host or of none. */
+static const struct route_entry *
+find_text(const struct route_table *t, enum http_method method,
+    const char *text, uint32_t len, bool hosted, bool *seen_path)
 {
 	const struct route_entry *found;
-	char text[ROUTE_PREFIX_BYTES];
-	uint32_t i, len;
+	uint32_t i;
 
-	*seen_path = false;
-	if (path_len == 0 || path[0] != '/')
-		return NULL;
-	/* No prefix is longer, and its end is seen in the byte after it. */
-	len = (uint32_t)MIN(path_len, sizeof(text));
-	for (i = 0; i < len; i++)
-		text[i] = map_char(path[i]);
 	i = upper_bound(t, text, len);
 	if (i == 0)
 		return NULL;
 	i = first_of_prefix(t, i - 1);
 	for (; i != ROUTE_NO_PARENT; i = t->entries[i].parent) {
-		if (!is_above(t, &t->entries[i], text, len))
+		if (t->entries[i].hosted != hosted ||
+		    !is_above(t, &t->entries[i], text, len))
 			continue;
 		*seen_path = true;
 		found = pick_method(t, i, method);
@@ -291,6 +298,48 @@
 	return NULL;
 }
 
+const struct route_entry *
+route_table_find(const struct route_table *t, enum http_method method,
+    const char *host, size_t host_len, const char *path, size_t path_len,
+    bool *seen_path)
+{
+	const struct route_entry *found = NULL;
+	char text[ROUTE_HOST_BYTES + ROUTE_PREFIX_BYTES];
+	uint32_t i, len, at;
+
+	*seen_path = false;
+	if (path_len == 0 || path[0] != '/')
+		return NULL;
+	at = host_len < ROUTE_HOST_BYTES ? (uint32_t)host_len : 0;
+	for (i = 0; i < at; i++)
+		text[i] = g_ascii_tolower(host[i]);
+	/* No prefix is longer, and its end is seen in the byte after it. */
+	len = (uint32_t)MIN(path_len, ROUTE_PREFIX_BYTES);
+	for (i = 0; i < len; i++)
+		text[at + i] = map_char(path[i]);
+	if (at > 0)
+		found = find_text(t, method, text, at + len, true, seen_path);
+	if (found == NULL)
+		found = find_text(t, method, text + at, len, false, seen_path);
+	return found;
+}
+
+uint32_t
+route_table_shares(const struct route_table *t, const struct route_entry *entry,
+    const struct route_entry **shares, uint32_t max)
+{
+	uint32_t i = first_of_prefix(t, (uint32_t)(entry - t->entries));
+	uint32_t n = 0;
+
+	for (; i < t->n_entries && n < max; i++) {
+		if (!same_prefix(t, entry, &t->entries[i]))
+			break;
+		if (t->entries[i].methods == entry->methods)
+			shares[n++] = &t->entries[i];
+	}
+	return n;
+}
+
 uint64_t
 route_table_bytes(const struct route_table *t)
 {
--- a/packages/config/src/route_table.h
+++ b/packages/config/src/route_table.h
@@ -26,6 +26,8 @@
  * @service: index of the service
  * @route: index of the route in the service
  * @methods: set of METHOD_BIT()
+ * @hosted: the text begins with a host
+ * @shared: several services share the route by weight
  */
 struct route_entry {
 	uint32_t text;
@@ -34,6 +36,8 @@
 	uint32_t service;
 	uint32_t route;
 	uint32_t methods;
+	bool hosted;
+	bool shared;
 };
 
 /**
@@ -76,16 +80,31 @@
  * route_table_find() - the entry that a request matches
  * @t: table
  * @method: method
+ * @host: host that the caller named, without its port; case is folded
+ * @host_len: number of bytes, 0 for none
  * @path: first byte of the path
  * @path_len: number of bytes, without the query
  * @seen_path: set when a prefix matched, whatever its methods
  *
  * Return: the entry or NULL.
  */
-const struct route_entry *
-route_table_find(const struct route_table *t, enum http_method method,
+const struct route_entry *route_table_find(const struct route_table *t,
+    enum http_method method, const char *host, size_t host_len,
     const char *path, size_t path_len, bool *seen_path);
 
+/**
+ * route_table_shares() - the entries that share a route
+ * @t: table
+ * @entry: one of them
+ * @shares: room for @max
+ * @max: most that are wanted
+ *
+ * Return: their number, @entry included.
+ */
+uint32_t
+route_table_shares(const struct route_table *t, const struct route_entry *entry,
+    const struct route_entry **shares, uint32_t max);
+
 /** route_table_bytes() - memory taken, near enough */
 uint64_t route_table_bytes(const struct route_table *t);
 
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -30,6 +30,25 @@
 	SERVICE_ATTEMPTS_DEFAULT),
     NUMBER("retry", "budget_percent", budget_percent, 0,
 	SERVICE_BUDGET_MAX_PERCENT, SERVICE_BUDGET_DEFAULT_PERCENT),
+    NUMBER("callers", "head_max_bytes", head_max_bytes, 0,
+	SERVICE_HEAD_MAX_BYTES, 0),
+    NUMBER("callers", "head_ms", head_ms, 0, SERVICE_CALLER_MAX_MS, 0),
+    NUMBER("callers", "idle_ms", idle_ms, 0, SERVICE_CALLER_MAX_MS, 0),
+    {NULL, NULL, 0, 0, 0, 0, 0},
+};
+
+#define ROUTE_NUMBER(key, field, max)                                         \
+	{                                                                     \
+		NULL, (key), offsetof(struct rec_section_route, field),       \
+		    sizeof(((struct rec_section_route *)0)->field), 0, max, 0 \
+	}
+
+const struct number_rule route_rules[] = {
+    ROUTE_NUMBER("weight", weight, ROUTE_WEIGHT_MAX),
+    ROUTE_NUMBER("timeout_ms", timeout_ms, SERVICE_TIMEOUT_MAX_MS),
+    ROUTE_NUMBER("target_ms", target_ms, SERVICE_TIMEOUT_MAX_MS),
+    ROUTE_NUMBER("priority", priority, ROUTE_PRIORITY_MAX),
+    ROUTE_NUMBER("attempts", attempts, SERVICE_ATTEMPTS_MAX),
     {NULL, NULL, 0, 0, 0, 0, 0},
 };
 
@@ -47,7 +66,7 @@
 }
 
 uint64_t
-number_load(const struct number_rule *rule, const struct msg_section *m)
+number_load(const struct number_rule *rule, const void *m)
 {
 	const char *field = (const char *)m + rule->offset;
 	uint64_t wide;
@@ -62,8 +81,7 @@
 }
 
 void
-number_store(
-    const struct number_rule *rule, struct msg_section *m, uint64_t value)
+number_store(const struct number_rule *rule, void *m, uint64_t value)
 {
 	char *field = (char *)m + rule->offset;
 	uint32_t narrow = (uint32_t)value;
@@ -160,12 +178,16 @@
 	struct place methods_at = {at, "methods", PLACE_NO_INDEX};
 	struct place idempotent_at = {at, "idempotent", PLACE_NO_INDEX};
 
-	if (methods == 0 || (methods & ~METHOD_ALL) != 0)
+	if (methods == 0 ||
+	    ((methods & ~METHOD_ALL) != 0 && methods != METHOD_ANY))
 		problems_add(p, &methods_at,
-		    "list some of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS",
+		    "list some of GET, HEAD, POST, PUT, PATCH, DELETE, "
+		    "OPTIONS, "
+		    "or \"*\" alone",
 		    "a route needs known methods");
-	if (idempotent && (methods & METHOD_UNSAFE) != 0 &&
-	    (methods & ~METHOD_UNSAFE) != 0)
+	/* One that takes any method says so of all that it takes. */
+	if (idempotent && methods != METHOD_ANY &&
+	    (methods & METHOD_UNSAFE) != 0 && (methods & ~METHOD_UNSAFE) != 0)
 		problems_add(p, &idempotent_at,
 		    "give POST and PATCH a route of their own, and call that "
 		    "idempotent if it is",
@@ -173,13 +195,40 @@
 		    "other methods");
 }
 
+void
+host_check(const char *host, const struct place *at, struct problems *p)
+{
+	const char *c;
+
+	for (c = host; *c != '\0'; c++)
+		if (!g_ascii_islower(*c) && !g_ascii_isdigit(*c) &&
+		    strchr("-._", *c) == NULL)
+			break;
+	if (*c != '\0' || strlen(host) >= ROUTE_HOST_BYTES)
+		problems_add(p, at, "use at most 127 of a-z, 0-9 and \"-._\"",
+		    "this is no host that callers name");
+}
+
+/* Order of what requests two routes take, their methods aside. */
+static int
+route_place_compare(
+    const struct rec_section_route *x, const struct rec_section_route *y)
+{
+	int order;
+
+	order = strcmp(x->host, y->host);
+	if (order == 0)
+		order = strcmp(x->prefix, y->prefix);
+	return order != 0 ? order : (int)x->below - (int)y->below;
+}
+
 static int
 route_compare(const void *a, const void *b)
 {
 	const struct rec_section_route *x = a, *y = b;
 	int order;
 
-	order = strcmp(x->prefix, y->prefix);
+	order = route_place_compare(x, y);
 	if (order != 0)
 		return order;
 	return (x->methods > y->methods) - (x->methods < y->methods);
@@ -205,8 +254,7 @@
 		at.index = i;
 		route = &m->routes[i];
 		before = i > 0 ? &m->routes[i - 1] : NULL;
-		if (before == NULL ||
-		    strcmp(before->prefix, route->prefix) != 0)
+		if (before == NULL || route_place_compare(before, route) != 0)
 			claimed = 0;
 		if (before != NULL && route_compare(before, route) >= 0)
 			problems_add(p, &at, "sort the routes",
@@ -218,6 +266,24 @@
 	}
 }
 
+static void
+route_check(const struct rec_section_route *route, const struct place *at,
+    struct problems *p)
+{
+	struct place prefix_at = {at, "prefix", PLACE_NO_INDEX};
+	struct place host_at = {at, "host", PLACE_NO_INDEX};
+	struct place number_at = {at, NULL, PLACE_NO_INDEX};
+	const struct number_rule *rule;
+
+	prefix_check(route->prefix, strlen(route->prefix), &prefix_at, p);
+	host_check(route->host, &host_at, p);
+	methods_check(route->methods, route->idempotent, at, p);
+	for (rule = route_rules; rule->key != NULL; rule++) {
+		number_at.key = rule->key;
+		number_check(rule, number_load(rule, route), &number_at, p);
+	}
+}
+
 void
 section_check(const struct msg_section *m, struct problems *p)
 {
@@ -226,7 +292,6 @@
 	struct place service_at = {NULL, "service", PLACE_NO_INDEX};
 	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
 	struct place at = {&routes_at, NULL, 0};
-	struct place prefix_at = {&at, "prefix", PLACE_NO_INDEX};
 	uint32_t i;
 
 	service_name_check(m->service, strlen(m->service), &service_at, p);
@@ -236,10 +301,7 @@
 	}
 	for (i = 0; i < m->n_routes; i++) {
 		at.index = i;
-		prefix_check(m->routes[i].prefix, strlen(m->routes[i].prefix),
-		    &prefix_at, p);
-		methods_check(
-		    m->routes[i].methods, m->routes[i].idempotent, &at, p);
+		route_check(&m->routes[i], &at, p);
 	}
 	routes_order_check(m, p);
 }
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -13,7 +13,7 @@
  * struct number_rule - a number of a service
  * @group: key of the object that it is in, NULL for the service itself
  * @key: its key
- * @offset: where it is in struct msg_section
+ * @offset: where it is in struct msg_section, or rec_section_route
  * @bytes: its size there, 4 or 8
  * @min: least value
  * @max: largest value
@@ -32,16 +32,17 @@
 /** number_rules - all numbers of a service; ends with a NULL key */
 extern const struct number_rule number_rules[];
 
+/** route_rules - all numbers of a route; ends with a NULL key */
+extern const struct number_rule route_rules[];
+
 /** number_rule_find() - the rule of a key in a group, or NULL */
 const struct number_rule *number_rule_find(const char *group, const char *key);
 
 /** number_load() - value of the number that a rule is about */
-uint64_t
-number_load(const struct number_rule *rule, const struct msg_section *m);
+uint64_t number_load(const struct number_rule *rule, const void *m);
 
 /** number_store() - set the number that a rule is about */
-void number_store(
-    const struct number_rule *rule, struct msg_section *m, uint64_t value);
+void number_store(const struct number_rule *rule, void *m, uint64_t value);
 
 /** number_check() - note a number that is out of range */
 void number_check(const struct number_rule *rule, uint64_t value,
@@ -55,6 +56,9 @@
 void prefix_check(
     const char *prefix, size_t len, const struct place *at, struct problems *p);
 
+/** host_check() - note a bad host of a route; an empty one is fine */
+void host_check(const char *host, const struct place *at, struct problems *p);
+
 /**
  * methods_check() - note a bad set of methods, or a bad claim of idempotence
  * @methods: set of METHOD_BIT()
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -17,7 +17,8 @@
 	size = sizeof(struct service_config);
 	size += m->n_routes * sizeof(struct service_route);
 	for (i = 0; i < m->n_routes; i++)
-		size += strlen(m->routes[i].prefix) + 1;
+		size += strlen(m->routes[i].prefix) + 1 +
+		    strlen(m->routes[i].host) + 1;
 	return size;
 }
 
@@ -30,29 +31,54 @@
 	sc->limits.queue_wait_ms = m->queue_wait_ms;
 	sc->limits.caller_calls_per_s = m->caller_calls_per_s;
 	sc->limits.request_max_bytes = m->request_max_bytes;
+	sc->limits.head_max_bytes = m->head_max_bytes;
+	sc->limits.head_ms = m->head_ms;
+	sc->limits.idle_ms = m->idle_ms;
 	sc->retry.attempts = m->attempts;
 	sc->retry.budget_percent = m->budget_percent;
 }
 
+/* Copies a text behind the routes; Return: where the next one goes. */
+static char *
+config_set_text(char *at, const char *text, const char **out, uint32_t *out_len)
+{
+	uint32_t len = (uint32_t)strlen(text);
+
+	memcpy(at, text, len + 1);
+	*out = at;
+	*out_len = len;
+	return at + len + 1;
+}
+
+static char *
+config_set_route(struct service_route *route,
+    const struct rec_section_route *from, char *text)
+{
+	route->methods = from->methods;
+	route->idempotent = from->idempotent;
+	route->below = from->below;
+	route->weight = from->weight;
+	route->timeout_ms = from->timeout_ms;
+	route->target_ms = from->target_ms;
+	route->priority = from->priority;
+	route->attempts = from->attempts;
+	text = config_set_text(
+	    text, from->prefix, &route->prefix, &route->prefix_len);
+	return config_set_text(
+	    text, from->host, &route->host, &route->host_len);
+}
+
 static void
 config_set_routes(struct service_config *sc, const struct msg_section *m)
 {
-	struct service_route *route;
 	char *text;
 	uint32_t i;
 
 	sc->routes = (struct service_route *)(sc + 1);
 	sc->n_routes = m->n_routes;
 	text = (char *)(sc->routes + m->n_routes);
-	for (i = 0; i < m->n_routes; i++) {
-		route = &sc->routes[i];
-		route->prefix = text;
-		route->prefix_len = (uint32_t)strlen(m->routes[i].prefix);
-		route->methods = m->routes[i].methods;
-		route->idempotent = m->routes[i].idempotent;
-		memcpy(text, m->routes[i].prefix, route->prefix_len + 1);
-		text += route->prefix_len + 1;
-	}
+	for (i = 0; i < m->n_routes; i++)
+		text = config_set_route(&sc->routes[i], &m->routes[i], text);
 }
 
 /* One allocation for all, so that the last reference is one g_free(). */
--- a/packages/config/src/service.c
+++ b/packages/config/src/service.c
@@ -33,7 +33,7 @@
 const char *
 method_name(enum http_method m)
 {
-	return (unsigned int)m < METHOD_COUNT ? method_names[m] : "?";
+	return (unsigned int)m < METHOD_COUNT ? method_names[m] : "others";
 }
 
 bool
--- a/packages/config/src/snapshot.c
+++ b/packages/config/src/snapshot.c
@@ -92,18 +92,51 @@
 	return i;
 }
 
+static void
+set_match(const struct snapshot *s, const struct route_entry *entry,
+    struct route_match *match)
+{
+	match->service = &s->services[entry->service];
+	match->route = &match->service->config->routes[entry->route];
+}
+
+/* A host without its port. */
+static size_t
+host_length(const char *host)
+{
+	return host != NULL ? strcspn(host, ":") : 0;
+}
+
 enum route_result
 snapshot_match(const struct snapshot *s, enum http_method method,
-    const char *path, size_t path_len, struct route_match *match)
+    const char *host, const char *path, size_t path_len,
+    struct route_match *match)
 {
 	const struct route_entry *entry;
 	bool seen_path;
 
 	path_len = path_length(path, path_len);
-	entry = route_table_find(s->routes, method, path, path_len, &seen_path);
+	entry = route_table_find(s->routes, method, host, host_length(host),
+	    path, path_len, &seen_path);
 	if (entry == NULL)
 		return seen_path ? ROUTE_NO_METHOD : ROUTE_NO_PATH;
-	match->service = &s->services[entry->service];
-	match->route = &match->service->config->routes[entry->route];
+	match->entry = entry;
+	set_match(s, entry, match);
 	return ROUTE_FOUND;
 }
+
+uint32_t
+snapshot_shares(const struct snapshot *s, const struct route_match *match,
+    struct route_match *shares)
+{
+	const struct route_entry *entries[SNAPSHOT_SHARES_MAX];
+	uint32_t i, n;
+
+	n = route_table_shares(
+	    s->routes, match->entry, entries, SNAPSHOT_SHARES_MAX);
+	for (i = 0; i < n; i++) {
+		shares[i].entry = entries[i];
+		set_match(s, entries[i], &shares[i]);
+	}
+	return n;
+}
--- a/packages/config/src/snapshot_check.c
+++ b/packages/config/src/snapshot_check.c
@@ -62,17 +62,21 @@
     const struct service_route *route)
 {
 	const char *text = t->text + entry->text;
+	uint32_t len = route->prefix_len == 1 ? 0 : route->prefix_len;
+	bool below = route->below && len > 0;
 	uint32_t i;
 
-	if (entry->len != (route->prefix_len == 1 ? 0 : route->prefix_len))
+	if (entry->len != route->host_len + len + (below ? 1 : 0) ||
+	    memcmp(text, route->host, route->host_len) != 0)
 		return false;
-	for (i = 0; i < entry->len; i++) {
+	text += route->host_len;
+	for (i = 0; i < len; i++) {
 		if (text[i] !=
 		    (route->prefix[i] == '/' ? ROUTE_SEGMENT
 					     : route->prefix[i]))
 			return false;
 	}
-	return true;
+	return !below || text[len] == ROUTE_SEGMENT;
 }
 
 static enum status
@@ -108,24 +112,41 @@
 	return st;
 }
 
+/* Whether a request for a route's own prefix finds it, or one it shares with.
+ */
+static bool
+is_found(const struct snapshot *s, const struct service_route *route)
+{
+	enum http_method m =
+	    (enum http_method)g_bit_nth_lsf(route->methods, -1);
+	const char *host = route->host_len > 0 ? route->host : NULL;
+	char *path = g_strconcat(route->prefix, route->below ? "/" : "", NULL);
+	struct route_match match, shares[SNAPSHOT_SHARES_MAX];
+	bool found;
+	uint32_t i, n;
+
+	found = snapshot_match(s, m, host, path, strlen(path), &match) ==
+	    ROUTE_FOUND;
+	n = found && route->weight > 0 ? snapshot_shares(s, &match, shares) : 0;
+	for (i = 0; i < n && match.route != route; i++)
+		match = shares[i];
+	g_free(path);
+	return found && match.route == route;
+}
+
 /* Each route is found by a request for its own prefix. */
 static enum status
 check_matches(const struct snapshot *s)
 {
 	const struct service_config *sc;
 	const struct service_route *route;
-	struct route_match match;
-	enum http_method m;
 	uint32_t i, j;
 
 	for (i = 0; i < s->n_services; i++) {
 		sc = s->services[i].config;
 		for (j = 0; j < sc->n_routes; j++) {
 			route = &sc->routes[j];
-			m = (enum http_method)g_bit_nth_lsf(route->methods, -1);
-			if (snapshot_match(s, m, route->prefix,
-				route->prefix_len, &match) != ROUTE_FOUND ||
-			    match.route != route)
+			if (!is_found(s, route))
 				return violation(
 				    "route is not found", route->prefix);
 		}
--- a/packages/node/bench/bench_call.c
+++ b/packages/node/bench/bench_call.c
@@ -178,7 +178,7 @@
 static void
 many_threads(struct settings *s)
 {
-	s->caller_threads = 64;
+	s->keep_alive_ms = 15000;
 }
 
 /* Answers each question with its processor time until the pipe closes. */
--- a/packages/node/include/node/callers.h
+++ b/packages/node/include/node/callers.h
@@ -1,10 +1,6 @@
 /*
- * Callers: the HTTP server on the caller port (CivetWeb workers).  A worker
- * reads a call, hands it to the entry and streams bodies both ways.
- *
- * Hazards of CivetWeb 1.15 that this module works around: a worker is bound
- * to each kept-alive connection, and mg_stop() breaks off answers that are
- * being written.
+ * Callers: the HTTP server on the caller port, in the traffic thread.  It
+ * hands calls to the entry and streams bodies both ways.
  */
 #ifndef NODE_CALLERS_H
 #define NODE_CALLERS_H
@@ -13,19 +9,24 @@
 
 #include "base/status.h"
 
+struct call_dialect;
 struct callers;
 struct entry;
+struct loop;
 struct settings;
 
 /**
  * callers_new() - make a server
  * @s: settings of the node; must outlive the server
+ * @dialect: names of headers; must outlive the server
  * @e: the entry that takes the calls; must outlive the server
+ * @loop: loop of the traffic thread
  */
-struct callers *callers_new(const struct settings *s, struct entry *e);
+struct callers *callers_new(const struct settings *s,
+    const struct call_dialect *dialect, struct entry *e, struct loop *loop);
 
 /**
- * callers_start() - listen on the caller port
+ * callers_start() - listen on the caller port, before the thread starts
  * @c: the server
  *
  * Return: STATUS_OK, or STATUS_IO when the port can't be bound.
@@ -49,14 +50,15 @@
 uint32_t callers_in_flight(const struct callers *c);
 
 /**
- * callers_stop() - stop listening and end the workers
- * @c: the server
+ * callers_stop() - stop listening and let the connections end
+ * @c: the server; its thread still runs
  *
- * Call it when callers_in_flight() is 0: answers being written are cut.
+ * From another thread.  After a drain it returns once no connection is left,
+ * or at the drain's deadline; answers being written then are cut.
  */
 void callers_stop(struct callers *c);
 
-/** callers_free() - free a stopped server; NULL is allowed */
+/** callers_free() - free it, once its thread has stopped; NULL is allowed */
 void callers_free(struct callers *c);
 
 #endif
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -9,10 +9,14 @@
 
 #include "base/status.h"
 #include "node/operation.h"
+#include "proto/addr.h"
 #include "proto/messages.h"
+#include "proto/settings.h"
 
 struct control;
+struct directory;
 struct entry;
+struct feed;
 struct guard;
 struct settings;
 
@@ -30,6 +34,54 @@
 enum status control_new(const struct settings *s, struct entry *e,
     struct guard *g, uint64_t incarnation, uint64_t seed, struct control **out);
 
+/**
+ * struct upstream_beat - what an upstream says of itself in a heartbeat
+ * @service: service that it is an endpoint of
+ * @address: where it listens, on this host
+ * @slots: requests that it runs at once
+ * @state: ready or draining
+ * @seq: rises with each heartbeat of a run
+ * @cold_ms: how much longer it is slow after its start
+ */
+struct upstream_beat {
+	char service[SETTINGS_NAME_BYTES];
+	struct net_addr address;
+	uint16_t slots;
+	enum endpoint_state state;
+	uint64_t seq;
+	uint32_t cold_ms;
+};
+
+/**
+ * control_use() - take configurations and peers from an adapter's platform
+ * @c: the control, before it is started
+ * @feed: where configurations come from; must outlive the thread
+ * @directory: where nodes find one another; must outlive the thread
+ */
+void
+control_use(struct control *c, struct feed *feed, struct directory *directory);
+
+/**
+ * control_beat() - a heartbeat of the upstream on this host
+ * @c: the control
+ * @instance: name of the run that sent it
+ * @b: what it says
+ *
+ * What it says holds at this host's guard when this returns and the traffic
+ * thread has taken its next turn.
+ *
+ * Return: STATUS_OK, also for one that is late and changes nothing;
+ * STATUS_INVALID.
+ */
+enum status control_beat(
+    struct control *c, const char *instance, const struct upstream_beat *b);
+
+/** control_upstream_left() - a run of the upstream said that it leaves */
+void control_upstream_left(struct control *c, const char *instance);
+
+/** control_takes_callers() - whether callers may be led here; any thread */
+int control_takes_callers(const struct control *c);
+
 /** control_start() - start the thread; Return: STATUS_OK or STATUS_IO */
 enum status control_start(struct control *c);
 
--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -1,6 +1,6 @@
 /*
- * Entry: the thread that places the calls which came in at this node on
- * endpoints, follows each to its fate, and talks to the guards.
+ * Entry: the part of the traffic thread that places the calls which came in at
+ * this node on endpoints, follows each to its fate, and talks to the guards.
  *
  * It feeds the decisions of package traffic (placement, retry, the state
  * machine of a call) with what happens and carries out what they answer.
@@ -12,26 +12,22 @@
 
 #include "base/status.h"
 
+struct call_dialect;
 struct call_exchange;
 struct entry;
+struct loop;
 struct settings;
 
 /**
  * entry_new() - make an entry
  * @s: settings of the node; must outlive the entry
+ * @dialect: how callers are spoken to; must outlive the entry
  * @incarnation: incarnation of this process, told to guards
- *
- * Return: the entry, or NULL when the system refuses a descriptor.
- */
-struct entry *entry_new(const struct settings *s, uint64_t incarnation);
-
-/**
- * entry_start() - start the thread
- * @e: the entry
- *
- * Return: STATUS_OK, or STATUS_IO when no thread can be had.
+ * @loop: loop of the traffic thread
  */
-enum status entry_start(struct entry *e);
+struct entry *
+entry_new(const struct settings *s, const struct call_dialect *dialect,
+    uint64_t incarnation, struct loop *loop);
 
 /**
  * entry_snapshot_changed() - a new snapshot was published
@@ -47,7 +43,7 @@
  * @e: the entry
  * @x: the call; see node/call_exchange.h
  *
- * Any thread may call it.
+ * In the traffic thread; the answer never comes before this returns.
  */
 void entry_submit(struct entry *e, struct call_exchange *x);
 
@@ -64,10 +60,10 @@
 /** entry_in_flight() - calls that are not ended */
 uint32_t entry_in_flight(const struct entry *e);
 
-/** entry_stop() - stop the thread; calls in flight are broken off */
+/** entry_stop() - break off calls in flight; any thread may call it */
 void entry_stop(struct entry *e);
 
-/** entry_free() - free a stopped entry; NULL is allowed */
+/** entry_free() - free it, once its thread has stopped; NULL is allowed */
 void entry_free(struct entry *e);
 
 #endif
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -1,6 +1,6 @@
 /*
- * Guard: the thread that takes calls from the entries of all nodes for the
- * endpoints of this host, and hands them to the upstreams.
+ * Guard: the part of the traffic thread that takes calls from the entries of
+ * all nodes for the endpoints of this host, and hands them to the upstreams.
  *
  * It feeds the decisions of package traffic (admission, fates, frame age)
  * with what happens and carries out what they answer.
@@ -15,12 +15,18 @@
 #include "config/service.h"
 #include "proto/addr.h"
 
+struct call_dialect;
 struct guard;
+struct loop;
 struct settings;
 
+/* Longest name of an instance, zero included. */
+#define GUARD_INSTANCE_BYTES 64
+
 /**
  * struct guard_endpoint - an upstream of this host
  * @service: name of the service
+ * @instance: the upstream's name for this run of it; empty when not told
  * @port: port that the upstream listens on, at this host's own address
  * @slots: requests that it may run at once
  * @state: what it said of itself
@@ -28,6 +34,7 @@
  */
 struct guard_endpoint {
 	char service[SERVICE_NAME_BYTES];
+	char instance[GUARD_INSTANCE_BYTES];
 	uint16_t port;
 	uint32_t slots;
 	enum serving_state state;
@@ -37,14 +44,16 @@
 /**
  * guard_new() - make a guard
  * @s: settings of the node; must outlive the guard
+ * @dialect: how upstreams are spoken to; must outlive the guard
  * @incarnation: incarnation of this process, told to entries
- *
- * Return: the guard, or NULL when the system refuses a descriptor.
+ * @loop: loop of the traffic thread
  */
-struct guard *guard_new(const struct settings *s, uint64_t incarnation);
+struct guard *
+guard_new(const struct settings *s, const struct call_dialect *dialect,
+    uint64_t incarnation, struct loop *loop);
 
 /**
- * guard_start() - listen on the call port and start the thread
+ * guard_start() - listen on the call port, before the thread starts
  * @g: the guard
  *
  * Return: STATUS_OK, or STATUS_IO when the port can't be bound.
@@ -81,10 +90,7 @@
  */
 uint32_t guard_in_flight(const struct guard *g);
 
-/** guard_stop() - stop the thread; calls in flight are broken off */
-void guard_stop(struct guard *g);
-
-/** guard_free() - free a stopped guard; NULL is allowed */
+/** guard_free() - free it, once its thread has stopped; NULL is allowed */
 void guard_free(struct guard *g);
 
 #endif
--- a/packages/node/include/node/node.h
+++ b/packages/node/include/node/node.h
@@ -9,19 +9,22 @@
 #include "base/status.h"
 
 struct node;
+struct node_adapter;
 struct settings;
 
 /**
  * node_start() - start all threads of a node
  * @s: its settings; must outlive the node
+ * @adapter: whose protocols it speaks, NULL for its own; must outlive it
  * @incarnation: incarnation of this process, wall-clock ms
  * @seed: seed of all random choices
  * @out: where the node goes
  *
  * Return: STATUS_OK, or STATUS_IO with a message that names the remedy.
  */
-enum status node_start(const struct settings *s, uint64_t incarnation,
-    uint64_t seed, struct node **out);
+enum status
+node_start(const struct settings *s, const struct node_adapter *adapter,
+    uint64_t incarnation, uint64_t seed, struct node **out);
 
 /**
  * node_stop() - stop gracefully and free a node
--- /dev/null
+++ b/packages/node/src/call_dialect.c
@@ -0,0 +1,20 @@
+/*
+ * The product's own names of headers.
+ */
+#include <stddef.h>
+
+#include "node/call_dialect.h"
+
+static const char *const none[] = {NULL};
+
+const struct call_dialect call_dialect_own = {
+    .prefix = "Bramley-",
+    .from_callers = none,
+    .from_upstreams = none,
+    .request_id = "Bramley-Request-Id",
+    .deadline = "Bramley-Deadline-Ms",
+    .fate = "Bramley-Fate",
+    .version = "Bramley-Version",
+    .not_run = "Bramley-Fate",
+    .not_run_value = "not_run",
+};
--- a/packages/node/src/call_exchange.h
+++ b/packages/node/src/call_exchange.h
@@ -1,10 +1,11 @@
 /*
- * A call as a caller's worker and the entry thread share it: the request, the
+ * A call as the server for callers and the entry share it: the request, the
  * request's body on its way up, and the answer on its way down.
  *
- * The worker blocks while too much of the body waits for the entry.  What
- * waits for the worker is bounded by the entry, which takes no more from the
- * guard than the worker has consumed.  Each side holds a reference.
+ * Both live in the traffic thread.  What one side does is told to the other
+ * at the end of the turn, so that neither is called from within its own call.
+ * What waits for the caller is bounded by the entry, which takes no more from
+ * the guard than the caller has consumed.
  */
 #ifndef CALL_EXCHANGE_H
 #define CALL_EXCHANGE_H
@@ -14,6 +15,7 @@
 
 #include <glib.h>
 
+#include "net/loop.h"
 #include "traffic/traffic_defs.h"
 
 #include "call_headers.h"
@@ -31,6 +33,8 @@
  * @method: HTTP method
  * @path: path and query as they came, owned
  * @headers: headers that are passed on
+ * @host: host that the caller named, owned, or NULL
+ * @id: the caller's own name of the request, owned, or NULL
  * @key: Idempotency-Key, owned, or NULL
  * @caller: address of the caller
  * @body_bytes: length of the body or BODY_LENGTH_UNKNOWN
@@ -41,6 +45,8 @@
 	char method[MSG_CALL_OPEN_METHOD_MAX + 1];
 	char *path;
 	struct call_headers headers;
+	char *host;
+	char *id;
 	char *key;
 	char caller[MSG_CALL_OPEN_CALLER_MAX + 1];
 	int64_t body_bytes;
@@ -89,33 +95,26 @@
 	EXCHANGE_CUT,
 };
 
-/**
- * exchange_notify_fn - something happened at the worker's side
- * @x: the exchange
- * @arg: argument of call_exchange_attach()
- *
- * Called in the worker's thread.  It is not called again until the entry has
- * looked with call_exchange_look().
- */
-typedef void exchange_notify_fn(struct call_exchange *x, void *arg);
+/** exchange_fn - the other side has done something; look what it is */
+typedef void exchange_fn(struct call_exchange *x, void *arg);
 
-/** call_exchange_new() - a new exchange with one reference, the worker's */
-struct call_exchange *call_exchange_new(void);
+/** call_exchange_new() - a new exchange with one reference, the server's */
+struct call_exchange *call_exchange_new(struct loop *loop);
 
-/** call_exchange_ref() - take a reference; any thread; Return: @x */
+/** call_exchange_ref() - take a reference; Return: @x */
 struct call_exchange *call_exchange_ref(struct call_exchange *x);
 
-/** call_exchange_unref() - give a reference back; any thread */
+/** call_exchange_unref() - give a reference back */
 void call_exchange_unref(struct call_exchange *x);
 
 /** call_exchange_request() - the request; written before the submit only */
 struct call_request *call_exchange_request(struct call_exchange *x);
 
-/* The worker's side. */
+/* The side of the server for callers. */
 
-/** call_exchange_attach() - say whom to notify; before the submit */
-void call_exchange_attach(
-    struct call_exchange *x, exchange_notify_fn *fn, void *arg);
+/** call_exchange_attach_caller() - whom to tell of the entry's doings */
+void call_exchange_attach_caller(
+    struct call_exchange *x, exchange_fn *fn, void *arg);
 
 /**
  * call_exchange_put() - put in a piece of the request's body
@@ -123,9 +122,8 @@
  * @data: first byte; copied
  * @len: number of bytes
  *
- * Blocks while EXCHANGE_UP_BYTES wait.
- *
- * Return: false when the answer is there, so that the rest is not wanted.
+ * Return: false when EXCHANGE_UP_BYTES wait, so that the caller is to be held
+ * back until call_exchange_has_room().
  */
 bool
 call_exchange_put(struct call_exchange *x, const uint8_t *data, size_t len);
@@ -133,55 +131,36 @@
 /** call_exchange_put_end() - the request's body has ended */
 void call_exchange_put_end(struct call_exchange *x, enum exchange_end end);
 
-/**
- * call_exchange_accepted() - wait until the entry wants the body
- *
- * Return: false when the answer came instead.
- */
-bool call_exchange_accepted(struct call_exchange *x);
-
-/**
- * call_exchange_reading() - the worker is about to block on a socket
- * @x: the exchange
- * @fd: the socket, from which no more is read once the answer is there, so
- *	that the worker wakes up; -1 when it does not read any more
- *
- * Return: false when the answer is there already.
- */
-bool call_exchange_reading(struct call_exchange *x, int fd);
+/** call_exchange_has_room() - whether more of the body is taken */
+bool call_exchange_has_room(const struct call_exchange *x);
 
-/** call_exchange_answered() - whether the head of the answer is there */
-bool call_exchange_answered(struct call_exchange *x);
+/** call_exchange_accepted() - whether the entry wants the body */
+bool call_exchange_accepted(const struct call_exchange *x);
 
-/**
- * call_exchange_wait() - wait for the head of the answer
- * @x: the exchange
- * @wait_ms: longest wait
- *
- * Return: the head, which stays the exchange's; NULL when the time is over.
- */
-const struct call_answer *
-call_exchange_wait(struct call_exchange *x, uint32_t wait_ms);
+/** call_exchange_answered() - head of the answer, or NULL; stays here */
+const struct call_answer *call_exchange_answered(const struct call_exchange *x);
 
 /**
  * call_exchange_get() - take a piece of the answer's body
  * @x: the exchange
- * @wait_ms: longest wait for it
  * @end: how the body ended, when there is no more
  *
- * Return: a piece, whose reference the caller owns; NULL at the end, and when
- * the time is over (@end is EXCHANGE_OPEN then).
+ * Return: a piece, whose reference the caller owns; NULL when there is none
+ * now (@end is EXCHANGE_OPEN) or any more.
  */
-GBytes *call_exchange_get(
-    struct call_exchange *x, uint32_t wait_ms, enum exchange_end *end);
+GBytes *call_exchange_get(struct call_exchange *x, enum exchange_end *end);
 
 /** call_exchange_hang_up() - the caller is gone */
 void call_exchange_hang_up(struct call_exchange *x);
 
-/* The entry's side; called in the entry's thread. */
+/* The entry's side. */
+
+/** call_exchange_attach_entry() - whom to tell of the caller's doings */
+void
+call_exchange_attach_entry(struct call_exchange *x, exchange_fn *fn, void *arg);
 
 /**
- * struct exchange_news - what happened at the worker's side
+ * struct exchange_news - what happened at the caller's side
  * @up_bytes: bytes of the request's body that wait
  * @up_end: how it ended; EXCHANGE_OPEN while more may come
  * @consumed_bytes: bytes of the answer's body consumed since the last look
--- a/packages/node/src/call_headers.c
+++ b/packages/node/src/call_headers.c
@@ -84,16 +84,26 @@
 	return false;
 }
 
+static bool
+is_kept(const char *name, const char *const *kept)
+{
+	for (; *kept != NULL; kept++)
+		if (g_ascii_strcasecmp(name, *kept) == 0)
+			return true;
+	return false;
+}
+
 bool
-call_header_passes(const char *name, const char *connection)
+call_header_passes(const char *name, const char *connection, const char *prefix,
+    const char *const *kept)
 {
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
 		if (g_ascii_strcasecmp(name, hop_by_hop[i]) == 0)
 			return false;
-	if (g_ascii_strncasecmp(
-		name, HEADER_PREFIX, sizeof(HEADER_PREFIX) - 1) == 0)
+	if (g_ascii_strncasecmp(name, prefix, strlen(prefix)) == 0 &&
+	    !is_kept(name, kept))
 		return false;
 	return connection == NULL || !names(connection, name);
 }
--- a/packages/node/src/call_headers.h
+++ b/packages/node/src/call_headers.h
@@ -12,12 +12,6 @@
 
 #include "call_proto.h"
 
-/* Headers of this system; those that a caller or upstream sends stay here. */
-#define HEADER_PREFIX "Bramley-"
-#define HEADER_FATE "Bramley-Fate"
-#define HEADER_VERSION "Bramley-Version"
-#define HEADER_REQUEST_ID "Bramley-Request-Id"
-#define HEADER_DEADLINE "Bramley-Deadline-Ms"
 #define HEADER_KEY "Idempotency-Key"
 #define HEADER_RETRY_AFTER "Retry-After"
 
@@ -64,10 +58,13 @@
  * call_header_passes() - whether a header is passed on
  * @name: zero-terminated name
  * @connection: value of the message's Connection header, or NULL
+ * @prefix: beginning of the names of this system's own headers
+ * @kept: names with this beginning that pass; ends with NULL
  *
  * Hop-by-hop headers, those named by Connection, the length of the body and
  * headers of this system are not.
  */
-bool call_header_passes(const char *name, const char *connection);
+bool call_header_passes(const char *name, const char *connection,
+    const char *prefix, const char *const *kept);
 
 #endif
--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -18,54 +18,74 @@
 #define DEADLINE_MAX_MS 86400000
 
 static const char *
-find(const struct mg_request_info *info, const char *name)
+find(const struct http_incoming_head *head, const char *name)
 {
-	int i;
+	uint32_t i;
 
-	for (i = 0; i < info->num_headers; i++)
-		if (g_ascii_strcasecmp(info->http_headers[i].name, name) == 0)
-			return info->http_headers[i].value;
+	for (i = 0; i < head->n_headers; i++)
+		if (g_ascii_strcasecmp(head->headers[i].name, name) == 0)
+			return head->headers[i].value;
 	return NULL;
 }
 
 static uint32_t
-read_headers(const struct mg_request_info *info, struct call_request *r)
+count(const struct http_incoming_head *head, const char *name)
 {
-	const char *connection = find(info, "Connection");
-	const struct mg_header *h;
-	int i;
+	uint32_t i, n = 0;
 
-	for (i = 0; i < info->num_headers; i++) {
-		h = &info->http_headers[i];
-		if (!call_header_passes(h->name, connection))
+	for (i = 0; i < head->n_headers; i++)
+		n += g_ascii_strcasecmp(head->headers[i].name, name) == 0;
+	return n;
+}
+
+static bool
+add(struct call_request *r, const char *name, const char *value)
+{
+	return call_headers_add(&r->headers, name, (uint32_t)strlen(name),
+	    value, (uint32_t)strlen(value));
+}
+
+static uint32_t
+read_headers(const struct callers *c, const struct http_incoming_head *head,
+    struct call_request *r)
+{
+	const struct call_dialect *d = c->dialect;
+	const char *connection = find(head, "Connection");
+	const struct http_header *h;
+	uint32_t i;
+
+	for (i = 0; i < head->n_headers; i++) {
+		h = &head->headers[i];
+		if (!call_header_passes(
+			h->name, connection, d->prefix, d->from_callers))
 			continue;
-		if (!call_headers_add(&r->headers, h->name,
-			(uint32_t)strlen(h->name), h->value,
-			(uint32_t)strlen(h->value)))
+		if (!add(r, h->name, h->value))
 			return HTTP_HEADERS_TOO_LARGE;
 	}
+	if (d->caller_service != NULL &&
+	    !add(r, d->caller_service, c->settings->upstream_service))
+		return HTTP_HEADERS_TOO_LARGE;
 	return 0;
 }
 
+/* Two hosts would be read by different servers in different ways. */
 static uint32_t
-read_path(const struct mg_request_info *info, struct call_request *r)
+read_target(const struct http_incoming_head *head, struct call_request *r)
 {
-	if (info->request_uri == NULL || info->request_uri[0] != '/')
+	if (head->target[0] != '/' || count(head, "Host") > 1)
 		return HTTP_BAD_REQUEST;
-	if (info->query_string != NULL)
-		r->path = g_strconcat(
-		    info->request_uri, "?", info->query_string, NULL);
-	else
-		r->path = g_strdup(info->request_uri);
-	if (strlen(r->path) > MSG_CALL_OPEN_PATH_MAX)
+	if (strlen(head->target) > MSG_CALL_OPEN_PATH_MAX)
 		return HTTP_URI_TOO_LONG;
+	r->path = g_strdup(head->target);
+	r->host = g_strdup(find(head, "Host"));
 	return 0;
 }
 
 static uint32_t
-read_deadline(const struct mg_request_info *info, struct call_request *r)
+read_deadline(const struct callers *c, const struct http_incoming_head *head,
+    struct call_request *r)
 {
-	const char *text = find(info, HEADER_DEADLINE);
+	const char *text = find(head, c->dialect->deadline);
 	unsigned long long ms;
 	char *end;
 
@@ -79,25 +99,23 @@
 }
 
 static uint32_t
-read_length(const struct callers *c, const struct mg_request_info *info,
+read_length(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
 {
-	bool chunked = find(info, "Transfer-Encoding") != NULL;
-
-	if (chunked)
-		r->body_bytes = BODY_LENGTH_UNKNOWN;
-	else
-		r->body_bytes = MAX(info->content_length, 0);
+	r->body_bytes = head->body_bytes;
 	if (r->body_bytes > (int64_t)c->settings->request_max_bytes)
 		return HTTP_TOO_LARGE;
 	return 0;
 }
 
 static uint32_t
-read_key(const struct mg_request_info *info, struct call_request *r)
+read_names(const struct callers *c, const struct http_incoming_head *head,
+    struct call_request *r)
 {
-	const char *key = find(info, HEADER_KEY);
+	const char *key = find(head, HEADER_KEY);
 
+	if (c->dialect->caller_names_requests)
+		r->id = g_strdup(find(head, c->dialect->request_id));
 	if (key == NULL)
 		return 0;
 	if (*key == '\0' || strlen(key) > MSG_CALL_OPEN_KEY_MAX)
@@ -107,25 +125,24 @@
 }
 
 uint32_t
-callers_request_read(
-    const struct callers *c, struct mg_connection *conn, struct call_request *r)
+callers_request_read(const struct callers *c,
+    const struct http_incoming_head *head, struct call_request *r)
 {
-	const struct mg_request_info *info = mg_get_request_info(conn);
 	uint32_t status;
 
 	r->arrived_us = clock_now_us();
-	if (strlen(info->request_method) >= sizeof(r->method))
+	if (strlen(head->method) >= sizeof(r->method))
 		return HTTP_BAD_REQUEST;
-	(void)g_strlcpy(r->method, info->request_method, sizeof(r->method));
-	(void)g_strlcpy(r->caller, info->remote_addr, sizeof(r->caller));
-	status = read_path(info, r);
+	(void)g_strlcpy(r->method, head->method, sizeof(r->method));
+	(void)addr_format_ip(head->caller.ip, r->caller);
+	status = read_target(head, r);
 	if (status == 0)
-		status = read_headers(info, r);
+		status = read_headers(c, head, r);
 	if (status == 0)
-		status = read_deadline(info, r);
+		status = read_deadline(c, head, r);
 	if (status == 0)
-		status = read_length(c, info, r);
+		status = read_length(c, head, r);
 	if (status == 0)
-		status = read_key(info, r);
+		status = read_names(c, head, r);
 	return status;
 }
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -58,6 +58,10 @@
 		list[n].port = e->port;
 		list[n].slots = e->slots;
 		list[n].state = (enum serving_state)e->state;
+		if (e->port == c->instance_port)
+			(void)g_strlcpy(list[n].instance,
+			    instances_current(&c->instances),
+			    sizeof(list[n].instance));
 		list[n].limits = service->limits;
 		n++;
 	}
@@ -105,8 +109,10 @@
 	c->dirty = 0;
 	if (ready && catalog_version(c->catalog) > 0)
 		next = snapshot_compile(c->catalog, c->endpoints);
-	if (next != NULL)
+	if (next != NULL) {
+		next->n_nodes = membership_live(c->membership);
 		(void)snapshot_ref(next);
+	}
 	snapshot_unref(c->snapshot);
 	c->snapshot = next;
 	snapshot_ref_publish(next);
@@ -206,7 +212,10 @@
 	case SPREAD_READ_HEAD:
 	case SPREAD_READ_VERSIONS:
 	case SPREAD_READ_OBJECT:
-		source_read(c->source, a);
+		if (c->feed != NULL)
+			control_feed_read(c, a);
+		else
+			source_read(c->source, a);
 		break;
 	case SPREAD_APPLY:
 		control_applied(c, a);
@@ -261,6 +270,7 @@
 		control_publish(c);
 	next_ms =
 	    MIN(membership_next_ms(c->membership), spread_next_ms(c->spread));
+	next_ms = MIN(next_ms, control_find_next_ms(c));
 	loop_timer_set(&c->timer, next_ms);
 }
 
@@ -272,6 +282,7 @@
 
 	membership_tick(c->membership, now_ms);
 	spread_tick(c->spread, now_ms);
+	control_find_tick(c);
 	control_pump(c);
 	control_totals_copy(c);
 }
@@ -356,6 +367,15 @@
 	c->catalog = catalog_new(0);
 	c->spread = spread_new(&sc, c->membership, c->catalog, now_ms);
 	c->endpoints = endpoint_set_new();
+	instances_init(&c->instances);
+	finder_init(&c->finder, seed + 2, now_ms);
+}
+
+void
+control_use(struct control *c, struct feed *feed, struct directory *directory)
+{
+	c->feed = feed;
+	c->directory = directory;
 }
 
 enum status
@@ -435,6 +455,7 @@
 {
 	struct control *c = arg;
 
+	control_find_leave(c);
 	membership_leave(c->membership, control_now(c));
 	control_pump(c);
 }
@@ -442,9 +463,16 @@
 void
 control_leave(struct control *c)
 {
+	atomic_store(&c->leaving, 1);
 	loop_post(c->loop, control_leave_posted, c);
 }
 
+int
+control_takes_callers(const struct control *c)
+{
+	return control_ready(c) && !atomic_load(&c->leaving);
+}
+
 int
 control_has_left(const struct control *c)
 {
@@ -474,6 +502,7 @@
 	spread_free(c->spread);
 	catalog_free(c->catalog);
 	membership_free(c->membership);
+	finder_clear(&c->finder);
 	endpoint_set_free(c->endpoints);
 	peers_free(c->peers);
 	outbox_free(c->outbox);
--- /dev/null
+++ b/packages/node/src/control_feed.c
@@ -0,0 +1,116 @@
+/*
+ * Reads the feed for the spread decisions.
+ */
+#define LOG_PART "feed"
+
+#include "base/log.h"
+#include "config/bundle.h"
+#include "control_priv.h"
+
+/*
+ * How long the platform may wait for a change before it answers.  A connection
+ * that has gone silent is noticed after that time, so that a version is still
+ * in force within seconds; a shorter one costs more calls.
+ */
+#define FEED_WAIT_MS 2000
+
+/* One line each time that the platform is lost or back. */
+static void
+note_status(struct control *c, enum status st)
+{
+	if ((st == STATUS_OK) == (c->feed_status == STATUS_OK))
+		return;
+	c->feed_status = st;
+	if (st == STATUS_OK)
+		log_info("The platform's feed is back.");
+	else
+		log_warning("The platform's feed is lost (%s): %s",
+		    status_name(st), status_message());
+}
+
+/* The sections of a bundle, for the spread. */
+static void
+give(struct control *c, const struct feed_answer *a, const struct bundle *b)
+{
+	struct rec_head head = {.seq = a->version,
+	    .version = a->version,
+	    .in_force = a->version,
+	    .state = HEAD_ROLLING,
+	    .root = b->root};
+	GBytes **contents = g_new(GBytes *, b->sections->len);
+	const struct section *section;
+	struct digest root;
+	GArray *list;
+	guint i;
+
+	bundle_to_sections(b, &list, &root);
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		contents[i] = section->content;
+	}
+	c->given = head;
+	spread_on_given(
+	    c->spread, control_now(c), &head, list, contents, b->sections->len);
+	g_free(contents);
+	g_array_unref(list);
+}
+
+/* Return: whether the answer holds a bundle that can be used. */
+static int
+take(struct control *c, const struct feed_answer *a)
+{
+	struct bundle *b = NULL;
+	int ok;
+
+	if (a->bundle == NULL)
+		return 0;
+	ok = bundle_parse(a->bundle, a->bundle_bytes, &b) == STATUS_OK;
+	if (ok) {
+		log_info("version %" G_GUINT64_FORMAT
+			 " came from the platform, %u services",
+		    a->version, b->sections->len);
+		give(c, a, b);
+	} else {
+		log_error("version %" G_GUINT64_FORMAT " can't be used: %s",
+		    a->version, status_message());
+	}
+	bundle_free(b);
+	return ok;
+}
+
+static void
+on_head(enum status st, const struct feed_answer *a, void *arg)
+{
+	struct control *c = arg;
+	const struct rec_head *head = c->given.seq != 0 ? &c->given : NULL;
+
+	note_status(c, st);
+	if (st != STATUS_OK)
+		spread_on_head(c->spread, control_now(c), st, NULL);
+	else if (!take(c, a))
+		spread_on_head(c->spread, control_now(c),
+		    head != NULL ? STATUS_OK : STATUS_NOT_FOUND, head);
+	control_pump(c);
+}
+
+/* Content that peers don't give: the platform holds the newest version only. */
+static void
+on_versions(enum status st, const struct feed_answer *a, void *arg)
+{
+	struct control *c = arg;
+
+	note_status(c, st);
+	if (st != STATUS_OK || !take(c, a))
+		spread_on_versions(c->spread, control_now(c),
+		    st != STATUS_OK ? st : STATUS_UNAVAILABLE, NULL, 0);
+	control_pump(c);
+}
+
+void
+control_feed_read(struct control *c, const struct spread_action *a)
+{
+	if (a->kind == SPREAD_READ_HEAD)
+		feed_read(c->feed, control_now(c) + FEED_WAIT_MS, on_head, c);
+	else if (a->kind == SPREAD_READ_VERSIONS)
+		feed_read(c->feed, 0, on_versions, c);
+}
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -10,17 +10,28 @@
 #include "config/catalog.h"
 #include "config/endpoints.h"
 #include "config/snapshot.h"
+#include "membership/finder.h"
+#include "membership/instances.h"
 #include "membership/membership.h"
 #include "net/http.h"
 #include "node/control.h"
 #include "node/peers.h"
 #include "node/source.h"
 #include "spread/spread.h"
+#include "store/feed.h"
 
 /**
  * struct control - state of the control thread
  * @dirty: the snapshot in force is to be compiled anew
  * @ready: whether this node serves; read by other threads
+ * @feed: where configurations come from, NULL for the product's own store
+ * @given: head that the feed gave last, seq 0 for none
+ * @feed_status: how the last read of the feed ended
+ * @directory: where nodes find one another, NULL for seeds of the settings
+ * @finder: when the directory is written and read
+ * @instances: runs of the upstream that sends heartbeats
+ * @instance_port: its port
+ * @leaving: this node stops
  * @left: whether peers were told that this node stops
  * @version: version in force here
  */
@@ -40,10 +51,18 @@
 	struct http_client *http;
 	struct store *store;
 	struct source *source;
+	struct feed *feed;
+	struct rec_head given;
+	enum status feed_status;
+	struct directory *directory;
+	struct finder finder;
+	struct instances instances;
+	uint16_t instance_port;
 	pthread_t thread;
 	int running;
 	int dirty;
 	_Atomic int ready;
+	_Atomic int leaving;
 	_Atomic int left;
 	_Atomic uint64_t version;
 };
@@ -54,6 +73,22 @@
 /** control_pump() - carry out what the decisions want after an event */
 void control_pump(struct control *c);
 
+/* control_feed.c */
+
+/** control_feed_read() - carry out a SPREAD_READ_* action on the feed */
+void control_feed_read(struct control *c, const struct spread_action *a);
+
+/* control_find.c */
+
+/** control_find_tick() - write or read the directory if that is due */
+void control_find_tick(struct control *c);
+
+/** control_find_next_ms() - when control_find_tick() is wanted next */
+uint64_t control_find_next_ms(const struct control *c);
+
+/** control_find_leave() - remove the own entry */
+void control_find_leave(struct control *c);
+
 /** control_totals_register() - add the decisions' totals to the metrics */
 void control_totals_register(void);
 
--- a/packages/node/src/control_settings.c
+++ b/packages/node/src/control_settings.c
@@ -9,6 +9,17 @@
 #include "proto/settings.h"
 #include "spread/profile.h"
 
+/* Other data centres hear of changes this many probe intervals apart. */
+#define RELAY_INTERVALS 2
+
+/*
+ * With a directory nodes that start together know one another at once, so a
+ * table that nobody holds is begun soon: callers wait for it after all power
+ * was lost.  Parts that began separately find each other by the directory.
+ */
+#define AWAIT_SEEDS_MS 3000
+#define BOOTSTRAP_MS 2000
+
 void
 control_membership_settings(
     const struct settings *s, struct membership_settings *ms)
@@ -26,6 +37,11 @@
 	ms->probe_timeout_ms = s->probe_timeout_ms;
 	ms->suspicion_ms = s->suspicion_ms;
 	ms->join_limit = s->join_limit;
+	ms->relay_interval_ms = RELAY_INTERVALS * s->probe_interval_ms;
+	if (s->adapter == SETTINGS_ADAPTER_NONE)
+		return;
+	ms->await_seeds_ms = AWAIT_SEEDS_MS;
+	ms->bootstrap_ms = BOOTSTRAP_MS;
 }
 
 /* A setting of 0 leaves what the profile says. */
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -1,5 +1,5 @@
 /*
- * The entry's thread, its start, drain and stop.
+ * The entry, its start, drain and stop.
  */
 #include "base/clock.h"
 
@@ -41,20 +41,19 @@
 	e->ejection = ejection_new(&ejection_cfg, e->endpoints);
 	e->placement =
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
+	e->splits = split_table_new(e->seed);
 	drain_init(&e->drain);
 }
 
 struct entry *
-entry_new(const struct settings *s, uint64_t incarnation)
+entry_new(const struct settings *s, const struct call_dialect *dialect,
+    uint64_t incarnation, struct loop *loop)
 {
-	struct loop *loop = loop_new();
-	struct entry *e;
+	struct entry *e = g_new0(struct entry, 1);
 
-	if (loop == NULL)
-		return NULL;
 	call_metrics_register();
-	e = g_new0(struct entry, 1);
 	e->settings = s;
+	e->dialect = dialect;
 	e->incarnation = incarnation;
 	e->loop = loop;
 	e->seed = random_seed();
@@ -68,27 +67,6 @@
 	return e;
 }
 
-static void *
-thread_main(void *arg)
-{
-	struct entry *e = arg;
-
-	(void)pthread_setname_np(pthread_self(), "entry");
-	loop_run(e->loop);
-	return NULL;
-}
-
-enum status
-entry_start(struct entry *e)
-{
-	if (pthread_create(&e->thread, NULL, thread_main, e) != 0)
-		return status_set(STATUS_IO,
-		    "can't start the entry's thread; raise the limit on "
-		    "threads.");
-	e->running = true;
-	return STATUS_OK;
-}
-
 static void
 look_at_snapshot(void *arg)
 {
@@ -101,35 +79,15 @@
 	loop_post(e->loop, look_at_snapshot, e);
 }
 
-/* News of a worker; the reference was taken by notify(). */
+/* The caller has sent more, taken more, or left. */
 static void
-take_news(void *arg)
+on_news(struct call_exchange *x, void *arg)
 {
-	struct call_exchange *x = arg;
 	struct entry_call *c = call_exchange_bound(x);
 
+	(void)arg;
 	if (c != NULL && !c->over)
 		entry_call_news(c);
-	call_exchange_unref(x);
-}
-
-static void
-notify(struct call_exchange *x, void *arg)
-{
-	struct entry *e = arg;
-
-	loop_post(e->loop, take_news, call_exchange_ref(x));
-}
-
-static void
-take_call(void *arg)
-{
-	struct call_exchange *x = arg;
-	struct entry *e = call_exchange_bound(x);
-
-	drain_call_began(&e->drain);
-	call_exchange_bind(x, NULL);
-	entry_call_begin(e, x);
 }
 
 void
@@ -137,9 +95,9 @@
 {
 	atomic_fetch_add(&e->in_flight, 1);
 	metric_add(&metric_calls_in_flight, 1);
-	call_exchange_attach(x, notify, e);
-	call_exchange_bind(x, e);
-	loop_post(e->loop, take_call, call_exchange_ref(x));
+	drain_call_began(&e->drain);
+	call_exchange_attach_entry(x, on_news, e);
+	entry_call_begin(e, call_exchange_ref(x));
 }
 
 void
@@ -164,7 +122,11 @@
 	uint64_t now_ms = loop_now_ms(e->loop);
 	uint64_t left_ms = clock_left_ms(order->deadline_ms, now_ms);
 
-	drain_begin(&e->drain, left_ms / NOTICE_SHARE, left_ms, now_ms);
+	uint64_t notice_ms = e->settings->drain_notice_ms;
+
+	if (notice_ms == 0)
+		notice_ms = left_ms / NOTICE_SHARE;
+	drain_begin(&e->drain, MIN(notice_ms, left_ms), left_ms, now_ms);
 	loop_timer_set(&e->drain_timer, drain_wake_ms(&e->drain));
 	log_info("draining, %u calls in flight", entry_in_flight(e));
 	g_free(order);
@@ -204,12 +166,7 @@
 void
 entry_stop(struct entry *e)
 {
-	if (!e->running)
-		return;
 	loop_post(e->loop, break_off_calls, e);
-	loop_stop(e->loop);
-	pthread_join(e->thread, NULL);
-	e->running = false;
 }
 
 void
@@ -224,9 +181,10 @@
 	g_hash_table_destroy(e->peers);
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
+	split_table_free(e->splits);
 	ejection_free(e->ejection);
 	endpoints_free(e->endpoints);
 	snapshot_unref(e->snapshot);
-	loop_free(e->loop);
+	loop_timer_stop(&e->drain_timer);
 	g_free(e);
 }
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -53,7 +53,7 @@
 	uint64_t left_ms;
 
 	memset(m, 0, sizeof(*m));
-	left_ms = clock_left_ms(r->deadline_ms, now_ms);
+	left_ms = clock_left_ms(c->deadline_ms, now_ms);
 	m->stream = a->stream;
 	m->request_id = a->id.bytes;
 	m->request_id_len = REQUEST_ID_BYTES;
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 
 #define LOG_PART "entry"
 #include "base/log.h"
@@ -283,13 +284,27 @@
 configure(const struct entry_call *c, struct call_config *cfg)
 {
 	memset(cfg, 0, sizeof(*cfg));
-	cfg->deadline_ms = c->request->deadline_ms;
+	cfg->deadline_ms = c->deadline_ms;
+	cfg->attempts = c->route->attempts;
 	cfg->deadline_grace_ms = DEADLINE_GRACE_MS;
 	cfg->resolve_limit_ms = RESOLVE_LIMIT_MS;
 	cfg->idempotent = c->idempotent;
 	cfg->keyed = c->keyed;
 }
 
+/* The caller's deadline, or the configured time where that ends sooner. */
+static uint64_t
+deadline_of(const struct entry_call *c, uint64_t now_ms)
+{
+	uint32_t timeout_ms = c->route->timeout_ms;
+
+	if (timeout_ms == 0 && c->request->deadline_ms == DEADLINE_NEVER)
+		timeout_ms = c->config->timeout_ms;
+	if (timeout_ms == 0)
+		return c->request->deadline_ms;
+	return MIN(c->request->deadline_ms, now_ms + timeout_ms);
+}
+
 static struct entry_call *
 call_make(
     struct entry *e, struct call_exchange *x, const struct route_match *match)
@@ -305,12 +320,12 @@
 	c->snapshot = snapshot_ref(e->snapshot);
 	c->service = entry_service_get(e, match->service);
 	c->config = match->service->config;
+	c->route = match->route;
 	c->idempotent = match->route->idempotent;
 	c->keyed = r->key != NULL && !c->idempotent;
 	c->sequence = ++e->sequence;
 	c->body.held = true;
-	if (r->deadline_ms == DEADLINE_NEVER)
-		r->deadline_ms = now_ms + c->config->timeout_ms;
+	c->deadline_ms = deadline_of(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
 	g_queue_init(&c->body.pieces);
 	loop_timer_init(&c->timer, e->loop, on_timer, c);
@@ -332,6 +347,28 @@
 	return false;
 }
 
+/* One service among those that share the route by weight. */
+static void
+split(struct entry *e, struct route_match *match)
+{
+	const struct service_route *route = match->route;
+	struct route_match shares[SNAPSHOT_SHARES_MAX];
+	struct split_part parts[SPLIT_PARTS_MAX];
+	uint64_t key;
+	uint32_t i, n;
+
+	if (route->weight == 0)
+		return;
+	n = snapshot_shares(e->snapshot, match, shares);
+	for (i = 0; i < n; i++) {
+		parts[i].service = service_id(shares[i].service->config->name);
+		parts[i].weight = shares[i].route->weight;
+	}
+	key = hash64(route->host, route->host_len, route->methods);
+	key = hash64(route->prefix, route->prefix_len, key);
+	*match = shares[split_choose(e->splits, key, parts, n)];
+}
+
 static bool
 routed(struct entry *e, struct call_exchange *x, struct route_match *match)
 {
@@ -347,7 +384,7 @@
 		    "node or try again later.");
 	method = method_parse(r->method, strlen(r->method));
 	switch (snapshot_match(
-	    e->snapshot, method, r->path, strlen(r->path), match)) {
+	    e->snapshot, method, r->host, r->path, strlen(r->path), match)) {
 	case ROUTE_NO_PATH:
 		return refuse(x, HTTP_NOT_FOUND, "not_found",
 		    "no route leads there; check the path.");
@@ -355,6 +392,7 @@
 		return refuse(x, HTTP_BAD_METHOD, "invalid",
 		    "the route does not take this method; use another.");
 	case ROUTE_FOUND:
+		split(e, match);
 		break;
 	}
 	if (r->body_bytes > 0 &&
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -5,7 +5,6 @@
 #ifndef ENTRY_PRIV_H
 #define ENTRY_PRIV_H
 
-#include <pthread.h>
 #include <stdatomic.h>
 
 #include <glib.h>
@@ -20,6 +19,9 @@
 #include "traffic/ejection.h"
 #include "traffic/endpoints.h"
 #include "traffic/placement.h"
+#include "traffic/split.h"
+
+#include "node/call_dialect.h"
 
 #include "call_exchange.h"
 #include "call_link.h"
@@ -35,12 +37,12 @@
  * struct entry - the entry of a node
  * @settings: settings of the node; borrowed
  * @incarnation: number of this process
- * @loop: its event loop
- * @thread: the thread that runs it
- * @running: the thread was started
+ * @dialect: how callers are spoken to; borrowed
+ * @loop: event loop of the traffic thread
  * @endpoints: what is known of all endpoints
  * @ejection: which of them are left out
  * @placement: chooses among them
+ * @splits: rounds of the routes that services share by weight
  * @snapshot: snapshot last seen, a reference
  * @generation: counts the snapshots seen
  * @services: service id to struct entry_service
@@ -55,12 +57,12 @@
 struct entry {
 	const struct settings *settings;
 	uint64_t incarnation;
+	const struct call_dialect *dialect;
 	struct loop *loop;
-	pthread_t thread;
-	bool running;
 	struct endpoints *endpoints;
 	struct ejection *ejection;
 	struct placement *placement;
+	struct split_table *splits;
 	struct snapshot *snapshot;
 	uint64_t generation;
 	GHashTable *services;
@@ -211,6 +213,8 @@
  * @snapshot: snapshot that placed it, a reference
  * @service: the service
  * @config: its configuration in @snapshot
+ * @route: the route in @snapshot
+ * @deadline_ms: the caller's deadline, or the route's if that is sooner
  * @idempotent: running it twice does no harm
  * @keyed: it has an idempotency key that counts
  * @decision: the state machine
@@ -230,6 +234,8 @@
 	struct snapshot *snapshot;
 	struct entry_service *service;
 	const struct service_config *config;
+	const struct service_route *route;
+	uint64_t deadline_ms;
 	bool idempotent;
 	bool keyed;
 	struct call *decision;
--- a/packages/node/src/entry_service.c
+++ b/packages/node/src/entry_service.c
@@ -67,12 +67,31 @@
 	g_free(infos);
 }
 
+/* Share of the budget that entries spend: calls that a repeated run makes
+ * count at the service that they lead to, and nobody counts them ahead. */
+#define OWN_RETRY_PERCENT 75
+#define PERCENT 100
+
+/*
+ * Retries beyond the share are granted to all nodes together.  Half of them
+ * are divided among the nodes and may be used at any time; the other half is
+ * kept for spans in which nodes join.
+ */
 static void
-budget_config(const struct service_config *sc, struct retry_config *cfg)
+budget_config(const struct entry *e, const struct service_config *sc,
+    struct retry_config *cfg)
 {
+	uint32_t extra = e->settings->retry_extra;
+	uint32_t n_nodes = MAX(e->snapshot->n_nodes, 1);
+
 	retry_config_default(cfg);
 	cfg->attempts = sc->retry.attempts;
 	cfg->budget_percent = sc->retry.budget_percent;
+	if (extra == 0)
+		return;
+	cfg->budget_percent = cfg->budget_percent * OWN_RETRY_PERCENT / PERCENT;
+	cfg->burst = MAX(extra / 2 / n_nodes, 1);
+	cfg->reserve_per_s = 0;
 }
 
 static struct entry_service *
@@ -84,7 +103,7 @@
 	s->id = service_id(sc->name);
 	s->addresses =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	budget_config(sc, &cfg);
+	budget_config(e, sc, &cfg);
 	retry_budget_init(&s->budget, &cfg, loop_now_ms(e->loop));
 	g_hash_table_insert(e->services, &s->id, s);
 	return s;
@@ -111,7 +130,7 @@
 		set_list(s, ss->endpoints);
 		tell(e, s);
 	}
-	budget_config(ss->config, &cfg);
+	budget_config(e, ss->config, &cfg);
 	retry_budget_configure(&s->budget, &cfg);
 	return s;
 }
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -92,16 +92,14 @@
 }
 
 struct guard *
-guard_new(const struct settings *s, uint64_t incarnation)
+guard_new(const struct settings *s, const struct call_dialect *dialect,
+    uint64_t incarnation, struct loop *loop)
 {
-	struct loop *loop = loop_new();
-	struct guard *g;
+	struct guard *g = g_new0(struct guard, 1);
 
-	if (loop == NULL)
-		return NULL;
 	call_metrics_register();
-	g = g_new0(struct guard, 1);
 	g->settings = s;
+	g->dialect = dialect;
 	g->incarnation = incarnation;
 	g->loop = loop;
 	g->http = http_client_new(loop, NULL);
@@ -123,16 +121,6 @@
 	return g;
 }
 
-static void *
-thread_main(void *arg)
-{
-	struct guard *g = arg;
-
-	(void)pthread_setname_np(pthread_self(), "guard");
-	loop_run(g->loop);
-	return NULL;
-}
-
 static enum status
 listen_for_entries(struct guard *g)
 {
@@ -159,11 +147,6 @@
 	if (st != STATUS_OK)
 		return st;
 	loop_timer_set(&g->tick, clock_now_ms() + TICK_MS);
-	if (pthread_create(&g->thread, NULL, thread_main, g) != 0)
-		return status_set(STATUS_IO,
-		    "can't start the guard's thread; raise the limit on "
-		    "threads.");
-	g->running = true;
 	return STATUS_OK;
 }
 
@@ -248,16 +231,6 @@
 	    (atomic_load(&g->draining) && !atomic_load(&g->drained));
 }
 
-void
-guard_stop(struct guard *g)
-{
-	if (!g->running)
-		return;
-	loop_stop(g->loop);
-	pthread_join(g->thread, NULL);
-	g->running = false;
-}
-
 void
 guard_free(struct guard *g)
 {
@@ -275,6 +248,6 @@
 	http_client_free(g->http);
 	fate_table_free(g->fates);
 	rate_limit_free(g->callers);
-	loop_free(g->loop);
+	loop_timer_stop(&g->tick);
 	g_free(g);
 }
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -2,7 +2,6 @@
  * The guard calls an upstream: the request with its body, the answer, and
  * what the way it ended says about the request's fate.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -13,39 +12,44 @@
 #include "call_metrics.h"
 #include "guard_priv.h"
 
-#define HTTP_UNAVAILABLE 503
+#define HTTP_OK_MIN 200
+#define HTTP_OK_MAX 299
+#define HTTP_MISDIRECTED 421
 #define HTTP_NO_CONTENT 204
 #define HTTP_NOT_MODIFIED 304
 #define NUMBER_BYTES 24
 #define ID_HEX_BYTES (2 * REQUEST_ID_BYTES + 1)
 #define MS_PER_S 1000
-#define DECIMAL 10
 
 /* Headers that the guard adds to those of the caller. */
-#define OWN_HEADERS 2
+#define OWN_HEADERS 3
 
 #define CONTENT_LENGTH "Content-Length"
 
-static const char not_run[] = "not_run";
-
 static const char *
 find(const struct http_header *headers, uint32_t n, const char *name)
 {
 	uint32_t i;
 
-	for (i = 0; i < n; i++)
+	for (i = 0; name != NULL && i < n; i++)
 		if (g_ascii_strcasecmp(headers[i].name, name) == 0)
 			return headers[i].value;
 	return NULL;
 }
 
+/* The upstream says that it has not run the request. */
 static bool
-is_shed(int code, const struct http_header *headers, uint32_t n)
+is_not_run(const struct call_dialect *d, int code,
+    const struct http_header *headers, uint32_t n)
 {
-	const char *fate = find(headers, n, HEADER_FATE);
+	const char *word = find(headers, n, d->not_run);
 
-	return code == HTTP_UNAVAILABLE && fate != NULL &&
-	    g_ascii_strcasecmp(fate, not_run) == 0;
+	if (code == HTTP_MISDIRECTED && d->target != NULL)
+		return true;
+	if (word == NULL || code < 400)
+		return false;
+	return d->not_run_value == NULL ||
+	    g_ascii_strcasecmp(word, d->not_run_value) == 0;
 }
 
 static void
@@ -56,7 +60,42 @@
 
 	r->shed = true;
 	if (after != NULL)
-		r->shed_retry_ms = strtoul(after, NULL, DECIMAL) * MS_PER_S;
+		r->shed_retry_ms =
+		    (uint64_t)(g_ascii_strtod(after, NULL) * MS_PER_S);
+}
+
+/* Whether an answer names another request than the one that was sent. */
+static bool
+is_of_another(const struct guard_request *r, const struct http_header *headers,
+    uint32_t n)
+{
+	const struct call_dialect *d = r->guard->dialect;
+	const struct rec_header *h;
+	const char *named;
+	uint32_t i;
+
+	if (!d->caller_names_requests)
+		return false;
+	named = find(headers, n, d->request_id);
+	for (i = 0; named != NULL && i < call_headers_count(&r->headers); i++) {
+		h = call_headers_at(&r->headers, i);
+		if (g_ascii_strcasecmp(h->name, d->request_id) == 0)
+			return strcmp(h->value, named) != 0;
+	}
+	return false;
+}
+
+/* A success that isn't signed, or is encoded, is not the upstream's answer. */
+static bool
+is_spoilt(const struct guard_request *r, int code,
+    const struct http_header *headers, uint32_t n)
+{
+	const struct call_dialect *d = r->guard->dialect;
+
+	if (d->signature == NULL || code < HTTP_OK_MIN || code > HTTP_OK_MAX)
+		return false;
+	return find(headers, n, d->signature) == NULL ||
+	    find(headers, n, "Content-Encoding") != NULL;
 }
 
 static bool
@@ -76,7 +115,7 @@
 		return 0;
 	if (length == NULL || find(headers, n, "Transfer-Encoding") != NULL)
 		return -1;
-	return strtoll(length, NULL, DECIMAL);
+	return g_ascii_strtoll(length, NULL, 10);
 }
 
 static void
@@ -101,7 +140,9 @@
 
 	for (i = 0; i < n; i++) {
 		h = &headers[i];
-		if (!call_header_passes(h->name, connection))
+		if (!call_header_passes(h->name, connection,
+			r->guard->dialect->prefix,
+			r->guard->dialect->from_upstreams))
 			continue;
 		take_header(r->answer, h->name, h->value);
 	}
@@ -115,10 +156,17 @@
 	struct guard_answer *a = r->answer;
 
 	(void)call;
-	if (is_shed(code, headers, n)) {
+	if (is_of_another(r, headers, n)) {
+		log_info("%s: answer of another request passed over",
+		    r->upstream->info.service);
+		return HTTP_SKIP;
+	}
+	if (is_not_run(r->guard->dialect, code, headers, n)) {
 		take_shed(r, headers, n);
 		return HTTP_CONTINUE;
 	}
+	if (is_spoilt(r, code, headers, n))
+		return HTTP_ABORT;
 	a->has_head = true;
 	a->status = (uint32_t)code;
 	a->length = length_of(r, code, headers, n);
@@ -170,11 +218,14 @@
 	return HTTP_CONTINUE;
 }
 
-/* One that ends with its connection may have been cut: nobody can tell. */
+/*
+ * One that ends with its connection is whole if the upstream closed it in
+ * order; after a reset the call has failed.
+ */
 static bool
 answer_is_whole(const struct guard_answer *a, const struct http_result *res)
 {
-	if (res->status != STATUS_OK || !a->has_head || !res->delimited)
+	if (res->status != STATUS_OK || !a->has_head)
 		return false;
 	return a->length < 0 || a->base + a->data->len == (uint64_t)a->length;
 }
@@ -219,22 +270,34 @@
 }
 
 static void
+set_header(struct http_header *headers, uint32_t *n, const char *name,
+    const char *value)
+{
+	headers[*n].name = name;
+	headers[*n].value = value;
+	(*n)++;
+}
+
+/* Return: their number. */
+static uint32_t
 set_headers(const struct guard_request *r, struct http_header *headers,
     const char *id, const char *left)
 {
+	const struct call_dialect *d = r->guard->dialect;
+	const char *instance = r->upstream->info.instance;
 	const struct rec_header *h;
-	uint32_t n = call_headers_count(&r->headers);
-	uint32_t i;
+	uint32_t i, n = 0;
 
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < call_headers_count(&r->headers); i++) {
 		h = call_headers_at(&r->headers, i);
-		headers[i].name = h->name;
-		headers[i].value = h->value;
+		set_header(headers, &n, h->name, h->value);
 	}
-	headers[n].name = HEADER_REQUEST_ID;
-	headers[n].value = id;
-	headers[n + 1].name = HEADER_DEADLINE;
-	headers[n + 1].value = left;
+	if (!d->caller_names_requests)
+		set_header(headers, &n, d->request_id, id);
+	set_header(headers, &n, d->deadline, left);
+	if (d->target != NULL && instance[0] != '\0')
+		set_header(headers, &n, d->target, instance);
+	return n;
 }
 
 /* A body that is here goes as a block, a longer one is pulled. */
@@ -275,15 +338,16 @@
 	id_hex(&r->id, id);
 	(void)g_snprintf(left, sizeof(left), "%" G_GUINT64_FORMAT,
 	    clock_left_ms(r->deadline_ms, now_ms));
-	set_headers(r, headers, id, left);
 	url = g_string_new(r->upstream->url);
 	g_string_append(url, r->path);
 	memset(&req, 0, sizeof(req));
 	req.method = r->method;
 	req.url = url->str;
 	req.headers = headers;
-	req.n_headers = call_headers_count(&r->headers) + OWN_HEADERS;
+	req.n_headers = set_headers(r, headers, id, left);
 	req.once = !r->idempotent;
+	req.reuse_idle_ms =
+	    r->idempotent ? 0 : r->guard->settings->once_reuse_ms;
 	req.deadline_ms = r->deadline_ms;
 	set_body(r, &req);
 	log_debug("%s: starts after %" G_GUINT64_FORMAT " us",
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -5,7 +5,6 @@
 #ifndef GUARD_PRIV_H
 #define GUARD_PRIV_H
 
-#include <pthread.h>
 #include <stdatomic.h>
 
 #include <glib.h>
@@ -14,6 +13,7 @@
 #include "net/http.h"
 #include "net/listener.h"
 #include "net/loop.h"
+#include "node/call_dialect.h"
 #include "node/guard.h"
 #include "proto/settings.h"
 #include "traffic/admission.h"
@@ -30,9 +30,8 @@
  * struct guard - the guard of a host
  * @settings: settings of the node; borrowed
  * @incarnation: number of this process
- * @loop: its event loop
- * @thread: the thread that runs it
- * @running: the thread was started
+ * @dialect: how upstreams are spoken to; borrowed
+ * @loop: event loop of the traffic thread
  * @listener: takes connections from entries
  * @http: calls the upstreams
  * @fates: what became of each request
@@ -56,9 +55,8 @@
 struct guard {
 	const struct settings *settings;
 	uint64_t incarnation;
+	const struct call_dialect *dialect;
 	struct loop *loop;
-	pthread_t thread;
-	bool running;
 	struct listener *listener;
 	struct http_client *http;
 	struct fate_table *fates;
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -15,6 +15,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "node/node.h"
+#include "platform/platform.h"
 #include "proto/settings.h"
 
 enum exit_code {
@@ -43,7 +44,8 @@
 
 static const char description[] =
     "Exit codes: 0 stopped as asked, 1 failed, 2 usage, 3 wrong settings.\n"
-    "SIGTERM and SIGINT stop gracefully: no request in flight is cut.\n";
+    "SIGTERM and SIGINT stop gracefully: no request in flight is cut.\n"
+    "SIGHUP has the settings read again.\n";
 
 /* Parses the command line; returns an exit code or -1 to go on. */
 static int
@@ -109,6 +111,7 @@
 	(void)sigemptyset(set);
 	(void)sigaddset(set, SIGTERM);
 	(void)sigaddset(set, SIGINT);
+	(void)sigaddset(set, SIGHUP);
 	(void)pthread_sigmask(SIG_BLOCK, set, NULL);
 	(void)signal(SIGPIPE, SIG_IGN);
 }
@@ -122,6 +125,50 @@
 	    hash64(s->host, sizeof(s->host), now_us);
 }
 
+static const struct node_adapter *
+adapter_of(const struct settings *s)
+{
+	switch (s->adapter) {
+	case SETTINGS_ADAPTER_NONE:
+		return NULL;
+	case SETTINGS_ADAPTER_PLATFORM:
+		return &platform_adapter;
+	}
+	return NULL;
+}
+
+/* Only the level of the log can change while the node runs. */
+static void
+reload(const struct settings *s)
+{
+	struct settings next;
+
+	if (!load_settings(&next)) {
+		log_warning(
+		    "The settings were not taken: %s", status_message());
+		return;
+	}
+	log_set_level(next.log_level);
+	log_info("Settings read again; %s.",
+	    next.adapter == s->adapter && next.address == s->address
+		? "only the log's level is taken from them"
+		: "a change of address or adapter needs a restart");
+}
+
+/* Return: the signal that ends the process. */
+static int
+wait_for_end(const struct settings *s, const sigset_t *set)
+{
+	int sig = 0;
+
+	for (;;) {
+		(void)sigwait(set, &sig);
+		if (sig != SIGHUP)
+			return sig;
+		reload(s);
+	}
+}
+
 static int
 run(const struct settings *s)
 {
@@ -131,12 +178,13 @@
 
 	block_signals(&set);
 	log_start(s->log_level, s->host);
-	if (node_start(s, clock_wall_ms(), random_seed(s), &n) != STATUS_OK) {
+	if (node_start(s, adapter_of(s), clock_wall_ms(), random_seed(s), &n) !=
+	    STATUS_OK) {
 		log_error("%s", status_message());
 		log_stop();
 		return EXIT_FAILED;
 	}
-	(void)sigwait(&set, &sig);
+	sig = wait_for_end(s, &set);
 	log_info("Signal %d came; stopping gracefully.", sig);
 	node_stop(n);
 	log_info("Stopped.");
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -7,18 +7,27 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "node/adapter.h"
 #include "node/admin.h"
 #include "node/callers.h"
 #include "node/control.h"
 #include "node/entry.h"
 #include "node/guard.h"
 #include "node/node.h"
+#include "node/traffic_thread.h"
 #include "proto/settings.h"
 
 #define STOP_POLL_MS 5
 
+/* Eighths of the grace time that a drain may take; the rest is for the end of
+ * the process, which takes some tenths of a second on a slow host. */
+#define GRACE_EIGHTHS 7
+
 struct node {
 	const struct settings *settings;
+	const struct node_adapter *adapter;
+	void *adapted;
+	struct traffic_thread *traffic;
 	struct entry *entry;
 	struct guard *guard;
 	struct callers *callers;
@@ -31,22 +40,40 @@
 {
 	admin_stop(n->admin);
 	callers_free(n->callers);
+	if (n->adapter != NULL && n->adapted != NULL)
+		n->adapter->free(n->adapted);
 	control_free(n->control);
 	entry_free(n->entry);
 	guard_free(n->guard);
+	traffic_thread_free(n->traffic);
 	g_free(n);
 }
 
+static const struct call_dialect *
+node_dialect(const struct node *n)
+{
+	return n->adapter != NULL ? n->adapter->dialect : &call_dialect_own;
+}
+
 static enum status
 node_make(struct node *n, uint64_t incarnation, uint64_t seed)
 {
-	n->entry = entry_new(n->settings, incarnation);
-	n->guard = guard_new(n->settings, incarnation);
-	if (n->entry == NULL || n->guard == NULL)
+	const struct call_dialect *d = node_dialect(n);
+	const struct settings *s = n->settings;
+	struct loop *loop;
+	enum status st;
+
+	n->traffic = traffic_thread_new();
+	if (n->traffic == NULL)
 		return STATUS_IO;
-	n->callers = callers_new(n->settings, n->entry);
-	return control_new(
-	    n->settings, n->entry, n->guard, incarnation, seed, &n->control);
+	loop = traffic_thread_loop(n->traffic);
+	n->entry = entry_new(s, d, incarnation, loop);
+	n->guard = guard_new(s, d, incarnation, loop);
+	n->callers = callers_new(s, d, n->entry, loop);
+	st = control_new(s, n->entry, n->guard, incarnation, seed, &n->control);
+	if (st == STATUS_OK && n->adapter != NULL)
+		st = n->adapter->start(s, n->control, seed, &n->adapted);
+	return st;
 }
 
 static enum status
@@ -55,13 +82,13 @@
 	enum status st;
 
 	st = guard_start(n->guard);
-	if (st == STATUS_OK)
-		st = entry_start(n->entry);
-	if (st == STATUS_OK)
-		st = control_start(n->control);
 	if (st == STATUS_OK)
 		st = callers_start(n->callers);
 	if (st == STATUS_OK)
+		st = traffic_thread_start(n->traffic);
+	if (st == STATUS_OK)
+		st = control_start(n->control);
+	if (st == STATUS_OK && n->adapter == NULL)
 		st = admin_start(n->settings, n->control, &n->admin);
 	return st;
 }
@@ -73,18 +100,19 @@
 	n->admin = NULL;
 	callers_stop(n->callers);
 	entry_stop(n->entry);
-	guard_stop(n->guard);
+	traffic_thread_stop(n->traffic);
 	control_stop(n->control);
 }
 
 enum status
-node_start(const struct settings *s, uint64_t incarnation, uint64_t seed,
-    struct node **out)
+node_start(const struct settings *s, const struct node_adapter *adapter,
+    uint64_t incarnation, uint64_t seed, struct node **out)
 {
 	struct node *n = g_new0(struct node, 1);
 	enum status st;
 
 	n->settings = s;
+	n->adapter = adapter;
 	st = node_make(n, incarnation, seed);
 	if (st != STATUS_OK) {
 		node_free(n);
@@ -108,16 +136,29 @@
 	    entry_in_flight(n->entry) == 0 && guard_in_flight(n->guard) == 0;
 }
 
+/* A drain that goes on when the system kills the process cuts what runs. */
+static uint64_t
+node_drain_ms(const struct settings *s)
+{
+	if (s->grace_ms == 0)
+		return s->drain_ms;
+	return MIN(s->drain_ms, (uint64_t)s->grace_ms * GRACE_EIGHTHS / 8);
+}
+
 void
 node_stop(struct node *n)
 {
-	uint64_t deadline_ms = clock_now_ms() + n->settings->drain_ms;
+	uint64_t now_ms = clock_now_ms();
+	uint64_t deadline_ms = now_ms + node_drain_ms(n->settings);
+	uint64_t least_ms =
+	    MIN(now_ms + n->settings->drain_notice_ms, deadline_ms);
 
 	control_leave(n->control);
 	guard_drain(n->guard, deadline_ms);
 	callers_drain(n->callers, deadline_ms);
-	while (clock_now_ms() < deadline_ms &&
-	    !(node_idle(n) && control_has_left(n->control)))
+	while (clock_now_ms() < least_ms ||
+	    (clock_now_ms() < deadline_ms &&
+		!(node_idle(n) && control_has_left(n->control))))
 		g_usleep(STOP_POLL_MS * G_TIME_SPAN_MILLISECOND);
 	if (!node_idle(n))
 		log_warning("The drain's deadline passed; %u calls and %u "
--- /dev/null
+++ b/packages/node/src/traffic_thread.c
@@ -0,0 +1,74 @@
+/*
+ * The traffic thread.
+ */
+#include <pthread.h>
+
+#include <glib.h>
+
+#include "node/traffic_thread.h"
+
+struct traffic_thread {
+	struct loop *loop;
+	pthread_t thread;
+	bool running;
+};
+
+struct traffic_thread *
+traffic_thread_new(void)
+{
+	struct loop *loop = loop_new();
+	struct traffic_thread *t;
+
+	if (loop == NULL)
+		return NULL;
+	t = g_new0(struct traffic_thread, 1);
+	t->loop = loop;
+	return t;
+}
+
+struct loop *
+traffic_thread_loop(const struct traffic_thread *t)
+{
+	return t->loop;
+}
+
+static void *
+thread_main(void *arg)
+{
+	struct traffic_thread *t = arg;
+
+	(void)pthread_setname_np(pthread_self(), "traffic");
+	loop_run(t->loop);
+	return NULL;
+}
+
+enum status
+traffic_thread_start(struct traffic_thread *t)
+{
+	if (pthread_create(&t->thread, NULL, thread_main, t) != 0)
+		return status_set(STATUS_IO,
+		    "No traffic thread could be started; raise the limit of "
+		    "threads.");
+	t->running = true;
+	return STATUS_OK;
+}
+
+void
+traffic_thread_stop(struct traffic_thread *t)
+{
+	if (!t->running)
+		return;
+	loop_stop(t->loop);
+	(void)pthread_join(t->thread, NULL);
+	t->running = false;
+}
+
+void
+traffic_thread_free(struct traffic_thread *t)
+{
+	if (t == NULL)
+		return;
+	traffic_thread_stop(t);
+	loop_free(t->loop);
+	g_free(t);
+}
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -14,9 +14,11 @@
 #include <glib.h>
 
 #include "base/status.h"
+#include "node/call_dialect.h"
 #include "node/callers.h"
 #include "node/entry.h"
 #include "node/guard.h"
+#include "node/traffic_thread.h"
 #include "proto/settings.h"
 
 /* Benches use the fixtures too, so these do without check's assertions. */
@@ -101,6 +103,7 @@
 /** struct test_node - the call path of one node */
 struct test_node {
 	struct settings settings;
+	struct traffic_thread *traffic;
 	struct entry *entry;
 	struct guard *guard;
 	struct callers *callers;
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -203,6 +203,16 @@
 
 static const char endless[] = "HTTP/1.1 200 OK\r\n\r\n";
 
+/* Nobody can take what was sent for whole. */
+static void
+reset(int fd)
+{
+	struct linger hard = {.l_onoff = 1};
+
+	g_usleep(20000);
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+}
+
 static bool
 answer(struct upstream_conn *c, const char *head, uint64_t sum, size_t total)
 {
@@ -231,6 +241,8 @@
 	if (strstr(head, "do=ends") != NULL) {
 		put(c->fd, endless, strlen(endless));
 		put_pattern(c->fd, bytes, false, true);
+		if (strstr(head, "reset=1") != NULL)
+			reset(c->fd);
 		return false;
 	}
 	if (strstr(head, "do=empty") != NULL) {
--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -19,11 +19,12 @@
 
 /* Most bytes of a text or binary field, most elements of a list. */
 #define REC_SECTION_ROUTE_PREFIX_MAX 255
+#define REC_SECTION_ROUTE_HOST_MAX 127
 #define REC_SECTION_CHANGE_SERVICE_MAX 31
 #define REC_REPLACED_HEAD_OP_MAX 63
 #define REC_SECTION_REF_SERVICE_MAX 31
 #define MSG_SECTION_SERVICE_MAX 31
-#define MSG_SECTION_ROUTES_MAX 64
+#define MSG_SECTION_ROUTES_MAX 4096
 #define MSG_VERSION_CHANGES_CHANGES_MAX 8192
 #define MSG_SECTION_LIST_SECTIONS_MAX 4096
 #define MSG_HALT_NOTE_OP_MAX 63
@@ -36,11 +37,30 @@
  * @methods: HTTP methods, a bit for each: METHOD_BIT() of
  * 	config/service.h
  * @idempotent: whether running a request twice does no harm
+ * @host: host that callers name, in lower case; empty for any
+ * @below: whether only paths below the prefix match, not the prefix
+ * 	itself
+ * @weight: share of this service where several share the route, 0 when
+ * 	none does
+ * @timeout_ms: longest time that a request may take, 0 for the
+ * 	service's
+ * @target_ms: time within which an answer is worth most, 0 when not
+ * 	told
+ * @priority: rank among the routes, 0 is the highest
+ * @attempts: attempts of a request, the first included, 0 for the
+ * 	service's
  */
 struct rec_section_route {
 	char prefix[256];
 	uint32_t methods;
 	bool idempotent;
+	char host[128];
+	bool below;
+	uint32_t weight;
+	uint32_t timeout_ms;
+	uint32_t target_ms;
+	uint32_t priority;
+	uint32_t attempts;
 };
 
 extern const struct codec_desc rec_section_route_desc;
@@ -102,6 +122,12 @@
  * @caller_calls_per_s: calls a second of one caller, 0 for no limit
  * @attempts: attempts of a request, the first included
  * @budget_percent: retries allowed as a share of successes
+ * @head_max_bytes: largest request line with headers, 0 for the node's
+ * 	setting
+ * @head_ms: longest time for sending the head, 0 for the node's
+ * 	setting
+ * @idle_ms: how long a caller's idle connection is kept, 0 for the
+ * 	node's setting
  * @routes: routes, sorted by prefix, then methods; owned
  * @n_routes: number of @routes
  */
@@ -115,6 +141,9 @@
 	uint32_t caller_calls_per_s;
 	uint32_t attempts;
 	uint32_t budget_percent;
+	uint32_t head_max_bytes;
+	uint32_t head_ms;
+	uint32_t idle_ms;
 	struct rec_section_route *routes;
 	uint32_t n_routes;
 };
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -14,6 +14,7 @@
 /* Sizes of texts with the terminating zero. */
 #define SETTINGS_NAME_BYTES 32
 #define SETTINGS_URL_BYTES 256
+#define SETTINGS_TEXT_BYTES 128
 
 /**
  * enum settings_profile - Which measure the spread of configuration favours.
@@ -28,6 +29,21 @@
 /** settings_profile_name() - name of a value, as in the settings */
 const char *settings_profile_name(enum settings_profile v);
 
+/**
+ * enum settings_adapter - Whose protocols the node speaks to callers,
+ * upstreams and the platform.
+ * @SETTINGS_ADAPTER_NONE: its own, docs/API.md and docs/PLATFORM.md
+ * @SETTINGS_ADAPTER_PLATFORM: those of the users' platform,
+ * 	platform/README.md
+ */
+enum settings_adapter {
+	SETTINGS_ADAPTER_NONE = 0,
+	SETTINGS_ADAPTER_PLATFORM,
+};
+
+/** settings_adapter_name() - name of a value, as in the settings */
+const char *settings_adapter_name(enum settings_adapter v);
+
 /**
  * struct settings - Settings of a node, read once at its start.
  * @host: Name of this host, unique in the whole system.
@@ -40,6 +56,19 @@
  * @call_port: TCP port for calls from the entries of other nodes.
  * @admin_port: TCP port of the administration API, which upstreams
  * 	announce themselves to as well.
+ * @ready_port: TCP port that tells whether this node serves; only with
+ * 	an adapter.
+ * @metrics_port: TCP port of the metrics alone, at /metrics; 0 for
+ * 	none. The administration API has them as well.
+ * @adapter: Whose protocols are spoken to callers, upstreams and the
+ * 	platform.
+ * @adapter_options: What the adapter is told besides, each as
+ * 	name=value.
+ * @n_adapter_options: number of @adapter_options
+ * @upstream_service: Service whose upstream stands on this host, told
+ * 	to upstreams about calls that begin here; empty when there is none.
+ * @upstream_port: TCP port of the upstream on this host; only with an
+ * 	adapter.
  * @seeds: Peers to ask for the members at the start, as
  * 	"address:peer_port". The own address may be among them. Without any
  * 	the node starts a membership of its own.
@@ -50,8 +79,6 @@
  * 	convergence time first, crew puts control bytes first.
  * @log_level: Least level of the lines that are logged. At debug each
  * 	routing and placement decision has a line.
- * @caller_threads: Threads that serve callers. Each kept-alive
- * 	connection holds one.
  * @admin_threads: Threads that serve the administration API.
  * @keep_alive_ms: How long an idle connection of a caller is kept
  * 	open; 0 closes each after one answer.
@@ -75,6 +102,18 @@
  * 	peer; 0 means what the profile says.
  * @join_limit: Starting nodes that this node hands its tables to at
  * 	once; others are told when to come back.
+ * @retry_extra: Retries of a service beyond its share, over all nodes
+ * 	and any ten seconds; 0 leaves each node a few of its own.
+ * @once_reuse_ms: Longest idle time of a kept connection to an
+ * 	upstream that a non-idempotent request is sent on; 0 gives each a
+ * 	connection of its own. If the upstream closes it at that moment the
+ * 	caller is told unknown.
+ * @grace_ms: Time from the signal to stop until the system kills the
+ * 	process, 0 when it doesn't; a drain ends when seven eighths of it
+ * 	are over.
+ * @drain_notice_ms: How long a node that stops still takes calls while
+ * 	it says that it isn't ready; 0 is a tenth of drain_ms, and then it
+ * 	stops as soon as nothing is in flight.
  * @fate_window_ms: How long the fate of a request is remembered. A
  * 	request older than this is refused.
  * @fate_answers_bytes: Memory for answers that are kept to be handed
@@ -95,13 +134,19 @@
 	uint16_t peer_port;
 	uint16_t call_port;
 	uint16_t admin_port;
+	uint16_t ready_port;
+	uint32_t metrics_port;
+	enum settings_adapter adapter;
+	char adapter_options[64][SETTINGS_TEXT_BYTES];
+	uint32_t n_adapter_options;
+	char upstream_service[SETTINGS_NAME_BYTES];
+	uint16_t upstream_port;
 	struct net_addr seeds[64];
 	uint32_t n_seeds;
 	char table_url[SETTINGS_URL_BYTES];
 	char object_url[SETTINGS_URL_BYTES];
 	enum settings_profile profile;
 	enum log_level log_level;
-	uint32_t caller_threads;
 	uint32_t admin_threads;
 	uint32_t keep_alive_ms;
 	uint32_t probe_interval_ms;
@@ -114,6 +159,10 @@
 	uint32_t batch_ms;
 	uint32_t anti_entropy_ms;
 	uint32_t join_limit;
+	uint32_t retry_extra;
+	uint32_t once_reuse_ms;
+	uint32_t grace_ms;
+	uint32_t drain_notice_ms;
 	uint32_t fate_window_ms;
 	uint32_t fate_answers_bytes;
 	uint32_t drain_ms;
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -19,7 +19,7 @@
 #include "proto/gen/config.h"
 
 /* Most bytes of a text or binary field, most elements of a list. */
-#define REC_SECTION_DATA_DATA_MAX 20480
+#define REC_SECTION_DATA_DATA_MAX 131072
 #define MSG_PULL_AFTER_MAX 63
 #define MSG_DELTA_CHANGES_MAX 2048
 #define MSG_DELTA_SECTIONS_MAX 2048
--- a/packages/proto/src/gen/config.c
+++ b/packages/proto/src/gen/config.c
@@ -16,11 +16,33 @@
     {.name = "idempotent",
 	.kind = CODEC_BOOL,
 	.offset = offsetof(struct rec_section_route, idempotent)},
+    {.name = "host",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct rec_section_route, host),
+	.max = REC_SECTION_ROUTE_HOST_MAX},
+    {.name = "below",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct rec_section_route, below)},
+    {.name = "weight",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_section_route, weight)},
+    {.name = "timeout_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_section_route, timeout_ms)},
+    {.name = "target_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_section_route, target_ms)},
+    {.name = "priority",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_section_route, priority)},
+    {.name = "attempts",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_section_route, attempts)},
 };
 
 const struct codec_desc rec_section_route_desc = {.name = "section_route",
     .fields = rec_section_route_fields,
-    .n_fields = 3,
+    .n_fields = 10,
     .size_bytes = sizeof(struct rec_section_route)};
 
 static const struct codec_field rec_section_change_fields[] = {
@@ -106,6 +128,15 @@
     {.name = "budget_percent",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_section, budget_percent)},
+    {.name = "head_max_bytes",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_section, head_max_bytes)},
+    {.name = "head_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_section, head_ms)},
+    {.name = "idle_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_section, idle_ms)},
     {.name = "routes",
 	.kind = CODEC_LIST,
 	.offset = offsetof(struct msg_section, routes),
@@ -118,7 +149,7 @@
 
 const struct codec_desc msg_section_desc = {.name = "section",
     .fields = msg_section_fields,
-    .n_fields = 10,
+    .n_fields = 13,
     .size_bytes = sizeof(struct msg_section)};
 
 void
--- a/packages/proto/src/settings.c
+++ b/packages/proto/src/settings.c
@@ -1,6 +1,7 @@
 /*
  * Settings, read by jansson and checked against the generated table.
  */
+#include <stdbool.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -9,6 +10,8 @@
 #include "proto/settings_key.h"
 #include "proto/suggest.h"
 
+#define MS_PER_S 1000
+
 /* A parse in progress: the file's name and where errors go. */
 struct parse {
 	const char *file;
@@ -82,17 +85,49 @@
 	}
 }
 
+/* "1500ms" or "2.5s"; negative when it is no time. */
+static json_int_t
+time_ms(const char *text)
+{
+	char *unit;
+	double n = g_ascii_strtod(text, &unit);
+
+	if (unit == text || !(n >= 0) || n > UINT32_MAX)
+		return -1;
+	if (strcmp(unit, "ms") == 0)
+		return (json_int_t)n;
+	return strcmp(unit, "s") == 0 ? (json_int_t)(n * MS_PER_S) : -1;
+}
+
 static int
 take_number(struct settings *s, const struct settings_key *k, const json_t *v)
 {
-	json_int_t n = json_integer_value(v);
+	bool is_time = json_is_string(v) && g_str_has_suffix(k->name, "_ms");
+	json_int_t n =
+	    is_time ? time_ms(json_string_value(v)) : json_integer_value(v);
 
-	if (!json_is_integer(v) || n < k->min || n > k->max)
+	if ((!is_time && !json_is_integer(v)) || n < (json_int_t)k->min ||
+	    n > (json_int_t)k->max)
 		return 0;
 	store_number(s, k, (uint32_t)n);
 	return 1;
 }
 
+/* A port alone, or with an address, of which only the port counts. */
+static int
+take_port(struct settings *s, const struct settings_key *k, const json_t *v)
+{
+	const char *text = json_string_value(v);
+	struct net_addr addr;
+
+	if (text == NULL)
+		return take_number(s, k, v);
+	if (addr_parse(text, &addr) != STATUS_OK || addr.port == 0)
+		return 0;
+	store_number(s, k, addr.port);
+	return 1;
+}
+
 static int
 take_choice(struct settings *s, const struct settings_key *k, const char *text)
 {
@@ -171,6 +206,27 @@
 	return 1;
 }
 
+static int
+take_texts(struct settings *s, const struct settings_key *k, const json_t *v)
+{
+	char(*list)[SETTINGS_TEXT_BYTES] = field(s, k->offset);
+	uint32_t n = (uint32_t)json_array_size(v);
+	const char *text;
+	uint32_t i;
+
+	if (!json_is_array(v) || json_array_size(v) > k->max)
+		return 0;
+	for (i = 0; i < n; i++) {
+		text = json_string_value(json_array_get(v, i));
+		if (text == NULL || *text == '\0' ||
+		    strlen(text) >= SETTINGS_TEXT_BYTES)
+			return 0;
+		(void)g_strlcpy(list[i], text, SETTINGS_TEXT_BYTES);
+	}
+	memcpy(field(s, k->count_offset), &n, sizeof(n));
+	return 1;
+}
+
 /* Take a value in; 0 when it isn't what the key takes. */
 static int
 take_value(struct settings *s, const struct settings_key *k, const json_t *v)
@@ -179,8 +235,13 @@
 
 	switch (k->type) {
 	case SETTINGS_PORT:
+		return take_port(s, k, v);
 	case SETTINGS_NUMBER:
 		return take_number(s, k, v);
+	case SETTINGS_TEXTS:
+		return take_texts(s, k, v);
+	case SETTINGS_WORD:
+		return text != NULL && (*text == '\0' || take_name(s, k, text));
 	case SETTINGS_ADDRESSES:
 		return take_addresses(s, k, v);
 	case SETTINGS_CHOICE:
@@ -252,11 +313,17 @@
 		uint16_t port;
 	} ports[] = {{"caller_port", s->caller_port},
 	    {"peer_port", s->peer_port}, {"call_port", s->call_port},
-	    {"admin_port", s->admin_port}};
+	    {"admin_port", s->admin_port}, {"ready_port", s->ready_port},
+	    {"upstream_port", s->upstream_port}};
+	size_t n = G_N_ELEMENTS(ports);
 	size_t a, b;
 
-	for (a = 0; a < G_N_ELEMENTS(ports); a++)
-		for (b = a + 1; b < G_N_ELEMENTS(ports); b++)
+	/* The last two are used by adapters only. */
+	if (s->adapter == SETTINGS_ADAPTER_NONE)
+		n -= 2;
+
+	for (a = 0; a < n; a++)
+		for (b = a + 1; b < n; b++)
 			if (ports[a].port == ports[b].port)
 				add_error(p,
 				    "keys \"%s\" and \"%s\" are both %u: "
@@ -385,6 +452,19 @@
 	return array;
 }
 
+static json_t *
+print_texts(const struct settings *s, const struct settings_key *k)
+{
+	const char(*list)[SETTINGS_TEXT_BYTES] = field_const(s, k->offset);
+	json_t *array = json_array();
+	uint32_t i, n;
+
+	memcpy(&n, field_const(s, k->count_offset), sizeof(n));
+	for (i = 0; i < n; i++)
+		(void)json_array_append_new(array, json_string(list[i]));
+	return array;
+}
+
 static json_t *
 print_value(const struct settings *s, const struct settings_key *k)
 {
@@ -392,6 +472,7 @@
 
 	switch (k->type) {
 	case SETTINGS_NAME:
+	case SETTINGS_WORD:
 	case SETTINGS_URL:
 		return json_string(field_const(s, k->offset));
 	case SETTINGS_IPV4:
@@ -400,6 +481,8 @@
 		return json_string(k->choices[load_number(s, k)]);
 	case SETTINGS_ADDRESSES:
 		return print_addresses(s, k);
+	case SETTINGS_TEXTS:
+		return print_texts(s, k);
 	default:
 		return json_integer(load_number(s, k));
 	}
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -22,6 +22,7 @@
  * @deadline_grace_ms: after the deadline, how long to wait for the guard's
  *	word whether a cancelled request had started
  * @resolve_limit_ms: how long to try to reach a guard for a resolve
+ * @attempts: attempts altogether, 0 for what the budget says
  * @idempotent: may be run more than once
  * @keyed: carries an idempotency key and goes to the key's home
  * @naive: the differential's version: retry thrice whatever happened
@@ -30,6 +31,7 @@
 	uint64_t deadline_ms;
 	uint32_t deadline_grace_ms;
 	uint32_t resolve_limit_ms;
+	uint32_t attempts;
 	bool idempotent;
 	bool keyed;
 	bool naive;
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -156,7 +156,9 @@
 static uint32_t
 attempts_max(const struct call *c)
 {
-	return c->cfg.naive ? NAIVE_ATTEMPTS : c->budget->cfg.attempts;
+	if (c->cfg.naive)
+		return NAIVE_ATTEMPTS;
+	return c->cfg.attempts != 0 ? c->cfg.attempts : c->budget->cfg.attempts;
 }
 
 static bool
--- /dev/null
+++ b/packages/traffic/src/split.c
@@ -0,0 +1,121 @@
+/*
+ * Smooth weighted round robin for each route.
+ */
+#include "traffic/split.h"
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+
+/* Routes remembered; beyond, all are forgotten and begin anew. */
+#define ROUTES_MAX 4096
+
+/**
+ * struct split - rounds of one route
+ * @route: number of the route
+ * @parts: its parts
+ * @credit: by how much each part is behind its share
+ * @n: number of parts
+ */
+struct split {
+	uint64_t route;
+	struct split_part parts[SPLIT_PARTS_MAX];
+	int64_t credit[SPLIT_PARTS_MAX];
+	uint32_t n;
+};
+
+struct split_table {
+	uint64_t seed;
+	GHashTable *splits;
+};
+
+struct split_table *
+split_table_new(uint64_t seed)
+{
+	struct split_table *t = g_new0(struct split_table, 1);
+
+	t->seed = seed;
+	t->splits =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return t;
+}
+
+void
+split_table_free(struct split_table *t)
+{
+	if (t == NULL)
+		return;
+	g_hash_table_destroy(t->splits);
+	g_free(t);
+}
+
+static bool
+is_same(const struct split *s, const struct split_part *parts, uint32_t n)
+{
+	uint32_t i;
+
+	if (s->n != n)
+		return false;
+	for (i = 0; i < n; i++)
+		if (s->parts[i].service != parts[i].service ||
+		    s->parts[i].weight != parts[i].weight)
+			return false;
+	return true;
+}
+
+static uint32_t
+next(struct split *s)
+{
+	int64_t total = 0;
+	uint32_t i, best = 0;
+
+	for (i = 0; i < s->n; i++) {
+		s->credit[i] += s->parts[i].weight;
+		total += s->parts[i].weight;
+		if (s->credit[i] > s->credit[best])
+			best = i;
+	}
+	s->credit[best] -= total;
+	return best;
+}
+
+/* Begins anew, some way into a round. */
+static void
+begin(struct split_table *t, struct split *s, const struct split_part *parts,
+    uint32_t n)
+{
+	uint32_t total = 0, i;
+	uint64_t skip;
+
+	s->n = n;
+	for (i = 0; i < n; i++) {
+		s->parts[i] = parts[i];
+		s->credit[i] = 0;
+		total += parts[i].weight;
+	}
+	skip = total > 0
+	    ? hash64(&s->route, sizeof(s->route), t->seed) % MIN(total, 1000)
+	    : 0;
+	while (skip-- > 0)
+		(void)next(s);
+}
+
+uint32_t
+split_choose(struct split_table *t, uint64_t route,
+    const struct split_part *parts, uint32_t n)
+{
+	struct split *s = g_hash_table_lookup(t->splits, &route);
+
+	if (s == NULL) {
+		if (g_hash_table_size(t->splits) >= ROUTES_MAX)
+			g_hash_table_remove_all(t->splits);
+		s = g_new0(struct split, 1);
+		s->route = route;
+		g_hash_table_insert(t->splits, &s->route, s);
+	}
+	if (!is_same(s, parts, n))
+		begin(t, s, parts, n);
+	return next(s);
+}
--- /dev/null
+++ b/packages/traffic/test/test_split.c
@@ -0,0 +1,86 @@
+/*
+ * Tests of the split of a route by weight.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include <glib.h>
+
+#include "traffic/split.h"
+
+#define ENTRIES 10
+#define ROUTE 7
+
+static const struct split_part parts[] = {{11, 90}, {12, 10}};
+
+/* Over every window, not only in the long run. */
+START_TEST(shares_hold_over_every_window)
+{
+	struct split_table *t = split_table_new(1);
+	uint32_t chosen[1000];
+	uint32_t i, j, n;
+
+	for (i = 0; i < G_N_ELEMENTS(chosen); i++)
+		chosen[i] = split_choose(t, ROUTE, parts, 2);
+	for (i = 0; i + 100 <= G_N_ELEMENTS(chosen); i++) {
+		for (j = i, n = 0; j < i + 100; j++)
+			n += chosen[j];
+		ck_assert_uint_ge(n, 9);
+		ck_assert_uint_le(n, 11);
+	}
+	split_table_free(t);
+}
+END_TEST
+
+/* Few requests at each of many entries: a random start, so that the small
+ * part isn't left out, or in front, everywhere. */
+START_TEST(shares_hold_over_entries_with_few_requests)
+{
+	struct split_table *t;
+	uint32_t i, j, n = 0;
+
+	for (i = 0; i < 100; i++) {
+		t = split_table_new(i + 1);
+		for (j = 0; j < 3; j++)
+			n += split_choose(t, ROUTE, parts, 2);
+		split_table_free(t);
+	}
+	ck_assert_uint_ge(n, 15);
+	ck_assert_uint_le(n, 50);
+}
+END_TEST
+
+START_TEST(other_weights_count_at_once)
+{
+	static const struct split_part other[] = {{11, 10}, {12, 90}};
+	struct split_table *t = split_table_new(3);
+	uint32_t i, n = 0;
+
+	for (i = 0; i < 50; i++)
+		(void)split_choose(t, ROUTE, parts, 2);
+	for (i = 0; i < 50; i++)
+		n += split_choose(t, ROUTE, other, 2);
+	ck_assert_uint_ge(n, 43);
+	ck_assert_uint_le(n, 47);
+	split_table_free(t);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("split");
+	TCase *tc = tcase_create("split");
+	SRunner *runner;
+	int n_failed;
+
+	tcase_add_test(tc, shares_hold_over_every_window);
+	tcase_add_test(tc, shares_hold_over_entries_with_few_requests);
+	tcase_add_test(tc, other_weights_count_at_once);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	n_failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tools/gen_settings.py
+++ b/tools/gen_settings.py
@@ -21,11 +21,13 @@
 KEY = re.compile(r"[a-z][a-z0-9_]*\Z")
 # Keys that hold a quantity end in its unit.
 UNIT_SUFFIX = {"milliseconds": "_ms", "bytes": "_bytes"}
-TYPES = {"name", "ipv4", "port", "number", "url", "choice", "addresses"}
+TYPES = {"name", "ipv4", "port", "number", "url", "choice", "addresses",
+         "word", "texts"}
 NEEDED = {"key", "type", "doc", "remedy"}
 ALLOWED = {"name": {"required"}, "ipv4": {"required"}, "url": {"required"},
            "port": {"default"}, "number": {"unit", "min", "max", "default"},
-           "choice": {"of", "default"}, "addresses": {"max"}}
+           "choice": {"of", "default"}, "addresses": {"max"},
+           "word": {"default"}, "texts": {"max"}}
 U32_MAX = (1 << 32) - 1
 PORT_MAX = 65535
 
@@ -78,15 +80,23 @@
     if kind == "ipv4":
         return "an IPv4 address like 10.0.0.1"
     if kind == "port":
-        return f"a port number from 1 to {PORT_MAX}"
+        return (f"a port number from 1 to {PORT_MAX}, or an address with "
+                "such a port like 10.0.0.1:8080")
     if kind == "url":
         return "an http:// or https:// URL of at most 255 characters"
     if kind == "addresses":
         return f"a list of at most {s['max']} texts like 10.0.0.1:7400"
+    if kind == "texts":
+        return f"a list of at most {s['max']} texts of 1 to 127 characters"
+    if kind == "word":
+        return "empty text or a name of 1 to 31 characters a-z, 0-9 and -"
     if kind == "choice":
         values = [f"\"{v['name']}\"" for v in choice(schema, s["of"])]
         return ", ".join(values[:-1]) + f" or {values[-1]}"
-    return f"a whole number of {s['unit']} from {s['min']} to {s['max']}"
+    number = f"a whole number of {s['unit']} from {s['min']} to {s['max']}"
+    if s["unit"] == "milliseconds":
+        return number + ", or a text like 1500ms or 2.5s"
+    return number
 
 
 def choice(schema, name):
@@ -96,6 +106,9 @@
 def c_members(s):
     key, kind = s["key"], s["type"]
     return {"name": [f"char {key}[SETTINGS_NAME_BYTES];"],
+            "word": [f"char {key}[SETTINGS_NAME_BYTES];"],
+            "texts": [f"char {key}[{s.get('max')}][SETTINGS_TEXT_BYTES];",
+                      f"uint32_t n_{key};"],
             "url": [f"char {key}[SETTINGS_URL_BYTES];"],
             "ipv4": [f"uint32_t {key};"],
             "port": [f"uint16_t {key};"],
@@ -125,7 +138,7 @@
     lines = [f"struct settings - {schema['doc']}"]
     for s in schema["settings"]:
         lines.append(f"@{s['key']}: {s['doc']}")
-        if s["type"] == "addresses":
+        if s["type"] in ("addresses", "texts"):
             lines.append(f"@n_{s['key']}: number of @{s['key']}")
     members = [m for s in schema["settings"] for m in c_members(s)]
     return "\n".join([
@@ -136,6 +149,7 @@
         *[f'#include "{h}"' for h in headers], '#include "proto/addr.h"', "",
         "/* Sizes of texts with the terminating zero. */",
         "#define SETTINGS_NAME_BYTES 32", "#define SETTINGS_URL_BYTES 256",
+        "#define SETTINGS_TEXT_BYTES 128",
         "", *[c_enum(c) for c in own], generate.kernel_doc(lines),
         "struct settings {", *members, "};", "", "#endif", ""])
 
@@ -177,7 +191,7 @@
     if kind == "number":
         parts += [f".min = {s['min']}", f".max = {s['max']}U",
                   f".initial = {s['default']}"]
-    if kind == "addresses":
+    if kind in ("addresses", "texts"):
         parts += [f".max = {s['max']}",
                   f".count_offset = offsetof(struct settings, n_{key})"]
     if kind == "choice":
@@ -204,7 +218,7 @@
 def page_row(schema, s):
     if s.get("required"):
         default = "required"
-    elif s["type"] == "addresses":
+    elif s["type"] in ("addresses", "texts"):
         default = "`[]`"
     else:
         default = f"`{json.dumps(s['default'])}`"
