--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -34,6 +34,9 @@
  */
 void log_start(enum log_level level, const char *host);
 
+/** log_set_level() - least level that is written from now on */
+void log_set_level(enum log_level level);
+
 /** log_stop() - write what is queued and stop the writer thread */
 void log_stop(void);
 
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -139,6 +139,12 @@
 	log_set_running(1);
 }
 
+void
+log_set_level(enum log_level level)
+{
+	atomic_store(&log_least, (int)level);
+}
+
 void
 log_stop(void)
 {
