fix(spread,node): a version that the platform gives is taken while later ones are known

Solution: any version above the one held is taken in; a node whose feed is being followed doesn't ask the store besides.

--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -84,6 +84,7 @@
 	struct control *c = arg;
 	const struct rec_head *head = c->given.seq != 0 ? &c->given : NULL;
 
+	c->following = 0;
 	note_status(c, st);
 	if (st != STATUS_OK)
 		spread_on_head(c->spread, control_now(c), st, NULL);
@@ -109,11 +110,26 @@
 	control_pump(c);
 }
 
+/* The feed is being followed and gives what there is by itself. */
+static void
+on_followed(void *arg)
+{
+	struct control *c = arg;
+
+	spread_on_versions(
+	    c->spread, control_now(c), STATUS_UNAVAILABLE, NULL, 0);
+	control_pump(c);
+}
+
 void
 control_feed_read(struct control *c, const struct spread_action *a)
 {
-	if (a->kind == SPREAD_READ_HEAD)
+	if (a->kind == SPREAD_READ_HEAD) {
+		c->following = 1;
 		feed_read(c->feed, control_now(c) + FEED_WAIT_MS, on_head, c);
-	else if (a->kind == SPREAD_READ_VERSIONS)
+	} else if (a->kind == SPREAD_READ_VERSIONS && c->following) {
+		loop_post(c->loop, on_followed, c);
+	} else if (a->kind == SPREAD_READ_VERSIONS) {
 		feed_read(c->feed, 0, on_versions, c);
+	}
 }
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -27,6 +27,7 @@
  * @feed: where configurations come from, NULL for the product's own store
  * @given: head that the feed gave last, seq 0 for none
  * @feed_status: how the last read of the feed ended
+ * @following: a read of the feed waits for a change
  * @directory: where nodes find one another, NULL for seeds of the settings
  * @finder: when the directory is written and read
  * @instances: runs of the upstream that sends heartbeats
@@ -54,6 +55,7 @@
 	struct feed *feed;
 	struct rec_head given;
 	enum status feed_status;
+	int following;
 	struct directory *directory;
 	struct finder finder;
 	struct instances instances;
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -238,8 +238,10 @@
 {
 	readers_answered(&s->readers, now_ms, 1);
 	spread_origin(s, now_ms, head);
-	if (head->in_force == s->known.in_force &&
-	    head->in_force > catalog_version(s->env.catalog))
+	/* Peers may know a later version already.  With versions in quick
+	 * succession the latest is always under way: take what is here. */
+	if (head->in_force > catalog_version(s->env.catalog) &&
+	    head->in_force <= s->known.in_force)
 		intake_given(
 		    &s->intake, now_ms, head, list, contents, n_contents);
 	floors_on_platform(&s->floors, now_ms, head->in_force);
