feat(traffic): admission by priority and target, a time to come back that holds

Solution: requests wait by rank: priority, then whether they can still make their target; each waits no longer than it may for that. Callers of one route are equally patient, so one with less time left is back and its target counts from its first asking. An upstream that refuses while a quarter of its slots or more are free isn't cut, and callers may come back at once; else the time counts how many were refused for each that was started, who return too. Every tenth start goes to the lowest rank that waits.

--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -69,6 +69,10 @@
 		m->key_len = (uint32_t)strlen(r->key);
 	}
 	m->time_left_ms = (uint32_t)MIN(left_ms, UINT32_MAX);
+	m->priority = c->route->priority;
+	if (c->target_ms != 0)
+		m->target_left_ms = (uint32_t)MAX(
+		    MIN(clock_left_ms(c->target_ms, now_ms), UINT32_MAX), 1);
 	m->sent_ms = now_ms;
 	m->body_bytes = r->body_bytes;
 	m->version = c->snapshot->version;
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -302,6 +302,57 @@
 	return MIN(c->request->deadline_ms, now_ms + timeout_ms);
 }
 
+/* Number of a route, whatever service it leads to. */
+static uint64_t
+route_key(const struct service_route *route)
+{
+	uint64_t key = hash64(route->host, route->host_len, route->methods);
+
+	return hash64(route->prefix, route->prefix_len, key);
+}
+
+/* Routes whose callers' patience is remembered; beyond, all are forgotten. */
+#define PATIENCE_MAX 4096
+
+/*
+ * How long ago the caller first asked, as far as its deadline tells: callers
+ * of one route are equally patient, so one with less time left is back.
+ */
+static uint64_t
+asked_before_ms(
+    struct entry *e, const struct service_route *route, uint64_t left_ms)
+{
+	uint64_t key = route_key(route), *stored;
+	uint64_t *most = g_hash_table_lookup(e->patience, &key);
+
+	if (most != NULL) {
+		*most = MAX(*most, left_ms);
+		return *most - left_ms;
+	}
+	if (g_hash_table_size(e->patience) >= PATIENCE_MAX)
+		g_hash_table_remove_all(e->patience);
+	stored = g_new(uint64_t, 1);
+	*stored = key;
+	most = g_new(uint64_t, 1);
+	*most = left_ms;
+	g_hash_table_insert(e->patience, stored, most);
+	return 0;
+}
+
+/* When its answer is worth less, counted from when the caller first asked. */
+static uint64_t
+target_of(const struct entry_call *c, uint64_t now_ms)
+{
+	uint64_t asked_ms = 0;
+
+	if (c->route->target_ms == 0)
+		return 0;
+	if (c->request->deadline_ms != DEADLINE_NEVER)
+		asked_ms = asked_before_ms(c->entry, c->route,
+		    clock_left_ms(c->request->deadline_ms, now_ms));
+	return now_ms + c->route->target_ms - MIN(asked_ms, now_ms);
+}
+
 static struct entry_call *
 call_make(
     struct entry *e, struct call_exchange *x, const struct route_match *match)
@@ -323,6 +374,7 @@
 	c->sequence = ++e->sequence;
 	c->body.held = true;
 	c->deadline_ms = deadline_of(c, now_ms);
+	c->target_ms = target_of(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
 	g_queue_init(&c->body.pieces);
 	loop_timer_init(&c->timer, e->loop, on_timer, c);
@@ -351,7 +403,6 @@
 	const struct service_route *route = match->route;
 	struct route_match shares[SNAPSHOT_SHARES_MAX];
 	struct split_part parts[SPLIT_PARTS_MAX];
-	uint64_t key;
 	uint32_t i, n;
 
 	if (route->weight == 0)
@@ -361,9 +412,7 @@
 		parts[i].service = service_id(shares[i].service->config->name);
 		parts[i].weight = shares[i].route->weight;
 	}
-	key = hash64(route->host, route->host_len, route->methods);
-	key = hash64(route->prefix, route->prefix_len, key);
-	*match = shares[split_choose(e->splits, key, parts, n)];
+	*match = shares[split_choose(e->splits, route_key(route), parts, n)];
 }
 
 static bool
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -43,6 +43,7 @@
  * @endpoints: what is known of all endpoints
  * @ejection: which of them are left out
  * @placement: chooses among them
+ * @patience: hash of a route to the longest time that a caller of it had
  * @splits: rounds of the routes that services share by weight
  * @snapshot: snapshot last seen, a reference
  * @generation: counts the snapshots seen
@@ -66,6 +67,7 @@
 	struct ejection *ejection;
 	struct placement *placement;
 	struct split_table *splits;
+	GHashTable *patience;
 	struct snapshot *snapshot;
 	uint64_t generation;
 	GHashTable *services;
@@ -232,6 +234,7 @@
  * @config: its configuration in @snapshot
  * @route: the route in @snapshot
  * @deadline_ms: the caller's deadline, or the route's if that is sooner
+ * @target_ms: when its answer is worth less, 0 when not told
  * @idempotent: running it twice does no harm
  * @keyed: it has an idempotency key that counts
  * @decision: the state machine
@@ -255,6 +258,7 @@
 	const struct service_config *config;
 	const struct service_route *route;
 	uint64_t deadline_ms;
+	uint64_t target_ms;
 	bool idempotent;
 	bool keyed;
 	struct call *decision;
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -212,6 +212,8 @@
  * @key: the key
  * @holds_key: it is the one that may run with its key
  * @deadline_ms: monotonic deadline
+ * @target_ms: when its answer is worth less, 0 when not told
+ * @priority: 0 is the highest
  * @body_bytes: length of the body, -1 when not known
  * @source: where the body comes from, or NULL
  * @body: GBytes that came and were not sent on
@@ -245,6 +247,8 @@
 	struct key_id key;
 	bool holds_key;
 	uint64_t deadline_ms;
+	uint64_t target_ms;
+	uint32_t priority;
 	int64_t body_bytes;
 	struct guard_out *source;
 	GQueue body;
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -65,10 +65,11 @@
 	    ran_us / US_PER_MS, loop_now_ms(r->guard->loop));
 }
 
-static void
+/* Return: when it is worth to come back. */
+static uint64_t
 leave_shed(struct guard_request *r)
 {
-	admission_shed(r->upstream->admission, guard_request_class(r),
+	return admission_shed(r->upstream->admission, guard_request_class(r),
 	    loop_now_ms(r->guard->loop));
 }
 
@@ -112,15 +113,15 @@
 
 	if (r->state == REQUEST_ENDED)
 		return;
-	log_refusal(r, refusal, retry_after_ms);
 	fate_refused(r->guard->fates, &r->id, loop_now_ms(r->guard->loop));
 	guard_keyed_ended(r, false);
 	if (r->state == REQUEST_QUEUED)
 		(void)admission_cancel(r->upstream->admission, r->ticket);
 	if (ran && r->shed)
-		leave_shed(r);
+		retry_after_ms = MAX(retry_after_ms, leave_shed(r));
 	else if (ran)
 		leave_slot(r);
+	log_refusal(r, refusal, retry_after_ms);
 	refuse_outs(r, refusal, retry_after_ms);
 	ended(r);
 	if (ran)
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -126,7 +126,9 @@
 	struct guard_upstream *u = r->upstream;
 	struct admission_request req = {.ticket = r->ticket,
 	    .class = guard_request_class(r),
-	    .deadline_ms = r->deadline_ms};
+	    .deadline_ms = r->deadline_ms,
+	    .priority = r->priority,
+	    .target_ms = r->target_ms};
 	struct admission_result res;
 
 	loop_timer_stop(&r->timer);
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -145,6 +145,9 @@
  * 	zero-terminated
  * @key_len: bytes in @key
  * @time_left_ms: time left until the request's deadline, at sending
+ * @target_left_ms: time left until its answer is worth less, at
+ * 	sending; 1 when that is over, 0 when not told
+ * @priority: its priority, 0 is the highest
  * @sent_ms: entry's monotonic clock at sending
  * @body_bytes: length of the body, -1 when it is not known yet
  * @version: version of the configuration that placed it
@@ -164,6 +167,8 @@
 	const char *key;
 	uint32_t key_len;
 	uint32_t time_left_ms;
+	uint32_t target_left_ms;
+	uint32_t priority;
 	uint64_t sent_ms;
 	int64_t body_bytes;
 	uint64_t version;
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -164,6 +164,12 @@
     {.name = "time_left_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_call_open, time_left_ms)},
+    {.name = "target_left_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_call_open, target_left_ms)},
+    {.name = "priority",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_call_open, priority)},
     {.name = "sent_ms",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_open, sent_ms)},
@@ -181,7 +187,7 @@
 
 const struct codec_desc msg_call_open_desc = {.name = "call_open",
     .fields = msg_call_open_fields,
-    .n_fields = 13,
+    .n_fields = 15,
     .size_bytes = sizeof(struct msg_call_open)};
 
 void
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -41,16 +41,25 @@
 	bool adapt_slots;
 };
 
+/** ADMISSION_PRIORITIES - priorities that are told apart; beyond, the last */
+#define ADMISSION_PRIORITIES 4
+
 /**
  * struct admission_request - a request that asks to run
  * @ticket: the shell's number of it, unique at this endpoint
  * @class: its kind
  * @deadline_ms: monotonic deadline
+ * @priority: 0 is the highest; a lower one waits for all higher ones
+ * @target_ms: monotonic time by which its answer is worth most, 0 when not
+ *	told.  One that can still make it goes before those of its priority
+ *	that can't, and waits no longer than it may for that.
  */
 struct admission_request {
 	uint64_t ticket;
 	enum admission_class class;
 	uint64_t deadline_ms;
+	uint32_t priority;
+	uint64_t target_ms;
 };
 
 /** enum admission_verdict - what becomes of a request */
@@ -116,9 +125,12 @@
  *
  * The slots in use are cut to what it evidently takes and grow back by one for
  * each round of answers, so that an upstream that announced too many slots or
- * is cold is not sent more than it takes.
+ * is cold is not sent more than it takes.  One that refuses while most of its
+ * slots are free does so for another reason: then nothing is cut.
+ *
+ * Return: when it is worth to come back, in milliseconds from now.
  */
-void admission_shed(
+uint64_t admission_shed(
     struct admission *a, enum admission_class class, uint64_t now_ms);
 
 /** admission_cancel() - take a queued request out; false if not queued */
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -1,9 +1,10 @@
 /*
  * Slots and the queue of one endpoint.
  *
- * Each class has its own queue.  A class below its share of the slots goes
- * first; a class that uses the other's share of the queue gives it back when
- * the other needs it.
+ * Requests wait by rank: by priority, and within one those that can still make
+ * their target first.  Within a rank each class has its own queue: a class
+ * below its share of the slots goes first; a class that uses the other's share
+ * of the queue gives it back when the other needs it.
  */
 #include "traffic/admission.h"
 
@@ -15,6 +16,18 @@
 #define US_PER_MS 1000
 #define MEAN_SHIFT 3
 #define RETRY_AFTER_LEAST_MS 50
+/* An upstream that refused with slots free takes the next one at once: about
+ * a round trip to a caller. */
+#define RETRY_NOW_MS 20
+/* It refuses for load only if this share of its slots was in use. */
+#define LOADED_PERCENT 75
+/* Wait that is allowed to any request, so that a short burst is smoothed. */
+#define LEAST_WAIT_MS 30
+/* Each such start goes to the lowest rank that waits, so that none starves. */
+#define LOWEST_EVERY 10
+/* Starts and refusals are counted over this time, for the time to come back. */
+#define PRESSURE_MS 1000
+#define RANKS (2 * ADMISSION_PRIORITIES)
 /* The limit on slots is counted in this many parts of a slot. */
 #define LIMIT_UNIT 1024
 
@@ -25,15 +38,25 @@
 };
 
 struct lane {
-	GQueue waiting;
+	GQueue waiting[RANKS];
+	uint32_t n_waiting;
 	uint32_t in_slots;
 	uint64_t mean_us;
 };
 
+/* Starts and refusals of this and the last period. */
+struct pressure {
+	uint64_t until_ms;
+	uint32_t started[2];
+	uint32_t refused[2];
+};
+
 struct admission {
 	struct admission_config cfg;
 	struct lane lanes[ADMISSION_CLASSES];
 	uint64_t limit;
+	uint32_t starts;
+	struct pressure pressure;
 	GArray *refused;
 	guint next_refused;
 	bool draining;
@@ -55,11 +78,8 @@
 admission_new(const struct admission_config *cfg)
 {
 	struct admission *a;
-	int i;
 
 	a = g_new0(struct admission, 1);
-	for (i = 0; i < ADMISSION_CLASSES; i++)
-		g_queue_init(&a->lanes[i].waiting);
 	a->refused = g_array_new(FALSE, FALSE, sizeof(struct admission_result));
 	a->limit = UINT64_MAX;
 	admission_configure(a, cfg);
@@ -69,12 +89,14 @@
 void
 admission_free(struct admission *a)
 {
+	uint32_t rank;
 	int i;
 
 	if (a == NULL)
 		return;
 	for (i = 0; i < ADMISSION_CLASSES; i++)
-		g_queue_clear_full(&a->lanes[i].waiting, g_free);
+		for (rank = 0; rank < RANKS; rank++)
+			g_queue_clear_full(&a->lanes[i].waiting[rank], g_free);
 	g_array_free(a->refused, TRUE);
 	g_free(a);
 }
@@ -107,8 +129,52 @@
 static uint32_t
 queued(const struct admission *a)
 {
-	return a->lanes[ADMISSION_LOOKUP].waiting.length +
-	    a->lanes[ADMISSION_BOOKING].waiting.length;
+	return a->lanes[ADMISSION_LOOKUP].n_waiting +
+	    a->lanes[ADMISSION_BOOKING].n_waiting;
+}
+
+/* Whether it can no longer be answered by its target. */
+static bool
+is_late(const struct admission *a, const struct admission_request *req,
+    uint64_t now_ms)
+{
+	uint64_t run_ms = a->lanes[req->class].mean_us / US_PER_MS;
+
+	return req->target_ms != 0 && now_ms + run_ms > req->target_ms;
+}
+
+static uint32_t
+rank_of(const struct admission *a, const struct admission_request *req,
+    uint64_t now_ms)
+{
+	return 2 * MIN(req->priority, ADMISSION_PRIORITIES - 1) +
+	    (is_late(a, req, now_ms) ? 1 : 0);
+}
+
+/* Requests of both classes that go before a rank. */
+static uint32_t
+queued_before(const struct admission *a, uint32_t rank)
+{
+	uint32_t n = 0, r;
+
+	for (r = 0; r < rank; r++)
+		n += a->lanes[ADMISSION_LOOKUP].waiting[r].length +
+		    a->lanes[ADMISSION_BOOKING].waiting[r].length;
+	return n;
+}
+
+static void
+turn_pressure(struct admission *a, uint64_t now_ms)
+{
+	struct pressure *p = &a->pressure;
+
+	if (now_ms < p->until_ms)
+		return;
+	p->started[1] = now_ms < p->until_ms + PRESSURE_MS ? p->started[0] : 0;
+	p->refused[1] = now_ms < p->until_ms + PRESSURE_MS ? p->refused[0] : 0;
+	p->started[0] = 0;
+	p->refused[0] = 0;
+	p->until_ms = now_ms + PRESSURE_MS;
 }
 
 /* What a class keeps of a whole under overload; both shares add up to it. */
@@ -133,39 +199,59 @@
 	const struct lane *o = &a->lanes[other(class)];
 	uint32_t taken, kept;
 
-	taken = MIN(
-	    o->in_slots + o->waiting.length, share(a, other(class), slots(a)));
+	taken =
+	    MIN(o->in_slots + o->n_waiting, share(a, other(class), slots(a)));
 	kept = slots(a) - taken;
 	return MAX(kept, 1);
 }
 
 static uint64_t
-expected_wait_ms(const struct admission *a, enum admission_class class)
+expected_wait_ms(
+    const struct admission *a, enum admission_class class, uint32_t rank)
 {
 	const struct lane *l = &a->lanes[class];
 	uint64_t ahead;
 
-	ahead = l->waiting.length + 1;
+	ahead = queued_before(a, rank) + l->waiting[rank].length + 1;
 	return ahead * l->mean_us / slots_within_reach(a, class) / US_PER_MS;
 }
 
-static void
-refuse(const struct admission *a, const struct admission_request *req,
-    enum refusal refusal, struct admission_result *out)
+/*
+ * When there is room: once those ahead have run, and for as many more rounds
+ * as others were refused for each that was started, since they return too.
+ */
+static uint64_t
+room_ms(const struct admission *a, enum admission_class class, uint32_t rank)
 {
-	uint64_t wait;
+	const struct pressure *p = &a->pressure;
+	uint64_t started = p->started[0] + p->started[1];
+	uint64_t refused = p->refused[0] + p->refused[1];
+	uint64_t wait = expected_wait_ms(a, class, rank);
+
+	if (started > 0)
+		wait += wait * refused / started;
+	return MAX(wait, RETRY_AFTER_LEAST_MS);
+}
 
-	wait = expected_wait_ms(a, req->class);
+static void
+refuse(struct admission *a, const struct admission_request *req,
+    enum refusal refusal, uint64_t now_ms, struct admission_result *out)
+{
+	turn_pressure(a, now_ms);
+	a->pressure.refused[0]++;
 	out->verdict = ADMISSION_REFUSE;
 	out->ticket = req->ticket;
 	out->refusal = refusal;
-	out->retry_after_ms = MAX(wait, RETRY_AFTER_LEAST_MS);
+	out->retry_after_ms = room_ms(a, req->class, rank_of(a, req, now_ms));
 }
 
 static void
-start(struct admission *a, const struct admission_request *req,
+start(struct admission *a, const struct admission_request *req, uint64_t now_ms,
     struct admission_result *out)
 {
+	turn_pressure(a, now_ms);
+	a->pressure.started[0]++;
+	a->starts++;
 	a->lanes[req->class].in_slots++;
 	out->verdict = ADMISSION_START;
 	out->ticket = req->ticket;
@@ -173,26 +259,79 @@
 	out->retry_after_ms = 0;
 }
 
-/* Put out the newest of the class that uses more than its share. */
+static struct waiting *
+take_out(struct lane *l, uint32_t rank, GList *link)
+{
+	struct waiting *w = link->data;
+
+	g_queue_delete_link(&l->waiting[rank], link);
+	l->n_waiting--;
+	return w;
+}
+
+/* The newest of the lowest rank below @rank; NULL when there is none. */
+static struct waiting *
+take_lowest(struct admission *a, uint32_t rank)
+{
+	uint32_t r;
+	int i;
+
+	for (r = RANKS - 1; r > rank; r--)
+		for (i = 0; i < ADMISSION_CLASSES; i++)
+			if (a->lanes[i].waiting[r].tail != NULL)
+				return take_out(&a->lanes[i], r,
+				    a->lanes[i].waiting[r].tail);
+	return NULL;
+}
+
+/* The newest of the class that uses more than its share, of the same rank. */
+static struct waiting *
+take_from_other(struct admission *a, enum admission_class class, uint32_t rank)
+{
+	struct lane *o = &a->lanes[other(class)];
+
+	if (a->lanes[class].n_waiting >= share(a, class, a->cfg.queue_max) ||
+	    o->waiting[rank].tail == NULL)
+		return NULL;
+	return take_out(o, rank, o->waiting[rank].tail);
+}
+
+/* Puts out somebody whose place this one may have. */
 static bool
-make_room(struct admission *a, enum admission_class class)
+make_room(
+    struct admission *a, const struct admission_request *req, uint64_t now_ms)
 {
+	uint32_t rank = rank_of(a, req, now_ms);
 	struct admission_result gone;
 	struct waiting *w;
 
 	if (queued(a) < a->cfg.queue_max)
 		return true;
-	if (a->lanes[class].waiting.length >= share(a, class, a->cfg.queue_max))
-		return false;
-	w = g_queue_pop_tail(&a->lanes[other(class)].waiting);
+	w = take_lowest(a, rank);
+	if (w == NULL)
+		w = take_from_other(a, req->class, rank);
 	if (w == NULL)
 		return false;
-	refuse(a, &w->req, REFUSAL_QUEUE_FULL, &gone);
+	refuse(a, &w->req, REFUSAL_QUEUE_FULL, now_ms, &gone);
 	g_array_append_val(a->refused, gone);
 	g_free(w);
 	return true;
 }
 
+/* Longest wait that makes sense: until the target, less the time to run. */
+static uint64_t
+allowed_wait_ms(const struct admission *a, const struct admission_request *req,
+    uint64_t now_ms)
+{
+	uint64_t run_ms = a->lanes[req->class].mean_us / US_PER_MS;
+	uint64_t wait_ms;
+
+	if (req->target_ms == 0 || is_late(a, req, now_ms))
+		return a->cfg.queue_wait_ms;
+	wait_ms = req->target_ms - now_ms - run_ms;
+	return MAX(wait_ms, LEAST_WAIT_MS);
+}
+
 static bool
 starts_in_time(const struct admission *a, const struct admission_request *req,
     uint64_t now_ms)
@@ -201,9 +340,9 @@
 
 	if (!a->cfg.refuse_early)
 		return true;
-	wait = expected_wait_ms(a, req->class);
+	wait = expected_wait_ms(a, req->class, rank_of(a, req, now_ms));
 	run = a->lanes[req->class].mean_us / US_PER_MS;
-	return wait <= a->cfg.queue_wait_ms &&
+	return wait <= allowed_wait_ms(a, req, now_ms) &&
 	    wait + run <= clock_left_ms(req->deadline_ms, now_ms);
 }
 
@@ -216,8 +355,11 @@
 	w = g_new(struct waiting, 1);
 	w->req = *req;
 	w->arrived_ms = now_ms;
-	w->expires_ms = MIN(req->deadline_ms, now_ms + a->cfg.queue_wait_ms);
-	g_queue_push_tail(&a->lanes[req->class].waiting, w);
+	w->expires_ms =
+	    MIN(req->deadline_ms, now_ms + allowed_wait_ms(a, req, now_ms));
+	g_queue_push_tail(
+	    &a->lanes[req->class].waiting[rank_of(a, req, now_ms)], w);
+	a->lanes[req->class].n_waiting++;
 	out->verdict = ADMISSION_QUEUE;
 	out->ticket = req->ticket;
 	out->refusal = REFUSAL_NONE;
@@ -229,15 +371,15 @@
     uint64_t now_ms, struct admission_result *out)
 {
 	if (a->draining)
-		refuse(a, req, REFUSAL_DRAINING, out);
+		refuse(a, req, REFUSAL_DRAINING, now_ms, out);
 	else if (now_ms >= req->deadline_ms)
-		refuse(a, req, REFUSAL_EXPIRED, out);
+		refuse(a, req, REFUSAL_EXPIRED, now_ms, out);
 	else if (in_slots(a) < slots(a) && queued(a) == 0)
-		start(a, req, out);
+		start(a, req, now_ms, out);
 	else if (!starts_in_time(a, req, now_ms))
-		refuse(a, req, REFUSAL_WAIT, out);
-	else if (!make_room(a, req->class))
-		refuse(a, req, REFUSAL_QUEUE_FULL, out);
+		refuse(a, req, REFUSAL_WAIT, now_ms, out);
+	else if (!make_room(a, req, now_ms))
+		refuse(a, req, REFUSAL_QUEUE_FULL, now_ms, out);
 	else
 		enqueue(a, req, now_ms, out);
 }
@@ -266,33 +408,50 @@
 	a->limit = MIN(a->limit, (uint64_t)a->cfg.slots * LIMIT_UNIT);
 }
 
-void
+uint64_t
 admission_shed(struct admission *a, enum admission_class class, uint64_t now_ms)
 {
+	bool loaded =
+	    in_slots(a) * PERCENT >= slots(a) * (uint64_t)LOADED_PERCENT;
 	uint64_t taken;
 
 	(void)now_ms;
 	leave_slot(&a->lanes[class]);
-	if (!a->cfg.adapt_slots)
-		return;
+	if (!loaded)
+		return RETRY_NOW_MS;
 	taken = MAX(in_slots(a), 1);
-	a->limit = MIN(a->limit, taken * LIMIT_UNIT);
+	if (a->cfg.adapt_slots)
+		a->limit = MIN(a->limit, taken * LIMIT_UNIT);
+	return room_ms(a, class, 0);
+}
+
+static GList *
+find_waiting(const GQueue *q, uint64_t ticket)
+{
+	const struct waiting *w;
+	GList *l;
+
+	for (l = q->head; l != NULL; l = l->next) {
+		w = l->data;
+		if (w->req.ticket == ticket)
+			return l;
+	}
+	return NULL;
 }
 
 bool
 admission_cancel(struct admission *a, uint64_t ticket)
 {
-	struct waiting *w;
+	uint32_t rank;
 	GList *l;
 	int i;
 
 	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		for (l = a->lanes[i].waiting.head; l != NULL; l = l->next) {
-			w = l->data;
-			if (w->req.ticket != ticket)
+		for (rank = 0; rank < RANKS; rank++) {
+			l = find_waiting(&a->lanes[i].waiting[rank], ticket);
+			if (l == NULL)
 				continue;
-			g_queue_delete_link(&a->lanes[i].waiting, l);
-			g_free(w);
+			g_free(take_out(&a->lanes[i], rank, l));
 			return true;
 		}
 	}
@@ -313,39 +472,71 @@
 	return true;
 }
 
+static GList *
+find_expired(const GQueue *q, uint64_t now_ms)
+{
+	const struct waiting *w;
+	GList *l;
+
+	for (l = q->head; l != NULL; l = l->next) {
+		w = l->data;
+		if (w->expires_ms <= now_ms)
+			return l;
+	}
+	return NULL;
+}
+
 static bool
 next_expired(struct admission *a, struct lane *lane, uint64_t now_ms,
     struct admission_result *out)
 {
 	struct waiting *w;
+	uint32_t rank;
 	GList *l;
 
-	for (l = lane->waiting.head; l != NULL; l = l->next) {
-		w = l->data;
-		if (w->expires_ms > now_ms)
+	for (rank = 0; rank < RANKS; rank++) {
+		l = find_expired(&lane->waiting[rank], now_ms);
+		if (l == NULL)
 			continue;
-		g_queue_delete_link(&lane->waiting, l);
+		w = take_out(lane, rank, l);
 		refuse(a, &w->req,
 		    w->req.deadline_ms <= now_ms ? REFUSAL_EXPIRED
 						 : REFUSAL_WAIT,
-		    out);
+		    now_ms, out);
 		g_free(w);
 		return true;
 	}
 	return false;
 }
 
-/* Whether lookups (rather than bookings) get the free slot. */
+/* The rank that gets the free slot: the highest, at times the lowest. */
+static uint32_t
+next_rank(const struct admission *a)
+{
+	bool lowest = (a->starts + 1) % LOWEST_EVERY == 0;
+	uint32_t i, rank;
+
+	for (i = 0; i < RANKS; i++) {
+		rank = lowest ? RANKS - 1 - i : i;
+		if (a->lanes[ADMISSION_LOOKUP].waiting[rank].length +
+			a->lanes[ADMISSION_BOOKING].waiting[rank].length >
+		    0)
+			return rank;
+	}
+	return 0;
+}
+
+/* Whether lookups (rather than bookings) of a rank get the free slot. */
 static enum admission_class
-next_class(const struct admission *a)
+next_class(const struct admission *a, uint32_t rank)
 {
 	const struct lane *lookups = &a->lanes[ADMISSION_LOOKUP];
 	const struct lane *bookings = &a->lanes[ADMISSION_BOOKING];
 	uint64_t lookups_use, bookings_use;
 
-	if (bookings->waiting.length == 0)
+	if (bookings->waiting[rank].length == 0)
 		return ADMISSION_LOOKUP;
-	if (lookups->waiting.length == 0)
+	if (lookups->waiting[rank].length == 0)
 		return ADMISSION_BOOKING;
 	lookups_use =
 	    (uint64_t)lookups->in_slots * share(a, ADMISSION_BOOKING, PERCENT);
@@ -369,17 +560,16 @@
 static bool
 next_started(struct admission *a, uint64_t now_ms, struct admission_result *out)
 {
+	uint32_t rank = next_rank(a);
 	struct waiting *w;
-	GQueue *q;
-	GList *l;
+	struct lane *lane;
 
 	if (a->draining || queued(a) == 0 || in_slots(a) >= slots(a))
 		return false;
-	q = &a->lanes[next_class(a)].waiting;
-	l = next_in_order(a, q, now_ms);
-	w = l->data;
-	g_queue_delete_link(q, l);
-	start(a, &w->req, out);
+	lane = &a->lanes[next_class(a, rank)];
+	w = take_out(
+	    lane, rank, next_in_order(a, &lane->waiting[rank], now_ms));
+	start(a, &w->req, now_ms, out);
 	g_free(w);
 	return true;
 }
@@ -399,38 +589,60 @@
 	return next_started(a, now_ms, out);
 }
 
-uint64_t
-admission_wake_ms(const struct admission *a)
+static uint64_t
+first_expiry_ms(const GQueue *q)
 {
 	const struct waiting *w;
-	uint64_t wake = DEADLINE_NEVER;
+	uint64_t first = DEADLINE_NEVER;
 	GList *l;
+
+	for (l = q->head; l != NULL; l = l->next) {
+		w = l->data;
+		first = MIN(first, w->expires_ms);
+	}
+	return first;
+}
+
+uint64_t
+admission_wake_ms(const struct admission *a)
+{
+	uint64_t wake = DEADLINE_NEVER, first;
+	uint32_t rank;
 	int i;
 
 	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		for (l = a->lanes[i].waiting.head; l != NULL; l = l->next) {
-			w = l->data;
-			wake = MIN(wake, w->expires_ms);
+		for (rank = 0; rank < RANKS; rank++) {
+			first = first_expiry_ms(&a->lanes[i].waiting[rank]);
+			wake = MIN(wake, first);
 		}
 	}
 	return wake;
 }
 
-void
-admission_drain(struct admission *a)
+static void
+drain_lane(struct admission *a, struct lane *lane, uint32_t rank)
 {
 	struct admission_result gone;
 	struct waiting *w;
+
+	while (lane->waiting[rank].head != NULL) {
+		w = take_out(lane, rank, lane->waiting[rank].head);
+		refuse(a, &w->req, REFUSAL_DRAINING, w->arrived_ms, &gone);
+		g_array_append_val(a->refused, gone);
+		g_free(w);
+	}
+}
+
+void
+admission_drain(struct admission *a)
+{
+	uint32_t rank;
 	int i;
 
 	a->draining = true;
-	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		while ((w = g_queue_pop_head(&a->lanes[i].waiting)) != NULL) {
-			refuse(a, &w->req, REFUSAL_DRAINING, &gone);
-			g_array_append_val(a->refused, gone);
-			g_free(w);
-		}
-	}
+	for (i = 0; i < ADMISSION_CLASSES; i++)
+		for (rank = 0; rank < RANKS; rank++)
+			drain_lane(a, &a->lanes[i], rank);
 }
 
 void
