feat(traffic): earliest target first within a priority, run times by kind

Solution: among those that can make their target the earliest goes first; expected waits add up what really goes before, each with the time that its priority and class take.

Tried and reverted: calls from the own host's address marked as nested and put in front.

--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -305,6 +305,10 @@
 /** guard_request_class() - its kind for the admission */
 enum admission_class guard_request_class(const struct guard_request *r);
 
+/** guard_request_admission() - what the admission is told of it */
+void guard_request_admission(
+    const struct guard_request *r, struct admission_request *req);
+
 /**
  * guard_request_chunk() - a piece of its body came
  *
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -17,6 +17,17 @@
 	return r->idempotent ? ADMISSION_LOOKUP : ADMISSION_BOOKING;
 }
 
+void
+guard_request_admission(
+    const struct guard_request *r, struct admission_request *req)
+{
+	req->ticket = r->ticket;
+	req->class = guard_request_class(r);
+	req->deadline_ms = r->deadline_ms;
+	req->priority = r->priority;
+	req->target_ms = r->target_ms;
+}
+
 static void
 on_free(void *arg)
 {
@@ -60,7 +71,10 @@
 leave_slot(struct guard_request *r)
 {
 	uint64_t ran_us = clock_now_us() - r->started_us;
+	struct admission_request req;
 
+	guard_request_admission(r, &req);
+	admission_ran(r->upstream->admission, &req, ran_us / US_PER_MS);
 	admission_finished(r->upstream->admission, guard_request_class(r),
 	    ran_us / US_PER_MS, loop_now_ms(r->guard->loop));
 }
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -124,15 +124,12 @@
 guard_upstream_offer(struct guard_request *r)
 {
 	struct guard_upstream *u = r->upstream;
-	struct admission_request req = {.ticket = r->ticket,
-	    .class = guard_request_class(r),
-	    .deadline_ms = r->deadline_ms,
-	    .priority = r->priority,
-	    .target_ms = r->target_ms};
+	struct admission_request req;
 	struct admission_result res;
 
 	loop_timer_stop(&r->timer);
 	r->state = REQUEST_QUEUED;
+	guard_request_admission(r, &req);
 	admission_offer(u->admission, &req, loop_now_ms(u->guard->loop), &res);
 	carry_out(r, &res);
 	guard_upstream_pump(u);
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -52,7 +52,8 @@
  * @priority: 0 is the highest; a lower one waits for all higher ones
  * @target_ms: monotonic time by which its answer is worth most, 0 when not
  *	told.  One that can still make it goes before those of its priority
- *	that can't, and waits no longer than it may for that.
+ *	that can't, the earliest target first, and waits no longer than it may
+ *	for that.
  */
 struct admission_request {
 	uint64_t ticket;
@@ -110,6 +111,15 @@
 void admission_offer(struct admission *a, const struct admission_request *req,
     uint64_t now_ms, struct admission_result *out);
 
+/**
+ * admission_ran() - how long a request ran, for the estimate of waits
+ * @a: the admission
+ * @req: the request
+ * @ran_ms: how long it held its slot
+ */
+void admission_ran(
+    struct admission *a, const struct admission_request *req, uint64_t ran_ms);
+
 /**
  * admission_finished() - a started request has left its slot
  * @a: the admission
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -27,6 +27,7 @@
 #define LOWEST_EVERY 10
 /* Starts and refusals are counted over this time, for the time to come back. */
 #define PRESSURE_MS 1000
+/* Each priority twice: in time and late. */
 #define RANKS (2 * ADMISSION_PRIORITIES)
 /* The limit on slots is counted in this many parts of a slot. */
 #define LIMIT_UNIT 1024
@@ -42,6 +43,7 @@
 	uint32_t n_waiting;
 	uint32_t in_slots;
 	uint64_t mean_us;
+	uint64_t run_us[ADMISSION_PRIORITIES];
 };
 
 /* Starts and refusals of this and the last period. */
@@ -133,12 +135,33 @@
 	    a->lanes[ADMISSION_BOOKING].n_waiting;
 }
 
+static uint32_t
+priority_of(const struct admission_request *req)
+{
+	return MIN(req->priority, ADMISSION_PRIORITIES - 1);
+}
+
+/* How long a request runs; that of its class before one of its kind has. */
+static uint64_t
+run_us(const struct admission *a, uint32_t priority, enum admission_class class)
+{
+	const struct lane *l = &a->lanes[class];
+
+	return l->run_us[priority] != 0 ? l->run_us[priority] : l->mean_us;
+}
+
+static uint64_t
+run_ms_of(const struct admission *a, const struct admission_request *req)
+{
+	return run_us(a, priority_of(req), req->class) / US_PER_MS;
+}
+
 /* Whether it can no longer be answered by its target. */
 static bool
 is_late(const struct admission *a, const struct admission_request *req,
     uint64_t now_ms)
 {
-	uint64_t run_ms = a->lanes[req->class].mean_us / US_PER_MS;
+	uint64_t run_ms = run_ms_of(a, req);
 
 	return req->target_ms != 0 && now_ms + run_ms > req->target_ms;
 }
@@ -147,20 +170,20 @@
 rank_of(const struct admission *a, const struct admission_request *req,
     uint64_t now_ms)
 {
-	return 2 * MIN(req->priority, ADMISSION_PRIORITIES - 1) +
-	    (is_late(a, req, now_ms) ? 1 : 0);
+	return 2 * priority_of(req) + (is_late(a, req, now_ms) ? 1 : 0);
 }
 
-/* Requests of both classes that go before a rank. */
-static uint32_t
-queued_before(const struct admission *a, uint32_t rank)
+/* Time in slots of what waits at a rank. */
+static uint64_t
+work_us(const struct admission *a, uint32_t rank)
 {
-	uint32_t n = 0, r;
+	uint64_t us = 0;
+	int i;
 
-	for (r = 0; r < rank; r++)
-		n += a->lanes[ADMISSION_LOOKUP].waiting[r].length +
-		    a->lanes[ADMISSION_BOOKING].waiting[r].length;
-	return n;
+	for (i = 0; i < ADMISSION_CLASSES; i++)
+		us += a->lanes[i].waiting[rank].length *
+		    run_us(a, rank / 2, (enum admission_class)i);
+	return us;
 }
 
 static void
@@ -205,15 +228,35 @@
 	return MAX(kept, 1);
 }
 
+/* Requests of a queue that go before one with a target. */
+static uint32_t
+ahead_of(const GQueue *q, uint64_t target_ms)
+{
+	const struct waiting *w;
+	uint32_t n = 0;
+	GList *l;
+
+	for (l = q->head; l != NULL; l = l->next, n++) {
+		w = l->data;
+		if (target_ms != 0 && w->req.target_ms > target_ms)
+			break;
+	}
+	return n;
+}
+
 static uint64_t
-expected_wait_ms(
-    const struct admission *a, enum admission_class class, uint32_t rank)
+expected_wait_ms(const struct admission *a, const struct admission_request *req,
+    uint32_t rank)
 {
-	const struct lane *l = &a->lanes[class];
-	uint64_t ahead;
+	const GQueue *q = &a->lanes[req->class].waiting[rank];
+	uint64_t us = 0;
+	uint32_t r;
 
-	ahead = queued_before(a, rank) + l->waiting[rank].length + 1;
-	return ahead * l->mean_us / slots_within_reach(a, class) / US_PER_MS;
+	for (r = 0; r < rank; r++)
+		us += work_us(a, r);
+	us += (ahead_of(q, req->target_ms) + UINT64_C(1)) *
+	    run_us(a, rank / 2, req->class);
+	return us / slots_within_reach(a, req->class) / US_PER_MS;
 }
 
 /*
@@ -221,12 +264,13 @@
  * as others were refused for each that was started, since they return too.
  */
 static uint64_t
-room_ms(const struct admission *a, enum admission_class class, uint32_t rank)
+room_ms(const struct admission *a, const struct admission_request *req,
+    uint32_t rank)
 {
 	const struct pressure *p = &a->pressure;
 	uint64_t started = p->started[0] + p->started[1];
 	uint64_t refused = p->refused[0] + p->refused[1];
-	uint64_t wait = expected_wait_ms(a, class, rank);
+	uint64_t wait = expected_wait_ms(a, req, rank);
 
 	if (started > 0)
 		wait += wait * refused / started;
@@ -242,7 +286,7 @@
 	out->verdict = ADMISSION_REFUSE;
 	out->ticket = req->ticket;
 	out->refusal = refusal;
-	out->retry_after_ms = room_ms(a, req->class, rank_of(a, req, now_ms));
+	out->retry_after_ms = room_ms(a, req, rank_of(a, req, now_ms));
 }
 
 static void
@@ -323,7 +367,7 @@
 allowed_wait_ms(const struct admission *a, const struct admission_request *req,
     uint64_t now_ms)
 {
-	uint64_t run_ms = a->lanes[req->class].mean_us / US_PER_MS;
+	uint64_t run_ms = run_ms_of(a, req);
 	uint64_t wait_ms;
 
 	if (req->target_ms == 0 || is_late(a, req, now_ms))
@@ -340,8 +384,8 @@
 
 	if (!a->cfg.refuse_early)
 		return true;
-	wait = expected_wait_ms(a, req->class, rank_of(a, req, now_ms));
-	run = a->lanes[req->class].mean_us / US_PER_MS;
+	wait = expected_wait_ms(a, req, rank_of(a, req, now_ms));
+	run = run_ms_of(a, req);
 	return wait <= allowed_wait_ms(a, req, now_ms) &&
 	    wait + run <= clock_left_ms(req->deadline_ms, now_ms);
 }
@@ -351,14 +395,15 @@
     uint64_t now_ms, struct admission_result *out)
 {
 	struct waiting *w;
+	GQueue *q;
 
 	w = g_new(struct waiting, 1);
 	w->req = *req;
 	w->arrived_ms = now_ms;
 	w->expires_ms =
 	    MIN(req->deadline_ms, now_ms + allowed_wait_ms(a, req, now_ms));
-	g_queue_push_tail(
-	    &a->lanes[req->class].waiting[rank_of(a, req, now_ms)], w);
+	q = &a->lanes[req->class].waiting[rank_of(a, req, now_ms)];
+	g_queue_push_nth(q, w, (gint)ahead_of(q, req->target_ms));
 	a->lanes[req->class].n_waiting++;
 	out->verdict = ADMISSION_QUEUE;
 	out->ticket = req->ticket;
@@ -384,6 +429,23 @@
 		enqueue(a, req, now_ms, out);
 }
 
+static void
+average(uint64_t *mean, uint64_t us)
+{
+	if (*mean == 0)
+		*mean = us;
+	else
+		*mean += (us >> MEAN_SHIFT) - (*mean >> MEAN_SHIFT);
+}
+
+void
+admission_ran(
+    struct admission *a, const struct admission_request *req, uint64_t ran_ms)
+{
+	average(
+	    &a->lanes[req->class].run_us[priority_of(req)], ran_ms * US_PER_MS);
+}
+
 static void
 leave_slot(struct lane *l)
 {
@@ -396,14 +458,10 @@
     uint64_t ran_ms, uint64_t now_ms)
 {
 	struct lane *l = &a->lanes[class];
-	uint64_t us = ran_ms * US_PER_MS;
 
 	(void)now_ms;
 	leave_slot(l);
-	if (l->mean_us == 0)
-		l->mean_us = us;
-	else
-		l->mean_us += (us >> MEAN_SHIFT) - (l->mean_us >> MEAN_SHIFT);
+	average(&l->mean_us, ran_ms * US_PER_MS);
 	a->limit += (uint64_t)LIMIT_UNIT * LIMIT_UNIT / a->limit;
 	a->limit = MIN(a->limit, (uint64_t)a->cfg.slots * LIMIT_UNIT);
 }
@@ -413,6 +471,7 @@
 {
 	bool loaded =
 	    in_slots(a) * PERCENT >= slots(a) * (uint64_t)LOADED_PERCENT;
+	const struct admission_request any = {.class = class};
 	uint64_t taken;
 
 	(void)now_ms;
@@ -422,7 +481,7 @@
 	taken = MAX(in_slots(a), 1);
 	if (a->cfg.adapt_slots)
 		a->limit = MIN(a->limit, taken * LIMIT_UNIT);
-	return room_ms(a, class, 0);
+	return room_ms(a, &any, 0);
 }
 
 static GList *
@@ -551,7 +610,7 @@
 {
 	const struct waiting *oldest = q->head->data;
 
-	if (a->cfg.newest_first &&
+	if (a->cfg.newest_first && oldest->req.target_ms == 0 &&
 	    now_ms - oldest->arrived_ms > a->cfg.queue_wait_ms / 2)
 		return q->tail;
 	return q->head;
--- a/test/calls/guard.c
+++ b/test/calls/guard.c
@@ -145,7 +145,8 @@
 void
 guard_admit(struct guard *g, struct guard_request *r)
 {
-	struct admission_request req = {r->ticket, r->class, r->deadline_ms, 0, 0};
+	struct admission_request req = {
+	    r->ticket, r->class, r->deadline_ms, 0, 0};
 	struct admission_result res;
 
 	admission_offer(g->admission, &req, guard_now_ms(g), &res);
