test(traffic,membership,net): overload, runs of upstreams, directory, HTTP server

Found by them, failing first: a run that was replaced counted again after one late heartbeat, since those from its own time were counted too; the server took "Transfer-Encoding: chunked, gzip", header names with a blank before the colon and requests without a version, each of which others read otherwise.

--- a/packages/membership/src/instances.c
+++ b/packages/membership/src/instances.c
@@ -37,8 +37,9 @@
 	struct instance run = s->runs[i];
 
 	memmove(&s->runs[1], &s->runs[0], (size_t)i * sizeof(run));
-	run.heard = 0;
 	s->runs[0] = run;
+	/* Counted from now on for the one that was replaced. */
+	s->runs[1].heard = 0;
 }
 
 /* A run that is new here; the one known longest is forgotten for it. */
--- /dev/null
+++ b/packages/membership/test/test_found.c
@@ -0,0 +1,141 @@
+/*
+ * Which run of an upstream counts, and when the directory is looked at.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "membership/finder.h"
+#include "membership/instances.h"
+
+START_TEST(late_heartbeats_change_nothing)
+{
+	struct instances s;
+
+	instances_init(&s);
+	ck_assert_int_eq(instances_heard(&s, "a", 3), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "a", 2), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "a", 4), INSTANCE_CURRENT);
+	/* Another run has begun; what the first sent before comes late. */
+	ck_assert_int_eq(instances_heard(&s, "b", 1), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "a", 5), INSTANCE_STALE);
+	ck_assert_str_eq(instances_current(&s), "b");
+	ck_assert_int_eq(instances_heard(&s, "b", 2), INSTANCE_CURRENT);
+}
+END_TEST
+
+/* A node that has just started hears the late one last: the run that lives
+ * goes on sending and counts again. */
+START_TEST(a_run_that_lives_counts_again)
+{
+	struct instances s;
+
+	instances_init(&s);
+	(void)instances_heard(&s, "lives", 7);
+	(void)instances_heard(&s, "ended", 9);
+	ck_assert_str_eq(instances_current(&s), "ended");
+	ck_assert_int_eq(instances_heard(&s, "lives", 8), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "lives", 9), INSTANCE_CURRENT);
+	ck_assert_str_eq(instances_current(&s), "lives");
+}
+END_TEST
+
+START_TEST(what_has_left_never_returns)
+{
+	struct instances s;
+	char id[16];
+	int i;
+
+	instances_init(&s);
+	(void)instances_heard(&s, "a", 1);
+	ck_assert_int_eq(instances_left(&s, "a"), 1);
+	ck_assert_int_eq(instances_left(&s, "a"), 0);
+	for (i = 2; i < 10; i++)
+		ck_assert_int_eq(
+		    instances_heard(&s, "a", (uint64_t)i), INSTANCE_STALE);
+	ck_assert_str_eq(instances_current(&s), "");
+	/* Also one that was never heard here before it left. */
+	ck_assert_int_eq(instances_left(&s, "x"), 0);
+	ck_assert_int_eq(instances_heard(&s, "x", 1), INSTANCE_STALE);
+	/* More runs than are remembered do no harm. */
+	for (i = 0; i < 3 * INSTANCES_MAX; i++) {
+		(void)g_snprintf(id, sizeof(id), "run-%d", i);
+		ck_assert_int_eq(instances_heard(&s, id, 1), INSTANCE_CURRENT);
+	}
+	ck_assert_int_eq(instances_heard(&s, "", 1), INSTANCE_STALE);
+}
+END_TEST
+
+/* Steps of 10 ms; the calls that a node makes in @ms. */
+static uint32_t
+calls_in(struct finder *f, uint32_t live, int ok, uint64_t *now_ms, uint64_t ms)
+{
+	uint64_t end_ms = *now_ms + ms;
+	enum finder_action a;
+	uint32_t n = 0;
+
+	for (; *now_ms < end_ms; *now_ms += 10) {
+		a = finder_next(f, live, *now_ms);
+		if (a == FINDER_NONE)
+			continue;
+		n++;
+		finder_done(f, a, ok, *now_ms);
+	}
+	return n;
+}
+
+START_TEST(a_node_with_peers_asks_no_more)
+{
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	ck_assert_int_eq(finder_next(&f, 1, now_ms), FINDER_ENTER);
+	ck_assert_uint_eq(finder_due_ms(&f), DEADLINE_NEVER);
+	finder_done(&f, FINDER_ENTER, 1, now_ms);
+	ck_assert_int_eq(finder_next(&f, 1, now_ms), FINDER_SAMPLE);
+	finder_done(&f, FINDER_SAMPLE, 1, now_ms);
+	ck_assert_uint_eq(calls_in(&f, 10, 1, &now_ms, 60000), 0);
+	/* More than half of them are lost at once. */
+	ck_assert_uint_ge(calls_in(&f, 4, 1, &now_ms, 3000), 1);
+	finder_clear(&f);
+}
+END_TEST
+
+/* All of 22,000 nodes start while the store is down: full-jitter back-off
+ * keeps what they ask together below 2,000 reads a second with room. */
+START_TEST(a_store_that_is_down_is_asked_ever_less)
+{
+	struct finder f;
+	uint64_t now_ms = 0;
+	uint32_t n;
+
+	finder_init(&f, 7, now_ms);
+	(void)calls_in(&f, 1, 0, &now_ms, 20000);
+	n = calls_in(&f, 1, 0, &now_ms, 600000);
+	ck_assert_uint_le(n, 600 / 2);
+	ck_assert_uint_ge(n, 600 / 5);
+	finder_clear(&f);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("found");
+	TCase *tc = tcase_create("found");
+	SRunner *runner;
+	int n_failed;
+
+	tcase_add_test(tc, late_heartbeats_change_nothing);
+	tcase_add_test(tc, a_run_that_lives_counts_again);
+	tcase_add_test(tc, what_has_left_never_returns);
+	tcase_add_test(tc, a_node_with_peers_asks_no_more);
+	tcase_add_test(tc, a_store_that_is_down_is_asked_ever_less);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	n_failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/net/src/http_call.c
+++ b/packages/net/src/http_call.c
@@ -14,19 +14,6 @@
 static const char *const own_headers[] = {
     "Connection", "Content-Length", "Expect", "Host", "Transfer-Encoding"};
 
-/* Names of headers and methods. */
-static bool
-is_token(const char *s)
-{
-	const char *p;
-
-	for (p = s; *p != '\0'; p++)
-		if (!g_ascii_isalnum(*p) &&
-		    strchr("!#$%&'*+-.^_`|~", *p) == NULL)
-			return false;
-	return p != s;
-}
-
 static bool
 is_value(const char *s)
 {
@@ -117,7 +104,7 @@
 
 	for (i = 0; i < r->n_headers; i++) {
 		h = &r->headers[i];
-		if (!is_token(h->name) || !is_value(h->value))
+		if (!http_is_token(h->name) || !is_value(h->value))
 			return status_set(STATUS_INVALID,
 			    "A header's name or value can't be sent; leave "
 			    "out line breaks and spaces in names.");
@@ -188,7 +175,7 @@
 	if (r->once)
 		call->reuse_idle_ms = r->reuse_idle_ms;
 	call->connect_ms = r->connect_ms != 0 ? r->connect_ms : HTTP_CONNECT_MS;
-	if (!is_token(r->method) ||
+	if (!http_is_token(r->method) ||
 	    read_url(r->url, &call->to, &host, &path) != STATUS_OK) {
 		g_free(host);
 		return status_set(STATUS_INVALID,
--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -281,6 +281,8 @@
 		return p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ? -1
 									 : 0;
 	n = http_head_lines(&c->head, lines);
+	if (!http_head_sound(lines, n))
+		return -1;
 	call->code = p->status_code;
 	call->delimited = is_delimited(call, p);
 	read_keep(c, lines, n);
--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -1,6 +1,7 @@
 /*
  * The head of an HTTP message while a parser reads it, for both sides.
  */
+#include <string.h>
 #include <strings.h>
 
 #include "http_head.h"
@@ -104,6 +105,39 @@
 	return n;
 }
 
+bool
+http_is_token(const char *s)
+{
+	const char *p;
+
+	for (p = s; *p != '\0'; p++)
+		if (!g_ascii_isalnum(*p) &&
+		    strchr("!#$%&'*+-.^_`|~", *p) == NULL)
+			return false;
+	return p != s;
+}
+
+static bool
+is_sound_value(const char *s)
+{
+	for (; *s != '\0'; s++)
+		if (g_ascii_iscntrl(*s) && *s != '\t')
+			return false;
+	return true;
+}
+
+bool
+http_head_sound(const struct http_header *lines, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (!http_is_token(lines[i].name) ||
+		    !is_sound_value(lines[i].value))
+			return false;
+	return true;
+}
+
 const char *
 http_head_find(const struct http_header *lines, uint32_t n, const char *name)
 {
--- a/packages/net/src/http_head.h
+++ b/packages/net/src/http_head.h
@@ -55,6 +55,18 @@
  */
 uint32_t http_head_lines(struct http_head *h, struct http_header *lines);
 
+/**
+ * http_head_sound() - whether all lines read alike to everybody
+ * @lines: the lines
+ * @n: number of lines
+ *
+ * Names must be tokens, and values hold no control characters but tabs.
+ */
+bool http_head_sound(const struct http_header *lines, uint32_t n);
+
+/** http_is_token() - whether a text can be a header's name or a method */
+bool http_is_token(const char *s);
+
 /** http_head_find() - value of the first header of that name, or NULL */
 const char *
 http_head_find(const struct http_header *lines, uint32_t n, const char *name);
--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -61,6 +61,27 @@
 	return (int64_t)MIN(p->content_length, (uint64_t)INT64_MAX);
 }
 
+/* Whether there is one way only to read where the body ends. */
+static bool
+is_sound(const http_parser *p, const struct http_header *lines, uint32_t n)
+{
+	bool coded = false;
+	uint32_t i;
+
+	if (p->http_major != 1 || !http_head_sound(lines, n))
+		return false;
+	for (i = 0; i < n; i++) {
+		if (strcasecmp(lines[i].name, "Transfer-Encoding") != 0)
+			continue;
+		if (coded || strcasecmp(lines[i].value, "chunked") != 0)
+			return false;
+		coded = true;
+	}
+	return !coded ||
+	    (p->http_minor > 0 &&
+		http_head_find(lines, n, "Content-Length") == NULL);
+}
+
 static int
 on_headers_complete(http_parser *p)
 {
@@ -71,6 +92,8 @@
 	const char *expect;
 
 	head.n_headers = http_head_lines(&q->head, lines);
+	if (!is_sound(p, lines, head.n_headers))
+		return -1;
 	head.headers = lines;
 	head.method = http_method_str((enum http_method)p->method);
 	head.target = q->target->str;
--- /dev/null
+++ b/packages/net/test/test_http_server.c
@@ -0,0 +1,338 @@
+/*
+ * Tests of the HTTP server: order, lengths, limits, and callers that leave.
+ */
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/http_server.h"
+
+#include "support.h"
+
+static struct loop *loop;
+static struct http_server *server;
+static GString *seen;
+static struct http_incoming *held;
+static int gone;
+static int bad_code;
+
+/* Answers with the target, unless it asks for something else. */
+static void
+answer(struct http_incoming *q, const char *target)
+{
+	http_incoming_answer(q, 200, NULL, 0, (int64_t)strlen(target), false);
+	http_incoming_write(q, target, strlen(target));
+	http_incoming_end(q);
+}
+
+static void
+on_request(
+    struct http_incoming *q, const struct http_incoming_head *head, void *arg)
+{
+	(void)arg;
+	g_string_append_printf(seen, "%s %s %d;", head->method, head->target,
+	    (int)head->body_bytes);
+	if (strcmp(head->target, "/hold") == 0)
+		held = q;
+	else if (strcmp(head->target, "/early") == 0)
+		answer(q, "/early");
+	else if (head->body_bytes == 0)
+		answer(q, head->target);
+}
+
+static void
+on_body(struct http_incoming *q, const uint8_t *data, size_t len)
+{
+	(void)q;
+	g_string_append_len(seen, (const char *)data, (gssize)len);
+}
+
+static void
+on_body_end(struct http_incoming *q)
+{
+	g_string_append(seen, ";");
+	if (q != held && g_str_has_suffix(seen->str, ";;") == FALSE &&
+	    strstr(seen->str, "POST") != NULL)
+		answer(q, "/body");
+}
+
+static void
+on_gone(struct http_incoming *q)
+{
+	ck_assert(q == held || held == NULL);
+	held = NULL;
+	gone++;
+}
+
+static void
+on_bad(struct http_incoming *q, int code, void *arg)
+{
+	(void)arg;
+	bad_code = code;
+	http_incoming_answer(q, code, NULL, 0, 0, true);
+	http_incoming_end(q);
+}
+
+static const struct http_server_handler handler = {
+    .on_request = on_request,
+    .on_body = on_body,
+    .on_body_end = on_body_end,
+    .on_gone = on_gone,
+    .on_bad = on_bad,
+};
+
+static void
+setup(void)
+{
+	struct net_addr at = {INADDR_LOOPBACK, 0};
+
+	loop = loop_new();
+	seen = g_string_new(NULL);
+	held = NULL;
+	gone = 0;
+	bad_code = 0;
+	ck_assert_int_eq(
+	    http_server_new(loop, at, NULL, &handler, NULL, &server),
+	    STATUS_OK);
+}
+
+static void
+teardown(void)
+{
+	held = NULL;
+	http_server_free(server);
+	loop_free(loop);
+	g_string_free(seen, TRUE);
+}
+
+static int
+dial(void)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons(http_server_addr(server).port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	return fd;
+}
+
+static void
+turns(int n)
+{
+	while (n-- > 0)
+		loop_run_once(loop, loop_now_ms(loop) + 5);
+}
+
+static void
+say(int fd, const char *text)
+{
+	ck_assert_int_eq(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), (int)strlen(text));
+	turns(6);
+}
+
+/* All that has come; "" with @ended set once the server has closed. */
+static const char *
+hear(int fd, bool *ended)
+{
+	static char buf[8192];
+	ssize_t n, total = 0;
+
+	*ended = false;
+	for (;;) {
+		n = recv(fd, buf + total, sizeof(buf) - 1 - (size_t)total,
+		    MSG_DONTWAIT);
+		if (n <= 0)
+			break;
+		total += n;
+	}
+	*ended = n == 0 || (n < 0 && errno != EAGAIN);
+	buf[total] = '\0';
+	return buf;
+}
+
+START_TEST(requests_sent_ahead_are_answered_in_order)
+{
+	bool ended;
+	const char *text, *one, *two;
+	int fd = dial();
+
+	say(fd,
+	    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n"
+	    "Host: h\r\n\r\n");
+	text = hear(fd, &ended);
+	one = strstr(text, "\r\n\r\n/1");
+	two = strstr(text, "\r\n\r\n/2");
+	ck_assert(one != NULL && two != NULL && one < two);
+	ck_assert(!ended);
+	ck_assert_str_eq(seen->str, "GET /1 0;GET /2 0;");
+	close(fd);
+}
+END_TEST
+
+/* The second one isn't begun before the first is answered. */
+START_TEST(one_request_is_served_at_a_time)
+{
+	bool ended;
+	int fd = dial();
+
+	say(fd, "GET /hold HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+	ck_assert_str_eq(seen->str, "GET /hold 0;;");
+	answer(held, "held");
+	held = NULL;
+	turns(6);
+	ck_assert_ptr_nonnull(strstr(hear(fd, &ended), "\r\n\r\n/2"));
+	close(fd);
+}
+END_TEST
+
+/* Each may be read in two ways, or is no request. */
+static const char *const ambiguous[] = {
+    "POST /x HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+    "POST /x HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n0\r\n\r\n",
+    "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n",
+    "POST /x HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+    "GET /x HTTP/1.1\r\nA : b\r\n\r\n",
+    "GET /x HTTP/1.1\r\n\x01: b\r\n\r\n",
+    "GET /x\r\n\r\n\r\n\r\nhello",
+    "\x16\x03\x01\x02\x00\x01",
+};
+
+START_TEST(ambiguous_requests_are_refused_and_closed)
+{
+	bool ended;
+	const char *text;
+	int fd = dial();
+
+	say(fd, ambiguous[_i]);
+	text = hear(fd, &ended);
+	ck_assert_msg(strstr(text, " 400 ") != NULL, "%d: %s", _i, text);
+	ck_assert(ended);
+	ck_assert_int_eq(bad_code, 400);
+	ck_assert_ptr_null(strstr(seen->str, ";;"));
+	close(fd);
+}
+END_TEST
+
+START_TEST(a_head_that_is_too_large_is_refused)
+{
+	char *value = g_strnfill(20000, 'v');
+	char *text = g_strdup_printf("GET /x HTTP/1.1\r\nA: %s\r\n\r\n", value);
+	bool ended;
+	int fd = dial();
+
+	say(fd, text);
+	ck_assert_ptr_nonnull(strstr(hear(fd, &ended), " 431 "));
+	ck_assert(ended);
+	close(fd);
+	g_free(text);
+	g_free(value);
+}
+END_TEST
+
+START_TEST(bodies_come_whole_by_length_and_in_chunks)
+{
+	bool ended;
+	int fd = dial();
+
+	say(fd, "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhe");
+	say(fd, "llo");
+	ck_assert_str_eq(seen->str, "POST /a 5;hello;");
+	ck_assert_ptr_nonnull(strstr(hear(fd, &ended), "/body"));
+	g_string_truncate(seen, 0);
+	say(fd,
+	    "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc"
+	    "\r\n2\r\nde\r\n0\r\n\r\n");
+	ck_assert_str_eq(seen->str, "POST /b -1;abcde;");
+	ck_assert_ptr_nonnull(strstr(hear(fd, &ended), "/body"));
+	ck_assert(!ended);
+	close(fd);
+}
+END_TEST
+
+/* The answer says that the connection ends, and isn't lost to a reset. */
+START_TEST(an_early_answer_arrives_and_closes)
+{
+	bool ended;
+	int fd = dial();
+
+	say(fd, "POST /early HTTP/1.1\r\nContent-Length: 100000\r\n\r\nabc");
+	say(fd, "more of the body");
+	ck_assert_ptr_nonnull(
+	    strstr(hear(fd, &ended), "Connection: close\r\n"));
+	ck_assert(ended);
+	close(fd);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_is_noticed_at_once)
+{
+	int fd = dial();
+
+	say(fd, "GET /hold HTTP/1.1\r\n\r\n");
+	ck_assert_ptr_nonnull(held);
+	close(fd);
+	turns(4);
+	ck_assert_int_eq(gone, 1);
+	ck_assert_uint_eq(http_server_conns(server), 0);
+}
+END_TEST
+
+START_TEST(a_body_is_held_back_while_its_owner_pauses)
+{
+	int fd = dial();
+
+	say(fd, "POST /hold HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc");
+	ck_assert_str_eq(seen->str, "POST /hold 6;abc");
+	http_incoming_pause(held);
+	say(fd, "def");
+	ck_assert_str_eq(seen->str, "POST /hold 6;abc");
+	http_incoming_resume(held);
+	turns(6);
+	ck_assert_str_eq(seen->str, "POST /hold 6;abcdef;");
+	answer(held, "x");
+	held = NULL;
+	close(fd);
+}
+END_TEST
+
+START_TEST(an_answer_that_is_cut_does_not_look_whole)
+{
+	bool ended;
+	int fd = dial();
+
+	say(fd, "GET /hold HTTP/1.1\r\n\r\n");
+	http_incoming_answer(held, 200, NULL, 0, HTTP_BODY_CHUNKED, false);
+	http_incoming_write(held, "part", 4);
+	turns(4);
+	http_incoming_abort(held);
+	held = NULL;
+	turns(4);
+	ck_assert_ptr_null(strstr(hear(fd, &ended), "0\r\n\r\n"));
+	ck_assert(ended);
+	close(fd);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("http_server");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, requests_sent_ahead_are_answered_in_order);
+	tcase_add_test(tc, one_request_is_served_at_a_time);
+	tcase_add_loop_test(tc, ambiguous_requests_are_refused_and_closed, 0,
+	    G_N_ELEMENTS(ambiguous));
+	tcase_add_test(tc, a_head_that_is_too_large_is_refused);
+	tcase_add_test(tc, bodies_come_whole_by_length_and_in_chunks);
+	tcase_add_test(tc, an_early_answer_arrives_and_closes);
+	tcase_add_test(tc, a_caller_that_leaves_is_noticed_at_once);
+	tcase_add_test(tc, a_body_is_held_back_while_its_owner_pauses);
+	tcase_add_test(tc, an_answer_that_is_cut_does_not_look_whole);
+	return support_run("http_server", tc);
+}
--- /dev/null
+++ b/packages/traffic/test/test_overload.c
@@ -0,0 +1,274 @@
+/*
+ * Admission under the loads it is made for: one upstream, played in steps of a
+ * millisecond.  A naive version, which knows no targets and priorities, is
+ * played on the same arrivals.
+ *
+ * The figures are those of the registry's document store when one of its
+ * upstreams is left: 12 slots, reads of 360 ms, calls of 22 ms that other
+ * upstreams make while they run a request.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include <glib.h>
+
+#include "traffic/admission.h"
+
+#define SLOTS 12
+#define RUN_MS 20000
+#define KINDS 3
+
+/**
+ * struct kind - a kind of request
+ * @class: its class
+ * @priority: its priority
+ * @every_us: time between two arrivals
+ * @work_ms: how long it runs
+ * @target_ms: when its answer is worth less
+ * @deadline_ms: when nobody waits any more
+ */
+struct kind {
+	enum admission_class class;
+	uint32_t priority;
+	uint32_t every_us;
+	uint32_t work_ms;
+	uint32_t target_ms;
+	uint32_t deadline_ms;
+};
+
+/** struct tally - what became of a kind */
+struct tally {
+	uint32_t asked;
+	uint32_t in_time;
+	uint32_t served;
+	uint32_t refused;
+	uint64_t retry_after_ms;
+};
+
+/** struct running - a request in a slot */
+struct running {
+	int kind;
+	uint64_t arrived_ms;
+	uint64_t until_ms;
+	struct admission_request req;
+};
+
+struct play {
+	const struct kind *kinds;
+	bool naive;
+	struct admission *a;
+	struct running all[400000];
+	uint64_t n;
+	GArray *slots;
+	struct tally tally[KINDS];
+};
+
+static void
+start(struct play *p, uint64_t ticket, uint64_t now_ms)
+{
+	struct running *r = &p->all[ticket];
+
+	r->until_ms = now_ms + p->kinds[r->kind].work_ms;
+	g_array_append_val(p->slots, ticket);
+}
+
+static void
+carry_out(struct play *p, const struct admission_result *res, uint64_t now_ms)
+{
+	struct tally *t = &p->tally[p->all[res->ticket].kind];
+
+	if (res->verdict == ADMISSION_START) {
+		start(p, res->ticket, now_ms);
+	} else if (res->verdict == ADMISSION_REFUSE) {
+		t->refused++;
+		t->retry_after_ms += res->retry_after_ms;
+	}
+}
+
+static void
+arrive(struct play *p, int kind, uint64_t now_ms)
+{
+	const struct kind *k = &p->kinds[kind];
+	struct running *r = &p->all[p->n];
+	struct admission_result res;
+
+	r->kind = kind;
+	r->arrived_ms = now_ms;
+	r->req.ticket = p->n++;
+	r->req.class = k->class;
+	r->req.deadline_ms = now_ms + k->deadline_ms;
+	r->req.priority = p->naive ? 0 : k->priority;
+	r->req.target_ms = p->naive ? 0 : now_ms + k->target_ms;
+	p->tally[kind].asked++;
+	admission_offer(p->a, &r->req, now_ms, &res);
+	carry_out(p, &res, now_ms);
+}
+
+static void
+finish(struct play *p, guint slot, uint64_t now_ms)
+{
+	struct running *r = &p->all[g_array_index(p->slots, uint64_t, slot)];
+	const struct kind *k = &p->kinds[r->kind];
+
+	g_array_remove_index_fast(p->slots, slot);
+	admission_ran(p->a, &r->req, k->work_ms);
+	admission_finished(p->a, k->class, k->work_ms, now_ms);
+	p->tally[r->kind].served++;
+	if (now_ms <= r->arrived_ms + k->target_ms)
+		p->tally[r->kind].in_time++;
+}
+
+static void
+step(struct play *p, uint64_t now_ms)
+{
+	struct admission_result res;
+	guint i;
+	int kind;
+
+	for (i = p->slots->len; i > 0; i--)
+		if (p->all[g_array_index(p->slots, uint64_t, i - 1)].until_ms <=
+		    now_ms)
+			finish(p, i - 1, now_ms);
+	for (kind = 0; kind < KINDS; kind++)
+		while (p->kinds[kind].every_us > 0 &&
+		    (uint64_t)p->tally[kind].asked * p->kinds[kind].every_us <
+			now_ms * 1000)
+			arrive(p, kind, now_ms);
+	while (admission_next(p->a, now_ms, &res))
+		carry_out(p, &res, now_ms);
+}
+
+static struct play *
+play(const struct kind *kinds, bool naive)
+{
+	struct play *p = g_new0(struct play, 1);
+	struct admission_config cfg;
+	uint64_t now_ms;
+
+	admission_config_default(&cfg);
+	cfg.slots = SLOTS;
+	p->kinds = kinds;
+	p->naive = naive;
+	p->a = admission_new(&cfg);
+	p->slots = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (now_ms = 1; now_ms < RUN_MS; now_ms++)
+		step(p, now_ms);
+	admission_free(p->a);
+	g_array_free(p->slots, TRUE);
+	return p;
+}
+
+static uint32_t
+percent(uint32_t n, uint32_t of)
+{
+	return of > 0 ? n * 100 / of : 100;
+}
+
+/* Reads alone want 1.5 times the slots; nested calls a fifth of them. */
+START_TEST(nested_calls_among_long_reads_are_served)
+{
+	static const struct kind kinds[KINDS] = {
+	    {ADMISSION_LOOKUP, 1, 9000, 22, 100, 250},
+	    {ADMISSION_LOOKUP, 2, 20000, 360, 1000, 6000},
+	};
+	struct play *p = play(kinds, false), *n = play(kinds, true);
+
+	ck_assert_uint_ge(percent(p->tally[0].in_time, p->tally[0].asked), 95);
+	ck_assert_uint_le(percent(n->tally[0].in_time, n->tally[0].asked), 70);
+	/* The reads get what is left, and those that run are in time. */
+	ck_assert_uint_ge(percent(p->tally[1].served, p->tally[1].asked), 50);
+	ck_assert_uint_ge(percent(p->tally[1].in_time, p->tally[1].served), 95);
+	g_free(p);
+	g_free(n);
+}
+END_TEST
+
+/* Three kinds want twice the slots together; each priority is served no less
+ * often than the one below it, and none is left without. */
+START_TEST(no_priority_is_served_less_than_a_lower_one)
+{
+	static const struct kind kinds[KINDS] = {
+	    {ADMISSION_BOOKING, 0, 20000, 110, 400, 2500},
+	    {ADMISSION_LOOKUP, 1, 12000, 110, 400, 2500},
+	    {ADMISSION_LOOKUP, 2, 12000, 110, 400, 2500},
+	};
+	struct play *p = play(kinds, false);
+	uint32_t i;
+
+	for (i = 1; i < KINDS; i++)
+		ck_assert_uint_ge(
+		    percent(p->tally[i - 1].served, p->tally[i - 1].asked) + 5,
+		    percent(p->tally[i].served, p->tally[i].asked));
+	ck_assert_uint_ge(percent(p->tally[0].in_time, p->tally[0].asked), 95);
+	ck_assert_uint_ge(percent(p->tally[2].served, p->tally[2].asked), 5);
+	g_free(p);
+}
+END_TEST
+
+/* A third too many: what is served is served in time, not all of it late. */
+START_TEST(what_is_served_under_overload_is_in_time)
+{
+	static const struct kind kinds[KINDS] = {
+	    {ADMISSION_LOOKUP, 1, 5600, 90, 300, 2000},
+	};
+	struct play *p = play(kinds, false), *n = play(kinds, true);
+
+	ck_assert_uint_ge(percent(p->tally[0].in_time, p->tally[0].served), 97);
+	ck_assert_uint_ge(p->tally[0].in_time * 100, n->tally[0].in_time * 99);
+	/* It takes longer to find room than one round, since others return. */
+	ck_assert_uint_gt(p->tally[0].refused, 0);
+	ck_assert_uint_ge(p->tally[0].retry_after_ms / p->tally[0].refused, 50);
+	g_free(p);
+	g_free(n);
+}
+END_TEST
+
+/* An upstream that refuses half of what it is sent while most of its slots are
+ * free keeps them, and callers may come back at once. */
+START_TEST(refusals_with_slots_free_cut_no_slots)
+{
+	struct admission_request req = {0, ADMISSION_LOOKUP, 100000, 0, 0};
+	struct admission_result res;
+	struct admission_config cfg;
+	struct load_report load;
+	struct admission *a;
+	uint64_t i;
+
+	admission_config_default(&cfg);
+	a = admission_new(&cfg);
+	for (i = 0; i < 100; i++) {
+		req.ticket = i;
+		admission_offer(a, &req, i, &res);
+		ck_assert_int_eq(res.verdict, ADMISSION_START);
+		if (i % 2 == 0)
+			ck_assert_uint_le(
+			    admission_shed(a, ADMISSION_LOOKUP, i), 20);
+		else
+			admission_finished(a, ADMISSION_LOOKUP, 1, i);
+	}
+	admission_load(a, &load);
+	ck_assert_uint_eq(load.slots, cfg.slots);
+	admission_free(a);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("overload");
+	TCase *tc = tcase_create("overload");
+	SRunner *runner;
+	int n_failed;
+
+	tcase_add_test(tc, nested_calls_among_long_reads_are_served);
+	tcase_add_test(tc, no_priority_is_served_less_than_a_lower_one);
+	tcase_add_test(tc, what_is_served_under_overload_is_in_time);
+	tcase_add_test(tc, refusals_with_slots_free_cut_no_slots);
+	tcase_set_timeout(tc, 60);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	n_failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return n_failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
