--- a/packages/net/src/http_call.c
+++ b/packages/net/src/http_call.c
@@ -85,15 +85,17 @@
 	add(call, "\r\n");
 }
 
+/* The host that the request names, else that of its address. */
 static const char *
-given_host(const struct http_request *r)
+host_of(const struct http_request *r, const char *authority)
 {
 	uint32_t i;
 
 	for (i = 0; i < r->n_headers; i++)
-		if (strcasecmp(r->headers[i].name, "Host") == 0)
+		if (strcasecmp(r->headers[i].name, "Host") == 0 &&
+		    is_value(r->headers[i].value))
 			return r->headers[i].value;
-	return NULL;
+	return authority;
 }
 
 static enum status
@@ -160,7 +162,7 @@
 enum status
 http_call_setup(struct http_call *call, const struct http_request *r)
 {
-	const char *path, *named;
+	const char *path;
 	char *host = NULL;
 	enum status st;
 
@@ -182,10 +184,7 @@
 		    "A method or URL can't be sent; give an address by its "
 		    "number and percent-encode the path.");
 	}
-	named = given_host(r);
-	if (named != NULL && !is_value(named))
-		named = NULL;
-	st = write_head(call, r, named != NULL ? named : host, path);
+	st = write_head(call, r, host_of(r, host), path);
 	g_free(host);
 	return st;
 }
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -100,6 +100,9 @@
 	uint16_t port;
 };
 
+/** test_free_port() - a port that nobody listens on */
+uint16_t test_free_port(void);
+
 /** struct test_node - the call path of one node */
 struct test_node {
 	struct settings settings;
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -31,8 +31,8 @@
     "{\"prefix\":\"/up\",\"methods\":[\"PUT\"],"
     "\"service\":\"search\",\"idempotent\":false}]}";
 
-static uint16_t
-free_port(void)
+uint16_t
+test_free_port(void)
 {
 	struct sockaddr_in sin = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -51,7 +51,7 @@
 	(void)g_strlcpy(s->host, host, sizeof(s->host));
 	(void)g_strlcpy(s->data_centre, "dc", sizeof(s->data_centre));
 	s->address = INADDR_LOOPBACK;
-	s->caller_port = free_port();
+	s->caller_port = test_free_port();
 	s->keep_alive_ms = 1000;
 	s->fate_window_ms = 60000;
 	s->suspicion_ms = 5000;
