--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -160,10 +160,21 @@
 	entry_call_ended(c->entry);
 }
 
+/* Why a call is given up: refused, out of time, or its tries were lost. */
+static const char *
+reason_of(const struct entry_call *c, const struct call_action *action)
+{
+	if (action->refusal != REFUSAL_NONE)
+		return refusal_name(action->refusal);
+	if (loop_now_ms(c->entry->loop) >= c->deadline_ms)
+		return "deadline";
+	return "attempt_failed";
+}
+
 static void
 give_up(struct entry_call *c, const struct call_action *action)
 {
-	entry_log_end(c, action->outcome, refusal_name(action->refusal));
+	entry_log_end(c, action->outcome, reason_of(c, action));
 	call_metrics_outcome(action->outcome);
 	if (action->refusal == REFUSAL_NO_ENDPOINT ||
 	    action->refusal == REFUSAL_UNREACHABLE)
