feat(node): the feed's line says how large a configuration is

Problem: how long a version takes to come could not be set against its size. Solution: bytes of the bundle and of its largest section in the line.

--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -56,6 +56,20 @@
 }
 
 /* Return: whether the answer holds a bundle that can be used. */
+static size_t
+largest_section(const struct bundle *b)
+{
+	const struct section *section;
+	size_t most = 0;
+	guint i;
+
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		most = MAX(most, g_bytes_get_size(section->content));
+	}
+	return most;
+}
+
 static int
 take(struct control *c, const struct feed_answer *a)
 {
@@ -67,8 +81,10 @@
 	ok = bundle_parse(a->bundle, a->bundle_bytes, &b) == STATUS_OK;
 	if (ok) {
 		log_info("version %" G_GUINT64_FORMAT
-			 " came from the platform, %u services",
-		    a->version, b->sections->len);
+			 " came from the platform, %u services, %zu bytes,"
+			 " largest section %zu bytes",
+		    a->version, b->sections->len, a->bundle_bytes,
+		    largest_section(b));
 		give(c, a, b);
 	} else {
 		log_error("version %" G_GUINT64_FORMAT " can't be used: %s",
