--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -2,15 +2,12 @@
  * A connection of the HTTP client.
  */
 #include <errno.h>
-#include <limits.h>
 #include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http_priv.h"
+#include "http_conn_defs.h"
 #include "sock.h"
 
 /* Largest head of an answer. */
@@ -19,69 +16,9 @@
 /* The body is pulled while less than this waits to be written. */
 #define HTTP_OUT_BYTES 32768
 #define HTTP_PULL_BYTES 16384
-/* How long a connection is kept when the server doesn't say. */
-#define HTTP_KEEP_MS 30000U
-/* Share of the time that the server keeps it for which it is used. */
-#define HTTP_KEEP_PERCENT 70U
-#define HTTP_FIRST_FINAL_CODE 200
-#define MS_PER_S 1000U
-#define PERCENT 100U
-#define DECIMAL 10
 #define CHUNK_HEAD_BYTES 20
 #define LAST_CHUNK "0\r\n\r\n"
 
-/** enum http_conn_state - where a connection stands */
-enum http_conn_state {
-	HTTP_CONN_DIALLING = 0,
-	HTTP_CONN_BUSY,
-	HTTP_CONN_IDLE,
-	HTTP_CONN_DEAD,
-};
-
-/**
- * struct http_conn - a connection
- * @client: its client
- * @link: its place in one of the client's queues
- * @to: where it leads
- * @fd: its socket
- * @watch: watches the socket
- * @state: where it stands
- * @timer: end of the dialling, or of the time that it is kept
- * @parser: reads answers
- * @head: lines of the answer being read
- * @call: call that uses it, or NULL
- * @out: bytes that wait to be written
- * @out_sent: bytes of @out that are written
- * @held: bytes read while the owner of the call has paused
- * @idle_ms: when its last call ended
- * @keep_ms: how long the server keeps it idle
- * @used: a call has ended on it
- * @written: the whole request has left
- * @whole: the whole answer came
- * @extra: more came than one answer
- */
-struct http_conn {
-	struct http_client *client;
-	GList link;
-	struct net_addr to;
-	int fd;
-	struct loop_fd *watch;
-	enum http_conn_state state;
-	struct loop_timer timer;
-	http_parser parser;
-	struct http_head head;
-	struct http_call *call;
-	GByteArray *out;
-	size_t out_sent;
-	GByteArray *held;
-	uint64_t idle_ms;
-	uint64_t keep_ms;
-	bool used;
-	bool written;
-	bool whole;
-	bool extra;
-};
-
 static GQueue *
 queue_of(const struct http_conn *c)
 {
@@ -219,144 +156,6 @@
 
 /* Reading */
 
-static struct http_conn *
-conn_of(http_parser *p)
-{
-	return p->data;
-}
-
-static int
-on_message_begin(http_parser *p)
-{
-	http_head_reset(&conn_of(p)->head);
-	return 0;
-}
-
-static int
-on_field(http_parser *p, const char *at, size_t len)
-{
-	return http_head_name(&conn_of(p)->head, at, len);
-}
-
-static int
-on_value(http_parser *p, const char *at, size_t len)
-{
-	return http_head_value(&conn_of(p)->head, at, len);
-}
-
-/* "timeout=5, max=100": how long the server keeps the connection idle. */
-static void
-read_keep(struct http_conn *c, const struct http_header *lines, uint32_t n)
-{
-	const char *text = http_head_find(lines, n, "Keep-Alive");
-	const char *at = text != NULL ? strstr(text, "timeout=") : NULL;
-
-	c->keep_ms = HTTP_KEEP_MS;
-	if (at != NULL)
-		c->keep_ms = MIN(HTTP_KEEP_MS,
-		    strtoul(at + strlen("timeout="), NULL, DECIMAL) * MS_PER_S *
-			HTTP_KEEP_PERCENT / PERCENT);
-}
-
-static bool
-is_delimited(const struct http_call *call, const http_parser *p)
-{
-	return call->head_only || (p->flags & F_CHUNKED) != 0 ||
-	    p->content_length != ULLONG_MAX ||
-	    p->status_code == HTTP_STATUS_NO_CONTENT ||
-	    p->status_code == HTTP_STATUS_NOT_MODIFIED;
-}
-
-/* Return: as http_parser wants it, 1 for an answer without a body. */
-static int
-on_headers_complete(http_parser *p)
-{
-	struct http_conn *c = conn_of(p);
-	struct http_call *call = c->call;
-	struct http_header lines[HTTP_HEADERS_MAX];
-	enum http_flow flow = HTTP_CONTINUE;
-	uint32_t n;
-
-	if (p->status_code < HTTP_FIRST_FINAL_CODE)
-		return p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ? -1
-									 : 0;
-	n = http_head_lines(&c->head, lines);
-	if (!http_head_sound(lines, n))
-		return -1;
-	call->code = p->status_code;
-	call->delimited = is_delimited(call, p);
-	read_keep(c, lines, n);
-	if (call->handler->on_head != NULL)
-		flow = call->handler->on_head(
-		    call, call->code, lines, n, call->arg);
-	if (c->call == NULL)
-		return -1;
-	if (flow == HTTP_SKIP) {
-		call->skipping = true;
-		c->extra = true;
-		return 0;
-	}
-	call->head_done = true;
-	if (flow != HTTP_CONTINUE) {
-		call->aborted = true;
-		return -1;
-	}
-	return call->head_only ? 1 : 0;
-}
-
-static int
-on_body(http_parser *p, const char *at, size_t len)
-{
-	struct http_conn *c = conn_of(p);
-	struct http_call *call = c->call;
-	enum http_flow flow = HTTP_CONTINUE;
-
-	if (call->skipping)
-		return 0;
-	if (call->paused) {
-		g_byte_array_append(c->held, (const guint8 *)at, (guint)len);
-		return 0;
-	}
-	if (call->handler->on_body != NULL)
-		flow = call->handler->on_body(
-		    call, (const uint8_t *)at, len, call->arg);
-	if (c->call == NULL)
-		return -1;
-	if (flow == HTTP_PAUSE) {
-		call->paused = true;
-		g_byte_array_append(c->held, (const guint8 *)at, (guint)len);
-		loop_fd_set(c->watch, 0);
-		return 0;
-	}
-	call->aborted = flow != HTTP_CONTINUE;
-	return call->aborted ? -1 : 0;
-}
-
-static int
-on_message_complete(http_parser *p)
-{
-	struct http_conn *c = conn_of(p);
-
-	if (p->status_code < HTTP_FIRST_FINAL_CODE)
-		return 0;
-	if (c->call->skipping) {
-		c->call->skipping = false;
-		return 0;
-	}
-	c->whole = true;
-	http_parser_pause(p, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-    .on_message_begin = on_message_begin,
-    .on_header_field = on_field,
-    .on_header_value = on_value,
-    .on_headers_complete = on_headers_complete,
-    .on_body = on_body,
-    .on_message_complete = on_message_complete,
-};
-
 /* Hands what is read to the parser, and ends the call if that ends it. */
 static void
 feed(struct http_conn *c, const char *data, size_t len)
@@ -365,7 +164,7 @@
 	size_t n;
 
 	c->call->answered |= len > 0;
-	n = http_parser_execute(&c->parser, &parser_settings, data, len);
+	n = http_parser_execute(&c->parser, &http_read_settings, data, len);
 	if (c->call == NULL)
 		return;
 	err = HTTP_PARSER_ERRNO(&c->parser);
@@ -540,7 +339,8 @@
 	call->paused = false;
 	c->held = g_byte_array_new();
 	if (held->len > 0)
-		rv = on_body(&c->parser, (const char *)held->data, held->len);
+		rv = http_read_body(
+		    &c->parser, (const char *)held->data, held->len);
 	g_byte_array_free(held, TRUE);
 	if (rv != 0 && c->call != NULL)
 		http_call_end(
--- /dev/null
+++ b/packages/net/src/http_read.c
@@ -0,0 +1,155 @@
+/*
+ * Reads the answers on a connection of the HTTP client.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "http_conn_defs.h"
+
+/* How long a connection is kept when the server doesn't say. */
+#define HTTP_KEEP_MS 30000U
+/* Share of the time that the server keeps it for which it is used. */
+#define HTTP_KEEP_PERCENT 70U
+#define HTTP_FIRST_FINAL_CODE 200
+#define MS_PER_S 1000U
+#define PERCENT 100U
+#define DECIMAL 10
+
+static struct http_conn *
+conn_of(http_parser *p)
+{
+	return p->data;
+}
+
+static int
+on_message_begin(http_parser *p)
+{
+	http_head_reset(&conn_of(p)->head);
+	return 0;
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t len)
+{
+	return http_head_name(&conn_of(p)->head, at, len);
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t len)
+{
+	return http_head_value(&conn_of(p)->head, at, len);
+}
+
+/* "timeout=5, max=100": how long the server keeps the connection idle. */
+static void
+read_keep(struct http_conn *c, const struct http_header *lines, uint32_t n)
+{
+	const char *text = http_head_find(lines, n, "Keep-Alive");
+	const char *at = text != NULL ? strstr(text, "timeout=") : NULL;
+
+	c->keep_ms = HTTP_KEEP_MS;
+	if (at != NULL)
+		c->keep_ms = MIN(HTTP_KEEP_MS,
+		    strtoul(at + strlen("timeout="), NULL, DECIMAL) * MS_PER_S *
+			HTTP_KEEP_PERCENT / PERCENT);
+}
+
+static bool
+is_delimited(const struct http_call *call, const http_parser *p)
+{
+	return call->head_only || (p->flags & F_CHUNKED) != 0 ||
+	    p->content_length != ULLONG_MAX ||
+	    p->status_code == HTTP_STATUS_NO_CONTENT ||
+	    p->status_code == HTTP_STATUS_NOT_MODIFIED;
+}
+
+/* Return: as http_parser wants it, 1 for an answer without a body. */
+static int
+on_headers_complete(http_parser *p)
+{
+	struct http_conn *c = conn_of(p);
+	struct http_call *call = c->call;
+	struct http_header lines[HTTP_HEADERS_MAX];
+	enum http_flow flow = HTTP_CONTINUE;
+	uint32_t n;
+
+	if (p->status_code < HTTP_FIRST_FINAL_CODE)
+		return p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ? -1
+									 : 0;
+	n = http_head_lines(&c->head, lines);
+	if (!http_head_sound(lines, n))
+		return -1;
+	call->code = p->status_code;
+	call->delimited = is_delimited(call, p);
+	read_keep(c, lines, n);
+	if (call->handler->on_head != NULL)
+		flow = call->handler->on_head(
+		    call, call->code, lines, n, call->arg);
+	if (c->call == NULL)
+		return -1;
+	if (flow == HTTP_SKIP) {
+		call->skipping = true;
+		c->extra = true;
+		return 0;
+	}
+	call->head_done = true;
+	if (flow != HTTP_CONTINUE) {
+		call->aborted = true;
+		return -1;
+	}
+	return call->head_only ? 1 : 0;
+}
+
+int
+http_read_body(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = conn_of(p);
+	struct http_call *call = c->call;
+	enum http_flow flow = HTTP_CONTINUE;
+
+	if (call->skipping)
+		return 0;
+	if (call->paused) {
+		g_byte_array_append(c->held, (const guint8 *)at, (guint)len);
+		return 0;
+	}
+	if (call->handler->on_body != NULL)
+		flow = call->handler->on_body(
+		    call, (const uint8_t *)at, len, call->arg);
+	if (c->call == NULL)
+		return -1;
+	if (flow == HTTP_PAUSE) {
+		call->paused = true;
+		g_byte_array_append(c->held, (const guint8 *)at, (guint)len);
+		loop_fd_set(c->watch, 0);
+		return 0;
+	}
+	call->aborted = flow != HTTP_CONTINUE;
+	return call->aborted ? -1 : 0;
+}
+
+static int
+on_message_complete(http_parser *p)
+{
+	struct http_conn *c = conn_of(p);
+
+	if (p->status_code < HTTP_FIRST_FINAL_CODE)
+		return 0;
+	if (c->call->skipping) {
+		c->call->skipping = false;
+		return 0;
+	}
+	c->whole = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+const http_parser_settings http_read_settings = {
+    .on_message_begin = on_message_begin,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = http_read_body,
+    .on_message_complete = on_message_complete,
+};
