--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -6,13 +6,10 @@
  * below its share of the slots goes first; a class that uses the other's share
  * of the queue gives it back when the other needs it.
  */
-#include "traffic/admission.h"
-
-#include <glib.h>
-
 #include "base/clock.h"
 
-#define PERCENT 100
+#include "admission_defs.h"
+
 #define US_PER_MS 1000
 #define MEAN_SHIFT 3
 #define RETRY_AFTER_LEAST_MS 50
@@ -23,47 +20,11 @@
 #define LOADED_PERCENT 75
 /* Wait that is allowed to any request, so that a short burst is smoothed. */
 #define LEAST_WAIT_MS 30
-/* Each such start goes to the lowest rank that waits, so that none starves. */
-#define LOWEST_EVERY 10
 /* Starts and refusals are counted over this time, for the time to come back. */
 #define PRESSURE_MS 1000
-/* Each priority twice: in time and late. */
-#define RANKS (2 * ADMISSION_PRIORITIES)
 /* The limit on slots is counted in this many parts of a slot. */
 #define LIMIT_UNIT 1024
 
-struct waiting {
-	struct admission_request req;
-	uint64_t arrived_ms;
-	uint64_t expires_ms;
-};
-
-struct lane {
-	GQueue waiting[RANKS];
-	uint32_t n_waiting;
-	uint32_t in_slots;
-	uint64_t mean_us;
-	uint64_t run_us[ADMISSION_PRIORITIES];
-};
-
-/* Starts and refusals of this and the last period. */
-struct pressure {
-	uint64_t until_ms;
-	uint32_t started[2];
-	uint32_t refused[2];
-};
-
-struct admission {
-	struct admission_config cfg;
-	struct lane lanes[ADMISSION_CLASSES];
-	uint64_t limit;
-	uint32_t starts;
-	struct pressure pressure;
-	GArray *refused;
-	guint next_refused;
-	bool draining;
-};
-
 void
 admission_config_default(struct admission_config *cfg)
 {
@@ -115,21 +76,21 @@
 		a->limit = (uint64_t)a->cfg.slots * LIMIT_UNIT;
 }
 
-static uint32_t
-slots(const struct admission *a)
+uint32_t
+admission_slots(const struct admission *a)
 {
 	return (uint32_t)(a->limit / LIMIT_UNIT);
 }
 
-static uint32_t
-in_slots(const struct admission *a)
+uint32_t
+admission_in_slots(const struct admission *a)
 {
 	return a->lanes[ADMISSION_LOOKUP].in_slots +
 	    a->lanes[ADMISSION_BOOKING].in_slots;
 }
 
-static uint32_t
-queued(const struct admission *a)
+uint32_t
+admission_queued(const struct admission *a)
 {
 	return a->lanes[ADMISSION_LOOKUP].n_waiting +
 	    a->lanes[ADMISSION_BOOKING].n_waiting;
@@ -201,8 +162,9 @@
 }
 
 /* What a class keeps of a whole under overload; both shares add up to it. */
-static uint32_t
-share(const struct admission *a, enum admission_class class, uint32_t whole)
+uint32_t
+admission_share(
+    const struct admission *a, enum admission_class class, uint32_t whole)
 {
 	uint32_t bookings;
 
@@ -222,9 +184,9 @@
 	const struct lane *o = &a->lanes[other(class)];
 	uint32_t taken, kept;
 
-	taken =
-	    MIN(o->in_slots + o->n_waiting, share(a, other(class), slots(a)));
-	kept = slots(a) - taken;
+	taken = MIN(o->in_slots + o->n_waiting,
+	    admission_share(a, other(class), admission_slots(a)));
+	kept = admission_slots(a) - taken;
 	return MAX(kept, 1);
 }
 
@@ -277,8 +239,8 @@
 	return MAX(wait, RETRY_AFTER_LEAST_MS);
 }
 
-static void
-refuse(struct admission *a, const struct admission_request *req,
+void
+admission_refuse(struct admission *a, const struct admission_request *req,
     enum refusal refusal, uint64_t now_ms, struct admission_result *out)
 {
 	turn_pressure(a, now_ms);
@@ -289,9 +251,9 @@
 	out->retry_after_ms = room_ms(a, req, rank_of(a, req, now_ms));
 }
 
-static void
-start(struct admission *a, const struct admission_request *req, uint64_t now_ms,
-    struct admission_result *out)
+void
+admission_start(struct admission *a, const struct admission_request *req,
+    uint64_t now_ms, struct admission_result *out)
 {
 	turn_pressure(a, now_ms);
 	a->pressure.started[0]++;
@@ -303,8 +265,8 @@
 	out->retry_after_ms = 0;
 }
 
-static struct waiting *
-take_out(struct lane *l, uint32_t rank, GList *link)
+struct waiting *
+admission_take_out(struct lane *l, uint32_t rank, GList *link)
 {
 	struct waiting *w = link->data;
 
@@ -323,7 +285,7 @@
 	for (r = RANKS - 1; r > rank; r--)
 		for (i = 0; i < ADMISSION_CLASSES; i++)
 			if (a->lanes[i].waiting[r].tail != NULL)
-				return take_out(&a->lanes[i], r,
+				return admission_take_out(&a->lanes[i], r,
 				    a->lanes[i].waiting[r].tail);
 	return NULL;
 }
@@ -334,10 +296,11 @@
 {
 	struct lane *o = &a->lanes[other(class)];
 
-	if (a->lanes[class].n_waiting >= share(a, class, a->cfg.queue_max) ||
+	if (a->lanes[class].n_waiting >=
+		admission_share(a, class, a->cfg.queue_max) ||
 	    o->waiting[rank].tail == NULL)
 		return NULL;
-	return take_out(o, rank, o->waiting[rank].tail);
+	return admission_take_out(o, rank, o->waiting[rank].tail);
 }
 
 /* Puts out somebody whose place this one may have. */
@@ -349,14 +312,14 @@
 	struct admission_result gone;
 	struct waiting *w;
 
-	if (queued(a) < a->cfg.queue_max)
+	if (admission_queued(a) < a->cfg.queue_max)
 		return true;
 	w = take_lowest(a, rank);
 	if (w == NULL)
 		w = take_from_other(a, req->class, rank);
 	if (w == NULL)
 		return false;
-	refuse(a, &w->req, REFUSAL_QUEUE_FULL, now_ms, &gone);
+	admission_refuse(a, &w->req, REFUSAL_QUEUE_FULL, now_ms, &gone);
 	g_array_append_val(a->refused, gone);
 	g_free(w);
 	return true;
@@ -416,15 +379,16 @@
     uint64_t now_ms, struct admission_result *out)
 {
 	if (a->draining)
-		refuse(a, req, REFUSAL_DRAINING, now_ms, out);
+		admission_refuse(a, req, REFUSAL_DRAINING, now_ms, out);
 	else if (now_ms >= req->deadline_ms)
-		refuse(a, req, REFUSAL_EXPIRED, now_ms, out);
-	else if (in_slots(a) < slots(a) && queued(a) == 0)
-		start(a, req, now_ms, out);
+		admission_refuse(a, req, REFUSAL_EXPIRED, now_ms, out);
+	else if (admission_in_slots(a) < admission_slots(a) &&
+	    admission_queued(a) == 0)
+		admission_start(a, req, now_ms, out);
 	else if (!starts_in_time(a, req, now_ms))
-		refuse(a, req, REFUSAL_WAIT, now_ms, out);
+		admission_refuse(a, req, REFUSAL_WAIT, now_ms, out);
 	else if (!make_room(a, req, now_ms))
-		refuse(a, req, REFUSAL_QUEUE_FULL, now_ms, out);
+		admission_refuse(a, req, REFUSAL_QUEUE_FULL, now_ms, out);
 	else
 		enqueue(a, req, now_ms, out);
 }
@@ -469,8 +433,8 @@
 uint64_t
 admission_shed(struct admission *a, enum admission_class class, uint64_t now_ms)
 {
-	bool loaded =
-	    in_slots(a) * PERCENT >= slots(a) * (uint64_t)LOADED_PERCENT;
+	bool loaded = admission_in_slots(a) * PERCENT >=
+	    admission_slots(a) * (uint64_t)LOADED_PERCENT;
 	const struct admission_request any = {.class = class};
 	uint64_t taken;
 
@@ -478,7 +442,7 @@
 	leave_slot(&a->lanes[class]);
 	if (!loaded)
 		return RETRY_NOW_MS;
-	taken = MAX(in_slots(a), 1);
+	taken = MAX(admission_in_slots(a), 1);
 	if (a->cfg.adapt_slots)
 		a->limit = MIN(a->limit, taken * LIMIT_UNIT);
 	return room_ms(a, &any, 0);
@@ -510,174 +474,13 @@
 			l = find_waiting(&a->lanes[i].waiting[rank], ticket);
 			if (l == NULL)
 				continue;
-			g_free(take_out(&a->lanes[i], rank, l));
+			g_free(admission_take_out(&a->lanes[i], rank, l));
 			return true;
 		}
 	}
 	return false;
 }
 
-static bool
-next_refused(struct admission *a, struct admission_result *out)
-{
-	if (a->next_refused == a->refused->len) {
-		g_array_set_size(a->refused, 0);
-		a->next_refused = 0;
-		return false;
-	}
-	*out =
-	    g_array_index(a->refused, struct admission_result, a->next_refused);
-	a->next_refused++;
-	return true;
-}
-
-static GList *
-find_expired(const GQueue *q, uint64_t now_ms)
-{
-	const struct waiting *w;
-	GList *l;
-
-	for (l = q->head; l != NULL; l = l->next) {
-		w = l->data;
-		if (w->expires_ms <= now_ms)
-			return l;
-	}
-	return NULL;
-}
-
-static bool
-next_expired(struct admission *a, struct lane *lane, uint64_t now_ms,
-    struct admission_result *out)
-{
-	struct waiting *w;
-	uint32_t rank;
-	GList *l;
-
-	for (rank = 0; rank < RANKS; rank++) {
-		l = find_expired(&lane->waiting[rank], now_ms);
-		if (l == NULL)
-			continue;
-		w = take_out(lane, rank, l);
-		refuse(a, &w->req,
-		    w->req.deadline_ms <= now_ms ? REFUSAL_EXPIRED
-						 : REFUSAL_WAIT,
-		    now_ms, out);
-		g_free(w);
-		return true;
-	}
-	return false;
-}
-
-/* The rank that gets the free slot: the highest, at times the lowest. */
-static uint32_t
-next_rank(const struct admission *a)
-{
-	bool lowest = (a->starts + 1) % LOWEST_EVERY == 0;
-	uint32_t i, rank;
-
-	for (i = 0; i < RANKS; i++) {
-		rank = lowest ? RANKS - 1 - i : i;
-		if (a->lanes[ADMISSION_LOOKUP].waiting[rank].length +
-			a->lanes[ADMISSION_BOOKING].waiting[rank].length >
-		    0)
-			return rank;
-	}
-	return 0;
-}
-
-/* Whether lookups (rather than bookings) of a rank get the free slot. */
-static enum admission_class
-next_class(const struct admission *a, uint32_t rank)
-{
-	const struct lane *lookups = &a->lanes[ADMISSION_LOOKUP];
-	const struct lane *bookings = &a->lanes[ADMISSION_BOOKING];
-	uint64_t lookups_use, bookings_use;
-
-	if (bookings->waiting[rank].length == 0)
-		return ADMISSION_LOOKUP;
-	if (lookups->waiting[rank].length == 0)
-		return ADMISSION_BOOKING;
-	lookups_use =
-	    (uint64_t)lookups->in_slots * share(a, ADMISSION_BOOKING, PERCENT);
-	bookings_use =
-	    (uint64_t)bookings->in_slots * share(a, ADMISSION_LOOKUP, PERCENT);
-	return lookups_use <= bookings_use ? ADMISSION_LOOKUP
-					   : ADMISSION_BOOKING;
-}
-
-static GList *
-next_in_order(const struct admission *a, const GQueue *q, uint64_t now_ms)
-{
-	const struct waiting *oldest = q->head->data;
-
-	if (a->cfg.newest_first && oldest->req.target_ms == 0 &&
-	    now_ms - oldest->arrived_ms > a->cfg.queue_wait_ms / 2)
-		return q->tail;
-	return q->head;
-}
-
-static bool
-next_started(struct admission *a, uint64_t now_ms, struct admission_result *out)
-{
-	uint32_t rank = next_rank(a);
-	struct waiting *w;
-	struct lane *lane;
-
-	if (a->draining || queued(a) == 0 || in_slots(a) >= slots(a))
-		return false;
-	lane = &a->lanes[next_class(a, rank)];
-	w = take_out(
-	    lane, rank, next_in_order(a, &lane->waiting[rank], now_ms));
-	start(a, &w->req, now_ms, out);
-	g_free(w);
-	return true;
-}
-
-bool
-admission_next(
-    struct admission *a, uint64_t now_ms, struct admission_result *out)
-{
-	int i;
-
-	if (next_refused(a, out))
-		return true;
-	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		if (next_expired(a, &a->lanes[i], now_ms, out))
-			return true;
-	}
-	return next_started(a, now_ms, out);
-}
-
-static uint64_t
-first_expiry_ms(const GQueue *q)
-{
-	const struct waiting *w;
-	uint64_t first = DEADLINE_NEVER;
-	GList *l;
-
-	for (l = q->head; l != NULL; l = l->next) {
-		w = l->data;
-		first = MIN(first, w->expires_ms);
-	}
-	return first;
-}
-
-uint64_t
-admission_wake_ms(const struct admission *a)
-{
-	uint64_t wake = DEADLINE_NEVER, first;
-	uint32_t rank;
-	int i;
-
-	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		for (rank = 0; rank < RANKS; rank++) {
-			first = first_expiry_ms(&a->lanes[i].waiting[rank]);
-			wake = MIN(wake, first);
-		}
-	}
-	return wake;
-}
-
 static void
 drain_lane(struct admission *a, struct lane *lane, uint32_t rank)
 {
@@ -685,8 +488,9 @@
 	struct waiting *w;
 
 	while (lane->waiting[rank].head != NULL) {
-		w = take_out(lane, rank, lane->waiting[rank].head);
-		refuse(a, &w->req, REFUSAL_DRAINING, w->arrived_ms, &gone);
+		w = admission_take_out(lane, rank, lane->waiting[rank].head);
+		admission_refuse(
+		    a, &w->req, REFUSAL_DRAINING, w->arrived_ms, &gone);
 		g_array_append_val(a->refused, gone);
 		g_free(w);
 	}
@@ -713,7 +517,7 @@
 void
 admission_load(const struct admission *a, struct load_report *out)
 {
-	out->in_flight = in_slots(a);
-	out->queued = queued(a);
-	out->slots = slots(a);
+	out->in_flight = admission_in_slots(a);
+	out->queued = admission_queued(a);
+	out->slots = admission_slots(a);
 }
--- /dev/null
+++ b/packages/traffic/src/admission_defs.h
@@ -0,0 +1,96 @@
+/*
+ * Admission, as its own files see it.
+ */
+#ifndef TRAFFIC_ADMISSION_DEFS_H
+#define TRAFFIC_ADMISSION_DEFS_H
+
+#include <glib.h>
+
+#include "traffic/admission.h"
+
+#define PERCENT 100
+
+/* Each priority twice: in time and late. */
+#define RANKS (2 * ADMISSION_PRIORITIES)
+
+/** struct waiting - a request in the queue */
+struct waiting {
+	struct admission_request req;
+	uint64_t arrived_ms;
+	uint64_t expires_ms;
+};
+
+/**
+ * struct lane - a class: lookups or bookings
+ * @waiting: struct waiting by rank
+ * @n_waiting: their number
+ * @in_slots: its requests that run
+ * @mean_us: how long they run, smoothed
+ * @run_us: the same by priority
+ */
+struct lane {
+	GQueue waiting[RANKS];
+	uint32_t n_waiting;
+	uint32_t in_slots;
+	uint64_t mean_us;
+	uint64_t run_us[ADMISSION_PRIORITIES];
+};
+
+/** struct pressure - starts and refusals of this and the last period */
+struct pressure {
+	uint64_t until_ms;
+	uint32_t started[2];
+	uint32_t refused[2];
+};
+
+/**
+ * struct admission - see traffic/admission.h
+ * @cfg: its limits
+ * @lanes: by class
+ * @limit: slots that may be used, in parts of LIMIT_UNIT
+ * @starts: requests started so far
+ * @pressure: for the time to come back
+ * @refused: struct admission_result that are to be told
+ * @next_refused: the first of them that wasn't
+ * @draining: nothing new starts
+ */
+struct admission {
+	struct admission_config cfg;
+	struct lane lanes[ADMISSION_CLASSES];
+	uint64_t limit;
+	uint32_t starts;
+	struct pressure pressure;
+	GArray *refused;
+	guint next_refused;
+	bool draining;
+};
+
+/** admission_slots() - slots that may be used now */
+uint32_t admission_slots(const struct admission *a);
+
+/** admission_in_slots() - requests that run */
+uint32_t admission_in_slots(const struct admission *a);
+
+/** admission_queued() - requests that wait */
+uint32_t admission_queued(const struct admission *a);
+
+/**
+ * admission_share() - what a class keeps of a whole under overload
+ *
+ * The shares of both classes add up to the whole.
+ */
+uint32_t admission_share(
+    const struct admission *a, enum admission_class class, uint32_t whole);
+
+/** admission_start() - count a request as running and say so */
+void admission_start(struct admission *a, const struct admission_request *req,
+    uint64_t now_ms, struct admission_result *out);
+
+/** admission_refuse() - refuse a request, with a time to come back */
+void admission_refuse(struct admission *a, const struct admission_request *req,
+    enum refusal refusal, uint64_t now_ms, struct admission_result *out);
+
+/** admission_take_out() - take a request out of a lane; the caller frees it */
+struct waiting *admission_take_out(struct lane *l, uint32_t rank, GList *link);
+
+#endif
