feat(spread,membership): after the loss of all power hosts serve sooner

Cause: a first question to a peer that was gone was awaited for 2 s; with no table anywhere each went on alone after 2 s; only then did readers read the configuration, and floors were asked for another 0.5 s. A node between two versions that its peers had skipped fetched sections whole. Solution: a first answer is given up after 0.4 s, a table begun after 0.6 s; a node that has found no peers for 0.3 to 0.6 s reads the platform itself, and what the platform gives needs no floor of others; who fetches a section names the one it holds and gets the difference.

--- a/packages/config/include/config/catalog.h
+++ b/packages/config/include/config/catalog.h
@@ -139,6 +139,14 @@
 bool catalog_patch(const struct catalog *c, uint64_t have_version,
     const struct rec_section_change *change, struct rec_section_patch *patch);
 
+/**
+ * catalog_patch_from() - a section as its difference from a given one
+ *
+ * As catalog_patch(), from the section with the digest @base to @target's.
+ */
+bool catalog_patch_from(const struct catalog *c, const struct digest *base,
+    const struct digest *target, struct rec_section_patch *patch);
+
 /** catalog_patch_clear() - free what a difference holds */
 void catalog_patch_clear(struct rec_section_patch *patch);
 
--- a/packages/config/include/config/stage.h
+++ b/packages/config/include/config/stage.h
@@ -59,6 +59,16 @@
  */
 GArray *catalog_stage_missing(const struct catalog_stage *stage, uint32_t max);
 
+/**
+ * catalog_stage_wants() - what to ask a peer for
+ * @stage: stage
+ * @max: most that are wanted
+ *
+ * Return: new array of struct rec_section_want: contents that are needed, with
+ * the section that is held of the same service.
+ */
+GArray *catalog_stage_wants(const struct catalog_stage *stage, uint32_t max);
+
 /** catalog_stage_n_missing() - number of contents that are still needed */
 uint32_t catalog_stage_n_missing(const struct catalog_stage *stage);
 
--- a/packages/config/src/ring.c
+++ b/packages/config/src/ring.c
@@ -265,22 +265,19 @@
 }
 
 bool
-catalog_patch(const struct catalog *c, uint64_t have_version,
-    const struct rec_section_change *change, struct rec_section_patch *patch)
+catalog_patch_from(const struct catalog *c, const struct digest *base,
+    const struct digest *target, struct rec_section_patch *patch)
 {
 	const struct rec_section_patch *made;
-	const struct digest *base;
-	GBytes *from = NULL, *to;
+	GBytes *from, *to;
 	uint32_t slot;
 
-	base = section_before(c, have_version, change->service);
-	to = contents_get(c->contents, &change->digest);
-	if (base != NULL)
-		from = contents_get(c->contents, base);
+	from = contents_get(c->contents, base);
+	to = contents_get(c->contents, target);
 	if (from == NULL || to == NULL)
 		return false;
-	slot = (uint32_t)digest_hash(&change->digest) % PATCH_MEMOS;
-	made = made_patch(&c->memos[slot], base, from, &change->digest, to);
+	slot = (uint32_t)digest_hash(target) % PATCH_MEMOS;
+	made = made_patch(&c->memos[slot], base, from, target, to);
 	if (made == NULL)
 		return false;
 	*patch = *made;
@@ -290,6 +287,17 @@
 	return true;
 }
 
+bool
+catalog_patch(const struct catalog *c, uint64_t have_version,
+    const struct rec_section_change *change, struct rec_section_patch *patch)
+{
+	const struct digest *base;
+
+	base = section_before(c, have_version, change->service);
+	return base != NULL &&
+	    catalog_patch_from(c, base, &change->digest, patch);
+}
+
 void
 catalog_patch_clear(struct rec_section_patch *patch)
 {
--- a/packages/config/src/stage.c
+++ b/packages/config/src/stage.c
@@ -228,6 +228,28 @@
 	return out;
 }
 
+GArray *
+catalog_stage_wants(const struct catalog_stage *stage, uint32_t max)
+{
+	GArray *missing = catalog_stage_missing(stage, max), *wants;
+	const struct service_config *held;
+	struct rec_section_want want;
+	uint32_t i;
+
+	wants = g_array_new(FALSE, FALSE, sizeof(want));
+	for (i = 0; i < missing->len; i++) {
+		memset(&want, 0, sizeof(want));
+		want.digest = g_array_index(missing, struct digest, i);
+		held = catalog_find(stage->c,
+		    g_hash_table_lookup(stage->services, &want.digest));
+		if (held != NULL)
+			want.base = held->digest;
+		g_array_append_val(wants, want);
+	}
+	g_array_unref(missing);
+	return wants;
+}
+
 uint32_t
 catalog_stage_n_missing(const struct catalog_stage *stage)
 {
--- a/packages/config/test/test_patch.c
+++ b/packages/config/test/test_patch.c
@@ -278,6 +278,50 @@
 }
 END_TEST
 
+/* Who is in between asks by the sections that it holds. */
+START_TEST(a_node_in_between_still_gets_differences)
+{
+	struct bundle *b[3] = {
+	    big_bundle(2000), big_bundle(3000), big_bundle(4000)};
+	struct catalog *reader = catalog_new(0), *node = catalog_new(0);
+	struct catalog_stage *stage;
+	struct rec_section_patch patch;
+	struct rec_section_want want;
+	struct digest root;
+	GArray *list, *wants;
+	GBytes *content;
+	int i;
+
+	give(reader, 4, b[0]);
+	give(reader, 6, b[1]);
+	give(node, 6, b[1]);
+	give(reader, 8, b[2]);
+	ck_assert_int_eq(catalog_list(reader, 8, &root, &list), STATUS_OK);
+	ck_assert_int_eq(
+	    catalog_stage_begin_full(node, 8, &root, list, &stage), STATUS_OK);
+	wants = catalog_stage_wants(stage, 0);
+	ck_assert_uint_eq(wants->len, 1);
+	want = g_array_index(wants, struct rec_section_want, 0);
+	ck_assert(catalog_patch_from(reader, &want.base, &want.digest, &patch));
+	ck_assert_uint_lt(patch.data_len, 64);
+	content = catalog_patched(node, &patch);
+	ck_assert_int_eq(
+	    catalog_stage_add(stage, g_bytes_get_data(content, NULL),
+		g_bytes_get_size(content)),
+	    STATUS_OK);
+	ck_assert_int_eq(catalog_commit(node, stage), STATUS_OK);
+	g_bytes_unref(content);
+	catalog_patch_clear(&patch);
+	catalog_stage_free(stage);
+	g_array_unref(wants);
+	g_array_unref(list);
+	for (i = 0; i < 3; i++)
+		bundle_free(b[i]);
+	catalog_free(reader);
+	catalog_free(node);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -292,6 +336,7 @@
 	tcase_add_test(tc, a_difference_can_not_grow_without_bound);
 	tcase_add_test(tc, one_route_of_many_travels_as_some_bytes);
 	tcase_add_test(tc, what_was_skipped_is_given_to_nobody_in_between);
+	tcase_add_test(tc, a_node_in_between_still_gets_differences);
 	suite_add_tcase(s, tc);
 	return fix_run(s);
 }
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -23,6 +23,10 @@
 /* An answer that takes longer is given up. */
 #define ANSWER_MS 2000
 
+/* So is a first one: the peer may be gone and its host silent, and others can
+ * be asked.  After the loss of all power it is what most wait for. */
+#define FIRST_ANSWER_MS 400
+
 /* A seed goes on alone after this share of the time that others wait, so that
  * they can join it. */
 #define SEED_BOOTSTRAP_PERCENT 40
@@ -253,7 +257,8 @@
 	j->asked = *to;
 	j->asking = 1;
 	j->cursor = cursor;
-	j->deadline_ms = m->now_ms + ANSWER_MS;
+	j->deadline_ms =
+	    m->now_ms + (cursor == 0 ? FIRST_ANSWER_MS : ANSWER_MS);
 }
 
 /*
--- a/packages/node/src/control_settings.c
+++ b/packages/node/src/control_settings.c
@@ -18,7 +18,7 @@
  * was lost.  Parts that began separately find each other by the directory.
  */
 #define AWAIT_SEEDS_MS 3000
-#define BOOTSTRAP_MS 2000
+#define BOOTSTRAP_MS 600
 
 void
 control_membership_settings(
@@ -69,4 +69,6 @@
 	override(&sc->profile.anti_entropy_ms, s->anti_entropy_ms);
 	override(&sc->profile.pull_timeout_ms, s->pull_timeout_ms);
 	override(&sc->profile.floor_wait_ms, s->floor_wait_ms);
+	override(&sc->profile.floor_ask_ms, s->floor_ask_ms);
+	override(&sc->profile.alone_poll_ms, s->alone_poll_ms);
 }
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -94,6 +94,12 @@
  * 	what the profile says.
  * @readers_per_data_centre: Nodes of a data centre that poll the
  * 	platform; 0 means what the profile says.
+ * @alone_poll_ms: A starting node that found no peers for so long, or
+ * 	up to twice that, asks the platform by itself; 0 means what the
+ * 	profile says.
+ * @floor_ask_ms: Time for which a starting node collects what its
+ * 	peers know of the version that it held before; 0 means what the
+ * 	profile says.
  * @head_poll_ms: Mean time between two polls of a reader; 0 means what
  * 	the profile says.
  * @batch_ms: Least time between two versions that are taken up, those
@@ -159,6 +165,8 @@
 	uint32_t spread_fanout;
 	uint32_t spread_interval_ms;
 	uint32_t readers_per_data_centre;
+	uint32_t alone_poll_ms;
+	uint32_t floor_ask_ms;
 	uint32_t head_poll_ms;
 	uint32_t batch_ms;
 	uint32_t anti_entropy_ms;
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -28,6 +28,7 @@
 #define MSG_DELTA_PATCHES_MAX 2048
 #define MSG_FETCH_WANTS_MAX 2048
 #define MSG_SECTIONS_SECTIONS_MAX 2048
+#define MSG_SECTIONS_PATCHES_MAX 2048
 #define MSG_FLOOR_TELL_HOST_MAX 31
 #define MSG_FLOOR_ASK_HOST_MAX 31
 #define MSG_PROGRESS_ANSWER_DATA_CENTRE_MAX 31
@@ -175,9 +176,12 @@
 /**
  * struct rec_section_want - A section that is asked for.
  * @digest: digest of its content
+ * @base: digest of the service's section that is held now, zero for
+ * 	none; the answer may be the difference from it
  */
 struct rec_section_want {
 	struct digest digest;
+	struct digest base;
 };
 
 extern const struct codec_desc rec_section_want_desc;
@@ -312,8 +316,10 @@
  * @token: number of the fetch
  * @result: delta when content follows, else busy or not_here
  * @come_back_ms: when to ask again, if busy
- * @sections: content in the order asked for, as far as it fits; owned
+ * @sections: content, as far as it fits; owned
  * @n_sections: number of @sections
+ * @patches: content as differences from what the asker holds; owned
+ * @n_patches: number of @patches
  */
 struct msg_sections {
 	uint32_t token;
@@ -321,6 +327,8 @@
 	uint32_t come_back_ms;
 	struct rec_section_data *sections;
 	uint32_t n_sections;
+	struct rec_section_patch *patches;
+	uint32_t n_patches;
 };
 
 extern const struct codec_desc msg_sections_desc;
--- a/packages/proto/src/gen/spread.c
+++ b/packages/proto/src/gen/spread.c
@@ -148,11 +148,14 @@
     {.name = "digest",
 	.kind = CODEC_DIGEST,
 	.offset = offsetof(struct rec_section_want, digest)},
+    {.name = "base",
+	.kind = CODEC_DIGEST,
+	.offset = offsetof(struct rec_section_want, base)},
 };
 
 const struct codec_desc rec_section_want_desc = {.name = "section_want",
     .fields = rec_section_want_fields,
-    .n_fields = 1,
+    .n_fields = 2,
     .size_bytes = sizeof(struct rec_section_want)};
 
 static const struct codec_field msg_notice_fields[] = {
@@ -363,11 +366,19 @@
 	.item_bytes = sizeof(struct rec_section_data),
 	.item = CODEC_STRUCT,
 	.of = &rec_section_data_desc},
+    {.name = "patches",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_sections, patches),
+	.len_offset = offsetof(struct msg_sections, n_patches),
+	.max = MSG_SECTIONS_PATCHES_MAX,
+	.item_bytes = sizeof(struct rec_section_patch),
+	.item = CODEC_STRUCT,
+	.of = &rec_section_patch_desc},
 };
 
 const struct codec_desc msg_sections_desc = {.name = "sections",
     .fields = msg_sections_fields,
-    .n_fields = 4,
+    .n_fields = 5,
     .size_bytes = sizeof(struct msg_sections)};
 
 void
--- a/packages/spread/include/spread/floors.h
+++ b/packages/spread/include/spread/floors.h
@@ -112,6 +112,14 @@
 /** floors_on_platform() - the platform told the version in force, 0 if none */
 void floors_on_platform(struct floors *f, uint64_t now_ms, uint64_t in_force);
 
+/**
+ * floors_on_given() - the platform gave the configuration itself
+ *
+ * It is the newest that was accepted, so no peer can know of a later one that
+ * this host served: there is nothing more to collect.
+ */
+void floors_on_given(struct floors *f, uint64_t now_ms, uint64_t in_force);
+
 /** floors_tick() - ask, tell again, or end a wait */
 void floors_tick(struct floors *f, uint64_t now_ms);
 
--- a/packages/spread/include/spread/profile.h
+++ b/packages/spread/include/spread/profile.h
@@ -17,6 +17,8 @@
  * @relay_fanout: other data centres that a relay tells in each round
  * @readers: nodes of a data centre that poll the platform, and that relay
  * @head_poll_ms: mean time between two polls of one reader
+ * @alone_poll_ms: a node that could not join for so long, or twice that, polls
+ *	by itself
  * @batch_ms: least time between two versions that a node takes up; versions
  *	that come closer together are merged
  * @anti_entropy_ms: mean time between two comparisons of a relay with another
@@ -48,6 +50,7 @@
 	uint32_t relay_fanout;
 	uint32_t readers;
 	uint32_t head_poll_ms;
+	uint32_t alone_poll_ms;
 	uint32_t batch_ms;
 	uint32_t anti_entropy_ms;
 	uint32_t pull_timeout_ms;
--- a/packages/spread/src/floors.c
+++ b/packages/spread/src/floors.c
@@ -175,6 +175,14 @@
 	f->floor = MAX(f->floor, in_force);
 }
 
+void
+floors_on_given(struct floors *f, uint64_t now_ms, uint64_t in_force)
+{
+	floors_on_platform(f, now_ms, in_force);
+	if (f->asking)
+		f->enough_ms = now_ms;
+}
+
 static void
 floors_ask(struct floors *f, uint64_t now_ms)
 {
--- a/packages/spread/src/intake_peer.c
+++ b/packages/spread/src/intake_peer.c
@@ -65,16 +65,16 @@
 {
 	struct msg_fetch msg;
 	GByteArray *body;
-	GArray *missing;
+	GArray *wants;
 
-	missing = catalog_stage_missing(in->stage, FETCH_MAX);
+	wants = catalog_stage_wants(in->stage, FETCH_MAX);
 	in->token = g_rand_int(in->env->rng);
 	msg.token = in->token;
-	msg.wants = (struct rec_section_want *)(void *)missing->data;
-	msg.n_wants = missing->len;
+	msg.wants = (struct rec_section_want *)(void *)wants->data;
+	msg.n_wants = wants->len;
 	body = g_byte_array_new();
 	msg_fetch_encode(&msg, body);
-	g_array_unref(missing);
+	g_array_unref(wants);
 	intake_peer_send(in, now_ms, MSG_FETCH, body);
 }
 
@@ -245,15 +245,16 @@
 
 /* Add content that a peer sent as differences; what doesn't fit is fetched. */
 static void
-intake_add_patches(struct intake *in, const struct msg_delta *msg)
+intake_add_patches(struct intake *in, const struct rec_section_patch *patches,
+    uint32_t n_patches)
 {
 	const uint8_t *data;
 	GBytes *content;
 	uint32_t i;
 	gsize len;
 
-	for (i = 0; i < msg->n_patches; i++) {
-		content = catalog_patched(in->env->catalog, &msg->patches[i]);
+	for (i = 0; i < n_patches; i++) {
+		content = catalog_patched(in->env->catalog, &patches[i]);
 		if (content == NULL)
 			continue;
 		data = g_bytes_get_data(content, &len);
@@ -285,7 +286,7 @@
 		intake_peer_bad(in, now_ms);
 		return;
 	}
-	intake_add_patches(in, msg);
+	intake_add_patches(in, msg->patches, msg->n_patches);
 	intake_filled(in);
 	if (in->step == INTAKE_CONTENT)
 		intake_send_fetch(in, now_ms);
@@ -339,6 +340,7 @@
 		intake_peer_bad(in, now_ms);
 		return;
 	}
+	intake_add_patches(in, msg->patches, msg->n_patches);
 	intake_filled(in);
 	if (in->step == INTAKE_STAGED)
 		return;
--- a/packages/spread/src/readers.c
+++ b/packages/spread/src/readers.c
@@ -12,9 +12,6 @@
 /* How often a changed table of hosts is looked at. */
 #define RANK_MS 1000
 
-/* A node that could not join for so long, or twice that, polls by itself. */
-#define ALONE_MS 5000
-
 /* The shell's own timeout of a read is shorter than this. */
 #define READ_LOST_MS 20000
 
@@ -27,7 +24,8 @@
 	r->rank_ms = now_ms;
 	r->change = 0;
 	r->poll_ms = now_ms + env_below(env, env->profile.head_poll_ms);
-	r->alone_ms = now_ms + ALONE_MS + env_below(env, ALONE_MS);
+	r->alone_ms = now_ms + env->profile.alone_poll_ms +
+	    env_below(env, env->profile.alone_poll_ms);
 	r->reading = 0;
 	r->reading_ms = 0;
 }
@@ -40,6 +38,7 @@
 	r->rank_ms = now_ms + env_around(r->env, RANK_MS);
 	if (!peers_joined(r->env) && now_ms < r->alone_ms) {
 		r->env->reader_rank = PEERS_RANK_NONE;
+		r->rank_ms = MIN(r->rank_ms, r->alone_ms);
 		return;
 	}
 	change = membership_change(r->env->members);
--- a/packages/spread/src/serve.c
+++ b/packages/spread/src/serve.c
@@ -221,6 +221,24 @@
 	return PATCH_BYTES + patch->n_hunks * HUNK_BYTES + patch->data_len;
 }
 
+static void
+contents_init(struct serve_contents *contents)
+{
+	memset(contents, 0, sizeof(*contents));
+	contents->sections =
+	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_data));
+	contents->patches =
+	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_patch));
+	g_array_set_clear_func(contents->patches, patch_clear);
+}
+
+static void
+contents_clear(struct serve_contents *contents)
+{
+	g_array_unref(contents->sections);
+	g_array_unref(contents->patches);
+}
+
 /* Add the content of a change, as a difference if there is one. */
 static int
 serve_add_change(struct serve *s, const struct msg_delta *msg,
@@ -280,7 +298,7 @@
     uint64_t conn, const struct msg_pull *pull, struct catalog_delta *delta,
     struct msg_delta *msg)
 {
-	struct serve_contents contents = {0};
+	struct serve_contents contents;
 	int whole;
 
 	msg->result = delta->from_version == 0 ? PULL_FULL : PULL_DELTA;
@@ -289,11 +307,7 @@
 	msg->root = delta->root;
 	msg->skips = delta->skips;
 	serve_page(delta->changes, pull->after, msg);
-	contents.sections =
-	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_data));
-	contents.patches =
-	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_patch));
-	g_array_set_clear_func(contents.patches, patch_clear);
+	contents_init(&contents);
 	whole = 0;
 	/* A peer that is only too far behind has most of the content. */
 	if (!msg->more && pull->after[0] == '\0' &&
@@ -316,8 +330,7 @@
 	if (msg->result == PULL_BUSY)
 		msg->come_back_ms = env_around(s->env, COME_BACK_MS);
 	serve_send_delta(s, from, conn, msg);
-	g_array_unref(contents.sections);
-	g_array_unref(contents.patches);
+	contents_clear(&contents);
 }
 
 void
@@ -349,42 +362,70 @@
 	catalog_delta_clear(&delta);
 }
 
+/* Add what a peer asked for, if it is held here. */
+static void
+serve_add_want(struct serve *s, const struct rec_section_want *want,
+    struct serve_contents *contents)
+{
+	struct rec_section_patch patch;
+	GBytes *content;
+
+	if (catalog_patch_from(
+		s->env->catalog, &want->base, &want->digest, &patch)) {
+		g_array_append_val(contents->patches, patch);
+		contents->bytes += patch_cost(&patch);
+		return;
+	}
+	content = catalog_content(s->env->catalog, &want->digest);
+	if (content == NULL)
+		return;
+	serve_add_content(contents->sections, content);
+	contents->bytes += (uint32_t)g_bytes_get_size(content);
+}
+
+/* What was added, or that it has to wait. */
+static void
+serve_fill_sections(struct serve *s, uint64_t now_ms,
+    const struct net_addr *from, const struct serve_contents *contents,
+    struct msg_sections *reply)
+{
+	reply->result = PULL_NOT_HERE;
+	if (contents->bytes == 0)
+		return;
+	if (!serve_place(s, now_ms, from) ||
+	    !budget_take(&s->budget, now_ms, contents->bytes)) {
+		reply->result = PULL_BUSY;
+		reply->come_back_ms = env_around(s->env, COME_BACK_MS);
+		return;
+	}
+	reply->result = PULL_DELTA;
+	reply->sections =
+	    (struct rec_section_data *)(void *)contents->sections->data;
+	reply->n_sections = contents->sections->len;
+	reply->patches =
+	    (struct rec_section_patch *)(void *)contents->patches->data;
+	reply->n_patches = contents->patches->len;
+}
+
 void
 serve_fetch(struct serve *s, uint64_t now_ms, const struct net_addr *from,
     uint64_t conn, const struct msg_fetch *msg)
 {
+	struct serve_contents contents;
 	struct msg_sections reply;
-	GArray *sections;
-	GBytes *content;
-	uint32_t i, bytes;
+	uint32_t i;
 
 	memset(&reply, 0, sizeof(reply));
 	reply.token = msg->token;
-	sections = g_array_new(FALSE, FALSE, sizeof(struct rec_section_data));
-	bytes = 0;
+	contents_init(&contents);
 	for (i = 0; i < msg->n_wants; i++) {
-		content =
-		    catalog_content(s->env->catalog, &msg->wants[i].digest);
-		if (content == NULL)
-			continue;
-		bytes += (uint32_t)g_bytes_get_size(content);
-		if (bytes > s->env->profile.reply_bytes && sections->len > 0)
+		if (contents.bytes > s->env->profile.reply_bytes)
 			break;
-		serve_add_content(sections, content);
-	}
-	reply.result = sections->len > 0 ? PULL_DELTA : PULL_NOT_HERE;
-	if (sections->len > 0 &&
-	    (!serve_place(s, now_ms, from) ||
-		!budget_take(&s->budget, now_ms, bytes))) {
-		reply.result = PULL_BUSY;
-		reply.come_back_ms = env_around(s->env, COME_BACK_MS);
-	} else {
-		reply.sections =
-		    (struct rec_section_data *)(void *)sections->data;
-		reply.n_sections = sections->len;
+		serve_add_want(s, &msg->wants[i], &contents);
 	}
+	serve_fill_sections(s, now_ms, from, &contents, &reply);
 	if (i == msg->n_wants)
 		serve_leave(s, from);
 	serve_send_sections(s, from, conn, &reply);
-	g_array_unref(sections);
+	contents_clear(&contents);
 }
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -244,7 +244,8 @@
 	    head->in_force <= s->known.in_force)
 		intake_given(
 		    &s->intake, now_ms, head, list, contents, n_contents);
-	floors_on_platform(&s->floors, now_ms, head->in_force);
+	floors_on_given(&s->floors, now_ms, head->in_force);
+	floors_tick(&s->floors, now_ms);
 	spread_settle(s, now_ms);
 }
 
