feat(node): limits of the configuration hold for callers' connections

Problem: a configuration's limits on heads and idle connections were read and kept, and not applied.

--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -38,6 +38,14 @@
  */
 void entry_snapshot_changed(struct entry *e);
 
+/**
+ * entry_watch_snapshot() - be told of new snapshots in the traffic thread
+ * @e: the entry
+ * @fn: called after each change
+ * @arg: given to @fn
+ */
+void entry_watch_snapshot(struct entry *e, void (*fn)(void *arg), void *arg);
+
 /**
  * entry_submit() - hand a call to the entry
  * @e: the entry
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -9,9 +9,6 @@
 #include "call_metrics.h"
 #include "callers_priv.h"
 
-/* A caller may not pause longer than this within a request. */
-#define STALL_MS 10000
-
 /* Time in which connections that are being made get through. */
 #define SETTLE_MS 50
 #define POLL_US 2000
@@ -38,6 +35,7 @@
 	c->entry = e;
 	c->loop = loop;
 	loop_timer_init(&c->tick, loop, on_tick, c);
+	entry_watch_snapshot(e, callers_on_snapshot, c);
 	return c;
 }
 
@@ -46,12 +44,10 @@
 {
 	const struct settings *s = c->settings;
 	struct net_addr at = {s->address, s->caller_port};
-	struct http_server_limits limits = {
-	    .head_max_bytes = s->header_max_bytes,
-	    .idle_ms = s->keep_alive_ms,
-	    .stall_ms = STALL_MS};
+	struct http_server_limits limits;
 	enum status st;
 
+	callers_limits(s, &limits);
 	st = http_server_new(
 	    c->loop, at, &limits, &callers_handler, c, &c->server);
 	if (st != STATUS_OK)
--- /dev/null
+++ b/packages/node/src/callers_limits.c
@@ -0,0 +1,54 @@
+/*
+ * What callers may send, by the settings and by the configuration in force.
+ *
+ * A connection isn't known to belong to a service before its head is there, so
+ * the widest limits of all services count; those of the settings hold where no
+ * service says anything.
+ */
+#include <string.h>
+
+#include "config/snapshot.h"
+#include "node/snapshot_ref.h"
+
+#include "callers_priv.h"
+
+/* A caller may not pause longer than this within a request. */
+#define STALL_MS 10000U
+
+static void
+widen(struct http_server_limits *l, const struct service_limits *of)
+{
+	l->head_max_bytes = MAX(l->head_max_bytes, of->head_max_bytes);
+	l->head_ms = MAX(l->head_ms, of->head_ms);
+	l->idle_ms = MAX(l->idle_ms, of->idle_ms);
+}
+
+void
+callers_limits(const struct settings *s, struct http_server_limits *l)
+{
+	struct snapshot *snapshot = snapshot_ref_get();
+	uint32_t i;
+
+	memset(l, 0, sizeof(*l));
+	for (i = 0; snapshot != NULL && i < snapshot->n_services; i++)
+		widen(l, &snapshot->services[i].config->limits);
+	if (snapshot != NULL)
+		snapshot_unref(snapshot);
+	if (l->head_max_bytes == 0)
+		l->head_max_bytes = s->header_max_bytes;
+	if (l->idle_ms == 0)
+		l->idle_ms = s->keep_alive_ms;
+	l->stall_ms = STALL_MS;
+}
+
+void
+callers_on_snapshot(void *arg)
+{
+	struct callers *c = arg;
+	struct http_server_limits limits;
+
+	if (c->server == NULL)
+		return;
+	callers_limits(c->settings, &limits);
+	http_server_limits_set(c->server, &limits);
+}
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -95,4 +95,12 @@
 void callers_answer_refuse(const struct callers *c, struct http_incoming *q,
     uint32_t status, const char *kind, const char *message);
 
+/* callers_limits.c */
+
+/** callers_limits() - what callers may send by settings and snapshot */
+void callers_limits(const struct settings *s, struct http_server_limits *l);
+
+/** callers_on_snapshot() - a loop_fn: the limits may have changed */
+void callers_on_snapshot(void *arg);
+
 #endif
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -84,7 +84,18 @@
 static void
 look_at_snapshot(void *arg)
 {
-	(void)entry_snapshot(arg);
+	struct entry *e = arg;
+
+	(void)entry_snapshot(e);
+	if (e->watcher != NULL)
+		e->watcher(e->watcher_arg);
+}
+
+void
+entry_watch_snapshot(struct entry *e, void (*fn)(void *arg), void *arg)
+{
+	e->watcher = fn;
+	e->watcher_arg = arg;
 }
 
 void
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -47,6 +47,8 @@
  * @splits: rounds of the routes that services share by weight
  * @snapshot: snapshot last seen, a reference
  * @generation: counts the snapshots seen
+ * @watcher: told of new snapshots, or NULL
+ * @watcher_arg: given to it
  * @services: service id to struct entry_service
  * @peers: address key to struct entry_peer
  * @calls: struct entry_call that are not freed
@@ -70,6 +72,8 @@
 	GHashTable *patience;
 	struct snapshot *snapshot;
 	uint64_t generation;
+	void (*watcher)(void *arg);
+	void *watcher_arg;
 	GHashTable *services;
 	GHashTable *peers;
 	GQueue calls;
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -124,6 +124,10 @@
 /** test_snapshot() - publish: /look idempotent, /book and /up not */
 void test_snapshot(const struct fake_endpoint *endpoints, uint32_t n);
 
+/** test_snapshot_of() - publish a bundle of the service "search" */
+void test_snapshot_of(
+    const char *json, const struct fake_endpoint *endpoints, uint32_t n);
+
 /** test_wait() - wait until *@value is @want, at most 5 s */
 bool test_wait_int(int (*value)(void *), void *arg, int want);
 
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -141,6 +141,13 @@
 
 void
 test_snapshot(const struct fake_endpoint *endpoints, uint32_t n)
+{
+	test_snapshot_of(bundle_json, endpoints, n);
+}
+
+void
+test_snapshot_of(
+    const char *json, const struct fake_endpoint *endpoints, uint32_t n)
 {
 	struct endpoint_set *set = endpoint_set_new();
 	struct catalog *c;
@@ -148,7 +155,7 @@
 	struct bundle *b;
 	uint32_t i;
 
-	must(bundle_parse(bundle_json, strlen(bundle_json), &b) == STATUS_OK);
+	must(bundle_parse(json, strlen(json), &b) == STATUS_OK);
 	for (i = 0; i < n; i++) {
 		memset(&ep, 0, sizeof(ep));
 		(void)g_strlcpy(ep.service, "search", sizeof(ep.service));
--- a/packages/node/test/test_callers.c
+++ b/packages/node/test/test_callers.c
@@ -385,6 +385,52 @@
 }
 END_TEST
 
+static const char limited_json[] =
+    "{\"format\":1,\"name\":\"test\",\"services\":["
+    "{\"name\":\"search\",\"callers\":{\"head_max_bytes\":2048,"
+    "\"idle_ms\":300}}],\"routes\":[{\"prefix\":\"/look\","
+    "\"methods\":[\"GET\"],\"service\":\"search\"}]}";
+
+/* Limits of the configuration replace those of the settings while it runs. */
+START_TEST(limits_of_the_configuration_hold)
+{
+	struct fake_endpoint ep = {.host = "h1"};
+	char *large = g_strnfill(4000, 'x');
+	char *head = g_strdup_printf("X-Large: %s\r\n", large);
+	uint64_t asked_ms;
+	struct reply r;
+	char byte;
+	int fd;
+
+	start();
+	fd = dial();
+	ask(fd, "GET", "/look/x", head, &r);
+	ck_assert_int_eq(r.status, 200);
+	reply_clear(&r);
+	close(fd);
+	ep.port = guard_addr(node->guard).port;
+	test_snapshot_of(limited_json, &ep, 1);
+	entry_snapshot_changed(node->entry);
+	g_usleep(50000);
+	fd = dial();
+	ask(fd, "GET", "/look/x", head, &r);
+	ck_assert_int_eq(r.status, 431);
+	reply_clear(&r);
+	close(fd);
+	fd = dial();
+	ask(fd, "GET", "/look/x", NULL, &r);
+	ck_assert_int_eq(r.status, 200);
+	reply_clear(&r);
+	asked_ms = clock_now_ms();
+	ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+	ck_assert_uint_lt(clock_now_ms() - asked_ms, 900);
+	close(fd);
+	g_free(head);
+	g_free(large);
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -394,7 +440,8 @@
 	    a_caller_that_hangs_up_cancels_its_lookup,
 	    an_upload_is_held_back_and_holds_back_no_lookup,
 	    a_caller_that_dribbles_its_body_holds_no_worker,
-	    what_is_too_large_is_refused_with_a_remedy, a_drain_cuts_no_answer,
+	    what_is_too_large_is_refused_with_a_remedy,
+	    limits_of_the_configuration_hold, a_drain_cuts_no_answer,
 	    a_planned_stop_under_load_cuts_no_call, NULL};
 
 	return fixture_main("callers", tests);
