fix(membership): a joining node that has only heard of others looks on

Cause: others' datagrams reached them before their first look at the directory, so that they seemed to have peers and never looked; without a candidate to ask for the table a node waits 3 s. Solution: a node looks until it has joined; a test that failed before.

--- a/packages/membership/include/membership/finder.h
+++ b/packages/membership/include/membership/finder.h
@@ -47,13 +47,15 @@
 /**
  * finder_next() - what is due
  * @f: the finder
+ * @joined: whether this node holds the table; one that has only heard of
+ *	others has nobody to ask for it, and looks on
  * @live: live hosts known, the own one included
  * @now_ms: monotonic time
  *
  * After FINDER_ENTER or FINDER_SAMPLE call finder_done() with its outcome.
  */
 enum finder_action
-finder_next(struct finder *f, uint32_t live, uint64_t now_ms);
+finder_next(struct finder *f, int joined, uint32_t live, uint64_t now_ms);
 
 /** finder_done() - a call has ended; @ok: it succeeded */
 void finder_done(
--- a/packages/membership/src/finder.c
+++ b/packages/membership/src/finder.c
@@ -48,14 +48,16 @@
 }
 
 static int
-wants_peers(struct finder *f, uint32_t live)
+wants_peers(struct finder *f, int joined, uint32_t live)
 {
+	if (!joined)
+		return 1;
 	f->most_live = MAX(f->most_live, live);
 	return live <= 1 || live * PERCENT < f->most_live * LOST_PERCENT;
 }
 
 enum finder_action
-finder_next(struct finder *f, uint32_t live, uint64_t now_ms)
+finder_next(struct finder *f, int joined, uint32_t live, uint64_t now_ms)
 {
 	if (f->busy || now_ms < f->due_ms)
 		return FINDER_NONE;
@@ -63,7 +65,7 @@
 		f->busy = 1;
 		return FINDER_ENTER;
 	}
-	if (wants_peers(f, live)) {
+	if (wants_peers(f, joined, live)) {
 		f->busy = 1;
 		return FINDER_SAMPLE;
 	}
--- a/packages/membership/test/test_found.c
+++ b/packages/membership/test/test_found.c
@@ -75,7 +75,7 @@
 	uint32_t n = 0;
 
 	for (; *now_ms < end_ms; *now_ms += 10) {
-		a = finder_next(f, live, *now_ms);
+		a = finder_next(f, 1, live, *now_ms);
 		if (a == FINDER_NONE)
 			continue;
 		n++;
@@ -90,10 +90,10 @@
 	uint64_t now_ms = 1000;
 
 	finder_init(&f, 1, now_ms);
-	ck_assert_int_eq(finder_next(&f, 1, now_ms), FINDER_ENTER);
+	ck_assert_int_eq(finder_next(&f, 1, 1, now_ms), FINDER_ENTER);
 	ck_assert_uint_eq(finder_due_ms(&f), DEADLINE_NEVER);
 	finder_done(&f, FINDER_ENTER, 1, now_ms);
-	ck_assert_int_eq(finder_next(&f, 1, now_ms), FINDER_SAMPLE);
+	ck_assert_int_eq(finder_next(&f, 1, 1, now_ms), FINDER_SAMPLE);
 	finder_done(&f, FINDER_SAMPLE, 1, now_ms);
 	ck_assert_uint_eq(calls_in(&f, 10, 1, &now_ms, 60000), 0);
 	/* More than half of them are lost at once. */
@@ -102,6 +102,21 @@
 }
 END_TEST
 
+/* After the loss of all power others make themselves heard before the first
+ * look: without it such a node had nobody to ask for the table. */
+START_TEST(a_node_that_only_heard_of_others_looks_too)
+{
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	ck_assert_int_eq(finder_next(&f, 0, 1, now_ms), FINDER_ENTER);
+	finder_done(&f, FINDER_ENTER, 1, now_ms);
+	ck_assert_int_eq(finder_next(&f, 0, 9, now_ms), FINDER_SAMPLE);
+	finder_clear(&f);
+}
+END_TEST
+
 /* All of 22,000 nodes start while the store is down: full-jitter back-off
  * keeps what they ask together below 2,000 reads a second with room. */
 START_TEST(a_store_that_is_down_is_asked_ever_less)
@@ -131,6 +146,7 @@
 	tcase_add_test(tc, a_run_that_lives_counts_again);
 	tcase_add_test(tc, what_has_left_never_returns);
 	tcase_add_test(tc, a_node_with_peers_asks_no_more);
+	tcase_add_test(tc, a_node_that_only_heard_of_others_looks_too);
 	tcase_add_test(tc, a_store_that_is_down_is_asked_ever_less);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
--- a/packages/node/src/control_find.c
+++ b/packages/node/src/control_find.c
@@ -59,11 +59,13 @@
 {
 	uint64_t now_ms = control_now(c);
 	uint32_t live;
+	int joined;
 
 	if (c->directory == NULL || atomic_load(&c->leaving))
 		return;
 	live = membership_live(c->membership);
-	switch (finder_next(&c->finder, live, now_ms)) {
+	joined = membership_phase(c->membership) != MEMBERSHIP_JOINING;
+	switch (finder_next(&c->finder, joined, live, now_ms)) {
 	case FINDER_ENTER:
 		c->directory->ops->enter(c->directory, self(c), on_entered, c);
 		break;
