fix(tools): a check that ends early says in which step

Problem: tools/check.sh once ended with code 2 after 0.3 s and printed nothing. The cause was not found again; make itself ends with 2 whatever a step's code is.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -11,6 +11,19 @@
 passed=0
 failed=0
 failures=""
+now="start"
+
+# An early end says where, and never looks like a pass.
+at_exit() {
+	status=$?
+	[ "$now" = "end" ] && exit $status
+	echo "check.sh ended early in step \"$now\", status $status"
+	echo "$passed passed, $((failed + 1)) failed"
+	exit 1
+}
+trap at_exit EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
 
 record() {	# record NAME STATUS
 	if [ "$2" -eq 0 ]; then
@@ -25,6 +38,7 @@
 
 step() {	# step NAME COMMAND...: one check, its output shown on failure
 	name=$1
+	now=$name
 	shift
 	"$@" >"$OUT/$name.log" 2>&1
 	status=$?
@@ -62,6 +76,7 @@
 tests() {
 	dir=$1
 	label=$2
+	now="tests $dir $label"
 	jobs=$3
 	shift 3
 	log="$OUT/tests-$(basename "$dir")-$label.log"
@@ -89,7 +104,7 @@
 	[ -f KNOWN-RED.txt ] && grep -q "^$1[ :,]" KNOWN-RED.txt
 }
 
-mkdir -p "$OUT"
+mkdir -p "$OUT" || exit 1
 step format format_clean
 step generated generated_clean
 step build-plain build build/plain "" all
@@ -109,6 +124,7 @@
 	echo "Known red, passed over:"
 	cat KNOWN-RED.txt
 fi
+now="end"
 [ -z "$failures" ] || echo "Failed:$failures"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -6,6 +6,8 @@
 libglib2.0-dev liburcu-dev libmsgpack-dev libcivetweb-dev libjansson-dev
 libcurl4-openssl-dev libhttp-parser-dev libxxhash-dev"
 
+trap 'status=$?; [ $status -eq 0 ] || echo "setup ended early, status $status"' EXIT
+
 missing=""
 for p in $PACKAGES; do
 	dpkg-query -W -f='${Status}' "$p" 2>/dev/null |
