feat(membership): a start is told by its time, heartbeats of others change nothing

Problem: an upstream may start again under the name that it had, and counts its heartbeats anew. Its heartbeats were taken for late ones until their number passed that of the earlier run, so its host stayed idle; one that had left never came back. A heartbeat that named an unknown service, or an address of another host, took the place of the upstream that is here. Solution: runs are told apart by name and time of start; a later start is a new run, what an earlier one says is late.

--- a/packages/membership/include/membership/instances.h
+++ b/packages/membership/include/membership/instances.h
@@ -1,9 +1,10 @@
 /*
  * Instances: which run of the upstream on this host counts.
  *
- * Each start of an upstream has a name of its own.  Heartbeats may arrive late
- * and out of order: one of a run that has ended must not replace the run that
- * followed it, and one sent before a drain must not undo it.
+ * A start of an upstream has a name of its own, or the name of an earlier one
+ * and a later time of its start.  Heartbeats may arrive late and out of order:
+ * one of a run that has ended must not replace the run that followed it, and
+ * one sent before a drain must not undo it.
  */
 #ifndef MEMBERSHIP_INSTANCES_H
 #define MEMBERSHIP_INSTANCES_H
@@ -29,12 +30,15 @@
 /**
  * struct instance - one run
  * @id: its name; empty for an unused place
+ * @born_ms: when it started, by the clock of its upstream, 0 when not told;
+ *	only compared with others of the same upstream
  * @seq: highest number heard
  * @heard: heartbeats heard since another run took its place
  * @left: it said that it leaves
  */
 struct instance {
 	char id[INSTANCE_BYTES];
+	uint64_t born_ms;
 	uint64_t seq;
 	uint32_t heard;
 	int left;
@@ -57,19 +61,29 @@
  * instances_heard() - a heartbeat came
  * @s: the runs
  * @id: name of the run
- * @seq: number of the heartbeat, which rises with each
+ * @born_ms: when the run started, 0 when not told
+ * @seq: number of the heartbeat, which rises with each of a run
+ *
+ * A later start under a known name is a new run: its numbers begin anew, and
+ * that the earlier one left says nothing of it.
  */
-enum instance_verdict
-instances_heard(struct instances *s, const char *id, uint64_t seq);
+enum instance_verdict instances_heard(
+    struct instances *s, const char *id, uint64_t born_ms, uint64_t seq);
 
 /**
  * instances_left() - a run said that it leaves
+ * @s: the runs
+ * @id: name of the run
+ * @born_ms: when the run started, 0 when not told
  *
  * Return: 1 when it is the one that counted, else 0.
  */
-int instances_left(struct instances *s, const char *id);
+int instances_left(struct instances *s, const char *id, uint64_t born_ms);
 
 /** instances_current() - name of the run that counts, or "" */
 const char *instances_current(const struct instances *s);
 
+/** instances_current_born_ms() - when that run started; 0 when not told */
+uint64_t instances_current_born_ms(const struct instances *s);
+
 #endif
--- a/packages/membership/src/instances.c
+++ b/packages/membership/src/instances.c
@@ -42,32 +42,60 @@
 	s->runs[1].heard = 0;
 }
 
-/* A run that is new here; the one known longest is forgotten for it. */
+/* A run that begins here, in the place of the one at @i. */
 static void
-add(struct instances *s, const char *id)
+begin(struct instances *s, int i, const char *id, uint64_t born_ms)
 {
-	struct instance *run = &s->runs[INSTANCES_MAX - 1];
+	struct instance run = {.born_ms = born_ms};
 
-	memset(run, 0, sizeof(*run));
-	(void)g_strlcpy(run->id, id, sizeof(run->id));
-	to_front(s, INSTANCES_MAX - 1);
+	(void)g_strlcpy(run.id, id, sizeof(run.id));
+	s->runs[i] = run;
+}
+
+/* Whether one start is known to be later than another. */
+static int
+is_later(uint64_t a_born_ms, uint64_t b_born_ms)
+{
+	return b_born_ms != 0 && a_born_ms > b_born_ms;
+}
+
+static int
+is_earlier(uint64_t a_born_ms, uint64_t b_born_ms)
+{
+	return a_born_ms != 0 && a_born_ms < b_born_ms;
+}
+
+/* A run that is new here; the one at @i is forgotten for it. */
+static enum instance_verdict
+take_new(
+    struct instances *s, int i, const char *id, uint64_t born_ms, uint64_t seq)
+{
+	begin(s, i, id, born_ms);
+	s->runs[i].seq = seq;
+	to_front(s, i);
+	s->has_current = 1;
+	return INSTANCE_CURRENT;
 }
 
 enum instance_verdict
-instances_heard(struct instances *s, const char *id, uint64_t seq)
+instances_heard(
+    struct instances *s, const char *id, uint64_t born_ms, uint64_t seq)
 {
 	int i = id[0] != '\0' ? find(s, id) : -1;
 	struct instance *run;
 
 	if (id[0] == '\0')
 		return INSTANCE_STALE;
-	if (i < 0) {
-		add(s, id);
-		s->runs[0].seq = seq;
-		s->has_current = 1;
-		return INSTANCE_CURRENT;
-	}
+	if (i < 0 && is_earlier(born_ms, instances_current_born_ms(s)))
+		return INSTANCE_STALE;
+	if (i < 0)
+		return take_new(s, INSTANCES_MAX - 1, id, born_ms, seq);
 	run = &s->runs[i];
+	if (is_later(born_ms, run->born_ms))
+		return take_new(s, i, id, born_ms, seq);
+	if (is_earlier(born_ms, run->born_ms))
+		return INSTANCE_STALE;
+	run->born_ms = MAX(run->born_ms, born_ms);
 	if (run->left || seq < run->seq)
 		return INSTANCE_STALE;
 	run->heard += seq > run->seq;
@@ -82,18 +110,20 @@
 }
 
 int
-instances_left(struct instances *s, const char *id)
+instances_left(struct instances *s, const char *id, uint64_t born_ms)
 {
 	int i = id[0] != '\0' ? find(s, id) : -1;
 
 	if (id[0] == '\0')
 		return 0;
+	if (i >= 0 && is_earlier(born_ms, s->runs[i].born_ms))
+		return 0;
 	if (i < 0) {
 		/* Never heard here: remembered, so that late news is known. */
-		memset(&s->runs[INSTANCES_MAX - 1], 0, sizeof(s->runs[0]));
 		i = INSTANCES_MAX - 1;
-		(void)g_strlcpy(s->runs[i].id, id, sizeof(s->runs[i].id));
+		begin(s, i, id, born_ms);
 	}
+	s->runs[i].born_ms = MAX(s->runs[i].born_ms, born_ms);
 	s->runs[i].left = 1;
 	if (i != 0 || !s->has_current)
 		return 0;
@@ -106,3 +136,9 @@
 {
 	return s->has_current ? s->runs[0].id : "";
 }
+
+uint64_t
+instances_current_born_ms(const struct instances *s)
+{
+	return s->has_current ? s->runs[0].born_ms : 0;
+}
--- a/packages/membership/test/test_found.c
+++ b/packages/membership/test/test_found.c
@@ -14,14 +14,14 @@
 	struct instances s;
 
 	instances_init(&s);
-	ck_assert_int_eq(instances_heard(&s, "a", 3), INSTANCE_CURRENT);
-	ck_assert_int_eq(instances_heard(&s, "a", 2), INSTANCE_STALE);
-	ck_assert_int_eq(instances_heard(&s, "a", 4), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "a", 0, 3), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "a", 0, 2), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "a", 0, 4), INSTANCE_CURRENT);
 	/* Another run has begun; what the first sent before comes late. */
-	ck_assert_int_eq(instances_heard(&s, "b", 1), INSTANCE_CURRENT);
-	ck_assert_int_eq(instances_heard(&s, "a", 5), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "b", 0, 1), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "a", 0, 5), INSTANCE_STALE);
 	ck_assert_str_eq(instances_current(&s), "b");
-	ck_assert_int_eq(instances_heard(&s, "b", 2), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "b", 0, 2), INSTANCE_CURRENT);
 }
 END_TEST
 
@@ -32,11 +32,11 @@
 	struct instances s;
 
 	instances_init(&s);
-	(void)instances_heard(&s, "lives", 7);
-	(void)instances_heard(&s, "ended", 9);
+	(void)instances_heard(&s, "lives", 0, 7);
+	(void)instances_heard(&s, "ended", 0, 9);
 	ck_assert_str_eq(instances_current(&s), "ended");
-	ck_assert_int_eq(instances_heard(&s, "lives", 8), INSTANCE_STALE);
-	ck_assert_int_eq(instances_heard(&s, "lives", 9), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "lives", 0, 8), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "lives", 0, 9), INSTANCE_CURRENT);
 	ck_assert_str_eq(instances_current(&s), "lives");
 }
 END_TEST
@@ -48,22 +48,54 @@
 	int i;
 
 	instances_init(&s);
-	(void)instances_heard(&s, "a", 1);
-	ck_assert_int_eq(instances_left(&s, "a"), 1);
-	ck_assert_int_eq(instances_left(&s, "a"), 0);
+	(void)instances_heard(&s, "a", 0, 1);
+	ck_assert_int_eq(instances_left(&s, "a", 0), 1);
+	ck_assert_int_eq(instances_left(&s, "a", 0), 0);
 	for (i = 2; i < 10; i++)
 		ck_assert_int_eq(
-		    instances_heard(&s, "a", (uint64_t)i), INSTANCE_STALE);
+		    instances_heard(&s, "a", 0, (uint64_t)i), INSTANCE_STALE);
 	ck_assert_str_eq(instances_current(&s), "");
 	/* Also one that was never heard here before it left. */
-	ck_assert_int_eq(instances_left(&s, "x"), 0);
-	ck_assert_int_eq(instances_heard(&s, "x", 1), INSTANCE_STALE);
+	ck_assert_int_eq(instances_left(&s, "x", 0), 0);
+	ck_assert_int_eq(instances_heard(&s, "x", 0, 1), INSTANCE_STALE);
 	/* More runs than are remembered do no harm. */
 	for (i = 0; i < 3 * INSTANCES_MAX; i++) {
 		(void)g_snprintf(id, sizeof(id), "run-%d", i);
-		ck_assert_int_eq(instances_heard(&s, id, 1), INSTANCE_CURRENT);
+		ck_assert_int_eq(
+		    instances_heard(&s, id, 0, 1), INSTANCE_CURRENT);
 	}
-	ck_assert_int_eq(instances_heard(&s, "", 1), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "", 0, 1), INSTANCE_STALE);
+}
+END_TEST
+
+/*
+ * An upstream that starts again under its name counts from 1 again.  Without
+ * the time of its start its heartbeats would be late ones for as long as the
+ * earlier run had lived, and its host idle.
+ */
+START_TEST(a_later_start_under_the_same_name_is_a_new_run)
+{
+	struct instances s;
+
+	instances_init(&s);
+	ck_assert_int_eq(instances_heard(&s, "a", 1000, 50), INSTANCE_CURRENT);
+	ck_assert_int_eq(instances_heard(&s, "a", 2000, 1), INSTANCE_CURRENT);
+	ck_assert_uint_eq(instances_current_born_ms(&s), 2000);
+	/* What the earlier run said, or says of its end, comes late. */
+	ck_assert_int_eq(instances_heard(&s, "a", 1000, 51), INSTANCE_STALE);
+	ck_assert_int_eq(instances_left(&s, "a", 1000), 0);
+	ck_assert_int_eq(instances_heard(&s, "a", 2000, 2), INSTANCE_CURRENT);
+	/* One that left may start again, too. */
+	ck_assert_int_eq(instances_left(&s, "a", 2000), 1);
+	ck_assert_int_eq(instances_heard(&s, "a", 2000, 3), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "a", 3000, 1), INSTANCE_CURRENT);
+	/* A run of another name that started earlier is no successor. */
+	ck_assert_int_eq(instances_heard(&s, "b", 2500, 9), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heard(&s, "c", 4000, 1), INSTANCE_CURRENT);
+	ck_assert_str_eq(instances_current(&s), "c");
+	/* The end of a later run than the one that was heard. */
+	ck_assert_int_eq(instances_left(&s, "c", 5000), 1);
+	ck_assert_int_eq(instances_heard(&s, "c", 4000, 2), INSTANCE_STALE);
 }
 END_TEST
 
@@ -144,6 +176,7 @@
 	tcase_add_test(tc, late_heartbeats_change_nothing);
 	tcase_add_test(tc, a_run_that_lives_counts_again);
 	tcase_add_test(tc, what_has_left_never_returns);
+	tcase_add_test(tc, a_later_start_under_the_same_name_is_a_new_run);
 	tcase_add_test(tc, a_node_with_peers_asks_no_more);
 	tcase_add_test(tc, a_node_that_only_heard_of_others_looks_too);
 	tcase_add_test(tc, a_store_that_is_down_is_asked_ever_less);
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -40,6 +40,7 @@
  * @address: where it listens, on this host
  * @slots: requests that it runs at once
  * @state: ready or draining
+ * @born_ms: when the run started, by its clock; 0 when it doesn't say
  * @seq: rises with each heartbeat of a run
  * @cold_ms: how much longer it is slow after its start
  */
@@ -48,6 +49,7 @@
 	struct net_addr address;
 	uint16_t slots;
 	enum endpoint_state state;
+	uint64_t born_ms;
 	uint64_t seq;
 	uint32_t cold_ms;
 };
@@ -76,8 +78,14 @@
 enum status control_beat(
     struct control *c, const char *instance, const struct upstream_beat *b);
 
-/** control_upstream_left() - a run of the upstream said that it leaves */
-void control_upstream_left(struct control *c, const char *instance);
+/**
+ * control_upstream_left() - a run of the upstream said that it leaves
+ * @c: the control
+ * @instance: name of the run
+ * @born_ms: when it started; 0 when it doesn't say
+ */
+void control_upstream_left(
+    struct control *c, const char *instance, uint64_t born_ms);
 
 /** control_takes_callers() - whether callers may be led here; any thread */
 int control_takes_callers(const struct control *c);
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -7,23 +7,49 @@
 #include "control_priv.h"
 #include "proto/settings.h"
 
+/* A heartbeat that names no upstream of this host may be somebody else's; it
+ * must not take the place of the one that is here. */
+static enum status
+check(const struct control *c, const struct upstream_beat *b)
+{
+	if (b->address.ip != c->settings->address)
+		return status_set(STATUS_INVALID,
+		    "A heartbeat names an address of another host; send it to "
+		    "the node of that host.");
+	if (catalog_version(c->catalog) != 0 &&
+	    catalog_find(c->catalog, b->service) == NULL)
+		return status_set(STATUS_INVALID,
+		    "A heartbeat names service \"%s\", which the "
+		    "configuration in force doesn't have; correct the "
+		    "upstream's or add the service.",
+		    b->service);
+	return STATUS_OK;
+}
+
 enum status
 control_beat(
     struct control *c, const char *instance, const struct upstream_beat *b)
 {
 	int fresh = strcmp(instances_current(&c->instances), instance) != 0;
-	enum status st;
+	uint64_t born_ms = instances_current_born_ms(&c->instances);
+	enum status st = check(c, b);
 
-	if (instances_heard(&c->instances, instance, b->seq) !=
+	if (st != STATUS_OK)
+		return st;
+	if (instances_heard(&c->instances, instance, b->born_ms, b->seq) !=
 	    INSTANCE_CURRENT) {
 		log_info("heartbeat %" G_GUINT64_FORMAT
-			 " of %s is late, nothing changes",
-		    b->seq, instance);
+			 " of %s, started %" G_GUINT64_FORMAT
+			 ", is late, nothing changes",
+		    b->seq, instance, b->born_ms);
 		return STATUS_OK;
 	}
+	fresh |= instances_current_born_ms(&c->instances) != born_ms;
 	if (fresh) {
-		log_info("%s of %s at port %u is the upstream here, %u slots",
-		    instance, b->service, b->address.port, b->slots);
+		log_info("%s of %s, started %" G_GUINT64_FORMAT
+			 ", at port %u is the upstream here, %u slots",
+		    instance, b->service, b->born_ms, b->address.port,
+		    b->slots);
 		c->dirty = 1;
 	}
 	c->instance_port = b->address.port;
@@ -34,14 +60,18 @@
 }
 
 void
-control_upstream_left(struct control *c, const char *instance)
+control_upstream_left(struct control *c, const char *instance, uint64_t born_ms)
 {
 	const struct member *own = membership_self(c->membership);
 	char service[MEMBER_NAME_BYTES] = "";
 	uint32_t i;
 
-	if (!instances_left(&c->instances, instance))
+	if (!instances_left(&c->instances, instance, born_ms)) {
+		log_info("end of %s, started %" G_GUINT64_FORMAT
+			 ", is late, nothing changes",
+		    instance, born_ms);
 		return;
+	}
 	for (i = 0; i < own->n_endpoints; i++)
 		if (own->endpoints[i].port == c->instance_port &&
 		    own->endpoints[i].state != ENDPOINT_LEFT)
