feat(membership): a node that is told of nobody joins whom it hears

Solution: while it joins, whom it hears is asked for the table. Test: test_swim, five seeds, not within 1,500 ms before, all within it now.

--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -135,6 +135,19 @@
 		m->joiner.deadline_ms = m->now_ms;
 }
 
+void
+join_heard(struct membership *m, const struct net_addr *from)
+{
+	struct joiner *j = &m->joiner;
+	uint32_t before = j->candidates->len;
+
+	if (m->phase != MEMBERSHIP_JOINING || j->complete)
+		return;
+	candidate_add(m, from);
+	if (j->candidates->len > before && !j->asking)
+		j->deadline_ms = m->now_ms;
+}
+
 void
 join_start(struct membership *m)
 {
--- a/packages/membership/src/join.h
+++ b/packages/membership/src/join.h
@@ -20,6 +20,14 @@
 /* When join_tick() has something to do next. */
 uint64_t join_next_ms(const struct membership *m);
 
+/*
+ * A ping came while the node joins.  A host that starts again while it can be
+ * told of nobody is looked for by its peers about once a second.  Who asks the
+ * first of them is in within 1.5 s, and does not wait 3 s for seeds while its
+ * upstream is idle (test_swim, 8 hosts, 5 seeds).
+ */
+void join_heard(struct membership *m, const struct net_addr *from);
+
 /* A peer can't be reached. */
 void join_unreachable(struct membership *m, const struct net_addr *to);
 
--- a/packages/membership/src/ping.c
+++ b/packages/membership/src/ping.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "action.h"
+#include "join.h"
 #include "merge.h"
 #include "news.h"
 #include "ping.h"
@@ -159,6 +160,7 @@
 	    strcmp(msg.target, m->settings.host) == 0) {
 		send_ack(m, from, msg.seq, msg.host);
 		heard(m, from, msg.host, msg.root, &msg.head);
+		join_heard(m, from);
 	}
 	msg_ping_clear(&msg);
 }
--- a/packages/membership/test/test_swim.c
+++ b/packages/membership/test/test_swim.c
@@ -280,6 +280,36 @@
 }
 END_TEST
 
+/* How soon a restarted host that was told of nobody is in. */
+#define FOUND_MS 1500
+
+/*
+ * A host stops as planned and starts again while the directory is away, so it
+ * is told of nobody; its peers look for those that went.  Unless it asks the
+ * first that it hears from, it waits out the time for seeds, 3 s, with its
+ * upstream idle.
+ */
+START_TEST(a_host_that_is_told_of_nobody_joins_whom_it_hears)
+{
+	uint32_t seed = (uint32_t)_i;
+	struct membership_settings s;
+
+	f = cluster_begin(seed, 8, 1, JOIN_MS);
+	fake_run(f, 60000);
+	membership_leave(f->nodes[1].m, f->now_ms);
+	fake_run(f, 3000);
+	fake_kill(f, 1);
+	fake_run(f, 500);
+	s = fake_settings(f, 1, 0);
+	s.seeds = NULL;
+	s.n_seeds = 0;
+	s.await_seeds_ms = 3000;
+	(void)fake_start(f, 1, &s, 0);
+	cluster_must(f, seed, FOUND_MS, fake_all_see_all, "found by its peers");
+	cluster_end(f, seed);
+}
+END_TEST
+
 /* The last change of a host that died reached one peer alone; its new process
  * learns its incarnation from another.  (Found by test_chaos, seed 1350: both
  * came to the same incarnation, and the peer kept the old endpoints.) */
@@ -390,6 +420,8 @@
 	    tc, a_restarted_host_goes_above_what_peers_remember, 0, SEEDS);
 	tcase_add_loop_test(
 	    tc, a_restarted_host_overrides_changes_that_few_saw, 0, SEEDS);
+	tcase_add_loop_test(
+	    tc, a_host_that_is_told_of_nobody_joins_whom_it_hears, 0, SEEDS);
 	tcase_add_loop_test(
 	    tc, crossed_doubled_and_lost_news_end_alike, 0, SEEDS);
 	tcase_add_loop_test(tc, a_herd_joins, 0, SEEDS);
