feat(admission): of one priority, short requests keep most of the slots

Problem: lookups and bookings of one priority shared slots by half. Where an upstream serves both, the lookups are mostly calls that other upstreams make while they run a request (22 ms beside bookings of 120 on the registry, 55 beside 290 on the transfer office); with one upstream of three left a part of them was refused, and each refused one wasted the run that made it. Solution: a class that runs over twice as long as the other of its priority keeps a fifth of slots and queue. Kept by run times and not for all, so that bookings that are no longer than lookups keep their half.

--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -27,6 +27,15 @@
  * day was worth 0.365 without the bound, 0.390 with it.
  */
 #define RUSH_MS 5000
+/*
+ * Where one class runs over twice as long as the other of its priority, it
+ * keeps this share only.  The short ones are mostly calls that other upstreams
+ * make while they run a request: 20 to 60 ms against bookings of 120 to 290,
+ * and each that is refused wastes the run that made it.  A slot's time serves
+ * five of them or one booking.
+ */
+#define LONGER_TIMES 2
+#define LONGER_PERCENT 20
 /* So many times the queue of those in time may wait late. */
 #define LATE_QUEUES 3
 
@@ -184,14 +193,36 @@
 	p->until_ms = now_ms + PRESSURE_MS;
 }
 
-/* What a class keeps of a whole under overload; both shares add up to it. */
+/* Whether requests of a class run so much longer than the other's. */
+static bool
+runs_longer(const struct admission *a, uint32_t priority,
+    enum admission_class class, enum admission_class than)
+{
+	return admission_run_us(a, priority, class) >
+	    LONGER_TIMES * admission_run_us(a, priority, than) &&
+	    admission_run_us(a, priority, than) > 0;
+}
+
+static uint32_t
+booking_percent(const struct admission *a, uint32_t priority)
+{
+	uint32_t percent = MIN(a->cfg.booking_percent, PERCENT);
+
+	if (runs_longer(a, priority, ADMISSION_BOOKING, ADMISSION_LOOKUP))
+		return MIN(percent, LONGER_PERCENT);
+	if (runs_longer(a, priority, ADMISSION_LOOKUP, ADMISSION_BOOKING))
+		return MAX(percent, PERCENT - LONGER_PERCENT);
+	return percent;
+}
+
+/* Both shares add up to the whole. */
 uint32_t
-admission_share(
-    const struct admission *a, enum admission_class class, uint32_t whole)
+admission_share(const struct admission *a, uint32_t priority,
+    enum admission_class class, uint32_t whole)
 {
 	uint32_t bookings;
 
-	bookings = whole * MIN(a->cfg.booking_percent, PERCENT) / PERCENT;
+	bookings = whole * booking_percent(a, priority) / PERCENT;
 	return class == ADMISSION_BOOKING ? bookings : whole - bookings;
 }
 
@@ -202,13 +233,14 @@
 
 /* Slots that the class gets while the other's demand is as it is now. */
 static uint32_t
-slots_within_reach(const struct admission *a, enum admission_class class)
+slots_within_reach(
+    const struct admission *a, uint32_t priority, enum admission_class class)
 {
 	const struct lane *o = &a->lanes[other(class)];
 	uint32_t taken, kept;
 
 	taken = MIN(o->in_slots + o->n_waiting,
-	    admission_share(a, other(class), admission_slots(a)));
+	    admission_share(a, priority, other(class), admission_slots(a)));
 	kept = admission_slots(a) - taken;
 	return MAX(kept, 1);
 }
@@ -241,7 +273,7 @@
 		us += work_us(a, r);
 	us += (ahead_of(q, req->target_ms) + UINT64_C(1)) *
 	    admission_run_us(a, rank / 2, req->class);
-	return us / slots_within_reach(a, req->class) / US_PER_MS;
+	return us / slots_within_reach(a, rank / 2, req->class) / US_PER_MS;
 }
 
 /*
@@ -324,7 +356,7 @@
 	struct lane *o = &a->lanes[other(class)];
 
 	if (a->lanes[class].n_waiting >=
-		admission_share(a, class, a->cfg.queue_max) ||
+		admission_share(a, rank / 2, class, a->cfg.queue_max) ||
 	    o->waiting[rank].tail == NULL)
 		return NULL;
 	return admission_take_out(o, rank, o->waiting[rank].tail);
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -107,12 +107,13 @@
 uint32_t admission_queued(const struct admission *a);
 
 /**
- * admission_share() - what a class keeps of a whole under overload
+ * admission_share() - what a class of a priority keeps of a whole under
+ * overload
  *
  * The shares of both classes add up to the whole.
  */
-uint32_t admission_share(
-    const struct admission *a, enum admission_class class, uint32_t whole);
+uint32_t admission_share(const struct admission *a, uint32_t priority,
+    enum admission_class class, uint32_t whole);
 
 /**
  * admission_run_us() - how long a request runs
--- a/packages/traffic/src/admission_next.c
+++ b/packages/traffic/src/admission_next.c
@@ -84,9 +84,9 @@
 	if (lookups->waiting[rank].length == 0)
 		return ADMISSION_BOOKING;
 	lookups_use = (uint64_t)lookups->in_slots *
-	    admission_share(a, ADMISSION_BOOKING, PERCENT);
+	    admission_share(a, rank / 2, ADMISSION_BOOKING, PERCENT);
 	bookings_use = (uint64_t)bookings->in_slots *
-	    admission_share(a, ADMISSION_LOOKUP, PERCENT);
+	    admission_share(a, rank / 2, ADMISSION_LOOKUP, PERCENT);
 	return lookups_use <= bookings_use ? ADMISSION_LOOKUP
 					   : ADMISSION_BOOKING;
 }
--- a/packages/traffic/test/test_overload.c
+++ b/packages/traffic/test/test_overload.c
@@ -226,6 +226,27 @@
 }
 END_TEST
 
+/*
+ * One of three upstreams of a booking service is left.  Bookings of 120 ms and
+ * calls of 22 ms, made by other upstreams while they run a request, have one
+ * priority; the calls want three fifths of the slots, the bookings twice all of
+ * them.  A refused call wastes the run that made it.
+ */
+START_TEST(short_calls_go_before_bookings_that_run_longer)
+{
+	static const struct kind kinds[KINDS] = {
+	    {ADMISSION_LOOKUP, 1, 3000, 22, 100, 250},
+	    {ADMISSION_BOOKING, 1, 5000, 120, 400, 2500},
+	};
+	struct play *p = play(kinds, false);
+
+	ck_assert_uint_ge(percent(p->tally[0].in_time, p->tally[0].asked), 95);
+	/* The bookings have the rest of the slots. */
+	ck_assert_uint_ge(percent(p->tally[1].served, p->tally[1].asked), 15);
+	g_free(p);
+}
+END_TEST
+
 /*
  * After a restart the first calls of a kind took longer than all later ones
  * have.  Refused for it, none was timed again, and 1,000 in a row were refused
@@ -564,6 +585,7 @@
 	tcase_add_test(tc, no_priority_is_served_less_than_a_lower_one);
 	tcase_add_test(
 	    tc, long_reads_take_no_more_than_their_share_from_short_calls);
+	tcase_add_test(tc, short_calls_go_before_bookings_that_run_longer);
 	tcase_add_test(tc, a_kind_that_was_slow_once_is_tried_again);
 	tcase_add_test(tc, a_kind_that_never_ran_is_not_taken_for_a_long_one);
 	tcase_add_test(tc, what_is_served_under_overload_is_in_time);
