feat(traffic): an upstream that takes no connections is left at once, free of charge

Problem: an upstream that ends while its host lives refuses connections. Its guard told that as a refusal for load, in 0 to 2 ms and with a load of 0 of 18, so placement liked it best; entries paid a retry from the budget for each such call and gave up after one. Solution: what was not sent to an upstream is told as no_endpoint; the entry leaves that endpoint out for 500 ms, goes elsewhere without paying, and such tries, like those to guards that can't be reached, don't count among the attempts (three at most).

--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -203,9 +203,10 @@
 	switch (r) {
 	case REFUSAL_DRAINING:
 	case REFUSAL_STOPPING:
-	/* Another host, or another upstream, has the address now. */
-	case REFUSAL_NO_ENDPOINT:
 		return ENDPOINT_DRAINS;
+	/* It has ended, or another one has its address now. */
+	case REFUSAL_NO_ENDPOINT:
+		return ENDPOINT_ABSENT;
 	case REFUSAL_CANCELLED:
 	case REFUSAL_RESOLVED:
 	case REFUSAL_EXPIRED:
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -255,7 +255,7 @@
 	if (res->sent)
 		guard_request_failed(r);
 	else
-		guard_request_refuse(r, REFUSAL_UPSTREAM, 0);
+		guard_request_refuse(r, REFUSAL_NO_ENDPOINT, 0);
 }
 
 static const struct http_handler upstream_handler = {
--- a/packages/traffic/include/traffic/endpoints.h
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -52,6 +52,7 @@
  * @ENDPOINT_UNREACHABLE: the guard could not be reached
  * @ENDPOINT_REFUSED: the guard refused for load; no sign of illness
  * @ENDPOINT_DRAINS: the guard refused because the endpoint drains
+ * @ENDPOINT_ABSENT: its guard is there and it is not: nothing was sent to it
  * @ENDPOINT_CANCELLED: this side gave up; says nothing about the endpoint
  */
 enum endpoint_result {
@@ -61,6 +62,7 @@
 	ENDPOINT_UNREACHABLE,
 	ENDPOINT_REFUSED,
 	ENDPOINT_DRAINS,
+	ENDPOINT_ABSENT,
 	ENDPOINT_CANCELLED,
 };
 
@@ -73,12 +75,15 @@
  *	one that was slow to reach is tried again
  * @drain_hold_ms: an endpoint that refused as draining is left out this
  *	long, until the snapshot tells the same
+ * @absent_hold_ms: so is one that takes no connections; it may start again at
+ *	any time, and who tries it too early loses a way to its guard
  */
 struct endpoints_config {
 	uint32_t slow_start_ms;
 	uint32_t load_half_life_ms;
 	uint32_t way_half_life_ms;
 	uint32_t drain_hold_ms;
+	uint32_t absent_hold_ms;
 };
 
 /** endpoints_config_default() - the values that measurement argued for */
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -63,7 +63,8 @@
  * @REFUSAL_CANCELLED: the entry cancelled it before it started
  * @REFUSAL_NOT_HOME: keyed, and this endpoint is not the key's home
  * @REFUSAL_UPSTREAM: the upstream said that it has not run it
- * @REFUSAL_NO_ENDPOINT: no usable endpoint is known
+ * @REFUSAL_NO_ENDPOINT: no usable endpoint is known, or the one that was chosen
+ *	takes no connections; not a byte was sent to it
  * @REFUSAL_KEY_UNSETTLED: keyed, and an earlier request with the key may have
  *	run elsewhere
  * @REFUSAL_STOPPING: the node is stopping
@@ -104,7 +105,8 @@
 /**
  * refusal_is_free() - whether a retry after it needs no budget
  *
- * True for refusals that stop by themselves once the news has travelled.
+ * True where nothing was sent to an upstream, and where refusals stop by
+ * themselves once the news has travelled.
  */
 bool refusal_is_free(enum refusal r);
 
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -13,6 +13,9 @@
 #include "base/hash.h"
 
 #define NAIVE_ATTEMPTS 4
+/* Attempts that reached no upstream don't count, up to so many: of an entry's
+ * endpoints several may have gone at once, a rack or a service's release. */
+#define UNREACHED_MAX 3
 /* Wait between two tries to reach a guard for a resolve, doubled from one to
  * the next.  At 20 ms each the calls that a cut data centre lost made 7,000
  * tries a second on 65 hosts with a tenth of a core. */
@@ -59,6 +62,7 @@
 	uint64_t wake_ms;
 	uint64_t resolve_until_ms;
 	uint32_t unresolved;
+	uint16_t unreached;
 	GArray *tried;
 	GArray *actions;
 	guint next;
@@ -170,9 +174,13 @@
 static uint32_t
 attempts_max(const struct call *c)
 {
+	uint32_t attempts = c->cfg.attempts;
+
 	if (c->cfg.naive)
 		return NAIVE_ATTEMPTS;
-	return c->cfg.attempts != 0 ? c->cfg.attempts : c->budget->cfg.attempts;
+	if (attempts == 0)
+		attempts = c->budget->cfg.attempts;
+	return attempts + MIN(c->unreached, UNREACHED_MAX);
 }
 
 static bool
@@ -225,6 +233,7 @@
 not_run(struct call *c, enum refusal refusal, uint64_t retry_after_ms,
     uint64_t now_ms)
 {
+	c->unreached += refusal_is_free(refusal);
 	if (!refusal_is_final(refusal) &&
 	    schedule_retry(c, !refusal_is_free(refusal), now_ms))
 		return;
--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -23,6 +23,7 @@
 	cfg->load_half_life_ms = 500;
 	cfg->way_half_life_ms = 1000;
 	cfg->drain_hold_ms = 5000;
+	cfg->absent_hold_ms = 500;
 }
 
 static void
@@ -246,6 +247,9 @@
 	}
 	if (result == ENDPOINT_DRAINS)
 		ep->drains_until_ms = now_ms + e->cfg.drain_hold_ms;
+	if (result == ENDPOINT_ABSENT)
+		ep->drains_until_ms =
+		    MAX(ep->drains_until_ms, now_ms + e->cfg.absent_hold_ms);
 	if (e->ejection != NULL)
 		ejection_note(e->ejection, ep, result, took_us, now_ms);
 }
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -63,7 +63,8 @@
  * @warm_from_ms: start of the slow start; 0 when it was always warm
  * @warm_until_ms: end of the slow start
  * @warm_percent: share of its slots with which the slow start begins
- * @drains_until_ms: it refused as draining; left out until then
+ * @drains_until_ms: it refused as draining, or took no connection; left out
+ *	until then
  * @doubt: nothing is heard from its host
  * @results: for the ejection
  */
--- a/packages/traffic/src/traffic_defs.c
+++ b/packages/traffic/src/traffic_defs.c
@@ -79,8 +79,16 @@
 bool
 refusal_is_free(enum refusal r)
 {
-	return r == REFUSAL_DRAINING || r == REFUSAL_STOPPING ||
-	    r == REFUSAL_NOT_HOME || r == REFUSAL_NO_ENDPOINT;
+	switch (r) {
+	case REFUSAL_DRAINING:
+	case REFUSAL_STOPPING:
+	case REFUSAL_NOT_HOME:
+	case REFUSAL_NO_ENDPOINT:
+	case REFUSAL_UNREACHABLE:
+		return true;
+	default:
+		return false;
+	}
 }
 
 bool
