fix(soak): a node that was just started is there before the next fault

Ruled out: a hang (the stop returned in time), a crash (nothing had run). Solution: the soak waits until a node that it started has begun to log, as it does for upstreams; the program blocks its signals first of all. The check stays: a node that has begun must end with 0.

--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -171,13 +171,11 @@
 }
 
 static int
-run(const struct settings *s)
+run(const struct settings *s, const sigset_t *set)
 {
 	struct node *n;
-	sigset_t set;
 	int sig;
 
-	block_signals(&set);
 	log_start(s->log_level, s->host);
 	if (node_start(s, adapter_of(s), clock_wall_ms(), random_seed(s), &n) !=
 	    STATUS_OK) {
@@ -185,7 +183,7 @@
 		log_stop();
 		return EXIT_FAILED;
 	}
-	sig = wait_for_end(s, &set);
+	sig = wait_for_end(s, set);
 	log_info("Signal %d came; stopping gracefully.", sig);
 	node_stop(n);
 	log_info("Stopped.");
@@ -213,8 +211,12 @@
 main(int argc, char *argv[])
 {
 	struct settings s;
+	sigset_t set;
 	int code;
 
+	/* First of all: a signal that comes while the node starts ends it in
+	 * order once it has started. */
+	block_signals(&set);
 	bound_heap();
 	/* Numbers stay as C writes them; only the help is in the locale. */
 	(void)setlocale(LC_CTYPE, "");
@@ -227,5 +229,5 @@
 		show_settings(&s);
 	if (print_settings || check_settings)
 		return EXIT_FINE;
-	return run(&s);
+	return run(&s, &set);
 }
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -6,6 +6,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <sys/stat.h>
 
 #include <check.h>
 #include <glib.h>
@@ -69,6 +70,28 @@
 		deployment_kill_node(h);
 }
 
+/* It has begun to log. */
+static int
+node_runs(void *arg)
+{
+	const struct host *h = arg;
+	struct stat st;
+
+	return stat(process_log(h->node), &st) == 0 && st.st_size > 0;
+}
+
+/*
+ * The next fault may befall it at once, so it must be there: a signal that
+ * comes before the program has begun ends it by the signal, not by its own
+ * order.
+ */
+static void
+node_start(struct soak *s, struct host *h)
+{
+	deployment_start_node(s->d, h);
+	ck_assert(harness_until(node_runs, h, SETTLE_MS));
+}
+
 static void
 node_mend(struct soak *s, struct host *h, enum soak_fault f)
 {
@@ -77,7 +100,7 @@
 	} else {
 		if (f == SOAK_NODE_STOP)
 			ck_assert_int_eq(deployment_stop_node(h), 0);
-		deployment_start_node(s->d, h);
+		node_start(s, h);
 	}
 	version_watch_present(s->watch, h, 1);
 }
