--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -22,9 +22,10 @@
 /*
  * A full endpoint of the own data centre is waited for while its queue is
  * shorter than this share of its slots: less than half a request's time,
- * against a way to another data centre and its bytes.  From 100 to 140, five
- * days of three customers: 0.001 to 0.005 of their worth, a tenth of the bytes
- * between data centres less; 200 gains nothing more.
+ * against a way to another data centre and its bytes.  With 140 instead of 100
+ * a sixth fewer bytes went between data centres on five days of the robot
+ * cells, with three seeds each, and no fewer requests were served; 200 spares
+ * no more.
  */
 #define SATURATION_PERCENT 140
 
