feat(entry): a call that the entry refuses has a line; tests of the two refusals

Problem: callers refused by a node without a configuration, or one that stops, and those on unknown routes, left no line, so their ids could not be followed. The time that such a node tells, and that an absent upstream is told as no_endpoint, had no test.

--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -402,9 +402,10 @@
 }
 
 static bool
-refuse(struct call_exchange *x, uint32_t status, const char *kind,
-    const char *message)
+refuse(struct entry *e, struct call_exchange *x, uint32_t status,
+    const char *kind, const char *message)
 {
+	entry_log_refused(e, call_exchange_request(x), status, kind);
 	entry_answer_refuse(x, status, kind, message);
 	return false;
 }
@@ -435,20 +436,20 @@
 	enum http_method method;
 
 	if (!drain_takes_call(&e->drain))
-		return refuse(x, HTTP_UNAVAILABLE, "draining",
+		return refuse(e, x, HTTP_UNAVAILABLE, "draining",
 		    "this node is stopping; call another one.");
 	if (entry_snapshot(e) == NULL)
-		return refuse(x, HTTP_UNAVAILABLE, "unavailable",
+		return refuse(e, x, HTTP_UNAVAILABLE, "unavailable",
 		    "no configuration is in force here yet; call another "
 		    "node or try again later.");
 	method = method_parse(r->method, strlen(r->method));
 	switch (snapshot_match(
 	    e->snapshot, method, r->host, r->path, strlen(r->path), match)) {
 	case ROUTE_NO_PATH:
-		return refuse(x, HTTP_NOT_FOUND, "not_found",
+		return refuse(e, x, HTTP_NOT_FOUND, "not_found",
 		    "no route leads there; check the path.");
 	case ROUTE_NO_METHOD:
-		return refuse(x, HTTP_BAD_METHOD, "invalid",
+		return refuse(e, x, HTTP_BAD_METHOD, "invalid",
 		    "the route does not take this method; use another.");
 	case ROUTE_FOUND:
 		split(e, match);
@@ -457,7 +458,7 @@
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
 		match->service->config->limits.request_max_bytes)
-		return refuse(x, HTTP_TOO_LARGE, "too_large",
+		return refuse(e, x, HTTP_TOO_LARGE, "too_large",
 		    "the body is larger than the service takes; send less.");
 	return true;
 }
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -46,6 +46,22 @@
 	    clock_left_ms(c->deadline_ms, now_ms), left_out);
 }
 
+void
+entry_log_refused(struct entry *e, const struct call_request *r,
+    uint32_t status, const char *kind)
+{
+	struct log_limit *limit = &e->other_lines;
+	uint32_t left_out = limit->left_out;
+
+	if (!log_enabled(LOG_LEVEL_INFO) ||
+	    !log_limit_take(limit, loop_now_ms(e->loop)))
+		return;
+	log_info("call id=%s path=%.40s refused=%s status=%u version=%" PRIu64
+		 " left_out=%u",
+	    r->id != NULL ? r->id : "-", r->path, kind, status,
+	    e->snapshot != NULL ? e->snapshot->version : 0, left_out);
+}
+
 void
 entry_log_attempt(const struct entry_attempt *a, const char *ended)
 {
--- a/packages/node/src/entry_log.h
+++ b/packages/node/src/entry_log.h
@@ -11,6 +11,11 @@
 void
 entry_log_end(struct entry_call *c, enum outcome outcome, const char *reason);
 
+/** entry_log_refused() - the entry itself refused a call, before any decision
+ */
+void entry_log_refused(struct entry *e, const struct call_request *r,
+    uint32_t status, const char *kind);
+
 /** entry_log_attempt() - an attempt ended without an answer */
 void entry_log_attempt(const struct entry_attempt *a, const char *ended);
 
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -235,10 +235,32 @@
 	ck_assert_str_ne(r.retry_after, "");
 	reply_clear(&r);
 	ck_assert_int_eq(fake_upstream_runs(upstream, "d"), 0);
+	/* Nothing was sent to it, which costs no retry. */
 	test_node_upstream(node, 1, SERVING_READY);
 	call("POST", "/book/x", NULL, "seat", &r);
 	ck_assert_int_eq(r.status, 503);
 	ck_assert_str_eq(r.fate, "not_run");
+	ck_assert_ptr_nonnull(g_strstr_len(
+	    (const char *)r.body->data, (gssize)r.body->len, "no_endpoint"));
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
+/* All processes end at once, and callers come back twice: what they are told
+ * must span the 0.5 to 0.7 s until a node that starts has its configuration. */
+START_TEST(a_node_without_a_configuration_says_when_to_come_back)
+{
+	struct reply r;
+	double after_s;
+
+	start();
+	snapshot_ref_publish(NULL);
+	call("GET", "/look/x", NULL, NULL, &r);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.fate, "not_run");
+	after_s = g_ascii_strtod(r.retry_after, NULL);
+	ck_assert(after_s >= 0.35 && after_s <= 1);
 	reply_clear(&r);
 	stop();
 }
@@ -334,6 +356,7 @@
 	    a_head_tells_the_length_that_a_get_would_have,
 	    a_booking_on_a_kept_connection_that_closes_runs_once,
 	    an_upstream_that_is_down_or_draining_runs_nothing,
+	    a_node_without_a_configuration_says_when_to_come_back,
 	    a_caller_over_its_limit_is_turned_away,
 	    a_deadline_that_passes_is_told, a_large_upload_arrives_whole, NULL};
 
