fix(spread): a version that is whole is taken although its last peer is blamed

A peer's answer brought all sections that were missing and then a wrong one: the peer was blamed, and the version stayed unstaged with nothing missing and nobody to ask, so its next step was always due at once. In the program that is a control thread that uses a whole processor until a newer version comes. Ruled out: load (0.1 s for the other kinds on the same machine); the join itself.

--- a/packages/spread/src/intake_peer.c
+++ b/packages/spread/src/intake_peer.c
@@ -286,6 +286,8 @@
 		return;
 	if (!intake_add_content(in, msg->sections, msg->n_sections)) {
 		intake_peer_bad(in, now_ms);
+		/* What came before it may have been all that was missing. */
+		intake_filled(in);
 		return;
 	}
 	intake_add_patches(in, msg->patches, msg->n_patches);
@@ -340,6 +342,8 @@
 	before = catalog_stage_n_missing(in->stage);
 	if (!intake_add_content(in, msg->sections, msg->n_sections)) {
 		intake_peer_bad(in, now_ms);
+		/* What came before it may have been all that was missing. */
+		intake_filled(in);
 		return;
 	}
 	intake_add_patches(in, msg->patches, msg->n_patches);
