--- a/test/soak/test_soak.c
+++ b/test/soak/test_soak.c
@@ -1,5 +1,5 @@
 /*
- * The soak: one short seed by itself.
+ * The soak: one short seed by itself, and the seeds that failed once.
  *
  * BRAMLEY_SEED and BRAMLEY_SEEDS name the first seed and their number for a run
  * by hand, BRAMLEY_SOAK_S its length in seconds.
@@ -20,6 +20,15 @@
 /* About as many at a time as there are hosts of one data centre. */
 #define FAULTS_PER_S 2
 
+/* Seeds that failed, with the length at which they did. */
+static const struct {
+	uint32_t seed;
+	uint32_t for_s;
+} failed_once[] = {
+    /* A node was told to stop before its program had begun. */
+    {9102, 8},
+};
+
 static uint32_t
 from_environment(const char *name, uint32_t fallback)
 {
@@ -36,6 +45,13 @@
 }
 END_TEST
 
+START_TEST(seeds_that_failed_once)
+{
+	soak_run(failed_once[_i].seed, failed_once[_i].for_s,
+	    failed_once[_i].for_s * FAULTS_PER_S);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -46,5 +62,8 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_loop_test(
 	    tc, promises_hold_under_faults, (int)first, (int)(first + n));
+	if (g_getenv("BRAMLEY_SEED") == NULL)
+		tcase_add_loop_test(tc, seeds_that_failed_once, 0,
+		    (int)G_N_ELEMENTS(failed_once));
 	return harness_run(tc, TEST_TIMEOUT_S);
 }
