fix(entry): a node that stops sends callers on at once

Problem: with the time of a node that can't serve yet, a stopping node too told callers to come back after 400 ms, although others serve. Solution: 1 ms for a node that stops, 400 ms for one without a configuration. Tests: test_call_path, test_callers, test_call_drain pass.

--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -16,7 +16,10 @@
  * its configuration in force 0.5 to 0.7 s after its start, and callers come
  * back twice.  Told 1 ms, they had spent both returns before: of 1,770 requests
  * in the 2 s after all processes were killed 648 were refused, 176 so. */
-#define NOT_SERVING_RETRY_MS 400
+#define STARTING_RETRY_MS 400
+
+/* One that stops isn't waited for: other nodes serve at once. */
+#define STOPPING_RETRY_MS 1
 
 static const char unknown_message[] =
     "the request may or may not have run; ask for its effect, or send it "
@@ -33,19 +36,41 @@
 	return a;
 }
 
-void
-entry_answer_refuse(struct call_exchange *x, uint32_t status, const char *kind,
-    const char *message)
+static void
+refuse(struct call_exchange *x, uint32_t status, const char *kind,
+    const char *message, uint64_t retry_after_ms)
 {
 	struct call_answer *a;
 
 	a = own_answer(OUTCOME_NOT_RUN, status, kind, message);
-	if (status == STATUS_NOT_RUN)
-		a->retry_after_ms = NOT_SERVING_RETRY_MS;
+	a->retry_after_ms = retry_after_ms;
 	call_metrics_outcome(OUTCOME_NOT_RUN);
 	call_exchange_answer(x, a, NULL, EXCHANGE_WHOLE);
 }
 
+void
+entry_answer_stopping(struct call_exchange *x)
+{
+	refuse(x, STATUS_NOT_RUN, "draining",
+	    "this node is stopping; call another one.", STOPPING_RETRY_MS);
+}
+
+void
+entry_answer_starting(struct call_exchange *x)
+{
+	refuse(x, STATUS_NOT_RUN, "unavailable",
+	    "no configuration is in force here yet; call another node or try "
+	    "again later.",
+	    STARTING_RETRY_MS);
+}
+
+void
+entry_answer_refuse(struct call_exchange *x, uint32_t status, const char *kind,
+    const char *message)
+{
+	refuse(x, status, kind, message, 0);
+}
+
 static char *
 not_run_message(const struct call_action *action)
 {
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -435,13 +435,16 @@
 	const struct call_request *r = call_exchange_request(x);
 	enum http_method method;
 
-	if (!drain_takes_call(&e->drain))
-		return refuse(e, x, HTTP_UNAVAILABLE, "draining",
-		    "this node is stopping; call another one.");
-	if (entry_snapshot(e) == NULL)
-		return refuse(e, x, HTTP_UNAVAILABLE, "unavailable",
-		    "no configuration is in force here yet; call another "
-		    "node or try again later.");
+	if (!drain_takes_call(&e->drain)) {
+		entry_log_refused(e, r, HTTP_UNAVAILABLE, "draining");
+		entry_answer_stopping(x);
+		return false;
+	}
+	if (entry_snapshot(e) == NULL) {
+		entry_log_refused(e, r, HTTP_UNAVAILABLE, "unavailable");
+		entry_answer_starting(x);
+		return false;
+	}
 	method = method_parse(r->method, strlen(r->method));
 	switch (snapshot_match(
 	    e->snapshot, method, r->host, r->path, strlen(r->path), match)) {
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -380,6 +380,12 @@
 
 /* entry_answer.c */
 
+/** entry_answer_stopping() - not run: this node stops, others serve */
+void entry_answer_stopping(struct call_exchange *x);
+
+/** entry_answer_starting() - not run: this node has no configuration yet */
+void entry_answer_starting(struct call_exchange *x);
+
 /** entry_answer_refuse() - the entry itself answers: the call was not run */
 void entry_answer_refuse(struct call_exchange *x, uint32_t status,
     const char *kind, const char *message);
