--- a/packages/config/include/config/bundle.h
+++ b/packages/config/include/config/bundle.h
@@ -10,7 +10,7 @@
 #include "config/section.h"
 
 /* Largest bundle, and how deep it may nest. */
-#define BUNDLE_MAX_BYTES (UINT64_C(8) << 20)
+#define BUNDLE_MAX_BYTES (UINT64_C(64) << 20)
 #define BUNDLE_MAX_DEPTH 8
 
 /* Problems that are reported; the others are only counted. */
@@ -34,7 +34,7 @@
 /**
  * struct bundle - a checked bundle
  * @name: name of the bundle
- * @sections: struct section, sorted by service
+ * @sections: struct section, sorted by name
  * @problems: struct bundle_problem; empty when the bundle is good
  * @n_problems: number of problems found, those not reported included
  * @root: digest of the list of sections
@@ -65,7 +65,7 @@
 /**
  * bundle_to_sections() - the sections of a good bundle
  * @bundle: the bundle
- * @list: where a new array of struct rec_section_ref goes, sorted by service
+ * @list: where a new array of struct rec_section_ref goes, sorted by name
  * @root: where the root goes
  *
  * The contents are in @bundle->sections, in the same order.
--- a/packages/config/include/config/catalog.h
+++ b/packages/config/include/config/catalog.h
@@ -28,7 +28,7 @@
  * @from_version: version that the changes apply to, 0 for an empty one
  * @version: version that they lead to
  * @root: its root
- * @changes: struct rec_section_change, sorted by service
+ * @changes: struct rec_section_change, sorted by section
  * @skips: what changed and changed back between the two versions isn't named,
  * so that the changes are good for a node at @from_version only
  */
@@ -59,21 +59,24 @@
 /** catalog_n_services() - number of services in the version held */
 uint32_t catalog_n_services(const struct catalog *c);
 
+/** catalog_n_sections() - number of sections in the version held */
+uint32_t catalog_n_sections(const struct catalog *c);
+
 /**
- * catalog_service() - a service of the version held, in order of names
+ * catalog_section() - a section of the version held, in order of names
  * @c: catalog
- * @i: index below catalog_n_services()
+ * @i: index below catalog_n_sections()
  *
- * Return: the service, owned by the catalog.
+ * Return: what it says, owned by the catalog.
  */
-struct service_config *catalog_service(const struct catalog *c, uint32_t i);
+struct service_config *catalog_section(const struct catalog *c, uint32_t i);
 
 /**
  * catalog_find() - a service of the version held, by name
  * @c: catalog
  * @name: name of the service
  *
- * Return: the service, owned by the catalog, or NULL.
+ * Return: the first of its sections, owned by the catalog, or NULL.
  */
 struct service_config *catalog_find(const struct catalog *c, const char *name);
 
@@ -127,10 +130,11 @@
  * catalog_patch() - a section as its difference from an earlier one
  * @c: catalog
  * @have_version: version that the asker holds
- * @change: change of a service between that version and a later one
+ * @change: change of a section between that version and a later one
  * @patch: where the difference goes; free it with catalog_patch_clear()
  *
  * Saves most of a section's bytes: one route more among 480 is 0.2 of 62 KB.
+ * A part that is new is a difference from the section that was split.
  * Differences that were made last are kept, since many ask for the same.
  *
  * Return: whether there is one: not when one of the two sections is not held
--- a/packages/config/include/config/section.h
+++ b/packages/config/include/config/section.h
@@ -1,6 +1,7 @@
 /*
- * Sections: a service with its routes in canonical msgpack, named by SHA-256.
- * Lists of sections, whose digest is the root of a version.
+ * Sections: a service with its routes, or with a part of them, in canonical
+ * msgpack, named by SHA-256.  Lists of sections, whose digest is the root of a
+ * version.
  */
 #ifndef CONFIG_SECTION_H
 #define CONFIG_SECTION_H
@@ -9,11 +10,19 @@
 
 #include "config/service.h"
 
-/* Largest section: 1,000 routes with hosts and prefixes of usual length. */
-#define SECTION_MAX_BYTES 131072
+/*
+ * Largest section: about 400 routes with hosts and prefixes of usual length.
+ * A change of one route has a node decode this much; each section costs 100
+ * bytes in the list of a version.
+ */
+#define SECTION_MAX_BYTES 32768
 
-/* Largest sum of the sections of one version. */
-#define CONFIG_MAX_BYTES (UINT64_C(8) << 20)
+/* Largest sum of the sections of one version: 57,000 routes of usual length
+ * take 3 MiB, with the longest hosts and prefixes 24. */
+#define CONFIG_MAX_BYTES (UINT64_C(32) << 20)
+
+/* Most sections of one version. */
+#define CONFIG_MAX_SECTIONS 16384
 
 struct rec_section_change;
 struct rec_section_ref;
@@ -42,20 +51,30 @@
 enum status
 section_decode(const uint8_t *data, size_t len, struct service_config **config);
 
+/** section_name_valid() - whether a text names a section */
+bool section_name_valid(const char *name);
+
+/**
+ * section_name_covers() - whether the routes of one section include another's
+ * @upper: name of a section
+ * @lower: name of another one
+ */
+bool section_name_covers(const char *upper, const char *lower);
+
 /**
  * section_changes() - what differs between two lists
- * @from: earlier list of struct rec_section_ref, sorted by service
- * @to: later list of struct rec_section_ref, sorted by service
+ * @from: earlier list of struct rec_section_ref, sorted by name
+ * @to: later list of struct rec_section_ref, sorted by name
  *
- * Return: new array of struct rec_section_change, sorted by service; free
+ * Return: new array of struct rec_section_change, sorted by name; free
  * with g_array_unref().
  */
 GArray *section_changes(const GArray *from, const GArray *to);
 
 /**
  * section_list_apply() - a list after some changes
- * @from: list of struct rec_section_ref, sorted by service
- * @changes: first of the changes, sorted by service
+ * @from: list of struct rec_section_ref, sorted by name
+ * @changes: first of the changes, sorted by name
  * @n_changes: number of changes
  *
  * Return: new array of struct rec_section_ref, sorted by service.
@@ -65,7 +84,7 @@
 
 /**
  * section_list_encode() - canonical content of a list
- * @list: struct rec_section_ref, sorted by service
+ * @list: struct rec_section_ref, sorted by name
  * @root: where the digest of the content goes; NULL when not wanted
  *
  * Return: the content, as stored under "root/<hex of @root>".
@@ -80,7 +99,7 @@
  * @list: where a new array of struct rec_section_ref goes
  *
  * Return: STATUS_OK, or STATUS_INVALID when the content has another digest,
- * is not sorted, names a service twice or is not a list.
+ * is not sorted, names a section twice or is not a list.
  */
 enum status section_list_decode(
     const uint8_t *data, size_t len, const struct digest *root, GArray **list);
--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -1,6 +1,7 @@
 /*
  * A service and its routes as a section holds them: immutable and shared by
- * reference count between catalog and snapshots.
+ * reference count between catalog and snapshots.  A service with many routes
+ * has several sections, which differ in their routes only.
  */
 #ifndef CONFIG_SERVICE_H
 #define CONFIG_SERVICE_H
@@ -20,9 +21,11 @@
 /* Longest name of a host that callers name, zero included. */
 #define ROUTE_HOST_BYTES 128
 
-/* What a bundle may hold at most. */
+/* Longest name of a section, zero included: a service's, and a part's of 24. */
+#define SECTION_NAME_BYTES 64
+
+/* What a bundle may hold at most; CONFIG_MAX_BYTES bounds its routes. */
 #define CONFIG_MAX_SERVICES 4096
-#define CONFIG_MAX_ROUTES 4096
 
 /* Ranges of a service's numbers. */
 #define SERVICE_TIMEOUT_MIN_MS 1
@@ -150,10 +153,11 @@
 };
 
 /**
- * struct service_config - a service with its routes; immutable
+ * struct service_config - a service with all or a part of its routes; immutable
  * @refs: references; use service_config_ref() and service_config_unref()
  * @name: name of the service
- * @digest: digest of the section that says this
+ * @section: name of the section that says this
+ * @digest: digest of that section
  * @timeout_ms: time for a request when the caller names no deadline
  * @limits: limits kept by the guards
  * @retry: retry policy
@@ -164,6 +168,7 @@
 struct service_config {
 	_Atomic uint32_t refs;
 	char name[SERVICE_NAME_BYTES];
+	char section[SECTION_NAME_BYTES];
 	struct digest digest;
 	uint32_t timeout_ms;
 	struct service_limits limits;
--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -17,11 +17,16 @@
 
 /**
  * struct snapshot_service - a service with its endpoints
- * @config: limits, retry policy, routes; a reference is held
+ * @config: limits and retry policy, the same in all of its sections, and the
+ * routes of the first of them
+ * @sections: the first of its sections in those of the snapshot
+ * @n_sections: number of its sections
  * @endpoints: its endpoints; a reference is held; NULL when it has none
  */
 struct snapshot_service {
-	struct service_config *config;
+	const struct service_config *config;
+	struct service_config *const *sections;
+	uint32_t n_sections;
 	struct endpoint_list *endpoints;
 };
 
@@ -35,6 +40,8 @@
  * @root: its root
  * @services: services, sorted by name
  * @n_services: number of services
+ * @sections: what their sections say, in order; references are held
+ * @n_sections: number of sections
  * @n_endpoints: number of endpoints of all services
  * @n_nodes: live nodes of the whole system, 0 when not known
  * @routes: routes of all services, as indexes into @services
@@ -45,6 +52,8 @@
 	struct digest root;
 	struct snapshot_service *services;
 	uint32_t n_services;
+	struct service_config **sections;
+	uint32_t n_sections;
 	uint32_t n_endpoints;
 	uint32_t n_nodes;
 	struct route_table *routes;
--- a/packages/config/include/config/stage.h
+++ b/packages/config/include/config/stage.h
@@ -31,7 +31,7 @@
  * @c: catalog; must outlive the stage
  * @version: target version
  * @root: its root; the list must have this digest
- * @list: struct rec_section_ref, sorted by service
+ * @list: struct rec_section_ref, sorted by name
  * @stage: where the stage goes; free with catalog_stage_free()
  *
  * Return: as catalog_stage_begin().
@@ -54,7 +54,7 @@
  * @stage: stage
  * @max: most that are wanted; 0 for all
  *
- * Return: new array of struct digest, in order of services; empty when the
+ * Return: new array of struct digest, in order of sections; empty when the
  * stage can be committed.
  */
 GArray *catalog_stage_missing(const struct catalog_stage *stage, uint32_t max);
@@ -65,7 +65,7 @@
  * @max: most that are wanted
  *
  * Return: new array of struct rec_section_want: contents that are needed, with
- * the section that is held of the same service.
+ * the section that is held under the same name, or that it was split from.
  */
 GArray *catalog_stage_wants(const struct catalog_stage *stage, uint32_t max);
 
@@ -80,7 +80,7 @@
  *
  * Return: STATUS_OK, also when it was there already; STATUS_NOT_FOUND when
  * the version has no such section; STATUS_INVALID when it is not a good
- * section of the service that the list names; STATUS_TOO_LARGE.
+ * section under the name that the list gives it; STATUS_TOO_LARGE.
  */
 enum status
 catalog_stage_add(struct catalog_stage *stage, const uint8_t *data, size_t len);
@@ -90,9 +90,9 @@
  * @c: the catalog that the stage was begun for
  * @stage: the stage; the caller still frees it
  *
- * Checks that nothing is missing, that the whole list has the root, that no
- * two services claim one route, and that the version is above the version
- * held.  On failure the catalog is unchanged.
+ * Checks that nothing is missing, that the whole list has the root, that parts
+ * of a service agree, that no two services claim one route, and that the
+ * version is above the version held.  On failure the catalog is unchanged.
  *
  * Return: STATUS_OK; STATUS_UNAVAILABLE when contents are missing;
  * STATUS_CONFLICT when the version held is as new; STATUS_INVALID;
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -5,6 +5,7 @@
 
 #include "bundle_read.h"
 #include "bundle_scan.h"
+#include "parts.h"
 #include "rules.h"
 #include "section_build.h"
 
@@ -30,7 +31,7 @@
 {
 	const struct section *const *x = a, *const *y = b;
 
-	return strcmp((*x)->config->name, (*y)->config->name);
+	return strcmp((*x)->config->section, (*y)->config->section);
 }
 
 /* What a node will check when the section arrives there. */
@@ -45,7 +46,7 @@
 	if (section_decode(data, len, &sc) != STATUS_OK)
 		problems_add(p, NULL, "report this as a defect",
 		    "service %s makes no good section: %s",
-		    section->config->name, status_message());
+		    section->config->section, status_message());
 	service_config_unref(sc);
 }
 
@@ -71,7 +72,6 @@
 static void
 build_sections(struct bundle *b, const struct bundle_reader *r)
 {
-	struct section *section;
 	struct draft *d;
 	uint32_t i;
 
@@ -79,12 +79,11 @@
 		d = g_ptr_array_index(r->drafts, i);
 		d->m.routes = (struct rec_section_route *)d->routes->data;
 		d->m.n_routes = d->routes->len;
-		routes_sort(d->m.routes, d->m.n_routes);
-		section = section_new(&d->m);
-		section_verify(section, r->p);
-		g_ptr_array_add(b->sections, section);
+		parts_cut(&d->m, b->sections);
 	}
 	g_ptr_array_sort(b->sections, section_order);
+	for (i = 0; i < b->sections->len; i++)
+		section_verify(g_ptr_array_index(b->sections, i), r->p);
 	total_check(b, r->p);
 }
 
@@ -172,8 +171,8 @@
 	for (i = 0; i < bundle->sections->len; i++) {
 		section = g_ptr_array_index(bundle->sections, i);
 		memset(&ref, 0, sizeof(ref));
-		g_strlcpy(
-		    ref.service, section->config->name, sizeof(ref.service));
+		(void)g_strlcpy(
+		    ref.section, section->config->section, sizeof(ref.section));
 		ref.digest = section->config->digest;
 		g_array_append_val(*list, ref);
 	}
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -177,19 +177,6 @@
 	return d;
 }
 
-static void
-add_route(struct bundle_reader *r, struct draft *d,
-    const struct rec_section_route *route, const struct place *at)
-{
-	if (d->routes->len == CONFIG_MAX_ROUTES)
-		problems_add(r->p, at,
-		    "use shorter prefixes or split the service",
-		    "service %s has more than %d routes", d->m.service,
-		    CONFIG_MAX_ROUTES);
-	else
-		g_array_append_vals(d->routes, route, 1);
-}
-
 static void
 read_route(struct bundle_reader *r, json_t *route, const struct place *at)
 {
@@ -222,7 +209,7 @@
 		claim_methods(r, &out, at);
 	d = read_target(r, route, at);
 	if (d != NULL)
-		add_route(r, d, &out, at);
+		g_array_append_val(d->routes, out);
 }
 
 void
--- a/packages/config/src/bundle_scan.h
+++ b/packages/config/src/bundle_scan.h
@@ -8,7 +8,7 @@
 #include "problems.h"
 
 /* Most values in a bundle: what the largest bundle that fits can hold. */
-#define BUNDLE_MAX_VALUES 1000000
+#define BUNDLE_MAX_VALUES 4000000
 
 /**
  * bundle_scan() - check size, nesting and number of values
--- a/packages/config/src/catalog.c
+++ b/packages/config/src/catalog.c
@@ -19,12 +19,12 @@
 
 	c = g_new0(struct catalog, 1);
 	c->max_bytes = max_bytes != 0 ? max_bytes : CATALOG_DEFAULT_BYTES;
-	c->services = g_ptr_array_new_with_free_func(service_unref);
+	c->sections = g_ptr_array_new_with_free_func(service_unref);
 	c->contents = contents_new();
 	c->ring = g_ptr_array_new_with_free_func(ring_entry_free);
 	c->memos = g_new0(struct patch_memo, PATCH_MEMOS);
 	/* The table of no services has no crossing routes. */
-	(void)route_table_new(c->services, &c->routes);
+	(void)route_table_new(c->sections, &c->routes);
 	return c;
 }
 
@@ -47,7 +47,7 @@
 	g_ptr_array_unref(c->ring);
 	contents_free(c->contents);
 	route_table_unref(c->routes);
-	g_ptr_array_unref(c->services);
+	g_ptr_array_unref(c->sections);
 	g_free(c);
 }
 
@@ -66,34 +66,62 @@
 uint32_t
 catalog_n_services(const struct catalog *c)
 {
-	return c->services->len;
+	return c->n_services;
 }
 
-struct service_config *
-catalog_service(const struct catalog *c, uint32_t i)
+uint32_t
+catalog_n_sections(const struct catalog *c)
 {
-	return g_ptr_array_index(c->services, i);
+	return c->sections->len;
 }
 
 struct service_config *
-catalog_find(const struct catalog *c, const char *name)
+catalog_section(const struct catalog *c, uint32_t i)
 {
-	uint32_t low = 0, high = c->services->len, mid;
-	struct service_config *sc;
-	int order;
+	return g_ptr_array_index(c->sections, i);
+}
+
+/* Index of the first section that is not before a name. */
+static uint32_t
+lower_bound(const struct catalog *c, const char *name)
+{
+	uint32_t low = 0, high = c->sections->len, mid;
+	const struct service_config *sc;
 
 	while (low < high) {
 		mid = low + (high - low) / 2;
-		sc = g_ptr_array_index(c->services, mid);
-		order = strcmp(sc->name, name);
-		if (order == 0)
-			return sc;
-		if (order < 0)
+		sc = g_ptr_array_index(c->sections, mid);
+		if (strcmp(sc->section, name) < 0)
 			low = mid + 1;
 		else
 			high = mid;
 	}
-	return NULL;
+	return low;
+}
+
+struct service_config *
+catalog_find(const struct catalog *c, const char *name)
+{
+	uint32_t i = lower_bound(c, name);
+	struct service_config *sc;
+
+	if (i == c->sections->len)
+		return NULL;
+	/* A service's parts come right after where its one section would. */
+	sc = g_ptr_array_index(c->sections, i);
+	return strcmp(sc->name, name) == 0 ? sc : NULL;
+}
+
+struct service_config *
+catalog_find_section(const struct catalog *c, const char *section)
+{
+	uint32_t i = lower_bound(c, section);
+	struct service_config *sc;
+
+	if (i == c->sections->len)
+		return NULL;
+	sc = g_ptr_array_index(c->sections, i);
+	return strcmp(sc->section, section) == 0 ? sc : NULL;
 }
 
 uint64_t
@@ -120,11 +148,11 @@
 	GArray *list;
 	uint32_t i;
 
-	list = g_array_sized_new(FALSE, TRUE, sizeof(ref), c->services->len);
-	for (i = 0; i < c->services->len; i++) {
-		sc = g_ptr_array_index(c->services, i);
+	list = g_array_sized_new(FALSE, TRUE, sizeof(ref), c->sections->len);
+	for (i = 0; i < c->sections->len; i++) {
+		sc = g_ptr_array_index(c->sections, i);
 		memset(&ref, 0, sizeof(ref));
-		g_strlcpy(ref.service, sc->name, sizeof(ref.service));
+		(void)g_strlcpy(ref.section, sc->section, sizeof(ref.section));
 		ref.digest = sc->digest;
 		g_array_append_val(list, ref);
 	}
--- a/packages/config/src/catalog_defs.h
+++ b/packages/config/src/catalog_defs.h
@@ -13,7 +13,7 @@
 #define SLOT_BYTES 32
 
 /**
- * struct ring_step - what became of one service in a commit, both ways
+ * struct ring_step - what became of one section in a commit, both ways
  * @forward: change from the earlier to the later version
  * @back: change from the later to the earlier version
  */
@@ -30,7 +30,7 @@
  * @to_root: root after
  * @complete: whether the steps name all that changed at any version between,
  * so that they can be served to nodes that hold one of those
- * @steps: struct ring_step, sorted by service
+ * @steps: struct ring_step, sorted by section
  */
 struct ring_entry {
 	uint64_t from_version;
@@ -41,8 +41,9 @@
 	GArray *steps;
 };
 
-/* Differences that are kept: those of the last version's changes. */
-#define PATCH_MEMOS 16
+/* Differences that are kept: those of the last version's changes, as many as
+ * 20,000 routes that are spread over one service have sections. */
+#define PATCH_MEMOS 256
 
 /**
  * struct patch_memo - a difference that was made
@@ -62,9 +63,10 @@
  * struct catalog - see config/catalog.h
  * @version: version held
  * @max_bytes: memory that contents and services may take
- * @config_bytes: memory of @services and @routes
+ * @config_bytes: memory of @sections and @routes
  * @root: its root
- * @services: struct service_config, sorted by name; references are held
+ * @sections: struct service_config, sorted by section; references are held
+ * @n_services: number of services that they are of
  * @routes: routes of all services; a reference is held
  * @contents: contents of the version held and of the ring
  * @ring: struct ring_entry, oldest first
@@ -75,7 +77,8 @@
 	uint64_t max_bytes;
 	uint64_t config_bytes;
 	struct digest root;
-	GPtrArray *services;
+	GPtrArray *sections;
+	uint32_t n_services;
 	struct route_table *routes;
 	struct contents *contents;
 	GPtrArray *ring;
@@ -85,6 +88,10 @@
 /** catalog_refs() - list of the version held, struct rec_section_ref */
 GArray *catalog_refs(const struct catalog *c);
 
+/** catalog_find_section() - a section of the version held, or NULL */
+struct service_config *
+catalog_find_section(const struct catalog *c, const char *section);
+
 /** ring_entry_free() - free an entry; its contents must be released before */
 void ring_entry_free(void *data);
 
--- a/packages/config/src/commit.c
+++ b/packages/config/src/commit.c
@@ -9,14 +9,16 @@
 /**
  * struct next - the target version while it is built
  * @list: its list, struct rec_section_ref
- * @services: struct service_config, in the list's order
+ * @sections: struct service_config, in the list's order
+ * @n_services: number of services that they are of
  * @routes: its routes
  * @content_bytes: sum of its contents
- * @config_bytes: memory of @services and @routes
+ * @config_bytes: memory of @sections and @routes
  */
 struct next {
 	GArray *list;
-	GPtrArray *services;
+	GPtrArray *sections;
+	uint32_t n_services;
 	struct route_table *routes;
 	uint64_t content_bytes;
 	uint64_t config_bytes;
@@ -33,8 +35,8 @@
 {
 	if (n->list != NULL)
 		g_array_unref(n->list);
-	if (n->services != NULL)
-		g_ptr_array_unref(n->services);
+	if (n->sections != NULL)
+		g_ptr_array_unref(n->sections);
 	route_table_unref(n->routes);
 }
 
@@ -49,9 +51,9 @@
 	return contents_get(stage->c->contents, digest);
 }
 
-/* The service of a digest: held, or added, or decoded once more. */
+/* What a section says: held, or added, or decoded once more. */
 static enum status
-find_service(const struct catalog_stage *stage,
+find_config(const struct catalog_stage *stage,
     const struct rec_section_ref *ref, GBytes *content,
     struct service_config **sc)
 {
@@ -60,7 +62,7 @@
 	const uint8_t *data;
 	size_t len;
 
-	held = catalog_find(stage->c, ref->service);
+	held = catalog_find_section(stage->c, ref->section);
 	if (held != NULL && hash_digest_equal(&held->digest, &ref->digest)) {
 		*sc = service_config_ref(held);
 		return STATUS_OK;
@@ -75,7 +77,7 @@
 }
 
 static enum status
-add_service(const struct catalog_stage *stage,
+add_section(const struct catalog_stage *stage,
     const struct rec_section_ref *ref, struct next *n)
 {
 	struct service_config *sc;
@@ -85,19 +87,72 @@
 	content = find_content(stage, &ref->digest);
 	if (content == NULL)
 		return status_set(STATUS_UNAVAILABLE,
-		    "The section of service %s has not come yet; fetch it.",
-		    ref->service);
-	st = find_service(stage, ref, content, &sc);
+		    "Section %s has not come yet; fetch it.", ref->section);
+	st = find_config(stage, ref, content, &sc);
 	if (st != STATUS_OK)
 		return st;
-	g_ptr_array_add(n->services, sc);
+	g_ptr_array_add(n->sections, sc);
 	n->content_bytes += g_bytes_get_size(content);
-	if (strcmp(sc->name, ref->service) == 0)
+	if (strcmp(sc->section, ref->section) == 0)
 		return STATUS_OK;
 	return status_set(STATUS_INVALID,
-	    "The list calls the section of service %s %s; take the full list "
-	    "from another node.",
-	    sc->name, ref->service);
+	    "The list calls section %s %s; take the full list from another "
+	    "node.",
+	    sc->section, ref->section);
+}
+
+static bool
+same_limits(const struct service_limits *a, const struct service_limits *b)
+{
+	return a->slots_per_endpoint == b->slots_per_endpoint &&
+	    a->queue_per_endpoint == b->queue_per_endpoint &&
+	    a->queue_wait_ms == b->queue_wait_ms &&
+	    a->caller_calls_per_s == b->caller_calls_per_s &&
+	    a->request_max_bytes == b->request_max_bytes &&
+	    a->head_max_bytes == b->head_max_bytes &&
+	    a->head_ms == b->head_ms && a->idle_ms == b->idle_ms;
+}
+
+static bool
+same_numbers(const struct service_config *a, const struct service_config *b)
+{
+	return a->timeout_ms == b->timeout_ms &&
+	    a->retry.attempts == b->retry.attempts &&
+	    a->retry.budget_percent == b->retry.budget_percent &&
+	    same_limits(&a->limits, &b->limits);
+}
+
+/*
+ * Parts of one service have the same numbers and none has another's routes.
+ * Sections are sorted, so that one that covers another stands before it.
+ */
+static enum status
+parts_agree(struct next *n)
+{
+	const struct service_config *before = NULL, *sc;
+	uint32_t i;
+
+	n->n_services = 0;
+	for (i = 0; i < n->sections->len; i++, before = sc) {
+		sc = g_ptr_array_index(n->sections, i);
+		if (before == NULL || strcmp(before->name, sc->name) != 0) {
+			n->n_services++;
+			continue;
+		}
+		if (same_numbers(before, sc) &&
+		    !section_name_covers(before->section, sc->section))
+			continue;
+		return status_set(STATUS_INVALID,
+		    "Sections %s and %s of one service contradict each other; "
+		    "take the full list from another node.",
+		    before->section, sc->section);
+	}
+	if (n->n_services <= CONFIG_MAX_SERVICES)
+		return STATUS_OK;
+	return status_set(STATUS_TOO_LARGE,
+	    "A version has %u services, at most %d are taken; split the "
+	    "bundle.",
+	    n->n_services, CONFIG_MAX_SERVICES);
 }
 
 /* Whether two routes have the same entry in a table. */
@@ -116,7 +171,7 @@
 
 	if (a == b)
 		return true;
-	if (a->n_routes != b->n_routes || strcmp(a->name, b->name) != 0)
+	if (a->n_routes != b->n_routes || strcmp(a->section, b->section) != 0)
 		return false;
 	for (i = 0; i < a->n_routes; i++) {
 		if (!same_place(&a->routes[i], &b->routes[i]))
@@ -125,7 +180,7 @@
 	return true;
 }
 
-/* A table holds indexes, so it fits while services and routes stay. */
+/* A table holds indexes, so it fits while sections and routes stay. */
 static bool
 table_fits(const GPtrArray *a, const GPtrArray *b)
 {
@@ -144,8 +199,8 @@
 static enum status
 next_routes(const struct catalog *c, struct next *n)
 {
-	if (!table_fits(c->services, n->services))
-		return route_table_new(n->services, &n->routes);
+	if (!table_fits(c->sections, n->sections))
+		return route_table_new(n->sections, &n->routes);
 	n->routes = route_table_ref(c->routes);
 	return STATUS_OK;
 }
@@ -157,8 +212,8 @@
 	uint32_t i;
 
 	n->config_bytes = route_table_bytes(n->routes);
-	for (i = 0; i < n->services->len; i++) {
-		sc = g_ptr_array_index(n->services, i);
+	for (i = 0; i < n->sections->len; i++) {
+		sc = g_ptr_array_index(n->sections, i);
 		n->config_bytes += sc->size_bytes + SLOT_BYTES;
 	}
 }
@@ -186,10 +241,12 @@
 	st = stage_check(stage, &n->list);
 	if (st != STATUS_OK)
 		return st;
-	n->services = g_ptr_array_new_with_free_func(service_unref);
+	n->sections = g_ptr_array_new_with_free_func(service_unref);
 	for (i = 0; i < n->list->len && st == STATUS_OK; i++)
-		st = add_service(stage,
+		st = add_section(stage,
 		    &g_array_index(n->list, struct rec_section_ref, i), n);
+	if (st == STATUS_OK)
+		st = parts_agree(n);
 	if (st == STATUS_OK)
 		st = next_routes(stage->c, n);
 	if (st != STATUS_OK)
@@ -236,13 +293,13 @@
 }
 
 static void
-release_contents(struct catalog *c, const GPtrArray *services)
+release_contents(struct catalog *c, const GPtrArray *sections)
 {
 	const struct service_config *sc;
 	uint32_t i;
 
-	for (i = 0; i < services->len; i++) {
-		sc = g_ptr_array_index(services, i);
+	for (i = 0; i < sections->len; i++) {
+		sc = g_ptr_array_index(sections, i);
 		contents_release(c->contents, &sc->digest);
 	}
 }
@@ -256,9 +313,10 @@
 	entry = entry_new(c, stage, n);
 	hold_contents(c, stage, n->list);
 	ring_push(c, entry);
-	release_contents(c, c->services);
-	g_ptr_array_unref(c->services);
-	c->services = g_steal_pointer(&n->services);
+	release_contents(c, c->sections);
+	g_ptr_array_unref(c->sections);
+	c->sections = g_steal_pointer(&n->sections);
+	c->n_services = n->n_services;
 	route_table_unref(c->routes);
 	c->routes = g_steal_pointer(&n->routes);
 	c->version = stage->version;
--- /dev/null
+++ b/packages/config/src/parts.c
@@ -0,0 +1,269 @@
+/*
+ * Parts of a service whose routes don't fit one section.
+ */
+#include "parts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "rules.h"
+#include "section_build.h"
+
+/* Between the name of a service and a part; no name of a service has it, and
+ * it sorts before all that names have, so that parts stand together. */
+#define PART_MARK '#'
+
+/* Most bytes that a route takes in a section besides its texts: 13 for types
+ * and lengths, 5 for each of its six numbers, 2 for its flags. */
+#define ROUTE_FIXED_BYTES 45
+
+/* Most bytes of a section besides its routes: 12 numbers of up to 9 bytes, a
+ * service's name of 31, a part's of 24, types and lengths. */
+#define SECTION_FIXED_BYTES 192
+
+/* Any seed does, as long as all nodes have the same. */
+#define PART_SEED 29
+
+/** struct leaf_route - a route with its place in the trie */
+struct leaf_route {
+	uint32_t bits;
+	struct rec_section_route route;
+};
+
+/**
+ * struct cutting - a service that is being cut
+ * @m: its numbers
+ * @routes: struct leaf_route, sorted by bits
+ * @bytes: sum of the bytes of all routes before each one
+ * @sections: where sections go
+ */
+struct cutting {
+	const struct msg_section *m;
+	GArray *routes;
+	GArray *bytes;
+	GPtrArray *sections;
+};
+
+/*
+ * First bits of the hash of what a route matches.  Methods are left out, so
+ * that routes which share a place, or claim it twice, are in one section.
+ */
+static uint32_t
+route_bits(const struct rec_section_route *route)
+{
+	uint64_t h = hash64(route->host, strlen(route->host), PART_SEED);
+
+	h = hash64(route->prefix, strlen(route->prefix), h);
+	return (uint32_t)(h >> (64 - PART_BITS_MAX));
+}
+
+static uint32_t
+route_bytes(const struct rec_section_route *route)
+{
+	return ROUTE_FIXED_BYTES +
+	    (uint32_t)(strlen(route->prefix) + strlen(route->host));
+}
+
+static int
+by_bits(const void *a, const void *b)
+{
+	const struct leaf_route *x = a, *y = b;
+
+	return (x->bits > y->bits) - (x->bits < y->bits);
+}
+
+static bool
+bit_at(uint32_t bits, uint32_t depth)
+{
+	return (bits >> (PART_BITS_MAX - 1 - depth) & 1) != 0;
+}
+
+static struct leaf_route *
+leaf_route_at(const struct cutting *c, uint32_t i)
+{
+	return &g_array_index(c->routes, struct leaf_route, i);
+}
+
+static uint64_t
+bytes_between(const struct cutting *c, uint32_t low, uint32_t high)
+{
+	return g_array_index(c->bytes, uint64_t, high) -
+	    g_array_index(c->bytes, uint64_t, low);
+}
+
+static void
+add_leaf(struct cutting *c, uint32_t low, uint32_t high, const char *part)
+{
+	struct msg_section m = *c->m;
+	uint32_t i;
+
+	m.n_routes = high - low;
+	m.routes = g_new0(struct rec_section_route, m.n_routes);
+	(void)g_strlcpy(m.part, part, sizeof(m.part));
+	for (i = 0; i < m.n_routes; i++)
+		m.routes[i] = leaf_route_at(c, low + i)->route;
+	routes_sort(m.routes, m.n_routes);
+	g_ptr_array_add(c->sections, section_new(&m));
+	g_free(m.routes);
+}
+
+/* Index of the first route below the branch 1 of a node. */
+static uint32_t
+branch(const struct cutting *c, uint32_t low, uint32_t high, uint32_t depth)
+{
+	uint32_t mid;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (bit_at(leaf_route_at(c, mid)->bits, depth))
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return low;
+}
+
+/* A node of the trie: a section, or two nodes below it; @part is its name. */
+static void
+cut(struct cutting *c, uint32_t low, uint32_t high, char *part)
+{
+	uint32_t depth = (uint32_t)strlen(part), mid;
+
+	if (low == high && depth > 0)
+		return;
+	if (depth == PART_BITS_MAX ||
+	    bytes_between(c, low, high) <=
+		SECTION_MAX_BYTES - SECTION_FIXED_BYTES) {
+		add_leaf(c, low, high, part);
+		return;
+	}
+	mid = branch(c, low, high, depth);
+	part[depth] = '0';
+	cut(c, low, mid, part);
+	part[depth] = '1';
+	cut(c, mid, high, part);
+	part[depth] = '\0';
+}
+
+static void
+cutting_init(struct cutting *c, const struct msg_section *m)
+{
+	struct leaf_route leaf;
+	uint64_t bytes = 0;
+	uint32_t i;
+
+	c->m = m;
+	c->routes = g_array_sized_new(FALSE, FALSE, sizeof(leaf), m->n_routes);
+	c->bytes =
+	    g_array_sized_new(FALSE, FALSE, sizeof(bytes), m->n_routes + 1);
+	for (i = 0; i < m->n_routes; i++) {
+		leaf.route = m->routes[i];
+		leaf.bits = route_bits(&leaf.route);
+		g_array_append_val(c->routes, leaf);
+	}
+	g_array_sort(c->routes, by_bits);
+	g_array_append_val(c->bytes, bytes);
+	for (i = 0; i < m->n_routes; i++) {
+		bytes += route_bytes(&leaf_route_at(c, i)->route);
+		g_array_append_val(c->bytes, bytes);
+	}
+}
+
+void
+parts_cut(struct msg_section *m, GPtrArray *sections)
+{
+	char part[PART_BITS_MAX + 1] = "";
+	struct cutting c;
+
+	cutting_init(&c, m);
+	c.sections = sections;
+	cut(&c, 0, m->n_routes, part);
+	g_array_unref(c.bytes);
+	g_array_unref(c.routes);
+}
+
+static bool
+part_name_valid(const char *part)
+{
+	size_t len = strlen(part);
+
+	return len <= PART_BITS_MAX && strspn(part, "01") == len;
+}
+
+static bool
+part_covers(const char *part, uint32_t bits)
+{
+	uint32_t depth;
+
+	for (depth = 0; part[depth] != '\0'; depth++) {
+		if (bit_at(bits, depth) != (part[depth] == '1'))
+			return false;
+	}
+	return true;
+}
+
+void
+part_check(const struct msg_section *m, struct problems *p)
+{
+	struct place part_at = {NULL, "part", PLACE_NO_INDEX};
+	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
+	struct place at = {&routes_at, NULL, 0};
+	uint32_t i;
+
+	if (!part_name_valid(m->part)) {
+		problems_add(p, &part_at, "use at most 24 of 0 and 1",
+		    "this is no name of a part");
+		return;
+	}
+	for (i = 0; i < m->n_routes; i++) {
+		at.index = i;
+		if (!part_covers(m->part, route_bits(&m->routes[i])))
+			problems_add(p, &at, "put it in its own part",
+			    "the route belongs in another part");
+	}
+}
+
+void
+part_section_name(const char *service, const char *part, char *out)
+{
+	if (part[0] == '\0')
+		(void)g_strlcpy(out, service, SECTION_NAME_BYTES);
+	else
+		(void)g_snprintf(out, SECTION_NAME_BYTES, "%s%c%s", service,
+		    PART_MARK, part);
+}
+
+bool
+part_parent(char *section)
+{
+	char *mark = strchr(section, PART_MARK);
+
+	if (mark == NULL)
+		return false;
+	section[strlen(section) - 1] = '\0';
+	if (mark[1] == '\0')
+		*mark = '\0';
+	return true;
+}
+
+bool
+section_name_valid(const char *name)
+{
+	const char *mark = strchr(name, PART_MARK);
+
+	if (mark == NULL)
+		return service_name_valid(name, strlen(name));
+	return service_name_valid(name, (size_t)(mark - name)) &&
+	    mark[1] != '\0' && part_name_valid(mark + 1);
+}
+
+bool
+section_name_covers(const char *upper, const char *lower)
+{
+	size_t len = strlen(upper);
+
+	if (strncmp(upper, lower, len) != 0)
+		return false;
+	return lower[len] == PART_MARK ||
+	    (lower[len] != '\0' && strchr(upper, PART_MARK) != NULL);
+}
--- a/packages/config/src/ring.c
+++ b/packages/config/src/ring.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "catalog_defs.h"
+#include "parts.h"
 #include "patch.h"
 
 #define STEP(entry, i) (&g_array_index((entry)->steps, struct ring_step, (i)))
@@ -17,19 +18,19 @@
 	g_free(entry);
 }
 
-/* The change that undoes a change of a service on the list before. */
+/* The change that undoes a change of a section on the list before. */
 static void
 set_back(struct rec_section_change *back, const GArray *from, uint32_t *next,
-    const char *service)
+    const char *section)
 {
 	const struct rec_section_ref *ref = NULL;
 	int order = -1;
 
 	memset(back, 0, sizeof(*back));
-	g_strlcpy(back->service, service, sizeof(back->service));
+	(void)g_strlcpy(back->section, section, sizeof(back->section));
 	while (*next < from->len && order < 0) {
 		ref = &g_array_index(from, struct rec_section_ref, *next);
-		order = strcmp(ref->service, service);
+		order = strcmp(ref->section, section);
 		if (order < 0)
 			(*next)++;
 	}
@@ -52,7 +53,7 @@
 	    g_array_sized_new(FALSE, TRUE, sizeof(struct ring_step), n_changes);
 	for (i = 0; i < n_changes; i++) {
 		step.forward = changes[i];
-		set_back(&step.back, from, &next, changes[i].service);
+		set_back(&step.back, from, &next, changes[i].section);
 		g_array_append_val(entry->steps, step);
 	}
 	return entry;
@@ -142,7 +143,7 @@
 			order = 1;
 		else
 			order =
-			    strcmp(a->service, STEP(entry, j)->forward.service);
+			    strcmp(a->section, STEP(entry, j)->forward.section);
 		b = order < 0 ? a : &STEP(entry, j)->forward;
 		g_array_append_vals(out, b, 1);
 		i += order <= 0;
@@ -225,23 +226,38 @@
 	memset(delta, 0, sizeof(*delta));
 }
 
-/* Digest of a service's section at a version that is not the newest. */
+/* What a commit made of a section, or NULL when it left it as it was. */
+static const struct ring_step *
+step_of(const struct ring_entry *entry, const char *section)
+{
+	uint32_t low = 0, high = entry->steps->len, mid;
+	int order;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(STEP(entry, mid)->forward.section, section);
+		if (order == 0)
+			return STEP(entry, mid);
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
+
+/* Digest of a section at a version that is not the newest. */
 static const struct digest *
 section_before(
-    const struct catalog *c, uint64_t have_version, const char *service)
+    const struct catalog *c, uint64_t have_version, const char *section)
 {
-	const struct ring_entry *entry;
 	const struct ring_step *step;
-	uint32_t i, j;
+	uint32_t i;
 
 	for (i = chain_start(c, have_version); i < c->ring->len; i++) {
-		entry = g_ptr_array_index(c->ring, i);
-		for (j = 0; j < entry->steps->len; j++) {
-			step = STEP(entry, j);
-			if (strcmp(step->forward.service, service) == 0)
-				return step->back.removed ? NULL
-							  : &step->back.digest;
-		}
+		step = step_of(g_ptr_array_index(c->ring, i), section);
+		if (step != NULL)
+			return step->back.removed ? NULL : &step->back.digest;
 	}
 	return NULL;
 }
@@ -291,9 +307,13 @@
 catalog_patch(const struct catalog *c, uint64_t have_version,
     const struct rec_section_change *change, struct rec_section_patch *patch)
 {
+	char section[SECTION_NAME_BYTES];
 	const struct digest *base;
 
-	base = section_before(c, have_version, change->service);
+	(void)g_strlcpy(section, change->section, sizeof(section));
+	do
+		base = section_before(c, have_version, section);
+	while (base == NULL && part_parent(section));
 	return base != NULL &&
 	    catalog_patch_from(c, base, &change->digest, patch);
 }
--- a/packages/config/src/route_table.c
+++ b/packages/config/src/route_table.c
@@ -68,8 +68,8 @@
 }
 
 static void
-add_service(GArray *drafts, GString *text, const struct service_config *sc,
-    uint32_t index)
+add_section(GArray *drafts, GString *text, const struct service_config *sc,
+    uint32_t service, uint32_t section)
 {
 	struct draft_entry d;
 	uint32_t i;
@@ -79,7 +79,8 @@
 		d.entry.text = (uint32_t)text->len;
 		d.entry.len = append_prefix(text, &sc->routes[i]);
 		d.entry.parent = ROUTE_NO_PARENT;
-		d.entry.service = index;
+		d.entry.service = service;
+		d.entry.section = section;
 		d.entry.route = i;
 		d.entry.methods = sc->routes[i].methods;
 		d.entry.hosted = sc->routes[i].host_len > 0;
@@ -90,15 +91,20 @@
 
 /* Drafts of all routes, sorted; their prefixes point into the text. */
 static GArray *
-drafts_new(const GPtrArray *services, GString *text)
+drafts_new(const GPtrArray *sections, GString *text)
 {
+	const struct service_config *before = NULL, *sc;
 	struct draft_entry *d;
+	uint32_t i, service = 0;
 	GArray *drafts;
-	uint32_t i;
 
 	drafts = g_array_new(FALSE, FALSE, sizeof(struct draft_entry));
-	for (i = 0; i < services->len; i++)
-		add_service(drafts, text, g_ptr_array_index(services, i), i);
+	for (i = 0; i < sections->len; i++, before = sc) {
+		sc = g_ptr_array_index(sections, i);
+		if (before != NULL && strcmp(before->name, sc->name) != 0)
+			service++;
+		add_section(drafts, text, sc, service, i);
+	}
 	for (i = 0; i < drafts->len; i++) {
 		d = &g_array_index(drafts, struct draft_entry, i);
 		d->prefix = text->str + d->entry.text;
@@ -159,7 +165,7 @@
 }
 
 static enum status
-crossing_check(const struct route_table *t, const GPtrArray *services)
+crossing_check(const struct route_table *t, const GPtrArray *sections)
 {
 	const struct route_entry *a, *b;
 	const struct service_config *x, *y;
@@ -171,8 +177,8 @@
 		claimed = same_prefix(t, a, b) ? claimed | a->methods : 0;
 		if ((claimed & b->methods) == 0 || (a->shared && b->shared))
 			continue;
-		x = g_ptr_array_index(services, a->service);
-		y = g_ptr_array_index(services, b->service);
+		x = g_ptr_array_index(sections, a->section);
+		y = g_ptr_array_index(sections, b->section);
 		return status_set(STATUS_INVALID,
 		    "Services %s and %s claim the same requests of %s; take "
 		    "one of the routes out.",
@@ -182,7 +188,7 @@
 }
 
 enum status
-route_table_new(const GPtrArray *services, struct route_table **table)
+route_table_new(const GPtrArray *sections, struct route_table **table)
 {
 	struct route_table *t;
 	GArray *drafts;
@@ -191,7 +197,7 @@
 	uint32_t i;
 
 	text = g_string_new(NULL);
-	drafts = drafts_new(services, text);
+	drafts = drafts_new(sections, text);
 	t = g_new0(struct route_table, 1);
 	atomic_init(&t->refs, 1);
 	t->n_entries = drafts->len;
@@ -203,7 +209,7 @@
 	t->text = g_string_free(text, FALSE);
 	g_array_unref(drafts);
 	link_parents(t);
-	st = crossing_check(t, services);
+	st = crossing_check(t, sections);
 	if (st != STATUS_OK) {
 		route_table_unref(t);
 		t = NULL;
--- a/packages/config/src/route_table.h
+++ b/packages/config/src/route_table.h
@@ -24,7 +24,8 @@
  * @len: length of the prefix; that of "/" is 0
  * @parent: first entry with the longest prefix above this one
  * @service: index of the service
- * @route: index of the route in the service
+ * @section: index of the section among all
+ * @route: index of the route in the section
  * @methods: set of METHOD_BIT()
  * @hosted: the text begins with a host
  * @shared: several services share the route by weight
@@ -34,6 +35,7 @@
 	uint32_t len;
 	uint32_t parent;
 	uint32_t service;
+	uint32_t section;
 	uint32_t route;
 	uint32_t methods;
 	bool hosted;
@@ -61,14 +63,14 @@
 
 /**
  * route_table_new() - compile the routes of some services
- * @services: struct service_config, sorted by name
+ * @sections: struct service_config, sorted by section
  * @table: where the table goes; the caller owns a reference
  *
  * Return: STATUS_OK, or STATUS_INVALID when two routes claim the same
  * requests.
  */
 enum status
-route_table_new(const GPtrArray *services, struct route_table **table);
+route_table_new(const GPtrArray *sections, struct route_table **table);
 
 /** route_table_ref() - take a reference; any thread; Return: @t */
 struct route_table *route_table_ref(struct route_table *t);
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "parts.h"
 #include "problems.h"
 #include "rules.h"
 #include "section_build.h"
@@ -94,6 +95,7 @@
 	sc->size_bytes = (uint32_t)size;
 	sc->digest = *digest;
 	g_strlcpy(sc->name, m->service, sizeof(sc->name));
+	part_section_name(m->service, m->part, sc->section);
 	config_set_numbers(sc, m);
 	config_set_routes(sc, m);
 	return sc;
@@ -143,6 +145,7 @@
 
 	problems_init(&p);
 	section_check(m, &p);
+	part_check(m, &p);
 	if (p.n_found > 0) {
 		summary = problems_summary(&p);
 		st = status_set(STATUS_INVALID,
--- a/packages/config/src/section_list.c
+++ b/packages/config/src/section_list.c
@@ -1,5 +1,5 @@
 /*
- * Lists of sections and changes between them, all sorted by service.
+ * Lists of sections and changes between them, all sorted by name.
  */
 #include <string.h>
 
@@ -22,7 +22,7 @@
 
 	g_assert(ref != NULL);
 	memset(&change, 0, sizeof(change));
-	memcpy(change.service, ref->service, sizeof(change.service));
+	memcpy(change.section, ref->section, sizeof(change.section));
 	change.removed = removed;
 	if (!removed)
 		change.digest = ref->digest;
@@ -38,11 +38,11 @@
 	return strcmp(a, b);
 }
 
-/* Service of an element, or NULL past the end. */
+/* Name of an element, or NULL past the end. */
 static const char *
-service_at(const GArray *list, uint32_t i)
+name_at(const GArray *list, uint32_t i)
 {
-	return i < list->len ? REF(list, i)->service : NULL;
+	return i < list->len ? REF(list, i)->section : NULL;
 }
 
 GArray *
@@ -54,7 +54,7 @@
 
 	out = g_array_new(FALSE, TRUE, sizeof(struct rec_section_change));
 	while (i < from->len || j < to->len) {
-		order = merge_order(service_at(from, i), service_at(to, j));
+		order = merge_order(name_at(from, i), name_at(to, j));
 		if (order < 0)
 			add_change(out, REF(from, i), true);
 		else if (order > 0 ||
@@ -75,7 +75,7 @@
 	if (change->removed)
 		return;
 	memset(&ref, 0, sizeof(ref));
-	memcpy(ref.service, change->service, sizeof(ref.service));
+	memcpy(ref.section, change->section, sizeof(ref.section));
 	ref.digest = change->digest;
 	g_array_append_val(out, ref);
 }
@@ -90,8 +90,8 @@
 
 	out = list_new(from->len + n_changes);
 	while (i < from->len || j < n_changes) {
-		order = merge_order(service_at(from, i),
-		    j < n_changes ? changes[j].service : NULL);
+		order = merge_order(name_at(from, i),
+		    j < n_changes ? changes[j].section : NULL);
 		if (order < 0)
 			g_array_append_vals(out, REF(from, i), 1);
 		else
@@ -119,17 +119,17 @@
 }
 
 static enum status
-sorted_check(const char *before, const char *service)
+sorted_check(const char *before, const char *section)
 {
-	if (!service_name_valid(service, strlen(service)))
+	if (!section_name_valid(section))
 		return status_set(STATUS_INVALID,
-		    "A list of sections holds a bad name of a service; take "
+		    "A list of sections holds a bad name of a section; take "
 		    "it from another node.");
-	if (before != NULL && strcmp(before, service) >= 0)
+	if (before != NULL && strcmp(before, section) >= 0)
 		return status_set(STATUS_INVALID,
-		    "A list of sections is not sorted or names service %s "
+		    "A list of sections is not sorted or names section %s "
 		    "twice; take it from another node.",
-		    service);
+		    section);
 	return STATUS_OK;
 }
 
@@ -140,8 +140,8 @@
 	uint32_t i;
 
 	for (i = 0; i < list->len && st == STATUS_OK; i++)
-		st = sorted_check(i > 0 ? REF(list, i - 1)->service : NULL,
-		    REF(list, i)->service);
+		st = sorted_check(i > 0 ? REF(list, i - 1)->section : NULL,
+		    REF(list, i)->section);
 	return st;
 }
 
@@ -180,6 +180,6 @@
 
 	for (i = 0; i < n_changes && st == STATUS_OK; i++)
 		st = sorted_check(
-		    i > 0 ? changes[i - 1].service : NULL, changes[i].service);
+		    i > 0 ? changes[i - 1].section : NULL, changes[i].section);
 	return st;
 }
--- a/packages/config/src/snapshot.c
+++ b/packages/config/src/snapshot.c
@@ -14,10 +14,30 @@
 	return list != NULL ? endpoint_list_ref(list) : NULL;
 }
 
+/* A section of the service before it, or the first of a further one. */
+static void
+add_section(
+    struct snapshot *s, uint32_t i, const struct endpoint_set *endpoints)
+{
+	const struct service_config *sc = s->sections[i];
+	struct snapshot_service *service;
+
+	if (i > 0 && strcmp(s->sections[i - 1]->name, sc->name) == 0) {
+		s->services[s->n_services - 1].n_sections++;
+		return;
+	}
+	service = &s->services[s->n_services++];
+	service->config = sc;
+	service->sections = &s->sections[i];
+	service->n_sections = 1;
+	service->endpoints = list_of(endpoints, sc->name);
+	if (service->endpoints != NULL)
+		s->n_endpoints += service->endpoints->n_endpoints;
+}
+
 struct snapshot *
 snapshot_compile(const struct catalog *c, const struct endpoint_set *endpoints)
 {
-	struct snapshot_service *service;
 	struct snapshot *s;
 	uint32_t i;
 
@@ -25,16 +45,14 @@
 	atomic_init(&s->refs, 1);
 	s->version = c->version;
 	s->root = c->root;
-	s->n_services = c->services->len;
-	s->services = g_new0(struct snapshot_service, s->n_services);
+	s->n_sections = c->sections->len;
+	s->sections = g_new0(struct service_config *, s->n_sections);
+	s->services = g_new0(struct snapshot_service, c->n_services);
 	s->routes = route_table_ref(c->routes);
-	for (i = 0; i < s->n_services; i++) {
-		service = &s->services[i];
-		service->config =
-		    service_config_ref(g_ptr_array_index(c->services, i));
-		service->endpoints = list_of(endpoints, service->config->name);
-		if (service->endpoints != NULL)
-			s->n_endpoints += service->endpoints->n_endpoints;
+	for (i = 0; i < s->n_sections; i++) {
+		s->sections[i] =
+		    service_config_ref(g_ptr_array_index(c->sections, i));
+		add_section(s, i, endpoints);
 	}
 	return s;
 }
@@ -54,11 +72,12 @@
 	if (s == NULL ||
 	    atomic_fetch_sub_explicit(&s->refs, 1, memory_order_acq_rel) != 1)
 		return;
-	for (i = 0; i < s->n_services; i++) {
-		service_config_unref(s->services[i].config);
+	for (i = 0; i < s->n_services; i++)
 		endpoint_list_unref(s->services[i].endpoints);
-	}
+	for (i = 0; i < s->n_sections; i++)
+		service_config_unref(s->sections[i]);
 	g_free(s->services);
+	g_free(s->sections);
 	route_table_unref(s->routes);
 	g_free(s);
 }
@@ -97,7 +116,7 @@
     struct route_match *match)
 {
 	match->service = &s->services[entry->service];
-	match->route = &match->service->config->routes[entry->route];
+	match->route = &s->sections[entry->section]->routes[entry->route];
 }
 
 /* A host without its port. */
--- a/packages/config/src/snapshot_check.c
+++ b/packages/config/src/snapshot_check.c
@@ -85,9 +85,11 @@
 	const struct service_config *sc;
 	const struct service_route *route;
 
-	if (entry->service >= s->n_services)
+	if (entry->service >= s->n_services || entry->section >= s->n_sections)
 		return violation("route to a service that is not there", "?");
-	sc = s->services[entry->service].config;
+	sc = s->sections[entry->section];
+	if (strcmp(sc->name, s->services[entry->service].config->name) != 0)
+		return violation("route of another service", sc->name);
 	if (entry->route >= sc->n_routes)
 		return violation("route that its service lacks", sc->name);
 	route = &sc->routes[entry->route];
@@ -105,8 +107,8 @@
 
 	for (i = 0; i < s->routes->n_entries && st == STATUS_OK; i++)
 		st = check_entry(s, &s->routes->entries[i]);
-	for (i = 0; i < s->n_services; i++)
-		n += s->services[i].config->n_routes;
+	for (i = 0; i < s->n_sections; i++)
+		n += s->sections[i]->n_routes;
 	if (st == STATUS_OK && n != s->routes->n_entries)
 		return violation("wrong number of routes", "snapshot");
 	return st;
@@ -142,8 +144,8 @@
 	const struct service_route *route;
 	uint32_t i, j;
 
-	for (i = 0; i < s->n_services; i++) {
-		sc = s->services[i].config;
+	for (i = 0; i < s->n_sections; i++) {
+		sc = s->sections[i];
 		for (j = 0; j < sc->n_routes; j++) {
 			route = &sc->routes[j];
 			if (!is_found(s, route))
--- a/packages/config/src/stage.c
+++ b/packages/config/src/stage.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "parts.h"
 #include "section_build.h"
 #include "stage_defs.h"
 
@@ -17,7 +18,7 @@
 	stage->root = *root;
 	stage->added = g_hash_table_new_full(
 	    digest_hash, digest_equal, NULL, section_free);
-	stage->services = g_hash_table_new(digest_hash, digest_equal);
+	stage->names = g_hash_table_new(digest_hash, digest_equal);
 	return stage;
 }
 
@@ -32,7 +33,7 @@
 		g_array_unref(stage->list);
 	if (stage->needed != NULL)
 		g_array_unref(stage->needed);
-	g_hash_table_unref(stage->services);
+	g_hash_table_unref(stage->names);
 	g_hash_table_unref(stage->added);
 	g_free(stage);
 }
@@ -55,11 +56,11 @@
 	struct digest digest;
 	GBytes *content;
 
-	if (list->len > CONFIG_MAX_SERVICES)
+	if (list->len > CONFIG_MAX_SECTIONS)
 		return status_set(STATUS_TOO_LARGE,
-		    "A version has %u services, at most %d are taken; split "
+		    "A version has %u sections, at most %d are taken; split "
 		    "the bundle.",
-		    list->len, CONFIG_MAX_SERVICES);
+		    list->len, CONFIG_MAX_SECTIONS);
 	content = section_list_encode(list, &digest);
 	g_bytes_unref(content);
 	if (hash_digest_equal(&digest, root))
@@ -126,8 +127,7 @@
 		stage->needed = g_array_ref(stage->list);
 	for (i = 0; i < stage->needed->len; i++) {
 		ref = &g_array_index(stage->needed, struct rec_section_ref, i);
-		g_hash_table_insert(
-		    stage->services, &ref->digest, ref->service);
+		g_hash_table_insert(stage->names, &ref->digest, ref->section);
 	}
 }
 
@@ -228,6 +228,20 @@
 	return out;
 }
 
+/* The section that is held under a name, or that it was split from. */
+static const struct service_config *
+held_before(const struct catalog *c, const char *name)
+{
+	char section[SECTION_NAME_BYTES];
+	const struct service_config *held;
+
+	(void)g_strlcpy(section, name, sizeof(section));
+	do
+		held = catalog_find_section(c, section);
+	while (held == NULL && part_parent(section));
+	return held;
+}
+
 GArray *
 catalog_stage_wants(const struct catalog_stage *stage, uint32_t max)
 {
@@ -240,8 +254,8 @@
 	for (i = 0; i < missing->len; i++) {
 		memset(&want, 0, sizeof(want));
 		want.digest = g_array_index(missing, struct digest, i);
-		held = catalog_find(stage->c,
-		    g_hash_table_lookup(stage->services, &want.digest));
+		held = held_before(
+		    stage->c, g_hash_table_lookup(stage->names, &want.digest));
 		if (held != NULL)
 			want.base = held->digest;
 		g_array_append_val(wants, want);
@@ -267,7 +281,7 @@
 {
 	struct service_config *sc;
 	struct section *section;
-	const char *service;
+	const char *name;
 	enum status st;
 
 	if (stage->added_bytes + len > CONFIG_MAX_BYTES)
@@ -278,12 +292,12 @@
 	st = section_decode(data, len, &sc);
 	if (st != STATUS_OK)
 		return st;
-	service = g_hash_table_lookup(stage->services, &sc->digest);
-	if (g_strcmp0(service, sc->name) != 0) {
+	name = g_hash_table_lookup(stage->names, &sc->digest);
+	if (g_strcmp0(name, sc->section) != 0) {
 		st = status_set(STATUS_INVALID,
-		    "The section of service %s stands under another name in "
-		    "the version; take the full list from another node.",
-		    sc->name);
+		    "Section %s stands under another name in the version; "
+		    "take the full list from another node.",
+		    sc->section);
 		service_config_unref(sc);
 		return st;
 	}
@@ -295,18 +309,30 @@
 	return STATUS_OK;
 }
 
+/* Whether a section that is needed is held under the same name. */
+static bool
+is_in_place(const struct catalog_stage *stage, const struct digest *digest)
+{
+	const struct service_config *held;
+
+	held = catalog_find_section(
+	    stage->c, g_hash_table_lookup(stage->names, digest));
+	return held != NULL && hash_digest_equal(&held->digest, digest);
+}
+
 enum status
 catalog_stage_add(struct catalog_stage *stage, const uint8_t *data, size_t len)
 {
 	struct digest digest;
 
 	hash_digest(data, len, &digest);
-	if (!g_hash_table_contains(stage->services, &digest))
+	if (!g_hash_table_contains(stage->names, &digest))
 		return status_set(STATUS_NOT_FOUND,
 		    "Version %" G_GUINT64_FORMAT
 		    " has no section with this content; drop it.",
 		    stage->version);
-	if (g_hash_table_contains(stage->added, &digest))
+	if (g_hash_table_contains(stage->added, &digest) ||
+	    is_in_place(stage, &digest))
 		return STATUS_OK;
 	return add_section(stage, data, len);
 }
--- a/packages/config/src/stage_defs.h
+++ b/packages/config/src/stage_defs.h
@@ -15,7 +15,7 @@
  * @changes: changes to apply, or NULL
  * @list: full list, or NULL
  * @needed: struct rec_section_ref that @changes add or @list names
- * @services: digest in @needed to name of its service; both borrowed
+ * @names: digest in @needed to name of its section; both borrowed
  * @added: digest to struct section: contents that came
  * @added_bytes: their sum
  * @skips: see struct catalog_delta
@@ -27,7 +27,7 @@
 	GArray *changes;
 	GArray *list;
 	GArray *needed;
-	GHashTable *services;
+	GHashTable *names;
 	GHashTable *added;
 	uint64_t added_bytes;
 	bool skips;
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -81,7 +81,7 @@
 	ok = bundle_parse(a->bundle, a->bundle_bytes, &b) == STATUS_OK;
 	if (ok) {
 		log_info("version %" G_GUINT64_FORMAT
-			 " came from the platform, %u services, %zu bytes,"
+			 " came from the platform, %u sections, %zu bytes,"
 			 " largest section %zu bytes",
 		    a->version, b->sections->len, a->bundle_bytes,
 		    largest_section(b));
--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -20,13 +20,14 @@
 /* Most bytes of a text or binary field, most elements of a list. */
 #define REC_SECTION_ROUTE_PREFIX_MAX 255
 #define REC_SECTION_ROUTE_HOST_MAX 127
-#define REC_SECTION_CHANGE_SERVICE_MAX 31
+#define REC_SECTION_CHANGE_SECTION_MAX 63
 #define REC_REPLACED_HEAD_OP_MAX 63
-#define REC_SECTION_REF_SERVICE_MAX 31
+#define REC_SECTION_REF_SECTION_MAX 63
 #define MSG_SECTION_SERVICE_MAX 31
-#define MSG_SECTION_ROUTES_MAX 4096
+#define MSG_SECTION_PART_MAX 24
+#define MSG_SECTION_ROUTES_MAX 1024
 #define MSG_VERSION_CHANGES_CHANGES_MAX 8192
-#define MSG_SECTION_LIST_SECTIONS_MAX 4096
+#define MSG_SECTION_LIST_SECTIONS_MAX 16384
 #define MSG_HALT_NOTE_OP_MAX 63
 #define MSG_HALT_NOTE_OPERATOR_NAME_MAX 63
 #define MSG_HALT_NOTE_NOTE_MAX 255
@@ -66,14 +67,15 @@
 extern const struct codec_desc rec_section_route_desc;
 
 /**
- * struct rec_section_change - What became of one service between two versions.
- * @service: name of the service
- * @digest: digest of its section in the later version; zero when
+ * struct rec_section_change - What became of one section between two versions.
+ * @section: name of the section: its service's, and the part where the
+ * 	service has several
+ * @digest: digest of its content in the later version; zero when
  * 	removed
- * @removed: whether the later version lacks the service
+ * @removed: whether the later version lacks the section
  */
 struct rec_section_change {
-	char service[32];
+	char section[64];
 	struct digest digest;
 	bool removed;
 };
@@ -99,19 +101,23 @@
 
 /**
  * struct rec_section_ref - One section of a version.
- * @service: name of the service
- * @digest: digest of its section
+ * @section: name of the section: its service's, and the part where the
+ * 	service has several
+ * @digest: digest of its content
  */
 struct rec_section_ref {
-	char service[32];
+	char section[64];
 	struct digest digest;
 };
 
 extern const struct codec_desc rec_section_ref_desc;
 
 /**
- * struct msg_section - A service with its routes; the content of one section.
+ * struct msg_section - A service with its routes, or with a part of them; the
+ * content of one section.
  * @service: name of the service
+ * @part: bits that the hashes of the part's routes begin with, as text
+ * 	of 0 and 1; empty where the section has all routes
  * @timeout_ms: time that a request may take when the caller names no
  * 	deadline
  * @slots_per_endpoint: requests that an endpoint may run at once
@@ -133,6 +139,7 @@
  */
 struct msg_section {
 	char service[32];
+	char part[25];
 	uint32_t timeout_ms;
 	uint32_t slots_per_endpoint;
 	uint32_t queue_per_endpoint;
@@ -163,7 +170,7 @@
 /**
  * struct msg_version_changes - Part of a version row: the sections that
  * changed since the version numbered one lower, halted or not.
- * @changes: changes, sorted by service; owned
+ * @changes: changes, sorted by section; owned
  * @n_changes: number of @changes
  * @whole: the changes are too many to list here; the list of the root
  * 	tells all
@@ -194,7 +201,7 @@
 /**
  * struct msg_section_list - All sections of a version. Its digest is the
  * version's root.
- * @sections: sections, sorted by service; owned
+ * @sections: sections, sorted by name; owned
  * @n_sections: number of @sections
  */
 struct msg_section_list {
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -19,9 +19,9 @@
 #include "proto/gen/config.h"
 
 /* Most bytes of a text or binary field, most elements of a list. */
-#define REC_SECTION_DATA_DATA_MAX 131072
+#define REC_SECTION_DATA_DATA_MAX 32768
 #define REC_SECTION_PATCH_HUNKS_MAX 1024
-#define REC_SECTION_PATCH_DATA_MAX 131072
+#define REC_SECTION_PATCH_DATA_MAX 32768
 #define MSG_PULL_AFTER_MAX 63
 #define MSG_DELTA_CHANGES_MAX 2048
 #define MSG_DELTA_SECTIONS_MAX 2048
@@ -177,8 +177,8 @@
 /**
  * struct rec_section_want - A section that is asked for.
  * @digest: digest of its content
- * @base: digest of the service's section that is held now, zero for
- * 	none; the answer may be the difference from it
+ * @base: digest of a held section that it came of, zero for none; the
+ * 	answer may be the difference from it
  */
 struct rec_section_want {
 	struct digest digest;
@@ -215,7 +215,7 @@
  * @token: number that comes back with the answer
  * @have: version that the puller holds, 0 for none
  * @want: version that is wanted
- * @after: last service of the page before, empty for the first page
+ * @after: last section of the page before, empty for the first page
  * @packed: the answer may come as packed
  */
 struct msg_pull {
@@ -249,7 +249,7 @@
  * @want: version that the changes lead to
  * @root: root of that version
  * @more: whether further pages follow
- * @changes: changes, sorted by service; owned
+ * @changes: changes, sorted by section; owned
  * @n_changes: number of @changes
  * @skips: what changed and changed back between the two versions isn't
  * 	named, so the changes are good for a node at the first of them only
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -51,7 +51,8 @@
  * @MSG_PROGRESS_ASK: Datagram to the root of a data centre's tree.
  * @MSG_PROGRESS_ANSWER: Datagram: sums over a data centre.
  * @MSG_PACKED: Frame: another answer of the spread, compressed by LZ4.
- * @MSG_SECTION: A service with its routes; the content of one section.
+ * @MSG_SECTION: A service with its routes, or with a part of them; the
+ * 	content of one section.
  * @MSG_VERSION_CHANGES: Part of a version row: the sections that
  * 	changed since the version numbered one lower, halted or not.
  * @MSG_SECTION_LIST: All sections of a version. Its digest is the
--- a/packages/proto/src/gen/config.c
+++ b/packages/proto/src/gen/config.c
@@ -46,10 +46,10 @@
     .size_bytes = sizeof(struct rec_section_route)};
 
 static const struct codec_field rec_section_change_fields[] = {
-    {.name = "service",
+    {.name = "section",
 	.kind = CODEC_STR,
-	.offset = offsetof(struct rec_section_change, service),
-	.max = REC_SECTION_CHANGE_SERVICE_MAX},
+	.offset = offsetof(struct rec_section_change, section),
+	.max = REC_SECTION_CHANGE_SECTION_MAX},
     {.name = "digest",
 	.kind = CODEC_DIGEST,
 	.offset = offsetof(struct rec_section_change, digest)},
@@ -85,10 +85,10 @@
     .size_bytes = sizeof(struct rec_replaced_head)};
 
 static const struct codec_field rec_section_ref_fields[] = {
-    {.name = "service",
+    {.name = "section",
 	.kind = CODEC_STR,
-	.offset = offsetof(struct rec_section_ref, service),
-	.max = REC_SECTION_REF_SERVICE_MAX},
+	.offset = offsetof(struct rec_section_ref, section),
+	.max = REC_SECTION_REF_SECTION_MAX},
     {.name = "digest",
 	.kind = CODEC_DIGEST,
 	.offset = offsetof(struct rec_section_ref, digest)},
@@ -104,6 +104,10 @@
 	.kind = CODEC_STR,
 	.offset = offsetof(struct msg_section, service),
 	.max = MSG_SECTION_SERVICE_MAX},
+    {.name = "part",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_section, part),
+	.max = MSG_SECTION_PART_MAX},
     {.name = "timeout_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_section, timeout_ms)},
@@ -149,7 +153,7 @@
 
 const struct codec_desc msg_section_desc = {.name = "section",
     .fields = msg_section_fields,
-    .n_fields = 13,
+    .n_fields = 14,
     .size_bytes = sizeof(struct msg_section)};
 
 void
--- a/packages/rollout/src/puts.c
+++ b/packages/rollout/src/puts.c
@@ -22,13 +22,13 @@
 }
 
 void
-puts_add(GPtrArray *puts, const char *key, const char *service, GBytes *content)
+puts_add(GPtrArray *puts, const char *key, const char *section, GBytes *content)
 {
 	struct put *put;
 
 	put = g_new0(struct put, 1);
 	g_strlcpy(put->key, key, sizeof(put->key));
-	put->service = service;
+	put->section = section;
 	put->content = content;
 	put->needed = true;
 	g_ptr_array_add(puts, put);
--- a/packages/rollout/src/rollout_defs.h
+++ b/packages/rollout/src/rollout_defs.h
@@ -89,7 +89,7 @@
  * struct put - an object to write
  * @key: its key
  * @content: its content
- * @service: service of the section, borrowed; NULL for other objects
+ * @section: name of the section, borrowed; NULL for other objects
  * @token: token of the write under way, 0 for none
  * @needed: whether the version needs it written
  * @done: whether it is written
@@ -97,7 +97,7 @@
 struct put {
 	char key[STORE_KEY_BYTES];
 	GBytes *content;
-	const char *service;
+	const char *section;
 	uint32_t token;
 	bool needed;
 	bool done;
@@ -218,7 +218,7 @@
 
 /** puts_add() - add an object; see struct put; takes over @content */
 void puts_add(
-    GPtrArray *puts, const char *key, const char *service, GBytes *content);
+    GPtrArray *puts, const char *key, const char *section, GBytes *content);
 
 /** puts_issue() - write as many as may be under way */
 void puts_issue(struct rollout *r, uint64_t now_ms);
--- a/packages/rollout/src/version.c
+++ b/packages/rollout/src/version.c
@@ -24,7 +24,7 @@
 		section = g_ptr_array_index(b->sections, i);
 		hash_digest_hex(&section->config->digest, hex);
 		g_snprintf(key, sizeof(key), "section/%s", hex);
-		puts_add(r->puts, key, section->config->name,
+		puts_add(r->puts, key, section->config->section,
 		    g_bytes_ref(section->content));
 	}
 	hash_digest_hex(&r->root, hex);
@@ -206,16 +206,16 @@
 
 	for (i = 0; i < r->puts->len; i++) {
 		put = g_ptr_array_index(r->puts, i);
-		if (put->service == NULL)
+		if (put->section == NULL)
 			continue;
 		put->needed = false;
 		for (; j < changes->len && !put->needed; j++) {
 			change = &g_array_index(
 			    changes, struct rec_section_change, j);
-			if (strcmp(change->service, put->service) > 0)
+			if (strcmp(change->section, put->section) > 0)
 				break;
 			put->needed =
-			    strcmp(change->service, put->service) == 0;
+			    strcmp(change->section, put->section) == 0;
 		}
 	}
 }
--- a/packages/spread/src/intake_peer.c
+++ b/packages/spread/src/intake_peer.c
@@ -218,7 +218,7 @@
 	for (i = 0; i < in->list.changes->len; i++) {
 		c = &g_array_index(
 		    in->list.changes, struct rec_section_change, i);
-		g_strlcpy(ref.service, c->service, sizeof(ref.service));
+		(void)g_strlcpy(ref.section, c->section, sizeof(ref.section));
 		ref.digest = c->digest;
 		g_array_append_val(list, ref);
 	}
@@ -322,7 +322,7 @@
 	intake_add_page(in, msg);
 	if (msg->more)
 		intake_send_pull(in, now_ms, msg->want,
-		    msg->changes[msg->n_changes - 1].service);
+		    msg->changes[msg->n_changes - 1].section);
 	else
 		intake_listed(in, now_ms, msg);
 }
--- a/packages/spread/src/intake_source.c
+++ b/packages/spread/src/intake_source.c
@@ -198,8 +198,8 @@
 		intake_read_versions(in, now_ms);
 }
 
-/* Merge the changes of consecutive versions: the last one of a service
- * counts, and the result is sorted by service. */
+/* Merge the changes of consecutive versions: the last one of a section
+ * counts, and the result is sorted by section. */
 static GArray *
 intake_merge(const struct spread_version_row *rows, uint32_t n_rows)
 {
@@ -213,7 +213,7 @@
 	for (i = 0; i < n_rows; i++)
 		for (j = 0; j < rows[i].n_changes; j++)
 			g_tree_replace(tree,
-			    (gpointer)rows[i].changes[j].service,
+			    (gpointer)rows[i].changes[j].section,
 			    (gpointer)&rows[i].changes[j]);
 	merged = g_array_new(FALSE, FALSE, sizeof(*c));
 	for (node = g_tree_node_first(tree); node != NULL;
--- a/packages/spread/src/serve.c
+++ b/packages/spread/src/serve.c
@@ -181,7 +181,7 @@
 	memset(&change, 0, sizeof(change));
 	for (i = 0; i < list->len; i++) {
 		ref = &g_array_index(list, struct rec_section_ref, i);
-		g_strlcpy(change.service, ref->service, sizeof(change.service));
+		g_strlcpy(change.section, ref->section, sizeof(change.section));
 		change.digest = ref->digest;
 		g_array_append_val(delta->changes, change);
 	}
@@ -198,7 +198,7 @@
 
 	for (i = 0; i < changes->len; i++) {
 		c = &g_array_index(changes, struct rec_section_change, i);
-		if (strcmp(c->service, after) > 0)
+		if (strcmp(c->section, after) > 0)
 			break;
 	}
 	if (i == changes->len)
