fix(traffic): weights hold for each of many routes

Cause: the table of splits forgot all routes at the 4,097th and began each anew at the same place of its round. With more weighted routes called in turn, each route sent all its requests to one service at each entry. Change: 65,536 routes are remembered, with room for the parts that they have (two parts: some 100 bytes, before 400); rounds begin somewhere else each time, so that routes beyond that keep their shares on average. Ruled out: a split by hash of the request alone (no exact share in short spans). Both tests failed first.

--- a/packages/traffic/src/split.c
+++ b/packages/traffic/src/split.c
@@ -9,25 +9,43 @@
 
 #include "base/hash.h"
 
-/* Routes remembered; beyond, all are forgotten and begin anew. */
-#define ROUTES_MAX 4096
+/*
+ * Routes remembered, some 100 bytes each with two parts; beyond, all are
+ * forgotten and begin anew.
+ */
+#define ROUTES_MAX 65536
+
+/**
+ * struct turn - a part and where it stands in the rounds
+ * @part: the part
+ * @credit: by how much it is behind its share
+ */
+struct turn {
+	struct split_part part;
+	int64_t credit;
+};
 
 /**
  * struct split - rounds of one route
  * @route: number of the route
- * @parts: its parts
- * @credit: by how much each part is behind its share
  * @n: number of parts
+ * @turns: one for each part
  */
 struct split {
 	uint64_t route;
-	struct split_part parts[SPLIT_PARTS_MAX];
-	int64_t credit[SPLIT_PARTS_MAX];
 	uint32_t n;
+	struct turn turns[];
 };
 
+/**
+ * struct split_table - see traffic/split.h
+ * @seed: of the places where rounds begin
+ * @begun: rounds that were begun
+ * @splits: route to struct split
+ */
 struct split_table {
 	uint64_t seed;
+	uint64_t begun;
 	GHashTable *splits;
 };
 
@@ -59,8 +77,8 @@
 	if (s->n != n)
 		return false;
 	for (i = 0; i < n; i++)
-		if (s->parts[i].service != parts[i].service ||
-		    s->parts[i].weight != parts[i].weight)
+		if (s->turns[i].part.service != parts[i].service ||
+		    s->turns[i].part.weight != parts[i].weight)
 			return false;
 	return true;
 }
@@ -72,34 +90,39 @@
 	uint32_t i, best = 0;
 
 	for (i = 0; i < s->n; i++) {
-		s->credit[i] += s->parts[i].weight;
-		total += s->parts[i].weight;
-		if (s->credit[i] > s->credit[best])
+		s->turns[i].credit += s->turns[i].part.weight;
+		total += s->turns[i].part.weight;
+		if (s->turns[i].credit > s->turns[best].credit)
 			best = i;
 	}
-	s->credit[best] -= total;
+	s->turns[best].credit -= total;
 	return best;
 }
 
-/* Begins anew, some way into a round. */
-static void
-begin(struct split_table *t, struct split *s, const struct split_part *parts,
+/*
+ * Begins a route's rounds some way into one: each time somewhere else, so that
+ * a route that is forgotten again and again keeps its shares on average.
+ */
+static struct split *
+begin(struct split_table *t, uint64_t route, const struct split_part *parts,
     uint32_t n)
 {
-	uint32_t total = 0, i;
-	uint64_t skip;
+	struct split *s = g_malloc0(sizeof(*s) + n * sizeof(s->turns[0]));
+	uint64_t total = 0, skip = 0;
+	uint32_t i;
 
+	s->route = route;
 	s->n = n;
 	for (i = 0; i < n; i++) {
-		s->parts[i] = parts[i];
-		s->credit[i] = 0;
+		s->turns[i].part = parts[i];
 		total += parts[i].weight;
 	}
-	skip = total > 0
-	    ? hash64(&s->route, sizeof(s->route), t->seed) % MIN(total, 1000)
-	    : 0;
+	if (total > 0)
+		skip = hash64(&route, sizeof(route), t->seed + t->begun++) %
+		    MIN(total, 1000);
 	while (skip-- > 0)
 		(void)next(s);
+	return s;
 }
 
 uint32_t
@@ -108,14 +131,11 @@
 {
 	struct split *s = g_hash_table_lookup(t->splits, &route);
 
-	if (s == NULL) {
-		if (g_hash_table_size(t->splits) >= ROUTES_MAX)
-			g_hash_table_remove_all(t->splits);
-		s = g_new0(struct split, 1);
-		s->route = route;
-		g_hash_table_insert(t->splits, &s->route, s);
-	}
-	if (!is_same(s, parts, n))
-		begin(t, s, parts, n);
+	if (s != NULL && is_same(s, parts, n))
+		return next(s);
+	if (s == NULL && g_hash_table_size(t->splits) >= ROUTES_MAX)
+		g_hash_table_remove_all(t->splits);
+	s = begin(t, route, parts, n);
+	g_hash_table_replace(t->splits, &s->route, s);
 	return next(s);
 }
--- a/packages/traffic/test/test_split.c
+++ b/packages/traffic/test/test_split.c
@@ -12,6 +12,11 @@
 #define ENTRIES 10
 #define ROUTE 7
 
+/* As many as large deployments have, and beyond what a table remembers. */
+#define ROUTES_MANY 57000
+#define ROUTES_BEYOND 100000
+#define ROUNDS 10
+
 static const struct split_part parts[] = {{11, 90}, {12, 10}};
 
 /* Over every window, not only in the long run. */
@@ -67,6 +72,54 @@
 }
 END_TEST
 
+/* Calls each of @routes in turn; Return: how often each got the second part. */
+static uint8_t *
+call_in_turn(uint32_t routes, const struct split_part *p, uint32_t rounds)
+{
+	struct split_table *t = split_table_new(5);
+	uint8_t *second = g_new0(uint8_t, routes);
+	uint32_t i, j;
+
+	for (i = 0; i < rounds; i++)
+		for (j = 0; j < routes; j++)
+			second[j] += (uint8_t)split_choose(t, j, p, 2);
+	split_table_free(t);
+	return second;
+}
+
+/* Each of them by itself, however many others are called in between. */
+START_TEST(shares_hold_for_each_of_many_routes)
+{
+	static const struct split_part even[] = {{11, 50}, {12, 50}};
+	uint8_t *second = call_in_turn(ROUTES_MANY, even, ROUNDS);
+	uint32_t j;
+
+	for (j = 0; j < ROUTES_MANY; j++)
+		ck_assert_msg(second[j] == ROUNDS / 2,
+		    "route %u: %u of %u to the second part", j, second[j],
+		    ROUNDS);
+	g_free(second);
+}
+END_TEST
+
+/* A route that was forgotten begins somewhere else each time: no route sends
+ * all to one part, and all together keep the shares. */
+START_TEST(shares_hold_on_average_when_routes_are_forgotten)
+{
+	uint8_t *second = call_in_turn(ROUTES_BEYOND, parts, 2 * ROUNDS);
+	uint32_t j, all = 0, of_one = 0;
+
+	for (j = 0; j < ROUTES_BEYOND; j++) {
+		all += second[j];
+		of_one += second[j] == 2 * ROUNDS;
+	}
+	ck_assert_uint_eq(of_one, 0);
+	ck_assert_uint_ge(all, ROUTES_BEYOND * 19 / 10);
+	ck_assert_uint_le(all, ROUTES_BEYOND * 21 / 10);
+	g_free(second);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -76,6 +129,9 @@
 	tcase_add_test(tc, shares_hold_over_every_window);
 	tcase_add_test(tc, shares_hold_over_entries_with_few_requests);
 	tcase_add_test(tc, other_weights_count_at_once);
+	tcase_add_test(tc, shares_hold_for_each_of_many_routes);
+	tcase_add_test(tc, shares_hold_on_average_when_routes_are_forgotten);
+	tcase_set_timeout(tc, 60);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
