--- /dev/null
+++ b/packages/config/bench/bench_growth.c
@@ -0,0 +1,347 @@
+/*
+ * Costs of a large configuration and of a large change of it: 1,400 routes
+ * more in a configuration of several sizes, all of one service or spread over
+ * a hundred.  What can't be taken is told as refused.
+ *
+ * bench_growth [routes [services [more]]]
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "config/bundle.h"
+#include "config/snapshot.h"
+#include "config/stage.h"
+#include "proto/messages.h"
+
+#include "../src/route_table.h"
+
+#define MORE 1400
+#define SPREAD 100
+#define MATCHES 1000000
+#define PATHS 4096
+#define PATH_BYTES 64
+#define KIB 1024.0
+#define US_PER_MS 1000.0
+
+/* Of a refusal that is shown. */
+#define WHY_BYTES 90
+
+/* Size of a change in a message, without content; see schema/config.json. */
+#define CHANGE_BYTES 64
+#define HUNK_BYTES 14
+
+/**
+ * struct sent - what a change sends to a node that holds the version before
+ * @changes: sections that are named
+ * @patches: those that go as differences
+ * @whole: those that go whole
+ * @bytes: of all, before they are packed
+ */
+struct sent {
+	uint32_t changes;
+	uint32_t patches;
+	uint32_t whole;
+	uint64_t bytes;
+};
+
+static const uint32_t sizes[] = {1600, 5000, 20000, 57000};
+
+static double
+ms_since(uint64_t start_us)
+{
+	return (double)(clock_now_us() - start_us) / US_PER_MS;
+}
+
+static void
+refused(const char *what)
+{
+	printf("  %s: refused: %.*s\n", what, WHY_BYTES, status_message());
+}
+
+/* Numbers are spread, so that routes that come later fall between others. */
+static void
+write_path(char *out, uint32_t i)
+{
+	(void)g_snprintf(
+	    out, PATH_BYTES, "/area%08x/part%u", i * 2654435761U, i % 97);
+}
+
+static GString *
+write_bundle(uint32_t routes, uint32_t services)
+{
+	GString *out = g_string_new("{\"format\":1,\"name\":\"bench\",");
+	char path[PATH_BYTES];
+	uint32_t i;
+
+	g_string_append(out, "\"services\":[");
+	for (i = 0; i < services; i++)
+		g_string_append_printf(
+		    out, "%s{\"name\":\"service-%u\"}", i > 0 ? "," : "", i);
+	g_string_append(out, "],\"routes\":[");
+	for (i = 0; i < routes; i++) {
+		write_path(path, i);
+		g_string_append_printf(out,
+		    "%s{\"prefix\":\"%s\",\"methods\":[\"*\"],"
+		    "\"idempotent\":true,\"below\":true,"
+		    "\"host\":\"h%u.example\",\"timeout_ms\":2000,"
+		    "\"target_ms\":600,\"priority\":2,\"attempts\":2,"
+		    "\"service\":\"service-%u\"}",
+		    i > 0 ? "," : "", path, i % 4, i % services);
+	}
+	return g_string_append(out, "]}");
+}
+
+/* Return: the bundle, or NULL when it is refused. */
+static struct bundle *
+parse(uint32_t routes, uint32_t services)
+{
+	GString *json = write_bundle(routes, services);
+	uint64_t start_us = clock_now_us(), bytes = 0, most = 0, len;
+	struct bundle *b;
+	enum status st = bundle_parse(json->str, json->len, &b);
+	double ms = ms_since(start_us);
+	uint32_t i;
+
+	for (i = 0; i < b->sections->len; i++) {
+		len = g_bytes_get_size(
+		    ((struct section *)g_ptr_array_index(b->sections, i))
+			->content);
+		bytes += len;
+		most = MAX(most, len);
+	}
+	printf("  bundle of %.0f KiB parsed and cut: %.1f ms, %u sections of "
+	       "%.0f KiB, largest %.1f\n",
+	    (double)json->len / KIB, ms, b->sections->len, (double)bytes / KIB,
+	    (double)most / KIB);
+	g_string_free(json, TRUE);
+	if (st == STATUS_OK)
+		return b;
+	refused("bundle");
+	bundle_free(b);
+	return NULL;
+}
+
+static enum status
+add_all(struct catalog_stage *stage, const struct bundle *b)
+{
+	const struct section *section;
+	enum status st;
+	uint32_t i;
+
+	for (i = 0; i < b->sections->len; i++) {
+		section = g_ptr_array_index(b->sections, i);
+		st = catalog_stage_add(stage,
+		    g_bytes_get_data(section->content, NULL),
+		    g_bytes_get_size(section->content));
+		if (st != STATUS_OK && st != STATUS_NOT_FOUND)
+			return st;
+	}
+	return STATUS_OK;
+}
+
+/* A whole version, as a reader of the platform takes it. */
+static bool
+give(struct catalog *c, uint64_t version, const struct bundle *b, double *ms)
+{
+	uint64_t start_us = clock_now_us();
+	struct catalog_stage *stage;
+	struct digest root;
+	enum status st;
+	GArray *list;
+
+	bundle_to_sections(b, &list, &root);
+	st = catalog_stage_begin_full(c, version, &root, list, &stage);
+	if (st == STATUS_OK)
+		st = add_all(stage, b);
+	if (st == STATUS_OK)
+		st = catalog_commit(c, stage);
+	*ms = ms_since(start_us);
+	catalog_stage_free(stage);
+	g_array_unref(list);
+	if (st != STATUS_OK)
+		refused("commit");
+	return st == STATUS_OK;
+}
+
+static void
+add_change(const struct catalog *from, const struct catalog *to,
+    const struct rec_section_change *c, struct catalog_stage *stage,
+    struct sent *sent)
+{
+	struct rec_section_patch patch;
+	GBytes *content;
+
+	if (!catalog_patch(from, catalog_version(to), c, &patch)) {
+		content = catalog_content(from, &c->digest);
+		sent->whole++;
+		sent->bytes += g_bytes_get_size(content);
+		(void)catalog_stage_add(stage, g_bytes_get_data(content, NULL),
+		    g_bytes_get_size(content));
+		return;
+	}
+	sent->patches++;
+	sent->bytes += patch.data_len + (uint64_t)patch.n_hunks * HUNK_BYTES;
+	content = catalog_patched(to, &patch);
+	(void)catalog_stage_add(
+	    stage, g_bytes_get_data(content, NULL), g_bytes_get_size(content));
+	g_bytes_unref(content);
+	catalog_patch_clear(&patch);
+}
+
+/* One version further, by changes and differences. */
+static void
+bench_follow(const struct catalog *from, struct catalog *to)
+{
+	const struct rec_section_change *c;
+	struct catalog_stage *stage = NULL;
+	struct catalog_delta delta;
+	struct sent sent = {0};
+	uint64_t start_us;
+	double add_ms = 0;
+	uint32_t i;
+
+	if (catalog_delta(from, catalog_version(to), 0, &delta) != STATUS_OK) {
+		refused("changes");
+		return;
+	}
+	start_us = clock_now_us();
+	if (catalog_stage_begin(to, &delta, &stage) != STATUS_OK) {
+		refused("stage");
+		catalog_delta_clear(&delta);
+		return;
+	}
+	for (i = 0; i < delta.changes->len; i++) {
+		c = &g_array_index(delta.changes, struct rec_section_change, i);
+		sent.bytes += CHANGE_BYTES;
+		sent.changes++;
+		if (!c->removed)
+			add_change(from, to, c, stage, &sent);
+	}
+	add_ms = ms_since(start_us);
+	start_us = clock_now_us();
+	if (catalog_commit(to, stage) != STATUS_OK)
+		refused("commit at a node");
+	printf(
+	    "  at a node: %u changes, %u as differences, %u whole, %.1f KiB; "
+	    "made and added in %.1f ms, committed in %.1f ms\n",
+	    sent.changes, sent.patches, sent.whole, (double)sent.bytes / KIB,
+	    add_ms, ms_since(start_us));
+	catalog_stage_free(stage);
+	catalog_delta_clear(&delta);
+}
+
+static void
+bench_table(const struct catalog *c)
+{
+	GPtrArray *services = g_ptr_array_new();
+	struct route_table *t;
+	uint64_t start_us;
+	uint32_t i;
+
+	for (i = 0; i < catalog_n_services(c); i++)
+		g_ptr_array_add(services, catalog_service(c, i));
+	start_us = clock_now_us();
+	if (route_table_new(services, &t) != STATUS_OK)
+		refused("table");
+	else
+		printf("  table of routes: %.1f ms, %.0f KiB\n",
+		    ms_since(start_us), (double)route_table_bytes(t) / KIB);
+	route_table_unref(t);
+	g_ptr_array_unref(services);
+}
+
+static void
+bench_match(const struct catalog *c, uint32_t routes)
+{
+	struct endpoint_set *none = endpoint_set_new();
+	struct snapshot *s = snapshot_compile(c, none);
+	char(*paths)[PATH_BYTES] = g_malloc0_n(PATHS, PATH_BYTES);
+	char hosts[4][16];
+	uint32_t i, j, n, found = 0;
+	struct route_match match;
+	uint64_t start_us;
+
+	for (i = 0; i < 4; i++)
+		(void)g_snprintf(hosts[i], sizeof(hosts[i]), "h%u.example", i);
+	for (i = 0; i < PATHS; i++) {
+		write_path(paths[i], (i * 4) % routes / 4 * 4 + i % 4);
+		g_strlcat(paths[i], "/x", PATH_BYTES);
+	}
+	start_us = clock_now_us();
+	for (n = 0; n < MATCHES; n++) {
+		j = n * 7919U % PATHS;
+		found += snapshot_match(s, METHOD_GET, hosts[j % 4], paths[j],
+			     strlen(paths[j]), &match) == ROUTE_FOUND;
+	}
+	printf("  lookup: %.0f ns (mean of %d, %u found)\n",
+	    ms_since(start_us) * 1e6 / MATCHES, MATCHES, found);
+	g_free(paths);
+	snapshot_unref(s);
+	endpoint_set_free(none);
+}
+
+/* Two versions at a reader, the second one with more routes, and at a node. */
+static void
+bench_versions(
+    const struct bundle *first, const struct bundle *second, uint32_t routes)
+{
+	struct catalog *reader = catalog_new(0), *node = catalog_new(0);
+	uint64_t heap = mallinfo2().uordblks;
+	double ms, node_ms;
+
+	if (give(reader, 1, first, &ms) && give(node, 1, first, &node_ms)) {
+		printf("  first version committed: %.1f ms; catalog %.0f KiB, "
+		       "heap %.0f KiB\n",
+		    ms, (double)catalog_bytes(node) / KIB,
+		    (double)(mallinfo2().uordblks - heap) / 2 / KIB);
+		bench_table(node);
+		bench_match(node, routes);
+		if (second != NULL && give(reader, 2, second, &ms)) {
+			printf("  second version at a reader: %.1f ms\n", ms);
+			bench_follow(reader, node);
+			printf("  catalog with both: %.0f KiB\n",
+			    (double)catalog_bytes(node) / KIB);
+		}
+	}
+	catalog_free(reader);
+	catalog_free(node);
+}
+
+static void
+bench_size(uint32_t routes, uint32_t services, uint32_t more)
+{
+	struct bundle *first, *second = NULL;
+
+	printf("%u routes, %u services, then %u routes more\n", routes,
+	    services, more);
+	first = parse(routes, services);
+	if (first != NULL)
+		second = parse(routes + more, services);
+	if (first != NULL)
+		bench_versions(first, second, routes);
+	bundle_free(first);
+	bundle_free(second);
+	(void)fflush(stdout);
+}
+
+int
+main(int argc, char **argv)
+{
+	uint32_t n[3] = {0, 1, MORE};
+	uint32_t i;
+
+	for (i = 0; i < 3 && (int)i + 1 < argc; i++)
+		n[i] = (uint32_t)strtoul(argv[i + 1], NULL, 10);
+	if (n[0] > 0 && n[1] > 0) {
+		bench_size(n[0], n[1], n[2]);
+		return 0;
+	}
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		bench_size(sizes[i], 1, MORE);
+		bench_size(sizes[i], SPREAD, MORE);
+	}
+	return 0;
+}
