feat(config): rules of two severities, problem and warning

Problem: a rule of our taste (a capital in a host, a '%' in a prefix, a time-out above our range) refused a whole version that the platform had accepted and that a node could run. A check of a bundle knew one severity.

Solution: problems_warn() beside problems_add(), one set of rules for the validator and the feed. Run with a warning: a number above its range, as the range's end; a host in capitals or with a port, folded as requests are; a prefix with '%', other characters that a path can hold, empty or dot segments or a '/' at its end, compared by bytes; unusual names. Still problems: what can't be run as meant (a number below its range, a weight above it, since the range's end changes what other shares get; a wildcard; a prefix that no path can hold or of 256 bytes and more; names that logs, metrics or paths can't hold; two routes that claim the same).

Found beside: 64 services may share a route instead of 16, of which those beyond were silently not called; more are a problem. "/" with `below` and "/" without passed the check of a bundle, and the commit refused them at every node.

Nodes of an earlier release refuse sections with the names and prefixes that are new here.

--- a/packages/config/include/config/bundle.h
+++ b/packages/config/include/config/bundle.h
@@ -20,7 +20,7 @@
 #define BUNDLE_NAME_BYTES 64
 
 /**
- * struct bundle_problem - one thing that is wrong with a bundle
+ * struct bundle_problem - one thing that is wrong with a bundle, or doubtful
  * @path: where, for instance "services[3].limits.queue_wait_ms"
  * @message: what is wrong
  * @remedy: what to do
@@ -37,6 +37,9 @@
  * @sections: struct section, sorted by service
  * @problems: struct bundle_problem; empty when the bundle is good
  * @n_problems: number of problems found, those not reported included
+ * @warnings: struct bundle_problem: what is run all the same, for instance a
+ *	number beyond its range as the range's end
+ * @n_warnings: number of warnings, those not reported included
  * @root: digest of the list of sections
  */
 struct bundle {
@@ -44,6 +47,8 @@
 	GPtrArray *sections;
 	GPtrArray *problems;
 	uint32_t n_problems;
+	GPtrArray *warnings;
+	uint32_t n_warnings;
 	struct digest root;
 };
 
@@ -59,6 +64,14 @@
  */
 enum status bundle_parse(const char *json, size_t len, struct bundle **bundle);
 
+/**
+ * bundle_warnings() - the first warnings as one text
+ * @bundle: the bundle
+ *
+ * Return: new text, empty without a warning; free with g_free().
+ */
+char *bundle_warnings(const struct bundle *bundle);
+
 /** bundle_free() - free a bundle with its sections; NULL is fine */
 void bundle_free(struct bundle *bundle);
 
--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -184,7 +184,8 @@
  * @name: first byte
  * @len: number of bytes
  *
- * A name is 1 to 31 of a-z, 0-9 and '-', and starts with a letter.
+ * A name is 1 to 31 bytes without spaces, control characters, '"', '\\' and
+ * '/', which logs, metrics or paths could not hold.  It is compared by bytes.
  */
 bool service_name_valid(const char *name, size_t len);
 
--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -69,8 +69,9 @@
 	const struct route_entry *entry;
 };
 
-/* Most services that share a route by weight; further ones are not called. */
-#define SNAPSHOT_SHARES_MAX 16
+/* Most services that share a route by weight; a bundle with more is refused.
+ * Several times what one route was seen to split over. */
+#define SNAPSHOT_SHARES_MAX 64
 
 /**
  * snapshot_compile() - compile a snapshot
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -114,13 +114,12 @@
 static enum status
 verdict(struct bundle *b, enum status st)
 {
-	struct problems p = {b->problems, b->n_problems};
 	char *summary;
 
 	if (st == STATUS_OK)
 		return st;
 	g_ptr_array_set_size(b->sections, 0);
-	summary = problems_summary(&p);
+	summary = problems_summary(b->problems, b->n_problems);
 	(void)status_set(st, "The bundle has %u %s. %s", b->n_problems,
 	    b->n_problems == 1 ? "problem" : "problems", summary);
 	g_free(summary);
@@ -141,6 +140,8 @@
 	st = read_json(b, json, len, &p);
 	b->problems = p.list;
 	b->n_problems = p.n_found;
+	b->warnings = p.warnings;
+	b->n_warnings = p.n_warned;
 	if (st == STATUS_OK) {
 		bundle_to_sections(b, &list, &b->root);
 		g_array_unref(list);
@@ -156,9 +157,16 @@
 		return;
 	g_ptr_array_unref(bundle->sections);
 	g_ptr_array_unref(bundle->problems);
+	g_ptr_array_unref(bundle->warnings);
 	g_free(bundle);
 }
 
+char *
+bundle_warnings(const struct bundle *bundle)
+{
+	return problems_summary(bundle->warnings, bundle->n_warnings);
+}
+
 void
 bundle_to_sections(
     const struct bundle *bundle, GArray **list, struct digest *root)
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -104,9 +104,7 @@
 		return;
 	}
 	n = json_integer_value(value);
-	/* A negative number is beyond any range once unsigned. */
-	number_check(rule, (uint64_t)n, &number_at, r->p);
-	number_store(rule, m, (uint64_t)n);
+	number_store(rule, m, number_fit(rule, n, &number_at, r->p));
 }
 
 /* Keys of a group of numbers that are not known. */
@@ -245,6 +243,9 @@
 		problems_add(r->p, &at,
 		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
 		    "this is no name of a bundle");
+	else if (!service_name_usual(name, strlen(name)))
+		problems_warn(r->p, &at, "use a-z, 0-9 and '-', a letter first",
+		    "this name of a bundle is unusual");
 	g_strlcpy(r->name, name, sizeof(r->name));
 }
 
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -4,15 +4,20 @@
 #include <string.h>
 
 #include "bundle_read.h"
+#include "config/snapshot.h"
 #include "rules.h"
 
+/* Marks the key of a prefix that takes only what is below it. */
+#define KEY_BELOW "\n"
+
 /*
  * Which route of the bundle claims each method of a prefix, 0 for none;
- * whether all of them so far have a weight.
+ * whether all of them so far have a weight; how many there are.
  */
 struct claim {
 	uint32_t route[METHOD_COUNT + 1];
 	bool weighted;
+	uint32_t shares;
 };
 
 static uint32_t
@@ -78,8 +83,8 @@
 static struct claim *
 claim_of(struct bundle_reader *r, const struct rec_section_route *route)
 {
-	char *key = g_strdup_printf(
-	    "%s%s%s", route->host, route->prefix, route->below ? "/" : "");
+	char *key = g_strdup_printf("%s%s%s", route->host, route->prefix,
+	    route->below ? KEY_BELOW : "");
 	struct claim *claim = g_hash_table_lookup(r->claims, key);
 
 	if (claim != NULL) {
@@ -116,6 +121,29 @@
 		else
 			claim->route[m] = at->index + 1;
 	}
+	if (++claim->shares > SNAPSHOT_SHARES_MAX && claim->weighted)
+		problems_add(r->p, at, "let fewer services share the route",
+		    "more than %d services share this route",
+		    SNAPSHOT_SHARES_MAX);
+}
+
+/*
+ * A prefix with a '/' at its end takes what begins with it.  That is what is
+ * below the prefix without the '/', unless that ends with one too.  All paths
+ * are below "/".
+ */
+static void
+settle_end(struct rec_section_route *route)
+{
+	size_t len = strlen(route->prefix);
+
+	if (len == 1)
+		route->below = false;
+	if (len <= 1 || route->prefix[len - 1] != '/')
+		return;
+	route->below = route->prefix[len - 2] != '/';
+	if (route->below)
+		route->prefix[len - 1] = '\0';
 }
 
 static bool
@@ -138,15 +166,18 @@
     struct rec_section_route *out)
 {
 	struct place host_at = {at, "host", PLACE_NO_INDEX};
-	const char *host;
+	const char *text;
+	char *host;
 
 	if (json_object_get(route, "host") == NULL)
 		return;
-	host = json_text(route, "host", at, r->p);
-	if (host == NULL)
+	text = json_text(route, "host", at, r->p);
+	if (text == NULL)
 		return;
+	host = host_fold(text, &host_at, r->p);
 	host_check(host, &host_at, r->p);
 	g_strlcpy(out->host, host, sizeof(out->host));
+	g_free(host);
 }
 
 static void
@@ -214,6 +245,7 @@
 	out.idempotent = read_flag(r, route, "idempotent", at,
 	    out.methods != 0 && (out.methods & ~METHOD_SAFE) == 0);
 	out.below = read_flag(r, route, "below", at, false);
+	settle_end(&out);
 	read_host(r, route, at, &out);
 	read_numbers(r, route, at, &out);
 	if (out.methods != 0)
--- a/packages/config/src/problems.c
+++ b/packages/config/src/problems.c
@@ -24,14 +24,18 @@
 problems_init(struct problems *p)
 {
 	p->list = g_ptr_array_new_with_free_func(problem_free);
+	p->warnings = g_ptr_array_new_with_free_func(problem_free);
 	p->n_found = 0;
+	p->n_warned = 0;
 }
 
 void
 problems_clear(struct problems *p)
 {
 	g_ptr_array_unref(p->list);
+	g_ptr_array_unref(p->warnings);
 	p->list = NULL;
+	p->warnings = NULL;
 }
 
 static void
@@ -51,44 +55,64 @@
 	g_string_append(out, at->key);
 }
 
-void
-problems_add(struct problems *p, const struct place *at, const char *remedy,
-    const char *fmt, ...)
+static void
+note(GPtrArray *list, const struct place *at, const char *remedy,
+    const char *fmt, va_list ap)
 {
 	struct bundle_problem *problem;
 	GString *path;
-	va_list ap;
 
-	p->n_found++;
-	if (p->list->len >= BUNDLE_MAX_PROBLEMS)
+	if (list->len >= BUNDLE_MAX_PROBLEMS)
 		return;
 	path = g_string_new(NULL);
 	place_append(at, path);
 	problem = g_new0(struct bundle_problem, 1);
 	problem->path = g_string_free(path, FALSE);
 	problem->remedy = g_strdup(remedy);
-	va_start(ap, fmt);
 	problem->message = g_strdup_vprintf(fmt, ap);
+	g_ptr_array_add(list, problem);
+}
+
+void
+problems_add(struct problems *p, const struct place *at, const char *remedy,
+    const char *fmt, ...)
+{
+	va_list ap;
+
+	p->n_found++;
+	va_start(ap, fmt);
+	note(p->list, at, remedy, fmt, ap);
+	va_end(ap);
+}
+
+void
+problems_warn(struct problems *p, const struct place *at, const char *remedy,
+    const char *fmt, ...)
+{
+	va_list ap;
+
+	p->n_warned++;
+	va_start(ap, fmt);
+	note(p->warnings, at, remedy, fmt, ap);
 	va_end(ap);
-	g_ptr_array_add(p->list, problem);
 }
 
 char *
-problems_summary(const struct problems *p)
+problems_summary(const GPtrArray *list, uint32_t n_found)
 {
 	const struct bundle_problem *problem;
 	GString *out;
 	uint32_t i;
 
 	out = g_string_new(NULL);
-	for (i = 0; i < p->list->len && i < SUMMARY_PROBLEMS; i++) {
-		problem = g_ptr_array_index(p->list, i);
+	for (i = 0; i < list->len && i < SUMMARY_PROBLEMS; i++) {
+		problem = g_ptr_array_index(list, i);
 		g_string_append_printf(out, "%s%s%s%s; %s.", i > 0 ? " " : "",
 		    problem->path, problem->path[0] != '\0' ? ": " : "",
 		    problem->message, problem->remedy);
 	}
-	if (p->n_found > SUMMARY_PROBLEMS)
+	if (n_found > SUMMARY_PROBLEMS)
 		g_string_append_printf(
-		    out, " And %u more.", p->n_found - SUMMARY_PROBLEMS);
+		    out, " And %u more.", n_found - SUMMARY_PROBLEMS);
 	return g_string_free(out, FALSE);
 }
--- a/packages/config/src/problems.h
+++ b/packages/config/src/problems.h
@@ -1,5 +1,6 @@
 /*
- * Problems found in a bundle or a section, and where.
+ * Problems found in a bundle or a section, and where.  A problem is what a
+ * node could not run as it is meant; a warning is what it runs all the same.
  */
 #ifndef CONFIG_PROBLEMS_H
 #define CONFIG_PROBLEMS_H
@@ -26,17 +27,21 @@
 /**
  * struct problems - problems found so far
  * @list: struct bundle_problem, the first BUNDLE_MAX_PROBLEMS
- * @n_found: number of all
+ * @warnings: the same of warnings
+ * @n_found: number of all problems
+ * @n_warned: number of all warnings
  */
 struct problems {
 	GPtrArray *list;
+	GPtrArray *warnings;
 	uint32_t n_found;
+	uint32_t n_warned;
 };
 
 /** problems_init() - none so far */
 void problems_init(struct problems *p);
 
-/** problems_clear() - free the list */
+/** problems_clear() - free the lists */
 void problems_clear(struct problems *p);
 
 /**
@@ -50,12 +55,18 @@
 problems_add(struct problems *p, const struct place *at, const char *remedy,
     const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 
+/** problems_warn() - note a warning; as problems_add() */
+void
+problems_warn(struct problems *p, const struct place *at, const char *remedy,
+    const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
 /**
- * problems_summary() - the first problems as one text
- * @p: problems
+ * problems_summary() - the first problems or warnings as one text
+ * @list: struct bundle_problem
+ * @n_found: number of all, those not listed included
  *
  * Return: new text; free with g_free().
  */
-char *problems_summary(const struct problems *p);
+char *problems_summary(const GPtrArray *list, uint32_t n_found);
 
 #endif
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -10,7 +10,7 @@
 	{                                                                   \
 		(group), (key), offsetof(struct msg_section, field),        \
 		    sizeof(((struct msg_section *)0)->field), (min), (max), \
-		    (initial)                                               \
+		    (initial), false                                        \
 	}
 
 const struct number_rule number_rules[] = {
@@ -34,22 +34,23 @@
 	SERVICE_HEAD_MAX_BYTES, 0),
     NUMBER("callers", "head_ms", head_ms, 0, SERVICE_CALLER_MAX_MS, 0),
     NUMBER("callers", "idle_ms", idle_ms, 0, SERVICE_CALLER_MAX_MS, 0),
-    {NULL, NULL, 0, 0, 0, 0, 0},
+    {NULL, NULL, 0, 0, 0, 0, 0, false},
 };
 
-#define ROUTE_NUMBER(key, field, max)                                         \
-	{                                                                     \
-		NULL, (key), offsetof(struct rec_section_route, field),       \
-		    sizeof(((struct rec_section_route *)0)->field), 0, max, 0 \
+#define ROUTE_NUMBER(key, field, max, exact)                                   \
+	{                                                                      \
+		NULL, (key), offsetof(struct rec_section_route, field),        \
+		    sizeof(((struct rec_section_route *)0)->field), 0, max, 0, \
+		    exact                                                      \
 	}
 
 const struct number_rule route_rules[] = {
-    ROUTE_NUMBER("weight", weight, ROUTE_WEIGHT_MAX),
-    ROUTE_NUMBER("timeout_ms", timeout_ms, SERVICE_TIMEOUT_MAX_MS),
-    ROUTE_NUMBER("target_ms", target_ms, SERVICE_TIMEOUT_MAX_MS),
-    ROUTE_NUMBER("priority", priority, ROUTE_PRIORITY_MAX),
-    ROUTE_NUMBER("attempts", attempts, SERVICE_ATTEMPTS_MAX),
-    {NULL, NULL, 0, 0, 0, 0, 0},
+    ROUTE_NUMBER("weight", weight, ROUTE_WEIGHT_MAX, true),
+    ROUTE_NUMBER("timeout_ms", timeout_ms, SERVICE_TIMEOUT_MAX_MS, false),
+    ROUTE_NUMBER("target_ms", target_ms, SERVICE_TIMEOUT_MAX_MS, false),
+    ROUTE_NUMBER("priority", priority, ROUTE_PRIORITY_MAX, false),
+    ROUTE_NUMBER("attempts", attempts, SERVICE_ATTEMPTS_MAX, false),
+    {NULL, NULL, 0, 0, 0, 0, 0, false},
 };
 
 const struct number_rule *
@@ -104,6 +105,35 @@
 	    value, rule->min, rule->max);
 }
 
+uint64_t
+number_fit(const struct number_rule *rule, int64_t value,
+    const struct place *at, struct problems *p)
+{
+	/* A negative number is beyond any range once unsigned. */
+	if (value < 0 || (uint64_t)value <= rule->max || rule->exact) {
+		number_check(rule, (uint64_t)value, at, p);
+		return (uint64_t)value;
+	}
+	problems_warn(p, at, "give a number within the range",
+	    "%" G_GINT64_FORMAT " is out of the range %" G_GUINT64_FORMAT
+	    " to %" G_GUINT64_FORMAT "; %" G_GUINT64_FORMAT " is used",
+	    value, rule->min, rule->max, rule->max);
+	return rule->max;
+}
+
+bool
+service_name_usual(const char *name, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (!g_ascii_islower(name[i]) && !g_ascii_isdigit(name[i]) &&
+		    name[i] != '-')
+			return false;
+	}
+	return g_ascii_islower(name[0]);
+}
+
 void
 service_name_check(
     const char *name, size_t len, const struct place *at, struct problems *p)
@@ -112,16 +142,40 @@
 		problems_add(p, at,
 		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
 		    "this is no name of a service");
+	else if (!service_name_usual(name, len))
+		problems_warn(p, at, "use a-z, 0-9 and '-', a letter first",
+		    "this name of a service is unusual");
 }
 
 /* Characters that mean the same to every upstream, unescaped. */
 static bool
-prefix_char_valid(char ch)
+prefix_char_usual(char ch)
 {
 	return g_ascii_isalnum(ch) ||
 	    (ch != '\0' && strchr("-._~!$&'()*+,;=:@/", ch) != NULL);
 }
 
+/* Whether the path of a request can hold a character. */
+static bool
+prefix_char_valid(char ch)
+{
+	return (unsigned char)ch > ' ' && ch != '\x7f' && ch != '?' &&
+	    ch != '#';
+}
+
+/* Place from 1 on of the first character that doesn't pass; 0 for none. */
+static size_t
+prefix_find(const char *prefix, size_t len, bool (*passes)(char ch))
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (!passes(prefix[i]))
+			return i + 1;
+	}
+	return 0;
+}
+
 /* Whether a segment is one that upstreams resolve or drop. */
 static bool
 segment_vanishes(const char *segment, size_t len)
@@ -131,7 +185,7 @@
 }
 
 static bool
-prefix_segments_valid(const char *prefix, size_t len)
+prefix_segments_usual(const char *prefix, size_t len)
 {
 	size_t i, start = 1;
 
@@ -145,30 +199,39 @@
 	return true;
 }
 
+/* What upstreams may read otherwise than the route, which compares bytes. */
+static void
+prefix_doubts(
+    const char *prefix, size_t len, const struct place *at, struct problems *p)
+{
+	size_t n = prefix_find(prefix, len, prefix_char_usual);
+
+	if (n > 0)
+		problems_warn(p, at,
+		    "use letters, digits and -._~!$&'()*+,;=:@/ only",
+		    "character %zu may be read otherwise by upstreams", n);
+	else if (len > 1 && !prefix_segments_usual(prefix, len))
+		problems_warn(p, at,
+		    "leave out empty segments, \".\", \"..\" and a '/' at the "
+		    "end",
+		    "the prefix has a segment that upstreams drop");
+}
+
 void
 prefix_check(
     const char *prefix, size_t len, const struct place *at, struct problems *p)
 {
-	size_t i;
+	size_t n = prefix_find(prefix, len, prefix_char_valid);
 
-	if (len == 0 || len >= ROUTE_PREFIX_BYTES || prefix[0] != '/') {
+	if (len == 0 || len >= ROUTE_PREFIX_BYTES || prefix[0] != '/')
 		problems_add(p, at, "use 1 to 255 characters, '/' first",
 		    "this is no path prefix");
-		return;
-	}
-	for (i = 0; i < len; i++) {
-		if (!prefix_char_valid(prefix[i])) {
-			problems_add(p, at,
-			    "use letters, digits and -._~!$&'()*+,;=:@/ only",
-			    "character %zu can't be in a prefix", i + 1);
-			return;
-		}
-	}
-	if (len > 1 && !prefix_segments_valid(prefix, len))
+	else if (n > 0)
 		problems_add(p, at,
-		    "leave out empty segments, \".\", \"..\" and a '/' at the "
-		    "end",
-		    "the prefix has a segment that upstreams drop");
+		    "use letters, digits and -._~!$&'()*+,;=:@/ only",
+		    "character %zu can't be in a prefix", n);
+	else
+		prefix_doubts(prefix, len, at, p);
 }
 
 void
@@ -209,6 +272,35 @@
 		    "this is no host that callers name");
 }
 
+/* Length of a host without the port behind it. */
+static size_t
+host_name_length(const char *host)
+{
+	const char *colon = strchr(host, ':');
+	const char *c;
+
+	if (colon == NULL)
+		return strlen(host);
+	for (c = colon + 1; g_ascii_isdigit(*c); c++)
+		continue;
+	return *c == '\0' ? (size_t)(colon - host) : strlen(host);
+}
+
+char *
+host_fold(const char *host, const struct place *at, struct problems *p)
+{
+	size_t len = host_name_length(host);
+	char *folded = g_ascii_strdown(host, (gssize)len);
+
+	if (host[len] != '\0')
+		problems_warn(p, at, "leave the port out",
+		    "hosts are compared without their port");
+	else if (strcmp(host, folded) != 0)
+		problems_warn(p, at, "use lower case",
+		    "hosts are compared in lower case");
+	return folded;
+}
+
 /* Order of what requests two routes take, their methods aside. */
 static int
 route_place_compare(
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -18,6 +18,7 @@
  * @min: least value
  * @max: largest value
  * @initial: value when it is left out
+ * @exact: whether a value above @max has no like within the range
  */
 struct number_rule {
 	const char *group;
@@ -27,6 +28,7 @@
 	uint64_t min;
 	uint64_t max;
 	uint64_t initial;
+	bool exact;
 };
 
 /** number_rules - all numbers of a service; ends with a NULL key */
@@ -44,21 +46,55 @@
 /** number_store() - set the number that a rule is about */
 void number_store(const struct number_rule *rule, void *m, uint64_t value);
 
+/**
+ * number_fit() - the number that is run for one that is told
+ * @rule: which
+ * @value: what is told
+ * @at: its place
+ * @p: problems
+ *
+ * Above the range its end is run and a warning noted.  Below the range is a
+ * problem, since 0 attempts or slots, or less than nothing, can't be run as
+ * any other number; so is a share of weight above it, since the range's end
+ * would change what the other shares get.
+ *
+ * Return: @value, or the end of the range.
+ */
+uint64_t number_fit(const struct number_rule *rule, int64_t value,
+    const struct place *at, struct problems *p);
+
 /** number_check() - note a number that is out of range */
 void number_check(const struct number_rule *rule, uint64_t value,
     const struct place *at, struct problems *p);
 
-/** service_name_check() - note a bad name of a service */
+/** service_name_usual() - whether a valid name has the usual characters only */
+bool service_name_usual(const char *name, size_t len);
+
+/** service_name_check() - note a name of a service that is bad or unusual */
 void service_name_check(
     const char *name, size_t len, const struct place *at, struct problems *p);
 
-/** prefix_check() - note a bad prefix */
+/** prefix_check() - note a prefix that is bad, or that upstreams may read
+ * otherwise than the route does */
 void prefix_check(
     const char *prefix, size_t len, const struct place *at, struct problems *p);
 
 /** host_check() - note a bad host of a route; an empty one is fine */
 void host_check(const char *host, const struct place *at, struct problems *p);
 
+/**
+ * host_fold() - a host as requests are matched by it
+ * @host: what is told
+ * @at: its place
+ * @p: problems
+ *
+ * Hosts are compared without regard to case and port, so it is in lower case
+ * and without a port; a warning is noted where that changes it.
+ *
+ * Return: new text; free with g_free().
+ */
+char *host_fold(const char *host, const struct place *at, struct problems *p);
+
 /**
  * methods_check() - note a bad set of methods, or a bad claim of idempotence
  * @methods: set of METHOD_BIT()
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -144,7 +144,7 @@
 	problems_init(&p);
 	section_check(m, &p);
 	if (p.n_found > 0) {
-		summary = problems_summary(&p);
+		summary = problems_summary(p.list, p.n_found);
 		st = status_set(STATUS_INVALID,
 		    "A section breaks the rules: %s Take it from another node.",
 		    summary);
--- a/packages/config/src/service.c
+++ b/packages/config/src/service.c
@@ -41,11 +41,11 @@
 {
 	size_t i;
 
-	if (len == 0 || len >= SERVICE_NAME_BYTES || !g_ascii_islower(name[0]))
+	if (len == 0 || len >= SERVICE_NAME_BYTES)
 		return false;
 	for (i = 0; i < len; i++) {
-		if (!g_ascii_islower(name[i]) && !g_ascii_isdigit(name[i]) &&
-		    name[i] != '-')
+		if ((unsigned char)name[i] <= ' ' || name[i] == '\x7f' ||
+		    strchr("\"\\/", name[i]) != NULL)
 			return false;
 	}
 	return true;
--- a/packages/traffic/src/split.c
+++ b/packages/traffic/src/split.c
@@ -12,18 +12,26 @@
 /* Routes remembered; beyond, all are forgotten and begin anew. */
 #define ROUTES_MAX 4096
 
+/**
+ * struct split_share - a part of a route
+ * @part: service and weight
+ * @credit: by how much it is behind its share
+ */
+struct split_share {
+	struct split_part part;
+	int64_t credit;
+};
+
 /**
  * struct split - rounds of one route
  * @route: number of the route
- * @parts: its parts
- * @credit: by how much each part is behind its share
  * @n: number of parts
+ * @parts: its parts
  */
 struct split {
 	uint64_t route;
-	struct split_part parts[SPLIT_PARTS_MAX];
-	int64_t credit[SPLIT_PARTS_MAX];
 	uint32_t n;
+	struct split_share parts[];
 };
 
 struct split_table {
@@ -59,8 +67,8 @@
 	if (s->n != n)
 		return false;
 	for (i = 0; i < n; i++)
-		if (s->parts[i].service != parts[i].service ||
-		    s->parts[i].weight != parts[i].weight)
+		if (s->parts[i].part.service != parts[i].service ||
+		    s->parts[i].part.weight != parts[i].weight)
 			return false;
 	return true;
 }
@@ -72,27 +80,28 @@
 	uint32_t i, best = 0;
 
 	for (i = 0; i < s->n; i++) {
-		s->credit[i] += s->parts[i].weight;
-		total += s->parts[i].weight;
-		if (s->credit[i] > s->credit[best])
+		s->parts[i].credit += s->parts[i].part.weight;
+		total += s->parts[i].part.weight;
+		if (s->parts[i].credit > s->parts[best].credit)
 			best = i;
 	}
-	s->credit[best] -= total;
+	s->parts[best].credit -= total;
 	return best;
 }
 
 /* Begins anew, some way into a round. */
-static void
-begin(struct split_table *t, struct split *s, const struct split_part *parts,
+static struct split *
+begin(struct split_table *t, uint64_t route, const struct split_part *parts,
     uint32_t n)
 {
+	struct split *s = g_malloc0(sizeof(*s) + n * sizeof(s->parts[0]));
 	uint32_t total = 0, i;
 	uint64_t skip;
 
+	s->route = route;
 	s->n = n;
 	for (i = 0; i < n; i++) {
-		s->parts[i] = parts[i];
-		s->credit[i] = 0;
+		s->parts[i].part = parts[i];
 		total += parts[i].weight;
 	}
 	skip = total > 0
@@ -100,6 +109,9 @@
 	    : 0;
 	while (skip-- > 0)
 		(void)next(s);
+	/* The key is part of the value, so both are replaced. */
+	g_hash_table_replace(t->splits, &s->route, s);
+	return s;
 }
 
 uint32_t
@@ -108,14 +120,9 @@
 {
 	struct split *s = g_hash_table_lookup(t->splits, &route);
 
-	if (s == NULL) {
-		if (g_hash_table_size(t->splits) >= ROUTES_MAX)
-			g_hash_table_remove_all(t->splits);
-		s = g_new0(struct split, 1);
-		s->route = route;
-		g_hash_table_insert(t->splits, &s->route, s);
-	}
-	if (!is_same(s, parts, n))
-		begin(t, s, parts, n);
+	if (s == NULL && g_hash_table_size(t->splits) >= ROUTES_MAX)
+		g_hash_table_remove_all(t->splits);
+	if (s == NULL || !is_same(s, parts, n))
+		s = begin(t, route, parts, n);
 	return next(s);
 }
