feat(ctl): warnings of a bundle at validate and sign-off

Problem: a bundle that is run with warnings would be signed off in silence.

A sign-off with warnings passes.

Ruled out: a switch that makes warnings refuse; nobody has asked for it.

--- a/packages/ctl/src/report.c
+++ b/packages/ctl/src/report.c
@@ -47,6 +47,18 @@
 	free(text);
 }
 
+static void
+print_warnings(struct ctl *ctl, const json_t *json)
+{
+	const json_t *list = json_object_get(json, "warnings");
+	const json_t *w;
+	size_t i;
+
+	json_array_foreach((json_t *)list, i, w)(void)
+	    fprintf(ctl->err, "warning: %s: %s; %s\n", report_text(w, "path"),
+		report_text(w, "message"), report_text(w, "remedy"));
+}
+
 void
 report_fields(struct ctl *ctl, const json_t *json)
 {
@@ -56,6 +68,8 @@
 
 	json_object_foreach((json_t *)json, name, v)
 	{
+		if (strcmp(name, "warnings") == 0)
+			continue;
 		if (!json_is_object(v)) {
 			print_field(ctl, name, v);
 			continue;
@@ -67,6 +81,7 @@
 			g_free(both);
 		}
 	}
+	print_warnings(ctl, json);
 }
 
 void
@@ -89,6 +104,7 @@
 	if (json_is_true(json_object_get(json, "repeated")))
 		(void)fputs(
 		    "It was done before by this operation.\n", ctl->out);
+	print_warnings(ctl, json);
 }
 
 const char *
@@ -163,6 +179,7 @@
 	(void)fprintf(ctl->err, "bramleyctl: %s: %s\n",
 	    *kind != '\0' ? kind : "internal", report_text(error, "message"));
 	print_problems(ctl, json_object_get(reply->json, "problems"));
+	print_warnings(ctl, reply->json);
 	if (winner != NULL)
 		print_winner(ctl, winner);
 	if (code == EXIT_CODE_UNKNOWN)
--- a/packages/ctl/test/test_ctl.c
+++ b/packages/ctl/test/test_ctl.c
@@ -190,6 +190,21 @@
 	"bramleyctl: invalid: m\n  routes[0]: no service; add one\n"
 	"  remedy: Correct it.\n",
 	""},
+    {"--node @ validate $",
+	{{"POST /v1/bundles/validate", 200,
+	    "{\"valid\":true,\"name\":\"registry\",\"warnings\":[{\"path\":"
+	    "\"routes[0]\",\"message\":\"odd\",\"remedy\":\"even it\"}]}"}},
+	EXIT_CODE_OK, "valid: true\nname: registry\n",
+	"warning: routes[0]: odd; even it\n", ""},
+    {"--node @ sign-off $ --op o1",
+	{{"POST /v1/versions", 201,
+	    "{\"version\":7,\"warnings\":[{\"path\":\"routes[0]\","
+	    "\"message\":\"odd\",\"remedy\":\"even it\"}]}"}},
+	EXIT_CODE_OK, "version: 7\n", "warning: routes[0]: odd; even it\n", ""},
+    {"--node @ --json validate $",
+	{{"POST /v1/bundles/validate", 200,
+	    "{\"valid\":true,\"warnings\":[{\"path\":\"p\"}]}"}},
+	EXIT_CODE_OK, "\"warnings\":[{\"path\":\"p\"}]", "", ""},
     {"--node @ sign-off $ --operator jon --op o1 --note a&b --parent 6",
 	{{"POST /v1/versions", 201, DONE}}, EXIT_CODE_OK,
 	"version: 7\nstate: done\nin_force: 7\nop: o1\n", "operation: o1\n",
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -73,6 +73,9 @@
 	if (call->answered) {
 		json_decref(reply);
 	} else {
+		if (call->warnings != NULL)
+			json_object_set_new(reply, "warnings",
+			    g_steal_pointer(&call->warnings));
 		call->answered = 1;
 		call->code = code;
 		call->reply = reply;
@@ -102,6 +105,7 @@
 	g_mutex_clear(&call->lock);
 	g_cond_clear(&call->done);
 	json_decref(call->reply);
+	json_decref(call->warnings);
 }
 
 struct admin_call *
--- a/packages/node/src/admin_bundles.c
+++ b/packages/node/src/admin_bundles.c
@@ -13,19 +13,27 @@
 	    p->message, "remedy", p->remedy);
 }
 
-static void
-answer_problems(struct admin_call *call, enum status st, const struct bundle *b)
+static json_t *
+list_json(const GPtrArray *problems)
 {
-	json_t *reply, *list = json_array();
+	json_t *list = json_array();
 	guint i;
 
-	for (i = 0; b != NULL && i < b->problems->len; i++)
+	for (i = 0; i < problems->len; i++)
 		json_array_append_new(
-		    list, problem_json(g_ptr_array_index(b->problems, i)));
+		    list, problem_json(g_ptr_array_index(problems, i)));
+	return list;
+}
+
+static void
+answer_problems(struct admin_call *call, enum status st, const struct bundle *b)
+{
+	json_t *reply;
+
 	reply = admin_error_json(st, status_message(),
 	    "Correct each problem that is listed and send the bundle again.",
 	    0);
-	json_object_set_new(reply, "problems", list);
+	json_object_set_new(reply, "problems", list_json(b->problems));
 	admin_call_answer(call, admin_error_code(st), reply);
 }
 
@@ -43,6 +51,8 @@
 	/* The parse takes many times the bundle; what it has freed would stay
 	 * with this worker's arena of the allocator. */
 	(void)malloc_trim(0);
+	if (call->bundle->n_warnings > 0)
+		call->warnings = list_json(call->bundle->warnings);
 	if (st != STATUS_OK)
 		answer_problems(call, st, call->bundle);
 }
--- a/packages/node/src/admin_priv.h
+++ b/packages/node/src/admin_priv.h
@@ -42,6 +42,8 @@
  * @deadline_ms: monotonic time by which its operation must have ended
  * @body: its body
  * @bundle: the bundle in @body, parsed by the worker; NULL for none
+ * @warnings: warnings of that bundle, which go along with the answer; NULL
+ *	for none
  * @lock: guards what follows
  * @done: signalled with @answered
  * @answered: whether the answer is there
@@ -57,6 +59,7 @@
 	uint64_t deadline_ms;
 	GString *body;
 	struct bundle *bundle;
+	json_t *warnings;
 	GMutex lock;
 	GCond done;
 	int answered;
