--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -11,7 +11,7 @@
 
 /* Between the name of a service and a part; no name of a service has it, and
  * it sorts before all that names have, so that parts stand together. */
-#define PART_MARK '#'
+#define PART_MARK ' '
 
 /* Most bytes that a route takes in a section besides its texts: 13 for types
  * and lengths, 5 for each of its six numbers, 2 for its flags. */
--- a/packages/config/test/test_parts.c
+++ b/packages/config/test/test_parts.c
@@ -18,9 +18,9 @@
 static struct bundle *
 bundle_of(uint32_t first, uint32_t n, int32_t step)
 {
-	GString *text = g_string_new(
-	    "{'format':1,'name':'x','services':[{'name':'s'},{'name':'s-t'}],"
-	    "'routes':[");
+	GString *text = g_string_new("{'format':1,'name':'x','services':[{'"
+				     "name':'s'},{'name':'s!'},{'name':'s-t'}],"
+				     "'routes':[");
 	struct bundle *b;
 	uint32_t i, at = first;
 
@@ -162,7 +162,7 @@
 	struct digest root;
 	uint32_t i;
 
-	ck_assert_uint_eq(before->sections->len, 2);
+	ck_assert_uint_eq(before->sections->len, 3);
 	ck_assert_int_eq(fix_commit(c, 1, before), STATUS_OK);
 	after = bundle_of(0, 3000, 1);
 	bundle_to_sections(after, &list, &root);
@@ -193,12 +193,12 @@
 	struct snapshot *s;
 
 	ck_assert_int_eq(fix_commit(c, 1, b), STATUS_OK);
-	ck_assert_uint_eq(catalog_n_services(c), 2);
+	ck_assert_uint_eq(catalog_n_services(c), 3);
 	ck_assert_str_eq(catalog_find(c, "s")->name, "s");
 	ck_assert_str_eq(catalog_find(c, "s-t")->name, "s-t");
 	ck_assert_ptr_null(catalog_find(c, "s-"));
 	s = snapshot_compile(c, none);
-	ck_assert_uint_eq(s->n_services, 2);
+	ck_assert_uint_eq(s->n_services, 3);
 	ck_assert_int_eq(snapshot_check(s), STATUS_OK);
 	ck_assert_int_eq(snapshot_match(s, METHOD_GET, "host.example",
 			     "/r9999/x", 8, &match),
@@ -242,7 +242,7 @@
 	static const char *const parts[][2] = {
 	    {"", "0"}, {"1", "10"}, {"0", "1"}};
 	static const char *const names[][2] = {
-	    {"s", "s#0"}, {"s#1", "s#10"}, {"s#0", "s#1"}};
+	    {"s", "s 0"}, {"s 1", "s 10"}, {"s 0", "s 1"}};
 	struct catalog *c = catalog_new(0);
 	struct catalog_stage *stage;
 	struct rec_section_ref ref = {0};
@@ -309,18 +309,18 @@
 	static const struct {
 		const char *name;
 		bool valid;
-	} names[] = {{"s", true}, {"s#0", true}, {"s#01", true},
-	    {"s#012", false}, {"s#", false}, {"#0", false}, {"s#0#1", false},
-	    {"s#0000000000000000000000000", false}};
+	} names[] = {{"s", true}, {"s 0", true}, {"s 01", true},
+	    {"s 012", false}, {"s ", false}, {" 0", false}, {"s 0 1", false},
+	    {"s 0000000000000000000000000", false}};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++)
 		ck_assert_msg(
 		    section_name_valid(names[i].name) == names[i].valid, "%s",
 		    names[i].name);
-	ck_assert(section_name_covers("s", "s#0"));
-	ck_assert(section_name_covers("s#0", "s#01"));
-	ck_assert(!section_name_covers("s#0", "s#1"));
+	ck_assert(section_name_covers("s", "s 0"));
+	ck_assert(section_name_covers("s 0", "s 01"));
+	ck_assert(!section_name_covers("s 0", "s 1"));
 	ck_assert(!section_name_covers("s", "s-t"));
 	ck_assert(!section_name_covers("s", "st"));
 }
