fix(config): a version may take more memory than old ones are kept in

Cause: 24 MiB bounded the version and the old ones beside it, so a valid version with long prefixes was refused by that bound next. Ruled out: no bound (a host of 160 MB would be killed instead of refusing).

--- a/packages/config/src/ring.c
+++ b/packages/config/src/ring.c
@@ -103,7 +103,9 @@
 void
 ring_trim(struct catalog *c)
 {
-	while (c->ring->len > 0 && catalog_bytes(c) > c->max_bytes)
+	uint64_t kept = MAX(CATALOG_KEPT_BYTES, c->config_bytes * 2);
+
+	while (c->ring->len > 0 && catalog_bytes(c) > MIN(c->max_bytes, kept))
 		ring_drop_oldest(c);
 }
 
