feat(node): a version that can't be used is an incident of its own

Problem: a version that every reader refused left one error line a reader and nothing else: no metric, no status, no end. What the adapter could not read at all was told as "the platform's feed is lost", and held the next read back as if the platform were away.

Solution: a record (refused.c, pure) with a beginning, changes that are logged at most each 5 s, and an end by what comes in force, a lower version too; gauges bramley_version_refused and ..._since_wall_ms, a counter, and `refused` in GET /v1/status. A feed answers STATUS_OK with a problem and the version's number where the configuration can't be read; on_head() is as it was. What is run with warnings is logged and counted. A refusing node stays ready: refused.h says why.

Ruled out: ending the record when a later version is read: it may be refused when it is put together.

--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -103,6 +103,7 @@
 	metric_set(&version_gauge, (int64_t)version);
 	if (version != 0)
 		metric_set(&applied_gauge, (int64_t)clock_wall_ms());
+	control_refused_in_force(c, version);
 }
 
 /* Compiles and publishes what is in force now. */
@@ -372,6 +373,7 @@
 	metric_register(&ready_gauge);
 	metric_register(&publish_count);
 	control_totals_register();
+	control_refused_register();
 }
 
 static void
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -55,7 +55,6 @@
 	g_array_unref(list);
 }
 
-/* Return: whether the answer holds a bundle that can be used. */
 static size_t
 largest_section(const struct bundle *b)
 {
@@ -70,16 +69,37 @@
 	return most;
 }
 
+/* What is run of a version otherwise than it is written. */
+static void
+log_warnings(const struct feed_answer *a, const struct bundle *b)
+{
+	char *text = bundle_warnings(b);
+
+	if (a->notes != NULL || b->n_warnings > 0)
+		log_warning("version %" G_GUINT64_FORMAT
+			    " is run with warnings, %u of the bundle: %s%s%s",
+		    a->version, b->n_warnings, text,
+		    a->notes != NULL && text[0] != '\0' ? " " : "",
+		    a->notes != NULL ? a->notes : "");
+	g_free(text);
+}
+
+/* Return: whether the answer holds a bundle that can be used. */
 static int
 take(struct control *c, const struct feed_answer *a)
 {
 	struct bundle *b = NULL;
 	int ok;
 
+	if (a->problem != NULL)
+		control_refused_note(c, a->version, a->problem);
 	if (a->bundle == NULL)
 		return 0;
 	ok = bundle_parse(a->bundle, a->bundle_bytes, &b) == STATUS_OK;
 	if (ok) {
+		control_refused_given(
+		    c, a->version, b->n_warnings + (a->notes != NULL ? 1 : 0));
+		log_warnings(a, b);
 		log_info("version %" G_GUINT64_FORMAT
 			 " came from the platform, %u services, %zu bytes,"
 			 " largest section %zu bytes",
@@ -87,8 +107,7 @@
 		    largest_section(b));
 		give(c, a, b);
 	} else {
-		log_error("version %" G_GUINT64_FORMAT " can't be used: %s",
-		    a->version, status_message());
+		control_refused_note(c, a->version, status_message());
 	}
 	bundle_free(b);
 	return ok;
--- a/packages/node/src/control_json.c
+++ b/packages/node/src/control_json.c
@@ -89,6 +89,7 @@
 	json_object_set_new(o, "held", json_u64(catalog_version(c->catalog)));
 	json_object_set_new(o, "floor", json_u64(spread_floor(c->spread)));
 	json_object_set_new(o, "head", head_json(spread_head(c->spread)));
+	json_object_set_new(o, "refused", control_refused_json(c));
 	json_object_set_new(
 	    o, "members_live", json_integer(membership_live(c->membership)));
 	json_object_set_new(
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -18,6 +18,7 @@
 #include "node/peers.h"
 #include "node/source.h"
 #include "spread/spread.h"
+#include "refused.h"
 #include "store/feed.h"
 
 /**
@@ -26,6 +27,7 @@
  * @ready: whether this node serves; read by other threads
  * @feed: where configurations come from, NULL for the product's own store
  * @given: head that the feed gave last, seq 0 for none
+ * @refused: the newest version that can't be used here
  * @feed_status: how the last read of the feed ended
  * @following: a read of the feed waits for a change
  * @directory: where nodes find one another, NULL for seeds of the settings
@@ -54,6 +56,7 @@
 	struct source *source;
 	struct feed *feed;
 	struct rec_head given;
+	struct refused refused;
 	enum status feed_status;
 	int following;
 	struct directory *directory;
@@ -80,6 +83,25 @@
 /** control_feed_read() - carry out a SPREAD_READ_* action on the feed */
 void control_feed_read(struct control *c, const struct spread_action *a);
 
+/* control_refused.c */
+
+/** control_refused_register() - add what tells of refusals to the metrics */
+void control_refused_register(void);
+
+/** control_refused_note() - a version can't be used; its number or 0, why */
+void
+control_refused_note(struct control *c, uint64_t version, const char *reason);
+
+/** control_refused_given() - the platform's newest version can be read */
+void
+control_refused_given(struct control *c, uint64_t version, uint32_t n_warnings);
+
+/** control_refused_in_force() - a version came in force */
+void control_refused_in_force(struct control *c, uint64_t version);
+
+/** control_refused_json() - the refusal as JSON, null for none */
+json_t *control_refused_json(const struct control *c);
+
 /* control_find.c */
 
 /** control_find_tick() - write or read the directory if that is due */
--- /dev/null
+++ b/packages/node/src/control_refused.c
@@ -0,0 +1,105 @@
+/*
+ * Tells of a version that can't be used: lines, metrics, status and the
+ * node's progress reports.
+ */
+#define LOG_PART "feed"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "control_priv.h"
+
+static struct metric version_gauge = {"bramley_version_refused",
+    "Newest version seen and refused while it is; 0 for none, -1 for one "
+    "whose number can't be read.",
+    METRIC_GAUGE, NULL, 0, {0}};
+static struct metric since_gauge = {"bramley_version_refused_since_wall_ms",
+    "Wall-clock time since which versions are refused here, 0 for none.",
+    METRIC_GAUGE, NULL, 0, {0}};
+static struct metric refused_count = {"bramley_versions_refused_total",
+    "Versions that could not be used.", METRIC_COUNTER, NULL, 0, {0}};
+static struct metric warnings_gauge = {"bramley_version_warnings",
+    "Warnings about the version that the platform gave last.", METRIC_GAUGE,
+    NULL, 0, {0}};
+
+void
+control_refused_register(void)
+{
+	metric_register(&version_gauge);
+	metric_register(&since_gauge);
+	metric_register(&refused_count);
+	metric_register(&warnings_gauge);
+}
+
+static int64_t
+shown_version(const struct refused *r)
+{
+	if (!r->on)
+		return 0;
+	return r->version != 0 ? (int64_t)r->version : -1;
+}
+
+static void
+log_refused(const struct refused *r)
+{
+	if (r->version == 0)
+		log_error("what the platform holds can't be used, version "
+			  "%" G_GUINT64_FORMAT " stays in force: %s",
+		    r->in_force, r->reason);
+	else
+		log_error("version %" G_GUINT64_FORMAT
+			  " can't be used, version %" G_GUINT64_FORMAT
+			  " stays in force: %s left_out=%" G_GUINT64_FORMAT,
+		    r->version, r->in_force, r->reason, r->n_silent);
+}
+
+static void
+tell(struct control *c, enum refused_news news)
+{
+	struct refused *r = &c->refused;
+
+	metric_set(&version_gauge, shown_version(r));
+	metric_set(&since_gauge, r->on ? (int64_t)r->since_wall_ms : 0);
+	metric_set(&refused_count, (int64_t)r->n_versions);
+	if (news == REFUSED_ENDED)
+		log_info("the refusal of versions has ended, the last was "
+			 "%" G_GUINT64_FORMAT " since %" G_GUINT64_FORMAT ".",
+		    r->version, r->since_wall_ms);
+	else if (news != REFUSED_SAME)
+		log_refused(r);
+}
+
+void
+control_refused_note(struct control *c, uint64_t version, const char *reason)
+{
+	struct refused_time at = {control_now(c), clock_wall_ms()};
+
+	tell(c,
+	    refused_note(
+		&c->refused, at, version, catalog_version(c->catalog), reason));
+}
+
+void
+control_refused_given(struct control *c, uint64_t version, uint32_t n_warnings)
+{
+	metric_set(&warnings_gauge, n_warnings);
+	tell(c,
+	    refused_given(&c->refused, version, catalog_version(c->catalog)));
+}
+
+void
+control_refused_in_force(struct control *c, uint64_t version)
+{
+	tell(c, refused_in_force(&c->refused, version));
+}
+
+json_t *
+control_refused_json(const struct control *c)
+{
+	const struct refused *r = &c->refused;
+
+	if (!r->on)
+		return json_null();
+	return json_pack("{s:I,s:I,s:s}", "version", (json_int_t)r->version,
+	    "since_wall_ms", (json_int_t)r->since_wall_ms, "reason", r->reason);
+}
--- /dev/null
+++ b/packages/node/src/refused.c
@@ -0,0 +1,71 @@
+/*
+ * The newest version that this node can't use, if there is one.
+ */
+#include "refused.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+static enum refused_news
+end(struct refused *r)
+{
+	if (!r->on)
+		return REFUSED_SAME;
+	r->on = false;
+	r->reason[0] = '\0';
+	r->next_log_ms = 0;
+	return REFUSED_ENDED;
+}
+
+static bool
+is_known(const struct refused *r, uint64_t version, const char *reason)
+{
+	return r->on && r->version == version &&
+	    strncmp(r->reason, reason, sizeof(r->reason) - 1) == 0;
+}
+
+enum refused_news
+refused_note(struct refused *r, struct refused_time at, uint64_t version,
+    uint64_t in_force, const char *reason)
+{
+	bool began = !r->on;
+
+	if (is_known(r, version, reason))
+		return REFUSED_SAME;
+	if (began || version != r->version)
+		r->n_versions++;
+	if (began) {
+		r->since_wall_ms = at.wall_ms;
+		r->n_silent = 0;
+	}
+	r->on = true;
+	r->version = version;
+	r->in_force = in_force;
+	(void)g_strlcpy(r->reason, reason, sizeof(r->reason));
+	if (at.now_ms < r->next_log_ms) {
+		r->n_silent++;
+		return REFUSED_SAME;
+	}
+	r->next_log_ms = at.now_ms + REFUSED_LOG_MS;
+	return began ? REFUSED_BEGAN : REFUSED_CHANGED;
+}
+
+enum refused_news
+refused_given(struct refused *r, uint64_t version, uint64_t in_force)
+{
+	r->usable = version;
+	return version == in_force ? end(r) : REFUSED_SAME;
+}
+
+enum refused_news
+refused_in_force(struct refused *r, uint64_t version)
+{
+	if (!r->on || version == 0)
+		return REFUSED_SAME;
+	if (version == r->usable)
+		return end(r);
+	if (r->version == 0)
+		return version != r->in_force ? end(r) : REFUSED_SAME;
+	return version >= r->version ? end(r) : REFUSED_SAME;
+}
--- /dev/null
+++ b/packages/node/src/refused.h
@@ -0,0 +1,99 @@
+/*
+ * Refused: the newest version that this node can't use, if there is one.
+ *
+ * A version can be unusable where it is read (the bundle has problems, or what
+ * the platform holds can't be read at all) or where it is put together (too
+ * large for a node, routes that cross).  The older version stays in force
+ * meanwhile, which callers don't see; so this is an incident of its own, with
+ * a beginning, changes and an end.
+ *
+ * A refusing node stays ready: it serves what it holds, and so do the others,
+ * since a bad version is bad for all.  Not ready, all would leave callers
+ * without any route rather than without the newest.
+ */
+#ifndef NODE_REFUSED_H
+#define NODE_REFUSED_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Room for a reason: the first problems of a bundle are cut to that. */
+#define REFUSED_REASON_BYTES 256
+
+/* Least time between two lines of one incident: versions may follow one
+ * another several times a second, each with another reason. */
+#define REFUSED_LOG_MS 5000
+
+/**
+ * enum refused_news - what became of the record
+ * @REFUSED_SAME: nothing that is to be told
+ * @REFUSED_BEGAN: a version is refused, none was before
+ * @REFUSED_CHANGED: another version is refused, or for another reason
+ * @REFUSED_ENDED: the newest version is in force
+ */
+enum refused_news {
+	REFUSED_SAME = 0,
+	REFUSED_BEGAN,
+	REFUSED_CHANGED,
+	REFUSED_ENDED,
+};
+
+/**
+ * struct refused - the record
+ * @on: whether a version is refused now
+ * @version: the one refused last, 0 when its number can't be read
+ * @in_force: version in force then
+ * @since_wall_ms: when the incident began, wall clock
+ * @reason: why it can't be used
+ * @usable: version that the platform gave last and that could be read, 0 for
+ *	none
+ * @n_versions: versions refused since the start
+ * @n_silent: changes of this incident that were not told
+ * @next_log_ms: monotonic time before which no change is told
+ */
+struct refused {
+	bool on;
+	uint64_t version;
+	uint64_t in_force;
+	uint64_t since_wall_ms;
+	char reason[REFUSED_REASON_BYTES];
+	uint64_t usable;
+	uint64_t n_versions;
+	uint64_t n_silent;
+	uint64_t next_log_ms;
+};
+
+/** struct refused_time - the same moment by both clocks, milliseconds */
+struct refused_time {
+	uint64_t now_ms;
+	uint64_t wall_ms;
+};
+
+/**
+ * refused_note() - a version can't be used
+ * @r: the record
+ * @at: now
+ * @version: its number, 0 when that can't be read
+ * @in_force: version in force, 0 for none
+ * @reason: why
+ */
+enum refused_news refused_note(struct refused *r, struct refused_time at,
+    uint64_t version, uint64_t in_force, const char *reason);
+
+/**
+ * refused_given() - the platform's newest version can be read
+ * @r: the record
+ * @version: its number; it may be lower than the one refused, since operators
+ *	go back
+ * @in_force: version in force
+ *
+ * Ends nothing by itself, as the version may be refused when it is put
+ * together; unless it is in force already.
+ */
+enum refused_news
+refused_given(struct refused *r, uint64_t version, uint64_t in_force);
+
+/** refused_in_force() - a version came in force, from wherever; 0 for none */
+enum refused_news refused_in_force(struct refused *r, uint64_t version);
+
+#endif
--- /dev/null
+++ b/packages/node/test/test_refused.c
@@ -0,0 +1,141 @@
+/*
+ * The record of a version that can't be used: begins once, changes are told
+ * at a bounded rate, and ends with what comes in force.
+ */
+#include <string.h>
+
+#include <check.h>
+
+#include "refused.h"
+#include "test_run.h"
+
+static struct refused r;
+
+static enum refused_news
+note(uint64_t now_ms, uint64_t version, const char *reason)
+{
+	struct refused_time at = {now_ms, now_ms + 1000000};
+
+	return refused_note(&r, at, version, 6, reason);
+}
+
+static void
+fresh(void)
+{
+	memset(&r, 0, sizeof(r));
+}
+
+START_TEST(begins_once)
+{
+	fresh();
+	ck_assert_int_eq(note(0, 10, "a"), REFUSED_BEGAN);
+	ck_assert_int_eq(note(1, 10, "a"), REFUSED_SAME);
+	ck_assert_int_eq(note(90000, 10, "a"), REFUSED_SAME);
+	ck_assert(r.on);
+	ck_assert_uint_eq(r.version, 10);
+	ck_assert_uint_eq(r.in_force, 6);
+	ck_assert_uint_eq(r.since_wall_ms, 1000000);
+	ck_assert_uint_eq(r.n_versions, 1);
+	ck_assert_str_eq(r.reason, "a");
+}
+END_TEST
+
+START_TEST(a_long_reason_is_the_same_when_cut)
+{
+	char reason[2 * REFUSED_REASON_BYTES];
+
+	fresh();
+	memset(reason, 'x', sizeof(reason) - 1);
+	reason[sizeof(reason) - 1] = '\0';
+	ck_assert_int_eq(note(0, 10, reason), REFUSED_BEGAN);
+	ck_assert_uint_eq(strlen(r.reason), REFUSED_REASON_BYTES - 1);
+	ck_assert_int_eq(note(90000, 10, reason), REFUSED_SAME);
+}
+END_TEST
+
+START_TEST(changes_are_told_at_a_bounded_rate)
+{
+	uint64_t now_ms, told = 0;
+
+	fresh();
+	for (now_ms = 0; now_ms < 60000; now_ms += 100)
+		told += note(now_ms, 10 + now_ms, "a") != REFUSED_SAME;
+	ck_assert_uint_eq(told, 60000 / REFUSED_LOG_MS);
+	ck_assert_uint_eq(r.n_versions, 600);
+	ck_assert_uint_eq(r.n_silent, 600 - told);
+	ck_assert_uint_eq(r.since_wall_ms, 1000000);
+	ck_assert_uint_eq(r.version, 10 + 59900);
+	ck_assert_int_eq(note(70000, r.version, "b"), REFUSED_CHANGED);
+	ck_assert_uint_eq(r.n_versions, 600);
+}
+END_TEST
+
+START_TEST(a_later_version_in_force_ends_it)
+{
+	fresh();
+	(void)note(0, 10, "a");
+	ck_assert_int_eq(refused_in_force(&r, 0), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 8), REFUSED_SAME);
+	ck_assert(r.on);
+	ck_assert_int_eq(refused_in_force(&r, 12), REFUSED_ENDED);
+	ck_assert(!r.on);
+	ck_assert_int_eq(refused_in_force(&r, 12), REFUSED_SAME);
+	/* The next incident begins at once and counts on. */
+	ck_assert_int_eq(note(1, 14, "a"), REFUSED_BEGAN);
+	ck_assert_uint_eq(r.since_wall_ms, 1000001);
+	ck_assert_uint_eq(r.n_versions, 2);
+}
+END_TEST
+
+/* What is read may still be refused when it is put together. */
+START_TEST(a_version_that_is_given_ends_it_in_force_only)
+{
+	fresh();
+	(void)note(0, 10, "a");
+	ck_assert_int_eq(refused_given(&r, 12, 6), REFUSED_SAME);
+	ck_assert(r.on);
+	ck_assert_int_eq(note(6000, 12, "too large"), REFUSED_CHANGED);
+	ck_assert_int_eq(refused_given(&r, 12, 6), REFUSED_SAME);
+	ck_assert_int_eq(note(12000, 12, "too large"), REFUSED_SAME);
+	ck_assert_int_eq(refused_given(&r, 14, 6), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 14), REFUSED_ENDED);
+}
+END_TEST
+
+/* Operators go back to a lower number, or to what is in force. */
+START_TEST(going_back_ends_it)
+{
+	fresh();
+	(void)note(0, 10, "a");
+	ck_assert_int_eq(refused_given(&r, 8, 6), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 8), REFUSED_ENDED);
+	(void)note(0, 10, "a");
+	ck_assert_int_eq(refused_given(&r, 6, 6), REFUSED_ENDED);
+}
+END_TEST
+
+START_TEST(a_version_without_a_number_ends_with_the_next)
+{
+	fresh();
+	ck_assert_int_eq(note(0, 0, "no JSON"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_in_force(&r, 6), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 7), REFUSED_ENDED);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("refused");
+	TCase *tc = tcase_create("refused");
+
+	tcase_add_test(tc, begins_once);
+	tcase_add_test(tc, a_long_reason_is_the_same_when_cut);
+	tcase_add_test(tc, changes_are_told_at_a_bounded_rate);
+	tcase_add_test(tc, a_later_version_in_force_ends_it);
+	tcase_add_test(tc, a_version_that_is_given_ends_it_in_force_only);
+	tcase_add_test(tc, going_back_ends_it);
+	tcase_add_test(tc, a_version_without_a_number_ends_with_the_next);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -18,16 +18,21 @@
  * @bundle: the bundle as JSON, docs/BUNDLES.md; NULL when it is the one that
  *	the feed gave last
  * @bundle_bytes: its length
+ * @notes: what of it is run otherwise than it is written; NULL for nothing
+ * @problem: why the newest version has no bundle, though it is not the one
+ *	given last; NULL for none.  @version is 0 then if it can't be read
  */
 struct feed_answer {
 	uint64_t version;
 	const char *bundle;
 	size_t bundle_bytes;
+	const char *notes;
+	const char *problem;
 };
 
 /**
  * feed_fn - a read has ended
- * @st: STATUS_OK; STATUS_INVALID when the configuration can't be used;
+ * @st: STATUS_OK, also when the configuration can't be used;
  *	STATUS_OVERLOADED, STATUS_UNAVAILABLE or STATUS_TIMEOUT
  * @a: the answer, valid during the call; NULL unless STATUS_OK
  * @arg: the reader's
