fix(spread): a version that can't be put together is told and holds none back

Problem: a version that passed the reader and failed at the commit (too large, routes that cross) was dropped without a word; and the pause before its next try, up to 30 s after some tries, held the versions after it back as well.

Cause: intake_refused() raises start_ms, and intake_want() kept it for a new target.

Solution: SPREAD_REFUSED with the reason, which the node records as it does a refusal by the reader; a higher target begins without a pause. A list that a peer gave counts as the version's fault only when the whole list from another one fails too.

Tests: test_refused_commit, test_refused_holds_no_later_one_back: both failed first.

Ruled out: no pause at all: a version that can't be put together would be pulled and checked in a loop.

--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -244,6 +244,9 @@
 			 " in time; another one is asked.",
 		    addr_format(&a->peer, text), a->to);
 		break;
+	case SPREAD_REFUSED:
+		control_refused_note(c, a->to, a->reason);
+		break;
 	case SPREAD_HALTED:
 		log_info("Version %" G_GUINT64_FORMAT
 			 " was halted before it came here.",
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -46,6 +46,9 @@
 	uint64_t seed;
 };
 
+/* Room for why a version is refused, zero included. */
+#define SPREAD_REASON_BYTES 128
+
 /**
  * enum spread_action_kind - what the caller is to do
  * @SPREAD_READ_HEAD: read the head row; answer with spread_on_head()
@@ -58,6 +61,8 @@
  * @SPREAD_LATE: the peer @peer gave nothing of version @to in time; log it
  * @SPREAD_BLAME: the peer @peer sent something wrong; log it
  * @SPREAD_HALTED: version @to was halted before it was applied here; log it
+ * @SPREAD_REFUSED: version @to can't be put together here for @reason; it is
+ *	tried again after a pause
  */
 enum spread_action_kind {
 	SPREAD_READ_HEAD = 0,
@@ -68,6 +73,7 @@
 	SPREAD_LATE,
 	SPREAD_BLAME,
 	SPREAD_HALTED,
+	SPREAD_REFUSED,
 };
 
 /**
@@ -78,6 +84,7 @@
  * @list: whether @digest names a list of sections (a root)
  * @digest: object to be read
  * @peer: peer that is blamed, or late
+ * @reason: why a version is refused
  */
 struct spread_action {
 	enum spread_action_kind kind;
@@ -86,6 +93,7 @@
 	int list;
 	struct digest digest;
 	struct net_addr peer;
+	char reason[SPREAD_REASON_BYTES];
 };
 
 /**
--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -94,6 +94,11 @@
 		in->source_ms = now_ms +
 		    env_around(in->env,
 			UNOFFERED_TIMEOUTS * in->env->profile.pull_timeout_ms);
+	/* Pauses are between tries of one version. */
+	if (version > in->target && in->retry.failures > 0) {
+		backoff_succeeded(&in->retry);
+		in->start_ms = MIN(in->start_ms, now_ms);
+	}
 	in->target = version;
 }
 
@@ -370,12 +375,35 @@
 	return catalog_stage_version(in->stage);
 }
 
+/*
+ * Whether a failed commit is the version's own fault.  A list that a peer gave
+ * may be wrong; the whole one that comes next is from another peer.
+ */
+static int
+intake_is_refusal(const struct intake *in, enum status st)
+{
+	return st == STATUS_TOO_LARGE ||
+	    (st == STATUS_INVALID && (in->list_peer.port == 0 || in->full));
+}
+
+static void
+intake_tell_refusal(struct intake *in, uint64_t version)
+{
+	struct spread_action *a = env_act(in->env, SPREAD_REFUSED);
+
+	a->to = version;
+	(void)g_strlcpy(a->reason, status_message(), sizeof(a->reason));
+}
+
 int
 intake_commit(struct intake *in, uint64_t now_ms)
 {
+	uint64_t version = catalog_stage_version(in->stage);
 	enum status st;
 
 	st = catalog_commit(in->env->catalog, in->stage);
+	if (intake_is_refusal(in, st))
+		intake_tell_refusal(in, version);
 	intake_drop(in);
 	candidates_prune(
 	    &in->candidates, catalog_version(in->env->catalog) + 1);
--- a/packages/spread/test/test_spread.c
+++ b/packages/spread/test/test_spread.c
@@ -2,9 +2,12 @@
  * Small parts of the spread by themselves: back-off, budget, candidates,
  * profiles.  The modules together are tested on the driver.
  */
+#include <string.h>
+
 #include <check.h>
 
 #include "base/clock.h"
+#include "config/bundle.h"
 #include "spread/backoff.h"
 #include "spread/budget.h"
 #include "spread/candidates.h"
@@ -193,6 +196,88 @@
 }
 END_TEST
 
+/* Too small for any version, as the commit finds. */
+#define CATALOG_NONE_BYTES 1
+
+static const char small[] =
+    "{\"format\":1,\"name\":\"x\",\"services\":[{\"name\":\"a\"}],"
+    "\"routes\":[]}";
+
+/* Gives the intake a version whole, and lets it commit that. */
+static void
+give_and_commit(struct intake *in, uint64_t now_ms, uint64_t version)
+{
+	struct rec_head head = {
+	    .seq = version, .version = version, .in_force = version};
+	const struct section *section;
+	struct bundle *b;
+	GArray *list;
+
+	ck_assert_int_eq(bundle_parse(small, strlen(small), &b), STATUS_OK);
+	bundle_to_sections(b, &list, &head.root);
+	section = g_ptr_array_index(b->sections, 0);
+	intake_given(in, now_ms, &head, list, &section->content, 1);
+	ck_assert_uint_eq(intake_staged(in), version);
+	ck_assert(!intake_commit(in, now_ms));
+	g_array_unref(list);
+	bundle_free(b);
+}
+
+static void
+intake_of_nothing(struct intake *in, struct spread_env *env)
+{
+	struct spread_config cfg = {.profile = *spread_profile_registry(),
+	    .host = "h1",
+	    .data_centre = "dc1"};
+
+	env_init(env, &cfg, NULL, catalog_new(CATALOG_NONE_BYTES));
+	intake_init(in, env, 0);
+}
+
+/* A version that can't be put together here is told, with its reason. */
+START_TEST(test_refused_commit)
+{
+	struct spread_env env = {0};
+	struct spread_action *a;
+	struct intake in;
+
+	intake_of_nothing(&in, &env);
+	give_and_commit(&in, 0, 10);
+	a = g_queue_pop_head(env.actions);
+	ck_assert_ptr_nonnull(a);
+	ck_assert_int_eq(a->kind, SPREAD_REFUSED);
+	ck_assert_uint_eq(a->to, 10);
+	ck_assert(strstr(a->reason, "more than a node may hold") != NULL);
+	g_free(a);
+	ck_assert(g_queue_is_empty(env.actions));
+	intake_end(&in, &env);
+}
+END_TEST
+
+/* Ten versions that can't be put together: the eleventh is asked for at once,
+ * not after the pauses between tries of those before. */
+START_TEST(test_refused_holds_no_later_one_back)
+{
+	struct spread_env env = {0};
+	struct net_addr peer = addr(7);
+	struct intake in;
+	uint64_t version;
+
+	intake_of_nothing(&in, &env);
+	for (version = 1; version <= 10; version++) {
+		intake_want(&in, version, version);
+		give_and_commit(&in, version, version);
+		give_and_commit(&in, version, version);
+	}
+	ck_assert_uint_gt(in.start_ms, 10);
+	intake_want(&in, 11, 11);
+	intake_offered(&in, 11, &peer, 11, 1);
+	intake_tick(&in, 11);
+	ck_assert_int_eq(in.provider, INTAKE_PEER);
+	intake_end(&in, &env);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -206,6 +291,8 @@
 	tcase_add_test(tc, test_candidates);
 	tcase_add_test(tc, test_profiles);
 	tcase_add_test(tc, test_slow_answer);
+	tcase_add_test(tc, test_refused_commit);
+	tcase_add_test(tc, test_refused_holds_no_later_one_back);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
