feat(ctl,spread): the state of the whole fleet in one line of the status

Problem: with a version refused, each node told the older one, and nobody how many refuse what, since when and why.

Solution: progress reports carry the number of nodes that refuse (sum), the highest version refused and its reason (maximum), and since when (minimum); GET /v1/status?fleet=1 asks the data centres as GET /v1/versions/N does, and bramleyctl status prints "version 6 in force at 60 of 65 nodes; version 10 is refused by 5 nodes since TIME: REASON" before the node's own fields. The fields are at the messages' ends, so nodes of an earlier release read and are read as before; they count as refusing nothing.

Ruled out: the fleet in every GET /v1/status: monitors ask that often, and each costs a datagram a data centre and 150 ms.

--- a/packages/ctl/src/query.c
+++ b/packages/ctl/src/query.c
@@ -55,14 +55,6 @@
 	return code;
 }
 
-int
-query_status(struct ctl *ctl)
-{
-	struct client_request req = {.method = "GET", .path = "/v1/status"};
-
-	return query_run(ctl, &req, print_any);
-}
-
 static void
 format_time(json_int_t wall_ms, char *text)
 {
@@ -73,6 +65,61 @@
 	(void)strftime(text, TIME_BYTES, "%Y-%m-%dT%H:%M:%SZ", &tm);
 }
 
+static json_int_t
+number_of(const json_t *json, const char *name)
+{
+	return json_integer_value(json_object_get(json, name));
+}
+
+static void
+print_refusal(struct ctl *ctl, const json_t *refused)
+{
+	json_int_t nodes = number_of(refused, "nodes");
+	json_int_t version = number_of(refused, "version");
+	char when[TIME_BYTES];
+
+	format_time(number_of(refused, "since_wall_ms"), when);
+	if (version > 0)
+		(void)fprintf(ctl->out, "; version %lld", (long long)version);
+	else
+		(void)fputs("; a version that can't be read", ctl->out);
+	(void)fprintf(ctl->out, " is refused by %lld %s since %s: %s",
+	    (long long)nodes, nodes == 1 ? "node" : "nodes", when,
+	    report_text(refused, "reason"));
+}
+
+/* The fleet in one line, then this node. */
+static void
+print_status(struct ctl *ctl, const json_t *json)
+{
+	const json_t *fleet = json_object_get(json, "fleet");
+	const json_t *refused = json_object_get(fleet, "refused");
+	json_t *node = json_copy((json_t *)json);
+
+	if (fleet != NULL) {
+		(void)fprintf(ctl->out,
+		    "version %lld in force at %lld of %lld nodes",
+		    (long long)number_of(json, "version"),
+		    (long long)number_of(fleet, "holding"),
+		    (long long)number_of(fleet, "nodes"));
+		if (json_is_object(refused))
+			print_refusal(ctl, refused);
+		(void)fputc('\n', ctl->out);
+	}
+	(void)json_object_del(node, "fleet");
+	report_fields(ctl, node);
+	json_decref(node);
+}
+
+int
+query_status(struct ctl *ctl)
+{
+	struct client_request req = {
+	    .method = "GET", .path = "/v1/status?fleet=1"};
+
+	return query_run(ctl, &req, print_status);
+}
+
 static void
 print_history(struct ctl *ctl, const json_t *json)
 {
--- a/packages/ctl/test/test_ctl.c
+++ b/packages/ctl/test/test_ctl.c
@@ -289,6 +289,29 @@
 	EXIT_CODE_UNAVAILABLE, "", "timeout: What is wrong.", ""},
     {"--node @ status", {{"GET /v1/status", 200, HEAD("7", "6")}}, EXIT_CODE_OK,
 	"host: h1\nready: true\nhead.seq: 9\n", "", ""},
+    {"--node @ status",
+	{{"GET /v1/status?fleet=1", 200,
+	    "{\"host\":\"h1\",\"version\":6,\"fleet\":{\"nodes\":65,"
+	    "\"holding\":60,\"refused\":null}}"}},
+	EXIT_CODE_OK,
+	"version 6 in force at 60 of 65 nodes\nhost: h1\nversion: 6\n", "",
+	"GET /v1/status?fleet=1"},
+    {"--node @ status",
+	{{"GET /v1/status?fleet=1", 200,
+	    "{\"version\":6,\"refused\":null,\"fleet\":{\"nodes\":65,"
+	    "\"holding\":60,\"refused\":{\"nodes\":5,\"version\":10,"
+	    "\"since_wall_ms\":1700000000000,\"reason\":\"no good\"}}}"}},
+	EXIT_CODE_OK,
+	"version 6 in force at 60 of 65 nodes; version 10 is refused by 5 "
+	"nodes since 2023-11-14T22:13:20Z: no good\n",
+	"", ""},
+    {"--node @ status",
+	{{"GET /v1/status?fleet=1", 200,
+	    "{\"version\":6,\"fleet\":{\"nodes\":2,\"holding\":2,"
+	    "\"refused\":{\"nodes\":1,\"version\":0,"
+	    "\"since_wall_ms\":1700000000000,\"reason\":\"no JSON\"}}}"}},
+	EXIT_CODE_OK,
+	"; a version that can't be read is refused by 1 node since", "", ""},
     {"--node @ status", {{"GET /v1/status", 200, "not JSON"}},
 	EXIT_CODE_UNAVAILABLE, "", "Check that --node names the admin_port",
 	""},
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -131,12 +131,6 @@
 	return n >= 0;
 }
 
-static void
-handle_status(struct admin_call *call)
-{
-	admin_call_answer(call, 200, control_status_json(call->admin->control));
-}
-
 static void
 handle_members(struct admin_call *call)
 {
@@ -146,7 +140,7 @@
 }
 
 static const struct admin_route routes[] = {
-    {"GET", "status", handle_status},
+    {"GET", "status", admin_status},
     {"GET", "members", handle_members},
     {"POST", "bundles/validate", admin_validate},
     {NULL, "versions", admin_versions},
--- a/packages/node/src/admin_priv.h
+++ b/packages/node/src/admin_priv.h
@@ -17,6 +17,8 @@
 #define ADMIN_OPERATION_MS 10000
 /* Air for the control thread beyond an operation's own deadline. */
 #define ADMIN_GRACE_MS 5000
+/* How long a request waits for the data centres to tell their progress. */
+#define ADMIN_PROGRESS_MS 150
 /* Text of a remote address. */
 #define ADMIN_REMOTE_BYTES 48
 
@@ -116,6 +118,9 @@
  */
 void admin_prepare(struct admin_call *call);
 
+/** admin_status() - GET /v1/status; likewise */
+void admin_status(struct admin_call *call);
+
 /** admin_versions() - requests below /v1/versions; in the control thread */
 void admin_versions(struct admin_call *call);
 
--- a/packages/node/src/admin_versions.c
+++ b/packages/node/src/admin_versions.c
@@ -10,8 +10,6 @@
 #include "net/loop.h"
 #include "proto/settings.h"
 
-/* How long a request waits for the data centres to tell their progress. */
-#define PROGRESS_WAIT_MS 150
 #define HISTORY_DEFAULT 20
 #define NUMBER_BYTES 24
 #define SEED_MIX UINT64_C(0x9e3779b97f4a7c15)
@@ -174,7 +172,7 @@
 	vc->call = admin_call_hold(call);
 	vc->version = version;
 	loop_timer_init(&vc->timer, control_loop(c), version_on_time, vc);
-	loop_timer_set(&vc->timer, admin_now(call) + PROGRESS_WAIT_MS);
+	loop_timer_set(&vc->timer, admin_now(call) + ADMIN_PROGRESS_MS);
 	control_ask_progress(c);
 	store_read_versions(control_store(c), version, version,
 	    admin_now(call) + ROLLOUT_STEP_MS, version_on_row, vc);
--- a/packages/node/src/control_json.c
+++ b/packages/node/src/control_json.c
@@ -157,6 +157,28 @@
 	return o;
 }
 
+/* Refusals of all data centres that are live. */
+static json_t *
+refusals_json(const struct control *c, const GArray *live)
+{
+	const struct membership_data_centre *dc;
+	const struct spread_progress *p;
+	struct spread_refusal sum = {0};
+	guint i;
+
+	for (i = 0; i < live->len; i++) {
+		dc = &g_array_index(live, struct membership_data_centre, i);
+		p = progress_find(c, dc->name);
+		if (dc->live > 0 && p != NULL)
+			spread_refusal_add(&sum, &p->refusal);
+	}
+	if (sum.nodes == 0)
+		return json_null();
+	return json_pack("{s:I,s:I,s:I,s:s}", "nodes", (json_int_t)sum.nodes,
+	    "version", (json_int_t)sum.version, "since_wall_ms",
+	    (json_int_t)sum.since_wall_ms, "reason", sum.reason);
+}
+
 json_t *
 control_progress_json(struct control *c, uint64_t version)
 {
@@ -176,9 +198,10 @@
 		json_object_set_new(all, dc->name,
 		    progress_data_centre(c, version, dc, &nodes, &holding));
 	}
-	g_array_unref(list);
 	json_object_set_new(o, "nodes", json_integer(nodes));
 	json_object_set_new(o, "holding", json_integer(holding));
+	json_object_set_new(o, "refused", refusals_json(c, list));
+	g_array_unref(list);
 	json_object_set_new(o, "data_centres", all);
 	return o;
 }
--- a/packages/node/src/control_refused.c
+++ b/packages/node/src/control_refused.c
@@ -53,6 +53,22 @@
 		    r->version, r->in_force, r->reason, r->n_silent);
 }
 
+/* What the node's progress reports tell. */
+static void
+report(struct control *c)
+{
+	const struct refused *r = &c->refused;
+	struct spread_refusal told = {0};
+
+	if (r->on) {
+		told.nodes = 1;
+		told.version = r->version;
+		told.since_wall_ms = r->since_wall_ms;
+		(void)g_strlcpy(told.reason, r->reason, sizeof(told.reason));
+	}
+	spread_refuse(c->spread, control_now(c), &told);
+}
+
 static void
 tell(struct control *c, enum refused_news news)
 {
@@ -61,6 +77,7 @@
 	metric_set(&version_gauge, shown_version(r));
 	metric_set(&since_gauge, r->on ? (int64_t)r->since_wall_ms : 0);
 	metric_set(&refused_count, (int64_t)r->n_versions);
+	report(c);
 	if (news == REFUSED_ENDED)
 		log_info("the refusal of versions has ended, the last was "
 			 "%" G_GUINT64_FORMAT " since %" G_GUINT64_FORMAT ".",
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -31,7 +31,9 @@
 #define MSG_SECTIONS_PATCHES_MAX 2048
 #define MSG_FLOOR_TELL_HOST_MAX 31
 #define MSG_FLOOR_ASK_HOST_MAX 31
+#define MSG_PROGRESS_REPORT_REASON_MAX 127
 #define MSG_PROGRESS_ANSWER_DATA_CENTRE_MAX 31
+#define MSG_PROGRESS_ANSWER_REASON_MAX 127
 #define MSG_PACKED_DATA_MAX 1048576
 
 /**
@@ -443,12 +445,22 @@
  * @holding: nodes that hold this version or a later one
  * @nodes: nodes in the subtree
  * @lowest: lowest version in force in the subtree
+ * @refusing: nodes that can't use the newest version they saw
+ * @refused: highest version that they refuse, 0 when none or not
+ * 	readable
+ * @refused_since_ms: wall-clock time of the earliest refusal that goes
+ * 	on, 0 for none
+ * @reason: why the highest one is refused
  */
 struct msg_progress_report {
 	uint64_t version;
 	uint32_t holding;
 	uint32_t nodes;
 	uint64_t lowest;
+	uint32_t refusing;
+	uint64_t refused;
+	uint64_t refused_since_ms;
+	char reason[128];
 };
 
 extern const struct codec_desc msg_progress_report_desc;
@@ -494,6 +506,12 @@
  * @holding: nodes that hold this version or a later one
  * @nodes: nodes counted
  * @lowest: lowest version in force
+ * @refusing: nodes that can't use the newest version they saw
+ * @refused: highest version that they refuse, 0 when none or not
+ * 	readable
+ * @refused_since_ms: wall-clock time of the earliest refusal that goes
+ * 	on, 0 for none
+ * @reason: why the highest one is refused
  */
 struct msg_progress_answer {
 	uint32_t token;
@@ -502,6 +520,10 @@
 	uint32_t holding;
 	uint32_t nodes;
 	uint64_t lowest;
+	uint32_t refusing;
+	uint64_t refused;
+	uint64_t refused_since_ms;
+	char reason[128];
 };
 
 extern const struct codec_desc msg_progress_answer_desc;
--- a/packages/proto/src/gen/spread.c
+++ b/packages/proto/src/gen/spread.c
@@ -547,11 +547,24 @@
     {.name = "lowest",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_progress_report, lowest)},
+    {.name = "refusing",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_progress_report, refusing)},
+    {.name = "refused",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_progress_report, refused)},
+    {.name = "refused_since_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_progress_report, refused_since_ms)},
+    {.name = "reason",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_progress_report, reason),
+	.max = MSG_PROGRESS_REPORT_REASON_MAX},
 };
 
 const struct codec_desc msg_progress_report_desc = {.name = "progress_report",
     .fields = msg_progress_report_fields,
-    .n_fields = 4,
+    .n_fields = 8,
     .size_bytes = sizeof(struct msg_progress_report)};
 
 void
@@ -623,11 +636,24 @@
     {.name = "lowest",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_progress_answer, lowest)},
+    {.name = "refusing",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_progress_answer, refusing)},
+    {.name = "refused",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_progress_answer, refused)},
+    {.name = "refused_since_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_progress_answer, refused_since_ms)},
+    {.name = "reason",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_progress_answer, reason),
+	.max = MSG_PROGRESS_ANSWER_REASON_MAX},
 };
 
 const struct codec_desc msg_progress_answer_desc = {.name = "progress_answer",
     .fields = msg_progress_answer_fields,
-    .n_fields = 6,
+    .n_fields = 10,
     .size_bytes = sizeof(struct msg_progress_answer)};
 
 void
--- a/packages/spread/include/spread/progress.h
+++ b/packages/spread/include/spread/progress.h
@@ -45,6 +45,7 @@
  * @place_ms: when it is worked out again
  * @held: version served here, 0 for none
  * @newest: newest version known
+ * @refusal: version that can't be used here; no nodes for none
  * @sent: what was reported last
  * @report_ms: when the next report is due
  * @refresh_ms: when a report is sent even without a change
@@ -62,6 +63,7 @@
 	uint64_t place_ms;
 	uint64_t held;
 	uint64_t newest;
+	struct spread_refusal refusal;
 	struct msg_progress_report sent;
 	uint64_t report_ms;
 	uint64_t refresh_ms;
@@ -80,6 +82,10 @@
 void progress_own(
     struct progress *p, uint64_t now_ms, uint64_t held, uint64_t newest);
 
+/** progress_refuse() - whether a version is refused here changed */
+void progress_refuse(
+    struct progress *p, uint64_t now_ms, const struct spread_refusal *r);
+
 /** progress_on_report() - a child reported */
 void progress_on_report(struct progress *p, uint64_t now_ms,
     const struct net_addr *from, const struct msg_progress_report *msg);
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -115,6 +115,28 @@
 	int whole;
 };
 
+/**
+ * struct spread_refusal - nodes that can't use the newest version they saw
+ * @nodes: their number
+ * @version: highest version refused, 0 when its number can't be read
+ * @since_wall_ms: when the earliest refusal began, wall clock; 0 for none
+ * @reason: why @version is refused
+ */
+struct spread_refusal {
+	uint32_t nodes;
+	uint64_t version;
+	uint64_t since_wall_ms;
+	char reason[SPREAD_REASON_BYTES];
+};
+
+/**
+ * spread_refusal_add() - add nodes to others
+ * @sum: a sum; all zero for none
+ * @part: what is added: numbers as sum, maximum and minimum
+ */
+void spread_refusal_add(
+    struct spread_refusal *sum, const struct spread_refusal *part);
+
 /**
  * struct spread_progress - how far a version has come in one data centre
  * @data_centre: the data centre
@@ -122,6 +144,7 @@
  * @holding: nodes that hold this version or a later one
  * @nodes: nodes counted
  * @lowest: lowest version in force on any of them
+ * @refusal: nodes of it that refuse a version
  * @at_ms: when the data centre's root said so
  */
 struct spread_progress {
@@ -130,6 +153,7 @@
 	uint32_t holding;
 	uint32_t nodes;
 	uint64_t lowest;
+	struct spread_refusal refusal;
 	uint64_t at_ms;
 };
 
@@ -339,6 +363,15 @@
 const struct spread_progress *
 spread_progress(const struct spread *s, uint32_t *n);
 
+/**
+ * spread_refuse() - what this node's progress reports tell of refusals
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @r: this node's, with 1 node; all zero when it refuses nothing (more)
+ */
+void spread_refuse(
+    struct spread *s, uint64_t now_ms, const struct spread_refusal *r);
+
 /** spread_stats() - counters since the start */
 const struct spread_stats *spread_stats(const struct spread *s);
 
--- a/packages/spread/src/progress.c
+++ b/packages/spread/src/progress.c
@@ -131,6 +131,22 @@
 	g_ptr_array_unref(view.hosts);
 }
 
+void
+spread_refusal_add(
+    struct spread_refusal *sum, const struct spread_refusal *part)
+{
+	if (part->nodes == 0)
+		return;
+	if (sum->nodes == 0 || part->version > sum->version) {
+		sum->version = part->version;
+		(void)g_strlcpy(sum->reason, part->reason, sizeof(sum->reason));
+	}
+	sum->since_wall_ms = sum->nodes == 0
+	    ? part->since_wall_ms
+	    : MIN(sum->since_wall_ms, part->since_wall_ms);
+	sum->nodes += part->nodes;
+}
+
 static void
 progress_add(
     struct msg_progress_report *sum, const struct msg_progress_report *part)
@@ -141,10 +157,32 @@
 		sum->holding += part->holding;
 }
 
+/* The refusals that a child reported. */
+static struct spread_refusal
+progress_refusal(const struct msg_progress_report *msg)
+{
+	struct spread_refusal r = {
+	    msg->refusing, msg->refused, msg->refused_since_ms, ""};
+
+	(void)g_strlcpy(r.reason, msg->reason, sizeof(r.reason));
+	return r;
+}
+
+static void
+progress_set_refusal(
+    struct msg_progress_report *sum, const struct spread_refusal *r)
+{
+	sum->refusing = r->nodes;
+	sum->refused = r->version;
+	sum->refused_since_ms = r->since_wall_ms;
+	(void)g_strlcpy(sum->reason, r->reason, sizeof(sum->reason));
+}
+
 void
 progress_sum(
     const struct progress *p, uint64_t now_ms, struct msg_progress_report *sum)
 {
+	struct spread_refusal refusal = p->refusal, part;
 	const struct progress_child *c;
 	uint64_t oldest;
 	uint32_t i;
@@ -157,9 +195,13 @@
 	oldest = (uint64_t)MISSED_REPORTS * p->env->profile.progress_refresh_ms;
 	for (i = 0; i < p->n_children; i++) {
 		c = &p->children[i];
-		if (c->heard_ms > 0 && now_ms < c->heard_ms + oldest)
-			progress_add(sum, &c->sum);
+		if (c->heard_ms == 0 || now_ms >= c->heard_ms + oldest)
+			continue;
+		progress_add(sum, &c->sum);
+		part = progress_refusal(&c->sum);
+		spread_refusal_add(&refusal, &part);
 	}
+	progress_set_refusal(sum, &refusal);
 }
 
 void
@@ -173,6 +215,17 @@
 	progress_dirty(p, now_ms);
 }
 
+void
+progress_refuse(
+    struct progress *p, uint64_t now_ms, const struct spread_refusal *r)
+{
+	if (p->refusal.nodes == r->nodes && p->refusal.version == r->version &&
+	    strcmp(p->refusal.reason, r->reason) == 0)
+		return;
+	p->refusal = *r;
+	progress_dirty(p, now_ms);
+}
+
 void
 progress_on_report(struct progress *p, uint64_t now_ms,
     const struct net_addr *from, const struct msg_progress_report *msg)
@@ -204,6 +257,10 @@
 	msg->holding = sum.holding;
 	msg->nodes = sum.nodes;
 	msg->lowest = sum.lowest;
+	msg->refusing = sum.refusing;
+	msg->refused = sum.refused;
+	msg->refused_since_ms = sum.refused_since_ms;
+	g_strlcpy(msg->reason, sum.reason, sizeof(msg->reason));
 }
 
 void
@@ -245,6 +302,10 @@
 	a->holding = msg->holding;
 	a->nodes = msg->nodes;
 	a->lowest = msg->lowest;
+	a->refusal.nodes = msg->refusing;
+	a->refusal.version = msg->refused;
+	a->refusal.since_wall_ms = msg->refused_since_ms;
+	g_strlcpy(a->refusal.reason, msg->reason, sizeof(a->refusal.reason));
 	a->at_ms = now_ms;
 }
 
--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -331,6 +331,12 @@
 	progress_ask(&s->progress, now_ms);
 }
 
+void
+spread_refuse(struct spread *s, uint64_t now_ms, const struct spread_refusal *r)
+{
+	progress_refuse(&s->progress, now_ms, r);
+}
+
 const struct spread_progress *
 spread_progress(const struct spread *s, uint32_t *n)
 {
--- a/test/driver/test_roll.c
+++ b/test/driver/test_roll.c
@@ -51,6 +51,71 @@
 }
 END_TEST
 
+/* What a node is told of the fleet's refusals. */
+static struct spread_refusal
+ask_refusals(struct world *w, uint32_t node)
+{
+	struct spread_refusal sum = {0};
+	const struct spread_progress *p;
+	uint32_t i, n, nodes, holding;
+	uint64_t lowest;
+
+	ask(w, node, &nodes, &holding, &lowest);
+	p = spread_progress(w->nodes[node].s, &n);
+	for (i = 0; i < n; i++)
+		spread_refusal_add(&sum, &p[i].refusal);
+	return sum;
+}
+
+static void
+refuse(struct world *w, uint32_t node, uint64_t version, uint64_t since_ms)
+{
+	struct spread_refusal r = {1, version, since_ms, ""};
+
+	(void)g_snprintf(
+	    r.reason, sizeof(r.reason), "why %u", (unsigned)version);
+	spread_refuse(w->nodes[node].s, world_now_ms(w), &r);
+}
+
+/* Any node can tell how many refuse a version, the highest, since when, why;
+ * and that it is over. */
+START_TEST(test_progress_refused)
+{
+	const struct spread_refusal none = {0};
+	struct world_config config;
+	struct spread_refusal r;
+	struct world *w;
+	uint32_t i;
+
+	world_config_init(&config, (uint64_t)_i + 1);
+	config.nodes = 40;
+	config.check = 0;
+	w = scenario_up(&config);
+	world_run(w, 8000);
+	refuse(w, 3, 10, 5000);
+	refuse(w, 5, 12, 4000);
+	refuse(w, 39, 12, 6000);
+	refuse(w, w->n_nodes - 1, 0, 7000);
+	world_run(w, 8000);
+	for (i = 0; i < w->n_nodes; i += 17) {
+		r = ask_refusals(w, i);
+		ck_assert_uint_eq(r.nodes, 4);
+		ck_assert_uint_eq(r.version, 12);
+		ck_assert_uint_eq(r.since_wall_ms, 4000);
+		ck_assert_str_eq(r.reason, "why 12");
+	}
+	spread_refuse(w->nodes[3].s, world_now_ms(w), &none);
+	spread_refuse(w->nodes[5].s, world_now_ms(w), &none);
+	spread_refuse(w->nodes[39].s, world_now_ms(w), &none);
+	spread_refuse(w->nodes[w->n_nodes - 1].s, world_now_ms(w), &none);
+	world_run(w, 8000);
+	r = ask_refusals(w, 1);
+	ck_assert_uint_eq(r.nodes, 0);
+	ck_assert_uint_eq(r.since_wall_ms, 0);
+	scenario_end(w);
+}
+END_TEST
+
 /* A report that is lost does not hide for long that a node has come so far. */
 START_TEST(test_progress_lost)
 {
@@ -250,6 +315,7 @@
 	tc = tcase_create("roll");
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, test_progress, 0, SCENARIO_SEEDS);
+	tcase_add_loop_test(tc, test_progress_refused, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_progress_lost, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_progress_held_up, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_join_limit, 0, 3);
