test(functional): a bundle with a warning is signed off; the fleet's status

The path test signs a bundle off whose timeout is beyond the range: validate and sign-off tell the one warning, the version comes in force, and the status has the sums of all nodes. progress.c compares reports by member: the new fields left room between them, which clang-tidy names.

--- a/packages/spread/src/progress.c
+++ b/packages/spread/src/progress.c
@@ -3,6 +3,7 @@
  */
 #include "spread/progress.h"
 
+#include <stdbool.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -157,6 +158,17 @@
 		sum->holding += part->holding;
 }
 
+static bool
+progress_same(
+    const struct msg_progress_report *a, const struct msg_progress_report *b)
+{
+	return a->version == b->version && a->holding == b->holding &&
+	    a->nodes == b->nodes && a->lowest == b->lowest &&
+	    a->refusing == b->refusing && a->refused == b->refused &&
+	    a->refused_since_ms == b->refused_since_ms &&
+	    strcmp(a->reason, b->reason) == 0;
+}
+
 /* The refusals that a child reported. */
 static struct spread_refusal
 progress_refusal(const struct msg_progress_report *msg)
@@ -237,7 +249,7 @@
 		c = &p->children[i];
 		if (!addr_equal(&c->addr, from))
 			continue;
-		if (memcmp(&c->sum, msg, sizeof(*msg)) != 0)
+		if (!progress_same(&c->sum, msg))
 			progress_dirty(p, now_ms);
 		c->sum = *msg;
 		c->heard_ms = MAX(now_ms, 1);
@@ -381,7 +393,7 @@
 	if (!p->has_parent)
 		return;
 	progress_sum(p, now_ms, &sum);
-	changed = memcmp(&sum, &p->sent, sizeof(sum)) != 0;
+	changed = !progress_same(&sum, &p->sent);
 	if (!changed && now_ms < p->refresh_ms)
 		return;
 	progress_schedule(p, now_ms, changed);
--- a/test/functional/test_path.c
+++ b/test/functional/test_path.c
@@ -161,6 +161,55 @@
 	}
 }
 
+/* Above the range of a service's timeout, which is run as the range's end. */
+#define BEYOND_RANGE_MS 3600000
+
+static void
+check_one_warning(const json_t *j)
+{
+	const json_t *list = json_object_get(j, "warnings");
+
+	ck_assert_uint_eq(json_array_size(list), 1);
+	ck_assert_str_eq(
+	    json_string_value(json_object_get(json_array_get(list, 0), "path")),
+	    "services[0].timeout_ms");
+}
+
+/* A bundle with a warning is signed off, and the warning told. */
+static void
+sign_off_with_warning(struct deployment *d)
+{
+	char *bundle = deployment_bundle(BEYOND_RANGE_MS);
+	const char *validate[] = {"validate", bundle, NULL};
+	const char *sign_off[] = {
+	    "--operator", "test", "sign-off", bundle, NULL};
+	json_t *j = deployment_ctl(deployment_host(d, 0), NULL, validate);
+
+	ck_assert(json_is_true(json_object_get(j, "valid")));
+	check_one_warning(j);
+	json_decref(j);
+	j = deployment_ctl(deployment_host(d, 0), NULL, sign_off);
+	check_one_warning(j);
+	(void)deployment_wait_version(
+	    d, (uint64_t)json_number(j, "version"), ROLL_MS);
+	json_decref(j);
+	g_free(bundle);
+}
+
+/* Any node's status has the sums of all; nothing is refused. */
+static void
+check_fleet(const struct deployment *d)
+{
+	const char *status[] = {"status", NULL};
+	json_t *j = deployment_ctl(deployment_host(d, 2), NULL, status);
+	const json_t *fleet = json_object_get(j, "fleet");
+
+	ck_assert_int_eq(json_number(fleet, "nodes"), d->hosts->len);
+	ck_assert(json_is_null(json_object_get(fleet, "refused")));
+	ck_assert(json_is_null(json_object_get(j, "refused")));
+	json_decref(j);
+}
+
 START_TEST(calls_pass_while_versions_roll)
 {
 	static const char *const load_args[] = {
@@ -186,6 +235,8 @@
 	ck_assert_int_gt(json_number(sum, "sent"), 0);
 	ck_assert_int_eq(json_number(sum, "done"), json_number(sum, "sent"));
 	ck_assert_int_eq(json_number(sum, "wrong_answers"), 0);
+	sign_off_with_warning(d);
+	check_fleet(d);
 	ck_assert_int_eq(deployment_stop(d), 0);
 	ck_assert_uint_eq(deployment_check(d), 0);
 	json_decref(sum);
