feat(platform): a row tells operators of a refused version

Problem: on the platform there is no bramleyctl; a refused version showed in logs and metrics only.

Solution: the first reader of each data centre writes status/refused-DC when a refusal has lasted 2 s and removes it at the end; another version is written after 30 s at the earliest.

Ruled out: one writer for the fleet (docs/design/refused.md). Open: a row that is left over when its writer ends just before the refusal does.

--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -289,6 +289,7 @@
 	next_ms =
 	    MIN(membership_next_ms(c->membership), spread_next_ms(c->spread));
 	next_ms = MIN(next_ms, control_find_next_ms(c));
+	next_ms = MIN(next_ms, control_refused_next_ms(c));
 	loop_timer_set(&c->timer, next_ms);
 }
 
@@ -301,6 +302,7 @@
 	membership_tick(c->membership, now_ms);
 	spread_tick(c->spread, now_ms);
 	control_find_tick(c);
+	control_refused_tick(c);
 	control_pump(c);
 	control_totals_copy(c);
 }
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -19,6 +19,7 @@
 #include "node/source.h"
 #include "spread/spread.h"
 #include "refused.h"
+#include "refused_row.h"
 #include "store/feed.h"
 
 /**
@@ -28,6 +29,7 @@
  * @feed: where configurations come from, NULL for the product's own store
  * @given: head that the feed gave last, seq 0 for none
  * @refused: the newest version that can't be used here
+ * @refused_row: what operators are told of it at the platform
  * @feed_status: how the last read of the feed ended
  * @following: a read of the feed waits for a change
  * @directory: where nodes find one another, NULL for seeds of the settings
@@ -57,6 +59,7 @@
 	struct feed *feed;
 	struct rec_head given;
 	struct refused refused;
+	struct refused_row refused_row;
 	enum status feed_status;
 	int following;
 	struct directory *directory;
@@ -99,6 +102,12 @@
 /** control_refused_in_force() - a version came in force */
 void control_refused_in_force(struct control *c, uint64_t version);
 
+/** control_refused_tick() - tell operators at the platform if that is due */
+void control_refused_tick(struct control *c);
+
+/** control_refused_next_ms() - when control_refused_tick() is wanted next */
+uint64_t control_refused_next_ms(const struct control *c);
+
 /** control_refused_json() - the refusal as JSON, null for none */
 json_t *control_refused_json(const struct control *c);
 
--- a/packages/node/src/control_refused.c
+++ b/packages/node/src/control_refused.c
@@ -110,6 +110,50 @@
 	tell(c, refused_in_force(&c->refused, version));
 }
 
+static void
+on_told(enum status st, void *arg)
+{
+	struct control *c = arg;
+
+	if (st != STATUS_OK)
+		log_warning("operators can't be told at the platform (%s)",
+		    status_name(st));
+	refused_row_done(&c->refused_row, st == STATUS_OK, control_now(c));
+	control_pump(c);
+}
+
+static int
+can_tell(const struct control *c)
+{
+	return c->feed != NULL && c->feed->ops->tell != NULL;
+}
+
+void
+control_refused_tick(struct control *c)
+{
+	const struct refused *r = &c->refused;
+	const struct feed_refusal told = {
+	    r->version, r->in_force, r->since_wall_ms, r->reason};
+	enum refused_row_act act;
+
+	if (!can_tell(c))
+		return;
+	act = refused_row_next(&c->refused_row, r,
+	    spread_first_reader(c->spread) != 0, control_now(c));
+	if (act != REFUSED_ROW_NONE)
+		c->feed->ops->tell(c->feed, c->settings->data_centre,
+		    act == REFUSED_ROW_WRITE ? &told : NULL, on_told, c);
+}
+
+uint64_t
+control_refused_next_ms(const struct control *c)
+{
+	if (!can_tell(c))
+		return DEADLINE_NEVER;
+	return refused_row_due_ms(
+	    &c->refused_row, &c->refused, spread_first_reader(c->spread) != 0);
+}
+
 json_t *
 control_refused_json(const struct control *c)
 {
--- /dev/null
+++ b/packages/node/test/test_refused_row.c
@@ -0,0 +1,160 @@
+/*
+ * When the row for operators is written and removed: as few writes as tell it.
+ */
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+#include "refused_row.h"
+#include "test_run.h"
+
+static struct refused_row row;
+static struct refused record;
+
+static void
+fresh(void)
+{
+	memset(&row, 0, sizeof(row));
+	memset(&record, 0, sizeof(record));
+}
+
+static enum refused_row_act
+next(uint64_t now_ms, bool first)
+{
+	return refused_row_next(&row, &record, first, now_ms);
+}
+
+static void
+refuse(uint64_t version)
+{
+	record.on = true;
+	record.version = version;
+}
+
+START_TEST(one_write_at_the_beginning_and_one_at_the_end)
+{
+	fresh();
+	ck_assert_uint_eq(
+	    refused_row_due_ms(&row, &record, true), DEADLINE_NEVER);
+	refuse(10);
+	ck_assert_int_eq(next(100, true), REFUSED_ROW_NONE);
+	ck_assert_uint_eq(refused_row_due_ms(&row, &record, true),
+	    100 + REFUSED_ROW_AFTER_MS);
+	ck_assert_int_eq(
+	    next(100 + REFUSED_ROW_AFTER_MS, true), REFUSED_ROW_WRITE);
+	ck_assert_int_eq(next(9000, true), REFUSED_ROW_NONE);
+	refused_row_done(&row, true, 9000);
+	ck_assert_int_eq(next(900000, true), REFUSED_ROW_NONE);
+	ck_assert_uint_eq(
+	    refused_row_due_ms(&row, &record, true), DEADLINE_NEVER);
+	record.on = false;
+	ck_assert_int_eq(next(900001, true), REFUSED_ROW_REMOVE);
+	refused_row_done(&row, true, 900002);
+	ck_assert_int_eq(next(900003, true), REFUSED_ROW_NONE);
+}
+END_TEST
+
+START_TEST(a_short_refusal_is_not_written)
+{
+	fresh();
+	refuse(10);
+	ck_assert_int_eq(next(0, true), REFUSED_ROW_NONE);
+	record.on = false;
+	ck_assert_int_eq(next(1000, true), REFUSED_ROW_NONE);
+	refuse(12);
+	ck_assert_int_eq(next(2500, true), REFUSED_ROW_NONE);
+	ck_assert_int_eq(
+	    next(2500 + REFUSED_ROW_AFTER_MS, true), REFUSED_ROW_WRITE);
+}
+END_TEST
+
+START_TEST(only_the_first_reader_writes_and_any_that_wrote_removes)
+{
+	fresh();
+	refuse(10);
+	ck_assert_int_eq(next(0, false), REFUSED_ROW_NONE);
+	ck_assert_int_eq(next(90000, false), REFUSED_ROW_NONE);
+	/* The one before it is gone. */
+	ck_assert_int_eq(next(90001, true), REFUSED_ROW_WRITE);
+	refused_row_done(&row, true, 90002);
+	record.on = false;
+	ck_assert_int_eq(next(90003, false), REFUSED_ROW_REMOVE);
+}
+END_TEST
+
+/* A minute of versions, ten a second, each of them refused. */
+START_TEST(many_versions_cost_few_writes)
+{
+	uint64_t now_ms, writes = 0;
+
+	fresh();
+	for (now_ms = 0; now_ms < 60000; now_ms += 100) {
+		refuse(10 + now_ms);
+		if (next(now_ms, true) != REFUSED_ROW_WRITE)
+			continue;
+		writes++;
+		refused_row_done(&row, true, now_ms);
+	}
+	ck_assert_uint_eq(writes, 2);
+}
+END_TEST
+
+START_TEST(what_failed_is_done_again_after_a_pause)
+{
+	fresh();
+	refuse(10);
+	(void)next(0, true);
+	ck_assert_int_eq(next(2000, true), REFUSED_ROW_WRITE);
+	refused_row_done(&row, false, 3000);
+	ck_assert_int_eq(next(3001, true), REFUSED_ROW_NONE);
+	ck_assert_int_eq(
+	    next(3000 + REFUSED_ROW_RETRY_MS, true), REFUSED_ROW_WRITE);
+	refused_row_done(&row, false, 9000);
+	/* It may have been written: it is removed all the same, and until that
+	 * was well. */
+	record.on = false;
+	ck_assert_int_eq(next(9001, true), REFUSED_ROW_REMOVE);
+	refused_row_done(&row, false, 9002);
+	ck_assert_int_eq(next(9003, true), REFUSED_ROW_NONE);
+	ck_assert_int_eq(
+	    next(9002 + REFUSED_ROW_RETRY_MS, true), REFUSED_ROW_REMOVE);
+	refused_row_done(&row, true, 20000);
+	ck_assert_int_eq(next(90000, true), REFUSED_ROW_NONE);
+}
+END_TEST
+
+/* One that begins while the last one's row is being removed is written. */
+START_TEST(a_refusal_after_the_end_is_written_again)
+{
+	fresh();
+	refuse(10);
+	(void)next(0, true);
+	ck_assert_int_eq(next(2000, true), REFUSED_ROW_WRITE);
+	refused_row_done(&row, true, 2001);
+	record.on = false;
+	ck_assert_int_eq(next(3000, true), REFUSED_ROW_REMOVE);
+	refuse(10);
+	ck_assert_int_eq(next(3001, true), REFUSED_ROW_NONE);
+	refused_row_done(&row, true, 3002);
+	ck_assert_int_eq(
+	    next(3002 + REFUSED_ROW_AGAIN_MS, true), REFUSED_ROW_WRITE);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("refused row");
+	TCase *tc = tcase_create("refused row");
+
+	tcase_add_test(tc, one_write_at_the_beginning_and_one_at_the_end);
+	tcase_add_test(tc, a_short_refusal_is_not_written);
+	tcase_add_test(
+	    tc, only_the_first_reader_writes_and_any_that_wrote_removes);
+	tcase_add_test(tc, many_versions_cost_few_writes);
+	tcase_add_test(tc, what_failed_is_done_again_after_a_pause);
+	tcase_add_test(tc, a_refusal_after_the_end_is_written_again);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -339,6 +339,10 @@
 /** spread_head() - newest head that the node knows, seq 0 if none */
 const struct rec_head *spread_head(const struct spread *s);
 
+/** spread_first_reader() - whether this node is its data centre's first reader
+ */
+int spread_first_reader(const struct spread *s);
+
 /** spread_floor() - highest version that must be held before serving */
 uint64_t spread_floor(const struct spread *s);
 
--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -331,6 +331,12 @@
 	progress_ask(&s->progress, now_ms);
 }
 
+int
+spread_first_reader(const struct spread *s)
+{
+	return s->env.reader_rank == 0;
+}
+
 void
 spread_refuse(struct spread *s, uint64_t now_ms, const struct spread_refusal *r)
 {
--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -39,16 +39,37 @@
  */
 typedef void feed_fn(enum status st, const struct feed_answer *a, void *arg);
 
+/**
+ * struct feed_refusal - what operators are told of a version
+ * @version: the version that can't be used, 0 when its number can't be read
+ * @in_force: the one that stays in force, 0 for none
+ * @since_wall_ms: since when versions are refused, wall clock
+ * @reason: why
+ */
+struct feed_refusal {
+	uint64_t version;
+	uint64_t in_force;
+	uint64_t since_wall_ms;
+	const char *reason;
+};
+
+/** feed_told_fn - operators were told, or not */
+typedef void feed_told_fn(enum status st, void *arg);
+
 struct feed;
 
 /**
  * struct feed_ops - a feed
  * @read: read the newest configuration; see feed_read()
+ * @tell: tell operators for a data centre what is refused, NULL for nothing
+ *	any more; NULL where there is no way to
  * @free: free the feed; reads under way are dropped
  */
 struct feed_ops {
 	void (*read)(
 	    struct feed *f, uint64_t wait_until_ms, feed_fn *fn, void *arg);
+	void (*tell)(struct feed *f, const char *data_centre,
+	    const struct feed_refusal *r, feed_told_fn *fn, void *arg);
 	void (*free)(struct feed *f);
 };
 
