--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -103,6 +103,7 @@
 	metric_set(&version_gauge, (int64_t)version);
 	if (version != 0)
 		metric_set(&applied_gauge, (int64_t)clock_wall_ms());
+	control_refused_in_force(c, version);
 }
 
 /* Compiles and publishes what is in force now. */
@@ -243,6 +244,9 @@
 			 " in time; another one is asked.",
 		    addr_format(&a->peer, text), a->to);
 		break;
+	case SPREAD_REFUSED:
+		control_refused_note(c, a->to, a->reason);
+		break;
 	case SPREAD_HALTED:
 		log_info("Version %" G_GUINT64_FORMAT
 			 " was halted before it came here.",
@@ -285,6 +289,7 @@
 	next_ms =
 	    MIN(membership_next_ms(c->membership), spread_next_ms(c->spread));
 	next_ms = MIN(next_ms, control_find_next_ms(c));
+	next_ms = MIN(next_ms, control_refused_next_ms(c));
 	loop_timer_set(&c->timer, next_ms);
 }
 
@@ -297,6 +302,7 @@
 	membership_tick(c->membership, now_ms);
 	spread_tick(c->spread, now_ms);
 	control_find_tick(c);
+	control_refused_tick(c);
 	control_pump(c);
 	control_totals_copy(c);
 }
@@ -372,6 +378,7 @@
 	metric_register(&ready_gauge);
 	metric_register(&publish_count);
 	control_totals_register();
+	control_refused_register();
 }
 
 static void
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -46,6 +46,9 @@
 	uint64_t seed;
 };
 
+/* Room for why a version is refused, zero included. */
+#define SPREAD_REASON_BYTES 128
+
 /**
  * enum spread_action_kind - what the caller is to do
  * @SPREAD_READ_HEAD: read the head row; answer with spread_on_head()
@@ -58,6 +61,8 @@
  * @SPREAD_LATE: the peer @peer gave nothing of version @to in time; log it
  * @SPREAD_BLAME: the peer @peer sent something wrong; log it
  * @SPREAD_HALTED: version @to was halted before it was applied here; log it
+ * @SPREAD_REFUSED: version @to can't be put together here for @reason; it is
+ *	tried again after a pause
  */
 enum spread_action_kind {
 	SPREAD_READ_HEAD = 0,
@@ -68,6 +73,7 @@
 	SPREAD_LATE,
 	SPREAD_BLAME,
 	SPREAD_HALTED,
+	SPREAD_REFUSED,
 };
 
 /**
@@ -78,6 +84,7 @@
  * @list: whether @digest names a list of sections (a root)
  * @digest: object to be read
  * @peer: peer that is blamed, or late
+ * @reason: why a version is refused
  */
 struct spread_action {
 	enum spread_action_kind kind;
@@ -86,6 +93,7 @@
 	int list;
 	struct digest digest;
 	struct net_addr peer;
+	char reason[SPREAD_REASON_BYTES];
 };
 
 /**
@@ -107,6 +115,28 @@
 	int whole;
 };
 
+/**
+ * struct spread_refusal - nodes that can't use the newest version they saw
+ * @nodes: their number
+ * @version: highest version refused, 0 when its number can't be read
+ * @since_wall_ms: when the earliest refusal began, wall clock; 0 for none
+ * @reason: why @version is refused
+ */
+struct spread_refusal {
+	uint32_t nodes;
+	uint64_t version;
+	uint64_t since_wall_ms;
+	char reason[SPREAD_REASON_BYTES];
+};
+
+/**
+ * spread_refusal_add() - add nodes to others
+ * @sum: a sum; all zero for none
+ * @part: what is added: numbers as sum, maximum and minimum
+ */
+void spread_refusal_add(
+    struct spread_refusal *sum, const struct spread_refusal *part);
+
 /**
  * struct spread_progress - how far a version has come in one data centre
  * @data_centre: the data centre
@@ -114,6 +144,7 @@
  * @holding: nodes that hold this version or a later one
  * @nodes: nodes counted
  * @lowest: lowest version in force on any of them
+ * @refusal: nodes of it that refuse a version
  * @at_ms: when the data centre's root said so
  */
 struct spread_progress {
@@ -122,6 +153,7 @@
 	uint32_t holding;
 	uint32_t nodes;
 	uint64_t lowest;
+	struct spread_refusal refusal;
 	uint64_t at_ms;
 };
 
@@ -307,6 +339,10 @@
 /** spread_head() - newest head that the node knows, seq 0 if none */
 const struct rec_head *spread_head(const struct spread *s);
 
+/** spread_first_reader() - whether this node is its data centre's first reader
+ */
+int spread_first_reader(const struct spread *s);
+
 /** spread_floor() - highest version that must be held before serving */
 uint64_t spread_floor(const struct spread *s);
 
@@ -331,6 +367,15 @@
 const struct spread_progress *
 spread_progress(const struct spread *s, uint32_t *n);
 
+/**
+ * spread_refuse() - what this node's progress reports tell of refusals
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @r: this node's, with 1 node; all zero when it refuses nothing (more)
+ */
+void spread_refuse(
+    struct spread *s, uint64_t now_ms, const struct spread_refusal *r);
+
 /** spread_stats() - counters since the start */
 const struct spread_stats *spread_stats(const struct spread *s);
 
