--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -6,6 +6,7 @@
 #ifndef STORE_FEED_H
 #define STORE_FEED_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -21,6 +22,8 @@
  * @notes: what of it is run otherwise than it is written; NULL for nothing
  * @problem: why the newest version has no bundle, though it is not the one
  *	given last; NULL for none.  @version is 0 then if it can't be read
+ * @row: whether the configuration was in the answer, given before or not
+ * @body_ms: how long the answer was on its way, from its first part
  */
 struct feed_answer {
 	uint64_t version;
@@ -28,6 +31,8 @@
 	size_t bundle_bytes;
 	const char *notes;
 	const char *problem;
+	bool row;
+	uint32_t body_ms;
 };
 
 /**
@@ -63,6 +68,7 @@
  * @read: read the newest configuration; see feed_read()
  * @tell: tell operators for a data centre what is refused, NULL for nothing
  *	any more; NULL where there is no way to
+ * @probe: look beside a read that waits; see feed_probe()
  * @free: free the feed; reads under way are dropped
  */
 struct feed_ops {
@@ -70,6 +76,7 @@
 	    struct feed *f, uint64_t wait_until_ms, feed_fn *fn, void *arg);
 	void (*tell)(struct feed *f, const char *data_centre,
 	    const struct feed_refusal *r, feed_told_fn *fn, void *arg);
+	void (*probe)(struct feed *f, bool beyond, feed_fn *fn, void *arg);
 	void (*free)(struct feed *f);
 };
 
@@ -92,6 +99,23 @@
 	f->ops->read(f, wait_until_ms, fn, arg);
 }
 
+/**
+ * feed_probe() - look for changes beside a read that waits for one
+ * @f: the feed
+ * @beyond: leave out what the next change alone brings; changes that the
+ *	platform counts for others may make it come all the same
+ * @fn: called once, never before this returns
+ * @arg: given to @fn
+ *
+ * It is answered at once, and in full if there is something.  An answer that
+ * comes when a newer one has been given says the same as that one.
+ */
+static inline void
+feed_probe(struct feed *f, bool beyond, feed_fn *fn, void *arg)
+{
+	f->ops->probe(f, beyond, fn, arg);
+}
+
 /** DIRECTORY_SAMPLE_MAX - most nodes that one look-up gives */
 #define DIRECTORY_SAMPLE_MAX 16
 
