perf(platform): a version from the platform is read route by route

Cause: a reader held the answer's text, a tree of it, the row decoded twice, a tree of the configuration, a second tree of our bundle, its text and a third tree in bundle_parse(): 270 MiB at 57,000 routes, on hosts of 160 MB. The feed's answer carries that bundle, not text; take() ends it where it parsed it (one line). Drafts of routes are freed as their service is cut.

--- /dev/null
+++ b/packages/config/include/config/bundle_build.h
@@ -0,0 +1,37 @@
+/*
+ * Bundles that are put together service by service and route by route, so that
+ * a large one need not lie in memory as one text or tree.  The rules are those
+ * of bundle_parse().
+ */
+#ifndef CONFIG_BUNDLE_BUILD_H
+#define CONFIG_BUNDLE_BUILD_H
+
+#include "config/bundle.h"
+
+struct bundle_build;
+struct json_t;
+
+/** bundle_build_new() - begin a bundle of a name; free it with
+ * bundle_build_free() */
+struct bundle_build *bundle_build_new(const char *name);
+
+/** bundle_build_free() - free what was begun; NULL is fine */
+void bundle_build_free(struct bundle_build *b);
+
+/** bundle_build_service() - add a service, as docs/BUNDLES.md shows one */
+void bundle_build_service(struct bundle_build *b, struct json_t *service);
+
+/** bundle_build_route() - add a route, as docs/BUNDLES.md shows one; its
+ * service was added before */
+void bundle_build_route(struct bundle_build *b, struct json_t *route);
+
+/**
+ * bundle_build_end() - check the whole and cut it in sections
+ * @b: what was begun; nothing more can be done with it than to free it
+ * @bundle: as for bundle_parse()
+ *
+ * Return: as bundle_parse().
+ */
+enum status bundle_build_end(struct bundle_build *b, struct bundle **bundle);
+
+#endif
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -80,6 +80,9 @@
 		d->m.routes = (struct rec_section_route *)d->routes->data;
 		d->m.n_routes = d->routes->len;
 		parts_cut(&d->m, b->sections);
+		/* The largest part of what is held, and needed no more. */
+		g_array_unref(d->routes);
+		d->routes = NULL;
 	}
 	g_ptr_array_sort(b->sections, section_order);
 	for (i = 0; i < b->sections->len; i++)
@@ -88,26 +91,20 @@
 }
 
 static enum status
-read_json(struct bundle *b, const char *json, size_t len, struct problems *p)
+read_json(struct bundle_reader *r, const char *json, size_t len)
 {
-	struct bundle_reader r;
 	enum status st;
 	json_t *root;
 
-	st = bundle_scan(json, len, p);
+	st = bundle_scan(json, len, r->p);
 	if (st != STATUS_OK)
 		return st;
-	root = load(json, len, p);
+	root = load(json, len, r->p);
 	if (root == NULL)
 		return STATUS_INVALID;
-	bundle_reader_init(&r, p);
-	bundle_read(&r, root);
+	bundle_read(r, root);
 	json_decref(root);
-	g_strlcpy(b->name, r.name, sizeof(b->name));
-	if (p->n_found == 0)
-		build_sections(b, &r);
-	bundle_reader_clear(&r);
-	return p->n_found == 0 ? STATUS_OK : STATUS_INVALID;
+	return STATUS_OK;
 }
 
 static enum status
@@ -126,21 +123,23 @@
 }
 
 enum status
-bundle_parse(const char *json, size_t len, struct bundle **bundle)
+bundle_end(struct bundle_reader *r, enum status st, struct bundle **bundle)
 {
-	struct problems p;
+	struct problems *p = r->p;
 	struct bundle *b;
-	enum status st;
 	GArray *list;
 
 	b = g_new0(struct bundle, 1);
 	b->sections = g_ptr_array_new_with_free_func(section_free);
-	problems_init(&p);
-	st = read_json(b, json, len, &p);
-	b->problems = p.list;
-	b->n_problems = p.n_found;
-	b->warnings = p.warnings;
-	b->n_warnings = p.n_warned;
+	g_strlcpy(b->name, r->name, sizeof(b->name));
+	if (st == STATUS_OK && p->n_found == 0)
+		build_sections(b, r);
+	if (st == STATUS_OK && p->n_found > 0)
+		st = STATUS_INVALID;
+	b->problems = g_ptr_array_ref(p->list);
+	b->n_problems = p->n_found;
+	b->warnings = g_ptr_array_ref(p->warnings);
+	b->n_warnings = p->n_warned;
 	if (st == STATUS_OK) {
 		bundle_to_sections(b, &list, &b->root);
 		g_array_unref(list);
@@ -149,6 +148,22 @@
 	return verdict(b, st);
 }
 
+enum status
+bundle_parse(const char *json, size_t len, struct bundle **bundle)
+{
+	struct bundle_reader r;
+	struct problems p;
+	enum status st;
+
+	problems_init(&p);
+	bundle_reader_init(&r, &p);
+	st = read_json(&r, json, len);
+	st = bundle_end(&r, st, bundle);
+	bundle_reader_clear(&r);
+	problems_clear(&p);
+	return st;
+}
+
 void
 bundle_free(struct bundle *bundle)
 {
--- /dev/null
+++ b/packages/config/src/bundle_build.c
@@ -0,0 +1,70 @@
+/*
+ * Bundles that are put together item by item.
+ */
+#include "config/bundle_build.h"
+
+#include "bundle_read.h"
+
+/**
+ * struct bundle_build - a bundle until it is cut
+ * @p: problems so far
+ * @r: what was read of it
+ * @n_services: services so far, refused ones included
+ * @n_routes: the same of routes
+ */
+struct bundle_build {
+	struct problems p;
+	struct bundle_reader r;
+	uint32_t n_services;
+	uint32_t n_routes;
+};
+
+struct bundle_build *
+bundle_build_new(const char *name)
+{
+	struct bundle_build *b = g_new0(struct bundle_build, 1);
+
+	problems_init(&b->p);
+	bundle_reader_init(&b->r, &b->p);
+	bundle_read_name(&b->r, name);
+	return b;
+}
+
+void
+bundle_build_free(struct bundle_build *b)
+{
+	if (b == NULL)
+		return;
+	bundle_reader_clear(&b->r);
+	problems_clear(&b->p);
+	g_free(b);
+}
+
+void
+bundle_build_service(struct bundle_build *b, struct json_t *service)
+{
+	struct place services_at = {NULL, "services", PLACE_NO_INDEX};
+	struct place at = {&services_at, NULL, b->n_services++};
+
+	/* All are counted, and the first too many ends the reading. */
+	if (b->n_services <= CONFIG_MAX_SERVICES)
+		bundle_read_service(&b->r, service, &at);
+}
+
+void
+bundle_build_route(struct bundle_build *b, struct json_t *route)
+{
+	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
+	struct place at = {&routes_at, NULL, b->n_routes++};
+
+	bundle_read_route(&b->r, route, &at);
+}
+
+enum status
+bundle_build_end(struct bundle_build *b, struct bundle **bundle)
+{
+	struct place services_at = {NULL, "services", PLACE_NO_INDEX};
+
+	(void)bundle_count_services(&b->r, b->n_services, &services_at);
+	return bundle_end(&b->r, STATUS_OK, bundle);
+}
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -13,7 +13,8 @@
 {
 	struct draft *d = data;
 
-	g_array_unref(d->routes);
+	if (d->routes != NULL)
+		g_array_unref(d->routes);
 	g_free(d);
 }
 
@@ -170,8 +171,9 @@
 		g_hash_table_insert(r->by_name, d->m.service, d);
 }
 
-static void
-read_service(struct bundle_reader *r, json_t *service, const struct place *at)
+void
+bundle_read_service(
+    struct bundle_reader *r, json_t *service, const struct place *at)
 {
 	static const char *const known[] = {
 	    "name", "timeout_ms", "limits", "retry", "callers", NULL};
@@ -193,6 +195,21 @@
 	read_group(r, "callers", service, at, &d->m);
 }
 
+bool
+bundle_count_services(struct bundle_reader *r, size_t n, const struct place *at)
+{
+	if (n == 0)
+		problems_add(r->p, at,
+		    "give at least one; to take all out of use, halt or "
+		    "supersede the version",
+		    "the bundle has no service");
+	if (n > CONFIG_MAX_SERVICES)
+		problems_add(r->p, at, "split the bundle",
+		    "%zu services, at most %d are taken", n,
+		    CONFIG_MAX_SERVICES);
+	return n <= CONFIG_MAX_SERVICES;
+}
+
 static void
 read_services(struct bundle_reader *r, json_t *services, const struct place *at)
 {
@@ -200,21 +217,12 @@
 	json_t *service;
 	size_t i;
 
-	if (json_array_size(services) == 0)
-		problems_add(r->p, at,
-		    "give at least one; to take all out of use, halt or "
-		    "supersede the version",
-		    "the bundle has no service");
-	if (json_array_size(services) > CONFIG_MAX_SERVICES) {
-		problems_add(r->p, at, "split the bundle",
-		    "%zu services, at most %d are taken",
-		    json_array_size(services), CONFIG_MAX_SERVICES);
+	if (!bundle_count_services(r, json_array_size(services), at))
 		return;
-	}
 	json_array_foreach(services, i, service)
 	{
 		item_at.index = (uint32_t)i;
-		read_service(r, service, &item_at);
+		bundle_read_service(r, service, &item_at);
 	}
 }
 
@@ -230,15 +238,11 @@
 		    "only format %d is known", BUNDLE_FORMAT);
 }
 
-static void
-read_name(struct bundle_reader *r, json_t *root)
+void
+bundle_read_name(struct bundle_reader *r, const char *name)
 {
 	struct place at = {NULL, "name", PLACE_NO_INDEX};
-	const char *name;
 
-	name = json_text(root, "name", NULL, r->p);
-	if (name == NULL)
-		return;
 	if (!service_name_valid(name, strlen(name)))
 		problems_add(r->p, &at,
 		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
@@ -256,6 +260,7 @@
 	    "format", "name", "services", "routes", NULL};
 	struct place services_at = {NULL, "services", PLACE_NO_INDEX};
 	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
+	const char *name;
 	json_t *list;
 
 	if (!json_is_object(root)) {
@@ -264,7 +269,9 @@
 	}
 	json_keys_check(root, known, NULL, r->p);
 	read_format(r, root);
-	read_name(r, root);
+	name = json_text(root, "name", NULL, r->p);
+	if (name != NULL)
+		bundle_read_name(r, name);
 	list = json_list(root, "services", NULL, r->p);
 	if (list != NULL)
 		read_services(r, list, &services_at);
--- a/packages/config/src/bundle_read.h
+++ b/packages/config/src/bundle_read.h
@@ -57,6 +57,33 @@
 /** bundle_read() - read a whole bundle, noting all problems */
 void bundle_read(struct bundle_reader *r, json_t *root);
 
+/** bundle_read_name() - read the name of the bundle */
+void bundle_read_name(struct bundle_reader *r, const char *name);
+
+/** bundle_count_services() - note too few or too many services; whether there
+ * aren't too many to be read */
+bool bundle_count_services(
+    struct bundle_reader *r, size_t n, const struct place *at);
+
+/** bundle_read_service() - read one service */
+void bundle_read_service(
+    struct bundle_reader *r, json_t *service, const struct place *at);
+
+/** bundle_read_route() - read one route, once the services are known */
+void bundle_read_route(
+    struct bundle_reader *r, json_t *route, const struct place *at);
+
+/**
+ * bundle_end() - the bundle that was read, or what is wrong with it
+ * @r: the reader, and its problems; left empty, to be cleared still
+ * @st: how the reading ended
+ * @bundle: as for bundle_parse()
+ *
+ * Return: as bundle_parse().
+ */
+enum status
+bundle_end(struct bundle_reader *r, enum status st, struct bundle **bundle);
+
 /** bundle_read_routes() - read the routes, once the services are known */
 void bundle_read_routes(
     struct bundle_reader *r, json_t *routes, const struct place *at);
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -208,8 +208,9 @@
 	return d;
 }
 
-static void
-read_route(struct bundle_reader *r, json_t *route, const struct place *at)
+void
+bundle_read_route(
+    struct bundle_reader *r, json_t *route, const struct place *at)
 {
 	static const char *const known[] = {"prefix", "methods", "service",
 	    "idempotent", "host", "below", "weight", "timeout_ms", "target_ms",
@@ -255,6 +256,6 @@
 	json_array_foreach(routes, i, route)
 	{
 		item_at.index = (uint32_t)i;
-		read_route(r, route, &item_at);
+		bundle_read_route(r, route, &item_at);
 	}
 }
--- a/packages/config/test/test_bundle.c
+++ b/packages/config/test/test_bundle.c
@@ -2,6 +2,9 @@
  * Bundles and sections: what is refused, that all is told at once, and that
  * whatever is accepted makes sections that a node accepts too.
  */
+#include <jansson.h>
+
+#include "config/bundle_build.h"
 #include "config/snapshot.h"
 #include "fixture.h"
 
@@ -271,6 +274,113 @@
 }
 END_TEST
 
+/* The bundle of a text, put together item by item; NULL where the text says
+ * more than its name, services and routes. */
+static struct bundle *
+built(const char *json, enum status *st)
+{
+	json_t *root = json_loads(json, JSON_REJECT_DUPLICATES, NULL), *item;
+	json_t *services = json_object_get(root, "services");
+	json_t *routes = json_object_get(root, "routes");
+	json_t *name = json_object_get(root, "name");
+	struct bundle_build *build;
+	struct bundle *b = NULL;
+	size_t i;
+
+	if (json_object_size(root) == 4 && json_is_array(services) &&
+	    json_is_array(routes) && json_is_string(name) &&
+	    json_integer_value(json_object_get(root, "format")) == 1) {
+		build = bundle_build_new(json_string_value(name));
+		json_array_foreach(services, i, item)
+		    bundle_build_service(build, item);
+		json_array_foreach(routes, i, item)
+		    bundle_build_route(build, item);
+		*st = bundle_build_end(build, &b);
+		bundle_build_free(build);
+	}
+	json_decref(root);
+	return b;
+}
+
+static void
+check_alike(const GPtrArray *x, const GPtrArray *y)
+{
+	const struct bundle_problem *p, *q;
+	guint i;
+
+	ck_assert_uint_eq(x->len, y->len);
+	for (i = 0; i < x->len; i++) {
+		p = g_ptr_array_index(x, i);
+		q = g_ptr_array_index(y, i);
+		ck_assert_str_eq(p->path, q->path);
+		ck_assert_str_eq(p->message, q->message);
+		ck_assert_str_eq(p->remedy, q->remedy);
+	}
+}
+
+/* Return: whether the text could be put together. */
+static bool
+check_built(const char *text)
+{
+	enum status parsed_st, built_st;
+	char *json = fix_json(text);
+	struct bundle *x = built(json, &built_st), *y;
+
+	if (x != NULL) {
+		parsed_st = bundle_parse(json, strlen(json), &y);
+		ck_assert_int_eq(built_st, parsed_st);
+		ck_assert_uint_eq(x->n_problems, y->n_problems);
+		ck_assert_uint_eq(x->n_warnings, y->n_warnings);
+		check_alike(x->problems, y->problems);
+		check_alike(x->warnings, y->warnings);
+		ck_assert_uint_eq(x->sections->len, y->sections->len);
+		ck_assert(hash_digest_equal(&x->root, &y->root));
+		ck_assert_str_eq(x->name, y->name);
+		bundle_free(x);
+		bundle_free(y);
+	}
+	g_free(json);
+	return x != NULL;
+}
+
+/* What is put together item by item is what is parsed, faults and all. */
+START_TEST(test_built)
+{
+	size_t i, n_faults = 0;
+
+	ck_assert(check_built(good));
+	for (i = 0; i < G_N_ELEMENTS(doubts); i++)
+		ck_assert(check_built(doubts[i].json));
+	for (i = 0; i < G_N_ELEMENTS(run_as); i++)
+		ck_assert(check_built(run_as[i].said));
+	for (i = 0; i < G_N_ELEMENTS(faults); i++)
+		n_faults += check_built(faults[i].json) ? 1 : 0;
+	ck_assert_uint_gt(n_faults, G_N_ELEMENTS(faults) / 2);
+}
+END_TEST
+
+/* Services are counted, and the first too many is not read. */
+START_TEST(test_built_too_many)
+{
+	struct bundle_build *build = bundle_build_new("x");
+	struct bundle *b;
+	char name[16];
+	json_t *o;
+	int i;
+
+	for (i = 0; i <= CONFIG_MAX_SERVICES; i++) {
+		(void)g_snprintf(name, sizeof(name), "s%d", i);
+		o = json_pack("{s:s}", "name", name);
+		bundle_build_service(build, o);
+		json_decref(o);
+	}
+	ck_assert_int_eq(bundle_build_end(build, &b), STATUS_INVALID);
+	ck_assert(strstr(status_message(), "4097 services") != NULL);
+	bundle_free(b);
+	bundle_build_free(build);
+}
+END_TEST
+
 START_TEST(test_all_at_once)
 {
 	struct bundle *b;
@@ -607,6 +717,8 @@
 	tcase_add_loop_test(tc, test_run_as, 0, (int)G_N_ELEMENTS(run_as));
 	tcase_add_test(tc, test_doubts_beside_problems);
 	tcase_add_test(tc, test_shares);
+	tcase_add_test(tc, test_built);
+	tcase_add_test(tc, test_built_too_many);
 	tcase_add_test(tc, test_all_at_once);
 	tcase_add_loop_test(tc, test_limit, 0, (int)G_N_ELEMENTS(limits));
 	tcase_add_test(tc, test_routes_too_large);
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -4,7 +4,7 @@
 #define LOG_PART "feed"
 
 #include "base/log.h"
-#include "config/bundle.h"
+#include "config/bundle_build.h"
 #include "control_priv.h"
 
 /*
@@ -76,14 +76,14 @@
 	struct bundle *b = NULL;
 	int ok;
 
-	if (a->bundle == NULL)
+	if (a->build == NULL)
 		return 0;
-	ok = bundle_parse(a->bundle, a->bundle_bytes, &b) == STATUS_OK;
+	ok = bundle_build_end(a->build, &b) == STATUS_OK;
 	if (ok) {
 		log_info("version %" G_GUINT64_FORMAT
 			 " came from the platform, %u sections, %zu bytes,"
 			 " largest section %zu bytes",
-		    a->version, b->sections->len, a->bundle_bytes,
+		    a->version, b->sections->len, a->row_bytes,
 		    largest_section(b));
 		give(c, a, b);
 	} else {
--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -13,19 +13,21 @@
 #include "base/status.h"
 #include "proto/addr.h"
 
+struct bundle_build;
+
 /**
  * struct feed_answer - outcome of a read
  * @version: newest version, 0 when there is none
- * @bundle: the bundle as JSON, docs/BUNDLES.md; NULL when it is the one that
- *	the feed gave last
- * @bundle_bytes: its length
+ * @build: its bundle, to be ended by bundle_build_end(); NULL when it is the
+ *	one that the feed gave last
+ * @row_bytes: bytes of it as the operators wrote it
  * @row: whether the configuration was in the answer, given before or not
  * @body_ms: how long the answer was on its way, from its first part
  */
 struct feed_answer {
 	uint64_t version;
-	const char *bundle;
-	size_t bundle_bytes;
+	struct bundle_build *build;
+	size_t row_bytes;
 	bool row;
 	uint32_t body_ms;
 };
