--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -13,12 +13,14 @@
 #include "base/status.h"
 #include "proto/addr.h"
 
+struct bundle_build;
+
 /**
  * struct feed_answer - outcome of a read
  * @version: newest version, 0 when there is none
- * @bundle: the bundle as JSON, docs/BUNDLES.md; NULL when it is the one that
- *	the feed gave last
- * @bundle_bytes: its length
+ * @build: its bundle, to be ended by bundle_build_end(); NULL when it is the
+ *	one that the feed gave last
+ * @row_bytes: bytes of it as the operators wrote it
  * @notes: what of it is run otherwise than it is written; NULL for nothing
  * @problem: why the newest version has no bundle, though it is not the one
  *	given last; NULL for none.  @version is 0 then if it can't be read
@@ -27,8 +29,8 @@
  */
 struct feed_answer {
 	uint64_t version;
-	const char *bundle;
-	size_t bundle_bytes;
+	struct bundle_build *build;
+	size_t row_bytes;
 	const char *notes;
 	const char *problem;
 	bool row;
@@ -66,17 +68,17 @@
 /**
  * struct feed_ops - a feed
  * @read: read the newest configuration; see feed_read()
+ * @probe: look beside a read that waits; see feed_probe()
  * @tell: tell operators for a data centre what is refused, NULL for nothing
  *	any more; NULL where there is no way to
- * @probe: look beside a read that waits; see feed_probe()
  * @free: free the feed; reads under way are dropped
  */
 struct feed_ops {
 	void (*read)(
 	    struct feed *f, uint64_t wait_until_ms, feed_fn *fn, void *arg);
+	void (*probe)(struct feed *f, bool beyond, feed_fn *fn, void *arg);
 	void (*tell)(struct feed *f, const char *data_centre,
 	    const struct feed_refusal *r, feed_told_fn *fn, void *arg);
-	void (*probe)(struct feed *f, bool beyond, feed_fn *fn, void *arg);
 	void (*free)(struct feed *f);
 };
 
