fix(traffic): shares of more weighted routes than are remembered

Problem: with more than 4,096 weighted routes called in turn a route gave all of its requests to one service.

Cause: what is remembered is forgotten at 4,096, and each route began anew at the same place in its round.

Solution: the place moves each time that all is forgotten.

Test: shares_hold_over_many_routes failed first: with 5,000 routes of two halves one half got 0 of 200 requests.

Ruled out: remembering more: memory a route that is paid at every node.

--- a/packages/traffic/src/split.c
+++ b/packages/traffic/src/split.c
@@ -9,7 +9,9 @@
 
 #include "base/hash.h"
 
-/* Routes remembered; beyond, all are forgotten and begin anew. */
+/* Routes remembered; beyond, all are forgotten and begin anew, elsewhere in
+ * their rounds: begun at the same place each time, a route would always take
+ * the same part. */
 #define ROUTES_MAX 4096
 
 /**
@@ -120,8 +122,10 @@
 {
 	struct split *s = g_hash_table_lookup(t->splits, &route);
 
-	if (s == NULL && g_hash_table_size(t->splits) >= ROUTES_MAX)
+	if (s == NULL && g_hash_table_size(t->splits) >= ROUTES_MAX) {
 		g_hash_table_remove_all(t->splits);
+		t->seed++;
+	}
 	if (s == NULL || !is_same(s, parts, n))
 		s = begin(t, route, parts, n);
 	return next(s);
--- a/packages/traffic/test/test_split.c
+++ b/packages/traffic/test/test_split.c
@@ -12,6 +12,9 @@
 #define ENTRIES 10
 #define ROUTE 7
 
+/* More than a table remembers. */
+#define MANY_ROUTES 5000
+
 static const struct split_part parts[] = {{11, 90}, {12, 10}};
 
 /* Over every window, not only in the long run. */
@@ -51,6 +54,46 @@
 }
 END_TEST
 
+/* More routes than are remembered, in turn: each still keeps its shares. */
+START_TEST(shares_hold_over_many_routes)
+{
+	static const struct split_part halves[] = {{11, 1}, {12, 1}};
+	struct split_table *t = split_table_new(1);
+	uint32_t *n = g_new0(uint32_t, MANY_ROUTES);
+	uint32_t i, j;
+
+	for (j = 0; j < 200; j++)
+		for (i = 0; i < MANY_ROUTES; i++)
+			n[i] += split_choose(t, i, halves, 2);
+	for (i = 0; i < MANY_ROUTES; i++) {
+		ck_assert_uint_ge(n[i], 50);
+		ck_assert_uint_le(n[i], 150);
+	}
+	g_free(n);
+	split_table_free(t);
+}
+END_TEST
+
+/* Sixty-four parts share one route, and each gets its turn. */
+START_TEST(as_many_parts_as_there_may_be)
+{
+	struct split_part many[SPLIT_PARTS_MAX];
+	struct split_table *t = split_table_new(1);
+	uint32_t n[SPLIT_PARTS_MAX] = {0};
+	uint32_t i;
+
+	for (i = 0; i < SPLIT_PARTS_MAX; i++) {
+		many[i].service = i + 1;
+		many[i].weight = 1;
+	}
+	for (i = 0; i < 10 * SPLIT_PARTS_MAX; i++)
+		n[split_choose(t, ROUTE, many, SPLIT_PARTS_MAX)]++;
+	for (i = 0; i < SPLIT_PARTS_MAX; i++)
+		ck_assert_uint_eq(n[i], 10);
+	split_table_free(t);
+}
+END_TEST
+
 START_TEST(other_weights_count_at_once)
 {
 	static const struct split_part other[] = {{11, 10}, {12, 90}};
@@ -75,6 +118,8 @@
 
 	tcase_add_test(tc, shares_hold_over_every_window);
 	tcase_add_test(tc, shares_hold_over_entries_with_few_requests);
+	tcase_add_test(tc, shares_hold_over_many_routes);
+	tcase_add_test(tc, as_many_parts_as_there_may_be);
 	tcase_add_test(tc, other_weights_count_at_once);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
