fix(node): the reason of a refusal is one line that JSON can hold

Problem: a reason holds names that operators gave. A line break in one began a line of its own in the log; a text cut within a character made the JSON of the status, and of the operators' row, fail: the row would have been removed instead of written.

Solution: refused_text() for the record, the reports and the line of warnings, which is cut to 512 bytes.

--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -14,6 +14,9 @@
  */
 #define FEED_WAIT_MS 2000
 
+/* Room in a line for the first warnings of a version: some five of them. */
+#define WARNINGS_BYTES 512
+
 /* One line each time that the platform is lost or back. */
 static void
 note_status(struct control *c, enum status st)
@@ -73,14 +76,16 @@
 static void
 log_warnings(const struct feed_answer *a, const struct bundle *b)
 {
-	char *text = bundle_warnings(b);
+	char line[WARNINGS_BYTES], *text = bundle_warnings(b);
+	char *all = g_strjoin(" ", a->notes != NULL ? a->notes : text,
+	    a->notes != NULL ? text : NULL, NULL);
 
-	if (a->notes != NULL || b->n_warnings > 0)
+	refused_text(line, sizeof(line), all);
+	if (line[0] != '\0')
 		log_warning("version %" G_GUINT64_FORMAT
-			    " is run with warnings, %u of the bundle: %s%s%s",
-		    a->version, b->n_warnings, text,
-		    a->notes != NULL && text[0] != '\0' ? " " : "",
-		    a->notes != NULL ? a->notes : "");
+			    " is run with warnings, %u of the bundle: %s",
+		    a->version, b->n_warnings, line);
+	g_free(all);
 	g_free(text);
 }
 
--- a/packages/node/src/control_refused.c
+++ b/packages/node/src/control_refused.c
@@ -64,7 +64,7 @@
 		told.nodes = 1;
 		told.version = r->version;
 		told.since_wall_ms = r->since_wall_ms;
-		(void)g_strlcpy(told.reason, r->reason, sizeof(told.reason));
+		refused_text(told.reason, sizeof(told.reason), r->reason);
 	}
 	spread_refuse(c->spread, control_now(c), &told);
 }
--- a/packages/node/src/refused.c
+++ b/packages/node/src/refused.c
@@ -18,20 +18,37 @@
 	return REFUSED_ENDED;
 }
 
+void
+refused_text(char *to, size_t size, const char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+	const char *end;
+	char *c;
+
+	for (c = valid; *c != '\0'; c++)
+		if (g_ascii_iscntrl(*c))
+			*c = ' ';
+	(void)g_strlcpy(to, valid, size);
+	if (!g_utf8_validate(to, -1, &end))
+		to[end - to] = '\0';
+	g_free(valid);
+}
+
 static bool
 is_known(const struct refused *r, uint64_t version, const char *reason)
 {
-	return r->on && r->version == version &&
-	    strncmp(r->reason, reason, sizeof(r->reason) - 1) == 0;
+	return r->on && r->version == version && strcmp(r->reason, reason) == 0;
 }
 
 enum refused_news
 refused_note(struct refused *r, struct refused_time at, uint64_t version,
     uint64_t in_force, const char *reason)
 {
+	char text[REFUSED_REASON_BYTES];
 	bool began = !r->on;
 
-	if (is_known(r, version, reason))
+	refused_text(text, sizeof(text), reason);
+	if (is_known(r, version, text))
 		return REFUSED_SAME;
 	if (began || version != r->version)
 		r->n_versions++;
@@ -42,7 +59,7 @@
 	r->on = true;
 	r->version = version;
 	r->in_force = in_force;
-	(void)g_strlcpy(r->reason, reason, sizeof(r->reason));
+	(void)g_strlcpy(r->reason, text, sizeof(r->reason));
 	if (at.now_ms < r->next_log_ms) {
 		r->n_silent++;
 		return REFUSED_SAME;
--- a/packages/node/src/refused.h
+++ b/packages/node/src/refused.h
@@ -15,6 +15,7 @@
 #define NODE_REFUSED_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Room for a reason: the first problems of a bundle are cut to that. */
@@ -69,6 +70,16 @@
 	uint64_t wall_ms;
 };
 
+/**
+ * refused_text() - copy a text for a line and for JSON
+ * @to: where it goes
+ * @size: room there, zero included; it is cut to that
+ * @text: the text; it may hold names that operators gave
+ *
+ * What is there is one line of whole UTF-8 characters.
+ */
+void refused_text(char *to, size_t size, const char *text);
+
 /**
  * refused_note() - a version can't be used
  * @r: the record
--- a/packages/node/test/test_refused.c
+++ b/packages/node/test/test_refused.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <check.h>
+#include <glib.h>
 
 #include "refused.h"
 #include "test_run.h"
@@ -53,6 +54,29 @@
 }
 END_TEST
 
+/* Names of operators are in it: lines stay lines, and JSON can hold it. */
+START_TEST(a_reason_is_one_line_of_whole_characters)
+{
+	char reason[REFUSED_REASON_BYTES + 2];
+
+	fresh();
+	ck_assert_int_eq(
+	    note(0, 10, "route \"a\nb\x7f\"\t\xff."), REFUSED_BEGAN);
+	ck_assert(strpbrk(r.reason, "\n\t\x7f") == NULL);
+	ck_assert(g_utf8_validate(r.reason, -1, NULL));
+	ck_assert(g_str_has_prefix(r.reason, "route \"a b \" "));
+	ck_assert_int_eq(
+	    note(90000, 10, "route \"a\nb\x7f\"\t\xff."), REFUSED_SAME);
+	/* A character of two bytes at the cut. */
+	memset(reason, 'x', sizeof(reason));
+	memcpy(reason + REFUSED_REASON_BYTES - 2, "\xc3\xa9", 3);
+	ck_assert_int_eq(note(180000, 10, reason), REFUSED_CHANGED);
+	ck_assert(g_utf8_validate(r.reason, -1, NULL));
+	ck_assert_uint_eq(strlen(r.reason), REFUSED_REASON_BYTES - 2);
+	ck_assert_int_eq(note(270000, 10, reason), REFUSED_SAME);
+}
+END_TEST
+
 START_TEST(changes_are_told_at_a_bounded_rate)
 {
 	uint64_t now_ms, told = 0;
@@ -131,6 +155,7 @@
 
 	tcase_add_test(tc, begins_once);
 	tcase_add_test(tc, a_long_reason_is_the_same_when_cut);
+	tcase_add_test(tc, a_reason_is_one_line_of_whole_characters);
 	tcase_add_test(tc, changes_are_told_at_a_bounded_rate);
 	tcase_add_test(tc, a_later_version_in_force_ends_it);
 	tcase_add_test(tc, a_version_that_is_given_ends_it_in_force_only);
