test(soak): versions that grow in series, failing

Cause: the soak signed versions of one size off, and passed over a sign-off that was refused; a bound on growth could not show. Change: four versions of 1,400 routes more each come in series beside the faults, which are drawn as before (the seed that failed once keeps its plan and has no growth). A refusal fails the run; the last route of the highest version that was signed off must be at every host, and so must one that is signed off at the end.

--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -252,6 +252,13 @@
  */
 char *deployment_bundle_of(uint32_t n, uint32_t more);
 
+/**
+ * deployment_bundle_grown() - the same with more routes of its first service
+ * @n: which change
+ * @routes: number of routes "/grown/NUMBER/x" besides the example's, from 0 on
+ */
+char *deployment_bundle_grown(uint32_t n, uint32_t routes);
+
 /**
  * deployment_sign_off() - sign a bundle off with bramleyctl
  * @h: host whose node is asked
--- a/test/functional/deployment_ctl.c
+++ b/test/functional/deployment_ctl.c
@@ -82,16 +82,36 @@
 	}
 }
 
-char *
-deployment_bundle_of(uint32_t n, uint32_t more)
+/* More routes of the example's first service. */
+static void
+add_routes(json_t *bundle, uint32_t n)
 {
-	char *name = g_strdup_printf("bundle-%u-%u.json", n, more);
+	json_t *routes = json_object_get(bundle, "routes");
+	json_t *first = json_array_get(json_object_get(bundle, "services"), 0);
+	char prefix[NAME_BYTES];
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		(void)g_snprintf(prefix, sizeof(prefix), "/grown/%u", i);
+		json_array_append_new(routes,
+		    json_pack("{s:s,s:[s],s:O,s:b}", "prefix", prefix,
+			"methods", "GET", "service",
+			json_object_get(first, "name"), "idempotent", 1));
+	}
+}
+
+static char *
+write_bundle(uint32_t n, uint32_t services, uint32_t routes)
+{
+	char *name =
+	    g_strdup_printf("bundle-%u-%u-%u.json", n, services, routes);
 	char *path, *text;
 	char *example = deployment_example("registry.json");
 	json_t *j = json_load_file(example, 0, NULL);
 
 	ck_assert_ptr_nonnull(j);
-	add_services(j, more);
+	add_routes(j, routes);
+	add_services(j, services);
 	json_object_set_new(json_array_get(json_object_get(j, "services"), 0),
 	    "timeout_ms", json_integer(EXAMPLE_TIMEOUT_MS + n));
 	text = json_dumps(j, 0);
@@ -103,6 +123,18 @@
 	return path;
 }
 
+char *
+deployment_bundle_of(uint32_t n, uint32_t more)
+{
+	return write_bundle(n, more, 0);
+}
+
+char *
+deployment_bundle_grown(uint32_t n, uint32_t routes)
+{
+	return write_bundle(n, 0, routes);
+}
+
 char *
 deployment_bundle(uint32_t n)
 {
--- a/test/functional/operators.h
+++ b/test/functional/operators.h
@@ -12,6 +12,7 @@
 
 /* Exit codes of bramleyctl, as bramleyctl(1) promises them. */
 #define CTL_DONE 0
+#define CTL_INVALID 3
 #define CTL_CONFLICT 4
 #define CTL_UNAVAILABLE 5
 #define CTL_UNKNOWN 6
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -19,7 +19,7 @@
 	    "upstream_stop", "upstream_freeze", "upstream_shed",
 	    "upstream_break", "store_outage", "store_slow", "store_lost",
 	    "link_cut", "link_silent", "link_stalled", "link_one_way",
-	    "sign_off"};
+	    "sign_off", "grow"};
 
 	return (size_t)f < G_N_ELEMENTS(names) ? names[f] : "?";
 }
@@ -63,3 +63,22 @@
 	g_array_sort(plan, by_time);
 	return plan;
 }
+
+void
+soak_plan_grow(GArray *plan, uint32_t seed, uint32_t for_ms, uint32_t times)
+{
+	GRand *rnd = g_rand_new_with_seed(seed);
+	struct soak_event e = {.fault = SOAK_GROW, .number = plan->len};
+	uint32_t i;
+
+	for (i = 0; i < times; i++, e.number++) {
+		e.at_ms = (i + 1) * for_ms / (times + 1);
+		e.victim = g_rand_int(rnd);
+		e.ends = false;
+		g_array_append_val(plan, e);
+		e.ends = true;
+		g_array_append_val(plan, e);
+	}
+	g_rand_free(rnd);
+	g_array_sort(plan, by_time);
+}
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -32,6 +32,9 @@
  * @SOAK_LINK_STALLED: those that are open go silent for good
  * @SOAK_LINK_ONE_WAY: its answers don't arrive
  * @SOAK_SIGN_OFF: an operator signs a version off
+ * @SOAK_FAULTS: number of kinds that are drawn
+ * @SOAK_GROW: an operator signs a version off that has many routes more; comes
+ * in series beside the others, see soak_plan_grow()
  */
 enum soak_fault {
 	SOAK_NODE_KILL = 0,
@@ -53,6 +56,7 @@
 	SOAK_LINK_ONE_WAY,
 	SOAK_SIGN_OFF,
 	SOAK_FAULTS,
+	SOAK_GROW = SOAK_FAULTS,
 };
 
 /** soak_fault_name() - short name for the output */
@@ -84,4 +88,14 @@
  */
 GArray *soak_plan_new(uint32_t seed, uint32_t for_ms, uint32_t faults);
 
+/**
+ * soak_plan_grow() - add versions that grow, as far apart as they can be
+ * @plan: the plan; what it has stays as it is
+ * @seed: which hosts are asked
+ * @for_ms: length of the run
+ * @times: number of versions
+ */
+void
+soak_plan_grow(GArray *plan, uint32_t seed, uint32_t for_ms, uint32_t times);
+
 #endif
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -33,6 +33,19 @@
 /* Of the calls sent once all is mended. */
 #define SERVED_PERCENT 90
 #define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+/* Routes that a version that grows has more. */
+#define GROW_ROUTES 1400
+
+/**
+ * struct signing - a sign-off under way
+ * @ctl: bramleyctl
+ * @routes: grown routes that the version has
+ */
+struct signing {
+	struct process *ctl;
+	uint32_t routes;
+};
 
 /**
  * struct soak - a run
@@ -42,8 +55,9 @@
  * @upstream_by: the same for its upstream
  * @link_by: the same for a data centre's way to the platform
  * @store_by: the same for the platform
- * @operators: struct process of sign-offs under way
+ * @operators: struct signing of sign-offs under way
  * @signed_off: sign-offs begun
+ * @routes: grown routes of the versions that are signed off now
  * @left_out: faults that met what had something already
  */
 struct soak {
@@ -53,8 +67,9 @@
 	uint32_t *upstream_by;
 	uint32_t *link_by;
 	uint32_t store_by;
-	GPtrArray *operators;
+	GArray *operators;
 	uint32_t signed_off;
+	uint32_t routes;
 	uint32_t left_out;
 };
 
@@ -231,13 +246,16 @@
 static void
 sign_off(struct soak *s, uint32_t i)
 {
-	char *bundle = deployment_bundle(++s->signed_off);
+	char *bundle = deployment_bundle_grown(++s->signed_off, s->routes);
 	const char *const args[] = {
 	    "sign-off", bundle, "--operator", "soak", NULL};
+	struct signing signing = {.routes = s->routes};
 
-	if (s->node_by[i] == 0)
-		g_ptr_array_add(s->operators,
-		    deployment_ctl_start(deployment_host(s->d, i), args));
+	if (s->node_by[i] == 0) {
+		signing.ctl =
+		    deployment_ctl_start(deployment_host(s->d, i), args);
+		g_array_append_val(s->operators, signing);
+	}
 	g_free(bundle);
 }
 
@@ -260,6 +278,15 @@
 		sign_off(s, host);
 }
 
+static void
+grow(struct soak *s, const struct soak_event *e)
+{
+	if (e->ends)
+		return;
+	s->routes += GROW_ROUTES;
+	sign_off(s, e->victim % s->d->hosts->len);
+}
+
 static void
 play(struct soak *s, const GArray *plan, uint64_t start_ms)
 {
@@ -273,7 +300,47 @@
 		if (now_ms < start_ms + e->at_ms)
 			g_usleep((gulong)(start_ms + e->at_ms - now_ms) *
 			    G_TIME_SPAN_MILLISECOND);
-		carry_out(s, e);
+		if (e->fault == SOAK_GROW)
+			grow(s, e);
+		else
+			carry_out(s, e);
+	}
+}
+
+/* Whether a host has the last of some grown routes, whoever serves it. */
+struct sight {
+	const struct host *host;
+	uint32_t routes;
+};
+
+static int
+has_routes(void *arg)
+{
+	const struct sight *see = arg;
+	char url[NAME_BYTES];
+	struct fetch f = {.method = "GET", .url = url};
+	struct fetch_answer a;
+	int code;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/grown/%u/x",
+	    see->host->address, see->host->caller_port, see->routes - 1);
+	fetch_perform(&f, &a);
+	code = a.code;
+	fetch_answer_clear(&a);
+	return code != 0 && code != HTTP_NOT_FOUND;
+}
+
+static void
+check_routes(const struct soak *s, uint32_t routes)
+{
+	struct sight see = {.routes = routes};
+	uint32_t i;
+
+	for (i = 0; routes > 0 && i < s->d->hosts->len; i++) {
+		see.host = deployment_host(s->d, i);
+		ck_assert_msg(harness_until(has_routes, &see, SETTLE_MS),
+		    "host %s lacks the last of %u routes", see.host->name,
+		    routes);
 	}
 }
 
@@ -281,20 +348,43 @@
 static void
 settle_operators(struct soak *s)
 {
-	uint64_t version = 1;
+	uint64_t version, highest = 1;
+	struct signing *signing;
+	uint32_t routes = 0;
 	int code;
 	json_t *j;
 	guint i;
 
 	for (i = 0; i < s->operators->len; i++) {
-		j = deployment_ctl_end(
-		    g_ptr_array_index(s->operators, i), &code);
-		if (code == CTL_DONE)
-			version =
-			    MAX(version, (uint64_t)json_number(j, "version"));
+		signing = &g_array_index(s->operators, struct signing, i);
+		j = deployment_ctl_end(signing->ctl, &code);
+		version = (uint64_t)json_number(j, "version");
 		json_decref(j);
+		ck_assert_msg(code != CTL_INVALID,
+		    "a version with %u more routes was refused",
+		    signing->routes);
+		if (code != CTL_DONE || version <= highest)
+			continue;
+		highest = version;
+		routes = signing->routes;
 	}
-	(void)deployment_wait_version(s->d, version, SETTLE_MS);
+	(void)deployment_wait_version(s->d, highest, SETTLE_MS);
+	check_routes(s, routes);
+}
+
+/* All that was grown, whatever became of the sign-offs before. */
+static void
+check_grown(struct soak *s)
+{
+	char *bundle;
+
+	if (s->routes == 0)
+		return;
+	bundle = deployment_bundle_grown(++s->signed_off, s->routes);
+	(void)deployment_wait_version(s->d,
+	    deployment_sign_off(deployment_host(s->d, 0), bundle), SETTLE_MS);
+	check_routes(s, s->routes);
+	g_free(bundle);
 }
 
 /* All is mended: calls are served as before.  Bookings with a key at a host
@@ -328,7 +418,7 @@
 	s->node_by = g_new0(uint32_t, s->d->hosts->len);
 	s->upstream_by = g_new0(uint32_t, s->d->hosts->len);
 	s->link_by = g_new0(uint32_t, s->d->relays->len);
-	s->operators = g_ptr_array_new();
+	s->operators = g_array_new(FALSE, FALSE, sizeof(struct signing));
 	s->watch = version_watch_start(s->d);
 }
 
@@ -336,7 +426,7 @@
 soak_end(struct soak *s)
 {
 	ck_assert_uint_eq(version_watch_end(s->watch), 0);
-	g_ptr_array_unref(s->operators);
+	g_array_unref(s->operators);
 	g_free(s->node_by);
 	g_free(s->upstream_by);
 	g_free(s->link_by);
@@ -360,7 +450,7 @@
 }
 
 void
-soak_run(uint32_t seed, uint32_t for_s, uint32_t faults)
+soak_run(uint32_t seed, uint32_t for_s, uint32_t faults, uint32_t growths)
 {
 	GArray *plan = soak_plan_new(seed, for_s * 1000, faults);
 	struct calls_counts c = {0};
@@ -368,6 +458,7 @@
 	struct process *load;
 	struct soak s = {0};
 
+	soak_plan_grow(plan, seed, for_s * 1000, growths);
 	print_plan(seed, plan);
 	soak_init(&s);
 	(void)g_snprintf(name, sizeof(name), "soak-%u", seed);
@@ -380,6 +471,7 @@
 	ck_assert_uint_eq(c.bad_answers, 0);
 	calls_ready(s.d);
 	settle_operators(&s);
+	check_grown(&s);
 	check_served(&s, seed);
 	(void)printf("seed %u: %u faults left out\n", seed, s.left_out);
 	soak_end(&s);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -12,13 +12,16 @@
  * @seed: seed of the plan and of the load
  * @for_s: how long load is sent and faults come, in seconds
  * @faults: number of faults
+ * @growths: number of versions that have many routes more than the one before
  *
  * The test fails for a call that ran twice though it must not, ran though it
  * was told not to have run, got another's answer or one that is not whole; for
  * a host that served an older version than before, or one that nobody signed
- * off; for a version that isn't in force everywhere once all is mended; when
- * calls aren't served again then; and for a process that ends other than asked.
+ * off; for a version that isn't in force everywhere once all is mended, or
+ * lacks a route there that it was signed off with; for one that is refused;
+ * when calls aren't served again then; and for a process that ends other than
+ * asked.
  */
-void soak_run(uint32_t seed, uint32_t for_s, uint32_t faults);
+void soak_run(uint32_t seed, uint32_t for_s, uint32_t faults, uint32_t growths);
 
 #endif
--- a/test/soak/test_soak.c
+++ b/test/soak/test_soak.c
@@ -19,6 +19,8 @@
 #define FOR_S 6
 /* About as many at a time as there are hosts of one data centre. */
 #define FAULTS_PER_S 2
+/* Versions that grow, in a run of any length. */
+#define GROWTHS 4
 
 /* Seeds that failed, with the length at which they did. */
 static const struct {
@@ -41,14 +43,14 @@
 {
 	uint32_t for_s = from_environment("BRAMLEY_SOAK_S", FOR_S);
 
-	soak_run((uint32_t)_i, for_s, for_s * FAULTS_PER_S);
+	soak_run((uint32_t)_i, for_s, for_s * FAULTS_PER_S, GROWTHS);
 }
 END_TEST
 
 START_TEST(seeds_that_failed_once)
 {
 	soak_run(failed_once[_i].seed, failed_once[_i].for_s,
-	    failed_once[_i].for_s * FAULTS_PER_S);
+	    failed_once[_i].for_s * FAULTS_PER_S, 0);
 }
 END_TEST
 
--- a/test/soak/test_soak_plan.c
+++ b/test/soak/test_soak_plan.c
@@ -9,6 +9,7 @@
 #define SEEDS 50
 #define FOR_MS 8000
 #define FAULTS 16
+#define GROWTHS 4
 
 START_TEST(each_fault_begins_once_and_ends)
 {
@@ -60,6 +61,33 @@
 }
 END_TEST
 
+START_TEST(growth_comes_in_series_and_leaves_the_rest_as_it_is)
+{
+	GArray *a = soak_plan_new((uint32_t)_i, FOR_MS, FAULTS);
+	GArray *b = soak_plan_new((uint32_t)_i, FOR_MS, FAULTS);
+	const struct soak_event *x, *y;
+	uint32_t last_ms = 0, n = 0;
+	guint i;
+
+	soak_plan_grow(b, (uint32_t)_i, FOR_MS, GROWTHS);
+	for (i = 0; i < b->len; i++) {
+		y = &g_array_index(b, struct soak_event, i);
+		if (y->fault != SOAK_GROW) {
+			x = &g_array_index(a, struct soak_event, n++);
+			ck_assert(x->number == y->number && x->ends == y->ends);
+		} else if (!y->ends) {
+			ck_assert_uint_ge(
+			    y->at_ms, last_ms + FOR_MS / (GROWTHS + 1));
+			last_ms = y->at_ms;
+		}
+	}
+	ck_assert_uint_eq(n, a->len);
+	ck_assert_uint_eq(b->len, a->len + 2 * GROWTHS);
+	g_array_unref(a);
+	g_array_unref(b);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -68,6 +96,8 @@
 
 	tcase_add_loop_test(tc, each_fault_begins_once_and_ends, 1, SEEDS);
 	tcase_add_test(tc, a_seed_gives_the_same_plan_and_all_kinds_come);
+	tcase_add_loop_test(
+	    tc, growth_comes_in_series_and_leaves_the_rest_as_it_is, 1, SEEDS);
 	suite_add_tcase(s, tc);
 	return test_run(s);
 }
