fix(config): a route that more than 16 services share leaves none out

Cause: what shares a route was looked up with room for 16; services beyond got no request, without a word. Ruled out: a refusal (the platform has accepted the version).

--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -70,7 +70,7 @@
 };
 
 /* Most services that share a route by weight; further ones are not called. */
-#define SNAPSHOT_SHARES_MAX 16
+#define SNAPSHOT_SHARES_MAX 256
 
 /**
  * snapshot_compile() - compile a snapshot
--- a/packages/config/test/test_routes.c
+++ b/packages/config/test/test_routes.c
@@ -6,6 +6,8 @@
 
 #include "fixture.h"
 
+#define MANY_SHARES 40
+
 static const char bundle[] =
     "{'format':1,'name':'x','services':[{'name':'a'},{'name':'b'},"
     "{'name':'c'}],'routes':["
@@ -129,6 +131,40 @@
 }
 END_TEST
 
+/* More services than a route is usually shared by: none is left out. */
+START_TEST(test_many_shares)
+{
+	struct route_match m = {0}, shares[SNAPSHOT_SHARES_MAX];
+	GString *text = g_string_new("{'format':1,'name':'x','services':[");
+	struct catalog *c = catalog_new(0);
+	struct snapshot *s;
+	uint32_t i, n, sum = 0;
+
+	for (i = 0; i < MANY_SHARES; i++)
+		g_string_append_printf(
+		    text, "%s{'name':'s%u'}", i > 0 ? "," : "", i);
+	g_string_append(text, "],'routes':[");
+	for (i = 0; i < MANY_SHARES; i++)
+		g_string_append_printf(text,
+		    "%s{'prefix':'/w','methods':['*'],'service':'s%u',"
+		    "'weight':%u}",
+		    i > 0 ? "," : "", i, i + 1);
+	g_string_append(text, "]}");
+	s = compile(c, 1, text->str);
+	ck_assert_int_eq(snapshot_check(s), STATUS_OK);
+	ck_assert_int_eq(
+	    snapshot_match(s, METHOD_GET, NULL, "/w/x", 4, &m), ROUTE_FOUND);
+	n = snapshot_shares(s, &m, shares);
+	ck_assert_uint_eq(n, MANY_SHARES);
+	for (i = 0; i < n; i++)
+		sum += shares[i].route->weight;
+	ck_assert_uint_eq(sum, MANY_SHARES * (MANY_SHARES + 1) / 2);
+	snapshot_unref(s);
+	g_string_free(text, TRUE);
+	catalog_free(c);
+}
+END_TEST
+
 #define ROUTES(r)                                                        \
 	"{'format':1,'name':'x','services':[{'name':'a'},{'name':'b'}]," \
 	"'routes':[" r "]}"
@@ -175,6 +211,7 @@
 	tcase_add_loop_test(tc, test_match, 0, G_N_ELEMENTS(matches));
 	tcase_add_test(tc, test_numbers_of_a_route);
 	tcase_add_test(tc, test_shares_by_weight);
+	tcase_add_test(tc, test_many_shares);
 	tcase_add_loop_test(tc, test_claims, 0, G_N_ELEMENTS(claims));
 	suite_add_tcase(suite, tc);
 	return fix_run(suite);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -410,6 +410,9 @@
 	return false;
 }
 
+_Static_assert(
+    SNAPSHOT_SHARES_MAX <= SPLIT_PARTS_MAX, "a split takes all shares");
+
 /* One service among those that share the route by weight. */
 static void
 split(struct entry *e, struct route_match *match)
--- a/packages/traffic/include/traffic/split.h
+++ b/packages/traffic/include/traffic/split.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 /* Most services that share a route. */
-#define SPLIT_PARTS_MAX 16
+#define SPLIT_PARTS_MAX 256
 
 /**
  * struct split_part - a service's part
