fix(traffic): callers' patience is known for each of many routes

Change: the decision is a module of its own, patience, with one small record a route (some 50 bytes) for 65,536 routes. Ruled out: one time for all routes of a service (routes differ in it).

--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -50,8 +50,7 @@
 	e->placement =
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
 	e->splits = split_table_new(e->seed);
-	e->patience =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	e->patience = patience_new();
 	drain_init(&e->drain);
 }
 
@@ -207,7 +206,7 @@
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
 	split_table_free(e->splits);
-	g_hash_table_destroy(e->patience);
+	patience_free(e->patience);
 	ejection_free(e->ejection);
 	endpoints_free(e->endpoints);
 	snapshot_unref(e->snapshot);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -324,34 +324,6 @@
 	return hash64(route->prefix, route->prefix_len, key);
 }
 
-/* Routes whose callers' patience is remembered; beyond, all are forgotten. */
-#define PATIENCE_MAX 4096
-
-/*
- * How long ago the caller first asked, as far as its deadline tells: callers
- * of one route are equally patient, so one with less time left is back.
- */
-static uint64_t
-asked_before_ms(
-    struct entry *e, const struct service_route *route, uint64_t left_ms)
-{
-	uint64_t key = route_key(route), *stored;
-	uint64_t *most = g_hash_table_lookup(e->patience, &key);
-
-	if (most != NULL) {
-		*most = MAX(*most, left_ms);
-		return *most - left_ms;
-	}
-	if (g_hash_table_size(e->patience) >= PATIENCE_MAX)
-		g_hash_table_remove_all(e->patience);
-	stored = g_new(uint64_t, 1);
-	*stored = key;
-	most = g_new(uint64_t, 1);
-	*most = left_ms;
-	g_hash_table_insert(e->patience, stored, most);
-	return 0;
-}
-
 /* When its answer is worth less, counted from when the caller first asked. */
 static uint64_t
 target_of(const struct entry_call *c, uint64_t now_ms)
@@ -361,8 +333,9 @@
 	if (c->route->target_ms == 0)
 		return 0;
 	if (c->request->deadline_ms != DEADLINE_NEVER)
-		asked_ms = asked_before_ms(c->entry, c->route,
-		    clock_left_ms(c->request->deadline_ms, now_ms));
+		asked_ms =
+		    patience_asked_ms(c->entry->patience, route_key(c->route),
+			clock_left_ms(c->request->deadline_ms, now_ms));
 	return now_ms + c->route->target_ms - MIN(asked_ms, now_ms);
 }
 
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -19,6 +19,7 @@
 #include "traffic/drain.h"
 #include "traffic/ejection.h"
 #include "traffic/endpoints.h"
+#include "traffic/patience.h"
 #include "traffic/placement.h"
 #include "traffic/split.h"
 
@@ -43,7 +44,7 @@
  * @endpoints: what is known of all endpoints
  * @ejection: which of them are left out
  * @placement: chooses among them
- * @patience: hash of a route to the longest time that a caller of it had
+ * @patience: how long callers of each route wait
  * @splits: rounds of the routes that services share by weight
  * @snapshot: snapshot last seen, a reference
  * @generation: counts the snapshots seen
@@ -69,7 +70,7 @@
 	struct ejection *ejection;
 	struct placement *placement;
 	struct split_table *splits;
-	GHashTable *patience;
+	struct patience *patience;
 	struct snapshot *snapshot;
 	uint64_t generation;
 	void (*watcher)(void *arg);
--- /dev/null
+++ b/packages/traffic/src/patience.c
@@ -0,0 +1,63 @@
+/*
+ * The longest time that a caller of each route had left.
+ */
+#include "traffic/patience.h"
+
+#include <glib.h>
+
+/* Routes remembered, some 50 bytes each; beyond, all are forgotten. */
+#define ROUTES_MAX 65536
+
+/**
+ * struct longest - what is known of a route
+ * @route: its number
+ * @ms: the longest time that a caller had left
+ */
+struct longest {
+	uint64_t route;
+	uint64_t ms;
+};
+
+/**
+ * struct patience - see traffic/patience.h
+ * @routes: route to struct longest
+ */
+struct patience {
+	GHashTable *routes;
+};
+
+struct patience *
+patience_new(void)
+{
+	struct patience *p = g_new0(struct patience, 1);
+
+	p->routes =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return p;
+}
+
+void
+patience_free(struct patience *p)
+{
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->routes);
+	g_free(p);
+}
+
+uint64_t
+patience_asked_ms(struct patience *p, uint64_t route, uint64_t left_ms)
+{
+	struct longest *l = g_hash_table_lookup(p->routes, &route);
+
+	if (l == NULL) {
+		if (g_hash_table_size(p->routes) >= ROUTES_MAX)
+			g_hash_table_remove_all(p->routes);
+		l = g_new(struct longest, 1);
+		l->route = route;
+		l->ms = left_ms;
+		g_hash_table_insert(p->routes, &l->route, l);
+	}
+	l->ms = MAX(l->ms, left_ms);
+	return l->ms - left_ms;
+}
--- /dev/null
+++ b/packages/traffic/test/test_patience.c
@@ -0,0 +1,49 @@
+/*
+ * Tests of how long ago a caller first asked.
+ */
+#include <check.h>
+
+#include "traffic/patience.h"
+
+#include "test_run.h"
+
+/* As many as large deployments have. */
+#define ROUTES_MANY 57000
+
+START_TEST(who_has_less_time_left_is_back)
+{
+	struct patience *p = patience_new();
+
+	ck_assert_uint_eq(patience_asked_ms(p, 1, 3000), 0);
+	ck_assert_uint_eq(patience_asked_ms(p, 1, 2000), 1000);
+	ck_assert_uint_eq(patience_asked_ms(p, 2, 500), 0);
+	ck_assert_uint_eq(patience_asked_ms(p, 1, 3500), 0);
+	ck_assert_uint_eq(patience_asked_ms(p, 1, 3000), 500);
+	patience_free(p);
+}
+END_TEST
+
+START_TEST(each_of_many_routes_is_known)
+{
+	struct patience *p = patience_new();
+	uint64_t i;
+
+	for (i = 0; i < ROUTES_MANY; i++)
+		ck_assert_uint_eq(patience_asked_ms(p, i, 3000), 0);
+	for (i = 0; i < ROUTES_MANY; i++)
+		ck_assert_uint_eq(patience_asked_ms(p, i, 2000), 1000);
+	patience_free(p);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("patience");
+	TCase *tc = tcase_create("patience");
+
+	tcase_add_test(tc, who_has_less_time_left_is_back);
+	tcase_add_test(tc, each_of_many_routes_is_known);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
