--- a/packages/config/include/config/bundle.h
+++ b/packages/config/include/config/bundle.h
@@ -10,7 +10,7 @@
 #include "config/section.h"
 
 /* Largest bundle, and how deep it may nest. */
-#define BUNDLE_MAX_BYTES (UINT64_C(8) << 20)
+#define BUNDLE_MAX_BYTES (UINT64_C(64) << 20)
 #define BUNDLE_MAX_DEPTH 8
 
 /* Problems that are reported; the others are only counted. */
@@ -20,7 +20,7 @@
 #define BUNDLE_NAME_BYTES 64
 
 /**
- * struct bundle_problem - one thing that is wrong with a bundle
+ * struct bundle_problem - one thing that is wrong with a bundle, or doubtful
  * @path: where, for instance "services[3].limits.queue_wait_ms"
  * @message: what is wrong
  * @remedy: what to do
@@ -34,9 +34,12 @@
 /**
  * struct bundle - a checked bundle
  * @name: name of the bundle
- * @sections: struct section, sorted by service
+ * @sections: struct section, sorted by name
  * @problems: struct bundle_problem; empty when the bundle is good
  * @n_problems: number of problems found, those not reported included
+ * @warnings: struct bundle_problem: what is run all the same, for instance a
+ *	number beyond its range as the range's end
+ * @n_warnings: number of warnings, those not reported included
  * @root: digest of the list of sections
  */
 struct bundle {
@@ -44,6 +47,8 @@
 	GPtrArray *sections;
 	GPtrArray *problems;
 	uint32_t n_problems;
+	GPtrArray *warnings;
+	uint32_t n_warnings;
 	struct digest root;
 };
 
@@ -59,13 +64,21 @@
  */
 enum status bundle_parse(const char *json, size_t len, struct bundle **bundle);
 
+/**
+ * bundle_warnings() - the first warnings as one text
+ * @bundle: the bundle
+ *
+ * Return: new text, empty without a warning; free with g_free().
+ */
+char *bundle_warnings(const struct bundle *bundle);
+
 /** bundle_free() - free a bundle with its sections; NULL is fine */
 void bundle_free(struct bundle *bundle);
 
 /**
  * bundle_to_sections() - the sections of a good bundle
  * @bundle: the bundle
- * @list: where a new array of struct rec_section_ref goes, sorted by service
+ * @list: where a new array of struct rec_section_ref goes, sorted by name
  * @root: where the root goes
  *
  * The contents are in @bundle->sections, in the same order.
