test(config): long prefixes among those of the growth test

Cause: all routes of the model were short, so that a section always held hundreds. Change: one prefix in eight is near the longest that is taken.

--- a/packages/config/test/test_growth.c
+++ b/packages/config/test/test_growth.c
@@ -16,7 +16,10 @@
 #define SERVICES 6
 #define HOSTS 4
 #define SHARES 3
-#define KEY_BYTES 128
+#define KEY_BYTES 256
+
+/* What makes a prefix one of the longest. */
+#define PAD_BYTES 230
 
 /* Largest change in one step, and time of a route that nothing says. */
 #define GROW_MOST 4000
@@ -85,16 +88,20 @@
 	return (uint32_t)g_rand_int_range(m->rnd, 0, (gint32)n);
 }
 
-/* Every third prefix lies below another one. */
+/* Every third prefix lies below another one; one in eight is a long one. */
 static void
 write_prefix(char *out, uint32_t prefix)
 {
+	char pad[PAD_BYTES + 1] = "";
+
+	if (prefix % 8 == 1)
+		memset(pad, 'p', PAD_BYTES);
 	if (prefix % 3 == 2)
-		(void)g_snprintf(
-		    out, KEY_BYTES, "/area-%u/part-%u", prefix / 3, prefix % 7);
+		(void)g_snprintf(out, KEY_BYTES, "/area-%u/part-%u%s",
+		    prefix / 3, prefix % 7, pad);
 	else
-		(void)g_snprintf(out, KEY_BYTES, "/area-%u%s", prefix / 3,
-		    prefix % 3 == 0 ? "" : "x");
+		(void)g_snprintf(out, KEY_BYTES, "/area-%u%s%s", prefix / 3,
+		    prefix % 3 == 0 ? "" : "x", pad);
 }
 
 static char *
