--- a/packages/config/src/catalog.c
+++ b/packages/config/src/catalog.c
@@ -81,9 +81,9 @@
 	return g_ptr_array_index(c->sections, i);
 }
 
-/* Index of the first section that is not before a name. */
-static uint32_t
-lower_bound(const struct catalog *c, const char *name)
+/* The first section that is not before a name, or NULL. */
+static struct service_config *
+section_from(const struct catalog *c, const char *name)
 {
 	uint32_t low = 0, high = c->sections->len, mid;
 	const struct service_config *sc;
@@ -96,32 +96,25 @@
 		else
 			high = mid;
 	}
-	return low;
+	return low < c->sections->len ? g_ptr_array_index(c->sections, low)
+				      : NULL;
 }
 
+/* A service's parts come right after where its one section would. */
 struct service_config *
 catalog_find(const struct catalog *c, const char *name)
 {
-	uint32_t i = lower_bound(c, name);
-	struct service_config *sc;
-
-	if (i == c->sections->len)
-		return NULL;
-	/* A service's parts come right after where its one section would. */
-	sc = g_ptr_array_index(c->sections, i);
-	return strcmp(sc->name, name) == 0 ? sc : NULL;
+	struct service_config *sc = section_from(c, name);
+
+	return sc != NULL && strcmp(sc->name, name) == 0 ? sc : NULL;
 }
 
 struct service_config *
 catalog_find_section(const struct catalog *c, const char *section)
 {
-	uint32_t i = lower_bound(c, section);
-	struct service_config *sc;
+	struct service_config *sc = section_from(c, section);
 
-	if (i == c->sections->len)
-		return NULL;
-	sc = g_ptr_array_index(c->sections, i);
-	return strcmp(sc->section, section) == 0 ? sc : NULL;
+	return sc != NULL && strcmp(sc->section, section) == 0 ? sc : NULL;
 }
 
 uint64_t
