feat(membership): nodes tell one another the newest accepted version

Problem: a node knows only heads that peers hold. A version that all readers refuse, or that is long on its way, is known to the readers alone, so all others take a route that only it has for a wrong one. Solution: the gossip head carries `known`, the newest version that the platform is known to have accepted, and how long ago a node that read it confirmed it. Pings and acks spread it as a maximum; what was heard lapses after 30 s by that time, which only a reader sets back. A node that learns of one newer than the head it knows also pings three others once: probes alone were too slow. Ruled out: a plausible range of numbers (a node that starts has nothing to compare with); a lapse that each node restarts (a garbled number would go round for ever). Not covered: a peer that goes on telling a wrong number keeps it alive.

--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -252,10 +252,36 @@
  */
 int membership_pop(struct membership *m, struct membership_action *action);
 
-/** membership_set_head() - the configuration head that probes carry */
+/**
+ * membership_set_head() - the configuration head that probes carry
+ * @m: the membership
+ * @head: the head; what it says of known versions is left out, see
+ *	membership_set_known()
+ */
 void
 membership_set_head(struct membership *m, const struct rec_gossip_head *head);
 
+/**
+ * membership_set_known() - the newest version that this node read itself
+ * @m: the membership
+ * @version: version that the platform has accepted, whether this node can use
+ *	it or not; 0 for none
+ *
+ * Probes carry the newest that is known, so that peers know it too.  What this
+ * node read itself stays until it reads something else.
+ */
+void membership_set_known(struct membership *m, uint64_t version);
+
+/**
+ * membership_known() - the newest version that the platform has accepted
+ * @m: the membership
+ * @now_ms: monotonic time
+ *
+ * Return: the higher of what this node read itself and what peers have told;
+ * that lapses unless a node that read it confirms it.  0 for none.
+ */
+uint64_t membership_known(const struct membership *m, uint64_t now_ms);
+
 /**
  * membership_announce() - an upstream of the own host told its state
  * @m: the membership
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -299,6 +299,20 @@
 	uint64_t drop_ms;
 };
 
+/**
+ * struct known - newest version that the platform is known to have accepted
+ * @own: that this node read itself, 0 for none
+ * @heard: that peers told of, 0 for none
+ * @until_ms: when @heard lapses
+ * @pushed: highest that a few others were told of at once
+ */
+struct known {
+	uint64_t own;
+	uint64_t heard;
+	uint64_t until_ms;
+	uint64_t pushed;
+};
+
 /**
  * struct membership - the whole
  * @settings: as given
@@ -322,6 +336,7 @@
  * @quiet: a table is being taken in; its rows are no news to others
  * @actions: struct queued_action
  * @head: carried by probes
+ * @known: carried with it
  */
 struct membership {
 	struct membership_settings settings;
@@ -351,6 +366,7 @@
 	int quiet;
 	GQueue actions;
 	struct rec_gossip_head head;
+	struct known known;
 	struct membership_counters counters;
 };
 
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -8,6 +8,7 @@
 #include "action.h"
 #include "claim.h"
 #include "join.h"
+#include "known.h"
 #include "news.h"
 #include "own.h"
 #include "ping.h"
@@ -228,6 +229,7 @@
 	suspicion_tick(m);
 	reconnect_tick(m);
 	relay_tick(m);
+	known_tick(m);
 }
 
 void
@@ -264,6 +266,7 @@
 		return next;
 	next = MIN(next, m->timed_ms);
 	next = MIN(next, reconnect_next_ms(m));
+	next = MIN(next, known_next_ms(m));
 	return MIN(next, relay_next_ms(m));
 }
 
--- a/packages/membership/src/ping.c
+++ b/packages/membership/src/ping.c
@@ -5,6 +5,7 @@
 
 #include "action.h"
 #include "join.h"
+#include "known.h"
 #include "merge.h"
 #include "news.h"
 #include "ping.h"
@@ -33,6 +34,7 @@
 	(void)g_strlcpy(msg.target, host, sizeof(msg.target));
 	msg.root = m->table.root;
 	msg.head = m->head;
+	known_fill(m, &msg.head);
 	msg.news = b->records;
 	msg.n_news = b->n;
 	msg_ping_encode(&msg, body);
@@ -122,6 +124,7 @@
 	msg.unknown = r == NULL;
 	msg.root = m->table.root;
 	msg.head = m->head;
+	known_fill(m, &msg.head);
 	msg.news = b.records;
 	msg.n_news = b.n;
 	msg_ack_encode(&msg, body);
@@ -139,6 +142,7 @@
 
 	if (r != NULL)
 		r->dc->heard_ms = m->now_ms;
+	known_heard(m, head);
 	if (head->seq != 0)
 		action_heard(
 		    m, host, r != NULL ? &r->member.address : from, head);
--- /dev/null
+++ b/packages/membership/test/test_known.c
@@ -0,0 +1,243 @@
+/*
+ * Tests of the newest version that is known to be accepted: it reaches all
+ * nodes while one of them has read it, and a wrong one lapses.
+ */
+#include <string.h>
+
+#include <check.h>
+
+#include "cluster.h"
+#include "fake_net.h"
+#include "test_run.h"
+
+#define SEEDS 5
+#define JOIN_MS 30000
+#define NODES 24
+#define CENTRES 3
+#define READER 5
+
+/* Nodes of one data centre and the others know within this. */
+#define SPREAD_MS 12000
+
+/* Nodes of the reader's own data centre that are told at once: they must not
+ * need a round of probes, which takes a second. */
+#define PUSHED_NODES 24
+#define PUSHED_MS 500
+
+/* What no reader confirms is forgotten within this. */
+#define LAPSED_MS 31000
+
+#define GARBLED (UINT64_C(1) << 60)
+
+static struct fake_net *f;
+static uint64_t wanted;
+
+static int
+all_know(struct fake_net *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n; i++)
+		if (fake_up(g, i) &&
+		    membership_known(g->nodes[i].m, g->now_ms) != wanted)
+			return 0;
+	return 1;
+}
+
+static int
+any_knows(uint64_t version)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (fake_up(f, i) &&
+		    membership_known(f->nodes[i].m, f->now_ms) == version)
+			return 1;
+	return 0;
+}
+
+static void
+read_by(uint32_t i, uint64_t version)
+{
+	membership_set_known(f->nodes[i].m, version);
+	wanted = version;
+}
+
+/* A ping of a live peer comes to node 0, as garbled as @head. */
+static void
+ping_with(const struct rec_gossip_head *head)
+{
+	GByteArray *body = g_byte_array_new();
+	struct msg_ping msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.seq = 1;
+	(void)g_strlcpy(msg.host, "h3", sizeof(msg.host));
+	(void)g_strlcpy(msg.target, "h0", sizeof(msg.target));
+	msg.root = membership_root(f->nodes[0].m);
+	msg.head = *head;
+	msg_ping_encode(&msg, body);
+	membership_receive(f->nodes[0].m, f->now_ms, &f->nodes[3].addr, 0,
+	    MSG_PING, body->data, body->len);
+	g_byte_array_unref(body);
+}
+
+START_TEST(what_one_node_read_is_known_by_all)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	f = cluster_begin(seed, NODES, CENTRES, JOIN_MS);
+	f->loss_percent = 5;
+	wanted = 0;
+	ck_assert(all_know(f));
+	read_by(READER, 10);
+	cluster_must(f, seed, SPREAD_MS, all_know, "version 10 known");
+	read_by(READER + 1, 12);
+	cluster_must(f, seed, SPREAD_MS, all_know, "version 12 known");
+	cluster_end(f, seed);
+}
+END_TEST
+
+/* How many nodes know what was read. */
+static uint32_t
+knowing(void)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < f->n; i++)
+		n += membership_known(f->nodes[i].m, f->now_ms) == wanted;
+	return n;
+}
+
+START_TEST(what_is_newer_than_the_head_is_told_at_once)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	f = cluster_begin(seed, PUSHED_NODES, 1, JOIN_MS);
+	fake_run(f, 5000);
+	read_by(READER, 10);
+	fake_run(f, PUSHED_MS);
+	ck_assert_msg(knowing() >= f->n - 2, "seed %u: %u of %u know", seed,
+	    knowing(), f->n);
+	cluster_end(f, seed);
+}
+END_TEST
+
+/* Notices bring such a version: pings would only cost. */
+START_TEST(what_the_head_tells_is_not_told_twice)
+{
+	struct rec_gossip_head head = {.seq = 10, .version = 10};
+	uint64_t before;
+	uint32_t i;
+
+	f = cluster_begin(1, PUSHED_NODES, 1, JOIN_MS);
+	fake_run(f, 5000);
+	for (i = 0; i < f->n; i++)
+		membership_set_head(f->nodes[i].m, &head);
+	before = f->nodes[READER].messages;
+	read_by(READER, 10);
+	fake_run(f, 20);
+	ck_assert_uint_lt(f->nodes[READER].messages - before, 3);
+	read_by(READER, 12);
+	before = f->nodes[READER].messages;
+	fake_run(f, 300);
+	ck_assert_uint_ge(f->nodes[READER].messages - before, 3);
+	cluster_end(f, 1);
+}
+END_TEST
+
+START_TEST(it_stays_known_while_its_reader_lives)
+{
+	uint32_t seed = (uint32_t)_i, i;
+
+	f = cluster_begin(seed, NODES, CENTRES, JOIN_MS);
+	f->loss_percent = 5;
+	read_by(READER, 10);
+	cluster_must(f, seed, SPREAD_MS, all_know, "version 10 known");
+	for (i = 0; i < 120; i++) {
+		fake_run(f, 1000);
+		ck_assert_msg(all_know(f), "seed %u: forgotten", seed);
+	}
+	cluster_end(f, seed);
+}
+END_TEST
+
+START_TEST(what_nobody_confirms_lapses)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	f = cluster_begin(seed, NODES, CENTRES, JOIN_MS);
+	read_by(READER, 10);
+	cluster_must(f, seed, SPREAD_MS, all_know, "version 10 known");
+	fake_kill(f, READER);
+	wanted = 0;
+	cluster_must(f, seed, LAPSED_MS, all_know, "version 10 forgotten");
+	cluster_end(f, seed);
+}
+END_TEST
+
+START_TEST(a_garbled_version_lapses_everywhere)
+{
+	struct rec_gossip_head garbled = {.known = GARBLED};
+	uint32_t seed = (uint32_t)_i;
+
+	f = cluster_begin(seed, NODES, CENTRES, JOIN_MS);
+	read_by(READER, 10);
+	cluster_must(f, seed, SPREAD_MS, all_know, "version 10 known");
+	ping_with(&garbled);
+	ck_assert(any_knows(GARBLED));
+	fake_run(f, LAPSED_MS);
+	ck_assert_msg(!any_knows(GARBLED), "seed %u: it stuck", seed);
+	cluster_must(f, seed, SPREAD_MS, all_know, "version 10 known again");
+	cluster_end(f, seed);
+}
+END_TEST
+
+START_TEST(what_is_too_old_is_not_taken_in)
+{
+	struct rec_gossip_head old = {.known = 10, .known_age_ms = UINT32_MAX};
+
+	f = cluster_begin(1, NODES, CENTRES, JOIN_MS);
+	ping_with(&old);
+	ck_assert(!any_knows(10));
+	old.known_age_ms = 29999;
+	ping_with(&old);
+	ck_assert(any_knows(10));
+	fake_run(f, 1000);
+	ck_assert(!any_knows(10));
+	cluster_end(f, 1);
+}
+END_TEST
+
+START_TEST(what_a_node_read_last_counts)
+{
+	f = cluster_begin(1, 1, 1, JOIN_MS);
+	membership_set_known(f->nodes[0].m, GARBLED);
+	membership_set_known(f->nodes[0].m, 10);
+	ck_assert_uint_eq(membership_known(f->nodes[0].m, f->now_ms), 10);
+	cluster_end(f, 1);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("membership: known versions");
+	TCase *tc = tcase_create("known");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(
+	    tc, what_one_node_read_is_known_by_all, 1, SEEDS + 1);
+	tcase_add_loop_test(
+	    tc, what_is_newer_than_the_head_is_told_at_once, 1, SEEDS + 1);
+	tcase_add_test(tc, what_the_head_tells_is_not_told_twice);
+	tcase_add_loop_test(
+	    tc, it_stays_known_while_its_reader_lives, 1, SEEDS + 1);
+	tcase_add_loop_test(tc, what_nobody_confirms_lapses, 1, SEEDS + 1);
+	tcase_add_loop_test(
+	    tc, a_garbled_version_lapses_everywhere, 1, SEEDS + 1);
+	tcase_add_test(tc, what_is_too_old_is_not_taken_in);
+	tcase_add_test(tc, what_a_node_read_last_counts);
+	suite_add_tcase(s, tc);
+	return test_run(s);
+}
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -148,17 +148,23 @@
 
 /**
  * struct rec_gossip_head - Configuration head that a node knows; carried for
- * the spread module, not read here.
+ * the spread module; only the last two fields are read here.
  * @seq: sequence of the head row
  * @version: latest version
  * @in_force: highest version that is not halted
  * @state: state of the head row as the spread module encodes it
+ * @known: newest version that the platform is known to have accepted,
+ * 	usable or not; 0 for none
+ * @known_age_ms: time since a node that read it at the platform
+ * 	confirmed it
  */
 struct rec_gossip_head {
 	uint64_t seq;
 	uint64_t version;
 	uint64_t in_force;
 	uint8_t state;
+	uint64_t known;
+	uint32_t known_age_ms;
 };
 
 extern const struct codec_desc rec_gossip_head_desc;
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -119,11 +119,17 @@
     {.name = "state",
 	.kind = CODEC_U8,
 	.offset = offsetof(struct rec_gossip_head, state)},
+    {.name = "known",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_gossip_head, known)},
+    {.name = "known_age_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_gossip_head, known_age_ms)},
 };
 
 const struct codec_desc rec_gossip_head_desc = {.name = "gossip_head",
     .fields = rec_gossip_head_fields,
-    .n_fields = 4,
+    .n_fields = 6,
     .size_bytes = sizeof(struct rec_gossip_head)};
 
 static const struct codec_field rec_data_centre_digest_fields[] = {
--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -193,7 +193,7 @@
 static void
 spread_offer(struct spread *s, uint64_t now_ms)
 {
-	struct rec_gossip_head gossip;
+	struct rec_gossip_head gossip = {0};
 	const struct rec_head_tag *head;
 
 	if (catalog_version(s->env.catalog) == 0)
