feat(traffic): behind, whether an answer by a version is to be believed

Problem: a route that the version in force doesn't have was taken for a wrong request, also while a newer version was known of. Solution: a decision without I/O: versions in force and known of, since when, and the caller's time go in; when to come back comes out, 0 when the request is wrong. The time is as long as the version has been awaited, 200 to 2,000 ms, at most half of the time that the caller has left. Ruled out: a still newer version beginning the wait anew (at 0.66 changes a second the time would never grow); 1 ms as for nodes that stop (callers come back twice and spend both at once).

--- /dev/null
+++ b/packages/traffic/test/test_behind.c
@@ -0,0 +1,145 @@
+/*
+ * Tests of what a node answers while it knows of a newer version.
+ */
+#include <check.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "test_run.h"
+#include "traffic/behind.h"
+
+#define T0 UINT64_C(100000)
+#define ANY DEADLINE_NEVER
+
+/**
+ * struct behind_case - one question, and what is to come of it
+ * @in_force: version in force
+ * @known: newest version known of, since T0
+ * @by: version by which the request looks wrong
+ * @age_ms: time since T0
+ * @left_ms: time that the caller has left, or ANY
+ * @retry_ms: when it is to come back, 0 for never
+ */
+struct behind_case {
+	uint64_t in_force;
+	uint64_t known;
+	uint64_t by;
+	uint64_t age_ms;
+	uint64_t left_ms;
+	uint64_t retry_ms;
+};
+
+static const struct behind_case cases[] = {
+    /* Nothing newer is known: the request is wrong. */
+    {6, 0, 6, 0, ANY, 0},
+    {6, 6, 6, 5000, ANY, 0},
+    {6, 4, 6, 5000, ANY, 0},
+    {6, 6, 6, 0, 600, 0},
+    /* A newer one is known: first soon, later as long as it was awaited. */
+    {6, 10, 6, 0, ANY, BEHIND_FIRST_MS},
+    {6, 10, 6, 199, ANY, BEHIND_FIRST_MS},
+    {6, 10, 6, 300, ANY, 300},
+    {6, 10, 6, 1500, ANY, 1500},
+    {6, 10, 6, 2000, ANY, BEHIND_MOST_MS},
+    {6, 10, 6, 600000, ANY, BEHIND_MOST_MS},
+    {6, 7, 6, 300, ANY, 300},
+    {0, 10, 0, 300, ANY, 300},
+    /* Who has little time left comes back at half of it. */
+    {6, 10, 6, 1500, 1000, 500},
+    {6, 10, 6, 600000, 3000, 1500},
+    {6, 10, 6, 0, 600, BEHIND_FIRST_MS},
+    {6, 10, 6, 300, 400, 200},
+    /* Who has none to come back in is told the truth. */
+    {6, 10, 6, 300, 399, 300},
+    {6, 10, 6, 2500, 100, BEHIND_MOST_MS},
+    {6, 10, 6, 300, 0, 300},
+    /* A call that began by an older version than is in force now. */
+    {10, 10, 6, 0, ANY, BEHIND_NOW_MS},
+    {10, 0, 6, 0, 600, BEHIND_NOW_MS},
+    {10, 12, 6, 300, ANY, 300},
+    {10, 10, 10, 300, ANY, 0},
+};
+
+START_TEST(a_wrong_request_is_told_from_an_old_version)
+{
+	const struct behind_case *c;
+	uint64_t now_ms, deadline_ms, got;
+	struct behind b;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		c = &cases[i];
+		behind_init(&b);
+		behind_in_force(&b, c->in_force, T0);
+		behind_known(&b, c->known, T0);
+		now_ms = T0 + c->age_ms;
+		deadline_ms = c->left_ms == ANY ? ANY : now_ms + c->left_ms;
+		got = behind_retry_ms(&b, c->by, now_ms, deadline_ms);
+		ck_assert_msg(got == c->retry_ms,
+		    "case %zu: %" G_GUINT64_FORMAT " instead of "
+		    "%" G_GUINT64_FORMAT " ms",
+		    i, got, c->retry_ms);
+	}
+}
+END_TEST
+
+START_TEST(a_still_newer_version_does_not_begin_the_wait_anew)
+{
+	struct behind b;
+
+	behind_init(&b);
+	behind_in_force(&b, 6, T0);
+	behind_known(&b, 10, T0 + 1000);
+	behind_known(&b, 12, T0 + 1700);
+	ck_assert_uint_eq(behind_age_ms(&b, T0 + 1800), 800);
+	ck_assert_uint_eq(behind_retry_ms(&b, 6, T0 + 1800, ANY), 800);
+}
+END_TEST
+
+START_TEST(a_version_in_force_begins_it_anew)
+{
+	struct behind b;
+
+	behind_init(&b);
+	behind_in_force(&b, 6, T0);
+	behind_known(&b, 12, T0);
+	behind_in_force(&b, 6, T0 + 1000);
+	ck_assert_uint_eq(behind_age_ms(&b, T0 + 1000), 1000);
+	behind_in_force(&b, 10, T0 + 1500);
+	ck_assert_uint_eq(
+	    behind_retry_ms(&b, 10, T0 + 1600, ANY), BEHIND_FIRST_MS);
+	behind_in_force(&b, 12, T0 + 1700);
+	ck_assert_uint_eq(behind_retry_ms(&b, 12, T0 + 1800, ANY), 0);
+	ck_assert_uint_eq(behind_age_ms(&b, T0 + 1800), 0);
+}
+END_TEST
+
+START_TEST(what_was_known_wrongly_is_forgotten)
+{
+	struct behind b;
+
+	behind_init(&b);
+	behind_in_force(&b, 6, T0);
+	behind_known(&b, UINT64_MAX, T0);
+	ck_assert_uint_ne(behind_retry_ms(&b, 6, T0 + 30000, ANY), 0);
+	behind_known(&b, 6, T0 + 30000);
+	ck_assert_uint_eq(behind_retry_ms(&b, 6, T0 + 30000, ANY), 0);
+	behind_known(&b, 10, T0 + 90000);
+	ck_assert_uint_eq(
+	    behind_retry_ms(&b, 6, T0 + 90000, ANY), BEHIND_FIRST_MS);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("behind");
+	TCase *tc = tcase_create("behind");
+
+	tcase_add_test(tc, a_wrong_request_is_told_from_an_old_version);
+	tcase_add_test(tc, a_still_newer_version_does_not_begin_the_wait_anew);
+	tcase_add_test(tc, a_version_in_force_begins_it_anew);
+	tcase_add_test(tc, what_was_known_wrongly_is_forgotten);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
