merge: no 404 by an older version than the newest known one

An unreadable version's number comes with the feed's answer (STATUS_OK and a problem), so the entry learns of it in take() and no second way is needed.

--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -96,6 +96,7 @@
 	struct bundle *b = NULL;
 	int ok;
 
+	control_news_seen(c, a->version);
 	if (a->problem != NULL)
 		control_refused_note(c, a->version, a->problem);
 	if (a->build == NULL)
