fix(platform): an answer is bounded by a host's memory, and awaited on a slow link

Cause: answers of up to 64 MiB were taken, which no host of 160 MB can hold; one that was larger was broken off as if the store were away, again and again; and what took longer than 10 s was given up, so that over 5 Mbit/s no answer above 7 MB ever came. Change: 24 MiB (18 MiB of JSON, 80,000 routes of 230 bytes), a ground beside it; past it STATUS_TOO_LARGE, unread where the answer tells its length, an incident of a refused version (control_refused_note()), backed off as other failures; what comes after it is taken. An answer on its way has 45 s: 24 MiB at 5 Mbit/s are 41. A reader gives its read up after 60 s, was 20; content asked for while the whole is being read is not asked for twice. Cutting a service in parts borrows its routes: their copies were a third of the peak of a single large service.

--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -24,10 +24,10 @@
 /* Any seed does, as long as all nodes have the same. */
 #define PART_SEED 29
 
-/** struct leaf_route - a route with its place in the trie */
+/** struct leaf_route - a route with its place in the trie; borrowed */
 struct leaf_route {
 	uint32_t bits;
-	struct rec_section_route route;
+	const struct rec_section_route *route;
 };
 
 /**
@@ -101,7 +101,7 @@
 	m.routes = g_new0(struct rec_section_route, m.n_routes);
 	(void)g_strlcpy(m.part, part, sizeof(m.part));
 	for (i = 0; i < m.n_routes; i++)
-		m.routes[i] = leaf_route_at(c, low + i)->route;
+		m.routes[i] = *leaf_route_at(c, low + i)->route;
 	routes_sort(m.routes, m.n_routes);
 	g_ptr_array_add(c->sections, section_new(&m));
 	g_free(m.routes);
@@ -157,14 +157,14 @@
 	c->bytes =
 	    g_array_sized_new(FALSE, FALSE, sizeof(bytes), m->n_routes + 1);
 	for (i = 0; i < m->n_routes; i++) {
-		leaf.route = m->routes[i];
-		leaf.bits = route_bits(&leaf.route);
+		leaf.route = &m->routes[i];
+		leaf.bits = route_bits(leaf.route);
 		g_array_append_val(c->routes, leaf);
 	}
 	g_array_sort(c->routes, by_bits);
 	g_array_append_val(c->bytes, bytes);
 	for (i = 0; i < m->n_routes; i++) {
-		bytes += route_bytes(&leaf_route_at(c, i)->route);
+		bytes += route_bytes(leaf_route_at(c, i)->route);
 		g_array_append_val(c->bytes, bytes);
 	}
 }
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -113,6 +113,15 @@
 	return ok;
 }
 
+/* A configuration that is too large to be read is refused unread. */
+static void
+note_read(struct control *c, enum status st)
+{
+	note_status(c, st);
+	if (st == STATUS_TOO_LARGE)
+		control_refused_note(c, 0, status_message());
+}
+
 static struct spread_read_end
 end_of(const struct feed_answer *a)
 {
@@ -134,7 +143,7 @@
 	struct spread_read_end end = end_of(a);
 
 	c->following = 0;
-	note_status(c, st);
+	note_read(c, st);
 	if (st == STATUS_OK)
 		spread_on_head_read(c->spread, control_now(c), &end);
 	if (st != STATUS_OK)
@@ -164,7 +173,8 @@
 {
 	struct control *c = arg;
 
-	note_status(c, st);
+	c->fetching = 0;
+	note_read(c, st);
 	if (st == STATUS_OK && !take(c, a))
 		st = STATUS_UNAVAILABLE;
 	/* What was given may be older than what peers told of: the read is
@@ -174,7 +184,7 @@
 	control_pump(c);
 }
 
-/* The feed is being followed and gives what there is by itself. */
+/* A read of the feed is under way and gives what there is by itself. */
 static void
 on_followed(void *arg)
 {
@@ -200,9 +210,11 @@
 		feed_read(c->feed, control_now(c) + FEED_WAIT_MS, on_head, c);
 	} else if (a->kind == SPREAD_PROBE_HEAD) {
 		feed_probe(c->feed, a->beyond != 0, on_probe, c);
-	} else if (a->kind == SPREAD_READ_VERSIONS && c->following) {
+	} else if (a->kind == SPREAD_READ_VERSIONS &&
+	    (c->following || c->fetching)) {
 		loop_post(c->loop, on_followed, c);
 	} else if (a->kind == SPREAD_READ_VERSIONS) {
+		c->fetching = 1;
 		feed_read(c->feed, 0, on_versions, c);
 	}
 }
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -32,6 +32,7 @@
  * @refused_row: what operators are told of it at the platform
  * @feed_status: how the last read of the feed ended
  * @following: a read of the feed waits for a change
+ * @fetching: a read of the feed gives the whole, which may take a minute
  * @directory: where nodes find one another, NULL for seeds of the settings
  * @finder: when the directory is written and read
  * @instances: runs of the upstream that sends heartbeats
@@ -62,6 +63,7 @@
 	struct refused_row refused_row;
 	enum status feed_status;
 	int following;
+	int fetching;
 	struct directory *directory;
 	struct finder finder;
 	struct instances instances;
--- a/packages/spread/src/intake_source.c
+++ b/packages/spread/src/intake_source.c
@@ -14,7 +14,7 @@
 /* Objects that are read at the same time. */
 #define PARALLEL_MAX 8
 
-/* The shell's own timeout of a read is shorter than this. */
+/* After this peers are asked again; what the read gives later is taken. */
 #define READ_LOST_MS 20000
 
 /* A node that holds nothing leaves this many times more room before itself,
--- a/packages/spread/src/readers.c
+++ b/packages/spread/src/readers.c
@@ -12,8 +12,9 @@
 /* How often a changed table of hosts is looked at. */
 #define RANK_MS 1000
 
-/* The shell's own timeout of a read is shorter than this. */
-#define READ_LOST_MS 20000
+/* The shell's own timeout of a read is shorter than this: 2 s of waiting, 1.5 s
+ * for an answer to begin and 45 s for the largest to come. */
+#define READ_LOST_MS 60000
 
 void
 readers_init(struct readers *r, struct spread_env *env, uint64_t now_ms)
--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -40,7 +40,8 @@
 /**
  * feed_fn - a read has ended
  * @st: STATUS_OK, also when the configuration can't be used;
- *	STATUS_OVERLOADED, STATUS_UNAVAILABLE or STATUS_TIMEOUT
+ *	STATUS_TOO_LARGE when it is more than can be read; STATUS_OVERLOADED,
+ *	STATUS_UNAVAILABLE or STATUS_TIMEOUT
  * @a: the answer, valid during the call; NULL unless STATUS_OK
  * @arg: the reader's
  */
