--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -79,8 +79,8 @@
 };
 
 /* Most services that share a route by weight; a bundle with more is refused.
- * Several times what one route was seen to split over. */
-#define SNAPSHOT_SHARES_MAX 64
+ * Many times what one route was seen to split over. */
+#define SNAPSHOT_SHARES_MAX 256
 
 /**
  * snapshot_compile() - compile a snapshot
