--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -33,6 +33,7 @@
  * @known: newest version known of, in force or not, usable or not
  * @feed_status: how the last read of the feed ended
  * @following: a read of the feed waits for a change
+ * @fetching: a read of the feed gives the whole, which may take a minute
  * @directory: where nodes find one another, NULL for seeds of the settings
  * @finder: when the directory is written and read
  * @instances: runs of the upstream that sends heartbeats
@@ -64,6 +65,7 @@
 	uint64_t known;
 	enum status feed_status;
 	int following;
+	int fetching;
 	struct directory *directory;
 	struct finder finder;
 	struct instances instances;
