--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -4,7 +4,7 @@
 #define LOG_PART "feed"
 
 #include "base/log.h"
-#include "config/bundle.h"
+#include "config/bundle_build.h"
 #include "control_priv.h"
 
 /*
@@ -14,6 +14,9 @@
  */
 #define FEED_WAIT_MS 2000
 
+/* Room in a line for the first warnings of a version: some five of them. */
+#define WARNINGS_BYTES 512
+
 /* One line each time that the platform is lost or back. */
 static void
 note_status(struct control *c, enum status st)
@@ -55,7 +58,6 @@
 	g_array_unref(list);
 }
 
-/* Return: whether the answer holds a bundle that can be used. */
 static size_t
 largest_section(const struct bundle *b)
 {
@@ -70,38 +72,76 @@
 	return most;
 }
 
+/* What is run of a version otherwise than it is written. */
+static void
+log_warnings(const struct feed_answer *a, const struct bundle *b)
+{
+	char line[WARNINGS_BYTES], *text = bundle_warnings(b);
+	char *all = g_strjoin(" ", a->notes != NULL ? a->notes : text,
+	    a->notes != NULL ? text : NULL, NULL);
+
+	refused_text(line, sizeof(line), all);
+	if (line[0] != '\0')
+		log_warning("version %" G_GUINT64_FORMAT
+			    " is run with warnings, %u of the bundle: %s",
+		    a->version, b->n_warnings, line);
+	g_free(all);
+	g_free(text);
+}
+
+/* Return: whether the answer holds a bundle that can be used. */
 static int
 take(struct control *c, const struct feed_answer *a)
 {
 	struct bundle *b = NULL;
 	int ok;
 
-	if (a->bundle == NULL)
+	if (a->problem != NULL)
+		control_refused_note(c, a->version, a->problem);
+	if (a->build == NULL)
 		return 0;
-	ok = bundle_parse(a->bundle, a->bundle_bytes, &b) == STATUS_OK;
+	ok = bundle_build_end(a->build, &b) == STATUS_OK;
 	if (ok) {
+		control_refused_given(
+		    c, a->version, b->n_warnings + (a->notes != NULL ? 1 : 0));
+		log_warnings(a, b);
 		log_info("version %" G_GUINT64_FORMAT
 			 " came from the platform, %u sections, %zu bytes,"
 			 " largest section %zu bytes",
-		    a->version, b->sections->len, a->bundle_bytes,
+		    a->version, b->sections->len, a->row_bytes,
 		    largest_section(b));
 		give(c, a, b);
 	} else {
-		log_error("version %" G_GUINT64_FORMAT " can't be used: %s",
-		    a->version, status_message());
+		control_refused_note(c, a->version, status_message());
 	}
 	bundle_free(b);
 	return ok;
 }
 
+static struct spread_read_end
+end_of(const struct feed_answer *a)
+{
+	struct spread_read_end end = {0};
+
+	if (a == NULL)
+		return end;
+	end.ok = 1;
+	end.news = a->row;
+	end.body_ms = a->body_ms;
+	return end;
+}
+
 static void
 on_head(enum status st, const struct feed_answer *a, void *arg)
 {
 	struct control *c = arg;
 	const struct rec_head *head = c->given.seq != 0 ? &c->given : NULL;
+	struct spread_read_end end = end_of(a);
 
 	c->following = 0;
 	note_status(c, st);
+	if (st == STATUS_OK)
+		spread_on_head_read(c->spread, control_now(c), &end);
 	if (st != STATUS_OK)
 		spread_on_head(c->spread, control_now(c), st, NULL);
 	else if (!take(c, a))
@@ -110,6 +150,19 @@
 	control_pump(c);
 }
 
+/* One that is refused says nothing of the feed: the read that waits will. */
+static void
+on_probe(enum status st, const struct feed_answer *a, void *arg)
+{
+	struct control *c = arg;
+	struct spread_read_end end = end_of(a);
+
+	if (st == STATUS_OK)
+		(void)take(c, a);
+	spread_on_probed(c->spread, control_now(c), &end);
+	control_pump(c);
+}
+
 /* Content that peers don't give: the platform holds the newest version only. */
 static void
 on_versions(enum status st, const struct feed_answer *a, void *arg)
@@ -137,12 +190,21 @@
 	control_pump(c);
 }
 
+void
+control_feed_use(struct control *c, struct feed *feed)
+{
+	c->feed = feed;
+	spread_follow(c->spread, FEED_WAIT_MS);
+}
+
 void
 control_feed_read(struct control *c, const struct spread_action *a)
 {
 	if (a->kind == SPREAD_READ_HEAD) {
 		c->following = 1;
 		feed_read(c->feed, control_now(c) + FEED_WAIT_MS, on_head, c);
+	} else if (a->kind == SPREAD_PROBE_HEAD) {
+		feed_probe(c->feed, a->beyond != 0, on_probe, c);
 	} else if (a->kind == SPREAD_READ_VERSIONS && c->following) {
 		loop_post(c->loop, on_followed, c);
 	} else if (a->kind == SPREAD_READ_VERSIONS) {
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -46,9 +46,15 @@
 	uint64_t seed;
 };
 
+/* Room for why a version is refused, zero included. */
+#define SPREAD_REASON_BYTES 128
+
 /**
  * enum spread_action_kind - what the caller is to do
- * @SPREAD_READ_HEAD: read the head row; answer with spread_on_head()
+ * @SPREAD_READ_HEAD: read the head row; answer with spread_on_head(), or
+ *	spread_on_head_read() where spread_follow() was called
+ * @SPREAD_PROBE_HEAD: read the head beside a read of it that waits, without
+ *	waiting; answer with spread_on_probed()
  * @SPREAD_READ_VERSIONS: read the version rows @from to @to, both included;
  *	answer with spread_on_versions()
  * @SPREAD_READ_OBJECT: read the object @digest, a list of sections if @list,
@@ -58,9 +64,12 @@
  * @SPREAD_LATE: the peer @peer gave nothing of version @to in time; log it
  * @SPREAD_BLAME: the peer @peer sent something wrong; log it
  * @SPREAD_HALTED: version @to was halted before it was applied here; log it
+ * @SPREAD_REFUSED: version @to can't be put together here for @reason; it is
+ *	tried again after a pause
  */
 enum spread_action_kind {
 	SPREAD_READ_HEAD = 0,
+	SPREAD_PROBE_HEAD,
 	SPREAD_READ_VERSIONS,
 	SPREAD_READ_OBJECT,
 	SPREAD_APPLY,
@@ -68,6 +77,7 @@
 	SPREAD_LATE,
 	SPREAD_BLAME,
 	SPREAD_HALTED,
+	SPREAD_REFUSED,
 };
 
 /**
@@ -75,17 +85,22 @@
  * @kind: what
  * @from: first version, or the version that was left
  * @to: last version, or the version that was reached
+ * @beyond: only what follows the next change is wanted, since the read that
+ *	waits brings that one
  * @list: whether @digest names a list of sections (a root)
  * @digest: object to be read
  * @peer: peer that is blamed, or late
+ * @reason: why a version is refused
  */
 struct spread_action {
 	enum spread_action_kind kind;
 	uint64_t from;
 	uint64_t to;
+	int beyond;
 	int list;
 	struct digest digest;
 	struct net_addr peer;
+	char reason[SPREAD_REASON_BYTES];
 };
 
 /**
@@ -107,6 +122,28 @@
 	int whole;
 };
 
+/**
+ * struct spread_refusal - nodes that can't use the newest version they saw
+ * @nodes: their number
+ * @version: highest version refused, 0 when its number can't be read
+ * @since_wall_ms: when the earliest refusal began, wall clock; 0 for none
+ * @reason: why @version is refused
+ */
+struct spread_refusal {
+	uint32_t nodes;
+	uint64_t version;
+	uint64_t since_wall_ms;
+	char reason[SPREAD_REASON_BYTES];
+};
+
+/**
+ * spread_refusal_add() - add nodes to others
+ * @sum: a sum; all zero for none
+ * @part: what is added: numbers as sum, maximum and minimum
+ */
+void spread_refusal_add(
+    struct spread_refusal *sum, const struct spread_refusal *part);
+
 /**
  * struct spread_progress - how far a version has come in one data centre
  * @data_centre: the data centre
@@ -114,6 +151,7 @@
  * @holding: nodes that hold this version or a later one
  * @nodes: nodes counted
  * @lowest: lowest version in force on any of them
+ * @refusal: nodes of it that refuse a version
  * @at_ms: when the data centre's root said so
  */
 struct spread_progress {
@@ -122,6 +160,7 @@
 	uint32_t holding;
 	uint32_t nodes;
 	uint64_t lowest;
+	struct spread_refusal refusal;
 	uint64_t at_ms;
 };
 
@@ -136,6 +175,7 @@
 	uint64_t pulls_timed_out;
 	uint64_t peers_blamed;
 	uint64_t head_reads;
+	uint64_t head_probes;
 	uint64_t version_reads;
 	uint64_t object_reads;
 	uint64_t versions_applied;
@@ -235,6 +275,37 @@
 void spread_on_head(struct spread *s, uint64_t now_ms, enum status st,
     const struct rec_head *head);
 
+/**
+ * struct spread_read_end - how a read of the head, or a probe, ended
+ * @ok: whether it was answered
+ * @news: whether the answer held the row
+ * @body_ms: how long the answer itself was on its way, from its first part
+ */
+struct spread_read_end {
+	int ok;
+	int news;
+	uint32_t body_ms;
+};
+
+/** spread_follow() - reads of the head wait for a change for @wait_ms */
+void spread_follow(struct spread *s, uint32_t wait_ms);
+
+/**
+ * spread_on_head_read() - a SPREAD_READ_HEAD that waited was answered
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @end: how it ended
+ *
+ * What it told comes by spread_on_given() or spread_on_head().
+ */
+void spread_on_head_read(
+    struct spread *s, uint64_t now_ms, const struct spread_read_end *end);
+
+/** spread_on_probed() - a SPREAD_PROBE_HEAD ended, as @end tells; what it told
+ * comes by spread_on_given() */
+void spread_on_probed(
+    struct spread *s, uint64_t now_ms, const struct spread_read_end *end);
+
 /**
  * spread_on_versions() - answer to SPREAD_READ_VERSIONS
  * @s: the spread
@@ -294,8 +365,7 @@
  * @contents: contents of the sections; references are taken
  * @n_contents: number of @contents
  *
- * For platforms that hold each version as a whole; it also answers a
- * SPREAD_READ_HEAD.
+ * For platforms that hold each version as a whole.
  */
 void
 spread_on_given(struct spread *s, uint64_t now_ms, const struct rec_head *head,
@@ -307,6 +377,10 @@
 /** spread_head() - newest head that the node knows, seq 0 if none */
 const struct rec_head *spread_head(const struct spread *s);
 
+/** spread_first_reader() - whether this node is its data centre's first reader
+ */
+int spread_first_reader(const struct spread *s);
+
 /** spread_floor() - highest version that must be held before serving */
 uint64_t spread_floor(const struct spread *s);
 
@@ -331,6 +405,15 @@
 const struct spread_progress *
 spread_progress(const struct spread *s, uint32_t *n);
 
+/**
+ * spread_refuse() - what this node's progress reports tell of refusals
+ * @s: the spread
+ * @now_ms: monotonic time
+ * @r: this node's, with 1 node; all zero when it refuses nothing (more)
+ */
+void spread_refuse(
+    struct spread *s, uint64_t now_ms, const struct spread_refusal *r);
+
 /** spread_stats() - counters since the start */
 const struct spread_stats *spread_stats(const struct spread *s);
 
