--- a/packages/config/include/config/bundle_build.h
+++ b/packages/config/include/config/bundle_build.h
@@ -8,6 +8,40 @@
 
 #include "config/bundle.h"
 
+/** BUNDLE_LEFT_OUT - a number that is not told */
+#define BUNDLE_LEFT_OUT INT64_MIN
+
+/** enum bundle_route_number - numbers of a route, in the order of their rules
+ */
+enum bundle_route_number {
+	BUNDLE_WEIGHT = 0,
+	BUNDLE_TIMEOUT_MS,
+	BUNDLE_TARGET_MS,
+	BUNDLE_PRIORITY,
+	BUNDLE_ATTEMPTS,
+	BUNDLE_ROUTE_NUMBERS,
+};
+
+/**
+ * struct bundle_route - a route as it is told, docs/BUNDLES.md
+ * @prefix: prefix of paths
+ * @host: host that callers name, NULL for any
+ * @service: name of its service
+ * @methods: set of METHOD_BIT()
+ * @idempotent: whether running a request twice does no harm
+ * @below: only paths below the prefix match
+ * @numbers: its numbers, by enum bundle_route_number; BUNDLE_LEFT_OUT
+ */
+struct bundle_route {
+	const char *prefix;
+	const char *host;
+	const char *service;
+	uint32_t methods;
+	bool idempotent;
+	bool below;
+	int64_t numbers[BUNDLE_ROUTE_NUMBERS];
+};
+
 struct bundle_build;
 struct json_t;
 
@@ -21,9 +55,9 @@
 /** bundle_build_service() - add a service, as docs/BUNDLES.md shows one */
 void bundle_build_service(struct bundle_build *b, struct json_t *service);
 
-/** bundle_build_route() - add a route, as docs/BUNDLES.md shows one; its
- * service was added before */
-void bundle_build_route(struct bundle_build *b, struct json_t *route);
+/** bundle_build_route() - add a route; its service was added before */
+void
+bundle_build_route(struct bundle_build *b, const struct bundle_route *route);
 
 /**
  * bundle_build_end() - check the whole and cut it in sections
--- a/packages/config/src/bundle_build.c
+++ b/packages/config/src/bundle_build.c
@@ -52,12 +52,12 @@
 }
 
 void
-bundle_build_route(struct bundle_build *b, struct json_t *route)
+bundle_build_route(struct bundle_build *b, const struct bundle_route *route)
 {
 	struct place routes_at = {NULL, "routes", PLACE_NO_INDEX};
 	struct place at = {&routes_at, NULL, b->n_routes++};
 
-	bundle_read_route(&b->r, route, &at);
+	bundle_take_route(&b->r, route, &at);
 }
 
 enum status
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -88,24 +88,32 @@
 	return NULL;
 }
 
-void
-bundle_read_number(struct bundle_reader *r, const struct number_rule *rule,
+int64_t
+bundle_number(struct bundle_reader *r, const char *key, json_t *object,
+    const struct place *at)
+{
+	struct place number_at = {at, key, PLACE_NO_INDEX};
+	json_t *value = json_object_get(object, key);
+
+	if (value == NULL)
+		return BUNDLE_LEFT_OUT;
+	if (json_is_integer(value))
+		return MAX(json_integer_value(value), BUNDLE_LEFT_OUT + 1);
+	problems_add(r->p, &number_at, "give a whole number; " LOOK,
+	    "this is not a whole number");
+	return BUNDLE_LEFT_OUT;
+}
+
+static void
+read_number(struct bundle_reader *r, const struct number_rule *rule,
     json_t *object, const struct place *at, void *m)
 {
 	struct place number_at = {at, rule->key, PLACE_NO_INDEX};
-	json_t *value = json_object_get(object, rule->key);
-	json_int_t n;
+	int64_t n = bundle_number(r, rule->key, object, at);
 
-	number_store(rule, m, rule->initial);
-	if (value == NULL)
-		return;
-	if (!json_is_integer(value)) {
-		problems_add(r->p, &number_at, "give a whole number; " LOOK,
-		    "this is not a whole number");
-		return;
-	}
-	n = json_integer_value(value);
-	number_store(rule, m, number_fit(rule, n, &number_at, r->p));
+	number_store(rule, m,
+	    n == BUNDLE_LEFT_OUT ? rule->initial
+				 : number_fit(rule, n, &number_at, r->p));
 }
 
 /* Keys of a group of numbers that are not known. */
@@ -147,7 +155,7 @@
 		number_keys_check(r, group, object, &group_at);
 	for (rule = number_rules; rule->key != NULL; rule++) {
 		if (g_strcmp0(rule->group, group) == 0)
-			bundle_read_number(
+			read_number(
 			    r, rule, object, group != NULL ? &group_at : at, m);
 	}
 }
--- a/packages/config/src/bundle_read.h
+++ b/packages/config/src/bundle_read.h
@@ -6,7 +6,7 @@
 
 #include <jansson.h>
 
-#include "config/bundle.h"
+#include "config/bundle_build.h"
 #include "problems.h"
 #include "proto/messages.h"
 #include "rules.h"
@@ -44,15 +44,16 @@
 void bundle_reader_clear(struct bundle_reader *r);
 
 /**
- * bundle_read_number() - read one number of a service or route
+ * bundle_number() - a number as it is told
  * @r: the reader
- * @rule: which
- * @object: where it is read from; a missing one has its initial value
+ * @key: its key
+ * @object: where it is read from
  * @at: place of @object
- * @m: struct msg_section or rec_section_route that it goes to
+ *
+ * Return: the number, or BUNDLE_LEFT_OUT.
  */
-void bundle_read_number(struct bundle_reader *r, const struct number_rule *rule,
-    json_t *object, const struct place *at, void *m);
+int64_t bundle_number(struct bundle_reader *r, const char *key, json_t *object,
+    const struct place *at);
 
 /** bundle_read() - read a whole bundle, noting all problems */
 void bundle_read(struct bundle_reader *r, json_t *root);
@@ -69,9 +70,10 @@
 void bundle_read_service(
     struct bundle_reader *r, json_t *service, const struct place *at);
 
-/** bundle_read_route() - read one route, once the services are known */
-void bundle_read_route(
-    struct bundle_reader *r, json_t *route, const struct place *at);
+/** bundle_take_route() - take one route, once the services are known; what is
+ * NULL of it was missing and is noted already */
+void bundle_take_route(struct bundle_reader *r,
+    const struct bundle_route *route, const struct place *at);
 
 /**
  * bundle_end() - the bundle that was read, or what is wrong with it
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -146,61 +146,52 @@
 		route->prefix[len - 1] = '\0';
 }
 
-static bool
-read_prefix(struct bundle_reader *r, json_t *route, const struct place *at,
+static void
+take_prefix(struct bundle_reader *r, const char *prefix, const struct place *at,
     struct rec_section_route *out)
 {
 	struct place prefix_at = {at, "prefix", PLACE_NO_INDEX};
-	const char *prefix;
 
-	prefix = json_text(route, "prefix", at, r->p);
-	if (prefix == NULL)
-		return false;
 	prefix_check(prefix, strlen(prefix), &prefix_at, r->p);
-	g_strlcpy(out->prefix, prefix, sizeof(out->prefix));
-	return true;
+	(void)g_strlcpy(out->prefix, prefix, sizeof(out->prefix));
+	settle_end(out);
 }
 
 static void
-read_host(struct bundle_reader *r, json_t *route, const struct place *at,
+take_host(struct bundle_reader *r, const char *text, const struct place *at,
     struct rec_section_route *out)
 {
 	struct place host_at = {at, "host", PLACE_NO_INDEX};
-	const char *text;
-	char *host;
+	char *host = host_fold(text, &host_at, r->p);
 
-	if (json_object_get(route, "host") == NULL)
-		return;
-	text = json_text(route, "host", at, r->p);
-	if (text == NULL)
-		return;
-	host = host_fold(text, &host_at, r->p);
 	host_check(host, &host_at, r->p);
-	g_strlcpy(out->host, host, sizeof(out->host));
+	(void)g_strlcpy(out->host, host, sizeof(out->host));
 	g_free(host);
 }
 
 static void
-read_numbers(struct bundle_reader *r, json_t *route, const struct place *at,
-    struct rec_section_route *out)
+take_numbers(struct bundle_reader *r, const int64_t *numbers,
+    const struct place *at, struct rec_section_route *out)
 {
-	const struct number_rule *rule;
+	struct place number_at = {at, NULL, PLACE_NO_INDEX};
+	const struct number_rule *rule = route_rules;
+	uint32_t i;
 
-	for (rule = route_rules; rule->key != NULL; rule++)
-		bundle_read_number(r, rule, route, at, out);
+	for (i = 0; i < BUNDLE_ROUTE_NUMBERS; i++, rule++) {
+		number_at.key = rule->key;
+		number_store(rule, out,
+		    numbers[i] == BUNDLE_LEFT_OUT
+			? rule->initial
+			: number_fit(rule, numbers[i], &number_at, r->p));
+	}
 }
 
 static struct draft *
-read_target(struct bundle_reader *r, json_t *route, const struct place *at)
+target_of(struct bundle_reader *r, const char *service, const struct place *at)
 {
 	struct place service_at = {at, "service", PLACE_NO_INDEX};
-	const char *name;
-	struct draft *d;
+	struct draft *d = g_hash_table_lookup(r->by_name, service);
 
-	name = json_text(route, "service", at, r->p);
-	if (name == NULL)
-		return NULL;
-	d = g_hash_table_lookup(r->by_name, name);
 	if (d == NULL)
 		problems_add(r->p, &service_at,
 		    "add the service or correct its name",
@@ -209,15 +200,49 @@
 }
 
 void
-bundle_read_route(
-    struct bundle_reader *r, json_t *route, const struct place *at)
+bundle_take_route(struct bundle_reader *r, const struct bundle_route *route,
+    const struct place *at)
+{
+	struct rec_section_route out;
+	struct draft *d = NULL;
+
+	memset(&out, 0, sizeof(out));
+	out.methods = route->methods;
+	out.idempotent = route->idempotent;
+	out.below = route->below;
+	if (route->prefix != NULL)
+		take_prefix(r, route->prefix, at, &out);
+	if (route->host != NULL)
+		take_host(r, route->host, at, &out);
+	take_numbers(r, route->numbers, at, &out);
+	if (out.methods != 0)
+		methods_check(out.methods, out.idempotent, at, r->p);
+	if (route->prefix != NULL)
+		claim_methods(r, &out, at);
+	if (route->service != NULL)
+		d = target_of(r, route->service, at);
+	if (d != NULL)
+		g_array_append_val(d->routes, out);
+}
+
+static void
+read_numbers(struct bundle_reader *r, json_t *route, const struct place *at,
+    int64_t *numbers)
+{
+	const struct number_rule *rule = route_rules;
+	uint32_t i;
+
+	for (i = 0; i < BUNDLE_ROUTE_NUMBERS; i++, rule++)
+		numbers[i] = bundle_number(r, rule->key, route, at);
+}
+
+static void
+read_route(struct bundle_reader *r, json_t *route, const struct place *at)
 {
 	static const char *const known[] = {"prefix", "methods", "service",
 	    "idempotent", "host", "below", "weight", "timeout_ms", "target_ms",
 	    "priority", "attempts", NULL};
-	struct rec_section_route out;
-	struct draft *d;
-	bool has_prefix;
+	struct bundle_route out = {0};
 
 	if (!json_is_object(route)) {
 		problems_add(r->p, at,
@@ -225,24 +250,18 @@
 		    "this is not an object");
 		return;
 	}
-	memset(&out, 0, sizeof(out));
 	json_keys_check(route, known, at, r->p);
-	has_prefix = read_prefix(r, route, at, &out);
+	out.prefix = json_text(route, "prefix", at, r->p);
 	out.methods = read_methods(r, route, at);
 	/* Left out, it is true where the methods alone make it so. */
 	out.idempotent = read_flag(r, route, "idempotent", at,
 	    out.methods != 0 && (out.methods & ~METHOD_SAFE) == 0);
 	out.below = read_flag(r, route, "below", at, false);
-	settle_end(&out);
-	read_host(r, route, at, &out);
-	read_numbers(r, route, at, &out);
-	if (out.methods != 0)
-		methods_check(out.methods, out.idempotent, at, r->p);
-	if (has_prefix)
-		claim_methods(r, &out, at);
-	d = read_target(r, route, at);
-	if (d != NULL)
-		g_array_append_val(d->routes, out);
+	if (json_object_get(route, "host") != NULL)
+		out.host = json_text(route, "host", at, r->p);
+	read_numbers(r, route, at, out.numbers);
+	out.service = json_text(route, "service", at, r->p);
+	bundle_take_route(r, &out, at);
 }
 
 void
@@ -256,6 +275,6 @@
 	json_array_foreach(routes, i, route)
 	{
 		item_at.index = (uint32_t)i;
-		bundle_read_route(r, route, &item_at);
+		read_route(r, route, &item_at);
 	}
 }
