--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -30,6 +30,7 @@
  * @given: head that the feed gave last, seq 0 for none
  * @refused: the newest version that can't be used here
  * @refused_row: what operators are told of it at the platform
+ * @known: newest version known of, in force or not, usable or not
  * @feed_status: how the last read of the feed ended
  * @following: a read of the feed waits for a change
  * @fetching: a read of the feed gives the whole, which may take a minute
@@ -61,6 +62,7 @@
 	struct rec_head given;
 	struct refused refused;
 	struct refused_row refused_row;
+	uint64_t known;
 	enum status feed_status;
 	int following;
 	int fetching;
@@ -117,6 +119,17 @@
 /** control_refused_json() - the refusal as JSON, null for none */
 json_t *control_refused_json(const struct control *c);
 
+/* control_news.c */
+
+/** control_news_seen() - the platform gave @version, usable or not */
+void control_news_seen(struct control *c, uint64_t version);
+
+/** control_news_share() - tell the entry when the newest known one changed */
+void control_news_share(struct control *c);
+
+/** control_news_register() - add the newest known version to the metrics */
+void control_news_register(void);
+
 /* control_find.c */
 
 /** control_find_tick() - write or read the directory if that is due */
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -52,6 +52,7 @@
 	e->splits = split_table_new(e->seed);
 	e->patience = patience_new();
 	drain_init(&e->drain);
+	behind_init(&e->behind);
 }
 
 struct entry *
