test(node): ports of tests are a block of each process's own

Problem: a port that the system had chosen could be taken by another test's connection before it was listened on; test_call_behind failed so once. Solution: blocks below the system's range, by process, tried before use.

--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -31,18 +31,41 @@
     "{\"prefix\":\"/up\",\"methods\":[\"PUT\"],"
     "\"service\":\"search\",\"idempotent\":false}]}";
 
-uint16_t
-test_free_port(void)
+/*
+ * Ports of each process are a block of its own, below those that the system
+ * gives to connections: between the choice of a port and its use another
+ * test's process or connection could take one that the system had chosen.
+ */
+#define PORTS_FROM 10000U
+#define PORT_BLOCK 64U
+#define PORT_BLOCKS 340U
+
+static bool
+is_free(uint16_t port)
 {
-	struct sockaddr_in sin = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(sin);
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons(port)};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool free;
 
-	must(bind(fd, (struct sockaddr *)&sin, len) == 0);
-	(void)getsockname(fd, (struct sockaddr *)&sin, &len);
+	free = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
 	close(fd);
-	return ntohs(sin.sin_port);
+	return free;
+}
+
+uint16_t
+test_free_port(void)
+{
+	uint32_t first =
+	    PORTS_FROM + (uint32_t)getpid() % PORT_BLOCKS * PORT_BLOCK;
+	static uint32_t n_given;
+	uint16_t port;
+
+	do
+		port = (uint16_t)(first + n_given++ % PORT_BLOCK);
+	while (!is_free(port));
+	return port;
 }
 
 static void
