fix(traffic): an endpoint that is ready again is called at once

Cause: a guard that refuses as draining has its endpoint left out for 5 s. A lease that lapses for some milliseconds does the same, and the endpoint stayed left out though it was ready again. Seen once: test_platform_path failed beside other work (an_upstream_that_falls_silent_lapses waits just 5 s); its log has one refusal and 5 s of no_endpoint after the upstream was back. Change: news of becoming ready ends the wait. Ruled out: ending it at any news of a ready endpoint (news that was on its way before the drain would send calls to a host that refuses them). Test: test_what_is_ready_again_is_called_at_once failed first.

--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -140,12 +140,14 @@
 		ejection_forget(ep);
 		ep->others_milli = 0;
 		ep->way_us = 0;
-		ep->drains_until_ms = 0;
 	}
 	ep->info = *info;
 	ep->info.slots = MAX(info->slots, 1);
-	if (becomes_ready)
-		begin(e, ep, warm, now_ms);
+	if (!becomes_ready)
+		return;
+	/* News of it being ready is later than the refusal that left it out. */
+	ep->drains_until_ms = 0;
+	begin(e, ep, warm, now_ms);
 }
 
 static bool
--- a/packages/traffic/test/test_placement.c
+++ b/packages/traffic/test/test_placement.c
@@ -190,6 +190,29 @@
 }
 END_TEST
 
+/*
+ * An upstream whose lease lapsed for a moment: a call was refused meanwhile,
+ * and its host was left out for 5 s although it was ready again after some
+ * milliseconds; where it is the only one, callers had nobody.
+ */
+START_TEST(test_what_is_ready_again_is_called_at_once)
+{
+	struct world w;
+	int n[ENDPOINTS + 1];
+
+	world_init(&w);
+	endpoints_began(w.endpoints, 1, 10);
+	endpoints_ended(w.endpoints, 1, ENDPOINT_DRAINS, 0, 10);
+	w.infos[0].state = ENDPOINT_DRAINING;
+	tell(&w, ENDPOINTS, 12);
+	w.infos[0].state = ENDPOINT_READY;
+	tell(&w, ENDPOINTS, 20);
+	count(&w, 21, n);
+	ck_assert_int_gt(n[1], 0);
+	world_clear(&w);
+}
+END_TEST
+
 /*
  * A cold endpoint's slots grow; a replaced one is cold again.  A new entry,
  * which learns of the endpoints one after the other, takes none for cold.
@@ -434,6 +457,7 @@
 	tcase_add_test(tc, test_less_loaded_and_old_load_decays);
 	tcase_add_test(tc, test_retry_goes_elsewhere);
 	tcase_add_test(tc, test_draining_is_left_out_before_the_news_comes);
+	tcase_add_test(tc, test_what_is_ready_again_is_called_at_once);
 	tcase_add_test(tc, test_slow_start);
 	tcase_add_test(tc, test_what_says_that_it_is_warm_gets_its_share);
 	tcase_add_test(tc, test_what_says_how_long_it_is_cold_warms_up_by_then);
