fix(node): only the size of a request's head bounds its lines and its path

Problem: a head within the limits in force (maxHeaderBytes) was answered 431 when it had more than 128 lines (one of them ours), a name above 256 bytes or a value above 16,384, and 414 when its path had more than 8,192 bytes. Causes: HTTP_HEADERS_MAX in the server, and the maxima of the message call_open.

Solution: the server takes lines as long as the head's bytes allow, in room for as many as came; call_open takes what such a head can hold; 414 is gone. Bounds: the limit in force (64 KiB at most) for target, names and values, 80 KiB as sent (http_parser), hence 20,480 lines. The 431 names the limit in force, not the setting. An answer of an upstream stays bounded to 128 lines.

Ruled out: an array of the maximum on the stack (320 KiB, twice a call).

Proof: test_call_heads (3 of 4 failed first: 431, 431, 414), test_http_server (a_head_of_many_lines_is_taken failed first).

--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -436,7 +436,7 @@
 	c->fd = -1;
 	c->out = g_byte_array_new();
 	c->held = g_byte_array_new();
-	http_head_init(&c->head, HTTP_HEAD_MAX_BYTES);
+	http_head_init(&c->head, HTTP_HEAD_MAX_BYTES, HTTP_ANSWER_LINES_MAX);
 	loop_timer_init(&c->timer, client->loop, on_timer, c);
 	c->link.data = c;
 	g_queue_push_tail_link(&client->conns, &c->link);
--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -7,11 +7,12 @@
 #include "http_head.h"
 
 void
-http_head_init(struct http_head *h, uint32_t bytes_max)
+http_head_init(struct http_head *h, uint32_t bytes_max, uint32_t lines_max)
 {
 	h->text = g_string_new(NULL);
 	h->places = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	h->bytes_max = bytes_max;
+	h->lines_max = lines_max;
 	http_head_reset(h);
 }
 
@@ -62,7 +63,7 @@
 		/* A name without a value has an empty one. */
 		if (h->places->len % 2 != 0)
 			begin(h);
-		if (h->places->len / 2 >= HTTP_HEADERS_MAX)
+		if (h->places->len / 2 >= h->lines_max)
 			return -1;
 		begin(h);
 		h->in_value = false;
@@ -90,6 +91,13 @@
 	return h->text->str + g_array_index(h->places, uint32_t, i);
 }
 
+/* A last name without a value has an empty one. */
+uint32_t
+http_head_count(const struct http_head *h)
+{
+	return (h->places->len + 1) / 2;
+}
+
 uint32_t
 http_head_lines(struct http_head *h, struct http_header *lines)
 {
--- a/packages/net/src/http_head.h
+++ b/packages/net/src/http_head.h
@@ -12,8 +12,12 @@
 
 #include "net/http.h"
 
-/* Headers of a message that are handed on; more of them fail it. */
-#define HTTP_HEADERS_MAX 128
+/* Header lines of an answer that are handed on; more of them fail it. */
+#define HTTP_ANSWER_LINES_MAX 128
+
+/* The head is bounded by its bytes alone: http_parser reads no head above
+ * 80 KiB, and a line has 4 bytes at least, so 20,480 lines at most. */
+#define HTTP_LINES_ANY UINT32_MAX
 
 /**
  * struct http_head - header lines read so far
@@ -21,6 +25,7 @@
  * @places: offsets of names and values in @text, by turns
  * @bytes: bytes of the lines, to bound them
  * @bytes_max: most bytes that are taken
+ * @lines_max: most lines that are taken
  * @in_value: the last piece was one of a value
  */
 struct http_head {
@@ -28,11 +33,13 @@
 	GArray *places;
 	uint32_t bytes;
 	uint32_t bytes_max;
+	uint32_t lines_max;
 	bool in_value;
 };
 
-/** http_head_init() - an empty head of at most @bytes_max bytes */
-void http_head_init(struct http_head *h, uint32_t bytes_max);
+/** http_head_init() - an empty head of at most that many bytes and lines */
+void
+http_head_init(struct http_head *h, uint32_t bytes_max, uint32_t lines_max);
 
 /** http_head_clear() - free what it holds */
 void http_head_clear(struct http_head *h);
@@ -46,10 +53,13 @@
 /** http_head_value() - a piece of a value came; Return: 0, or -1: too much */
 int http_head_value(struct http_head *h, const char *at, size_t len);
 
+/** http_head_count() - number of lines */
+uint32_t http_head_count(const struct http_head *h);
+
 /**
  * http_head_lines() - all lines
  * @h: the head; the lines point into it
- * @lines: room for HTTP_HEADERS_MAX
+ * @lines: room for http_head_count()
  *
  * Return: number of lines.
  */
--- a/packages/net/src/http_read.c
+++ b/packages/net/src/http_read.c
@@ -70,7 +70,7 @@
 {
 	struct http_conn *c = conn_of(p);
 	struct http_call *call = c->call;
-	struct http_header lines[HTTP_HEADERS_MAX];
+	struct http_header lines[HTTP_ANSWER_LINES_MAX];
 	enum http_flow flow = HTTP_CONTINUE;
 	uint32_t n;
 
--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -23,7 +23,7 @@
 	struct http_server *s = q->server;
 
 	q->state = INCOMING_HEAD;
-	http_head_init(&q->head, s->limits.head_max_bytes);
+	http_head_init(&q->head, s->limits.head_max_bytes, HTTP_LINES_ANY);
 	q->target = g_string_new(NULL);
 	loop_timer_set(&q->timer, loop_now_ms(s->loop) + s->limits.head_ms);
 	return 0;
@@ -83,18 +83,15 @@
 }
 
 static int
-on_headers_complete(http_parser *p)
+serve(http_parser *p, const struct http_header *lines, uint32_t n)
 {
 	struct http_incoming *q = incoming_of(p);
 	struct http_server *s = q->server;
-	struct http_header lines[HTTP_HEADERS_MAX];
-	struct http_incoming_head head = {0};
+	struct http_incoming_head head = {.headers = lines, .n_headers = n};
 	const char *expect;
 
-	head.n_headers = http_head_lines(&q->head, lines);
-	if (!is_sound(p, lines, head.n_headers))
+	if (!is_sound(p, lines, n))
 		return -1;
-	head.headers = lines;
 	head.method = http_method_str((enum http_method)p->method);
 	head.target = q->target->str;
 	head.body_bytes = body_bytes(p);
@@ -111,6 +108,18 @@
 	return q->state == INCOMING_DEAD ? -1 : 0;
 }
 
+static int
+on_headers_complete(http_parser *p)
+{
+	struct http_head *h = &incoming_of(p)->head;
+	struct http_header *lines =
+	    g_new(struct http_header, http_head_count(h));
+	int result = serve(p, lines, http_head_lines(h, lines));
+
+	g_free(lines);
+	return result;
+}
+
 static int
 on_body(http_parser *p, const char *at, size_t len)
 {
--- a/packages/net/test/test_http_server.c
+++ b/packages/net/test/test_http_server.c
@@ -17,6 +17,9 @@
 static struct http_incoming *held;
 static int gone;
 static int bad_code;
+static int lines_seen;
+
+#define MANY_LINES 500
 
 /* Answers with the target, unless it asks for something else. */
 static void
@@ -32,6 +35,7 @@
     struct http_incoming *q, const struct http_incoming_head *head, void *arg)
 {
 	(void)arg;
+	lines_seen = (int)head->n_headers;
 	g_string_append_printf(seen, "%s %s %d;", head->method, head->target,
 	    (int)head->body_bytes);
 	if (strcmp(head->target, "/hold") == 0)
@@ -233,6 +237,25 @@
 }
 END_TEST
 
+/* Lines are bounded by the bytes of the head, not by their number. */
+START_TEST(a_head_of_many_lines_is_taken)
+{
+	GString *text = g_string_new("GET /many HTTP/1.1\r\n");
+	bool ended;
+	int i, fd = dial();
+
+	for (i = 0; i < MANY_LINES; i++)
+		g_string_append_printf(text, "X-%d: %d\r\n", i, i);
+	g_string_append(text, "\r\n");
+	say(fd, text->str);
+	ck_assert_ptr_nonnull(strstr(hear(fd, &ended), " 200 "));
+	ck_assert(!ended);
+	ck_assert_int_eq(lines_seen, MANY_LINES);
+	close(fd);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
 START_TEST(bodies_come_whole_by_length_and_in_chunks)
 {
 	bool ended;
@@ -328,6 +351,7 @@
 	tcase_add_loop_test(tc, ambiguous_requests_are_refused_and_closed, 0,
 	    G_N_ELEMENTS(ambiguous));
 	tcase_add_test(tc, a_head_that_is_too_large_is_refused);
+	tcase_add_test(tc, a_head_of_many_lines_is_taken);
 	tcase_add_test(tc, bodies_come_whole_by_length_and_in_chunks);
 	tcase_add_test(tc, an_early_answer_arrives_and_closes);
 	tcase_add_test(tc, a_caller_that_leaves_is_noticed_at_once);
--- a/packages/node/src/call_headers.h
+++ b/packages/node/src/call_headers.h
@@ -39,7 +39,9 @@
  * @value: first byte of the value
  * @value_len: bytes in @value
  *
- * Return: false when the list is full or the header too large.
+ * What comes here was bounded by the size of its head.
+ *
+ * Return: false when no message can carry it.
  */
 bool call_headers_add(struct call_headers *h, const char *name,
     uint32_t name_len, const char *value, uint32_t value_len);
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -215,6 +215,7 @@
 on_bad(struct http_incoming *q, int code, void *arg)
 {
 	struct callers *c = arg;
+	struct http_server_limits limits;
 	uint64_t retry_after_ms = 0;
 	char text[160];
 
@@ -225,10 +226,11 @@
 		callers_answer_behind(c, q, retry_after_ms);
 		return;
 	}
+	callers_limits(c->settings, &limits);
 	(void)g_snprintf(text, sizeof(text),
 	    "the request can't be read; its first line and headers must be "
 	    "well formed and take at most %u bytes.",
-	    c->settings->header_max_bytes);
+	    limits.head_max_bytes);
 	callers_answer_refuse(c, q, (uint32_t)code, "invalid", text);
 }
 
--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -10,7 +10,6 @@
 
 #define HTTP_BAD_REQUEST 400
 #define HTTP_TOO_LARGE 413
-#define HTTP_URI_TOO_LONG 414
 #define HTTP_HEADERS_TOO_LARGE 431
 #define DECIMAL 10
 
@@ -74,8 +73,6 @@
 {
 	if (head->target[0] != '/' || count(head, "Host") > 1)
 		return HTTP_BAD_REQUEST;
-	if (strlen(head->target) > MSG_CALL_OPEN_PATH_MAX)
-		return HTTP_URI_TOO_LONG;
 	r->path = g_strdup(head->target);
 	r->host = g_strdup(find(head, "Host"));
 	return 0;
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -328,7 +328,7 @@
 void
 guard_http_start(struct guard_request *r)
 {
-	struct http_header headers[MSG_CALL_OPEN_HEADERS_MAX + OWN_HEADERS];
+	struct http_header *headers;
 	struct guard *g = r->guard;
 	uint64_t now_ms = loop_now_ms(g->loop);
 	char id[ID_HEX_BYTES], left[NUMBER_BYTES];
@@ -345,6 +345,8 @@
 	    clock_left_ms(r->deadline_ms, now_ms));
 	url = g_string_new(r->upstream->url);
 	g_string_append(url, r->path);
+	headers = g_new(
+	    struct http_header, call_headers_count(&r->headers) + OWN_HEADERS);
 	memset(&req, 0, sizeof(req));
 	req.method = r->method;
 	req.url = url->str;
@@ -359,5 +361,6 @@
 	    r->upstream->info.service, r->started_us - r->opened_us);
 	r->call = http_call_start(g->http, &req, &upstream_handler, r);
 	g_string_free(url, TRUE);
+	g_free(headers);
 	guard_credit_consumed(r, 0);
 }
--- /dev/null
+++ b/packages/node/test/test_call_heads.c
@@ -0,0 +1,133 @@
+/*
+ * Tests of heads of requests that the limits in force allow: many lines, long
+ * ones, long paths, targets with a host, and deadlines as a caller may write
+ * them.
+ */
+#include <string.h>
+#include <unistd.h>
+
+#include "node/snapshot_ref.h"
+
+#include "fixture.h"
+
+/* Below the limit of the configuration, above those of single lines. */
+#define LINES 600
+#define NAME_BYTES 300
+#define VALUE_BYTES 40000
+#define PATH_BYTES 20000
+
+static const char json[] =
+    "{\"format\":1,\"name\":\"test\",\"services\":["
+    "{\"name\":\"search\",\"callers\":{\"head_max_bytes\":65536}}],"
+    "\"routes\":["
+    "{\"prefix\":\"/look\",\"methods\":[\"GET\"],\"service\":\"search\","
+    "\"idempotent\":true}]}";
+
+static struct fake_upstream *upstream;
+static struct test_node *node;
+
+static void
+start(void)
+{
+	struct fake_endpoint ep = {.host = "h1"};
+
+	upstream = fake_upstream_start();
+	node = test_node_start("h1", NULL);
+	test_node_upstream(node, upstream->port, SERVING_READY);
+	ep.port = guard_addr(node->guard).port;
+	test_snapshot_of(json, &ep, 1);
+	entry_snapshot_changed(node->entry);
+	g_usleep(50000);
+}
+
+static void
+stop(void)
+{
+	test_node_stop(node);
+	fake_upstream_stop(upstream);
+	snapshot_ref_publish(NULL);
+}
+
+static int
+ask(const char *path, const char *headers)
+{
+	struct reply r;
+	int status;
+
+	ck_assert(caller_call(
+	    callers_port(node->callers), "GET", path, headers, NULL, 0, &r));
+	status = r.status;
+	reply_clear(&r);
+	return status;
+}
+
+START_TEST(many_lines_are_taken)
+{
+	GString *lines = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < LINES; i++)
+		g_string_append_printf(lines, "X-%d: v%d\r\n", i, i);
+	start();
+	ck_assert_int_eq(ask("/look/x", lines->str), 200);
+	ck_assert(fake_upstream_saw(upstream, "X-0: v0"));
+	ck_assert(fake_upstream_saw(upstream, "X-599: v599"));
+	stop();
+	g_string_free(lines, TRUE);
+}
+END_TEST
+
+START_TEST(long_lines_are_taken)
+{
+	char *name = g_strnfill(NAME_BYTES, 'n');
+	char *value = g_strnfill(VALUE_BYTES, 'v');
+	char *line = g_strdup_printf("%s: %s", name, value);
+	char *lines = g_strdup_printf("%s\r\n", line);
+
+	start();
+	ck_assert_int_eq(ask("/look/x", lines), 200);
+	ck_assert(fake_upstream_saw(upstream, line));
+	stop();
+	g_free(lines);
+	g_free(line);
+	g_free(value);
+	g_free(name);
+}
+END_TEST
+
+START_TEST(a_long_path_is_taken)
+{
+	char *rest = g_strnfill(PATH_BYTES, 'p');
+	char *path = g_strdup_printf("/look/%s", rest);
+
+	start();
+	ck_assert_int_eq(ask(path, NULL), 200);
+	stop();
+	g_free(path);
+	g_free(rest);
+}
+END_TEST
+
+/* The whole head is bounded all the same. */
+START_TEST(a_head_above_the_limit_is_refused)
+{
+	char *value = g_strnfill(VALUE_BYTES, 'v');
+	char *lines = g_strdup_printf("A: %s\r\nB: %s\r\n", value, value);
+
+	start();
+	ck_assert_int_eq(ask("/look/x", lines), 431);
+	stop();
+	g_free(lines);
+	g_free(value);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *const tests[] = {many_lines_are_taken,
+	    long_lines_are_taken, a_long_path_is_taken,
+	    a_head_above_the_limit_is_refused, NULL};
+
+	return fixture_main("call heads", tests);
+}
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -20,16 +20,16 @@
 #include "proto/codec.h"
 
 /* Most bytes of a text or binary field, most elements of a list. */
-#define REC_HEADER_NAME_MAX 256
-#define REC_HEADER_VALUE_MAX 16384
+#define REC_HEADER_NAME_MAX 65536
+#define REC_HEADER_VALUE_MAX 65536
 #define MSG_CALL_HELLO_HOST_MAX 31
 #define MSG_CALL_HELLO_ACK_HOST_MAX 31
 #define MSG_CALL_HELLO_ACK_DATA_CENTRE_MAX 31
 #define MSG_CALL_OPEN_REQUEST_ID_MAX 16
 #define MSG_CALL_OPEN_SERVICE_MAX 63
 #define MSG_CALL_OPEN_METHOD_MAX 15
-#define MSG_CALL_OPEN_PATH_MAX 8192
-#define MSG_CALL_OPEN_HEADERS_MAX 128
+#define MSG_CALL_OPEN_PATH_MAX 65536
+#define MSG_CALL_OPEN_HEADERS_MAX 20736
 #define MSG_CALL_OPEN_KEY_MAX 255
 #define MSG_CALL_OPEN_CALLER_MAX 63
 #define MSG_CALL_CHUNK_DATA_MAX 65536
@@ -141,7 +141,8 @@
  * @path: path and query as the caller sent them; borrowed, not
  * 	zero-terminated
  * @path_len: bytes in @path
- * @headers: headers, hop-by-hop ones left out; owned
+ * @headers: headers, hop-by-hop ones left out: the 20,480 lines that a
+ * 	head of 80 KiB can have, and the node's own; owned
  * @n_headers: number of @headers
  * @idempotent: whether running it twice does no harm
  * @key: caller's Idempotency-Key or empty; borrowed, not
