fix(node): take deadlines as decimals; a key only where a dialect has one

On the users' platform that header is an ordinary one of their clients', the deadline is milliseconds without a form.

Blanks after it don't matter. What is no number is still 400. call_dialect.key says whether the key header is spoken; the product's dialect does, with the same errors as before, the platform's doesn't and passes it on.

Ruled out: strtod (takes inf, hex and exponents, and depends on the locale).

--- a/packages/node/include/node/call_dialect.h
+++ b/packages/node/include/node/call_dialect.h
@@ -16,6 +16,8 @@
  * @request_id: name of a request
  * @caller_names_requests: callers choose it, and upstreams' answers repeat it;
  *	else the guard names each attempt
+ * @key: Idempotency-Key is spoken: a key is one request; else it is an
+ *	ordinary header
  * @deadline: time left, in milliseconds, from callers and to upstreams
  * @caller_service: told to upstreams: service of the host where a call began
  * @target: told to upstreams: instance that an attempt is for
@@ -33,6 +35,7 @@
 	const char *const *from_upstreams;
 	const char *request_id;
 	bool caller_names_requests;
+	bool key;
 	const char *deadline;
 	const char *caller_service;
 	const char *target;
--- a/packages/node/src/call_dialect.c
+++ b/packages/node/src/call_dialect.c
@@ -12,6 +12,7 @@
     .from_callers = none,
     .from_upstreams = none,
     .request_id = "Bramley-Request-Id",
+    .key = true,
     .deadline = "Bramley-Deadline-Ms",
     .fate = "Bramley-Fate",
     .version = "Bramley-Version",
--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -1,7 +1,6 @@
 /*
  * The head of a caller's request.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -13,8 +12,8 @@
 #define HTTP_HEADERS_TOO_LARGE 431
 #define DECIMAL 10
 
-/* Longest deadline that a caller may name. */
-#define DEADLINE_MAX_MS 86400000
+/* A day: a later deadline than any request can wait for counts as this. */
+#define DEADLINE_MAX_MS 86400000U
 
 static const char *
 find(const struct http_incoming_head *head, const char *name)
@@ -78,18 +77,40 @@
 	return 0;
 }
 
+static const char *
+skip_blanks(const char *text)
+{
+	return text + strspn(text, " \t");
+}
+
+/* "2500", "2500.75": a fraction is dropped, a number too large is cut. */
+static bool
+parse_ms(const char *text, uint64_t *ms)
+{
+	text = skip_blanks(text);
+	if (*text == '+')
+		text++;
+	if (!g_ascii_isdigit(*text))
+		return false;
+	for (*ms = 0; g_ascii_isdigit(*text); text++)
+		*ms = MIN(*ms * DECIMAL + (uint64_t)g_ascii_digit_value(*text),
+		    DEADLINE_MAX_MS);
+	if (*text == '.')
+		for (text++; g_ascii_isdigit(*text);)
+			text++;
+	return *skip_blanks(text) == '\0';
+}
+
 static uint32_t
 read_deadline(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
 {
 	const char *text = find(head, c->dialect->deadline);
-	unsigned long long ms;
-	char *end;
+	uint64_t ms;
 
 	if (text == NULL)
 		return 0;
-	ms = strtoull(text, &end, DECIMAL);
-	if (end == text || *end != '\0' || ms > DEADLINE_MAX_MS)
+	if (!parse_ms(text, &ms))
 		return HTTP_BAD_REQUEST;
 	r->deadline_ms = clock_now_ms() + ms;
 	return 0;
@@ -113,7 +134,7 @@
 
 	if (c->dialect->caller_names_requests)
 		r->id = g_strdup(find(head, c->dialect->request_id));
-	if (key == NULL)
+	if (!c->dialect->key || key == NULL)
 		return 0;
 	if (*key == '\0' || strlen(key) > MSG_CALL_OPEN_KEY_MAX)
 		return HTTP_BAD_REQUEST;
