fix(node): take targets with a host

Problem: "GET http://host/path" was answered 400. Cause: a target had to begin with a slash. RFC 9112, 3.2.2 demands that servers take the absolute form.

Solution: the host of such a target selects the route and is told to the upstream in place of the Host header; the path goes on as it came, "/" when it is empty. A target with user information, without a host or of another scheme stays 400, and so do two Host headers.

Ruled out: http_parser_parse_url (a second reading of what can be cut at the first slash or question mark).

Proof: test_call_heads: a_target_with_a_host_is_taken, the_host_of_a_target_replaces_the_header failed first, with 400.

--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -15,6 +15,9 @@
 /* A day: a later deadline than any request can wait for counts as this. */
 #define DEADLINE_MAX_MS 86400000U
 
+/* Of targets with a host; TLS ends before a node, so both lead here. */
+static const char *const schemes[] = {"http://", "https://"};
+
 static const char *
 find(const struct http_incoming_head *head, const char *name)
 {
@@ -43,6 +46,13 @@
 	    value, (uint32_t)strlen(value));
 }
 
+/* A target with a host of its own tells the host (RFC 9112, 3.2.2). */
+static bool
+is_replaced(const struct http_incoming_head *head, const char *name)
+{
+	return head->target[0] != '/' && g_ascii_strcasecmp(name, "Host") == 0;
+}
+
 static uint32_t
 read_headers(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
@@ -54,24 +64,57 @@
 
 	for (i = 0; i < head->n_headers; i++) {
 		h = &head->headers[i];
-		if (!call_header_passes(
+		if (is_replaced(head, h->name) ||
+		    !call_header_passes(
 			h->name, connection, d->prefix, d->from_callers))
 			continue;
 		if (!add(r, h->name, h->value))
 			return HTTP_HEADERS_TOO_LARGE;
 	}
+	if (head->target[0] != '/' && !add(r, "Host", r->host))
+		return HTTP_HEADERS_TOO_LARGE;
 	if (d->caller_service != NULL &&
 	    !add(r, d->caller_service, c->settings->upstream_service))
 		return HTTP_HEADERS_TOO_LARGE;
 	return 0;
 }
 
+/* What follows the scheme of a target with a host; NULL for another target. */
+static const char *
+authority_of(const char *target)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(schemes); i++)
+		if (g_ascii_strncasecmp(
+			target, schemes[i], strlen(schemes[i])) == 0)
+			return target + strlen(schemes[i]);
+	return NULL;
+}
+
+/* "http://host/path?query": an empty path is the root. */
+static uint32_t
+read_absolute(const struct http_incoming_head *head, struct call_request *r)
+{
+	const char *host = authority_of(head->target);
+	size_t len = host != NULL ? strcspn(host, "/?") : 0;
+
+	if (len == 0 || memchr(host, '@', len) != NULL || *host == ':')
+		return HTTP_BAD_REQUEST;
+	r->host = g_strndup(host, len);
+	r->path =
+	    g_strconcat(host[len] == '/' ? "" : "/", host + len, (char *)NULL);
+	return 0;
+}
+
 /* Two hosts would be read by different servers in different ways. */
 static uint32_t
 read_target(const struct http_incoming_head *head, struct call_request *r)
 {
-	if (head->target[0] != '/' || count(head, "Host") > 1)
+	if (count(head, "Host") > 1)
 		return HTTP_BAD_REQUEST;
+	if (head->target[0] != '/')
+		return read_absolute(head, r);
 	r->path = g_strdup(head->target);
 	r->host = g_strdup(find(head, "Host"));
 	return 0;
--- a/packages/node/test/test_call_heads.c
+++ b/packages/node/test/test_call_heads.c
@@ -21,7 +21,9 @@
     "{\"name\":\"search\",\"callers\":{\"head_max_bytes\":65536}}],"
     "\"routes\":["
     "{\"prefix\":\"/look\",\"methods\":[\"GET\"],\"service\":\"search\","
-    "\"idempotent\":true}]}";
+    "\"idempotent\":true},"
+    "{\"host\":\"named.example\",\"prefix\":\"/named\","
+    "\"methods\":[\"GET\"],\"service\":\"search\",\"idempotent\":true}]}";
 
 static struct fake_upstream *upstream;
 static struct test_node *node;
@@ -162,13 +164,50 @@
 }
 END_TEST
 
+static const struct row targets[] = {
+    {"http://named.example/named/x", 200},
+    {"HTTP://named.example:8080/named/x?bytes=3", 200},
+    {"https://named.example/named/x", 200},
+    {"http://other.example/named/x", 404},
+    {"http://named.example", 404},
+    {"http://named.example?bytes=3", 404},
+    {"http:///named/x", 400},
+    {"http://user@named.example/named/x", 400},
+    {"ftp://named.example/named/x", 400},
+};
+
+START_TEST(a_target_with_a_host_is_taken)
+{
+	size_t i;
+
+	start();
+	for (i = 0; i < G_N_ELEMENTS(targets); i++)
+		ck_assert_msg(ask(targets[i].text, NULL) == targets[i].status,
+		    "%s", targets[i].text);
+	stop();
+}
+END_TEST
+
+/* The caller said "Host: test"; who is asked is the host of the target. */
+START_TEST(the_host_of_a_target_replaces_the_header)
+{
+	start();
+	ck_assert_int_eq(ask("http://named.example/named/x?a=b", NULL), 200);
+	ck_assert(fake_upstream_saw(upstream, "GET /named/x?a=b HTTP/1.1"));
+	ck_assert(fake_upstream_saw(upstream, "Host: named.example"));
+	ck_assert(!fake_upstream_saw(upstream, "Host: test"));
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *const tests[] = {many_lines_are_taken,
 	    long_lines_are_taken, a_long_path_is_taken,
 	    a_head_above_the_limit_is_refused, deadlines_are_taken_as_decimals,
-	    NULL};
+	    a_target_with_a_host_is_taken,
+	    the_host_of_a_target_replaces_the_header, NULL};
 
 	return fixture_main("call heads", tests);
 }
