fix(node): the configuration's limit of a body goes before the setting

Problem: a body within the operators' maxBodyBytes was answered 413 when the node's request_max_bytes (1 GiB when left out) was smaller; a configuration without maxBodyBytes got the 1 MiB that a bundle of the product means by leaving it out. Nobody can make the clients send less than the platform accepts.

Bodies are passed on in windows, so no memory depends on the limit. The setting is described as what it now is.

Ruled out: 0 for "by the setting" (in a bundle it means no body).

Proof: test_platform_limits: without_a_limit_the_setting_holds and the_operators_limit_goes_before_the_setting failed first, with 413.

--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -8,7 +8,6 @@
 #include "callers_priv.h"
 
 #define HTTP_BAD_REQUEST 400
-#define HTTP_TOO_LARGE 413
 #define HTTP_HEADERS_TOO_LARGE 431
 #define DECIMAL 10
 
@@ -159,16 +158,6 @@
 	return 0;
 }
 
-static uint32_t
-read_length(const struct callers *c, const struct http_incoming_head *head,
-    struct call_request *r)
-{
-	r->body_bytes = head->body_bytes;
-	if (r->body_bytes > (int64_t)c->settings->request_max_bytes)
-		return HTTP_TOO_LARGE;
-	return 0;
-}
-
 static uint32_t
 read_names(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
@@ -192,6 +181,7 @@
 	uint32_t status;
 
 	r->arrived_us = clock_now_us();
+	r->body_bytes = head->body_bytes;
 	if (strlen(head->method) >= sizeof(r->method))
 		return HTTP_BAD_REQUEST;
 	(void)g_strlcpy(r->method, head->method, sizeof(r->method));
@@ -201,8 +191,6 @@
 		status = read_headers(c, head, r);
 	if (status == 0)
 		status = read_deadline(c, head, r);
-	if (status == 0)
-		status = read_length(c, head, r);
 	if (status == 0)
 		status = read_names(c, head, r);
 	return status;
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -251,11 +251,20 @@
 	entry_call_free(arg);
 }
 
+/* The configuration's word goes before the setting, be it more or less. */
+static uint64_t
+body_max(const struct entry *e, const struct service_limits *l)
+{
+	if (l->request_max_bytes == SERVICE_REQUEST_BY_SETTING)
+		return e->settings->request_max_bytes;
+	return l->request_max_bytes;
+}
+
 /* The body grew over what the service takes, which nobody knew before. */
 static bool
 outgrown(struct entry_call *c)
 {
-	if (c->body.bytes <= c->config->limits.request_max_bytes)
+	if (c->body.bytes <= body_max(c->entry, &c->config->limits))
 		return false;
 	entry_behind_outgrown(c);
 	call_caller_gone(c->decision, loop_now_ms(c->entry->loop));
@@ -439,7 +448,7 @@
 	}
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
-		match->service->config->limits.request_max_bytes)
+		body_max(e, &match->service->config->limits))
 		return refuse(e, x, HTTP_TOO_LARGE, "too_large",
 		    "the body is larger than the service takes; send less.");
 	return true;
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -131,8 +131,8 @@
  * @drain_ms: How long a planned stop waits for requests in flight.
  * @announce_lease_ms: Lease of an upstream that announces itself
  * 	without saying how long, and the longest that is granted.
- * @request_max_bytes: Largest body of a request that any service can
- * 	allow.
+ * @request_max_bytes: Largest body of a request where the
+ * 	configuration leaves it to the node.
  * @header_max_bytes: Largest request line and headers of a caller.
  */
 struct settings {
