--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -1,7 +1,6 @@
 /*
  * The head of a caller's request.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -9,13 +8,14 @@
 #include "callers_priv.h"
 
 #define HTTP_BAD_REQUEST 400
-#define HTTP_TOO_LARGE 413
-#define HTTP_URI_TOO_LONG 414
 #define HTTP_HEADERS_TOO_LARGE 431
 #define DECIMAL 10
 
-/* Longest deadline that a caller may name. */
-#define DEADLINE_MAX_MS 86400000
+/* A day: a later deadline than any request can wait for counts as this. */
+#define DEADLINE_MAX_MS 86400000U
+
+/* Of targets with a host; TLS ends before a node, so both lead here. */
+static const char *const schemes[] = {"http://", "https://"};
 
 static const char *
 find(const struct http_incoming_head *head, const char *name)
@@ -45,6 +45,13 @@
 	    value, (uint32_t)strlen(value));
 }
 
+/* A target with a host of its own tells the host (RFC 9112, 3.2.2). */
+static bool
+is_replaced(const struct http_incoming_head *head, const char *name)
+{
+	return head->target[0] != '/' && g_ascii_strcasecmp(name, "Host") == 0;
+}
+
 static uint32_t
 read_headers(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
@@ -56,58 +63,101 @@
 
 	for (i = 0; i < head->n_headers; i++) {
 		h = &head->headers[i];
-		if (!call_header_passes(
+		if (is_replaced(head, h->name) ||
+		    !call_header_passes(
 			h->name, connection, d->prefix, d->from_callers))
 			continue;
 		if (!add(r, h->name, h->value))
 			return HTTP_HEADERS_TOO_LARGE;
 	}
+	if (head->target[0] != '/' && !add(r, "Host", r->host))
+		return HTTP_HEADERS_TOO_LARGE;
 	if (d->caller_service != NULL &&
 	    !add(r, d->caller_service, c->settings->upstream_service))
 		return HTTP_HEADERS_TOO_LARGE;
 	return 0;
 }
 
+/* What follows the scheme of a target with a host; NULL for another target. */
+static const char *
+authority_of(const char *target)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(schemes); i++)
+		if (g_ascii_strncasecmp(
+			target, schemes[i], strlen(schemes[i])) == 0)
+			return target + strlen(schemes[i]);
+	return NULL;
+}
+
+/* "http://host/path?query": an empty path is the root. */
+static uint32_t
+read_absolute(const struct http_incoming_head *head, struct call_request *r)
+{
+	const char *host = authority_of(head->target);
+	size_t len = host != NULL ? strcspn(host, "/?") : 0;
+
+	if (len == 0 || memchr(host, '@', len) != NULL || *host == ':')
+		return HTTP_BAD_REQUEST;
+	r->host = g_strndup(host, len);
+	r->path =
+	    g_strconcat(host[len] == '/' ? "" : "/", host + len, (char *)NULL);
+	return 0;
+}
+
 /* Two hosts would be read by different servers in different ways. */
 static uint32_t
 read_target(const struct http_incoming_head *head, struct call_request *r)
 {
-	if (head->target[0] != '/' || count(head, "Host") > 1)
+	if (count(head, "Host") > 1)
 		return HTTP_BAD_REQUEST;
-	if (strlen(head->target) > MSG_CALL_OPEN_PATH_MAX)
-		return HTTP_URI_TOO_LONG;
+	if (head->target[0] != '/')
+		return read_absolute(head, r);
 	r->path = g_strdup(head->target);
 	r->host = g_strdup(find(head, "Host"));
 	return 0;
 }
 
+static const char *
+skip_blanks(const char *text)
+{
+	return text + strspn(text, " \t");
+}
+
+/* "2500", "2500.75": a fraction is dropped, a number too large is cut. */
+static bool
+parse_ms(const char *text, uint64_t *ms)
+{
+	text = skip_blanks(text);
+	if (*text == '+')
+		text++;
+	if (!g_ascii_isdigit(*text))
+		return false;
+	for (*ms = 0; g_ascii_isdigit(*text); text++)
+		*ms = MIN(*ms * DECIMAL + (uint64_t)g_ascii_digit_value(*text),
+		    DEADLINE_MAX_MS);
+	if (*text == '.')
+		for (text++; g_ascii_isdigit(*text);)
+			text++;
+	return *skip_blanks(text) == '\0';
+}
+
 static uint32_t
 read_deadline(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
 {
 	const char *text = find(head, c->dialect->deadline);
-	unsigned long long ms;
-	char *end;
+	uint64_t ms;
 
 	if (text == NULL)
 		return 0;
-	ms = strtoull(text, &end, DECIMAL);
-	if (end == text || *end != '\0' || ms > DEADLINE_MAX_MS)
+	if (!parse_ms(text, &ms))
 		return HTTP_BAD_REQUEST;
 	r->deadline_ms = clock_now_ms() + ms;
 	return 0;
 }
 
-static uint32_t
-read_length(const struct callers *c, const struct http_incoming_head *head,
-    struct call_request *r)
-{
-	r->body_bytes = head->body_bytes;
-	if (r->body_bytes > (int64_t)c->settings->request_max_bytes)
-		return HTTP_TOO_LARGE;
-	return 0;
-}
-
 static uint32_t
 read_names(const struct callers *c, const struct http_incoming_head *head,
     struct call_request *r)
@@ -116,7 +166,7 @@
 
 	if (c->dialect->caller_names_requests)
 		r->id = g_strdup(find(head, c->dialect->request_id));
-	if (key == NULL)
+	if (!c->dialect->key || key == NULL)
 		return 0;
 	if (*key == '\0' || strlen(key) > MSG_CALL_OPEN_KEY_MAX)
 		return HTTP_BAD_REQUEST;
@@ -131,6 +181,7 @@
 	uint32_t status;
 
 	r->arrived_us = clock_now_us();
+	r->body_bytes = head->body_bytes;
 	if (strlen(head->method) >= sizeof(r->method))
 		return HTTP_BAD_REQUEST;
 	(void)g_strlcpy(r->method, head->method, sizeof(r->method));
@@ -140,8 +191,6 @@
 		status = read_headers(c, head, r);
 	if (status == 0)
 		status = read_deadline(c, head, r);
-	if (status == 0)
-		status = read_length(c, head, r);
 	if (status == 0)
 		status = read_names(c, head, r);
 	return status;
