fix(base): one rule for names of services

Problem: the configuration takes a service "Odd_One.2" and serves its routes, but each heartbeat of its upstream was answered 400, so that the service never had an endpoint. There were three more rules beside the configuration's: own.c took a-z, 0-9 and "-", record.c letters, digits and "-_." (and left out the whole host otherwise), and a node with such an `upstream_service` did not start. The administration API told the narrow rule and checked the wide one.

Solution: the configuration's rule moves to base/service_name.h, with its words for messages, and all of them use it. Names of hosts and data centres keep theirs.

Ruled out: narrowing the configuration's rule, as the platform accepts such names and a version that has one would be refused whole. Nodes that run the earlier code leave out a host with a name that they refuse, as before.

--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -12,10 +12,10 @@
 #include <stdint.h>
 
 #include "base/hash.h"
+#include "base/service_name.h"
 #include "base/status.h"
 
-/* Longest name of a service and longest prefix, zero included. */
-#define SERVICE_NAME_BYTES 32
+/* Longest prefix, zero included. */
 #define ROUTE_PREFIX_BYTES 256
 
 /* Longest name of a host that callers name, zero included. */
@@ -184,14 +184,4 @@
 /** service_config_unref() - give a reference back; any thread; NULL is fine */
 void service_config_unref(struct service_config *sc);
 
-/**
- * service_name_valid() - whether a name fits a service
- * @name: first byte
- * @len: number of bytes
- *
- * A name is 1 to 31 bytes without spaces, control characters, '"', '\\' and
- * '/', which logs, metrics or paths could not hold.  It is compared by bytes.
- */
-bool service_name_valid(const char *name, size_t len);
-
 #endif
--- a/packages/config/src/service.c
+++ b/packages/config/src/service.c
@@ -1,5 +1,5 @@
 /*
- * Services: names of methods, references, rules of names.
+ * Services: names of methods, references.
  */
 #include <string.h>
 
@@ -36,21 +36,6 @@
 	return (unsigned int)m < METHOD_COUNT ? method_names[m] : "others";
 }
 
-bool
-service_name_valid(const char *name, size_t len)
-{
-	size_t i;
-
-	if (len == 0 || len >= SERVICE_NAME_BYTES)
-		return false;
-	for (i = 0; i < len; i++) {
-		if ((unsigned char)name[i] <= ' ' || name[i] == '\x7f' ||
-		    strchr("\"\\/", name[i]) != NULL)
-			return false;
-	}
-	return true;
-}
-
 struct service_config *
 service_config_ref(struct service_config *sc)
 {
--- a/packages/membership/src/own.c
+++ b/packages/membership/src/own.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/service_name.h"
 
 #include "action.h"
 #include "news.h"
@@ -104,19 +105,11 @@
 static enum status
 check(const char *service, uint16_t port, enum endpoint_state state)
 {
-	const char *p;
-
-	if (service[0] == '\0' || strlen(service) > MEMBER_NAME_MAX)
+	if (!service_name_valid(service, strlen(service)))
 		return status_set(STATUS_INVALID,
-		    "A service's name must have 1 to %d characters; correct "
-		    "the announcement.",
-		    MEMBER_NAME_MAX);
-	for (p = service; *p != '\0'; p++)
-		if (!g_ascii_islower(*p) && !g_ascii_isdigit(*p) && *p != '-')
-			return status_set(STATUS_INVALID,
-			    "A service's name may have a-z, 0-9 and \"-\"; "
-			    "correct the announcement of \"%s\".",
-			    service);
+		    "A service's name has " SERVICE_NAME_RULE
+		    "; correct the announcement of \"%.80s\".",
+		    service);
 	if (port == 0)
 		return status_set(STATUS_INVALID,
 		    "Port 0 can't be called; announce %s with its port.",
--- a/packages/membership/src/record.c
+++ b/packages/membership/src/record.c
@@ -3,6 +3,8 @@
  */
 #include <string.h>
 
+#include "base/service_name.h"
+
 #include "record.h"
 
 /* Most bytes of msgpack: a record without its names and endpoints, and an
@@ -10,6 +12,7 @@
 #define RECORD_FIXED_BYTES 42
 #define ENDPOINT_FIXED_BYTES 15
 
+/* Names of hosts and data centres. */
 static int
 name_valid(const char *name)
 {
@@ -24,6 +27,7 @@
 int
 record_valid(const struct rec_member *rec)
 {
+	const char *service;
 	uint32_t i;
 
 	if (!name_valid(rec->host) || !name_valid(rec->data_centre))
@@ -32,9 +36,11 @@
 		return 0;
 	if (rec->incarnation > INCARNATION_MAX)
 		return 0;
-	for (i = 0; i < rec->n_endpoints; i++)
-		if (!name_valid(rec->endpoints[i].service))
+	for (i = 0; i < rec->n_endpoints; i++) {
+		service = rec->endpoints[i].service;
+		if (!service_name_valid(service, strlen(service)))
 			return 0;
+	}
 	return 1;
 }
 
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -7,6 +7,7 @@
 
 #include <jansson.h>
 
+#include "base/service_name.h"
 #include "base/status.h"
 #include "node/operation.h"
 #include "proto/addr.h"
@@ -45,7 +46,7 @@
  * @cold_ms: how much longer it is slow after its start
  */
 struct upstream_beat {
-	char service[SETTINGS_NAME_BYTES];
+	char service[SERVICE_NAME_BYTES];
 	struct net_addr address;
 	uint16_t slots;
 	enum endpoint_state state;
--- a/packages/node/src/admin_upstreams.c
+++ b/packages/node/src/admin_upstreams.c
@@ -137,7 +137,7 @@
 	else if (!service_name_valid(service, strlen(service)))
 		admin_call_fail(call, STATUS_INVALID,
 		    "The name of the service is not valid.",
-		    "Use 1 to 31 of a-z, 0-9 and '-', a letter first.", 0);
+		    "Use " SERVICE_NAME_RULE ".", 0);
 	else if (strcmp(call->method, "PUT") == 0)
 		upstream_announce(call, service);
 	else if (strcmp(call->method, "DELETE") == 0)
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/log.h"
+#include "base/service_name.h"
 #include "proto/addr.h"
 
 /* Sizes of texts with the terminating zero. */
@@ -149,7 +150,7 @@
 	enum settings_adapter adapter;
 	char adapter_options[64][SETTINGS_TEXT_BYTES];
 	uint32_t n_adapter_options;
-	char upstream_service[SETTINGS_NAME_BYTES];
+	char upstream_service[SERVICE_NAME_BYTES];
 	uint16_t upstream_port;
 	struct net_addr seeds[64];
 	uint32_t n_seeds;
--- a/packages/proto/include/proto/settings_key.h
+++ b/packages/proto/include/proto/settings_key.h
@@ -18,7 +18,7 @@
  * @SETTINGS_NUMBER: a number, as uint32_t
  * @SETTINGS_CHOICE: one of some words, as enum
  * @SETTINGS_ADDRESSES: a list, as array of struct net_addr with a count
- * @SETTINGS_WORD: a name or nothing, as char array
+ * @SETTINGS_SERVICE: name of a service or nothing, as char array
  * @SETTINGS_TEXTS: a list of texts, as array of char arrays with a count
  */
 enum settings_type {
@@ -29,7 +29,7 @@
 	SETTINGS_NUMBER,
 	SETTINGS_CHOICE,
 	SETTINGS_ADDRESSES,
-	SETTINGS_WORD,
+	SETTINGS_SERVICE,
 	SETTINGS_TEXTS,
 };
 
--- a/packages/proto/src/gen/settings.c
+++ b/packages/proto/src/gen/settings.c
@@ -137,10 +137,11 @@
 	.max = 64,
 	.count_offset = offsetof(struct settings, n_adapter_options)},
     {.name = "upstream_service",
-	.type = SETTINGS_WORD,
+	.type = SETTINGS_SERVICE,
 	.offset = offsetof(struct settings, upstream_service),
-	.expected = "empty text or a name of 1 to 31 characters a-z, 0-9 and "
-		    "-",
+	.expected = "empty text or a service's name: 1 to 31 bytes without "
+		    "blanks, control characters, quotes, slashes and "
+		    "backslashes",
 	.remedy = "give the service's name"},
     {.name = "upstream_port",
 	.type = SETTINGS_PORT,
--- a/packages/proto/src/settings.c
+++ b/packages/proto/src/settings.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "base/service_name.h"
 #include "proto/settings.h"
 #include "proto/settings_key.h"
 #include "proto/suggest.h"
@@ -155,6 +156,17 @@
 	return 1;
 }
 
+static int
+take_service(struct settings *s, const struct settings_key *k, const char *text)
+{
+	size_t len = strlen(text);
+
+	if (len > 0 && !service_name_valid(text, len))
+		return 0;
+	memcpy(field(s, k->offset), text, len + 1);
+	return 1;
+}
+
 static int
 take_url(struct settings *s, const struct settings_key *k, const char *text)
 {
@@ -240,8 +252,8 @@
 		return take_number(s, k, v);
 	case SETTINGS_TEXTS:
 		return take_texts(s, k, v);
-	case SETTINGS_WORD:
-		return text != NULL && (*text == '\0' || take_name(s, k, text));
+	case SETTINGS_SERVICE:
+		return text != NULL && take_service(s, k, text);
 	case SETTINGS_ADDRESSES:
 		return take_addresses(s, k, v);
 	case SETTINGS_CHOICE:
@@ -472,7 +484,7 @@
 
 	switch (k->type) {
 	case SETTINGS_NAME:
-	case SETTINGS_WORD:
+	case SETTINGS_SERVICE:
 	case SETTINGS_URL:
 		return json_string(field_const(s, k->offset));
 	case SETTINGS_IPV4:
--- a/packages/proto/test/test_settings.c
+++ b/packages/proto/test/test_settings.c
@@ -93,6 +93,12 @@
 	{"\"caller_port\" and \"call_port\" are both 8080", "change one"}},
     {"{" REQUIRED ",\"probe_interval_ms\":200}",
 	{"\"probe_timeout_ms\" is 300", "less than probe_interval_ms"}},
+    {"{" REQUIRED ",\"upstream_service\":\"a b\"}",
+	{"\"upstream_service\" is \"a b\"", "1 to 31 bytes without blanks"}},
+    {"{" REQUIRED ",\"upstream_service\":\"a/b\"}",
+	{"\"upstream_service\" is \"a/b\""}},
+    {"{" REQUIRED ",\"upstream_service\":\"aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbb\"}",
+	{"\"upstream_service\" is \"aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbb\""}},
     {"{" REQUIRED ",\"host\":\"h2\"}",
 	{"duplicate object key near '\"host\"'", "remove one of the two"}},
     {"{" REQUIRED ",\"host\":\"H2\"}", {"duplicate object key"}},
@@ -123,6 +129,26 @@
 }
 END_TEST
 
+/* The names that the configuration takes for services. */
+START_TEST(upstream_service_is_any_name_of_a_service)
+{
+	static const char *const names[] = {
+	    "", "search", "Odd_One.2", "caf\xc3\xa9:1"};
+	struct settings s;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		text = g_strdup_printf(
+		    "{" REQUIRED ",\"upstream_service\":\"%s\"}", names[i]);
+		ck_assert_msg(
+		    parse(text, &s, NULL) == STATUS_OK, "%s", status_message());
+		ck_assert_str_eq(s.upstream_service, names[i]);
+		g_free(text);
+	}
+}
+END_TEST
+
 START_TEST(bad_texts_of_required_keys)
 {
 	static const char *const texts[] = {"{\"host\":\"\"}",
@@ -251,6 +277,7 @@
 
 	tcase_add_test(tc, defaults);
 	tcase_add_test(tc, values);
+	tcase_add_test(tc, upstream_service_is_any_name_of_a_service);
 	tcase_add_loop_test(
 	    tc, error_names_key_and_remedy, 0, (int)G_N_ELEMENTS(error_rows));
 	tcase_add_loop_test(tc, bad_texts_of_required_keys, 0, 11);
--- a/tools/gen_settings.py
+++ b/tools/gen_settings.py
@@ -22,12 +22,12 @@
 # Keys that hold a quantity end in its unit.
 UNIT_SUFFIX = {"milliseconds": "_ms", "bytes": "_bytes"}
 TYPES = {"name", "ipv4", "port", "number", "url", "choice", "addresses",
-         "word", "texts"}
+         "service", "texts"}
 NEEDED = {"key", "type", "doc", "remedy"}
 ALLOWED = {"name": {"required"}, "ipv4": {"required"}, "url": {"required"},
            "port": {"default"}, "number": {"unit", "min", "max", "default"},
            "choice": {"of", "default"}, "addresses": {"max"},
-           "word": {"default"}, "texts": {"max"}}
+           "service": {"default"}, "texts": {"max"}}
 U32_MAX = (1 << 32) - 1
 PORT_MAX = 65535
 
@@ -88,8 +88,9 @@
         return f"a list of at most {s['max']} texts like 10.0.0.1:7400"
     if kind == "texts":
         return f"a list of at most {s['max']} texts of 1 to 127 characters"
-    if kind == "word":
-        return "empty text or a name of 1 to 31 characters a-z, 0-9 and -"
+    if kind == "service":
+        return ("empty text or a service's name: 1 to 31 bytes without "
+                "blanks, control characters, quotes, slashes and backslashes")
     if kind == "choice":
         values = [f"\"{v['name']}\"" for v in choice(schema, s["of"])]
         return ", ".join(values[:-1]) + f" or {values[-1]}"
@@ -106,7 +107,7 @@
 def c_members(s):
     key, kind = s["key"], s["type"]
     return {"name": [f"char {key}[SETTINGS_NAME_BYTES];"],
-            "word": [f"char {key}[SETTINGS_NAME_BYTES];"],
+            "service": [f"char {key}[SERVICE_NAME_BYTES];"],
             "texts": [f"char {key}[{s.get('max')}][SETTINGS_TEXT_BYTES];",
                       f"uint32_t n_{key};"],
             "url": [f"char {key}[SETTINGS_URL_BYTES];"],
@@ -146,7 +147,8 @@
                           f"tools/gen_settings.py from {SCHEMA}."]),
         "#ifndef PROTO_GEN_SETTINGS_H", "#define PROTO_GEN_SETTINGS_H", "",
         "#include <stdint.h>", "",
-        *[f'#include "{h}"' for h in headers], '#include "proto/addr.h"', "",
+        *[f'#include "{h}"' for h in headers],
+        '#include "base/service_name.h"', '#include "proto/addr.h"', "",
         "/* Sizes of texts with the terminating zero. */",
         "#define SETTINGS_NAME_BYTES 32", "#define SETTINGS_URL_BYTES 256",
         "#define SETTINGS_TEXT_BYTES 128",
