fix(node): an upstream of a service taken out can leave

Problem: once a version without the service was in force, the heartbeats of its upstream were answered 400, "draining" and those after the deregistration too, so that the upstream never heard its leaving acknowledged. Cause: check() asks the configuration in force about every heartbeat.

Solution: a heartbeat of the run that counts here, or counted until it left, of the service and at the port that it was taken with, is taken whatever the configuration says (instances_is_latest(), instance_service). Another run, a later start, another service or port is refused as before.

Ruled out: looking for the service among the own endpoints, as a run that changed its service still has the earlier one there until its lease lapses (an_upstream_of_a_new_service_is_taken failed so).

--- a/packages/membership/include/membership/instances.h
+++ b/packages/membership/include/membership/instances.h
@@ -83,6 +83,15 @@
 /** instances_current() - name of the run that counts, or "" */
 const char *instances_current(const struct instances *s);
 
+/**
+ * instances_is_latest() - whether a run counts, or counted until it left
+ * @s: the runs
+ * @id: its name
+ * @born_ms: when it started; 0 when not told
+ */
+int instances_is_latest(
+    const struct instances *s, const char *id, uint64_t born_ms);
+
 /** instances_current_born_ms() - when that run started; 0 when not told */
 uint64_t instances_current_born_ms(const struct instances *s);
 
--- a/packages/membership/src/instances.c
+++ b/packages/membership/src/instances.c
@@ -142,3 +142,12 @@
 {
 	return s->has_current ? s->runs[0].born_ms : 0;
 }
+
+int
+instances_is_latest(const struct instances *s, const char *id, uint64_t born_ms)
+{
+	const struct instance *run = &s->runs[0];
+
+	return id[0] != '\0' && strcmp(run->id, id) == 0 &&
+	    !is_later(born_ms, run->born_ms);
+}
--- a/packages/membership/test/test_found.c
+++ b/packages/membership/test/test_found.c
@@ -68,6 +68,27 @@
 }
 END_TEST
 
+START_TEST(the_latest_run_is_known_until_another_counts)
+{
+	struct instances s;
+
+	instances_init(&s);
+	ck_assert(!instances_is_latest(&s, "", 0));
+	ck_assert(!instances_is_latest(&s, "a", 0));
+	(void)instances_heard(&s, "a", 1000, 1);
+	ck_assert(instances_is_latest(&s, "a", 1000));
+	ck_assert(instances_is_latest(&s, "a", 0));
+	ck_assert(!instances_is_latest(&s, "a", 2000));
+	ck_assert(!instances_is_latest(&s, "b", 1000));
+	ck_assert_int_eq(instances_left(&s, "a", 1000), 1);
+	ck_assert(instances_is_latest(&s, "a", 1000));
+	ck_assert(!instances_is_latest(&s, "a", 2000));
+	(void)instances_heard(&s, "b", 3000, 1);
+	ck_assert(!instances_is_latest(&s, "a", 1000));
+	ck_assert(instances_is_latest(&s, "b", 3000));
+}
+END_TEST
+
 /*
  * An upstream that starts again under its name counts from 1 again.  Without
  * the time of its start its heartbeats would be late ones for as long as the
@@ -176,6 +197,7 @@
 	tcase_add_test(tc, late_heartbeats_change_nothing);
 	tcase_add_test(tc, a_run_that_lives_counts_again);
 	tcase_add_test(tc, what_has_left_never_returns);
+	tcase_add_test(tc, the_latest_run_is_known_until_another_counts);
 	tcase_add_test(tc, a_later_start_under_the_same_name_is_a_new_run);
 	tcase_add_test(tc, a_node_with_peers_asks_no_more);
 	tcase_add_test(tc, a_node_that_only_heard_of_others_looks_too);
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -36,7 +36,8 @@
  * @directory: where nodes find one another, NULL for seeds of the settings
  * @finder: when the directory is written and read
  * @instances: runs of the upstream that sends heartbeats
- * @instance_port: its port
+ * @instance_port: port of the one that counts
+ * @instance_service: its service
  * @leaving: this node stops
  * @left: whether peers were told that this node stops
  * @version: version in force here
@@ -68,6 +69,7 @@
 	struct finder finder;
 	struct instances instances;
 	uint16_t instance_port;
+	char instance_service[SERVICE_NAME_BYTES];
 	pthread_t thread;
 	int running;
 	int dirty;
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -25,17 +25,31 @@
 	return c->known > catalog_version(c->catalog);
 }
 
+/* Whether the run that counts here sent it, of the service and at the port that
+ * it was taken with: it is heard to its end, or its leaving would never be
+ * acknowledged once a newer version has its service no longer. */
+static int
+is_known(const struct control *c, const char *instance,
+    const struct upstream_beat *b)
+{
+	return instances_is_latest(&c->instances, instance, b->born_ms) &&
+	    b->address.port == c->instance_port &&
+	    strcmp(b->service, c->instance_service) == 0;
+}
+
 /* A heartbeat that names no upstream of this host may be somebody else's; it
  * must not take the place of the one that is here. */
 static enum status
-check(const struct control *c, const struct upstream_beat *b)
+check(const struct control *c, const char *instance,
+    const struct upstream_beat *b)
 {
 	if (b->address.ip != c->settings->address)
 		return status_set(STATUS_INVALID,
 		    "A heartbeat names an address of another host; send it to "
 		    "the node of that host.");
 	if (catalog_version(c->catalog) != 0 &&
-	    catalog_find(c->catalog, b->service) == NULL && !may_be_new(c, b))
+	    catalog_find(c->catalog, b->service) == NULL && !may_be_new(c, b) &&
+	    !is_known(c, instance, b))
 		return status_set(STATUS_INVALID,
 		    "A heartbeat names service \"%s\", which the "
 		    "configuration in force doesn't have; correct the "
@@ -50,7 +64,7 @@
 {
 	int fresh = strcmp(instances_current(&c->instances), instance) != 0;
 	uint64_t born_ms = instances_current_born_ms(&c->instances);
-	enum status st = check(c, b);
+	enum status st = check(c, instance, b);
 
 	if (st != STATUS_OK)
 		return st;
@@ -71,6 +85,8 @@
 		c->dirty = 1;
 	}
 	c->instance_port = b->address.port;
+	(void)g_strlcpy(
+	    c->instance_service, b->service, sizeof(c->instance_service));
 	st = control_announce(c, b->service, b->address.port, b->slots,
 	    b->state, c->settings->announce_lease_ms,
 	    (uint16_t)MIN(b->cold_ms, MEMBER_COLD_UNKNOWN - 1));
