fix(spread): keepers are told only of a version that can be had

Problem: spread_take_in() told the keepers of a staged version before catalog_commit() had checked it as a whole. When the commit refused it (too large, routes that cross), they remembered a floor that nobody can reach, and a restarted host never became ready though its peers served the version before.

Solution: catalog_stage_check() builds the next version and keeps it in the stage; the keepers are told once that has gone well, and the commit swaps in what was built, or builds anew when the catalog has moved on since. A node still tells its keepers before it serves a version. A version that is refused costs no tell, and one that is taken is built once, as before; the next version stands beside the one held up to floor_wait_ms longer.

Ruled out: telling after the commit, as a host that dies in between could go back; taking a floor back, as keepers keep the highest and may hear the two messages in either order.

--- a/packages/config/include/config/stage.h
+++ b/packages/config/include/config/stage.h
@@ -86,18 +86,31 @@
 catalog_stage_add(struct catalog_stage *stage, const uint8_t *data, size_t len);
 
 /**
- * catalog_commit() - swap the staged version in
- * @c: the catalog that the stage was begun for
- * @stage: the stage; the caller still frees it
+ * catalog_stage_check() - whether the staged version can be committed
+ * @stage: the stage
  *
  * Checks that nothing is missing, that the whole list has the root, that parts
- * of a service agree, that no two services claim one route, and that the
- * version is above the version held.  On failure the catalog is unchanged.
+ * of a service agree, that no two services claim one route, that it fits the
+ * limits, and that the version is above the version held.  What is built for
+ * that is kept for the commit, so that a second check costs nothing while the
+ * catalog stays as it is.
  *
  * Return: STATUS_OK; STATUS_UNAVAILABLE when contents are missing;
  * STATUS_CONFLICT when the version held is as new; STATUS_INVALID;
  * STATUS_TOO_LARGE.
  */
+enum status catalog_stage_check(struct catalog_stage *stage);
+
+/**
+ * catalog_commit() - swap the staged version in
+ * @c: the catalog that the stage was begun for
+ * @stage: the stage; the caller still frees it
+ *
+ * Checks it first, unless that has been done over the version held.  On
+ * failure the catalog is unchanged.
+ *
+ * Return: as catalog_stage_check().
+ */
 enum status catalog_commit(struct catalog *c, struct catalog_stage *stage);
 
 #endif
--- a/packages/config/src/commit.c
+++ b/packages/config/src/commit.c
@@ -7,7 +7,8 @@
 #include "stage_defs.h"
 
 /**
- * struct next - the target version while it is built
+ * struct stage_next - the target version, built beside the version held
+ * @base_version: version held when it was built
  * @list: its list, struct rec_section_ref
  * @sections: struct service_config, in the list's order
  * @n_services: number of services that they are of
@@ -15,7 +16,8 @@
  * @content_bytes: sum of its contents
  * @config_bytes: memory of @sections and @routes
  */
-struct next {
+struct stage_next {
+	uint64_t base_version;
 	GArray *list;
 	GPtrArray *sections;
 	uint32_t n_services;
@@ -30,14 +32,17 @@
 	service_config_unref(data);
 }
 
-static void
-next_clear(struct next *n)
+void
+stage_next_free(struct stage_next *n)
 {
+	if (n == NULL)
+		return;
 	if (n->list != NULL)
 		g_array_unref(n->list);
 	if (n->sections != NULL)
 		g_ptr_array_unref(n->sections);
 	route_table_unref(n->routes);
+	g_free(n);
 }
 
 static GBytes *
@@ -78,7 +83,7 @@
 
 static enum status
 add_section(const struct catalog_stage *stage,
-    const struct rec_section_ref *ref, struct next *n)
+    const struct rec_section_ref *ref, struct stage_next *n)
 {
 	struct service_config *sc;
 	GBytes *content;
@@ -127,7 +132,7 @@
  * Sections are sorted, so that one that covers another stands before it.
  */
 static enum status
-parts_agree(struct next *n)
+parts_agree(struct stage_next *n)
 {
 	const struct service_config *before = NULL, *sc;
 	uint32_t i;
@@ -197,7 +202,7 @@
 }
 
 static enum status
-next_routes(const struct catalog *c, struct next *n)
+next_routes(const struct catalog *c, struct stage_next *n)
 {
 	if (!table_fits(c->sections, n->sections))
 		return route_table_new(n->sections, &n->routes);
@@ -206,7 +211,7 @@
 }
 
 static void
-sum_config(struct next *n)
+sum_config(struct stage_next *n)
 {
 	const struct service_config *sc;
 	uint32_t i;
@@ -219,7 +224,7 @@
 }
 
 static enum status
-size_check(const struct catalog *c, const struct next *n)
+size_check(const struct catalog *c, const struct stage_next *n)
 {
 	uint64_t bytes = n->content_bytes + n->config_bytes;
 
@@ -233,7 +238,7 @@
 }
 
 static enum status
-next_build(const struct catalog_stage *stage, struct next *n)
+next_build(const struct catalog_stage *stage, struct stage_next *n)
 {
 	enum status st;
 	uint32_t i;
@@ -258,7 +263,7 @@
 /* The commit as a ring entry, made while the version before is in place. */
 static struct ring_entry *
 entry_new(const struct catalog *c, const struct catalog_stage *stage,
-    const struct next *n)
+    const struct stage_next *n)
 {
 	struct ring_entry *entry;
 	GArray *changes, *held;
@@ -306,7 +311,8 @@
 
 /* Nothing below can fail. */
 static void
-swap_in(struct catalog *c, const struct catalog_stage *stage, struct next *n)
+swap_in(
+    struct catalog *c, const struct catalog_stage *stage, struct stage_next *n)
 {
 	struct ring_entry *entry;
 
@@ -325,17 +331,33 @@
 }
 
 enum status
-catalog_commit(struct catalog *c, struct catalog_stage *stage)
+catalog_stage_check(struct catalog_stage *stage)
 {
-	struct next n;
+	struct stage_next *n = stage->next;
 	enum status st;
 
-	memset(&n, 0, sizeof(n));
-	st = next_build(stage, &n);
-	if (st == STATUS_OK) {
-		swap_in(c, stage, &n);
-		ring_trim(c);
-	}
-	next_clear(&n);
+	if (n != NULL && n->base_version == stage->c->version)
+		return STATUS_OK;
+	g_clear_pointer(&stage->next, stage_next_free);
+	n = g_new0(struct stage_next, 1);
+	n->base_version = stage->c->version;
+	st = next_build(stage, n);
+	if (st == STATUS_OK)
+		stage->next = n;
+	else
+		stage_next_free(n);
 	return st;
 }
+
+enum status
+catalog_commit(struct catalog *c, struct catalog_stage *stage)
+{
+	enum status st = catalog_stage_check(stage);
+
+	if (st != STATUS_OK)
+		return st;
+	swap_in(c, stage, stage->next);
+	ring_trim(c);
+	g_clear_pointer(&stage->next, stage_next_free);
+	return STATUS_OK;
+}
--- a/packages/config/src/stage.c
+++ b/packages/config/src/stage.c
@@ -33,6 +33,7 @@
 		g_array_unref(stage->list);
 	if (stage->needed != NULL)
 		g_array_unref(stage->needed);
+	stage_next_free(stage->next);
 	g_hash_table_unref(stage->names);
 	g_hash_table_unref(stage->added);
 	g_free(stage);
--- a/packages/config/src/stage_defs.h
+++ b/packages/config/src/stage_defs.h
@@ -7,6 +7,8 @@
 #include "catalog_defs.h"
 #include "config/stage.h"
 
+struct stage_next;
+
 /**
  * struct catalog_stage - see config/stage.h
  * @c: the catalog
@@ -19,6 +21,7 @@
  * @added: digest to struct section: contents that came
  * @added_bytes: their sum
  * @skips: see struct catalog_delta
+ * @next: the target version as it was checked, or NULL
  */
 struct catalog_stage {
 	const struct catalog *c;
@@ -31,8 +34,12 @@
 	GHashTable *added;
 	uint64_t added_bytes;
 	bool skips;
+	struct stage_next *next;
 };
 
+/** stage_next_free() - free a version that was built; NULL is fine */
+void stage_next_free(struct stage_next *n);
+
 /** stage_target() - list of the target version over the version held now */
 GArray *stage_target(const struct catalog_stage *stage);
 
--- a/packages/config/test/test_catalog.c
+++ b/packages/config/test/test_catalog.c
@@ -370,6 +370,46 @@
 }
 END_TEST
 
+/* A check changes nothing; what it built isn't used over another version. */
+START_TEST(test_checked_then_overtaken)
+{
+	struct bundle *b[3] = {fix_bundle(TWO("5", "'GET'")),
+	    fix_bundle(TWO("6", "'GET'")), fix_bundle(TWO("7", "'GET'"))};
+	struct catalog_stage *stages[2];
+	struct catalog *c = catalog_new(0);
+	struct digest root;
+	GArray *list;
+	uint32_t i;
+
+	ck_assert_int_eq(fix_commit(c, 1, b[0]), STATUS_OK);
+	for (i = 0; i < 2; i++) {
+		bundle_to_sections(b[i + 1], &list, &root);
+		ck_assert_int_eq(
+		    catalog_stage_begin_full(c, i + 2, &root, list, &stages[i]),
+		    STATUS_OK);
+		ck_assert_int_eq(
+		    catalog_stage_check(stages[i]), STATUS_UNAVAILABLE);
+		ck_assert_int_eq(fix_add_all(stages[i], b[i + 1]), STATUS_OK);
+		ck_assert_int_eq(catalog_stage_check(stages[i]), STATUS_OK);
+		ck_assert_int_eq(catalog_stage_check(stages[i]), STATUS_OK);
+		g_array_unref(list);
+	}
+	ck_assert_uint_eq(catalog_version(c), 1);
+	ck_assert_uint_eq(catalog_find(c, "a")->timeout_ms, 5);
+	ck_assert_int_eq(catalog_commit(c, stages[0]), STATUS_OK);
+	ck_assert_uint_eq(catalog_find(c, "a")->timeout_ms, 6);
+	ck_assert_int_eq(catalog_stage_check(stages[0]), STATUS_CONFLICT);
+	ck_assert_int_eq(catalog_commit(c, stages[1]), STATUS_OK);
+	ck_assert_uint_eq(catalog_find(c, "a")->timeout_ms, 7);
+	ck_assert_uint_eq(catalog_version(c), 3);
+	for (i = 0; i < 2; i++)
+		catalog_stage_free(stages[i]);
+	for (i = 0; i < 3; i++)
+		bundle_free(b[i]);
+	catalog_free(c);
+}
+END_TEST
+
 /* A stage begun before another commit still ends right, or not at all. */
 START_TEST(test_overtaken)
 {
@@ -437,6 +477,7 @@
 	tcase_add_loop_test(tc, test_chain, 0, 20);
 	tcase_add_test(tc, test_ring);
 	tcase_add_loop_test(tc, test_bad, 0, BAD_COUNT + 1);
+	tcase_add_test(tc, test_checked_then_overtaken);
 	tcase_add_test(tc, test_overtaken);
 	tcase_add_test(tc, test_memory);
 	tcase_set_timeout(tc, 60);
--- a/packages/spread/include/spread/floors.h
+++ b/packages/spread/include/spread/floors.h
@@ -20,7 +20,7 @@
  * keepers that acknowledged are gone or cut off, and the platform cannot be
  * read, and every serving peer in reach is older than v, then the host may
  * serve an older version than it held, until one of them comes back.  The
- * floor of a version that was told but never applied (a crash in between)
+ * floor of a version that was told but never applied (a crash or halt between)
  * is kept like any other: the host then waits for that version or a later
  * one.
  */
--- a/packages/spread/include/spread/intake.h
+++ b/packages/spread/include/spread/intake.h
@@ -8,7 +8,7 @@
  * ones may all have gone silent together.  After pull_peers failures, or when
  * the platform itself told of the version and no peer offers it in time, the
  * platform is read under the node's budget.  Whoever gave it, a version is
- * only handed on when all of it is there; its root is checked on commit.
+ * only handed on when all of it is there; intake_check() checks the whole.
  */
 #ifndef SPREAD_INTAKE_H
 #define SPREAD_INTAKE_H
@@ -229,13 +229,16 @@
 uint64_t intake_staged(const struct intake *in);
 
 /**
- * intake_commit() - move the catalog to the staged version
- * @in: intake
+ * intake_check() - whether the catalog can move to the staged version
+ * @in: intake; a version is staged
  * @now_ms: monotonic time
  *
- * Return: 1 when it did.  Else the version was bad: whoever gave its list is
+ * Return: 1 when it can.  Else the version was bad: whoever gave its list is
  * blamed and it is asked for again, whole.
  */
+int intake_check(struct intake *in, uint64_t now_ms);
+
+/** intake_commit() - move the catalog to it; Return: as intake_check() */
 int intake_commit(struct intake *in, uint64_t now_ms);
 
 #endif
--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -376,7 +376,7 @@
 }
 
 /*
- * Whether a failed commit is the version's own fault.  A list that a peer gave
+ * Whether a failed check is the version's own fault.  A list that a peer gave
  * may be wrong; the whole one that comes next is from another peer.
  */
 static int
@@ -395,26 +395,45 @@
 	(void)g_strlcpy(a->reason, status_message(), sizeof(a->reason));
 }
 
-int
-intake_commit(struct intake *in, uint64_t now_ms)
+/* The staged version can't be had as it is. */
+static void
+intake_unfit(struct intake *in, uint64_t now_ms, enum status st)
 {
-	uint64_t version = catalog_stage_version(in->stage);
-	enum status st;
-
-	st = catalog_commit(in->env->catalog, in->stage);
 	if (intake_is_refusal(in, st))
-		intake_tell_refusal(in, version);
+		intake_tell_refusal(in, catalog_stage_version(in->stage));
 	intake_drop(in);
 	candidates_prune(
 	    &in->candidates, catalog_version(in->env->catalog) + 1);
-	if (st == STATUS_OK) {
-		in->full = 0;
-		in->failures = 0;
-		backoff_succeeded(&in->retry);
-		return 1;
-	}
 	if (st == STATUS_INVALID && in->list_peer.port != 0)
 		intake_peer_blame(in, now_ms, &in->list_peer);
 	intake_refused(in, now_ms);
+}
+
+int
+intake_check(struct intake *in, uint64_t now_ms)
+{
+	enum status st = catalog_stage_check(in->stage);
+
+	if (st == STATUS_OK)
+		return 1;
+	intake_unfit(in, now_ms, st);
 	return 0;
 }
+
+int
+intake_commit(struct intake *in, uint64_t now_ms)
+{
+	enum status st = catalog_commit(in->env->catalog, in->stage);
+
+	if (st != STATUS_OK) {
+		intake_unfit(in, now_ms, st);
+		return 0;
+	}
+	intake_drop(in);
+	candidates_prune(
+	    &in->candidates, catalog_version(in->env->catalog) + 1);
+	in->full = 0;
+	in->failures = 0;
+	backoff_succeeded(&in->retry);
+	return 1;
+}
--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -230,6 +230,23 @@
 		s->shown.root = *catalog_root(s->env.catalog);
 }
 
+/*
+ * Move to the staged version once its keepers know; Return: 0 while they are
+ * waited for.  A version that can't be put together is not told: this host
+ * never gets there, and would wait for it after a restart.
+ */
+static int
+spread_move(struct spread *s, uint64_t now_ms, uint64_t version)
+{
+	if (!intake_check(&s->intake, now_ms))
+		return 1;
+	floors_tell(&s->floors, now_ms, version);
+	if (!floors_settled(&s->floors, version))
+		return 0;
+	spread_commit(s, now_ms);
+	return 1;
+}
+
 static void
 spread_take_in(struct spread *s, uint64_t now_ms)
 {
@@ -240,11 +257,8 @@
 	version = intake_staged(&s->intake);
 	if (version == 0 || (s->origin && now_ms < spread_hold_ms(s)))
 		return;
-	floors_tell(&s->floors, now_ms, version);
-	if (!floors_settled(&s->floors, version))
-		return;
-	spread_commit(s, now_ms);
-	intake_tick(&s->intake, now_ms);
+	if (spread_move(s, now_ms, version))
+		intake_tick(&s->intake, now_ms);
 }
 
 static void
--- a/test/driver/test_restarts.c
+++ b/test/driver/test_restarts.c
@@ -1,6 +1,7 @@
 /*
  * Restarts: floors, herds, replaced hosts, frozen processes.
  */
+#include "catalog_defs.h"
 #include "scenario.h"
 
 /* Share of the platform's 2,000 reads a second that herds may take. */
@@ -73,6 +74,39 @@
 }
 END_TEST
 
+static void
+limit_catalogs(struct world *w, uint64_t max_bytes)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->n_nodes; i++)
+		w->nodes[i].c->max_bytes = max_bytes;
+}
+
+/* A version that no host can put together, and nobody can read the platform:
+ * a host that is restarted then serves what the others do. */
+START_TEST(test_no_floor_of_a_refused_version)
+{
+	struct world *w;
+	uint32_t i;
+
+	w = scenario_new((uint64_t)_i + 1);
+	limit_catalogs(w, 1);
+	world_sign(w, 0, 40);
+	world_run(w, 10000);
+	for (i = 0; i < w->n_nodes; i++)
+		ck_assert_uint_eq(w->nodes[i].version, 1);
+	w->platform.outage = 1;
+	kill_and_start(w, 0, 20);
+	world_run(w, 60000);
+	ck_assert_uint_eq(spread_floor(w->nodes[0].s), 1);
+	ck_assert_int_eq(w->nodes[0].ready, 1);
+	w->platform.outage = 0;
+	limit_catalogs(w, CATALOG_DEFAULT_BYTES);
+	scenario_end(w);
+}
+END_TEST
+
 /* A host is restarted over and over while versions roll. */
 START_TEST(test_restart_during_roll)
 {
@@ -240,6 +274,8 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, test_floor, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_floor_needed, 0, 2);
+	tcase_add_loop_test(
+	    tc, test_no_floor_of_a_refused_version, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_restart_during_roll, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_killed_in_staging, 0, SCENARIO_SEEDS);
 	tcase_add_loop_test(tc, test_herds, 0, 2);
