fix(node): refusals end by what came after them

Problem: the record of a version that can't be used ended falsely in two ways. The last readable version stayed `usable` after a later one was refused, so that a node that stopped serving and served what it held again ended it; and one without a number ended with any other version, also an older one that came late. And a lower number that was refused late took a higher one's place.

Solution: refused_note() forgets `usable`; a version without a number stands above all that were known of when it was seen, and `ends_at` is the lowest number that ends either kind; a lower one changes nothing unless the platform gave just that one since, as operators go back. Numbers known of begin anew with what the platform gives, so that a garbled one doesn't count for ever.

Ruled out: ending a refusal without a number only by what the platform gives, as a node that reads it no longer would tell of it for ever (a_version_without_a_number_ends_with_the_next stays as it is).

Failed first: serving_the_one_before_again_does_not_end_it, a_version_without_a_number_ends_with_one_given_later, a_version_without_a_number_ends_with_one_above_all_known, a_lower_one_that_is_refused_late_changes_nothing.

--- a/packages/node/src/control_refused.c
+++ b/packages/node/src/control_refused.c
@@ -91,6 +91,7 @@
 {
 	struct refused_time at = {control_now(c), clock_wall_ms()};
 
+	refused_known(&c->refused, c->known);
 	tell(c,
 	    refused_note(
 		&c->refused, at, version, catalog_version(c->catalog), reason));
--- a/packages/node/src/refused.c
+++ b/packages/node/src/refused.c
@@ -40,6 +40,25 @@
 	return r->on && r->version == version && strcmp(r->reason, reason) == 0;
 }
 
+/* Whether the one that is refused came later: the platform has not gone back
+ * to this one. */
+static bool
+is_late(const struct refused *r, uint64_t version)
+{
+	return r->on && version != 0 && version < r->ends_at &&
+	    version != r->usable;
+}
+
+static void
+take(struct refused *r, uint64_t version, uint64_t in_force, const char *reason)
+{
+	r->on = true;
+	r->version = version;
+	r->in_force = in_force;
+	r->ends_at = version != 0 ? version : r->known + 1;
+	(void)g_strlcpy(r->reason, reason, sizeof(r->reason));
+}
+
 enum refused_news
 refused_note(struct refused *r, struct refused_time at, uint64_t version,
     uint64_t in_force, const char *reason)
@@ -48,6 +67,10 @@
 	bool began = !r->on;
 
 	refused_text(text, sizeof(text), reason);
+	refused_known(r, MAX(version, in_force));
+	if (is_late(r, version))
+		return REFUSED_SAME;
+	r->usable = 0;
 	if (is_known(r, version, text))
 		return REFUSED_SAME;
 	if (began || version != r->version)
@@ -56,10 +79,7 @@
 		r->since_wall_ms = at.wall_ms;
 		r->n_silent = 0;
 	}
-	r->on = true;
-	r->version = version;
-	r->in_force = in_force;
-	(void)g_strlcpy(r->reason, text, sizeof(r->reason));
+	take(r, version, in_force, text);
 	if (at.now_ms < r->next_log_ms) {
 		r->n_silent++;
 		return REFUSED_SAME;
@@ -68,9 +88,17 @@
 	return began ? REFUSED_BEGAN : REFUSED_CHANGED;
 }
 
+void
+refused_known(struct refused *r, uint64_t version)
+{
+	r->known = MAX(r->known, version);
+}
+
 enum refused_news
 refused_given(struct refused *r, uint64_t version, uint64_t in_force)
 {
+	/* A higher number was garbled, or operators went back from it. */
+	r->known = MAX(version, in_force);
 	r->usable = version;
 	return version == in_force ? end(r) : REFUSED_SAME;
 }
@@ -78,11 +106,9 @@
 enum refused_news
 refused_in_force(struct refused *r, uint64_t version)
 {
+	refused_known(r, version);
 	if (!r->on || version == 0)
 		return REFUSED_SAME;
-	if (version == r->usable)
-		return end(r);
-	if (r->version == 0)
-		return version != r->in_force ? end(r) : REFUSED_SAME;
-	return version >= r->version ? end(r) : REFUSED_SAME;
+	return version == r->usable || version >= r->ends_at ? end(r)
+							     : REFUSED_SAME;
 }
--- a/packages/node/src/refused.h
+++ b/packages/node/src/refused.h
@@ -46,8 +46,10 @@
  * @in_force: version in force then
  * @since_wall_ms: when the incident began, wall clock
  * @reason: why it can't be used
+ * @known: highest number of a version known of since the platform gave one
+ * @ends_at: lowest number whose coming in force ends the incident
  * @usable: version that the platform gave last and that could be read, 0 for
- *	none
+ *	none and when another was refused since
  * @n_versions: versions refused since the start
  * @n_silent: changes of this incident that were not told
  * @next_log_ms: monotonic time before which no change is told
@@ -58,6 +60,8 @@
 	uint64_t in_force;
 	uint64_t since_wall_ms;
 	char reason[REFUSED_REASON_BYTES];
+	uint64_t known;
+	uint64_t ends_at;
 	uint64_t usable;
 	uint64_t n_versions;
 	uint64_t n_silent;
@@ -87,10 +91,16 @@
  * @version: its number, 0 when that can't be read
  * @in_force: version in force, 0 for none
  * @reason: why
+ *
+ * One that is told late, after a later one, changes nothing.  One without a
+ * number counts as later than all that were known of.
  */
 enum refused_news refused_note(struct refused *r, struct refused_time at,
     uint64_t version, uint64_t in_force, const char *reason);
 
+/** refused_known() - there is a version of this number, usable or not */
+void refused_known(struct refused *r, uint64_t version);
+
 /**
  * refused_given() - the platform's newest version can be read
  * @r: the record
--- a/packages/node/test/test_refused.c
+++ b/packages/node/test/test_refused.c
@@ -147,6 +147,98 @@
 }
 END_TEST
 
+/* A node that stops serving serves what it held again. */
+START_TEST(serving_the_one_before_again_does_not_end_it)
+{
+	fresh();
+	(void)refused_given(&r, 6, 4);
+	(void)refused_in_force(&r, 6);
+	ck_assert_int_eq(note(0, 10, "a"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_in_force(&r, 0), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 6), REFUSED_SAME);
+	ck_assert(r.on);
+	ck_assert_int_eq(refused_in_force(&r, 12), REFUSED_ENDED);
+}
+END_TEST
+
+/* What the platform gives after it, whatever its number; not one that was on
+ * its way before. */
+START_TEST(a_version_without_a_number_ends_with_one_given_later)
+{
+	fresh();
+	(void)refused_given(&r, 7, 6);
+	ck_assert_int_eq(note(0, 0, "no JSON"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_in_force(&r, 6), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 7), REFUSED_SAME);
+	ck_assert(r.on);
+	ck_assert_int_eq(refused_given(&r, 8, 7), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 7), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 8), REFUSED_ENDED);
+	ck_assert_int_eq(note(0, 0, "no JSON"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_given(&r, 8, 8), REFUSED_ENDED);
+}
+END_TEST
+
+/* A node that isn't given anything by the platform learns of it from its
+ * peers: what is above all that was known then came after it. */
+START_TEST(a_version_without_a_number_ends_with_one_above_all_known)
+{
+	fresh();
+	(void)refused_given(&r, 7, 6);
+	ck_assert_int_eq(note(0, 0, "no JSON"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_in_force(&r, 8), REFUSED_ENDED);
+	/* The same where the highest known was itself refused. */
+	ck_assert_int_eq(note(0, 10, "a"), REFUSED_BEGAN);
+	ck_assert_int_eq(note(9000, 0, "no JSON"), REFUSED_CHANGED);
+	ck_assert_int_eq(refused_in_force(&r, 9), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 10), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 11), REFUSED_ENDED);
+}
+END_TEST
+
+/* Of versions in force elsewhere a node hears before it has them. */
+START_TEST(a_version_heard_of_before_does_not_end_one_without_a_number)
+{
+	fresh();
+	refused_known(&r, 8);
+	ck_assert_int_eq(note(0, 0, "no JSON"), REFUSED_BEGAN);
+	refused_known(&r, 9);
+	ck_assert_int_eq(refused_in_force(&r, 8), REFUSED_SAME);
+	ck_assert(r.on);
+	ck_assert_int_eq(refused_in_force(&r, 9), REFUSED_ENDED);
+}
+END_TEST
+
+/* A number that was wrong counts until the platform gives the next. */
+START_TEST(a_garbled_number_does_not_hold_up_the_next_end)
+{
+	fresh();
+	ck_assert_int_eq(note(0, UINT64_C(1) << 60, "a"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_given(&r, 8, 6), REFUSED_SAME);
+	ck_assert_int_eq(refused_in_force(&r, 8), REFUSED_ENDED);
+	ck_assert_int_eq(note(0, 0, "no JSON"), REFUSED_BEGAN);
+	ck_assert_int_eq(refused_in_force(&r, 9), REFUSED_ENDED);
+}
+END_TEST
+
+/* One on its way before the newest is told late. */
+START_TEST(a_lower_one_that_is_refused_late_changes_nothing)
+{
+	fresh();
+	ck_assert_int_eq(note(0, 10, "a"), REFUSED_BEGAN);
+	ck_assert_int_eq(note(9000, 8, "b"), REFUSED_SAME);
+	ck_assert_uint_eq(r.version, 10);
+	ck_assert_str_eq(r.reason, "a");
+	ck_assert_uint_eq(r.n_versions, 1);
+	ck_assert_int_eq(refused_in_force(&r, 9), REFUSED_SAME);
+	/* Operators go back to a lower one that is refused too. */
+	(void)refused_given(&r, 8, 6);
+	ck_assert_int_eq(note(18000, 8, "b"), REFUSED_CHANGED);
+	ck_assert_uint_eq(r.version, 8);
+	ck_assert_int_eq(note(27000, 10, "a"), REFUSED_CHANGED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -161,6 +253,15 @@
 	tcase_add_test(tc, a_version_that_is_given_ends_it_in_force_only);
 	tcase_add_test(tc, going_back_ends_it);
 	tcase_add_test(tc, a_version_without_a_number_ends_with_the_next);
+	tcase_add_test(tc, serving_the_one_before_again_does_not_end_it);
+	tcase_add_test(
+	    tc, a_version_without_a_number_ends_with_one_given_later);
+	tcase_add_test(
+	    tc, a_version_without_a_number_ends_with_one_above_all_known);
+	tcase_add_test(
+	    tc, a_version_heard_of_before_does_not_end_one_without_a_number);
+	tcase_add_test(tc, a_garbled_number_does_not_hold_up_the_next_end);
+	tcase_add_test(tc, a_lower_one_that_is_refused_late_changes_nothing);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
