fix(spread): a version too large to be staged is told

Problem: a version of too many sections (root_check() at the begin of a stage) or too many bytes (catalog_stage_add()) was refused again and again without SPREAD_REFUSED, so that operators were not told.

Solution: intake_begun() tells of a list that is too large, and content that makes the version too large gives it up as a failed check does (intake_too_large()), whoever sent it: it is the version's own by its digest.

Failed first: test_refused_list, test_refused_content (platform and peer).

--- a/packages/spread/src/intake.c
+++ b/packages/spread/src/intake.c
@@ -155,10 +155,58 @@
 	in->start_ms = MAX(in->start_ms, in->retry.until_ms);
 }
 
+/*
+ * Whether a failed check is the version's own fault.  A list that a peer gave
+ * may be wrong; the whole one that comes next is from another peer.
+ */
+static int
+intake_is_refusal(const struct intake *in, enum status st)
+{
+	return st == STATUS_TOO_LARGE ||
+	    (st == STATUS_INVALID && (in->list_peer.port == 0 || in->full));
+}
+
+static void
+intake_tell_refusal(struct intake *in, uint64_t version)
+{
+	struct spread_action *a = env_act(in->env, SPREAD_REFUSED);
+
+	a->to = version;
+	(void)g_strlcpy(a->reason, status_message(), sizeof(a->reason));
+}
+
+/* The staged version can't be had as it is. */
+static void
+intake_unfit(struct intake *in, uint64_t now_ms, enum status st)
+{
+	if (intake_is_refusal(in, st))
+		intake_tell_refusal(in, catalog_stage_version(in->stage));
+	intake_drop(in);
+	candidates_prune(
+	    &in->candidates, catalog_version(in->env->catalog) + 1);
+	if (st == STATUS_INVALID && in->list_peer.port != 0)
+		intake_peer_blame(in, now_ms, &in->list_peer);
+	intake_refused(in, now_ms);
+}
+
+int
+intake_too_large(struct intake *in, uint64_t now_ms, enum status st)
+{
+	if (st != STATUS_TOO_LARGE)
+		return 0;
+	intake_unfit(in, now_ms, st);
+	return 1;
+}
+
 void
 intake_begun(struct intake *in, uint64_t now_ms, enum status st)
 {
+	uint64_t version =
+	    in->step == INTAKE_LIST ? in->list.version : in->target;
+
 	intake_clear_list(in);
+	if (st == STATUS_TOO_LARGE)
+		intake_tell_refusal(in, version);
 	if (st != STATUS_OK) {
 		intake_drop(in);
 		if (st != STATUS_CONFLICT)
@@ -315,6 +363,15 @@
 	return in->step == INTAKE_IDLE ? MAX(next, intake_start_ms(in)) : next;
 }
 
+/* What is wrong with other content is found when it is missing. */
+static enum status
+intake_given_add(struct intake *in, const uint8_t *data, size_t len)
+{
+	enum status st = catalog_stage_add(in->stage, data, len);
+
+	return st == STATUS_TOO_LARGE ? st : STATUS_OK;
+}
+
 void
 intake_signed(struct intake *in, uint64_t now_ms,
     const struct spread_version_row *row, const GPtrArray *contents)
@@ -340,7 +397,7 @@
 	g_array_unref(delta.changes);
 	for (i = 0; st == STATUS_OK && i < contents->len; i++) {
 		data = g_bytes_get_data(contents->pdata[i], &len);
-		(void)catalog_stage_add(in->stage, data, len);
+		st = intake_given_add(in, data, len);
 	}
 	intake_begun(in, now_ms, st);
 }
@@ -362,7 +419,7 @@
 	    in->env->catalog, head->in_force, &head->root, list, &in->stage);
 	for (i = 0; st == STATUS_OK && i < n_contents; i++) {
 		data = g_bytes_get_data(contents[i], &len);
-		(void)catalog_stage_add(in->stage, data, len);
+		st = intake_given_add(in, data, len);
 	}
 	intake_begun(in, now_ms, st);
 }
@@ -375,40 +432,6 @@
 	return catalog_stage_version(in->stage);
 }
 
-/*
- * Whether a failed check is the version's own fault.  A list that a peer gave
- * may be wrong; the whole one that comes next is from another peer.
- */
-static int
-intake_is_refusal(const struct intake *in, enum status st)
-{
-	return st == STATUS_TOO_LARGE ||
-	    (st == STATUS_INVALID && (in->list_peer.port == 0 || in->full));
-}
-
-static void
-intake_tell_refusal(struct intake *in, uint64_t version)
-{
-	struct spread_action *a = env_act(in->env, SPREAD_REFUSED);
-
-	a->to = version;
-	(void)g_strlcpy(a->reason, status_message(), sizeof(a->reason));
-}
-
-/* The staged version can't be had as it is. */
-static void
-intake_unfit(struct intake *in, uint64_t now_ms, enum status st)
-{
-	if (intake_is_refusal(in, st))
-		intake_tell_refusal(in, catalog_stage_version(in->stage));
-	intake_drop(in);
-	candidates_prune(
-	    &in->candidates, catalog_version(in->env->catalog) + 1);
-	if (st == STATUS_INVALID && in->list_peer.port != 0)
-		intake_peer_blame(in, now_ms, &in->list_peer);
-	intake_refused(in, now_ms);
-}
-
 int
 intake_check(struct intake *in, uint64_t now_ms)
 {
--- a/packages/spread/src/intake_peer.c
+++ b/packages/spread/src/intake_peer.c
@@ -228,30 +228,27 @@
 	return st;
 }
 
-/* Add content that a peer sent; 0 if some of it was wrong. */
-static int
+static enum status
 intake_add_content(struct intake *in, const struct rec_section_data *sections,
     uint32_t n_sections)
 {
-	enum status st;
+	enum status st = STATUS_OK;
 	uint32_t i;
 
-	for (i = 0; i < n_sections; i++) {
+	for (i = 0; st == STATUS_OK && i < n_sections; i++)
 		st = catalog_stage_add(
 		    in->stage, sections[i].data, sections[i].data_len);
-		if (st != STATUS_OK)
-			return 0;
-	}
-	return 1;
+	return st;
 }
 
 /* Add content that a peer sent as differences; what doesn't fit is fetched. */
-static void
+static enum status
 intake_add_patches(struct intake *in, const struct rec_section_patch *patches,
     uint32_t n_patches)
 {
 	const uint8_t *data;
 	GBytes *content;
+	enum status st;
 	uint32_t i;
 	gsize len;
 
@@ -260,9 +257,29 @@
 		if (content == NULL)
 			continue;
 		data = g_bytes_get_data(content, &len);
-		(void)catalog_stage_add(in->stage, data, len);
+		st = catalog_stage_add(in->stage, data, len);
 		g_bytes_unref(content);
+		if (st == STATUS_TOO_LARGE)
+			return st;
 	}
+	return STATUS_OK;
+}
+
+/* Take content that a peer sent; 0 if it was wrong or gave the version up. */
+static int
+intake_take_content(struct intake *in, uint64_t now_ms,
+    const struct rec_section_data *sections, uint32_t n_sections)
+{
+	enum status st = intake_add_content(in, sections, n_sections);
+
+	if (intake_too_large(in, now_ms, st))
+		return 0;
+	if (st == STATUS_OK)
+		return 1;
+	intake_peer_bad(in, now_ms);
+	/* What came before it may have been all that was missing. */
+	intake_filled(in);
+	return 0;
 }
 
 /* All changes are there: stage them. */
@@ -284,13 +301,11 @@
 	intake_begun(in, now_ms, st);
 	if (in->step == INTAKE_IDLE)
 		return;
-	if (!intake_add_content(in, msg->sections, msg->n_sections)) {
-		intake_peer_bad(in, now_ms);
-		/* What came before it may have been all that was missing. */
-		intake_filled(in);
+	if (!intake_take_content(in, now_ms, msg->sections, msg->n_sections))
+		return;
+	st = intake_add_patches(in, msg->patches, msg->n_patches);
+	if (intake_too_large(in, now_ms, st))
 		return;
-	}
-	intake_add_patches(in, msg->patches, msg->n_patches);
 	intake_filled(in);
 	if (in->step == INTAKE_CONTENT)
 		intake_send_fetch(in, now_ms);
@@ -331,6 +346,7 @@
 intake_on_sections(
     struct intake *in, uint64_t now_ms, const struct msg_sections *msg)
 {
+	enum status st;
 	uint32_t before;
 
 	if (!intake_awaits(in, INTAKE_CONTENT, msg->token))
@@ -340,13 +356,11 @@
 		return;
 	}
 	before = catalog_stage_n_missing(in->stage);
-	if (!intake_add_content(in, msg->sections, msg->n_sections)) {
-		intake_peer_bad(in, now_ms);
-		/* What came before it may have been all that was missing. */
-		intake_filled(in);
+	if (!intake_take_content(in, now_ms, msg->sections, msg->n_sections))
+		return;
+	st = intake_add_patches(in, msg->patches, msg->n_patches);
+	if (intake_too_large(in, now_ms, st))
 		return;
-	}
-	intake_add_patches(in, msg->patches, msg->n_patches);
 	intake_filled(in);
 	if (in->step == INTAKE_STAGED)
 		return;
--- a/packages/spread/src/intake_priv.h
+++ b/packages/spread/src/intake_priv.h
@@ -12,6 +12,18 @@
 /** intake_begun() - the list is complete and staged, or was refused */
 void intake_begun(struct intake *in, uint64_t now_ms, enum status st);
 
+/**
+ * intake_too_large() - give the staged version up if content makes it too large
+ * @in: intake; a version is staged
+ * @now_ms: monotonic time
+ * @st: what adding the content returned
+ *
+ * The content is the version's own by its digest, whoever sent it.
+ *
+ * Return: whether it did.
+ */
+int intake_too_large(struct intake *in, uint64_t now_ms, enum status st);
+
 /** intake_filled() - move on if no content is missing */
 void intake_filled(struct intake *in);
 
--- a/packages/spread/src/intake_source.c
+++ b/packages/spread/src/intake_source.c
@@ -307,8 +307,11 @@
 		return;
 	if (intake_was_asked(in, digest, &at))
 		g_array_remove_index_fast(in->asked, at);
-	if (st == STATUS_OK)
+	if (st == STATUS_OK) {
 		st = catalog_stage_add(in->stage, data, len);
+		if (intake_too_large(in, now_ms, st))
+			return;
+	}
 	if (st != STATUS_OK) {
 		if (in->provider == INTAKE_SOURCE)
 			intake_source_failed(in, now_ms);
--- a/packages/spread/test/test_spread.c
+++ b/packages/spread/test/test_spread.c
@@ -15,6 +15,7 @@
 #include "spread/profile.h"
 #include "spread/spread.h"
 
+#include "stage_defs.h"
 #include "test_run.h"
 
 START_TEST(test_backoff)
@@ -254,6 +255,86 @@
 }
 END_TEST
 
+/* The refusal that an intake told, of version 10 and no other. */
+static void
+ck_refused(struct spread_env *env, const char *reason)
+{
+	struct spread_action *a = g_queue_pop_head(env->actions);
+
+	ck_assert_ptr_nonnull(a);
+	ck_assert_int_eq(a->kind, SPREAD_REFUSED);
+	ck_assert_uint_eq(a->to, 10);
+	ck_assert_msg(strstr(a->reason, reason) != NULL, "%s", a->reason);
+	g_free(a);
+	ck_assert(g_queue_is_empty(env->actions));
+}
+
+/* The platform gives more sections than a version may have. */
+START_TEST(test_refused_list)
+{
+	struct rec_head head = {.seq = 10, .version = 10, .in_force = 10};
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct rec_section_ref));
+	struct rec_section_ref ref = {0};
+	struct spread_env env = {0};
+	struct intake in;
+	uint32_t i;
+
+	for (i = 0; i <= CONFIG_MAX_SECTIONS; i++) {
+		g_snprintf(ref.section, sizeof(ref.section), "s%05u", i);
+		g_array_append_val(list, ref);
+	}
+	intake_of_nothing(&in, &env);
+	intake_given(&in, 0, &head, list, NULL, 0);
+	ck_assert_uint_eq(intake_under_way(&in), 0);
+	ck_refused(&env, "split the bundle");
+	g_array_unref(list);
+	intake_end(&in, &env);
+}
+END_TEST
+
+/* Content that makes a version too large, from the platform and from a peer. */
+START_TEST(test_refused_content)
+{
+	struct rec_head head = {.seq = 10, .version = 10, .in_force = 10};
+	struct rec_section_data data = {0};
+	struct msg_sections msg = {.sections = &data, .n_sections = 1};
+	const struct net_addr peer = addr(7);
+	const struct section *section;
+	struct spread_env env = {0};
+	struct intake in;
+	struct bundle *b;
+	GArray *list;
+	gsize len;
+
+	ck_assert_int_eq(bundle_parse(small, strlen(small), &b), STATUS_OK);
+	bundle_to_sections(b, &list, &head.root);
+	section = g_ptr_array_index(b->sections, 0);
+	data.data = (uint8_t *)g_bytes_get_data(section->content, &len);
+	data.data_len = (uint32_t)len;
+	intake_of_nothing(&in, &env);
+	intake_want(&in, 0, 10);
+	intake_given(&in, 0, &head, list, NULL, 0);
+	ck_assert_int_eq(in.step, INTAKE_CONTENT);
+	in.stage->added_bytes = CONFIG_MAX_BYTES;
+	if (_i == 0) {
+		intake_on_object(&in, 0, STATUS_OK, &section->config->digest,
+		    data.data, data.data_len);
+	} else {
+		intake_offered(&in, 0, &peer, 10, 1);
+		intake_tick(&in, 0);
+		ck_assert_int_eq(in.provider, INTAKE_PEER);
+		msg.token = in.token;
+		intake_on_sections(&in, 0, &msg);
+	}
+	ck_assert_uint_eq(intake_under_way(&in), 0);
+	ck_refused(&env, "split the bundle");
+	ck_assert_uint_gt(in.start_ms, 0);
+	g_array_unref(list);
+	bundle_free(b);
+	intake_end(&in, &env);
+}
+END_TEST
+
 /* Ten versions that can't be put together: the eleventh is asked for at once,
  * not after the pauses between tries of those before. */
 START_TEST(test_refused_holds_no_later_one_back)
@@ -291,6 +372,8 @@
 	tcase_add_test(tc, test_candidates);
 	tcase_add_test(tc, test_profiles);
 	tcase_add_test(tc, test_slow_answer);
+	tcase_add_test(tc, test_refused_list);
+	tcase_add_loop_test(tc, test_refused_content, 0, 2);
 	tcase_add_test(tc, test_refused_commit);
 	tcase_add_test(tc, test_refused_holds_no_later_one_back);
 	suite_add_tcase(suite, tc);
