--- a/packages/config/test/fixture.h
+++ b/packages/config/test/fixture.h
@@ -11,6 +11,20 @@
 #include "config/stage.h"
 #include "proto/messages.h"
 
+/* A good bundle, by fix_json() */
+static const char fix_good[] =
+    "{'format':1,'name':'registry','services':["
+    "{'name':'public-search','timeout_ms':1500,"
+    " 'limits':{'slots_per_endpoint':12,'queue_per_endpoint':24,"
+    "  'queue_wait_ms':200,'request_max_bytes':1048576,"
+    "  'caller_calls_per_s':0},'retry':{'attempts':2,'budget_percent':10}},"
+    "{'name':'hearing-booking'}],"
+    "'routes':[{'prefix':'/search','methods':['GET','HEAD'],"
+    " 'service':'public-search'},"
+    "{'prefix':'/bookings','methods':['POST'],'service':'hearing-booking'},"
+    "{'prefix':'/bookings','methods':['GET'],'service':'hearing-booking',"
+    " 'idempotent':true}]}";
+
 /* JSON written with ' for ", so that tables stay readable; free with g_free */
 static inline char *
 fix_json(const char *text)
