fix(net): blanks after a header's value are no part of it

Problem: "Host: a.example " was answered 404, since the host has no route with a blank. Cause: http_parser leaves out the blanks before a value, not those after it; RFC 9110, 5.5 leaves out both.

Solution: they are cut where lines are handed on, for requests and answers.

Proof: test_http_server: values_come_without_blanks_around_them failed first.

--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -85,12 +85,24 @@
 	return 0;
 }
 
-static const char *
+static char *
 string_at(const struct http_head *h, guint i)
 {
 	return h->text->str + g_array_index(h->places, uint32_t, i);
 }
 
+/* The parser leaves out the blanks before a value, not those after it. */
+static const char *
+value_at(const struct http_head *h, guint i)
+{
+	char *value = string_at(h, i);
+	size_t len = strlen(value);
+
+	while (len > 0 && (value[len - 1] == ' ' || value[len - 1] == '\t'))
+		value[--len] = '\0';
+	return value;
+}
+
 /* A last name without a value has an empty one. */
 uint32_t
 http_head_count(const struct http_head *h)
@@ -108,7 +120,7 @@
 	n = h->places->len / 2;
 	for (i = 0; i < n; i++) {
 		lines[i].name = string_at(h, 2 * i);
-		lines[i].value = string_at(h, 2 * i + 1);
+		lines[i].value = value_at(h, 2 * i + 1);
 	}
 	return n;
 }
--- a/packages/net/test/test_http_server.c
+++ b/packages/net/test/test_http_server.c
@@ -18,6 +18,7 @@
 static int gone;
 static int bad_code;
 static int lines_seen;
+static char value_seen[32];
 
 #define MANY_LINES 500
 
@@ -36,6 +37,9 @@
 {
 	(void)arg;
 	lines_seen = (int)head->n_headers;
+	if (lines_seen > 0)
+		(void)g_strlcpy(
+		    value_seen, head->headers[0].value, sizeof(value_seen));
 	g_string_append_printf(seen, "%s %s %d;", head->method, head->target,
 	    (int)head->body_bytes);
 	if (strcmp(head->target, "/hold") == 0)
@@ -256,6 +260,29 @@
 }
 END_TEST
 
+/* Blanks around a value are no part of it. */
+START_TEST(values_come_without_blanks_around_them)
+{
+	static const char *const rows[][2] = {
+	    {"Host: a.example \t", "a.example"}, {"Host:\t a b  ", "a b"},
+	    {"Host:a", "a"}, {"Host: \t ", ""}};
+	char *text;
+	bool ended;
+	size_t i;
+	int fd = dial();
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		text = g_strdup_printf(
+		    "GET /x HTTP/1.1\r\n%s\r\n\r\n", rows[i][0]);
+		say(fd, text);
+		ck_assert_ptr_nonnull(strstr(hear(fd, &ended), " 200 "));
+		ck_assert_str_eq(value_seen, rows[i][1]);
+		g_free(text);
+	}
+	close(fd);
+}
+END_TEST
+
 START_TEST(bodies_come_whole_by_length_and_in_chunks)
 {
 	bool ended;
@@ -352,6 +379,7 @@
 	    G_N_ELEMENTS(ambiguous));
 	tcase_add_test(tc, a_head_that_is_too_large_is_refused);
 	tcase_add_test(tc, a_head_of_many_lines_is_taken);
+	tcase_add_test(tc, values_come_without_blanks_around_them);
 	tcase_add_test(tc, bodies_come_whole_by_length_and_in_chunks);
 	tcase_add_test(tc, an_early_answer_arrives_and_closes);
 	tcase_add_test(tc, a_caller_that_leaves_is_noticed_at_once);
