fix(node): names in a Connection header are looked up, not searched for

Problem: each line of a head was searched for in the whole Connection header.

Solution: the names become a tree once a head, none for what most callers say (keep-alive, close).

Ruled out: a hash table (GLib's hash of strings lets a caller choose names that collide); a bound on the names (it would refuse what the limits allow).

--- a/packages/node/src/call_headers.c
+++ b/packages/node/src/call_headers.c
@@ -67,23 +67,56 @@
 	return (struct rec_header *)(void *)h->items->data;
 }
 
-/* Whether a comma-separated list names @name. */
+static gint
+compare(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	(void)arg;
+	return g_ascii_strcasecmp(a, b);
+}
+
+/* What most callers say names no header that would be passed on. */
 static bool
-names(const char *list, const char *name)
+is_usual(const char *token, size_t len)
 {
-	size_t len = strlen(name);
-	size_t part;
+	static const char *const usual[] = {"keep-alive", "close"};
+	size_t i;
 
-	while (*list != '\0') {
-		list += strspn(list, ", \t");
-		part = strcspn(list, ", \t");
-		if (part == len && g_ascii_strncasecmp(list, name, len) == 0)
+	for (i = 0; i < G_N_ELEMENTS(usual); i++)
+		if (len == strlen(usual[i]) &&
+		    g_ascii_strncasecmp(token, usual[i], len) == 0)
 			return true;
-		list += part;
-	}
 	return false;
 }
 
+GTree *
+call_headers_named(const char *connection)
+{
+	GTree *names = NULL;
+	size_t len;
+
+	if (connection == NULL)
+		return NULL;
+	for (;; connection += len) {
+		connection += strspn(connection, ", \t");
+		len = strcspn(connection, ", \t");
+		if (len == 0)
+			return names;
+		if (is_usual(connection, len))
+			continue;
+		if (names == NULL)
+			names = g_tree_new_full(compare, NULL, g_free, NULL);
+		g_tree_insert(
+		    names, g_strndup(connection, len), GINT_TO_POINTER(1));
+	}
+}
+
+void
+call_headers_named_free(GTree *names)
+{
+	if (names != NULL)
+		g_tree_unref(names);
+}
+
 static bool
 is_kept(const char *name, const char *const *kept)
 {
@@ -94,8 +127,8 @@
 }
 
 bool
-call_header_passes(const char *name, const char *connection, const char *prefix,
-    const char *const *kept)
+call_header_passes(
+    const char *name, GTree *named, const char *prefix, const char *const *kept)
 {
 	size_t i;
 
@@ -105,5 +138,5 @@
 	if (g_ascii_strncasecmp(name, prefix, strlen(prefix)) == 0 &&
 	    !is_kept(name, kept))
 		return false;
-	return connection == NULL || !names(connection, name);
+	return named == NULL || g_tree_lookup(named, name) == NULL;
 }
--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -52,24 +52,36 @@
 	return head->target[0] != '/' && g_ascii_strcasecmp(name, "Host") == 0;
 }
 
+/* What the caller sent and may pass. */
 static uint32_t
-read_headers(const struct callers *c, const struct http_incoming_head *head,
-    struct call_request *r)
+pass_headers(const struct call_dialect *d,
+    const struct http_incoming_head *head, struct call_request *r)
 {
-	const struct call_dialect *d = c->dialect;
-	const char *connection = find(head, "Connection");
+	GTree *named = call_headers_named(find(head, "Connection"));
 	const struct http_header *h;
+	bool fine = true;
 	uint32_t i;
 
-	for (i = 0; i < head->n_headers; i++) {
+	for (i = 0; fine && i < head->n_headers; i++) {
 		h = &head->headers[i];
-		if (is_replaced(head, h->name) ||
-		    !call_header_passes(
-			h->name, connection, d->prefix, d->from_callers))
-			continue;
-		if (!add(r, h->name, h->value))
-			return HTTP_HEADERS_TOO_LARGE;
+		if (!is_replaced(head, h->name) &&
+		    call_header_passes(
+			h->name, named, d->prefix, d->from_callers))
+			fine = add(r, h->name, h->value);
 	}
+	call_headers_named_free(named);
+	return fine ? 0 : HTTP_HEADERS_TOO_LARGE;
+}
+
+static uint32_t
+read_headers(const struct callers *c, const struct http_incoming_head *head,
+    struct call_request *r)
+{
+	const struct call_dialect *d = c->dialect;
+	uint32_t status = pass_headers(d, head, r);
+
+	if (status != 0)
+		return status;
 	if (head->target[0] != '/' && !add(r, "Host", r->host))
 		return HTTP_HEADERS_TOO_LARGE;
 	if (d->caller_service != NULL &&
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -130,7 +130,7 @@
 take_headers(
     struct guard_request *r, const struct http_header *headers, uint32_t n)
 {
-	const char *connection = find(headers, n, "Connection");
+	GTree *named = call_headers_named(find(headers, n, "Connection"));
 	const char *length = find(headers, n, CONTENT_LENGTH);
 	const struct http_header *h;
 	uint32_t i;
@@ -140,12 +140,13 @@
 
 	for (i = 0; i < n; i++) {
 		h = &headers[i];
-		if (!call_header_passes(h->name, connection,
+		if (!call_header_passes(h->name, named,
 			r->guard->dialect->prefix,
 			r->guard->dialect->from_upstreams))
 			continue;
 		take_header(r->answer, h->name, h->value);
 	}
+	call_headers_named_free(named);
 }
 
 static enum http_flow
--- a/packages/node/test/test_call_heads.c
+++ b/packages/node/test/test_call_heads.c
@@ -97,6 +97,30 @@
 }
 END_TEST
 
+/* A list of thousands of names meets thousands of lines. */
+START_TEST(lines_named_by_connection_stay_here)
+{
+	GString *lines = g_string_new("Connection: keep-alive,, x-0 ,\tX-2");
+	int i;
+
+	for (i = 0; i < LINES; i++)
+		g_string_append_printf(lines, ",Y-%d", i);
+	g_string_append(lines, "\r\n");
+	for (i = 0; i < LINES; i++)
+		g_string_append_printf(
+		    lines, "X-%d: v%d\r\nY-%d: w\r\n", i, i, i);
+	start();
+	ck_assert_int_eq(ask("/look/x", lines->str), 200);
+	ck_assert(!fake_upstream_saw(upstream, "X-0: v0"));
+	ck_assert(fake_upstream_saw(upstream, "X-1: v1"));
+	ck_assert(!fake_upstream_saw(upstream, "X-2: v2"));
+	ck_assert(fake_upstream_saw(upstream, "X-20: v20"));
+	ck_assert(!fake_upstream_saw(upstream, "\nY-"));
+	stop();
+	g_string_free(lines, TRUE);
+}
+END_TEST
+
 START_TEST(a_long_path_is_taken)
 {
 	char *rest = g_strnfill(PATH_BYTES, 'p');
@@ -204,9 +228,9 @@
 main(void)
 {
 	const TTest *const tests[] = {many_lines_are_taken,
-	    long_lines_are_taken, a_long_path_is_taken,
-	    a_head_above_the_limit_is_refused, deadlines_are_taken_as_decimals,
-	    a_target_with_a_host_is_taken,
+	    long_lines_are_taken, lines_named_by_connection_stay_here,
+	    a_long_path_is_taken, a_head_above_the_limit_is_refused,
+	    deadlines_are_taken_as_decimals, a_target_with_a_host_is_taken,
 	    the_host_of_a_target_replaces_the_header, NULL};
 
 	return fixture_main("call heads", tests);
