--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -128,6 +128,18 @@
 void test_snapshot_of(
     const char *json, const struct fake_endpoint *endpoints, uint32_t n);
 
+/**
+ * test_host_start() - a host with a node and its upstream, "h1"
+ * @json: the bundle in force; NULL for that of test_snapshot()
+ * @upstream: where the upstream goes
+ * @node: where the node goes
+ */
+void test_host_start(
+    const char *json, struct fake_upstream **upstream, struct test_node **node);
+
+/** test_host_stop() - stop both; no snapshot is in force any more */
+void test_host_stop(struct fake_upstream *upstream, struct test_node *node);
+
 /** test_wait() - wait until *@value is @want, at most 5 s */
 bool test_wait_int(int (*value)(void *), void *arg, int want);
 
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -209,3 +209,25 @@
 	}
 	return false;
 }
+
+void
+test_host_start(
+    const char *json, struct fake_upstream **upstream, struct test_node **node)
+{
+	struct fake_endpoint ep = {.host = "h1"};
+
+	*upstream = fake_upstream_start();
+	*node = test_node_start("h1", NULL);
+	test_node_upstream(*node, (*upstream)->port, SERVING_READY);
+	ep.port = guard_addr((*node)->guard).port;
+	test_snapshot_of(json != NULL ? json : bundle_json, &ep, 1);
+	entry_snapshot_changed((*node)->entry);
+}
+
+void
+test_host_stop(struct fake_upstream *upstream, struct test_node *node)
+{
+	test_node_stop(node);
+	fake_upstream_stop(upstream);
+	snapshot_ref_publish(NULL);
+}
--- a/packages/node/test/test_call_behind.c
+++ b/packages/node/test/test_call_behind.c
@@ -41,23 +41,14 @@
 static void
 start(void)
 {
-	struct fake_endpoint ep = {.host = "h1"};
-
-	upstream = fake_upstream_start();
-	node = test_node_start("h1", NULL);
-	test_node_upstream(node, upstream->port, SERVING_READY);
-	ep.port = guard_addr(node->guard).port;
-	test_snapshot_of(json, &ep, 1);
-	entry_snapshot_changed(node->entry);
+	test_host_start(json, &upstream, &node);
 	know(IN_FORCE);
 }
 
 static void
 stop(void)
 {
-	test_node_stop(node);
-	fake_upstream_stop(upstream);
-	snapshot_ref_publish(NULL);
+	test_host_stop(upstream, node);
 }
 
 static void
--- a/packages/node/test/test_call_heads.c
+++ b/packages/node/test/test_call_heads.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "node/snapshot_ref.h"
 
 #include "fixture.h"
 
@@ -31,23 +30,14 @@
 static void
 start(void)
 {
-	struct fake_endpoint ep = {.host = "h1"};
-
-	upstream = fake_upstream_start();
-	node = test_node_start("h1", NULL);
-	test_node_upstream(node, upstream->port, SERVING_READY);
-	ep.port = guard_addr(node->guard).port;
-	test_snapshot_of(json, &ep, 1);
-	entry_snapshot_changed(node->entry);
+	test_host_start(json, &upstream, &node);
 	g_usleep(50000);
 }
 
 static void
 stop(void)
 {
-	test_node_stop(node);
-	fake_upstream_stop(upstream);
-	snapshot_ref_publish(NULL);
+	test_host_stop(upstream, node);
 }
 
 static int
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -16,21 +16,13 @@
 static void
 start(void)
 {
-	struct fake_endpoint ep = {.host = "h1"};
-
-	upstream = fake_upstream_start();
-	node = test_node_start("h1", NULL);
-	test_node_upstream(node, upstream->port, SERVING_READY);
-	ep.port = guard_addr(node->guard).port;
-	test_snapshot(&ep, 1);
+	test_host_start(NULL, &upstream, &node);
 }
 
 static void
 stop(void)
 {
-	test_node_stop(node);
-	fake_upstream_stop(upstream);
-	snapshot_ref_publish(NULL);
+	test_host_stop(upstream, node);
 }
 
 static void
