--- a/packages/node/test/test_call_heads.c
+++ b/packages/node/test/test_call_heads.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <unistd.h>
 
-
 #include "fixture.h"
 
 /* Below the limit of the configuration, above those of single lines. */
