--- a/packages/node/src/refused.h
+++ b/packages/node/src/refused.h
@@ -4,7 +4,7 @@
  * A version can be unusable where it is read (the bundle has problems, or what
  * the platform holds can't be read at all) or where it is put together (too
  * large for a node, routes that cross).  The older version stays in force
- * meanwhile, which callers don't see; so this is an incident of its own, with
+ * meanwhile, which callers don't see; so a refusal is recorded by itself, with
  * a beginning, changes and an end.
  *
  * A refusing node stays ready: it serves what it holds, and so do the others,
@@ -21,7 +21,7 @@
 /* Room for a reason: the first problems of a bundle are cut to that. */
 #define REFUSED_REASON_BYTES 256
 
-/* Least time between two lines of one incident: versions may follow one
+/* Least time between two lines of one refusal: versions may follow one
  * another several times a second, each with another reason. */
 #define REFUSED_LOG_MS 5000
 
@@ -44,14 +44,14 @@
  * @on: whether a version is refused now
  * @version: the one refused last, 0 when its number can't be read
  * @in_force: version in force then
- * @since_wall_ms: when the incident began, wall clock
+ * @since_wall_ms: when the refusal began, wall clock
  * @reason: why it can't be used
  * @known: highest number of a version known of since the platform gave one
- * @ends_at: lowest number whose coming in force ends the incident
+ * @ends_at: lowest number whose coming in force ends the refusal
  * @usable: version that the platform gave last and that could be read, 0 for
  *	none and when another was refused since
  * @n_versions: versions refused since the start
- * @n_silent: changes of this incident that were not told
+ * @n_silent: changes of this refusal that were not told
  * @next_log_ms: monotonic time before which no change is told
  */
 struct refused {
