--- a/packages/ctl/test/fake_node.h
+++ b/packages/ctl/test/fake_node.h
@@ -10,7 +10,7 @@
 
 /* Code of an answer that comes FAKE_LATE_MS late. */
 #define FAKE_LATE(code) (-(code))
-#define FAKE_LATE_MS 400
+#define FAKE_LATE_MS 2000
 
 /**
  * struct fake_answer - one answer of a script
