--- a/packages/config/test/fixture.h
+++ b/packages/config/test/fixture.h
@@ -92,6 +92,25 @@
 	return st;
 }
 
+/* Take a whole version in at once, as a reader of the platform does. */
+static inline void
+fix_give(struct catalog *c, uint64_t version, const struct bundle *b)
+{
+	struct catalog_stage *stage;
+	struct digest root;
+	GArray *list;
+
+	bundle_to_sections(b, &list, &root);
+	ck_assert_msg(catalog_stage_begin_full(
+			  c, version, &root, list, &stage) == STATUS_OK,
+	    "%s", status_message());
+	ck_assert_int_eq(fix_add_all(stage, b), STATUS_OK);
+	ck_assert_msg(
+	    catalog_commit(c, stage) == STATUS_OK, "%s", status_message());
+	catalog_stage_free(stage);
+	g_array_unref(list);
+}
+
 static inline int
 fix_run(Suite *suite)
 {
--- a/packages/config/test/test_growth.c
+++ b/packages/config/test/test_growth.c
@@ -261,23 +261,6 @@
 	catalog_stage_free(stage);
 }
 
-/* Takes a whole version, as a reader of the platform does. */
-static void
-give(struct catalog *c, uint64_t version, const struct bundle *b)
-{
-	struct catalog_stage *stage;
-	struct digest root;
-	GArray *list;
-
-	bundle_to_sections(b, &list, &root);
-	ck_assert_msg(catalog_stage_begin_full(
-			  c, version, &root, list, &stage) == STATUS_OK,
-	    "%s", status_message());
-	ck_assert_int_eq(fix_add_all(stage, b), STATUS_OK);
-	commit(c, stage);
-	g_array_unref(list);
-}
-
 /* Adds what a change names: its difference where there is one, else whole. */
 static void
 add_change(const struct catalog *from, const struct catalog *to,
@@ -477,7 +460,7 @@
 	index_lines(m);
 	b = write_bundle(m);
 	m->version += 1 + below(m, 3);
-	give(m->reader, m->version, b);
+	fix_give(m->reader, m->version, b);
 	bundle_free(b);
 	follow(m->reader, m->node);
 	check_same(m, m->node);
--- a/packages/config/test/test_patch.c
+++ b/packages/config/test/test_patch.c
@@ -174,24 +174,6 @@
 	return b;
 }
 
-/* Takes a whole configuration in at once, as a reader of the platform does. */
-static void
-give(struct catalog *c, uint64_t version, const struct bundle *b)
-{
-	struct catalog_stage *stage;
-	struct digest root;
-	GArray *list;
-
-	bundle_to_sections(b, &list, &root);
-	ck_assert_int_eq(
-	    catalog_stage_begin_full(c, version, &root, list, &stage),
-	    STATUS_OK);
-	(void)fix_add_all(stage, b);
-	ck_assert_int_eq(catalog_commit(c, stage), STATUS_OK);
-	catalog_stage_free(stage);
-	g_array_unref(list);
-}
-
 /* Pulls by differences alone; returns the bytes that they have. */
 static uint32_t
 pull_patches(const struct catalog *from, struct catalog *to)
@@ -235,13 +217,13 @@
 	struct catalog *third = catalog_new(0);
 	int i;
 
-	give(reader, 4, b[0]);
-	give(node, 4, b[0]);
-	give(third, 4, b[0]);
-	give(reader, 8, b[1]);
+	fix_give(reader, 4, b[0]);
+	fix_give(node, 4, b[0]);
+	fix_give(third, 4, b[0]);
+	fix_give(reader, 8, b[1]);
 	ck_assert_uint_lt(pull_patches(reader, node), 64);
 	ck_assert_uint_lt(pull_patches(node, third), 64);
-	give(reader, 12, b[2]);
+	fix_give(reader, 12, b[2]);
 	ck_assert_uint_lt(pull_patches(reader, node), 64);
 	ck_assert(hash_digest_equal(catalog_root(node), catalog_root(reader)));
 	for (i = 0; i < 3; i++)
@@ -261,9 +243,9 @@
 	struct catalog_delta delta;
 	int i;
 
-	give(reader, 4, b[0]);
-	give(node, 4, b[0]);
-	give(reader, 8, b[2]);
+	fix_give(reader, 4, b[0]);
+	fix_give(node, 4, b[0]);
+	fix_give(reader, 8, b[2]);
 	ck_assert_int_eq(catalog_delta(reader, 6, 0, &delta), STATUS_NOT_FOUND);
 	ck_assert_int_eq(catalog_delta(reader, 4, 0, &delta), STATUS_OK);
 	ck_assert(delta.skips);
@@ -292,10 +274,10 @@
 	GBytes *content;
 	int i;
 
-	give(reader, 4, b[0]);
-	give(reader, 6, b[1]);
-	give(node, 6, b[1]);
-	give(reader, 8, b[2]);
+	fix_give(reader, 4, b[0]);
+	fix_give(reader, 6, b[1]);
+	fix_give(node, 6, b[1]);
+	fix_give(reader, 8, b[2]);
 	ck_assert_int_eq(catalog_list(reader, 8, &root, &list), STATUS_OK);
 	ck_assert_int_eq(
 	    catalog_stage_begin_full(node, 8, &root, list, &stage), STATUS_OK);
