feat(membership): nodes that start together compare their tables

Problem: after a loss of all power an entry knows few upstreams for seconds. Nobody has a table to hand out; each node waits 600 ms, then passes records on some ten times at 3 KB/s, and anti-entropy goes round every 3 s.

Solution: a node that has just started sends a random peer four bytes for each row it holds, every 120 ms until they agree; both send what the other lacks. Three peers in a row that are joining themselves show that all have started together, and end the wait.

Ruled out: news at a higher rate (2,100 records a node to send at 195 hosts), a faster anti-entropy by buckets (up to 128 datagrams a round).

test_known told a node of a version without giving it its timer back, as the shell does; with fewer messages on the way nothing woke it. The driver does it now, the check is the same.

--- a/packages/membership/bench/bench_membership.c
+++ b/packages/membership/bench/bench_membership.c
@@ -5,12 +5,14 @@
  *	bench_membership table MEMBERS
  *	bench_membership join MEMBERS
  *	bench_membership herd NODES DATA_CENTRES
+ *	bench_membership power NODES DATA_CENTRES [LOSS_PERCENT]
  *	bench_membership detect NODES DATA_CENTRES [LOSS_PERCENT]
  *
  * steady: bytes, messages and processor time a node and second, and the time
  * until a change has reached half, 99 % and all of the nodes.
  * table: bytes of memory a member.  join: bytes and processor time of a join.
- * herd: all nodes of data centre 0 start at once.  detect: from the end of a
+ * herd: all nodes of data centre 0 start at once.  power: all nodes do, and
+ * know a few others from a directory.  detect: from the end of a
  * process until no live node counts on its host.
  */
 #include <malloc.h>
@@ -23,6 +25,7 @@
 
 #include "checker.h"
 #include "fake_net.h"
+#include "herd.h"
 
 /* IPv4 and UDP headers of a datagram. */
 #define HEADER_BYTES 28
@@ -386,6 +389,31 @@
 	fake_net_free(f);
 }
 
+/* All lose power at once and start again within 300 ms. */
+static void
+power(uint32_t n, uint32_t dcs, uint32_t loss)
+{
+	struct fake_net *f = fake_net_new(1);
+	uint64_t last_ms, known_ms, same_ms;
+	struct totals t;
+
+	f->loss_percent = loss;
+	last_ms = herd_start(f, n, dcs);
+	(void)fake_run_until(f, JOIN_MS, herd_known);
+	known_ms = f->now_ms - last_ms;
+	t = totals(f);
+	(void)fake_run_until(f, JOIN_MS, fake_agreed);
+	same_ms = f->now_ms - last_ms;
+	printf("power of %u nodes, %u %% loss: after the last start %llu ms "
+	       "until all know 95 in 100 upstreams, %llu ms until the same "
+	       "tables; until the first %.0f bytes and %.0f messages sent a "
+	       "node, most %llu bytes; %.1f ms of processor time a node\n",
+	    n, loss, (unsigned long long)known_ms, (unsigned long long)same_ms,
+	    (double)t.bytes / n, (double)t.messages / n,
+	    (unsigned long long)t.most_bytes, (double)f->cpu_us / n / 1000);
+	fake_net_free(f);
+}
+
 #define KILLS 10
 
 /* Nodes that still count on host @dead. */
@@ -450,6 +478,8 @@
 		join(n);
 	else if (argc > 1 && strcmp(argv[1], "herd") == 0)
 		herd(n, dcs);
+	else if (argc > 1 && strcmp(argv[1], "power") == 0)
+		power(n, dcs, number(argc, argv, 4, 0));
 	else if (argc > 1 && strcmp(argv[1], "detect") == 0)
 		detect(n, dcs, number(argc, argv, 4, 0));
 	else
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -144,6 +144,7 @@
  * @news_received: records received
  * @news_applied: records received that were new
  * @syncs: anti-entropy exchanges begun
+ * @compared: comparisons begun after the start
  * @joins_served: parts of the table handed out
  * @joins_refused: joins turned away
  * @rejected: messages that could not be read or made no sense
@@ -160,6 +161,7 @@
 	uint64_t news_received;
 	uint64_t news_applied;
 	uint64_t syncs;
+	uint64_t compared;
 	uint64_t joins_served;
 	uint64_t joins_refused;
 	uint64_t rejected;
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -206,6 +206,7 @@
  * @attempts: failures in a row, for the back-off
  * @began_ms: when the joining began
  * @bootstrap_ms: when to go on without a peer that holds the table
+ * @unjoined: answers in a row of peers that hold no table themselves
  * @seed: the own address is among the seeds
  * @own_only: only the own data centre's part is wanted
  * @complete: the table is here
@@ -219,6 +220,7 @@
 	uint32_t attempts;
 	uint64_t began_ms;
 	uint64_t bootstrap_ms;
+	uint32_t unjoined;
 	int seed;
 	int own_only;
 	int complete;
@@ -249,6 +251,18 @@
 	uint32_t n_served;
 };
 
+/**
+ * struct settling - comparing tables after the start
+ * @until_ms: when it ends at the latest
+ * @next_ms: next comparison
+ * @same: comparisons in a row that found nothing
+ */
+struct settling {
+	uint64_t until_ms;
+	uint64_t next_ms;
+	uint32_t same;
+};
+
 /**
  * struct claim_state - finding out whether a name or address is used twice
  * @active: a claim waits for its answer
@@ -361,6 +375,7 @@
 	struct prober prober;
 	struct joiner joiner;
 	struct join_server server;
+	struct settling settling;
 	struct claim_state claim;
 	GArray *own;
 	int quiet;
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -18,6 +18,7 @@
 #include "news.h"
 #include "probe.h"
 #include "send.h"
+#include "settle.h"
 #include "suspicion.h"
 
 /* An answer that takes longer is given up. */
@@ -45,6 +46,12 @@
 
 #define CANDIDATES_MAX 128
 
+/* Where so many peers in a row say that they are joining themselves, all have
+ * started together: waiting longer finds nobody who holds a table.  A fleet
+ * of which half was restarted takes itself for such a one in one of eight
+ * cases; comparing tables makes up for that. */
+#define UNJOINED_ENOUGH 3
+
 /* Live peers that are asked, besides the seeds, after a freeze. */
 #define REFRESH_PEERS 8
 
@@ -118,6 +125,7 @@
 	j->complete = 0;
 	j->cursor = 0;
 	j->attempts = 0;
+	j->unjoined = 0;
 	j->deadline_ms = m->now_ms;
 	j->began_ms = m->now_ms;
 	j->bootstrap_ms = m->now_ms + m->settings.bootstrap_ms;
@@ -218,6 +226,7 @@
 	probe_shuffle(m);
 	action_phase(m, MEMBERSHIP_JOINED);
 	news_add(m, m->self, 1);
+	settle_begin(m);
 }
 
 static void
@@ -431,5 +440,12 @@
 	if (msg.joined || !j->seed)
 		j->bootstrap_ms =
 		    MAX(j->bootstrap_ms, m->now_ms + m->settings.bootstrap_ms);
+	j->unjoined = msg.joined ? 0 : j->unjoined + 1;
+	if (!msg.joined)
+		settle_with(m, from);
+	if (j->unjoined >= UNJOINED_ENOUGH) {
+		j->bootstrap_ms = m->now_ms;
+		j->deadline_ms = m->now_ms;
+	}
 	msg_join_refused_clear(&msg);
 }
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -17,6 +17,7 @@
 #include "relay.h"
 #include "send.h"
 #include "serve.h"
+#include "settle.h"
 #include "suspicion.h"
 #include "sync.h"
 #include "merge.h"
@@ -244,6 +245,7 @@
 	if (m->phase == MEMBERSHIP_JOINED)
 		tick_joined(m);
 	probe_tick(m);
+	settle_tick(m);
 	if (m->phase != MEMBERSHIP_CONFLICT)
 		news_tick(m);
 	if (m->phase == MEMBERSHIP_LEAVING && m->now_ms >= m->left_ms)
@@ -260,6 +262,7 @@
 	next = MIN(next, own_next_ms(m));
 	next = MIN(next, probe_next_ms(m));
 	next = MIN(next, news_next_ms(m));
+	next = MIN(next, settle_next_ms(m));
 	if (m->phase == MEMBERSHIP_LEAVING)
 		next = MIN(next, m->left_ms);
 	if (m->phase != MEMBERSHIP_JOINED)
@@ -273,7 +276,7 @@
 int
 membership_owns(uint8_t type)
 {
-	return type >= MSG_PING && type <= MSG_CLAIM_ANSWER;
+	return type >= MSG_PING && type <= MSG_ROWS;
 }
 
 static void
@@ -343,6 +346,12 @@
 	case MSG_CLAIM_ANSWER:
 		claim_on_answer(m, body, len);
 		break;
+	case MSG_COMPARE:
+		settle_on_compare(m, from, body, len);
+		break;
+	case MSG_ROWS:
+		settle_on_rows(m, body, len);
+		break;
 	default:
 		m->counters.rejected++;
 		break;
--- a/packages/membership/src/merge.c
+++ b/packages/membership/src/merge.c
@@ -317,7 +317,7 @@
 	uint32_t i;
 
 	m->counters.news_received += n;
-	m->quiet = source == MERGE_TABLE;
+	m->quiet = source != MERGE_NEWS;
 	for (i = 0; i < n; i++)
 		merge_one(m, sender, source, &records[i]);
 	m->quiet = 0;
--- a/packages/membership/src/merge.h
+++ b/packages/membership/src/merge.h
@@ -10,10 +10,13 @@
  * enum merge_source - how records came
  * @MERGE_NEWS: passed on by a peer
  * @MERGE_TABLE: part of a table that this node asked for
+ * @MERGE_COMPARED: a peer found that this node lacks it; not passed on, since
+ *	the others compare as well
  */
 enum merge_source {
 	MERGE_NEWS,
 	MERGE_TABLE,
+	MERGE_COMPARED,
 };
 
 /* Merge records that @sender told; @sender is a host's name. */
--- /dev/null
+++ b/packages/membership/src/settle.c
@@ -0,0 +1,341 @@
+/*
+ * Settling: a node that has just started compares its table with others
+ * often, until they agree.
+ *
+ * After a loss of all power nobody has a table to hand out.  News alone then
+ * takes seconds: each record is passed on some ten times at 3 KB/s a node.
+ * Here a node sends four bytes for each row that it holds to a peer by
+ * chance; both send each other what the other lacks.  What both know is at
+ * least doubled each time, so 195 hosts that know 16 others each need some
+ * four rounds.  Records that come so are not passed on as news.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#include "merge.h"
+#include "send.h"
+#include "settle.h"
+
+/* Between two comparisons, half of it to one and a half.  Some ten round
+ * trips inside a region, and eight comparisons in the second in which callers
+ * are to find their upstreams. */
+#define INTERVAL_MS 120
+
+/* A node that joined this long ago leaves the rest to anti-entropy. */
+#define SETTLED_AFTER_MS 5000
+
+/* So many comparisons in a row that found nothing end it sooner, but not while
+ * hosts that lost power with this one may still be starting. */
+#define SAME_ENOUGH 3
+#define LEAST_MS 1000
+
+/* Rows that one comparison is to be about: four bytes each leave room in a
+ * datagram where slices differ in size. */
+#define ROWS_PER_SLICE 200
+
+/* Seed that keeps slices apart from buckets. */
+#define SLICE_SEED 0x736c6963U
+
+/* Datagrams of records that answer one comparison: 30 ms of a link of
+ * 5 Mbit/s.  The rest is for the next comparison. */
+#define DATAGRAMS_MAX 16
+
+/* Slices that are compared at a time, each with another peer, so that 800
+ * hosts are no slower than 200. */
+#define SLICES_AT_ONCE 4
+
+#define MARKS_MAX (MSG_COMPARE_MARKS_MAX / sizeof(uint32_t))
+
+/* What a comparison is about. */
+struct slice {
+	uint32_t n;
+	uint32_t at;
+};
+
+static int
+in_slice(const struct row *r, const struct slice *s)
+{
+	const char *host = r->member.host;
+
+	return s->n <= 1 ||
+	    hash64(host, strlen(host), SLICE_SEED) % s->n == s->at;
+}
+
+static int
+counts(const struct row *r, const struct slice *s)
+{
+	return member_is_live(&r->member) && in_slice(r, s);
+}
+
+/* As it is sent, so that marks are compared without being decoded. */
+static uint32_t
+mark_of(const struct row *r)
+{
+	return GUINT32_TO_LE((uint32_t)table_row_hash(r));
+}
+
+/* Gives the marks of the rows that count; free it. */
+static GArray *
+marks_new(const struct membership *m, const struct slice *s)
+{
+	GArray *marks = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GHashTableIter it;
+	uint32_t mark;
+	void *p;
+
+	g_hash_table_iter_init(&it, m->table.hosts);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (!counts(p, s) || marks->len == MARKS_MAX)
+			continue;
+		mark = mark_of(p);
+		g_array_append_val(marks, mark);
+	}
+	return marks;
+}
+
+static void
+send_compare(struct membership *m, const struct net_addr *to,
+    const struct slice *s, int answer)
+{
+	GByteArray *body = g_byte_array_new();
+	GArray *marks = marks_new(m, s);
+	struct msg_compare msg;
+
+	memset(&msg, 0, sizeof(msg));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	msg.slices = s->n;
+	msg.slice = s->at;
+	msg.answer = answer != 0;
+	msg.marks = (const uint8_t *)marks->data;
+	msg.marks_len = marks->len * (uint32_t)sizeof(uint32_t);
+	msg_compare_encode(&msg, body);
+	send_either(m, to, MSG_COMPARE, body);
+	g_array_unref(marks);
+}
+
+static struct slice
+random_slice(struct membership *m)
+{
+	struct slice s;
+
+	s.n = (m->table.live + ROWS_PER_SLICE - 1) / ROWS_PER_SLICE;
+	s.at = random_below(m, s.n);
+	return s;
+}
+
+static void
+ask(struct membership *m, const struct net_addr *to, const struct slice *s)
+{
+	send_compare(m, to, s, 0);
+	m->counters.compared++;
+}
+
+static void
+ask_some(struct membership *m)
+{
+	struct slice s = random_slice(m);
+	const struct member *peer;
+	uint32_t i;
+
+	for (i = 0; i < MIN(s.n, SLICES_AT_ONCE); i++) {
+		peer = membership_random(m, NULL, MEMBER_STATES_LIVE);
+		if (peer == NULL)
+			return;
+		ask(m, &peer->address, &s);
+		s.at = (s.at + 1) % s.n;
+	}
+}
+
+void
+settle_begin(struct membership *m)
+{
+	struct settling *s = &m->settling;
+
+	s->until_ms = m->now_ms + SETTLED_AFTER_MS;
+	s->next_ms = m->now_ms;
+	s->same = 0;
+}
+
+void
+settle_with(struct membership *m, const struct net_addr *peer)
+{
+	struct slice s = random_slice(m);
+
+	if (m->now_ms >= m->settling.until_ms) {
+		settle_begin(m);
+		m->settling.next_ms = m->now_ms + INTERVAL_MS;
+	}
+	ask(m, peer, &s);
+}
+
+static int
+settling(const struct membership *m)
+{
+	return m->now_ms < m->settling.until_ms &&
+	    (m->phase == MEMBERSHIP_JOINED || m->phase == MEMBERSHIP_JOINING);
+}
+
+void
+settle_tick(struct membership *m)
+{
+	struct settling *s = &m->settling;
+
+	if (!settling(m) || m->now_ms < s->next_ms)
+		return;
+	s->next_ms = m->now_ms + INTERVAL_MS / 2 + random_below(m, INTERVAL_MS);
+	ask_some(m);
+}
+
+uint64_t
+settle_next_ms(const struct membership *m)
+{
+	return settling(m) ? m->settling.next_ms : DEADLINE_NEVER;
+}
+
+static int
+by_mark(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void
+send_rows(struct membership *m, const struct net_addr *to, struct batch *b)
+{
+	GByteArray *body = g_byte_array_new();
+	struct msg_rows msg;
+
+	memset(&msg, 0, sizeof(msg));
+	(void)g_strlcpy(msg.host, m->settings.host, sizeof(msg.host));
+	msg.rows = b->records;
+	msg.n_rows = b->n;
+	msg_rows_encode(&msg, body);
+	send_datagram(m, to, MSG_ROWS, body);
+	batch_clear(b);
+}
+
+/* Rows that the peer lacks, which marks @theirs. */
+static GPtrArray *
+lacking(const struct membership *m, const struct slice *s, const GArray *theirs)
+{
+	GPtrArray *rows = g_ptr_array_new();
+	GHashTableIter it;
+	uint32_t mark;
+	void *p;
+
+	g_hash_table_iter_init(&it, m->table.hosts);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (!counts(p, s))
+			continue;
+		mark = mark_of(p);
+		if (bsearch(&mark, theirs->data, theirs->len, sizeof(mark),
+			by_mark) == NULL)
+			g_ptr_array_add(rows, p);
+	}
+	return rows;
+}
+
+/* Send rows from a random one on, as many as one answer may have. */
+static void
+give(struct membership *m, const struct net_addr *to, const GPtrArray *rows)
+{
+	uint32_t start = random_below(m, rows->len), sent = 0, i;
+	struct batch b = {.n = 0};
+	const struct row *r;
+
+	for (i = 0; i < rows->len && sent < DATAGRAMS_MAX; i++) {
+		r = rows->pdata[(start + i) % rows->len];
+		if (batch_add(&b, r))
+			continue;
+		send_rows(m, to, &b);
+		sent++;
+		(void)batch_add(&b, r);
+	}
+	if (b.n > 0)
+		send_rows(m, to, &b);
+}
+
+/* The peer's marks, in order; free it. */
+static GArray *
+marks_of(const struct msg_compare *msg)
+{
+	GArray *marks = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	g_array_append_vals(
+	    marks, msg->marks, msg->marks_len / (uint32_t)sizeof(uint32_t));
+	g_array_sort(marks, by_mark);
+	return marks;
+}
+
+/* An answer came: nothing to give and as many rows there as here. */
+static void
+note_answer(struct membership *m, int same)
+{
+	struct settling *s = &m->settling;
+
+	s->same = same ? s->same + 1 : 0;
+	if (s->same >= SAME_ENOUGH && m->phase == MEMBERSHIP_JOINED &&
+	    m->now_ms >= m->joined_ms + LEAST_MS)
+		s->until_ms = m->now_ms;
+}
+
+static void
+compare(struct membership *m, const struct net_addr *from,
+    const struct msg_compare *msg)
+{
+	const struct slice s = {msg->slices, msg->slice};
+	GArray *theirs = marks_of(msg), *ours = marks_new(m, &s);
+	GPtrArray *rows = lacking(m, &s, theirs);
+	int same = rows->len == 0 && theirs->len == ours->len;
+
+	if (rows->len > 0)
+		give(m, from, rows);
+	if (msg->answer)
+		note_answer(m, same);
+	else
+		send_compare(m, from, &s, 1);
+	g_ptr_array_unref(rows);
+	g_array_unref(theirs);
+	g_array_unref(ours);
+}
+
+static int
+answers(const struct membership *m)
+{
+	return m->phase == MEMBERSHIP_JOINED || m->phase == MEMBERSHIP_JOINING;
+}
+
+void
+settle_on_compare(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len)
+{
+	struct msg_compare msg;
+
+	if (!answers(m))
+		return;
+	if (msg_compare_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	compare(m, from, &msg);
+	msg_compare_clear(&msg);
+}
+
+void
+settle_on_rows(struct membership *m, const uint8_t *body, size_t len)
+{
+	struct msg_rows msg;
+
+	if (!answers(m))
+		return;
+	if (msg_rows_decode(body, len, &msg) != STATUS_OK) {
+		m->counters.rejected++;
+		return;
+	}
+	merge_records(m, msg.host, MERGE_COMPARED, msg.rows, msg.n_rows);
+	msg_rows_clear(&msg);
+}
--- /dev/null
+++ b/packages/membership/src/settle.h
@@ -0,0 +1,23 @@
+/*
+ * Settling: a node that has just started compares its table with others
+ * often, until they agree.
+ */
+#ifndef MEMBERSHIP_SETTLE_H
+#define MEMBERSHIP_SETTLE_H
+
+#include "internal.h"
+
+/* Compare with others for a while from now on. */
+void settle_begin(struct membership *m);
+
+/* A peer that is joining as well answered; compare with it at once. */
+void settle_with(struct membership *m, const struct net_addr *peer);
+
+void settle_tick(struct membership *m);
+uint64_t settle_next_ms(const struct membership *m);
+
+void settle_on_compare(struct membership *m, const struct net_addr *from,
+    const uint8_t *body, size_t len);
+void settle_on_rows(struct membership *m, const uint8_t *body, size_t len);
+
+#endif
--- a/packages/membership/src/table.c
+++ b/packages/membership/src/table.c
@@ -92,20 +92,27 @@
 	return g_hash_table_lookup(t->hosts, host);
 }
 
+uint64_t
+table_row_hash(const struct row *r)
+{
+	const uint64_t version[] = {
+	    r->member.incarnation, r->member.started_ms};
+
+	/* Hashed first: near versions of near names would else cancel out. */
+	return hash64(r->member.host, strlen(r->member.host),
+	    hash64(version, sizeof(version), 0));
+}
+
 /* Add or take away a row's part of the digests and counts. */
 static void
 count(struct table *t, const struct row *r, int add)
 {
-	const uint64_t version[] = {
-	    r->member.incarnation, r->member.started_ms};
 	struct dc *dc = r->dc;
 	uint64_t h;
 
 	if (!member_is_live(&r->member))
 		return;
-	/* Hashed first: near versions of near names would else cancel out. */
-	h = hash64(version, sizeof(version), 0);
-	h = hash64(r->member.host, strlen(r->member.host), h);
+	h = table_row_hash(r);
 	if (!add)
 		h = -h;
 	dc->digests[r->bucket] += h;
--- a/packages/membership/src/table.h
+++ b/packages/membership/src/table.h
@@ -33,6 +33,9 @@
 /* Take a host out and free it; it must not be queued as news. */
 void table_remove(struct table *t, struct row *r);
 
+/* Hash of a host with its incarnation and start, as the digests sum it. */
+uint64_t table_row_hash(const struct row *r);
+
 /* Set what the digests are over. */
 void table_set(struct table *t, struct row *r, uint64_t incarnation,
     enum member_state state);
--- a/packages/membership/test/fake_net.c
+++ b/packages/membership/test/fake_net.c
@@ -245,6 +245,29 @@
 	}
 }
 
+void
+fake_add_seeds(struct fake_net *f, uint32_t i, const struct net_addr *seeds,
+    uint32_t n_seeds)
+{
+	membership_add_seeds(f->nodes[i].m, f->now_ms, seeds, n_seeds);
+	drain(f, i);
+}
+
+void
+fake_announce(struct fake_net *f, uint32_t i)
+{
+	(void)membership_announce(f->nodes[i].m, f->now_ms, "search", 80, 12,
+	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	drain(f, i);
+}
+
+void
+fake_set_known(struct fake_net *f, uint32_t i, uint64_t version)
+{
+	membership_set_known(f->nodes[i].m, version);
+	drain(f, i);
+}
+
 void
 fake_kill(struct fake_net *f, uint32_t i)
 {
--- a/packages/membership/test/fake_net.h
+++ b/packages/membership/test/fake_net.h
@@ -66,6 +66,16 @@
 /* Start @n nodes in @dcs data centres; node i is in data centre i % dcs. */
 void fake_start_all(struct fake_net *f, uint32_t n, uint32_t dcs);
 
+/* Tell a node of peers, as a directory would. */
+void fake_add_seeds(struct fake_net *f, uint32_t i,
+    const struct net_addr *seeds, uint32_t n_seeds);
+
+/* The upstream of a node's host says that it is ready. */
+void fake_announce(struct fake_net *f, uint32_t i);
+
+/* A node read a version at the platform; its timers follow, as the shell's. */
+void fake_set_known(struct fake_net *f, uint32_t i, uint64_t version);
+
 void fake_kill(struct fake_net *f, uint32_t i);
 void fake_freeze(struct fake_net *f, uint32_t i);
 void fake_thaw(struct fake_net *f, uint32_t i);
--- /dev/null
+++ b/packages/membership/test/herd.c
@@ -0,0 +1,159 @@
+/*
+ * A herd: see herd.h.
+ */
+#include "base/clock.h"
+
+#include "herd.h"
+
+/* Starts lie within this time, as after a loss of power. */
+#define STARTS_MS 300
+
+/* What a directory gives, and how long it takes to. */
+#define SAMPLE 16
+#define DIRECTORY_LEAST_MS 10
+#define DIRECTORY_MOST_MS 40
+
+/* An upstream says that it is ready this soon after its node has started. */
+#define BEAT_MOST_MS 30
+
+#define PERCENT 100
+
+/* How finely starts are told apart. */
+#define STEP_MS 10
+
+/* When what happens to a host. */
+struct host_plan {
+	uint64_t start_ms;
+	uint64_t directory_ms;
+	uint64_t beat_ms;
+};
+
+/* As a node on the users' platform sets them, settings.json.in. */
+static struct membership_settings
+settings_of(const struct fake_net *f, uint32_t i, uint32_t dcs)
+{
+	struct membership_settings s = fake_settings(f, i, i % dcs);
+
+	s.probe_interval_ms = 500;
+	s.probe_timeout_ms = 150;
+	s.suspicion_ms = 1500;
+	s.relay_interval_ms = 1000;
+	s.await_seeds_ms = 3000;
+	s.bootstrap_ms = 600;
+	return s;
+}
+
+static uint64_t
+after(struct fake_net *f, uint64_t from_ms, uint32_t least, uint32_t most)
+{
+	return from_ms +
+	    (uint64_t)g_rand_int_range(f->rand, (gint32)least, (gint32)most);
+}
+
+static void
+plan(struct fake_net *f, struct host_plan *p)
+{
+	p->start_ms = after(f, f->now_ms, 0, STARTS_MS);
+	p->directory_ms =
+	    after(f, p->start_ms, DIRECTORY_LEAST_MS, DIRECTORY_MOST_MS);
+	p->beat_ms = after(f, p->start_ms, 1, BEAT_MOST_MS);
+}
+
+static void
+look_up(struct fake_net *f, uint32_t i, uint32_t n)
+{
+	struct net_addr found[SAMPLE];
+	uint32_t k;
+
+	for (k = 0; k < SAMPLE; k++) {
+		found[k].ip =
+		    FAKE_IP + (uint32_t)g_rand_int_range(f->rand, 0, (gint32)n);
+		found[k].port = FAKE_PORT;
+	}
+	fake_add_seeds(f, i, found, SAMPLE);
+}
+
+static int
+due(const struct fake_net *f, uint64_t at_ms)
+{
+	return at_ms >= f->now_ms && at_ms < f->now_ms + STEP_MS;
+}
+
+static void
+start(struct fake_net *f, uint32_t i, uint32_t dcs)
+{
+	struct membership_settings s = settings_of(f, i, dcs);
+
+	(void)fake_start(f, i, &s, 0);
+}
+
+/* What the world does to a host in this step. */
+static void
+happen(struct fake_net *f, const struct host_plan *p, uint32_t i, uint32_t n,
+    uint32_t dcs)
+{
+	if (due(f, p->start_ms))
+		start(f, i, dcs);
+	if (due(f, p->beat_ms))
+		fake_announce(f, i);
+	if (due(f, p->directory_ms))
+		look_up(f, i, n);
+}
+
+uint64_t
+herd_start(struct fake_net *f, uint32_t n, uint32_t dcs)
+{
+	struct host_plan *plans = g_new0(struct host_plan, n);
+	uint64_t last_ms = 0, end_ms;
+	uint32_t i;
+
+	end_ms = f->now_ms + STARTS_MS + DIRECTORY_MOST_MS + BEAT_MOST_MS;
+	for (i = 0; i < n; i++) {
+		plan(f, &plans[i]);
+		last_ms = MAX(last_ms, plans[i].start_ms);
+	}
+	while (f->now_ms < end_ms) {
+		for (i = 0; i < n; i++)
+			happen(f, &plans[i], i, n, dcs);
+		fake_run(f, STEP_MS);
+	}
+	g_free(plans);
+	return last_ms;
+}
+
+/* Upstreams that a node knows. */
+static uint32_t
+known_to(const struct fake_net *f, uint32_t i)
+{
+	const struct member *mb;
+	uint32_t j, n = 0;
+
+	for (j = 0; j < f->n; j++) {
+		mb = membership_find(f->nodes[i].m, f->nodes[j].settings.host);
+		n += mb != NULL && member_is_live(mb) && mb->n_endpoints == 1;
+	}
+	return n;
+}
+
+int
+herd_known(struct fake_net *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (!fake_up(f, i) ||
+		    known_to(f, i) * PERCENT < f->n * HERD_KNOWN_PERCENT)
+			return 0;
+	return 1;
+}
+
+uint64_t
+herd_most_bytes(const struct fake_net *f)
+{
+	uint64_t most = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		most = MAX(most, f->nodes[i].bytes);
+	return most;
+}
--- /dev/null
+++ b/packages/membership/test/test_herd.c
@@ -0,0 +1,84 @@
+/*
+ * All hosts lose power and come back at once: how soon does each know where
+ * the upstreams are?
+ *
+ * The load: callers are there from the first moment on, upstreams are cold,
+ * and a node that knows few of them sends all its calls to those.
+ *
+ * The bound: 95 in 100 of the upstreams are known to each node, the slowest
+ * one too, within a second of the last start, since callers wait one second
+ * for a connection and an answer is due within about one.  What a node sends
+ * for it leaves half of a link of 5 Mbit/s to calls.
+ */
+#include <check.h>
+
+#include "cluster.h"
+#include "fake_net.h"
+#include "herd.h"
+#include "test_run.h"
+
+#define SEEDS 3
+
+#define KNOWN_WITHIN_MS 1000
+
+/* Half of what 5 Mbit/s carry in a second. */
+#define SENT_MOST_BYTES 312500
+
+/* After this time all tables are to be the same. */
+#define SAME_WITHIN_MS 5000
+
+static void
+a_herd_knows_itself(uint32_t seed, uint32_t n, uint32_t dcs, uint32_t loss)
+{
+	struct fake_net *f = fake_net_new(seed);
+	uint64_t due_ms, most;
+
+	f->loss_percent = loss;
+	due_ms = herd_start(f, n, dcs) + KNOWN_WITHIN_MS;
+	cluster_must(f, seed, due_ms - f->now_ms, herd_known,
+	    "95 in 100 upstreams known to each host");
+	most = herd_most_bytes(f);
+	ck_assert_msg(most <= SENT_MOST_BYTES, "seed %u: %llu bytes were sent",
+	    seed, (unsigned long long)most);
+	cluster_must(f, seed, SAME_WITHIN_MS, fake_agreed, "the same tables");
+	cluster_end(f, seed);
+}
+
+START_TEST(hosts_76_in_3_data_centres)
+{
+	a_herd_knows_itself((uint32_t)_i, 76, 3, 0);
+}
+END_TEST
+
+START_TEST(hosts_195_in_5_data_centres)
+{
+	a_herd_knows_itself((uint32_t)_i, 195, 5, 0);
+}
+END_TEST
+
+START_TEST(hosts_300_in_5_data_centres)
+{
+	a_herd_knows_itself((uint32_t)_i, 300, 5, 0);
+}
+END_TEST
+
+START_TEST(hosts_195_while_messages_are_lost)
+{
+	a_herd_knows_itself((uint32_t)_i, 195, 5, 5);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("herd");
+	TCase *tc = tcase_create("power lost");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, hosts_76_in_3_data_centres, 0, SEEDS);
+	tcase_add_loop_test(tc, hosts_195_in_5_data_centres, 0, SEEDS);
+	tcase_add_loop_test(tc, hosts_300_in_5_data_centres, 0, SEEDS);
+	tcase_add_loop_test(tc, hosts_195_while_messages_are_lost, 0, SEEDS);
+	suite_add_tcase(s, tc);
+	return test_run(s);
+}
--- a/packages/membership/test/test_known.c
+++ b/packages/membership/test/test_known.c
@@ -59,7 +59,7 @@
 static void
 read_by(uint32_t i, uint64_t version)
 {
-	membership_set_known(f->nodes[i].m, version);
+	fake_set_known(f, i, version);
 	wanted = version;
 }
 
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -47,6 +47,10 @@
 #define MSG_JOIN_REFUSED_OTHERS_MAX 16
 #define MSG_CLAIM_HOST_MAX 31
 #define MSG_CLAIM_ANSWER_HOST_MAX 31
+#define MSG_COMPARE_HOST_MAX 31
+#define MSG_COMPARE_MARKS_MAX 16384
+#define MSG_ROWS_HOST_MAX 31
+#define MSG_ROWS_ROWS_MAX 64
 
 /**
  * enum member_state - Liveness of a host; at one incarnation a later value
@@ -557,4 +561,60 @@
 /** msg_claim_answer_clear() - free the message's lists and set it to zero */
 void msg_claim_answer_clear(struct msg_claim_answer *m);
 
+/**
+ * struct msg_compare - A node that has just started tells which rows it holds,
+ * and is told the same; datagram, or a frame where it is too long for one.
+ * @host: sender
+ * @slices: slices that the table is cut in, by a hash of hosts' names
+ * @slice: slice that this is about, from 0
+ * @answer: this answers another one
+ * @marks: four bytes, least significant first, for each live row held:
+ * 	of the hash of its host, incarnation and start; borrowed
+ * @marks_len: bytes in @marks
+ */
+struct msg_compare {
+	char host[32];
+	uint32_t slices;
+	uint32_t slice;
+	bool answer;
+	const uint8_t *marks;
+	uint32_t marks_len;
+};
+
+extern const struct codec_desc msg_compare_desc;
+
+/** msg_compare_encode() - append a message's body to @out */
+void msg_compare_encode(const struct msg_compare *m, GByteArray *out);
+
+/** msg_compare_decode() - read a message's body; see codec_decode() */
+enum status
+msg_compare_decode(const uint8_t *data, size_t len, struct msg_compare *m);
+
+/** msg_compare_clear() - free the message's lists and set it to zero */
+void msg_compare_clear(struct msg_compare *m);
+
+/**
+ * struct msg_rows - Records that a comparison showed to be lacking; datagram.
+ * @host: sender
+ * @rows: the records; owned
+ * @n_rows: number of @rows
+ */
+struct msg_rows {
+	char host[32];
+	struct rec_member *rows;
+	uint32_t n_rows;
+};
+
+extern const struct codec_desc msg_rows_desc;
+
+/** msg_rows_encode() - append a message's body to @out */
+void msg_rows_encode(const struct msg_rows *m, GByteArray *out);
+
+/** msg_rows_decode() - read a message's body; see codec_decode() */
+enum status
+msg_rows_decode(const uint8_t *data, size_t len, struct msg_rows *m);
+
+/** msg_rows_clear() - free the message's lists and set it to zero */
+void msg_rows_clear(struct msg_rows *m);
+
 #endif
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -31,6 +31,10 @@
  * @MSG_CLAIM: Asks whoever holds an address for its name: two hosts
  * 	seem to share a name or an address; datagram.
  * @MSG_CLAIM_ANSWER: Answer to a claim; datagram.
+ * @MSG_COMPARE: A node that has just started tells which rows it
+ * 	holds, and is told the same; datagram, or a frame where it is too
+ * 	long for one.
+ * @MSG_ROWS: Records that a comparison showed to be lacking; datagram.
  * @MSG_NOTICE: Datagram: the sender holds this head's version in
  * 	force.
  * @MSG_PULL: Asks for the changes between two versions; datagram
@@ -98,6 +102,8 @@
 	MSG_JOIN_REFUSED = 10,
 	MSG_CLAIM = 11,
 	MSG_CLAIM_ANSWER = 12,
+	MSG_COMPARE = 13,
+	MSG_ROWS = 14,
 	MSG_NOTICE = 20,
 	MSG_PULL = 21,
 	MSG_DELTA = 22,
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -714,3 +714,85 @@
 {
 	codec_clear(&msg_claim_answer_desc, m);
 }
+
+static const struct codec_field msg_compare_fields[] = {
+    {.name = "host",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_compare, host),
+	.max = MSG_COMPARE_HOST_MAX},
+    {.name = "slices",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_compare, slices)},
+    {.name = "slice",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_compare, slice)},
+    {.name = "answer",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_compare, answer)},
+    {.name = "marks",
+	.kind = CODEC_BYTES,
+	.offset = offsetof(struct msg_compare, marks),
+	.len_offset = offsetof(struct msg_compare, marks_len),
+	.max = MSG_COMPARE_MARKS_MAX},
+};
+
+const struct codec_desc msg_compare_desc = {.name = "compare",
+    .fields = msg_compare_fields,
+    .n_fields = 5,
+    .size_bytes = sizeof(struct msg_compare)};
+
+void
+msg_compare_encode(const struct msg_compare *m, GByteArray *out)
+{
+	codec_encode(&msg_compare_desc, m, out);
+}
+
+enum status
+msg_compare_decode(const uint8_t *data, size_t len, struct msg_compare *m)
+{
+	return codec_decode(&msg_compare_desc, data, len, m);
+}
+
+void
+msg_compare_clear(struct msg_compare *m)
+{
+	codec_clear(&msg_compare_desc, m);
+}
+
+static const struct codec_field msg_rows_fields[] = {
+    {.name = "host",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_rows, host),
+	.max = MSG_ROWS_HOST_MAX},
+    {.name = "rows",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_rows, rows),
+	.len_offset = offsetof(struct msg_rows, n_rows),
+	.max = MSG_ROWS_ROWS_MAX,
+	.item_bytes = sizeof(struct rec_member),
+	.item = CODEC_STRUCT,
+	.of = &rec_member_desc},
+};
+
+const struct codec_desc msg_rows_desc = {.name = "rows",
+    .fields = msg_rows_fields,
+    .n_fields = 2,
+    .size_bytes = sizeof(struct msg_rows)};
+
+void
+msg_rows_encode(const struct msg_rows *m, GByteArray *out)
+{
+	codec_encode(&msg_rows_desc, m, out);
+}
+
+enum status
+msg_rows_decode(const uint8_t *data, size_t len, struct msg_rows *m)
+{
+	return codec_decode(&msg_rows_desc, data, len, m);
+}
+
+void
+msg_rows_clear(struct msg_rows *m)
+{
+	codec_clear(&msg_rows_desc, m);
+}
