feat(membership,platform): a few places in the directory instead of all hosts

Problem: each host wrote itself into the directory at its start before it looked at it. All rows have one part, which takes 200 writes a second: at 76 hosts the last stood there 0.2 s after its start, at 195 about a second. A start cost two to three calls a host, a planned stop one, and rows of hosts that are gone for good stayed for ever.

Solution: eight places a data centre. A host has one by its name; of those with the same place the first in rank that lives holds it, and enters itself once it has held it for 10 s without standing there. The next holder writes over the entry, so nothing is removed and nothing piles up.

A joining node that reaches nobody asks the next candidate within 100 ms instead of backing off while others are left: with few entries the first one asked is often not there yet (test_herd: 1.0 s at 300 hosts before).

--- a/packages/membership/include/membership/finder.h
+++ b/packages/membership/include/membership/finder.h
@@ -2,9 +2,12 @@
  * Finder: when a node writes itself into the directory at the platform, and
  * when it looks others up there.
  *
- * A node that knows peers needs the directory no more: it is looked at after
- * the start, while the node is alone, and when many hosts were lost at once.
- * Failures are answered by full-jitter back-off.
+ * A node looks once at its start.  With peers it needs the directory no more:
+ * it is looked at while the node is alone, and when many hosts were lost at
+ * once.  Only a few hosts stand in it (membership/places.h), and whoever finds
+ * few others or looks again, so that those in the same position find it.  So a
+ * start of many hosts costs about one call for each.  Failures are answered by
+ * full-jitter back-off.
  */
 #ifndef MEMBERSHIP_FINDER_H
 #define MEMBERSHIP_FINDER_H
@@ -20,22 +23,39 @@
 	FINDER_SAMPLE,
 };
 
+/**
+ * struct finder_view - what the node knows
+ * @joined: it holds the table; one that has only heard of others has nobody
+ *	to ask for it, and looks on
+ * @live: live hosts known, the own one included
+ * @holder: it is to hold its place in the directory
+ */
+struct finder_view {
+	int joined;
+	uint32_t live;
+	int holder;
+};
+
 /**
  * struct finder - state
  * @rand: random choices
+ * @looked: the directory was looked at
  * @entered: the own entry is written
  * @busy: a call is under way
  * @failures: failures in a row
  * @due_ms: when the next call is due; DEADLINE_NEVER
  * @most_live: most live hosts since the last look
+ * @holds_ms: when a holder that has not entered itself does
  */
 struct finder {
 	GRand *rand;
+	int looked;
 	int entered;
 	int busy;
 	uint32_t failures;
 	uint64_t due_ms;
 	uint32_t most_live;
+	uint64_t holds_ms;
 };
 
 /** finder_init() - a starting node */
@@ -47,19 +67,29 @@
 /**
  * finder_next() - what is due
  * @f: the finder
- * @joined: whether this node holds the table; one that has only heard of
- *	others has nobody to ask for it, and looks on
- * @live: live hosts known, the own one included
+ * @view: what the node knows
  * @now_ms: monotonic time
  *
- * After FINDER_ENTER or FINDER_SAMPLE call finder_done() with its outcome.
+ * After FINDER_ENTER call finder_entered() with its outcome, after
+ * FINDER_SAMPLE finder_found() or finder_failed().
  */
 enum finder_action
-finder_next(struct finder *f, int joined, uint32_t live, uint64_t now_ms);
+finder_next(struct finder *f, const struct finder_view *view, uint64_t now_ms);
+
+/** finder_entered() - the own entry was written */
+void finder_entered(struct finder *f, uint64_t now_ms);
+
+/**
+ * finder_found() - the directory was looked at
+ * @f: the finder
+ * @others: entries of other nodes
+ * @own: the own entry was among them
+ * @now_ms: monotonic time
+ */
+void finder_found(struct finder *f, uint32_t others, int own, uint64_t now_ms);
 
-/** finder_done() - a call has ended; @ok: it succeeded */
-void finder_done(
-    struct finder *f, enum finder_action action, int ok, uint64_t now_ms);
+/** finder_failed() - a call has failed */
+void finder_failed(struct finder *f, uint64_t now_ms);
 
 /** finder_due_ms() - when finder_next() is wanted next */
 uint64_t finder_due_ms(const struct finder *f);
--- a/packages/membership/src/finder.c
+++ b/packages/membership/src/finder.c
@@ -22,15 +22,25 @@
 #define LOST_PERCENT 50
 #define PERCENT 100
 
+/* With fewer others than this in the directory a node enters itself at once:
+ * they may all be gone. */
+#define FEW 4
+
+/* A place changes its holder after this: a host that is restarted is back
+ * sooner, and is found at its address of before. */
+#define HOLD_AFTER_MS 10000
+
 void
 finder_init(struct finder *f, uint64_t seed, uint64_t now_ms)
 {
 	f->rand = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
+	f->looked = 0;
 	f->entered = 0;
 	f->busy = 0;
 	f->failures = 0;
 	f->due_ms = now_ms;
 	f->most_live = 0;
+	f->holds_ms = DEADLINE_NEVER;
 }
 
 void
@@ -48,60 +58,88 @@
 }
 
 static int
-wants_peers(struct finder *f, int joined, uint32_t live)
+wants_peers(struct finder *f, const struct finder_view *view)
 {
-	if (!joined)
+	if (!view->joined)
 		return 1;
-	f->most_live = MAX(f->most_live, live);
-	return live <= 1 || live * PERCENT < f->most_live * LOST_PERCENT;
+	f->most_live = MAX(f->most_live, view->live);
+	return view->live <= 1 ||
+	    view->live * PERCENT < f->most_live * LOST_PERCENT;
 }
 
-enum finder_action
-finder_next(struct finder *f, int joined, uint32_t live, uint64_t now_ms)
+/* Whether this node holds its place for long and is not entered there. */
+static int
+takes_place(struct finder *f, const struct finder_view *view, uint64_t now_ms)
 {
-	if (f->busy || now_ms < f->due_ms)
-		return FINDER_NONE;
-	if (!f->entered) {
-		f->busy = 1;
-		return FINDER_ENTER;
+	if (!view->holder) {
+		f->entered = 0;
+		f->holds_ms = DEADLINE_NEVER;
+		return 0;
 	}
-	if (wants_peers(f, joined, live)) {
-		f->busy = 1;
+	if (f->holds_ms == DEADLINE_NEVER)
+		f->holds_ms = now_ms + HOLD_AFTER_MS;
+	return !f->entered && now_ms >= f->holds_ms;
+}
+
+static enum finder_action
+choose(struct finder *f, const struct finder_view *view, uint64_t now_ms)
+{
+	if (!f->looked)
 		return FINDER_SAMPLE;
-	}
-	f->due_ms = now_ms + CHECK_MS;
+	if (wants_peers(f, view))
+		return f->entered ? FINDER_SAMPLE : FINDER_ENTER;
+	if (takes_place(f, view, now_ms))
+		return FINDER_ENTER;
 	return FINDER_NONE;
 }
 
-static uint64_t
-backoff_ms(struct finder *f)
+enum finder_action
+finder_next(struct finder *f, const struct finder_view *view, uint64_t now_ms)
+{
+	enum finder_action a;
+
+	if (f->busy || now_ms < f->due_ms)
+		return FINDER_NONE;
+	a = choose(f, view, now_ms);
+	f->busy = a != FINDER_NONE;
+	if (a == FINDER_NONE)
+		f->due_ms = now_ms + CHECK_MS;
+	return a;
+}
+
+void
+finder_failed(struct finder *f, uint64_t now_ms)
 {
 	uint64_t most = (uint64_t)BACKOFF_BASE_MS
 	    << MIN(f->failures, BACKOFF_SHIFT_MAX);
 
+	f->busy = 0;
 	f->failures++;
-	return within(f, MIN(most, BACKOFF_CAP_MS));
+	f->due_ms = now_ms + within(f, MIN(most, BACKOFF_CAP_MS));
 }
 
 void
-finder_done(
-    struct finder *f, enum finder_action action, int ok, uint64_t now_ms)
+finder_entered(struct finder *f, uint64_t now_ms)
 {
 	f->busy = 0;
-	if (!ok) {
-		f->due_ms = now_ms + backoff_ms(f);
-		return;
-	}
 	f->failures = 0;
-	if (action == FINDER_ENTER) {
-		f->entered = 1;
-		f->due_ms = now_ms;
-		return;
-	}
-	f->most_live = 0;
+	f->entered = 1;
 	f->due_ms = now_ms + ALONE_MS / 2 + within(f, ALONE_MS / 2);
 }
 
+void
+finder_found(struct finder *f, uint32_t others, int own, uint64_t now_ms)
+{
+	f->busy = 0;
+	f->failures = 0;
+	f->looked = 1;
+	f->entered |= own;
+	f->most_live = 0;
+	f->due_ms = now_ms;
+	if (others >= FEW || f->entered)
+		f->due_ms += ALONE_MS / 2 + within(f, ALONE_MS / 2);
+}
+
 uint64_t
 finder_due_ms(const struct finder *f)
 {
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -240,26 +240,47 @@
 }
 
 static void
-back_off(struct membership *m)
+rest(struct membership *m, const struct net_addr *addr, uint64_t ms)
 {
-	struct joiner *j = &m->joiner;
-	uint32_t cap;
+	struct candidate *c = candidate_find(m, addr);
 
-	j->asking = 0;
-	j->cursor = 0;
-	cap = (uint32_t)BACKOFF_BASE_MS << MIN(j->attempts, BACKOFF_SHIFT_MAX);
-	j->attempts++;
-	j->deadline_ms =
-	    m->now_ms + random_below(m, MIN(cap, BACKOFF_CAP_MS) + 1);
+	if (c != NULL)
+		c->not_before_ms = m->now_ms + ms;
+}
+
+/* Whether a candidate may be asked now. */
+static int
+others_left(struct membership *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->joiner.candidates->len; i++)
+		if (candidate(m, i)->not_before_ms <= m->now_ms)
+			return 1;
+	return 0;
 }
 
+/*
+ * The peer that was asked does not answer: it rests, and another one is asked
+ * soon.  Only when all rest is it longer each time; while hosts start together
+ * many of the first ones asked are not there yet.
+ */
 static void
-rest(struct membership *m, const struct net_addr *addr, uint64_t ms)
+back_off(struct membership *m, const struct net_addr *asked)
 {
-	struct candidate *c = candidate_find(m, addr);
+	struct joiner *j = &m->joiner;
+	uint32_t most = ASK_OTHERS_MS;
 
-	if (c != NULL)
-		c->not_before_ms = m->now_ms + ms;
+	j->asking = 0;
+	j->cursor = 0;
+	rest(m, asked, REST_MS);
+	if (!others_left(m)) {
+		most = (uint32_t)BACKOFF_BASE_MS
+		    << MIN(j->attempts, BACKOFF_SHIFT_MAX);
+		j->attempts++;
+	}
+	j->deadline_ms =
+	    m->now_ms + random_below(m, MIN(most, BACKOFF_CAP_MS) + 1);
 }
 
 static void
@@ -335,8 +356,7 @@
 		return;
 	if (j->asking) {
 		outbox_close(m->out, &j->asked, 0);
-		rest(m, &j->asked, REST_MS);
-		back_off(m);
+		back_off(m, &j->asked);
 		return;
 	}
 	if (alone(m)) {
@@ -367,8 +387,7 @@
 
 	if (!j->asking || !addr_equal(&j->asked, to))
 		return;
-	rest(m, to, REST_MS);
-	back_off(m);
+	back_off(m, to);
 }
 
 /* The peer remembered this host from before: go above that. */
--- /dev/null
+++ b/packages/membership/src/places.c
@@ -0,0 +1,60 @@
+/*
+ * Places in the directory: see membership/places.h.
+ */
+#include "membership/places.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+/* Seed that keeps places apart from other hashes of names. */
+#define PLACE_SEED 0x706c6163U
+
+struct search {
+	const struct member *self;
+	char place[PLACE_BYTES];
+	uint64_t own_score;
+	int outranked;
+};
+
+void
+places_first(const char *data_centre, char *place)
+{
+	(void)snprintf(place, PLACE_BYTES, "%s/", data_centre);
+}
+
+void
+places_of(const char *data_centre, const char *host, char *place)
+{
+	uint64_t h = hash64(host, strlen(host), PLACE_SEED);
+
+	(void)snprintf(place, PLACE_BYTES, "%s/%u", data_centre,
+	    (unsigned)(h % PLACES_PER_DATA_CENTRE));
+}
+
+static void
+look(const struct member *mb, void *ctx)
+{
+	struct search *s = ctx;
+	char place[PLACE_BYTES];
+
+	if (s->outranked || mb == s->self || !member_is_live(mb) ||
+	    strcmp(mb->data_centre, s->self->data_centre) != 0)
+		return;
+	places_of(mb->data_centre, mb->host, place);
+	s->outranked = strcmp(place, s->place) == 0 &&
+	    hash_rendezvous(place, mb->host) > s->own_score;
+}
+
+int
+places_held(const struct membership *m)
+{
+	const struct member *self = membership_self(m);
+	struct search s = {.self = self};
+
+	places_of(self->data_centre, self->host, s.place);
+	s.own_score = hash_rendezvous(s.place, self->host);
+	membership_each(m, look, &s);
+	return !s.outranked;
+}
--- a/packages/membership/test/herd.c
+++ b/packages/membership/test/herd.c
@@ -3,13 +3,15 @@
  */
 #include "base/clock.h"
 
+#include "membership/places.h"
+
 #include "herd.h"
 
 /* Starts lie within this time, as after a loss of power. */
 #define STARTS_MS 300
 
 /* What a directory gives, and how long it takes to. */
-#define SAMPLE 16
+#define SAMPLE (2 * PLACES_PER_DATA_CENTRE)
 #define DIRECTORY_LEAST_MS 10
 #define DIRECTORY_MOST_MS 40
 
@@ -59,18 +61,23 @@
 	p->beat_ms = after(f, p->start_ms, 1, BEAT_MOST_MS);
 }
 
+/* A few hosts of each data centre stand in the directory; a look gives those
+ * of the own one and of the next. */
 static void
-look_up(struct fake_net *f, uint32_t i, uint32_t n)
+look_up(struct fake_net *f, uint32_t i, uint32_t n, uint32_t dcs)
 {
 	struct net_addr found[SAMPLE];
-	uint32_t k;
+	uint32_t k, at, len = 0;
 
 	for (k = 0; k < SAMPLE; k++) {
-		found[k].ip =
-		    FAKE_IP + (uint32_t)g_rand_int_range(f->rand, 0, (gint32)n);
-		found[k].port = FAKE_PORT;
+		at = (i % dcs + k / PLACES_PER_DATA_CENTRE) % dcs +
+		    k % PLACES_PER_DATA_CENTRE * dcs;
+		if (at >= n)
+			continue;
+		found[len].ip = FAKE_IP + at;
+		found[len++].port = FAKE_PORT;
 	}
-	fake_add_seeds(f, i, found, SAMPLE);
+	fake_add_seeds(f, i, found, len);
 }
 
 static int
@@ -97,7 +104,7 @@
 	if (due(f, p->beat_ms))
 		fake_announce(f, i);
 	if (due(f, p->directory_ms))
-		look_up(f, i, n);
+		look_up(f, i, n, dcs);
 }
 
 uint64_t
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -489,7 +489,6 @@
 {
 	struct control *c = arg;
 
-	control_find_leave(c);
 	membership_leave(c->membership, control_now(c));
 	control_pump(c);
 }
--- a/packages/node/src/control_find.c
+++ b/packages/node/src/control_find.c
@@ -3,9 +3,12 @@
  */
 #define LOG_PART "find"
 
+#include <string.h>
+
 #include "base/clock.h"
 #include "base/log.h"
 #include "control_priv.h"
+#include "membership/places.h"
 #include "proto/settings.h"
 
 static struct net_addr
@@ -21,57 +24,95 @@
 {
 	struct control *c = arg;
 
-	if (st == STATUS_OK)
+	if (st == STATUS_OK) {
 		log_info("entered in the directory");
-	else
+		finder_entered(&c->finder, control_now(c));
+	} else {
 		log_warning("not entered in the directory (%s): %s",
 		    status_name(st), status_message());
-	finder_done(&c->finder, FINDER_ENTER, st == STATUS_OK, control_now(c));
+		finder_failed(&c->finder, control_now(c));
+	}
 	control_find_tick(c);
 	control_pump(c);
 }
 
+/* Takes what was found; the next look goes on behind it. */
 static void
-on_sample(enum status st, const struct net_addr *nodes, uint32_t n, void *arg)
+take(struct control *c, const struct directory_entry *entries, uint32_t n)
+{
+	struct net_addr others[DIRECTORY_SAMPLE_MAX], own = self(c);
+	char place[PLACE_BYTES];
+	uint32_t n_others = 0, i;
+	int entered = 0;
+
+	places_of(c->settings->data_centre, c->settings->host, place);
+	for (i = 0; i < n; i++) {
+		if (!addr_equal(&entries[i].node, &own))
+			others[n_others++] = entries[i].node;
+		else if (strcmp(entries[i].place, place) == 0)
+			entered = 1;
+	}
+	if (n > 0)
+		(void)g_snprintf(c->find_from, sizeof(c->find_from), "%s/",
+		    entries[n - 1].place);
+	log_info("%u nodes found in the directory, this one is %sentered",
+	    n_others, entered ? "" : "not ");
+	membership_add_seeds(c->membership, control_now(c), others, n_others);
+	finder_found(&c->finder, n_others, entered, control_now(c));
+}
+
+static void
+on_sample(enum status st, const struct directory_entry *entries, uint32_t n,
+    void *arg)
 {
 	struct control *c = arg;
 
 	if (st == STATUS_OK) {
-		log_info("%u nodes found in the directory", n);
-		membership_add_seeds(c->membership, control_now(c), nodes, n);
+		take(c, entries, n);
 	} else {
 		log_warning("no nodes found in the directory (%s): %s",
 		    status_name(st), status_message());
+		finder_failed(&c->finder, control_now(c));
 	}
-	finder_done(&c->finder, FINDER_SAMPLE, st == STATUS_OK, control_now(c));
+	control_find_tick(c);
 	control_pump(c);
 }
 
 static void
-on_removed(enum status st, void *arg)
+enter(struct control *c)
 {
-	(void)arg;
-	log_info("removed from the directory: %s", status_name(st));
+	char place[PLACE_BYTES];
+
+	places_of(c->settings->data_centre, c->settings->host, place);
+	c->directory->ops->enter(c->directory, place, self(c), on_entered, c);
+}
+
+static void
+look(struct control *c)
+{
+	if (c->find_from[0] == '\0')
+		places_first(c->settings->data_centre, c->find_from);
+	c->directory->ops->sample(c->directory, c->find_from, on_sample, c);
 }
 
 void
 control_find_tick(struct control *c)
 {
 	uint64_t now_ms = control_now(c);
-	uint32_t live;
-	int joined;
+	struct finder_view view;
 
-	if (c->directory == NULL || atomic_load(&c->leaving))
+	if (c->directory == NULL || atomic_load(&c->leaving) ||
+	    now_ms < finder_due_ms(&c->finder))
 		return;
-	live = membership_live(c->membership);
-	joined = membership_phase(c->membership) != MEMBERSHIP_JOINING;
-	switch (finder_next(&c->finder, joined, live, now_ms)) {
+	view.live = membership_live(c->membership);
+	view.joined = membership_phase(c->membership) != MEMBERSHIP_JOINING;
+	view.holder = places_held(c->membership);
+	switch (finder_next(&c->finder, &view, now_ms)) {
 	case FINDER_ENTER:
-		c->directory->ops->enter(c->directory, self(c), on_entered, c);
+		enter(c);
 		break;
 	case FINDER_SAMPLE:
-		c->directory->ops->sample(c->directory,
-		    (uint64_t)g_rand_int(c->finder.rand) << 32, on_sample, c);
+		look(c);
 		break;
 	case FINDER_NONE:
 		break;
@@ -85,10 +126,3 @@
 		return DEADLINE_NEVER;
 	return finder_due_ms(&c->finder);
 }
-
-void
-control_find_leave(struct control *c)
-{
-	if (c->directory != NULL)
-		c->directory->ops->remove(c->directory, self(c), on_removed, c);
-}
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -36,6 +36,7 @@
  * @fetching: a read of the feed gives the whole, which may take a minute
  * @directory: where nodes find one another, NULL for seeds of the settings
  * @finder: when the directory is written and read
+ * @find_from: where in the directory the next look begins, empty at first
  * @instances: runs of the upstream that sends heartbeats
  * @instance_port: port of the one that counts
  * @instance_service: its service
@@ -69,6 +70,7 @@
 	int fetching;
 	struct directory *directory;
 	struct finder finder;
+	char find_from[DIRECTORY_PLACE_BYTES];
 	struct instances instances;
 	uint16_t instance_port;
 	char instance_service[SERVICE_NAME_BYTES];
@@ -140,9 +142,6 @@
 /** control_find_next_ms() - when control_find_tick() is wanted next */
 uint64_t control_find_next_ms(const struct control *c);
 
-/** control_find_leave() - remove the own entry */
-void control_find_leave(struct control *c);
-
 /** control_totals_register() - add the decisions' totals to the metrics */
 void control_totals_register(void);
 
--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -122,35 +122,46 @@
 /** DIRECTORY_SAMPLE_MAX - most nodes that one look-up gives */
 #define DIRECTORY_SAMPLE_MAX 16
 
+/** DIRECTORY_PLACE_BYTES - room for the name of a place */
+#define DIRECTORY_PLACE_BYTES 48
+
+/**
+ * struct directory_entry - an entry
+ * @place: where in the directory; entries are in the byte order of their places
+ * @node: peer address of the node that entered itself there
+ */
+struct directory_entry {
+	char place[DIRECTORY_PLACE_BYTES];
+	struct net_addr node;
+};
+
 /**
  * directory_fn - a look-up has ended
  * @st: STATUS_OK or why not
- * @nodes: peer addresses of nodes, the own one perhaps among them
+ * @entries: what was found, the own one perhaps among them
  * @n: their number
  * @arg: the asker's
  */
-typedef void directory_fn(
-    enum status st, const struct net_addr *nodes, uint32_t n, void *arg);
+typedef void directory_fn(enum status st, const struct directory_entry *entries,
+    uint32_t n, void *arg);
 
-/** directory_done_fn - an entry was written or removed, or not */
+/** directory_done_fn - an entry was written, or not */
 typedef void directory_done_fn(enum status st, void *arg);
 
 struct directory;
 
 /**
  * struct directory_ops - a directory
- * @enter: write the own entry
- * @remove: remove it
- * @sample: look some entries up, from a random place on
+ * @enter: write the own address at a place, whoever is there
+ * @sample: look some entries up, from a place on; where few follow, from the
+ *	first one on as well
  * @free: free the directory; calls under way are dropped
  */
 struct directory_ops {
-	void (*enter)(struct directory *d, struct net_addr self,
-	    directory_done_fn *fn, void *arg);
-	void (*remove)(struct directory *d, struct net_addr self,
-	    directory_done_fn *fn, void *arg);
+	void (*enter)(struct directory *d, const char *place,
+	    struct net_addr self, directory_done_fn *fn, void *arg);
 	void (*sample)(
-	    struct directory *d, uint64_t random, directory_fn *fn, void *arg);
+	    struct directory *d, const char *from, directory_fn *fn, void *arg);
 	void (*free)(struct directory *d);
 };
 
