--- a/packages/membership/include/membership/finder.h
+++ b/packages/membership/include/membership/finder.h
@@ -4,10 +4,10 @@
  *
  * A node looks once at its start.  With peers it needs the directory no more:
  * it is looked at while the node is alone, and when many hosts were lost at
- * once.  Only a few hosts stand in it (membership/places.h), and whoever finds
- * few others or looks again, so that those in the same position find it.  So a
- * start of many hosts costs about one call for each.  Failures are answered by
- * full-jitter back-off.
+ * once.  Only a few hosts stand in it (membership/places.h), and whoever has
+ * found few others twice or is alone still, so that those in the same position
+ * find it.  So a start of many hosts costs about one call for each, and the
+ * very first one two.  Failures are answered by full-jitter back-off.
  */
 #ifndef MEMBERSHIP_FINDER_H
 #define MEMBERSHIP_FINDER_H
@@ -40,6 +40,7 @@
  * struct finder - state
  * @rand: random choices
  * @looked: the directory was looked at
+ * @few: looks in a row that found few others
  * @entered: the own entry is written
  * @busy: a call is under way
  * @failures: failures in a row
@@ -50,6 +51,7 @@
 struct finder {
 	GRand *rand;
 	int looked;
+	uint32_t few;
 	int entered;
 	int busy;
 	uint32_t failures;
--- a/packages/membership/src/finder.c
+++ b/packages/membership/src/finder.c
@@ -22,10 +22,16 @@
 #define LOST_PERCENT 50
 #define PERCENT 100
 
-/* With fewer others than this in the directory a node enters itself at once:
- * they may all be gone. */
+/* With fewer others than this in the directory a node looks again, and then
+ * enters itself: they may all be gone. */
 #define FEW 4
 
+/* Hosts that start together for the first time find nobody.  Each looks again
+ * at its own moment within this: then a few have entered, and the others need
+ * not. */
+#define FEW_AGAIN_MS 600
+#define FEW_ENOUGH 2
+
 /* A place changes its holder after this: a host that is restarted is back
  * sooner, and is found at its address of before. */
 #define HOLD_AFTER_MS 10000
@@ -35,6 +41,7 @@
 {
 	f->rand = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
 	f->looked = 0;
+	f->few = 0;
 	f->entered = 0;
 	f->busy = 0;
 	f->failures = 0;
@@ -81,13 +88,20 @@
 	return !f->entered && now_ms >= f->holds_ms;
 }
 
+static int
+looks_again(const struct finder *f)
+{
+	return f->few > 0 && f->few < FEW_ENOUGH;
+}
+
 static enum finder_action
 choose(struct finder *f, const struct finder_view *view, uint64_t now_ms)
 {
 	if (!f->looked)
 		return FINDER_SAMPLE;
 	if (wants_peers(f, view))
-		return f->entered ? FINDER_SAMPLE : FINDER_ENTER;
+		return f->entered || looks_again(f) ? FINDER_SAMPLE
+						    : FINDER_ENTER;
 	if (takes_place(f, view, now_ms))
 		return FINDER_ENTER;
 	return FINDER_NONE;
@@ -135,8 +149,11 @@
 	f->looked = 1;
 	f->entered |= own;
 	f->most_live = 0;
+	f->few = others < FEW ? f->few + 1 : 0;
 	f->due_ms = now_ms;
-	if (others >= FEW || f->entered)
+	if (looks_again(f))
+		f->due_ms += within(f, FEW_AGAIN_MS);
+	else if (f->few == 0 || f->entered)
 		f->due_ms += ALONE_MS / 2 + within(f, ALONE_MS / 2);
 }
 
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -207,6 +207,7 @@
  * @began_ms: when the joining began
  * @bootstrap_ms: when to go on without a peer that holds the table
  * @unjoined: answers in a row of peers that hold no table themselves
+ * @silent: peers in a row that did not answer in time
  * @seed: the own address is among the seeds
  * @own_only: only the own data centre's part is wanted
  * @complete: the table is here
@@ -221,6 +222,7 @@
 	uint64_t began_ms;
 	uint64_t bootstrap_ms;
 	uint32_t unjoined;
+	uint32_t silent;
 	int seed;
 	int own_only;
 	int complete;
--- a/packages/membership/src/join.c
+++ b/packages/membership/src/join.c
@@ -25,8 +25,11 @@
 #define ANSWER_MS 2000
 
 /* So is a first one: the peer may be gone and its host silent, and others can
- * be asked.  After the loss of all power it is what most wait for. */
-#define FIRST_ANSWER_MS 400
+ * be asked.  While hosts start together many have no power yet when they are
+ * asked, so the wait is short at first: some ten round trips inside a region,
+ * doubled with each silent peer for those that are far or slow. */
+#define FIRST_ANSWER_MS 100
+#define SILENT_SHIFT_MAX 2
 
 /* A seed goes on alone after this share of the time that others wait, so that
  * they can join it. */
@@ -126,6 +129,7 @@
 	j->cursor = 0;
 	j->attempts = 0;
 	j->unjoined = 0;
+	j->silent = 0;
 	j->deadline_ms = m->now_ms;
 	j->began_ms = m->now_ms;
 	j->bootstrap_ms = m->now_ms + m->settings.bootstrap_ms;
@@ -283,6 +287,12 @@
 	    m->now_ms + random_below(m, MIN(most, BACKOFF_CAP_MS) + 1);
 }
 
+static uint64_t
+first_answer_ms(const struct joiner *j)
+{
+	return (uint64_t)FIRST_ANSWER_MS << MIN(j->silent, SILENT_SHIFT_MAX);
+}
+
 static void
 ask(struct membership *m, const struct net_addr *to, uint32_t cursor)
 {
@@ -301,7 +311,7 @@
 	j->asking = 1;
 	j->cursor = cursor;
 	j->deadline_ms =
-	    m->now_ms + (cursor == 0 ? FIRST_ANSWER_MS : ANSWER_MS);
+	    m->now_ms + (cursor == 0 ? first_answer_ms(j) : ANSWER_MS);
 }
 
 /*
@@ -356,6 +366,7 @@
 		return;
 	if (j->asking) {
 		outbox_close(m->out, &j->asked, 0);
+		j->silent++;
 		back_off(m, &j->asked);
 		return;
 	}
@@ -459,6 +470,7 @@
 	if (msg.joined || !j->seed)
 		j->bootstrap_ms =
 		    MAX(j->bootstrap_ms, m->now_ms + m->settings.bootstrap_ms);
+	j->silent = 0;
 	j->unjoined = msg.joined ? 0 : j->unjoined + 1;
 	if (!msg.joined)
 		settle_with(m, from);
--- a/packages/membership/test/fake_net.c
+++ b/packages/membership/test/fake_net.c
@@ -170,6 +170,8 @@
 		deliver_later(f, from, (uint32_t)to, item, from + 1);
 		return;
 	}
+	if (f->dark)
+		return;
 	e = event_add(f, EVENT_UNREACHABLE, from, f->now_ms + REFUSED_MS);
 	e->from = item->to;
 }
--- a/packages/membership/test/fake_net.h
+++ b/packages/membership/test/fake_net.h
@@ -46,6 +46,7 @@
 	uint32_t loss_percent;
 	uint32_t double_percent;
 	uint32_t delay_ms; /* 1 to this, by chance */
+	int dark;	   /* dead hosts are silent, connections hang */
 	struct net_addr seeds[4];
 	uint32_t n_seeds;
 	uint64_t cpu_us; /* spent in the memberships */
--- a/packages/membership/test/herd.c
+++ b/packages/membership/test/herd.c
@@ -114,6 +114,7 @@
 	uint64_t last_ms = 0, end_ms;
 	uint32_t i;
 
+	f->dark = 1;
 	end_ms = f->now_ms + STARTS_MS + DIRECTORY_MOST_MS + BEAT_MOST_MS;
 	for (i = 0; i < n; i++) {
 		plan(f, &plans[i]);
--- a/packages/membership/test/herd.h
+++ b/packages/membership/test/herd.h
@@ -1,7 +1,7 @@
 /*
  * A herd: all hosts of a fleet lose power and start at once.  Nobody holds a
  * table; each node has the addresses of a few others from a directory that
- * kept the rows of before.
+ * kept the rows of before.  A host that has no power yet is silent.
  */
 #ifndef HERD_H
 #define HERD_H
--- a/packages/spread/include/spread/readers.h
+++ b/packages/spread/include/spread/readers.h
@@ -24,6 +24,8 @@
  * @change: state of the table of hosts at which it was worked out
  * @poll_ms: when the next poll is due
  * @alone_ms: when a node that could not join anybody may poll
+ * @settled_ms: when the table of a node that has joined tells who reads;
+ *	DEADLINE_NEVER while it has not joined
  * @probes: reads beside the one under way
  * @reading: whether a read is under way
  * @asked_ms: when it was asked for
@@ -36,6 +38,7 @@
 	uint64_t change;
 	uint64_t poll_ms;
 	uint64_t alone_ms;
+	uint64_t settled_ms;
 	struct probes probes;
 	int reading;
 	uint64_t asked_ms;
--- a/packages/spread/src/readers.c
+++ b/packages/spread/src/readers.c
@@ -12,6 +12,16 @@
 /* How often a changed table of hosts is looked at. */
 #define RANK_MS 1000
 
+/* A node that is joining looks this often whether it has. */
+#define JOINING_MS 50
+
+/*
+ * After it has joined it compares its table with others (membership/settle.c);
+ * by then most hosts that started with it are known, so that few take
+ * themselves for readers.  Until a reader has read, nobody serves.
+ */
+#define SETTLE_MS 100
+
 /* The shell's own timeout of a read is shorter than this: 2 s of waiting, 1.5 s
  * for an answer to begin and 45 s for the largest to come. */
 #define READ_LOST_MS 60000
@@ -27,23 +37,39 @@
 	r->poll_ms = now_ms + env_below(env, env->profile.head_poll_ms);
 	r->alone_ms = now_ms + env->profile.alone_poll_ms +
 	    env_below(env, env->profile.alone_poll_ms);
+	r->settled_ms = DEADLINE_NEVER;
 	probes_init(&r->probes);
 	r->reading = 0;
 	r->asked_ms = 0;
 	r->reading_ms = 0;
 }
 
+/* Whether the table is too young to tell who reads; sets the next look. */
+static int
+readers_too_early(struct readers *r, uint64_t now_ms)
+{
+	int joined = peers_joined(r->env);
+
+	if (joined && r->settled_ms == DEADLINE_NEVER)
+		r->settled_ms = now_ms + SETTLE_MS;
+	else if (!joined)
+		r->settled_ms = DEADLINE_NEVER;
+	if (now_ms >= MIN(r->alone_ms, r->settled_ms))
+		return 0;
+	r->rank_ms = MIN(now_ms + JOINING_MS, MIN(r->alone_ms, r->settled_ms));
+	return 1;
+}
+
 static void
 readers_work_out(struct readers *r, uint64_t now_ms)
 {
 	uint64_t change;
 
-	r->rank_ms = now_ms + env_around(r->env, RANK_MS);
-	if (!peers_joined(r->env) && now_ms < r->alone_ms) {
+	if (readers_too_early(r, now_ms)) {
 		r->env->reader_rank = PEERS_RANK_NONE;
-		r->rank_ms = MIN(r->rank_ms, r->alone_ms);
 		return;
 	}
+	r->rank_ms = now_ms + env_around(r->env, RANK_MS);
 	change = membership_change(r->env->members);
 	if (change == r->change && r->env->reader_rank != PEERS_RANK_NONE)
 		return;
--- /dev/null
+++ b/packages/spread/test/test_reader_rank.c
@@ -0,0 +1,118 @@
+/*
+ * When a node that has started takes itself for a reader.
+ *
+ * The load: all hosts of a fleet have lost power, callers are there, and nobody
+ * serves before a reader has read.  Read too early, while the table is short,
+ * each host takes itself for a reader and the store is asked by all of them;
+ * read late, all callers wait.
+ */
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+#include "membership/membership.h"
+#include "spread/readers.h"
+
+#include "test_run.h"
+
+#define STEP_MS 10
+#define ALONE_MS 300
+#define POLL_MS 100
+
+/* A reader reads within this after it has joined: a third of the time within
+ * which a version is to be in force on a host that starts among others. */
+#define READ_WITHIN_MS 250
+
+static struct membership *m;
+static struct outbox *out;
+static struct spread_env env;
+static struct readers readers;
+
+/* A node that is joined @join_ms after its start, since nobody is there. */
+static void
+begin(uint32_t join_ms)
+{
+	struct spread_config cfg = {.profile = *spread_profile_registry(),
+	    .host = "h",
+	    .data_centre = "d",
+	    .seed = 1};
+	struct membership_settings s;
+
+	membership_settings_init(&s);
+	(void)g_strlcpy(s.host, "h", sizeof(s.host));
+	(void)g_strlcpy(s.data_centre, "d", sizeof(s.data_centre));
+	s.address = (struct net_addr){0x0a000001U, 7000};
+	s.await_seeds_ms = join_ms;
+	out = outbox_new();
+	m = membership_new(&s, 0, 1000000, 1, out);
+	cfg.profile.head_poll_ms = POLL_MS;
+	cfg.profile.alone_poll_ms = ALONE_MS;
+	env_init(&env, &cfg, m, NULL);
+	readers_init(&readers, &env, 0);
+}
+
+static void
+end(void)
+{
+	env_clear(&env);
+	membership_free(m);
+	outbox_free(out);
+}
+
+/* When the first read is asked for; DEADLINE_NEVER for none. */
+static uint64_t
+first_read_ms(uint64_t most_ms)
+{
+	uint64_t now_ms;
+
+	for (now_ms = 0; now_ms <= most_ms; now_ms += STEP_MS) {
+		membership_tick(m, now_ms);
+		if (now_ms >= readers_next_ms(&readers))
+			readers_tick(&readers, now_ms);
+		if (env.stats.head_reads > 0)
+			return now_ms;
+	}
+	return DEADLINE_NEVER;
+}
+
+START_TEST(a_reader_reads_soon_after_it_has_joined)
+{
+	uint32_t join_ms = (uint32_t)_i;
+	uint64_t read_ms;
+
+	begin(join_ms);
+	read_ms = first_read_ms(2000);
+	ck_assert_msg(read_ms >= join_ms + 50,
+	    "%llu: the table is not compared yet", (unsigned long long)read_ms);
+	ck_assert_msg(read_ms <= join_ms + READ_WITHIN_MS, "%llu: callers wait",
+	    (unsigned long long)read_ms);
+	end();
+}
+END_TEST
+
+/* One that reaches nobody asks the platform all the same. */
+START_TEST(a_node_that_joins_nobody_reads_alone)
+{
+	uint64_t read_ms;
+
+	begin(60000);
+	read_ms = first_read_ms(3000);
+	ck_assert_uint_ge(read_ms, ALONE_MS);
+	ck_assert_uint_le(read_ms, 2 * ALONE_MS + POLL_MS);
+	end();
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("reader_rank");
+	TCase *tc = tcase_create("rank");
+
+	tcase_add_loop_test(
+	    tc, a_reader_reads_soon_after_it_has_joined, 1, 150);
+	tcase_add_test(tc, a_node_that_joins_nobody_reads_alone);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
