fix(traffic,node): a cut is found out by two hosts, not by each

Each of 76 entries found out each of 25 hosts by its own lost calls. A call that waited for the dial of a silent host waited up to its deadline, though it was never sent.

--- a/packages/node/src/entry_peer.c
+++ b/packages/node/src/entry_peer.c
@@ -56,6 +56,8 @@
 static void
 set_doubt(struct entry_peer *p, bool doubt)
 {
+	uint64_t now_ms = loop_now_ms(p->entry->loop);
+	bool cut = false;
 	guint i;
 
 	p->doubt_ms = DEADLINE_NEVER;
@@ -64,8 +66,32 @@
 	p->doubt = doubt;
 	log_drop(p, doubt ? "in doubt, nothing is heard" : "heard again");
 	for (i = 0; i < p->endpoints->len; i++)
-		endpoints_doubt(p->entry->endpoints,
-		    g_array_index(p->endpoints, uint64_t, i), doubt);
+		cut |= endpoints_doubt(p->entry->endpoints,
+		    g_array_index(p->endpoints, uint64_t, i), doubt, now_ms);
+	if (cut)
+		log_drop(p,
+		    "its data centre is left alone, as another host "
+		    "there is silent too");
+}
+
+/* What was not sent yet goes elsewhere: the way is in doubt. */
+static void
+turn_waiting_away(struct entry_peer *p)
+{
+	GQueue waiting = p->waiting, kept = G_QUEUE_INIT;
+	struct entry_attempt *a;
+
+	g_queue_init(&p->waiting);
+	while ((a = g_queue_pop_head(&waiting)) != NULL) {
+		if (a->kind != ATTEMPT_SEND) {
+			g_queue_push_tail(&kept, a);
+			continue;
+		}
+		a->peer = NULL;
+		entry_attempt_lost(a, false);
+	}
+	while ((a = g_queue_pop_tail(&kept)) != NULL)
+		g_queue_push_head(&p->waiting, a);
 }
 
 /* Whether some endpoint there is still to be called. */
@@ -209,6 +235,7 @@
 	if (now_ms < p->dial_ms) {
 		set_doubt(p, true);
 		loop_timer_set(&p->timer, p->dial_ms);
+		turn_waiting_away(p);
 		return;
 	}
 	log_drop(p, "no hello in time");
@@ -392,7 +419,8 @@
 		if (g_array_index(p->endpoints, uint64_t, i) == id)
 			return;
 	g_array_append_val(p->endpoints, id);
-	endpoints_doubt(p->entry->endpoints, id, p->doubt);
+	(void)endpoints_doubt(
+	    p->entry->endpoints, id, p->doubt, loop_now_ms(p->entry->loop));
 }
 
 void
--- a/packages/node/src/entry_service.c
+++ b/packages/node/src/entry_service.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "node/snapshot_ref.h"
 
 #include "entry_priv.h"
@@ -48,6 +49,8 @@
 	info->incarnation = ep->incarnation;
 	info->slots = ep->slots;
 	info->cold_ms = ep->cold_ms;
+	info->host = hash64(ep->host, strlen(ep->host), 0);
+	info->centre = hash64(ep->data_centre, strlen(ep->data_centre), 0);
 	info->state = state_of(ep->state);
 	info->local = g_strcmp0(ep->data_centre, e->settings->data_centre) == 0;
 	info->own = strcmp(ep->host, e->settings->host) == 0;
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -3,6 +3,7 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -342,10 +343,62 @@
 }
 END_TEST
 
+/* A port on which connections are taken and nothing is ever said. */
+static int
+silent_port(uint16_t *port)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	*port = test_free_port();
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	at.sin_port = htons(*port);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(listen(fd, SOMAXCONN), 0);
+	return fd;
+}
+
+/*
+ * Behind a cut a host's guard never answers the dial.  A call that waits for it
+ * was not sent, so that it goes elsewhere as soon as the way is in doubt;
+ * bookings too, and they run once.  The deadline is shorter than a dial may
+ * take, and many times what the doubt needs.
+ */
+START_TEST(a_call_to_a_silent_host_goes_elsewhere)
+{
+	struct fake_endpoint eps[] = {{.host = "h1"}, {.host = "h3"}};
+	struct test_node *entry;
+	struct reply r;
+	char headers[80], id[16];
+	int fd, i;
+
+	start();
+	entry = test_node_start("h0", NULL);
+	fd = silent_port(&eps[1].port);
+	eps[0].port = guard_addr(node->guard).port;
+	test_snapshot(eps, 2);
+	for (i = 0; i < 10; i++) {
+		(void)snprintf(id, sizeof(id), "s%d", i);
+		(void)snprintf(headers, sizeof(headers),
+		    "X-Test-Id: %s\r\nBramley-Deadline-Ms: 1400\r\n", id);
+		ck_assert(caller_call(callers_port(entry->callers), "POST",
+		    "/book/x", headers, "seat", 4, &r));
+		ck_assert_msg(
+		    r.status == 200, "call %d: %d %s", i, r.status, r.fate);
+		ck_assert_int_eq(fake_upstream_runs(upstream, id), 1);
+		reply_clear(&r);
+	}
+	test_node_stop(entry);
+	(void)close(fd);
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *const tests[] = {a_lookup_gets_its_answer,
+	    a_call_to_a_silent_host_goes_elsewhere,
 	    a_caller_is_told_what_happened,
 	    a_long_answer_that_breaks_off_does_not_look_whole,
 	    an_old_caller_sees_a_cut_as_a_reset,
--- a/packages/traffic/include/traffic/endpoints.h
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -30,6 +30,8 @@
  * @slots: announced number of slots; at least 1 is assumed
  * @cold_ms: how long it was still slow after its start when it was announced;
  *	UINT32_MAX when it didn't say
+ * @host: its host, by any number that hosts differ in
+ * @centre: its data centre, likewise; 0 when it has none
  * @state: state announced
  * @local: in this node's data centre
  * @own: on this node's own host
@@ -39,6 +41,8 @@
 	uint64_t incarnation;
 	uint32_t slots;
 	uint32_t cold_ms;
+	uint64_t host;
+	uint64_t centre;
 	enum endpoint_state state;
 	bool local;
 	bool own;
@@ -162,8 +166,15 @@
  * @doubt: nothing is heard from its host; it is left out while others are
  *	usable.  When the doubt is over its results so far are forgotten, since
  *	they told of the way and not of the endpoint.
+ * @now_ms: monotonic time
+ *
+ * Return: whether its data centre, another than the own one, is taken for cut
+ * off from now on: two of its hosts fell silent within 2 s, with nothing heard
+ * from there between.  Its endpoints are left out then until something is
+ * heard, but for one call each 2 s that may run twice.
  */
-void endpoints_doubt(struct endpoints *e, uint64_t endpoint, bool doubt);
+bool endpoints_doubt(
+    struct endpoints *e, uint64_t endpoint, bool doubt, uint64_t now_ms);
 
 /** endpoints_listed() - whether the snapshot in force has the endpoint */
 bool endpoints_listed(const struct endpoints *e, uint64_t endpoint);
--- /dev/null
+++ b/packages/traffic/src/centres.c
@@ -0,0 +1,87 @@
+/*
+ * Which other data centres an entry takes for cut off: see centres.h.
+ */
+#include "centres.h"
+
+/* Hosts that fall silent within this time have the cause in common. */
+#define SILENT_TOGETHER_MS 2000
+
+/*
+ * One call that may run twice is led there each time, so that a data centre of
+ * which two hosts happened to end together is back with the first answer.
+ * Silent hosts are dialled again meanwhile, each 1.6 s at the latest, and one
+ * that answers ends it as well.
+ */
+#define TRIAL_MS 2000
+
+GHashTable *
+centres_new(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+static struct centre *
+find_or_add(GHashTable *centres, uint64_t id)
+{
+	struct centre *c = g_hash_table_lookup(centres, &id);
+
+	if (c != NULL)
+		return c;
+	c = g_new0(struct centre, 1);
+	c->id = id;
+	g_hash_table_insert(centres, &c->id, c);
+	return c;
+}
+
+bool
+centres_silent(
+    GHashTable *centres, uint64_t centre, uint64_t host, uint64_t now_ms)
+{
+	struct centre *c = find_or_add(centres, centre);
+	bool another = c->silent_host != 0 && c->silent_host != host &&
+	    now_ms < c->silent_ms + SILENT_TOGETHER_MS;
+
+	c->silent_host = host;
+	c->silent_ms = now_ms;
+	if (!another || c->cut)
+		return false;
+	c->cut = true;
+	c->trial_ms = now_ms + TRIAL_MS;
+	return true;
+}
+
+void
+centres_heard(GHashTable *centres, uint64_t centre)
+{
+	struct centre *c = g_hash_table_lookup(centres, &centre);
+
+	if (c == NULL)
+		return;
+	c->silent_host = 0;
+	c->cut = false;
+}
+
+bool
+centres_cut(GHashTable *centres, uint64_t centre)
+{
+	const struct centre *c = g_hash_table_lookup(centres, &centre);
+
+	return c != NULL && c->cut;
+}
+
+bool
+centres_trial_due(GHashTable *centres, uint64_t centre, uint64_t now_ms)
+{
+	const struct centre *c = g_hash_table_lookup(centres, &centre);
+
+	return c != NULL && c->cut && now_ms >= c->trial_ms;
+}
+
+void
+centres_tried(GHashTable *centres, uint64_t centre, uint64_t now_ms)
+{
+	struct centre *c = g_hash_table_lookup(centres, &centre);
+
+	if (c != NULL)
+		c->trial_ms = now_ms + TRIAL_MS;
+}
--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -5,6 +5,7 @@
 
 #include <math.h>
 
+#include "centres.h"
 #include "endpoints_defs.h"
 
 #define PERCENT 100
@@ -46,6 +47,7 @@
 	    g_int64_hash, g_int64_equal, NULL, service_free);
 	e->endpoints =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	e->centres = centres_new();
 	return e;
 }
 
@@ -56,6 +58,7 @@
 		return;
 	g_hash_table_destroy(e->services);
 	g_hash_table_destroy(e->endpoints);
+	g_hash_table_destroy(e->centres);
 	g_free(e);
 }
 
@@ -231,6 +234,14 @@
 		ep->in_flight++;
 }
 
+/* Whether a result shows that something came from the endpoint's host. */
+static bool
+was_heard(enum endpoint_result result)
+{
+	return result != ENDPOINT_SILENT && result != ENDPOINT_UNREACHABLE &&
+	    result != ENDPOINT_CANCELLED;
+}
+
 void
 endpoints_ended(struct endpoints *e, uint64_t endpoint,
     enum endpoint_result result, uint64_t took_us, uint64_t now_ms)
@@ -242,6 +253,8 @@
 		return;
 	if (ep->in_flight > 0)
 		ep->in_flight--;
+	if (was_heard(result))
+		centres_heard(e->centres, ep->info.centre);
 	if (ep->service == NULL) {
 		if (ep->in_flight == 0)
 			g_hash_table_remove(e->endpoints, &endpoint);
@@ -256,17 +269,29 @@
 		ejection_note(e->ejection, ep, result, took_us, now_ms);
 }
 
-void
-endpoints_doubt(struct endpoints *e, uint64_t endpoint, bool doubt)
+bool
+endpoints_doubt(
+    struct endpoints *e, uint64_t endpoint, bool doubt, uint64_t now_ms)
 {
 	struct endpoint *ep;
 
 	ep = endpoints_find(e, endpoint);
 	if (ep == NULL || ep->doubt == doubt)
-		return;
+		return false;
 	ep->doubt = doubt;
-	if (!doubt)
+	if (!doubt) {
 		ejection_forget(ep);
+		centres_heard(e->centres, ep->info.centre);
+		return false;
+	}
+	return !ep->info.local && ep->info.centre != 0 &&
+	    centres_silent(e->centres, ep->info.centre, ep->info.host, now_ms);
+}
+
+bool
+endpoints_cut_off(const struct endpoints *e, const struct endpoint *ep)
+{
+	return !ep->info.local && centres_cut(e->centres, ep->info.centre);
 }
 
 bool
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -89,12 +89,14 @@
  * @cfg: settings
  * @services: service id -> struct service
  * @endpoints: endpoint id -> struct endpoint
+ * @centres: data centre -> struct centre, see centres.h
  * @ejection: told of results; NULL for none
  */
 struct endpoints {
 	struct endpoints_config cfg;
 	GHashTable *services;
 	GHashTable *endpoints;
+	GHashTable *centres;
 	struct ejection *ejection;
 };
 
@@ -104,6 +106,9 @@
 /** endpoints_service() - record of a service, or NULL */
 struct service *endpoints_service(const struct endpoints *e, uint64_t id);
 
+/** endpoints_cut_off() - whether its data centre is taken for cut off */
+bool endpoints_cut_off(const struct endpoints *e, const struct endpoint *ep);
+
 /** endpoints_warm_up() - it may be cold, and doesn't say for how long */
 void endpoints_warm_up(
     const struct endpoints *e, struct endpoint *ep, uint64_t now_ms);
--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -3,6 +3,7 @@
  */
 #include "traffic/placement.h"
 
+#include "centres.h"
 #include "endpoints_defs.h"
 #include "traffic/keyed.h"
 
@@ -141,9 +142,30 @@
 	return ejection_judge(p->ejection, ep, q->idempotent, now_ms);
 }
 
+/* Whether a call is to try its data centre, from which nothing was heard. */
+static bool
+is_trial_due(const struct placement *p, const struct placement_query *q,
+    const struct endpoint *ep, uint64_t now_ms)
+{
+	return q->idempotent &&
+	    centres_trial_due(p->endpoints->centres, ep->info.centre, now_ms);
+}
+
+/* Whether an endpoint that is not usable now may be tried. */
+static bool
+is_due(const struct placement *p, const struct placement_query *q,
+    const struct endpoint *ep, enum ejection_verdict v, uint64_t now_ms)
+{
+	if (ep->doubt || was_tried(q, ep->info.id))
+		return false;
+	if (endpoints_cut_off(p->endpoints, ep))
+		return v == EJECTION_USABLE && is_trial_due(p, q, ep, now_ms);
+	return v == EJECTION_PROBE;
+}
+
 /*
  * Sort the service's endpoints into local and remote usable ones and spare
- * ones (ejected or tried already).
+ * ones (ejected, not heard from or tried already).
  *
  * Return: one that is due for a probe, or NULL.
  */
@@ -163,10 +185,10 @@
 		if (!is_ready(ep, now_ms))
 			continue;
 		v = judge(p, q, ep, now_ms);
-		if (v == EJECTION_PROBE && !ep->doubt &&
-		    !was_tried(q, ep->info.id))
+		if (is_due(p, q, ep, v, now_ms))
 			due = ep;
 		if (v != EJECTION_USABLE || ep->doubt ||
+		    endpoints_cut_off(p->endpoints, ep) ||
 		    was_tried(q, ep->info.id))
 			g_ptr_array_add(p->spare, ep);
 		else if (ep->info.local || !p->cfg.local_first)
@@ -177,6 +199,16 @@
 	return due;
 }
 
+/* A probe of the endpoint, or of the way to its data centre. */
+static void
+note_probe(struct placement *p, struct endpoint *ep, uint64_t now_ms)
+{
+	if (endpoints_cut_off(p->endpoints, ep))
+		centres_tried(p->endpoints->centres, ep->info.centre, now_ms);
+	else
+		ejection_probe(p->ejection, ep);
+}
+
 static struct endpoint *
 pick(struct placement *p, const GPtrArray *from)
 {
@@ -353,7 +385,7 @@
 		return choose_home(p, q, s, now_ms, out);
 	due = sort(p, q, s, now_ms);
 	if (due != NULL) {
-		ejection_probe(p->ejection, due);
+		note_probe(p, due, now_ms);
 		return take(p, due, PLACEMENT_PROBE, now_ms, out);
 	}
 	return choose_usable(p, now_ms, out) || choose_spare(p, q, now_ms, out);
--- a/packages/traffic/test/test_placement.c
+++ b/packages/traffic/test/test_placement.c
@@ -445,6 +445,147 @@
 }
 END_TEST
 
+/*
+ * A data centre is cut off under load.
+ *
+ * The load: the own data centre is full, so twenty calls a second go to others.
+ * Behind the cut the endpoints look idle, as nothing comes back that says
+ * otherwise; each call sent there fails, and tells after half a second that its
+ * host is silent.  Seen: one entry of 76 lost a call or more on each of 25
+ * hosts during a cut of six seconds, and each of the others as well.
+ */
+#define CENTRE_HOSTS 25
+#define CUT_FROM_MS 1000
+#define CUT_FOR_MS 6000
+#define CALL_EACH_MS 50
+#define SILENT_AFTER_MS 500
+
+/* Half of the calls go there until two hosts are known to be silent, within a
+ * second; then one each 2 s, to find out when the cut is over. */
+#define LOST_MOST (1000 / CALL_EACH_MS / 2 + CUT_FOR_MS / 2000)
+
+enum { OWN_CENTRE = 1, CUT_CENTRE, OTHER_CENTRE };
+
+static struct endpoint_info
+info_in(uint64_t id, uint64_t centre)
+{
+	struct endpoint_info info = {.id = id,
+	    .host = id,
+	    .centre = centre,
+	    .slots = 10,
+	    .state = ENDPOINT_READY,
+	    .local = centre == OWN_CENTRE};
+
+	return info;
+}
+
+/* One local endpoint, which is full, and two data centres. */
+static struct endpoints *
+fleet_new(void)
+{
+	struct endpoint_info infos[2 * CENTRE_HOSTS + 1];
+	struct endpoints_config ec;
+	struct endpoints *e;
+	size_t n = 0, i;
+
+	endpoints_config_default(&ec);
+	e = endpoints_new(&ec);
+	infos[n++] = info_in(1, OWN_CENTRE);
+	for (i = 0; i < CENTRE_HOSTS; i++) {
+		infos[n++] = info_in(100 + i, CUT_CENTRE);
+		infos[n++] = info_in(200 + i, OTHER_CENTRE);
+	}
+	endpoints_set_service(e, SERVICE, 1, infos, n, 0);
+	for (i = 0; i < 40; i++)
+		endpoints_began(e, 1, 0);
+	return e;
+}
+
+static uint64_t
+place(struct placement *p, uint64_t now_ms)
+{
+	struct placement_query q = {.service = SERVICE, .idempotent = true};
+	struct placement_choice c;
+
+	ck_assert(placement_choose(p, &q, now_ms, &c));
+	return c.endpoint;
+}
+
+static bool
+is_behind_cut(uint64_t id, uint64_t now_ms)
+{
+	return id >= 100 && id < 200 && now_ms >= CUT_FROM_MS &&
+	    now_ms < CUT_FROM_MS + CUT_FOR_MS;
+}
+
+START_TEST(a_cut_costs_few_calls)
+{
+	uint64_t silent_ms[100 + CENTRE_HOSTS] = {0}, id, now_ms;
+	struct endpoints *e = fleet_new();
+	struct placement_config pc;
+	struct placement *p;
+	uint32_t lost = 0, back = 0;
+	size_t i;
+
+	placement_config_default(&pc);
+	p = placement_new(&pc, e, NULL, (uint64_t)_i);
+	for (now_ms = 0; now_ms < CUT_FROM_MS + CUT_FOR_MS + 4000;
+	     now_ms += CALL_EACH_MS) {
+		for (i = 100; i < 100 + CENTRE_HOSTS; i++) {
+			if (silent_ms[i] == 0 || now_ms < silent_ms[i])
+				continue;
+			/* Dialled again, once the cut is over it answers. */
+			(void)endpoints_doubt(
+			    e, i, is_behind_cut(i, now_ms), now_ms);
+		}
+		id = place(p, now_ms);
+		endpoints_began(e, id, now_ms);
+		if (is_behind_cut(id, now_ms)) {
+			lost++;
+			silent_ms[id] = now_ms + SILENT_AFTER_MS;
+			endpoints_ended(e, id, ENDPOINT_CANCELLED, 0, now_ms);
+			continue;
+		}
+		endpoints_ended(e, id, ENDPOINT_OK, 1000, now_ms);
+		back += id < 200 && now_ms >= CUT_FROM_MS + CUT_FOR_MS;
+	}
+	ck_assert_msg(lost <= LOST_MOST, "%u calls were lost", lost);
+	ck_assert_msg(back > 0, "it is not called after the cut");
+	placement_free(p);
+	endpoints_free(e);
+}
+END_TEST
+
+/* Two hosts that end by themselves while others there answer are no cut. */
+START_TEST(two_silent_hosts_among_others_that_answer_are_no_cut)
+{
+	struct endpoints *e = fleet_new();
+
+	ck_assert(!endpoints_doubt(e, 100, true, 1000));
+	endpoints_began(e, 102, 1100);
+	endpoints_ended(e, 102, ENDPOINT_REFUSED, 0, 1100);
+	ck_assert(!endpoints_doubt(e, 101, true, 1200));
+	ck_assert_msg(endpoints_doubt(e, 103, true, 1300),
+	    "nothing was heard between these two");
+	endpoints_free(e);
+}
+END_TEST
+
+/* One host is no data centre, and neither are two that end at other times. */
+START_TEST(one_silent_host_is_no_cut)
+{
+	struct endpoints *e = fleet_new();
+
+	ck_assert(!endpoints_doubt(e, 100, true, 1000));
+	ck_assert(!endpoints_doubt(e, 100, false, 1500));
+	ck_assert(!endpoints_doubt(e, 100, true, 2000));
+	ck_assert(!endpoints_doubt(e, 101, true, 9000));
+	/* The own data centre has nowhere to be left for. */
+	ck_assert(!endpoints_doubt(e, 1, true, 9100));
+	endpoints_free(e);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -468,6 +609,10 @@
 	tcase_add_test(tc, test_far_slower_than_siblings);
 	tcase_add_test(tc, test_snapshot_changes_under_requests);
 	tcase_add_test(tc, test_key_has_one_home);
+	tcase_add_loop_test(tc, a_cut_costs_few_calls, 0, 10);
+	tcase_add_test(
+	    tc, two_silent_hosts_among_others_that_answer_are_no_cut);
+	tcase_add_test(tc, one_silent_host_is_no_cut);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
