--- a/packages/membership/test/test_own.c
+++ b/packages/membership/test/test_own.c
@@ -311,6 +311,39 @@
 	return type;
 }
 
+/* Comparisons of tables that no node would send: each costs a bounded answer
+ * and changes nothing. */
+START_TEST(comparisons_that_make_no_sense_change_nothing)
+{
+	static const uint8_t marks[] = {1, 2, 3, 4, 5, 6, 7};
+	static const uint32_t slices[] = {0, 1, 7, UINT32_MAX};
+	struct net_addr from = {FAKE_IP + 9, FAKE_PORT};
+	struct msg_compare msg;
+	GByteArray *body;
+	uint64_t before;
+	uint32_t i;
+
+	for (i = 0; i < 4 * G_N_ELEMENTS(slices); i++) {
+		memset(&msg, 0, sizeof(msg));
+		(void)g_strlcpy(msg.host, "x", sizeof(msg.host));
+		msg.slices = slices[i % G_N_ELEMENTS(slices)];
+		msg.slice = UINT32_MAX - i;
+		msg.answer = i % 2 != 0;
+		msg.marks = marks;
+		msg.marks_len = i % sizeof(marks);
+		body = g_byte_array_new();
+		msg_compare_encode(&msg, body);
+		before = membership_counters(m)->bytes_datagrams;
+		membership_receive(
+		    m, f->now_ms, &from, 0, MSG_COMPARE, body->data, body->len);
+		ck_assert_uint_le(
+		    membership_counters(m)->bytes_datagrams - before, 2400);
+		g_byte_array_unref(body);
+	}
+	ck_assert_uint_eq(membership_live(m), 1);
+}
+END_TEST
+
 START_TEST(joins_over_the_limit_are_told_when_to_come_back)
 {
 	struct net_addr from = {FAKE_IP + 1, FAKE_PORT};
@@ -409,6 +442,7 @@
 	tcase_add_test(
 	    tc, records_with_names_that_the_configuration_takes_are_taken);
 	tcase_add_test(tc, bad_messages_change_nothing);
+	tcase_add_test(tc, comparisons_that_make_no_sense_change_nothing);
 	tcase_add_test(tc, joins_over_the_limit_are_told_when_to_come_back);
 	tcase_add_test(tc, rank_is_the_same_everywhere_and_live_only);
 	tcase_add_test(tc, quicker_links_rank_first_and_like_ones_share);
