fix(node): calls are taken out of a guard's queue before they go on

Problem: found by reading: a call that is told that it was not sent may end its other attempts, such as a question for a fate that waits for the same guard. It was taken out of the guard's queue then, while the loop walked a copy, and would have been used after it was freed.

Solution: the calls are taken out first, as when a connection is lost.

--- a/packages/node/src/entry_peer.c
+++ b/packages/node/src/entry_peer.c
@@ -74,24 +74,30 @@
 		    "there is silent too");
 }
 
-/* What was not sent yet goes elsewhere: the way is in doubt. */
+/*
+ * What was not sent yet goes elsewhere: the way is in doubt.  All are taken out
+ * of the queue first, since a call that goes on may end its other attempts.
+ */
 static void
 turn_waiting_away(struct entry_peer *p)
 {
-	GQueue waiting = p->waiting, kept = G_QUEUE_INIT;
+	GPtrArray *unsent = g_ptr_array_new();
+	GList *l = p->waiting.head, *next;
 	struct entry_attempt *a;
+	guint i;
 
-	g_queue_init(&p->waiting);
-	while ((a = g_queue_pop_head(&waiting)) != NULL) {
-		if (a->kind != ATTEMPT_SEND) {
-			g_queue_push_tail(&kept, a);
+	for (; l != NULL; l = next) {
+		next = l->next;
+		a = l->data;
+		if (a->kind != ATTEMPT_SEND)
 			continue;
-		}
+		g_queue_delete_link(&p->waiting, l);
 		a->peer = NULL;
-		entry_attempt_lost(a, false);
+		g_ptr_array_add(unsent, a);
 	}
-	while ((a = g_queue_pop_tail(&kept)) != NULL)
-		g_queue_push_head(&p->waiting, a);
+	for (i = 0; i < unsent->len; i++)
+		entry_attempt_lost(g_ptr_array_index(unsent, i), false);
+	g_ptr_array_free(unsent, TRUE);
 }
 
 /* Whether some endpoint there is still to be called. */
