--- /dev/null
+++ b/packages/membership/test/test_finder.c
@@ -0,0 +1,379 @@
+/*
+ * When the directory at the platform is written and read, and who stands in it.
+ */
+#include <string.h>
+
+#include <check.h>
+
+#include "base/clock.h"
+#include "membership/finder.h"
+#include "membership/places.h"
+
+#include "test_run.h"
+
+#define SAMPLE 16
+
+/* Ends a call as a directory of @others other entries would. */
+static void
+end_call(struct finder *f, enum finder_action a, uint32_t others, int ok,
+    uint64_t now_ms)
+{
+	if (!ok)
+		finder_failed(f, now_ms);
+	else if (a == FINDER_ENTER)
+		finder_entered(f, now_ms);
+	else
+		finder_found(f, others, 0, now_ms);
+}
+
+/* Steps of 10 ms; the calls that a node makes in @ms. */
+static uint32_t
+calls_in(struct finder *f, struct finder_view view, int ok, uint64_t *now_ms,
+    uint64_t ms)
+{
+	uint64_t end_ms = *now_ms + ms;
+	enum finder_action a;
+	uint32_t n = 0;
+
+	for (; *now_ms < end_ms; *now_ms += 10) {
+		a = finder_next(f, &view, *now_ms);
+		if (a == FINDER_NONE)
+			continue;
+		n++;
+		end_call(f, a, SAMPLE, ok, *now_ms);
+	}
+	return n;
+}
+
+static const struct finder_view alone = {0, 1, 1};
+
+START_TEST(a_node_with_peers_asks_no_more)
+{
+	const struct finder_view ten = {1, 10, 0}, four = {1, 4, 0};
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	ck_assert_int_eq(finder_next(&f, &alone, now_ms), FINDER_SAMPLE);
+	ck_assert_uint_eq(finder_due_ms(&f), DEADLINE_NEVER);
+	finder_found(&f, SAMPLE, 0, now_ms);
+	ck_assert_uint_eq(calls_in(&f, ten, 1, &now_ms, 60000), 0);
+	/* More than half of them are lost at once. */
+	ck_assert_uint_ge(calls_in(&f, four, 1, &now_ms, 3000), 1);
+	finder_clear(&f);
+}
+END_TEST
+
+/* Its place was another's, or nobody's: it is written once, and not before a
+ * host that is restarted is back. */
+START_TEST(the_holder_of_a_place_enters_itself_once)
+{
+	const struct finder_view holder = {1, 10, 1};
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	(void)finder_next(&f, &alone, now_ms);
+	finder_found(&f, SAMPLE, 0, now_ms);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 9000), 0);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 60000), 1);
+	finder_clear(&f);
+}
+END_TEST
+
+START_TEST(a_holder_that_stands_in_its_place_writes_nothing)
+{
+	const struct finder_view holder = {1, 10, 1}, other = {1, 10, 0};
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	(void)finder_next(&f, &alone, now_ms);
+	finder_found(&f, SAMPLE, 1, now_ms);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 60000), 0);
+	/* Another one was the holder meanwhile and wrote over it. */
+	ck_assert_uint_eq(calls_in(&f, other, 1, &now_ms, 20000), 0);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 60000), 1);
+	finder_clear(&f);
+}
+END_TEST
+
+/* The first hosts of a fleet find nobody: each must be found by the others. */
+START_TEST(who_finds_few_enters_itself_and_looks_again)
+{
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	do {
+		ck_assert_int_eq(
+		    finder_next(&f, &alone, now_ms), FINDER_SAMPLE);
+		finder_found(&f, 0, 0, now_ms);
+		ck_assert_uint_le(finder_due_ms(&f), now_ms + 600);
+		now_ms = finder_due_ms(&f);
+	} while (f.few == 1);
+	ck_assert_int_eq(finder_next(&f, &alone, now_ms), FINDER_ENTER);
+	finder_entered(&f, now_ms);
+	ck_assert_int_eq(finder_next(&f, &alone, now_ms + 400), FINDER_NONE);
+	ck_assert_int_eq(finder_next(&f, &alone, now_ms + 1000), FINDER_SAMPLE);
+	finder_clear(&f);
+}
+END_TEST
+
+/* All whom it found are gone: it enters itself before it looks again. */
+START_TEST(who_is_alone_enters_itself_too)
+{
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	(void)finder_next(&f, &alone, now_ms);
+	finder_found(&f, SAMPLE, 0, now_ms);
+	ck_assert_int_eq(finder_next(&f, &alone, now_ms + 1000), FINDER_ENTER);
+	finder_entered(&f, now_ms + 1000);
+	ck_assert_int_eq(finder_next(&f, &alone, now_ms + 2000), FINDER_SAMPLE);
+	finder_clear(&f);
+}
+END_TEST
+
+/* After the loss of all power others make themselves heard before the first
+ * look: without it such a node had nobody to ask for the table. */
+START_TEST(a_node_that_only_heard_of_others_looks_too)
+{
+	const struct finder_view heard = {0, 9, 1};
+	struct finder f;
+	uint64_t now_ms = 1000;
+
+	finder_init(&f, 1, now_ms);
+	ck_assert_int_eq(finder_next(&f, &heard, now_ms), FINDER_SAMPLE);
+	finder_clear(&f);
+}
+END_TEST
+
+/* Answers of the directory take so long; entries written meanwhile are not
+ * in them. */
+#define CALL_MS 10
+
+/* A host joins this long after a look that found others. */
+#define JOIN_MS 300
+
+#define STARTS_MS 300
+
+struct starting {
+	struct finder finder;
+	uint64_t start_ms;
+	uint64_t ends_ms;
+	uint64_t joined_ms;
+	enum finder_action call;
+	uint32_t seen;
+};
+
+/* One host in one moment; returns the calls it begins. */
+static uint32_t
+start_step(struct starting *s, uint32_t *entries, uint64_t now_ms)
+{
+	struct finder_view view = {now_ms >= s->joined_ms, 2, 0};
+
+	if (now_ms < s->start_ms)
+		return 0;
+	if (s->call != FINDER_NONE && now_ms == s->ends_ms) {
+		*entries += s->call == FINDER_ENTER;
+		end_call(&s->finder, s->call, MIN(s->seen, SAMPLE), 1, now_ms);
+		if (s->call == FINDER_SAMPLE && s->seen > 0)
+			s->joined_ms = MIN(s->joined_ms, now_ms + JOIN_MS);
+		s->call = FINDER_NONE;
+	}
+	if (s->call != FINDER_NONE)
+		return 0;
+	s->call = finder_next(&s->finder, &view, now_ms);
+	s->ends_ms = now_ms + CALL_MS;
+	s->seen = *entries;
+	return s->call != FINDER_NONE;
+}
+
+/*
+ * A fleet starts within 300 ms while the entries of before are there, or for
+ * the very first time.  Each call goes to a store that all share.
+ */
+static uint32_t
+calls_of_a_start(uint32_t hosts, uint32_t entries)
+{
+	struct starting *all = g_new0(struct starting, hosts);
+	uint32_t calls = 0, i;
+	uint64_t now_ms;
+
+	for (i = 0; i < hosts; i++) {
+		finder_init(&all[i].finder, i, 0);
+		all[i].start_ms = (uint64_t)i * STARTS_MS / hosts;
+		all[i].joined_ms = DEADLINE_NEVER;
+	}
+	for (now_ms = 0; now_ms < 10000; now_ms++)
+		for (i = 0; i < hosts; i++)
+			calls += start_step(&all[i], &entries, now_ms);
+	for (i = 0; i < hosts; i++)
+		finder_clear(&all[i].finder);
+	g_free(all);
+	return calls;
+}
+
+START_TEST(a_start_of_many_costs_one_call_each)
+{
+	static const uint32_t hosts[] = {76, 195, 300};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		ck_assert_uint_eq(calls_of_a_start(hosts[i], 40), hosts[i]);
+		ck_assert_uint_lt(calls_of_a_start(hosts[i], 0), 2 * hosts[i]);
+	}
+}
+END_TEST
+
+/* All of 22,000 nodes start while the store is down: full-jitter back-off
+ * keeps what they ask together below 2,000 reads a second with room. */
+START_TEST(a_store_that_is_down_is_asked_ever_less)
+{
+	struct finder f;
+	uint64_t now_ms = 0;
+	uint32_t n;
+
+	finder_init(&f, 7, now_ms);
+	(void)calls_in(&f, alone, 0, &now_ms, 20000);
+	n = calls_in(&f, alone, 0, &now_ms, 600000);
+	ck_assert_uint_le(n, 600 / 2);
+	ck_assert_uint_ge(n, 600 / 5);
+	finder_clear(&f);
+}
+END_TEST
+
+#define FLEET 40
+
+static struct membership *fleet_node;
+static struct outbox *fleet_out;
+
+static void
+fleet_hear(uint32_t i, const char *data_centre, enum member_state state)
+{
+	GByteArray *body = g_byte_array_new();
+	struct rec_member rec;
+	struct msg_news msg;
+
+	memset(&rec, 0, sizeof(rec));
+	memset(&msg, 0, sizeof(msg));
+	(void)g_snprintf(rec.host, sizeof(rec.host), "host-%u", i);
+	(void)g_strlcpy(rec.data_centre, data_centre, sizeof(rec.data_centre));
+	rec.ip = 0x0a000100U + i;
+	rec.peer_port = 7000;
+	rec.incarnation = state == MEMBER_ALIVE ? 1 : 2;
+	rec.state = state;
+	(void)g_strlcpy(msg.host, rec.host, sizeof(msg.host));
+	msg.news = &rec;
+	msg.n_news = 1;
+	msg_news_encode(&msg, body);
+	membership_receive(fleet_node, 1000, &(struct net_addr){rec.ip, 7000},
+	    0, MSG_NEWS, body->data, body->len);
+	g_byte_array_unref(body);
+}
+
+static void
+fleet_begin(const char *host)
+{
+	struct membership_settings s;
+
+	membership_settings_init(&s);
+	(void)g_strlcpy(s.host, host, sizeof(s.host));
+	(void)g_strlcpy(s.data_centre, "d1", sizeof(s.data_centre));
+	s.address = (struct net_addr){0x0a000001U, 7000};
+	fleet_out = outbox_new();
+	fleet_node = membership_new(&s, 1000, 1000000, 1, fleet_out);
+}
+
+static void
+fleet_end(void)
+{
+	membership_free(fleet_node);
+	outbox_free(fleet_out);
+}
+
+/* Of the hosts of a data centre one holds each place that any of them has, and
+ * all agree on which. */
+START_TEST(each_place_has_one_holder)
+{
+	char host[MEMBER_NAME_BYTES], place[PLACE_BYTES];
+	GHashTable *holders =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	uint32_t i, j;
+
+	for (i = 0; i < FLEET; i++) {
+		(void)g_snprintf(host, sizeof(host), "host-%u", i);
+		fleet_begin(host);
+		for (j = 0; j < FLEET; j++)
+			if (j != i)
+				fleet_hear(j, "d1", MEMBER_ALIVE);
+		places_of("d1", host, place);
+		if (places_held(fleet_node))
+			ck_assert_msg(
+			    g_hash_table_add(holders, g_strdup(place)),
+			    "%s is held twice", place);
+		fleet_end();
+	}
+	ck_assert_uint_eq(g_hash_table_size(holders), PLACES_PER_DATA_CENTRE);
+	g_hash_table_unref(holders);
+}
+END_TEST
+
+START_TEST(a_host_holds_its_place_once_those_before_it_are_gone)
+{
+	uint32_t i;
+
+	fleet_begin("host-0");
+	for (i = 1; i < FLEET; i++)
+		fleet_hear(i, "d2", MEMBER_ALIVE);
+	ck_assert_msg(
+	    places_held(fleet_node), "hosts of other data centres don't count");
+	for (i = FLEET; i < 3 * FLEET; i++)
+		fleet_hear(i, "d1", MEMBER_ALIVE);
+	ck_assert(!places_held(fleet_node));
+	for (i = FLEET; i < 3 * FLEET; i++)
+		fleet_hear(i, "d1", MEMBER_LEFT);
+	ck_assert(places_held(fleet_node));
+	fleet_end();
+}
+END_TEST
+
+/* A look that begins at a data centre's first place misses none of them. */
+START_TEST(places_of_a_data_centre_follow_one_another)
+{
+	char first[PLACE_BYTES], place[PLACE_BYTES], host[MEMBER_NAME_BYTES];
+	uint32_t i;
+
+	places_first("d1", first);
+	for (i = 0; i < FLEET; i++) {
+		(void)g_snprintf(host, sizeof(host), "host-%u", i);
+		places_of("d1", host, place);
+		ck_assert_int_gt(strcmp(place, first), 0);
+		ck_assert(g_str_has_prefix(place, first));
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("finder");
+	TCase *tc = tcase_create("finder");
+
+	tcase_add_test(tc, a_node_with_peers_asks_no_more);
+	tcase_add_test(tc, the_holder_of_a_place_enters_itself_once);
+	tcase_add_test(tc, a_holder_that_stands_in_its_place_writes_nothing);
+	tcase_add_test(tc, who_finds_few_enters_itself_and_looks_again);
+	tcase_add_test(tc, who_is_alone_enters_itself_too);
+	tcase_add_test(tc, a_node_that_only_heard_of_others_looks_too);
+	tcase_add_test(tc, a_start_of_many_costs_one_call_each);
+	tcase_add_test(tc, a_store_that_is_down_is_asked_ever_less);
+	tcase_add_test(tc, each_place_has_one_holder);
+	tcase_add_test(
+	    tc, a_host_holds_its_place_once_those_before_it_are_gone);
+	tcase_add_test(tc, places_of_a_data_centre_follow_one_another);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
