--- a/packages/membership/test/test_finder.c
+++ b/packages/membership/test/test_finder.c
@@ -47,16 +47,26 @@
 
 static const struct finder_view alone = {0, 1, 1};
 
+/* A node that starts and looks: at the time that is returned it has found
+ * @others, and its own entry if @own. */
+static uint64_t
+first_look(struct finder *f, uint32_t others, int own)
+{
+	uint64_t now_ms = 1000;
+
+	finder_init(f, 1, now_ms);
+	ck_assert_int_eq(finder_next(f, &alone, now_ms), FINDER_SAMPLE);
+	ck_assert_uint_eq(finder_due_ms(f), DEADLINE_NEVER);
+	finder_found(f, others, own, now_ms);
+	return now_ms;
+}
+
 START_TEST(a_node_with_peers_asks_no_more)
 {
 	const struct finder_view ten = {1, 10, 0}, four = {1, 4, 0};
 	struct finder f;
-	uint64_t now_ms = 1000;
+	uint64_t now_ms = first_look(&f, SAMPLE, 0);
 
-	finder_init(&f, 1, now_ms);
-	ck_assert_int_eq(finder_next(&f, &alone, now_ms), FINDER_SAMPLE);
-	ck_assert_uint_eq(finder_due_ms(&f), DEADLINE_NEVER);
-	finder_found(&f, SAMPLE, 0, now_ms);
 	ck_assert_uint_eq(calls_in(&f, ten, 1, &now_ms, 60000), 0);
 	/* More than half of them are lost at once. */
 	ck_assert_uint_ge(calls_in(&f, four, 1, &now_ms, 3000), 1);
@@ -70,11 +80,8 @@
 {
 	const struct finder_view holder = {1, 10, 1};
 	struct finder f;
-	uint64_t now_ms = 1000;
+	uint64_t now_ms = first_look(&f, SAMPLE, 0);
 
-	finder_init(&f, 1, now_ms);
-	(void)finder_next(&f, &alone, now_ms);
-	finder_found(&f, SAMPLE, 0, now_ms);
 	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 9000), 0);
 	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 60000), 1);
 	finder_clear(&f);
@@ -85,11 +92,8 @@
 {
 	const struct finder_view holder = {1, 10, 1}, other = {1, 10, 0};
 	struct finder f;
-	uint64_t now_ms = 1000;
+	uint64_t now_ms = first_look(&f, SAMPLE, 1);
 
-	finder_init(&f, 1, now_ms);
-	(void)finder_next(&f, &alone, now_ms);
-	finder_found(&f, SAMPLE, 1, now_ms);
 	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 60000), 0);
 	/* Another one was the holder meanwhile and wrote over it. */
 	ck_assert_uint_eq(calls_in(&f, other, 1, &now_ms, 20000), 0);
@@ -124,11 +128,8 @@
 START_TEST(who_is_alone_enters_itself_too)
 {
 	struct finder f;
-	uint64_t now_ms = 1000;
+	uint64_t now_ms = first_look(&f, SAMPLE, 0);
 
-	finder_init(&f, 1, now_ms);
-	(void)finder_next(&f, &alone, now_ms);
-	finder_found(&f, SAMPLE, 0, now_ms);
 	ck_assert_int_eq(finder_next(&f, &alone, now_ms + 1000), FINDER_ENTER);
 	finder_entered(&f, now_ms + 1000);
 	ck_assert_int_eq(finder_next(&f, &alone, now_ms + 2000), FINDER_SAMPLE);
--- /dev/null
+++ b/packages/traffic/test/test_placement_fleet.c
@@ -0,0 +1,226 @@
+/*
+ * Placement among many hosts: reports that are old, and a data centre that is
+ * cut off.
+ */
+#include <check.h>
+#include <glib.h>
+
+#include "traffic/placement.h"
+
+#include "test_run.h"
+
+#define SERVICE 9
+
+enum { OWN_CENTRE = 1, CUT_CENTRE, OTHER_CENTRE };
+
+static struct endpoint_info
+info_in(uint64_t id, uint64_t centre)
+{
+	struct endpoint_info info = {.id = id,
+	    .host = id,
+	    .centre = centre,
+	    .slots = 10,
+	    .state = ENDPOINT_READY,
+	    .local = centre == OWN_CENTRE};
+
+	return info;
+}
+
+static uint64_t
+place(struct placement *p, uint64_t now_ms)
+{
+	struct placement_query q = {.service = SERVICE, .idempotent = true};
+	struct placement_choice c;
+
+	ck_assert(placement_choose(p, &q, now_ms, &c));
+	return c.endpoint;
+}
+
+/*
+ * Hundreds of hosts: an entry hears of each endpoint every few seconds only.
+ *
+ * The load: three of four endpoints are full, by calls of other entries.  Five
+ * calls a second of this one tell of one endpoint each, so that a report is
+ * four seconds old when its endpoint comes up again.  If an old report stood
+ * for an idle endpoint, three of four calls would go to full ones, as by
+ * chance; known room has to be used before what is not known.
+ */
+#define MANY 20
+#define FREE_OF_MANY 5
+#define MANY_CALLS 400
+#define MANY_EACH_MS 200
+
+static struct endpoints *
+many_new(void)
+{
+	struct endpoint_info infos[MANY];
+	struct endpoints_config ec;
+	struct endpoints *e;
+	size_t i;
+
+	endpoints_config_default(&ec);
+	e = endpoints_new(&ec);
+	for (i = 0; i < MANY; i++)
+		infos[i] = info_in(i + 1, OWN_CENTRE);
+	endpoints_set_service(e, SERVICE, 1, infos, MANY, 0);
+	return e;
+}
+
+START_TEST(known_room_is_used_before_what_is_not_known)
+{
+	struct load_report full = {10, 12, 10}, room = {1, 0, 10};
+	struct endpoints *e = many_new();
+	uint32_t to_full = 0, i;
+	struct placement_config pc;
+	struct placement *p;
+	uint64_t id, now_ms;
+
+	placement_config_default(&pc);
+	p = placement_new(&pc, e, NULL, (uint64_t)_i);
+	for (i = 0; i < MANY_CALLS; i++) {
+		now_ms = (uint64_t)i * MANY_EACH_MS;
+		id = place(p, now_ms);
+		endpoints_began(e, id, now_ms);
+		endpoints_ended(e, id, ENDPOINT_OK, 1000, now_ms);
+		endpoints_report(
+		    e, id, id <= FREE_OF_MANY ? &room : &full, now_ms);
+		to_full += id > FREE_OF_MANY;
+	}
+	ck_assert_msg(to_full <= MANY_CALLS * 60 / 100,
+	    "%u of %u calls went to full endpoints", to_full, MANY_CALLS);
+	placement_free(p);
+	endpoints_free(e);
+}
+END_TEST
+
+/*
+ * A data centre is cut off under load.
+ *
+ * The load: the own data centre is full, so twenty calls a second go to others.
+ * Behind the cut the endpoints look idle, as nothing comes back that says
+ * otherwise; each call sent there fails, and tells after half a second that its
+ * host is silent.  Seen: one entry of 76 lost a call or more on each of 25
+ * hosts during a cut of six seconds, and each of the others as well.
+ */
+#define CENTRE_HOSTS 25
+#define CUT_FROM_MS 1000
+#define CUT_FOR_MS 6000
+#define CALL_EACH_MS 50
+#define SILENT_AFTER_MS 500
+
+/* Half of the calls go there until two hosts are known to be silent, within a
+ * second; then one each 2 s, to find out when the cut is over. */
+#define LOST_MOST (1000 / CALL_EACH_MS / 2 + CUT_FOR_MS / 2000)
+
+/* One local endpoint, which is full, and two data centres. */
+static struct endpoints *
+fleet_new(void)
+{
+	struct endpoint_info infos[2 * CENTRE_HOSTS + 1];
+	struct endpoints_config ec;
+	struct endpoints *e;
+	size_t n = 0, i;
+
+	endpoints_config_default(&ec);
+	e = endpoints_new(&ec);
+	infos[n++] = info_in(1, OWN_CENTRE);
+	for (i = 0; i < CENTRE_HOSTS; i++) {
+		infos[n++] = info_in(100 + i, CUT_CENTRE);
+		infos[n++] = info_in(200 + i, OTHER_CENTRE);
+	}
+	endpoints_set_service(e, SERVICE, 1, infos, n, 0);
+	for (i = 0; i < 40; i++)
+		endpoints_began(e, 1, 0);
+	return e;
+}
+
+static bool
+is_behind_cut(uint64_t id, uint64_t now_ms)
+{
+	return id >= 100 && id < 200 && now_ms >= CUT_FROM_MS &&
+	    now_ms < CUT_FROM_MS + CUT_FOR_MS;
+}
+
+START_TEST(a_cut_costs_few_calls)
+{
+	uint64_t silent_ms[100 + CENTRE_HOSTS] = {0}, id, now_ms;
+	struct endpoints *e = fleet_new();
+	struct placement_config pc;
+	struct placement *p;
+	uint32_t lost = 0, back = 0;
+	size_t i;
+
+	placement_config_default(&pc);
+	p = placement_new(&pc, e, NULL, (uint64_t)_i);
+	for (now_ms = 0; now_ms < CUT_FROM_MS + CUT_FOR_MS + 4000;
+	     now_ms += CALL_EACH_MS) {
+		for (i = 100; i < 100 + CENTRE_HOSTS; i++) {
+			if (silent_ms[i] == 0 || now_ms < silent_ms[i])
+				continue;
+			/* Dialled again, once the cut is over it answers. */
+			(void)endpoints_doubt(
+			    e, i, is_behind_cut(i, now_ms), now_ms);
+		}
+		id = place(p, now_ms);
+		endpoints_began(e, id, now_ms);
+		if (is_behind_cut(id, now_ms)) {
+			lost++;
+			silent_ms[id] = now_ms + SILENT_AFTER_MS;
+			endpoints_ended(e, id, ENDPOINT_CANCELLED, 0, now_ms);
+			continue;
+		}
+		endpoints_ended(e, id, ENDPOINT_OK, 1000, now_ms);
+		back += id < 200 && now_ms >= CUT_FROM_MS + CUT_FOR_MS;
+	}
+	ck_assert_msg(lost <= LOST_MOST, "%u calls were lost", lost);
+	ck_assert_msg(back > 0, "it is not called after the cut");
+	placement_free(p);
+	endpoints_free(e);
+}
+END_TEST
+
+/* Two hosts that end by themselves while others there answer are no cut. */
+START_TEST(two_silent_hosts_among_others_that_answer_are_no_cut)
+{
+	struct endpoints *e = fleet_new();
+
+	ck_assert(!endpoints_doubt(e, 100, true, 1000));
+	endpoints_began(e, 102, 1100);
+	endpoints_ended(e, 102, ENDPOINT_REFUSED, 0, 1100);
+	ck_assert(!endpoints_doubt(e, 101, true, 1200));
+	ck_assert_msg(endpoints_doubt(e, 103, true, 1300),
+	    "nothing was heard between these two");
+	endpoints_free(e);
+}
+END_TEST
+
+/* One host is no data centre, and neither are two that end at other times. */
+START_TEST(one_silent_host_is_no_cut)
+{
+	struct endpoints *e = fleet_new();
+
+	ck_assert(!endpoints_doubt(e, 100, true, 1000));
+	ck_assert(!endpoints_doubt(e, 100, false, 1500));
+	ck_assert(!endpoints_doubt(e, 100, true, 2000));
+	ck_assert(!endpoints_doubt(e, 101, true, 9000));
+	/* The own data centre has nowhere to be left for. */
+	ck_assert(!endpoints_doubt(e, 1, true, 9100));
+	endpoints_free(e);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("placement_fleet");
+	TCase *tc = tcase_create("placement");
+
+	tcase_add_loop_test(
+	    tc, known_room_is_used_before_what_is_not_known, 0, 10);
+	tcase_add_loop_test(tc, a_cut_costs_few_calls, 0, 10);
+	tcase_add_test(
+	    tc, two_silent_hosts_among_others_that_answer_are_no_cut);
+	tcase_add_test(tc, one_silent_host_is_no_cut);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
