fix(traffic,node): a stop no longer gives up calls that it has just taken

Problem: a caller of a node that was asked to stop was told 504 though its request was at work at a sound upstream.

Ruled out: the end of the process (0.06 s after the deadline, 2,700 stops measured, one not ended for an unknown reason), lost connections between nodes, broken routes' deadlines.

Solution: the entry takes calls for three eighths of the stop at most, as the guard does; the work may last until half a second before the end of the grace time instead of seven eighths; a booking starts at a stopping guard only if its deadline or eight mean runs of its kind come before the end, else it runs elsewhere; a call that was not sent yet is told not_run, not unknown.

--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -87,6 +87,16 @@
  */
 bool guard_serves(const struct guard *g);
 
+/**
+ * guard_announce_stop() - the node will stop, requests are still taken
+ * @g: the guard
+ * @deadline_ms: monotonic time at which what still runs will be given up
+ *
+ * Any thread may call it.  Non-idempotent requests that could be given up are
+ * refused from now on, and run elsewhere.
+ */
+void guard_announce_stop(struct guard *g, uint64_t deadline_ms);
+
 /**
  * guard_drain() - take no new call from now on
  * @g: the guard
@@ -96,6 +106,13 @@
  */
 void guard_drain(struct guard *g, uint64_t deadline_ms);
 
+/**
+ * guard_stop() - log the requests that the end of the process gives up
+ *
+ * Any thread may call it, before the traffic thread is stopped.
+ */
+void guard_stop(struct guard *g);
+
 /**
  * guard_in_flight() - calls that are not ended, answers in the output
  * buffers of connections included
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -7,7 +7,7 @@
 #include "base/log.h"
 
 #include "call_metrics.h"
-#include "entry_priv.h"
+#include "entry_log.h"
 
 /*
  * Lines a second of calls: a line costs about 10 us of processor time, so that
@@ -146,12 +146,13 @@
 	struct entry *e = order->entry;
 	uint64_t now_ms = loop_now_ms(e->loop);
 	uint64_t left_ms = clock_left_ms(order->deadline_ms, now_ms);
-
 	uint64_t notice_ms = e->settings->drain_notice_ms;
+	uint64_t until_ms;
 
 	if (notice_ms == 0)
 		notice_ms = left_ms / NOTICE_SHARE;
-	drain_begin(&e->drain, MIN(notice_ms, left_ms), left_ms, now_ms);
+	until_ms = drain_serves_until_ms(notice_ms, order->deadline_ms, now_ms);
+	drain_begin(&e->drain, until_ms - now_ms, left_ms, now_ms);
 	loop_timer_set(&e->drain_timer, drain_wake_ms(&e->drain));
 	log_info("draining, %u calls in flight", entry_in_flight(e));
 	g_free(order);
@@ -184,7 +185,8 @@
 		c = l->data;
 		if (c->over)
 			continue;
-		entry_answer_break_off(c);
+		call_stopped(c->decision);
+		entry_call_run(c);
 	}
 }
 
--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -140,20 +140,6 @@
 	call_exchange_answer(c->exchange, a, NULL, EXCHANGE_WHOLE);
 }
 
-void
-entry_answer_break_off(struct entry_call *c)
-{
-	struct call_answer *a;
-
-	if (call_exchange_answered(c->exchange)) {
-		call_exchange_finish(c->exchange, EXCHANGE_CUT);
-		return;
-	}
-	a = own_answer(
-	    OUTCOME_UNKNOWN, STATUS_UNKNOWN_FATE, "unknown", unknown_message);
-	call_exchange_answer(c->exchange, a, NULL, EXCHANGE_WHOLE);
-}
-
 void
 entry_answer_commit(struct entry_attempt *a)
 {
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -201,6 +201,8 @@
 {
 	if (action->refusal != REFUSAL_NONE)
 		return refusal_name(action->refusal);
+	if (drain_stops(&c->entry->drain))
+		return "stopped";
 	if (loop_now_ms(c->entry->loop) >= c->deadline_ms)
 		return "deadline";
 	return "attempt_failed";
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -439,9 +439,6 @@
 /** entry_answer_unknown() - broken off; the request may or may not have run */
 void entry_answer_unknown(struct entry_call *c);
 
-/** entry_answer_break_off() - the entry stops before the call has ended */
-void entry_answer_break_off(struct entry_call *c);
-
 /** entry_answer_commit() - give the beginning of an answer */
 void entry_answer_commit(struct entry_attempt *a);
 
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -17,6 +17,7 @@
 /* Lines a second of one kind, see the bounds of the entry. */
 #define LINES_PER_S 50
 
+#define US_PER_MS 1000
 #define TICK_MS 100
 #define DRAIN_TICK_MS 5
 #define FATES_MAX 262144
@@ -207,6 +208,25 @@
 	loop_post(g->loop, do_set, o);
 }
 
+static void
+do_announce_stop(void *arg)
+{
+	struct guard_order *o = arg;
+
+	drain_announce(&o->guard->drain, o->deadline_ms);
+	guard_upstream_recheck(o->guard);
+	g_free(o);
+}
+
+void
+guard_announce_stop(struct guard *g, uint64_t deadline_ms)
+{
+	struct guard_order *o = order_new(g, 0);
+
+	o->deadline_ms = deadline_ms;
+	loop_post(g->loop, do_announce_stop, o);
+}
+
 static void
 do_drain(void *arg)
 {
@@ -241,6 +261,44 @@
 	loop_post(g->loop, do_drain, o);
 }
 
+static void
+log_given_up(const struct guard_request *r)
+{
+	struct log_limit *limit = &r->guard->failed_lines;
+	uint32_t left_out = limit->left_out;
+	uint64_t now_us = clock_now_us();
+
+	if (!log_limit_take(limit, loop_now_ms(r->guard->loop)))
+		return;
+	log_warning("request id=%s service=%s given up by the stop, sent=%d "
+		    "ms=%" G_GUINT64_FORMAT " running_ms=%" G_GUINT64_FORMAT
+		    " left_out=%u",
+	    r->name, r->upstream != NULL ? r->upstream->info.service : "?",
+	    r->state == REQUEST_RUNNING, (now_us - r->opened_us) / US_PER_MS,
+	    r->state == REQUEST_RUNNING ? (now_us - r->started_us) / US_PER_MS
+					: 0,
+	    left_out);
+}
+
+static void
+do_stop(void *arg)
+{
+	struct guard *g = arg;
+	struct guard_request *r;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, g->requests);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&r))
+		if (r->state != REQUEST_ENDED)
+			log_given_up(r);
+}
+
+void
+guard_stop(struct guard *g)
+{
+	loop_post(g->loop, do_stop, g);
+}
+
 uint32_t
 guard_in_flight(const struct guard *g)
 {
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -400,6 +400,10 @@
 void guard_upstream_set(
     struct guard *g, const struct guard_endpoint *list, uint32_t n);
 
+/** guard_upstream_recheck() - refuse queued requests that a stop would give up
+ */
+void guard_upstream_recheck(struct guard *g);
+
 /** guard_upstream_offer() - a request asks to run */
 void guard_upstream_offer(struct guard_request *r);
 
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -124,6 +124,38 @@
 	}
 }
 
+static bool
+may_start(const struct guard_request *r)
+{
+	struct guard *g = r->guard;
+	struct admission_request req;
+	uint64_t mean_ms;
+
+	if (r->idempotent)
+		return true;
+	guard_request_admission(r, &req);
+	mean_ms = admission_mean_run_ms(r->upstream->admission, &req);
+	return drain_may_start(
+	    &g->drain, r->deadline_ms, mean_ms, loop_now_ms(g->loop));
+}
+
+void
+guard_upstream_recheck(struct guard *g)
+{
+	GPtrArray *late = g_ptr_array_new();
+	struct guard_request *r;
+	GHashTableIter it;
+	guint i;
+
+	g_hash_table_iter_init(&it, g->requests);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&r))
+		if (r->state == REQUEST_QUEUED && !may_start(r))
+			g_ptr_array_add(late, r);
+	for (i = 0; i < late->len; i++)
+		guard_request_refuse(late->pdata[i], REFUSAL_STOPPING, 0);
+	g_ptr_array_unref(late);
+}
+
 void
 guard_upstream_offer(struct guard_request *r)
 {
@@ -131,6 +163,10 @@
 	struct admission_request req;
 	struct admission_result res;
 
+	if (!may_start(r)) {
+		guard_request_refuse(r, REFUSAL_STOPPING, 0);
+		return;
+	}
 	loop_timer_stop(&r->timer);
 	r->state = REQUEST_QUEUED;
 	guard_request_admission(r, &req);
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -20,10 +20,6 @@
 
 #define STOP_POLL_MS 5
 
-/* Eighths of the grace time that a drain may take; the rest is for the end of
- * the process, which takes some tenths of a second on a slow host. */
-#define GRACE_EIGHTHS 7
-
 struct node {
 	const struct settings *settings;
 	const struct node_adapter *adapter;
@@ -102,6 +98,7 @@
 	n->admin = NULL;
 	callers_stop(n->callers);
 	entry_stop(n->entry);
+	guard_stop(n->guard);
 	traffic_thread_stop(n->traffic);
 	control_stop(n->control);
 }
@@ -138,15 +135,6 @@
 	    entry_in_flight(n->entry) == 0 && guard_in_flight(n->guard) == 0;
 }
 
-/* A drain that goes on when the system kills the process cuts what runs. */
-static uint64_t
-node_drain_ms(const struct settings *s)
-{
-	if (s->grace_ms == 0)
-		return s->drain_ms;
-	return MIN(s->drain_ms, (uint64_t)s->grace_ms * GRACE_EIGHTHS / 8);
-}
-
 /* The upstream works on for peers while callers are led elsewhere. */
 static void
 node_serve_on(const struct node *n, uint64_t until_ms)
@@ -159,13 +147,15 @@
 node_stop(struct node *n)
 {
 	uint64_t now_ms = clock_now_ms();
-	uint64_t notice_ms = n->settings->drain_notice_ms;
-	uint64_t deadline_ms = now_ms + node_drain_ms(n->settings);
-	uint64_t least_ms = MIN(now_ms + notice_ms, deadline_ms);
+	const struct settings *s = n->settings;
+	uint64_t deadline_ms = now_ms + drain_work_ms(s->drain_ms, s->grace_ms);
+	uint64_t least_ms =
+	    drain_serves_until_ms(s->drain_notice_ms, deadline_ms, now_ms);
 
 	control_turn_away(n->control);
+	guard_announce_stop(n->guard, deadline_ms);
 	callers_drain(n->callers, deadline_ms);
-	node_serve_on(n, drain_serves_until_ms(notice_ms, deadline_ms, now_ms));
+	node_serve_on(n, least_ms);
 	control_leave(n->control);
 	guard_drain(n->guard, deadline_ms);
 	while (clock_now_ms() < least_ms ||
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -123,11 +123,12 @@
  * 	connection of its own. If the upstream closes it at that moment the
  * 	caller is told unknown.
  * @grace_ms: Time from the signal to stop until the system kills the
- * 	process, 0 when it doesn't; a drain ends when seven eighths of it
- * 	are over.
+ * 	process, 0 when it doesn't; a drain ends half a second before, or
+ * 	after seven eighths of a short one.
  * @drain_notice_ms: How long a node that stops still takes calls while
- * 	it says that it isn't ready; 0 is a tenth of drain_ms, and then it
- * 	stops as soon as nothing is in flight.
+ * 	it says that it isn't ready, at most three eighths of the stop; 0 is
+ * 	a tenth of drain_ms, and then it stops as soon as nothing is in
+ * 	flight.
  * @fate_window_ms: How long the fate of a request is remembered. A
  * 	request older than this is refused.
  * @fate_answers_bytes: Memory for answers that are kept to be handed
--- a/packages/standins/src/upstream.c
+++ b/packages/standins/src/upstream.c
@@ -37,6 +37,7 @@
 	knob_bool(j, "drain", &k->drain);
 	knob_bool(j, "pause_lease", &k->pause_lease);
 	web_json_u32(j, "work_ms_mean", &k->work_ms_mean);
+	web_json_u32(j, "work_ms_exact", &k->work_ms_exact);
 	web_json_u32(j, "close_after_run", &k->close_after_run);
 	web_json_u32(j, "close_kept_alive", &k->close_kept_alive);
 	v = json_object_get(j, "slow_factor");
--- a/packages/standins/src/upstream_call.c
+++ b/packages/standins/src/upstream_call.c
@@ -135,6 +135,8 @@
 	double work = MIN(-log(1.0 - share), CALL_WORK_MOST_MEANS);
 	uint64_t warm_ms = u->ready_ms + u->opt.warm_up_ms;
 
+	if (u->knobs.work_ms_exact != 0)
+		return u->knobs.work_ms_exact;
 	if (c->start_ms < warm_ms)
 		factor *= 1.0 +
 		    CALL_WARM_FACTOR * (double)(warm_ms - c->start_ms) /
--- a/packages/standins/src/upstream_defs.h
+++ b/packages/standins/src/upstream_defs.h
@@ -23,6 +23,7 @@
 	int pause_lease;
 	double slow_factor;
 	uint32_t work_ms_mean;
+	uint32_t work_ms_exact; /* of each call, 0: about the mean */
 	char lie_health[UPSTREAM_LIE_BYTES];
 	int64_t lie_load;
 	uint32_t close_after_run;
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -122,6 +122,11 @@
 void admission_ran(struct admission *a, const struct admission_request *req,
     uint64_t ran_ms, uint64_t now_ms);
 
+/** admission_mean_run_ms() - how long requests like @req run until they are
+ * answered, 0 when none was */
+uint64_t admission_mean_run_ms(
+    const struct admission *a, const struct admission_request *req);
+
 /**
  * admission_finished() - a started request has left its slot
  * @a: the admission
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -182,6 +182,13 @@
  */
 void call_caller_gone(struct call *c, uint64_t now_ms);
 
+/**
+ * call_stopped() - the entry stops now and has no more time for the call
+ *
+ * What was not sent is told not_run.
+ */
+void call_stopped(struct call *c);
+
 /** call_tick() - a time named by call_wake_ms() has come */
 void call_tick(struct call *c, uint64_t now_ms);
 
--- a/packages/traffic/include/traffic/drain.h
+++ b/packages/traffic/include/traffic/drain.h
@@ -62,9 +62,39 @@
 uint64_t
 drain_serves_until_ms(uint64_t notice_ms, uint64_t bound_ms, uint64_t now_ms);
 
+/**
+ * drain_work_ms() - how long a stop may wait for what is in flight
+ * @drain_ms: longest stop by the settings
+ * @grace_ms: time after which the process is killed, 0 for never
+ *
+ * Return: at most @drain_ms; the rest of the grace time is left for the end of
+ * the process.
+ */
+uint64_t drain_work_ms(uint64_t drain_ms, uint64_t grace_ms);
+
 /** drain_init() - a node that serves */
 void drain_init(struct drain *d);
 
+/**
+ * drain_announce() - a stop was asked for, requests are still taken
+ * @d: the drain
+ * @bound_ms: monotonic time at which what is in flight will be given up
+ */
+void drain_announce(struct drain *d, uint64_t bound_ms);
+
+/**
+ * drain_may_start() - whether a non-idempotent request may start
+ * @d: the drain
+ * @deadline_ms: monotonic time of its deadline
+ * @mean_run_ms: how long its kind runs here on average, 0 when not known
+ * @now_ms: monotonic time
+ *
+ * Its fate would be unknown for good if the stop gave it up: it starts only if
+ * its deadline comes first, or if there is time for many times its usual run.
+ */
+bool drain_may_start(const struct drain *d, uint64_t deadline_ms,
+    uint64_t mean_run_ms, uint64_t now_ms);
+
 /**
  * drain_begin() - a stop is asked for
  * @d: the drain
--- a/packages/traffic/src/admission_slots.c
+++ b/packages/traffic/src/admission_slots.c
@@ -52,6 +52,15 @@
 	l->run_ms[admission_priority_of(req)] = now_ms;
 }
 
+uint64_t
+admission_mean_run_ms(
+    const struct admission *a, const struct admission_request *req)
+{
+	const struct lane *l = &a->lanes[req->class];
+
+	return l->run_us[admission_priority_of(req)] / US_PER_MS;
+}
+
 static void
 leave_slot(struct admission *a, uint64_t ticket, enum admission_class class)
 {
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -498,6 +498,31 @@
 		give_up_unknown(c);
 }
 
+void
+call_stopped(struct call *c)
+{
+	switch (c->state) {
+	case STATE_OVER:
+		return;
+	case STATE_COMMITTED:
+		(void)act(c, CALL_ABORT);
+		finish(c);
+		return;
+	case STATE_NEW:
+	case STATE_BACKOFF:
+	case STATE_PLACING:
+		give_up(c, OUTCOME_NOT_RUN, REFUSAL_STOPPING, 0);
+		return;
+	case STATE_SENDING:
+		(void)act(c, CALL_CANCEL);
+		give_up(c, OUTCOME_NOT_RUN, REFUSAL_STOPPING, 0);
+		return;
+	default:
+		give_up_unknown(c);
+		return;
+	}
+}
+
 void
 call_tick(struct call *c, uint64_t now_ms)
 {
--- a/packages/traffic/src/drain.c
+++ b/packages/traffic/src/drain.c
@@ -31,6 +31,19 @@
 	return now_ms + MIN(notice_ms, share_ms);
 }
 
+/* Time that a process needs for its end, also on a slow host, and the share of
+ * a short grace time that it gets at most. */
+#define END_MS 500
+#define END_DIVISOR 8
+
+uint64_t
+drain_work_ms(uint64_t drain_ms, uint64_t grace_ms)
+{
+	if (grace_ms == 0)
+		return drain_ms;
+	return MIN(drain_ms, grace_ms - MIN(END_MS, grace_ms / END_DIVISOR));
+}
+
 void
 drain_init(struct drain *d)
 {
@@ -41,6 +54,31 @@
 	d->requests = 0;
 }
 
+void
+drain_announce(struct drain *d, uint64_t bound_ms)
+{
+	d->bound_ms = bound_ms;
+}
+
+/* For the answer to get from the upstream to the entry. */
+#define ANSWER_MS 200
+/* The longest runs take several times the mean of their kind. */
+#define RUN_MEANS 8
+/* Taken for the mean while none of its kind has ended here. */
+#define RUN_UNKNOWN_MS 100
+
+bool
+drain_may_start(const struct drain *d, uint64_t deadline_ms,
+    uint64_t mean_run_ms, uint64_t now_ms)
+{
+	uint64_t run_ms =
+	    RUN_MEANS * (mean_run_ms != 0 ? mean_run_ms : RUN_UNKNOWN_MS);
+
+	if (d->bound_ms == DEADLINE_NEVER)
+		return true;
+	return MIN(deadline_ms, now_ms + run_ms) + ANSWER_MS <= d->bound_ms;
+}
+
 void
 drain_begin(struct drain *d, uint64_t notice_for_ms, uint64_t drain_for_ms,
     uint64_t now_ms)
--- a/packages/traffic/test/test_call.c
+++ b/packages/traffic/test/test_call.c
@@ -451,6 +451,52 @@
 }
 END_TEST
 
+/* How far a call gets before its entry stops. */
+enum stop_at { STOP_NEW, STOP_PLACING, STOP_SENDING, STOP_WAITING, STOP_ENDS };
+
+static void
+go_to(struct call *c, enum stop_at at)
+{
+	struct call_action a;
+
+	if (at >= STOP_PLACING)
+		call_start(c, 0);
+	if (at >= STOP_SENDING)
+		call_placed(c, 1, 0);
+	while (call_next(c, &a))
+		if (a.kind == CALL_SEND && at >= STOP_WAITING)
+			call_sent(c, a.stream, 1, 0);
+}
+
+START_TEST(a_stopped_call_that_was_not_sent_has_not_run)
+{
+	const struct call_config cfg = {
+	    .deadline_ms = 10000, .resolve_limit_ms = 2000};
+	struct call_action a = {.kind = CALL_PLACE};
+	struct retry_config rc;
+	struct retry_budget b;
+	struct call *c;
+
+	retry_config_default(&rc);
+	retry_budget_init(&b, &rc, 0);
+	c = call_new(&cfg, &b, 1);
+	go_to(c, (enum stop_at)_i);
+	call_stopped(c);
+	ck_assert(call_over(c));
+	while (a.kind != CALL_GIVE_UP)
+		ck_assert(call_next(c, &a));
+	if (_i == STOP_WAITING) {
+		ck_assert_int_eq(a.outcome, OUTCOME_UNKNOWN);
+	} else {
+		ck_assert_int_eq(a.outcome, OUTCOME_NOT_RUN);
+		ck_assert_int_eq(a.refusal, REFUSAL_STOPPING);
+	}
+	call_stopped(c);
+	ck_assert(!call_next(c, &a));
+	call_free(c);
+}
+END_TEST
+
 #define PATIENCE_MS 2400
 
 /* What a caller is told that is refused for @refusal at @now_ms. */
@@ -504,6 +550,8 @@
 	suite = suite_create("call");
 	tc = tcase_create("call");
 	tcase_add_test(tc, test_resolves_get_rarer);
+	tcase_add_loop_test(
+	    tc, a_stopped_call_that_was_not_sent_has_not_run, 0, STOP_ENDS);
 	tcase_add_loop_test(tc, test_scenario, 0,
 	    (int)(sizeof(scenarios) / sizeof(scenarios[0])));
 	tcase_add_test(tc, test_random_events);
--- a/packages/traffic/test/test_limits.c
+++ b/packages/traffic/test/test_limits.c
@@ -353,6 +353,35 @@
 END_TEST
 
 /* A restart within 5,250 ms whose notice is 3,000 ms, and shorter ones. */
+/* Bookings that a stop could give up are not started. */
+START_TEST(test_drain_starts_what_can_end)
+{
+	struct drain d;
+
+	drain_init(&d);
+	ck_assert(drain_may_start(&d, 60000, 0, 1000));
+	drain_announce(&d, 6500);
+	ck_assert(drain_takes_request(&d));
+	ck_assert(drain_may_start(&d, 6300, 0, 1000));
+	ck_assert(drain_may_start(&d, 60000, 0, 5500));
+	ck_assert(!drain_may_start(&d, 60000, 0, 5501));
+	ck_assert(!drain_may_start(&d, 6301, 3000, 1000));
+	ck_assert(drain_may_start(&d, 60000, 300, 3900));
+	ck_assert(!drain_may_start(&d, 60000, 300, 3901));
+	ck_assert(drain_may_start(&d, 6300, 3000, 6000));
+}
+END_TEST
+
+/* Half a second of the grace time is left for the end of the process. */
+START_TEST(test_drain_work)
+{
+	ck_assert_uint_eq(drain_work_ms(600000, 0), 600000);
+	ck_assert_uint_eq(drain_work_ms(600000, 10000), 9500);
+	ck_assert_uint_eq(drain_work_ms(600000, 2000), 1750);
+	ck_assert_uint_eq(drain_work_ms(1000, 10000), 1000);
+}
+END_TEST
+
 START_TEST(test_drain_serves_on)
 {
 	ck_assert_uint_eq(drain_serves_until_ms(3000, 6250, 1000), 1000 + 1968);
@@ -381,6 +410,8 @@
 	tcase_add_test(tc, test_newest_first_once_the_oldest_waits_long);
 	tcase_add_test(tc, test_shed_cuts_the_slots_and_answers_give_them_back);
 	tcase_add_test(tc, test_draining_refuses_new_and_queued);
+	tcase_add_test(tc, test_drain_starts_what_can_end);
+	tcase_add_test(tc, test_drain_work);
 	tcase_add_test(tc, test_drain_serves_on);
 	tcase_add_loop_test(tc, test_drain, 0, (int)G_N_ELEMENTS(drain_cases));
 	suite_add_tcase(suite, tc);
--- a/test/functional/calls.c
+++ b/test/functional/calls.c
@@ -28,9 +28,11 @@
 {
 	(void)g_snprintf(settings, sizeof(settings),
 	    "{\"fate_window_ms\":%u,\"suspicion_ms\":%u,\"drain_ms\":%u,"
+	    "\"grace_ms\":%u,\"drain_notice_ms\":%u,"
 	    "\"probe_interval_ms\":500,\"probe_timeout_ms\":200}",
 	    l->key_window_ms, SUSPICION_MS,
-	    l->drain_ms != 0 ? l->drain_ms : DRAIN_MS);
+	    l->drain_ms != 0 ? l->drain_ms : DRAIN_MS, l->grace_ms,
+	    l->notice_ms);
 }
 
 static json_t *
--- a/test/functional/calls.h
+++ b/test/functional/calls.h
@@ -20,6 +20,8 @@
  * @key_window_ms: how long nodes remember fates and idempotency keys; longer
  *	than callers go on repeating a key
  * @drain_ms: how long a node may take to stop; 0 for the default
+ * @grace_ms: when a node that was asked to stop is killed; 0 for never
+ * @notice_ms: how long a node that stops takes calls; 0 for the default
  */
 struct calls_limits {
 	uint32_t timeout_ms;
@@ -28,6 +30,8 @@
 	uint32_t queue_wait_ms;
 	uint32_t key_window_ms;
 	uint32_t drain_ms;
+	uint32_t grace_ms;
+	uint32_t notice_ms;
 };
 
 /**
@@ -106,6 +110,9 @@
  */
 void calls_end(struct deployment *d);
 
+/** calls_first_seed() - seed of the first round, BRAMLEY_SEED or a fixed one */
+uint32_t calls_first_seed(void);
+
 /** enum calls_victims - what fails in a round */
 enum calls_victims {
 	CALLS_NODE,
--- a/test/functional/calls_round.c
+++ b/test/functional/calls_round.c
@@ -83,8 +83,8 @@
 	g_rand_free(rnd);
 }
 
-static uint32_t
-first_seed(void)
+uint32_t
+calls_first_seed(void)
 {
 	const char *text = g_getenv("BRAMLEY_SEED");
 
@@ -97,8 +97,11 @@
 {
 	char what[NAME_BYTES];
 	enum calls_victims v;
-	struct calls_limits limits = {
-	    TIMEOUT_MS, SLOTS, QUEUE, QUEUE_WAIT_MS, f->key_window_ms, 0};
+	struct calls_limits limits = {.timeout_ms = TIMEOUT_MS,
+	    .slots = SLOTS,
+	    .queue = QUEUE,
+	    .queue_wait_ms = QUEUE_WAIT_MS,
+	    .key_window_ms = f->key_window_ms};
 	struct deployment_plan plan = deployment_registry;
 	struct deployment *d;
 	uint32_t i;
@@ -109,7 +112,7 @@
 	for (v = 0; v < CALLS_VICTIMS; v++) {
 		sums[v] = (struct calls_counts){0};
 		for (i = 0; i < seeds; i++)
-			calls_round(d, f, v, first_seed() + i, &sums[v]);
+			calls_round(d, f, v, calls_first_seed() + i, &sums[v]);
 		(void)g_snprintf(
 		    what, sizeof(what), "%s %s", f->name, victim_names[v]);
 		calls_print(what, &sums[v]);
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -536,8 +536,12 @@
 static void
 soak_init(struct soak *s)
 {
-	const struct calls_limits limits = {
-	    TIMEOUT_MS, SLOTS, QUEUE, QUEUE_WAIT_MS, KEY_WINDOW_MS, DRAIN_MS};
+	const struct calls_limits limits = {.timeout_ms = TIMEOUT_MS,
+	    .slots = SLOTS,
+	    .queue = QUEUE,
+	    .queue_wait_ms = QUEUE_WAIT_MS,
+	    .key_window_ms = KEY_WINDOW_MS,
+	    .drain_ms = DRAIN_MS};
 	struct deployment_plan plan = deployment_registry;
 
 	plan.slots = SLOTS;
