fix(node): the same request through hosts of other services is one request

Cause: half of a fingerprint was the service of the host at which the request came in. It says nothing of who sent it: a caller that tries another host was another caller, with three crashes of its own to give.

Solution: where only that service is known, it is no part of the identity. Callers known by their address are told apart as before. Nobody is refused for another's different request: method, host, path and body must be equal.

test_call_print failed before.

--- a/packages/node/src/call_print.c
+++ b/packages/node/src/call_print.c
@@ -28,6 +28,14 @@
 	return service != NULL ? service : p->address;
 }
 
+/* The service of the host where a request came in says nothing of who sent it:
+ * a caller may try any host. */
+static const char *
+identity_of(const struct call_print_parts *p)
+{
+	return p->dialect->caller_service != NULL ? "" : p->address;
+}
+
 /* A body of unknown length counts by its length once it is known to be short,
  * so that it doesn't matter how it came. */
 static int64_t
@@ -71,7 +79,7 @@
 	struct fingerprint_parts parts = {.method = p->method,
 	    .host = host != NULL ? host : "",
 	    .path = p->path,
-	    .caller = call_print_caller(p),
+	    .caller = identity_of(p),
 	    .body_bytes = length_of(p),
 	    .body = body->data,
 	    .body_len = body->len};
--- /dev/null
+++ b/packages/node/test/test_call_print.c
@@ -0,0 +1,78 @@
+/*
+ * Which calls are the same request.
+ *
+ * A request that crashes upstreams comes in at any host.  Where only the
+ * service of that host is known of the caller, it must not tell requests apart:
+ * each service would have crashes of its own to give.
+ */
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "call_print.h"
+#include "test_run.h"
+
+#define CALLER_HEADER "X-Entry-Service"
+
+static void
+print_of(const struct call_dialect *d, const char *service,
+    const char *address, const char *path, struct fingerprint *out)
+{
+	struct call_headers headers;
+	GQueue body = G_QUEUE_INIT;
+	const struct call_print_parts parts = {.dialect = d,
+	    .method = "GET",
+	    .path = path,
+	    .headers = &headers,
+	    .address = address,
+	    .body = &body,
+	    .whole = true};
+
+	call_headers_init(&headers);
+	if (service != NULL)
+		(void)call_headers_add(&headers, CALLER_HEADER,
+		    sizeof(CALLER_HEADER) - 1, service, strlen(service));
+	call_print(&parts, out);
+	call_headers_clear(&headers);
+}
+
+START_TEST(the_service_of_the_entry_is_no_caller)
+{
+	const struct call_dialect d = {.caller_service = CALLER_HEADER};
+	struct fingerprint a, b, other;
+
+	print_of(&d, "search", "10.0.0.1", "/a", &a);
+	print_of(&d, "booking", "10.0.0.2", "/a", &b);
+	print_of(&d, "search", "10.0.0.1", "/b", &other);
+	ck_assert(fingerprint_equal(&a, &b));
+	ck_assert_uint_ne(a.caller, 0);
+	ck_assert(!fingerprint_equal(&a, &other));
+}
+END_TEST
+
+START_TEST(callers_known_by_address_are_told_apart)
+{
+	const struct call_dialect d = {.caller_service = NULL};
+	struct fingerprint a, b, again;
+
+	print_of(&d, NULL, "10.0.0.1", "/a", &a);
+	print_of(&d, NULL, "10.0.0.2", "/a", &b);
+	print_of(&d, NULL, "10.0.0.1", "/a", &again);
+	ck_assert(!fingerprint_equal(&a, &b));
+	ck_assert_uint_eq(a.content, b.content);
+	ck_assert(fingerprint_equal(&a, &again));
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("call_print");
+	TCase *tc = tcase_create("call_print");
+
+	tcase_add_test(tc, the_service_of_the_entry_is_no_caller);
+	tcase_add_test(tc, callers_known_by_address_are_told_apart);
+	suite_add_tcase(suite, tc);
+	return test_run(suite);
+}
--- a/test/functional/test_call_stop_grace.c
+++ b/test/functional/test_call_stop_grace.c
@@ -128,8 +128,8 @@
 load(struct deployment *d, const struct stop_case *sc)
 {
 	char rate[ARG_BYTES], duration[ARG_BYTES];
-	const char *args[] = {"--rate", rate, "--duration-s", duration,
-	    "--mix", "0:1:0", "--path-lookup", "/bookings", NULL};
+	const char *args[] = {"--rate", rate, "--duration-s", duration, "--mix",
+	    "0:1:0", "--path-lookup", "/bookings", NULL};
 
 	(void)g_snprintf(rate, sizeof(rate), "%u", sc->rate);
 	(void)g_snprintf(duration, sizeof(duration), "%u", sc->load_s);
