fix(traffic,node): a request that crashes upstreams takes down one at a time

Problem: until a request that crashes upstreams was held off, each entry sent each try of it to another upstream: 3 to 5 went down on 10 hosts, 18 on 76, 24 to 29 on 195, each for 3 s with all that ran there. Co-suspects that ran in the same crashes had it put off instead of held off.

Cause: what a crash told was used 100 ms later and by the decision only, 300 ms after the third. Until then nothing was different for the request, and nothing kept two of those that ran in a crash from running side by side again.

Solution: what ran in a crash is suspect at once, and so is, for its entry, what got no answer from one upstream. It is led to the endpoint that its content ranks first, the same for all entries; a guard runs one suspect at a time, so that the next crash names it; after the third crash it is refused until the decision, with 0.5 s to come back. An answer clears it. A guard reports a crash once the last request there has ended, not 100 ms later. What is refused for some seconds only is told so (`suspected`, with the time that is left).

--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -19,6 +19,14 @@
     "the request may or may not have run; ask for its effect, or send it "
     "again with the same Idempotency-Key if it had one.";
 
+static const char quarantined_message[] =
+    "the request was not run: the upstreams that ran it before have crashed. "
+    "It is not run again until an operator has looked at it.";
+
+static const char suspect_message[] =
+    "the request was not run: upstreams that ran it before have crashed. Send "
+    "it again after the time in Retry-After.";
+
 static struct call_answer *
 own_answer(enum outcome outcome, uint32_t status, const char *kind,
     const char *message)
@@ -80,6 +88,17 @@
 	refuse(x, status, kind, message, 0);
 }
 
+/* One that is only suspect may come back. */
+static struct call_answer *
+refused_for_crashes(uint64_t retry_after_ms)
+{
+	bool suspect = retry_after_ms < QUARANTINE_RETRY_AFTER_MS;
+
+	return own_answer(OUTCOME_NOT_RUN, STATUS_NOT_RUN,
+	    suspect ? "suspected" : "quarantined",
+	    suspect ? suspect_message : quarantined_message);
+}
+
 static char *
 not_run_message(const struct call_action *action)
 {
@@ -100,10 +119,7 @@
 		    "new key.");
 	} else if (action->outcome == OUTCOME_NOT_RUN &&
 	    action->refusal == REFUSAL_QUARANTINED) {
-		a = own_answer(OUTCOME_NOT_RUN, STATUS_NOT_RUN, "quarantined",
-		    "the request was not run: the upstreams that ran it before "
-		    "have crashed. It is not run again until an operator has "
-		    "looked at it.");
+		a = refused_for_crashes(action->retry_after_ms);
 	} else if (action->outcome == OUTCOME_NOT_RUN) {
 		a = own_answer(
 		    OUTCOME_NOT_RUN, STATUS_NOT_RUN, "not_run", NULL);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -51,10 +51,9 @@
 
 /* Actions */
 
-/* Held off: nobody is to run it.  Where the beginning of its body isn't here
- * yet, its guard finds out. */
+/* Where the beginning of its body isn't here yet, its guard finds out. */
 static bool
-is_held_off(struct entry_call *c)
+make_print(struct entry_call *c, struct fingerprint *print)
 {
 	const struct call_print_parts parts = {.dialect = c->entry->dialect,
 	    .method = c->request->method,
@@ -66,20 +65,52 @@
 	    .received = c->body.bytes,
 	    .whole =
 		c->request->body_bytes == 0 || c->body.end == EXCHANGE_WHOLE};
-	const struct quarantine_entry *held;
+
+	if (c->body.first != 0 || !call_print_ready(&parts))
+		return false;
+	call_print(&parts, print);
+	return true;
+}
+
+static void
+reject_quarantined(struct entry_call *c, uint64_t retry_after_ms)
+{
+	call_metrics_refusal(REFUSAL_QUARANTINED);
+	call_quarantined(c->decision, retry_after_ms);
+}
+
+/*
+ * Rejects a call of a request that crashes upstreams, or may do so.  A suspect
+ * is led to one upstream, and so is what got no answer from another one.
+ */
+static bool
+passes_quarantine(struct entry_call *c, struct placement_query *query)
+{
 	struct quarantine *q = c->entry->quarantine;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	const struct quarantine_entry *entry;
 	struct fingerprint print;
-
-	if (q == NULL || quarantine_is_empty(q) || c->body.first != 0 ||
-	    !call_print_ready(&parts))
+	enum suspicion suspicion;
+
+	if (q == NULL ||
+	    (quarantine_is_empty(q) && !quarantine_has_suspects(q, now_ms) &&
+		!call_may_have_run(c->decision)) ||
+	    !make_print(c, &print))
+		return true;
+	entry = quarantine_check(q, &print);
+	if (entry != NULL) {
+		entry_log_held_off(c, &print, entry);
+		reject_quarantined(c, quarantine_retry_after_ms(entry, now_ms));
 		return false;
-	call_print(&parts, &print);
-	held = quarantine_check(q, &print);
-	if (held == NULL)
+	}
+	suspicion = quarantine_suspicion(q, &print, now_ms);
+	if (suspicion == SUSPICION_UNDECIDED) {
+		entry_log_undecided(c, &print);
+		reject_quarantined(c, QUARANTINE_UNDECIDED_RETRY_MS);
 		return false;
-	entry_log_held_off(c, &print, held);
-	call_metrics_refusal(REFUSAL_QUARANTINED);
-	call_held_off(c->decision, QUARANTINE_RETRY_AFTER_MS);
+	}
+	if (suspicion == SUSPICION_SUSPECT || call_may_have_run(c->decision))
+		query->content = print.content;
 	return true;
 }
 
@@ -93,7 +124,7 @@
 	const struct endpoint *ep;
 	uint64_t now_ms = loop_now_ms(e->loop);
 
-	if (is_held_off(c))
+	if (!passes_quarantine(c, &q))
 		return;
 	if (c->keyed) {
 		q.key = c->request->key;
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -100,6 +100,21 @@
 	    held->crashes, held->asked, left_out);
 }
 
+void
+entry_log_undecided(const struct entry_call *c, const struct fingerprint *print)
+{
+	struct entry *e = c->entry;
+	char id[24], text[FINGERPRINT_TEXT_BYTES];
+	uint32_t left_out = e->other_lines.left_out;
+
+	if (!log_enabled(LOG_LEVEL_INFO) ||
+	    !log_limit_take(&e->other_lines, loop_now_ms(e->loop)))
+		return;
+	log_info("call id=%s request=%s prefix=%s refused=suspect left_out=%u",
+	    name_of(c, id, sizeof(id)), fingerprint_text(print, text),
+	    c->route->prefix, left_out);
+}
+
 void
 entry_log_attempt(const struct entry_attempt *a, const char *ended)
 {
--- a/packages/node/src/entry_log.h
+++ b/packages/node/src/entry_log.h
@@ -33,4 +33,9 @@
 void entry_log_held_off(const struct entry_call *c,
     const struct fingerprint *print, const struct quarantine_entry *held);
 
+/** entry_log_undecided() - a request ran in several crashes, which of those
+ * that did is to blame is not decided yet */
+void entry_log_undecided(
+    const struct entry_call *c, const struct fingerprint *print);
+
 #endif
--- a/packages/node/src/guard_crash.c
+++ b/packages/node/src/guard_crash.c
@@ -14,6 +14,8 @@
 /* Connections that end with a process are seen one after the other; so long
  * after the first its guard has seen the last, also on a slow host. */
 #define SETTLE_MS 100
+/* How often it is checked whether all have ended. */
+#define STEP_MS 5
 
 static void
 forget(struct guard_crash *c)
@@ -63,15 +65,29 @@
 	forget(&u->crash);
 }
 
+/* A crash is reported once all requests there have ended. */
 static void
-on_timer(void *arg)
+settle(struct guard_upstream *u)
 {
-	struct guard_upstream *u = arg;
+	uint64_t now_ms = loop_now_ms(u->guard->loop);
+	struct rec_load load;
 
-	if (u->crash.refused)
+	guard_upstream_load(u, &load);
+	if (load.in_flight == 0 || now_ms >= u->crash.settled_ms)
 		crashed(u);
 	else
+		loop_timer_set(&u->crash.timer, now_ms + STEP_MS);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct guard_upstream *u = arg;
+
+	if (!u->crash.refused)
 		lives(u, "it neither takes nor refuses connections");
+	else
+		settle(u);
 }
 
 static void
@@ -93,8 +109,8 @@
 		lives(u, status_message());
 		return;
 	}
-	loop_timer_set(
-	    &u->crash.timer, loop_now_ms(u->guard->loop) + SETTLE_MS);
+	u->crash.settled_ms = loop_now_ms(u->guard->loop) + SETTLE_MS;
+	settle(u);
 }
 
 static const struct conn_handler probe_handler = {
--- a/packages/node/src/guard_crash.h
+++ b/packages/node/src/guard_crash.h
@@ -27,6 +27,7 @@
  * @left_out: further ones that found no room
  * @probe: connection that finds it out, or NULL
  * @refused: the upstream takes no connections: it has ended
+ * @settled_ms: when what ran there is complete at the latest
  * @timer: when what ran there is complete, or the probe is given up
  */
 struct guard_crash {
@@ -35,6 +36,7 @@
 	uint32_t left_out;
 	struct conn *probe;
 	bool refused;
+	uint64_t settled_ms;
 	struct loop_timer timer;
 };
 
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -225,6 +225,7 @@
  * @caller: who called, by the entry's word
  * @print: what tells that another attempt is the same request; set before it
  *	is offered to the upstream
+ * @suspect: it ran in a recent crash: no other suspect runs beside it
  * @headers: headers that are passed on
  * @idempotent: running it twice does no harm
  * @keyed: it has an idempotency key
@@ -266,6 +267,7 @@
 	const char *name;
 	char caller[MSG_CALL_OPEN_CALLER_MAX + 1];
 	struct fingerprint print;
+	bool suspect;
 	struct call_headers headers;
 	bool idempotent;
 	bool keyed;
--- a/packages/node/src/guard_quarantine.c
+++ b/packages/node/src/guard_quarantine.c
@@ -286,6 +286,7 @@
 	c.id = make_id(g);
 	memcpy(c.runs, runs, n_runs * sizeof(runs[0]));
 	quarantine_crashed(g->quarantine.decision, &c, now_ms(g));
+	refuse_waiting(g);
 	pump(g);
 }
 
@@ -298,14 +299,67 @@
 		pump(g);
 }
 
+/* A suspect that runs or waits at the same upstream, or NULL. */
+static const struct guard_request *
+suspect_beside(const struct guard_request *r)
+{
+	const struct guard_request *other;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, r->guard->requests);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&other))
+		if (other != r && other->suspect &&
+		    other->upstream == r->upstream &&
+		    other->state != REQUEST_ENDED)
+			return other;
+	return NULL;
+}
+
+/*
+ * Suspects run one at a time, so that the next crash tells which one is to
+ * blame.  Of one request no second copy runs anywhere; another suspect may run
+ * at another upstream.
+ */
+static bool
+refuses_beside(struct guard_request *r)
+{
+	const struct guard_request *other;
+
+	if (r->suspect)
+		return false;
+	other = suspect_beside(r);
+	r->suspect = other == NULL;
+	if (other == NULL)
+		return false;
+	guard_request_refuse(r,
+	    fingerprint_equal(&other->print, &r->print) ? REFUSAL_QUARANTINED
+							: REFUSAL_WAIT,
+	    QUARANTINE_UNDECIDED_RETRY_MS);
+	return true;
+}
+
 bool
 guard_quarantine_refuses(struct guard_request *r)
 {
 	struct quarantine *q = r->guard->quarantine.decision;
+	uint64_t at_ms = now_ms(r->guard);
+	const struct quarantine_entry *e = quarantine_check(q, &r->print);
 
-	if (quarantine_is_empty(q) || quarantine_check(q, &r->print) == NULL)
+	if (e != NULL) {
+		guard_request_refuse(r, REFUSAL_QUARANTINED,
+		    quarantine_retry_after_ms(e, at_ms));
+		return true;
+	}
+	switch (quarantine_suspicion(q, &r->print, at_ms)) {
+	case SUSPICION_NONE:
 		return false;
-	guard_request_refuse(r, REFUSAL_QUARANTINED, QUARANTINE_RETRY_AFTER_MS);
+	case SUSPICION_SUSPECT:
+		return refuses_beside(r);
+	case SUSPICION_UNDECIDED:
+		break;
+	}
+	guard_request_refuse(
+	    r, REFUSAL_QUARANTINED, QUARANTINE_UNDECIDED_RETRY_MS);
 	return true;
 }
 
@@ -371,9 +425,10 @@
 {
 	struct guard_news *news = arg;
 
-	if (news->item.kind == QUARANTINE_CRASH)
+	if (news->item.kind == QUARANTINE_CRASH) {
 		take_crash(news->guard, &news->item);
-	else
+		refuse_waiting(news->guard);
+	} else
 		take_print(news->guard, &news->item);
 	pump(news->guard);
 	g_free(news);
--- a/packages/node/test/test_call_print.c
+++ b/packages/node/test/test_call_print.c
@@ -16,8 +16,8 @@
 #define CALLER_HEADER "X-Entry-Service"
 
 static void
-print_of(const struct call_dialect *d, const char *service,
-    const char *address, const char *path, struct fingerprint *out)
+print_of(const struct call_dialect *d, const char *service, const char *address,
+    const char *path, struct fingerprint *out)
 {
 	struct call_headers headers;
 	GQueue body = G_QUEUE_INIT;
--- a/packages/node/test/test_call_quarantine.c
+++ b/packages/node/test/test_call_quarantine.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "spread/quarantine_news.h"
 #include "traffic/fingerprint.h"
+#include "traffic/quarantine.h"
 
 #include "fixture.h"
 
@@ -129,6 +130,47 @@
 }
 END_TEST
 
+/* While one copy of a suspect runs, a second one is not started, and what runs
+ * runs on; its answer clears it. */
+START_TEST(one_copy_of_a_suspect_runs_until_it_is_answered)
+{
+	struct asked first, second, third;
+
+	start();
+	tell(QUARANTINE_CRASH);
+	ask_begin(&first);
+	ck_assert(test_wait_int(running, NULL, 1));
+	ask_begin(&second);
+	check_refused(&second, clock_now_ms());
+	(void)pthread_join(first.thread, NULL);
+	ck_assert_int_eq(first.reply.status, 200);
+	reply_clear(&first.reply);
+	ask_begin(&third);
+	(void)pthread_join(third.thread, NULL);
+	ck_assert_int_eq(third.reply.status, 200);
+	reply_clear(&third.reply);
+	stop();
+}
+END_TEST
+
+START_TEST(undecided_request_is_refused_at_once)
+{
+	struct asked a;
+	uint64_t from_ms;
+	int i;
+
+	start();
+	for (i = 0; i < QUARANTINE_CRASHES; i++)
+		tell(QUARANTINE_CRASH);
+	g_usleep(STEP_US * 4);
+	from_ms = clock_now_ms();
+	ask_begin(&a);
+	check_refused(&a, from_ms);
+	ck_assert_int_eq(upstream->running, 0);
+	stop();
+}
+END_TEST
+
 START_TEST(others_are_served_and_a_release_ends_it)
 {
 	struct reply r;
@@ -156,6 +198,8 @@
 {
 	const TTest *const tests[] = {
 	    what_waits_is_answered_at_once_and_what_runs_runs_on,
+	    one_copy_of_a_suspect_runs_until_it_is_answered,
+	    undecided_request_is_refused_at_once,
 	    others_are_served_and_a_release_ends_it,
 	    NULL,
 	};
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -121,8 +121,8 @@
 /** call_unplaced() - no endpoint can be chosen */
 void call_unplaced(struct call *c, uint64_t retry_after_ms, uint64_t now_ms);
 
-/** call_held_off() - it is not to be run by anyone */
-void call_held_off(struct call *c, uint64_t retry_after_ms);
+/** call_quarantined() - it is not to be run by anyone */
+void call_quarantined(struct call *c, uint64_t retry_after_ms);
 
 /**
  * call_sent() - the first byte of a SEND is being handed to the connection
@@ -204,6 +204,9 @@
 /** call_tried() - endpoints tried, for placement_query.tried */
 const uint64_t *call_tried(const struct call *c, size_t *n);
 
+/** call_may_have_run() - an earlier attempt got no answer */
+bool call_may_have_run(const struct call *c);
+
 /** call_attempts() - number of attempts so far */
 uint16_t call_attempts(const struct call *c);
 
--- a/packages/traffic/include/traffic/placement.h
+++ b/packages/traffic/include/traffic/placement.h
@@ -20,6 +20,7 @@
  * @PLACEMENT_PANIC: all usable ones are ejected; the ejection is ignored
  * @PLACEMENT_REPEATED: only endpoints already tried are left
  * @PLACEMENT_HOME: the home of the call's idempotency key
+ * @PLACEMENT_RANKED: first in rank for the call's content
  * @PLACEMENT_RANDOM: the naive version's pick
  * @PLACEMENT_NONE: no endpoint is usable
  */
@@ -32,6 +33,7 @@
 	PLACEMENT_PANIC,
 	PLACEMENT_REPEATED,
 	PLACEMENT_HOME,
+	PLACEMENT_RANKED,
 	PLACEMENT_RANDOM,
 	PLACEMENT_NONE,
 };
@@ -44,6 +46,8 @@
  * @service: see service_id()
  * @key: idempotency key, or NULL; a keyed call goes to the key's home
  * @key_len: bytes of @key
+ * @content: of a request that may crash upstreams: it goes to the one that this
+ *	ranks first, the same for all entries; 0 for any other
  * @tried: endpoints that this call has tried
  * @n_tried: number of @tried
  * @idempotent: a probe of an ejected endpoint takes only such requests
@@ -52,6 +56,7 @@
 	uint64_t service;
 	const void *key;
 	size_t key_len;
+	uint64_t content;
 	const uint64_t *tried;
 	size_t n_tried;
 	bool idempotent;
--- a/packages/traffic/include/traffic/quarantine.h
+++ b/packages/traffic/include/traffic/quarantine.h
@@ -66,6 +66,10 @@
  * comes again few nodes run it before all know. */
 #define QUARANTINE_DOUBT_MS 4000
 
+/* When the caller of an undecided request may come back: more than
+ * QUARANTINE_SETTLE_MS, so that it finds it decided. */
+#define QUARANTINE_UNDECIDED_RETRY_MS 500
+
 /* When the caller of what is held off may come back: an operator has to look at
  * it first. */
 #define QUARANTINE_RETRY_AFTER_MS 60000
@@ -211,6 +215,39 @@
 const struct quarantine_entry *
 quarantine_check(struct quarantine *q, const struct fingerprint *f);
 
+/** quarantine_retry_after_ms() - when the caller of a request that is held off
+ * may come back */
+uint64_t
+quarantine_retry_after_ms(const struct quarantine_entry *e, uint64_t now_ms);
+
+/**
+ * enum suspicion - what recent crashes say of a request that may run
+ * @SUSPICION_NONE: nothing
+ * @SUSPICION_SUSPECT: it ran in one; it is sent to the upstream that its
+ *content ranks first, the same for all entries, so that one that crashes
+ *upstreams takes down one at a time
+ * @SUSPICION_UNDECIDED: it ran in as many as are needed to quarantine it, and
+ *	that is about to be decided; it must not run meanwhile
+ */
+enum suspicion {
+	SUSPICION_NONE = 0,
+	SUSPICION_SUSPECT,
+	SUSPICION_UNDECIDED,
+};
+
+/**
+ * quarantine_suspicion() - whether a request is suspect
+ * @q: the quarantine
+ * @f: the request
+ * @now_ms: monotonic time
+ */
+enum suspicion quarantine_suspicion(
+    struct quarantine *q, const struct fingerprint *f, uint64_t now_ms);
+
+/** quarantine_has_suspects() - false when no request is suspect, no need to ask
+ */
+bool quarantine_has_suspects(const struct quarantine *q, uint64_t now_ms);
+
 /** quarantine_is_empty() - nothing is held off, no need to ask */
 bool quarantine_is_empty(const struct quarantine *q);
 
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -304,7 +304,7 @@
 }
 
 void
-call_held_off(struct call *c, uint64_t retry_after_ms)
+call_quarantined(struct call *c, uint64_t retry_after_ms)
 {
 	if (c->state == STATE_PLACING)
 		give_up(
@@ -576,6 +576,12 @@
 	return (const void *)c->tried->data;
 }
 
+bool
+call_may_have_run(const struct call *c)
+{
+	return c->unsure;
+}
+
 uint16_t
 call_attempts(const struct call *c)
 {
--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -46,7 +46,7 @@
 placement_reason_name(enum placement_reason r)
 {
 	static const char *const names[] = {"own", "local", "spilled", "remote",
-	    "probe", "panic", "repeated", "home", "random", "none"};
+	    "probe", "panic", "repeated", "home", "ranked", "random", "none"};
 
 	return (size_t)r < G_N_ELEMENTS(names) ? names[r] : "?";
 }
@@ -372,6 +372,32 @@
 	return take(p, ep, PLACEMENT_HOME, now_ms, out);
 }
 
+/* Endpoints that were tried or aren't heard from are passed over. */
+static bool
+choose_ranked(struct placement *p, const struct placement_query *q,
+    const struct service *s, uint64_t now_ms, struct placement_choice *out)
+{
+	const struct endpoint *ep;
+	struct key_id key;
+	uint64_t first;
+	guint i;
+
+	g_array_set_size(p->ranked, 0);
+	for (i = 0; i < s->listed->len; i++) {
+		ep = g_ptr_array_index(s->listed, i);
+		if (is_ready(ep, now_ms) && !ep->doubt &&
+		    !was_tried(q, ep->info.id))
+			g_array_append_val(p->ranked, ep->info.id);
+	}
+	key_id_make(&key, s->id, &q->content, sizeof(q->content));
+	first = keyed_home(&key,
+	    (const uint64_t *)(const void *)p->ranked->data, p->ranked->len);
+	if (first == 0)
+		return false;
+	ep = endpoints_find(p->endpoints, first);
+	return take(p, ep, PLACEMENT_RANKED, now_ms, out);
+}
+
 static bool
 choose_two(struct placement *p, const struct placement_query *q,
     uint64_t now_ms, struct placement_choice *out)
@@ -384,6 +410,8 @@
 		return false;
 	if (q->key != NULL)
 		return choose_home(p, q, s, now_ms, out);
+	if (q->content != 0 && choose_ranked(p, q, s, now_ms, out))
+		return true;
 	due = sort(p, q, s, now_ms);
 	if (due != NULL) {
 		note_probe(p, due, now_ms);
--- a/packages/traffic/src/quarantine.c
+++ b/packages/traffic/src/quarantine.c
@@ -127,6 +127,14 @@
 	return e;
 }
 
+uint64_t
+quarantine_retry_after_ms(const struct quarantine_entry *e, uint64_t now_ms)
+{
+	if (e->until_ms == DEADLINE_NEVER)
+		return QUARANTINE_RETRY_AFTER_MS;
+	return clock_left_ms(e->until_ms, now_ms);
+}
+
 void
 quarantine_list(const struct quarantine *q, GArray *out)
 {
@@ -370,6 +378,7 @@
 	copy = g_memdup2(c, sizeof(*c));
 	g_ptr_array_add(q->crashes, copy);
 	index_runs(q, copy, true);
+	quarantine_note_suspects(q, copy);
 	q->settled_ms = MIN(q->settled_ms, now_ms + QUARANTINE_SETTLE_MS);
 	return true;
 }
--- a/packages/traffic/src/quarantine_defs.h
+++ b/packages/traffic/src/quarantine_defs.h
@@ -38,6 +38,7 @@
  * @clean: what was answered here lately
  * @seed: seed of random choices
  * @contents: content to the number of crashes in which it ran
+ * @suspects_until_ms: when the last suspect is one no longer
  * @settled_ms: when what came last has settled; DEADLINE_NEVER when all has
  */
 struct quarantine {
@@ -50,6 +51,7 @@
 	struct clean_runs clean;
 	uint64_t seed;
 	GHashTable *contents;
+	uint64_t suspects_until_ms;
 	uint64_t settled_ms;
 };
 
@@ -76,6 +78,11 @@
 /** quarantine_seen() - in how many crashes a content ran */
 uint32_t quarantine_seen(const struct quarantine *q, uint64_t content);
 
+/* quarantine_suspect.c */
+
+/** quarantine_note_suspects() - what ran in a crash is suspect */
+void quarantine_note_suspects(struct quarantine *q, const struct crash *c);
+
 /* quarantine_judge.c */
 
 /** quarantine_ran_in() - whether a request ran in a crash */
--- /dev/null
+++ b/packages/traffic/src/quarantine_suspect.c
@@ -0,0 +1,84 @@
+/*
+ * Requests that ran at an upstream when it crashed, before it is known which
+ * of them crashed it.
+ */
+#include "base/clock.h"
+
+#include "quarantine_defs.h"
+
+/* A request is suspect for so long after a crash: its caller has come again
+ * by then, or has given up. */
+#define SUSPECT_MS 10000
+/* Crashes within QUARANTINE_CROWD_MS from which on they have an external cause.
+ */
+#define BURST_CRASHES 32
+
+/**
+ * struct tally - recent crashes, as seen from one request
+ * @with: those in which it ran and that no answer has cleared it of
+ * @without: other ones within QUARANTINE_CROWD_MS
+ */
+struct tally {
+	uint32_t with;
+	uint32_t without;
+};
+
+static struct tally
+count(const struct quarantine *q, const struct fingerprint *f, uint64_t now_ms)
+{
+	uint64_t cleared_ms = quarantine_cleared_ms(q, f);
+	struct tally t = {0, 0};
+	const struct crash *c;
+	guint i;
+
+	for (i = 0; i < q->crashes->len; i++) {
+		c = quarantine_crash_at(q, i);
+		if (c->at_ms + SUSPECT_MS < now_ms)
+			continue;
+		if (c->at_ms > cleared_ms && quarantine_ran_in(c, f))
+			t.with++;
+		else if (c->at_ms + QUARANTINE_CROWD_MS >= now_ms)
+			t.without++;
+	}
+	return t;
+}
+
+static bool
+is_undecided(const struct quarantine *q, const struct tally *t)
+{
+	return q->settled_ms != DEADLINE_NEVER &&
+	    t->with >= QUARANTINE_CRASHES &&
+	    t->without <= t->with * QUARANTINE_CROWD_RATIO &&
+	    t->with + t->without <= BURST_CRASHES;
+}
+
+enum suspicion
+quarantine_suspicion(
+    struct quarantine *q, const struct fingerprint *f, uint64_t now_ms)
+{
+	struct tally t;
+
+	if (!quarantine_has_suspects(q, now_ms) ||
+	    quarantine_seen(q, f->content) == 0 ||
+	    clean_runs_has(&q->clean, f, now_ms))
+		return SUSPICION_NONE;
+	t = count(q, f, now_ms);
+	if (is_undecided(q, &t))
+		return SUSPICION_UNDECIDED;
+	if (t.with > 0 || quarantine_doubted(q, f) != NULL)
+		return SUSPICION_SUSPECT;
+	return SUSPICION_NONE;
+}
+
+bool
+quarantine_has_suspects(const struct quarantine *q, uint64_t now_ms)
+{
+	return now_ms < q->suspects_until_ms || q->doubted->len > 0;
+}
+
+void
+quarantine_note_suspects(struct quarantine *q, const struct crash *c)
+{
+	q->suspects_until_ms =
+	    MAX(q->suspects_until_ms, c->at_ms + SUSPECT_MS);
+}
--- a/packages/traffic/test/test_placement.c
+++ b/packages/traffic/test/test_placement.c
@@ -423,6 +423,31 @@
 }
 END_TEST
 
+/* Each entry leads a suspect to the same endpoint, whatever it knows of loads,
+ * and not to one that the call has tried. */
+START_TEST(suspect_has_one_endpoint)
+{
+	struct placement_query q = {.service = SERVICE, .content = 17};
+	struct placement_choice a, b;
+	struct world w, other;
+
+	world_init(&w);
+	world_init(&other);
+	report(&other, 1, 9, 1);
+	ck_assert(placement_choose(w.placement, &q, 1, &a));
+	ck_assert(placement_choose(other.placement, &q, 1, &b));
+	ck_assert_int_eq(a.reason, PLACEMENT_RANKED);
+	ck_assert_uint_eq(a.endpoint, b.endpoint);
+	q.tried = &a.endpoint;
+	q.n_tried = 1;
+	ck_assert(placement_choose(w.placement, &q, 1, &b));
+	ck_assert_int_eq(b.reason, PLACEMENT_RANKED);
+	ck_assert_uint_ne(a.endpoint, b.endpoint);
+	world_clear(&other);
+	world_clear(&w);
+}
+END_TEST
+
 START_TEST(test_key_has_one_home)
 {
 	struct placement_query q = {
@@ -467,6 +492,7 @@
 	tcase_add_test(tc, test_floor_and_cap);
 	tcase_add_test(tc, test_far_slower_than_siblings);
 	tcase_add_test(tc, test_snapshot_changes_under_requests);
+	tcase_add_test(tc, suspect_has_one_endpoint);
 	tcase_add_test(tc, test_key_has_one_home);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
--- a/packages/traffic/test/test_quarantine.c
+++ b/packages/traffic/test/test_quarantine.c
@@ -96,6 +96,69 @@
 }
 END_TEST
 
+static enum suspicion
+suspicion(uint64_t content, uint64_t now_ms)
+{
+	struct fingerprint f = print(content, A);
+
+	return quarantine_suspicion(q, &f, now_ms);
+}
+
+START_TEST(request_is_suspect_after_a_crash_until_it_is_answered)
+{
+	struct fingerprint f = print(1, A);
+
+	ck_assert_int_eq(suspicion(1, T0), SUSPICION_NONE);
+	crash(T0, f, print(2, A));
+	ck_assert_int_eq(suspicion(1, T0), SUSPICION_SUSPECT);
+	ck_assert_int_eq(suspicion(2, T0), SUSPICION_SUSPECT);
+	ck_assert_int_eq(suspicion(3, T0), SUSPICION_NONE);
+	(void)quarantine_answered(q, &f, T0 + 100);
+	ck_assert_int_eq(suspicion(1, T0 + 100), SUSPICION_NONE);
+	ck_assert_int_eq(suspicion(2, T0 + 100), SUSPICION_SUSPECT);
+	ck_assert(quarantine_has_suspects(q, T0 + 100));
+	ck_assert_int_eq(suspicion(2, T0 + HOUR_MS), SUSPICION_NONE);
+	ck_assert(!quarantine_has_suspects(q, T0 + HOUR_MS));
+}
+END_TEST
+
+START_TEST(request_is_undecided_from_its_third_crash_to_the_decision)
+{
+	crash_alone(T0, 1, A);
+	crash_alone(T0 + 10, 1, A);
+	ck_assert_int_eq(suspicion(1, T0 + 10), SUSPICION_SUSPECT);
+	crash_alone(T0 + 20, 1, A);
+	ck_assert_int_eq(suspicion(1, T0 + 20), SUSPICION_UNDECIDED);
+	ck_assert(!held(1, A));
+	quarantine_tick(q, T0 + 20 + SETTLED_MS);
+	ck_assert(held(1, A));
+}
+END_TEST
+
+/* Hundreds of crashes at once have an external cause. */
+START_TEST(burst_of_crashes_leaves_nothing_undecided)
+{
+	int i;
+
+	for (i = 0; i < MANY; i++)
+		crash_alone(T0 + (uint64_t)i, 1, A);
+	ck_assert_int_eq(suspicion(1, T0 + MANY), SUSPICION_SUSPECT);
+}
+END_TEST
+
+/* Others crashed without it: one cause for all of them is not this request. */
+START_TEST(crashes_without_a_request_leave_it_decided)
+{
+	int i;
+
+	for (i = 0; i < 3; i++)
+		crash_alone(T0 + (uint64_t)i, 1, A);
+	for (i = 0; i < 10; i++)
+		crash_alone(T0 + (uint64_t)i, 100 + (uint64_t)i, A);
+	ck_assert_int_eq(suspicion(1, T0 + 20), SUSPICION_SUSPECT);
+}
+END_TEST
+
 START_TEST(crashes_are_told_twice_and_counted_once)
 {
 	struct crash c = {.id = 7, .at_ms = T0, .n_runs = 1};
@@ -491,6 +554,12 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, the_third_crash_holds_a_request_off);
+	tcase_add_test(
+	    tc, request_is_suspect_after_a_crash_until_it_is_answered);
+	tcase_add_test(
+	    tc, request_is_undecided_from_its_third_crash_to_the_decision);
+	tcase_add_test(tc, burst_of_crashes_leaves_nothing_undecided);
+	tcase_add_test(tc, crashes_without_a_request_leave_it_decided);
 	tcase_add_test(tc, crashes_are_told_twice_and_counted_once);
 	tcase_add_test(tc, pauses_of_hours_change_nothing);
 	tcase_add_test(tc, what_is_answered_meanwhile_is_not_to_blame);
--- a/test/quarantine/fleet.c
+++ b/test/quarantine/fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 
 #define FIRST_IP UINT32_C(0x0a000001)
 #define PORT 7000
@@ -131,6 +132,8 @@
 	f->n = n;
 	f->upstreams = upstreams;
 	f->delay_ms = 5;
+	f->found_ms = FLEET_FOUND_MS;
+	f->ranks_suspects = true;
 	f->rand = g_rand_new_with_seed(seed);
 	f->runs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	f->moments = g_ptr_array_new();
@@ -290,7 +293,8 @@
 	found = event_new(EVENT_FOUND, n);
 	found->crash = e->crash;
 	e->crash = NULL;
-	plan(n->fleet, n->fleet->now_ms + FLEET_FOUND_MS + n->slow_ms, found);
+	plan(n->fleet, n->fleet->now_ms + n->fleet->found_ms + n->slow_ms,
+	    found);
 }
 
 static void
@@ -365,14 +369,48 @@
 	plan_end(f, host, f->now_ms + 1, runs, n);
 }
 
+static enum suspicion
+suspicion_at(struct fleet_node *n, const struct fingerprint *print)
+{
+	if (!n->fleet->ranks_suspects)
+		return SUSPICION_NONE;
+	return quarantine_suspicion(n->quarantine, print, n->fleet->now_ms);
+}
+
+/* The upstream that runs and ranks first for a request. */
+static uint32_t
+first_ranked(struct fleet *f, const struct fingerprint *print)
+{
+	uint64_t best = 0, rank;
+	uint32_t i, host = 0;
+
+	for (i = 0; i < f->upstreams; i++) {
+		rank = hash64(&i, sizeof(i), print->content);
+		if (f->nodes[i].up_ms > f->now_ms || rank <= best)
+			continue;
+		best = rank;
+		host = i;
+	}
+	return host;
+}
+
+static bool
+refuses(struct fleet_node *n, const struct fingerprint *print)
+{
+	return holds(n, print) || suspicion_at(n, print) == SUSPICION_UNDECIDED;
+}
+
 void
 fleet_ask(struct fleet *f, uint32_t entry, const struct fingerprint *print)
 {
 	uint32_t host = below(f, f->upstreams);
 	struct fingerprint all[FLEET_BESIDE_MAX + 1];
-	struct fleet_node *n = &f->nodes[host];
+	struct fleet_node *n;
 
-	if (holds(&f->nodes[entry], print) || holds(n, print)) {
+	if (suspicion_at(&f->nodes[entry], print) == SUSPICION_SUSPECT)
+		host = first_ranked(f, print);
+	n = &f->nodes[host];
+	if (refuses(&f->nodes[entry], print) || refuses(n, print)) {
 		f->refused++;
 		return;
 	}
--- a/test/quarantine/fleet.h
+++ b/test/quarantine/fleet.h
@@ -17,8 +17,10 @@
 
 /* A crasher runs so long before its upstream ends. */
 #define FLEET_CRASH_AFTER_MS 100
-/* From the end of an upstream until its guard has found it out. */
-#define FLEET_FOUND_MS 100
+/* From the end of an upstream until its guard has found it out: once all its
+ * requests have ended, or at the latest. */
+#define FLEET_FOUND_MS 10
+#define FLEET_FOUND_LATE_MS 100
 /* From its end to its next start. */
 #define FLEET_DOWN_MS 2000
 #define FLEET_BESIDE_MAX 16
@@ -63,6 +65,8 @@
  * @upstreams: hosts with an upstream of the service: the first ones
  * @loss_percent: datagrams that are lost
  * @delay_ms: a datagram takes 1 to so long
+ * @found_ms: from the end of an upstream until its guard has found it out
+ * @ranks_suspects: suspects go to the upstream that they rank first
  * @beside: requests that run wherever a crasher does, and are not answered
  * @n_beside: number of @beside
  * @runs: times at which a crasher began to run
@@ -77,6 +81,8 @@
 	uint32_t upstreams;
 	uint32_t loss_percent;
 	uint32_t delay_ms;
+	uint32_t found_ms;
+	bool ranks_suspects;
 	struct fingerprint beside[FLEET_BESIDE_MAX];
 	uint32_t n_beside;
 	GArray *runs;
--- a/test/quarantine/test_quarantine_fleet.c
+++ b/test/quarantine/test_quarantine_fleet.c
@@ -29,6 +29,11 @@
 #define BESIDE 10
 #define BESIDE_FIRST 100
 #define PATIENCE_MS 8000
+/* Those that run before the first crash is known, one every ASK_EVERY_MS while
+ * it runs and for a few hops of its news, and QUARANTINE_CRASHES. */
+#define ENDED_MAX                                                          \
+	((FLEET_CRASH_AFTER_MS + FLEET_FOUND_MS + 50) / ASK_EVERY_MS + 1 + \
+	    QUARANTINE_CRASHES)
 #define LIMIT_S 900
 
 static const struct fingerprint crasher = {1, 1};
@@ -135,6 +140,32 @@
 }
 END_TEST
 
+/* A request that crashes upstreams takes down no more of them in a large fleet
+ * than in a small one, beside what runs before the first crash is known. */
+START_TEST(suspects_crash_few_upstreams_in_a_fleet_of_any_size)
+{
+	uint32_t n = sizes[_i];
+	struct fleet *without = fleet_new(n, (n + 2) / 3, SEED);
+	struct fleet *with = fleet_new(n, (n + 2) / 3, SEED);
+	struct outcome before, after;
+
+	without->found_ms = FLEET_FOUND_LATE_MS;
+	without->ranks_suspects = false;
+	before = play(without, 1);
+	after = play(with, 1);
+	(void)printf("%u hosts: %u ended, %u with suspects ranked; refused %u "
+		     "and %u; held after %lu and %lu ms; %lu and %lu bytes\n",
+	    n, before.ended, after.ended, without->refused, with->refused,
+	    (unsigned long)before.held_ms, (unsigned long)after.held_ms,
+	    (unsigned long)before.bytes, (unsigned long)after.bytes);
+	(void)fflush(stdout);
+	ck_assert_uint_le(after.ended, ENDED_MAX);
+	ck_assert_uint_le(after.ended, before.ended);
+	fleet_free(without);
+	fleet_free(with);
+}
+END_TEST
+
 START_TEST(so_they_do_at_another_size)
 {
 	const char *hosts = g_getenv("BRAMLEY_HOSTS");
@@ -330,6 +361,9 @@
 	    G_N_ELEMENTS(sizes));
 	tcase_add_loop_test(
 	    tc, so_they_do_when_many_send_it_at_once, 0, G_N_ELEMENTS(sizes));
+	tcase_add_loop_test(tc,
+	    suspects_crash_few_upstreams_in_a_fleet_of_any_size, 0,
+	    G_N_ELEMENTS(sizes));
 	tcase_add_test(tc, so_they_do_at_another_size);
 	tcase_add_test(tc, so_they_do_over_bad_links);
 	tcase_add_loop_test(
