--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -184,7 +184,7 @@
  * @c: the control
  * @f: the request, as the list has it
  *
- * Return: STATUS_OK, or STATUS_NOT_FOUND when it is not held off here.
+ * Return: STATUS_OK, or STATUS_NOT_FOUND when it is not quarantined here.
  */
 enum status
 control_quarantine_release(struct control *c, const struct fingerprint *f);
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -119,18 +119,19 @@
  */
 uint32_t guard_in_flight(const struct guard *g);
 
-/** guard_tell_fn - all nodes are to know @item; called by the guard's thread */
-typedef void guard_tell_fn(const struct quarantine_item *item, void *arg);
+/** guard_publish_fn - all nodes are to know @item; called by the guard's thread
+ */
+typedef void guard_publish_fn(const struct quarantine_item *item, void *arg);
 
-/** guard_on_tell() - who passes on what all nodes are to know; before
+/** guard_on_publish() - who passes on what all nodes are to know; before
  * guard_start() */
-void guard_on_tell(struct guard *g, guard_tell_fn *tell, void *arg);
+void guard_on_publish(struct guard *g, guard_publish_fn *publish, void *arg);
 
 /** guard_take_news() - a peer, or an operator, tells; any thread may call it */
 void guard_take_news(struct guard *g, const struct quarantine_item *item);
 
 /**
- * guard_quarantine_list() - what is held off
+ * guard_quarantine_list() - quarantined requests
  * @g: the guard
  * @out: struct quarantine_entry are appended
  *
--- a/packages/node/src/control_keep.c
+++ b/packages/node/src/control_keep.c
@@ -1,5 +1,5 @@
 /*
- * Requests that are held off, as rows at the platform: they are read after a
+ * quarantined requests, as rows at the platform: they are read after a
  * start, since all nodes may have lost power at once.
  */
 #define LOG_PART "quarantine"
@@ -140,7 +140,8 @@
 done(struct control *c, enum status st, const char *what)
 {
 	if (st != STATUS_OK)
-		log_warning("what is held off can't be %s at the platform (%s)",
+		log_warning(
+		    "quarantined requests can't be %s at the platform (%s)",
 		    what, status_name(st));
 	quarantine_rows_done(
 	    &c->quarantine_rows, st == STATUS_OK, control_now(c));
@@ -163,7 +164,7 @@
 
 	for (i = 0; i < n; i++) {
 		if (!row_read(c, &rows[i], &item)) {
-			log_warning("row %s of what is held off can't be read",
+			log_warning("row %s of the quarantine can't be read",
 			    rows[i].key);
 			continue;
 		}
@@ -172,8 +173,8 @@
 		taken++;
 	}
 	if (st == STATUS_OK)
-		log_info(
-		    "%u requests are held off by the platform's rows", taken);
+		log_info("%u requests are quarantined by the platform's rows",
+		    taken);
 	done(c, st, "read");
 }
 
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -44,7 +44,7 @@
  * @refused: the newest version that can't be used here
  * @refused_row: what operators are told of it at the platform
  * @known: newest version known of, in force or not, usable or not
- * @quarantine: crashes and requests that are held off, between nodes
+ * @quarantine: crashes and quarantined requests, between nodes
  * @quarantine_peers: whom it talks to
  * @quarantine_rows: what of it is to be read or written at the platform
  * @keep: where that outlives all nodes, NULL for nowhere
--- a/packages/node/src/control_quarantine.c
+++ b/packages/node/src/control_quarantine.c
@@ -1,5 +1,5 @@
 /*
- * Carries crashes and requests that are held off between the guard's decision
+ * Carries crashes and quarantined requests between the guard's decision
  * and the other nodes, and to operators.
  */
 #define LOG_PART "quarantine"
@@ -56,7 +56,7 @@
 
 /* Called in the guard's thread. */
 static void
-on_tell(const struct quarantine_item *item, void *arg)
+on_publish(const struct quarantine_item *item, void *arg)
 {
 	struct control *c = arg;
 	struct told *t = g_new(struct told, 1);
@@ -74,7 +74,7 @@
 	c->quarantine = quarantine_news_new(
 	    c->settings->host, &c->quarantine_peers.peers, c->outbox, now_ms);
 	quarantine_rows_init(&c->quarantine_rows);
-	guard_on_tell(c->guard, on_tell, c);
+	guard_on_publish(c->guard, on_publish, c);
 }
 
 void
@@ -167,7 +167,7 @@
 
 	if (!is_held(c, f))
 		return status_set(STATUS_NOT_FOUND,
-		    "No such request is held off here; see the list.");
+		    "No such request is quarantined here; see the list.");
 	(void)g_strlcpy(item.host, c->settings->host, sizeof(item.host));
 	item.id = hash64(&wall_ms, sizeof(wall_ms),
 	    hash64(f, sizeof(*f), ID_SEED) ^
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -99,7 +99,7 @@
 		return true;
 	entry = quarantine_check(q, &print);
 	if (entry != NULL) {
-		entry_log_held_off(c, &print, entry);
+		entry_log_quarantined(c, &print, entry);
 		reject_quarantined(c, quarantine_retry_after_ms(entry, now_ms));
 		return false;
 	}
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -81,8 +81,8 @@
 }
 
 void
-entry_log_held_off(const struct entry_call *c, const struct fingerprint *print,
-    const struct quarantine_entry *held)
+entry_log_quarantined(const struct entry_call *c,
+    const struct fingerprint *print, const struct quarantine_entry *held)
 {
 	struct entry *e = c->entry;
 	char id[24], text[FINGERPRINT_TEXT_BYTES];
--- a/packages/node/src/entry_log.h
+++ b/packages/node/src/entry_log.h
@@ -29,8 +29,8 @@
 /** entry_log_attempt() - an attempt ended without an answer */
 void entry_log_attempt(const struct entry_attempt *a, const char *ended);
 
-/** entry_log_held_off() - a request is in quarantine, since when and why */
-void entry_log_held_off(const struct entry_call *c,
+/** entry_log_quarantined() - a request is in quarantine, since when and why */
+void entry_log_quarantined(const struct entry_call *c,
     const struct fingerprint *print, const struct quarantine_entry *held);
 
 /** entry_log_undecided() - a request ran in several crashes, which of those
--- a/packages/node/src/guard_quarantine.c
+++ b/packages/node/src/guard_quarantine.c
@@ -15,13 +15,13 @@
 #include "spread/quarantine_news.h"
 
 #define ID_SEED 13
-/* Requests of the last crashes here that operators are told the path of. */
+/* Requests of recent crashes here whose paths are kept for operators. */
 #define DESCRIBED_MAX 128
 /* Lines a second: hundreds of upstreams may end at once. */
 #define LINES_PER_S 20
 
 /**
- * struct description - what a request asks, for operators
+ * struct description - a request as operators see it
  * @print: the request
  * @what: method and beginning of the path
  * @caller: who sent it
@@ -40,7 +40,7 @@
 
 /* Descriptions */
 
-/* Paths may hold any byte; what is shown goes into lines, JSON and rows. */
+/* Paths may hold any byte; descriptions go into log lines, JSON and rows. */
 static void
 make_printable(char *text)
 {
@@ -89,7 +89,7 @@
 	return NULL;
 }
 
-/* To other nodes */
+/* Publishing */
 
 static void
 item_init(struct quarantine_item *item, const struct guard *g,
@@ -109,7 +109,7 @@
 	item->n_prints++;
 }
 
-/* A number that no other node's record has. */
+/* Unique among the records of all nodes. */
 static uint64_t
 make_id(struct guard *g)
 {
@@ -121,14 +121,14 @@
 }
 
 static void
-tell(struct guard *g, const struct quarantine_item *item)
+publish(struct guard *g, const struct quarantine_item *item)
 {
-	if (g->quarantine.tell != NULL)
-		g->quarantine.tell(item, g->quarantine.arg);
+	if (g->quarantine.publish != NULL)
+		g->quarantine.publish(item, g->quarantine.arg);
 }
 
 static void
-tell_crash(struct guard *g, const struct crash *c)
+publish_crash(struct guard *g, const struct crash *c)
 {
 	struct quarantine_item item;
 	uint32_t i;
@@ -137,17 +137,17 @@
 	item.id = c->id;
 	for (i = 0; i < c->n_runs; i++)
 		add_print(&item, &c->runs[i]);
-	tell(g, &item);
+	publish(g, &item);
 }
 
 static void
-tell_held(struct guard *g, const struct quarantine_entry *e)
+publish_quarantined(struct guard *g, const struct quarantine_entry *e)
 {
 	const struct description *d = description_of(g, &e->print);
 	char text[FINGERPRINT_TEXT_BYTES];
 	struct quarantine_item item;
 
-	log_warning("request=%s is held off, crashes=%u last=%016" PRIx64
+	log_warning("request=%s is quarantined, crashes=%u last=%016" PRIx64
 		    " asks=\"%s\" caller=%s",
 	    fingerprint_text(&e->print, text), e->crashes, e->last_crash,
 	    d != NULL ? d->what : "?", d != NULL ? d->caller : "?");
@@ -160,25 +160,26 @@
 	if (e->print.caller != 0)
 		(void)g_strlcpy(item.caller, d->caller, sizeof(item.caller));
 	add_print(&item, &e->print);
-	tell(g, &item);
+	publish(g, &item);
 }
 
 static void
-log_doubt(struct guard *g, const struct quarantine_entry *e)
+log_suspended(struct guard *g, const struct quarantine_entry *e)
 {
 	uint32_t left_out = g->quarantine.lines.left_out;
 	char text[FINGERPRINT_TEXT_BYTES];
 
 	if (log_limit_take(&g->quarantine.lines, now_ms(g)))
-		log_warning("request=%s is put off, crashes=%u last=%016" PRIx64
-			    " for_ms=%" PRIu64 ": another one ran in all of "
-			    "them left_out=%u",
+		log_warning(
+		    "request=%s is suspended, crashes=%u last=%016" PRIx64
+		    " for_ms=%" PRIu64 ": a co-suspect ran in all of "
+		    "them left_out=%u",
 		    fingerprint_text(&e->print, text), e->crashes,
 		    e->last_crash, e->until_ms - now_ms(g), left_out);
 }
 
 static void
-tell_answered(struct guard *g, const struct quarantine_entry *e)
+publish_exonerated(struct guard *g, const struct quarantine_entry *e)
 {
 	uint32_t left_out = g->quarantine.lines.left_out;
 	char text[FINGERPRINT_TEXT_BYTES];
@@ -191,7 +192,7 @@
 	item_init(&item, g, QUARANTINE_ANSWERED, e->since_ms);
 	item.id = make_id(g);
 	add_print(&item, &e->print);
-	tell(g, &item);
+	publish(g, &item);
 }
 
 /* The decision */
@@ -216,14 +217,14 @@
 }
 
 static bool
-waits(const struct guard_request *r)
+is_queued(const struct guard_request *r)
 {
 	return r->state == REQUEST_QUEUED || r->state == REQUEST_SETTLING;
 }
 
-/* What waits here is told at once. */
+/* Rejects queued requests that may no longer run. */
 static void
-refuse_waiting(struct guard *g)
+reject_queued(struct guard *g)
 {
 	GPtrArray *list = g_ptr_array_new();
 	struct guard_request *r;
@@ -232,7 +233,7 @@
 
 	g_hash_table_iter_init(&it, g->requests);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&r))
-		if (waits(r))
+		if (is_queued(r))
 			g_ptr_array_add(list, r);
 	for (i = 0; i < list->len; i++)
 		(void)guard_quarantine_refuses(list->pdata[i]);
@@ -246,20 +247,20 @@
 	struct quarantine_event e;
 
 	while (quarantine_pop(q, &e)) {
-		switch (e.tell) {
-		case TELL_CRASH:
-			tell_crash(g, &e.crash);
+		switch (e.kind) {
+		case QUARANTINE_EVENT_CRASHED:
+			publish_crash(g, &e.crash);
 			break;
-		case TELL_HELD:
-			tell_held(g, &e.entry);
-			refuse_waiting(g);
+		case QUARANTINE_EVENT_QUARANTINED:
+			publish_quarantined(g, &e.entry);
+			reject_queued(g);
 			break;
-		case TELL_ANSWERED:
-			tell_answered(g, &e.entry);
+		case QUARANTINE_EVENT_EXONERATED:
+			publish_exonerated(g, &e.entry);
 			break;
-		case TELL_DOUBT:
-			log_doubt(g, &e.entry);
-			refuse_waiting(g);
+		case QUARANTINE_EVENT_SUSPENDED:
+			log_suspended(g, &e.entry);
+			reject_queued(g);
 			break;
 		}
 	}
@@ -286,7 +287,7 @@
 	c.id = make_id(g);
 	memcpy(c.runs, runs, n_runs * sizeof(runs[0]));
 	quarantine_crashed(g->quarantine.decision, &c, now_ms(g));
-	refuse_waiting(g);
+	reject_queued(g);
 	pump(g);
 }
 
@@ -363,7 +364,7 @@
 	return true;
 }
 
-/* From other nodes */
+/* Records of other nodes */
 
 static void
 take_crash(struct guard *g, const struct quarantine_item *item)
@@ -379,7 +380,7 @@
 }
 
 static void
-log_told(struct guard *g, const struct quarantine_item *item,
+log_received(struct guard *g, const struct quarantine_item *item,
     const struct fingerprint *f)
 {
 	uint32_t left_out = g->quarantine.lines.left_out;
@@ -390,8 +391,7 @@
 	log_warning("request=%s %s, by host=%s age_ms=%" PRIu64
 		    " crashes=%u asks=\"%s\" caller=%s left_out=%u",
 	    fingerprint_text(f, text),
-	    item->kind == QUARANTINE_HELD ? "is held off"
-					  : "is held off no longer",
+	    item->kind == QUARANTINE_HELD ? "is quarantined" : "is released",
 	    item->host, now_ms(g) - MIN(now_ms(g), item->at_ms), item->crashes,
 	    item->what, item->caller, left_out);
 }
@@ -409,9 +409,9 @@
 	else
 		changed = quarantine_clear(q, &f, item->at_ms);
 	if (changed)
-		log_told(g, item, &f);
+		log_received(g, item, &f);
 	if (changed && item->kind == QUARANTINE_HELD)
-		refuse_waiting(g);
+		reject_queued(g);
 }
 
 /* News on its way to the guard's thread. */
@@ -427,7 +427,7 @@
 
 	if (news->item.kind == QUARANTINE_CRASH) {
 		take_crash(news->guard, &news->item);
-		refuse_waiting(news->guard);
+		reject_queued(news->guard);
 	} else
 		take_print(news->guard, &news->item);
 	pump(news->guard);
@@ -445,9 +445,9 @@
 }
 
 void
-guard_on_tell(struct guard *g, guard_tell_fn *tell_fn, void *arg)
+guard_on_publish(struct guard *g, guard_publish_fn *publish_fn, void *arg)
 {
-	g->quarantine.tell = tell_fn;
+	g->quarantine.publish = publish_fn;
 	g->quarantine.arg = arg;
 }
 
--- a/packages/node/src/guard_quarantine.h
+++ b/packages/node/src/guard_quarantine.h
@@ -21,10 +21,10 @@
 
 /**
  * struct guard_quarantine - state of the quarantine at the guard
- * @decision: what is held off
+ * @decision: quarantined requests
  * @timer: wakes the decision
  * @described: struct description of requests that ran in crashes here
- * @tell: told what all nodes are to know, or NULL
+ * @publish: told what all nodes are to know, or NULL
  * @arg: given to it
  * @crashes: crashes seen here
  * @lines: bound on lines of requests that were answered or that peers told of
@@ -35,7 +35,7 @@
 	struct quarantine *decision;
 	struct loop_timer timer;
 	GQueue described;
-	guard_tell_fn *tell;
+	guard_publish_fn *publish;
 	void *arg;
 	uint64_t crashes;
 	struct log_limit lines;
@@ -62,7 +62,8 @@
 /** guard_quarantine_answered() - an upstream has answered @r */
 void guard_quarantine_answered(const struct guard_request *r);
 
-/** guard_quarantine_refuses() - refuse @r if it is held off; whether it was */
+/** guard_quarantine_refuses() - refuse @r if it is quarantined; whether it was
+ */
 bool guard_quarantine_refuses(struct guard_request *r);
 
 #endif
--- a/packages/node/src/quarantine_rows.h
+++ b/packages/node/src/quarantine_rows.h
@@ -1,5 +1,5 @@
 /*
- * Quarantine rows: when a node reads at the platform what is held off, and
+ * Quarantine rows: when a node reads quarantined requests at the platform, and
  * writes or removes a row there.
  *
  * Nodes tell one another; the rows are for when all of them have lost power at
--- a/packages/node/test/test_call_quarantine.c
+++ b/packages/node/test/test_call_quarantine.c
@@ -1,5 +1,5 @@
 /*
- * A request that is held off, at entry and guard: what waits is answered at
+ * A request that is quarantined, at entry and guard: what waits is answered at
  * once, what runs runs on, what is new is refused, and others are served.
  */
 #include <string.h>
--- a/packages/node/test/test_quarantine_rows.c
+++ b/packages/node/test/test_quarantine_rows.c
@@ -1,5 +1,5 @@
 /*
- * When rows of what is held off are read and written at the platform.
+ * When rows of quarantined requests are read and written at the platform.
  */
 #include <string.h>
 
--- a/packages/spread/include/spread/quarantine_news.h
+++ b/packages/spread/include/spread/quarantine_news.h
@@ -1,6 +1,6 @@
 /*
  * Quarantine news: brings each node what the others know of crashes and of
- * requests that are held off.
+ * quarantined requests.
  *
  * Records are a set that only grows, so that it doesn't matter in which order
  * or how often they come.  A new one is passed on to a few random hosts a few
@@ -23,7 +23,8 @@
 #include "proto/messages.h"
 #include "proto/outbox.h"
 
-/* Records kept; crashes go first, what is held off last, of a kind the oldest.
+/* Records kept; crashes go first, quarantined requests last, of a kind the
+ * oldest.
  */
 #define QUARANTINE_ITEMS_MAX 128
 
@@ -56,7 +57,7 @@
  * @at_ms: monotonic time at which it happened, as this node reckons
  * @host: host that saw or decided it
  * @service: service of the upstream, or empty
- * @what: method and beginning of the path of what is held off
+ * @what: method and beginning of the path of quarantined requests
  * @caller: who sent it
  * @crashes: crashes that count against it
  * @n_prints: number of @prints
--- a/packages/spread/src/quarantine_news.c
+++ b/packages/spread/src/quarantine_news.c
@@ -1,5 +1,5 @@
 /*
- * Passes crashes and requests that are held off on to all nodes.
+ * Passes crashes and quarantined requests on to all nodes.
  */
 #include "spread/quarantine_news.h"
 
@@ -121,7 +121,7 @@
 }
 
 /* What goes first when there is no more room: the evidence before what was
- * concluded from it, and what is held off last. */
+ * concluded from it, and quarantined requests last. */
 static uint32_t
 worth(enum quarantine_kind kind)
 {
--- a/packages/traffic/bench/bench_traffic.c
+++ b/packages/traffic/bench/bench_traffic.c
@@ -216,8 +216,8 @@
 	g_free(body);
 }
 
-/* What calls pay that have nothing to do with what is held off: @held requests
- * are, after crashes under eighteen requests each. */
+/* What calls pay that have nothing to do with quarantined requests: @held
+ * requests are, after crashes under eighteen requests each. */
 static void
 bench_quarantine(const char *when, uint32_t held)
 {
@@ -281,8 +281,8 @@
 {
 	bench_fingerprint("fingerprint without a body", 0);
 	bench_fingerprint("fingerprint with 16 KB and more", 1 << 20);
-	bench_quarantine("nothing held off", 0);
-	bench_quarantine("128 held off", 128);
+	bench_quarantine("nothing quarantined", 0);
+	bench_quarantine("128 quarantined", 128);
 	bench_quarantine_memory();
 	bench_call();
 	bench_placement(4);
--- a/packages/traffic/include/traffic/clean_runs.h
+++ b/packages/traffic/include/traffic/clean_runs.h
@@ -48,8 +48,8 @@
 /**
  * clean_runs_take() - the same, and forget it
  *
- * One answer vouches for one crash: a request that begins to end upstreams, as
- * after a release, is not covered for long by what came before.
+ * One answer exonerates a request of one crash: a request that begins to end
+ * upstreams, as after a release, is not covered for long by what came before.
  */
 bool clean_runs_take(
     struct clean_runs *c, const struct fingerprint *f, uint64_t now_ms);
--- a/packages/traffic/include/traffic/quarantine.h
+++ b/packages/traffic/include/traffic/quarantine.h
@@ -1,26 +1,22 @@
 /*
- * Quarantine: which requests are no longer run, since each upstream that ran
- * them has crashed.
+ * Quarantine of requests that crash the upstreams which run them.
  *
- * It is fed with the crashes of all hosts, each with the requests that ran in
- * the process that ended, and with the requests that are known to be harmless:
- * answered by an upstream, or cleared by an operator.  All nodes that were fed
- * with the same decide alike, in whatever order it came.  What happened on the
- * own host it gives back, to be told to all.
+ * Its input are the crashes of all hosts, each with the requests in flight
+ * there, and exonerations: answers of upstreams and releases by operators.  All
+ * nodes with the same input decide alike, in whatever order it came.  Events of
+ * the own host are returned for publication to all nodes.
  *
- * A request is held off once QUARANTINE_CRASHES upstreams have crashed under it
- * and nothing else explains that:
- *  - it was not answered since, by any upstream;
- *  - no other request ran in all of these crashes and was not answered since,
- *    else either may be the cause: both are put off for some seconds, and run
- *    again until one of them is told apart;
- *  - a crash at which a request ran that is held off is explained by that;
- *  - a crash doesn't count when many upstreams crashed about that time without
- *    it: power, a kill or a release ended them.
- * Content that crashes upstreams whoever sends it is held off for all callers.
+ * A request is quarantined once QUARANTINE_CRASHES crashes implicate it:
+ *  - no upstream has answered it since;
+ *  - no co-suspect was in flight in all of these crashes and unanswered since,
+ *    else both are suspended for some seconds and run again;
+ *  - no quarantined request was in flight in the crash, as that explains it;
+ *  - few other upstreams crashed about that time without it: else a power loss,
+ *    a kill or a release is the cause.
+ * Content that crashes upstreams for several callers is quarantined for all.
  *
- * What is held off stays so, however long nobody asks for it: only an operator,
- * or an upstream's answer, ends it.
+ * A quarantine lasts until an operator releases the request, or an upstream
+ * answers it.
  */
 #ifndef TRAFFIC_QUARANTINE_H
 #define TRAFFIC_QUARANTINE_H
@@ -35,53 +31,48 @@
 /* Most requests that are remembered of one crash. */
 #define CRASH_RUNS_MAX 32
 
-/* Crashes from which on a request is held off. */
+/* Crashes after which a request is quarantined. */
 #define QUARANTINE_CRASHES 3
 
-/* Most crashes, requests held off and clearances that are remembered; of
- * crashes the oldest goes first whose requests ran in no other one, and what is
- * held off loses nothing by it. */
+/* Bounds of the lists of crashes, quarantined and exonerated requests.  The
+ * least informative crash is dropped first. */
 #define QUARANTINE_CRASHES_MAX 128
 #define QUARANTINE_HELD_MAX 128
 #define QUARANTINE_CLEARED_MAX 128
 
-/* Crashes so close together may have one cause. */
+/* Crashes within this time may have one cause. */
 #define QUARANTINE_CROWD_MS 1000
 
-/* Of the crashes about one, so many times those that a request ran in may be
- * without it: up to four such requests may be at work at once. */
+/* Crashes without a request may outnumber those with it by this factor, as up
+ * to four requests may be crashing upstreams at once. */
 #define QUARANTINE_CROWD_RATIO 3
 
-/* News of what crashed at the same time comes within this. */
+/* Reports of simultaneous crashes arrive within this time. */
 #define QUARANTINE_SETTLE_MS 300
 
-/* A node that has seen an answer to what a peer's crash lists says so within
- * this, at a time of its own, unless another one did: so that of hundreds that
- * have, a few speak.  Shorter than QUARANTINE_SETTLE_MS, and heard within it.
- */
-#define QUARANTINE_VOUCH_MS 150
+/* Nodes that have answered a request of a peer's crash report it after a random
+ * delay up to this, unless another node has: a few of hundreds report.  Shorter
+ * than QUARANTINE_SETTLE_MS, so that reports count in the decision. */
+#define QUARANTINE_REPORT_MS 150
 
-/* Rivals are put off for so long and up to as long again, each node for a time
- * of its own: callers that tried both give up meanwhile, and when the crasher
- * comes again few nodes run it before all know. */
-#define QUARANTINE_DOUBT_MS 4000
+/* Co-suspects are suspended for this and up to as long again, by node, so that
+ * few nodes run them again at the same time. */
+#define QUARANTINE_SUSPEND_MS 4000
 
 /* When the caller of an undecided request may come back: more than
  * QUARANTINE_SETTLE_MS, so that it finds it decided. */
 #define QUARANTINE_UNDECIDED_RETRY_MS 500
 
-/* When the caller of what is held off may come back: an operator has to look at
- * it first. */
+/* Retry-After of quarantined requests, which need an operator's attention. */
 #define QUARANTINE_RETRY_AFTER_MS 60000
 
 /**
- * struct crash - an upstream ended, unannounced
+ * struct crash - an upstream crashed
  * @id: number of the crash, the same at all nodes
  * @at_ms: monotonic time, as this node reckons
  * @own: it was an upstream of the own host
  * @n_runs: number of @runs
- * @runs: requests that ran there and were not answered; those that are known to
- *	be harmless left out
+ * @runs: requests in flight there, without exonerated ones
  */
 struct crash {
 	uint64_t id;
@@ -92,17 +83,15 @@
 };
 
 /**
- * struct quarantine_entry - a request that is held off
+ * struct quarantine_entry - a quarantined or suspended request
  * @print: the request; caller 0 stands for all callers
  * @since_ms: monotonic time since when
- * @crashes: crashes that this node knows of, 0 when a peer told
- * @last_crash: number of the last of them, 0 when a peer told
- * @own: that one was of the own host, which tells the others: all decide alike,
- *	and one or a few speak
- * @until_ms: when it is run again by itself, DEADLINE_NEVER unless it is put
- *off only
- * @over: that time has come
- * @asked: how often it was asked for here since
+ * @crashes: crashes that this node knows of, 0 when a peer reported it
+ * @last_crash: number of the last of them, 0 when a peer reported it
+ * @own: that one was of the own host, which then publishes the decision
+ * @until_ms: end of a suspension, DEADLINE_NEVER when quarantined
+ * @over: the suspension has expired
+ * @asked: rejected calls on this node
  */
 struct quarantine_entry {
 	struct fingerprint print;
@@ -116,28 +105,28 @@
 };
 
 /**
- * enum quarantine_tell - what all nodes are to be told
- * @TELL_CRASH: an upstream of the own host crashed
- * @TELL_HELD: a request is held off
- * @TELL_ANSWERED: a request that ran in a crash was answered
- * @TELL_DOUBT: a request is put off for a while; all nodes see that by
- * themselves
+ * enum quarantine_event_kind - what happened
+ * @QUARANTINE_EVENT_CRASHED: an upstream of the own host crashed
+ * @QUARANTINE_EVENT_QUARANTINED: a request is quarantined
+ * @QUARANTINE_EVENT_EXONERATED: a suspect was answered
+ * @QUARANTINE_EVENT_SUSPENDED: a co-suspect is suspended; not published, as all
+ *	nodes decide it alike
  */
-enum quarantine_tell {
-	TELL_CRASH = 0,
-	TELL_HELD,
-	TELL_ANSWERED,
-	TELL_DOUBT,
+enum quarantine_event_kind {
+	QUARANTINE_EVENT_CRASHED = 0,
+	QUARANTINE_EVENT_QUARANTINED,
+	QUARANTINE_EVENT_EXONERATED,
+	QUARANTINE_EVENT_SUSPENDED,
 };
 
 /**
- * struct quarantine_event - one thing to be told
- * @tell: what it is
+ * struct quarantine_event - something to log or publish
+ * @kind: what it is
  * @crash: the crash
- * @entry: what is held or put off; of an answered request its print only
+ * @entry: the request; of an exonerated one its print only
  */
 struct quarantine_event {
-	enum quarantine_tell tell;
+	enum quarantine_event_kind kind;
 	struct crash crash;
 	struct quarantine_entry entry;
 };
@@ -145,7 +134,7 @@
 struct quarantine;
 
 /**
- * quarantine_new() - nothing is held off
+ * quarantine_new() - an empty quarantine
  * @seed: seed of its random choices
  * @now_ms: monotonic time
  *
@@ -159,7 +148,7 @@
 /**
  * quarantine_answered() - an upstream of this host has answered a request
  *
- * Return: whether that is worth telling: quarantine_pop() gives it.
+ * Return: whether an event was emitted.
  */
 bool quarantine_answered(
     struct quarantine *q, const struct fingerprint *f, uint64_t now_ms);
@@ -167,15 +156,15 @@
 /**
  * quarantine_crashed() - an upstream of this host crashed
  * @q: the quarantine
- * @c: the crash with all that ran there; what was answered lately is left out
- *	of what is told
+ * @c: the crash with all requests in flight; recently answered ones are not
+ *	published
  * @now_ms: monotonic time
  */
 void quarantine_crashed(
     struct quarantine *q, const struct crash *c, uint64_t now_ms);
 
 /**
- * quarantine_crash() - a peer tells of a crash
+ * quarantine_crash() - a peer reports a crash
  * @q: the quarantine
  * @c: the crash; one that is known already is ignored
  * @now_ms: monotonic time
@@ -184,39 +173,38 @@
 quarantine_crash(struct quarantine *q, const struct crash *c, uint64_t now_ms);
 
 /**
- * quarantine_hold() - a peer tells that a request is held off
+ * quarantine_hold() - a peer reports a quarantined request
  * @q: the quarantine
  * @f: the request
  * @since_ms: since when, as this node reckons
  *
- * Return: whether it was news; false also when it was cleared later than that.
+ * Return: false if that was known, or if it was exonerated later.
  */
 bool quarantine_hold(
     struct quarantine *q, const struct fingerprint *f, uint64_t since_ms);
 
 /**
- * quarantine_clear() - a request is harmless, whatever it ran in before @at_ms
+ * quarantine_clear() - exonerate a request of crashes before @at_ms
  * @q: the quarantine
  * @f: the request; caller 0 for all callers
  * @at_ms: when it was answered, or cleared by an operator
  *
- * Return: whether it was held off and no longer is.
+ * Return: whether this ended its quarantine.
  */
 bool quarantine_clear(
     struct quarantine *q, const struct fingerprint *f, uint64_t at_ms);
 
 /**
- * quarantine_check() - is a request held off?
+ * quarantine_check() - look a request up
  * @q: the quarantine
  * @f: the request
  *
- * Return: what is known of it, borrowed, or NULL: it may run.
+ * Return: its entry, borrowed, or NULL if it may run.
  */
 const struct quarantine_entry *
 quarantine_check(struct quarantine *q, const struct fingerprint *f);
 
-/** quarantine_retry_after_ms() - when the caller of a request that is held off
- * may come back */
+/** quarantine_retry_after_ms() - Retry-After of a rejected request */
 uint64_t
 quarantine_retry_after_ms(const struct quarantine_entry *e, uint64_t now_ms);
 
@@ -248,20 +236,20 @@
  */
 bool quarantine_has_suspects(const struct quarantine *q, uint64_t now_ms);
 
-/** quarantine_is_empty() - nothing is held off, no need to ask */
+/** quarantine_is_empty() - no request is quarantined or suspended */
 bool quarantine_is_empty(const struct quarantine *q);
 
 /** quarantine_list() - append all struct quarantine_entry to @out */
 void quarantine_list(const struct quarantine *q, GArray *out);
 
-/** quarantine_tick() - decide on what has settled */
+/** quarantine_tick() - run what is due */
 void quarantine_tick(struct quarantine *q, uint64_t now_ms);
 
 /** quarantine_next_ms() - when quarantine_tick() is wanted; DEADLINE_NEVER */
 uint64_t quarantine_next_ms(const struct quarantine *q);
 
 /**
- * quarantine_pop() - the next thing that all nodes are to be told
+ * quarantine_pop() - take the next event
  * @q: the quarantine
  * @out: where it goes
  *
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -376,7 +376,7 @@
 }
 
 static void
-lost_in_doubt(struct call *c, uint64_t now_ms)
+lost_unanswered(struct call *c, uint64_t now_ms)
 {
 	if (c->cfg.naive) {
 		uncertain(c, now_ms);
@@ -401,7 +401,7 @@
 		not_run(c, REFUSAL_UNREACHABLE, 0, now_ms);
 		return;
 	case STATE_WAITING:
-		lost_in_doubt(c, now_ms);
+		lost_unanswered(c, now_ms);
 		return;
 	case STATE_RESOLVING:
 		call_unresolved(c, stream, now_ms);
--- a/packages/traffic/src/quarantine.c
+++ b/packages/traffic/src/quarantine.c
@@ -1,6 +1,6 @@
 /*
- * Requests that are no longer run: what is known of crashes, who was cleared,
- * and what all nodes are to be told.
+ * State of the quarantine: known crashes, quarantined, suspended and exonerated
+ * requests, and the events to publish.
  */
 #include <string.h>
 
@@ -9,9 +9,9 @@
 
 #include "quarantine_defs.h"
 
-/* Most answers that wait to be told of: more crashes at a time have a cause of
- * their own. */
-#define VOUCHERS_MAX 256
+/* Bounds the queue of success reports; a larger burst of crashes has an
+ * external cause. */
+#define SUCCESS_REPORTS_MAX 256
 
 struct quarantine *
 quarantine_new(uint64_t seed, uint64_t now_ms)
@@ -19,10 +19,13 @@
 	struct quarantine *q = g_new0(struct quarantine, 1);
 
 	q->crashes = g_ptr_array_new_with_free_func(g_free);
-	q->held = g_array_new(FALSE, TRUE, sizeof(struct quarantine_entry));
-	q->doubted = g_array_new(FALSE, TRUE, sizeof(struct quarantine_entry));
+	q->quarantined =
+	    g_array_new(FALSE, TRUE, sizeof(struct quarantine_entry));
+	q->suspended =
+	    g_array_new(FALSE, TRUE, sizeof(struct quarantine_entry));
 	q->cleared = g_array_new(FALSE, TRUE, sizeof(struct clearance));
-	q->vouchers = g_array_new(FALSE, TRUE, sizeof(struct voucher));
+	q->success_reports =
+	    g_array_new(FALSE, TRUE, sizeof(struct success_report));
 	g_queue_init(&q->events);
 	clean_runs_init(&q->clean, now_ms);
 	q->seed = seed;
@@ -38,10 +41,10 @@
 	if (q == NULL)
 		return;
 	g_ptr_array_unref(q->crashes);
-	g_array_unref(q->held);
-	g_array_unref(q->doubted);
+	g_array_unref(q->quarantined);
+	g_array_unref(q->suspended);
 	g_array_unref(q->cleared);
-	g_array_unref(q->vouchers);
+	g_array_unref(q->success_reports);
 	g_queue_clear_full(&q->events, g_free);
 	clean_runs_clear(&q->clean);
 	g_hash_table_destroy(q->contents);
@@ -57,27 +60,27 @@
 }
 
 static void
-tell(struct quarantine *q, const struct quarantine_event *e)
+emit_event(struct quarantine *q, const struct quarantine_event *e)
 {
 	g_queue_push_tail(&q->events, g_memdup2(e, sizeof(*e)));
 }
 
-/* What is held off */
+/* Quarantined requests */
 
 static struct quarantine_entry *
-held_at(const struct quarantine *q, guint i)
+quarantined_at(const struct quarantine *q, guint i)
 {
-	return &g_array_index(q->held, struct quarantine_entry, i);
+	return &g_array_index(q->quarantined, struct quarantine_entry, i);
 }
 
 struct quarantine_entry *
-quarantine_held(const struct quarantine *q, const struct fingerprint *f)
+quarantine_find(const struct quarantine *q, const struct fingerprint *f)
 {
 	guint i;
 
-	for (i = 0; i < q->held->len; i++)
-		if (quarantine_covers(&held_at(q, i)->print, f))
-			return held_at(q, i);
+	for (i = 0; i < q->quarantined->len; i++)
+		if (quarantine_covers(&quarantined_at(q, i)->print, f))
+			return quarantined_at(q, i);
 	return NULL;
 }
 
@@ -90,27 +93,29 @@
 }
 
 static struct quarantine_entry *
-doubt_at(const struct quarantine *q, guint i)
+suspended_at(const struct quarantine *q, guint i)
 {
-	return &g_array_index(q->doubted, struct quarantine_entry, i);
+	return &g_array_index(q->suspended, struct quarantine_entry, i);
 }
 
 struct quarantine_entry *
-quarantine_doubted(const struct quarantine *q, const struct fingerprint *f)
+quarantine_find_suspended(
+    const struct quarantine *q, const struct fingerprint *f)
 {
 	guint i;
 
-	for (i = 0; i < q->doubted->len; i++)
-		if (quarantine_covers(&doubt_at(q, i)->print, f))
-			return doubt_at(q, i);
+	for (i = 0; i < q->suspended->len; i++)
+		if (quarantine_covers(&suspended_at(q, i)->print, f))
+			return suspended_at(q, i);
 	return NULL;
 }
 
-/* Those that are over stay, so that they are not put off again for the same. */
+/* Expired suspensions stay in the list, so that the same crashes don't suspend
+ * a request again. */
 static struct quarantine_entry *
-put_off(const struct quarantine *q, const struct fingerprint *f)
+suspension_of(const struct quarantine *q, const struct fingerprint *f)
 {
-	struct quarantine_entry *e = quarantine_doubted(q, f);
+	struct quarantine_entry *e = quarantine_find_suspended(q, f);
 
 	return e != NULL && !e->over ? e : NULL;
 }
@@ -118,10 +123,10 @@
 const struct quarantine_entry *
 quarantine_check(struct quarantine *q, const struct fingerprint *f)
 {
-	struct quarantine_entry *e = quarantine_held(q, f);
+	struct quarantine_entry *e = quarantine_find(q, f);
 
 	if (e == NULL)
-		e = put_off(q, f);
+		e = suspension_of(q, f);
 	if (e != NULL)
 		e->asked++;
 	return e;
@@ -138,14 +143,15 @@
 void
 quarantine_list(const struct quarantine *q, GArray *out)
 {
-	if (q->held->len > 0)
-		g_array_append_vals(out, q->held->data, q->held->len);
+	if (q->quarantined->len > 0)
+		g_array_append_vals(
+		    out, q->quarantined->data, q->quarantined->len);
 }
 
 bool
 quarantine_is_empty(const struct quarantine *q)
 {
-	return q->held->len == 0 && q->doubted->len == 0;
+	return q->quarantined->len == 0 && q->suspended->len == 0;
 }
 
 /* Clearances */
@@ -156,8 +162,7 @@
 	return &g_array_index(q->cleared, struct clearance, i);
 }
 
-/* For all callers any one's answer speaks, since then it isn't the content
- * alone. */
+/* An answer to any caller exonerates the content for all callers. */
 uint64_t
 quarantine_cleared_ms(const struct quarantine *q, const struct fingerprint *f)
 {
@@ -202,20 +207,20 @@
 	guint i;
 
 	clearance_note(q, f, at_ms);
-	for (i = q->held->len; i > 0; i--) {
-		e = held_at(q, i - 1);
+	for (i = q->quarantined->len; i > 0; i--) {
+		e = quarantined_at(q, i - 1);
 		if (e->since_ms > at_ms ||
 		    !(quarantine_covers(f, &e->print) ||
 			quarantine_covers(&e->print, f)))
 			continue;
-		g_array_remove_index(q->held, i - 1);
+		g_array_remove_index(q->quarantined, i - 1);
 		ended = true;
 	}
-	for (i = q->doubted->len; i > 0; i--)
-		if (quarantine_covers(f, &doubt_at(q, i - 1)->print) ||
-		    quarantine_covers(&doubt_at(q, i - 1)->print, f))
-			g_array_remove_index(q->doubted, i - 1);
-	/* What it explained, covered or was a rival of is judged again. */
+	for (i = q->suspended->len; i > 0; i--)
+		if (quarantine_covers(f, &suspended_at(q, i - 1)->print) ||
+		    quarantine_covers(&suspended_at(q, i - 1)->print, f))
+			g_array_remove_index(q->suspended, i - 1);
+	/* Its crashes no longer explain or implicate other requests. */
 	if (quarantine_seen(q, f->content) > 0)
 		q->settled_ms = MIN(q->settled_ms, at_ms);
 	return ended;
@@ -228,10 +233,10 @@
 	struct quarantine_entry e = {
 	    .print = *f, .since_ms = since_ms, .until_ms = DEADLINE_NEVER};
 
-	if (quarantine_held(q, f) != NULL ||
+	if (quarantine_find(q, f) != NULL ||
 	    quarantine_cleared_ms(q, f) >= since_ms)
 		return false;
-	add_bounded(q->held, &e);
+	add_bounded(q->quarantined, &e);
 	return true;
 }
 
@@ -250,14 +255,15 @@
 }
 
 static void
-doubt(struct quarantine *q, const struct quarantine_entry *e)
+suspend(struct quarantine *q, const struct quarantine_entry *e)
 {
-	struct quarantine_entry *known = quarantine_doubted(q, &e->print);
+	struct quarantine_entry *known =
+	    quarantine_find_suspended(q, &e->print);
 
 	if (known != NULL)
 		*known = *e;
 	else
-		add_bounded(q->doubted, e);
+		add_bounded(q->suspended, e);
 }
 
 static bool
@@ -266,50 +272,52 @@
 	return e->until_ms == DEADLINE_NEVER;
 }
 
-/* Holds off what is sure, or puts off what isn't, of what the judgement says.
- */
+/* Quarantines the certain suspects of a judgement, or suspends the others. */
 static void
-act_on(struct quarantine *q, uint64_t now_ms, bool sure)
+apply_judgement(struct quarantine *q, uint64_t now_ms, bool sure)
 {
-	GArray *guilty = quarantine_judge(q, now_ms);
-	struct quarantine_event event = {.tell = sure ? TELL_HELD : TELL_DOUBT};
+	GArray *suspects = quarantine_judge(q, now_ms);
+	struct quarantine_event event = {.kind = sure
+		? QUARANTINE_EVENT_QUARANTINED
+		: QUARANTINE_EVENT_SUSPENDED};
 	guint i;
 
-	for (i = 0; i < guilty->len; i++) {
-		event.entry = g_array_index(guilty, struct quarantine_entry, i);
+	for (i = 0; i < suspects->len; i++) {
+		event.entry =
+		    g_array_index(suspects, struct quarantine_entry, i);
 		if (is_sure(&event.entry) != sure ||
-		    quarantine_held(q, &event.entry.print) != NULL)
+		    quarantine_find(q, &event.entry.print) != NULL)
 			continue;
 		if (sure)
-			add_bounded(q->held, &event.entry);
+			add_bounded(q->quarantined, &event.entry);
 		else
-			doubt(q, &event.entry);
-		tell(q, &event);
+			suspend(q, &event.entry);
+		emit_event(q, &event);
 	}
-	g_array_unref(guilty);
+	g_array_unref(suspects);
 }
 
-/* What is sure may explain the crashes of what would be in doubt. */
+/* A certain suspect may explain the crashes of an uncertain one. */
 static void
 decide(struct quarantine *q, uint64_t now_ms)
 {
-	act_on(q, now_ms, true);
-	act_on(q, now_ms, false);
+	apply_judgement(q, now_ms, true);
+	apply_judgement(q, now_ms, false);
 }
 
 static void
-end_doubts(struct quarantine *q, uint64_t now_ms)
+end_suspensions(struct quarantine *q, uint64_t now_ms)
 {
 	guint i;
 
-	for (i = 0; i < q->doubted->len; i++)
-		if (now_ms >= doubt_at(q, i)->until_ms)
-			doubt_at(q, i)->over = true;
+	for (i = 0; i < q->suspended->len; i++)
+		if (now_ms >= suspended_at(q, i)->until_ms)
+			suspended_at(q, i)->over = true;
 }
 
-/* The oldest crash whose requests ran in no other one, else the oldest. */
+/* The oldest crash whose requests ran in no other crash, else the oldest. */
 static guint
-least_telling(const struct quarantine *q)
+least_informative(const struct quarantine *q)
 {
 	const struct crash *c;
 	bool recurs = true;
@@ -336,7 +344,7 @@
 	return false;
 }
 
-/* Counts a crash's requests in or out. */
+/* Adds a crash's requests to the index, or removes them. */
 static void
 index_runs(struct quarantine *q, const struct crash *c, bool in)
 {
@@ -359,13 +367,13 @@
 static void
 forget_one(struct quarantine *q)
 {
-	guint i = least_telling(q);
+	guint i = least_informative(q);
 
 	index_runs(q, quarantine_crash_at(q, i), false);
 	g_ptr_array_remove_index(q->crashes, i);
 }
 
-/* Return: whether it was news. */
+/* Return: false if the crash was known. */
 static bool
 take_crash(struct quarantine *q, const struct crash *c, uint64_t now_ms)
 {
@@ -386,40 +394,42 @@
 void
 quarantine_crashed(struct quarantine *q, const struct crash *c, uint64_t now_ms)
 {
-	struct quarantine_event event = {.tell = TELL_CRASH, .crash = *c};
-	struct crash *told = &event.crash;
+	struct quarantine_event event = {
+	    .kind = QUARANTINE_EVENT_CRASHED, .crash = *c};
+	struct crash *published = &event.crash;
 	uint32_t r;
 
-	told->own = true;
-	told->n_runs = 0;
+	published->own = true;
+	published->n_runs = 0;
 	for (r = 0; r < c->n_runs; r++)
 		if (!clean_runs_take(&q->clean, &c->runs[r], now_ms))
-			told->runs[told->n_runs++] = c->runs[r];
-	if (take_crash(q, told, now_ms))
-		tell(q, &event);
+			published->runs[published->n_runs++] = c->runs[r];
+	if (take_crash(q, published, now_ms))
+		emit_event(q, &event);
 }
 
 void
 quarantine_crash(struct quarantine *q, const struct crash *c, uint64_t now_ms)
 {
-	struct voucher v;
+	struct success_report report;
 	uint32_t r;
 
 	if (!take_crash(q, c, now_ms))
 		return;
 	for (r = 0; r < c->n_runs; r++) {
-		if (q->vouchers->len == VOUCHERS_MAX ||
+		if (q->success_reports->len == SUCCESS_REPORTS_MAX ||
 		    !clean_runs_has(&q->clean, &c->runs[r], now_ms))
 			continue;
-		v.print = c->runs[r];
-		v.due_ms = now_ms +
-		    hash64(&v.print, sizeof(v.print), q->seed ^ c->id) %
-			QUARANTINE_VOUCH_MS;
-		g_array_append_val(q->vouchers, v);
+		report.print = c->runs[r];
+		report.due_ms = now_ms +
+		    hash64(
+			&report.print, sizeof(report.print), q->seed ^ c->id) %
+			QUARANTINE_REPORT_MS;
+		g_array_append_val(q->success_reports, report);
 	}
 }
 
-/* It ran in a crash that counts. */
+/* It ran in a crash later than its last exoneration. */
 static bool
 is_suspect(const struct quarantine *q, const struct fingerprint *f)
 {
@@ -436,18 +446,18 @@
 	return false;
 }
 
-/* Return: whether somebody needs to be told. */
+/* Return: whether an event was emitted. */
 static bool
-vouch(struct quarantine *q, const struct fingerprint *f, uint64_t now_ms)
+exonerate(struct quarantine *q, const struct fingerprint *f, uint64_t now_ms)
 {
-	struct quarantine_event event = {.tell = TELL_ANSWERED};
+	struct quarantine_event event = {.kind = QUARANTINE_EVENT_EXONERATED};
 
-	if (!is_suspect(q, f) && quarantine_held(q, f) == NULL)
+	if (!is_suspect(q, f) && quarantine_find(q, f) == NULL)
 		return false;
 	(void)quarantine_clear(q, f, now_ms);
 	event.entry.print = *f;
 	event.entry.since_ms = now_ms;
-	tell(q, &event);
+	emit_event(q, &event);
 	return true;
 }
 
@@ -456,29 +466,30 @@
     struct quarantine *q, const struct fingerprint *f, uint64_t now_ms)
 {
 	clean_runs_add(&q->clean, f, now_ms);
-	return vouch(q, f, now_ms);
+	return exonerate(q, f, now_ms);
 }
 
 static void
-vouch_due(struct quarantine *q, uint64_t now_ms)
+report_successes(struct quarantine *q, uint64_t now_ms)
 {
-	struct voucher *v;
+	struct success_report *report;
 	guint i;
 
-	for (i = q->vouchers->len; i > 0; i--) {
-		v = &g_array_index(q->vouchers, struct voucher, i - 1);
-		if (now_ms < v->due_ms)
+	for (i = q->success_reports->len; i > 0; i--) {
+		report = &g_array_index(
+		    q->success_reports, struct success_report, i - 1);
+		if (now_ms < report->due_ms)
 			continue;
-		(void)vouch(q, &v->print, now_ms);
-		g_array_remove_index_fast(q->vouchers, i - 1);
+		(void)exonerate(q, &report->print, now_ms);
+		g_array_remove_index_fast(q->success_reports, i - 1);
 	}
 }
 
 void
 quarantine_tick(struct quarantine *q, uint64_t now_ms)
 {
-	vouch_due(q, now_ms);
-	end_doubts(q, now_ms);
+	report_successes(q, now_ms);
+	end_suspensions(q, now_ms);
 	if (now_ms < q->settled_ms)
 		return;
 	q->settled_ms = DEADLINE_NEVER;
@@ -491,12 +502,13 @@
 	uint64_t next_ms = q->settled_ms;
 	guint i;
 
-	for (i = 0; i < q->vouchers->len; i++)
+	for (i = 0; i < q->success_reports->len; i++)
 		next_ms = MIN(next_ms,
-		    g_array_index(q->vouchers, struct voucher, i).due_ms);
-	for (i = 0; i < q->doubted->len; i++)
-		if (!doubt_at(q, i)->over)
-			next_ms = MIN(next_ms, doubt_at(q, i)->until_ms);
+		    g_array_index(q->success_reports, struct success_report, i)
+			.due_ms);
+	for (i = 0; i < q->suspended->len; i++)
+		if (!suspended_at(q, i)->over)
+			next_ms = MIN(next_ms, suspended_at(q, i)->until_ms);
 	return next_ms;
 }
 
--- a/packages/traffic/src/quarantine_defs.h
+++ b/packages/traffic/src/quarantine_defs.h
@@ -8,9 +8,9 @@
 #include "traffic/quarantine.h"
 
 /**
- * struct clearance - a request is known to be harmless
+ * struct clearance - a request is exonerated
  * @print: the request; caller 0 for all callers
- * @at_ms: crashes up to then don't count for it
+ * @at_ms: earlier crashes don't implicate it
  */
 struct clearance {
 	struct fingerprint print;
@@ -18,11 +18,11 @@
 };
 
 /**
- * struct voucher - a peer's crash lists what was answered here
+ * struct success_report - a request in a peer's crash was answered here
  * @print: the request
- * @due_ms: when that is told, unless it is known by then
+ * @due_ms: when to report it, unless another node has
  */
-struct voucher {
+struct success_report {
 	struct fingerprint print;
 	uint64_t due_ms;
 };
@@ -30,10 +30,10 @@
 /**
  * struct quarantine - the quarantine
  * @crashes: struct crash, in the order in which they came
- * @held: struct quarantine_entry
- * @doubted: struct quarantine_entry of rivals that are put off, or were
+ * @quarantined: struct quarantine_entry
+ * @suspended: struct quarantine_entry of co-suspects, expired ones included
  * @cleared: struct clearance
- * @vouchers: struct voucher
+ * @success_reports: struct success_report
  * @events: struct quarantine_event that quarantine_pop() is to give
  * @clean: what was answered here lately
  * @seed: seed of random choices
@@ -43,10 +43,10 @@
  */
 struct quarantine {
 	GPtrArray *crashes;
-	GArray *held;
-	GArray *doubted;
+	GArray *quarantined;
+	GArray *suspended;
 	GArray *cleared;
-	GArray *vouchers;
+	GArray *success_reports;
 	GQueue events;
 	struct clean_runs clean;
 	uint64_t seed;
@@ -59,16 +59,16 @@
 bool quarantine_covers(
     const struct fingerprint *pattern, const struct fingerprint *f);
 
-/** quarantine_held() - the entry that covers a request, or NULL */
+/** quarantine_find() - the entry that covers a request, or NULL */
 struct quarantine_entry *
-quarantine_held(const struct quarantine *q, const struct fingerprint *f);
+quarantine_find(const struct quarantine *q, const struct fingerprint *f);
 
-/** quarantine_doubted() - the doubt about a request, over or not, or NULL */
-struct quarantine_entry *
-quarantine_doubted(const struct quarantine *q, const struct fingerprint *f);
+/** quarantine_find_suspended() - a request's suspension, expired or not, or
+ * NULL */
+struct quarantine_entry *quarantine_find_suspended(
+    const struct quarantine *q, const struct fingerprint *f);
 
-/** quarantine_cleared_ms() - when a request was last known to be harmless, 0
- * for never */
+/** quarantine_cleared_ms() - when a request was last exonerated, 0 for never */
 uint64_t
 quarantine_cleared_ms(const struct quarantine *q, const struct fingerprint *f);
 
@@ -89,15 +89,15 @@
 bool quarantine_ran_in(const struct crash *c, const struct fingerprint *f);
 
 /**
- * quarantine_judge() - who is to blame for what is known
+ * quarantine_judge() - attribute the known crashes
  * @q: the quarantine
  * @now_ms: monotonic time
  *
- * All are judged before the first is held off, as that one would explain the
+ * All are judged before the first is quarantined, as that one would explain the
  * crashes of the others.
  *
- * Return: struct quarantine_entry that aren't held off yet, with an end where a
- * rival leaves it open; free with g_array_unref().
+ * Return: struct quarantine_entry of those to be quarantined, or suspended
+ * until their @until_ms if they have a co-suspect; free with g_array_unref().
  */
 GArray *quarantine_judge(const struct quarantine *q, uint64_t now_ms);
 
--- a/packages/traffic/src/quarantine_judge.c
+++ b/packages/traffic/src/quarantine_judge.c
@@ -1,5 +1,5 @@
 /*
- * Who is to blame for crashes.
+ * Attribution of crashes to requests.
  */
 #include "base/clock.h"
 #include "base/hash.h"
@@ -17,9 +17,8 @@
 	return false;
 }
 
-/* A request of another content that is held off ran there: @f isn't to be
- * blamed. The same content of another caller speaks against @f rather than for
- * it. */
+/* A quarantined request of another content ran there, and explains the crash.
+ * The same content of another caller implicates @f instead. */
 static bool
 is_explained(const struct quarantine *q, const struct crash *c,
     const struct fingerprint *f)
@@ -28,12 +27,12 @@
 
 	for (i = 0; i < c->n_runs; i++)
 		if (c->runs[i].content != f->content &&
-		    quarantine_held(q, &c->runs[i]) != NULL)
+		    quarantine_find(q, &c->runs[i]) != NULL)
 			return true;
 	return false;
 }
 
-/* Many crashed about that time without @f. */
+/* Many upstreams crashed about that time without @f. */
 static bool
 is_crowded(const struct quarantine *q, const struct crash *c,
     const struct fingerprint *f)
@@ -55,7 +54,7 @@
 	return without > with * QUARANTINE_CROWD_RATIO;
 }
 
-/* Whether a crash speaks against @f. */
+/* Whether a crash implicates @f. */
 static bool
 counts(const struct quarantine *q, const struct crash *c,
     const struct fingerprint *f)
@@ -65,7 +64,7 @@
 	    !is_crowded(q, c, f);
 }
 
-/* It ran there, and nobody has answered it since. */
+/* It ran there and has not been answered since. */
 static bool
 may_be_to_blame(const struct quarantine *q, const struct crash *c,
     const struct fingerprint *f)
@@ -74,9 +73,9 @@
 	    c->at_ms > quarantine_cleared_ms(q, f);
 }
 
-/* Another request may be to blame for all the crashes that speak against @f. */
+/* Another request may have caused all the crashes that implicate @f. */
 static bool
-has_rival(const struct quarantine *q, const struct fingerprint *f)
+has_cosuspect(const struct quarantine *q, const struct fingerprint *f)
 {
 	const struct crash *first = NULL, *c;
 	bool in_all;
@@ -101,7 +100,7 @@
 	return false;
 }
 
-/* The last crash that speaks against @f, or NULL. */
+/* The last crash that implicates @f, or NULL. */
 static const struct crash *
 last_crash_of(const struct quarantine *q, const struct fingerprint *f)
 {
@@ -148,8 +147,7 @@
 	return n;
 }
 
-/* The content alone is to blame: it crashed upstreams for three callers, or
- * twice for each of two. */
+/* The content crashed upstreams for three callers, or twice for each of two. */
 static bool
 is_of_all_callers(const struct quarantine *q, const struct fingerprint *f)
 {
@@ -157,19 +155,19 @@
 	    callers_of(q, f->content, 2) >= 2;
 }
 
-/* Put off already, or once and nothing has crashed under it since. */
+/* Suspended, or no crash has implicated it since its suspension. */
 static bool
-is_doubted(const struct quarantine *q, const struct fingerprint *f,
+is_suspended(const struct quarantine *q, const struct fingerprint *f,
     const struct crash *last)
 {
-	const struct quarantine_entry *e = quarantine_doubted(q, f);
+	const struct quarantine_entry *e = quarantine_find_suspended(q, f);
 
 	return e != NULL && last->at_ms <= e->until_ms;
 }
 
 static void
 decide_on(const struct quarantine *q, const struct fingerprint *f,
-    uint64_t now_ms, GArray *guilty)
+    uint64_t now_ms, GArray *suspects)
 {
 	struct quarantine_entry e = {.print = *f,
 	    .since_ms = now_ms,
@@ -177,19 +175,19 @@
 	    .until_ms = DEADLINE_NEVER};
 	const struct crash *last;
 
-	if (quarantine_held(q, f) != NULL || e.crashes < QUARANTINE_CRASHES ||
+	if (quarantine_find(q, f) != NULL || e.crashes < QUARANTINE_CRASHES ||
 	    (f->caller == 0 && !is_of_all_callers(q, f)))
 		return;
 	last = last_crash_of(q, f);
-	if (has_rival(q, f)) {
-		if (is_doubted(q, f, last))
+	if (has_cosuspect(q, f)) {
+		if (is_suspended(q, f, last))
 			return;
-		e.until_ms = now_ms + QUARANTINE_DOUBT_MS +
-		    hash64(f, sizeof(*f), q->seed) % QUARANTINE_DOUBT_MS;
+		e.until_ms = now_ms + QUARANTINE_SUSPEND_MS +
+		    hash64(f, sizeof(*f), q->seed) % QUARANTINE_SUSPEND_MS;
 	}
 	e.last_crash = last->id;
 	e.own = last->own;
-	g_array_append_val(guilty, e);
+	g_array_append_val(suspects, e);
 }
 
 static bool
@@ -236,14 +234,14 @@
 GArray *
 quarantine_judge(const struct quarantine *q, uint64_t now_ms)
 {
-	GArray *guilty =
+	GArray *suspects =
 	    g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
 	GArray *prints = candidates(q);
 	guint i;
 
 	for (i = 0; i < prints->len; i++)
 		decide_on(q, &g_array_index(prints, struct fingerprint, i),
-		    now_ms, guilty);
+		    now_ms, suspects);
 	g_array_unref(prints);
-	return guilty;
+	return suspects;
 }
--- a/packages/traffic/src/quarantine_suspect.c
+++ b/packages/traffic/src/quarantine_suspect.c
@@ -65,7 +65,7 @@
 	t = count(q, f, now_ms);
 	if (is_undecided(q, &t))
 		return SUSPICION_UNDECIDED;
-	if (t.with > 0 || quarantine_doubted(q, f) != NULL)
+	if (t.with > 0 || quarantine_find_suspended(q, f) != NULL)
 		return SUSPICION_SUSPECT;
 	return SUSPICION_NONE;
 }
@@ -73,12 +73,11 @@
 bool
 quarantine_has_suspects(const struct quarantine *q, uint64_t now_ms)
 {
-	return now_ms < q->suspects_until_ms || q->doubted->len > 0;
+	return now_ms < q->suspects_until_ms || q->suspended->len > 0;
 }
 
 void
 quarantine_note_suspects(struct quarantine *q, const struct crash *c)
 {
-	q->suspects_until_ms =
-	    MAX(q->suspects_until_ms, c->at_ms + SUSPECT_MS);
+	q->suspects_until_ms = MAX(q->suspects_until_ms, c->at_ms + SUSPECT_MS);
 }
--- a/packages/traffic/test/test_quarantine.c
+++ b/packages/traffic/test/test_quarantine.c
@@ -88,7 +88,7 @@
 	ck_assert(held(1, A));
 	ck_assert(!held(2, A));
 	ck_assert(quarantine_pop(q, &e));
-	ck_assert_int_eq(e.tell, TELL_HELD);
+	ck_assert_int_eq(e.kind, QUARANTINE_EVENT_QUARANTINED);
 	ck_assert_uint_eq(e.entry.print.content, 1);
 	ck_assert_uint_eq(e.entry.crashes, 3);
 	ck_assert_uint_eq(e.entry.last_crash, 3);
@@ -194,7 +194,7 @@
 	crash_alone(T0 + 1000, 1, A);
 	(void)quarantine_answered(q, &f, T0 + 1500);
 	ck_assert(quarantine_pop(q, &e));
-	ck_assert_int_eq(e.tell, TELL_ANSWERED);
+	ck_assert_int_eq(e.kind, QUARANTINE_EVENT_EXONERATED);
 	ck_assert(fingerprint_equal(&e.entry.print, &f));
 	crash_alone(T0 + 2000, 1, A);
 	crash_alone(T0 + 3000, 1, A);
@@ -230,7 +230,7 @@
  * without the other one tells. */
 START_TEST(rivals_are_put_off_until_one_is_told_apart)
 {
-	uint64_t over_ms = T0 + 1500 + QUARANTINE_DOUBT_MS * 2;
+	uint64_t over_ms = T0 + 1500 + QUARANTINE_SUSPEND_MS * 2;
 	struct quarantine_event e;
 
 	crash(T0, print(1, A), print(2, A));
@@ -240,8 +240,8 @@
 	ck_assert(held(1, A));
 	ck_assert(held(2, A));
 	ck_assert(quarantine_pop(q, &e));
-	ck_assert_int_eq(e.tell, TELL_DOUBT);
-	quarantine_tick(q, T0 + 1500 + QUARANTINE_DOUBT_MS - 1);
+	ck_assert_int_eq(e.kind, QUARANTINE_EVENT_SUSPENDED);
+	quarantine_tick(q, T0 + 1500 + QUARANTINE_SUSPEND_MS - 1);
 	ck_assert(held(1, A));
 	quarantine_tick(q, over_ms);
 	ck_assert(!held(1, A));
@@ -351,7 +351,7 @@
 	c.runs[1] = popular;
 	quarantine_crashed(q, &c, T0 + 1000);
 	ck_assert(quarantine_pop(q, &e));
-	ck_assert_int_eq(e.tell, TELL_CRASH);
+	ck_assert_int_eq(e.kind, QUARANTINE_EVENT_CRASHED);
 	ck_assert_uint_eq(e.crash.n_runs, 1);
 	ck_assert_uint_eq(e.crash.runs[0].content, 2);
 	ck_assert(!quarantine_pop(q, &e));
@@ -372,7 +372,7 @@
 	quarantine_tick(q, T0 + 2000 + SETTLED_MS);
 	ck_assert(!held(1, A));
 	ck_assert(quarantine_pop(q, &e));
-	ck_assert_int_eq(e.tell, TELL_ANSWERED);
+	ck_assert_int_eq(e.kind, QUARANTINE_EVENT_EXONERATED);
 }
 END_TEST
 
@@ -437,7 +437,7 @@
 }
 END_TEST
 
-/* That one caller's is held off already doesn't clear the others'. */
+/* That one caller's is quarantined already doesn't clear the others'. */
 START_TEST(content_is_held_off_for_all_also_after_one_caller_was)
 {
 	crash_alone(T0, 1, A);
@@ -489,7 +489,7 @@
 }
 END_TEST
 
-/* It ran on when it was held off, and was answered. */
+/* It ran on when it was quarantined, and was answered. */
 START_TEST(an_answer_ends_it_also_where_only_a_peer_told)
 {
 	struct fingerprint f = print(1, A);
@@ -499,7 +499,7 @@
 	ck_assert(quarantine_answered(q, &f, T0 + 100));
 	ck_assert(!held(1, A));
 	ck_assert(quarantine_pop(q, &e));
-	ck_assert_int_eq(e.tell, TELL_ANSWERED);
+	ck_assert_int_eq(e.kind, QUARANTINE_EVENT_EXONERATED);
 }
 END_TEST
 
--- a/test/functional/test_call_crash.c
+++ b/test/functional/test_call_crash.c
@@ -49,10 +49,10 @@
 /**
  * struct watch - what the test sees
  * @runs_ms: monotonic time of each run of the request, in any order
- * @refused: answers that say that the request is held off
+ * @refused: answers that say that the request is quarantined
  * @others: other requests sent
  * @others_done: those of them that were answered
- * @others_refused: those of them that were told to be held off
+ * @others_refused: those of them that were told to be quarantined
  */
 struct watch {
 	GArray *runs_ms;
@@ -204,8 +204,8 @@
 	ck_assert_uint_eq(n, 0);
 }
 
-/* An operator finds out what is held off, since when and why, and lets it be
- * run again, at all nodes. */
+/* An operator finds out quarantined requests, since when and why, and lets it
+ * be run again, at all nodes. */
 static void
 check_release(const struct deployment *d)
 {
@@ -250,7 +250,7 @@
 			end_ms = third_ms(&w) + STABLE_MS + WATCH_MS;
 	}
 	(void)printf("%u runs, %u of them over %u ms after the third, %u "
-		     "refusals; others: %u sent, %u answered, %u held off\n",
+		     "refusals; others: %u sent, %u answered, %u quarantined\n",
 	    w.runs_ms->len, runs_after(&w, third_ms(&w) + STABLE_MS), STABLE_MS,
 	    w.refused, w.others, w.others_done, w.others_refused);
 	(void)fflush(stdout);
--- a/test/quarantine/fleet.c
+++ b/test/quarantine/fleet.c
@@ -191,12 +191,13 @@
 {
 	static const enum quarantine_kind kinds[] = {
 	    QUARANTINE_CRASH, QUARANTINE_HELD, QUARANTINE_ANSWERED, 0};
-	struct quarantine_item item = {.kind = kinds[e->tell]};
+	struct quarantine_item item = {.kind = kinds[e->kind]};
 	uint32_t i;
 
-	if (e->tell == TELL_DOUBT || (e->tell == TELL_HELD && !e->entry.own))
+	if (e->kind == QUARANTINE_EVENT_SUSPENDED ||
+	    (e->kind == QUARANTINE_EVENT_QUARANTINED && !e->entry.own))
 		return;
-	if (e->tell == TELL_CRASH) {
+	if (e->kind == QUARANTINE_EVENT_CRASHED) {
 		item.id = e->crash.id;
 		item.at_ms = e->crash.at_ms;
 		for (i = 0; i < e->crash.n_runs; i++)
--- a/test/quarantine/test_quarantine_fleet.c
+++ b/test/quarantine/test_quarantine_fleet.c
@@ -297,7 +297,7 @@
 
 /* Hundreds of upstreams end in a second, each under ten requests that are tried
  * again elsewhere, and one that all of them run and had answered: nobody is
- * held off, and what nodes send stays bounded. */
+ * quarantined, and what nodes send stays bounded. */
 START_TEST(hundreds_of_ends_in_a_second_hold_nobody_off)
 {
 	struct fingerprint runs[11] = {{2, 1}};
--- a/test/soak/soak_crasher.c
+++ b/test/soak/soak_crasher.c
@@ -15,7 +15,7 @@
 #define URL_BYTES 128
 /* Short, since faults are due meanwhile. */
 #define ASK_MS 200
-/* Crashes after which it is held off, and time for all nodes to know. */
+/* Crashes after which it is quarantined, and time for all nodes to know. */
 #define CRASHES 3
 #define STABLE_MS 3000
 #define PAUSE_MS 50
@@ -71,10 +71,10 @@
 	}
 }
 
-/* Until a node says that it is held off, STABLE_MS after its third crash at the
- * latest.  Nodes may know of fewer crashes than there were: guards were killed
- * with what they saw, and ends of two processes of one host within 100 ms are
- * one to their guard. */
+/* Until a node says that it is quarantined, STABLE_MS after its third crash at
+ * the latest.  Nodes may know of fewer crashes than there were: guards were
+ * killed with what they saw, and ends of two processes of one host within 100
+ * ms are one to their guard. */
 static void
 ask_until_held(struct soak_crasher *c)
 {
@@ -115,7 +115,7 @@
 	return n;
 }
 
-/* Nothing else is held off, which the end of the run asks too. */
+/* Nothing else is quarantined, which the end of the run asks too. */
 static void
 release(const struct soak_crasher *c)
 {
@@ -154,7 +154,7 @@
 	pause_for(c, PAUSE_MS);
 	ck_assert_uint_eq(c->crashes, before);
 	(void)printf("crasher: %u crashes since the last loss of power, %u "
-		     "times asked for, %u times held off\n",
+		     "times asked for, %u times quarantined\n",
 	    c->crashes, c->asked, c->held);
 	release(c);
 }
--- a/test/soak/soak_crasher.h
+++ b/test/soak/soak_crasher.h
@@ -19,7 +19,7 @@
  * @on: whether it is sent at all
  * @crashes: upstreams that it ended since the start or the last loss of power
  * @asked: how often it was sent
- * @held: answers that it is held off
+ * @held: answers that it is quarantined
  * @next_ms: when it is sent next
  */
 struct soak_crasher {
@@ -31,7 +31,8 @@
 	uint64_t next_ms;
 };
 
-/** soak_crasher_ask() - send it to a host; whether it was told to be held off
+/** soak_crasher_ask() - send it to a host; whether it was told to be
+ * quarantined
  */
 bool soak_crasher_ask(struct soak_crasher *c, const struct host *h);
 
