test(soak): waves of SIGTERM at half of the nodes, beside all other faults

Problem: the soak stopped nodes one at a time, with a notice of a tenth of the stop, so a node that gives up calls which it took while it stopped was not seen.

Solution: three waves in a run, each of which may come while the one before is under way; nodes take calls as long as they may; each line of a call that a stop gave up is checked: it must be older than the five eighths of the stop in which no call is taken. Seeds that failed once play without waves, as they were.

--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -19,7 +19,7 @@
 	    "upstream_stop", "upstream_freeze", "upstream_shed",
 	    "upstream_break", "store_outage", "store_slow", "store_lost",
 	    "link_cut", "link_silent", "link_stalled", "link_one_way",
-	    "sign_off", "grow"};
+	    "sign_off", "grow", "stop_wave"};
 
 	return (size_t)f < G_N_ELEMENTS(names) ? names[f] : "?";
 }
@@ -82,3 +82,28 @@
 	g_rand_free(rnd);
 	g_array_sort(plan, by_time);
 }
+
+void
+soak_plan_stop_waves(
+    GArray *plan, uint32_t seed, uint32_t for_ms, uint32_t times)
+{
+	GRand *rnd = g_rand_new_with_seed(seed + 1);
+	struct soak_event e = {.fault = SOAK_STOP_WAVE, .number = plan->len};
+	uint32_t i, begins_ms;
+
+	for (i = 0; i < times; i++, e.number++) {
+		begins_ms = (uint32_t)g_rand_int_range(rnd, 0, (gint32)for_ms);
+		e.at_ms = begins_ms;
+		e.victim = g_rand_int(rnd);
+		e.ends = false;
+		g_array_append_val(plan, e);
+		e.at_ms = MIN(for_ms,
+		    begins_ms +
+			(uint32_t)g_rand_int_range(
+			    rnd, LAST_FROM_MS, LAST_TO_MS));
+		e.ends = true;
+		g_array_append_val(plan, e);
+	}
+	g_rand_free(rnd);
+	g_array_sort(plan, by_time);
+}
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -35,6 +35,8 @@
  * @SOAK_FAULTS: number of kinds that are drawn
  * @SOAK_GROW: an operator signs a version off that has many routes more; comes
  * in series beside the others, see soak_plan_grow()
+ * @SOAK_STOP_WAVE: half of the nodes get SIGTERM at once; comes in series
+ * beside the others, see soak_plan_stop_waves()
  */
 enum soak_fault {
 	SOAK_NODE_KILL = 0,
@@ -57,6 +59,7 @@
 	SOAK_SIGN_OFF,
 	SOAK_FAULTS,
 	SOAK_GROW = SOAK_FAULTS,
+	SOAK_STOP_WAVE,
 };
 
 /** soak_fault_name() - short name for the output */
@@ -98,4 +101,15 @@
 void
 soak_plan_grow(GArray *plan, uint32_t seed, uint32_t for_ms, uint32_t times);
 
+/**
+ * soak_plan_stop_waves() - add waves of SIGTERM, each while the one before may
+ * still be under way
+ * @plan: the plan; what it has stays as it is
+ * @seed: when, and which hosts
+ * @for_ms: length of the run
+ * @times: number of waves
+ */
+void soak_plan_stop_waves(
+    GArray *plan, uint32_t seed, uint32_t for_ms, uint32_t times);
+
 #endif
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -17,6 +17,7 @@
 #include "operators.h"
 #include "soak_crasher.h"
 #include "soak_plan.h"
+#include "soak_stops.h"
 #include "version_watch.h"
 
 #define WORK_MS_MEAN 20
@@ -87,11 +88,17 @@
 	GRand *rand;
 };
 
+static bool
+is_stop(enum soak_fault f)
+{
+	return f == SOAK_NODE_STOP || f == SOAK_STOP_WAVE;
+}
+
 static void
 node_strike(struct soak *s, struct host *h, enum soak_fault f)
 {
 	version_watch_present(s->watch, h, 0);
-	if (f == SOAK_NODE_STOP)
+	if (is_stop(f))
 		process_signal(h->node, SIGTERM);
 	else if (f == SOAK_NODE_FREEZE)
 		process_signal(h->node, SIGSTOP);
@@ -127,7 +134,7 @@
 	if (f == SOAK_NODE_FREEZE) {
 		process_signal(h->node, SIGCONT);
 	} else {
-		if (f == SOAK_NODE_STOP)
+		if (is_stop(f))
 			ck_assert_int_eq(deployment_stop_node(h), 0);
 		node_start(s, h);
 	}
@@ -335,7 +342,7 @@
 {
 	uint32_t host = e->victim % s->d->hosts->len;
 
-	if (e->fault == SOAK_HERD_KILL)
+	if (e->fault == SOAK_HERD_KILL || e->fault == SOAK_STOP_WAVE)
 		herd_event(s, e, host);
 	else if (e->fault < SOAK_UPSTREAM_KILL)
 		node_event(s, e, host);
@@ -541,7 +548,8 @@
 	    .queue = QUEUE,
 	    .queue_wait_ms = QUEUE_WAIT_MS,
 	    .key_window_ms = KEY_WINDOW_MS,
-	    .drain_ms = DRAIN_MS};
+	    .drain_ms = DRAIN_MS,
+	    .notice_ms = DRAIN_MS};
 	struct deployment_plan plan = deployment_registry;
 
 	plan.slots = SLOTS;
@@ -587,7 +595,7 @@
 
 void
 soak_run(uint32_t seed, uint32_t for_s, uint32_t faults, uint32_t growths,
-    bool crashes)
+    uint32_t stop_waves, bool crashes)
 {
 	GArray *plan = soak_plan_new(seed, for_s * 1000, faults);
 	struct calls_counts c = {0};
@@ -597,6 +605,7 @@
 	uint32_t i;
 
 	soak_plan_grow(plan, seed, for_s * 1000, growths);
+	soak_plan_stop_waves(plan, seed, for_s * 1000, stop_waves);
 	print_plan(seed, plan);
 	soak_init(&s);
 	(void)g_snprintf(name, sizeof(name), "soak-%u", seed);
@@ -615,6 +624,7 @@
 		upstream_mend(&s, deployment_host(s.d, i));
 	calls_ready(s.d);
 	soak_crasher_check(&s.crasher);
+	soak_stops_check(DRAIN_MS);
 	settle_operators(&s);
 	check_grown(&s);
 	check_served(&s, seed);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -14,7 +14,7 @@
  * @for_s: how long load is sent and faults come, in seconds
  * @faults: number of faults
  * @growths: number of versions that have many routes more than the one before
- *
+ * @stop_waves: number of times at which half of the nodes get SIGTERM
  * @crashes: whether a request that crashes upstreams is sent all the while, and
  *	all hosts lose power in the middle
  *
@@ -24,10 +24,11 @@
  * off; for a version that isn't in force everywhere once all is mended, or
  * lacks a route there that it was signed off with; for one that is refused;
  * when calls aren't served again then; for a node that runs what has crashed
- * three upstreams, or holds off anything else; and for a process that ends
- * other than asked.
+ * three upstreams, or quarantines anything else; for a call that a node takes
+ * while it stops and then gives up; and for a process that ends other than
+ * asked.
  */
 void soak_run(uint32_t seed, uint32_t for_s, uint32_t faults, uint32_t growths,
-    bool crashes);
+    uint32_t stop_waves, bool crashes);
 
 #endif
--- /dev/null
+++ b/test/soak/soak_stops.c
@@ -0,0 +1,70 @@
+/*
+ * Calls that a stop gives up.
+ */
+#include "soak_stops.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+#include <glib.h>
+
+#include "harness.h"
+
+#define GIVEN_UP " reason=stopped ms="
+#define REST_EIGHTHS 5
+/* The stop begins in another thread than that which takes calls. */
+#define SLACK_MS 150
+#define DECIMAL 10
+
+/**
+ * struct given_up - calls that were given up
+ * @n: their number
+ * @youngest_ms: age of the youngest
+ */
+struct given_up {
+	uint32_t n;
+	uint64_t youngest_ms;
+};
+
+static void
+read_log(const char *path, struct given_up *g)
+{
+	char *text = NULL;
+	const char *at;
+	uint64_t ms;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return;
+	for (at = text; (at = strstr(at, GIVEN_UP)) != NULL; g->n++) {
+		at += strlen(GIVEN_UP);
+		ms = strtoull(at, NULL, DECIMAL);
+		g->youngest_ms = MIN(g->youngest_ms, ms);
+	}
+	g_free(text);
+}
+
+void
+soak_stops_check(uint32_t drain_ms)
+{
+	struct given_up g = {0, UINT64_MAX};
+	char *folder = harness_path("."), *path;
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	ck_assert_ptr_nonnull(dir);
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		if (!g_str_has_suffix(name, ".log"))
+			continue;
+		path = harness_path(name);
+		read_log(path, &g);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	g_free(folder);
+	(void)printf("%u calls given up by stops\n", g.n);
+	if (g.n > 0)
+		ck_assert_uint_ge(g.youngest_ms + SLACK_MS,
+		    (uint64_t)drain_ms * REST_EIGHTHS / 8);
+}
--- a/test/soak/test_soak.c
+++ b/test/soak/test_soak.c
@@ -22,22 +22,26 @@
 /* Versions that grow, in a run of any length. */
 #define GROWTHS 4
 
+/* Waves of SIGTERM, in a run of any length. */
+#define STOP_WAVES 3
+
 /* Seeds that failed, with the length at which they did. */
 static const struct {
 	uint32_t seed;
 	uint32_t for_s;
 	uint32_t growths;
+	uint32_t stop_waves;
 	bool crashes;
 } failed_once[] = {
     /* A node was told to stop before its program had begun. */
-    {9102, 8, 0, false},
+    {9102, 8, 0, 0, false},
     /* An upstream crashed twice within 100 ms, which its guard takes for one
      * crash; the check asked for a refusal after three by its own count. */
-    {9709, 8, GROWTHS, true},
+    {9709, 8, GROWTHS, 0, true},
     /* The end of an upstream's stop was waited for while its node stood still,
      * so that the node stood still for 34 s, longer than keys are remembered.
      */
-    {9714, 8, GROWTHS, true},
+    {9714, 8, GROWTHS, 0, true},
 };
 
 static uint32_t
@@ -52,7 +56,8 @@
 {
 	uint32_t for_s = from_environment("BRAMLEY_SOAK_S", FOR_S);
 
-	soak_run((uint32_t)_i, for_s, for_s * FAULTS_PER_S, GROWTHS, true);
+	soak_run((uint32_t)_i, for_s, for_s * FAULTS_PER_S, GROWTHS, STOP_WAVES,
+	    true);
 }
 END_TEST
 
@@ -60,7 +65,7 @@
 {
 	soak_run(failed_once[_i].seed, failed_once[_i].for_s,
 	    failed_once[_i].for_s * FAULTS_PER_S, failed_once[_i].growths,
-	    failed_once[_i].crashes);
+	    failed_once[_i].stop_waves, failed_once[_i].crashes);
 }
 END_TEST
 
