--- a/packages/node/src/guard_quarantine.h
+++ b/packages/node/src/guard_quarantine.h
@@ -21,11 +21,11 @@
 
 /**
  * struct guard_quarantine - state of the quarantine at the guard
- * @decision: quarantined requests
+ * @decision: what is quarantined, suspended and suspect
  * @timer: wakes the decision
  * @described: struct description of requests that ran in crashes here
- * @publish: told what all nodes are to know, or NULL
- * @arg: given to it
+ * @publish: publishes records to all nodes, or NULL
+ * @arg: argument of @publish
  * @crashes: crashes seen here
  * @lines: bound on lines of requests that were answered or that peers told of
  * @lock: guards @shown
@@ -62,7 +62,11 @@
 /** guard_quarantine_answered() - an upstream has answered @r */
 void guard_quarantine_answered(const struct guard_request *r);
 
-/** guard_quarantine_refuses() - refuse @r if it is quarantined; whether it was
+/**
+ * guard_quarantine_refuses() - refuse @r if it is quarantined, suspended or
+ * undecided, or a suspect while another one runs there
+ *
+ * Return: whether it was refused.
  */
 bool guard_quarantine_refuses(struct guard_request *r);
 
