--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -163,7 +163,7 @@
  * its way to the peers at once.
  */
 enum status
-control_operate(struct control *c, const struct rollout_request *req,
+control_operate(struct control *c, const struct signoff_request *req,
     struct bundle *bundle, operation_fn *fn, void *arg);
 
 /** control_store() - the platform */
--- a/packages/node/include/node/operation.h
+++ b/packages/node/include/node/operation.h
@@ -1,12 +1,12 @@
 /*
  * Operations on the platform's rows (sign-off, halt, supersede, find): feeds
- * one rollout decision with the answers of the store.
+ * one signoff decision with the answers of the store.
  */
 #ifndef NODE_OPERATION_H
 #define NODE_OPERATION_H
 
 #include "net/loop.h"
-#include "rollout/rollout.h"
+#include "signoff/signoff.h"
 #include "store/store.h"
 
 /**
@@ -20,7 +20,7 @@
  * @wrote_version: whether it wrote a version row with it
  */
 struct operation_end {
-	const struct rollout_outcome *outcome;
+	const struct signoff_outcome *outcome;
 	struct store_head head;
 	struct store_version version;
 	GBytes *changes;
@@ -46,7 +46,7 @@
  * Return: STATUS_OK, or STATUS_INVALID (then @fn isn't called).
  */
 enum status operation_start(struct loop *loop, struct store *store,
-    const struct rollout_request *req, struct bundle *bundle, operation_fn *fn,
+    const struct signoff_request *req, struct bundle *bundle, operation_fn *fn,
     void *arg);
 
 #endif
--- a/packages/node/src/admin_versions.c
+++ b/packages/node/src/admin_versions.c
@@ -48,7 +48,7 @@
 {
 	admin_call_fail(call, st, status_message(),
 	    "Ask again; the nodes go on with what they hold.",
-	    ROLLOUT_BACKOFF_CAP_MS);
+	    SIGNOFF_BACKOFF_CAP_MS);
 }
 
 /* History: the head row, then the rows of the newest versions. */
@@ -102,7 +102,7 @@
 	}
 	from = head->version > limit ? head->version - limit + 1 : 1;
 	store_read_versions(control_store(call->admin->control), from,
-	    head->version, admin_now(call) + ROLLOUT_STEP_MS, history_on_rows,
+	    head->version, admin_now(call) + SIGNOFF_STEP_MS, history_on_rows,
 	    call);
 }
 
@@ -110,7 +110,7 @@
 versions_history(struct admin_call *call)
 {
 	store_read_head(control_store(call->admin->control),
-	    admin_now(call) + ROLLOUT_STEP_MS, history_on_head,
+	    admin_now(call) + SIGNOFF_STEP_MS, history_on_head,
 	    admin_call_hold(call));
 }
 
@@ -175,53 +175,53 @@
 	loop_timer_set(&vc->timer, admin_now(call) + ADMIN_PROGRESS_MS);
 	control_ask_progress(c);
 	store_read_versions(control_store(c), version, version,
-	    admin_now(call) + ROLLOUT_STEP_MS, version_on_row, vc);
+	    admin_now(call) + SIGNOFF_STEP_MS, version_on_row, vc);
 }
 
 /* Sign-off, halt, supersede and find. */
 
 static json_t *
-outcome_json(const struct rollout_outcome *o, const char *op)
+outcome_json(const struct signoff_outcome *o, const char *op)
 {
 	return json_pack("{s:s,s:s,s:b,s:I,s:I,s:I,s:s}", "op", op, "state",
-	    rollout_result_name(o->result), "repeated", o->repeated, "version",
+	    signoff_result_name(o->result), "repeated", o->repeated, "version",
 	    (json_int_t)o->version, "in_force", (json_int_t)o->in_force,
 	    "newest_version", (json_int_t)o->newest_version, "message",
 	    o->message);
 }
 
 static enum status
-outcome_status(enum rollout_result result)
+outcome_status(enum signoff_result result)
 {
 	switch (result) {
-	case ROLLOUT_DONE:
-	case ROLLOUT_ALREADY:
+	case SIGNOFF_DONE:
+	case SIGNOFF_ALREADY:
 		return STATUS_OK;
-	case ROLLOUT_CONFLICT:
+	case SIGNOFF_CONFLICT:
 		return STATUS_CONFLICT;
-	case ROLLOUT_NOT_FOUND:
+	case SIGNOFF_NOT_FOUND:
 		return STATUS_NOT_FOUND;
-	case ROLLOUT_INVALID:
+	case SIGNOFF_INVALID:
 		return STATUS_INVALID;
-	case ROLLOUT_UNAVAILABLE:
+	case SIGNOFF_UNAVAILABLE:
 		return STATUS_UNAVAILABLE;
-	case ROLLOUT_UNKNOWN:
+	case SIGNOFF_UNKNOWN:
 		return STATUS_UNKNOWN;
 	}
 	return STATUS_INTERNAL;
 }
 
 static const char *
-outcome_remedy(enum rollout_result result)
+outcome_remedy(enum signoff_result result)
 {
 	switch (result) {
-	case ROLLOUT_CONFLICT:
+	case SIGNOFF_CONFLICT:
 		return "Look at the newer version, then decide again.";
-	case ROLLOUT_NOT_FOUND:
+	case SIGNOFF_NOT_FOUND:
 		return "Look it up with GET /v1/versions.";
-	case ROLLOUT_UNAVAILABLE:
+	case SIGNOFF_UNAVAILABLE:
 		return "Nothing was done; ask again later.";
-	case ROLLOUT_UNKNOWN:
+	case SIGNOFF_UNKNOWN:
 		return "Ask GET /v1/operations/OP, or repeat the request "
 		       "with the same op.";
 	default:
@@ -230,7 +230,7 @@
 }
 
 static void
-answer_failure(struct admin_call *call, const struct rollout_outcome *o,
+answer_failure(struct admin_call *call, const struct signoff_outcome *o,
     enum status st, const char *op)
 {
 	json_t *reply = admin_error_json(
@@ -259,7 +259,7 @@
 operation_on_end(const struct operation_end *end, void *arg)
 {
 	struct operation_call *oc = arg;
-	const struct rollout_outcome *o = end->outcome;
+	const struct signoff_outcome *o = end->outcome;
 	enum status st = outcome_status(o->result);
 
 	if (st == STATUS_OK)
@@ -272,8 +272,8 @@
 
 /* Fills in what all operations have in common. */
 static void
-request_init(struct admin_call *call, struct rollout_request *req,
-    enum rollout_kind kind)
+request_init(struct admin_call *call, struct signoff_request *req,
+    enum signoff_kind kind)
 {
 	char text[NUMBER_BYTES];
 
@@ -304,7 +304,7 @@
 }
 
 static void
-operate(struct admin_call *call, const struct rollout_request *req, int code)
+operate(struct admin_call *call, const struct signoff_request *req, int code)
 {
 	struct operation_call *oc = g_new0(struct operation_call, 1);
 	struct bundle *b = call->bundle;
@@ -327,30 +327,30 @@
 static void
 versions_sign_off(struct admin_call *call)
 {
-	struct rollout_request req;
+	struct signoff_request req;
 
 	if (call->bundle == NULL) {
 		admin_call_fail(call, STATUS_INVALID, "The body is empty.",
 		    "Send the bundle as the body.", 0);
 		return;
 	}
-	request_init(call, &req, ROLLOUT_SIGN_OFF);
+	request_init(call, &req, SIGNOFF_SIGN_OFF);
 	operate(call, &req, 201);
 }
 
 static void
 versions_act(struct admin_call *call, uint64_t version, const char *verb)
 {
-	struct rollout_request req;
+	struct signoff_request req;
 
 	if (strcmp(verb, "/halt") == 0) {
-		request_init(call, &req, ROLLOUT_HALT);
+		request_init(call, &req, SIGNOFF_HALT);
 		req.version = version;
 		operate(call, &req, 200);
 	} else if (strcmp(verb, "/supersede") == 0) {
 		request_init(call, &req,
-		    call->bundle != NULL ? ROLLOUT_SIGN_OFF
-					 : ROLLOUT_SUPERSEDE);
+		    call->bundle != NULL ? SIGNOFF_SIGN_OFF
+					 : SIGNOFF_SUPERSEDE);
 		req.version = call->bundle != NULL ? 0 : version;
 		operate(call, &req, 201);
 	} else {
@@ -393,9 +393,9 @@
 admin_operations(struct admin_call *call)
 {
 	const char *op = call->path + strlen("operations/");
-	struct rollout_request req;
+	struct signoff_request req;
 
-	request_init(call, &req, ROLLOUT_FIND);
+	request_init(call, &req, SIGNOFF_FIND);
 	(void)g_strlcpy(req.op, op, sizeof(req.op));
 	req.fresh = false;
 	operate(call, &req, 200);
--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -114,7 +114,7 @@
 	struct control_operation *op = arg;
 
 	log_info("Operation ended as %s: %s",
-	    rollout_result_name(end->outcome->result), end->outcome->message);
+	    signoff_result_name(end->outcome->result), end->outcome->message);
 	if (end->wrote)
 		control_signed(op->control, end);
 	op->fn(end, op->arg);
@@ -122,7 +122,7 @@
 }
 
 enum status
-control_operate(struct control *c, const struct rollout_request *req,
+control_operate(struct control *c, const struct signoff_request *req,
     struct bundle *bundle, operation_fn *fn, void *arg)
 {
 	struct control_operation *op = g_new0(struct control_operation, 1);
--- a/packages/node/src/operation.c
+++ b/packages/node/src/operation.c
@@ -1,5 +1,5 @@
 /*
- * Operations on the platform's rows: the shell around one rollout decision.
+ * Operations on the platform's rows: the shell around one signoff decision.
  */
 #include <glib.h>
 
@@ -8,7 +8,7 @@
 struct operation {
 	struct loop *loop;
 	struct store *store;
-	struct rollout *rollout;
+	struct signoff *signoff;
 	struct bundle *bundle;
 	struct loop_timer timer;
 	struct operation_end end;
@@ -47,7 +47,7 @@
 operation_free(struct operation *op)
 {
 	loop_timer_stop(&op->timer);
-	rollout_free(op->rollout);
+	signoff_free(op->signoff);
 	bundle_free(op->bundle);
 	if (op->end.changes != NULL)
 		g_bytes_unref(op->end.changes);
@@ -73,8 +73,8 @@
 {
 	struct operation_step *step = arg;
 
-	rollout_on_head(
-	    step->op->rollout, operation_now(step->op), step->token, st, head);
+	signoff_on_head(
+	    step->op->signoff, operation_now(step->op), step->token, st, head);
 	step_end(step);
 }
 
@@ -84,7 +84,7 @@
 {
 	struct operation_step *step = arg;
 
-	rollout_on_versions(step->op->rollout, operation_now(step->op),
+	signoff_on_versions(step->op->signoff, operation_now(step->op),
 	    step->token, st, rows, n, upto);
 	step_end(step);
 }
@@ -94,7 +94,7 @@
 {
 	struct operation_step *step = arg;
 
-	rollout_on_object(step->op->rollout, operation_now(step->op),
+	signoff_on_object(step->op->signoff, operation_now(step->op),
 	    step->token, st, data, len);
 	step_end(step);
 }
@@ -104,8 +104,8 @@
 {
 	struct operation_step *step = arg;
 
-	rollout_on_put(
-	    step->op->rollout, operation_now(step->op), step->token, st);
+	signoff_on_put(
+	    step->op->signoff, operation_now(step->op), step->token, st);
 	step_end(step);
 }
 
@@ -115,14 +115,14 @@
 	struct operation_step *step = arg;
 
 	(void)which;
-	rollout_on_transact(
-	    step->op->rollout, operation_now(step->op), step->token, st);
+	signoff_on_transact(
+	    step->op->signoff, operation_now(step->op), step->token, st);
 	step_end(step);
 }
 
 /* Keeps what is written, for the end of the operation. */
 static void
-remember_write(struct operation *op, const struct rollout_action *a)
+remember_write(struct operation *op, const struct signoff_action *a)
 {
 	op->end.head = a->head;
 	op->end.version = a->version;
@@ -133,7 +133,7 @@
 }
 
 static struct store_version
-version_with_changes(const struct rollout_action *a)
+version_with_changes(const struct signoff_action *a)
 {
 	struct store_version v = a->version;
 	gsize n = 0;
@@ -146,7 +146,7 @@
 }
 
 static void
-operation_transact(struct operation *op, const struct rollout_action *a)
+operation_transact(struct operation *op, const struct signoff_action *a)
 {
 	struct store_version v = version_with_changes(a);
 	struct store_write w = {
@@ -161,7 +161,7 @@
 }
 
 static void
-operation_put(struct operation *op, const struct rollout_action *a)
+operation_put(struct operation *op, const struct signoff_action *a)
 {
 	gsize n;
 	const uint8_t *data = g_bytes_get_data(a->content, &n);
@@ -173,13 +173,13 @@
 static void
 operation_finish(struct operation *op)
 {
-	const struct rollout_outcome *o = rollout_outcome(op->rollout);
+	const struct signoff_outcome *o = signoff_outcome(op->signoff);
 
 	op->finished = 1;
 	loop_timer_stop(&op->timer);
 	op->end.outcome = o;
 	op->end.bundle = op->bundle;
-	op->end.wrote = o->result == ROLLOUT_DONE && !o->repeated;
+	op->end.wrote = o->result == SIGNOFF_DONE && !o->repeated;
 	if (op->end.wrote && op->end.changes != NULL) {
 		gsize n;
 
@@ -190,28 +190,28 @@
 }
 
 static void
-operation_carry_out(struct operation *op, const struct rollout_action *a)
+operation_carry_out(struct operation *op, const struct signoff_action *a)
 {
 	switch (a->kind) {
-	case ROLLOUT_READ_HEAD:
+	case SIGNOFF_READ_HEAD:
 		store_read_head(
 		    op->store, a->deadline_ms, on_head, step_new(op, a->token));
 		break;
-	case ROLLOUT_READ_VERSIONS:
+	case SIGNOFF_READ_VERSIONS:
 		store_read_versions(op->store, a->from, a->to, a->deadline_ms,
 		    on_versions, step_new(op, a->token));
 		break;
-	case ROLLOUT_GET_OBJECT:
+	case SIGNOFF_GET_OBJECT:
 		store_get_object(op->store, a->key, STORE_OBJECT_MAX_BYTES,
 		    a->deadline_ms, on_object, step_new(op, a->token));
 		break;
-	case ROLLOUT_PUT_OBJECT:
+	case SIGNOFF_PUT_OBJECT:
 		operation_put(op, a);
 		break;
-	case ROLLOUT_TRANSACT:
+	case SIGNOFF_TRANSACT:
 		operation_transact(op, a);
 		break;
-	case ROLLOUT_FINISH:
+	case SIGNOFF_FINISH:
 		operation_finish(op);
 		break;
 	}
@@ -221,14 +221,14 @@
 static void
 operation_pump(struct operation *op)
 {
-	struct rollout_action a;
+	struct signoff_action a;
 
-	while (!op->finished && rollout_action(op->rollout, &a)) {
+	while (!op->finished && signoff_action(op->signoff, &a)) {
 		operation_carry_out(op, &a);
-		rollout_action_clear(&a);
+		signoff_action_clear(&a);
 	}
 	if (!op->finished)
-		loop_timer_set(&op->timer, rollout_next_ms(op->rollout));
+		loop_timer_set(&op->timer, signoff_next_ms(op->signoff));
 	else if (op->pending == 0)
 		operation_free(op);
 }
@@ -238,7 +238,7 @@
 {
 	struct operation *op = arg;
 
-	rollout_tick(op->rollout, operation_now(op));
+	signoff_tick(op->signoff, operation_now(op));
 	operation_pump(op);
 }
 
@@ -247,22 +247,22 @@
 {
 	struct operation *op = arg;
 
-	rollout_start(op->rollout, operation_now(op));
+	signoff_start(op->signoff, operation_now(op));
 	operation_pump(op);
 }
 
 enum status
 operation_start(struct loop *loop, struct store *store,
-    const struct rollout_request *req, struct bundle *bundle, operation_fn *fn,
+    const struct signoff_request *req, struct bundle *bundle, operation_fn *fn,
     void *arg)
 {
-	struct rollout_request with_bundle = *req;
+	struct signoff_request with_bundle = *req;
 	struct operation *op;
-	struct rollout *r;
+	struct signoff *r;
 	enum status st;
 
 	with_bundle.bundle = bundle;
-	st = rollout_new(&with_bundle, &r);
+	st = signoff_new(&with_bundle, &r);
 	if (st != STATUS_OK) {
 		bundle_free(bundle);
 		return st;
@@ -270,7 +270,7 @@
 	op = g_new0(struct operation, 1);
 	op->loop = loop;
 	op->store = store;
-	op->rollout = r;
+	op->signoff = r;
 	op->bundle = bundle;
 	op->fn = fn;
 	op->arg = arg;
--- a/packages/rollout/src/find.c
+++ b/packages/signoff/src/find.c
@@ -1,34 +1,34 @@
 /*
  * Find: look what became of an operation, writing nothing.
  */
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 static void
-find_begin(struct rollout *r, uint64_t now_ms)
+find_begin(struct signoff *r, uint64_t now_ms)
 {
-	rollout_enter(r, PHASE_HEAD, now_ms);
+	signoff_enter(r, PHASE_HEAD, now_ms);
 }
 
 static struct range
-find_first_look(const struct rollout *r)
+find_first_look(const struct signoff *r)
 {
 	struct range range = {1, r->head.version};
 
-	if (range.high > ROLLOUT_SEARCH_VERSIONS)
-		range.low = range.high - ROLLOUT_SEARCH_VERSIONS + 1;
+	if (range.high > SIGNOFF_SEARCH_VERSIONS)
+		range.low = range.high - SIGNOFF_SEARCH_VERSIONS + 1;
 	return range;
 }
 
 /* Find never sends a write. */
 static uint64_t
-find_settle_to(const struct rollout *r)
+find_settle_to(const struct signoff *r)
 {
 	return r->head.version;
 }
 
 /* The id is nowhere; that is final once the head row has moved on. */
 static void
-find_proceed(struct rollout *r, uint64_t now_ms)
+find_proceed(struct signoff *r, uint64_t now_ms)
 {
 	(void)now_ms;
 	if (r->req.after_seq > 0 && r->head.seq <= r->req.after_seq) {
@@ -37,7 +37,7 @@
 	}
 	outcome_not_found(r,
 	    "Operation %s is not among the last %d versions%s.", r->req.op,
-	    ROLLOUT_SEARCH_VERSIONS,
+	    SIGNOFF_SEARCH_VERSIONS,
 	    r->req.after_seq > 0
 		? ", and its write can no longer arrive; start it again if "
 		  "you still want it"
@@ -45,7 +45,7 @@
 		  "after_seq, or start it again with the same id");
 }
 
-const struct rollout_ops find_ops = {
+const struct signoff_ops find_ops = {
     .begin = find_begin,
     .first_look = find_first_look,
     .settle_to = find_settle_to,
--- a/packages/rollout/src/halt.c
+++ b/packages/signoff/src/halt.c
@@ -4,14 +4,14 @@
  */
 #include <string.h>
 
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 /* Failures to read a winner's note before it is given up. */
 #define NOTE_FAILURES 4
 
 /* A halt's note, which says who asked for it; the head row can't. */
 static GBytes *
-note_encode(const struct rollout_request *req)
+note_encode(const struct signoff_request *req)
 {
 	struct msg_halt_note m;
 	GByteArray *out;
@@ -28,24 +28,24 @@
 }
 
 static void
-halt_begin(struct rollout *r, uint64_t now_ms)
+halt_begin(struct signoff *r, uint64_t now_ms)
 {
 	char key[STORE_KEY_BYTES];
 
 	g_snprintf(key, sizeof(key), "halt/%s", r->req.op);
 	puts_add(r->puts, key, NULL, note_encode(&r->req));
-	rollout_enter(r, PHASE_HEAD, now_ms);
+	signoff_enter(r, PHASE_HEAD, now_ms);
 }
 
 /* The row after the version tells who halted it, or who was first. */
 static uint64_t
-halt_settle_to(const struct rollout *r)
+halt_settle_to(const struct signoff *r)
 {
 	return r->req.version + 1;
 }
 
 static struct range
-halt_first_look(const struct rollout *r)
+halt_first_look(const struct signoff *r)
 {
 	struct range range = {r->req.version + 1, r->req.version + 1};
 
@@ -54,16 +54,16 @@
 }
 
 static void
-already(struct rollout *r, const char *op, uint64_t now_ms)
+already(struct signoff *r, const char *op, uint64_t now_ms)
 {
 	r->outcome.winner_version = r->req.version;
 	r->outcome.winner_halted = true;
 	g_strlcpy(r->outcome.winner_op, op, sizeof(r->outcome.winner_op));
-	rollout_enter(r, PHASE_WINNER_NOTE, now_ms);
+	signoff_enter(r, PHASE_WINNER_NOTE, now_ms);
 }
 
 static void
-halt_proceed(struct rollout *r, uint64_t now_ms)
+halt_proceed(struct signoff *r, uint64_t now_ms)
 {
 	if (r->head.version < r->req.version) {
 		outcome_not_found(r,
@@ -80,11 +80,11 @@
 		already(r, r->head.op, now_ms);
 	} else {
 		r->base = r->head;
-		rollout_enter(r, PHASE_TARGET_ROW, now_ms);
+		signoff_enter(r, PHASE_TARGET_ROW, now_ms);
 	}
 }
 
-const struct rollout_ops halt_ops = {
+const struct signoff_ops halt_ops = {
     .begin = halt_begin,
     .first_look = halt_first_look,
     .settle_to = halt_settle_to,
@@ -93,13 +93,13 @@
 };
 
 void
-halt_issue_target_row(struct rollout *r, uint64_t now_ms)
+halt_issue_target_row(struct signoff *r, uint64_t now_ms)
 {
 	step_read_versions(r, r->req.version, r->req.version, now_ms);
 }
 
 static void
-set_head(struct rollout *r, uint64_t in_force, const struct digest *root)
+set_head(struct signoff *r, uint64_t in_force, const struct digest *root)
 {
 	r->new_head = r->base;
 	r->new_head.seq = r->base.seq + 1;
@@ -112,7 +112,7 @@
 }
 
 void
-halt_on_target_row(struct rollout *r, uint64_t now_ms, enum status st,
+halt_on_target_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto)
 {
 	struct rec_replaced_head replaced;
@@ -120,53 +120,53 @@
 	(void)upto;
 	if (st != STATUS_OK || n != 1 || rows[0].version != r->req.version ||
 	    !search_decode(&rows[0], &replaced)) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
 	set_head(r, replaced.in_force, NULL);
-	rollout_enter(
+	signoff_enter(
 	    r, replaced.in_force > 0 ? PHASE_BACK_ROW : PHASE_PUTS, now_ms);
 }
 
 void
-halt_issue_back_row(struct rollout *r, uint64_t now_ms)
+halt_issue_back_row(struct signoff *r, uint64_t now_ms)
 {
 	step_read_versions(
 	    r, r->new_head.in_force, r->new_head.in_force, now_ms);
 }
 
 void
-halt_on_back_row(struct rollout *r, uint64_t now_ms, enum status st,
+halt_on_back_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto)
 {
 	(void)upto;
 	if (st != STATUS_OK || n != 1 ||
 	    rows[0].version != r->new_head.in_force) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
 	set_head(r, rows[0].version, &rows[0].root);
-	rollout_enter(r, PHASE_PUTS, now_ms);
+	signoff_enter(r, PHASE_PUTS, now_ms);
 }
 
 void
-halt_issue_winner_note(struct rollout *r, uint64_t now_ms)
+halt_issue_winner_note(struct signoff *r, uint64_t now_ms)
 {
 	step_get_note(r, r->outcome.winner_op, now_ms);
 }
 
 /* Who asked for the first halt is worth a few tries, not a long wait. */
 void
-halt_on_winner_note(struct rollout *r, uint64_t now_ms, enum status st,
+halt_on_winner_note(struct signoff *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len)
 {
 	struct msg_halt_note m;
 
 	if (st != STATUS_OK && st != STATUS_NOT_FOUND &&
 	    r->n_failures < NOTE_FAILURES) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	if (st == STATUS_OK && msg_halt_note_decode(data, len, &m) == STATUS_OK)
--- a/packages/rollout/src/outcome.c
+++ b/packages/signoff/src/outcome.c
@@ -4,37 +4,37 @@
 #include <stdarg.h>
 #include <string.h>
 
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 static const char *const result_names[] = {
-    [ROLLOUT_DONE] = "done",
-    [ROLLOUT_ALREADY] = "already",
-    [ROLLOUT_CONFLICT] = "conflict",
-    [ROLLOUT_NOT_FOUND] = "not_found",
-    [ROLLOUT_INVALID] = "invalid",
-    [ROLLOUT_UNAVAILABLE] = "unavailable",
-    [ROLLOUT_UNKNOWN] = "unknown",
+    [SIGNOFF_DONE] = "done",
+    [SIGNOFF_ALREADY] = "already",
+    [SIGNOFF_CONFLICT] = "conflict",
+    [SIGNOFF_NOT_FOUND] = "not_found",
+    [SIGNOFF_INVALID] = "invalid",
+    [SIGNOFF_UNAVAILABLE] = "unavailable",
+    [SIGNOFF_UNKNOWN] = "unknown",
 };
 
 const char *
-rollout_result_name(enum rollout_result result)
+signoff_result_name(enum signoff_result result)
 {
-	if ((unsigned int)result > ROLLOUT_UNKNOWN)
+	if ((unsigned int)result > SIGNOFF_UNKNOWN)
 		return "?";
 	return result_names[result];
 }
 
 static void
-set_message(struct rollout *r, const char *fmt, va_list ap)
+set_message(struct signoff *r, const char *fmt, va_list ap)
 {
 	(void)g_vsnprintf(
 	    r->outcome.message, sizeof(r->outcome.message), fmt, ap);
 }
 
 static void __attribute__((format(printf, 3, 4)))
-end(struct rollout *r, enum rollout_result result, const char *fmt, ...)
+end(struct signoff *r, enum signoff_result result, const char *fmt, ...)
 {
-	struct rollout_outcome *o = &r->outcome;
+	struct signoff_outcome *o = &r->outcome;
 	va_list ap;
 
 	o->result = result;
@@ -50,46 +50,46 @@
 
 /* Whether an id that was found was used for what this operation asks. */
 static bool
-same_purpose(const struct rollout *r, enum rollout_kind kind, uint64_t version,
+same_purpose(const struct signoff *r, enum signoff_kind kind, uint64_t version,
     const struct digest *root)
 {
-	if (r->req.kind == ROLLOUT_FIND)
+	if (r->req.kind == SIGNOFF_FIND)
 		return true;
-	if (r->req.kind == ROLLOUT_HALT)
-		return kind == ROLLOUT_HALT && version == r->req.version;
-	return kind != ROLLOUT_HALT &&
+	if (r->req.kind == SIGNOFF_HALT)
+		return kind == SIGNOFF_HALT && version == r->req.version;
+	return kind != SIGNOFF_HALT &&
 	    (root == NULL || hash_digest_equal(root, &r->root));
 }
 
 void
-outcome_done(struct rollout *r, enum rollout_kind kind, uint64_t version,
+outcome_done(struct signoff *r, enum signoff_kind kind, uint64_t version,
     const struct digest *root)
 {
-	struct rollout_outcome *o = &r->outcome;
+	struct signoff_outcome *o = &r->outcome;
 
 	if (!same_purpose(r, kind, version, root)) {
 		outcome_invalid(r,
 		    "Operation id %s has been used for another operation, "
 		    "which %s version %" G_GUINT64_FORMAT "; take a new id.",
-		    r->req.op, kind == ROLLOUT_HALT ? "halted" : "made",
+		    r->req.op, kind == SIGNOFF_HALT ? "halted" : "made",
 		    version);
 		return;
 	}
 	o->kind = kind;
 	o->version = version;
 	o->repeated = !r->sent || version != r->new_head.version;
-	end(r, ROLLOUT_DONE, "Version %" G_GUINT64_FORMAT " is %s%s.", version,
-	    kind == ROLLOUT_HALT ? "halted" : "signed off",
+	end(r, SIGNOFF_DONE, "Version %" G_GUINT64_FORMAT " is %s%s.", version,
+	    kind == SIGNOFF_HALT ? "halted" : "signed off",
 	    o->repeated ? "; another start of this operation did it" : "");
 }
 
 void
-outcome_already(struct rollout *r)
+outcome_already(struct signoff *r)
 {
-	const struct rollout_outcome *o = &r->outcome;
+	const struct signoff_outcome *o = &r->outcome;
 
 	r->outcome.kind = r->req.kind;
-	end(r, ROLLOUT_ALREADY,
+	end(r, SIGNOFF_ALREADY,
 	    "Version %" G_GUINT64_FORMAT
 	    " had been halted by operation %s%s%s; there is nothing to do.",
 	    o->winner_version, o->winner_op,
@@ -98,16 +98,16 @@
 
 /* The row after the one built on tells who was first. */
 void
-outcome_conflict(struct rollout *r)
+outcome_conflict(struct signoff *r)
 {
-	struct rollout_outcome *o = &r->outcome;
+	struct signoff_outcome *o = &r->outcome;
 
 	o->kind = r->req.kind;
 	o->winner_version = r->lowest.version;
 	g_strlcpy(o->winner_op, r->lowest.op, sizeof(o->winner_op));
 	g_strlcpy(o->winner_operator, r->lowest.operator_name,
 	    sizeof(o->winner_operator));
-	end(r, ROLLOUT_CONFLICT,
+	end(r, SIGNOFF_CONFLICT,
 	    "%s was first with version %" G_GUINT64_FORMAT
 	    " (operation %s); nothing was done. The newest version is "
 	    "%" G_GUINT64_FORMAT "; look at it, then decide again.",
@@ -117,7 +117,7 @@
 
 /* Ends an operation that did nothing, with a message of the caller's. */
 static void
-fail(struct rollout *r, enum rollout_result result, const char *fmt, va_list ap)
+fail(struct signoff *r, enum signoff_result result, const char *fmt, va_list ap)
 {
 	r->outcome.kind = r->req.kind;
 	end(r, result, "%s", "");
@@ -125,34 +125,34 @@
 }
 
 void
-outcome_not_found(struct rollout *r, const char *fmt, ...)
+outcome_not_found(struct signoff *r, const char *fmt, ...)
 {
 	va_list ap;
 
 	va_start(ap, fmt);
-	fail(r, ROLLOUT_NOT_FOUND, fmt, ap);
+	fail(r, SIGNOFF_NOT_FOUND, fmt, ap);
 	va_end(ap);
 }
 
 void
-outcome_invalid(struct rollout *r, const char *fmt, ...)
+outcome_invalid(struct signoff *r, const char *fmt, ...)
 {
 	va_list ap;
 
 	va_start(ap, fmt);
-	fail(r, ROLLOUT_INVALID, fmt, ap);
+	fail(r, SIGNOFF_INVALID, fmt, ap);
 	va_end(ap);
 }
 
 void
-outcome_gave_up(struct rollout *r)
+outcome_gave_up(struct signoff *r)
 {
-	struct rollout_outcome *o = &r->outcome;
+	struct signoff_outcome *o = &r->outcome;
 
 	o->kind = r->req.kind;
 	o->retry_after_ms = (uint32_t)step_backoff_ms(r);
 	if (!r->maybe_written) {
-		end(r, ROLLOUT_UNAVAILABLE,
+		end(r, SIGNOFF_UNAVAILABLE,
 		    "The platform did not answer in time; this start did "
 		    "nothing%s. Ask again later.",
 		    r->req.fresh ? ""
@@ -161,7 +161,7 @@
 		return;
 	}
 	o->after_seq = r->base.seq;
-	end(r, ROLLOUT_UNKNOWN,
+	end(r, SIGNOFF_UNKNOWN,
 	    "The write was sent, but the platform can't be read to see "
 	    "whether it took effect. Ask for operation %s, or start it again "
 	    "with the same id: it is done once at most.",
@@ -169,14 +169,14 @@
 }
 
 void
-outcome_not_settled(struct rollout *r)
+outcome_not_settled(struct signoff *r)
 {
-	struct rollout_outcome *o = &r->outcome;
+	struct signoff_outcome *o = &r->outcome;
 
 	o->kind = r->req.kind;
 	o->after_seq = r->req.after_seq;
-	o->retry_after_ms = ROLLOUT_BACKOFF_CAP_MS;
-	end(r, ROLLOUT_UNKNOWN,
+	o->retry_after_ms = SIGNOFF_BACKOFF_CAP_MS;
+	end(r, SIGNOFF_UNKNOWN,
 	    "Operation %s has not taken effect, but its write may still "
 	    "arrive. Ask again, or start it again with the same id: it is "
 	    "done once at most.",
--- a/packages/rollout/src/puts.c
+++ b/packages/signoff/src/puts.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 static void
 put_free(void *data)
@@ -35,7 +35,7 @@
 }
 
 void
-puts_forget(struct rollout *r)
+puts_forget(struct signoff *r)
 {
 	struct put *put;
 	uint32_t i;
@@ -48,7 +48,7 @@
 
 /* Number of writes under way. */
 static uint32_t
-n_under_way(const struct rollout *r)
+n_under_way(const struct signoff *r)
 {
 	const struct put *put;
 	uint32_t i, n = 0;
@@ -61,12 +61,12 @@
 }
 
 void
-puts_issue(struct rollout *r, uint64_t now_ms)
+puts_issue(struct signoff *r, uint64_t now_ms)
 {
 	uint32_t i, n = n_under_way(r);
 	struct put *put;
 
-	for (i = 0; i < r->puts->len && n < ROLLOUT_PUT_WINDOW; i++) {
+	for (i = 0; i < r->puts->len && n < SIGNOFF_PUT_WINDOW; i++) {
 		put = g_ptr_array_index(r->puts, i);
 		if (!put->needed || put->done || put->token != 0)
 			continue;
@@ -75,11 +75,11 @@
 	}
 	/* All that were needed are there: write the rows. */
 	if (n == 0)
-		rollout_enter(r, PHASE_TRANSACT, now_ms);
+		signoff_enter(r, PHASE_TRANSACT, now_ms);
 }
 
 static struct put *
-find_token(const struct rollout *r, uint32_t token)
+find_token(const struct signoff *r, uint32_t token)
 {
 	struct put *put;
 	uint32_t i;
@@ -93,7 +93,7 @@
 }
 
 void
-puts_on_put(struct rollout *r, uint64_t now_ms, uint32_t token, enum status st)
+puts_on_put(struct signoff *r, uint64_t now_ms, uint32_t token, enum status st)
 {
 	struct put *put = find_token(r, token);
 
--- a/packages/rollout/src/search.c
+++ b/packages/signoff/src/search.c
@@ -8,7 +8,7 @@
  */
 #include <string.h>
 
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 bool
 search_decode(
@@ -27,18 +27,18 @@
 
 /* Start to look at a range of versions. */
 static void
-search_begin(struct rollout *r, struct range range, uint64_t now_ms)
+search_begin(struct signoff *r, struct range range, uint64_t now_ms)
 {
 	r->search.low = range.low;
 	r->search.high = range.high;
 	r->search.to = 0;
 	memset(&r->lowest, 0, sizeof(r->lowest));
-	rollout_enter(r, PHASE_SEARCH, now_ms);
+	signoff_enter(r, PHASE_SEARCH, now_ms);
 }
 
 /* The id is nowhere: what was sent has no effect, or nothing was sent. */
 static void
-search_none(struct rollout *r, uint64_t now_ms)
+search_none(struct signoff *r, uint64_t now_ms)
 {
 	if (!r->sent) {
 		r->ops->proceed(r, now_ms);
@@ -51,25 +51,25 @@
 
 /* The id stands in the head row. */
 static void
-found_in_head(struct rollout *r)
+found_in_head(struct signoff *r)
 {
 	if (r->head.state == STORE_HALTED)
-		outcome_done(r, ROLLOUT_HALT, r->head.version, NULL);
+		outcome_done(r, SIGNOFF_HALT, r->head.version, NULL);
 	else
 		outcome_done(
-		    r, ROLLOUT_SIGN_OFF, r->head.version, &r->head.root);
+		    r, SIGNOFF_SIGN_OFF, r->head.version, &r->head.root);
 }
 
 /* A write was sent on @base: has it, or can it still, take effect? */
 static void
-settle(struct rollout *r, uint64_t now_ms)
+settle(struct signoff *r, uint64_t now_ms)
 {
 	struct range range = {r->base.version + 1, r->ops->settle_to(r)};
 
 	if (r->head.seq == r->base.seq) {
 		/* Not yet; the same write again is safe, as seq must match. */
 		r->phase = PHASE_TRANSACT;
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 	} else if (r->head.version > r->base.version) {
 		search_begin(r, range, now_ms);
 	} else {
@@ -78,7 +78,7 @@
 }
 
 void
-search_on_head(struct rollout *r, uint64_t now_ms)
+search_on_head(struct signoff *r, uint64_t now_ms)
 {
 	struct range range;
 
@@ -99,7 +99,7 @@
 
 /* Rows are asked for in pieces, the newest piece first. */
 void
-search_issue(struct rollout *r, uint64_t now_ms)
+search_issue(struct signoff *r, uint64_t now_ms)
 {
 	struct search *s = &r->search;
 
@@ -114,18 +114,18 @@
 
 /* Look at one row; whether it ended the operation. */
 static bool
-look_at(struct rollout *r, const struct store_version *row)
+look_at(struct signoff *r, const struct store_version *row)
 {
 	struct rec_replaced_head replaced;
 	bool decoded;
 
 	if (strcmp(row->op, r->req.op) == 0) {
-		outcome_done(r, ROLLOUT_SIGN_OFF, row->version, &row->root);
+		outcome_done(r, SIGNOFF_SIGN_OFF, row->version, &row->root);
 		return true;
 	}
 	decoded = search_decode(row, &replaced);
 	if (decoded && replaced.halted && strcmp(replaced.op, r->req.op) == 0) {
-		outcome_done(r, ROLLOUT_HALT, row->version - 1, NULL);
+		outcome_done(r, SIGNOFF_HALT, row->version - 1, NULL);
 		return true;
 	}
 	if (row->version == r->search.low) {
@@ -140,7 +140,7 @@
 
 /* Version rows are dense: an answer that lacks one is of no use. */
 static bool
-rows_usable(const struct rollout *r, const struct store_version *rows,
+rows_usable(const struct signoff *r, const struct store_version *rows,
     uint32_t n, uint64_t upto)
 {
 	const struct search *s = &r->search;
@@ -156,14 +156,14 @@
 }
 
 void
-search_on_versions(struct rollout *r, uint64_t now_ms, enum status st,
+search_on_versions(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto)
 {
 	struct search *s = &r->search;
 	uint32_t i;
 
 	if (st != STATUS_OK || !rows_usable(r, rows, n, upto)) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
@@ -173,7 +173,7 @@
 	}
 	if (upto < s->to) {
 		s->from = upto + 1;
-		rollout_enter(r, PHASE_SEARCH, now_ms);
+		signoff_enter(r, PHASE_SEARCH, now_ms);
 		return;
 	}
 	s->high = s->high - s->low >= STORE_VERSIONS_MAX
@@ -181,7 +181,7 @@
 	    : s->low - 1;
 	s->to = 0;
 	if (s->high >= s->low)
-		rollout_enter(r, PHASE_SEARCH, now_ms);
+		signoff_enter(r, PHASE_SEARCH, now_ms);
 	else
 		search_none(r, now_ms);
 }
--- a/packages/rollout/src/rollout.c
+++ b/packages/signoff/src/signoff.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 /**
  * struct phase - what a phase asks, and where its answer goes
@@ -13,10 +13,10 @@
  * @on_object: an object came
  */
 struct phase {
-	void (*issue)(struct rollout *r, uint64_t now_ms);
-	void (*on_versions)(struct rollout *r, uint64_t now_ms, enum status st,
+	void (*issue)(struct signoff *r, uint64_t now_ms);
+	void (*on_versions)(struct signoff *r, uint64_t now_ms, enum status st,
 	    const struct store_version *rows, uint32_t n, uint64_t upto);
-	void (*on_object)(struct rollout *r, uint64_t now_ms, enum status st,
+	void (*on_object)(struct signoff *r, uint64_t now_ms, enum status st,
 	    const uint8_t *data, size_t len);
 };
 
@@ -37,11 +37,11 @@
     [PHASE_END] = {NULL, NULL, NULL},
 };
 
-static const struct rollout_ops *const kind_ops[] = {
-    [ROLLOUT_SIGN_OFF] = &version_ops,
-    [ROLLOUT_SUPERSEDE] = &version_ops,
-    [ROLLOUT_HALT] = &halt_ops,
-    [ROLLOUT_FIND] = &find_ops,
+static const struct signoff_ops *const kind_ops[] = {
+    [SIGNOFF_SIGN_OFF] = &version_ops,
+    [SIGNOFF_SUPERSEDE] = &version_ops,
+    [SIGNOFF_HALT] = &halt_ops,
+    [SIGNOFF_FIND] = &find_ops,
 };
 
 static bool
@@ -59,13 +59,13 @@
 }
 
 static enum status
-request_check(const struct rollout_request *req)
+request_check(const struct signoff_request *req)
 {
 	if (!op_valid(req->op))
 		return status_set(STATUS_INVALID,
 		    "An operation id has 1 to 63 of letters, digits, '-', '_' "
 		    "and '.'; give another one.");
-	if (req->kind != ROLLOUT_FIND &&
+	if (req->kind != SIGNOFF_FIND &&
 	    (req->operator_name[0] == '\0' ||
 		!g_utf8_validate(req->operator_name, -1, NULL)))
 		return status_set(STATUS_INVALID,
@@ -74,12 +74,12 @@
 	if (!g_utf8_validate(req->note, -1, NULL))
 		return status_set(
 		    STATUS_INVALID, "The note is not UTF-8; correct it.");
-	if (req->kind == ROLLOUT_SIGN_OFF &&
+	if (req->kind == SIGNOFF_SIGN_OFF &&
 	    (req->bundle == NULL || req->bundle->n_problems > 0))
 		return status_set(STATUS_INVALID,
 		    "A sign-off needs a bundle without problems; validate "
 		    "it.");
-	if ((req->kind == ROLLOUT_HALT || req->kind == ROLLOUT_SUPERSEDE) &&
+	if ((req->kind == SIGNOFF_HALT || req->kind == SIGNOFF_SUPERSEDE) &&
 	    req->version == 0)
 		return status_set(STATUS_INVALID,
 		    "Versions count from 1; name one that exists.");
@@ -87,7 +87,7 @@
 }
 
 enum status
-rollout_new(const struct rollout_request *req, struct rollout **r)
+signoff_new(const struct signoff_request *req, struct signoff **r)
 {
 	enum status st;
 
@@ -95,7 +95,7 @@
 	st = request_check(req);
 	if (st != STATUS_OK)
 		return st;
-	*r = g_new0(struct rollout, 1);
+	*r = g_new0(struct signoff, 1);
 	(*r)->ops = kind_ops[req->kind];
 	(*r)->req = *req;
 	(*r)->race_left = req->race_retries;
@@ -107,7 +107,7 @@
 }
 
 void
-rollout_free(struct rollout *r)
+signoff_free(struct signoff *r)
 {
 	if (r == NULL)
 		return;
@@ -124,7 +124,7 @@
 }
 
 void
-rollout_enter(struct rollout *r, enum rollout_phase phase, uint64_t now_ms)
+signoff_enter(struct signoff *r, enum signoff_phase phase, uint64_t now_ms)
 {
 	r->phase = phase;
 	r->token = 0;
@@ -133,14 +133,14 @@
 }
 
 void
-rollout_failed(struct rollout *r, uint64_t now_ms)
+signoff_failed(struct signoff *r, uint64_t now_ms)
 {
 	r->token = 0;
 	r->retry_at_ms = now_ms + step_backoff_ms(r);
 }
 
 void
-rollout_start(struct rollout *r, uint64_t now_ms)
+signoff_start(struct signoff *r, uint64_t now_ms)
 {
 	if (now_ms >= r->req.deadline_ms)
 		outcome_gave_up(r);
@@ -149,9 +149,9 @@
 }
 
 bool
-rollout_action(struct rollout *r, struct rollout_action *action)
+signoff_action(struct signoff *r, struct signoff_action *action)
 {
-	struct rollout_action *a = g_queue_pop_head(&r->actions);
+	struct signoff_action *a = g_queue_pop_head(&r->actions);
 
 	if (a == NULL)
 		return false;
@@ -168,7 +168,7 @@
 }
 
 void
-rollout_action_clear(struct rollout_action *action)
+signoff_action_clear(struct signoff_action *action)
 {
 	if (action->content != NULL)
 		g_bytes_unref(action->content);
@@ -177,7 +177,7 @@
 
 /* Whether an answer is the one awaited; it is not awaited any more then. */
 static bool
-take_token(struct rollout *r, uint32_t token)
+take_token(struct signoff *r, uint32_t token)
 {
 	if (token == 0 || token != r->token)
 		return false;
@@ -187,14 +187,14 @@
 
 /* A head row that can follow the one read before. */
 static bool
-head_sane(const struct rollout *r, const struct store_head *head)
+head_sane(const struct signoff *r, const struct store_head *head)
 {
 	return head->seq >= r->head.seq && head->seq > 0 &&
 	    head->version >= r->head.version && head->in_force <= head->version;
 }
 
 void
-rollout_on_head(struct rollout *r, uint64_t now_ms, uint32_t token,
+signoff_on_head(struct signoff *r, uint64_t now_ms, uint32_t token,
     enum status st, const struct store_head *head)
 {
 	if (!take_token(r, token))
@@ -202,7 +202,7 @@
 	if (st == STATUS_OK && head_sane(r, head))
 		r->head = *head;
 	else if (st != STATUS_NOT_FOUND || r->head.seq > 0) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
@@ -210,7 +210,7 @@
 }
 
 void
-rollout_on_versions(struct rollout *r, uint64_t now_ms, uint32_t token,
+signoff_on_versions(struct signoff *r, uint64_t now_ms, uint32_t token,
     enum status st, const struct store_version *rows, uint32_t n, uint64_t upto)
 {
 	if (take_token(r, token))
@@ -218,7 +218,7 @@
 }
 
 void
-rollout_on_object(struct rollout *r, uint64_t now_ms, uint32_t token,
+signoff_on_object(struct signoff *r, uint64_t now_ms, uint32_t token,
     enum status st, const uint8_t *data, size_t len)
 {
 	if (take_token(r, token))
@@ -226,8 +226,8 @@
 }
 
 void
-rollout_on_put(
-    struct rollout *r, uint64_t now_ms, uint32_t token, enum status st)
+signoff_on_put(
+    struct signoff *r, uint64_t now_ms, uint32_t token, enum status st)
 {
 	if (r->phase == PHASE_PUTS)
 		puts_on_put(r, now_ms, token, st);
@@ -235,7 +235,7 @@
 
 /* The platform calls the write wrong: it can't be done at all. */
 static void
-refused(struct rollout *r, enum status st)
+refused(struct signoff *r, enum status st)
 {
 	outcome_invalid(r,
 	    "The platform refused the write (%s). Make the change smaller, or "
@@ -244,8 +244,8 @@
 }
 
 void
-rollout_on_transact(
-    struct rollout *r, uint64_t now_ms, uint32_t token, enum status st)
+signoff_on_transact(
+    struct signoff *r, uint64_t now_ms, uint32_t token, enum status st)
 {
 	if (!take_token(r, token))
 		return;
@@ -257,41 +257,41 @@
 	case STATUS_INVALID:
 	case STATUS_TOO_LARGE:
 		if (r->maybe_written)
-			rollout_enter(r, PHASE_HEAD, now_ms);
+			signoff_enter(r, PHASE_HEAD, now_ms);
 		else
 			refused(r, st);
 		break;
 	case STATUS_CONFLICT:
-		rollout_enter(r, PHASE_HEAD, now_ms);
+		signoff_enter(r, PHASE_HEAD, now_ms);
 		break;
 	case STATUS_UNAVAILABLE:
 	case STATUS_OVERLOADED:
 		if (r->maybe_written)
 			r->phase = PHASE_HEAD;
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		break;
 	default:
 		/* Unknown: never write again before reading back. */
 		r->maybe_written = true;
-		rollout_enter(r, PHASE_HEAD, now_ms);
+		signoff_enter(r, PHASE_HEAD, now_ms);
 		break;
 	}
 }
 
 /* An awaited answer did not come in time. */
 static void
-answer_lost(struct rollout *r, uint64_t now_ms)
+answer_lost(struct signoff *r, uint64_t now_ms)
 {
 	if (r->phase == PHASE_TRANSACT) {
-		rollout_on_transact(r, now_ms, r->token, STATUS_UNKNOWN);
+		signoff_on_transact(r, now_ms, r->token, STATUS_UNKNOWN);
 		return;
 	}
 	puts_forget(r);
-	rollout_failed(r, now_ms);
+	signoff_failed(r, now_ms);
 }
 
 static bool
-awaits(const struct rollout *r)
+awaits(const struct signoff *r)
 {
 	uint32_t i;
 
@@ -305,7 +305,7 @@
 }
 
 void
-rollout_tick(struct rollout *r, uint64_t now_ms)
+signoff_tick(struct signoff *r, uint64_t now_ms)
 {
 	if (r->phase == PHASE_END)
 		return;
@@ -318,11 +318,11 @@
 	if (awaits(r) && now_ms >= r->answer_by_ms)
 		answer_lost(r, now_ms);
 	else if (now_ms >= r->retry_at_ms)
-		rollout_enter(r, r->phase, now_ms);
+		signoff_enter(r, r->phase, now_ms);
 }
 
 uint64_t
-rollout_next_ms(const struct rollout *r)
+signoff_next_ms(const struct signoff *r)
 {
 	uint64_t next = r->req.deadline_ms;
 
@@ -333,8 +333,8 @@
 	return MIN(next, r->retry_at_ms);
 }
 
-const struct rollout_outcome *
-rollout_outcome(const struct rollout *r)
+const struct signoff_outcome *
+signoff_outcome(const struct signoff *r)
 {
 	return r->phase == PHASE_END ? &r->outcome : NULL;
 }
--- a/packages/rollout/src/rollout_defs.h
+++ b/packages/signoff/src/signoff_defs.h
@@ -4,14 +4,14 @@
  * An operation is in one phase at a time.  A phase asks the platform one
  * thing (or puts several objects), and its handler enters the next one.
  */
-#ifndef ROLLOUT_DEFS_H
-#define ROLLOUT_DEFS_H
+#ifndef SIGNOFF_DEFS_H
+#define SIGNOFF_DEFS_H
 
 #include "proto/messages.h"
-#include "rollout/rollout.h"
+#include "signoff/signoff.h"
 
 /**
- * enum rollout_phase - what an operation waits for
+ * enum signoff_phase - what an operation waits for
  * @PHASE_HEAD: the head row
  * @PHASE_SEARCH: version rows, looked through for the operation's id
  * @PHASE_SOURCE_ROW: supersede: row of the version whose content is wanted
@@ -25,7 +25,7 @@
  * @PHASE_WINNER_NOTE: note of the halt that was first
  * @PHASE_END: nothing; the outcome is there
  */
-enum rollout_phase {
+enum signoff_phase {
 	PHASE_HEAD = 0,
 	PHASE_SEARCH,
 	PHASE_SOURCE_ROW,
@@ -41,7 +41,7 @@
 	PHASE_COUNT,
 };
 
-struct rollout;
+struct signoff;
 
 /**
  * struct range - versions, both ends included; empty when @high is below @low
@@ -54,7 +54,7 @@
 };
 
 /**
- * struct rollout_ops - what a kind of operation does; see the tables in
+ * struct signoff_ops - what a kind of operation does; see the tables in
  * version.c, halt.c and find.c
  * @begin: first thing of all
  * @first_look: versions that may tell of an earlier start, when the head row
@@ -63,12 +63,12 @@
  * @proceed: no earlier start has done it; go on from @head
  * @lost: the write has certainly not taken effect, since another was first
  */
-struct rollout_ops {
-	void (*begin)(struct rollout *r, uint64_t now_ms);
-	struct range (*first_look)(const struct rollout *r);
-	uint64_t (*settle_to)(const struct rollout *r);
-	void (*proceed)(struct rollout *r, uint64_t now_ms);
-	void (*lost)(struct rollout *r, uint64_t now_ms);
+struct signoff_ops {
+	void (*begin)(struct signoff *r, uint64_t now_ms);
+	struct range (*first_look)(const struct signoff *r);
+	uint64_t (*settle_to)(const struct signoff *r);
+	void (*proceed)(struct signoff *r, uint64_t now_ms);
+	void (*lost)(struct signoff *r, uint64_t now_ms);
 };
 
 /**
@@ -104,7 +104,7 @@
 };
 
 /**
- * struct rollout - see rollout/rollout.h
+ * struct signoff - see signoff/signoff.h
  * @ops: what this kind does
  * @req: what was asked for
  * @phase: what it waits for
@@ -115,7 +115,7 @@
  * @n_failures: failures in a row, for the back-off
  * @race_left: lost races that may still be tried again
  * @rand: source of jitter
- * @actions: struct rollout_action to be taken
+ * @actions: struct signoff_action to be taken
  * @head: head row as last read; seq 0 when there is none
  * @base: head row that the write replaces
  * @sent: a write on @base was sent
@@ -132,10 +132,10 @@
  * @changes: changes of the version row
  * @outcome: the outcome, once @phase is PHASE_END
  */
-struct rollout {
-	const struct rollout_ops *ops;
-	struct rollout_request req;
-	enum rollout_phase phase;
+struct signoff {
+	const struct signoff_ops *ops;
+	struct signoff_request req;
+	enum signoff_phase phase;
 	uint32_t next_token;
 	uint32_t token;
 	uint64_t answer_by_ms;
@@ -163,48 +163,48 @@
 	struct store_head new_head;
 	struct store_version row;
 	GBytes *changes;
-	struct rollout_outcome outcome;
+	struct signoff_outcome outcome;
 };
 
-/* rollout.c */
+/* signoff.c */
 
-/** rollout_enter() - go to a phase and ask what it asks */
+/** signoff_enter() - go to a phase and ask what it asks */
 void
-rollout_enter(struct rollout *r, enum rollout_phase phase, uint64_t now_ms);
+signoff_enter(struct signoff *r, enum signoff_phase phase, uint64_t now_ms);
 
-/** rollout_failed() - the phase got no usable answer; try again later */
-void rollout_failed(struct rollout *r, uint64_t now_ms);
+/** signoff_failed() - the phase got no usable answer; try again later */
+void signoff_failed(struct signoff *r, uint64_t now_ms);
 
 /* step.c: actions; each sets the token that is awaited */
 
-void step_read_head(struct rollout *r, uint64_t now_ms);
+void step_read_head(struct signoff *r, uint64_t now_ms);
 void step_read_versions(
-    struct rollout *r, uint64_t from, uint64_t to, uint64_t now_ms);
+    struct signoff *r, uint64_t from, uint64_t to, uint64_t now_ms);
 void
-step_get_list(struct rollout *r, const struct digest *root, uint64_t now_ms);
-void step_get_note(struct rollout *r, const char *op, uint64_t now_ms);
-uint32_t step_put(struct rollout *r, const struct put *put, uint64_t now_ms);
-void step_transact(struct rollout *r, uint64_t now_ms);
+step_get_list(struct signoff *r, const struct digest *root, uint64_t now_ms);
+void step_get_note(struct signoff *r, const char *op, uint64_t now_ms);
+uint32_t step_put(struct signoff *r, const struct put *put, uint64_t now_ms);
+void step_transact(struct signoff *r, uint64_t now_ms);
 
 /** step_finish() - drop what was not taken, and say that it is over */
-void step_finish(struct rollout *r);
+void step_finish(struct signoff *r);
 
 /** step_clear() - drop actions that were not taken */
-void step_clear(struct rollout *r);
+void step_clear(struct signoff *r);
 
 /** step_backoff_ms() - how long to wait after a failure: full jitter */
-uint64_t step_backoff_ms(struct rollout *r);
+uint64_t step_backoff_ms(struct signoff *r);
 
 /* search.c */
 
 /** search_on_head() - the head row was read: look for the operation's id */
-void search_on_head(struct rollout *r, uint64_t now_ms);
+void search_on_head(struct signoff *r, uint64_t now_ms);
 
 /** search_issue() - ask for the next rows */
-void search_issue(struct rollout *r, uint64_t now_ms);
+void search_issue(struct signoff *r, uint64_t now_ms);
 
 /** search_on_versions() - rows came */
-void search_on_versions(struct rollout *r, uint64_t now_ms, enum status st,
+void search_on_versions(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto);
 
 /** search_decode() - what a row's changes say of the head it replaced */
@@ -221,65 +221,65 @@
     GPtrArray *puts, const char *key, const char *section, GBytes *content);
 
 /** puts_issue() - write as many as may be under way */
-void puts_issue(struct rollout *r, uint64_t now_ms);
+void puts_issue(struct signoff *r, uint64_t now_ms);
 
 /** puts_on_put() - a write ended */
 void
-puts_on_put(struct rollout *r, uint64_t now_ms, uint32_t token, enum status st);
+puts_on_put(struct signoff *r, uint64_t now_ms, uint32_t token, enum status st);
 
 /** puts_forget() - give up waiting for those under way */
-void puts_forget(struct rollout *r);
+void puts_forget(struct signoff *r);
 
 /* version.c: sign-off and supersede */
 
-extern const struct rollout_ops version_ops;
-void version_issue_source_row(struct rollout *r, uint64_t now_ms);
-void version_on_source_row(struct rollout *r, uint64_t now_ms, enum status st,
+extern const struct signoff_ops version_ops;
+void version_issue_source_row(struct signoff *r, uint64_t now_ms);
+void version_on_source_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto);
-void version_issue_source_list(struct rollout *r, uint64_t now_ms);
-void version_on_source_list(struct rollout *r, uint64_t now_ms, enum status st,
+void version_issue_source_list(struct signoff *r, uint64_t now_ms);
+void version_on_source_list(struct signoff *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len);
-void version_issue_base_row(struct rollout *r, uint64_t now_ms);
-void version_on_base_row(struct rollout *r, uint64_t now_ms, enum status st,
+void version_issue_base_row(struct signoff *r, uint64_t now_ms);
+void version_on_base_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto);
-void version_issue_base_list(struct rollout *r, uint64_t now_ms);
-void version_on_base_list(struct rollout *r, uint64_t now_ms, enum status st,
+void version_issue_base_list(struct signoff *r, uint64_t now_ms);
+void version_on_base_list(struct signoff *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len);
 
 /* halt.c */
 
-extern const struct rollout_ops halt_ops;
-void halt_issue_target_row(struct rollout *r, uint64_t now_ms);
-void halt_on_target_row(struct rollout *r, uint64_t now_ms, enum status st,
+extern const struct signoff_ops halt_ops;
+void halt_issue_target_row(struct signoff *r, uint64_t now_ms);
+void halt_on_target_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto);
-void halt_issue_back_row(struct rollout *r, uint64_t now_ms);
-void halt_on_back_row(struct rollout *r, uint64_t now_ms, enum status st,
+void halt_issue_back_row(struct signoff *r, uint64_t now_ms);
+void halt_on_back_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto);
-void halt_issue_winner_note(struct rollout *r, uint64_t now_ms);
-void halt_on_winner_note(struct rollout *r, uint64_t now_ms, enum status st,
+void halt_issue_winner_note(struct signoff *r, uint64_t now_ms);
+void halt_on_winner_note(struct signoff *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len);
 
 /* find.c */
 
-extern const struct rollout_ops find_ops;
+extern const struct signoff_ops find_ops;
 
 /* outcome.c: each ends the operation */
 
 /** outcome_done() - done; @root is that of the version made, or NULL */
-void outcome_done(struct rollout *r, enum rollout_kind kind, uint64_t version,
+void outcome_done(struct signoff *r, enum signoff_kind kind, uint64_t version,
     const struct digest *root);
 
-void outcome_already(struct rollout *r);
-void outcome_conflict(struct rollout *r);
-void outcome_not_found(struct rollout *r, const char *fmt, ...)
+void outcome_already(struct signoff *r);
+void outcome_conflict(struct signoff *r);
+void outcome_not_found(struct signoff *r, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
-void outcome_invalid(struct rollout *r, const char *fmt, ...)
+void outcome_invalid(struct signoff *r, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
 /** outcome_gave_up() - no time left: unavailable or unknown */
-void outcome_gave_up(struct rollout *r);
+void outcome_gave_up(struct signoff *r);
 
 /** outcome_not_settled() - find: a write may still arrive */
-void outcome_not_settled(struct rollout *r);
+void outcome_not_settled(struct signoff *r);
 
 #endif
--- a/packages/rollout/src/step.c
+++ b/packages/signoff/src/step.c
@@ -4,29 +4,29 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 /* Doublings after which the back-off stands at its cap in any case. */
 #define BACKOFF_DOUBLINGS 16
 
-static struct rollout_action *
-action_new(struct rollout *r, enum rollout_action_kind kind, uint64_t now_ms)
+static struct signoff_action *
+action_new(struct signoff *r, enum signoff_action_kind kind, uint64_t now_ms)
 {
-	struct rollout_action *a;
+	struct signoff_action *a;
 
-	a = g_new0(struct rollout_action, 1);
+	a = g_new0(struct signoff_action, 1);
 	a->kind = kind;
 	a->token = ++r->next_token;
-	a->deadline_ms = MIN(now_ms + ROLLOUT_STEP_MS, r->req.deadline_ms);
+	a->deadline_ms = MIN(now_ms + SIGNOFF_STEP_MS, r->req.deadline_ms);
 	g_queue_push_tail(&r->actions, a);
 	return a;
 }
 
 /* An action whose answer is awaited alone. */
-static struct rollout_action *
-action_await(struct rollout *r, enum rollout_action_kind kind, uint64_t now_ms)
+static struct signoff_action *
+action_await(struct signoff *r, enum signoff_action_kind kind, uint64_t now_ms)
 {
-	struct rollout_action *a;
+	struct signoff_action *a;
 
 	a = action_new(r, kind, now_ms);
 	r->token = a->token;
@@ -35,48 +35,48 @@
 }
 
 void
-step_read_head(struct rollout *r, uint64_t now_ms)
+step_read_head(struct signoff *r, uint64_t now_ms)
 {
-	(void)action_await(r, ROLLOUT_READ_HEAD, now_ms);
+	(void)action_await(r, SIGNOFF_READ_HEAD, now_ms);
 }
 
 void
 step_read_versions(
-    struct rollout *r, uint64_t from, uint64_t to, uint64_t now_ms)
+    struct signoff *r, uint64_t from, uint64_t to, uint64_t now_ms)
 {
-	struct rollout_action *a;
+	struct signoff_action *a;
 
-	a = action_await(r, ROLLOUT_READ_VERSIONS, now_ms);
+	a = action_await(r, SIGNOFF_READ_VERSIONS, now_ms);
 	a->from = from;
 	a->to = to;
 }
 
 void
-step_get_list(struct rollout *r, const struct digest *root, uint64_t now_ms)
+step_get_list(struct signoff *r, const struct digest *root, uint64_t now_ms)
 {
 	char hex[DIGEST_HEX_BYTES];
-	struct rollout_action *a;
+	struct signoff_action *a;
 
-	a = action_await(r, ROLLOUT_GET_OBJECT, now_ms);
+	a = action_await(r, SIGNOFF_GET_OBJECT, now_ms);
 	hash_digest_hex(root, hex);
 	g_snprintf(a->key, sizeof(a->key), "root/%s", hex);
 }
 
 void
-step_get_note(struct rollout *r, const char *op, uint64_t now_ms)
+step_get_note(struct signoff *r, const char *op, uint64_t now_ms)
 {
-	struct rollout_action *a;
+	struct signoff_action *a;
 
-	a = action_await(r, ROLLOUT_GET_OBJECT, now_ms);
+	a = action_await(r, SIGNOFF_GET_OBJECT, now_ms);
 	g_snprintf(a->key, sizeof(a->key), "halt/%s", op);
 }
 
 uint32_t
-step_put(struct rollout *r, const struct put *put, uint64_t now_ms)
+step_put(struct signoff *r, const struct put *put, uint64_t now_ms)
 {
-	struct rollout_action *a;
+	struct signoff_action *a;
 
-	a = action_new(r, ROLLOUT_PUT_OBJECT, now_ms);
+	a = action_new(r, SIGNOFF_PUT_OBJECT, now_ms);
 	g_strlcpy(a->key, put->key, sizeof(a->key));
 	a->content = g_bytes_ref(put->content);
 	r->answer_by_ms = a->deadline_ms;
@@ -84,11 +84,11 @@
 }
 
 void
-step_transact(struct rollout *r, uint64_t now_ms)
+step_transact(struct signoff *r, uint64_t now_ms)
 {
-	struct rollout_action *a;
+	struct signoff_action *a;
 
-	a = action_await(r, ROLLOUT_TRANSACT, now_ms);
+	a = action_await(r, SIGNOFF_TRANSACT, now_ms);
 	a->expected_seq = r->base.seq;
 	a->head = r->new_head;
 	a->has_version = r->changes != NULL;
@@ -102,31 +102,31 @@
 static void
 action_free(void *data)
 {
-	rollout_action_clear(data);
+	signoff_action_clear(data);
 	g_free(data);
 }
 
 void
-step_clear(struct rollout *r)
+step_clear(struct signoff *r)
 {
 	g_queue_clear_full(&r->actions, action_free);
 }
 
 void
-step_finish(struct rollout *r)
+step_finish(struct signoff *r)
 {
 	step_clear(r);
-	(void)action_new(r, ROLLOUT_FINISH, 0);
+	(void)action_new(r, SIGNOFF_FINISH, 0);
 }
 
 uint64_t
-step_backoff_ms(struct rollout *r)
+step_backoff_ms(struct signoff *r)
 {
 	uint64_t most;
 
-	most = (uint64_t)ROLLOUT_BACKOFF_LEAST_MS
+	most = (uint64_t)SIGNOFF_BACKOFF_LEAST_MS
 	    << MIN(r->n_failures, BACKOFF_DOUBLINGS);
-	most = MIN(most, ROLLOUT_BACKOFF_CAP_MS);
+	most = MIN(most, SIGNOFF_BACKOFF_CAP_MS);
 	r->n_failures++;
 	return 1 + (uint64_t)g_rand_int_range(r->rand, 0, (gint32)most);
 }
--- a/packages/rollout/src/version.c
+++ b/packages/signoff/src/version.c
@@ -3,17 +3,17 @@
  */
 #include <string.h>
 
-#include "rollout_defs.h"
+#include "signoff_defs.h"
 
 static bool
-supersedes(const struct rollout *r)
+supersedes(const struct signoff *r)
 {
-	return r->req.kind == ROLLOUT_SUPERSEDE;
+	return r->req.kind == SIGNOFF_SUPERSEDE;
 }
 
 /* Objects of a bundle: its sections, and the list under its root. */
 static void
-add_puts(struct rollout *r)
+add_puts(struct signoff *r)
 {
 	const struct bundle *b = r->req.bundle;
 	char hex[DIGEST_HEX_BYTES], key[STORE_KEY_BYTES];
@@ -33,29 +33,29 @@
 }
 
 static void
-version_begin(struct rollout *r, uint64_t now_ms)
+version_begin(struct signoff *r, uint64_t now_ms)
 {
 	if (supersedes(r)) {
-		rollout_enter(r, PHASE_SOURCE_ROW, now_ms);
+		signoff_enter(r, PHASE_SOURCE_ROW, now_ms);
 		return;
 	}
 	bundle_to_sections(r->req.bundle, &r->list, &r->root);
 	add_puts(r);
-	rollout_enter(r, PHASE_HEAD, now_ms);
+	signoff_enter(r, PHASE_HEAD, now_ms);
 }
 
 void
-version_issue_source_row(struct rollout *r, uint64_t now_ms)
+version_issue_source_row(struct signoff *r, uint64_t now_ms)
 {
 	step_read_versions(r, r->req.version, r->req.version, now_ms);
 }
 
 void
-version_on_source_row(struct rollout *r, uint64_t now_ms, enum status st,
+version_on_source_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto)
 {
 	if (st != STATUS_OK || upto < r->req.version) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	if (n == 0 || rows[0].version != r->req.version) {
@@ -67,12 +67,12 @@
 	}
 	r->n_failures = 0;
 	r->root = rows[0].root;
-	rollout_enter(r, PHASE_HEAD, now_ms);
+	signoff_enter(r, PHASE_HEAD, now_ms);
 }
 
 /* An earlier start with a parent can only have made the version after it. */
 static struct range
-version_first_look(const struct rollout *r)
+version_first_look(const struct signoff *r)
 {
 	struct range range = {1, 0};
 
@@ -81,8 +81,8 @@
 		range.high = MIN(range.low, r->head.version);
 	} else if (!r->req.fresh) {
 		range.high = r->head.version;
-		if (range.high > ROLLOUT_REPEAT_VERSIONS)
-			range.low = range.high - ROLLOUT_REPEAT_VERSIONS + 1;
+		if (range.high > SIGNOFF_REPEAT_VERSIONS)
+			range.low = range.high - SIGNOFF_REPEAT_VERSIONS + 1;
 	}
 	return range;
 }
@@ -92,7 +92,7 @@
  * this operation may have gone on top as well.
  */
 static uint64_t
-version_settle_to(const struct rollout *r)
+version_settle_to(const struct signoff *r)
 {
 	if (!r->req.has_parent && r->race_left > 0)
 		return r->head.version;
@@ -100,7 +100,7 @@
 }
 
 static void
-version_proceed(struct rollout *r, uint64_t now_ms)
+version_proceed(struct signoff *r, uint64_t now_ms)
 {
 	if (r->req.has_parent && r->head.version < r->req.parent) {
 		outcome_not_found(r,
@@ -116,14 +116,14 @@
 	}
 	r->base = r->head;
 	if (supersedes(r) && r->list == NULL)
-		rollout_enter(r, PHASE_SOURCE_LIST, now_ms);
+		signoff_enter(r, PHASE_SOURCE_LIST, now_ms);
 	else
-		rollout_enter(r, PHASE_BASE_ROW, now_ms);
+		signoff_enter(r, PHASE_BASE_ROW, now_ms);
 }
 
 /* Another operation was first: go on top of it only if that was asked for. */
 static void
-version_lost(struct rollout *r, uint64_t now_ms)
+version_lost(struct signoff *r, uint64_t now_ms)
 {
 	if (r->head.version == r->base.version) {
 		/* Only a halt came in between; the parent is the same. */
@@ -136,7 +136,7 @@
 	}
 }
 
-const struct rollout_ops version_ops = {
+const struct signoff_ops version_ops = {
     .begin = version_begin,
     .first_look = version_first_look,
     .settle_to = version_settle_to,
@@ -145,13 +145,13 @@
 };
 
 void
-version_issue_source_list(struct rollout *r, uint64_t now_ms)
+version_issue_source_list(struct signoff *r, uint64_t now_ms)
 {
 	step_get_list(r, &r->root, now_ms);
 }
 
 void
-version_on_source_list(struct rollout *r, uint64_t now_ms, enum status st,
+version_on_source_list(struct signoff *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len)
 {
 	if (st == STATUS_NOT_FOUND || st == STATUS_TOO_LARGE) {
@@ -163,42 +163,42 @@
 	}
 	if (st != STATUS_OK ||
 	    section_list_decode(data, len, &r->root, &r->list) != STATUS_OK) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
-	rollout_enter(r, PHASE_BASE_ROW, now_ms);
+	signoff_enter(r, PHASE_BASE_ROW, now_ms);
 }
 
 /* The newest version's root is in its row, or in a head that is rolling. */
 void
-version_issue_base_row(struct rollout *r, uint64_t now_ms)
+version_issue_base_row(struct signoff *r, uint64_t now_ms)
 {
 	if (r->base.version > 0 && r->base.state == STORE_HALTED) {
 		step_read_versions(r, r->base.version, r->base.version, now_ms);
 		return;
 	}
 	r->base_root = r->base.root;
-	rollout_enter(r, PHASE_BASE_LIST, now_ms);
+	signoff_enter(r, PHASE_BASE_LIST, now_ms);
 }
 
 void
-version_on_base_row(struct rollout *r, uint64_t now_ms, enum status st,
+version_on_base_row(struct signoff *r, uint64_t now_ms, enum status st,
     const struct store_version *rows, uint32_t n, uint64_t upto)
 {
 	(void)upto;
 	if (st != STATUS_OK || n != 1 || rows[0].version != r->base.version) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
 	r->base_root = rows[0].root;
-	rollout_enter(r, PHASE_BASE_LIST, now_ms);
+	signoff_enter(r, PHASE_BASE_LIST, now_ms);
 }
 
 /* Sections that the newest version has are on the platform already. */
 static void
-mark_needed(struct rollout *r, const GArray *changes)
+mark_needed(struct signoff *r, const GArray *changes)
 {
 	const struct rec_section_change *change;
 	struct put *put;
@@ -221,7 +221,7 @@
 }
 
 static GBytes *
-encode_changes(const struct rollout *r, const GArray *changes)
+encode_changes(const struct signoff *r, const GArray *changes)
 {
 	struct msg_version_changes m;
 	GByteArray *out;
@@ -248,7 +248,7 @@
 }
 
 static void
-set_rows(struct rollout *r)
+set_rows(struct signoff *r)
 {
 	struct store_head *head = &r->new_head;
 	struct store_version *row = &r->row;
@@ -274,7 +274,7 @@
 
 /* All is known: write the objects that are needed, then the rows. */
 static void
-version_write(struct rollout *r, uint64_t now_ms)
+version_write(struct signoff *r, uint64_t now_ms)
 {
 	GArray *changes, *empty;
 
@@ -288,11 +288,11 @@
 		g_bytes_unref(r->changes);
 	r->changes = encode_changes(r, changes);
 	g_array_unref(changes);
-	rollout_enter(r, PHASE_PUTS, now_ms);
+	signoff_enter(r, PHASE_PUTS, now_ms);
 }
 
 void
-version_issue_base_list(struct rollout *r, uint64_t now_ms)
+version_issue_base_list(struct signoff *r, uint64_t now_ms)
 {
 	g_clear_pointer(&r->base_list, g_array_unref);
 	if (r->base.version > 0) {
@@ -305,12 +305,12 @@
 
 /* Without the list of the newest version all sections count as changed. */
 void
-version_on_base_list(struct rollout *r, uint64_t now_ms, enum status st,
+version_on_base_list(struct signoff *r, uint64_t now_ms, enum status st,
     const uint8_t *data, size_t len)
 {
 	if (st != STATUS_OK && st != STATUS_NOT_FOUND &&
 	    st != STATUS_TOO_LARGE) {
-		rollout_failed(r, now_ms);
+		signoff_failed(r, now_ms);
 		return;
 	}
 	r->n_failures = 0;
--- a/packages/rollout/test/check_world.c
+++ b/packages/signoff/test/check_world.c
@@ -92,7 +92,7 @@
 
 /* All of the version is on the platform, and its changes lead to it. */
 static void
-check_whole(struct world *w, const struct rollout_action *a)
+check_whole(struct world *w, const struct signoff_action *a)
 {
 	char hex[DIGEST_HEX_BYTES], key[STORE_KEY_BYTES];
 	static const struct digest none;
@@ -147,7 +147,7 @@
 }
 
 void
-check_write(struct world *w, const struct rollout_action *a)
+check_write(struct world *w, const struct signoff_action *a)
 {
 	struct deed deed;
 	uint32_t n;
@@ -197,9 +197,9 @@
 
 /* That a halt's note could not be read may be said by leaving the name out. */
 static bool
-named_rightly(const struct world *w, const struct rollout_outcome *o)
+named_rightly(const struct world *w, const struct signoff_outcome *o)
 {
-	if (o->result == ROLLOUT_ALREADY && o->winner_operator[0] == '\0')
+	if (o->result == SIGNOFF_ALREADY && o->winner_operator[0] == '\0')
 		return true;
 	return g_strcmp0(operator_of(w, o->winner_op), o->winner_operator) == 0;
 }
@@ -208,7 +208,7 @@
 static void
 check_winner(struct world *w, const struct actor *actor)
 {
-	const struct rollout_outcome *o = &actor->outcome;
+	const struct signoff_outcome *o = &actor->outcome;
 	const struct deed *deed;
 	uint32_t n;
 
@@ -217,7 +217,7 @@
 	    deed->halt != o->winner_halted || !named_rightly(w, o))
 		violation(w, "%s was told wrongly that %s of %s was first",
 		    actor->req.op, o->winner_op, o->winner_operator);
-	if (o->result == ROLLOUT_CONFLICT && actor->req.has_parent &&
+	if (o->result == SIGNOFF_CONFLICT && actor->req.has_parent &&
 	    o->winner_version != actor->req.parent + 1)
 		violation(w, "%s was told a later winner", actor->req.op);
 }
@@ -248,7 +248,7 @@
 static void
 check_told(struct world *w, const struct actor *actor)
 {
-	const struct rollout_outcome *o = &actor->outcome;
+	const struct signoff_outcome *o = &actor->outcome;
 	const struct deed *deed;
 	uint32_t n;
 
@@ -256,29 +256,29 @@
 	if (n > 1)
 		violation(w, "operation %s is done twice", actor->req.op);
 	switch (o->result) {
-	case ROLLOUT_DONE:
+	case SIGNOFF_DONE:
 		if (deed == NULL || deed->version != o->version)
 			violation(w, "%s was told done wrongly", actor->req.op);
 		else if (!o->repeated && !same_head(&deed->head, &actor->sent))
 			violation(w, "%s was told that its write did it",
 			    actor->req.op);
 		break;
-	case ROLLOUT_UNKNOWN:
+	case SIGNOFF_UNKNOWN:
 		break;
-	case ROLLOUT_UNAVAILABLE:
-	case ROLLOUT_INVALID:
+	case SIGNOFF_UNAVAILABLE:
+	case SIGNOFF_INVALID:
 		if (deed != NULL && !started_elsewhere(w, actor))
 			violation(w, "%s was told nothing was done wrongly",
 			    actor->req.op);
 		break;
-	case ROLLOUT_CONFLICT:
-	case ROLLOUT_ALREADY:
+	case SIGNOFF_CONFLICT:
+	case SIGNOFF_ALREADY:
 		check_winner(w, actor);
 		/* fall through */
 	default:
 		if (deed != NULL)
 			violation(w, "%s was told %s, but is done",
-			    actor->req.op, rollout_result_name(o->result));
+			    actor->req.op, signoff_result_name(o->result));
 		break;
 	}
 }
--- a/packages/rollout/test/check_world.h
+++ b/packages/signoff/test/check_world.h
@@ -1,8 +1,8 @@
 /*
  * The checker's part that the fake platform calls.
  */
-#ifndef ROLLOUT_TEST_CHECK_WORLD_H
-#define ROLLOUT_TEST_CHECK_WORLD_H
+#ifndef SIGNOFF_TEST_CHECK_WORLD_H
+#define SIGNOFF_TEST_CHECK_WORLD_H
 
 #include "world.h"
 
@@ -17,6 +17,6 @@
 };
 
 /** check_write() - check a write that is about to take effect, and note it */
-void check_write(struct world *w, const struct rollout_action *a);
+void check_write(struct world *w, const struct signoff_action *a);
 
 #endif
--- a/packages/rollout/test/scenario.h
+++ b/packages/signoff/test/scenario.h
@@ -1,8 +1,8 @@
 /*
  * What the tests of operations share.
  */
-#ifndef ROLLOUT_TEST_SCENARIO_H
-#define ROLLOUT_TEST_SCENARIO_H
+#ifndef SIGNOFF_TEST_SCENARIO_H
+#define SIGNOFF_TEST_SCENARIO_H
 
 #include <check.h>
 
@@ -11,17 +11,17 @@
 /* The write of a sign-off comes after head, list, two sections, root. */
 #define WRITE_REQUEST 6
 
-static inline struct rollout_request
+static inline struct signoff_request
 sign(struct world *w, const char *op)
 {
-	return world_request(w, ROLLOUT_SIGN_OFF, op, "anna");
+	return world_request(w, SIGNOFF_SIGN_OFF, op, "anna");
 }
 
 /* Sign versions off until there are @n. */
 static inline void
 sign_many(struct world *w, uint32_t n)
 {
-	struct rollout_request req;
+	struct signoff_request req;
 	char op[STORE_OP_BYTES];
 	uint32_t i;
 
@@ -29,7 +29,7 @@
 		g_snprintf(op, sizeof(op), "base-%u", i);
 		req = sign(w, op);
 		req.fresh = true;
-		ck_assert_int_eq(world_do(w, &req, i)->result, ROLLOUT_DONE);
+		ck_assert_int_eq(world_do(w, &req, i)->result, SIGNOFF_DONE);
 	}
 }
 
--- a/packages/rollout/test/test_race.c
+++ b/packages/signoff/test/test_race.c
@@ -18,19 +18,19 @@
 START_TEST(test_on_top)
 {
 	struct world *w = world_new((uint32_t)_i);
-	struct rollout_request req;
+	struct signoff_request req;
 	struct actor *a, *b;
 
 	sign_many(w, 1);
 	req = sign(w, "one");
 	req.race_retries = (uint32_t)_i % 2;
 	a = world_start(w, &req, 5, false);
-	req = world_request(w, ROLLOUT_SIGN_OFF, "two", "bjorn");
+	req = world_request(w, SIGNOFF_SIGN_OFF, "two", "bjorn");
 	req.race_retries = (uint32_t)_i % 2;
 	b = world_start(w, &req, 6, false);
 	world_run(w);
-	ck_assert_int_eq((a->outcome.result == ROLLOUT_DONE) +
-		(b->outcome.result == ROLLOUT_DONE),
+	ck_assert_int_eq((a->outcome.result == SIGNOFF_DONE) +
+		(b->outcome.result == SIGNOFF_DONE),
 	    1 + _i % 2);
 	ck_assert_uint_eq(w->rows->len, 2 + (uint32_t)_i % 2);
 	check_truth(w);
@@ -42,7 +42,7 @@
 START_TEST(test_twins)
 {
 	struct world *w = world_new((uint32_t)_i);
-	struct rollout_request req;
+	struct signoff_request req;
 	char op[STORE_OP_BYTES];
 	struct actor *a, *b;
 	uint32_t i;
@@ -59,8 +59,8 @@
 		(void)world_start(w, &req, 6 + i, false);
 	}
 	world_run(w);
-	ck_assert_int_eq(a->outcome.result, ROLLOUT_DONE);
-	ck_assert_int_eq(b->outcome.result, ROLLOUT_DONE);
+	ck_assert_int_eq(a->outcome.result, SIGNOFF_DONE);
+	ck_assert_int_eq(b->outcome.result, SIGNOFF_DONE);
 	check_truth(w);
 	world_free(w);
 }
@@ -69,14 +69,14 @@
 static void
 run_one(struct world *w, const char *op, uint32_t variant)
 {
-	struct rollout_request req = sign(w, op);
+	struct signoff_request req = sign(w, op);
 	struct actor *actor;
 
 	req.race_retries = 1;
 	actor = world_start(w, &req, variant, false);
-	while (rollout_outcome(actor->r) == NULL)
+	while (signoff_outcome(actor->r) == NULL)
 		ck_assert(world_step(w));
-	ck_assert_int_eq(actor->outcome.result, ROLLOUT_DONE);
+	ck_assert_int_eq(actor->outcome.result, SIGNOFF_DONE);
 }
 
 /* A start whose write is lost, while a rival is first, another start of the
@@ -85,7 +85,7 @@
 START_TEST(test_twin_went_on)
 {
 	struct world *w = world_new(1);
-	struct rollout_request req;
+	struct signoff_request req;
 	struct actor *actor;
 
 	sign_many(w, 1);
@@ -101,7 +101,7 @@
 	run_one(w, "op", 5);
 	run_one(w, "third", 7);
 	world_run(w);
-	ck_assert_int_eq(actor->outcome.result, ROLLOUT_DONE);
+	ck_assert_int_eq(actor->outcome.result, SIGNOFF_DONE);
 	ck_assert(actor->outcome.repeated);
 	ck_assert_uint_eq(actor->outcome.version, 3);
 	check_truth(w);
@@ -112,18 +112,18 @@
 static void
 start_racer(struct world *w, uint32_t i, bool naive)
 {
-	struct rollout_request req;
+	struct signoff_request req;
 	char op[STORE_OP_BYTES], who[STORE_OPERATOR_BYTES];
 	uint64_t newest = w->rows->len;
 
 	g_snprintf(op, sizeof(op), "op-%u-%u", (uint32_t)w->deeds->len, i);
 	g_snprintf(who, sizeof(who), "operator-%u", i);
 	req = world_request(w,
-	    naive ? ROLLOUT_SIGN_OFF
-		  : (enum rollout_kind)g_rand_int_range(w->rand, 0, 3),
+	    naive ? SIGNOFF_SIGN_OFF
+		  : (enum signoff_kind)g_rand_int_range(w->rand, 0, 3),
 	    op, who);
 	req.version = newest;
-	if (req.kind == ROLLOUT_SUPERSEDE)
+	if (req.kind == SIGNOFF_SUPERSEDE)
 		req.version = 1;
 	req.has_parent = !naive && g_rand_boolean(w->rand);
 	req.parent = newest;
@@ -141,22 +141,22 @@
 settle_unknown(struct world *w)
 {
 	struct actor *actor;
-	struct rollout_request req;
+	struct signoff_request req;
 	uint32_t i, n = w->actors->len;
 
 	w->fault_percent = 0;
 	for (i = 0; i < n; i++) {
 		actor = g_ptr_array_index(w->actors, i);
-		if (actor->outcome.result != ROLLOUT_UNKNOWN)
+		if (actor->outcome.result != SIGNOFF_UNKNOWN)
 			continue;
 		req = actor->req;
 		req.fresh = false;
-		req.deadline_ms = w->now_ms + 2 * ROLLOUT_STEP_MS;
+		req.deadline_ms = w->now_ms + 2 * SIGNOFF_STEP_MS;
 		actor = world_start(w, &req, actor->variant, false);
 		world_run(w);
-		ck_assert(actor->outcome.result == ROLLOUT_DONE ||
-		    actor->outcome.result == ROLLOUT_CONFLICT ||
-		    actor->outcome.result == ROLLOUT_ALREADY);
+		ck_assert(actor->outcome.result == SIGNOFF_DONE ||
+		    actor->outcome.result == SIGNOFF_CONFLICT ||
+		    actor->outcome.result == SIGNOFF_ALREADY);
 	}
 }
 
@@ -189,7 +189,7 @@
 
 START_TEST(test_race)
 {
-	uint32_t seed, n_results[ROLLOUT_UNKNOWN + 1] = {0};
+	uint32_t seed, n_results[SIGNOFF_UNKNOWN + 1] = {0};
 	char violation[WORLD_VIOLATION_BYTES];
 
 	for (seed = 1; seed <= SEEDS; seed++) {
@@ -199,18 +199,18 @@
 	}
 	/* The runs were of use: operators won, lost, halted, ran out of time.
 	 */
-	ck_assert_uint_gt(n_results[ROLLOUT_DONE], SEEDS);
-	ck_assert_uint_gt(n_results[ROLLOUT_CONFLICT], SEEDS);
-	ck_assert_uint_gt(n_results[ROLLOUT_ALREADY], SEEDS / 2);
-	ck_assert_uint_gt(n_results[ROLLOUT_UNAVAILABLE], SEEDS / 8);
-	ck_assert_uint_gt(n_results[ROLLOUT_UNKNOWN], SEEDS / 8);
+	ck_assert_uint_gt(n_results[SIGNOFF_DONE], SEEDS);
+	ck_assert_uint_gt(n_results[SIGNOFF_CONFLICT], SEEDS);
+	ck_assert_uint_gt(n_results[SIGNOFF_ALREADY], SEEDS / 2);
+	ck_assert_uint_gt(n_results[SIGNOFF_UNAVAILABLE], SEEDS / 8);
+	ck_assert_uint_gt(n_results[SIGNOFF_UNKNOWN], SEEDS / 8);
 }
 END_TEST
 
 /* The blind retry does things twice, and the checker sees it. */
 START_TEST(test_naive_is_caught)
 {
-	uint32_t seed, n_caught = 0, n_results[ROLLOUT_UNKNOWN + 1] = {0};
+	uint32_t seed, n_caught = 0, n_results[SIGNOFF_UNKNOWN + 1] = {0};
 	char violation[WORLD_VIOLATION_BYTES];
 
 	for (seed = 1; seed <= SEEDS; seed++) {
--- a/packages/rollout/test/test_rollout.c
+++ b/packages/signoff/test/test_signoff.c
@@ -8,11 +8,11 @@
 #include "base/clock.h"
 #include "scenario.h"
 
-static struct rollout_request
-on_version(struct world *w, enum rollout_kind kind, const char *op,
+static struct signoff_request
+on_version(struct world *w, enum signoff_kind kind, const char *op,
     const char *who, uint64_t version)
 {
-	struct rollout_request req = world_request(w, kind, op, who);
+	struct signoff_request req = world_request(w, kind, op, who);
 
 	req.version = version;
 	return req;
@@ -26,10 +26,10 @@
  */
 START_TEST(test_each_step)
 {
-	const enum rollout_kind kind = (enum rollout_kind)(_i % 3);
+	const enum signoff_kind kind = (enum signoff_kind)(_i % 3);
 	const enum fault fault = (enum fault)(1 + _i / 3 % (FAULT_COUNT - 1));
-	const struct rollout_outcome *o;
-	struct rollout_request req;
+	const struct signoff_outcome *o;
+	struct signoff_request req;
 	struct world *w;
 	uint32_t step;
 
@@ -40,12 +40,12 @@
 		w->fault = fault;
 		req = on_version(w, kind, "op", "anna", 3);
 		o = world_do(w, &req, 4);
-		ck_assert_int_eq(o->result, ROLLOUT_DONE);
-		ck_assert_uint_eq(o->version, kind == ROLLOUT_HALT ? 3 : 4);
-		ck_assert_uint_eq(o->in_force, kind == ROLLOUT_HALT ? 2 : 4);
+		ck_assert_int_eq(o->result, SIGNOFF_DONE);
+		ck_assert_uint_eq(o->version, kind == SIGNOFF_HALT ? 3 : 4);
+		ck_assert_uint_eq(o->in_force, kind == SIGNOFF_HALT ? 2 : 4);
 		ck_assert(!o->repeated);
 		o = world_do(w, &req, 4);
-		ck_assert_int_eq(o->result, ROLLOUT_DONE);
+		ck_assert_int_eq(o->result, SIGNOFF_DONE);
 		ck_assert(o->repeated);
 		ck_assert_uint_eq(w->deeds->len, 4);
 		check_truth(w);
@@ -56,39 +56,39 @@
 
 /* What each request is told on a platform with three versions. */
 static const struct {
-	enum rollout_kind kind;
+	enum signoff_kind kind;
 	const char *op;
 	uint64_t version;
 	int parent; /* -1 for none */
 	uint32_t variant;
-	enum rollout_result result;
+	enum signoff_result result;
 	uint64_t winner_version;
 	const char *winner_operator;
 } told[] = {
-    {ROLLOUT_SIGN_OFF, "op", 0, 3, 9, ROLLOUT_DONE, 0, ""},
-    {ROLLOUT_SIGN_OFF, "op", 0, 2, 9, ROLLOUT_CONFLICT, 3, "anna"},
-    {ROLLOUT_SIGN_OFF, "op", 0, 0, 9, ROLLOUT_CONFLICT, 1, "anna"},
-    {ROLLOUT_SIGN_OFF, "op", 0, 4, 9, ROLLOUT_NOT_FOUND, 0, ""},
-    {ROLLOUT_SIGN_OFF, "base-2", 0, 1, 2, ROLLOUT_DONE, 0, ""},
-    {ROLLOUT_SIGN_OFF, "base-2", 0, -1, 2, ROLLOUT_DONE, 0, ""},
-    {ROLLOUT_SIGN_OFF, "base-2", 0, -1, 9, ROLLOUT_INVALID, 0, ""},
-    {ROLLOUT_SUPERSEDE, "op", 1, 3, 0, ROLLOUT_DONE, 0, ""},
-    {ROLLOUT_SUPERSEDE, "op", 1, 2, 0, ROLLOUT_CONFLICT, 3, "anna"},
-    {ROLLOUT_SUPERSEDE, "op", 4, -1, 0, ROLLOUT_NOT_FOUND, 0, ""},
-    {ROLLOUT_SUPERSEDE, "base-1", 2, -1, 0, ROLLOUT_INVALID, 0, ""},
-    {ROLLOUT_HALT, "op", 3, -1, 0, ROLLOUT_DONE, 0, ""},
-    {ROLLOUT_HALT, "op", 1, -1, 0, ROLLOUT_CONFLICT, 2, "anna"},
-    {ROLLOUT_HALT, "op", 4, -1, 0, ROLLOUT_NOT_FOUND, 0, ""},
-    {ROLLOUT_HALT, "base-3", 3, -1, 0, ROLLOUT_INVALID, 0, ""},
-    {ROLLOUT_FIND, "base-1", 0, -1, 0, ROLLOUT_DONE, 0, ""},
-    {ROLLOUT_FIND, "op", 0, -1, 0, ROLLOUT_NOT_FOUND, 0, ""},
+    {SIGNOFF_SIGN_OFF, "op", 0, 3, 9, SIGNOFF_DONE, 0, ""},
+    {SIGNOFF_SIGN_OFF, "op", 0, 2, 9, SIGNOFF_CONFLICT, 3, "anna"},
+    {SIGNOFF_SIGN_OFF, "op", 0, 0, 9, SIGNOFF_CONFLICT, 1, "anna"},
+    {SIGNOFF_SIGN_OFF, "op", 0, 4, 9, SIGNOFF_NOT_FOUND, 0, ""},
+    {SIGNOFF_SIGN_OFF, "base-2", 0, 1, 2, SIGNOFF_DONE, 0, ""},
+    {SIGNOFF_SIGN_OFF, "base-2", 0, -1, 2, SIGNOFF_DONE, 0, ""},
+    {SIGNOFF_SIGN_OFF, "base-2", 0, -1, 9, SIGNOFF_INVALID, 0, ""},
+    {SIGNOFF_SUPERSEDE, "op", 1, 3, 0, SIGNOFF_DONE, 0, ""},
+    {SIGNOFF_SUPERSEDE, "op", 1, 2, 0, SIGNOFF_CONFLICT, 3, "anna"},
+    {SIGNOFF_SUPERSEDE, "op", 4, -1, 0, SIGNOFF_NOT_FOUND, 0, ""},
+    {SIGNOFF_SUPERSEDE, "base-1", 2, -1, 0, SIGNOFF_INVALID, 0, ""},
+    {SIGNOFF_HALT, "op", 3, -1, 0, SIGNOFF_DONE, 0, ""},
+    {SIGNOFF_HALT, "op", 1, -1, 0, SIGNOFF_CONFLICT, 2, "anna"},
+    {SIGNOFF_HALT, "op", 4, -1, 0, SIGNOFF_NOT_FOUND, 0, ""},
+    {SIGNOFF_HALT, "base-3", 3, -1, 0, SIGNOFF_INVALID, 0, ""},
+    {SIGNOFF_FIND, "base-1", 0, -1, 0, SIGNOFF_DONE, 0, ""},
+    {SIGNOFF_FIND, "op", 0, -1, 0, SIGNOFF_NOT_FOUND, 0, ""},
 };
 
 START_TEST(test_told)
 {
 	struct world *w = world_new(1);
-	const struct rollout_outcome *o;
-	struct rollout_request req;
+	const struct signoff_outcome *o;
+	struct signoff_request req;
 
 	sign_many(w, 3);
 	req = on_version(
@@ -110,26 +110,26 @@
 START_TEST(test_halts)
 {
 	struct world *w = world_new(1);
-	const struct rollout_outcome *o;
-	struct rollout_request req, first;
+	const struct signoff_outcome *o;
+	struct signoff_request req, first;
 
 	sign_many(w, 2);
-	first = on_version(w, ROLLOUT_HALT, "stop-2", "bjorn", 2);
-	ck_assert_int_eq(world_do(w, &first, 0)->result, ROLLOUT_DONE);
-	req = on_version(w, ROLLOUT_HALT, "late-2", "carl", 2);
+	first = on_version(w, SIGNOFF_HALT, "stop-2", "bjorn", 2);
+	ck_assert_int_eq(world_do(w, &first, 0)->result, SIGNOFF_DONE);
+	req = on_version(w, SIGNOFF_HALT, "late-2", "carl", 2);
 	o = world_do(w, &req, 0);
-	ck_assert_int_eq(o->result, ROLLOUT_ALREADY);
+	ck_assert_int_eq(o->result, SIGNOFF_ALREADY);
 	ck_assert_str_eq(o->winner_operator, "bjorn");
 	sign_many(w, 3);
 	o = world_do(w, &req, 0);
-	ck_assert_int_eq(o->result, ROLLOUT_ALREADY);
+	ck_assert_int_eq(o->result, SIGNOFF_ALREADY);
 	ck_assert_str_eq(o->winner_operator, "bjorn");
 	o = world_do(w, &first, 0);
-	ck_assert_int_eq(o->result, ROLLOUT_DONE);
+	ck_assert_int_eq(o->result, SIGNOFF_DONE);
 	ck_assert(o->repeated);
-	req = on_version(w, ROLLOUT_HALT, "stop-3", "bjorn", 3);
+	req = on_version(w, SIGNOFF_HALT, "stop-3", "bjorn", 3);
 	ck_assert_uint_eq(world_do(w, &req, 0)->in_force, 1);
-	req = on_version(w, ROLLOUT_SUPERSEDE, "back", "carl", 1);
+	req = on_version(w, SIGNOFF_SUPERSEDE, "back", "carl", 1);
 	o = world_do(w, &req, 0);
 	ck_assert_uint_eq(o->version, 4);
 	ck_assert_uint_eq(o->in_force, 4);
@@ -138,7 +138,7 @@
 	/* The only version halted: nothing is in force. */
 	w = world_new(1);
 	sign_many(w, 1);
-	req = on_version(w, ROLLOUT_HALT, "stop", "carl", 1);
+	req = on_version(w, SIGNOFF_HALT, "stop", "carl", 1);
 	ck_assert_uint_eq(world_do(w, &req, 0)->in_force, 0);
 	sign_many(w, 2);
 	check_truth(w);
@@ -151,8 +151,8 @@
 START_TEST(test_down)
 {
 	const bool written = _i % 2 != 0;
-	const struct rollout_outcome *o;
-	struct rollout_request req, find;
+	const struct signoff_outcome *o;
+	struct signoff_request req, find;
 	struct world *w = world_new((uint32_t)_i);
 	uint64_t after_seq;
 
@@ -161,7 +161,7 @@
 	req = sign(w, "op");
 	req.fresh = true;
 	o = world_do(w, &req, 5);
-	ck_assert_int_eq(o->result, ROLLOUT_UNAVAILABLE);
+	ck_assert_int_eq(o->result, SIGNOFF_UNAVAILABLE);
 	ck_assert_uint_ge(w->now_ms, req.deadline_ms);
 	ck_assert_uint_eq(w->deeds->len, 1);
 	/* The write's answer is lost, and nothing can be read after it. */
@@ -170,21 +170,21 @@
 	w->fault = written ? FAULT_LOST_ANSWER : FAULT_LOST_REQUEST;
 	req = sign(w, "lost");
 	req.fresh = true;
-	req.deadline_ms = w->now_ms + ROLLOUT_STEP_MS;
+	req.deadline_ms = w->now_ms + SIGNOFF_STEP_MS;
 	o = world_do(w, &req, 5);
-	ck_assert_int_eq(o->result, ROLLOUT_UNKNOWN);
+	ck_assert_int_eq(o->result, SIGNOFF_UNKNOWN);
 	ck_assert_uint_eq(w->deeds->len, written ? 2 : 1);
 	after_seq = o->after_seq;
 	ck_assert_uint_eq(after_seq, 1);
-	find = world_request(w, ROLLOUT_FIND, "lost", "");
+	find = world_request(w, SIGNOFF_FIND, "lost", "");
 	find.after_seq = after_seq;
 	o = world_do(w, &find, 0);
-	ck_assert_int_eq(o->result, written ? ROLLOUT_DONE : ROLLOUT_UNKNOWN);
+	ck_assert_int_eq(o->result, written ? SIGNOFF_DONE : SIGNOFF_UNKNOWN);
 	/* Once somebody else has gone on, it is certain either way. */
 	sign_many(w, written ? 3 : 2);
-	find.deadline_ms = w->now_ms + ROLLOUT_STEP_MS;
+	find.deadline_ms = w->now_ms + SIGNOFF_STEP_MS;
 	o = world_do(w, &find, 0);
-	ck_assert_int_eq(o->result, written ? ROLLOUT_DONE : ROLLOUT_NOT_FOUND);
+	ck_assert_int_eq(o->result, written ? SIGNOFF_DONE : SIGNOFF_NOT_FOUND);
 	check_truth(w);
 	world_free(w);
 }
@@ -194,15 +194,15 @@
 START_TEST(test_too_large)
 {
 	struct world *w = world_new(1);
-	const struct rollout_outcome *o;
-	struct rollout_request req;
+	const struct signoff_outcome *o;
+	struct signoff_request req;
 
 	sign_many(w, 1);
 	w->refuse = STATUS_TOO_LARGE;
-	w->refuse_kind = _i == 0 ? ROLLOUT_PUT_OBJECT : ROLLOUT_TRANSACT;
+	w->refuse_kind = _i == 0 ? SIGNOFF_PUT_OBJECT : SIGNOFF_TRANSACT;
 	req = sign(w, "op");
 	o = world_do(w, &req, 5);
-	ck_assert_int_eq(o->result, ROLLOUT_INVALID);
+	ck_assert_int_eq(o->result, SIGNOFF_INVALID);
 	ck_assert_uint_lt(w->now_ms, req.deadline_ms);
 	check_truth(w);
 	world_free(w);
@@ -214,7 +214,7 @@
 START_TEST(test_whole)
 {
 	struct world *w = world_new(1);
-	struct rollout_request req;
+	struct signoff_request req;
 
 	sign_many(w, 1);
 	ck_assert_uint_eq(w->n_whole, 0);
@@ -223,7 +223,7 @@
 	req = sign(w, "op");
 	req.deadline_ms = DEADLINE_NEVER;
 	ck_assert_int_eq(
-	    world_do(w, &req, _i == 0 ? 5 : WORLD_HUGE)->result, ROLLOUT_DONE);
+	    world_do(w, &req, _i == 0 ? 5 : WORLD_HUGE)->result, SIGNOFF_DONE);
 	ck_assert_uint_eq(w->n_whole, 1);
 	check_truth(w);
 	world_free(w);
@@ -234,9 +234,9 @@
  * not there when looked for does not mean that it is not done. */
 START_TEST(test_late)
 {
-	const struct rollout_outcome *o;
+	const struct signoff_outcome *o;
 	struct world *w = world_new(1);
-	struct rollout_request req;
+	struct signoff_request req;
 
 	sign_many(w, 1);
 	w->fault_at = w->n_requests + WRITE_REQUEST;
@@ -245,7 +245,7 @@
 	req = sign(w, "op");
 	req.fresh = true;
 	o = world_do(w, &req, 5);
-	ck_assert_int_eq(o->result, ROLLOUT_UNKNOWN);
+	ck_assert_int_eq(o->result, SIGNOFF_UNKNOWN);
 	ck_assert_uint_eq(w->deeds->len, 2);
 	check_truth(w);
 	world_free(w);
@@ -256,22 +256,22 @@
 START_TEST(test_refused)
 {
 	struct world *w = world_new(1);
-	struct rollout_request req;
-	struct rollout *r;
+	struct signoff_request req;
+	struct signoff *r;
 
-	req = world_request(w, ROLLOUT_HALT, "", "anna");
+	req = world_request(w, SIGNOFF_HALT, "", "anna");
 	req.version = 1;
-	ck_assert_int_eq(rollout_new(&req, &r), STATUS_INVALID);
-	req = world_request(w, ROLLOUT_HALT, "a/b", "anna");
+	ck_assert_int_eq(signoff_new(&req, &r), STATUS_INVALID);
+	req = world_request(w, SIGNOFF_HALT, "a/b", "anna");
 	req.version = 1;
-	ck_assert_int_eq(rollout_new(&req, &r), STATUS_INVALID);
-	req = world_request(w, ROLLOUT_HALT, "op", "");
+	ck_assert_int_eq(signoff_new(&req, &r), STATUS_INVALID);
+	req = world_request(w, SIGNOFF_HALT, "op", "");
 	req.version = 1;
-	ck_assert_int_eq(rollout_new(&req, &r), STATUS_INVALID);
-	req = world_request(w, ROLLOUT_HALT, "op", "anna");
-	ck_assert_int_eq(rollout_new(&req, &r), STATUS_INVALID);
-	req = world_request(w, ROLLOUT_SIGN_OFF, "op", "anna");
-	ck_assert_int_eq(rollout_new(&req, &r), STATUS_INVALID);
+	ck_assert_int_eq(signoff_new(&req, &r), STATUS_INVALID);
+	req = world_request(w, SIGNOFF_HALT, "op", "anna");
+	ck_assert_int_eq(signoff_new(&req, &r), STATUS_INVALID);
+	req = world_request(w, SIGNOFF_SIGN_OFF, "op", "anna");
+	ck_assert_int_eq(signoff_new(&req, &r), STATUS_INVALID);
 	world_free(w);
 }
 END_TEST
@@ -279,8 +279,8 @@
 int
 main(void)
 {
-	Suite *suite = suite_create("rollout");
-	TCase *tc = tcase_create("rollout");
+	Suite *suite = suite_create("signoff");
+	TCase *tc = tcase_create("signoff");
 
 	tcase_add_loop_test(tc, test_each_step, 0, 3 * (FAULT_COUNT - 1));
 	tcase_add_loop_test(tc, test_told, 0, (int)G_N_ELEMENTS(told));
--- a/packages/rollout/test/world.c
+++ b/packages/signoff/test/world.c
@@ -15,10 +15,10 @@
 struct event {
 	uint64_t at_ms;
 	struct actor *actor;
-	struct rollout *r;
+	struct signoff *r;
 	bool arrival;
 	bool mute;
-	struct rollout_action a;
+	struct signoff_action a;
 	enum status st;
 	struct store_head head;
 	uint64_t upto;
@@ -51,7 +51,7 @@
 {
 	struct actor *actor = data;
 
-	rollout_free(actor->r);
+	signoff_free(actor->r);
 	bundle_free(actor->bundle);
 	g_free(actor);
 }
@@ -138,25 +138,25 @@
 }
 
 static bool
-is_write(const struct rollout_action *a)
+is_write(const struct signoff_action *a)
 {
-	return a->kind == ROLLOUT_TRANSACT || a->kind == ROLLOUT_PUT_OBJECT;
+	return a->kind == SIGNOFF_TRANSACT || a->kind == SIGNOFF_PUT_OBJECT;
 }
 
 /* Send a request; what the sender hears and what happens are drawn. */
 static void
-send_request(struct world *w, struct actor *actor, struct rollout_action *a)
+send_request(struct world *w, struct actor *actor, struct signoff_action *a)
 {
 	struct event e = {.actor = actor, .r = actor->r, .a = *a};
 	enum fault fault = draw_fault(w);
 	uint64_t arrive_ms = w->now_ms + latency(w);
 
-	if (a->kind == ROLLOUT_TRANSACT)
+	if (a->kind == SIGNOFF_TRANSACT)
 		actor->sent = a->head;
 	if (w->refuse != STATUS_OK && a->kind == w->refuse_kind) {
 		e.st = w->refuse;
 		post(w, &e, arrive_ms, false);
-		rollout_action_clear(a);
+		signoff_action_clear(a);
 		return;
 	}
 	e.st = is_write(a) ? STATUS_UNKNOWN : STATUS_UNAVAILABLE;
@@ -182,11 +182,11 @@
 		post(w, &e, a->deadline_ms, false);
 		break;
 	}
-	rollout_action_clear(a);
+	signoff_action_clear(a);
 }
 
 static enum status
-transact(struct world *w, const struct rollout_action *a)
+transact(struct world *w, const struct signoff_action *a)
 {
 	struct row *row;
 
@@ -215,24 +215,24 @@
 	answer.st = STATUS_OK;
 	answer.object = NULL;
 	switch (e->a.kind) {
-	case ROLLOUT_READ_HEAD:
+	case SIGNOFF_READ_HEAD:
 		answer.head = w->head;
 		if (w->head.seq == 0)
 			answer.st = STATUS_NOT_FOUND;
 		break;
-	case ROLLOUT_READ_VERSIONS:
+	case SIGNOFF_READ_VERSIONS:
 		/* Now and then only a part, as the platform may. */
 		answer.upto = e->a.to;
 		if (e->a.to > e->a.from && g_rand_boolean(w->rand))
 			answer.upto -= 1;
 		break;
-	case ROLLOUT_GET_OBJECT:
+	case SIGNOFF_GET_OBJECT:
 		object = g_hash_table_lookup(w->objects, e->a.key);
 		answer.object = object;
 		if (object == NULL)
 			answer.st = STATUS_NOT_FOUND;
 		break;
-	case ROLLOUT_PUT_OBJECT:
+	case SIGNOFF_PUT_OBJECT:
 		if (!g_hash_table_contains(w->objects, e->a.key))
 			g_hash_table_insert(w->objects, g_strdup(e->a.key),
 			    g_bytes_ref(e->a.content));
@@ -264,7 +264,7 @@
 		    (uint32_t)g_bytes_get_size(row->changes);
 		n++;
 	}
-	rollout_on_versions(
+	signoff_on_versions(
 	    e->r, w->now_ms, e->a.token, e->st, rows, n, e->upto);
 }
 
@@ -272,14 +272,14 @@
 static void
 start_afresh(struct world *w, struct actor *actor)
 {
-	struct rollout_request req = actor->req;
+	struct signoff_request req = actor->req;
 
 	g_snprintf(
 	    req.op, sizeof(req.op), "%s.%u", actor->req.op, actor->n_starts++);
 	req.fresh = true;
-	rollout_free(actor->r);
-	g_assert(rollout_new(&req, &actor->r) == STATUS_OK);
-	rollout_start(actor->r, w->now_ms);
+	signoff_free(actor->r);
+	g_assert(signoff_new(&req, &actor->r) == STATUS_OK);
+	signoff_start(actor->r, w->now_ms);
 }
 
 static void
@@ -293,24 +293,24 @@
 	if (e->object != NULL)
 		data = g_bytes_get_data(e->object, &len);
 	switch (e->a.kind) {
-	case ROLLOUT_READ_HEAD:
-		rollout_on_head(e->r, w->now_ms, e->a.token, e->st, &e->head);
+	case SIGNOFF_READ_HEAD:
+		signoff_on_head(e->r, w->now_ms, e->a.token, e->st, &e->head);
 		break;
-	case ROLLOUT_READ_VERSIONS:
+	case SIGNOFF_READ_VERSIONS:
 		deliver_rows(w, e);
 		break;
-	case ROLLOUT_GET_OBJECT:
-		rollout_on_object(
+	case SIGNOFF_GET_OBJECT:
+		signoff_on_object(
 		    e->r, w->now_ms, e->a.token, e->st, data, len);
 		break;
-	case ROLLOUT_PUT_OBJECT:
-		rollout_on_put(e->r, w->now_ms, e->a.token, e->st);
+	case SIGNOFF_PUT_OBJECT:
+		signoff_on_put(e->r, w->now_ms, e->a.token, e->st);
 		break;
 	default:
 		if (e->actor->naive && e->st == STATUS_UNKNOWN)
 			start_afresh(w, e->actor);
 		else
-			rollout_on_transact(e->r, w->now_ms, e->a.token, e->st);
+			signoff_on_transact(e->r, w->now_ms, e->a.token, e->st);
 		break;
 	}
 }
@@ -319,11 +319,11 @@
 static void
 drain(struct world *w, struct actor *actor)
 {
-	struct rollout_action a;
+	struct signoff_action a;
 
-	while (rollout_action(actor->r, &a)) {
-		if (a.kind == ROLLOUT_FINISH)
-			actor->outcome = *rollout_outcome(actor->r);
+	while (signoff_action(actor->r, &a)) {
+		if (a.kind == SIGNOFF_FINISH)
+			actor->outcome = *signoff_outcome(actor->r);
 		else
 			send_request(w, actor, &a);
 	}
@@ -339,9 +339,9 @@
 	*at_ms = DEADLINE_NEVER;
 	for (i = 0; i < w->actors->len; i++) {
 		actor = g_ptr_array_index(w->actors, i);
-		if (rollout_next_ms(actor->r) < *at_ms) {
+		if (signoff_next_ms(actor->r) < *at_ms) {
 			first = actor;
-			*at_ms = rollout_next_ms(actor->r);
+			*at_ms = signoff_next_ms(actor->r);
 		}
 	}
 	return first;
@@ -372,7 +372,7 @@
 		g_sequence_remove(iter);
 	} else {
 		w->now_ms = MAX(w->now_ms, at_ms);
-		rollout_tick(actor->r, w->now_ms);
+		signoff_tick(actor->r, w->now_ms);
 	}
 	drain(w, actor);
 	return true;
@@ -416,11 +416,11 @@
 	return b;
 }
 
-struct rollout_request
-world_request(struct world *w, enum rollout_kind kind, const char *op,
+struct signoff_request
+world_request(struct world *w, enum signoff_kind kind, const char *op,
     const char *operator_name)
 {
-	struct rollout_request req;
+	struct signoff_request req;
 
 	memset(&req, 0, sizeof(req));
 	req.kind = kind;
@@ -432,7 +432,7 @@
 }
 
 struct actor *
-world_start(struct world *w, const struct rollout_request *req,
+world_start(struct world *w, const struct signoff_request *req,
     uint32_t variant, bool naive)
 {
 	struct actor *actor = g_new0(struct actor, 1);
@@ -440,18 +440,18 @@
 	actor->req = *req;
 	actor->naive = naive;
 	actor->variant = variant;
-	if (req->kind == ROLLOUT_SIGN_OFF)
+	if (req->kind == SIGNOFF_SIGN_OFF)
 		actor->bundle = bundle_variant(variant);
 	actor->req.bundle = actor->bundle;
-	g_assert(rollout_new(&actor->req, &actor->r) == STATUS_OK);
+	g_assert(signoff_new(&actor->req, &actor->r) == STATUS_OK);
 	g_ptr_array_add(w->actors, actor);
-	rollout_start(actor->r, w->now_ms);
+	signoff_start(actor->r, w->now_ms);
 	drain(w, actor);
 	return actor;
 }
 
-const struct rollout_outcome *
-world_do(struct world *w, const struct rollout_request *req, uint32_t variant)
+const struct signoff_outcome *
+world_do(struct world *w, const struct signoff_request *req, uint32_t variant)
 {
 	struct actor *actor = world_start(w, req, variant, false);
 
--- a/packages/rollout/test/world.h
+++ b/packages/signoff/test/world.h
@@ -3,11 +3,11 @@
  * operators who act on it in an order drawn from a seed, and a checker of
  * what they were told.
  */
-#ifndef ROLLOUT_TEST_WORLD_H
-#define ROLLOUT_TEST_WORLD_H
+#ifndef SIGNOFF_TEST_WORLD_H
+#define SIGNOFF_TEST_WORLD_H
 
 #include "proto/messages.h"
-#include "rollout/rollout.h"
+#include "signoff/signoff.h"
 
 #define WORLD_VIOLATION_BYTES 256
 
@@ -37,14 +37,14 @@
  * @outcome: how it ended
  */
 struct actor {
-	struct rollout_request req;
-	struct rollout *r;
+	struct signoff_request req;
+	struct signoff *r;
 	struct bundle *bundle;
 	uint32_t variant;
 	bool naive;
 	uint32_t n_starts;
 	struct store_head sent;
-	struct rollout_outcome outcome;
+	struct signoff_outcome outcome;
 };
 
 /**
@@ -93,7 +93,7 @@
 	uint32_t fault_at;
 	enum fault fault;
 	enum status refuse;
-	enum rollout_action_kind refuse_kind;
+	enum signoff_action_kind refuse_kind;
 	struct store_head head;
 	GPtrArray *rows;
 	GHashTable *objects;
@@ -108,11 +108,11 @@
 void world_free(struct world *w);
 
 /** world_request() - a request with its defaults filled in */
-struct rollout_request world_request(struct world *w, enum rollout_kind kind,
+struct signoff_request world_request(struct world *w, enum signoff_kind kind,
     const char *op, const char *operator_name);
 
 /** world_start() - start an operation; @variant makes up its bundle */
-struct actor *world_start(struct world *w, const struct rollout_request *req,
+struct actor *world_start(struct world *w, const struct signoff_request *req,
     uint32_t variant, bool naive);
 
 /** world_step() - let one thing happen; whether there was one */
@@ -122,8 +122,8 @@
 void world_run(struct world *w);
 
 /** world_do() - start an operation and run; its outcome */
-const struct rollout_outcome *
-world_do(struct world *w, const struct rollout_request *req, uint32_t variant);
+const struct signoff_outcome *
+world_do(struct world *w, const struct signoff_request *req, uint32_t variant);
 
 /** world_check() - whether all were told the truth; sets @w->violation */
 bool world_check(struct world *w);
