--- a/packages/config/include/config/endpoints.h
+++ b/packages/config/include/config/endpoints.h
@@ -18,6 +18,9 @@
 /* Longest name of a host or data centre, zero included. */
 #define HOST_NAME_BYTES 32
 
+/* Longest version of an upstream's software, zero included. */
+#define ENDPOINT_VERSION_BYTES 32
+
 /** enum serving_state - what an upstream said of itself */
 enum serving_state {
 	SERVING_STARTING = 0,
@@ -39,6 +42,7 @@
  * @cold_ms: how long it was still slow after its start when it was announced,
  *	or ENDPOINT_COLD_UNKNOWN
  * @state: what it said of itself
+ * @version: version of its software, empty when not told
  */
 struct endpoint {
 	char service[SERVICE_NAME_BYTES];
@@ -49,6 +53,7 @@
 	uint32_t slots;
 	uint32_t cold_ms;
 	enum serving_state state;
+	char version[ENDPOINT_VERSION_BYTES];
 };
 
 /**
--- a/packages/config/src/endpoints.c
+++ b/packages/config/src/endpoints.c
@@ -124,7 +124,7 @@
 	return strcmp(a->data_centre, b->data_centre) == 0 &&
 	    addr_equal(&a->address, &b->address) &&
 	    a->incarnation == b->incarnation && a->slots == b->slots &&
-	    a->state == b->state;
+	    a->state == b->state && strcmp(a->version, b->version) == 0;
 }
 
 /* A copy of a list with @skip entries at @at replaced by @insert. */
--- a/packages/membership/bench/bench_membership.c
+++ b/packages/membership/bench/bench_membership.c
@@ -91,7 +91,7 @@
 
 	(void)membership_announce(f->nodes[host].m, f->now_ms,
 	    "hearing-booking", 8080, (uint16_t)(12 + k % 2), states[k % 3],
-	    DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	    DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 	c.incarnation = membership_self(f->nodes[host].m)->incarnation;
 	return c;
 }
--- a/packages/membership/include/membership/member.h
+++ b/packages/membership/include/membership/member.h
@@ -35,6 +35,8 @@
  * @slots: requests that it runs at once
  * @cold_ms: how long it was still slow after its start when it was announced
  * @state: starting, ready, draining or left
+ * @version: version of its software, empty when not told; valid as long as the
+ *	membership
  */
 struct member_endpoint {
 	const char *service;
@@ -43,6 +45,7 @@
 	uint16_t slots;
 	uint16_t cold_ms;
 	uint8_t state;
+	const char *version;
 };
 
 /**
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -299,13 +299,15 @@
  * @cold_ms: how much longer it is slow after its start, or
  *	MEMBER_COLD_UNKNOWN.  Peers are told it as it is when something else
  *	changes: its running down is no news
+ * @version: version of its software; NULL or "" when it didn't say
  *
  * Return: STATUS_OK, STATUS_INVALID, or STATUS_OVERLOADED when the host has
  * MEMBER_ENDPOINTS_MAX endpoints already.
  */
-enum status membership_announce(struct membership *m, uint64_t now_ms,
-    const char *service, uint16_t port, uint16_t slots,
-    enum endpoint_state state, uint64_t lease_ms, uint16_t cold_ms);
+enum status
+membership_announce(struct membership *m, uint64_t now_ms, const char *service,
+    uint16_t port, uint16_t slots, enum endpoint_state state, uint64_t lease_ms,
+    uint16_t cold_ms, const char *version);
 
 /**
  * membership_withdraw() - an upstream of the own host has left
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -302,6 +302,7 @@
  * @lease_ms: by when it is to be announced again
  * @gone_ms: when a lapsed one is taken to have left
  * @drop_ms: when one that has left is dropped from the record
+ * @version: version of its software, or empty
  */
 struct own_endpoint {
 	char service[MEMBER_NAME_BYTES];
@@ -313,6 +314,7 @@
 	uint64_t lease_ms;
 	uint64_t gone_ms;
 	uint64_t drop_ms;
+	char version[MEMBER_NAME_BYTES];
 };
 
 /**
--- a/packages/membership/src/own.c
+++ b/packages/membership/src/own.c
@@ -56,6 +56,7 @@
 		recs[i].cold_ms = e->cold_ms;
 		recs[i].state = e->state;
 		recs[i].revision = e->revision;
+		memcpy(recs[i].version, e->version, sizeof(e->version));
 	}
 	table_set_endpoints(&m->table, self, recs, m->own->len);
 	table_set(&m->table, self, self->member.incarnation + 1,
@@ -125,7 +126,7 @@
 enum status
 membership_announce(struct membership *m, uint64_t now_ms, const char *service,
     uint16_t port, uint16_t slots, enum endpoint_state state, uint64_t lease_ms,
-    uint16_t cold_ms)
+    uint16_t cold_ms, const char *version)
 {
 	enum status st = check(service, port, state);
 	struct own_endpoint *e;
@@ -135,7 +136,10 @@
 		return st;
 	m->now_ms = MAX(m->now_ms, now_ms);
 	e = own_find(m, service, port);
-	changed = e == NULL || e->slots != slots || e->state != state;
+	if (version == NULL)
+		version = "";
+	changed = e == NULL || e->slots != slots || e->state != state ||
+	    strcmp(e->version, version) != 0;
 	if (e == NULL)
 		e = own_add(m, service, port);
 	if (e == NULL)
@@ -152,6 +156,7 @@
 		return STATUS_OK;
 	e->slots = slots;
 	e->cold_ms = cold_ms;
+	(void)g_strlcpy(e->version, version, sizeof(e->version));
 	set_state(m, e, state);
 	publish(m);
 	return STATUS_OK;
--- a/packages/membership/src/record.c
+++ b/packages/membership/src/record.c
@@ -8,9 +8,9 @@
 #include "record.h"
 
 /* Most bytes of msgpack: a record without its names and endpoints, and an
- * endpoint without its service's name. */
+ * endpoint without its service's name and its version. */
 #define RECORD_FIXED_BYTES 47
-#define ENDPOINT_FIXED_BYTES 15
+#define ENDPOINT_FIXED_BYTES 17
 
 /* Names of hosts and data centres. */
 static int
@@ -53,6 +53,7 @@
 	rec->cold_ms = e->cold_ms;
 	rec->state = (enum endpoint_state)e->state;
 	rec->revision = e->revision;
+	(void)g_strlcpy(rec->version, e->version, sizeof(rec->version));
 }
 
 void
@@ -97,7 +98,8 @@
 
 	n += strlen(mb->host) + strlen(mb->data_centre);
 	for (i = 0; i < mb->n_endpoints; i++)
-		n += ENDPOINT_FIXED_BYTES + strlen(mb->endpoints[i].service);
+		n += ENDPOINT_FIXED_BYTES + strlen(mb->endpoints[i].service) +
+		    strlen(mb->endpoints[i].version);
 	return (uint32_t)n;
 }
 
--- a/packages/membership/src/table.c
+++ b/packages/membership/src/table.c
@@ -202,6 +202,8 @@
 		e->slots = endpoints[i].slots;
 		e->cold_ms = endpoints[i].cold_ms;
 		e->state = (uint8_t)endpoints[i].state;
+		e->version = g_string_chunk_insert_const(
+		    t->services, endpoints[i].version);
 	}
 }
 
--- a/packages/membership/test/fake_net.c
+++ b/packages/membership/test/fake_net.c
@@ -259,7 +259,7 @@
 fake_announce(struct fake_net *f, uint32_t i)
 {
 	(void)membership_announce(f->nodes[i].m, f->now_ms, "search", 80, 12,
-	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 	drain(f, i);
 }
 
--- a/packages/membership/test/test_centres.c
+++ b/packages/membership/test/test_centres.c
@@ -24,7 +24,7 @@
 announce(uint32_t i, enum endpoint_state state)
 {
 	(void)membership_announce(f->nodes[i].m, f->now_ms, "search", 80, 12,
-	    state, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	    state, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 }
 
 /* All that are up see node 1's endpoint draining. */
--- a/packages/membership/test/test_chaos.c
+++ b/packages/membership/test/test_chaos.c
@@ -45,7 +45,7 @@
 	if (fake_up(f, i))
 		(void)membership_announce(f->nodes[i].m, f->now_ms, "search",
 		    (uint16_t)(80 + pick(2)), 12, states[pick(3)],
-		    DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+		    DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 }
 
 static void
--- a/packages/membership/test/test_own.c
+++ b/packages/membership/test/test_own.c
@@ -66,7 +66,7 @@
 
 	ck_assert_int_eq(
 	    membership_announce(m, f->now_ms, "search", 80, 12, ENDPOINT_READY,
-		f->now_ms + 1000, MEMBER_COLD_UNKNOWN),
+		f->now_ms + 1000, MEMBER_COLD_UNKNOWN, NULL),
 	    STATUS_OK);
 	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
 		fake_run(f, steps[i].after_ms);
@@ -86,7 +86,8 @@
 
 	for (i = 0; i < 20; i++) {
 		(void)membership_announce(m, f->now_ms, "search", 80, 12,
-		    ENDPOINT_READY, f->now_ms + 1000, MEMBER_COLD_UNKNOWN);
+		    ENDPOINT_READY, f->now_ms + 1000, MEMBER_COLD_UNKNOWN,
+		    NULL);
 		if (i == 0) {
 			change = membership_change(m);
 			incarnation = membership_self(m)->incarnation;
@@ -108,7 +109,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(states); i++) {
 		(void)membership_announce(m, f->now_ms, "search", 80, 12,
-		    states[i], DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+		    states[i], DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 		ck_assert_uint_gt(membership_self(m)->incarnation, was);
 		was = membership_self(m)->incarnation;
 		ck_assert_uint_eq(endpoint("search", 80)->revision, i + 1);
@@ -126,18 +127,18 @@
 	uint16_t port;
 
 	for (port = 1; port <= MEMBER_ENDPOINTS_MAX; port++)
-		ck_assert_int_eq(
-		    membership_announce(m, f->now_ms, "search", port, 1,
-			ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN),
+		ck_assert_int_eq(membership_announce(m, f->now_ms, "search",
+				     port, 1, ENDPOINT_READY, DEADLINE_NEVER,
+				     MEMBER_COLD_UNKNOWN, NULL),
 		    STATUS_OK);
 	ck_assert_int_eq(
 	    membership_announce(m, f->now_ms, "search", port, 1, ENDPOINT_READY,
-		DEADLINE_NEVER, MEMBER_COLD_UNKNOWN),
+		DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL),
 	    STATUS_OVERLOADED);
 	(void)membership_withdraw(m, f->now_ms, "search", 3);
 	ck_assert_int_eq(
 	    membership_announce(m, f->now_ms, "search", port, 1, ENDPOINT_READY,
-		DEADLINE_NEVER, MEMBER_COLD_UNKNOWN),
+		DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL),
 	    STATUS_OK);
 	ck_assert_ptr_null(endpoint("search", 3));
 	ck_assert_uint_eq(
@@ -163,7 +164,7 @@
 		ck_assert_int_eq(
 		    membership_announce(m, f->now_ms, bad[i].service,
 			bad[i].port, 1, bad[i].state, DEADLINE_NEVER,
-			MEMBER_COLD_UNKNOWN),
+			MEMBER_COLD_UNKNOWN, NULL),
 		    STATUS_INVALID);
 		ck_assert_ptr_nonnull(strchr(status_message(), ';'));
 	}
@@ -180,9 +181,9 @@
 	uint32_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(odd_names); i++) {
-		ck_assert_int_eq(
-		    membership_announce(m, f->now_ms, odd_names[i], 80, 1,
-			ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN),
+		ck_assert_int_eq(membership_announce(m, f->now_ms, odd_names[i],
+				     80, 1, ENDPOINT_READY, DEADLINE_NEVER,
+				     MEMBER_COLD_UNKNOWN, NULL),
 		    STATUS_OK);
 		ck_assert_ptr_nonnull(endpoint(odd_names[i], 80));
 	}
--- a/packages/membership/test/test_swim.c
+++ b/packages/membership/test/test_swim.c
@@ -202,7 +202,7 @@
 	}
 	cluster_must(f, seed, JOIN_MS, fake_agreed, "joined");
 	(void)membership_announce(f->nodes[1].m, f->now_ms, "search", 80, 1,
-	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 	/* One node sleeps through the leave and through its tombstone. */
 	fake_run(f, 5000);
 	fake_freeze(f, 5);
@@ -234,7 +234,7 @@
 		f = cluster_begin(seed, 10, 1, JOIN_MS);
 		(void)membership_announce(f->nodes[1].m, f->now_ms, "search",
 		    80, 1, ENDPOINT_READY, f->now_ms + 2000,
-		    MEMBER_COLD_UNKNOWN);
+		    MEMBER_COLD_UNKNOWN, NULL);
 		fake_run(f, 1000);
 		fake_freeze(f, 1);
 		fake_run(f, freeze_ms[i]);
@@ -263,7 +263,7 @@
 
 	f = cluster_begin(seed, 8, 1, JOIN_MS);
 	(void)membership_announce(f->nodes[1].m, f->now_ms, "search", 80, 1,
-	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 	fake_run(f, 2000);
 	was = membership_find(f->nodes[3].m, "h1")->incarnation;
 	fake_kill(f, 1);
@@ -325,7 +325,7 @@
 		fake_cut(f, 1, i, 1);
 	}
 	(void)membership_announce(f->nodes[1].m, f->now_ms, "search", 80, 1,
-	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN);
+	    ENDPOINT_READY, DEADLINE_NEVER, MEMBER_COLD_UNKNOWN, NULL);
 	fake_run(f, 1000);
 	fake_kill(f, 1);
 	s = fake_settings(f, 1, 0);
@@ -358,7 +358,7 @@
 		(void)membership_announce(f->nodes[i % 12].m, f->now_ms,
 		    "search", (uint16_t)(80 + i % 3), 1,
 		    states[g_rand_int_range(f->rand, 0, 3)], DEADLINE_NEVER,
-		    MEMBER_COLD_UNKNOWN);
+		    MEMBER_COLD_UNKNOWN, NULL);
 		fake_run(f, (uint64_t)g_rand_int_range(f->rand, 0, 300));
 	}
 	f->loss_percent = 0;
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -9,6 +9,7 @@
 
 #include "base/service_name.h"
 #include "base/status.h"
+#include "membership/member.h"
 #include "node/operation.h"
 #include "proto/addr.h"
 #include "proto/messages.h"
@@ -40,6 +41,7 @@
 /**
  * struct upstream_beat - what an upstream says of itself in a heartbeat
  * @service: service that it is an endpoint of
+ * @version: version of its software, empty when it didn't say
  * @address: where it listens, on this host
  * @slots: requests that it runs at once
  * @state: ready or draining
@@ -49,6 +51,7 @@
  */
 struct upstream_beat {
 	char service[SERVICE_NAME_BYTES];
+	char version[MEMBER_NAME_BYTES];
 	struct net_addr address;
 	uint16_t slots;
 	enum endpoint_state state;
@@ -142,10 +145,11 @@
  * @lease_ms: how long this holds unless told again, from now
  * @cold_ms: how much longer it is slow after its start, or
  *	MEMBER_COLD_UNKNOWN
+ * @version: version of its software; NULL when it didn't say
  */
 enum status control_announce(struct control *c, const char *service,
     uint16_t port, uint16_t slots, enum endpoint_state state, uint32_t lease_ms,
-    uint16_t cold_ms);
+    uint16_t cold_ms, const char *version);
 
 /**
  * control_withdraw() - the upstreams of a service on this host have left
--- a/packages/node/src/admin_upstreams.c
+++ b/packages/node/src/admin_upstreams.c
@@ -95,7 +95,7 @@
 	st = announcement_parse(call, &a);
 	if (st == STATUS_OK)
 		st = control_announce(call->admin->control, service, a.port,
-		    a.slots, a.state, a.lease_ms, MEMBER_COLD_UNKNOWN);
+		    a.slots, a.state, a.lease_ms, MEMBER_COLD_UNKNOWN, NULL);
 	if (st != STATUS_OK) {
 		admin_call_fail(call, st, status_message(),
 		    "See docs/API.md for the announcement's fields.", 0);
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -159,6 +159,8 @@
 		    ? ENDPOINT_COLD_UNKNOWN
 		    : e->cold_ms;
 		list[n].state = (enum serving_state)e->state;
+		(void)g_strlcpy(
+		    list[n].version, e->version, sizeof(list[n].version));
 		n++;
 	}
 	if (endpoint_set_host(c->endpoints, host, list, n) > 0) {
--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -12,13 +12,13 @@
 enum status
 control_announce(struct control *c, const char *service, uint16_t port,
     uint16_t slots, enum endpoint_state state, uint32_t lease_ms,
-    uint16_t cold_ms)
+    uint16_t cold_ms, const char *version)
 {
 	uint64_t now_ms = control_now(c);
 	enum status st;
 
 	st = membership_announce(c->membership, now_ms, service, port, slots,
-	    state, now_ms + lease_ms, cold_ms);
+	    state, now_ms + lease_ms, cold_ms, version);
 	control_pump(c);
 	return st;
 }
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -89,7 +89,7 @@
 	    c->instance_service, b->service, sizeof(c->instance_service));
 	st = control_announce(c, b->service, b->address.port, b->slots,
 	    b->state, c->settings->announce_lease_ms,
-	    (uint16_t)MIN(b->cold_ms, MEMBER_COLD_UNKNOWN - 1));
+	    (uint16_t)MIN(b->cold_ms, MEMBER_COLD_UNKNOWN - 1), b->version);
 	return st;
 }
 
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -19,6 +19,7 @@
 
 /* Most bytes of a text or binary field, most elements of a list. */
 #define REC_ENDPOINT_SERVICE_MAX 31
+#define REC_ENDPOINT_VERSION_MAX 31
 #define REC_MEMBER_HOST_MAX 31
 #define REC_MEMBER_DATA_CENTRE_MAX 31
 #define REC_MEMBER_ENDPOINTS_MAX 8
@@ -104,6 +105,7 @@
  * 	node runs
  * @cold_ms: how long it was still slow after its start when it was
  * 	announced; 65535 when it didn't say
+ * @version: version of its software; empty when it didn't say
  */
 struct rec_endpoint {
 	char service[32];
@@ -112,6 +114,7 @@
 	enum endpoint_state state;
 	uint32_t revision;
 	uint16_t cold_ms;
+	char version[32];
 };
 
 extern const struct codec_desc rec_endpoint_desc;
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -53,11 +53,15 @@
     {.name = "cold_ms",
 	.kind = CODEC_U16,
 	.offset = offsetof(struct rec_endpoint, cold_ms)},
+    {.name = "version",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct rec_endpoint, version),
+	.max = REC_ENDPOINT_VERSION_MAX},
 };
 
 const struct codec_desc rec_endpoint_desc = {.name = "endpoint",
     .fields = rec_endpoint_fields,
-    .n_fields = 6,
+    .n_fields = 7,
     .size_bytes = sizeof(struct rec_endpoint)};
 
 static const struct codec_field rec_member_fields[] = {
--- a/test/driver/test_roll.c
+++ b/test/driver/test_roll.c
@@ -239,7 +239,7 @@
 		else
 			(void)membership_announce(n->m, world_now_ms(w),
 			    service, 8080, 12, (enum endpoint_state)(i % 3),
-			    world_now_ms(w) + 5000, MEMBER_COLD_UNKNOWN);
+			    world_now_ms(w) + 5000, MEMBER_COLD_UNKNOWN, NULL);
 		world_pump(n);
 		if (i % 10 == 0)
 			world_sign(w, g_rand_int(w->rng) % w->n_nodes, 3);
