--- a/packages/ctl/include/ctl/commands.h
+++ b/packages/ctl/include/ctl/commands.h
@@ -78,6 +78,9 @@
 /** query_operation() - tell what became of an operation */
 int query_operation(struct ctl *ctl);
 
+/** query_rollouts() - list the newest rollout of each service */
+int query_rollouts(struct ctl *ctl);
+
 /** query_quarantine() - list requests that are no longer run */
 int query_quarantine(struct ctl *ctl);
 
--- a/packages/ctl/src/commands.c
+++ b/packages/ctl/src/commands.c
@@ -33,6 +33,8 @@
 	REQUEST_TIMEOUT_MS, query_quarantine},
     {"release", "REQUEST", "Let such a request be run again", 1, 1, 0,
 	REQUEST_TIMEOUT_MS, query_release},
+    {"rollouts", "", "List rollouts of services' software", 0, 0, 0,
+	REQUEST_TIMEOUT_MS, query_rollouts},
     {"operation", "OP", "Tell what became of an operation", 1, 1,
 	OPTION_AFTER_SEQ, REQUEST_TIMEOUT_MS, query_operation},
 };
--- a/packages/ctl/src/query.c
+++ b/packages/ctl/src/query.c
@@ -186,6 +186,34 @@
 	return code;
 }
 
+static void
+print_rollouts(struct ctl *ctl, const json_t *json)
+{
+	const json_t *list = json_object_get(json, "rollouts");
+	const json_t *r;
+	size_t i;
+
+	(void)fprintf(ctl->out, "%-24s  %-10s  %-10s  %-11s  %7s  %s\n",
+	    "SERVICE", "FROM", "TO", "PHASE", "LEFT MS", "REASON");
+	json_array_foreach((json_t *)list, i, r)
+	{
+		(void)fprintf(ctl->out,
+		    "%-24s  %-10s  %-10s  %-11s  %7lld  %s\n",
+		    report_text(r, "service"), report_text(r, "from"),
+		    report_text(r, "to"), report_text(r, "phase"),
+		    (long long)number_of(r, "left_ms"),
+		    report_text(r, "reason"));
+	}
+}
+
+int
+query_rollouts(struct ctl *ctl)
+{
+	struct client_request req = {.method = "GET", .path = "/v1/rollouts"};
+
+	return query_run(ctl, &req, print_rollouts);
+}
+
 static void
 print_quarantine(struct ctl *ctl, const json_t *json)
 {
--- a/packages/ctl/test/test_ctl.c
+++ b/packages/ctl/test/test_ctl.c
@@ -321,6 +321,12 @@
 	    "\"note\":\"why\",\"wall_ms\":1700000000000}]}"}},
 	EXIT_CODE_OK, "7  2023-11-14T22:13:20Z  jon  ", "",
 	"GET /v1/versions?limit=2"},
+    {"--node @ rollouts",
+	{{"GET /v1/rollouts", 200,
+	    "{\"rollouts\":[{\"service\":\"booking\",\"from\":\"v1\",\"to\":"
+	    "\"v2\",\"phase\":\"rolled_back\",\"left_ms\":2170,\"reason\":"
+	    "\"failures on route 5: 4 of 5 answers\"}]}"}},
+	EXIT_CODE_OK, "rolled_back", "", "GET /v1/rollouts"},
     {"--node @ quarantine",
 	{{"GET /v1/quarantine", 200,
 	    "{\"requests\":[{\"request\":\"0a.0b\",\"crashes\":3,"
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -139,9 +139,18 @@
 	admin_call_answer(call, 200, json_pack("{s:o}", "members", list));
 }
 
+static void
+handle_rollouts(struct admin_call *call)
+{
+	json_t *list = control_rollouts_json(call->admin->control);
+
+	admin_call_answer(call, 200, json_pack("{s:o}", "rollouts", list));
+}
+
 static const struct admin_route routes[] = {
     {"GET", "status", admin_status},
     {"GET", "members", handle_members},
+    {"GET", "rollouts", handle_rollouts},
     {"POST", "bundles/validate", admin_validate},
     {NULL, "versions", admin_versions},
     {"GET", "operations/", admin_operations},
--- a/packages/node/src/control_rollout.c
+++ b/packages/node/src/control_rollout.c
@@ -596,12 +596,14 @@
 		r = rollout_orders_at(c->rollout->orders, i);
 		left_ms = clock_left_ms(r->deadline_ms, control_now(c));
 		json_array_append_new(out,
-		    json_pack("{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:s}", "service",
-			r->service, "from", r->from, "to", r->to, "order",
-			(json_int_t)r->order, "phase",
+		    json_pack("{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:s,s:i,s:s}",
+			"service", r->service, "from", r->from, "to", r->to,
+			"order", (json_int_t)r->order, "phase",
 			rollout_phase_name(r->phase), "left_ms",
 			(json_int_t)left_ms, "duration_ms",
-			(json_int_t)r->duration_ms, "reason", r->reason));
+			(json_int_t)r->duration_ms, "held", r->held,
+			"share_milli", (int)r->share_milli, "reason",
+			r->reason));
 	}
 	return out;
 }
--- a/packages/traffic/include/traffic/retry.h
+++ b/packages/traffic/include/traffic/retry.h
@@ -36,6 +36,9 @@
  * @refilled_ms: up to when the reserve was paid in
  * @asked: calls of late, and @succeeded: those that were answered; both are
  *	halved each second, next at @halve_ms
+ * @moved: calls of late that were sent elsewhere after a refusal for load, and
+ *	@moved_refused: those that were refused for load there too; halved when
+ *	there are many
  */
 struct retry_budget {
 	struct retry_config cfg;
@@ -44,6 +47,8 @@
 	uint32_t asked;
 	uint32_t succeeded;
 	uint64_t halve_ms;
+	uint32_t moved;
+	uint32_t moved_refused;
 };
 
 /** retry_config_default() - the values that measurement argued for */
@@ -70,6 +75,23 @@
  */
 bool retry_budget_take(struct retry_budget *b, uint64_t now_ms);
 
+/**
+ * retry_budget_moved() - a call that was sent elsewhere after a refusal for
+ * load
+ * @b: the budget
+ * @refused: it was refused for load there too
+ */
+void retry_budget_moved(struct retry_budget *b, bool refused);
+
+/**
+ * retry_budget_room() - whether others have room where one has none
+ *
+ * As calls that were sent elsewhere of late have found it.  Then a refusal for
+ * load costs no retry: it only spreads the load.  Where all are full another
+ * try fills another queue with what comes too late.
+ */
+bool retry_budget_room(const struct retry_budget *b);
+
 /**
  * retry_backoff_ms() - wait before a retry, with full jitter
  * @cfg: the policy
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -54,6 +54,7 @@
 	bool unsure;
 	bool body_gone;
 	bool overdue;
+	bool moved;
 	uint16_t attempt;
 	uint32_t stream;
 	uint64_t endpoint;
@@ -228,14 +229,29 @@
 	return MAX(after_ms, left_ms / LATE_RETURN_DIVISOR);
 }
 
+/* What became of an attempt that followed a refusal for load. */
+static void
+note_moved(struct call *c, bool refused)
+{
+	if (c->moved)
+		retry_budget_moved(c->budget, refused);
+	c->moved = false;
+}
+
 /* The last attempt has certainly not run. */
 static void
 not_run(struct call *c, enum refusal refusal, uint64_t retry_after_ms,
     uint64_t now_ms)
 {
-	c->unreached += refusal_is_free(refusal);
-	if (!refusal_is_final(refusal) &&
-	    schedule_retry(c, !refusal_is_free(refusal), now_ms))
+	bool is_free = refusal_is_free(refusal);
+
+	if (is_for_load(refusal) && !c->cfg.naive && !c->cfg.keyed) {
+		is_free = retry_budget_room(c->budget);
+		note_moved(c, true);
+		c->moved = true;
+	}
+	c->unreached += is_free;
+	if (!refusal_is_final(refusal) && schedule_retry(c, !is_free, now_ms))
 		return;
 	give_up(c, OUTCOME_NOT_RUN, refusal,
 	    return_after_ms(c, refusal, retry_after_ms, now_ms));
@@ -353,6 +369,7 @@
 	    !(is_current(c, stream) && c->state == STATE_COMMITTED))
 		return;
 	retry_budget_success(c->budget);
+	note_moved(c, false);
 	act(c, CALL_DELIVER)->outcome = OUTCOME_DONE;
 	finish(c);
 }
--- a/packages/traffic/src/retry.c
+++ b/packages/traffic/src/retry.c
@@ -25,6 +25,15 @@
 #define TELLING_CALLS 16
 #define HALVE_MS 1000
 
+/* Others have room while fewer of the calls sent elsewhere are refused again.
+ */
+#define ROOM_REFUSED_PERCENT 50
+
+/* Calls that were sent elsewhere and count: an entry of a large fleet sends a
+ * few a second. */
+#define MOVED_KEPT 16
+#define MOVED_PRIOR 2
+
 void
 retry_config_default(struct retry_config *cfg)
 {
@@ -129,6 +138,25 @@
 	return true;
 }
 
+void
+retry_budget_moved(struct retry_budget *b, bool refused)
+{
+	if (b->moved >= MOVED_KEPT) {
+		b->moved /= 2;
+		b->moved_refused /= 2;
+	}
+	b->moved++;
+	b->moved_refused += refused;
+}
+
+/* Before any was moved, others are taken to have room. */
+bool
+retry_budget_room(const struct retry_budget *b)
+{
+	return (b->moved + MOVED_PRIOR) * ROOM_REFUSED_PERCENT >
+	    b->moved_refused * PERCENT;
+}
+
 uint64_t
 retry_backoff_ms(
     const struct retry_config *cfg, uint32_t retry, uint64_t random)
