--- a/packages/rollout/src/judge.c
+++ b/packages/rollout/src/judge.c
@@ -50,6 +50,7 @@
  */
 #define SPEED_BUCKETS 2
 #define SLOW_LEAST_SHARE 0.05
+#define SLOW_EXPECTED_MOST 0.5
 
 /* No route: all of them. */
 #define ROUTE_NONE UINT64_MAX
@@ -138,14 +139,24 @@
 	return sum;
 }
 
-/* The first bucket from which on the old version has few answers. */
+/* The share of slow answers, those from the bucket @from on, that an endpoint
+ * as slow as endpoints may be would give. */
+static double
+slow_share(const struct rollout_route *old, uint32_t from, uint32_t timed)
+{
+	return (double)slower(old, from - MIN(from, SPEED_BUCKETS)) / timed;
+}
+
+/* The first bucket from which on the old version has few answers, and would
+ * have no more than a part on such an endpoint. */
 static uint32_t
 slow_from(const struct rollout_route *old, uint32_t timed)
 {
 	uint32_t i;
 
 	for (i = 0; i < ROLLOUT_BUCKETS; i++)
-		if (slower(old, i) <= timed * SLOW_SHARE)
+		if (slower(old, i) <= timed * SLOW_SHARE &&
+		    slow_share(old, i, timed) <= SLOW_EXPECTED_MOST)
 			break;
 	return i;
 }
