--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -20,7 +20,7 @@
  * @chosen: whether they are chosen by version; else all get requests
  * @current: the version that gets them
  * @candidate: the version that is tried with a small share, or empty
- * @held: host whose endpoint of that version gets nothing, or empty
+ * @excluded: host whose endpoint of that version gets nothing, or empty
  * @share_milli: its share in 1,000, 0 for the usual one
  * @order: number of the order by which it is tried, 0 for none
  */
@@ -28,7 +28,7 @@
 	bool chosen;
 	char current[ENDPOINT_VERSION_BYTES];
 	char candidate[ENDPOINT_VERSION_BYTES];
-	char held[HOST_NAME_BYTES];
+	char excluded[HOST_NAME_BYTES];
 	uint32_t share_milli;
 	uint64_t order;
 };
--- a/packages/node/src/control_rollout.c
+++ b/packages/node/src/control_rollout.c
@@ -138,10 +138,11 @@
 {
 	log_info("service=%s from=%s to=%s order=%" G_GUINT64_FORMAT
 		 " phase=%s left_ms=%" G_GUINT64_FORMAT
-		 " held=%s share_milli=%u reason=\"%s\"",
+		 " excluded=%s share_milli=%u reason=\"%s\"",
 	    r->service, r->from, r->to, r->order, rollout_phase_name(r->phase),
 	    clock_left_ms(r->deadline_ms, control_now(c)),
-	    r->held[0] != '\0' ? r->held : "-", r->share_milli, r->reason);
+	    r->excluded[0] != '\0' ? r->excluded : "-", r->share_milli,
+	    r->reason);
 	metric_add(&phase_count[r->phase], 1);
 	c->dirty = 1;
 }
@@ -185,7 +186,7 @@
 
 /* Tells the watch who takes part. */
 static void
-tell_watch(struct control *c, const struct endpoint_list *list)
+update_watch(struct control *c, const struct endpoint_list *list)
 {
 	struct rollout_endpoint *eps =
 	    g_new0(struct rollout_endpoint, list->n_endpoints);
@@ -233,10 +234,10 @@
 			continue;
 		(void)g_strlcpy(
 		    v->candidate, rollout_candidate(r), sizeof(v->candidate));
-		(void)g_strlcpy(v->held, r->held, sizeof(v->held));
+		(void)g_strlcpy(v->excluded, r->excluded, sizeof(v->excluded));
 		v->share_milli = r->share_milli;
 		v->order = r->order;
-		tell_watch(c, service->endpoints);
+		update_watch(c, service->endpoints);
 	}
 }
 
@@ -255,7 +256,7 @@
 
 	if (r != NULL && !rollout_is_over(r))
 		info->order = r->order;
-	if (tried && strcmp(r->held, c->settings->host) == 0)
+	if (tried && strcmp(r->excluded, c->settings->host) == 0)
 		tried = false;
 	if (!is_current && !tried && info->state == SERVING_READY)
 		info->state = SERVING_DRAINING;
@@ -601,7 +602,7 @@
 			"order", (json_int_t)r->order, "phase",
 			rollout_phase_name(r->phase), "left_ms",
 			(json_int_t)left_ms, "duration_ms",
-			(json_int_t)r->duration_ms, "held", r->held,
+			(json_int_t)r->duration_ms, "excluded", r->excluded,
 			"share_milli", (int)r->share_milli, "reason",
 			r->reason));
 	}
--- a/packages/node/src/entry_service.c
+++ b/packages/node/src/entry_service.c
@@ -68,7 +68,7 @@
 {
 	return v->chosen && v->candidate[0] != '\0' &&
 	    strcmp(ep->version, v->candidate) == 0 &&
-	    strcmp(ep->host, v->held) != 0;
+	    strcmp(ep->host, v->excluded) != 0;
 }
 
 static bool
@@ -186,6 +186,17 @@
 	s->list = list != NULL ? endpoint_list_ref(list) : NULL;
 }
 
+static bool
+same_versions(
+    const struct service_versions *a, const struct service_versions *b)
+{
+	return a->chosen == b->chosen && a->order == b->order &&
+	    a->share_milli == b->share_milli &&
+	    strcmp(a->current, b->current) == 0 &&
+	    strcmp(a->candidate, b->candidate) == 0 &&
+	    strcmp(a->excluded, b->excluded) == 0;
+}
+
 struct entry_service *
 entry_service_get(struct entry *e, const struct snapshot_service *ss)
 {
@@ -197,7 +208,7 @@
 	if (fresh)
 		s = service_new(e, ss->config);
 	if (fresh || s->list != ss->endpoints ||
-	    memcmp(&s->versions, &ss->versions, sizeof(s->versions)) != 0) {
+	    !same_versions(&s->versions, &ss->versions)) {
 		s->versions = ss->versions;
 		set_list(s, ss->endpoints);
 		tell(e, s);
--- a/packages/proto/include/proto/gen/rollout.h
+++ b/packages/proto/include/proto/gen/rollout.h
@@ -23,7 +23,7 @@
 #define REC_ROLLOUT_ORDER_FROM_MAX 31
 #define REC_ROLLOUT_ORDER_TO_MAX 31
 #define REC_ROLLOUT_ORDER_REASON_MAX 159
-#define REC_ROLLOUT_ORDER_HELD_MAX 31
+#define REC_ROLLOUT_ORDER_EXCLUDED_MAX 31
 #define REC_ROLLOUT_ROUTE_TOOK_MAX 24
 #define MSG_ROLLOUT_NEWS_HOST_MAX 31
 #define MSG_ROLLOUT_NEWS_ORDERS_MAX 16
@@ -68,7 +68,7 @@
  * @left_ms: time left until its deadline, at sending
  * @duration_ms: time that the operators gave it
  * @reason: why it is in this phase, for operators
- * @held: host of the one endpoint of the new version that answered
+ * @excluded: host of the one endpoint of the new version that answered
  * 	worse than the old one and gets nothing more; empty for none
  * @share_milli: share of the requests for the new version in 1,000,
  * 	where the usual one is too little to tell; 0 for the usual one
@@ -82,7 +82,7 @@
 	uint64_t left_ms;
 	uint64_t duration_ms;
 	char reason[160];
-	char held[32];
+	char excluded[32];
 	uint32_t share_milli;
 };
 
--- a/packages/rollout/include/rollout/orders.h
+++ b/packages/rollout/include/rollout/orders.h
@@ -19,7 +19,7 @@
 #define ROLLOUT_REASON_BYTES (REC_ROLLOUT_ORDER_REASON_MAX + 1)
 
 /* Longest name of a host, zero included. */
-#define ROLLOUT_HOST_BYTES (REC_ROLLOUT_ORDER_HELD_MAX + 1)
+#define ROLLOUT_HOST_BYTES (REC_ROLLOUT_ORDER_EXCLUDED_MAX + 1)
 
 /**
  * struct rollout - the newest order of a service
@@ -31,8 +31,8 @@
  * @deadline_ms: when it is to be completed or rolled back, monotonic
  * @duration_ms: time that the operators gave it
  * @reason: why it is in its phase
- * @held: host of an endpoint that gets nothing more in its trial, or empty; of
- *	one phase an order with one is the newer
+ * @excluded: host of an endpoint that gets nothing more in its trial, or empty;
+ *of one phase an order with one is the newer
  * @share_milli: share of the requests for the new version in 1,000, 0 for the
  *	usual one; likewise
  */
@@ -45,7 +45,7 @@
 	uint64_t deadline_ms;
 	uint64_t duration_ms;
 	char reason[ROLLOUT_REASON_BYTES];
-	char held[ROLLOUT_HOST_BYTES];
+	char excluded[ROLLOUT_HOST_BYTES];
 	uint32_t share_milli;
 };
 
--- a/packages/rollout/src/news.c
+++ b/packages/rollout/src/news.c
@@ -91,7 +91,7 @@
 	memcpy(rec->from, r->from, sizeof(rec->from));
 	memcpy(rec->to, r->to, sizeof(rec->to));
 	memcpy(rec->reason, r->reason, sizeof(rec->reason));
-	memcpy(rec->held, r->held, sizeof(rec->held));
+	memcpy(rec->excluded, r->excluded, sizeof(rec->excluded));
 	rec->share_milli = r->share_milli;
 	rec->order = r->order;
 	rec->phase = r->phase;
@@ -108,7 +108,7 @@
 	memcpy(r->from, rec->from, sizeof(r->from));
 	memcpy(r->to, rec->to, sizeof(r->to));
 	memcpy(r->reason, rec->reason, sizeof(r->reason));
-	memcpy(r->held, rec->held, sizeof(r->held));
+	memcpy(r->excluded, rec->excluded, sizeof(r->excluded));
 	r->share_milli = rec->share_milli;
 	r->order = rec->order;
 	r->phase = rec->phase;
--- a/packages/rollout/src/orders.c
+++ b/packages/rollout/src/orders.c
@@ -128,7 +128,7 @@
 		return r->order > held->order;
 	if (held->phase != r->phase)
 		return r->phase > held->phase;
-	return (held->held[0] == '\0' && r->held[0] != '\0') ||
+	return (held->excluded[0] == '\0' && r->excluded[0] != '\0') ||
 	    (held->share_milli == 0 && r->share_milli != 0);
 }
 
@@ -141,8 +141,8 @@
 	*held = *r;
 	if (before.order != r->order || before.phase != r->phase)
 		return;
-	if (before.held[0] != '\0')
-		memcpy(held->held, before.held, sizeof(held->held));
+	if (before.excluded[0] != '\0')
+		memcpy(held->excluded, before.excluded, sizeof(held->excluded));
 	if (before.share_milli != 0)
 		held->share_milli = before.share_milli;
 }
@@ -174,7 +174,8 @@
 		r = rollout_orders_at(o, i);
 		state[0] = r->order;
 		state[1] = r->phase;
-		state[2] = (r->held[0] != '\0') + 2U * (r->share_milli != 0);
+		state[2] =
+		    (r->excluded[0] != '\0') + 2U * (r->share_milli != 0);
 		sum ^= hash64(r->service, strlen(r->service),
 		    hash64(state, sizeof(state), DIGEST_SEED));
 	}
--- a/packages/rollout/src/watch.c
+++ b/packages/rollout/src/watch.c
@@ -307,14 +307,14 @@
 /* An endpoint whose answers are bad may be ill by itself: the next in place
  * gets its requests, and tells whether the version is. */
 static void
-hold_own(struct rollout_watch *w, struct watched *s, const struct rollout *r)
+exclude_own(struct rollout_watch *w, struct watched *s, const struct rollout *r)
 {
 	struct rollout next = *r;
 
-	if (r->phase != ROLLOUT_RUNNING || r->held[0] != '\0' ||
+	if (r->phase != ROLLOUT_RUNNING || r->excluded[0] != '\0' ||
 	    !rollout_trial_is_suspect(s->trial, w->host))
 		return;
-	(void)g_strlcpy(next.held, w->host, sizeof(next.held));
+	(void)g_strlcpy(next.excluded, w->host, sizeof(next.excluded));
 	(void)g_strlcpy(
 	    next.reason, "one endpoint answers worse", sizeof(next.reason));
 	if (rollout_orders_take(w->orders, &next) != NULL)
@@ -357,7 +357,7 @@
 
 	if (r->phase > ROLLOUT_SWITCHING)
 		return;
-	hold_own(w, s, r);
+	exclude_own(w, s, r);
 	raise_share(w, s, r);
 	v = rollout_trial_verdict(s->trial, reason);
 	if (v == ROLLOUT_BAD)
--- a/packages/rollout/test/test_orders.c
+++ b/packages/rollout/test/test_orders.c
@@ -54,15 +54,15 @@
 START_TEST(what_two_judges_add_is_kept)
 {
 	struct rollout_orders *o = rollout_orders_new();
-	struct rollout held = make(7, ROLLOUT_RUNNING), share = held;
+	struct rollout excluded = make(7, ROLLOUT_RUNNING), share = excluded;
 
-	(void)g_strlcpy(held.held, "host-9", sizeof(held.held));
+	(void)g_strlcpy(excluded.excluded, "host-9", sizeof(excluded.excluded));
 	share.share_milli = 200;
-	ck_assert_ptr_nonnull(rollout_orders_take(o, &held));
+	ck_assert_ptr_nonnull(rollout_orders_take(o, &excluded));
 	ck_assert_ptr_nonnull(rollout_orders_take(o, &share));
-	ck_assert_str_eq(rollout_orders_find(o, "booking")->held, "host-9");
+	ck_assert_str_eq(rollout_orders_find(o, "booking")->excluded, "host-9");
 	ck_assert_uint_eq(rollout_orders_find(o, "booking")->share_milli, 200);
-	ck_assert_ptr_null(rollout_orders_take(o, &held));
+	ck_assert_ptr_null(rollout_orders_take(o, &excluded));
 	rollout_orders_free(o);
 }
 END_TEST
--- a/test/rollout/fleet.c
+++ b/test/rollout/fleet.c
@@ -193,9 +193,9 @@
 	return ((*l)->up_ms > (*r)->up_ms) - ((*l)->up_ms < (*r)->up_ms);
 }
 
-/* The first @most new endpoints that started, but for the one held. */
+/* The first @most new endpoints that started, but for the one excluded. */
 static struct node *
-pick_new(struct fleet *f, uint32_t most, const char *held)
+pick_new(struct fleet *f, uint32_t most, const char *excluded)
 {
 	GPtrArray *list = g_ptr_array_new();
 	struct node *n = NULL;
@@ -203,7 +203,7 @@
 
 	for (i = f->plan->n_hosts; i < f->n_nodes; i++)
 		if (is_up(f, &f->nodes[i]) &&
-		    strcmp(f->nodes[i].host, held) != 0)
+		    strcmp(f->nodes[i].host, excluded) != 0)
 			g_ptr_array_add(list, &f->nodes[i]);
 	g_ptr_array_sort(list, by_start);
 	if (list->len > 0)
@@ -225,8 +225,8 @@
 		share = r->share_milli;
 	canary_set(&entry->canary, tries ? r->order : 0, share,
 	    rollout_canaries(f->n_old, share), g_rand_int(f->random));
-	if (canary_take(&entry->canary))
-		to = pick_new(f, entry->canary.endpoints, r->held);
+	if (tries && canary_take(&entry->canary))
+		to = pick_new(f, entry->canary.endpoints, r->excluded);
 	if (to != NULL)
 		return to;
 	if (strcmp(current_of(f, entry), "v1") == 0)
