--- a/packages/node/src/control_rollout.c
+++ b/packages/node/src/control_rollout.c
@@ -86,7 +86,8 @@
 	cr->orders = rollout_orders_new();
 	cr->news =
 	    rollout_news_new(c->settings->host, cr->orders, c->outbox, now_ms);
-	cr->watch = rollout_watch_new(c->settings->host, cr->orders, c->outbox);
+	cr->watch = rollout_watch_new(
+	    c->settings->host, clock_wall_ms(), cr->orders, c->outbox);
 	cr->given = g_array_new(FALSE, FALSE, sizeof(struct feed_order));
 	cr->revisions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/packages/rollout/include/rollout/trial.h
+++ b/packages/rollout/include/rollout/trial.h
@@ -93,7 +93,7 @@
  * @reason: where the grounds go, for operators
  *
  * Return: ROLLOUT_BAD when two endpoints are bad, or all but one of those that
- * answered are together; one alone may be ill by itself.  ROLLOUT_GOOD when
+ * answered are together; one alone may be faulty on its own.  ROLLOUT_GOOD when
  * enough was answered well.
  */
 enum rollout_verdict rollout_trial_verdict(
--- a/packages/rollout/include/rollout/watch.h
+++ b/packages/rollout/include/rollout/watch.h
@@ -54,11 +54,13 @@
 /**
  * rollout_watch_new() - nothing is watched
  * @host: own name; copied
+ * @first_seq: number of the first report, higher than any of an earlier process
+ *	of the host
  * @orders: orders and phases; borrowed
  * @out: where reports go; borrowed
  */
-struct rollout_watch *rollout_watch_new(
-    const char *host, struct rollout_orders *orders, struct outbox *out);
+struct rollout_watch *rollout_watch_new(const char *host, uint64_t first_seq,
+    struct rollout_orders *orders, struct outbox *out);
 
 /** rollout_watch_free() - free it; NULL is allowed */
 void rollout_watch_free(struct rollout_watch *w);
--- a/packages/rollout/src/judge.c
+++ b/packages/rollout/src/judge.c
@@ -83,6 +83,13 @@
 	return sum;
 }
 
+/* Whether @bad or more of @of are unlikely where each is bad with chance @p. */
+static bool
+is_too_many(uint32_t bad, uint32_t of, double p, double chance)
+{
+	return p < 1 && bad > of * p && tail(bad, of, p) < chance;
+}
+
 static const struct rollout_route *
 find(const struct rollout_counts *c, uint64_t route)
 {
@@ -125,7 +132,7 @@
 	if (f->old_of > 0)
 		p = (double)f->old_bad / f->old_of * FAILED_FACTOR +
 		    FAILED_MARGIN;
-	return p < 1 && tail(f->bad, f->of, p) < chance;
+	return is_too_many(f->bad, f->of, p, chance);
 }
 
 /* Answers in the buckets from @from on. */
@@ -196,7 +203,7 @@
 	double p;
 
 	return measure_slow(r, old, f, &p) && f->bad >= BAD_LEAST &&
-	    tail(f->bad, f->of, p) < chance;
+	    is_too_many(f->bad, f->of, p, chance);
 }
 
 /* The answers of all routes as those of one. */
--- a/packages/rollout/src/trial.c
+++ b/packages/rollout/src/trial.c
@@ -19,7 +19,7 @@
 /* Answers of the old version that give its times and failures. */
 #define OLD_ENOUGH 80
 
-/* One of so many endpoints of the old version may be ill by itself. */
+/* One of so many endpoints of the old version may be faulty on its own. */
 #define OUTLIER_PART 3
 
 /* Answers after which an endpoint without a finding counts as sound, and the
@@ -36,7 +36,7 @@
 #define RATE_AFTER_MS 700
 
 /* New endpoints that report: those that are tried, one after the other when
- * some are ill, and enough to tell once all get requests. */
+ * some are faulty, and enough to tell once all get requests. */
 #define REPORTERS 20
 
 /* A version that turns bad later is seen by its last answers: since the mark
@@ -248,6 +248,13 @@
 	return false;
 }
 
+static bool
+has_restarted(const struct report *r, const struct rollout_counts *counts)
+{
+	return rollout_counts_answered(counts) <
+	    rollout_counts_answered(&r->counts);
+}
+
 void
 rollout_trial_report(struct rollout_trial *t, const char *host,
     const char *version, uint64_t seq, const struct rollout_counts *counts,
@@ -259,15 +266,15 @@
 
 	if (!fresh && strcmp(version, t->from) != 0)
 		return;
-	if (r == NULL) {
+	if (r != NULL && seq <= r->seq)
+		return;
+	/* A node that was restarted counts from zero. */
+	if (r == NULL || r->fresh != fresh || has_restarted(r, counts)) {
 		r = g_new0(struct report, 1);
 		r->first = *counts;
 		r->first_ms = now_ms;
-		g_hash_table_insert(t->reports, g_strdup(host), r);
+		g_hash_table_replace(t->reports, g_strdup(host), r);
 	}
-	/* A process that started anew counts from nothing. */
-	if (r->fresh == fresh && seq <= r->seq)
-		return;
 	if (begins && !has_answers(t))
 		take_bases(t);
 	r->fresh = fresh;
@@ -320,7 +327,7 @@
 
 /*
  * Answers of the old version in a span.  The endpoints that fail most are left
- * out where there are several: they may be ill by themselves, and would hide
+ * out where there are several: they may be faulty on their own, and would hide
  * that the new version is.
  */
 static void
@@ -463,8 +470,8 @@
 			tally_one(s, r, old);
 }
 
-/* All together are bad, and so are those without the worst one; of late a
- * version that was good may have turned bad. */
+/* All together are bad, and so are those without the worst one; recent answers
+ * show a version that has turned bad. */
 static bool
 are_bad_together(const struct rollout_trial *t, struct tally *s, bool late)
 {
@@ -483,7 +490,7 @@
 	return true;
 }
 
-/* Of late few answers came in a service with few requests: no doubt then. */
+/* Too few recent answers, in a service with few requests, prove nothing. */
 static bool
 is_clear_of_late(const struct rollout_trial *t)
 {
--- a/packages/rollout/src/watch.c
+++ b/packages/rollout/src/watch.c
@@ -73,12 +73,13 @@
 }
 
 struct rollout_watch *
-rollout_watch_new(
-    const char *host, struct rollout_orders *orders, struct outbox *out)
+rollout_watch_new(const char *host, uint64_t first_seq,
+    struct rollout_orders *orders, struct outbox *out)
 {
 	struct rollout_watch *w = g_new0(struct rollout_watch, 1);
 
 	(void)g_strlcpy(w->host, host, sizeof(w->host));
+	w->seq = first_seq;
 	w->orders = orders;
 	w->out = out;
 	w->services = g_hash_table_new_full(
@@ -304,7 +305,7 @@
 	(void)act(w, ROLLOUT_ACT_PHASE, &next);
 }
 
-/* An endpoint whose answers are bad may be ill by itself: the next in place
+/* An endpoint whose answers are bad may be faulty on its own: the next in place
  * gets its requests, and tells whether the version is. */
 static void
 exclude_own(struct rollout_watch *w, struct watched *s, const struct rollout *r)
--- a/test/rollout/fleet.c
+++ b/test/rollout/fleet.c
@@ -115,7 +115,7 @@
 	n->orders = rollout_orders_new();
 	n->out = outbox_new();
 	n->news = rollout_news_new(n->host, n->orders, n->out, f->now_ms);
-	n->watch = rollout_watch_new(n->host, n->orders, n->out);
+	n->watch = rollout_watch_new(n->host, f->now_ms, n->orders, n->out);
 	n->counted = 0;
 	memset(&n->canary, 0, sizeof(n->canary));
 }
