--- a/packages/ctl/src/watch.c
+++ b/packages/ctl/src/watch.c
@@ -3,6 +3,7 @@
  * it.  What goes wrong on the way is told once and asked again, since a roll
  * outlives a node or the platform being away.
  */
+#include <stdbool.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -20,6 +21,7 @@
 struct watch {
 	struct ctl *ctl;
 	uint64_t version;
+	bool answered;
 	json_int_t nodes;
 	json_int_t holding;
 	char *line;
@@ -91,7 +93,7 @@
 {
 	const char *kind = client_reply_kind(reply);
 
-	if (w->nodes > 0 && clock_now_ms() >= w->ctl->deadline_ms)
+	if (w->answered && clock_now_ms() >= w->ctl->deadline_ms)
 		return;
 	if (w->line == NULL || strcmp(kind, w->line) != 0)
 		w->last_code = report_failure(w->ctl, reply);
@@ -138,6 +140,7 @@
 	ask(w, path, &reply);
 	if (client_reply_ok(&reply)) {
 		w->last_code = EXIT_CODE_NOT_CONVERGED;
+		w->answered = true;
 		print_progress(w, reply.json);
 		if (w->nodes > 0 && w->holding >= w->nodes)
 			code = EXIT_CODE_OK;
