test(node): limits and leaving that upstreams report in their answers

Problem: an upstream that names a limit on its requests, or reports that it leaves, goes on to get requests from all nodes. Nothing tests either. Solution: two tests with three nodes' entries and guards.

--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -51,6 +51,8 @@
 	pthread_mutex_t lock;
 	GHashTable *runs;
 	GString *headers;
+	GString *added;
+	GArray *arrivals_ms;
 };
 
 struct fake_upstream *fake_upstream_start(void);
@@ -61,6 +63,15 @@
 /** fake_upstream_runs() - number of runs of the request with X-Test-Id @id */
 int fake_upstream_runs(struct fake_upstream *u, const char *id);
 
+/** fake_upstream_add_headers() - add @lines, each with its line end, to all
+ * answers from now on */
+void fake_upstream_add_headers(struct fake_upstream *u, const char *lines);
+
+/** fake_upstream_arrivals() - number of requests that arrived at @from_ms or
+ * later and before @until_ms, by the monotonic clock */
+uint32_t fake_upstream_arrivals(
+    struct fake_upstream *u, uint64_t from_ms, uint64_t until_ms);
+
 /** fake_upstream_received() - whether the head of the last request contains
  * @line */
 bool fake_upstream_received(struct fake_upstream *u, const char *line);
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/clock.h"
+
 #include "fixture.h"
 
 #define HEAD_MAX 65536
@@ -137,9 +139,11 @@
 count_run(struct fake_upstream *u, const char *head)
 {
 	const char *at = strcasestr(head, "\r\nX-Test-Id: ");
+	uint64_t now_ms = clock_now_ms();
 	char *id;
 
 	pthread_mutex_lock(&u->lock);
+	g_array_append_val(u->arrivals_ms, now_ms);
 	g_string_assign(u->headers, head);
 	if (at != NULL) {
 		at = strchr(at, ':') + 2;
@@ -214,6 +218,20 @@
 	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
 }
 
+static void
+send_head(struct upstream_conn *c, size_t bytes)
+{
+	GString *head = g_string_new("HTTP/1.1 200 OK\r\n");
+
+	pthread_mutex_lock(&c->u->lock);
+	g_string_append(head, c->u->added->str);
+	pthread_mutex_unlock(&c->u->lock);
+	g_string_append_printf(head, "Content-Length: %zu\r\n\r\n", bytes);
+	(void)send(c->fd, head->str, head->len,
+	    MSG_NOSIGNAL | (bytes > 0 ? MSG_MORE : 0));
+	g_string_free(head, TRUE);
+}
+
 static bool
 answer(struct upstream_conn *c, const char *head, uint64_t sum, size_t total)
 {
@@ -257,12 +275,9 @@
 		send_pattern(c->fd, bytes, true, strstr(head, "cut=1") == NULL);
 		return strstr(head, "cut=1") == NULL;
 	}
-	(void)snprintf(line, sizeof(line),
-	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", bytes);
+	send_head(c, bytes);
 	if (g_str_has_prefix(head, "HEAD "))
 		bytes = 0;
-	(void)send(c->fd, line, strlen(line),
-	    MSG_NOSIGNAL | (bytes > 0 ? MSG_MORE : 0));
 	if (strstr(head, "do=cut") != NULL) {
 		send_pattern(c->fd, bytes / 2, false, true);
 		return false;
@@ -343,6 +358,8 @@
 
 	u->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	u->headers = g_string_new(NULL);
+	u->added = g_string_new(NULL);
+	u->arrivals_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	pthread_mutex_init(&u->lock, NULL);
 	u->fd = socket(AF_INET, SOCK_STREAM, 0);
 	must(bind(u->fd, (struct sockaddr *)&sin, len) == 0);
@@ -365,6 +382,8 @@
 		g_usleep(1000);
 	g_hash_table_destroy(u->runs);
 	g_string_free(u->headers, TRUE);
+	g_string_free(u->added, TRUE);
+	g_array_free(u->arrivals_ms, TRUE);
 	g_free(u);
 }
 
@@ -389,3 +408,28 @@
 	pthread_mutex_unlock(&u->lock);
 	return saw;
 }
+
+void
+fake_upstream_add_headers(struct fake_upstream *u, const char *lines)
+{
+	pthread_mutex_lock(&u->lock);
+	g_string_assign(u->added, lines);
+	pthread_mutex_unlock(&u->lock);
+}
+
+uint32_t
+fake_upstream_arrivals(
+    struct fake_upstream *u, uint64_t from_ms, uint64_t until_ms)
+{
+	uint32_t n = 0;
+	uint64_t at_ms;
+	guint i;
+
+	pthread_mutex_lock(&u->lock);
+	for (i = 0; i < u->arrivals_ms->len; i++) {
+		at_ms = g_array_index(u->arrivals_ms, uint64_t, i);
+		n += at_ms >= from_ms && at_ms < until_ms;
+	}
+	pthread_mutex_unlock(&u->lock);
+	return n;
+}
--- /dev/null
+++ b/packages/node/test/test_call_limit.c
@@ -0,0 +1,158 @@
+/*
+ * Tests of what upstreams report about themselves in their answers: the limit
+ * on their requests, and that they leave.
+ */
+#include <pthread.h>
+
+#include "base/clock.h"
+#include "node/snapshot_ref.h"
+
+#include "fixture.h"
+
+#define NODES 3
+#define CALLERS 12
+/* Each caller sends a request this often: 160 a second together. */
+#define CALL_EVERY_MS 75
+
+#define LIMIT_PER_S 10
+#define LIMIT_LINE "Bramley-Upstream-Limit: 10\r\n"
+/* At most one and a half times the limit in this window, and the excess. */
+#define WINDOW_MS 4000
+#define EXCESS 5
+#define WINDOW_MAX (LIMIT_PER_S * 3 / 2 * WINDOW_MS / 1000 + EXCESS)
+/* Time for the answers that name the limit first. */
+#define LEARN_MS 500
+
+#define LEAVING_LINE "Bramley-Upstream-Leaving: 1\r\n"
+
+static const char *const hosts[NODES] = {"h1", "h2", "h3"};
+static struct fake_upstream *upstreams[NODES];
+static struct test_node *nodes[NODES];
+static struct fake_endpoint endpoints[NODES];
+static pthread_t threads[CALLERS];
+static _Atomic bool stopping;
+static _Atomic uint32_t n_served;
+
+static void
+start(uint32_t n_upstreams)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++) {
+		upstreams[i] = fake_upstream_start();
+		nodes[i] = test_node_start(hosts[i], NULL);
+		test_node_upstream(nodes[i], upstreams[i]->port, SERVING_READY);
+		endpoints[i].host = hosts[i];
+		endpoints[i].port = guard_addr(nodes[i]->guard).port;
+	}
+	test_snapshot(endpoints, n_upstreams);
+}
+
+static void
+stop(void)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		test_node_stop(nodes[i]);
+	for (i = 0; i < NODES; i++)
+		fake_upstream_stop(upstreams[i]);
+	snapshot_ref_publish(NULL);
+}
+
+/* Calls its node in turn with reads and bookings. */
+static void *
+caller_main(void *arg)
+{
+	uint32_t number = GPOINTER_TO_UINT(arg);
+	uint16_t port = callers_port(nodes[number % NODES]->callers);
+	bool reads = number % 2 == 0;
+	struct reply r;
+
+	while (!stopping) {
+		if (caller_call(port, reads ? "GET" : "POST",
+			reads ? "/look/x?ms=20" : "/book/x?ms=20", NULL,
+			reads ? NULL : "seat", reads ? 0 : 4, &r)) {
+			n_served += r.status == 200;
+			reply_clear(&r);
+		}
+		g_usleep(CALL_EVERY_MS * 1000);
+	}
+	return NULL;
+}
+
+static void
+start_callers(void)
+{
+	uint32_t i;
+
+	stopping = false;
+	n_served = 0;
+	for (i = 0; i < CALLERS; i++)
+		ck_assert_int_eq(pthread_create(&threads[i], NULL, caller_main,
+				     GUINT_TO_POINTER(i)),
+		    0);
+}
+
+static void
+stop_callers(void)
+{
+	int i;
+
+	stopping = true;
+	for (i = 0; i < CALLERS; i++)
+		pthread_join(threads[i], NULL);
+}
+
+/* Guards against an upstream that gets more than the limit that it names, since
+ * no node, or each node by itself, keeps to it. */
+START_TEST(a_limit_that_an_upstream_names_holds_over_all_nodes)
+{
+	uint64_t from_ms;
+	uint32_t n;
+
+	start(1);
+	fake_upstream_add_headers(upstreams[0], LIMIT_LINE);
+	start_callers();
+	g_usleep(LEARN_MS * 1000);
+	from_ms = clock_now_ms();
+	g_usleep(WINDOW_MS * 1000);
+	stop_callers();
+	n = fake_upstream_arrivals(upstreams[0], from_ms, from_ms + WINDOW_MS);
+	ck_assert_msg(
+	    n <= WINDOW_MAX, "%u requests, allowed %d", n, WINDOW_MAX);
+	stop();
+}
+END_TEST
+
+/* Guards against requests that go on to reach an upstream after its answers
+ * have reported that it leaves, while its endpoint is still listed as ready. */
+START_TEST(an_upstream_that_reports_its_leaving_gets_no_more_requests)
+{
+	uint64_t from_ms;
+	uint32_t n;
+
+	start(NODES);
+	fake_upstream_add_headers(upstreams[0], LEAVING_LINE);
+	start_callers();
+	g_usleep(LEARN_MS * 1000);
+	from_ms = clock_now_ms();
+	n_served = 0;
+	g_usleep(WINDOW_MS * 1000);
+	stop_callers();
+	n = fake_upstream_arrivals(upstreams[0], from_ms, UINT64_MAX);
+	ck_assert_msg(n == 0, "%u requests, allowed none", n);
+	ck_assert_uint_gt(n_served, 0);
+	stop();
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *const tests[] = {
+	    a_limit_that_an_upstream_names_holds_over_all_nodes,
+	    an_upstream_that_reports_its_leaving_gets_no_more_requests, NULL};
+
+	return fixture_main("call limit", tests);
+}
