feat(node): log and count what upstreams report of themselves in answers

Solution: the guard reads the headers of a limit and of leaving, writes a line when a limit begins, changes or ends and when an upstream leaves, and two gauges. A report holds for the run of the upstream that gave it; a request to an earlier run doesn't change it. Nothing is decided by it yet.

--- a/packages/node/include/node/call_dialect.h
+++ b/packages/node/include/node/call_dialect.h
@@ -31,6 +31,10 @@
  * @signature: a successful answer without this header is not the upstream's
  *	own, unaltered answer
  * @load: an upstream's running and queued requests and its slots
+ * @limits: names of the header with which an upstream limits the requests a
+ *	second that it accepts from all callers; ends with NULL
+ * @leaving: names of the header with which an upstream reports that it leaves,
+ *	whatever the value; ends with NULL
  * @fractional_retry_after: Retry-After may hold a fraction of a second
  */
 struct call_dialect {
@@ -49,6 +53,8 @@
 	const char *not_run_value;
 	const char *signature;
 	const char *load;
+	const char *const *limits;
+	const char *const *leaving;
 	bool fractional_retry_after;
 };
 
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -34,6 +34,7 @@
  * struct guard_endpoint - an upstream of this host
  * @service: name of the service
  * @instance: name that the upstream gave its current run; empty if unknown
+ * @started_ms: start time of that run by the upstream's clock, 0 if unknown
  * @port: port that the upstream listens on, at this host's own address
  * @slots: maximum number of requests that run concurrently
  * @state: state that the upstream reported
@@ -43,6 +44,7 @@
 struct guard_endpoint {
 	char service[SERVICE_NAME_BYTES];
 	char instance[GUARD_INSTANCE_BYTES];
+	uint64_t started_ms;
 	uint16_t port;
 	uint32_t slots;
 	enum serving_state state;
--- a/packages/node/src/call_dialect.c
+++ b/packages/node/src/call_dialect.c
@@ -6,6 +6,8 @@
 #include "node/call_dialect.h"
 
 static const char *const none[] = {NULL};
+static const char *const limits[] = {"Bramley-Upstream-Limit", NULL};
+static const char *const leaving[] = {"Bramley-Upstream-Leaving", NULL};
 
 const struct call_dialect call_dialect_own = {
     .prefix = "Bramley-",
@@ -18,4 +20,6 @@
     .version = "Bramley-Version",
     .not_run = "Bramley-Fate",
     .not_run_value = "not_run",
+    .limits = limits,
+    .leaving = leaving,
 };
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -60,6 +60,20 @@
     .help = "Requests that are no longer run, since upstreams crash of them.",
     .kind = METRIC_GAUGE};
 
+struct metric metric_upstream_limit = {
+    .name = "bramley_upstream_limit_milli_per_s",
+    .help = "Limits that this host's upstreams name, in thousandths of a "
+	    "request a second; 0 for none.",
+    .kind = METRIC_GAUGE};
+struct metric metric_upstreams_leaving = {.name = "bramley_upstreams_leaving",
+    .help = "Upstreams of this host that report in their answers that they "
+	    "leave.",
+    .kind = METRIC_GAUGE};
+struct metric metric_limited = {.name = "bramley_limited_total",
+    .help = "Requests refused since the limit that the upstream names was "
+	    "used up.",
+    .kind = METRIC_COUNTER};
+
 static struct metric outcomes[OUTCOMES];
 static struct metric refusals[REFUSALS];
 static char outcome_labels[OUTCOMES][LABEL_BYTES];
@@ -106,7 +120,8 @@
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_callers_connections,
 	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
-	    &metric_quarantined};
+	    &metric_quarantined, &metric_upstream_limit,
+	    &metric_upstreams_leaving, &metric_limited};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -22,6 +22,9 @@
 extern struct metric metric_behind_refusals;
 extern struct metric metric_crashes;
 extern struct metric metric_quarantined;
+extern struct metric metric_upstream_limit;
+extern struct metric metric_upstreams_leaving;
+extern struct metric metric_limited;
 
 /** call_metrics_register() - register all metrics; further calls have no
  * effect */
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -61,10 +61,13 @@
 		list[n].port = e->port;
 		list[n].slots = e->slots;
 		list[n].state = (enum serving_state)e->state;
-		if (e->port == c->instance_port)
+		if (e->port == c->instance_port) {
 			(void)g_strlcpy(list[n].instance,
 			    instances_current(&c->instances),
 			    sizeof(list[n].instance));
+			list[n].started_ms =
+			    instances_current_started_ms(&c->instances);
+		}
 		list[n].limits = service->limits;
 		control_rollout_set_own_state(c, e, &list[n]);
 		n++;
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -168,6 +168,9 @@
 		return HTTP_SKIP;
 	}
 	if (reports_not_run(r->guard->dialect, code, headers, n)) {
+		/* Another upstream may have the address now. */
+		if (code != HTTP_MISDIRECTED)
+			guard_report_read(r, false, headers, n);
 		record_shed(r, headers, n);
 		return HTTP_CONTINUE;
 	}
@@ -175,6 +178,7 @@
 		r->invalid_answer = true;
 		return HTTP_ABORT;
 	}
+	guard_report_read(r, true, headers, n);
 	a->has_head = true;
 	a->status = (uint32_t)code;
 	a->length = body_length(r, code, headers, n);
@@ -363,6 +367,7 @@
 		return;
 	r->state = REQUEST_RUNNING;
 	r->started_us = clock_now_us();
+	r->run = r->upstream->report.run;
 	metric_observe_us(&metric_guard_us, r->started_us - r->opened_us);
 	id_hex(&r->id, id);
 	(void)g_snprintf(time_left, sizeof(time_left), "%" G_GUINT64_FORMAT,
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -33,6 +33,7 @@
 #include "call_print.h"
 #include "guard_crash.h"
 #include "guard_quarantine.h"
+#include "guard_report.h"
 
 /**
  * struct guard - the guard of a host
@@ -115,6 +116,7 @@
  * @admission: slots and queue
  * @keyed: idempotency keys whose home is this endpoint
  * @timer: runs the admission queue
+ * @report: what the current run reports in its answers
  * @crash: requests that lost their connection, while a probe determines
  *	whether the upstream has ended
  * @counts: answers since @counts_order was set; guarded by @counts_lock of
@@ -130,6 +132,7 @@
 	struct admission *admission;
 	struct keyed *keyed;
 	struct loop_timer timer;
+	struct guard_report report;
 	struct guard_crash crash;
 	struct rollout_counts counts;
 	uint64_t counts_order;
@@ -275,6 +278,7 @@
  * @call: the HTTP call, or NULL
  * @opened_us: time at which the request arrived
  * @started_us: time at which the upstream was called
+ * @run: number of the upstream's run that was called, see struct guard_report
  * @invalid_answer: the guard aborted the call because the upstream's answer was
  *	not valid
  * @shed: the upstream reported that it did not run the request
@@ -317,6 +321,7 @@
 	struct http_call *call;
 	uint64_t opened_us;
 	uint64_t started_us;
+	uint32_t run;
 	bool invalid_answer;
 	bool shed;
 	uint64_t shed_retry_ms;
--- /dev/null
+++ b/packages/node/src/guard_report.c
@@ -0,0 +1,202 @@
+/*
+ * Reports of upstreams in their answers.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+
+#define LOG_PART "guard"
+#include "base/log.h"
+
+#include "call_metrics.h"
+#include "guard_priv.h"
+
+/* An upstream may name another limit in each answer. */
+#define LINES_PER_S 1
+
+#define MILLI 1000
+
+static struct upstream_limit *
+limit_of(struct guard_upstream *u)
+{
+	return &u->report.limit;
+}
+
+/* Applies a change of the gauges' sums over this host's upstreams. */
+static void
+count_limit(uint64_t before, uint64_t after)
+{
+	metric_add(&metric_upstream_limit, (int64_t)after - (int64_t)before);
+}
+
+static void
+clear(struct guard_upstream *u)
+{
+	count_limit(limit_of(u)->milli_per_s, UPSTREAM_LIMIT_NONE);
+	upstream_limit_init(limit_of(u));
+	if (u->report.leaving)
+		metric_add(&metric_upstreams_leaving, -1);
+	u->report.leaving = false;
+	u->report.invalid_logged = false;
+	u->report.run++;
+}
+
+void
+guard_report_init(struct guard_upstream *u)
+{
+	u->report.log_limit.per_s = LINES_PER_S;
+	u->report.log_limit.burst = LINES_PER_S;
+}
+
+/* Without a name, only a new port or a start shows that a run is another one.
+ */
+static bool
+is_same_run(const struct guard_report *p, const struct guard_endpoint *info)
+{
+	if (info->instance[0] != '\0')
+		return strcmp(p->instance, info->instance) == 0 &&
+		    p->started_ms == info->started_ms;
+	return p->port == info->port && info->state != SERVING_STARTING;
+}
+
+void
+guard_report_set_run(
+    struct guard_upstream *u, const struct guard_endpoint *info)
+{
+	struct guard_report *p = &u->report;
+
+	if (is_same_run(p, info))
+		return;
+	clear(u);
+	(void)g_strlcpy(p->instance, info->instance, sizeof(p->instance));
+	p->started_ms = info->started_ms;
+	p->port = info->port;
+}
+
+void
+guard_report_absent(struct guard_upstream *u)
+{
+	if (u->report.instance[0] == '\0')
+		clear(u);
+}
+
+static bool
+is_named(const struct http_header *h, const char *const *names)
+{
+	for (; names != NULL && *names != NULL; names++)
+		if (g_ascii_strcasecmp(h->name, *names) == 0)
+			return true;
+	return false;
+}
+
+static void
+log_invalid(struct guard_upstream *u, const char *value)
+{
+	if (u->report.invalid_logged)
+		return;
+	u->report.invalid_logged = true;
+	log_warning("upstream service=%s instance=%s names a limit that is no "
+		    "decimal number and is ignored: \"%.40s\"",
+	    u->info.service, u->report.instance, value);
+}
+
+/*
+ * Lowest limit that an answer names.
+ *
+ * Return: whether the answer has the header; *@milli_per_s is
+ * UPSTREAM_LIMIT_NONE if no value is valid.
+ */
+static bool
+find_limit(struct guard_upstream *u, const struct http_header *headers,
+    uint32_t n, uint64_t *milli_per_s)
+{
+	uint64_t value, lowest = UINT64_MAX;
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!is_named(&headers[i], u->guard->dialect->limits))
+			continue;
+		found = true;
+		if (upstream_limit_parse(headers[i].value, &value))
+			lowest = MIN(lowest, value);
+		else
+			log_invalid(u, headers[i].value);
+	}
+	*milli_per_s = lowest == UINT64_MAX ? UPSTREAM_LIMIT_NONE : lowest;
+	return found;
+}
+
+static bool
+reports_leaving(const struct guard_upstream *u,
+    const struct http_header *headers, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (is_named(&headers[i], u->guard->dialect->leaving))
+			return true;
+	return false;
+}
+
+static void
+log_change(struct guard_upstream *u, uint64_t before)
+{
+	uint64_t now = limit_of(u)->milli_per_s;
+	struct log_limit *limit = &u->report.log_limit;
+	uint32_t left_out = limit->left_out;
+
+	if (!log_limit_take(limit, loop_now_ms(u->guard->loop)))
+		return;
+	log_info("upstream service=%s instance=%s limit=%" G_GUINT64_FORMAT
+		 ".%03u requests a second, was %" G_GUINT64_FORMAT
+		 ".%03u, 0 for none left_out=%u",
+	    u->info.service, u->report.instance, now / MILLI,
+	    (unsigned)(now % MILLI), before / MILLI, (unsigned)(before % MILLI),
+	    left_out);
+}
+
+static void
+read_limit(struct guard_request *r, bool ran, const struct http_header *headers,
+    uint32_t n)
+{
+	struct guard_upstream *u = r->upstream;
+	struct upstream_limit *l = limit_of(u);
+	uint64_t before = l->milli_per_s, milli_per_s;
+	enum limit_change change = LIMIT_UNCHANGED;
+
+	if (!find_limit(u, headers, n, &milli_per_s)) {
+		if (ran)
+			change = upstream_limit_omit(l, r->started_us / MILLI);
+	} else if (milli_per_s != UPSTREAM_LIMIT_NONE) {
+		change =
+		    upstream_limit_name(l, milli_per_s, clock_now_us() / MILLI);
+	}
+	if (change == LIMIT_UNCHANGED)
+		return;
+	count_limit(before, l->milli_per_s);
+	log_change(u, before);
+}
+
+static void
+set_leaving(struct guard_upstream *u)
+{
+	if (u->report.leaving)
+		return;
+	u->report.leaving = true;
+	metric_add(&metric_upstreams_leaving, 1);
+	log_info("upstream service=%s instance=%s reports in an answer that it "
+		 "leaves",
+	    u->info.service, u->report.instance);
+}
+
+void
+guard_report_read(struct guard_request *r, bool ran,
+    const struct http_header *headers, uint32_t n)
+{
+	if (r->run != r->upstream->report.run)
+		return;
+	read_limit(r, ran, headers, n);
+	if (reports_leaving(r->upstream, headers, n))
+		set_leaving(r->upstream);
+}
--- /dev/null
+++ b/packages/node/src/guard_report.h
@@ -0,0 +1,63 @@
+/*
+ * What an upstream reports about itself in its answers: a limit on its
+ * requests, and that it leaves.  A report holds for the run of the upstream
+ * that gave it.
+ */
+#ifndef GUARD_REPORT_H
+#define GUARD_REPORT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/log.h"
+#include "net/http.h"
+#include "node/guard.h"
+#include "traffic/upstream_limit.h"
+
+struct guard_request;
+struct guard_upstream;
+
+/**
+ * struct guard_report - reports of an upstream's current run
+ * @instance: name of the run; empty if unknown
+ * @started_ms: start time of the run by the upstream's clock, 0 if unknown
+ * @port: port of the run
+ * @run: number of runs so far
+ * @leaving: the run has reported that it leaves
+ * @invalid_logged: an invalid limit of the run was logged
+ * @limit: limit that the run names
+ * @log_limit: rate limit of log lines on limits
+ */
+struct guard_report {
+	char instance[GUARD_INSTANCE_BYTES];
+	uint64_t started_ms;
+	uint16_t port;
+	uint32_t run;
+	bool leaving;
+	bool invalid_logged;
+	struct upstream_limit limit;
+	struct log_limit log_limit;
+};
+
+/** guard_report_init() - set up the reports of a new upstream */
+void guard_report_init(struct guard_upstream *u);
+
+/** guard_report_set_run() - drop the reports of an earlier run if @info is of
+ * another one; call before @u->info is replaced */
+void guard_report_set_run(
+    struct guard_upstream *u, const struct guard_endpoint *info);
+
+/** guard_report_absent() - the upstream is no longer listed */
+void guard_report_absent(struct guard_upstream *u);
+
+/**
+ * guard_report_read() - take up the reports in an answer
+ * @r: the request
+ * @ran: the upstream ran the request
+ * @headers: headers of the answer
+ * @n: number of @headers
+ */
+void guard_report_read(struct guard_request *r, bool ran,
+    const struct http_header *headers, uint32_t n);
+
+#endif
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -48,6 +48,7 @@
 	u->admission = admission_new(&cfg);
 	u->keyed = guard_keyed_new(g, info->service);
 	loop_timer_init(&u->timer, g->loop, on_timer, u);
+	guard_report_init(u);
 	guard_crash_init(u);
 	g_mutex_lock(&g->counts_lock);
 	g_hash_table_insert(g->upstreams, u->info.service, u);
@@ -75,6 +76,7 @@
 	if (u == NULL)
 		u = upstream_new(g, info);
 	u->present = true;
+	guard_report_set_run(u, info);
 	u->info = *info;
 	set_url(u);
 	guard_counts_set_rollout(u);
@@ -107,6 +109,7 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&u)) {
 		if (u->present)
 			continue;
+		guard_report_absent(u);
 		admission_drain(u->admission);
 		guard_upstream_run_queue(u);
 	}
