fix(traffic): a limit that an upstream names holds over all nodes

Callers saw: nothing at first. An upstream that had named a limit of 14.6 requests a second got 188 in 4 s, where 93 are allowed, and is slowed or brought down by what it asked not to get.

Cause: an upstream's own word about itself reached a node in the headers of an answer, and no part read it; an upstream's slots were the only bound on its requests.

Fix: all requests to an upstream pass the guard of its host. Its admission has a token bucket at the limit that the last answer named, so the sum over all nodes is kept without a message between them.

--- a/packages/node/src/guard_report.c
+++ b/packages/node/src/guard_report.c
@@ -19,7 +19,7 @@
 static struct upstream_limit *
 limit_of(struct guard_upstream *u)
 {
-	return &u->report.limit;
+	return admission_upstream_limit(u->admission);
 }
 
 /* Applies a change of the gauges' sums over this host's upstreams. */
@@ -176,6 +176,7 @@
 		return;
 	count_limit(before, l->milli_per_s);
 	log_change(u, before);
+	guard_upstream_run_queue(u);
 }
 
 static void
--- a/packages/node/src/guard_report.h
+++ b/packages/node/src/guard_report.h
@@ -1,7 +1,7 @@
 /*
  * What an upstream reports about itself in its answers: a limit on its
- * requests, and that it leaves.  A report holds for the run of the upstream
- * that gave it.
+ * requests, which its admission keeps, and that it leaves.  A report holds for
+ * the run of the upstream that gave it.
  */
 #ifndef GUARD_REPORT_H
 #define GUARD_REPORT_H
@@ -12,7 +12,6 @@
 #include "base/log.h"
 #include "net/http.h"
 #include "node/guard.h"
-#include "traffic/upstream_limit.h"
 
 struct guard_request;
 struct guard_upstream;
@@ -25,7 +24,6 @@
  * @run: number of runs so far
  * @leaving: the run has reported that it leaves
  * @invalid_logged: an invalid limit of the run was logged
- * @limit: limit that the run names
  * @log_limit: rate limit of log lines on limits
  */
 struct guard_report {
@@ -35,7 +33,6 @@
 	uint32_t run;
 	bool leaving;
 	bool invalid_logged;
-	struct upstream_limit limit;
 	struct log_limit log_limit;
 };
 
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -129,12 +129,24 @@
 		return;
 	guard_upstream_load(r->upstream, &load);
 	log_info("request id=%s request=%s service=%s refused=%s running=%u "
-		 "queued=%u slots=%u retry_after_ms=%" G_GUINT64_FORMAT
+		 "queued=%u slots=%u limit_milli_per_s=%" G_GUINT64_FORMAT
+		 " limit_wait_ms=%u retry_after_ms=%" G_GUINT64_FORMAT
 		 " left_out=%u",
 	    r->caller_request_id, fingerprint_text(&r->fingerprint, text),
 	    r->upstream != NULL ? r->upstream->info.service : "?",
 	    refusal_name(refusal), load.in_flight, load.queued, load.slots,
-	    retry_after_ms, left_out);
+	    load.limit_milli_per_s, load.limit_wait_ms, retry_after_ms,
+	    left_out);
+}
+
+static void
+count_limited(const struct guard_request *r, enum refusal refusal)
+{
+	struct rec_load load;
+
+	guard_upstream_load(r->upstream, &load);
+	metric_add(
+	    &metric_limited, refusal == REFUSAL_WAIT && load.limit_wait_ms > 0);
 }
 
 void
@@ -153,6 +165,7 @@
 		retry_after_ms = MAX(retry_after_ms, release_shed_slot(r));
 	else if (was_running)
 		release_slot(r);
+	count_limited(r, refusal);
 	log_refusal(r, refusal, retry_after_ms);
 	refuse_outs(r, refusal, retry_after_ms);
 	end_request(r);
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -209,6 +209,8 @@
 	load->in_flight = report.in_flight;
 	load->queued = report.queued;
 	load->slots = report.slots;
+	load->limit_milli_per_s = report.limit_milli_per_s;
+	load->limit_wait_ms = (uint32_t)MIN(report.limit_wait_ms, UINT32_MAX);
 }
 
 void
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -62,11 +62,17 @@
  * @in_flight: requests that the upstream is processing
  * @queued: requests queued in the guard
  * @slots: number of slots of the endpoint
+ * @limit_milli_per_s: limit that the upstream names, in thousandths of
+ * 	a request a second; 0 for none and when absent
+ * @limit_wait_ms: time until a further request may start under that
+ * 	limit
  */
 struct rec_load {
 	uint32_t in_flight;
 	uint32_t queued;
 	uint32_t slots;
+	uint64_t limit_milli_per_s;
+	uint32_t limit_wait_ms;
 };
 
 extern const struct codec_desc rec_load_desc;
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -33,11 +33,17 @@
     {.name = "slots",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_load, slots)},
+    {.name = "limit_milli_per_s",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_load, limit_milli_per_s)},
+    {.name = "limit_wait_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_load, limit_wait_ms)},
 };
 
 const struct codec_desc rec_load_desc = {.name = "load",
     .fields = rec_load_fields,
-    .n_fields = 3,
+    .n_fields = 5,
     .size_bytes = sizeof(struct rec_load)};
 
 static const struct codec_field msg_call_hello_fields[] = {
--- a/packages/traffic/bench/bench_traffic.c
+++ b/packages/traffic/bench/bench_traffic.c
@@ -46,7 +46,7 @@
 {
 	struct endpoint_info *infos = g_new0(struct endpoint_info, n);
 	struct placement_query q = {.service = SERVICE, .idempotent = true};
-	struct load_report load = {3, 0, 12};
+	struct load_report load = {.in_flight = 3, .slots = 12};
 	struct endpoints_config ec;
 	struct placement_config pc;
 	struct ejection_config jc;
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -7,6 +7,7 @@
 #define TRAFFIC_ADMISSION_H
 
 #include "traffic/traffic_defs.h"
+#include "traffic/upstream_limit.h"
 
 /**
  * enum admission_class - classes of requests that each keep a share
@@ -201,6 +202,14 @@
 /** admission_undrain() - accept requests again */
 void admission_undrain(struct admission *a);
 
+/**
+ * admission_upstream_limit() - limit that the upstream names
+ *
+ * The guard updates the limit from the upstream's answers; no request starts
+ * beyond it.  Call admission_next() after a change.
+ */
+struct upstream_limit *admission_upstream_limit(struct admission *a);
+
 /** admission_load() - load report for answers and refusals */
 void admission_load(const struct admission *a, struct load_report *out);
 
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -137,11 +137,16 @@
  * @in_flight: requests in slots
  * @queued: requests that wait for a slot
  * @slots: slots of the endpoint
+ * @limit_milli_per_s: limit that the upstream names, in thousandths of a
+ *request a second; 0 for none
+ * @limit_wait_ms: time until a further request may start under that limit
  */
 struct load_report {
 	uint32_t in_flight;
 	uint32_t queued;
 	uint32_t slots;
+	uint64_t limit_milli_per_s;
+	uint64_t limit_wait_ms;
 };
 
 /**
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -35,6 +35,7 @@
 	a->refused = g_array_new(FALSE, FALSE, sizeof(struct admission_result));
 	a->running = g_array_new(FALSE, FALSE, sizeof(struct running));
 	a->limit = UINT64_MAX;
+	upstream_limit_init(&a->upstream_limit);
 	admission_configure(a, cfg);
 	return a;
 }
@@ -87,6 +88,19 @@
 	    a->lanes[ADMISSION_BOOKING].n_waiting;
 }
 
+bool
+admission_may_start(const struct admission *a, uint64_t now_ms)
+{
+	return admission_in_slots(a) < admission_slots(a) &&
+	    upstream_limit_wait_ms(&a->upstream_limit, 0, now_ms) == 0;
+}
+
+struct upstream_limit *
+admission_upstream_limit(struct admission *a)
+{
+	return &a->upstream_limit;
+}
+
 uint32_t
 admission_priority_of(const struct admission_request *req)
 {
@@ -112,6 +126,7 @@
 	const struct running run = {req->ticket, now_ms};
 
 	admission_count_started(a, now_ms);
+	upstream_limit_take(&a->upstream_limit, now_ms);
 	g_array_append_val(a->running, run);
 	a->lanes[req->class].in_slots++;
 	out->verdict = ADMISSION_START;
@@ -232,8 +247,7 @@
 		admission_refuse(a, req, REFUSAL_DRAINING, now_ms, out);
 	else if (now_ms >= req->deadline_ms)
 		admission_refuse(a, req, REFUSAL_EXPIRED, now_ms, out);
-	else if (admission_in_slots(a) < admission_slots(a) &&
-	    admission_queued(a) == 0)
+	else if (admission_may_start(a, now_ms) && admission_queued(a) == 0)
 		admission_start(a, req, now_ms, out);
 	else if (!admission_starts_in_time(a, req, now_ms))
 		admission_refuse(a, req, REFUSAL_WAIT, now_ms, out);
@@ -312,7 +326,12 @@
 void
 admission_load(const struct admission *a, struct load_report *out)
 {
+	const struct upstream_limit *l = &a->upstream_limit;
+
 	out->in_flight = admission_in_slots(a);
 	out->queued = admission_queued(a);
 	out->slots = admission_slots(a);
+	out->limit_milli_per_s = l->milli_per_s;
+	out->limit_wait_ms =
+	    upstream_limit_wait_ms(l, admission_queued(a), a->now_ms);
 }
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -87,6 +87,7 @@
  * @running: struct running, in order of start
  * @concurrency: observed concurrency, to classify the upstream's refusals
  * @limit: slots that may be used, in parts of LIMIT_UNIT
+ * @upstream_limit: limit that the upstream names
  * @lowest_credit_us: slot time that the lowest waiting rank has earned
  * @refusal_rate: for the Retry-After of refused requests
  * @overload_since_ms: start of the current series of refusals
@@ -103,6 +104,7 @@
 	GArray *running;
 	struct concurrency concurrency;
 	uint64_t limit;
+	struct upstream_limit upstream_limit;
 	uint64_t lowest_credit_us;
 	struct refusal_rate refusal_rate;
 	uint64_t overload_since_ms;
@@ -121,6 +123,10 @@
 /** admission_queued() - number of queued requests */
 uint32_t admission_queued(const struct admission *a);
 
+/** admission_may_start() - whether a slot is free and the upstream's limit
+ * allows another request */
+bool admission_may_start(const struct admission *a, uint64_t now_ms);
+
 /**
  * admission_share() - part of @whole that a class and priority keep under
  * overload
--- a/packages/traffic/src/admission_next.c
+++ b/packages/traffic/src/admission_next.c
@@ -161,7 +161,7 @@
 	struct lane *lane;
 
 	if (a->draining || admission_queued(a) == 0 ||
-	    admission_in_slots(a) >= admission_slots(a))
+	    !admission_may_start(a, now_ms))
 		return false;
 	account_start(a, rank);
 	lane = &a->lanes[next_class(a, rank)];
@@ -202,10 +202,22 @@
 	return first;
 }
 
+/* When the limit that the upstream names lets the next queued request start. */
+static uint64_t
+next_token_ms(const struct admission *a)
+{
+	uint64_t wait_ms =
+	    upstream_limit_wait_ms(&a->upstream_limit, 0, a->now_ms);
+
+	if (wait_ms == 0 || admission_queued(a) == 0)
+		return DEADLINE_NEVER;
+	return a->now_ms + wait_ms;
+}
+
 uint64_t
 admission_wake_ms(const struct admission *a)
 {
-	uint64_t wake = DEADLINE_NEVER, first;
+	uint64_t wake = next_token_ms(a), first;
 	uint32_t rank;
 	int i;
 
--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -133,8 +133,37 @@
 	return n;
 }
 
+/* Number of queued requests that start before a request of a rank. */
 static uint64_t
-expected_wait_ms(const struct admission *a, const struct admission_request *req,
+queued_ahead(const struct admission *a, const struct admission_request *req,
+    uint32_t rank)
+{
+	const GQueue *q = &a->lanes[req->class].waiting[rank];
+	const GQueue *other =
+	    &a->lanes[admission_other(req->class)].waiting[rank];
+	uint64_t n = admission_queue_position(q, req->target_ms);
+	uint32_t r;
+	int i;
+
+	n += admission_queue_position(other, req->target_ms);
+	for (i = 0; i < ADMISSION_CLASSES; i++)
+		for (r = 0; r < rank; r++)
+			n += a->lanes[i].waiting[r].length;
+	return n;
+}
+
+/* Expected wait for the limit that the upstream names. */
+static uint64_t
+limit_wait_ms(const struct admission *a, const struct admission_request *req,
+    uint32_t rank)
+{
+	return upstream_limit_wait_ms(
+	    &a->upstream_limit, queued_ahead(a, req, rank), a->now_ms);
+}
+
+/* Expected wait for a slot. */
+static uint64_t
+slot_wait_ms(const struct admission *a, const struct admission_request *req,
     uint32_t rank)
 {
 	const GQueue *q = &a->lanes[req->class].waiting[rank];
@@ -148,6 +177,13 @@
 	return us / available_slots(a, rank / 2, req->class) / US_PER_MS;
 }
 
+static uint64_t
+expected_wait_ms(const struct admission *a, const struct admission_request *req,
+    uint32_t rank)
+{
+	return MAX(slot_wait_ms(a, req, rank), limit_wait_ms(a, req, rank));
+}
+
 /*
  * There is room once the requests ahead have run, plus as many rounds as
  * requests were refused per started one, since those are retried too.
@@ -193,11 +229,16 @@
 admission_starts_in_time(const struct admission *a,
     const struct admission_request *req, uint64_t now_ms)
 {
+	uint32_t rank = admission_rank_of(a, req, now_ms);
 	uint64_t wait, run;
 
 	if (!a->cfg.refuse_early)
 		return true;
-	wait = expected_wait_ms(a, req, admission_rank_of(a, req, now_ms));
+	/* A request that the upstream's limit holds back is served sooner by
+	 * another upstream than by a long queue here. */
+	if (limit_wait_ms(a, req, rank) > a->cfg.queue_wait_ms)
+		return false;
+	wait = expected_wait_ms(a, req, rank);
 	run = expected_run_ms(a, req);
 	return wait <= admission_allowed_wait_ms(a, req, now_ms) &&
 	    wait + run <= clock_left_ms(req->deadline_ms, now_ms);
--- a/packages/traffic/test/test_placement.c
+++ b/packages/traffic/test/test_placement.c
@@ -81,7 +81,7 @@
 static void
 report(struct world *w, uint64_t endpoint, uint32_t load, uint64_t now_ms)
 {
-	struct load_report r = {load, 0, 10};
+	struct load_report r = {.in_flight = load, .slots = 10};
 
 	endpoints_report(w->endpoints, endpoint, &r, now_ms);
 }
--- a/packages/traffic/test/test_placement_fleet.c
+++ b/packages/traffic/test/test_placement_fleet.c
@@ -69,7 +69,7 @@
 
 START_TEST(known_capacity_is_used_before_unknown)
 {
-	struct load_report full = {10, 12, 10}, room = {1, 0, 10};
+	struct load_report full = {10, 12, 10, 0, 0}, room = {1, 0, 10, 0, 0};
 	struct endpoints *e = many_new();
 	uint32_t to_full = 0, i;
 	struct placement_config pc;
