fix(node): an upstream that reports its leaving gets no more requests

Callers saw: requests that went to an upstream which was about to exit.

Cause: as with the limit, an upstream's answers were not read for what they report of the upstream; heartbeats alone counted, and these may still say ready, be late, or be stopped by a cut.

Evidence: three nodes sent 164 requests to an upstream from half a second after its first answer with the header on, with its endpoint listed as ready.

Fix: the guard drains the upstream's admission at the first such answer, so that requests are refused as not run whatever the entries hold, and queued ones run elsewhere. It reports to the control thread, which announces the endpoint as draining; later announcements of that run that it is ready don't undo that. A new run of the upstream begins without the reports of the earlier one; an answer of an earlier run, or from another upstream at the address, changes nothing.

--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -311,6 +311,22 @@
     uint16_t port, uint16_t slots, enum endpoint_state state, uint64_t lease_ms,
     uint16_t cold_ms, const char *version);
 
+/**
+ * membership_set_leaving() - set whether an upstream of the own host has
+ * reported that it leaves
+ * @m: the membership
+ * @now_ms: monotonic time
+ * @service: service that the upstream is an endpoint of
+ * @port: its port
+ * @leaving: the upstream leaves.  Its endpoint is draining, and announcements
+ *	that it is ready don't change that, until the upstream announces that
+ *	it starts, withdraws, or is set as not leaving.
+ *
+ * Return: STATUS_OK or STATUS_NOT_FOUND.
+ */
+enum status membership_set_leaving(struct membership *m, uint64_t now_ms,
+    const char *service, uint16_t port, int leaving);
+
 /**
  * membership_withdraw() - mark an endpoint of the own host as left
  * @m: the membership
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -299,6 +299,7 @@
  * @slots: requests that the upstream runs at once
  * @cold_ms: remaining time of its slow start when it was announced
  * @state: its state
+ * @leaving: the upstream has reported that it leaves
  * @revision: rises with each change
  * @lease_ms: deadline of the next announcement
  * @leave_ms: when an endpoint with an expired lease counts as left
@@ -311,6 +312,7 @@
 	uint16_t slots;
 	uint16_t cold_ms;
 	enum endpoint_state state;
+	int leaving;
 	uint32_t revision;
 	uint64_t lease_ms;
 	uint64_t leave_ms;
--- a/packages/membership/src/own.c
+++ b/packages/membership/src/own.c
@@ -73,6 +73,7 @@
 	e->state = state;
 	e->revision++;
 	if (state == ENDPOINT_LEFT) {
+		e->leaving = 0;
 		e->lease_ms = DEADLINE_NEVER;
 		e->leave_ms = DEADLINE_NEVER;
 		e->drop_ms = m->now_ms + LEFT_RETENTION_MS;
@@ -136,6 +137,10 @@
 		return st;
 	m->now_ms = MAX(m->now_ms, now_ms);
 	e = own_find(m, service, port);
+	if (e != NULL && state == ENDPOINT_STARTING)
+		e->leaving = 0;
+	if (e != NULL && e->leaving)
+		state = ENDPOINT_DRAINING;
 	if (version == NULL)
 		version = "";
 	changed = e == NULL || e->slots != slots || e->state != state ||
@@ -162,6 +167,25 @@
 	return STATUS_OK;
 }
 
+enum status
+membership_set_leaving(struct membership *m, uint64_t now_ms,
+    const char *service, uint16_t port, int leaving)
+{
+	struct own_endpoint *e = own_find(m, service, port);
+
+	if (e == NULL || e->state == ENDPOINT_LEFT)
+		return status_set(STATUS_NOT_FOUND,
+		    "No endpoint of %s at port %u is announced on this host.",
+		    service, port);
+	m->now_ms = MAX(m->now_ms, now_ms);
+	e->leaving = leaving;
+	if (!leaving || e->state == ENDPOINT_DRAINING)
+		return STATUS_OK;
+	set_state(m, e, ENDPOINT_DRAINING);
+	publish(m);
+	return STATUS_OK;
+}
+
 enum status
 membership_withdraw(
     struct membership *m, uint64_t now_ms, const char *service, uint16_t port)
--- a/packages/membership/test/test_own.c
+++ b/packages/membership/test/test_own.c
@@ -79,6 +79,39 @@
 }
 END_TEST
 
+static void
+announce(enum endpoint_state state)
+{
+	ck_assert_int_eq(
+	    membership_announce(m, f->now_ms, "search", 80, 12, state,
+		f->now_ms + 1000, MEMBER_COLD_UNKNOWN, NULL),
+	    STATUS_OK);
+}
+
+/* Guards against an upstream that has reported its leaving and is listed as
+ * ready again by its next announcement. */
+START_TEST(a_leaving_upstream_stays_draining_until_it_starts_again)
+{
+	announce(ENDPOINT_READY);
+	ck_assert_int_eq(
+	    membership_set_leaving(m, f->now_ms, "search", 80, 1), STATUS_OK);
+	ck_assert_int_eq(endpoint("search", 80)->state, ENDPOINT_DRAINING);
+	announce(ENDPOINT_READY);
+	ck_assert_int_eq(endpoint("search", 80)->state, ENDPOINT_DRAINING);
+	announce(ENDPOINT_STARTING);
+	announce(ENDPOINT_READY);
+	ck_assert_int_eq(endpoint("search", 80)->state, ENDPOINT_READY);
+	ck_assert_int_eq(
+	    membership_set_leaving(m, f->now_ms, "search", 80, 1), STATUS_OK);
+	ck_assert_int_eq(
+	    membership_set_leaving(m, f->now_ms, "search", 80, 0), STATUS_OK);
+	announce(ENDPOINT_READY);
+	ck_assert_int_eq(endpoint("search", 80)->state, ENDPOINT_READY);
+	ck_assert_int_eq(membership_set_leaving(m, f->now_ms, "search", 81, 1),
+	    STATUS_NOT_FOUND);
+}
+END_TEST
+
 START_TEST(renewal_does_not_change_the_record)
 {
 	uint64_t change, incarnation;
@@ -442,6 +475,8 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, lone_node_joins);
 	tcase_add_test(tc, lease_lapses_to_draining_then_left_then_gone);
+	tcase_add_test(
+	    tc, a_leaving_upstream_stays_draining_until_it_starts_again);
 	tcase_add_test(tc, renewal_does_not_change_the_record);
 	tcase_add_test(tc, each_change_raises_incarnation_and_revision);
 	tcase_add_test(tc, endpoints_are_limited_and_entries_reused);
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -142,6 +142,22 @@
  */
 uint32_t guard_in_flight(const struct guard *g);
 
+/**
+ * guard_leaving_fn - an upstream has reported in an answer that it leaves
+ * @service: service of the upstream
+ * @port: port of the upstream
+ * @instance: name of its run; empty if unknown
+ * @started_ms: start time of the run by the upstream's clock, 0 if unknown
+ *
+ * Called in the guard's thread.
+ */
+typedef void guard_leaving_fn(const char *service, uint16_t port,
+    const char *instance, uint64_t started_ms, void *arg);
+
+/** guard_set_leaving() - set the callback for upstreams that leave; call before
+ * guard_start() */
+void guard_set_leaving(struct guard *g, guard_leaving_fn *leaving, void *arg);
+
 /** guard_publish_fn - distribute @item to all nodes; called in the guard's
  * thread */
 typedef void guard_publish_fn(const struct quarantine_item *item, void *arg);
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -430,6 +430,7 @@
 	sc.seed = seed + 1;
 	c->catalog = catalog_new(0);
 	c->spread = spread_new(&sc, c->membership, c->catalog, now_ms);
+	control_upstream_init(c);
 	control_quarantine_init(c, now_ms);
 	control_rollout_new(c, now_ms);
 	c->endpoints = endpoint_set_new();
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -199,6 +199,9 @@
 
 /* control_quarantine.c */
 
+/** control_upstream_init() - initialize, after membership and guard */
+void control_upstream_init(struct control *c);
+
 /** control_quarantine_init() - initialize, after membership and guard */
 void control_quarantine_init(struct control *c, uint64_t now_ms);
 
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -1,10 +1,13 @@
 /*
- * The upstream on this host, known from its heartbeats.
+ * The upstream on this host, known from its heartbeats and its answers.
  */
 #define LOG_PART "upstream"
 
+#include <string.h>
+
 #include "base/log.h"
 #include "control_priv.h"
+#include "node/guard.h"
 #include "proto/settings.h"
 
 /*
@@ -83,6 +86,8 @@
 	is_new_process |=
 	    instances_current_started_ms(&c->instances) != previous_started_ms;
 	if (is_new_process) {
+		(void)membership_set_leaving(c->membership, control_now(c),
+		    b->service, b->address.port, 0);
 		log_info("%s of %s, started %" G_GUINT64_FORMAT
 			 ", at port %u is now the upstream of this host, %u "
 			 "slots",
@@ -122,3 +127,50 @@
 	if (service[0] != '\0')
 		(void)control_withdraw(c, service, c->instance_port);
 }
+
+/* A report of leaving that is posted to the control thread. */
+struct leaving_task {
+	struct control *control;
+	char service[SERVICE_NAME_BYTES];
+	uint16_t port;
+	char instance[GUARD_INSTANCE_BYTES];
+	uint64_t started_ms;
+};
+
+/* A report of a run that was replaced meanwhile is ignored. */
+static void
+leaving_posted(void *arg)
+{
+	struct leaving_task *t = arg;
+	struct control *c = t->control;
+
+	if (t->instance[0] == '\0' ||
+	    instances_is_latest(&c->instances, t->instance, t->started_ms)) {
+		(void)membership_set_leaving(
+		    c->membership, control_now(c), t->service, t->port, 1);
+		control_pump(c);
+	}
+	g_free(t);
+}
+
+/* Called in the guard's thread. */
+static void
+on_leaving(const char *service, uint16_t port, const char *instance,
+    uint64_t started_ms, void *arg)
+{
+	struct control *c = arg;
+	struct leaving_task *t = g_new0(struct leaving_task, 1);
+
+	t->control = c;
+	(void)g_strlcpy(t->service, service, sizeof(t->service));
+	t->port = port;
+	(void)g_strlcpy(t->instance, instance, sizeof(t->instance));
+	t->started_ms = started_ms;
+	loop_post(c->loop, leaving_posted, t);
+}
+
+void
+control_upstream_init(struct control *c)
+{
+	guard_set_leaving(c->guard, on_leaving, c);
+}
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -70,6 +70,8 @@
  * @drain_started: the guard's thread has started the drain, atomic
  * @counts_lock: guards the counts of all upstreams, and @upstreams itself
  *	where another thread reads it
+ * @leaving: called when an upstream reports that it leaves, or NULL
+ * @leaving_arg: passed to @leaving
  * @refusal_log_limit: rate limit of log lines on refused requests
  * @failure_log_limit: rate limit of log lines on requests that failed at the
  *	upstream
@@ -103,6 +105,8 @@
 	_Atomic bool drain_requested;
 	_Atomic bool drain_started;
 	GMutex counts_lock;
+	guard_leaving_fn *leaving;
+	void *leaving_arg;
 	struct log_limit refusal_log_limit;
 	struct log_limit failure_log_limit;
 };
--- a/packages/node/src/guard_report.c
+++ b/packages/node/src/guard_report.c
@@ -189,6 +189,19 @@
 	log_info("upstream service=%s instance=%s reports in an answer that it "
 		 "leaves",
 	    u->info.service, u->report.instance);
+	admission_drain(u->admission);
+	guard_upstream_run_queue(u);
+	if (u->guard->leaving != NULL)
+		u->guard->leaving(u->info.service, u->info.port,
+		    u->report.instance, u->report.started_ms,
+		    u->guard->leaving_arg);
+}
+
+void
+guard_set_leaving(struct guard *g, guard_leaving_fn *leaving, void *arg)
+{
+	g->leaving = leaving;
+	g->leaving_arg = arg;
 }
 
 void
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -82,9 +82,10 @@
 	guard_counts_set_rollout(u);
 	fill_admission_config(info, &cfg);
 	admission_configure(u->admission, &cfg);
-	if (info->state == SERVING_READY && drain_accepts_request(&g->drain))
+	if (info->state == SERVING_READY && !u->report.leaving &&
+	    drain_accepts_request(&g->drain))
 		admission_undrain(u->admission);
-	else if (info->state != SERVING_STARTING)
+	else if (info->state != SERVING_STARTING || u->report.leaving)
 		admission_drain(u->admission);
 	guard_upstream_run_queue(u);
 }
