feat(traffic): entries pace their requests to an endpoint that names a limit

Problem: an upstream that is held to its limit runs few requests and looks idle, so placement by load prefers it, and its guard refuses what is beyond the limit. Solution: the guard's load report carries the limit and the wait for it. An entry keeps a rate for the endpoint, which rises with each accepted request and halves with each refused one, and the endpoint counts as saturated until the next request is due. Entries need no knowledge of one another.

--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -27,7 +27,9 @@
 	struct entry *e = a->call->entry;
 	struct load_report r = {.in_flight = load->in_flight,
 	    .queued = load->queued,
-	    .slots = load->slots};
+	    .slots = load->slots,
+	    .limit_milli_per_s = load->limit_milli_per_s,
+	    .limit_wait_ms = load->limit_wait_ms};
 
 	endpoints_report(
 	    e->endpoints, a->action.endpoint, &r, loop_now_ms(e->loop));
--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -153,6 +153,7 @@
 		ejection_reset(ep);
 		ep->others_milli = 0;
 		ep->delay_us = 0;
+		ep->pace = (struct endpoint_pace){0};
 	}
 	ep->info = *info;
 	ep->info.slots = MAX(info->slots, 1);
@@ -241,10 +242,11 @@
 {
 	struct endpoint *ep;
 
-	(void)now_ms;
 	ep = endpoints_find(e, endpoint);
-	if (ep != NULL)
-		ep->in_flight++;
+	if (ep == NULL)
+		return;
+	ep->in_flight++;
+	endpoint_pace_sent(&ep->pace, now_ms);
 }
 
 /* Whether a result proves that something arrived from the endpoint's host. */
@@ -273,6 +275,7 @@
 			g_hash_table_remove(e->endpoints, &endpoint);
 		return;
 	}
+	ep->pace.refused = result == ENDPOINT_REFUSED;
 	if (result == ENDPOINT_DRAINS)
 		ep->excluded_until_ms = now_ms + e->cfg.drain_hold_ms;
 	if (result == ENDPOINT_ABSENT)
@@ -356,6 +359,7 @@
 	if (load->slots > 0)
 		ep->info.slots = load->slots;
 	update_mean(ep, now_ms);
+	endpoint_pace_report(&ep->pace, load, now_ms);
 }
 
 void
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -65,6 +65,23 @@
 	struct mean_load remote_mean;
 };
 
+/**
+ * struct endpoint_pace - this entry's own rate towards an endpoint that names a
+ * limit
+ * @limit_milli_per_s: the limit, from the endpoint's last report; 0 for none
+ * @milli_per_s: part of the limit that this entry uses, in thousandths of a
+ *	request a second
+ * @open_ms: monotonic time of the next request; until then the endpoint counts
+ *	as saturated
+ * @refused: the last request was refused for load
+ */
+struct endpoint_pace {
+	uint64_t limit_milli_per_s;
+	uint64_t milli_per_s;
+	uint64_t open_ms;
+	bool refused;
+};
+
 /**
  * struct endpoint - state of one endpoint
  * @info: from the snapshot
@@ -80,6 +97,7 @@
  * @excluded_until_ms: excluded until then, after a refusal as draining or a
  *	refused connection
  * @silent: nothing arrives from its host
+ * @pace: rate of requests under the limit that it names
  * @results: for outlier ejection
  */
 struct endpoint {
@@ -95,6 +113,7 @@
 	uint32_t warm_percent;
 	uint64_t excluded_until_ms;
 	bool silent;
+	struct endpoint_pace pace;
 	struct ejection_record results;
 };
 
@@ -145,6 +164,18 @@
 uint64_t endpoints_expected_milli(
     const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms);
 
+/** endpoints_limit_wait_us() - time until the endpoint's limit leaves room for
+ * a request of this entry; 0 if there is room or no limit */
+uint64_t endpoints_limit_wait_us(const struct endpoint *ep, uint64_t now_ms);
+
+/** endpoint_pace_sent() - a request was sent */
+void endpoint_pace_sent(struct endpoint_pace *p, uint64_t now_ms);
+
+/** endpoint_pace_report() - the report of an answer or refusal arrived;
+ * @refused is set before */
+void endpoint_pace_report(
+    struct endpoint_pace *p, const struct load_report *load, uint64_t now_ms);
+
 /** endpoints_delay_us() - expected time on the network and in the queue */
 uint64_t endpoints_delay_us(
     const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms);
--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -260,7 +260,8 @@
 
 /*
  * Expected time until the answer to a request that is placed now: the network
- * delay, and the time at the endpoint, which grows with its load.
+ * delay, the wait for a limit that the endpoint names, and the time at the
+ * endpoint, which grows with its load.
  */
 static uint64_t
 cost_us(const struct placement *p, const struct endpoint *ep, uint64_t work_us,
@@ -271,6 +272,7 @@
 	uint64_t slots = endpoints_slots_milli(p->endpoints, ep, now_ms);
 
 	return endpoints_delay_us(p->endpoints, ep, now_ms) +
+	    endpoints_limit_wait_us(ep, now_ms) +
 	    work_us * (slots + load) / slots;
 }
 
@@ -313,6 +315,8 @@
 {
 	uint64_t load, slots;
 
+	if (endpoints_limit_wait_us(ep, now_ms) > 0)
+		return true;
 	load = endpoints_load_milli(p->endpoints, ep, now_ms) + MILLI;
 	slots = endpoints_slots_milli(p->endpoints, ep, now_ms);
 	return load * PERCENT > slots * p->cfg.saturation_percent;
@@ -347,7 +351,7 @@
 
 	for (i = 0; i < p->local->len; i++) {
 		ep = g_ptr_array_index(p->local, i);
-		if (!ep->info.own)
+		if (!ep->info.own || endpoints_limit_wait_us(ep, now_ms) > 0)
 			continue;
 		load = endpoints_load_milli(p->endpoints, ep, now_ms) + MILLI;
 		slots = endpoints_slots_milli(p->endpoints, ep, now_ms);
