fix(node): a guard that starts again keeps to what entries know of its upstream

Callers saw: nothing; an upstream that leaves, or names a limit, gets requests again when the node beside it starts again.

Cause: limit and leaving were kept by the guard's process alone, while the upstream outlives it. Until the upstream's next answer the new process passed as many requests as there are slots, and all nodes' requests to an upstream that leaves.

Fix: load reports name the upstream's run and whether it leaves. Entries keep this for runs that name a limit or leave and send it with each request; a guard takes up a limit of its current run until the run's first answer, and leaving for good. Nodes of earlier builds neither send nor read the new fields.

Result: both tests fail before and pass.

--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -47,6 +47,7 @@
 	ejection_config_default(&ejection_cfg);
 	placement_config_default(&placement_cfg);
 	e->endpoints = endpoints_new(&endpoints_cfg);
+	e->runs = run_reports_new();
 	e->ejection = ejection_new(&ejection_cfg, e->endpoints);
 	e->placement =
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
@@ -222,6 +223,7 @@
 	patience_free(e->patience);
 	ejection_free(e->ejection);
 	endpoints_free(e->endpoints);
+	run_reports_free(e->runs);
 	snapshot_unref(e->snapshot);
 	loop_timer_stop(&e->drain_timer);
 	g_free(e);
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -50,10 +50,15 @@
 {
 	const struct entry_call *c = a->call;
 	const struct call_request *r = c->request;
+	const struct run_report known =
+	    run_reports_get(c->entry->runs, a->action.endpoint);
 	uint64_t now_ms = loop_now_ms(c->entry->loop);
 	uint64_t left_ms;
 
 	memset(m, 0, sizeof(*m));
+	m->known_run = known.run;
+	m->known_limit_milli_per_s = known.limit_milli_per_s;
+	m->known_leaving = known.leaving;
 	left_ms = clock_left_ms(c->deadline_ms, now_ms);
 	m->stream = a->stream;
 	m->request_id = a->id.bytes;
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -31,8 +31,15 @@
 	    .limit_milli_per_s = load->limit_milli_per_s,
 	    .limit_wait_ms = load->limit_wait_ms};
 
-	endpoints_report(
-	    e->endpoints, a->action.endpoint, &r, loop_now_ms(e->loop));
+	const struct run_report run = {.run = load->run,
+	    .limit_milli_per_s = load->limit_milli_per_s,
+	    .leaving = load->leaving};
+	uint64_t now_ms = loop_now_ms(e->loop);
+
+	endpoints_report(e->endpoints, a->action.endpoint, &r, now_ms);
+	run_reports_update(e->runs, a->action.endpoint, &run, now_ms);
+	if (load->leaving)
+		endpoints_leaving(e->endpoints, a->action.endpoint, now_ms);
 }
 
 static bool
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -24,6 +24,7 @@
 #include "traffic/patience.h"
 #include "traffic/placement.h"
 #include "traffic/quarantine.h"
+#include "traffic/run_reports.h"
 #include "traffic/split.h"
 
 #include "node/call_dialect.h"
@@ -63,6 +64,7 @@
  * @quarantine: quarantined requests, borrowed; NULL for none
  * @watcher: callback for new snapshots, or NULL
  * @watcher_arg: passed to @watcher
+ * @runs: upstreams' runs that name a limit or leave
  * @services: map of service id to struct entry_service
  * @peers: map of address key to struct entry_peer
  * @calls: struct entry_call that are not freed
@@ -91,6 +93,7 @@
 	struct quarantine *quarantine;
 	void (*watcher)(void *arg);
 	void *watcher_arg;
+	struct run_reports *runs;
 	GHashTable *services;
 	GHashTable *peers;
 	GQueue calls;
--- a/packages/node/src/guard_open.c
+++ b/packages/node/src/guard_open.c
@@ -119,6 +119,7 @@
 		return REFUSAL_STOPPING;
 	if (r->upstream == NULL)
 		return REFUSAL_NO_ENDPOINT;
+	guard_report_known(r->upstream, m);
 	if (r->upstream->info.state == SERVING_STARTING)
 		return REFUSAL_STARTING;
 	if (!guard_version_accepts(r, m))
--- a/packages/node/src/guard_report.c
+++ b/packages/node/src/guard_report.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 
 #define LOG_PART "guard"
 #include "base/log.h"
@@ -37,6 +38,7 @@
 	if (u->report.leaving)
 		metric_add(&metric_upstreams_leaving, -1);
 	u->report.leaving = false;
+	u->report.answered = false;
 	u->report.invalid_logged = false;
 	u->report.run++;
 }
@@ -59,6 +61,16 @@
 	return p->port == info->port && info->state != SERVING_STARTING;
 }
 
+static uint64_t
+run_id(const struct guard_endpoint *info)
+{
+	if (info->instance[0] == '\0')
+		return 0;
+	return MAX(
+	    hash64(info->instance, strlen(info->instance), info->started_ms),
+	    1);
+}
+
 void
 guard_report_set_run(
     struct guard_upstream *u, const struct guard_endpoint *info)
@@ -71,6 +83,7 @@
 	(void)g_strlcpy(p->instance, info->instance, sizeof(p->instance));
 	p->started_ms = info->started_ms;
 	p->port = info->port;
+	p->run_id = run_id(info);
 }
 
 void
@@ -80,13 +93,14 @@
 		clear(u);
 }
 
-static bool
-is_named(const struct http_header *h, const char *const *names)
+/* Return: the name in @names that the header has, or NULL. */
+static const char *
+name_of(const struct http_header *h, const char *const *names)
 {
 	for (; names != NULL && *names != NULL; names++)
 		if (g_ascii_strcasecmp(h->name, *names) == 0)
-			return true;
-	return false;
+			return *names;
+	return NULL;
 }
 
 static void
@@ -111,13 +125,16 @@
     uint32_t n, uint64_t *milli_per_s)
 {
 	uint64_t value, lowest = UINT64_MAX;
+	const char *name;
 	bool found = false;
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
-		if (!is_named(&headers[i], u->guard->dialect->limits))
+		name = name_of(&headers[i], u->guard->dialect->limits);
+		if (name == NULL)
 			continue;
 		found = true;
+		u->report.limit_header = name;
 		if (upstream_limit_parse(headers[i].value, &value))
 			lowest = MIN(lowest, value);
 		else
@@ -134,7 +151,7 @@
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		if (is_named(&headers[i], u->guard->dialect->leaving))
+		if (name_of(&headers[i], u->guard->dialect->leaving) != NULL)
 			return true;
 	return false;
 }
@@ -150,12 +167,21 @@
 		return;
 	log_info("upstream service=%s instance=%s limit=%" G_GUINT64_FORMAT
 		 ".%03u requests a second, was %" G_GUINT64_FORMAT
-		 ".%03u, 0 for none left_out=%u",
+		 ".%03u, 0 for none; header=%s left_out=%u",
 	    u->info.service, u->report.instance, now / MILLI,
 	    (unsigned)(now % MILLI), before / MILLI, (unsigned)(before % MILLI),
+	    u->report.limit_header != NULL ? u->report.limit_header : "none",
 	    left_out);
 }
 
+static void
+apply_change(struct guard_upstream *u, uint64_t before)
+{
+	count_limit(before, limit_of(u)->milli_per_s);
+	log_change(u, before);
+	guard_upstream_run_queue(u);
+}
+
 static void
 read_limit(struct guard_request *r, bool ran, const struct http_header *headers,
     uint32_t n)
@@ -165,6 +191,7 @@
 	uint64_t before = l->milli_per_s, milli_per_s;
 	enum limit_change change = LIMIT_UNCHANGED;
 
+	u->report.answered |= ran;
 	if (!find_limit(u, headers, n, &milli_per_s)) {
 		if (ran)
 			change = upstream_limit_omit(l, r->started_us / MILLI);
@@ -172,11 +199,8 @@
 		change =
 		    upstream_limit_name(l, milli_per_s, clock_now_us() / MILLI);
 	}
-	if (change == LIMIT_UNCHANGED)
-		return;
-	count_limit(before, l->milli_per_s);
-	log_change(u, before);
-	guard_upstream_run_queue(u);
+	if (change != LIMIT_UNCHANGED)
+		apply_change(u, before);
 }
 
 static void
@@ -214,3 +238,21 @@
 	if (reports_leaving(r->upstream, headers, n))
 		set_leaving(r->upstream);
 }
+
+void
+guard_report_known(struct guard_upstream *u, const struct msg_call_open *m)
+{
+	struct upstream_limit *l = limit_of(u);
+	uint64_t before = l->milli_per_s;
+
+	if (m->known_run == 0 || m->known_run != u->report.run_id)
+		return;
+	if (m->known_leaving)
+		set_leaving(u);
+	if (u->report.answered || m->known_limit_milli_per_s == 0 ||
+	    before != UPSTREAM_LIMIT_NONE)
+		return;
+	(void)upstream_limit_name(
+	    l, m->known_limit_milli_per_s, clock_now_us() / MILLI);
+	apply_change(u, before);
+}
--- a/packages/node/src/guard_report.h
+++ b/packages/node/src/guard_report.h
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "net/http.h"
 #include "node/guard.h"
+#include "proto/messages.h"
 
 struct guard_request;
 struct guard_upstream;
@@ -22,8 +23,11 @@
  * @started_ms: start time of the run by the upstream's clock, 0 if unknown
  * @port: port of the run
  * @run: number of runs so far
+ * @run_id: number of the run on the wire, from its name and start; 0 if unknown
  * @leaving: the run has reported that it leaves
+ * @answered: an answer has shown whether the run names a limit
  * @invalid_logged: an invalid limit of the run was logged
+ * @limit_header: name of the header that named the last limit
  * @log_limit: rate limit of log lines on limits
  */
 struct guard_report {
@@ -31,8 +35,11 @@
 	uint64_t started_ms;
 	uint16_t port;
 	uint32_t run;
+	uint64_t run_id;
 	bool leaving;
+	bool answered;
 	bool invalid_logged;
+	const char *limit_header;
 	struct log_limit log_limit;
 };
 
@@ -57,4 +64,14 @@
 void guard_report_read(struct guard_request *r, bool ran,
     const struct http_header *headers, uint32_t n);
 
+/**
+ * guard_report_known() - take up what an entry knows of the run
+ * @u: the upstream
+ * @m: request of the entry
+ *
+ * A limit is taken up only until the run's first answer to this process.
+ */
+void
+guard_report_known(struct guard_upstream *u, const struct msg_call_open *m);
+
 #endif
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -39,6 +39,8 @@
  * @running: number of requests that are running
  * @connections: number of connections accepted so far
  * @serving: number of open connections
+ * @delay_ms: shortest run of a request
+ * @answered: number of ordinary answers sent
  */
 struct fake_upstream {
 	uint16_t port;
@@ -46,6 +48,8 @@
 	_Atomic int connections;
 	_Atomic int serving;
 	_Atomic bool stopping;
+	_Atomic uint32_t delay_ms;
+	_Atomic int answered;
 	int fd;
 	pthread_t thread;
 	pthread_mutex_t lock;
@@ -67,6 +71,10 @@
  * answers from now on */
 void fake_upstream_add_headers(struct fake_upstream *u, const char *lines);
 
+/** fake_upstream_set_delay() - run each request that arrives from now on for at
+ * least @ms */
+void fake_upstream_set_delay(struct fake_upstream *u, uint32_t ms);
+
 /** fake_upstream_arrivals() - number of requests that arrived at @from_ms or
  * later and before @until_ms, by the monotonic clock */
 uint32_t fake_upstream_arrivals(
@@ -134,6 +142,11 @@
 void test_node_upstream(
     struct test_node *n, uint16_t port, enum serving_state state);
 
+/** test_node_upstream_run() - set the guard's upstream, ready, as the run
+ * @instance */
+void test_node_upstream_run(
+    struct test_node *n, uint16_t port, const char *instance);
+
 /** test_snapshot() - publish a snapshot: /look is idempotent, /book and /up
  * aren't */
 void test_snapshot(const struct fake_endpoint *endpoints, uint32_t n);
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -122,8 +122,9 @@
 	g_free(n);
 }
 
-void
-test_node_upstream(struct test_node *n, uint16_t port, enum serving_state state)
+static void
+set_upstream(struct test_node *n, uint16_t port, enum serving_state state,
+    const char *instance)
 {
 	struct guard_endpoint ep = {.service = "search",
 	    .port = port,
@@ -134,9 +135,22 @@
 		.queue_wait_ms = 1000,
 		.request_max_bytes = UINT64_C(1) << 31}};
 
+	(void)g_strlcpy(ep.instance, instance, sizeof(ep.instance));
 	guard_set_endpoints(n->guard, &ep, 1);
 }
 
+void
+test_node_upstream(struct test_node *n, uint16_t port, enum serving_state state)
+{
+	set_upstream(n, port, state, "");
+}
+
+void
+test_node_upstream_run(struct test_node *n, uint16_t port, const char *instance)
+{
+	set_upstream(n, port, SERVING_READY, instance);
+}
+
 static struct catalog *
 catalog_of(const struct bundle *b)
 {
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -230,6 +230,7 @@
 	(void)send(c->fd, head->str, head->len,
 	    MSG_NOSIGNAL | (bytes > 0 ? MSG_MORE : 0));
 	g_string_free(head, TRUE);
+	c->u->answered++;
 }
 
 static bool
@@ -314,7 +315,8 @@
 		c->u->running++;
 		if (strstr(head->str, "do=shed") == NULL)
 			count_run(c->u, head->str);
-		g_usleep(query_number(head->str, "ms=") * 1000);
+		g_usleep(
+		    MAX(query_number(head->str, "ms="), c->u->delay_ms) * 1000);
 		more = answer(c, head->str, sum, total);
 		c->u->running--;
 	}
@@ -417,6 +419,12 @@
 	pthread_mutex_unlock(&u->lock);
 }
 
+void
+fake_upstream_set_delay(struct fake_upstream *u, uint32_t ms)
+{
+	u->delay_ms = ms;
+}
+
 uint32_t
 fake_upstream_arrivals(
     struct fake_upstream *u, uint64_t from_ms, uint64_t until_ms)
--- a/packages/node/test/test_call_limit.c
+++ b/packages/node/test/test_call_limit.c
@@ -20,9 +20,19 @@
 #define WINDOW_MS 4000
 #define EXCESS 5
 #define WINDOW_MAX (LIMIT_PER_S * 3 / 2 * WINDOW_MS / 1000 + EXCESS)
-/* Time for the answers that name the limit first. */
+/* Time in which nodes learn from the first answer. */
 #define LEARN_MS 500
 
+/* Time that an upstream runs a request. */
+#define RUN_MS "20"
+
+#define LOW_LIMIT_LINE "Bramley-Upstream-Limit: 1\r\n"
+#define LOW_WINDOW_MAX (3 * WINDOW_MS / 2 / 1000 + EXCESS)
+
+/* An entry leaves an endpoint alone for less than this time after the report
+ * that it leaves. */
+#define LEAVING_MS 7000
+
 #define LEAVING_LINE "Bramley-Upstream-Leaving: 1\r\n"
 
 static const char *const hosts[NODES] = {"h1", "h2", "h3"};
@@ -32,6 +42,9 @@
 static pthread_t threads[CALLERS];
 static _Atomic bool stopping;
 static _Atomic uint32_t n_served;
+/* Number of the first node that is called. */
+static uint32_t first_calling;
+static uint16_t fixed_port;
 
 static void
 start(uint32_t n_upstreams)
@@ -60,19 +73,20 @@
 	snapshot_ref_publish(NULL);
 }
 
-/* Calls its node in turn with reads and bookings. */
+/* Calls its node with reads or bookings. */
 static void *
 caller_main(void *arg)
 {
 	uint32_t number = GPOINTER_TO_UINT(arg);
-	uint16_t port = callers_port(nodes[number % NODES]->callers);
-	bool reads = number % 2 == 0;
+	uint32_t node = first_calling + number % (NODES - first_calling);
+	uint16_t port = callers_port(nodes[node]->callers);
+	bool reads = number / NODES % 2 == 0;
 	struct reply r;
 
 	while (!stopping) {
 		if (caller_call(port, reads ? "GET" : "POST",
-			reads ? "/look/x?ms=20" : "/book/x?ms=20", NULL,
-			reads ? NULL : "seat", reads ? 0 : 4, &r)) {
+			reads ? "/look/x?ms=" RUN_MS : "/book/x?ms=" RUN_MS,
+			NULL, reads ? NULL : "seat", reads ? 0 : 4, &r)) {
 			n_served += r.status == 200;
 			reply_clear(&r);
 		}
@@ -104,6 +118,24 @@
 		pthread_join(threads[i], NULL);
 }
 
+static int
+has_answered(void *arg)
+{
+	const struct fake_upstream *u = arg;
+
+	return u->answered > 0;
+}
+
+/* Waits for the first answer of the first upstream, and until nodes have
+ * learned from it: the first requests may find no connection and go elsewhere
+ * for a while. */
+static void
+wait_until_learned(void)
+{
+	ck_assert(test_wait_int(has_answered, upstreams[0], 1));
+	g_usleep(LEARN_MS * 1000);
+}
+
 /* Guards against an upstream that gets more than the limit that it names, since
  * no node, or each node by itself, keeps to it. */
 START_TEST(a_limit_that_an_upstream_names_holds_over_all_nodes)
@@ -114,7 +146,7 @@
 	start(1);
 	fake_upstream_add_headers(upstreams[0], LIMIT_LINE);
 	start_callers();
-	g_usleep(LEARN_MS * 1000);
+	wait_until_learned();
 	from_ms = clock_now_ms();
 	g_usleep(WINDOW_MS * 1000);
 	stop_callers();
@@ -135,7 +167,7 @@
 	start(NODES);
 	fake_upstream_add_headers(upstreams[0], LEAVING_LINE);
 	start_callers();
-	g_usleep(LEARN_MS * 1000);
+	wait_until_learned();
 	from_ms = clock_now_ms();
 	n_served = 0;
 	g_usleep(WINDOW_MS * 1000);
@@ -147,12 +179,85 @@
 }
 END_TEST
 
+static void
+set_call_port(struct settings *s)
+{
+	s->call_port = fixed_port;
+}
+
+/* Starts the process of the first host's node again; its upstream lives on. */
+static void
+restart_guard(void)
+{
+	fixed_port = endpoints[0].port;
+	test_node_stop(nodes[0]);
+	nodes[0] = test_node_start("h1", set_call_port);
+	test_node_upstream_run(nodes[0], upstreams[0]->port, "run-1");
+}
+
+/* The first host has the only upstream, other nodes are called. */
+static void
+start_behind_first_guard(const char *lines)
+{
+	start(1);
+	test_node_upstream_run(nodes[0], upstreams[0]->port, "run-1");
+	first_calling = 1;
+	fake_upstream_add_headers(upstreams[0], lines);
+	start_callers();
+	wait_until_learned();
+	restart_guard();
+}
+
+static void
+stop_behind_first_guard(void)
+{
+	stop_callers();
+	first_calling = 0;
+	stop();
+}
+
+/* Guards against a guard that has started again and passes as many requests as
+ * its upstream has slots, until the upstream's next answer names the limit. */
+START_TEST(a_limit_holds_while_its_guard_starts_again)
+{
+	uint64_t from_ms;
+	uint32_t n;
+
+	start_behind_first_guard(LOW_LIMIT_LINE);
+	from_ms = clock_now_ms();
+	fake_upstream_set_delay(upstreams[0], 1000);
+	g_usleep(WINDOW_MS * 1000);
+	n = fake_upstream_arrivals(upstreams[0], from_ms, from_ms + WINDOW_MS);
+	ck_assert_msg(
+	    n <= LOW_WINDOW_MAX, "%u requests, allowed %d", n, LOW_WINDOW_MAX);
+	stop_behind_first_guard();
+}
+END_TEST
+
+/* Guards against a guard that has started again and passes requests of nodes
+ * that know that its upstream leaves. */
+START_TEST(leaving_holds_while_its_guard_starts_again)
+{
+	uint64_t from_ms;
+	uint32_t n;
+
+	start_behind_first_guard(LEAVING_LINE);
+	from_ms = clock_now_ms();
+	g_usleep(LEAVING_MS * 1000);
+	n = fake_upstream_arrivals(upstreams[0], from_ms, UINT64_MAX);
+	ck_assert_msg(n == 0, "%u requests, allowed none", n);
+	stop_behind_first_guard();
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *const tests[] = {
 	    a_limit_that_an_upstream_names_holds_over_all_nodes,
-	    an_upstream_that_reports_its_leaving_gets_no_more_requests, NULL};
+	    an_upstream_that_reports_its_leaving_gets_no_more_requests,
+	    a_limit_holds_while_its_guard_starts_again,
+	    leaving_holds_while_its_guard_starts_again, NULL};
 
 	return fixture_main("call limit", tests);
 }
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -66,6 +66,8 @@
  * 	a request a second; 0 for none and when absent
  * @limit_wait_ms: time until a further request may start under that
  * 	limit
+ * @run: number of the upstream's run; 0 when unknown and when absent
+ * @leaving: the run has reported that it leaves
  */
 struct rec_load {
 	uint32_t in_flight;
@@ -73,6 +75,8 @@
 	uint32_t slots;
 	uint64_t limit_milli_per_s;
 	uint32_t limit_wait_ms;
+	uint64_t run;
+	bool leaving;
 };
 
 extern const struct codec_desc rec_load_desc;
@@ -172,6 +176,11 @@
  * 	endpoint
  * @caller: name of the caller, for limits per caller
  * @route: number of the route, the same on all entries; 0 when absent
+ * @known_run: run of the upstream of which the entry knows the
+ * 	following, from an earlier load; 0 for none and when absent
+ * @known_limit_milli_per_s: limit that this run named, in thousandths
+ * 	of a request a second; 0 for none
+ * @known_leaving: this run has reported that it leaves
  */
 struct msg_call_open {
 	uint32_t stream;
@@ -194,6 +203,9 @@
 	uint64_t version;
 	char caller[64];
 	uint64_t route;
+	uint64_t known_run;
+	uint64_t known_limit_milli_per_s;
+	bool known_leaving;
 };
 
 extern const struct codec_desc msg_call_open_desc;
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -39,11 +39,17 @@
     {.name = "limit_wait_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_load, limit_wait_ms)},
+    {.name = "run",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_load, run)},
+    {.name = "leaving",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct rec_load, leaving)},
 };
 
 const struct codec_desc rec_load_desc = {.name = "load",
     .fields = rec_load_fields,
-    .n_fields = 5,
+    .n_fields = 7,
     .size_bytes = sizeof(struct rec_load)};
 
 static const struct codec_field msg_call_hello_fields[] = {
@@ -198,11 +204,20 @@
     {.name = "route",
 	.kind = CODEC_U64,
 	.offset = offsetof(struct msg_call_open, route)},
+    {.name = "known_run",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_open, known_run)},
+    {.name = "known_limit_milli_per_s",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_open, known_limit_milli_per_s)},
+    {.name = "known_leaving",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_call_open, known_leaving)},
 };
 
 const struct codec_desc msg_call_open_desc = {.name = "call_open",
     .fields = msg_call_open_fields,
-    .n_fields = 16,
+    .n_fields = 19,
     .size_bytes = sizeof(struct msg_call_open)};
 
 void
--- a/packages/traffic/include/traffic/endpoints.h
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -201,6 +201,14 @@
 void endpoints_report(struct endpoints *e, uint64_t endpoint,
     const struct load_report *load, uint64_t now_ms);
 
+/**
+ * endpoints_leaving() - an answer reported that the endpoint leaves
+ *
+ * The endpoint gets no new requests for drain_hold_ms; then it is tried again,
+ * and its guard decides.
+ */
+void endpoints_leaving(struct endpoints *e, uint64_t endpoint, uint64_t now_ms);
+
 /**
  * endpoints_hint() - result of the endpoint's own health check
  *
--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -362,6 +362,16 @@
 	endpoint_pace_report(&ep->pace, load, now_ms);
 }
 
+void
+endpoints_leaving(struct endpoints *e, uint64_t endpoint, uint64_t now_ms)
+{
+	struct endpoint *ep;
+
+	ep = endpoints_find(e, endpoint);
+	if (ep != NULL)
+		ep->excluded_until_ms = now_ms + e->cfg.drain_hold_ms;
+}
+
 void
 endpoints_hint(
     struct endpoints *e, uint64_t endpoint, bool healthy, uint64_t now_ms)
--- a/packages/traffic/src/upstream_limit.c
+++ b/packages/traffic/src/upstream_limit.c
@@ -54,7 +54,7 @@
 		return false;
 	per_s = g_ascii_strtod(text, NULL);
 	per_s = MIN(per_s, (double)LIMIT_MAX_MILLI / MILLI);
-	*milli_per_s = MAX((uint64_t)(per_s * MILLI), LIMIT_MIN_MILLI);
+	*milli_per_s = MAX((uint64_t)(per_s * MILLI + 0.5), LIMIT_MIN_MILLI);
 	return true;
 }
 
@@ -89,6 +89,7 @@
 {
 	bool began = l->milli_per_s == UPSTREAM_LIMIT_NONE;
 
+	milli_per_s = CLAMP(milli_per_s, LIMIT_MIN_MILLI, LIMIT_MAX_MILLI);
 	l->named_ms = now_ms;
 	if (l->milli_per_s == milli_per_s)
 		return LIMIT_UNCHANGED;
