fix(node): an upstream's Retry-After is checked before it is passed on

Callers saw: after an upstream's refusal with a negative Retry-After a time of 4,294,967 s. Cause: the number was cast to an unsigned one unchecked, undefined for negative and huge ones. The same header parsing as that of named limits. Fix: one parser of decimal numbers for both, which takes digits and a point only; a time above a minute is passed on as a minute, anything else ignored. Result: test_call_limit's an_upstreams_invalid_retry_after_is_not_passed_on fails before, with "-5", and passes.

--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/decimal.h"
 
 #define LOG_PART "guard"
 #include "base/log.h"
@@ -19,7 +20,8 @@
 #define HTTP_NOT_MODIFIED 304
 #define NUMBER_BYTES 24
 #define ID_HEX_BYTES (2 * REQUEST_ID_BYTES + 1)
-#define MS_PER_S 1000
+/* Longest Retry-After of an upstream that is passed on. */
+#define SHED_RETRY_MAX_MS 60000
 
 /* Maximum number of headers that the guard adds to those of the caller. */
 #define ADDED_HEADERS_MAX 3
@@ -60,8 +62,8 @@
 
 	r->shed = true;
 	if (retry_after != NULL)
-		r->shed_retry_ms =
-		    (uint64_t)(g_ascii_strtod(retry_after, NULL) * MS_PER_S);
+		(void)decimal_parse_milli(
+		    retry_after, SHED_RETRY_MAX_MS, &r->shed_retry_ms);
 }
 
 /* Whether the answer carries the id of a request other than @r. */
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -219,10 +219,11 @@
 }
 
 static void
-send_head(struct upstream_conn *c, size_t bytes)
+send_head(struct upstream_conn *c, const char *status, size_t bytes)
 {
-	GString *head = g_string_new("HTTP/1.1 200 OK\r\n");
+	GString *head = g_string_new("HTTP/1.1 ");
 
+	g_string_append_printf(head, "%s\r\n", status);
 	pthread_mutex_lock(&c->u->lock);
 	g_string_append(head, c->u->added->str);
 	pthread_mutex_unlock(&c->u->lock);
@@ -242,10 +243,7 @@
 	if (strstr(head, "do=close") != NULL)
 		return false;
 	if (strstr(head, "do=shed") != NULL) {
-		(void)snprintf(line, sizeof(line),
-		    "HTTP/1.1 503 Shed\r\n"
-		    "Bramley-Fate: not_run\r\nContent-Length: 0\r\n\r\n");
-		send_all(c->fd, line, strlen(line));
+		send_head(c, "503 Shed\r\nBramley-Fate: not_run", 0);
 		return true;
 	}
 	if (strstr(head, "do=sum") != NULL) {
@@ -276,7 +274,7 @@
 		send_pattern(c->fd, bytes, true, strstr(head, "cut=1") == NULL);
 		return strstr(head, "cut=1") == NULL;
 	}
-	send_head(c, bytes);
+	send_head(c, "200 OK", bytes);
 	if (g_str_has_prefix(head, "HEAD "))
 		bytes = 0;
 	if (strstr(head, "do=cut") != NULL) {
--- a/packages/node/test/test_call_limit.c
+++ b/packages/node/test/test_call_limit.c
@@ -3,6 +3,7 @@
  * on their requests, and that they leave.
  */
 #include <pthread.h>
+#include <stdlib.h>
 
 #include "base/clock.h"
 #include "node/snapshot_ref.h"
@@ -33,6 +34,8 @@
  * that it leaves. */
 #define LEAVING_MS 7000
 
+#define RETRY_AFTER_MAX_S 60
+
 #define LEAVING_LINE "Bramley-Upstream-Leaving: 1\r\n"
 
 static const char *const hosts[NODES] = {"h1", "h2", "h3"};
@@ -250,6 +253,31 @@
 }
 END_TEST
 
+static const char *const retry_after_lines[] = {"Retry-After: -5\r\n",
+    "Retry-After: nan\r\n", "Retry-After: 1e300\r\n",
+    "Retry-After: 99999999999999999999\r\n", "Retry-After: soon\r\n"};
+
+/* Guards against an upstream's Retry-After that is passed on as a time of
+ * weeks, since it is negative, too large or no number. */
+START_TEST(an_upstreams_invalid_retry_after_is_not_passed_on)
+{
+	struct reply r;
+	size_t i;
+
+	start(1);
+	for (i = 0; i < G_N_ELEMENTS(retry_after_lines); i++) {
+		fake_upstream_add_headers(upstreams[0], retry_after_lines[i]);
+		ck_assert(caller_call(callers_port(nodes[0]->callers), "GET",
+		    "/look/x?do=shed", NULL, NULL, 0, &r));
+		ck_assert_int_eq(r.status, 503);
+		ck_assert_msg(atol(r.retry_after) <= RETRY_AFTER_MAX_S,
+		    "%s answered as %s", retry_after_lines[i], r.retry_after);
+		reply_clear(&r);
+	}
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -257,7 +285,8 @@
 	    a_limit_that_an_upstream_names_holds_over_all_nodes,
 	    an_upstream_that_reports_its_leaving_gets_no_more_requests,
 	    a_limit_holds_while_its_guard_starts_again,
-	    leaving_holds_while_its_guard_starts_again, NULL};
+	    leaving_holds_while_its_guard_starts_again,
+	    an_upstreams_invalid_retry_after_is_not_passed_on, NULL};
 
 	return fixture_main("call limit", tests);
 }
--- a/packages/traffic/src/upstream_limit.c
+++ b/packages/traffic/src/upstream_limit.c
@@ -7,13 +7,12 @@
 
 #include <glib.h>
 
-#define MILLI 1000
+#include "base/decimal.h"
+
 #define TOKEN 1000000
 /* Tokens are saved for this time, but at least TOKENS_MIN of them. */
 #define BURST_MS 250
 #define TOKENS_MIN 2
-/* Longest number that is parsed. */
-#define NUMBER_BYTES_MAX 32
 #define LIMIT_MIN_MILLI 200
 #define LIMIT_MAX_MILLI UINT64_C(1000000000)
 
@@ -23,38 +22,14 @@
 	memset(l, 0, sizeof(*l));
 }
 
-/* Whether @text consists of digits with one decimal point at most. */
-static bool
-is_decimal(const char *text, size_t len)
-{
-	uint32_t digits = 0, points = 0;
-	size_t i;
-
-	if (len > NUMBER_BYTES_MAX)
-		return false;
-	for (i = 0; i < len; i++) {
-		digits += g_ascii_isdigit(text[i]);
-		points += text[i] == '.';
-	}
-	return digits > 0 && points <= 1 && digits + points == len;
-}
-
 bool
 upstream_limit_parse(const char *text, uint64_t *milli_per_s)
 {
-	double per_s;
-	size_t len;
-
-	while (g_ascii_isspace(*text))
-		text++;
-	len = strlen(text);
-	while (len > 0 && g_ascii_isspace(text[len - 1]))
-		len--;
-	if (!is_decimal(text, len))
+	uint64_t milli;
+
+	if (!decimal_parse_milli(text, LIMIT_MAX_MILLI, &milli))
 		return false;
-	per_s = g_ascii_strtod(text, NULL);
-	per_s = MIN(per_s, (double)LIMIT_MAX_MILLI / MILLI);
-	*milli_per_s = MAX((uint64_t)(per_s * MILLI + 0.5), LIMIT_MIN_MILLI);
+	*milli_per_s = MAX(milli, LIMIT_MIN_MILLI);
 	return true;
 }
 
