test(soak): upstreams name limits and report their leaving

Problem: no random fault has an upstream that reports something of itself. Solution: the stand-in upstream names a limit and reports its leaving on request and counts the calls beyond both bounds. The soak draws limits of 1 to 7 a second and leaving beside its other faults, in events of their own, so that the plans of earlier seeds stay as they were.

--- a/packages/node/test/test_call_limit.c
+++ b/packages/node/test/test_call_limit.c
@@ -35,6 +35,7 @@
 #define LEAVING_MS 7000
 
 #define RETRY_AFTER_MAX_S 60
+#define DECIMAL 10
 
 #define LEAVING_LINE "Bramley-Upstream-Leaving: 1\r\n"
 
@@ -270,7 +271,8 @@
 		ck_assert(caller_call(callers_port(nodes[0]->callers), "GET",
 		    "/look/x?do=shed", NULL, NULL, 0, &r));
 		ck_assert_int_eq(r.status, 503);
-		ck_assert_msg(atol(r.retry_after) <= RETRY_AFTER_MAX_S,
+		ck_assert_msg(
+		    strtol(r.retry_after, NULL, DECIMAL) <= RETRY_AFTER_MAX_S,
 		    "%s answered as %s", retry_after_lines[i], r.retry_after);
 		reply_clear(&r);
 	}
--- a/packages/standins/include/standins/upstream.h
+++ b/packages/standins/include/standins/upstream.h
@@ -14,7 +14,8 @@
  * random times), lie_health ("ok", "ill" or "" for the actual state), lie_load
  * (integer, -1 for the actual load), close_after_run (the next N calls are run
  * without a response), close_kept_alive (the same for the next N POSTs on a
- * reused connection).
+ * reused connection), limit_per_s (integer, named as the limit in answers, 0
+ * for none), leaving (bool, reported in answers).
  */
 #ifndef STANDINS_UPSTREAM_H
 #define STANDINS_UPSTREAM_H
--- a/packages/standins/include/standins/web.h
+++ b/packages/standins/include/standins/web.h
@@ -99,12 +99,13 @@
  * web_respond_head() - send the head of a 200 response and start its body
  * @conn: the connection
  * @type: content type
+ * @headers: additional header lines, each terminated by CR LF
  * @len: length of the whole body in bytes
  * @data: first bytes of the body; the caller sends the rest with mg_write()
  * @data_len: length of @data in bytes
  */
 void web_respond_head(struct mg_connection *conn, const char *type,
-    uint64_t len, const void *data, size_t data_len);
+    const char *headers, uint64_t len, const void *data, size_t data_len);
 
 /**
  * web_respond_json() - send a JSON response
--- a/packages/standins/src/upstream.c
+++ b/packages/standins/src/upstream.c
@@ -40,6 +40,8 @@
 	web_json_u32(j, "work_ms_exact", &k->work_ms_exact);
 	web_json_u32(j, "close_after_run", &k->close_after_run);
 	web_json_u32(j, "close_kept_alive", &k->close_kept_alive);
+	web_json_u32(j, "limit_per_s", &k->limit_per_s);
+	knob_bool(j, "leaving", &k->leaving);
 	v = json_object_get(j, "slow_factor");
 	if (json_is_number(v))
 		k->slow_factor = json_number_value(v);
@@ -84,6 +86,8 @@
 	pthread_mutex_lock(&u->lock);
 	was_drain = u->knobs.drain;
 	knobs_update(&u->knobs, j);
+	u->limit_ms = DEADLINE_NEVER;
+	g_array_set_size(u->limited, 0);
 	drain = u->knobs.drain;
 	paused = u->knobs.pause_lease;
 	pthread_mutex_unlock(&u->lock);
@@ -145,6 +149,10 @@
 	    j, "after_drain", json_integer((json_int_t)s.after_drain));
 	json_object_set_new(j, "after_drain_max_ms",
 	    json_integer((json_int_t)s.after_drain_max_ms));
+	json_object_set_new(
+	    j, "over_limit", json_integer((json_int_t)s.over_limit));
+	json_object_set_new(
+	    j, "after_leaving", json_integer((json_int_t)s.after_leaving));
 	web_respond_json(conn, 200, NULL, j);
 }
 
@@ -208,12 +216,16 @@
 	u->knobs.lie_load = UPSTREAM_LOAD_ACTUAL;
 	u->ready_ms = clock_now_ms() + o->cold_start_ms;
 	u->draining_ms = DEADLINE_NEVER;
+	u->limit_ms = DEADLINE_NEVER;
+	u->leaving_ms = DEADLINE_NEVER;
+	u->limited = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 }
 
 static void
 upstream_free(struct upstream *u)
 {
 	runs_free(u->runs);
+	g_array_free(u->limited, TRUE);
 	pthread_cond_destroy(&u->changed);
 	pthread_mutex_destroy(&u->lock);
 	g_free(u);
--- a/packages/standins/src/upstream_call.c
+++ b/packages/standins/src/upstream_call.c
@@ -21,6 +21,12 @@
 #define CALL_WORK_MAX_MEANS 10.0
 /* Exit code after a call with ?crash=1. */
 #define CALL_CRASH_EXIT_CODE 70
+/* The bound of a limit: window, excess, and time for its first answer. */
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_EXCESS 5
+#define LIMIT_LEARN_MS 500
+/* Time from the first answer that reports leaving until no call may come. */
+#define LEAVING_LEARN_MS 2000
 #define CALL_FATE_NOT_RUN "Bramley-Fate: not_run\r\n"
 
 /* A call in progress. */
@@ -103,6 +109,22 @@
 	return 1;
 }
 
+/* Counts a run beyond the bound of the limit: one and a half times the limit in
+ * the window, and the excess.  Call with the lock held. */
+static void
+count_limited(struct upstream *u, uint64_t now_ms)
+{
+	if (now_ms < u->limit_ms)
+		return;
+	while (u->limited->len > 0 &&
+	    g_array_index(u->limited, uint64_t, 0) + LIMIT_WINDOW_MS <= now_ms)
+		g_array_remove_index(u->limited, 0);
+	g_array_append_val(u->limited, now_ms);
+	u->stats.over_limit += u->limited->len >
+	    u->knobs.limit_per_s * 3 * LIMIT_WINDOW_MS / 2 / 1000 +
+		LIMIT_EXCESS;
+}
+
 /* Record the run before its work and decide whether the call gets a
  * response. */
 static void
@@ -125,6 +147,8 @@
 		u->stats.after_drain++;
 		u->stats.after_drain_max_ms = c->start_ms - u->draining_ms;
 	}
+	count_limited(u, c->start_ms);
+	u->stats.after_leaving += c->start_ms >= u->leaving_ms;
 	pthread_mutex_unlock(&u->lock);
 }
 
@@ -187,17 +211,39 @@
 	g_free(buf);
 }
 
+/* Headers that report a limit and leaving; free with g_string_free(). */
+static GString *
+report_headers(struct upstream *u)
+{
+	GString *s = g_string_new(NULL);
+	uint64_t now_ms = clock_now_ms();
+
+	pthread_mutex_lock(&u->lock);
+	if (u->knobs.limit_per_s > 0) {
+		g_string_append_printf(
+		    s, "Bramley-Upstream-Limit: %u\r\n", u->knobs.limit_per_s);
+		u->limit_ms = MIN(u->limit_ms, now_ms + LIMIT_LEARN_MS);
+	}
+	if (u->knobs.leaving) {
+		g_string_append(s, "Bramley-Upstream-Leaving: 1\r\n");
+		u->leaving_ms = MIN(u->leaving_ms, now_ms + LEAVING_LEARN_MS);
+	}
+	pthread_mutex_unlock(&u->lock);
+	return s;
+}
+
 static void
 call_respond(struct upstream *u, struct call *c)
 {
-	GString *line;
+	GString *line, *headers = report_headers(u);
 	uint64_t pad = web_query_u64(c->conn, "answer_bytes", 0);
 	struct reply r = {u->opt.host, c->ids.test_id, c->ids.key, c->run,
 	    c->body_bytes, c->body_hash, pad};
 
 	line = reply_line(&r);
-	web_respond_head(c->conn, "application/octet-stream", line->len + pad,
-	    line->str, line->len);
+	web_respond_head(c->conn, "application/octet-stream", headers->str,
+	    line->len + pad, line->str, line->len);
+	g_string_free(headers, TRUE);
 	g_string_free(line, TRUE);
 	call_send_padding(c, pad);
 }
--- a/packages/standins/src/upstream_defs.h
+++ b/packages/standins/src/upstream_defs.h
@@ -7,6 +7,8 @@
 #include <pthread.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "standins/announcer.h"
 #include "standins/runs.h"
 #include "standins/upstream.h"
@@ -28,6 +30,8 @@
 	int64_t lie_load;
 	uint32_t close_after_run;
 	uint32_t close_kept_alive;
+	uint32_t limit_per_s; /* named in answers; 0: none */
+	int leaving;	      /* reported in answers */
 };
 
 struct upstream_stats {
@@ -36,6 +40,8 @@
 	uint64_t unanswered;	     /* run, closed without a response */
 	uint64_t after_drain;	     /* runs started after draining_ms */
 	uint64_t after_drain_max_ms; /* from then to the latest of them */
+	uint64_t over_limit;	     /* runs beyond the bound of the limit */
+	uint64_t after_leaving;	     /* runs after the time to leave it */
 };
 
 struct upstream {
@@ -51,6 +57,9 @@
 	uint32_t in_flight;
 	uint64_t ready_ms;    /* when the cold start ends */
 	uint64_t draining_ms; /* end of ack wait, or DEADLINE_NEVER */
+	uint64_t limit_ms;    /* when the limit binds, or DEADLINE_NEVER */
+	uint64_t leaving_ms;  /* when leaving binds, or DEADLINE_NEVER */
+	GArray *limited;      /* uint64_t, starts of runs from limit_ms on */
 	int stopping;
 };
 
--- a/packages/standins/src/web.c
+++ b/packages/standins/src/web.c
@@ -169,15 +169,15 @@
 }
 
 void
-web_respond_head(struct mg_connection *conn, const char *type, uint64_t len,
-    const void *data, size_t data_len)
+web_respond_head(struct mg_connection *conn, const char *type,
+    const char *headers, uint64_t len, const void *data, size_t data_len)
 {
 	GString *s = g_string_sized_new(data_len + WEB_HEAD_BYTES);
 
 	g_string_printf(s,
-	    "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
+	    "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n%s"
 	    "Content-Length: %" G_GUINT64_FORMAT "\r\n\r\n",
-	    type, len);
+	    type, headers, len);
 	g_string_append_len(s, data, (gssize)data_len);
 	(void)mg_write(conn, s->str, s->len);
 	g_string_free(s, TRUE);
--- a/packages/traffic/test/test_limited_fleet.c
+++ b/packages/traffic/test/test_limited_fleet.c
@@ -258,6 +258,7 @@
 	struct admission_result res;
 	uint64_t ticket;
 
+	ck_assert_ptr_nonnull(u->running);
 	while (u->running->len > 0) {
 		ticket = g_array_index(u->running, uint64_t, 0);
 		if (call_at(f, ticket)->started_ms + WORK_MS > now_ms)
--- a/test/soak/soak_plan.c
+++ b/test/soak/soak_plan.c
@@ -19,7 +19,8 @@
 	    "upstream_stop", "upstream_freeze", "upstream_shed",
 	    "upstream_break", "store_outage", "store_slow", "store_lost",
 	    "link_cut", "link_silent", "link_stalled", "link_one_way",
-	    "sign_off", "grow", "stop_wave"};
+	    "sign_off", "grow", "stop_wave", "upstream_limit",
+	    "upstream_leaving"};
 
 	return (size_t)f < G_N_ELEMENTS(names) ? names[f] : "?";
 }
@@ -109,3 +110,35 @@
 	g_rand_free(rnd);
 	g_array_sort(plan, compare_by_time);
 }
+
+/* A limit lasts for longer than the window that bounds it. */
+#define LIMIT_MIN_MS 1000
+#define LIMIT_MAX_MS 6000
+
+void
+soak_plan_reports(
+    GArray *plan, uint32_t seed, uint32_t duration_ms, uint32_t times)
+{
+	GRand *rnd = g_rand_new_with_seed(seed + 2);
+	struct soak_event e = {.number = plan->len};
+	uint32_t i, begins_ms;
+
+	for (i = 0; i < times + times / 2; i++, e.number++) {
+		e.fault =
+		    i < times ? SOAK_UPSTREAM_LIMIT : SOAK_UPSTREAM_LEAVING;
+		begins_ms =
+		    (uint32_t)g_rand_int_range(rnd, 0, (gint32)duration_ms);
+		e.at_ms = begins_ms;
+		e.target = g_rand_int(rnd);
+		e.ends = false;
+		g_array_append_val(plan, e);
+		e.at_ms = MIN(duration_ms,
+		    begins_ms +
+			(uint32_t)g_rand_int_range(
+			    rnd, LIMIT_MIN_MS, LIMIT_MAX_MS));
+		e.ends = true;
+		g_array_append_val(plan, e);
+	}
+	g_rand_free(rnd);
+	g_array_sort(plan, compare_by_time);
+}
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -39,6 +39,10 @@
  *	apart from the random faults, see soak_plan_grow()
  * @SOAK_STOP_WAVE: half of the nodes get SIGTERM at once; scheduled apart from
  *	the random faults, see soak_plan_stop_waves()
+ * @SOAK_UPSTREAM_LIMIT: an upstream names a limit in its answers; scheduled
+ *	apart from the random faults, see soak_plan_reports()
+ * @SOAK_UPSTREAM_LEAVING: an upstream reports in its answers that it leaves,
+ *	then gets SIGTERM; scheduled like the limits
  *
  * Half of the link faults hit the relays of all hosts of the data centre.
  */
@@ -64,6 +68,8 @@
 	SOAK_FAULTS,
 	SOAK_GROW = SOAK_FAULTS,
 	SOAK_STOP_WAVE,
+	SOAK_UPSTREAM_LIMIT,
+	SOAK_UPSTREAM_LEAVING,
 };
 
 /** soak_fault_name() - short name of a kind of fault, for the output */
@@ -116,4 +122,14 @@
 void soak_plan_stop_waves(
     GArray *plan, uint32_t seed, uint32_t duration_ms, uint32_t times);
 
+/**
+ * soak_plan_reports() - add upstreams that name limits or report their leaving
+ * @plan: the plan; its other events stay unchanged
+ * @seed: seed of the times, the hosts and the limits
+ * @duration_ms: length of the run
+ * @times: number of limits, and half of the number of upstreams that leave
+ */
+void soak_plan_reports(
+    GArray *plan, uint32_t seed, uint32_t duration_ms, uint32_t times);
+
 #endif
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -44,6 +44,9 @@
 #define POLL_MS 20
 /* Limit of waiting for a stopping upstream when its fault ends. */
 #define STOP_TIMEOUT_MS 2500
+/* Limits that upstreams name, of some 10 calls a second each. */
+#define LIMIT_MIN_PER_S 1
+#define LIMIT_MAX_PER_S 8
 
 /**
  * struct pending_sign_off - a sign-off whose bramleyctl has not been waited for
@@ -61,6 +64,9 @@
  * @watch: observes the versions that nodes serve
  * @node_fault: for each host, number of the fault of its node plus one, or 0
  * @upstream_fault: the same for the host's upstream
+ * @node_faults: for each host, number of faults that its node has had
+ * @leaving_since: for each host, @node_faults when its upstream reported its
+ *	leaving
  * @stopping: for each host, whether its upstream exceeded STOP_TIMEOUT_MS; such
  *	stops are waited for after all other faults
  * @link_fault: the same as @node_fault for each relay to the platform
@@ -79,6 +85,8 @@
 	struct version_watch *watch;
 	uint32_t *node_fault;
 	uint32_t *upstream_fault;
+	uint32_t *node_faults;
+	uint32_t *leaving_since;
 	bool *stopping;
 	uint32_t *link_fault;
 	uint32_t store_fault;
@@ -171,6 +179,7 @@
 	}
 	if (!claim(s, &s->node_fault[i], e))
 		return;
+	s->node_faults[i]++;
 	if (e->ends)
 		node_recover(s, h, e->fault);
 	else
@@ -298,6 +307,67 @@
 	}
 }
 
+/* Number in the counts of an upstream; 0 if it has been crashed. */
+static int64_t
+upstream_count(const struct host *h, const char *name)
+{
+	char url[NAME_BYTES];
+	json_t *j;
+	int64_t n;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/standin/runs",
+	    h->address, h->upstream_port);
+	j = fetch_json("GET", url, NULL, NULL);
+	n = j != NULL ? json_number(j, name) : 0;
+	json_decref(j);
+	return n;
+}
+
+static void
+limit_event(struct soak *s, const struct soak_event *e, uint32_t i)
+{
+	struct host *h = deployment_host(s->d, i);
+	char knobs[NAME_BYTES];
+	uint32_t per_s = LIMIT_MIN_PER_S +
+	    e->target / s->d->hosts->len % (LIMIT_MAX_PER_S - LIMIT_MIN_PER_S);
+
+	if (!claim(s, &s->upstream_fault[i], e))
+		return;
+	if (e->ends)
+		ck_assert_int_eq(upstream_count(h, "over_limit"), 0);
+	upstream_restart_crashed(s, h);
+	(void)g_snprintf(
+	    knobs, sizeof(knobs), "{\"limit_per_s\":%u}", e->ends ? 0 : per_s);
+	deployment_upstream_knobs(h, knobs);
+}
+
+/* A leaving upstream is stopped at the end of the event, as its run doesn't
+ * return. */
+static void
+leaving_event(struct soak *s, const struct soak_event *e, uint32_t i)
+{
+	struct host *h = deployment_host(s->d, i);
+
+	if (!claim(s, &s->upstream_fault[i], e))
+		return;
+	if (!e->ends) {
+		upstream_restart_crashed(s, h);
+		deployment_upstream_knobs(h, "{\"leaving\":true}");
+		s->leaving_since[i] = s->node_faults[i];
+		return;
+	}
+	if (s->leaving_since[i] == s->node_faults[i])
+		ck_assert_int_eq(upstream_count(h, "after_leaving"), 0);
+	process_signal(h->upstream, SIGTERM);
+	if (!exits_within(h, STOP_TIMEOUT_MS)) {
+		s->upstream_fault[i] = e->number + 1;
+		s->stopping[i] = true;
+		return;
+	}
+	upstream_finish_stop(s, h);
+	upstream_start(s, h);
+}
+
 static void
 store_event(struct soak *s, const struct soak_event *e)
 {
@@ -368,7 +438,11 @@
 {
 	uint32_t host = e->target % s->d->hosts->len;
 
-	if (e->fault == SOAK_MASS_KILL || e->fault == SOAK_STOP_WAVE)
+	if (e->fault == SOAK_UPSTREAM_LIMIT)
+		limit_event(s, e, host);
+	else if (e->fault == SOAK_UPSTREAM_LEAVING)
+		leaving_event(s, e, host);
+	else if (e->fault == SOAK_MASS_KILL || e->fault == SOAK_STOP_WAVE)
 		half_of_nodes_event(s, e, host);
 	else if (e->fault < SOAK_UPSTREAM_KILL)
 		node_event(s, e, host);
@@ -594,6 +668,8 @@
 	s->d = calls_start(&plan, &limits);
 	s->node_fault = g_new0(uint32_t, s->d->hosts->len);
 	s->upstream_fault = g_new0(uint32_t, s->d->hosts->len);
+	s->node_faults = g_new0(uint32_t, s->d->hosts->len);
+	s->leaving_since = g_new0(uint32_t, s->d->hosts->len);
 	s->stopping = g_new0(bool, s->d->hosts->len);
 	s->link_fault = g_new0(uint32_t, s->d->relays->len);
 	s->sign_offs =
@@ -608,6 +684,8 @@
 	g_array_unref(s->sign_offs);
 	g_free(s->node_fault);
 	g_free(s->upstream_fault);
+	g_free(s->node_faults);
+	g_free(s->leaving_since);
 	g_free(s->stopping);
 	g_free(s->link_fault);
 	g_rand_free(s->rand);
@@ -632,7 +710,7 @@
 
 void
 soak_run(uint32_t seed, uint32_t duration_s, uint32_t faults, uint32_t growths,
-    uint32_t stop_waves, bool crashes)
+    uint32_t stop_waves, uint32_t reports, bool crashes)
 {
 	GArray *plan = soak_plan_new(seed, duration_s * 1000, faults);
 	struct calls_counts c = {0};
@@ -643,6 +721,7 @@
 
 	soak_plan_grow(plan, seed, duration_s * 1000, growths);
 	soak_plan_stop_waves(plan, seed, duration_s * 1000, stop_waves);
+	soak_plan_reports(plan, seed, duration_s * 1000, reports);
 	print_plan(seed, plan);
 	soak_init(&s);
 	(void)g_snprintf(name, sizeof(name), "soak-%u", seed);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -15,6 +15,8 @@
  * @faults: number of random faults
  * @growths: number of versions with many more routes than the previous one
  * @stop_waves: number of times at which half of the nodes get SIGTERM
+ * @reports: number of limits that upstreams name, and half of the number of
+ *	upstreams that report their leaving
  * @crashes: whether a request that crashes upstreams is sent throughout the
  *	run, and all hosts lose power in the middle
  *
@@ -29,9 +31,13 @@
  * - if a node runs a request that has crashed three upstreams, or quarantines
  *   any other request;
  * - if a stopping node aborts a call that it accepted while stopping;
+ * - if an upstream gets more than one and a half times the limit that it names
+ *	in 4 s, and 5 requests;
+ * - if an upstream gets a request over 2 s after it has reported its leaving,
+ *	unless its node had a fault meanwhile;
  * - if a process exits without having been stopped, or with an unexpected code.
  */
 void soak_run(uint32_t seed, uint32_t duration_s, uint32_t faults,
-    uint32_t growths, uint32_t stop_waves, bool crashes);
+    uint32_t growths, uint32_t stop_waves, uint32_t reports, bool crashes);
 
 #endif
--- a/test/soak/test_soak.c
+++ b/test/soak/test_soak.c
@@ -26,6 +26,9 @@
 /* Waves of SIGTERM, in a run of any length. */
 #define STOP_WAVES 3
 
+/* Limits that upstreams name, in a run of any length. */
+#define REPORTS 6
+
 /* Seeds that failed before, with the parameters of the failed run. */
 static const struct {
 	uint32_t seed;
@@ -57,7 +60,7 @@
 	uint32_t duration_s = environment_number("BRAMLEY_SOAK_S", DURATION_S);
 
 	soak_run((uint32_t)_i, duration_s, duration_s * FAULTS_PER_S, GROWTHS,
-	    STOP_WAVES, true);
+	    STOP_WAVES, REPORTS, true);
 }
 END_TEST
 
@@ -65,7 +68,7 @@
 {
 	soak_run(previously_failed[_i].seed, previously_failed[_i].duration_s,
 	    previously_failed[_i].duration_s * FAULTS_PER_S,
-	    previously_failed[_i].growths, previously_failed[_i].stop_waves,
+	    previously_failed[_i].growths, previously_failed[_i].stop_waves, 0,
 	    previously_failed[_i].crashes);
 }
 END_TEST
