--- a/packages/traffic/include/traffic/run_reports.h
+++ b/packages/traffic/include/traffic/run_reports.h
@@ -1,8 +1,8 @@
 /*
- * What an entry knows of the runs of upstreams that name a limit or leave.
+ * Runs of upstreams that name a limit or leave, as an entry knows them.
  *
- * A guard that has started again doesn't know this any more, while its upstream
- * lives on; entries send it with each request.
+ * A guard that has started again has lost these reports, while its upstream
+ * lives on; entries send them with each request.
  */
 #ifndef TRAFFIC_RUN_REPORTS_H
 #define TRAFFIC_RUN_REPORTS_H
@@ -14,7 +14,7 @@
  * struct run_report - a run of an upstream
  * @run: number of the run; 0 when unknown
  * @limit_milli_per_s: limit that it names, in thousandths of a request a
- *second; 0 for none
+ *	second; 0 for none
  * @leaving: it has reported that it leaves
  */
 struct run_report {
@@ -32,11 +32,11 @@
 void run_reports_free(struct run_reports *t);
 
 /**
- * run_reports_update() - an answer or refusal told of a run
+ * run_reports_update() - take up the run that an answer or refusal reports
  * @t: the table
  * @endpoint: id of the endpoint, see endpoint_id()
  * @r: the run.  A run that leaves is kept as leaving, whatever later reports
- *	say of it; a report without a run changes nothing.
+ *	say; a report without a run changes nothing.
  * @now_ms: monotonic time
  */
 void run_reports_update(struct run_reports *t, uint64_t endpoint,
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -138,7 +138,7 @@
  * @queued: requests that wait for a slot
  * @slots: slots of the endpoint
  * @limit_milli_per_s: limit that the upstream names, in thousandths of a
- *request a second; 0 for none
+ *	request a second; 0 for none
  * @limit_wait_ms: time until a further request may start under that limit
  */
 struct load_report {
--- a/packages/traffic/src/endpoint_pace.c
+++ b/packages/traffic/src/endpoint_pace.c
@@ -1,9 +1,9 @@
 /*
  * Rate of an entry's requests towards an endpoint that names a limit.
  *
- * The guard keeps the limit over all entries.  An entry doesn't know how many
- * others share it, so each looks for its part: the rate rises with each request
- * that is accepted and falls by half with each that is refused.  Without this,
+ * The guard enforces the limit over all entries.  An entry doesn't know how
+ * many others share the limit, so each entry finds its part: the rate rises
+ * with each accepted request and halves with each refused one.  Without a rate,
  * placement by load would prefer the endpoint, which runs few requests and
  * looks idle, and the guard would refuse most of them.
  */
