--- a/packages/node/test/test_call_limit.c
+++ b/packages/node/test/test_call_limit.c
@@ -12,7 +12,7 @@
 
 #define NODES 3
 #define CALLERS 12
-/* Each caller sends a request this often: 160 a second together. */
+/* Pause of each caller between two requests. */
 #define CALL_EVERY_MS 75
 
 #define LIMIT_PER_S 10
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -127,7 +127,7 @@
  * @plan: the plan; its other events stay unchanged
  * @seed: seed of the times, the hosts and the limits
  * @duration_ms: length of the run
- * @times: number of limits, and half of the number of upstreams that leave
+ * @times: number of limits; half as many upstreams leave
  */
 void soak_plan_reports(
     GArray *plan, uint32_t seed, uint32_t duration_ms, uint32_t times);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -15,8 +15,8 @@
  * @faults: number of random faults
  * @growths: number of versions with many more routes than the previous one
  * @stop_waves: number of times at which half of the nodes get SIGTERM
- * @reports: number of limits that upstreams name, and half of the number of
- *	upstreams that report their leaving
+ * @reports: number of limits that upstreams name; half as many upstreams report
+ *	their leaving
  * @crashes: whether a request that crashes upstreams is sent throughout the
  *	run, and all hosts lose power in the middle
  *
