test(traffic): no assertion of libcheck in the fleet's inner loop

Cause: an assertion added for the linter in run_upstream() is evaluated 300 times each simulated millisecond, and each writes to a pipe of libcheck. Solution: GLib's assertion there; upstreams with nothing queued aren't asked for a start.

--- a/packages/traffic/test/test_limited_fleet.c
+++ b/packages/traffic/test/test_limited_fleet.c
@@ -226,7 +226,9 @@
 	struct placement_choice choice;
 	struct admission_result res;
 
-	ck_assert(placement_choose(e->placement, &q, now_ms, &choice));
+	/* Each assertion of libcheck writes to a pipe. */
+	if (!placement_choose(e->placement, &q, now_ms, &choice))
+		g_error("no endpoint was chosen");
 	call->upstream = (uint32_t)choice.endpoint - 1;
 	call->tried[call->n_tried++] = choice.endpoint;
 	endpoints_began(e->endpoints, choice.endpoint, now_ms);
@@ -252,21 +254,33 @@
 	f->served += is_counted(call);
 }
 
+static bool
+has_queue(const struct sim_upstream *u)
+{
+	struct load_report load;
+
+	admission_load(u->admission, &load);
+	return load.queued > 0;
+}
+
 static void
 run_upstream(struct fleet *f, struct sim_upstream *u, uint64_t now_ms)
 {
 	struct admission_result res;
+	bool freed = false;
 	uint64_t ticket;
 
-	ck_assert_ptr_nonnull(u->running);
+	g_assert(u->running != NULL);
 	while (u->running->len > 0) {
 		ticket = g_array_index(u->running, uint64_t, 0);
 		if (call_at(f, ticket)->started_ms + WORK_MS > now_ms)
 			break;
 		g_array_remove_index(u->running, 0);
 		finish(f, u, ticket, now_ms);
+		freed = true;
 	}
-	while (admission_next(u->admission, now_ms, &res))
+	while ((freed || has_queue(u)) &&
+	    admission_next(u->admission, now_ms, &res))
 		apply(f, &res, now_ms);
 }
 
