--- a/packages/traffic/include/traffic/endpoints.h
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -204,8 +204,8 @@
 /**
  * endpoints_leaving() - an answer reported that the endpoint leaves
  *
- * The endpoint gets no new requests for drain_hold_ms; then it is tried again,
- * and its guard decides.
+ * The endpoint gets no new requests for drain_hold_ms.  After that, its guard
+ * decides on each request.
  */
 void endpoints_leaving(struct endpoints *e, uint64_t endpoint, uint64_t now_ms);
 
