--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -76,6 +76,14 @@
     struct directory *directory, struct keep *keep,
     struct rollout_store *rollouts);
 
+/**
+ * control_set_store_epoch() - the platform's store has answered in an epoch
+ * @c: the control
+ * @epoch: the epoch; higher than before if the store has come back from an
+ *	older copy
+ */
+void control_set_store_epoch(struct control *c, uint64_t epoch);
+
 /**
  * control_heartbeat() - process a heartbeat of the upstream on this host
  * @c: the control
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -412,6 +412,7 @@
 	control_refused_register();
 	control_news_register();
 	control_rollout_register();
+	control_store_epoch_register();
 }
 
 static void
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -15,28 +15,51 @@
  */
 #define FEED_WAIT_MS 1800
 
+/* Least time between two lines about a lost feed. */
+#define STATUS_LOG_MS 5000
+
 /* Size of the warnings in a log line; holds about five. */
 #define WARNINGS_LINE_BYTES 512
 
-/* Logs one line each time the platform fails or recovers. */
+static void
+log_lost(const struct control *c, enum status st)
+{
+	if (c->feed_answered_ms == 0)
+		log_warning("The platform's feed can't be read (%s): %s",
+		    status_name(st), status_message());
+	else
+		log_warning("The platform's feed is lost (%s), last answered "
+			    "%" G_GUINT64_FORMAT " ms ago, left_out=%u: %s",
+		    status_name(st), control_now(c) - c->feed_answered_ms,
+		    c->feed_left_out, status_message());
+}
+
+/* Logs a line each time the platform fails or recovers, but not for failures
+ * that follow one another closely. */
 static void
 log_status(struct control *c, enum status st)
 {
+	bool was_logged = c->feed_logged_status != STATUS_OK;
+
 	if (st == STATUS_OK)
 		c->feed_answered_ms = control_now(c);
 	if ((st == STATUS_OK) == (c->feed_status == STATUS_OK))
 		return;
 	c->feed_status = st;
-	if (st == STATUS_OK)
+	if (st == STATUS_OK && was_logged) {
+		c->feed_logged_status = STATUS_OK;
 		log_info("The platform's feed is back.");
-	else if (c->feed_answered_ms == 0)
-		log_warning("The platform's feed can't be read (%s): %s",
-		    status_name(st), status_message());
-	else
-		log_warning("The platform's feed is lost (%s), last answered "
-			    "%" G_GUINT64_FORMAT " ms ago: %s",
-		    status_name(st), control_now(c) - c->feed_answered_ms,
-		    status_message());
+	}
+	if (st == STATUS_OK)
+		return;
+	if (control_now(c) < c->feed_log_ms) {
+		c->feed_left_out++;
+		return;
+	}
+	log_lost(c, st);
+	c->feed_logged_status = st;
+	c->feed_left_out = 0;
+	c->feed_log_ms = control_now(c) + STATUS_LOG_MS;
 }
 
 /* Passes the sections of a bundle to the spread. */
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -58,10 +58,14 @@
  * @keep: store of quarantined requests, NULL for none
  * @rollout: orders to move services to other software versions
  * @feed_status: status of the last read of the feed
+ * @feed_logged_status: status of the feed as of the last line in the log
+ * @feed_log_ms: earliest time of the next line about a lost feed
+ * @feed_left_out: failures since the last such line that were not logged
  * @feed_answered_ms: when a read of the feed was last answered, 0 for never
  * @feed_poll_pending: a long poll of the feed is in flight
  * @feed_fetch_pending: a read of the full configuration is in flight, which may
  *	take a minute
+ * @store_epoch: highest known epoch of the platform's store, 0 for none
  * @directory: directory of nodes, NULL to use the seeds of the settings
  * @finder: schedule of registrations and lookups in the directory
  * @lookup_from: place in the directory at which the next lookup begins, empty
@@ -102,9 +106,13 @@
 	struct keep *keep;
 	struct control_rollout *rollout;
 	enum status feed_status;
+	enum status feed_logged_status;
+	uint64_t feed_log_ms;
+	uint32_t feed_left_out;
 	uint64_t feed_answered_ms;
 	int feed_poll_pending;
 	int feed_fetch_pending;
+	uint64_t store_epoch;
 	struct directory *directory;
 	struct finder finder;
 	char lookup_from[DIRECTORY_PLACE_BYTES];
@@ -208,6 +216,11 @@
 /** control_quarantine_pump() - pass items received from peers to the guard */
 void control_quarantine_pump(struct control *c);
 
+/* control_store_epoch.c */
+
+/** control_store_epoch_register() - register the metric of the epoch */
+void control_store_epoch_register(void);
+
 /* control_keep.c */
 
 /** control_keep_record() - write a request that this node quarantined to the
--- /dev/null
+++ b/packages/node/src/control_store_epoch.c
@@ -0,0 +1,38 @@
+/*
+ * Epoch of the platform's store: rises when the store comes back from an older
+ * copy.
+ */
+#define LOG_PART "store"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "control_priv.h"
+
+static struct metric epoch_gauge = {"bramley_store_epoch",
+    "Highest known epoch of the platform's store, which rises when the store "
+    "comes back from an older copy; 0 for none.",
+    METRIC_GAUGE, NULL, 0, {0}};
+
+void
+control_store_epoch_register(void)
+{
+	metric_register(&epoch_gauge);
+}
+
+void
+control_set_store_epoch(struct control *c, uint64_t epoch)
+{
+	if (epoch <= c->store_epoch)
+		return;
+	if (c->store_epoch != 0)
+		log_warning(
+		    "The platform's store came back from an older copy, epoch "
+		    "%" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT ".",
+		    epoch, c->store_epoch);
+	else
+		log_info("The platform's store is in epoch %" G_GUINT64_FORMAT
+			 ".",
+		    epoch);
+	c->store_epoch = epoch;
+	metric_set(&epoch_gauge, (int64_t)epoch);
+}
