fix(spread): numbers of the platform's store belong to its epoch

Problem: after the store came back from an older copy accepted versions didn't come in force. Cause: the number of the last change read, the number of the row, and the position that readers tell each other were compared across the store's epochs. Reads after a number that the store didn't have got 410, full reads were dropped as old, and once the numbers had passed the known position changes below it were not read. Class: a counter that outlives its source. Solution: a number leaves the adapter only as a position, which has the epoch in its upper bits, so that all comparisons order by epoch first. An answer of another epoch than that of the number asked after is dropped for a full read, an answer of an earlier epoch than the known one is no answer. A long poll that waits for a number of an earlier epoch is replaced as soon as any call or a peer's report shows the new one; probes carry the epoch to all nodes.

--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -288,6 +288,14 @@
  */
 uint64_t membership_known(const struct membership *m, uint64_t now_ms);
 
+/** membership_set_store_epoch() - the platform's store has answered in @epoch;
+ * pings and acks carry the highest epoch to the peers */
+void membership_set_store_epoch(struct membership *m, uint64_t epoch);
+
+/** membership_store_epoch() - highest epoch that this node or a peer has seen,
+ * 0 for none */
+uint64_t membership_store_epoch(const struct membership *m);
+
 /**
  * membership_announce() - set the state of an upstream of the own host
  * @m: the membership
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -326,12 +326,15 @@
  * @reported: version that peers reported, 0 for none
  * @expires_ms: when @reported expires
  * @pushed: highest version that was pushed to a few peers
+ * @store_epoch: highest epoch of the platform's store, by the own calls or the
+ *	peers' reports; 0 for none
  */
 struct known {
 	uint64_t own;
 	uint64_t reported;
 	uint64_t expires_ms;
 	uint64_t pushed;
+	uint64_t store_epoch;
 };
 
 /**
--- a/packages/membership/src/known.c
+++ b/packages/membership/src/known.c
@@ -38,6 +38,7 @@
 {
 	const struct known *k = &m->known;
 
+	head->store_epoch = k->store_epoch;
 	head->known = k->own;
 	head->known_age_ms = 0;
 	if (has_expired(m, m->now_ms) || k->reported <= k->own)
@@ -52,6 +53,7 @@
 	struct known *k = &m->known;
 	uint64_t expires_ms;
 
+	membership_set_store_epoch(m, head->store_epoch);
 	if (head->known == 0 || head->known_age_ms >= EXPIRY_MS)
 		return;
 	expires_ms = m->now_ms + EXPIRY_MS - head->known_age_ms;
@@ -105,6 +107,18 @@
 	m->known.own = version;
 }
 
+void
+membership_set_store_epoch(struct membership *m, uint64_t epoch)
+{
+	m->known.store_epoch = MAX(m->known.store_epoch, epoch);
+}
+
+uint64_t
+membership_store_epoch(const struct membership *m)
+{
+	return m->known.store_epoch;
+}
+
 uint64_t
 membership_known(const struct membership *m, uint64_t now_ms)
 {
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -81,6 +81,9 @@
  * @c: the control
  * @epoch: the epoch; higher than before if the store has come back from an
  *	older copy
+ *
+ * Rows that this node has written to the store are written again in a new
+ * epoch.
  */
 void control_set_store_epoch(struct control *c, uint64_t epoch);
 
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -264,6 +264,9 @@
 	case SPREAD_REFUSED:
 		control_refused_record(c, a->to, a->reason);
 		break;
+	case SPREAD_STORE_EPOCH:
+		membership_set_store_epoch(c->membership, a->to);
+		break;
 	case SPREAD_HALTED:
 		log_info("Version %" G_GUINT64_FORMAT
 			 " was halted before this node applied it.",
@@ -298,6 +301,7 @@
 		control_membership_action(c, &ma);
 	while (spread_pop(c->spread, &sa))
 		control_spread_action(c, &sa);
+	control_store_epoch_update(c);
 	control_gossip_head(c);
 	control_news_publish(c);
 	control_quarantine_pump(c);
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -221,6 +221,9 @@
 /** control_store_epoch_register() - register the metric of the epoch */
 void control_store_epoch_register(void);
 
+/** control_store_epoch_update() - take up an epoch that peers have reported */
+void control_store_epoch_update(struct control *c);
+
 /* control_keep.c */
 
 /** control_keep_record() - write a request that this node quarantined to the
@@ -244,6 +247,10 @@
 /** control_rollout_set_store() - set the store of orders; borrowed */
 void control_rollout_set_store(struct control *c, struct rollout_store *store);
 
+/** control_rollout_restored() - the platform's store has come back from an
+ * older copy: write orders again that it lacks */
+void control_rollout_restored(struct control *c);
+
 /** control_rollout_add_orders() - process operators' orders that the feed
  * delivered */
 void control_rollout_add_orders(
--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -1,6 +1,6 @@
 /*
  * Epoch of the platform's store: rises when the store comes back from an older
- * copy.
+ * copy.  Numbers of earlier epochs are not used any more.
  */
 #define LOG_PART "store"
 
@@ -27,7 +27,8 @@
 	if (c->store_epoch != 0)
 		log_warning(
 		    "The platform's store came back from an older copy, epoch "
-		    "%" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT ".",
+		    "%" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
+		    "; numbers of earlier epochs are not used any more.",
 		    epoch, c->store_epoch);
 	else
 		log_info("The platform's store is in epoch %" G_GUINT64_FORMAT
@@ -35,4 +36,14 @@
 		    epoch);
 	c->store_epoch = epoch;
 	metric_set(&epoch_gauge, (int64_t)epoch);
+	membership_set_store_epoch(c->membership, epoch);
+	if (c->feed != NULL)
+		feed_set_epoch(c->feed, epoch);
+	control_pump(c);
+}
+
+void
+control_store_epoch_update(struct control *c)
+{
+	control_set_store_epoch(c, membership_store_epoch(c->membership));
 }
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -158,7 +158,7 @@
 
 /**
  * struct rec_gossip_head - Configuration head known to a node, carried for the
- * spread module; membership reads only the last two fields.
+ * spread module; membership reads only the last three fields.
  * @seq: sequence of the head row
  * @version: latest version
  * @in_force: highest version that is not halted
@@ -167,6 +167,8 @@
  * 	node knows, whether or not the version is usable; 0 for none
  * @known_age_ms: time since a node that reads the platform last
  * 	confirmed the value
+ * @store_epoch: highest epoch of the platform's store that the node
+ * 	knows; 0 for none
  */
 struct rec_gossip_head {
 	uint64_t seq;
@@ -175,6 +177,7 @@
 	uint8_t state;
 	uint64_t known;
 	uint32_t known_age_ms;
+	uint64_t store_epoch;
 };
 
 extern const struct codec_desc rec_gossip_head_desc;
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -588,8 +588,8 @@
  * struct msg_read_report - Datagram from a host that reads the platform to the
  * active and standby readers of its data centre.
  * @answered: whether the sender's last read succeeded
- * @position: number of the last platform change that the sender has
- * 	read; 0 for none
+ * @position: position of the last platform change that the sender has
+ * 	read, see proto/store_position.h; 0 for none
  * @version: version that the sender holds; after a failed read, the
  * 	version that was read with the position
  * @nobody: whether the sender knows no host of its data centre whose
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -132,11 +132,14 @@
     {.name = "known_age_ms",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_gossip_head, known_age_ms)},
+    {.name = "store_epoch",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_gossip_head, store_epoch)},
 };
 
 const struct codec_desc rec_gossip_head_desc = {.name = "gossip_head",
     .fields = rec_gossip_head_fields,
-    .n_fields = 6,
+    .n_fields = 7,
     .size_bytes = sizeof(struct rec_gossip_head)};
 
 static const struct codec_field rec_data_centre_digest_fields[] = {
--- a/packages/spread/include/spread/reader_position.h
+++ b/packages/spread/include/spread/reader_position.h
@@ -1,6 +1,7 @@
 /*
- * Position: number of the platform's change after which another reader can
- * resume.
+ * Position: the platform's change after which another reader can resume.  Its
+ * number belongs to an epoch of the platform's store (proto/store_position.h),
+ * and a position of a later epoch is the later one.
  *
  * Changes that a reader has read may not have spread when the reader is lost.
  * A reported position is therefore used only some seconds later, and only by
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -72,6 +72,8 @@
  *	as number @to of its readers, or no longer if @to is 0; log it
  * @SPREAD_REFUSED: version @to can't be staged or committed here because of
  *	@reason; the attempt is repeated after a pause
+ * @SPREAD_STORE_EPOCH: another reader has seen the platform's store in epoch
+ *@to
  */
 enum spread_action_kind {
 	SPREAD_READ_HEAD = 0,
@@ -85,6 +87,7 @@
 	SPREAD_HALTED,
 	SPREAD_READER,
 	SPREAD_REFUSED,
+	SPREAD_STORE_EPOCH,
 };
 
 /**
@@ -94,7 +97,8 @@
  * @to: last version, or the version that was reached
  * @wait_ms: longest wait of a SPREAD_READ_HEAD for a change, after
  *	spread_set_long_poll(); 0 to be answered at once.  @from is then the
- *	number of the change after which the read resumes, 0 for none.
+ *	position (proto/store_position.h) after which the read resumes, 0 for
+ *	none.
  * @reader_reason: why this node reads the platform, SPREAD_READER
  * @skip_next: only the changes after the next one are wanted, since the long
  *	poll in flight delivers the next one; SPREAD_PROBE_HEAD
@@ -313,8 +317,8 @@
  * @ok: whether the read was answered
  * @has_row: whether the answer contained the row
  * @body_ms: transfer time of the answer, from its first part
- * @position: number of the platform's last change that reads delivered, 0 for
- *	none
+ * @position: position of the platform's last change that reads delivered, see
+ *	proto/store_position.h; 0 for none
  */
 struct spread_read_end {
 	int ok;
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -5,6 +5,7 @@
 
 #include "membership/membership.h"
 #include "proto/pack.h"
+#include "proto/store_position.h"
 #include "spread/spread.h"
 #include "spread_priv.h"
 
@@ -109,9 +110,16 @@
     const struct net_addr *from, const uint8_t *body, size_t len)
 {
 	struct msg_read_report msg;
+	uint64_t epoch;
 
-	if (msg_read_report_decode(body, len, &msg) == STATUS_OK)
-		readers_on_report(&s->readers, now_ms, from, &msg);
+	if (msg_read_report_decode(body, len, &msg) != STATUS_OK)
+		return;
+	readers_on_report(&s->readers, now_ms, from, &msg);
+	epoch = store_position_epoch(msg.position);
+	if (epoch <= s->store_epoch)
+		return;
+	s->store_epoch = epoch;
+	env_push_action(&s->env, SPREAD_STORE_EPOCH)->to = epoch;
 }
 
 static void
--- a/packages/spread/src/spread_priv.h
+++ b/packages/spread/src/spread_priv.h
@@ -35,6 +35,7 @@
  * @from_origin: @known came from the platform or a sign-off here, and not from
  *	a peer
  * @ready: whether the node may serve
+ * @store_epoch: highest epoch of the platform's store in the readers' reports
  */
 struct spread {
 	struct spread_env env;
@@ -53,6 +54,7 @@
 	GPtrArray *pending_contents;
 	int from_origin;
 	int ready;
+	uint64_t store_epoch;
 };
 
 /**
--- a/packages/store/include/store/feed.h
+++ b/packages/store/include/store/feed.h
@@ -47,7 +47,8 @@
  *	0 if the version's number can't be read
  * @row: whether the answer contained the configuration, returned before or not
  * @body_ms: transfer time of the answer, from its first part
- * @position: number of the last change that reads have returned
+ * @position: position of the last change that reads have returned, see
+ *	proto/store_position.h
  * @orders: orders in the answer; some may have been returned before
  * @n_orders: number of @orders
  */
@@ -102,6 +103,7 @@
  * @read: see feed_read()
  * @watch: see feed_watch()
  * @probe: see feed_probe()
+ * @set_epoch: see feed_set_epoch()
  * @report: report to operators that a data centre refuses a version, NULL that
  *	it no longer does; the member is NULL if the feed has no way to report
  * @free: free the feed; reads in progress are dropped
@@ -111,6 +113,7 @@
 	    feed_fn *fn, void *arg);
 	void (*watch)(struct feed *f, feed_answer_started_fn *fn, void *arg);
 	void (*probe)(struct feed *f, bool skip_next, feed_fn *fn, void *arg);
+	void (*set_epoch)(struct feed *f, uint64_t epoch);
 	void (*report)(struct feed *f, const char *data_centre,
 	    const struct feed_refusal *r, feed_reported_fn *fn, void *arg);
 	void (*free)(struct feed *f);
@@ -124,15 +127,16 @@
 /**
  * feed_read() - read the newest configuration
  * @f: the feed
- * @position: number of a change whose content, and that of all changes before
- *	it, came from other nodes; 0 for none
+ * @position: position of a change whose content, and that of all changes
+ *	before it in its epoch, came from other nodes; 0 for none
  * @wait_until_ms: monotonic time until which the platform may wait for a change
  *	before it answers (long poll); 0 for an immediate, complete answer
  * @fn: called once, after this function has returned
  * @arg: given to @fn
  *
  * The answer contains the changes since the last read, or since @position if
- * that is later.
+ * that is later.  It is complete if the platform's store has come back from an
+ * older copy meanwhile.
  */
 static inline void
 feed_read(struct feed *f, uint64_t position, uint64_t wait_until_ms,
@@ -171,6 +175,20 @@
 	f->ops->probe(f, skip_next, fn, arg);
 }
 
+/**
+ * feed_set_epoch() - another node has seen the platform's store in an epoch
+ * @f: the feed
+ * @epoch: the epoch
+ *
+ * If this is a later epoch than that of the last answer, the next read is
+ * complete, and a read in flight is replaced by a complete one.
+ */
+static inline void
+feed_set_epoch(struct feed *f, uint64_t epoch)
+{
+	f->ops->set_epoch(f, epoch);
+}
+
 /** DIRECTORY_SAMPLE_MAX - highest number of nodes in the result of a look-up */
 #define DIRECTORY_SAMPLE_MAX 16
 
--- a/test/driver/node.c
+++ b/test/driver/node.c
@@ -169,6 +169,9 @@
 		checker_ready(
 		    n->world->checker, n->host, catalog_version(n->catalog));
 		break;
+	case SPREAD_STORE_EPOCH:
+		follow_set_epoch(n, a->to);
+		break;
 	case SPREAD_PEER_TIMED_OUT:
 	case SPREAD_PEER_BANNED:
 	case SPREAD_HALTED:
--- a/test/driver/test_reading.c
+++ b/test/driver/test_reading.c
@@ -339,6 +339,81 @@
 }
 END_TEST
 
+/* Versions that the store's copy lacks, and changes of others meanwhile. */
+static void
+make_newer_than_copy(struct world *w, GRand *rng)
+{
+	follow_back_up(w);
+	follow_write_others(w, (uint32_t)g_rand_int_range(rng, 0, 60));
+	(void)world_sign(w, WORLD_NO_NODE, 1);
+	world_run(w, (uint64_t)g_rand_int_range(rng, 0, 3000));
+}
+
+/* The store comes back from the copy, and operators write their version
+ * again. */
+static void
+restore(struct world *w, GRand *rng)
+{
+	follow_restore(w,
+	    g_rand_boolean(rng) ? FOLLOW_PENDING_CLOSED : FOLLOW_PENDING_KEPT);
+	world_run(w, (uint64_t)g_rand_int_range(rng, 0, 600));
+	follow_changed(w);
+}
+
+static uint64_t
+run_restore(
+    const struct world_config *config, enum reader_fault t, uint64_t lead_ms)
+{
+	struct world *w = scenario_start(config);
+	GRand *rng = g_rand_new_with_seed(
+	    (guint32)(config->seed * LEAD_MAX_MS + lead_ms));
+	uint64_t ms;
+
+	world_run(w, 3000 + config->seed * 137);
+	make_newer_than_copy(w, rng);
+	inject_reader_faults(w, t);
+	world_run(w, lead_ms);
+	restore(w, rng);
+	if (g_rand_boolean(rng)) {
+		world_run(w, (uint64_t)g_rand_int_range(rng, 0, 1500));
+		restore(w, rng);
+	}
+	follow_write_others(w, (uint32_t)g_rand_int_range(rng, 0, 120));
+	world_run(w, (uint64_t)g_rand_int_range(rng, 0, 500));
+	ms = time_to_apply_ms(w, world_sign(w, WORLD_NO_NODE, CHANGES));
+	g_rand_free(rng);
+	world_free(w);
+	return ms;
+}
+
+/*
+ * Failure guarded against: after the store came back from an older copy, no
+ * host applied accepted versions until the store's numbers had passed those
+ * known from before.
+ */
+START_TEST(a_change_after_the_store_is_restored_is_applied_in_time)
+{
+	struct summary summary = {.limit_ms = APPLY_LIMIT_MS - APPLY_MARGIN_MS};
+	uint32_t size = (uint32_t)_i % (uint32_t)G_N_ELEMENTS(sizes);
+	enum reader_fault t =
+	    (enum reader_fault)((uint32_t)_i / G_N_ELEMENTS(sizes));
+	struct world_config config;
+	uint64_t seed, lead_ms;
+	char what[64];
+
+	for (seed = 1; seed <= n_seeds(); seed++) {
+		configure(
+		    &config, sizes[size].data_centres, sizes[size].nodes, seed);
+		for (lead_ms = 0; lead_ms <= LEAD_MAX_MS;
+		     lead_ms += 2 * LEAD_STEP_MS)
+			summary_add(&summary, run_restore(&config, t, lead_ms));
+	}
+	(void)g_snprintf(what, sizeof(what), "restore, %s", fault_names[t]);
+	summary_check(
+	    &summary, what, sizes[size].data_centres * sizes[size].nodes);
+}
+END_TEST
+
 START_TEST(frozen_readers_are_replaced)
 {
 	run_all(FAULT_FROZEN, (uint32_t)_i);
@@ -363,6 +438,9 @@
 	tcase_add_loop_test(
 	    tc, a_change_at_the_end_of_an_outage_is_applied_in_time, 0, 2);
 	tcase_add_loop_test(tc, the_few_served_nodes_read_for_all, 0, 2);
+	tcase_add_loop_test(tc,
+	    a_change_after_the_store_is_restored_is_applied_in_time, 0,
+	    (FAULT_STALLED + 1) * (int)G_N_ELEMENTS(sizes));
 	suite_add_tcase(s, tc);
 	return scenario_main(s);
 }
--- a/test/driver/world.h
+++ b/test/driver/world.h
@@ -125,7 +125,9 @@
  * @ready: whether the node may serve
  * @access: how the platform answers the node's long polls
  * @head_read_pending: a long poll of the head is pending
- * @feed_seq: number of the newest change that the node's reads returned
+ * @feed_position: position of the newest change that the node's reads returned
+ * @feed_row: position of the change that wrote the version returned last
+ * @feed_epoch: highest epoch in the answers to the node's reads
  * @feed_head: head that the node's reads returned last
  * @bytes: traffic
  */
@@ -150,7 +152,9 @@
 	int ready;
 	enum follow_access access;
 	int head_read_pending;
-	uint64_t feed_seq;
+	uint64_t feed_position;
+	uint64_t feed_row;
+	uint64_t feed_epoch;
 	struct rec_head feed_head;
 	struct measure_bytes bytes;
 };
@@ -171,6 +175,7 @@
  * @next_conn: number of the next connection
  * @ledger: versions signed off
  * @platform: the platform
+ * @store: rows that long polls read, if @config.follow
  * @pending_reads: struct follow_request
  * @last_read_id: number of the last read that was sent
  * @checker: invariants
@@ -189,6 +194,7 @@
 	uint64_t next_conn;
 	struct ledger *ledger;
 	struct platform platform;
+	struct follow_store store;
 	GQueue pending_reads;
 	uint64_t last_read_id;
 	struct checker *checker;
