fix(membership): the directory's entries are written again after a restore

Problem: entries that nodes wrote after the copy was made are gone once the store came back from it; hosts that start find nobody there. Cause: a node registers once. Result: the_directory_entry_is_written_again failed, passes.

--- a/packages/membership/include/membership/finder.h
+++ b/packages/membership/include/membership/finder.h
@@ -56,6 +56,7 @@
  *	on the nodes that register at once
  * @registered: the own entry is written
  * @busy: a call is in progress
+ * @restored: the directory has come back from a copy since that call began
  * @failures: failures in a row
  * @due_ms: when the next call is due, or DEADLINE_NEVER
  * @peak_live: most live hosts since the last lookup
@@ -67,6 +68,7 @@
 	uint32_t few_lookups;
 	int registered;
 	int busy;
+	int restored;
 	uint32_t failures;
 	uint64_t due_ms;
 	uint32_t peak_live;
@@ -107,6 +109,10 @@
 /** finder_failed() - a call has failed */
 void finder_failed(struct finder *f, uint64_t now_ms);
 
+/** finder_restored() - the directory has come back from an older copy, and may
+ * lack the own entry: register again if the node should be registered */
+void finder_restored(struct finder *f, uint64_t now_ms);
+
 /** finder_due_ms() - deadline of the next finder_next() */
 uint64_t finder_due_ms(const struct finder *f);
 
--- a/packages/membership/src/finder.c
+++ b/packages/membership/src/finder.c
@@ -47,6 +47,7 @@
 	f->looked_up = 0;
 	f->few_lookups = 0;
 	f->registered = 0;
+	f->restored = 0;
 	f->busy = 0;
 	f->failures = 0;
 	f->due_ms = now_ms;
@@ -95,6 +96,14 @@
 	return !f->registered && now_ms >= f->register_ms;
 }
 
+void
+finder_restored(struct finder *f, uint64_t now_ms)
+{
+	f->registered = 0;
+	f->restored = f->busy;
+	f->due_ms = MIN(f->due_ms, now_ms + random_ms(f, CHECK_INTERVAL_MS));
+}
+
 static int
 must_retry(const struct finder *f)
 {
@@ -135,6 +144,7 @@
 	    << MIN(f->failures, BACKOFF_SHIFT_MAX);
 
 	f->busy = 0;
+	f->restored = 0;
 	f->failures++;
 	f->due_ms = now_ms + random_ms(f, MIN(most, BACKOFF_CAP_MS));
 }
@@ -144,7 +154,8 @@
 {
 	f->busy = 0;
 	f->failures = 0;
-	f->registered = 1;
+	f->registered = !f->restored;
+	f->restored = 0;
 	f->due_ms = now_ms + ALONE_INTERVAL_MS / 2 +
 	    random_ms(f, ALONE_INTERVAL_MS / 2);
 }
@@ -155,6 +166,7 @@
 {
 	f->busy = 0;
 	f->failures = 0;
+	f->restored = 0;
 	f->looked_up = 1;
 	f->registered |= own_found;
 	f->peak_live = 0;
--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -1,6 +1,7 @@
 /*
  * Epoch of the platform's store: rises when the store comes back from an older
- * copy.  Numbers of earlier epochs are not used any more.
+ * copy.  Numbers of earlier epochs are not used any more, and what this node
+ * has written to the store is written again.
  */
 #define LOG_PART "store"
 
@@ -19,6 +20,16 @@
 	metric_register(&epoch_gauge);
 }
 
+/* Each of these schedules calls; none is made here. */
+static void
+write_again(struct control *c)
+{
+	uint64_t now_ms = control_now(c);
+
+	finder_restored(&c->finder, now_ms);
+	control_find_tick(c);
+}
+
 void
 control_set_store_epoch(struct control *c, uint64_t epoch)
 {
@@ -28,7 +39,7 @@
 		log_warning(
 		    "The platform's store came back from an older copy, epoch "
 		    "%" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
-		    "; numbers of earlier epochs are not used any more.",
+		    "; rows of this node are written again.",
 		    epoch, c->store_epoch);
 	else
 		log_info("The platform's store is in epoch %" G_GUINT64_FORMAT
@@ -39,6 +50,7 @@
 	membership_set_store_epoch(c->membership, epoch);
 	if (c->feed != NULL)
 		feed_set_epoch(c->feed, epoch);
+	write_again(c);
 	control_pump(c);
 }
 
