fix(node): quarantined requests are written again after a restore

Problem: a request that was quarantined after the copy was made is not at the store any more; after a total loss of power it crashes upstreams again. One that was released is quarantined again. Cause: the node that decides writes the row once, and the rows are read once. Solution: in a new epoch the first readers read the rows again, put those of quarantined requests that are missing and remove those of released ones.

--- a/packages/node/src/control_keep.c
+++ b/packages/node/src/control_keep.c
@@ -157,26 +157,86 @@
 	finish(arg, st, "written");
 }
 
+/* Whether a request was released after it was quarantined. */
+static bool
+is_released(const struct control *c, const struct quarantine_item *held)
+{
+	const struct quarantine_item *item;
+	uint32_t i;
+
+	for (i = 0; i < quarantine_news_count(c->quarantine); i++) {
+		item = quarantine_news_at(c->quarantine, i);
+		if (item->kind == QUARANTINE_CLEARED &&
+		    item->at_ms >= held->at_ms && clears(item, held))
+			return true;
+	}
+	return false;
+}
+
+/* Return: whether the row could be read. */
+static bool
+add_row(struct control *c, const struct keep_row *row)
+{
+	struct quarantine_item item;
+
+	if (!row_parse(c, row, &item)) {
+		log_warning("row %s of the quarantine can't be read", row->key);
+		return false;
+	}
+	/* An older copy of the store still has rows that were removed. */
+	if (is_released(c, &item)) {
+		quarantine_rows_put(&c->quarantine_rows, row->key, NULL);
+		return true;
+	}
+	quarantine_news_add(c->quarantine, &item, control_now(c));
+	guard_apply_quarantine_item(c->guard, &item);
+	return true;
+}
+
+static bool
+has_row(const struct keep_row *rows, uint32_t n, const char *key)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(rows[i].key, key) == 0)
+			return true;
+	return false;
+}
+
+/* Writes the rows of quarantined requests that the store lacks, since it came
+ * back from an older copy. */
+static void
+put_missing_rows(struct control *c, const struct keep_row *rows, uint32_t n)
+{
+	const struct quarantine_item *item;
+	char key[FINGERPRINT_TEXT_BYTES];
+	struct fingerprint f;
+	uint32_t i;
+
+	for (i = 0; i < quarantine_news_count(c->quarantine); i++) {
+		item = quarantine_news_at(c->quarantine, i);
+		if (item->kind != QUARANTINE_HELD || is_released(c, item))
+			continue;
+		f = fingerprint_of(item);
+		if (!has_row(rows, n, fingerprint_text(&f, key)))
+			control_keep_record(c, item);
+	}
+}
+
 static void
 on_rows(enum status st, const struct keep_row *rows, uint32_t n, void *arg)
 {
-	struct quarantine_item item;
 	struct control *c = arg;
 	uint32_t i, n_valid = 0;
 
-	for (i = 0; i < n; i++) {
-		if (!row_parse(c, &rows[i], &item)) {
-			log_warning("row %s of the quarantine can't be read",
-			    rows[i].key);
-			continue;
-		}
-		quarantine_news_add(c->quarantine, &item, control_now(c));
-		guard_apply_quarantine_item(c->guard, &item);
-		n_valid++;
-	}
-	if (st == STATUS_OK)
+	for (i = 0; i < n; i++)
+		n_valid += add_row(c, &rows[i]) ? 1 : 0;
+	if (st == STATUS_OK) {
 		log_info("%u quarantined requests were read from the platform",
 		    n_valid);
+		put_missing_rows(c, rows, n);
+	}
 	finish(c, st, "read");
 }
 
--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -27,7 +27,9 @@
 	uint64_t now_ms = control_now(c);
 
 	finder_restored(&c->finder, now_ms);
+	quarantine_rows_restored(&c->quarantine_rows);
 	control_find_tick(c);
+	control_keep_tick(c);
 }
 
 void
--- a/packages/node/src/quarantine_rows.c
+++ b/packages/node/src/quarantine_rows.c
@@ -83,6 +83,13 @@
 	return q->action;
 }
 
+void
+quarantine_rows_restored(struct quarantine_rows *q)
+{
+	q->read = false;
+	q->restored = q->action == QUARANTINE_ROWS_READ;
+}
+
 void
 quarantine_rows_done(struct quarantine_rows *q, bool ok, uint64_t now_ms)
 {
@@ -93,9 +100,11 @@
 		q->due_ms = now_ms + QUARANTINE_ROWS_RETRY_MS;
 		return;
 	}
-	if (action == QUARANTINE_ROWS_READ)
-		q->read = true;
-	else if (action == QUARANTINE_ROWS_PUT)
+	if (action == QUARANTINE_ROWS_READ) {
+		q->read = !q->restored;
+		q->restored = false;
+	}
+	if (action == QUARANTINE_ROWS_PUT)
 		drop(q, q->pending.head);
 }
 
--- a/packages/node/src/quarantine_rows.h
+++ b/packages/node/src/quarantine_rows.h
@@ -5,7 +5,9 @@
  * Nodes exchange quarantine records among themselves; the rows are needed only
  * after all of them have lost power at the same time.  Calls to the platform
  * cost money, so the rows are read only by the first reader of each data
- * centre, once, and written only by the node that made the decision.
+ * centre, once, and written only by the node that made the decision.  After the
+ * platform's store came back from an older copy, the first readers read them
+ * once more, and put the rows that the copy lacks.
  */
 #ifndef NODE_QUARANTINE_ROWS_H
 #define NODE_QUARANTINE_ROWS_H
@@ -40,12 +42,15 @@
  *	QUARANTINE_ROWS_PUT
  * @action: call in progress
  * @read: the rows were read
+ * @restored: the platform's store has come back from a copy since the read in
+ *	progress began
  * @due_ms: monotonic time before which no call starts
  */
 struct quarantine_rows {
 	GQueue pending;
 	enum quarantine_rows_action action;
 	bool read;
+	bool restored;
 	uint64_t due_ms;
 };
 
@@ -83,6 +88,10 @@
 enum quarantine_rows_action quarantine_rows_next(struct quarantine_rows *q,
     bool reader, uint64_t now_ms, const struct quarantine_row **row);
 
+/** quarantine_rows_restored() - the platform's store has come back from an
+ * older copy: read the rows again, so that those that differ are put */
+void quarantine_rows_restored(struct quarantine_rows *q);
+
 /** quarantine_rows_done() - a call has ended; @ok: whether it succeeded */
 void quarantine_rows_done(struct quarantine_rows *q, bool ok, uint64_t now_ms);
 
