fix(node): the row of a refused version is written again after a restore

Problem: after the store came back from an older copy operators don't see that a version is refused, or see a refusal that has ended. Cause: the row is written and removed once. Solution: the node that wrote it writes or removes it again in a new epoch. Result: a_refusal_is_written_again failed, passes; an_ended_refusal_is_ removed_again passed on the code before, by the order of its writes, and still does.

--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -28,8 +28,10 @@
 
 	finder_restored(&c->finder, now_ms);
 	quarantine_rows_restored(&c->quarantine_rows);
+	refused_row_restored(&c->refused_row, now_ms);
 	control_find_tick(c);
 	control_keep_tick(c);
+	control_refused_tick(c);
 }
 
 void
--- a/packages/node/src/refused_row.c
+++ b/packages/node/src/refused_row.c
@@ -43,12 +43,24 @@
 	return action;
 }
 
+void
+refused_row_restored(struct refused_row *row, uint64_t now_ms)
+{
+	row->restored = row->busy;
+	row->written |= row->removed;
+	row->version = UINT64_MAX;
+	row->due_ms = now_ms;
+}
+
 void
 refused_row_done(struct refused_row *row, bool ok, uint64_t now_ms)
 {
+	ok = ok && !row->restored;
 	row->busy = false;
+	row->restored = false;
 	if (ok && row->action == REFUSED_ROW_REMOVE) {
 		row->written = false;
+		row->removed = true;
 		return;
 	}
 	/* A failed write may still have reached the platform: @written stays
--- a/packages/node/src/refused_row.h
+++ b/packages/node/src/refused_row.h
@@ -45,16 +45,21 @@
  * struct refused_row - state of the schedule; all zero at the start
  * @last_active: whether a refusal was active at the last refused_row_next()
  * @busy: a write or removal is in progress
+ * @restored: the platform's store has come back from a copy since it began
  * @action: the action in progress
  * @written: whether this node may have written the row
+ * @removed: whether this node has removed the row, which an older copy of the
+ *	platform's store may still contain
  * @version: version that was written or is being written
  * @due_ms: monotonic time before which no action starts
  */
 struct refused_row {
 	bool last_active;
 	bool busy;
+	bool restored;
 	enum refused_row_action action;
 	bool written;
+	bool removed;
 	uint64_t version;
 	uint64_t due_ms;
 };
@@ -75,6 +80,10 @@
 /** refused_row_done() - an action has ended; @ok: whether it succeeded */
 void refused_row_done(struct refused_row *row, bool ok, uint64_t now_ms);
 
+/** refused_row_restored() - the platform's store has come back from an older
+ * copy: write the row again, or remove it again */
+void refused_row_restored(struct refused_row *row, uint64_t now_ms);
+
 /** refused_row_due_ms() - time of the next call to refused_row_next() */
 uint64_t refused_row_due_ms(
     const struct refused_row *row, const struct refused *r, bool first_reader);
