fix(rollout): orders and outcomes survive a restore of the store

Problem: after the store came back from an older copy the outcome of an order is missing, and an order that operators write again, under another number, is ignored or starts a rollout again that is over. Cause: the order is known by the number of its row, and the condition of a write is a number of the epoch before.

--- a/packages/node/src/control_rollout.c
+++ b/packages/node/src/control_rollout.c
@@ -48,7 +48,7 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct feed_order));
 	cr->revisions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	cr->refused_orders =
+	cr->handled_orders =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->rollout = cr;
 }
@@ -65,7 +65,7 @@
 	rollout_orders_free(cr->orders);
 	g_array_unref(cr->pending_orders);
 	g_hash_table_unref(cr->revisions);
-	g_hash_table_unref(cr->refused_orders);
+	g_hash_table_unref(cr->handled_orders);
 	g_free(cr);
 }
 
--- a/packages/node/src/control_rollout_orders.c
+++ b/packages/node/src/control_rollout_orders.c
@@ -7,6 +7,8 @@
 
 #include "base/log.h"
 
+#include "proto/store_position.h"
+
 #include "control_rollout_priv.h"
 
 /* Delay after a failed read of the rows. */
@@ -132,6 +134,24 @@
 	    spread_is_first_reader(c->spread, control_now(c)) != 0;
 }
 
+/* Whether an order is the known one, whose row the store has in a new epoch
+ * under another number: operators write their rows again after the store came
+ * back from an older copy. */
+static bool
+repeats_known_order(const struct control *c, const struct feed_order *o)
+{
+	const struct rollout *r =
+	    rollout_orders_find(c->rollout->orders, o->service);
+	uint64_t known, epoch = store_position_epoch(o->number);
+
+	if (r == NULL || o->problem != NULL)
+		return false;
+	known =
+	    MAX(r->order, get_number(c->rollout->handled_orders, o->service));
+	return store_position_epoch(known) < epoch &&
+	    strcmp(r->to, o->to) == 0 && r->duration_ms == o->duration_ms;
+}
+
 static bool
 is_known_order(const struct control *c, const struct feed_order *o)
 {
@@ -139,7 +159,7 @@
 	    rollout_orders_find(c->rollout->orders, o->service);
 
 	return (r != NULL && r->order >= o->number) ||
-	    get_number(c->rollout->refused_orders, o->service) >= o->number;
+	    get_number(c->rollout->handled_orders, o->service) >= o->number;
 }
 
 /* Records an order, with the usual share of requests: as running, as completed
@@ -167,7 +187,7 @@
 {
 	const char *from = control_rollout_current_version(c, o->service);
 
-	set_number(c->rollout->refused_orders, o->service, o->number);
+	set_number(c->rollout->handled_orders, o->service, o->number);
 	log_warning("order=%" G_GUINT64_FORMAT
 		    " to move %s to \"%s\" is refused: %s; correct it",
 	    o->number, o->service, o->to, reason);
@@ -180,6 +200,13 @@
 {
 	const char *from = control_rollout_current_version(c, o->service);
 
+	if (repeats_known_order(c, o)) {
+		log_info("service=%s order=%" G_GUINT64_FORMAT
+			 " repeats the known order in a new epoch",
+		    o->service, o->number);
+		set_number(c->rollout->handled_orders, o->service, o->number);
+		return;
+	}
 	if (o->problem != NULL)
 		refuse_order(c, o, o->problem);
 	else if (catalog_find(c->catalog, o->service) == NULL)
@@ -210,6 +237,47 @@
 	g_array_set_size(cr->pending_orders, 0);
 }
 
+static const struct rollout *
+find_row(const struct rollout_row *rows, uint32_t n, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(rows[i].rollout.service, service) == 0)
+			return &rows[i].rollout;
+	return NULL;
+}
+
+/* Writes known orders again that the store lacks, or has in an earlier phase,
+ * since it came back from an older copy.  Phases between running and the
+ * outcome are not stored. */
+static void
+write_missing_rows(
+    struct control *c, const struct rollout_row *rows, uint32_t n)
+{
+	struct rollout_orders *orders = c->rollout->orders;
+	const struct rollout *stored;
+	struct rollout r;
+	uint32_t i;
+
+	for (i = 0; i < rollout_orders_count(orders); i++) {
+		r = *rollout_orders_at(orders, i);
+		if (!rollout_is_over(&r))
+			r.phase = ROLLOUT_RUNNING;
+		stored = find_row(rows, n, r.service);
+		if (stored == NULL || !is_up_to_date(stored, &r))
+			control_rollout_write(c, &r);
+	}
+}
+
+void
+control_rollout_restored(struct control *c)
+{
+	c->rollout->rows_read = false;
+	c->rollout->restored = true;
+	c->rollout->read_again = c->rollout->read_pending;
+}
+
 static void
 on_rows(enum status st, const struct rollout_row *rows, uint32_t n, void *arg)
 {
@@ -225,12 +293,17 @@
 		control_pump(c);
 		return;
 	}
-	cr->rows_read = true;
+	cr->rows_read = !cr->read_again;
+	cr->read_again = false;
 	for (i = 0; i < n; i++) {
 		set_number(
 		    cr->revisions, rows[i].rollout.service, rows[i].revision);
 		control_rollout_add(c, &rows[i].rollout);
 	}
+	if (cr->rows_read && cr->restored && is_first_reader(c)) {
+		cr->restored = false;
+		write_missing_rows(c, rows, n);
+	}
 	handle_pending_orders(c);
 	control_pump(c);
 }
--- a/packages/node/src/control_rollout_priv.h
+++ b/packages/node/src/control_rollout_priv.h
@@ -16,9 +16,13 @@
  *	been read
  * @read_pending: a read of the rows is in progress
  * @rows_read: the rows have been read once
+ * @read_again: the store has come back from an older copy since the read in
+ *	progress began
+ * @restored: the platform's store has come back from an older copy since
  * @read_retry_ms: earliest time of the next read after a failed one
  * @revisions: maps a service to the last known revision of its row
- * @refused_orders: maps a service to the number of the order refused last
+ * @handled_orders: maps a service to the number of the order refused last, or
+ *	that has repeated the known order in a new epoch of the store
  */
 struct control_rollout {
 	struct rollout_orders *orders;
@@ -28,9 +32,11 @@
 	GArray *pending_orders;
 	bool read_pending;
 	bool rows_read;
+	bool read_again;
+	bool restored;
 	uint64_t read_retry_ms;
 	GHashTable *revisions;
-	GHashTable *refused_orders;
+	GHashTable *handled_orders;
 };
 
 /* control_rollout.c */
--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -29,9 +29,11 @@
 	finder_restored(&c->finder, now_ms);
 	quarantine_rows_restored(&c->quarantine_rows);
 	refused_row_restored(&c->refused_row, now_ms);
+	control_rollout_restored(c);
 	control_find_tick(c);
 	control_keep_tick(c);
 	control_refused_tick(c);
+	control_rollout_tick(c);
 }
 
 void
--- a/packages/rollout/include/rollout/rollout_store.h
+++ b/packages/rollout/include/rollout/rollout_store.h
@@ -14,7 +14,7 @@
 /**
  * struct rollout_row - an order as stored
  * @rollout: the order; its deadline is in the reader's monotonic time
- * @revision: revision of the row, the condition of the next write
+ * @revision: position of the row at the store, the condition of the next write
  */
 struct rollout_row {
 	struct rollout rollout;
