fix(spread): a host that starts asks peers although it read the whole row

Cause: a row read in full ended the collection of the host's floor at once. Solution: the host still asks its peers once it has joined, and waits for one that serves or for all answers, for floor_ask_ms at most.

--- a/packages/spread/include/spread/floors.h
+++ b/packages/spread/include/spread/floors.h
@@ -14,6 +14,9 @@
  * (a) it reaches, when it starts, a keeper that acknowledged v or stored it
  * later, or (b) the platform's head row is read then, and v was not halted, or
  * (c) it reaches a serving peer whose head has v or a later version in force.
+ * A store that came back from an older copy breaks (b) until operators write
+ * their version again; so a host that read the whole version still asks its
+ * peers once it has joined, and waits for a serving one or for all answers.
  * A host that reaches neither a serving peer nor the platform serves nothing at
  * all, since it has no content.
  *
@@ -56,6 +59,10 @@
  * @collecting: whether this host's floor is still being collected
  * @next_ask_ms: when peers are asked again
  * @collect_until_ms: when collecting ends, if @authoritative
+ * @asked_ms: when peers were last asked, 0 for never
+ * @asked: number of peers that were asked then
+ * @answered: answers since then
+ * @row_read: whether this host has read a whole version at the platform
  * @authoritative: whether a serving peer or the platform has answered
  * @floor: highest floor received
  */
@@ -71,6 +78,10 @@
 	int collecting;
 	uint64_t next_ask_ms;
 	uint64_t collect_until_ms;
+	uint64_t asked_ms;
+	uint32_t asked;
+	uint32_t answered;
+	int row_read;
 	int authoritative;
 	uint64_t floor;
 };
@@ -124,7 +135,8 @@
  * floors_on_full_version() - the platform delivered the configuration itself
  *
  * The delivered version is the newest accepted one, so no peer can know a later
- * version that this host served: collecting ends.
+ * version that this host served: collecting ends when the peers that are asked
+ * after joining have answered, or one that serves.
  */
 void
 floors_on_full_version(struct floors *f, uint64_t now_ms, uint64_t in_force);
--- a/packages/spread/src/floors.c
+++ b/packages/spread/src/floors.c
@@ -164,10 +164,15 @@
 floors_on_answer(struct floors *f, const struct msg_floor_answer *msg)
 {
 	f->floor = MAX(f->floor, msg->floor);
-	if (!f->collecting || !msg->ready)
+	if (!f->collecting)
 		return;
-	f->authoritative = 1;
-	f->floor = MAX(f->floor, msg->head.in_force);
+	f->answered++;
+	if (msg->ready) {
+		f->authoritative = 1;
+		f->floor = MAX(f->floor, msg->head.in_force);
+	}
+	if (f->row_read && (msg->ready || f->answered >= f->asked))
+		f->collect_until_ms = 0;
 }
 
 void
@@ -175,7 +180,8 @@
 {
 	if (!f->collecting)
 		return;
-	if (f->collect_until_ms == DEADLINE_NEVER)
+	if (f->collect_until_ms == DEADLINE_NEVER &&
+	    (!f->row_read || f->asked_ms != 0))
 		f->collect_until_ms = now_ms + f->env->profile.floor_ask_ms;
 	f->authoritative = 1;
 	f->floor = MAX(f->floor, in_force);
@@ -185,7 +191,12 @@
 floors_on_full_version(struct floors *f, uint64_t now_ms, uint64_t in_force)
 {
 	floors_on_platform(f, now_ms, in_force);
-	if (f->collecting)
+	if (!f->collecting)
+		return;
+	f->row_read = 1;
+	if (f->asked_ms == 0)
+		f->collect_until_ms = DEADLINE_NEVER;
+	else if (f->answered >= f->asked)
 		f->collect_until_ms = now_ms;
 }
 
@@ -209,6 +220,11 @@
 	    f->env, to, MIN(f->env->profile.keepers, KEEPERS_MAX));
 	n += peers_near(f->env, to + n, ASK_NEAR);
 	n += peers_far(f->env, to + n, ASK_FAR);
+	f->asked_ms = now_ms;
+	f->asked = n;
+	f->answered = 0;
+	if (f->row_read && n == 0)
+		f->collect_until_ms = now_ms;
 	g_strlcpy(msg.host, f->env->host, sizeof(msg.host));
 	for (i = 0; i < n; i++) {
 		body = g_byte_array_new();
--- a/test/driver/test_reading.c
+++ b/test/driver/test_reading.c
@@ -414,6 +414,51 @@
 }
 END_TEST
 
+/* Hosts restart while the store still has the older version of its copy, before
+ * operators write their version again. */
+static void
+run_restarts_before_rewrite(const struct world_config *config, uint32_t n)
+{
+	struct world *w = scenario_start(config);
+	GRand *rng = g_rand_new_with_seed((guint32)config->seed);
+	uint32_t i, node;
+
+	world_run(w, 3000 + config->seed * 137);
+	make_newer_than_copy(w, rng);
+	world_run(w, 2000);
+	follow_restore(w, FOLLOW_PENDING_CLOSED);
+	for (i = 0; i < n; i++) {
+		node = (uint32_t)g_rand_int_range(rng, 0, (gint32)w->n_nodes);
+		world_kill(w, node);
+		world_run(w, (uint64_t)g_rand_int_range(rng, 0, 100));
+		world_start(w, node);
+		/* As a holder of the first places does at its start. */
+		if (g_rand_boolean(rng)) {
+			world_run(w, 10);
+			spread_read_now(w->nodes[node].spread, world_now_ms(w));
+			world_dispatch(&w->nodes[node]);
+		}
+	}
+	world_run(w, 3000);
+	follow_changed(w);
+	g_rand_free(rng);
+	scenario_finish(w);
+}
+
+/* The checker reports a host that serves less than it has held. */
+START_TEST(hosts_that_start_before_the_rewrite_serve_no_older_version)
+{
+	struct world_config config;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 8 * n_seeds(); seed++) {
+		configure(
+		    &config, sizes[_i].data_centres, sizes[_i].nodes, seed);
+		run_restarts_before_rewrite(&config, 1 + (uint32_t)seed % 4);
+	}
+}
+END_TEST
+
 START_TEST(frozen_readers_are_replaced)
 {
 	run_all(FAULT_FROZEN, (uint32_t)_i);
@@ -438,6 +483,9 @@
 	tcase_add_loop_test(
 	    tc, a_change_at_the_end_of_an_outage_is_applied_in_time, 0, 2);
 	tcase_add_loop_test(tc, the_few_served_nodes_read_for_all, 0, 2);
+	tcase_add_loop_test(tc,
+	    hosts_that_start_before_the_rewrite_serve_no_older_version, 0,
+	    (int)G_N_ELEMENTS(sizes));
 	tcase_add_loop_test(tc,
 	    a_change_after_the_store_is_restored_is_applied_in_time, 0,
 	    (FAULT_STALLED + 1) * (int)G_N_ELEMENTS(sizes));
