feat(node): log a version at the platform that is not applied

Problem: after the store came back from an older copy it may have a version that is older than the one in force, or the same number with other content; hosts keep what they have and nobody is told. Solution: a line for each such version.

--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -62,6 +62,32 @@
 	c->feed_log_ms = control_now(c) + STATUS_LOG_MS;
 }
 
+/* Logs once that the platform has a version that is not applied: an older one
+ * than that in force, or the same number with other content.  Operators see it
+ * after the store came back from a copy. */
+static void
+log_not_applied(struct control *c, uint64_t version, const struct digest *root)
+{
+	uint64_t in_force = catalog_version(c->catalog);
+
+	if (version > in_force || version == c->feed_not_applied)
+		return;
+	if (version < in_force)
+		log_warning("The platform has version %" G_GUINT64_FORMAT
+			    ", which is older than %" G_GUINT64_FORMAT
+			    " in force; the newer one is kept until a later "
+			    "one is written.",
+		    version, in_force);
+	else if (!hash_digest_equal(root, catalog_root(c->catalog)))
+		log_error("The platform has version %" G_GUINT64_FORMAT
+			  " with another content than is in force; write it "
+			  "again under a higher number.",
+		    version);
+	else
+		return;
+	c->feed_not_applied = version;
+}
+
 /* Passes the sections of a bundle to the spread. */
 static void
 pass_bundle(
@@ -84,6 +110,7 @@
 		contents[i] = section->content;
 	}
 	c->feed_head = head;
+	log_not_applied(c, a->version, &root);
 	spread_on_full_version(
 	    c->spread, control_now(c), &head, list, contents, b->sections->len);
 	g_free(contents);
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -61,6 +61,8 @@
  * @feed_logged_status: status of the feed as of the last line in the log
  * @feed_log_ms: earliest time of the next line about a lost feed
  * @feed_left_out: failures since the last such line that were not logged
+ * @feed_not_applied: version that the platform had and that was not applied, as
+ *	logged last; 0 for none
  * @feed_answered_ms: when a read of the feed was last answered, 0 for never
  * @feed_poll_pending: a long poll of the feed is in flight
  * @feed_fetch_pending: a read of the full configuration is in flight, which may
@@ -109,6 +111,7 @@
 	enum status feed_logged_status;
 	uint64_t feed_log_ms;
 	uint32_t feed_left_out;
+	uint64_t feed_not_applied;
 	uint64_t feed_answered_ms;
 	int feed_poll_pending;
 	int feed_fetch_pending;
