fix(signoff): restore the product's own store after it came back from a copy

Problem: with the product's own store, versions signed off after the copy was made are gone once the store came back from it. Cause: nobody compared the store's head row with the head that nodes know. Solution: a reader that twice in a row reads a head older than the one known before the read signs the version in force off again, under a number well above the newest known one, as versions of the lost seconds may not be known here. An operation builds on no head row that is older than the known one.

--- a/packages/config/include/config/bundle.h
+++ b/packages/config/include/config/bundle.h
@@ -9,6 +9,8 @@
 
 #include "config/section.h"
 
+struct catalog;
+
 /* Largest bundle and its deepest nesting. */
 #define BUNDLE_MAX_BYTES (UINT64_C(64) << 20)
 #define BUNDLE_MAX_DEPTH 8
@@ -72,6 +74,10 @@
  */
 char *bundle_warnings(const struct bundle *bundle);
 
+/** bundle_from_catalog() - bundle with the content of a catalog's current
+ * version; free with bundle_free() */
+struct bundle *bundle_from_catalog(const struct catalog *c);
+
 /** bundle_free() - free a bundle and its sections; accepts NULL */
 void bundle_free(struct bundle *bundle);
 
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -3,6 +3,8 @@
  */
 #include <string.h>
 
+#include "config/catalog.h"
+
 #include "bundle_read.h"
 #include "bundle_scan.h"
 #include "parts.h"
@@ -166,6 +168,32 @@
 	return st;
 }
 
+static struct section *
+section_from_catalog(const struct catalog *c, uint32_t i)
+{
+	struct section *s = g_new0(struct section, 1);
+	struct service_config *config = catalog_section(c, i);
+
+	s->config = service_config_ref(config);
+	s->content = g_bytes_ref(catalog_content(c, &config->digest));
+	return s;
+}
+
+struct bundle *
+bundle_from_catalog(const struct catalog *c)
+{
+	struct bundle *b = g_new0(struct bundle, 1);
+	uint32_t i;
+
+	b->sections = g_ptr_array_new_with_free_func(section_free);
+	b->problems = g_ptr_array_new();
+	b->warnings = g_ptr_array_new();
+	b->root = *catalog_root(c);
+	for (i = 0; i < catalog_n_sections(c); i++)
+		g_ptr_array_add(b->sections, section_from_catalog(c, i));
+	return b;
+}
+
 void
 bundle_free(struct bundle *bundle)
 {
--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -127,13 +127,16 @@
     struct bundle *bundle, operation_fn *fn, void *arg)
 {
 	struct control_operation *op = g_new0(struct control_operation, 1);
+	struct signoff_request with_known = *req;
 	enum status st;
 
 	op->control = c;
 	op->fn = fn;
 	op->arg = arg;
+	with_known.known_seq = spread_head(c->spread)->seq;
+	with_known.known_version = spread_head(c->spread)->version;
 	st = operation_start(
-	    c->loop, c->store, req, bundle, control_operation_done, op);
+	    c->loop, c->store, &with_known, bundle, control_operation_done, op);
 	if (st != STATUS_OK)
 		g_free(op);
 	return st;
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -67,6 +67,7 @@
  * @feed_poll_pending: a long poll of the feed is in flight
  * @feed_fetch_pending: a read of the full configuration is in flight, which may
  *	take a minute
+ * @restoring: a sign-off that restores the product's own store is in progress
  * @store_epoch: highest known epoch of the platform's store, 0 for none
  * @directory: directory of nodes, NULL to use the seeds of the settings
  * @finder: schedule of registrations and lookups in the directory
@@ -115,6 +116,7 @@
 	uint64_t feed_answered_ms;
 	int feed_poll_pending;
 	int feed_fetch_pending;
+	int restoring;
 	uint64_t store_epoch;
 	struct directory *directory;
 	struct finder finder;
@@ -227,6 +229,12 @@
 /** control_store_epoch_update() - take up an epoch that peers have reported */
 void control_store_epoch_update(struct control *c);
 
+/* control_restore.c */
+
+/** control_restore_store() - the product's own store has come back from an older
+ * copy, whose newest version is @version: sign the version in force off again */
+void control_restore_store(struct control *c, uint64_t version);
+
 /* control_keep.c */
 
 /** control_keep_record() - write a request that this node quarantined to the
--- a/packages/signoff/include/signoff/signoff.h
+++ b/packages/signoff/include/signoff/signoff.h
@@ -36,6 +36,11 @@
 /* Versions that a sign-off without parent searches for its own id. */
 #define SIGNOFF_REPEAT_VERSIONS_MAX 100
 
+/* Numbers left out after the newest known version when a store that came back
+ * from an older copy is restored: more than operators sign off in the seconds
+ * that the copy lacks. */
+#define SIGNOFF_RESTORE_GAP 100
+
 #define SIGNOFF_MESSAGE_BYTES 384
 
 /** enum signoff_kind - kind of an operation */
@@ -62,6 +67,13 @@
  * @version: version to halt, or whose content supersedes the newest one
  * @after_seq: for SIGNOFF_FIND: signoff_outcome.after_seq of the unknown
  *	outcome, 0 if that is not known
+ * @known_seq: seq of the newest head row that is known, 0 for none; a head row
+ *	below it shows that the store has come back from an older copy, and
+ *	nothing is built on it
+ * @known_version: newest version in that row
+ * @restores: for SIGNOFF_SIGN_OFF: the store has come back from an older copy;
+ *	sign @bundle off as a version after @known_version, on whatever older
+ *row the store has
  * @bundle: for SIGNOFF_SIGN_OFF; must outlive the operation
  * @wall_ms: wall clock time for the rows
  * @deadline_ms: monotonic time by which the operation has an outcome
@@ -78,6 +90,9 @@
 	uint32_t race_retries;
 	uint64_t version;
 	uint64_t after_seq;
+	uint64_t known_seq;
+	uint64_t known_version;
+	bool restores;
 	const struct bundle *bundle;
 	uint64_t wall_ms;
 	uint64_t deadline_ms;
--- a/packages/signoff/src/signoff.c
+++ b/packages/signoff/src/signoff.c
@@ -186,12 +186,20 @@
 	return true;
 }
 
+/* Lowest seq of a head row that an operation may build on. */
+static uint64_t
+lowest_seq(const struct signoff *r)
+{
+	return r->req.restores ? 0 : r->req.known_seq;
+}
+
 /* Whether a head row can follow the one that was read before. */
 static bool
 is_valid_successor(const struct signoff *r, const struct store_head *head)
 {
-	return head->seq >= r->head.seq && head->seq > 0 &&
-	    head->version >= r->head.version && head->in_force <= head->version;
+	return head->seq >= lowest_seq(r) && head->seq >= r->head.seq &&
+	    head->seq > 0 && head->version >= r->head.version &&
+	    head->in_force <= head->version;
 }
 
 void
@@ -202,7 +210,8 @@
 		return;
 	if (st == STATUS_OK && is_valid_successor(r, head))
 		r->head = *head;
-	else if (st != STATUS_NOT_FOUND || r->head.seq > 0) {
+	else if (st != STATUS_NOT_FOUND || r->head.seq > 0 ||
+	    lowest_seq(r) > 0) {
 		signoff_retry_later(r, now_ms);
 		return;
 	}
--- a/packages/signoff/src/version.c
+++ b/packages/signoff/src/version.c
@@ -77,6 +77,8 @@
 {
 	struct range range = {1, 0};
 
+	if (r->req.restores)
+		return range;
 	if (r->req.has_parent) {
 		range.low = r->req.parent + 1;
 		range.high = MIN(range.low, r->head.version);
@@ -102,9 +104,30 @@
 	return r->base.version + 1;
 }
 
+static void version_write(struct signoff *r, uint64_t now_ms);
+
+/* Writes all sections, whichever the older row has. */
+static void
+restore_proceed(struct signoff *r, uint64_t now_ms)
+{
+	if (r->head.seq >= r->req.known_seq) {
+		outcome_not_found(r,
+		    "The platform has version %" G_GUINT64_FORMAT
+		    " again; nothing is written.",
+		    r->head.version);
+		return;
+	}
+	r->base = r->head;
+	version_write(r, now_ms);
+}
+
 static void
 version_proceed(struct signoff *r, uint64_t now_ms)
 {
+	if (r->req.restores) {
+		restore_proceed(r, now_ms);
+		return;
+	}
 	if (r->req.has_parent && r->head.version < r->req.parent) {
 		outcome_not_found(r,
 		    "There is no version %" G_GUINT64_FORMAT
@@ -129,7 +152,7 @@
 static void
 version_on_lost_race(struct signoff *r, uint64_t now_ms)
 {
-	if (r->head.version == r->base.version) {
+	if (r->head.version == r->base.version || r->req.restores) {
 		/* There was only a halt in between; the parent is the same. */
 		version_proceed(r, now_ms);
 	} else if (r->race_retries_left > 0) {
@@ -253,6 +276,22 @@
 	return g_byte_array_free_to_bytes(out);
 }
 
+/* Numbers of versions that the store has lost are not used again; some of these
+ * versions may not be known here. */
+static uint64_t
+newest_version(const struct signoff *r)
+{
+	return r->req.restores ? r->req.known_version + SIGNOFF_RESTORE_GAP
+			       : r->base.version;
+}
+
+static uint64_t
+newest_seq(const struct signoff *r)
+{
+	return r->req.restores ? r->req.known_seq + SIGNOFF_RESTORE_GAP
+			       : r->base.seq;
+}
+
 static void
 set_rows(struct signoff *r)
 {
@@ -260,10 +299,10 @@
 	struct store_version *row = &r->row;
 
 	memset(head, 0, sizeof(*head));
-	head->seq = r->base.seq + 1;
-	head->version = r->base.version + 1;
+	head->seq = newest_seq(r) + 1;
+	head->parent = newest_version(r);
+	head->version = head->parent + 1;
 	head->in_force = head->version;
-	head->parent = r->base.version;
 	head->state = STORE_ROLLING;
 	head->root = r->root;
 	g_strlcpy(head->op, r->req.op, sizeof(head->op));
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -72,6 +72,9 @@
  *	as number @to of its readers, or no longer if @to is 0; log it
  * @SPREAD_REFUSED: version @to can't be staged or committed here because of
  *	@reason; the attempt is repeated after a pause
+ * @SPREAD_STORE_BEHIND: the platform's head row is older than the head known
+ *	before the read began: the store has come back from an older copy; @to is
+ *	its version, 0 for none
  * @SPREAD_STORE_EPOCH: another reader has seen the platform's store in epoch
  *@to
  */
@@ -88,6 +91,7 @@
 	SPREAD_READER,
 	SPREAD_REFUSED,
 	SPREAD_STORE_EPOCH,
+	SPREAD_STORE_BEHIND,
 };
 
 /**
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -257,6 +257,24 @@
 	spread_advance(s, now_ms);
 }
 
+/* A read may be overtaken by a newer head, so a head counts as older only if
+ * the newer one was known before the read began: when the read before ended. */
+static void
+spread_check_store_behind(
+    struct spread *s, enum status st, const struct rec_head *head)
+{
+	uint64_t seq = st == STATUS_OK ? head->seq : 0;
+
+	if (seq >= s->known.seq) {
+		s->seq_before_read = 0;
+		return;
+	}
+	if (seq < s->seq_before_read)
+		env_push_action(&s->env, SPREAD_STORE_BEHIND)->to =
+		    st == STATUS_OK ? head->version : 0;
+	s->seq_before_read = s->known.seq;
+}
+
 void
 spread_on_head(struct spread *s, uint64_t now_ms, enum status st,
     const struct rec_head *head)
@@ -273,6 +291,8 @@
 			intake_schedule_source(
 			    &s->intake, now_ms, spread_hold_ms(s));
 	}
+	if (answered)
+		spread_check_store_behind(s, st, head);
 	if (answered)
 		floors_on_platform(
 		    &s->floors, now_ms, st == STATUS_OK ? head->in_force : 0);
--- a/packages/standins/include/standins/objects.h
+++ b/packages/standins/include/standins/objects.h
@@ -25,6 +25,9 @@
 /** objects_new() - create an empty store */
 struct objects *objects_new(void);
 
+/** objects_copy() - copy a store; free with objects_free() */
+struct objects *objects_copy(const struct objects *o);
+
 /** objects_free() - free a store and its objects */
 void objects_free(struct objects *o);
 
--- a/packages/standins/include/standins/rows.h
+++ b/packages/standins/include/standins/rows.h
@@ -43,6 +43,13 @@
 /** rows_new() - create an empty table */
 struct rows *rows_new(void);
 
+/** rows_copy() - copy a table; free with rows_free() */
+struct rows *rows_copy(const struct rows *t);
+
+/** rows_missing() - array of the rows of a table whose keys another one lacks
+ */
+json_t *rows_missing(const struct rows *t, const struct rows *other);
+
 /** rows_free() - free a table and its rows */
 void rows_free(struct rows *t);
 
--- a/packages/standins/src/objects.c
+++ b/packages/standins/src/objects.c
@@ -20,6 +20,21 @@
 	return o;
 }
 
+struct objects *
+objects_copy(const struct objects *o)
+{
+	struct objects *copy = objects_new();
+	GHashTableIter it;
+	gpointer key, data;
+
+	g_hash_table_iter_init(&it, o->by_key);
+	while (g_hash_table_iter_next(&it, &key, &data))
+		g_hash_table_insert(
+		    copy->by_key, g_strdup(key), g_bytes_ref(data));
+	copy->bytes = o->bytes;
+	return copy;
+}
+
 void
 objects_free(struct objects *o)
 {
--- a/packages/standins/src/platform.c
+++ b/packages/standins/src/platform.c
@@ -45,6 +45,8 @@
 	pthread_mutex_t lock; /* protects all fields below */
 	struct rows *rows;
 	struct objects *objects;
+	struct rows *rows_copy;
+	struct objects *objects_copy;
 	struct rate reads;
 	struct rate writes;
 	struct platform_knobs knobs;
@@ -242,6 +244,35 @@
 		object_error(conn, 405, "MethodNotAllowed");
 }
 
+static void
+platform_back_up(struct platform *p)
+{
+	rows_free(p->rows_copy);
+	objects_free(p->objects_copy);
+	p->rows_copy = rows_copy(p->rows);
+	p->objects_copy = objects_copy(p->objects);
+}
+
+/* Replaces all content by the last copy; without one nothing changes.
+ *
+ * Return: the answer, with the rows that the copy lacks.
+ */
+static json_t *
+platform_restore(struct platform *p)
+{
+	json_t *answer;
+
+	if (p->rows_copy == NULL)
+		return json_object();
+	answer =
+	    json_pack("{s:o}", "lost", rows_missing(p->rows, p->rows_copy));
+	rows_free(p->rows);
+	objects_free(p->objects);
+	p->rows = rows_copy(p->rows_copy);
+	p->objects = objects_copy(p->objects_copy);
+	return answer;
+}
+
 static void
 platform_set_knobs(
     struct platform *p, struct mg_connection *conn, GByteArray *body)
@@ -249,6 +280,7 @@
 	json_t *j = json_loadb((char *)body->data, body->len, 0, NULL);
 	struct platform_knobs *k = &p->knobs;
 	uint64_t now_us = clock_now_us();
+	json_t *answer = NULL;
 
 	if (!json_is_object(j)) {
 		json_decref(j);
@@ -265,9 +297,14 @@
 	web_json_u32(j, "writes_per_s", &k->writes_per_s);
 	rate_set(&p->reads, k->reads_per_s, now_us);
 	rate_set(&p->writes, k->writes_per_s, now_us);
+	if (json_is_true(json_object_get(j, "back_up")))
+		platform_back_up(p);
+	if (json_is_true(json_object_get(j, "restore")))
+		answer = platform_restore(p);
 	pthread_mutex_unlock(&p->lock);
 	json_decref(j);
-	web_respond_json(conn, 200, NULL, json_object());
+	web_respond_json(
+	    conn, 200, NULL, answer != NULL ? answer : json_object());
 }
 
 static json_t *
@@ -347,6 +384,8 @@
 	web_stop(p->web);
 	rows_free(p->rows);
 	objects_free(p->objects);
+	rows_free(p->rows_copy);
+	objects_free(p->objects_copy);
 	pthread_mutex_destroy(&p->lock);
 	g_free(p);
 }
--- a/packages/standins/src/rows.c
+++ b/packages/standins/src/rows.c
@@ -36,6 +36,34 @@
 	return t;
 }
 
+struct rows *
+rows_copy(const struct rows *t)
+{
+	struct rows *copy = rows_new();
+	GHashTableIter it;
+	gpointer key, row;
+
+	g_hash_table_iter_init(&it, t->by_key);
+	while (g_hash_table_iter_next(&it, &key, &row))
+		g_hash_table_insert(
+		    copy->by_key, g_strdup(key), json_incref(row));
+	return copy;
+}
+
+json_t *
+rows_missing(const struct rows *t, const struct rows *other)
+{
+	json_t *list = json_array();
+	GHashTableIter it;
+	gpointer key, row;
+
+	g_hash_table_iter_init(&it, t->by_key);
+	while (g_hash_table_iter_next(&it, &key, &row))
+		if (!g_hash_table_contains(other->by_key, key))
+			(void)json_array_append(list, row);
+	return list;
+}
+
 void
 rows_free(struct rows *t)
 {
--- a/packages/store/include/store/store.h
+++ b/packages/store/include/store/store.h
@@ -100,7 +100,7 @@
  * struct store_write - rows to write in one transaction
  * @expected_seq: the head row's seq as last read; 0 if there must be no head
  *	row
- * @head: new head row; its seq must be @expected_seq + 1
+ * @head: new head row; its seq must be above @expected_seq
  * @version: new version row, which must not exist yet; NULL for none
  */
 struct store_write {
--- a/packages/store/src/http_store.c
+++ b/packages/store/src/http_store.c
@@ -208,7 +208,7 @@
 {
 	const struct store_version *v = w->version;
 
-	if (w->head->seq != w->expected_seq + 1 ||
+	if (w->head->seq <= w->expected_seq ||
 	    !g_utf8_validate(w->head->op, -1, NULL))
 		return STATUS_INVALID;
 	if (v == NULL)
--- a/test/driver/node.c
+++ b/test/driver/node.c
@@ -172,6 +172,7 @@
 	case SPREAD_STORE_EPOCH:
 		follow_set_epoch(n, a->to);
 		break;
+	case SPREAD_STORE_BEHIND:
 	case SPREAD_PEER_TIMED_OUT:
 	case SPREAD_PEER_BANNED:
 	case SPREAD_HALTED:
--- a/test/functional/deployment.c
+++ b/test/functional/deployment.c
@@ -363,6 +363,20 @@
 	set_knobs(d->platform_address, d->platform_port, knobs);
 }
 
+json_t *
+deployment_platform_restore(const struct deployment *d)
+{
+	char url[URL_BYTES];
+	json_t *j;
+	int code = 0;
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/standin/knobs",
+	    d->platform_address, d->platform_port);
+	j = fetch_json("POST", url, "{\"restore\":true}", &code);
+	ck_assert_int_eq(code, 200);
+	return j;
+}
+
 json_t *
 deployment_platform_stats(const struct deployment *d)
 {
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -171,6 +171,16 @@
 /** deployment_platform_knobs() - set knobs of the stand-in platform, as JSON */
 void deployment_platform_knobs(const struct deployment *d, const char *knobs);
 
+/**
+ * deployment_platform_restore() - the platform comes back from its last copy,
+ * made by the knob "back_up"
+ * @d: the deployment
+ *
+ * Return: object with the array `lost` of the rows that the copy lacks; free
+ * with json_decref().
+ */
+json_t *deployment_platform_restore(const struct deployment *d);
+
 /** deployment_platform_stats() - counters of the platform, a new reference */
 json_t *deployment_platform_stats(const struct deployment *d);
 
--- a/test/functional/version_watch.h
+++ b/test/functional/version_watch.h
@@ -24,6 +24,10 @@
 void version_watch_set_reachable(
     struct version_watch *w, const struct host *h, int reachable);
 
+/** version_watch_add_records() - add version rows of the platform, which may be
+ * lost before the end, to the records; other rows are skipped */
+void version_watch_add_records(struct version_watch *w, const json_t *rows);
+
 /** version_watch_accept() - require an accepted version; see
  * version_check_accept()
  */
--- a/test/soak/soak_plan.h
+++ b/test/soak/soak_plan.h
@@ -43,6 +43,9 @@
  *	apart from the random faults, see soak_plan_reports()
  * @SOAK_UPSTREAM_LEAVING: an upstream reports in its answers that it leaves,
  *	then gets SIGTERM; scheduled like the limits
+ * @SOAK_STORE_RESTORE: the store is backed up, and comes back from the copy at
+ *	the end of the fault; scheduled apart from the random faults, see
+ *	soak_plan_restores()
  *
  * Half of the link faults hit the relays of all hosts of the data centre.
  */
@@ -70,6 +73,7 @@
 	SOAK_STOP_WAVE,
 	SOAK_UPSTREAM_LIMIT,
 	SOAK_UPSTREAM_LEAVING,
+	SOAK_STORE_RESTORE,
 };
 
 /** soak_fault_name() - short name of a kind of fault, for the output */
@@ -132,4 +136,15 @@
 void soak_plan_reports(
     GArray *plan, uint32_t seed, uint32_t duration_ms, uint32_t times);
 
+/**
+ * soak_plan_restores() - add restores of the store from an older copy, which
+ * may overlap
+ * @plan: the plan; its other events stay unchanged
+ * @seed: seed of the times
+ * @duration_ms: length of the run
+ * @times: number of restores
+ */
+void soak_plan_restores(
+    GArray *plan, uint32_t seed, uint32_t duration_ms, uint32_t times);
+
 #endif
