--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -231,8 +231,9 @@
 
 /* control_restore.c */
 
-/** control_restore_store() - the product's own store has come back from an older
- * copy, whose newest version is @version: sign the version in force off again */
+/** control_restore_store() - the product's own store has come back from an
+ * older copy, whose newest version is @version: sign the version in force off
+ * again */
 void control_restore_store(struct control *c, uint64_t version);
 
 /* control_keep.c */
--- a/packages/signoff/test/test_signoff.c
+++ b/packages/signoff/test/test_signoff.c
@@ -54,6 +54,30 @@
 }
 END_TEST
 
+/* The store has come back from an older copy: an operation built on its head
+ * row would use numbers again. */
+START_TEST(an_older_head_row_is_not_built_on)
+{
+	const enum signoff_kind kind = (enum signoff_kind)_i;
+	const struct signoff_outcome *o;
+	struct signoff_request req;
+	struct world *w = world_new(1);
+
+	sign_off_versions(w, 3);
+	req = request_for_version(w, kind, "op", "anna", 3);
+	req.known_seq = w->head.seq + 1;
+	o = world_run_operation(w, &req, 4);
+	ck_assert_int_eq(o->result, SIGNOFF_UNAVAILABLE);
+	ck_assert_uint_eq(w->commits->len, 3);
+	req = request_for_version(w, kind, "op", "anna", 3);
+	req.known_seq = w->head.seq;
+	o = world_run_operation(w, &req, 4);
+	ck_assert_int_eq(o->result, SIGNOFF_DONE);
+	check_no_violation(w);
+	world_free(w);
+}
+END_TEST
+
 /* Outcome of each request on a platform with three versions. */
 static const struct {
 	enum signoff_kind kind;
@@ -286,6 +310,7 @@
 	Suite *suite = suite_create("signoff");
 	TCase *tc = tcase_create("signoff");
 
+	tcase_add_loop_test(tc, an_older_head_row_is_not_built_on, 0, 3);
 	tcase_add_loop_test(
 	    tc, fault_at_any_request_is_survived, 0, 3 * (FAULT_COUNT - 1));
 	tcase_add_loop_test(tc, each_request_has_its_outcome, 0,
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -73,8 +73,8 @@
  * @SPREAD_REFUSED: version @to can't be staged or committed here because of
  *	@reason; the attempt is repeated after a pause
  * @SPREAD_STORE_BEHIND: the platform's head row is older than the head known
- *	before the read began: the store has come back from an older copy; @to is
- *	its version, 0 for none
+ *	before the read began: the store has come back from an older copy; @to
+ *is its version, 0 for none
  * @SPREAD_STORE_EPOCH: another reader has seen the platform's store in epoch
  *@to
  */
