fix(node): the first epoch that a node learns is no restore

Problem: a node that starts registers again in the directory and reads the rows of quarantine and orders again, since the first epoch counts as a rise. Solution: rows are written again only when an epoch rises above a known one; a store may begin with 0.

--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -68,6 +68,7 @@
  * @feed_fetch_pending: a read of the full configuration is in flight, which may
  *	take a minute
  * @restoring: a sign-off that restores the product's own store is in progress
+ * @store_epoch_known: an epoch of the platform's store is known
  * @store_epoch: highest known epoch of the platform's store, 0 for none
  * @directory: directory of nodes, NULL to use the seeds of the settings
  * @finder: schedule of registrations and lookups in the directory
@@ -117,6 +118,7 @@
 	int feed_poll_pending;
 	int feed_fetch_pending;
 	int restoring;
+	bool store_epoch_known;
 	uint64_t store_epoch;
 	struct directory *directory;
 	struct finder finder;
--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -36,24 +36,32 @@
 	control_rollout_tick(c);
 }
 
+static void
+set_epoch(struct control *c, uint64_t epoch)
+{
+	c->store_epoch = epoch;
+	metric_set(&epoch_gauge, (int64_t)epoch);
+	membership_set_store_epoch(c->membership, epoch);
+}
+
 void
 control_set_store_epoch(struct control *c, uint64_t epoch)
 {
+	if (!c->store_epoch_known) {
+		c->store_epoch_known = true;
+		set_epoch(c, epoch);
+		log_info("The platform's store is in epoch %" G_GUINT64_FORMAT
+			 ".",
+		    epoch);
+		return;
+	}
 	if (epoch <= c->store_epoch)
 		return;
-	if (c->store_epoch != 0)
-		log_warning(
-		    "The platform's store came back from an older copy, epoch "
+	log_warning("The platform's store came back from an older copy, epoch "
 		    "%" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
 		    "; rows of this node are written again.",
-		    epoch, c->store_epoch);
-	else
-		log_info("The platform's store is in epoch %" G_GUINT64_FORMAT
-			 ".",
-		    epoch);
-	c->store_epoch = epoch;
-	metric_set(&epoch_gauge, (int64_t)epoch);
-	membership_set_store_epoch(c->membership, epoch);
+	    epoch, c->store_epoch);
+	set_epoch(c, epoch);
 	if (c->feed != NULL)
 		feed_set_epoch(c->feed, epoch);
 	write_again(c);
@@ -63,5 +71,8 @@
 void
 control_store_epoch_update(struct control *c)
 {
-	control_set_store_epoch(c, membership_store_epoch(c->membership));
+	uint64_t epoch = membership_store_epoch(c->membership);
+
+	if (epoch != 0)
+		control_set_store_epoch(c, epoch);
 }
