fix(node): a lost feed that lasts is logged; tests of a restore in modules

Problem: a failure of the feed that begins within 5 s of a logged one was not logged however long it lasted; a late answer with an older version read as a warning to operators. Solution: it is logged once the 5 s are over; the line says what was answered.

--- a/packages/membership/test/test_finder.c
+++ b/packages/membership/test/test_finder.c
@@ -379,6 +379,26 @@
 }
 END_TEST
 
+/* The directory has come back from an older copy. */
+START_TEST(registered_holder_registers_again_after_a_restore)
+{
+	const struct finder_view holder = {1, 10, 1}, other = {1, 10, 0};
+	uint64_t now_ms;
+	struct finder f;
+
+	now_ms = first_lookup(&f, SAMPLE, 1);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 30000), 0);
+	finder_restored(&f, now_ms);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 2000), 1);
+	ck_assert_uint_eq(calls_in(&f, holder, 1, &now_ms, 30000), 0);
+	finder_clear(&f);
+	now_ms = first_lookup(&f, SAMPLE, 0);
+	finder_restored(&f, now_ms);
+	ck_assert_uint_eq(calls_in(&f, other, 1, &now_ms, 30000), 0);
+	finder_clear(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -388,6 +408,7 @@
 	tcase_add_test(tc, node_with_peers_makes_no_further_calls);
 	tcase_add_test(tc, holder_of_a_place_registers_once);
 	tcase_add_test(tc, registered_holder_does_not_register_again);
+	tcase_add_test(tc, registered_holder_registers_again_after_a_restore);
 	tcase_add_test(tc, node_that_finds_few_registers_and_looks_up_again);
 	tcase_add_test(tc, node_that_is_alone_registers);
 	tcase_add_test(tc, node_that_has_not_joined_looks_up);
--- a/packages/membership/test/test_known.c
+++ b/packages/membership/test/test_known.c
@@ -223,6 +223,32 @@
 }
 END_TEST
 
+static int
+all_know_epoch(struct fake_net *g)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->n; i++)
+		if (fake_up(g, i) &&
+		    membership_store_epoch(g->nodes[i].m) != expected)
+			return 0;
+	return 1;
+}
+
+/* Nodes that don't read the platform write their rows again, too. */
+START_TEST(store_epoch_seen_by_one_node_reaches_all)
+{
+	uint32_t seed = (uint32_t)_i;
+
+	f = cluster_begin(seed, NODES, CENTRES, JOIN_MS);
+	f->loss_percent = 5;
+	expected = 7;
+	membership_set_store_epoch(f->nodes[READER].m, expected);
+	cluster_wait(f, seed, SPREAD_MS, all_know_epoch, "epoch 7 known");
+	cluster_end(f, seed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -232,6 +258,8 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(
 	    tc, version_read_by_one_node_reaches_all, 1, SEEDS + 1);
+	tcase_add_loop_test(
+	    tc, store_epoch_seen_by_one_node_reaches_all, 1, SEEDS + 1);
 	tcase_add_loop_test(tc, version_above_the_head_is_pushed, 1, SEEDS + 1);
 	tcase_add_test(tc, version_of_the_head_is_not_pushed);
 	tcase_add_loop_test(
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -34,26 +34,33 @@
 		    c->feed_left_out, status_message());
 }
 
-/* Logs a line each time the platform fails or recovers, but not for failures
- * that follow one another closely. */
+static void
+log_recovery(struct control *c)
+{
+	c->feed_answered_ms = control_now(c);
+	c->feed_status = STATUS_OK;
+	if (c->feed_logged_status == STATUS_OK)
+		return;
+	c->feed_logged_status = STATUS_OK;
+	log_info("The platform's feed is back.");
+}
+
+/* Logs a line each time the platform fails or recovers.  A failure that follows
+ * another one closely is logged only if it lasts. */
 static void
 log_status(struct control *c, enum status st)
 {
-	bool was_logged = c->feed_logged_status != STATUS_OK;
+	bool is_new = c->feed_status == STATUS_OK;
 
-	if (st == STATUS_OK)
-		c->feed_answered_ms = control_now(c);
-	if ((st == STATUS_OK) == (c->feed_status == STATUS_OK))
+	if (st == STATUS_OK) {
+		log_recovery(c);
 		return;
-	c->feed_status = st;
-	if (st == STATUS_OK && was_logged) {
-		c->feed_logged_status = STATUS_OK;
-		log_info("The platform's feed is back.");
 	}
-	if (st == STATUS_OK)
+	c->feed_status = st;
+	if (c->feed_logged_status != STATUS_OK)
 		return;
 	if (control_now(c) < c->feed_log_ms) {
-		c->feed_left_out++;
+		c->feed_left_out += is_new ? 1 : 0;
 		return;
 	}
 	log_lost(c, st);
@@ -62,9 +69,8 @@
 	c->feed_log_ms = control_now(c) + STATUS_LOG_MS;
 }
 
-/* Logs once that the platform has a version that is not applied: an older one
- * than that in force, or the same number with other content.  Operators see it
- * after the store came back from a copy. */
+/* Logs a version that is read and not applied: an older one than that in force,
+ * which may also be a late answer, or the same number with other content. */
 static void
 log_not_applied(struct control *c, uint64_t version, const struct digest *root)
 {
@@ -73,10 +79,9 @@
 	if (version > in_force || version == c->feed_not_applied)
 		return;
 	if (version < in_force)
-		log_warning("The platform has version %" G_GUINT64_FORMAT
-			    ", which is older than %" G_GUINT64_FORMAT
-			    " in force; the newer one is kept until a later "
-			    "one is written.",
+		log_info("The platform answered with version %" G_GUINT64_FORMAT
+			 ", which is older than %" G_GUINT64_FORMAT
+			 " in force; the newer one is kept.",
 		    version, in_force);
 	else if (!hash_digest_equal(root, catalog_root(c->catalog)))
 		log_error("The platform has version %" G_GUINT64_FORMAT
--- a/packages/node/src/control_restore.c
+++ b/packages/node/src/control_restore.c
@@ -1,7 +1,7 @@
 /*
  * Restores the product's own store after it came back from an older copy: the
- * version in force is signed off again, under the number after the newest known
- * one, so that no number is used twice.
+ * version in force is signed off again, under a number well above the newest
+ * known one, so that no number is used twice.
  */
 #define LOG_PART "store"
 
--- a/packages/node/src/control_rollout_orders.c
+++ b/packages/node/src/control_rollout_orders.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #include "base/log.h"
-
 #include "proto/store_position.h"
 
 #include "control_rollout_priv.h"
--- a/packages/node/src/control_store_epoch.c
+++ b/packages/node/src/control_store_epoch.c
@@ -20,7 +20,7 @@
 	metric_register(&epoch_gauge);
 }
 
-/* Each of these schedules calls; none is made here. */
+/* Marks what was written as missing, then starts the calls that are due. */
 static void
 write_again(struct control *c)
 {
--- a/packages/node/test/test_quarantine_rows.c
+++ b/packages/node/test/test_quarantine_rows.c
@@ -109,6 +109,22 @@
 }
 END_TEST
 
+/* The platform's store has come back from an older copy, also while the rows
+ * were being read. */
+START_TEST(rows_are_read_again_after_a_restore)
+{
+	(void)next(true, T0);
+	quarantine_rows_restored(&rows);
+	quarantine_rows_done(&rows, true, T0 + 5);
+	ck_assert_int_eq(next(true, T0 + 5), QUARANTINE_ROWS_READ);
+	quarantine_rows_done(&rows, true, T0 + 6);
+	ck_assert_int_eq(next(true, T0 + 6), QUARANTINE_ROWS_NONE);
+	quarantine_rows_restored(&rows);
+	ck_assert_int_eq(next(false, T0 + 7), QUARANTINE_ROWS_NONE);
+	ck_assert_int_eq(next(true, T0 + 7), QUARANTINE_ROWS_READ);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -121,6 +137,7 @@
 	tcase_add_test(tc, rows_are_written_in_order_and_retried);
 	tcase_add_test(tc, later_put_replaces_pending_but_not_active_row);
 	tcase_add_test(tc, pending_rows_are_bounded);
+	tcase_add_test(tc, rows_are_read_again_after_a_restore);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
--- a/packages/node/test/test_refused_row.c
+++ b/packages/node/test/test_refused_row.c
@@ -143,6 +143,39 @@
 }
 END_TEST
 
+/* The platform's store has come back from an older copy, which may lack the row
+ * or still have it. */
+START_TEST(row_is_written_or_removed_again_after_a_restore)
+{
+	reset_row();
+	refuse(10);
+	(void)next(0, true);
+	ck_assert_int_eq(next(REFUSED_ROW_DELAY_MS, true), REFUSED_ROW_WRITE);
+	refused_row_done(&row, true, 3000);
+	refused_row_restored(&row, 4000);
+	ck_assert_int_eq(next(4000, true), REFUSED_ROW_WRITE);
+	/* A write that the store lost while it was in flight. */
+	refused_row_restored(&row, 4100);
+	refused_row_done(&row, true, 4200);
+	ck_assert_int_eq(
+	    next(4200 + REFUSED_ROW_RETRY_MS, true), REFUSED_ROW_WRITE);
+	refused_row_done(&row, true, 10000);
+	record.active = false;
+	ck_assert_int_eq(next(50000, true), REFUSED_ROW_REMOVE);
+	refused_row_done(&row, true, 50001);
+	refused_row_restored(&row, 51000);
+	ck_assert_int_eq(next(51000, true), REFUSED_ROW_REMOVE);
+}
+END_TEST
+
+START_TEST(node_that_wrote_nothing_removes_nothing_after_a_restore)
+{
+	reset_row();
+	refused_row_restored(&row, 100);
+	ck_assert_int_eq(next(100, true), REFUSED_ROW_NONE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -155,6 +188,9 @@
 	tcase_add_test(tc, many_versions_need_few_writes);
 	tcase_add_test(tc, failed_action_is_retried_after_delay);
 	tcase_add_test(tc, refusal_during_removal_is_written_again);
+	tcase_add_test(tc, row_is_written_or_removed_again_after_a_restore);
+	tcase_add_test(
+	    tc, node_that_wrote_nothing_removes_nothing_after_a_restore);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
