--- a/packages/signoff/include/signoff/signoff.h
+++ b/packages/signoff/include/signoff/signoff.h
@@ -72,8 +72,8 @@
  *	nothing is built on it
  * @known_version: newest version in that row
  * @restores: for SIGNOFF_SIGN_OFF: the store has come back from an older copy;
- *	sign @bundle off as a version after @known_version, on whatever older
- *row the store has
+ *	sign @bundle off as a version after @known_version, whatever older row
+ *	the store has
  * @bundle: for SIGNOFF_SIGN_OFF; must outlive the operation
  * @wall_ms: wall clock time for the rows
  * @deadline_ms: monotonic time by which the operation has an outcome
--- a/packages/signoff/src/version.c
+++ b/packages/signoff/src/version.c
@@ -153,7 +153,8 @@
 version_on_lost_race(struct signoff *r, uint64_t now_ms)
 {
 	if (r->head.version == r->base.version || r->req.restores) {
-		/* There was only a halt in between; the parent is the same. */
+		/* There was only a halt in between, and the parent is the same;
+		 * or a restore, which compares the head row anew. */
 		version_proceed(r, now_ms);
 	} else if (r->race_retries_left > 0) {
 		r->race_retries_left--;
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -74,9 +74,9 @@
  *	@reason; the attempt is repeated after a pause
  * @SPREAD_STORE_BEHIND: the platform's head row is older than the head known
  *	before the read began: the store has come back from an older copy; @to
- *is its version, 0 for none
- * @SPREAD_STORE_EPOCH: another reader has seen the platform's store in epoch
- *@to
+ *	is the version in that row, 0 for none
+ * @SPREAD_STORE_EPOCH: another reader has seen the platform's store in the
+ *	epoch @to
  */
 enum spread_action_kind {
 	SPREAD_READ_HEAD = 0,
--- a/packages/spread/src/spread_priv.h
+++ b/packages/spread/src/spread_priv.h
@@ -35,8 +35,8 @@
  * @from_origin: @known came from the platform or a sign-off here, and not from
  *	a peer
  * @ready: whether the node may serve
- * @seq_before_read: seq known when the last read of the head ended, if that
- *read returned an older head; 0 otherwise
+ * @seq_before_read: seq that was known when a read returned an older head; 0
+ *	once a read returns the known head
  * @store_epoch: highest epoch of the platform's store in the readers' reports
  */
 struct spread {
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -668,7 +668,7 @@
 }
 
 static void
-soak_init(struct soak *s)
+soak_init(struct soak *s, uint32_t hosts)
 {
 	const struct calls_limits limits = {.timeout_ms = TIMEOUT_MS,
 	    .slots = SLOTS,
@@ -679,6 +679,7 @@
 	    .notice_ms = DRAIN_MS};
 	struct deployment_plan plan = deployment_registry;
 
+	plan.hosts = hosts;
 	plan.slots = SLOTS;
 	plan.work_ms_mean = WORK_MS_MEAN;
 	plan.relayed = RELAYED_BY_HOST;
@@ -727,7 +728,8 @@
 
 void
 soak_run(uint32_t seed, uint32_t duration_s, uint32_t faults, uint32_t growths,
-    uint32_t stop_waves, uint32_t reports, uint32_t restores, bool crashes)
+    uint32_t stop_waves, uint32_t reports, uint32_t restores, uint32_t hosts,
+    bool crashes)
 {
 	GArray *plan = soak_plan_new(seed, duration_s * 1000, faults);
 	struct calls_counts c = {0};
@@ -741,7 +743,7 @@
 	soak_plan_reports(plan, seed, duration_s * 1000, reports);
 	soak_plan_restores(plan, seed, duration_s * 1000, restores);
 	print_plan(seed, plan);
-	soak_init(&s);
+	soak_init(&s, hosts);
 	(void)g_snprintf(name, sizeof(name), "soak-%u", seed);
 	(void)g_snprintf(load_s, sizeof(load_s), "%u", duration_s);
 	s.rand = g_rand_new_with_seed(seed);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -18,6 +18,7 @@
  * @reports: number of limits that upstreams name; half as many upstreams report
  *	their leaving
  * @restores: number of times that the store comes back from an older copy
+ * @hosts: number of hosts in each of the three data centres
  * @crashes: whether a request that crashes upstreams is sent throughout the
  *	run, and all hosts lose power in the middle
  *
@@ -38,8 +39,8 @@
  *	unless its node had a fault meanwhile;
  * - if a process exits without having been stopped, or with an unexpected code.
  */
-void
-soak_run(uint32_t seed, uint32_t duration_s, uint32_t faults, uint32_t growths,
-    uint32_t stop_waves, uint32_t reports, uint32_t restores, bool crashes);
+void soak_run(uint32_t seed, uint32_t duration_s, uint32_t faults,
+    uint32_t growths, uint32_t stop_waves, uint32_t reports, uint32_t restores,
+    uint32_t hosts, bool crashes);
 
 #endif
--- a/test/soak/test_soak.c
+++ b/test/soak/test_soak.c
@@ -2,7 +2,8 @@
  * Soak test: one short run with a fixed seed, and the seeds that failed before.
  *
  * For a manual run BRAMLEY_SEED is the first seed, BRAMLEY_SEEDS the number of
- * seeds, and BRAMLEY_SOAK_S the duration of each run in seconds.
+ * seeds, BRAMLEY_SOAK_S the duration of each run in seconds, BRAMLEY_RESTORES
+ * the number of restores, and BRAMLEY_HOSTS that of hosts in each data centre.
  */
 #include <stdlib.h>
 
@@ -32,6 +33,9 @@
 /* Restores of the store from an older copy, in a run of any length. */
 #define RESTORES 2
 
+/* Hosts in each of the three data centres. */
+#define HOSTS 2
+
 /* Seeds that failed before, with the parameters of the failed run. */
 static const struct {
 	uint32_t seed;
@@ -64,7 +68,8 @@
 
 	soak_run((uint32_t)_i, duration_s, duration_s * FAULTS_PER_S, GROWTHS,
 	    STOP_WAVES, REPORTS,
-	    environment_number("BRAMLEY_RESTORES", RESTORES), true);
+	    environment_number("BRAMLEY_RESTORES", RESTORES),
+	    environment_number("BRAMLEY_HOSTS", HOSTS), true);
 }
 END_TEST
 
@@ -73,7 +78,7 @@
 	soak_run(previously_failed[_i].seed, previously_failed[_i].duration_s,
 	    previously_failed[_i].duration_s * FAULTS_PER_S,
 	    previously_failed[_i].growths, previously_failed[_i].stop_waves, 0,
-	    0, previously_failed[_i].crashes);
+	    0, HOSTS, previously_failed[_i].crashes);
 }
 END_TEST
 
