fix(node): a version signed off whole is held by its node at once

Cause: the restoring version's row says whole, so its own node reads it back from the store; the second restore removed it before, and a node restores only what it holds. The newest known version was held by nobody. Solution: the node that signed the version off takes its content from the bundle. If the newest known version is held by nobody, a node signs off what it holds after five findings.

--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -101,6 +101,13 @@
 		has_row =
 		    source_row(&end->version, &changes, &row) == STATUS_OK &&
 		    !row.whole;
+	/* A row without changes would have to be read back from the store. */
+	if (end->wrote_version && row.whole && end->bundle != NULL) {
+		control_pass_version(c, &head, end->bundle);
+		msg_version_changes_clear(&changes);
+		control_pump(c);
+		return;
+	}
 	if (end->bundle != NULL)
 		control_add_contents(c, end->bundle);
 	spread_on_signed(
--- a/packages/node/src/control_feed.c
+++ b/packages/node/src/control_feed.c
@@ -93,16 +93,10 @@
 	c->feed_not_applied = version;
 }
 
-/* Passes the sections of a bundle to the spread. */
-static void
-pass_bundle(
-    struct control *c, const struct feed_answer *a, const struct bundle *b)
+void
+control_pass_version(
+    struct control *c, const struct rec_head *head, const struct bundle *b)
 {
-	struct rec_head head = {.seq = a->version,
-	    .version = a->version,
-	    .in_force = a->version,
-	    .state = HEAD_ROLLING,
-	    .root = b->root};
 	GBytes **contents = g_new(GBytes *, b->sections->len);
 	const struct section *section;
 	struct digest root;
@@ -114,14 +108,28 @@
 		section = g_ptr_array_index(b->sections, i);
 		contents[i] = section->content;
 	}
-	c->feed_head = head;
-	log_not_applied(c, a->version, &root);
 	spread_on_full_version(
-	    c->spread, control_now(c), &head, list, contents, b->sections->len);
+	    c->spread, control_now(c), head, list, contents, b->sections->len);
 	g_free(contents);
 	g_array_unref(list);
 }
 
+/* Passes the sections of a bundle to the spread. */
+static void
+pass_bundle(
+    struct control *c, const struct feed_answer *a, const struct bundle *b)
+{
+	struct rec_head head = {.seq = a->version,
+	    .version = a->version,
+	    .in_force = a->version,
+	    .state = HEAD_ROLLING,
+	    .root = b->root};
+
+	c->feed_head = head;
+	log_not_applied(c, a->version, &head.root);
+	control_pass_version(c, &head, b);
+}
+
 static size_t
 largest_section(const struct bundle *b)
 {
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -68,6 +68,8 @@
  * @feed_fetch_pending: a read of the full configuration is in flight, which may
  *	take a minute
  * @restoring: a sign-off that restores the product's own store is in progress
+ * @restore_deferrals: times in a row that the store was found to be behind and
+ *	was not restored, since the version in force is not held here
  * @store_epoch_known: an epoch of the platform's store is known
  * @store_epoch: highest known epoch of the platform's store, 0 for none
  * @directory: directory of nodes, NULL to use the seeds of the settings
@@ -118,6 +120,7 @@
 	int feed_poll_pending;
 	int feed_fetch_pending;
 	int restoring;
+	uint32_t restore_deferrals;
 	bool store_epoch_known;
 	uint64_t store_epoch;
 	struct directory *directory;
@@ -148,6 +151,11 @@
 /** control_feed_set() - set the feed to read configurations from; borrowed */
 void control_feed_set(struct control *c, struct feed *feed);
 
+/** control_pass_version() - pass a version whose content is at hand to the
+ * spread */
+void control_pass_version(
+    struct control *c, const struct rec_head *head, const struct bundle *b);
+
 /** control_feed_read() - carry out a SPREAD_READ_* action or SPREAD_PROBE_*
  * action on the feed */
 void control_feed_read(struct control *c, const struct spread_action *a);
--- a/packages/node/src/control_restore.c
+++ b/packages/node/src/control_restore.c
@@ -1,7 +1,8 @@
 /*
  * Restores the product's own store after it came back from an older copy: the
  * version in force is signed off again, under a number well above the newest
- * known one, so that no number is used twice.
+ * known one, so that no number is used twice.  If no node holds that version,
+ * the one that is held takes its place.
  */
 #define LOG_PART "store"
 
@@ -15,6 +16,10 @@
 #define OPERATOR "bramleydrift"
 #define RESTORE_TIMEOUT_MS 10000
 
+/* A node that lacks the version in force leaves the restore to one that holds
+ * it, this many times: if nobody does, an older content is better than none. */
+#define DEFERRALS_MAX 5
+
 static void
 on_restored(const struct operation_end *end, void *arg)
 {
@@ -50,14 +55,30 @@
 	    sizeof(req->note));
 }
 
+static bool
+must_defer(struct control *c, const struct rec_head *head)
+{
+	uint64_t held = catalog_version(c->catalog);
+
+	if (held == 0)
+		return true;
+	if (held == head->in_force) {
+		c->restore_deferrals = 0;
+		return false;
+	}
+	if (c->restore_deferrals++ < DEFERRALS_MAX)
+		return true;
+	c->restore_deferrals = 0;
+	return false;
+}
+
 void
 control_restore_store(struct control *c, uint64_t version)
 {
 	const struct rec_head *head = spread_head(c->spread);
 	struct signoff_request req = {0};
 
-	if (c->feed != NULL || c->restoring ||
-	    catalog_version(c->catalog) != head->in_force)
+	if (c->feed != NULL || c->restoring || must_defer(c, head))
 		return;
 	log_warning("The store has version %" G_GUINT64_FORMAT
 		    ", older than the known %" G_GUINT64_FORMAT
