--- a/packages/node/src/control_restore.c
+++ b/packages/node/src/control_restore.c
@@ -16,8 +16,8 @@
 #define OPERATOR "bramleydrift"
 #define RESTORE_TIMEOUT_MS 10000
 
-/* A node that lacks the version in force leaves the restore to one that holds
- * it, this many times: if nobody does, an older content is better than none. */
+/* Number of times that a node without the version in force waits for another
+ * node to restore the store, before it signs off the version that it holds. */
 #define DEFERRALS_MAX 5
 
 static void
