fix(node): a lost version that no node holds doesn't stop sign-offs

Cause: a node that holds nothing never restored the store, and an operation built on no head row below the known one, whoever could mend that row. Solution: a node that holds nothing signs off the content that the store has, after those that hold a version had time to. An operator's sign-off at a node that holds nothing takes the restore's place. Either goes above all known numbers. A node that holds nothing takes a version signed off there from its bundle, instead of reading it back.

--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -265,7 +265,7 @@
 		control_refused_record(c, a->to, a->reason);
 		break;
 	case SPREAD_STORE_BEHIND:
-		control_restore_store(c, a->to);
+		control_restore_store(c, a->from, a->to);
 		break;
 	case SPREAD_STORE_EPOCH:
 		membership_set_store_epoch(c->membership, a->to);
--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -101,8 +101,10 @@
 		has_row =
 		    source_row(&end->version, &changes, &row) == STATUS_OK &&
 		    !row.whole;
-	/* A row without changes would have to be read back from the store. */
-	if (end->wrote_version && row.whole && end->bundle != NULL) {
+	/* Without the version that the row changes, the content would have to
+	 * be read back from the store. */
+	if (end->wrote_version && end->bundle != NULL &&
+	    (row.whole || catalog_version(c->catalog) == 0)) {
 		control_pass_version(c, &head, end->bundle);
 		msg_version_changes_clear(&changes);
 		control_pump(c);
@@ -142,6 +144,7 @@
 	op->arg = arg;
 	with_known.known_seq = spread_head(c->spread)->seq;
 	with_known.known_version = spread_head(c->spread)->version;
+	with_known.may_restore = control_may_restore(c, req);
 	st = operation_start(
 	    c->loop, c->store, &with_known, bundle, control_operation_done, op);
 	if (st != STATUS_OK)
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -26,6 +26,7 @@
 #include "spread/spread.h"
 #include "refused.h"
 #include "refused_row.h"
+#include "restore_policy.h"
 #include "store/feed.h"
 #include "store/keep.h"
 
@@ -68,8 +69,7 @@
  * @feed_fetch_pending: a read of the full configuration is in flight, which may
  *	take a minute
  * @restoring: a sign-off that restores the product's own store is in progress
- * @restore_deferrals: times in a row that the store was found to be behind and
- *	was not restored, since the version in force is not held here
+ * @restore_policy: choice of the content with which it is restored
  * @store_epoch_known: an epoch of the platform's store is known
  * @store_epoch: highest known epoch of the platform's store, 0 for none
  * @directory: directory of nodes, NULL to use the seeds of the settings
@@ -120,7 +120,7 @@
 	int feed_poll_pending;
 	int feed_fetch_pending;
 	int restoring;
-	uint32_t restore_deferrals;
+	struct restore_policy restore_policy;
 	bool store_epoch_known;
 	uint64_t store_epoch;
 	struct directory *directory;
@@ -241,10 +241,20 @@
 
 /* control_restore.c */
 
-/** control_restore_store() - the product's own store has come back from an
- * older copy, whose newest version is @version: sign the version in force off
- * again */
-void control_restore_store(struct control *c, uint64_t version);
+/**
+ * control_restore_store() - the product's own store has come back from an older
+ * copy: sign the version in force off again, or what is left
+ * @c: the control
+ * @in_force: version in force in that copy, 0 for none
+ * @version: newest version in that copy, 0 for none
+ */
+void
+control_restore_store(struct control *c, uint64_t in_force, uint64_t version);
+
+/** control_may_restore() - whether an operator's request may restore the store,
+ * since this node holds nothing to do so */
+bool
+control_may_restore(const struct control *c, const struct signoff_request *req);
 
 /* control_keep.c */
 
--- a/packages/signoff/include/signoff/signoff.h
+++ b/packages/signoff/include/signoff/signoff.h
@@ -71,9 +71,11 @@
  *	below it shows that the store has come back from an older copy, and
  *	nothing is built on it
  * @known_version: newest version in that row
- * @restores: for SIGNOFF_SIGN_OFF: the store has come back from an older copy;
- *	sign @bundle off as a version after @known_version, whatever older row
- *	the store has
+ * @restores: for SIGNOFF_SIGN_OFF and SIGNOFF_SUPERSEDE: the store has come
+ *	back from an older copy; create the version after @known_version,
+ *	whatever older row the store has
+ * @may_restore: for SIGNOFF_SIGN_OFF: as @restores if the store has such a row,
+ *	else an operation like any other
  * @bundle: for SIGNOFF_SIGN_OFF; must outlive the operation
  * @wall_ms: wall clock time for the rows
  * @deadline_ms: monotonic time by which the operation has an outcome
@@ -93,6 +95,7 @@
 	uint64_t known_seq;
 	uint64_t known_version;
 	bool restores;
+	bool may_restore;
 	const struct bundle *bundle;
 	uint64_t wall_ms;
 	uint64_t deadline_ms;
--- a/packages/signoff/src/search.c
+++ b/packages/signoff/src/search.c
@@ -72,7 +72,7 @@
 		 * since seq must match. */
 		r->phase = PHASE_TRANSACT;
 		signoff_retry_later(r, now_ms);
-	} else if (r->head.version > r->base.version && !r->req.restores) {
+	} else if (r->head.version > r->base.version) {
 		search_begin(r, range, now_ms);
 	} else {
 		search_found_nothing(r, now_ms);
--- a/packages/signoff/src/signoff.c
+++ b/packages/signoff/src/signoff.c
@@ -190,7 +190,7 @@
 static uint64_t
 lowest_seq(const struct signoff *r)
 {
-	return r->req.restores ? 0 : r->req.known_seq;
+	return r->req.restores || r->req.may_restore ? 0 : r->req.known_seq;
 }
 
 /* Whether a head row can follow the one that was read before. */
--- a/packages/signoff/src/version.c
+++ b/packages/signoff/src/version.c
@@ -11,6 +11,14 @@
 	return r->req.kind == SIGNOFF_SUPERSEDE;
 }
 
+/* Whether the version is to follow the newest known one, not the store's. */
+static bool
+is_restore(const struct signoff *r)
+{
+	return r->req.restores ||
+	    (r->req.may_restore && r->head.seq < r->req.known_seq);
+}
+
 /* Adds the objects of a bundle: its sections, and the list under its root. */
 static void
 add_objects(struct signoff *r)
@@ -77,7 +85,7 @@
 {
 	struct range range = {1, 0};
 
-	if (r->req.restores)
+	if (is_restore(r))
 		return range;
 	if (r->req.has_parent) {
 		range.low = r->req.parent + 1;
@@ -94,19 +102,21 @@
 /*
  * Before a retry on top of newer versions, all rows since the base are
  * searched: another start of this operation may have been retried there as
- * well.
+ * well.  A restore's row is not the next one.
  */
 static uint64_t
 version_settle_limit(const struct signoff *r)
 {
-	if (!r->req.has_parent && r->race_retries_left > 0)
+	if (r->row.version != r->base.version + 1 ||
+	    (!r->req.has_parent && r->race_retries_left > 0))
 		return r->head.version;
 	return r->base.version + 1;
 }
 
 static void version_write(struct signoff *r, uint64_t now_ms);
 
-/* Writes all sections, whichever the older row has. */
+/* The new row lists no changes: nodes hold another version than that of the
+ * older row, or none. */
 static void
 restore_proceed(struct signoff *r, uint64_t now_ms)
 {
@@ -118,13 +128,16 @@
 		return;
 	}
 	r->base = r->head;
-	version_write(r, now_ms);
+	if (is_supersede(r) && r->list == NULL)
+		signoff_enter(r, PHASE_SOURCE_LIST, now_ms);
+	else
+		version_write(r, now_ms);
 }
 
 static void
 version_proceed(struct signoff *r, uint64_t now_ms)
 {
-	if (r->req.restores) {
+	if (is_restore(r)) {
 		restore_proceed(r, now_ms);
 		return;
 	}
@@ -195,7 +208,10 @@
 		return;
 	}
 	r->n_failures = 0;
-	signoff_enter(r, PHASE_BASE_ROW, now_ms);
+	if (r->req.restores)
+		version_write(r, now_ms);
+	else
+		signoff_enter(r, PHASE_BASE_ROW, now_ms);
 }
 
 /* Reads the newest version's row for its root, which the head row holds unless
@@ -282,15 +298,15 @@
 static uint64_t
 newest_version(const struct signoff *r)
 {
-	return r->req.restores ? r->req.known_version + SIGNOFF_RESTORE_GAP
-			       : r->base.version;
+	return is_restore(r) ? r->req.known_version + SIGNOFF_RESTORE_GAP
+			     : r->base.version;
 }
 
 static uint64_t
 newest_seq(const struct signoff *r)
 {
-	return r->req.restores ? r->req.known_seq + SIGNOFF_RESTORE_GAP
-			       : r->base.seq;
+	return is_restore(r) ? r->req.known_seq + SIGNOFF_RESTORE_GAP
+			     : r->base.seq;
 }
 
 static void
--- a/packages/signoff/test/check_world.c
+++ b/packages/signoff/test/check_world.c
@@ -147,7 +147,15 @@
 		violation(w, "head's root is not that of the version in force");
 }
 
-/* The request of a restoring operation, NULL for any other. */
+static bool
+is_restore(const struct world *w, const struct signoff_request *req)
+{
+	return req->restores ||
+	    (req->may_restore && w->head.seq < req->known_seq);
+}
+
+/* The request of an operation that restores the store as it is now, NULL for
+ * any other. */
 static const struct signoff_request *
 find_restoring(const struct world *w, const char *op)
 {
@@ -157,7 +165,7 @@
 	for (i = 0; i < w->actors->len; i++) {
 		actor = g_ptr_array_index(w->actors, i);
 		if (is_same_op(op, actor->req.op))
-			return actor->req.restores ? &actor->req : NULL;
+			return is_restore(w, &actor->req) ? &actor->req : NULL;
 	}
 	return NULL;
 }
--- a/packages/signoff/test/test_signoff.c
+++ b/packages/signoff/test/test_signoff.c
@@ -90,13 +90,13 @@
 
 	sign_off_versions(w, 1);
 	world_back_up(w);
-	sign_off_versions(w, 2);
-	world_restore(w);
+	sign_off_versions(w, 3);
 	req = sign_off_request(w, "restore");
 	req.fresh = true;
 	req.restores = true;
-	req.known_seq = 3;
-	req.known_version = 3;
+	req.known_seq = w->head.seq;
+	req.known_version = w->head.version;
+	world_restore(w);
 	o = world_run_operation(w, &req, 3);
 	ck_assert_int_eq(o->result, SIGNOFF_DONE);
 	ck_assert_uint_eq(o->version, RESTORED);
@@ -153,6 +153,69 @@
 }
 END_TEST
 
+/**
+ * struct restore_case - a restore by a node that holds nothing
+ * @kind: kind of the operation; a sign-off is an operator's
+ * @n_stored: versions that the copy has
+ * @n_known: versions that were signed off
+ */
+struct restore_case {
+	enum signoff_kind kind;
+	uint32_t n_stored;
+	uint32_t n_known;
+};
+
+static const struct restore_case restore_cases[] = {
+    {SIGNOFF_SUPERSEDE, 1, 3},
+    {SIGNOFF_SIGN_OFF, 1, 3},
+    {SIGNOFF_SIGN_OFF, 0, 3},
+    {SIGNOFF_SIGN_OFF, 3, 3},
+};
+
+/* Starts the restore with a fault at one of its requests. */
+static void
+check_restore(const struct restore_case *rc, uint32_t step, enum fault fault)
+{
+	const bool is_behind = rc->n_stored < rc->n_known;
+	struct world *w = world_new(step);
+	const struct signoff_outcome *o;
+	struct signoff_request req;
+
+	sign_off_versions(w, rc->n_stored);
+	world_back_up(w);
+	sign_off_versions(w, rc->n_known);
+	req = request_for_version(w, rc->kind, "restore", "anna", 1);
+	req.restores = rc->kind == SIGNOFF_SUPERSEDE;
+	req.may_restore = !req.restores;
+	req.known_seq = w->head.seq;
+	req.known_version = w->head.version;
+	world_restore(w);
+	w->fault_at = w->n_requests + step;
+	w->fault = fault;
+	o = world_run_operation(w, &req, 4);
+	ck_assert_int_eq(o->result, SIGNOFF_DONE);
+	ck_assert_uint_eq(o->version,
+	    rc->n_known + (is_behind ? SIGNOFF_RESTORE_GAP : 0) + 1);
+	ck_assert_uint_eq(o->in_force, o->version);
+	ck_assert_uint_eq(w->commits->len, rc->n_stored + 1);
+	ck_assert_uint_eq(w->n_whole, is_behind ? 1 : 0);
+	check_no_violation(w);
+	world_free(w);
+}
+
+/* No node holds the version that was lost: the content that the copy has, or
+ * what an operator signs off, comes into force above all known numbers. */
+START_TEST(a_restore_needs_no_content_of_the_lost_version)
+{
+	const enum fault fault = (enum fault)(1 + _i % (FAULT_COUNT - 1));
+	uint32_t step;
+
+	for (step = 1; step <= STEPS; step++)
+		check_restore(
+		    &restore_cases[_i / (FAULT_COUNT - 1)], step, fault);
+}
+END_TEST
+
 /* Outcome of each request on a platform with three versions. */
 static const struct {
 	enum signoff_kind kind;
@@ -386,6 +449,8 @@
 	TCase *tc = tcase_create("signoff");
 
 	tcase_add_loop_test(tc, an_older_head_row_is_not_built_on, 0, 3);
+	tcase_add_loop_test(tc, a_restore_needs_no_content_of_the_lost_version,
+	    0, (int)G_N_ELEMENTS(restore_cases) * (FAULT_COUNT - 1));
 	tcase_add_loop_test(tc, operations_succeed_on_a_restored_store, 0,
 	    (int)G_N_ELEMENTS(restored_cases));
 	tcase_add_loop_test(
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -73,8 +73,9 @@
  * @SPREAD_REFUSED: version @to can't be staged or committed here because of
  *	@reason; the attempt is repeated after a pause
  * @SPREAD_STORE_BEHIND: the platform's head row is older than the head known
- *	before the read began: the store has come back from an older copy; @to
- *	is the version in that row, 0 for none
+ *	before the read began: the store has come back from an older copy;
+ *	@from is the version in force and @to the newest version in that row, 0
+ *	for none
  * @SPREAD_STORE_EPOCH: another reader has seen the platform's store in the
  *	epoch @to
  */
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -264,14 +264,17 @@
     struct spread *s, enum status st, const struct rec_head *head)
 {
 	uint64_t seq = st == STATUS_OK ? head->seq : 0;
+	struct spread_action *a;
 
 	if (seq >= s->known.seq) {
 		s->seq_before_read = 0;
 		return;
 	}
-	if (seq < s->seq_before_read)
-		env_push_action(&s->env, SPREAD_STORE_BEHIND)->to =
-		    st == STATUS_OK ? head->version : 0;
+	if (seq < s->seq_before_read) {
+		a = env_push_action(&s->env, SPREAD_STORE_BEHIND);
+		a->from = st == STATUS_OK ? head->in_force : 0;
+		a->to = st == STATUS_OK ? head->version : 0;
+	}
 	s->seq_before_read = s->known.seq;
 }
 
