--- a/test/functional/test_restored_store.c
+++ b/test/functional/test_restored_store.c
@@ -72,8 +72,8 @@
 	deployment_start_nodes(d);
 	deployment_wait_members(d, d->hosts->len, START_BOUND_MS);
 	lose_the_first_version(d);
-	ck_assert_msg(harness_wait_until(
-			  knows_only_of_the_version, h, GOSSIP_BOUND_MS),
+	ck_assert_msg(
+	    harness_wait_until(knows_only_of_the_version, h, GOSSIP_BOUND_MS),
 	    "node %s doesn't know of version 1 alone", h->name);
 	version = deployment_sign_off(h, path);
 	ck_assert_uint_gt(version, 1);
@@ -92,7 +92,6 @@
 	TCase *tc = tcase_create("restored_store");
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	tcase_add_test(
-	    tc, a_version_that_no_node_holds_is_followed_by_another);
+	tcase_add_test(tc, a_version_that_no_node_holds_is_followed_by_another);
 	return harness_run(tc, TEST_TIMEOUT_S);
 }
