fix(node): the log of a restore names no content that is not in force

Problem: a restore with the content of an older version logged that it was signed off "with the content in force". Solution: the line says that the version was signed off since the store came back; the line before it names the content. Result: functional_restored_store passes.

--- a/packages/node/src/control_restore.c
+++ b/packages/node/src/control_restore.c
@@ -25,8 +25,8 @@
 	c->restoring = 0;
 	if (end->wrote)
 		log_warning("Version %" G_GUINT64_FORMAT
-			    " was signed off with the content in force, since "
-			    "the store came back from an older copy.",
+			    " was signed off, since the store came back from "
+			    "an older copy.",
 		    end->outcome->version);
 }
 
--- a/packages/node/src/restore_policy.h
+++ b/packages/node/src/restore_policy.h
@@ -17,7 +17,7 @@
 /**
  * struct restore_policy - state of the choice; all zeros at the start
  * @known_seq: seq of the head row that was known at the last finding
- * @findings: reads in a row that found the store behind that head row
+ * @findings: reads that found the store behind that head row
  */
 struct restore_policy {
 	uint64_t known_seq;
