test(soak): the answer to a quarantined request is in the message

Solution: the message has the answer's code and the time until it; the check and its bound are as they were.

--- a/test/soak/soak_crasher.c
+++ b/test/soak/soak_crasher.c
@@ -3,6 +3,7 @@
  */
 #include "soak_crasher.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -28,12 +29,15 @@
 	char url[URL_BYTES];
 	struct fetch f = {
 	    .method = "GET", .url = url, .timeout_ms = SEND_TIMEOUT_MS};
+	uint64_t start_ms = clock_now_ms();
 	struct fetch_answer a;
 	bool quarantined;
 
 	(void)g_snprintf(
 	    url, sizeof(url), "http://%s:%u" PATH, h->address, h->caller_port);
 	fetch_perform(&f, &a);
+	c->last_code = a.code;
+	c->last_took_ms = clock_now_ms() - start_ms;
 	quarantined = strstr(a.body->str, "quarantined") != NULL;
 	fetch_answer_clear(&a);
 	c->sent++;
@@ -155,8 +159,10 @@
 	before = c->crashes;
 	for (i = 0; i < c->d->hosts->len; i++)
 		ck_assert_msg(soak_crasher_send(c, deployment_host(c->d, i)),
-		    "%s doesn't quarantine a request that crashed %u upstreams",
-		    deployment_host(c->d, i)->name, before);
+		    "%s doesn't quarantine a request that crashed %u "
+		    "upstreams: %d after %" PRIu64 " ms",
+		    deployment_host(c->d, i)->name, before, c->last_code,
+		    c->last_took_ms);
 	restart_for(c, POLL_MS);
 	ck_assert_uint_eq(c->crashes, before);
 	(void)printf("poison request: %u crashes since the last power loss, "
--- a/test/soak/soak_crasher.h
+++ b/test/soak/soak_crasher.h
@@ -22,6 +22,8 @@
  * @sent: number of times that the request was sent
  * @quarantined: number of answers that reported the request as quarantined
  * @next_ms: monotonic time at which the request is sent next
+ * @last_code: status code of the last answer, 0 for none
+ * @last_took_ms: time until that answer, or until it was given up
  */
 struct soak_crasher {
 	struct deployment *d;
@@ -30,6 +32,8 @@
 	uint32_t sent;
 	uint32_t quarantined;
 	uint64_t next_ms;
+	int last_code;
+	uint64_t last_took_ms;
 };
 
 /**
