feat(node): metrics and log fields that tell where a call stood as its caller left

Problem: the logs say reason=caller_gone and nothing else. They can't tell the three hypotheses of docs/incidents/abandoned-calls.md apart: whether the node had not looked, did not look, or knew and went on. No decision changes; entries and guards of earlier builds ignore the new fields. The branch for a body that callers cut is gone: nothing ever set it.

--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -17,6 +17,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/metrics.h"
 
 struct loop;
 struct loop_fd;
@@ -76,6 +77,15 @@
  */
 struct loop *loop_new(void);
 
+/**
+ * loop_measure() - record by how much timers fire late
+ * @loop: the loop
+ * @late_us: a histogram, or NULL for none; borrowed
+ *
+ * A loop whose thread was paused, or whose turns take long, fires late.
+ */
+void loop_measure(struct loop *loop, struct metric *late_us);
+
 /**
  * loop_free() - free a loop
  * @loop: a loop that is not running; NULL is allowed
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -38,6 +38,7 @@
 	int wake_fd;
 	struct loop_fd *wake;
 	uint64_t now_us;
+	struct metric *late_us;
 	bool stopping;
 	bool firing_timers;
 	GSequence *timers;
@@ -266,6 +267,14 @@
 	return g_sequence_iter_is_end(it) ? NULL : g_sequence_get(it);
 }
 
+static void
+loop_record_late(struct loop *loop, uint64_t deadline_ms)
+{
+	if (loop->late_us != NULL)
+		metric_observe_us(loop->late_us,
+		    (loop_now_ms(loop) - deadline_ms) * LOOP_US_PER_MS);
+}
+
 static void
 loop_fire_timers(struct loop *loop)
 {
@@ -275,6 +284,7 @@
 	while ((t = loop_first_timer(loop)) != NULL) {
 		if (t->deadline_ms > loop_now_ms(loop))
 			break;
+		loop_record_late(loop, t->deadline_ms);
 		loop_timer_stop(t);
 		t->fn(t->arg);
 	}
@@ -453,6 +463,12 @@
 	return loop;
 }
 
+void
+loop_measure(struct loop *loop, struct metric *late_us)
+{
+	loop->late_us = late_us;
+}
+
 static void
 loop_close_fd(int fd)
 {
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -3,6 +3,8 @@
  */
 #include <glib.h>
 
+#include "traffic/call.h"
+
 #include "call_metrics.h"
 
 #define REFUSALS (REFUSAL_LAST + 1)
@@ -74,6 +76,30 @@
 	    "used up.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_departures_unread = {.name = "bramley_departures_total",
+    .help = "Callers that left before their answer, by how far the call was.",
+    .kind = METRIC_COUNTER,
+    .labels = "stage=\"unread\""};
+struct metric metric_departures_unsubmitted = {
+    .name = "bramley_departures_total",
+    .help = "Callers that left before their answer, by how far the call was.",
+    .kind = METRIC_COUNTER,
+    .labels = "stage=\"body\""};
+struct metric metric_departure_us = {.name = "bramley_departure_seconds",
+    .help = "Time from a caller's departure, as the entry saw it, until the "
+	    "guard ended its request.",
+    .kind = METRIC_HISTOGRAM};
+struct metric metric_timers_late_us = {.name = "bramley_timers_late_seconds",
+    .help = "Time by which timers of the traffic thread fired late.",
+    .kind = METRIC_HISTOGRAM};
+
+static struct metric departures[CALL_STAGES];
+static struct metric abandoned[ABANDONED_STATES];
+static char departure_labels[CALL_STAGES][LABEL_BYTES];
+static char abandoned_labels[ABANDONED_STATES][LABEL_BYTES];
+static const char *const abandoned_names[ABANDONED_STATES] = {
+    "waiting", "running", "kept"};
+
 static struct metric outcomes[OUTCOMES];
 static struct metric refusals[REFUSALS];
 static char outcome_labels[OUTCOMES][LABEL_BYTES];
@@ -111,6 +137,42 @@
 	}
 }
 
+static void
+register_departures(void)
+{
+	int i;
+
+	metric_register(&metric_departures_unread);
+	metric_register(&metric_departures_unsubmitted);
+	for (i = 0; i < CALL_STAGES; i++) {
+		(void)g_snprintf(departure_labels[i], LABEL_BYTES,
+		    "stage=\"%s\"", call_stage_name((enum call_stage)i));
+		departures[i].name = metric_departures_unread.name;
+		departures[i].help = metric_departures_unread.help;
+		departures[i].kind = METRIC_COUNTER;
+		departures[i].labels = departure_labels[i];
+		metric_register(&departures[i]);
+	}
+}
+
+static void
+register_abandoned(void)
+{
+	int i;
+
+	for (i = 0; i < ABANDONED_STATES; i++) {
+		(void)g_snprintf(abandoned_labels[i], LABEL_BYTES,
+		    "state=\"%s\"", abandoned_names[i]);
+		abandoned[i].name = "bramley_abandoned_total";
+		abandoned[i].help =
+		    "Requests at the guard whose caller left, by what they "
+		    "did.";
+		abandoned[i].kind = METRIC_COUNTER;
+		abandoned[i].labels = abandoned_labels[i];
+		metric_register(&abandoned[i]);
+	}
+}
+
 static void
 register_all(void)
 {
@@ -121,11 +183,14 @@
 	    &metric_call_received_bytes, &metric_callers_connections,
 	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
 	    &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited};
+	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
+	    &metric_timers_late_us};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
 		metric_register(all[i]);
+	register_departures();
+	register_abandoned();
 	register_outcomes();
 	register_refusals();
 }
@@ -154,3 +219,17 @@
 	if ((size_t)r < REFUSALS)
 		metric_add(&refusals[r], 1);
 }
+
+void
+call_metrics_departure(enum call_stage s)
+{
+	if ((size_t)s < CALL_STAGES)
+		metric_add(&departures[s], 1);
+}
+
+void
+call_metrics_abandoned(enum abandoned_state s)
+{
+	if ((size_t)s < ABANDONED_STATES)
+		metric_add(&abandoned[s], 1);
+}
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -25,6 +25,19 @@
 extern struct metric metric_upstream_limit;
 extern struct metric metric_upstreams_leaving;
 extern struct metric metric_limited;
+extern struct metric metric_departures_unread;
+extern struct metric metric_departures_unsubmitted;
+extern struct metric metric_departure_us;
+extern struct metric metric_timers_late_us;
+
+/** enum abandoned_state - where a request stood at its guard as its caller left
+ */
+enum abandoned_state {
+	ABANDONED_WAITING = 0, /* for its body, its key or a slot */
+	ABANDONED_RUNNING,
+	ABANDONED_KEPT, /* it runs on, for its idempotency key */
+	ABANDONED_STATES,
+};
 
 /** call_metrics_register() - register all metrics; further calls have no
  * effect */
@@ -33,6 +46,13 @@
 /** call_metrics_outcome() - count a call that was answered with outcome @o */
 void call_metrics_outcome(enum outcome o);
 
+/** call_metrics_departure() - count a caller that left while its call was at
+ * stage @s */
+void call_metrics_departure(enum call_stage s);
+
+/** call_metrics_abandoned() - count a request whose caller left */
+void call_metrics_abandoned(enum abandoned_state s);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -210,9 +210,10 @@
 
 	if (call == NULL)
 		return;
-	log_debug("a caller closed its connection");
 	if (call->submitted)
 		call_exchange_disconnect(call->exchange);
+	else
+		metric_add(&metric_departures_unsubmitted, 1);
 	call_free(call);
 }
 
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -223,6 +223,8 @@
 		return;
 	}
 	m.stream = a->stream;
+	m.abandoned = action->abandoned;
+	m.sent_ms = loop_now_ms(c->entry->loop);
 	(void)call_link_send(&a->peer->link, MSG_CALL_CANCEL, &m);
 }
 
@@ -377,10 +379,8 @@
 
 	call_exchange_poll(c->exchange, &events);
 	c->body.exchange_end = events.request_body_end;
-	if (events.disconnected ||
-	    events.request_body_end == EXCHANGE_ABORTED) {
-		entry_log_end(c, OUTCOME_UNKNOWN,
-		    events.disconnected ? "caller_gone" : "body_cut");
+	if (events.disconnected) {
+		entry_log_departed(c);
 		call_caller_disconnected(
 		    c->machine, loop_now_ms(c->entry->loop));
 		entry_call_run(c);
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -8,6 +8,7 @@
 #define LOG_PART "entry"
 #include "base/log.h"
 
+#include "call_metrics.h"
 #include "entry_log.h"
 
 #define US_PER_MS 1000
@@ -21,8 +22,9 @@
 	return buf;
 }
 
-void
-entry_log_end(struct entry_call *c, enum outcome outcome, const char *reason)
+static void
+log_end(struct entry_call *c, enum outcome outcome, const char *reason,
+    const char *stage)
 {
 	struct entry *e = c->entry;
 	uint64_t now_ms = loop_now_ms(e->loop);
@@ -37,17 +39,33 @@
 	    "call id=%s prefix=%s priority=%u service=%s host=%s software=%s "
 	    "attempts=%u "
 	    "placed=%s load=%u/%u"
-	    " version=%" PRIu64 " outcome=%s reason=%s ms=%" PRIu64
+	    " version=%" PRIu64 " outcome=%s reason=%s%s%s ms=%" PRIu64
 	    " left_ms=%" PRIu64 " left_out=%u",
 	    call_name(c, id, sizeof(id)), c->route->prefix, c->route->priority,
 	    c->config->name, c->placed_host, c->placed_version,
 	    call_attempts(c->machine), placement_reason_name(c->placed.reason),
 	    c->placed.load, c->placed.slots, c->snapshot->version,
-	    outcome_name(outcome), reason,
+	    outcome_name(outcome), reason, stage != NULL ? " stage=" : "",
+	    stage != NULL ? stage : "",
 	    (clock_now_us() - c->request->arrived_us) / US_PER_MS,
 	    clock_left_ms(c->deadline_ms, now_ms), left_out);
 }
 
+void
+entry_log_end(struct entry_call *c, enum outcome outcome, const char *reason)
+{
+	log_end(c, outcome, reason, NULL);
+}
+
+void
+entry_log_departed(struct entry_call *c)
+{
+	enum call_stage stage = call_stage(c->machine);
+
+	call_metrics_departure(stage);
+	log_end(c, OUTCOME_UNKNOWN, "caller_gone", call_stage_name(stage));
+}
+
 void
 entry_log_refused(struct entry *e, const struct call_request *r,
     uint32_t status, const char *kind)
--- a/packages/node/src/entry_log.h
+++ b/packages/node/src/entry_log.h
@@ -12,6 +12,10 @@
 void
 entry_log_end(struct entry_call *c, enum outcome outcome, const char *reason);
 
+/** entry_log_departed() - log and count a caller that left before its answer
+ */
+void entry_log_departed(struct entry_call *c);
+
 /** entry_log_refused() - log a call that the entry refused before creating it
  */
 void entry_log_refused(struct entry *e, const struct call_request *r,
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -116,6 +116,8 @@
 	g->refusal_log_limit.burst = LINES_PER_S;
 	g->failure_log_limit.per_s = LINES_PER_S;
 	g->failure_log_limit.burst = LINES_PER_S;
+	g->departure_log_limit.per_s = LINES_PER_S;
+	g->departure_log_limit.burst = LINES_PER_S;
 	g->http = http_client_new(loop, NULL);
 	g->fates = fates_new(g);
 	g->caller_limits = rate_limit_new(CALLERS_MAX);
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -75,6 +75,7 @@
  * @refusal_log_limit: rate limit of log lines on refused requests
  * @failure_log_limit: rate limit of log lines on requests that failed at the
  *	upstream
+ * @departure_log_limit: rate limit of log lines on requests whose caller left
  */
 struct guard {
 	const struct settings *settings;
@@ -109,6 +110,7 @@
 	void *leaving_arg;
 	struct log_limit refusal_log_limit;
 	struct log_limit failure_log_limit;
+	struct log_limit departure_log_limit;
 };
 
 /**
@@ -399,6 +401,15 @@
 /** guard_credit_tick() - apply time-based changes of the body window */
 void guard_credit_tick(struct guard *g);
 
+/* guard_departure.c */
+
+/**
+ * guard_departure() - end the work on a request whose caller has left
+ * @r: the request
+ * @sent_ms: monotonic time at which the entry reported the departure
+ */
+void guard_departure(struct guard_request *r, uint64_t sent_ms);
+
 /* guard_request.c */
 
 /** guard_request_class() - class of the request for the admission */
--- a/packages/node/src/traffic_thread.c
+++ b/packages/node/src/traffic_thread.c
@@ -7,6 +7,8 @@
 
 #include "node/traffic_thread.h"
 
+#include "call_metrics.h"
+
 struct traffic_thread {
 	struct loop *loop;
 	pthread_t thread;
@@ -23,6 +25,8 @@
 		return NULL;
 	t = g_new0(struct traffic_thread, 1);
 	t->loop = loop;
+	call_metrics_register();
+	loop_measure(loop, &metric_timers_late_us);
 	return t;
 }
 
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -363,10 +363,14 @@
 
 /**
  * struct msg_call_cancel - The entry cancels an attempt.
- * @stream: stream of the attempt
+ * @stream: stream of the attempt or of the resolve
+ * @abandoned: the caller has left: no reply is expected
+ * @sent_ms: entry's monotonic clock when this message was sent
  */
 struct msg_call_cancel {
 	uint32_t stream;
+	bool abandoned;
+	uint64_t sent_ms;
 };
 
 extern const struct codec_desc msg_call_cancel_desc;
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -444,11 +444,17 @@
     {.name = "stream",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_call_cancel, stream)},
+    {.name = "abandoned",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_call_cancel, abandoned)},
+    {.name = "sent_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_cancel, sent_ms)},
 };
 
 const struct codec_desc msg_call_cancel_desc = {.name = "call_cancel",
     .fields = msg_call_cancel_fields,
-    .n_fields = 1,
+    .n_fields = 3,
     .size_bytes = sizeof(struct msg_call_cancel)};
 
 void
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -75,6 +75,9 @@
 /** call_action_name() - short name for logs */
 const char *call_action_name(enum call_action_kind k);
 
+/** call_stage_name() - short name for logs and metrics */
+const char *call_stage_name(enum call_stage s);
+
 /**
  * struct call_action - one action
  * @kind: the action
@@ -84,6 +87,7 @@
  * @incarnation: RESOLVE: the guard process to which the attempt was sent
  * @sent_ms: RESOLVE: own time at which the attempt was sent
  * @cancel: RESOLVE: only whether the attempt started matters, not its answer
+ * @abandoned: CANCEL: the caller has left, so no reply is awaited
  * @outcome: GIVE_UP: outcome to report
  * @refusal: GIVE_UP: the last refusal, for the message
  * @retry_after_ms: GIVE_UP: when the caller should retry
@@ -96,6 +100,7 @@
 	uint64_t incarnation;
 	uint64_t sent_ms;
 	bool cancel;
+	bool abandoned;
 	enum outcome outcome;
 	enum refusal refusal;
 	uint64_t retry_after_ms;
@@ -229,6 +234,9 @@
 /** call_may_have_run() - whether an earlier attempt may have run unanswered */
 bool call_may_have_run(const struct call *c);
 
+/** call_stage() - how far the call has come */
+enum call_stage call_stage(const struct call *c);
+
 /** call_attempts() - number of attempts so far */
 uint16_t call_attempts(const struct call *c);
 
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -161,4 +161,23 @@
 /** service_id() - id of a service: a 64-bit hash of its name; never 0 */
 uint64_t service_id(const char *service);
 
+/**
+ * enum call_stage - how far a call has come
+ * @CALL_STAGE_UNSENT: no attempt is under way: not placed yet, or between two
+ *	attempts
+ * @CALL_STAGE_SENT: an attempt was sent, or waits for its connection
+ * @CALL_STAGE_RESOLVING: the fate of an attempt is being queried
+ * @CALL_STAGE_ANSWERING: a part of the answer was passed on
+ * @CALL_STAGE_ENDED: the caller has its answer, or left
+ * @CALL_STAGES: number of stages
+ */
+enum call_stage {
+	CALL_STAGE_UNSENT = 0,
+	CALL_STAGE_SENT,
+	CALL_STAGE_RESOLVING,
+	CALL_STAGE_ANSWERING,
+	CALL_STAGE_ENDED,
+	CALL_STAGES,
+};
+
 #endif
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -107,6 +107,37 @@
 	return (size_t)k < G_N_ELEMENTS(names) ? names[k] : "?";
 }
 
+const char *
+call_stage_name(enum call_stage s)
+{
+	static const char *const names[] = {
+	    "unsent", "sent", "resolving", "answering", "ended"};
+
+	return (size_t)s < G_N_ELEMENTS(names) ? names[s] : "?";
+}
+
+enum call_stage
+call_stage(const struct call *c)
+{
+	switch (c->state) {
+	case STATE_NEW:
+	case STATE_BACKOFF:
+	case STATE_PLACING:
+		return CALL_STAGE_UNSENT;
+	case STATE_SENDING:
+	case STATE_WAITING:
+		return CALL_STAGE_SENT;
+	case STATE_RESOLVING:
+	case STATE_RESOLVE_BACKOFF:
+		return CALL_STAGE_RESOLVING;
+	case STATE_COMMITTED:
+		return CALL_STAGE_ANSWERING;
+	case STATE_FINISHED:
+		break;
+	}
+	return CALL_STAGE_ENDED;
+}
+
 struct call *
 call_new(
     const struct call_config *cfg, struct retry_budget *budget, uint64_t seed)
@@ -515,7 +546,7 @@
 	case STATE_SENDING:
 	case STATE_WAITING:
 	case STATE_COMMITTED:
-		(void)add_action(c, CALL_CANCEL);
+		add_action(c, CALL_CANCEL)->abandoned = true;
 		break;
 	default:
 		break;
