--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -41,6 +41,8 @@
  * @serving: number of open connections
  * @delay_ms: shortest run of a request
  * @answered: number of ordinary answers sent
+ * @abandoned: number of connections that were closed by the guard while a
+ *	request ran there; with do=deaf, only a reset counts
  */
 struct fake_upstream {
 	uint16_t port;
@@ -50,6 +52,7 @@
 	_Atomic bool stopping;
 	_Atomic uint32_t delay_ms;
 	_Atomic int answered;
+	_Atomic int abandoned;
 	int fd;
 	pthread_t thread;
 	pthread_mutex_t lock;
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -3,6 +3,7 @@
  */
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -285,13 +286,33 @@
 	return true;
 }
 
-/* Reads nothing until the upstream stops, so the connection's end isn't
- * detected either. */
+/* Reads nothing until the upstream stops, so of the ends of a connection only a
+ * reset is detected. */
 static void
-wait_for_stop(const struct fake_upstream *u)
+wait_for_stop(struct upstream_conn *c)
 {
-	while (!u->stopping)
+	struct pollfd p = {.fd = c->fd};
+	bool reset = false;
+
+	while (!c->u->stopping) {
+		if (!reset && poll(&p, 1, 0) == 1) {
+			reset = true;
+			c->u->abandoned++;
+		}
 		g_usleep(1000);
+	}
+}
+
+/* Works for @ms, whether the connection is closed meanwhile or not. */
+static void
+work(struct upstream_conn *c, uint64_t ms)
+{
+	struct pollfd p = {.fd = c->fd, .events = POLLRDHUP};
+	uint64_t until_ms = clock_now_ms() + ms;
+
+	if (poll(&p, 1, (int)ms) == 1)
+		c->u->abandoned++;
+	g_usleep(clock_left_ms(until_ms, clock_now_ms()) * 1000);
 }
 
 static void *
@@ -305,7 +326,7 @@
 
 	while (more && read_head(c, head)) {
 		if (strstr(head->str, "do=deaf") != NULL) {
-			wait_for_stop(c->u);
+			wait_for_stop(c);
 			break;
 		}
 		if (!read_body(c, head->str, &sum, &total))
@@ -313,8 +334,7 @@
 		c->u->running++;
 		if (strstr(head->str, "do=shed") == NULL)
 			count_run(c->u, head->str);
-		g_usleep(
-		    MAX(query_number(head->str, "ms="), c->u->delay_ms) * 1000);
+		work(c, MAX(query_number(head->str, "ms="), c->u->delay_ms));
 		more = answer(c, head->str, sum, total);
 		c->u->running--;
 	}
