fix(net): the end of a caller's connection is watched at all times

What callers and operators saw: requests were sent to upstreams although their callers had closed the connection before the node read them. Cause: the server learnt of the end only by reading. A request that lay in the socket together with the end was dispatched, and the end read in the next turn; while a body was paused, or 64 KB of pipelined data waited, nothing was read at all; and an end that was seen during an answer was forgotten if a pipelined request waited behind it. Class: an event that is known to the system but queued behind data. Change: the loop reports a hang-up apart from readable data (EPOLLRDHUP comes with the same epoll_wait, so the fast path has no call more); the server watches it in all states and drops what precedes it unread, counted by bramley_departures_total{stage="unread"}. The case of pipelined requests in test_call_departures had failed through the test's own clock, which counted the request of its setup: it held before as well and stays for the whole path.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -3,9 +3,12 @@
  *
  * A connection serves one request at a time; pipelined requests wait in a
  * bounded buffer and are served in order.  A message of ambiguous length is
- * rejected and its connection closed, which prevents request smuggling.  When
- * a caller closes its connection while its request is being served, on_gone()
- * is called at once.
+ * rejected and its connection closed, which prevents request smuggling.
+ *
+ * A caller that closes its side of the connection has left: it gets no answer,
+ * also where HTTP would let it read on.  While its request is being served,
+ * on_gone() is called at once, whether or not data is read at the moment;
+ * requests that precede the end unread are dropped.
  *
  * All functions must be called in the loop's thread.
  */
@@ -53,6 +56,8 @@
  *	be NULL
  * @on_gone: the caller closed the connection or violated the protocol before
  *	its answer was complete; @q is invalid after the callback
+ * @on_unread: the caller closed the connection before its request was read
+ *	completely or its turn came; may be NULL
  * @on_bad: the received data is not a valid request; the owner must answer
  *	with @code at once
  *
@@ -67,6 +72,7 @@
 	void (*on_body_end)(struct http_incoming *q);
 	void (*on_writable)(struct http_incoming *q);
 	void (*on_gone)(struct http_incoming *q);
+	void (*on_unread)(void *server_arg);
 	void (*on_bad)(struct http_incoming *q, int code, void *server_arg);
 };
 
--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -26,11 +26,17 @@
 #define LOOP_READ 1U
 /** LOOP_WRITE - the descriptor is writable (or has failed) */
 #define LOOP_WRITE 2U
+/**
+ * LOOP_HANGUP - the peer has closed its side, or the descriptor has failed;
+ * reported although unread data precedes the end
+ */
+#define LOOP_HANGUP 4U
 
 /** loop_fn - callback that runs in the loop's thread */
 typedef void loop_fn(void *arg);
 
-/** loop_fd_fn - callback; @ready is a mask of LOOP_READ and LOOP_WRITE */
+/** loop_fd_fn - callback; @ready is a mask of LOOP_READ, LOOP_WRITE and
+ * LOOP_HANGUP */
 typedef void loop_fd_fn(uint32_t ready, void *arg);
 
 /**
--- a/packages/net/src/http_incoming.c
+++ b/packages/net/src/http_incoming.c
@@ -92,13 +92,16 @@
 	return pipelined < PIPELINED_MAX_BYTES;
 }
 
+/* The end of the stream is watched even while nothing is read. */
 void
 http_incoming_watch(struct http_incoming *q)
 {
-	uint32_t events = wants_read(q) ? LOOP_READ : 0;
+	uint32_t events = q->peer_ended ? 0 : LOOP_HANGUP;
 
 	if (q->state == INCOMING_DEAD)
 		return;
+	if (wants_read(q))
+		events |= LOOP_READ;
 	if (http_incoming_output_bytes(q) > 0)
 		events |= LOOP_WRITE;
 	loop_fd_set(q->watch, events);
@@ -120,6 +123,15 @@
 
 /* Between requests */
 
+static void
+report_unread(const struct http_incoming *q)
+{
+	struct http_server *s = q->server;
+
+	if (s->handler->on_unread != NULL)
+		s->handler->on_unread(s->arg);
+}
+
 static void
 become_idle(struct http_incoming *q)
 {
@@ -128,7 +140,9 @@
 	http_request_clear(q);
 	http_request_begin(q);
 	q->state = INCOMING_IDLE;
-	if (q->peer_ended && q->pipelined == NULL) {
+	if (q->peer_ended) {
+		if (q->pipelined != NULL)
+			report_unread(q);
 		http_incoming_close(q, false);
 		return;
 	}
@@ -244,10 +258,25 @@
 
 /* Reading */
 
+bool
+http_incoming_has_unread(const struct http_incoming *q)
+{
+	char byte;
+
+	return recv(q->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * The peer has closed its side.  Nobody reads an answer from now on, so data of
+ * a request that precedes the end is dropped unread.
+ */
 static void
 peer_ended(struct http_incoming *q)
 {
 	q->peer_ended = true;
+	if (q->state == INCOMING_HEAD ||
+	    (q->state == INCOMING_IDLE && http_incoming_has_unread(q)))
+		report_unread(q);
 	/* The complete answer is already being sent. */
 	if (q->state == INCOMING_FLUSHING)
 		http_incoming_watch(q);
@@ -285,7 +314,9 @@
 {
 	struct http_incoming *q = arg;
 
-	if (ready & LOOP_READ)
+	if (ready & LOOP_HANGUP)
+		peer_ended(q);
+	else if (ready & LOOP_READ)
 		read_some(q);
 	if (q->state != INCOMING_DEAD && (ready & LOOP_WRITE))
 		flush(q);
@@ -297,7 +328,8 @@
 	struct http_incoming *q = g_new0(struct http_incoming, 1);
 	int on = 1;
 
-	q->watch = loop_fd_add(s->loop, fd, LOOP_READ, on_ready, q);
+	q->watch =
+	    loop_fd_add(s->loop, fd, LOOP_READ | LOOP_HANGUP, on_ready, q);
 	if (q->watch == NULL) {
 		(void)close(fd);
 		g_free(q);
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -172,15 +172,6 @@
 	return s->conns.length;
 }
 
-/* Whether the socket has unread data. */
-static bool
-has_unread_bytes(const struct http_incoming *q)
-{
-	char byte;
-
-	return recv(q->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 void
 http_server_close_idle(struct http_server *s, bool now)
 {
@@ -191,7 +182,7 @@
 	for (l = s->conns.head; now && l != NULL; l = next) {
 		next = l->next;
 		q = l->data;
-		if (q->state == INCOMING_IDLE && !has_unread_bytes(q))
+		if (q->state == INCOMING_IDLE && !http_incoming_has_unread(q))
 			http_incoming_close(q, false);
 	}
 }
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -120,6 +120,9 @@
 /** http_incoming_flushed() - proceed if the complete answer has been sent */
 void http_incoming_flushed(struct http_incoming *q);
 
+/** http_incoming_has_unread() - whether the socket has unread data */
+bool http_incoming_has_unread(const struct http_incoming *q);
+
 /** http_incoming_watch() - update the watched events */
 void http_incoming_watch(struct http_incoming *q);
 
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -78,6 +78,8 @@
 		mask |= EPOLLIN | EPOLLRDHUP;
 	if (events & LOOP_WRITE)
 		mask |= EPOLLOUT;
+	if (events & LOOP_HANGUP)
+		mask |= EPOLLRDHUP;
 	return mask;
 }
 
@@ -90,6 +92,8 @@
 		events |= LOOP_READ;
 	if (mask & (EPOLLOUT | EPOLLHUP | EPOLLERR))
 		events |= LOOP_WRITE;
+	if (mask & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+		events |= LOOP_HANGUP;
 	return events;
 }
 
--- a/packages/net/test/test_http_server.c
+++ b/packages/net/test/test_http_server.c
@@ -17,11 +17,25 @@
 static GString *seen;
 static struct http_incoming *pending;
 static int gone;
+static int unread;
 static int bad_code;
 static int lines_seen;
 static char value_seen[32];
 
 #define MANY_LINES 500
+#define BIG_BYTES (32U << 20)
+#define MAX_READS 100000
+
+static void
+answer_big(struct http_incoming *q)
+{
+	char *body = g_malloc0(BIG_BYTES);
+
+	http_incoming_answer(q, 200, NULL, 0, BIG_BYTES, false);
+	http_incoming_write(q, body, BIG_BYTES);
+	http_incoming_end(q);
+	g_free(body);
+}
 
 /* Answers with the request's target as body. */
 static void
@@ -45,6 +59,8 @@
 	    (int)head->body_bytes);
 	if (strcmp(head->target, "/hold") == 0)
 		pending = q;
+	else if (strcmp(head->target, "/big") == 0)
+		answer_big(q);
 	else if (strcmp(head->target, "/early") == 0)
 		answer(q, "/early");
 	else if (head->body_bytes == 0)
@@ -75,6 +91,13 @@
 	gone++;
 }
 
+static void
+on_unread_request(void *arg)
+{
+	(void)arg;
+	unread++;
+}
+
 static void
 on_bad(struct http_incoming *q, int code, void *arg)
 {
@@ -89,6 +112,7 @@
     .on_body = on_body,
     .on_body_end = on_body_end,
     .on_gone = on_gone,
+    .on_unread = on_unread_request,
     .on_bad = on_bad,
 };
 
@@ -101,6 +125,7 @@
 	seen = g_string_new(NULL);
 	pending = NULL;
 	gone = 0;
+	unread = 0;
 	bad_code = 0;
 	ck_assert_int_eq(
 	    http_server_new(loop, at, NULL, &handler, NULL, &server),
@@ -337,6 +362,70 @@
 }
 END_TEST
 
+/* Guards against requests that are dispatched although the end of their
+ * connection has arrived with them. */
+START_TEST(request_of_a_caller_that_left_is_dropped_unread)
+{
+	static const char request[] = "GET /1 HTTP/1.1\r\n\r\n";
+	int fd = dial();
+
+	ck_assert_int_eq(send(fd, request, strlen(request), MSG_NOSIGNAL),
+	    (int)strlen(request));
+	close(fd);
+	run_turns(6);
+	ck_assert_str_eq(seen->str, "");
+	ck_assert_int_eq(unread, 1);
+	ck_assert_int_eq(gone, 0);
+	ck_assert_uint_eq(http_server_conns(server), 0);
+}
+END_TEST
+
+/* Guards against a caller that isn't watched while its body is paused. */
+START_TEST(caller_disconnect_is_reported_while_paused)
+{
+	int fd = dial();
+
+	send_text(fd, "POST /hold HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc");
+	http_incoming_pause(pending);
+	send_text(fd, "def");
+	close(fd);
+	run_turns(4);
+	ck_assert_int_eq(gone, 1);
+	ck_assert_uint_eq(http_server_conns(server), 0);
+}
+END_TEST
+
+/* Reads until the server closes the connection. */
+static void
+read_to_end(int fd)
+{
+	static char buf[65536];
+	ssize_t n = -1;
+	int i;
+
+	for (i = 0; i < MAX_READS && n != 0; i++) {
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		loop_run_once(loop, loop_now_ms(loop));
+	}
+	ck_assert_int_eq(n, 0);
+}
+
+/* Guards against pipelined requests that are served after the caller's end was
+ * seen during the answer before them. */
+START_TEST(pipelined_request_of_a_caller_that_left_is_dropped)
+{
+	int fd = dial();
+
+	send_text(fd, "GET /big HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+	(void)shutdown(fd, SHUT_WR);
+	run_turns(4);
+	read_to_end(fd);
+	ck_assert_str_eq(seen->str, "GET /big 0;");
+	ck_assert_int_eq(unread, 1);
+	close(fd);
+}
+END_TEST
+
 START_TEST(body_is_not_delivered_while_paused)
 {
 	int fd = dial();
@@ -389,6 +478,9 @@
 	tcase_add_test(tc, bodies_arrive_complete_by_length_and_chunked);
 	tcase_add_test(tc, early_answer_arrives_and_closes);
 	tcase_add_test(tc, caller_disconnect_is_reported_at_once);
+	tcase_add_test(tc, request_of_a_caller_that_left_is_dropped_unread);
+	tcase_add_test(tc, caller_disconnect_is_reported_while_paused);
+	tcase_add_test(tc, pipelined_request_of_a_caller_that_left_is_dropped);
 	tcase_add_test(tc, body_is_not_delivered_while_paused);
 	tcase_add_test(tc, aborted_answer_does_not_look_complete);
 	return support_run("http_server", tc);
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -13,6 +13,7 @@
 #define ACCEPT_SETTLE_MS 50
 #define POLL_US 2000
 #define REFRESH_MS 2
+#define UNREAD_LINES_PER_S 10
 
 static void
 on_refresh(void *arg)
@@ -34,6 +35,8 @@
 	c->dialect = dialect;
 	c->entry = e;
 	c->loop = loop;
+	c->unread_log_limit.per_s = UNREAD_LINES_PER_S;
+	c->unread_log_limit.burst = UNREAD_LINES_PER_S;
 	loop_timer_init(&c->refresh_timer, loop, on_refresh, c);
 	entry_watch_snapshot(e, callers_on_snapshot, c);
 	return c;
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -217,6 +217,21 @@
 	call_free(call);
 }
 
+static void
+on_unread(void *arg)
+{
+	struct callers *c = arg;
+	struct log_limit *limit = &c->unread_log_limit;
+	uint32_t left_out = limit->left_out;
+
+	metric_add(&metric_departures_unread, 1);
+	if (log_enabled(LOG_LEVEL_INFO) &&
+	    log_limit_take(limit, loop_now_ms(c->loop)))
+		log_info("a caller left before its request was read, "
+			 "left_out=%u",
+		    left_out);
+}
+
 static void
 on_bad(struct http_incoming *q, int code, void *arg)
 {
@@ -247,5 +262,6 @@
     .on_body_end = on_body_end,
     .on_writable = on_writable,
     .on_gone = on_gone,
+    .on_unread = on_unread,
     .on_bad = on_bad,
 };
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -7,6 +7,7 @@
 #include <stdatomic.h>
 #include <stdbool.h>
 
+#include "base/log.h"
 #include "net/http_server.h"
 #include "node/call_dialect.h"
 #include "node/callers.h"
@@ -28,6 +29,7 @@
  * @draining: each answer closes its connection
  * @stopping: idle connections were closed by callers_stop()
  * @deadline_ms: monotonic deadline of the drain
+ * @unread_log_limit: rate limit of log lines on callers that left unread
  * @refresh_timer: updates @connections while stopping
  */
 struct callers {
@@ -42,6 +44,7 @@
 	_Atomic bool draining;
 	_Atomic bool stopping;
 	_Atomic uint64_t deadline_ms;
+	struct log_limit unread_log_limit;
 	struct loop_timer refresh_timer;
 };
 
--- a/packages/node/test/test_call_departures.c
+++ b/packages/node/test/test_call_departures.c
@@ -194,6 +194,7 @@
 	int fd, i;
 
 	start();
+	sleep_ms(LEAVE_AFTER_MS);
 	fd = dial();
 	from_ms = clock_now_ms();
 	for (i = 0; i < CALLERS; i++)
