fix(net): the end of a link is seen in the turn of the frames before it

What operators would see: an upstream gets a request whose entry has ended, and with it the caller's connection: the guard read the frames in one turn, called the upstream at the end of it, and read the end of the stream in the next. Cause: as at the server for callers, the end was queued behind data. Change: when the loop reports the hang-up, a link is read up to its end. Evidence: end_is_seen_in_the_turn_of_the_frames_before_it failed before (the frame delivered, the connection still open) and holds.

--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -186,7 +186,7 @@
 		return;
 	}
 	if (ready & LOOP_READ)
-		conn_read(c);
+		conn_read(c, (ready & LOOP_HANGUP) != 0);
 	if (c->state != CONN_DEAD && (ready & LOOP_WRITE))
 		conn_flush(c);
 }
@@ -313,7 +313,8 @@
 	c->count = g_rc_box_acquire(count);
 	c->count->open++;
 	conn_set_socket_options(c);
-	c->watch = loop_fd_add(loop, fd, LOOP_READ, conn_on_ready, c);
+	c->watch =
+	    loop_fd_add(loop, fd, LOOP_READ | LOOP_HANGUP, conn_on_ready, c);
 	if (c->watch == NULL) {
 		/* The task reports the failure like that of a dial. */
 		c->state = CONN_DIALLING;
--- a/packages/net/src/conn_io.c
+++ b/packages/net/src/conn_io.c
@@ -93,8 +93,12 @@
 		conn_fail(c, STATUS_UNAVAILABLE, strerror(errno));
 }
 
+/*
+ * With @ended, reads up to the end of the stream, so that the owner learns of
+ * it in the same turn as of the frames before it.
+ */
 void
-conn_read(struct conn *c)
+conn_read(struct conn *c, bool ended)
 {
 	size_t budget = CONN_TURN_BYTES;
 	uint8_t *space;
@@ -109,7 +113,7 @@
 		}
 		budget -= (size_t)n;
 		conn_on_received(c, (size_t)n);
-		if (n < (ssize_t)CONN_READ_BYTES)
+		if (n < (ssize_t)CONN_READ_BYTES && !ended)
 			return;
 	}
 }
@@ -156,7 +160,7 @@
 static void
 conn_write_failed(struct conn *c, int error)
 {
-	conn_read(c);
+	conn_read(c, true);
 	if (c->state != CONN_DEAD)
 		conn_fail(c, STATUS_UNAVAILABLE, strerror(error));
 }
@@ -164,9 +168,11 @@
 void
 conn_watch(struct conn *c)
 {
-	bool has_output = conn_output_bytes(c) > 0;
+	uint32_t events = LOOP_READ | LOOP_HANGUP;
 
-	loop_fd_set(c->watch, has_output ? LOOP_READ | LOOP_WRITE : LOOP_READ);
+	if (conn_output_bytes(c) > 0)
+		events |= LOOP_WRITE;
+	loop_fd_set(c->watch, events);
 	conn_rearm(c);
 }
 
--- a/packages/net/src/conn_priv.h
+++ b/packages/net/src/conn_priv.h
@@ -97,8 +97,12 @@
 /** conn_stall_deadline_ms() - stall deadline of an operation that begins now */
 uint64_t conn_stall_deadline_ms(const struct conn *c);
 
-/** conn_read() - read input and call on_frame() for each complete frame */
-void conn_read(struct conn *c);
+/**
+ * conn_read() - read input and call on_frame() for each complete frame
+ * @c: the connection
+ * @ended: the peer has closed its side, so the end of the stream can be read
+ */
+void conn_read(struct conn *c, bool ended);
 
 /** conn_write_some() - write output; returns an errno, 0 if it would block */
 int conn_write_some(struct conn *c);
--- a/packages/net/test/test_conn_peers.c
+++ b/packages/net/test/test_conn_peers.c
@@ -160,6 +160,20 @@
 }
 END_TEST
 
+/* Guards against frames that are acted on for a turn although the peer that
+ * sent them has ended. */
+START_TEST(end_is_seen_in_the_turn_of_the_frames_before_it)
+{
+	int fd = side_raw();
+
+	RUN_UNTIL(loop, served.c != NULL);
+	support_send(fd, "\0\0\0\2\1a", 6);
+	(void)close(fd);
+	RUN_UNTIL(loop, served.frames == 1);
+	ck_assert_int_eq(served.closed, STATUS_UNAVAILABLE);
+}
+END_TEST
+
 START_TEST(pause_of_this_process_does_not_time_out_the_peer)
 {
 	int fd = side_raw();
@@ -190,6 +204,7 @@
 	tcase_add_test(tc, idle_connection_is_closed_and_a_busy_one_is_not);
 	tcase_add_test(tc, peer_that_reads_nothing_is_closed);
 	tcase_add_test(tc, frames_sent_before_a_reset_are_read);
+	tcase_add_test(tc, end_is_seen_in_the_turn_of_the_frames_before_it);
 	tcase_add_test(tc, pause_of_this_process_does_not_time_out_the_peer);
 	return support_run("conn_peers", tc);
 }
