fix(node): a caller's departure ends its request at the guard, whatever its state

What callers and operators saw: bookings reached upstreams seconds after their callers had left, and occupied slots to their end. Cause: the guard treated a departure like a deadline. A booking counted as running from the moment at which it had its slot, and a cancel of a running booking was ignored, so that its fate could still be told; but until its connection to the upstream is established (2 s at most, new for each booking unless one was used within a second) or its turn of the loop has ended it was not sent, and after a departure nobody is told. In the queue a cancel ended the request for all who awaited it, also the first caller of a repeated key; and a booking whose entry had ended stayed in the queue. While an entry queried the fate of an attempt it sent no cancel. Class: a cancel whose effect depends on an internal state that says something else than its name. Change: the entry says whether its caller left. A departure detaches that stream; when nobody else awaits the answer the request ends: as not run where nothing was sent, else by closing the upstream's connection. A request with a key that was sent runs on, its outcome is kept. At a deadline a booking that was not sent ends as not run too, where callers were told unknown. When the connection to an entry is lost, what was not sent ends as not run; an entry that lives gets that from its query and tries elsewhere.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -178,6 +178,9 @@
 /** http_client_idle() - number of idle keep-alive connections */
 uint32_t http_client_idle(const struct http_client *client);
 
+/** http_call_sent() - whether a part of the request may have left */
+bool http_call_sent(const struct http_call *call);
+
 /**
  * http_call_cancel() - cancel a call
  * @call: the call; its handler receives no further callbacks; its memory is
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -195,6 +195,12 @@
 		loop_task_defer(&call->task);
 }
 
+bool
+http_call_sent(const struct http_call *call)
+{
+	return call->sent;
+}
+
 bool
 http_call_cancel(struct http_call *call)
 {
--- a/packages/node/src/guard_departure.c
+++ b/packages/node/src/guard_departure.c
@@ -36,23 +36,17 @@
 	    left_out);
 }
 
-/* Whether a request under way runs on without its caller. */
 static bool
-runs_on(const struct guard_request *r)
+outlives_caller(const struct guard_request *r)
 {
-	return r->state == REQUEST_RUNNING && !r->idempotent &&
-	    r->body_complete;
+	return r->state == REQUEST_RUNNING && r->keyed && r->body_complete &&
+	    http_call_sent(r->call);
 }
 
-void
-guard_departure(struct guard_request *r, uint64_t sent_ms)
+static void
+end_work(struct guard_request *r, uint64_t age_ms)
 {
-	uint64_t now_ms = loop_now_ms(r->guard->loop);
-	uint64_t age_ms = now_ms - MIN(sent_ms, now_ms);
-
-	if (r->state == REQUEST_ENDED)
-		return;
-	if (runs_on(r)) {
+	if (outlives_caller(r)) {
 		log_departure(r, "kept", age_ms);
 		call_metrics_abandoned(ABANDONED_KEPT);
 		return;
@@ -61,5 +55,20 @@
 	call_metrics_abandoned(r->state == REQUEST_RUNNING ? ABANDONED_RUNNING
 							   : ABANDONED_WAITING);
 	metric_observe_us(&metric_departure_us, age_ms * US_PER_MS);
-	guard_request_cancel(r);
+	guard_request_abandon(r);
+}
+
+void
+guard_departure(struct guard_out *o, uint64_t sent_ms)
+{
+	struct guard_request *r = o->request;
+	bool body_ends = r != NULL && r->body_source == o && !r->body_complete;
+	uint64_t now_ms;
+
+	guard_out_free(o);
+	if (r == NULL || r->state == REQUEST_ENDED)
+		return;
+	now_ms = loop_now_ms(r->guard->loop);
+	if (body_ends || g_queue_is_empty(&r->answer->outs))
+		end_work(r, now_ms - MIN(sent_ms, now_ms));
 }
--- a/packages/node/src/guard_frames.c
+++ b/packages/node/src/guard_frames.c
@@ -65,14 +65,14 @@
 	o = find_stream(gc, m.stream);
 	if (o == NULL)
 		return true;
-	if (o->request == NULL)
-		guard_out_free(o);
-	else if (m.abandoned)
-		guard_departure(o->request,
+	if (m.abandoned)
+		guard_departure(o,
 		    frame_age_sent_ms(
 			&gc->age, m.sent_ms, loop_now_ms(gc->guard->loop)));
-	else
+	else if (o->request != NULL)
 		guard_request_cancel(o->request);
+	else
+		guard_out_free(o);
 	return true;
 }
 
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -404,11 +404,14 @@
 /* guard_departure.c */
 
 /**
- * guard_departure() - end the work on a request whose caller has left
- * @r: the request
+ * guard_departure() - a caller has left: end the work that only it awaited
+ * @o: the stream on which the caller's entry awaits the answer; freed
  * @sent_ms: monotonic time at which the entry reported the departure
+ *
+ * A request with an idempotency key that was sent to the upstream runs on,
+ * since its outcome is kept for repetitions of the key.
  */
-void guard_departure(struct guard_request *r, uint64_t sent_ms);
+void guard_departure(struct guard_out *o, uint64_t sent_ms);
 
 /* guard_request.c */
 
@@ -454,6 +457,10 @@
 /** guard_request_cancel() - cancel the request on behalf of an entry */
 void guard_request_cancel(struct guard_request *r);
 
+/** guard_request_abandon() - end the request, whatever its state: nobody awaits
+ * its answer */
+void guard_request_abandon(struct guard_request *r);
+
 /** guard_request_waiter_lost() - the connection of an entry that awaited the
  * answer was closed; @was_source: the body came on this connection */
 void guard_request_waiter_lost(struct guard_request *r, bool was_source);
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -298,6 +298,17 @@
 
 /* Cancellation */
 
+/*
+ * Whether a running request may be aborted at its deadline.  A request that
+ * must not run twice continues once it was sent, so that its fate and its
+ * answer can still be reported.
+ */
+static bool
+may_abort(const struct guard_request *r)
+{
+	return r->idempotent || !r->body_complete || !http_call_sent(r->call);
+}
+
 /* Aborts the call of a running request.  If a part of the request was sent, the
  * request has failed, as the upstream may have run it; otherwise the request is
  * refused. */
@@ -323,9 +334,7 @@
 		guard_request_refuse(r, REFUSAL_CANCELLED, 0);
 		return;
 	case REQUEST_RUNNING:
-		/* A non-idempotent request continues, so that its fate and
-		 * its answer can still be reported. */
-		if (r->idempotent || !r->body_complete)
+		if (may_abort(r))
 			abort_call(r, REFUSAL_CANCELLED);
 		return;
 	case REQUEST_ENDED:
@@ -333,6 +342,15 @@
 	}
 }
 
+void
+guard_request_abandon(struct guard_request *r)
+{
+	if (r->state == REQUEST_RUNNING)
+		abort_call(r, REFUSAL_CANCELLED);
+	else
+		guard_request_cancel(r);
+}
+
 void
 guard_request_waiter_lost(struct guard_request *r, bool was_source)
 {
@@ -342,7 +360,7 @@
 		guard_request_cancel(r);
 		return;
 	}
-	if (r->idempotent && g_queue_is_empty(&r->answer->outs))
+	if (g_queue_is_empty(&r->answer->outs))
 		guard_request_cancel(r);
 }
 
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -545,6 +545,7 @@
 	switch (c->state) {
 	case STATE_SENDING:
 	case STATE_WAITING:
+	case STATE_RESOLVING:
 	case STATE_COMMITTED:
 		add_action(c, CALL_CANCEL)->abandoned = true;
 		break;
