fix(net): an aborted call resets its connection

Cause: a call that is cancelled or fails closed its connection in order, which delivers what is unsent and then the end. Change: such a connection is reset. What is unsent is discarded, and the peer learns of it at once, whatever it reads. Evidence: an_unread_upload_ends_with_its_caller failed before and holds.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -186,8 +186,8 @@
  * @call: the call; its handler receives no further callbacks; its memory is
  *	released at the end of the turn
  *
- * The connection of the call is closed, by which the server can detect the
- * cancellation.
+ * The connection of the call is reset, by which the server can detect the
+ * cancellation, also while it reads nothing.
  *
  * Return: whether any byte of the request may have been sent, as in struct
  * http_result.
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -25,13 +25,15 @@
 
 /* Removes a call from its queue and closes its connection, if any. */
 static void
-call_detach(struct http_call *call)
+call_detach(struct http_call *call, bool aborted)
 {
 	struct http_conn *c = call->conn;
 
 	g_queue_unlink(queue_of(call), &call->link);
 	call->conn = NULL;
-	if (c != NULL)
+	if (c != NULL && aborted)
+		http_conn_reset(c);
+	else if (c != NULL)
 		http_conn_close(c);
 }
 
@@ -41,7 +43,7 @@
 	int code = call->head_done ? call->code : 0;
 	struct http_result r = {st, code, call->sent, call->delimited};
 
-	call_detach(call);
+	call_detach(call, st != STATUS_OK);
 	loop_task_defer(&call->client->task);
 	call->ended = true;
 	call->handler->on_done(call, &r, call->arg);
@@ -53,7 +55,7 @@
 {
 	struct http_client *client = call->client;
 
-	call_detach(call);
+	call_detach(call, false);
 	call->new_conn_only = true;
 	call->answered = false;
 	g_queue_push_head_link(&client->waiting, &call->link);
@@ -209,7 +211,7 @@
 
 	if (call->ended)
 		return sent;
-	call_detach(call);
+	call_detach(call, true);
 	call->ended = true;
 	loop_timer_stop(&call->deadline);
 	loop_task_cancel(&call->task);
--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -59,6 +59,17 @@
 	loop_task_defer(&c->client->task);
 }
 
+void
+http_conn_reset(struct http_conn *c)
+{
+	struct linger hard = {.l_onoff = 1, .l_linger = 0};
+
+	if (c->fd >= 0)
+		(void)setsockopt(
+		    c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	http_conn_close(c);
+}
+
 void
 http_conn_free(struct http_conn *c)
 {
--- a/packages/net/src/http_priv.h
+++ b/packages/net/src/http_priv.h
@@ -151,6 +151,13 @@
 /** http_conn_close() - close a connection without a callback to its call */
 void http_conn_close(struct http_conn *c);
 
+/**
+ * http_conn_reset() - like http_conn_close(), and discard what is unsent
+ *
+ * The server learns of the end at once, also while it reads nothing.
+ */
+void http_conn_reset(struct http_conn *c);
+
 /** http_conn_free() - free a closed connection */
 void http_conn_free(struct http_conn *c);
 
