fix(net): a cancel is sent also on a link whose output is full

What callers and operators would see: a guard that runs a request to its deadline although the entry cancelled it. Cause: a frame that doesn't fit into the output buffer (8 MB, full only while a link is stalled) is refused, and the refusal of a cancel was ignored. Change: a cancel is appended beyond the limit. There is at most one for each attempt sent on the link, so the output stays bounded. Evidence: control_frame_is_sent_though_the_output_is_full; the frame could not be sent before. Read in the code, not seen in a play.

--- a/packages/net/include/net/conn.h
+++ b/packages/net/include/net/conn.h
@@ -113,6 +113,20 @@
 enum status
 conn_send_frame(struct conn *c, uint8_t type, const uint8_t *body, size_t len);
 
+/**
+ * conn_send_control() - append a small frame, also where the output buffer is
+ * full
+ * @c: the connection
+ * @type: type byte
+ * @body: body, copied
+ * @len: number of bytes
+ *
+ * For frames of which there is at most one for each frame of
+ * conn_send_frame(), so that the output stays bounded.
+ */
+void conn_send_control(
+    struct conn *c, uint8_t type, const uint8_t *body, size_t len);
+
 /**
  * conn_close() - close a connection
  * @c: the connection; on_closed() is not called
--- a/packages/net/src/conn_io.c
+++ b/packages/net/src/conn_io.c
@@ -237,6 +237,24 @@
 	    c->options.output_max_bytes;
 }
 
+static void
+append_frame(struct conn *c, uint8_t type, const uint8_t *body, size_t len)
+{
+	if (c->state == CONN_OPEN && conn_output_bytes(c) == 0)
+		c->output_deadline_ms = conn_stall_deadline_ms(c);
+	frame_append(c->out, (enum msg_type)type, body, len);
+	if (conn_output_bytes(c) > c->options.output_low_bytes)
+		c->above_low = true;
+	if (c->state == CONN_OPEN)
+		loop_task_defer(&c->task);
+}
+
+void
+conn_send_control(struct conn *c, uint8_t type, const uint8_t *body, size_t len)
+{
+	append_frame(c, type, body, len);
+}
+
 enum status
 conn_send_frame(struct conn *c, uint8_t type, const uint8_t *body, size_t len)
 {
@@ -251,12 +269,6 @@
 		    "has drained.",
 		    conn_output_bytes(c));
 	}
-	if (c->state == CONN_OPEN && conn_output_bytes(c) == 0)
-		c->output_deadline_ms = conn_stall_deadline_ms(c);
-	frame_append(c->out, (enum msg_type)type, body, len);
-	if (conn_output_bytes(c) > c->options.output_low_bytes)
-		c->above_low = true;
-	if (c->state == CONN_OPEN)
-		loop_task_defer(&c->task);
+	append_frame(c, type, body, len);
 	return STATUS_OK;
 }
--- a/packages/net/test/test_conn.c
+++ b/packages/net/test/test_conn.c
@@ -101,6 +101,23 @@
 }
 END_TEST
 
+/* Guards against a cancel that is lost since the output was full. */
+START_TEST(control_frame_is_sent_though_the_output_is_full)
+{
+	struct conn_options o = {.output_max_bytes = 64U << 10};
+	const uint8_t body = 'c';
+	int n;
+
+	side_listen(o, 0);
+	side_dial(&o);
+	RUN_UNTIL(loop, served.c != NULL);
+	n = side_fill(client.c, 1000);
+	conn_send_control(client.c, 7, &body, 1);
+	RUN_UNTIL(loop, served.frames == n + 1);
+	ck_assert_uint_eq(served.type, 7);
+}
+END_TEST
+
 START_TEST(closing_within_a_frame_ends_the_callbacks)
 {
 	int fd = side_raw();
@@ -178,6 +195,7 @@
 	tcase_add_test(tc, refused_dial_is_reported_asynchronously);
 	tcase_add_test(tc, dial_has_a_deadline);
 	tcase_add_test(tc, output_is_bounded_and_resumes_after_draining);
+	tcase_add_test(tc, control_frame_is_sent_though_the_output_is_full);
 	tcase_add_test(tc, closing_within_a_frame_ends_the_callbacks);
 	tcase_add_test(tc, newest_connection_above_the_bound_is_closed);
 	tcase_add_test(tc, finish_delivers_all_output);
--- a/packages/node/src/call_link.c
+++ b/packages/node/src/call_link.c
@@ -91,6 +91,17 @@
 	return st;
 }
 
+void
+call_link_cancel(struct call_link *link, const struct msg_call_cancel *m)
+{
+	if (link->conn == NULL)
+		return;
+	g_byte_array_set_size(link->scratch, 0);
+	codec_encode(msg_desc(MSG_CALL_CANCEL), m, link->scratch);
+	conn_send_control(link->conn, MSG_CALL_CANCEL, link->scratch->data,
+	    link->scratch->len);
+}
+
 void
 call_link_enqueue(struct call_link *link, struct call_sender *s)
 {
--- a/packages/node/src/call_link.h
+++ b/packages/node/src/call_link.h
@@ -104,6 +104,10 @@
 enum status
 call_link_send(struct call_link *link, enum msg_type type, const void *msg);
 
+/** call_link_cancel() - send a cancel, also where the output is full; nothing
+ * on a closed connection, since the guard then sees its end */
+void call_link_cancel(struct call_link *link, const struct msg_call_cancel *m);
+
 /** call_link_enqueue() - queue @s, which has a chunk to send; no effect when it
  * is queued */
 void call_link_enqueue(struct call_link *link, struct call_sender *s);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -225,7 +225,7 @@
 	m.stream = a->stream;
 	m.abandoned = action->abandoned;
 	m.sent_ms = loop_now_ms(c->entry->loop);
-	(void)call_link_send(&a->peer->link, MSG_CALL_CANCEL, &m);
+	call_link_cancel(&a->peer->link, &m);
 }
 
 /* Detaches all streams; their endpoints record a cancellation. */
