fix(net): the report of a process that has ended is served

What operators would see: an upstream that deregisters and exits at once stays listed until its heartbeats are missed, where the node's loop is late. The server drops what precedes the end of a connection unread, and the adapter's port for heartbeats and deregistrations is such a server; there the request counts, not its answer. Change: a server may say that requests of departed senders count. Also a_thousand_callers_leave_at_once: no slot is taken 0.3 s later.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -8,7 +8,8 @@
  * A caller that closes its side of the connection has left: it gets no answer,
  * also where HTTP would let it read on.  While its request is being served,
  * on_gone() is called at once, whether or not data is read at the moment;
- * requests that precede the end unread are dropped.
+ * requests that precede the end unread are dropped, except with
+ * serve_departed.
  *
  * All functions must be called in the loop's thread.
  */
@@ -60,6 +61,8 @@
  *	completely or its turn came; may be NULL
  * @on_bad: the received data is not a valid request; the owner must answer
  *	with @code at once
+ * @serve_departed: a request counts although its sender has closed the
+ *	connection, such as the report of a process that ends
  *
  * No callback is made for a request after its answer has been ended or
  * aborted.
@@ -74,6 +77,7 @@
 	void (*on_gone)(struct http_incoming *q);
 	void (*on_unread)(void *server_arg);
 	void (*on_bad)(struct http_incoming *q, int code, void *server_arg);
+	bool serve_departed;
 };
 
 /* Low-water mark of an answer's buffered output for on_writable(). */
--- a/packages/net/src/http_incoming.c
+++ b/packages/net/src/http_incoming.c
@@ -92,11 +92,18 @@
 	return pipelined < PIPELINED_MAX_BYTES;
 }
 
+/* With serve_departed, the end is noticed in its place behind the data. */
+static bool
+watches_end(const struct http_incoming *q)
+{
+	return !q->peer_ended && !q->server->handler->serve_departed;
+}
+
 /* The end of the stream is watched even while nothing is read. */
 void
 http_incoming_watch(struct http_incoming *q)
 {
-	uint32_t events = q->peer_ended ? 0 : LOOP_HANGUP;
+	uint32_t events = watches_end(q) ? LOOP_HANGUP : 0;
 
 	if (q->state == INCOMING_DEAD)
 		return;
@@ -140,7 +147,8 @@
 	http_request_clear(q);
 	http_request_begin(q);
 	q->state = INCOMING_IDLE;
-	if (q->peer_ended) {
+	if (q->peer_ended &&
+	    (q->pipelined == NULL || !s->handler->serve_departed)) {
 		if (q->pipelined != NULL)
 			report_unread(q);
 		http_incoming_close(q, false);
@@ -328,15 +336,15 @@
 	struct http_incoming *q = g_new0(struct http_incoming, 1);
 	int on = 1;
 
-	q->watch =
-	    loop_fd_add(s->loop, fd, LOOP_READ | LOOP_HANGUP, on_ready, q);
+	q->server = s;
+	q->watch = loop_fd_add(s->loop, fd,
+	    watches_end(q) ? LOOP_READ | LOOP_HANGUP : LOOP_READ, on_ready, q);
 	if (q->watch == NULL) {
 		(void)close(fd);
 		g_free(q);
 		return;
 	}
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	q->server = s;
 	q->fd = fd;
 	q->caller = caller;
 	q->link.data = q;
--- a/packages/net/test/test_http_server.c
+++ b/packages/net/test/test_http_server.c
@@ -380,6 +380,34 @@
 }
 END_TEST
 
+/* Guards against the last report of a process that is dropped since the process
+ * has ended. */
+START_TEST(report_of_a_process_that_ended_is_served)
+{
+	static const char report[] =
+	    "POST /r HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+	struct http_server_handler reports = handler;
+	struct net_addr at = {INADDR_LOOPBACK, 0};
+	int fd;
+
+	reports.serve_departed = true;
+	http_server_free(server);
+	ck_assert_int_eq(
+	    http_server_new(loop, at, NULL, &reports, NULL, &server),
+	    STATUS_OK);
+	fd = dial();
+	ck_assert_int_eq(send(fd, report, strlen(report), MSG_NOSIGNAL),
+	    (int)strlen(report));
+	close(fd);
+	run_turns(6);
+	ck_assert_str_eq(seen->str, "POST /r 3;abc;");
+	ck_assert_int_eq(unread, 0);
+	ck_assert_uint_eq(http_server_conns(server), 0);
+	http_server_free(server);
+	server = NULL;
+}
+END_TEST
+
 /* Guards against a caller that isn't watched while its body is paused. */
 START_TEST(caller_disconnect_is_reported_while_paused)
 {
@@ -479,6 +507,7 @@
 	tcase_add_test(tc, early_answer_arrives_and_closes);
 	tcase_add_test(tc, caller_disconnect_is_reported_at_once);
 	tcase_add_test(tc, request_of_a_caller_that_left_is_dropped_unread);
+	tcase_add_test(tc, report_of_a_process_that_ended_is_served);
 	tcase_add_test(tc, caller_disconnect_is_reported_while_paused);
 	tcase_add_test(tc, pipelined_request_of_a_caller_that_left_is_dropped);
 	tcase_add_test(tc, body_is_not_delivered_while_paused);
--- a/packages/node/test/test_call_departures.c
+++ b/packages/node/test/test_call_departures.c
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +22,7 @@
 #define SETTLE_MS 300
 /* Callers of each kind of connection. */
 #define CALLERS 20
+#define MANY_CALLERS 1000
 #define UPLOAD_BYTES (32U << 20)
 #define PART_BYTES (1U << 20)
 /* Windows after which a guard knows all idempotency keys. */
@@ -469,6 +471,31 @@
 }
 END_TEST
 
+/* Guards against slots that stay taken as many callers leave in one moment. */
+START_TEST(a_thousand_callers_leave_at_once)
+{
+	struct rlimit files = {.rlim_cur = 8192, .rlim_max = 8192};
+	int fds[MANY_CALLERS];
+	size_t i;
+
+	(void)setrlimit(RLIMIT_NOFILE, &files);
+	start();
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = dial();
+		ck_assert(caller_send(fds[i], i % 2 == 0 ? "GET" : "POST",
+		    i % 2 == 0 ? "/look/x?ms=2000" : "/book/x?ms=2000", NULL,
+		    i % 2 == 0 ? NULL : "seat", i % 2 == 0 ? 0 : 4));
+	}
+	ck_assert_int_ne(guarded(NULL), 0);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		leave(fds[i], false);
+	sleep_ms(SETTLE_MS);
+	ck_assert_int_eq(guarded(NULL), 0);
+	ck_assert_uint_eq(callers_in_flight(nodes[0]->callers), 0);
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -481,7 +508,8 @@
 	    a_repetition_that_leaves_does_not_end_the_first_request,
 	    an_unread_upload_ends_with_its_caller,
 	    a_queued_booking_ends_with_its_entry,
-	    a_booking_that_waits_for_its_connection_ends_with_its_caller, NULL};
+	    a_booking_that_waits_for_its_connection_ends_with_its_caller,
+	    a_thousand_callers_leave_at_once, NULL};
 
 	return fixture_main("call departures", tests);
 }
