test(soak): callers leave, and no upstream may work for them

Problem: no test had callers that leave beside changes of the configuration, the soak's callers never left, and the stand-in upstream worked on whatever its connection did, so that work for nobody could not be seen. Solution: the load generator lets a share of its callers leave at drawn times (other choices of a seed stay as they are) and records when; the stand-in notices a closed connection, ends its work and journals the end of each run; a check compares both: no run may begin, and without a key none may go on, half a second after its caller left. The checker finds planted violations (work_for_callers_that_left_is_found).

--- a/packages/standins/include/standins/outcomes.h
+++ b/packages/standins/include/standins/outcomes.h
@@ -4,7 +4,8 @@
  *
  * In a file each record is a line of tab-separated fields: test id, kind, key
  * or "-", reported fate, HTTP status, response check, latency in microseconds,
- * time sent in microseconds since the start.
+ * time sent in microseconds since the start, index of the node, monotonic time
+ * in milliseconds at which the caller left or 0.
  */
 #ifndef STANDINS_OUTCOMES_H
 #define STANDINS_OUTCOMES_H
@@ -73,6 +74,9 @@
  * @status: HTTP status; 0 without a response
  * @latency_us: from the scheduled time to the last byte of the response
  * @sent_us: scheduled time since the start of the run
+ * @node: index of the node that was called
+ * @left_ms: monotonic time at which the caller left before its response, 0 if
+ *	it stayed
  */
 struct outcome {
 	char test_id[OUTCOMES_ID_BYTES];
@@ -83,6 +87,8 @@
 	int status;
 	uint64_t latency_us;
 	uint64_t sent_us;
+	uint32_t node;
+	uint64_t left_ms;
 };
 
 /** call_kind_name() - "lookup", "booking" or "upload" */
--- a/packages/standins/include/standins/runs.h
+++ b/packages/standins/include/standins/runs.h
@@ -4,6 +4,8 @@
  * A journal file preserves them when the upstream is killed.  It has one line
  * for each run, written before the work of the run starts: test id, request id,
  * key, host and monotonic time in milliseconds; "-" stands for an absent id.
+ * A file beside it, with RUNS_ENDS_SUFFIX, has a line for each run that ended:
+ * test id, host and monotonic time.
  */
 #ifndef STANDINS_RUNS_H
 #define STANDINS_RUNS_H
@@ -15,6 +17,9 @@
 
 #include "base/status.h"
 
+/** RUNS_ENDS_SUFFIX - appended to the path of a journal: the file of ends */
+#define RUNS_ENDS_SUFFIX ".ends"
+
 /**
  * struct run_ids - ids of one run; NULL or "" if absent
  * @test_id: X-Test-Id header
@@ -52,6 +57,9 @@
  */
 uint64_t runs_add(struct runs *r, const struct run_ids *ids, uint64_t now_ms);
 
+/** runs_end() - write the end of a run to the file of ends; thread-safe */
+void runs_end(struct runs *r, const struct run_ids *ids, uint64_t now_ms);
+
 /** runs_json() - {"total", "by_test_id", "by_request_id", "by_key"} */
 json_t *runs_json(struct runs *r);
 
--- a/packages/standins/include/standins/schedule.h
+++ b/packages/standins/include/standins/schedule.h
@@ -19,6 +19,8 @@
  * @mix: weight of each kind of call
  * @nodes: number of nodes that calls are distributed over
  * @keyed_percent: percentage of bookings with an idempotency key
+ * @leave_percent: percentage of calls whose caller leaves before its response
+ * @leave_max_ms: latest time after which such a caller leaves
  * @twin_percent: percentage of keyed bookings sent twice at the same time,
  *	through two nodes with the same key
  */
@@ -30,6 +32,8 @@
 	uint32_t nodes;
 	uint32_t keyed_percent;
 	uint32_t twin_percent;
+	uint32_t leave_percent;
+	uint32_t leave_max_ms;
 };
 
 /**
@@ -38,12 +42,14 @@
  * @kind: kind of the call
  * @node: index of the node that the call is sent to
  * @key: number of the idempotency key, or 0 for none
+ * @leave_ms: time after which the caller leaves, or 0 if it stays
  */
 struct arrival {
 	uint64_t at_us;
 	enum call_kind kind;
 	uint32_t node;
 	uint32_t key;
+	uint32_t leave_ms;
 };
 
 /**
--- a/packages/standins/include/standins/web.h
+++ b/packages/standins/include/standins/web.h
@@ -6,6 +6,7 @@
 #define STANDINS_WEB_H
 
 #include <stddef.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <civetweb.h>
@@ -125,6 +126,14 @@
  */
 void web_json_u32(const json_t *j, const char *name, uint32_t *out);
 
+/**
+ * web_peer_closed() - whether the peer has closed the connection
+ *
+ * CivetWeb doesn't tell its sockets, so the connection's is looked up among the
+ * descriptors of the process, once.
+ */
+bool web_peer_closed(struct mg_connection *conn);
+
 /** web_drop_connection() - close the connection without a response */
 void web_drop_connection(struct mg_connection *conn);
 
--- a/packages/standins/src/load_call.c
+++ b/packages/standins/src/load_call.c
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "base/clock.h"
 #include "load_defs.h"
 
 #define HTTP_OK 200
@@ -171,6 +172,9 @@
 	c->body.seed = call_body_seed(c);
 	c->body.offset_bytes = 0;
 	reply_reader_reset(&c->reply);
+	c->outcome.node = c->node;
+	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS,
+	    (long)(c->leave_ms != 0 ? c->leave_ms : c->opt->timeout_ms));
 	call_set_url(c);
 	call_set_headers(c);
 	if (is_write) {
@@ -245,6 +249,8 @@
 
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
 	o->status = (int)status;
+	if (rc == CURLE_OPERATION_TIMEDOUT && c->leave_ms != 0)
+		o->left_ms = clock_now_ms();
 	if (rc != CURLE_OK) {
 		o->reported =
 		    call_not_sent(c) ? REPORTED_NOT_SENT : REPORTED_UNKNOWN;
--- a/packages/standins/src/load_defs.h
+++ b/packages/standins/src/load_defs.h
@@ -31,6 +31,7 @@
 	struct outcome outcome;
 	uint32_t node;
 	uint32_t repeats_left;
+	uint32_t leave_ms; /* when the caller leaves, 0 if it stays */
 	enum load_fate fate;
 	int retry_after;
 	struct pattern body; /* position in the request body */
--- a/packages/standins/src/load_worker.c
+++ b/packages/standins/src/load_worker.c
@@ -162,6 +162,7 @@
 	o->kind = a->kind;
 	o->sent_us = a->at_us;
 	c->node = a->node;
+	c->leave_ms = a->leave_ms;
 	c->repeats_left = a->key != 0 ? w->opt->repeats : 0;
 	g_array_append_val(w->late_us, late_us);
 	worker_send(w, c);
@@ -190,7 +191,8 @@
 {
 	struct outcome *o = &c->outcome;
 
-	if (c->repeats_left == 0 || o->reported != REPORTED_UNKNOWN)
+	if (c->repeats_left == 0 || o->reported != REPORTED_UNKNOWN ||
+	    o->left_ms != 0)
 		return 0;
 	c->repeats_left--;
 	c->node = (c->node + 1) % w->opt->n_nodes;
--- a/packages/standins/src/main_load.c
+++ b/packages/standins/src/main_load.c
@@ -33,6 +33,8 @@
 	gint keyed;
 	gint twins;
 	gint repeats;
+	gint leave;
+	gint leave_ms;
 	gint threads;
 	gint connections;
 	gboolean direct;
@@ -46,6 +48,7 @@
     .upload_bytes = 65536,
     .seed = 1,
     .timeout_ms = 10000,
+    .leave_ms = 500,
     .threads = 2,
     .connections = 64,
 };
@@ -89,6 +92,11 @@
 	    {"repeats", 0, 0, G_OPTION_ARG_INT, &a->repeats,
 		"Maximum repeats of a keyed booking with unknown fate (0)",
 		"N"},
+	    {"leave", 0, 0, G_OPTION_ARG_INT, &a->leave,
+		"Percentage of callers that leave before their response (0)",
+		"PERCENT"},
+	    {"leave-ms", 0, 0, G_OPTION_ARG_INT, &a->leave_ms,
+		"Latest time after which they leave (500)", "MS"},
 	    {"seed", 0, 0, G_OPTION_ARG_INT, &a->seed,
 		"Seed of the schedule (1)", "N"},
 	    {"run-id", 0, 0, G_OPTION_ARG_STRING, &a->run_id,
@@ -177,6 +185,8 @@
 	s->nodes = g_strv_length(a->nodes);
 	s->keyed_percent = (uint32_t)a->keyed;
 	s->twin_percent = (uint32_t)a->twins;
+	s->leave_percent = (uint32_t)a->leave;
+	s->leave_max_ms = (uint32_t)a->leave_ms;
 }
 
 static void
--- a/packages/standins/src/outcomes.c
+++ b/packages/standins/src/outcomes.c
@@ -9,7 +9,7 @@
 
 #include "standins/outcomes.h"
 
-#define OUTCOMES_FIELDS 8
+#define OUTCOMES_FIELDS 10
 
 static const char *const kind_names[CALL_KINDS] = {
     "lookup", "booking", "upload"};
@@ -39,10 +39,11 @@
 void
 outcomes_write(FILE *f, const struct outcome *o)
 {
-	(void)fprintf(f, "%s\t%s\t%s\t%s\t%d\t%s\t%lu\t%lu\n", o->test_id,
-	    kind_names[o->kind], o->key[0] == '\0' ? "-" : o->key,
+	(void)fprintf(f, "%s\t%s\t%s\t%s\t%d\t%s\t%lu\t%lu\t%u\t%lu\n",
+	    o->test_id, kind_names[o->kind], o->key[0] == '\0' ? "-" : o->key,
 	    reported_fate_names[o->reported], o->status, check_names[o->check],
-	    (unsigned long)o->latency_us, (unsigned long)o->sent_us);
+	    (unsigned long)o->latency_us, (unsigned long)o->sent_us, o->node,
+	    (unsigned long)o->left_ms);
 }
 
 /* Index of a name, or -1 if it is unknown. */
@@ -80,6 +81,8 @@
 		o->status = (int)g_ascii_strtoll(f[4], NULL, 10);
 		o->latency_us = g_ascii_strtoull(f[6], NULL, 10);
 		o->sent_us = g_ascii_strtoull(f[7], NULL, 10);
+		o->node = (uint32_t)g_ascii_strtoull(f[8], NULL, 10);
+		o->left_ms = g_ascii_strtoull(f[9], NULL, 10);
 	}
 	g_strfreev(f);
 	return kind >= 0 && reported >= 0 && check >= 0;
--- a/packages/standins/src/runs.c
+++ b/packages/standins/src/runs.c
@@ -32,28 +32,49 @@
 	uint64_t total;
 	char *host;
 	int journal_fd;
+	int ends_fd;
 };
 
+static enum status
+open_append(const char *path, int *fd)
+{
+	*fd =
+	    open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, JOURNAL_MODE);
+	if (*fd == -1)
+		return status_set(
+		    STATUS_IO, "can't write the journal %s: %m.", path);
+	return STATUS_OK;
+}
+
+static enum status
+open_journal(struct runs *r, const char *journal)
+{
+	char *ends = g_strconcat(journal, RUNS_ENDS_SUFFIX, (char *)NULL);
+	enum status st = open_append(journal, &r->journal_fd);
+
+	if (st == STATUS_OK)
+		st = open_append(ends, &r->ends_fd);
+	g_free(ends);
+	return st;
+}
+
 enum status
 runs_new(const char *host, const char *journal, struct runs **out)
 {
-	int fd = -1, i;
-	struct runs *r;
+	struct runs *r = g_new0(struct runs, 1);
+	int i;
 
-	if (journal != NULL) {
-		fd = open(journal, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
-		    JOURNAL_MODE);
-		if (fd == -1)
-			return status_set(STATUS_IO,
-			    "can't write the journal %s: %m.", journal);
-	}
-	r = g_new0(struct runs, 1);
 	pthread_mutex_init(&r->lock, NULL);
 	for (i = 0; i < RUN_ID_KINDS; i++)
 		r->counts[i] = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, NULL);
 	r->host = g_strdup(host);
-	r->journal_fd = fd;
+	r->journal_fd = -1;
+	r->ends_fd = -1;
+	if (journal != NULL && open_journal(r, journal) != STATUS_OK) {
+		runs_free(r);
+		return STATUS_IO;
+	}
 	*out = r;
 	return STATUS_OK;
 }
@@ -67,6 +88,8 @@
 		return;
 	if (r->journal_fd != -1)
 		(void)close(r->journal_fd);
+	if (r->ends_fd != -1)
+		(void)close(r->ends_fd);
 	for (i = 0; i < RUN_ID_KINDS; i++)
 		g_hash_table_destroy(r->counts[i]);
 	pthread_mutex_destroy(&r->lock);
@@ -94,19 +117,39 @@
 		    t, g_strdup(id), GSIZE_TO_POINTER(count_get(t, id) + n));
 }
 
-static void
-journal_write(const struct runs *r, const struct run_ids *ids, uint64_t now_ms)
+static const char *
+id_or_dash(const char *id)
 {
-	char *line = g_strdup_printf("%s\t%s\t%s\t%s\t%" G_GUINT64_FORMAT "\n",
-	    id_is_set(ids->test_id) ? ids->test_id : "-",
-	    id_is_set(ids->request_id) ? ids->request_id : "-",
-	    id_is_set(ids->key) ? ids->key : "-", r->host, now_ms);
+	return id_is_set(id) ? id : "-";
+}
 
-	if (write(r->journal_fd, line, strlen(line)) == -1)
+/* Writes a line and frees it. */
+static void
+write_line(int fd, char *line)
+{
+	if (write(fd, line, strlen(line)) == -1)
 		(void)fprintf(stderr, "can't write the journal: %m.\n");
 	g_free(line);
 }
 
+static void
+journal_write(const struct runs *r, const struct run_ids *ids, uint64_t now_ms)
+{
+	write_line(r->journal_fd,
+	    g_strdup_printf("%s\t%s\t%s\t%s\t%" G_GUINT64_FORMAT "\n",
+		id_or_dash(ids->test_id), id_or_dash(ids->request_id),
+		id_or_dash(ids->key), r->host, now_ms));
+}
+
+void
+runs_end(struct runs *r, const struct run_ids *ids, uint64_t now_ms)
+{
+	if (r->ends_fd != -1)
+		write_line(r->ends_fd,
+		    g_strdup_printf("%s\t%s\t%" G_GUINT64_FORMAT "\n",
+			id_or_dash(ids->test_id), r->host, now_ms));
+}
+
 static uint64_t
 runs_count(struct runs *r, const struct run_ids *ids)
 {
--- a/packages/standins/src/schedule.c
+++ b/packages/standins/src/schedule.c
@@ -8,6 +8,7 @@
 
 #include "standins/schedule.h"
 
+#define DEPARTURES_SEED 0x5eed1ef7U
 #define SCHEDULE_SECOND_US 1e6
 #define SCHEDULE_PERCENT 100
 
@@ -43,6 +44,24 @@
 	g_array_append_val(schedule, duplicate);
 }
 
+/* Draws who leaves, from numbers of their own: the other choices of a seed stay
+ * as they are. */
+static void
+draw_departures(GArray *schedule, const struct schedule_spec *s)
+{
+	GRand *rnd = g_rand_new_with_seed((guint32)s->seed ^ DEPARTURES_SEED);
+	struct arrival *a;
+	guint i;
+
+	for (i = 0; i < schedule->len; i++) {
+		a = &g_array_index(schedule, struct arrival, i);
+		if (random_percent(rnd, s->leave_percent))
+			a->leave_ms = (uint32_t)g_rand_int_range(
+			    rnd, 1, (gint32)s->leave_max_ms + 1);
+	}
+	g_rand_free(rnd);
+}
+
 GArray *
 schedule_new(const struct schedule_spec *s)
 {
@@ -69,5 +88,7 @@
 			append_duplicate(schedule, &a, s->nodes);
 	}
 	g_rand_free(rnd);
+	if (s->leave_percent > 0 && s->leave_max_ms > 0)
+		draw_departures(schedule, s);
 	return schedule;
 }
--- a/packages/standins/src/upstream.c
+++ b/packages/standins/src/upstream.c
@@ -145,6 +145,8 @@
 	json_object_set_new(j, "broken", json_integer((json_int_t)s.broken));
 	json_object_set_new(
 	    j, "unanswered", json_integer((json_int_t)s.unanswered));
+	json_object_set_new(
+	    j, "abandoned", json_integer((json_int_t)s.abandoned));
 	json_object_set_new(
 	    j, "after_drain", json_integer((json_int_t)s.after_drain));
 	json_object_set_new(j, "after_drain_max_ms",
--- a/packages/standins/src/upstream_call.c
+++ b/packages/standins/src/upstream_call.c
@@ -16,7 +16,7 @@
 #include "upstream_defs.h"
 
 #define CALL_CHUNK_BYTES 65536
-#define CALL_HANG_POLL_MS 20
+#define CALL_POLL_MS 10
 #define CALL_COLD_EXTRA_FACTOR 3.0
 #define CALL_WORK_MAX_MEANS 10.0
 /* Exit code after a call with ?crash=1. */
@@ -38,6 +38,7 @@
 	uint64_t run;
 	uint64_t start_ms;
 	int close_unanswered; /* close the connection without a response */
+	bool abandoned;	      /* the connection was closed during the work */
 };
 
 int
@@ -174,24 +175,35 @@
 	return work_means * u->knobs.work_ms_mean * factor;
 }
 
+static int
+call_hangs(struct upstream *u)
+{
+	int hang;
+
+	pthread_mutex_lock(&u->lock);
+	hang = u->knobs.hang && !u->stopping;
+	pthread_mutex_unlock(&u->lock);
+	return hang;
+}
+
+/* Works until the call is done or its connection is closed. */
 static void
-call_work(struct upstream *u, const struct call *c)
+call_work(struct upstream *u, struct call *c)
 {
+	uint64_t now_us = clock_now_us(), until_us;
 	double work_ms;
-	int hang;
 
 	pthread_mutex_lock(&u->lock);
 	work_ms = call_work_ms(u, c);
 	pthread_mutex_unlock(&u->lock);
-	if (work_ms > 0)
-		g_usleep((gulong)(work_ms * 1000.0));
-	do {
-		pthread_mutex_lock(&u->lock);
-		hang = u->knobs.hang && !u->stopping;
-		pthread_mutex_unlock(&u->lock);
-		if (hang)
-			g_usleep(CALL_HANG_POLL_MS * 1000UL);
-	} while (hang);
+	until_us = now_us + (uint64_t)(work_ms * 1000.0);
+	while (!c->abandoned && (now_us < until_us || call_hangs(u))) {
+		g_usleep(now_us < until_us
+			? MIN(until_us - now_us, CALL_POLL_MS * 1000UL)
+			: CALL_POLL_MS * 1000UL);
+		c->abandoned = web_peer_closed(c->conn);
+		now_us = clock_now_us();
+	}
 }
 
 static void
@@ -282,7 +294,11 @@
 	call_work(u, &c);
 	if (web_query_u64(conn, "crash", 0) != 0)
 		_exit(CALL_CRASH_EXIT_CODE);
-	if (c.close_unanswered)
+	runs_end(u->runs, &c.ids, clock_now_ms());
+	pthread_mutex_lock(&u->lock);
+	u->stats.abandoned += c.abandoned;
+	pthread_mutex_unlock(&u->lock);
+	if (c.close_unanswered || c.abandoned)
 		web_drop_connection(conn);
 	else
 		call_respond(u, &c);
--- a/packages/standins/src/upstream_defs.h
+++ b/packages/standins/src/upstream_defs.h
@@ -38,6 +38,7 @@
 	uint64_t shed;		     /* rejected, not run */
 	uint64_t broken;	     /* truncated request bodies, not run */
 	uint64_t unanswered;	     /* run, closed without a response */
+	uint64_t abandoned;	     /* closed by the node during their work */
 	uint64_t after_drain;	     /* runs started after draining_ms */
 	uint64_t after_drain_max_ms; /* from then to the latest of them */
 	uint64_t over_limit;	     /* runs beyond the bound of the limit */
--- a/packages/standins/src/web.c
+++ b/packages/standins/src/web.c
@@ -1,9 +1,12 @@
 /*
  * HTTP server of the stand-ins, based on CivetWeb.
  */
+#include <arpa/inet.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <civetweb.h>
 #include <glib.h>
@@ -14,9 +17,13 @@
 #define WEB_HEAD_BYTES 1024
 #define WEB_READ_BYTES 65536
 
-/* User data of a connection: number of requests so far. */
+#define WEB_DESCRIPTORS 4096
+
+/* User data of a connection: number of requests so far, and its socket, -1
+ * until it is looked up. */
 struct web_conn {
 	uint32_t requests;
+	int fd;
 };
 
 struct web_server {
@@ -28,8 +35,11 @@
 static int
 web_init_connection(const struct mg_connection *conn, void **data)
 {
+	struct web_conn *wc = g_new0(struct web_conn, 1);
+
 	(void)conn;
-	*data = g_new0(struct web_conn, 1);
+	wc->fd = -1;
+	*data = wc;
 	return 0;
 }
 
@@ -204,6 +214,49 @@
 		*out = (uint32_t)json_integer_value(v);
 }
 
+static bool
+is_peer(int fd, const struct mg_request_info *info)
+{
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+	char ip[INET_ADDRSTRLEN];
+
+	return getpeername(fd, (struct sockaddr *)&sin, &len) == 0 &&
+	    sin.sin_family == AF_INET &&
+	    ntohs(sin.sin_port) == info->remote_port &&
+	    inet_ntop(AF_INET, &sin.sin_addr, ip, sizeof(ip)) != NULL &&
+	    strcmp(ip, info->remote_addr) == 0;
+}
+
+static int
+find_socket(struct mg_connection *conn)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	int fd;
+
+	for (fd = 0; fd < WEB_DESCRIPTORS; fd++)
+		if (is_peer(fd, info))
+			return fd;
+	return -1;
+}
+
+bool
+web_peer_closed(struct mg_connection *conn)
+{
+	struct web_conn *wc = mg_get_user_connection_data(conn);
+	struct pollfd p = {.events = POLLRDHUP};
+
+	if (wc == NULL)
+		return false;
+	if (wc->fd < 0)
+		wc->fd = find_socket(conn);
+	/* A socket that was reset has no peer any more. */
+	if (wc->fd < 0)
+		return true;
+	p.fd = wc->fd;
+	return poll(&p, 1, 0) == 1;
+}
+
 void
 web_drop_connection(struct mg_connection *conn)
 {
--- a/packages/standins/test/test_load.c
+++ b/packages/standins/test/test_load.c
@@ -93,7 +93,7 @@
     enum response_check check, int status)
 {
 	struct outcome o = {
-	    "t", "", CALL_LOOKUP, reported, check, status, 9, 0};
+	    "t", "", CALL_LOOKUP, reported, check, status, 9, 0, 0, 0};
 
 	g_array_append_val(list, o);
 }
--- a/packages/standins/test/test_run_check.c
+++ b/packages/standins/test/test_run_check.c
@@ -15,6 +15,7 @@
 #include "standins/outcomes.h"
 #include "standins/pattern.h"
 #include "standins/reply.h"
+#include "standins/departures.h"
 #include "standins/run_check.h"
 #include "standins/runs.h"
 
@@ -151,6 +152,68 @@
 }
 END_TEST
 
+#define LIMIT_MS 500
+
+/* Runs of callers that left at 1000 ms: late begin, late end, in time, with a
+ * key, and of a caller that stayed. */
+static const char begins[] = "late\t-\t-\th1\t1600\n"
+			     "long\t-\t-\th1\t900\n"
+			     "intime\t-\t-\th1\t1400\n"
+			     "keyed\t-\tk\th1\t1700\n"
+			     "stayed\t-\t-\th1\t900\n"
+			     "late\t-\t-\th1\t1";
+static const char ends[] = "long\th1\t1501\n"
+			   "intime\th1\t1500\n"
+			   "keyed\th1\t3000\n"
+			   "stayed\th1\t5000\n";
+
+static void
+add_departed(
+    GArray *calls, const char *test_id, const char *key, uint64_t left_ms)
+{
+	struct outcome o = {.kind = CALL_BOOKING, .left_ms = left_ms};
+
+	(void)g_strlcpy(o.test_id, test_id, sizeof(o.test_id));
+	(void)g_strlcpy(o.key, key, sizeof(o.key));
+	g_array_append_val(calls, o);
+}
+
+START_TEST(work_for_callers_that_left_is_found)
+{
+	char *dir = g_dir_make_tmp("bramley-XXXXXX", NULL);
+	char *journal = g_build_filename(dir, "j", NULL);
+	char *ends_path = g_strconcat(journal, RUNS_ENDS_SUFFIX, (char *)NULL);
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	GArray *late = g_array_new(FALSE, FALSE, sizeof(struct late_work));
+	const struct late_work *w;
+
+	ck_assert(g_file_set_contents(journal, begins, -1, NULL));
+	ck_assert(g_file_set_contents(ends_path, ends, -1, NULL));
+	add_departed(calls, "late", "", 1000);
+	add_departed(calls, "long", "", 1000);
+	add_departed(calls, "intime", "", 1000);
+	add_departed(calls, "keyed", "k", 1000);
+	add_departed(calls, "stayed", "", 0);
+	ck_assert_int_eq(
+	    departures_check(calls, journal, LIMIT_MS, late), STATUS_OK);
+	ck_assert_uint_eq(late->len, 2);
+	w = &g_array_index(late, struct late_work, 0);
+	ck_assert_str_eq(w->test_id, "late");
+	ck_assert(w->began);
+	w = &g_array_index(late, struct late_work, 1);
+	ck_assert_str_eq(w->test_id, "long");
+	ck_assert(!w->began);
+	(void)remove(journal);
+	(void)remove(ends_path);
+	(void)remove(dir);
+	g_array_unref(late);
+	g_array_unref(calls);
+	g_free(ends_path);
+	g_free(journal);
+	g_free(dir);
+}
+END_TEST
+
 static char *
 temp_file(void)
 {
@@ -168,7 +231,7 @@
 	FILE *f = fopen(path, "w");
 	GArray *copy = g_array_new(FALSE, FALSE, sizeof(struct outcome));
 	struct outcome o = {"t1", "k1", CALL_UPLOAD, REPORTED_UNKNOWN,
-	    RESPONSE_CUT, 504, 123, 456};
+	    RESPONSE_CUT, 504, 123, 456, 2, 789};
 
 	outcomes_write(f, &o);
 	o.key[0] = '\0';
@@ -176,6 +239,8 @@
 	(void)fclose(f);
 	ck_assert_int_eq(outcomes_read(path, copy), STATUS_OK);
 	ck_assert_uint_eq(copy->len, 2);
+	ck_assert_uint_eq(g_array_index(copy, struct outcome, 0).node, 2);
+	ck_assert_uint_eq(g_array_index(copy, struct outcome, 0).left_ms, 789);
 	ck_assert_mem_eq(
 	    &g_array_index(copy, struct outcome, 1), &o, sizeof(o.test_id));
 	ck_assert_int_eq(
@@ -316,6 +381,7 @@
 	    tc, checker_finds_only_the_violation, 0, G_N_ELEMENTS(check_cases));
 	tcase_add_test(tc, checker_finds_a_call_listed_twice);
 	tcase_add_test(tc, outcomes_survive_a_file_round_trip);
+	tcase_add_test(tc, work_for_callers_that_left_is_found);
 	tcase_add_test(tc, truncated_journal_is_read);
 	tcase_add_test(tc, runs_survive_a_json_round_trip);
 	tcase_add_loop_test(tc, response_check_detects_damage, 0, DAMAGE_KINDS);
--- a/test/functional/calls.h
+++ b/test/functional/calls.h
@@ -93,6 +93,14 @@
 struct process *calls_load_start(struct deployment *d, const char *name,
     const char *duration_s, uint32_t seed);
 
+/**
+ * calls_load_leaving() - like calls_load_start(), and a share of the callers
+ * leaves before its answer, after 400 ms at the latest
+ * @leave_percent: the share
+ */
+struct process *calls_load_leaving(struct deployment *d, const char *name,
+    const char *duration_s, uint32_t seed, uint32_t leave_percent);
+
 /**
  * calls_load_end() - wait for load_gen and add its outcomes to a sum
  * @load: the process; freed
--- a/test/functional/calls_round.c
+++ b/test/functional/calls_round.c
@@ -15,6 +15,7 @@
 #define INJECT_MIN_MS 200
 #define INJECT_MAX_MS 800
 #define RATE "250"
+#define LEAVE_MAX_MS "400"
 #define WORK_MS_MEAN 20
 #define TIMEOUT_MS 1500
 #define SLOTS 4
@@ -52,13 +53,22 @@
 calls_load_start(struct deployment *d, const char *name, const char *duration_s,
     uint32_t seed)
 {
-	char seed_arg[NAME_BYTES];
+	return calls_load_leaving(d, name, duration_s, seed, 0);
+}
+
+struct process *
+calls_load_leaving(struct deployment *d, const char *name,
+    const char *duration_s, uint32_t seed, uint32_t leave_percent)
+{
+	char seed_arg[NAME_BYTES], leave_arg[NAME_BYTES];
 	const char *args[] = {"--rate", RATE, "--duration-s", duration_s,
 	    "--mix", "5:4:1", "--keyed", "50", "--twins", "30", "--repeats",
 	    "2", "--answer-bytes", "100000", "--upload-bytes", "200000",
-	    "--seed", seed_arg, NULL};
+	    "--seed", seed_arg, "--leave", leave_arg, "--leave-ms",
+	    LEAVE_MAX_MS, NULL};
 
 	(void)g_snprintf(seed_arg, sizeof(seed_arg), "%u", seed);
+	(void)g_snprintf(leave_arg, sizeof(leave_arg), "%u", leave_percent);
 	return deployment_load(d, name, deployment_host(d, 0), 1, args);
 }
 
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -5,6 +5,7 @@
 #ifndef FUNCTIONAL_DEPLOYMENT_H
 #define FUNCTIONAL_DEPLOYMENT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -321,6 +322,30 @@
 /** deployment_load_end() - wait for load_gen, free it and return its summary */
 json_t *deployment_load_end(struct process *load);
 
+/**
+ * struct deployment_excuse - tells which work for departed callers is allowed
+ * @fn: whether a fault at the call's node or the run's host excuses work from
+ *	@from_ms to @until_ms, monotonic times; NULL excuses nothing
+ * @arg: passed to @fn
+ */
+struct deployment_excuse {
+	bool (*fn)(uint32_t node, const char *host, uint64_t from_ms,
+	    uint64_t until_ms, void *arg);
+	void *arg;
+};
+
+/**
+ * deployment_check_departures() - check that no upstream began to work for a
+ * caller, or went on, later than half a second after the caller left
+ * @d: the deployment
+ * @excuse: what is allowed
+ * @departed: receives the number of callers that left
+ *
+ * Return: number of violations, which are printed.
+ */
+uint32_t deployment_check_departures(const struct deployment *d,
+    const struct deployment_excuse *excuse, uint32_t *departed);
+
 /**
  * deployment_check_runs() - check the outcomes of all load runs against the
  * journals of all upstreams
--- a/test/functional/deployment_watch.c
+++ b/test/functional/deployment_watch.c
@@ -1,6 +1,7 @@
 /*
  * Small deployment for tests: status of nodes, load, and the check of calls.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,9 +12,12 @@
 #include "base/clock.h"
 #include "deployment.h"
 #include "fetch.h"
+#include "standins/departures.h"
 #include "standins/run_check.h"
 
 #define LOAD_TIMEOUT_MS 300000
+/* Time after which work for a caller that has left is a violation. */
+#define DEPARTURE_LIMIT_MS 500
 #define URL_BYTES 512
 #define HTTP_OK 200
 
@@ -208,20 +212,30 @@
 	    (unsigned long)v->runs);
 }
 
+/* struct outcome of all load runs. */
+static GArray *
+read_outcomes(const struct deployment *d)
+{
+	GArray *calls = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	guint i;
+
+	for (i = 0; i < d->outcomes->len; i++)
+		ck_assert_int_eq(
+		    outcomes_read(g_ptr_array_index(d->outcomes, i), calls),
+		    STATUS_OK);
+	return calls;
+}
+
 uint32_t
 deployment_check_runs(const struct deployment *d)
 {
-	GArray *calls = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	GArray *calls = read_outcomes(d);
 	GArray *violations;
 	guint i;
 	struct runs *r;
 	uint32_t n;
 
 	ck_assert_int_eq(runs_new("", NULL, &r), STATUS_OK);
-	for (i = 0; i < d->outcomes->len; i++)
-		ck_assert_int_eq(
-		    outcomes_read(g_ptr_array_index(d->outcomes, i), calls),
-		    STATUS_OK);
 	for (i = 0; i < d->hosts->len; i++)
 		ck_assert_int_eq(
 		    runs_read_journal(r, deployment_host(d, i)->journal),
@@ -236,3 +250,44 @@
 	runs_free(r);
 	return n;
 }
+
+static bool
+is_excused(const struct deployment_excuse *excuse, const struct late_work *w)
+{
+	return excuse->fn != NULL &&
+	    excuse->fn(w->node, w->host, w->left_ms, w->until_ms, excuse->arg);
+}
+
+uint32_t
+deployment_check_departures(const struct deployment *d,
+    const struct deployment_excuse *excuse, uint32_t *departed)
+{
+	GArray *calls = read_outcomes(d);
+	GArray *late = g_array_new(FALSE, FALSE, sizeof(struct late_work));
+	const struct late_work *w;
+	uint32_t n = 0;
+	guint i;
+
+	*departed = 0;
+	for (i = 0; i < calls->len; i++)
+		*departed +=
+		    g_array_index(calls, struct outcome, i).left_ms != 0;
+	for (i = 0; i < d->hosts->len; i++)
+		ck_assert_int_eq(
+		    departures_check(calls, deployment_host(d, i)->journal,
+			DEPARTURE_LIMIT_MS, late),
+		    STATUS_OK);
+	for (i = 0; i < late->len; i++) {
+		w = &g_array_index(late, struct late_work, i);
+		if (is_excused(excuse, w))
+			continue;
+		(void)printf("departed: %s of node %u %s at %s %" PRIu64
+			     " ms after its caller left at %" PRIu64 "\n",
+		    w->test_id, w->node, w->began ? "began" : "ended", w->host,
+		    w->until_ms - w->left_ms, w->left_ms);
+		n++;
+	}
+	g_array_unref(late);
+	g_array_unref(calls);
+	return n;
+}
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -6,6 +6,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/stat.h>
 
 #include <check.h>
@@ -33,6 +34,10 @@
 #define RECOVERY_TIMEOUT_MS 20000
 #define NAME_BYTES 64
 #define LOAD_AFTER_S "1"
+/* Share of the callers that leave before their answer. */
+#define LEAVE_PERCENT 20
+/* Time in which a process that was suspended or started has caught up. */
+#define DEPARTURE_SETTLE_MS 500
 /* Share of the calls sent after all faults have ended. */
 #define MIN_SERVED_PERCENT 90
 #define HTTP_OK 200
@@ -61,6 +66,18 @@
 	uint32_t routes;
 };
 
+/**
+ * struct fault_span - time at which a host's node or upstream had a fault
+ * @host: index of the host
+ * @from_ms: monotonic time of its beginning
+ * @until_ms: monotonic time of its end, DEADLINE_NEVER before that
+ */
+struct fault_span {
+	uint32_t host;
+	uint64_t from_ms;
+	uint64_t until_ms;
+};
+
 /**
  * struct soak - state of a run
  * @d: the deployment
@@ -78,6 +95,7 @@
  * @bundles_written: number of bundles written, each different
  * @routes: number of routes added to versions so far
  * @skipped: number of faults whose target already had another fault
+ * @spans: struct fault_span, the times at which hosts had faults
  * @crasher: the poison request
  * @power_loss_ms: monotonic time at which all hosts lose power, or
  *	DEADLINE_NEVER
@@ -98,6 +116,7 @@
 	uint32_t bundles_written;
 	uint32_t routes;
 	uint32_t skipped;
+	GArray *spans;
 	struct soak_crasher crasher;
 	uint64_t power_loss_ms;
 	uint64_t restore_from_ms;
@@ -172,6 +191,58 @@
 	return true;
 }
 
+static void
+record_span(struct soak *s, uint32_t host, bool ends)
+{
+	struct fault_span span = {host, clock_now_ms(), DEADLINE_NEVER};
+	struct fault_span *open;
+	guint i;
+
+	if (!ends) {
+		g_array_append_val(s->spans, span);
+		return;
+	}
+	for (i = 0; i < s->spans->len; i++) {
+		open = &g_array_index(s->spans, struct fault_span, i);
+		if (open->host == host && open->until_ms == DEADLINE_NEVER)
+			open->until_ms = clock_now_ms();
+	}
+}
+
+/* Whether a host had a fault between two times, or shortly before. */
+static bool
+had_fault(
+    const struct soak *s, uint32_t host, uint64_t from_ms, uint64_t until_ms)
+{
+	const struct fault_span *span;
+	guint i;
+
+	for (i = 0; i < s->spans->len; i++) {
+		span = &g_array_index(s->spans, struct fault_span, i);
+		if (span->host == host && span->from_ms <= until_ms &&
+		    span->until_ms + DEPARTURE_SETTLE_MS >= from_ms)
+			return true;
+	}
+	return false;
+}
+
+/* A process that is suspended or ends can't act on a departure; a host without
+ * a fault has to. */
+static bool
+excuses_work(uint32_t node, const char *host, uint64_t from_ms,
+    uint64_t until_ms, void *arg)
+{
+	const struct soak *s = arg;
+	uint32_t i;
+
+	if (had_fault(s, node, from_ms, until_ms))
+		return true;
+	for (i = 0; i < s->d->hosts->len; i++)
+		if (strcmp(deployment_host(s->d, i)->name, host) == 0)
+			return had_fault(s, i, from_ms, until_ms);
+	return false;
+}
+
 static void
 node_event(struct soak *s, const struct soak_event *e, uint32_t i)
 {
@@ -185,10 +256,14 @@
 	if (!claim(s, &s->node_fault[i], e))
 		return;
 	s->node_faults[i]++;
+	if (!e->ends)
+		record_span(s, i, false);
 	if (e->ends)
 		node_recover(s, h, e->fault);
 	else
 		node_inject(s, h, e->fault);
+	if (e->ends)
+		record_span(s, i, true);
 }
 
 static void
@@ -284,6 +359,7 @@
 
 	if (!claim(s, &s->upstream_fault[i], e))
 		return;
+	record_span(s, i, e->ends);
 	if (e->fault == SOAK_UPSTREAM_SHED || e->fault == SOAK_UPSTREAM_BREAK ||
 	    (e->fault == SOAK_UPSTREAM_FREEZE && !e->ends))
 		upstream_restart_crashed(s, h);
@@ -721,14 +797,33 @@
 	s->leaving_since = g_new0(uint32_t, s->d->hosts->len);
 	s->stopping = g_new0(bool, s->d->hosts->len);
 	s->link_fault = g_new0(uint32_t, s->d->relays->len);
+	s->spans = g_array_new(FALSE, FALSE, sizeof(struct fault_span));
 	s->sign_offs =
 	    g_array_new(FALSE, FALSE, sizeof(struct pending_sign_off));
 	s->watch = version_watch_start(s->d);
 }
 
+/* Checks that no upstream works for callers that have left, except at hosts
+ * with faults at that time. */
+static void
+check_departures(struct soak *s)
+{
+	const struct deployment_excuse excuse = {excuses_work, s};
+	uint32_t departed, late;
+
+	late = deployment_check_departures(s->d, &excuse, &departed);
+	(void)printf(
+	    "%u callers left, %u runs for them too late\n", departed, late);
+	ck_assert_uint_gt(departed, 0);
+	ck_assert_msg(late == 0, "%u runs for callers that had left; see %s",
+	    late, harness_dir());
+}
+
 static void
 soak_end(struct soak *s)
 {
+	check_departures(s);
+	g_array_unref(s->spans);
 	ck_assert_uint_eq(version_watch_end(s->watch), 0);
 	g_array_unref(s->sign_offs);
 	g_free(s->node_fault);
@@ -781,7 +876,7 @@
 	s.crasher.d = s.d;
 	s.crasher.enabled = crashes;
 	s.power_loss_ms = clock_now_ms() + duration_s * 1000 / 2;
-	load = calls_load_start(s.d, name, load_s, seed);
+	load = calls_load_leaving(s.d, name, load_s, seed, LEAVE_PERCENT);
 	run_plan(&s, plan, clock_now_ms());
 	calls_load_end(load, name, &c);
 	calls_print(name, &c);
