fix(soak): a run restarts an upstream that crashes again while it waits

Cause: the poison request crashed it again 0.8 s after the restart (its host's log), and the run waited for an answer without looking whether it had exited. A fault of the run. Change: the wait restarts an upstream that has crashed.

--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -288,12 +288,38 @@
 	return code == HTTP_OK;
 }
 
+/* A host and the run that it belongs to. */
+struct soak_host {
+	struct soak *soak;
+	struct host *host;
+};
+
+/* Whether the upstream answers; one that has crashed again is restarted. */
+static int
+upstream_recovers(void *arg)
+{
+	const struct soak_host *sh = arg;
+
+	if (sh->soak->crasher.enabled)
+		soak_crasher_restart(&sh->soak->crasher, sh->host);
+	return upstream_answers(sh->host);
+}
+
+static void
+upstream_wait(struct soak *s, struct host *h)
+{
+	struct soak_host sh = {s, h};
+
+	ck_assert(
+	    harness_wait_until(upstream_recovers, &sh, RECOVERY_TIMEOUT_MS));
+}
+
 /* Waits until the upstream answers, since its next fault may follow at once. */
 static void
 upstream_start(struct soak *s, struct host *h)
 {
 	deployment_start_upstream(s->d, h);
-	ck_assert(harness_wait_until(upstream_answers, h, RECOVERY_TIMEOUT_MS));
+	upstream_wait(s, h);
 }
 
 /* Waits for a stopped upstream, which the poison request may have crashed while
@@ -348,8 +374,7 @@
 {
 	if (!s->crasher.enabled)
 		return;
-	soak_crasher_restart(&s->crasher, h);
-	ck_assert(harness_wait_until(upstream_answers, h, RECOVERY_TIMEOUT_MS));
+	upstream_wait(s, h);
 }
 
 static void
