--- a/packages/node/test/test_call_departures.c
+++ b/packages/node/test/test_call_departures.c
@@ -471,6 +471,26 @@
 }
 END_TEST
 
+/* Guards against a booking whose fate is reported as unknown at its deadline
+ * although it was never sent. */
+START_TEST(a_booking_that_was_not_sent_by_its_deadline_is_not_run)
+{
+	struct full_port full;
+	struct reply r;
+
+	start();
+	full_port_open(&full);
+	test_node_upstream(nodes[1], full.port, SERVING_READY);
+	ck_assert(caller_call(callers_port(nodes[0]->callers), "POST",
+	    "/book/x", "Bramley-Deadline-Ms: 400\r\n", "seat", 4, &r));
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.fate, "not_run");
+	reply_clear(&r);
+	full_port_close(&full);
+	stop();
+}
+END_TEST
+
 /* Guards against slots that stay taken as many callers leave in one moment. */
 START_TEST(a_thousand_callers_leave_at_once)
 {
@@ -509,6 +529,7 @@
 	    an_unread_upload_ends_with_its_caller,
 	    a_queued_booking_ends_with_its_entry,
 	    a_booking_that_waits_for_its_connection_ends_with_its_caller,
+	    a_booking_that_was_not_sent_by_its_deadline_is_not_run,
 	    a_thousand_callers_leave_at_once, NULL};
 
 	return fixture_main("call departures", tests);
--- a/packages/standins/src/web.c
+++ b/packages/standins/src/web.c
@@ -217,7 +217,7 @@
 static bool
 is_peer(int fd, const struct mg_request_info *info)
 {
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = {0};
 	socklen_t len = sizeof(sin);
 	char ip[INET_ADDRSTRLEN];
 
