--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -457,8 +457,8 @@
 /** guard_request_cancel() - cancel the request on behalf of an entry */
 void guard_request_cancel(struct guard_request *r);
 
-/** guard_request_abandon() - end the request, whatever its state: nobody awaits
- * its answer */
+/** guard_request_abandon() - end the request, whatever its state, when no
+ * stream awaits its answer any more */
 void guard_request_abandon(struct guard_request *r);
 
 /** guard_request_waiter_lost() - the connection of an entry that awaited the
--- a/packages/standins/include/standins/web.h
+++ b/packages/standins/include/standins/web.h
@@ -129,8 +129,8 @@
 /**
  * web_peer_closed() - whether the peer has closed the connection
  *
- * CivetWeb doesn't tell its sockets, so the connection's is looked up among the
- * descriptors of the process, once.
+ * CivetWeb does not expose its sockets, so the connection's socket is looked up
+ * once among the descriptors of the process.
  */
 bool web_peer_closed(struct mg_connection *conn);
 
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -323,7 +323,7 @@
 json_t *deployment_load_end(struct process *load);
 
 /**
- * struct deployment_excuse - tells which work for departed callers is allowed
+ * struct deployment_excuse - decides which work for departed callers is allowed
  * @fn: whether a fault at the call's node or the run's host excuses work from
  *	@from_ms to @until_ms, monotonic times; NULL excuses nothing
  * @arg: passed to @fn
