--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -143,6 +143,7 @@
  *	value; 0 if not set
  * @priority: 0 is the highest
  * @attempts: attempts per request, 0 for the service's
+ * @keyless: requests need no customer's key
  */
 struct service_route {
 	const char *prefix;
@@ -157,6 +158,7 @@
 	uint32_t target_ms;
 	uint32_t priority;
 	uint32_t attempts;
+	bool keyless;
 };
 
 /**
--- a/packages/config/include/config/snapshot.h
+++ b/packages/config/include/config/snapshot.h
@@ -13,6 +13,7 @@
 #include <stdatomic.h>
 
 #include "config/catalog.h"
+#include "config/customer.h"
 #include "config/endpoints.h"
 
 /**
@@ -67,6 +68,8 @@
  * @n_endpoints: number of endpoints of all services
  * @n_nodes: live nodes of the whole system, 0 if unknown
  * @routes: routes of all services, as indexes into @services and @sections
+ * @customers: customers; a reference is held; NULL if the configuration has
+ *	none, so that no request needs a key
  */
 struct snapshot {
 	_Atomic uint32_t refs;
@@ -79,6 +82,7 @@
 	uint32_t n_endpoints;
 	uint32_t n_nodes;
 	struct route_table *routes;
+	struct customer_table *customers;
 };
 
 /** enum route_result - outcome of a match */
--- /dev/null
+++ b/packages/config/src/customer.c
@@ -0,0 +1,32 @@
+/*
+ * Customers: digests of keys, and look-ups.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "config/customer.h"
+
+#define CUSTOMER_SEED 31
+
+void
+customer_key_make(const char *text, size_t len, struct customer_key *key)
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	uint8_t digest[32];
+	gsize n = sizeof(digest);
+
+	g_checksum_update(sum, (const guchar *)text, (gssize)len);
+	g_checksum_get_digest(sum, digest, &n);
+	g_checksum_free(sum);
+	memcpy(key->bytes, digest, sizeof(key->bytes));
+}
+
+uint64_t
+customer_id(const char *name)
+{
+	uint64_t id = hash64(name, strlen(name), CUSTOMER_SEED);
+
+	return id != CUSTOMER_ID_NONE ? id : 1;
+}
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -15,8 +15,8 @@
 #define PART_SEPARATOR ' '
 
 /* Largest encoding of a route in a section without its texts: 13 bytes for
- * types and lengths, 5 for each of the six numbers, 2 for the flags. */
-#define ROUTE_FIXED_BYTES 45
+ * types and lengths, 5 for each of the six numbers, 3 for the flags. */
+#define ROUTE_FIXED_BYTES 46
 
 /* Largest encoding of a section without its routes: 12 numbers of up to 9
  * bytes, the name of the service of 31, the name of the part of 24, types and
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -63,6 +63,7 @@
 	route->target_ms = from->target_ms;
 	route->priority = from->priority;
 	route->attempts = from->attempts;
+	route->keyless = from->keyless;
 	text = config_set_text(
 	    text, from->prefix, &route->prefix, &route->prefix_len);
 	return config_set_text(
--- a/packages/node/include/node/call_dialect.h
+++ b/packages/node/include/node/call_dialect.h
@@ -19,6 +19,8 @@
  *	it; otherwise the guard generates an id for each attempt
  * @key: Idempotency-Key is interpreted: all calls with one key are one request;
  *	otherwise it is forwarded as an ordinary header
+ * @customer_key: from callers: key of the customer; never forwarded
+ * @customer: sent to upstreams: name of the customer
  * @deadline: time left, in milliseconds, from callers and to upstreams
  * @caller_service: sent to upstreams: service of the host where a call entered
  * @target: sent to upstreams: instance that an attempt is for
@@ -44,6 +46,8 @@
 	const char *request_id;
 	bool caller_sets_request_id;
 	bool key;
+	const char *customer_key;
+	const char *customer;
 	const char *deadline;
 	const char *caller_service;
 	const char *target;
--- a/packages/node/src/call_exchange.h
+++ b/packages/node/src/call_exchange.h
@@ -18,6 +18,8 @@
 #include "net/loop.h"
 #include "traffic/traffic_defs.h"
 
+#include "config/customer.h"
+
 #include "call_headers.h"
 
 /* Limit of the buffered part of a request's body. */
@@ -36,6 +38,8 @@
  * @host: host of the request's target or Host header, owned, or NULL
  * @id: request id that the caller sent, owned, or NULL
  * @key: Idempotency-Key, owned, or NULL
+ * @customer_keys: number of customer keys that the caller sent
+ * @customer_key: digest of the key, if there is exactly one
  * @caller: address of the caller
  * @body_bytes: length of the body or BODY_LENGTH_UNKNOWN
  * @deadline_ms: monotonic deadline that the caller sent, or DEADLINE_NEVER
@@ -48,6 +52,8 @@
 	char *host;
 	char *id;
 	char *key;
+	uint32_t customer_keys;
+	struct customer_key customer_key;
 	char caller[MSG_CALL_OPEN_CALLER_MAX + 1];
 	int64_t body_bytes;
 	uint64_t deadline_ms;
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -29,7 +29,11 @@
 	    .queued = load->queued,
 	    .slots = load->slots,
 	    .limit_milli_per_s = load->limit_milli_per_s,
-	    .limit_wait_ms = load->limit_wait_ms};
+	    .limit_wait_ms = load->limit_wait_ms,
+	    .pace_percent = load->pace_percent,
+	    .waiting = load->waiting,
+	    .work_ms = load->work_ms,
+	    .calls_refused_milli = load->calls_refused_milli};
 
 	const struct run_report run = {.run = load->run,
 	    .limit_milli_per_s = load->limit_milli_per_s,
--- a/packages/node/src/guard_open.c
+++ b/packages/node/src/guard_open.c
@@ -74,6 +74,8 @@
 	    &gc->age, m->sent_ms, m->time_left_ms, loop_now_ms(g->loop));
 	r->latest_deadline_ms = loop_now_ms(g->loop) + m->time_left_ms;
 	r->priority = m->priority;
+	r->customer = m->customer;
+	r->customer_priority = m->customer_priority;
 	if (m->target_left_ms != 0)
 		r->target_ms = frame_age_deadline_ms(&gc->age, m->sent_ms,
 		    m->target_left_ms, loop_now_ms(g->loop));
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -273,6 +273,8 @@
  *	unless the entry, which has the exact deadline, cancels it earlier
  * @target_ms: time after which the answer is worth less, 0 if unknown
  * @priority: 0 is the highest
+ * @customer: number of the customer, 0 for none
+ * @customer_priority: rank of the customer plus 1, 0 when not set
  * @body_bytes: length of the body, -1 if unknown
  * @body_source: stream that delivers the body, or NULL
  * @body: received GBytes that were not forwarded yet
@@ -316,6 +318,8 @@
 	uint64_t latest_deadline_ms;
 	uint64_t target_ms;
 	uint32_t priority;
+	uint64_t customer;
+	uint32_t customer_priority;
 	int64_t body_bytes;
 	struct guard_out *body_source;
 	GQueue body;
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -25,6 +25,8 @@
 	req->class = guard_request_class(r);
 	req->deadline_ms = r->deadline_ms;
 	req->priority = r->priority;
+	req->customer = r->customer;
+	req->customer_priority = r->customer_priority;
 	req->target_ms = r->target_ms;
 }
 
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -212,6 +212,10 @@
 	load->slots = report.slots;
 	load->limit_milli_per_s = report.limit_milli_per_s;
 	load->limit_wait_ms = (uint32_t)MIN(report.limit_wait_ms, UINT32_MAX);
+	load->pace_percent = report.pace_percent;
+	load->waiting = report.waiting;
+	load->work_ms = report.work_ms;
+	load->calls_refused_milli = report.calls_refused_milli;
 	load->run = u->report.run_id;
 	load->leaving = u->report.leaving;
 }
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -39,6 +39,9 @@
 #define MSG_CALL_ACK_REQUEST_ID_MAX 16
 #define MSG_CALL_KEY_ASK_SERVICE_MAX 63
 #define MSG_CALL_KEY_WORD_SERVICE_MAX 63
+#define MSG_QUOTA_REPORT_DATA_CENTRE_MAX 31
+#define MSG_QUOTA_REPORT_DEMANDS_MAX 4096
+#define MSG_QUOTA_GRANT_CREDITS_MAX 4096
 
 /**
  * struct rec_header - One HTTP header.
@@ -68,6 +71,13 @@
  * 	limit
  * @run: number of the upstream's run; 0 when unknown and when absent
  * @leaving: the run has reported that it leaves
+ * @pace_percent: time that work takes on the upstream's machine now,
+ * 	100 is usual; 0 when unknown and when absent
+ * @waiting: requests that wait in the upstream by its own report
+ * @work_ms: expected run time of all requests in flight and queued; 0
+ * 	when unknown and when absent
+ * @calls_refused_milli: share of the calls made by the upstream that
+ * 	were refused lately, in thousandths
  */
 struct rec_load {
 	uint32_t in_flight;
@@ -77,10 +87,46 @@
 	uint32_t limit_wait_ms;
 	uint64_t run;
 	bool leaving;
+	uint32_t pace_percent;
+	uint32_t waiting;
+	uint32_t work_ms;
+	uint32_t calls_refused_milli;
 };
 
 extern const struct codec_desc rec_load_desc;
 
+/**
+ * struct rec_quota_demand - Demand of one customer at the sender.
+ * @customer: number of the customer
+ * @arrived: requests that arrived since the last report, whether
+ * 	admitted or not
+ * @wanted: requests for which credit is asked
+ * @returned: requests for which unused credit is returned
+ */
+struct rec_quota_demand {
+	uint64_t customer;
+	uint32_t arrived;
+	uint32_t wanted;
+	uint32_t returned;
+};
+
+extern const struct codec_desc rec_quota_demand_desc;
+
+/**
+ * struct rec_quota_credit - Credit for one customer.
+ * @customer: number of the customer
+ * @granted: requests that may be admitted
+ * @wait_ms: time until further credit can be granted; 0 when not
+ * 	limited
+ */
+struct rec_quota_credit {
+	uint64_t customer;
+	uint32_t granted;
+	uint32_t wait_ms;
+};
+
+extern const struct codec_desc rec_quota_credit_desc;
+
 /**
  * struct msg_call_hello - First frame on a connection, from the guard.
  * @proto: version of this protocol
@@ -181,6 +227,10 @@
  * @known_limit_milli_per_s: limit that this run named, in thousandths
  * 	of a request a second; 0 for none
  * @known_leaving: this run has reported that it leaves
+ * @customer: number of the customer, the same on all nodes; 0 for none
+ * 	and when absent
+ * @customer_priority: rank among the customers plus 1; 0 when not set
+ * 	and when absent
  */
 struct msg_call_open {
 	uint32_t stream;
@@ -206,6 +256,8 @@
 	uint64_t known_run;
 	uint64_t known_limit_milli_per_s;
 	bool known_leaving;
+	uint64_t customer;
+	uint32_t customer_priority;
 };
 
 extern const struct codec_desc msg_call_open_desc;
@@ -614,4 +666,63 @@
  */
 void msg_call_goodbye_ack_clear(struct msg_call_goodbye_ack *m);
 
+/**
+ * struct msg_quota_report - Demand for credit of customers with a limit: from
+ * an entry to their home, or from that home to the home of another data
+ * centre.
+ * @sequence: number of the report on this connection
+ * @sent_ms: sender's monotonic clock when the frame was sent
+ * @data_centre: data centre of the sender
+ * @from_home: the sender is a home that borrows
+ * @demands: one for each customer with demand or credit to return;
+ * 	owned
+ * @n_demands: number of elements in @demands
+ */
+struct msg_quota_report {
+	uint32_t sequence;
+	uint64_t sent_ms;
+	char data_centre[32];
+	bool from_home;
+	struct rec_quota_demand *demands;
+	uint32_t n_demands;
+};
+
+extern const struct codec_desc msg_quota_report_desc;
+
+/** msg_quota_report_encode() - append the encoded message to @out */
+void msg_quota_report_encode(const struct msg_quota_report *m, GByteArray *out);
+
+/** msg_quota_report_decode() - decode a message; see codec_decode() */
+enum status msg_quota_report_decode(
+    const uint8_t *data, size_t len, struct msg_quota_report *m);
+
+/** msg_quota_report_clear() - free the message's lists and zero the message */
+void msg_quota_report_clear(struct msg_quota_report *m);
+
+/**
+ * struct msg_quota_grant - Reply to quota_report.
+ * @sequence: number of the report
+ * @sent_ms: sender's monotonic clock when the frame was sent
+ * @credits: one for each customer in the report; owned
+ * @n_credits: number of elements in @credits
+ */
+struct msg_quota_grant {
+	uint32_t sequence;
+	uint64_t sent_ms;
+	struct rec_quota_credit *credits;
+	uint32_t n_credits;
+};
+
+extern const struct codec_desc msg_quota_grant_desc;
+
+/** msg_quota_grant_encode() - append the encoded message to @out */
+void msg_quota_grant_encode(const struct msg_quota_grant *m, GByteArray *out);
+
+/** msg_quota_grant_decode() - decode a message; see codec_decode() */
+enum status msg_quota_grant_decode(
+    const uint8_t *data, size_t len, struct msg_quota_grant *m);
+
+/** msg_quota_grant_clear() - free the message's lists and zero the message */
+void msg_quota_grant_clear(struct msg_quota_grant *m);
+
 #endif
--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -20,12 +20,15 @@
 /* Maximum bytes of a text or binary field, maximum elements of a list. */
 #define REC_SECTION_ROUTE_PREFIX_MAX 255
 #define REC_SECTION_ROUTE_HOST_MAX 127
+#define REC_SECTION_CUSTOMER_NAME_MAX 127
+#define REC_SECTION_CUSTOMER_KEYS_MAX 16384
 #define REC_SECTION_CHANGE_SECTION_MAX 63
 #define REC_REPLACED_HEAD_OP_MAX 63
 #define REC_SECTION_REF_SECTION_MAX 63
 #define MSG_SECTION_SERVICE_MAX 31
 #define MSG_SECTION_PART_MAX 24
 #define MSG_SECTION_ROUTES_MAX 1024
+#define MSG_SECTION_CUSTOMERS_MAX 1024
 #define MSG_VERSION_CHANGES_CHANGES_MAX 8192
 #define MSG_SECTION_LIST_SECTIONS_MAX 16384
 #define MSG_HALT_NOTE_OP_MAX 63
@@ -49,6 +52,7 @@
  * @priority: rank among the routes, 0 is the highest
  * @attempts: attempts of a request, including the first; 0 for the
  * 	service's value
+ * @keyless: whether requests need no customer key
  */
 struct rec_section_route {
 	char prefix[256];
@@ -61,10 +65,35 @@
 	uint32_t target_ms;
 	uint32_t priority;
 	uint32_t attempts;
+	bool keyless;
 };
 
 extern const struct codec_desc rec_section_route_desc;
 
+/**
+ * struct rec_section_customer - One customer.
+ * @name: name of the customer
+ * @priority: rank among the customers plus 1, 1 is the highest; 0 when
+ * 	not set
+ * @rate_milli_per_s: limit over all nodes, in thousandths of a request
+ * 	a second; 0 for none
+ * @burst_milli: requests beyond the rate that may come at once, in
+ * 	thousandths
+ * @keys: digests of the customer's keys, 16 bytes each, sorted;
+ * 	borrowed
+ * @keys_len: number of bytes in @keys
+ */
+struct rec_section_customer {
+	char name[128];
+	uint32_t priority;
+	uint64_t rate_milli_per_s;
+	uint64_t burst_milli;
+	const uint8_t *keys;
+	uint32_t keys_len;
+};
+
+extern const struct codec_desc rec_section_customer_desc;
+
 /**
  * struct rec_section_change - Change of one section between two versions.
  * @section: name of the section: the name of its service, followed by
@@ -135,6 +164,9 @@
  * 	for the node's setting
  * @routes: routes, sorted by prefix, then methods; owned
  * @n_routes: number of elements in @routes
+ * @customers: customers, sorted by name; only in sections of the table
+ * 	of customers, which have no routes; owned
+ * @n_customers: number of elements in @customers
  */
 struct msg_section {
 	char service[32];
@@ -152,6 +184,8 @@
 	uint32_t idle_ms;
 	struct rec_section_route *routes;
 	uint32_t n_routes;
+	struct rec_section_customer *customers;
+	uint32_t n_customers;
 };
 
 extern const struct codec_desc msg_section_desc;
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -114,6 +114,10 @@
  * 	further call_open on this connection.
  * @MSG_CALL_GOODBYE_ACK: The entry sends no further call_open on this
  * 	connection.
+ * @MSG_QUOTA_REPORT: Demand for credit of customers with a limit: from
+ * 	an entry to their home, or from that home to the home of another
+ * 	data centre.
+ * @MSG_QUOTA_GRANT: Reply to quota_report.
  */
 enum msg_type {
 	MSG_NONE = 0,
@@ -173,6 +177,8 @@
 	MSG_CALL_KEY_WORD = 75,
 	MSG_CALL_GOODBYE = 76,
 	MSG_CALL_GOODBYE_ACK = 77,
+	MSG_QUOTA_REPORT = 78,
+	MSG_QUOTA_GRANT = 79,
 };
 
 /**
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -45,13 +45,62 @@
     {.name = "leaving",
 	.kind = CODEC_BOOL,
 	.offset = offsetof(struct rec_load, leaving)},
+    {.name = "pace_percent",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_load, pace_percent)},
+    {.name = "waiting",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_load, waiting)},
+    {.name = "work_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_load, work_ms)},
+    {.name = "calls_refused_milli",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_load, calls_refused_milli)},
 };
 
 const struct codec_desc rec_load_desc = {.name = "load",
     .fields = rec_load_fields,
-    .n_fields = 7,
+    .n_fields = 11,
     .size_bytes = sizeof(struct rec_load)};
 
+static const struct codec_field rec_quota_demand_fields[] = {
+    {.name = "customer",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_quota_demand, customer)},
+    {.name = "arrived",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_quota_demand, arrived)},
+    {.name = "wanted",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_quota_demand, wanted)},
+    {.name = "returned",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_quota_demand, returned)},
+};
+
+const struct codec_desc rec_quota_demand_desc = {.name = "quota_demand",
+    .fields = rec_quota_demand_fields,
+    .n_fields = 4,
+    .size_bytes = sizeof(struct rec_quota_demand)};
+
+static const struct codec_field rec_quota_credit_fields[] = {
+    {.name = "customer",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_quota_credit, customer)},
+    {.name = "granted",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_quota_credit, granted)},
+    {.name = "wait_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_quota_credit, wait_ms)},
+};
+
+const struct codec_desc rec_quota_credit_desc = {.name = "quota_credit",
+    .fields = rec_quota_credit_fields,
+    .n_fields = 3,
+    .size_bytes = sizeof(struct rec_quota_credit)};
+
 static const struct codec_field msg_call_hello_fields[] = {
     {.name = "proto",
 	.kind = CODEC_U32,
@@ -213,11 +262,17 @@
     {.name = "known_leaving",
 	.kind = CODEC_BOOL,
 	.offset = offsetof(struct msg_call_open, known_leaving)},
+    {.name = "customer",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_call_open, customer)},
+    {.name = "customer_priority",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_call_open, customer_priority)},
 };
 
 const struct codec_desc msg_call_open_desc = {.name = "call_open",
     .fields = msg_call_open_fields,
-    .n_fields = 19,
+    .n_fields = 21,
     .size_bytes = sizeof(struct msg_call_open)};
 
 void
@@ -791,3 +846,92 @@
 {
 	codec_clear(&msg_call_goodbye_ack_desc, m);
 }
+
+static const struct codec_field msg_quota_report_fields[] = {
+    {.name = "sequence",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_quota_report, sequence)},
+    {.name = "sent_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_quota_report, sent_ms)},
+    {.name = "data_centre",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_quota_report, data_centre),
+	.max = MSG_QUOTA_REPORT_DATA_CENTRE_MAX},
+    {.name = "from_home",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_quota_report, from_home)},
+    {.name = "demands",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_quota_report, demands),
+	.len_offset = offsetof(struct msg_quota_report, n_demands),
+	.max = MSG_QUOTA_REPORT_DEMANDS_MAX,
+	.item_bytes = sizeof(struct rec_quota_demand),
+	.item = CODEC_STRUCT,
+	.of = &rec_quota_demand_desc},
+};
+
+const struct codec_desc msg_quota_report_desc = {.name = "quota_report",
+    .fields = msg_quota_report_fields,
+    .n_fields = 5,
+    .size_bytes = sizeof(struct msg_quota_report)};
+
+void
+msg_quota_report_encode(const struct msg_quota_report *m, GByteArray *out)
+{
+	codec_encode(&msg_quota_report_desc, m, out);
+}
+
+enum status
+msg_quota_report_decode(
+    const uint8_t *data, size_t len, struct msg_quota_report *m)
+{
+	return codec_decode(&msg_quota_report_desc, data, len, m);
+}
+
+void
+msg_quota_report_clear(struct msg_quota_report *m)
+{
+	codec_clear(&msg_quota_report_desc, m);
+}
+
+static const struct codec_field msg_quota_grant_fields[] = {
+    {.name = "sequence",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_quota_grant, sequence)},
+    {.name = "sent_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_quota_grant, sent_ms)},
+    {.name = "credits",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_quota_grant, credits),
+	.len_offset = offsetof(struct msg_quota_grant, n_credits),
+	.max = MSG_QUOTA_GRANT_CREDITS_MAX,
+	.item_bytes = sizeof(struct rec_quota_credit),
+	.item = CODEC_STRUCT,
+	.of = &rec_quota_credit_desc},
+};
+
+const struct codec_desc msg_quota_grant_desc = {.name = "quota_grant",
+    .fields = msg_quota_grant_fields,
+    .n_fields = 3,
+    .size_bytes = sizeof(struct msg_quota_grant)};
+
+void
+msg_quota_grant_encode(const struct msg_quota_grant *m, GByteArray *out)
+{
+	codec_encode(&msg_quota_grant_desc, m, out);
+}
+
+enum status
+msg_quota_grant_decode(
+    const uint8_t *data, size_t len, struct msg_quota_grant *m)
+{
+	return codec_decode(&msg_quota_grant_desc, data, len, m);
+}
+
+void
+msg_quota_grant_clear(struct msg_quota_grant *m)
+{
+	codec_clear(&msg_quota_grant_desc, m);
+}
--- a/packages/proto/src/gen/config.c
+++ b/packages/proto/src/gen/config.c
@@ -38,13 +38,42 @@
     {.name = "attempts",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_section_route, attempts)},
+    {.name = "keyless",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct rec_section_route, keyless)},
 };
 
 const struct codec_desc rec_section_route_desc = {.name = "section_route",
     .fields = rec_section_route_fields,
-    .n_fields = 10,
+    .n_fields = 11,
     .size_bytes = sizeof(struct rec_section_route)};
 
+static const struct codec_field rec_section_customer_fields[] = {
+    {.name = "name",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct rec_section_customer, name),
+	.max = REC_SECTION_CUSTOMER_NAME_MAX},
+    {.name = "priority",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_section_customer, priority)},
+    {.name = "rate_milli_per_s",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_section_customer, rate_milli_per_s)},
+    {.name = "burst_milli",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_section_customer, burst_milli)},
+    {.name = "keys",
+	.kind = CODEC_BYTES,
+	.offset = offsetof(struct rec_section_customer, keys),
+	.len_offset = offsetof(struct rec_section_customer, keys_len),
+	.max = REC_SECTION_CUSTOMER_KEYS_MAX},
+};
+
+const struct codec_desc rec_section_customer_desc = {.name = "section_customer",
+    .fields = rec_section_customer_fields,
+    .n_fields = 5,
+    .size_bytes = sizeof(struct rec_section_customer)};
+
 static const struct codec_field rec_section_change_fields[] = {
     {.name = "section",
 	.kind = CODEC_STR,
@@ -149,11 +178,19 @@
 	.item_bytes = sizeof(struct rec_section_route),
 	.item = CODEC_STRUCT,
 	.of = &rec_section_route_desc},
+    {.name = "customers",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_section, customers),
+	.len_offset = offsetof(struct msg_section, n_customers),
+	.max = MSG_SECTION_CUSTOMERS_MAX,
+	.item_bytes = sizeof(struct rec_section_customer),
+	.item = CODEC_STRUCT,
+	.of = &rec_section_customer_desc},
 };
 
 const struct codec_desc msg_section_desc = {.name = "section",
     .fields = msg_section_fields,
-    .n_fields = 14,
+    .n_fields = 15,
     .size_bytes = sizeof(struct msg_section)};
 
 void
--- a/packages/proto/src/gen/messages.c
+++ b/packages/proto/src/gen/messages.c
@@ -63,6 +63,8 @@
     [MSG_CALL_KEY_WORD] = &msg_call_key_word_desc,
     [MSG_CALL_GOODBYE] = &msg_call_goodbye_desc,
     [MSG_CALL_GOODBYE_ACK] = &msg_call_goodbye_ack_desc,
+    [MSG_QUOTA_REPORT] = &msg_quota_report_desc,
+    [MSG_QUOTA_GRANT] = &msg_quota_grant_desc,
 };
 
 const struct codec_desc *
--- a/packages/traffic/bench/bench_traffic.c
+++ b/packages/traffic/bench/bench_traffic.c
@@ -88,7 +88,8 @@
 static void
 bench_admission(void)
 {
-	struct admission_request req = {0, ADMISSION_LOOKUP, UINT64_MAX, 0, 0};
+	struct admission_request req = {
+	    0, ADMISSION_LOOKUP, UINT64_MAX, 0, 0, 0, 0};
 	struct admission_config cfg;
 	struct admission_result r;
 	struct admission *a;
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -62,6 +62,9 @@
  *	unknown.  Within a priority, requests that can still meet their target
  *	go before those that can't, earliest target first, and wait no longer
  *	than the target allows.
+ * @customer: number of the customer, 0 for none
+ * @customer_priority: rank of the customer plus 1, 1 is the highest; 0 when
+ *	not set
  */
 struct admission_request {
 	uint64_t ticket;
@@ -69,6 +72,8 @@
 	uint64_t deadline_ms;
 	uint32_t priority;
 	uint64_t target_ms;
+	uint64_t customer;
+	uint32_t customer_priority;
 };
 
 /**
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -76,6 +76,9 @@
  * @REFUSAL_QUARANTINED: each upstream that ran this request has crashed
  * @REFUSAL_SUPERSEDED: the request was routed by an expired version, and the
  *	version in force here routes it elsewhere
+ * @REFUSAL_CUSTOMER_LIMIT: the customer's limit over all nodes is used up
+ * @REFUSAL_CALLS_SHORT: the upstream would have to call a service that refuses
+ *	such calls now
  */
 enum refusal {
 	REFUSAL_NONE = 0,
@@ -98,10 +101,12 @@
 	REFUSAL_UNREACHABLE,
 	REFUSAL_QUARANTINED,
 	REFUSAL_SUPERSEDED,
+	REFUSAL_CUSTOMER_LIMIT,
+	REFUSAL_CALLS_SHORT,
 };
 
 /** REFUSAL_LAST - the largest value of enum refusal */
-#define REFUSAL_LAST REFUSAL_SUPERSEDED
+#define REFUSAL_LAST REFUSAL_CALLS_SHORT
 
 /** refusal_name() - short name for logs, such as "queue_full" */
 const char *refusal_name(enum refusal r);
@@ -140,6 +145,13 @@
  * @limit_milli_per_s: limit that the upstream names, in thousandths of a
  *	request a second; 0 for none
  * @limit_wait_ms: time until a further request may start under that limit
+ * @pace_percent: time that work takes on the upstream's machine now, 100 is
+ *	usual; 0 when unknown
+ * @waiting: requests that wait in the upstream by its own report
+ * @work_ms: expected run time of all requests in slots and queued, 0 when
+ *	unknown
+ * @calls_refused_milli: share of the upstream's own calls that were refused
+ *	lately, in thousandths
  */
 struct load_report {
 	uint32_t in_flight;
@@ -147,6 +159,10 @@
 	uint32_t slots;
 	uint64_t limit_milli_per_s;
 	uint64_t limit_wait_ms;
+	uint32_t pace_percent;
+	uint32_t waiting;
+	uint32_t work_ms;
+	uint32_t calls_refused_milli;
 };
 
 /**
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -7,6 +7,8 @@
  * exceeds its share of the queue are evicted when the other class needs the
  * space.
  */
+#include <string.h>
+
 #include "base/clock.h"
 
 #include "admission_defs.h"
@@ -328,6 +330,7 @@
 {
 	const struct upstream_limit *l = &a->upstream_limit;
 
+	memset(out, 0, sizeof(*out));
 	out->in_flight = admission_in_slots(a);
 	out->queued = admission_queued(a);
 	out->slots = admission_slots(a);
--- a/packages/traffic/src/traffic_defs.c
+++ b/packages/traffic/src/traffic_defs.c
@@ -55,7 +55,8 @@
 	    "expired", "draining", "starting", "caller_limit", "service_limit",
 	    "too_old", "resolved", "cancelled", "not_home", "upstream",
 	    "no_endpoint", "key_unsettled", "stopping", "key_reused",
-	    "unreachable", "quarantined", "superseded"};
+	    "unreachable", "quarantined", "superseded", "customer_limit",
+	    "calls_short"};
 
 	return (size_t)r < G_N_ELEMENTS(names) ? names[r] : "?";
 }
@@ -72,6 +73,8 @@
 	case REFUSAL_KEY_REUSED:
 	case REFUSAL_QUARANTINED:
 	case REFUSAL_SUPERSEDED:
+	case REFUSAL_CUSTOMER_LIMIT:
+	case REFUSAL_CALLS_SHORT:
 		return true;
 	default:
 		return false;
--- a/packages/traffic/test/test_limited_admission.c
+++ b/packages/traffic/test/test_limited_admission.c
@@ -15,8 +15,8 @@
 static struct admission_result
 offer(struct admission *a, uint64_t ticket, uint32_t priority, uint64_t now_ms)
 {
-	struct admission_request req = {
-	    ticket, ADMISSION_LOOKUP, now_ms + 2000, priority, now_ms + 600};
+	struct admission_request req = {ticket, ADMISSION_LOOKUP, now_ms + 2000,
+	    priority, now_ms + 600, 0, 0};
 	struct admission_result res;
 
 	admission_offer(a, &req, now_ms, &res);
--- a/packages/traffic/test/test_limited_fleet.c
+++ b/packages/traffic/test/test_limited_fleet.c
@@ -222,7 +222,8 @@
 	    .tried = call->tried,
 	    .n_tried = call->n_tried};
 	struct admission_request req = {ticket, ADMISSION_LOOKUP,
-	    call->arrived_ms + DEADLINE_MS, 2, call->arrived_ms + TARGET_MS};
+	    call->arrived_ms + DEADLINE_MS, 2, call->arrived_ms + TARGET_MS, 0,
+	    0};
 	struct placement_choice choice;
 	struct admission_result res;
 
--- a/packages/traffic/test/test_limits.c
+++ b/packages/traffic/test/test_limits.c
@@ -132,7 +132,7 @@
 offer(struct admission *a, uint64_t ticket, enum admission_class class,
     uint64_t deadline_ms, uint64_t now_ms)
 {
-	struct admission_request req = {ticket, class, deadline_ms, 0, 0};
+	struct admission_request req = {ticket, class, deadline_ms, 0, 0, 0, 0};
 	struct admission_result out;
 
 	admission_offer(a, &req, now_ms, &out);
--- a/packages/traffic/test/test_overload.c
+++ b/packages/traffic/test/test_overload.c
@@ -276,8 +276,9 @@
  */
 START_TEST(slow_kind_is_measured_again)
 {
-	struct admission_request call = {0, ADMISSION_LOOKUP, 0, 1, 0};
-	struct admission_request read = {0, ADMISSION_LOOKUP, 60000, 2, 0};
+	struct admission_request call = {0, ADMISSION_LOOKUP, 0, 1, 0, 0, 0};
+	struct admission_request read = {
+	    0, ADMISSION_LOOKUP, 60000, 2, 0, 0, 0};
 	struct admission_result res;
 	struct admission_config cfg;
 	uint64_t now_ms, refused = 0;
@@ -313,8 +314,10 @@
  */
 START_TEST(unmeasured_kind_is_not_refused)
 {
-	struct admission_request call = {0, ADMISSION_LOOKUP, 583, 1, 200};
-	struct admission_request read = {1, ADMISSION_LOOKUP, 60000, 2, 8000};
+	struct admission_request call = {
+	    0, ADMISSION_LOOKUP, 583, 1, 200, 0, 0};
+	struct admission_request read = {
+	    1, ADMISSION_LOOKUP, 60000, 2, 8000, 0, 0};
 	struct admission_result res;
 	struct admission_config cfg;
 	struct admission *a;
@@ -371,7 +374,8 @@
  */
 START_TEST(refusals_with_free_slots_keep_the_limit)
 {
-	struct admission_request req = {0, ADMISSION_LOOKUP, 100000, 0, 0};
+	struct admission_request req = {
+	    0, ADMISSION_LOOKUP, 100000, 0, 0, 0, 0};
 	struct admission_result res;
 	struct admission_config cfg;
 	struct load_report load;
@@ -477,7 +481,7 @@
 static uint32_t
 flood_run(struct flood *f, uint32_t announced, uint32_t for_ms)
 {
-	struct admission_request req = {0, ADMISSION_LOOKUP, 0, 0, 0};
+	struct admission_request req = {0, ADMISSION_LOOKUP, 0, 0, 0, 0, 0};
 	struct admission_config cfg;
 	struct admission_result res;
 	uint64_t now_ms;
--- a/packages/traffic/test/test_placement_fleet.c
+++ b/packages/traffic/test/test_placement_fleet.c
@@ -69,7 +69,8 @@
 
 START_TEST(known_capacity_is_used_before_unknown)
 {
-	struct load_report full = {10, 12, 10, 0, 0}, room = {1, 0, 10, 0, 0};
+	struct load_report full = {.in_flight = 10, .queued = 12, .slots = 10};
+	struct load_report room = {.in_flight = 1, .slots = 10};
 	struct endpoints *e = many_new();
 	uint32_t to_full = 0, i;
 	struct placement_config pc;
--- a/test/calls/guard.c
+++ b/test/calls/guard.c
@@ -147,7 +147,7 @@
 guard_admit(struct guard *g, struct guard_request *r)
 {
 	struct admission_request req = {
-	    r->ticket, r->class, r->deadline_ms, 0, 0};
+	    r->ticket, r->class, r->deadline_ms, 0, 0, 0, 0};
 	struct admission_result res;
 
 	admission_offer(g->admission, &req, guard_now_ms(g), &res);
