--- a/packages/config/include/config/bundle_build.h
+++ b/packages/config/include/config/bundle_build.h
@@ -30,6 +30,7 @@
  * @methods: set of METHOD_BIT()
  * @idempotent: whether requests may safely be sent more than once
  * @below: match only paths below the prefix, not the prefix itself
+ * @keyless: requests need no customer's key
  * @numbers: indexed by enum bundle_route_number; BUNDLE_NUMBER_OMITTED stands
  * for the default
  */
@@ -40,9 +41,28 @@
 	uint32_t methods;
 	bool idempotent;
 	bool below;
+	bool keyless;
 	int64_t numbers[BUNDLE_ROUTE_NUMBERS];
 };
 
+/**
+ * struct bundle_customer - a customer as written in a bundle
+ * @name: its name
+ * @keys: its keys as callers send them
+ * @n_keys: number of @keys
+ * @rate_milli_per_s: thousandths of a request a second, 0 for no limit
+ * @burst_milli: thousandths of a request beyond the rate
+ * @priority: rank among the customers, or BUNDLE_NUMBER_OMITTED
+ */
+struct bundle_customer {
+	const char *name;
+	const char *const *keys;
+	uint32_t n_keys;
+	uint64_t rate_milli_per_s;
+	uint64_t burst_milli;
+	int64_t priority;
+};
+
 struct bundle_build;
 struct json_t;
 
@@ -60,6 +80,14 @@
 void
 bundle_build_route(struct bundle_build *b, const struct bundle_route *route);
 
+/** bundle_build_customers() - the bundle has a table of customers, so that
+ * requests need a key, unless their route is keyless */
+void bundle_build_customers(struct bundle_build *b);
+
+/** bundle_build_customer() - add a customer to the table */
+void bundle_build_customer(
+    struct bundle_build *b, const struct bundle_customer *customer);
+
 /**
  * bundle_build_end() - validate the bundle and split it into sections
  * @b: the build; afterwards it can only be freed
--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -14,6 +14,7 @@
 #include "base/hash.h"
 #include "base/service_name.h"
 #include "base/status.h"
+#include "config/customer.h"
 
 /* Longest prefix, including the terminating NUL. */
 #define ROUTE_PREFIX_BYTES 256
@@ -25,6 +26,10 @@
  * part, which has up to 24 characters. */
 #define SECTION_NAME_BYTES 64
 
+/* Name of the sections that hold the table of customers; no service can have
+ * it. */
+#define CUSTOMERS_SECTION "/customers"
+
 /* Most services of a bundle; its routes are bounded by CONFIG_MAX_BYTES. */
 #define CONFIG_MAX_SERVICES 4096
 
@@ -162,7 +167,20 @@
 };
 
 /**
- * struct service_config - a service with all or a part of its routes; immutable
+ * struct customer_config - a customer as decoded from a section
+ * @info: its name, rank and limit
+ * @keys: digests of its keys, sorted
+ * @n_keys: number of @keys
+ */
+struct customer_config {
+	struct customer info;
+	const struct customer_key *keys;
+	uint32_t n_keys;
+};
+
+/**
+ * struct service_config - a service with all or a part of its routes, or a part
+ * of the table of customers; immutable
  * @refs: references; use service_config_ref() and service_config_unref()
  * @name: name of the service
  * @section: name of the section from which it was decoded
@@ -172,7 +190,11 @@
  * @retry: retry policy
  * @routes: routes, sorted by host, prefix, @below, then methods
  * @n_routes: number of routes
- * @size_bytes: size of the allocation, including routes and texts
+ * @holds_customers: the section is a part of the table of customers and has no
+ *	routes
+ * @customers: customers, sorted by name
+ * @n_customers: number of customers
+ * @size_bytes: size of the allocation, including routes, customers and texts
  */
 struct service_config {
 	_Atomic uint32_t refs;
@@ -184,6 +206,9 @@
 	struct service_retry retry;
 	struct service_route *routes;
 	uint32_t n_routes;
+	bool holds_customers;
+	struct customer_config *customers;
+	uint32_t n_customers;
 	uint32_t size_bytes;
 };
 
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -87,6 +87,7 @@
 		g_array_unref(d->routes);
 		d->routes = NULL;
 	}
+	bundle_split_customers(r, b->sections);
 	g_ptr_array_sort(b->sections, section_compare);
 	for (i = 0; i < b->sections->len; i++)
 		verify_section(g_ptr_array_index(b->sections, i), r->p);
--- a/packages/config/src/bundle_build.c
+++ b/packages/config/src/bundle_build.c
@@ -11,12 +11,14 @@
  * @r: reader with the services and routes added so far
  * @n_services: services added so far, including rejected ones
  * @n_routes: routes added so far, including rejected ones
+ * @n_customers: customers added so far, including rejected ones
  */
 struct bundle_build {
 	struct problems p;
 	struct bundle_reader r;
 	uint32_t n_services;
 	uint32_t n_routes;
+	uint32_t n_customers;
 };
 
 struct bundle_build *
@@ -61,6 +63,23 @@
 	bundle_add_route(&b->r, route, &at);
 }
 
+void
+bundle_build_customers(struct bundle_build *b)
+{
+	bundle_begin_customers(&b->r);
+}
+
+void
+bundle_build_customer(
+    struct bundle_build *b, const struct bundle_customer *customer)
+{
+	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
+	struct doc_path at = {&customers_at, NULL, b->n_customers++};
+
+	bundle_begin_customers(&b->r);
+	bundle_add_customer(&b->r, customer, &at);
+}
+
 enum status
 bundle_build_end(struct bundle_build *b, struct bundle **bundle)
 {
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -27,11 +27,13 @@
 	r->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	r->claims =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	bundle_customers_init(r);
 }
 
 void
 bundle_reader_clear(struct bundle_reader *r)
 {
+	bundle_customers_clear(r);
 	g_hash_table_unref(r->claims);
 	g_hash_table_unref(r->by_name);
 	g_ptr_array_unref(r->drafts);
@@ -271,9 +273,10 @@
 bundle_read(struct bundle_reader *r, json_t *root)
 {
 	static const char *const known[] = {
-	    "format", "name", "services", "routes", NULL};
+	    "format", "name", "services", "routes", "customers", NULL};
 	struct doc_path services_at = {NULL, "services", DOC_PATH_NO_INDEX};
 	struct doc_path routes_at = {NULL, "routes", DOC_PATH_NO_INDEX};
+	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
 	const char *name;
 	json_t *list;
 
@@ -293,4 +296,9 @@
 	list = json_require_array(root, "routes", NULL, r->p);
 	if (list != NULL)
 		bundle_read_routes(r, list, &routes_at);
+	if (json_object_get(root, "customers") == NULL)
+		return;
+	list = json_require_array(root, "customers", NULL, r->p);
+	if (list != NULL)
+		bundle_read_customers(r, list, &customers_at);
 }
--- a/packages/config/src/bundle_read.h
+++ b/packages/config/src/bundle_read.h
@@ -29,6 +29,11 @@
  * @by_name: maps the name of a service to its draft; borrowed
  * @claims: maps host and prefix to struct claim: which route claims which
  *	method
+ * @customers: struct rec_section_customer without keys; NULL without a table
+ *	of customers
+ * @customer_keys: GByteArray of the digests of each customer's keys, sorted
+ * @customer_names: names of the customers
+ * @key_holders: maps the digest of a key to the index of its customer plus 1
  */
 struct bundle_reader {
 	struct problems *p;
@@ -36,6 +41,10 @@
 	GPtrArray *drafts;
 	GHashTable *by_name;
 	GHashTable *claims;
+	GArray *customers;
+	GPtrArray *customer_keys;
+	GHashTable *customer_names;
+	GHashTable *key_holders;
 };
 
 /** bundle_reader_init() - initialize a reader; @p must outlive it */
@@ -91,6 +100,30 @@
 void bundle_read_routes(
     struct bundle_reader *r, json_t *routes, const struct doc_path *at);
 
+/* bundle_customers.c */
+
+/** bundle_customers_init() - initialize without a table of customers */
+void bundle_customers_init(struct bundle_reader *r);
+
+/** bundle_customers_clear() - free the customers of a reader */
+void bundle_customers_clear(struct bundle_reader *r);
+
+/** bundle_begin_customers() - the bundle has a table of customers, which may be
+ * empty */
+void bundle_begin_customers(struct bundle_reader *r);
+
+/** bundle_add_customer() - add a customer; a name that is NULL was missing and
+ * is recorded as a problem already */
+void bundle_add_customer(struct bundle_reader *r,
+    const struct bundle_customer *customer, const struct doc_path *at);
+
+/** bundle_read_customers() - read the list of customers */
+void bundle_read_customers(
+    struct bundle_reader *r, json_t *customers, const struct doc_path *at);
+
+/** bundle_split_customers() - append the sections of the table of customers */
+void bundle_split_customers(const struct bundle_reader *r, GPtrArray *sections);
+
 /** json_check_keys() - record keys that are not in a NULL-terminated list */
 void json_check_keys(json_t *object, const char *const *known,
     const struct doc_path *at, struct problems *p);
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -214,6 +214,7 @@
 	out.methods = route->methods;
 	out.idempotent = route->idempotent;
 	out.below = route->below;
+	out.keyless = route->keyless;
 	if (route->prefix != NULL)
 		set_prefix(r, route->prefix, at, &out);
 	if (route->host != NULL)
@@ -245,7 +246,7 @@
 {
 	static const char *const known[] = {"prefix", "methods", "service",
 	    "idempotent", "host", "below", "weight", "timeout_ms", "target_ms",
-	    "priority", "attempts", NULL};
+	    "priority", "attempts", "keyless", NULL};
 	struct bundle_route out = {0};
 
 	if (!json_is_object(route)) {
@@ -261,6 +262,7 @@
 	out.idempotent = read_flag(r, route, "idempotent", at,
 	    out.methods != 0 && (out.methods & ~METHOD_SAFE) == 0);
 	out.below = read_flag(r, route, "below", at, false);
+	out.keyless = read_flag(r, route, "keyless", at, false);
 	if (json_object_get(route, "host") != NULL)
 		out.host = json_require_string(route, "host", at, r->p);
 	read_numbers(r, route, at, out.numbers);
--- a/packages/config/src/catalog.c
+++ b/packages/config/src/catalog.c
@@ -47,6 +47,7 @@
 	g_ptr_array_unref(c->ring);
 	contents_free(c->contents);
 	route_table_unref(c->routes);
+	customer_table_unref(c->customers);
 	g_ptr_array_unref(c->sections);
 	g_free(c);
 }
--- a/packages/config/src/catalog_defs.h
+++ b/packages/config/src/catalog_defs.h
@@ -6,6 +6,7 @@
 
 #include "config/catalog.h"
 #include "contents.h"
+#include "customer_table.h"
 #include "proto/messages.h"
 #include "route_table.h"
 
@@ -68,6 +69,7 @@
  * @sections: struct service_config, sorted by section; references are held
  * @n_services: number of services in @sections
  * @routes: routes of all services; a reference is held
+ * @customers: table of customers; a reference is held; NULL for none
  * @contents: contents of the current version and of the changes in @ring
  * @ring: struct ring_entry of the last commits, oldest first
  * @patch_cache: PATCH_CACHE_ENTRIES entries, indexed by the target's hash
@@ -80,6 +82,7 @@
 	GPtrArray *sections;
 	uint32_t n_services;
 	struct route_table *routes;
+	struct customer_table *customers;
 	struct contents *contents;
 	GPtrArray *ring;
 	struct patch_cache_entry *patch_cache;
--- a/packages/config/src/commit.c
+++ b/packages/config/src/commit.c
@@ -13,6 +13,7 @@
  * @sections: struct service_config, in the order of @list
  * @n_services: number of services in @sections
  * @routes: routes of all services
+ * @customers: table of customers, or NULL
  * @content_bytes: total size of the contents in bytes
  * @config_bytes: memory of @sections and @routes in bytes
  */
@@ -22,6 +23,7 @@
 	GPtrArray *sections;
 	uint32_t n_services;
 	struct route_table *routes;
+	struct customer_table *customers;
 	uint64_t content_bytes;
 	uint64_t config_bytes;
 };
@@ -42,6 +44,7 @@
 	if (sv->sections != NULL)
 		g_ptr_array_unref(sv->sections);
 	route_table_unref(sv->routes);
+	customer_table_unref(sv->customers);
 	g_free(sv);
 }
 
@@ -144,7 +147,7 @@
 	for (i = 0; i < sv->sections->len; i++, before = sc) {
 		sc = g_ptr_array_index(sv->sections, i);
 		if (before == NULL || strcmp(before->name, sc->name) != 0) {
-			sv->n_services++;
+			sv->n_services += sc->holds_customers ? 0 : 1;
 			continue;
 		}
 		if (same_numbers(before, sc) &&
@@ -214,13 +217,24 @@
 	return STATUS_OK;
 }
 
+static enum status
+staged_version_customers(const struct catalog *c, struct staged_version *sv)
+{
+	if (!customer_table_is_of(c->customers, sv->sections))
+		return customer_table_new(sv->sections, &sv->customers);
+	if (c->customers != NULL)
+		sv->customers = customer_table_ref(c->customers);
+	return STATUS_OK;
+}
+
 static void
 sum_config_bytes(struct staged_version *sv)
 {
 	const struct service_config *sc;
 	uint32_t i;
 
-	sv->config_bytes = route_table_bytes(sv->routes);
+	sv->config_bytes =
+	    route_table_bytes(sv->routes) + customer_table_bytes(sv->customers);
 	for (i = 0; i < sv->sections->len; i++) {
 		sc = g_ptr_array_index(sv->sections, i);
 		sv->config_bytes += sc->size_bytes + ALLOC_OVERHEAD_BYTES;
@@ -259,6 +273,8 @@
 		st = check_parts(sv);
 	if (st == STATUS_OK)
 		st = staged_version_routes(stage->c, sv);
+	if (st == STATUS_OK)
+		st = staged_version_customers(stage->c, sv);
 	if (st != STATUS_OK)
 		return st;
 	sum_config_bytes(sv);
@@ -332,6 +348,8 @@
 	c->n_services = sv->n_services;
 	route_table_unref(c->routes);
 	c->routes = g_steal_pointer(&sv->routes);
+	customer_table_unref(c->customers);
+	c->customers = g_steal_pointer(&sv->customers);
 	c->version = stage->version;
 	c->root = stage->root;
 	c->config_bytes = sv->config_bytes;
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -1,5 +1,6 @@
 /*
- * Parts of a service whose routes don't fit into one section.
+ * Parts of a service whose routes, or of a table of customers, don't fit into
+ * one section.
  */
 #include "parts.h"
 
@@ -9,6 +10,9 @@
 #include "rules.h"
 #include "section_build.h"
 
+/* Largest encoding of a customer in a section without its name and keys. */
+#define CUSTOMER_FIXED_BYTES 48
+
 /* Separates the name of a service and of a part.  Names of services can't
  * contain the separator, which sorts before their characters, so the parts of a
  * service are adjacent in a sorted list. */
@@ -26,22 +30,28 @@
 /* All nodes must use the same seed; its value is arbitrary. */
 #define PART_HASH_SEED 29
 
-/** struct leaf_route - a borrowed route and its path in the trie */
-struct leaf_route {
+/**
+ * struct leaf - a route or a customer and its path in the trie
+ * @bits: first bits of its hash
+ * @bytes: largest size of its encoding
+ * @index: its index in the message that is split
+ */
+struct leaf {
 	uint32_t bits;
-	const struct rec_section_route *route;
+	uint32_t bytes;
+	uint32_t index;
 };
 
 /**
  * struct part_split - a service while it is split
  * @m: the service
- * @routes: struct leaf_route, sorted by bits
- * @bytes: prefix sums of the routes' sizes, uint64_t
+ * @leaves: struct leaf, sorted by bits
+ * @bytes: prefix sums of the leaves' sizes, uint64_t
  * @sections: receives the sections
  */
 struct part_split {
 	const struct msg_section *m;
-	GArray *routes;
+	GArray *leaves;
 	GArray *bytes;
 	GPtrArray *sections;
 };
@@ -67,10 +77,26 @@
 	    (uint32_t)(strlen(route->prefix) + strlen(route->host));
 }
 
+static uint32_t
+customer_hash_bits(const struct rec_section_customer *customer)
+{
+	uint64_t h =
+	    hash64(customer->name, strlen(customer->name), PART_HASH_SEED);
+
+	return (uint32_t)(h >> (64 - PART_BITS_MAX));
+}
+
+static uint32_t
+customer_bytes(const struct rec_section_customer *customer)
+{
+	return CUSTOMER_FIXED_BYTES + (uint32_t)strlen(customer->name) +
+	    customer->keys_len;
+}
+
 static int
-leaf_route_compare(const void *a, const void *b)
+leaf_compare(const void *a, const void *b)
 {
-	const struct leaf_route *x = a, *y = b;
+	const struct leaf *x = a, *y = b;
 
 	return (x->bits > y->bits) - (x->bits < y->bits);
 }
@@ -81,10 +107,10 @@
 	return (bits >> (PART_BITS_MAX - 1 - depth) & 1) != 0;
 }
 
-static struct leaf_route *
-leaf_route_at(const struct part_split *ps, uint32_t i)
+static struct leaf *
+leaf_at(const struct part_split *ps, uint32_t i)
 {
-	return &g_array_index(ps->routes, struct leaf_route, i);
+	return &g_array_index(ps->leaves, struct leaf, i);
 }
 
 static uint64_t
@@ -94,23 +120,58 @@
 	    g_array_index(ps->bytes, uint64_t, low);
 }
 
+/* Copies the routes from @low to @high; the caller frees them. */
+static void
+copy_routes(const struct part_split *ps, uint32_t low, uint32_t high,
+    struct msg_section *m)
+{
+	uint32_t i;
+
+	m->n_routes = high - low;
+	m->routes = g_new0(struct rec_section_route, m->n_routes);
+	for (i = 0; i < m->n_routes; i++)
+		m->routes[i] = ps->m->routes[leaf_at(ps, low + i)->index];
+	routes_sort(m->routes, m->n_routes);
+}
+
+/* Copies the customers from @low to @high; the caller frees them. */
+static void
+copy_customers(const struct part_split *ps, uint32_t low, uint32_t high,
+    struct msg_section *m)
+{
+	uint32_t i;
+
+	m->n_customers = high - low;
+	m->customers = g_new0(struct rec_section_customer, m->n_customers);
+	for (i = 0; i < m->n_customers; i++)
+		m->customers[i] = ps->m->customers[leaf_at(ps, low + i)->index];
+	customers_sort(m->customers, m->n_customers);
+}
+
+static bool
+has_customers(const struct part_split *ps)
+{
+	return strcmp(ps->m->service, CUSTOMERS_SECTION) == 0;
+}
+
 static void
 add_leaf(struct part_split *ps, uint32_t low, uint32_t high, const char *part)
 {
 	struct msg_section m = *ps->m;
-	uint32_t i;
 
-	m.n_routes = high - low;
-	m.routes = g_new0(struct rec_section_route, m.n_routes);
 	(void)g_strlcpy(m.part, part, sizeof(m.part));
-	for (i = 0; i < m.n_routes; i++)
-		m.routes[i] = *leaf_route_at(ps, low + i)->route;
-	routes_sort(m.routes, m.n_routes);
-	g_ptr_array_add(ps->sections, section_new(&m));
-	g_free(m.routes);
+	if (has_customers(ps)) {
+		copy_customers(ps, low, high, &m);
+		g_ptr_array_add(ps->sections, section_new(&m));
+		g_free(m.customers);
+	} else {
+		copy_routes(ps, low, high, &m);
+		g_ptr_array_add(ps->sections, section_new(&m));
+		g_free(m.routes);
+	}
 }
 
-/* Index of the first route in the 1 branch of a node. */
+/* Index of the first leaf in the 1 branch of a node. */
 static uint32_t
 find_one_branch(
     const struct part_split *ps, uint32_t low, uint32_t high, uint32_t depth)
@@ -119,7 +180,7 @@
 
 	while (low < high) {
 		mid = low + (high - low) / 2;
-		if (bit_at(leaf_route_at(ps, mid)->bits, depth))
+		if (bit_at(leaf_at(ps, mid)->bits, depth))
 			high = mid;
 		else
 			low = mid + 1;
@@ -127,7 +188,7 @@
 	return low;
 }
 
-/* Add the node named @part with the routes from @low to @high: as a section, or
+/* Add the node named @part with the leaves from @low to @high: as a section, or
  * split into two child nodes. */
 static void
 split_node(struct part_split *ps, uint32_t low, uint32_t high, char *part)
@@ -150,26 +211,37 @@
 	part[depth] = '\0';
 }
 
+static void
+add_leaves(struct part_split *ps)
+{
+	struct leaf leaf;
+
+	for (leaf.index = 0; leaf.index < ps->m->n_routes; leaf.index++) {
+		leaf.bits = route_hash_bits(&ps->m->routes[leaf.index]);
+		leaf.bytes = route_bytes(&ps->m->routes[leaf.index]);
+		g_array_append_val(ps->leaves, leaf);
+	}
+	for (leaf.index = 0; leaf.index < ps->m->n_customers; leaf.index++) {
+		leaf.bits = customer_hash_bits(&ps->m->customers[leaf.index]);
+		leaf.bytes = customer_bytes(&ps->m->customers[leaf.index]);
+		g_array_append_val(ps->leaves, leaf);
+	}
+	g_array_sort(ps->leaves, leaf_compare);
+}
+
 static void
 part_split_init(struct part_split *ps, const struct msg_section *m)
 {
-	struct leaf_route leaf;
 	uint64_t bytes = 0;
 	uint32_t i;
 
 	ps->m = m;
-	ps->routes = g_array_sized_new(FALSE, FALSE, sizeof(leaf), m->n_routes);
-	ps->bytes =
-	    g_array_sized_new(FALSE, FALSE, sizeof(bytes), m->n_routes + 1);
-	for (i = 0; i < m->n_routes; i++) {
-		leaf.route = &m->routes[i];
-		leaf.bits = route_hash_bits(leaf.route);
-		g_array_append_val(ps->routes, leaf);
-	}
-	g_array_sort(ps->routes, leaf_route_compare);
+	ps->leaves = g_array_new(FALSE, FALSE, sizeof(struct leaf));
+	ps->bytes = g_array_new(FALSE, FALSE, sizeof(bytes));
+	add_leaves(ps);
 	g_array_append_val(ps->bytes, bytes);
-	for (i = 0; i < m->n_routes; i++) {
-		bytes += route_bytes(leaf_route_at(ps, i)->route);
+	for (i = 0; i < ps->leaves->len; i++) {
+		bytes += leaf_at(ps, i)->bytes;
 		g_array_append_val(ps->bytes, bytes);
 	}
 }
@@ -182,9 +254,9 @@
 
 	part_split_init(&ps, m);
 	ps.sections = sections;
-	split_node(&ps, 0, m->n_routes, part);
+	split_node(&ps, 0, ps.leaves->len, part);
 	g_array_unref(ps.bytes);
-	g_array_unref(ps.routes);
+	g_array_unref(ps.leaves);
 }
 
 static bool
@@ -212,6 +284,7 @@
 {
 	struct doc_path part_at = {NULL, "part", DOC_PATH_NO_INDEX};
 	struct doc_path routes_at = {NULL, "routes", DOC_PATH_NO_INDEX};
+	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
 	struct doc_path at = {&routes_at, NULL, 0};
 	uint32_t i;
 
@@ -226,6 +299,13 @@
 			problems_add(p, &at, "move it to that part",
 			    "the route belongs in another part");
 	}
+	at.parent = &customers_at;
+	for (i = 0; i < m->n_customers; i++) {
+		at.index = i;
+		if (!part_covers(m->part, customer_hash_bits(&m->customers[i])))
+			problems_add(p, &at, "move it to that part",
+			    "the customer belongs in another part");
+	}
 }
 
 void
@@ -251,14 +331,23 @@
 	return true;
 }
 
+/* Whether a text is the name of a service or of the table of customers. */
+static bool
+whole_name_valid(const char *name, size_t len)
+{
+	return service_name_valid(name, len) ||
+	    (len == strlen(CUSTOMERS_SECTION) &&
+		memcmp(name, CUSTOMERS_SECTION, len) == 0);
+}
+
 bool
 section_name_valid(const char *name)
 {
 	const char *separator = strchr(name, PART_SEPARATOR);
 
 	if (separator == NULL)
-		return service_name_valid(name, strlen(name));
-	return service_name_valid(name, (size_t)(separator - name)) &&
+		return whole_name_valid(name, strlen(name));
+	return whole_name_valid(name, (size_t)(separator - name)) &&
 	    separator[1] != '\0' && part_name_valid(separator + 1);
 }
 
--- a/packages/config/src/route_table.c
+++ b/packages/config/src/route_table.c
@@ -100,11 +100,14 @@
 	GArray *drafts;
 
 	drafts = g_array_new(FALSE, FALSE, sizeof(struct draft_entry));
-	for (i = 0; i < sections->len; i++, before = sc) {
+	for (i = 0; i < sections->len; i++) {
 		sc = g_ptr_array_index(sections, i);
+		if (sc->holds_customers)
+			continue;
 		if (before != NULL && strcmp(before->name, sc->name) != 0)
 			service++;
 		add_section(drafts, text, sc, service, i);
+		before = sc;
 	}
 	for (i = 0; i < drafts->len; i++) {
 		d = &g_array_index(drafts, struct draft_entry, i);
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -105,6 +105,15 @@
 	    value, rule->min, rule->max);
 }
 
+void
+numbers_set_default(struct msg_section *m)
+{
+	const struct number_rule *rule;
+
+	for (rule = number_rules; rule->key != NULL; rule++)
+		number_store(rule, m, rule->default_value);
+}
+
 uint64_t
 number_clamp(const struct number_rule *rule, int64_t value,
     const struct doc_path *at, struct problems *p)
@@ -380,6 +389,89 @@
 	}
 }
 
+static int
+customer_compare(const void *a, const void *b)
+{
+	const struct rec_section_customer *x = a, *y = b;
+
+	return strcmp(x->name, y->name);
+}
+
+void
+customers_sort(struct rec_section_customer *customers, uint32_t n_customers)
+{
+	if (n_customers > 1)
+		qsort(customers, n_customers, sizeof(*customers),
+		    customer_compare);
+}
+
+void
+customer_name_check(
+    const char *name, const struct doc_path *at, struct problems *p)
+{
+	const char *c;
+
+	for (c = name; *c != '\0'; c++)
+		if ((unsigned char)*c < ' ' || *c == '\x7f')
+			break;
+	if (*name == '\0' || *c != '\0' || strlen(name) >= CUSTOMER_NAME_BYTES)
+		problems_add(p, at,
+		    "use 1 to 127 bytes without control characters",
+		    "invalid name of a customer");
+	else if (*name == ' ' || c[-1] == ' ')
+		problems_add(p, at, "remove the space at its begin or end",
+		    "a header can't carry this name of a customer");
+}
+
+static bool
+keys_are_sorted(const struct rec_section_customer *customer)
+{
+	uint32_t i;
+
+	if (customer->keys_len % CUSTOMER_KEY_BYTES != 0)
+		return false;
+	for (i = CUSTOMER_KEY_BYTES; i < customer->keys_len;
+	     i += CUSTOMER_KEY_BYTES)
+		if (memcmp(customer->keys + i - CUSTOMER_KEY_BYTES,
+			customer->keys + i, CUSTOMER_KEY_BYTES) >= 0)
+			return false;
+	return true;
+}
+
+/* Record customers that are not in canonical form. */
+static void
+customers_check(const struct msg_section *m, struct problems *p)
+{
+	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
+	struct doc_path at = {&customers_at, NULL, 0};
+	uint32_t i;
+
+	for (i = 0; i < m->n_customers; i++) {
+		at.index = i;
+		customer_name_check(m->customers[i].name, &at, p);
+		if (!keys_are_sorted(&m->customers[i]))
+			problems_add(p, &at, "sort the keys",
+			    "the keys are not in canonical form");
+		if (i > 0 &&
+		    customer_compare(&m->customers[i - 1], &m->customers[i]) >=
+			0)
+			problems_add(p, &at, "sort the customers",
+			    "the customers are not in canonical order");
+	}
+}
+
+/* Only the table of customers has customers, and it has nothing else. */
+static void
+contents_check(const struct msg_section *m, struct problems *p)
+{
+	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
+	bool table = strcmp(m->service, CUSTOMERS_SECTION) == 0;
+
+	if ((table && m->n_routes > 0) || (!table && m->n_customers > 0))
+		problems_add(p, &customers_at, "move them",
+		    "routes and customers are in one section");
+}
+
 void
 section_check(const struct msg_section *m, struct problems *p)
 {
@@ -390,7 +482,10 @@
 	struct doc_path at = {&routes_at, NULL, 0};
 	uint32_t i;
 
-	service_name_check(m->service, strlen(m->service), &service_at, p);
+	contents_check(m, p);
+	if (strcmp(m->service, CUSTOMERS_SECTION) != 0)
+		service_name_check(
+		    m->service, strlen(m->service), &service_at, p);
 	for (rule = number_rules; rule->key != NULL; rule++) {
 		number_at.key = rule->key;
 		number_check(rule, number_load(rule, m), &number_at, p);
@@ -400,4 +495,5 @@
 		route_check(&m->routes[i], &at, p);
 	}
 	routes_order_check(m, p);
+	customers_check(m, p);
 }
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -63,6 +63,9 @@
 uint64_t number_clamp(const struct number_rule *rule, int64_t value,
     const struct doc_path *at, struct problems *p);
 
+/** numbers_set_default() - set all numbers of a section to their defaults */
+void numbers_set_default(struct msg_section *m);
+
 /** number_check() - record a problem if a number is out of range */
 void number_check(const struct number_rule *rule, uint64_t value,
     const struct doc_path *at, struct problems *p);
@@ -124,6 +127,14 @@
 /** routes_sort() - sort routes into canonical order */
 void routes_sort(struct rec_section_route *routes, uint32_t n_routes);
 
+/** customers_sort() - sort customers into canonical order */
+void
+customers_sort(struct rec_section_customer *customers, uint32_t n_customers);
+
+/** customer_name_check() - record a name that can't be sent in a header */
+void customer_name_check(
+    const char *name, const struct doc_path *at, struct problems *p);
+
 /** section_check() - record all problems within a section */
 void section_check(const struct msg_section *m, struct problems *p);
 
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -8,7 +8,7 @@
 #include "rules.h"
 #include "section_build.h"
 
-/* Size of a service with its routes and their texts. */
+/* Size of a service with its routes, customers, keys and texts. */
 static size_t
 config_size(const struct msg_section *m)
 {
@@ -17,6 +17,10 @@
 
 	size = sizeof(struct service_config);
 	size += m->n_routes * sizeof(struct service_route);
+	size += m->n_customers * sizeof(struct customer_config);
+	for (i = 0; i < m->n_customers; i++)
+		size +=
+		    m->customers[i].keys_len + strlen(m->customers[i].name) + 1;
 	for (i = 0; i < m->n_routes; i++)
 		size += strlen(m->routes[i].prefix) + 1 +
 		    strlen(m->routes[i].host) + 1;
@@ -70,6 +74,45 @@
 	    text, from->host, &route->host, &route->host_len);
 }
 
+/* Copies keys and name into the space after the customers; Return: end of the
+ * copies. */
+static char *
+config_set_customer(struct customer_config *customer,
+    const struct rec_section_customer *from, char *text)
+{
+	uint32_t len;
+
+	customer->info.id = customer_id(from->name);
+	customer->info.priority =
+	    from->priority > 0 ? from->priority - 1 : CUSTOMER_PRIORITY_NONE;
+	customer->info.rate_milli_per_s = from->rate_milli_per_s;
+	customer->info.burst_milli = from->burst_milli;
+	customer->keys = (const struct customer_key *)(const void *)text;
+	customer->n_keys = from->keys_len / CUSTOMER_KEY_BYTES;
+	if (from->keys_len > 0)
+		memcpy(text, from->keys, from->keys_len);
+	return config_set_text(
+	    text + from->keys_len, from->name, &customer->info.name, &len);
+}
+
+/* Customers lie after the routes, and the texts of both after them. */
+static char *
+config_set_customers(struct service_config *sc, const struct msg_section *m)
+{
+	char *text;
+	uint32_t i;
+
+	sc->holds_customers = strcmp(m->service, CUSTOMERS_SECTION) == 0;
+	sc->customers =
+	    (struct customer_config *)(void *)(sc->routes + m->n_routes);
+	sc->n_customers = m->n_customers;
+	text = (char *)(sc->customers + m->n_customers);
+	for (i = 0; i < m->n_customers; i++)
+		text = config_set_customer(
+		    &sc->customers[i], &m->customers[i], text);
+	return text;
+}
+
 static void
 config_set_routes(struct service_config *sc, const struct msg_section *m)
 {
@@ -78,7 +121,7 @@
 
 	sc->routes = (struct service_route *)(sc + 1);
 	sc->n_routes = m->n_routes;
-	text = (char *)(sc->routes + m->n_routes);
+	text = config_set_customers(sc, m);
 	for (i = 0; i < m->n_routes; i++)
 		text = config_set_route(&sc->routes[i], &m->routes[i], text);
 }
--- a/packages/config/src/snapshot.c
+++ b/packages/config/src/snapshot.c
@@ -23,6 +23,8 @@
 	const struct service_config *sc = s->sections[i];
 	struct snapshot_service *service;
 
+	if (sc->holds_customers)
+		return;
 	if (i > 0 && strcmp(s->sections[i - 1]->name, sc->name) == 0) {
 		s->services[s->n_services - 1].n_sections++;
 		return;
@@ -50,6 +52,8 @@
 	s->sections = g_new0(struct service_config *, s->n_sections);
 	s->services = g_new0(struct snapshot_service, c->n_services);
 	s->routes = route_table_ref(c->routes);
+	if (c->customers != NULL)
+		s->customers = customer_table_ref(c->customers);
 	for (i = 0; i < s->n_sections; i++) {
 		s->sections[i] =
 		    service_config_ref(g_ptr_array_index(c->sections, i));
@@ -80,6 +84,7 @@
 	g_free(s->services);
 	g_free(s->sections);
 	route_table_unref(s->routes);
+	customer_table_unref(s->customers);
 	g_free(s);
 }
 
