feat(node): a request's customer is found by its key at the entry and named to the upstream

The product knew no customers: each request of a deployment whose bundle has a table of customers ran unnamed, also with removed keys.

--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -192,6 +192,21 @@
 	return 0;
 }
 
+/* A key is hashed here and not kept: no later step needs its text. */
+static void
+read_customer_key(const struct callers *c,
+    const struct http_incoming_head *head, struct call_request *r)
+{
+	const char *name = c->dialect->customer_key;
+	const char *key;
+
+	r->customer_keys = name != NULL ? count_headers(head, name) : 0;
+	if (r->customer_keys != 1)
+		return;
+	key = find_header(head, name);
+	customer_key_make(key, strlen(key), &r->customer_key);
+}
+
 uint32_t
 callers_request_read(const struct callers *c,
     const struct http_incoming_head *head, struct call_request *r)
@@ -211,5 +226,7 @@
 		status = read_deadline(c, head, r);
 	if (status == 0)
 		status = read_identifiers(c, head, r);
+	if (status == 0)
+		read_customer_key(c, head, r);
 	return status;
 }
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -76,6 +76,10 @@
 	}
 	m->time_left_ms = (uint32_t)MIN(left_ms, UINT32_MAX);
 	m->priority = c->route->priority;
+	if (c->customer != NULL) {
+		m->customer = c->customer->id;
+		m->customer_priority = c->customer->priority + 1;
+	}
 	if (c->target_ms != 0)
 		m->target_left_ms = (uint32_t)MAX(
 		    MIN(clock_left_ms(c->target_ms, now_ms), UINT32_MAX), 1);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -22,6 +22,7 @@
 /* Time limit for reaching a guard for a resolve. */
 #define RESOLVE_LIMIT_MS 2000
 
+#define HTTP_UNAUTHORIZED 401
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
 #define HTTP_CONTENT_TOO_LARGE 413
@@ -447,10 +448,21 @@
 	return now_ms + c->route->target_ms - MIN(waited_ms, now_ms);
 }
 
+/**
+ * struct accepted - what the version in force says of a request
+ * @match: its route and service
+ * @customer: its customer, or NULL
+ */
+struct accepted {
+	struct route_match match;
+	const struct customer *customer;
+};
+
 static struct entry_call *
 call_create(
-    struct entry *e, struct call_exchange *x, const struct route_match *match)
+    struct entry *e, struct call_exchange *x, const struct accepted *accepted)
 {
+	const struct route_match *match = &accepted->match;
 	struct entry_call *c = g_new0(struct entry_call, 1);
 	struct call_request *r = call_exchange_request(x);
 	struct call_config cfg;
@@ -463,6 +475,7 @@
 	c->service = entry_service_get(e, match->service);
 	c->config = match->service->config;
 	c->route = match->route;
+	c->customer = accepted->customer;
 	c->idempotent = match->route->idempotent;
 	c->keyed = r->key != NULL && !c->idempotent;
 	c->sequence = ++e->sequence;
@@ -478,6 +491,7 @@
 	c->link.data = c;
 	g_queue_push_tail_link(&e->calls, &c->link);
 	call_exchange_set_entry_data(x, c);
+	entry_customer_name(c, r);
 	return c;
 }
 
@@ -518,8 +532,9 @@
 }
 
 static bool
-route_call(struct entry *e, struct call_exchange *x, struct route_match *match)
+route_call(struct entry *e, struct call_exchange *x, struct accepted *accepted)
 {
+	struct route_match *match = &accepted->match;
 	const struct call_request *r = call_exchange_request(x);
 	enum http_method method;
 
@@ -543,9 +558,13 @@
 		return refuse(e, x, HTTP_METHOD_NOT_ALLOWED, "invalid",
 		    "the route does not accept this method; use another one.");
 	case ROUTE_FOUND:
-		choose_by_weight(e, match);
 		break;
 	}
+	if (!entry_customer_find(e, r, match->route, &accepted->customer))
+		return refuse(e, x, HTTP_UNAUTHORIZED, "unauthorized",
+		    "the request needs the key of a customer; send a valid "
+		    "one.");
+	choose_by_weight(e, match);
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
 		max_body_bytes(e, &match->service->config->limits))
@@ -558,16 +577,16 @@
 void
 entry_call_begin(struct entry *e, struct call_exchange *x)
 {
-	struct route_match match;
+	struct accepted accepted;
 	struct entry_call *c;
 	struct exchange_events events;
 
-	if (!route_call(e, x, &match)) {
+	if (!route_call(e, x, &accepted)) {
 		entry_call_ended(e);
 		call_exchange_unref(x);
 		return;
 	}
-	c = call_create(e, x, &match);
+	c = call_create(e, x, &accepted);
 	call_exchange_accept(x);
 	call_exchange_poll(x, &events);
 	c->body.exchange_end = events.request_body_end;
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -267,6 +267,7 @@
  * @service: the service
  * @config: configuration of @service in @snapshot
  * @route: the route in @snapshot
+ * @customer: the customer in @snapshot, or NULL
  * @deadline_ms: monotonic deadline: the earlier of the caller's deadline and
  *	the configured timeout
  * @target_ms: monotonic time after which the answer is worth less; 0 when not
@@ -294,6 +295,7 @@
 	struct entry_service *service;
 	const struct service_config *config;
 	const struct service_route *route;
+	const struct customer *customer;
 	uint64_t deadline_ms;
 	uint64_t target_ms;
 	bool idempotent;
@@ -425,6 +427,25 @@
 /** entry_call_free() - free a call */
 void entry_call_free(struct entry_call *c);
 
+/* entry_customer.c */
+
+/**
+ * entry_customer_find() - find the customer of a request
+ * @e: the entry
+ * @r: the request
+ * @route: its route in the snapshot in force
+ * @customer: receives the customer, valid as long as the snapshot; NULL for a
+ *	request that needs none
+ *
+ * Return: false if the request needs a key and has none that is valid.
+ */
+bool entry_customer_find(const struct entry *e, const struct call_request *r,
+    const struct service_route *route, const struct customer **customer);
+
+/** entry_customer_name() - add the customer's name to the headers for the
+ * upstream */
+void entry_customer_name(const struct entry_call *c, struct call_request *r);
+
 /* entry_behind.c */
 
 /**
