--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -1,15 +1,18 @@
 /*
  * HTTP/1.1 server in an event loop; messages are parsed by libhttp-parser.
  *
- * A connection serves one request at a time; pipelined requests wait in a
- * bounded buffer and are served in order.  A message of ambiguous length is
- * rejected and its connection closed, which prevents request smuggling.
+ * Pipelined requests are dispatched in order and answered in order.  They run
+ * side by side where may_overlap() allows it for each of them; others wait in a
+ * bounded buffer until those before them are answered.  An answer that is
+ * written before its turn waits in a buffer of its own, to which
+ * HTTP_OUTPUT_LOW_BYTES applies as to a slow caller.  A message of ambiguous
+ * length is rejected and its connection closed, which prevents request
+ * smuggling.
  *
  * A caller that closes its side of the connection has left: it gets no answer,
- * also where HTTP would let it read on.  While its request is being served,
- * on_gone() is called at once, whether or not data is read at the moment;
- * requests that precede the end unread are dropped, except with
- * serve_departed.
+ * also where HTTP would let it read on.  For each request under way on_gone()
+ * is called at once, whether or not data is read at the moment; requests that
+ * precede the end unread are dropped, except with serve_departed.
  *
  * All functions must be called in the loop's thread.
  */
@@ -51,6 +54,10 @@
  * struct http_server_handler - callbacks of a server
  * @on_request: the head of a request was received; the owner may set the
  *	request's argument and may answer at once
+ * @may_overlap: whether a request without a body may be dispatched while
+ *	earlier ones that may overlap are under way, and later ones beside it;
+ *	a caller may have to send it again, so it must be safe to run more than
+ *	once; NULL for never
  * @on_body: a piece of the request's body was received
  * @on_body_end: the complete body was received
  * @on_writable: the buffered output has fallen to HTTP_OUTPUT_LOW_BYTES; may
@@ -70,6 +77,7 @@
 struct http_server_handler {
 	void (*on_request)(struct http_incoming *q,
 	    const struct http_incoming_head *head, void *server_arg);
+	bool (*may_overlap)(const struct http_incoming_head *head, void *arg);
 	void (*on_body)(
 	    struct http_incoming *q, const uint8_t *data, size_t len);
 	void (*on_body_end)(struct http_incoming *q);
@@ -91,6 +99,8 @@
  * @stall_ms: time limit for progress while a body is received or an answer
  *	is sent
  * @conns_max: maximum number of connections; further ones are closed on accept
+ * @overlap_max: maximum number of requests of a connection whose answers are
+ *	not sent; 1 for one at a time
  */
 struct http_server_limits {
 	uint32_t head_max_bytes;
@@ -98,6 +108,7 @@
 	uint32_t idle_ms;
 	uint32_t stall_ms;
 	uint32_t conns_max;
+	uint32_t overlap_max;
 };
 
 #define HTTP_SERVER_HEAD_MAX_BYTES 16384U
@@ -105,6 +116,9 @@
 #define HTTP_SERVER_IDLE_MS 15000U
 #define HTTP_SERVER_STALL_MS 10000U
 #define HTTP_SERVER_CONNS_MAX 16384U
+/* The calls that a caller typically makes at once for one page; it bounds the
+ * memory of waiting answers, and what one connection takes from others. */
+#define HTTP_SERVER_OVERLAP_MAX 8U
 
 /**
  * http_server_new() - create a server and listen for requests
@@ -112,7 +126,7 @@
  * @at: address to listen on; port 0 selects a free port
  * @limits: copied; NULL for the defaults
  * @handler: callbacks; must outlive the server
- * @arg: passed to on_request() and on_bad()
+ * @arg: passed to on_request(), may_overlap() and on_bad()
  * @out: receives the server
  *
  * Return: STATUS_OK, or STATUS_IO when the address can't be bound.
@@ -159,6 +173,9 @@
 /** http_incoming_arg() - the owner's argument; NULL unless set */
 void *http_incoming_arg(const struct http_incoming *q);
 
+/** http_incoming_is_behind() - whether an earlier request is not answered */
+bool http_incoming_is_behind(const struct http_incoming *q);
+
 /** http_incoming_pause() - suspend on_body() until http_incoming_resume() */
 void http_incoming_pause(struct http_incoming *q);
 
@@ -182,7 +199,8 @@
  *	is sent as given
  * @n: number of @headers
  * @body_bytes: length of the body, HTTP_BODY_CHUNKED or HTTP_BODY_NONE
- * @close: close the connection after the answer
+ * @close: read no further request and close the connection after the last
+ *	request under way
  */
 void http_incoming_answer(struct http_incoming *q, int code,
     const struct http_header *headers, uint32_t n, int64_t body_bytes,
@@ -198,7 +216,9 @@
  * http_incoming_abort() - abort an incomplete answer
  *
  * The connection is reset, so that the caller detects that the answer is
- * incomplete.  @q is invalid afterwards.
+ * incomplete.  Behind an earlier request nothing of the answer was sent: the
+ * connection is closed when its turn comes.  The requests behind it end as
+ * departures.  @q is invalid afterwards.
  */
 void http_incoming_abort(struct http_incoming *q);
 
--- a/packages/net/src/http_incoming.c
+++ b/packages/net/src/http_incoming.c
@@ -1,259 +1,100 @@
 /*
- * HTTP server: a connection and the answers on it.
+ * HTTP server: requests under way and their answers, which are sent in the
+ * order of the requests.
  */
-#include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "http_server_priv.h"
 
-#define READ_BYTES 32768
 #define HEAD_BYTES 512
 #define CHUNK_HEAD_BYTES 20
-/* Limit of pipelined data; above it the connection is not read. */
-#define PIPELINED_MAX_BYTES 65536U
-/* Time for which input is discarded after an answer that was sent before the
- * end of the request. */
-#define LINGER_MS 1000U
-#define MS_PER_S 1000U
+#define END_OF_HEAD "\r\n"
 #define LAST_CHUNK "0\r\n\r\n"
 #define CONTINUE_LINE "HTTP/1.1 100 Continue\r\n\r\n"
+#define CLOSE_LINE "Connection: close\r\n"
 
 /* Headers that the server sets itself. */
 static const char *const own_headers[] = {
     "Connection", "Keep-Alive", "Content-Length", "Transfer-Encoding"};
 
-static uint64_t
-now_ms(const struct http_incoming *q)
-{
-	return loop_now_ms(q->server->loop);
-}
-
-/* Closing */
-
-static void
-close_socket(struct http_incoming *q, bool reset)
-{
-	struct linger abort_linger = {.l_onoff = 1, .l_linger = 0};
-
-	if (reset)
-		(void)setsockopt(q->fd, SOL_SOCKET, SO_LINGER, &abort_linger,
-		    sizeof(abort_linger));
-	loop_fd_remove(q->watch);
-	(void)close(q->fd);
-	q->fd = -1;
-}
+/* Order */
 
-void
-http_incoming_close(struct http_incoming *q, bool reset)
+struct http_incoming *
+http_incoming_new(struct http_server_conn *c)
 {
-	struct http_server *s = q->server;
-	bool serving = q->state == INCOMING_SERVING;
+	struct http_incoming *q = g_new0(struct http_incoming, 1);
 
-	if (q->state == INCOMING_DEAD)
-		return;
-	q->state = INCOMING_DEAD;
-	g_queue_unlink(&s->conns, &q->link);
-	g_queue_push_tail_link(&s->dead, &q->link);
-	loop_task_defer(&s->task);
-	loop_timer_stop(&q->timer);
-	loop_task_cancel(&q->task);
-	close_socket(q, reset);
-	if (serving)
-		s->handler->on_gone(q);
+	q->conn = c;
+	q->link.data = q;
+	g_queue_push_tail_link(&c->requests, &q->link);
+	return q;
 }
 
 void
 http_incoming_free(struct http_incoming *q)
 {
-	http_request_clear(q);
-	if (q->pipelined != NULL)
-		g_byte_array_free(q->pipelined, TRUE);
 	if (q->out != NULL)
 		g_byte_array_free(q->out, TRUE);
 	g_free(q);
 }
 
-/* Watched events and timer */
-
-static bool
-wants_read(const struct http_incoming *q)
+struct http_incoming *
+http_incoming_first(const struct http_server_conn *c)
 {
-	uint32_t pipelined = q->pipelined != NULL ? q->pipelined->len : 0;
-
-	if (q->peer_ended)
-		return false;
-	if (q->state == INCOMING_SERVING && q->paused)
-		return false;
-	return pipelined < PIPELINED_MAX_BYTES;
+	return c->requests.head != NULL ? c->requests.head->data : NULL;
 }
 
-/* With serve_departed, the end is noticed in its place behind the data. */
 static bool
-watches_end(const struct http_incoming *q)
+is_first(const struct http_incoming *q)
 {
-	return !q->peer_ended && !q->server->handler->serve_departed;
+	return q->link.prev == NULL;
 }
 
-/* The end of the stream is watched even while nothing is read. */
-void
-http_incoming_watch(struct http_incoming *q)
-{
-	uint32_t events = watches_end(q) ? LOOP_HANGUP : 0;
-
-	if (q->state == INCOMING_DEAD)
-		return;
-	if (wants_read(q))
-		events |= LOOP_READ;
-	if (http_incoming_output_bytes(q) > 0)
-		events |= LOOP_WRITE;
-	loop_fd_set(q->watch, events);
-}
-
-static void
-set_timer(struct http_incoming *q, uint32_t after_ms)
-{
-	loop_timer_set(&q->timer, now_ms(q) + after_ms);
-}
-
-static void
-on_timer(void *arg)
+/* Whether the connection is closed after this answer. */
+static bool
+closes(const struct http_incoming *q)
 {
-	struct http_incoming *q = arg;
+	const GList *next = q->link.next;
 
-	http_incoming_close(q, false);
+	if (next == NULL)
+		return q->conn->closing;
+	return ((const struct http_incoming *)next->data)->aborted;
 }
 
-/* Between requests */
+/* Output */
 
-static void
-report_unread(const struct http_incoming *q)
+static GByteArray *
+append(GByteArray *out, const void *data, size_t len)
 {
-	struct http_server *s = q->server;
-
-	if (s->handler->on_unread != NULL)
-		s->handler->on_unread(s->arg);
+	if (out == NULL)
+		out = g_byte_array_sized_new(HEAD_BYTES);
+	return g_byte_array_append(out, data, (guint)len);
 }
 
+/* Removes what was sent once it is the larger part, so that the buffer of a
+ * long answer to a slow caller stays small. */
 static void
-become_idle(struct http_incoming *q)
+drop_sent(struct http_server_conn *c)
 {
-	struct http_server *s = q->server;
-
-	http_request_clear(q);
-	http_request_begin(q);
-	q->state = INCOMING_IDLE;
-	if (q->peer_ended &&
-	    (q->pipelined == NULL || !s->handler->serve_departed)) {
-		if (q->pipelined != NULL)
-			report_unread(q);
-		http_incoming_close(q, false);
+	if (c->out_sent <= HTTP_OUTPUT_LOW_BYTES ||
+	    c->out_sent < c->out->len / 2)
 		return;
-	}
-	set_timer(q, s->limits.idle_ms);
-	if (q->pipelined != NULL)
-		loop_task_defer(&q->task);
-	http_incoming_watch(q);
+	g_byte_array_remove_range(c->out, 0, (guint)c->out_sent);
+	c->out_sent = 0;
 }
 
-/* Parses pipelined data, resumes after a pause, and starts writing. */
 static void
-on_task(void *arg)
-{
-	struct http_incoming *q = arg;
-
-	http_request_feed(q, "", 0);
-	http_incoming_watch(q);
-}
-
-/*
- * The answer was sent before the complete request was read.  Closing now would
- * reset the connection, which could destroy the answer before the caller reads
- * it, so the input is discarded for LINGER_MS first.
- */
-static void
-linger(struct http_incoming *q)
-{
-	q->state = INCOMING_LINGERING;
-	(void)shutdown(q->fd, SHUT_WR);
-	set_timer(q, LINGER_MS);
-	http_incoming_watch(q);
-}
-
-void
-http_incoming_flushed(struct http_incoming *q)
-{
-	if (q->state != INCOMING_FLUSHING || q->parsing ||
-	    http_incoming_output_bytes(q) > 0)
-		return;
-	if (!q->body_done && !q->peer_ended)
-		linger(q);
-	else if (q->close)
-		http_incoming_close(q, false);
-	else
-		become_idle(q);
-}
-
-/* Writing */
-
-size_t
-http_incoming_output_bytes(const struct http_incoming *q)
-{
-	return q->out != NULL ? q->out->len - q->out_sent : 0;
-}
-
-/* Return: false when the connection has failed. */
-static bool
-write_some(struct http_incoming *q)
+add(struct http_incoming *q, const void *data, size_t len)
 {
-	size_t left = http_incoming_output_bytes(q);
-	ssize_t n;
+	struct http_server_conn *c = q->conn;
 
-	while (left > 0) {
-		n = send(q->fd, q->out->data + q->out_sent, left, MSG_NOSIGNAL);
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0)
-			return errno == EAGAIN;
-		q->out_sent += (size_t)n;
-		left -= (size_t)n;
-		if (left > 0 || q->state == INCOMING_FLUSHING)
-			set_timer(q, q->server->limits.stall_ms);
+	if (is_first(q)) {
+		c->out = append(c->out, data, len);
+		drop_sent(c);
+	} else {
+		q->out = append(q->out, data, len);
 	}
-	if (q->out != NULL)
-		g_byte_array_free(q->out, TRUE);
-	q->out = NULL;
-	q->out_sent = 0;
-	return true;
-}
-
-static void
-flush(struct http_incoming *q)
-{
-	if (!write_some(q)) {
-		http_incoming_close(q, true);
-		return;
-	}
-	if (q->state == INCOMING_SERVING && q->writable_due &&
-	    http_incoming_output_bytes(q) <= HTTP_OUTPUT_LOW_BYTES) {
-		q->writable_due = false;
-		if (q->server->handler->on_writable != NULL)
-			q->server->handler->on_writable(q);
-	}
-	http_incoming_flushed(q);
-	http_incoming_watch(q);
-}
-
-static void
-add(struct http_incoming *q, const void *data, size_t len)
-{
-	if (q->out == NULL)
-		q->out = g_byte_array_sized_new(HEAD_BYTES);
-	g_byte_array_append(q->out, data, (guint)len);
 	if (http_incoming_output_bytes(q) > HTTP_OUTPUT_LOW_BYTES)
 		q->writable_due = true;
 }
@@ -264,95 +105,86 @@
 	add(q, text, strlen(text));
 }
 
-/* Reading */
-
-bool
-http_incoming_has_unread(const struct http_incoming *q)
+/* Moves the part of an answer that waited for its turn to the connection. */
+static void
+move_output(struct http_incoming *q)
 {
-	char byte;
+	GByteArray *from = q->out;
+	size_t head = q->head_bytes;
 
-	return recv(q->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	if (from == NULL)
+		return;
+	q->out = NULL;
+	if (q->answered && closes(q)) {
+		add(q, from->data, head);
+		add_text(q, CLOSE_LINE);
+		add(q, from->data + head, from->len - head);
+	} else {
+		add(q, from->data, from->len);
+	}
+	g_byte_array_free(from, TRUE);
 }
 
-/*
- * The peer has closed its side.  Nobody reads an answer from now on, so data of
- * a request that precedes the end is dropped unread.
- */
+/* The caller gets no part of an answer that was aborted before its turn, so
+ * that a close shows that it is missing. */
 static void
-peer_ended(struct http_incoming *q)
+end_missing(struct http_server_conn *c)
 {
-	q->peer_ended = true;
-	if (q->state == INCOMING_HEAD ||
-	    (q->state == INCOMING_IDLE && http_incoming_has_unread(q)))
-		report_unread(q);
-	/* The complete answer is already being sent. */
-	if (q->state == INCOMING_FLUSHING)
-		http_incoming_watch(q);
-	else
-		http_incoming_close(q, false);
+	struct http_incoming *q;
+
+	while ((q = http_incoming_first(c)) != NULL) {
+		g_queue_unlink(&c->requests, &q->link);
+		http_incoming_free(q);
+	}
 }
 
+/* Gives those behind an answer that has ended their turn. */
 static void
-read_some(struct http_incoming *q)
-{
-	char buf[READ_BYTES];
-	ssize_t n;
-
-	n = recv(q->fd, buf, sizeof(buf), 0);
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
-	if (n < 0) {
-		http_incoming_close(q, false);
-		return;
-	}
-	if (n == 0) {
-		peer_ended(q);
-		return;
+take_turns(struct http_server_conn *c)
+{
+	struct http_incoming *q;
+
+	while ((q = http_incoming_first(c)) != NULL) {
+		if (q->aborted) {
+			end_missing(c);
+			return;
+		}
+		move_output(q);
+		if (!q->ended)
+			return;
+		g_queue_unlink(&c->requests, &q->link);
+		http_incoming_free(q);
 	}
-	if (q->state == INCOMING_LINGERING)
-		return;
-	http_request_feed(q, buf, (size_t)n);
-	if (q->state == INCOMING_SERVING && !q->body_done && !q->paused)
-		set_timer(q, q->server->limits.stall_ms);
-	http_incoming_watch(q);
 }
 
+/* Ends the requests behind @q as departures. */
 static void
-on_ready(uint32_t ready, void *arg)
-{
-	struct http_incoming *q = arg;
-
-	if (ready & LOOP_HANGUP)
-		peer_ended(q);
-	else if (ready & LOOP_READ)
-		read_some(q);
-	if (q->state != INCOMING_DEAD && (ready & LOOP_WRITE))
-		flush(q);
+end_behind(struct http_incoming *q)
+{
+	struct http_server_conn *c = q->conn;
+	struct http_incoming *last;
+
+	while ((last = g_queue_peek_tail(&c->requests)) != q) {
+		g_queue_unlink(&c->requests, &last->link);
+		if (c->reading == last)
+			c->reading = NULL;
+		if (!last->ended)
+			c->server->handler->on_gone(last);
+		http_incoming_free(last);
+	}
 }
 
 void
-http_incoming_accept(struct http_server *s, int fd, struct net_addr caller)
+http_incoming_flushed(struct http_server_conn *c)
 {
-	struct http_incoming *q = g_new0(struct http_incoming, 1);
-	int on = 1;
-
-	q->server = s;
-	q->watch = loop_fd_add(s->loop, fd,
-	    watches_end(q) ? LOOP_READ | LOOP_HANGUP : LOOP_READ, on_ready, q);
-	if (q->watch == NULL) {
-		(void)close(fd);
-		g_free(q);
+	struct http_incoming *q = http_incoming_first(c);
+
+	if (q == NULL || q->ended || !q->writable_due ||
+	    http_incoming_output_bytes(q) > HTTP_OUTPUT_LOW_BYTES)
 		return;
-	}
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	q->fd = fd;
-	q->caller = caller;
-	q->link.data = q;
-	loop_timer_init(&q->timer, s->loop, on_timer, q);
-	loop_task_init(&q->task, s->loop, on_task, q);
-	g_queue_push_tail_link(&s->conns, &q->link);
-	http_request_begin(q);
-	set_timer(q, s->limits.idle_ms);
+	q->writable_due = false;
+	if (c->server->handler->on_writable != NULL)
+		c->server->handler->on_writable(q);
 }
 
 /* Functions for the owner */
@@ -369,12 +201,25 @@
 	return q->arg;
 }
 
+bool
+http_incoming_is_behind(const struct http_incoming *q)
+{
+	return !is_first(q);
+}
+
+size_t
+http_incoming_output_bytes(const struct http_incoming *q)
+{
+	if (is_first(q))
+		return http_server_conn_output_bytes(q->conn);
+	return q->out != NULL ? q->out->len : 0;
+}
+
 void
 http_incoming_pause(struct http_incoming *q)
 {
 	q->paused = true;
-	loop_timer_stop(&q->timer);
-	http_incoming_watch(q);
+	http_server_conn_update(q->conn);
 }
 
 void
@@ -383,9 +228,8 @@
 	if (!q->paused)
 		return;
 	q->paused = false;
-	loop_task_defer(&q->task);
-	if (!q->body_done)
-		set_timer(q, q->server->limits.stall_ms);
+	if (q->conn->life == CONN_OPEN)
+		loop_task_defer(&q->conn->task);
 }
 
 void
@@ -395,7 +239,7 @@
 		return;
 	q->expects_continue = false;
 	add_text(q, CONTINUE_LINE);
-	flush(q);
+	http_server_conn_flush(q->conn);
 }
 
 static bool
@@ -445,12 +289,11 @@
 		    (gint64)body_bytes);
 		add_line(q, "Content-Length", text);
 	} else if (body_bytes == HTTP_BODY_CHUNKED) {
-		q->chunked =
-		    q->parser.http_major > 1 || q->parser.http_minor > 0;
+		q->chunked = !q->version_1_0;
 		if (q->chunked)
 			add_line(q, "Transfer-Encoding", "chunked");
 		else
-			q->close = true;
+			q->conn->closing = true;
 	}
 }
 
@@ -459,9 +302,11 @@
     const struct http_header *headers, uint32_t n, int64_t body_bytes,
     bool close)
 {
+	struct http_server_conn *c = q->conn;
 	char line[64];
 
-	q->close = q->close || close || !q->body_done || q->server->closing;
+	if (close || !q->body_done || c->server->closing)
+		c->closing = true;
 	q->answered = true;
 	q->chunked = false;
 	(void)g_snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", code,
@@ -469,9 +314,11 @@
 	add_text(q, line);
 	add_headers(q, headers, n, body_bytes);
 	add_length(q, body_bytes);
-	if (q->close)
-		add_line(q, "Connection", "close");
-	add_text(q, "\r\n");
+	if (!is_first(q))
+		q->head_bytes = q->out->len;
+	else if (closes(q))
+		add_text(q, CLOSE_LINE);
+	add_text(q, END_OF_HEAD);
 }
 
 void
@@ -488,23 +335,49 @@
 	add(q, data, len);
 	if (q->chunked)
 		add_text(q, "\r\n");
-	loop_task_defer(&q->task);
+	if (is_first(q) && q->conn->life == CONN_OPEN)
+		loop_task_defer(&q->conn->task);
+}
+
+/* Marks the end of the owner's part; Return: whether it is the answer's turn.
+ */
+static bool
+end(struct http_incoming *q)
+{
+	struct http_server_conn *c = q->conn;
+
+	q->ended = true;
+	q->arg = NULL;
+	if (c->reading == q)
+		c->reading = NULL;
+	return is_first(q) && c->life == CONN_OPEN;
 }
 
 void
 http_incoming_end(struct http_incoming *q)
 {
+	struct http_server_conn *c = q->conn;
+
 	if (q->chunked && !q->head_only)
 		add_text(q, LAST_CHUNK);
-	q->state = INCOMING_FLUSHING;
-	q->arg = NULL;
-	set_timer(q, q->server->limits.stall_ms);
-	flush(q);
+	if (!end(q))
+		return;
+	take_turns(c);
+	http_server_conn_flush(c);
 }
 
 void
 http_incoming_abort(struct http_incoming *q)
 {
-	q->state = INCOMING_FLUSHING;
-	http_incoming_close(q, true);
+	struct http_server_conn *c = q->conn;
+
+	if (end(q)) {
+		http_server_conn_close(c, true);
+		return;
+	}
+	if (c->life != CONN_OPEN)
+		return;
+	q->aborted = true;
+	c->closing = true;
+	end_behind(q);
 }
--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -10,8 +10,8 @@
 #define BAD_REQUEST 400
 #define HEAD_TOO_LARGE 431
 
-static struct http_incoming *
-incoming_of(http_parser *p)
+static struct http_server_conn *
+conn_of(http_parser *p)
 {
 	return p->data;
 }
@@ -19,37 +19,35 @@
 static int
 on_begin(http_parser *p)
 {
-	struct http_incoming *q = incoming_of(p);
-	struct http_server *s = q->server;
+	struct http_server_conn *c = conn_of(p);
 
-	q->state = INCOMING_HEAD;
+	c->input = CONN_INPUT_HEAD;
 	http_head_init(
-	    &q->head, s->limits.head_max_bytes, HTTP_LINES_UNBOUNDED);
-	q->target = g_string_new(NULL);
-	loop_timer_set(&q->timer, loop_now_ms(s->loop) + s->limits.head_ms);
+	    &c->head, c->server->limits.head_max_bytes, HTTP_LINES_UNBOUNDED);
+	c->target = g_string_new(NULL);
 	return 0;
 }
 
 static int
 on_url(http_parser *p, const char *at, size_t len)
 {
-	struct http_incoming *q = incoming_of(p);
+	struct http_server_conn *c = conn_of(p);
 
-	g_string_append_len(q->target, at, (gssize)len);
-	q->head.bytes += (uint32_t)len;
-	return q->head.bytes > q->head.bytes_max ? -1 : 0;
+	g_string_append_len(c->target, at, (gssize)len);
+	c->head.bytes += (uint32_t)len;
+	return c->head.bytes > c->head.bytes_max ? -1 : 0;
 }
 
 static int
 on_field(http_parser *p, const char *at, size_t len)
 {
-	return http_head_name(&incoming_of(p)->head, at, len);
+	return http_head_name(&conn_of(p)->head, at, len);
 }
 
 static int
 on_value(http_parser *p, const char *at, size_t len)
 {
-	return http_head_value(&incoming_of(p)->head, at, len);
+	return http_head_value(&conn_of(p)->head, at, len);
 }
 
 static int64_t
@@ -84,55 +82,112 @@
 		http_head_find(lines, n, "Content-Length") == NULL);
 }
 
+static bool
+expects_continue(const struct http_incoming_head *head)
+{
+	const char *expect =
+	    http_head_find(head->headers, head->n_headers, "Expect");
+
+	return expect != NULL && strcasecmp(expect, "100-continue") == 0;
+}
+
+/*
+ * Whether a request may run beside others.  A body would hold up what is behind
+ * it, and the end of an HTTP/1.0 answer may be the end of the connection.
+ */
+static bool
+may_overlap(struct http_server *s, const struct http_incoming_head *head)
+{
+	if (s->handler->may_overlap == NULL || s->limits.overlap_max <= 1)
+		return false;
+	if (head->body_bytes != 0 || head->version_1_0 ||
+	    expects_continue(head))
+		return false;
+	return s->handler->may_overlap(head, s->arg);
+}
+
+static void
+fill_head(struct http_server_conn *c, struct http_incoming_head *head)
+{
+	const http_parser *p = &c->parser;
+
+	head->method = http_method_str((enum http_method)p->method);
+	head->target = c->target->str;
+	head->body_bytes = body_bytes(p);
+	head->caller = c->caller;
+	head->version_1_0 = p->http_major == 1 && p->http_minor == 0;
+}
+
+static void
+dispatch(struct http_server_conn *c, const struct http_incoming_head *head,
+    bool overlaps)
+{
+	struct http_server *s = c->server;
+	struct http_incoming *q = http_incoming_new(c);
+
+	q->version_1_0 = head->version_1_0;
+	q->overlaps = overlaps;
+	q->expects_continue = expects_continue(head);
+	q->head_only = c->parser.method == HTTP_HEAD;
+	q->body_done = head->body_bytes == 0;
+	c->reading = q;
+	c->input = CONN_INPUT_BODY;
+	c->closing = c->closing || http_should_keep_alive(&c->parser) == 0;
+	http_server_conn_restart_timer(c);
+	s->handler->on_request(q, head, s->arg);
+}
+
+/* A request that may not run beside those under way waits until they are
+ * answered. */
 static int
-dispatch(http_parser *p, const struct http_header *lines, uint32_t n)
+dispatch_or_hold(
+    struct http_server_conn *c, const struct http_header *lines, uint32_t n)
 {
-	struct http_incoming *q = incoming_of(p);
-	struct http_server *s = q->server;
 	struct http_incoming_head head = {.headers = lines, .n_headers = n};
-	const char *expect;
+	bool overlaps;
 
-	if (!has_unambiguous_length(p, lines, n))
+	if (!has_unambiguous_length(&c->parser, lines, n))
 		return -1;
-	head.method = http_method_str((enum http_method)p->method);
-	head.target = q->target->str;
-	head.body_bytes = body_bytes(p);
-	head.caller = q->caller;
-	head.version_1_0 = p->http_major == 1 && p->http_minor == 0;
-	expect = http_head_find(lines, head.n_headers, "Expect");
-	q->expects_continue =
-	    expect != NULL && strcasecmp(expect, "100-continue") == 0;
-	q->head_only = p->method == HTTP_HEAD;
-	q->close = http_should_keep_alive(p) == 0;
-	q->state = INCOMING_SERVING;
-	q->body_done = head.body_bytes == 0;
-	loop_timer_stop(&q->timer);
-	s->handler->on_request(q, &head, s->arg);
-	return q->state == INCOMING_DEAD ? -1 : 0;
+	fill_head(c, &head);
+	overlaps = may_overlap(c->server, &head);
+	if (c->requests.length > 0 && !overlaps) {
+		c->input = CONN_INPUT_HELD;
+		http_parser_pause(&c->parser, 1);
+		return 0;
+	}
+	dispatch(c, &head, overlaps);
+	return c->life == CONN_DEAD ? -1 : 0;
 }
 
 static int
-on_headers_complete(http_parser *p)
+head_complete(struct http_server_conn *c)
 {
-	struct http_head *h = &incoming_of(p)->head;
 	struct http_header *lines =
-	    g_new(struct http_header, http_head_count(h));
-	int result = dispatch(p, lines, http_head_lines(h, lines));
+	    g_new(struct http_header, http_head_count(&c->head));
+	int result =
+	    dispatch_or_hold(c, lines, http_head_lines(&c->head, lines));
 
 	g_free(lines);
 	return result;
 }
 
+static int
+on_headers_complete(http_parser *p)
+{
+	return head_complete(conn_of(p));
+}
+
 static int
 on_body(http_parser *p, const char *at, size_t len)
 {
-	struct http_incoming *q = incoming_of(p);
+	struct http_server_conn *c = conn_of(p);
 
-	if (q->state == INCOMING_SERVING)
-		q->server->handler->on_body(q, (const uint8_t *)at, len);
-	if (q->state == INCOMING_DEAD)
+	if (c->reading != NULL)
+		c->server->handler->on_body(
+		    c->reading, (const uint8_t *)at, len);
+	if (c->life == CONN_DEAD)
 		return -1;
-	if (q->paused)
+	if (c->reading != NULL && c->reading->paused)
 		http_parser_pause(p, 1);
 	return 0;
 }
@@ -140,14 +195,18 @@
 static int
 on_complete(http_parser *p)
 {
-	struct http_incoming *q = incoming_of(p);
+	struct http_server_conn *c = conn_of(p);
+	struct http_incoming *q = c->reading;
 
-	q->body_done = true;
-	loop_timer_stop(&q->timer);
+	c->input = CONN_INPUT_IDLE;
+	c->reading = NULL;
+	http_server_conn_restart_timer(c);
 	http_parser_pause(p, 1);
-	if (q->state == INCOMING_SERVING)
-		q->server->handler->on_body_end(q);
-	return q->state == INCOMING_DEAD ? -1 : 0;
+	if (q != NULL) {
+		q->body_done = true;
+		c->server->handler->on_body_end(q);
+	}
+	return c->life == CONN_DEAD ? -1 : 0;
 }
 
 static const http_parser_settings settings = {
@@ -161,104 +220,139 @@
 };
 
 void
-http_request_begin(struct http_incoming *q)
+http_request_init(struct http_server_conn *c)
 {
-	http_parser_init(&q->parser, HTTP_REQUEST);
-	q->parser.data = q;
-	q->body_done = false;
-	q->paused = false;
-	q->answered = false;
-	q->arg = NULL;
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
 }
 
 void
-http_request_clear(struct http_incoming *q)
+http_request_clear(struct http_server_conn *c)
 {
-	http_head_clear(&q->head);
-	if (q->target != NULL)
-		g_string_free(q->target, TRUE);
-	q->target = NULL;
+	http_head_clear(&c->head);
+	if (c->target != NULL)
+		g_string_free(c->target, TRUE);
+	c->target = NULL;
 }
 
-/* Rejects data that is not a valid request or has an ambiguous length. */
+/* The data is not a valid request or has an ambiguous length. */
 static void
-reject(struct http_incoming *q, enum http_errno err)
+become_bad(struct http_server_conn *c, enum http_errno err)
 {
-	struct http_server *s = q->server;
 	bool large = err == HPE_HEADER_OVERFLOW || err == HPE_CB_url ||
 	    err == HPE_CB_header_field || err == HPE_CB_header_value;
 
-	if (q->state == INCOMING_SERVING) {
-		http_incoming_close(q, false);
+	if (c->input == CONN_INPUT_BODY) {
+		if (c->reading != NULL)
+			http_server_conn_close(c, false);
 		return;
 	}
-	if (q->state == INCOMING_FLUSHING || q->state == INCOMING_LINGERING)
-		return;
-	q->state = INCOMING_SERVING;
-	q->close = true;
-	loop_timer_stop(&q->timer);
-	s->handler->on_bad(q, large ? HEAD_TOO_LARGE : BAD_REQUEST, s->arg);
+	c->input = CONN_INPUT_BAD;
+	c->bad_code = large ? HEAD_TOO_LARGE : BAD_REQUEST;
+}
+
+void
+http_request_reject(struct http_server_conn *c)
+{
+	struct http_server *s = c->server;
+
+	c->closing = true;
+	http_server_conn_restart_timer(c);
+	s->handler->on_bad(http_incoming_new(c), c->bad_code, s->arg);
 }
 
 static void
-buffer_pipelined(struct http_incoming *q, const char *data, size_t len)
+buffer_pipelined(struct http_server_conn *c, const char *data, size_t len)
 {
 	if (len == 0)
 		return;
-	if (q->pipelined == NULL)
-		q->pipelined = g_byte_array_new();
-	g_byte_array_append(q->pipelined, (const guint8 *)data, (guint)len);
+	if (c->pipelined == NULL)
+		c->pipelined = g_byte_array_new();
+	g_byte_array_append(c->pipelined, (const guint8 *)data, (guint)len);
 }
 
-/* Whether the parser may continue: not while an answer is pending. */
+/* Whether another request may run beside those under way.  A request that may
+ * not is alone, so the last one stands for all. */
 static bool
-can_parse(const struct http_incoming *q)
+has_room_beside(const struct http_server_conn *c)
 {
-	if (q->state == INCOMING_IDLE || q->state == INCOMING_HEAD)
+	const struct http_incoming *last = c->requests.tail->data;
+
+	return last->overlaps && c->input != CONN_INPUT_HELD &&
+	    !c->server->closing &&
+	    c->requests.length < c->server->limits.overlap_max;
+}
+
+bool
+http_request_may_parse(const struct http_server_conn *c)
+{
+	if (c->life != CONN_OPEN || c->input == CONN_INPUT_BAD)
+		return false;
+	if (c->input == CONN_INPUT_BODY)
+		return c->reading != NULL && !c->reading->paused;
+	if (c->closing)
+		return false;
+	if (c->requests.length == 0)
+		return http_server_conn_output_bytes(c) == 0;
+	return has_room_beside(c);
+}
+
+/* Return: false when the connection was closed. */
+static bool
+dispatch_held(struct http_server_conn *c)
+{
+	if (c->input != CONN_INPUT_HELD)
 		return true;
-	return q->state == INCOMING_SERVING && !q->body_done && !q->paused;
+	c->parsing = true;
+	(void)head_complete(c);
+	c->parsing = false;
+	return c->life != CONN_DEAD;
 }
 
 static void
-parse(struct http_incoming *q, const char *data, size_t len)
+parse(struct http_server_conn *c, const char *data, size_t len)
 {
 	enum http_errno err;
 	size_t n;
 
-	q->parsing = true;
-	n = http_parser_execute(&q->parser, &settings, data, len);
-	q->parsing = false;
-	if (q->state == INCOMING_DEAD)
+	if (!dispatch_held(c))
+		return;
+	c->parsing = true;
+	n = http_parser_execute(&c->parser, &settings, data, len);
+	c->parsing = false;
+	if (c->life == CONN_DEAD)
 		return;
-	err = HTTP_PARSER_ERRNO(&q->parser);
-	if (err == HPE_PAUSED || (err == HPE_OK && q->parser.upgrade)) {
-		http_parser_pause(&q->parser, 0);
-		buffer_pipelined(q, data + n, len - n);
+	err = HTTP_PARSER_ERRNO(&c->parser);
+	if (err == HPE_PAUSED || (err == HPE_OK && c->parser.upgrade)) {
+		http_parser_pause(&c->parser, 0);
+		buffer_pipelined(c, data + n, len - n);
 	} else if (err != HPE_OK) {
-		reject(q, err);
+		become_bad(c, err);
+	}
+	if (c->input == CONN_INPUT_IDLE) {
+		http_request_clear(c);
+		http_request_init(c);
 	}
-	if (q->state == INCOMING_FLUSHING)
-		http_incoming_flushed(q);
 }
 
 void
-http_request_feed(struct http_incoming *q, const char *data, size_t len)
+http_request_feed(struct http_server_conn *c, const char *data, size_t len)
 {
-	GByteArray *buffered = q->pipelined;
+	GByteArray *buffered = c->pipelined;
 
-	if (!can_parse(q)) {
-		buffer_pipelined(q, data, len);
+	if (!http_request_may_parse(c)) {
+		buffer_pipelined(c, data, len);
 		return;
 	}
 	/* For the parser a length of 0 means the end of the connection. */
 	if (buffered == NULL && len == 0)
 		return;
 	if (buffered == NULL) {
-		parse(q, data, len);
+		parse(c, data, len);
 		return;
 	}
 	g_byte_array_append(buffered, (const guint8 *)data, (guint)len);
-	q->pipelined = NULL;
-	parse(q, (const char *)buffered->data, buffered->len);
+	c->pipelined = NULL;
+	parse(c, (const char *)buffered->data, buffered->len);
 	g_byte_array_free(buffered, TRUE);
 }
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -22,7 +22,7 @@
 	GList *link;
 
 	while ((link = g_queue_pop_head_link(&s->dead)) != NULL)
-		http_incoming_free(link->data);
+		http_server_conn_free(link->data);
 }
 
 static void
@@ -64,7 +64,7 @@
 		if (s->conns.length >= s->limits.conns_max)
 			(void)close(fd);
 		else
-			http_incoming_accept(s, fd, sock_from_system(&sin));
+			http_server_conn_accept(s, fd, sock_from_system(&sin));
 	}
 }
 
@@ -88,6 +88,7 @@
 	l.idle_ms = limit_or(l.idle_ms, HTTP_SERVER_IDLE_MS);
 	l.stall_ms = limit_or(l.stall_ms, HTTP_SERVER_STALL_MS);
 	l.conns_max = limit_or(l.conns_max, HTTP_SERVER_CONNS_MAX);
+	l.overlap_max = limit_or(l.overlap_max, HTTP_SERVER_OVERLAP_MAX);
 	s->limits = l;
 }
 
@@ -154,7 +155,7 @@
 		return;
 	http_server_unlisten(s);
 	while (s->conns.head != NULL)
-		http_incoming_close(s->conns.head->data, false);
+		http_server_conn_close(s->conns.head->data, false);
 	loop_task_cancel(&s->task);
 	free_closed(s);
 	g_free(s);
@@ -175,14 +176,15 @@
 void
 http_server_close_idle(struct http_server *s, bool now)
 {
-	struct http_incoming *q;
+	struct http_server_conn *c;
 	GList *l, *next;
 
 	s->closing = true;
 	for (l = s->conns.head; now && l != NULL; l = next) {
 		next = l->next;
-		q = l->data;
-		if (q->state == INCOMING_IDLE && !http_incoming_has_unread(q))
-			http_incoming_close(q, false);
+		c = l->data;
+		if (http_server_conn_is_idle(c) &&
+		    !http_server_conn_has_unread(c))
+			http_server_conn_close(c, false);
 	}
 }
--- /dev/null
+++ b/packages/net/src/http_server_conn.c
@@ -0,0 +1,409 @@
+/*
+ * HTTP server: a connection.
+ */
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http_server_priv.h"
+
+#define READ_BYTES 32768
+/* Limit of pipelined data; above it the connection is not read. */
+#define PIPELINED_MAX_BYTES 65536U
+/* Time for which input is discarded after an answer that was sent before the
+ * end of the request. */
+#define LINGER_MS 1000U
+
+/* Closing */
+
+static void
+close_socket(struct http_server_conn *c, bool reset)
+{
+	struct linger abort_linger = {.l_onoff = 1, .l_linger = 0};
+
+	if (reset)
+		(void)setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &abort_linger,
+		    sizeof(abort_linger));
+	loop_fd_remove(c->watch);
+	(void)close(c->fd);
+	c->fd = -1;
+}
+
+static void
+drop_requests(struct http_server_conn *c)
+{
+	struct http_incoming *q;
+
+	while ((q = http_incoming_first(c)) != NULL) {
+		g_queue_unlink(&c->requests, &q->link);
+		if (!q->ended)
+			c->server->handler->on_gone(q);
+		http_incoming_free(q);
+	}
+}
+
+void
+http_server_conn_close(struct http_server_conn *c, bool reset)
+{
+	struct http_server *s = c->server;
+
+	if (c->life == CONN_DEAD)
+		return;
+	c->life = CONN_DEAD;
+	c->reading = NULL;
+	g_queue_unlink(&s->conns, &c->link);
+	g_queue_push_tail_link(&s->dead, &c->link);
+	loop_task_defer(&s->task);
+	loop_timer_stop(&c->timer);
+	loop_task_cancel(&c->task);
+	close_socket(c, reset);
+	drop_requests(c);
+}
+
+void
+http_server_conn_free(struct http_server_conn *c)
+{
+	http_request_clear(c);
+	if (c->pipelined != NULL)
+		g_byte_array_free(c->pipelined, TRUE);
+	if (c->out != NULL)
+		g_byte_array_free(c->out, TRUE);
+	g_free(c);
+}
+
+/* Watched events */
+
+static bool
+wants_read(const struct http_server_conn *c)
+{
+	uint32_t pipelined = c->pipelined != NULL ? c->pipelined->len : 0;
+
+	if (c->peer_ended)
+		return false;
+	if (c->reading != NULL && c->reading->paused)
+		return false;
+	return pipelined < PIPELINED_MAX_BYTES;
+}
+
+/* With serve_departed, the end is noticed in its place behind the data. */
+static bool
+watches_end(const struct http_server_conn *c)
+{
+	return !c->peer_ended && !c->server->handler->serve_departed;
+}
+
+/* The end of the stream is watched even while nothing is read. */
+static void
+update_watch(struct http_server_conn *c)
+{
+	uint32_t events = watches_end(c) ? LOOP_HANGUP : 0;
+
+	if (wants_read(c))
+		events |= LOOP_READ;
+	if (http_server_conn_output_bytes(c) > 0)
+		events |= LOOP_WRITE;
+	loop_fd_set(c->watch, events);
+}
+
+/* Timer */
+
+/* A finished answer that waits for an earlier one does not stall: its caller
+ * can't take it yet. */
+static enum conn_timing
+timing_of(const struct http_server_conn *c)
+{
+	if (c->life == CONN_LINGERING)
+		return CONN_TIMING_LINGER;
+	if (http_server_conn_output_bytes(c) > 0)
+		return CONN_TIMING_STALL;
+	if (c->reading != NULL && !c->reading->body_done)
+		return c->reading->paused ? CONN_TIMING_NONE
+					  : CONN_TIMING_STALL;
+	if (c->requests.length > 0 || c->input == CONN_INPUT_HELD)
+		return CONN_TIMING_NONE;
+	return c->input == CONN_INPUT_HEAD ? CONN_TIMING_HEAD
+					   : CONN_TIMING_IDLE;
+}
+
+static uint32_t
+limit_ms(const struct http_server_limits *l, enum conn_timing timing)
+{
+	switch (timing) {
+	case CONN_TIMING_IDLE:
+		return l->idle_ms;
+	case CONN_TIMING_HEAD:
+		return l->head_ms;
+	case CONN_TIMING_STALL:
+		return l->stall_ms;
+	case CONN_TIMING_NONE:
+	case CONN_TIMING_LINGER:
+		break;
+	}
+	return LINGER_MS;
+}
+
+static void
+update_timer(struct http_server_conn *c)
+{
+	struct http_server *s = c->server;
+	enum conn_timing timing = timing_of(c);
+
+	if (timing == c->timing)
+		return;
+	c->timing = timing;
+	if (timing == CONN_TIMING_NONE)
+		loop_timer_stop(&c->timer);
+	else
+		loop_timer_set(&c->timer,
+		    loop_now_ms(s->loop) + limit_ms(&s->limits, timing));
+}
+
+void
+http_server_conn_restart_timer(struct http_server_conn *c)
+{
+	loop_timer_stop(&c->timer);
+	c->timing = CONN_TIMING_NONE;
+}
+
+static void
+on_timer(void *arg)
+{
+	http_server_conn_close(arg, false);
+}
+
+/* Between requests */
+
+static void
+report_unread(const struct http_server_conn *c)
+{
+	struct http_server *s = c->server;
+
+	if (s->handler->on_unread != NULL)
+		s->handler->on_unread(s->arg);
+}
+
+bool
+http_server_conn_is_idle(const struct http_server_conn *c)
+{
+	return c->life == CONN_OPEN && c->requests.length == 0 &&
+	    c->input == CONN_INPUT_IDLE && c->pipelined == NULL &&
+	    http_server_conn_output_bytes(c) == 0;
+}
+
+/*
+ * The answer was sent before the complete request was read.  Closing now would
+ * reset the connection, which could destroy the answer before the caller reads
+ * it, so the input is discarded for LINGER_MS first.
+ */
+static void
+close_after_answer(struct http_server_conn *c)
+{
+	if (c->input == CONN_INPUT_IDLE || c->peer_ended) {
+		http_server_conn_close(c, false);
+		return;
+	}
+	c->life = CONN_LINGERING;
+	(void)shutdown(c->fd, SHUT_WR);
+}
+
+/* Whether the data that a departed caller has left counts. */
+static bool
+serves_rest(const struct http_server_conn *c)
+{
+	return c->pipelined != NULL && c->server->handler->serve_departed;
+}
+
+/* All requests are answered, and the answers are sent. */
+static void
+all_sent(struct http_server_conn *c)
+{
+	if (c->closing) {
+		close_after_answer(c);
+	} else if (c->peer_ended && !serves_rest(c)) {
+		if (c->pipelined != NULL)
+			report_unread(c);
+		http_server_conn_close(c, false);
+	} else if (c->input == CONN_INPUT_BAD) {
+		http_request_reject(c);
+	}
+}
+
+void
+http_server_conn_update(struct http_server_conn *c)
+{
+	if (c->parsing || c->life == CONN_DEAD)
+		return;
+	if (c->life == CONN_OPEN && c->requests.length == 0 &&
+	    http_server_conn_output_bytes(c) == 0)
+		all_sent(c);
+	if (c->life == CONN_DEAD)
+		return;
+	if (c->pipelined != NULL && http_request_may_parse(c))
+		loop_task_defer(&c->task);
+	update_timer(c);
+	update_watch(c);
+}
+
+/* Parses one buffered request, resumes after a pause, and starts writing. */
+static void
+on_task(void *arg)
+{
+	struct http_server_conn *c = arg;
+
+	http_request_feed(c, "", 0);
+	http_server_conn_update(c);
+}
+
+/* Writing */
+
+size_t
+http_server_conn_output_bytes(const struct http_server_conn *c)
+{
+	return c->out != NULL ? c->out->len - c->out_sent : 0;
+}
+
+/* Return: false when the connection has failed. */
+static bool
+write_some(struct http_server_conn *c)
+{
+	size_t left = http_server_conn_output_bytes(c);
+	ssize_t n;
+
+	while (left > 0) {
+		n = send(c->fd, c->out->data + c->out_sent, left, MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return errno == EAGAIN;
+		c->out_sent += (size_t)n;
+		left -= (size_t)n;
+		if (c->timing == CONN_TIMING_STALL)
+			http_server_conn_restart_timer(c);
+	}
+	if (c->out != NULL)
+		g_byte_array_free(c->out, TRUE);
+	c->out = NULL;
+	c->out_sent = 0;
+	return true;
+}
+
+void
+http_server_conn_flush(struct http_server_conn *c)
+{
+	if (c->life == CONN_DEAD)
+		return;
+	if (!write_some(c)) {
+		http_server_conn_close(c, true);
+		return;
+	}
+	http_incoming_flushed(c);
+	http_server_conn_update(c);
+}
+
+/* Reading */
+
+bool
+http_server_conn_has_unread(const struct http_server_conn *c)
+{
+	char byte;
+
+	return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Whether data of a request precedes the end that was not dispatched. */
+static bool
+lost_unread(const struct http_server_conn *c)
+{
+	if (c->closing || c->life != CONN_OPEN || c->input == CONN_INPUT_BODY)
+		return false;
+	if (c->pipelined != NULL || c->input != CONN_INPUT_IDLE)
+		return true;
+	return c->requests.length == 0 && http_server_conn_has_unread(c);
+}
+
+/*
+ * The peer has closed its side.  Nobody reads an answer from now on, so
+ * requests under way end, and data of a request that precedes the end is
+ * dropped unread.
+ */
+static void
+peer_ended(struct http_server_conn *c)
+{
+	bool answered = c->life == CONN_OPEN && c->requests.length == 0;
+
+	c->peer_ended = true;
+	if (answered &&
+	    (http_server_conn_output_bytes(c) > 0 || serves_rest(c))) {
+		http_server_conn_update(c);
+		return;
+	}
+	if (lost_unread(c))
+		report_unread(c);
+	http_server_conn_close(c, false);
+}
+
+static void
+read_some(struct http_server_conn *c)
+{
+	char buf[READ_BYTES];
+	ssize_t n;
+
+	n = recv(c->fd, buf, sizeof(buf), 0);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n < 0) {
+		http_server_conn_close(c, false);
+		return;
+	}
+	if (n == 0) {
+		peer_ended(c);
+		return;
+	}
+	if (c->life == CONN_LINGERING)
+		return;
+	if (c->timing == CONN_TIMING_STALL && c->reading != NULL)
+		http_server_conn_restart_timer(c);
+	http_request_feed(c, buf, (size_t)n);
+	http_server_conn_update(c);
+}
+
+static void
+on_ready(uint32_t ready, void *arg)
+{
+	struct http_server_conn *c = arg;
+
+	if (ready & LOOP_HANGUP)
+		peer_ended(c);
+	else if (ready & LOOP_READ)
+		read_some(c);
+	if (c->life != CONN_DEAD && (ready & LOOP_WRITE))
+		http_server_conn_flush(c);
+}
+
+void
+http_server_conn_accept(struct http_server *s, int fd, struct net_addr caller)
+{
+	struct http_server_conn *c = g_new0(struct http_server_conn, 1);
+	int on = 1;
+
+	c->server = s;
+	c->watch = loop_fd_add(s->loop, fd,
+	    watches_end(c) ? LOOP_READ | LOOP_HANGUP : LOOP_READ, on_ready, c);
+	if (c->watch == NULL) {
+		(void)close(fd);
+		g_free(c);
+		return;
+	}
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c->fd = fd;
+	c->caller = caller;
+	c->link.data = c;
+	g_queue_init(&c->requests);
+	loop_timer_init(&c->timer, s->loop, on_timer, c);
+	loop_task_init(&c->task, s->loop, on_task, c);
+	g_queue_push_tail_link(&s->conns, &c->link);
+	http_request_init(c);
+	update_timer(c);
+}
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -20,10 +20,10 @@
  * @limits: limits for callers
  * @handler: callbacks
  * @arg: passed to the callbacks
- * @conns: open connections, struct http_incoming
+ * @conns: open connections, struct http_server_conn
  * @dead: closed connections, freed at the end of the turn
  * @task: frees @dead
- * @closing: each answer closes its connection
+ * @closing: each connection is closed after its last answer
  */
 struct http_server {
 	struct loop *loop;
@@ -39,45 +39,58 @@
 	bool closing;
 };
 
-/** enum incoming_state - state of a connection */
-enum incoming_state {
-	INCOMING_IDLE = 0, /* no byte of a request received */
-	INCOMING_HEAD,	   /* receiving a head */
-	INCOMING_SERVING, /* on_request() was called, the answer is not ended */
-	INCOMING_FLUSHING,  /* sending the rest of a complete answer */
-	INCOMING_LINGERING, /* discarding input before the close */
-	INCOMING_DEAD,
+/** enum conn_input - what a connection receives */
+enum conn_input {
+	CONN_INPUT_IDLE = 0, /* no byte of a request received */
+	CONN_INPUT_HEAD,
+	CONN_INPUT_HELD, /* a head is complete, but it is not its turn */
+	CONN_INPUT_BODY, /* on_request() was called, the body goes on */
+	CONN_INPUT_BAD,	 /* the data is not a valid request */
+};
+
+/** enum conn_timing - what the timer of a connection limits */
+enum conn_timing {
+	CONN_TIMING_NONE = 0,
+	CONN_TIMING_IDLE,
+	CONN_TIMING_HEAD,
+	CONN_TIMING_STALL,
+	CONN_TIMING_LINGER,
+};
+
+/** enum conn_life - whether a connection is in use */
+enum conn_life {
+	CONN_OPEN = 0,
+	CONN_LINGERING, /* discarding input before the close */
+	CONN_DEAD,
 };
 
 /**
- * struct http_incoming - a connection and the request on it
+ * struct http_server_conn - a connection
  * @server: the server
  * @link: link in one of the server's queues
  * @fd: the socket
  * @watch: watcher of @fd
  * @timer: timeout of an idle connection, a head, a stall or lingering
- * @task: parses pipelined data, or resumes after a pause
+ * @task: parses buffered data, or resumes after a pause
  * @caller: address of the caller
- * @state: state of the connection
+ * @life: whether the connection is in use
+ * @input: what is received
+ * @timing: what @timer limits
  * @parser: parser of requests
  * @target: path and query
  * @head: header lines; allocated from the first byte of a request to its end
  * @pipelined: received data that is not parsed yet, or NULL
+ * @requests: requests under way in their order, struct http_incoming
+ * @reading: the request whose body is received, NULL if its answer has ended
  * @out: output buffer, or NULL when empty
  * @out_sent: bytes of @out already sent
- * @arg: the owner's argument
+ * @bad_code: code for the data that is not a valid request
  * @parsing: the parser is on the call stack
- * @paused: the owner has paused the body
- * @body_done: the complete request has been parsed
- * @expects_continue: the caller waits for 100 Continue
- * @head_only: the answer has no body
- * @answered: the head of the answer was written
- * @chunked: the answer's body is chunked
- * @close: the connection is closed after the answer
+ * @closing: no further request is read, and the connection is closed after the
+ *	last answer
  * @peer_ended: the caller has closed its side
- * @writable_due: the output exceeded the low-water mark; on_writable() is due
  */
-struct http_incoming {
+struct http_server_conn {
 	struct http_server *server;
 	GList link;
 	int fd;
@@ -85,56 +98,125 @@
 	struct loop_timer timer;
 	struct loop_task task;
 	struct net_addr caller;
-	enum incoming_state state;
+	enum conn_life life;
+	enum conn_input input;
+	enum conn_timing timing;
 	http_parser parser;
 	GString *target;
 	struct http_head head;
 	GByteArray *pipelined;
+	GQueue requests;
+	struct http_incoming *reading;
 	GByteArray *out;
 	size_t out_sent;
-	void *arg;
+	int bad_code;
 	bool parsing;
+	bool closing;
+	bool peer_ended;
+};
+
+/**
+ * struct http_incoming - a request and its answer
+ * @conn: the connection
+ * @link: link in the connection's queue
+ * @arg: the owner's argument
+ * @out: the answer while an earlier one is not complete, or NULL when empty
+ * @head_bytes: length of the answer's head in @out
+ * @version_1_0: the request is HTTP/1.0
+ * @overlaps: further requests may run beside this one
+ * @paused: the owner has paused the body
+ * @body_done: the complete request has been parsed
+ * @expects_continue: the caller waits for 100 Continue
+ * @head_only: the answer has no body
+ * @answered: the head of the answer was written
+ * @chunked: the answer's body is chunked
+ * @ended: the answer is complete, or was aborted
+ * @aborted: the answer was aborted before its turn
+ * @writable_due: the output exceeded the low-water mark; on_writable() is due
+ */
+struct http_incoming {
+	struct http_server_conn *conn;
+	GList link;
+	void *arg;
+	GByteArray *out;
+	size_t head_bytes;
+	bool version_1_0;
+	bool overlaps;
 	bool paused;
 	bool body_done;
 	bool expects_continue;
 	bool head_only;
 	bool answered;
 	bool chunked;
-	bool close;
-	bool peer_ended;
+	bool ended;
+	bool aborted;
 	bool writable_due;
 };
 
-/* http_incoming.c */
+/* http_server_conn.c */
 
-/** http_incoming_accept() - set up an accepted connection */
+/** http_server_conn_accept() - set up an accepted connection */
 void
-http_incoming_accept(struct http_server *s, int fd, struct net_addr caller);
+http_server_conn_accept(struct http_server *s, int fd, struct net_addr caller);
 
-/** http_incoming_close() - close a connection; calls on_gone() while serving */
-void http_incoming_close(struct http_incoming *q, bool reset);
+/** http_server_conn_close() - close a connection; calls on_gone() for each
+ * request under way */
+void http_server_conn_close(struct http_server_conn *c, bool reset);
 
-/** http_incoming_free() - free a closed connection */
-void http_incoming_free(struct http_incoming *q);
+/** http_server_conn_free() - free a closed connection */
+void http_server_conn_free(struct http_server_conn *c);
+
+/** http_server_conn_is_idle() - whether no request is under way or received */
+bool http_server_conn_is_idle(const struct http_server_conn *c);
+
+/** http_server_conn_has_unread() - whether the socket has unread data */
+bool http_server_conn_has_unread(const struct http_server_conn *c);
 
-/** http_incoming_flushed() - proceed if the complete answer has been sent */
-void http_incoming_flushed(struct http_incoming *q);
+/** http_server_conn_output_bytes() - bytes of output that are not yet sent */
+size_t http_server_conn_output_bytes(const struct http_server_conn *c);
 
-/** http_incoming_has_unread() - whether the socket has unread data */
-bool http_incoming_has_unread(const struct http_incoming *q);
+/** http_server_conn_restart_timer() - the next update begins the timeout anew
+ */
+void http_server_conn_restart_timer(struct http_server_conn *c);
+
+/** http_server_conn_update() - go on to the next request or close, if it is
+ * time, and update the watched events and the timer */
+void http_server_conn_update(struct http_server_conn *c);
+
+/** http_server_conn_flush() - send output, then update */
+void http_server_conn_flush(struct http_server_conn *c);
+
+/* http_incoming.c */
+
+/** http_incoming_new() - add a request to a connection */
+struct http_incoming *http_incoming_new(struct http_server_conn *c);
 
-/** http_incoming_watch() - update the watched events */
-void http_incoming_watch(struct http_incoming *q);
+/** http_incoming_free() - free a request that left its connection's queue */
+void http_incoming_free(struct http_incoming *q);
+
+/** http_incoming_first() - the request whose turn it is, or NULL */
+struct http_incoming *http_incoming_first(const struct http_server_conn *c);
+
+/** http_incoming_flushed() - report output that has fallen to the low-water
+ * mark */
+void http_incoming_flushed(struct http_server_conn *c);
 
 /* http_request.c */
 
-/** http_request_begin() - initialise the parser for the next request */
-void http_request_begin(struct http_incoming *q);
+/** http_request_init() - initialise the parser of a connection */
+void http_request_init(struct http_server_conn *c);
 
 /** http_request_feed() - parse buffered and new data */
-void http_request_feed(struct http_incoming *q, const char *data, size_t len);
+void
+http_request_feed(struct http_server_conn *c, const char *data, size_t len);
+
+/** http_request_may_parse() - whether buffered data may be parsed now */
+bool http_request_may_parse(const struct http_server_conn *c);
+
+/** http_request_reject() - answer data that is not a valid request */
+void http_request_reject(struct http_server_conn *c);
 
-/** http_request_clear() - free the memory of a request */
-void http_request_clear(struct http_incoming *q);
+/** http_request_clear() - free the memory of a head */
+void http_request_clear(struct http_server_conn *c);
 
 #endif
--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -9,6 +9,7 @@
 #ifndef NODE_ENTRY_H
 #define NODE_ENTRY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/status.h"
@@ -82,6 +83,22 @@
  */
 uint64_t entry_behind_head(struct entry *e, uint32_t status);
 
+/**
+ * entry_may_overlap() - whether a request may run beside others of its
+ * connection
+ * @e: the entry
+ * @method: its method
+ * @host: its Host header, or NULL
+ * @target: its path, or another form of target
+ *
+ * In the traffic thread.
+ *
+ * Return: whether the route in force declares that it may run more than once;
+ * false for a target that is not a path.
+ */
+bool entry_may_overlap(
+    struct entry *e, const char *method, const char *host, const char *target);
+
 /**
  * entry_submit() - submit a call to the entry
  * @e: the entry
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -76,6 +76,15 @@
 	    "used up.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_overlapping = {.name = "bramley_overlapping_total",
+    .help = "Requests that began while an earlier one of their connection was "
+	    "under way.",
+    .kind = METRIC_COUNTER};
+struct metric metric_answers_held = {.name = "bramley_answers_held_total",
+    .help = "Answers that were complete before an earlier one of their "
+	    "connection.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_departures_unread = {.name = "bramley_departures_total",
     .help = "Callers that left before their answer, by how far the call was.",
     .kind = METRIC_COUNTER,
@@ -142,6 +151,8 @@
 {
 	int i;
 
+	metric_register(&metric_overlapping);
+	metric_register(&metric_answers_held);
 	metric_register(&metric_departures_unread);
 	metric_register(&metric_departures_unsubmitted);
 	for (i = 0; i < CALL_STAGES; i++) {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -25,6 +25,8 @@
 extern struct metric metric_upstream_limit;
 extern struct metric metric_upstreams_leaving;
 extern struct metric metric_limited;
+extern struct metric metric_overlapping;
+extern struct metric metric_answers_held;
 extern struct metric metric_departures_unread;
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -37,6 +37,8 @@
 	struct http_incoming *q = call->incoming;
 
 	call->incoming = NULL;
+	if (http_incoming_is_behind(q))
+		metric_add(&metric_answers_held, 1);
 	if (end == EXCHANGE_COMPLETE)
 		http_incoming_end(q);
 	else
@@ -155,6 +157,8 @@
 	struct caller_call *call = call_new(c, q);
 	uint32_t status;
 
+	if (http_incoming_is_behind(q))
+		metric_add(&metric_overlapping, 1);
 	status = callers_request_read(
 	    c, head, call_exchange_request(call->exchange));
 	if (status == 0) {
@@ -168,6 +172,15 @@
 	call_free(call);
 }
 
+static bool
+may_overlap(const struct http_incoming_head *head, void *arg)
+{
+	struct callers *c = arg;
+
+	return entry_may_overlap(
+	    c->entry, head->method, callers_request_host(head), head->target);
+}
+
 static void
 on_body(struct http_incoming *q, const uint8_t *data, size_t len)
 {
@@ -258,6 +271,7 @@
 
 const struct http_server_handler callers_handler = {
     .on_request = on_request,
+    .may_overlap = may_overlap,
     .on_body = on_body,
     .on_body_end = on_body_end,
     .on_writable = on_writable,
--- a/packages/node/src/callers_limits.c
+++ b/packages/node/src/callers_limits.c
@@ -39,6 +39,7 @@
 	if (l->idle_ms == 0)
 		l->idle_ms = s->keep_alive_ms;
 	l->stall_ms = STALL_TIMEOUT_MS;
+	l->overlap_max = s->caller_pipeline_max;
 }
 
 void
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -88,6 +88,9 @@
 uint32_t callers_request_read(const struct callers *c,
     const struct http_incoming_head *head, struct call_request *r);
 
+/** callers_request_host() - value of the Host header, or NULL */
+const char *callers_request_host(const struct http_incoming_head *head);
+
 /* callers_answer.c */
 
 /** callers_answer_write() - write the head of an answer */
--- a/packages/node/src/callers_request.c
+++ b/packages/node/src/callers_request.c
@@ -207,6 +207,12 @@
 	customer_key_make(key, strlen(key), &r->customer_key);
 }
 
+const char *
+callers_request_host(const struct http_incoming_head *head)
+{
+	return find_header(head, "Host");
+}
+
 uint32_t
 callers_request_read(const struct callers *c,
     const struct http_incoming_head *head, struct call_request *r)
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -574,6 +574,38 @@
 	return true;
 }
 
+/* Services that share a route by weight may differ, and the one is not chosen
+ * yet. */
+static bool
+all_idempotent(const struct snapshot *s, const struct route_match *match)
+{
+	struct route_match shares[SNAPSHOT_SHARES_MAX];
+	uint32_t i, n;
+
+	if (match->route->weight == 0)
+		return match->route->idempotent;
+	n = snapshot_shares(s, match, shares);
+	for (i = 0; i < n; i++)
+		if (!shares[i].route->idempotent)
+			return false;
+	return true;
+}
+
+bool
+entry_may_overlap(
+    struct entry *e, const char *method, const char *host, const char *target)
+{
+	const struct snapshot *s = entry_snapshot(e);
+	struct route_match match;
+
+	if (s == NULL || target[0] != '/')
+		return false;
+	if (snapshot_match(s, method_parse(method, strlen(method)), host,
+		target, strlen(target), &match) != ROUTE_FOUND)
+		return false;
+	return all_idempotent(s, &match);
+}
+
 void
 entry_call_begin(struct entry *e, struct call_exchange *x)
 {
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -86,6 +86,9 @@
  * @admin_threads: Threads that serve the administration API.
  * @keep_alive_ms: Time after which an idle connection of a caller is
  * 	closed; 0 closes each connection after one answer.
+ * @caller_pipeline_max: Most requests of one caller's connection that
+ * 	run side by side if it sends them ahead; requests that may not be
+ * 	repeated run alone. 1 runs one at a time.
  * @probe_interval_ms: Interval between the liveness probes that this
  * 	node sends to its peers.
  * @probe_timeout_ms: Timeout of a direct probe, after which the node
@@ -174,6 +177,7 @@
 	enum log_level log_level;
 	uint32_t admin_threads;
 	uint32_t keep_alive_ms;
+	uint32_t caller_pipeline_max;
 	uint32_t probe_interval_ms;
 	uint32_t probe_timeout_ms;
 	uint32_t suspicion_ms;
