--- a/packages/net/test/test_http_pipelining.c
+++ b/packages/net/test/test_http_pipelining.c
@@ -16,6 +16,7 @@
 #define SHORT_MS 40U
 #define PIECE_BYTES 50000U
 #define ROUNDS 50
+#define FUZZ_ROUNDS 100
 #define ROUND_REQUESTS 12
 #define SEED 20261204
 
@@ -64,6 +65,16 @@
 	http_incoming_write(q, text, strlen(text));
 }
 
+static void
+answer_pending(struct pending *p)
+{
+	struct http_incoming *q = p->q;
+
+	p->q = NULL;
+	begin_answer(q, p->target);
+	http_incoming_end(q);
+}
+
 /* Answers with the target as body. */
 static void
 answer(const char *target)
@@ -605,7 +616,7 @@
 		struct pending *p = &pending[(from + i) % PENDING_MAX];
 
 		if (p->q != NULL) {
-			answer(p->target);
+			answer_pending(p);
 			return true;
 		}
 	}
@@ -654,6 +665,105 @@
 }
 END_TEST
 
+static const char fuzz_text[] =
+    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+    "GET /2 HTTP/1.1\r\nX-Other: y\r\n\r\n"
+    "POST /3 HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd"
+    "GET /4 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+    "GET /once HTTP/1.1\r\n\r\n"
+    "GET /5 HTTP/1.1\r\n\r\n"
+    "POST /6 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nxyz\r\n0\r\n\r\n"
+    "GET /7 HTTP/1.1\r\nConnection: close\r\n\r\n"
+    "GET /8 HTTP/1.1\r\n\r\n";
+
+/* Changes, repeats or removes a few bytes. */
+static GString *
+mutate(GRand *r)
+{
+	static const char bytes[] = "0179/:\r\n GP\x80\xff";
+	GString *s = g_string_new_len(fuzz_text, sizeof(fuzz_text) - 1);
+	gint32 at, n = g_rand_int_range(r, 0, 6);
+
+	for (; n > 0; n--) {
+		at = g_rand_int_range(r, 0, (gint32)s->len - 8);
+		switch (g_rand_int_range(r, 0, 3)) {
+		case 0:
+			s->str[at] = bytes[g_rand_int_range(
+			    r, 0, (gint32)sizeof(bytes) - 1)];
+			break;
+		case 1:
+			g_string_erase(s, at, 1);
+			break;
+		default:
+			g_string_insert_len(s, at, s->str + at, 8);
+			break;
+		}
+	}
+	return s;
+}
+
+/* Answers, aborts or pauses some request, or does nothing. */
+static void
+act(GRand *r)
+{
+	struct pending *p = &pending[g_rand_int_range(r, 0, PENDING_MAX)];
+	struct http_incoming *q = p->q;
+
+	if (q == NULL)
+		return;
+	switch (g_rand_int_range(r, 0, 8)) {
+	case 0:
+		p->q = NULL;
+		begin_answer(q, "part");
+		http_incoming_abort(q);
+		return;
+	case 1:
+		http_incoming_pause(q);
+		return;
+	case 2:
+		http_incoming_resume(q);
+		return;
+	default:
+		answer_pending(p);
+		return;
+	}
+}
+
+/* Mutated requests in pieces, answered and aborted in any order: another
+ * connection is still served, and each request ends once. */
+START_TEST(mutated_requests_do_not_affect_other_connections)
+{
+	GRand *r = g_rand_new_with_seed(SEED + (guint32)_i);
+	GString *text = mutate(r);
+	int fd = dial(), other = dial();
+	gsize at, n;
+
+	for (at = 0; at < text->len; at += n) {
+		n = (gsize)g_rand_int_range(r, 1, (gint32)text->len + 1);
+		n = MIN(n, text->len - at);
+		(void)send(fd, text->str + at, n, MSG_NOSIGNAL);
+		run_turns(g_rand_int_range(r, 0, 3));
+		act(r);
+		act(r);
+	}
+	for (n = 0; n < PENDING_MAX; n++) {
+		run_turns(1);
+		act(r);
+	}
+	close(fd);
+	run_turns(4);
+	for (n = 0; n < PENDING_MAX; n++)
+		ck_assert_ptr_null(pending[n].q);
+	send_text(other, "GET /other HTTP/1.1\r\n\r\n");
+	answer("/other");
+	expect_bodies(other, "/other;", false);
+	close(other);
+	g_string_free(text, TRUE);
+	g_rand_free(r);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -675,5 +785,7 @@
 	tcase_add_test(tc, one_at_a_time_if_set_so);
 	tcase_add_loop_test(
 	    tc, answers_keep_the_order_of_their_requests, 0, ROUNDS);
+	tcase_add_loop_test(tc,
+	    mutated_requests_do_not_affect_other_connections, 0, FUZZ_ROUNDS);
 	return support_run("http_pipelining", tc);
 }
