fix(config): a bundle's error never quotes a key, and a small limit is a limit

The JSON parser's message quotes the text at the error, which can be a key: bramleyctl and the API showed it. The quotation is left out. A limit below a thousandth of a request became 0, which means none; it is 1 now.

--- a/packages/config/include/config/customer.h
+++ b/packages/config/include/config/customer.h
@@ -18,6 +18,9 @@
 /* Bytes of a key's digest. */
 #define CUSTOMER_KEY_BYTES 16
 
+/* Largest rate and burst, in thousandths of a request. */
+#define CUSTOMER_LIMIT_MAX_MILLI UINT64_C(1000000000000)
+
 /** CUSTOMER_PRIORITY_NONE - the customer has no priority of its own */
 #define CUSTOMER_PRIORITY_NONE UINT32_MAX
 
@@ -60,6 +63,15 @@
  */
 void customer_key_make(const char *text, size_t len, struct customer_key *key);
 
+/**
+ * customer_limit_milli() - a limit in thousandths of a request
+ * @requests: number of requests, not negative
+ *
+ * Return: at least 1 for a number above 0, since 0 is no limit; at most
+ * CUSTOMER_LIMIT_MAX_MILLI.
+ */
+uint64_t customer_limit_milli(double requests);
+
 /** customer_id() - number of the customer with a name; never
  * CUSTOMER_ID_NONE */
 uint64_t customer_id(const char *name);
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -11,6 +11,18 @@
 #include "rules.h"
 #include "section_build.h"
 
+/* The parser's message without the text that it quotes, which may be a key of a
+ * customer.  A duplicate member is named by its own name, which is none. */
+static char *
+syntax_message(const json_error_t *error)
+{
+	const char *quote = strstr(error->text, " near '");
+
+	if (quote == NULL || json_error_code(error) == json_error_duplicate_key)
+		return g_strdup(error->text);
+	return g_strndup(error->text, (gsize)(quote - error->text));
+}
+
 /* Parse the text.  After a duplicate key, which is recorded as a problem, the
  * text is parsed again without that check to find further problems. */
 static json_t *
@@ -18,12 +30,15 @@
 {
 	json_error_t error;
 	json_t *root;
+	char *message;
 
 	root = json_loadb(json, len, JSON_REJECT_DUPLICATES, &error);
 	if (root != NULL)
 		return root;
+	message = syntax_message(&error);
 	problems_add(p, NULL, "correct the JSON", "line %d, column %d: %s",
-	    error.line, error.column, error.text);
+	    error.line, error.column, message);
+	g_free(message);
 	if (json_error_code(&error) == json_error_duplicate_key)
 		return json_loadb(json, len, 0, &error);
 	return NULL;
--- a/packages/config/src/bundle_customers.c
+++ b/packages/config/src/bundle_customers.c
@@ -10,11 +10,6 @@
 #include "parts.h"
 #include "rules.h"
 
-#define MILLI 1000
-
-/* Largest rate and burst, in requests; a larger one is no limit. */
-#define LIMIT_MAX 1e9
-
 /* The keys of a customer must fit into one section. */
 #define KEYS_MAX (REC_SECTION_CUSTOMER_KEYS_MAX / CUSTOMER_KEY_BYTES)
 
@@ -185,7 +180,7 @@
 		    "not a number of requests");
 		return 0;
 	}
-	return (uint64_t)(MIN(number, LIMIT_MAX) * MILLI);
+	return customer_limit_milli(number);
 }
 
 /* Keys as an array for struct bundle_customer; the texts are borrowed. */
--- a/packages/config/src/customer.c
+++ b/packages/config/src/customer.c
@@ -9,6 +9,7 @@
 #include "config/customer.h"
 
 #define CUSTOMER_SEED 31
+#define MILLI 1000
 
 void
 customer_key_make(const char *text, size_t len, struct customer_key *key)
@@ -23,6 +24,18 @@
 	memcpy(key->bytes, digest, sizeof(key->bytes));
 }
 
+uint64_t
+customer_limit_milli(double requests)
+{
+	double milli = requests * MILLI;
+
+	if (!(milli > 0))
+		return 0;
+	if (milli >= (double)CUSTOMER_LIMIT_MAX_MILLI)
+		return CUSTOMER_LIMIT_MAX_MILLI;
+	return MAX((uint64_t)milli, 1);
+}
+
 uint64_t
 customer_id(const char *name)
 {
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -438,6 +438,14 @@
 	return true;
 }
 
+static bool
+limits_are_valid(const struct rec_section_customer *customer)
+{
+	return customer->rate_milli_per_s <= CUSTOMER_LIMIT_MAX_MILLI &&
+	    customer->burst_milli <= CUSTOMER_LIMIT_MAX_MILLI &&
+	    customer->priority <= ROUTE_PRIORITY_MAX + 1;
+}
+
 /* Record customers that are not in canonical form. */
 static void
 customers_check(const struct msg_section *m, struct problems *p)
@@ -452,6 +460,9 @@
 		if (!keys_are_sorted(&m->customers[i]))
 			problems_add(p, &at, "sort the keys",
 			    "the keys are not in canonical form");
+		if (!limits_are_valid(&m->customers[i]))
+			problems_add(p, &at, "reduce them",
+			    "the limits or the priority are too large");
 		if (i > 0 &&
 		    customer_compare(&m->customers[i - 1], &m->customers[i]) >=
 			0)
--- a/packages/config/test/test_customers.c
+++ b/packages/config/test/test_customers.c
@@ -184,6 +184,11 @@
     {"{'name':'a','keys':['k'],'rate_per_s':-1}", "not a number of requests"},
     {"{'name':'a','keys':['k'],'priority':-1}", "not negative"},
     {"{'name':'a','keys':[7]}", "not a string"},
+    {"{'name':'a','keys':['k' 'top-secret']}", "expected"},
+    {"{'name':'a','keys':[secret]}", "invalid token"},
+    {"{'name':'a','keys':['top-secret']},{'name':'b','keys':['top-secret']}",
+	"customer a has this key already"},
+    {"{'name':'a','keys':['top-secret'],'keys':['k']}", "duplicate"},
 };
 
 START_TEST(invalid_customers_are_reported_without_keys)
@@ -197,12 +202,24 @@
 	ck_assert(bundle_parse(json, strlen(json), &b) == STATUS_INVALID);
 	ck_assert_msg(strstr(status_message(), invalid[_i].message) != NULL,
 	    "%s", status_message());
+	ck_assert_msg(
+	    strstr(status_message(), "secret") == NULL, "%s", status_message());
 	bundle_free(b);
 	g_free(json);
 	g_free(text);
 }
 END_TEST
 
+START_TEST(small_limit_is_not_taken_for_none)
+{
+	ck_assert_uint_eq(customer_limit_milli(0), 0);
+	ck_assert_uint_eq(customer_limit_milli(0.0001), 1);
+	ck_assert_uint_eq(customer_limit_milli(2.5), 2500);
+	ck_assert_uint_eq(
+	    customer_limit_milli(1e300), CUSTOMER_LIMIT_MAX_MILLI);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -213,6 +230,7 @@
 	tcase_add_test(tc, table_without_customers_differs_from_no_table);
 	tcase_add_test(tc, sections_hold_no_key);
 	tcase_add_test(tc, changed_key_changes_one_section);
+	tcase_add_test(tc, small_limit_is_not_taken_for_none);
 	tcase_add_loop_test(tc, invalid_customers_are_reported_without_keys, 0,
 	    G_N_ELEMENTS(invalid));
 	suite_add_tcase(suite, tc);
