fix(node): idempotency keys of customers are apart, and no request runs unnamed

One customer got the stored answer of another that had used the same Idempotency-Key. Keys are scoped by customer at the entry and at the guard. A request whose headers leave no room for the customer's name ran without it; it is refused with 431.

--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -100,6 +100,11 @@
 static const char *const abandoned_names[ABANDONED_STATES] = {
     "waiting", "running", "kept"};
 
+static struct metric unauthorized[KEY_FAULTS];
+static char unauthorized_labels[KEY_FAULTS][LABEL_BYTES];
+static const char *const key_fault_names[KEY_FAULTS] = {
+    "missing", "unknown", "several"};
+
 static struct metric outcomes[OUTCOMES];
 static struct metric refusals[REFUSALS];
 static char outcome_labels[OUTCOMES][LABEL_BYTES];
@@ -173,6 +178,23 @@
 	}
 }
 
+static void
+register_unauthorized(void)
+{
+	int i;
+
+	for (i = 0; i < KEY_FAULTS; i++) {
+		(void)g_snprintf(unauthorized_labels[i], LABEL_BYTES,
+		    "reason=\"%s\"", key_fault_names[i]);
+		unauthorized[i].name = "bramley_unauthorized_total";
+		unauthorized[i].help =
+		    "Requests refused for lack of a valid customer key.";
+		unauthorized[i].kind = METRIC_COUNTER;
+		unauthorized[i].labels = unauthorized_labels[i];
+		metric_register(&unauthorized[i]);
+	}
+}
+
 static void
 register_all(void)
 {
@@ -193,6 +215,7 @@
 	register_abandoned();
 	register_outcomes();
 	register_refusals();
+	register_unauthorized();
 }
 
 void
@@ -213,6 +236,19 @@
 		metric_add(&outcomes[o], 1);
 }
 
+const char *
+key_fault_name(enum key_fault f)
+{
+	return (size_t)f < KEY_FAULTS ? key_fault_names[f] : "?";
+}
+
+void
+call_metrics_unauthorized(enum key_fault f)
+{
+	if ((size_t)f < KEY_FAULTS)
+		metric_add(&unauthorized[f], 1);
+}
+
 void
 call_metrics_refusal(enum refusal r)
 {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -39,6 +39,17 @@
 	ABANDONED_STATES,
 };
 
+/** enum key_fault - why a request has no customer */
+enum key_fault {
+	KEY_MISSING = 0,
+	KEY_UNKNOWN, /* no customer of the version in force holds it */
+	KEY_SEVERAL, /* the request has more than one */
+	KEY_FAULTS,
+};
+
+/** key_fault_name() - name of a fault for logs and metrics */
+const char *key_fault_name(enum key_fault f);
+
 /** call_metrics_register() - register all metrics; further calls have no
  * effect */
 void call_metrics_register(void);
@@ -53,6 +64,10 @@
 /** call_metrics_abandoned() - count a request whose caller left */
 void call_metrics_abandoned(enum abandoned_state s);
 
+/** call_metrics_unauthorized() - count a request refused for lack of a valid
+ * customer key */
+void call_metrics_unauthorized(enum key_fault f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -14,6 +14,7 @@
  * so that all of them take less than 1 % of a core.
  */
 #define DONE_LINES_PER_S 20
+#define KEY_LINES_PER_S 10
 #define OTHER_LINES_PER_S 100
 #define OTHER_LINES_BURST 400
 
@@ -70,6 +71,8 @@
 	e->incarnation = incarnation;
 	e->done_log_limit.per_s = DONE_LINES_PER_S;
 	e->done_log_limit.burst = DONE_LINES_PER_S;
+	e->key_log_limit.per_s = KEY_LINES_PER_S;
+	e->key_log_limit.burst = KEY_LINES_PER_S;
 	e->other_log_limit.per_s = OTHER_LINES_PER_S;
 	e->other_log_limit.burst = OTHER_LINES_BURST;
 	e->loop = loop;
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -22,10 +22,10 @@
 /* Time limit for reaching a guard for a resolve. */
 #define RESOLVE_LIMIT_MS 2000
 
-#define HTTP_UNAUTHORIZED 401
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
 #define HTTP_CONTENT_TOO_LARGE 413
+#define HTTP_HEADERS_TOO_LARGE 431
 #define HTTP_UNAVAILABLE 503
 
 static struct entry_attempt *
@@ -152,6 +152,7 @@
 	if (c->keyed) {
 		q.key = c->request->key;
 		q.key_len = strlen(c->request->key);
+		q.key_scope = c->customer != NULL ? c->customer->id : 0;
 	}
 	q.tried = call_tried(c->machine, &q.n_tried);
 	if (!choose_endpoint(c, &q, now_ms, &choice)) {
@@ -491,7 +492,6 @@
 	c->link.data = c;
 	g_queue_push_tail_link(&e->calls, &c->link);
 	call_exchange_set_entry_data(x, c);
-	entry_customer_name(c, r);
 	return c;
 }
 
@@ -535,7 +535,7 @@
 route_call(struct entry *e, struct call_exchange *x, struct accepted *accepted)
 {
 	struct route_match *match = &accepted->match;
-	const struct call_request *r = call_exchange_request(x);
+	struct call_request *r = call_exchange_request(x);
 	enum http_method method;
 
 	if (!drain_accepts_call(&e->drain)) {
@@ -560,10 +560,10 @@
 	case ROUTE_FOUND:
 		break;
 	}
-	if (!entry_customer_find(e, r, match->route, &accepted->customer))
-		return refuse(e, x, HTTP_UNAUTHORIZED, "unauthorized",
-		    "the request needs the key of a customer; send a valid "
-		    "one.");
+	if (!entry_customer_find(e, r, match->route, &accepted->customer)) {
+		entry_customer_refuse(e, x);
+		return false;
+	}
 	choose_by_weight(e, match);
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
@@ -571,6 +571,9 @@
 		return refuse(e, x, HTTP_CONTENT_TOO_LARGE, "too_large",
 		    "the body exceeds the service's limit; send a smaller "
 		    "one.");
+	if (!entry_customer_name(e, accepted->customer, r))
+		return refuse(e, x, HTTP_HEADERS_TOO_LARGE, "too_large",
+		    "the request has too many headers; send fewer.");
 	return true;
 }
 
--- a/packages/node/src/entry_customer.c
+++ b/packages/node/src/entry_customer.c
@@ -4,7 +4,16 @@
  */
 #include <string.h>
 
-#include "entry_priv.h"
+#include "call_metrics.h"
+#include "entry_log.h"
+
+#define HTTP_UNAUTHORIZED 401
+
+static const char *const messages[KEY_FAULTS] = {
+    "the request has no customer key; send one.",
+    "no customer holds the request's key; send a valid one.",
+    "the request has several customer keys; send one.",
+};
 
 bool
 entry_customer_find(const struct entry *e, const struct call_request *r,
@@ -20,14 +29,37 @@
 	return *customer != NULL || route->keyless;
 }
 
-/* The caller's own header of this name was not copied. */
+static enum key_fault
+fault_of(const struct call_request *r)
+{
+	if (r->customer_keys == 0)
+		return KEY_MISSING;
+	return r->customer_keys == 1 ? KEY_UNKNOWN : KEY_SEVERAL;
+}
+
 void
-entry_customer_name(const struct entry_call *c, struct call_request *r)
+entry_customer_refuse(struct entry *e, struct call_exchange *x)
 {
-	const char *header = c->entry->dialect->customer;
+	const struct call_request *r = call_exchange_request(x);
+	enum key_fault fault = fault_of(r);
 
-	if (c->customer == NULL || header == NULL)
+	if (entry_behind_refuse(e, x, HTTP_UNAUTHORIZED))
 		return;
-	(void)call_headers_add(&r->headers, header, (uint32_t)strlen(header),
-	    c->customer->name, (uint32_t)strlen(c->customer->name));
+	call_metrics_unauthorized(fault);
+	entry_log_unauthorized(e, r, fault);
+	entry_answer_refuse(
+	    x, HTTP_UNAUTHORIZED, "unauthorized", messages[fault]);
+}
+
+/* The caller's own header of this name was not copied. */
+bool
+entry_customer_name(const struct entry *e, const struct customer *customer,
+    struct call_request *r)
+{
+	const char *header = e->dialect->customer;
+
+	if (customer == NULL || header == NULL)
+		return true;
+	return call_headers_add(&r->headers, header, (uint32_t)strlen(header),
+	    customer->name, (uint32_t)strlen(customer->name));
 }
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -2,6 +2,7 @@
  * Log of calls.
  */
 #include <inttypes.h>
+#include <string.h>
 
 #include "base/clock.h"
 
@@ -13,6 +14,9 @@
 
 #define US_PER_MS 1000
 
+/* A name whose bytes are all encoded, and a NUL. */
+#define CUSTOMER_TEXT_BYTES (3 * CUSTOMER_NAME_BYTES + 1)
+
 static const char *
 call_name(const struct entry_call *c, char *buf, size_t len)
 {
@@ -22,6 +26,23 @@
 	return buf;
 }
 
+/* The name is percent-encoded, so that it can't look like another field. */
+static const char *
+customer_name(const struct entry_call *c, char *buf, size_t len)
+{
+	const char *name = c->customer != NULL ? c->customer->name : "-";
+	size_t n = 0;
+
+	for (; *name != '\0' && n + 4 <= len; name++)
+		if (g_ascii_isgraph(*name) && strchr("%=\"", *name) == NULL)
+			buf[n++] = *name;
+		else
+			n += (size_t)g_snprintf(
+			    buf + n, len - n, "%%%02X", (unsigned char)*name);
+	buf[n] = '\0';
+	return buf;
+}
+
 static void
 log_end(struct entry_call *c, enum outcome outcome, const char *reason,
     const char *stage)
@@ -31,22 +52,23 @@
 	struct log_limit *limit =
 	    outcome == OUTCOME_DONE ? &e->done_log_limit : &e->other_log_limit;
 	uint32_t left_out = limit->left_out;
-	char id[24];
+	char id[24], customer[CUSTOMER_TEXT_BYTES];
 
 	if (!log_enabled(LOG_LEVEL_INFO) || !log_limit_take(limit, now_ms))
 		return;
-	log_info(
-	    "call id=%s prefix=%s priority=%u service=%s host=%s software=%s "
-	    "attempts=%u "
-	    "placed=%s load=%u/%u"
-	    " version=%" PRIu64 " outcome=%s reason=%s%s%s ms=%" PRIu64
-	    " left_ms=%" PRIu64 " left_out=%u",
-	    call_name(c, id, sizeof(id)), c->route->prefix, c->route->priority,
-	    c->config->name, c->placed_host, c->placed_version,
-	    call_attempts(c->machine), placement_reason_name(c->placed.reason),
-	    c->placed.load, c->placed.slots, c->snapshot->version,
-	    outcome_name(outcome), reason, stage != NULL ? " stage=" : "",
-	    stage != NULL ? stage : "",
+	log_info("call id=%s customer=%s prefix=%s priority=%u service=%s "
+		 "host=%s software=%s "
+		 "attempts=%u "
+		 "placed=%s load=%u/%u"
+		 " version=%" PRIu64 " outcome=%s reason=%s%s%s ms=%" PRIu64
+		 " left_ms=%" PRIu64 " left_out=%u",
+	    call_name(c, id, sizeof(id)),
+	    customer_name(c, customer, sizeof(customer)), c->route->prefix,
+	    c->route->priority, c->config->name, c->placed_host,
+	    c->placed_version, call_attempts(c->machine),
+	    placement_reason_name(c->placed.reason), c->placed.load,
+	    c->placed.slots, c->snapshot->version, outcome_name(outcome),
+	    reason, stage != NULL ? " stage=" : "", stage != NULL ? stage : "",
 	    (clock_now_us() - c->request->arrived_us) / US_PER_MS,
 	    clock_left_ms(c->deadline_ms, now_ms), left_out);
 }
@@ -82,6 +104,22 @@
 	    e->snapshot != NULL ? e->snapshot->version : 0, left_out);
 }
 
+void
+entry_log_unauthorized(
+    struct entry *e, const struct call_request *r, enum key_fault fault)
+{
+	struct log_limit *limit = &e->key_log_limit;
+	uint32_t left_out = limit->left_out;
+
+	if (!log_enabled(LOG_LEVEL_INFO) ||
+	    !log_limit_take(limit, loop_now_ms(e->loop)))
+		return;
+	log_info("call id=%s path=%.40s caller=%s refused=unauthorized key=%s "
+		 "status=401 version=%" PRIu64 " left_out=%u",
+	    r->id != NULL ? r->id : "-", r->path, r->caller,
+	    key_fault_name(fault), e->snapshot->version, left_out);
+}
+
 void
 entry_log_behind(struct entry *e, const struct call_request *r,
     uint64_t version, uint32_t status)
--- a/packages/node/src/entry_log.h
+++ b/packages/node/src/entry_log.h
@@ -6,6 +6,7 @@
 #ifndef ENTRY_LOG_H
 #define ENTRY_LOG_H
 
+#include "call_metrics.h"
 #include "entry_priv.h"
 
 /** entry_log_end() - log the end of a call and its cause */
@@ -21,6 +22,11 @@
 void entry_log_refused(struct entry *e, const struct call_request *r,
     uint32_t status, const char *kind);
 
+/** entry_log_unauthorized() - log a call without a valid customer key; the line
+ * has nothing of the key */
+void entry_log_unauthorized(
+    struct entry *e, const struct call_request *r, enum key_fault fault);
+
 /**
  * entry_log_behind() - log a refusal as behind: a newer version is known
  * @e: the entry
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -74,6 +74,7 @@
  * @seed: random number of this process, part of request ids
  * @in_flight: number of calls, atomic for entry_in_flight()
  * @done_log_limit: rate limit of log lines on answered calls
+ * @key_log_limit: rate limit of log lines on calls without a valid key
  * @other_log_limit: rate limit of all other log lines on calls
  */
 struct entry {
@@ -103,6 +104,7 @@
 	uint64_t seed;
 	_Atomic uint32_t in_flight;
 	struct log_limit done_log_limit;
+	struct log_limit key_log_limit;
 	struct log_limit other_log_limit;
 };
 
@@ -442,9 +444,21 @@
 bool entry_customer_find(const struct entry *e, const struct call_request *r,
     const struct service_route *route, const struct customer **customer);
 
-/** entry_customer_name() - add the customer's name to the headers for the
- * upstream */
-void entry_customer_name(const struct entry_call *c, struct call_request *r);
+/** entry_customer_refuse() - answer a request without a valid key, as behind
+ * when a newer version may hold its key */
+void entry_customer_refuse(struct entry *e, struct call_exchange *x);
+
+/**
+ * entry_customer_name() - add the customer's name to the headers for the
+ * upstream
+ * @e: the entry
+ * @customer: the customer, or NULL
+ * @r: the request
+ *
+ * Return: false if the name doesn't fit; the request must not run then.
+ */
+bool entry_customer_name(const struct entry *e, const struct customer *customer,
+    struct call_request *r);
 
 /* entry_behind.c */
 
--- a/packages/node/src/guard_open.c
+++ b/packages/node/src/guard_open.c
@@ -69,7 +69,8 @@
 	r->caller_request_id = find_caller_request_id(r);
 	r->idempotent = m->idempotent;
 	r->keyed = m->key_len > 0;
-	key_id_make(&r->key, service_id(m->service), m->key, m->key_len);
+	key_id_make(
+	    &r->key, service_id(m->service) ^ m->customer, m->key, m->key_len);
 	r->deadline_ms = frame_age_deadline_ms(
 	    &gc->age, m->sent_ms, m->time_left_ms, loop_now_ms(g->loop));
 	r->latest_deadline_ms = loop_now_ms(g->loop) + m->time_left_ms;
--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -57,6 +57,7 @@
 	pthread_t thread;
 	pthread_mutex_t lock;
 	GHashTable *runs;
+	GHashTable *heads;
 	GString *headers;
 	GString *added;
 	GArray *arrivals_ms;
@@ -87,6 +88,11 @@
  * @line */
 bool fake_upstream_received(struct fake_upstream *u, const char *line);
 
+/** fake_upstream_received_by() - whether the head of the last request with
+ * X-Test-Id @id contains @line */
+bool fake_upstream_received_by(
+    struct fake_upstream *u, const char *id, const char *line);
+
 /* fixture_link.c: a proxy that inspects the frames. */
 
 /** enum link_fault - fault at the armed frame */
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -149,6 +149,7 @@
 	if (at != NULL) {
 		at = strchr(at, ':') + 2;
 		id = g_strndup(at, strcspn(at, "\r"));
+		g_hash_table_replace(u->heads, g_strdup(id), g_strdup(head));
 		g_hash_table_insert(u->runs, id,
 		    GINT_TO_POINTER(
 			GPOINTER_TO_INT(g_hash_table_lookup(u->runs, id)) + 1));
@@ -377,6 +378,8 @@
 	pthread_t thread;
 
 	u->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	u->heads =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	u->headers = g_string_new(NULL);
 	u->added = g_string_new(NULL);
 	u->arrivals_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -401,6 +404,7 @@
 	while (u->serving > 0)
 		g_usleep(1000);
 	g_hash_table_destroy(u->runs);
+	g_hash_table_destroy(u->heads);
 	g_string_free(u->headers, TRUE);
 	g_string_free(u->added, TRUE);
 	g_array_free(u->arrivals_ms, TRUE);
@@ -429,6 +433,20 @@
 	return saw;
 }
 
+bool
+fake_upstream_received_by(
+    struct fake_upstream *u, const char *id, const char *line)
+{
+	const char *head;
+	bool saw;
+
+	pthread_mutex_lock(&u->lock);
+	head = g_hash_table_lookup(u->heads, id);
+	saw = head != NULL && strcasestr(head, line) != NULL;
+	pthread_mutex_unlock(&u->lock);
+	return saw;
+}
+
 void
 fake_upstream_add_headers(struct fake_upstream *u, const char *lines)
 {
--- a/packages/traffic/include/traffic/placement.h
+++ b/packages/traffic/include/traffic/placement.h
@@ -53,6 +53,7 @@
  * @service: see service_id()
  * @key: idempotency key, or NULL; a call with a key goes to the key's home
  * @key_len: length of @key in bytes
+ * @key_scope: number of the customer whose key it is, 0 for none
  * @content: hash of the content of a request that may crash upstreams; such a
  *	request goes to the endpoint that ranks first for this hash, which is
  *	the same at all entries; 0 for all other requests
@@ -69,6 +70,7 @@
 	uint64_t service;
 	const void *key;
 	size_t key_len;
+	uint64_t key_scope;
 	uint64_t content;
 	const uint64_t *tried;
 	size_t n_tried;
--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -402,7 +402,7 @@
 		if (is_candidate(ep, now_ms))
 			g_array_append_val(p->ranked, ep->info.id);
 	}
-	key_id_make(&key, s->id, q->key, q->key_len);
+	key_id_make(&key, s->id ^ q->key_scope, q->key, q->key_len);
 	home = keyed_home(&key, (const uint64_t *)(const void *)p->ranked->data,
 	    p->ranked->len);
 	if (home == 0)
