--- a/packages/node/bench/bench_call.c
+++ b/packages/node/bench/bench_call.c
@@ -4,8 +4,9 @@
  * processor time per call.
  *
  * Three processes: callers and upstream in this one, the entry's node and the
- * guard's node in one each.  Usage: bench_call [seconds [rate]]; with a rate of
- * 0 only the maximum rate is measured.
+ * guard's node in one each.  Usage: bench_call [seconds [rate [customers]]];
+ * with a rate of 0 only the maximum rate is measured; with customers, each call
+ * has the key of one.
  */
 #include <inttypes.h>
 #include <pthread.h>
@@ -47,6 +48,7 @@
  * @port: port that is called
  * @method: method of the calls
  * @path: their path
+ * @headers: their headers, or NULL
  * @body: their body, or NULL
  * @rate: calls per second; 0 for the maximum
  * @until_us: monotonic end time
@@ -61,6 +63,7 @@
 	uint16_t port;
 	const char *method;
 	const char *path;
+	const char *headers;
 	const char *body;
 	uint64_t rate;
 	uint64_t until_us;
@@ -83,7 +86,7 @@
 		*fd = caller_connect(l->port);
 	if (*fd < 0)
 		return false;
-	ok = caller_send(*fd, l->method, l->path, NULL, l->body, len) &&
+	ok = caller_send(*fd, l->method, l->path, l->headers, l->body, len) &&
 	    caller_read(*fd, &r) && r.status == 200 && r.whole;
 	if (!ok || r.closes) {
 		close(*fd);
@@ -167,6 +170,46 @@
 
 /* Children */
 
+static uint32_t n_customers;
+
+/* The fixture's routes with a table of customers. */
+static char *
+bundle_with_customers(void)
+{
+	GString *s = g_string_new(
+	    "{\"format\":1,\"name\":\"test\",\"services\":[{\"name\":"
+	    "\"search\",\"timeout_ms\":3000,\"limits\":{"
+	    "\"slots_per_endpoint\":64,\"queue_per_endpoint\":64,"
+	    "\"queue_wait_ms\":1000,\"request_max_bytes\":2147483648}}],"
+	    "\"routes\":[{\"prefix\":\"/look\",\"methods\":[\"GET\"],"
+	    "\"service\":\"search\",\"idempotent\":true},{\"prefix\":"
+	    "\"/book\",\"methods\":[\"POST\"],\"service\":\"search\"},"
+	    "{\"prefix\":\"/up\",\"methods\":[\"PUT\"],\"service\":"
+	    "\"search\",\"keyless\":true}],\"customers\":[");
+	uint32_t i;
+
+	for (i = 0; i < n_customers; i++)
+		g_string_append_printf(s,
+		    "%s{\"name\":\"customer-%u\",\"keys\":[\"key-%u\"]}",
+		    i > 0 ? "," : "", i, i);
+	g_string_append(s, "]}");
+	return g_string_free(s, FALSE);
+}
+
+static void
+publish(const struct fake_endpoint *ep)
+{
+	char *json;
+
+	if (n_customers == 0) {
+		test_snapshot(ep, 1);
+		return;
+	}
+	json = bundle_with_customers();
+	test_snapshot_of(json, ep, 1);
+	g_free(json);
+}
+
 static uint64_t
 cpu_us(void)
 {
@@ -199,7 +242,7 @@
 	if (upstream != 0)
 		test_node_upstream(n, upstream, SERVING_READY);
 	else
-		test_snapshot(&ep, 1);
+		publish(&ep);
 	port = upstream != 0 ? guard_addr(n->guard).port
 			     : callers_port(n->callers);
 	if (write(reply_fd, &port, sizeof(port)) != sizeof(port))
@@ -403,6 +446,10 @@
 	struct child entry, guard;
 	char label[64];
 
+	n_customers = argc > 3 ? (uint32_t)strtoul(argv[3], NULL, 10) : 0;
+	if (n_customers > 0)
+		direct.headers = through.headers =
+		    "Bramley-Customer-Key: key-0\r\n";
 	upstream = fake_upstream_start();
 	through.port =
 	    child_start(&entry, 0, child_start(&guard, upstream->port, 0));
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -14,8 +14,8 @@
 
 #define US_PER_MS 1000
 
-/* A name whose bytes are all encoded, and a NUL. */
-#define CUSTOMER_TEXT_BYTES (3 * CUSTOMER_NAME_BYTES + 1)
+/* Longer names are cut, so that the other fields fit into the line. */
+#define CUSTOMER_TEXT_BYTES 64
 
 static const char *
 call_name(const struct entry_call *c, char *buf, size_t len)
--- a/packages/node/test/test_call_customers.c
+++ b/packages/node/test/test_call_customers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "config/customer.h"
 #include "node/snapshot_ref.h"
 
@@ -22,6 +23,9 @@
 #define SUSPICION_MS 100
 
 #define NEWER 2
+#define WRONG_KEYS 2000
+/* An operator can read this many; the metric counts all. */
+#define LOG_LINES_PER_S 10
 #define LONG_KEY_BYTES 10240
 
 #define KEY(key) "Bramley-Customer-Key: " key "\r\n"
@@ -443,6 +447,101 @@
 }
 END_TEST
 
+/* Text that the process writes to its log during @run. */
+static char *
+log_of(void (*run)(void))
+{
+	FILE *f = tmpfile();
+	int fd = dup(STDERR_FILENO);
+	char *text = NULL;
+	long len;
+
+	ck_assert_ptr_nonnull(f);
+	ck_assert_int_ge(dup2(fileno(f), STDERR_FILENO), 0);
+	run();
+	ck_assert_int_ge(dup2(fd, STDERR_FILENO), 0);
+	close(fd);
+	len = lseek(fileno(f), 0, SEEK_END);
+	text = g_malloc0((gsize)len + 1);
+	ck_assert(pread(fileno(f), text, (size_t)len, 0) == len);
+	(void)fclose(f);
+	return text;
+}
+
+static uint32_t
+count(const char *text, const char *part)
+{
+	uint32_t n = 0;
+
+	for (text = strstr(text, part); text != NULL;
+	     text = strstr(text + 1, part))
+		n++;
+	return n;
+}
+
+static uint64_t flood_ms;
+
+static void
+flood_with_wrong_keys(void)
+{
+	uint64_t began_ms = clock_now_ms();
+	char key[32];
+	int fd, i;
+
+	fd = caller_connect(callers_port(node->callers));
+	for (i = 0; i < WRONG_KEYS; i++) {
+		(void)snprintf(key, sizeof(key), "top-secret-%d", i);
+		send_request(fd, "w", key);
+		expect_answer(fd, 401);
+	}
+	flood_ms = clock_now_ms() - began_ms;
+	send_request(fd, "v", "kn1");
+	expect_answer(fd, 200);
+	close(fd);
+	g_usleep(POSTED_WAIT_US);
+}
+
+/* Load: one connection sends wrong keys as fast as they are answered. */
+START_TEST(wrong_keys_do_not_fill_the_log)
+{
+	uint64_t before;
+	char *text;
+
+	start(two);
+	before = refused(KEY_UNKNOWN);
+	text = log_of(flood_with_wrong_keys);
+	ck_assert_uint_eq(refused(KEY_UNKNOWN), before + WRONG_KEYS);
+	ck_assert_uint_gt(count(text, "key=unknown"), 0);
+	ck_assert_uint_le(count(text, "key=unknown"),
+	    LOG_LINES_PER_S * (2 + flood_ms / 1000));
+	ck_assert_uint_eq(count(text, "secret"), 0);
+	ck_assert_uint_eq(count(text, "kn1"), 0);
+	ck_assert_uint_eq(count(text, "customer=north"), 1);
+	g_free(text);
+	stop();
+}
+END_TEST
+
+static void
+call_as_odd_customer(void)
+{
+	expect("/look/x", KEY("ko"), 200);
+	g_usleep(POSTED_WAIT_US);
+}
+
+START_TEST(name_in_log_cannot_look_like_another_field)
+{
+	char *text;
+
+	start(BUNDLE(",\"customers\":[{\"name\":\"a refused=x 1%\","
+		     "\"keys\":[\"ko\"]}]"));
+	text = log_of(call_as_odd_customer);
+	ck_assert_uint_eq(count(text, "customer=a%20refused%3Dx%201%25 "), 1);
+	g_free(text);
+	stop();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -466,6 +565,8 @@
 	tcase_add_test(tc, long_key_is_an_unknown_key);
 	tcase_add_test(tc, idempotency_keys_of_customers_are_apart);
 	tcase_add_test(tc, name_that_does_not_fit_is_reported);
+	tcase_add_test(tc, wrong_keys_do_not_fill_the_log);
+	tcase_add_test(tc, name_in_log_cannot_look_like_another_field);
 	suite_add_tcase(suite, tc);
 	return test_run(suite);
 }
--- a/packages/standins/include/standins/runs.h
+++ b/packages/standins/include/standins/runs.h
@@ -5,7 +5,8 @@
  * for each run, written before the work of the run starts: test id, request id,
  * key, host and monotonic time in milliseconds; "-" stands for an absent id.
  * A file beside it, with RUNS_ENDS_SUFFIX, has a line for each run that ended:
- * test id, host and monotonic time.
+ * test id, host and monotonic time.  A third one, with RUNS_CUSTOMERS_SUFFIX,
+ * has a line for each run: test id, customer, host and monotonic time.
  */
 #ifndef STANDINS_RUNS_H
 #define STANDINS_RUNS_H
@@ -20,6 +21,10 @@
 /** RUNS_ENDS_SUFFIX - appended to the path of a journal: the file of ends */
 #define RUNS_ENDS_SUFFIX ".ends"
 
+/** RUNS_CUSTOMERS_SUFFIX - appended to the path of a journal: the file of the
+ * runs' customers */
+#define RUNS_CUSTOMERS_SUFFIX ".customers"
+
 /**
  * struct run_ids - ids of one run; NULL or "" if absent
  * @test_id: X-Test-Id header
@@ -57,6 +62,11 @@
  */
 uint64_t runs_add(struct runs *r, const struct run_ids *ids, uint64_t now_ms);
 
+/** runs_customer() - write for which customer a run is, NULL or "" for none;
+ * thread-safe */
+void runs_customer(struct runs *r, const char *test_id, const char *customer,
+    uint64_t now_ms);
+
 /** runs_end() - write the end of a run to the file of ends; thread-safe */
 void runs_end(struct runs *r, const struct run_ids *ids, uint64_t now_ms);
 
--- a/packages/standins/src/runs.c
+++ b/packages/standins/src/runs.c
@@ -33,6 +33,7 @@
 	char *host;
 	int journal_fd;
 	int ends_fd;
+	int customers_fd;
 };
 
 static enum status
@@ -46,15 +47,26 @@
 	return STATUS_OK;
 }
 
+static enum status
+open_beside(const char *journal, const char *suffix, int *fd)
+{
+	char *path = g_strconcat(journal, suffix, (char *)NULL);
+	enum status st = open_append(path, fd);
+
+	g_free(path);
+	return st;
+}
+
 static enum status
 open_journal(struct runs *r, const char *journal)
 {
-	char *ends = g_strconcat(journal, RUNS_ENDS_SUFFIX, (char *)NULL);
 	enum status st = open_append(journal, &r->journal_fd);
 
 	if (st == STATUS_OK)
-		st = open_append(ends, &r->ends_fd);
-	g_free(ends);
+		st = open_beside(journal, RUNS_ENDS_SUFFIX, &r->ends_fd);
+	if (st == STATUS_OK)
+		st = open_beside(
+		    journal, RUNS_CUSTOMERS_SUFFIX, &r->customers_fd);
 	return st;
 }
 
@@ -71,6 +83,7 @@
 	r->host = g_strdup(host);
 	r->journal_fd = -1;
 	r->ends_fd = -1;
+	r->customers_fd = -1;
 	if (journal != NULL && open_journal(r, journal) != STATUS_OK) {
 		runs_free(r);
 		return STATUS_IO;
@@ -90,6 +103,8 @@
 		(void)close(r->journal_fd);
 	if (r->ends_fd != -1)
 		(void)close(r->ends_fd);
+	if (r->customers_fd != -1)
+		(void)close(r->customers_fd);
 	for (i = 0; i < RUN_ID_KINDS; i++)
 		g_hash_table_destroy(r->counts[i]);
 	pthread_mutex_destroy(&r->lock);
@@ -141,6 +156,17 @@
 		id_or_dash(ids->key), r->host, now_ms));
 }
 
+void
+runs_customer(
+    struct runs *r, const char *test_id, const char *customer, uint64_t now_ms)
+{
+	if (r->customers_fd != -1)
+		write_line(r->customers_fd,
+		    g_strdup_printf("%s\t%s\t%s\t%" G_GUINT64_FORMAT "\n",
+			id_or_dash(test_id), id_or_dash(customer), r->host,
+			now_ms));
+}
+
 void
 runs_end(struct runs *r, const struct run_ids *ids, uint64_t now_ms)
 {
--- a/packages/standins/src/upstream_call.c
+++ b/packages/standins/src/upstream_call.c
@@ -290,6 +290,8 @@
 		slot_release(u);
 		return;
 	}
+	runs_customer(u->runs, c.ids.test_id,
+	    mg_get_header(conn, "Bramley-Customer"), clock_now_ms());
 	call_record_run(u, &c);
 	call_work(u, &c);
 	if (web_query_u64(conn, "crash", 0) != 0)
