test(soak): requests with keys, which each version replaces

The soak's callers had no keys. Each version that it signs off now has two customers with new keys and a route that needs them; requests with keys of several versions, with none, and with a forged name go to random nodes from the seed. No upstream may run one for another customer than the holder that its caller names, or unnamed, and at the end each node takes the keys of the last version only.

--- a/packages/standins/include/standins/runs.h
+++ b/packages/standins/include/standins/runs.h
@@ -6,7 +6,8 @@
  * key, host and monotonic time in milliseconds; "-" stands for an absent id.
  * A file beside it, with RUNS_ENDS_SUFFIX, has a line for each run that ended:
  * test id, host and monotonic time.  A third one, with RUNS_CUSTOMERS_SUFFIX,
- * has a line for each run: test id, customer, host and monotonic time.
+ * has a line for each run: the customer that the caller names in X-Test-Holder,
+ * the customer that the node names, host and monotonic time.
  */
 #ifndef STANDINS_RUNS_H
 #define STANDINS_RUNS_H
@@ -62,10 +63,15 @@
  */
 uint64_t runs_add(struct runs *r, const struct run_ids *ids, uint64_t now_ms);
 
-/** runs_customer() - write for which customer a run is, NULL or "" for none;
- * thread-safe */
-void runs_customer(struct runs *r, const char *test_id, const char *customer,
-    uint64_t now_ms);
+/**
+ * runs_customer() - write for which customer a run is; thread-safe
+ * @r: the counts
+ * @holder: customer that holds the request's key by its caller, NULL or ""
+ * @customer: customer that the node names, NULL or ""
+ * @now_ms: monotonic time
+ */
+void runs_customer(
+    struct runs *r, const char *holder, const char *customer, uint64_t now_ms);
 
 /** runs_end() - write the end of a run to the file of ends; thread-safe */
 void runs_end(struct runs *r, const struct run_ids *ids, uint64_t now_ms);
--- a/packages/standins/src/runs.c
+++ b/packages/standins/src/runs.c
@@ -158,12 +158,12 @@
 
 void
 runs_customer(
-    struct runs *r, const char *test_id, const char *customer, uint64_t now_ms)
+    struct runs *r, const char *holder, const char *customer, uint64_t now_ms)
 {
 	if (r->customers_fd != -1)
 		write_line(r->customers_fd,
 		    g_strdup_printf("%s\t%s\t%s\t%" G_GUINT64_FORMAT "\n",
-			id_or_dash(test_id), id_or_dash(customer), r->host,
+			id_or_dash(holder), id_or_dash(customer), r->host,
 			now_ms));
 }
 
--- a/packages/standins/src/upstream_call.c
+++ b/packages/standins/src/upstream_call.c
@@ -290,7 +290,7 @@
 		slot_release(u);
 		return;
 	}
-	runs_customer(u->runs, c.ids.test_id,
+	runs_customer(u->runs, mg_get_header(conn, "X-Test-Holder"),
 	    mg_get_header(conn, "Bramley-Customer"), clock_now_ms());
 	call_record_run(u, &c);
 	call_work(u, &c);
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -290,6 +290,17 @@
  */
 char *deployment_bundle_services(uint32_t n, uint32_t more);
 
+/* Prefix of the route of deployment_bundle_customers() that needs a key. */
+#define DEPLOYMENT_KEYED_PREFIX "/keyed"
+
+/**
+ * deployment_bundle_customers() - like deployment_bundle_routes(), with the
+ * customers "north" and "south"
+ * @n: number of the change; their keys are "north-N" and "south-N"
+ * @routes: number of additional routes
+ */
+char *deployment_bundle_customers(uint32_t n, uint32_t routes);
+
 /**
  * deployment_bundle_routes() - like deployment_bundle(), with more routes of
  * the first service
--- a/test/functional/deployment_ctl.c
+++ b/test/functional/deployment_ctl.c
@@ -101,11 +101,33 @@
 	}
 }
 
+/* Adds two customers with a key each, which are other ones in each bundle, and
+ * a route that needs them; all other routes are without keys. */
+static void
+add_customers(json_t *bundle, uint32_t n)
+{
+	json_t *routes = json_object_get(bundle, "routes");
+	json_t *first = json_array_get(json_object_get(bundle, "services"), 0);
+	json_t *route;
+	size_t i;
+
+	json_array_foreach(routes, i, route)
+	    json_object_set_new(route, "keyless", json_true());
+	json_array_append_new(routes,
+	    json_pack("{s:s,s:[s],s:O,s:b}", "prefix", DEPLOYMENT_KEYED_PREFIX,
+		"methods", "GET", "service", json_object_get(first, "name"),
+		"idempotent", 1));
+	json_object_set_new(bundle, "customers",
+	    json_pack("[{s:s,s:[o]},{s:s,s:[o]}]", "name", "north", "keys",
+		json_sprintf("north-%u", n), "name", "south", "keys",
+		json_sprintf("south-%u", n)));
+}
+
 static char *
-write_bundle(uint32_t n, uint32_t services, uint32_t routes)
+write_bundle(uint32_t n, uint32_t services, uint32_t routes, bool customers)
 {
-	char *name =
-	    g_strdup_printf("bundle-%u-%u-%u.json", n, services, routes);
+	char *name = g_strdup_printf("bundle-%u-%u-%u%s.json", n, services,
+	    routes, customers ? "-keys" : "");
 	char *path, *text;
 	char *example = deployment_example("registry.json");
 	json_t *j = json_load_file(example, 0, NULL);
@@ -113,6 +135,8 @@
 	ck_assert_ptr_nonnull(j);
 	add_routes(j, routes);
 	add_services(j, services);
+	if (customers)
+		add_customers(j, n);
 	json_object_set_new(json_array_get(json_object_get(j, "services"), 0),
 	    "timeout_ms", json_integer(EXAMPLE_TIMEOUT_MS + n));
 	text = json_dumps(j, 0);
@@ -127,13 +151,19 @@
 char *
 deployment_bundle_services(uint32_t n, uint32_t more)
 {
-	return write_bundle(n, more, 0);
+	return write_bundle(n, more, 0, false);
 }
 
 char *
 deployment_bundle_routes(uint32_t n, uint32_t routes)
 {
-	return write_bundle(n, 0, routes);
+	return write_bundle(n, 0, routes, false);
+}
+
+char *
+deployment_bundle_customers(uint32_t n, uint32_t routes)
+{
+	return write_bundle(n, 0, routes, true);
 }
 
 char *
--- a/test/functional/test_key_revoked.c
+++ b/test/functional/test_key_revoked.c
@@ -28,8 +28,6 @@
 #define NEW_KEY SECRET "new"
 #define LAST_KEY SECRET "last"
 
-static uint32_t n_calls;
-
 /* The example's bundle, where the first customer has one key. */
 static char *
 write_bundle(const char *key)
@@ -65,16 +63,16 @@
 static int
 call(const struct host *h, const char *path, const char *key)
 {
-	char url[128], id[32], line[64];
-	const char *headers[] = {id, key != NULL ? line : NULL, NULL};
+	char url[128], holder[64], line[64];
+	const char *headers[] = {holder, key != NULL ? line : NULL, NULL};
 	struct fetch f = {.method = "GET", .url = url, .headers = headers};
 	struct fetch_answer a;
 	int code;
 
 	(void)g_snprintf(url, sizeof(url), "http://%s:%u%s", h->address,
 	    h->caller_port, path);
-	(void)g_snprintf(id, sizeof(id), "X-Test-Id: %s-%u",
-	    key != NULL ? key + strlen(SECRET) : "none", ++n_calls);
+	(void)g_snprintf(holder, sizeof(holder), "X-Test-Holder: %s",
+	    key != NULL ? CUSTOMER : "-");
 	if (key != NULL)
 		(void)g_snprintf(
 		    line, sizeof(line), "Bramley-Customer-Key: %s", key);
@@ -235,8 +233,7 @@
 		lines = g_strsplit(text, "\n", -1);
 		for (j = 0; lines[j] != NULL && lines[j][0] != '\0'; j++, n++) {
 			f = g_strsplit(lines[j], "\t", -1);
-			ck_assert_str_eq(f[1],
-			    g_str_has_prefix(f[0], "none") ? "-" : CUSTOMER);
+			ck_assert_str_eq(f[1], f[0]);
 			g_strfreev(f);
 		}
 		g_strfreev(lines);
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -17,6 +17,7 @@
 #include "fetch.h"
 #include "operators.h"
 #include "soak_crasher.h"
+#include "soak_keys.h"
 #include "soak_plan.h"
 #include "soak_stops.h"
 #include "version_watch.h"
@@ -97,6 +98,7 @@
  * @skipped: number of faults whose target already had another fault
  * @spans: struct fault_span, the times at which hosts had faults
  * @crasher: the poison request
+ * @keys: requests with customers' keys
  * @power_loss_ms: monotonic time at which all hosts lose power, or
  *	DEADLINE_NEVER
  * @restore_from_ms: monotonic time before which the store is not restored
@@ -118,6 +120,7 @@
 	uint32_t skipped;
 	GArray *spans;
 	struct soak_crasher crasher;
+	struct soak_keys *keys;
 	uint64_t power_loss_ms;
 	uint64_t restore_from_ms;
 	GRand *rand;
@@ -526,7 +529,7 @@
 sign_off(struct soak *s, uint32_t i)
 {
 	char *bundle =
-	    deployment_bundle_routes(++s->bundles_written, s->routes);
+	    deployment_bundle_customers(++s->bundles_written, s->routes);
 	const char *const args[] = {
 	    "sign-off", bundle, "--operator", "soak", NULL};
 	struct pending_sign_off pending = {.routes = s->routes};
@@ -771,7 +774,7 @@
 
 	if (s->routes == 0)
 		return;
-	bundle = deployment_bundle_routes(++s->bundles_written, s->routes);
+	bundle = deployment_bundle_customers(++s->bundles_written, s->routes);
 	(void)deployment_wait_version(s->d,
 	    deployment_sign_off(deployment_host(s->d, 0), bundle),
 	    RECOVERY_TIMEOUT_MS);
@@ -901,6 +904,7 @@
 	s.crasher.d = s.d;
 	s.crasher.enabled = crashes;
 	s.power_loss_ms = clock_now_ms() + duration_s * 1000 / 2;
+	s.keys = soak_keys_start(s.d, seed);
 	load = calls_load_leaving(s.d, name, load_s, seed, LEAVE_PERCENT);
 	run_plan(&s, plan, clock_now_ms());
 	calls_load_end(load, name, &c);
@@ -915,6 +919,7 @@
 	check_sign_offs(&s);
 	check_all_grown_routes(&s);
 	check_calls_served(&s, seed);
+	soak_keys_end(s.keys, s.bundles_written, s.routes > 0);
 	(void)printf("seed %u: %u faults skipped\n", seed, s.skipped);
 	soak_end(&s);
 	g_array_unref(plan);
