fix(traffic): no queued request is started that its deadline would cut

A request in time for its target waited up to the target, also where the route's timeout ends before it. The wait now ends at the target or the deadline, whichever is earlier, minus the run time.

--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -203,25 +203,27 @@
 }
 
 /*
- * The longest useful wait ends at the target minus the run time, or for a
- * request that is late for its target, at its deadline minus the run time.
+ * The longest useful wait ends at the target or the deadline, whichever is
+ * earlier, minus the run time, or for a request that is late for its target, at
+ * its deadline minus the run time.
  */
 uint64_t
 admission_allowed_wait_ms(const struct admission *a,
     const struct admission_request *req, uint64_t now_ms)
 {
 	uint64_t run_ms = expected_run_ms(a, req);
-	uint64_t wait_ms, left_ms;
+	uint64_t left_ms = clock_left_ms(req->deadline_ms, now_ms);
+	uint64_t wait_ms;
 
 	if (req->target_ms == 0)
 		return a->cfg.queue_wait_ms;
 	if (!is_late(a, req, now_ms)) {
-		wait_ms = req->target_ms - now_ms - run_ms;
+		wait_ms = MIN(req->target_ms - now_ms, left_ms);
+		wait_ms -= MIN(run_ms, wait_ms);
 		return MAX(wait_ms, WAIT_MIN_MS);
 	}
 	if (admission_overload_persists(a, now_ms))
 		return a->cfg.queue_wait_ms;
-	left_ms = clock_left_ms(req->deadline_ms, now_ms);
 	return left_ms - MIN(run_ms, left_ms);
 }
 
--- a/packages/traffic/test/test_overload.c
+++ b/packages/traffic/test/test_overload.c
@@ -43,6 +43,7 @@
 	uint32_t in_time;
 	uint32_t served;
 	uint32_t refused;
+	uint32_t cut;
 	uint64_t retry_after_ms;
 };
 
@@ -118,6 +119,8 @@
 	p->counts[r->kind].served++;
 	if (now_ms <= r->arrived_ms + k->target_ms)
 		p->counts[r->kind].in_time++;
+	if (now_ms > r->req.deadline_ms)
+		p->counts[r->kind].cut++;
 }
 
 static void
@@ -368,6 +371,26 @@
 }
 END_TEST
 
+/*
+ * Patient searches, whose target lies beyond their deadline, need 1.3 times the
+ * slots, and calls that go before them need half of the slots: no search is
+ * started that would be cut at its deadline.
+ */
+START_TEST(no_run_is_begun_that_the_deadline_cuts)
+{
+	static const struct kind kinds[KINDS] = {
+	    {ADMISSION_LOOKUP, 1, 6000, 36, 150, 400},
+	    {ADMISSION_LOOKUP, 2, 23000, 360, 2000, 1500},
+	};
+	struct simulation *p = simulate(kinds, false);
+
+	ck_assert_uint_eq(p->counts[1].cut, 0);
+	ck_assert_uint_ge(
+	    percent(p->counts[1].served, p->counts[1].offered), 30);
+	g_free(p);
+}
+END_TEST
+
 /*
  * An upstream that refuses half of its requests while most of its slots are
  * free keeps them, and callers may retry at once.
@@ -663,6 +686,7 @@
 	tcase_add_test(tc, slow_kind_is_measured_again);
 	tcase_add_test(tc, unmeasured_kind_is_not_refused);
 	tcase_add_test(tc, served_requests_are_in_time_under_overload);
+	tcase_add_test(tc, no_run_is_begun_that_the_deadline_cuts);
 	tcase_add_test(tc, refusals_with_free_slots_keep_the_limit);
 	tcase_add_test(tc, random_refusals_keep_most_slots_in_use);
 	tcase_add_test(tc, excess_announced_slots_are_detected);
