feat(traffic): customers share the slots of an upstream fairly

Within a rank the guard took the earliest target, so a customer with half of the load got half of the room. Requests now rank by the customer's rank, the route's priority and whether they are in time; within a rank the customer that has used the least slot time goes first (start-time fair queueing), and when the queue is full the request that would start last is refused. Without customers the order is as before.

--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -1,8 +1,9 @@
 /*
  * Slots and the queue of one endpoint.
  *
- * Requests wait by rank: by priority, and within a priority those that can
- * still meet their target first.  Within a rank each class has its own queue.
+ * Requests wait by rank: by rank of the customer, then by priority, and within
+ * a priority those that can still meet their target first.  Within a rank each
+ * class has its own queue, whose slots customers share fairly.
  * A class below its share of the slots goes first.  Requests of a class that
  * exceeds its share of the queue are evicted when the other class needs the
  * space.
@@ -36,6 +37,7 @@
 	a = g_new0(struct admission, 1);
 	a->refused = g_array_new(FALSE, FALSE, sizeof(struct admission_result));
 	a->running = g_array_new(FALSE, FALSE, sizeof(struct running));
+	a->fair = admission_fair_new();
 	a->limit = UINT64_MAX;
 	upstream_limit_init(&a->upstream_limit);
 	admission_configure(a, cfg);
@@ -53,6 +55,7 @@
 	for (i = 0; i < ADMISSION_CLASSES; i++)
 		for (rank = 0; rank < RANKS; rank++)
 			g_queue_clear_full(&a->lanes[i].waiting[rank], g_free);
+	admission_fair_free(a->fair);
 	g_array_free(a->refused, TRUE);
 	g_array_free(a->running, TRUE);
 	g_free(a);
@@ -103,6 +106,12 @@
 	return &a->upstream_limit;
 }
 
+uint32_t
+admission_rank_priority(uint32_t rank)
+{
+	return rank / 2 % ADMISSION_PRIORITIES;
+}
+
 uint32_t
 admission_priority_of(const struct admission_request *req)
 {
@@ -129,6 +138,9 @@
 
 	admission_count_started(a, now_ms);
 	upstream_limit_take(&a->upstream_limit, now_ms);
+	admission_fair_started(a->fair, req,
+	    admission_run_us(a, admission_priority_of(req), req->class),
+	    now_ms);
 	g_array_append_val(a->running, run);
 	a->lanes[req->class].in_slots++;
 	out->verdict = ADMISSION_START;
@@ -165,6 +177,19 @@
 	return NULL;
 }
 
+/* The waiting request of a class and rank that starts last, or NULL. */
+static GList *
+last_waiting(
+    const struct admission *a, enum admission_class class, uint32_t rank)
+{
+	const GQueue *q = &a->lanes[class].waiting[rank];
+
+	if (!admission_fair_is_active(a->fair))
+		return q->tail;
+	return admission_fair_last(a->fair, q,
+	    admission_run_us(a, admission_rank_priority(rank), class));
+}
+
 /*
  * Remove the newest request of the other class at the same rank, if @class uses
  * less than its share of the queue; NULL if there is none.
@@ -175,11 +200,40 @@
 {
 	struct lane *o = &a->lanes[admission_other(class)];
 
-	if (a->lanes[class].n_waiting >=
-		admission_share(a, rank / 2, class, a->cfg.queue_max) ||
+	if (a->lanes[class].n_waiting >= admission_share(a,
+					     admission_rank_priority(rank),
+					     class, a->cfg.queue_max) ||
 	    o->waiting[rank].tail == NULL)
 		return NULL;
-	return admission_dequeue(o, rank, o->waiting[rank].tail);
+	return admission_dequeue(
+	    o, rank, last_waiting(a, admission_other(class), rank));
+}
+
+/*
+ * Remove a request of the same rank that starts later than @req since its
+ * customer has used more; NULL if there is none.
+ */
+static struct waiting *
+evict_from_customer(
+    struct admission *a, const struct admission_request *req, uint32_t rank)
+{
+	const enum admission_class classes[] = {
+	    req->class, admission_other(req->class)};
+	struct lane *l;
+	GList *victim;
+	size_t i;
+
+	if (!admission_fair_is_active(a->fair))
+		return NULL;
+	for (i = 0; i < G_N_ELEMENTS(classes); i++) {
+		l = &a->lanes[classes[i]];
+		victim = admission_fair_victim(a->fair, &l->waiting[rank], req,
+		    admission_run_us(
+			a, admission_priority_of(req), req->class));
+		if (victim != NULL)
+			return admission_dequeue(l, rank, victim);
+	}
+	return NULL;
 }
 
 /*
@@ -208,6 +262,8 @@
 	if (admission_queued(a) < queue_max(a, rank, now_ms))
 		return true;
 	w = evict_lowest(a, rank);
+	if (w == NULL)
+		w = evict_from_customer(a, req, rank);
 	if (w == NULL)
 		w = evict_from_other_class(a, req->class, rank);
 	if (w == NULL)
@@ -231,8 +287,7 @@
 	w->expires_ms = MIN(req->deadline_ms,
 	    now_ms + admission_allowed_wait_ms(a, req, now_ms));
 	q = &a->lanes[req->class].waiting[admission_rank_of(a, req, now_ms)];
-	g_queue_push_nth(
-	    q, w, (gint)admission_queue_position(q, req->target_ms));
+	g_queue_push_nth(q, w, (gint)admission_queue_index(q, req->target_ms));
 	a->lanes[req->class].n_waiting++;
 	out->verdict = ADMISSION_QUEUE;
 	out->ticket = req->ticket;
@@ -245,6 +300,7 @@
     uint64_t now_ms, struct admission_result *out)
 {
 	a->now_ms = MAX(a->now_ms, now_ms);
+	admission_fair_offered(a->fair, req, now_ms);
 	if (a->draining)
 		admission_refuse(a, req, REFUSAL_DRAINING, now_ms, out);
 	else if (now_ms >= req->deadline_ms)
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -14,8 +14,12 @@
 /* Fixed-point unit of admission.limit: this many parts per slot. */
 #define LIMIT_UNIT 1024
 
-/* Two ranks per priority: in time for the target, and late. */
-#define RANKS (2 * ADMISSION_PRIORITIES)
+/* Distinct ranks of customers; lower ones count as the last. */
+#define CUSTOMER_RANKS 4
+
+/* Two ranks per rank of the customer and priority: in time for the target, and
+ * late. */
+#define RANKS (2 * ADMISSION_PRIORITIES * CUSTOMER_RANKS)
 
 /**
  * struct waiting - a queued request
@@ -79,11 +83,15 @@
 	uint32_t refused[2];
 };
 
+/** struct admission_fair - use of the slots by customers */
+struct admission_fair;
+
 /**
  * struct admission - see traffic/admission.h
  * @cfg: its limits
  * @now_ms: time of the last event
  * @lanes: by class
+ * @fair: use of the slots by customers
  * @running: struct running, in order of start
  * @concurrency: observed concurrency, to classify the upstream's refusals
  * @limit: slots that may be used, in parts of LIMIT_UNIT
@@ -101,6 +109,7 @@
 	struct admission_config cfg;
 	uint64_t now_ms;
 	struct lane lanes[ADMISSION_CLASSES];
+	struct admission_fair *fair;
 	GArray *running;
 	struct concurrency concurrency;
 	uint64_t limit;
@@ -150,6 +159,9 @@
 /** admission_priority_of() - priority, limited to ADMISSION_PRIORITIES - 1 */
 uint32_t admission_priority_of(const struct admission_request *req);
 
+/** admission_rank_priority() - priority of the requests of a rank */
+uint32_t admission_rank_priority(uint32_t rank);
+
 /** admission_other() - the other class */
 enum admission_class admission_other(enum admission_class class);
 
@@ -167,10 +179,10 @@
 bool admission_overload_persists(const struct admission *a, uint64_t now_ms);
 
 /**
- * admission_queue_position() - number of queued requests that go before a
- * request with the target @target_ms
+ * admission_queue_index() - index in the queue @q, which is ordered by target,
+ * of a request with the target @target_ms
  */
-uint32_t admission_queue_position(const GQueue *q, uint64_t target_ms);
+uint32_t admission_queue_index(const GQueue *q, uint64_t target_ms);
 
 /** admission_allowed_wait_ms() - longest useful wait of a request in ms */
 uint64_t admission_allowed_wait_ms(const struct admission *a,
@@ -207,6 +219,45 @@
 void admission_refuse(struct admission *a, const struct admission_request *req,
     enum refusal refusal, uint64_t now_ms, struct admission_result *out);
 
+/** admission_fair_new() - free with admission_fair_free() */
+struct admission_fair *admission_fair_new(void);
+
+/** admission_fair_free() - free the table of customers */
+void admission_fair_free(struct admission_fair *f);
+
+/** admission_fair_is_active() - whether any request had a customer */
+bool admission_fair_is_active(const struct admission_fair *f);
+
+/** admission_fair_offered() - count an offered request for its customer */
+void admission_fair_offered(struct admission_fair *f,
+    const struct admission_request *req, uint64_t now_ms);
+
+/** admission_fair_started() - charge a started request to its customer */
+void admission_fair_started(struct admission_fair *f,
+    const struct admission_request *req, uint64_t run_us, uint64_t now_ms);
+
+/** admission_fair_position() - number of requests in @q that start before @req;
+ * @run_us: expected run time of each */
+uint32_t admission_fair_position(const struct admission_fair *f,
+    const GQueue *q, const struct admission_request *req, uint64_t run_us);
+
+/** admission_fair_first() - the request in @q that starts next, or NULL */
+GList *admission_fair_first(const struct admission_fair *f, const GQueue *q);
+
+/**
+ * admission_fair_victim() - the request in @q to evict for @req: the one that
+ * would start last
+ *
+ * Return: NULL if @req would start later than all of them.
+ */
+GList *admission_fair_victim(const struct admission_fair *f, const GQueue *q,
+    const struct admission_request *req, uint64_t run_us);
+
+/** admission_fair_last() - the request in @q that starts last, or NULL if @q is
+ * empty */
+GList *admission_fair_last(
+    const struct admission_fair *f, const GQueue *q, uint64_t run_us);
+
 /** admission_dequeue() - remove a request from a lane; the caller frees it */
 struct waiting *admission_dequeue(struct lane *l, uint32_t rank, GList *link);
 
--- a/packages/traffic/src/admission_next.c
+++ b/packages/traffic/src/admission_next.c
@@ -83,9 +83,11 @@
 	if (lookups->waiting[rank].length == 0)
 		return ADMISSION_BOOKING;
 	lookups_use = (uint64_t)lookups->in_slots *
-	    admission_share(a, rank / 2, ADMISSION_BOOKING, PERCENT);
+	    admission_share(
+		a, admission_rank_priority(rank), ADMISSION_BOOKING, PERCENT);
 	bookings_use = (uint64_t)bookings->in_slots *
-	    admission_share(a, rank / 2, ADMISSION_LOOKUP, PERCENT);
+	    admission_share(
+		a, admission_rank_priority(rank), ADMISSION_LOOKUP, PERCENT);
 	return lookups_use <= bookings_use ? ADMISSION_LOOKUP
 					   : ADMISSION_BOOKING;
 }
@@ -102,8 +104,9 @@
 static uint64_t
 next_run_us(const struct admission *a, uint32_t rank)
 {
-	return MAX(
-	    admission_run_us(a, rank / 2, next_class(a, rank)), RUN_DEFAULT_US);
+	return MAX(admission_run_us(
+		       a, admission_rank_priority(rank), next_class(a, rank)),
+	    RUN_DEFAULT_US);
 }
 
 /*
@@ -147,6 +150,9 @@
 {
 	const struct waiting *oldest = q->head->data;
 
+	if (admission_fair_is_active(a->fair))
+		return admission_fair_first(a->fair, q);
+
 	if (a->cfg.newest_first && oldest->req.target_ms == 0 &&
 	    now_ms - oldest->arrived_ms > a->cfg.queue_wait_ms / 2)
 		return q->tail;
--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -49,12 +49,19 @@
 	return req->target_ms != 0 && now_ms + run_ms > req->target_ms;
 }
 
+/* Requests without a customer's rank wait for none. */
+static uint32_t
+customer_rank(const struct admission_request *req)
+{
+	return MIN(MAX(req->customer_priority, 1), CUSTOMER_RANKS) - 1;
+}
+
 uint32_t
 admission_rank_of(const struct admission *a,
     const struct admission_request *req, uint64_t now_ms)
 {
-	return 2 * admission_priority_of(req) +
-	    (is_late(a, req, now_ms) ? 1 : 0);
+	return 2 * ADMISSION_PRIORITIES * customer_rank(req) +
+	    2 * admission_priority_of(req) + (is_late(a, req, now_ms) ? 1 : 0);
 }
 
 /* Total expected run time of the requests that wait at a rank. */
@@ -66,7 +73,8 @@
 
 	for (i = 0; i < ADMISSION_CLASSES; i++)
 		us += a->lanes[i].waiting[rank].length *
-		    admission_run_us(a, rank / 2, (enum admission_class)i);
+		    admission_run_us(a, admission_rank_priority(rank),
+			(enum admission_class)i);
 	return us;
 }
 
@@ -119,7 +127,7 @@
 }
 
 uint32_t
-admission_queue_position(const GQueue *q, uint64_t target_ms)
+admission_queue_index(const GQueue *q, uint64_t target_ms)
 {
 	const struct waiting *w;
 	uint32_t n = 0;
@@ -133,6 +141,17 @@
 	return n;
 }
 
+/* Number of requests queued in @q that start before @req. */
+static uint32_t
+position_in(const struct admission *a, const GQueue *q,
+    const struct admission_request *req)
+{
+	if (!admission_fair_is_active(a->fair))
+		return admission_queue_index(q, req->target_ms);
+	return admission_fair_position(a->fair, q, req,
+	    admission_run_us(a, admission_priority_of(req), req->class));
+}
+
 /* Number of queued requests that start before a request of a rank. */
 static uint64_t
 queued_ahead(const struct admission *a, const struct admission_request *req,
@@ -141,11 +160,11 @@
 	const GQueue *q = &a->lanes[req->class].waiting[rank];
 	const GQueue *other =
 	    &a->lanes[admission_other(req->class)].waiting[rank];
-	uint64_t n = admission_queue_position(q, req->target_ms);
+	uint64_t n = position_in(a, q, req);
 	uint32_t r;
 	int i;
 
-	n += admission_queue_position(other, req->target_ms);
+	n += position_in(a, other, req);
 	for (i = 0; i < ADMISSION_CLASSES; i++)
 		for (r = 0; r < rank; r++)
 			n += a->lanes[i].waiting[r].length;
@@ -172,9 +191,11 @@
 
 	for (r = 0; r < rank; r++)
 		us += queued_work_us(a, r);
-	us += (admission_queue_position(q, req->target_ms) + UINT64_C(1)) *
-	    admission_run_us(a, rank / 2, req->class);
-	return us / available_slots(a, rank / 2, req->class) / US_PER_MS;
+	us += (position_in(a, q, req) + UINT64_C(1)) *
+	    admission_run_us(a, admission_rank_priority(rank), req->class);
+	return us /
+	    available_slots(a, admission_rank_priority(rank), req->class) /
+	    US_PER_MS;
 }
 
 static uint64_t
