feat(traffic): slots are kept from long requests for urgent ones

A long request that fills the last slot makes an urgent one late that arrives behind it, whatever their ranks. As many slots as requests of a higher priority need now are kept from a kind that runs longer than their slack. Kinds aren't fixed: run times, slack and arrivals are those of the last second.

--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -134,7 +134,8 @@
 admission_start(struct admission *a, const struct admission_request *req,
     uint64_t now_ms, struct admission_result *out)
 {
-	const struct running run = {req->ticket, now_ms};
+	const struct running run = {
+	    req->ticket, now_ms, admission_priority_of(req), req->class};
 
 	admission_count_started(a, now_ms);
 	upstream_limit_take(&a->upstream_limit, now_ms);
@@ -301,11 +302,14 @@
 {
 	a->now_ms = MAX(a->now_ms, now_ms);
 	admission_fair_offered(a->fair, req, now_ms);
+	admission_urgent_offered(
+	    a, req, admission_expected_run_ms(a, req), now_ms);
 	if (a->draining)
 		admission_refuse(a, req, REFUSAL_DRAINING, now_ms, out);
 	else if (now_ms >= req->deadline_ms)
 		admission_refuse(a, req, REFUSAL_EXPIRED, now_ms, out);
-	else if (admission_may_start(a, now_ms) && admission_queued(a) == 0)
+	else if (admission_may_start(a, now_ms) && admission_queued(a) == 0 &&
+	    admission_urgent_allows(a, admission_priority_of(req), req->class))
 		admission_start(a, req, now_ms, out);
 	else if (!admission_starts_in_time(a, req, now_ms))
 		admission_refuse(a, req, REFUSAL_WAIT, now_ms, out);
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -55,10 +55,27 @@
  * struct running - a request in a slot
  * @ticket: the request
  * @started_ms: monotonic time of its start
+ * @priority: its priority
+ * @class: its class
  */
 struct running {
 	uint64_t ticket;
 	uint64_t started_ms;
+	uint32_t priority;
+	enum admission_class class;
+};
+
+/**
+ * struct urgent_kind - arrivals of the requests of one priority and class
+ * @until_ms: end of the current period, 0 while none has arrived in time
+ * @arrived: requests that arrived in time, in this and the last period
+ * @slack_ms: moving average of the time until the latest start that meets the
+ *	target
+ */
+struct urgent_kind {
+	uint64_t until_ms;
+	uint32_t arrived[2];
+	uint64_t slack_ms;
 };
 
 /**
@@ -91,6 +108,7 @@
  * @cfg: its limits
  * @now_ms: time of the last event
  * @lanes: by class
+ * @kinds: arrivals by priority and class
  * @fair: use of the slots by customers
  * @running: struct running, in order of start
  * @concurrency: observed concurrency, to classify the upstream's refusals
@@ -109,6 +127,7 @@
 	struct admission_config cfg;
 	uint64_t now_ms;
 	struct lane lanes[ADMISSION_CLASSES];
+	struct urgent_kind kinds[ADMISSION_PRIORITIES][ADMISSION_CLASSES];
 	struct admission_fair *fair;
 	GArray *running;
 	struct concurrency concurrency;
@@ -219,6 +238,25 @@
 void admission_refuse(struct admission *a, const struct admission_request *req,
     enum refusal refusal, uint64_t now_ms, struct admission_result *out);
 
+/** admission_urgent_offered() - count the arrival of a request that runs for
+ * @run_ms */
+void admission_urgent_offered(struct admission *a,
+    const struct admission_request *req, uint64_t run_ms, uint64_t now_ms);
+
+/** admission_urgent_kept() - number of slots that are kept from requests of a
+ * kind */
+uint32_t admission_urgent_kept(
+    const struct admission *a, uint32_t priority, enum admission_class class);
+
+/** admission_urgent_allows() - whether a request of a kind may take a slot */
+bool admission_urgent_allows(
+    const struct admission *a, uint32_t priority, enum admission_class class);
+
+/** admission_expected_run_ms() - expected run time of a request from
+ * measurements of its own kind, 0 while there is none */
+uint64_t admission_expected_run_ms(
+    const struct admission *a, const struct admission_request *req);
+
 /** admission_fair_new() - free with admission_fair_free() */
 struct admission_fair *admission_fair_new(void);
 
--- a/packages/traffic/src/admission_next.c
+++ b/packages/traffic/src/admission_next.c
@@ -109,18 +109,29 @@
 	    RUN_DEFAULT_US);
 }
 
+/* Whether a request waits at a rank and may take a slot. */
+static bool
+may_start_rank(const struct admission *a, uint32_t rank)
+{
+	return has_waiting(a, rank) &&
+	    admission_urgent_allows(
+		a, admission_rank_priority(rank), next_class(a, rank));
+}
+
 /*
  * Return: the rank that gets the free slot: the highest waiting one, or the
- * lowest if its credit suffices.
+ * lowest if its credit suffices; RANKS if none may start.
  */
 static uint32_t
 next_rank(const struct admission *a)
 {
 	uint32_t first = 0, last = RANKS - 1;
 
-	while (first < last && !has_waiting(a, first))
+	while (first < RANKS && !may_start_rank(a, first))
 		first++;
-	while (last > first && !has_waiting(a, last))
+	if (first == RANKS)
+		return RANKS;
+	while (last > first && !may_start_rank(a, last))
 		last--;
 	return a->lowest_credit_us >= next_run_us(a, last) ? last : first;
 }
@@ -162,13 +173,16 @@
 static bool
 next_started(struct admission *a, uint64_t now_ms, struct admission_result *out)
 {
-	uint32_t rank = next_rank(a);
 	struct waiting *w;
 	struct lane *lane;
+	uint32_t rank;
 
 	if (a->draining || admission_queued(a) == 0 ||
 	    !admission_may_start(a, now_ms))
 		return false;
+	rank = next_rank(a);
+	if (rank == RANKS)
+		return false;
 	account_start(a, rank);
 	lane = &a->lanes[next_class(a, rank)];
 	w = admission_dequeue(
--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -30,8 +30,9 @@
  * kind that was never measured: with the mean of its class such a request
  * could be refused, and the kind would never be measured.
  */
-static uint64_t
-expected_run_ms(const struct admission *a, const struct admission_request *req)
+uint64_t
+admission_expected_run_ms(
+    const struct admission *a, const struct admission_request *req)
 {
 	if (a->lanes[req->class].run_us[admission_priority_of(req)] == 0)
 		return 0;
@@ -44,7 +45,7 @@
 is_late(const struct admission *a, const struct admission_request *req,
     uint64_t now_ms)
 {
-	uint64_t run_ms = expected_run_ms(a, req);
+	uint64_t run_ms = admission_expected_run_ms(a, req);
 
 	return req->target_ms != 0 && now_ms + run_ms > req->target_ms;
 }
@@ -122,7 +123,8 @@
 	reserved = MIN(o->in_slots + o->n_waiting,
 	    admission_share(
 		a, priority, admission_other(class), admission_slots(a)));
-	kept = admission_slots(a) - reserved;
+	reserved += admission_urgent_kept(a, priority, class);
+	kept = admission_slots(a) - MIN(reserved, admission_slots(a));
 	return MAX(kept, 1);
 }
 
@@ -232,7 +234,7 @@
 admission_allowed_wait_ms(const struct admission *a,
     const struct admission_request *req, uint64_t now_ms)
 {
-	uint64_t run_ms = expected_run_ms(a, req);
+	uint64_t run_ms = admission_expected_run_ms(a, req);
 	uint64_t left_ms = clock_left_ms(req->deadline_ms, now_ms);
 	uint64_t wait_ms;
 
@@ -262,7 +264,7 @@
 	if (limit_wait_ms(a, req, rank) > a->cfg.queue_wait_ms)
 		return false;
 	wait = expected_wait_ms(a, req, rank);
-	run = expected_run_ms(a, req);
+	run = admission_expected_run_ms(a, req);
 	return wait <= admission_allowed_wait_ms(a, req, now_ms) &&
 	    wait + run <= clock_left_ms(req->deadline_ms, now_ms);
 }
--- a/packages/traffic/test/test_overload.c
+++ b/packages/traffic/test/test_overload.c
@@ -391,6 +391,36 @@
 }
 END_TEST
 
+/*
+ * A burst of patient searches of 360 ms at 2.6 times the slots beside urgent
+ * requests of 58 ms with a target of 200 ms and calls of 36 ms with one of
+ * 150 ms: of the urgent ones hardly any finds all slots taken for longer than
+ * its slack, and the searches keep most of the room that is left.
+ */
+START_TEST(urgent_requests_find_slots_among_patient_ones)
+{
+	static const struct kind kinds[KINDS] = {
+	    {ADMISSION_LOOKUP, 0, 89000, 58, 200, 600},
+	    {ADMISSION_LOOKUP, 1, 41000, 36, 150, 400},
+	    {ADMISSION_LOOKUP, 2, 11500, 360, 2000, 1500},
+	};
+	struct simulation *p = simulate(kinds, false);
+
+	if (g_getenv("BRAMLEY_PRINT") != NULL)
+		g_print("in time: urgent %u calls %u; searches served %u\n",
+		    percent(p->counts[0].in_time, p->counts[0].offered),
+		    percent(p->counts[1].in_time, p->counts[1].offered),
+		    percent(p->counts[2].served, p->counts[2].offered));
+	ck_assert_uint_ge(
+	    percent(p->counts[0].in_time, p->counts[0].offered), 99);
+	ck_assert_uint_ge(
+	    percent(p->counts[1].in_time, p->counts[1].offered), 99);
+	ck_assert_uint_ge(
+	    percent(p->counts[2].served, p->counts[2].offered), 30);
+	g_free(p);
+}
+END_TEST
+
 /*
  * An upstream that refuses half of its requests while most of its slots are
  * free keeps them, and callers may retry at once.
@@ -687,6 +717,7 @@
 	tcase_add_test(tc, unmeasured_kind_is_not_refused);
 	tcase_add_test(tc, served_requests_are_in_time_under_overload);
 	tcase_add_test(tc, no_run_is_begun_that_the_deadline_cuts);
+	tcase_add_test(tc, urgent_requests_find_slots_among_patient_ones);
 	tcase_add_test(tc, refusals_with_free_slots_keep_the_limit);
 	tcase_add_test(tc, random_refusals_keep_most_slots_in_use);
 	tcase_add_test(tc, excess_announced_slots_are_detected);
