feat(node): calls of upstreams rank as the request that they serve

A call that an upstream makes enters at its own host, where the guard runs the request that it serves: the entry finds it by the id. The call takes over the customer, ranks no lower than the request, and is not taken for a repetition since it has less time left. Runs that failed for a refused call are counted by route; while nine in ten fail, a new request is refused as calls_short, with a return that is spread over half a second.

--- a/packages/node/include/node/call_dialect.h
+++ b/packages/node/include/node/call_dialect.h
@@ -17,6 +17,9 @@
  * @request_id: id of a request
  * @caller_sets_request_id: callers choose the id, and upstreams' answers repeat
  *	it; otherwise the guard generates an id for each attempt
+ * @call_separator: an upstream sends a call that it makes for a request under
+ *	the request's id, this character and a part of its own; 0 if ids don't
+ *	show which request a call serves
  * @key: Idempotency-Key is interpreted: all calls with one key are one request;
  *	otherwise it is forwarded as an ordinary header
  * @customer_key: from callers: key of the customer; never forwarded
@@ -45,6 +48,7 @@
 	const char *const *from_upstreams;
 	const char *request_id;
 	bool caller_sets_request_id;
+	char call_separator;
 	bool key;
 	const char *customer_key;
 	const char *customer;
--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -16,6 +16,7 @@
 struct call_dialect;
 struct call_exchange;
 struct entry;
+struct guard;
 struct loop;
 struct quarantine;
 struct settings;
@@ -118,6 +119,14 @@
  */
 void entry_use_quarantine(struct entry *e, struct quarantine *q);
 
+/**
+ * entry_use_guard() - set the guard of this host, which knows the requests that
+ * its upstreams make calls for
+ *
+ * To be called before the traffic thread starts; both run in it.
+ */
+void entry_use_guard(struct entry *e, struct guard *g);
+
 /** entry_free() - free the entry, once the traffic thread has stopped; NULL is
  * allowed */
 void entry_free(struct entry *e);
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -180,6 +180,36 @@
  */
 void guard_quarantine_list(struct guard *g, GArray *out);
 
+/**
+ * struct guard_served - request that an upstream of this host runs
+ * @priority: its priority
+ * @customer: its customer, 0 for none
+ * @customer_priority: rank of the customer plus 1, 0 when not set
+ */
+struct guard_served {
+	uint32_t priority;
+	uint64_t customer;
+	uint32_t customer_priority;
+};
+
+/**
+ * guard_served() - find the request for which an upstream of this host makes a
+ * call
+ * @g: the guard
+ * @call_id: request id of the call
+ * @out: receives the request
+ *
+ * For the entry in the same thread.
+ *
+ * Return: false if the id doesn't name a request that runs here.
+ */
+bool guard_served(
+    const struct guard *g, const char *call_id, struct guard_served *out);
+
+/** guard_call_refused() - a call of an upstream of this host was refused; for
+ * the entry in the same thread */
+void guard_call_refused(struct guard *g, const char *call_id);
+
 /** guard_quarantine() - quarantine state, for the entry in the same thread */
 struct quarantine *guard_quarantine(struct guard *g);
 
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -207,6 +207,12 @@
 	e->quarantine = q;
 }
 
+void
+entry_use_guard(struct entry *e, struct guard *g)
+{
+	e->guard = g;
+}
+
 void
 entry_free(struct entry *e)
 {
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -45,6 +45,22 @@
 	g_free(a);
 }
 
+/* A call of an upstream ranks no lower than the request that it serves. */
+static void
+fill_rank(const struct entry_call *c, struct msg_call_open *m)
+{
+	m->priority = c->route->priority;
+	if (c->customer != NULL) {
+		m->customer = c->customer->id;
+		m->customer_priority = c->customer->priority + 1;
+	} else if (c->is_served) {
+		m->customer = c->served.customer;
+		m->customer_priority = c->served.customer_priority;
+	}
+	if (c->is_served)
+		m->priority = MIN(m->priority, c->served.priority);
+}
+
 static void
 fill_open(const struct entry_attempt *a, struct msg_call_open *m)
 {
@@ -75,11 +91,7 @@
 		m->key_len = (uint32_t)strlen(r->key);
 	}
 	m->time_left_ms = (uint32_t)MIN(left_ms, UINT32_MAX);
-	m->priority = c->route->priority;
-	if (c->customer != NULL) {
-		m->customer = c->customer->id;
-		m->customer_priority = c->customer->priority + 1;
-	}
+	fill_rank(c, m);
 	if (c->target_ms != 0)
 		m->target_left_ms = (uint32_t)MAX(
 		    MIN(clock_left_ms(c->target_ms, now_ms), UINT32_MAX), 1);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -273,6 +273,8 @@
 give_up(struct entry_call *c, const struct call_action *action)
 {
 	entry_log_end(c, action->outcome, failure_reason(c, action));
+	if (c->is_served && action->outcome == OUTCOME_NOT_RUN)
+		guard_call_refused(c->entry->guard, c->request->id);
 	call_metrics_outcome(action->outcome);
 	if (action->refusal == REFUSAL_NO_ENDPOINT ||
 	    action->refusal == REFUSAL_UNREACHABLE)
@@ -441,7 +443,9 @@
 
 	if (c->route->target_ms == 0)
 		return 0;
-	if (c->request->deadline_ms != DEADLINE_NEVER)
+	/* An upstream's call has as much time left as the request that it
+	 * serves, which doesn't show that it was sent before. */
+	if (c->request->deadline_ms != DEADLINE_NEVER && !c->is_served)
 		waited_ms = patience_elapsed_ms(c->entry->patience,
 		    entry_route_key(c->route),
 		    clock_left_ms(c->request->deadline_ms, now_ms));
@@ -480,6 +484,8 @@
 	c->keyed = r->key != NULL && !c->idempotent;
 	c->sequence = ++e->sequence;
 	c->body.held = true;
+	c->is_served = e->guard != NULL && r->id != NULL &&
+	    guard_served(e->guard, r->id, &c->served);
 	c->deadline_ms = effective_deadline_ms(c, now_ms);
 	c->target_ms = target_deadline_ms(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -226,6 +226,7 @@
 	case REFUSAL_RESOLVED:
 	case REFUSAL_EXPIRED:
 	case REFUSAL_SUPERSEDED:
+	case REFUSAL_CALLS_SHORT:
 		return ENDPOINT_CANCELLED;
 	default:
 		return ENDPOINT_REFUSED;
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -14,6 +14,7 @@
 #include "net/conn.h"
 #include "net/loop.h"
 #include "node/entry.h"
+#include "node/guard.h"
 #include "proto/settings.h"
 #include "traffic/behind.h"
 #include "traffic/canary.h"
@@ -62,6 +63,7 @@
  * @behind: version in force and the newest one known
  * @awaited: version in force and the newest one that some node could read
  * @quarantine: quarantined requests, borrowed; NULL for none
+ * @guard: guard of this host, borrowed; NULL for none
  * @watcher: callback for new snapshots, or NULL
  * @watcher_arg: passed to @watcher
  * @runs: upstreams' runs that name a limit or leave
@@ -91,6 +93,7 @@
 	struct behind behind;
 	struct behind awaited;
 	struct quarantine *quarantine;
+	struct guard *guard;
 	void (*watcher)(void *arg);
 	void *watcher_arg;
 	struct run_reports *runs;
@@ -268,6 +271,8 @@
  * @config: configuration of @service in @snapshot
  * @route: the route in @snapshot
  * @customer: the customer in @snapshot, or NULL
+ * @served: request of an upstream of this host that makes the call
+ * @is_served: @served is set
  * @deadline_ms: monotonic deadline: the earlier of the caller's deadline and
  *	the configured timeout
  * @target_ms: monotonic time after which the answer is worth less; 0 when not
@@ -296,6 +301,8 @@
 	const struct service_config *config;
 	const struct service_route *route;
 	const struct customer *customer;
+	struct guard_served served;
+	bool is_served;
 	uint64_t deadline_ms;
 	uint64_t target_ms;
 	bool idempotent;
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -26,6 +26,7 @@
 #include "traffic/frame_age.h"
 #include "traffic/keyed.h"
 #include "traffic/rate_limit.h"
+#include "traffic/shortage.h"
 #include "traffic/superseded.h"
 
 #include "call_headers.h"
@@ -121,6 +122,7 @@
  * @url: scheme, address and port, to which a path is appended
  * @admission: slots and queue
  * @keyed: idempotency keys whose home is this endpoint
+ * @shortage: runs that failed for refused calls
  * @timer: runs the admission queue
  * @report: what the current run reports in its answers
  * @crash: requests that lost their connection, while a probe determines
@@ -137,6 +139,7 @@
 	char url[40];
 	struct admission *admission;
 	struct keyed *keyed;
+	struct shortage *shortage;
 	struct loop_timer timer;
 	struct guard_report report;
 	struct guard_crash crash;
@@ -292,6 +295,7 @@
  * @shed: the upstream reported that it did not run the request
  * @shed_retry_ms: retry delay that the upstream gave with @shed
  * @paused: reading the answer is paused until entries have received more of it
+ * @call_refused: a call that the upstream made for this request was refused
  * @answer: the answer
  * @timer: expires at @deadline_ms while the request waits for its body
  * @free_task: frees the request at the end of the loop iteration
@@ -336,6 +340,7 @@
 	bool shed;
 	uint64_t shed_retry_ms;
 	bool paused;
+	bool call_refused;
 	struct guard_answer *answer;
 	struct loop_timer timer;
 	struct loop_task free_task;
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -10,6 +10,7 @@
 #include "guard_priv.h"
 
 #define US_PER_MS 1000
+#define HTTP_SERVER_ERROR 500
 
 enum admission_class
 guard_request_class(const struct guard_request *r)
@@ -86,6 +87,14 @@
 	    loop_now_ms(r->guard->loop));
 }
 
+/* Counts a run for the shortage of called services. */
+static void
+record_calls(struct guard_request *r, bool failed)
+{
+	shortage_record(r->upstream->shortage, r->route,
+	    failed && r->call_refused, loop_now_ms(r->guard->loop));
+}
+
 /* Releases the admission slot of a request that has run. */
 static void
 release_slot(struct guard_request *r)
@@ -130,15 +139,16 @@
 	    !log_limit_take(limit, loop_now_ms(r->guard->loop)))
 		return;
 	guard_upstream_load(r->upstream, &load);
-	log_info("request id=%s request=%s service=%s refused=%s running=%u "
+	log_info("request id=%s request=%s service=%s refused=%s priority=%u "
+		 "customer=%016" G_GINT64_MODIFIER "x running=%u "
 		 "queued=%u slots=%u limit_milli_per_s=%" G_GUINT64_FORMAT
 		 " limit_wait_ms=%u retry_after_ms=%" G_GUINT64_FORMAT
 		 " left_out=%u",
 	    r->caller_request_id, fingerprint_text(&r->fingerprint, text),
 	    r->upstream != NULL ? r->upstream->info.service : "?",
-	    refusal_name(refusal), load.in_flight, load.queued, load.slots,
-	    load.limit_milli_per_s, load.limit_wait_ms, retry_after_ms,
-	    left_out);
+	    refusal_name(refusal), r->priority, r->customer, load.in_flight,
+	    load.queued, load.slots, load.limit_milli_per_s, load.limit_wait_ms,
+	    retry_after_ms, left_out);
 }
 
 static void
@@ -184,6 +194,7 @@
 		return;
 	fate_failed(r->guard->fates, &r->id, loop_now_ms(r->guard->loop));
 	guard_keyed_ended(r, true);
+	record_calls(r, true);
 	release_slot(r);
 	while ((o = g_queue_peek_head(&r->answer->outs)) != NULL) {
 		guard_out_failed(o->conn, o->stream, r->upstream);
@@ -203,6 +214,7 @@
 		g_bytes_unref(kept);
 	guard_keyed_ended(r, true);
 	record_run_time(r);
+	record_calls(r, r->answer->status >= HTTP_SERVER_ERROR);
 	guard_quarantine_answered(r);
 	guard_counts_record(r, false);
 	release_slot(r);
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -4,12 +4,15 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 
 #define LOG_PART "guard"
 #include "base/log.h"
 
 #include "guard_priv.h"
 
+#define SHORTAGE_SEED 6
+
 static void
 on_timer(void *arg)
 {
@@ -47,6 +50,7 @@
 	fill_admission_config(info, &cfg);
 	u->admission = admission_new(&cfg);
 	u->keyed = guard_keyed_new(g, info->service);
+	u->shortage = shortage_new();
 	loop_timer_init(&u->timer, g->loop, on_timer, u);
 	guard_report_init(u);
 	guard_crash_init(u);
@@ -164,6 +168,20 @@
 	g_ptr_array_unref(late);
 }
 
+/* Refuses a request whose calls would be refused. */
+static bool
+refuse_for_calls(struct guard_request *r)
+{
+	uint64_t random = hash64(&r->ticket, sizeof(r->ticket), SHORTAGE_SEED);
+
+	if (!shortage_refuses(r->upstream->shortage, r->route, random,
+		loop_now_ms(r->guard->loop)))
+		return false;
+	guard_request_refuse(
+	    r, REFUSAL_CALLS_SHORT, shortage_retry_after_ms(random));
+	return true;
+}
+
 void
 guard_upstream_submit(struct guard_request *r)
 {
@@ -175,6 +193,8 @@
 		guard_request_refuse(r, REFUSAL_STOPPING, 0);
 		return;
 	}
+	if (refuse_for_calls(r))
+		return;
 	loop_timer_stop(&r->timer);
 	r->state = REQUEST_QUEUED;
 	guard_request_admission(r, &req);
@@ -242,5 +262,6 @@
 	guard_crash_clear(u);
 	admission_free(u->admission);
 	keyed_free(u->keyed);
+	shortage_free(u->shortage);
 	g_free(u);
 }
