--- a/packages/traffic/src/admission_next.c
+++ b/packages/traffic/src/admission_next.c
@@ -83,9 +83,11 @@
 	if (lookups->waiting[rank].length == 0)
 		return ADMISSION_BOOKING;
 	lookups_use = (uint64_t)lookups->in_slots *
-	    admission_share(a, rank / 2, ADMISSION_BOOKING, PERCENT);
+	    admission_share(
+		a, admission_rank_priority(rank), ADMISSION_BOOKING, PERCENT);
 	bookings_use = (uint64_t)bookings->in_slots *
-	    admission_share(a, rank / 2, ADMISSION_LOOKUP, PERCENT);
+	    admission_share(
+		a, admission_rank_priority(rank), ADMISSION_LOOKUP, PERCENT);
 	return lookups_use <= bookings_use ? ADMISSION_LOOKUP
 					   : ADMISSION_BOOKING;
 }
@@ -102,22 +104,34 @@
 static uint64_t
 next_run_us(const struct admission *a, uint32_t rank)
 {
-	return MAX(
-	    admission_run_us(a, rank / 2, next_class(a, rank)), RUN_DEFAULT_US);
+	return MAX(admission_run_us(
+		       a, admission_rank_priority(rank), next_class(a, rank)),
+	    RUN_DEFAULT_US);
+}
+
+/* Whether a request waits at a rank and may take a slot. */
+static bool
+may_start_rank(const struct admission *a, uint32_t rank)
+{
+	return has_waiting(a, rank) &&
+	    admission_urgent_allows(
+		a, admission_rank_priority(rank), next_class(a, rank));
 }
 
 /*
  * Return: the rank that gets the free slot: the highest waiting one, or the
- * lowest if its credit suffices.
+ * lowest if its credit suffices; RANKS if none may start.
  */
 static uint32_t
 next_rank(const struct admission *a)
 {
 	uint32_t first = 0, last = RANKS - 1;
 
-	while (first < last && !has_waiting(a, first))
+	while (first < RANKS && !may_start_rank(a, first))
 		first++;
-	while (last > first && !has_waiting(a, last))
+	if (first == RANKS)
+		return RANKS;
+	while (last > first && !may_start_rank(a, last))
 		last--;
 	return a->lowest_credit_us >= next_run_us(a, last) ? last : first;
 }
@@ -147,6 +161,9 @@
 {
 	const struct waiting *oldest = q->head->data;
 
+	if (admission_fair_is_active(a->fair))
+		return admission_fair_first(a->fair, q);
+
 	if (a->cfg.newest_first && oldest->req.target_ms == 0 &&
 	    now_ms - oldest->arrived_ms > a->cfg.queue_wait_ms / 2)
 		return q->tail;
@@ -156,13 +173,16 @@
 static bool
 next_started(struct admission *a, uint64_t now_ms, struct admission_result *out)
 {
-	uint32_t rank = next_rank(a);
 	struct waiting *w;
 	struct lane *lane;
+	uint32_t rank;
 
 	if (a->draining || admission_queued(a) == 0 ||
 	    !admission_may_start(a, now_ms))
 		return false;
+	rank = next_rank(a);
+	if (rank == RANKS)
+		return false;
 	account_start(a, rank);
 	lane = &a->lanes[next_class(a, rank)];
 	w = admission_dequeue(
