feat(quota): entries admit by credit that homes of their data centre grant

A customer's limit held nowhere: its requests were admitted by every entry. Entries hold credit and ask a home for more; each data centre's homes accrue an equal part of rate and burst, and lend what they don't need.

--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -16,6 +16,7 @@
 struct call_dialect;
 struct call_exchange;
 struct entry;
+struct guard_quota;
 struct loop;
 struct quarantine;
 struct settings;
@@ -110,6 +111,10 @@
  */
 void entry_stop(struct entry *e);
 
+/** entry_use_homes() - use the homes of customers' limits on this host; call
+ * before the first request */
+void entry_use_homes(struct entry *e, struct guard_quota *homes);
+
 /**
  * entry_use_quarantine() - set the quarantined requests, which are refused
  *
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -180,6 +180,12 @@
  */
 void guard_quarantine_list(struct guard *g, GArray *out);
 
+struct guard_quota;
+
+/** guard_homes() - homes of customers' limits, for the entry in the same thread
+ */
+struct guard_quota *guard_homes(struct guard *g);
+
 /** guard_quarantine() - quarantine state, for the entry in the same thread */
 struct quarantine *guard_quarantine(struct guard *g);
 
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -93,6 +93,30 @@
     .help = "Time by which timers of the traffic thread fired late.",
     .kind = METRIC_HISTOGRAM};
 
+struct metric metric_quota_granted = {.name = "bramley_quota_granted_total",
+    .help = "Requests for which homes on this host granted credit.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_lent = {.name = "bramley_quota_lent_total",
+    .help = "Requests for which homes on this host lent credit to other data "
+	    "centres.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_refused = {.name = "bramley_quota_refused_total",
+    .help = "Requests refused here since their customer's limit was used up.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_parked = {.name = "bramley_quota_parked_total",
+    .help = "Requests that waited for credit.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_returned = {.name = "bramley_quota_returned_total",
+    .help = "Requests that were admitted and have not run, so that their "
+	    "credit was returned.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_homes = {.name = "bramley_quota_homes",
+    .help = "Homes of customers' limits on this host that entries report to.",
+    .kind = METRIC_GAUGE};
+struct metric metric_quota_entries = {.name = "bramley_quota_entries",
+    .help = "Entries that report to homes on this host, summed over the homes.",
+    .kind = METRIC_GAUGE};
+
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -184,7 +208,9 @@
 	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
 	    &metric_quarantined, &metric_upstream_limit,
 	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us};
+	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
+	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
+	    &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -29,6 +29,13 @@
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
 extern struct metric metric_timers_late_us;
+extern struct metric metric_quota_granted;
+extern struct metric metric_quota_lent;
+extern struct metric metric_quota_refused;
+extern struct metric metric_quota_parked;
+extern struct metric metric_quota_returned;
+extern struct metric metric_quota_homes;
+extern struct metric metric_quota_entries;
 
 /** enum abandoned_state - where a request stood at its guard as its caller left
  */
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -8,6 +8,7 @@
 
 #include "call_metrics.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /*
  * Log lines on calls per second.  A line costs about 10 us of processor time,
@@ -90,6 +91,7 @@
 	struct entry *e = arg;
 
 	(void)entry_snapshot(e);
+	entry_quota_update(e->quota);
 	if (e->watcher != NULL)
 		e->watcher(e->watcher_arg);
 }
@@ -207,6 +209,12 @@
 	e->quarantine = q;
 }
 
+void
+entry_use_homes(struct entry *e, struct guard_quota *homes)
+{
+	e->quota = entry_quota_new(e, homes);
+}
+
 void
 entry_free(struct entry *e)
 {
@@ -216,6 +224,7 @@
 		return;
 	while ((l = e->calls.head) != NULL)
 		entry_call_free(l->data);
+	entry_quota_free(e->quota);
 	g_hash_table_destroy(e->peers);
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -11,6 +11,7 @@
 #define HTTP_GATEWAY_TIMEOUT 504
 #define HTTP_CONTENT_TOO_LARGE 413
 #define HTTP_CONFLICT 409
+#define HTTP_TOO_MANY_REQUESTS 429
 
 /* Callers of a stopping node should retry at another node at once. */
 #define STOPPING_RETRY_MS 1
@@ -96,6 +97,24 @@
 	answer_refused(x, status, kind, message, 0);
 }
 
+void
+entry_answer_limited(struct call_exchange *x, uint64_t retry_after_ms)
+{
+	answer_refused(x, HTTP_TOO_MANY_REQUESTS, "limited",
+	    "the customer's limit is used up; send the request again after the "
+	    "time in Retry-After.",
+	    retry_after_ms);
+}
+
+void
+entry_answer_unanswered_limit(struct call_exchange *x, uint64_t retry_after_ms)
+{
+	answer_refused(x, HTTP_UNAVAILABLE, "unavailable",
+	    "the customer's limit could not be checked in time; send the "
+	    "request again after the time in Retry-After.",
+	    retry_after_ms);
+}
+
 /* A request that is only suspected may be retried. */
 static struct call_answer *
 quarantine_answer(uint64_t retry_after_ms)
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -14,6 +14,7 @@
 #include "call_metrics.h"
 #include "call_print.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /* Time after the deadline in which the guard may still report whether the
  * request had started. */
@@ -249,6 +250,7 @@
 	if (c->finished)
 		return;
 	c->finished = true;
+	entry_quota_ended(c);
 	drop_streams(c);
 	loop_timer_stop(&c->timer);
 	loop_task_defer(&c->free_task);
@@ -574,14 +576,37 @@
 	return true;
 }
 
+/* Return: false when the request was refused for its customer's limit. */
+static bool
+within_limit(struct entry *e, struct call_exchange *x,
+    const struct customer *customer, enum quota_verdict *verdict)
+{
+	uint64_t retry_after_ms = 0;
+
+	*verdict = entry_quota_take(e->quota, customer, &retry_after_ms);
+	if (*verdict != QUOTA_REFUSE)
+		return true;
+	entry_quota_refuse(e, x, retry_after_ms);
+	return false;
+}
+
+void
+entry_call_start(struct entry_call *c)
+{
+	call_start(c->machine, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+}
+
 void
 entry_call_begin(struct entry *e, struct call_exchange *x)
 {
 	struct accepted accepted;
 	struct entry_call *c;
 	struct exchange_events events;
+	enum quota_verdict verdict = QUOTA_ADMIT;
 
-	if (!route_call(e, x, &accepted)) {
+	if (!route_call(e, x, &accepted) ||
+	    !within_limit(e, x, accepted.customer, &verdict)) {
 		entry_call_ended(e);
 		call_exchange_unref(x);
 		return;
@@ -590,8 +615,12 @@
 	call_exchange_accept(x);
 	call_exchange_poll(x, &events);
 	c->body.exchange_end = events.request_body_end;
-	call_start(c->machine, loop_now_ms(e->loop));
-	entry_call_run(c);
+	if (verdict == QUOTA_WAIT) {
+		entry_quota_park(c);
+		return;
+	}
+	c->credited = c->customer != NULL && c->customer->rate_milli_per_s != 0;
+	entry_call_start(c);
 }
 
 void
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -14,6 +14,7 @@
 
 #include "call_metrics.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 static struct entry_attempt *
 find_attempt(struct entry_peer *p, uint32_t number)
@@ -339,6 +340,8 @@
 		return on_resolved(p, body, len);
 	case MSG_CALL_GOODBYE:
 		return on_goodbye(p, body, len);
+	case MSG_QUOTA_GRANT:
+		return entry_quota_grant(p, body, len);
 	case MSG_CALL_PING:
 		return on_ping(p, body, len);
 	default:
--- a/packages/node/src/entry_peer.c
+++ b/packages/node/src/entry_peer.c
@@ -29,6 +29,10 @@
  * calls are placed elsewhere, answers in flight are still awaited. */
 #define SUSPECT_AFTER_MS 250
 
+/* A guard that is to answer reports is redialled for this time after it was
+ * last asked for. */
+#define WANTED_MS 4000
+
 /* Back-off between dials to a suspected guard, doubled after each dial. */
 #define REDIAL_MS 100
 #define REDIAL_MAX_MS 1600
@@ -133,7 +137,8 @@
 static void
 update_awaiting(struct entry_peer *p)
 {
-	bool awaiting = g_hash_table_size(p->streams) > 0;
+	bool awaiting =
+	    g_hash_table_size(p->streams) > 0 || p->unanswered_report;
 	bool changed = awaiting != p->silence.awaiting;
 
 	call_silence_await(&p->silence, awaiting, loop_now_ms(p->entry->loop));
@@ -171,6 +176,7 @@
 	}
 	p->state = PEER_NONE;
 	p->stopping = false;
+	p->unanswered_report = false;
 	call_link_clear(&p->link);
 	loop_timer_stop(&p->timer);
 	call_silence_init(&p->silence, PING_AFTER_MS, PING_TIMEOUT_MS);
@@ -260,7 +266,7 @@
 
 	switch (p->state) {
 	case PEER_NONE:
-		if (has_listed_endpoint(p))
+		if (has_listed_endpoint(p) || now_ms < p->wanted_until_ms)
 			dial(p);
 		break;
 	case PEER_DIALLING:
@@ -456,6 +462,34 @@
 	entry_attempt_start(a);
 }
 
+bool
+entry_peer_reach(struct entry_peer *p)
+{
+	p->wanted_until_ms = loop_now_ms(p->entry->loop) + WANTED_MS;
+	if (p->state == PEER_NONE && !loop_timer_is_set(&p->timer))
+		dial(p);
+	return p->state == PEER_READY && !p->suspected && !p->stopping;
+}
+
+bool
+entry_peer_report(struct entry_peer *p, const struct msg_quota_report *m)
+{
+	if (p->state != PEER_READY ||
+	    call_link_send(&p->link, MSG_QUOTA_REPORT, m) != STATUS_OK)
+		return false;
+	p->last_used_ms = loop_now_ms(p->entry->loop);
+	p->unanswered_report = true;
+	update_awaiting(p);
+	return true;
+}
+
+void
+entry_peer_reported(struct entry_peer *p)
+{
+	p->unanswered_report = false;
+	update_awaiting(p);
+}
+
 void
 entry_peer_remove(struct entry_attempt *a)
 {
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -62,6 +62,7 @@
  * @behind: version in force and the newest one known
  * @awaited: version in force and the newest one that some node could read
  * @quarantine: quarantined requests, borrowed; NULL for none
+ * @quota: limits of customers; NULL in tests without homes
  * @watcher: callback for new snapshots, or NULL
  * @watcher_arg: passed to @watcher
  * @runs: upstreams' runs that name a limit or leave
@@ -91,6 +92,7 @@
 	struct behind behind;
 	struct behind awaited;
 	struct quarantine *quarantine;
+	struct entry_quota *quota;
 	void (*watcher)(void *arg);
 	void *watcher_arg;
 	struct run_reports *runs;
@@ -153,6 +155,9 @@
  *	@suspected, or DEADLINE_NEVER
  * @dial_deadline_ms: monotonic deadline of the dial
  * @failed_dials: consecutive dials that failed
+ * @unanswered_report: a report of customers' demand has no reply yet
+ * @wanted_until_ms: monotonic time until which the guard is redialled although
+ *	no endpoint of it is used
  */
 struct entry_peer {
 	struct entry *entry;
@@ -173,6 +178,8 @@
 	uint64_t suspect_ms;
 	uint64_t dial_deadline_ms;
 	uint32_t failed_dials;
+	bool unanswered_report;
+	uint64_t wanted_until_ms;
 };
 
 /** enum attempt_kind - purpose of a stream */
@@ -268,6 +275,10 @@
  * @config: configuration of @service in @snapshot
  * @route: the route in @snapshot
  * @customer: the customer in @snapshot, or NULL
+ * @credited: the call was admitted by credit of its customer
+ * @parked: the call waits for credit and isn't started
+ * @park_link: node in the list of such calls
+ * @park_until_ms: monotonic time until which it waits
  * @deadline_ms: monotonic deadline: the earlier of the caller's deadline and
  *	the configured timeout
  * @target_ms: monotonic time after which the answer is worth less; 0 when not
@@ -296,6 +307,10 @@
 	const struct service_config *config;
 	const struct service_route *route;
 	const struct customer *customer;
+	bool credited;
+	bool parked;
+	GList park_link;
+	uint64_t park_until_ms;
 	uint64_t deadline_ms;
 	uint64_t target_ms;
 	bool idempotent;
@@ -346,6 +361,20 @@
 /** entry_peer_remove() - detach @a; later frames of its stream are ignored */
 void entry_peer_remove(struct entry_attempt *a);
 
+/**
+ * entry_peer_reach() - whether a message can be sent to the guard now
+ *
+ * If not, the connection is established as soon as the guard can be reached.
+ */
+bool entry_peer_reach(struct entry_peer *p);
+
+/** entry_peer_report() - send a report of customers' demand; Return: whether it
+ * was sent */
+bool entry_peer_report(struct entry_peer *p, const struct msg_quota_report *m);
+
+/** entry_peer_reported() - the guard has answered a report */
+void entry_peer_reported(struct entry_peer *p);
+
 /** entry_peer_free() - close the connection and free the peer; for
  * GHashTable */
 void entry_peer_free(void *peer);
@@ -417,6 +446,9 @@
  * entry */
 void entry_call_begin(struct entry *e, struct call_exchange *x);
 
+/** entry_call_start() - start a call that was admitted */
+void entry_call_start(struct entry_call *c);
+
 /** entry_call_exchange_event() - the server for callers has changed the
  * exchange */
 void entry_call_exchange_event(struct entry_call *c);
@@ -492,6 +524,14 @@
 void entry_answer_refuse(struct call_exchange *x, uint32_t status,
     const char *kind, const char *message);
 
+/** entry_answer_limited() - answer that the customer's limit is used up */
+void entry_answer_limited(struct call_exchange *x, uint64_t retry_after_ms);
+
+/** entry_answer_unanswered_limit() - answer that the customer's limit could not
+ * be checked in time */
+void
+entry_answer_unanswered_limit(struct call_exchange *x, uint64_t retry_after_ms);
+
 /** entry_answer_failed() - answer a call that got no answer from an upstream */
 void
 entry_answer_failed(struct entry_call *c, const struct call_action *action);
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -133,6 +133,7 @@
 	g->followers = g_hash_table_new_full(id_hash, id_equal, g_free, g_free);
 	g_queue_init(&g->key_queries);
 	guard_quarantine_init(g);
+	g->quota = guard_quota_new(s, loop);
 	g_mutex_init(&g->counts_lock);
 	drain_init(&g->drain);
 	body_window_init(&g->window, CALL_BODIES_WINDOW_BYTES);
@@ -308,6 +309,12 @@
 	loop_post(g->loop, do_log_aborted, g);
 }
 
+struct guard_quota *
+guard_homes(struct guard *g)
+{
+	return g->quota;
+}
+
 uint32_t
 guard_in_flight(const struct guard *g)
 {
@@ -328,6 +335,7 @@
 	g_hash_table_destroy(g->tickets);
 	g_hash_table_destroy(g->upstreams);
 	guard_quarantine_clear(g);
+	guard_quota_free(g->quota);
 	g_mutex_clear(&g->counts_lock);
 	g_hash_table_destroy(g->guard_addresses);
 	g_hash_table_destroy(g->followers);
--- a/packages/node/src/guard_frames.c
+++ b/packages/node/src/guard_frames.c
@@ -195,6 +195,8 @@
 		return on_ack(gc, body, len);
 	case MSG_CALL_KEY_ASK:
 		return on_key_ask(gc, body, len);
+	case MSG_QUOTA_REPORT:
+		return guard_quota_frame(gc, body, len);
 	case MSG_CALL_PING:
 		return on_ping(gc, body, len);
 	case MSG_CALL_PONG:
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -33,6 +33,7 @@
 #include "call_print.h"
 #include "guard_crash.h"
 #include "guard_quarantine.h"
+#include "guard_quota.h"
 #include "guard_report.h"
 
 /**
@@ -58,6 +59,7 @@
  *	which names the first request with that key
  * @key_queries: active queries to earlier homes of keys
  * @quarantine: requests that are no longer run
+ * @quota: homes of customers' limits
  * @window: credit shared by the request bodies that are being received
  * @drain: state of this guard's drain
  * @tick: periodic timer: expires fates and advances the drain
@@ -97,6 +99,7 @@
 	GHashTable *followers;
 	GQueue key_queries;
 	struct guard_quarantine quarantine;
+	struct guard_quota *quota;
 	struct body_window window;
 	struct drain drain;
 	struct loop_timer tick;
@@ -379,6 +382,11 @@
 bool guard_frame_handle(
     struct guard_conn *gc, uint8_t type, const uint8_t *body, size_t len);
 
+/* guard_quota.c */
+
+/** guard_quota_frame() - answer a report; see guard_frame_handle() */
+bool guard_quota_frame(struct guard_conn *gc, const uint8_t *body, size_t len);
+
 /* guard_open.c */
 
 /** guard_open() - handle a new attempt; returns false if the message is invalid
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -67,6 +67,7 @@
 	n->entry = entry_new(s, d, incarnation, loop);
 	n->guard = guard_new(s, d, incarnation, loop);
 	entry_use_quarantine(n->entry, guard_quarantine(n->guard));
+	entry_use_homes(n->entry, guard_homes(n->guard));
 	n->callers = callers_new(s, d, n->entry, loop);
 	st = control_new(s, n->entry, n->guard, incarnation, seed, &n->control);
 	if (st == STATUS_OK && n->adapter != NULL)
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -39,7 +39,6 @@
 #define MSG_CALL_ACK_REQUEST_ID_MAX 16
 #define MSG_CALL_KEY_ASK_SERVICE_MAX 63
 #define MSG_CALL_KEY_WORD_SERVICE_MAX 63
-#define MSG_QUOTA_REPORT_DATA_CENTRE_MAX 31
 #define MSG_QUOTA_REPORT_DEMANDS_MAX 4096
 #define MSG_QUOTA_GRANT_CREDITS_MAX 4096
 
@@ -100,13 +99,15 @@
  * @customer: number of the customer
  * @arrived: requests that arrived since the last report, whether
  * 	admitted or not
- * @wanted: requests for which credit is asked
+ * @wanted: requests that need credit now
+ * @ahead: requests expected soon
  * @returned: requests for which unused credit is returned
  */
 struct rec_quota_demand {
 	uint64_t customer;
 	uint32_t arrived;
 	uint32_t wanted;
+	uint32_t ahead;
 	uint32_t returned;
 };
 
@@ -670,18 +671,16 @@
  * struct msg_quota_report - Demand for credit of customers with a limit: from
  * an entry to their home, or from that home to the home of another data
  * centre.
- * @sequence: number of the report on this connection
- * @sent_ms: sender's monotonic clock when the frame was sent
- * @data_centre: data centre of the sender
+ * @shard: shard of the customers
+ * @sequence: number of the report
  * @from_home: the sender is a home that borrows
  * @demands: one for each customer with demand or credit to return;
  * 	owned
  * @n_demands: number of elements in @demands
  */
 struct msg_quota_report {
+	uint8_t shard;
 	uint32_t sequence;
-	uint64_t sent_ms;
-	char data_centre[32];
 	bool from_home;
 	struct rec_quota_demand *demands;
 	uint32_t n_demands;
@@ -701,14 +700,16 @@
 
 /**
  * struct msg_quota_grant - Reply to quota_report.
+ * @shard: shard of the report
  * @sequence: number of the report
- * @sent_ms: sender's monotonic clock when the frame was sent
- * @credits: one for each customer in the report; owned
+ * @lent: from_home of the report
+ * @credits: one for each demand in the report; owned
  * @n_credits: number of elements in @credits
  */
 struct msg_quota_grant {
+	uint8_t shard;
 	uint32_t sequence;
-	uint64_t sent_ms;
+	bool lent;
 	struct rec_quota_credit *credits;
 	uint32_t n_credits;
 };
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -120,6 +120,10 @@
  * @retry_extra: Retries of a service beyond its retry budget, summed
  * 	over all nodes in any ten seconds; 0 allows each node a few retries
  * 	of its own.
+ * @data_centres: Names of all data centres, the same list on all
+ * 	hosts. Each grants an equal part of every customer's limit. With an
+ * 	empty list the data centre of this host is the only one.
+ * @n_data_centres: number of elements in @data_centres
  * @rollout_share: Share of a service's requests that a new version of
  * 	its software receives during the trial phase of a rollout.
  * @once_reuse_ms: Longest idle time of a keep-alive connection to an
@@ -189,6 +193,8 @@
 	uint32_t floor_wait_ms;
 	uint32_t join_limit;
 	uint32_t retry_extra;
+	char data_centres[64][SETTINGS_TEXT_BYTES];
+	uint32_t n_data_centres;
 	uint32_t rollout_share;
 	uint32_t once_reuse_ms;
 	uint32_t in_force_within_ms;
--- a/packages/proto/src/gen/call.c
+++ b/packages/proto/src/gen/call.c
@@ -74,6 +74,9 @@
     {.name = "wanted",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_quota_demand, wanted)},
+    {.name = "ahead",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_quota_demand, ahead)},
     {.name = "returned",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct rec_quota_demand, returned)},
@@ -81,7 +84,7 @@
 
 const struct codec_desc rec_quota_demand_desc = {.name = "quota_demand",
     .fields = rec_quota_demand_fields,
-    .n_fields = 4,
+    .n_fields = 5,
     .size_bytes = sizeof(struct rec_quota_demand)};
 
 static const struct codec_field rec_quota_credit_fields[] = {
@@ -848,16 +851,12 @@
 }
 
 static const struct codec_field msg_quota_report_fields[] = {
+    {.name = "shard",
+	.kind = CODEC_U8,
+	.offset = offsetof(struct msg_quota_report, shard)},
     {.name = "sequence",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_quota_report, sequence)},
-    {.name = "sent_ms",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct msg_quota_report, sent_ms)},
-    {.name = "data_centre",
-	.kind = CODEC_STR,
-	.offset = offsetof(struct msg_quota_report, data_centre),
-	.max = MSG_QUOTA_REPORT_DATA_CENTRE_MAX},
     {.name = "from_home",
 	.kind = CODEC_BOOL,
 	.offset = offsetof(struct msg_quota_report, from_home)},
@@ -873,7 +872,7 @@
 
 const struct codec_desc msg_quota_report_desc = {.name = "quota_report",
     .fields = msg_quota_report_fields,
-    .n_fields = 5,
+    .n_fields = 4,
     .size_bytes = sizeof(struct msg_quota_report)};
 
 void
@@ -896,12 +895,15 @@
 }
 
 static const struct codec_field msg_quota_grant_fields[] = {
+    {.name = "shard",
+	.kind = CODEC_U8,
+	.offset = offsetof(struct msg_quota_grant, shard)},
     {.name = "sequence",
 	.kind = CODEC_U32,
 	.offset = offsetof(struct msg_quota_grant, sequence)},
-    {.name = "sent_ms",
-	.kind = CODEC_U64,
-	.offset = offsetof(struct msg_quota_grant, sent_ms)},
+    {.name = "lent",
+	.kind = CODEC_BOOL,
+	.offset = offsetof(struct msg_quota_grant, lent)},
     {.name = "credits",
 	.kind = CODEC_LIST,
 	.offset = offsetof(struct msg_quota_grant, credits),
@@ -914,7 +916,7 @@
 
 const struct codec_desc msg_quota_grant_desc = {.name = "quota_grant",
     .fields = msg_quota_grant_fields,
-    .n_fields = 3,
+    .n_fields = 4,
     .size_bytes = sizeof(struct msg_quota_grant)};
 
 void
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -234,6 +234,10 @@
 /** call_may_have_run() - whether an earlier attempt may have run unanswered */
 bool call_may_have_run(const struct call *c);
 
+/** call_has_not_run() - whether a finished call has certainly not run at any
+ * upstream */
+bool call_has_not_run(const struct call *c);
+
 /** call_stage() - how far the call has come */
 enum call_stage call_stage(const struct call *c);
 
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -61,6 +61,7 @@
  * @may_have_run: an earlier attempt may have run
  * @body_discarded: part of the body can't be sent again
  * @deadline_passed: the deadline was handled; the grace time runs
+ * @not_run: the call is finished and has certainly not run
  * @rerouted: the current attempt follows a refusal for load
  * @attempt: number of the current attempt
  * @stream: number of the current stream
@@ -83,6 +84,7 @@
 	bool may_have_run;
 	bool body_discarded;
 	bool deadline_passed;
+	bool not_run;
 	bool rerouted;
 	uint16_t attempt;
 	uint32_t stream;
@@ -116,6 +118,12 @@
 	return (size_t)s < G_N_ELEMENTS(names) ? names[s] : "?";
 }
 
+bool
+call_has_not_run(const struct call *c)
+{
+	return c->not_run;
+}
+
 enum call_stage
 call_stage(const struct call *c)
 {
@@ -192,6 +200,7 @@
 {
 	struct call_action *a;
 
+	c->not_run = outcome == OUTCOME_NOT_RUN && !c->may_have_run;
 	if (c->may_have_run || (c->cfg.keyed && !refusal_settles_key(refusal)))
 		outcome = OUTCOME_UNKNOWN;
 	a = add_action(c, CALL_GIVE_UP);
@@ -541,8 +550,13 @@
 void
 call_caller_disconnected(struct call *c, uint64_t now_ms)
 {
+	enum call_state state = c->state;
+
 	(void)now_ms;
-	switch (c->state) {
+	c->not_run = !c->may_have_run &&
+	    (state == STATE_NEW || state == STATE_BACKOFF ||
+		state == STATE_PLACING || state == STATE_SENDING);
+	switch (state) {
 	case STATE_SENDING:
 	case STATE_WAITING:
 	case STATE_RESOLVING:
