--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -82,6 +82,22 @@
 	    e->snapshot != NULL ? e->snapshot->version : 0, left_out);
 }
 
+void
+entry_log_limited(struct entry *e, const struct call_request *r,
+    const struct customer *customer, uint64_t retry_ms)
+{
+	struct log_limit *limit = &e->other_log_limit;
+	uint32_t left_out = limit->left_out;
+
+	if (!log_enabled(LOG_LEVEL_INFO) ||
+	    !log_limit_take(limit, loop_now_ms(e->loop)))
+		return;
+	log_info("call id=%s path=%.40s refused=customer_limit customer=%.40s "
+		 "rate_milli=%" PRIu64 " retry_ms=%" PRIu64 " left_out=%u",
+	    r->id != NULL ? r->id : "-", r->path, customer->name,
+	    customer->rate_milli_per_s, retry_ms, left_out);
+}
+
 void
 entry_log_behind(struct entry *e, const struct call_request *r,
     uint64_t version, uint32_t status)
--- a/packages/node/src/entry_log.h
+++ b/packages/node/src/entry_log.h
@@ -31,6 +31,11 @@
 void entry_log_behind(struct entry *e, const struct call_request *r,
     uint64_t version, uint32_t status);
 
+/** entry_log_limited() - log a refusal for the limit of a customer; @retry_ms
+ * is the time to retry */
+void entry_log_limited(struct entry *e, const struct call_request *r,
+    const struct customer *customer, uint64_t retry_ms);
+
 /** entry_log_attempt() - log the end of an attempt without an answer, or the
  * result of a query for an attempt's outcome */
 void entry_log_attempt(const struct entry_attempt *a, const char *ended);
--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -306,7 +306,7 @@
 		report_here(q, s, demands, n);
 		return;
 	}
-	s->silent_ms = now(q) + QUOTA_HOME_SILENT_MS;
+	s->silent_ms = now(q) + QUOTA_REPLY_MS;
 	head.n_demands = n;
 	(void)send_report(q, home, &head, demands);
 }
@@ -318,7 +318,7 @@
 {
 	s->retry_ms = now(q) + DIAL_POLL_MS;
 	if (s->silent_ms == DEADLINE_NEVER || s->home.id != home->id)
-		s->silent_ms = now(q) + QUOTA_HOME_SILENT_MS;
+		s->silent_ms = now(q) + QUOTA_REPLY_MS;
 	s->home = *home;
 }
 
@@ -350,8 +350,9 @@
 		return;
 	s->silent_ms = DEADLINE_NEVER;
 	s->retry_ms = 0;
-	quota_choice_silent(&s->choice, s->home.id, now(q));
 	quota_allowance_lost(s->allowance);
+	if (!quota_choice_missed(&s->choice, s->home.id, now(q)))
+		return;
 	log_info("limits: home of shard %u does not answer; the next by rank "
 		 "is used",
 	    (uint32_t)(s - q->shards));
--- a/packages/quota/include/quota/choice.h
+++ b/packages/quota/include/quota/choice.h
@@ -11,9 +11,11 @@
 /** QUOTA_CANDIDATES - hosts that are tried before the entry's own */
 #define QUOTA_CANDIDATES 3
 
-/** QUOTA_HOME_SILENT_MS - a home that doesn't answer a report for this time is
- * replaced */
-#define QUOTA_HOME_SILENT_MS 300
+/** QUOTA_REPLY_MS - time within which a report must be answered */
+#define QUOTA_REPLY_MS 200
+
+/** QUOTA_MISSES - a home that misses this many replies in a row is replaced */
+#define QUOTA_MISSES 2
 
 /** QUOTA_CHOICE_OWN - the entry's own host */
 #define QUOTA_CHOICE_OWN QUOTA_CANDIDATES
@@ -40,9 +42,11 @@
 
 /**
  * struct quota_choice - memory of a choice
+ * @misses: replies that were missed in a row
  * @silent: hosts that did not answer lately
  */
 struct quota_choice {
+	uint32_t misses;
 	struct quota_silent silent[QUOTA_CANDIDATES];
 };
 
@@ -57,11 +61,15 @@
  *
  * Return: index in @candidates, or QUOTA_CHOICE_OWN.
  */
-uint32_t quota_choice_pick(const struct quota_choice *c,
+uint32_t quota_choice_pick(struct quota_choice *c,
     const struct quota_candidate *candidates, uint32_t n, uint64_t now_ms);
 
-/** quota_choice_silent() - host @id has not answered */
-void quota_choice_silent(struct quota_choice *c, uint64_t id, uint64_t now_ms);
+/**
+ * quota_choice_missed() - host @id has not answered a report in time
+ *
+ * Return: whether it is replaced.
+ */
+bool quota_choice_missed(struct quota_choice *c, uint64_t id, uint64_t now_ms);
 
 /** quota_choice_answered() - host @id has answered */
 void quota_choice_answered(struct quota_choice *c, uint64_t id);
--- a/packages/quota/src/choice.c
+++ b/packages/quota/src/choice.c
@@ -7,8 +7,8 @@
 
 #define NEXT_TRY_MS 2000
 
-static const struct quota_silent *
-find(const struct quota_choice *c, uint64_t id)
+static struct quota_silent *
+find(struct quota_choice *c, uint64_t id)
 {
 	uint32_t i;
 
@@ -19,10 +19,10 @@
 }
 
 uint32_t
-quota_choice_pick(const struct quota_choice *c,
+quota_choice_pick(struct quota_choice *c,
     const struct quota_candidate *candidates, uint32_t n, uint64_t now_ms)
 {
-	const struct quota_silent *s;
+	struct quota_silent *s;
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
@@ -33,11 +33,11 @@
 	return QUOTA_CHOICE_OWN;
 }
 
-/* The host that may be tried first is replaced when there is no room. */
-void
-quota_choice_silent(struct quota_choice *c, uint64_t id, uint64_t now_ms)
+/* The host that may be tried first is forgotten when there is no room. */
+static void
+note_silent(struct quota_choice *c, uint64_t id, uint64_t now_ms)
 {
-	struct quota_silent *s = (struct quota_silent *)find(c, id);
+	struct quota_silent *s = find(c, id);
 	uint32_t i;
 
 	if (s == NULL) {
@@ -50,11 +50,23 @@
 	s->until_ms = now_ms + NEXT_TRY_MS;
 }
 
+bool
+quota_choice_missed(struct quota_choice *c, uint64_t id, uint64_t now_ms)
+{
+	c->misses++;
+	if (c->misses < QUOTA_MISSES)
+		return false;
+	c->misses = 0;
+	note_silent(c, id, now_ms);
+	return true;
+}
+
 void
 quota_choice_answered(struct quota_choice *c, uint64_t id)
 {
-	struct quota_silent *s = (struct quota_silent *)find(c, id);
+	struct quota_silent *s = find(c, id);
 
+	c->misses = 0;
 	if (s != NULL) {
 		s->id = 0;
 		s->until_ms = 0;
--- a/packages/quota/src/home.c
+++ b/packages/quota/src/home.c
@@ -23,6 +23,10 @@
  * much. */
 #define RESERVE_S 0.3
 
+/* Requests of a burst, over all data centres, below which parts are rounded up.
+ */
+#define BURST_LEAST 12
+
 /* Longest wait that is reported. */
 #define WAIT_MAX_MS 10000
 
@@ -244,11 +248,15 @@
 	return whole / h->data_centres;
 }
 
-/* A bucket holds a whole request at least, otherwise it could grant none. */
+/* Parts of a small burst are rounded up to a few requests, without which tokens
+ * of one data centre would be lost while requests come to another. */
 static uint64_t
 burst_of(const struct quota_home *h, const struct quota_limit *l)
 {
-	return MAX(part(h, l->burst_milli) * share_milli(h) / MILLI, MILLI);
+	uint64_t least = MAX(BURST_LEAST / h->data_centres, 1) * MILLI;
+	uint64_t burst = MAX(part(h, l->burst_milli), least);
+
+	return MAX(burst * share_milli(h) / MILLI, MILLI);
 }
 
 static void
