--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -586,7 +586,7 @@
 	*verdict = entry_quota_take(e->quota, customer, &retry_after_ms);
 	if (*verdict != QUOTA_REFUSE)
 		return true;
-	entry_quota_refuse(e, x, retry_after_ms);
+	entry_quota_refuse(e, x, customer, retry_after_ms);
 	return false;
 }
 
--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -34,7 +34,6 @@
 /* Retry-After where no home has answered. */
 #define UNANSWERED_RETRY_MS 400
 
-#define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_UNAVAILABLE 503
 
 /**
@@ -146,7 +145,7 @@
 static void
 refuse_limited(struct entry_call *c, uint64_t retry_after_ms)
 {
-	entry_quota_refuse(c->entry, c->exchange, retry_after_ms);
+	entry_quota_refuse(c->entry, c->exchange, c->customer, retry_after_ms);
 	end_refused(c);
 }
 
@@ -529,13 +528,13 @@
 }
 
 void
-entry_quota_refuse(
-    struct entry *e, struct call_exchange *x, uint64_t retry_after_ms)
+entry_quota_refuse(struct entry *e, struct call_exchange *x,
+    const struct customer *customer, uint64_t retry_after_ms)
 {
 	metric_add(&metric_quota_refused, 1);
 	call_metrics_refusal(REFUSAL_CUSTOMER_LIMIT);
-	entry_log_refused(e, call_exchange_request(x), HTTP_TOO_MANY_REQUESTS,
-	    refusal_name(REFUSAL_CUSTOMER_LIMIT));
+	entry_log_limited(
+	    e, call_exchange_request(x), customer, retry_after_ms);
 	entry_answer_limited(x, retry_after_ms);
 }
 
--- a/packages/node/src/entry_quota.h
+++ b/packages/node/src/entry_quota.h
@@ -26,8 +26,8 @@
     const struct customer *customer, uint64_t *retry_after_ms);
 
 /** entry_quota_refuse() - answer that the limit is used up */
-void entry_quota_refuse(
-    struct entry *e, struct call_exchange *x, uint64_t retry_after_ms);
+void entry_quota_refuse(struct entry *e, struct call_exchange *x,
+    const struct customer *customer, uint64_t retry_after_ms);
 
 /** entry_quota_park() - a call waits for the reply of its customer's home, and
  * is then started or refused */
