--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -210,6 +210,12 @@
  * the entry in the same thread */
 void guard_call_refused(struct guard *g, const char *call_id);
 
+struct guard_quota;
+
+/** guard_homes() - homes of customers' limits, for the entry in the same thread
+ */
+struct guard_quota *guard_homes(struct guard *g);
+
 /** guard_quarantine() - quarantine state, for the entry in the same thread */
 struct quarantine *guard_quarantine(struct guard *g);
 
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -28,9 +28,9 @@
 
 /* The name is percent-encoded, so that it can't look like another field. */
 static const char *
-customer_name(const struct entry_call *c, char *buf, size_t len)
+customer_name(const struct customer *customer, char *buf, size_t len)
 {
-	const char *name = c->customer != NULL ? c->customer->name : "-";
+	const char *name = customer != NULL ? customer->name : "-";
 	size_t n = 0;
 
 	for (; *name != '\0' && n + 4 <= len; name++)
@@ -63,9 +63,9 @@
 		 " version=%" PRIu64 " outcome=%s reason=%s%s%s ms=%" PRIu64
 		 " left_ms=%" PRIu64 " left_out=%u",
 	    call_name(c, id, sizeof(id)),
-	    customer_name(c, customer, sizeof(customer)), c->route->prefix,
-	    c->route->priority, c->config->name, c->placed_host,
-	    c->placed_version, call_attempts(c->machine),
+	    customer_name(c->customer, customer, sizeof(customer)),
+	    c->route->prefix, c->route->priority, c->config->name,
+	    c->placed_host, c->placed_version, call_attempts(c->machine),
 	    placement_reason_name(c->placed.reason), c->placed.load,
 	    c->placed.slots, c->snapshot->version, outcome_name(outcome),
 	    reason, stage != NULL ? " stage=" : "", stage != NULL ? stage : "",
@@ -120,6 +120,24 @@
 	    key_fault_name(fault), e->snapshot->version, left_out);
 }
 
+void
+entry_log_limited(struct entry *e, const struct call_request *r,
+    const struct customer *customer, uint64_t retry_ms)
+{
+	char name[CUSTOMER_TEXT_BYTES];
+	struct log_limit *limit = &e->other_log_limit;
+	uint32_t left_out = limit->left_out;
+
+	if (!log_enabled(LOG_LEVEL_INFO) ||
+	    !log_limit_take(limit, loop_now_ms(e->loop)))
+		return;
+	log_info("call id=%s path=%.40s refused=customer_limit customer=%s "
+		 "rate_milli=%" PRIu64 " retry_ms=%" PRIu64 " left_out=%u",
+	    r->id != NULL ? r->id : "-", r->path,
+	    customer_name(customer, name, sizeof(name)),
+	    customer->rate_milli_per_s, retry_ms, left_out);
+}
+
 void
 entry_log_behind(struct entry *e, const struct call_request *r,
     uint64_t version, uint32_t status)
