--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -17,6 +17,8 @@
 struct call_dialect;
 struct call_exchange;
 struct entry;
+struct guard;
+struct guard_quota;
 struct loop;
 struct quarantine;
 struct settings;
@@ -127,6 +129,10 @@
  */
 void entry_stop(struct entry *e);
 
+/** entry_use_homes() - use the homes of customers' limits on this host; call
+ * before the first request */
+void entry_use_homes(struct entry *e, struct guard_quota *homes);
+
 /**
  * entry_use_quarantine() - set the quarantined requests, which are refused
  *
@@ -135,6 +141,14 @@
  */
 void entry_use_quarantine(struct entry *e, struct quarantine *q);
 
+/**
+ * entry_use_guard() - set the guard of this host, which knows the requests that
+ * its upstreams make calls for
+ *
+ * To be called before the traffic thread starts; both run in it.
+ */
+void entry_use_guard(struct entry *e, struct guard *g);
+
 /** entry_free() - free the entry, once the traffic thread has stopped; NULL is
  * allowed */
 void entry_free(struct entry *e);
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -102,6 +102,30 @@
     .help = "Time by which timers of the traffic thread fired late.",
     .kind = METRIC_HISTOGRAM};
 
+struct metric metric_quota_granted = {.name = "bramley_quota_granted_total",
+    .help = "Requests for which homes on this host granted credit.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_lent = {.name = "bramley_quota_lent_total",
+    .help = "Requests for which homes on this host lent credit to other data "
+	    "centres.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_refused = {.name = "bramley_quota_refused_total",
+    .help = "Requests refused here since their customer's limit was used up.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_parked = {.name = "bramley_quota_parked_total",
+    .help = "Requests that waited for credit.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_returned = {.name = "bramley_quota_returned_total",
+    .help = "Requests that were admitted and have not run, so that their "
+	    "credit was returned.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_homes = {.name = "bramley_quota_homes",
+    .help = "Homes of customers' limits on this host that entries report to.",
+    .kind = METRIC_GAUGE};
+struct metric metric_quota_entries = {.name = "bramley_quota_entries",
+    .help = "Entries that report to homes on this host, summed over the homes.",
+    .kind = METRIC_GAUGE};
+
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -109,6 +133,11 @@
 static const char *const abandoned_names[ABANDONED_STATES] = {
     "waiting", "running", "kept"};
 
+static struct metric unauthorized[KEY_FAULTS];
+static char unauthorized_labels[KEY_FAULTS][LABEL_BYTES];
+static const char *const key_fault_names[KEY_FAULTS] = {
+    "missing", "unknown", "several"};
+
 static struct metric outcomes[OUTCOMES];
 static struct metric refusals[REFUSALS];
 static char outcome_labels[OUTCOMES][LABEL_BYTES];
@@ -184,6 +213,23 @@
 	}
 }
 
+static void
+register_unauthorized(void)
+{
+	int i;
+
+	for (i = 0; i < KEY_FAULTS; i++) {
+		(void)g_snprintf(unauthorized_labels[i], LABEL_BYTES,
+		    "reason=\"%s\"", key_fault_names[i]);
+		unauthorized[i].name = "bramley_unauthorized_total";
+		unauthorized[i].help =
+		    "Requests refused for lack of a valid customer key.";
+		unauthorized[i].kind = METRIC_COUNTER;
+		unauthorized[i].labels = unauthorized_labels[i];
+		metric_register(&unauthorized[i]);
+	}
+}
+
 static void
 register_all(void)
 {
@@ -195,7 +241,9 @@
 	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
 	    &metric_quarantined, &metric_upstream_limit,
 	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us};
+	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
+	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
+	    &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
@@ -204,6 +252,7 @@
 	register_abandoned();
 	register_outcomes();
 	register_refusals();
+	register_unauthorized();
 }
 
 void
@@ -224,6 +273,19 @@
 		metric_add(&outcomes[o], 1);
 }
 
+const char *
+key_fault_name(enum key_fault f)
+{
+	return (size_t)f < KEY_FAULTS ? key_fault_names[f] : "?";
+}
+
+void
+call_metrics_unauthorized(enum key_fault f)
+{
+	if ((size_t)f < KEY_FAULTS)
+		metric_add(&unauthorized[f], 1);
+}
+
 void
 call_metrics_refusal(enum refusal r)
 {
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -14,6 +14,7 @@
 #include "call_metrics.h"
 #include "call_print.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /* Time after the deadline in which the guard may still report whether the
  * request had started. */
@@ -22,10 +23,10 @@
 /* Time limit for reaching a guard for a resolve. */
 #define RESOLVE_LIMIT_MS 2000
 
-#define HTTP_UNAUTHORIZED 401
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
 #define HTTP_CONTENT_TOO_LARGE 413
+#define HTTP_HEADERS_TOO_LARGE 431
 #define HTTP_UNAVAILABLE 503
 
 static struct entry_attempt *
@@ -152,6 +153,7 @@
 	if (c->keyed) {
 		q.key = c->request->key;
 		q.key_len = strlen(c->request->key);
+		q.key_scope = c->customer != NULL ? c->customer->id : 0;
 	}
 	q.tried = call_tried(c->machine, &q.n_tried);
 	if (!choose_endpoint(c, &q, now_ms, &choice)) {
@@ -249,6 +251,7 @@
 	if (c->finished)
 		return;
 	c->finished = true;
+	entry_quota_ended(c);
 	drop_streams(c);
 	loop_timer_stop(&c->timer);
 	loop_task_defer(&c->free_task);
@@ -273,6 +276,8 @@
 give_up(struct entry_call *c, const struct call_action *action)
 {
 	entry_log_end(c, action->outcome, failure_reason(c, action));
+	if (c->is_served && action->outcome == OUTCOME_NOT_RUN)
+		guard_call_refused(c->entry->guard, c->request->id);
 	call_metrics_outcome(action->outcome);
 	if (action->refusal == REFUSAL_NO_ENDPOINT ||
 	    action->refusal == REFUSAL_UNREACHABLE)
@@ -441,7 +446,9 @@
 
 	if (c->route->target_ms == 0)
 		return 0;
-	if (c->request->deadline_ms != DEADLINE_NEVER)
+	/* An upstream's call has as much time left as the request that it
+	 * serves, which doesn't show that it was sent before. */
+	if (c->request->deadline_ms != DEADLINE_NEVER && !c->is_served)
 		waited_ms = patience_elapsed_ms(c->entry->patience,
 		    entry_route_key(c->route),
 		    clock_left_ms(c->request->deadline_ms, now_ms));
@@ -480,6 +487,8 @@
 	c->keyed = r->key != NULL && !c->idempotent;
 	c->sequence = ++e->sequence;
 	c->body.held = true;
+	c->is_served = e->guard != NULL && r->id != NULL &&
+	    guard_served(e->guard, r->id, &c->served);
 	c->deadline_ms = effective_deadline_ms(c, now_ms);
 	c->target_ms = target_deadline_ms(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
@@ -491,7 +500,6 @@
 	c->link.data = c;
 	g_queue_push_tail_link(&e->calls, &c->link);
 	call_exchange_set_entry_data(x, c);
-	entry_customer_name(c, r);
 	return c;
 }
 
@@ -535,7 +543,7 @@
 route_call(struct entry *e, struct call_exchange *x, struct accepted *accepted)
 {
 	struct route_match *match = &accepted->match;
-	const struct call_request *r = call_exchange_request(x);
+	struct call_request *r = call_exchange_request(x);
 	enum http_method method;
 
 	if (!drain_accepts_call(&e->drain)) {
@@ -560,10 +568,10 @@
 	case ROUTE_FOUND:
 		break;
 	}
-	if (!entry_customer_find(e, r, match->route, &accepted->customer))
-		return refuse(e, x, HTTP_UNAUTHORIZED, "unauthorized",
-		    "the request needs the key of a customer; send a valid "
-		    "one.");
+	if (!entry_customer_find(e, r, match->route, &accepted->customer)) {
+		entry_customer_refuse(e, x);
+		return false;
+	}
 	choose_by_weight(e, match);
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
@@ -571,6 +579,9 @@
 		return refuse(e, x, HTTP_CONTENT_TOO_LARGE, "too_large",
 		    "the body exceeds the service's limit; send a smaller "
 		    "one.");
+	if (!entry_customer_name(e, accepted->customer, r))
+		return refuse(e, x, HTTP_HEADERS_TOO_LARGE, "too_large",
+		    "the request has too many headers; send fewer.");
 	return true;
 }
 
@@ -606,14 +617,37 @@
 	return all_idempotent(s, &match);
 }
 
+/* Return: false when the request was refused for its customer's limit. */
+static bool
+within_limit(struct entry *e, struct call_exchange *x,
+    const struct customer *customer, enum quota_verdict *verdict)
+{
+	uint64_t retry_after_ms = 0;
+
+	*verdict = entry_quota_take(e->quota, customer, &retry_after_ms);
+	if (*verdict != QUOTA_REFUSE)
+		return true;
+	entry_quota_refuse(e, x, customer, retry_after_ms);
+	return false;
+}
+
+void
+entry_call_start(struct entry_call *c)
+{
+	call_start(c->machine, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+}
+
 void
 entry_call_begin(struct entry *e, struct call_exchange *x)
 {
 	struct accepted accepted;
 	struct entry_call *c;
 	struct exchange_events events;
+	enum quota_verdict verdict = QUOTA_ADMIT;
 
-	if (!route_call(e, x, &accepted)) {
+	if (!route_call(e, x, &accepted) ||
+	    !within_limit(e, x, accepted.customer, &verdict)) {
 		entry_call_ended(e);
 		call_exchange_unref(x);
 		return;
@@ -622,8 +656,12 @@
 	call_exchange_accept(x);
 	call_exchange_poll(x, &events);
 	c->body.exchange_end = events.request_body_end;
-	call_start(c->machine, loop_now_ms(e->loop));
-	entry_call_run(c);
+	if (verdict == QUOTA_WAIT) {
+		entry_quota_park(c);
+		return;
+	}
+	c->credited = c->customer != NULL && c->customer->rate_milli_per_s != 0;
+	entry_call_start(c);
 }
 
 void
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -14,8 +14,12 @@
 /* Fixed-point unit of admission.limit: this many parts per slot. */
 #define LIMIT_UNIT 1024
 
-/* Two ranks per priority: in time for the target, and late. */
-#define RANKS (2 * ADMISSION_PRIORITIES)
+/* Distinct ranks of customers; lower ones count as the last. */
+#define CUSTOMER_RANKS 4
+
+/* Two ranks per rank of the customer and priority: in time for the target, and
+ * late. */
+#define RANKS (2 * ADMISSION_PRIORITIES * CUSTOMER_RANKS)
 
 /**
  * struct waiting - a queued request
@@ -51,10 +55,27 @@
  * struct running - a request in a slot
  * @ticket: the request
  * @started_ms: monotonic time of its start
+ * @priority: its priority
+ * @class: its class
  */
 struct running {
 	uint64_t ticket;
 	uint64_t started_ms;
+	uint32_t priority;
+	enum admission_class class;
+};
+
+/**
+ * struct urgent_kind - arrivals of the requests of one priority and class
+ * @until_ms: end of the current period, 0 while none has arrived in time
+ * @arrived: requests that arrived in time, in this and the last period
+ * @slack_ms: moving average of the time until the latest start that meets the
+ *	target
+ */
+struct urgent_kind {
+	uint64_t until_ms;
+	uint32_t arrived[2];
+	uint64_t slack_ms;
 };
 
 /**
@@ -79,11 +100,16 @@
 	uint32_t refused[2];
 };
 
+/** struct admission_fair - use of the slots by customers */
+struct admission_fair;
+
 /**
  * struct admission - see traffic/admission.h
  * @cfg: its limits
  * @now_ms: time of the last event
  * @lanes: by class
+ * @kinds: arrivals by priority and class
+ * @fair: use of the slots by customers
  * @running: struct running, in order of start
  * @concurrency: observed concurrency, to classify the upstream's refusals
  * @limit: slots that may be used, in parts of LIMIT_UNIT
@@ -101,6 +127,8 @@
 	struct admission_config cfg;
 	uint64_t now_ms;
 	struct lane lanes[ADMISSION_CLASSES];
+	struct urgent_kind kinds[ADMISSION_PRIORITIES][ADMISSION_CLASSES];
+	struct admission_fair *fair;
 	GArray *running;
 	struct concurrency concurrency;
 	uint64_t limit;
@@ -150,6 +178,9 @@
 /** admission_priority_of() - priority, limited to ADMISSION_PRIORITIES - 1 */
 uint32_t admission_priority_of(const struct admission_request *req);
 
+/** admission_rank_priority() - priority of the requests of a rank */
+uint32_t admission_rank_priority(uint32_t rank);
+
 /** admission_other() - the other class */
 enum admission_class admission_other(enum admission_class class);
 
@@ -167,10 +198,10 @@
 bool admission_overload_persists(const struct admission *a, uint64_t now_ms);
 
 /**
- * admission_queue_position() - number of queued requests that go before a
- * request with the target @target_ms
+ * admission_queue_index() - index in the queue @q, which is ordered by target,
+ * of a request with the target @target_ms
  */
-uint32_t admission_queue_position(const GQueue *q, uint64_t target_ms);
+uint32_t admission_queue_index(const GQueue *q, uint64_t target_ms);
 
 /** admission_allowed_wait_ms() - longest useful wait of a request in ms */
 uint64_t admission_allowed_wait_ms(const struct admission *a,
@@ -207,6 +238,64 @@
 void admission_refuse(struct admission *a, const struct admission_request *req,
     enum refusal refusal, uint64_t now_ms, struct admission_result *out);
 
+/** admission_urgent_offered() - count the arrival of a request that runs for
+ * @run_ms */
+void admission_urgent_offered(struct admission *a,
+    const struct admission_request *req, uint64_t run_ms, uint64_t now_ms);
+
+/** admission_urgent_kept() - number of slots that are kept from requests of a
+ * kind */
+uint32_t admission_urgent_kept(
+    const struct admission *a, uint32_t priority, enum admission_class class);
+
+/** admission_urgent_allows() - whether a request of a kind may take a slot */
+bool admission_urgent_allows(
+    const struct admission *a, uint32_t priority, enum admission_class class);
+
+/** admission_expected_run_ms() - expected run time of a request from
+ * measurements of its own kind, 0 while there is none */
+uint64_t admission_expected_run_ms(
+    const struct admission *a, const struct admission_request *req);
+
+/** admission_fair_new() - free with admission_fair_free() */
+struct admission_fair *admission_fair_new(void);
+
+/** admission_fair_free() - free the table of customers */
+void admission_fair_free(struct admission_fair *f);
+
+/** admission_fair_is_active() - whether any request had a customer */
+bool admission_fair_is_active(const struct admission_fair *f);
+
+/** admission_fair_offered() - count an offered request for its customer */
+void admission_fair_offered(struct admission_fair *f,
+    const struct admission_request *req, uint64_t now_ms);
+
+/** admission_fair_started() - charge a started request to its customer */
+void admission_fair_started(struct admission_fair *f,
+    const struct admission_request *req, uint64_t run_us, uint64_t now_ms);
+
+/** admission_fair_position() - number of requests in @q that start before @req;
+ * @run_us: expected run time of each */
+uint32_t admission_fair_position(const struct admission_fair *f,
+    const GQueue *q, const struct admission_request *req, uint64_t run_us);
+
+/** admission_fair_first() - the request in @q that starts next, or NULL */
+GList *admission_fair_first(const struct admission_fair *f, const GQueue *q);
+
+/**
+ * admission_fair_victim() - the request in @q to evict for @req: the one that
+ * would start last
+ *
+ * Return: NULL if @req would start later than all of them.
+ */
+GList *admission_fair_victim(const struct admission_fair *f, const GQueue *q,
+    const struct admission_request *req, uint64_t run_us);
+
+/** admission_fair_last() - the request in @q that starts last, or NULL if @q is
+ * empty */
+GList *admission_fair_last(
+    const struct admission_fair *f, const GQueue *q, uint64_t run_us);
+
 /** admission_dequeue() - remove a request from a lane; the caller frees it */
 struct waiting *admission_dequeue(struct lane *l, uint32_t rank, GList *link);
 
