feat(spread): keys are refused where the version can't be confirmed in time

Operators that need a revoked key to be refused everywhere within a time had no setting: a node cut off goes on by its version. With revoke_confirm_ms an entry refuses requests that need a key with 503 while its version was not confirmed for so long.

--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -70,6 +70,18 @@
  */
 void entry_version_awaited(struct entry *e, uint64_t version);
 
+/**
+ * entry_set_confirmed() - set since when the version in force is known to be
+ * the newest
+ * @e: the entry
+ * @confirmed_ms: monotonic time before which all accepted versions are in the
+ *	published snapshot, as far as they are in force; 0 for never
+ *
+ * Any thread may call this function.  Counts with the setting
+ * revoke_confirm_ms only.
+ */
+void entry_set_confirmed(struct entry *e, uint64_t confirmed_ms);
+
 /**
  * entry_behind_head() - a request's head exceeds the limits in force
  * @e: the entry
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -312,6 +312,7 @@
 	peers_flush(c->peers, spread_outbox(c->spread));
 	if (c->dirty)
 		control_publish(c);
+	entry_set_confirmed(c->entry, spread_confirmed_ms(c->spread));
 	next_ms =
 	    MIN(membership_next_ms(c->membership), spread_next_ms(c->spread));
 	next_ms = MIN(next_ms, control_find_next_ms(c));
@@ -438,6 +439,7 @@
 	sc.seed = seed + 1;
 	c->catalog = catalog_new(0);
 	c->spread = spread_new(&sc, c->membership, c->catalog, now_ms);
+	spread_set_confirm_within(c->spread, c->settings->revoke_confirm_ms);
 	control_upstream_init(c);
 	control_quarantine_init(c, now_ms);
 	control_rollout_new(c, now_ms);
--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -15,6 +15,9 @@
 /* Callers of a stopping node should retry at another node at once. */
 #define STOPPING_RETRY_MS 1
 
+/* Some rounds of confirmations (spread/freshness.h). */
+#define UNCONFIRMED_RETRY_MS 1000
+
 static const char unknown_message[] =
     "the request may or may not have run; query its effect, or send it "
     "again with the same Idempotency-Key if it had one.";
@@ -66,6 +69,16 @@
 	    ENTRY_STARTING_RETRY_MS);
 }
 
+void
+entry_answer_unconfirmed(struct call_exchange *x)
+{
+	answer_refused(x, HTTP_UNAVAILABLE, "unconfirmed",
+	    "this node can't confirm that its configuration is the newest; "
+	    "call "
+	    "another node or try again later.",
+	    UNCONFIRMED_RETRY_MS);
+}
+
 static struct call_answer *
 behind_answer(uint64_t version)
 {
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -564,6 +564,10 @@
 		entry_customer_refuse(e, x);
 		return false;
 	}
+	if (!entry_customer_is_confirmed(e, match->route)) {
+		entry_customer_unconfirmed(e, x);
+		return false;
+	}
 	choose_by_weight(e, match);
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
--- a/packages/node/src/entry_customer.c
+++ b/packages/node/src/entry_customer.c
@@ -8,6 +8,7 @@
 #include "entry_log.h"
 
 #define HTTP_UNAUTHORIZED 401
+#define HTTP_UNAVAILABLE 503
 
 static const char *const messages[KEY_FAULTS] = {
     "the request has no customer key; send one.",
@@ -51,6 +52,32 @@
 	    x, HTTP_UNAUTHORIZED, "unauthorized", messages[fault]);
 }
 
+void
+entry_set_confirmed(struct entry *e, uint64_t confirmed_ms)
+{
+	atomic_store(&e->confirmed_ms, confirmed_ms);
+}
+
+bool
+entry_customer_is_confirmed(
+    const struct entry *e, const struct service_route *route)
+{
+	uint32_t within_ms = e->settings->revoke_confirm_ms;
+
+	if (within_ms == 0 || e->snapshot->customers == NULL || route->keyless)
+		return true;
+	return loop_now_ms(e->loop) < atomic_load(&e->confirmed_ms) + within_ms;
+}
+
+void
+entry_customer_unconfirmed(struct entry *e, struct call_exchange *x)
+{
+	metric_add(&metric_unconfirmed, 1);
+	entry_log_refused(
+	    e, call_exchange_request(x), HTTP_UNAVAILABLE, "unconfirmed");
+	entry_answer_unconfirmed(x);
+}
+
 /* The caller's own header of this name was not copied. */
 bool
 entry_customer_name(const struct entry *e, const struct customer *customer,
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -73,6 +73,7 @@
  * @sequence: sequence number of the last call
  * @seed: random number of this process, part of request ids
  * @in_flight: number of calls, atomic for entry_in_flight()
+ * @confirmed_ms: see entry_set_confirmed()
  * @done_log_limit: rate limit of log lines on answered calls
  * @key_log_limit: rate limit of log lines on calls without a valid key
  * @other_log_limit: rate limit of all other log lines on calls
@@ -103,6 +104,7 @@
 	uint64_t sequence;
 	uint64_t seed;
 	_Atomic uint32_t in_flight;
+	_Atomic uint64_t confirmed_ms;
 	struct log_limit done_log_limit;
 	struct log_limit key_log_limit;
 	struct log_limit other_log_limit;
@@ -448,6 +450,14 @@
  * when a newer version may hold its key */
 void entry_customer_refuse(struct entry *e, struct call_exchange *x);
 
+/** entry_customer_is_confirmed() - whether the version in force was confirmed
+ * recently enough for requests that need a key */
+bool entry_customer_is_confirmed(
+    const struct entry *e, const struct service_route *route);
+
+/** entry_customer_unconfirmed() - answer such a request when it wasn't */
+void entry_customer_unconfirmed(struct entry *e, struct call_exchange *x);
+
 /**
  * entry_customer_name() - add the customer's name to the headers for the
  * upstream
@@ -496,6 +506,9 @@
  * yet */
 void entry_answer_starting(struct call_exchange *x);
 
+/** entry_answer_unconfirmed() - answer not_run: keys may have been revoked */
+void entry_answer_unconfirmed(struct call_exchange *x);
+
 /** entry_answer_behind() - answer not_run: a newer version may accept the
  * request */
 void entry_answer_behind(
--- a/packages/node/test/test_call_customers.c
+++ b/packages/node/test/test_call_customers.c
@@ -23,6 +23,8 @@
 #define SUSPICION_MS 100
 
 #define NEWER 2
+/* Long beside a test on a loaded machine. */
+#define CONFIRM_MS 60000
 #define WRONG_KEYS 2000
 /* An operator can read this many; the metric counts all. */
 #define LOG_LINES_PER_S 10
@@ -380,6 +382,49 @@
 }
 END_TEST
 
+static void
+set_confirm(struct settings *s)
+{
+	s->revoke_confirm_ms = CONFIRM_MS;
+}
+
+static void
+start_confirmed(void)
+{
+	struct fake_endpoint ep = {.host = "h1"};
+
+	upstream = fake_upstream_start();
+	node = test_node_start("h1", set_confirm);
+	test_node_upstream(node, upstream->port, SERVING_READY);
+	ep.port = guard_addr(node->guard).port;
+	test_snapshot_of(two, &ep, 1);
+}
+
+START_TEST(unconfirmed_version_serves_no_key)
+{
+	start_confirmed();
+	expect("/look/x", KEY("kn1"), 503);
+	expect("/look/x", KEY("other"), 401);
+	expect("/open/x", NULL, 200);
+	entry_set_confirmed(node->entry, clock_now_ms());
+	expect("/look/x", KEY("kn1"), 200);
+	entry_set_confirmed(node->entry, clock_now_ms() - CONFIRM_MS);
+	expect("/look/x", KEY("kn1"), 503);
+	expect("/open/x", KEY("kn1"), 200);
+	ck_assert_int_eq(upstream->answered, 3);
+	stop();
+}
+END_TEST
+
+START_TEST(confirmation_does_not_matter_without_customers)
+{
+	start_confirmed();
+	publish(no_table);
+	expect("/look/x", NULL, 200);
+	stop();
+}
+END_TEST
+
 static void
 set_short_windows(struct settings *s)
 {
@@ -563,6 +608,8 @@
 	tcase_add_loop_test(
 	    tc, further_attempt_keeps_name, 0, G_N_ELEMENTS(cuts));
 	tcase_add_test(tc, long_key_is_an_unknown_key);
+	tcase_add_test(tc, unconfirmed_version_serves_no_key);
+	tcase_add_test(tc, confirmation_does_not_matter_without_customers);
 	tcase_add_test(tc, idempotency_keys_of_customers_are_apart);
 	tcase_add_test(tc, name_that_does_not_fit_is_reported);
 	tcase_add_test(tc, wrong_keys_do_not_fill_the_log);
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -133,6 +133,11 @@
  * 	which operators expect the version to be in force on all nodes; the
  * 	node logs a warning for a version that takes most of that time. 0
  * 	when unknown.
+ * @revoke_confirm_ms: Requests that need a customer's key are answered
+ * 	with 503 while this node could not confirm for so long that its
+ * 	version is the newest, by reading the platform or by a peer that
+ * 	has; 0 serves them by the version that the node has. Values below
+ * 	the time of two reads of the platform refuse requests without need.
  * @grace_ms: Time from the stop signal until the system kills the
  * 	process, 0 when the system does not kill it; a drain ends half a
  * 	second earlier, or after seven eighths of a short grace time.
@@ -196,6 +201,7 @@
 	uint32_t rollout_share;
 	uint32_t once_reuse_ms;
 	uint32_t in_force_within_ms;
+	uint32_t revoke_confirm_ms;
 	uint32_t grace_ms;
 	uint32_t drain_notice_ms;
 	uint32_t fate_window_ms;
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -614,4 +614,54 @@
 /** msg_read_report_clear() - free the message's lists and zero the message */
 void msg_read_report_clear(struct msg_read_report *m);
 
+/**
+ * struct msg_confirm_ask - Datagram: asks a peer when its configuration was
+ * last confirmed to be the newest.
+ * @token: number returned in the answer
+ */
+struct msg_confirm_ask {
+	uint32_t token;
+};
+
+extern const struct codec_desc msg_confirm_ask_desc;
+
+/** msg_confirm_ask_encode() - append the encoded message to @out */
+void msg_confirm_ask_encode(const struct msg_confirm_ask *m, GByteArray *out);
+
+/** msg_confirm_ask_decode() - decode a message; see codec_decode() */
+enum status msg_confirm_ask_decode(
+    const uint8_t *data, size_t len, struct msg_confirm_ask *m);
+
+/** msg_confirm_ask_clear() - free the message's lists and zero the message */
+void msg_confirm_ask_clear(struct msg_confirm_ask *m);
+
+/**
+ * struct msg_confirm_answer - Datagram: answer to confirm_ask; sent only by a
+ * node whose configuration was confirmed.
+ * @token: token of the question
+ * @seq: sequence number of the newest head whose version in force the
+ * 	sender holds
+ * @age_ms: time since that head covered all accepted changes
+ */
+struct msg_confirm_answer {
+	uint32_t token;
+	uint64_t seq;
+	uint32_t age_ms;
+};
+
+extern const struct codec_desc msg_confirm_answer_desc;
+
+/** msg_confirm_answer_encode() - append the encoded message to @out */
+void
+msg_confirm_answer_encode(const struct msg_confirm_answer *m, GByteArray *out);
+
+/** msg_confirm_answer_decode() - decode a message; see codec_decode() */
+enum status msg_confirm_answer_decode(
+    const uint8_t *data, size_t len, struct msg_confirm_answer *m);
+
+/**
+ * msg_confirm_answer_clear() - free the message's lists and zero the message
+ */
+void msg_confirm_answer_clear(struct msg_confirm_answer *m);
+
 #endif
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -65,6 +65,10 @@
  * @MSG_PACKED: Frame: a delta or sections message compressed with LZ4.
  * @MSG_READ_REPORT: Datagram from a host that reads the platform to
  * 	the active and standby readers of its data centre.
+ * @MSG_CONFIRM_ASK: Datagram: asks a peer when its configuration was
+ * 	last confirmed to be the newest.
+ * @MSG_CONFIRM_ANSWER: Datagram: answer to confirm_ask; sent only by a
+ * 	node whose configuration was confirmed.
  * @MSG_QUARANTINE_NEWS: Datagram: records that the receiver may lack.
  * @MSG_QUARANTINE_DIGEST: Datagram: digest of the sender's records; a
  * 	receiver whose digest differs replies with quarantine_ids.
@@ -149,6 +153,8 @@
 	MSG_PROGRESS_ANSWER = 31,
 	MSG_PACKED = 32,
 	MSG_READ_REPORT = 33,
+	MSG_CONFIRM_ASK = 34,
+	MSG_CONFIRM_ANSWER = 35,
 	MSG_QUARANTINE_NEWS = 40,
 	MSG_QUARANTINE_DIGEST = 41,
 	MSG_QUARANTINE_IDS = 42,
--- a/packages/proto/src/gen/settings.c
+++ b/packages/proto/src/gen/settings.c
@@ -384,6 +384,16 @@
 	.min = 0,
 	.max = 3600000U,
 	.initial = 0},
+    {.name = "revoke_confirm_ms",
+	.type = SETTINGS_NUMBER,
+	.offset = offsetof(struct settings, revoke_confirm_ms),
+	.expected = "a whole number of milliseconds from 0 to 3600000, or a "
+		    "string like 1500ms or 2.5s",
+	.remedy = "give the time after which a revoked key must be refused "
+		  "everywhere, at least 4000, or 0",
+	.min = 0,
+	.max = 3600000U,
+	.initial = 0},
     {.name = "grace_ms",
 	.type = SETTINGS_NUMBER,
 	.offset = offsetof(struct settings, grace_ms),
--- a/packages/proto/src/gen/spread.c
+++ b/packages/proto/src/gen/spread.c
@@ -756,3 +756,69 @@
 {
 	codec_clear(&msg_read_report_desc, m);
 }
+
+static const struct codec_field msg_confirm_ask_fields[] = {
+    {.name = "token",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_confirm_ask, token)},
+};
+
+const struct codec_desc msg_confirm_ask_desc = {.name = "confirm_ask",
+    .fields = msg_confirm_ask_fields,
+    .n_fields = 1,
+    .size_bytes = sizeof(struct msg_confirm_ask)};
+
+void
+msg_confirm_ask_encode(const struct msg_confirm_ask *m, GByteArray *out)
+{
+	codec_encode(&msg_confirm_ask_desc, m, out);
+}
+
+enum status
+msg_confirm_ask_decode(
+    const uint8_t *data, size_t len, struct msg_confirm_ask *m)
+{
+	return codec_decode(&msg_confirm_ask_desc, data, len, m);
+}
+
+void
+msg_confirm_ask_clear(struct msg_confirm_ask *m)
+{
+	codec_clear(&msg_confirm_ask_desc, m);
+}
+
+static const struct codec_field msg_confirm_answer_fields[] = {
+    {.name = "token",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_confirm_answer, token)},
+    {.name = "seq",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct msg_confirm_answer, seq)},
+    {.name = "age_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct msg_confirm_answer, age_ms)},
+};
+
+const struct codec_desc msg_confirm_answer_desc = {.name = "confirm_answer",
+    .fields = msg_confirm_answer_fields,
+    .n_fields = 3,
+    .size_bytes = sizeof(struct msg_confirm_answer)};
+
+void
+msg_confirm_answer_encode(const struct msg_confirm_answer *m, GByteArray *out)
+{
+	codec_encode(&msg_confirm_answer_desc, m, out);
+}
+
+enum status
+msg_confirm_answer_decode(
+    const uint8_t *data, size_t len, struct msg_confirm_answer *m)
+{
+	return codec_decode(&msg_confirm_answer_desc, data, len, m);
+}
+
+void
+msg_confirm_answer_clear(struct msg_confirm_answer *m)
+{
+	codec_clear(&msg_confirm_answer_desc, m);
+}
--- a/packages/spread/include/spread/readers.h
+++ b/packages/spread/include/spread/readers.h
@@ -31,6 +31,7 @@
  * @reading: whether a read is in flight
  * @read_start_ms: when that read started
  * @read_deadline_ms: when that read counts as lost
+ * @answered_start_ms: when the last read that was answered started, 0 for never
  */
 struct readers {
 	struct spread_env *env;
@@ -45,6 +46,7 @@
 	int reading;
 	uint64_t read_start_ms;
 	uint64_t read_deadline_ms;
+	uint64_t answered_start_ms;
 };
 
 /** readers_init() - initialise a starting node, which is no reader yet */
--- a/packages/spread/include/spread/spread.h
+++ b/packages/spread/include/spread/spread.h
@@ -332,6 +332,14 @@
 	uint64_t position;
 };
 
+/** spread_set_confirm_within() - ask peers for confirmations of the newest
+ * version, so that one comes every @within_ms; 0 asks none, as initially */
+void spread_set_confirm_within(struct spread *s, uint32_t within_ms);
+
+/** spread_confirmed_ms() - time before which all accepted versions are, as far
+ * as they are in force, in the catalog; 0 for never */
+uint64_t spread_confirmed_ms(const struct spread *s);
+
 /** spread_set_long_poll() - reads of the head wait for a change for @wait_ms */
 void spread_set_long_poll(struct spread *s, uint32_t wait_ms);
 
--- a/packages/spread/src/readers.c
+++ b/packages/spread/src/readers.c
@@ -49,6 +49,7 @@
 	r->reading = 0;
 	r->read_start_ms = 0;
 	r->read_deadline_ms = 0;
+	r->answered_start_ms = 0;
 }
 
 /* Whether the table of hosts is not complete enough yet to compute the rank;
@@ -194,6 +195,8 @@
 	if (r->reading)
 		reader_group_on_read_ended(
 		    &r->group, now_ms, end->ok, end->position);
+	if (r->reading && end->ok)
+		r->answered_start_ms = r->read_start_ms;
 	r->reading = 0;
 	if (end->ok)
 		backoff_succeeded(&r->backoff);
--- a/packages/spread/src/spread.c
+++ b/packages/spread/src/spread.c
@@ -23,6 +23,7 @@
 	serve_init(&s->serve, &s->env, now_ms);
 	floors_init(&s->floors, &s->env, now_ms);
 	progress_init(&s->progress, &s->env, now_ms);
+	freshness_init(&s->freshness, &s->env);
 	s->pending_contents =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	return s;
@@ -301,6 +302,7 @@
 {
 	spread_run_intake(s, now_ms);
 	spread_publish_head(s, now_ms);
+	freshness_set_held(&s->freshness, s->held_head.seq);
 	spread_update_ready(s);
 	progress_set_own(
 	    &s->progress, now_ms, spread_served_version(s), s->known.version);
@@ -318,6 +320,7 @@
 	next = MIN(next, intake_next_ms(&s->intake));
 	next = MIN(next, floors_next_ms(&s->floors));
 	next = MIN(next, progress_next_ms(&s->progress));
+	next = MIN(next, freshness_next_ms(&s->freshness));
 	if (s->from_origin && intake_staged(&s->intake) > s->floors.announced)
 		next = MIN(next, spread_hold_ms(s));
 	return next;
@@ -330,6 +333,7 @@
 	floors_tick(&s->floors, now_ms);
 	spread_advance(s, now_ms);
 	progress_tick(&s->progress, now_ms);
+	freshness_tick(&s->freshness, now_ms);
 }
 
 int
@@ -363,6 +367,18 @@
 	spread_tick(s, now_ms);
 }
 
+void
+spread_set_confirm_within(struct spread *s, uint32_t within_ms)
+{
+	freshness_set_within(&s->freshness, within_ms);
+}
+
+uint64_t
+spread_confirmed_ms(const struct spread *s)
+{
+	return s->freshness.confirmed_ms;
+}
+
 int
 spread_is_reader(const struct spread *s)
 {
--- a/packages/spread/src/spread_events.c
+++ b/packages/spread/src/spread_events.c
@@ -122,6 +122,31 @@
 	env_push_action(&s->env, SPREAD_STORE_EPOCH)->to = epoch;
 }
 
+static void
+spread_on_confirm(struct spread *s, uint64_t now_ms,
+    const struct net_addr *from, uint8_t type, const uint8_t *body, size_t len)
+{
+	struct msg_confirm_ask ask;
+	struct msg_confirm_answer answer;
+
+	if (type == MSG_CONFIRM_ASK &&
+	    msg_confirm_ask_decode(body, len, &ask) == STATUS_OK)
+		freshness_on_ask(&s->freshness, now_ms, from, &ask);
+	else if (type == MSG_CONFIRM_ANSWER &&
+	    msg_confirm_answer_decode(body, len, &answer) == STATUS_OK)
+		freshness_on_answer(&s->freshness, &answer);
+}
+
+/* The platform's answer to a read that began then has been adopted.  An older
+ * head than the known one confirms nothing: the store came back from a copy. */
+static void
+spread_confirm_read(struct spread *s, uint64_t seq)
+{
+	if (seq == s->known.seq)
+		freshness_on_read(
+		    &s->freshness, s->readers.answered_start_ms, seq);
+}
+
 static void
 spread_on_delta(struct spread *s, uint64_t now_ms, const struct msg_delta *msg)
 {
@@ -202,6 +227,8 @@
 		spread_on_progress(s, now_ms, from, type, body, len);
 	else if (type == MSG_READ_REPORT)
 		spread_on_read_report(s, now_ms, from, body, len);
+	else if (type == MSG_CONFIRM_ASK || type == MSG_CONFIRM_ANSWER)
+		spread_on_confirm(s, now_ms, from, type, body, len);
 	else
 		return;
 	spread_advance(s, now_ms);
@@ -290,6 +317,7 @@
 	readers_on_read_ended(&s->readers, now_ms, &end);
 	if (st == STATUS_OK) {
 		spread_adopt_origin_head(s, now_ms, head);
+		spread_confirm_read(s, head->seq);
 		if (head->in_force > catalog_version(s->env.catalog))
 			intake_schedule_source(
 			    &s->intake, now_ms, spread_hold_ms(s));
@@ -353,6 +381,7 @@
     uint32_t n_contents)
 {
 	spread_adopt_origin_head(s, now_ms, head);
+	spread_confirm_read(s, head->seq);
 	/* Peers may know a later version already.  With versions in quick
 	 * succession the latest one is always in progress, so take this one,
 	 * whose content is here. */
--- a/packages/spread/src/spread_priv.h
+++ b/packages/spread/src/spread_priv.h
@@ -6,6 +6,7 @@
 
 #include "spread/env.h"
 #include "spread/floors.h"
+#include "spread/freshness.h"
 #include "spread/intake.h"
 #include "spread/notices.h"
 #include "spread/progress.h"
@@ -24,6 +25,7 @@
  * @serve: answers to peers
  * @floors: this host's floor and those it stores for other hosts
  * @progress: sums of the rollout progress
+ * @freshness: since when the configuration is known to be the newest
  * @known: newest head known
  * @held_head: newest head whose version in force is held
  * @heads: ring of the latest heads
@@ -47,6 +49,7 @@
 	struct serve serve;
 	struct floors floors;
 	struct progress progress;
+	struct freshness freshness;
 	struct rec_head_tag known;
 	struct rec_head_tag held_head;
 	struct rec_head_tag heads[SPREAD_HEADS_MAX];
--- a/test/functional/test_key_revoked.c
+++ b/test/functional/test_key_revoked.c
@@ -22,6 +22,9 @@
 /* A key that was taken away is refused everywhere within this time. */
 #define REVOKED_BOUND_MS 5000
 #define CUT_HOST 5
+/* Setting of the nodes, and that with time to ask all of them. */
+#define CONFIRM_MS 4000
+#define REFUSED_BOUND_MS 7000
 #define CUSTOMER "court of appeal"
 #define SECRET "secret-"
 #define OLD_KEY SECRET "old"
@@ -272,6 +275,68 @@
 }
 END_TEST
 
+/* Whether all nodes answer a key with a status. */
+struct answers {
+	const struct deployment *d;
+	int code;
+};
+
+static int
+all_answer(void *arg)
+{
+	const struct answers *a = arg;
+	uint32_t i;
+
+	for (i = 0; i < a->d->hosts->len; i++)
+		if (call(deployment_host(a->d, i), "/search/x", OLD_KEY) !=
+		    a->code)
+			return 0;
+	return 1;
+}
+
+static void
+set_relays(const struct deployment *d, enum relay_mode mode)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->relays->len; i++)
+		relay_set(g_ptr_array_index(d->relays, i), mode);
+}
+
+/* A node that peers confirm serves keys through a cut of its own; cut off from
+ * the platform all nodes refuse them, and serve what needs none. */
+START_TEST(unconfirmed_nodes_refuse_keys)
+{
+	struct deployment_plan plan = deployment_registry;
+	struct answers served = {.code = 200}, refused = {.code = 503};
+	struct deployment *d;
+	uint64_t until_ms;
+	uint32_t i;
+
+	plan.relayed = RELAYED_BY_HOST;
+	plan.node_settings =
+	    "{\"revoke_confirm_ms\":" G_STRINGIFY(CONFIRM_MS) "}";
+	d = deployment_new(&plan);
+	served.d = refused.d = d;
+	deployment_start(d);
+	(void)sign_off(d, OLD_KEY);
+	ck_assert(harness_wait_until(all_answer, &served, START_BOUND_MS));
+	relay_set(g_ptr_array_index(d->relays, CUT_HOST), RELAY_SILENT);
+	until_ms = clock_now_ms() + 2 * CONFIRM_MS;
+	while (clock_now_ms() < until_ms)
+		ck_assert(all_answer(&served));
+	set_relays(d, RELAY_CUT);
+	ck_assert(harness_wait_until(all_answer, &refused, REFUSED_BOUND_MS));
+	for (i = 0; i < d->hosts->len; i++)
+		ck_assert_int_eq(
+		    call(deployment_host(d, i), "/search/help", NULL), 200);
+	set_relays(d, RELAY_PASS);
+	ck_assert(harness_wait_until(all_answer, &served, START_BOUND_MS));
+	deployment_free(d);
+	harness_cleanup();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -279,5 +344,6 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_test(tc, key_taken_away_is_refused_beside_a_cut);
+	tcase_add_test(tc, unconfirmed_nodes_refuse_keys);
 	return harness_run(tc, TEST_TIMEOUT_S);
 }
