fix(traffic): slots are kept only where one is freed too seldom

Slots are kept now only for urgent requests whose slack is less than six times the mean time until a slot is freed.

--- a/packages/traffic/src/admission_urgent.c
+++ b/packages/traffic/src/admission_urgent.c
@@ -1,8 +1,9 @@
 /*
  * Slots that are kept from long requests for urgent ones: those of a
  * higher priority whose slack, the time from arrival to the latest start that
- * meets the target, is shorter than the long request runs.  Without them an
- * urgent request that arrives while long ones fill all slots would be late.
+ * meets the target, is shorter than the long request runs, and not much longer
+ * than it takes until a slot is freed.  Without them an urgent request that
+ * arrives while long ones fill all slots would be late.
  */
 #include "base/clock.h"
 
@@ -13,6 +14,12 @@
 #define MILLI 1000
 /* Long requests keep the other slots however many urgent ones come. */
 #define KEPT_MAX_PERCENT 50
+/*
+ * While long requests fill the slots, one is freed each run time divided by the
+ * slots on average, in clumps, since requests that start together end together.
+ * An urgent request whose slack is this many times longer needs no kept slot.
+ */
+#define WAITS_IN_SLACK 6
 /* Part of a slot that is kept as a whole one: the nearest whole number. */
 #define KEPT_MIN_MILLI 500
 
@@ -62,7 +69,8 @@
 {
 	const struct urgent_kind *k = &a->kinds[priority][class];
 
-	return k->until_ms != 0 && k->slack_ms < long_run_ms;
+	return k->until_ms != 0 && k->slack_ms < long_run_ms &&
+	    k->slack_ms * admission_slots(a) < long_run_ms * WAITS_IN_SLACK;
 }
 
 /* Slots that urgent requests need on average, in thousandths. */
