feat(node): a caller that repeats at once gains nothing

A caller that repeated a refused request at once had three chances where one that waited as asked had one. Calls of upstreams and requests with a key of their own are left out.

--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -55,6 +55,11 @@
     .help = "Requests told to come back since a newer version is known.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_early_returns = {.name = "bramley_early_returns_total",
+    .help = "Requests refused since their caller came back earlier than it was "
+	    "asked to.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_crashes = {.name = "bramley_upstream_crashes_total",
     .help = "Upstreams of this host that ended under requests, unannounced.",
     .kind = METRIC_COUNTER};
@@ -181,10 +186,10 @@
 	    &metric_silent_connections, &metric_entry_us, &metric_guard_us,
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_callers_connections,
-	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
-	    &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us};
+	    &metric_callers_shed, &metric_behind_refusals,
+	    &metric_early_returns, &metric_crashes, &metric_quarantined,
+	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
+	    &metric_departure_us, &metric_timers_late_us};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -20,6 +20,7 @@
 extern struct metric metric_callers_connections;
 extern struct metric metric_callers_shed;
 extern struct metric metric_behind_refusals;
+extern struct metric metric_early_returns;
 extern struct metric metric_crashes;
 extern struct metric metric_quarantined;
 extern struct metric metric_upstream_limit;
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -53,6 +53,7 @@
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
 	e->splits = split_table_new(e->seed);
 	e->patience = patience_new();
+	e->returns = returns_new();
 	drain_init(&e->drain);
 	behind_init(&e->behind);
 	behind_init(&e->awaited);
@@ -227,6 +228,7 @@
 	placement_free(e->placement);
 	split_table_free(e->splits);
 	patience_free(e->patience);
+	returns_free(e->returns);
 	ejection_free(e->ejection);
 	endpoints_free(e->endpoints);
 	run_reports_free(e->runs);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -22,6 +22,9 @@
 /* Time limit for reaching a guard for a resolve. */
 #define RESOLVE_LIMIT_MS 2000
 
+/* Part of its remaining time after which a refused caller comes back. */
+#define RETURN_DIVISOR 3
+
 #define HTTP_UNAUTHORIZED 401
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
@@ -118,6 +121,58 @@
 	return true;
 }
 
+/* Whether callers may repeat the call on their own: upstreams don't, and all
+ * calls with one key are one request. */
+static bool
+may_return(const struct entry_call *c)
+{
+	return !c->is_served && !c->keyed;
+}
+
+/* Refuses a request that comes back earlier than its caller was asked to while
+ * the service still refuses others. */
+static bool
+passes_returns(struct entry_call *c)
+{
+	struct returns *t = c->entry->returns;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	struct fingerprint print;
+	uint64_t early_ms;
+
+	if (call_attempts(c->machine) > 0 || !may_return(c) ||
+	    returns_is_empty(t, now_ms) || !make_fingerprint(c, &print))
+		return true;
+	early_ms = returns_early_ms(t, c->service->id, &print, now_ms);
+	if (early_ms == 0)
+		return true;
+	c->is_early = true;
+	metric_add(&metric_early_returns, 1);
+	call_returned_early(c->machine, early_ms);
+	return false;
+}
+
+/* A caller returns after a third of its time at most, since it would otherwise
+ * have no time for the answer. */
+static void
+await_return(struct entry_call *c, const struct call_action *action)
+{
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	uint64_t wait_ms = action->retry_after_ms;
+	struct fingerprint print;
+
+	if ((action->refusal != REFUSAL_WAIT &&
+		action->refusal != REFUSAL_QUEUE_FULL) ||
+	    action->outcome != OUTCOME_NOT_RUN || c->is_early ||
+	    !may_return(c) || !make_fingerprint(c, &print))
+		return;
+	if (c->request->deadline_ms != DEADLINE_NEVER)
+		wait_ms = MIN(wait_ms,
+		    clock_left_ms(c->request->deadline_ms, now_ms) /
+			RETURN_DIVISOR);
+	returns_refused(c->entry->returns, c->service->id, &print,
+	    now_ms + wait_ms, now_ms);
+}
+
 /* A share of the calls has its first attempt at a version on trial; further
  * attempts are placed on the current version. */
 static bool
@@ -147,7 +202,7 @@
 	const struct endpoint *ep;
 	uint64_t now_ms = loop_now_ms(e->loop);
 
-	if (!passes_quarantine(c, &q))
+	if (!passes_quarantine(c, &q) || !passes_returns(c))
 		return;
 	if (c->keyed) {
 		q.key = c->request->key;
@@ -260,6 +315,8 @@
 static const char *
 failure_reason(const struct entry_call *c, const struct call_action *action)
 {
+	if (c->is_early)
+		return "early_return";
 	if (action->refusal != REFUSAL_NONE)
 		return refusal_name(action->refusal);
 	if (drain_is_complete(&c->entry->drain))
@@ -276,6 +333,7 @@
 	if (c->is_served && action->outcome == OUTCOME_NOT_RUN)
 		guard_call_refused(c->entry->guard, c->request->id);
 	call_metrics_outcome(action->outcome);
+	await_return(c, action);
 	if (action->refusal == REFUSAL_NO_ENDPOINT ||
 	    action->refusal == REFUSAL_UNREACHABLE)
 		call_metrics_refusal(action->refusal);
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -25,6 +25,7 @@
 #include "traffic/patience.h"
 #include "traffic/placement.h"
 #include "traffic/quarantine.h"
+#include "traffic/returns.h"
 #include "traffic/run_reports.h"
 #include "traffic/split.h"
 
@@ -57,6 +58,7 @@
  * @ejection: endpoints that are ejected
  * @placement: chooses an endpoint for each attempt
  * @patience: how long callers of each route wait for an answer
+ * @returns: when refused callers may come back
  * @splits: round-robin state of routes that services share by weight
  * @snapshot: snapshot last seen, a reference
  * @generation: number of snapshots seen
@@ -88,6 +90,7 @@
 	struct placement *placement;
 	struct split_table *splits;
 	struct patience *patience;
+	struct returns *returns;
 	struct snapshot *snapshot;
 	uint64_t generation;
 	struct behind behind;
@@ -288,6 +291,7 @@
  * @attempts: struct entry_attempt, owned
  * @timer: wakes the state machine
  * @free_task: frees the call at the end of the loop's iteration
+ * @is_early: the caller came back earlier than it was asked to
  * @running_actions: entry_call_run() is active, so nested calls return
  * @finished: the call has ended and is about to be freed
  */
@@ -316,6 +320,7 @@
 	GPtrArray *attempts;
 	struct loop_timer timer;
 	struct loop_task free_task;
+	bool is_early;
 	bool running_actions;
 	bool finished;
 };
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -134,6 +134,10 @@
 /** call_quarantined() - the request is quarantined: no endpoint may run it */
 void call_quarantined(struct call *c, uint64_t retry_after_ms);
 
+/** call_returned_early() - the caller came back earlier than it was asked to,
+ * and is refused for load without an attempt */
+void call_returned_early(struct call *c, uint64_t retry_after_ms);
+
 /**
  * call_sent() - the first byte of a SEND is being passed to the connection
  * @c: the call
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -391,6 +391,13 @@
 		    c, OUTCOME_NOT_RUN, REFUSAL_QUARANTINED, retry_after_ms);
 }
 
+void
+call_returned_early(struct call *c, uint64_t retry_after_ms)
+{
+	if (c->state == STATE_PLACING)
+		give_up(c, OUTCOME_NOT_RUN, REFUSAL_WAIT, retry_after_ms);
+}
+
 void
 call_sent(
     struct call *c, uint32_t stream, uint64_t incarnation, uint64_t now_ms)
