--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -59,6 +59,11 @@
     .help = "Requests refused since the version was not confirmed recently.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_early_returns = {.name = "bramley_early_returns_total",
+    .help = "Requests refused since their caller came back earlier than it was "
+	    "asked to.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_crashes = {.name = "bramley_upstream_crashes_total",
     .help = "Upstreams of this host that ended under requests, unannounced.",
     .kind = METRIC_COUNTER};
@@ -243,11 +248,11 @@
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_callers_connections,
 	    &metric_callers_shed, &metric_behind_refusals, &metric_unconfirmed,
-	    &metric_crashes, &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
-	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
-	    &metric_quota_homes, &metric_quota_entries};
+	    &metric_early_returns, &metric_crashes, &metric_quarantined,
+	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
+	    &metric_departure_us, &metric_timers_late_us, &metric_quota_granted,
+	    &metric_quota_lent, &metric_quota_refused, &metric_quota_parked,
+	    &metric_quota_returned, &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
