--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -25,6 +25,9 @@
 /* Interval of attempts while a connection to the home is established. */
 #define DIAL_POLL_MS 10
 
+/* Interval of log lines on the entries that report to a home. */
+#define HOME_LINE_MS 1000
+
 /* Shortest wait of a request whose target is close. */
 #define PARK_MIN_MS 10
 
@@ -45,6 +48,8 @@
  * @silent_ms: monotonic time at which @home counts as silent, DEADLINE_NEVER
  *	when no report is unanswered and no connection is awaited
  * @retry_ms: monotonic time before which no report is tried
+ * @logged_entries: number of entries in the last log line on the home here
+ * @logged_ms: monotonic time of that line
  */
 struct shard {
 	struct quota_allowance *allowance;
@@ -53,6 +58,8 @@
 	struct quota_host home;
 	uint64_t silent_ms;
 	uint64_t retry_ms;
+	uint32_t logged_entries;
+	uint64_t logged_ms;
 };
 
 /**
@@ -398,6 +405,20 @@
 	}
 }
 
+static void
+log_home(struct entry_quota *q, uint32_t shard, uint32_t entries)
+{
+	struct shard *s = &q->shards[shard];
+
+	if (entries == s->logged_entries ||
+	    now(q) < s->logged_ms + HOME_LINE_MS)
+		return;
+	s->logged_entries = entries;
+	s->logged_ms = now(q);
+	log_info("limits: home of shard %u for %u of %u entries", shard,
+	    entries, quota_roster_count(q->roster, now(q)));
+}
+
 static void
 borrow(struct entry_quota *q)
 {
@@ -415,6 +436,7 @@
 		if (home == NULL)
 			continue;
 		entries = quota_home_entries(home, now(q));
+		log_home(q, shard, entries);
 		homes += entries > 0;
 		all_entries += entries;
 		n = quota_home_borrow(home, demands, DEMANDS_MAX, now(q));
