feat(quota): a node that has just started grants a part while it learns of its peers

After a loss of all power a home granted nothing until its list of hosts had been still for 0.2 s: 1,086 refusals for limits within three seconds.

--- a/packages/quota/include/quota/roster.h
+++ b/packages/quota/include/quota/roster.h
@@ -14,8 +14,9 @@
 #define QUOTA_ROSTER_KEEP_MS 30000
 
 /** QUOTA_ROSTER_SETTLE_MS - a new roster is complete once it has not grown for
- * this time */
+ * this time; until then it counts QUOTA_ROSTER_UNSEEN times the hosts listed */
 #define QUOTA_ROSTER_SETTLE_MS 200
+#define QUOTA_ROSTER_UNSEEN 4
 
 struct quota_roster;
 
@@ -33,8 +34,7 @@
 void quota_roster_add(
     struct quota_roster *r, uint64_t id, bool draining, uint64_t now_ms);
 
-/** quota_roster_count() - number of entries; 0 while the roster is incomplete
- */
+/** quota_roster_count() - number of entries, 0 if none is listed */
 uint32_t quota_roster_count(struct quota_roster *r, uint64_t now_ms);
 
 #endif
--- a/packages/quota/src/home.c
+++ b/packages/quota/src/home.c
@@ -27,8 +27,10 @@
  */
 #define BURST_LEAST 12
 
-/* Longest wait that is reported. */
+/* Longest wait that is reported, also while fewer than half of the entries
+ * report here, which changes soon. */
 #define WAIT_MAX_MS 10000
+#define WAIT_PARTIAL_MAX_MS 1000
 
 /* Interval in which silent entries and idle accounts are looked for. */
 #define SWEEP_MS 100
@@ -313,13 +315,15 @@
 	double per_ms = (double)a->bucket.rate_milli_per_s / MILLI / MS_PER_S *
 	    (double)share_milli(h) / MILLI;
 	double missing = decayed(a->short_by, a->changed_ms, now_ms);
+	double most =
+	    share_milli(h) < MILLI / 2 ? WAIT_PARTIAL_MAX_MS : WAIT_MAX_MS;
 	double wait;
 
 	if (per_ms <= 0)
-		return WAIT_MAX_MS;
+		return (uint32_t)most;
 	missing += 1 - (double)a->bucket.milli / MILLI;
 	wait = ceil(missing / per_ms);
-	return (uint32_t)CLAMP(wait, 1, WAIT_MAX_MS);
+	return (uint32_t)CLAMP(wait, 1, most);
 }
 
 /* Grants */
--- a/packages/quota/src/roster.c
+++ b/packages/quota/src/roster.c
@@ -91,5 +91,6 @@
 			g_hash_table_iter_remove(&it);
 	}
 	r->settled |= now_ms >= r->grown_ms + QUOTA_ROSTER_SETTLE_MS;
-	return r->settled ? g_hash_table_size(r->hosts) : 0;
+	return g_hash_table_size(r->hosts) *
+	    (r->settled ? 1 : QUOTA_ROSTER_UNSEEN);
 }
--- a/packages/quota/test/test_quota_fleet.c
+++ b/packages/quota/test/test_quota_fleet.c
@@ -297,6 +297,27 @@
     {"homes suspended for 10 s", suspend_homes},
 };
 
+/* One data centre, so that its halves share the whole limit. */
+START_TEST(the_sum_holds_over_a_cut_of_the_only_data_centre)
+{
+	struct fleet_load l = {.data_centres = 1,
+	    .entries = 25,
+	    .lost_milli = 30,
+	    .per_s = _i == 0 ? even_flood : late_flood,
+	    .linked = centre_in_halves};
+	struct fleet *f;
+
+	n_entries = 25;
+	set_limit(&l, 0, 600, 600);
+	f = fleet_play(&l, 30000);
+	printf("one data centre in halves: use %.3f during, %.3f after\n",
+	    use(f, 0, 12000, 20000), use(f, 0, 24000, 30000));
+	ck_assert_double_ge(use(f, 0, 24000, 30000), USE);
+	fleet_check_sum(f);
+	fleet_free(f);
+}
+END_TEST
+
 START_TEST(the_sum_holds_over_stops)
 {
 	struct fleet_load l = {.data_centres = 3,
@@ -331,6 +352,8 @@
 	tcase_add_test(t, a_limit_smaller_than_the_number_of_entries_is_used);
 	tcase_add_test(t, demand_that_moves_to_one_data_centre_is_served);
 	tcase_add_loop_test(t, the_sum_holds_over_a_cut, 0, G_N_ELEMENTS(cuts));
+	tcase_add_loop_test(
+	    t, the_sum_holds_over_a_cut_of_the_only_data_centre, 0, 2);
 	tcase_add_loop_test(
 	    t, the_sum_holds_over_stops, 0, 2 * G_N_ELEMENTS(stops));
 	suite_add_tcase(s, t);
