--- a/packages/quota/test/test_quota_fleet.c
+++ b/packages/quota/test/test_quota_fleet.c
@@ -318,6 +318,78 @@
 }
 END_TEST
 
+/* One customer at all of 300 entries, two requests a second at each. */
+static double
+two_a_second(uint32_t c, uint32_t d, uint32_t e, uint64_t ms)
+{
+	(void)c;
+	(void)d;
+	(void)e;
+	(void)ms;
+	return 2;
+}
+
+START_TEST(a_customer_thin_over_many_entries_uses_its_limit)
+{
+	struct fleet_load l = {
+	    .data_centres = 3, .entries = 100, .per_s = two_a_second};
+	struct fleet *f;
+
+	n_entries = 300;
+	set_limit(&l, 0, 630, 630);
+	f = fleet_play(&l, 15000);
+	printf("two a second at 300 entries: %.3f of the requests, %.1f "
+	       "messages an entry a second\n",
+	    use(f, 0, 5000, 15000) * 630 / 600,
+	    (double)f->messages / 15 / n_entries);
+	ck_assert_double_ge(use(f, 0, 5000, 15000) * 630 / 600, 0.98);
+	fleet_check_sum(f);
+	fleet_free(f);
+}
+END_TEST
+
+/* Lowered to a third under a flood, then raised again. */
+static void
+change_limit(struct fleet *f, uint64_t ms)
+{
+	if (ms == 10000)
+		f->load.limits[0].rate_milli_per_s = 200 * MILLI;
+	if (ms == 10000)
+		f->load.limits[0].burst_milli = 200 * MILLI;
+	if (ms == 20000)
+		f->load.limits[0].rate_milli_per_s = 600 * MILLI;
+	if (ms == 20000)
+		f->load.limits[0].burst_milli = 600 * MILLI;
+}
+
+START_TEST(a_limit_that_changes_binds_the_next_window)
+{
+	struct fleet_load l = {.data_centres = 3,
+	    .entries = 25,
+	    .lost_milli = 30,
+	    .per_s = even_flood,
+	    .step = change_limit};
+	struct fleet *f;
+	uint64_t ms;
+
+	n_entries = 75;
+	set_limit(&l, 0, 600, 600);
+	f = fleet_play(&l, 30000);
+	for (ms = 10400; ms + 5000 <= 20000; ms += 50)
+		ck_assert_uint_le(fleet_sum(f->admitted[0], ms, ms + 5000),
+		    (200 * 5 + 200) * 11 / 10 + 20);
+	printf("lowered to 200: use %.3f; raised to 600: use %.3f\n",
+	    (double)fleet_sum(f->admitted[0], 12000, 20000) / (8 * 200),
+	    (double)fleet_sum(f->admitted[0], 22000, 30000) / (8 * 600));
+	ck_assert_uint_ge(
+	    fleet_sum(f->admitted[0], 12000, 20000), (uint64_t)(USE * 8 * 200));
+	ck_assert_uint_ge(
+	    fleet_sum(f->admitted[0], 22000, 30000), (uint64_t)(USE * 8 * 600));
+	fleet_check_sum(f);
+	fleet_free(f);
+}
+END_TEST
+
 START_TEST(the_sum_holds_over_stops)
 {
 	struct fleet_load l = {.data_centres = 3,
@@ -350,6 +422,8 @@
 	tcase_add_loop_test(t, a_flood_is_held_to_the_limit_and_uses_it, 0,
 	    G_N_ELEMENTS(fleet_sizes));
 	tcase_add_test(t, a_limit_smaller_than_the_number_of_entries_is_used);
+	tcase_add_test(t, a_customer_thin_over_many_entries_uses_its_limit);
+	tcase_add_test(t, a_limit_that_changes_binds_the_next_window);
 	tcase_add_test(t, demand_that_moves_to_one_data_centre_is_served);
 	tcase_add_loop_test(t, the_sum_holds_over_a_cut, 0, G_N_ELEMENTS(cuts));
 	tcase_add_loop_test(
--- a/packages/traffic/test/test_call.c
+++ b/packages/traffic/test/test_call.c
@@ -525,6 +525,52 @@
 }
 END_TEST
 
+/* How a call that was sent ends. */
+enum sent_end { SENT_REFUSED, SENT_ANSWERED, SENT_FAILED, SENT_ENDS };
+
+/* Whether credit for the request was used. */
+START_TEST(a_departed_call_has_not_run_unless_sent)
+{
+	const struct call_config cfg = {
+	    .deadline_ms = 10000, .resolve_limit_ms = 2000};
+	struct retry_config rc;
+	struct retry_budget b;
+	struct call *c;
+
+	retry_config_default(&rc);
+	retry_budget_init(&b, &rc, 0);
+	c = call_new(&cfg, &b, 1);
+	advance_to(c, (enum stop_at)_i);
+	call_caller_disconnected(c, 0);
+	ck_assert_int_eq(call_has_not_run(c), _i != STOP_WAITING);
+	call_free(c);
+}
+END_TEST
+
+START_TEST(a_sent_call_has_not_run_if_it_was_refused)
+{
+	const struct call_config cfg = {
+	    .deadline_ms = 10000, .resolve_limit_ms = 2000};
+	struct retry_config rc;
+	struct retry_budget b;
+	struct call *c;
+
+	retry_config_default(&rc);
+	retry_budget_init(&b, &rc, 0);
+	c = call_new(&cfg, &b, 1);
+	advance_to(c, STOP_WAITING);
+	if (_i == SENT_REFUSED)
+		call_refused(c, 1, REFUSAL_SERVICE_LIMIT, 0, 0);
+	else if (_i == SENT_ANSWERED)
+		call_answered(c, 1, 0);
+	else
+		call_failed(c, 1, 0);
+	ck_assert(call_is_finished(c));
+	ck_assert_int_eq(call_has_not_run(c), _i == SENT_REFUSED);
+	call_free(c);
+}
+END_TEST
+
 #define GIVES_UP_MS 2400
 
 /* Retry-After of a caller that is refused for @refusal at @now_ms. */
@@ -582,6 +628,10 @@
 	tcase_add_test(tc, test_resolve_backoff);
 	tcase_add_loop_test(
 	    tc, stopped_call_is_not_run_unless_sent, 0, STOP_ENDS);
+	tcase_add_loop_test(
+	    tc, a_departed_call_has_not_run_unless_sent, 0, STOP_ENDS);
+	tcase_add_loop_test(
+	    tc, a_sent_call_has_not_run_if_it_was_refused, 0, SENT_ENDS);
 	tcase_add_loop_test(tc, test_scenario, 0,
 	    (int)(sizeof(scenarios) / sizeof(scenarios[0])));
 	tcase_add_test(tc, test_random_events);
