feat(quota): a line when a customer begins and ceases to be limited; fewer signs of life

An operator saw refusals one by one only, and idle entries sent ten messages a second to each shard's home.

--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -14,6 +14,7 @@
 #include "call_metrics.h"
 #include "entry_log.h"
 #include "entry_quota_hosts.h"
+#include "entry_quota_log.h"
 #include "guard_quota.h"
 
 /* Most customers in a report; those beyond follow in the next one. */
@@ -75,6 +76,7 @@
  * @ranks: struct quota_ranks of each data centre, or NULL
  * @ranked: generation of the entry's snapshot that @ranks belong to
  * @borrow_ms: monotonic time of the next loan
+ * @log: customers that are limited here
  */
 struct entry_quota {
 	struct entry *entry;
@@ -88,6 +90,7 @@
 	GArray *ranks;
 	uint64_t ranked;
 	uint64_t borrow_ms;
+	struct entry_quota_log *log;
 };
 
 static uint64_t
@@ -429,6 +432,7 @@
 	if (now(q) < q->borrow_ms)
 		return;
 	q->borrow_ms = now(q) + BORROW_MS;
+	entry_quota_log_sweep(q->log, now(q));
 	guard_quota_set_entries(
 	    q->homes, quota_roster_count(q->roster, now(q)));
 	for (shard = 0; shard < QUOTA_SHARDS; shard++) {
@@ -553,6 +557,7 @@
 entry_quota_refuse(struct entry *e, struct call_exchange *x,
     const struct customer *customer, uint64_t retry_after_ms)
 {
+	entry_quota_log_refused(e->quota->log, customer, loop_now_ms(e->loop));
 	metric_add(&metric_quota_refused, 1);
 	call_metrics_refusal(REFUSAL_CUSTOMER_LIMIT);
 	entry_log_limited(
@@ -639,6 +644,7 @@
 	q->homes = homes;
 	q->own_id = guard_quota_id(e->settings->host);
 	q->roster = quota_roster_new();
+	q->log = entry_quota_log_new();
 	g_queue_init(&q->waiting);
 	loop_timer_init(&q->timer, e->loop, on_timer, q);
 	for (i = 0; i < QUOTA_SHARDS; i++) {
@@ -661,5 +667,6 @@
 	if (q->ranks != NULL)
 		g_array_free(q->ranks, TRUE);
 	quota_roster_free(q->roster);
+	entry_quota_log_free(q->log);
 	g_free(q);
 }
--- a/packages/quota/src/allowance.c
+++ b/packages/quota/src/allowance.c
@@ -17,7 +17,7 @@
 /* Interval of reports while credit is used up, and of reports that only show
  * that the entry is connected. */
 #define REPORT_MS 100
-#define LIFE_MS 250
+#define LIFE_MS 400
 
 /* Credit covers the demand of this time, which spans a report and a reply that
  * is late. */
