--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -101,6 +101,7 @@
 	    guard_new(&n->settings, &call_dialect_own, incarnation, loop);
 	n->entry =
 	    entry_new(&n->settings, &call_dialect_own, incarnation, loop);
+	entry_use_homes(n->entry, guard_homes(n->guard));
 	n->callers =
 	    callers_new(&n->settings, &call_dialect_own, n->entry, loop);
 	must(guard_start(n->guard) == STATUS_OK);
--- a/packages/quota/src/allowance.c
+++ b/packages/quota/src/allowance.c
@@ -249,8 +249,7 @@
 	q->due_ms = MIN(q->due_ms, due_ms);
 }
 
-/* The first requests that are refused come back as tokens accrue, the next ones
- * after them. */
+/* Requests that are refused together don't come back together. */
 static uint64_t
 spread(struct quota_allowance *q, struct account *a, uint64_t now_ms)
 {
@@ -259,7 +258,7 @@
 
 	a->refused++;
 	random = hash64(&a->refused, sizeof(a->refused), q->seed ^ now_ms);
-	return wait_ms + random % (wait_ms + 1);
+	return (wait_ms + 1) / 2 + random % (wait_ms + 1);
 }
 
 static enum quota_verdict
--- a/packages/quota/src/home.c
+++ b/packages/quota/src/home.c
@@ -16,7 +16,7 @@
 #define US_PER_MS 1000
 #define MS_PER_S 1000.0
 
-/* Time constant of demand and shortage. */
+/* Time constant of demand and grants. */
 #define DEMAND_MS 1000.0
 
 /* A lender keeps tokens for the demand of this time; a borrower asks for as
@@ -57,15 +57,15 @@
  * @limit: its limit over all nodes
  * @bucket: tokens of this data centre, on share time
  * @demand: arrivals at this data centre's entries, decayed by DEMAND_MS
- * @short_by: requests that were not granted, decayed likewise
- * @changed_ms: monotonic time of @demand and @short_by
+ * @granted: requests that were granted, decayed likewise
+ * @changed_ms: monotonic time of @demand and @granted
  */
 struct account {
 	uint64_t customer;
 	struct quota_limit limit;
 	struct quota_bucket bucket;
 	double demand;
-	double short_by;
+	double granted;
 	uint64_t changed_ms;
 };
 
@@ -294,10 +294,10 @@
 }
 
 static void
-count(struct account *a, uint32_t arrived, uint32_t short_by, uint64_t now_ms)
+count(struct account *a, uint32_t arrived, uint32_t granted, uint64_t now_ms)
 {
 	a->demand = decayed(a->demand, a->changed_ms, now_ms) + arrived;
-	a->short_by = decayed(a->short_by, a->changed_ms, now_ms) + short_by;
+	a->granted = decayed(a->granted, a->changed_ms, now_ms) + granted;
 	a->changed_ms = now_ms;
 }
 
@@ -308,13 +308,14 @@
 }
 
 /* Time until a request that is refused now may be admitted: those refused
- * before it are admitted first. */
+ * shortly before it come back first. */
 static uint32_t
 wait_ms(const struct quota_home *h, const struct account *a, uint64_t now_ms)
 {
 	double per_ms = (double)a->bucket.rate_milli_per_s / MILLI / MS_PER_S *
 	    (double)share_milli(h) / MILLI;
-	double missing = decayed(a->short_by, a->changed_ms, now_ms);
+	double refused = MAX(a->demand - a->granted, 0);
+	double missing = decayed(refused, a->changed_ms, now_ms);
 	double most =
 	    share_milli(h) < MILLI / 2 ? WAIT_PARTIAL_MAX_MS : WAIT_MAX_MS;
 	double wait;
@@ -350,7 +351,7 @@
 	if (d->returned > 0)
 		quota_bucket_give(&a->bucket, d->returned, share_ms(h));
 	granted = quota_bucket_take(&a->bucket, d->wanted, share_ms(h));
-	count(a, d->arrived, d->wanted - granted, now_ms);
+	count(a, d->arrived, granted, now_ms);
 	if (granted < d->wanted)
 		c->wait_ms = wait_ms(h, a, now_ms);
 	else
--- a/packages/quota/test/quota_fleet.h
+++ b/packages/quota/test/quota_fleet.h
@@ -20,6 +20,7 @@
  * @data_centres: number of data centres
  * @entries: entries of each data centre
  * @lost_milli: share of the messages that are lost, in thousandths
+ * @lost_between_milli: share of those between data centres, in addition
  * @n_customers: number of customers
  * @limits: limit of each customer
  * @per_s: expected requests a second of customer @c at entry @e of data centre
@@ -31,6 +32,7 @@
 	uint32_t data_centres;
 	uint32_t entries;
 	uint32_t lost_milli;
+	uint32_t lost_between_milli;
 	uint32_t n_customers;
 	struct quota_limit limits[FLEET_CUSTOMERS];
 	double (*per_s)(uint32_t c, uint32_t d, uint32_t e, uint64_t ms);
