--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -14,6 +14,7 @@
 #include "call_metrics.h"
 #include "entry_log.h"
 #include "entry_quota_hosts.h"
+#include "entry_quota_log.h"
 #include "guard_quota.h"
 
 /* Most customers in a report; those beyond follow in the next one. */
@@ -25,6 +26,9 @@
 /* Interval of attempts while a connection to the home is established. */
 #define DIAL_POLL_MS 10
 
+/* Interval of log lines on the entries that report to a home. */
+#define HOME_LINE_MS 1000
+
 /* Shortest wait of a request whose target is close. */
 #define PARK_MIN_MS 10
 
@@ -45,6 +49,8 @@
  * @silent_ms: monotonic time at which @home counts as silent, DEADLINE_NEVER
  *	when no report is unanswered and no connection is awaited
  * @retry_ms: monotonic time before which no report is tried
+ * @logged_entries: number of entries in the last log line on the home here
+ * @logged_ms: monotonic time of that line
  */
 struct shard {
 	struct quota_allowance *allowance;
@@ -53,6 +59,8 @@
 	struct quota_host home;
 	uint64_t silent_ms;
 	uint64_t retry_ms;
+	uint32_t logged_entries;
+	uint64_t logged_ms;
 };
 
 /**
@@ -68,6 +76,7 @@
  * @ranks: struct quota_ranks of each data centre, or NULL
  * @ranked: generation of the entry's snapshot that @ranks belong to
  * @borrow_ms: monotonic time of the next loan
+ * @log: customers that are limited here
  */
 struct entry_quota {
 	struct entry *entry;
@@ -81,6 +90,7 @@
 	GArray *ranks;
 	uint64_t ranked;
 	uint64_t borrow_ms;
+	struct entry_quota_log *log;
 };
 
 static uint64_t
@@ -398,6 +408,20 @@
 	}
 }
 
+static void
+log_home(struct entry_quota *q, uint32_t shard, uint32_t entries)
+{
+	struct shard *s = &q->shards[shard];
+
+	if (entries == s->logged_entries ||
+	    now(q) < s->logged_ms + HOME_LINE_MS)
+		return;
+	s->logged_entries = entries;
+	s->logged_ms = now(q);
+	log_info("limits: home of shard %u for %u of %u entries", shard,
+	    entries, quota_roster_count(q->roster, now(q)));
+}
+
 static void
 borrow(struct entry_quota *q)
 {
@@ -408,6 +432,7 @@
 	if (now(q) < q->borrow_ms)
 		return;
 	q->borrow_ms = now(q) + BORROW_MS;
+	entry_quota_log_sweep(q->log, now(q));
 	guard_quota_set_entries(
 	    q->homes, quota_roster_count(q->roster, now(q)));
 	for (shard = 0; shard < QUOTA_SHARDS; shard++) {
@@ -415,6 +440,7 @@
 		if (home == NULL)
 			continue;
 		entries = quota_home_entries(home, now(q));
+		log_home(q, shard, entries);
 		homes += entries > 0;
 		all_entries += entries;
 		n = quota_home_borrow(home, demands, DEMANDS_MAX, now(q));
@@ -531,6 +557,7 @@
 entry_quota_refuse(struct entry *e, struct call_exchange *x,
     const struct customer *customer, uint64_t retry_after_ms)
 {
+	entry_quota_log_refused(e->quota->log, customer, loop_now_ms(e->loop));
 	metric_add(&metric_quota_refused, 1);
 	call_metrics_refusal(REFUSAL_CUSTOMER_LIMIT);
 	entry_log_limited(
@@ -617,6 +644,7 @@
 	q->homes = homes;
 	q->own_id = guard_quota_id(e->settings->host);
 	q->roster = quota_roster_new();
+	q->log = entry_quota_log_new();
 	g_queue_init(&q->waiting);
 	loop_timer_init(&q->timer, e->loop, on_timer, q);
 	for (i = 0; i < QUOTA_SHARDS; i++) {
@@ -639,5 +667,6 @@
 	if (q->ranks != NULL)
 		g_array_free(q->ranks, TRUE);
 	quota_roster_free(q->roster);
+	entry_quota_log_free(q->log);
 	g_free(q);
 }
