feat(node): what upstreams report of their load is checked and passed on

Answers named running and waiting requests, slots and the machine's pace, and nothing read them. The guard now parses the report, ignores one that is malformed, out of range, contradicted by its own counts or older than 300 ms, and drops it with the run.

--- a/packages/node/include/node/call_dialect.h
+++ b/packages/node/include/node/call_dialect.h
@@ -7,6 +7,8 @@
 
 #include <stdbool.h>
 
+#include "traffic/upstream_status.h"
+
 /**
  * struct call_dialect - header names; NULL for a header that isn't used
  * @prefix: headers whose names begin with this prefix belong to this system:
@@ -32,7 +34,9 @@
  * @not_run_value: value of @not_run that declares it; NULL for any value
  * @signature: a successful answer without this header is not the upstream's
  *	own, unaltered answer
- * @load: an upstream's running and queued requests and its slots
+ * @load: an upstream's running and waiting requests, its slots and the pace of
+ *	its machine
+ * @parse_load: parses the value of @load, see upstream_status_parse()
  * @limits: names of the header with which an upstream limits the requests a
  *	second that it accepts from all callers; ends with NULL
  * @leaving: names of the header with which an upstream reports that it leaves,
@@ -57,6 +61,7 @@
 	const char *not_run_value;
 	const char *signature;
 	const char *load;
+	bool (*parse_load)(const char *text, struct upstream_status *s);
 	const char *const *limits;
 	const char *const *leaving;
 	bool fractional_retry_after;
--- a/packages/node/src/call_dialect.c
+++ b/packages/node/src/call_dialect.c
@@ -22,6 +22,8 @@
     .version = "Bramley-Version",
     .not_run = "Bramley-Fate",
     .not_run_value = "not_run",
+    .load = "Bramley-Upstream-Load",
+    .parse_load = upstream_status_parse,
     .limits = limits,
     .leaving = leaving,
 };
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -93,6 +93,8 @@
     .help = "Time by which timers of the traffic thread fired late.",
     .kind = METRIC_HISTOGRAM};
 
+static struct metric status_ignored[STATUS_FLAWS];
+static char status_labels[STATUS_FLAWS][LABEL_BYTES];
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -137,6 +139,24 @@
 	}
 }
 
+static void
+register_status_ignored(void)
+{
+	int i;
+
+	for (i = STATUS_FLAW_NONE + 1; i < STATUS_FLAWS; i++) {
+		(void)g_snprintf(status_labels[i], LABEL_BYTES, "flaw=\"%s\"",
+		    status_flaw_name((enum status_flaw)i));
+		status_ignored[i].name =
+		    "bramley_upstream_status_ignored_total";
+		status_ignored[i].help =
+		    "Reports of upstreams on their load that were not used.";
+		status_ignored[i].kind = METRIC_COUNTER;
+		status_ignored[i].labels = status_labels[i];
+		metric_register(&status_ignored[i]);
+	}
+}
+
 static void
 register_departures(void)
 {
@@ -193,6 +213,7 @@
 	register_abandoned();
 	register_outcomes();
 	register_refusals();
+	register_status_ignored();
 }
 
 void
@@ -220,6 +241,13 @@
 		metric_add(&refusals[r], 1);
 }
 
+void
+call_metrics_status_ignored(enum status_flaw f)
+{
+	if (f > STATUS_FLAW_NONE && f < STATUS_FLAWS)
+		metric_add(&status_ignored[f], 1);
+}
+
 void
 call_metrics_departure(enum call_stage s)
 {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "traffic/traffic_defs.h"
+#include "traffic/upstream_status.h"
 
 extern struct metric metric_calls_in_flight;
 extern struct metric metric_requests_in_flight;
@@ -53,6 +54,10 @@
 /** call_metrics_abandoned() - count a request whose caller left */
 void call_metrics_abandoned(enum abandoned_state s);
 
+/** call_metrics_status_ignored() - count a report of an upstream that isn't
+ * used */
+void call_metrics_status_ignored(enum status_flaw f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/guard_crash.c
+++ b/packages/node/src/guard_crash.c
@@ -74,7 +74,7 @@
 	uint64_t now_ms = loop_now_ms(u->guard->loop);
 	struct rec_load load;
 
-	guard_upstream_load(u, &load);
+	guard_upstream_load(u, 0, &load);
 	if (load.in_flight == 0 || now_ms >= u->crash.settle_deadline_ms)
 		report_crash(u);
 	else
--- a/packages/node/src/guard_out.c
+++ b/packages/node/src/guard_out.c
@@ -59,7 +59,8 @@
 	m.body_bytes = a->length;
 	m.guard_us = a->guard_us;
 	m.upstream_us = a->upstream_us;
-	guard_upstream_load(u, &m.load);
+	guard_upstream_load(
+	    u, o->request != NULL ? o->request->route : 0, &m.load);
 	o->head_sent = true;
 	(void)call_link_send(&o->conn->link, MSG_CALL_HEAD, &m);
 }
@@ -150,7 +151,7 @@
 	m.refusal = (uint8_t)(refusal > gc->max_refusal ? REFUSAL_CALLER_LIMIT
 							: refusal);
 	m.retry_after_ms = (uint32_t)MIN(retry_after_ms, UINT32_MAX);
-	guard_upstream_load(u, &m.load);
+	guard_upstream_load(u, 0, &m.load);
 	call_metrics_refusal(refusal);
 	(void)call_link_send(&gc->link, MSG_CALL_REFUSED, &m);
 }
@@ -163,6 +164,6 @@
 
 	memset(&m, 0, sizeof(m));
 	m.stream = stream;
-	guard_upstream_load(u, &m.load);
+	guard_upstream_load(u, 0, &m.load);
 	(void)call_link_send(&gc->link, MSG_CALL_FAILED, &m);
 }
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -494,9 +494,10 @@
  * admission decides */
 void guard_upstream_run_queue(struct guard_upstream *u);
 
-/** guard_upstream_load() - get the load that is reported with answers; @u may
- * be NULL */
-void guard_upstream_load(const struct guard_upstream *u, struct rec_load *load);
+/** guard_upstream_load() - get the load that is reported with answers to
+ * requests of @route, 0 for none; @u may be NULL */
+void guard_upstream_load(
+    const struct guard_upstream *u, uint64_t route, struct rec_load *load);
 
 /** guard_upstream_drain_all() - refuse all new requests from now on */
 void guard_upstream_drain_all(struct guard *g);
--- a/packages/node/src/guard_report.c
+++ b/packages/node/src/guard_report.c
@@ -17,6 +17,9 @@
 
 #define MILLI 1000
 
+/* Number of run times that the mean of a kind covers. */
+#define RUN_TIMES_WEIGHT 16
+
 static struct upstream_limit *
 limit_of(struct guard_upstream *u)
 {
@@ -40,6 +43,8 @@
 	u->report.leaving = false;
 	u->report.answered = false;
 	u->report.invalid_logged = false;
+	memset(&u->report.status, 0, sizeof(u->report.status));
+	memset(&u->report.run_times, 0, sizeof(u->report.run_times));
 	u->report.run++;
 }
 
@@ -48,6 +53,7 @@
 {
 	u->report.log_limit.per_s = LINES_PER_S;
 	u->report.log_limit.burst = LINES_PER_S;
+	u->report.status_log_limit = u->report.log_limit;
 }
 
 /* Without a name, only a new port or a start shows that a run is another one.
@@ -144,6 +150,83 @@
 	return found;
 }
 
+static void
+ignore_status(struct guard_upstream *u, const char *text, enum status_flaw flaw)
+{
+	struct log_limit *limit = &u->report.status_log_limit;
+	uint32_t left_out = limit->left_out;
+
+	call_metrics_status_ignored(flaw);
+	if (!log_limit_take(limit, loop_now_ms(u->guard->loop)))
+		return;
+	log_warning("upstream service=%s instance=%s reports a load that is "
+		    "not used: flaw=%s running_here=%u text=\"%.40s\" "
+		    "left_out=%u",
+	    u->info.service, u->report.instance, status_flaw_name(flaw),
+	    admission_accepted(u->admission, loop_now_ms(u->guard->loop)), text,
+	    left_out);
+}
+
+static void
+use_status(struct guard_request *r, const char *text)
+{
+	struct guard_upstream *u = r->upstream;
+	uint64_t now_ms = loop_now_ms(u->guard->loop);
+	const struct upstream_view view = {
+	    .running = admission_accepted(u->admission, now_ms),
+	    .slots = u->info.slots,
+	    .refused = r->shed};
+	enum status_flaw flaw = STATUS_FLAW_TEXT;
+	struct upstream_status s;
+
+	if (u->guard->dialect->parse_load(text, &s))
+		flaw = upstream_status_check(&s, &view);
+	if (flaw != STATUS_FLAW_NONE) {
+		ignore_status(u, text, flaw);
+		return;
+	}
+	u->report.status = s;
+	u->report.status.at_ms = MAX(now_ms, 1);
+}
+
+static void
+read_status(
+    struct guard_request *r, const struct http_header *headers, uint32_t n)
+{
+	const char *name = r->guard->dialect->load;
+	uint32_t i;
+
+	for (i = 0; name != NULL && i < n; i++) {
+		if (g_ascii_strcasecmp(headers[i].name, name) != 0)
+			continue;
+		use_status(r, headers[i].value);
+		return;
+	}
+}
+
+void
+guard_report_ran(struct guard_request *r, uint64_t run_us)
+{
+	struct guard_report *p = &r->upstream->report;
+
+	if (r->run == p->run)
+		run_times_record(&p->run_times, r->route, run_us,
+		    RUN_TIMES_WEIGHT, loop_now_ms(r->guard->loop));
+}
+
+void
+guard_report_load(
+    const struct guard_upstream *u, uint64_t route, struct rec_load *load)
+{
+	const struct upstream_status *s = &u->report.status;
+
+	load->kind_us = run_times_mean_us(&u->report.run_times, route);
+	if (!upstream_status_is_recent(s, loop_now_ms(u->guard->loop)))
+		return;
+	load->pace_percent = s->pace_percent;
+	load->waiting = s->waiting;
+}
+
 static bool
 reports_leaving(const struct guard_upstream *u,
     const struct http_header *headers, uint32_t n)
@@ -235,6 +318,7 @@
 	if (r->run != r->upstream->report.run)
 		return;
 	read_limit(r, ran, headers, n);
+	read_status(r, headers, n);
 	if (reports_leaving(r->upstream, headers, n))
 		set_leaving(r->upstream);
 }
--- a/packages/node/src/guard_report.h
+++ b/packages/node/src/guard_report.h
@@ -13,6 +13,8 @@
 #include "net/http.h"
 #include "node/guard.h"
 #include "proto/messages.h"
+#include "traffic/run_times.h"
+#include "traffic/upstream_status.h"
 
 struct guard_request;
 struct guard_upstream;
@@ -29,6 +31,9 @@
  * @invalid_logged: an invalid limit of the run was logged
  * @limit_header: name of the header that named the last limit
  * @log_limit: rate limit of log lines on limits
+ * @status: last report on load that was used; its time is 0 for none
+ * @status_log_limit: rate limit of log lines on reports that aren't used
+ * @run_times: mean run time of the run's requests by route
  */
 struct guard_report {
 	char instance[GUARD_INSTANCE_BYTES];
@@ -41,6 +46,9 @@
 	bool invalid_logged;
 	const char *limit_header;
 	struct log_limit log_limit;
+	struct upstream_status status;
+	struct log_limit status_log_limit;
+	struct run_times run_times;
 };
 
 /** guard_report_init() - set up the reports of a new upstream */
@@ -64,6 +72,18 @@
 void guard_report_read(struct guard_request *r, bool ran,
     const struct http_header *headers, uint32_t n);
 
+/** guard_report_ran() - record the run time of an answered request */
+void guard_report_ran(struct guard_request *r, uint64_t run_us);
+
+/**
+ * guard_report_load() - add to @load what is known of the upstream's pace
+ * @u: the upstream
+ * @route: route of the request that is answered, 0 for none
+ * @load: load of the endpoint
+ */
+void guard_report_load(
+    const struct guard_upstream *u, uint64_t route, struct rec_load *load);
+
 /**
  * guard_report_known() - take up what an entry knows of the run
  * @u: the upstream
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -81,6 +81,7 @@
 {
 	struct admission_request req;
 
+	guard_report_ran(r, clock_now_us() - r->started_us);
 	guard_request_admission(r, &req);
 	admission_record_run(r->upstream->admission, &req, run_time_ms(r),
 	    loop_now_ms(r->guard->loop));
@@ -129,7 +130,7 @@
 	if (!log_enabled(LOG_LEVEL_INFO) ||
 	    !log_limit_take(limit, loop_now_ms(r->guard->loop)))
 		return;
-	guard_upstream_load(r->upstream, &load);
+	guard_upstream_load(r->upstream, 0, &load);
 	log_info("request id=%s request=%s service=%s refused=%s running=%u "
 		 "queued=%u slots=%u limit_milli_per_s=%" G_GUINT64_FORMAT
 		 " limit_wait_ms=%u retry_after_ms=%" G_GUINT64_FORMAT
@@ -146,7 +147,7 @@
 {
 	struct rec_load load;
 
-	guard_upstream_load(r->upstream, &load);
+	guard_upstream_load(r->upstream, 0, &load);
 	metric_add(
 	    &metric_limited, refusal == REFUSAL_WAIT && load.limit_wait_ms > 0);
 }
--- a/packages/node/src/guard_upstream.c
+++ b/packages/node/src/guard_upstream.c
@@ -199,7 +199,8 @@
 }
 
 void
-guard_upstream_load(const struct guard_upstream *u, struct rec_load *load)
+guard_upstream_load(
+    const struct guard_upstream *u, uint64_t route, struct rec_load *load)
 {
 	struct load_report report;
 
@@ -212,12 +213,11 @@
 	load->slots = report.slots;
 	load->limit_milli_per_s = report.limit_milli_per_s;
 	load->limit_wait_ms = (uint32_t)MIN(report.limit_wait_ms, UINT32_MAX);
-	load->pace_percent = report.pace_percent;
-	load->waiting = report.waiting;
 	load->work_ms = report.work_ms;
 	load->calls_refused_milli = report.calls_refused_milli;
 	load->run = u->report.run_id;
 	load->leaving = u->report.leaving;
+	guard_report_load(u, route, load);
 }
 
 void
--- a/packages/proto/include/proto/gen/call.h
+++ b/packages/proto/include/proto/gen/call.h
@@ -78,6 +78,8 @@
  * 	when unknown and when absent
  * @calls_refused_milli: share of the calls made by the upstream that
  * 	were refused lately, in thousandths
+ * @kind_us: mean run time here of requests of the answered one's
+ * 	route; 0 when unknown and when absent
  */
 struct rec_load {
 	uint32_t in_flight;
@@ -91,6 +93,7 @@
 	uint32_t waiting;
 	uint32_t work_ms;
 	uint32_t calls_refused_milli;
+	uint64_t kind_us;
 };
 
 extern const struct codec_desc rec_load_desc;
--- a/packages/traffic/include/traffic/admission.h
+++ b/packages/traffic/include/traffic/admission.h
@@ -215,6 +215,10 @@
  */
 struct upstream_limit *admission_upstream_limit(struct admission *a);
 
+/** admission_accepted() - number of running requests that have certainly
+ * reached the upstream */
+uint32_t admission_accepted(const struct admission *a, uint64_t now_ms);
+
 /** admission_load() - load report for answers and refusals */
 void admission_load(const struct admission *a, struct load_report *out);
 
--- a/packages/traffic/include/traffic/traffic_defs.h
+++ b/packages/traffic/include/traffic/traffic_defs.h
@@ -152,6 +152,8 @@
  *	unknown
  * @calls_refused_milli: share of the upstream's own calls that were refused
  *	lately, in thousandths
+ * @kind_us: mean run time here of requests of the answered one's kind, 0 when
+ *	unknown
  */
 struct load_report {
 	uint32_t in_flight;
@@ -163,6 +165,7 @@
 	uint32_t waiting;
 	uint32_t work_ms;
 	uint32_t calls_refused_milli;
+	uint64_t kind_us;
 };
 
 /**
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -334,6 +334,7 @@
 	out->in_flight = admission_in_slots(a);
 	out->queued = admission_queued(a);
 	out->slots = admission_slots(a);
+	out->work_ms = (uint32_t)MIN(admission_work_ms(a), UINT32_MAX);
 	out->limit_milli_per_s = l->milli_per_s;
 	out->limit_wait_ms =
 	    upstream_limit_wait_ms(l, admission_queued(a), a->now_ms);
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -207,6 +207,9 @@
 void admission_refuse(struct admission *a, const struct admission_request *req,
     enum refusal refusal, uint64_t now_ms, struct admission_result *out);
 
+/** admission_work_ms() - expected run time of all requests that run or wait */
+uint64_t admission_work_ms(const struct admission *a);
+
 /** admission_dequeue() - remove a request from a lane; the caller frees it */
 struct waiting *admission_dequeue(struct lane *l, uint32_t rank, GList *link);
 
--- a/packages/traffic/src/admission_slots.c
+++ b/packages/traffic/src/admission_slots.c
@@ -83,8 +83,8 @@
 }
 
 /* Number of requests that the upstream has evidently accepted. */
-static uint32_t
-accepted_count(const struct admission *a, uint64_t now_ms)
+uint32_t
+admission_accepted(const struct admission *a, uint64_t now_ms)
 {
 	guint n = a->running->len;
 
@@ -117,7 +117,7 @@
 {
 	struct lane *l = &a->lanes[class];
 
-	record_concurrency(a, accepted_count(a, now_ms), now_ms);
+	record_concurrency(a, admission_accepted(a, now_ms), now_ms);
 	release_slot(a, ticket, class);
 	update_mean(&l->mean_us, ran_ms * US_PER_MS);
 	a->limit += (uint64_t)LIMIT_UNIT * LIMIT_UNIT / a->limit;
@@ -140,7 +140,7 @@
     uint64_t now_ms)
 {
 	const struct admission_request any = {.class = class};
-	uint32_t accepted = accepted_count(a, now_ms);
+	uint32_t accepted = admission_accepted(a, now_ms);
 	uint64_t left;
 	bool overloaded;
 
--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -70,6 +70,20 @@
 	return us;
 }
 
+uint64_t
+admission_work_ms(const struct admission *a)
+{
+	uint64_t us = 0;
+	uint32_t rank;
+	int i;
+
+	for (i = 0; i < ADMISSION_CLASSES; i++)
+		us += a->lanes[i].in_slots * a->lanes[i].mean_us;
+	for (rank = 0; rank < RANKS; rank++)
+		us += queued_work_us(a, rank);
+	return us / US_PER_MS;
+}
+
 static void
 extend_overload(struct admission *a, uint64_t now_ms)
 {
