--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -142,6 +142,7 @@
 	struct entry *e = c->entry;
 	struct placement_query q = {.service = c->service->id,
 	    .idempotent = c->idempotent,
+	    .kind = entry_route_key(c->route),
 	    .avoid_own = entry_is_overdue(e)};
 	struct placement_choice choice;
 	const struct endpoint *ep;
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -151,6 +151,10 @@
 	a->complete = true;
 	entry_attempt_end(
 	    a, status >= SERVER_ERROR ? ENDPOINT_FAILED : ENDPOINT_OK);
+	if (status < SERVER_ERROR)
+		endpoints_ran(c->entry->endpoints, a->action.endpoint,
+		    entry_route_key(c->route), a->upstream_us, a->load.kind_us,
+		    loop_now_ms(c->entry->loop));
 	report_load(a, &a->load);
 	call_answered(
 	    c->machine, a->action.stream, loop_now_ms(c->entry->loop));
--- a/packages/node/src/entry_log.c
+++ b/packages/node/src/entry_log.c
@@ -38,15 +38,15 @@
 	log_info(
 	    "call id=%s prefix=%s priority=%u service=%s host=%s software=%s "
 	    "attempts=%u "
-	    "placed=%s load=%u/%u"
+	    "placed=%s load=%u/%u expected_ms=%u"
 	    " version=%" PRIu64 " outcome=%s reason=%s%s%s ms=%" PRIu64
 	    " left_ms=%" PRIu64 " left_out=%u",
 	    call_name(c, id, sizeof(id)), c->route->prefix, c->route->priority,
 	    c->config->name, c->placed_host, c->placed_version,
 	    call_attempts(c->machine), placement_reason_name(c->placed.reason),
-	    c->placed.load, c->placed.slots, c->snapshot->version,
-	    outcome_name(outcome), reason, stage != NULL ? " stage=" : "",
-	    stage != NULL ? stage : "",
+	    c->placed.load, c->placed.slots, c->placed.expected_ms,
+	    c->snapshot->version, outcome_name(outcome), reason,
+	    stage != NULL ? " stage=" : "", stage != NULL ? stage : "",
 	    (clock_now_us() - c->request->arrived_us) / US_PER_MS,
 	    clock_left_ms(c->deadline_ms, now_ms), left_out);
 }
--- a/packages/traffic/include/traffic/endpoints.h
+++ b/packages/traffic/include/traffic/endpoints.h
@@ -201,6 +201,19 @@
 void endpoints_report(struct endpoints *e, uint64_t endpoint,
     const struct load_report *load, uint64_t now_ms);
 
+/**
+ * endpoints_ran() - record how long an endpoint ran a request
+ * @e: the table
+ * @endpoint: the endpoint
+ * @kind: number of the kind of request, such as a hash of its route
+ * @took_us: run time of the request
+ * @mean_us: mean run time of such requests at the endpoint lately, as reported
+ *	by its guard; 0 when unknown
+ * @now_ms: monotonic time
+ */
+void endpoints_ran(struct endpoints *e, uint64_t endpoint, uint64_t kind,
+    uint64_t took_us, uint64_t mean_us, uint64_t now_ms);
+
 /**
  * endpoints_leaving() - an answer reported that the endpoint leaves
  *
--- a/packages/traffic/include/traffic/placement.h
+++ b/packages/traffic/include/traffic/placement.h
@@ -62,6 +62,7 @@
  *	than others
  * @avoid_own: an endpoint on the own host is used only if no other one is
  *	usable
+ * @kind: number of the kind of request, see endpoints_ran(); 0 when unknown
  * @canaries: the call goes to one of this many first usable endpoints of the
  *	version on trial; 0 for an endpoint of the current version
  */
@@ -74,6 +75,7 @@
 	size_t n_tried;
 	bool idempotent;
 	bool avoid_own;
+	uint64_t kind;
 	uint32_t canaries;
 };
 
@@ -84,12 +86,14 @@
  * @load: estimated load of the endpoint in requests
  * @slots: slots of the endpoint as used for the decision; reduced during slow
  *	start
+ * @expected_ms: expected time until the answer; 0 when unknown
  */
 struct placement_choice {
 	uint64_t endpoint;
 	enum placement_reason reason;
 	uint32_t load;
 	uint32_t slots;
+	uint32_t expected_ms;
 };
 
 /**
@@ -100,11 +104,17 @@
  *	own host is preferred; 0 for never.  A call to the own host crosses no
  *	link and costs no second node any work.
  * @local_first: prefer the own data centre
+ * @choices: number of endpoints that are compared where run times are known
+ * @own_slower_percent: expected time at the own host, in percent of that of
+ *	another endpoint, up to which the own host is preferred where run times
+ *	are known
  */
 struct placement_config {
 	uint32_t saturation_percent;
 	uint32_t own_percent;
 	bool local_first;
+	uint32_t choices;
+	uint32_t own_slower_percent;
 };
 
 struct placement;
--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -22,6 +22,8 @@
 #define MEAN_WEIGHT 0.1
 /* Half-life of the mean load without a report. */
 #define MEAN_HALF_LIFE_MS 2000
+/* Number of answers that the mean run time of a kind covers. */
+#define KIND_WEIGHT 64
 
 void
 endpoints_config_default(struct endpoints_config *cfg)
@@ -154,6 +156,7 @@
 		ep->others_milli = 0;
 		ep->delay_us = 0;
 		ep->pace = (struct endpoint_pace){0};
+		ep->speed = (struct endpoint_speed){0};
 	}
 	ep->info = *info;
 	ep->info.slots = MAX(info->slots, 1);
@@ -360,6 +363,25 @@
 		ep->info.slots = load->slots;
 	update_mean(ep, now_ms);
 	endpoint_pace_report(&ep->pace, load, now_ms);
+	endpoint_speed_report(&ep->speed, load, now_ms);
+}
+
+void
+endpoints_ran(struct endpoints *e, uint64_t endpoint, uint64_t kind,
+    uint64_t took_us, uint64_t mean_us, uint64_t now_ms)
+{
+	struct endpoint *ep = endpoints_find(e, endpoint);
+	uint64_t here_us = mean_us != 0 ? mean_us : took_us;
+	uint64_t all_us;
+
+	if (ep == NULL || ep->service == NULL || kind == 0 || here_us == 0)
+		return;
+	run_times_record(
+	    &ep->service->kinds, kind, here_us, KIND_WEIGHT, now_ms);
+	all_us = run_times_mean_us(&ep->service->kinds, kind);
+	if (all_us > 0)
+		endpoint_speed_ran(&ep->speed, (double)here_us / (double)all_us,
+		    mean_us != 0, now_ms);
 }
 
 void
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "traffic/ejection.h"
+#include "traffic/run_times.h"
 
 /* Loads and slots are in thousandths of a request. */
 #define MILLI 1000
@@ -54,6 +55,7 @@
  * @ejected: number of ejected endpoints
  * @local_mean: mean load of the endpoints in the own data centre
  * @remote_mean: mean load of the other endpoints
+ * @kinds: mean run time of requests by kind, over all endpoints
  */
 struct service {
 	uint64_t id;
@@ -63,6 +65,7 @@
 	size_t ejected;
 	struct mean_load local_mean;
 	struct mean_load remote_mean;
+	struct run_times kinds;
 };
 
 /**
@@ -82,6 +85,25 @@
 	bool refused;
 };
 
+/**
+ * struct endpoint_speed - how fast an endpoint runs requests
+ * @excess: run time as a multiple of the service's mean for the same kind,
+ *	less 1; 0 when unknown
+ * @ran_ms: monotonic time of the last update of @excess
+ * @mean_pace: mean pace that the endpoint reported, in percent; 0 when unknown
+ * @pace: last reported pace, in percent
+ * @pace_ms: monotonic time of that report
+ * @size_us: mean run time of the requests under way there; 0 when unknown
+ */
+struct endpoint_speed {
+	double excess;
+	uint64_t ran_ms;
+	double mean_pace;
+	double pace;
+	uint64_t pace_ms;
+	double size_us;
+};
+
 /**
  * struct endpoint - state of one endpoint
  * @info: from the snapshot
@@ -98,6 +120,7 @@
  *	refused connection
  * @silent: nothing arrives from its host
  * @pace: rate of requests under the limit that it names
+ * @speed: how fast it runs requests
  * @results: for outlier ejection
  */
 struct endpoint {
@@ -114,6 +137,7 @@
 	uint64_t excluded_until_ms;
 	bool silent;
 	struct endpoint_pace pace;
+	struct endpoint_speed speed;
 	struct ejection_record results;
 };
 
@@ -176,10 +200,43 @@
 void endpoint_pace_report(
     struct endpoint_pace *p, const struct load_report *load, uint64_t now_ms);
 
+/**
+ * endpoint_speed_ran() - record a run time
+ * @s: the speed
+ * @factor: run time as a multiple of the service's mean for the same kind
+ * @is_mean: a mean over recent requests at the endpoint, not a single one
+ * @now_ms: monotonic time
+ */
+void endpoint_speed_ran(
+    struct endpoint_speed *s, double factor, bool is_mean, uint64_t now_ms);
+
+/** endpoint_speed_factor() - expected run time as a multiple of the service's
+ * mean */
+double endpoint_speed_factor(const struct endpoint_speed *s, uint64_t now_ms);
+
+/** endpoint_speed_report() - the report of an answer or refusal arrived */
+void endpoint_speed_report(
+    struct endpoint_speed *s, const struct load_report *load, uint64_t now_ms);
+
+/** endpoint_speed_spell_us() - time by which a request of @run_us is expected
+ * to run longer because of the present pace; less than 0 for shorter */
+double endpoint_speed_spell_us(
+    const struct endpoint_speed *s, double run_us, uint64_t now_ms);
+
 /** endpoints_delay_us() - expected time on the network and in the queue */
 uint64_t endpoints_delay_us(
     const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms);
 
+/**
+ * endpoints_expected_us() - expected time until an endpoint answers
+ * @e: the table
+ * @ep: the endpoint
+ * @kind_us: the service's mean run time of requests of this kind
+ * @now_ms: monotonic time
+ */
+uint64_t endpoints_expected_us(const struct endpoints *e,
+    const struct endpoint *ep, uint64_t kind_us, uint64_t now_ms);
+
 /** endpoints_slots_milli() - slots of an endpoint, reduced during slow start */
 uint64_t endpoints_slots_milli(
     const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms);
--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -1,5 +1,5 @@
 /*
- * Power of two choices with preference for the own data centre, and the naive
+ * Power of few choices with preference for the own data centre, and the naive
  * policy.
  */
 #include "traffic/placement.h"
@@ -9,6 +9,7 @@
 #include "traffic/keyed.h"
 
 #define PERCENT 100
+#define US_PER_MS 1000
 
 /*
  * Number of answers after which times are compared.  A larger number would be
@@ -47,6 +48,8 @@
  * @endpoints: table of endpoints
  * @ejection: outlier ejection, or NULL
  * @random: random numbers for the choices
+ * @kind_us: mean run time of the current call's kind at the service, 0 when
+ *	unknown
  * @local: usable endpoints in the own data centre, for the current call
  * @remote: usable endpoints elsewhere, for the current call
  * @fallback: endpoints that are used if no usable one is left
@@ -58,6 +61,7 @@
 	struct endpoints *endpoints;
 	struct ejection *ejection;
 	GRand *random;
+	uint64_t kind_us;
 	GPtrArray *local;
 	GPtrArray *remote;
 	GPtrArray *fallback;
@@ -80,6 +84,8 @@
 	cfg->saturation_percent = SATURATION_PERCENT;
 	cfg->own_percent = 75;
 	cfg->local_first = true;
+	cfg->choices = 3;
+	cfg->own_slower_percent = 125;
 }
 
 static struct placement *
@@ -121,6 +127,7 @@
 	out->reason = PLACEMENT_NONE;
 	out->load = 0;
 	out->slots = 0;
+	out->expected_ms = 0;
 	return p->ops->choose(p, q, now_ms, out);
 }
 
@@ -134,6 +141,11 @@
 	    (uint32_t)(endpoints_load_milli(p->endpoints, ep, now_ms) / MILLI);
 	out->slots =
 	    (uint32_t)(endpoints_slots_milli(p->endpoints, ep, now_ms) / MILLI);
+	if (p->kind_us != 0)
+		out->expected_ms =
+		    (uint32_t)(endpoints_expected_us(
+				   p->endpoints, ep, p->kind_us, now_ms) /
+			US_PER_MS);
 	return true;
 }
 
@@ -277,15 +289,23 @@
 }
 
 /*
- * Whether @a is expected to answer @factor times sooner than @b.  Unless both
- * have answered often enough, both are assumed to be equally fast.
+ * Whether @a is expected to answer @factor times sooner than @b.  Unless the
+ * kind of request was measured, or both have answered often enough, both are
+ * assumed to be equally fast.
  */
 static bool
 is_better(const struct placement *p, const struct endpoint *a,
     const struct endpoint *b, uint64_t factor, uint64_t now_ms)
 {
-	uint64_t a_us = mean_time_us(a), b_us = mean_time_us(b);
-
+	uint64_t a_us, b_us;
+
+	if (p->kind_us != 0)
+		return endpoints_expected_us(
+			   p->endpoints, a, p->kind_us, now_ms) *
+		    factor <
+		    endpoints_expected_us(p->endpoints, b, p->kind_us, now_ms);
+	a_us = mean_time_us(a);
+	b_us = mean_time_us(b);
 	if (a_us == 0 || b_us == 0)
 		a_us = b_us = MAX(MAX(a_us, b_us), WORK_DEFAULT_US);
 	return cost_us(p, a, a_us, now_ms) * factor <
@@ -293,13 +313,11 @@
 }
 
 static struct endpoint *
-better_of_two(struct placement *p, GPtrArray *from, uint64_t now_ms)
+better_of_two(struct placement *p, const GPtrArray *from, uint64_t now_ms)
 {
 	struct endpoint *a, *b;
 	guint i, k;
 
-	if (from->len == 0)
-		return NULL;
 	i = (guint)g_rand_int_range(p->random, 0, (gint32)from->len);
 	a = g_ptr_array_index(from, i);
 	if (from->len == 1)
@@ -309,6 +327,43 @@
 	return is_better(p, b, a, 1, now_ms) ? b : a;
 }
 
+static void
+swap(GPtrArray *a, guint i, guint k)
+{
+	gpointer held = a->pdata[i];
+
+	a->pdata[i] = a->pdata[k];
+	a->pdata[k] = held;
+}
+
+/* The best of a few that are picked at random and moved to the front. */
+static struct endpoint *
+best_of_few(struct placement *p, GPtrArray *from, uint64_t now_ms)
+{
+	struct endpoint *ep, *best = NULL;
+	guint i, k;
+
+	for (i = 0; i < MIN(p->cfg.choices, from->len); i++) {
+		k = (guint)g_rand_int_range(
+		    p->random, (gint32)i, (gint32)from->len);
+		swap(from, i, k);
+		ep = g_ptr_array_index(from, i);
+		if (best == NULL || is_better(p, ep, best, 1, now_ms))
+			best = ep;
+	}
+	return best;
+}
+
+static struct endpoint *
+best_of(struct placement *p, GPtrArray *from, uint64_t now_ms)
+{
+	if (from->len == 0)
+		return NULL;
+	if (p->kind_us == 0)
+		return better_of_two(p, from, now_ms);
+	return best_of_few(p, from, now_ms);
+}
+
 static bool
 is_saturated(
     const struct placement *p, const struct endpoint *ep, uint64_t now_ms)
@@ -337,7 +392,7 @@
 		if (!was_tried(q, ep->info.id))
 			return fill_choice(p, ep, PLACEMENT_PANIC, now_ms, out);
 	}
-	ep = better_of_two(p, p->fallback, now_ms);
+	ep = best_of(p, p->fallback, now_ms);
 	return fill_choice(p, ep, PLACEMENT_REPEATED, now_ms, out);
 }
 
@@ -361,18 +416,30 @@
 	return NULL;
 }
 
+static bool
+is_much_slower(const struct placement *p, const struct endpoint *own,
+    const struct endpoint *other, uint64_t now_ms)
+{
+	return endpoints_expected_us(p->endpoints, own, p->kind_us, now_ms) *
+	    PERCENT >
+	    endpoints_expected_us(p->endpoints, other, p->kind_us, now_ms) *
+	    p->cfg.own_slower_percent;
+}
+
 static bool
 choose_usable(
     struct placement *p, uint64_t now_ms, struct placement_choice *out)
 {
-	struct endpoint *near, *far;
+	struct endpoint *own, *near, *far;
 
-	near = own_with_capacity(p, now_ms);
-	if (near != NULL)
-		return fill_choice(p, near, PLACEMENT_OWN, now_ms, out);
+	own = own_with_capacity(p, now_ms);
+	if (own != NULL && p->kind_us == 0)
+		return fill_choice(p, own, PLACEMENT_OWN, now_ms, out);
 
-	near = better_of_two(p, p->local, now_ms);
-	far = better_of_two(p, p->remote, now_ms);
+	near = best_of(p, p->local, now_ms);
+	if (own != NULL && !is_much_slower(p, own, near, now_ms))
+		return fill_choice(p, own, PLACEMENT_OWN, now_ms, out);
+	far = best_of(p, p->remote, now_ms);
 	if (near != NULL && !is_saturated(p, near, now_ms) &&
 	    (far == NULL || !is_better(p, far, near, SPILL_FACTOR, now_ms)))
 		return fill_choice(p, near, PLACEMENT_LOCAL, now_ms, out);
@@ -479,7 +546,7 @@
 		after = ep->info.canary;
 		g_ptr_array_add(p->local, ep);
 	}
-	ep = better_of_two(p, p->local, now_ms);
+	ep = best_of(p, p->local, now_ms);
 	return ep != NULL && fill_choice(p, ep, PLACEMENT_CANARY, now_ms, out);
 }
 
@@ -493,6 +560,7 @@
 	s = endpoints_service(p->endpoints, q->service);
 	if (s == NULL)
 		return false;
+	p->kind_us = run_times_mean_us(&s->kinds, q->kind);
 	if (q->canaries > 0)
 		return choose_canary(p, q, s, now_ms, out);
 	if (q->key != NULL)
