--- a/packages/traffic/include/traffic/placement.h
+++ b/packages/traffic/include/traffic/placement.h
@@ -105,6 +105,8 @@
  *	link and costs no second node any work.
  * @local_first: prefer the own data centre
  * @choices: number of endpoints that are compared where run times are known
+ * @spill_percent: expected time in the own data centre, in percent of that in
+ *	another one, from which a call goes there where run times are known
  * @own_slower_percent: expected time at the own host, in percent of that of
  *	another endpoint, up to which the own host is preferred where run times
  *	are known
@@ -114,6 +116,7 @@
 	uint32_t own_percent;
 	bool local_first;
 	uint32_t choices;
+	uint32_t spill_percent;
 	uint32_t own_slower_percent;
 };
 
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -232,10 +232,6 @@
 uint64_t endpoints_others_milli(
     const struct endpoint *ep, uint32_t half_life_ms, uint64_t now_ms);
 
-/** endpoints_lasting_milli() - estimated load, where a report holds for some
- * seconds */
-uint64_t endpoints_lasting_milli(const struct endpoint *ep, uint64_t now_ms);
-
 /**
  * endpoints_expected_us() - expected time until an endpoint answers
  * @e: the table
--- a/packages/traffic/src/expected_time.c
+++ b/packages/traffic/src/expected_time.c
@@ -15,7 +15,7 @@
 #include "endpoints_defs.h"
 
 /* An own request under way counts as this many. */
-#define OWN_WEIGHT 8
+#define OWN_WEIGHT 2
 /* Half-life of a reported load; it then nears the mean of its group.  An entry
  * gets a report of an endpoint every few seconds in a large fleet. */
 #define REPORT_HALF_LIFE_MS 4000
@@ -27,13 +27,6 @@
 	return ep->speed.size_us > 0 ? ep->speed.size_us : own_us;
 }
 
-uint64_t
-endpoints_lasting_milli(const struct endpoint *ep, uint64_t now_ms)
-{
-	return (uint64_t)ep->in_flight * MILLI +
-	    endpoints_others_milli(ep, REPORT_HALF_LIFE_MS, now_ms);
-}
-
 /* Load per slot with one more request, to the fourth power. */
 static double
 fullness(const struct endpoints *e, const struct endpoint *ep, uint64_t now_ms)
--- a/packages/traffic/src/placement.c
+++ b/packages/traffic/src/placement.c
@@ -85,6 +85,7 @@
 	cfg->own_percent = 75;
 	cfg->local_first = true;
 	cfg->choices = 16;
+	cfg->spill_percent = 200;
 	cfg->own_slower_percent = 125;
 }
 
@@ -372,10 +373,7 @@
 
 	if (endpoints_limit_wait_us(ep, now_ms) > 0)
 		return true;
-	if (p->kind_us != 0)
-		load = endpoints_lasting_milli(ep, now_ms) + MILLI;
-	else
-		load = endpoints_load_milli(p->endpoints, ep, now_ms) + MILLI;
+	load = endpoints_load_milli(p->endpoints, ep, now_ms) + MILLI;
 	slots = endpoints_slots_milli(p->endpoints, ep, now_ms);
 	return load * PERCENT > slots * p->cfg.saturation_percent;
 }
@@ -419,14 +417,28 @@
 	return NULL;
 }
 
+/* Whether the expected time of @ep is above @percent of that of @other. */
 static bool
-is_much_slower(const struct placement *p, const struct endpoint *own,
-    const struct endpoint *other, uint64_t now_ms)
+is_slower(const struct placement *p, const struct endpoint *ep,
+    const struct endpoint *other, uint64_t percent, uint64_t now_ms)
 {
-	return endpoints_expected_us(p->endpoints, own, p->kind_us, now_ms) *
+	return endpoints_expected_us(p->endpoints, ep, p->kind_us, now_ms) *
 	    PERCENT >
 	    endpoints_expected_us(p->endpoints, other, p->kind_us, now_ms) *
-	    p->cfg.own_slower_percent;
+	    percent;
+}
+
+/* Whether a call leaves the own data centre although it has a usable endpoint.
+ */
+static bool
+spills(const struct placement *p, const struct endpoint *near,
+    const struct endpoint *far, uint64_t now_ms)
+{
+	if (p->kind_us != 0)
+		return is_slower(p, near, far, p->cfg.spill_percent, now_ms);
+	if (is_saturated(p, near, now_ms))
+		return is_better(p, far, near, 1, now_ms);
+	return is_better(p, far, near, SPILL_FACTOR, now_ms);
 }
 
 static bool
@@ -440,19 +452,15 @@
 		return fill_choice(p, own, PLACEMENT_OWN, now_ms, out);
 
 	near = best_of(p, p->local, now_ms);
-	if (own != NULL && !is_much_slower(p, own, near, now_ms))
+	if (own != NULL &&
+	    !is_slower(p, own, near, p->cfg.own_slower_percent, now_ms))
 		return fill_choice(p, own, PLACEMENT_OWN, now_ms, out);
 	far = best_of(p, p->remote, now_ms);
-	if (near != NULL && !is_saturated(p, near, now_ms) &&
-	    (far == NULL || !is_better(p, far, near, SPILL_FACTOR, now_ms)))
-		return fill_choice(p, near, PLACEMENT_LOCAL, now_ms, out);
 	if (near == NULL && far == NULL)
 		return false;
-	if (far == NULL)
-		return fill_choice(p, near, PLACEMENT_LOCAL, now_ms, out);
 	if (near == NULL)
 		return fill_choice(p, far, PLACEMENT_REMOTE, now_ms, out);
-	if (is_better(p, far, near, 1, now_ms))
+	if (far != NULL && spills(p, near, far, now_ms))
 		return fill_choice(p, far, PLACEMENT_SPILLED, now_ms, out);
 	return fill_choice(p, near, PLACEMENT_LOCAL, now_ms, out);
 }
--- a/packages/traffic/test/test_choice.c
+++ b/packages/traffic/test/test_choice.c
@@ -6,6 +6,7 @@
  * and 1.7 times the usual speed; each on a machine that is slowed 2.5 times for
  * 100 ms of about 600; kinds of 90, 310, 400 and 760 ms mean work with heavy
  * tails; 0.3, 0.6 and 0.9 of the room is asked for.  Answers carry reports.
+ * Then the same in four data centres, whose demand moves.
  */
 #include <math.h>
 #include <stdio.h>
@@ -22,6 +23,7 @@
 #define ENTRIES 88
 #define SERVERS 54
 #define SLOTS 18
+#define CENTRES 4
 #define RUN_MS 30000
 #define LEARN_MS 10000
 #define DUE_MS (RUN_MS + 120000)
@@ -36,6 +38,7 @@
 #define PROBE_AGE_MS 1000
 #define NEAR_BEST 1.5
 #define BETTER 0.9
+#define DEMAND_MAX 2.0
 
 enum policy { AS_BEFORE, EXPECTED, REPORTED, PREQUAL, C3, BEST, POLICIES };
 
@@ -106,8 +109,23 @@
 	struct call *next;
 };
 
+/**
+ * struct world - all entries and endpoints
+ * @policy: how entries choose
+ * @centres: number of data centres
+ * @demand: demand of a data centre at a time, 1 is usual; NULL for always
+ * @due: calls by the time of their answer
+ * @calls: answered calls after the entries have learned
+ * @late: of them, those beyond their target
+ * @ejected: answers at entries that had ejected an endpoint
+ * @sum_ms: added times to the answer
+ * @by_centre: calls and late ones by the data centre of the entry
+ * @remote: calls that left their data centre, by second
+ */
 struct world {
 	enum policy policy;
+	uint32_t centres;
+	double (*demand)(uint32_t centre, uint32_t now);
 	GRand *random;
 	struct server servers[SERVERS];
 	struct entry entries[ENTRIES];
@@ -116,6 +134,12 @@
 	uint32_t late;
 	uint32_t ejected;
 	double sum_ms;
+	struct {
+		uint32_t calls;
+		uint32_t late;
+	} by_centre[CENTRES];
+	uint32_t remote[RUN_MS / 1000];
+	uint32_t sent[RUN_MS / 1000];
 };
 
 static double
@@ -287,6 +311,10 @@
 	int slot, dice;
 
 	c->entry = (uint32_t)g_rand_int_range(w->random, 0, ENTRIES);
+	while (w->demand != NULL &&
+	    g_rand_double(w->random) * DEMAND_MAX >
+		w->demand(c->entry % w->centres, now))
+		c->entry = (uint32_t)g_rand_int_range(w->random, 0, ENTRIES);
 	dice = g_rand_int_range(w->random, 0, 100);
 	while (dice >= kind_until[c->kind])
 		c->kind++;
@@ -295,6 +323,9 @@
 	work = work_ms[c->kind] * exp(SIGMA * normal - SIGMA * SIGMA / 2);
 	e = &w->entries[c->entry];
 	c->server = choose(w, e, c, work, now);
+	w->sent[now / 1000]++;
+	w->remote[now / 1000] +=
+	    c->server % w->centres != c->entry % w->centres;
 	s = &w->servers[c->server];
 	slot = first_free(s);
 	c->began_ms = now;
@@ -350,12 +381,15 @@
 		w->calls++;
 		w->late += took > target_ms[c->kind];
 		w->sum_ms += took;
+		w->by_centre[c->entry % w->centres].calls++;
+		w->by_centre[c->entry % w->centres].late +=
+		    took > target_ms[c->kind];
 	}
 	g_free(c);
 }
 
 static void
-entry_init(struct entry *e, uint64_t seed)
+entry_init(struct entry *e, uint32_t index, uint32_t centres, uint64_t seed)
 {
 	struct endpoint_info infos[SERVERS] = {0};
 	struct endpoints_config ec;
@@ -370,7 +404,8 @@
 		infos[i].id = i + 1;
 		infos[i].slots = SLOTS;
 		infos[i].state = ENDPOINT_READY;
-		infos[i].local = true;
+		infos[i].centre = i % centres + 1;
+		infos[i].local = i % centres == index % centres;
 		e->views[i].response_ms = e->views[i].service_ms = 400;
 	}
 	e->endpoints = endpoints_new(&ec);
@@ -380,7 +415,7 @@
 }
 
 static struct world *
-world_new(enum policy policy, uint64_t seed)
+world_new(enum policy policy, uint32_t centres, uint64_t seed)
 {
 	static const double speeds[] = {0.7, 0.7, 1.7};
 	struct world *w = g_new0(struct world, 1);
@@ -388,6 +423,7 @@
 	uint32_t i, k;
 
 	w->policy = policy;
+	w->centres = centres;
 	w->random = g_rand_new_with_seed((guint32)seed);
 	for (i = 0; i < SERVERS; i++) {
 		s = &w->servers[i];
@@ -399,7 +435,7 @@
 			s->kind_ms[k] = work_ms[k];
 	}
 	for (i = 0; i < ENTRIES; i++)
-		entry_init(&w->entries[i], seed * ENTRIES + i);
+		entry_init(&w->entries[i], i, centres, seed * ENTRIES + i);
 	return w;
 }
 
@@ -454,7 +490,7 @@
 static struct figures
 play(enum policy policy, double share, uint64_t seed)
 {
-	struct world *w = world_new(policy, seed);
+	struct world *w = world_new(policy, 1, seed);
 	struct figures f;
 
 	run(w, share);
@@ -492,6 +528,117 @@
 }
 END_TEST
 
+#define WAVE_MS 17000.0
+#define STEP_MS 20000
+
+static double
+even(uint32_t centre, uint32_t now)
+{
+	(void)centre;
+	(void)now;
+	return 1;
+}
+
+static double
+wave(uint32_t centre, uint32_t now)
+{
+	return 1 + 0.55 * sin(2 * G_PI * (now / WAVE_MS + centre / 4.0));
+}
+
+static double
+step(uint32_t centre, uint32_t now)
+{
+	return centre == 0 && now >= STEP_MS ? 2 : 1;
+}
+
+static double
+shift(uint32_t centre, uint32_t now)
+{
+	if (now < STEP_MS || centre > 1)
+		return 1;
+	return centre == 0 ? 0.5 : 1.5;
+}
+
+static const struct {
+	const char *name;
+	double (*demand)(uint32_t centre, uint32_t now);
+	double share;
+} moves[] = {{"even", even, 0.4}, {"wave", wave, 0.75}, {"step", step, 0.6},
+    {"shift", shift, 0.75}};
+
+static void
+print_moved(const struct world *w, const char *name)
+{
+	uint32_t i;
+
+	(void)printf("%s, %s: mean %.0f ms; late by data centre", name,
+	    policy_names[w->policy], w->sum_ms / w->calls);
+	for (i = 0; i < CENTRES; i++)
+		(void)printf(" %.1f%%",
+		    100.0 * w->by_centre[i].late / w->by_centre[i].calls);
+	(void)printf("; left it, by second");
+	for (i = LEARN_MS / 1000; i < RUN_MS / 1000; i++)
+		(void)printf(" %u", 100 * w->remote[i] / MAX(w->sent[i], 1));
+	(void)printf("\n");
+}
+
+/* Late calls of the data centre that is served worst, in percent. */
+static double
+worst_late(const struct world *w)
+{
+	double worst = 0;
+	uint32_t i;
+
+	for (i = 0; i < CENTRES; i++)
+		worst = MAX(worst,
+		    100.0 * w->by_centre[i].late / w->by_centre[i].calls);
+	return worst;
+}
+
+/* Difference of the largest and the smallest share of calls that left their
+ * data centre within a second, after the demand has moved. */
+static uint32_t
+swing_percent(const struct world *w)
+{
+	uint32_t i, percent, least = 100, most = 0;
+
+	for (i = STEP_MS / 1000 + 2; i < RUN_MS / 1000; i++) {
+		percent = 100 * w->remote[i] / MAX(w->sent[i], 1);
+		least = MIN(least, percent);
+		most = MAX(most, percent);
+	}
+	return most - least;
+}
+
+/*
+ * The worst data centre misses fewer targets than before, hardly a call leaves
+ * while all have room, and after a move the share that leaves settles instead
+ * of swinging: a wave itself moves it by up to a fifth.
+ */
+START_TEST(demand_that_moves_is_served_by_others)
+{
+	struct world *w[EXPECTED + 1];
+	uint32_t i, left = 0;
+	int p;
+
+	for (p = AS_BEFORE; p <= EXPECTED; p++) {
+		w[p] = world_new((enum policy)p, CENTRES, 1);
+		w[p]->demand = moves[_i].demand;
+		run(w[p], moves[_i].share);
+		print_moved(w[p], moves[_i].name);
+	}
+	ck_assert_double_le(
+	    worst_late(w[EXPECTED]), worst_late(w[AS_BEFORE]) * BETTER);
+	ck_assert_uint_le(swing_percent(w[EXPECTED]), 20);
+	for (i = LEARN_MS / 1000; i < RUN_MS / 1000; i++)
+		left += w[EXPECTED]->remote[i];
+	if (moves[_i].demand == even)
+		ck_assert_uint_le(100 * left, w[EXPECTED]->calls);
+	world_free(w[AS_BEFORE]);
+	world_free(w[EXPECTED]);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -502,5 +649,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_loop_test(
 	    tc, expected_time_is_near_the_best, 0, (int)G_N_ELEMENTS(shares));
+	tcase_add_loop_test(tc, demand_that_moves_is_served_by_others, 0,
+	    (int)G_N_ELEMENTS(moves));
 	return test_run(s);
 }
