--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "traffic/traffic_defs.h"
+#include "traffic/upstream_status.h"
 
 extern struct metric metric_calls_in_flight;
 extern struct metric metric_requests_in_flight;
@@ -79,6 +80,10 @@
  * customer key */
 void call_metrics_unauthorized(enum key_fault f);
 
+/** call_metrics_status_ignored() - count a report of an upstream that isn't
+ * used */
+void call_metrics_status_ignored(enum status_flaw f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -34,7 +34,8 @@
 	    .pace_percent = load->pace_percent,
 	    .waiting = load->waiting,
 	    .work_ms = load->work_ms,
-	    .calls_refused_milli = load->calls_refused_milli};
+	    .calls_refused_milli = load->calls_refused_milli,
+	    .kind_us = load->kind_us};
 
 	const struct run_report run = {.run = load->run,
 	    .limit_milli_per_s = load->limit_milli_per_s,
@@ -151,6 +152,10 @@
 	a->complete = true;
 	entry_attempt_end(
 	    a, status >= SERVER_ERROR ? ENDPOINT_FAILED : ENDPOINT_OK);
+	if (status < SERVER_ERROR)
+		endpoints_ran(c->entry->endpoints, a->action.endpoint,
+		    entry_route_key(c->route), a->upstream_us, a->load.kind_us,
+		    loop_now_ms(c->entry->loop));
 	report_load(a, &a->load);
 	call_answered(
 	    c->machine, a->action.stream, loop_now_ms(c->entry->loop));
