--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -55,6 +55,15 @@
     .help = "Requests told to come back since a newer version is known.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_unconfirmed = {.name = "bramley_unconfirmed_total",
+    .help = "Requests refused since the version was not confirmed recently.",
+    .kind = METRIC_COUNTER};
+
+struct metric metric_early_returns = {.name = "bramley_early_returns_total",
+    .help = "Requests refused since their caller came back earlier than it was "
+	    "asked to.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_crashes = {.name = "bramley_upstream_crashes_total",
     .help = "Upstreams of this host that ended under requests, unannounced.",
     .kind = METRIC_COUNTER};
@@ -126,6 +135,8 @@
     .help = "Entries that report to homes on this host, summed over the homes.",
     .kind = METRIC_GAUGE};
 
+static struct metric status_ignored[STATUS_FLAWS];
+static char status_labels[STATUS_FLAWS][LABEL_BYTES];
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -175,6 +186,24 @@
 	}
 }
 
+static void
+register_status_ignored(void)
+{
+	int i;
+
+	for (i = STATUS_FLAW_NONE + 1; i < STATUS_FLAWS; i++) {
+		(void)g_snprintf(status_labels[i], LABEL_BYTES, "flaw=\"%s\"",
+		    status_flaw_name((enum status_flaw)i));
+		status_ignored[i].name =
+		    "bramley_upstream_status_ignored_total";
+		status_ignored[i].help =
+		    "Reports of upstreams on their load that were not used.";
+		status_ignored[i].kind = METRIC_COUNTER;
+		status_ignored[i].labels = status_labels[i];
+		metric_register(&status_ignored[i]);
+	}
+}
+
 static void
 register_departures(void)
 {
@@ -238,12 +267,12 @@
 	    &metric_silent_connections, &metric_entry_us, &metric_guard_us,
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_callers_connections,
-	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
-	    &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
-	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
-	    &metric_quota_homes, &metric_quota_entries};
+	    &metric_callers_shed, &metric_behind_refusals, &metric_unconfirmed,
+	    &metric_early_returns, &metric_crashes, &metric_quarantined,
+	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
+	    &metric_departure_us, &metric_timers_late_us, &metric_quota_granted,
+	    &metric_quota_lent, &metric_quota_refused, &metric_quota_parked,
+	    &metric_quota_returned, &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
@@ -253,6 +282,7 @@
 	register_outcomes();
 	register_refusals();
 	register_unauthorized();
+	register_status_ignored();
 }
 
 void
@@ -293,6 +323,13 @@
 		metric_add(&refusals[r], 1);
 }
 
+void
+call_metrics_status_ignored(enum status_flaw f)
+{
+	if (f > STATUS_FLAW_NONE && f < STATUS_FLAWS)
+		metric_add(&status_ignored[f], 1);
+}
+
 void
 call_metrics_departure(enum call_stage s)
 {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "traffic/traffic_defs.h"
+#include "traffic/upstream_status.h"
 
 extern struct metric metric_calls_in_flight;
 extern struct metric metric_requests_in_flight;
@@ -20,6 +21,8 @@
 extern struct metric metric_callers_connections;
 extern struct metric metric_callers_shed;
 extern struct metric metric_behind_refusals;
+extern struct metric metric_unconfirmed;
+extern struct metric metric_early_returns;
 extern struct metric metric_crashes;
 extern struct metric metric_quarantined;
 extern struct metric metric_upstream_limit;
@@ -77,6 +80,10 @@
  * customer key */
 void call_metrics_unauthorized(enum key_fault f);
 
+/** call_metrics_status_ignored() - count a report of an upstream that isn't
+ * used */
+void call_metrics_status_ignored(enum status_flaw f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
