fix(node): a bundle's answer counts services, and two metrics that nothing set are gone

The answer to a bundle counted sections, so parts of a service and the table of customers counted as services (4 of 3 in functional_key_revoked).

--- a/packages/config/include/config/bundle.h
+++ b/packages/config/include/config/bundle.h
@@ -78,6 +78,9 @@
  * version; free with bundle_free() */
 struct bundle *bundle_from_catalog(const struct catalog *c);
 
+/** bundle_n_services() - number of services of a valid bundle */
+uint32_t bundle_n_services(const struct bundle *bundle);
+
 /** bundle_free() - free a bundle and its sections; accepts NULL */
 void bundle_free(struct bundle *bundle);
 
--- a/packages/config/src/bundle.c
+++ b/packages/config/src/bundle.c
@@ -210,6 +210,22 @@
 	return b;
 }
 
+uint32_t
+bundle_n_services(const struct bundle *bundle)
+{
+	const struct service_config *sc, *before = NULL;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < bundle->sections->len; i++, before = sc) {
+		sc = ((struct section *)g_ptr_array_index(bundle->sections, i))
+			 ->config;
+		if (!sc->holds_customers &&
+		    (before == NULL || strcmp(before->name, sc->name) != 0))
+			n++;
+	}
+	return n;
+}
+
 void
 bundle_free(struct bundle *bundle)
 {
--- a/packages/node/src/admin_bundles.c
+++ b/packages/node/src/admin_bundles.c
@@ -71,5 +71,5 @@
 	hash_digest_hex(&b->root, hex);
 	admin_call_answer(call, 200,
 	    json_pack("{s:b,s:s,s:i,s:s}", "valid", 1, "name", b->name,
-		"services", (int)b->sections->len, "root", hex));
+		"services", (int)bundle_n_services(b), "root", hex));
 }
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -43,13 +43,6 @@
     .name = "bramley_call_received_bytes",
     .help = "Bytes read on connections between entries and guards.",
     .kind = METRIC_COUNTER};
-struct metric metric_callers_connections = {
-    .name = "bramley_caller_connections",
-    .help = "Connections of callers that hold a thread.",
-    .kind = METRIC_GAUGE};
-struct metric metric_callers_shed = {.name = "bramley_caller_shed_total",
-    .help = "Calls turned away because threads for callers ran out.",
-    .kind = METRIC_COUNTER};
 
 struct metric metric_behind_refusals = {.name = "bramley_behind_total",
     .help = "Requests told to come back since a newer version is known.",
@@ -217,11 +210,10 @@
 	    &metric_requests_in_flight, &metric_retries, &metric_resolves,
 	    &metric_silent_connections, &metric_entry_us, &metric_guard_us,
 	    &metric_upstream_us, &metric_call_sent_bytes,
-	    &metric_call_received_bytes, &metric_callers_connections,
-	    &metric_callers_shed, &metric_behind_refusals, &metric_unconfirmed,
-	    &metric_crashes, &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us};
+	    &metric_call_received_bytes, &metric_behind_refusals,
+	    &metric_unconfirmed, &metric_crashes, &metric_quarantined,
+	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
+	    &metric_departure_us, &metric_timers_late_us};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -17,8 +17,6 @@
 extern struct metric metric_upstream_us;
 extern struct metric metric_call_sent_bytes;
 extern struct metric metric_call_received_bytes;
-extern struct metric metric_callers_connections;
-extern struct metric metric_callers_shed;
 extern struct metric metric_behind_refusals;
 extern struct metric metric_unconfirmed;
 extern struct metric metric_crashes;
--- a/test/functional/test_key_revoked.c
+++ b/test/functional/test_key_revoked.c
@@ -196,6 +196,19 @@
 	g_free(path);
 }
 
+/* The table of customers is no service. */
+static void
+check_valid_bundle(const struct host *h)
+{
+	char *path = write_bundle(OLD_KEY);
+	const char *args[] = {"validate", path, NULL};
+	json_t *j = deployment_ctl(h, NULL, args);
+
+	ck_assert_int_eq(json_number(j, "services"), 3);
+	json_decref(j);
+	g_free(path);
+}
+
 static void
 check_keys_are_hidden(const struct deployment *d)
 {
@@ -208,6 +221,7 @@
 	uint32_t i;
 
 	check_invalid_bundle(h);
+	check_valid_bundle(h);
 	check_ctl(h, "status", NULL);
 	check_ctl(h, "history", NULL);
 	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
