--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -52,6 +52,11 @@
     .help = "Requests refused since the version was not confirmed recently.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_early_returns = {.name = "bramley_early_returns_total",
+    .help = "Requests refused since their caller came back earlier than it was "
+	    "asked to.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_crashes = {.name = "bramley_upstream_crashes_total",
     .help = "Upstreams of this host that ended under requests, unannounced.",
     .kind = METRIC_COUNTER};
@@ -99,6 +104,32 @@
     .help = "Time by which timers of the traffic thread fired late.",
     .kind = METRIC_HISTOGRAM};
 
+struct metric metric_quota_granted = {.name = "bramley_quota_granted_total",
+    .help = "Requests for which homes on this host granted credit.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_lent = {.name = "bramley_quota_lent_total",
+    .help = "Requests for which homes on this host lent credit to other data "
+	    "centres.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_refused = {.name = "bramley_quota_refused_total",
+    .help = "Requests refused here since their customer's limit was used up.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_parked = {.name = "bramley_quota_parked_total",
+    .help = "Requests that waited for credit.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_returned = {.name = "bramley_quota_returned_total",
+    .help = "Requests that were admitted and have not run, so that their "
+	    "credit was returned.",
+    .kind = METRIC_COUNTER};
+struct metric metric_quota_homes = {.name = "bramley_quota_homes",
+    .help = "Homes of customers' limits on this host that entries report to.",
+    .kind = METRIC_GAUGE};
+struct metric metric_quota_entries = {.name = "bramley_quota_entries",
+    .help = "Entries that report to homes on this host, summed over the homes.",
+    .kind = METRIC_GAUGE};
+
+static struct metric status_ignored[STATUS_FLAWS];
+static char status_labels[STATUS_FLAWS][LABEL_BYTES];
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -148,6 +179,24 @@
 	}
 }
 
+static void
+register_status_ignored(void)
+{
+	int i;
+
+	for (i = STATUS_FLAW_NONE + 1; i < STATUS_FLAWS; i++) {
+		(void)g_snprintf(status_labels[i], LABEL_BYTES, "flaw=\"%s\"",
+		    status_flaw_name((enum status_flaw)i));
+		status_ignored[i].name =
+		    "bramley_upstream_status_ignored_total";
+		status_ignored[i].help =
+		    "Reports of upstreams on their load that were not used.";
+		status_ignored[i].kind = METRIC_COUNTER;
+		status_ignored[i].labels = status_labels[i];
+		metric_register(&status_ignored[i]);
+	}
+}
+
 static void
 register_departures(void)
 {
@@ -211,9 +260,12 @@
 	    &metric_silent_connections, &metric_entry_us, &metric_guard_us,
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_behind_refusals,
-	    &metric_unconfirmed, &metric_crashes, &metric_quarantined,
-	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
-	    &metric_departure_us, &metric_timers_late_us};
+	    &metric_unconfirmed, &metric_early_returns, &metric_crashes,
+	    &metric_quarantined, &metric_upstream_limit,
+	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
+	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
+	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
+	    &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
@@ -223,6 +275,7 @@
 	register_outcomes();
 	register_refusals();
 	register_unauthorized();
+	register_status_ignored();
 }
 
 void
@@ -263,6 +316,13 @@
 		metric_add(&refusals[r], 1);
 }
 
+void
+call_metrics_status_ignored(enum status_flaw f)
+{
+	if (f > STATUS_FLAW_NONE && f < STATUS_FLAWS)
+		metric_add(&status_ignored[f], 1);
+}
+
 void
 call_metrics_departure(enum call_stage s)
 {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "traffic/traffic_defs.h"
+#include "traffic/upstream_status.h"
 
 extern struct metric metric_calls_in_flight;
 extern struct metric metric_requests_in_flight;
@@ -19,6 +20,7 @@
 extern struct metric metric_call_received_bytes;
 extern struct metric metric_behind_refusals;
 extern struct metric metric_unconfirmed;
+extern struct metric metric_early_returns;
 extern struct metric metric_crashes;
 extern struct metric metric_quarantined;
 extern struct metric metric_upstream_limit;
@@ -30,6 +32,13 @@
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
 extern struct metric metric_timers_late_us;
+extern struct metric metric_quota_granted;
+extern struct metric metric_quota_lent;
+extern struct metric metric_quota_refused;
+extern struct metric metric_quota_parked;
+extern struct metric metric_quota_returned;
+extern struct metric metric_quota_homes;
+extern struct metric metric_quota_entries;
 
 /** enum abandoned_state - where a request stood at its guard as its caller left
  */
@@ -69,6 +78,10 @@
  * customer key */
 void call_metrics_unauthorized(enum key_fault f);
 
+/** call_metrics_status_ignored() - count a report of an upstream that isn't
+ * used */
+void call_metrics_status_ignored(enum status_flaw f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -8,6 +8,7 @@
 
 #include "call_metrics.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /*
  * Log lines on calls per second.  A line costs about 10 us of processor time,
@@ -54,6 +55,7 @@
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
 	e->splits = split_table_new(e->seed);
 	e->patience = patience_new();
+	e->returns = returns_new();
 	drain_init(&e->drain);
 	behind_init(&e->behind);
 	behind_init(&e->awaited);
@@ -93,6 +95,7 @@
 	struct entry *e = arg;
 
 	(void)entry_snapshot(e);
+	entry_quota_update(e->quota);
 	if (e->watcher != NULL)
 		e->watcher(e->watcher_arg);
 }
@@ -216,6 +219,12 @@
 	e->guard = g;
 }
 
+void
+entry_use_homes(struct entry *e, struct guard_quota *homes)
+{
+	e->quota = entry_quota_new(e, homes);
+}
+
 void
 entry_free(struct entry *e)
 {
@@ -225,11 +234,13 @@
 		return;
 	while ((l = e->calls.head) != NULL)
 		entry_call_free(l->data);
+	entry_quota_free(e->quota);
 	g_hash_table_destroy(e->peers);
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
 	split_table_free(e->splits);
 	patience_free(e->patience);
+	returns_free(e->returns);
 	ejection_free(e->ejection);
 	endpoints_free(e->endpoints);
 	run_reports_free(e->runs);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -14,6 +14,7 @@
 #include "call_metrics.h"
 #include "call_print.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /* Time after the deadline in which the guard may still report whether the
  * request had started. */
@@ -22,6 +23,9 @@
 /* Time limit for reaching a guard for a resolve. */
 #define RESOLVE_LIMIT_MS 2000
 
+/* Part of its remaining time after which a refused caller comes back. */
+#define RETURN_DIVISOR 3
+
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
 #define HTTP_CONTENT_TOO_LARGE 413
@@ -118,6 +122,58 @@
 	return true;
 }
 
+/* Whether callers may repeat the call on their own: upstreams don't, and all
+ * calls with one key are one request. */
+static bool
+may_return(const struct entry_call *c)
+{
+	return !c->is_served && !c->keyed;
+}
+
+/* Refuses a request that comes back earlier than its caller was asked to while
+ * the service still refuses others. */
+static bool
+passes_returns(struct entry_call *c)
+{
+	struct returns *t = c->entry->returns;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	struct fingerprint print;
+	uint64_t early_ms;
+
+	if (call_attempts(c->machine) > 0 || !may_return(c) ||
+	    returns_is_empty(t, now_ms) || !make_fingerprint(c, &print))
+		return true;
+	early_ms = returns_early_ms(t, c->service->id, &print, now_ms);
+	if (early_ms == 0)
+		return true;
+	c->is_early = true;
+	metric_add(&metric_early_returns, 1);
+	call_returned_early(c->machine, early_ms);
+	return false;
+}
+
+/* A caller returns after a third of its time at most, since it would otherwise
+ * have no time for the answer. */
+static void
+await_return(struct entry_call *c, const struct call_action *action)
+{
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	uint64_t wait_ms = action->retry_after_ms;
+	struct fingerprint print;
+
+	if ((action->refusal != REFUSAL_WAIT &&
+		action->refusal != REFUSAL_QUEUE_FULL) ||
+	    action->outcome != OUTCOME_NOT_RUN || c->is_early ||
+	    !may_return(c) || !make_fingerprint(c, &print))
+		return;
+	if (c->request->deadline_ms != DEADLINE_NEVER)
+		wait_ms = MIN(wait_ms,
+		    clock_left_ms(c->request->deadline_ms, now_ms) /
+			RETURN_DIVISOR);
+	returns_refused(c->entry->returns, c->service->id, &print,
+	    now_ms + wait_ms, now_ms);
+}
+
 /* A share of the calls has its first attempt at a version on trial; further
  * attempts are placed on the current version. */
 static bool
@@ -142,12 +198,13 @@
 	struct entry *e = c->entry;
 	struct placement_query q = {.service = c->service->id,
 	    .idempotent = c->idempotent,
+	    .kind = entry_route_key(c->route),
 	    .avoid_own = entry_is_overdue(e)};
 	struct placement_choice choice;
 	const struct endpoint *ep;
 	uint64_t now_ms = loop_now_ms(e->loop);
 
-	if (!passes_quarantine(c, &q))
+	if (!passes_quarantine(c, &q) || !passes_returns(c))
 		return;
 	if (c->keyed) {
 		q.key = c->request->key;
@@ -250,6 +307,7 @@
 	if (c->finished)
 		return;
 	c->finished = true;
+	entry_quota_ended(c);
 	drop_streams(c);
 	loop_timer_stop(&c->timer);
 	loop_task_defer(&c->free_task);
@@ -261,6 +319,8 @@
 static const char *
 failure_reason(const struct entry_call *c, const struct call_action *action)
 {
+	if (c->is_early)
+		return "early_return";
 	if (action->refusal != REFUSAL_NONE)
 		return refusal_name(action->refusal);
 	if (drain_is_complete(&c->entry->drain))
@@ -277,6 +337,7 @@
 	if (c->is_served && action->outcome == OUTCOME_NOT_RUN)
 		guard_call_refused(c->entry->guard, c->request->id);
 	call_metrics_outcome(action->outcome);
+	await_return(c, action);
 	if (action->refusal == REFUSAL_NO_ENDPOINT ||
 	    action->refusal == REFUSAL_UNREACHABLE)
 		call_metrics_refusal(action->refusal);
@@ -619,14 +680,37 @@
 	return all_idempotent(s, &match);
 }
 
+/* Return: false when the request was refused for its customer's limit. */
+static bool
+within_limit(struct entry *e, struct call_exchange *x,
+    const struct customer *customer, enum quota_verdict *verdict)
+{
+	uint64_t retry_after_ms = 0;
+
+	*verdict = entry_quota_take(e->quota, customer, &retry_after_ms);
+	if (*verdict != QUOTA_REFUSE)
+		return true;
+	entry_quota_refuse(e, x, customer, retry_after_ms);
+	return false;
+}
+
+void
+entry_call_start(struct entry_call *c)
+{
+	call_start(c->machine, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+}
+
 void
 entry_call_begin(struct entry *e, struct call_exchange *x)
 {
 	struct accepted accepted;
 	struct entry_call *c;
 	struct exchange_events events;
+	enum quota_verdict verdict = QUOTA_ADMIT;
 
-	if (!route_call(e, x, &accepted)) {
+	if (!route_call(e, x, &accepted) ||
+	    !within_limit(e, x, accepted.customer, &verdict)) {
 		entry_call_ended(e);
 		call_exchange_unref(x);
 		return;
@@ -635,8 +719,12 @@
 	call_exchange_accept(x);
 	call_exchange_poll(x, &events);
 	c->body.exchange_end = events.request_body_end;
-	call_start(c->machine, loop_now_ms(e->loop));
-	entry_call_run(c);
+	if (verdict == QUOTA_WAIT) {
+		entry_quota_park(c);
+		return;
+	}
+	c->credited = c->customer != NULL && c->customer->rate_milli_per_s != 0;
+	entry_call_start(c);
 }
 
 void
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -14,6 +14,7 @@
 
 #include "call_metrics.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 static struct entry_attempt *
 find_attempt(struct entry_peer *p, uint32_t number)
@@ -33,7 +34,8 @@
 	    .pace_percent = load->pace_percent,
 	    .waiting = load->waiting,
 	    .work_ms = load->work_ms,
-	    .calls_refused_milli = load->calls_refused_milli};
+	    .calls_refused_milli = load->calls_refused_milli,
+	    .kind_us = load->kind_us};
 
 	const struct run_report run = {.run = load->run,
 	    .limit_milli_per_s = load->limit_milli_per_s,
@@ -150,6 +152,10 @@
 	a->complete = true;
 	entry_attempt_end(
 	    a, status >= SERVER_ERROR ? ENDPOINT_FAILED : ENDPOINT_OK);
+	if (status < SERVER_ERROR)
+		endpoints_ran(c->entry->endpoints, a->action.endpoint,
+		    entry_route_key(c->route), a->upstream_us, a->load.kind_us,
+		    loop_now_ms(c->entry->loop));
 	report_load(a, &a->load);
 	call_answered(
 	    c->machine, a->action.stream, loop_now_ms(c->entry->loop));
@@ -340,6 +346,8 @@
 		return on_resolved(p, body, len);
 	case MSG_CALL_GOODBYE:
 		return on_goodbye(p, body, len);
+	case MSG_QUOTA_GRANT:
+		return entry_quota_grant(p, body, len);
 	case MSG_CALL_PING:
 		return on_ping(p, body, len);
 	default:
--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -134,6 +134,10 @@
 /** call_quarantined() - the request is quarantined: no endpoint may run it */
 void call_quarantined(struct call *c, uint64_t retry_after_ms);
 
+/** call_returned_early() - the caller came back earlier than it was asked to,
+ * and is refused for load without an attempt */
+void call_returned_early(struct call *c, uint64_t retry_after_ms);
+
 /**
  * call_sent() - the first byte of a SEND is being passed to the connection
  * @c: the call
@@ -234,6 +238,10 @@
 /** call_may_have_run() - whether an earlier attempt may have run unanswered */
 bool call_may_have_run(const struct call *c);
 
+/** call_has_not_run() - whether a finished call has certainly not run at any
+ * upstream */
+bool call_has_not_run(const struct call *c);
+
 /** call_stage() - how far the call has come */
 enum call_stage call_stage(const struct call *c);
 
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -296,6 +296,9 @@
 GList *admission_fair_last(
     const struct admission_fair *f, const GQueue *q, uint64_t run_us);
 
+/** admission_work_ms() - expected run time of all requests that run or wait */
+uint64_t admission_work_ms(const struct admission *a);
+
 /** admission_dequeue() - remove a request from a lane; the caller frees it */
 struct waiting *admission_dequeue(struct lane *l, uint32_t rank, GList *link);
 
