--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -14,6 +14,7 @@
 #include "call_metrics.h"
 #include "call_print.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /* Time after the deadline in which the guard may still report whether the
  * request had started. */
@@ -25,10 +26,10 @@
 /* Part of its remaining time after which a refused caller comes back. */
 #define RETURN_DIVISOR 3
 
-#define HTTP_UNAUTHORIZED 401
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
 #define HTTP_CONTENT_TOO_LARGE 413
+#define HTTP_HEADERS_TOO_LARGE 431
 #define HTTP_UNAVAILABLE 503
 
 static struct entry_attempt *
@@ -129,6 +130,17 @@
 	return !c->is_served && !c->keyed;
 }
 
+/* Customers whose callers share an address and send the same are told apart. */
+static bool
+make_return_print(struct entry_call *c, struct fingerprint *print)
+{
+	if (!may_return(c) || !make_fingerprint(c, print))
+		return false;
+	if (c->customer != NULL)
+		print->caller ^= c->customer->id;
+	return true;
+}
+
 /* Refuses a request that comes back earlier than its caller was asked to while
  * the service still refuses others. */
 static bool
@@ -139,8 +151,8 @@
 	struct fingerprint print;
 	uint64_t early_ms;
 
-	if (call_attempts(c->machine) > 0 || !may_return(c) ||
-	    returns_is_empty(t, now_ms) || !make_fingerprint(c, &print))
+	if (call_attempts(c->machine) > 0 || returns_is_empty(t, now_ms) ||
+	    !make_return_print(c, &print))
 		return true;
 	early_ms = returns_early_ms(t, c->service->id, &print, now_ms);
 	if (early_ms == 0)
@@ -163,7 +175,7 @@
 	if ((action->refusal != REFUSAL_WAIT &&
 		action->refusal != REFUSAL_QUEUE_FULL) ||
 	    action->outcome != OUTCOME_NOT_RUN || c->is_early ||
-	    !may_return(c) || !make_fingerprint(c, &print))
+	    !make_return_print(c, &print))
 		return;
 	if (c->request->deadline_ms != DEADLINE_NEVER)
 		wait_ms = MIN(wait_ms,
@@ -207,6 +219,7 @@
 	if (c->keyed) {
 		q.key = c->request->key;
 		q.key_len = strlen(c->request->key);
+		q.key_scope = c->customer != NULL ? c->customer->id : 0;
 	}
 	q.tried = call_tried(c->machine, &q.n_tried);
 	if (!choose_endpoint(c, &q, now_ms, &choice)) {
@@ -304,6 +317,7 @@
 	if (c->finished)
 		return;
 	c->finished = true;
+	entry_quota_ended(c);
 	drop_streams(c);
 	loop_timer_stop(&c->timer);
 	loop_task_defer(&c->free_task);
@@ -555,7 +569,6 @@
 	c->link.data = c;
 	g_queue_push_tail_link(&e->calls, &c->link);
 	call_exchange_set_entry_data(x, c);
-	entry_customer_name(c, r);
 	return c;
 }
 
@@ -599,7 +612,7 @@
 route_call(struct entry *e, struct call_exchange *x, struct accepted *accepted)
 {
 	struct route_match *match = &accepted->match;
-	const struct call_request *r = call_exchange_request(x);
+	struct call_request *r = call_exchange_request(x);
 	enum http_method method;
 
 	if (!drain_accepts_call(&e->drain)) {
@@ -624,10 +637,10 @@
 	case ROUTE_FOUND:
 		break;
 	}
-	if (!entry_customer_find(e, r, match->route, &accepted->customer))
-		return refuse(e, x, HTTP_UNAUTHORIZED, "unauthorized",
-		    "the request needs the key of a customer; send a valid "
-		    "one.");
+	if (!entry_customer_find(e, r, match->route, &accepted->customer)) {
+		entry_customer_refuse(e, x);
+		return false;
+	}
 	choose_by_weight(e, match);
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
@@ -635,17 +648,75 @@
 		return refuse(e, x, HTTP_CONTENT_TOO_LARGE, "too_large",
 		    "the body exceeds the service's limit; send a smaller "
 		    "one.");
+	if (!entry_customer_name(e, accepted->customer, r))
+		return refuse(e, x, HTTP_HEADERS_TOO_LARGE, "too_large",
+		    "the request has too many headers; send fewer.");
 	return true;
 }
 
+/* Services that share a route by weight may differ, and the one is not chosen
+ * yet. */
+static bool
+all_idempotent(const struct snapshot *s, const struct route_match *match)
+{
+	struct route_match shares[SNAPSHOT_SHARES_MAX];
+	uint32_t i, n;
+
+	if (match->route->weight == 0)
+		return match->route->idempotent;
+	n = snapshot_shares(s, match, shares);
+	for (i = 0; i < n; i++)
+		if (!shares[i].route->idempotent)
+			return false;
+	return true;
+}
+
+bool
+entry_may_overlap(
+    struct entry *e, const char *method, const char *host, const char *target)
+{
+	const struct snapshot *s = entry_snapshot(e);
+	struct route_match match;
+
+	if (s == NULL || target[0] != '/')
+		return false;
+	if (snapshot_match(s, method_parse(method, strlen(method)), host,
+		target, strlen(target), &match) != ROUTE_FOUND)
+		return false;
+	return all_idempotent(s, &match);
+}
+
+/* Return: false when the request was refused for its customer's limit. */
+static bool
+within_limit(struct entry *e, struct call_exchange *x,
+    const struct customer *customer, enum quota_verdict *verdict)
+{
+	uint64_t retry_after_ms = 0;
+
+	*verdict = entry_quota_take(e->quota, customer, &retry_after_ms);
+	if (*verdict != QUOTA_REFUSE)
+		return true;
+	entry_quota_refuse(e, x, customer, retry_after_ms);
+	return false;
+}
+
+void
+entry_call_start(struct entry_call *c)
+{
+	call_start(c->machine, loop_now_ms(c->entry->loop));
+	entry_call_run(c);
+}
+
 void
 entry_call_begin(struct entry *e, struct call_exchange *x)
 {
 	struct accepted accepted;
 	struct entry_call *c;
 	struct exchange_events events;
+	enum quota_verdict verdict = QUOTA_ADMIT;
 
-	if (!route_call(e, x, &accepted)) {
+	if (!route_call(e, x, &accepted) ||
+	    !within_limit(e, x, accepted.customer, &verdict)) {
 		entry_call_ended(e);
 		call_exchange_unref(x);
 		return;
@@ -654,8 +725,12 @@
 	call_exchange_accept(x);
 	call_exchange_poll(x, &events);
 	c->body.exchange_end = events.request_body_end;
-	call_start(c->machine, loop_now_ms(e->loop));
-	entry_call_run(c);
+	if (verdict == QUOTA_WAIT) {
+		entry_quota_park(c);
+		return;
+	}
+	c->credited = c->customer != NULL && c->customer->rate_milli_per_s != 0;
+	entry_call_start(c);
 }
 
 void
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -66,6 +66,7 @@
  * @awaited: version in force and the newest one that some node could read
  * @quarantine: quarantined requests, borrowed; NULL for none
  * @guard: guard of this host, borrowed; NULL for none
+ * @quota: limits of customers; NULL in tests without homes
  * @watcher: callback for new snapshots, or NULL
  * @watcher_arg: passed to @watcher
  * @runs: upstreams' runs that name a limit or leave
@@ -78,6 +79,7 @@
  * @seed: random number of this process, part of request ids
  * @in_flight: number of calls, atomic for entry_in_flight()
  * @done_log_limit: rate limit of log lines on answered calls
+ * @key_log_limit: rate limit of log lines on calls without a valid key
  * @other_log_limit: rate limit of all other log lines on calls
  */
 struct entry {
@@ -97,6 +99,7 @@
 	struct behind awaited;
 	struct quarantine *quarantine;
 	struct guard *guard;
+	struct entry_quota *quota;
 	void (*watcher)(void *arg);
 	void *watcher_arg;
 	struct run_reports *runs;
@@ -109,6 +112,7 @@
 	uint64_t seed;
 	_Atomic uint32_t in_flight;
 	struct log_limit done_log_limit;
+	struct log_limit key_log_limit;
 	struct log_limit other_log_limit;
 };
 
@@ -159,6 +163,9 @@
  *	@suspected, or DEADLINE_NEVER
  * @dial_deadline_ms: monotonic deadline of the dial
  * @failed_dials: consecutive dials that failed
+ * @unanswered_report: a report of customers' demand has no reply yet
+ * @wanted_until_ms: monotonic time until which the guard is redialled although
+ *	no endpoint of it is used
  */
 struct entry_peer {
 	struct entry *entry;
@@ -179,6 +186,8 @@
 	uint64_t suspect_ms;
 	uint64_t dial_deadline_ms;
 	uint32_t failed_dials;
+	bool unanswered_report;
+	uint64_t wanted_until_ms;
 };
 
 /** enum attempt_kind - purpose of a stream */
@@ -276,6 +285,10 @@
  * @customer: the customer in @snapshot, or NULL
  * @served: request of an upstream of this host that makes the call
  * @is_served: @served is set
+ * @credited: the call was admitted by credit of its customer
+ * @parked: the call waits for credit and isn't started
+ * @park_link: node in the list of such calls
+ * @park_until_ms: monotonic time until which it waits
  * @deadline_ms: monotonic deadline: the earlier of the caller's deadline and
  *	the configured timeout
  * @target_ms: monotonic time after which the answer is worth less; 0 when not
@@ -307,6 +320,10 @@
 	const struct customer *customer;
 	struct guard_served served;
 	bool is_served;
+	bool credited;
+	bool parked;
+	GList park_link;
+	uint64_t park_until_ms;
 	uint64_t deadline_ms;
 	uint64_t target_ms;
 	bool idempotent;
@@ -358,6 +375,20 @@
 /** entry_peer_remove() - detach @a; later frames of its stream are ignored */
 void entry_peer_remove(struct entry_attempt *a);
 
+/**
+ * entry_peer_reach() - whether a message can be sent to the guard now
+ *
+ * If not, the connection is established as soon as the guard can be reached.
+ */
+bool entry_peer_reach(struct entry_peer *p);
+
+/** entry_peer_report() - send a report of customers' demand; Return: whether it
+ * was sent */
+bool entry_peer_report(struct entry_peer *p, const struct msg_quota_report *m);
+
+/** entry_peer_reported() - the guard has answered a report */
+void entry_peer_reported(struct entry_peer *p);
+
 /** entry_peer_free() - close the connection and free the peer; for
  * GHashTable */
 void entry_peer_free(void *peer);
@@ -429,6 +460,9 @@
  * entry */
 void entry_call_begin(struct entry *e, struct call_exchange *x);
 
+/** entry_call_start() - start a call that was admitted */
+void entry_call_start(struct entry_call *c);
+
 /** entry_call_exchange_event() - the server for callers has changed the
  * exchange */
 void entry_call_exchange_event(struct entry_call *c);
@@ -454,9 +488,21 @@
 bool entry_customer_find(const struct entry *e, const struct call_request *r,
     const struct service_route *route, const struct customer **customer);
 
-/** entry_customer_name() - add the customer's name to the headers for the
- * upstream */
-void entry_customer_name(const struct entry_call *c, struct call_request *r);
+/** entry_customer_refuse() - answer a request without a valid key, as behind
+ * when a newer version may hold its key */
+void entry_customer_refuse(struct entry *e, struct call_exchange *x);
+
+/**
+ * entry_customer_name() - add the customer's name to the headers for the
+ * upstream
+ * @e: the entry
+ * @customer: the customer, or NULL
+ * @r: the request
+ *
+ * Return: false if the name doesn't fit; the request must not run then.
+ */
+bool entry_customer_name(const struct entry *e, const struct customer *customer,
+    struct call_request *r);
 
 /* entry_behind.c */
 
@@ -504,6 +550,14 @@
 void entry_answer_refuse(struct call_exchange *x, uint32_t status,
     const char *kind, const char *message);
 
+/** entry_answer_limited() - answer that the customer's limit is used up */
+void entry_answer_limited(struct call_exchange *x, uint64_t retry_after_ms);
+
+/** entry_answer_unanswered_limit() - answer that the customer's limit could not
+ * be checked in time */
+void
+entry_answer_unanswered_limit(struct call_exchange *x, uint64_t retry_after_ms);
+
 /** entry_answer_failed() - answer a call that got no answer from an upstream */
 void
 entry_answer_failed(struct entry_call *c, const struct call_action *action);
