--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -130,6 +130,17 @@
 	return !c->is_served && !c->keyed;
 }
 
+/* Customers whose callers share an address and send the same are told apart. */
+static bool
+make_return_print(struct entry_call *c, struct fingerprint *print)
+{
+	if (!may_return(c) || !make_fingerprint(c, print))
+		return false;
+	if (c->customer != NULL)
+		print->caller ^= c->customer->id;
+	return true;
+}
+
 /* Refuses a request that comes back earlier than its caller was asked to while
  * the service still refuses others. */
 static bool
@@ -140,8 +151,8 @@
 	struct fingerprint print;
 	uint64_t early_ms;
 
-	if (call_attempts(c->machine) > 0 || !may_return(c) ||
-	    returns_is_empty(t, now_ms) || !make_fingerprint(c, &print))
+	if (call_attempts(c->machine) > 0 || returns_is_empty(t, now_ms) ||
+	    !make_return_print(c, &print))
 		return true;
 	early_ms = returns_early_ms(t, c->service->id, &print, now_ms);
 	if (early_ms == 0)
@@ -164,7 +175,7 @@
 	if ((action->refusal != REFUSAL_WAIT &&
 		action->refusal != REFUSAL_QUEUE_FULL) ||
 	    action->outcome != OUTCOME_NOT_RUN || c->is_early ||
-	    !may_return(c) || !make_fingerprint(c, &print))
+	    !make_return_print(c, &print))
 		return;
 	if (c->request->deadline_ms != DEADLINE_NEVER)
 		wait_ms = MIN(wait_ms,
