--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -331,25 +331,36 @@
 	s->home = *home;
 }
 
-static void
-report(struct entry_quota *q, struct shard *s)
+/* Return: whether a report can be sent to @home now. */
+static bool
+choose_home(struct entry_quota *q, struct shard *s, struct quota_host *home)
 {
 	const struct quota_ranks *r = own_ranks(q);
 	uint32_t shard = (uint32_t)(s - q->shards);
 	struct quota_candidate candidates[QUOTA_CANDIDATES];
-	const struct quota_host own = {.id = q->own_id};
-	uint32_t n = 0, chosen;
+	uint32_t n, chosen;
 
-	if (r != NULL)
-		n = list_candidates(
-		    q, r->hosts[shard], r->n[shard], candidates);
+	memset(home, 0, sizeof(*home));
+	home->id = q->own_id;
+	if (r == NULL)
+		return true;
+	n = list_candidates(q, r->hosts[shard], r->n[shard], candidates);
 	chosen = quota_choice_pick(&s->choice, candidates, n, now(q));
 	if (chosen == QUOTA_CHOICE_OWN)
-		report_to(q, s, &own);
-	else if (candidates[chosen].ready)
-		report_to(q, s, &r->hosts[shard][chosen]);
+		return true;
+	*home = r->hosts[shard][chosen];
+	return candidates[chosen].ready;
+}
+
+static void
+report(struct entry_quota *q, struct shard *s)
+{
+	struct quota_host home;
+
+	if (choose_home(q, s, &home))
+		report_to(q, s, &home);
 	else
-		await_connection(q, s, &r->hosts[shard][chosen]);
+		await_connection(q, s, &home);
 }
 
 static void
