--- a/packages/node/src/entry_peer.c
+++ b/packages/node/src/entry_peer.c
@@ -9,6 +9,7 @@
 
 #include "call_metrics.h"
 #include "entry_priv.h"
+#include "entry_quota.h"
 
 /* Timeout for connecting, including the guard's hello: many round trips, plus
  * the queue of a saturated link. */
@@ -184,6 +185,7 @@
 	for (i = 0; i < lost->len; i++)
 		entry_attempt_lost(g_ptr_array_index(lost, i), silent);
 	g_ptr_array_free(lost, TRUE);
+	entry_quota_peer_lost(p);
 	schedule_redial(p);
 }
 
--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -45,7 +45,8 @@
  * @allowance: credit of this entry
  * @choice: which home is reported to
  * @sequence: number of the last report
- * @home: host that the last report was sent to
+ * @home: host that the last report was sent to, or whose connection is awaited
+ * @reported: a report was sent to @home
  * @silent_ms: monotonic time at which @home counts as silent, DEADLINE_NEVER
  *	when no report is unanswered and no connection is awaited
  * @retry_ms: monotonic time before which no report is tried
@@ -57,6 +58,7 @@
 	struct quota_choice choice;
 	uint32_t sequence;
 	struct quota_host home;
+	bool reported;
 	uint64_t silent_ms;
 	uint64_t retry_ms;
 	uint32_t logged_entries;
@@ -311,6 +313,7 @@
 
 	n = quota_allowance_report(s->allowance, demands, DEMANDS_MAX, now(q));
 	s->home = *home;
+	s->reported = true;
 	if (home->id == q->own_id) {
 		report_here(q, s, demands, n);
 		return;
@@ -329,6 +332,7 @@
 	if (s->silent_ms == DEADLINE_NEVER || s->home.id != home->id)
 		s->silent_ms = now(q) + QUOTA_REPLY_MS;
 	s->home = *home;
+	s->reported = false;
 }
 
 /* Return: whether a report can be sent to @home now. */
@@ -346,6 +350,11 @@
 		return true;
 	n = list_candidates(q, r->hosts[shard], r->n[shard], candidates);
 	chosen = quota_choice_pick(&s->choice, candidates, n, now(q));
+	if (chosen < n && !candidates[chosen].ready && s->reported &&
+	    candidates[chosen].id == s->home.id) {
+		quota_choice_lost(&s->choice, s->home.id, now(q));
+		chosen = quota_choice_pick(&s->choice, candidates, n, now(q));
+	}
 	if (chosen == QUOTA_CHOICE_OWN)
 		return true;
 	*home = r->hosts[shard][chosen];
@@ -542,6 +551,24 @@
 	return valid;
 }
 
+void
+entry_quota_peer_lost(const struct entry_peer *p)
+{
+	struct entry_quota *q = p->entry->quota;
+	struct shard *s;
+	uint32_t i;
+
+	if (q == NULL || !q->active)
+		return;
+	for (i = 0; i < QUOTA_SHARDS; i++) {
+		s = &q->shards[i];
+		if (s->reported && s->silent_ms != DEADLINE_NEVER &&
+		    addr_key(&s->home.address) == addr_key(&p->address))
+			s->silent_ms = now(q);
+	}
+	schedule(q);
+}
+
 /* Requests */
 
 enum quota_verdict
--- a/packages/node/src/entry_quota.h
+++ b/packages/node/src/entry_quota.h
@@ -37,6 +37,10 @@
  */
 void entry_quota_ended(struct entry_call *c);
 
+/** entry_quota_peer_lost() - the connection to a guard was lost: its reports
+ * are not answered */
+void entry_quota_peer_lost(const struct entry_peer *p);
+
 /** entry_quota_grant() - handle a reply; see entry_frame() */
 bool entry_quota_grant(struct entry_peer *p, const uint8_t *body, size_t len);
 
--- a/packages/quota/include/quota/choice.h
+++ b/packages/quota/include/quota/choice.h
@@ -71,6 +71,9 @@
  */
 bool quota_choice_missed(struct quota_choice *c, uint64_t id, uint64_t now_ms);
 
+/** quota_choice_lost() - the connection to host @id was lost; it is replaced */
+void quota_choice_lost(struct quota_choice *c, uint64_t id, uint64_t now_ms);
+
 /** quota_choice_answered() - host @id has answered */
 void quota_choice_answered(struct quota_choice *c, uint64_t id);
 
--- a/packages/quota/src/choice.c
+++ b/packages/quota/src/choice.c
@@ -50,14 +50,20 @@
 	s->until_ms = now_ms + NEXT_TRY_MS;
 }
 
+void
+quota_choice_lost(struct quota_choice *c, uint64_t id, uint64_t now_ms)
+{
+	c->misses = 0;
+	note_silent(c, id, now_ms);
+}
+
 bool
 quota_choice_missed(struct quota_choice *c, uint64_t id, uint64_t now_ms)
 {
 	c->misses++;
 	if (c->misses < QUOTA_MISSES)
 		return false;
-	c->misses = 0;
-	note_silent(c, id, now_ms);
+	quota_choice_lost(c, id, now_ms);
 	return true;
 }
 
