--- a/packages/node/include/node/call_dialect.h
+++ b/packages/node/include/node/call_dialect.h
@@ -7,6 +7,8 @@
 
 #include <stdbool.h>
 
+#include "traffic/upstream_status.h"
+
 /**
  * struct call_dialect - header names; NULL for a header that isn't used
  * @prefix: headers whose names begin with this prefix belong to this system:
@@ -17,6 +19,9 @@
  * @request_id: id of a request
  * @caller_sets_request_id: callers choose the id, and upstreams' answers repeat
  *	it; otherwise the guard generates an id for each attempt
+ * @call_separator: an upstream sends a call that it makes for a request under
+ *	the request's id, this character and a part of its own; 0 if ids don't
+ *	show which request a call serves
  * @key: Idempotency-Key is interpreted: all calls with one key are one request;
  *	otherwise it is forwarded as an ordinary header
  * @customer_key: from callers: key of the customer; never forwarded
@@ -32,7 +37,9 @@
  * @not_run_value: value of @not_run that declares it; NULL for any value
  * @signature: a successful answer without this header is not the upstream's
  *	own, unaltered answer
- * @load: an upstream's running and queued requests and its slots
+ * @load: an upstream's running and waiting requests, its slots and the pace of
+ *	its machine
+ * @parse_load: parses the value of @load, see upstream_status_parse()
  * @limits: names of the header with which an upstream limits the requests a
  *	second that it accepts from all callers; ends with NULL
  * @leaving: names of the header with which an upstream reports that it leaves,
@@ -45,6 +52,7 @@
 	const char *const *from_upstreams;
 	const char *request_id;
 	bool caller_sets_request_id;
+	char call_separator;
 	bool key;
 	const char *customer_key;
 	const char *customer;
@@ -57,6 +65,7 @@
 	const char *not_run_value;
 	const char *signature;
 	const char *load;
+	bool (*parse_load)(const char *text, struct upstream_status *s);
 	const char *const *limits;
 	const char *const *leaving;
 	bool fractional_retry_after;
--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -9,6 +9,7 @@
 #ifndef NODE_ENTRY_H
 #define NODE_ENTRY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/status.h"
@@ -16,6 +17,7 @@
 struct call_dialect;
 struct call_exchange;
 struct entry;
+struct guard;
 struct guard_quota;
 struct loop;
 struct quarantine;
@@ -70,6 +72,18 @@
  */
 void entry_version_awaited(struct entry *e, uint64_t version);
 
+/**
+ * entry_set_confirmed() - set since when the version in force is known to be
+ * the newest
+ * @e: the entry
+ * @confirmed_ms: monotonic time before which all accepted versions are in the
+ *	published snapshot, as far as they are in force; 0 for never
+ *
+ * Any thread may call this function.  Counts with the setting
+ * revoke_confirm_ms only.
+ */
+void entry_set_confirmed(struct entry *e, uint64_t confirmed_ms);
+
 /**
  * entry_behind_head() - a request's head exceeds the limits in force
  * @e: the entry
@@ -83,6 +97,22 @@
  */
 uint64_t entry_behind_head(struct entry *e, uint32_t status);
 
+/**
+ * entry_may_overlap() - whether a request may run beside others of its
+ * connection
+ * @e: the entry
+ * @method: its method
+ * @host: its Host header, or NULL
+ * @target: its path, or another form of target
+ *
+ * In the traffic thread.
+ *
+ * Return: whether the route in force declares that it may run more than once;
+ * false for a target that is not a path.
+ */
+bool entry_may_overlap(
+    struct entry *e, const char *method, const char *host, const char *target);
+
 /**
  * entry_submit() - submit a call to the entry
  * @e: the entry
@@ -123,6 +153,14 @@
  */
 void entry_use_quarantine(struct entry *e, struct quarantine *q);
 
+/**
+ * entry_use_guard() - set the guard of this host, which knows the requests that
+ * its upstreams make calls for
+ *
+ * To be called before the traffic thread starts; both run in it.
+ */
+void entry_use_guard(struct entry *e, struct guard *g);
+
 /** entry_free() - free the entry, once the traffic thread has stopped; NULL is
  * allowed */
 void entry_free(struct entry *e);
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -55,6 +55,15 @@
     .help = "Requests told to come back since a newer version is known.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_unconfirmed = {.name = "bramley_unconfirmed_total",
+    .help = "Requests refused since the version was not confirmed recently.",
+    .kind = METRIC_COUNTER};
+
+struct metric metric_early_returns = {.name = "bramley_early_returns_total",
+    .help = "Requests refused since their caller came back earlier than it was "
+	    "asked to.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_crashes = {.name = "bramley_upstream_crashes_total",
     .help = "Upstreams of this host that ended under requests, unannounced.",
     .kind = METRIC_COUNTER};
@@ -76,6 +85,15 @@
 	    "used up.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_overlapping = {.name = "bramley_overlapping_total",
+    .help = "Requests that began while an earlier one of their connection was "
+	    "under way.",
+    .kind = METRIC_COUNTER};
+struct metric metric_answers_held = {.name = "bramley_answers_held_total",
+    .help = "Answers that were complete before an earlier one of their "
+	    "connection.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_departures_unread = {.name = "bramley_departures_total",
     .help = "Callers that left before their answer, by how far the call was.",
     .kind = METRIC_COUNTER,
@@ -117,6 +135,8 @@
     .help = "Entries that report to homes on this host, summed over the homes.",
     .kind = METRIC_GAUGE};
 
+static struct metric status_ignored[STATUS_FLAWS];
+static char status_labels[STATUS_FLAWS][LABEL_BYTES];
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -124,6 +144,11 @@
 static const char *const abandoned_names[ABANDONED_STATES] = {
     "waiting", "running", "kept"};
 
+static struct metric unauthorized[KEY_FAULTS];
+static char unauthorized_labels[KEY_FAULTS][LABEL_BYTES];
+static const char *const key_fault_names[KEY_FAULTS] = {
+    "missing", "unknown", "several"};
+
 static struct metric outcomes[OUTCOMES];
 static struct metric refusals[REFUSALS];
 static char outcome_labels[OUTCOMES][LABEL_BYTES];
@@ -161,11 +186,31 @@
 	}
 }
 
+static void
+register_status_ignored(void)
+{
+	int i;
+
+	for (i = STATUS_FLAW_NONE + 1; i < STATUS_FLAWS; i++) {
+		(void)g_snprintf(status_labels[i], LABEL_BYTES, "flaw=\"%s\"",
+		    status_flaw_name((enum status_flaw)i));
+		status_ignored[i].name =
+		    "bramley_upstream_status_ignored_total";
+		status_ignored[i].help =
+		    "Reports of upstreams on their load that were not used.";
+		status_ignored[i].kind = METRIC_COUNTER;
+		status_ignored[i].labels = status_labels[i];
+		metric_register(&status_ignored[i]);
+	}
+}
+
 static void
 register_departures(void)
 {
 	int i;
 
+	metric_register(&metric_overlapping);
+	metric_register(&metric_answers_held);
 	metric_register(&metric_departures_unread);
 	metric_register(&metric_departures_unsubmitted);
 	for (i = 0; i < CALL_STAGES; i++) {
@@ -197,6 +242,23 @@
 	}
 }
 
+static void
+register_unauthorized(void)
+{
+	int i;
+
+	for (i = 0; i < KEY_FAULTS; i++) {
+		(void)g_snprintf(unauthorized_labels[i], LABEL_BYTES,
+		    "reason=\"%s\"", key_fault_names[i]);
+		unauthorized[i].name = "bramley_unauthorized_total";
+		unauthorized[i].help =
+		    "Requests refused for lack of a valid customer key.";
+		unauthorized[i].kind = METRIC_COUNTER;
+		unauthorized[i].labels = unauthorized_labels[i];
+		metric_register(&unauthorized[i]);
+	}
+}
+
 static void
 register_all(void)
 {
@@ -205,12 +267,12 @@
 	    &metric_silent_connections, &metric_entry_us, &metric_guard_us,
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_callers_connections,
-	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
-	    &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
-	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
-	    &metric_quota_homes, &metric_quota_entries};
+	    &metric_callers_shed, &metric_behind_refusals, &metric_unconfirmed,
+	    &metric_early_returns, &metric_crashes, &metric_quarantined,
+	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
+	    &metric_departure_us, &metric_timers_late_us, &metric_quota_granted,
+	    &metric_quota_lent, &metric_quota_refused, &metric_quota_parked,
+	    &metric_quota_returned, &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
@@ -219,6 +281,8 @@
 	register_abandoned();
 	register_outcomes();
 	register_refusals();
+	register_unauthorized();
+	register_status_ignored();
 }
 
 void
@@ -239,6 +303,19 @@
 		metric_add(&outcomes[o], 1);
 }
 
+const char *
+key_fault_name(enum key_fault f)
+{
+	return (size_t)f < KEY_FAULTS ? key_fault_names[f] : "?";
+}
+
+void
+call_metrics_unauthorized(enum key_fault f)
+{
+	if ((size_t)f < KEY_FAULTS)
+		metric_add(&unauthorized[f], 1);
+}
+
 void
 call_metrics_refusal(enum refusal r)
 {
@@ -246,6 +323,13 @@
 		metric_add(&refusals[r], 1);
 }
 
+void
+call_metrics_status_ignored(enum status_flaw f)
+{
+	if (f > STATUS_FLAW_NONE && f < STATUS_FLAWS)
+		metric_add(&status_ignored[f], 1);
+}
+
 void
 call_metrics_departure(enum call_stage s)
 {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "traffic/traffic_defs.h"
+#include "traffic/upstream_status.h"
 
 extern struct metric metric_calls_in_flight;
 extern struct metric metric_requests_in_flight;
@@ -20,11 +21,15 @@
 extern struct metric metric_callers_connections;
 extern struct metric metric_callers_shed;
 extern struct metric metric_behind_refusals;
+extern struct metric metric_unconfirmed;
+extern struct metric metric_early_returns;
 extern struct metric metric_crashes;
 extern struct metric metric_quarantined;
 extern struct metric metric_upstream_limit;
 extern struct metric metric_upstreams_leaving;
 extern struct metric metric_limited;
+extern struct metric metric_overlapping;
+extern struct metric metric_answers_held;
 extern struct metric metric_departures_unread;
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
@@ -46,6 +51,17 @@
 	ABANDONED_STATES,
 };
 
+/** enum key_fault - why a request has no customer */
+enum key_fault {
+	KEY_MISSING = 0,
+	KEY_UNKNOWN, /* no customer of the version in force holds it */
+	KEY_SEVERAL, /* the request has more than one */
+	KEY_FAULTS,
+};
+
+/** key_fault_name() - name of a fault for logs and metrics */
+const char *key_fault_name(enum key_fault f);
+
 /** call_metrics_register() - register all metrics; further calls have no
  * effect */
 void call_metrics_register(void);
@@ -60,6 +76,14 @@
 /** call_metrics_abandoned() - count a request whose caller left */
 void call_metrics_abandoned(enum abandoned_state s);
 
+/** call_metrics_unauthorized() - count a request refused for lack of a valid
+ * customer key */
+void call_metrics_unauthorized(enum key_fault f);
+
+/** call_metrics_status_ignored() - count a report of an upstream that isn't
+ * used */
+void call_metrics_status_ignored(enum status_flaw f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -15,6 +15,7 @@
  * so that all of them take less than 1 % of a core.
  */
 #define DONE_LINES_PER_S 20
+#define KEY_LINES_PER_S 10
 #define OTHER_LINES_PER_S 100
 #define OTHER_LINES_BURST 400
 
@@ -54,6 +55,7 @@
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
 	e->splits = split_table_new(e->seed);
 	e->patience = patience_new();
+	e->returns = returns_new();
 	drain_init(&e->drain);
 	behind_init(&e->behind);
 	behind_init(&e->awaited);
@@ -71,6 +73,8 @@
 	e->incarnation = incarnation;
 	e->done_log_limit.per_s = DONE_LINES_PER_S;
 	e->done_log_limit.burst = DONE_LINES_PER_S;
+	e->key_log_limit.per_s = KEY_LINES_PER_S;
+	e->key_log_limit.burst = KEY_LINES_PER_S;
 	e->other_log_limit.per_s = OTHER_LINES_PER_S;
 	e->other_log_limit.burst = OTHER_LINES_BURST;
 	e->loop = loop;
@@ -209,6 +213,12 @@
 	e->quarantine = q;
 }
 
+void
+entry_use_guard(struct entry *e, struct guard *g)
+{
+	e->guard = g;
+}
+
 void
 entry_use_homes(struct entry *e, struct guard_quota *homes)
 {
@@ -230,6 +240,7 @@
 	placement_free(e->placement);
 	split_table_free(e->splits);
 	patience_free(e->patience);
+	returns_free(e->returns);
 	ejection_free(e->ejection);
 	endpoints_free(e->endpoints);
 	run_reports_free(e->runs);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -23,10 +23,13 @@
 /* Time limit for reaching a guard for a resolve. */
 #define RESOLVE_LIMIT_MS 2000
 
-#define HTTP_UNAUTHORIZED 401
+/* Part of its remaining time after which a refused caller comes back. */
+#define RETURN_DIVISOR 3
+
 #define HTTP_NOT_FOUND 404
 #define HTTP_METHOD_NOT_ALLOWED 405
 #define HTTP_CONTENT_TOO_LARGE 413
+#define HTTP_HEADERS_TOO_LARGE 431
 #define HTTP_UNAVAILABLE 503
 
 static struct entry_attempt *
@@ -119,6 +122,58 @@
 	return true;
 }
 
+/* Whether callers may repeat the call on their own: upstreams don't, and all
+ * calls with one key are one request. */
+static bool
+may_return(const struct entry_call *c)
+{
+	return !c->is_served && !c->keyed;
+}
+
+/* Refuses a request that comes back earlier than its caller was asked to while
+ * the service still refuses others. */
+static bool
+passes_returns(struct entry_call *c)
+{
+	struct returns *t = c->entry->returns;
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	struct fingerprint print;
+	uint64_t early_ms;
+
+	if (call_attempts(c->machine) > 0 || !may_return(c) ||
+	    returns_is_empty(t, now_ms) || !make_fingerprint(c, &print))
+		return true;
+	early_ms = returns_early_ms(t, c->service->id, &print, now_ms);
+	if (early_ms == 0)
+		return true;
+	c->is_early = true;
+	metric_add(&metric_early_returns, 1);
+	call_returned_early(c->machine, early_ms);
+	return false;
+}
+
+/* A caller returns after a third of its time at most, since it would otherwise
+ * have no time for the answer. */
+static void
+await_return(struct entry_call *c, const struct call_action *action)
+{
+	uint64_t now_ms = loop_now_ms(c->entry->loop);
+	uint64_t wait_ms = action->retry_after_ms;
+	struct fingerprint print;
+
+	if ((action->refusal != REFUSAL_WAIT &&
+		action->refusal != REFUSAL_QUEUE_FULL) ||
+	    action->outcome != OUTCOME_NOT_RUN || c->is_early ||
+	    !may_return(c) || !make_fingerprint(c, &print))
+		return;
+	if (c->request->deadline_ms != DEADLINE_NEVER)
+		wait_ms = MIN(wait_ms,
+		    clock_left_ms(c->request->deadline_ms, now_ms) /
+			RETURN_DIVISOR);
+	returns_refused(c->entry->returns, c->service->id, &print,
+	    now_ms + wait_ms, now_ms);
+}
+
 /* A share of the calls has its first attempt at a version on trial; further
  * attempts are placed on the current version. */
 static bool
@@ -143,16 +198,18 @@
 	struct entry *e = c->entry;
 	struct placement_query q = {.service = c->service->id,
 	    .idempotent = c->idempotent,
+	    .kind = entry_route_key(c->route),
 	    .avoid_own = entry_is_overdue(e)};
 	struct placement_choice choice;
 	const struct endpoint *ep;
 	uint64_t now_ms = loop_now_ms(e->loop);
 
-	if (!passes_quarantine(c, &q))
+	if (!passes_quarantine(c, &q) || !passes_returns(c))
 		return;
 	if (c->keyed) {
 		q.key = c->request->key;
 		q.key_len = strlen(c->request->key);
+		q.key_scope = c->customer != NULL ? c->customer->id : 0;
 	}
 	q.tried = call_tried(c->machine, &q.n_tried);
 	if (!choose_endpoint(c, &q, now_ms, &choice)) {
@@ -262,6 +319,8 @@
 static const char *
 failure_reason(const struct entry_call *c, const struct call_action *action)
 {
+	if (c->is_early)
+		return "early_return";
 	if (action->refusal != REFUSAL_NONE)
 		return refusal_name(action->refusal);
 	if (drain_is_complete(&c->entry->drain))
@@ -275,7 +334,10 @@
 give_up(struct entry_call *c, const struct call_action *action)
 {
 	entry_log_end(c, action->outcome, failure_reason(c, action));
+	if (c->is_served && action->outcome == OUTCOME_NOT_RUN)
+		guard_call_refused(c->entry->guard, c->request->id);
 	call_metrics_outcome(action->outcome);
+	await_return(c, action);
 	if (action->refusal == REFUSAL_NO_ENDPOINT ||
 	    action->refusal == REFUSAL_UNREACHABLE)
 		call_metrics_refusal(action->refusal);
@@ -443,7 +505,9 @@
 
 	if (c->route->target_ms == 0)
 		return 0;
-	if (c->request->deadline_ms != DEADLINE_NEVER)
+	/* An upstream's call has as much time left as the request that it
+	 * serves, which doesn't show that it was sent before. */
+	if (c->request->deadline_ms != DEADLINE_NEVER && !c->is_served)
 		waited_ms = patience_elapsed_ms(c->entry->patience,
 		    entry_route_key(c->route),
 		    clock_left_ms(c->request->deadline_ms, now_ms));
@@ -482,6 +546,8 @@
 	c->keyed = r->key != NULL && !c->idempotent;
 	c->sequence = ++e->sequence;
 	c->body.held = true;
+	c->is_served = e->guard != NULL && r->id != NULL &&
+	    guard_served(e->guard, r->id, &c->served);
 	c->deadline_ms = effective_deadline_ms(c, now_ms);
 	c->target_ms = target_deadline_ms(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
@@ -493,7 +559,6 @@
 	c->link.data = c;
 	g_queue_push_tail_link(&e->calls, &c->link);
 	call_exchange_set_entry_data(x, c);
-	entry_customer_name(c, r);
 	return c;
 }
 
@@ -537,7 +602,7 @@
 route_call(struct entry *e, struct call_exchange *x, struct accepted *accepted)
 {
 	struct route_match *match = &accepted->match;
-	const struct call_request *r = call_exchange_request(x);
+	struct call_request *r = call_exchange_request(x);
 	enum http_method method;
 
 	if (!drain_accepts_call(&e->drain)) {
@@ -562,10 +627,14 @@
 	case ROUTE_FOUND:
 		break;
 	}
-	if (!entry_customer_find(e, r, match->route, &accepted->customer))
-		return refuse(e, x, HTTP_UNAUTHORIZED, "unauthorized",
-		    "the request needs the key of a customer; send a valid "
-		    "one.");
+	if (!entry_customer_find(e, r, match->route, &accepted->customer)) {
+		entry_customer_refuse(e, x);
+		return false;
+	}
+	if (!entry_customer_is_confirmed(e, match->route)) {
+		entry_customer_unconfirmed(e, x);
+		return false;
+	}
 	choose_by_weight(e, match);
 	if (r->body_bytes > 0 &&
 	    (uint64_t)r->body_bytes >
@@ -573,9 +642,44 @@
 		return refuse(e, x, HTTP_CONTENT_TOO_LARGE, "too_large",
 		    "the body exceeds the service's limit; send a smaller "
 		    "one.");
+	if (!entry_customer_name(e, accepted->customer, r))
+		return refuse(e, x, HTTP_HEADERS_TOO_LARGE, "too_large",
+		    "the request has too many headers; send fewer.");
 	return true;
 }
 
+/* Services that share a route by weight may differ, and the one is not chosen
+ * yet. */
+static bool
+all_idempotent(const struct snapshot *s, const struct route_match *match)
+{
+	struct route_match shares[SNAPSHOT_SHARES_MAX];
+	uint32_t i, n;
+
+	if (match->route->weight == 0)
+		return match->route->idempotent;
+	n = snapshot_shares(s, match, shares);
+	for (i = 0; i < n; i++)
+		if (!shares[i].route->idempotent)
+			return false;
+	return true;
+}
+
+bool
+entry_may_overlap(
+    struct entry *e, const char *method, const char *host, const char *target)
+{
+	const struct snapshot *s = entry_snapshot(e);
+	struct route_match match;
+
+	if (s == NULL || target[0] != '/')
+		return false;
+	if (snapshot_match(s, method_parse(method, strlen(method)), host,
+		target, strlen(target), &match) != ROUTE_FOUND)
+		return false;
+	return all_idempotent(s, &match);
+}
+
 /* Return: false when the request was refused for its customer's limit. */
 static bool
 within_limit(struct entry *e, struct call_exchange *x,
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -26,6 +26,7 @@
 #include "traffic/frame_age.h"
 #include "traffic/keyed.h"
 #include "traffic/rate_limit.h"
+#include "traffic/shortage.h"
 #include "traffic/superseded.h"
 
 #include "call_headers.h"
@@ -124,6 +125,7 @@
  * @url: scheme, address and port, to which a path is appended
  * @admission: slots and queue
  * @keyed: idempotency keys whose home is this endpoint
+ * @shortage: runs that failed for refused calls
  * @timer: runs the admission queue
  * @report: what the current run reports in its answers
  * @crash: requests that lost their connection, while a probe determines
@@ -140,6 +142,7 @@
 	char url[40];
 	struct admission *admission;
 	struct keyed *keyed;
+	struct shortage *shortage;
 	struct loop_timer timer;
 	struct guard_report report;
 	struct guard_crash crash;
@@ -295,6 +298,7 @@
  * @shed: the upstream reported that it did not run the request
  * @shed_retry_ms: retry delay that the upstream gave with @shed
  * @paused: reading the answer is paused until entries have received more of it
+ * @call_refused: a call that the upstream made for this request was refused
  * @answer: the answer
  * @timer: expires at @deadline_ms while the request waits for its body
  * @free_task: frees the request at the end of the loop iteration
@@ -339,6 +343,7 @@
 	bool shed;
 	uint64_t shed_retry_ms;
 	bool paused;
+	bool call_refused;
 	struct guard_answer *answer;
 	struct loop_timer timer;
 	struct loop_task free_task;
@@ -502,9 +507,10 @@
  * admission decides */
 void guard_upstream_run_queue(struct guard_upstream *u);
 
-/** guard_upstream_load() - get the load that is reported with answers; @u may
- * be NULL */
-void guard_upstream_load(const struct guard_upstream *u, struct rec_load *load);
+/** guard_upstream_load() - get the load that is reported with answers to
+ * requests of @route, 0 for none; @u may be NULL */
+void guard_upstream_load(
+    const struct guard_upstream *u, uint64_t route, struct rec_load *load);
 
 /** guard_upstream_drain_all() - refuse all new requests from now on */
 void guard_upstream_drain_all(struct guard *g);
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -86,6 +86,9 @@
  * @admin_threads: Threads that serve the administration API.
  * @keep_alive_ms: Time after which an idle connection of a caller is
  * 	closed; 0 closes each connection after one answer.
+ * @caller_pipeline_max: Most requests of one caller's connection that
+ * 	run side by side if it sends them ahead; requests that may not be
+ * 	repeated run alone. 1 runs one at a time.
  * @probe_interval_ms: Interval between the liveness probes that this
  * 	node sends to its peers.
  * @probe_timeout_ms: Timeout of a direct probe, after which the node
@@ -134,6 +137,11 @@
  * 	which operators expect the version to be in force on all nodes; the
  * 	node logs a warning for a version that takes most of that time. 0
  * 	when unknown.
+ * @revoke_confirm_ms: Requests that need a customer's key are answered
+ * 	with 503 while this node could not confirm for so long that its
+ * 	version is the newest, by reading the platform or by a peer that
+ * 	has; 0 serves them by the version that the node has. Values below
+ * 	the time of two reads of the platform refuse requests without need.
  * @grace_ms: Time from the stop signal until the system kills the
  * 	process, 0 when the system does not kill it; a drain ends half a
  * 	second earlier, or after seven eighths of a short grace time.
@@ -178,6 +186,7 @@
 	enum log_level log_level;
 	uint32_t admin_threads;
 	uint32_t keep_alive_ms;
+	uint32_t caller_pipeline_max;
 	uint32_t probe_interval_ms;
 	uint32_t probe_timeout_ms;
 	uint32_t suspicion_ms;
@@ -198,6 +207,7 @@
 	uint32_t rollout_share;
 	uint32_t once_reuse_ms;
 	uint32_t in_force_within_ms;
+	uint32_t revoke_confirm_ms;
 	uint32_t grace_ms;
 	uint32_t drain_notice_ms;
 	uint32_t fate_window_ms;
--- a/packages/traffic/include/traffic/placement.h
+++ b/packages/traffic/include/traffic/placement.h
@@ -53,6 +53,7 @@
  * @service: see service_id()
  * @key: idempotency key, or NULL; a call with a key goes to the key's home
  * @key_len: length of @key in bytes
+ * @key_scope: number of the customer whose key it is, 0 for none
  * @content: hash of the content of a request that may crash upstreams; such a
  *	request goes to the endpoint that ranks first for this hash, which is
  *	the same at all entries; 0 for all other requests
@@ -62,6 +63,7 @@
  *	than others
  * @avoid_own: an endpoint on the own host is used only if no other one is
  *	usable
+ * @kind: number of the kind of request, see endpoints_ran(); 0 when unknown
  * @canaries: the call goes to one of this many first usable endpoints of the
  *	version on trial; 0 for an endpoint of the current version
  */
@@ -69,11 +71,13 @@
 	uint64_t service;
 	const void *key;
 	size_t key_len;
+	uint64_t key_scope;
 	uint64_t content;
 	const uint64_t *tried;
 	size_t n_tried;
 	bool idempotent;
 	bool avoid_own;
+	uint64_t kind;
 	uint32_t canaries;
 };
 
@@ -84,12 +88,14 @@
  * @load: estimated load of the endpoint in requests
  * @slots: slots of the endpoint as used for the decision; reduced during slow
  *	start
+ * @expected_ms: expected time until the answer; 0 when unknown
  */
 struct placement_choice {
 	uint64_t endpoint;
 	enum placement_reason reason;
 	uint32_t load;
 	uint32_t slots;
+	uint32_t expected_ms;
 };
 
 /**
@@ -100,11 +106,20 @@
  *	own host is preferred; 0 for never.  A call to the own host crosses no
  *	link and costs no second node any work.
  * @local_first: prefer the own data centre
+ * @choices: number of endpoints that are compared where run times are known
+ * @spill_percent: expected time in the own data centre, in percent of that in
+ *	another one, from which a call goes there where run times are known
+ * @own_slower_percent: expected time at the own host, in percent of that of
+ *	another endpoint, up to which the own host is preferred where run times
+ *	are known
  */
 struct placement_config {
 	uint32_t saturation_percent;
 	uint32_t own_percent;
 	bool local_first;
+	uint32_t choices;
+	uint32_t spill_percent;
+	uint32_t own_slower_percent;
 };
 
 struct placement;
