--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -9,6 +9,7 @@
 #ifndef NODE_ENTRY_H
 #define NODE_ENTRY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/status.h"
@@ -16,6 +17,8 @@
 struct call_dialect;
 struct call_exchange;
 struct entry;
+struct guard;
+struct guard_quota;
 struct loop;
 struct quarantine;
 struct settings;
@@ -82,6 +85,22 @@
  */
 uint64_t entry_behind_head(struct entry *e, uint32_t status);
 
+/**
+ * entry_may_overlap() - whether a request may run beside others of its
+ * connection
+ * @e: the entry
+ * @method: its method
+ * @host: its Host header, or NULL
+ * @target: its path, or another form of target
+ *
+ * In the traffic thread.
+ *
+ * Return: whether the route in force declares that it may run more than once;
+ * false for a target that is not a path.
+ */
+bool entry_may_overlap(
+    struct entry *e, const char *method, const char *host, const char *target);
+
 /**
  * entry_submit() - submit a call to the entry
  * @e: the entry
@@ -110,6 +129,10 @@
  */
 void entry_stop(struct entry *e);
 
+/** entry_use_homes() - use the homes of customers' limits on this host; call
+ * before the first request */
+void entry_use_homes(struct entry *e, struct guard_quota *homes);
+
 /**
  * entry_use_quarantine() - set the quarantined requests, which are refused
  *
@@ -118,6 +141,14 @@
  */
 void entry_use_quarantine(struct entry *e, struct quarantine *q);
 
+/**
+ * entry_use_guard() - set the guard of this host, which knows the requests that
+ * its upstreams make calls for
+ *
+ * To be called before the traffic thread starts; both run in it.
+ */
+void entry_use_guard(struct entry *e, struct guard *g);
+
 /** entry_free() - free the entry, once the traffic thread has stopped; NULL is
  * allowed */
 void entry_free(struct entry *e);
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -26,10 +26,19 @@
 extern struct metric metric_upstream_limit;
 extern struct metric metric_upstreams_leaving;
 extern struct metric metric_limited;
+extern struct metric metric_overlapping;
+extern struct metric metric_answers_held;
 extern struct metric metric_departures_unread;
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
 extern struct metric metric_timers_late_us;
+extern struct metric metric_quota_granted;
+extern struct metric metric_quota_lent;
+extern struct metric metric_quota_refused;
+extern struct metric metric_quota_parked;
+extern struct metric metric_quota_returned;
+extern struct metric metric_quota_homes;
+extern struct metric metric_quota_entries;
 
 /** enum abandoned_state - where a request stood at its guard as its caller left
  */
@@ -40,6 +49,17 @@
 	ABANDONED_STATES,
 };
 
+/** enum key_fault - why a request has no customer */
+enum key_fault {
+	KEY_MISSING = 0,
+	KEY_UNKNOWN, /* no customer of the version in force holds it */
+	KEY_SEVERAL, /* the request has more than one */
+	KEY_FAULTS,
+};
+
+/** key_fault_name() - name of a fault for logs and metrics */
+const char *key_fault_name(enum key_fault f);
+
 /** call_metrics_register() - register all metrics; further calls have no
  * effect */
 void call_metrics_register(void);
@@ -58,6 +78,10 @@
  * used */
 void call_metrics_status_ignored(enum status_flaw f);
 
+/** call_metrics_unauthorized() - count a request refused for lack of a valid
+ * customer key */
+void call_metrics_unauthorized(enum key_fault f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -8,12 +8,14 @@
 
 #include "call_metrics.h"
 #include "entry_log.h"
+#include "entry_quota.h"
 
 /*
  * Log lines on calls per second.  A line costs about 10 us of processor time,
  * so that all of them take less than 1 % of a core.
  */
 #define DONE_LINES_PER_S 20
+#define KEY_LINES_PER_S 10
 #define OTHER_LINES_PER_S 100
 #define OTHER_LINES_BURST 400
 
@@ -70,6 +72,8 @@
 	e->incarnation = incarnation;
 	e->done_log_limit.per_s = DONE_LINES_PER_S;
 	e->done_log_limit.burst = DONE_LINES_PER_S;
+	e->key_log_limit.per_s = KEY_LINES_PER_S;
+	e->key_log_limit.burst = KEY_LINES_PER_S;
 	e->other_log_limit.per_s = OTHER_LINES_PER_S;
 	e->other_log_limit.burst = OTHER_LINES_BURST;
 	e->loop = loop;
@@ -90,6 +94,7 @@
 	struct entry *e = arg;
 
 	(void)entry_snapshot(e);
+	entry_quota_update(e->quota);
 	if (e->watcher != NULL)
 		e->watcher(e->watcher_arg);
 }
@@ -207,6 +212,18 @@
 	e->quarantine = q;
 }
 
+void
+entry_use_guard(struct entry *e, struct guard *g)
+{
+	e->guard = g;
+}
+
+void
+entry_use_homes(struct entry *e, struct guard_quota *homes)
+{
+	e->quota = entry_quota_new(e, homes);
+}
+
 void
 entry_free(struct entry *e)
 {
@@ -216,6 +233,7 @@
 		return;
 	while ((l = e->calls.head) != NULL)
 		entry_call_free(l->data);
+	entry_quota_free(e->quota);
 	g_hash_table_destroy(e->peers);
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -26,6 +26,7 @@
 #include "traffic/frame_age.h"
 #include "traffic/keyed.h"
 #include "traffic/rate_limit.h"
+#include "traffic/shortage.h"
 #include "traffic/superseded.h"
 
 #include "call_headers.h"
@@ -33,6 +34,7 @@
 #include "call_print.h"
 #include "guard_crash.h"
 #include "guard_quarantine.h"
+#include "guard_quota.h"
 #include "guard_report.h"
 
 /**
@@ -58,6 +60,7 @@
  *	which names the first request with that key
  * @key_queries: active queries to earlier homes of keys
  * @quarantine: requests that are no longer run
+ * @quota: homes of customers' limits
  * @window: credit shared by the request bodies that are being received
  * @drain: state of this guard's drain
  * @tick: periodic timer: expires fates and advances the drain
@@ -97,6 +100,7 @@
 	GHashTable *followers;
 	GQueue key_queries;
 	struct guard_quarantine quarantine;
+	struct guard_quota *quota;
 	struct body_window window;
 	struct drain drain;
 	struct loop_timer tick;
@@ -121,6 +125,7 @@
  * @url: scheme, address and port, to which a path is appended
  * @admission: slots and queue
  * @keyed: idempotency keys whose home is this endpoint
+ * @shortage: runs that failed for refused calls
  * @timer: runs the admission queue
  * @report: what the current run reports in its answers
  * @crash: requests that lost their connection, while a probe determines
@@ -137,6 +142,7 @@
 	char url[40];
 	struct admission *admission;
 	struct keyed *keyed;
+	struct shortage *shortage;
 	struct loop_timer timer;
 	struct guard_report report;
 	struct guard_crash crash;
@@ -292,6 +298,7 @@
  * @shed: the upstream reported that it did not run the request
  * @shed_retry_ms: retry delay that the upstream gave with @shed
  * @paused: reading the answer is paused until entries have received more of it
+ * @call_refused: a call that the upstream made for this request was refused
  * @answer: the answer
  * @timer: expires at @deadline_ms while the request waits for its body
  * @free_task: frees the request at the end of the loop iteration
@@ -336,6 +343,7 @@
 	bool shed;
 	uint64_t shed_retry_ms;
 	bool paused;
+	bool call_refused;
 	struct guard_answer *answer;
 	struct loop_timer timer;
 	struct loop_task free_task;
@@ -379,6 +387,11 @@
 bool guard_frame_handle(
     struct guard_conn *gc, uint8_t type, const uint8_t *body, size_t len);
 
+/* guard_quota.c */
+
+/** guard_quota_frame() - answer a report; see guard_frame_handle() */
+bool guard_quota_frame(struct guard_conn *gc, const uint8_t *body, size_t len);
+
 /* guard_open.c */
 
 /** guard_open() - handle a new attempt; returns false if the message is invalid
