--- a/packages/traffic/bench/bench_traffic.c
+++ b/packages/traffic/bench/bench_traffic.c
@@ -42,11 +42,16 @@
 }
 
 static void
-bench_placement(size_t n)
+bench_placement(size_t n, uint64_t kind)
 {
 	struct endpoint_info *infos = g_new0(struct endpoint_info, n);
-	struct placement_query q = {.service = SERVICE, .idempotent = true};
-	struct load_report load = {.in_flight = 3, .slots = 12};
+	struct placement_query q = {
+	    .service = SERVICE, .idempotent = true, .kind = kind};
+	struct load_report load = {.in_flight = 3,
+	    .slots = 12,
+	    .work_ms = 60,
+	    .pace_percent = 100,
+	    .kind_us = 20000};
 	struct endpoints_config ec;
 	struct placement_config pc;
 	struct ejection_config jc;
@@ -75,9 +80,11 @@
 		(void)placement_choose(p, &q, i / 10, &c);
 		endpoints_began(e, c.endpoint, i / 10);
 		endpoints_ended(e, c.endpoint, ENDPOINT_OK, 20000, i / 10);
+		endpoints_ran(e, c.endpoint, kind, 20000, load.kind_us, i / 10);
 		endpoints_report(e, c.endpoint, &load, i / 10);
 	}
-	(void)snprintf(name, sizeof(name), "placement of %zu endpoints", n);
+	(void)snprintf(name, sizeof(name), "placement of %zu endpoints%s", n,
+	    kind != 0 ? " by expected time" : "");
 	print_cost(name, began, ROUNDS);
 	placement_free(p);
 	ejection_free(j);
@@ -288,9 +295,12 @@
 	bench_quarantine("128 quarantined", 128);
 	bench_quarantine_memory();
 	bench_call();
-	bench_placement(4);
-	bench_placement(18);
-	bench_placement(500);
+	bench_placement(4, 0);
+	bench_placement(18, 0);
+	bench_placement(54, 0);
+	bench_placement(54, 1);
+	bench_placement(500, 0);
+	bench_placement(500, 1);
 	bench_admission();
 	bench_fate();
 	bench_keyed();
