fix(traffic): a mean that lint can follow, loops of the driver without float steps

clang-tidy read a division by zero in run_times_record() and loops over floating-point numbers in test_choice. The count of samples is bounded without wrapping, and the loops are written out. test_choice and test_upstream_status pass.

--- a/packages/traffic/src/run_times.c
+++ b/packages/traffic/src/run_times.c
@@ -41,8 +41,10 @@
 	r = find(t, kind);
 	if (r == NULL)
 		r = replace_oldest(t, kind);
-	r->samples = MIN(r->samples + 1, MAX(weight, 1));
-	step = ((int64_t)run_us - (int64_t)r->mean_us) / (int64_t)r->samples;
+	if (r->samples < weight)
+		r->samples++;
+	step = ((int64_t)run_us - (int64_t)r->mean_us) /
+	    MAX((int64_t)r->samples, 1);
 	r->mean_us = (uint64_t)((int64_t)r->mean_us + step);
 	r->at_ms = now_ms;
 }
--- a/packages/traffic/test/test_choice.c
+++ b/packages/traffic/test/test_choice.c
@@ -154,11 +154,14 @@
 {
 	double in, left, rate, step;
 
-	for (work /= s->speed; work > 0; work -= step * rate, t += step) {
+	work /= s->speed;
+	while (work > 0) {
 		in = fmod(t + s->phase_ms, SPELL_EACH_MS);
 		left = in < SPELL_MS ? SPELL_MS - in : SPELL_EACH_MS - in;
 		rate = 1 / pace_at(s, t);
 		step = MIN(left + 1e-6, work / rate);
+		work -= step * rate;
+		t += step;
 	}
 	return t;
 }
@@ -475,9 +478,10 @@
 			w->due[now] = c->next;
 			end(w, c, now);
 		}
-		for (; next < now + 1 && now < RUN_MS;
-		     next -= log(1 - g_rand_double(w->random)) / rate)
+		while (next < now + 1 && now < RUN_MS) {
 			begin(w, now);
+			next -= log(1 - g_rand_double(w->random)) / rate;
+		}
 	}
 }
 
