--- a/packages/traffic/test/test_choice.c
+++ b/packages/traffic/test/test_choice.c
@@ -39,6 +39,8 @@
 #define NEAR_BEST 1.5
 #define BETTER 0.9
 #define DEMAND_MAX 2.0
+#define CUT_MS 12000
+#define CUT_END_MS 18000
 
 enum policy { AS_BEFORE, EXPECTED, REPORTED, PREQUAL, C3, BEST, POLICIES };
 
@@ -114,6 +116,7 @@
  * @policy: how entries choose
  * @centres: number of data centres
  * @demand: demand of a data centre at a time, 1 is usual; NULL for always
+ * @is_cut: the last data centre is cut off for some seconds
  * @due: calls by the time of their answer
  * @calls: answered calls after the entries have learned
  * @late: of them, those beyond their target
@@ -126,6 +129,7 @@
 	enum policy policy;
 	uint32_t centres;
 	double (*demand)(uint32_t centre, uint32_t now);
+	bool is_cut;
 	GRand *random;
 	struct server servers[SERVERS];
 	struct entry entries[ENTRIES];
@@ -466,6 +470,20 @@
 	return share * SERVERS * SLOTS * (0.7 + 0.7 + 1.7) / 3 * rate / mean;
 }
 
+/* Hosts on the other side of the cut fall silent, or answer again. */
+static void
+set_cut(struct world *w, bool cut, uint32_t now)
+{
+	uint32_t i, k, last = w->centres - 1;
+
+	for (i = 0; i < ENTRIES; i++)
+		for (k = 0; k < SERVERS; k++)
+			if ((i % w->centres == last) !=
+			    (k % w->centres == last))
+				(void)endpoints_set_silent(
+				    w->entries[i].endpoints, k + 1, cut, now);
+}
+
 static void
 run(struct world *w, double share)
 {
@@ -474,6 +492,8 @@
 	uint32_t now;
 
 	for (now = 0; now < DUE_MS; now++) {
+		if (w->is_cut && (now == CUT_MS || now == CUT_END_MS))
+			set_cut(w, now == CUT_MS, now);
 		while ((c = w->due[now]) != NULL) {
 			w->due[now] = c->next;
 			end(w, c, now);
@@ -567,8 +587,10 @@
 	const char *name;
 	double (*demand)(uint32_t centre, uint32_t now);
 	double share;
-} moves[] = {{"even", even, 0.4}, {"wave", wave, 0.75}, {"step", step, 0.6},
-    {"shift", shift, 0.75}};
+	bool is_cut;
+} moves[] = {{"even", even, 0.4, false}, {"wave", wave, 0.75, false},
+    {"step", step, 0.6, false}, {"cut under a wave", wave, 0.6, true},
+    {"shift", shift, 0.75, false}};
 
 static void
 print_moved(const struct world *w, const char *name)
@@ -628,6 +650,7 @@
 	for (p = AS_BEFORE; p <= EXPECTED; p++) {
 		w[p] = world_new((enum policy)p, CENTRES, 1);
 		w[p]->demand = moves[_i].demand;
+		w[p]->is_cut = moves[_i].is_cut;
 		run(w[p], moves[_i].share);
 		print_moved(w[p], moves[_i].name);
 	}
