test(node): keys taken away in series, and under a request in flight

A request accepted by one version whose guard has the next, and keys removed one per version on an open connection, had no test.

--- a/packages/node/test/test_call_customers.c
+++ b/packages/node/test/test_call_customers.c
@@ -23,6 +23,7 @@
 #define SUSPICION_MS 100
 
 #define NEWER 2
+#define SERIES 5U
 /* Long beside a test on a loaded machine. */
 #define CONFIRM_MS 60000
 #define WRONG_KEYS 2000
@@ -307,6 +308,74 @@
 }
 END_TEST
 
+static int
+n_running(void *arg)
+{
+	(void)arg;
+	return upstream->running;
+}
+
+/* The entry decides by one version; a guard that has the next one doesn't look
+ * the key up again. */
+START_TEST(request_in_flight_is_served_though_its_key_is_taken_away)
+{
+	int fd;
+
+	start(two);
+	fd = caller_connect(callers_port(node->callers));
+	ck_assert(caller_send(fd, "GET", "/look/x?ms=400",
+	    "X-Test-Id: f\r\n" KEY("kn2"), NULL, 0));
+	ck_assert(test_wait_int(n_running, NULL, 1));
+	publish(moved);
+	expect_answer(fd, 200);
+	ck_assert(fake_upstream_received_by(upstream, "f", NAMED("north")));
+	close(fd);
+	stop();
+}
+END_TEST
+
+/* A bundle whose only customer has the keys from @first on. */
+static void
+publish_keys_from(uint32_t first)
+{
+	GString *keys = g_string_new(NULL);
+	char *json;
+	uint32_t i;
+
+	for (i = first; i < SERIES; i++)
+		g_string_append_printf(
+		    keys, "%s\"k%u\"", i > first ? "," : "", i);
+	json = g_strdup_printf(
+	    BUNDLE(",\"customers\":[{\"name\":\"north\",\"keys\":[%s]}]"),
+	    keys->str);
+	publish(json);
+	g_free(json);
+	g_string_free(keys, TRUE);
+}
+
+/* Load: one key less in each version, a version each POSTED_WAIT_US, on one
+ * connection that stays open. */
+START_TEST(keys_taken_away_in_series_are_refused_at_once)
+{
+	uint32_t gone, i;
+	char key[8];
+	int fd;
+
+	start(two);
+	fd = caller_connect(callers_port(node->callers));
+	for (gone = 0; gone <= SERIES; gone++) {
+		publish_keys_from(gone);
+		for (i = 0; i < SERIES; i++) {
+			(void)snprintf(key, sizeof(key), "k%u", i);
+			send_request(fd, "s", key);
+			expect_answer(fd, i < gone ? 401 : 200);
+		}
+	}
+	close(fd);
+	stop();
+}
+END_TEST
+
 START_TEST(moved_key_names_its_new_customer)
 {
 	start(two);
@@ -603,6 +672,9 @@
 	tcase_add_test(tc, requests_of_one_connection_have_their_own_customers);
 	tcase_add_test(tc, pipelined_requests_have_their_own_customers);
 	tcase_add_test(tc, key_taken_away_is_refused_on_open_connections);
+	tcase_add_test(
+	    tc, request_in_flight_is_served_though_its_key_is_taken_away);
+	tcase_add_test(tc, keys_taken_away_in_series_are_refused_at_once);
 	tcase_add_test(tc, moved_key_names_its_new_customer);
 	tcase_add_test(tc, unknown_key_gets_retry_while_newer_version_is_known);
 	tcase_add_loop_test(
