--- a/test/driver/test_confirmed.c
+++ b/test/driver/test_confirmed.c
@@ -96,7 +96,8 @@
 	for (i = 0; i < w->n_nodes; i++)
 		for (c = 0; c < MEASURE_CLASSES; c++)
 			after += w->nodes[i].bytes.sent[c];
-	return (uint32_t)((after - before) * 1000 / OBSERVED_MS / w->n_nodes);
+	return (uint32_t)((after - before) * 1000 / OBSERVED_MS /
+	    MAX(w->n_nodes, 1));
 }
 
 /* Load: 10, 66 and 300 nodes, no changes; then the platform turns each third
