--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -55,6 +55,15 @@
     .help = "Requests told to come back since a newer version is known.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_unconfirmed = {.name = "bramley_unconfirmed_total",
+    .help = "Requests refused since the version was not confirmed recently.",
+    .kind = METRIC_COUNTER};
+
+struct metric metric_early_returns = {.name = "bramley_early_returns_total",
+    .help = "Requests refused since their caller came back earlier than it was "
+	    "asked to.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_crashes = {.name = "bramley_upstream_crashes_total",
     .help = "Upstreams of this host that ended under requests, unannounced.",
     .kind = METRIC_COUNTER};
@@ -102,8 +111,6 @@
     .help = "Time by which timers of the traffic thread fired late.",
     .kind = METRIC_HISTOGRAM};
 
-static struct metric status_ignored[STATUS_FLAWS];
-static char status_labels[STATUS_FLAWS][LABEL_BYTES];
 struct metric metric_quota_granted = {.name = "bramley_quota_granted_total",
     .help = "Requests for which homes on this host granted credit.",
     .kind = METRIC_COUNTER};
@@ -128,6 +135,8 @@
     .help = "Entries that report to homes on this host, summed over the homes.",
     .kind = METRIC_GAUGE};
 
+static struct metric status_ignored[STATUS_FLAWS];
+static char status_labels[STATUS_FLAWS][LABEL_BYTES];
 static struct metric departures[CALL_STAGES];
 static struct metric abandoned[ABANDONED_STATES];
 static char departure_labels[CALL_STAGES][LABEL_BYTES];
@@ -258,12 +267,12 @@
 	    &metric_silent_connections, &metric_entry_us, &metric_guard_us,
 	    &metric_upstream_us, &metric_call_sent_bytes,
 	    &metric_call_received_bytes, &metric_callers_connections,
-	    &metric_callers_shed, &metric_behind_refusals, &metric_crashes,
-	    &metric_quarantined, &metric_upstream_limit,
-	    &metric_upstreams_leaving, &metric_limited, &metric_departure_us,
-	    &metric_timers_late_us, &metric_quota_granted, &metric_quota_lent,
-	    &metric_quota_refused, &metric_quota_parked, &metric_quota_returned,
-	    &metric_quota_homes, &metric_quota_entries};
+	    &metric_callers_shed, &metric_behind_refusals, &metric_unconfirmed,
+	    &metric_early_returns, &metric_crashes, &metric_quarantined,
+	    &metric_upstream_limit, &metric_upstreams_leaving, &metric_limited,
+	    &metric_departure_us, &metric_timers_late_us, &metric_quota_granted,
+	    &metric_quota_lent, &metric_quota_refused, &metric_quota_parked,
+	    &metric_quota_returned, &metric_quota_homes, &metric_quota_entries};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(all); i++)
@@ -272,8 +281,8 @@
 	register_abandoned();
 	register_outcomes();
 	register_refusals();
-	register_status_ignored();
 	register_unauthorized();
+	register_status_ignored();
 }
 
 void
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -21,6 +21,8 @@
 extern struct metric metric_callers_connections;
 extern struct metric metric_callers_shed;
 extern struct metric metric_behind_refusals;
+extern struct metric metric_unconfirmed;
+extern struct metric metric_early_returns;
 extern struct metric metric_crashes;
 extern struct metric metric_quarantined;
 extern struct metric metric_upstream_limit;
@@ -74,14 +76,14 @@
 /** call_metrics_abandoned() - count a request whose caller left */
 void call_metrics_abandoned(enum abandoned_state s);
 
-/** call_metrics_status_ignored() - count a report of an upstream that isn't
- * used */
-void call_metrics_status_ignored(enum status_flaw f);
-
 /** call_metrics_unauthorized() - count a request refused for lack of a valid
  * customer key */
 void call_metrics_unauthorized(enum key_fault f);
 
+/** call_metrics_status_ignored() - count a report of an upstream that isn't
+ * used */
+void call_metrics_status_ignored(enum status_flaw f);
+
 /** call_metrics_refusal() - count a refusal by a guard or an entry */
 void call_metrics_refusal(enum refusal r);
 
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -25,6 +25,7 @@
 #include "traffic/patience.h"
 #include "traffic/placement.h"
 #include "traffic/quarantine.h"
+#include "traffic/returns.h"
 #include "traffic/run_reports.h"
 #include "traffic/split.h"
 
@@ -57,6 +58,7 @@
  * @ejection: endpoints that are ejected
  * @placement: chooses an endpoint for each attempt
  * @patience: how long callers of each route wait for an answer
+ * @returns: when refused callers may come back
  * @splits: round-robin state of routes that services share by weight
  * @snapshot: snapshot last seen, a reference
  * @generation: number of snapshots seen
@@ -76,6 +78,7 @@
  * @sequence: sequence number of the last call
  * @seed: random number of this process, part of request ids
  * @in_flight: number of calls, atomic for entry_in_flight()
+ * @confirmed_ms: see entry_set_confirmed()
  * @done_log_limit: rate limit of log lines on answered calls
  * @key_log_limit: rate limit of log lines on calls without a valid key
  * @other_log_limit: rate limit of all other log lines on calls
@@ -90,6 +93,7 @@
 	struct placement *placement;
 	struct split_table *splits;
 	struct patience *patience;
+	struct returns *returns;
 	struct snapshot *snapshot;
 	uint64_t generation;
 	struct behind behind;
@@ -108,6 +112,7 @@
 	uint64_t sequence;
 	uint64_t seed;
 	_Atomic uint32_t in_flight;
+	_Atomic uint64_t confirmed_ms;
 	struct log_limit done_log_limit;
 	struct log_limit key_log_limit;
 	struct log_limit other_log_limit;
@@ -301,6 +306,7 @@
  * @attempts: struct entry_attempt, owned
  * @timer: wakes the state machine
  * @free_task: frees the call at the end of the loop's iteration
+ * @is_early: the caller came back earlier than it was asked to
  * @running_actions: entry_call_run() is active, so nested calls return
  * @finished: the call has ended and is about to be freed
  */
@@ -333,6 +339,7 @@
 	GPtrArray *attempts;
 	struct loop_timer timer;
 	struct loop_task free_task;
+	bool is_early;
 	bool running_actions;
 	bool finished;
 };
@@ -487,6 +494,14 @@
  * when a newer version may hold its key */
 void entry_customer_refuse(struct entry *e, struct call_exchange *x);
 
+/** entry_customer_is_confirmed() - whether the version in force was confirmed
+ * recently enough for requests that need a key */
+bool entry_customer_is_confirmed(
+    const struct entry *e, const struct service_route *route);
+
+/** entry_customer_unconfirmed() - answer such a request when it wasn't */
+void entry_customer_unconfirmed(struct entry *e, struct call_exchange *x);
+
 /**
  * entry_customer_name() - add the customer's name to the headers for the
  * upstream
@@ -535,6 +550,9 @@
  * yet */
 void entry_answer_starting(struct call_exchange *x);
 
+/** entry_answer_unconfirmed() - answer not_run: keys may have been revoked */
+void entry_answer_unconfirmed(struct call_exchange *x);
+
 /** entry_answer_behind() - answer not_run: a newer version may accept the
  * request */
 void entry_answer_behind(
--- a/packages/quota/src/allowance.c
+++ b/packages/quota/src/allowance.c
@@ -17,7 +17,7 @@
 /* Interval of reports while credit is used up, and of reports that only show
  * that the entry is connected. */
 #define REPORT_MS 100
-#define LIFE_MS 250
+#define LIFE_MS 400
 
 /* Credit covers the demand of this time, which spans a report and a reply that
  * is late. */
@@ -249,8 +249,7 @@
 	q->due_ms = MIN(q->due_ms, due_ms);
 }
 
-/* The first requests that are refused come back as tokens accrue, the next ones
- * after them. */
+/* Requests that are refused together don't come back together. */
 static uint64_t
 spread(struct quota_allowance *q, struct account *a, uint64_t now_ms)
 {
@@ -259,7 +258,7 @@
 
 	a->refused++;
 	random = hash64(&a->refused, sizeof(a->refused), q->seed ^ now_ms);
-	return wait_ms + random % (wait_ms + 1);
+	return (wait_ms + 1) / 2 + random % (wait_ms + 1);
 }
 
 static enum quota_verdict
