--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -73,9 +73,10 @@
 	int i;
 
 	for (i = 0; i < ADMISSION_CLASSES; i++)
-		us += a->lanes[i].waiting[rank].length *
-		    admission_run_us(a, admission_rank_priority(rank),
-			(enum admission_class)i);
+		if (a->lanes[i].waiting[rank].length > 0)
+			us += a->lanes[i].waiting[rank].length *
+			    admission_run_us(a, admission_rank_priority(rank),
+				(enum admission_class)i);
 	return us;
 }
 
@@ -88,7 +89,7 @@
 
 	for (i = 0; i < ADMISSION_CLASSES; i++)
 		us += a->lanes[i].in_slots * a->lanes[i].mean_us;
-	for (rank = 0; rank < RANKS; rank++)
+	for (rank = 0; rank < RANKS && admission_queued(a) > 0; rank++)
 		us += queued_work_us(a, rank);
 	return us / US_PER_MS;
 }
