--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -130,7 +130,7 @@
 	return !c->is_served && !c->keyed;
 }
 
-/* Customers whose callers share an address and send the same are told apart. */
+/* Separates customers whose callers share an address and send the same. */
 static bool
 make_return_print(struct entry_call *c, struct fingerprint *print)
 {
--- a/test/driver/test_confirmed.c
+++ b/test/driver/test_confirmed.c
@@ -117,7 +117,7 @@
 		follow_set_access(w, i, FOLLOW_REJECTED);
 	turned_away = observe(w);
 	printf("%u nodes: confirmations at most %u ms old, %u ms while each "
-	       "third is turned away; %u bytes/s a node, %u without\n",
+	       "third is rejected; %u bytes/s a node, %u without\n",
 	    w->n_nodes, (unsigned int)calm, (unsigned int)turned_away, on, off);
 	ck_assert_uint_lt(calm, WITHIN_MS);
 	ck_assert_uint_lt(turned_away, WITHIN_MS);
