perf(traffic): the guard's queue visits only the ranks at which requests wait

Customers made 32 ranks of each class out of 8, and each load report, offer, look for the next request and its wake-up time visited all of them; skipping the work of empty ones left the visits. The expected run time depends on the priority and the class only, so that a lane counts its waiting requests by priority, which gives the sum over all ranks, and keeps the set of the ranks at which requests wait. The requests ahead are no longer counted for a limit that the upstream doesn't name: for customers each count scans the queue several times.

--- a/packages/traffic/bench/bench_traffic.c
+++ b/packages/traffic/bench/bench_traffic.c
@@ -92,33 +92,77 @@
 	g_free(infos);
 }
 
+/**
+ * struct guard_queue - an upstream with a full queue
+ * @started: tickets of the running requests
+ * @n_customers: number of customers, 0 for requests without one
+ * @tickets: number of requests so far
+ */
+struct guard_queue {
+	struct admission *admission;
+	GQueue *started;
+	uint32_t n_customers;
+	uint64_t tickets;
+};
+
+static void
+note_start(struct guard_queue *g, const struct admission_result *r)
+{
+	if (r->verdict == ADMISSION_START)
+		g_queue_push_tail(g->started, GSIZE_TO_POINTER(r->ticket));
+}
+
 static void
-bench_admission(void)
+offer_next(struct guard_queue *g, uint64_t now_ms)
 {
 	struct admission_request req = {
-	    0, ADMISSION_LOOKUP, UINT64_MAX, 0, 0, 0, 0};
-	struct admission_config cfg;
+	    ++g->tickets, ADMISSION_LOOKUP, UINT64_MAX, 0, 0, 0, 0};
+	struct admission_result r;
+
+	if (g->n_customers > 0)
+		req.customer = 1 + g->tickets % g->n_customers;
+	admission_offer(g->admission, &req, now_ms, &r);
+	note_start(g, &r);
+}
+
+static void
+finish_oldest(struct guard_queue *g, uint64_t now_ms)
+{
+	uint64_t ticket = GPOINTER_TO_SIZE(g_queue_pop_head(g->started));
 	struct admission_result r;
-	struct admission *a;
+
+	admission_finished(g->admission, ticket, ADMISSION_LOOKUP, 1, now_ms);
+	while (admission_next(g->admission, now_ms, &r))
+		note_start(g, &r);
+}
+
+static void
+bench_admission(uint32_t n_customers)
+{
+	struct guard_queue g = {.n_customers = n_customers};
+	struct admission_config cfg;
+	struct load_report load;
 	uint64_t began, i;
+	char name[64];
 
 	admission_config_default(&cfg);
-	a = admission_new(&cfg);
-	for (i = 0; i < cfg.slots + cfg.queue_max; i++) {
-		req.ticket = i;
-		admission_offer(a, &req, 0, &r);
-	}
+	g.admission = admission_new(&cfg);
+	g.started = g_queue_new();
+	for (i = 0; i < cfg.slots + cfg.queue_max; i++)
+		offer_next(&g, 0);
 	began = cpu_ns();
 	for (i = 0; i < ROUNDS; i++) {
-		req.ticket = i;
-		admission_offer(a, &req, i / 100, &r);
-		admission_finished(a, i, ADMISSION_LOOKUP, 1, i / 100);
-		(void)admission_next(a, i / 100, &r);
-		admission_offer(a, &req, i / 100, &r);
-		(void)admission_wake_ms(a);
+		offer_next(&g, i / 100);
+		finish_oldest(&g, i / 100);
+		offer_next(&g, i / 100);
+		(void)admission_wake_ms(g.admission);
+		admission_load(g.admission, &load);
 	}
-	print_cost("admission with a full queue", began, ROUNDS);
-	admission_free(a);
+	(void)snprintf(name, sizeof(name),
+	    "admission with a full queue, %u customers", n_customers);
+	print_cost(name, began, ROUNDS);
+	g_queue_free(g.started);
+	admission_free(g.admission);
 }
 
 static void
@@ -301,7 +345,9 @@
 	bench_placement(54, 1);
 	bench_placement(500, 0);
 	bench_placement(500, 1);
-	bench_admission();
+	bench_admission(0);
+	bench_admission(100);
+	bench_admission(2000);
 	bench_fate();
 	bench_keyed();
 	return EXIT_SUCCESS;
--- a/packages/traffic/src/admission.c
+++ b/packages/traffic/src/admission.c
@@ -86,13 +86,6 @@
 	    a->lanes[ADMISSION_BOOKING].in_slots;
 }
 
-uint32_t
-admission_queued(const struct admission *a)
-{
-	return a->lanes[ADMISSION_LOOKUP].n_waiting +
-	    a->lanes[ADMISSION_BOOKING].n_waiting;
-}
-
 bool
 admission_may_start(const struct admission *a, uint64_t now_ms)
 {
@@ -150,16 +143,6 @@
 	out->retry_after_ms = 0;
 }
 
-struct waiting *
-admission_dequeue(struct lane *l, uint32_t rank, GList *link)
-{
-	struct waiting *w = link->data;
-
-	g_queue_delete_link(&l->waiting[rank], link);
-	l->n_waiting--;
-	return w;
-}
-
 /*
  * Remove the newest request of the lowest rank below @rank; NULL if there is
  * none.
@@ -167,15 +150,14 @@
 static struct waiting *
 evict_lowest(struct admission *a, uint32_t rank)
 {
-	uint32_t r;
-	int i;
+	uint32_t lowest = admission_last_rank(admission_ranks(a));
+	struct lane *l = &a->lanes[ADMISSION_LOOKUP];
 
-	for (r = RANKS - 1; r > rank; r--)
-		for (i = 0; i < ADMISSION_CLASSES; i++)
-			if (a->lanes[i].waiting[r].tail != NULL)
-				return admission_dequeue(&a->lanes[i], r,
-				    a->lanes[i].waiting[r].tail);
-	return NULL;
+	if (lowest == RANKS || lowest <= rank)
+		return NULL;
+	if (l->waiting[lowest].length == 0)
+		l = &a->lanes[ADMISSION_BOOKING];
+	return admission_dequeue(l, lowest, l->waiting[lowest].tail);
 }
 
 /* The waiting request of a class and rank that starts last, or NULL. */
@@ -280,16 +262,14 @@
     uint64_t now_ms, struct admission_result *out)
 {
 	struct waiting *w;
-	GQueue *q;
 
 	w = g_new(struct waiting, 1);
 	w->req = *req;
 	w->arrived_ms = now_ms;
 	w->expires_ms = MIN(req->deadline_ms,
 	    now_ms + admission_allowed_wait_ms(a, req, now_ms));
-	q = &a->lanes[req->class].waiting[admission_rank_of(a, req, now_ms)];
-	g_queue_push_nth(q, w, (gint)admission_queue_index(q, req->target_ms));
-	a->lanes[req->class].n_waiting++;
+	admission_enqueue(
+	    &a->lanes[req->class], admission_rank_of(a, req, now_ms), w);
 	out->verdict = ADMISSION_QUEUE;
 	out->ticket = req->ticket;
 	out->refusal = REFUSAL_NONE;
@@ -333,25 +313,31 @@
 	return NULL;
 }
 
-bool
-admission_cancel(struct admission *a, uint64_t ticket)
+static bool
+cancel_in(struct lane *lane, uint64_t ticket)
 {
-	uint32_t rank;
+	uint32_t rank, ranks = lane->ranks;
 	GList *l;
-	int i;
 
-	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		for (rank = 0; rank < RANKS; rank++) {
-			l = find_waiting(&a->lanes[i].waiting[rank], ticket);
-			if (l == NULL)
-				continue;
-			g_free(admission_dequeue(&a->lanes[i], rank, l));
-			return true;
-		}
+	while (ranks != 0) {
+		rank = admission_first_rank(ranks);
+		ranks = admission_without_rank(ranks, rank);
+		l = find_waiting(&lane->waiting[rank], ticket);
+		if (l == NULL)
+			continue;
+		g_free(admission_dequeue(lane, rank, l));
+		return true;
 	}
 	return false;
 }
 
+bool
+admission_cancel(struct admission *a, uint64_t ticket)
+{
+	return cancel_in(&a->lanes[ADMISSION_LOOKUP], ticket) ||
+	    cancel_in(&a->lanes[ADMISSION_BOOKING], ticket);
+}
+
 static void
 drain_lane(struct admission *a, struct lane *lane, uint32_t rank)
 {
--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -21,6 +21,9 @@
  * late. */
 #define RANKS (2 * ADMISSION_PRIORITIES * CUSTOMER_RANKS)
 
+/* A set of ranks is a word with a bit for each rank. */
+G_STATIC_ASSERT(RANKS <= 32);
+
 /**
  * struct waiting - a queued request
  * @req: the request
@@ -36,7 +39,9 @@
 /**
  * struct lane - queue and statistics of one class: lookups or bookings
  * @waiting: struct waiting by rank
+ * @ranks: set of the ranks at which requests are queued
  * @n_waiting: total number of queued requests
+ * @n_by_priority: number of queued requests by priority
  * @in_slots: running requests
  * @mean_us: moving average of the run time
  * @run_us: moving average of the run time by priority
@@ -44,7 +49,9 @@
  */
 struct lane {
 	GQueue waiting[RANKS];
+	uint32_t ranks;
 	uint32_t n_waiting;
+	uint32_t n_by_priority[ADMISSION_PRIORITIES];
 	uint32_t in_slots;
 	uint64_t mean_us;
 	uint64_t run_us[ADMISSION_PRIORITIES];
@@ -299,7 +306,26 @@
 /** admission_work_ms() - expected run time of all requests that run or wait */
 uint64_t admission_work_ms(const struct admission *a);
 
+/** admission_enqueue() - queue a request at a rank, in order of its target */
+void admission_enqueue(struct lane *l, uint32_t rank, struct waiting *w);
+
 /** admission_dequeue() - remove a request from a lane; the caller frees it */
 struct waiting *admission_dequeue(struct lane *l, uint32_t rank, GList *link);
 
+/** admission_ranks() - set of the ranks at which a request of either class
+ * waits */
+uint32_t admission_ranks(const struct admission *a);
+
+/** admission_first_rank() - the highest rank of a set, or RANKS */
+uint32_t admission_first_rank(uint32_t ranks);
+
+/** admission_last_rank() - the lowest rank of a set, or RANKS */
+uint32_t admission_last_rank(uint32_t ranks);
+
+/** admission_without_rank() - the set without a rank */
+uint32_t admission_without_rank(uint32_t ranks, uint32_t rank);
+
+/** admission_ranks_ahead() - the ranks of a set that go before @rank */
+uint32_t admission_ranks_ahead(uint32_t ranks, uint32_t rank);
+
 #endif
--- a/packages/traffic/src/admission_next.c
+++ b/packages/traffic/src/admission_next.c
@@ -51,11 +51,13 @@
 next_expired(struct admission *a, struct lane *lane, uint64_t now_ms,
     struct admission_result *out)
 {
+	uint32_t rank, ranks = lane->ranks;
 	struct waiting *w;
-	uint32_t rank;
 	GList *l;
 
-	for (rank = 0; rank < RANKS; rank++) {
+	while (ranks != 0) {
+		rank = admission_first_rank(ranks);
+		ranks = admission_without_rank(ranks, rank);
 		l = find_expired(&lane->waiting[rank], now_ms);
 		if (l == NULL)
 			continue;
@@ -92,14 +94,6 @@
 					   : ADMISSION_BOOKING;
 }
 
-static bool
-has_waiting(const struct admission *a, uint32_t rank)
-{
-	return a->lanes[ADMISSION_LOOKUP].waiting[rank].length +
-	    a->lanes[ADMISSION_BOOKING].waiting[rank].length >
-	    0;
-}
-
 /* Expected slot time of the next request of a rank. */
 static uint64_t
 next_run_us(const struct admission *a, uint32_t rank)
@@ -109,13 +103,12 @@
 	    RUN_DEFAULT_US);
 }
 
-/* Whether a request waits at a rank and may take a slot. */
+/* Whether a request that waits at a rank may take a slot. */
 static bool
 may_start_rank(const struct admission *a, uint32_t rank)
 {
-	return has_waiting(a, rank) &&
-	    admission_urgent_allows(
-		a, admission_rank_priority(rank), next_class(a, rank));
+	return admission_urgent_allows(
+	    a, admission_rank_priority(rank), next_class(a, rank));
 }
 
 /*
@@ -125,14 +118,20 @@
 static uint32_t
 next_rank(const struct admission *a)
 {
-	uint32_t first = 0, last = RANKS - 1;
+	uint32_t first, last, ranks = admission_ranks(a);
 
-	while (first < RANKS && !may_start_rank(a, first))
-		first++;
+	first = admission_first_rank(ranks);
+	while (first < RANKS && !may_start_rank(a, first)) {
+		ranks = admission_without_rank(ranks, first);
+		first = admission_first_rank(ranks);
+	}
 	if (first == RANKS)
 		return RANKS;
-	while (last > first && !may_start_rank(a, last))
-		last--;
+	last = admission_last_rank(ranks);
+	while (last > first && !may_start_rank(a, last)) {
+		ranks = admission_without_rank(ranks, last);
+		last = admission_last_rank(ranks);
+	}
 	return a->lowest_credit_us >= next_run_us(a, last) ? last : first;
 }
 
@@ -144,10 +143,8 @@
 account_start(struct admission *a, uint32_t rank)
 {
 	uint64_t us = next_run_us(a, rank);
-	uint32_t last = RANKS - 1;
+	uint32_t last = admission_last_rank(admission_ranks(a));
 
-	while (last > rank && !has_waiting(a, last))
-		last--;
 	if (last == rank)
 		a->lowest_credit_us -= MIN(us, a->lowest_credit_us);
 	else
@@ -222,6 +219,21 @@
 	return first;
 }
 
+static uint64_t
+first_expiry_in_ms(const struct lane *lane)
+{
+	uint64_t first = DEADLINE_NEVER, expiry;
+	uint32_t rank, ranks = lane->ranks;
+
+	while (ranks != 0) {
+		rank = admission_first_rank(ranks);
+		ranks = admission_without_rank(ranks, rank);
+		expiry = first_expiry_ms(&lane->waiting[rank]);
+		first = MIN(first, expiry);
+	}
+	return first;
+}
+
 /* When the limit that the upstream names lets the next queued request start. */
 static uint64_t
 next_token_ms(const struct admission *a)
@@ -238,14 +250,11 @@
 admission_wake_ms(const struct admission *a)
 {
 	uint64_t wake = next_token_ms(a), first;
-	uint32_t rank;
 	int i;
 
 	for (i = 0; i < ADMISSION_CLASSES; i++) {
-		for (rank = 0; rank < RANKS; rank++) {
-			first = first_expiry_ms(&a->lanes[i].waiting[rank]);
-			wake = MIN(wake, first);
-		}
+		first = first_expiry_in_ms(&a->lanes[i]);
+		wake = MIN(wake, first);
 	}
 	return wake;
 }
--- a/packages/traffic/src/admission_wait.c
+++ b/packages/traffic/src/admission_wait.c
@@ -65,35 +65,71 @@
 	    2 * admission_priority_of(req) + (is_late(a, req, now_ms) ? 1 : 0);
 }
 
-/* Total expected run time of the requests that wait at a rank. */
+/* Total expected run time of the requests of a class that wait at a rank. */
 static uint64_t
-queued_work_us(const struct admission *a, uint32_t rank)
+rank_work_us(
+    const struct admission *a, enum admission_class class, uint32_t rank)
 {
-	uint64_t us = 0;
-	int i;
+	return a->lanes[class].waiting[rank].length *
+	    admission_run_us(a, admission_rank_priority(rank), class);
+}
 
-	for (i = 0; i < ADMISSION_CLASSES; i++)
-		if (a->lanes[i].waiting[rank].length > 0)
-			us += a->lanes[i].waiting[rank].length *
-			    admission_run_us(a, admission_rank_priority(rank),
-				(enum admission_class)i);
+/* Total expected run time of the requests of a class that run or wait. */
+static uint64_t
+lane_work_us(const struct admission *a, enum admission_class class)
+{
+	const struct lane *l = &a->lanes[class];
+	uint64_t us = l->in_slots * l->mean_us;
+	uint32_t p;
+
+	if (l->n_waiting == 0)
+		return us;
+	for (p = 0; p < ADMISSION_PRIORITIES; p++)
+		us += l->n_by_priority[p] * admission_run_us(a, p, class);
 	return us;
 }
 
 uint64_t
 admission_work_ms(const struct admission *a)
 {
-	uint64_t us = 0;
-	uint32_t rank;
-	int i;
+	uint64_t us = lane_work_us(a, ADMISSION_LOOKUP) +
+	    lane_work_us(a, ADMISSION_BOOKING);
 
-	for (i = 0; i < ADMISSION_CLASSES; i++)
-		us += a->lanes[i].in_slots * a->lanes[i].mean_us;
-	for (rank = 0; rank < RANKS && admission_queued(a) > 0; rank++)
-		us += queued_work_us(a, rank);
 	return us / US_PER_MS;
 }
 
+/* Total expected run time of the requests at the ranks ahead of @rank. */
+static uint64_t
+work_ahead_us(const struct admission *a, uint32_t rank)
+{
+	uint32_t r, ranks = admission_ranks_ahead(admission_ranks(a), rank);
+	uint64_t us = 0;
+
+	while (ranks != 0) {
+		r = admission_first_rank(ranks);
+		ranks = admission_without_rank(ranks, r);
+		us += rank_work_us(a, ADMISSION_LOOKUP, r);
+		us += rank_work_us(a, ADMISSION_BOOKING, r);
+	}
+	return us;
+}
+
+/* Number of requests at the ranks ahead of @rank. */
+static uint64_t
+queued_at_ranks_ahead(const struct admission *a, uint32_t rank)
+{
+	uint32_t r, ranks = admission_ranks_ahead(admission_ranks(a), rank);
+	uint64_t n = 0;
+
+	while (ranks != 0) {
+		r = admission_first_rank(ranks);
+		ranks = admission_without_rank(ranks, r);
+		n += a->lanes[ADMISSION_LOOKUP].waiting[r].length;
+		n += a->lanes[ADMISSION_BOOKING].waiting[r].length;
+	}
+	return n;
+}
+
 static void
 extend_overload(struct admission *a, uint64_t now_ms)
 {
@@ -143,21 +179,6 @@
 	return MAX(kept, 1);
 }
 
-uint32_t
-admission_queue_index(const GQueue *q, uint64_t target_ms)
-{
-	const struct waiting *w;
-	uint32_t n = 0;
-	GList *l;
-
-	for (l = q->head; l != NULL; l = l->next, n++) {
-		w = l->data;
-		if (target_ms != 0 && w->req.target_ms > target_ms)
-			break;
-	}
-	return n;
-}
-
 /* Number of requests queued in @q that start before @req. */
 static uint32_t
 position_in(const struct admission *a, const GQueue *q,
@@ -177,15 +198,9 @@
 	const GQueue *q = &a->lanes[req->class].waiting[rank];
 	const GQueue *other =
 	    &a->lanes[admission_other(req->class)].waiting[rank];
-	uint64_t n = position_in(a, q, req);
-	uint32_t r;
-	int i;
-
-	n += position_in(a, other, req);
-	for (i = 0; i < ADMISSION_CLASSES; i++)
-		for (r = 0; r < rank; r++)
-			n += a->lanes[i].waiting[r].length;
-	return n;
+
+	return queued_at_ranks_ahead(a, rank) + position_in(a, q, req) +
+	    position_in(a, other, req);
 }
 
 /* Expected wait for the limit that the upstream names. */
@@ -193,6 +208,9 @@
 limit_wait_ms(const struct admission *a, const struct admission_request *req,
     uint32_t rank)
 {
+	/* Saves a scan of the queue. */
+	if (a->upstream_limit.milli_per_s == UPSTREAM_LIMIT_NONE)
+		return 0;
 	return upstream_limit_wait_ms(
 	    &a->upstream_limit, queued_ahead(a, req, rank), a->now_ms);
 }
@@ -203,11 +221,8 @@
     uint32_t rank)
 {
 	const GQueue *q = &a->lanes[req->class].waiting[rank];
-	uint64_t us = 0;
-	uint32_t r;
+	uint64_t us = work_ahead_us(a, rank);
 
-	for (r = 0; r < rank; r++)
-		us += queued_work_us(a, r);
 	us += (position_in(a, q, req) + UINT64_C(1)) *
 	    admission_run_us(a, admission_rank_priority(rank), req->class);
 	return us /
