feat(ctl): customers shows limit and use over all nodes

Cause: an operator could see a customer's limit in the bundle and its refusals in the log of each node, but nowhere how much it uses over the fleet.

Change: quota/usage counts requests and limited requests of each customer in periods of 5 s; GET /v1/customers shows the last complete one, in the worker thread; bramleyctl customers asks all members, 16 at a time, and prints the sums with the limits of the newest version among the answers, and how many answered. Customers without requests for two periods are forgotten.

Result: test_usage, test_ctl (two nodes of different versions, one gone, one that can't be reached) and functional_key_revoked (the sum over its real nodes) pass.

--- a/packages/ctl/include/ctl/commands.h
+++ b/packages/ctl/include/ctl/commands.h
@@ -88,6 +88,9 @@
 /** query_release() - release a request from quarantine */
 int query_release(struct ctl *ctl);
 
+/** customers_run() - print limits and use of customers over all nodes */
+int customers_run(struct ctl *ctl);
+
 /** watch_run() - wait until every node has applied a version */
 int watch_run(struct ctl *ctl);
 
--- a/packages/ctl/src/commands.c
+++ b/packages/ctl/src/commands.c
@@ -35,6 +35,9 @@
 	REQUEST_TIMEOUT_MS, query_release},
     {"rollouts", "", "List rollouts of service software", 0, 0, 0,
 	REQUEST_TIMEOUT_MS, query_rollouts},
+    {"customers", "[NAME]",
+	"Show limits and use of customers, summed over all nodes", 0, 1, 0,
+	REQUEST_TIMEOUT_MS, customers_run},
     {"operation", "OP", "Show the outcome of an operation", 1, 1,
 	OPTION_AFTER_SEQ, REQUEST_TIMEOUT_MS, query_operation},
 };
--- a/packages/ctl/test/test_ctl.c
+++ b/packages/ctl/test/test_ctl.c
@@ -168,6 +168,15 @@
 	"{\"host\":\"h1\",\"ready\":true,\"head\":{\"seq\":9," \
 	"\"version\":" version ",\"in_force\":" in_force "}}"
 
+#define MEMBER(address, state) \
+	"{\"address\":\"" address "\",\"state\":\"" state "\"}"
+#define CUSTOMERS(version, rate)                                        \
+	"{\"version\":" version ",\"period_ms\":5000,\"customers\":["   \
+	"{\"name\":\"quiet\",\"priority\":null,\"rate_milli_per_s\":0," \
+	"\"burst_milli\":0,\"requests\":50,\"limited\":0},"             \
+	"{\"name\":\"hot\",\"priority\":2,\"rate_milli_per_s\":" rate   \
+	",\"burst_milli\":1500,\"requests\":40,\"limited\":10}]}"
+
 /*
  * A command against a script: exit code, and substrings of its output, of its
  * errors and of the requests it sent.  "$" is replaced by a bundle file.
@@ -333,6 +342,39 @@
 	    "\"v2\",\"phase\":\"rolled_back\",\"left_ms\":2170,\"reason\":"
 	    "\"failures on route 5: 4 of 5 answers\"}]}"}},
 	EXIT_CODE_OK, "rolled_back", "", "GET /v1/rollouts"},
+    /* Two nodes answer from one address, one is gone, one can't be reached;
+     * the answers are of different versions. */
+    {"--node @ customers",
+	{{"GET /v1/members", 200,
+	     "{\"members\":[" MEMBER("127.0.0.1:9", "alive") "," MEMBER(
+		 "127.0.0.1:9", "suspect") "," MEMBER("127.0.0.1:9",
+		 "failed") "," MEMBER("127.9.9.9:9", "alive") "]}"},
+	    {"GET /v1/customers", 200, CUSTOMERS("8", "3000")},
+	    {"GET /v1/customers", 200, CUSTOMERS("7", "5000")}},
+	EXIT_CODE_OK,
+	"answers of 2 of 3 nodes\n"
+	"CUSTOMER                          PRIORITY     LIMIT/S       BURST"
+	"     ASKED/S   LIMITED/S\n"
+	"hot                                      2       3.000       1.500"
+	"        16.0         4.0\n"
+	"quiet                                    -       0.000       0.000"
+	"        20.0         0.0\n",
+	"", "GET /v1/customers"},
+    {"--node @ --node @ --json customers a&b",
+	{{"GET /v1/customers?name=a%26b", 200, CUSTOMERS("8", "3000")}},
+	EXIT_CODE_OK,
+	"{\"nodes\":2,\"answered\":2,\"period_ms\":5000,\"customers\":["
+	"{\"name\":\"hot\",\"priority\":2,\"rate_milli_per_s\":3000,"
+	"\"burst_milli\":1500,\"requests\":80,\"limited\":20},",
+	"", ""},
+    {"--node @ --node @ customers a",
+	{{"GET /v1/customers", 404, ERROR("not_found")}}, EXIT_CODE_NOT_FOUND,
+	"", "has no customer of this name", ""},
+    {"--node @ --node @ customers",
+	{{"GET /v1/customers", 500, ERROR("internal")}}, EXIT_CODE_UNAVAILABLE,
+	"", "No node answered", ""},
+    {"--node @ customers", {{"GET /v1/members", 503, ERROR("unavailable")}},
+	EXIT_CODE_UNAVAILABLE, "", "What is wrong", ""},
     {"--node @ quarantine",
 	{{"GET /v1/quarantine", 200,
 	    "{\"requests\":[{\"request\":\"0a.0b\",\"crashes\":3,"
--- a/packages/node/include/node/entry.h
+++ b/packages/node/include/node/entry.h
@@ -21,6 +21,7 @@
 struct guard_quota;
 struct loop;
 struct quarantine;
+struct quota_usage;
 struct settings;
 
 /**
@@ -145,6 +146,10 @@
  * before the first request */
 void entry_use_homes(struct entry *e, struct guard_quota *homes);
 
+/** entry_usage() - usage of customers by the requests of callers at this node;
+ * any thread; valid as long as the entry */
+struct quota_usage *entry_usage(const struct entry *e);
+
 /**
  * entry_use_quarantine() - set the quarantined requests, which are refused
  *
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -3,7 +3,8 @@
  *
  * A CivetWeb worker thread reads the request, posts it to the control thread
  * and waits for the answer.  Only /metrics and /v1/health are answered by the
- * worker itself, so that they work while the control thread is busy.
+ * worker itself, so that they work while the control thread is busy, and
+ * /v1/customers, so that it doesn't hold that thread up.
  */
 #define LOG_PART "admin"
 
@@ -15,6 +16,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "config/bundle.h"
+#include "config/customer.h"
 #include "net/loop.h"
 #include "proto/settings.h"
 
@@ -349,6 +351,40 @@
 	g_string_free(out, TRUE);
 }
 
+/* Value of the parameter "name" of a query.  Return: whether it has one that is
+ * no longer than a customer's name. */
+static int
+query_name(const struct mg_request_info *ri, char *name, size_t len)
+{
+	const char *query = ri->query_string;
+
+	return query != NULL &&
+	    mg_get_var(query, strlen(query), "name", name, len) > 0;
+}
+
+static void
+admin_on_customers(struct mg_connection *conn, struct admin *a)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	char name[CUSTOMER_NAME_BYTES];
+	json_t *reply;
+
+	if (strcmp(ri->request_method, "GET") != 0) {
+		admin_send_error(conn, STATUS_INVALID,
+		    "The resource does not support this method.",
+		    "See docs/API.md for its methods.");
+		return;
+	}
+	reply = admin_customers_json(
+	    a->usage, query_name(ri, name, sizeof(name)) ? name : NULL);
+	if (reply != NULL)
+		admin_send_json(conn, 200, reply);
+	else
+		admin_send_error(conn, STATUS_NOT_FOUND,
+		    "The version in force has no customer of this name.",
+		    "See the names in the bundle.");
+}
+
 static int
 admin_on_request(struct mg_connection *conn, void *arg)
 {
@@ -358,6 +394,8 @@
 		admin_on_metrics(conn);
 	else if (strcmp(uri, API_PREFIX "health") == 0)
 		admin_on_health(conn, arg);
+	else if (strcmp(uri, API_PREFIX "customers") == 0)
+		admin_on_customers(conn, arg);
 	else if (g_str_has_prefix(uri, API_PREFIX))
 		admin_on_api(conn, arg);
 	else
@@ -368,7 +406,8 @@
 }
 
 enum status
-admin_start(const struct settings *s, struct control *c, struct admin **out)
+admin_start(const struct settings *s, struct control *c,
+    struct quota_usage *usage, struct admin **out)
 {
 	char at[ADDR_TEXT_BYTES], threads[ADMIN_TEXT_BYTES];
 	const char *options[] = {"listening_ports", at, "num_threads", threads,
@@ -378,6 +417,7 @@
 
 	a->settings = s;
 	a->control = c;
+	a->usage = usage;
 	(void)addr_format(&addr, at);
 	(void)snprintf(threads, sizeof(threads), "%u", s->admin_threads);
 	a->web = mg_start(NULL, a, options);
--- a/packages/node/src/admin_priv.h
+++ b/packages/node/src/admin_priv.h
@@ -12,6 +12,7 @@
 #include "config/bundle.h"
 #include "node/admin.h"
 #include "node/control.h"
+#include "quota/usage.h"
 
 /* Maximum time that a request waits for its operation. */
 #define ADMIN_OPERATION_MS 10000
@@ -26,11 +27,13 @@
  * struct admin - the server
  * @settings: settings of the node
  * @control: control of the node
+ * @usage: usage of customers at this node
  * @web: the CivetWeb server
  */
 struct admin {
 	const struct settings *settings;
 	struct control *control;
+	struct quota_usage *usage;
 	struct mg_context *web;
 };
 
@@ -121,6 +124,18 @@
  */
 void admin_parse_bundle(struct admin_call *call);
 
+/**
+ * admin_customers_json() - usage of customers, the answer to GET /v1/customers
+ * @usage: usage at this node
+ * @name: the customer that is asked for; NULL for all with requests in the last
+ *	period
+ *
+ * In a worker thread.
+ *
+ * Return: the body, or NULL if the version in force has no customer @name.
+ */
+json_t *admin_customers_json(struct quota_usage *usage, const char *name);
+
 /** admin_status() - GET /v1/status; in the control thread */
 void admin_status(struct admin_call *call);
 
--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -55,6 +55,7 @@
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
 	e->splits = split_table_new(e->seed);
 	e->patience = patience_new();
+	e->usage = quota_usage_new();
 	e->returns = returns_new();
 	drain_init(&e->drain);
 	behind_init(&e->behind);
@@ -219,6 +220,12 @@
 	e->guard = g;
 }
 
+struct quota_usage *
+entry_usage(const struct entry *e)
+{
+	return e->usage;
+}
+
 void
 entry_use_homes(struct entry *e, struct guard_quota *homes)
 {
@@ -235,6 +242,7 @@
 	while ((l = e->calls.head) != NULL)
 		entry_call_free(l->data);
 	entry_quota_free(e->quota);
+	quota_usage_free(e->usage);
 	g_hash_table_destroy(e->peers);
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -642,6 +642,7 @@
 		entry_customer_refuse(e, x);
 		return false;
 	}
+	entry_customer_count(e, accepted->customer);
 	if (!entry_customer_is_confirmed(e, match->route)) {
 		entry_customer_unconfirmed(e, x);
 		return false;
--- a/packages/node/src/entry_customer.c
+++ b/packages/node/src/entry_customer.c
@@ -30,6 +30,14 @@
 	return *customer != NULL || route->keyless;
 }
 
+void
+entry_customer_count(struct entry *e, const struct customer *customer)
+{
+	if (customer != NULL)
+		quota_usage_request(
+		    e->usage, customer->id, loop_now_ms(e->loop));
+}
+
 static enum key_fault
 fault_of(const struct call_request *r)
 {
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -16,6 +16,7 @@
 #include "node/entry.h"
 #include "node/guard.h"
 #include "proto/settings.h"
+#include "quota/usage.h"
 #include "traffic/behind.h"
 #include "traffic/canary.h"
 #include "traffic/call.h"
@@ -67,6 +68,7 @@
  * @quarantine: quarantined requests, borrowed; NULL for none
  * @guard: guard of this host, borrowed; NULL for none
  * @quota: limits of customers; NULL in tests without homes
+ * @usage: usage of customers at this node
  * @watcher: callback for new snapshots, or NULL
  * @watcher_arg: passed to @watcher
  * @runs: upstreams' runs that name a limit or leave
@@ -101,6 +103,7 @@
 	struct quarantine *quarantine;
 	struct guard *guard;
 	struct entry_quota *quota;
+	struct quota_usage *usage;
 	void (*watcher)(void *arg);
 	void *watcher_arg;
 	struct run_reports *runs;
@@ -490,6 +493,10 @@
 bool entry_customer_find(const struct entry *e, const struct call_request *r,
     const struct service_route *route, const struct customer **customer);
 
+/** entry_customer_count() - count a request in the usage of its customer; NULL
+ * for none */
+void entry_customer_count(struct entry *e, const struct customer *customer);
+
 /** entry_customer_refuse() - answer a request without a valid key, as behind
  * when a newer version may hold its key */
 void entry_customer_refuse(struct entry *e, struct call_exchange *x);
--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -596,6 +596,7 @@
     const struct customer *customer, uint64_t retry_after_ms)
 {
 	entry_quota_log_refused(e->quota->log, customer, loop_now_ms(e->loop));
+	quota_usage_limited(e->usage, customer->id, loop_now_ms(e->loop));
 	metric_add(&metric_quota_refused, 1);
 	call_metrics_refusal(REFUSAL_CUSTOMER_LIMIT);
 	entry_log_limited(
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -89,7 +89,8 @@
 	if (st == STATUS_OK)
 		st = control_start(n->control);
 	if (st == STATUS_OK && n->adapter == NULL)
-		st = admin_start(n->settings, n->control, &n->admin);
+		st = admin_start(
+		    n->settings, n->control, entry_usage(n->entry), &n->admin);
 	return st;
 }
 
--- a/test/functional/test_key_revoked.c
+++ b/test/functional/test_key_revoked.c
@@ -2,7 +2,8 @@
  * A customer's key is replaced while one node is cut off from the platform, and
  * again after the cut.  Each node must refuse the key that was taken away
  * within the bound, though the version arrives through peers, and serve the one
- * that was added.  No log and no answer of a node may show a key.
+ * that was added.  No log and no answer of a node may show a key.  The usage of
+ * the customer is summed over all nodes.
  */
 #include <string.h>
 
@@ -25,6 +26,8 @@
 /* Setting of the nodes, and that with time to ask all of them. */
 #define CONFIRM_MS 4000
 #define REFUSED_BOUND_MS 7000
+/* Two periods of usage, and time to ask. */
+#define USAGE_BOUND_MS 15000
 #define CUSTOMER "court of appeal"
 #define SECRET "secret-"
 #define OLD_KEY SECRET "old"
@@ -260,6 +263,58 @@
 	ck_assert_uint_gt(n, 0);
 }
 
+/* Calls at each host until the sum over the hosts shows them. */
+struct usage_wait {
+	const struct deployment *d;
+	const char *const *args;
+};
+
+static int
+usage_is_summed(void *arg)
+{
+	struct usage_wait *w = arg;
+	json_t *j, *first;
+	uint32_t i, n = w->d->hosts->len;
+	int summed;
+
+	for (i = 0; i < n; i++)
+		ck_assert_int_eq(
+		    call(deployment_host(w->d, i), "/search/x", LAST_KEY), 200);
+	j = deployment_ctl(deployment_host(w->d, 0), NULL, w->args);
+	ck_assert_int_eq(json_number(j, "answered"), n);
+	first = json_array_get(json_object_get(j, "customers"), 0);
+	summed = json_number(first, "requests") >= n;
+	if (summed)
+		ck_assert_str_eq(
+		    json_string_value(json_object_get(first, "name")),
+		    CUSTOMER);
+	json_decref(j);
+	return summed;
+}
+
+static void
+check_usage(const struct deployment *d)
+{
+	GPtrArray *args = g_ptr_array_new_with_free_func(g_free);
+	struct usage_wait w = {.d = d};
+	const struct host *h;
+	uint32_t i;
+
+	g_ptr_array_add(args, g_strdup("customers"));
+	g_ptr_array_add(args, g_strdup(CUSTOMER));
+	for (i = 1; i < d->hosts->len; i++) {
+		h = deployment_host(d, i);
+		g_ptr_array_add(args, g_strdup("--node"));
+		g_ptr_array_add(
+		    args, g_strdup_printf("%s:%u", h->address, h->admin_port));
+	}
+	g_ptr_array_add(args, NULL);
+	w.args = (const char *const *)args->pdata;
+	ck_assert_msg(harness_wait_until(usage_is_summed, &w, USAGE_BOUND_MS),
+	    "no sum of a customer's requests after %d ms", USAGE_BOUND_MS);
+	g_ptr_array_unref(args);
+}
+
 START_TEST(key_taken_away_is_refused_beside_a_cut)
 {
 	struct deployment_plan plan = deployment_registry;
@@ -282,6 +337,7 @@
 	replace_key(d, OLD_KEY, NEW_KEY);
 	relay_set(g_ptr_array_index(d->relays, CUT_HOST), RELAY_PASS);
 	replace_key(d, NEW_KEY, LAST_KEY);
+	check_usage(d);
 	check_keys_are_hidden(d);
 	check_names(d);
 	deployment_free(d);
