fix(signoff): an operation takes up head rows that become known

Cause: an operation knew the newest head row of its start only. When another version was signed off meanwhile and the product's own store then came back from an older copy, it built on the restored row and used a number a second time.

Change: before each answer of the store the operation is given the newest head row that the node knows; a row whose seq is not above it is not written, and an older head row is read again.

--- a/packages/node/include/node/operation.h
+++ b/packages/node/include/node/operation.h
@@ -33,6 +33,10 @@
  * call */
 typedef void operation_fn(const struct operation_end *end, void *arg);
 
+/** operation_known_fn - sets seq and newest version of the newest head row that
+ * this node knows; called before each answer of the store is handled */
+typedef void operation_known_fn(uint64_t *seq, uint64_t *version, void *arg);
+
 /**
  * operation_start() - start an operation
  * @loop: the control thread's loop
@@ -40,15 +44,16 @@
  * @req: the request; copied except for the bundle
  * @bundle: bundle of the request, owned by the operation from now on, also on
  *	failure; NULL for none
+ * @known: newest head row known
  * @fn: called once with the result, after this function has returned
- * @arg: passed to @fn
+ * @arg: passed to @known and @fn
  *
  * The operation frees itself.
  *
  * Return: STATUS_OK, or STATUS_INVALID, in which case @fn isn't called.
  */
 enum status operation_start(struct loop *loop, struct store *store,
-    const struct signoff_request *req, struct bundle *bundle, operation_fn *fn,
-    void *arg);
+    const struct signoff_request *req, struct bundle *bundle,
+    operation_known_fn *known, operation_fn *fn, void *arg);
 
 #endif
--- a/packages/node/src/control_api.c
+++ b/packages/node/src/control_api.c
@@ -131,6 +131,16 @@
 	g_free(op);
 }
 
+static void
+control_operation_known(uint64_t *seq, uint64_t *version, void *arg)
+{
+	const struct control_operation *op = arg;
+	const struct rec_head *head = spread_head(op->control->spread);
+
+	*seq = head->seq;
+	*version = head->version;
+}
+
 enum status
 control_run_operation(struct control *c, const struct signoff_request *req,
     struct bundle *bundle, operation_fn *fn, void *arg)
@@ -145,8 +155,8 @@
 	with_known.known_seq = spread_head(c->spread)->seq;
 	with_known.known_version = spread_head(c->spread)->version;
 	with_known.may_restore = control_may_restore(c, req);
-	st = operation_start(
-	    c->loop, c->store, &with_known, bundle, control_operation_done, op);
+	st = operation_start(c->loop, c->store, &with_known, bundle,
+	    control_operation_known, control_operation_done, op);
 	if (st != STATUS_OK)
 		g_free(op);
 	return st;
--- a/packages/node/src/operation.c
+++ b/packages/node/src/operation.c
@@ -13,6 +13,7 @@
 	struct bundle *bundle;
 	struct loop_timer timer;
 	struct operation_end end;
+	operation_known_fn *known;
 	operation_fn *fn;
 	void *arg;
 	uint32_t pending; /* requests to the store in flight */
@@ -69,11 +70,21 @@
 		operation_free(op);
 }
 
+static void
+update_known(struct operation *op)
+{
+	uint64_t seq, version;
+
+	op->known(&seq, &version, op->arg);
+	signoff_known(op->signoff, seq, version);
+}
+
 static void
 on_head(enum status st, const struct store_head *head, void *arg)
 {
 	struct operation_step *step = arg;
 
+	update_known(step->op);
 	signoff_on_head(
 	    step->op->signoff, operation_now(step->op), step->token, st, head);
 	step_end(step);
@@ -85,6 +96,7 @@
 {
 	struct operation_step *step = arg;
 
+	update_known(step->op);
 	signoff_on_versions(step->op->signoff, operation_now(step->op),
 	    step->token, st, rows, n, upto);
 	step_end(step);
@@ -95,6 +107,7 @@
 {
 	struct operation_step *step = arg;
 
+	update_known(step->op);
 	signoff_on_object(step->op->signoff, operation_now(step->op),
 	    step->token, st, data, len);
 	step_end(step);
@@ -105,6 +118,7 @@
 {
 	struct operation_step *step = arg;
 
+	update_known(step->op);
 	signoff_on_put(
 	    step->op->signoff, operation_now(step->op), step->token, st);
 	step_end(step);
@@ -116,6 +130,7 @@
 	struct operation_step *step = arg;
 
 	(void)which;
+	update_known(step->op);
 	signoff_on_transact(
 	    step->op->signoff, operation_now(step->op), step->token, st);
 	step_end(step);
@@ -240,6 +255,7 @@
 {
 	struct operation *op = arg;
 
+	update_known(op);
 	signoff_tick(op->signoff, operation_now(op));
 	operation_pump(op);
 }
@@ -255,8 +271,8 @@
 
 enum status
 operation_start(struct loop *loop, struct store *store,
-    const struct signoff_request *req, struct bundle *bundle, operation_fn *fn,
-    void *arg)
+    const struct signoff_request *req, struct bundle *bundle,
+    operation_known_fn *known, operation_fn *fn, void *arg)
 {
 	struct signoff_request with_bundle = *req;
 	struct operation *op;
@@ -274,6 +290,7 @@
 	op->store = store;
 	op->signoff = r;
 	op->bundle = bundle;
+	op->known = known;
 	op->fn = fn;
 	op->arg = arg;
 	loop_timer_init(&op->timer, loop, operation_on_timer, op);
--- a/packages/signoff/include/signoff/signoff.h
+++ b/packages/signoff/include/signoff/signoff.h
@@ -67,9 +67,9 @@
  * @version: version to halt, or whose content supersedes the newest one
  * @after_seq: for SIGNOFF_FIND: signoff_outcome.after_seq of the unknown
  *	outcome, 0 if that is not known
- * @known_seq: seq of the newest head row that is known, 0 for none; a head row
- *	below it shows that the store has come back from an older copy, and
- *	nothing is built on it
+ * @known_seq: seq of the newest head row that is known at the start, 0 for
+ *	none; a head row below it shows that the store has come back from an
+ *	older copy, and nothing is built on it; see signoff_known()
  * @known_version: newest version in that row
  * @restores: for SIGNOFF_SIGN_OFF and SIGNOFF_SUPERSEDE: the store has come
  *	back from an older copy; create the version after @known_version,
@@ -218,6 +218,18 @@
 /** signoff_action_clear() - free the content of an action */
 void signoff_action_clear(struct signoff_action *action);
 
+/**
+ * signoff_known() - a newer head row has become known during the operation
+ * @r: operation
+ * @seq: its seq; an older one than that known changes nothing
+ * @version: newest version in it
+ *
+ * To be called before the answers to actions are passed on: the store may come
+ * back from an older copy at any moment, and then lacks rows that were known by
+ * then.
+ */
+void signoff_known(struct signoff *r, uint64_t seq, uint64_t version);
+
 /** signoff_on_head() - SIGNOFF_READ_HEAD ended; @head is set if STATUS_OK */
 void signoff_on_head(struct signoff *r, uint64_t now_ms, uint32_t token,
     enum status st, const struct store_head *head);
--- a/packages/signoff/src/signoff.c
+++ b/packages/signoff/src/signoff.c
@@ -21,6 +21,8 @@
 	    const uint8_t *data, size_t len);
 };
 
+static void issue_transact(struct signoff *r, uint64_t now_ms);
+
 static const struct phase phases[PHASE_COUNT] = {
     [PHASE_HEAD] = {step_read_head, NULL, NULL},
     [PHASE_SEARCH] = {search_issue, search_on_versions, NULL},
@@ -34,7 +36,7 @@
     [PHASE_TARGET_ROW] = {halt_issue_target_row, halt_on_target_row, NULL},
     [PHASE_RESTORED_ROW] = {halt_issue_restored_row, halt_on_restored_row,
 	NULL},
-    [PHASE_TRANSACT] = {step_transact, NULL, NULL},
+    [PHASE_TRANSACT] = {issue_transact, NULL, NULL},
     [PHASE_WINNER_NOTE] = {halt_issue_winner_note, NULL, halt_on_winner_note},
     [PHASE_END] = {NULL, NULL, NULL},
 };
@@ -202,6 +204,26 @@
 	    head->in_force <= head->version;
 }
 
+/* A row with a number that is known to be used is not written: the head row
+ * that it follows is read again. */
+static void
+issue_transact(struct signoff *r, uint64_t now_ms)
+{
+	if (r->new_head.seq <= r->req.known_seq)
+		signoff_enter(r, PHASE_HEAD, now_ms);
+	else
+		step_transact(r, now_ms);
+}
+
+void
+signoff_known(struct signoff *r, uint64_t seq, uint64_t version)
+{
+	if (seq <= r->req.known_seq)
+		return;
+	r->req.known_seq = seq;
+	r->req.known_version = MAX(version, r->req.known_version);
+}
+
 void
 signoff_on_head(struct signoff *r, uint64_t now_ms, uint32_t token,
     enum status st, const struct store_head *head)
--- a/packages/signoff/test/test_signoff.c
+++ b/packages/signoff/test/test_signoff.c
@@ -81,6 +81,41 @@
 }
 END_TEST
 
+/*
+ * A newer head row becomes known after each step of an operation, and the store
+ * doesn't have it: nothing is written once it is known.
+ */
+START_TEST(a_row_that_becomes_known_is_not_written_again)
+{
+	const enum signoff_kind kind = (enum signoff_kind)_i;
+	struct signoff_request req;
+	struct actor *actor;
+	uint32_t i, step, n_refused = 0;
+	struct world *w;
+
+	for (step = 0; step <= 2 * STEPS; step++) {
+		w = world_new(step);
+		sign_off_versions(w, 3);
+		req = request_for_version(w, kind, "op", "anna", 3);
+		req.known_seq = w->head.seq;
+		actor = world_start(w, &req, 4, false);
+		for (i = 0; i < step; i++)
+			(void)world_step(w);
+		if (actor->sent_head.seq == 0) {
+			signoff_known(
+			    actor->r, w->head.seq + 1, w->head.version + 1);
+			n_refused++;
+			world_run(w);
+			ck_assert_int_eq(
+			    actor->outcome.result, SIGNOFF_UNAVAILABLE);
+			ck_assert_uint_eq(w->commits->len, 3);
+		}
+		world_free(w);
+	}
+	ck_assert_uint_gt(n_refused, 2);
+}
+END_TEST
+
 /* Restores a store with three versions from a copy with one. */
 static void
 restore_store(struct world *w)
@@ -449,6 +484,8 @@
 	TCase *tc = tcase_create("signoff");
 
 	tcase_add_loop_test(tc, an_older_head_row_is_not_built_on, 0, 3);
+	tcase_add_loop_test(
+	    tc, a_row_that_becomes_known_is_not_written_again, 0, 3);
 	tcase_add_loop_test(tc, a_restore_needs_no_content_of_the_lost_version,
 	    0, (int)G_N_ELEMENTS(restore_cases) * (FAULT_COUNT - 1));
 	tcase_add_loop_test(tc, operations_succeed_on_a_restored_store, 0,
