test(functional): the platform itself counts its reads in a second

Cause: the meter sampled the platform's counters ten times a second, and a window ended with the first sample taken a second or more after its first.

Change: the stand-in keeps the highest count in any window of a second; the meter's thread is gone.

--- a/packages/standins/src/platform.c
+++ b/packages/standins/src/platform.c
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "standins/objects.h"
+#include "standins/peak.h"
 #include "standins/platform.h"
 #include "standins/rate.h"
 #include "standins/rows.h"
@@ -49,6 +50,8 @@
 	struct objects *objects_copy;
 	struct rate reads;
 	struct rate writes;
+	struct peak reads_peak;
+	struct peak requests_peak;
 	struct platform_knobs knobs;
 	struct platform_stats stats;
 };
@@ -66,6 +69,7 @@
 	uint64_t now_us = clock_now_us();
 
 	p->stats.requests++;
+	peak_add(&p->requests_peak, 1, now_us);
 	if (p->knobs.outage) {
 		p->stats.failed++;
 		return ADMISSION_OUTAGE;
@@ -76,6 +80,7 @@
 		return ADMISSION_THROTTLED;
 	}
 	p->stats.reads += reads;
+	peak_add(&p->reads_peak, reads, now_us);
 	p->stats.writes += writes;
 	return ADMISSION_PASS;
 }
@@ -313,6 +318,10 @@
 	web_json_u32(j, "writes_per_s", &k->writes_per_s);
 	rate_set(&p->reads, k->reads_per_s, now_us);
 	rate_set(&p->writes, k->writes_per_s, now_us);
+	if (json_is_true(json_object_get(j, "reset_peaks"))) {
+		peak_reset(&p->reads_peak);
+		peak_reset(&p->requests_peak);
+	}
 	if (json_is_true(json_object_get(j, "back_up")))
 		platform_back_up(p);
 	if (json_is_true(json_object_get(j, "restore")))
@@ -330,8 +339,10 @@
 	const struct platform_stats *s = &p->stats;
 
 	pthread_mutex_lock(&p->lock);
-	j = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "requests",
-	    (json_int_t)s->requests, "reads", (json_int_t)s->reads, "writes",
+	j = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
+	    "requests", (json_int_t)s->requests, "requests_peak",
+	    (json_int_t)p->requests_peak.highest, "reads", (json_int_t)s->reads,
+	    "reads_peak", (json_int_t)p->reads_peak.highest, "writes",
 	    (json_int_t)s->writes, "rejected", (json_int_t)s->rejected,
 	    "failed", (json_int_t)s->failed, "lost_answers",
 	    (json_int_t)s->lost_answers, "rows",
@@ -404,6 +415,8 @@
 	objects_free(p->objects);
 	rows_free(p->rows_copy);
 	objects_free(p->objects_copy);
+	peak_reset(&p->reads_peak);
+	peak_reset(&p->requests_peak);
 	pthread_mutex_destroy(&p->lock);
 	g_free(p);
 }
--- a/packages/standins/test/test_platform.c
+++ b/packages/standins/test/test_platform.c
@@ -9,6 +9,7 @@
 #include <jansson.h>
 
 #include "standins/objects.h"
+#include "standins/peak.h"
 #include "standins/rate.h"
 #include "standins/rows.h"
 
@@ -201,6 +202,24 @@
 }
 END_TEST
 
+START_TEST(peak_is_that_of_any_second)
+{
+	struct peak p = {0};
+
+	peak_add(&p, 3, SECOND_US);
+	peak_add(&p, 4, 2 * SECOND_US - 1);
+	ck_assert_uint_eq(p.highest, 7);
+	peak_add(&p, 2, 2 * SECOND_US);
+	ck_assert_uint_eq(p.highest, 7);
+	peak_add(&p, 5, 3 * SECOND_US - 2);
+	ck_assert_uint_eq(p.highest, 11);
+	peak_reset(&p);
+	peak_add(&p, 1, 3 * SECOND_US);
+	ck_assert_uint_eq(p.highest, 1);
+	peak_reset(&p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -212,6 +231,7 @@
 	tcase_add_test(tc, cancelled_transaction_names_the_row);
 	tcase_add_test(tc, conditional_put_fails_if_the_object_exists);
 	tcase_add_test(tc, bucket_limits_the_rate);
+	tcase_add_test(tc, peak_is_that_of_any_second);
 	suite_add_tcase(s, tc);
 	return test_run(s);
 }
--- a/test/functional/read_meter.h
+++ b/test/functional/read_meter.h
@@ -1,5 +1,5 @@
 /*
- * Measures the peak rate of reads and requests at the platform.
+ * Peak rate of reads and requests, as measured at the platform.
  */
 #ifndef FUNCTIONAL_READ_METER_H
 #define FUNCTIONAL_READ_METER_H
@@ -8,8 +8,6 @@
 
 #include "deployment.h"
 
-struct read_meter;
-
 /**
  * struct read_peak - highest counts in any window of one second
  * @reads: rows and objects read
@@ -20,10 +18,10 @@
 	uint64_t requests;
 };
 
-/** read_meter_start() - sample the platform's counters ten times a second */
-struct read_meter *read_meter_start(const struct deployment *d);
+/** read_meter_start() - forget the peaks so far */
+void read_meter_start(const struct deployment *d);
 
-/** read_meter_stop() - stop and free; returns the peaks since the start */
-struct read_peak read_meter_stop(struct read_meter *m);
+/** read_meter_stop() - peaks since read_meter_start() */
+struct read_peak read_meter_stop(const struct deployment *d);
 
 #endif
--- a/test/functional/test_herd.c
+++ b/test/functional/test_herd.c
@@ -99,9 +99,9 @@
 }
 
 static void
-check_reads(struct read_meter *m, const char *label)
+check_reads(const struct mass_restart *h, const char *label)
 {
-	struct read_peak peak = read_meter_stop(m);
+	struct read_peak peak = read_meter_stop(h->d);
 
 	(void)printf("%s: at most %lu reads and %lu requests in a second\n",
 	    label, (unsigned long)peak.reads, (unsigned long)peak.requests);
@@ -116,15 +116,14 @@
 restart_data_centre(struct mass_restart *h)
 {
 	const char *label = "a data centre";
-	struct read_meter *m;
 	uint64_t version;
 
 	kill_hosts(h, HOSTS, 2 * HOSTS);
 	version = sign_off(h, 0);
-	m = read_meter_start(h->d);
+	read_meter_start(h->d);
 	start_hosts(h, HOSTS, 2 * HOSTS);
 	wait_for_version(h, label, version);
-	check_reads(m, label);
+	check_reads(h, label);
 }
 
 /* Restarts a data centre while the platform is down, so that its nodes get the
@@ -133,15 +132,14 @@
 restart_without_platform(struct mass_restart *h)
 {
 	const char *label = "a data centre, platform down";
-	struct read_meter *m;
 	uint64_t version = deployment_version(deployment_host(h->d, 0));
 
 	set_outage(h, 1);
 	kill_hosts(h, HOSTS, 2 * HOSTS);
-	m = read_meter_start(h->d);
+	read_meter_start(h->d);
 	start_hosts(h, HOSTS, 2 * HOSTS);
 	wait_for_version(h, label, version);
-	check_reads(m, label);
+	check_reads(h, label);
 	set_outage(h, 0);
 }
 
@@ -208,16 +206,15 @@
 restart_all(struct mass_restart *h)
 {
 	const char *label = "all hosts, platform recovered after 3 s";
-	struct read_meter *m;
 
 	kill_hosts(h, 0, 2 * HOSTS);
 	set_outage(h, 1);
-	m = read_meter_start(h->d);
+	read_meter_start(h->d);
 	start_hosts(h, 0, 2 * HOSTS);
 	g_usleep(OUTAGE_US);
 	set_outage(h, 0);
 	wait_for_version(h, label, h->newest);
-	check_reads(m, label);
+	check_reads(h, label);
 }
 
 START_TEST(many_nodes_restart_at_once)
