test(node): the fake upstream's pattern is made once in a way the sanitizer sees

Cause: in the thread build test_call_pipelining failed in 8 of 14 runs beside load (7 at once and 7 busy processes) with a data race between two connections of the fake upstream: one writes the pattern of answers (pattern()), another sends it (send_all()). The order between them was made by GLib's once, whose store is in a library that isn't instrumented, so the sanitizer doesn't see it. It shows when two connections send their first answer beside each other, which pipelined requests do. No product code has part in it.

Change: pthread_once(), which the sanitizer knows.

--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -170,19 +170,25 @@
 }
 
 /* The alphabet, repeated. */
+static char letters[PATTERN_BYTES];
+
+static void
+fill_letters(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(letters); i++)
+		letters[i] = (char)('a' + i % LETTERS);
+}
+
+/* The thread sanitizer doesn't see the order that GLib's once makes. */
 static const char *
 pattern(void)
 {
-	static char buf[PATTERN_BYTES];
-	static gsize once;
-	size_t i;
+	static pthread_once_t once = PTHREAD_ONCE_INIT;
 
-	if (g_once_init_enter(&once)) {
-		for (i = 0; i < sizeof(buf); i++)
-			buf[i] = (char)('a' + i % LETTERS);
-		g_once_init_leave(&once, 1);
-	}
-	return buf;
+	(void)pthread_once(&once, fill_letters);
+	return letters;
 }
 
 static void
