test(node): the fake upstream counts an answer before it sends it

Cause: plain/test_call_customers failed in 7 of 84 runs beside load (7 at once and 7 busy processes), each in unconfirmed_version_serves_no_key: `Assertion 'upstream->answered == 3' failed: upstream->answered == 2`. The upstream's thread sent the answer and counted it then; a test that had the answer already could read the number before that. A trial with 20 ms between the two failed in 3 of 3 runs at this assertion. No product code has part in it.

Change: it counts first, so what a caller has is counted.

Measured: 70 runs of plain/test_call_customers beside the same load (load average 16 to 25) passed.

--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -40,7 +40,7 @@
  * @connections: number of connections accepted so far
  * @serving: number of open connections
  * @delay_ms: shortest run of a request
- * @answered: number of ordinary answers sent
+ * @answered: number of ordinary answers, each counted before it is sent
  * @abandoned: number of connections that were closed by the guard while a
  *	request ran there; with do=deaf, only a reset counts
  */
--- a/packages/node/test/fixture_upstream.c
+++ b/packages/node/test/fixture_upstream.c
@@ -236,10 +236,11 @@
 	g_string_append(head, c->u->added->str);
 	pthread_mutex_unlock(&c->u->lock);
 	g_string_append_printf(head, "Content-Length: %zu\r\n\r\n", bytes);
+	/* A test that has the answer must find it counted. */
+	c->u->answered++;
 	(void)send(c->fd, head->str, head->len,
 	    MSG_NOSIGNAL | (bytes > 0 ? MSG_MORE : 0));
 	g_string_free(head, TRUE);
-	c->u->answered++;
 }
 
 static bool
