test(node): callers of the quota test read the ended node in order

Cause: in the thread build test_call_quota failed in 14 of 14 runs (7 at once and 7 busy processes) in a_limit_holds_when_the_home_ends with a data race: the test writes stopped_node while its callers read it. A caller that had read it before also read the ended node's port from memory that might be freed; only 200 ms of sleep kept the two apart.

Change: stopped_node is atomic, and the callers use ports that are noted when the nodes start. The assertions are as they were.

--- a/packages/node/test/test_call_quota.c
+++ b/packages/node/test/test_call_quota.c
@@ -41,7 +41,8 @@
 static _Atomic bool stopping;
 static _Atomic uint32_t n_served, n_limited, n_other;
 static const char *key_line;
-static uint32_t stopped_node;
+static uint16_t ports[NODES];
+static _Atomic uint32_t stopped_node;
 
 static void
 start(void)
@@ -55,6 +56,7 @@
 		test_node_upstream(nodes[i], upstreams[i]->port, SERVING_READY);
 		endpoints[i].host = hosts[i];
 		endpoints[i].port = guard_addr(nodes[i]->guard).port;
+		ports[i] = callers_port(nodes[i]->callers);
 	}
 	test_snapshot_of(bundle, endpoints, NODES);
 	for (i = 0; i < NODES; i++)
@@ -95,8 +97,8 @@
 	while (!stopping) {
 		if (node == stopped_node)
 			node = (node + 1) % NODES;
-		if (caller_call(callers_port(nodes[node]->callers), "GET",
-			"/look/x", key_line, NULL, 0, &r)) {
+		if (caller_call(
+			ports[node], "GET", "/look/x", key_line, NULL, 0, &r)) {
 			count(&r);
 			reply_clear(&r);
 		}
