fix(traffic): retries go to runs that need one where upstreams refuse at random

Where all upstreams of a service refuse 55 in 100 with free slots, runs that make two calls at once leave the second when the first is refused. The retry budget counted such calls as failures, took the service for down, and let only successes pay for retries; with one saved retry a node, deposits were lost too; and a call was retried though another call of its run was refused for good.

Refusals by upstreams with free slots now explain as many calls that were left, and what as many calls deposit may be saved. While retries are scarce a call of a run is retried only if no other call of the run has been refused, and waits for that twice as long as its own refusal took.

--- a/packages/traffic/include/traffic/call.h
+++ b/packages/traffic/include/traffic/call.h
@@ -18,6 +18,7 @@
 
 #include "traffic/fate.h"
 #include "traffic/retry.h"
+#include "traffic/run_calls.h"
 
 /**
  * struct call_config - policy of one call
@@ -30,6 +31,7 @@
  *	caller; 0 when unknown
  * @caller_gives_up_ms: monotonic time at which the caller itself gives up,
  *	which may be later than the deadline; DEADLINE_NEVER when unknown
+ * @run: calls of the run that makes this one, borrowed; NULL when no run does
  * @idempotent: the request may run more than once
  * @keyed: the request carries an idempotency key and goes to the key's home
  * @naive: baseline for differential tests: retry three times after any result
@@ -41,6 +43,7 @@
 	uint32_t attempts;
 	uint64_t target_ms;
 	uint64_t caller_gives_up_ms;
+	struct run_calls *run;
 	bool idempotent;
 	bool keyed;
 	bool naive;
--- a/packages/traffic/include/traffic/retry.h
+++ b/packages/traffic/include/traffic/retry.h
@@ -18,7 +18,8 @@
  * @budget_percent: retries allowed per hundred calls
  * @reserve_per_s: retries allowed per second in addition, so that a service
  *	with little traffic may retry at all
- * @burst: maximum number of saved retries
+ * @burst: maximum number of saved retries; while upstreams with free slots
+ *	refuse attempts, what as many calls deposit may be saved too
  * @backoff_ms: longest wait before the first retry; doubled for each further
  *	one
  * @backoff_cap_ms: longest wait before any retry
@@ -39,7 +40,12 @@
  * @refilled_ms: monotonic time up to which the reserve was added
  * @calls: recent calls; halved every second
  * @succeeded: recent calls that were answered; halved every second
- * @halve_ms: monotonic time at which @calls and @succeeded are halved next
+ * @left: recent calls that their callers left while an upstream had them;
+ *	halved every second
+ * @shed: recent attempts that an upstream with free slots refused; halved every
+ *	second
+ * @halve_ms: monotonic time at which the numbers above are halved next
+ * @scarce_until_ms: monotonic time until which the budget counts as scarce
  * @rerouted: recent calls that were sent to another endpoint after a refusal
  *	for load; halved when there are many
  * @rerouted_refused: number of @rerouted that were refused for load again
@@ -50,7 +56,10 @@
 	uint64_t refilled_ms;
 	uint32_t calls;
 	uint32_t succeeded;
+	uint32_t left;
+	uint32_t shed;
 	uint64_t halve_ms;
+	uint64_t scarce_until_ms;
 	uint32_t rerouted;
 	uint32_t rerouted_refused;
 };
@@ -72,6 +81,24 @@
 /** retry_budget_success() - record that a call of the service was answered */
 void retry_budget_success(struct retry_budget *b);
 
+/**
+ * retry_budget_left() - record that a caller left a call of the service while
+ * it was neither answered nor refused
+ */
+void retry_budget_left(struct retry_budget *b);
+
+/**
+ * retry_budget_shed() - record that an upstream refused an attempt
+ * @b: the budget
+ * @running: requests that it runs
+ * @slots: requests that it runs at a time
+ *
+ * Counted only where it has free slots: then the refusal isn't for want of
+ * room, and another attempt is as likely to be answered as the first.
+ */
+void
+retry_budget_shed(struct retry_budget *b, uint32_t running, uint32_t slots);
+
 /**
  * retry_budget_take() - take the token for one retry
  *
@@ -79,6 +106,11 @@
  */
 bool retry_budget_take(struct retry_budget *b, uint64_t now_ms);
 
+/**
+ * retry_budget_is_scarce() - whether a retry was denied within the last second
+ */
+bool retry_budget_is_scarce(const struct retry_budget *b, uint64_t now_ms);
+
 /**
  * retry_budget_record_reroute() - record the result of a call that was sent to
  * another endpoint after a refusal for load
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -27,6 +27,13 @@
  */
 #define RESOLVE_BACKOFF_MS 20
 #define RESOLVE_BACKOFF_SHIFT_MAX 4
+/*
+ * The calls that a run makes at the same time are refused at about the same
+ * time.  A refused call waits for the others this many times as long as its own
+ * refusal took, and a little longer.
+ */
+#define SETTLE_FACTOR 2
+#define SETTLE_MIN_MS 2
 /* Default Retry-After. */
 #define RETRY_AFTER_MS 1000
 
@@ -63,6 +70,10 @@
  * @deadline_passed: the deadline was handled; the grace time runs
  * @not_run: the call is finished and has certainly not run
  * @rerouted: the current attempt follows a refusal for load
+ * @was_refused: the call is counted as refused in its run
+ * @charge_due: the retry is charged at the end of the wait
+ * @refusal: refusal of the last attempt, while @charge_due
+ * @retry_after_ms: when the refused caller should retry, while @charge_due
  * @attempt: number of the current attempt
  * @stream: number of the current stream
  * @endpoint: endpoint of the current attempt
@@ -86,6 +97,10 @@
 	bool deadline_passed;
 	bool not_run;
 	bool rerouted;
+	bool was_refused;
+	bool charge_due;
+	enum refusal refusal;
+	uint64_t retry_after_ms;
 	uint16_t attempt;
 	uint32_t stream;
 	uint64_t endpoint;
@@ -253,19 +268,24 @@
 	return attempts + MIN(c->free_attempts, FREE_ATTEMPTS_MAX);
 }
 
+/* Whether another attempt may be sent at @at_ms. */
+static bool
+may_retry(const struct call *c, uint64_t at_ms)
+{
+	return !c->body_discarded && !c->deadline_passed &&
+	    c->attempt < attempts_max(c) && at_ms < c->cfg.deadline_ms;
+}
+
 static bool
 schedule_retry(struct call *c, bool charged, uint64_t now_ms)
 {
 	uint64_t wait, random;
 
-	if (c->body_discarded || c->deadline_passed ||
-	    c->attempt >= attempts_max(c))
-		return false;
 	random = hash64(&c->attempt, sizeof(c->attempt), c->seed);
 	wait = retry_backoff_ms(&c->budget->cfg, c->attempt, random);
 	if (!charged || c->cfg.naive)
 		wait = 0;
-	if (now_ms + wait >= c->cfg.deadline_ms)
+	if (!may_retry(c, now_ms + wait))
 		return false;
 	if (charged && !c->cfg.naive && !retry_budget_take(c->budget, now_ms))
 		return false;
@@ -308,6 +328,55 @@
 	c->rerouted = false;
 }
 
+/* Count the call as refused in its run. */
+static void
+record_refused(struct call *c)
+{
+	if (c->cfg.run != NULL && !c->was_refused)
+		run_calls_refused(c->cfg.run);
+	c->was_refused = true;
+}
+
+/* Wait until the other calls of the run would have been refused too; the retry
+ * is charged then. */
+static bool
+await_run(struct call *c, uint64_t now_ms)
+{
+	uint64_t wait_ms =
+	    SETTLE_MIN_MS + SETTLE_FACTOR * (now_ms - c->sent_ms);
+
+	if (run_calls_need_many(c->cfg.run) || !may_retry(c, now_ms + wait_ms))
+		return false;
+	c->charge_due = true;
+	c->state = STATE_BACKOFF;
+	c->wake_ms = now_ms + wait_ms;
+	return true;
+}
+
+static bool
+retry_refused(struct call *c, bool charged, uint64_t now_ms)
+{
+	if (c->refusal == REFUSAL_UPSTREAM && c->cfg.run != NULL &&
+	    retry_budget_is_scarce(c->budget, now_ms))
+		return await_run(c, now_ms);
+	return schedule_retry(c, charged, now_ms);
+}
+
+static void
+end_backoff(struct call *c, uint64_t now_ms)
+{
+	bool charged = c->charge_due;
+
+	c->charge_due = false;
+	if (!charged ||
+	    (!run_calls_need_many(c->cfg.run) &&
+		retry_budget_take(c->budget, now_ms))) {
+		place(c);
+		return;
+	}
+	give_up(c, OUTCOME_NOT_RUN, c->refusal, c->retry_after_ms);
+}
+
 /* The last attempt has certainly not run: retry or give up. */
 static void
 attempt_not_run(struct call *c, enum refusal refusal, uint64_t retry_after_ms,
@@ -321,10 +390,14 @@
 		c->rerouted = true;
 	}
 	c->free_attempts += is_free;
-	if (!refusal_is_final(refusal) && schedule_retry(c, !is_free, now_ms))
+	if (!is_free)
+		record_refused(c);
+	c->refusal = refusal;
+	c->retry_after_ms =
+	    caller_retry_after_ms(c, refusal, retry_after_ms, now_ms);
+	if (!refusal_is_final(refusal) && retry_refused(c, !is_free, now_ms))
 		return;
-	give_up(c, OUTCOME_NOT_RUN, refusal,
-	    caller_retry_after_ms(c, refusal, retry_after_ms, now_ms));
+	give_up(c, OUTCOME_NOT_RUN, refusal, c->retry_after_ms);
 }
 
 /*
@@ -449,6 +522,8 @@
 	    !(is_current(c, stream) && c->state == STATE_COMMITTED))
 		return;
 	retry_budget_success(c->budget);
+	if (c->cfg.run != NULL && c->was_refused)
+		run_calls_answered(c->cfg.run);
 	record_reroute(c, false);
 	add_action(c, CALL_DELIVER)->outcome = OUTCOME_DONE;
 	finish(c);
@@ -563,6 +638,8 @@
 	c->not_run = !c->may_have_run &&
 	    (state == STATE_NEW || state == STATE_BACKOFF ||
 		state == STATE_PLACING || state == STATE_SENDING);
+	if (state == STATE_WAITING || state == STATE_COMMITTED)
+		retry_budget_left(c->budget);
 	switch (state) {
 	case STATE_SENDING:
 	case STATE_WAITING:
@@ -640,7 +717,7 @@
 		return;
 	}
 	if (c->state == STATE_BACKOFF)
-		place(c);
+		end_backoff(c, now_ms);
 	if (c->state == STATE_RESOLVE_BACKOFF) {
 		c->wake_ms =
 		    c->deadline_passed ? grace_end_ms(c) : c->cfg.deadline_ms;
--- a/packages/traffic/src/retry.c
+++ b/packages/traffic/src/retry.c
@@ -27,6 +27,10 @@
 /* Below this number of calls the share of successes is not evaluated. */
 #define HEALTH_MIN_CALLS 16
 #define HALVE_MS 1000
+/* An upstream of which this share of the slots is used may refuse for load. */
+#define FULL_PERCENT 75
+/* How long a denied retry shows that retries are scarce. */
+#define SCARCE_MS 1000
 
 /*
  * Other endpoints have capacity while less than this share of the rerouted
@@ -63,11 +67,17 @@
 	b->halve_ms = now_ms + HALVE_MS;
 }
 
+/*
+ * Refusals at random come unevenly: a bound of one saved retry loses deposits
+ * that the next refusals need.
+ */
 static void
 cap(struct retry_budget *b)
 {
-	b->tokens_percent =
-	    MIN(b->tokens_percent, (uint64_t)b->cfg.burst * PERCENT);
+	uint64_t burst = (uint64_t)b->cfg.burst * PERCENT;
+	uint64_t shed = (uint64_t)b->shed * b->cfg.budget_percent;
+
+	b->tokens_percent = MIN(b->tokens_percent, burst + shed);
 }
 
 void
@@ -84,14 +94,23 @@
 		return;
 	b->calls /= 2;
 	b->succeeded /= 2;
+	b->left /= 2;
+	b->shed /= 2;
 	b->halve_ms = now_ms + HALVE_MS;
 }
 
+/*
+ * Where a refused call ends the run that made it, the run's other call is left:
+ * counted as a failure, it would make a service that answers nearly half of all
+ * calls look like one that is down.
+ */
 static bool
 is_healthy(const struct retry_budget *b)
 {
+	uint32_t explained = MIN(MIN(b->left, b->shed), b->calls);
+
 	return b->calls < HEALTH_MIN_CALLS ||
-	    (uint64_t)b->succeeded * HEALTHY_DIVISOR >= b->calls;
+	    (uint64_t)b->succeeded * HEALTHY_DIVISOR >= b->calls - explained;
 }
 
 static void
@@ -118,6 +137,18 @@
 		deposit(b);
 }
 
+void
+retry_budget_left(struct retry_budget *b)
+{
+	b->left++;
+}
+
+void
+retry_budget_shed(struct retry_budget *b, uint32_t running, uint32_t slots)
+{
+	b->shed += (uint64_t)running * PERCENT < (uint64_t)slots * FULL_PERCENT;
+}
+
 /*
  * Add whole hundredths of a retry only, so that fractions of a millisecond's
  * refill are not lost.
@@ -142,12 +173,20 @@
 retry_budget_take(struct retry_budget *b, uint64_t now_ms)
 {
 	refill(b, now_ms);
-	if (b->tokens_percent < PERCENT)
+	if (b->tokens_percent < PERCENT) {
+		b->scarce_until_ms = now_ms + SCARCE_MS;
 		return false;
+	}
 	b->tokens_percent -= PERCENT;
 	return true;
 }
 
+bool
+retry_budget_is_scarce(const struct retry_budget *b, uint64_t now_ms)
+{
+	return now_ms < b->scarce_until_ms;
+}
+
 void
 retry_budget_record_reroute(struct retry_budget *b, bool refused)
 {
--- a/packages/traffic/test/test_limits.c
+++ b/packages/traffic/test/test_limits.c
@@ -61,6 +61,47 @@
 }
 END_TEST
 
+/*
+ * Number of granted retries with one call per millisecond for ten seconds.  Of
+ * ten calls two are answered, four are refused and four are left by their
+ * callers.
+ */
+static int
+retries_beside_left_calls(bool upstream_refuses)
+{
+	struct retry_config cfg;
+	struct retry_budget b;
+	uint64_t now;
+	int granted = 0;
+
+	retry_config_default(&cfg);
+	cfg.reserve_per_s = 0;
+	cfg.burst = 1;
+	retry_budget_init(&b, &cfg, 0);
+	for (now = 0; now < 10 * SECOND_MS; now++) {
+		retry_budget_call(&b, now);
+		if (now % 10 < 2)
+			retry_budget_success(&b);
+		else if (now % 10 < 6)
+			retry_budget_left(&b);
+		else if (upstream_refuses)
+			retry_budget_shed(&b, 1, 18);
+		granted += retry_budget_take(&b, now);
+	}
+	return granted;
+}
+
+/* Refusals by upstreams explain as many calls that were left; for want of room
+ * at guards only successes pay for retries, as for other failures. */
+START_TEST(test_calls_that_are_left_beside_refusals)
+{
+	ck_assert_int_ge(retries_beside_left_calls(true), 1000);
+	ck_assert_int_le(retries_beside_left_calls(true), 1010);
+	ck_assert_int_ge(retries_beside_left_calls(false), 200);
+	ck_assert_int_le(retries_beside_left_calls(false), 210);
+}
+END_TEST
+
 START_TEST(test_reserve_without_successes)
 {
 	struct retry_config cfg;
@@ -414,6 +455,7 @@
 	suite = suite_create("limits");
 	tc = tcase_create("limits");
 	tcase_add_test(tc, test_retries_stay_a_share_of_calls);
+	tcase_add_test(tc, test_calls_that_are_left_beside_refusals);
 	tcase_add_test(tc, test_reserve_without_successes);
 	tcase_add_test(tc, test_backoff);
 	tcase_add_test(tc, test_rate_limit);
