feat(node): the entry knows which calls belong to one run

The calls that an upstream makes for one request name its id. The entry keeps the refusals of each such run for package traffic, and tells it how many slots an upstream used that refused an attempt.

--- a/packages/node/src/entry.c
+++ b/packages/node/src/entry.c
@@ -50,6 +50,7 @@
 	placement_config_default(&placement_cfg);
 	e->endpoints = endpoints_new(&endpoints_cfg);
 	e->runs = run_reports_new();
+	e->served_runs = entry_run_table();
 	e->ejection = ejection_new(&ejection_cfg, e->endpoints);
 	e->placement =
 	    placement_new(&placement_cfg, e->endpoints, e->ejection, e->seed);
@@ -235,6 +236,7 @@
 	while ((l = e->calls.head) != NULL)
 		entry_call_free(l->data);
 	entry_quota_free(e->quota);
+	g_hash_table_destroy(e->served_runs);
 	g_hash_table_destroy(e->peers);
 	g_hash_table_destroy(e->services);
 	placement_free(e->placement);
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -480,6 +480,7 @@
 	cfg->attempts = c->route->attempts;
 	cfg->target_ms = c->target_ms;
 	cfg->caller_gives_up_ms = c->request->deadline_ms;
+	cfg->run = c->run != NULL ? &c->run->calls : NULL;
 	cfg->deadline_grace_ms = DEADLINE_GRACE_MS;
 	cfg->resolve_limit_ms = RESOLVE_LIMIT_MS;
 	cfg->idempotent = c->idempotent;
@@ -559,6 +560,9 @@
 	c->body.held = true;
 	c->is_served = e->guard != NULL && r->id != NULL &&
 	    guard_served(e->guard, r->id, &c->served);
+	if (c->is_served)
+		c->run = entry_run_join(
+		    e->served_runs, r->id, e->dialect->call_separator);
 	c->deadline_ms = effective_deadline_ms(c, now_ms);
 	c->target_ms = target_deadline_ms(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
@@ -747,6 +751,7 @@
 	g_ptr_array_free(c->attempts, TRUE);
 	entry_body_clear(&c->body);
 	call_free(c->machine);
+	entry_run_leave(c->run);
 	call_exchange_set_entry_data(c->exchange, NULL);
 	call_exchange_unref(c->exchange);
 	snapshot_unref(c->snapshot);
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -255,6 +255,9 @@
 	entry_peer_remove(a);
 	entry_attempt_end(a, result_of_refusal((enum refusal)m.refusal));
 	report_load(a, &m.load);
+	if (m.refusal == REFUSAL_UPSTREAM)
+		retry_budget_shed(
+		    &c->service->budget, m.load.in_flight, m.load.slots);
 	entry_log_attempt(a, refusal_name((enum refusal)m.refusal));
 	call_refused(c->machine, a->action.stream, (enum refusal)m.refusal,
 	    m.retry_after_ms, loop_now_ms(c->entry->loop));
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -34,6 +34,7 @@
 #include "call_exchange.h"
 #include "call_link.h"
 #include "call_silence.h"
+#include "entry_run.h"
 
 /* A request's body up to this size is held for further attempts. */
 #define ENTRY_BODY_KEEP_BYTES 65536
@@ -70,6 +71,7 @@
  * @watcher: callback for new snapshots, or NULL
  * @watcher_arg: passed to @watcher
  * @runs: upstreams' runs that name a limit or leave
+ * @served_runs: runs of this host's upstreams that make calls
  * @services: map of service id to struct entry_service
  * @peers: map of address key to struct entry_peer
  * @calls: struct entry_call that are not freed
@@ -104,6 +106,7 @@
 	void (*watcher)(void *arg);
 	void *watcher_arg;
 	struct run_reports *runs;
+	GHashTable *served_runs;
 	GHashTable *services;
 	GHashTable *peers;
 	GQueue calls;
@@ -287,6 +290,7 @@
  * @customer: the customer in @snapshot, or NULL
  * @served: request of an upstream of this host that makes the call
  * @is_served: @served is set
+ * @run: run of that request, or NULL
  * @credited: the call was admitted by credit of its customer
  * @parked: the call waits for credit and isn't started
  * @park_link: node in the list of such calls
@@ -322,6 +326,7 @@
 	const struct customer *customer;
 	struct guard_served served;
 	bool is_served;
+	struct entry_run *run;
 	bool credited;
 	bool parked;
 	GList park_link;
