fix(traffic): a full queue of short requests attracts no further ones

Cause: the wait at an endpoint was its load per slot, to the fourth power, times the mean size of the requests there.

Change: the size counts at least as the mean over all endpoints of the service.

--- a/packages/traffic/src/endpoints.c
+++ b/packages/traffic/src/endpoints.c
@@ -20,6 +20,8 @@
 #define COLD_ANNOUNCED_PERCENT 50
 /* Weight of one report in the mean load, which averages about the last ten. */
 #define MEAN_WEIGHT 0.1
+/* Of a report, for the mean over some tens of endpoints. */
+#define SIZE_WEIGHT 0.03
 /* Half-life of the mean load without a report. */
 #define MEAN_HALF_LIFE_MS 2000
 /* Number of answers that the mean run time of a kind covers. */
@@ -347,6 +349,18 @@
 	mean->reported_ms = now_ms;
 }
 
+static void
+update_size(const struct endpoint *ep)
+{
+	struct service *s = ep->service;
+
+	if (s == NULL || ep->speed.size_us <= 0)
+		return;
+	if (s->size_us == 0)
+		s->size_us = ep->speed.size_us;
+	s->size_us += (ep->speed.size_us - s->size_us) * SIZE_WEIGHT;
+}
+
 void
 endpoints_report(struct endpoints *e, uint64_t endpoint,
     const struct load_report *load, uint64_t now_ms)
@@ -368,6 +382,7 @@
 	update_mean(ep, now_ms);
 	endpoint_pace_report(&ep->pace, load, now_ms);
 	endpoint_speed_report(&ep->speed, load, now_ms);
+	update_size(ep);
 }
 
 void
--- a/packages/traffic/src/endpoints_defs.h
+++ b/packages/traffic/src/endpoints_defs.h
@@ -57,6 +57,8 @@
  * @remote_mean: mean load of the other endpoints
  * @kinds: mean run time of requests by kind, over all endpoints
  * @reports_pace: endpoints of the service report the pace of their machines
+ * @size_us: mean size of the requests at work, over the last reports of all
+ *	endpoints; 0 while none reported it
  */
 struct service {
 	uint64_t id;
@@ -68,6 +70,7 @@
 	struct mean_load remote_mean;
 	struct run_times kinds;
 	bool reports_pace;
+	double size_us;
 };
 
 /**
--- a/packages/traffic/src/expected_time.c
+++ b/packages/traffic/src/expected_time.c
@@ -20,11 +20,20 @@
  * gets a report of an endpoint every few seconds in a large fleet. */
 #define REPORT_HALF_LIFE_MS 4000
 
-/* Mean size of the requests under way; that of the own one if not reported. */
+/*
+ * Mean size of the requests under way; that of the own one if not reported.
+ * Where only short ones are at work, it counts as that of all the service's
+ * endpoints: otherwise a queue that is full of short ones would look better than
+ * a shorter one elsewhere, and attract all further ones, which it refuses.
+ */
 static double
 size_us(const struct endpoint *ep, double own_us)
 {
-	return ep->speed.size_us > 0 ? ep->speed.size_us : own_us;
+	if (ep->speed.size_us <= 0)
+		return own_us;
+	if (ep->service == NULL)
+		return ep->speed.size_us;
+	return MAX(ep->speed.size_us, ep->service->size_us);
 }
 
 /* Load per slot with one more request, to the fourth power. */
--- a/packages/traffic/test/test_placement.c
+++ b/packages/traffic/test/test_placement.c
@@ -619,6 +619,49 @@
 }
 END_TEST
 
+/* Loads of two endpoints of 10 slots: the first has a full queue of short
+ * requests, the other a shorter one of long requests. */
+static void
+report_queues(struct world *w, uint64_t now_ms)
+{
+	const struct load_report full = {.slots = 10,
+	    .in_flight = 10,
+	    .queued = 13,
+	    .work_ms = 23 * 90,
+	    .pace_percent = 100};
+	const struct load_report shorter = {.slots = 10,
+	    .in_flight = 10,
+	    .queued = 6,
+	    .work_ms = 16 * 760,
+	    .pace_percent = 100};
+	uint64_t id;
+
+	endpoints_report(w->endpoints, 1, &full, now_ms);
+	for (id = 2; id <= ENDPOINTS; id++)
+		endpoints_report(w->endpoints, id, &shorter, now_ms);
+}
+
+/* A full queue refuses, however short its requests are: no further ones go
+ * there while others have room. */
+START_TEST(a_full_queue_of_short_requests_attracts_none)
+{
+	struct world w;
+	uint64_t id;
+	uint32_t i;
+
+	world_init(&w);
+	for (i = 0; i < 100; i++) {
+		for (id = 1; id <= ENDPOINTS; id++)
+			endpoints_ran(
+			    w.endpoints, id, SHORT_KIND, 90000, 90000, i);
+		report_queues(&w, i);
+		if (i >= 50)
+			ck_assert_uint_ne(place_kind(&w, SHORT_KIND, i), 1);
+	}
+	world_clear(&w);
+}
+END_TEST
+
 /* Calls of 100 that go to the first of two local endpoints, which runs all
  * kinds 1.7 times as fast. */
 static uint32_t
@@ -670,6 +713,7 @@
 
 	suite = suite_create("placement");
 	tc = tcase_create("placement");
+	tcase_add_test(tc, a_full_queue_of_short_requests_attracts_none);
 	tcase_add_test(tc, test_local_first_then_spill);
 	tcase_add_test(tc, test_less_loaded_and_old_load_decays);
 	tcase_add_test(tc, test_retry_goes_elsewhere);
