perf(traffic): a scan of the queue of customers looks each of them up once

Each position, victim and last request among customers first went through the queue to reset what it counts by customer, and then through it again; a customer now keeps the number of the scan that it was counted in. The number of its requests ahead is no longer counted twice for a position.

--- a/packages/traffic/src/admission_defs.h
+++ b/packages/traffic/src/admission_defs.h
@@ -283,8 +283,8 @@
 
 /** admission_fair_position() - number of requests in @q that start before @req;
  * @run_us: expected run time of each */
-uint32_t admission_fair_position(const struct admission_fair *f,
-    const GQueue *q, const struct admission_request *req, uint64_t run_us);
+uint32_t admission_fair_position(struct admission_fair *f, const GQueue *q,
+    const struct admission_request *req, uint64_t run_us);
 
 /** admission_fair_first() - the request in @q that starts next, or NULL */
 GList *admission_fair_first(const struct admission_fair *f, const GQueue *q);
@@ -295,13 +295,13 @@
  *
  * Return: NULL if @req would start later than all of them.
  */
-GList *admission_fair_victim(const struct admission_fair *f, const GQueue *q,
+GList *admission_fair_victim(struct admission_fair *f, const GQueue *q,
     const struct admission_request *req, uint64_t run_us);
 
 /** admission_fair_last() - the request in @q that starts last, or NULL if @q is
  * empty */
-GList *admission_fair_last(
-    const struct admission_fair *f, const GQueue *q, uint64_t run_us);
+GList *
+admission_fair_last(struct admission_fair *f, const GQueue *q, uint64_t run_us);
 
 /** admission_work_ms() - expected run time of all requests that run or wait */
 uint64_t admission_work_ms(const struct admission *a);
--- a/packages/traffic/src/admission_fair.c
+++ b/packages/traffic/src/admission_fair.c
@@ -40,12 +40,14 @@
  * @id: its number
  * @tag_us: virtual time at which its next request may start
  * @counts: its requests
- * @seen: requests seen in the present scan of a queue
+ * @scan: number of the last scan of a queue that saw a request of it
+ * @seen: requests seen in that scan
  */
 struct fair_customer {
 	uint64_t id;
 	uint64_t tag_us;
 	struct fair_counts counts;
+	uint64_t scan;
 	uint32_t seen;
 };
 
@@ -54,11 +56,13 @@
  * @customers: id -> struct fair_customer
  * @virtual_us: virtual time: start tag of the last started request
  * @all: requests of all customers
+ * @scan: number of the present scan of a queue
  */
 struct admission_fair {
 	GHashTable *customers;
 	uint64_t virtual_us;
 	struct fair_counts all;
+	uint64_t scan;
 };
 
 struct admission_fair *
@@ -170,21 +174,6 @@
 	return start_tag(f, c) + run_us * n + KEY_IN_TURN;
 }
 
-static void
-begin_scan(const struct admission_fair *f, const GQueue *q)
-{
-	const struct waiting *w;
-	struct fair_customer *c;
-	GList *l;
-
-	for (l = q->head; l != NULL; l = l->next) {
-		w = l->data;
-		c = find(f, w->req.customer);
-		if (c != NULL)
-			c->seen = 0;
-	}
-}
-
 /* Key of the next request of @w's customer in the present scan. */
 static uint64_t
 next_key(
@@ -192,7 +181,12 @@
 {
 	struct fair_customer *c = find(f, w->req.customer);
 
-	return key_of(f, c, c != NULL ? c->seen++ : 0, run_us);
+	if (c == NULL)
+		return key_of(f, NULL, 0, run_us);
+	if (c->scan != f->scan)
+		c->seen = 0;
+	c->scan = f->scan;
+	return key_of(f, c, c->seen++, run_us);
 }
 
 static bool
@@ -217,14 +211,6 @@
 	return n;
 }
 
-/* Key of @req behind its customer's requests in @q. */
-static uint64_t
-key_of_new(const struct admission_fair *f, const GQueue *q,
-    const struct admission_request *req, uint64_t run_us)
-{
-	return key_of(f, find(f, req->customer), own_before(q, req), run_us);
-}
-
 bool
 admission_fair_is_active(const struct admission_fair *f)
 {
@@ -232,15 +218,15 @@
 }
 
 uint32_t
-admission_fair_position(const struct admission_fair *f, const GQueue *q,
+admission_fair_position(struct admission_fair *f, const GQueue *q,
     const struct admission_request *req, uint64_t run_us)
 {
 	uint32_t n = own_before(q, req);
-	uint64_t key, own = key_of_new(f, q, req, run_us);
+	uint64_t key, own = key_of(f, find(f, req->customer), n, run_us);
 	const struct waiting *w;
 	GList *l;
 
-	begin_scan(f, q);
+	f->scan++;
 	for (l = q->head; l != NULL; l = l->next) {
 		w = l->data;
 		if (w->req.customer == req->customer)
@@ -272,13 +258,13 @@
 
 /* Return: the request in @q that starts last, after @key, or NULL. */
 static GList *
-last_after(const struct admission_fair *f, const GQueue *q, uint64_t key,
-    uint64_t run_us)
+last_after(
+    struct admission_fair *f, const GQueue *q, uint64_t key, uint64_t run_us)
 {
 	uint64_t next;
 	GList *l, *last = NULL;
 
-	begin_scan(f, q);
+	f->scan++;
 	for (l = q->head; l != NULL; l = l->next) {
 		next = next_key(f, l->data, run_us);
 		if (next <= key)
@@ -290,15 +276,17 @@
 }
 
 GList *
-admission_fair_victim(const struct admission_fair *f, const GQueue *q,
+admission_fair_victim(struct admission_fair *f, const GQueue *q,
     const struct admission_request *req, uint64_t run_us)
 {
-	return last_after(f, q, key_of_new(f, q, req, run_us), run_us);
+	uint64_t key =
+	    key_of(f, find(f, req->customer), own_before(q, req), run_us);
+
+	return last_after(f, q, key, run_us);
 }
 
 GList *
-admission_fair_last(
-    const struct admission_fair *f, const GQueue *q, uint64_t run_us)
+admission_fair_last(struct admission_fair *f, const GQueue *q, uint64_t run_us)
 {
 	GList *last = last_after(f, q, 0, run_us);
 
