test(soak): a customer beyond its limit beside all other faults

Cause: the soak's callers had keys, but no check looked at a limit over all nodes beside kills, cuts, freezes and loss of all power.

Change: its bundles have a customer with 20 requests a second and a burst of 20, always with the same key. Two threads send more than twice that, to all nodes in turn. At the end the runs of all upstreams are put in order of time, and in no window of 5 s there may be more than rate, burst and a tenth allow, with the second that a caller waits and 20 for requests that run twice. Nodes of the functional tests get the list of data centres.

--- a/test/functional/deployment.c
+++ b/test/functional/deployment.c
@@ -175,6 +175,17 @@
 	return relay_port(g_ptr_array_index(d->relays, i));
 }
 
+static json_t *
+data_centres_json(const struct deployment *d)
+{
+	const char *const *name = d->plan.data_centres;
+	json_t *list = json_array();
+
+	for (; *name != NULL; name++)
+		json_array_append_new(list, json_string(*name));
+	return list;
+}
+
 static char *
 settings_text(const struct deployment *d, const struct host *h)
 {
@@ -184,9 +195,10 @@
 
 	(void)g_snprintf(url, sizeof(url), "http://%s:%u", d->platform_address,
 	    platform_port_of(d, h));
-	j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:o,s:s,s:s,s:s,s:s}",
-	    "host", h->name, "data_centre",
-	    d->plan.data_centres[h->data_centre], "region", d->plan.region,
+	j = json_pack(
+	    "{s:s,s:s,s:o,s:s,s:s,s:i,s:i,s:i,s:i,s:o,s:s,s:s,s:s,s:s}", "host",
+	    h->name, "data_centre", d->plan.data_centres[h->data_centre],
+	    "data_centres", data_centres_json(d), "region", d->plan.region,
 	    "address", h->address, "caller_port", h->caller_port, "peer_port",
 	    h->peer_port, "call_port", h->call_port, "admin_port",
 	    h->admin_port, "seeds", seeds_json(d), "table_url", url,
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -293,10 +293,16 @@
 /* Prefix of the route of deployment_bundle_customers() that needs a key. */
 #define DEPLOYMENT_KEYED_PREFIX "/keyed"
 
+/* Customer of deployment_bundle_customers() with a limit, and its only key; its
+ * rate, which is also its burst. */
+#define DEPLOYMENT_LIMITED "limited"
+#define DEPLOYMENT_LIMITED_PER_S 20
+
 /**
  * deployment_bundle_customers() - like deployment_bundle_routes(), with the
- * customers "north" and "south"
- * @n: number of the change; their keys are "north-N" and "south-N"
+ * customers "north", "south" and DEPLOYMENT_LIMITED
+ * @n: number of the change; the keys of the first two are "north-N" and
+ *	"south-N"
  * @routes: number of additional routes
  */
 char *deployment_bundle_customers(uint32_t n, uint32_t routes);
--- a/test/functional/deployment_ctl.c
+++ b/test/functional/deployment_ctl.c
@@ -101,8 +101,9 @@
 	}
 }
 
-/* Adds two customers with a key each, which are other ones in each bundle, and
- * a route that needs them; all other routes are without keys. */
+/* Adds two customers with a key each, which are other ones in each bundle, one
+ * with a limit and always the same key, and a route that needs them; all other
+ * routes are without keys. */
 static void
 add_customers(json_t *bundle, uint32_t n)
 {
@@ -118,9 +119,11 @@
 		"methods", "GET", "service", json_object_get(first, "name"),
 		"idempotent", 1));
 	json_object_set_new(bundle, "customers",
-	    json_pack("[{s:s,s:[o]},{s:s,s:[o]}]", "name", "north", "keys",
-		json_sprintf("north-%u", n), "name", "south", "keys",
-		json_sprintf("south-%u", n)));
+	    json_pack("[{s:s,s:[o]},{s:s,s:[o]},{s:s,s:[s],s:i,s:i}]", "name",
+		"north", "keys", json_sprintf("north-%u", n), "name", "south",
+		"keys", json_sprintf("south-%u", n), "name", DEPLOYMENT_LIMITED,
+		"keys", DEPLOYMENT_LIMITED, "rate_per_s",
+		DEPLOYMENT_LIMITED_PER_S, "burst", DEPLOYMENT_LIMITED_PER_S));
 }
 
 static char *
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -18,6 +18,7 @@
 #include "operators.h"
 #include "soak_crasher.h"
 #include "soak_keys.h"
+#include "soak_limit.h"
 #include "soak_plan.h"
 #include "soak_stops.h"
 #include "version_watch.h"
@@ -99,6 +100,7 @@
  * @spans: struct fault_span, the times at which hosts had faults
  * @crasher: the poison request
  * @keys: requests with customers' keys
+ * @limit: requests of a customer beyond its limit
  * @power_loss_ms: monotonic time at which all hosts lose power, or
  *	DEADLINE_NEVER
  * @restore_from_ms: monotonic time before which the store is not restored
@@ -121,6 +123,7 @@
 	GArray *spans;
 	struct soak_crasher crasher;
 	struct soak_keys *keys;
+	struct soak_limit *limit;
 	uint64_t power_loss_ms;
 	uint64_t restore_from_ms;
 	GRand *rand;
@@ -905,6 +908,7 @@
 	s.crasher.enabled = crashes;
 	s.power_loss_ms = clock_now_ms() + duration_s * 1000 / 2;
 	s.keys = soak_keys_start(s.d, seed);
+	s.limit = soak_limit_start(s.d, seed);
 	load = calls_load_leaving(s.d, name, load_s, seed, LEAVE_PERCENT);
 	run_plan(&s, plan, clock_now_ms());
 	calls_load_end(load, name, &c);
@@ -919,6 +923,7 @@
 	check_sign_offs(&s);
 	check_all_grown_routes(&s);
 	check_calls_served(&s, seed);
+	soak_limit_end(s.limit);
 	soak_keys_end(s.keys, s.bundles_written, s.routes > 0);
 	(void)printf("seed %u: %u faults skipped\n", seed, s.skipped);
 	soak_end(&s);
