test(node): tests wait until a node has done what was posted to it

Cause: tests slept 50 ms for a task that they post to a node's traffic thread. A trace of test_call_keys beside load (load average 19) shows such a task 242 ms after it was posted. start_keyed() of test_call_customers counted the age of the guard's key table from the post.

Change: test_node_wait() posts a task and waits until it has run. test_call_customers, test_call_behind and test_call_pipelining use it in place of the sleeps; a version of the series in test_call_customers comes as soon as the one before is in force.

--- a/packages/node/test/fixture.h
+++ b/packages/node/test/fixture.h
@@ -152,6 +152,9 @@
 test_node_start(const char *host, void (*tweak)(struct settings *));
 void test_node_stop(struct test_node *n);
 
+/** test_node_wait() - wait until the node has done what was posted to it */
+void test_node_wait(struct test_node *n);
+
 /** test_node_upstream() - set the guard's upstream, in @state */
 void test_node_upstream(
     struct test_node *n, uint16_t port, enum serving_state state);
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -123,6 +123,27 @@
 	g_free(n);
 }
 
+static int
+is_done(void *arg)
+{
+	return *(_Atomic bool *)arg;
+}
+
+static void
+set_done(void *arg)
+{
+	*(_Atomic bool *)arg = true;
+}
+
+void
+test_node_wait(struct test_node *n)
+{
+	_Atomic bool done = false;
+
+	loop_post(traffic_thread_loop(n->traffic), set_done, &done);
+	must(test_wait_int(is_done, &done, true));
+}
+
 static void
 set_upstream(struct test_node *n, uint16_t port, enum serving_state state,
     const char *instance)
--- a/packages/node/test/test_call_behind.c
+++ b/packages/node/test/test_call_behind.c
@@ -18,9 +18,6 @@
 #define LARGE_BYTES 4000
 #define HUGE_BYTES 20000
 
-/* Time for a task posted to the traffic thread to run. */
-#define POSTED_WAIT_US 50000
-
 static const char json[] =
     "{\"format\":1,\"name\":\"test\",\"services\":["
     "{\"name\":\"search\",\"limits\":{\"request_max_bytes\":100},"
@@ -36,7 +33,7 @@
 set_known_version(uint64_t version)
 {
 	entry_version_known(node->entry, version);
-	g_usleep(POSTED_WAIT_US);
+	test_node_wait(node);
 }
 
 static void
@@ -193,7 +190,7 @@
 	start();
 	snapshot_ref_publish(NULL);
 	entry_snapshot_changed(node->entry);
-	g_usleep(POSTED_WAIT_US);
+	test_node_wait(node);
 	check_head(HUGE_BYTES, 503);
 	stop();
 }
--- a/packages/node/test/test_call_customers.c
+++ b/packages/node/test/test_call_customers.c
@@ -16,9 +16,6 @@
 #include "fixture.h"
 #include "test_run.h"
 
-/* Time for a task posted to the traffic thread to run. */
-#define POSTED_WAIT_US 50000
-
 #define WINDOW_MS 1000
 #define SUSPICION_MS 100
 
@@ -75,7 +72,7 @@
 
 	test_snapshot_of(json, &ep, 1);
 	entry_snapshot_changed(node->entry);
-	g_usleep(POSTED_WAIT_US);
+	test_node_wait(node);
 }
 
 static void
@@ -353,8 +350,8 @@
 	g_string_free(keys, TRUE);
 }
 
-/* Load: one key less in each version, a version each POSTED_WAIT_US, on one
- * connection that stays open. */
+/* Load: one key less in each version, each as soon as the one before is in
+ * force, on one connection that stays open. */
 START_TEST(keys_taken_away_in_series_are_refused_at_once)
 {
 	uint32_t gone, i;
@@ -395,7 +392,7 @@
 {
 	start(two);
 	entry_version_known(node->entry, NEWER);
-	g_usleep(POSTED_WAIT_US);
+	test_node_wait(node);
 	expect("/look/x", KEY("new"), 503);
 	expect("/look/x", NULL, 503);
 	expect("/look/x", KEY("kn1"), 200);
@@ -425,7 +422,7 @@
 	ep.port = fake_link_port(cut);
 	test_snapshot_of(two, &ep, 1);
 	entry_snapshot_changed(node->entry);
-	g_usleep(POSTED_WAIT_US);
+	test_node_wait(node);
 	fake_link_arm(cut, cuts[_i].type, cuts[_i].fault);
 	expect("/look/x?ms=20", KEY("kn1") "Bramley-Customer: south\r\n", 200);
 	ck_assert(fake_link_hit(cut));
@@ -512,6 +509,7 @@
 	ep.port = guard_addr(node->guard).port;
 	test_snapshot_of(json, &ep, 1);
 	test_node_upstream(node, upstream->port, SERVING_READY);
+	test_node_wait(node);
 	g_usleep((WINDOW_MS + 3 * SUSPICION_MS) * 1000);
 }
 
@@ -593,6 +591,15 @@
 	return n;
 }
 
+/* A call may be logged at the end of the turn in which it is answered, and a
+ * task posted then may run before that. */
+static void
+wait_for_log(void)
+{
+	test_node_wait(node);
+	test_node_wait(node);
+}
+
 static uint64_t flood_ms;
 
 static void
@@ -612,7 +619,7 @@
 	send_request(fd, "v", "kn1");
 	expect_answer(fd, 200);
 	close(fd);
-	g_usleep(POSTED_WAIT_US);
+	wait_for_log();
 }
 
 /* Load: one connection sends wrong keys as fast as they are answered. */
@@ -640,7 +647,7 @@
 call_as_odd_customer(void)
 {
 	expect("/look/x", KEY("ko"), 200);
-	g_usleep(POSTED_WAIT_US);
+	wait_for_log();
 }
 
 START_TEST(name_in_log_cannot_look_like_another_field)
--- a/packages/node/test/test_call_pipelining.c
+++ b/packages/node/test/test_call_pipelining.c
@@ -200,29 +200,6 @@
 }
 END_TEST
 
-static int
-drained(void *arg)
-{
-	return *(_Atomic int *)arg;
-}
-
-static void
-set_drained(void *arg)
-{
-	*(_Atomic int *)arg = 1;
-}
-
-/* Returns once the node drains. */
-static void
-drain(void)
-{
-	static _Atomic int done;
-
-	callers_drain(node->callers, clock_now_ms() + DRAIN_MS);
-	loop_post(traffic_thread_loop(node->traffic), set_drained, &done);
-	ck_assert(test_wait_int(drained, &done, 1));
-}
-
 /* A node that stops answers what it has read and closes with the last.  The
  * first request ends last. */
 START_TEST(a_drain_answers_what_was_read)
@@ -234,7 +211,8 @@
 	look("bytes=2");
 	look("do=hold&bytes=3");
 	expect_begun(3);
-	drain();
+	callers_drain(node->callers, clock_now_ms() + DRAIN_MS);
+	test_node_wait(node);
 	fake_upstream_release(upstream);
 	expect_answer(1, false);
 	expect_answer(2, false);
