fix(quota): homes of a fleet that starts estimate its hosts

After most hosts were killed at once a home counted the hosts of its list four times until the list had been still for 0.2 s.

Hosts that report count like those listed, until the list is complete. Until it was still for 0.1 s its end is estimated from its growth, at most 16 times. When the estimate falls, a home adds what would have accrued by the lower number. An entry that doesn't know all hosts yet refuses with 503 instead of 429.

--- a/packages/node/src/entry_quota.c
+++ b/packages/node/src/entry_quota.c
@@ -74,7 +74,6 @@
  * @timer: next report, loan or end of a wait
  * @shards: customers by shard
  * @waiting: struct entry_call that wait for credit
- * @roster: entries of this data centre
  * @ranks: struct quota_ranks of each data centre, or NULL
  * @ranked: generation of the entry's snapshot that @ranks belong to
  * @borrow_ms: monotonic time of the next loan
@@ -88,7 +87,6 @@
 	struct loop_timer timer;
 	struct shard shards[QUOTA_SHARDS];
 	GQueue waiting;
-	struct quota_roster *roster;
 	GArray *ranks;
 	uint64_t ranked;
 	uint64_t borrow_ms;
@@ -162,11 +160,18 @@
 }
 
 static void
-refuse_unanswered(struct entry_call *c)
+refuse_unchecked(
+    struct entry *e, struct call_exchange *x, uint64_t retry_after_ms)
 {
-	entry_log_refused(c->entry, c->request, HTTP_UNAVAILABLE,
+	entry_log_refused(e, call_exchange_request(x), HTTP_UNAVAILABLE,
 	    "customer_limit_unanswered");
-	entry_answer_unanswered_limit(c->exchange, UNANSWERED_RETRY_MS);
+	entry_answer_unanswered_limit(x, retry_after_ms);
+}
+
+static void
+refuse_unanswered(struct entry_call *c)
+{
+	refuse_unchecked(c->entry, c->exchange, UNANSWERED_RETRY_MS);
 	end_refused(c);
 }
 
@@ -439,7 +444,7 @@
 	s->logged_entries = entries;
 	s->logged_ms = now(q);
 	log_info("limits: home of shard %u for %u of %u entries", shard,
-	    entries, quota_roster_count(q->roster, now(q)));
+	    entries, quota_roster_count(guard_quota_roster(q->homes), now(q)));
 }
 
 static void
@@ -453,8 +458,7 @@
 		return;
 	q->borrow_ms = now(q) + BORROW_MS;
 	entry_quota_log_sweep(q->log, now(q));
-	guard_quota_set_entries(
-	    q->homes, quota_roster_count(q->roster, now(q)));
+	guard_quota_count_entries(q->homes);
 	for (shard = 0; shard < QUOTA_SHARDS; shard++) {
 		home = guard_quota_home(q->homes, shard);
 		if (home == NULL)
@@ -481,8 +485,8 @@
 	q->ranked = e->generation;
 	if (q->ranks != NULL)
 		g_array_free(q->ranks, TRUE);
-	q->ranks = quota_hosts_rank(
-	    e->snapshot, e->settings->data_centre, q->roster, now(q));
+	q->ranks = quota_hosts_rank(e->snapshot, e->settings->data_centre,
+	    guard_quota_roster(q->homes), now(q));
 }
 
 static void
@@ -595,6 +599,13 @@
 entry_quota_refuse(struct entry *e, struct call_exchange *x,
     const struct customer *customer, uint64_t retry_after_ms)
 {
+	const struct quota_roster *r = guard_quota_roster(e->quota->homes);
+
+	/* Homes then grant less than the limit. */
+	if (!quota_roster_settled(r)) {
+		refuse_unchecked(e, x, retry_after_ms);
+		return;
+	}
 	entry_quota_log_refused(e->quota->log, customer, loop_now_ms(e->loop));
 	metric_add(&metric_quota_refused, 1);
 	call_metrics_refusal(REFUSAL_CUSTOMER_LIMIT);
@@ -681,7 +692,6 @@
 	q->entry = e;
 	q->homes = homes;
 	q->own_id = guard_quota_id(e->settings->host);
-	q->roster = quota_roster_new();
 	q->log = entry_quota_log_new();
 	g_queue_init(&q->waiting);
 	loop_timer_init(&q->timer, e->loop, on_timer, q);
@@ -704,7 +714,6 @@
 		quota_allowance_free(q->shards[i].allowance);
 	if (q->ranks != NULL)
 		g_array_free(q->ranks, TRUE);
-	quota_roster_free(q->roster);
 	entry_quota_log_free(q->log);
 	g_free(q);
 }
--- a/packages/node/src/guard_quota.c
+++ b/packages/node/src/guard_quota.c
@@ -19,13 +19,13 @@
  * @settings: settings of the node; borrowed
  * @loop: event loop of the traffic thread
  * @homes: home of each shard, or NULL
- * @n_entries: number of entries in this data centre, 0 while unknown
+ * @roster: entries of this data centre
  */
 struct guard_quota {
 	const struct settings *settings;
 	struct loop *loop;
 	struct quota_home *homes[QUOTA_SHARDS];
-	uint32_t n_entries;
+	struct quota_roster *roster;
 };
 
 struct guard_quota *
@@ -35,6 +35,7 @@
 
 	q->settings = s;
 	q->loop = loop;
+	q->roster = quota_roster_new();
 	return q;
 }
 
@@ -47,21 +48,39 @@
 		return;
 	for (i = 0; i < QUOTA_SHARDS; i++)
 		quota_home_free(q->homes[i]);
+	quota_roster_free(q->roster);
 	g_free(q);
 }
 
+struct quota_roster *
+guard_quota_roster(struct guard_quota *q)
+{
+	return q->roster;
+}
+
+static void
+count_entries(const struct guard_quota *q, struct quota_home *h)
+{
+	uint64_t now_ms = loop_now_ms(q->loop);
+	uint32_t n = quota_roster_count(q->roster, now_ms);
+
+	if (n == 0)
+		return;
+	if (quota_roster_settled(q->roster))
+		quota_home_set_entries(h, n, now_ms);
+	else
+		quota_home_estimate_entries(h, n, now_ms);
+}
+
 void
-guard_quota_set_entries(struct guard_quota *q, uint32_t n)
+guard_quota_count_entries(struct guard_quota *q)
 {
 	uint32_t i;
 
-	if (n == 0 || n == q->n_entries)
-		return;
-	q->n_entries = n;
+	(void)quota_roster_count(q->roster, loop_now_ms(q->loop));
 	for (i = 0; i < QUOTA_SHARDS; i++)
 		if (q->homes[i] != NULL)
-			quota_home_set_entries(
-			    q->homes[i], n, loop_now_ms(q->loop));
+			count_entries(q, q->homes[i]);
 }
 
 uint32_t
@@ -85,12 +104,11 @@
 static struct quota_home *
 home_of(struct guard_quota *q, uint32_t shard)
 {
-	uint64_t now_ms = loop_now_ms(q->loop);
-
 	if (q->homes[shard] != NULL)
 		return q->homes[shard];
-	q->homes[shard] = quota_home_new(guard_quota_centres(q), now_ms);
-	quota_home_set_entries(q->homes[shard], q->n_entries, now_ms);
+	q->homes[shard] =
+	    quota_home_new(guard_quota_centres(q), loop_now_ms(q->loop));
+	count_entries(q, q->homes[shard]);
 	return q->homes[shard];
 }
 
@@ -126,6 +144,8 @@
 	uint32_t i;
 
 	find_limits(demands, n, limits);
+	if (!from->borrower)
+		quota_roster_heard(q->roster, from->id, loop_now_ms(q->loop));
 	quota_home_report(home_of(q, shard), from, demands, limits, n, credits,
 	    loop_now_ms(q->loop));
 	for (i = 0; i < n; i++)
--- a/packages/node/src/guard_quota.h
+++ b/packages/node/src/guard_quota.h
@@ -9,6 +9,7 @@
 #include "net/loop.h"
 #include "proto/settings.h"
 #include "quota/home.h"
+#include "quota/roster.h"
 
 struct guard_quota;
 
@@ -19,9 +20,12 @@
 /** guard_quota_free() - free all homes; NULL is allowed */
 void guard_quota_free(struct guard_quota *q);
 
-/** guard_quota_set_entries() - number of entries in this data centre, 0 while
- * unknown */
-void guard_quota_set_entries(struct guard_quota *q, uint32_t n);
+/** guard_quota_roster() - entries of this data centre; borrowed */
+struct quota_roster *guard_quota_roster(struct guard_quota *q);
+
+/** guard_quota_count_entries() - tell the homes how many entries this data
+ * centre has; to be called often, since a new roster is incomplete */
+void guard_quota_count_entries(struct guard_quota *q);
 
 /** guard_quota_report() - grant credit for a report; see quota_home_report() */
 void guard_quota_report(struct guard_quota *q, uint32_t shard,
--- a/packages/node/test/test_call_quota.c
+++ b/packages/node/test/test_call_quota.c
@@ -9,6 +9,7 @@
 #include "config/customer.h"
 #include "node/snapshot_ref.h"
 #include "quota/limit.h"
+#include "quota/roster.h"
 
 #include "fixture.h"
 
@@ -150,6 +151,26 @@
 }
 END_TEST
 
+/* An entry that has just started doesn't know all hosts, so that its home has
+ * accrued next to nothing. */
+START_TEST(a_limit_is_not_called_used_up_before_the_hosts_are_known)
+{
+	uint64_t known_ms = clock_now_ms() + QUOTA_ROSTER_SETTLE_MS;
+	struct reply r;
+
+	start();
+	ck_assert(caller_call(callers_port(nodes[0]->callers), "GET", "/look/x",
+	    "Bramley-Customer-Key: one\r\n", NULL, 0, &r));
+	if (clock_now_ms() < known_ms) {
+		ck_assert_int_eq(r.status, 503);
+		ck_assert(strtod(r.retry_after, NULL) > 0);
+	}
+	ck_assert_int_ne(r.status, 429);
+	reply_clear(&r);
+	stop();
+}
+END_TEST
+
 START_TEST(a_customer_without_a_limit_is_not_limited)
 {
 	start();
@@ -201,6 +222,7 @@
 main(void)
 {
 	const TTest *const tests[] = {a_limit_holds_over_all_nodes_and_is_used,
+	    a_limit_is_not_called_used_up_before_the_hosts_are_known,
 	    a_customer_without_a_limit_is_not_limited,
 	    a_limit_holds_when_the_home_ends, NULL};
 
--- a/packages/quota/include/quota/home.h
+++ b/packages/quota/include/quota/home.h
@@ -43,6 +43,12 @@
  * alive or were until recently; 0 while it is unknown */
 void quota_home_set_entries(struct quota_home *h, uint32_t n, uint64_t now_ms);
 
+/** quota_home_estimate_entries() - as quota_home_set_entries(), while not all
+ * entries are known; tokens that didn't accrue for entries that prove not to
+ * exist are made up for once the number is lower */
+void
+quota_home_estimate_entries(struct quota_home *h, uint32_t n, uint64_t now_ms);
+
 /**
  * quota_home_report() - grant credit for a report
  * @h: the home
--- a/packages/quota/include/quota/roster.h
+++ b/packages/quota/include/quota/roster.h
@@ -14,9 +14,11 @@
 #define QUOTA_ROSTER_KEEP_MS 30000
 
 /** QUOTA_ROSTER_SETTLE_MS - a new roster is complete once it has not grown for
- * this time; until then it counts QUOTA_ROSTER_UNSEEN times the hosts listed */
-#define QUOTA_ROSTER_SETTLE_MS 200
-#define QUOTA_ROSTER_UNSEEN 4
+ * this time; until then at most QUOTA_ROSTER_UNSEEN times its hosts are
+ * expected
+ */
+#define QUOTA_ROSTER_SETTLE_MS 100
+#define QUOTA_ROSTER_UNSEEN 16
 
 struct quota_roster;
 
@@ -34,7 +36,15 @@
 void quota_roster_add(
     struct quota_roster *r, uint64_t id, bool draining, uint64_t now_ms);
 
-/** quota_roster_count() - number of entries, 0 if none is listed */
+/** quota_roster_heard() - host @id has reported; while the list is incomplete
+ * it counts, whether listed or not */
+void quota_roster_heard(struct quota_roster *r, uint64_t id, uint64_t now_ms);
+
+/** quota_roster_count() - number of entries, 0 if none is listed; an estimate
+ * until the roster is complete */
 uint32_t quota_roster_count(struct quota_roster *r, uint64_t now_ms);
 
+/** quota_roster_settled() - whether the roster was complete at a count */
+bool quota_roster_settled(const struct quota_roster *r);
+
 #endif
--- a/packages/quota/src/home.c
+++ b/packages/quota/src/home.c
@@ -73,6 +73,7 @@
  * struct quota_home - see quota/home.h
  * @data_centres: number of data centres
  * @entries: entries that are known
+ * @estimated: @entries was estimated
  * @sources: id to struct source
  * @accounts: customer to struct account
  * @advanced_ms: monotonic time up to which @share_us has advanced
@@ -83,6 +84,7 @@
 struct quota_home {
 	uint32_t data_centres;
 	uint32_t entries;
+	bool estimated;
 	GHashTable *sources;
 	GHashTable *accounts;
 	uint64_t advanced_ms;
@@ -214,26 +216,6 @@
 	s->reported_ms = now_ms;
 }
 
-/* Entries that were unknown have accrued tokens elsewhere; what accrued here
- * was too much. */
-void
-quota_home_set_entries(struct quota_home *h, uint32_t n, uint64_t now_ms)
-{
-	GHashTableIter it;
-	struct account *a;
-	uint32_t before;
-
-	advance(h, now_ms);
-	before = known_entries(h);
-	h->entries = n;
-	if (n <= before)
-		return;
-	g_hash_table_iter_init(&it, h->accounts);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&a))
-		a->bucket.milli = a->bucket.milli * before / n;
-	h->since_ms = share_ms(h) - (share_ms(h) - h->since_ms) * before / n;
-}
-
 uint32_t
 quota_home_entries(const struct quota_home *h, uint64_t now_ms)
 {
@@ -285,6 +267,68 @@
 	return a;
 }
 
+/* Number of entries */
+
+/* Entries that were unknown have accrued tokens elsewhere; what accrued here
+ * was too much. */
+static void
+take_back(struct quota_home *h, uint32_t before, uint32_t n)
+{
+	GHashTableIter it;
+	struct account *a;
+
+	g_hash_table_iter_init(&it, h->accounts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&a))
+		a->bucket.milli = a->bucket.milli * before / n;
+	h->since_ms = share_ms(h) - (share_ms(h) - h->since_ms) * before / n;
+}
+
+/* Entries that were counted and don't exist have accrued nothing elsewhere. The
+ * bursts are raised first. */
+static void
+catch_up(struct quota_home *h, uint32_t before, uint32_t n)
+{
+	uint64_t accrued_us = h->share_us - h->since_ms * US_PER_MS;
+	GHashTableIter it;
+	struct account *a;
+
+	g_hash_table_iter_init(&it, h->accounts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&a))
+		set_limit(h, a, &a->limit);
+	h->share_us += accrued_us * (before - n) / n;
+}
+
+static void
+change_entries(struct quota_home *h, uint32_t n, uint64_t now_ms)
+{
+	uint32_t before;
+
+	advance(h, now_ms);
+	before = known_entries(h);
+	h->entries = n;
+	n = known_entries(h);
+	if (n > before)
+		take_back(h, before, n);
+	else if (n > 0 && n < before && h->estimated)
+		catch_up(h, before, n);
+}
+
+void
+quota_home_set_entries(struct quota_home *h, uint32_t n, uint64_t now_ms)
+{
+	change_entries(h, n, now_ms);
+	h->estimated = false;
+}
+
+void
+quota_home_estimate_entries(struct quota_home *h, uint32_t n, uint64_t now_ms)
+{
+	change_entries(h, n, now_ms);
+	h->estimated = true;
+}
+
+/* Demand */
+
 static double
 decayed(double value, uint64_t since_ms, uint64_t now_ms)
 {
--- a/packages/quota/test/quota_fleet.c
+++ b/packages/quota/test/quota_fleet.c
@@ -15,6 +15,7 @@
 #include "quota/bucket.h"
 #include "quota/choice.h"
 #include "quota/home.h"
+#include "quota/roster.h"
 
 /* The bound that customers are promised. */
 #define WINDOW_MS 5000
@@ -25,6 +26,7 @@
 #define NEAR_MS 2
 #define FAR_MS 8
 #define BORROW_MS 100
+#define COMPARE_MS 120
 #define WAITING_MAX 4096
 #define HEAD_BYTES 12
 #define RECORD_BYTES 16
@@ -56,7 +58,13 @@
 	uint32_t reported_to;
 	uint64_t silent_ms;
 	uint64_t borrow_ms;
+	uint64_t compare_ms;
+	uint64_t stopped_until_ms;
 	uint64_t suspended_until_ms;
+	struct quota_roster *roster;
+	bool *lists;
+	bool *has_address;
+	bool joined;
 	struct waiting waiting[WAITING_MAX];
 	uint32_t n_waiting;
 };
@@ -81,19 +89,112 @@
 	return f->load.linked == NULL || f->load.linked(a, b, ms);
 }
 
+static bool
+is_up(const struct fleet *f, uint32_t h, uint64_t ms)
+{
+	return f->hosts[h].suspended_until_ms <= ms &&
+	    f->hosts[h].stopped_until_ms <= ms;
+}
+
+/* Lists of hosts */
+
 static void
-host_start(struct fleet *f, uint32_t h, uint64_t ms)
+list_hosts(struct fleet *f, uint32_t h, uint64_t ms)
+{
+	struct fleet_host *host = &f->hosts[h];
+	uint32_t e, first = centre(f, h) * f->load.entries;
+
+	quota_roster_begin(host->roster);
+	for (e = 0; e < f->load.entries; e++)
+		if (host->lists[e])
+			quota_roster_add(
+			    host->roster, first + e + 1, false, ms);
+}
+
+static void
+learn_first(struct fleet *f, uint32_t h, uint64_t ms)
+{
+	struct fleet_host *host = &f->hosts[h];
+	uint32_t e, n = 0;
+
+	for (e = 0; e < f->load.entries; e++)
+		host->lists[e] = f->load.seeds == 0;
+	host->lists[h % f->load.entries] = true;
+	while (n < MIN(f->load.seeds, f->load.entries - 1)) {
+		e = (uint32_t)(draw(f) * f->load.entries);
+		if (host->has_address[e] || host->lists[e])
+			continue;
+		host->has_address[e] = true;
+		n++;
+	}
+	host->joined = f->load.seeds == 0;
+	list_hosts(f, h, ms);
+}
+
+/* A comparison gives each side what the other knows. */
+static void
+compare(struct fleet *f, uint32_t h, uint64_t ms)
+{
+	struct fleet_host *host = &f->hosts[h], *peer;
+	uint32_t e, other, first = centre(f, h) * f->load.entries;
+
+	host->compare_ms =
+	    ms + COMPARE_MS / 2 + (uint64_t)(draw(f) * COMPARE_MS);
+	do {
+		other = (uint32_t)(draw(f) * f->load.entries);
+	} while (!host->lists[other] && !host->has_address[other]);
+	peer = &f->hosts[first + other];
+	if (peer == host || !is_up(f, first + other, ms) ||
+	    !linked(f, h, first + other, ms))
+		return;
+	host->joined = peer->joined = true;
+	for (e = 0; e < f->load.entries; e++)
+		host->lists[e] = peer->lists[e] |= host->lists[e];
+	list_hosts(f, h, ms);
+	list_hosts(f, first + other, ms);
+}
+
+/* Homes that know all count all at once. */
+static void
+count_entries(struct fleet *f, uint32_t h, uint64_t ms)
 {
 	struct fleet_host *host = &f->hosts[h];
+	uint32_t n = quota_roster_count(host->roster, ms);
+
+	if (f->load.seeds == 0)
+		quota_home_set_entries(host->home, f->load.entries, ms);
+	else if (quota_roster_settled(host->roster))
+		quota_home_set_entries(host->home, n, ms);
+	else
+		quota_home_estimate_entries(host->home, n, ms);
+}
 
+static void
+host_clear(struct fleet_host *host)
+{
 	quota_allowance_free(host->allowance);
 	quota_home_free(host->home);
+	quota_roster_free(host->roster);
+	g_free(host->lists);
+	g_free(host->has_address);
+}
+
+static void
+host_start(struct fleet *f, uint32_t h, uint64_t ms)
+{
+	struct fleet_host *host = &f->hosts[h];
+
+	host_clear(host);
 	memset(host, 0, sizeof(*host));
 	host->allowance = quota_allowance_new(h + 1);
 	host->home = quota_home_new(f->load.data_centres, ms);
-	quota_home_set_entries(host->home, f->load.entries, ms);
+	host->roster = quota_roster_new();
+	host->lists = g_new0(bool, f->load.entries);
+	host->has_address = g_new0(bool, f->load.entries);
 	host->silent_ms = DEADLINE_NEVER;
 	host->sequence = (uint32_t)ms;
+	learn_first(f, h, ms);
+	count_entries(f, h, ms);
 }
 
 void
@@ -102,6 +203,12 @@
 	host_start(f, h, ms);
 }
 
+void
+fleet_stop(struct fleet *f, uint32_t h, uint64_t until_ms)
+{
+	f->hosts[h].stopped_until_ms = until_ms;
+}
+
 void
 fleet_suspend(struct fleet *f, uint32_t h, uint64_t until_ms)
 {
@@ -168,6 +275,8 @@
 			if (f->load.limits[j].customer ==
 			    m->demands[i].customer)
 				limits[i] = f->load.limits[j];
+	if (!m->loan)
+		quota_roster_heard(f->hosts[m->to].roster, from.id, ms);
 	quota_home_report(f->hosts[m->to].home, &from, m->demands, limits, m->n,
 	    m->credits, ms);
 	m->reply = true;
@@ -203,15 +312,19 @@
 choose(const struct fleet *f, uint32_t h, uint64_t ms)
 {
 	struct quota_candidate candidates[QUOTA_CANDIDATES];
-	uint32_t i, chosen, first = centre(f, h) * f->load.entries;
+	uint32_t e, n = 0, chosen, first = centre(f, h) * f->load.entries;
 
-	for (i = 0; i < MIN(f->load.entries, QUOTA_CANDIDATES); i++) {
-		candidates[i].id = first + i + 1;
-		candidates[i].ready = linked(f, h, first + i, ms) &&
-		    f->hosts[first + i].suspended_until_ms <= ms;
+	for (e = 0; e < f->load.entries && n < QUOTA_CANDIDATES; e++) {
+		if (!f->hosts[h].lists[e])
+			continue;
+		candidates[n].id = first + e + 1;
+		candidates[n].ready =
+		    linked(f, h, first + e, ms) && is_up(f, first + e, ms);
+		n++;
 	}
-	chosen = quota_choice_pick(&f->hosts[h].choice, candidates, i, ms);
-	return chosen == QUOTA_CHOICE_OWN ? h : first + chosen;
+	chosen = quota_choice_pick(&f->hosts[h].choice, candidates, n, ms);
+	return chosen == QUOTA_CHOICE_OWN ? h
+					  : (uint32_t)candidates[chosen].id - 1;
 }
 
 static void
@@ -243,6 +356,7 @@
 	struct mail m, *sent;
 
 	host->borrow_ms = ms + BORROW_MS;
+	count_entries(f, h, ms);
 	memset(&m, 0, sizeof(m));
 	m.n = quota_home_borrow(host->home, m.demands, FLEET_CUSTOMERS, ms);
 	if (m.n == 0)
@@ -310,7 +424,8 @@
 {
 	struct fleet_host *host = &f->hosts[h];
 
-	arrivals(f, h, ms);
+	if (host->joined)
+		arrivals(f, h, ms);
 	if (ms >= host->silent_ms) {
 		host->silent_ms = DEADLINE_NEVER;
 		quota_allowance_lost(host->allowance);
@@ -319,6 +434,8 @@
 	}
 	if (ms >= quota_allowance_due_ms(host->allowance))
 		report(f, h, ms);
+	if (f->load.seeds > 0 && ms >= host->compare_ms)
+		compare(f, h, ms);
 	if (ms >= host->borrow_ms)
 		borrow(f, h, ms);
 	decide(f, h, ms);
@@ -336,6 +453,10 @@
 		if (m->due_ms > ms || f->hosts[m->to].suspended_until_ms > ms)
 			continue;
 		g_queue_delete_link(&f->mail->queue, l);
+		if (f->hosts[m->to].stopped_until_ms > ms) {
+			g_free(m);
+			continue;
+		}
 		receive(f, m, ms);
 	}
 }
@@ -349,6 +470,7 @@
 
 	ck_assert_uint_le(until_ms, FLEET_MS);
 	f->load = *load;
+	f->random = load->seed;
 	f->n_hosts = load->data_centres * load->entries;
 	f->hosts = g_new0(struct fleet_host, f->n_hosts);
 	f->mail = g_new0(struct fleet_mail, 1);
@@ -364,9 +486,12 @@
 		if (load->step != NULL)
 			load->step(f, ms);
 		deliver(f, ms);
-		for (h = 0; h < f->n_hosts; h++)
-			if (f->hosts[h].suspended_until_ms <= ms)
+		for (h = 0; h < f->n_hosts; h++) {
+			if (f->hosts[h].stopped_until_ms == ms && ms > 0)
+				host_start(f, h, ms);
+			if (is_up(f, h, ms))
 				run_host(f, h, ms);
+		}
 	}
 	return f;
 }
@@ -376,10 +501,8 @@
 {
 	uint32_t h, c;
 
-	for (h = 0; h < f->n_hosts; h++) {
-		quota_allowance_free(f->hosts[h].allowance);
-		quota_home_free(f->hosts[h].home);
-	}
+	for (h = 0; h < f->n_hosts; h++)
+		host_clear(&f->hosts[h]);
 	for (c = 0; c < f->load.n_customers; c++) {
 		g_free(f->arrived[c]);
 		g_free(f->admitted[c]);
@@ -393,16 +516,16 @@
 }
 
 uint64_t
-fleet_sum_refused_by_one_bucket(
-    const struct fleet *f, uint32_t c, uint64_t from_ms, uint64_t to_ms)
+fleet_sum_refused_by_one_bucket(const struct fleet *f, uint32_t c,
+    uint64_t empty_ms, uint64_t from_ms, uint64_t to_ms)
 {
 	const struct quota_limit *l = &f->load.limits[c];
 	struct quota_bucket b;
 	uint64_t ms, refused = 0;
 	uint32_t taken;
 
-	quota_bucket_init(&b, l->rate_milli_per_s, l->burst_milli, 0);
-	for (ms = 0; ms < to_ms; ms++) {
+	quota_bucket_init(&b, l->rate_milli_per_s, l->burst_milli, empty_ms);
+	for (ms = empty_ms; ms < to_ms; ms++) {
 		taken = quota_bucket_take(&b, f->arrived[c][ms], ms);
 		if (ms >= from_ms)
 			refused += f->arrived[c][ms] - taken;
@@ -420,29 +543,50 @@
 	return sum;
 }
 
-static void
-check_customer(const struct fleet *f, uint32_t c)
+double
+fleet_allowed(const struct fleet *f, uint32_t c)
 {
 	const struct quota_limit *l = &f->load.limits[c];
-	double most = ((double)l->rate_milli_per_s * WINDOW_MS / MILLI +
-			  (double)l->burst_milli) /
-		MILLI * OVERAGE +
-	    SLACK;
-	uint64_t ms, sum = 0, greatest = 0, at_ms = 0;
+	double limit = (double)l->rate_milli_per_s * WINDOW_MS / MILLI +
+	    (double)l->burst_milli;
+
+	return limit / MILLI * OVERAGE + SLACK;
+}
+
+static uint64_t
+most_in_window(const struct fleet *f, uint32_t c, uint64_t *at_ms)
+{
+	uint64_t ms, sum = 0, greatest = 0;
 
 	for (ms = 0; ms < FLEET_MS; ms++) {
 		sum += f->admitted[c][ms];
 		if (ms >= WINDOW_MS)
 			sum -= f->admitted[c][ms - WINDOW_MS];
-		if (sum > greatest) {
-			greatest = sum;
-			at_ms = ms;
-		}
+		if (sum <= greatest)
+			continue;
+		greatest = sum;
+		*at_ms = ms;
 	}
-	ck_assert_msg((double)greatest <= most,
+	return greatest;
+}
+
+uint64_t
+fleet_most(const struct fleet *f, uint32_t c)
+{
+	uint64_t at_ms = 0;
+
+	return most_in_window(f, c, &at_ms);
+}
+
+static void
+check_customer(const struct fleet *f, uint32_t c)
+{
+	uint64_t at_ms = 0, most = most_in_window(f, c, &at_ms);
+
+	ck_assert_msg((double)most <= fleet_allowed(f, c),
 	    "customer %u: %u requests in the window that ends at %u ms, %.0f "
 	    "are allowed",
-	    c, (uint32_t)greatest, (uint32_t)at_ms, most);
+	    c, (uint32_t)most, (uint32_t)at_ms, fleet_allowed(f, c));
 }
 
 void
--- a/packages/quota/test/quota_fleet.h
+++ b/packages/quota/test/quota_fleet.h
@@ -26,6 +26,10 @@
  * @per_s: expected requests a second of customer @c at entry @e of data centre
  *	@d, at time @ms
  * @linked: whether host @a reaches host @b at time @ms; NULL for always
+ * @seed: start of the random numbers
+ * @seeds: a host that starts lists itself, has the addresses of so many others
+ *	of its data centre, and learns of the rest by comparing lists; it takes
+ *	requests from the first comparison on; 0 if a host knows all at once
  * @step: called each millisecond, may kill and suspend hosts; NULL for none
  */
 struct fleet_load {
@@ -37,6 +41,8 @@
 	struct quota_limit limits[FLEET_CUSTOMERS];
 	double (*per_s)(uint32_t c, uint32_t d, uint32_t e, uint64_t ms);
 	bool (*linked)(uint32_t a, uint32_t b, uint64_t ms);
+	uint64_t seed;
+	uint32_t seeds;
 	void (*step)(struct fleet *f, uint64_t ms);
 };
 
@@ -73,6 +79,10 @@
 /** fleet_kill() - host @h starts again */
 void fleet_kill(struct fleet *f, uint32_t h, uint64_t ms);
 
+/** fleet_stop() - host @h stops, and starts again at @until_ms; no request
+ * comes to it until then */
+void fleet_stop(struct fleet *f, uint32_t h, uint64_t until_ms);
+
 /** fleet_suspend() - host @h is suspended until @until_ms */
 void fleet_suspend(struct fleet *f, uint32_t h, uint64_t until_ms);
 
@@ -80,9 +90,15 @@
 uint64_t fleet_sum(const uint32_t *counts, uint64_t from_ms, uint64_t to_ms);
 
 /** fleet_sum_refused_by_one_bucket() - requests of customer @c that a single
- * bucket over all entries would refuse */
-uint64_t fleet_sum_refused_by_one_bucket(
-    const struct fleet *f, uint32_t c, uint64_t from_ms, uint64_t to_ms);
+ * bucket over all entries, empty at @empty_ms, would refuse */
+uint64_t fleet_sum_refused_by_one_bucket(const struct fleet *f, uint32_t c,
+    uint64_t empty_ms, uint64_t from_ms, uint64_t to_ms);
+
+/** fleet_allowed() - most requests of customer @c in a window */
+double fleet_allowed(const struct fleet *f, uint32_t c);
+
+/** fleet_most() - requests of customer @c in the window with most of them */
+uint64_t fleet_most(const struct fleet *f, uint32_t c);
 
 /** fleet_check_sum() - assert the bound of each customer in each window */
 void fleet_check_sum(const struct fleet *f);
--- a/packages/quota/test/test_quota.c
+++ b/packages/quota/test/test_quota.c
@@ -97,6 +97,33 @@
 }
 END_TEST
 
+START_TEST(entries_that_were_only_estimated_are_made_up_for)
+{
+	struct quota_home *h = quota_home_new(1, 0);
+
+	quota_home_estimate_entries(h, 4, 0);
+	(void)ask_for(h, 0, 0);
+	ck_assert_uint_eq(ask_for(h, 5, 400), 5);
+	quota_home_set_entries(h, 1, 400);
+	ck_assert_uint_eq(ask_for(h, 100, 400), 35);
+	quota_home_free(h);
+}
+END_TEST
+
+/* They may have taken their part elsewhere. */
+START_TEST(entries_that_leave_are_not_made_up_for)
+{
+	struct quota_home *h = quota_home_new(1, 0);
+
+	quota_home_set_entries(h, 4, 0);
+	(void)ask_for(h, 0, 0);
+	ck_assert_uint_eq(ask_for(h, 5, 400), 5);
+	quota_home_set_entries(h, 1, 400);
+	ck_assert_uint_eq(ask_for(h, 100, 400), 5);
+	quota_home_free(h);
+}
+END_TEST
+
 START_TEST(a_lowered_limit_cuts_the_bucket)
 {
 	struct quota_home *h = home_until(1, 2000);
@@ -405,6 +432,52 @@
 }
 END_TEST
 
+/* Hosts 1 to @n are listed. */
+static void
+list(struct quota_roster *r, uint64_t n, uint64_t ms)
+{
+	uint64_t id;
+
+	quota_roster_begin(r);
+	for (id = 1; id <= n; id++)
+		quota_roster_add(r, id, false, ms);
+}
+
+/* 16 hosts are listed first, of 20 then, so that some 21 are expected; a list
+ * that has doubled says nothing about its end. */
+START_TEST(a_list_that_grows_is_estimated)
+{
+	struct quota_roster *r = quota_roster_new();
+
+	list(r, 8, 0);
+	list(r, 16, 50);
+	ck_assert_uint_eq(quota_roster_count(r, QUOTA_ROSTER_SETTLE_MS),
+	    16 * QUOTA_ROSTER_UNSEEN);
+	list(r, 20, 50 + QUOTA_ROSTER_SETTLE_MS);
+	ck_assert_uint_eq(
+	    quota_roster_count(r, 50 + QUOTA_ROSTER_SETTLE_MS), 21);
+	ck_assert(!quota_roster_settled(r));
+	ck_assert_uint_eq(
+	    quota_roster_count(r, 50 + 2 * QUOTA_ROSTER_SETTLE_MS), 20);
+	ck_assert(quota_roster_settled(r));
+	quota_roster_free(r);
+}
+END_TEST
+
+START_TEST(a_host_that_reports_before_it_is_listed_counts)
+{
+	struct quota_roster *r = quota_roster_new();
+
+	quota_roster_heard(r, 9, 0);
+	ck_assert_uint_eq(quota_roster_count(r, QUOTA_ROSTER_SETTLE_MS), 0);
+	list(r, 2, QUOTA_ROSTER_SETTLE_MS);
+	ck_assert_uint_eq(quota_roster_count(r, 2 * QUOTA_ROSTER_SETTLE_MS), 3);
+	quota_roster_heard(r, 10, 2 * QUOTA_ROSTER_SETTLE_MS);
+	ck_assert_uint_eq(quota_roster_count(r, 3 * QUOTA_ROSTER_SETTLE_MS), 3);
+	quota_roster_free(r);
+}
+END_TEST
+
 static TCase *
 home_case(void)
 {
@@ -415,6 +488,8 @@
 	    t, a_home_that_was_suspended_begins_with_an_empty_bucket);
 	tcase_add_test(t, tokens_accrue_for_the_entries_that_report);
 	tcase_add_test(t, entries_that_appear_late_take_back_what_has_accrued);
+	tcase_add_test(t, entries_that_were_only_estimated_are_made_up_for);
+	tcase_add_test(t, entries_that_leave_are_not_made_up_for);
 	tcase_add_test(t, a_lowered_limit_cuts_the_bucket);
 	tcase_add_test(t, a_raised_limit_fills_from_what_is_there);
 	tcase_add_test(t, a_customer_that_is_added_again_has_no_second_burst);
@@ -453,6 +528,8 @@
 	tcase_add_test(t,
 	    a_home_that_was_silent_is_used_again_when_its_connection_is_ready);
 	tcase_add_test(t, a_host_that_vanishes_counts_for_a_while);
+	tcase_add_test(t, a_list_that_grows_is_estimated);
+	tcase_add_test(t, a_host_that_reports_before_it_is_listed_counts);
 	suite_add_tcase(s, t);
 	return test_run(s);
 }
--- a/packages/quota/test/test_quota_fleet.c
+++ b/packages/quota/test/test_quota_fleet.c
@@ -75,8 +75,8 @@
 		arrived = (double)fleet_sum(f->arrived[c], 5000, 15000);
 		refused = (double)(fleet_sum(f->refused[c], 5000, 15000) +
 		    fleet_sum(f->unanswered[c], 5000, 15000));
-		one =
-		    (double)fleet_sum_refused_by_one_bucket(f, c, 5000, 15000);
+		one = (double)fleet_sum_refused_by_one_bucket(
+		    f, c, 0, 5000, 15000);
 		unanswered += (double)fleet_sum(f->unanswered[c], 5000, 15000);
 		by_one += one;
 		total += refused;
