--- a/packages/traffic/src/expected_time.c
+++ b/packages/traffic/src/expected_time.c
@@ -23,8 +23,8 @@
 /*
  * Mean size of the requests under way; that of the own one if not reported.
  * Where only short ones are at work, it counts as that of all the service's
- * endpoints: otherwise a queue that is full of short ones would look better than
- * a shorter one elsewhere, and attract all further ones, which it refuses.
+ * endpoints: otherwise a queue that is full of short ones would look better
+ * than a shorter one elsewhere, and attract all further ones, which it refuses.
  */
 static double
 size_us(const struct endpoint *ep, double own_us)
