--- a/packages/quota/include/quota/roster.h
+++ b/packages/quota/include/quota/roster.h
@@ -17,7 +17,7 @@
  * this time; until then at most QUOTA_ROSTER_UNSEEN times its hosts are
  * expected
  */
-#define QUOTA_ROSTER_SETTLE_MS 100
+#define QUOTA_ROSTER_SETTLE_MS 150
 #define QUOTA_ROSTER_UNSEEN 16
 
 struct quota_roster;
--- a/packages/quota/test/test_quota_start_sum.c
+++ b/packages/quota/test/test_quota_start_sum.c
@@ -28,7 +28,7 @@
     {3, 3 * MILLI, 1 * MILLI},
 };
 
-static const uint64_t spreads_ms[] = {20, 250};
+static const uint64_t spreads_ms[] = {20, 250, 1000};
 #define SPREADS G_N_ELEMENTS(spreads_ms)
 #define SEEDS 2
 
