fix(ctl): customers asks nodes with threads that the sanitizer can follow

Change: pthreads take the next node each; the lock of the query and that of the usage counts are pthread mutexes. With fewer threads than wanted, asking takes longer.

--- a/packages/ctl/src/customers.c
+++ b/packages/ctl/src/customers.c
@@ -2,6 +2,8 @@
  * The command customers: asks all nodes for the usage of customers and prints
  * the sums with the limits.
  */
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <string.h>
 
@@ -29,12 +31,14 @@
 	json_int_t limited;
 };
 
-/* A query of all nodes; the fields from @answered on are protected by @lock. */
+/* A query of all nodes; @next is the first that is not asked yet, and the
+ * fields from @answered on are protected by @lock. */
 struct fleet_query {
 	const char *path;
 	uint64_t deadline_ms;
 	GArray *nodes;
-	GMutex lock;
+	_Atomic uint32_t next;
+	pthread_mutex_t lock;
 	uint32_t answered;
 	uint32_t without_customer;
 	json_int_t period_ms;
@@ -101,11 +105,9 @@
 }
 
 static void
-ask_node(gpointer data, gpointer arg)
+ask_node(struct fleet_query *q, const struct net_addr *addr)
 {
 	struct client_request req = {.method = "GET"};
-	const struct net_addr *addr = data;
-	struct fleet_query *q = arg;
 	struct client_response resp;
 	struct client *client;
 	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(*addr));
@@ -115,28 +117,42 @@
 	req.path = q->path;
 	req.deadline_ms = MIN(q->deadline_ms, clock_now_ms() + NODE_TIMEOUT_MS);
 	client_request(client, &req, &resp);
-	g_mutex_lock(&q->lock);
+	(void)pthread_mutex_lock(&q->lock);
 	if (client_response_ok(&resp))
 		add_answer(q, resp.json);
 	else if (strcmp(client_response_kind(&resp), "not_found") == 0)
 		q->without_customer++;
-	g_mutex_unlock(&q->lock);
+	(void)pthread_mutex_unlock(&q->lock);
 	client_response_clear(&resp);
 	client_free(client);
 	g_array_unref(nodes);
 }
 
+/* Asks nodes that no other thread asks, until there is none left. */
+static void *
+ask_rest(void *arg)
+{
+	struct fleet_query *q = arg;
+	uint32_t i;
+
+	for (i = q->next++; i < q->nodes->len; i = q->next++)
+		ask_node(q, &g_array_index(q->nodes, struct net_addr, i));
+	return NULL;
+}
+
+/* With fewer threads than wanted it takes longer. */
 static void
 ask_nodes(struct fleet_query *q)
 {
-	GThreadPool *pool;
-	guint i;
-
-	pool = g_thread_pool_new(ask_node, q, ASKED_AT_ONCE, FALSE, NULL);
-	for (i = 0; i < q->nodes->len; i++)
-		(void)g_thread_pool_push(
-		    pool, &g_array_index(q->nodes, struct net_addr, i), NULL);
-	g_thread_pool_free(pool, FALSE, TRUE);
+	pthread_t threads[ASKED_AT_ONCE - 1];
+	uint32_t i, n = 0;
+
+	while (n < G_N_ELEMENTS(threads) && n + 1 < q->nodes->len &&
+	    pthread_create(&threads[n], NULL, ask_rest, q) == 0)
+		n++;
+	(void)ask_rest(q);
+	for (i = 0; i < n; i++)
+		(void)pthread_join(threads[i], NULL);
 }
 
 static bool
@@ -328,13 +344,13 @@
 	q.path = path;
 	q.nodes = g_array_new(FALSE, FALSE, sizeof(struct net_addr));
 	q.sums = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, sum_free);
-	g_mutex_init(&q.lock);
+	(void)pthread_mutex_init(&q.lock, NULL);
 	code = list_nodes(ctl, q.nodes);
 	if (code == EXIT_CODE_OK) {
 		ask_nodes(&q);
 		code = report_sums(ctl, &q);
 	}
-	g_mutex_clear(&q.lock);
+	(void)pthread_mutex_destroy(&q.lock);
 	g_hash_table_destroy(q.sums);
 	g_array_unref(q.nodes);
 	g_free(path);
--- a/packages/quota/src/usage.c
+++ b/packages/quota/src/usage.c
@@ -3,6 +3,8 @@
  */
 #include "quota/usage.h"
 
+#include <pthread.h>
+
 #include <glib.h>
 
 /**
@@ -26,7 +28,7 @@
  * @swept: period in which customers without requests were last removed
  */
 struct quota_usage {
-	GMutex lock;
+	pthread_mutex_t lock;
 	GHashTable *customers;
 	uint64_t swept;
 };
@@ -36,7 +38,7 @@
 {
 	struct quota_usage *u = g_new0(struct quota_usage, 1);
 
-	g_mutex_init(&u->lock);
+	(void)pthread_mutex_init(&u->lock, NULL);
 	u->customers =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	return u;
@@ -48,7 +50,7 @@
 	if (u == NULL)
 		return;
 	g_hash_table_destroy(u->customers);
-	g_mutex_clear(&u->lock);
+	(void)pthread_mutex_destroy(&u->lock);
 	g_free(u);
 }
 
@@ -108,17 +110,17 @@
 void
 quota_usage_request(struct quota_usage *u, uint64_t customer, uint64_t now_ms)
 {
-	g_mutex_lock(&u->lock);
+	(void)pthread_mutex_lock(&u->lock);
 	counted_at(u, customer, period_of(now_ms))->now.requests++;
-	g_mutex_unlock(&u->lock);
+	(void)pthread_mutex_unlock(&u->lock);
 }
 
 void
 quota_usage_limited(struct quota_usage *u, uint64_t customer, uint64_t now_ms)
 {
-	g_mutex_lock(&u->lock);
+	(void)pthread_mutex_lock(&u->lock);
 	counted_at(u, customer, period_of(now_ms))->now.limited++;
-	g_mutex_unlock(&u->lock);
+	(void)pthread_mutex_unlock(&u->lock);
 }
 
 struct quota_use
@@ -127,13 +129,13 @@
 	struct quota_use use = {0};
 	struct counted *c;
 
-	g_mutex_lock(&u->lock);
+	(void)pthread_mutex_lock(&u->lock);
 	c = g_hash_table_lookup(u->customers, &customer);
 	if (c != NULL) {
 		advance(c, period_of(now_ms));
 		use = c->before;
 	}
-	g_mutex_unlock(&u->lock);
+	(void)pthread_mutex_unlock(&u->lock);
 	return use;
 }
 
@@ -142,8 +144,8 @@
 {
 	uint32_t n;
 
-	g_mutex_lock(&u->lock);
+	(void)pthread_mutex_lock(&u->lock);
 	n = g_hash_table_size(u->customers);
-	g_mutex_unlock(&u->lock);
+	(void)pthread_mutex_unlock(&u->lock);
 	return n;
 }
