--- a/packages/node/src/guard_quota.h
+++ b/packages/node/src/guard_quota.h
@@ -23,8 +23,8 @@
 /** guard_quota_roster() - entries of this data centre; borrowed */
 struct quota_roster *guard_quota_roster(struct guard_quota *q);
 
-/** guard_quota_count_entries() - tell the homes how many entries this data
- * centre has; to be called often, since a new roster is incomplete */
+/** guard_quota_count_entries() - set the number of entries of this data centre
+ * in all homes; to be called often, since a new roster is incomplete */
 void guard_quota_count_entries(struct guard_quota *q);
 
 /** guard_quota_report() - grant credit for a report; see quota_home_report() */
