feat(net): failed accepts, refused connections and long turns are logged and counted

Problem: a node that takes no new connections leaves no line and no metric. A failed accept(2), a connection closed as one too many and an event loop that is held up can't be told apart from outside. A turn of a loop that takes half a second is logged. All lines are within a rate limit. No decision changes.

--- a/packages/net/include/net/conn.h
+++ b/packages/net/include/net/conn.h
@@ -22,6 +22,7 @@
 
 #include "base/metrics.h"
 #include "base/status.h"
+#include "net/descriptors.h"
 #include "net/loop.h"
 #include "proto/addr.h"
 
@@ -64,6 +65,7 @@
  * @sent_bytes: counter of bytes written, which connections of the same purpose
  *	share; may be NULL
  * @received_bytes: counter of bytes read, shared likewise; may be NULL
+ * @use: what the connection is for
  */
 struct conn_options {
 	uint32_t frame_max_bytes;
@@ -73,6 +75,7 @@
 	uint32_t idle_ms;
 	struct metric *sent_bytes;
 	struct metric *received_bytes;
+	enum descriptor_use use;
 };
 
 #define CONN_FRAME_MAX_BYTES (1024U * 1024U)
--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 
 #include "base/status.h"
+#include "net/descriptors.h"
 #include "net/loop.h"
 
 struct http_call;
@@ -139,10 +140,12 @@
  * @conns_max: maximum number of open connections; default HTTP_CONNS_MAX
  * @conns_per_host_max: maximum number of connections to one address; default
  *	HTTP_CONNS_PER_HOST_MAX; further calls are queued
+ * @use: what the connections are for
  */
 struct http_client_options {
 	uint32_t conns_max;
 	uint32_t conns_per_host_max;
+	enum descriptor_use use;
 };
 
 #define HTTP_CONNS_MAX 1024U
--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -23,6 +23,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "net/descriptors.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "proto/addr.h"
@@ -101,6 +102,7 @@
  * @conns_max: maximum number of connections; further ones are closed on accept
  * @overlap_max: maximum number of requests of a connection whose answers are
  *	not sent; 1 for one at a time
+ * @use: what the connections are for
  */
 struct http_server_limits {
 	uint32_t head_max_bytes;
@@ -109,6 +111,7 @@
 	uint32_t stall_ms;
 	uint32_t conns_max;
 	uint32_t overlap_max;
+	enum descriptor_use use;
 };
 
 #define HTTP_SERVER_HEAD_MAX_BYTES 16384U
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -125,8 +125,10 @@
 {
 	if (c->watch != NULL)
 		loop_fd_remove(c->watch);
-	if (c->fd >= 0)
+	if (c->fd >= 0) {
 		(void)close(c->fd);
+		descriptors_closed(c->options.use);
+	}
 	loop_timer_stop(&c->timer);
 	c->state = CONN_DEAD;
 	loop_task_defer(&c->task);
@@ -312,6 +314,7 @@
 	c->state = CONN_OPEN;
 	c->count = g_rc_box_acquire(count);
 	c->count->open++;
+	descriptors_opened(c->options.use);
 	conn_set_socket_options(c);
 	c->watch =
 	    loop_fd_add(loop, fd, LOOP_READ | LOOP_HANGUP, conn_on_ready, c);
@@ -333,6 +336,7 @@
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (c->fd < 0)
 		return errno;
+	descriptors_opened(c->options.use);
 	conn_set_socket_options(c);
 	if (connect(c->fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS)
--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -53,8 +53,10 @@
 	if (c->watch != NULL)
 		loop_fd_remove(c->watch);
 	c->watch = NULL;
-	if (c->fd >= 0)
+	if (c->fd >= 0) {
 		(void)close(c->fd);
+		descriptors_closed(c->client->options.use);
+	}
 	c->fd = -1;
 	loop_task_defer(&c->client->task);
 }
@@ -435,6 +437,7 @@
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (c->fd < 0)
 		return errno;
+	descriptors_opened(c->client->options.use);
 	(void)setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	if (connect(c->fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS)
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -1,20 +1,9 @@
 /*
  * HTTP server: listening socket and connections.
  */
-#include <errno.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include "http_server_priv.h"
 #include "sock.h"
 
-#define SERVER_BACKLOG 1024
-/* Connections accepted per turn before other descriptors are served. */
-#define SERVER_ACCEPTS_PER_TURN 64
-/* Pause of accepting when descriptors or memory have run out. */
-#define SERVER_PAUSE_MS 100
-
 static void
 free_closed(void *arg)
 {
@@ -26,46 +15,14 @@
 }
 
 static void
-accept_failed(struct http_server *s, int error)
-{
-	if (error != EMFILE && error != ENFILE && error != ENOMEM &&
-	    error != ENOBUFS)
-		return;
-	loop_fd_set(s->watch, 0);
-	loop_timer_set(&s->pause, loop_now_ms(s->loop) + SERVER_PAUSE_MS);
-}
-
-static void
-on_pause_end(void *arg)
+on_accept(int fd, struct net_addr caller, void *arg)
 {
 	struct http_server *s = arg;
 
-	if (s->watch != NULL)
-		loop_fd_set(s->watch, LOOP_READ);
-}
-
-static void
-on_ready(uint32_t ready, void *arg)
-{
-	struct http_server *s = arg;
-	struct sockaddr_in sin;
-	socklen_t len;
-	int fd, i;
-
-	(void)ready;
-	for (i = 0; i < SERVER_ACCEPTS_PER_TURN; i++) {
-		len = sizeof(sin);
-		fd = accept4(s->fd, (struct sockaddr *)&sin, &len,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0) {
-			accept_failed(s, errno);
-			return;
-		}
-		if (s->conns.length >= s->limits.conns_max)
-			(void)close(fd);
-		else
-			http_server_conn_accept(s, fd, sock_from_system(&sin));
-	}
+	if (s->conns.length >= s->limits.conns_max)
+		acceptor_refuse(&s->acceptor, fd);
+	else
+		http_server_conn_accept(s, fd, caller);
 }
 
 static uint32_t
@@ -92,17 +49,6 @@
 	s->limits = l;
 }
 
-static enum status
-start_listening(struct http_server *s)
-{
-	if (listen(s->fd, SERVER_BACKLOG) < 0)
-		return status_set(STATUS_IO,
-		    "Can't listen: %s; choose another address or port.",
-		    strerror(errno));
-	s->watch = loop_fd_add(s->loop, s->fd, LOOP_READ, on_ready, s);
-	return s->watch == NULL ? STATUS_IO : STATUS_OK;
-}
-
 enum status
 http_server_new(struct loop *loop, struct net_addr at,
     const struct http_server_limits *limits,
@@ -115,12 +61,10 @@
 	s->loop = loop;
 	s->handler = handler;
 	s->arg = arg;
-	loop_timer_init(&s->pause, loop, on_pause_end, s);
 	loop_task_init(&s->task, loop, free_closed, s);
 	http_server_limits_set(s, limits);
-	st = sock_bind(SOCK_STREAM, at, &s->fd);
-	if (st == STATUS_OK)
-		st = start_listening(s);
+	acceptor_init(&s->acceptor, loop, s->limits.use, on_accept, s);
+	st = acceptor_open(&s->acceptor, at);
 	if (st != STATUS_OK) {
 		http_server_free(s);
 		return st;
@@ -132,20 +76,14 @@
 void
 http_server_drop_new_conns(struct http_server *s)
 {
-	if (s->fd >= 0)
-		sock_drop_new_conns(s->fd);
+	if (s->acceptor.fd >= 0)
+		sock_drop_new_conns(s->acceptor.fd);
 }
 
 void
 http_server_unlisten(struct http_server *s)
 {
-	if (s->watch != NULL)
-		loop_fd_remove(s->watch);
-	s->watch = NULL;
-	loop_timer_stop(&s->pause);
-	if (s->fd >= 0)
-		(void)close(s->fd);
-	s->fd = -1;
+	acceptor_close(&s->acceptor);
 }
 
 void
@@ -164,7 +102,7 @@
 struct net_addr
 http_server_addr(const struct http_server *s)
 {
-	return sock_local(s->fd);
+	return sock_local(s->acceptor.fd);
 }
 
 uint32_t
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -29,6 +29,7 @@
 	loop_fd_remove(c->watch);
 	(void)close(c->fd);
 	c->fd = -1;
+	descriptors_closed(c->server->acceptor.use);
 }
 
 static void
@@ -396,6 +397,7 @@
 		g_free(c);
 		return;
 	}
+	descriptors_opened(s->acceptor.use);
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c->fd = fd;
 	c->caller = caller;
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -9,14 +9,13 @@
 
 #include "net/http_server.h"
 
+#include "acceptor.h"
 #include "http_head.h"
 
 /**
  * struct http_server - a server
  * @loop: event loop that runs the server
- * @fd: the listening socket, -1 after http_server_unlisten()
- * @watch: watcher of @fd
- * @pause: timer that resumes accepting after descriptors have run out
+ * @acceptor: the listening socket
  * @limits: limits for callers
  * @handler: callbacks
  * @arg: passed to the callbacks
@@ -27,9 +26,7 @@
  */
 struct http_server {
 	struct loop *loop;
-	int fd;
-	struct loop_fd *watch;
-	struct loop_timer pause;
+	struct acceptor acceptor;
 	struct http_server_limits limits;
 	const struct http_server_handler *handler;
 	void *arg;
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -4,12 +4,15 @@
  * through an eventfd(2).
  */
 #include <errno.h>
+#include <inttypes.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#define LOG_PART "net"
+#include "base/log.h"
 #include "base/status.h"
 #include "net/loop.h"
 
@@ -17,6 +20,9 @@
 #define LOOP_US_PER_MS 1000
 /* Maximum number of epoll batches that a turn serves before timers. */
 #define LOOP_BATCHES_MAX 16
+/* A turn that takes longer is logged: it delays all that the loop serves. */
+#define LOOP_LONG_TURN_MS 500
+#define LOOP_LINES_BURST 4
 
 /* A watched descriptor; a removed watcher is freed after the batch. */
 struct loop_fd {
@@ -41,6 +47,7 @@
 	struct metric *late_us;
 	bool stopping;
 	bool firing_timers;
+	struct log_limit long_turns;
 	GSequence *timers;
 	struct loop_task tasks;
 	GPtrArray *removed;
@@ -365,11 +372,23 @@
 
 /* Turns */
 
+/* Logs a turn that took long, by its work or because the process was paused. */
+static void
+loop_note_turn(struct loop *loop, uint64_t now_ms)
+{
+	uint64_t took_ms = now_ms - loop_now_ms(loop);
+
+	if (took_ms >= LOOP_LONG_TURN_MS &&
+	    log_limit_take(&loop->long_turns, now_ms))
+		log_warning(
+		    "A turn of an event loop took %" PRIu64 " ms.", took_ms);
+}
+
 static int
 loop_wait_ms(struct loop *loop, uint64_t until_ms)
 {
 	struct loop_timer *t = loop_first_timer(loop);
-	uint64_t left_ms;
+	uint64_t now_ms, left_ms;
 
 	if (loop_has_tasks(loop))
 		return 0;
@@ -377,7 +396,9 @@
 		until_ms = MIN(until_ms, t->deadline_ms);
 	if (until_ms == DEADLINE_NEVER)
 		return -1;
-	left_ms = clock_left_ms(until_ms, clock_now_ms());
+	now_ms = clock_now_ms();
+	loop_note_turn(loop, now_ms);
+	left_ms = clock_left_ms(until_ms, now_ms);
 	return (int)MIN(left_ms, (uint64_t)G_MAXINT);
 }
 
@@ -448,6 +469,8 @@
 	loop->removed = g_ptr_array_new_with_free_func(g_free);
 	loop->inbox = inbox_new();
 	loop->inbox_spare = inbox_new();
+	loop->long_turns.per_s = 1;
+	loop->long_turns.burst = LOOP_LINES_BURST;
 	(void)pthread_mutex_init(&loop->lock, NULL);
 	task_ring_init(&loop->tasks);
 	loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
--- a/packages/node/src/call_link.c
+++ b/packages/node/src/call_link.c
@@ -19,6 +19,7 @@
 	o->frame_max_bytes = LINK_FRAME_MAX_BYTES;
 	o->output_max_bytes = LINK_OUTPUT_MAX_BYTES;
 	o->output_low_bytes = CALL_OUTPUT_BYTES / 2;
+	o->use = DESCRIPTORS_CALLS;
 }
 
 static bool
--- a/packages/node/src/callers_limits.c
+++ b/packages/node/src/callers_limits.c
@@ -40,6 +40,7 @@
 		l->idle_ms = s->keep_alive_ms;
 	l->stall_ms = STALL_TIMEOUT_MS;
 	l->overlap_max = s->caller_pipeline_max;
+	l->use = DESCRIPTORS_CALLERS;
 }
 
 void
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -460,6 +460,9 @@
 	c->keep = keep;
 }
 
+static const struct http_client_options store_options = {
+    .use = DESCRIPTORS_STORE};
+
 enum status
 control_new(const struct settings *s, struct entry *e, struct guard *g,
     uint64_t incarnation, uint64_t seed, struct control **out)
@@ -483,7 +486,7 @@
 	}
 	control_register_metrics();
 	control_create_modules(c, incarnation, seed);
-	c->http = http_client_new(c->loop, NULL);
+	c->http = http_client_new(c->loop, &store_options);
 	c->store =
 	    http_store_new(c->http, c->loop, s->table_url, s->object_url);
 	c->source =
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -101,6 +101,9 @@
 	return fate_table_new(&cfg);
 }
 
+static const struct http_client_options upstream_options = {
+    .use = DESCRIPTORS_UPSTREAMS};
+
 struct guard *
 guard_new(const struct settings *s, const struct call_dialect *dialect,
     uint64_t incarnation, struct loop *loop)
@@ -118,7 +121,7 @@
 	g->failure_log_limit.burst = LINES_PER_S;
 	g->departure_log_limit.per_s = LINES_PER_S;
 	g->departure_log_limit.burst = LINES_PER_S;
-	g->http = http_client_new(loop, NULL);
+	g->http = http_client_new(loop, &upstream_options);
 	g->fates = fates_new(g);
 	g->caller_limits = rate_limit_new(CALLERS_MAX);
 	g->upstreams = g_hash_table_new_full(
--- a/packages/node/src/guard_crash.c
+++ b/packages/node/src/guard_crash.c
@@ -127,9 +127,11 @@
 {
 	struct net_addr at = {u->guard->settings->address, u->info.port};
 	uint64_t now_ms = loop_now_ms(u->guard->loop);
+	static const struct conn_options options = {
+	    .use = DESCRIPTORS_UPSTREAMS};
 
 	u->crash.probe = conn_dial(u->guard->loop, at,
-	    now_ms + PROBE_TIMEOUT_MS, NULL, &probe_handler, u);
+	    now_ms + PROBE_TIMEOUT_MS, &options, &probe_handler, u);
 	loop_timer_set(
 	    &u->crash.timer, now_ms + PROBE_TIMEOUT_MS + SETTLE_TIMEOUT_MS);
 }
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -47,6 +47,7 @@
 	    .idle_ms = PEERS_IDLE_TIMEOUT_MS,
 	    .sent_bytes = &sent_bytes,
 	    .received_bytes = &received_bytes,
+	    .use = DESCRIPTORS_PEERS,
 	};
 
 	return options;
