--- a/test/functional/deployment.c
+++ b/test/functional/deployment.c
@@ -226,7 +226,8 @@
 
 	ck_assert_msg(
 	    h->node == NULL, "the node of %s is running already", h->name);
-	h->node = process_start(log, harness_dir(), argv);
+	h->node = process_start_limited(
+	    log, harness_dir(), argv, d->plan.node_descriptors);
 	free(text);
 	g_free(path);
 	g_free(log);
--- a/test/functional/deployment.h
+++ b/test/functional/deployment.h
@@ -42,6 +42,8 @@
  * @work_ms_mean: mean processing time of a call at an upstream
  * @cold_start_ms: duration of the cold start of an upstream
  * @node_settings: JSON object of further settings of all nodes, or NULL
+ * @node_descriptors: limit on the descriptors of each node; 0 for that of the
+ *	test
  * @relayed: relays between nodes and the platform
  */
 struct deployment_plan {
@@ -54,6 +56,7 @@
 	uint32_t work_ms_mean;
 	uint32_t cold_start_ms;
 	const char *node_settings;
+	uint32_t node_descriptors;
 	enum deployment_relays relayed;
 };
 
--- a/test/functional/process.c
+++ b/test/functional/process.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -26,8 +27,10 @@
 
 /* Runs in the child, so it calls async-signal-safe functions only. */
 static void
-child_exec(const char *const *argv, int log_fd, pid_t parent)
+child_exec(
+    const char *const *argv, int log_fd, pid_t parent, uint32_t descriptors)
 {
+	struct rlimit limit = {descriptors, descriptors};
 	sigset_t empty_set;
 
 	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -35,6 +38,8 @@
 		_exit(PROCESS_EXEC_FAILED);
 	(void)sigemptyset(&empty_set);
 	(void)sigprocmask(SIG_SETMASK, &empty_set, NULL);
+	if (descriptors != 0 && setrlimit(RLIMIT_NOFILE, &limit) != 0)
+		_exit(PROCESS_EXEC_FAILED);
 	(void)dup2(log_fd, STDOUT_FILENO);
 	(void)dup2(log_fd, STDERR_FILENO);
 	(void)execv(argv[0], (char *const *)argv);
@@ -43,6 +48,13 @@
 
 struct process *
 process_start(const char *name, const char *dir, const char *const *argv)
+{
+	return process_start_limited(name, dir, argv, 0);
+}
+
+struct process *
+process_start_limited(const char *name, const char *dir,
+    const char *const *argv, uint32_t descriptors)
 {
 	int fd;
 	pid_t parent = getpid(), pid;
@@ -55,7 +67,7 @@
 	pid = fork();
 	ck_assert_int_ne(pid, -1);
 	if (pid == 0)
-		child_exec(argv, fd, parent);
+		child_exec(argv, fd, parent, descriptors);
 	(void)close(fd);
 	p->pid = pid;
 	return p;
--- a/test/functional/process.h
+++ b/test/functional/process.h
@@ -29,6 +29,16 @@
 struct process *
 process_start(const char *name, const char *dir, const char *const *argv);
 
+/**
+ * process_start_limited() - like process_start(), with a limit on descriptors
+ * @name: name of its log file
+ * @dir: directory of the log file
+ * @argv: path and arguments, terminated by NULL
+ * @descriptors: the limit (RLIMIT_NOFILE); 0 for that of the test
+ */
+struct process *process_start_limited(const char *name, const char *dir,
+    const char *const *argv, uint32_t descriptors);
+
 /** process_log_path() - path of the log, which has both stdout and stderr */
 const char *process_log_path(const struct process *p);
 
