fix(net): descriptors are shared out, and held connections make room for newcomers

Also readiness and peers were shut out. Cause: connections were bounded by constants (16,384 callers, 1,024 peers, 1,024 upstreams) that had nothing to do with the descriptors of the process, and all uses drew on the same descriptors. Callers that hold connections used them up; accept(2) failed with EMFILE, was tried again each 100 ms, and nothing was closed but after 60 s of idleness. The class: a resource of the process without an owner, so that its shortage strikes at random. Solution: descriptors_max (the limit of the system, or less by the settings) is divided: each use has a reserved number, the rest is shared. The HTTP server closes the connection that is idle for longest, then one on which nothing moves, for a newcomer; where all are in use the newcomer is answered 503 with Retry-After, and at the very last place at once. Framed listeners close what never sent a frame, and leave a quarter to connections that are dialled. The HTTP client fails a call at once where no descriptor is left. Why it works: what is held without use can always be closed, and what is in use is bounded below the descriptors that others are sure of.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -67,8 +67,10 @@
  *	its answer was complete; @q is invalid after the callback
  * @on_unread: the caller closed the connection before its request was read
  *	completely or its turn came; may be NULL
- * @on_bad: the received data is not a valid request; the owner must answer
- *	with @code at once
+ * @on_bad: the received data is not a valid request, or with code 503 there
+ *	are too many connections; the owner must answer with @code at once
+ * @full_answer: bytes that are sent to a caller whose connection is closed as
+ *	soon as it was accepted, since there is no place for it; NULL for none
  * @serve_departed: a request counts although its sender has closed the
  *	connection, such as the report of a process that ends
  *
@@ -86,6 +88,7 @@
 	void (*on_gone)(struct http_incoming *q);
 	void (*on_unread)(void *server_arg);
 	void (*on_bad)(struct http_incoming *q, int code, void *server_arg);
+	const char *full_answer;
 	bool serve_departed;
 };
 
@@ -99,7 +102,8 @@
  * @idle_ms: time after which a connection without a request is closed
  * @stall_ms: time limit for progress while a body is received or an answer
  *	is sent
- * @conns_max: maximum number of connections; further ones are closed on accept
+ * @conns_max: maximum number of connections; a further one takes the place of
+ *	one that is not in use, is answered 503, or is closed on accept
  * @overlap_max: maximum number of requests of a connection whose answers are
  *	not sent; 1 for one at a time
  * @use: what the connections are for
--- a/packages/net/include/net/listener.h
+++ b/packages/net/include/net/listener.h
@@ -18,8 +18,8 @@
 /**
  * struct listener_options - options of a listener
  * @conn: limits of each accepted connection
- * @conns_max: maximum number of open connections; further ones are closed on
- *	accept; 0 for no limit
+ * @conns_max: maximum number of open connections; a further one takes the place
+ *	of one that has not sent a frame, or is closed on accept; 0 for no limit
  * @handler: handler of each accepted connection; must outlive them
  * @on_accept: called for each accepted connection; may be NULL
  * @arg: argument of @on_accept and initial argument of the connections
--- a/packages/net/src/acceptor.c
+++ b/packages/net/src/acceptor.c
@@ -81,7 +81,7 @@
 	struct acceptor *a = arg;
 	struct sockaddr_in sin;
 	socklen_t len;
-	int fd, i;
+	int error, fd, i;
 
 	(void)ready;
 	for (i = 0; i < ACCEPTOR_ACCEPTS_PER_TURN && a->fd >= 0; i++) {
@@ -89,8 +89,12 @@
 		fd = accept4(a->fd, (struct sockaddr *)&sin, &len,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0) {
-			if (is_shortage(errno))
-				pause_accepting(a, errno);
+			error = errno;
+			if (!is_shortage(error))
+				return;
+			if (a->make_room != NULL && a->make_room(a->arg))
+				continue;
+			pause_accepting(a, error);
 			return;
 		}
 		note_accepted(a);
--- a/packages/net/src/acceptor.h
+++ b/packages/net/src/acceptor.h
@@ -32,7 +32,9 @@
  * @fd: the socket, -1 when closed
  * @use: what the connections are for
  * @fn: called for each connection
- * @arg: passed to @fn
+ * @make_room: frees a descriptor and returns whether it could, called when the
+ *	system has none left; may be NULL
+ * @arg: passed to the callbacks
  * @paused_since_ms: monotonic time of the first failure, 0 when connections are
  *	accepted
  * @limit: rate limit of log lines
@@ -44,6 +46,7 @@
 	int fd;
 	enum descriptor_use use;
 	acceptor_fn *fn;
+	bool (*make_room)(void *arg);
 	void *arg;
 	uint64_t paused_since_ms;
 	struct log_limit limit;
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -111,15 +111,22 @@
 static void
 conn_release(struct conn *c)
 {
-	if (c->count != NULL) {
-		c->count->open--;
+	if (c->count != NULL)
 		g_rc_box_release(c->count);
-	}
 	frame_reader_clear(&c->in);
 	g_byte_array_unref(c->out);
 	g_free(c);
 }
 
+void
+conn_spoke(struct conn *c)
+{
+	if (c->silent_link.data == NULL)
+		return;
+	g_queue_unlink(&c->count->silent, &c->silent_link);
+	c->silent_link.data = NULL;
+}
+
 static void
 conn_tear_down(struct conn *c)
 {
@@ -127,8 +134,11 @@
 		loop_fd_remove(c->watch);
 	if (c->fd >= 0) {
 		(void)close(c->fd);
-		descriptors_closed(c->options.use);
+		descriptors_release(c->options.use);
 	}
+	conn_spoke(c);
+	if (c->count != NULL)
+		c->count->open--;
 	loop_timer_stop(&c->timer);
 	c->state = CONN_DEAD;
 	loop_task_defer(&c->task);
@@ -314,7 +324,9 @@
 	c->state = CONN_OPEN;
 	c->count = g_rc_box_acquire(count);
 	c->count->open++;
-	descriptors_opened(c->options.use);
+	c->accepted_ms = loop_now_ms(loop);
+	c->silent_link.data = c;
+	g_queue_push_tail_link(&c->count->silent, &c->silent_link);
 	conn_set_socket_options(c);
 	c->watch =
 	    loop_fd_add(loop, fd, LOOP_READ | LOOP_HANGUP, conn_on_ready, c);
@@ -333,10 +345,16 @@
 {
 	struct sockaddr_in sin = sock_to_system(c->peer);
 
+	int error;
+
+	if (!descriptors_take(c->options.use))
+		return EMFILE;
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (c->fd < 0)
-		return errno;
-	descriptors_opened(c->options.use);
+	if (c->fd < 0) {
+		error = errno;
+		descriptors_release(c->options.use);
+		return error;
+	}
 	conn_set_socket_options(c);
 	if (connect(c->fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS)
--- a/packages/net/src/conn_io.c
+++ b/packages/net/src/conn_io.c
@@ -55,6 +55,7 @@
 		if (r != FRAME_READY)
 			break;
 		c->framed += FRAME_HEADER_BYTES + f.body_len;
+		conn_spoke(c);
 		c->handler->on_frame(c, f.type, f.body, f.body_len, c->arg);
 	}
 	if (c->state != CONN_OPEN)
--- a/packages/net/src/conn_priv.h
+++ b/packages/net/src/conn_priv.h
@@ -13,14 +13,16 @@
 #include "proto/frame.h"
 
 /**
- * struct conn_count - number of open connections of one listener
- * @open: the number
+ * struct conn_count - open connections of one listener
+ * @open: their number
+ * @silent: those that have not sent a frame yet, the oldest at the head
  *
  * Allocated with g_rc_box_new0(): the listener and each of its connections
  * hold one reference.
  */
 struct conn_count {
 	uint32_t open;
+	GQueue silent;
 };
 
 /*
@@ -57,12 +59,14 @@
 	const struct conn_handler *handler;
 	void *arg;
 	struct conn_count *count;
+	GList silent_link;
 	struct frame_reader in;
 	GByteArray *out;
 	size_t out_start;
 	uint64_t sent;
 	uint64_t received;
 	uint64_t framed;
+	uint64_t accepted_ms;
 	uint64_t last_received_ms;
 	uint64_t dial_deadline_ms;
 	uint64_t frame_deadline_ms;
@@ -72,7 +76,8 @@
 /**
  * conn_adopt() - take over an accepted socket
  * @loop: event loop that runs the connection
- * @fd: the socket, non-blocking; closed with the connection
+ * @fd: the socket, non-blocking, whose descriptor has been taken; closed with
+ *	the connection
  * @peer: address of the peer
  * @options: limits; copied
  * @handler: callbacks
@@ -91,6 +96,9 @@
  */
 void conn_fail(struct conn *c, enum status st, const char *what);
 
+/** conn_spoke() - an accepted connection is not silent any more */
+void conn_spoke(struct conn *c);
+
 /** conn_rearm() - set the timer to fire no later than the earliest deadline */
 void conn_rearm(struct conn *c);
 
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -75,12 +75,23 @@
 
 /* Assignment of connections */
 
+/* The first connection is dialled even without a descriptor, so that its call
+ * fails at once. */
+static uint32_t
+max_open(const struct http_client *client)
+{
+	uint32_t open = client->conns.length + client->idle.length;
+	uint32_t left = descriptors_left(client->options.use);
+
+	return MIN(client->options.conns_max, MAX(open + left, 1U));
+}
+
 static bool
 can_dial(const struct http_client *client, struct net_addr to)
 {
 	uint32_t open = client->conns.length + client->idle.length;
 
-	return open < client->options.conns_max &&
+	return open < max_open(client) &&
 	    http_conn_count(client, to) < client->options.conns_per_host_max;
 }
 
@@ -90,7 +101,7 @@
 {
 	uint32_t open = client->conns.length + client->idle.length;
 
-	if (open >= client->options.conns_max && client->idle.length > 0)
+	if (open >= max_open(client) && client->idle.length > 0)
 		http_conn_close(g_queue_peek_head(&client->idle));
 }
 
--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -55,7 +55,7 @@
 	c->watch = NULL;
 	if (c->fd >= 0) {
 		(void)close(c->fd);
-		descriptors_closed(c->client->options.use);
+		descriptors_release(c->client->options.use);
 	}
 	c->fd = -1;
 	loop_task_defer(&c->client->task);
@@ -432,12 +432,16 @@
 dial_socket(struct http_conn *c)
 {
 	struct sockaddr_in sin = sock_to_system(c->to);
-	int on = 1;
+	int error, on = 1;
 
+	if (!descriptors_take(c->client->options.use))
+		return EMFILE;
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (c->fd < 0)
-		return errno;
-	descriptors_opened(c->client->options.use);
+	if (c->fd < 0) {
+		error = errno;
+		descriptors_release(c->client->options.use);
+		return error;
+	}
 	(void)setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	if (connect(c->fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS)
--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -9,6 +9,7 @@
 
 #define BAD_REQUEST 400
 #define HEAD_TOO_LARGE 431
+#define NO_ROOM 503
 
 static struct http_server_conn *
 conn_of(http_parser *p)
@@ -134,7 +135,12 @@
 	c->input = CONN_INPUT_BODY;
 	c->closing = c->closing || http_should_keep_alive(&c->parser) == 0;
 	http_server_conn_restart_timer(c);
-	s->handler->on_request(q, head, s->arg);
+	c->surplus = c->surplus && http_server_room_is_tight(s);
+	c->closing = c->closing || c->surplus;
+	if (c->surplus)
+		s->handler->on_bad(q, NO_ROOM, s->arg);
+	else
+		s->handler->on_request(q, head, s->arg);
 }
 
 /* A request that may not run beside those under way waits until they are
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -1,6 +1,9 @@
 /*
  * HTTP server: listening socket and connections.
  */
+#include <string.h>
+#include <sys/socket.h>
+
 #include "http_server_priv.h"
 #include "sock.h"
 
@@ -14,15 +17,36 @@
 		http_server_conn_free(link->data);
 }
 
+/* The answer precedes the request, which nobody would read any more. */
+static void
+refuse(struct http_server *s, int fd)
+{
+	const char *text = s->handler->full_answer;
+
+	if (text != NULL && send(fd, text, strlen(text), MSG_NOSIGNAL) > 0)
+		(void)shutdown(fd, SHUT_WR);
+	acceptor_refuse(&s->acceptor, fd);
+}
+
 static void
 on_accept(int fd, struct net_addr caller, void *arg)
 {
 	struct http_server *s = arg;
+	bool tight = http_server_room_is_tight(s);
 
-	if (s->conns.length >= s->limits.conns_max)
-		acceptor_refuse(&s->acceptor, fd);
+	if (tight && http_server_room_make(s))
+		tight = false;
+	if (s->conns.length < s->limits.conns_max &&
+	    descriptors_take(s->acceptor.use))
+		http_server_conn_accept(s, fd, caller, tight);
 	else
-		http_server_conn_accept(s, fd, caller);
+		refuse(s, fd);
+}
+
+static bool
+make_room(void *arg)
+{
+	return http_server_room_make(arg);
 }
 
 static uint32_t
@@ -63,7 +87,9 @@
 	s->arg = arg;
 	loop_task_init(&s->task, loop, free_closed, s);
 	http_server_limits_set(s, limits);
+	http_server_room_init(s);
 	acceptor_init(&s->acceptor, loop, s->limits.use, on_accept, s);
+	s->acceptor.make_room = make_room;
 	st = acceptor_open(&s->acceptor, at);
 	if (st != STATUS_OK) {
 		http_server_free(s);
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -29,7 +29,7 @@
 	loop_fd_remove(c->watch);
 	(void)close(c->fd);
 	c->fd = -1;
-	descriptors_closed(c->server->acceptor.use);
+	descriptors_release(c->server->acceptor.use);
 }
 
 static void
@@ -54,10 +54,10 @@
 		return;
 	c->life = CONN_DEAD;
 	c->reading = NULL;
+	http_server_conn_restart_timer(c);
 	g_queue_unlink(&s->conns, &c->link);
 	g_queue_push_tail_link(&s->dead, &c->link);
 	loop_task_defer(&s->task);
-	loop_timer_stop(&c->timer);
 	loop_task_cancel(&c->task);
 	close_socket(c, reset);
 	drop_requests(c);
@@ -128,8 +128,9 @@
 					   : CONN_TIMING_IDLE;
 }
 
-static uint32_t
-limit_ms(const struct http_server_limits *l, enum conn_timing timing)
+uint32_t
+http_server_conn_limit_ms(
+    const struct http_server_limits *l, enum conn_timing timing)
 {
 	switch (timing) {
 	case CONN_TIMING_IDLE:
@@ -140,6 +141,7 @@
 		return l->stall_ms;
 	case CONN_TIMING_NONE:
 	case CONN_TIMING_LINGER:
+	case CONN_TIMINGS:
 		break;
 	}
 	return LINGER_MS;
@@ -153,18 +155,23 @@
 
 	if (timing == c->timing)
 		return;
-	c->timing = timing;
+	http_server_conn_restart_timer(c);
 	if (timing == CONN_TIMING_NONE)
-		loop_timer_stop(&c->timer);
-	else
-		loop_timer_set(&c->timer,
-		    loop_now_ms(s->loop) + limit_ms(&s->limits, timing));
+		return;
+	c->timing = timing;
+	c->timing_since_ms = loop_now_ms(s->loop);
+	g_queue_push_tail_link(&s->by_timing[timing], &c->timing_link);
+	loop_timer_set(&c->timer,
+	    c->timing_since_ms + http_server_conn_limit_ms(&s->limits, timing));
 }
 
 void
 http_server_conn_restart_timer(struct http_server_conn *c)
 {
 	loop_timer_stop(&c->timer);
+	if (c->timing != CONN_TIMING_NONE)
+		g_queue_unlink(
+		    &c->server->by_timing[c->timing], &c->timing_link);
 	c->timing = CONN_TIMING_NONE;
 }
 
@@ -384,7 +391,8 @@
 }
 
 void
-http_server_conn_accept(struct http_server *s, int fd, struct net_addr caller)
+http_server_conn_accept(
+    struct http_server *s, int fd, struct net_addr caller, bool surplus)
 {
 	struct http_server_conn *c = g_new0(struct http_server_conn, 1);
 	int on = 1;
@@ -394,14 +402,16 @@
 	    watches_end(c) ? LOOP_READ | LOOP_HANGUP : LOOP_READ, on_ready, c);
 	if (c->watch == NULL) {
 		(void)close(fd);
+		descriptors_release(s->acceptor.use);
 		g_free(c);
 		return;
 	}
-	descriptors_opened(s->acceptor.use);
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c->fd = fd;
 	c->caller = caller;
+	c->surplus = surplus;
 	c->link.data = c;
+	c->timing_link.data = c;
 	g_queue_init(&c->requests);
 	loop_timer_init(&c->timer, s->loop, on_timer, c);
 	loop_task_init(&c->task, s->loop, on_task, c);
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -12,6 +12,16 @@
 #include "acceptor.h"
 #include "http_head.h"
 
+/** enum conn_timing - what the timer of a connection limits */
+enum conn_timing {
+	CONN_TIMING_NONE = 0,
+	CONN_TIMING_IDLE,
+	CONN_TIMING_HEAD,
+	CONN_TIMING_STALL,
+	CONN_TIMING_LINGER,
+	CONN_TIMINGS,
+};
+
 /**
  * struct http_server - a server
  * @loop: event loop that runs the server
@@ -21,6 +31,9 @@
  * @arg: passed to the callbacks
  * @conns: open connections, struct http_server_conn
  * @dead: closed connections, freed at the end of the turn
+ * @by_timing: open connections by what their timer limits, the one that waits
+ *	for longest at the head
+ * @room_lines: rate limit of log lines on connections closed for others
  * @task: frees @dead
  * @closing: each connection is closed after its last answer
  */
@@ -32,6 +45,8 @@
 	void *arg;
 	GQueue conns;
 	GQueue dead;
+	GQueue by_timing[CONN_TIMINGS];
+	struct log_limit room_lines;
 	struct loop_task task;
 	bool closing;
 };
@@ -45,15 +60,6 @@
 	CONN_INPUT_BAD,	 /* the data is not a valid request */
 };
 
-/** enum conn_timing - what the timer of a connection limits */
-enum conn_timing {
-	CONN_TIMING_NONE = 0,
-	CONN_TIMING_IDLE,
-	CONN_TIMING_HEAD,
-	CONN_TIMING_STALL,
-	CONN_TIMING_LINGER,
-};
-
 /** enum conn_life - whether a connection is in use */
 enum conn_life {
 	CONN_OPEN = 0,
@@ -65,6 +71,7 @@
  * struct http_server_conn - a connection
  * @server: the server
  * @link: link in one of the server's queues
+ * @timing_link: link in the queue of @timing, if that is not CONN_TIMING_NONE
  * @fd: the socket
  * @watch: watcher of @fd
  * @timer: timeout of an idle connection, a head, a stall or lingering
@@ -73,6 +80,7 @@
  * @life: whether the connection is in use
  * @input: what is received
  * @timing: what @timer limits
+ * @timing_since_ms: monotonic time at which @timer was started
  * @parser: parser of requests
  * @target: path and query
  * @head: header lines; allocated from the first byte of a request to its end
@@ -86,10 +94,12 @@
  * @closing: no further request is read, and the connection is closed after the
  *	last answer
  * @peer_ended: the caller has closed its side
+ * @surplus: accepted beyond the connections that are served
  */
 struct http_server_conn {
 	struct http_server *server;
 	GList link;
+	GList timing_link;
 	int fd;
 	struct loop_fd *watch;
 	struct loop_timer timer;
@@ -98,6 +108,7 @@
 	enum conn_life life;
 	enum conn_input input;
 	enum conn_timing timing;
+	uint64_t timing_since_ms;
 	http_parser parser;
 	GString *target;
 	struct http_head head;
@@ -110,6 +121,7 @@
 	bool parsing;
 	bool closing;
 	bool peer_ended;
+	bool surplus;
 };
 
 /**
@@ -152,9 +164,19 @@
 
 /* http_server_conn.c */
 
-/** http_server_conn_accept() - set up an accepted connection */
-void
-http_server_conn_accept(struct http_server *s, int fd, struct net_addr caller);
+/**
+ * http_server_conn_accept() - set up an accepted connection
+ * @s: the server
+ * @fd: the socket, whose descriptor has been taken
+ * @caller: address of the caller
+ * @surplus: its first request is refused unless there is room by then
+ */
+void http_server_conn_accept(
+    struct http_server *s, int fd, struct net_addr caller, bool surplus);
+
+/** http_server_conn_limit_ms() - time limit of a timer */
+uint32_t http_server_conn_limit_ms(
+    const struct http_server_limits *l, enum conn_timing timing);
 
 /** http_server_conn_close() - close a connection; calls on_gone() for each
  * request under way */
@@ -183,6 +205,19 @@
 /** http_server_conn_flush() - send output, then update */
 void http_server_conn_flush(struct http_server_conn *c);
 
+/* http_server_room.c */
+
+/** http_server_room_init() - initialise what logs and counts use */
+void http_server_room_init(struct http_server *s);
+
+/** http_server_room_is_tight() - whether a new connection needs the place of
+ * another */
+bool http_server_room_is_tight(const struct http_server *s);
+
+/** http_server_room_make() - close a connection that is not in use; returns
+ * whether there was one */
+bool http_server_room_make(struct http_server *s);
+
 /* http_incoming.c */
 
 /** http_incoming_new() - add a request to a connection */
--- a/packages/net/src/listener.c
+++ b/packages/net/src/listener.c
@@ -6,6 +6,12 @@
 #include "net/listener.h"
 #include "sock.h"
 
+/* Time after which a connection without a frame may be closed for another. */
+#define LISTENER_SILENT_MS 500
+
+/* Part of a use's descriptors that is left for connections that are dialled. */
+#define LISTENER_DIAL_DIVISOR 4
+
 struct listener {
 	struct loop *loop;
 	struct acceptor acceptor;
@@ -39,6 +45,32 @@
 	    l->count->open >= l->options.conns_max;
 }
 
+static bool
+listener_take(const struct listener *l)
+{
+	enum descriptor_use use = l->options.conn.use;
+	uint32_t left = descriptors_left(use);
+
+	return !listener_is_full(l) &&
+	    left > (descriptors_in_use(use) + left) / LISTENER_DIAL_DIVISOR &&
+	    descriptors_take(use);
+}
+
+/* Closes the connection that has been silent for longest since it was accepted,
+ * if that is long enough to tell it from one that is about to send. */
+static bool
+listener_close_silent(const struct listener *l)
+{
+	struct conn *c = g_queue_peek_head(&l->count->silent);
+
+	if (c == NULL ||
+	    loop_now_ms(l->loop) < c->accepted_ms + LISTENER_SILENT_MS)
+		return false;
+	conn_fail(c, STATUS_OVERLOADED,
+	    "it sent nothing, and its place is needed for another");
+	return true;
+}
+
 static void
 listener_adopt(int fd, struct net_addr peer, void *arg)
 {
@@ -46,7 +78,8 @@
 	const struct listener_options *o = &l->options;
 	struct conn *c;
 
-	if (listener_is_full(l)) {
+	if (!listener_take(l) &&
+	    !(listener_close_silent(l) && listener_take(l))) {
 		l->refused++;
 		acceptor_refuse(&l->acceptor, fd);
 		return;
--- a/packages/net/test/test_conn.c
+++ b/packages/net/test/test_conn.c
@@ -157,6 +157,28 @@
 }
 END_TEST
 
+/* Guards against connections that never send a frame and keep peers out. */
+START_TEST(a_silent_connection_makes_room_for_a_newcomer)
+{
+	struct conn_options o = {0};
+	int a, b;
+	char byte;
+
+	side_listen(o, 1);
+	a = side_raw();
+	RUN_UNTIL(loop, served.c != NULL);
+	support_run_for(loop, 600);
+	b = side_raw();
+	RUN_UNTIL(loop, served.closed == STATUS_OVERLOADED);
+	ck_assert_int_eq(recv(a, &byte, 1, 0), 0);
+	support_send(b, "\0\0\0\1\1", 5);
+	RUN_UNTIL(loop, served.frames == 1);
+	ck_assert_uint_eq(listener_refused(lst), 0);
+	(void)close(a);
+	(void)close(b);
+}
+END_TEST
+
 /* The output is filled while nothing is read, which may take longer than
  * STALL_MS: the default applies. */
 START_TEST(finish_delivers_all_output)
@@ -200,6 +222,7 @@
 	tcase_add_test(tc, control_frame_is_sent_though_the_output_is_full);
 	tcase_add_test(tc, closing_within_a_frame_ends_the_callbacks);
 	tcase_add_test(tc, newest_connection_above_the_bound_is_closed);
+	tcase_add_test(tc, a_silent_connection_makes_room_for_a_newcomer);
 	tcase_add_test(tc, finish_delivers_all_output);
 	return support_run("conn", tc);
 }
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -87,6 +87,10 @@
 	    "connection.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_callers_refused = {.name = "bramley_callers_refused_total",
+    .help = "Requests refused because all connections of callers are in use.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_departures_unread = {.name = "bramley_departures_total",
     .help = "Callers that left before their answer, by how far the call was.",
     .kind = METRIC_COUNTER,
@@ -204,6 +208,7 @@
 
 	metric_register(&metric_overlapping);
 	metric_register(&metric_answers_held);
+	metric_register(&metric_callers_refused);
 	metric_register(&metric_departures_unread);
 	metric_register(&metric_departures_unsubmitted);
 	for (i = 0; i < CALL_STAGES; i++) {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -28,6 +28,7 @@
 extern struct metric metric_limited;
 extern struct metric metric_overlapping;
 extern struct metric metric_answers_held;
+extern struct metric metric_callers_refused;
 extern struct metric metric_departures_unread;
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -12,6 +12,7 @@
 
 #define HTTP_REQUEST_TIMEOUT 408
 #define HTTP_HEADERS_TOO_LARGE 431
+#define HTTP_UNAVAILABLE 503
 
 /* Bodies of known length up to this are read completely before the call is
  * submitted. */
@@ -245,6 +246,22 @@
 		    left_out);
 }
 
+/* All connections that callers may have are in use. */
+static void
+refuse_for_room(struct callers *c, struct http_incoming *q)
+{
+	uint32_t left_out = c->room_log_limit.left_out;
+
+	metric_add(&metric_callers_refused, 1);
+	if (log_limit_take(&c->room_log_limit, loop_now_ms(c->loop)))
+		log_info("a request is refused, since all %u connections are "
+			 "in use, left_out=%u",
+		    http_server_conns(c->server), left_out);
+	callers_answer_refuse(c, q, HTTP_UNAVAILABLE, "overloaded",
+	    "all connections of this node are in use; try another node or "
+	    "come back later.");
+}
+
 static void
 on_bad(struct http_incoming *q, int code, void *arg)
 {
@@ -261,6 +278,10 @@
 		callers_answer_behind(c, q, retry_after_ms);
 		return;
 	}
+	if (code == HTTP_UNAVAILABLE) {
+		refuse_for_room(c, q);
+		return;
+	}
 	callers_limits(c->settings, &limits);
 	(void)g_snprintf(text, sizeof(text),
 	    "the request is malformed or too large; its first line and "
@@ -278,4 +299,6 @@
     .on_gone = on_gone,
     .on_unread = on_unread,
     .on_bad = on_bad,
+    .full_answer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+		   "Content-Length: 0\r\nConnection: close\r\n\r\n",
 };
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -30,6 +30,7 @@
  * @stopping: idle connections were closed by callers_stop()
  * @deadline_ms: monotonic deadline of the drain
  * @unread_log_limit: rate limit of log lines on callers that left unread
+ * @room_log_limit: rate limit of log lines on refusals for want of connections
  * @refresh_timer: updates @connections while stopping
  */
 struct callers {
@@ -45,6 +46,7 @@
 	_Atomic bool stopping;
 	_Atomic uint64_t deadline_ms;
 	struct log_limit unread_log_limit;
+	struct log_limit room_log_limit;
 	struct loop_timer refresh_timer;
 };
 
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include <glib.h>
@@ -15,6 +16,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "net/descriptors.h"
 #include "node/node.h"
 #include "platform/platform.h"
 #include "proto/settings.h"
@@ -198,6 +200,8 @@
  * largest block freed, and keep all that memory.
  */
 #define MMAP_THRESHOLD_BYTES 65536
+/* Upper limit where the system sets none. */
+#define DESCRIPTORS_MAX 1048576U
 
 /* Uses one arena for all threads, so that memory freed by one can be reused by
  * another. */
@@ -209,6 +213,24 @@
 	(void)mallopt(M_ARENA_MAX, 1);
 }
 
+/* Uses all descriptors that the system and the settings allow. */
+static void
+limit_descriptors(const struct settings *s)
+{
+	struct rlimit limit;
+	uint64_t max = s->descriptors_max;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+		limit.rlim_cur = limit.rlim_max;
+		(void)setrlimit(RLIMIT_NOFILE, &limit);
+		(void)getrlimit(RLIMIT_NOFILE, &limit);
+		if (max == 0 || limit.rlim_cur < max)
+			max = limit.rlim_cur;
+	}
+	if (max != 0)
+		descriptors_set_limit((uint32_t)MIN(max, DESCRIPTORS_MAX));
+}
+
 int
 main(int argc, char *argv[])
 {
@@ -232,5 +254,6 @@
 		show_settings(&s);
 	if (print_settings || check_settings)
 		return EXIT_OK;
+	limit_descriptors(&s);
 	return run(&s, &set);
 }
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -86,6 +86,10 @@
  * @admin_threads: Threads that serve the administration API.
  * @keep_alive_ms: Time after which an idle connection of a caller is
  * 	closed; 0 closes each connection after one answer.
+ * @descriptors_max: Most file descriptors of the process, divided
+ * 	among callers, calls between hosts, peers, upstreams, the platform,
+ * 	administration and readiness; 0 for the limit of the system
+ * 	(RLIMIT_NOFILE), which also applies where it is lower.
  * @caller_pipeline_max: Most requests of one caller's connection that
  * 	run side by side if it sends them ahead; requests that may not be
  * 	repeated run alone. 1 runs one at a time.
@@ -186,6 +190,7 @@
 	enum log_level log_level;
 	uint32_t admin_threads;
 	uint32_t keep_alive_ms;
+	uint32_t descriptors_max;
 	uint32_t caller_pipeline_max;
 	uint32_t probe_interval_ms;
 	uint32_t probe_timeout_ms;
