fix(node): readiness follows the thread that serves callers

Problem: a node said ready while nobody got in: the answer came from the control thread by a flag that knows nothing of the listener or of the traffic thread's loop.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -153,6 +153,10 @@
 /** http_server_addr() - address that the server listens on */
 struct net_addr http_server_addr(const struct http_server *s);
 
+/** http_server_closed_since_ms() - monotonic time since which no connection can
+ * be accepted; 0 while they can */
+uint64_t http_server_closed_since_ms(const struct http_server *s);
+
 /** http_server_conns() - number of open connections */
 uint32_t http_server_conns(const struct http_server *s);
 
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -131,6 +131,12 @@
 	return sock_local(s->acceptor.fd);
 }
 
+uint64_t
+http_server_closed_since_ms(const struct http_server *s)
+{
+	return s->acceptor.paused_since_ms;
+}
+
 uint32_t
 http_server_conns(const struct http_server *s)
 {
--- a/packages/node/include/node/callers.h
+++ b/packages/node/include/node/callers.h
@@ -33,6 +33,10 @@
  */
 enum status callers_start(struct callers *c);
 
+/** callers_closed_since_ms() - monotonic time since which no connection can be
+ * accepted, 0 while they can; @callers is a struct callers */
+uint64_t callers_closed_since_ms(void *callers);
+
 /** callers_port() - the listening port, after callers_start() */
 uint16_t callers_port(const struct callers *c);
 
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -111,8 +111,18 @@
 void control_upstream_left(
     struct control *c, const char *instance, uint64_t started_ms);
 
-/** control_accepts_callers() - whether callers may use this node; any thread */
-int control_accepts_callers(const struct control *c);
+/** control_refusal_reason() - why callers should use another node, NULL if they
+ * may use this one; static; any thread */
+const char *control_refusal_reason(const struct control *c);
+
+struct traffic_health;
+
+/**
+ * control_watch_traffic() - make readiness depend on the traffic thread
+ * @c: the control, before control_start()
+ * @h: what the traffic thread reports; must outlive the control
+ */
+void control_watch_traffic(struct control *c, const struct traffic_health *h);
 
 /** control_start() - start the thread; Return: STATUS_OK or STATUS_IO */
 enum status control_start(struct control *c);
@@ -132,8 +142,8 @@
 uint64_t control_version(const struct control *c);
 
 /**
- * control_stop_accepting() - control_accepts_callers() is false from now on;
- * any thread
+ * control_stop_accepting() - callers should use another node from now on; any
+ * thread
  * @c: the control
  */
 void control_stop_accepting(struct control *c);
--- a/packages/node/include/node/traffic_thread.h
+++ b/packages/node/include/node/traffic_thread.h
@@ -7,6 +7,7 @@
 
 #include "base/status.h"
 #include "net/loop.h"
+#include "node/traffic_health.h"
 
 struct traffic_thread;
 
@@ -20,6 +21,9 @@
 /** traffic_thread_loop() - loop of the thread */
 struct loop *traffic_thread_loop(const struct traffic_thread *t);
 
+/** traffic_thread_health() - what the thread reports of itself */
+struct traffic_health *traffic_thread_health(struct traffic_thread *t);
+
 /** traffic_thread_start() - start the thread; Return: STATUS_OK or STATUS_IO */
 enum status traffic_thread_start(struct traffic_thread *t);
 
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -333,11 +333,12 @@
 static void
 admin_on_health(struct mg_connection *conn, struct admin *a)
 {
-	int ready = control_ready(a->control);
+	const char *reason = control_refusal_reason(a->control);
+	int ready = reason == NULL;
 
 	admin_send_json(conn, ready ? 200 : 503,
-	    json_pack("{s:b,s:I}", "ready", ready, "version",
-		(json_int_t)control_version(a->control)));
+	    json_pack("{s:b,s:I,s:s*}", "ready", ready, "version",
+		(json_int_t)control_version(a->control), "reason", reason));
 }
 
 static void
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -64,6 +64,14 @@
 	return STATUS_OK;
 }
 
+uint64_t
+callers_closed_since_ms(void *callers)
+{
+	struct callers *c = callers;
+
+	return c->server != NULL ? http_server_closed_since_ms(c->server) : 0;
+}
+
 uint16_t
 callers_port(const struct callers *c)
 {
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -18,6 +18,7 @@
 #include "node/entry.h"
 #include "node/guard.h"
 #include "node/snapshot_ref.h"
+#include "node/traffic_health.h"
 #include "proto/settings.h"
 #include "store/http_store.h"
 
@@ -557,10 +558,23 @@
 	loop_post(c->loop, control_leave_posted, c);
 }
 
-int
-control_accepts_callers(const struct control *c)
+void
+control_watch_traffic(struct control *c, const struct traffic_health *h)
+{
+	c->traffic = h;
+}
+
+const char *
+control_refusal_reason(const struct control *c)
 {
-	return control_ready(c) && !atomic_load(&c->leaving);
+	if (atomic_load(&c->leaving))
+		return "the node stops";
+	if (!control_ready(c))
+		return "no version is served yet";
+	if (c->traffic != NULL &&
+	    !traffic_health_is_good(c->traffic, clock_now_ms()))
+		return "the traffic thread doesn't take new connections";
+	return NULL;
 }
 
 int
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -57,6 +57,7 @@
  * @quarantine_rows: pending reads and writes of quarantined requests at the
  *	platform
  * @keep: store of quarantined requests, NULL for none
+ * @traffic: what the traffic thread reports of itself, NULL when unknown
  * @rollout: orders to move services to other software versions
  * @feed_status: status of the last read of the feed
  * @feed_logged_status: status of the feed as of the last line in the log
@@ -86,6 +87,7 @@
 struct control {
 	const struct settings *settings;
 	struct entry *entry;
+	const struct traffic_health *traffic;
 	struct guard *guard;
 	struct loop *loop;
 	struct loop_timer timer;
--- a/packages/node/src/traffic_thread.c
+++ b/packages/node/src/traffic_thread.c
@@ -11,6 +11,7 @@
 
 struct traffic_thread {
 	struct loop *loop;
+	struct traffic_health health;
 	pthread_t thread;
 	bool running;
 };
@@ -36,6 +37,12 @@
 	return t->loop;
 }
 
+struct traffic_health *
+traffic_thread_health(struct traffic_thread *t)
+{
+	return &t->health;
+}
+
 static void *
 thread_main(void *arg)
 {
@@ -49,6 +56,7 @@
 enum status
 traffic_thread_start(struct traffic_thread *t)
 {
+	traffic_health_start(&t->health, t->loop);
 	if (pthread_create(&t->thread, NULL, thread_main, t) != 0)
 		return status_set(STATUS_IO,
 		    "The traffic thread could not be started; raise the limit "
@@ -73,6 +81,7 @@
 	if (t == NULL)
 		return;
 	traffic_thread_stop(t);
+	traffic_health_stop(&t->health);
 	loop_free(t->loop);
 	g_free(t);
 }
