fix(net): a watch that the system refuses is tried again

Problem: a listener whose accept failed is taken out of epoll and put back 100 ms later; the result was not looked at. If the system refused then (no memory, too many watches) the loop believed that it watched, and the port accepted nobody for good, without a line. The same held for a connection that is paused and resumed. Solution: the loop keeps what is wanted apart from what the system watches, and tries a refused change again each 100 ms; the first refusal is logged. Evidence: a_watch_that_the_system_refuses_is_tried_again failed before.

--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -149,7 +149,13 @@
 struct loop_fd *loop_fd_add(
     struct loop *loop, int fd, uint32_t events, loop_fd_fn *fn, void *arg);
 
-/** loop_fd_set() - change the events of a watcher; 0 disables it */
+/**
+ * loop_fd_set() - change the events of a watcher; 0 disables it
+ * @w: the watcher
+ * @events: mask of LOOP_READ and LOOP_WRITE
+ *
+ * A change that the system refuses is tried again until it succeeds.
+ */
 void loop_fd_set(struct loop_fd *w, uint32_t events);
 
 /**
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -24,11 +24,18 @@
 #define LOOP_LONG_TURN_MS 500
 #define LOOP_LINES_BURST 4
 
-/* A watched descriptor; a removed watcher is freed after the batch. */
+/* Time after which a change of a watcher that the system refused is tried
+ * again.
+ */
+#define LOOP_RETRY_MS 100
+
+/* A watched descriptor; a removed watcher is freed after the batch.  The system
+ * watches for other events than wanted while it refuses the change. */
 struct loop_fd {
 	struct loop *loop;
 	int fd;
 	uint32_t events;
+	uint32_t wanted;
 	loop_fd_fn *fn;
 	void *arg;
 };
@@ -48,6 +55,8 @@
 	bool stopping;
 	bool firing_timers;
 	struct log_limit long_turns;
+	GPtrArray *refused;
+	struct loop_timer retry;
 	GSequence *timers;
 	struct loop_task tasks;
 	GPtrArray *removed;
@@ -125,6 +134,7 @@
 	w->fn = fn;
 	w->arg = arg;
 	w->events = events;
+	w->wanted = events;
 	if (events != 0 && loop_ctl(w, EPOLL_CTL_ADD, events) < 0) {
 		(void)status_set(STATUS_IO,
 		    "Can't watch a file descriptor: %s; raise the limits of "
@@ -140,19 +150,58 @@
  * A descriptor without events is removed from the epoll set, because epoll
  * reports errors and hang-ups regardless of the requested events.
  */
-void
-loop_fd_set(struct loop_fd *w, uint32_t events)
+static bool
+loop_fd_apply(struct loop_fd *w)
 {
 	int op = EPOLL_CTL_MOD;
 
-	if (w->events == events)
-		return;
+	if (w->events == w->wanted)
+		return true;
 	if (w->events == 0)
 		op = EPOLL_CTL_ADD;
-	else if (events == 0)
+	else if (w->wanted == 0)
 		op = EPOLL_CTL_DEL;
-	(void)loop_ctl(w, op, events);
-	w->events = events;
+	if (loop_ctl(w, op, w->wanted) < 0 && op != EPOLL_CTL_DEL)
+		return false;
+	w->events = w->wanted;
+	return true;
+}
+
+static void
+loop_retry_refused(void *arg)
+{
+	struct loop *loop = arg;
+	guint i = 0;
+
+	while (i < loop->refused->len)
+		if (loop_fd_apply(g_ptr_array_index(loop->refused, i)))
+			g_ptr_array_remove_index_fast(loop->refused, i);
+		else
+			i++;
+	if (loop->refused->len > 0)
+		loop_timer_set(&loop->retry, loop_now_ms(loop) + LOOP_RETRY_MS);
+}
+
+void
+loop_fd_set(struct loop_fd *w, uint32_t events)
+{
+	struct loop *loop = w->loop;
+	bool known = w->wanted != w->events;
+
+	w->wanted = events;
+	if (loop_fd_apply(w)) {
+		if (known)
+			g_ptr_array_remove_fast(loop->refused, w);
+		return;
+	}
+	if (known)
+		return;
+	if (loop->refused->len == 0)
+		log_warning("A file descriptor can't be watched, which is "
+			    "tried again: %s.",
+		    strerror(errno));
+	g_ptr_array_add(loop->refused, w);
+	loop_timer_set(&loop->retry, loop_now_ms(loop) + LOOP_RETRY_MS);
 }
 
 void
@@ -414,7 +463,8 @@
 	loop_update_now(loop);
 	for (i = 0; i < n; i++) {
 		w = events[i].data.ptr;
-		ready = events_from_epoll(events[i].events) & w->events;
+		ready =
+		    events_from_epoll(events[i].events) & w->events & w->wanted;
 		if (ready != 0)
 			w->fn(ready, w->arg);
 	}
@@ -469,6 +519,8 @@
 	loop->removed = g_ptr_array_new_with_free_func(g_free);
 	loop->inbox = inbox_new();
 	loop->inbox_spare = inbox_new();
+	loop->refused = g_ptr_array_new();
+	loop_timer_init(&loop->retry, loop, loop_retry_refused, loop);
 	loop->long_turns.per_s = 1;
 	loop->long_turns.burst = LOOP_LINES_BURST;
 	(void)pthread_mutex_init(&loop->lock, NULL);
@@ -511,6 +563,8 @@
 	loop_run_tasks(loop);
 	if (loop->wake != NULL)
 		loop_fd_remove(loop->wake);
+	loop_timer_stop(&loop->retry);
+	g_ptr_array_unref(loop->refused);
 	loop_close_fd(loop->epoll_fd);
 	loop_close_fd(loop->wake_fd);
 	g_ptr_array_unref(loop->removed);
--- a/packages/net/test/test_loop.c
+++ b/packages/net/test/test_loop.c
@@ -211,6 +211,37 @@
 }
 END_TEST
 
+static void
+count_ready(uint32_t ready, void *arg)
+{
+	(void)ready;
+	(*(int *)arg)++;
+}
+
+/* Guards against a listener that is never served again after the system has
+ * once refused to watch it. */
+START_TEST(a_watch_that_the_system_refuses_is_tried_again)
+{
+	struct loop_fd *w;
+	int p[2], away, served = 0;
+
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, p), 0);
+	w = loop_fd_add(loop, p[0], LOOP_READ, count_ready, &served);
+	loop_fd_set(w, 0);
+	away = dup(p[0]);
+	(void)close(p[0]);
+	loop_fd_set(w, LOOP_READ);
+	ck_assert_int_eq(dup2(away, p[0]), p[0]);
+	ck_assert_int_eq(write(p[1], "x", 1), 1);
+	support_run_for(loop, 300);
+	ck_assert_int_gt(served, 0);
+	loop_fd_remove(w);
+	(void)close(p[0]);
+	(void)close(p[1]);
+	(void)close(away);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -223,5 +254,6 @@
 	tcase_add_test(tc, posts_of_all_threads_arrive);
 	tcase_add_test(tc, functions_posted_before_stop_run);
 	tcase_add_test(tc, removed_descriptor_is_not_served_in_the_same_turn);
+	tcase_add_test(tc, a_watch_that_the_system_refuses_is_tried_again);
 	return support_run("loop", tc);
 }
