fix(net): a caller's bytes without end are discarded up to a limit

Problem: after an answer that precedes the end of its request (a head that is too large, bytes that are no HTTP) the server discards input for a second, so that the answer isn't destroyed by a reset. A caller that sends without end kept the loop busy with up to 2.7 GB in that second. Solution: at most 4 MB are discarded, then the connection is reset.

--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -15,6 +15,8 @@
 /* Time for which input is discarded after an answer that was sent before the
  * end of the request. */
 #define LINGER_MS 1000U
+/* Most input that is discarded then. */
+#define LINGER_MAX_BYTES (4U << 20)
 
 /* Closing */
 
@@ -352,6 +354,15 @@
 	http_server_conn_close(c, false);
 }
 
+/* Input without end is not discarded until the timer ends. */
+static void
+discard(struct http_server_conn *c, size_t n)
+{
+	c->discarded_bytes += n;
+	if (c->discarded_bytes > LINGER_MAX_BYTES)
+		http_server_conn_close(c, true);
+}
+
 static void
 read_some(struct http_server_conn *c)
 {
@@ -369,8 +380,10 @@
 		peer_ended(c);
 		return;
 	}
-	if (c->life == CONN_LINGERING)
+	if (c->life == CONN_LINGERING) {
+		discard(c, (size_t)n);
 		return;
+	}
 	if (c->timing == CONN_TIMING_STALL && c->reading != NULL)
 		http_server_conn_restart_timer(c);
 	http_request_feed(c, buf, (size_t)n);
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -89,6 +89,7 @@
  * @reading: the request whose body is received, NULL if its answer has ended
  * @out: output buffer, or NULL when empty
  * @out_sent: bytes of @out already sent
+ * @discarded_bytes: input discarded since the last answer
  * @bad_code: code for the data that is not a valid request
  * @parsing: the parser is on the call stack
  * @closing: no further request is read, and the connection is closed after the
@@ -117,6 +118,7 @@
 	struct http_incoming *reading;
 	GByteArray *out;
 	size_t out_sent;
+	size_t discarded_bytes;
 	int bad_code;
 	bool parsing;
 	bool closing;
