fix(net): interim answers without end fail the call

Problem: an upstream that sends one 1xx answer after the other never sends an answer, and each was within the limit of a head: the call took 360 MB in 1.5 s and ended only with its deadline. Solution: more than 16 interim answers fail the call as invalid, as other bytes that are no answer do. Evidence: the case 'interim answers' of test_http_endless failed before.

--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -341,6 +341,7 @@
 	c->complete = false;
 	c->surplus = false;
 	c->written = false;
+	c->interim = 0;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	g_byte_array_append(c->out, call->head->data, call->head->len);
--- a/packages/net/src/http_conn_defs.h
+++ b/packages/net/src/http_conn_defs.h
@@ -31,6 +31,7 @@
  * @held: body data received while the call is paused
  * @idle_since_ms: monotonic time at which the last call ended
  * @keep_alive_ms: time for which the idle connection may be reused
+ * @interim: interim answers (1xx) received for the call
  * @used: a call has ended on the connection
  * @written: the complete request has been sent
  * @complete: the complete answer has been received
@@ -52,6 +53,7 @@
 	GByteArray *held;
 	uint64_t idle_since_ms;
 	uint64_t keep_alive_ms;
+	uint32_t interim;
 	bool used;
 	bool written;
 	bool complete;
--- a/packages/net/src/http_read.c
+++ b/packages/net/src/http_read.c
@@ -14,6 +14,8 @@
  * connection, so that the server rarely closes it first. */
 #define HTTP_KEEP_ALIVE_PERCENT 70U
 #define HTTP_FIRST_FINAL_CODE 200
+/* Most interim answers (1xx) before the final one. */
+#define HTTP_INTERIM_MAX 16
 #define MS_PER_S 1000U
 #define PERCENT 100U
 #define DECIMAL 10
@@ -78,8 +80,10 @@
 	uint32_t n;
 
 	if (p->status_code < HTTP_FIRST_FINAL_CODE)
-		return p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ? -1
-									 : 0;
+		return p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
+			++c->interim > HTTP_INTERIM_MAX
+		    ? -1
+		    : 0;
 	n = http_head_lines(&c->head, lines);
 	if (!http_head_valid(lines, n))
 		return -1;
--- a/packages/net/test/test_http_endless.c
+++ b/packages/net/test/test_http_endless.c
@@ -50,6 +50,8 @@
     {"a first line", "HTTP/1.1 200 ", "O", false, STATUS_INVALID},
     {"no HTTP", "", "\x01\x02", false, STATUS_INVALID},
     {"empty lines", "", "\r\n", false, STATUS_INVALID},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", false,
+	STATUS_INVALID},
     {"a chunk's length", CHUNKED, "0", false, STATUS_INVALID},
     {"a chunk's extension", CHUNKED "1;", "x", false, STATUS_INVALID},
     {"trailers", CHUNKED "0\r\n", "T: v\r\n", false, STATUS_INVALID},
