fix(traffic): a departure reaches a guard that was out of reach

Problem: a caller that leaves while the fate of its attempt is queried (its connection to the guard was lost or suspected) left no trace at the guard: the query waited for a connection and was dropped with the call. Its upstream ran on and its slot stayed taken until the deadline. Cause: the call ended with its caller in the states resolving and back-off; the entry had no stream to cancel yet. Solution: the call goes on without its caller until the fate is known or its deadline has passed, and then cancels what runs. It retries nothing and answers nobody.

--- a/packages/node/test/test_call_departures.c
+++ b/packages/node/test/test_call_departures.c
@@ -15,6 +15,7 @@
 #include "node/snapshot_ref.h"
 
 #include "fixture.h"
+#include "sock.h"
 
 #define LEAVE_AFTER_MS 100
 #define SETTLE_MS 300
@@ -30,6 +31,8 @@
 /* Well below the time limit of a connection to an upstream. */
 #define END_MS 1000
 #define FILLERS 4
+/* Above all descriptors that a test has. */
+#define FDS_MAX 4096
 /* Longer than test_wait_int() waits. */
 #define PATIENCE_MS 20000
 
@@ -313,6 +316,88 @@
 	return upstream->abandoned;
 }
 
+/* Applies @fn to each socket of this process whose port at its own end (@local)
+ * or at the other end is that of @at. */
+static void
+for_each_socket(struct net_addr at, bool local, void (*fn)(int fd))
+{
+	struct sockaddr_in sin;
+	socklen_t len;
+	int fd, result;
+
+	for (fd = 0; fd < FDS_MAX; fd++) {
+		len = sizeof(sin);
+		result = local ? getsockname(fd, (struct sockaddr *)&sin, &len)
+			       : getpeername(fd, (struct sockaddr *)&sin, &len);
+		if (result == 0 && sin.sin_family == AF_INET &&
+		    ntohs(sin.sin_port) == at.port)
+			fn(fd);
+	}
+}
+
+static bool
+is_listening(int fd)
+{
+	int on = 0;
+	socklen_t len = sizeof(on);
+
+	return getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &on, &len) == 0 &&
+	    on != 0;
+}
+
+static void
+drop_handshakes(int fd)
+{
+	if (is_listening(fd))
+		sock_drop_new_conns(fd);
+}
+
+static void
+accept_handshakes(int fd)
+{
+	int unused = 0;
+
+	if (is_listening(fd))
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+}
+
+static void
+break_off(int fd)
+{
+	(void)shutdown(fd, SHUT_RDWR);
+}
+
+/* Guards against a departure that doesn't reach the guard, since the caller
+ * left while the guard was out of reach: its slot stayed taken until the
+ * deadline. */
+START_TEST(a_departure_reaches_a_guard_that_comes_back)
+{
+	struct net_addr guard;
+	int fds[CALLERS], i;
+
+	start_patient();
+	guard = guard_addr(nodes[1]->guard);
+	for (i = 0; i < CALLERS; i++) {
+		fds[i] = dial();
+		ck_assert(caller_send(
+		    fds[i], "POST", "/book/x?do=hold", NULL, "seat", 4));
+	}
+	ck_assert(test_wait_int(running, NULL, CALLERS));
+	for_each_socket(guard, true, drop_handshakes);
+	for_each_socket(guard, false, break_off);
+	sleep_ms(LEAVE_AFTER_MS);
+	for (i = 0; i < CALLERS; i++)
+		leave(fds[i], false);
+	ck_assert(test_wait_int(in_flight, NULL, 0));
+	ck_assert_int_gt(guarded(NULL), 0);
+	for_each_socket(guard, true, accept_handshakes);
+	ck_assert(test_wait_int(guarded, NULL, 0));
+	ck_assert(test_wait_int(abandoned, NULL, CALLERS));
+	stop();
+}
+END_TEST
+
 /* Guards against a booking that occupies a slot and its upstream after its
  * caller has left. */
 START_TEST(a_booking_under_way_ends_with_its_caller)
@@ -601,6 +686,7 @@
 	    unread_requests_of_callers_that_left_are_not_sent,
 	    a_request_that_arrives_with_its_cancel_is_not_sent,
 	    pipelined_requests_of_a_caller_that_left_are_not_sent,
+	    a_departure_reaches_a_guard_that_comes_back,
 	    a_booking_under_way_ends_with_its_caller,
 	    a_keyed_booking_outlives_its_caller,
 	    a_repetition_that_leaves_does_not_end_the_first_request,
--- a/packages/traffic/src/call.c
+++ b/packages/traffic/src/call.c
@@ -68,6 +68,8 @@
  * @may_have_run: an earlier attempt may have run
  * @body_discarded: part of the body can't be sent again
  * @deadline_passed: the deadline was handled; the grace time runs
+ * @departed: the caller left while the fate of an attempt was queried; the call
+ *	goes on only to end what runs
  * @not_run: the call is finished and has certainly not run
  * @rerouted: the current attempt follows a refusal for load
  * @was_refused: the call is counted as refused in its run
@@ -95,6 +97,7 @@
 	bool may_have_run;
 	bool body_discarded;
 	bool deadline_passed;
+	bool departed;
 	bool not_run;
 	bool rerouted;
 	bool was_refused;
@@ -215,6 +218,10 @@
 {
 	struct call_action *a;
 
+	if (c->departed) {
+		finish(c);
+		return;
+	}
 	c->not_run = outcome == OUTCOME_NOT_RUN && !c->may_have_run;
 	if (c->may_have_run || (c->cfg.keyed && !refusal_settles_key(refusal)))
 		outcome = OUTCOME_UNKNOWN;
@@ -384,6 +391,10 @@
 {
 	bool is_free = refusal_is_free(refusal);
 
+	if (c->departed) {
+		finish(c);
+		return;
+	}
 	if (is_overload(refusal) && !c->cfg.naive && !c->cfg.keyed) {
 		is_free = retry_budget_others_have_room(c->budget);
 		record_reroute(c, true);
@@ -408,7 +419,7 @@
 attempt_unknown(struct call *c, uint64_t now_ms)
 {
 	c->may_have_run = true;
-	if ((c->cfg.idempotent || c->cfg.naive) &&
+	if (!c->departed && (c->cfg.idempotent || c->cfg.naive) &&
 	    schedule_retry(c, true, now_ms))
 		return;
 	give_up(c, OUTCOME_UNKNOWN, REFUSAL_NONE, 0);
@@ -587,6 +598,13 @@
 	}
 }
 
+static void
+cancel_for_departed(struct call *c)
+{
+	add_action(c, CALL_CANCEL)->abandoned = true;
+	finish(c);
+}
+
 void
 call_resolved(
     struct call *c, uint32_t stream, enum resolution r, uint64_t now_ms)
@@ -600,7 +618,9 @@
 	case RESOLUTION_ATTACHED:
 	case RESOLUTION_ANSWER:
 		c->state = STATE_WAITING;
-		if (c->deadline_passed)
+		if (c->departed)
+			cancel_for_departed(c);
+		else if (c->deadline_passed)
 			(void)add_action(c, CALL_CANCEL);
 		return;
 	case RESOLUTION_LOST:
@@ -635,6 +655,11 @@
 	enum call_state state = c->state;
 
 	(void)now_ms;
+	if (state == STATE_RESOLVING || state == STATE_RESOLVE_BACKOFF) {
+		c->departed = true;
+		c->resolve_until_ms = DEADLINE_NEVER;
+		return;
+	}
 	c->not_run = !c->may_have_run &&
 	    (state == STATE_NEW || state == STATE_BACKOFF ||
 		state == STATE_PLACING || state == STATE_SENDING);
@@ -643,7 +668,6 @@
 	switch (state) {
 	case STATE_SENDING:
 	case STATE_WAITING:
-	case STATE_RESOLVING:
 	case STATE_COMMITTED:
 		add_action(c, CALL_CANCEL)->abandoned = true;
 		break;
