test(functional): a child asserts nothing between fork and exec

Nothing of the node ran. Solution: the child goes to execv() before the parent's assertion. Evidence: the stack of the child (process.c, ck_assert, pthread_mutex_lock).

--- a/test/functional/process.c
+++ b/test/functional/process.c
@@ -65,9 +65,10 @@
 	    PROCESS_LOG_MODE);
 	ck_assert_msg(fd != -1, "can't open %s for writing", p->log);
 	pid = fork();
-	ck_assert_int_ne(pid, -1);
+	/* First: in the child, other threads may hold the lock of ck_assert. */
 	if (pid == 0)
 		child_exec(argv, fd, parent, descriptors);
+	ck_assert_int_ne(pid, -1);
 	(void)close(fd);
 	p->pid = pid;
 	return p;
