fix(node): the refusal at the last place has the headers of other refusals

Problem: a caller that is turned away before its request is read got a bare 503: without the fate that each answer of a node has, it can't tell that its request didn't run. Solution: the answer is made from the dialect, with fate and error body.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -69,8 +69,6 @@
  *	completely or its turn came; may be NULL
  * @on_bad: the received data is not a valid request, or with code 503 there
  *	are too many connections; the owner must answer with @code at once
- * @full_answer: bytes that are sent to a caller whose connection is closed as
- *	soon as it was accepted, since there is no place for it; NULL for none
  * @serve_departed: a request counts although its sender has closed the
  *	connection, such as the report of a process that ends
  *
@@ -88,7 +86,6 @@
 	void (*on_gone)(struct http_incoming *q);
 	void (*on_unread)(void *server_arg);
 	void (*on_bad)(struct http_incoming *q, int code, void *server_arg);
-	const char *full_answer;
 	bool serve_departed;
 };
 
@@ -150,6 +147,15 @@
 void http_server_limits_set(
     struct http_server *s, const struct http_server_limits *limits);
 
+/**
+ * http_server_set_full_answer() - answer for callers for which there is no
+ *place
+ * @s: the server
+ * @text: sent as it is to a caller whose connection is closed as soon as it was
+ *	accepted; copied
+ */
+void http_server_set_full_answer(struct http_server *s, const char *text);
+
 /** http_server_addr() - address that the server listens on */
 struct net_addr http_server_addr(const struct http_server *s);
 
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -21,7 +21,7 @@
 static void
 refuse(struct http_server *s, int fd)
 {
-	const char *text = s->handler->full_answer;
+	const char *text = s->full_answer;
 
 	if (text != NULL && send(fd, text, strlen(text), MSG_NOSIGNAL) > 0)
 		(void)shutdown(fd, SHUT_WR);
@@ -122,9 +122,17 @@
 		http_server_conn_close(s->conns.head->data, false);
 	loop_task_cancel(&s->task);
 	free_closed(s);
+	g_free(s->full_answer);
 	g_free(s);
 }
 
+void
+http_server_set_full_answer(struct http_server *s, const char *text)
+{
+	g_free(s->full_answer);
+	s->full_answer = g_strdup(text);
+}
+
 struct net_addr
 http_server_addr(const struct http_server *s)
 {
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -29,6 +29,7 @@
  * @limits: limits for callers
  * @handler: callbacks
  * @arg: passed to the callbacks
+ * @full_answer: sent to callers for which there is no place, or NULL
  * @conns: open connections, struct http_server_conn
  * @dead: closed connections, freed at the end of the turn
  * @by_timing: open connections by what their timer limits, the one that waits
@@ -43,6 +44,7 @@
 	struct http_server_limits limits;
 	const struct http_server_handler *handler;
 	void *arg;
+	char *full_answer;
 	GQueue conns;
 	GQueue dead;
 	GQueue by_timing[CONN_TIMINGS];
--- a/packages/net/test/test_http_room.c
+++ b/packages/net/test/test_http_room.c
@@ -79,7 +79,6 @@
     .on_body_end = ignore,
     .on_gone = ignore,
     .on_bad = on_bad,
-    .full_answer = "HTTP/1.1 503 Full\r\nConnection: close\r\n\r\n",
 };
 
 static void
@@ -94,6 +93,8 @@
 	ck_assert_int_eq(
 	    http_server_new(loop, at, &limits, &handler, NULL, &server),
 	    STATUS_OK);
+	http_server_set_full_answer(
+	    server, "HTTP/1.1 503 Full\r\nConnection: close\r\n\r\n");
 }
 
 static void
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -49,6 +49,7 @@
 	const struct settings *s = c->settings;
 	struct net_addr at = {s->address, s->caller_port};
 	struct http_server_limits limits;
+	char *full_answer;
 	enum status st;
 
 	callers_limits(s, &limits);
@@ -59,6 +60,9 @@
 		    "can't listen on caller_port %u; choose a free port.",
 		    s->caller_port);
 	c->port = http_server_addr(c->server).port;
+	full_answer = callers_answer_full(c->dialect);
+	http_server_set_full_answer(c->server, full_answer);
+	g_free(full_answer);
 	if (s->keep_alive_ms == 0)
 		http_server_close_idle(c->server, false);
 	return STATUS_OK;
--- a/packages/node/src/callers_answer.c
+++ b/packages/node/src/callers_answer.c
@@ -170,3 +170,24 @@
 	    "request; send it again after the time in Retry-After.",
 	    retry_after_ms);
 }
+
+char *
+callers_answer_full(const struct call_dialect *d)
+{
+	struct call_answer a = {.kind = "overloaded",
+	    .message = (char *)(uintptr_t)CALLERS_FULL_MESSAGE,
+	    .retry_after_ms = MS_PER_S};
+	char *body = error_json(&a);
+	GString *text = g_string_new("HTTP/1.1 503 Service Unavailable\r\n");
+
+	if (d->fate != NULL)
+		g_string_append_printf(
+		    text, "%s: %s\r\n", d->fate, outcome_name(OUTCOME_NOT_RUN));
+	g_string_append_printf(text,
+	    HEADER_RETRY_AFTER
+	    ": 1\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+	    strlen(body), body);
+	free(body);
+	return g_string_free(text, FALSE);
+}
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -257,9 +257,8 @@
 		log_info("a request is refused, since all %u connections are "
 			 "in use, left_out=%u",
 		    http_server_conns(c->server), left_out);
-	callers_answer_refuse(c, q, HTTP_UNAVAILABLE, "overloaded",
-	    "all connections of this node are in use; try another node or "
-	    "come back later.");
+	callers_answer_refuse(
+	    c, q, HTTP_UNAVAILABLE, "overloaded", CALLERS_FULL_MESSAGE);
 }
 
 static void
@@ -299,6 +298,4 @@
     .on_gone = on_gone,
     .on_unread = on_unread,
     .on_bad = on_bad,
-    .full_answer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-		   "Content-Length: 0\r\nConnection: close\r\n\r\n",
 };
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -16,6 +16,10 @@
 
 #include "call_exchange.h"
 
+#define CALLERS_FULL_MESSAGE                                            \
+	"all connections of this node are in use; try another node or " \
+	"come back later."
+
 /**
  * struct callers - the server for callers
  * @settings: settings of the node; borrowed
@@ -109,6 +113,14 @@
 void callers_answer_behind(
     const struct callers *c, struct http_incoming *q, uint64_t retry_after_ms);
 
+/**
+ * callers_answer_full() - refusal for a connection for which there is no place
+ * @d: header names
+ *
+ * Return: a complete answer, a new string.
+ */
+char *callers_answer_full(const struct call_dialect *d);
+
 /* callers_limits.c */
 
 /** callers_limits() - get the limits for requests from settings and snapshot */
--- a/test/soak/soak_run.c
+++ b/test/soak/soak_run.c
@@ -18,6 +18,7 @@
 #include "operators.h"
 #include "soak_crasher.h"
 #include "soak_keys.h"
+#include "soak_holders.h"
 #include "soak_limit.h"
 #include "soak_plan.h"
 #include "soak_stops.h"
@@ -101,6 +102,7 @@
  * @crasher: the poison request
  * @keys: requests with customers' keys
  * @limit: requests of a customer beyond its limit
+ * @holders: held connections, and newcomers
  * @power_loss_ms: monotonic time at which all hosts lose power, or
  *	DEADLINE_NEVER
  * @restore_from_ms: monotonic time before which the store is not restored
@@ -124,6 +126,7 @@
 	struct soak_crasher crasher;
 	struct soak_keys *keys;
 	struct soak_limit *limit;
+	struct soak_holders *holders;
 	uint64_t power_loss_ms;
 	uint64_t restore_from_ms;
 	GRand *rand;
@@ -821,6 +824,7 @@
 	plan.slots = SLOTS;
 	plan.work_ms_mean = WORK_MS_MEAN;
 	plan.relayed = RELAYED_BY_HOST;
+	plan.node_descriptors = SOAK_NODE_DESCRIPTORS;
 	s->d = calls_start(&plan, &limits);
 	s->node_fault = g_new0(uint32_t, s->d->hosts->len);
 	s->upstream_fault = g_new0(uint32_t, s->d->hosts->len);
@@ -909,6 +913,7 @@
 	s.power_loss_ms = clock_now_ms() + duration_s * 1000 / 2;
 	s.keys = soak_keys_start(s.d, seed);
 	s.limit = soak_limit_start(s.d, seed);
+	s.holders = soak_holders_start(s.d, seed);
 	load = calls_load_leaving(s.d, name, load_s, seed, LEAVE_PERCENT);
 	run_plan(&s, plan, clock_now_ms());
 	calls_load_end(load, name, &c);
@@ -923,6 +928,7 @@
 	check_sign_offs(&s);
 	check_all_grown_routes(&s);
 	check_calls_served(&s, seed);
+	soak_holders_end(s.holders);
 	soak_limit_end(s.limit);
 	soak_keys_end(s.keys, s.bundles_written, s.routes > 0);
 	(void)printf("seed %u: %u faults skipped\n", seed, s.skipped);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -37,6 +37,8 @@
  *	in 4 s, and 5 requests;
  * - if an upstream gets a request over 2 s after it has reported its leaving,
  *	unless its node had a fault meanwhile;
+ * - if a node that says that it is ready answers no new connection for 3 s
+ *	beside connections that are held to it;
  * - if a process exits without having been stopped, or with an unexpected code.
  */
 void soak_run(uint32_t seed, uint32_t duration_s, uint32_t faults,
