fix(node): silent connections keep no operator from the administration

Problem: 700 connections that say nothing to the administration port held its worker threads for 20 s each: no question for health was answered within 1 s (30 of 30), and no operator. Cause: CivetWeb reads each connection with a thread of its own, admin_threads of them. The class of the callers' case: something bounded that whoever comes first may keep. Solution: the product's own HTTP server reads the connections in one thread, with the room that it makes for newcomers; workers only parse bundles. Health and metrics are answered without a worker. A connection that never had a request makes room after 200 ms, one that had after 500. A complete request is carried out although its client has left, as before.

--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -135,6 +135,7 @@
 	c->input = CONN_INPUT_BODY;
 	c->closing = c->closing || http_should_keep_alive(&c->parser) == 0;
 	http_server_conn_restart_timer(c);
+	c->used = true;
 	c->surplus = c->surplus && http_server_room_is_tight(s);
 	c->closing = c->closing || c->surplus;
 	if (c->surplus)
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -97,6 +97,7 @@
  * @closing: no further request is read, and the connection is closed after the
  *	last answer
  * @peer_ended: the caller has closed its side
+ * @used: a request was received
  * @surplus: accepted beyond the connections that are served
  */
 struct http_server_conn {
@@ -125,6 +126,7 @@
 	bool parsing;
 	bool closing;
 	bool peer_ended;
+	bool used;
 	bool surplus;
 };
 
--- a/packages/net/src/http_server_room.c
+++ b/packages/net/src/http_server_room.c
@@ -18,6 +18,8 @@
 /* Idle time from which a connection may be closed for another: callers that
  * send requests back to back keep theirs. */
 #define IDLE_MIN_MS 500
+/* The same for a connection on which no request has come yet. */
+#define UNUSED_MIN_MS 200
 /* Part of its time limit after which a connection without progress may be
  * closed for another. */
 #define STALL_DIVISOR 4
@@ -67,13 +69,14 @@
 {
 	struct http_server_conn *c;
 	GList *l = s->by_timing[CONN_TIMING_IDLE].head;
+	uint64_t min_ms;
 	int i;
 
 	for (i = 0; l != NULL && i < CANDIDATES_MAX; i++, l = l->next) {
 		c = l->data;
-		if (loop_now_ms(s->loop) < c->timing_since_ms + IDLE_MIN_MS)
-			break;
-		if (!http_server_conn_has_unread(c))
+		min_ms = c->used ? IDLE_MIN_MS : UNUSED_MIN_MS;
+		if (loop_now_ms(s->loop) >= c->timing_since_ms + min_ms &&
+		    !http_server_conn_has_unread(c))
 			return c;
 	}
 	return NULL;
--- a/packages/node/include/node/admin.h
+++ b/packages/node/include/node/admin.h
@@ -1,6 +1,7 @@
 /*
  * Administration API: HTTP and JSON on the administration port (docs/API.md).
- * CivetWeb worker threads post requests to the control thread.
+ * A thread of its own serves the connections, worker threads post requests to
+ * the control thread.
  */
 #ifndef NODE_ADMIN_H
 #define NODE_ADMIN_H
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -1,32 +1,21 @@
 /*
- * Administration API: the HTTP server and its dispatch.
+ * Administration API: dispatch of requests.
  *
- * A CivetWeb worker thread reads the request, posts it to the control thread
- * and waits for the answer.  Only /metrics and /v1/health are answered by the
- * worker itself, so that they work while the control thread is busy, and
- * /v1/customers, so that it doesn't hold that thread up.
+ * A request comes from the server (admin_server.c), where a worker thread
+ * parses its bundle and posts it to the control thread.  Only /metrics and
+ * /v1/health are answered in the server's thread, so that they work while the
+ * control thread and the workers are busy, and /v1/customers by the worker, so
+ * that it doesn't hold the control thread up.
  */
-#define LOG_PART "admin"
-
-#include <stdio.h>
 #include <string.h>
 
 #include "admin_priv.h"
-#include "base/clock.h"
-#include "base/log.h"
-#include "base/metrics.h"
-#include "config/bundle.h"
 #include "config/customer.h"
 #include "net/loop.h"
-#include "proto/settings.h"
-
-#define ADMIN_TEXT_BYTES 32
-#define ADMIN_READ_BYTES 16384
-#define API_PREFIX "/v1/"
 
 struct admin_route {
 	const char *method; /* NULL for any */
-	const char *path;   /* prefix of the path below API_PREFIX */
+	const char *path;   /* prefix of the path below ADMIN_PREFIX */
 	void (*handle)(struct admin_call *call);
 };
 
@@ -81,11 +70,22 @@
 		call->answered = 1;
 		call->code = code;
 		call->reply = reply;
-		g_cond_signal(&call->done);
+		admin_server_post_reply(call);
 	}
 	g_mutex_unlock(&call->lock);
 }
 
+bool
+admin_call_is_answered(struct admin_call *call)
+{
+	bool answered;
+
+	g_mutex_lock(&call->lock);
+	answered = call->answered != 0;
+	g_mutex_unlock(&call->lock);
+	return answered;
+}
+
 void
 admin_call_fail(struct admin_call *call, enum status st, const char *message,
     const char *remedy, uint32_t retry_after_ms)
@@ -105,7 +105,6 @@
 	g_free(call->query);
 	g_string_free(call->body, TRUE);
 	g_mutex_clear(&call->lock);
-	g_cond_clear(&call->done);
 	json_decref(call->reply);
 	json_decref(call->warnings);
 }
@@ -126,11 +125,16 @@
 admin_call_query(
     const struct admin_call *call, const char *name, char *buf, size_t len)
 {
-	int n;
-
-	buf[0] = '\0';
-	n = mg_get_var(call->query, strlen(call->query), name, buf, len);
-	return n >= 0;
+	GHashTable *params = g_uri_parse_params(
+	    call->query, -1, "&", G_URI_PARAMS_WWW_FORM, NULL);
+	const char *value =
+	    params != NULL ? g_hash_table_lookup(params, name) : NULL;
+	int found = value != NULL && strlen(value) < len;
+
+	(void)g_strlcpy(buf, found ? value : "", len);
+	if (params != NULL)
+		g_hash_table_unref(params);
+	return found;
 }
 
 static void
@@ -195,251 +199,63 @@
 }
 
 static void
-admin_send(struct mg_connection *conn, int code, const char *type,
-    const char *body, size_t len, uint32_t retry_after_ms)
-{
-	char retry[ADMIN_TEXT_BYTES + 32] = "";
-
-	if (retry_after_ms > 0)
-		(void)snprintf(retry, sizeof(retry), "Retry-After: %u\r\n",
-		    (retry_after_ms + 999) / 1000);
-	mg_printf(conn,
-	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-	    "Cache-Control: no-store\r\n%sConnection: close\r\n\r\n",
-	    code, mg_get_response_code_text(conn, code), type, len, retry);
-	mg_write(conn, body, len);
-}
-
-static void
-admin_send_json(struct mg_connection *conn, int code, json_t *reply)
-{
-	json_t *error = json_object_get(reply, "error");
-	json_t *retry = json_object_get(error, "retry_after_ms");
-	char *text = json_dumps(reply, JSON_INDENT(1));
-
-	admin_send(conn, code, "application/json", text, strlen(text),
-	    (uint32_t)json_integer_value(retry));
-	free(text);
-	json_decref(reply);
-}
-
-static void
-admin_send_error(struct mg_connection *conn, enum status st,
-    const char *message, const char *remedy)
-{
-	admin_send_json(conn, admin_error_code(st),
-	    admin_error_json(st, message, remedy, 0));
-}
-
-/* Reads the full body; returns 0 when the body is too large. */
-static int
-admin_read_body(struct mg_connection *conn, GString *body)
-{
-	char buf[ADMIN_READ_BYTES];
-	int n;
-
-	while ((n = mg_read(conn, buf, sizeof(buf))) > 0) {
-		if (body->len + (gsize)n > BUNDLE_MAX_BYTES)
-			return 0;
-		g_string_append_len(body, buf, n);
-	}
-	return 1;
-}
-
-/* Waits for the control thread's answer, until a deadline. */
-static void
-admin_wait(struct admin_call *call)
-{
-	gint64 deadline_us = g_get_monotonic_time() +
-	    (ADMIN_OPERATION_MS + ADMIN_GRACE_MS) * G_TIME_SPAN_MILLISECOND;
-
-	g_mutex_lock(&call->lock);
-	while (!call->answered &&
-	    g_cond_wait_until(&call->done, &call->lock, deadline_us))
-		continue;
-	g_mutex_unlock(&call->lock);
-}
-
-/* Deadline of the operation; the client may allow less time than
- * ADMIN_OPERATION_MS. */
-static uint64_t
-admin_deadline(const struct mg_connection *conn)
+handle_health(struct admin_call *call)
 {
-	const char *text = mg_get_header(conn, "Bramley-Deadline-Ms");
-	uint64_t left_ms = ADMIN_OPERATION_MS;
-
-	if (text != NULL)
-		left_ms = MIN(left_ms, strtoull(text, NULL, 10));
-	return clock_now_ms() + left_ms;
-}
-
-static struct admin_call *
-admin_call_new(struct admin *a, const struct mg_connection *conn)
-{
-	const struct mg_request_info *ri = mg_get_request_info(conn);
-	struct admin_call *call = g_atomic_rc_box_new0(struct admin_call);
-
-	call->admin = a;
-	call->method = g_intern_string(ri->request_method);
-	call->path = g_strdup(ri->local_uri + strlen(API_PREFIX));
-	call->query = g_strdup(ri->query_string ? ri->query_string : "");
-	(void)g_strlcpy(call->remote, ri->remote_addr, sizeof(call->remote));
-	call->deadline_ms = admin_deadline(conn);
-	call->body = g_string_new(NULL);
-	g_mutex_init(&call->lock);
-	g_cond_init(&call->done);
-	return call;
-}
-
-/* Sends the answer, or an error when none came in time. */
-static void
-admin_reply(struct mg_connection *conn, struct admin_call *call)
-{
-	g_mutex_lock(&call->lock);
-	if (call->answered) {
-		admin_send_json(conn, call->code, call->reply);
-		call->reply = NULL;
-	} else {
-		admin_send_error(conn, STATUS_UNKNOWN,
-		    "The control thread did not answer in time.",
-		    "Look up its result with GET /v1/operations/OP.");
-	}
-	call->answered = 1;
-	g_mutex_unlock(&call->lock);
-}
-
-static void
-admin_on_api(struct mg_connection *conn, struct admin *a)
-{
-	struct admin_call *call = admin_call_new(a, conn);
-
-	if (!admin_read_body(conn, call->body)) {
-		admin_send_error(conn, STATUS_TOO_LARGE,
-		    "The body is larger than 8 MiB.",
-		    "Split the bundle or shorten it.");
-		admin_call_unref(call);
-		return;
-	}
-	admin_parse_bundle(call);
-	if (!call->answered) {
-		loop_post(control_loop(a->control), admin_dispatch,
-		    admin_call_ref(call));
-		admin_wait(call);
-	}
-	admin_reply(conn, call);
-	admin_call_unref(call);
-}
-
-static void
-admin_on_health(struct mg_connection *conn, struct admin *a)
-{
-	const char *reason = control_refusal_reason(a->control);
+	const char *reason = control_refusal_reason(call->admin->control);
 	int ready = reason == NULL;
 
-	admin_send_json(conn, ready ? 200 : 503,
+	admin_call_answer(call, ready ? 200 : 503,
 	    json_pack("{s:b,s:I,s:s*}", "ready", ready, "version",
-		(json_int_t)control_version(a->control), "reason", reason));
+		(json_int_t)control_version(call->admin->control), "reason",
+		reason));
 }
 
 static void
-admin_on_metrics(struct mg_connection *conn)
+handle_customers(struct admin_call *call)
 {
-	GString *out = g_string_new(NULL);
-
-	metrics_render(out);
-	admin_send(
-	    conn, 200, "text/plain; version=0.0.4", out->str, out->len, 0);
-	g_string_free(out, TRUE);
-}
-
-/* Value of the parameter "name" of a query.  Return: whether it has one that is
- * no longer than a customer's name. */
-static int
-query_name(const struct mg_request_info *ri, char *name, size_t len)
-{
-	const char *query = ri->query_string;
-
-	return query != NULL &&
-	    mg_get_var(query, strlen(query), "name", name, len) > 0;
-}
-
-static void
-admin_on_customers(struct mg_connection *conn, struct admin *a)
-{
-	const struct mg_request_info *ri = mg_get_request_info(conn);
 	char name[CUSTOMER_NAME_BYTES];
 	json_t *reply;
 
-	if (strcmp(ri->request_method, "GET") != 0) {
-		admin_send_error(conn, STATUS_INVALID,
+	if (strcmp(call->method, "GET") != 0) {
+		admin_call_fail(call, STATUS_INVALID,
 		    "The resource does not support this method.",
-		    "See docs/API.md for its methods.");
+		    "See docs/API.md for its methods.", 0);
 		return;
 	}
-	reply = admin_customers_json(
-	    a->usage, query_name(ri, name, sizeof(name)) ? name : NULL);
+	reply = admin_customers_json(call->admin->usage,
+	    admin_call_query(call, "name", name, sizeof(name)) &&
+		    name[0] != '\0'
+		? name
+		: NULL);
 	if (reply != NULL)
-		admin_send_json(conn, 200, reply);
+		admin_call_answer(call, 200, reply);
 	else
-		admin_send_error(conn, STATUS_NOT_FOUND,
+		admin_call_fail(call, STATUS_NOT_FOUND,
 		    "The version in force has no customer of this name.",
-		    "See the names in the bundle.");
-}
-
-static int
-admin_on_request(struct mg_connection *conn, void *arg)
-{
-	const char *uri = mg_get_request_info(conn)->local_uri;
-
-	if (strcmp(uri, "/metrics") == 0)
-		admin_on_metrics(conn);
-	else if (strcmp(uri, API_PREFIX "health") == 0)
-		admin_on_health(conn, arg);
-	else if (strcmp(uri, API_PREFIX "customers") == 0)
-		admin_on_customers(conn, arg);
-	else if (g_str_has_prefix(uri, API_PREFIX))
-		admin_on_api(conn, arg);
-	else
-		admin_send_error(conn, STATUS_NOT_FOUND,
-		    "There is no such resource.",
-		    "Resources are below /v1/; metrics are at /metrics.");
-	return 1;
+		    "See the names in the bundle.", 0);
 }
 
-enum status
-admin_start(const struct settings *s, struct control *c,
-    struct quota_usage *usage, struct admin **out)
+int
+admin_serve_at_once(struct admin_call *call)
 {
-	char at[ADDR_TEXT_BYTES], threads[ADMIN_TEXT_BYTES];
-	const char *options[] = {"listening_ports", at, "num_threads", threads,
-	    "enable_keep_alive", "no", "request_timeout_ms", "20000", NULL};
-	struct net_addr addr = {s->address, s->admin_port};
-	struct admin *a = g_new0(struct admin, 1);
-
-	a->settings = s;
-	a->control = c;
-	a->usage = usage;
-	(void)addr_format(&addr, at);
-	(void)snprintf(threads, sizeof(threads), "%u", s->admin_threads);
-	a->web = mg_start(NULL, a, options);
-	if (a->web == NULL) {
-		g_free(a);
-		return status_set(STATUS_IO,
-		    "The administration API can't listen on %s; free the port "
-		    "or change admin_port.",
-		    at);
-	}
-	mg_set_request_handler(a->web, "/", admin_on_request, a);
-	log_info("The administration API listens on %s.", at);
-	*out = a;
-	return STATUS_OK;
+	if (call->too_large)
+		admin_call_fail(call, STATUS_TOO_LARGE,
+		    "The body is larger than 8 MiB.",
+		    "Split the bundle or shorten it.", 0);
+	else if (strcmp(call->path, "health") == 0)
+		handle_health(call);
+	return admin_call_is_answered(call);
 }
 
 void
-admin_stop(struct admin *a)
+admin_serve(struct admin_call *call)
 {
-	if (a == NULL)
+	if (strcmp(call->path, "customers") == 0) {
+		handle_customers(call);
 		return;
-	mg_stop(a->web);
-	g_free(a);
+	}
+	admin_parse_bundle(call);
+	if (!admin_call_is_answered(call))
+		loop_post(control_loop(call->admin->control), admin_dispatch,
+		    admin_call_ref(call));
 }
--- a/packages/node/src/admin_priv.h
+++ b/packages/node/src/admin_priv.h
@@ -4,12 +4,15 @@
 #ifndef NODE_ADMIN_PRIV_H
 #define NODE_ADMIN_PRIV_H
 
-#include <civetweb.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+
 #include <glib.h>
 #include <jansson.h>
 
 #include "base/status.h"
 #include "config/bundle.h"
+#include "net/http_server.h"
 #include "node/admin.h"
 #include "node/control.h"
 #include "quota/usage.h"
@@ -20,6 +23,8 @@
 #define ADMIN_GRACE_MS 5000
 /* How long a request waits for the progress reports of the data centres. */
 #define ADMIN_PROGRESS_MS 150
+/* What the paths of the API begin with. */
+#define ADMIN_PREFIX "/v1/"
 /* Size of the text of a remote address. */
 #define ADMIN_REMOTE_BYTES 48
 
@@ -28,45 +33,60 @@
  * @settings: settings of the node
  * @control: control of the node
  * @usage: usage of customers at this node
- * @web: the CivetWeb server
+ * @loop: event loop of the server
+ * @thread: runs @loop
+ * @server: the HTTP server
+ * @workers: threads that parse bundles
+ * @in_flight: requests without an answer
  */
 struct admin {
 	const struct settings *settings;
 	struct control *control;
 	struct quota_usage *usage;
-	struct mg_context *web;
+	struct loop *loop;
+	GThread *thread;
+	struct http_server *server;
+	GThreadPool *workers;
+	_Atomic uint32_t in_flight;
 };
 
 /**
- * struct admin_call - a request that the control thread answers
+ * struct admin_call - a request
  * @admin: the server
+ * @incoming: the request on its connection, NULL when the client has left; in
+ *	the server's thread only
+ * @timer: answers when nobody else has; likewise
  * @method: HTTP method
  * @path: path after "/v1/"
  * @query: query string, or ""
  * @remote: IP address of the client
  * @deadline_ms: monotonic time by which the operation must have ended
  * @body: body of the request
+ * @complete: the whole request was received; in the server's thread only
+ * @too_large: the body is larger than a bundle may be
  * @bundle: the bundle in @body, parsed by the worker; NULL for none
  * @warnings: warnings of that bundle, which are added to the answer; NULL for
  *	none
  * @lock: protects the fields below
- * @done: signalled when @answered is set
  * @answered: whether the answer has been given
  * @code: HTTP status of the answer
  * @reply: body of the answer, owned
  */
 struct admin_call {
 	struct admin *admin;
+	struct http_incoming *incoming;
+	struct loop_timer timer;
 	const char *method;
 	char *path;
 	char *query;
 	char remote[ADMIN_REMOTE_BYTES];
 	uint64_t deadline_ms;
 	GString *body;
+	bool complete;
+	bool too_large;
 	struct bundle *bundle;
 	json_t *warnings;
 	GMutex lock;
-	GCond done;
 	int answered;
 	int code;
 	json_t *reply;
@@ -86,6 +106,9 @@
  * is dropped if the request has been answered already */
 void admin_call_answer(struct admin_call *call, int code, json_t *reply);
 
+/** admin_call_is_answered() - whether a request has been answered */
+bool admin_call_is_answered(struct admin_call *call);
+
 /**
  * admin_call_fail() - answer with an error
  * @call: the request
@@ -110,6 +133,17 @@
 int admin_call_query(
     const struct admin_call *call, const char *name, char *buf, size_t len);
 
+/** admin_server_post_reply() - have the server send the answer; with @call's
+ * lock held */
+void admin_server_post_reply(struct admin_call *call);
+
+/** admin_serve_at_once() - answer what needs no other thread; returns whether
+ * @call was answered */
+int admin_serve_at_once(struct admin_call *call);
+
+/** admin_serve() - answer, or post to the control thread; in a worker thread */
+void admin_serve(struct admin_call *call);
+
 /** admin_error_json() - an error as JSON, the body of an answer */
 json_t *admin_error_json(enum status st, const char *message,
     const char *remedy, uint32_t retry_after_ms);
