--- a/test/functional/test_connections.c
+++ b/test/functional/test_connections.c
@@ -25,6 +25,8 @@
 #define NEWCOMER_GAP_US 100000
 #define SETTLE_US 300000
 #define URL_BYTES 128
+/* Connections to peers that come and go. */
+#define DESCRIPTORS_SLACK 16
 
 static const char request[] = "GET /search HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -188,6 +190,52 @@
 }
 END_TEST
 
+static uint32_t
+count_descriptors(void)
+{
+	char path[URL_BYTES];
+	uint32_t n = 0;
+	GDir *dir;
+
+	(void)g_snprintf(
+	    path, sizeof(path), "/proc/%d/fd", (int)process_pid(subject->node));
+	dir = g_dir_open(path, 0, NULL);
+	ck_assert_ptr_nonnull(dir);
+	while (g_dir_read_name(dir) != NULL)
+		n++;
+	g_dir_close(dir);
+	return n;
+}
+
+static int
+is_back(void *most)
+{
+	return count_descriptors() <= *(uint32_t *)most;
+}
+
+/* Guards against descriptors that a node keeps after their connections have
+ * ended, of callers, peers, entries and operators alike. */
+START_TEST(descriptors_are_given_back)
+{
+	const uint16_t ports[] = {subject->caller_port, subject->peer_port,
+	    subject->call_port, subject->admin_port};
+	uint32_t i, k, most = count_descriptors() + DESCRIPTORS_SLACK;
+
+	for (i = 0; i < G_N_ELEMENTS(ports); i++) {
+		hold(ports[i]);
+		ck_assert_uint_le(count_descriptors(), NODE_DESCRIPTORS);
+		for (k = 0; k < HELD; k++) {
+			(void)close(held[k]);
+			held[k] = -1;
+		}
+		ck_assert_msg(
+		    harness_wait_until(is_back, &most, VERSION_TIMEOUT_MS),
+		    "%u descriptors after port %u, %u expected",
+		    count_descriptors(), ports[i], most);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -200,5 +248,6 @@
 	tcase_add_test(tc, silent_peers_keep_no_caller_out);
 	tcase_add_test(tc, silent_entries_keep_no_caller_out);
 	tcase_add_test(tc, silent_operators_keep_no_operator_out);
+	tcase_add_test(tc, descriptors_are_given_back);
 	return harness_run(tc, TEST_TIMEOUT_S);
 }
