fix(net): a pause of accepting ends though nobody connects

Problem: a server counted as closed from a failed accept until the next connection. Solution: the end of a pause tries to accept at once; an empty queue ends the state as a connection does. Evidence: by reading. a_shortage_ends_though_nobody_connects held before as well, since Linux hands out a connection that was reset meanwhile. Also: a line at the start when the process has fewer than 512 descriptors.

--- a/packages/net/src/acceptor.c
+++ b/packages/net/src/acceptor.c
@@ -53,16 +53,7 @@
 }
 
 static void
-on_resume(void *arg)
-{
-	struct acceptor *a = arg;
-
-	if (a->watch != NULL)
-		loop_fd_set(a->watch, LOOP_READ);
-}
-
-static void
-note_accepted(struct acceptor *a)
+note_open(struct acceptor *a)
 {
 	uint64_t now_ms = loop_now_ms(a->loop);
 
@@ -90,18 +81,33 @@
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0) {
 			error = errno;
-			if (!is_shortage(error))
+			if (!is_shortage(error)) {
+				note_open(a);
 				return;
+			}
 			if (a->make_room != NULL && a->make_room(a->arg))
 				continue;
 			pause_accepting(a, error);
 			return;
 		}
-		note_accepted(a);
+		note_open(a);
 		a->fn(fd, sock_from_system(&sin), a->arg);
 	}
 }
 
+/* Tries at once, since a caller that waited may have left, and nobody else may
+ * come as long as the acceptor counts as closed. */
+static void
+on_resume(void *arg)
+{
+	struct acceptor *a = arg;
+
+	if (a->watch == NULL)
+		return;
+	loop_fd_set(a->watch, LOOP_READ);
+	on_ready(LOOP_READ, a);
+}
+
 void
 acceptor_init(struct acceptor *a, struct loop *loop, enum descriptor_use use,
     acceptor_fn *fn, void *arg)
--- a/packages/net/test/test_http_room.c
+++ b/packages/net/test/test_http_room.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -246,6 +247,28 @@
 }
 END_TEST
 
+/* Guards against a server that counts as closed for good after a shortage,
+ * since the caller that met it has left and nobody else comes. */
+START_TEST(a_shortage_ends_though_nobody_connects)
+{
+	struct rlimit limit, few;
+	int fd = support_connect(http_server_addr(server).port);
+	int next = dup(fd);
+
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	(void)close(next);
+	few = limit;
+	few.rlim_cur = (rlim_t)next;
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &few), 0);
+	support_run_for(loop, 50);
+	ck_assert_uint_ne(http_server_closed_since_ms(server), 0);
+	support_reset(fd);
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	support_run_for(loop, 300);
+	ck_assert_uint_eq(http_server_closed_since_ms(server), 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -261,5 +284,6 @@
 	    tc, a_newcomer_takes_the_place_of_a_head_that_does_not_end);
 	tcase_add_test(
 	    tc, a_newcomer_takes_the_place_of_a_caller_that_reads_nothing);
+	tcase_add_test(tc, a_shortage_ends_though_nobody_connects);
 	return support_run("http_room", tc);
 }
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -202,6 +202,8 @@
 #define MMAP_THRESHOLD_BYTES 65536
 /* Upper limit where the system sets none. */
 #define DESCRIPTORS_MAX 1048576U
+/* Fewer leave some uses hardly any. */
+#define DESCRIPTORS_FEW 512U
 
 /* Uses one arena for all threads, so that memory freed by one can be reused by
  * another. */
@@ -227,8 +229,13 @@
 		if (max == 0 || limit.rlim_cur < max)
 			max = limit.rlim_cur;
 	}
-	if (max != 0)
-		descriptors_set_limit((uint32_t)MIN(max, DESCRIPTORS_MAX));
+	if (max == 0)
+		return;
+	if (max < DESCRIPTORS_FEW)
+		log_warning("The process may have only %" G_GUINT64_FORMAT
+			    " descriptors; %u or more are recommended.",
+		    max, DESCRIPTORS_FEW);
+	descriptors_set_limit((uint32_t)MIN(max, DESCRIPTORS_MAX));
 }
 
 int
