test: what the linter says of two new tests

Problem: atoi() in test_http_room, and an address that the analyser takes for unset in test_call_departures. Solution: strtol(), an initialiser.

--- a/packages/net/test/test_http_room.c
+++ b/packages/net/test/test_http_room.c
@@ -3,6 +3,7 @@
  */
 #include <errno.h>
 #include <fcntl.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -128,7 +129,7 @@
 
 	if (n < 0)
 		return errno == EAGAIN ? 0 : -1;
-	return n > 0 ? atoi(buf + strlen("HTTP/1.1 ")) : -1;
+	return n > 0 ? (int)strtol(buf + strlen("HTTP/1.1 "), NULL, 10) : -1;
 }
 
 static void
--- a/packages/node/test/test_call_departures.c
+++ b/packages/node/test/test_call_departures.c
@@ -321,7 +321,7 @@
 static void
 for_each_socket(struct net_addr at, bool local, void (*fn)(int fd))
 {
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = {0};
 	socklen_t len;
 	int fd, result;
 
