fix(node): a stop waits for questions that came while the server ended

Cause: by the core, the control thread answered /v1/status of a server that had been freed: a request that was read between the last look at the calls in flight and the end of the server's loop was posted to the control thread, and nobody waited for it. Solution: once the loop has stopped, and no request can come any more, the rest is awaited; and a call that was answered by its time limit isn't routed.

--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -190,11 +190,13 @@
 		    "See docs/API.md for the resources below /v1/.", 0);
 }
 
-/* Runs in the control thread; releases the reference that was posted. */
+/* Runs in the control thread; releases the reference that was posted.  A call
+ * that was given up meanwhile may have outlived the server. */
 static void
 admin_dispatch(void *arg)
 {
-	admin_route(arg);
+	if (!admin_call_is_answered(arg))
+		admin_route(arg);
 	admin_call_unref(arg);
 }
 
--- a/packages/node/src/admin_server.c
+++ b/packages/node/src/admin_server.c
@@ -20,7 +20,7 @@
 #define MS_PER_S 1000
 #define RETRY_BYTES 16
 #define LINES_MAX 3
-#define STOP_POLL_US 2000
+#define STOP_POLL_MS 2
 
 static void
 send_answer(struct http_incoming *q, int code, const char *type,
@@ -253,12 +253,23 @@
 	return NULL;
 }
 
+/* Waits for the requests that were read while the loop stopped: the control
+ * thread still works on them. */
+static void
+await_calls(struct admin *a)
+{
+	while (a->in_flight > 0)
+		loop_run_once(a->loop, clock_now_ms() + STOP_POLL_MS);
+}
+
 static void
 admin_free(struct admin *a)
 {
 	http_server_free(a->server);
 	if (a->workers != NULL)
 		g_thread_pool_free(a->workers, FALSE, TRUE);
+	if (a->loop != NULL)
+		await_calls(a);
 	loop_free(a->loop);
 	g_free(a);
 }
@@ -303,8 +314,7 @@
 	http_server_unlisten(a->server);
 }
 
-/* Each call is answered by its timer at the latest, and the answer is posted
- * before the loop stops. */
+/* Each call is answered by its timer at the latest. */
 void
 admin_stop(struct admin *a)
 {
@@ -312,7 +322,7 @@
 		return;
 	loop_post(a->loop, unlisten, a);
 	while (a->in_flight > 0)
-		g_usleep(STOP_POLL_US);
+		g_usleep(STOP_POLL_MS * G_TIME_SPAN_MILLISECOND);
 	loop_stop(a->loop);
 	(void)g_thread_join(a->thread);
 	admin_free(a);
