fix(net): the lock of descriptors is one that the thread sanitizer knows

Problem: six threaded tests failed under the thread sanitizer, in descriptors.c. Cause: GMutex is a futex of GLib's own, which the sanitizer doesn't see, so that what the lock protects looks like a race. Solution: a pthread mutex, as in the event loop.

--- a/packages/net/src/descriptors.c
+++ b/packages/net/src/descriptors.c
@@ -1,6 +1,7 @@
 /*
  * Descriptors of the process as a bounded resource.
  */
+#include <pthread.h>
 #include <string.h>
 
 #include <glib.h>
@@ -67,7 +68,8 @@
     "Descriptors that connections may have together.", METRIC_GAUGE, NULL, 0,
     {0}};
 
-static GMutex lock;
+/* The thread sanitizer knows this lock, but not GMutex. */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct descriptor_shares shares = {.shared_max = UINT32_MAX / 2};
 
 /* Shares */
@@ -139,10 +141,10 @@
 void
 descriptors_set_limit(uint32_t max)
 {
-	g_mutex_lock(&lock);
+	(void)pthread_mutex_lock(&lock);
 	descriptor_shares_init(&shares, max);
 	metric_set(&allowed, total_of(max));
-	g_mutex_unlock(&lock);
+	(void)pthread_mutex_unlock(&lock);
 }
 
 void
@@ -168,9 +170,9 @@
 {
 	bool taken;
 
-	g_mutex_lock(&lock);
+	(void)pthread_mutex_lock(&lock);
 	taken = descriptor_shares_take(&shares, use);
-	g_mutex_unlock(&lock);
+	(void)pthread_mutex_unlock(&lock);
 	metric_add(taken ? &uses[use].in_use : &uses[use].refused, 1);
 	return taken;
 }
@@ -178,9 +180,9 @@
 void
 descriptors_release(enum descriptor_use use)
 {
-	g_mutex_lock(&lock);
+	(void)pthread_mutex_lock(&lock);
 	descriptor_shares_release(&shares, use);
-	g_mutex_unlock(&lock);
+	(void)pthread_mutex_unlock(&lock);
 	metric_add(&uses[use].in_use, -1);
 }
 
@@ -189,9 +191,9 @@
 {
 	uint32_t n;
 
-	g_mutex_lock(&lock);
+	(void)pthread_mutex_lock(&lock);
 	n = shares.used[use];
-	g_mutex_unlock(&lock);
+	(void)pthread_mutex_unlock(&lock);
 	return n;
 }
 
@@ -200,8 +202,8 @@
 {
 	uint32_t n;
 
-	g_mutex_lock(&lock);
+	(void)pthread_mutex_lock(&lock);
 	n = descriptor_shares_left(&shares, use);
-	g_mutex_unlock(&lock);
+	(void)pthread_mutex_unlock(&lock);
 	return n;
 }
