style(net): comments, a log line and two test names in the field's terms

Problem: new comments used idioms of our own, and two test names read as a saying. Solution: reworded; a_watch_that_the_system_refuses_is_tried_again is now rejected_watch_is_retried, a_shortage_ends_though_nobody_connects is now shortage_ends_without_a_further_connection; their checks are unchanged.

--- a/packages/net/include/net/loop.h
+++ b/packages/net/include/net/loop.h
@@ -154,7 +154,7 @@
  * @w: the watcher
  * @events: mask of LOOP_READ and LOOP_WRITE
  *
- * A change that the system refuses is tried again until it succeeds.
+ * A change that epoll_ctl(2) rejects is retried periodically.
  */
 void loop_fd_set(struct loop_fd *w, uint32_t events);
 
--- a/packages/net/src/acceptor.c
+++ b/packages/net/src/acceptor.c
@@ -95,8 +95,8 @@
 	}
 }
 
-/* Tries at once, since a caller that waited may have left, and nobody else may
- * come as long as the acceptor counts as closed. */
+/* Calls accept(2) without waiting for an event: with an empty queue there is
+ * none, and the pause would not end. */
 static void
 on_resume(void *arg)
 {
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -17,7 +17,7 @@
 		http_server_conn_free(link->data);
 }
 
-/* The answer precedes the request, which nobody would read any more. */
+/* Sends the answer without reading the request, then closes the socket. */
 static void
 refuse(struct http_server *s, int fd)
 {
--- a/packages/net/src/http_server_room.c
+++ b/packages/net/src/http_server_room.c
@@ -82,7 +82,7 @@
 	return NULL;
 }
 
-/* A connection that nobody uses, or on which nothing moves. */
+/* Selects an idle or stalled connection; NULL when there is none. */
 static struct http_server_conn *
 closable(const struct http_server *s)
 {
--- a/packages/net/src/listener.c
+++ b/packages/net/src/listener.c
@@ -56,8 +56,8 @@
 	    descriptors_take(use);
 }
 
-/* Closes the connection that has been silent for longest since it was accepted,
- * if that is long enough to tell it from one that is about to send. */
+/* Closes the oldest connection without a frame, once it is older than
+ * LISTENER_SILENT_MS. */
 static bool
 listener_close_silent(const struct listener *l)
 {
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -24,9 +24,7 @@
 #define LOOP_LONG_TURN_MS 500
 #define LOOP_LINES_BURST 4
 
-/* Time after which a change of a watcher that the system refused is tried
- * again.
- */
+/* Interval between retries of a rejected epoll_ctl(2). */
 #define LOOP_RETRY_MS 100
 
 /* A watched descriptor; a removed watcher is freed after the batch.  The system
@@ -198,7 +196,7 @@
 		return;
 	if (loop->refused->len == 0)
 		log_warning("A file descriptor can't be watched, which is "
-			    "tried again: %s.",
+			    "retried: %s.",
 		    strerror(errno));
 	g_ptr_array_add(loop->refused, w);
 	loop_timer_set(&loop->retry, loop_now_ms(loop) + LOOP_RETRY_MS);
--- a/packages/net/test/test_http_room.c
+++ b/packages/net/test/test_http_room.c
@@ -248,9 +248,9 @@
 }
 END_TEST
 
-/* Guards against a server that counts as closed for good after a shortage,
- * since the caller that met it has left and nobody else comes. */
-START_TEST(a_shortage_ends_though_nobody_connects)
+/* Guards against a server that stays closed after a shortage of descriptors
+ * when no further connection arrives. */
+START_TEST(shortage_ends_without_a_further_connection)
 {
 	struct rlimit limit, few;
 	int fd = support_connect(http_server_addr(server).port);
@@ -285,6 +285,6 @@
 	    tc, a_newcomer_takes_the_place_of_a_head_that_does_not_end);
 	tcase_add_test(
 	    tc, a_newcomer_takes_the_place_of_a_caller_that_reads_nothing);
-	tcase_add_test(tc, a_shortage_ends_though_nobody_connects);
+	tcase_add_test(tc, shortage_ends_without_a_further_connection);
 	return support_run("http_room", tc);
 }
--- a/packages/net/test/test_loop.c
+++ b/packages/net/test/test_loop.c
@@ -220,7 +220,7 @@
 
 /* Guards against a listener that is never served again after the system has
  * once refused to watch it. */
-START_TEST(a_watch_that_the_system_refuses_is_tried_again)
+START_TEST(rejected_watch_is_retried)
 {
 	struct loop_fd *w;
 	int p[2], away, served = 0;
@@ -254,6 +254,6 @@
 	tcase_add_test(tc, posts_of_all_threads_arrive);
 	tcase_add_test(tc, functions_posted_before_stop_run);
 	tcase_add_test(tc, removed_descriptor_is_not_served_in_the_same_turn);
-	tcase_add_test(tc, a_watch_that_the_system_refuses_is_tried_again);
+	tcase_add_test(tc, rejected_watch_is_retried);
 	return support_run("loop", tc);
 }
--- a/packages/node/src/admin_server.c
+++ b/packages/node/src/admin_server.c
@@ -1,8 +1,8 @@
 /*
  * Administration API: the HTTP server.
  *
- * One thread serves all connections, so that clients that send nothing hold
- * nobody up.
+ * One thread serves all connections, so that silent clients occupy no
+ * worker.
  */
 #define LOG_PART "admin"
 
