--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -267,7 +267,8 @@
         name = headers.get('bramleydrift-request-id', '')
         target = headers.get('bramleydrift-target-instance')
         run = dict(t=round(now(), 3), id=name, method=method, path=path, service=self.service,
-                   endpoint=self.id, node=self.node.name, target=target)
+                   endpoint=self.id, node=self.node.name, target=target,
+                   caller=headers.get('bramleydrift-caller-service'))
         echo = f'Bramleydrift-Request-Id: {name}\r\n'
         if target not in (None, self.id):
             await read_body(reader, headers)
