fix(base): names in log lines can't forge a line

Problem: a name from a heartbeat, a configuration or a reason was written to the log as it came. A line feed in it began a line of its own. Cause: log_write() copied the formatted text unchanged. Evidence: control_characters_in_log_lines_are_replaced fails without the change: the line "name=a\nerror t: b" is written as two. Solution: control characters are replaced at the one place that all lines pass.

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -249,6 +249,16 @@
 	return running;
 }
 
+/* Replaces control characters: names in a line may come from other programs,
+ * and a line feed in one would forge a line. */
+static void
+replace_control_chars(char *text)
+{
+	for (; *text != '\0'; text++)
+		if (g_ascii_iscntrl(*text))
+			*text = '?';
+}
+
 void
 log_write(enum log_level level, const char *part, const char *fmt, ...)
 {
@@ -259,6 +269,7 @@
 	va_start(ap, fmt);
 	(void)vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
+	replace_control_chars(text);
 	line = log_line_new(text);
 	line->level = level;
 	line->part = part;
--- a/packages/base/test/test_base.c
+++ b/packages/base/test/test_base.c
@@ -44,6 +44,25 @@
 }
 END_TEST
 
+/* Guards against a name that forges a line of the log. */
+START_TEST(control_characters_in_log_lines_are_replaced)
+{
+	int fds[2], saved = dup(STDERR_FILENO);
+	char text[256] = "";
+
+	ck_assert_int_eq(pipe(fds), 0);
+	ck_assert_int_ge(dup2(fds[1], STDERR_FILENO), 0);
+	log_write(LOG_LEVEL_ERROR, "t", "name=%s", "a\nerror t: b\x7f\x1b");
+	(void)fflush(stderr);
+	ck_assert_int_ge(dup2(saved, STDERR_FILENO), 0);
+	ck_assert_int_gt(read(fds[0], text, sizeof(text) - 1), 0);
+	ck_assert_str_eq(text, "error t: name=a?error t: b??\n");
+	(void)close(fds[0]);
+	(void)close(fds[1]);
+	(void)close(saved);
+}
+END_TEST
+
 START_TEST(rendezvous_moves_only_keys_of_the_removed_candidate)
 {
 	const char *names[] = {"a", "b", "c", "d"};
@@ -148,6 +167,7 @@
 
 	tcase_add_test(tc, status_keeps_last_message);
 	tcase_add_test(tc, digest_round_trip);
+	tcase_add_test(tc, control_characters_in_log_lines_are_replaced);
 	tcase_add_test(tc, rendezvous_moves_only_keys_of_the_removed_candidate);
 	tcase_add_test(tc, metrics_show_help_and_buckets);
 	tcase_add_test(tc, histogram_sums_keep_microseconds);
