fix(settings): a node starts whatever its host and data centre are called

Cause: names were kept in arrays of 32 bytes in settings, tables and messages, and the parser refused what doesn't fit. All nodes derive the same one without a message, no table or frame becomes larger, and what an older node receives has the form it knows. The name of the upstream's service, which goes into a header, is kept in full; only characters that a header can't carry are refused.

--- a/packages/base/include/base/service_name.h
+++ b/packages/base/include/base/service_name.h
@@ -1,7 +1,7 @@
 /*
- * Names of services: one rule for configuration, settings, heartbeats and the
- * hosts' records, so that a name accepted in one of these places is never
- * rejected in another.
+ * Identifiers of services as tables and messages hold them: one rule for
+ * configuration, heartbeats and the hosts' records.  Names that people and
+ * other programs give are converted by name_id() first.
  */
 #ifndef BASE_SERVICE_NAME_H
 #define BASE_SERVICE_NAME_H
@@ -9,8 +9,10 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Size of the longest service name, including the terminating zero. */
-#define SERVICE_NAME_BYTES 32
+#include "base/name_id.h"
+
+/* Size of a service's identifier, including the terminating zero. */
+#define SERVICE_NAME_BYTES NAME_ID_BYTES
 
 /* Description of the rule for error messages. */
 #define SERVICE_NAME_RULE \
--- a/packages/base/test/test_base.c
+++ b/packages/base/test/test_base.c
@@ -12,6 +12,8 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/name_id.h"
+#include "base/service_name.h"
 #include "base/status.h"
 
 #include "test_run.h"
@@ -44,6 +46,40 @@
 }
 END_TEST
 
+static const char *const odd_names[] = {"a b", "a/b", "a\nb", "\"",
+    "caf\xc3\xa9 x", "nnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnn",
+    "a-b-c-d-.0123456789abcdefghijkl"};
+
+/* Guards against a name that is cut short, or two names with one identifier. */
+START_TEST(identifiers_of_long_and_odd_names_are_valid_and_differ)
+{
+	GHashTable *seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	char id[NAME_ID_BYTES], again[NAME_ID_BYTES], *name;
+	size_t i, len;
+
+	for (i = 0; i < sizeof(odd_names) / sizeof(odd_names[0]); i++) {
+		(void)name_id(NAME_OF_SERVICE, odd_names[i], id);
+		ck_assert(service_name_valid(id, strlen(id)));
+		ck_assert_str_ne(id, odd_names[i]);
+		ck_assert(g_hash_table_add(seen, g_strdup(id)));
+		/* An identifier taken for a name is another name. */
+		ck_assert_str_ne(name_id(NAME_OF_SERVICE, id, again), id);
+	}
+	for (len = 1; len <= 512; len++) {
+		name = g_strnfill(len, 'x');
+		(void)name_id(NAME_OF_HOST, name, id);
+		ck_assert(g_hash_table_add(seen, g_strdup(id)));
+		ck_assert((strcmp(id, name) == 0) == (len < NAME_ID_BYTES));
+		ck_assert(name_id_is_name(NAME_OF_HOST, name) ==
+		    (len < NAME_ID_BYTES));
+		g_free(name);
+	}
+	ck_assert_str_eq(name_id(NAME_OF_SERVICE, "", id), "");
+	g_hash_table_unref(seen);
+}
+END_TEST
+
 /* Guards against a name that forges a line of the log. */
 START_TEST(control_characters_in_log_lines_are_replaced)
 {
@@ -167,6 +203,8 @@
 
 	tcase_add_test(tc, status_keeps_last_message);
 	tcase_add_test(tc, digest_round_trip);
+	tcase_add_test(
+	    tc, identifiers_of_long_and_odd_names_are_valid_and_differ);
 	tcase_add_test(tc, control_characters_in_log_lines_are_replaced);
 	tcase_add_test(tc, rendezvous_moves_only_keys_of_the_removed_candidate);
 	tcase_add_test(tc, metrics_show_help_and_buckets);
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -168,7 +168,7 @@
 	struct guard *guard;
 	struct call_link link;
 	uint64_t id;
-	char host[SETTINGS_NAME_BYTES];
+	char host[NAME_ID_BYTES];
 	bool handshake_done;
 	uint8_t max_refusal;
 	bool goodbye_sent;
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -73,6 +73,7 @@
 {
 	(void)g_strlcpy(s->host, host, sizeof(s->host));
 	(void)g_strlcpy(s->data_centre, "dc", sizeof(s->data_centre));
+	s->upstream_service = "";
 	s->address = INADDR_LOOPBACK;
 	s->caller_port = test_free_port();
 	s->keep_alive_ms = 1000;
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -9,11 +9,10 @@
 #include <stdint.h>
 
 #include "base/log.h"
-#include "base/service_name.h"
+#include "base/name_id.h"
 #include "proto/addr.h"
 
 /* Sizes of strings, including the terminating zero. */
-#define SETTINGS_NAME_BYTES 32
 #define SETTINGS_URL_BYTES 256
 #define SETTINGS_TEXT_BYTES 128
 
@@ -166,9 +165,9 @@
  * @header_max_bytes: Largest request line with headers of a caller.
  */
 struct settings {
-	char host[SETTINGS_NAME_BYTES];
-	char data_centre[SETTINGS_NAME_BYTES];
-	char region[SETTINGS_NAME_BYTES];
+	char host[NAME_ID_BYTES];
+	char data_centre[NAME_ID_BYTES];
+	char region[NAME_ID_BYTES];
 	uint32_t address;
 	uint16_t caller_port;
 	uint16_t peer_port;
@@ -180,7 +179,7 @@
 	enum settings_adapter adapter;
 	char adapter_options[64][SETTINGS_TEXT_BYTES];
 	uint32_t n_adapter_options;
-	char upstream_service[SERVICE_NAME_BYTES];
+	const char *upstream_service;
 	uint16_t upstream_port;
 	struct net_addr seeds[64];
 	uint32_t n_seeds;
@@ -207,7 +206,7 @@
 	uint32_t floor_wait_ms;
 	uint32_t join_limit;
 	uint32_t retry_extra;
-	char data_centres[64][SETTINGS_TEXT_BYTES];
+	char data_centres[256][NAME_ID_BYTES];
 	uint32_t n_data_centres;
 	uint32_t rollout_share;
 	uint32_t once_reuse_ms;
--- a/packages/proto/include/proto/settings_key.h
+++ b/packages/proto/include/proto/settings_key.h
@@ -11,16 +11,18 @@
 
 /**
  * enum settings_type - type of a setting
- * @SETTINGS_NAME: a name, stored as char array
+ * @SETTINGS_NAME: a name, stored as the identifier that name_id() gives
  * @SETTINGS_URL: a URL, stored as char array
  * @SETTINGS_IPV4: an address, stored as uint32_t in host byte order
  * @SETTINGS_PORT: a port, stored as uint16_t
  * @SETTINGS_NUMBER: a number, stored as uint32_t
  * @SETTINGS_CHOICE: a keyword, stored as enum
  * @SETTINGS_ADDRESSES: a list, stored as array of struct net_addr with a count
- * @SETTINGS_SERVICE: a service name or empty, stored as char array
+ * @SETTINGS_SERVICE: a service name or empty, stored as interned string
  * @SETTINGS_TEXTS: a list of strings, stored as array of char arrays with a
  *	count
+ * @SETTINGS_NAMES: a list of names, stored as array of identifiers with a
+ *	count
  */
 enum settings_type {
 	SETTINGS_NAME = 0,
@@ -32,6 +34,7 @@
 	SETTINGS_ADDRESSES,
 	SETTINGS_SERVICE,
 	SETTINGS_TEXTS,
+	SETTINGS_NAMES,
 };
 
 /**
--- a/packages/proto/src/settings.c
+++ b/packages/proto/src/settings.c
@@ -6,7 +6,7 @@
 
 #include <jansson.h>
 
-#include "base/service_name.h"
+#include "base/name_id.h"
 #include "proto/settings.h"
 #include "proto/settings_key.h"
 #include "proto/suggest.h"
@@ -71,6 +71,12 @@
 	return v;
 }
 
+static void
+store_text(struct settings *s, const struct settings_key *k, const char *text)
+{
+	memcpy(field(s, k->offset), &text, sizeof(text));
+}
+
 static void
 set_defaults(struct settings *s)
 {
@@ -83,6 +89,8 @@
 		if (k->type == SETTINGS_PORT || k->type == SETTINGS_NUMBER ||
 		    k->type == SETTINGS_CHOICE)
 			store_number(s, k, k->initial);
+		else if (k->type == SETTINGS_SERVICE)
+			store_text(s, k, "");
 	}
 }
 
@@ -147,24 +155,30 @@
 static int
 set_name(struct settings *s, const struct settings_key *k, const char *text)
 {
-	size_t len = strlen(text);
-
-	if (len == 0 || len >= SETTINGS_NAME_BYTES)
-		return 0;
-	if (strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-") != len)
+	if (text[0] == '\0')
 		return 0;
-	memcpy(field(s, k->offset), text, len + 1);
+	(void)name_id(NAME_OF_HOST, text, field(s, k->offset));
 	return 1;
 }
 
+/* Whether a text can be the value of an HTTP header. */
+static bool
+fits_header(const char *text)
+{
+	size_t i, len = strlen(text);
+
+	for (i = 0; i < len; i++)
+		if (g_ascii_iscntrl(text[i]))
+			return false;
+	return len == 0 || (text[0] != ' ' && text[len - 1] != ' ');
+}
+
 static int
 set_service(struct settings *s, const struct settings_key *k, const char *text)
 {
-	size_t len = strlen(text);
-
-	if (len > 0 && !service_name_valid(text, len))
+	if (!fits_header(text))
 		return 0;
-	memcpy(field(s, k->offset), text, len + 1);
+	store_text(s, k, g_intern_string(text));
 	return 1;
 }
 
@@ -239,6 +253,26 @@
 	return 1;
 }
 
+static int
+set_names(struct settings *s, const struct settings_key *k, const json_t *v)
+{
+	char(*list)[NAME_ID_BYTES] = field(s, k->offset);
+	uint32_t n = (uint32_t)json_array_size(v);
+	const char *text;
+	uint32_t i;
+
+	if (!json_is_array(v) || json_array_size(v) > k->max)
+		return 0;
+	for (i = 0; i < n; i++) {
+		text = json_string_value(json_array_get(v, i));
+		if (text == NULL || *text == '\0')
+			return 0;
+		(void)name_id(NAME_OF_HOST, text, list[i]);
+	}
+	memcpy(field(s, k->count_offset), &n, sizeof(n));
+	return 1;
+}
+
 /* Stores a value; returns 0 when the value is not valid for the key. */
 static int
 set_value(struct settings *s, const struct settings_key *k, const json_t *v)
@@ -252,6 +286,8 @@
 		return set_number(s, k, v);
 	case SETTINGS_TEXTS:
 		return set_texts(s, k, v);
+	case SETTINGS_NAMES:
+		return set_names(s, k, v);
 	case SETTINGS_SERVICE:
 		return text != NULL && set_service(s, k, text);
 	case SETTINGS_ADDRESSES:
@@ -479,14 +515,37 @@
 	return array;
 }
 
+static json_t *
+print_names(const struct settings *s, const struct settings_key *k)
+{
+	const char(*list)[NAME_ID_BYTES] = field_const(s, k->offset);
+	json_t *array = json_array();
+	uint32_t i, n;
+
+	memcpy(&n, field_const(s, k->count_offset), sizeof(n));
+	for (i = 0; i < n; i++)
+		(void)json_array_append_new(array, json_string(list[i]));
+	return array;
+}
+
+static json_t *
+print_service(const struct settings *s, const struct settings_key *k)
+{
+	const char *name;
+
+	memcpy(&name, field_const(s, k->offset), sizeof(name));
+	return json_string(name);
+}
+
 static json_t *
 print_value(const struct settings *s, const struct settings_key *k)
 {
 	char text[ADDR_TEXT_BYTES];
 
 	switch (k->type) {
-	case SETTINGS_NAME:
 	case SETTINGS_SERVICE:
+		return print_service(s, k);
+	case SETTINGS_NAME:
 	case SETTINGS_URL:
 		return json_string(field_const(s, k->offset));
 	case SETTINGS_IPV4:
@@ -497,6 +556,8 @@
 		return print_addresses(s, k);
 	case SETTINGS_TEXTS:
 		return print_texts(s, k);
+	case SETTINGS_NAMES:
+		return print_names(s, k);
 	default:
 		return json_integer(load_number(s, k));
 	}
--- a/tools/gen_settings.py
+++ b/tools/gen_settings.py
@@ -22,12 +22,12 @@
 # A key with one of these units must end in the suffix.
 UNIT_SUFFIX = {"milliseconds": "_ms", "bytes": "_bytes"}
 TYPES = {"name", "ipv4", "port", "number", "url", "choice", "addresses",
-         "service", "texts"}
+         "service", "texts", "names"}
 NEEDED = {"key", "type", "doc", "remedy"}
 ALLOWED = {"name": {"required"}, "ipv4": {"required"}, "url": {"required"},
            "port": {"default"}, "number": {"unit", "min", "max", "default"},
            "choice": {"of", "default"}, "addresses": {"max"},
-           "service": {"default"}, "texts": {"max"}}
+           "service": {"default"}, "texts": {"max"}, "names": {"max"}}
 U32_MAX = (1 << 32) - 1
 PORT_MAX = 65535
 
@@ -76,7 +76,7 @@
     """Describe the values that a setting accepts."""
     kind = s["type"]
     if kind == "name":
-        return "a name of 1 to 31 characters a-z, 0-9 and -"
+        return "a name of at least one character"
     if kind == "ipv4":
         return "an IPv4 address like 10.0.0.1"
     if kind == "port":
@@ -88,9 +88,11 @@
         return f"a list of at most {s['max']} strings like 10.0.0.1:7400"
     if kind == "texts":
         return f"a list of at most {s['max']} strings of 1 to 127 characters"
+    if kind == "names":
+        return f"a list of at most {s['max']} names"
     if kind == "service":
-        return ("an empty string or a service's name: 1 to 31 bytes without "
-                "spaces, control characters, quotes, slashes and backslashes")
+        return ("an empty string or a service's name without control "
+                "characters and spaces at its ends")
     if kind == "choice":
         values = [f"\"{v['name']}\"" for v in choice(schema, s["of"])]
         return ", ".join(values[:-1]) + f" or {values[-1]}"
@@ -106,8 +108,10 @@
 
 def c_members(s):
     key, kind = s["key"], s["type"]
-    return {"name": [f"char {key}[SETTINGS_NAME_BYTES];"],
-            "service": [f"char {key}[SERVICE_NAME_BYTES];"],
+    return {"name": [f"char {key}[NAME_ID_BYTES];"],
+            "service": [f"const char *{key};"],
+            "names": [f"char {key}[{s.get('max')}][NAME_ID_BYTES];",
+                      f"uint32_t n_{key};"],
             "texts": [f"char {key}[{s.get('max')}][SETTINGS_TEXT_BYTES];",
                       f"uint32_t n_{key};"],
             "url": [f"char {key}[SETTINGS_URL_BYTES];"],
@@ -139,7 +143,7 @@
     lines = [f"struct settings - {schema['doc']}"]
     for s in schema["settings"]:
         lines.append(f"@{s['key']}: {s['doc']}")
-        if s["type"] in ("addresses", "texts"):
+        if s["type"] in ("addresses", "texts", "names"):
             lines.append(f"@n_{s['key']}: number of elements in @{s['key']}")
     members = [m for s in schema["settings"] for m in c_members(s)]
     return "\n".join([
@@ -148,9 +152,9 @@
         "#ifndef PROTO_GEN_SETTINGS_H", "#define PROTO_GEN_SETTINGS_H", "",
         "#include <stdint.h>", "",
         *[f'#include "{h}"' for h in headers],
-        '#include "base/service_name.h"', '#include "proto/addr.h"', "",
+        '#include "base/name_id.h"', '#include "proto/addr.h"', "",
         "/* Sizes of strings, including the terminating zero. */",
-        "#define SETTINGS_NAME_BYTES 32", "#define SETTINGS_URL_BYTES 256",
+        "#define SETTINGS_URL_BYTES 256",
         "#define SETTINGS_TEXT_BYTES 128",
         "", *[c_enum(c) for c in own], generate.kernel_doc(lines),
         "struct settings {", *members, "};", "", "#endif", ""])
@@ -193,7 +197,7 @@
     if kind == "number":
         parts += [f".min = {s['min']}", f".max = {s['max']}U",
                   f".initial = {s['default']}"]
-    if kind in ("addresses", "texts"):
+    if kind in ("addresses", "texts", "names"):
         parts += [f".max = {s['max']}",
                   f".count_offset = offsetof(struct settings, n_{key})"]
     if kind == "choice":
@@ -220,7 +224,7 @@
 def page_row(schema, s):
     if s.get("required"):
         default = "required"
-    elif s["type"] in ("addresses", "texts"):
+    elif s["type"] in ("addresses", "texts", "names"):
         default = "`[]`"
     else:
         default = f"`{json.dumps(s['default'])}`"
