fix(membership): names of instances are never cut short

Problem: an upstream whose instance name has 64 bytes or more never got a request: each was sent with the first 63 bytes of the name as its target, and answered 421. Its end wasn't recognised either, so a late heartbeat could bring it back. Solution: run names are interned strings. A node sees one name for each run of its own upstream, so they are few, and they pass between its threads without a copy.

--- a/packages/membership/include/membership/instances.h
+++ b/packages/membership/include/membership/instances.h
@@ -11,9 +11,6 @@
 
 #include <stdint.h>
 
-/* Size of an instance name, NUL included. */
-#define INSTANCE_BYTES 64
-
 /* Most runs kept. */
 #define INSTANCES_MAX 8
 
@@ -29,7 +26,7 @@
 
 /**
  * struct instance - one run
- * @id: its name; empty for an unused entry
+ * @id: its name, interned; NULL for an unused entry
  * @started_ms: start time by the clock of its upstream, 0 when unknown; only
  *	compared with other runs of the same upstream
  * @seq: highest sequence number received
@@ -37,7 +34,7 @@
  * @left: the run reported that it leaves
  */
 struct instance {
-	char id[INSTANCE_BYTES];
+	const char *id;
 	uint64_t started_ms;
 	uint64_t seq;
 	uint32_t heartbeats;
@@ -81,7 +78,7 @@
  */
 int instances_left(struct instances *s, const char *id, uint64_t started_ms);
 
-/** instances_current() - name of the current run, or "" */
+/** instances_current() - name of the current run, interned, or "" */
 const char *instances_current(const struct instances *s);
 
 /**
--- a/packages/membership/src/instances.c
+++ b/packages/membership/src/instances.c
@@ -25,7 +25,7 @@
 	int i;
 
 	for (i = 0; i < INSTANCES_MAX; i++)
-		if (strcmp(s->runs[i].id, id) == 0)
+		if (g_strcmp0(s->runs[i].id, id) == 0)
 			return i;
 	return -1;
 }
@@ -49,9 +49,9 @@
 static void
 init_run(struct instances *s, int i, const char *id, uint64_t started_ms)
 {
-	struct instance run = {.started_ms = started_ms};
+	struct instance run = {
+	    .id = g_intern_string(id), .started_ms = started_ms};
 
-	(void)g_strlcpy(run.id, id, sizeof(run.id));
 	s->runs[i] = run;
 }
 
@@ -154,6 +154,6 @@
 {
 	const struct instance *run = &s->runs[0];
 
-	return id[0] != '\0' && strcmp(run->id, id) == 0 &&
+	return id[0] != '\0' && g_strcmp0(run->id, id) == 0 &&
 	    !is_later(started_ms, run->started_ms);
 }
--- a/packages/node/include/node/guard.h
+++ b/packages/node/include/node/guard.h
@@ -27,13 +27,11 @@
 struct rollout_counts;
 struct settings;
 
-/* Size of an instance name, terminating NUL included. */
-#define GUARD_INSTANCE_BYTES 64
-
 /**
  * struct guard_endpoint - an upstream of this host
  * @service: name of the service
- * @instance: name that the upstream gave its current run; empty if unknown
+ * @instance: name that the upstream gave its current run, interned; empty if
+ *	unknown
  * @started_ms: start time of that run by the upstream's clock, 0 if unknown
  * @port: port that the upstream listens on, at this host's own address
  * @slots: maximum number of requests that run concurrently
@@ -43,7 +41,7 @@
  */
 struct guard_endpoint {
 	char service[SERVICE_NAME_BYTES];
-	char instance[GUARD_INSTANCE_BYTES];
+	const char *instance;
 	uint64_t started_ms;
 	uint16_t port;
 	uint32_t slots;
@@ -146,7 +144,7 @@
  * guard_leaving_fn - an upstream has reported in an answer that it leaves
  * @service: service of the upstream
  * @port: port of the upstream
- * @instance: name of its run; empty if unknown
+ * @instance: name of its run, interned; empty if unknown
  * @started_ms: start time of the run by the upstream's clock, 0 if unknown
  *
  * Called in the guard's thread.
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -62,10 +62,9 @@
 		list[n].port = e->port;
 		list[n].slots = e->slots;
 		list[n].state = (enum serving_state)e->state;
+		list[n].instance = "";
 		if (e->port == c->instance_port) {
-			(void)g_strlcpy(list[n].instance,
-			    instances_current(&c->instances),
-			    sizeof(list[n].instance));
+			list[n].instance = instances_current(&c->instances);
 			list[n].started_ms =
 			    instances_current_started_ms(&c->instances);
 		}
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -133,7 +133,7 @@
 	struct control *control;
 	char service[SERVICE_NAME_BYTES];
 	uint16_t port;
-	char instance[GUARD_INSTANCE_BYTES];
+	const char *instance;
 	uint64_t started_ms;
 };
 
@@ -164,7 +164,7 @@
 	t->control = c;
 	(void)g_strlcpy(t->service, service, sizeof(t->service));
 	t->port = port;
-	(void)g_strlcpy(t->instance, instance, sizeof(t->instance));
+	t->instance = instance;
 	t->started_ms = started_ms;
 	loop_post(c->loop, leaving_posted, t);
 }
--- a/packages/node/src/guard_report.c
+++ b/packages/node/src/guard_report.c
@@ -51,6 +51,7 @@
 void
 guard_report_init(struct guard_upstream *u)
 {
+	u->report.instance = "";
 	u->report.log_limit.per_s = LINES_PER_S;
 	u->report.log_limit.burst = LINES_PER_S;
 	u->report.status_log_limit = u->report.log_limit;
@@ -86,7 +87,7 @@
 	if (is_same_run(p, info))
 		return;
 	clear(u);
-	(void)g_strlcpy(p->instance, info->instance, sizeof(p->instance));
+	p->instance = info->instance;
 	p->started_ms = info->started_ms;
 	p->port = info->port;
 	p->run_id = run_id(info);
--- a/packages/node/src/guard_report.h
+++ b/packages/node/src/guard_report.h
@@ -21,7 +21,7 @@
 
 /**
  * struct guard_report - reports of an upstream's current run
- * @instance: name of the run; empty if unknown
+ * @instance: name of the run, interned; empty if unknown
  * @started_ms: start time of the run by the upstream's clock, 0 if unknown
  * @port: port of the run
  * @run: number of runs so far
@@ -36,7 +36,7 @@
  * @run_times: mean run time of the run's requests by route
  */
 struct guard_report {
-	char instance[GUARD_INSTANCE_BYTES];
+	const char *instance;
 	uint64_t started_ms;
 	uint16_t port;
 	uint32_t run;
--- a/packages/node/test/fixture_node.c
+++ b/packages/node/test/fixture_node.c
@@ -155,6 +155,7 @@
     const char *instance)
 {
 	struct guard_endpoint ep = {.service = "search",
+	    .instance = "",
 	    .port = port,
 	    .slots = 64,
 	    .state = state,
@@ -163,7 +164,7 @@
 		.queue_wait_ms = 1000,
 		.request_max_bytes = UINT64_C(1) << 31}};
 
-	(void)g_strlcpy(ep.instance, instance, sizeof(ep.instance));
+	ep.instance = g_intern_string(instance);
 	guard_set_endpoints(n->guard, &ep, 1);
 }
 
--- a/packages/node/test/test_call_departures.c
+++ b/packages/node/test/test_call_departures.c
@@ -445,6 +445,7 @@
 set_one_slot(void)
 {
 	struct guard_endpoint ep = {.service = "search",
+	    .instance = "",
 	    .port = upstream->port,
 	    .slots = 1,
 	    .state = SERVING_READY,
--- a/packages/node/test/test_call_path.c
+++ b/packages/node/test/test_call_path.c
@@ -284,6 +284,7 @@
 START_TEST(caller_over_its_limit_is_refused)
 {
 	struct guard_endpoint ep = {.service = "search",
+	    .instance = "",
 	    .slots = 8,
 	    .state = SERVING_READY,
 	    .limits = {.slots_per_endpoint = 8, .caller_calls_per_s = 2}};
--- a/packages/node/test/test_call_quarantine.c
+++ b/packages/node/test/test_call_quarantine.c
@@ -28,6 +28,7 @@
 start(void)
 {
 	struct guard_endpoint ep = {.service = "search",
+	    .instance = "",
 	    .slots = 1,
 	    .state = SERVING_READY,
 	    .limits = {.slots_per_endpoint = 1,
