fix(config): a service's name of any length comes into force

Problem: a version with a service name of 32 bytes or more, or with a space, a quote or a slash in it, was acknowledged to the operators and never in force at any node, nor was any later version that had the service: the old service ran requests of moved routes for good. Heartbeats of such a service, or of a long software version, were rejected: its upstream never got a request. Cause: service_name_valid() bounds a name by the 32 bytes that tables and messages have for it, and applied to what the platform sent: one name refused the whole version. Ruled out: a late feed and a slow spread (the readers' status rows name services[3].name at once, and no node has the version); the new route (the same version with a name of 10 characters is in force). Solution: the configuration, heartbeats, orders and the administration API convert names by name_id(), at the boundary; what is held and sent is an identifier, as before. Two names that are alike in their first bytes have different ones. A warning says under which identifier a service is listed. Not built: a rollout of a service or version with such a name is executed, but its status row has the identifier.

--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -176,8 +176,8 @@
 	name = json_require_string(service, "name", at, r->p);
 	if (name == NULL)
 		return;
-	service_name_check(name, strlen(name), &name_at, r->p);
-	g_strlcpy(d->m.service, name, sizeof(d->m.service));
+	(void)name_id(NAME_OF_SERVICE, name, d->m.service);
+	service_name_check(name, d->m.service, &name_at, r->p);
 	if (g_hash_table_contains(r->by_name, d->m.service))
 		problems_add(r->p, &name_at, "remove the duplicate",
 		    "duplicate service %s", d->m.service);
@@ -259,14 +259,13 @@
 {
 	struct doc_path at = {NULL, "name", DOC_PATH_NO_INDEX};
 
-	if (!service_name_valid(name, strlen(name)))
-		problems_add(r->p, &at,
-		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
-		    "invalid bundle name");
-	else if (!service_name_conventional(name, strlen(name)))
+	if (name[0] == '\0')
+		problems_add(r->p, &at, "use a-z, 0-9 and '-', a letter first",
+		    "empty bundle name");
+	else if (!service_name_conventional(name))
 		problems_warn(r->p, &at, "use a-z, 0-9 and '-', a letter first",
 		    "unconventional bundle name");
-	g_strlcpy(r->name, name, sizeof(r->name));
+	(void)name_id(NAME_OF_SERVICE, name, r->name);
 }
 
 void
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -194,7 +194,9 @@
     struct bundle_reader *r, const char *service, const struct doc_path *at)
 {
 	struct doc_path service_at = {at, "service", DOC_PATH_NO_INDEX};
-	struct draft *d = g_hash_table_lookup(r->by_name, service);
+	char id[NAME_ID_BYTES];
+	struct draft *d = g_hash_table_lookup(
+	    r->by_name, name_id(NAME_OF_SERVICE, service, id));
 
 	if (d == NULL)
 		problems_add(r->p, &service_at,
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -131,27 +131,29 @@
 }
 
 bool
-service_name_conventional(const char *name, size_t len)
+service_name_conventional(const char *name)
 {
-	size_t i;
+	const char *c;
 
-	for (i = 0; i < len; i++) {
-		if (!g_ascii_islower(name[i]) && !g_ascii_isdigit(name[i]) &&
-		    name[i] != '-')
+	for (c = name; *c != '\0'; c++) {
+		if (!g_ascii_islower(*c) && !g_ascii_isdigit(*c) && *c != '-')
 			return false;
 	}
 	return g_ascii_islower(name[0]);
 }
 
 void
-service_name_check(
-    const char *name, size_t len, const struct doc_path *at, struct problems *p)
+service_name_check(const char *name, const char *id, const struct doc_path *at,
+    struct problems *p)
 {
-	if (!service_name_valid(name, len))
-		problems_add(p, at,
+	if (name[0] == '\0')
+		problems_add(p, at, "use a-z, 0-9 and '-', a letter first",
+		    "empty service name");
+	else if (strcmp(name, id) != 0)
+		problems_warn(p, at,
 		    "use 1 to 31 of a-z, 0-9 and '-', a letter first",
-		    "invalid service name");
-	else if (!service_name_conventional(name, len))
+		    "service \"%s\" is listed as %s", name, id);
+	else if (!service_name_conventional(name))
 		problems_warn(p, at, "use a-z, 0-9 and '-', a letter first",
 		    "unconventional service name");
 }
@@ -494,9 +496,10 @@
 	uint32_t i;
 
 	contents_check(m, p);
-	if (strcmp(m->service, CUSTOMERS_SECTION) != 0)
-		service_name_check(
-		    m->service, strlen(m->service), &service_at, p);
+	if (strcmp(m->service, CUSTOMERS_SECTION) != 0 &&
+	    !service_name_valid(m->service, strlen(m->service)))
+		problems_add(p, &service_at, "use " SERVICE_NAME_RULE,
+		    "invalid service name");
 	for (rule = number_rules; rule->key != NULL; rule++) {
 		number_at.key = rule->key;
 		number_check(rule, number_load(rule, m), &number_at, p);
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -70,14 +70,14 @@
 void number_check(const struct number_rule *rule, uint64_t value,
     const struct doc_path *at, struct problems *p);
 
-/** service_name_conventional() - whether a valid name has only the recommended
+/** service_name_conventional() - whether a name has only the recommended
  * characters */
-bool service_name_conventional(const char *name, size_t len);
+bool service_name_conventional(const char *name);
 
-/** service_name_check() - record an invalid name of a service as a problem, an
- * unconventional one as a warning */
-void service_name_check(const char *name, size_t len, const struct doc_path *at,
-    struct problems *p);
+/** service_name_check() - record an empty name of a service as a problem; as a
+ * warning an unconventional one, or one that is not its own identifier @id */
+void service_name_check(const char *name, const char *id,
+    const struct doc_path *at, struct problems *p);
 
 /** prefix_check() - record an invalid prefix as a problem, one that upstreams
  * may interpret differently from the route as a warning */
--- a/packages/node/src/admin_upstreams.c
+++ b/packages/node/src/admin_upstreams.c
@@ -127,17 +127,18 @@
 void
 admin_upstreams(struct admin_call *call)
 {
-	const char *service = call->path + strlen("upstreams/");
+	const char *name = call->path + strlen("upstreams/");
+	char service[NAME_ID_BYTES];
 
+	(void)name_id(NAME_OF_SERVICE, name, service);
 	if (!from_own_host(call))
 		admin_call_fail(call, STATUS_INVALID,
 		    "Upstreams announce themselves to the node of their own "
 		    "host only.",
 		    "Send this to the node of the upstream's host.", 0);
-	else if (!service_name_valid(service, strlen(service)))
+	else if (service[0] == '\0')
 		admin_call_fail(call, STATUS_INVALID,
-		    "The name of the service is not valid.",
-		    "Use " SERVICE_NAME_RULE ".", 0);
+		    "The path names no service.", "See docs/API.md.", 0);
 	else if (strcmp(call->method, "PUT") == 0)
 		upstream_announce(call, service);
 	else if (strcmp(call->method, "DELETE") == 0)
