fix(config): prefixes and hosts of any length that a request can have

Problem: a route with a prefix of 256 bytes or a host of 128 refused its whole version and all later ones, as a service's name did. Cause: records of routes had places of 256 and 128 bytes, on the wire, while a bundle is read and in the lookup. Evidence: the users' measurement (a prefix of 302 and a host of 145 don't come in force). prefixes_and_hosts_of_any_length_are_served: lengths from 2 to 12,000; a path that differs in the last byte of the prefix is answered 404. Solution: both are counted texts. The bound is 65,535 bytes, above any path or host that a node takes from a caller. A lookup copies no more of a path than the longest prefix has, on the stack up to 384 bytes. A section that one route makes larger than 32 KiB is taken up to 512 KiB. Encoding of shorter texts is unchanged, so older nodes read them; an older node refuses a section with a longer one and stays at its version.

--- a/packages/config/include/config/section.h
+++ b/packages/config/include/config/section.h
@@ -11,12 +11,16 @@
 #include "config/service.h"
 
 /*
- * Largest section: about 400 routes with hosts and prefixes of usual length.
- * A node decodes up to this many bytes to change one route; each section adds
- * 100 bytes to the list of a version.
+ * Size above which a section is split: about 400 routes with hosts and prefixes
+ * of usual length.  A node decodes up to this many bytes to change one route;
+ * each section adds 100 bytes to the list of a version.
  */
 #define SECTION_MAX_BYTES 32768
 
+/* Largest section that is decoded: routes of one host and prefix, which can't
+ * be split, a route for each method, with the longest texts. */
+#define SECTION_DECODE_MAX_BYTES (UINT32_C(512) << 10)
+
 /* Largest sum of the sections of one version: 57,000 routes take 3 MiB with
  * hosts and prefixes of usual length, 24 MiB with the longest ones. */
 #define CONFIG_MAX_BYTES (UINT64_C(32) << 20)
--- a/packages/config/include/config/service.h
+++ b/packages/config/include/config/service.h
@@ -16,11 +16,10 @@
 #include "base/status.h"
 #include "config/customer.h"
 
-/* Longest prefix, including the terminating NUL. */
-#define ROUTE_PREFIX_BYTES 256
-
-/* Longest host of a route, including the terminating NUL. */
-#define ROUTE_HOST_BYTES 128
+/* Longest prefix and longest host; no request that a node takes has a longer
+ * path or host. */
+#define ROUTE_PREFIX_MAX_BYTES 65535
+#define ROUTE_HOST_MAX_BYTES 65535
 
 /* Longest name of a section, including the NUL: the name of a service and of a
  * part, which has up to 24 characters. */
--- a/packages/config/src/bundle_read.c
+++ b/packages/config/src/bundle_read.c
@@ -8,6 +8,9 @@
 
 #define SEE_BUNDLE_DOCS "see docs/BUNDLES.md"
 
+/* Hosts and prefixes of some hundred routes. */
+#define TEXTS_CHUNK_BYTES 16384
+
 static void
 draft_free(void *data)
 {
@@ -23,6 +26,7 @@
 {
 	memset(r, 0, sizeof(*r));
 	r->p = p;
+	r->texts = g_string_chunk_new(TEXTS_CHUNK_BYTES);
 	r->drafts = g_ptr_array_new_with_free_func(draft_free);
 	r->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	r->claims =
@@ -37,6 +41,7 @@
 	g_hash_table_unref(r->claims);
 	g_hash_table_unref(r->by_name);
 	g_ptr_array_unref(r->drafts);
+	g_string_chunk_free(r->texts);
 }
 
 void
--- a/packages/config/src/bundle_read.h
+++ b/packages/config/src/bundle_read.h
@@ -25,6 +25,7 @@
  * struct bundle_reader - state while a bundle is read
  * @p: problems found so far
  * @name: name of the bundle
+ * @texts: hosts and prefixes of the routes
  * @drafts: struct draft, in the order of the bundle
  * @by_name: maps the name of a service to its draft; borrowed
  * @claims: maps host and prefix to struct claim: which route claims which
@@ -38,6 +39,7 @@
 struct bundle_reader {
 	struct problems *p;
 	char name[BUNDLE_NAME_BYTES];
+	GStringChunk *texts;
 	GPtrArray *drafts;
 	GHashTable *by_name;
 	GHashTable *claims;
--- a/packages/config/src/bundle_routes.c
+++ b/packages/config/src/bundle_routes.c
@@ -85,7 +85,8 @@
 static struct claim *
 get_claim(struct bundle_reader *r, const struct rec_section_route *route)
 {
-	char *key = g_strdup_printf("%s%s%s", route->host, route->prefix,
+	char *key = g_strdup_printf("%.*s%.*s%s", (int)route->host_len,
+	    route->host, (int)route->prefix_len, route->prefix,
 	    route->below ? CLAIM_BELOW_SUFFIX : "");
 	struct claim *claim = g_hash_table_lookup(r->claims, key);
 
@@ -109,7 +110,6 @@
 {
 	struct claim *claim = get_claim(r, route);
 	uint32_t methods = route->methods;
-	const char *prefix = route->prefix;
 	unsigned int m;
 
 	claim->weighted = claim->weighted && route->weight > 0;
@@ -118,8 +118,9 @@
 			continue;
 		if (claim->route[m] != 0 && !claim->weighted)
 			problems_add(r->p, at, "remove one of the two routes",
-			    "routes[%u] claims %s %s already",
-			    claim->route[m] - 1, method_name(m), prefix);
+			    "routes[%u] claims %s %.*s already",
+			    claim->route[m] - 1, method_name(m),
+			    (int)route->prefix_len, route->prefix);
 		else
 			claim->route[m] = at->index + 1;
 	}
@@ -138,7 +139,7 @@
 static void
 normalize_prefix(struct rec_section_route *route)
 {
-	size_t len = strlen(route->prefix);
+	uint32_t len = route->prefix_len;
 
 	if (len == 1)
 		route->below = false;
@@ -146,7 +147,16 @@
 		return;
 	route->below = route->prefix[len - 2] != '/';
 	if (route->below)
-		route->prefix[len - 1] = '\0';
+		route->prefix_len--;
+}
+
+/* Copies a text, which lives as long as the reader. */
+static void
+set_text(struct bundle_reader *r, const char *text, const char **out,
+    uint32_t *out_len)
+{
+	*out_len = (uint32_t)strlen(text);
+	*out = g_string_chunk_insert_len(r->texts, text, (gssize)*out_len);
 }
 
 static void
@@ -156,7 +166,7 @@
 	struct doc_path prefix_at = {at, "prefix", DOC_PATH_NO_INDEX};
 
 	prefix_check(prefix, strlen(prefix), &prefix_at, r->p);
-	(void)g_strlcpy(out->prefix, prefix, sizeof(out->prefix));
+	set_text(r, prefix, &out->prefix, &out->prefix_len);
 	normalize_prefix(out);
 }
 
@@ -167,8 +177,9 @@
 	struct doc_path host_at = {at, "host", DOC_PATH_NO_INDEX};
 	char *host = host_normalize(text, &host_at, r->p);
 
-	host_check(host, &host_at, r->p);
-	(void)g_strlcpy(out->host, host, sizeof(out->host));
+	host_check(host, strlen(host), &host_at, r->p);
+	out->host_len = (uint32_t)strlen(host);
+	out->host = g_string_chunk_insert_const(r->texts, host);
 	g_free(host);
 }
 
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -64,17 +64,16 @@
 static uint32_t
 route_hash_bits(const struct rec_section_route *route)
 {
-	uint64_t h = hash64(route->host, strlen(route->host), PART_HASH_SEED);
+	uint64_t h = hash64(route->host, route->host_len, PART_HASH_SEED);
 
-	h = hash64(route->prefix, strlen(route->prefix), h);
+	h = hash64(route->prefix, route->prefix_len, h);
 	return (uint32_t)(h >> (64 - PART_BITS_MAX));
 }
 
 static uint32_t
 route_bytes(const struct rec_section_route *route)
 {
-	return ROUTE_FIXED_BYTES +
-	    (uint32_t)(strlen(route->prefix) + strlen(route->host));
+	return ROUTE_FIXED_BYTES + route->prefix_len + route->host_len;
 }
 
 static uint32_t
--- a/packages/config/src/patch.c
+++ b/packages/config/src/patch.c
@@ -186,7 +186,7 @@
 
 	if ((uint64_t)hunk->from + hunk->base_bytes > base->len ||
 	    *used + (uint64_t)hunk->data_bytes > patch->data_len ||
-	    result->len + len > SECTION_MAX_BYTES)
+	    result->len + len > SECTION_DECODE_MAX_BYTES)
 		return false;
 	g_byte_array_append(result, base->data + hunk->from, hunk->base_bytes);
 	g_byte_array_append(result, patch->data + *used, hunk->data_bytes);
--- a/packages/config/src/route_table.c
+++ b/packages/config/src/route_table.c
@@ -6,6 +6,9 @@
 
 #include "route_table.h"
 
+/* Hosts and paths up to this size need no allocation for a lookup. */
+#define TEXT_STACK_BYTES 384
+
 /* Replaces bytes at or below ROUTE_SLASH in a path. */
 #define ROUTE_CONTROL '\2'
 
@@ -193,6 +196,22 @@
 	return STATUS_OK;
 }
 
+static void
+set_longest_texts(struct route_table *t, const GPtrArray *sections)
+{
+	const struct service_config *sc;
+	uint32_t i, j;
+
+	for (i = 0; i < sections->len; i++) {
+		sc = g_ptr_array_index(sections, i);
+		for (j = 0; j < sc->n_routes; j++) {
+			t->host_max = MAX(t->host_max, sc->routes[j].host_len);
+			t->prefix_max =
+			    MAX(t->prefix_max, sc->routes[j].prefix_len);
+		}
+	}
+}
+
 enum status
 route_table_new(const GPtrArray *sections, struct route_table **table)
 {
@@ -214,6 +233,7 @@
 	t->text_bytes = text->len;
 	t->text = g_string_free(text, FALSE);
 	g_array_unref(drafts);
+	set_longest_texts(t, sections);
 	link_parents(t);
 	st = check_overlap(t, sections);
 	if (st != STATUS_OK) {
@@ -318,19 +338,20 @@
     bool *path_matched)
 {
 	const struct route_entry *found = NULL;
-	char text[ROUTE_HOST_BYTES + ROUTE_PREFIX_BYTES];
+	char buf[TEXT_STACK_BYTES], *text = buf;
 	uint32_t i, len, at;
 
 	*path_matched = false;
 	if (path_len == 0 || path[0] != '/')
 		return NULL;
-	at = host_len < ROUTE_HOST_BYTES ? (uint32_t)host_len : 0;
+	at = host_len <= t->host_max ? (uint32_t)host_len : 0;
+	/* The text includes the byte after the longest prefix, which shows
+	 * whether a segment ends there. */
+	len = (uint32_t)MIN(path_len, (size_t)t->prefix_max + 1);
+	if (at + len > sizeof(buf))
+		text = g_malloc(at + len);
 	for (i = 0; i < at; i++)
 		text[i] = g_ascii_tolower(host[i]);
-	/* A prefix has fewer than ROUTE_PREFIX_BYTES bytes, so the text
-	 * includes the byte after the prefix, which shows whether a segment
-	 * ends there. */
-	len = (uint32_t)MIN(path_len, ROUTE_PREFIX_BYTES);
 	for (i = 0; i < len; i++)
 		text[at + i] = map_char(path[i]);
 	if (at > 0)
@@ -339,6 +360,8 @@
 	if (found == NULL)
 		found = find_longest_prefix(
 		    t, method, text + at, len, false, path_matched);
+	if (text != buf)
+		g_free(text);
 	return found;
 }
 
--- a/packages/config/src/route_table.h
+++ b/packages/config/src/route_table.h
@@ -51,6 +51,8 @@
  * @entries: entries, sorted
  * @text: hosts and prefixes, with '/' mapped to ROUTE_SLASH
  * @text_bytes: length of @text
+ * @host_max: length of the longest host
+ * @prefix_max: length of the longest prefix
  */
 struct route_table {
 	_Atomic uint32_t refs;
@@ -58,6 +60,8 @@
 	struct route_entry *entries;
 	char *text;
 	size_t text_bytes;
+	uint32_t host_max;
+	uint32_t prefix_max;
 };
 
 /* Replaces '/', to sort before all other characters of prefixes. */
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -236,8 +236,8 @@
 {
 	size_t n = prefix_find_invalid(prefix, len, prefix_char_valid);
 
-	if (len == 0 || len >= ROUTE_PREFIX_BYTES || prefix[0] != '/')
-		problems_add(p, at, "use 1 to 255 characters, '/' first",
+	if (len == 0 || len > ROUTE_PREFIX_MAX_BYTES || prefix[0] != '/')
+		problems_add(p, at, "use 1 to 65535 bytes, '/' first",
 		    "invalid path prefix");
 	else if (n > 0)
 		problems_add(p, at,
@@ -273,16 +273,17 @@
 }
 
 void
-host_check(const char *host, const struct doc_path *at, struct problems *p)
+host_check(
+    const char *host, size_t len, const struct doc_path *at, struct problems *p)
 {
-	const char *c;
+	size_t i;
 
-	for (c = host; *c != '\0'; c++)
-		if (!g_ascii_islower(*c) && !g_ascii_isdigit(*c) &&
-		    strchr("-._", *c) == NULL)
+	for (i = 0; i < len; i++)
+		if (!g_ascii_islower(host[i]) && !g_ascii_isdigit(host[i]) &&
+		    strchr("-._", host[i]) == NULL)
 			break;
-	if (*c != '\0' || strlen(host) >= ROUTE_HOST_BYTES)
-		problems_add(p, at, "use at most 127 of a-z, 0-9 and \"-._\"",
+	if (i < len || len > ROUTE_HOST_MAX_BYTES)
+		problems_add(p, at, "use at most 65535 of a-z, 0-9 and \"-._\"",
 		    "invalid host");
 }
 
@@ -315,6 +316,16 @@
 	return normalized;
 }
 
+/* Byte order of two texts; a text sorts before its extensions. */
+static int
+text_compare(const char *a, uint32_t a_len, const char *b, uint32_t b_len)
+{
+	uint32_t shared = MIN(a_len, b_len);
+	int order = shared > 0 ? memcmp(a, b, shared) : 0;
+
+	return order != 0 ? order : (a_len > b_len) - (a_len < b_len);
+}
+
 /* Order of two routes by what they match, without their methods. */
 static int
 route_match_compare(
@@ -322,9 +333,10 @@
 {
 	int order;
 
-	order = strcmp(x->host, y->host);
+	order = text_compare(x->host, x->host_len, y->host, y->host_len);
 	if (order == 0)
-		order = strcmp(x->prefix, y->prefix);
+		order = text_compare(
+		    x->prefix, x->prefix_len, y->prefix, y->prefix_len);
 	return order != 0 ? order : (int)x->below - (int)y->below;
 }
 
@@ -382,8 +394,8 @@
 	struct doc_path number_at = {at, NULL, DOC_PATH_NO_INDEX};
 	const struct number_rule *rule;
 
-	prefix_check(route->prefix, strlen(route->prefix), &prefix_at, p);
-	host_check(route->host, &host_at, p);
+	prefix_check(route->prefix, route->prefix_len, &prefix_at, p);
+	host_check(route->host, route->host_len, &host_at, p);
 	methods_check(route->methods, route->idempotent, at, p);
 	for (rule = route_rules; rule->key != NULL; rule++) {
 		number_at.key = rule->key;
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -85,8 +85,8 @@
     struct problems *p);
 
 /** host_check() - record an invalid host of a route; an empty host is valid */
-void
-host_check(const char *host, const struct doc_path *at, struct problems *p);
+void host_check(const char *host, size_t len, const struct doc_path *at,
+    struct problems *p);
 
 /**
  * host_normalize() - convert a host to the form used for matching
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -22,8 +22,8 @@
 		size +=
 		    m->customers[i].keys_len + strlen(m->customers[i].name) + 1;
 	for (i = 0; i < m->n_routes; i++)
-		size += strlen(m->routes[i].prefix) + 1 +
-		    strlen(m->routes[i].host) + 1;
+		size += (size_t)m->routes[i].prefix_len + 1 +
+		    m->routes[i].host_len + 1;
 	return size;
 }
 
@@ -45,11 +45,12 @@
 
 /* Copy a text into the space after the routes; Return: end of the copy. */
 static char *
-config_set_text(char *at, const char *text, const char **out, uint32_t *out_len)
+config_set_text(char *at, const char *text, uint32_t len, const char **out,
+    uint32_t *out_len)
 {
-	uint32_t len = (uint32_t)strlen(text);
-
-	memcpy(at, text, len + 1);
+	if (len > 0)
+		memcpy(at, text, len);
+	at[len] = '\0';
 	*out = at;
 	*out_len = len;
 	return at + len + 1;
@@ -68,10 +69,10 @@
 	route->priority = from->priority;
 	route->attempts = from->attempts;
 	route->keyless = from->keyless;
-	text = config_set_text(
-	    text, from->prefix, &route->prefix, &route->prefix_len);
+	text = config_set_text(text, from->prefix, from->prefix_len,
+	    &route->prefix, &route->prefix_len);
 	return config_set_text(
-	    text, from->host, &route->host, &route->host_len);
+	    text, from->host, from->host_len, &route->host, &route->host_len);
 }
 
 /* Copies keys and name into the space after the customers; Return: end of the
@@ -91,8 +92,8 @@
 	customer->n_keys = from->keys_len / CUSTOMER_KEY_BYTES;
 	if (from->keys_len > 0)
 		memcpy(text, from->keys, from->keys_len);
-	return config_set_text(
-	    text + from->keys_len, from->name, &customer->info.name, &len);
+	return config_set_text(text + from->keys_len, from->name,
+	    (uint32_t)strlen(from->name), &customer->info.name, &len);
 }
 
 /* Customers lie after the routes, and the texts of both after them. */
@@ -233,11 +234,11 @@
 	enum status st;
 
 	*config = NULL;
-	if (len > SECTION_MAX_BYTES)
+	if (len > SECTION_DECODE_MAX_BYTES)
 		return status_set(STATUS_TOO_LARGE,
 		    "A section has %zu bytes, at most %u are taken; split the "
 		    "service.",
-		    len, SECTION_MAX_BYTES);
+		    len, SECTION_DECODE_MAX_BYTES);
 	st = msg_section_decode(data, len, &m);
 	if (st != STATUS_OK)
 		return st;
--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -18,8 +18,8 @@
 #include "proto/codec.h"
 
 /* Maximum bytes of a text or binary field, maximum elements of a list. */
-#define REC_SECTION_ROUTE_PREFIX_MAX 255
-#define REC_SECTION_ROUTE_HOST_MAX 127
+#define REC_SECTION_ROUTE_PREFIX_MAX 65535
+#define REC_SECTION_ROUTE_HOST_MAX 65535
 #define REC_SECTION_CUSTOMER_NAME_MAX 127
 #define REC_SECTION_CUSTOMER_KEYS_MAX 16384
 #define REC_SECTION_CHANGE_SECTION_MAX 63
@@ -37,12 +37,15 @@
 
 /**
  * struct rec_section_route - One route to the section's service.
- * @prefix: path prefix, matched at segment boundaries
+ * @prefix: path prefix, matched at segment boundaries; borrowed, not
+ * 	zero-terminated
+ * @prefix_len: number of bytes in @prefix
  * @methods: HTTP methods, one bit each: METHOD_BIT() of
  * 	config/service.h
  * @idempotent: whether a request may be executed more than once
  * @host: host name in the caller's request, in lower case; empty for
- * 	any
+ * 	any; borrowed, not zero-terminated
+ * @host_len: number of bytes in @host
  * @below: whether only paths below the prefix match, not the prefix
  * 	itself
  * @weight: weight of this service where several services share the
@@ -55,10 +58,12 @@
  * @keyless: whether requests need no customer key
  */
 struct rec_section_route {
-	char prefix[256];
+	const char *prefix;
+	uint32_t prefix_len;
 	uint32_t methods;
 	bool idempotent;
-	char host[128];
+	const char *host;
+	uint32_t host_len;
 	bool below;
 	uint32_t weight;
 	uint32_t timeout_ms;
--- a/packages/proto/include/proto/gen/spread.h
+++ b/packages/proto/include/proto/gen/spread.h
@@ -19,9 +19,9 @@
 #include "proto/gen/config.h"
 
 /* Maximum bytes of a text or binary field, maximum elements of a list. */
-#define REC_SECTION_DATA_DATA_MAX 32768
+#define REC_SECTION_DATA_DATA_MAX 524288
 #define REC_SECTION_PATCH_HUNKS_MAX 1024
-#define REC_SECTION_PATCH_DATA_MAX 32768
+#define REC_SECTION_PATCH_DATA_MAX 524288
 #define MSG_PULL_AFTER_MAX 63
 #define MSG_DELTA_CHANGES_MAX 2048
 #define MSG_DELTA_SECTIONS_MAX 2048
--- a/packages/proto/src/gen/config.c
+++ b/packages/proto/src/gen/config.c
@@ -7,8 +7,9 @@
 
 static const struct codec_field rec_section_route_fields[] = {
     {.name = "prefix",
-	.kind = CODEC_STR,
+	.kind = CODEC_TEXT,
 	.offset = offsetof(struct rec_section_route, prefix),
+	.len_offset = offsetof(struct rec_section_route, prefix_len),
 	.max = REC_SECTION_ROUTE_PREFIX_MAX},
     {.name = "methods",
 	.kind = CODEC_U32,
@@ -17,8 +18,9 @@
 	.kind = CODEC_BOOL,
 	.offset = offsetof(struct rec_section_route, idempotent)},
     {.name = "host",
-	.kind = CODEC_STR,
+	.kind = CODEC_TEXT,
 	.offset = offsetof(struct rec_section_route, host),
+	.len_offset = offsetof(struct rec_section_route, host_len),
 	.max = REC_SECTION_ROUTE_HOST_MAX},
     {.name = "below",
 	.kind = CODEC_BOOL,
