fix(guard): surplus bytes don't decide whether a booking is repeated

Problem: bookings ran at two upstreams, or were answered 503 though they had run. Cause: an upstream may send additional bytes after a complete answer. If they came as a booking was sent on the kept connection, an answer without a request's id was taken for the booking's, and its "not executed" was believed. Ruled out: a second attempt after a lost answer (both runs have the same id and the first one's answer is complete); answers with the id of an earlier request, which were skipped already. Solution: an answer without an id is taken only as the first on its connection, where it can't belong to anything else; otherwise it is skipped, as one with another id, and the call waits for its own.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -181,6 +181,10 @@
 /** http_client_idle() - number of idle keep-alive connections */
 uint32_t http_client_idle(const struct http_client *client);
 
+/** http_call_is_first() - whether the connection of a call has delivered no
+ * other answer, so that this one can only be the call's; valid in on_head() */
+bool http_call_is_first(const struct http_call *call);
+
 /** http_call_sent() - whether a part of the request may have left */
 bool http_call_sent(const struct http_call *call);
 
--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -505,3 +505,11 @@
 	call->conn = c;
 	start_request(c);
 }
+
+bool
+http_call_is_first(const struct http_call *call)
+{
+	const struct http_conn *c = call->conn;
+
+	return !c->used && !c->surplus;
+}
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -66,25 +66,43 @@
 		    retry_after, SHED_RETRY_MAX_MS, &r->shed_retry_ms);
 }
 
-/* Whether the answer carries the id of a request other than @r. */
-static bool
-answers_other_request(const struct guard_request *r,
-    const struct http_header *headers, uint32_t n)
+/* Id that the caller gave the request; NULL if there is none. */
+static const char *
+caller_id(const struct guard_request *r)
 {
 	const struct call_dialect *d = r->guard->dialect;
 	const struct rec_header *h;
-	const char *named;
 	uint32_t i;
 
 	if (!d->caller_sets_request_id)
-		return false;
-	named = find_header(headers, n, d->request_id);
-	for (i = 0; named != NULL && i < call_headers_count(&r->headers); i++) {
+		return NULL;
+	for (i = 0; i < call_headers_count(&r->headers); i++) {
 		h = call_headers_at(&r->headers, i);
 		if (g_ascii_strcasecmp(h->name, d->request_id) == 0)
-			return strcmp(h->value, named) != 0;
+			return h->value;
 	}
-	return false;
+	return NULL;
+}
+
+/*
+ * Whether the answer may belong to a request other than @r.  Upstreams echo the
+ * id.  An answer without one that follows another answer on the connection may
+ * be surplus bytes of an upstream, whose statement must not decide whether a
+ * request is repeated.
+ */
+static bool
+answers_other_request(const struct guard_request *r,
+    const struct http_call *call, const struct http_header *headers, uint32_t n)
+{
+	const char *id = caller_id(r);
+	const char *named;
+
+	if (id == NULL)
+		return false;
+	named = find_header(headers, n, r->guard->dialect->request_id);
+	if (named == NULL)
+		return !http_call_is_first(call);
+	return strcmp(id, named) != 0;
 }
 
 /* A success that is unsigned or encoded is not the upstream's own, unaltered
@@ -162,11 +180,10 @@
 	struct guard_request *r = arg;
 	struct guard_answer *a = r->answer;
 
-	(void)call;
-	if (answers_other_request(r, headers, n)) {
+	if (answers_other_request(r, call, headers, n)) {
 		log_info("request id=%s service=%s: answer to another request "
-			 "ignored",
-		    r->caller_request_id, r->upstream->info.service);
+			 "ignored, status=%d",
+		    r->caller_request_id, r->upstream->info.service, code);
 		return HTTP_SKIP;
 	}
 	if (reports_not_run(r->guard->dialect, code, headers, n)) {
