fix(control): one upstream at a port

Problem: after a booking endpoint crashed and a search endpoint took its address, its node went on to announce the booking endpoint until the lease ended, and bookings were run by the search endpoint. Cause: each announcement at the port got the id of the current run, also that of another service, so the upstream's own check of its id didn't refuse the requests. Evidence: an_address_that_passes_to_another_service_leaves_the_first failed before: 200 instead of 503. Solution: when a new run is of another service than the one announced at its port, the earlier one is withdrawn at once; and a run's id goes only to its own service.

--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -63,7 +63,8 @@
 		list[n].slots = e->slots;
 		list[n].state = (enum serving_state)e->state;
 		list[n].instance = "";
-		if (e->port == c->instance_port) {
+		if (e->port == c->instance_port &&
+		    strcmp(e->service, c->instance_service) == 0) {
 			list[n].instance = instances_current(&c->instances);
 			list[n].started_ms =
 			    instances_current_started_ms(&c->instances);
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -63,6 +63,39 @@
 	return STATUS_OK;
 }
 
+/* Service of an upstream at the port of a heartbeat that is not the
+ * heartbeat's own; NULL if there is none. */
+static const char *
+other_service_at_port(
+    const struct control *c, const struct upstream_heartbeat *b)
+{
+	const struct member *own = membership_self(c->membership);
+	const struct member_endpoint *e;
+	uint32_t i;
+
+	for (i = 0; i < own->n_endpoints; i++) {
+		e = &own->endpoints[i];
+		if (e->port == b->address.port && e->state != ENDPOINT_LEFT &&
+		    strcmp(e->service, b->service) != 0)
+			return e->service;
+	}
+	return NULL;
+}
+
+/* Only one process listens at a port: when the current run is of another
+ * service, the upstream that was announced there is gone. */
+static void
+withdraw_replaced(struct control *c, const struct upstream_heartbeat *b)
+{
+	const char *service = other_service_at_port(c, b);
+
+	if (service == NULL)
+		return;
+	log_info("upstream of %s at port %u is withdrawn: %s has its port",
+	    service, b->address.port, b->service);
+	(void)control_withdraw(c, service, b->address.port);
+}
+
 enum status
 control_heartbeat(
     struct control *c, const char *instance, const struct upstream_heartbeat *b)
@@ -86,6 +119,7 @@
 	is_new_process |=
 	    instances_current_started_ms(&c->instances) != previous_started_ms;
 	if (is_new_process) {
+		withdraw_replaced(c, b);
 		(void)membership_set_leaving(c->membership, control_now(c),
 		    b->service, b->address.port, 0);
 		log_info("%s of %s, started %" G_GUINT64_FORMAT
