fix(config): an unusual host of a route is a warning

Problem: a host with a character other than a-z, 0-9, '-', '.' and '_' refused its whole version, and all later ones. Cause: a rule of our taste was a refusal. Evidence: three rows of test_bundle, two of which asked for the refusal before; they ask for one warning and a version that can be committed. Spaces and slashes, which no Host header has, are refused as before, by two new rows. Solution: the host is compared as it is written.

--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -176,12 +176,12 @@
 
 /* Position, from 1, of the first character that is not valid; 0 if all are. */
 static size_t
-prefix_find_invalid(const char *prefix, size_t len, bool (*is_valid)(char ch))
+find_invalid_char(const char *text, size_t len, bool (*is_valid)(char ch))
 {
 	size_t i;
 
 	for (i = 0; i < len; i++) {
-		if (!is_valid(prefix[i]))
+		if (!is_valid(text[i]))
 			return i + 1;
 	}
 	return 0;
@@ -217,7 +217,7 @@
 prefix_check_portable(const char *prefix, size_t len, const struct doc_path *at,
     struct problems *p)
 {
-	size_t n = prefix_find_invalid(prefix, len, prefix_char_portable);
+	size_t n = find_invalid_char(prefix, len, prefix_char_portable);
 
 	if (n > 0)
 		problems_warn(p, at,
@@ -234,7 +234,7 @@
 prefix_check(const char *prefix, size_t len, const struct doc_path *at,
     struct problems *p)
 {
-	size_t n = prefix_find_invalid(prefix, len, prefix_char_valid);
+	size_t n = find_invalid_char(prefix, len, prefix_char_valid);
 
 	if (len == 0 || len > ROUTE_PREFIX_MAX_BYTES || prefix[0] != '/')
 		problems_add(p, at, "use 1 to 65535 bytes, '/' first",
@@ -272,19 +272,32 @@
 		    "other methods");
 }
 
+/* Whether a Host header may contain a character, in lower case. */
+static bool
+host_char_valid(char ch)
+{
+	return (unsigned char)ch > ' ' && ch != '\x7f' && ch != '/' &&
+	    !g_ascii_isupper(ch);
+}
+
+static bool
+host_char_usual(char ch)
+{
+	return g_ascii_islower(ch) || g_ascii_isdigit(ch) ||
+	    (ch != '\0' && strchr("-._", ch) != NULL);
+}
+
 void
 host_check(
     const char *host, size_t len, const struct doc_path *at, struct problems *p)
 {
-	size_t i;
-
-	for (i = 0; i < len; i++)
-		if (!g_ascii_islower(host[i]) && !g_ascii_isdigit(host[i]) &&
-		    strchr("-._", host[i]) == NULL)
-			break;
-	if (i < len || len > ROUTE_HOST_MAX_BYTES)
+	if (len > ROUTE_HOST_MAX_BYTES ||
+	    find_invalid_char(host, len, host_char_valid) > 0)
 		problems_add(p, at, "use at most 65535 of a-z, 0-9 and \"-._\"",
 		    "invalid host");
+	else if (find_invalid_char(host, len, host_char_usual) > 0)
+		problems_warn(p, at, "use a-z, 0-9 and \"-._\"",
+		    "unusual host, compared as it is written");
 }
 
 /* Length of a host without its port. */
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -84,7 +84,8 @@
 void prefix_check(const char *prefix, size_t len, const struct doc_path *at,
     struct problems *p);
 
-/** host_check() - record an invalid host of a route; an empty host is valid */
+/** host_check() - record an invalid host of a route as a problem, an unusual
+ * one as a warning; an empty host is valid */
 void host_check(const char *host, size_t len, const struct doc_path *at,
     struct problems *p);
 
--- a/packages/config/test/test_bundle.c
+++ b/packages/config/test/test_bundle.c
@@ -83,9 +83,9 @@
     {ROUTES(ROUTE("/", "'GET'") ",{'prefix':'/','below':true,"
 				"'methods':['GET'],'service':'b'}"),
 	"routes[1]", "routes[0] claims GET / already"},
-    {ROUTES("{'prefix':'/p','host':'*.x','methods':['GET'],'service':'a'}"),
+    {ROUTES("{'prefix':'/p','host':'x/y','methods':['GET'],'service':'a'}"),
 	"routes[0].host", "invalid host"},
-    {ROUTES("{'prefix':'/p','host':'x:y','methods':['GET'],'service':'a'}"),
+    {ROUTES("{'prefix':'/p','host':'x y','methods':['GET'],'service':'a'}"),
 	"routes[0].host", "invalid host"},
     /* Not clamped, since one weight changes the proportions of all shares. */
     {ROUTES("{'prefix':'/p','weight':1000001,'methods':['GET'],"
@@ -168,6 +168,13 @@
     {ROUTES("{'prefix':'/p','host':'x.example:8080','methods':['GET'],"
 	    "'service':'a'}"),
 	"routes[0].host", "port"},
+    {ROUTES("{'prefix':'/p','host':'*.x','methods':['GET'],'service':'a'}"),
+	"routes[0].host", "unusual host"},
+    {ROUTES("{'prefix':'/p','host':'x:y','methods':['GET'],'service':'a'}"),
+	"routes[0].host", "unusual host"},
+    {ROUTES("{'prefix':'/p','host':'caf\xc3\xa9','methods':['GET'],"
+	    "'service':'a'}"),
+	"routes[0].host", "unusual host"},
     {ROUTES(ROUTE("/p/", "'GET'")), "routes[0].prefix", "segment"},
     {ROUTES(ROUTE("//p", "'GET'")), "routes[0].prefix", "segment"},
     {ROUTES(ROUTE("/p/../q", "'GET'")), "routes[0].prefix", "segment"},
