fix(platform): zones' names are escaped in the settings

Problem: a zone with a quote or backslash in its name would make every node's settings unreadable, by reading the template. Cause: the list of zones was written between quotes, without escapes.

--- a/packages/proto/src/settings.c
+++ b/packages/proto/src/settings.c
@@ -254,22 +254,40 @@
 }
 
 static int
-set_names(struct settings *s, const struct settings_key *k, const json_t *v)
+add_name(struct settings *s, const struct settings_key *k, const char *name)
 {
 	char(*list)[NAME_ID_BYTES] = field(s, k->offset);
-	uint32_t n = (uint32_t)json_array_size(v);
-	const char *text;
-	uint32_t i;
+	uint32_t n;
 
-	if (!json_is_array(v) || json_array_size(v) > k->max)
+	memcpy(&n, field_const(s, k->count_offset), sizeof(n));
+	if (name == NULL || name[0] == '\0' || n >= k->max)
 		return 0;
-	for (i = 0; i < n; i++) {
-		text = json_string_value(json_array_get(v, i));
-		if (text == NULL || *text == '\0')
+	(void)name_id(NAME_OF_HOST, name, list[n]);
+	n++;
+	memcpy(field(s, k->count_offset), &n, sizeof(n));
+	return 1;
+}
+
+/* Names are the elements of a list, or the keys of an object. */
+static int
+set_names(struct settings *s, const struct settings_key *k, json_t *v)
+{
+	const char *name;
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(v) && !json_is_object(v))
+		return 0;
+	json_array_foreach(v, i, item)
+	{
+		if (!add_name(s, k, json_string_value(item)))
+			return 0;
+	}
+	json_object_foreach(v, name, item)
+	{
+		if (!add_name(s, k, name))
 			return 0;
-		(void)name_id(NAME_OF_HOST, text, list[i]);
 	}
-	memcpy(field(s, k->count_offset), &n, sizeof(n));
 	return 1;
 }
 
@@ -287,7 +305,7 @@
 	case SETTINGS_TEXTS:
 		return set_texts(s, k, v);
 	case SETTINGS_NAMES:
-		return set_names(s, k, v);
+		return set_names(s, k, (json_t *)v);
 	case SETTINGS_SERVICE:
 		return text != NULL && set_service(s, k, text);
 	case SETTINGS_ADDRESSES:
--- a/packages/proto/test/test_settings.c
+++ b/packages/proto/test/test_settings.c
@@ -202,6 +202,17 @@
 	}
 	ck_assert_str_eq(ids[0], names[0]);
 	ck_assert_str_eq(ids[1], names[1]);
+	ck_assert_int_eq(parse("{" REQUIRED ",\"data_centres\":{\"a\":\"r\","
+			       "\"b \\\"2\\\"\":\"r\"}}",
+			     &s, NULL),
+	    STATUS_OK);
+	ck_assert_uint_eq(s.n_data_centres, 2);
+	ck_assert_str_eq(s.data_centres[0], "a");
+	ck_assert_int_eq(
+	    parse("{" REQUIRED ",\"data_centres\":\"a\"}", &s, NULL),
+	    STATUS_INVALID);
+	ck_assert_int_eq(parse("{" REQUIRED ",\"data_centres\":[1]}", &s, NULL),
+	    STATUS_INVALID);
 }
 END_TEST
 
--- a/tools/gen_settings.py
+++ b/tools/gen_settings.py
@@ -89,7 +89,8 @@
     if kind == "texts":
         return f"a list of at most {s['max']} strings of 1 to 127 characters"
     if kind == "names":
-        return f"a list of at most {s['max']} names"
+        return (f"a list of at most {s['max']} names, or an object with "
+                "such keys")
     if kind == "service":
         return ("an empty string or a service's name without control "
                 "characters and spaces at its ends")
