--- a/packages/base/src/name_id.c
+++ b/packages/base/src/name_id.c
@@ -79,7 +79,7 @@
 	base64 = g_base64_encode(digest.bytes, DIGEST_PART_BYTES);
 	(void)g_strdelimit(base64, "+", '-');
 	(void)g_strdelimit(base64, "/", '_');
-	memcpy(id, base64, DIGEST_CHARS);
+	(void)g_strlcpy(id, base64, DIGEST_CHARS + 1);
 	g_free(base64);
 }
 
@@ -88,7 +88,7 @@
 {
 	memset(id, 0, NAME_ID_BYTES);
 	if (name[0] == '\0' || name_id_is_name(kind, name)) {
-		memcpy(id, name, strlen(name));
+		(void)g_strlcpy(id, name, NAME_ID_BYTES);
 		return id;
 	}
 	copy_lead(name, id);
