refactor(settings): one function prints lists of texts

Problem: two functions printed a list, of names and of texts, line by line the same. Solution: one with the size of a place. Evidence: test_settings passes, 56 checks.

--- a/packages/proto/src/settings.c
+++ b/packages/proto/src/settings.c
@@ -520,29 +520,18 @@
 	return array;
 }
 
+/* Prints a list of texts, each in a place of @size bytes. */
 static json_t *
-print_texts(const struct settings *s, const struct settings_key *k)
+print_list(const struct settings *s, const struct settings_key *k, size_t size)
 {
-	const char(*list)[SETTINGS_TEXT_BYTES] = field_const(s, k->offset);
+	const char *list = field_const(s, k->offset);
 	json_t *array = json_array();
 	uint32_t i, n;
 
 	memcpy(&n, field_const(s, k->count_offset), sizeof(n));
 	for (i = 0; i < n; i++)
-		(void)json_array_append_new(array, json_string(list[i]));
-	return array;
-}
-
-static json_t *
-print_names(const struct settings *s, const struct settings_key *k)
-{
-	const char(*list)[NAME_ID_BYTES] = field_const(s, k->offset);
-	json_t *array = json_array();
-	uint32_t i, n;
-
-	memcpy(&n, field_const(s, k->count_offset), sizeof(n));
-	for (i = 0; i < n; i++)
-		(void)json_array_append_new(array, json_string(list[i]));
+		(void)json_array_append_new(
+		    array, json_string(list + i * size));
 	return array;
 }
 
@@ -573,9 +562,9 @@
 	case SETTINGS_ADDRESSES:
 		return print_addresses(s, k);
 	case SETTINGS_TEXTS:
-		return print_texts(s, k);
+		return print_list(s, k, SETTINGS_TEXT_BYTES);
 	case SETTINGS_NAMES:
-		return print_names(s, k);
+		return print_list(s, k, NAME_ID_BYTES);
 	default:
 		return json_integer(load_number(s, k));
 	}
