test(review): case 6, a restarted node takes back an endpoint that left

Problem: a node that was killed after it acknowledged a deregistration accepts a heartbeat that arrives late, and requests go to the endpoint again (DRAIN). Cause: the runs that have left are kept in memory alone (membership/instances). Nothing is mended here.

--- a/review/lib-2/mesh2.py
+++ b/review/lib-2/mesh2.py
@@ -256,6 +256,7 @@
         self.beating = True
         self.lock = threading.Lock()
         self.runs = []
+        self.conns = set()
         self.server = serve(ip, port, self.connection)
         self.port = self.server.getsockname()[1]
         self.node = None
@@ -267,7 +268,7 @@
     def beat(self, **changes):
         self.seq += 1
         body = {"address": "%s:%d" % (self.ip, self.port), "born": self.born,
-                "info": {"service": self.service, "version": "v1",
+                "info": {"service": self.service, "version": getattr(self, "version", "v1"),
                          "zone": self.zone, "slots": self.slots},
                 "status": {"state": self.state, "seq": self.seq, "coldLeft": "0ms"}}
         body.update(changes)
@@ -315,7 +316,19 @@
         time.sleep(0.02)
         conn.sendall(self.success(request, self.body_for(request)))
 
+    def exit(self):
+        """The process ends: its listening socket and connections are closed."""
+        self.beating = False
+        self.say("exits")
+        for s in [self.server] + list(self.conns):
+            try:
+                s.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            s.close()
+
     def connection(self, conn):
+        self.conns.add(conn)
         f = conn.makefile("rb")
         while True:
             head = read_head(f)
