--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,10 +6,12 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 from mesh2 import *  # noqa: E402,F403
 
-UPLOAD_BYTES = 6000000
-WHOLE_BYTES = 120000
-SENT_BYTES = 60000
-REQUESTS = 12
+UPLOAD_BYTES = 360000   # the largest hull-video on the sheet
+WHOLE_BYTES = 30000     # the largest answer on the sheet
+SENT_BYTES = 20000
+PIECE_BYTES = 1460      # the endpoint's segments, and its small window
+WINDOW_BYTES = 16384
+REQUESTS = 80
 
 whole_of = {}
 
@@ -34,9 +36,11 @@
     answer = ("HTTP/1.1 200 OK\r\n%sRequest-Id: %s\r\n%sServer-Signature: %s\r\n"
               "Connection: close\r\n\r\n"
               % (PREFIX, request_id, PREFIX, up.signature(request))).encode()
-    time.sleep(0.2)
+    time.sleep(0.05)
     if TROUBLE:
-        conn.sendall(answer + whole[:SENT_BYTES])
+        data = answer + whole[:SENT_BYTES]
+        for i in range(0, len(data), PIECE_BYTES):
+            conn.sendall(data[i:i + PIECE_BYTES])
         up.say("%s: sent %d of %d bytes, closes with unread input (a reset)"
                % (request_id, SENT_BYTES, WHOLE_BYTES))
     else:
@@ -51,6 +55,9 @@
     routes = {"r-in": route("skjol.example", "/inn/", "upload", "skjol", timeout="8000ms")}
     m = Mesh(folder, [("a", "skjol"), ("b", "skjol")], routes)
     meshes.append(m)
+    for up in m.upstreams:
+        up.server.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, PIECE_BYTES)
+        up.server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
     if not m.await_ready():
         return 2
     broken = successes = 0
