--- a/review/lib-2/mesh2.py
+++ b/review/lib-2/mesh2.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -230,10 +231,19 @@
     return body if len(body) == n else None
 
 
-def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+def free_range(ips, n):
+    """First of n ports that are free on all addresses."""
+    for base in range(20000 + (os.getpid() * 16) % 8000, 32000, 16):
+        try:
+            for ip in ips:
+                for port in range(base, base + n):
+                    with socket.socket() as s:
+                        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        s.bind((ip, port))
+            return base
+        except OSError:
+            continue
+    raise OSError("no free ports")
 
 
 # Upstreams -----------------------------------------------------------------
@@ -469,7 +479,7 @@
         words = [self.settings if w == "/etc/bramleydrift/boot.toml" else w for w in words]
         self.log = open(os.path.join(self.mesh.folder, self.name + ".log"), "ab")
         self.process = subprocess.Popen(
-            [os.environ.get("NODE_PROGRAM", os.path.join(ROOT, program))] + words,
+            [os.environ.get("REVIEW_NODE_PROGRAM", os.path.join(ROOT, program))] + words,
             stdout=self.log, stderr=self.log, cwd=ROOT,
             env=dict({"PATH": os.environ.get("PATH", ""), "HOME": "/tmp",
                  "BRAMLEYDRIFT_SETTINGS": self.settings},
@@ -509,7 +519,7 @@
         self.edit_settings = edit_settings
         subnet = subnet or 10 + os.getpid() % 200
         self.ips = ["127.%d.0.%d" % (subnet, i + 1) for i in range(len(places) + 1)]
-        self.base_port = 20000 + (os.getpid() * 16) % 10000
+        self.base_port = free_range(self.ips, 10)
         self.limits = limits or {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
                                  "headerTimeout": "3000ms", "idleTimeout": "15000ms"}
         self.tenants = tenants
@@ -556,6 +566,8 @@
                 n.process.send_signal(signal.SIGCONT)
                 n.process.kill()
                 n.process.wait()
+        if "REVIEW_KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def log(self, name):
         with open(os.path.join(self.folder, name + ".log"), errors="replace") as f:
@@ -581,7 +593,7 @@
         raise TimeoutError("the case took too long")
 
     signal.signal(signal.SIGALRM, late)
-    signal.alarm(int(os.environ.get("CASE_LIMIT_S", "110")))
+    signal.alarm(int(os.environ.get("REVIEW_LIMIT_S", "110")))
     meshes = []
     try:
         result = body(folder, meshes)
