fix(node): the memory of a body follows its bytes, not its pieces

Problem: what callers saw: a process of the system ended for want of memory, and with it their requests. The cause: each piece of a chunked body was kept as a GBytes with a list node, about 100 bytes beside a payload of one, at the entry (exchange and body), at the guard and for answers in small chunks.

Solution: struct body_buffer keeps a body in blocks that small pieces share; a block is as large as what is held already, 512 bytes to 16 KiB. Exchange, entry, guard and answers use it; attempts remember an offset in place of the index of a piece. It works since the memory is now at most twice the bytes that the limits count. The hash of a request with an Idempotency-Key is made of the beginning of its body and no longer of its pieces, which another caller's chunks would cut differently.

--- a/packages/node/src/call_exchange.c
+++ b/packages/node/src/call_exchange.c
@@ -8,13 +8,11 @@
 
 /**
  * struct exchange_body - the buffer of a body
- * @pieces: buffered GBytes
- * @bytes: buffered bytes
+ * @buffer: buffered bytes
  * @end: how the body ended
  */
 struct exchange_body {
-	GQueue pieces;
-	uint32_t bytes;
+	struct body_buffer buffer;
 	enum exchange_end end;
 };
 
@@ -107,8 +105,8 @@
 	call_headers_init(&x->request.headers);
 	loop_task_init(&x->caller.task, loop, notify_caller, x);
 	loop_task_init(&x->entry.task, loop, notify_entry, x);
-	g_queue_init(&x->request_body.pieces);
-	g_queue_init(&x->answer_body.pieces);
+	body_buffer_init(&x->request_body.buffer);
+	body_buffer_init(&x->answer_body.buffer);
 	return x;
 }
 
@@ -119,15 +117,6 @@
 	return x;
 }
 
-static void
-body_clear(struct exchange_body *body)
-{
-	GBytes *piece;
-
-	while ((piece = g_queue_pop_head(&body->pieces)) != NULL)
-		g_bytes_unref(piece);
-}
-
 void
 call_exchange_unref(struct call_exchange *x)
 {
@@ -135,8 +124,8 @@
 		return;
 	loop_task_cancel(&x->caller.task);
 	loop_task_cancel(&x->entry.task);
-	body_clear(&x->request_body);
-	body_clear(&x->answer_body);
+	body_buffer_clear(&x->request_body.buffer);
+	body_buffer_clear(&x->answer_body.buffer);
 	call_answer_free(x->answer);
 	call_headers_clear(&x->request.headers);
 	g_free(x->request.path);
@@ -152,23 +141,6 @@
 	return &x->request;
 }
 
-static void
-body_append(struct exchange_body *body, GBytes *piece)
-{
-	body->bytes += (uint32_t)g_bytes_get_size(piece);
-	g_queue_push_tail(&body->pieces, piece);
-}
-
-static GBytes *
-body_pop(struct exchange_body *body)
-{
-	GBytes *piece = g_queue_pop_head(&body->pieces);
-
-	if (piece != NULL)
-		body->bytes -= (uint32_t)g_bytes_get_size(piece);
-	return piece;
-}
-
 static void
 defer_notify(struct exchange_observer *observer)
 {
@@ -188,14 +160,15 @@
 bool
 call_exchange_has_room(const struct call_exchange *x)
 {
-	return x->request_body.bytes < EXCHANGE_REQUEST_BUFFER_BYTES;
+	return body_buffer_bytes(&x->request_body.buffer) <
+	    EXCHANGE_REQUEST_BUFFER_BYTES;
 }
 
 bool
 call_exchange_write_request(
     struct call_exchange *x, const uint8_t *data, size_t len)
 {
-	body_append(&x->request_body, g_bytes_new(data, len));
+	body_buffer_append(&x->request_body.buffer, data, len);
 	defer_notify(&x->entry);
 	return call_exchange_has_room(x);
 }
@@ -219,19 +192,26 @@
 	return x->answer;
 }
 
-GBytes *
-call_exchange_read_answer(struct call_exchange *x, enum exchange_end *end)
+const uint8_t *
+call_exchange_peek_answer(
+    const struct call_exchange *x, size_t *len, enum exchange_end *end)
 {
-	GBytes *piece = body_pop(&x->answer_body);
+	const struct body_buffer *b = &x->answer_body.buffer;
 
 	*end = x->answer_body.end;
-	if (piece == NULL)
-		return NULL;
-	x->consumed_bytes += (uint32_t)g_bytes_get_size(piece);
+	return body_buffer_at(b, b->first_bytes, len);
+}
+
+void
+call_exchange_consume_answer(struct call_exchange *x, size_t len)
+{
+	struct body_buffer *b = &x->answer_body.buffer;
+
+	body_buffer_release(b, b->first_bytes + len);
+	x->consumed_bytes += (uint32_t)len;
 	if (x->consumed_bytes >= NOTIFY_CONSUMED_BYTES &&
 	    x->answer_body.end == EXCHANGE_OPEN)
 		defer_notify(&x->entry);
-	return piece;
 }
 
 void
@@ -260,41 +240,42 @@
 void
 call_exchange_poll(struct call_exchange *x, struct exchange_events *events)
 {
-	events->request_body_bytes = x->request_body.bytes;
+	events->request_body_bytes =
+	    (uint32_t)body_buffer_bytes(&x->request_body.buffer);
 	events->request_body_end = x->request_body.end;
 	events->consumed_bytes = x->consumed_bytes;
 	events->disconnected = x->disconnected;
 	x->consumed_bytes = 0;
 }
 
-GBytes *
-call_exchange_read_request(struct call_exchange *x)
+size_t
+call_exchange_read_request(struct call_exchange *x, struct body_buffer *to)
 {
 	bool full = !call_exchange_has_room(x);
-	GBytes *piece = body_pop(&x->request_body);
+	size_t len = body_buffer_move(to, &x->request_body.buffer);
 
 	if (full && call_exchange_has_room(x))
 		defer_notify(&x->caller);
-	return piece;
+	return len;
 }
 
 void
 call_exchange_begin_answer(struct call_exchange *x, struct call_answer *a,
-    GQueue *pieces, enum exchange_end end)
+    struct body_buffer *body, enum exchange_end end)
 {
-	GBytes *piece;
-
 	x->answer = a;
 	x->answer_body.end = end;
-	while (pieces != NULL && (piece = g_queue_pop_head(pieces)) != NULL)
-		body_append(&x->answer_body, piece);
+	while (
+	    body != NULL && body_buffer_move(&x->answer_body.buffer, body) > 0)
+		continue;
 	defer_notify(&x->caller);
 }
 
 void
-call_exchange_write_answer(struct call_exchange *x, GBytes *piece)
+call_exchange_write_answer(
+    struct call_exchange *x, const uint8_t *data, size_t len)
 {
-	body_append(&x->answer_body, piece);
+	body_buffer_append(&x->answer_body.buffer, data, len);
 	defer_notify(&x->caller);
 }
 
--- a/packages/node/src/call_exchange.h
+++ b/packages/node/src/call_exchange.h
@@ -20,6 +20,7 @@
 
 #include "config/customer.h"
 
+#include "body_buffer.h"
 #include "call_headers.h"
 
 /* Limit of the buffered part of a request's body. */
@@ -152,15 +153,19 @@
 call_exchange_answer_head(const struct call_exchange *x);
 
 /**
- * call_exchange_read_answer() - remove the next piece of the answer's body
+ * call_exchange_peek_answer() - the next buffered bytes of the answer's body
  * @x: the exchange
+ * @len: receives the number of bytes
  * @end: how the body ended, EXCHANGE_OPEN while more may follow
  *
- * Return: a piece, whose reference passes to the caller of the function; NULL
- * when none is buffered.
+ * Return: the bytes, valid until call_exchange_consume_answer(); NULL when none
+ * are buffered.
  */
-GBytes *
-call_exchange_read_answer(struct call_exchange *x, enum exchange_end *end);
+const uint8_t *call_exchange_peek_answer(
+    const struct call_exchange *x, size_t *len, enum exchange_end *end);
+
+/** call_exchange_consume_answer() - remove the bytes that were peeked */
+void call_exchange_consume_answer(struct call_exchange *x, size_t len);
 
 /** call_exchange_disconnect() - the caller has closed its connection */
 void call_exchange_disconnect(struct call_exchange *x);
@@ -193,27 +198,30 @@
 call_exchange_poll(struct call_exchange *x, struct exchange_events *events);
 
 /**
- * call_exchange_read_request() - remove the next piece of the request's body
+ * call_exchange_read_request() - move a part of the request's body
+ * @x: the exchange
+ * @to: receives the bytes at its end
  *
- * Return: a piece, whose reference passes to the caller of the function; NULL
- * when none is buffered.
+ * Return: the number of bytes, 0 when none are buffered.
  */
-GBytes *call_exchange_read_request(struct call_exchange *x);
+size_t
+call_exchange_read_request(struct call_exchange *x, struct body_buffer *to);
 
 /**
  * call_exchange_begin_answer() - set the head of the answer
  * @x: the exchange
  * @a: the head; ownership passes to the exchange
- * @pieces: GBytes, the beginning of the body, moved to the exchange; or NULL
- * @end: EXCHANGE_COMPLETE when @pieces are the whole body, EXCHANGE_OPEN when
+ * @body: the beginning of the body, moved to the exchange; or NULL
+ * @end: EXCHANGE_COMPLETE when @body is the whole body, EXCHANGE_OPEN when
  *	more follows
  */
 void call_exchange_begin_answer(struct call_exchange *x, struct call_answer *a,
-    GQueue *pieces, enum exchange_end end);
+    struct body_buffer *body, enum exchange_end end);
 
-/** call_exchange_write_answer() - append a piece of the answer's body; its
- * reference passes to the exchange */
-void call_exchange_write_answer(struct call_exchange *x, GBytes *piece);
+/** call_exchange_write_answer() - append a copy of a part of the answer's body
+ */
+void call_exchange_write_answer(
+    struct call_exchange *x, const uint8_t *data, size_t len);
 
 /** call_exchange_end_answer() - end the answer's body */
 void call_exchange_end_answer(struct call_exchange *x, enum exchange_end end);
--- a/packages/node/src/call_print.c
+++ b/packages/node/src/call_print.c
@@ -45,8 +45,8 @@
 {
 	if (p->body_bytes >= 0)
 		return p->body_bytes;
-	if (p->whole && p->received <= FINGERPRINT_BODY_BYTES)
-		return (int64_t)p->received;
+	if (p->whole && p->body->end_bytes <= FINGERPRINT_BODY_BYTES)
+		return (int64_t)p->body->end_bytes;
 	return -1;
 }
 
@@ -54,23 +54,15 @@
 beginning_of_body(const struct call_print_parts *p)
 {
 	GByteArray *all = g_byte_array_new();
-	const uint8_t *data;
-	const GList *l;
-	gsize bytes;
 
-	for (l = p->body->head; l != NULL && all->len < FINGERPRINT_BODY_BYTES;
-	     l = l->next) {
-		data = g_bytes_get_data(l->data, &bytes);
-		bytes = MIN(bytes, FINGERPRINT_BODY_BYTES - all->len);
-		g_byte_array_append(all, data, (guint)bytes);
-	}
+	body_buffer_copy(p->body, FINGERPRINT_BODY_BYTES, all);
 	return all;
 }
 
 bool
 call_print_ready(const struct call_print_parts *p)
 {
-	return p->whole || p->received >= FINGERPRINT_BODY_BYTES;
+	return p->whole || p->body->end_bytes >= FINGERPRINT_BODY_BYTES;
 }
 
 void
--- a/packages/node/src/call_print.h
+++ b/packages/node/src/call_print.h
@@ -12,6 +12,7 @@
 #include "node/call_dialect.h"
 #include "traffic/fingerprint.h"
 
+#include "body_buffer.h"
 #include "call_headers.h"
 
 /**
@@ -23,8 +24,7 @@
  * @address: address of the caller, which identifies the caller when no header
  *	does
  * @body_bytes: length of the body, -1 when unknown
- * @body: GBytes of the body, from its first byte
- * @received: received bytes of the body
+ * @body: the body as far as it was received, from its first byte
  * @whole: the body is complete
  */
 struct call_print_parts {
@@ -34,8 +34,7 @@
 	const struct call_headers *headers;
 	const char *address;
 	int64_t body_bytes;
-	const GQueue *body;
-	uint64_t received;
+	const struct body_buffer *body;
 	bool whole;
 };
 
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -52,21 +52,18 @@
 write_answer(struct caller_call *call)
 {
 	struct call_exchange *x = call->exchange;
-	enum exchange_end end = EXCHANGE_OPEN;
-	GBytes *piece = NULL;
-	gsize len;
-	const void *data;
-
-	while (http_incoming_output_bytes(call->incoming) <=
-	    HTTP_OUTPUT_LOW_BYTES) {
-		piece = call_exchange_read_answer(x, &end);
-		if (piece == NULL)
-			break;
-		data = g_bytes_get_data(piece, &len);
+	enum exchange_end end;
+	size_t len;
+	const uint8_t *data = call_exchange_peek_answer(x, &len, &end);
+
+	while (data != NULL &&
+	    http_incoming_output_bytes(call->incoming) <=
+		HTTP_OUTPUT_LOW_BYTES) {
 		http_incoming_write(call->incoming, data, len);
-		g_bytes_unref(piece);
+		call_exchange_consume_answer(x, len);
+		data = call_exchange_peek_answer(x, &len, &end);
 	}
-	if (piece == NULL && end != EXCHANGE_OPEN)
+	if (data == NULL && end != EXCHANGE_OPEN)
 		finish_answer(call, end);
 }
 
--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -210,7 +210,7 @@
 	call_committed(
 	    c->machine, a->action.stream, loop_now_ms(c->entry->loop));
 	call_exchange_begin_answer(
-	    c->exchange, a->answer, &a->pieces, EXCHANGE_OPEN);
+	    c->exchange, a->answer, &a->answer_body, EXCHANGE_OPEN);
 	a->answer = NULL;
 	entry_call_run(c);
 }
@@ -226,6 +226,6 @@
 	}
 	a->answer->body_bytes = (int64_t)a->answer_bytes;
 	call_exchange_begin_answer(
-	    c->exchange, a->answer, &a->pieces, EXCHANGE_COMPLETE);
+	    c->exchange, a->answer, &a->answer_body, EXCHANGE_COMPLETE);
 	a->answer = NULL;
 }
--- a/packages/node/src/entry_attempt.c
+++ b/packages/node/src/entry_attempt.c
@@ -27,7 +27,7 @@
 	a->action = *action;
 	request_id_make(&a->id, c->entry->seed, c->sequence, action->attempt);
 	a->answer_length = BODY_LENGTH_UNKNOWN;
-	g_queue_init(&a->pieces);
+	body_buffer_init(&a->answer_body);
 	g_ptr_array_add(c->attempts, a);
 	return a;
 }
@@ -36,12 +36,10 @@
 entry_attempt_free(void *attempt)
 {
 	struct entry_attempt *a = attempt;
-	GBytes *piece;
 
 	entry_peer_remove(a);
 	call_answer_free(a->answer);
-	while ((piece = g_queue_pop_head(&a->pieces)) != NULL)
-		g_bytes_unref(piece);
+	body_buffer_clear(&a->answer_body);
 	g_free(a);
 }
 
@@ -220,17 +218,6 @@
 
 /* The request's body */
 
-/* Whether a chunk that ends at offset @end of the current piece ends the
- * body. */
-static bool
-ends_body(const struct entry_attempt *a, size_t end, size_t piece_bytes)
-{
-	const struct entry_body *b = &a->call->body;
-
-	return end == piece_bytes && b->end == EXCHANGE_COMPLETE &&
-	    entry_body_piece(b, a->next_piece + 1) == NULL;
-}
-
 static bool
 has_chunk(const struct entry_attempt *a)
 {
@@ -238,29 +225,26 @@
 
 	if (a->fin_sent)
 		return false;
-	if (entry_body_piece(b, a->next_piece) != NULL)
+	if (a->body_sent_bytes < b->buffer.end_bytes)
 		return a->credit_bytes > 0;
 	return b->end == EXCHANGE_COMPLETE;
 }
 
 static void
-fill_chunk(struct entry_attempt *a, struct msg_call_chunk *m, GBytes *piece)
+fill_chunk(struct entry_attempt *a, struct msg_call_chunk *m)
 {
-	const uint8_t *data;
-	size_t bytes, len;
+	const struct entry_body *b = &a->call->body;
+	size_t len;
 
-	data = g_bytes_get_data(piece, &bytes);
-	len = MIN(bytes - a->piece_offset, CALL_CHUNK_BYTES);
+	m->data = body_buffer_at(&b->buffer, a->body_sent_bytes, &len);
+	len = MIN(len, CALL_CHUNK_BYTES);
 	len = MIN(len, a->credit_bytes);
-	m->data = data + a->piece_offset;
 	m->data_len = (uint32_t)len;
-	m->fin = ends_body(a, a->piece_offset + len, bytes);
 	a->credit_bytes -= len;
-	a->piece_offset += len;
-	if (a->piece_offset < bytes)
-		return;
-	a->piece_offset = 0;
-	a->next_piece++;
+	a->body_sent_bytes += len;
+	m->fin = a->body_sent_bytes == b->buffer.end_bytes &&
+	    b->end == EXCHANGE_COMPLETE;
+	a->fin_sent = m->fin;
 }
 
 static bool
@@ -269,19 +253,13 @@
 	struct entry_attempt *a = (struct entry_attempt *)s;
 	struct entry_call *c = a->call;
 	struct msg_call_chunk m = {.stream = a->stream};
-	GBytes *piece;
 
 	entry_body_pull(c, a);
 	if (!has_chunk(a))
 		return false;
-	piece = entry_body_piece(&c->body, a->next_piece);
-	if (piece != NULL)
-		fill_chunk(a, &m, piece);
-	else
-		m.fin = true;
-	a->fin_sent = m.fin;
+	fill_chunk(a, &m);
 	(void)call_link_send(link, MSG_CALL_CHUNK, &m);
-	entry_body_release(&c->body, a->next_piece);
+	entry_body_release(c, a);
 	entry_body_pull(c, a);
 	return has_chunk(a);
 }
--- a/packages/node/src/entry_body.c
+++ b/packages/node/src/entry_body.c
@@ -8,72 +8,35 @@
  * the exchange. */
 #define BODY_AHEAD_BYTES 65536
 
-GBytes *
-entry_body_piece(const struct entry_body *b, uint64_t i)
-{
-	if (i < b->first)
-		return NULL;
-	return g_queue_peek_nth((GQueue *)&b->pieces, (guint)(i - b->first));
-}
-
-void
-entry_body_release(struct entry_body *b, uint64_t i)
-{
-	if (b->held)
-		return;
-	while (b->first < i && !g_queue_is_empty(&b->pieces)) {
-		g_bytes_unref(g_queue_pop_head(&b->pieces));
-		b->first++;
-	}
-}
-
 void
-entry_body_clear(struct entry_body *b)
+entry_body_release(struct entry_call *c, const struct entry_attempt *a)
 {
-	GBytes *piece;
-
-	while ((piece = g_queue_pop_head(&b->pieces)) != NULL)
-		g_bytes_unref(piece);
-}
-
-/* Bytes that are buffered and not sent in @a. */
-static uint64_t
-unsent_bytes(const struct entry_body *b, const struct entry_attempt *a)
-{
-	uint64_t bytes = 0;
-	uint64_t i = a->next_piece;
-	GBytes *piece;
+	struct entry_body *b = &c->body;
 
-	while ((piece = entry_body_piece(b, i)) != NULL) {
-		bytes += g_bytes_get_size(piece);
-		i++;
-	}
-	return bytes;
+	if (!b->held)
+		body_buffer_release(&b->buffer, a->body_sent_bytes);
 }
 
 static bool
 may_pull(const struct entry_body *b, const struct entry_attempt *a)
 {
-	if (b->held && b->bytes < ENTRY_BODY_KEEP_BYTES)
+	if (b->held && b->buffer.end_bytes < ENTRY_BODY_KEEP_BYTES)
 		return true;
-	return a != NULL && unsent_bytes(b, a) < BODY_AHEAD_BYTES;
+	return a != NULL &&
+	    b->buffer.end_bytes - a->body_sent_bytes < BODY_AHEAD_BYTES;
 }
 
 void
 entry_body_pull(struct entry_call *c, struct entry_attempt *a)
 {
 	struct entry_body *b = &c->body;
-	GBytes *piece;
 
 	while (may_pull(b, a)) {
-		piece = call_exchange_read_request(c->exchange);
-		if (piece == NULL) {
+		if (call_exchange_read_request(c->exchange, &b->buffer) == 0) {
 			b->end = b->exchange_end;
-			return;
+			break;
 		}
-		b->bytes += g_bytes_get_size(piece);
-		g_queue_push_tail(&b->pieces, piece);
-		if (b->held && b->bytes > ENTRY_BODY_KEEP_BYTES) {
+		if (b->held && b->buffer.end_bytes > ENTRY_BODY_KEEP_BYTES) {
 			b->held = false;
 			call_body_discarded(c->machine);
 		}
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -68,12 +68,11 @@
 	    .headers = &c->request->headers,
 	    .address = c->request->caller,
 	    .body_bytes = c->request->body_bytes,
-	    .body = &c->body.pieces,
-	    .received = c->body.bytes,
+	    .body = &c->body.buffer,
 	    .whole = c->request->body_bytes == 0 ||
 		c->body.end == EXCHANGE_COMPLETE};
 
-	if (c->body.first != 0 || !call_print_ready(&parts))
+	if (c->body.buffer.first_bytes != 0 || !call_print_ready(&parts))
 		return false;
 	call_print(&parts, print);
 	return true;
@@ -439,7 +438,8 @@
 static bool
 refuse_oversized_body(struct entry_call *c)
 {
-	if (c->body.bytes <= max_body_bytes(c->entry, &c->config->limits))
+	if (c->body.buffer.end_bytes <=
+	    max_body_bytes(c->entry, &c->config->limits))
 		return false;
 	entry_behind_body_too_large(c);
 	call_caller_disconnected(c->machine, loop_now_ms(c->entry->loop));
@@ -566,7 +566,7 @@
 	c->deadline_ms = effective_deadline_ms(c, now_ms);
 	c->target_ms = target_deadline_ms(c, now_ms);
 	c->attempts = g_ptr_array_new_with_free_func(entry_attempt_free);
-	g_queue_init(&c->body.pieces);
+	body_buffer_init(&c->body.buffer);
 	loop_timer_init(&c->timer, e->loop, on_timer, c);
 	loop_task_init(&c->free_task, e->loop, on_free, c);
 	fill_call_config(c, &cfg);
@@ -750,7 +750,7 @@
 	loop_task_cancel(&c->free_task);
 	g_queue_unlink(&c->entry->calls, &c->link);
 	g_ptr_array_free(c->attempts, TRUE);
-	entry_body_clear(&c->body);
+	body_buffer_clear(&c->body.buffer);
 	call_free(c->machine);
 	entry_run_leave(c->run);
 	call_exchange_set_entry_data(c->exchange, NULL);
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -164,16 +164,14 @@
 static void
 append_piece(struct entry_attempt *a, const struct msg_call_chunk *m)
 {
-	GBytes *piece;
-
 	a->answer_bytes += m->data_len;
 	if (m->data_len == 0)
 		return;
-	piece = g_bytes_new(m->data, m->data_len);
 	if (a->committed)
-		call_exchange_write_answer(a->call->exchange, piece);
+		call_exchange_write_answer(
+		    a->call->exchange, m->data, m->data_len);
 	else
-		g_queue_push_tail(&a->pieces, piece);
+		body_buffer_append(&a->answer_body, m->data, m->data_len);
 }
 
 static bool
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -219,14 +219,13 @@
  * @head_us: monotonic time at which the head of the answer was received, 0
  *	before
  * @upstream_us: time in the upstream, without queueing at the guard
- * @next_piece: index of the body's piece to be sent next
- * @piece_offset: bytes of that piece that were sent
+ * @body_sent_bytes: bytes of the request's body that were sent
  * @fin_sent: the end of the body was sent
  * @credit_bytes: bytes of the body that may be sent
  * @status: HTTP status of the answer
  * @load: load of the endpoint, from the answer's head
  * @answer: head of the answer, until passed to the exchange
- * @pieces: GBytes of the answer that aren't passed to the exchange yet
+ * @answer_body: bytes of the answer that aren't passed to the exchange yet
  * @answer_bytes: received bytes of the answer
  * @answer_length: length of the answer or BODY_LENGTH_UNKNOWN
  * @committed: delivery of the answer to the caller has begun
@@ -247,14 +246,13 @@
 	uint64_t sent_us;
 	uint64_t head_us;
 	uint64_t upstream_us;
-	uint64_t next_piece;
-	size_t piece_offset;
+	uint64_t body_sent_bytes;
 	bool fin_sent;
 	uint64_t credit_bytes;
 	uint32_t status;
 	struct rec_load load;
 	struct call_answer *answer;
-	GQueue pieces;
+	struct body_buffer answer_body;
 	uint64_t answer_bytes;
 	int64_t answer_length;
 	bool committed;
@@ -264,17 +262,13 @@
 
 /**
  * struct entry_body - a request's body at the entry
- * @pieces: GBytes that are held
- * @first: index of the first piece that is held
- * @bytes: bytes read from the exchange so far
- * @exchange_end: how the body ends after the pieces in the exchange
- * @end: how the body ends after @pieces
+ * @buffer: bytes read from the exchange that are still needed
+ * @exchange_end: how the body ends after the bytes in the exchange
+ * @end: how the body ends after @buffer
  * @held: the body is held from its first byte
  */
 struct entry_body {
-	GQueue pieces;
-	uint64_t first;
-	uint64_t bytes;
+	struct body_buffer buffer;
 	enum exchange_end exchange_end;
 	enum exchange_end end;
 	bool held;
@@ -450,16 +444,9 @@
  * limit */
 void entry_body_pull(struct entry_call *c, struct entry_attempt *a);
 
-/** entry_body_piece() - get the piece at index @i, or NULL when it isn't
- * held */
-GBytes *entry_body_piece(const struct entry_body *b, uint64_t i);
-
-/** entry_body_release() - free the pieces before index @i, unless the body is
- * held */
-void entry_body_release(struct entry_body *b, uint64_t i);
-
-/** entry_body_clear() - free all pieces */
-void entry_body_clear(struct entry_body *b);
+/** entry_body_release() - free the bytes that attempt @a has sent, unless the
+ * body is held */
+void entry_body_release(struct entry_call *c, const struct entry_attempt *a);
 
 /* entry_call.c */
 
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -230,21 +230,17 @@
     struct http_call *call, uint8_t *buf, size_t max, size_t *len, void *arg)
 {
 	struct guard_request *r = arg;
-	GBytes *piece = g_queue_peek_head(&r->body);
-	const uint8_t *data;
 	size_t bytes;
+	const uint8_t *data =
+	    body_buffer_at(&r->body, r->body_sent_bytes, &bytes);
 
 	(void)call;
-	if (piece == NULL)
+	if (data == NULL)
 		return r->body_complete ? HTTP_END : HTTP_PAUSE;
-	data = g_bytes_get_data(piece, &bytes);
-	*len = MIN(bytes - r->body_offset, max);
-	memcpy(buf, data + r->body_offset, *len);
-	r->body_offset += *len;
-	if (r->body_offset == bytes) {
-		g_bytes_unref(g_queue_pop_head(&r->body));
-		r->body_offset = 0;
-	}
+	*len = MIN(bytes, max);
+	memcpy(buf, data, *len);
+	r->body_sent_bytes += *len;
+	body_buffer_release(&r->body, r->body_sent_bytes);
 	guard_credit_consumed(r, *len);
 	return HTTP_CONTINUE;
 }
@@ -356,14 +352,13 @@
 static void
 set_body(struct guard_request *r, struct http_request *req)
 {
-	GBytes *piece;
-	gsize bytes;
-
-	if (r->body_complete && g_queue_get_length(&r->body) <= 1) {
-		piece = g_queue_peek_head(&r->body);
-		if (piece == NULL)
-			return;
-		req->body = g_bytes_get_data(piece, &bytes);
+	uint64_t whole = body_buffer_bytes(&r->body);
+	size_t bytes;
+	const uint8_t *data =
+	    body_buffer_at(&r->body, r->body.first_bytes, &bytes);
+
+	if (r->body_complete && bytes == whole) {
+		req->body = data;
 		req->body_bytes = bytes;
 		return;
 	}
--- a/packages/node/src/guard_keyed.c
+++ b/packages/node/src/guard_keyed.c
@@ -103,21 +103,19 @@
 
 /* Requests */
 
-/* Hash of the request; of an incomplete body, only the received part counts. */
+/* Hash of the request; of a body, the part counts that a guard awaits before it
+ * submits a request. */
 static uint64_t
 request_hash(const struct guard_request *r)
 {
 	uint64_t h = hash64(r->method, strlen(r->method), REQUEST_SEED);
-	GList *l;
-	gsize len;
-	const void *data;
+	GByteArray *body = g_byte_array_new();
 
 	h = hash64(r->path, strlen(r->path), h);
 	h = hash64(&r->body_bytes, sizeof(r->body_bytes), h);
-	for (l = r->body.head; l != NULL; l = l->next) {
-		data = g_bytes_get_data(l->data, &len);
-		h = hash64(data, len, h);
-	}
+	body_buffer_copy(&r->body, CALL_BODY_PREFIX_BYTES, body);
+	h = hash64(body->data, body->len, h);
+	g_byte_array_free(body, TRUE);
 	return h;
 }
 
--- a/packages/node/src/guard_open.c
+++ b/packages/node/src/guard_open.c
@@ -82,7 +82,7 @@
 		    m->target_left_ms, loop_now_ms(g->loop));
 	r->body_bytes = m->body_bytes;
 	r->body_complete = m->body_bytes == 0;
-	g_queue_init(&r->body);
+	body_buffer_init(&r->body);
 	loop_timer_init(&r->timer, g->loop, on_deadline, r);
 	r->answer = guard_answer_new(!m->idempotent);
 	r->body_source = guard_out_new(gc, m->stream, id, r, r->answer);
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -283,8 +283,8 @@
  * @customer_priority: rank of the customer plus 1, 0 when not set
  * @body_bytes: length of the body, -1 if unknown
  * @body_source: stream that delivers the body, or NULL
- * @body: received GBytes that were not forwarded yet
- * @body_offset: bytes of the first element of @body that were forwarded
+ * @body: received bytes that were not forwarded yet
+ * @body_sent_bytes: bytes of the body that were forwarded
  * @received_bytes: bytes of the body that were received
  * @body_share: credit that the entry has for the rest of the body
  * @full_window: the upstream reads the body, so the entry gets the full window
@@ -329,8 +329,8 @@
 	uint32_t customer_priority;
 	int64_t body_bytes;
 	struct guard_out *body_source;
-	GQueue body;
-	size_t body_offset;
+	struct body_buffer body;
+	uint64_t body_sent_bytes;
 	uint64_t received_bytes;
 	struct body_share body_share;
 	bool full_window;
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -250,7 +250,6 @@
 	parts->address = r->caller;
 	parts->body_bytes = r->body_bytes;
 	parts->body = &r->body;
-	parts->received = r->received_bytes;
 	parts->whole = r->body_complete;
 }
 
@@ -306,7 +305,7 @@
 		return false;
 	guard_credit_received(r, m->data_len);
 	if (m->data_len > 0)
-		g_queue_push_tail(&r->body, g_bytes_new(m->data, m->data_len));
+		body_buffer_append(&r->body, m->data, m->data_len);
 	guard_request_body_arrived(r);
 	return true;
 }
@@ -383,15 +382,13 @@
 guard_request_free(void *request)
 {
 	struct guard_request *r = request;
-	GBytes *piece;
 
 	if (r->call != NULL)
 		(void)http_call_cancel(r->call);
 	loop_timer_stop(&r->timer);
 	if (r->state == REQUEST_ENDED)
 		loop_task_cancel(&r->free_task);
-	while ((piece = g_queue_pop_head(&r->body)) != NULL)
-		g_bytes_unref(piece);
+	body_buffer_clear(&r->body);
 	call_headers_clear(&r->headers);
 	guard_answer_unref(r->answer);
 	g_free(r->path);
--- a/packages/node/test/test_call_print.c
+++ b/packages/node/test/test_call_print.c
@@ -20,7 +20,7 @@
     const char *address, const char *path, struct fingerprint *out)
 {
 	struct call_headers headers;
-	GQueue body = G_QUEUE_INIT;
+	struct body_buffer body;
 	const struct call_print_parts parts = {.dialect = d,
 	    .method = "GET",
 	    .path = path,
@@ -29,6 +29,7 @@
 	    .body = &body,
 	    .whole = true};
 
+	body_buffer_init(&body);
 	call_headers_init(&headers);
 	if (service != NULL)
 		(void)call_headers_add(&headers, CALLER_HEADER,
