fix(net): callers that wait within a message share a bound on memory

Problem: what callers saw: a process ended for want of memory while a crowd of clients held unfinished requests. The cause: each connection has its bounds, and nothing bounds their sum: 1,500 callers with 200 KB each take a node to 320 MB, and descriptors allow 3,900.

Solution: a pool counts what the connections of an HTTP server hold: heads, requests sent ahead, bodies in the exchange and at the entry, answers that are not read. Beyond the bound the connections that have waited for their callers for longest are reset; a caller that makes progress is never the oldest beside a crowd. Requests that were read completely are kept; where they alone exceed the bound, a new request is answered 503 before it is passed on, so that the promise of the status holds. New setting memory_mb (0 stands for 160): callers get a quarter.

test_http_room writes answers of 8 MB at once; it sets a larger bound, since it is about places.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -103,6 +103,9 @@
  *	one that is not in use, is answered 503, or is closed on accept
  * @overlap_max: maximum number of requests of a connection whose answers are
  *	not sent; 1 for one at a time
+ * @buffer_max_bytes: maximum memory of requests and answers that wait for their
+ *	callers, and of those under way; beyond it the connections that wait for
+ *	longest are closed, then new requests are answered 503
  * @use: what the connections are for
  */
 struct http_server_limits {
@@ -112,6 +115,7 @@
 	uint32_t stall_ms;
 	uint32_t conns_max;
 	uint32_t overlap_max;
+	uint64_t buffer_max_bytes;
 	enum descriptor_use use;
 };
 
@@ -123,6 +127,7 @@
 /* The calls that a caller typically makes at once for one page; it bounds the
  * memory of waiting answers, and what one connection takes from others. */
 #define HTTP_SERVER_OVERLAP_MAX 8U
+#define HTTP_SERVER_BUFFER_MAX_BYTES (UINT64_C(8) << 20)
 
 /**
  * http_server_new() - create a server and listen for requests
@@ -163,6 +168,10 @@
  * be accepted; 0 while they can */
 uint64_t http_server_closed_since_ms(const struct http_server *s);
 
+/** http_server_buffered_bytes() - memory of requests and answers, see
+ * buffer_max_bytes */
+uint64_t http_server_buffered_bytes(const struct http_server *s);
+
 /** http_server_conns() - number of open connections */
 uint32_t http_server_conns(const struct http_server *s);
 
@@ -190,6 +199,14 @@
 /** http_incoming_arg() - the owner's argument; NULL unless set */
 void *http_incoming_arg(const struct http_incoming *q);
 
+/** http_incoming_set_held() - set what the owner holds for a request; may close
+ * other connections */
+void http_incoming_set_held(struct http_incoming *q, uint64_t bytes);
+
+/** http_incoming_is_evicted() - whether on_gone() is called because all
+ * connections hold too much */
+bool http_incoming_is_evicted(const struct http_incoming *q);
+
 /** http_incoming_is_behind() - whether an earlier request is not answered */
 bool http_incoming_is_behind(const struct http_incoming *q);
 
--- a/packages/net/src/http_incoming.c
+++ b/packages/net/src/http_incoming.c
@@ -201,6 +201,19 @@
 	return q->arg;
 }
 
+void
+http_incoming_set_held(struct http_incoming *q, uint64_t bytes)
+{
+	q->held_bytes = bytes;
+	http_server_conn_update_held(q->conn);
+}
+
+bool
+http_incoming_is_evicted(const struct http_incoming *q)
+{
+	return q->conn->evicted;
+}
+
 bool
 http_incoming_is_behind(const struct http_incoming *q)
 {
--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -125,6 +125,7 @@
 {
 	struct http_server *s = c->server;
 	struct http_incoming *q = http_incoming_new(c);
+	bool refused;
 
 	q->version_1_0 = head->version_1_0;
 	q->overlaps = overlaps;
@@ -137,8 +138,10 @@
 	http_server_conn_restart_timer(c);
 	c->used = true;
 	c->surplus = c->surplus && http_server_room_is_tight(s);
-	c->closing = c->closing || c->surplus;
-	if (c->surplus)
+	refused = c->surplus || buffer_pool_is_full(s->pool);
+	c->closing = c->closing || refused;
+	q->request_head_bytes = c->head.bytes;
+	if (refused)
 		s->handler->on_bad(q, NO_ROOM, s->arg);
 	else
 		s->handler->on_request(q, head, s->arg);
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -70,6 +70,9 @@
 	l.stall_ms = limit_or(l.stall_ms, HTTP_SERVER_STALL_MS);
 	l.conns_max = limit_or(l.conns_max, HTTP_SERVER_CONNS_MAX);
 	l.overlap_max = limit_or(l.overlap_max, HTTP_SERVER_OVERLAP_MAX);
+	if (l.buffer_max_bytes == 0)
+		l.buffer_max_bytes = HTTP_SERVER_BUFFER_MAX_BYTES;
+	buffer_pool_set_max(s->pool, l.buffer_max_bytes);
 	s->limits = l;
 }
 
@@ -86,6 +89,8 @@
 	s->handler = handler;
 	s->arg = arg;
 	loop_task_init(&s->task, loop, free_closed, s);
+	s->pool = buffer_pool_new(
+	    loop, "connections with requests", HTTP_SERVER_BUFFER_MAX_BYTES);
 	http_server_limits_set(s, limits);
 	http_server_room_init(s);
 	acceptor_init(&s->acceptor, loop, s->limits.use, on_accept, s);
@@ -122,6 +127,7 @@
 		http_server_conn_close(s->conns.head->data, false);
 	loop_task_cancel(&s->task);
 	free_closed(s);
+	buffer_pool_free(s->pool);
 	g_free(s->full_answer);
 	g_free(s);
 }
@@ -145,6 +151,12 @@
 	return s->acceptor.paused_since_ms;
 }
 
+uint64_t
+http_server_buffered_bytes(const struct http_server *s)
+{
+	return buffer_pool_bytes(s->pool);
+}
+
 uint32_t
 http_server_conns(const struct http_server *s)
 {
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stddef.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -57,6 +58,7 @@
 	c->life = CONN_DEAD;
 	c->reading = NULL;
 	http_server_conn_restart_timer(c);
+	buffer_holder_set(&c->holder, 0, false);
 	g_queue_unlink(&s->conns, &c->link);
 	g_queue_push_tail_link(&s->dead, &c->link);
 	loop_task_defer(&s->task);
@@ -65,17 +67,95 @@
 	drop_requests(c);
 }
 
-void
-http_server_conn_free(struct http_server_conn *c)
+static void
+free_buffers(struct http_server_conn *c)
 {
 	http_request_clear(c);
 	if (c->pipelined != NULL)
 		g_byte_array_free(c->pipelined, TRUE);
+	c->pipelined = NULL;
 	if (c->out != NULL)
 		g_byte_array_free(c->out, TRUE);
+	c->out = NULL;
+}
+
+void
+http_server_conn_free(struct http_server_conn *c)
+{
+	free_buffers(c);
 	g_free(c);
 }
 
+/* Memory */
+
+static uint64_t
+head_bytes(const struct http_server_conn *c)
+{
+	uint64_t bytes = 0;
+
+	if (c->target != NULL)
+		bytes += c->target->allocated_len;
+	if (c->head.text != NULL)
+		bytes += c->head.text->allocated_len +
+		    c->head.offsets->len * sizeof(uint32_t);
+	return bytes;
+}
+
+static uint64_t
+request_bytes(const struct http_incoming *q)
+{
+	uint64_t bytes = q->held_bytes + q->request_head_bytes;
+
+	return q->out != NULL ? bytes + q->out->len : bytes;
+}
+
+static uint64_t
+held_bytes(const struct http_server_conn *c)
+{
+	uint64_t bytes = head_bytes(c);
+	const GList *l;
+
+	if (c->pipelined != NULL)
+		bytes += c->pipelined->len;
+	if (c->out != NULL)
+		bytes += c->out->len;
+	for (l = c->requests.head; l != NULL; l = l->next)
+		bytes += request_bytes(l->data);
+	return bytes;
+}
+
+/* Whether the connection waits for its caller, or holds what a request that
+ * runs does not need. */
+static bool
+waits_for_caller(const struct http_server_conn *c)
+{
+	return c->input == CONN_INPUT_HEAD || c->pipelined != NULL ||
+	    (c->reading != NULL && !c->reading->body_done) ||
+	    http_server_conn_output_bytes(c) > 0;
+}
+
+void
+http_server_conn_update_held(struct http_server_conn *c)
+{
+	if (c->life != CONN_DEAD)
+		buffer_holder_set(
+		    &c->holder, held_bytes(c), waits_for_caller(c));
+}
+
+static void
+evict(struct buffer_holder *h)
+{
+	struct http_server_conn *c = (struct http_server_conn *)((char *)h -
+	    offsetof(struct http_server_conn, holder));
+
+	c->evicted = true;
+	http_server_conn_close(c, true);
+	if (!c->parsing)
+		free_buffers(c);
+}
+
+static const struct buffer_holder_ops holder_ops = {.evict = evict};
+
 /* Watched events */
 
 static bool
@@ -254,6 +334,7 @@
 		loop_task_defer(&c->task);
 	update_timer(c);
 	update_watch(c);
+	http_server_conn_update_held(c);
 }
 
 /* Parses one buffered request, resumes after a pause, and starts writing. */
@@ -425,6 +506,7 @@
 	c->surplus = surplus;
 	c->link.data = c;
 	c->timing_link.data = c;
+	buffer_holder_init(&c->holder, &holder_ops, s->pool);
 	g_queue_init(&c->requests);
 	loop_timer_init(&c->timer, s->loop, on_timer, c);
 	loop_task_init(&c->task, s->loop, on_task, c);
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <http_parser.h>
 
+#include "net/buffer_pool.h"
 #include "net/http_server.h"
 
 #include "acceptor.h"
@@ -34,6 +35,7 @@
  * @dead: closed connections, freed at the end of the turn
  * @by_timing: open connections by what their timer limits, the one that waits
  *	for longest at the head
+ * @pool: bound on the memory that the connections hold
  * @room_lines: rate limit of log lines on connections closed for others
  * @task: frees @dead
  * @closing: each connection is closed after its last answer
@@ -48,6 +50,7 @@
 	GQueue conns;
 	GQueue dead;
 	GQueue by_timing[CONN_TIMINGS];
+	struct buffer_pool *pool;
 	struct log_limit room_lines;
 	struct loop_task task;
 	bool closing;
@@ -72,6 +75,7 @@
 /**
  * struct http_server_conn - a connection
  * @server: the server
+ * @holder: memory that the connection holds
  * @link: link in one of the server's queues
  * @timing_link: link in the queue of @timing, if that is not CONN_TIMING_NONE
  * @fd: the socket
@@ -92,6 +96,7 @@
  * @out: output buffer, or NULL when empty
  * @out_sent: bytes of @out already sent
  * @discarded_bytes: input discarded since the last answer
+ * @evicted: the connection was closed because all hold too much
  * @bad_code: code for the data that is not a valid request
  * @parsing: the parser is on the call stack
  * @closing: no further request is read, and the connection is closed after the
@@ -102,6 +107,7 @@
  */
 struct http_server_conn {
 	struct http_server *server;
+	struct buffer_holder holder;
 	GList link;
 	GList timing_link;
 	int fd;
@@ -123,6 +129,7 @@
 	size_t out_sent;
 	size_t discarded_bytes;
 	int bad_code;
+	bool evicted;
 	bool parsing;
 	bool closing;
 	bool peer_ended;
@@ -137,6 +144,8 @@
  * @arg: the owner's argument
  * @out: the answer while an earlier one is not complete, or NULL when empty
  * @head_bytes: length of the answer's head in @out
+ * @request_head_bytes: length of the request's head, which the owner copies
+ * @held_bytes: what the owner holds for the request
  * @version_1_0: the request is HTTP/1.0
  * @overlaps: further requests may run beside this one
  * @paused: the owner has paused the body
@@ -155,6 +164,8 @@
 	void *arg;
 	GByteArray *out;
 	size_t head_bytes;
+	uint32_t request_head_bytes;
+	uint64_t held_bytes;
 	bool version_1_0;
 	bool overlaps;
 	bool paused;
@@ -200,6 +211,10 @@
 /** http_server_conn_output_bytes() - bytes of output that are not yet sent */
 size_t http_server_conn_output_bytes(const struct http_server_conn *c);
 
+/** http_server_conn_update_held() - report what the connection holds to the
+ * pool */
+void http_server_conn_update_held(struct http_server_conn *c);
+
 /** http_server_conn_restart_timer() - the next update begins the timeout anew
  */
 void http_server_conn_restart_timer(struct http_server_conn *c);
--- a/packages/net/test/test_http_room.c
+++ b/packages/net/test/test_http_room.c
@@ -87,8 +87,10 @@
 setup(void)
 {
 	struct net_addr at = {LOOPBACK, 0};
-	struct http_server_limits limits = {
-	    .conns_max = CONNS_MAX, .head_ms = HEAD_MS, .stall_ms = STALL_MS};
+	struct http_server_limits limits = {.conns_max = CONNS_MAX,
+	    .head_ms = HEAD_MS,
+	    .stall_ms = STALL_MS,
+	    .buffer_max_bytes = 2 * CONNS_MAX * BIG_BYTES};
 
 	loop = loop_new();
 	n_held = 0;
--- a/packages/node/src/call_exchange.c
+++ b/packages/node/src/call_exchange.c
@@ -34,6 +34,9 @@
  * @request: the request
  * @caller: observer of the server for callers
  * @entry: observer of the entry
+ * @held_fn: callback for changes of the memory, or NULL
+ * @held_arg: passed to @held_fn
+ * @entry_held_bytes: memory of the bodies at the entry
  * @request_body: the request's body
  * @answer_body: the answer's body
  * @answer: head of the answer, or NULL
@@ -47,6 +50,9 @@
 	struct call_request request;
 	struct exchange_observer caller;
 	struct exchange_observer entry;
+	exchange_fn *held_fn;
+	void *held_arg;
+	uint64_t entry_held_bytes;
 	struct exchange_body request_body;
 	struct exchange_body answer_body;
 	struct call_answer *answer;
@@ -148,6 +154,13 @@
 		loop_task_defer(&observer->task);
 }
 
+static void
+notify_held(struct call_exchange *x)
+{
+	if (x->held_fn != NULL)
+		x->held_fn(x, x->held_arg);
+}
+
 /* Side of the server for callers */
 
 void
@@ -157,6 +170,20 @@
 	x->caller.arg = arg;
 }
 
+void
+call_exchange_watch_held(struct call_exchange *x, exchange_fn *fn, void *arg)
+{
+	x->held_fn = fn;
+	x->held_arg = arg;
+}
+
+uint64_t
+call_exchange_held_bytes(const struct call_exchange *x)
+{
+	return x->request_body.buffer.held_bytes +
+	    x->answer_body.buffer.held_bytes + x->entry_held_bytes;
+}
+
 bool
 call_exchange_has_room(const struct call_exchange *x)
 {
@@ -169,6 +196,7 @@
     struct call_exchange *x, const uint8_t *data, size_t len)
 {
 	body_buffer_append(&x->request_body.buffer, data, len);
+	notify_held(x);
 	defer_notify(&x->entry);
 	return call_exchange_has_room(x);
 }
@@ -208,6 +236,7 @@
 	struct body_buffer *b = &x->answer_body.buffer;
 
 	body_buffer_release(b, b->first_bytes + len);
+	notify_held(x);
 	x->consumed_bytes += (uint32_t)len;
 	if (x->consumed_bytes >= NOTIFY_CONSUMED_BYTES &&
 	    x->answer_body.end == EXCHANGE_OPEN)
@@ -218,6 +247,8 @@
 call_exchange_disconnect(struct call_exchange *x)
 {
 	x->disconnected = true;
+	body_buffer_clear(&x->request_body.buffer);
+	body_buffer_clear(&x->answer_body.buffer);
 	defer_notify(&x->entry);
 }
 
@@ -276,6 +307,7 @@
     struct call_exchange *x, const uint8_t *data, size_t len)
 {
 	body_buffer_append(&x->answer_body.buffer, data, len);
+	notify_held(x);
 	defer_notify(&x->caller);
 }
 
@@ -286,6 +318,15 @@
 	defer_notify(&x->caller);
 }
 
+void
+call_exchange_set_entry_held(struct call_exchange *x, uint64_t bytes)
+{
+	if (bytes == x->entry_held_bytes)
+		return;
+	x->entry_held_bytes = bytes;
+	notify_held(x);
+}
+
 void
 call_exchange_set_entry_data(struct call_exchange *x, void *entry_data)
 {
--- a/packages/node/src/call_exchange.h
+++ b/packages/node/src/call_exchange.h
@@ -125,6 +125,15 @@
 void call_exchange_attach_caller(
     struct call_exchange *x, exchange_fn *fn, void *arg);
 
+/** call_exchange_watch_held() - set the callback for changes of
+ * call_exchange_held_bytes(); NULL for none */
+void
+call_exchange_watch_held(struct call_exchange *x, exchange_fn *fn, void *arg);
+
+/** call_exchange_held_bytes() - memory of the bodies, in the exchange and at
+ * the entry */
+uint64_t call_exchange_held_bytes(const struct call_exchange *x);
+
 /**
  * call_exchange_write_request() - append a piece of the request's body
  * @x: the exchange
@@ -226,6 +235,9 @@
 /** call_exchange_end_answer() - end the answer's body */
 void call_exchange_end_answer(struct call_exchange *x, enum exchange_end end);
 
+/** call_exchange_set_entry_held() - set what the entry holds of the bodies */
+void call_exchange_set_entry_held(struct call_exchange *x, uint64_t bytes);
+
 /** call_exchange_set_entry_data() - attach the entry's state of the call
  */
 void call_exchange_set_entry_data(struct call_exchange *x, void *entry_data);
--- a/packages/node/src/call_metrics.c
+++ b/packages/node/src/call_metrics.c
@@ -91,6 +91,10 @@
     .help = "Requests refused because all connections of callers are in use.",
     .kind = METRIC_COUNTER};
 
+struct metric metric_callers_evicted = {.name = "bramley_callers_evicted_total",
+    .help = "Requests of callers that were ended because buffers were full.",
+    .kind = METRIC_COUNTER};
+
 struct metric metric_departures_unread = {.name = "bramley_departures_total",
     .help = "Callers that left before their answer, by how far the call was.",
     .kind = METRIC_COUNTER,
@@ -209,6 +213,7 @@
 	metric_register(&metric_overlapping);
 	metric_register(&metric_answers_held);
 	metric_register(&metric_callers_refused);
+	metric_register(&metric_callers_evicted);
 	metric_register(&metric_departures_unread);
 	metric_register(&metric_departures_unsubmitted);
 	for (i = 0; i < CALL_STAGES; i++) {
--- a/packages/node/src/call_metrics.h
+++ b/packages/node/src/call_metrics.h
@@ -29,6 +29,7 @@
 extern struct metric metric_overlapping;
 extern struct metric metric_answers_held;
 extern struct metric metric_callers_refused;
+extern struct metric metric_callers_evicted;
 extern struct metric metric_departures_unread;
 extern struct metric metric_departures_unsubmitted;
 extern struct metric metric_departure_us;
--- a/packages/node/src/callers.c
+++ b/packages/node/src/callers.c
@@ -38,6 +38,7 @@
 	c->unread_log_limit.per_s = UNREAD_LINES_PER_S;
 	c->unread_log_limit.burst = UNREAD_LINES_PER_S;
 	c->room_log_limit = c->unread_log_limit;
+	c->evicted_log_limit = c->unread_log_limit;
 	loop_timer_init(&c->refresh_timer, loop, on_refresh, c);
 	entry_watch_snapshot(e, callers_on_snapshot, c);
 	return c;
--- a/packages/node/src/callers_call.c
+++ b/packages/node/src/callers_call.c
@@ -26,6 +26,7 @@
 {
 	loop_timer_stop(&call->timer);
 	call_exchange_attach_caller(call->exchange, NULL, NULL);
+	call_exchange_watch_held(call->exchange, NULL, NULL);
 	call_exchange_unref(call->exchange);
 	atomic_fetch_sub(&call->callers->in_flight, 1);
 	g_free(call);
@@ -90,6 +91,16 @@
 	}
 }
 
+static void
+on_held(struct call_exchange *x, void *arg)
+{
+	struct caller_call *call = arg;
+
+	if (call->incoming != NULL)
+		http_incoming_set_held(
+		    call->incoming, call_exchange_held_bytes(x));
+}
+
 static void
 submit(struct caller_call *call)
 {
@@ -133,6 +144,7 @@
 	call->buffered =
 	    body_bytes >= 0 && body_bytes <= BUFFERED_BODY_MAX_BYTES;
 	call_exchange_attach_caller(call->exchange, on_entry, call);
+	call_exchange_watch_held(call->exchange, on_held, call);
 	http_incoming_set_arg(q, call);
 	if (body_bytes == 0) {
 		call_exchange_end_request(call->exchange, EXCHANGE_COMPLETE);
@@ -214,6 +226,22 @@
 		write_answer(call);
 }
 
+static void
+log_evicted(const struct caller_call *call)
+{
+	struct callers *c = call->callers;
+	const char *id = call_exchange_request(call->exchange)->id;
+	uint32_t left_out = c->evicted_log_limit.left_out;
+
+	metric_add(&metric_callers_evicted, 1);
+	if (log_limit_take(&c->evicted_log_limit, loop_now_ms(c->loop)))
+		log_info("request id=%s ended=memory submitted=%d "
+			 "body_ended=%d held_bytes=%" G_GUINT64_FORMAT
+			 " left_out=%u",
+		    id != NULL ? id : "-", call->submitted, call->body_ended,
+		    call_exchange_held_bytes(call->exchange), left_out);
+}
+
 static void
 on_gone(struct http_incoming *q)
 {
@@ -221,6 +249,8 @@
 
 	if (call == NULL)
 		return;
+	if (http_incoming_is_evicted(q))
+		log_evicted(call);
 	if (call->submitted)
 		call_exchange_disconnect(call->exchange);
 	else
@@ -251,9 +281,12 @@
 
 	metric_add(&metric_callers_refused, 1);
 	if (log_limit_take(&c->room_log_limit, loop_now_ms(c->loop)))
-		log_info("a request is refused, since all %u connections are "
-			 "in use, left_out=%u",
-		    http_server_conns(c->server), left_out);
+		log_info(
+		    "a request is refused, since all connections or "
+		    "buffers are in use: %u connections, %" G_GUINT64_FORMAT
+		    " bytes, left_out=%u",
+		    http_server_conns(c->server),
+		    http_server_buffered_bytes(c->server), left_out);
 	callers_answer_refuse(
 	    c, q, HTTP_UNAVAILABLE, "overloaded", CALLERS_FULL_MESSAGE);
 }
--- a/packages/node/src/callers_limits.c
+++ b/packages/node/src/callers_limits.c
@@ -11,6 +11,7 @@
 #include "node/snapshot_ref.h"
 
 #include "callers_priv.h"
+#include "memory_limits.h"
 
 /* Longest pause of a caller within a request. */
 #define STALL_TIMEOUT_MS 10000U
@@ -40,6 +41,7 @@
 		l->idle_ms = s->keep_alive_ms;
 	l->stall_ms = STALL_TIMEOUT_MS;
 	l->overlap_max = s->caller_pipeline_max;
+	l->buffer_max_bytes = memory_limit_callers(s);
 	l->use = DESCRIPTORS_CALLERS;
 }
 
--- a/packages/node/src/callers_priv.h
+++ b/packages/node/src/callers_priv.h
@@ -35,6 +35,8 @@
  * @deadline_ms: monotonic deadline of the drain
  * @unread_log_limit: rate limit of log lines on callers that left unread
  * @room_log_limit: rate limit of log lines on refusals for want of connections
+ * @evicted_log_limit: rate limit of log lines on requests that were ended
+ *	because buffers were full
  * @refresh_timer: updates @connections while stopping
  */
 struct callers {
@@ -51,6 +53,7 @@
 	_Atomic uint64_t deadline_ms;
 	struct log_limit unread_log_limit;
 	struct log_limit room_log_limit;
+	struct log_limit evicted_log_limit;
 	struct loop_timer refresh_timer;
 };
 
--- a/packages/node/src/entry_answer.c
+++ b/packages/node/src/entry_answer.c
@@ -212,6 +212,7 @@
 	call_exchange_begin_answer(
 	    c->exchange, a->answer, &a->answer_body, EXCHANGE_OPEN);
 	a->answer = NULL;
+	entry_body_update_held(c);
 	entry_call_run(c);
 }
 
@@ -228,4 +229,5 @@
 	call_exchange_begin_answer(
 	    c->exchange, a->answer, &a->answer_body, EXCHANGE_COMPLETE);
 	a->answer = NULL;
+	entry_body_update_held(c);
 }
--- a/packages/node/src/entry_call.c
+++ b/packages/node/src/entry_call.c
@@ -753,6 +753,7 @@
 	body_buffer_clear(&c->body.buffer);
 	call_free(c->machine);
 	entry_run_leave(c->run);
+	call_exchange_set_entry_held(c->exchange, 0);
 	call_exchange_set_entry_data(c->exchange, NULL);
 	call_exchange_unref(c->exchange);
 	snapshot_unref(c->snapshot);
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -161,6 +161,13 @@
 	entry_call_run(c);
 }
 
+static void
+hold_answer(struct entry_attempt *a, const uint8_t *data, size_t len)
+{
+	body_buffer_append(&a->answer_body, data, len);
+	entry_body_update_held(a->call);
+}
+
 static void
 append_piece(struct entry_attempt *a, const struct msg_call_chunk *m)
 {
@@ -171,7 +178,7 @@
 		call_exchange_write_answer(
 		    a->call->exchange, m->data, m->data_len);
 	else
-		body_buffer_append(&a->answer_body, m->data, m->data_len);
+		hold_answer(a, m->data, m->data_len);
 }
 
 static bool
--- a/packages/node/src/entry_priv.h
+++ b/packages/node/src/entry_priv.h
@@ -444,6 +444,9 @@
  * limit */
 void entry_body_pull(struct entry_call *c, struct entry_attempt *a);
 
+/** entry_body_update_held() - report the memory of the call's bodies */
+void entry_body_update_held(struct entry_call *c);
+
 /** entry_body_release() - free the bytes that attempt @a has sent, unless the
  * body is held */
 void entry_body_release(struct entry_call *c, const struct entry_attempt *a);
--- /dev/null
+++ b/packages/node/src/memory_limits.c
@@ -0,0 +1,22 @@
+/*
+ * Bounds on the memory that peers make a node hold.
+ */
+#include "memory_limits.h"
+
+/* Assumed where the settings do not tell the memory. */
+#define MEMORY_DEFAULT_MB 160
+#define MB_BYTES UINT64_C(1000000)
+#define CALLERS_DIVISOR 4
+
+static uint64_t
+memory_bytes(const struct settings *s)
+{
+	return MB_BYTES *
+	    (s->memory_mb != 0 ? s->memory_mb : MEMORY_DEFAULT_MB);
+}
+
+uint64_t
+memory_limit_callers(const struct settings *s)
+{
+	return memory_bytes(s) / CALLERS_DIVISOR;
+}
--- /dev/null
+++ b/packages/node/src/memory_limits.h
@@ -0,0 +1,15 @@
+/*
+ * Bounds on the memory that peers make a node hold, as parts of the memory of
+ * its machine.
+ */
+#ifndef MEMORY_LIMITS_H
+#define MEMORY_LIMITS_H
+
+#include <stdint.h>
+
+#include "proto/settings.h"
+
+/** memory_limit_callers() - bytes of requests and answers of callers */
+uint64_t memory_limit_callers(const struct settings *s);
+
+#endif
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -89,6 +89,10 @@
  * 	among callers, calls between hosts, peers, upstreams, the platform,
  * 	administration and readiness; 0 for the limit of the system
  * 	(RLIMIT_NOFILE), which also applies where it is lower.
+ * @memory_mb: Memory that the process may use; 0 stands for 160.
+ * 	Requests and answers of callers get a quarter of it. When callers
+ * 	hold more than their part, those that hold it for longest lose their
+ * 	connections, then new requests are refused.
  * @caller_pipeline_max: Most requests of one caller's connection that
  * 	run side by side if it sends them ahead; requests that may not be
  * 	repeated run alone. 1 runs one at a time.
@@ -190,6 +194,7 @@
 	uint32_t admin_threads;
 	uint32_t keep_alive_ms;
 	uint32_t descriptors_max;
+	uint32_t memory_mb;
 	uint32_t caller_pipeline_max;
 	uint32_t probe_interval_ms;
 	uint32_t probe_timeout_ms;
