fix(net): bytes that trickle do not renew the time limit without end

Problem: what callers saw: nothing yet; a crowd that sends a byte each few seconds keeps connections, buffers and slots of upstreams from others until its routes' timeouts, or for as long as it names a deadline. The cause: each byte renewed the time limit of a stall.

Solution: the limit still ends 10 s after the last byte, and besides 10 s after the caller has fallen below 1 KB a second since the body or the answer began. Deadlines are stored; which connections may be closed for a new one still follows the last progress. It works since the sum of what a trickle extends is its bytes at that rate, and no longer their number times 10 s.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -98,7 +98,8 @@
  * @head_ms: time limit from a request's first byte to the end of its head
  * @idle_ms: time after which a connection without a request is closed
  * @stall_ms: time limit for progress while a body is received or an answer
- *	is sent
+ *	is sent; progress of less than 1 KB a second extends it only by the time
+ *	that it would take at that rate
  * @conns_max: maximum number of connections; a further one takes the place of
  *	one that is not in use, is answered 503, or is closed on accept
  * @overlap_max: maximum number of requests of a connection whose answers are
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -18,6 +18,10 @@
 #define LINGER_MS 1000U
 /* Most input that is discarded then. */
 #define LINGER_MAX_BYTES (4U << 20)
+/* A body or an answer that moves on more slowly than this counts as stalled:
+ * the time limit grows by what was received or sent at this rate. */
+#define PROGRESS_MIN_BYTES_PER_S 1024U
+#define MS_PER_S 1000U
 
 /* Closing */
 
@@ -242,9 +246,31 @@
 		return;
 	c->timing = timing;
 	c->timing_since_ms = loop_now_ms(s->loop);
+	c->progress_bytes = 0;
 	g_queue_push_tail_link(&s->by_timing[timing], &c->timing_link);
+	c->stall_ms =
+	    c->timing_since_ms + http_server_conn_limit_ms(&s->limits, timing);
+	loop_timer_set(&c->timer, c->stall_ms);
+}
+
+/* Each byte renews the time limit of a stall, but slow progress does not renew
+ * it without end. */
+static void
+note_progress(struct http_server_conn *c, size_t bytes)
+{
+	struct http_server *s = c->server;
+	uint64_t now_ms = loop_now_ms(s->loop);
+
+	if (c->timing != CONN_TIMING_STALL)
+		return;
+	c->progress_bytes += bytes;
+	c->timing_since_ms = now_ms;
+	g_queue_unlink(&s->by_timing[c->timing], &c->timing_link);
+	g_queue_push_tail_link(&s->by_timing[c->timing], &c->timing_link);
 	loop_timer_set(&c->timer,
-	    c->timing_since_ms + http_server_conn_limit_ms(&s->limits, timing));
+	    MIN(now_ms + s->limits.stall_ms,
+		c->stall_ms +
+		    c->progress_bytes * MS_PER_S / PROGRESS_MIN_BYTES_PER_S));
 }
 
 void
@@ -370,8 +396,7 @@
 			return errno == EAGAIN;
 		c->out_sent += (size_t)n;
 		left -= (size_t)n;
-		if (c->timing == CONN_TIMING_STALL)
-			http_server_conn_restart_timer(c);
+		note_progress(c, (size_t)n);
 	}
 	if (c->out != NULL)
 		g_byte_array_free(c->out, TRUE);
@@ -465,8 +490,8 @@
 		discard(c, (size_t)n);
 		return;
 	}
-	if (c->timing == CONN_TIMING_STALL && c->reading != NULL)
-		http_server_conn_restart_timer(c);
+	if (c->reading != NULL)
+		note_progress(c, (size_t)n);
 	http_request_feed(c, buf, (size_t)n);
 	http_server_conn_update(c);
 }
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -86,7 +86,10 @@
  * @life: whether the connection is in use
  * @input: what is received
  * @timing: what @timer limits
- * @timing_since_ms: monotonic time at which @timer was started
+ * @timing_since_ms: monotonic time at which @timing began, or of the last
+ *	progress since then
+ * @stall_ms: monotonic time at which a stall without any progress ends
+ * @progress_bytes: bytes received or sent while @timing is CONN_TIMING_STALL
  * @parser: parser of requests
  * @target: path and query
  * @head: header lines; allocated from the first byte of a request to its end
@@ -119,6 +122,8 @@
 	enum conn_input input;
 	enum conn_timing timing;
 	uint64_t timing_since_ms;
+	uint64_t stall_ms;
+	uint64_t progress_bytes;
 	http_parser parser;
 	GString *target;
 	struct http_head head;
--- a/packages/net/test/test_http_buffers.c
+++ b/packages/net/test/test_http_buffers.c
@@ -1,5 +1,6 @@
 /*
- * Tests of the HTTP server with callers that hold its memory, .
+ * Tests of the HTTP server with callers that hold its memory, and with bodies
+ * that trickle.
  */
 #include <errno.h>
 #include <fcntl.h>
@@ -272,6 +273,39 @@
 }
 END_TEST
 
+/* Guards against a body whose bytes renew the time limit without end. */
+START_TEST(trickling_body_is_closed)
+{
+	int fd = open_with(CHUNKED, 0);
+
+	while (code_of(fd) == 0) {
+		(void)send(fd, "1\r\nx\r\n", 6, MSG_NOSIGNAL);
+		support_run_for(loop, TRICKLE_MS);
+	}
+	ck_assert_int_eq(code_of(fd), -1);
+	(void)close(fd);
+}
+END_TEST
+
+/* A slow caller that makes progress is served, beyond the time limit of a
+ * stall. */
+START_TEST(slow_body_is_served)
+{
+	int fd =
+	    open_with("POST /up HTTP/1.1\r\nContent-Length: 20480\r\n\r\n", 0);
+	char part[SOUND_BYTES] = {0};
+	size_t sent;
+
+	for (sent = 0; sent < 20480; sent += sizeof(part)) {
+		support_send(fd, part, sizeof(part));
+		support_run_for(loop, TRICKLE_MS);
+	}
+	RUN_UNTIL(loop, code_of(fd) != 0);
+	ck_assert_int_eq(code_of(fd), 200);
+	(void)close(fd);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -284,5 +318,7 @@
 	tcase_add_test(tc, requests_sent_ahead_are_bounded);
 	tcase_add_test(tc, unread_answers_are_bounded);
 	tcase_add_test(tc, running_requests_are_kept);
+	tcase_add_test(tc, trickling_body_is_closed);
+	tcase_add_test(tc, slow_body_is_served);
 	return support_run("http_buffers", tc);
 }
