fix(net): lines of a head count with their colon and end

Problem: what callers saw: as before, a process that grows while a crowd sends heads. The cause: the limit of a head counts names and values only; a line of one byte costs 11 bytes while it is read and 16 in the request, so that a head of 16 kB takes 27 times its limit.

A head that keeps the limit on the wire has them, so no caller inside the limit meets this.

Measured: test_http_buffers, short_lines_count_with_their_ends: no answer on the code before, 431 now; test_http (28) and test_http_endless (21) pass.

--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -6,6 +6,9 @@
 
 #include "http_head.h"
 
+/* What a line has besides its name and value: a colon and its end. */
+#define LINE_MIN_BYTES 2
+
 void
 http_head_init(struct http_head *h, uint32_t bytes_max, uint32_t lines_max)
 {
@@ -57,7 +60,7 @@
 int
 http_head_name(struct http_head *h, const char *at, size_t len)
 {
-	if (count(h, len) < 0)
+	if (count(h, h->in_value ? LINE_MIN_BYTES + len : len) < 0)
 		return -1;
 	if (h->in_value) {
 		/* The previous name has no value: add an empty one. */
--- a/packages/net/test/test_http_buffers.c
+++ b/packages/net/test/test_http_buffers.c
@@ -306,6 +306,22 @@
 }
 END_TEST
 
+/* Guards against a head whose lines take many times their bytes. */
+START_TEST(short_lines_count_with_their_ends)
+{
+	GString *text = g_string_new("GET / HTTP/1.1\r\n");
+	int fd, i;
+
+	for (i = 0; i < 6000; i++)
+		g_string_append(text, "a:\r\n");
+	fd = open_with(text->str, 0);
+	RUN_UNTIL(loop, code_of(fd) != 0);
+	ck_assert_int_eq(code_of(fd), 431);
+	(void)close(fd);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -320,5 +336,6 @@
 	tcase_add_test(tc, running_requests_are_kept);
 	tcase_add_test(tc, trickling_body_is_closed);
 	tcase_add_test(tc, slow_body_is_served);
+	tcase_add_test(tc, short_lines_count_with_their_ends);
 	return support_run("http_buffers", tc);
 }
