fix(node): unfinished uploads to the administration share a bound

Problem: what operators and callers saw: a node that ends for want of memory while clients of its administration port send versions and stop. The cause: an upload may have 64 MB, and what was received of each unfinished one was kept.

The upload that has waited for longest is reset; no part of it was carried out. A single version of the largest size still fits.

--- a/packages/node/src/admin_server.c
+++ b/packages/node/src/admin_server.c
@@ -21,6 +21,8 @@
 #define RETRY_BYTES 16
 #define LINES_MAX 3
 #define STOP_POLL_MS 2
+/* Room for one version of the largest size, and for small requests. */
+#define UPLOADS_MAX_BYTES (BUNDLE_MAX_BYTES + (UINT64_C(8) << 20))
 
 static void
 send_answer(struct http_incoming *q, int code, const char *type,
@@ -184,6 +186,7 @@
 	if (!call->too_large)
 		g_string_append_len(
 		    call->body, (const char *)data, (gssize)len);
+	http_incoming_set_held(q, call->body->allocated_len);
 }
 
 static void
@@ -279,8 +282,9 @@
     struct quota_usage *usage, struct admin **out)
 {
 	struct net_addr at = {s->address, s->admin_port};
-	struct http_server_limits limits = {
-	    .use = DESCRIPTORS_ADMIN, .overlap_max = 1};
+	struct http_server_limits limits = {.use = DESCRIPTORS_ADMIN,
+	    .overlap_max = 1,
+	    .buffer_max_bytes = UPLOADS_MAX_BYTES};
 	struct admin *a = g_new0(struct admin, 1);
 	char text[ADDR_TEXT_BYTES];
 
