fix(net): incomplete frames of peers share a bound

Problem: what callers saw: a node that ends for want of memory while somebody opens connections to its ports for peers and sends parts of frames. The cause: an incomplete frame is buffered up to 256 KiB (call_port) or 1 MiB (peer_port), also before a handshake, and only descriptors bound the number of connections.

Solution: the buffers of incomplete frames of all connections that a listener has accepted are counted in a pool; beyond a tenth of memory_mb the connection whose frame is incomplete for longest is closed and its buffer freed. It works since a node's frame is complete within its round trips, so that a crowd's are the older ones. A connection that a node has dialled is not counted.

--- a/packages/net/include/net/listener.h
+++ b/packages/net/include/net/listener.h
@@ -20,6 +20,9 @@
  * @conn: limits of each accepted connection
  * @conns_max: maximum number of open connections; a further one takes the place
  *	of one that has not sent a frame, or is closed on accept; 0 for no limit
+ * @input_max_bytes: maximum memory of incomplete frames of all connections;
+ *	beyond it the one whose frame is incomplete for longest is closed; 0 for
+ *	LISTENER_INPUT_MAX_BYTES
  * @handler: handler of each accepted connection; must outlive them
  * @on_accept: called for each accepted connection; may be NULL
  * @arg: argument of @on_accept and initial argument of the connections
@@ -27,11 +30,14 @@
 struct listener_options {
 	struct conn_options conn;
 	uint32_t conns_max;
+	uint64_t input_max_bytes;
 	const struct conn_handler *handler;
 	listener_accept_fn *on_accept;
 	void *arg;
 };
 
+#define LISTENER_INPUT_MAX_BYTES (UINT64_C(16) << 20)
+
 /**
  * listener_new() - listen on an address
  * @loop: event loop that runs the listener and its connections
--- a/packages/net/src/conn.c
+++ b/packages/net/src/conn.c
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdatomic.h>
+#include <stddef.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -106,13 +107,42 @@
 	return loop_now_ms(c->loop) + c->options.stall_ms;
 }
 
+/* Memory */
+
+static void
+count_clear(void *count)
+{
+	struct conn_count *n = count;
+
+	buffer_pool_free(n->pool);
+}
+
+void
+conn_count_unref(struct conn_count *count)
+{
+	g_rc_box_release_full(count, count_clear);
+}
+
+static void
+evict(struct buffer_holder *h)
+{
+	struct conn *c =
+	    (struct conn *)((char *)h - offsetof(struct conn, holder));
+
+	conn_fail(c, STATUS_OVERLOADED,
+	    "its frame is incomplete, and its memory is needed for others");
+	frame_reader_clear(&c->in);
+}
+
+static const struct buffer_holder_ops holder_ops = {.evict = evict};
+
 /* Termination */
 
 static void
 conn_release(struct conn *c)
 {
 	if (c->count != NULL)
-		g_rc_box_release(c->count);
+		conn_count_unref(c->count);
 	frame_reader_clear(&c->in);
 	g_byte_array_unref(c->out);
 	g_free(c);
@@ -137,6 +167,7 @@
 		descriptors_release(c->options.use);
 	}
 	conn_spoke(c);
+	buffer_holder_set(&c->holder, 0, false);
 	if (c->count != NULL)
 		c->count->open--;
 	loop_timer_stop(&c->timer);
@@ -324,6 +355,7 @@
 	c->state = CONN_OPEN;
 	c->count = g_rc_box_acquire(count);
 	c->count->open++;
+	buffer_holder_init(&c->holder, &holder_ops, c->count->pool);
 	c->accepted_ms = loop_now_ms(loop);
 	c->silent_link.data = c;
 	g_queue_push_tail_link(&c->count->silent, &c->silent_link);
--- a/packages/net/src/conn_io.c
+++ b/packages/net/src/conn_io.c
@@ -33,6 +33,7 @@
 		c->frame_deadline_ms = DEADLINE_NEVER;
 		frame_reader_clear(&c->in);
 		frame_reader_init(&c->in, c->options.frame_max_bytes);
+		buffer_holder_set(&c->holder, 0, false);
 		return;
 	}
 	if (c->framed != framed_before ||
@@ -41,6 +42,8 @@
 	conn_rearm(c);
 	if (c->handler->on_part != NULL)
 		c->handler->on_part(c, c->arg);
+	if (c->state == CONN_OPEN)
+		buffer_holder_set(&c->holder, c->in.capacity, true);
 }
 
 static void
--- a/packages/net/src/conn_priv.h
+++ b/packages/net/src/conn_priv.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "net/buffer_pool.h"
 #include "net/conn.h"
 #include "proto/frame.h"
 
@@ -16,15 +17,20 @@
  * struct conn_count - open connections of one listener
  * @open: their number
  * @silent: those that have not sent a frame yet, the oldest at the head
+ * @pool: bound on the memory of their incomplete frames
  *
  * Allocated with g_rc_box_new0(): the listener and each of its connections
- * hold one reference.
+ * hold one reference, released with conn_count_unref().
  */
 struct conn_count {
 	uint32_t open;
 	GQueue silent;
+	struct buffer_pool *pool;
 };
 
+/** conn_count_unref() - release a reference */
+void conn_count_unref(struct conn_count *count);
+
 /*
  * CONN_DIALLING	the handshake is in progress
  * CONN_OPEN		frames are sent and received
@@ -60,6 +66,7 @@
 	void *arg;
 	struct conn_count *count;
 	GList silent_link;
+	struct buffer_holder holder;
 	struct frame_reader in;
 	GByteArray *out;
 	size_t out_start;
--- a/packages/net/src/listener.c
+++ b/packages/net/src/listener.c
@@ -100,6 +100,9 @@
 	l->loop = loop;
 	l->options = *options;
 	l->count = g_rc_box_new0(struct conn_count);
+	l->count->pool = buffer_pool_new(loop, "connections of peers",
+	    options->input_max_bytes != 0 ? options->input_max_bytes
+					  : LISTENER_INPUT_MAX_BYTES);
 	acceptor_init(&l->acceptor, loop, options->conn.use, listener_adopt, l);
 	st = acceptor_open(&l->acceptor, at);
 	if (st != STATUS_OK) {
@@ -116,6 +119,6 @@
 	if (l == NULL)
 		return;
 	acceptor_close(&l->acceptor);
-	g_rc_box_release(l->count);
+	conn_count_unref(l->count);
 	g_free(l);
 }
--- a/packages/net/test/conn_side.c
+++ b/packages/net/test/conn_side.c
@@ -93,8 +93,11 @@
 side_listen(struct conn_options conn, uint32_t conns_max)
 {
 	struct net_addr at = {LOOPBACK, 0};
-	struct listener_options o = {
-	    conn, conns_max, &side_handler, on_accept, &served};
+	struct listener_options o = {.conn = conn,
+	    .conns_max = conns_max,
+	    .handler = &side_handler,
+	    .on_accept = on_accept,
+	    .arg = &served};
 
 	listener_free(lst);
 	ck_assert_int_eq(listener_new(loop, at, &o, &lst), STATUS_OK);
--- a/packages/node/include/node/peers.h
+++ b/packages/node/include/node/peers.h
@@ -35,13 +35,15 @@
  * peers_new() - bind the sockets and listen for peers
  * @loop: the control thread's loop
  * @at: own control address, TCP and UDP
+ * @input_max_bytes: see struct listener_options
  * @handler: callbacks of the owner; must outlive the peers
  * @arg: passed to the callbacks
  * @out: receives the peers
  *
  * Return: STATUS_OK, or STATUS_IO when the address can't be bound.
  */
-enum status peers_new(struct loop *loop, struct net_addr at,
+enum status
+peers_new(struct loop *loop, struct net_addr at, uint64_t input_max_bytes,
     const struct peers_handler *handler, void *arg, struct peers **out);
 
 /** peers_free() - close all connections; NULL is allowed */
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "control_priv.h"
+#include "memory_limits.h"
 #include "membership/places.h"
 #include "node/entry.h"
 #include "node/guard.h"
@@ -480,7 +481,8 @@
 		control_free(c);
 		return STATUS_IO;
 	}
-	st = peers_new(c->loop, at, &control_peers_handler, c, &c->peers);
+	st = peers_new(c->loop, at, memory_limit_frames(s),
+	    &control_peers_handler, c, &c->peers);
 	if (st != STATUS_OK) {
 		control_free(c);
 		return st;
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -12,6 +12,7 @@
 
 #include "call_metrics.h"
 #include "guard_priv.h"
+#include "memory_limits.h"
 
 #define ID_SEED 5
 /* Maximum number of log lines per second of one kind.  entry.c limits its lines
@@ -157,6 +158,7 @@
 	options.conn.sent_bytes = &metric_call_sent_bytes;
 	options.conn.received_bytes = &metric_call_received_bytes;
 	options.handler = &guard_conn_handler;
+	options.input_max_bytes = memory_limit_frames(g->settings);
 	options.on_accept = guard_conn_accept;
 	options.arg = g;
 	return listener_new(g->loop, at, &options, &g->listener);
--- a/packages/node/src/memory_limits.h
+++ b/packages/node/src/memory_limits.h
@@ -12,4 +12,8 @@
 /** memory_limit_callers() - bytes of requests and answers of callers */
 uint64_t memory_limit_callers(const struct settings *s);
 
+/** memory_limit_frames() - bytes of incomplete frames at one of the two ports
+ * for peers */
+uint64_t memory_limit_frames(const struct settings *s);
+
 #endif
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -128,7 +128,7 @@
 }
 
 static enum status
-peers_bind(struct peers *p, struct net_addr at)
+peers_bind(struct peers *p, struct net_addr at, uint64_t input_max_bytes)
 {
 	struct udp_options udp = {
 	    .on_datagram = peers_on_datagram,
@@ -140,6 +140,7 @@
 	struct listener_options tcp = {
 	    .conn = peers_conn_options(),
 	    .conns_max = PEERS_CONNS_MAX,
+	    .input_max_bytes = input_max_bytes,
 	    .handler = &peers_conn_handler,
 	    .on_accept = peers_on_accept,
 	    .arg = p,
@@ -153,7 +154,7 @@
 }
 
 enum status
-peers_new(struct loop *loop, struct net_addr at,
+peers_new(struct loop *loop, struct net_addr at, uint64_t input_max_bytes,
     const struct peers_handler *handler, void *arg, struct peers **out)
 {
 	struct peers *p = g_new0(struct peers, 1);
@@ -169,7 +170,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	p->by_address =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	st = peers_bind(p, at);
+	st = peers_bind(p, at, input_max_bytes);
 	if (st != STATUS_OK) {
 		peers_free(p);
 		return st;
