fix(node): incomplete bodies at a guard share a bound

Problem: what callers saw: nothing yet in use; a crowd that is spread over all nodes takes the hosts of one service for want of memory. The cause: a guard queues a request only once it has 64 KiB of its body or the end, and until then nothing bounds the number of requests, which all entries of the fleet send.

Solution: a pool for the bodies at a guard that are incomplete, an eighth of memory_mb. Beyond it the request that has waited for longest is refused as by a full queue if it is not at the upstream yet, which is not run, and its call is ended if a part of it was sent, which is told as failed. A complete body is bounded by the queue and the slots, as before.

--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -141,6 +141,8 @@
 	g_mutex_init(&g->counts_lock);
 	drain_init(&g->drain);
 	body_window_init(&g->window, CALL_BODIES_WINDOW_BYTES);
+	g->bodies = buffer_pool_new(
+	    loop, "requests with bodies", memory_limit_guard(g->settings));
 	loop_timer_init(&g->tick, loop, tick, g);
 	return g;
 }
@@ -346,6 +348,7 @@
 	g_hash_table_destroy(g->followers);
 	snapshot_unref(g->snapshot);
 	http_client_free(g->http);
+	buffer_pool_free(g->bodies);
 	fate_table_free(g->fates);
 	rate_limit_free(g->caller_limits);
 	loop_timer_stop(&g->tick);
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -241,6 +241,7 @@
 	memcpy(buf, data, *len);
 	r->body_sent_bytes += *len;
 	body_buffer_release(&r->body, r->body_sent_bytes);
+	guard_request_update_held(r);
 	guard_credit_consumed(r, *len);
 	return HTTP_CONTINUE;
 }
--- a/packages/node/src/guard_open.c
+++ b/packages/node/src/guard_open.c
@@ -83,6 +83,7 @@
 	r->body_bytes = m->body_bytes;
 	r->body_complete = m->body_bytes == 0;
 	body_buffer_init(&r->body);
+	buffer_holder_init(&r->holder, &guard_request_holder_ops, g->bodies);
 	loop_timer_init(&r->timer, g->loop, on_deadline, r);
 	r->answer = guard_answer_new(!m->idempotent);
 	r->body_source = guard_out_new(gc, m->stream, id, r, r->answer);
--- a/packages/node/src/guard_priv.h
+++ b/packages/node/src/guard_priv.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "base/log.h"
+#include "net/buffer_pool.h"
 #include "net/conn.h"
 #include "net/http.h"
 #include "net/listener.h"
@@ -62,6 +63,7 @@
  * @quarantine: requests that are no longer run
  * @quota: homes of customers' limits
  * @window: credit shared by the request bodies that are being received
+ * @bodies: bound on the memory of bodies that are received
  * @drain: state of this guard's drain
  * @tick: periodic timer: expires fates and advances the drain
  * @in_flight: number of unfinished requests, atomic for guard_in_flight()
@@ -102,6 +104,7 @@
 	struct guard_quarantine quarantine;
 	struct guard_quota *quota;
 	struct body_window window;
+	struct buffer_pool *bodies;
 	struct drain drain;
 	struct loop_timer tick;
 	_Atomic uint32_t in_flight;
@@ -283,6 +286,7 @@
  * @customer_priority: rank of the customer plus 1, 0 when not set
  * @body_bytes: length of the body, -1 if unknown
  * @body_source: stream that delivers the body, or NULL
+ * @holder: memory of @body while it is incomplete
  * @body: received bytes that were not forwarded yet
  * @body_sent_bytes: bytes of the body that were forwarded
  * @received_bytes: bytes of the body that were received
@@ -329,6 +333,7 @@
 	uint32_t customer_priority;
 	int64_t body_bytes;
 	struct guard_out *body_source;
+	struct buffer_holder holder;
 	struct body_buffer body;
 	uint64_t body_sent_bytes;
 	uint64_t received_bytes;
@@ -444,6 +449,12 @@
 void guard_request_admission(
     const struct guard_request *r, struct admission_request *req);
 
+/** guard_request_holder_ops - ends a request whose body is incomplete */
+extern const struct buffer_holder_ops guard_request_holder_ops;
+
+/** guard_request_update_held() - report what the request holds of its body */
+void guard_request_update_held(struct guard_request *r);
+
 /**
  * guard_request_chunk() - handle a chunk of the body
  *
--- a/packages/node/src/guard_request.c
+++ b/packages/node/src/guard_request.c
@@ -1,6 +1,8 @@
 /*
  * Life cycle of a request at its guard.
  */
+#include <stddef.h>
+
 #include "base/clock.h"
 
 #define LOG_PART "guard"
@@ -59,6 +61,7 @@
 	struct guard *g = r->guard;
 
 	r->state = REQUEST_ENDED;
+	buffer_holder_set(&r->holder, 0, false);
 	guard_credit_end(r);
 	loop_timer_stop(&r->timer);
 	detach_outs(r);
@@ -307,9 +310,18 @@
 	if (m->data_len > 0)
 		body_buffer_append(&r->body, m->data, m->data_len);
 	guard_request_body_arrived(r);
+	guard_request_update_held(r);
 	return true;
 }
 
+void
+guard_request_update_held(struct guard_request *r)
+{
+	if (r->state != REQUEST_ENDED)
+		buffer_holder_set(
+		    &r->holder, r->body.held_bytes, !r->body_complete);
+}
+
 /* Cancellation */
 
 /*
@@ -356,6 +368,20 @@
 	}
 }
 
+static void
+evict(struct buffer_holder *h)
+{
+	struct guard_request *r = (struct guard_request *)((char *)h -
+	    offsetof(struct guard_request, holder));
+
+	if (r->state == REQUEST_RUNNING)
+		abort_call(r, REFUSAL_QUEUE_FULL);
+	else
+		guard_request_refuse(r, REFUSAL_QUEUE_FULL, 0);
+}
+
+const struct buffer_holder_ops guard_request_holder_ops = {.evict = evict};
+
 void
 guard_request_abandon(struct guard_request *r)
 {
@@ -388,6 +414,7 @@
 	loop_timer_stop(&r->timer);
 	if (r->state == REQUEST_ENDED)
 		loop_task_cancel(&r->free_task);
+	buffer_holder_set(&r->holder, 0, false);
 	body_buffer_clear(&r->body);
 	call_headers_clear(&r->headers);
 	guard_answer_unref(r->answer);
--- a/packages/proto/include/proto/gen/settings.h
+++ b/packages/proto/include/proto/gen/settings.h
@@ -90,10 +90,11 @@
  * 	administration and readiness; 0 for the limit of the system
  * 	(RLIMIT_NOFILE), which also applies where it is lower.
  * @memory_mb: Memory that the process may use; 0 stands for 160.
- * 	Requests and answers of callers get a quarter of it, and incomplete
- * 	frames at each of the two ports for peers a tenth. When callers hold
- * 	more than their part, those that hold it for longest lose their
- * 	connections, then new requests are refused.
+ * 	Requests and answers of callers get a quarter of it, requests of
+ * 	other nodes an eighth, and incomplete frames at each of the two
+ * 	ports for peers a tenth. When callers hold more than their part,
+ * 	those that hold it for longest lose their connections, then new
+ * 	requests are refused.
  * @caller_pipeline_max: Most requests of one caller's connection that
  * 	run side by side if it sends them ahead; requests that may not be
  * 	repeated run alone. 1 runs one at a time.
--- a/test/functional/test_clients.c
+++ b/test/functional/test_clients.c
@@ -50,6 +50,8 @@
     CHUNKED("/documents"), TEXT("1\r\nx\r\n"), 30000};
 static const struct crowd_plan tiny_chunks_few = {"chunks of one byte, few", 60,
     CHUNKED("/documents"), TEXT("1\r\nx\r\n"), 30000};
+static const struct crowd_plan short_uploads = {"bodies that reach the guards",
+    2000, CHUNKED("/documents"), TEXT("400\r\n" KILOBYTE "\r\n"), 29};
 static const struct crowd_plan large_chunks = {
     "chunks of 16 kB", 1500, CHUNKED("/documents"), TEXT(CHUNK_16K), 64};
 static const struct crowd_plan large_bookings = {"chunks of 16 kB of bookings",
@@ -329,19 +331,35 @@
 }
 END_TEST
 
-/* Guards against a crowd that reaches the guards of all hosts. */
-START_TEST(a_crowd_at_all_nodes)
+/* Guards against a crowd that is spread over all nodes. */
+static void
+play_at_all(const struct crowd_plan *plan)
 {
 	struct host *h;
 	uint32_t i;
 
-	crowd = crowd_new(&tiny_chunks_few);
+	(void)printf(
+	    "%u connections at each node, %s\n", plan->connections, plan->name);
+	crowd = crowd_new(plan);
 	for (i = 0; i < deployment->hosts->len; i++) {
 		h = deployment_host(deployment, i);
 		crowd_join(crowd, h->address, h->caller_port);
 	}
 	check_crowd(NODE_DESCRIPTORS);
 }
+
+START_TEST(a_crowd_at_all_nodes)
+{
+	play_at_all(&tiny_chunks_few);
+}
+END_TEST
+
+/* Guards against bodies that stop before their guard has enough of them to
+ * queue them: all nodes send them to the guards of one service. */
+START_TEST(a_crowd_that_reaches_the_guards)
+{
+	play_at_all(&short_uploads);
+}
 END_TEST
 
 /* Guards against bodies that hold all descriptors of callers. */
@@ -374,6 +392,7 @@
 	tcase_add_test(tc, frames_to_the_calls_of_peers);
 	tcase_add_test(tc, frames_to_the_control_of_peers);
 	tcase_add_test(tc, a_crowd_at_all_nodes);
+	tcase_add_test(tc, a_crowd_that_reaches_the_guards);
 	tcase_add_checked_fixture(few, setup_few_descriptors, teardown);
 	tcase_set_timeout(few, TEST_TIMEOUT_S);
 	tcase_add_test(few, bodies_that_hold_all_descriptors);
