fix(net): an answer whose connection was reset is not complete

The cause: a reset is reported once. If send(2) gets the report, recv(2) returns the rest and then 0, which was taken for an orderly end.

Solution: a connection remembers that sending has failed; from then on the end of the stream fails the call. It works since after a failed send no end can be told from a reset, and answers with a length or in chunks do not need the end.

--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -205,10 +205,15 @@
 	}
 }
 
-/* End of the stream: completes an answer without a length. */
+/* End of the stream: completes an answer without a length, unless the
+ * connection was reset: recv(2) reports that only if send(2) has not. */
 static void
 on_end_of_stream(struct http_conn *c)
 {
+	if (c->reset) {
+		conn_broken(c, "the connection was reset");
+		return;
+	}
 	if (c->call->answered)
 		parse(c, "", 0);
 	if (c->call != NULL && !c->complete)
@@ -321,8 +326,9 @@
 		return;
 	if (!flush(c)) {
 		/* An answer may have arrived before the reset. */
+		c->reset = true;
 		c->written = false;
-		loop_fd_set(c->watch, LOOP_READ);
+		loop_fd_set(c->watch, call->paused ? 0 : LOOP_READ);
 		return;
 	}
 	pending = c->out->len > c->out_sent;
--- a/packages/net/src/http_conn_defs.h
+++ b/packages/net/src/http_conn_defs.h
@@ -34,6 +34,7 @@
  * @interim: interim answers (1xx) received for the call
  * @used: a call has ended on the connection
  * @written: the complete request has been sent
+ * @reset: sending has failed, so that the end of the stream is not orderly
  * @complete: the complete answer has been received
  * @surplus: data beyond the answer was received, or an answer was skipped
  */
@@ -56,6 +57,7 @@
 	uint32_t interim;
 	bool used;
 	bool written;
+	bool reset;
 	bool complete;
 	bool surplus;
 };
