fix(net): a first line that is no status line of HTTP/1 fails the answer

Problem: what callers saw: with status 000 followed by a valid answer, a 200 whose body begins with that of the first (MIXED); statuses 600 and 999 and answers of HTTP/2.0, HTTP/0.9 or with a status of four digits as if they were valid. The cause: the parser takes any number up to 999 with any number of digits and blanks, and codes below 200 were taken for interim answers.

Solution: the bytes of a first line are checked before the parser gets them: "HTTP/1.", a digit, a blank, three digits from 100 to 599, and a blank or the end of the line. The parser pauses behind each answer, so that an answer behind an interim one is checked too. It works since what follows a line that is not one of HTTP/1 has no meaning. An answer from 500 to 599 stays the endpoint's.

--- a/packages/net/src/http_conn.c
+++ b/packages/net/src/http_conn.c
@@ -176,6 +176,29 @@
 
 /* Reading */
 
+/* Passes data to the parser, which pauses behind each answer.  Return: the
+ * bytes parsed. */
+static size_t
+parse_answers(struct http_conn *c, const char *data, size_t len)
+{
+	size_t at = 0;
+
+	do {
+		if (!http_read_line(c, data + at, len - at)) {
+			c->parser.http_errno = HPE_INVALID_STATUS;
+			return at;
+		}
+		at += http_parser_execute(
+		    &c->parser, &http_read_settings, data + at, len - at);
+		if (c->call == NULL || c->complete ||
+		    HTTP_PARSER_ERRNO(&c->parser) != HPE_PAUSED)
+			return at;
+		http_parser_pause(&c->parser, 0);
+		c->line_bytes = 0;
+	} while (at < len);
+	return at;
+}
+
 /* Passes data to the parser and ends the call when it is complete or failed. */
 static void
 parse(struct http_conn *c, const char *data, size_t len)
@@ -184,7 +207,7 @@
 	size_t n;
 
 	c->call->answered |= len > 0;
-	n = http_parser_execute(&c->parser, &http_read_settings, data, len);
+	n = parse_answers(c, data, len);
 	if (c->call == NULL)
 		return;
 	err = HTTP_PARSER_ERRNO(&c->parser);
@@ -348,6 +371,7 @@
 	c->surplus = false;
 	c->written = false;
 	c->interim = 0;
+	c->line_bytes = 0;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	g_byte_array_append(c->out, call->head->data, call->head->len);
--- a/packages/net/src/http_conn_defs.h
+++ b/packages/net/src/http_conn_defs.h
@@ -33,6 +33,7 @@
  * @keep_alive_ms: time for which the idle connection may be reused
  * @interim: interim answers (1xx) received for the call
  * @used: a call has ended on the connection
+ * @line_bytes: bytes of the current answer's first line that were checked
  * @written: the complete request has been sent
  * @reset: sending has failed, so that the end of the stream is not orderly
  * @complete: the complete answer has been received
@@ -55,6 +56,7 @@
 	uint64_t idle_since_ms;
 	uint64_t keep_alive_ms;
 	uint32_t interim;
+	uint32_t line_bytes;
 	bool used;
 	bool written;
 	bool reset;
@@ -62,6 +64,17 @@
 	bool surplus;
 };
 
+/**
+ * http_read_line() - check the beginning of an answer's first line
+ * @c: the connection, with an answer that begins or goes on in @data
+ * @data: received bytes
+ * @len: number of bytes
+ *
+ * Return: whether it can be a status line of HTTP/1 with a status of three
+ * digits from 100 to 599; the parser also accepts others.
+ */
+bool http_read_line(struct http_conn *c, const char *data, size_t len);
+
 /** http_read_settings - parser callbacks; parser->data is the connection */
 extern const http_parser_settings http_read_settings;
 
--- a/packages/net/src/http_read.c
+++ b/packages/net/src/http_read.c
@@ -16,6 +16,10 @@
 #define HTTP_FIRST_FINAL_CODE 200
 /* Most interim answers (1xx) before the final one. */
 #define HTTP_INTERIM_MAX 16
+/* Offsets in a status line such as "HTTP/1.1 200 OK". */
+#define LINE_BLANK 8U
+#define LINE_STATUS 9U
+#define LINE_STATUS_END 12U
 #define MS_PER_S 1000U
 #define PERCENT 100U
 #define DECIMAL 10
@@ -26,6 +30,38 @@
 	return p->data;
 }
 
+/* "HTTP/1." with a digit, a blank, three digits, and a blank or the end of the
+ * line. */
+static bool
+is_line_byte(uint32_t at, char c)
+{
+	static const char start[] = "HTTP/1.";
+
+	if (at < sizeof(start) - 1)
+		return c == start[at];
+	switch (at) {
+	case LINE_BLANK:
+		return c == ' ';
+	case LINE_STATUS:
+		return c >= '1' && c <= '5';
+	case LINE_STATUS_END:
+		return c == ' ' || c == '\r' || c == '\n';
+	default:
+		return g_ascii_isdigit(c);
+	}
+}
+
+bool
+http_read_line(struct http_conn *c, const char *data, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len && c->line_bytes <= LINE_STATUS_END; i++)
+		if (!is_line_byte(c->line_bytes++, data[i]))
+			return false;
+	return true;
+}
+
 static int
 on_message_begin(http_parser *p)
 {
@@ -141,13 +177,10 @@
 {
 	struct http_conn *c = conn_of(p);
 
-	if (p->status_code < HTTP_FIRST_FINAL_CODE)
-		return 0;
-	if (c->call->skipping) {
+	if (c->call->skipping)
 		c->call->skipping = false;
-		return 0;
-	}
-	c->complete = true;
+	else
+		c->complete = p->status_code >= HTTP_FIRST_FINAL_CODE;
 	http_parser_pause(p, 1);
 	return 0;
 }
--- a/packages/net/test/test_http_mixed.c
+++ b/packages/net/test/test_http_mixed.c
@@ -35,11 +35,20 @@
 static const struct answer_case cases[] = {
     /* First lines. */
     {"status 000", "HTTP/1.1 000 Odd\r\n" SIX, NO_ANSWER, ""},
+    {"status 000 before an answer", "HTTP/1.1 000 Odd\r\n" SIX WHOLE, NO_ANSWER,
+	""},
     {"status 099", "HTTP/1.1 099 Odd\r\n" SIX, NO_ANSWER, ""},
+    {"status 600", "HTTP/1.1 600 Odd\r\n" SIX, NO_ANSWER, ""},
+    {"status 999", "HTTP/1.1 999 Odd\r\n" SIX, NO_ANSWER, ""},
     {"status of two digits", "HTTP/1.1 20 OK\r\n" SIX, NO_ANSWER, ""},
+    {"status of four digits", "HTTP/1.1 0200 OK\r\n" SIX, NO_ANSWER, ""},
     {"status with a sign", "HTTP/1.1 -200 OK\r\n" SIX, NO_ANSWER, ""},
+    {"two blanks", "HTTP/1.1  200 OK\r\n" SIX, NO_ANSWER, ""},
     {"no status", "HTTP/1.1\r\n" SIX, NO_ANSWER, ""},
+    {"HTTP/2.0", "HTTP/2.0 200 OK\r\n" SIX, NO_ANSWER, ""},
+    {"HTTP/0.9", "HTTP/0.9 200 OK\r\n" SIX, NO_ANSWER, ""},
     {"another protocol", "ICY 200 OK\r\n" SIX, NO_ANSWER, ""},
+    {"an empty line first", "\r\n" WHOLE, NO_ANSWER, ""},
     {"no reason", "HTTP/1.1 200\r\n" SIX, 200, BODY},
     {"status 599", "HTTP/1.1 599 Odd\r\n" SIX, 599, BODY},
     /* Names and values of fields. */
