fix(net): interim answers, 204 and 304 have no body

The cause: heads below 200 were not looked at, and the parser reads a body wherever a head names one, for these codes too.

Solution: every head is checked, and answers to HEAD, 1xx, 204 and 304 end with their heads, as HTTP says. What follows an interim head must then be a first line, so that bytes in its place fail the call.

--- a/packages/net/src/http_read.c
+++ b/packages/net/src/http_read.c
@@ -96,15 +96,32 @@
 			HTTP_KEEP_ALIVE_PERCENT / PERCENT);
 }
 
+/* Whether the answer has no body, whatever its head says. */
 static bool
-is_delimited(const struct http_call *call, const http_parser *p)
+is_bodiless(const struct http_call *call, const http_parser *p)
 {
-	return call->head_only || (p->flags & F_CHUNKED) != 0 ||
-	    p->content_length != ULLONG_MAX ||
+	return call->head_only || p->status_code < HTTP_FIRST_FINAL_CODE ||
 	    p->status_code == HTTP_STATUS_NO_CONTENT ||
 	    p->status_code == HTTP_STATUS_NOT_MODIFIED;
 }
 
+static bool
+is_delimited(const struct http_call *call, const http_parser *p)
+{
+	return is_bodiless(call, p) || (p->flags & F_CHUNKED) != 0 ||
+	    p->content_length != ULLONG_MAX;
+}
+
+/* Return: as http_parser requires, 1 for an answer without a body. */
+static int
+on_interim(struct http_conn *c)
+{
+	if (c->parser.status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
+	    ++c->interim > HTTP_INTERIM_MAX)
+		return -1;
+	return 1;
+}
+
 /* Return: as http_parser requires, 1 for an answer without a body. */
 static int
 on_headers_complete(http_parser *p)
@@ -115,14 +132,11 @@
 	enum http_flow flow = HTTP_CONTINUE;
 	uint32_t n;
 
-	if (p->status_code < HTTP_FIRST_FINAL_CODE)
-		return p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
-			++c->interim > HTTP_INTERIM_MAX
-		    ? -1
-		    : 0;
 	n = http_head_lines(&c->head, lines);
 	if (!http_head_valid(lines, n))
 		return -1;
+	if (p->status_code < HTTP_FIRST_FINAL_CODE)
+		return on_interim(c);
 	call->code = p->status_code;
 	call->delimited = is_delimited(call, p);
 	read_keep_alive(c, lines, n);
@@ -134,14 +148,14 @@
 	if (flow == HTTP_SKIP) {
 		call->skipping = true;
 		c->surplus = true;
-		return 0;
+		return is_bodiless(call, p) ? 1 : 0;
 	}
 	call->head_done = true;
 	if (flow != HTTP_CONTINUE) {
 		call->aborted = true;
 		return -1;
 	}
-	return call->head_only ? 1 : 0;
+	return is_bodiless(call, p) ? 1 : 0;
 }
 
 int
--- a/packages/net/test/test_http_mixed.c
+++ b/packages/net/test/test_http_mixed.c
@@ -98,9 +98,22 @@
     /* Interim answers. */
     {"interim answer", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" WHOLE, 200,
 	BODY},
+    {"interim answer with a body",
+	"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nOTHER" WHOLE,
+	NO_ANSWER, ""},
+    {"interim answer with chunks",
+	"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"5\r\nOTHER\r\n0\r\n\r\n" WHOLE,
+	NO_ANSWER, ""},
+    {"interim answer with a blank in a name",
+	"HTTP/1.1 103 Early Hints\r\nX y: z\r\n\r\n" WHOLE, NO_ANSWER, ""},
     {"interim answer and no final one", "HTTP/1.1 103 Early Hints\r\n\r\n",
 	NO_ANSWER, ""},
     {"switching protocols", "HTTP/1.1 101 Switch\r\n\r\n" WHOLE, NO_ANSWER, ""},
+    /* Answers that have no body whatever their heads say. */
+    {"204 with a length", "HTTP/1.1 204 No Content\r\n" SIX, 204, ""},
+    {"304 with a length",
+	"HTTP/1.1 304 Not Modified\r\nContent-Length: 6\r\n\r\n", 304, ""},
 };
 
 static bool
