fix(net): an answer in an unknown transfer coding is no answer

Problem: what callers saw: the bytes of a coding in place of the endpoint's body in a signed 200 (MIXED): "Transfer-Encoding: gzip", "gzip, chunked", two lines of chunked, or chunks in an answer of HTTP/1.0. The cause: the parser ends such a body by the chunks or with the connection, and the header, which concerns one connection only, is not passed on.

Solution: the check that requests of callers get (chunked alone, once, in HTTP/1.1, without a length) is shared with answers. It works since clients of a node can't undo a coding that they are not told of.

--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -161,6 +161,25 @@
 	return true;
 }
 
+bool
+http_head_has_plain_coding(
+    const http_parser *p, const struct http_header *lines, uint32_t n)
+{
+	bool chunked = false;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcasecmp(lines[i].name, "Transfer-Encoding") != 0)
+			continue;
+		if (chunked || strcasecmp(lines[i].value, "chunked") != 0)
+			return false;
+		chunked = true;
+	}
+	return !chunked ||
+	    (p->http_minor > 0 &&
+		http_head_find(lines, n, "Content-Length") == NULL);
+}
+
 const char *
 http_head_find(const struct http_header *lines, uint32_t n, const char *name)
 {
--- a/packages/net/src/http_head.h
+++ b/packages/net/src/http_head.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include <glib.h>
+#include <http_parser.h>
 
 #include "net/http.h"
 
@@ -76,6 +77,19 @@
  */
 bool http_head_valid(const struct http_header *lines, uint32_t n);
 
+/**
+ * http_head_has_plain_coding() - whether a body is chunked or has no transfer
+ * coding at all
+ * @p: parser that has read the head
+ * @lines: the lines
+ * @n: number of lines
+ *
+ * Implementations differ in where other bodies end, and in what Content-Length
+ * beside chunks or chunks in HTTP/1.0 mean.
+ */
+bool http_head_has_plain_coding(
+    const http_parser *p, const struct http_header *lines, uint32_t n);
+
 /** http_is_token() - whether a string is an HTTP token (header name, method) */
 bool http_is_token(const char *s);
 
--- a/packages/net/src/http_read.c
+++ b/packages/net/src/http_read.c
@@ -133,7 +133,8 @@
 	uint32_t n;
 
 	n = http_head_lines(&c->head, lines);
-	if (!http_head_valid(lines, n))
+	if (!http_head_valid(lines, n) ||
+	    !http_head_has_plain_coding(p, lines, n))
 		return -1;
 	if (p->status_code < HTTP_FIRST_FINAL_CODE)
 		return on_interim(c);
--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -66,21 +66,8 @@
 has_unambiguous_length(
     const http_parser *p, const struct http_header *lines, uint32_t n)
 {
-	bool chunked = false;
-	uint32_t i;
-
-	if (p->http_major != 1 || !http_head_valid(lines, n))
-		return false;
-	for (i = 0; i < n; i++) {
-		if (strcasecmp(lines[i].name, "Transfer-Encoding") != 0)
-			continue;
-		if (chunked || strcasecmp(lines[i].value, "chunked") != 0)
-			return false;
-		chunked = true;
-	}
-	return !chunked ||
-	    (p->http_minor > 0 &&
-		http_head_find(lines, n, "Content-Length") == NULL);
+	return p->http_major == 1 && http_head_valid(lines, n) &&
+	    http_head_has_plain_coding(p, lines, n);
 }
 
 static bool
--- a/packages/net/test/test_http_mixed.c
+++ b/packages/net/test/test_http_mixed.c
@@ -91,6 +91,20 @@
 	OK "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n"
 	   "6\r\nanswer\r\n0\r\n\r\n",
 	NO_ANSWER, ""},
+    {"unknown coding", OK "Transfer-Encoding: gzip\r\n\r\nanswer", NO_ANSWER,
+	""},
+    {"chunks below another coding",
+	OK "Transfer-Encoding: gzip, chunked\r\n\r\n"
+	   "6\r\nanswer\r\n0\r\n\r\n",
+	NO_ANSWER, ""},
+    {"chunks twice",
+	OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+	   "6\r\nanswer\r\n0\r\n\r\n",
+	NO_ANSWER, ""},
+    {"chunks in HTTP/1.0",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"6\r\nanswer\r\n0\r\n\r\n",
+	NO_ANSWER, ""},
     {"chunk of no length",
 	OK "Transfer-Encoding: chunked\r\n\r\nx\r\nanswer\r\n0\r\n\r\n",
 	NO_ANSWER, ""},
