fix(node): an entry takes no invalid head of an answer from a guard

The cause: the entry checks that a head belongs to its attempt, and took its status and fields as they are.

Solution: a status outside 200 to 599, or a field that is not valid in HTTP, makes the frame invalid like a head of another request: the link is closed and the call ends as unknown.

Measured: test_call_wire, invalid_answer_is_not_forwarded: with five new cases (status 000 and 600, a blank in a name, a line break in a value; a valid field, which is passed on) it fails on the code before at status 000, passes now.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -33,6 +33,10 @@
 	const char *value;
 };
 
+/** http_header_is_valid() - whether a name is a token, and a value has no
+ * control characters except tabs */
+bool http_header_is_valid(const char *name, const char *value);
+
 /** HTTP_LENGTH_UNKNOWN - length of a streamed body of unknown length */
 #define HTTP_LENGTH_UNKNOWN UINT64_MAX
 
--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -149,14 +149,19 @@
 	return true;
 }
 
+bool
+http_header_is_valid(const char *name, const char *value)
+{
+	return http_is_token(name) && is_valid_value(value);
+}
+
 bool
 http_head_valid(const struct http_header *lines, uint32_t n)
 {
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		if (!http_is_token(lines[i].name) ||
-		    !is_valid_value(lines[i].value))
+		if (!http_header_is_valid(lines[i].name, lines[i].value))
 			return false;
 	return true;
 }
--- a/packages/node/src/entry_frames.c
+++ b/packages/node/src/entry_frames.c
@@ -12,10 +12,16 @@
 #define LOG_PART "entry"
 #include "base/log.h"
 
+#include "net/http.h"
+
 #include "call_metrics.h"
 #include "entry_log.h"
 #include "entry_quota.h"
 
+/* Statuses of final answers. */
+#define STATUS_MIN 200
+#define STATUS_MAX 599
+
 static struct entry_attempt *
 find_attempt(struct entry_peer *p, uint32_t number)
 {
@@ -62,10 +68,27 @@
 	return true;
 }
 
+/* The guard has checked the fields; this guards against one of another release.
+ */
+static bool
+fields_are_valid(const struct call_headers *headers)
+{
+	const struct rec_header *h;
+	uint32_t i;
+
+	for (i = 0; i < call_headers_count(headers); i++) {
+		h = call_headers_at(headers, i);
+		if (!http_header_is_valid(h->name, h->value))
+			return false;
+	}
+	return true;
+}
+
 static bool
 head_is_valid(const struct entry_attempt *a, const struct msg_call_head *m)
 {
 	return a->answer == NULL && a->head_us == 0 &&
+	    m->status >= STATUS_MIN && m->status <= STATUS_MAX &&
 	    m->request_id_len == REQUEST_ID_BYTES &&
 	    memcmp(m->request_id, a->id.bytes, REQUEST_ID_BYTES) == 0;
 }
@@ -91,7 +114,8 @@
 			a->answer->body_bytes = m.body_bytes;
 			a->answer->version = a->call->snapshot->version;
 			a->answer_length = m.body_bytes;
-			ok = copy_headers(a->answer, &m);
+			ok = copy_headers(a->answer, &m) &&
+			    fields_are_valid(&a->answer->headers);
 		}
 	}
 	msg_call_head_clear(&m);
--- a/packages/node/test/test_call_wire.c
+++ b/packages/node/test/test_call_wire.c
@@ -317,17 +317,26 @@
 };
 
 static void
-put_head(int fd, const struct msg_call_open *m, int64_t body_bytes)
+put_head_with(int fd, const struct msg_call_open *m, int64_t body_bytes,
+    uint32_t status, const struct rec_header *header)
 {
 	struct msg_call_head head = {.stream = m->stream,
 	    .request_id = m->request_id,
 	    .request_id_len = m->request_id_len,
-	    .status = 200,
+	    .status = status,
+	    .headers = (struct rec_header *)(uintptr_t)header,
+	    .n_headers = header != NULL ? 1 : 0,
 	    .body_bytes = body_bytes};
 
 	send_frame(fd, MSG_CALL_HEAD, &head);
 }
 
+static void
+put_head(int fd, const struct msg_call_open *m, int64_t body_bytes)
+{
+	put_head_with(fd, m, body_bytes, 200, NULL);
+}
+
 static void
 put_chunk(int fd, const struct msg_call_open *m, const char *text, bool fin)
 {
@@ -380,6 +389,50 @@
 	put_chunk(fd, m, "fake", true);
 }
 
+static void
+answer_status_000(int fd, const struct msg_call_open *m)
+{
+	put_head_with(fd, m, 4, 0, NULL);
+	put_chunk(fd, m, "fake", true);
+}
+
+static void
+answer_status_600(int fd, const struct msg_call_open *m)
+{
+	put_head_with(fd, m, 4, 600, NULL);
+	put_chunk(fd, m, "fake", true);
+}
+
+static void
+answer_blank_in_name(int fd, const struct msg_call_open *m)
+{
+	const struct rec_header header = {
+	    .name = "X y", .name_len = 3, .value = "z", .value_len = 1};
+
+	put_head_with(fd, m, 4, 200, &header);
+	put_chunk(fd, m, "fake", true);
+}
+
+static void
+answer_line_in_value(int fd, const struct msg_call_open *m)
+{
+	const struct rec_header header = {
+	    .name = "X", .name_len = 1, .value = "z\r\nY: z", .value_len = 7};
+
+	put_head_with(fd, m, 4, 200, &header);
+	put_chunk(fd, m, "fake", true);
+}
+
+static void
+answer_with_a_field(int fd, const struct msg_call_open *m)
+{
+	const struct rec_header header = {
+	    .name = "X-y", .name_len = 3, .value = "z z", .value_len = 3};
+
+	put_head_with(fd, m, 4, 200, &header);
+	put_chunk(fd, m, "good", true);
+}
+
 /* Frames of a stream that has ended or was never opened are ignored. */
 static void
 answer_after_unknown_streams(int fd, const struct msg_call_open *m)
@@ -447,6 +500,11 @@
     {answer_short, 504},
     {answer_without_head, 504},
     {answer_two_heads, 504},
+    {answer_status_000, 504},
+    {answer_status_600, 504},
+    {answer_blank_in_name, 504},
+    {answer_line_in_value, 504},
+    {answer_with_a_field, 200},
     {answer_after_unknown_streams, 200},
 };
 
