fix(net): a request that crosses a close destroys no answer

The cause: the connection was closed at once behind the last answer; a request that its caller had sent ahead met a closed socket, and the reset destroyed the part of the answer that was still on its way.

Solution: behind an answer that closes, and where a stop closes an idle connection, the server ends its output and discards input until the caller closes, for 1 s at most. It works since no reset is sent while input is read. A caller that has announced its last request is closed at once, as before.

--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -175,6 +175,6 @@
 		c = l->data;
 		if (http_server_conn_is_idle(c) &&
 		    !http_server_conn_has_unread(c))
-			http_server_conn_close(c, false);
+			http_server_conn_end_idle(c);
 	}
 }
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -309,21 +309,37 @@
 }
 
 /*
- * The answer was sent before the complete request was read.  Closing now would
- * reset the connection, which could destroy the answer before the caller reads
- * it, so the input is discarded for LINGER_MS first.
+ * The rest of a request, or a request that the caller has sent ahead, may still
+ * arrive.  Closing now would reset the connection, which could destroy the
+ * answer before the caller reads it, so the input is discarded until the caller
+ * closes, for LINGER_MS at most.  A caller that has announced its last request
+ * sends no other.
  */
 static void
-close_after_answer(struct http_server_conn *c)
+end_output(struct http_server_conn *c)
 {
-	if (c->input == CONN_INPUT_IDLE || c->peer_ended) {
+	if (c->peer_ended || (c->last_request && c->input == CONN_INPUT_IDLE)) {
 		http_server_conn_close(c, false);
 		return;
 	}
 	c->life = CONN_LINGERING;
+	if (c->pipelined != NULL)
+		g_byte_array_free(c->pipelined, TRUE);
+	c->pipelined = NULL;
 	(void)shutdown(c->fd, SHUT_WR);
 }
 
+void
+http_server_conn_end_idle(struct http_server_conn *c)
+{
+	if (!c->used) {
+		http_server_conn_close(c, false);
+		return;
+	}
+	end_output(c);
+	http_server_conn_update(c);
+}
+
 /* Whether the data that a departed caller has left counts. */
 static bool
 serves_rest(const struct http_server_conn *c)
@@ -336,7 +352,7 @@
 all_sent(struct http_server_conn *c)
 {
 	if (c->closing) {
-		close_after_answer(c);
+		end_output(c);
 	} else if (c->peer_ended && !serves_rest(c)) {
 		if (c->pipelined != NULL)
 			report_unread(c);
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -105,6 +105,7 @@
  * @closing: no further request is read, and the connection is closed after the
  *	last answer
  * @peer_ended: the caller has closed its side
+ * @last_request: the caller has announced that it sends no further request
  * @used: a request was received
  * @surplus: accepted beyond the connections that are served
  */
@@ -138,6 +139,7 @@
 	bool parsing;
 	bool closing;
 	bool peer_ended;
+	bool last_request;
 	bool used;
 	bool surplus;
 };
@@ -210,6 +212,10 @@
 /** http_server_conn_is_idle() - whether no request is under way or received */
 bool http_server_conn_is_idle(const struct http_server_conn *c);
 
+/** http_server_conn_end_idle() - close an idle connection whose last answer may
+ * not have arrived */
+void http_server_conn_end_idle(struct http_server_conn *c);
+
 /** http_server_conn_has_unread() - whether the socket has unread data */
 bool http_server_conn_has_unread(const struct http_server_conn *c);
 
--- a/packages/net/test/test_http_server.c
+++ b/packages/net/test/test_http_server.c
@@ -25,6 +25,8 @@
 #define MANY_LINES 500
 #define BIG_BYTES (32U << 20)
 #define MAX_READS 100000
+#define SMALL_WINDOW 2048
+#define LONG_BYTES 15000
 
 static void
 answer_big(struct http_incoming *q)
@@ -349,6 +351,62 @@
 }
 END_TEST
 
+/* A caller with a small window, which has not confirmed the whole answer. */
+static int
+dial_small(void)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons(http_server_addr(server).port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0), bytes = SMALL_WINDOW;
+
+	ck_assert_int_eq(
+	    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)), 0);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	return fd;
+}
+
+static size_t
+receive_rest(int fd)
+{
+	char buf[4096];
+	size_t total = 0;
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0) {
+		total += (size_t)n;
+		run_turns(1);
+	}
+	return n == 0 ? total : 0;
+}
+
+/*
+ * Guards against a request that crosses the close of its connection and resets
+ * it: the answer before it must arrive whole, whether the server closes behind
+ * the answer or while the connection is idle.
+ */
+START_TEST(request_that_crosses_the_close_destroys_no_answer)
+{
+	char *target = g_strnfill(LONG_BYTES, 'a');
+	char *text = g_strdup_printf("GET /%s HTTP/1.1\r\n\r\n", target);
+	int fd = dial_small();
+
+	if (_i == 0)
+		http_server_close_idle(server, false);
+	send_text(fd, text);
+	if (_i == 1)
+		http_server_close_idle(server, true);
+	run_turns(6);
+	(void)send(fd, "GET /next HTTP/1.1\r\n\r\n", 22, MSG_NOSIGNAL);
+	run_turns(6);
+	ck_assert_uint_gt(receive_rest(fd), LONG_BYTES);
+	ck_assert_ptr_null(strstr(seen->str, "/next"));
+	close(fd);
+	g_free(target);
+	g_free(text);
+}
+END_TEST
+
 START_TEST(caller_disconnect_is_reported_at_once)
 {
 	int fd = dial();
@@ -505,6 +563,8 @@
 	tcase_add_test(tc, whitespace_around_values_is_stripped);
 	tcase_add_test(tc, bodies_arrive_complete_by_length_and_chunked);
 	tcase_add_test(tc, early_answer_arrives_and_closes);
+	tcase_add_loop_test(
+	    tc, request_that_crosses_the_close_destroys_no_answer, 0, 2);
 	tcase_add_test(tc, caller_disconnect_is_reported_at_once);
 	tcase_add_test(tc, request_of_a_caller_that_left_is_dropped_unread);
 	tcase_add_test(tc, report_of_a_process_that_ended_is_served);
