--- a/packages/config/test/test_customers.c
+++ b/packages/config/test/test_customers.c
@@ -11,6 +11,9 @@
 	"{'prefix':'/open','methods':['GET'],'service':'search',"         \
 	"'keyless':true}]"
 
+/* As docs/BUNDLES.md says. */
+#define KEYS_MAX 30720
+
 static struct bundle *
 bundle_with(const char *customers)
 {
@@ -104,6 +107,30 @@
 }
 END_TEST
 
+/* Guards against a version that is refused whole for one customer's keys. */
+START_TEST(customer_has_many_keys)
+{
+	static const uint32_t numbers[] = {1024, 1025, KEYS_MAX};
+	GString *text = g_string_new("{'name':'north','keys':['k0'");
+	struct bundle *b;
+	struct snapshot *s;
+	char last[16];
+	uint32_t i;
+
+	for (i = 1; i < numbers[_i]; i++)
+		g_string_append_printf(text, ",'k%u'", i);
+	g_string_append(text, "]}");
+	b = bundle_with(text->str);
+	s = snapshot_of(b);
+	(void)g_snprintf(last, sizeof(last), "k%u", numbers[_i] - 1);
+	ck_assert_ptr_nonnull(holder(s, "k0"));
+	ck_assert_ptr_eq(holder(s, last), holder(s, "k0"));
+	snapshot_unref(s);
+	bundle_free(b);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
 START_TEST(table_without_customers_differs_from_no_table)
 {
 	struct bundle *empty = bundle_with("");
@@ -227,6 +254,7 @@
 	TCase *tc = tcase_create("customers");
 
 	tcase_add_test(tc, keys_lead_to_their_customer);
+	tcase_add_loop_test(tc, customer_has_many_keys, 0, 3);
 	tcase_add_test(tc, table_without_customers_differs_from_no_table);
 	tcase_add_test(tc, sections_hold_no_key);
 	tcase_add_test(tc, changed_key_changes_one_section);
