--- a/packages/net/test/support.c
+++ b/packages/net/test/support.c
@@ -1,6 +1,8 @@
 /*
  * Helpers for the tests of this package, the store and the platform adapter.
  */
+#include <string.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -57,6 +59,17 @@
 	ck_assert_int_eq(send(fd, data, len, MSG_NOSIGNAL), (ssize_t)len);
 }
 
+int
+support_code(int fd)
+{
+	char buf[64] = "";
+	ssize_t n = recv(fd, buf, sizeof(buf) - 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (n < 0)
+		return errno == EAGAIN ? 0 : -1;
+	return n > 0 ? (int)strtol(buf + strlen("HTTP/1.1 "), NULL, 10) : -1;
+}
+
 void
 support_reset(int fd)
 {
--- a/packages/net/test/support.h
+++ b/packages/net/test/support.h
@@ -37,6 +37,10 @@
 /** support_send() - send all of @data */
 void support_send(int fd, const void *data, size_t len);
 
+/** support_code() - status of the answer on a non-blocking connection: 0 for
+ * none yet, -1 when it was closed without one; reads nothing */
+int support_code(int fd);
+
 /** support_reset() - close a connection so that the peer sees a reset */
 void support_reset(int fd);
 
--- a/packages/net/test/test_http_buffers.c
+++ b/packages/net/test/test_http_buffers.c
@@ -146,27 +146,14 @@
 	return fd;
 }
 
-/* Status of the answer on a connection: 0 for none yet, -1 when it was closed
- * without one. */
 static int
-code_of(int fd)
-{
-	char buf[64] = "";
-	ssize_t n = recv(fd, buf, sizeof(buf) - 1, MSG_PEEK | MSG_DONTWAIT);
-
-	if (n < 0)
-		return errno == EAGAIN ? 0 : -1;
-	return n > 0 ? (int)strtol(buf + strlen("HTTP/1.1 "), NULL, 10) : -1;
-}
-
-static int
-code_of_newcomer(void)
+newcomer_code(void)
 {
 	int fd = open_with(GET, 0);
 	int code;
 
-	RUN_UNTIL(loop, code_of(fd) != 0);
-	code = code_of(fd);
+	RUN_UNTIL(loop, support_code(fd) != 0);
+	code = support_code(fd);
 	(void)close(fd);
 	return code;
 }
@@ -211,11 +198,11 @@
 
 	open_crowd(crowds[_i].head, crowds[_i].bytes, fds);
 	if (_i == 0) {
-		ck_assert_int_eq(code_of(fds[0]), -1);
-		ck_assert_int_eq(code_of(fds[CROWD - 1]), 0);
+		ck_assert_int_eq(support_code(fds[0]), -1);
+		ck_assert_int_eq(support_code(fds[CROWD - 1]), 0);
 		ck_assert_int_gt(evicted, 0);
 	}
-	ck_assert_int_eq(code_of_newcomer(), 200);
+	ck_assert_int_eq(newcomer_code(), 200);
 	close_crowd(fds);
 }
 END_TEST
@@ -232,7 +219,7 @@
 	for (i = 0; i < 1000; i++)
 		g_string_append(text, GET);
 	open_crowd(text->str, 0, fds);
-	ck_assert_int_eq(code_of(fds[0]), -1);
+	ck_assert_int_eq(support_code(fds[0]), -1);
 	close_crowd(fds);
 	g_string_free(text, TRUE);
 }
@@ -263,13 +250,13 @@
 	for (i = 0; i < CROWD; i++)
 		fds[i] = open_with(RUN, PART_BYTES);
 	ck_assert_int_eq(evicted, 0);
-	ck_assert_int_eq(code_of(fds[0]), 0);
-	ck_assert_int_eq(code_of(fds[CROWD - 1]), 503);
-	ck_assert_int_eq(code_of_newcomer(), 503);
+	ck_assert_int_eq(support_code(fds[0]), 0);
+	ck_assert_int_eq(support_code(fds[CROWD - 1]), 503);
+	ck_assert_int_eq(newcomer_code(), 503);
 	for (i = 0; i < CROWD; i++)
 		(void)close(fds[i]);
 	RUN_UNTIL(loop, http_server_conns(server) == 0);
-	ck_assert_int_eq(code_of_newcomer(), 200);
+	ck_assert_int_eq(newcomer_code(), 200);
 }
 END_TEST
 
@@ -278,11 +265,11 @@
 {
 	int fd = open_with(CHUNKED, 0);
 
-	while (code_of(fd) == 0) {
+	while (support_code(fd) == 0) {
 		(void)send(fd, "1\r\nx\r\n", 6, MSG_NOSIGNAL);
 		support_run_for(loop, TRICKLE_MS);
 	}
-	ck_assert_int_eq(code_of(fd), -1);
+	ck_assert_int_eq(support_code(fd), -1);
 	(void)close(fd);
 }
 END_TEST
@@ -300,8 +287,8 @@
 		support_send(fd, part, sizeof(part));
 		support_run_for(loop, TRICKLE_MS);
 	}
-	RUN_UNTIL(loop, code_of(fd) != 0);
-	ck_assert_int_eq(code_of(fd), 200);
+	RUN_UNTIL(loop, support_code(fd) != 0);
+	ck_assert_int_eq(support_code(fd), 200);
 	(void)close(fd);
 }
 END_TEST
@@ -315,8 +302,8 @@
 	for (i = 0; i < 6000; i++)
 		g_string_append(text, "a:\r\n");
 	fd = open_with(text->str, 0);
-	RUN_UNTIL(loop, code_of(fd) != 0);
-	ck_assert_int_eq(code_of(fd), 431);
+	RUN_UNTIL(loop, support_code(fd) != 0);
+	ck_assert_int_eq(support_code(fd), 431);
 	(void)close(fd);
 	g_string_free(text, TRUE);
 }
--- a/packages/net/test/test_http_room.c
+++ b/packages/net/test/test_http_room.c
@@ -121,19 +121,6 @@
 	return fd;
 }
 
-/* Status of the answer on a connection: 0 for none yet, -1 when it was closed
- * without one. */
-static int
-code_of(int fd)
-{
-	char buf[64] = "";
-	ssize_t n = recv(fd, buf, sizeof(buf) - 1, MSG_PEEK | MSG_DONTWAIT);
-
-	if (n < 0)
-		return errno == EAGAIN ? 0 : -1;
-	return n > 0 ? (int)strtol(buf + strlen("HTTP/1.1 "), NULL, 10) : -1;
-}
-
 static void
 fill(const char *text, int fds[SERVED_MAX])
 {
@@ -163,10 +150,10 @@
 	support_send(fds[0], GET, strlen(GET));
 	support_run_for(loop, 50);
 	fd = open_with(GET);
-	ck_assert_int_eq(code_of(fd), 200);
-	ck_assert_int_eq(code_of(fds[0]), 200);
-	ck_assert_int_eq(code_of(fds[1]), -1);
-	ck_assert_int_eq(code_of(fds[2]), 0);
+	ck_assert_int_eq(support_code(fd), 200);
+	ck_assert_int_eq(support_code(fds[0]), 200);
+	ck_assert_int_eq(support_code(fds[1]), -1);
+	ck_assert_int_eq(support_code(fds[2]), 0);
 	close_all(fds, fd);
 }
 END_TEST
@@ -180,8 +167,8 @@
 	support_run_for(loop, IDLE_MS);
 	support_send(fds[0], GET, strlen(GET));
 	fd = open_with(GET);
-	ck_assert_int_eq(code_of(fd), 200);
-	ck_assert_int_eq(code_of(fds[0]), 200);
+	ck_assert_int_eq(support_code(fd), 200);
+	ck_assert_int_eq(support_code(fds[0]), 200);
 	close_all(fds, fd);
 }
 END_TEST
@@ -195,15 +182,15 @@
 	fill(HOLD, fds);
 	support_run_for(loop, IDLE_MS);
 	fd = open_with(GET);
-	ck_assert_int_eq(code_of(fd), 503);
+	ck_assert_int_eq(support_code(fd), 503);
 	(void)close(fd);
 	for (i = 0; i < SERVED_MAX; i++) {
-		ck_assert_int_eq(code_of(fds[i]), 0);
+		ck_assert_int_eq(support_code(fds[i]), 0);
 		answer(held[i], 200, 0);
 	}
 	support_run_for(loop, IDLE_MS);
 	again = open_with(GET);
-	ck_assert_int_eq(code_of(again), 200);
+	ck_assert_int_eq(support_code(again), 200);
 	close_all(fds, again);
 }
 END_TEST
@@ -217,7 +204,7 @@
 	fill(HOLD, fds);
 	last = open_with("");
 	fd = open_with("");
-	ck_assert_int_eq(code_of(fd), 503);
+	ck_assert_int_eq(support_code(fd), 503);
 	(void)close(last);
 	close_all(fds, fd);
 }
@@ -231,8 +218,8 @@
 	fill("GET / HT", fds);
 	support_run_for(loop, HEAD_MS / 2);
 	fd = open_with(GET);
-	ck_assert_int_eq(code_of(fd), 200);
-	ck_assert_int_eq(code_of(fds[0]), -1);
+	ck_assert_int_eq(support_code(fd), 200);
+	ck_assert_int_eq(support_code(fds[0]), -1);
 	close_all(fds, fd);
 }
 END_TEST
@@ -245,7 +232,7 @@
 	fill(BIG, fds);
 	support_run_for(loop, STALL_MS / 2);
 	fd = open_with(GET);
-	ck_assert_int_eq(code_of(fd), 200);
+	ck_assert_int_eq(support_code(fd), 200);
 	close_all(fds, fd);
 }
 END_TEST
--- a/packages/node/src/memory_limits.c
+++ b/packages/node/src/memory_limits.c
@@ -3,7 +3,7 @@
  */
 #include "memory_limits.h"
 
-/* Assumed where the settings do not tell the memory. */
+/* Used when memory_mb is 0. */
 #define MEMORY_DEFAULT_MB 160
 #define MB_BYTES UINT64_C(1000000)
 #define CALLERS_DIVISOR 4
--- a/test/functional/process.c
+++ b/test/functional/process.c
@@ -118,6 +118,21 @@
 		(void)kill(p->pid, sig);
 }
 
+uint32_t
+process_descriptors(const struct process *p)
+{
+	char *path = g_strdup_printf("/proc/%d/fd", (int)p->pid);
+	GDir *dir = g_dir_open(path, 0, NULL);
+	uint32_t n = 0;
+
+	ck_assert_msg(dir != NULL, "can't open %s", path);
+	while (g_dir_read_name(dir) != NULL)
+		n++;
+	g_dir_close(dir);
+	g_free(path);
+	return n;
+}
+
 int
 process_has_exited(struct process *p)
 {
--- a/test/functional/process.h
+++ b/test/functional/process.h
@@ -57,6 +57,9 @@
 /** process_pid() - process id, or 0 if the process has exited */
 pid_t process_pid(const struct process *p);
 
+/** process_descriptors() - number of open descriptors of a running process */
+uint32_t process_descriptors(const struct process *p);
+
 /** process_has_exited() - whether a process has exited or was killed; reaps it
  */
 int process_has_exited(struct process *p);
--- a/test/functional/test_clients.c
+++ b/test/functional/test_clients.c
@@ -142,23 +142,6 @@
 	return kb;
 }
 
-static uint32_t
-count_descriptors(const struct host *h)
-{
-	char path[URL_BYTES];
-	uint32_t n = 0;
-	GDir *dir;
-
-	(void)g_snprintf(
-	    path, sizeof(path), "/proc/%d/fd", (int)process_pid(h->node));
-	dir = g_dir_open(path, 0, NULL);
-	ck_assert_ptr_nonnull(dir);
-	while (g_dir_read_name(dir) != NULL)
-		n++;
-	g_dir_close(dir);
-	return n;
-}
-
 /* All nodes live, and none has exceeded the memory of its machine. */
 static void
 check_nodes(uint32_t descriptors)
@@ -172,7 +155,7 @@
 		    "the node of %s has ended; see %s", h->name,
 		    process_log_path(h->node));
 		kb = memory_kb(h, "VmHWM:");
-		fds = count_descriptors(h);
+		fds = process_descriptors(h->node);
 		(void)printf("%s: peak %u MB, %u descriptors\n", h->name,
 		    kb / 1024, fds);
 		ck_assert_uint_le(kb, MEMORY_MAX_KB);
--- a/test/functional/test_connections.c
+++ b/test/functional/test_connections.c
@@ -190,27 +190,10 @@
 }
 END_TEST
 
-static uint32_t
-count_descriptors(void)
-{
-	char path[URL_BYTES];
-	uint32_t n = 0;
-	GDir *dir;
-
-	(void)g_snprintf(
-	    path, sizeof(path), "/proc/%d/fd", (int)process_pid(subject->node));
-	dir = g_dir_open(path, 0, NULL);
-	ck_assert_ptr_nonnull(dir);
-	while (g_dir_read_name(dir) != NULL)
-		n++;
-	g_dir_close(dir);
-	return n;
-}
-
 static int
 is_back(void *most)
 {
-	return count_descriptors() <= *(uint32_t *)most;
+	return process_descriptors(subject->node) <= *(uint32_t *)most;
 }
 
 /* Guards against descriptors that a node keeps after their connections have
@@ -219,11 +202,13 @@
 {
 	const uint16_t ports[] = {subject->caller_port, subject->peer_port,
 	    subject->call_port, subject->admin_port};
-	uint32_t i, k, most = count_descriptors() + DESCRIPTORS_SLACK;
+	uint32_t i, k,
+	    most = process_descriptors(subject->node) + DESCRIPTORS_SLACK;
 
 	for (i = 0; i < G_N_ELEMENTS(ports); i++) {
 		hold(ports[i]);
-		ck_assert_uint_le(count_descriptors(), NODE_DESCRIPTORS);
+		ck_assert_uint_le(
+		    process_descriptors(subject->node), NODE_DESCRIPTORS);
 		for (k = 0; k < HELD; k++) {
 			(void)close(held[k]);
 			held[k] = -1;
@@ -231,7 +216,7 @@
 		ck_assert_msg(
 		    harness_wait_until(is_back, &most, VERSION_TIMEOUT_MS),
 		    "%u descriptors after port %u, %u expected",
-		    count_descriptors(), ports[i], most);
+		    process_descriptors(subject->node), ports[i], most);
 	}
 }
 END_TEST
