fix(net): no close of a caller's connection destroys an answer

A connection whose caller has yet to confirm bytes is not closed to make room. It works since no reset is sent while input is read, whatever the caller has announced.

--- a/packages/net/src/http_request.c
+++ b/packages/net/src/http_request.c
@@ -121,8 +121,7 @@
 	q->body_done = head->body_bytes == 0;
 	c->reading = q;
 	c->input = CONN_INPUT_BODY;
-	c->last_request = http_should_keep_alive(&c->parser) == 0;
-	c->closing = c->closing || c->last_request;
+	c->closing = c->closing || http_should_keep_alive(&c->parser) == 0;
 	http_server_conn_restart_timer(c);
 	c->used = true;
 	c->surplus = c->surplus && http_server_room_is_tight(s);
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -2,9 +2,11 @@
  * HTTP server: a connection.
  */
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stddef.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -283,12 +285,6 @@
 	c->timing = CONN_TIMING_NONE;
 }
 
-static void
-on_timer(void *arg)
-{
-	http_server_conn_close(arg, false);
-}
-
 /* Between requests */
 
 static void
@@ -312,13 +308,13 @@
  * The rest of a request, or a request that the caller has sent ahead, may still
  * arrive.  Closing now would reset the connection, which could destroy the
  * answer before the caller reads it, so the input is discarded until the caller
- * closes, for LINGER_MS at most.  A caller that has announced its last request
- * sends no other.
+ * closes, for LINGER_MS at most.  A caller may send another request although it
+ * has announced the last one.
  */
 static void
 end_output(struct http_server_conn *c)
 {
-	if (c->peer_ended || (c->last_request && c->input == CONN_INPUT_IDLE)) {
+	if (c->peer_ended) {
 		http_server_conn_close(c, false);
 		return;
 	}
@@ -340,6 +336,19 @@
 	http_server_conn_update(c);
 }
 
+/* The answer before an idle time, or before a head that stays incomplete, may
+ * still be on its way to a slow caller. */
+static void
+on_timer(void *arg)
+{
+	struct http_server_conn *c = arg;
+
+	if (c->timing == CONN_TIMING_IDLE || c->timing == CONN_TIMING_HEAD)
+		http_server_conn_end_idle(c);
+	else
+		http_server_conn_close(c, false);
+}
+
 /* Whether the data that a departed caller has left counts. */
 static bool
 serves_rest(const struct http_server_conn *c)
@@ -444,6 +453,14 @@
 	return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool
+http_server_conn_has_unconfirmed(const struct http_server_conn *c)
+{
+	int bytes = 0;
+
+	return ioctl(c->fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /* Whether data of a request precedes the end that was not dispatched. */
 static bool
 lost_unread(const struct http_server_conn *c)
--- a/packages/net/src/http_server_priv.h
+++ b/packages/net/src/http_server_priv.h
@@ -105,7 +105,6 @@
  * @closing: no further request is read, and the connection is closed after the
  *	last answer
  * @peer_ended: the caller has closed its side
- * @last_request: the caller has announced that it sends no further request
  * @used: a request was received
  * @surplus: accepted beyond the connections that are served
  */
@@ -139,7 +138,6 @@
 	bool parsing;
 	bool closing;
 	bool peer_ended;
-	bool last_request;
 	bool used;
 	bool surplus;
 };
@@ -219,6 +217,10 @@
 /** http_server_conn_has_unread() - whether the socket has unread data */
 bool http_server_conn_has_unread(const struct http_server_conn *c);
 
+/** http_server_conn_has_unconfirmed() - whether the caller's host has yet to
+ * confirm bytes that were sent; closing could destroy them */
+bool http_server_conn_has_unconfirmed(const struct http_server_conn *c);
+
 /** http_server_conn_output_bytes() - bytes of output that are not yet sent */
 size_t http_server_conn_output_bytes(const struct http_server_conn *c);
 
--- a/packages/net/src/http_server_room.c
+++ b/packages/net/src/http_server_room.c
@@ -63,7 +63,8 @@
 	return c != NULL && loop_now_ms(s->loop) >= c->timing_since_ms + ms;
 }
 
-/* The connection that is idle for longest and on which no request arrives. */
+/* The connection that is idle for longest, on which no request arrives and no
+ * answer is on its way. */
 static struct http_server_conn *
 longest_idle(const struct http_server *s)
 {
@@ -76,7 +77,8 @@
 		c = l->data;
 		min_ms = c->used ? IDLE_MIN_MS : UNUSED_MIN_MS;
 		if (loop_now_ms(s->loop) >= c->timing_since_ms + min_ms &&
-		    !http_server_conn_has_unread(c))
+		    !http_server_conn_has_unread(c) &&
+		    !http_server_conn_has_unconfirmed(c))
 			return c;
 	}
 	return NULL;
