fix(membership): a restarted node knows which upstreams have left

Its node was killed behind the acknowledgement and started again, and a heartbeat from before the deregistration arrived late. The cause: only the process that had acknowledged knew of it; a new one takes any first heartbeat as that of a living upstream.

Solution: peers keep reports that a run drains or leaves, three of the own data centre and two of others by rendezvous rank. A report is acknowledged when two hold it, else answered 503. A node that has started requests them before it uses heartbeats, for 0.3 s at most; heartbeats that arrive meanwhile wait. It works since whatever was acknowledged is held outside the process, and is known to a new one before it can act on anything older.

--- a/packages/membership/include/membership/instances.h
+++ b/packages/membership/include/membership/instances.h
@@ -11,6 +11,8 @@
 
 #include <stdint.h>
 
+#include "proto/messages.h"
+
 /* Most runs kept. */
 #define INSTANCES_MAX 8
 
@@ -45,12 +47,19 @@
  * struct instances - the runs of one upstream
  * @runs: known runs, the latest first
  * @has_current: whether the first run is current; 0 once it has left
+ * @restored: reports to an earlier process of this node
+ * @n_restored: number of @restored
  */
 struct instances {
 	struct instance runs[INSTANCES_MAX];
 	int has_current;
+	struct rec_run restored[INSTANCES_MAX];
+	uint32_t n_restored;
 };
 
+/** instance_key() - key of a run's name in struct rec_run */
+uint64_t instance_key(const char *id);
+
 /** instances_init() - start without known runs */
 void instances_init(struct instances *s);
 
@@ -78,6 +87,19 @@
  */
 int instances_left(struct instances *s, const char *id, uint64_t started_ms);
 
+/**
+ * instances_restore() - handle a report that an earlier process of this node
+ * received
+ * @s: the runs
+ * @report: the report; heartbeats that precede it are stale
+ *
+ * Return: 1 when the run was current and has left, else 0.
+ */
+int instances_restore(struct instances *s, const struct rec_run *report);
+
+/** instances_started_ms() - start time of a known run; 0 when unknown */
+uint64_t instances_started_ms(const struct instances *s, const char *id);
+
 /** instances_current() - name of the current run, interned, or "" */
 const char *instances_current(const struct instances *s);
 
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -108,12 +108,30 @@
  * @MEMBERSHIP_PHASE: the own phase changed
  * @MEMBERSHIP_WARNING: two hosts share a name or an address; the message names
  *	them and the remedy
+ * @MEMBERSHIP_RUNS: the recall of the own runs has ended, a report of one was
+ *	received from a peer, or the hold of one has changed
  */
 enum membership_action_kind {
 	MEMBERSHIP_CHANGED = 0,
 	MEMBERSHIP_PEER_HEAD,
 	MEMBERSHIP_PHASE,
 	MEMBERSHIP_WARNING,
+	MEMBERSHIP_RUNS,
+};
+
+/**
+ * enum membership_hold - whether peers hold a report of a run
+ * @MEMBERSHIP_HOLD_NONE: there is no such report
+ * @MEMBERSHIP_HOLD_PENDING: confirmations are awaited
+ * @MEMBERSHIP_HOLD_CONFIRMED: two peers hold the report, or all peers where
+ *	there are fewer
+ * @MEMBERSHIP_HOLD_FAILED: too few peers confirmed in time
+ */
+enum membership_hold {
+	MEMBERSHIP_HOLD_NONE = 0,
+	MEMBERSHIP_HOLD_PENDING,
+	MEMBERSHIP_HOLD_CONFIRMED,
+	MEMBERSHIP_HOLD_FAILED,
 };
 
 #define MEMBERSHIP_MESSAGE_BYTES 256
@@ -347,6 +365,38 @@
 enum status membership_withdraw(
     struct membership *m, uint64_t now_ms, const char *service, uint16_t port);
 
+/**
+ * membership_report_run() - keep a report of an upstream's process, and have
+ * peers keep it
+ * @m: the membership
+ * @now_ms: monotonic time
+ * @report: the report; ENDPOINT_READY only overrides a report that the process
+ *	drains.  A report that a process leaves is final.
+ *
+ * A process of this node that starts later gets the reports of the last minute
+ * back from the peers: membership_own_runs().
+ */
+void membership_report_run(
+    struct membership *m, uint64_t now_ms, const struct rec_run *report);
+
+/** membership_run_hold() - whether peers hold the report of the process with
+ * this key */
+enum membership_hold
+membership_run_hold(const struct membership *m, uint64_t key);
+
+/** membership_recall_runs() - request what peers keep for this host; to be
+ * called when the node has joined, only the first call counts */
+void membership_recall_runs(struct membership *m, uint64_t now_ms);
+
+/** membership_runs_recalled() - whether peers were asked, after the start, for
+ * what they keep for this host; heartbeats must not be used before */
+int membership_runs_recalled(const struct membership *m);
+
+/** membership_own_runs() - the reports of this host's runs; returns their
+ * number */
+uint32_t membership_own_runs(
+    const struct membership *m, struct rec_run runs[MSG_RUNS_RUNS_MAX]);
+
 /**
  * membership_leave() - announce to peers that this node stops
  * @m: the membership
--- a/packages/membership/src/action.c
+++ b/packages/membership/src/action.c
@@ -89,6 +89,12 @@
 	va_end(ap);
 }
 
+void
+action_runs(struct membership *m)
+{
+	(void)queue(m, MEMBERSHIP_RUNS, m->settings.host);
+}
+
 static void
 queued_free(struct queued_action *q)
 {
--- a/packages/membership/src/action.h
+++ b/packages/membership/src/action.h
@@ -27,6 +27,9 @@
     const struct net_addr *addr, const char *fmt, ...)
     __attribute__((format(printf, 4, 5)));
 
+/* Queues that the own runs, or what peers hold of them, changed. */
+void action_runs(struct membership *m);
+
 /* Frees the actions that were not popped. */
 void action_clear(struct membership *m);
 
--- a/packages/membership/src/instances.c
+++ b/packages/membership/src/instances.c
@@ -7,6 +7,8 @@
 
 #include <glib.h>
 
+#include "base/hash.h"
+
 /*
  * Heartbeats after which a replaced run becomes current again: the run is alive
  * then, and the heartbeat that replaced it arrived late.
@@ -82,6 +84,37 @@
 	return INSTANCE_CURRENT;
 }
 
+uint64_t
+instance_key(const char *id)
+{
+	return hash64(id, strlen(id), 0);
+}
+
+static struct rec_run *
+find_restored(struct instances *s, uint64_t key)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_restored; i++)
+		if (s->restored[i].key == key)
+			return &s->restored[i];
+	return NULL;
+}
+
+/* Whether a heartbeat of a run that is unknown here precedes a report to an
+ * earlier process of this node. */
+static int
+precedes_restored(
+    struct instances *s, const char *id, uint64_t started_ms, uint64_t seq)
+{
+	const struct rec_run *r = find_restored(s, instance_key(id));
+
+	if (r == NULL || is_later(started_ms, r->started_ms))
+		return 0;
+	return r->state == ENDPOINT_LEFT || seq < r->seq ||
+	    is_earlier(started_ms, r->started_ms);
+}
+
 enum instance_verdict
 instances_heartbeat(
     struct instances *s, const char *id, uint64_t started_ms, uint64_t seq)
@@ -93,6 +126,8 @@
 		return INSTANCE_STALE;
 	if (i < 0 && is_earlier(started_ms, instances_current_started_ms(s)))
 		return INSTANCE_STALE;
+	if (i < 0 && precedes_restored(s, id, started_ms, seq))
+		return INSTANCE_STALE;
 	if (i < 0)
 		return add_run(s, INSTANCES_MAX - 1, id, started_ms, seq);
 	run = &s->runs[i];
@@ -136,6 +171,46 @@
 	return 1;
 }
 
+/* Applies a report to a run that is known here. */
+static int
+update_run(struct instances *s, int i, const struct rec_run *report)
+{
+	struct instance *run = &s->runs[i];
+
+	if (is_earlier(report->started_ms, run->started_ms))
+		return 0;
+	if (report->state == ENDPOINT_LEFT)
+		return instances_left(s, run->id, report->started_ms);
+	run->seq = MAX(run->seq, report->seq);
+	return 0;
+}
+
+int
+instances_restore(struct instances *s, const struct rec_run *report)
+{
+	struct rec_run *r = find_restored(s, report->key);
+	int i;
+
+	for (i = 0; i < INSTANCES_MAX; i++)
+		if (s->runs[i].id != NULL &&
+		    instance_key(s->runs[i].id) == report->key)
+			return update_run(s, i, report);
+	if (r == NULL)
+		r = &s->restored[s->n_restored < INSTANCES_MAX
+			? s->n_restored++
+			: INSTANCES_MAX - 1];
+	*r = *report;
+	return 0;
+}
+
+uint64_t
+instances_started_ms(const struct instances *s, const char *id)
+{
+	int i = find(s, id);
+
+	return i >= 0 ? s->runs[i].started_ms : 0;
+}
+
 const char *
 instances_current(const struct instances *s)
 {
--- a/packages/membership/src/internal.h
+++ b/packages/membership/src/internal.h
@@ -337,6 +337,53 @@
 	uint64_t store_epoch;
 };
 
+/* Most peers that keep the runs of a host, and how many of them must confirm a
+ * report. */
+#define RUNS_PEERS_MAX 5
+#define RUNS_HOLDERS 2
+
+/**
+ * struct own_run - report of a run of the own host
+ * @report: the report; its age is not used
+ * @expires_ms: when it is forgotten
+ * @confirm_ms: when the wait for confirmations ends
+ * @holders: peers that hold it
+ * @n_holders: number of @holders
+ * @hold: whether peers hold it
+ */
+struct own_run {
+	struct rec_run report;
+	uint64_t expires_ms;
+	uint64_t confirm_ms;
+	struct net_addr holders[RUNS_HOLDERS];
+	uint32_t n_holders;
+	enum membership_hold hold;
+};
+
+/**
+ * struct runs - reports of runs that drain or leave
+ * @own: struct own_run
+ * @kept: host name to GArray of struct own_run, kept for other hosts
+ * @phase: progress of the recall after the start
+ * @recall_ms: when the recall ends without further answers
+ * @asked: peers that the recall asked
+ * @n_asked: number of @asked
+ * @answered: bit set of the peers that answered
+ * @send_ms: next sending of the own runs
+ * @purge_ms: next removal of expired runs
+ */
+struct runs {
+	GArray *own;
+	GHashTable *kept;
+	enum { RUNS_UNKNOWN = 0, RUNS_RECALLING, RUNS_RECALLED } phase;
+	uint64_t recall_ms;
+	struct net_addr asked[RUNS_PEERS_MAX];
+	uint32_t n_asked;
+	uint32_t answered;
+	uint64_t send_ms;
+	uint64_t purge_ms;
+};
+
 /**
  * struct membership - state of the package
  * @settings: as given
@@ -364,6 +411,7 @@
  * @settling: comparisons after the start
  * @claim: conflict of names or addresses
  * @own: struct own_endpoint
+ * @runs: reports of the own runs, and those kept for other hosts
  * @suppress_news: received rows are not gossiped; set while a table is merged
  * @actions: struct queued_action
  * @head: own configuration head, sent with pings and acks
@@ -396,6 +444,7 @@
 	struct settling settling;
 	struct claim_state claim;
 	GArray *own;
+	struct runs runs;
 	int suppress_news;
 	GQueue actions;
 	struct rec_gossip_head head;
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -15,6 +15,7 @@
 #include "probe.h"
 #include "reconnect.h"
 #include "relay.h"
+#include "runs.h"
 #include "send.h"
 #include "serve.h"
 #include "settle.h"
@@ -131,6 +132,7 @@
 	add_self(m);
 	probe_init(m);
 	join_init(m);
+	runs_init(m);
 	join_start(m);
 	return m;
 }
@@ -183,6 +185,7 @@
 	news_clear(m);
 	action_clear(m);
 	join_clear(m);
+	runs_clear(m);
 	probe_clear(m);
 	table_clear(&m->table);
 	g_array_unref(m->own);
@@ -249,6 +252,7 @@
 		tick_joined(m);
 	probe_tick(m);
 	settle_tick(m);
+	runs_tick(m);
 	if (m->phase != MEMBERSHIP_CONFLICT)
 		news_tick(m);
 	if (m->phase == MEMBERSHIP_LEAVING && m->now_ms >= m->left_ms)
@@ -266,6 +270,7 @@
 	next = MIN(next, probe_next_ms(m));
 	next = MIN(next, news_next_ms(m));
 	next = MIN(next, settle_next_ms(m));
+	next = MIN(next, runs_next_ms(m));
 	if (m->phase == MEMBERSHIP_LEAVING)
 		next = MIN(next, m->left_ms);
 	if (m->phase != MEMBERSHIP_JOINED)
@@ -279,7 +284,7 @@
 int
 membership_handles(uint8_t type)
 {
-	return type >= MSG_PING && type <= MSG_ROWS;
+	return type >= MSG_PING && type <= MSG_RUNS_HELD;
 }
 
 static void
@@ -355,6 +360,12 @@
 	case MSG_ROWS:
 		settle_on_rows(m, body, len);
 		break;
+	case MSG_RUNS:
+		runs_on_runs(m, from, body, len);
+		break;
+	case MSG_RUNS_HELD:
+		runs_on_held(m, from, body, len);
+		break;
 	default:
 		m->counters.rejected++;
 		break;
--- a/packages/membership/test/fake_net.c
+++ b/packages/membership/test/fake_net.c
@@ -272,6 +272,20 @@
 	flush(f, i);
 }
 
+void
+fake_report_run(struct fake_net *f, uint32_t i, const struct rec_run *report)
+{
+	membership_report_run(f->nodes[i].m, f->now_ms, report);
+	flush(f, i);
+}
+
+void
+fake_recall_runs(struct fake_net *f, uint32_t i)
+{
+	membership_recall_runs(f->nodes[i].m, f->now_ms);
+	flush(f, i);
+}
+
 void
 fake_kill(struct fake_net *f, uint32_t i)
 {
--- a/packages/membership/test/fake_net.h
+++ b/packages/membership/test/fake_net.h
@@ -80,6 +80,13 @@
  */
 void fake_set_known(struct fake_net *f, uint32_t i, uint64_t version);
 
+/* An upstream of a node's host reports that it drains or leaves. */
+void
+fake_report_run(struct fake_net *f, uint32_t i, const struct rec_run *report);
+
+/* A node requests what its peers keep of its runs. */
+void fake_recall_runs(struct fake_net *f, uint32_t i);
+
 void fake_kill(struct fake_net *f, uint32_t i);
 void fake_freeze(struct fake_net *f, uint32_t i);
 void fake_thaw(struct fake_net *f, uint32_t i);
--- a/packages/membership/test/test_found.c
+++ b/packages/membership/test/test_found.c
@@ -129,6 +129,57 @@
 }
 END_TEST
 
+static struct rec_run
+restored(const char *id, uint64_t started_ms, uint64_t seq,
+    enum endpoint_state state)
+{
+	struct rec_run r = {.key = instance_key(id),
+	    .started_ms = started_ms,
+	    .seq = seq,
+	    .state = state};
+
+	return r;
+}
+
+/* Guards against a late heartbeat that brings an ended run back, since the node
+ * that received its leave was started again. */
+START_TEST(heartbeats_before_a_restored_report_are_stale)
+{
+	struct rec_run left = restored("a", 100, UINT64_MAX, ENDPOINT_LEFT);
+	struct rec_run drains = restored("b", 100, 5, ENDPOINT_DRAINING);
+	struct instances s;
+
+	instances_init(&s);
+	ck_assert_int_eq(instances_restore(&s, &left), 0);
+	ck_assert_int_eq(instances_restore(&s, &drains), 0);
+	ck_assert_int_eq(instances_heartbeat(&s, "a", 100, 9), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heartbeat(&s, "a", 90, 9), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heartbeat(&s, "a", 0, 9), INSTANCE_STALE);
+	ck_assert_int_eq(instances_heartbeat(&s, "b", 100, 4), INSTANCE_STALE);
+	ck_assert_int_eq(
+	    instances_heartbeat(&s, "b", 100, 5), INSTANCE_CURRENT);
+	/* The process has started anew under its name. */
+	ck_assert_int_eq(
+	    instances_heartbeat(&s, "a", 200, 1), INSTANCE_CURRENT);
+}
+END_TEST
+
+START_TEST(restored_leave_ends_the_current_run)
+{
+	struct rec_run left = restored("a", 100, UINT64_MAX, ENDPOINT_LEFT);
+	struct instances s;
+
+	instances_init(&s);
+	(void)instances_heartbeat(&s, "a", 200, 1);
+	ck_assert_int_eq(instances_restore(&s, &left), 0);
+	ck_assert_str_eq(instances_current(&s), "a");
+	left.started_ms = 200;
+	ck_assert_int_eq(instances_restore(&s, &left), 1);
+	ck_assert_str_eq(instances_current(&s), "");
+	ck_assert_int_eq(instances_heartbeat(&s, "a", 200, 2), INSTANCE_STALE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -138,6 +189,8 @@
 	tcase_add_test(tc, late_heartbeats_change_nothing);
 	tcase_add_test(tc, replaced_run_that_is_alive_becomes_current_again);
 	tcase_add_test(tc, heartbeats_after_a_leave_are_stale);
+	tcase_add_test(tc, heartbeats_before_a_restored_report_are_stale);
+	tcase_add_test(tc, restored_leave_ends_the_current_run);
 	tcase_add_test(tc, latest_run_is_kept_until_another_is_current);
 	tcase_add_test(tc, a_later_start_under_the_same_name_is_a_new_run);
 	suite_add_tcase(suite, tc);
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -96,6 +96,9 @@
  * The guard of this host applies the heartbeat in the next iteration of the
  * traffic thread's loop.
  *
+ * Heartbeats that arrive before this node has asked its peers what is known of
+ * its upstreams are applied after that.
+ *
  * Return: STATUS_OK, also for a late heartbeat, which is ignored;
  * STATUS_INVALID when it names another host or an unknown service.
  */
@@ -111,6 +114,29 @@
 void control_upstream_left(
     struct control *c, const char *instance, uint64_t started_ms);
 
+/**
+ * control_held_fn - called once for a report of an upstream
+ * @held: the report can be acknowledged: a process of this node that starts
+ *	later gets to know it
+ * @arg: the caller's
+ */
+typedef void control_held_fn(bool held, void *arg);
+
+/**
+ * control_when_held() - wait until a report that an upstream drains or leaves
+ * can be acknowledged
+ * @c: the control
+ * @instance: name of the upstream's process
+ * @fn: called with the outcome within a second, maybe at once
+ * @arg: passed to @fn
+ */
+void control_when_held(
+    struct control *c, const char *instance, control_held_fn *fn, void *arg);
+
+/** control_cancel_wait() - cancel a wait of control_when_held() by its @arg;
+ * does nothing if it has ended */
+void control_cancel_wait(struct control *c, const void *arg);
+
 /** control_refusal_reason() - why callers should use another node, NULL if they
  * may use this one; static; any thread */
 const char *control_refusal_reason(const struct control *c);
--- a/packages/node/src/control.c
+++ b/packages/node/src/control.c
@@ -180,11 +180,16 @@
 	case MEMBERSHIP_PHASE:
 		log_info("Membership is %s.", membership_phase_name(a->phase));
 		atomic_store(&c->leave_sent, a->phase == MEMBERSHIP_LEFT);
+		if (a->phase == MEMBERSHIP_JOINED)
+			membership_recall_runs(c->membership, control_now(c));
 		c->dirty = 1;
 		break;
 	case MEMBERSHIP_WARNING:
 		log_error("%s", a->message);
 		break;
+	case MEMBERSHIP_RUNS:
+		control_upstream_runs_changed(c);
+		break;
 	}
 }
 
@@ -608,6 +613,7 @@
 	quarantine_rows_clear(&c->quarantine_rows);
 	quarantine_news_free(c->quarantine);
 	control_rollout_free(c);
+	control_upstream_clear(c);
 	spread_free(c->spread);
 	catalog_free(c->catalog);
 	membership_free(c->membership);
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -80,6 +80,10 @@
  * @instances: processes of the upstream that sends heartbeats
  * @instance_port: port of the current process
  * @instance_service: service of the current process
+ * @reports: heartbeats and leaves that arrived before the runs were recalled,
+ *	struct upstream_report
+ * @waits: reports that are not acknowledged yet, struct report_wait
+ * @wait_timer: deadline of the first of @waits
  * @leaving: this node stops
  * @leave_sent: whether peers have been notified that this node stops
  * @version: version in force here
@@ -131,6 +135,9 @@
 	struct instances instances;
 	uint16_t instance_port;
 	char instance_service[SERVICE_NAME_BYTES];
+	GQueue reports;
+	GQueue waits;
+	struct loop_timer wait_timer;
 	pthread_t thread;
 	int running;
 	int dirty;
@@ -222,11 +229,43 @@
 /** control_news_register() - register the metric of the newest known version */
 void control_news_register(void);
 
-/* control_quarantine.c */
+/* control_upstream.c */
 
 /** control_upstream_init() - initialize, after membership and guard */
 void control_upstream_init(struct control *c);
 
+/** control_upstream_clear() - free what control_upstream_init() and reports
+ * have allocated */
+void control_upstream_clear(struct control *c);
+
+/** control_upstream_runs_changed() - the membership has reports of runs that
+ * earlier processes of this node received, or peers hold others now */
+void control_upstream_runs_changed(struct control *c);
+
+/* control_upstream_reports.c */
+
+/** control_reports_init() - initialize the waits */
+void control_reports_init(struct control *c);
+
+/** control_reports_clear() - free the waits without calling them, and the
+ * reports */
+void control_reports_clear(struct control *c);
+
+/** control_reports_defer() - keep a report until the runs were recalled
+ * @b: a heartbeat, or NULL when the process leaves
+ */
+void control_reports_defer(struct control *c, const char *instance,
+    uint64_t started_ms, const struct upstream_heartbeat *b);
+
+/** control_reports_apply() - apply the reports that were kept, in their order
+ */
+void control_reports_apply(struct control *c);
+
+/** control_reports_check_waits() - end the waits whose outcome is known */
+void control_reports_check_waits(struct control *c);
+
+/* control_quarantine.c */
+
 /** control_quarantine_init() - initialize, after membership and guard */
 void control_quarantine_init(struct control *c, uint64_t now_ms);
 
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -96,6 +96,22 @@
 	(void)control_withdraw(c, service, b->address.port);
 }
 
+/* Has peers keep what a run reports of its leaving.  @seq is that of the
+ * report; heartbeats with lower ones are stale from now on. */
+static void
+keep_report(struct control *c, const char *instance, uint64_t seq,
+    enum endpoint_state state)
+{
+	struct rec_run report = {
+	    .key = instance_key(instance),
+	    .started_ms = instances_started_ms(&c->instances, instance),
+	    .seq = seq,
+	    .state = state,
+	};
+
+	membership_report_run(c->membership, control_now(c), &report);
+}
+
 enum status
 control_heartbeat(
     struct control *c, const char *instance, const struct upstream_heartbeat *b)
@@ -108,6 +124,10 @@
 
 	if (st != STATUS_OK)
 		return st;
+	if (!membership_runs_recalled(c->membership)) {
+		control_reports_defer(c, instance, b->started_ms, b);
+		return STATUS_OK;
+	}
 	if (instances_heartbeat(&c->instances, instance, b->started_ms,
 		b->seq) != INSTANCE_CURRENT) {
 		log_info("heartbeat %" G_GUINT64_FORMAT
@@ -135,33 +155,71 @@
 	st = control_announce(c, b->service, b->address.port, b->slots,
 	    b->state, c->settings->announce_lease_ms,
 	    (uint16_t)MIN(b->cold_ms, MEMBER_COLD_UNKNOWN - 1), b->version);
+	keep_report(c, instance, b->seq, b->state);
 	return st;
 }
 
-void
-control_upstream_left(
-    struct control *c, const char *instance, uint64_t started_ms)
+/* Withdraws the endpoint of the run that was current. */
+static void
+withdraw_current(struct control *c)
 {
 	const struct member *own = membership_self(c->membership);
 	char service[MEMBER_NAME_BYTES] = "";
 	uint32_t i;
 
-	if (!instances_left(&c->instances, instance, started_ms)) {
-		log_info("end of %s, started %" G_GUINT64_FORMAT
-			 ", is late and ignored",
-		    instance, started_ms);
-		return;
-	}
 	for (i = 0; i < own->n_endpoints; i++)
 		if (own->endpoints[i].port == c->instance_port &&
 		    own->endpoints[i].state != ENDPOINT_LEFT)
 			(void)g_strlcpy(service, own->endpoints[i].service,
 			    sizeof(service));
-	log_info("%s of %s has announced its end", instance, service);
 	if (service[0] != '\0')
 		(void)control_withdraw(c, service, c->instance_port);
 }
 
+void
+control_upstream_left(
+    struct control *c, const char *instance, uint64_t started_ms)
+{
+	int was_current;
+
+	if (!membership_runs_recalled(c->membership)) {
+		control_reports_defer(c, instance, started_ms, NULL);
+		return;
+	}
+	was_current = instances_left(&c->instances, instance, started_ms);
+	if (started_ms == 0 ||
+	    started_ms >= instances_started_ms(&c->instances, instance))
+		keep_report(c, instance, UINT64_MAX, ENDPOINT_LEFT);
+	if (!was_current) {
+		log_info("end of %s, started %" G_GUINT64_FORMAT
+			 ", is late and ignored",
+		    instance, started_ms);
+		return;
+	}
+	log_info(
+	    "%s of %s has announced its end", instance, c->instance_service);
+	withdraw_current(c);
+}
+
+void
+control_upstream_runs_changed(struct control *c)
+{
+	struct rec_run runs[MSG_RUNS_RUNS_MAX];
+	uint32_t i, n = membership_own_runs(c->membership, runs);
+
+	if (!membership_runs_recalled(c->membership))
+		return;
+	for (i = 0; i < n; i++)
+		if (instances_restore(&c->instances, &runs[i])) {
+			log_info("the upstream of %s at port %u had announced "
+				 "its end to an earlier process of this node",
+			    c->instance_service, c->instance_port);
+			withdraw_current(c);
+		}
+	control_reports_apply(c);
+	control_reports_check_waits(c);
+}
+
 /* A report of leaving that is posted to the control thread. */
 struct leaving_task {
 	struct control *control;
@@ -182,6 +240,9 @@
 	    instances_is_latest(&c->instances, t->instance, t->started_ms)) {
 		(void)membership_set_leaving(
 		    c->membership, control_now(c), t->service, t->port, 1);
+		if (t->instance[0] != '\0')
+			keep_report(
+			    c, t->instance, UINT64_MAX, ENDPOINT_DRAINING);
 		control_pump(c);
 	}
 	g_free(t);
@@ -207,4 +268,11 @@
 control_upstream_init(struct control *c)
 {
 	guard_set_leaving(c->guard, on_leaving, c);
+	control_reports_init(c);
+}
+
+void
+control_upstream_clear(struct control *c)
+{
+	control_reports_clear(c);
 }
--- a/packages/proto/include/proto/gen/membership.h
+++ b/packages/proto/include/proto/gen/membership.h
@@ -52,6 +52,10 @@
 #define MSG_COMPARE_MARKS_MAX 16384
 #define MSG_ROWS_HOST_MAX 31
 #define MSG_ROWS_ROWS_MAX 64
+#define MSG_RUNS_HOST_MAX 31
+#define MSG_RUNS_RUNS_MAX 8
+#define MSG_RUNS_HELD_HOST_MAX 31
+#define MSG_RUNS_HELD_RUNS_MAX 8
 
 /**
  * enum member_state - Liveness of a host. For the same incarnation a later
@@ -210,6 +214,25 @@
 
 extern const struct codec_desc rec_member_key_desc;
 
+/**
+ * struct rec_run - Last report of a process of an upstream, a run, that it
+ * drains or leaves.
+ * @key: hash of the process's name
+ * @started_ms: start of the process by its own clock; 0 when not given
+ * @seq: sequence number of the report; earlier reports are obsolete
+ * @state: state that it reported
+ * @age_ms: time since the report
+ */
+struct rec_run {
+	uint64_t key;
+	uint64_t started_ms;
+	uint64_t seq;
+	enum endpoint_state state;
+	uint32_t age_ms;
+};
+
+extern const struct codec_desc rec_run_desc;
+
 /**
  * struct rec_peer_address - Address of a node for control traffic.
  * @ip: IPv4 address, host byte order
@@ -635,4 +658,54 @@
 /** msg_rows_clear() - free the message's lists and zero the message */
 void msg_rows_clear(struct msg_rows *m);
 
+/**
+ * struct msg_runs - Datagram: the sender's own runs, which the receiver is to
+ * keep for it; answered with runs_held.
+ * @host: sender
+ * @runs: the runs; empty to only request what is kept; owned
+ * @n_runs: number of elements in @runs
+ */
+struct msg_runs {
+	char host[32];
+	struct rec_run *runs;
+	uint32_t n_runs;
+};
+
+extern const struct codec_desc msg_runs_desc;
+
+/** msg_runs_encode() - append the encoded message to @out */
+void msg_runs_encode(const struct msg_runs *m, GByteArray *out);
+
+/** msg_runs_decode() - decode a message; see codec_decode() */
+enum status
+msg_runs_decode(const uint8_t *data, size_t len, struct msg_runs *m);
+
+/** msg_runs_clear() - free the message's lists and zero the message */
+void msg_runs_clear(struct msg_runs *m);
+
+/**
+ * struct msg_runs_held - Datagram: the runs that the sender keeps for the
+ * receiver.
+ * @host: host of the runs, the receiver
+ * @runs: the runs; owned
+ * @n_runs: number of elements in @runs
+ */
+struct msg_runs_held {
+	char host[32];
+	struct rec_run *runs;
+	uint32_t n_runs;
+};
+
+extern const struct codec_desc msg_runs_held_desc;
+
+/** msg_runs_held_encode() - append the encoded message to @out */
+void msg_runs_held_encode(const struct msg_runs_held *m, GByteArray *out);
+
+/** msg_runs_held_decode() - decode a message; see codec_decode() */
+enum status
+msg_runs_held_decode(const uint8_t *data, size_t len, struct msg_runs_held *m);
+
+/** msg_runs_held_clear() - free the message's lists and zero the message */
+void msg_runs_held_clear(struct msg_runs_held *m);
+
 #endif
--- a/packages/proto/include/proto/messages.h
+++ b/packages/proto/include/proto/messages.h
@@ -41,6 +41,10 @@
  * 	a frame when too long for a datagram.
  * @MSG_ROWS: Datagram: records that the receiver lacks according to a
  * 	compare.
+ * @MSG_RUNS: Datagram: the sender's own runs, which the receiver is to
+ * 	keep for it; answered with runs_held.
+ * @MSG_RUNS_HELD: Datagram: the runs that the sender keeps for the
+ * 	receiver.
  * @MSG_NOTICE: Datagram: announces that the sender holds the version
  * 	in force of this head.
  * @MSG_PULL: Request for the changes between two versions; sent as a
@@ -139,6 +143,8 @@
 	MSG_CLAIM_ANSWER = 12,
 	MSG_COMPARE = 13,
 	MSG_ROWS = 14,
+	MSG_RUNS = 15,
+	MSG_RUNS_HELD = 16,
 	MSG_NOTICE = 20,
 	MSG_PULL = 21,
 	MSG_DELTA = 22,
--- a/packages/proto/src/gen/membership.c
+++ b/packages/proto/src/gen/membership.c
@@ -180,6 +180,26 @@
     .n_fields = 4,
     .size_bytes = sizeof(struct rec_member_key)};
 
+static const struct codec_field rec_run_fields[] = {
+    {.name = "key", .kind = CODEC_U64, .offset = offsetof(struct rec_run, key)},
+    {.name = "started_ms",
+	.kind = CODEC_U64,
+	.offset = offsetof(struct rec_run, started_ms)},
+    {.name = "seq", .kind = CODEC_U64, .offset = offsetof(struct rec_run, seq)},
+    {.name = "state",
+	.kind = CODEC_ENUM,
+	.offset = offsetof(struct rec_run, state),
+	.values = ENDPOINT_VALUES},
+    {.name = "age_ms",
+	.kind = CODEC_U32,
+	.offset = offsetof(struct rec_run, age_ms)},
+};
+
+const struct codec_desc rec_run_desc = {.name = "run",
+    .fields = rec_run_fields,
+    .n_fields = 5,
+    .size_bytes = sizeof(struct rec_run)};
+
 static const struct codec_field rec_peer_address_fields[] = {
     {.name = "ip",
 	.kind = CODEC_U32,
@@ -806,3 +826,79 @@
 {
 	codec_clear(&msg_rows_desc, m);
 }
+
+static const struct codec_field msg_runs_fields[] = {
+    {.name = "host",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_runs, host),
+	.max = MSG_RUNS_HOST_MAX},
+    {.name = "runs",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_runs, runs),
+	.len_offset = offsetof(struct msg_runs, n_runs),
+	.max = MSG_RUNS_RUNS_MAX,
+	.item_bytes = sizeof(struct rec_run),
+	.item = CODEC_STRUCT,
+	.of = &rec_run_desc},
+};
+
+const struct codec_desc msg_runs_desc = {.name = "runs",
+    .fields = msg_runs_fields,
+    .n_fields = 2,
+    .size_bytes = sizeof(struct msg_runs)};
+
+void
+msg_runs_encode(const struct msg_runs *m, GByteArray *out)
+{
+	codec_encode(&msg_runs_desc, m, out);
+}
+
+enum status
+msg_runs_decode(const uint8_t *data, size_t len, struct msg_runs *m)
+{
+	return codec_decode(&msg_runs_desc, data, len, m);
+}
+
+void
+msg_runs_clear(struct msg_runs *m)
+{
+	codec_clear(&msg_runs_desc, m);
+}
+
+static const struct codec_field msg_runs_held_fields[] = {
+    {.name = "host",
+	.kind = CODEC_STR,
+	.offset = offsetof(struct msg_runs_held, host),
+	.max = MSG_RUNS_HELD_HOST_MAX},
+    {.name = "runs",
+	.kind = CODEC_LIST,
+	.offset = offsetof(struct msg_runs_held, runs),
+	.len_offset = offsetof(struct msg_runs_held, n_runs),
+	.max = MSG_RUNS_HELD_RUNS_MAX,
+	.item_bytes = sizeof(struct rec_run),
+	.item = CODEC_STRUCT,
+	.of = &rec_run_desc},
+};
+
+const struct codec_desc msg_runs_held_desc = {.name = "runs_held",
+    .fields = msg_runs_held_fields,
+    .n_fields = 2,
+    .size_bytes = sizeof(struct msg_runs_held)};
+
+void
+msg_runs_held_encode(const struct msg_runs_held *m, GByteArray *out)
+{
+	codec_encode(&msg_runs_held_desc, m, out);
+}
+
+enum status
+msg_runs_held_decode(const uint8_t *data, size_t len, struct msg_runs_held *m)
+{
+	return codec_decode(&msg_runs_held_desc, data, len, m);
+}
+
+void
+msg_runs_held_clear(struct msg_runs_held *m)
+{
+	codec_clear(&msg_runs_held_desc, m);
+}
