fix(config): a customer may have any number of keys

Solution: keys are cut into records of 30,720, which the table of customers joins by their names. It works since nothing but the record had the bound. Sections and digests of other versions are as before, so that nodes of both builds agree on them.

Measured: test_customers, customer_has_many_keys: 30,721 and 100,000 keys fail on, all five numbers pass now.

--- a/packages/config/src/bundle_customers.c
+++ b/packages/config/src/bundle_customers.c
@@ -7,11 +7,12 @@
 #include <string.h>
 
 #include "bundle_read.h"
+#include "customer_table.h"
 #include "parts.h"
 #include "rules.h"
 
-/* The keys of a customer must fit into one section. */
-#define KEYS_MAX (REC_SECTION_CUSTOMER_KEYS_MAX / CUSTOMER_KEY_BYTES)
+/* Keys of one record of a customer, which must fit into one section. */
+#define RECORD_KEYS_MAX (REC_SECTION_CUSTOMER_KEYS_MAX / CUSTOMER_KEY_BYTES)
 
 static guint
 key_hash(gconstpointer key)
@@ -116,9 +117,12 @@
 		else if (claim_key(r, &key, r->customers->len, &key_at))
 			g_byte_array_append(digests, key.bytes, sizeof(key));
 	}
-	if (digests->len > REC_SECTION_CUSTOMER_KEYS_MAX)
-		problems_add(r->p, &keys_at, "split the customer",
-		    "a customer has at most %d keys", KEYS_MAX);
+	if (digests->len > REC_SECTION_CUSTOMER_KEYS_MAX &&
+	    customer->name != NULL &&
+	    strlen(customer->name) > CUSTOMER_PARTED_NAME_MAX)
+		problems_add(r->p, &keys_at, "shorten its name",
+		    "a customer with a name above %d bytes has at most %d keys",
+		    CUSTOMER_PARTED_NAME_MAX, RECORD_KEYS_MAX);
 	if (digests->len > 0)
 		qsort(digests->data, digests->len / CUSTOMER_KEY_BYTES,
 		    CUSTOMER_KEY_BYTES, key_compare);
@@ -250,26 +254,46 @@
 	}
 }
 
+/* Appends the records of a customer, one for each part of its keys. */
+static void
+add_records(GArray *records, const struct rec_section_customer *customer,
+    const GByteArray *keys)
+{
+	struct rec_section_customer record = *customer;
+	uint32_t offset = 0, n = 0;
+
+	do {
+		customer_part_name(customer->name, n, record.name);
+		record.keys = keys->data + offset;
+		record.keys_len =
+		    MIN(keys->len - offset, REC_SECTION_CUSTOMER_KEYS_MAX);
+		g_array_append_val(records, record);
+		offset += record.keys_len;
+		n++;
+	} while (offset < keys->len);
+}
+
 void
 bundle_split_customers(const struct bundle_reader *r, GPtrArray *sections)
 {
-	struct rec_section_customer *customer;
-	const GByteArray *keys;
+	GArray *records;
 	struct msg_section m;
 	uint32_t i;
 
 	if (r->customers == NULL)
 		return;
+	records =
+	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_customer));
+	for (i = 0; i < r->customers->len; i++)
+		add_records(records,
+		    &g_array_index(
+			r->customers, struct rec_section_customer, i),
+		    g_ptr_array_index(r->customer_keys, i));
 	memset(&m, 0, sizeof(m));
 	(void)g_strlcpy(m.service, CUSTOMERS_SECTION, sizeof(m.service));
 	numbers_set_default(&m);
-	m.customers = (struct rec_section_customer *)r->customers->data;
-	m.n_customers = r->customers->len;
-	for (i = 0; i < m.n_customers; i++) {
-		customer = &m.customers[i];
-		keys = g_ptr_array_index(r->customer_keys, i);
-		customer->keys = keys->data;
-		customer->keys_len = keys->len;
-	}
+	m.customers = (struct rec_section_customer *)(void *)records->data;
+	m.n_customers = records->len;
 	parts_split(&m, sections);
+	g_array_unref(records);
 }
--- a/packages/config/src/customer_table.c
+++ b/packages/config/src/customer_table.c
@@ -117,21 +117,53 @@
 	return all;
 }
 
+/* Adds the keys of the customer that was added last. */
 static void
-add_customer(struct customer_table *t, const struct customer_config *c)
+add_keys(struct customer_table *t, const struct customer_config *c)
 {
-	struct id_entry id = {c->info.id, t->customers->len};
-	struct key_entry key = {.customer = t->customers->len};
+	struct key_entry key = {.customer = t->customers->len - 1};
 	uint32_t i;
 
-	g_array_append_val(t->customers, c->info);
-	g_array_append_val(t->ids, id);
 	for (i = 0; i < c->n_keys; i++) {
 		key.key = c->keys[i];
 		g_array_append_val(t->keys, key);
 	}
 }
 
+/* Records of the parts of a customer's keys follow its first record. */
+static enum status
+add_part(struct customer_table *t, const struct customer_config *c)
+{
+	char name[CUSTOMER_NAME_BYTES];
+	const struct customer *last;
+
+	customer_part_base(c->info.name, name);
+	last = t->customers->len > 0
+	    ? &g_array_index(
+		  t->customers, struct customer, t->customers->len - 1)
+	    : NULL;
+	if (last == NULL || strcmp(last->name, name) != 0)
+		return status_set(STATUS_INVALID,
+		    "Keys of customer %s lack the customer; sign the version "
+		    "off again.",
+		    name);
+	add_keys(t, c);
+	return STATUS_OK;
+}
+
+static enum status
+add_customer(struct customer_table *t, const struct customer_config *c)
+{
+	struct id_entry id = {c->info.id, t->customers->len};
+
+	if (customer_is_part(c->info.name))
+		return add_part(t, c);
+	g_array_append_val(t->customers, c->info);
+	g_array_append_val(t->ids, id);
+	add_keys(t, c);
+	return STATUS_OK;
+}
+
 static const char *
 name_at(const struct customer_table *t, uint32_t i)
 {
@@ -168,16 +200,17 @@
 {
 	struct customer_table *t = table_new();
 	GPtrArray *all = collect(t, sections);
-	enum status st;
+	enum status st = STATUS_OK;
 	uint32_t i;
 
 	*table = NULL;
-	for (i = 0; i < all->len; i++)
-		add_customer(t, g_ptr_array_index(all, i));
+	for (i = 0; i < all->len && st == STATUS_OK; i++)
+		st = add_customer(t, g_ptr_array_index(all, i));
 	g_ptr_array_unref(all);
 	g_array_sort(t->keys, key_compare);
 	g_array_sort(t->ids, id_compare);
-	st = check_unique(t);
+	if (st == STATUS_OK)
+		st = check_unique(t);
 	if (st == STATUS_OK && t->sections->len > 0)
 		*table = t;
 	else
--- a/packages/config/src/customer_table.h
+++ b/packages/config/src/customer_table.h
@@ -6,8 +6,33 @@
 
 #include <glib.h>
 
+#include "config/customer.h"
 #include "config/service.h"
 
+/*
+ * A customer whose keys don't fit into one record has further records with the
+ * name of the customer, this character and a number.  Names of customers have
+ * no control characters.
+ */
+#define CUSTOMER_PART_MARK '\x1f'
+
+/* Longest name of a customer with further records. */
+#define CUSTOMER_PARTED_NAME_MAX 120
+
+/** customer_part_name() - name of a customer's record
+ * @name: the customer
+ * @part: number of the record, 0 for the first
+ * @out: receives the name, CUSTOMER_NAME_BYTES long
+ */
+void customer_part_name(const char *name, uint32_t part, char *out);
+
+/** customer_is_part() - whether a record is a further one of its customer */
+bool customer_is_part(const char *name);
+
+/** customer_part_base() - name of a record's customer; @out has
+ * CUSTOMER_NAME_BYTES */
+void customer_part_base(const char *name, char *out);
+
 /**
  * customer_table_new() - compile the table of customers
  * @sections: struct service_config, sorted by section
@@ -15,7 +40,7 @@
  *	owns a reference
  *
  * Return: STATUS_OK, or STATUS_INVALID if two customers have one name or one
- * key.
+ * key, or a further record lacks the first one.
  */
 enum status
 customer_table_new(const GPtrArray *sections, struct customer_table **table);
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "customer_table.h"
 #include "rules.h"
 
 #define NUMBER(group, key, field, min, max, default_value)                  \
@@ -479,11 +480,13 @@
 {
 	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
 	struct doc_path at = {&customers_at, NULL, 0};
+	char name[CUSTOMER_NAME_BYTES];
 	uint32_t i;
 
 	for (i = 0; i < m->n_customers; i++) {
 		at.index = i;
-		customer_name_check(m->customers[i].name, &at, p);
+		customer_part_base(m->customers[i].name, name);
+		customer_name_check(name, &at, p);
 		if (!keys_are_sorted(&m->customers[i]))
 			problems_add(p, &at, "sort the keys",
 			    "the keys are not in canonical form");
--- a/packages/config/test/test_customers.c
+++ b/packages/config/test/test_customers.c
@@ -12,7 +12,8 @@
 	"'keyless':true}]"
 
 /* As docs/BUNDLES.md says. */
-#define KEYS_MAX 30720
+/* Keys of one record. */
+#define RECORD_KEYS_MAX 30720
 
 static struct bundle *
 bundle_with(const char *customers)
@@ -110,7 +111,8 @@
 /* Guards against a version that is refused whole for one customer's keys. */
 START_TEST(customer_has_many_keys)
 {
-	static const uint32_t numbers[] = {1024, 1025, KEYS_MAX};
+	static const uint32_t numbers[] = {
+	    1024, 1025, RECORD_KEYS_MAX, RECORD_KEYS_MAX + 1, 100000};
 	GString *text = g_string_new("{'name':'north','keys':['k0'");
 	struct bundle *b;
 	struct snapshot *s;
@@ -125,6 +127,8 @@
 	(void)g_snprintf(last, sizeof(last), "k%u", numbers[_i] - 1);
 	ck_assert_ptr_nonnull(holder(s, "k0"));
 	ck_assert_ptr_eq(holder(s, last), holder(s, "k0"));
+	ck_assert_uint_eq(customer_table_size(s->customers), 1);
+	ck_assert_str_eq(customer_table_at(s->customers, 0)->name, "north");
 	snapshot_unref(s);
 	bundle_free(b);
 	g_string_free(text, TRUE);
@@ -254,7 +258,7 @@
 	TCase *tc = tcase_create("customers");
 
 	tcase_add_test(tc, keys_lead_to_their_customer);
-	tcase_add_loop_test(tc, customer_has_many_keys, 0, 3);
+	tcase_add_loop_test(tc, customer_has_many_keys, 0, 5);
 	tcase_add_test(tc, table_without_customers_differs_from_no_table);
 	tcase_add_test(tc, sections_hold_no_key);
 	tcase_add_test(tc, changed_key_changes_one_section);
