fix(node): a long start does not drop a report of leaving

Problem: by reading, no caller saw it: heartbeats that arrive before a node has joined are kept, 16 at most. A node that takes longer to join than 16 heartbeats would drop the oldest, a report of leaving among them, and acknowledge it all the same.

Solution: a later report of the same process replaces an earlier one that says the same, so that a process has three at most, whatever the start takes.

Measured: functional_platform_leaving, 7 of 7 pass; no test makes a node join for that long.

--- a/packages/node/src/control_upstream_reports.c
+++ b/packages/node/src/control_upstream_reports.c
@@ -11,7 +11,8 @@
 #include "base/metrics.h"
 #include "control_priv.h"
 
-/* Most reports that wait to be applied; the oldest are dropped. */
+/* Most reports that wait to be applied; the oldest are dropped.  A process has
+ * three at most. */
 #define REPORTS_MAX 16
 /* Longest wait; upstreams wait for an acknowledgement for a second. */
 #define WAIT_MS 800
@@ -51,6 +52,32 @@
 	g_free(w);
 }
 
+/* Whether a report says nothing that a later one of the same process does not
+ * say too. */
+static bool
+is_superseded(
+    const struct upstream_report *r, const struct upstream_report *later)
+{
+	return strcmp(r->instance, later->instance) == 0 &&
+	    r->started_ms == later->started_ms && r->leaves == later->leaves &&
+	    r->heartbeat.state == later->heartbeat.state &&
+	    r->heartbeat.seq <= later->heartbeat.seq;
+}
+
+static void
+drop_superseded(struct control *c, const struct upstream_report *later)
+{
+	GList *l, *next;
+
+	for (l = c->reports.head; l != NULL; l = next) {
+		next = l->next;
+		if (!is_superseded(l->data, later))
+			continue;
+		report_free(l->data);
+		g_queue_delete_link(&c->reports, l);
+	}
+}
+
 void
 control_reports_defer(struct control *c, const char *instance,
     uint64_t started_ms, const struct upstream_heartbeat *b)
@@ -62,6 +89,7 @@
 	r->leaves = b == NULL;
 	if (b != NULL)
 		r->heartbeat = *b;
+	drop_superseded(c, r);
 	if (c->reports.length >= REPORTS_MAX)
 		report_free(g_queue_pop_head(&c->reports));
 	g_queue_push_tail(&c->reports, r);
