test(functional): watches end when each host was observed

Problem: functional_herd failed now and then, "hofdasalur-6 was observed serving only 8 times". The cause is the test: hosts of its second data centre are down, or serve nothing by design, for most of it, and it ends as soon as all serve the last version, so that a fast return leaves few observations.

Solution: the end of a watch waits, for 5 s at most, until each host has as many observations as are asserted behind it. The check and its number are as before.

--- a/test/functional/version_watch.c
+++ b/test/functional/version_watch.c
@@ -17,6 +17,7 @@
 #define POLL_INTERVAL_US 30000
 #define REQUEST_TIMEOUT_MS 1000
 #define MIN_OBSERVATIONS 10
+#define LAST_OBSERVATIONS_MS 5000
 #define URL_BYTES 128
 #define KEY_BYTES 64
 
@@ -293,6 +294,25 @@
 	return violations->len;
 }
 
+static int
+all_are_observed(void *arg)
+{
+	struct version_watch *w = arg;
+	const struct watcher *watcher;
+	int result = 1;
+	guint i;
+
+	pthread_mutex_lock(&w->lock);
+	for (i = 0; i < w->watchers->len; i++) {
+		watcher = g_ptr_array_index(w->watchers, i);
+		if (version_check_observations(w->check, watcher->host->name) <
+		    MIN_OBSERVATIONS)
+			result = 0;
+	}
+	pthread_mutex_unlock(&w->lock);
+	return result;
+}
+
 uint32_t
 version_watch_end(struct version_watch *w)
 {
@@ -300,6 +320,9 @@
 	struct watcher *watcher;
 	uint32_t n;
 
+	/* A host that was down for most of the test has served for a short
+	 * time only, however fast it came back. */
+	(void)harness_wait_until(all_are_observed, w, LAST_OBSERVATIONS_MS);
 	pthread_mutex_lock(&w->lock);
 	w->stopping = 1;
 	pthread_mutex_unlock(&w->lock);
