fix(node): a lookup that may have run is not answered as not run

The cause: the HTTP client sends an idempotent request once more when a reused connection breaks without an answer, and the guard took a refusal of the second sending for one of the request. By the logs the same attempt ran and was refused by the upstream within a millisecond.

Solution: the result of a call says that it was sent twice; a refusal then is a failed attempt of unknown outcome. It works since a refusal speaks for one sending only; requests that must run once are never sent twice.

--- a/packages/net/include/net/http.h
+++ b/packages/net/include/net/http.h
@@ -105,6 +105,9 @@
  * @code: the answer's HTTP status, 0 when no head was received
  * @sent: whether any byte of the request may have been sent; when false the
  *	server has certainly not executed the request
+ * @resent: the request was sent on a reused connection that broke without an
+ *	answer, and then once more; the server may have executed it the first
+ *	time, whatever it answered the second time
  * @delimited: whether the answer's head determined its length; when false the
  *	answer ended with its connection and may be truncated
  */
@@ -112,6 +115,7 @@
 	enum status status;
 	int code;
 	bool sent;
+	bool resent;
 	bool delimited;
 };
 
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -41,7 +41,8 @@
 http_call_end(struct http_call *call, enum status st)
 {
 	int code = call->head_done ? call->code : 0;
-	struct http_result r = {st, code, call->sent, call->delimited};
+	struct http_result r = {
+	    st, code, call->sent, call->resent, call->delimited};
 
 	call_detach(call, st != STATUS_OK);
 	loop_task_defer(&call->client->task);
@@ -57,6 +58,7 @@
 
 	call_detach(call, false);
 	call->new_conn_only = true;
+	call->resent = call->sent;
 	call->answered = false;
 	g_queue_push_head_link(&client->waiting, &call->link);
 	loop_task_defer(&client->task);
--- a/packages/net/src/http_priv.h
+++ b/packages/net/src/http_priv.h
@@ -69,6 +69,7 @@
  * @pull_paused: on_pull() returned HTTP_PAUSE
  * @head_only: the request is HEAD: the answer has no body in any case
  * @sent: a byte of the request may have been sent
+ * @resent: a byte may have been sent on a connection before this one
  * @answered: a byte of an answer was received
  * @head_done: on_head() was called for the answer to this request
  * @skipping: the answer being parsed belongs to another request
@@ -102,6 +103,7 @@
 	bool pull_paused;
 	bool head_only;
 	bool sent;
+	bool resent;
 	bool answered;
 	bool head_done;
 	bool skipping;
--- a/packages/node/src/guard_http.c
+++ b/packages/node/src/guard_http.c
@@ -283,7 +283,8 @@
 
 	(void)call;
 	r->call = NULL;
-	if (r->shed) {
+	/* A refusal speaks for one sending only. */
+	if (r->shed && !res->resent) {
 		guard_request_refuse(r, REFUSAL_UPSTREAM, r->shed_retry_ms);
 		return;
 	}
--- a/packages/store/src/store_call.c
+++ b/packages/store/src/store_call.c
@@ -129,7 +129,7 @@
 static void
 call_on_rejected(void *arg)
 {
-	struct http_result r = {STATUS_INVALID, 0, false, false};
+	struct http_result r = {.status = STATUS_INVALID};
 
 	call_on_done(NULL, &r, arg);
 }
