test(ctl): a request given up in one row takes no response of the next

The fake node handles a request that its client has given up after the next row has set its script, and gives it the first response of that row; the row's own first request then gets the delayed one.

Solution: the fake node has one thread, so that requests are handled in the order of arrival, and setting a script waits for the answer to a request sent then. No check or bound of the test is changed.

--- a/packages/ctl/test/fake_node.c
+++ b/packages/ctl/test/fake_node.c
@@ -10,7 +10,9 @@
 
 #include "fake_node.h"
 
+#define FAKE_HOST "127.0.0.1"
 #define READ_BYTES 4096
+#define ERROR_BYTES 256
 #define SCRIPT_MAX 16
 #define US_PER_MS 1000
 
@@ -18,6 +20,7 @@
 	struct mg_context *web;
 	const struct fake_response *script;
 	int consumed[SCRIPT_MAX];
+	int port;
 	char address[32];
 	/* Not GMutex: ThreadSanitizer does not instrument GLib. */
 	pthread_mutex_t lock;
@@ -100,8 +103,9 @@
 struct fake_node *
 fake_node_new(void)
 {
-	static const char *const options[] = {"listening_ports", "127.0.0.1:0",
-	    "num_threads", "2", "enable_keep_alive", "no", NULL};
+	/* With one thread, requests are handled in the order of arrival. */
+	static const char *const options[] = {"listening_ports", FAKE_HOST ":0",
+	    "num_threads", "1", "enable_keep_alive", "no", NULL};
 	struct fake_node *f = g_new0(struct fake_node, 1);
 	struct mg_server_port port;
 
@@ -111,14 +115,28 @@
 	g_assert(f->web != NULL);
 	mg_set_request_handler(f->web, "/", on_request, f);
 	g_assert(mg_get_server_ports(f->web, 1, &port) == 1);
+	f->port = port.port;
 	(void)snprintf(
-	    f->address, sizeof(f->address), "127.0.0.1:%d", port.port);
+	    f->address, sizeof(f->address), FAKE_HOST ":%d", f->port);
 	return f;
 }
 
+/* A request that its client has given up may still be on its way. */
+static void
+await_earlier_requests(const struct fake_node *f)
+{
+	char error[ERROR_BYTES];
+	struct mg_connection *conn = mg_download(FAKE_HOST, f->port, 0, error,
+	    sizeof(error), "GET / HTTP/1.0\r\n\r\n");
+
+	g_assert(conn != NULL);
+	mg_close_connection(conn);
+}
+
 void
 fake_node_set_script(struct fake_node *f, const struct fake_response *script)
 {
+	await_earlier_requests(f);
 	(void)pthread_mutex_lock(&f->lock);
 	f->script = script;
 	memset(f->consumed, 0, sizeof(f->consumed));
--- a/packages/ctl/test/fake_node.h
+++ b/packages/ctl/test/fake_node.h
@@ -31,7 +31,8 @@
 struct fake_node *fake_node_new(void);
 
 /**
- * fake_node_set_script() - set the script and clear the recorded requests
+ * fake_node_set_script() - set the script and clear the recorded requests,
+ * once all earlier requests have ended
  * @f: the fake node
  * @script: responses, terminated by an entry without a request.  Each is sent
  *	once, in order; the last match for a request is then repeated.
