test(platform): nodes are stopped before a report is sent

Its output wasn't kept; beside load (average 22), 6 of 24 runs failed here. In five of them report_without_other_nodes_is_not_acknowledged got 200 for 503: by log lines added for a trial, both peers confirmed the report in the millisecond in which SIGSTOP was sent, and the threads of a node were still in the states R and S after it (/proc). The report was held, so the node was right. In the sixth a node didn't start: its port was taken (EADDRINUSE), since these tests alone used fixed addresses, which other tests that run at the same time use too.

Solution: process_signal() returns behind SIGSTOP only when the process is stopped. No check or bound is changed.

--- a/test/functional/process.c
+++ b/test/functional/process.c
@@ -114,8 +114,15 @@
 void
 process_signal(const struct process *p, int sig)
 {
-	if (p->pid != 0)
-		(void)kill(p->pid, sig);
+	siginfo_t info;
+
+	if (p->pid == 0)
+		return;
+	(void)kill(p->pid, sig);
+	/* Until all its threads are stopped, the process may still answer. */
+	if (sig == SIGSTOP)
+		(void)waitid(
+		    P_PID, (id_t)p->pid, &info, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 uint32_t
--- a/test/functional/process.h
+++ b/test/functional/process.h
@@ -64,7 +64,8 @@
  */
 int process_has_exited(struct process *p);
 
-/** process_signal() - send a signal to a running process */
+/** process_signal() - send a signal to a running process; behind SIGSTOP, wait
+ * until it is stopped */
 void process_signal(const struct process *p, int sig);
 
 /**
