fix(config): a customer's name may have any length a header has

Solution: the record holds the name as a text of its own length, up to 65,500 bytes, which is what the head of a request holds. It works since nothing but the record had the bound: upstreams get the name in a header, which takes it. Sections and digests of names up to 127 bytes are as before.

--- a/packages/config/include/config/customer.h
+++ b/packages/config/include/config/customer.h
@@ -12,8 +12,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Longest name of a customer, including the terminating NUL. */
-#define CUSTOMER_NAME_BYTES 128
+/* Longest name of a customer, including the terminating NUL.  Upstreams get the
+ * name in a header; the head of a request takes at most 64 KiB. */
+#define CUSTOMER_NAME_BYTES 65501
 
 /* Bytes of a key's digest. */
 #define CUSTOMER_KEY_BYTES 16
--- a/packages/config/src/bundle_customers.c
+++ b/packages/config/src/bundle_customers.c
@@ -11,8 +11,8 @@
 #include "parts.h"
 #include "rules.h"
 
-/* Keys of one record of a customer, which must fit into one section. */
-#define RECORD_KEYS_MAX (REC_SECTION_CUSTOMER_KEYS_MAX / CUSTOMER_KEY_BYTES)
+/* Longest name that older nodes take. */
+#define OLDER_NAME_MAX 127
 
 static guint
 key_hash(gconstpointer key)
@@ -87,7 +87,8 @@
 	other = &g_array_index(
 	    r->customers, struct rec_section_customer, holder - 1);
 	problems_add(r->p, at, "remove it from one of the two customers",
-	    "customer %s has this key already", other->name);
+	    "customer %.*s has this key already",
+	    (int)MIN(other->name_len, CUSTOMER_SHOWN_BYTES), other->name);
 	return false;
 }
 
@@ -117,12 +118,6 @@
 		else if (claim_key(r, &key, r->customers->len, &key_at))
 			g_byte_array_append(digests, key.bytes, sizeof(key));
 	}
-	if (digests->len > REC_SECTION_CUSTOMER_KEYS_MAX &&
-	    customer->name != NULL &&
-	    strlen(customer->name) > CUSTOMER_PARTED_NAME_MAX)
-		problems_add(r->p, &keys_at, "shorten its name",
-		    "a customer with a name above %d bytes has at most %d keys",
-		    CUSTOMER_PARTED_NAME_MAX, RECORD_KEYS_MAX);
 	if (digests->len > 0)
 		qsort(digests->data, digests->len / CUSTOMER_KEY_BYTES,
 		    CUSTOMER_KEY_BYTES, key_compare);
@@ -154,11 +149,12 @@
 
 	memset(&out, 0, sizeof(out));
 	if (customer->name != NULL)
-		customer_name_check(name, &name_at, r->p);
+		customer_name_check(name, strlen(name), &name_at, r->p);
 	if (!g_hash_table_add(r->customer_names, g_strdup(name)))
 		problems_add(r->p, &name_at, "rename or remove one of the two",
 		    "the bundle has two customers of this name");
-	(void)g_strlcpy(out.name, name, sizeof(out.name));
+	out.name = g_string_chunk_insert(r->texts, name);
+	out.name_len = (uint32_t)strlen(name);
 	out.rate_milli_per_s = customer->rate_milli_per_s;
 	out.burst_milli = customer->burst_milli;
 	set_priority(r, customer->priority, at, &out);
@@ -254,19 +250,45 @@
 	}
 }
 
+/* Most bytes of keys in a record, which must fit into one section with its
+ * name. A section has room for a name that older nodes take, so they agree on
+ * the records. */
+static uint32_t
+max_key_bytes(const struct rec_section_customer *customer)
+{
+	uint32_t name_bytes =
+	    customer->name_len > OLDER_NAME_MAX ? customer->name_len : 0;
+	uint32_t bytes = REC_SECTION_CUSTOMER_KEYS_MAX - name_bytes;
+
+	return bytes - bytes % CUSTOMER_KEY_BYTES;
+}
+
+/* Names a further record of a customer. */
+static void
+name_record(GStringChunk *texts, const struct rec_section_customer *customer,
+    uint32_t n, struct rec_section_customer *record)
+{
+	char *name = g_strdup_printf("%.*s%c%u", (int)customer->name_len,
+	    customer->name, CUSTOMER_PART_MARK, n);
+
+	record->name = g_string_chunk_insert(texts, name);
+	record->name_len = (uint32_t)strlen(name);
+	g_free(name);
+}
+
 /* Appends the records of a customer, one for each part of its keys. */
 static void
-add_records(GArray *records, const struct rec_section_customer *customer,
-    const GByteArray *keys)
+add_records(GArray *records, GStringChunk *texts,
+    const struct rec_section_customer *customer, const GByteArray *keys)
 {
 	struct rec_section_customer record = *customer;
-	uint32_t offset = 0, n = 0;
+	uint32_t offset = 0, n = 0, max_bytes = max_key_bytes(customer);
 
 	do {
-		customer_part_name(customer->name, n, record.name);
+		if (n > 0)
+			name_record(texts, customer, n, &record);
 		record.keys = keys->data + offset;
-		record.keys_len =
-		    MIN(keys->len - offset, REC_SECTION_CUSTOMER_KEYS_MAX);
+		record.keys_len = MIN(keys->len - offset, max_bytes);
 		g_array_append_val(records, record);
 		offset += record.keys_len;
 		n++;
@@ -285,7 +307,7 @@
 	records =
 	    g_array_new(FALSE, FALSE, sizeof(struct rec_section_customer));
 	for (i = 0; i < r->customers->len; i++)
-		add_records(records,
+		add_records(records, r->texts,
 		    &g_array_index(
 			r->customers, struct rec_section_customer, i),
 		    g_ptr_array_index(r->customer_keys, i));
--- a/packages/config/src/customer.c
+++ b/packages/config/src/customer.c
@@ -44,25 +44,16 @@
 	return id != CUSTOMER_ID_NONE ? id : 1;
 }
 
-void
-customer_part_name(const char *name, uint32_t part, char *out)
-{
-	if (part == 0)
-		(void)g_strlcpy(out, name, CUSTOMER_NAME_BYTES);
-	else
-		(void)g_snprintf(out, CUSTOMER_NAME_BYTES, "%s%c%u", name,
-		    CUSTOMER_PART_MARK, part);
-}
-
 bool
 customer_is_part(const char *name)
 {
 	return strchr(name, CUSTOMER_PART_MARK) != NULL;
 }
 
-void
-customer_part_base(const char *name, char *out)
+uint32_t
+customer_base_len(const char *name, uint32_t len)
 {
-	(void)g_strlcpy(out, name, CUSTOMER_NAME_BYTES);
-	out[strcspn(out, "\x1f")] = '\0';
+	const char *mark = memchr(name, CUSTOMER_PART_MARK, len);
+
+	return mark != NULL ? (uint32_t)(mark - name) : len;
 }
--- a/packages/config/src/customer_table.c
+++ b/packages/config/src/customer_table.c
@@ -134,19 +134,20 @@
 static enum status
 add_part(struct customer_table *t, const struct customer_config *c)
 {
-	char name[CUSTOMER_NAME_BYTES];
+	const char *name = c->info.name;
+	uint32_t len = customer_base_len(name, (uint32_t)strlen(name));
 	const struct customer *last;
 
-	customer_part_base(c->info.name, name);
 	last = t->customers->len > 0
 	    ? &g_array_index(
 		  t->customers, struct customer, t->customers->len - 1)
 	    : NULL;
-	if (last == NULL || strcmp(last->name, name) != 0)
+	if (last == NULL || strlen(last->name) != len ||
+	    memcmp(last->name, name, len) != 0)
 		return status_set(STATUS_INVALID,
-		    "Keys of customer %s lack the customer; sign the version "
+		    "Keys of customer %.*s lack the customer; sign the version "
 		    "off again.",
-		    name);
+		    (int)MIN(len, CUSTOMER_SHOWN_BYTES), name);
 	add_keys(t, c);
 	return STATUS_OK;
 }
--- a/packages/config/src/customer_table.h
+++ b/packages/config/src/customer_table.h
@@ -16,22 +16,17 @@
  */
 #define CUSTOMER_PART_MARK '\x1f'
 
-/* Longest name of a customer with further records. */
-#define CUSTOMER_PARTED_NAME_MAX 120
-
-/** customer_part_name() - name of a customer's record
- * @name: the customer
- * @part: number of the record, 0 for the first
- * @out: receives the name, CUSTOMER_NAME_BYTES long
- */
-void customer_part_name(const char *name, uint32_t part, char *out);
+/* Bytes of a customer's name that a message shows. */
+#define CUSTOMER_SHOWN_BYTES 40
 
 /** customer_is_part() - whether a record is a further one of its customer */
 bool customer_is_part(const char *name);
 
-/** customer_part_base() - name of a record's customer; @out has
- * CUSTOMER_NAME_BYTES */
-void customer_part_base(const char *name, char *out);
+/** customer_base_len() - length of the name of a record's customer
+ * @name: name of the record
+ * @len: its length
+ */
+uint32_t customer_base_len(const char *name, uint32_t len);
 
 /**
  * customer_table_new() - compile the table of customers
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -79,8 +79,7 @@
 static uint32_t
 customer_hash_bits(const struct rec_section_customer *customer)
 {
-	uint64_t h =
-	    hash64(customer->name, strlen(customer->name), PART_HASH_SEED);
+	uint64_t h = hash64(customer->name, customer->name_len, PART_HASH_SEED);
 
 	return (uint32_t)(h >> (64 - PART_BITS_MAX));
 }
@@ -88,8 +87,7 @@
 static uint32_t
 customer_bytes(const struct rec_section_customer *customer)
 {
-	return CUSTOMER_FIXED_BYTES + (uint32_t)strlen(customer->name) +
-	    customer->keys_len;
+	return CUSTOMER_FIXED_BYTES + customer->name_len + customer->keys_len;
 }
 
 static int
--- a/packages/config/src/rules.c
+++ b/packages/config/src/rules.c
@@ -422,7 +422,11 @@
 {
 	const struct rec_section_customer *x = a, *y = b;
 
-	return strcmp(x->name, y->name);
+	int order = memcmp(x->name, y->name, MIN(x->name_len, y->name_len));
+
+	if (order != 0)
+		return order;
+	return (x->name_len > y->name_len) - (x->name_len < y->name_len);
 }
 
 void
@@ -433,20 +437,22 @@
 		    customer_compare);
 }
 
+static bool
+customer_char_valid(char ch)
+{
+	return (unsigned char)ch >= ' ' && ch != '\x7f';
+}
+
 void
 customer_name_check(
-    const char *name, const struct doc_path *at, struct problems *p)
+    const char *name, size_t len, const struct doc_path *at, struct problems *p)
 {
-	const char *c;
-
-	for (c = name; *c != '\0'; c++)
-		if ((unsigned char)*c < ' ' || *c == '\x7f')
-			break;
-	if (*name == '\0' || *c != '\0' || strlen(name) >= CUSTOMER_NAME_BYTES)
+	if (len == 0 || len >= CUSTOMER_NAME_BYTES ||
+	    find_invalid_char(name, len, customer_char_valid) != 0)
 		problems_add(p, at,
-		    "use 1 to 127 bytes without control characters",
+		    "use 1 to 65,500 bytes without control characters",
 		    "invalid name of a customer");
-	else if (*name == ' ' || c[-1] == ' ')
+	else if (name[0] == ' ' || name[len - 1] == ' ')
 		problems_add(p, at, "remove the space at its begin or end",
 		    "a header can't carry this name of a customer");
 }
@@ -480,13 +486,14 @@
 {
 	struct doc_path customers_at = {NULL, "customers", DOC_PATH_NO_INDEX};
 	struct doc_path at = {&customers_at, NULL, 0};
-	char name[CUSTOMER_NAME_BYTES];
 	uint32_t i;
 
 	for (i = 0; i < m->n_customers; i++) {
 		at.index = i;
-		customer_part_base(m->customers[i].name, name);
-		customer_name_check(name, &at, p);
+		customer_name_check(m->customers[i].name,
+		    customer_base_len(
+			m->customers[i].name, m->customers[i].name_len),
+		    &at, p);
 		if (!keys_are_sorted(&m->customers[i]))
 			problems_add(p, &at, "sort the keys",
 			    "the keys are not in canonical form");
--- a/packages/config/src/rules.h
+++ b/packages/config/src/rules.h
@@ -133,8 +133,8 @@
 customers_sort(struct rec_section_customer *customers, uint32_t n_customers);
 
 /** customer_name_check() - record a name that can't be sent in a header */
-void customer_name_check(
-    const char *name, const struct doc_path *at, struct problems *p);
+void customer_name_check(const char *name, size_t len,
+    const struct doc_path *at, struct problems *p);
 
 /** section_check() - record all problems within a section */
 void section_check(const struct msg_section *m, struct problems *p);
--- a/packages/config/src/section.c
+++ b/packages/config/src/section.c
@@ -19,8 +19,8 @@
 	size += m->n_routes * sizeof(struct service_route);
 	size += m->n_customers * sizeof(struct customer_config);
 	for (i = 0; i < m->n_customers; i++)
-		size +=
-		    m->customers[i].keys_len + strlen(m->customers[i].name) + 1;
+		size += (size_t)m->customers[i].keys_len +
+		    m->customers[i].name_len + 1;
 	for (i = 0; i < m->n_routes; i++)
 		size += (size_t)m->routes[i].prefix_len + 1 +
 		    m->routes[i].host_len + 1;
@@ -83,7 +83,6 @@
 {
 	uint32_t len;
 
-	customer->info.id = customer_id(from->name);
 	customer->info.priority =
 	    from->priority > 0 ? from->priority - 1 : CUSTOMER_PRIORITY_NONE;
 	customer->info.rate_milli_per_s = from->rate_milli_per_s;
@@ -92,8 +91,10 @@
 	customer->n_keys = from->keys_len / CUSTOMER_KEY_BYTES;
 	if (from->keys_len > 0)
 		memcpy(text, from->keys, from->keys_len);
-	return config_set_text(text + from->keys_len, from->name,
-	    (uint32_t)strlen(from->name), &customer->info.name, &len);
+	text = config_set_text(text + from->keys_len, from->name,
+	    from->name_len, &customer->info.name, &len);
+	customer->info.id = customer_id(customer->info.name);
+	return text;
 }
 
 /* Customers lie after the routes, and the texts of both after them. */
--- a/packages/config/test/test_customers.c
+++ b/packages/config/test/test_customers.c
@@ -135,6 +135,38 @@
 }
 END_TEST
 
+/* Guards against a version that is refused whole for one customer's name. */
+START_TEST(customer_has_a_long_name)
+{
+	static const uint32_t lengths[] = {120, 121, 127, 128, 4000, 65500};
+	char *a = g_strnfill(lengths[_i], 'n'), *b = g_strdup(a);
+	GString *text = g_string_new(NULL);
+	struct bundle *bundle;
+	struct snapshot *s;
+	uint32_t i;
+
+	a[lengths[_i] - 1] = 'a';
+	b[lengths[_i] - 1] = 'b';
+	g_string_printf(text,
+	    "{'name':'%s','keys':['b0']},{'name':'%s','keys':['a0'", b, a);
+	for (i = 1; i <= RECORD_KEYS_MAX; i++)
+		g_string_append_printf(text, ",'a%u'", i);
+	g_string_append(text, "]}");
+	bundle = bundle_with(text->str);
+	s = snapshot_of(bundle);
+	ck_assert_uint_eq(customer_table_size(s->customers), 2);
+	ck_assert_str_eq(holder(s, "a0")->name, a);
+	ck_assert_str_eq(holder(s, "a30720")->name, a);
+	ck_assert_str_eq(holder(s, "b0")->name, b);
+	ck_assert_uint_eq(holder(s, "b0")->id, customer_id(b));
+	snapshot_unref(s);
+	bundle_free(bundle);
+	g_string_free(text, TRUE);
+	g_free(b);
+	g_free(a);
+}
+END_TEST
+
 START_TEST(table_without_customers_differs_from_no_table)
 {
 	struct bundle *empty = bundle_with("");
@@ -259,6 +291,7 @@
 
 	tcase_add_test(tc, keys_lead_to_their_customer);
 	tcase_add_loop_test(tc, customer_has_many_keys, 0, 5);
+	tcase_add_loop_test(tc, customer_has_a_long_name, 0, 6);
 	tcase_add_test(tc, table_without_customers_differs_from_no_table);
 	tcase_add_test(tc, sections_hold_no_key);
 	tcase_add_test(tc, changed_key_changes_one_section);
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -215,7 +215,7 @@
 static void
 handle_customers(struct admin_call *call)
 {
-	char name[CUSTOMER_NAME_BYTES];
+	char *name;
 	json_t *reply;
 
 	if (strcmp(call->method, "GET") != 0) {
@@ -224,11 +224,13 @@
 		    "See docs/API.md for its methods.", 0);
 		return;
 	}
+	name = g_malloc(CUSTOMER_NAME_BYTES);
 	reply = admin_customers_json(call->admin->usage,
-	    admin_call_query(call, "name", name, sizeof(name)) &&
+	    admin_call_query(call, "name", name, CUSTOMER_NAME_BYTES) &&
 		    name[0] != '\0'
 		? name
 		: NULL);
+	g_free(name);
 	if (reply != NULL)
 		admin_call_answer(call, 200, reply);
 	else
--- a/packages/node/src/entry_quota_log.c
+++ b/packages/node/src/entry_quota_log.c
@@ -15,10 +15,13 @@
 
 #define LINES_PER_S 5
 
+/* Bytes of a name that are kept for a line. */
+#define SHOWN_BYTES 64
+
 /**
  * struct limited - a customer that is limited
  * @id: number of the customer
- * @name: its name
+ * @name: the beginning of its name
  * @rate_milli_per_s: its limit
  * @since_ms: monotonic time of the first refusal
  * @refused_ms: monotonic time of the last refusal
@@ -26,7 +29,7 @@
  */
 struct limited {
 	uint64_t id;
-	char name[CUSTOMER_NAME_BYTES];
+	char name[SHOWN_BYTES];
 	uint64_t rate_milli_per_s;
 	uint64_t since_ms;
 	uint64_t refused_ms;
--- a/packages/proto/include/proto/gen/config.h
+++ b/packages/proto/include/proto/gen/config.h
@@ -20,7 +20,7 @@
 /* Maximum bytes of a text or binary field, maximum elements of a list. */
 #define REC_SECTION_ROUTE_PREFIX_MAX 65535
 #define REC_SECTION_ROUTE_HOST_MAX 65535
-#define REC_SECTION_CUSTOMER_NAME_MAX 127
+#define REC_SECTION_CUSTOMER_NAME_MAX 65535
 #define REC_SECTION_CUSTOMER_KEYS_MAX 491520
 #define REC_SECTION_CHANGE_SECTION_MAX 63
 #define REC_REPLACED_HEAD_OP_MAX 63
@@ -77,7 +77,9 @@
 
 /**
  * struct rec_section_customer - One customer.
- * @name: name of the customer
+ * @name: name of the customer; of a further record of its keys,
+ * 	followed by a mark and a number; borrowed, not zero-terminated
+ * @name_len: number of bytes in @name
  * @priority: rank among the customers plus 1, 1 is the highest; 0 when
  * 	not set
  * @rate_milli_per_s: limit over all nodes, in thousandths of a request
@@ -89,7 +91,8 @@
  * @keys_len: number of bytes in @keys
  */
 struct rec_section_customer {
-	char name[128];
+	const char *name;
+	uint32_t name_len;
 	uint32_t priority;
 	uint64_t rate_milli_per_s;
 	uint64_t burst_milli;
--- a/packages/proto/src/gen/config.c
+++ b/packages/proto/src/gen/config.c
@@ -52,8 +52,9 @@
 
 static const struct codec_field rec_section_customer_fields[] = {
     {.name = "name",
-	.kind = CODEC_STR,
+	.kind = CODEC_TEXT,
 	.offset = offsetof(struct rec_section_customer, name),
+	.len_offset = offsetof(struct rec_section_customer, name_len),
 	.max = REC_SECTION_CUSTOMER_NAME_MAX},
     {.name = "priority",
 	.kind = CODEC_U32,
