fix(node): a heartbeat after a loss of all nodes brings nothing back

The cause: the peers that hold the report have ended too, so nobody tells the new process that the heartbeat is late.

Solution: the upstream itself says in all its answers that it leaves. It works since the upstream is the one that surely knows, and needs neither a peer nor the store.

--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -15,6 +15,7 @@
 #include "proto/messages.h"
 #include "proto/settings.h"
 
+struct call_dialect;
 struct control;
 struct directory;
 struct entry;
@@ -87,6 +88,16 @@
  */
 void control_set_store_epoch(struct control *c, uint64_t epoch);
 
+/**
+ * control_check_upstreams() - ask an upstream whether it leaves before its
+ *first heartbeat is used, with a request that it doesn't execute
+ * @c: the control, before it is started
+ * @dialect: headers exchanged with upstreams; must outlive the control; without
+ *	@target and @leaving nothing is asked
+ */
+void
+control_check_upstreams(struct control *c, const struct call_dialect *dialect);
+
 /**
  * control_heartbeat() - process a heartbeat of the upstream on this host
  * @c: the control
--- a/packages/node/src/control_priv.h
+++ b/packages/node/src/control_priv.h
@@ -40,6 +40,29 @@
 	struct membership *membership;
 };
 
+/**
+ * enum upstream_check_phase - progress of the check of the upstream
+ * @UPSTREAM_UNCHECKED: no heartbeat has arrived
+ * @UPSTREAM_ASKED: the upstream was asked
+ * @UPSTREAM_CHECKED: it has answered or not; heartbeats are used
+ */
+enum upstream_check_phase {
+	UPSTREAM_UNCHECKED = 0,
+	UPSTREAM_ASKED,
+	UPSTREAM_CHECKED,
+};
+
+/** struct upstream_check - check of the run that sent the first heartbeat
+ * @phase: its progress
+ * @instance: name of the run, owned
+ * @started_ms: start of the run by the upstream's clock
+ */
+struct upstream_check {
+	enum upstream_check_phase phase;
+	char *instance;
+	uint64_t started_ms;
+};
+
 /**
  * struct control - state of the control thread
  * @dirty: the snapshot in force is outdated and must be recompiled
@@ -80,8 +103,10 @@
  * @instances: processes of the upstream that sends heartbeats
  * @instance_port: port of the current process
  * @instance_service: service of the current process
- * @reports: heartbeats and leaves that arrived before the runs were recalled,
- *	struct upstream_report
+ * @dialect: headers exchanged with upstreams, NULL if they aren't checked
+ * @check: check of the upstream before its first heartbeat is used
+ * @reports: heartbeats and leaves that arrived before the runs were recalled
+ *	or during the check, struct upstream_report
  * @waits: reports that are not acknowledged yet, struct report_wait
  * @wait_timer: deadline of the first of @waits
  * @leaving: this node stops
@@ -135,6 +160,8 @@
 	struct instances instances;
 	uint16_t instance_port;
 	char instance_service[SERVICE_NAME_BYTES];
+	const struct call_dialect *dialect;
+	struct upstream_check check;
 	GQueue reports;
 	GQueue waits;
 	struct loop_timer wait_timer;
@@ -242,6 +269,16 @@
  * earlier processes of this node received, or peers hold others now */
 void control_upstream_runs_changed(struct control *c);
 
+/* control_upstream_check.c */
+
+/** control_check_begin() - check the upstream that has sent a heartbeat, unless
+ * that was done; the heartbeat is not used before the check has ended */
+void control_check_begin(struct control *c, const char *instance,
+    uint64_t started_ms, const struct upstream_heartbeat *b);
+
+/** control_check_clear() - free what the check has allocated */
+void control_check_clear(struct control *c);
+
 /* control_upstream_reports.c */
 
 /** control_reports_init() - initialize the waits */
@@ -251,7 +288,8 @@
  * reports */
 void control_reports_clear(struct control *c);
 
-/** control_reports_defer() - keep a report until the runs were recalled
+/** control_reports_defer() - keep a report until the runs were recalled and the
+ * upstream was checked
  * @b: a heartbeat, or NULL when the process leaves
  */
 void control_reports_defer(struct control *c, const char *instance,
--- a/packages/node/src/control_upstream.c
+++ b/packages/node/src/control_upstream.c
@@ -112,6 +112,14 @@
 	membership_report_run(c->membership, control_now(c), &report);
 }
 
+/* Whether all is known that may make a heartbeat a late one. */
+static bool
+heartbeats_are_usable(const struct control *c)
+{
+	return membership_runs_recalled(c->membership) &&
+	    c->check.phase != UPSTREAM_ASKED;
+}
+
 enum status
 control_heartbeat(
     struct control *c, const char *instance, const struct upstream_heartbeat *b)
@@ -124,7 +132,8 @@
 
 	if (st != STATUS_OK)
 		return st;
-	if (!membership_runs_recalled(c->membership)) {
+	control_check_begin(c, instance, b->started_ms, b);
+	if (!heartbeats_are_usable(c)) {
 		control_reports_defer(c, instance, b->started_ms, b);
 		return STATUS_OK;
 	}
@@ -182,7 +191,7 @@
 {
 	int was_current;
 
-	if (!membership_runs_recalled(c->membership)) {
+	if (!heartbeats_are_usable(c)) {
 		control_reports_defer(c, instance, started_ms, NULL);
 		return;
 	}
@@ -207,7 +216,7 @@
 	struct rec_run runs[MSG_RUNS_RUNS_MAX];
 	uint32_t i, n = membership_own_runs(c->membership, runs);
 
-	if (!membership_runs_recalled(c->membership))
+	if (!heartbeats_are_usable(c))
 		return;
 	for (i = 0; i < n; i++)
 		if (instances_restore(&c->instances, &runs[i])) {
@@ -271,8 +280,15 @@
 	control_reports_init(c);
 }
 
+void
+control_check_upstreams(struct control *c, const struct call_dialect *dialect)
+{
+	c->dialect = dialect;
+}
+
 void
 control_upstream_clear(struct control *c)
 {
+	control_check_clear(c);
 	control_reports_clear(c);
 }
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -73,9 +73,11 @@
 	traffic_health_watch(traffic_thread_health(n->traffic),
 	    callers_closed_since_ms, n->callers);
 	st = control_new(s, n->entry, n->guard, incarnation, seed, &n->control);
-	if (st == STATUS_OK)
+	if (st == STATUS_OK) {
 		control_watch_traffic(
 		    n->control, traffic_thread_health(n->traffic));
+		control_check_upstreams(n->control, d);
+	}
 	if (st == STATUS_OK && n->adapter != NULL)
 		st = n->adapter->start(s, n->control, seed, &n->adapter_data);
 	return st;
