--- a/packages/config/src/bundle_customers.c
+++ b/packages/config/src/bundle_customers.c
@@ -251,8 +251,8 @@
 }
 
 /* Most bytes of keys in a record, which must fit into one section with its
- * name. A section has room for a name that older nodes take, so they agree on
- * the records. */
+ * name.  Nothing is taken off for names that older nodes read too, so that they
+ * cut the same records. */
 static uint32_t
 max_key_bytes(const struct rec_section_customer *customer)
 {
--- a/packages/node/include/node/control.h
+++ b/packages/node/include/node/control.h
@@ -89,11 +89,13 @@
 void control_set_store_epoch(struct control *c, uint64_t epoch);
 
 /**
- * control_check_upstreams() - ask an upstream whether it leaves before its
- *first heartbeat is used, with a request that it doesn't execute
+ * control_check_upstreams() - ask an upstream whether it leaves, before its
+ * first heartbeat is used
  * @c: the control, before it is started
  * @dialect: headers exchanged with upstreams; must outlive the control; without
  *	@target and @leaving nothing is asked
+ *
+ * The request names another instance, so that the upstream doesn't execute it.
  */
 void
 control_check_upstreams(struct control *c, const struct call_dialect *dialect);
