test(functional): a signal to a node that starts does not end the test

The forked child of a test has the handler of the test library until it executes the node, and this handler passes SIGTERM on to the group, which the test leads.

Solution: signals are blocked across the fork until the child has the default handlers. The test stops a node only once it answers, which is what it is about. No check or bound is changed.

--- a/test/functional/process.c
+++ b/test/functional/process.c
@@ -2,6 +2,7 @@
  * Child processes of a test.
  */
 #include <fcntl.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/prctl.h>
@@ -33,6 +34,8 @@
 	struct rlimit limit = {descriptors, descriptors};
 	sigset_t empty_set;
 
+	(void)signal(SIGTERM, SIG_DFL);
+	(void)signal(SIGINT, SIG_DFL);
 	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
 	if (getppid() != parent)
 		_exit(PROCESS_EXEC_FAILED);
@@ -57,6 +60,7 @@
     const char *const *argv, uint32_t descriptors)
 {
 	int fd;
+	sigset_t all, before;
 	pid_t parent = getpid(), pid;
 	struct process *p = g_new0(struct process, 1);
 
@@ -64,10 +68,15 @@
 	fd = open(p->log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
 	    PROCESS_LOG_MODE);
 	ck_assert_msg(fd != -1, "can't open %s for writing", p->log);
+	/* The test library's handler, which the child has until it has reset
+	 * it, would pass a signal on to the whole group, the test included. */
+	(void)sigfillset(&all);
+	(void)pthread_sigmask(SIG_SETMASK, &all, &before);
 	pid = fork();
 	/* First: in the child, other threads may hold the lock of ck_assert. */
 	if (pid == 0)
 		child_exec(argv, fd, parent, descriptors);
+	(void)pthread_sigmask(SIG_SETMASK, &before, NULL);
 	ck_assert_int_ne(pid, -1);
 	(void)close(fd);
 	p->pid = pid;
--- a/test/functional/test_admin_stop.c
+++ b/test/functional/test_admin_stop.c
@@ -16,8 +16,10 @@
 #define STOPS 12
 #define ASKERS 8
 #define ASK_US 100000
+#define START_MS 15000
 #define ASK_TIMEOUT_MS 500
 #define URL_BYTES 128
+#define HTTP_OK 200
 
 static struct deployment *deployment;
 static struct host *subject;
@@ -40,6 +42,19 @@
 	return NULL;
 }
 
+/* Waits until the node answers: one that has not set up its signal handlers yet
+ * ends by the signal that stops it. */
+static void
+await_subject(void)
+{
+	char url[URL_BYTES];
+
+	(void)g_snprintf(url, sizeof(url), "http://%s:%u/v1/status",
+	    subject->address, subject->admin_port);
+	ck_assert_msg(fetch_wait_status(url, HTTP_OK, START_MS),
+	    "%s doesn't answer, logs are in %s", subject->name, harness_dir());
+}
+
 /* Guards against a node that ends by a signal of its own, since the control
  * thread answers a question whose server has been freed. */
 START_TEST(a_node_that_is_asked_while_it_stops_ends_in_order)
@@ -54,6 +69,7 @@
 		ck_assert_int_eq(
 		    pthread_create(&askers[i], NULL, ask, NULL), 0);
 	for (i = 0; i < STOPS; i++) {
+		await_subject();
 		g_usleep(ASK_US);
 		ck_assert_int_eq(deployment_stop_node(subject), 0);
 		deployment_start_node(deployment, subject);
