--- a/packages/ctl/test/fake_node.c
+++ b/packages/ctl/test/fake_node.c
@@ -103,9 +103,10 @@
 struct fake_node *
 fake_node_new(void)
 {
+	static const char ports[] = FAKE_HOST ":0";
 	/* With one thread, requests are handled in the order of arrival. */
-	static const char *const options[] = {"listening_ports", FAKE_HOST ":0",
-	    "num_threads", "1", "enable_keep_alive", "no", NULL};
+	const char *const options[] = {"listening_ports", ports, "num_threads",
+	    "1", "enable_keep_alive", "no", NULL};
 	struct fake_node *f = g_new0(struct fake_node, 1);
 	struct mg_server_port port;
 
