fix(node): a late answer of the store reaches no freed receiver

The cause: an operation that ends by its deadline, with a request to the store in flight, has passed its result on, and the receiver is freed; at the late answer it still asks the receiver for the newest known head row. The evidence: the kernel's line names control_operation_known(), which reads that argument.

Solution: behind its end an operation asks nobody. It works since that was the only use of the argument after the result.

--- a/packages/node/include/node/operation.h
+++ b/packages/node/include/node/operation.h
@@ -34,7 +34,8 @@
 typedef void operation_fn(const struct operation_end *end, void *arg);
 
 /** operation_known_fn - sets seq and newest version of the newest head row that
- * this node knows; called before each answer of the store is handled */
+ * this node knows; called before each answer of the store is handled, never
+ * after operation_fn */
 typedef void operation_known_fn(uint64_t *seq, uint64_t *version, void *arg);
 
 /**
--- a/packages/node/src/operation.c
+++ b/packages/node/src/operation.c
@@ -70,11 +70,15 @@
 		operation_free(op);
 }
 
+/* The answers to requests that are in flight at the end of an operation arrive
+ * after @fn, which may have freed @arg. */
 static void
 update_known(struct operation *op)
 {
 	uint64_t seq, version;
 
+	if (op->finished)
+		return;
 	op->known(&seq, &version, op->arg);
 	signoff_known(op->signoff, seq, version);
 }
